--- /dev/null
+++ b/src/troutswitch/__init__.py
@@ -0,0 +1,3 @@
+"""troutswitch: online and batch language-model inference on one fleet."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/troutswitch/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Caller-facing HTTP interface: completions, chat and batches."""
--- /dev/null
+++ b/src/troutswitch/callers/batch_app.py
@@ -0,0 +1,177 @@
+"""WSGI application for batch callers: submit, status, results and cancellation."""
+
+from collections.abc import Iterable
+
+from troutswitch.callers.context import CallerContext
+from troutswitch.callers.errors import bad_request, refused_call
+from troutswitch.callers.parsing import BadInput, parse_batch, parse_window, to_json_lines
+from troutswitch.decisions.batch.results import RESULTS_MOST
+from troutswitch.decisions.effects import (
+    CallAnswer,
+    CallRefused,
+    ItemResult,
+    JobResults,
+    JobView,
+)
+from troutswitch.decisions.events import (
+    Event,
+    JobAsked,
+    JobCancelAsked,
+    JobResultsAsked,
+    JobSubmitted,
+)
+from troutswitch.runtime.http import (
+    Environ,
+    Request,
+    Response,
+    StartResponse,
+    json_response,
+    send,
+)
+
+DEFAULT_WINDOW = "24h"
+JSON_LINES_TYPE = "application/jsonl"
+DUPLICATE_HEADER = "X-Duplicate-Of"
+
+
+class BatchApplication:
+    """Serves batch callers of one daemon."""
+
+    def __init__(self, context: CallerContext) -> None:
+        self._context = context
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Handles one call."""
+        request = Request(environ)
+        try:
+            response = self._route(request)
+        except BadInput as error:
+            response = bad_request(str(error), error.status)
+        return send(response, start_response)
+
+    def _route(self, request: Request) -> Response:
+        parts = request.path.strip("/").split("/")
+        match (request.method, parts):
+            case ("POST", ["v1", "batches"]):
+                return self._submit(request)
+            case ("GET", ["v1", "batches", job_id]):
+                return self._status(request, job_id)
+            case ("POST", ["v1", "batches", job_id, "cancel"]):
+                return self._cancel(request, job_id)
+            case ("GET", ["v1", "batches", job_id, "results"]):
+                return self._results(request, job_id)
+            case ("GET", ["v1", "files", job_id, "content"]):
+                return self._all_results(request, job_id)
+            case ("GET", ["healthz"]):
+                return json_response(200, {"status": "alive"})
+            case _:
+                return bad_request("unknown path", 404)
+
+    def _submit(self, request: Request) -> Response:
+        tenant = self._context.authenticate(request)
+        window = parse_window(request.query("completion_window", DEFAULT_WINDOW))
+        repeatable = request.query("repeatable", "yes") != "no"
+        key = request.header("Idempotency-Key")
+        service, items = parse_batch(request.body())
+        self._context.check_service(service)
+
+        def make(token: str, deadline: float) -> Event:
+            due = self._context.now() + window
+            return JobSubmitted(
+                token, tenant, service, key, items, due, repeatable, call_deadline=deadline
+            )
+
+        return _job_response(self._context.ask(make))
+
+    def _status(self, request: Request, job_id: str) -> Response:
+        tenant = self._context.authenticate(request)
+        answer = self._context.ask(
+            lambda token, deadline: JobAsked(token, tenant, job_id, deadline)
+        )
+        return _job_response(answer)
+
+    def _cancel(self, request: Request, job_id: str) -> Response:
+        tenant = self._context.authenticate(request)
+        answer = self._context.ask(
+            lambda token, deadline: JobCancelAsked(token, tenant, job_id, deadline)
+        )
+        return _job_response(answer)
+
+    def _results(self, request: Request, job_id: str) -> Response:
+        tenant = self._context.authenticate(request)
+        first = _whole_number(request.query("after", "0"))
+        answer = self._read(tenant, job_id, first)
+        if isinstance(answer, CallRefused):
+            return refused_call(answer)
+        body = to_json_lines([_result_row(job_id, result) for result in answer.results])
+        following = "" if answer.next_index is None else str(answer.next_index)
+        return Response(200, body, JSON_LINES_TYPE, (("X-Next-After", following),))
+
+    def _all_results(self, request: Request, job_id: str) -> Response:
+        tenant = self._context.authenticate(request)
+        rows: list[dict[str, object]] = []
+        following: int | None = 0
+        while following is not None:
+            answer = self._read(tenant, job_id, following)
+            if isinstance(answer, CallRefused):
+                return refused_call(answer)
+            rows.extend(_result_row(job_id, result) for result in answer.results)
+            following = answer.next_index
+        return Response(200, to_json_lines(rows), JSON_LINES_TYPE)
+
+    def _read(self, tenant: str, job_id: str, first: int) -> JobResults | CallRefused:
+        answer = self._context.ask(
+            lambda token, deadline: JobResultsAsked(
+                token, tenant, job_id, first, RESULTS_MOST, deadline
+            )
+        )
+        assert isinstance(answer, JobResults | CallRefused)
+        return answer
+
+
+def _whole_number(text: str) -> int:
+    if not text.isdigit():
+        raise BadInput(f"after {text!r} is not a whole number")
+    return int(text)
+
+
+def _job_response(answer: CallAnswer) -> Response:
+    if isinstance(answer, CallRefused):
+        return refused_call(answer)
+    assert isinstance(answer, JobView)
+    headers = ((DUPLICATE_HEADER, answer.job_id),) if answer.duplicate else ()
+    return json_response(200, _job_body(answer), headers)
+
+
+def _job_body(view: JobView) -> dict[str, object]:
+    """Returns a job in the shape that OpenAI clients parse."""
+    status = "in_progress" if view.status == "running" else view.status
+    return {
+        "id": view.job_id,
+        "object": "batch",
+        "endpoint": "/v1/completions",
+        "input_file_id": view.job_id,
+        "output_file_id": view.job_id if view.completed + view.failed else None,
+        "completion_window": DEFAULT_WINDOW,
+        "status": status,
+        "model": view.service,
+        "created_at": int(view.created_at),
+        "expires_at": int(view.deadline),
+        "request_counts": {
+            "total": view.total,
+            "completed": view.completed,
+            "failed": view.failed,
+        },
+    }
+
+
+def _result_row(job_id: str, result: ItemResult) -> dict[str, object]:
+    is_completed = result.outcome == "completed"
+    body = {"choices": [{"index": 0, "text": result.body, "finish_reason": "stop"}]}
+    error = {"code": result.outcome, "message": result.body}
+    return {
+        "id": f"{job_id}-{result.index}",
+        "custom_id": result.custom_id,
+        "response": {"status_code": 200, "body": body} if is_completed else None,
+        "error": None if is_completed else error,
+    }
--- /dev/null
+++ b/src/troutswitch/callers/context.py
@@ -0,0 +1,83 @@
+"""What the callers' applications need of their daemon."""
+
+import hashlib
+import itertools
+import threading
+from collections.abc import Callable
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from dataclasses import dataclass, field
+
+from troutswitch.callers.parsing import BadInput
+from troutswitch.decisions.effects import CallAnswer, CallRefused
+from troutswitch.decisions.events import Event
+from troutswitch.decisions.views import Directory
+from troutswitch.outcomes import Step
+from troutswitch.runtime.effects import EffectRunner
+from troutswitch.runtime.http import Request
+
+ANONYMOUS_TENANT = "anonymous"
+CALL_SECONDS = 30.0
+"""Time a call about a job or the configuration may take."""
+CALL_SLACK_SECONDS = 5.0
+
+
+@dataclass
+class CallerContext:
+    """Hands callers' events to the loop and waits for the answers."""
+
+    daemon: str
+    runner: EffectRunner
+    post: Callable[[Event], None]
+    now: Callable[[], float]
+    _numbers: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
+    _lock: threading.Lock = field(default_factory=threading.Lock)
+
+    @property
+    def directory(self) -> Directory:
+        """The directory in force."""
+        return self.runner.directory
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return self.directory.is_ready and not self.runner.is_stopping
+
+    def next_id(self) -> str:
+        """Returns an id that is unique in the fleet."""
+        with self._lock:
+            return f"{self.daemon}-{next(self._numbers)}"
+
+    def ask(self, make_event: Callable[[str, float], Event]) -> CallAnswer:
+        """Posts the event made from a token and a deadline, and waits for its answer."""
+        token = self.next_id()
+        deadline = self.now() + CALL_SECONDS
+        future = self.runner.expect_answer(token)
+        self.post(make_event(token, deadline))
+        try:
+            return future.result(CALL_SECONDS + CALL_SLACK_SECONDS)
+        except FutureTimeoutError:
+            return CallRefused("no decision in time", Step.READ, 504, False)
+
+    def authenticate(self, request: Request) -> str:
+        """Returns the caller's tenant.
+
+        Raises:
+            BadInput: the key is not known, or one is required.
+        """
+        directory = self.directory
+        scheme, _, key = request.header("Authorization").partition(" ")
+        if scheme.lower() == "bearer" and key:
+            digest = hashlib.sha256(key.strip().encode()).hexdigest()
+            for known, tenant in directory.tenant_of_key:
+                if known == digest:
+                    return tenant
+            if directory.tenant_of_key or directory.require_api_key:
+                raise BadInput("unknown API key", 401)
+        if directory.require_api_key:
+            raise BadInput("an API key is required", 401)
+        return ANONYMOUS_TENANT
+
+    def check_service(self, service: str) -> None:
+        """Raises `BadInput` unless some engine offers the service."""
+        if service not in self.directory.services:
+            raise BadInput(f"unknown model {service!r}", 404)
--- /dev/null
+++ b/src/troutswitch/callers/online_app.py
@@ -0,0 +1,229 @@
+"""WSGI application for online callers: completions, chat, models and health."""
+
+import json
+from collections.abc import Callable, Iterable, Iterator
+
+from prometheus_client import CollectorRegistry, generate_latest
+
+from troutswitch.callers.context import CallerContext
+from troutswitch.callers.errors import bad_request, failed_request
+from troutswitch.callers.parsing import (
+    BadInput,
+    CompletionBody,
+    estimate_tokens,
+    parse_completion,
+    prefix_of,
+)
+from troutswitch.callers.relay import OnlineWork, Relay
+from troutswitch.decisions.events import OnlineArrived
+from troutswitch.outcomes import Completed, OnlineOutcome
+from troutswitch.runtime.http import (
+    EVENT_STREAM_TYPE,
+    Environ,
+    Request,
+    Response,
+    StartResponse,
+    json_response,
+    send,
+    status_line,
+)
+
+REQUEST_SECONDS = 120.0
+NOT_REPEATABLE = "no"
+"""Value of the header `X-Repeatable` for a request that must run at most once."""
+
+
+class OnlineApplication:
+    """Serves online callers of one daemon."""
+
+    def __init__(
+        self,
+        context: CallerContext,
+        registry: CollectorRegistry,
+        on_outcome: Callable[[OnlineOutcome | None], None],
+    ) -> None:
+        self._context = context
+        self._registry = registry
+        self._on_outcome = on_outcome
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Handles one call."""
+        request = Request(environ)
+        try:
+            match (request.method, request.path):
+                case ("POST", "/v1/chat/completions"):
+                    return self._complete(request, start_response, True)
+                case ("POST", "/v1/completions"):
+                    return self._complete(request, start_response, False)
+                case ("GET", path):
+                    return send(self._get(path, request), start_response)
+                case _:
+                    return send(bad_request("unknown path", 404), start_response)
+        except BadInput as error:
+            return send(bad_request(str(error), error.status), start_response)
+
+    def _get(self, path: str, request: Request) -> Response:
+        match path:
+            case "/healthz":
+                return json_response(200, {"status": "alive"})
+            case "/readyz":
+                is_ready = self._context.is_ready
+                return json_response(200 if is_ready else 503, {"ready": is_ready})
+            case "/metrics":
+                return Response(200, generate_latest(self._registry), "text/plain; version=0.0.4")
+            case "/v1/models":
+                self._context.authenticate(request)
+                return json_response(200, self._models())
+            case _:
+                return bad_request("unknown path", 404)
+
+    def _models(self) -> dict[str, object]:
+        rows = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "fleet"}
+            for name in self._context.directory.services
+        ]
+        return {"object": "list", "data": rows}
+
+    # Completions.
+
+    def _complete(
+        self, request: Request, start_response: StartResponse, is_chat: bool
+    ) -> Iterable[bytes]:
+        tenant = self._context.authenticate(request)
+        body = parse_completion(request.body(), is_chat)
+        self._context.check_service(body.model)
+        relay = self._relay(request, tenant, body)
+        shape = _ChatShape if is_chat else _TextShape
+        answer = shape(self._context.next_id(), body.model, int(self._context.now()))
+        if body.stream:
+            return self._stream(relay, answer, start_response)
+        return send(self._whole(relay, answer, body), start_response)
+
+    def _relay(self, request: Request, tenant: str, body: CompletionBody) -> Relay:
+        text = body.text()
+        arrival = OnlineArrived(
+            self._context.next_id(),
+            tenant,
+            body.model,
+            estimate_tokens(text),
+            body.token_limit(),
+            prefix_of(text),
+            self._context.now() + REQUEST_SECONDS,
+            request.header("X-Repeatable") != NOT_REPEATABLE,
+            request.header("Idempotency-Key"),
+        )
+        context = self._context
+        return Relay(OnlineWork(arrival, text), context.runner, context.post, context.now)
+
+    def _whole(self, relay: Relay, answer: "_Shape", body: CompletionBody) -> Response:
+        text = "".join(relay.texts())
+        self._on_outcome(relay.outcome)
+        outcome = relay.outcome
+        assert outcome is not None
+        if not isinstance(outcome, Completed):
+            return failed_request(outcome, answer.answer_id)
+        return json_response(200, answer.whole(text, estimate_tokens(body.text()), outcome.length))
+
+    def _stream(
+        self, relay: Relay, answer: "_Shape", start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Waits for the first text, so that a refusal still gets its own status."""
+        texts = relay.texts()
+        first = next(texts, None)
+        if first is None and not isinstance(relay.outcome, Completed):
+            assert relay.outcome is not None
+            self._on_outcome(relay.outcome)
+            return send(failed_request(relay.outcome, answer.answer_id), start_response)
+        headers = [("Content-Type", EVENT_STREAM_TYPE), ("Cache-Control", "no-cache")]
+        start_response(status_line(200), headers)
+        return self._events(relay, answer, first or "", texts)
+
+    def _events(
+        self, relay: Relay, answer: "_Shape", first: str, texts: Iterator[str]
+    ) -> Iterator[bytes]:
+        try:
+            yield _event(answer.piece(first))
+            for text in texts:
+                yield _event(answer.piece(text))
+            outcome = relay.outcome
+            assert outcome is not None
+            if isinstance(outcome, Completed):
+                yield _event(answer.last_piece())
+                yield b"data: [DONE]\n\n"
+            else:
+                yield b"data: " + failed_request(outcome, answer.answer_id).body + b"\n\n"
+        finally:
+            texts.close()  # type: ignore[attr-defined]
+            self._on_outcome(relay.outcome)
+
+
+class _Shape:
+    """Shape of an answer; subclasses differ in the name and form of the text."""
+
+    def __init__(self, answer_id: str, model: str, created: int) -> None:
+        self.answer_id = answer_id
+        self._model = model
+        self._created = created
+
+    def piece(self, text: str) -> dict[str, object]:
+        """Returns one streamed event."""
+        raise NotImplementedError
+
+    def last_piece(self) -> dict[str, object]:
+        """Returns the last streamed event."""
+        raise NotImplementedError
+
+    def whole(self, text: str, prompt_tokens: int, tokens: int) -> dict[str, object]:
+        """Returns the whole answer."""
+        raise NotImplementedError
+
+    def _frame(self, kind: str, choice: dict[str, object]) -> dict[str, object]:
+        return {
+            "id": self.answer_id,
+            "object": kind,
+            "created": self._created,
+            "model": self._model,
+            "choices": [{"index": 0, **choice}],
+        }
+
+
+class _ChatShape(_Shape):
+    """Shape of `/v1/chat/completions`."""
+
+    def piece(self, text: str) -> dict[str, object]:
+        delta = {"role": "assistant", "content": text}
+        return self._frame("chat.completion.chunk", {"delta": delta, "finish_reason": None})
+
+    def last_piece(self) -> dict[str, object]:
+        return self._frame("chat.completion.chunk", {"delta": {}, "finish_reason": "stop"})
+
+    def whole(self, text: str, prompt_tokens: int, tokens: int) -> dict[str, object]:
+        message = {"role": "assistant", "content": text}
+        frame = self._frame("chat.completion", {"message": message, "finish_reason": "stop"})
+        return {**frame, "usage": _usage(prompt_tokens, tokens)}
+
+
+class _TextShape(_Shape):
+    """Shape of `/v1/completions`."""
+
+    def piece(self, text: str) -> dict[str, object]:
+        return self._frame("text_completion", {"text": text, "finish_reason": None})
+
+    def last_piece(self) -> dict[str, object]:
+        return self._frame("text_completion", {"text": "", "finish_reason": "stop"})
+
+    def whole(self, text: str, prompt_tokens: int, tokens: int) -> dict[str, object]:
+        frame = self._frame("text_completion", {"text": text, "finish_reason": "stop"})
+        return {**frame, "usage": _usage(prompt_tokens, tokens)}
+
+
+def _usage(prompt_tokens: int, tokens: int) -> dict[str, int]:
+    return {
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": tokens,
+        "total_tokens": prompt_tokens + tokens,
+    }
+
+
+def _event(value: dict[str, object]) -> bytes:
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
--- /dev/null
+++ b/src/troutswitch/callers/relay.py
@@ -0,0 +1,155 @@
+"""Relays one online request: the caller's thread, the loop's decisions, an engine's bytes."""
+
+import itertools
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from troutswitch.decisions.effects import FinishOnline, StartOnlineAttempt
+from troutswitch.decisions.events import (
+    Event,
+    OnlineAbandoned,
+    OnlineArrived,
+    OnlineAttemptEnded,
+    OnlineFirstToken,
+)
+from troutswitch.engines.assembler import AnswerAssembler, ForeignPiece
+from troutswitch.engines.client import EngineStream, StreamEnded
+from troutswitch.engines.protocol import CompletionOrder
+from troutswitch.outcomes import (
+    AttemptKind,
+    Cut,
+    MayHaveRun,
+    NotRun,
+    OnlineOutcome,
+    Step,
+)
+from troutswitch.runtime.effects import EffectRunner
+
+DIRECTIVE_SLACK_SECONDS = 5.0
+"""Time past its deadline after which a request's thread no longer waits for the loop."""
+
+
+@dataclass(frozen=True)
+class OnlineWork:
+    """What is to be generated, and the decisions' view of it."""
+
+    arrival: OnlineArrived
+    prompt: str
+
+
+class RelayCounter:
+    """Numbers the requests of one daemon."""
+
+    def __init__(self, prefix: str) -> None:
+        self._prefix = prefix
+        self._numbers = itertools.count(1)
+
+    def next_id(self) -> str:
+        """Returns a request id that is unique in the fleet."""
+        return f"{self._prefix}-{next(self._numbers)}"
+
+
+class Relay:
+    """One online request from its caller's thread."""
+
+    def __init__(
+        self,
+        work: OnlineWork,
+        runner: EffectRunner,
+        post: Callable[[Event], None],
+        now: Callable[[], float],
+    ) -> None:
+        self.outcome: OnlineOutcome | None = None
+        self._work = work
+        self._runner = runner
+        self._post = post
+        self._now = now
+        self._assembler = AnswerAssembler()
+        self._so_far: list[str] = []
+        self._is_first = True
+
+    def texts(self) -> Iterator[str]:
+        """Yields the answer's text in order; `outcome` is set when it ends."""
+        request_id = self._work.arrival.request_id
+        channel = self._runner.open_channel(request_id)
+        try:
+            self._post(self._work.arrival)
+            while self.outcome is None:
+                left = self._work.arrival.deadline - self._now() + DIRECTIVE_SLACK_SECONDS
+                directive = channel.get(max(left, DIRECTIVE_SLACK_SECONDS))
+                if isinstance(directive, FinishOnline):
+                    self.outcome = self._told(directive.outcome)
+                else:
+                    yield from self._attempt(directive)
+        except TimeoutError:
+            self.outcome = self._told(MayHaveRun("no decision in time", Step.DISPATCH))
+        finally:
+            self._runner.close_channel(request_id)
+            if self.outcome is None:
+                self._post(OnlineAbandoned(request_id))
+
+    def _told(self, outcome: OnlineOutcome) -> OnlineOutcome:
+        """Returns what the caller is told: after its first token an answer is cut."""
+        position = self._assembler.position
+        if position > 0 and isinstance(outcome, NotRun | MayHaveRun):
+            return Cut(outcome.reason, position, outcome.step, outcome.peer)
+        return outcome
+
+    def _attempt(self, directive: StartOnlineAttempt) -> Iterator[str]:
+        stream = EngineStream(directive.address, directive.time_limit)
+        self._assembler.start_attempt()
+        try:
+            stream.open(self._order(directive))
+            for piece in stream.pieces():
+                released = self._assembler.accept(piece, directive.attempt_id)
+                if released:
+                    self._note_first(directive)
+                    self._so_far.extend(released)
+                    yield "".join(released)
+        except StreamEnded as error:
+            self._end(directive, error.kind, error.reason, error)
+            return
+        except ForeignPiece as error:
+            self._end(directive, AttemptKind.CUT, str(error))
+            return
+        finally:
+            stream.close()
+        whole = self._assembler.is_whole
+        kind = AttemptKind.COMPLETED if whole else AttemptKind.CUT
+        self._end(directive, kind, "" if whole else "pieces are missing")
+
+    def _order(self, directive: StartOnlineAttempt) -> CompletionOrder:
+        arrival = self._work.arrival
+        return CompletionOrder(
+            directive.attempt_id,
+            self._work.prompt,
+            arrival.max_tokens,
+            0,
+            self._assembler.position,
+            "".join(self._so_far),
+            arrival.prefix,
+        )
+
+    def _note_first(self, directive: StartOnlineAttempt) -> None:
+        if self._is_first:
+            self._is_first = False
+            self._post(OnlineFirstToken(directive.request_id, directive.attempt_id))
+
+    def _end(
+        self,
+        directive: StartOnlineAttempt,
+        kind: AttemptKind,
+        reason: str,
+        error: StreamEnded | None = None,
+    ) -> None:
+        self._post(
+            OnlineAttemptEnded(
+                directive.request_id,
+                directive.attempt_id,
+                kind,
+                self._assembler.position,
+                reason,
+                error.retry_after if error is not None else None,
+                error.leaving if error is not None else False,
+            )
+        )
--- /dev/null
+++ b/src/troutswitch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/troutswitch/cli/__main__.py
@@ -0,0 +1,5 @@
+"""Allows `python -m troutswitch.cli`."""
+
+from troutswitch.cli.main import main
+
+main()
--- /dev/null
+++ b/src/troutswitch/cli/ctl.py
@@ -0,0 +1,256 @@
+"""Command `ctl`: configuration, jobs and fleet status, over a daemon's operator interface."""
+
+import getpass
+import json
+import time
+import tomllib
+import uuid
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from troutswitch.cli.standin import parse_address
+from troutswitch.common import Address
+from troutswitch.decisions.configuration.declarations import (
+    DeclarationError,
+    changes_between,
+    read_declarations,
+)
+from troutswitch.decisions.configuration.tree import ConfigurationTree
+from troutswitch.logservice.records import ConfigurationChange
+from troutswitch.runtime.http import ConnectionPool, HttpError
+
+CALL_SECONDS = 40.0
+WAIT_POLL_SECONDS = 0.2
+
+
+class OperatorClient:
+    """Blocking calls to a daemon's operator interface."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._pool = ConnectionPool(CALL_SECONDS)
+
+    def call(self, method: str, path: str, body: object = None) -> Any:
+        """Makes a call and returns the JSON answer.
+
+        Raises:
+            click.ClickException: no answer, or a refusal.
+        """
+        data = None if body is None else json.dumps(body).encode()
+        try:
+            status, answer = self._pool.call(self._address, method, path, data)
+        except HttpError as error:
+            raise click.ClickException(f"daemon at {self._address}: {error}") from error
+        value = json.loads(answer)
+        if status != 200:
+            error_text = value.get("error", {}).get("message", f"status {status}")
+            raise click.ClickException(f"daemon at {self._address}: {error_text}")
+        return value
+
+
+@click.group()
+@click.option("--daemon", "address", default="127.0.0.1:8002", show_default=True)
+@click.pass_context
+def ctl(context: click.Context, address: str) -> None:
+    """Operate the fleet through any of its daemons."""
+    context.obj = OperatorClient(parse_address(address))
+
+
+@ctl.command()
+@click.option("--json", "as_json", is_flag=True)
+@click.pass_obj
+def fleet(client: OperatorClient, as_json: bool) -> None:
+    """Show the fleet as this daemon sees it."""
+    status = client.call("GET", "/status")
+    if as_json:
+        click.echo(json.dumps(status))
+        return
+    click.echo(
+        f"daemon {status['daemon']} zone {status['zone']} ready {status['is_ready']} "
+        f"configuration {status['configuration_version']}"
+    )
+    for member in status["members"]:
+        click.echo(f"  member {member['name']:<24} {member['state']:<8} {member['zone']}")
+    for engine in status["engines"]:
+        leaving = " leaving" if engine["is_leaving"] else ""
+        click.echo(
+            f"  engine {engine['name']:<24} online {engine['online']:>3} batch "
+            f"{engine['batch']:>3} of {engine['slots']:>3} steward {engine['steward']}{leaving}"
+        )
+    for shard in status["shards"]:
+        click.echo(
+            f"  shard {shard['shard']:>5} owner {shard['owner'] or '-':<36} "
+            f"epoch {shard['epoch']} open jobs {shard['open_jobs']}"
+        )
+
+
+@ctl.group()
+def config() -> None:
+    """Plan, apply and read the configuration."""
+
+
+def _tree_of(answer: Any) -> ConfigurationTree:
+    tree = ConfigurationTree()
+    for path, key, value in answer["overrides"]:
+        tree.apply(ConfigurationChange(path, key, value))
+    return tree
+
+
+def _plan(client: OperatorClient, directory: str) -> tuple[int, list[ConfigurationChange]]:
+    try:
+        wanted = read_declarations(Path(directory))
+    except DeclarationError as error:
+        raise click.UsageError(str(error)) from error
+    answer = client.call("GET", "/configuration")
+    return int(answer["version"]), changes_between(_tree_of(answer), wanted)
+
+
+def _show_changes(changes: list[ConfigurationChange]) -> None:
+    if not changes:
+        click.echo("no changes")
+    for change in changes:
+        value = "(unset: inherited)" if change.value is None else json.dumps(change.value)
+        click.echo(f"  {change.path}: {change.key} = {value}")
+
+
+@config.command()
+@click.argument("directory")
+@click.pass_obj
+def plan(client: OperatorClient, directory: str) -> None:
+    """Show what applying DIRECTORY would change."""
+    version, changes = _plan(client, directory)
+    click.echo(f"against version {version}:")
+    _show_changes(changes)
+
+
+@config.command()
+@click.argument("directory")
+@click.option("--message", default="", help="Why.")
+@click.option("--author", default=None, help="Who; the login name by default.")
+@click.option("--wait/--no-wait", default=True, help="Wait until it is in force everywhere.")
+@click.pass_obj
+def apply(
+    client: OperatorClient, directory: str, message: str, author: str | None, wait: bool
+) -> None:
+    """Publish DIRECTORY's declarations; prints accepted or rejected with the reason."""
+    version, changes = _plan(client, directory)
+    _show_changes(changes)
+    if changes:
+        publish(client, version, changes, author or getpass.getuser(), message, wait)
+
+
+@config.command(name="set")
+@click.argument("path")
+@click.argument("key")
+@click.argument("value")
+@click.option("--message", default="")
+@click.option("--author", default=None)
+@click.option("--wait/--no-wait", default=True)
+@click.pass_obj
+def set_value(
+    client: OperatorClient,
+    path: str,
+    key: str,
+    value: str,
+    message: str,
+    author: str | None,
+    wait: bool,
+) -> None:
+    """Set one KEY at PATH to VALUE (TOML); "unset" removes the override."""
+    version = int(client.call("GET", "/configuration")["version"])
+    change = ConfigurationChange(path, key, _parse_value(value))
+    publish(client, version, [change], author or getpass.getuser(), message, wait)
+
+
+def _parse_value(text: str) -> bool | int | float | str | None:
+    if text == "unset":
+        return None
+    try:
+        value = tomllib.loads(f"value = {text}")["value"]
+    except tomllib.TOMLDecodeError:
+        return text
+    return value if isinstance(value, bool | int | float | str) else text
+
+
+def publish(
+    client: OperatorClient,
+    version: int,
+    changes: list[ConfigurationChange],
+    author: str,
+    message: str,
+    wait: bool,
+) -> None:
+    """Publishes changes and tells whether they were accepted."""
+    body = {
+        "publication_id": uuid.uuid4().hex,
+        "author": author,
+        "message": message,
+        "base_version": version,
+        "changes": [msgspec.structs.asdict(change) for change in changes],
+    }
+    verdict = client.call("POST", "/configuration", body)
+    if not verdict["accepted"]:
+        raise click.ClickException(f"rejected: {verdict['reason']}")
+    click.echo(f"accepted as version {verdict['version']}")
+    if wait:
+        _wait_in_force(client)
+
+
+def _wait_in_force(client: OperatorClient) -> None:
+    """Waits until every live member reports the configuration offset of this daemon."""
+    target = int(client.call("GET", "/status")["configuration_offset"])
+    deadline = time.monotonic() + 30.0
+    while time.monotonic() < deadline:
+        members = client.call("GET", "/status")["members"]
+        behind = [
+            m["name"]
+            for m in members
+            if m["state"] in ("alive", "suspect") and m["configuration_offset"] < target
+        ]
+        if not behind:
+            click.echo("in force on every live daemon")
+            return
+        time.sleep(WAIT_POLL_SECONDS)
+    raise click.ClickException(f"not yet in force on: {', '.join(behind)}")
+
+
+@config.command()
+@click.option("--zone", default="")
+@click.option("--service", default="")
+@click.option("--tenant", default="")
+@click.option("--effective", is_flag=True, help="Show inherited values with their source.")
+@click.pass_obj
+def get(client: OperatorClient, zone: str, service: str, tenant: str, effective: bool) -> None:
+    """Show the overrides, or the effective values of a zone, service and tenant."""
+    if not effective:
+        for path, key, value in client.call("GET", "/configuration")["overrides"]:
+            click.echo(f"{path}: {key} = {json.dumps(value)}")
+        return
+    query = f"zone={zone}&service={service}&tenant={tenant}"
+    answer = client.call("GET", f"/configuration/effective?{query}")
+    for key, value, source in answer["values"]:
+        click.echo(f"{key} = {json.dumps(value)}  ({source})")
+
+
+@config.command()
+@click.pass_obj
+def history(client: OperatorClient) -> None:
+    """Show who changed what."""
+    for line in client.call("GET", "/configuration/history")["publications"]:
+        when = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(line["published_at"]))
+        click.echo(f"version {line['version']}  {when}  {line['author']}  {line['message']}")
+        for path, key, value in line["changes"]:
+            click.echo(f"    {path}: {key} = {json.dumps(value)}")
+
+
+@config.command()
+@click.pass_obj
+def status(client: OperatorClient) -> None:
+    """Show which daemon is at which configuration offset."""
+    answer = client.call("GET", "/status")
+    click.echo(f"version {answer['configuration_version']} digest {answer['configuration_digest']}")
+    for member in answer["members"]:
+        click.echo(f"  {member['name']:<24} {member['state']:<8} {member['configuration_offset']}")
--- /dev/null
+++ b/src/troutswitch/cli/load.py
@@ -0,0 +1,38 @@
+"""Command `load`: streams at a daemon or an engine, with latencies measured by the caller."""
+
+import json
+
+import click
+
+from troutswitch.cli.standin import parse_address
+from troutswitch.standins.loadgen import LoadPlan, run_load
+
+
+@click.command()
+@click.option("--target", default="127.0.0.1:8000", show_default=True, help="Callers' address.")
+@click.option("--model", required=True)
+@click.option("--streams", default=50, show_default=True, help="Concurrent streams.")
+@click.option("--tokens", default=64, show_default=True, help="Tokens an answer.")
+@click.option("--requests", default=1, show_default=True, help="Requests a stream, in turn.")
+@click.option("--spread", default=5.0, show_default=True, help="Seconds over which streams start.")
+@click.option("--direct", is_flag=True, help="The target is an engine, not a daemon.")
+@click.option("--json", "as_json", is_flag=True)
+def load(
+    target: str,
+    model: str,
+    streams: int,
+    tokens: int,
+    requests: int,
+    spread: float,
+    direct: bool,
+    as_json: bool,
+) -> None:
+    """Run a bounded load and print what callers saw."""
+    address = parse_address(target)
+    plan = LoadPlan((address,), model, streams, tokens, requests, spread, direct)
+    report = run_load(plan)
+    if as_json:
+        click.echo(json.dumps(report.summary()))
+        return
+    for key, value in report.summary().items():
+        click.echo(f"{key}: {value}")
--- /dev/null
+++ b/src/troutswitch/cli/main.py
@@ -0,0 +1,38 @@
+"""Entry point: `troutswitch COMMAND`."""
+
+import sys
+
+import click
+
+from troutswitch import __version__
+from troutswitch.cli.ctl import ctl
+from troutswitch.cli.daemon import daemon, settings
+from troutswitch.cli.demo import demo
+from troutswitch.cli.load import load
+from troutswitch.cli.scale import scale
+from troutswitch.cli.standin import standin
+from troutswitch.cli.world import experiment, simulate
+
+
+@click.group()
+@click.version_option(__version__)
+def cli() -> None:
+    """Serving system for online and batch language-model inference on one fleet."""
+
+
+for command in (daemon, settings, ctl, demo, load, standin, simulate, experiment, scale):
+    cli.add_command(command)
+
+
+def main() -> None:
+    """Runs the command line; bad usage gives one line on standard error and exit 2."""
+    try:
+        cli.main(standalone_mode=False)
+    except click.exceptions.Abort:
+        sys.exit(130)
+    except click.exceptions.Exit as error:
+        sys.exit(error.exit_code)
+    except click.ClickException as error:
+        message = " ".join(error.format_message().split())
+        click.echo(f"troutswitch: {message}", err=True)
+        sys.exit(2)
--- /dev/null
+++ b/src/troutswitch/cli/standin.py
@@ -0,0 +1,91 @@
+"""Command `standin`: the platform and engines as processes, for tests and trials."""
+
+import signal
+import threading
+import time
+
+import click
+
+from troutswitch.common import Address
+from troutswitch.decisions.events import Machine
+from troutswitch.machinelist.client import MachineListClient
+from troutswitch.standins.engine import EngineStandin
+from troutswitch.standins.engine_model import EngineShape
+from troutswitch.standins.platform import PlatformStandin
+
+REGISTER_TRIES = 50
+REGISTER_SECONDS = 0.1
+
+
+def parse_address(text: str) -> Address:
+    """Parses an address given as a flag."""
+    try:
+        return Address.parse(text)
+    except ValueError as error:
+        raise click.UsageError(f"address: {error}") from error
+
+
+def wait_for_signal() -> None:
+    """Waits until the process is asked to end."""
+    asked = threading.Event()
+    signal.signal(signal.SIGTERM, lambda number, frame: asked.set())
+    signal.signal(signal.SIGINT, lambda number, frame: asked.set())
+    asked.wait()
+
+
+@click.group()
+def standin() -> None:
+    """Run a stand-in for an outside system on loopback."""
+
+
+@standin.command()
+@click.option("--address", default="127.0.0.1:7000", show_default=True)
+@click.option("--list-lag", default=1.0, show_default=True, help="Seconds.")
+def platform(address: str, list_lag: float) -> None:
+    """Run the platform: log service, machine list, weight store."""
+    server = PlatformStandin(parse_address(address), list_lag)
+    server.start()
+    click.echo(f"platform on {server.address}", err=True)
+    wait_for_signal()
+    server.stop()
+
+
+@standin.command()
+@click.option("--address", default="127.0.0.1:7100", show_default=True)
+@click.option("--name", required=True)
+@click.option("--zone", required=True)
+@click.option("--service", required=True)
+@click.option("--platform", "platform_address", default="127.0.0.1:7000", show_default=True)
+@click.option("--slots", default=EngineShape.slots, show_default=True)
+def engine(
+    address: str, name: str, zone: str, service: str, platform_address: str, slots: int
+) -> None:
+    """Run one engine and put it on the machine list."""
+    server = EngineStandin(parse_address(address), name, service, EngineShape(slots=slots))
+    server.start()
+    machine = Machine(name, "engine", server.address, zone, service, server.incarnation)
+    register(parse_address(platform_address), machine)
+    click.echo(f"engine {name} on {server.address}", err=True)
+    wait_for_signal()
+    server.stop()
+
+
+@standin.command()
+@click.argument("name")
+@click.option("--zone", required=True)
+@click.option("--peers-address", required=True)
+@click.option("--platform", "platform_address", default="127.0.0.1:7000", show_default=True)
+def announce(name: str, zone: str, peers_address: str, platform_address: str) -> None:
+    """Put a daemon on the stand-in's machine list, as the platform does in production."""
+    machine = Machine(name, "daemon", parse_address(peers_address), zone)
+    register(parse_address(platform_address), machine)
+
+
+def register(platform_address: Address, machine: Machine) -> None:
+    """Puts a machine on the list, waiting for the platform to come up."""
+    client = MachineListClient(platform_address)
+    for _ in range(REGISTER_TRIES):
+        if client.register(machine):
+            return
+        time.sleep(REGISTER_SECONDS)
+    raise click.ClickException(f"the platform at {platform_address} does not answer")
--- /dev/null
+++ b/src/troutswitch/common.py
@@ -0,0 +1,45 @@
+"""Types shared by several packages."""
+
+from dataclasses import dataclass
+
+import xxhash
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @staticmethod
+    def parse(text: str) -> "Address":
+        """Parses `host:port`.
+
+        Raises:
+            ValueError: the text has no port, or the port is not in 0..65535.
+        """
+        host, separator, port_text = text.rpartition(":")
+        if not separator or not host:
+            raise ValueError(f"expected host:port, got {text!r}")
+        if not port_text.isdigit() or int(port_text) > 65535:
+            raise ValueError(f"port must be a number from 0 to 65535, got {port_text!r}")
+        return Address(host, int(port_text))
+
+
+def stable_hash(*parts: str) -> int:
+    """Returns a 64-bit hash that is the same on every machine."""
+    return xxhash.xxh3_64_intdigest("\x1f".join(parts).encode())
+
+
+def rendezvous_order(key: str, candidates: list[str]) -> list[str]:
+    """Orders candidates by highest-random-weight for a key, best first."""
+    return sorted(candidates, key=lambda name: (stable_hash(key, name), name), reverse=True)
+
+
+def rendezvous_choice(key: str, candidates: list[str]) -> str | None:
+    """Returns the best candidate for a key, or None if there is none."""
+    return max(candidates, key=lambda name: (stable_hash(key, name), name), default=None)
--- /dev/null
+++ b/src/troutswitch/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol spoken between daemons."""
--- /dev/null
+++ b/src/troutswitch/daemons/messages.py
@@ -0,0 +1,222 @@
+"""Typed messages between daemons and their sealed form on the wire.
+
+A datagram is `HMAC-SHA256 (16 bytes) + CBOR [sent_at, tag, fields...]`, keyed with
+the fleet's key. `sent_at` is in seconds since the epoch; a datagram that is too
+old is dropped, so a recorded one cannot be replayed later.
+"""
+
+import hashlib
+import hmac
+from dataclasses import dataclass, field
+
+import cbor2
+import msgspec
+
+from troutswitch.constants import DATAGRAM_MOST_BYTES, REPLAY_WINDOW_SECONDS
+
+DIGEST_BYTES = 16
+
+
+class MemberUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """What is said of one member. `state` is "alive", "suspect", "leaving" or "dead".
+
+    `address` is its peer address, `host:port`.
+    """
+
+    name: str
+    incarnation: int
+    state: str
+    address: str
+    zone: str
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
+    """Asks for an `Ack`. `configuration_offset` is the sender's next offset."""
+
+    sequence: int
+    sender: str
+    configuration_offset: int
+    updates: list[MemberUpdate]
+
+
+class Ack(msgspec.Struct, frozen=True, array_like=True, tag="ack"):
+    """Answers a `Ping`; `subject` is the member that is alive."""
+
+    sequence: int
+    subject: str
+    configuration_offset: int
+    updates: list[MemberUpdate]
+
+
+class IndirectPing(msgspec.Struct, frozen=True, array_like=True, tag="iping"):
+    """Asks the receiver to ping `subject` and pass its `Ack` on."""
+
+    sequence: int
+    sender: str
+    subject: str
+    subject_address: str
+
+
+class SyncRequest(msgspec.Struct, frozen=True, array_like=True, tag="sync"):
+    """Asks for the receiver's members if their digest differs."""
+
+    sender: str
+    digest: int
+    members: list[MemberUpdate]
+
+
+class SyncReply(msgspec.Struct, frozen=True, array_like=True, tag="syncr"):
+    """Part of the sender's member table."""
+
+    sender: str
+    members: list[MemberUpdate]
+
+
+class ConfigurationRequest(msgspec.Struct, frozen=True, array_like=True, tag="creq"):
+    """Asks for configuration entries from `offset` on."""
+
+    sender: str
+    offset: int
+
+
+class ConfigurationEntries(msgspec.Struct, frozen=True, array_like=True, tag="centries"):
+    """Entries of the configuration stream from `offset` on, as they stand on the log."""
+
+    sender: str
+    offset: int
+    entries: list[bytes]
+
+
+class SlotAsk(msgspec.Struct, frozen=True, array_like=True, tag="sask"):
+    """A daemon with batch work asks an engine's steward for slots."""
+
+    sender: str
+    engine: str
+    held: int
+    wanted: int
+
+
+class SlotGrant(msgspec.Struct, frozen=True, array_like=True, tag="sgrant"):
+    """The receiver may keep `slots` batch items on the engine for `seconds`.
+
+    If it has more running, it cancels the excess at once.
+    """
+
+    sender: str
+    engine: str
+    incarnation: str
+    slots: int
+    seconds: float
+    priority: int
+
+
+class OnlineNotice(msgspec.Struct, frozen=True, array_like=True, tag="online"):
+    """`count` online requests were just sent to the engine."""
+
+    sender: str
+    engine: str
+    count: int
+
+
+class EngineLeaving(msgspec.Struct, frozen=True, array_like=True, tag="eleave"):
+    """An incarnation of an engine is leaving."""
+
+    sender: str
+    engine: str
+    incarnation: str
+
+
+class ShardTouched(msgspec.Struct, frozen=True, array_like=True, tag="touch"):
+    """The shard stream has grown; the owner should read it now."""
+
+    sender: str
+    shard: int
+
+
+class ShardWanted(msgspec.Struct, frozen=True, array_like=True, tag="want"):
+    """The sender, which reads the shard's stream up to its tail, asks its owner for it."""
+
+    sender: str
+    shard: int
+
+
+Message = (
+    Ping
+    | Ack
+    | IndirectPing
+    | SyncRequest
+    | SyncReply
+    | ConfigurationRequest
+    | ConfigurationEntries
+    | SlotAsk
+    | SlotGrant
+    | OnlineNotice
+    | EngineLeaving
+    | ShardTouched
+    | ShardWanted
+)
+
+
+@dataclass
+class DropCounts:
+    """Datagrams dropped, by cause."""
+
+    oversized: int = 0
+    wrong_key: int = 0
+    malformed: int = 0
+    stale: int = 0
+    replayed: int = 0
+
+
+@dataclass
+class Sealer:
+    """Seals and opens datagrams with the fleet's key.
+
+    Digests seen within the replay window are remembered, so the same datagram is
+    accepted once.
+    """
+
+    key: bytes
+    dropped: DropCounts = field(default_factory=DropCounts)
+    _seen_now: set[bytes] = field(default_factory=set)
+    _seen_before: set[bytes] = field(default_factory=set)
+    _turned_at: float = 0.0
+
+    def seal(self, now: float, message: Message) -> bytes:
+        """Returns the datagram for a message sent at `now` (seconds since the epoch)."""
+        body = cbor2.dumps([now, msgspec.to_builtins(message, builtin_types=(bytes,))])
+        return self._digest(body) + body
+
+    def open(self, now: float, datagram: bytes) -> Message | None:
+        """Returns the message, or None if the datagram was dropped and counted."""
+        if len(datagram) > DATAGRAM_MOST_BYTES:
+            self.dropped.oversized += 1
+            return None
+        digest, body = datagram[:DIGEST_BYTES], datagram[DIGEST_BYTES:]
+        if not hmac.compare_digest(digest, self._digest(body)):
+            self.dropped.wrong_key += 1
+            return None
+        try:
+            sent_at, plain = cbor2.loads(body)
+            message: Message = msgspec.convert(plain, Message)
+        except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, TypeError):
+            self.dropped.malformed += 1
+            return None
+        return message if self._is_new(now, sent_at, digest) else None
+
+    def _is_new(self, now: float, sent_at: float, digest: bytes) -> bool:
+        if abs(now - sent_at) > REPLAY_WINDOW_SECONDS:
+            self.dropped.stale += 1
+            return False
+        if now - self._turned_at > 2 * REPLAY_WINDOW_SECONDS:
+            self._seen_before = self._seen_now
+            self._seen_now = set()
+            self._turned_at = now
+        if digest in self._seen_now or digest in self._seen_before:
+            self.dropped.replayed += 1
+            return False
+        self._seen_now.add(digest)
+        return True
+
+    def _digest(self, body: bytes) -> bytes:
+        return hmac.digest(self.key, body, hashlib.sha256)[:DIGEST_BYTES]
--- /dev/null
+++ b/src/troutswitch/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decision modules: typed events in, typed effects out, no input or output."""
--- /dev/null
+++ b/src/troutswitch/decisions/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: the fold over a shard stream, its owner and its dispatcher."""
--- /dev/null
+++ b/src/troutswitch/decisions/batch/calls.py
@@ -0,0 +1,183 @@
+"""Calls by callers that wait for a shard's fold.
+
+The answer is read from the fold, so it is the same whichever daemon is asked. A
+call that runs out of time is told truly whether anything may have been changed.
+"""
+
+import itertools
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+
+from troutswitch.constants import RETRY_AFTER_SECONDS
+from troutswitch.decisions.batch.fold import ShardFold
+from troutswitch.decisions.batch.jobs import Job, JobStatus
+from troutswitch.decisions.batch.ownership import Ownership
+from troutswitch.decisions.batch.replica import ShardReplica
+from troutswitch.decisions.effects import AnswerCall, CallRefused, Effect, JobView
+from troutswitch.decisions.logreader import LogReader
+from troutswitch.decisions.logwriter import LogWriter
+from troutswitch.logservice.records import Record
+from troutswitch.outcomes import Step
+
+LOG_PEER = "log"
+"""Name of the log service in errors."""
+
+
+@dataclass
+class Progress:
+    """What a look at the fold brought: effects, and whether the call is over."""
+
+    is_done: bool
+    effects: list[Effect] = field(default_factory=list)
+
+
+STILL_WAITING = Progress(False)
+
+
+class ShardCall(ABC):
+    """A call that waits for one shard's fold until `deadline`."""
+
+    def __init__(self, shard: int, deadline: float) -> None:
+        self.shard = shard
+        self.deadline = deadline
+
+    @abstractmethod
+    def poll(self, now: float, replica: ShardReplica) -> Progress:
+        """Looks at the fold after it was read on."""
+
+    @abstractmethod
+    def expire(self) -> list[Effect]:
+        """Ends the call at its deadline."""
+
+
+@dataclass(frozen=True)
+class CallContext:
+    """What calls need of the daemon."""
+
+    ownership: Ownership
+    writer: LogWriter
+    reader: LogReader
+
+    def append(self, replica: ShardReplica, records: list[Record]) -> list[Effect]:
+        """Appends records to the shard's stream."""
+        return self.writer.append(replica.stream, records)
+
+
+class WaitingCalls:
+    """The calls in progress on this daemon."""
+
+    def __init__(self, ownership: Ownership) -> None:
+        self._ownership = ownership
+        self._waiting: dict[int, ShardCall] = {}
+        self._ids = itertools.count(1)
+        ownership.add_change_hook(self._on_shard_read)
+
+    def is_idle(self) -> bool:
+        """Returns whether no call is in progress."""
+        return not self._waiting
+
+    def start(self, now: float, call: ShardCall) -> list[Effect]:
+        """Starts a call: its shard is read now, and it is polled after each read."""
+        replica, effects = self._ownership.replica(now, call.shard)
+        self._waiting[next(self._ids)] = call
+        return effects + replica.read_now(now)
+
+    def next_due(self) -> float:
+        """Returns when the next call runs out of time."""
+        return min((call.deadline for call in self._waiting.values()), default=float("inf"))
+
+    def on_timer(self, now: float) -> list[Effect]:
+        """Ends the calls that ran out of time."""
+        effects: list[Effect] = []
+        for call_id, call in list(self._waiting.items()):
+            if call.deadline <= now:
+                del self._waiting[call_id]
+                effects.extend(call.expire())
+        return effects
+
+    def _on_shard_read(self, now: float, shard: int) -> list[Effect]:
+        effects: list[Effect] = []
+        for call_id, call in list(self._waiting.items()):
+            if call.shard != shard or call_id not in self._waiting:
+                continue
+            progress = call.poll(now, self._ownership.replicas[shard])
+            effects.extend(progress.effects)
+            if progress.is_done:
+                self._waiting.pop(call_id, None)
+        return effects
+
+
+class JobCall(ShardCall):
+    """A call about one job, answered from a fold as fresh as the call."""
+
+    def __init__(self, token: str, tenant: str, job_id: str, shard: int, deadline: float) -> None:
+        super().__init__(shard, deadline)
+        self.token = token
+        self.job_id = job_id
+        self._tenant = tenant
+        self._since = float("nan")
+
+    def started_at(self, now: float) -> "JobCall":
+        """Sets the time as of which the fold must be fresh."""
+        self._since = now
+        return self
+
+    def poll(self, now: float, replica: ShardReplica) -> Progress:
+        """Finds the job once the fold is fresh."""
+        if replica.fresh_as_of < self._since:
+            return STILL_WAITING
+        job = find_job(replica.fold, self._tenant, self.job_id)
+        if job is None:
+            return Progress(True, [AnswerCall(self.token, unknown_job(self.job_id))])
+        return self.on_found(now, replica, job)
+
+    @abstractmethod
+    def on_found(self, now: float, replica: ShardReplica, job: Job) -> Progress:
+        """Goes on with the job."""
+
+    def expire(self) -> list[Effect]:
+        """Refuses the call: nothing was read and nothing was changed."""
+        return [AnswerCall(self.token, log_silent(Step.READ))]
+
+
+class JobQuestion(JobCall):
+    """Asks for a job's state."""
+
+    def on_found(self, now: float, replica: ShardReplica, job: Job) -> Progress:
+        """Answers with the job's state."""
+        return Progress(True, [AnswerCall(self.token, view_of(job))])
+
+
+def find_job(fold: ShardFold, tenant: str, job_id: str) -> Job | None:
+    """Returns a tenant's job, or None; another tenant's job is as good as unknown."""
+    job = fold.jobs.get(job_id)
+    return job if job is not None and job.tenant == tenant else None
+
+
+def view_of(job: Job, duplicate: bool = False) -> JobView:
+    """Returns a job's state as told to callers."""
+    status = job.status.name.lower()
+    if job.status is JobStatus.RUNNING and job.finished == job.item_count:
+        status = JobStatus.COMPLETED.name.lower()
+    return JobView(
+        job.job_id,
+        status,
+        job.service,
+        job.item_count,
+        job.completed,
+        job.failed,
+        job.committed_at,
+        job.deadline,
+        duplicate,
+    )
+
+
+def unknown_job(job_id: str) -> CallRefused:
+    """Returns the refusal of a call about a job that is not there."""
+    return CallRefused(f"no job {job_id}", Step.READ, 404, True)
+
+
+def log_silent(step: Step) -> CallRefused:
+    """Returns the refusal of a call that changed nothing because the log is silent."""
+    reason = "the log service does not answer"
+    return CallRefused(reason, step, 503, True, LOG_PEER, RETRY_AFTER_SECONDS)
--- /dev/null
+++ b/src/troutswitch/decisions/batch/claims.py
@@ -0,0 +1,70 @@
+"""Claims of online requests that must not be repeated."""
+
+from collections.abc import Callable
+
+from troutswitch.common import stable_hash
+from troutswitch.constants import RETRY_AFTER_SECONDS
+from troutswitch.decisions.batch.calls import (
+    LOG_PEER,
+    STILL_WAITING,
+    CallContext,
+    Progress,
+    ShardCall,
+)
+from troutswitch.decisions.batch.replica import ShardReplica
+from troutswitch.decisions.configuration.keys import ServingPolicy
+from troutswitch.decisions.effects import Effect
+from troutswitch.decisions.events import OnlineArrived
+from troutswitch.logservice.records import OnceClaimed
+from troutswitch.outcomes import MayHaveRun, NotRun, Step
+
+ClaimOutcome = NotRun | MayHaveRun | None
+ClaimEnded = Callable[[float, str, ClaimOutcome], list[Effect]]
+
+CLAIM_SECONDS = 10.0
+"""Longest time a claim may take to be read back."""
+
+
+class OnceClaim(ShardCall):
+    """Appends a claim of a key and waits until the fold tells whose it is."""
+
+    def __init__(
+        self,
+        context: CallContext,
+        event: OnlineArrived,
+        policy: ServingPolicy,
+        now: float,
+        on_ended: ClaimEnded,
+    ) -> None:
+        self._key = f"{event.tenant}/{event.once_key}"
+        shard = stable_hash("once", self._key) % context.ownership.shard_count
+        super().__init__(shard, min(event.deadline, now + CLAIM_SECONDS))
+        self._context = context
+        self._request_id = event.request_id
+        self._claim = OnceClaimed(self._key, event.request_id, now, policy.once_window_seconds)
+        self._since = now
+        self._is_appended = False
+        self._on_ended = on_ended
+
+    def poll(self, now: float, replica: ShardReplica) -> Progress:
+        """Appends once the fold is fresh and the key is free, then reads it back."""
+        held = replica.fold.once.get(self._key)
+        is_held = held is not None and now < held.expires_at
+        if held is not None and held.request_id == self._request_id:
+            return Progress(True, self._on_ended(now, self._request_id, None))
+        if is_held and (self._is_appended or replica.fresh_as_of >= self._since):
+            return Progress(True, self._on_ended(now, self._request_id, self._taken()))
+        if self._is_appended or replica.fresh_as_of < self._since:
+            return STILL_WAITING
+        self._is_appended = True
+        return Progress(False, self._context.append(replica, [self._claim]))
+
+    def _taken(self) -> MayHaveRun:
+        reason = "a request with this key was sent before and may have run"
+        return MayHaveRun(reason, Step.CLAIM, LOG_PEER, None, 409)
+
+    def expire(self) -> list[Effect]:
+        """Refuses: the claim may stand, but this request was never sent to an engine."""
+        reason = "the claim was not read back in time"
+        outcome = NotRun(reason, Step.CLAIM, LOG_PEER, RETRY_AFTER_SECONDS)
+        return self._on_ended(self.deadline, self._request_id, outcome)
--- /dev/null
+++ b/src/troutswitch/decisions/batch/dispatcher.py
@@ -0,0 +1,294 @@
+"""Places the items of all owned shards on engine slots granted by stewards."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from troutswitch.constants import (
+    SLOT_ASK_ENGINES,
+    SLOT_ASK_SECONDS,
+    WRITER_QUEUE_MOST_RECORDS,
+)
+from troutswitch.daemons.messages import SlotAsk, SlotGrant
+from troutswitch.decisions.batch.jobs import Job
+from troutswitch.decisions.batch.owner import Handout, ItemReference, ShardOwner
+from troutswitch.decisions.batch.ownership import Ownership
+from troutswitch.decisions.effects import (
+    CancelAttempt,
+    Effect,
+    SendDatagram,
+    StartBatchAttempt,
+)
+from troutswitch.decisions.engines import EngineRegistry
+from troutswitch.decisions.events import BatchAttemptEnded
+from troutswitch.decisions.invariants import ensure
+from troutswitch.decisions.logwriter import LogWriter
+from troutswitch.decisions.membership import Membership
+from troutswitch.decisions.stewardship import Stewardship
+from troutswitch.outcomes import AttemptKind
+
+
+@dataclass(slots=True)
+class HeldGrant:
+    """Slots held on one engine until `expires_at`."""
+
+    slots: int
+    expires_at: float
+    priority: int
+    incarnation: str
+
+
+@dataclass(slots=True)
+class RunningItem:
+    """A batch attempt in flight."""
+
+    attempt_id: str
+    shard: int
+    epoch: int
+    reference: ItemReference
+    engine: str
+    repeatable: bool
+    is_cancelled: bool = False
+
+
+@dataclass
+class BatchCounts:
+    """Counters for metrics and for the simulation."""
+
+    attempts: int = 0
+    yielded: int = 0
+
+
+@dataclass(slots=True)
+class _EngineWork:
+    """Attempts running on one engine, oldest first."""
+
+    running: dict[str, RunningItem] = field(default_factory=dict)
+
+
+class BatchDispatcher:
+    """Asks stewards for slots and fills them, earliest deadline first."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        engines: EngineRegistry,
+        stewardship: Stewardship,
+        writer: LogWriter,
+        rng: random.Random,
+    ) -> None:
+        self.counts = BatchCounts()
+        self.grants: dict[str, HeldGrant] = {}
+        self._ownership: Ownership | None = None
+        self._membership = membership
+        self._engines = engines
+        self._stewardship = stewardship
+        self._writer = writer
+        self._rng = rng
+        self._running: dict[str, RunningItem] = {}
+        self._by_engine: dict[str, _EngineWork] = {}
+        self._attempt_count = 0
+        self._ask_at = float("-inf")
+
+    def set_ownership(self, ownership: Ownership) -> None:
+        """Sets the shards whose items are placed."""
+        self._ownership = ownership
+
+    @property
+    def _shards(self) -> Ownership:
+        ensure(self._ownership is not None, "the dispatcher has no shards yet")
+        assert self._ownership is not None
+        return self._ownership
+
+    def running_count(self) -> int:
+        """Returns the batch attempts in flight."""
+        return len(self._running)
+
+    # Asking for slots.
+
+    def next_due(self) -> float:
+        """Returns when slots are to be asked for."""
+        return self._ask_at if self._shards.owners or self._running else float("inf")
+
+    def on_timer(self, now: float) -> list[Effect]:
+        """Asks for slots if there is work, and renews what is held."""
+        if now < self._ask_at:
+            return []
+        self._ask_at = now + SLOT_ASK_SECONDS
+        return self._ask(now) + self.fill(now)
+
+    def _demand(self, now: float) -> dict[str, int]:
+        demand: dict[str, int] = {}
+        for owner in self._shards.open_owners():
+            for service, count in owner.demand(now).items():
+                demand[service] = demand.get(service, 0) + count
+        return demand
+
+    def _ask(self, now: float) -> list[Effect]:
+        if self._writer.queued_records() > WRITER_QUEUE_MOST_RECORDS:
+            return []  # results pile up while the log is away: take on no more
+        effects: list[Effect] = []
+        asked: set[str] = set()
+        for service, waiting in self._demand(now).items():
+            effects.extend(self._ask_for_service(now, service, waiting, asked))
+        for name in self._by_engine:
+            if name not in asked:
+                effects.extend(self._ask_engine(name, 0))
+        return effects
+
+    def _ask_for_service(
+        self, now: float, service: str, waiting: int, asked: set[str]
+    ) -> list[Effect]:
+        candidates = [engine for engine in self._engines.usable(now, service)]
+        chosen = self._rng.sample(candidates, min(SLOT_ASK_ENGINES, len(candidates)))
+        effects: list[Effect] = []
+        for engine in chosen:
+            asked.add(engine.name)
+            wanted = -(-waiting // len(chosen))
+            effects.extend(self._ask_engine(engine.name, min(wanted, 512)))
+        return effects
+
+    def _ask_engine(self, name: str, wanted: int) -> list[Effect]:
+        steward = self._stewardship.steward_of(name)
+        address = self._membership.address_of(steward) if steward is not None else None
+        if address is None:
+            return []
+        work = self._by_engine.get(name)
+        held = len(work.running) if work is not None else 0
+        return [SendDatagram(address, SlotAsk(self._membership.name, name, held, wanted))]
+
+    def on_grant(self, now: float, message: SlotGrant) -> list[Effect]:
+        """Takes in a grant: fills new slots, or cancels what is above it."""
+        self.grants[message.engine] = HeldGrant(
+            message.slots, now + message.seconds, message.priority, message.incarnation
+        )
+        effects = self._yield_excess(message.engine, message.slots)
+        return effects + self.fill(now)
+
+    def _yield_excess(self, engine_name: str, slots: int) -> list[Effect]:
+        """Cancels the youngest repeatable items above the grant; they go back to waiting."""
+        engine = self._engines.engines.get(engine_name)
+        work = self._by_engine.get(engine_name)
+        if engine is None or work is None:
+            return []
+        staying = [item for item in work.running.values() if not item.is_cancelled]
+        excess = len(staying) - slots
+        effects: list[Effect] = []
+        for item in reversed(staying):
+            if excess <= 0:
+                break
+            if item.repeatable:
+                excess -= 1
+                item.is_cancelled = True
+                self.counts.yielded += 1
+                effects.append(CancelAttempt(item.attempt_id, engine.address))
+        return effects
+
+    # Filling slots.
+
+    def fill(self, now: float) -> list[Effect]:
+        """Starts items on free slots."""
+        effects: list[Effect] = []
+        for name, grant in self.grants.items():
+            engine = self._engines.engines.get(name)
+            if engine is None or grant.expires_at <= now or self._engines.is_leaving(engine):
+                continue
+            if engine.incarnation != grant.incarnation and engine.incarnation:
+                continue
+            work = self._by_engine.get(name)
+            free = grant.slots - (len(work.running) if work is not None else 0)
+            effects.extend(self._fill_engine(now, name, engine.service, free, grant))
+        return effects
+
+    def _fill_engine(
+        self, now: float, name: str, service: str, free: int, grant: HeldGrant
+    ) -> list[Effect]:
+        effects: list[Effect] = []
+        for owner, job in self._jobs_by_deadline(service):
+            while free > 0:
+                handout, more = owner.take_item(now, job)
+                effects.extend(more)
+                if handout is None:
+                    if not more:
+                        break
+                    free -= 1
+                    continue
+                effects.append(self._start(owner, job, handout, name, grant))
+                free -= 1
+            if free <= 0:
+                break
+        return effects
+
+    def _jobs_by_deadline(self, service: str) -> list[tuple[ShardOwner, Job]]:
+        pairs = [
+            (owner, job) for owner in self._shards.open_owners() for job in owner.open_jobs(service)
+        ]
+        return sorted(pairs, key=lambda pair: (pair[1].deadline, pair[1].job_id))
+
+    def _start(
+        self, owner: ShardOwner, job: Job, handout: Handout, name: str, grant: HeldGrant
+    ) -> Effect:
+        self._attempt_count += 1
+        self.counts.attempts += 1
+        attempt_id = f"{self._writer.writer}-b{self._attempt_count}"
+        item = RunningItem(
+            attempt_id, owner.shard, owner.epoch, handout.reference, name, job.repeatable
+        )
+        self._running[attempt_id] = item
+        self._by_engine.setdefault(name, _EngineWork()).running[attempt_id] = item
+        return StartBatchAttempt(
+            attempt_id,
+            name,
+            self._engines.engines[name].address,
+            grant.incarnation,
+            job.job_id,
+            handout.item,
+            grant.priority,
+        )
+
+    # The end of an attempt.
+
+    def on_attempt_ended(self, now: float, event: BatchAttemptEnded) -> list[Effect]:
+        """Hands the end of an attempt to the owner under whose epoch it ran."""
+        item = self._running.pop(event.attempt_id, None)
+        if item is None:
+            return []
+        self._forget_on_engine(item)
+        effects = self._learn(now, item, event)
+        owner = self._shards.owners.get(item.shard)
+        if owner is not None and owner.epoch == item.epoch:
+            effects.extend(owner.on_attempt_ended(now, item.reference, event.kind, event.body))
+        return effects + self.fill(now)
+
+    def _forget_on_engine(self, item: RunningItem) -> None:
+        work = self._by_engine[item.engine]
+        del work.running[item.attempt_id]
+        if not work.running:
+            del self._by_engine[item.engine]
+
+    def _learn(self, now: float, item: RunningItem, event: BatchAttemptEnded) -> list[Effect]:
+        engine = self._engines.engines.get(item.engine)
+        if engine is None:
+            return []
+        if event.leaving:
+            return self._engines.mark_leaving(now, engine.name, engine.incarnation)
+        if event.kind is AttemptKind.UNREACHABLE:
+            self.grants.pop(item.engine, None)
+        return []
+
+    def on_owner_lost(self, now: float, owner: ShardOwner) -> list[Effect]:
+        """Cancels what still runs under an epoch that has ended."""
+        return self._cancel(lambda item: item.shard == owner.shard)
+
+    def cancel_job(self, shard: int, job_id: str) -> list[Effect]:
+        """Cancels what still runs of a cancelled job."""
+        return self._cancel(lambda item: item.shard == shard and item.reference.job_id == job_id)
+
+    def _cancel(self, is_meant: Callable[[RunningItem], bool]) -> list[Effect]:
+        effects: list[Effect] = []
+        for item in self._running.values():
+            engine = self._engines.engines.get(item.engine)
+            if is_meant(item) and not item.is_cancelled and engine is not None:
+                item.is_cancelled = True
+                effects.append(CancelAttempt(item.attempt_id, engine.address))
+        return effects
--- /dev/null
+++ b/src/troutswitch/decisions/batch/fold.py
@@ -0,0 +1,309 @@
+"""The fold over one shard stream: the only source of truth about its jobs.
+
+Order on the log decides every race. Owner records carry the epoch under which
+they were written and are void unless it is the shard's current epoch, so a
+paused holder that still believes in its lease changes nothing, whatever its
+clock says. Records of submitters (chunk, commit, cancel, once) carry none.
+"""
+
+from array import array
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from troutswitch.constants import STAGED_JOBS_MOST, VERDICTS_KEPT
+from troutswitch.decisions.batch.jobs import (
+    FINAL_OUTCOMES,
+    ItemState,
+    Job,
+    JobStatus,
+    chunk_count,
+)
+from troutswitch.decisions.sequences import WriterSequences
+from troutswitch.logservice.records import (
+    AttemptStarted,
+    ChunkSubmitted,
+    Entry,
+    EpochClaimed,
+    EpochReleased,
+    EpochRenewed,
+    ItemFinished,
+    JobCancelled,
+    JobClosed,
+    JobCommitted,
+    OnceClaimed,
+    Record,
+)
+
+NO_EPOCH = -1
+
+
+@dataclass(frozen=True, slots=True)
+class JobOpened:
+    """A job became real."""
+
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobStopped:
+    """A job was cancelled."""
+
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobCompleted:
+    """The last item of a job got its result."""
+
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptRecorded:
+    """An attempt at an item not to be repeated is valid."""
+
+    job_id: str
+    item_index: int
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerChanged:
+    """The shard has a new epoch; `owner` is empty after a release."""
+
+    epoch: int
+    owner: str
+
+
+FoldChange = JobOpened | JobStopped | JobCompleted | AttemptRecorded | OwnerChanged
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The submission became the job of the same id."""
+
+
+@dataclass(frozen=True, slots=True)
+class Duplicate:
+    """An earlier submission with the same identity and content is the job."""
+
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """The key belongs to a job with other content."""
+
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Incomplete:
+    """Chunks are missing before the commit; nothing was accepted."""
+
+
+SubmissionVerdict = Accepted | Duplicate | Conflict | Incomplete
+
+
+@dataclass(slots=True)
+class OnceClaim:
+    """The claim that holds a key, until `expires_at` (seconds since the epoch)."""
+
+    request_id: str
+    expires_at: float
+
+
+class ShardFold:
+    """State of one shard after the entries below `next_offset`."""
+
+    def __init__(self) -> None:
+        self.next_offset = 0
+        self.epoch = NO_EPOCH
+        self.owner = ""
+        self.last_owner_offset = NO_EPOCH
+        self.jobs: dict[str, Job] = {}
+        self.open_jobs: dict[str, Job] = {}
+        self.job_of_identity: dict[str, str] = {}
+        self.verdicts: OrderedDict[str, SubmissionVerdict] = OrderedDict()
+        self.staged: OrderedDict[str, dict[int, tuple[int, int]]] = OrderedDict()
+        self.once: OrderedDict[str, OnceClaim] = OrderedDict()
+        self.sequences = WriterSequences()
+        self.void_records = 0
+
+    def apply(self, offset: int, entry: Entry) -> list[FoldChange]:
+        """Folds one entry and returns what it changed.
+
+        An entry whose (writer, sequence) was seen before changes nothing.
+        """
+        self.next_offset = offset + 1
+        if not self.sequences.accept(entry.writer, entry.sequence):
+            return []
+        changes: list[FoldChange] = []
+        for record in entry.records:
+            changes.extend(self._apply_record(offset, record))
+        return changes
+
+    def skip(self, offset: int) -> None:
+        """Passes over an entry that no writer of ours can have made."""
+        self.next_offset = offset + 1
+
+    def _apply_record(self, offset: int, record: Record) -> list[FoldChange]:
+        handler = _HANDLERS.get(type(record))
+        if handler is None:
+            self.void_records += 1
+            return []
+        return handler(self, offset, record)
+
+    # Records of submitters.
+
+    def _on_chunk(self, offset: int, record: ChunkSubmitted) -> list[FoldChange]:
+        chunks = self.staged.setdefault(record.job_id, {})
+        chunks.setdefault(record.chunk_index, (offset, len(record.items)))
+        if len(self.staged) > STAGED_JOBS_MOST:
+            self.staged.popitem(last=False)
+        return []
+
+    def _on_commit(self, offset: int, record: JobCommitted) -> list[FoldChange]:
+        if record.job_id in self.verdicts or record.job_id in self.jobs:
+            return []
+        chunks = self.staged.pop(record.job_id, {})
+        verdict = self._judge(record, chunks)
+        self._remember_verdict(record.job_id, verdict)
+        if not isinstance(verdict, Accepted):
+            return []
+        job = Job(
+            record.job_id,
+            record.identity,
+            record.content_digest,
+            record.tenant,
+            record.service,
+            record.item_count,
+            record.repeatable,
+            record.committed_at,
+            record.deadline,
+            record.identity_window,
+            array("Q", [chunks[index][0] for index in range(len(chunks))]),
+        )
+        job.open_items()
+        self.jobs[job.job_id] = job
+        self.open_jobs[job.job_id] = job
+        self.job_of_identity[job.identity] = job.job_id
+        return [JobOpened(job.job_id)]
+
+    def _judge(self, record: JobCommitted, chunks: dict[int, tuple[int, int]]) -> SubmissionVerdict:
+        earlier = self.jobs.get(self.job_of_identity.get(record.identity, ""))
+        if earlier is not None:
+            age = record.committed_at - earlier.committed_at
+            if age < earlier.identity_window:
+                same = earlier.content_digest == record.content_digest
+                return Duplicate(earlier.job_id) if same else Conflict(earlier.job_id)
+        expected = set(range(chunk_count(record.item_count)))
+        held = sum(count for _, count in chunks.values())
+        if set(chunks) != expected or held != record.item_count:
+            return Incomplete()
+        return Accepted()
+
+    def _remember_verdict(self, job_id: str, verdict: SubmissionVerdict) -> None:
+        self.verdicts[job_id] = verdict
+        if len(self.verdicts) > VERDICTS_KEPT:
+            self.verdicts.popitem(last=False)
+
+    def _on_cancel(self, offset: int, record: JobCancelled) -> list[FoldChange]:
+        job = self.jobs.get(record.job_id)
+        if job is None or not job.is_running or job.finished == job.item_count:
+            return []
+        job.status = JobStatus.CANCELLED
+        del self.open_jobs[job.job_id]
+        return [JobStopped(job.job_id)]
+
+    def _on_once(self, offset: int, record: OnceClaimed) -> list[FoldChange]:
+        held = self.once.get(record.key)
+        if held is not None and record.claimed_at < held.expires_at:
+            return []
+        self.once.pop(record.key, None)
+        self.once[record.key] = OnceClaim(record.request_id, record.claimed_at + record.window)
+        self._drop_expired_claims(record.claimed_at)
+        return []
+
+    def _drop_expired_claims(self, now: float) -> None:
+        while self.once:
+            oldest = next(iter(self.once))
+            if self.once[oldest].expires_at > now:
+                return
+            del self.once[oldest]
+
+    # Records of owners.
+
+    def _on_claim(self, offset: int, record: EpochClaimed) -> list[FoldChange]:
+        # Legal only on top of the epoch the claimant had seen: the first claim wins.
+        if record.previous_epoch != self.epoch:
+            self.void_records += 1
+            return []
+        self.epoch = offset
+        self.owner = record.owner
+        self.last_owner_offset = offset
+        return [OwnerChanged(offset, record.owner)]
+
+    def _on_release(self, offset: int, record: EpochReleased) -> list[FoldChange]:
+        if not self._is_current(offset, record.epoch):
+            return []
+        self.owner = ""
+        return [OwnerChanged(self.epoch, "")]
+
+    def _on_renew(self, offset: int, record: EpochRenewed) -> list[FoldChange]:
+        self._is_current(offset, record.epoch)
+        return []
+
+    def _on_attempt(self, offset: int, record: AttemptStarted) -> list[FoldChange]:
+        job = self._open_job(offset, record.epoch, record.job_id)
+        if job is None or job.state_of(record.item_index) is not ItemState.OPEN:
+            return []
+        job.item_states[record.item_index] = ItemState.ATTEMPTED
+        return [AttemptRecorded(job.job_id, record.item_index)]
+
+    def _on_finish(self, offset: int, record: ItemFinished) -> list[FoldChange]:
+        job = self._open_job(offset, record.epoch, record.job_id)
+        state = FINAL_OUTCOMES.get(record.outcome)
+        if job is None or state is None or job.state_of(record.item_index).is_final:
+            self.void_records += 1
+            return []
+        job.finish(record.item_index, state, offset)
+        if job.finished == job.item_count:
+            return [JobCompleted(job.job_id)]
+        return []
+
+    def _on_close(self, offset: int, record: JobClosed) -> list[FoldChange]:
+        job = self._open_job(offset, record.epoch, record.job_id)
+        if job is None or job.finished != job.item_count or job.is_closed:
+            return []
+        job.close(offset)
+        del self.open_jobs[job.job_id]
+        return []
+
+    def _is_current(self, offset: int, epoch: int) -> bool:
+        if epoch != self.epoch or not self.owner:
+            self.void_records += 1
+            return False
+        self.last_owner_offset = offset
+        return True
+
+    def _open_job(self, offset: int, epoch: int, job_id: str) -> Job | None:
+        """Returns the job if an owner's record about it may count."""
+        if not self._is_current(offset, epoch):
+            return None
+        job = self.jobs.get(job_id)
+        return job if job is not None and job.is_running else None
+
+
+_HANDLERS: dict[type, Callable[..., list[FoldChange]]] = {
+    ChunkSubmitted: ShardFold._on_chunk,
+    JobCommitted: ShardFold._on_commit,
+    JobCancelled: ShardFold._on_cancel,
+    OnceClaimed: ShardFold._on_once,
+    EpochClaimed: ShardFold._on_claim,
+    EpochReleased: ShardFold._on_release,
+    EpochRenewed: ShardFold._on_renew,
+    AttemptStarted: ShardFold._on_attempt,
+    ItemFinished: ShardFold._on_finish,
+    JobClosed: ShardFold._on_close,
+}
--- /dev/null
+++ b/src/troutswitch/decisions/batch/owner.py
@@ -0,0 +1,353 @@
+"""The owner of one shard: which items run, and what is recorded of them.
+
+It acts only while the fold shows its own epoch. Results are recorded under that
+epoch; the fold voids them if another epoch has begun.
+"""
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from troutswitch.constants import (
+    CHUNK_CACHE_ENTRIES,
+    CHUNK_ITEMS,
+    ITEM_RETRY_FIRST_SECONDS,
+    ITEM_RETRY_MOST_SECONDS,
+    RENEW_SECONDS,
+    SNAPSHOT_EVERY_ENTRIES,
+)
+from troutswitch.decisions.batch.fold import (
+    AttemptRecorded,
+    FoldChange,
+    JobCompleted,
+    JobOpened,
+    JobStopped,
+    ShardFold,
+)
+from troutswitch.decisions.batch.jobs import ItemState, Job
+from troutswitch.decisions.batch.replica import ShardReplica, shard_stream
+from troutswitch.decisions.effects import Effect
+from troutswitch.decisions.events import LogRead, LogReadFailed
+from troutswitch.decisions.invariants import ensure
+from troutswitch.decisions.logreader import LogReader
+from troutswitch.decisions.logwriter import LogWriter
+from troutswitch.logservice.records import (
+    AttemptStarted,
+    BatchItem,
+    ChunkSubmitted,
+    EpochReleased,
+    EpochRenewed,
+    ItemFinished,
+    JobClosed,
+    UnreadableEntry,
+    decode_entry,
+    pack_offsets,
+)
+from troutswitch.outcomes import AttemptKind
+
+
+@dataclass(frozen=True, slots=True)
+class ItemReference:
+    """Names one item of one job."""
+
+    job_id: str
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class Handout:
+    """An item that may run now."""
+
+    reference: ItemReference
+    item: BatchItem
+
+
+@dataclass(slots=True)
+class JobProgress:
+    """What the owner knows of a job beyond the fold.
+
+    Items below `cursor` have been handed out at least once; those that came back
+    wait in `retries` as (ready time, index). `out` are the items handed out or being
+    recorded; `attempted_here` those whose attempt this epoch has on record.
+    """
+
+    cursor: int = 0
+    retries: list[tuple[float, int]] = field(default_factory=list)
+    failures: dict[int, int] = field(default_factory=dict)
+    out: set[int] = field(default_factory=set)
+    attempted_here: set[int] = field(default_factory=set)
+
+
+class ShardOwner:
+    """Hands out the items of one shard's jobs and records what became of them."""
+
+    def __init__(
+        self,
+        replica: ShardReplica,
+        epoch: int,
+        writer: LogWriter,
+        reader: LogReader,
+        on_ready: Callable[[float], list[Effect]],
+    ) -> None:
+        self.shard = replica.shard
+        self.epoch = epoch
+        self.is_releasing = False
+        self._replica = replica
+        self._writer = writer
+        self._reader = reader
+        self._on_ready = on_ready
+        self._progress: dict[str, JobProgress] = {}
+        self._recording: set[ItemReference] = set()
+        self._chunks: OrderedDict[tuple[str, int], list[BatchItem]] = OrderedDict()
+        self._chunks_wanted: set[tuple[str, int]] = set()
+        self._renew_at = float("-inf")
+        self._snapshot_at_offset = self.fold.next_offset + SNAPSHOT_EVERY_ENTRIES
+        self.snapshot_due = False
+
+    @property
+    def fold(self) -> ShardFold:
+        """The shard's fold."""
+        return self._replica.fold
+
+    @property
+    def stream(self) -> str:
+        """The shard's stream."""
+        return shard_stream(self.shard)
+
+    def has_work(self) -> bool:
+        """Returns whether any job has items without a result."""
+        return bool(self._progress)
+
+    def running_items(self) -> int:
+        """Returns the items handed out and not yet recorded."""
+        return sum(len(progress.out) for progress in self._progress.values())
+
+    def take_over(self, now: float) -> list[Effect]:
+        """Begins the epoch: settles attempts that earlier epochs left open."""
+        effects: list[Effect] = []
+        for job in self.fold.open_jobs.values():
+            effects.extend(self._open(job))
+        return effects
+
+    def _open(self, job: Job) -> list[Effect]:
+        self._progress[job.job_id] = JobProgress()
+        if job.finished == job.item_count:
+            return self._close(job)
+        if job.repeatable:
+            return []
+        # An attempt on record without a result may have run: it is never dispatched again.
+        orphans = [
+            ItemFinished(self.epoch, job.job_id, index, "may_have_run", "owner lost during attempt")
+            for index in range(job.item_count)
+            if job.state_of(index) is ItemState.ATTEMPTED
+        ]
+        return self._writer.append(self.stream, list(orphans)) if orphans else []
+
+    def on_changes(self, now: float, changes: list[FoldChange]) -> list[Effect]:
+        """Follows the fold: new jobs, cancelled jobs, recorded attempts and results."""
+        effects: list[Effect] = []
+        for change in changes:
+            match change:
+                case JobOpened(job_id):
+                    self._progress[job_id] = JobProgress()
+                case JobStopped(job_id):
+                    self._forget(job_id)
+                case JobCompleted(job_id):
+                    effects.extend(self._close(self.fold.jobs[job_id]))
+                case AttemptRecorded(job_id, index):
+                    self._attempt_recorded(job_id, index)
+                case _:
+                    pass
+        self._settle_recorded()
+        if self.fold.next_offset >= self._snapshot_at_offset:
+            self._snapshot_at_offset = self.fold.next_offset + SNAPSHOT_EVERY_ENTRIES
+            self.snapshot_due = True
+        return effects
+
+    def _attempt_recorded(self, job_id: str, index: int) -> None:
+        progress = self._progress.get(job_id)
+        if progress is not None:
+            progress.attempted_here.add(index)
+            progress.out.discard(index)
+            heapq.heappush(progress.retries, (0.0, index))
+
+    def _settle_recorded(self) -> None:
+        for reference in list(self._recording):
+            job = self.fold.jobs.get(reference.job_id)
+            if job is None or job.is_closed or not job.is_running:
+                self._recording.discard(reference)
+            elif job.state_of(reference.index).is_final:
+                self._recording.discard(reference)
+                self._return(reference)
+
+    def _return(self, reference: ItemReference) -> None:
+        progress = self._progress.get(reference.job_id)
+        if progress is not None:
+            progress.out.discard(reference.index)
+            progress.failures.pop(reference.index, None)
+
+    def _close(self, job: Job) -> list[Effect]:
+        self._forget(job.job_id)
+        packed = pack_offsets(job.result_offsets)
+        return self._writer.append(self.stream, [JobClosed(self.epoch, job.job_id, packed)])
+
+    def _forget(self, job_id: str) -> None:
+        self._progress.pop(job_id, None)
+        for key in [key for key in self._chunks if key[0] == job_id]:
+            del self._chunks[key]
+
+    # Handing out.
+
+    def demand(self, now: float) -> dict[str, int]:
+        """Returns the items ready to run by service, roughly."""
+        demand: dict[str, int] = {}
+        if self.is_releasing:
+            return demand
+        for job_id, progress in self._progress.items():
+            job = self.fold.jobs[job_id]
+            ready = sum(1 for at, _ in progress.retries if at <= now)
+            waiting = job.item_count - progress.cursor + ready
+            if waiting > 0:
+                demand[job.service] = demand.get(job.service, 0) + waiting
+        return demand
+
+    def open_jobs(self, service: str) -> Iterator[Job]:
+        """Yields the jobs of a service that have work."""
+        for job_id in self._progress:
+            job = self.fold.jobs[job_id]
+            if job.service == service:
+                yield job
+
+    def take_item(self, now: float, job: Job) -> tuple[Handout | None, list[Effect]]:
+        """Hands out the next item of a job, or None if none can run yet.
+
+        The first call for an item of a job not to be repeated records an attempt;
+        the item is handed out once that record was read back.
+        """
+        progress = self._progress.get(job.job_id)
+        index = self._next_index(now, job, progress) if progress else None
+        if progress is None or index is None:
+            return None, []
+        if not job.repeatable and index not in progress.attempted_here:
+            progress.out.add(index)
+            attempt = AttemptStarted(self.epoch, job.job_id, index)
+            return None, self._writer.append(self.stream, [attempt])
+        item = self._cached_item(job, index)
+        if item is None:
+            heapq.heappush(progress.retries, (now, index))
+            return None, self._fetch_chunk(job, index // CHUNK_ITEMS)
+        ensure(not job.state_of(index).is_final, "a finished item is handed out")
+        ensure(index not in progress.out, "an item is handed out twice at once")
+        progress.out.add(index)
+        return Handout(ItemReference(job.job_id, index), item), []
+
+    def _next_index(self, now: float, job: Job, progress: JobProgress) -> int | None:
+        while progress.retries and progress.retries[0][0] <= now:
+            _, index = heapq.heappop(progress.retries)
+            if index not in progress.out and not job.state_of(index).is_final:
+                return index
+        while progress.cursor < job.item_count:
+            index = progress.cursor
+            progress.cursor += 1
+            if job.state_of(index) is ItemState.OPEN and index not in progress.out:
+                return index
+        return None
+
+    def _cached_item(self, job: Job, index: int) -> BatchItem | None:
+        key = (job.job_id, index // CHUNK_ITEMS)
+        items = self._chunks.get(key)
+        if items is None:
+            return None
+        self._chunks.move_to_end(key)
+        return items[index % CHUNK_ITEMS]
+
+    def _fetch_chunk(self, job: Job, chunk_index: int) -> list[Effect]:
+        key = (job.job_id, chunk_index)
+        if key in self._chunks_wanted:
+            return []
+        self._chunks_wanted.add(key)
+
+        def on_answer(now: float, answer: LogRead | LogReadFailed) -> list[Effect]:
+            self._chunks_wanted.discard(key)
+            if isinstance(answer, LogRead):
+                self._keep_chunk(key, answer)
+            return self._on_ready(now) if key in self._chunks else []
+
+        offset = job.chunk_offsets[chunk_index]
+        return self._reader.read(self.stream, offset, on_answer, limit=1)
+
+    def _keep_chunk(self, key: tuple[str, int], answer: LogRead) -> None:
+        items = chunk_items(answer, *key)
+        if items is None or key[0] not in self._progress:
+            return
+        self._chunks[key] = items
+        if len(self._chunks) > CHUNK_CACHE_ENTRIES:
+            self._chunks.popitem(last=False)
+
+    # What became of an item.
+
+    def on_attempt_ended(
+        self, now: float, reference: ItemReference, kind: AttemptKind, body: str
+    ) -> list[Effect]:
+        """Records a result, or puts the item back."""
+        job = self.fold.jobs.get(reference.job_id)
+        progress = self._progress.get(reference.job_id)
+        if job is None or progress is None:
+            return []  # cancelled or closed meanwhile: late results are not counted
+        match kind:
+            case AttemptKind.COMPLETED:
+                return self._record(reference, ItemState.COMPLETED, body)
+            case AttemptKind.REJECTED:
+                return self._record(reference, ItemState.FAILED, body)
+            case AttemptKind.CUT | AttemptKind.CANCELLED if not job.repeatable:
+                return self._record(reference, ItemState.MAY_HAVE_RUN, body)
+            case _:
+                self._put_back(now, progress, reference.index, kind)
+                return []
+
+    def _record(self, reference: ItemReference, state: ItemState, body: str) -> list[Effect]:
+        self._recording.add(reference)
+        record = ItemFinished(
+            self.epoch, reference.job_id, reference.index, state.name.lower(), body
+        )
+        return self._writer.append(self.stream, [record])
+
+    def _put_back(self, now: float, progress: JobProgress, index: int, kind: AttemptKind) -> None:
+        progress.out.discard(index)
+        if kind is AttemptKind.CANCELLED:
+            heapq.heappush(progress.retries, (now, index))
+            return
+        failures = progress.failures.get(index, 0)
+        progress.failures[index] = failures + 1
+        delay = min(ITEM_RETRY_FIRST_SECONDS * 2 ** min(failures, 8), ITEM_RETRY_MOST_SECONDS)
+        heapq.heappush(progress.retries, (now + delay, index))
+
+    # Lease.
+
+    def renew(self, now: float) -> list[Effect]:
+        """Shows that the owner is alive while the shard has work."""
+        if now < self._renew_at or not self.has_work():
+            return []
+        self._renew_at = now + RENEW_SECONDS
+        return self._writer.append(self.stream, [EpochRenewed(self.epoch)])
+
+    def release(self) -> list[Effect]:
+        """Gives the shard up."""
+        return self._writer.append(self.stream, [EpochReleased(self.epoch)])
+
+
+def chunk_items(answer: LogRead, job_id: str, chunk_index: int) -> list[BatchItem] | None:
+    """Finds a chunk in the first entry of a read, or returns None."""
+    if not answer.entries:
+        return None
+    try:
+        entry = decode_entry(answer.entries[0])
+    except UnreadableEntry:
+        return None
+    for record in entry.records:
+        if not isinstance(record, ChunkSubmitted):
+            continue
+        if (record.job_id, record.chunk_index) == (job_id, chunk_index):
+            return record.items
+    return None
--- /dev/null
+++ b/src/troutswitch/decisions/batch/ownership.py
@@ -0,0 +1,279 @@
+"""Which shards this daemon follows, claims, owns and hands over.
+
+The preferred owner of a shard is the first, its standby the second, of the live
+daemons in rendezvous order. Both follow the shard. Membership and lease expiry
+are hints for when to claim; safety rests on the epoch in the fold alone.
+"""
+
+from collections.abc import Callable, Iterator
+
+from troutswitch.common import rendezvous_order
+from troutswitch.constants import (
+    CLAIM_RETRY_SECONDS,
+    HANDOVER_SECONDS,
+    LEASE_SECONDS,
+    SHARD_FOLLOWERS,
+    SHARD_IDLE_UNLOAD_SECONDS,
+)
+from troutswitch.daemons.messages import ShardTouched, ShardWanted
+from troutswitch.decisions.batch.fold import FoldChange, JobStopped, OwnerChanged
+from troutswitch.decisions.batch.owner import ShardOwner
+from troutswitch.decisions.batch.replica import ShardReplica, snapshot_stream
+from troutswitch.decisions.batch.snapshot import encode_snapshot
+from troutswitch.decisions.effects import AppendToLog, Effect, LogEvent, SendDatagram
+from troutswitch.decisions.invariants import ensure
+from troutswitch.decisions.logreader import LogReader
+from troutswitch.decisions.logwriter import LogWriter
+from troutswitch.decisions.membership import Membership
+from troutswitch.logservice.records import EpochClaimed
+
+OwnerHook = Callable[[float, ShardOwner], list[Effect]]
+
+
+class Ownership:
+    """All shard replicas of this daemon and the owners among them."""
+
+    def __init__(
+        self,
+        shard_count: int,
+        membership: Membership,
+        writer: LogWriter,
+        reader: LogReader,
+        on_ready: Callable[[float], list[Effect]],
+        on_owner_lost: OwnerHook,
+    ) -> None:
+        self.shard_count = shard_count
+        self.replicas: dict[int, ShardReplica] = {}
+        self.owners: dict[int, ShardOwner] = {}
+        self.is_draining = False
+        self._membership = membership
+        self._writer = writer
+        self._reader = reader
+        self._on_ready = on_ready
+        self._on_owner_lost = on_owner_lost
+        self._on_job_stopped: Callable[[int, str], list[Effect]] = lambda shard, job_id: []
+        self._change_hooks: list[Callable[[float, int], list[Effect]]] = []
+        self._claiming: dict[int, int] = {}
+        self._released: dict[int, int] = {}
+        self._handover_by: dict[int, float] = {}
+        self._used_at: dict[int, float] = {}
+        self._check_at = float("-inf")
+
+    @property
+    def identity(self) -> str:
+        """This daemon's name as an owner: name and incarnation."""
+        return self._writer.writer
+
+    def set_job_stopped(self, hook: Callable[[int, str], list[Effect]]) -> None:
+        """Sets the function called with shard and job when an owned job is cancelled."""
+        self._on_job_stopped = hook
+
+    def add_change_hook(self, hook: Callable[[float, int], list[Effect]]) -> None:
+        """Adds a function called with the shard after each read of its stream."""
+        self._change_hooks.append(hook)
+
+    def replica(self, now: float, shard: int) -> tuple[ShardReplica, list[Effect]]:
+        """Returns a shard's replica, following it from now on if it was not."""
+        self._used_at[shard] = now
+        held = self.replicas.get(shard)
+        if held is not None:
+            return held, []
+
+        def on_changes(at: float, changes: list[FoldChange]) -> list[Effect]:
+            return self._on_changes(at, shard, changes)
+
+        replica = ShardReplica(shard, self._reader, on_changes)
+        self.replicas[shard] = replica
+        return replica, replica.read_now(now)
+
+    # Timers.
+
+    def next_due(self) -> float:
+        """Returns when something is due."""
+        polls = (replica.next_due() for replica in self.replicas.values())
+        return min(self._check_at, min(polls, default=float("inf")))
+
+    def on_timer(self, now: float) -> list[Effect]:
+        """Polls streams, claims, renews and hands over."""
+        effects: list[Effect] = []
+        for replica in list(self.replicas.values()):
+            effects.extend(replica.on_timer(now))
+        if now >= self._check_at:
+            self._check_at = now + CLAIM_RETRY_SECONDS
+            effects.extend(self._check(now))
+        return effects
+
+    def _check(self, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for shard in range(self.shard_count):
+            followers = self.followers(shard)
+            if self._membership.name in followers and not self.is_draining:
+                replica, loading = self.replica(now, shard)
+                effects.extend(loading)
+                effects.extend(self._consider_claim(now, replica, followers))
+        for owner in list(self.owners.values()):
+            effects.extend(self._tend(now, owner))
+        self._unload_idle(now)
+        return effects
+
+    def followers(self, shard: int) -> list[str]:
+        """Returns the daemons that follow a shard, preferred owner first."""
+        order = rendezvous_order(f"shard-{shard}", self._membership.serving_names())
+        return order[:SHARD_FOLLOWERS]
+
+    def owner_name(self, shard: int) -> str:
+        """Returns the name of the shard's owner as far as known, else its preferred owner."""
+        replica = self.replicas.get(shard)
+        if replica is not None and replica.fold.owner:
+            return replica.fold.owner.partition("#")[0]
+        return next(iter(self.followers(shard)), "")
+
+    def _unload_idle(self, now: float) -> None:
+        for shard, used_at in list(self._used_at.items()):
+            if shard not in self.owners and now - used_at > SHARD_IDLE_UNLOAD_SECONDS:
+                self.replicas.pop(shard, None)
+                del self._used_at[shard]
+
+    # Claiming.
+
+    def _consider_claim(
+        self, now: float, replica: ShardReplica, followers: list[str]
+    ) -> list[Effect]:
+        shard = replica.shard
+        fold = replica.fold
+        if shard in self.owners or now - replica.fresh_as_of > LEASE_SECONDS:
+            return []
+        if self._claiming.get(shard) == fold.epoch:
+            return []  # our claim on this epoch is still on its way
+        is_preferred = followers[0] == self._membership.name
+        if self._may_claim(now, replica, is_preferred):
+            self._claiming[shard] = fold.epoch
+            claim = EpochClaimed(self.identity, fold.epoch)
+            return self._writer.append(replica.stream, [claim])
+        if is_preferred and fold.owner:
+            return self._ask_owner(shard, fold.owner)
+        return []
+
+    def _may_claim(self, now: float, replica: ShardReplica, is_preferred: bool) -> bool:
+        fold = replica.fold
+        silent_for = now - replica.owner_seen_at
+        lapsed = silent_for > LEASE_SECONDS
+        if not fold.owner:
+            return is_preferred or lapsed
+        if fold.owner == self.identity:
+            return False
+        if not self._membership.is_alive_incarnation(fold.owner):
+            return is_preferred or lapsed
+        # Alive for its peers, yet it records nothing although it has work.
+        return lapsed and bool(fold.open_jobs)
+
+    def _ask_owner(self, shard: int, owner: str) -> list[Effect]:
+        address = self._membership.address_of(owner.partition("#")[0])
+        if address is None:
+            return []
+        return [SendDatagram(address, ShardWanted(self._membership.name, shard))]
+
+    # Following the fold.
+
+    def _on_changes(self, now: float, shard: int, changes: list[FoldChange]) -> list[Effect]:
+        effects: list[Effect] = []
+        for change in changes:
+            if isinstance(change, OwnerChanged):
+                effects.extend(self._end_ownership(now, shard))
+        effects.extend(self._begin_ownership(now, shard))
+        owner = self.owners.get(shard)
+        if owner is not None:
+            ensure(owner.epoch == self.replicas[shard].fold.epoch, "owner of a past epoch")
+            effects.extend(owner.on_changes(now, changes))
+            for change in changes:
+                if isinstance(change, JobStopped):
+                    effects.extend(self._on_job_stopped(shard, change.job_id))
+            effects.extend(self._snapshot(owner))
+            effects.extend(self._on_ready(now))
+        for hook in self._change_hooks:
+            effects.extend(hook(now, shard))
+        return effects
+
+    def _begin_ownership(self, now: float, shard: int) -> list[Effect]:
+        replica = self.replicas[shard]
+        fold = replica.fold
+        if fold.owner != self.identity or shard in self.owners:
+            return []
+        if self._released.get(shard) == fold.epoch:
+            return []  # our release is still on its way
+        owner = ShardOwner(replica, fold.epoch, self._writer, self._reader, self._on_ready)
+        self.owners[shard] = owner
+        line = LogEvent("shard owned", {"shard": shard, "epoch": fold.epoch})
+        return [line, *owner.take_over(now)]
+
+    def _end_ownership(self, now: float, shard: int) -> list[Effect]:
+        owner = self.owners.pop(shard, None)
+        self._handover_by.pop(shard, None)
+        if owner is None:
+            return []
+        line = LogEvent("shard lost", {"shard": shard, "epoch": owner.epoch})
+        return [line, *self._on_owner_lost(now, owner)]
+
+    def _snapshot(self, owner: ShardOwner) -> list[Effect]:
+        if not owner.snapshot_due:
+            return []
+        owner.snapshot_due = False
+        return [AppendToLog(snapshot_stream(owner.shard), encode_snapshot(owner.fold))]
+
+    # Handing over.
+
+    def _tend(self, now: float, owner: ShardOwner) -> list[Effect]:
+        if self.is_draining:
+            self._start_handover(now, owner)
+        if not owner.is_releasing:
+            return owner.renew(now)
+        if owner.running_items() == 0 or now >= self._handover_by[owner.shard]:
+            return self._release(now, owner)
+        return owner.renew(now)
+
+    def _start_handover(self, now: float, owner: ShardOwner) -> None:
+        owner.is_releasing = True
+        self._handover_by.setdefault(owner.shard, now + HANDOVER_SECONDS)
+
+    def _release(self, now: float, owner: ShardOwner) -> list[Effect]:
+        self.owners.pop(owner.shard, None)
+        self._handover_by.pop(owner.shard, None)
+        self._released[owner.shard] = owner.epoch
+        line = LogEvent("shard released", {"shard": owner.shard, "epoch": owner.epoch})
+        return [line, *owner.release(), *self._on_owner_lost(now, owner)]
+
+    def on_wanted(self, now: float, message: ShardWanted) -> list[Effect]:
+        """The preferred owner asks for a shard of ours."""
+        owner = self.owners.get(message.shard)
+        if owner is not None and self.followers(message.shard)[:1] == [message.sender]:
+            self._start_handover(now, owner)
+        return []
+
+    def on_touched(self, now: float, message: ShardTouched) -> list[Effect]:
+        """A stream has grown."""
+        replica = self.replicas.get(message.shard)
+        return replica.read_now(now) if replica is not None else []
+
+    def touch(self, shard: int) -> list[Effect]:
+        """Tells the shard's owner that its stream has grown."""
+        address = self._membership.address_of(self.owner_name(shard))
+        if address is None:
+            return []
+        return [SendDatagram(address, ShardTouched(self._membership.name, shard))]
+
+    def on_appended(self, now: float, stream: str) -> list[Effect]:
+        """An append of ours was confirmed; read it back."""
+        for replica in self.replicas.values():
+            if replica.stream == stream:
+                return replica.read_now(now)
+        return []
+
+    def is_released(self) -> bool:
+        """Returns whether nothing is owned."""
+        return not self.owners
+
+    def open_owners(self) -> Iterator[ShardOwner]:
+        """Yields the owners that still hand out items."""
+        for owner in self.owners.values():
+            if not owner.is_releasing:
+                yield owner
--- /dev/null
+++ b/src/troutswitch/decisions/batch/replica.py
@@ -0,0 +1,136 @@
+"""A daemon's copy of one shard fold, kept up to the tail of its stream."""
+
+from collections.abc import Callable
+
+from troutswitch.constants import (
+    LAST_ENTRY,
+    LOG_RETRY_FIRST_SECONDS,
+    LOG_RETRY_MOST_SECONDS,
+    SHARD_POLL_SECONDS,
+)
+from troutswitch.decisions.batch.fold import FoldChange, JobOpened, ShardFold
+from troutswitch.decisions.batch.snapshot import decode_snapshot
+from troutswitch.decisions.effects import Effect
+from troutswitch.decisions.events import LogRead, LogReadFailed
+from troutswitch.decisions.invariants import ensure
+from troutswitch.decisions.logreader import LogReader
+from troutswitch.logservice.records import UnreadableEntry, decode_entry
+
+ChangeHandler = Callable[[float, list[FoldChange]], list[Effect]]
+
+
+def shard_stream(shard: int) -> str:
+    """Returns the name of a shard's stream."""
+    return f"batch-{shard:04d}"
+
+
+def snapshot_stream(shard: int) -> str:
+    """Returns the name of the stream that keeps a shard's snapshots."""
+    return f"snapshot-{shard:04d}"
+
+
+class ShardReplica:
+    """Follows one shard: last snapshot, then every entry from there to the tail.
+
+    `fresh_as_of` is the start time of the newest read that reached the tail: the
+    fold holds everything confirmed before that time. `owner_seen_at` is when the
+    owner last showed a sign of life, or last got new work.
+    """
+
+    def __init__(self, shard: int, reader: LogReader, on_changes: ChangeHandler) -> None:
+        self.shard = shard
+        self.stream = shard_stream(shard)
+        self.fold = ShardFold()
+        self.fresh_as_of = float("-inf")
+        self.owner_seen_at = float("-inf")
+        self.is_stopped = False
+        self._reader = reader
+        self._on_changes = on_changes
+        self._is_loaded = False
+        self._is_reading = False
+        self._read_again = False
+        self._read_started_at = float("-inf")
+        self._poll_at = float("-inf")
+        self._failures = 0
+
+    @property
+    def is_caught_up(self) -> bool:
+        """Whether the fold has reached the tail at least once."""
+        return self.fresh_as_of > float("-inf")
+
+    def next_due(self) -> float:
+        """Returns when the next poll is due."""
+        return float("inf") if self._is_reading or self.is_stopped else self._poll_at
+
+    def on_timer(self, now: float) -> list[Effect]:
+        """Polls the stream if it is time."""
+        return self.read_now(now) if self.next_due() <= now else []
+
+    def read_now(self, now: float) -> list[Effect]:
+        """Reads on at once, or right after the read in progress."""
+        if self.is_stopped:
+            return []
+        if self._is_reading:
+            self._read_again = True
+            return []
+        self._is_reading = True
+        self._read_started_at = now
+        if not self._is_loaded:
+            snapshots = snapshot_stream(self.shard)
+            return self._reader.read(snapshots, LAST_ENTRY, self._on_snapshot, limit=1)
+        return self._reader.read(self.stream, self.fold.next_offset, self._on_entries)
+
+    def _on_snapshot(self, now: float, answer: LogRead | LogReadFailed) -> list[Effect]:
+        self._is_reading = False
+        if isinstance(answer, LogReadFailed):
+            return self._back_off(now)
+        self._is_loaded = True
+        if answer.entries:
+            self._load(answer.entries[-1])
+        return self.read_now(now)
+
+    def _load(self, payload: bytes) -> None:
+        try:
+            self.fold = decode_snapshot(payload)
+        except UnreadableEntry:
+            # The stream itself still tells everything; only more slowly.
+            self.fold = ShardFold()
+
+    def _on_entries(self, now: float, answer: LogRead | LogReadFailed) -> list[Effect]:
+        self._is_reading = False
+        if isinstance(answer, LogReadFailed):
+            return self._back_off(now)
+        self._failures = 0
+        self._poll_at = now + SHARD_POLL_SECONDS
+        owner_offset = self.fold.last_owner_offset
+        changes = self._apply(answer)
+        has_news = any(isinstance(change, JobOpened) for change in changes)
+        if self.fold.last_owner_offset != owner_offset or has_news or not self.is_caught_up:
+            self.owner_seen_at = now
+        reached_tail = self.fold.next_offset >= answer.tail
+        if reached_tail:
+            self.fresh_as_of = self._read_started_at
+        effects = self._on_changes(now, changes)
+        if not reached_tail or self._read_again:
+            self._read_again = False
+            effects.extend(self.read_now(now))
+        return effects
+
+    def _apply(self, answer: LogRead) -> list[FoldChange]:
+        changes: list[FoldChange] = []
+        ensure(answer.offset == self.fold.next_offset, "a shard read does not join the fold")
+        for position, payload in enumerate(answer.entries):
+            try:
+                entry = decode_entry(payload)
+            except UnreadableEntry:
+                # Written by a newer version: stop here rather than guess.
+                self.is_stopped = True
+                return changes
+            changes.extend(self.fold.apply(answer.offset + position, entry))
+        return changes
+
+    def _back_off(self, now: float) -> list[Effect]:
+        self._failures += 1
+        delay = LOG_RETRY_FIRST_SECONDS * 2 ** min(self._failures, 10)
+        self._poll_at = now + min(delay, LOG_RETRY_MOST_SECONDS)
+        return []
--- /dev/null
+++ b/src/troutswitch/decisions/batch/submission.py
@@ -0,0 +1,239 @@
+"""Submission and cancellation of batch jobs."""
+
+import hashlib
+import itertools
+
+import cbor2
+
+from troutswitch.common import stable_hash
+from troutswitch.constants import (
+    CHUNK_ITEMS,
+    RETRY_AFTER_SECONDS,
+    WRITER_QUEUE_MOST_RECORDS,
+)
+from troutswitch.decisions.batch.calls import (
+    LOG_PEER,
+    STILL_WAITING,
+    CallContext,
+    JobCall,
+    Progress,
+    ShardCall,
+    log_silent,
+    view_of,
+)
+from troutswitch.decisions.batch.fold import (
+    Accepted,
+    Conflict,
+    Duplicate,
+    Incomplete,
+    ShardFold,
+)
+from troutswitch.decisions.batch.jobs import Job, chunk_count
+from troutswitch.decisions.batch.replica import ShardReplica
+from troutswitch.decisions.configuration.follower import ConfigurationFollower
+from troutswitch.decisions.effects import AnswerCall, CallAnswer, CallRefused, Effect
+from troutswitch.decisions.events import JobSubmitted
+from troutswitch.logservice.records import (
+    BatchItem,
+    ChunkSubmitted,
+    JobCancelled,
+    JobCommitted,
+    Record,
+)
+from troutswitch.outcomes import Step
+
+JOB_ID_PREFIX = "batch_"
+
+
+def content_digest(service: str, repeatable: bool, items: tuple[BatchItem, ...]) -> str:
+    """Returns a digest of all that a submission asks for."""
+    digest = hashlib.sha256(cbor2.dumps([service, repeatable]))
+    for item in items:
+        digest.update(cbor2.dumps([item.custom_id, item.prompt, item.max_tokens]))
+    return digest.hexdigest()
+
+
+def job_id_of(shard: int, unique: int) -> str:
+    """Returns a job id; it names the job's shard, so that any daemon finds it."""
+    return f"{JOB_ID_PREFIX}{shard:04x}{unique:016x}"
+
+
+def shard_of_job(job_id: str, shard_count: int) -> int | None:
+    """Returns the shard that a job id names, or None if this fleet cannot have made it."""
+    if not job_id.startswith(JOB_ID_PREFIX):
+        return None
+    digits = job_id.removeprefix(JOB_ID_PREFIX)[:4]
+    try:
+        shard = int(digits, 16)
+    except ValueError:
+        return None
+    return shard if shard < shard_count else None
+
+
+class Submissions:
+    """Makes submissions of this daemon."""
+
+    def __init__(self, context: CallContext, configuration: ConfigurationFollower) -> None:
+        self._context = context
+        self._configuration = configuration
+        self._numbers = itertools.count(1)
+
+    def why_refused(self, call: JobSubmitted) -> CallRefused | None:
+        """Returns why nothing may be submitted now, or None."""
+        writer = self._context.writer
+        if self._context.ownership.is_draining:
+            return _refused("daemon is stopping", Step.DRAIN)
+        if not self._configuration.is_ready:
+            return _refused("no configuration yet", Step.ADMIT)
+        most = self._configuration.policy(call.service, call.tenant).tenant_open_items
+        if len(call.items) > most:
+            return CallRefused(f"more than {most} items", Step.ADMIT, 413, True)
+        if writer.is_failing_anywhere():
+            return log_silent(Step.SUBMIT)
+        if writer.queued_records() > WRITER_QUEUE_MOST_RECORDS:
+            return _refused("too many records wait for the log service", Step.SUBMIT)
+        return None
+
+    def prepare(self, now: float, call: JobSubmitted) -> "Submission":
+        """Returns the call that submits the job."""
+        digest = content_digest(call.service, call.repeatable, call.items)
+        identity = (
+            f"{call.tenant}/key/{call.key}" if call.key else f"{call.tenant}/content/{digest}"
+        )
+        shard = stable_hash(identity) % self._context.ownership.shard_count
+        unique = stable_hash(self._context.writer.writer, str(next(self._numbers)))
+        policy = self._configuration.policy(call.service, call.tenant)
+        commit = JobCommitted(
+            job_id_of(shard, unique),
+            identity,
+            digest,
+            call.tenant,
+            call.service,
+            len(call.items),
+            call.repeatable,
+            now,
+            call.deadline,
+            policy.identity_window_seconds,
+        )
+        return Submission(self._context, call, commit, shard, now)
+
+
+class Submission(ShardCall):
+    """A submission in progress: look for a resend, append, read the verdict back."""
+
+    def __init__(
+        self,
+        context: CallContext,
+        call: JobSubmitted,
+        commit: JobCommitted,
+        shard: int,
+        now: float,
+    ) -> None:
+        super().__init__(shard, call.call_deadline)
+        self._context = context
+        self._call = call
+        self._commit = commit
+        self._since = now
+        self._is_appended = False
+
+    def poll(self, now: float, replica: ShardReplica) -> Progress:
+        """Appends once the fold is fresh, then waits for the verdict."""
+        if self._is_appended:
+            return self._look_for_verdict(replica.fold)
+        if replica.fresh_as_of < self._since:
+            return STILL_WAITING
+        earlier = self._earlier_job(replica.fold)
+        if earlier is not None:
+            answer = _told_earlier(earlier, self._commit.content_digest)
+            return Progress(True, [AnswerCall(self._call.token, answer)])
+        self._is_appended = True
+        return Progress(False, self._context.append(replica, self._records()))
+
+    def _earlier_job(self, fold: ShardFold) -> Job | None:
+        job = fold.jobs.get(fold.job_of_identity.get(self._commit.identity, ""))
+        if job is None:
+            return None
+        age = self._commit.committed_at - job.committed_at
+        return job if age < job.identity_window else None
+
+    def _records(self) -> list[Record]:
+        items = self._call.items
+        job_id = self._commit.job_id
+        chunks = [
+            ChunkSubmitted(job_id, index, list(items[index * CHUNK_ITEMS :][:CHUNK_ITEMS]))
+            for index in range(chunk_count(len(items)))
+        ]
+        return [*chunks, self._commit]
+
+    def _look_for_verdict(self, fold: ShardFold) -> Progress:
+        verdict = fold.verdicts.get(self._commit.job_id)
+        digest = self._commit.content_digest
+        match verdict:
+            case None:
+                return STILL_WAITING
+            case Accepted():
+                answer: CallAnswer = view_of(fold.jobs[self._commit.job_id])
+            case Duplicate(job_id) | Conflict(job_id):
+                answer = _told_earlier(fold.jobs[job_id], digest)
+            case Incomplete():
+                answer = _refused("chunks were dropped before the commit", Step.SUBMIT)
+        touch = self._context.ownership.touch(self.shard)
+        return Progress(True, [*touch, AnswerCall(self._call.token, answer)])
+
+    def expire(self) -> list[Effect]:
+        """Refuses truly: nothing was sent, or it may have been accepted."""
+        if not self._is_appended:
+            return [AnswerCall(self._call.token, log_silent(Step.SUBMIT))]
+        reason = (
+            "not read back in time; the job may have been accepted: send it again, "
+            "it will not be doubled"
+        )
+        refusal = CallRefused(reason, Step.SUBMIT, 504, False, LOG_PEER, RETRY_AFTER_SECONDS)
+        return [AnswerCall(self._call.token, refusal)]
+
+
+class Cancellation(JobCall):
+    """Cancels a job; answered once the record was read back."""
+
+    def __init__(
+        self,
+        context: CallContext,
+        token: str,
+        tenant: str,
+        job_id: str,
+        shard: int,
+        deadline: float,
+    ) -> None:
+        super().__init__(token, tenant, job_id, shard, deadline)
+        self._context = context
+        self._is_appended = False
+
+    def on_found(self, now: float, replica: ShardReplica, job: Job) -> Progress:
+        """Appends the record, then waits until the fold shows the job stopped."""
+        if not job.is_running or job.finished == job.item_count:
+            touch = self._context.ownership.touch(self.shard)
+            return Progress(True, [*touch, AnswerCall(self.token, view_of(job))])
+        if self._is_appended:
+            return STILL_WAITING
+        self._is_appended = True
+        return Progress(False, self._context.append(replica, [JobCancelled(self.job_id)]))
+
+    def expire(self) -> list[Effect]:
+        """Refuses truly: nothing was sent, or the job may still be cancelled."""
+        if not self._is_appended:
+            return super().expire()
+        reason = "not read back in time; the job may still be cancelled"
+        refusal = CallRefused(reason, Step.SUBMIT, 504, False, LOG_PEER)
+        return [AnswerCall(self.token, refusal)]
+
+
+def _told_earlier(job: Job, content: str) -> CallAnswer:
+    """Returns what a resend is told: the earlier job, or a conflict."""
+    if job.content_digest == content:
+        return view_of(job, duplicate=True)
+    reason = f"the key belongs to job {job.job_id}, which has other content"
+    return CallRefused(reason, Step.SUBMIT, 409, True)
+
+
+def _refused(reason: str, step: Step) -> CallRefused:
+    return CallRefused(reason, step, 503, True, "", RETRY_AFTER_SECONDS)
--- /dev/null
+++ b/src/troutswitch/decisions/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration tree: keys, inheritance, publication and spread."""
--- /dev/null
+++ b/src/troutswitch/decisions/configuration/declarations.py
@@ -0,0 +1,65 @@
+"""Declarations of the configuration tree, as TOML files kept in version control.
+
+A directory holds any number of `*.toml` files. Each table is a path of the tree:
+`[root]`, `["zone/a"]`, `["service/b"]`, `["zone/a/service/b"]`, `["tenant/t"]`.
+"""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from troutswitch.decisions.configuration.tree import ConfigurationTree, check_change
+from troutswitch.logservice.records import ConfigurationChange
+
+
+class DeclarationError(Exception):
+    """A declaration that cannot be used; the text names file, key and reason."""
+
+
+def read_declarations(directory: Path) -> ConfigurationTree:
+    """Reads all declarations of a directory into one tree.
+
+    Raises:
+        DeclarationError: no such directory, malformed TOML, an unknown path or key, a
+            bad value, or one key declared twice.
+    """
+    if not directory.is_dir():
+        raise DeclarationError(f"{directory}: not a directory")
+    tree = ConfigurationTree()
+    for file in sorted(directory.glob("*.toml")):
+        for path, keys in _read(file).items():
+            if not isinstance(keys, dict):
+                raise DeclarationError(f"{file}: {path}: a table is expected")
+            for key, value in keys.items():
+                _declare(tree, file, ConfigurationChange(path, key, value))
+    return tree
+
+
+def _read(file: Path) -> dict[str, Any]:
+    try:
+        return tomllib.loads(file.read_text())
+    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise DeclarationError(f"{file}: {error}") from error
+
+
+def _declare(tree: ConfigurationTree, file: Path, change: ConfigurationChange) -> None:
+    reason = check_change(change)
+    if reason is not None:
+        raise DeclarationError(f"{file}: {reason}")
+    if change.key in tree.overrides.get(change.path, {}):
+        raise DeclarationError(f"{file}: {change.path}: {change.key} is declared twice")
+    tree.apply(change)
+
+
+def changes_between(
+    current: ConfigurationTree, wanted: ConfigurationTree
+) -> list[ConfigurationChange]:
+    """Returns the changes that turn one tree into another, in order of path and key."""
+    changes = []
+    for path in sorted({*current.overrides, *wanted.overrides}):
+        before = current.overrides.get(path, {})
+        after = wanted.overrides.get(path, {})
+        for key in sorted({*before, *after}):
+            if before.get(key) != after.get(key):
+                changes.append(ConfigurationChange(path, key, after.get(key)))
+    return changes
--- /dev/null
+++ b/src/troutswitch/decisions/configuration/fold.py
@@ -0,0 +1,115 @@
+"""The fold over the configuration stream.
+
+Whether a publication is accepted follows from the entries before it alone, so
+every daemon comes to the same verdict without talking.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from troutswitch.common import stable_hash
+from troutswitch.constants import CONFIGURATION_CHANGES_MOST, VERDICTS_KEPT
+from troutswitch.decisions.configuration.tree import ConfigurationTree, check_change
+from troutswitch.decisions.invariants import ensure
+from troutswitch.decisions.sequences import WriterSequences
+from troutswitch.logservice.records import ConfigurationPublished, Entry
+
+
+@dataclass(frozen=True, slots=True)
+class PublicationAccepted:
+    """The publication is in force as `version`."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class PublicationRejected:
+    """Nothing changed; `version` is the one in force."""
+
+    version: int
+    reason: str
+
+
+Verdict = PublicationAccepted | PublicationRejected
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryLine:
+    """One accepted publication."""
+
+    version: int
+    offset: int
+    publication: ConfigurationPublished
+
+
+@dataclass
+class ConfigurationFold:
+    """The tree after the entries below `next_offset`, and how it came about."""
+
+    next_offset: int = 0
+    version: int = 0
+    tree: ConfigurationTree = field(default_factory=ConfigurationTree)
+    changed_at: dict[tuple[str, str], int] = field(default_factory=dict)
+    history: list[HistoryLine] = field(default_factory=list)
+    verdicts: "OrderedDict[str, Verdict]" = field(default_factory=OrderedDict)
+    sequences: WriterSequences = field(default_factory=WriterSequences)
+
+    def apply(self, offset: int, entry: Entry) -> bool:
+        """Folds one entry and returns whether the tree changed."""
+        ensure(offset == self.next_offset, "a configuration entry is applied out of order")
+        self.next_offset = offset + 1
+        if not self.sequences.accept(entry.writer, entry.sequence):
+            return False
+        before = self.version
+        for record in entry.records:
+            if isinstance(record, ConfigurationPublished):
+                self._publish(offset, record)
+        ensure(self.version >= before, "the configuration version went back")
+        return self.version > before
+
+    def _publish(self, offset: int, publication: ConfigurationPublished) -> None:
+        if publication.publication_id in self.verdicts:
+            return
+        reason = self._why_rejected(publication)
+        if reason is not None:
+            self._remember(publication, PublicationRejected(self.version, reason))
+            return
+        self.version += 1
+        for change in publication.changes:
+            self.tree.apply(change)
+            self.changed_at[change.path, change.key] = self.version
+        self.history.append(HistoryLine(self.version, offset, publication))
+        self._remember(publication, PublicationAccepted(self.version))
+
+    def _why_rejected(self, publication: ConfigurationPublished) -> str | None:
+        if not publication.changes:
+            return "no changes"
+        if len(publication.changes) > CONFIGURATION_CHANGES_MOST:
+            return f"more than {CONFIGURATION_CHANGES_MOST} changes"
+        if publication.base_version > self.version:
+            return f"made against version {publication.base_version}, which does not exist"
+        for change in publication.changes:
+            reason = check_change(change)
+            if reason is not None:
+                return reason
+            changed_at = self.changed_at.get((change.path, change.key), 0)
+            if changed_at > publication.base_version:
+                return (
+                    f"conflict: {change.path}: {change.key} was changed in version "
+                    f"{changed_at}, after version {publication.base_version}"
+                )
+        return None
+
+    def _remember(self, publication: ConfigurationPublished, verdict: Verdict) -> None:
+        self.verdicts[publication.publication_id] = verdict
+        if len(self.verdicts) > VERDICTS_KEPT:
+            self.verdicts.popitem(last=False)
+
+    def digest(self) -> int:
+        """Returns a hash of the tree, the same on every daemon at the same version."""
+        lines = [
+            f"{path}/{key}={value!r}"
+            for path, keys in sorted(self.tree.overrides.items())
+            for key, value in sorted(keys.items())
+        ]
+        return stable_hash(str(self.version), *lines)
--- /dev/null
+++ b/src/troutswitch/decisions/configuration/tree.py
@@ -0,0 +1,87 @@
+"""The tree of settings: paths, overrides and inheritance."""
+
+import re
+from dataclasses import dataclass, field
+
+from troutswitch.decisions.configuration.keys import (
+    DEFAULTS,
+    ServingPolicy,
+    Value,
+    check_value,
+    policy_of,
+)
+from troutswitch.logservice.records import ConfigurationChange
+
+ROOT = "root"
+_NAME = r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}"
+_PATH = re.compile(
+    rf"root|zone/{_NAME}|service/{_NAME}|zone/{_NAME}/service/{_NAME}|tenant/{_NAME}"
+)
+
+
+@dataclass(frozen=True, slots=True)
+class EffectiveValue:
+    """A value in force and the path it comes from; "default" if nothing sets it."""
+
+    value: Value
+    source: str
+
+
+def inheritance(zone: str, service: str, tenant: str) -> list[str]:
+    """Returns the paths that apply, from the most general to the most specific."""
+    paths = [ROOT]
+    if zone:
+        paths.append(f"zone/{zone}")
+    if service:
+        paths.append(f"service/{service}")
+    if zone and service:
+        paths.append(f"zone/{zone}/service/{service}")
+    if tenant:
+        paths.append(f"tenant/{tenant}")
+    return paths
+
+
+def check_change(change: ConfigurationChange) -> str | None:
+    """Returns why a change is invalid, or None if it is valid."""
+    if not _PATH.fullmatch(change.path):
+        return f"{change.path}: not a path of the tree"
+    if change.key not in DEFAULTS:
+        return f"{change.path}: unknown key {change.key!r}"
+    if change.value is None:
+        return None
+    reason = check_value(change.key, change.value)
+    return f"{change.path}: {change.key}: {reason}" if reason else None
+
+
+@dataclass
+class ConfigurationTree:
+    """Overrides by path and key; what is not overridden is inherited."""
+
+    overrides: dict[str, dict[str, Value]] = field(default_factory=dict)
+
+    def apply(self, change: ConfigurationChange) -> None:
+        """Applies one checked change."""
+        branch = self.overrides.setdefault(change.path, {})
+        if change.value is None:
+            branch.pop(change.key, None)
+        else:
+            branch[change.key] = change.value
+        if not branch:
+            del self.overrides[change.path]
+
+    def effective(self, zone: str, service: str, tenant: str) -> dict[str, EffectiveValue]:
+        """Returns every key's value in force and where it comes from."""
+        values = {key: EffectiveValue(value, "default") for key, value in DEFAULTS.items()}
+        for path in inheritance(zone, service, tenant):
+            for key, value in self.overrides.get(path, {}).items():
+                values[key] = EffectiveValue(value, path)
+        return values
+
+    def policy(self, zone: str, service: str, tenant: str) -> ServingPolicy:
+        """Returns the typed policy in force."""
+        values = self.effective(zone, service, tenant)
+        return policy_of({key: held.value for key, held in values.items()})
+
+    def copy(self) -> "ConfigurationTree":
+        """Returns an independent copy."""
+        return ConfigurationTree({path: dict(keys) for path, keys in self.overrides.items()})
--- /dev/null
+++ b/src/troutswitch/decisions/engines.py
@@ -0,0 +1,267 @@
+"""What one daemon knows of the engines: load, freshness, failures and leaving.
+
+An engine is used only if a sign of life that did not say "leaving" is younger
+than `ENGINE_FRESH_SECONDS`: an answer to a request, or a load poll. So a leaving
+engine gets no new work soon after it says so, although the machine list lags and
+peers are cut off. "Leaving" is sticky for an incarnation and told to peers.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from troutswitch.common import Address, rendezvous_order
+from troutswitch.constants import (
+    EJECT_AFTER_FAILURES,
+    EJECT_FIRST_SECONDS,
+    EJECT_MOST_SECONDS,
+    ENGINE_FRESH_SECONDS,
+    ENGINE_IN_USE_SECONDS,
+    ENGINE_POLL_SECONDS,
+    ENGINE_SUBSET,
+)
+from troutswitch.daemons.messages import EngineLeaving
+from troutswitch.decisions.effects import Effect, LogEvent, PollEngine, SendDatagram
+from troutswitch.decisions.events import EngineLoad, EngineLoadRead, Machine
+from troutswitch.decisions.membership import Membership
+
+ENGINE_TICK_SECONDS = 0.1
+"""Interval between looks at which engines are to be polled."""
+ACTIVE_SECONDS = 1.0
+"""Interval between choices of the engines that are polled at all."""
+
+EngineHook = Callable[[float, str], list[Effect]]
+
+
+@dataclass(slots=True)
+class Engine:
+    """One engine as this daemon sees it.
+
+    `online_in_flight` counts this daemon's own online requests on it;
+    `sent_since_load` those sent after the last load report.
+    """
+
+    name: str
+    address: Address
+    zone: str
+    service: str
+    incarnation: str = ""
+    load: EngineLoad | None = None
+    confirmed_at: float = float("-inf")
+    used_at: float = float("-inf")
+    poll_at: float = float("-inf")
+    is_polling: bool = False
+    online_in_flight: int = 0
+    sent_since_load: int = 0
+    failures: int = 0
+    ejected_until: float = float("-inf")
+    listed: bool = True
+
+    @property
+    def slots(self) -> int:
+        """Sequences that the engine runs at once, as far as known."""
+        return self.load.slots if self.load is not None else 1
+
+    @property
+    def online_load(self) -> int:
+        """Online requests on the engine, as far as known."""
+        if self.load is None:
+            return self.online_in_flight
+        reported = self.load.running_online + self.load.waiting_online
+        return max(reported + self.sent_since_load, self.online_in_flight)
+
+
+class EngineRegistry:
+    """All engines named by the machine list."""
+
+    def __init__(self, membership: Membership) -> None:
+        self.engines: dict[str, Engine] = {}
+        self._membership = membership
+        self._leaving: dict[tuple[str, str], None] = {}
+        self._load_hooks: list[EngineHook] = []
+        self._stewarded: Callable[[str], bool] = lambda name: False
+        self._subsets: dict[str, list[str]] = {}
+        self._active: list[Engine] = []
+        self._active_until = float("-inf")
+        self._tick_at = float("-inf")
+
+    def add_load_hook(self, hook: EngineHook) -> None:
+        """Adds a function called with the engine's name after a poll was answered or not."""
+        self._load_hooks.append(hook)
+
+    def set_steward_test(self, is_stewarded: Callable[[str], bool]) -> None:
+        """Sets the test for engines that are polled although no work goes there."""
+        self._stewarded = is_stewarded
+
+    # The machine list.
+
+    def on_machine_list(self, now: float, machines: list[Machine]) -> list[Effect]:
+        """Takes in the list: new engines, new incarnations, leaving marks."""
+        effects: list[Effect] = []
+        listed = {machine.name for machine in machines}
+        for engine in self.engines.values():
+            engine.listed = engine.name in listed
+        for machine in machines:
+            effects.extend(self._take_machine(now, machine))
+        for engine in list(self.engines.values()):
+            if not engine.listed and engine.online_in_flight == 0:
+                del self.engines[engine.name]
+        self._subsets.clear()
+        return effects
+
+    def _take_machine(self, now: float, machine: Machine) -> list[Effect]:
+        engine = self.engines.get(machine.name)
+        if engine is None:
+            engine = Engine(machine.name, machine.address, machine.zone, machine.service)
+            self.engines[machine.name] = engine
+        if engine.address != machine.address:
+            engine.address = machine.address
+            engine.confirmed_at = float("-inf")
+        if machine.leaving:
+            return self.mark_leaving(now, machine.name, machine.incarnation)
+        return []
+
+    # Leaving.
+
+    def is_leaving(self, engine: Engine) -> bool:
+        """Returns whether this incarnation of the engine is leaving."""
+        return (engine.name, engine.incarnation) in self._leaving
+
+    def mark_leaving(self, now: float, name: str, incarnation: str) -> list[Effect]:
+        """Marks an incarnation as leaving and tells peers, once."""
+        if not incarnation or (name, incarnation) in self._leaving:
+            return []
+        self._leaving[name, incarnation] = None
+        if len(self._leaving) > 10_000:
+            del self._leaving[next(iter(self._leaving))]
+        message = EngineLeaving(self._membership.name, name, incarnation)
+        engine = self.engines.get(name)
+        zone = engine.zone if engine is not None else None
+        peers = self._membership.random_peers(4, zone) + self._membership.random_peers(2)
+        line = LogEvent("engine leaving", {"engine": name, "incarnation": incarnation})
+        return [line, *(SendDatagram(peer.address, message) for peer in peers)]
+
+    # Polling.
+
+    def next_due(self) -> float:
+        """Returns when polls are to be considered next."""
+        return self._tick_at
+
+    def on_timer(self, now: float) -> list[Effect]:
+        """Polls the engines that are in use or stewarded."""
+        if now < self._tick_at:
+            return []
+        self._tick_at = now + ENGINE_TICK_SECONDS
+        if now >= self._active_until:
+            self._active_until = now + ACTIVE_SECONDS
+            self._choose_active(now)
+        effects: list[Effect] = []
+        for engine in self._active:
+            if engine.poll_at <= now:
+                engine.poll_at = now + ENGINE_POLL_SECONDS
+                effects.extend(self.poll(now, engine))
+        return effects
+
+    def _choose_active(self, now: float) -> None:
+        self._active = [
+            engine
+            for engine in self.engines.values()
+            if now - engine.used_at < ENGINE_IN_USE_SECONDS or self._stewarded(engine.name)
+        ]
+
+    def poll(self, now: float, engine: Engine) -> list[Effect]:
+        """Asks an engine for its load, unless it is being asked."""
+        if engine.is_polling:
+            return []
+        engine.is_polling = True
+        return [PollEngine(engine.name, engine.address)]
+
+    def on_load(self, now: float, event: EngineLoadRead) -> list[Effect]:
+        """Takes in the answer to a poll."""
+        engine = self.engines.get(event.engine)
+        if engine is None:
+            return []
+        engine.is_polling = False
+        engine.poll_at = now + ENGINE_POLL_SECONDS
+        effects: list[Effect] = []
+        if event.load is None:
+            self._failed(now, engine)
+        else:
+            effects.extend(self._take_load(now, engine, event.load))
+        for hook in self._load_hooks:
+            effects.extend(hook(now, engine.name))
+        return effects
+
+    def _take_load(self, now: float, engine: Engine, load: EngineLoad) -> list[Effect]:
+        engine.incarnation = load.incarnation
+        engine.load = load
+        engine.sent_since_load = 0
+        self._succeeded(now, engine)
+        if load.leaving:
+            return self.mark_leaving(now, engine.name, load.incarnation)
+        return []
+
+    # Results of work.
+
+    def on_sent(self, now: float, engine: Engine) -> None:
+        """An online request was sent to the engine."""
+        engine.used_at = now
+        engine.online_in_flight += 1
+        engine.sent_since_load += 1
+
+    def on_answered(self, now: float, engine: Engine, succeeded: bool) -> None:
+        """An attempt on the engine ended."""
+        engine.online_in_flight = max(0, engine.online_in_flight - 1)
+        if succeeded:
+            self._succeeded(now, engine)
+        else:
+            self._failed(now, engine)
+
+    def on_sign_of_life(self, now: float, engine: Engine) -> None:
+        """The engine answered in some way."""
+        self._succeeded(now, engine)
+
+    def _succeeded(self, now: float, engine: Engine) -> None:
+        engine.confirmed_at = now
+        engine.failures = 0
+        engine.ejected_until = float("-inf")
+
+    def _failed(self, now: float, engine: Engine) -> None:
+        engine.failures += 1
+        if engine.failures >= EJECT_AFTER_FAILURES:
+            doubling = min(engine.failures - EJECT_AFTER_FAILURES, 10)
+            engine.ejected_until = now + min(EJECT_FIRST_SECONDS * 2**doubling, EJECT_MOST_SECONDS)
+
+    # Choosing.
+
+    def is_fresh(self, now: float, engine: Engine) -> bool:
+        """Returns whether the engine was heard from recently enough to be sent work."""
+        return now - engine.confirmed_at <= ENGINE_FRESH_SECONDS
+
+    def usable(self, now: float, service: str) -> Iterator[Engine]:
+        """Yields the engines of a service that this daemon may send work to."""
+        for name in self._subset(service):
+            engine = self.engines.get(name)
+            if engine is None or not engine.listed or self.is_leaving(engine):
+                continue
+            if now >= engine.ejected_until:
+                yield engine
+
+    def services(self) -> list[str]:
+        """Returns the services that some engine offers."""
+        return sorted({engine.service for engine in self.engines.values()})
+
+    def _subset(self, service: str) -> list[str]:
+        held = self._subsets.get(service)
+        if held is None:
+            held = self._choose_subset(service)
+            self._subsets[service] = held
+        return held
+
+    def _choose_subset(self, service: str) -> list[str]:
+        """Returns at most `ENGINE_SUBSET` engines, those of this zone before others."""
+        mine = [e for e in self.engines.values() if e.service == service]
+        near = [e.name for e in mine if e.zone == self._membership.zone]
+        far = [e.name for e in mine if e.zone != self._membership.zone]
+        order = rendezvous_order(self._membership.name, near)
+        order += rendezvous_order(self._membership.name, far)
+        return order[:ENGINE_SUBSET]
--- /dev/null
+++ b/src/troutswitch/decisions/fleet.py
@@ -0,0 +1,60 @@
+"""What this daemon takes from the machine list: peers to contact and engines."""
+
+from troutswitch.common import Address
+from troutswitch.constants import MACHINE_LIST_SECONDS
+from troutswitch.decisions.configuration.follower import ConfigurationFollower
+from troutswitch.decisions.effects import Effect, ReadMachineList
+from troutswitch.decisions.engines import EngineRegistry
+from troutswitch.decisions.events import Machine, MachineListRead
+from troutswitch.decisions.membership import Membership
+
+DAEMON_KIND = "daemon"
+ENGINE_KIND = "engine"
+
+
+class MachineListFollower:
+    """Reads the machine list now and then; it lags, and may be away."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        configuration: ConfigurationFollower,
+        engines: EngineRegistry,
+        seeds: list[Address],
+    ) -> None:
+        self.is_read = False
+        self._membership = membership
+        self._configuration = configuration
+        self._engines = engines
+        self._seeds = seeds
+        self._read_at = float("-inf")
+        self._is_reading = False
+
+    def next_due(self) -> float:
+        """Returns when the list is to be read."""
+        return float("inf") if self._is_reading else self._read_at
+
+    def on_timer(self, now: float) -> list[Effect]:
+        """Reads the list if it is time."""
+        if self._is_reading or now < self._read_at:
+            return []
+        self._is_reading = True
+        return [ReadMachineList()]
+
+    def on_read(self, now: float, event: MachineListRead) -> list[Effect]:
+        """Takes in the list, or keeps the last one if it could not be read."""
+        self._is_reading = False
+        self._read_at = now + MACHINE_LIST_SECONDS
+        if event.machines is None:
+            return self._membership.set_seeds(now, self._seeds)
+        self.is_read = True
+        daemons = [machine for machine in event.machines if machine.kind == DAEMON_KIND]
+        engines = [machine for machine in event.machines if machine.kind == ENGINE_KIND]
+        effects = self._seed_peers(now, daemons)
+        return effects + self._engines.on_machine_list(now, engines)
+
+    def _seed_peers(self, now: float, daemons: list[Machine]) -> list[Effect]:
+        others = [machine for machine in daemons if machine.name != self._membership.name]
+        self._configuration.expect_peers(len(others))
+        addresses = [machine.address for machine in others]
+        return self._membership.set_seeds(now, sorted({*addresses, *self._seeds}, key=str))
--- /dev/null
+++ b/src/troutswitch/decisions/logreader.py
@@ -0,0 +1,30 @@
+"""Reads of the log: names each read and hands its answer to whoever asked."""
+
+from collections.abc import Callable
+
+from troutswitch.constants import LOG_READ_LIMIT_ENTRIES
+from troutswitch.decisions.effects import Effect, ReadLog
+from troutswitch.decisions.events import LogRead, LogReadFailed
+
+ReadHandler = Callable[[float, LogRead | LogReadFailed], list[Effect]]
+
+
+class LogReader:
+    """Issues read tokens and routes the answers."""
+
+    def __init__(self) -> None:
+        self._handlers: dict[int, ReadHandler] = {}
+        self._last_token = 0
+
+    def read(
+        self, stream: str, offset: int, handler: ReadHandler, limit: int = LOG_READ_LIMIT_ENTRIES
+    ) -> list[Effect]:
+        """Reads up to `limit` entries from `offset` on; `handler` gets the answer."""
+        self._last_token += 1
+        self._handlers[self._last_token] = handler
+        return [ReadLog(self._last_token, stream, offset, limit)]
+
+    def on_answer(self, now: float, event: LogRead | LogReadFailed) -> list[Effect]:
+        """Hands an answer on; an answer to a forgotten read is dropped."""
+        handler = self._handlers.pop(event.token, None)
+        return handler(now, event) if handler else []
--- /dev/null
+++ b/src/troutswitch/decisions/logwriter.py
@@ -0,0 +1,119 @@
+"""Appends to the log: one in flight per stream, repeated until confirmed."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from troutswitch.constants import (
+    ENTRY_WEIGHT_MOST,
+    LOG_RETRY_FIRST_SECONDS,
+    LOG_RETRY_MOST_SECONDS,
+)
+from troutswitch.decisions.effects import AppendToLog, Effect
+from troutswitch.logservice.records import ChunkSubmitted, Record, encode_entry
+
+
+@dataclass
+class _StreamQueue:
+    """Records waiting for one stream, and the entry in flight."""
+
+    waiting: deque[Record] = field(default_factory=deque)
+    sequence: int = 0
+    payload: bytes | None = None
+    records_in_flight: int = 0
+    is_calling: bool = False
+    retry_at: float = float("inf")
+    failures: int = 0
+
+
+class LogWriter:
+    """Queues records by stream and appends them, joined, in order.
+
+    An append that was not confirmed is repeated with the same bytes; folds drop
+    the repeat by its sequence number.
+    """
+
+    def __init__(self, writer: str) -> None:
+        self.writer = writer
+        self._queues: dict[str, _StreamQueue] = {}
+
+    def queued_records(self) -> int:
+        """Returns the records not yet confirmed, over all streams."""
+        return sum(len(q.waiting) + q.records_in_flight for q in self._queues.values())
+
+    def is_failing(self, stream: str) -> bool:
+        """Returns whether the last append to the stream failed."""
+        queue = self._queues.get(stream)
+        return queue is not None and queue.failures > 0
+
+    def is_failing_anywhere(self) -> bool:
+        """Returns whether the last append to any stream failed."""
+        return any(queue.failures > 0 for queue in self._queues.values())
+
+    def is_idle(self) -> bool:
+        """Returns whether everything queued has been confirmed."""
+        return all(q.payload is None and not q.waiting for q in self._queues.values())
+
+    def append(self, stream: str, records: list[Record]) -> list[Effect]:
+        """Queues records for a stream."""
+        queue = self._queues.setdefault(stream, _StreamQueue())
+        queue.waiting.extend(records)
+        return self._send(stream, queue)
+
+    def on_appended(self, stream: str) -> list[Effect]:
+        """The entry in flight was confirmed."""
+        queue = self._queues[stream]
+        queue.payload = None
+        queue.records_in_flight = 0
+        queue.is_calling = False
+        queue.failures = 0
+        return self._send(stream, queue)
+
+    def on_failed(self, now: float, stream: str) -> list[Effect]:
+        """The entry in flight was not confirmed; it is repeated after a delay."""
+        queue = self._queues[stream]
+        queue.is_calling = False
+        queue.failures += 1
+        delay = LOG_RETRY_FIRST_SECONDS * 2 ** min(queue.failures - 1, 10)
+        queue.retry_at = now + min(delay, LOG_RETRY_MOST_SECONDS)
+        return []
+
+    def next_due(self) -> float:
+        """Returns when the next retry is due."""
+        return min((q.retry_at for q in self._queues.values()), default=float("inf"))
+
+    def on_timer(self, now: float) -> list[Effect]:
+        """Repeats the appends that are due."""
+        effects: list[Effect] = []
+        for stream, queue in self._queues.items():
+            if queue.retry_at <= now:
+                queue.retry_at = float("inf")
+                effects.extend(self._send(stream, queue))
+        return effects
+
+    def _send(self, stream: str, queue: _StreamQueue) -> list[Effect]:
+        if queue.is_calling or queue.retry_at != float("inf"):
+            return []
+        if queue.payload is None:
+            if not queue.waiting:
+                return []
+            records = _take_entry(queue.waiting)
+            queue.sequence += 1
+            queue.payload = encode_entry(self.writer, queue.sequence, records)
+            queue.records_in_flight = len(records)
+        queue.is_calling = True
+        return [AppendToLog(stream, queue.payload)]
+
+
+def _take_entry(waiting: deque[Record]) -> list[Record]:
+    """Takes the records of the next entry off the queue; at least one."""
+    records = [waiting.popleft()]
+    weight = _weight(records[0])
+    while waiting and weight + _weight(waiting[0]) <= ENTRY_WEIGHT_MOST:
+        weight += _weight(waiting[0])
+        records.append(waiting.popleft())
+    return records
+
+
+def _weight(record: Record) -> int:
+    """Returns a record's share of an entry; a chunk weighs as many as its items."""
+    return len(record.items) if isinstance(record, ChunkSubmitted) else 1
--- /dev/null
+++ b/src/troutswitch/decisions/online.py
@@ -0,0 +1,392 @@
+"""Online requests: admission, claims, attempts, resumption and the final answer.
+
+A request's states and the moves between them:
+
+    CLAIMING -> WAITING   its claim was read back as the first of its key
+    WAITING  -> RUNNING   an engine was chosen and an attempt started
+    RUNNING  -> WAITING   the attempt failed and may be repeated
+    any      -> finished  exactly one `FinishOnline` is emitted, and the request forgotten
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from troutswitch.constants import (
+    RETRY_AFTER_SECONDS,
+    RETRY_FIRST_SECONDS,
+)
+from troutswitch.daemons.messages import OnlineNotice
+from troutswitch.decisions.configuration.follower import ConfigurationFollower
+from troutswitch.decisions.configuration.keys import ServingPolicy
+from troutswitch.decisions.effects import (
+    CancelAttempt,
+    Effect,
+    FinishOnline,
+    SendDatagram,
+    StartOnlineAttempt,
+)
+from troutswitch.decisions.engines import Engine, EngineRegistry
+from troutswitch.decisions.events import (
+    OnlineAbandoned,
+    OnlineArrived,
+    OnlineAttemptEnded,
+    OnlineFirstToken,
+)
+from troutswitch.decisions.invariants import ensure
+from troutswitch.decisions.limits import AdmissionControl, RetryBudget
+from troutswitch.decisions.membership import Membership
+from troutswitch.decisions.routing import Router
+from troutswitch.outcomes import (
+    RAN_NOTHING,
+    AttemptKind,
+    Completed,
+    MayHaveRun,
+    NotRun,
+    OnlineOutcome,
+    Step,
+    conclude,
+)
+
+
+class RequestState(Enum):
+    """State of an online request that is not finished."""
+
+    CLAIMING = "claiming"
+    WAITING = "waiting"
+    RUNNING = "running"
+
+
+@dataclass(slots=True)
+class OnlineRequest:
+    """One online request in flight on this daemon."""
+
+    arrival: OnlineArrived
+    policy: ServingPolicy
+    state: RequestState = RequestState.WAITING
+    attempts: list[AttemptKind] = field(default_factory=list)
+    attempt_id: str = ""
+    engine: str = ""
+    last_engine: str = ""
+    refused_by: set[str] = field(default_factory=set)
+    position: int = 0
+    wake_at: float = float("inf")
+    probes_sent: bool = False
+    retry_after: float = RETRY_AFTER_SECONDS
+
+
+@dataclass
+class OnlineCounts:
+    """Counters for metrics and for the simulation."""
+
+    arrived: int = 0
+    completed: int = 0
+    refused: int = 0
+    attempts: int = 0
+    retries: int = 0
+
+
+ClaimFunction = Callable[[float, OnlineArrived, ServingPolicy], list[Effect]]
+StewardOf = Callable[[str], str | None]
+
+
+class OnlineRequests:
+    """All online requests of this daemon."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        configuration: ConfigurationFollower,
+        engines: EngineRegistry,
+        rng: random.Random,
+        claim: ClaimFunction,
+        steward_of: StewardOf,
+    ) -> None:
+        self.requests: dict[str, OnlineRequest] = {}
+        self.counts = OnlineCounts()
+        self.is_draining = False
+        self._membership = membership
+        self._configuration = configuration
+        self._engines = engines
+        self._rng = rng
+        self._claim = claim
+        self._steward_of = steward_of
+        self._router = Router(membership.zone, rng)
+        self._admission = AdmissionControl()
+        self._budget = RetryBudget()
+        self._attempt_count = 0
+        self._wakeups: list[tuple[float, str]] = []
+        self._probing: dict[str, None] = {}
+        engines.add_load_hook(self._on_engine_polled)
+
+    # Arrival.
+
+    def on_arrived(self, now: float, event: OnlineArrived) -> list[Effect]:
+        """Admits a request and starts it, or refuses it at once."""
+        self.counts.arrived += 1
+        refusal = self._why_refused(now, event)
+        if refusal is not None:
+            self.counts.refused += 1
+            return [FinishOnline(event.request_id, refusal)]
+        ensure(event.request_id not in self.requests, "a request id is used twice")
+        policy = self._configuration.policy(event.service, event.tenant)
+        request = OnlineRequest(event, policy)
+        self.requests[event.request_id] = request
+        if event.once_key:
+            request.state = RequestState.CLAIMING
+            self._wake_up_at(request, event.deadline)
+            return self._claim(now, event, policy)
+        return self._dispatch(now, request)
+
+    def _why_refused(self, now: float, event: OnlineArrived) -> NotRun | None:
+        if self.is_draining:
+            return NotRun("daemon is stopping", Step.DRAIN, "", RETRY_AFTER_SECONDS)
+        if not self._configuration.is_ready:
+            return NotRun("no configuration yet", Step.ADMIT, "", RETRY_AFTER_SECONDS)
+        policy = self._configuration.policy(event.service, event.tenant)
+        daemons = len(self._membership.serving_names())
+        return self._admission.admit(now, event.tenant, policy, daemons)
+
+    def on_claimed(self, now: float, request_id: str) -> list[Effect]:
+        """The request's claim is the first of its key."""
+        request = self.requests.get(request_id)
+        if request is None or request.state is not RequestState.CLAIMING:
+            return []
+        request.state = RequestState.WAITING
+        return self._dispatch(now, request)
+
+    def on_claim_failed(
+        self, now: float, request_id: str, outcome: NotRun | MayHaveRun
+    ) -> list[Effect]:
+        """The request's claim was refused or not read back in time."""
+        request = self.requests.get(request_id)
+        if request is None or request.state is not RequestState.CLAIMING:
+            return []
+        return self._finish(now, request, outcome)
+
+    # Dispatch.
+
+    def _dispatch(self, now: float, request: OnlineRequest) -> list[Effect]:
+        ensure(request.state is RequestState.WAITING, "dispatch of a request that is not waiting")
+        event = request.arrival
+        if now >= event.deadline:
+            return self._give_up(now, request, "deadline passed", Step.ROUTE)
+        candidates = self._candidates(now, request)
+        fresh = [engine for engine in candidates if self._engines.is_fresh(now, engine)]
+        resumed = self._resume_target(fresh, request)
+        engine = resumed or self._router.choose(request.policy.routing_policy, event.prefix, fresh)
+        if engine is not None:
+            return self._start(now, request, engine)
+        if candidates and not request.probes_sent:
+            return self._probe(now, request, candidates)
+        reason = "no engine can take the request now"
+        return self._give_up(now, request, reason, Step.ROUTE)
+
+    def _candidates(self, now: float, request: OnlineRequest) -> list[Engine]:
+        usable = self._engines.usable(now, request.arrival.service)
+        queue_most = request.policy.engine_queue_most
+        return [
+            engine
+            for engine in usable
+            if engine.name not in request.refused_by
+            and engine.online_load < engine.slots + queue_most
+        ]
+
+    def _resume_target(self, fresh: list[Engine], request: OnlineRequest) -> Engine | None:
+        """Returns the engine that was cut off midway, if it may be asked to go on."""
+        if request.position == 0 or len(request.attempts) != 1:
+            return None
+        return next((e for e in fresh if e.name == request.last_engine), None)
+
+    def _probe(self, now: float, request: OnlineRequest, candidates: list[Engine]) -> list[Effect]:
+        """Asks engines that were not heard from lately before work is sent to them."""
+        request.probes_sent = True
+        self._probing[request.arrival.request_id] = None
+        self._wake_up_at(request, min(request.arrival.deadline, now + 2.0))
+        effects: list[Effect] = []
+        for engine in candidates[:4]:
+            engine.used_at = now
+            effects.extend(self._engines.poll(now, engine))
+        return effects
+
+    def _on_engine_polled(self, now: float, name: str) -> list[Effect]:
+        """Goes on with the requests that waited for the answer of an engine."""
+        engine = self._engines.engines.get(name)
+        if engine is None or not self._engines.is_fresh(now, engine):
+            return []
+        effects: list[Effect] = []
+        for request_id in list(self._probing):
+            request = self.requests.get(request_id)
+            if request is None or request.state is not RequestState.WAITING:
+                del self._probing[request_id]
+            elif request.arrival.service == engine.service:
+                del self._probing[request_id]
+                effects.extend(self._dispatch(now, request))
+        return effects
+
+    def _start(self, now: float, request: OnlineRequest, engine: Engine) -> list[Effect]:
+        event = request.arrival
+        may_repeat = event.repeatable or all(k in RAN_NOTHING for k in request.attempts)
+        ensure(may_repeat, "a request not to be repeated is sent again")
+        self._attempt_count += 1
+        self.counts.attempts += 1
+        request.state = RequestState.RUNNING
+        request.attempt_id = f"{self._membership.name}-{event.request_id}-{self._attempt_count}"
+        request.engine = engine.name
+        self._wake_up_at(request, event.deadline)
+        self._engines.on_sent(now, engine)
+        start = StartOnlineAttempt(
+            event.request_id,
+            request.attempt_id,
+            engine.name,
+            engine.address,
+            engine.incarnation,
+            request.position,
+            event.deadline - now,
+        )
+        return [start, *self._notify_steward(engine)]
+
+    def _notify_steward(self, engine: Engine) -> list[Effect]:
+        steward = self._steward_of(engine.name)
+        address = self._membership.address_of(steward) if steward is not None else None
+        if address is None:
+            return []
+        notice = OnlineNotice(self._membership.name, engine.name, 1)
+        return [SendDatagram(address, notice)]
+
+    # The end of an attempt.
+
+    def on_first_token(self, now: float, event: OnlineFirstToken) -> list[Effect]:
+        """The engine answers, which is a sign of life."""
+        request = self.requests.get(event.request_id)
+        if request is not None and request.attempt_id == event.attempt_id:
+            engine = self._engines.engines.get(request.engine)
+            if engine is not None:
+                self._engines.on_sign_of_life(now, engine)
+        return []
+
+    def on_attempt_ended(self, now: float, event: OnlineAttemptEnded) -> list[Effect]:
+        """Finishes the request, or tries again where that is allowed."""
+        request = self.requests.get(event.request_id)
+        if request is None or request.attempt_id != event.attempt_id:
+            return []  # a late end of an attempt that was given up
+        effects = self._account(now, request, event)
+        request.attempts.append(event.kind)
+        request.position = event.position
+        request.last_engine = request.engine
+        if event.kind is AttemptKind.COMPLETED:
+            self._budget.on_success(request.arrival.service)
+            return effects + self._finish(now, request, Completed(event.position))
+        if event.kind is AttemptKind.REJECTED:
+            rejected = NotRun(event.reason, Step.DISPATCH, request.engine, None, 400)
+            return effects + self._finish(now, request, rejected)
+        if event.kind is not AttemptKind.CUT:
+            request.refused_by.add(request.engine)
+        if event.retry_after is not None:
+            request.retry_after = event.retry_after
+        return effects + self._retry(now, request, event.reason)
+
+    def _account(
+        self, now: float, request: OnlineRequest, event: OnlineAttemptEnded
+    ) -> list[Effect]:
+        engine = self._engines.engines.get(request.engine)
+        if engine is None:
+            return []
+        answered = event.kind not in (AttemptKind.CUT, AttemptKind.UNREACHABLE)
+        self._engines.on_answered(now, engine, answered)
+        if event.leaving:
+            return self._engines.mark_leaving(now, engine.name, engine.incarnation)
+        return []
+
+    def _retry(self, now: float, request: OnlineRequest, reason: str) -> list[Effect]:
+        event = request.arrival
+        may_repeat = event.repeatable or all(k in RAN_NOTHING for k in request.attempts)
+        if not may_repeat:
+            return self._give_up(now, request, reason, Step.RELAY)
+        if len(request.attempts) >= request.policy.attempts_most:
+            return self._give_up(now, request, reason, Step.DISPATCH)
+        if not self._budget.take(event.service):
+            return self._give_up(now, request, f"{reason}; retry budget spent", Step.DISPATCH)
+        self.counts.retries += 1
+        request.state = RequestState.WAITING
+        request.probes_sent = False
+        delay = RETRY_FIRST_SECONDS * 2 ** (len(request.attempts) - 1)
+        self._wake_up_at(request, now + delay * self._rng.uniform(0.5, 1.5))
+        if request.attempts[-1] in (AttemptKind.REFUSED, AttemptKind.UNREACHABLE):
+            return self._dispatch(now, request)
+        return []
+
+    def on_abandoned(self, now: float, event: OnlineAbandoned) -> list[Effect]:
+        """The caller went away: its work on the engine is cancelled."""
+        request = self.requests.get(event.request_id)
+        if request is None:
+            return []
+        effects = self._cancel_running(now, request)
+        return effects + self._give_up(now, request, "caller went away", Step.RELAY)
+
+    def _cancel_running(self, now: float, request: OnlineRequest) -> list[Effect]:
+        if request.state is not RequestState.RUNNING:
+            return []
+        request.attempts.append(AttemptKind.CANCELLED)
+        engine = self._engines.engines.get(request.engine)
+        if engine is None:
+            return []
+        engine.online_in_flight = max(0, engine.online_in_flight - 1)
+        return [CancelAttempt(request.attempt_id, engine.address)]
+
+    # Timers.
+
+    def next_due(self) -> float:
+        """Returns when the next request is due for something."""
+        return self._wakeups[0][0] if self._wakeups else float("inf")
+
+    def on_timer(self, now: float) -> list[Effect]:
+        """Retries what is due and ends what has run out of time."""
+        effects: list[Effect] = []
+        while self._wakeups and self._wakeups[0][0] <= now:
+            at, request_id = heapq.heappop(self._wakeups)
+            request = self.requests.get(request_id)
+            if request is not None and request.wake_at == at:
+                effects.extend(self._wake(now, request))
+        return effects
+
+    def _wake_up_at(self, request: OnlineRequest, at: float) -> None:
+        request.wake_at = at
+        heapq.heappush(self._wakeups, (at, request.arrival.request_id))
+
+    def _wake(self, now: float, request: OnlineRequest) -> list[Effect]:
+        match request.state:
+            case RequestState.WAITING:
+                return self._dispatch(now, request)
+            case RequestState.RUNNING:
+                effects = self._cancel_running(now, request)
+                return effects + self._give_up(now, request, "deadline passed", Step.RELAY)
+            case RequestState.CLAIMING:
+                outcome = MayHaveRun("claim not read back in time", Step.CLAIM, "log")
+                return self._finish(now, request, outcome)
+
+    # The final answer.
+
+    def _give_up(self, now: float, request: OnlineRequest, reason: str, step: Step) -> list[Effect]:
+        outcome = conclude(
+            request.attempts,
+            request.position,
+            reason,
+            step,
+            request.engine,
+            request.retry_after,
+        )
+        return self._finish(now, request, outcome)
+
+    def _finish(self, now: float, request: OnlineRequest, outcome: OnlineOutcome) -> list[Effect]:
+        if isinstance(outcome, NotRun):
+            ran = [kind for kind in request.attempts if kind not in RAN_NOTHING]
+            ensure(not ran and request.position == 0, "not run is said of a request that ran")
+            self.counts.refused += 1
+        if isinstance(outcome, Completed):
+            self.counts.completed += 1
+        del self.requests[request.arrival.request_id]
+        self._admission.release(request.arrival.tenant)
+        return [FinishOnline(request.arrival.request_id, outcome)]
--- /dev/null
+++ b/src/troutswitch/decisions/status.py
@@ -0,0 +1,83 @@
+"""Builds the views of a daemon's state."""
+
+from troutswitch.decisions.configuration.follower import ConfigurationFollower
+from troutswitch.decisions.engines import EngineRegistry
+from troutswitch.decisions.membership import Membership
+from troutswitch.decisions.views import (
+    Directory,
+    EffectiveView,
+    HistoryView,
+    MemberView,
+    PublicationView,
+    TreeView,
+)
+
+
+def build_directory(
+    configuration: ConfigurationFollower, engines: EngineRegistry, is_ready: bool
+) -> Directory:
+    """Builds the callers' directory."""
+    overrides = configuration.fold.tree.overrides
+    keys = [
+        (str(values["api_key_digest"]).lower(), path.removeprefix("tenant/"))
+        for path, values in overrides.items()
+        if path.startswith("tenant/") and values.get("api_key_digest")
+    ]
+    policy = configuration.policy("", "")
+    return Directory(
+        is_ready, policy.require_api_key, tuple(engines.services()), tuple(sorted(keys))
+    )
+
+
+def view_members(
+    membership: Membership, reported: dict[str, int], own_offset: int
+) -> tuple[MemberView, ...]:
+    """Builds the views of all members."""
+    return tuple(
+        MemberView(
+            member.name,
+            member.state.name.lower(),
+            member.zone,
+            str(member.address),
+            own_offset if member.name == membership.name else reported.get(member.name, -1),
+        )
+        for member in sorted(membership.members.values(), key=lambda member: member.name)
+    )
+
+
+def view_effective(
+    configuration: ConfigurationFollower, zone: str, service: str, tenant: str
+) -> EffectiveView:
+    """Builds the effective configuration of a zone, service and tenant."""
+    values = configuration.fold.tree.effective(zone, service, tenant)
+    rows = tuple((key, held.value, held.source) for key, held in sorted(values.items()))
+    return EffectiveView(configuration.fold.version, rows)
+
+
+def view_tree(configuration: ConfigurationFollower) -> TreeView:
+    """Builds the view of all overrides."""
+    rows = tuple(
+        (path, key, value)
+        for path, values in sorted(configuration.fold.tree.overrides.items())
+        for key, value in sorted(values.items())
+    )
+    return TreeView(configuration.fold.version, rows)
+
+
+def view_history(configuration: ConfigurationFollower, limit: int) -> HistoryView:
+    """Builds the view of the newest publications."""
+    lines = configuration.fold.history[-limit:][::-1]
+    return HistoryView(
+        configuration.fold.version,
+        tuple(
+            PublicationView(
+                line.version,
+                line.publication.publication_id,
+                line.publication.author,
+                line.publication.message,
+                line.publication.published_at,
+                tuple((c.path, c.key, c.value) for c in line.publication.changes),
+            )
+            for line in lines
+        ),
+    )
--- /dev/null
+++ b/src/troutswitch/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol spoken with model engines."""
--- /dev/null
+++ b/src/troutswitch/engines/client.py
@@ -0,0 +1,131 @@
+"""Client of model engines: streams, cancellation and load."""
+
+import http.client
+import json
+import socket
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+from troutswitch.common import Address
+from troutswitch.decisions.events import EngineLoad
+from troutswitch.engines.protocol import CompletionOrder, LoadReport, Piece, Refusal
+from troutswitch.outcomes import AttemptKind
+from troutswitch.runtime.http import ConnectionPool, HttpError
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+LOAD_TIMEOUT_SECONDS = 1.0
+LINE_MOST_BYTES = 1 << 20
+
+
+@dataclass(frozen=True)
+class StreamEnded(Exception):
+    """A stream that did not reach its end. `kind` tells what is known of the attempt."""
+
+    kind: AttemptKind
+    reason: str
+    leaving: bool = False
+    retry_after: float | None = None
+
+
+class EngineStream:
+    """One attempt on one engine, read piece by piece."""
+
+    def __init__(self, address: Address, time_limit: float) -> None:
+        self._connection = http.client.HTTPConnection(
+            address.host, address.port, timeout=CONNECT_TIMEOUT_SECONDS
+        )
+        self._time_limit = max(0.05, time_limit)
+        self._response: http.client.HTTPResponse | None = None
+
+    def open(self, order: CompletionOrder) -> None:
+        """Sends the order and waits for the engine to take or refuse it.
+
+        Raises:
+            StreamEnded: no connection, a refusal, or no answer.
+        """
+        body = msgspec.json.encode(order)
+        try:
+            self._connection.connect()
+        except OSError as error:
+            raise StreamEnded(AttemptKind.UNREACHABLE, str(error)) from error
+        sock: socket.socket = self._connection.sock
+        sock.settimeout(self._time_limit)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        headers = {"Content-Type": "application/json"}
+        try:
+            self._connection.request("POST", "/v1/completions", body, headers)
+            self._response = self._connection.getresponse()
+            if self._response.status != 200:
+                self._raise_refusal(self._response)
+        except (OSError, http.client.HTTPException) as error:
+            self.close()
+            raise StreamEnded(AttemptKind.CUT, f"{type(error).__name__}: {error}") from error
+
+    def _raise_refusal(self, response: http.client.HTTPResponse) -> None:
+        body = response.read()
+        try:
+            refusal = msgspec.json.decode(body, type=Refusal)
+        except msgspec.DecodeError:
+            refusal = Refusal()
+        self.close()
+        if response.status in (400, 404, 413, 422):
+            raise StreamEnded(AttemptKind.REJECTED, refusal.reason or f"status {response.status}")
+        kind = AttemptKind.REFUSED if refusal.not_run else AttemptKind.CUT
+        reason = refusal.reason or f"status {response.status}"
+        raise StreamEnded(kind, reason, refusal.leaving, refusal.retry_after)
+
+    def pieces(self) -> Iterator[Piece]:
+        """Yields pieces up to the last one.
+
+        Raises:
+            StreamEnded: the stream broke off, or the engine ended it with an error.
+        """
+        assert self._response is not None
+        try:
+            while line := self._response.readline(LINE_MOST_BYTES):
+                if not line.startswith(b"data: "):
+                    continue
+                piece = msgspec.json.decode(line[6:], type=Piece)
+                if piece.error:
+                    kind = AttemptKind.CANCELLED if piece.error == "cancelled" else AttemptKind.CUT
+                    raise StreamEnded(kind, piece.error)
+                yield piece
+                if piece.done:
+                    return
+        except (OSError, http.client.HTTPException, msgspec.DecodeError, ValueError) as error:
+            raise StreamEnded(AttemptKind.CUT, f"{type(error).__name__}: {error}") from error
+        finally:
+            self.close()
+        raise StreamEnded(AttemptKind.CUT, "the stream broke off")
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._connection.close()
+
+
+class EngineClient:
+    """Short calls to engines over kept connections."""
+
+    def __init__(self) -> None:
+        self._pool = ConnectionPool(LOAD_TIMEOUT_SECONDS)
+
+    def load(self, address: Address) -> EngineLoad | None:
+        """Returns the engine's load report, or None if it does not answer."""
+        try:
+            status, body = self._pool.call(address, "GET", "/v1/load")
+            if status != 200:
+                return None
+            report = msgspec.json.decode(body, type=LoadReport)
+        except (HttpError, msgspec.DecodeError):
+            return None
+        return EngineLoad(*msgspec.structs.astuple(report))
+
+    def cancel(self, address: Address, stream_id: str) -> bool:
+        """Cancels a stream; returns whether the engine confirmed it."""
+        try:
+            status, body = self._pool.call(address, "DELETE", f"/v1/requests/{stream_id}")
+        except HttpError:
+            return False
+        return status == 200 and bool(json.loads(body).get("cancelled", False))
--- /dev/null
+++ b/src/troutswitch/logservice/client.py
@@ -0,0 +1,55 @@
+"""Client of the append-only log service.
+
+Protocol: `POST /streams/NAME` with an entry as the body answers
+`{"offset": N}`; `GET /streams/NAME?offset=N&limit=M` answers CBOR
+`[first offset, [entries], tail offset]`. Offset -1 asks for the last entry.
+"""
+
+import json
+
+import cbor2
+
+from troutswitch.common import Address
+from troutswitch.runtime.http import CBOR_TYPE, ConnectionPool, HttpError
+
+LOG_TIMEOUT_SECONDS = 3.0
+
+
+class LogUnavailable(Exception):
+    """The log service did not answer; an append may have taken effect all the same."""
+
+
+class LogClient:
+    """Blocking calls to the log service."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._pool = ConnectionPool(LOG_TIMEOUT_SECONDS)
+
+    def append(self, stream: str, payload: bytes) -> int:
+        """Appends an entry and returns its offset.
+
+        Raises:
+            LogUnavailable: no answer.
+        """
+        body = self._call("POST", f"/streams/{stream}", payload)
+        return int(json.loads(body)["offset"])
+
+    def read(self, stream: str, offset: int, limit: int) -> tuple[int, tuple[bytes, ...], int]:
+        """Returns the first offset, the entries from it on, and the tail offset.
+
+        Raises:
+            LogUnavailable: no answer.
+        """
+        body = self._call("GET", f"/streams/{stream}?offset={offset}&limit={limit}", None)
+        first, entries, tail = cbor2.loads(body)
+        return int(first), tuple(entries), int(tail)
+
+    def _call(self, method: str, path: str, payload: bytes | None) -> bytes:
+        try:
+            status, body = self._pool.call(self._address, method, path, payload, CBOR_TYPE)
+        except HttpError as error:
+            raise LogUnavailable(str(error)) from error
+        if status != 200:
+            raise LogUnavailable(f"status {status}")
+        return body
--- /dev/null
+++ b/src/troutswitch/logservice/records.py
@@ -0,0 +1,206 @@
+"""Records kept on the log and the entries that carry them.
+
+An entry is one append: CBOR of `[schema version, writer, sequence, records]`.
+`writer` is a daemon incarnation and `sequence` grows by one for each entry it
+appends to a stream, one at a time; a fold drops an entry whose sequence is not
+above the last one seen from its writer, so an append may be repeated until it
+is answered.
+"""
+
+import zlib
+from array import array
+
+import cbor2
+import msgspec
+
+from troutswitch.constants import ENTRY_SCHEMA_VERSION
+
+
+class BatchItem(msgspec.Struct, frozen=True, array_like=True):
+    """One item of a batch job. Sizes are in tokens."""
+
+    custom_id: str
+    prompt: str
+    max_tokens: int
+
+
+class ChunkSubmitted(msgspec.Struct, frozen=True, array_like=True, tag="chunk"):
+    """Part of a job's items; nothing of it runs before the job is committed."""
+
+    job_id: str
+    chunk_index: int
+    items: list[BatchItem]
+
+
+class JobCommitted(msgspec.Struct, frozen=True, array_like=True, tag="commit"):
+    """Makes a job real, if all its chunks precede it and its identity is new.
+
+    `committed_at`, `deadline` and `identity_window` are in seconds; the first two
+    since the epoch.
+    """
+
+    job_id: str
+    identity: str
+    content_digest: str
+    tenant: str
+    service: str
+    item_count: int
+    repeatable: bool
+    committed_at: float
+    deadline: float
+    identity_window: float
+
+
+class JobCancelled(msgspec.Struct, frozen=True, array_like=True, tag="cancel"):
+    """Stops a job: results of items that are not yet complete are void after it."""
+
+    job_id: str
+
+
+class EpochClaimed(msgspec.Struct, frozen=True, array_like=True, tag="claim"):
+    """Claims the shard; valid if the shard's epoch is still `previous_epoch`."""
+
+    owner: str
+    previous_epoch: int
+
+
+class EpochReleased(msgspec.Struct, frozen=True, array_like=True, tag="release"):
+    """The owner of `epoch` gives the shard up."""
+
+    epoch: int
+
+
+class EpochRenewed(msgspec.Struct, frozen=True, array_like=True, tag="renew"):
+    """The owner of `epoch` is alive; written while its shard has work but nothing to record."""
+
+    epoch: int
+
+
+class AttemptStarted(msgspec.Struct, frozen=True, array_like=True, tag="attempt"):
+    """Written and read back before an item that must not be repeated is dispatched."""
+
+    epoch: int
+    job_id: str
+    item_index: int
+
+
+class ItemFinished(msgspec.Struct, frozen=True, array_like=True, tag="finish"):
+    """The result of an item; the first valid one counts."""
+
+    epoch: int
+    job_id: str
+    item_index: int
+    outcome: str  # one of the names in `troutswitch.decisions.batch.jobs.ItemState`
+    body: str
+
+
+class JobClosed(msgspec.Struct, frozen=True, array_like=True, tag="close"):
+    """All items of a job are finished; `result_offsets` has one log offset an item."""
+
+    epoch: int
+    job_id: str
+    result_offsets: bytes  # packed by `pack_offsets`
+
+
+class OnceClaimed(msgspec.Struct, frozen=True, array_like=True, tag="once"):
+    """Claims an online request that must not be repeated; the first claim of a key wins."""
+
+    key: str
+    request_id: str
+    claimed_at: float
+    window: float
+
+
+class ConfigurationChange(msgspec.Struct, frozen=True, array_like=True):
+    """One change of a key at a path; `value` None unsets an override."""
+
+    path: str
+    key: str
+    value: bool | int | float | str | None
+
+
+class ConfigurationPublished(msgspec.Struct, frozen=True, array_like=True, tag="publish"):
+    """An operator's change set made against `base_version`."""
+
+    publication_id: str
+    author: str
+    message: str
+    base_version: int
+    published_at: float
+    changes: list[ConfigurationChange]
+
+
+Record = (
+    ChunkSubmitted
+    | JobCommitted
+    | JobCancelled
+    | EpochClaimed
+    | EpochReleased
+    | EpochRenewed
+    | AttemptStarted
+    | ItemFinished
+    | JobClosed
+    | OnceClaimed
+    | ConfigurationPublished
+)
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """One append to a stream."""
+
+    schema_version: int
+    writer: str
+    sequence: int
+    records: list[Record]
+
+
+class UnreadableEntry(Exception):
+    """An entry that this version cannot read: malformed, or of a newer schema."""
+
+
+def pack_offsets(offsets: "array[int]") -> bytes:
+    """Packs log offsets (unsigned 64-bit) into compressed bytes."""
+    return zlib.compress(offsets.tobytes(), 6)
+
+
+def unpack_offsets(packed: bytes) -> "array[int]":
+    """Unpacks what `pack_offsets` made.
+
+    Raises:
+        UnreadableEntry: the bytes are not a packed array.
+    """
+    try:
+        offsets = array("Q")
+        offsets.frombytes(zlib.decompress(packed))
+    except (zlib.error, ValueError) as error:
+        raise UnreadableEntry(str(error)) from error
+    return offsets
+
+
+def encode_entry(writer: str, sequence: int, records: list[Record]) -> bytes:
+    """Encodes one entry."""
+    return cbor2.dumps(
+        msgspec.to_builtins(
+            Entry(ENTRY_SCHEMA_VERSION, writer, sequence, records), builtin_types=(bytes,)
+        )
+    )
+
+
+def decode_entry(payload: bytes) -> Entry:
+    """Decodes one entry.
+
+    Raises:
+        UnreadableEntry: the payload is malformed or of a newer schema version.
+    """
+    try:
+        plain = cbor2.loads(payload)
+        if isinstance(plain, list) and plain and isinstance(plain[0], int):
+            _check_schema(plain[0])
+        return msgspec.convert(plain, Entry)
+    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as error:
+        raise UnreadableEntry(str(error)) from error
+
+
+def _check_schema(version: int) -> None:
+    if version > ENTRY_SCHEMA_VERSION:
+        raise UnreadableEntry(f"entry schema {version} is newer than {ENTRY_SCHEMA_VERSION}")
--- /dev/null
+++ b/src/troutswitch/machinelist/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol spoken with the list of live and leaving machines."""
--- /dev/null
+++ b/src/troutswitch/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operator-facing HTTP interface: configuration, jobs and fleet status."""
--- /dev/null
+++ b/src/troutswitch/operators/app.py
@@ -0,0 +1,111 @@
+"""WSGI application for operators: configuration, history, jobs and status."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from troutswitch.callers.context import CallerContext
+from troutswitch.callers.errors import bad_request, refused_call
+from troutswitch.callers.parsing import BadInput
+from troutswitch.decisions.effects import CallAnswer, CallRefused
+from troutswitch.decisions.events import (
+    ConfigurationSubmitted,
+    EffectiveAsked,
+    HistoryAsked,
+    StatusAsked,
+    TreeAsked,
+)
+from troutswitch.logservice.records import ConfigurationChange
+from troutswitch.runtime.http import (
+    Environ,
+    Request,
+    Response,
+    StartResponse,
+    json_response,
+    send,
+)
+
+HISTORY_LIMIT = 100
+
+
+class ChangeBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One change in a publication; `value` null unsets the override."""
+
+    path: str
+    key: str
+    value: bool | int | float | str | None
+
+
+class PublicationBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of `POST /configuration`."""
+
+    publication_id: str
+    author: str
+    message: str
+    base_version: int
+    changes: list[ChangeBody]
+
+
+class OperatorApplication:
+    """Serves operators of one daemon."""
+
+    def __init__(self, context: CallerContext) -> None:
+        self._context = context
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Handles one call."""
+        request = Request(environ)
+        try:
+            response = self._route(request)
+        except BadInput as error:
+            response = bad_request(str(error), error.status)
+        return send(response, start_response)
+
+    def _route(self, request: Request) -> Response:
+        match (request.method, request.path):
+            case ("GET", "/status"):
+                return _told(self._context.ask(lambda token, _: StatusAsked(token)))
+            case ("GET", "/configuration"):
+                return _told(self._context.ask(lambda token, _: TreeAsked(token)))
+            case ("GET", "/configuration/effective"):
+                return self._effective(request)
+            case ("GET", "/configuration/history"):
+                return _told(self._context.ask(lambda token, _: HistoryAsked(token, HISTORY_LIMIT)))
+            case ("POST", "/configuration"):
+                return self._publish(request)
+            case _:
+                return bad_request("unknown path", 404)
+
+    def _effective(self, request: Request) -> Response:
+        zone, service, tenant = (request.query(key) for key in ("zone", "service", "tenant"))
+        return _told(
+            self._context.ask(lambda token, _: EffectiveAsked(token, zone, service, tenant))
+        )
+
+    def _publish(self, request: Request) -> Response:
+        try:
+            body = msgspec.json.decode(request.body(), type=PublicationBody)
+        except msgspec.DecodeError as error:
+            raise BadInput(str(error)) from error
+        changes = tuple(
+            ConfigurationChange(change.path, change.key, change.value) for change in body.changes
+        )
+        return _told(
+            self._context.ask(
+                lambda token, deadline: ConfigurationSubmitted(
+                    token,
+                    body.publication_id,
+                    body.author,
+                    body.message,
+                    body.base_version,
+                    changes,
+                    deadline,
+                )
+            )
+        )
+
+
+def _told(answer: CallAnswer) -> Response:
+    if isinstance(answer, CallRefused):
+        return refused_call(answer)
+    return json_response(200, msgspec.to_builtins(answer))
--- /dev/null
+++ b/src/troutswitch/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The real loop, its executors, settings, logging and metrics."""
--- /dev/null
+++ b/src/troutswitch/runtime/effects.py
@@ -0,0 +1,216 @@
+"""Carries the core's effects out: datagrams at once, blocking calls on executors.
+
+Online work, batch work, the log and engine polls have executors of their own, so
+none queues behind another.
+"""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any
+
+import structlog
+
+from troutswitch.decisions.effects import (
+    AnswerCall,
+    AppendToLog,
+    CallAnswer,
+    CancelAttempt,
+    DirectoryChanged,
+    Drained,
+    Effect,
+    FinishOnline,
+    LogEvent,
+    PollEngine,
+    ReadLog,
+    ReadMachineList,
+    SendDatagram,
+    StartBatchAttempt,
+    StartOnlineAttempt,
+)
+from troutswitch.decisions.events import (
+    BatchAttemptEnded,
+    EngineLoadRead,
+    Event,
+    LogAppended,
+    LogAppendFailed,
+    LogRead,
+    LogReadFailed,
+    MachineListRead,
+)
+from troutswitch.decisions.views import Directory
+from troutswitch.engines.assembler import AnswerAssembler, ForeignPiece
+from troutswitch.engines.client import EngineClient, EngineStream, StreamEnded
+from troutswitch.engines.protocol import CompletionOrder
+from troutswitch.logservice.client import LogClient, LogUnavailable
+from troutswitch.machinelist.client import MachineListClient
+from troutswitch.outcomes import AttemptKind
+from troutswitch.runtime.channels import Channel
+from troutswitch.runtime.loop import PeerSocket
+
+LOG_THREADS = 8
+POLL_THREADS = 8
+CANCEL_THREADS = 4
+PLATFORM_THREADS = 1
+BATCH_TIME_LIMIT_SECONDS = 600.0
+
+Directive = StartOnlineAttempt | FinishOnline
+"""What the loop tells the thread of an online request."""
+
+
+class EffectRunner:
+    """Executors and registries behind one loop."""
+
+    def __init__(
+        self,
+        peers: PeerSocket,
+        log: LogClient,
+        machine_list: MachineListClient,
+        batch_threads: int,
+        logger: structlog.typing.FilteringBoundLogger,
+    ) -> None:
+        self.drained = threading.Event()
+        self.directory = Directory(False, False, (), ())
+        self.is_stopping = False
+        self.engines = EngineClient()
+        self._peers = peers
+        self._log = log
+        self._machine_list = machine_list
+        self._logger = logger
+        self._post: Callable[[Event], None] = lambda event: None
+        self._channels: dict[str, Channel[Directive]] = {}
+        self._answers: dict[str, Future[CallAnswer]] = {}
+        self._log_executor = ThreadPoolExecutor(LOG_THREADS, "log")
+        self._poll_executor = ThreadPoolExecutor(POLL_THREADS, "poll")
+        self._cancel_executor = ThreadPoolExecutor(CANCEL_THREADS, "cancel")
+        self._platform_executor = ThreadPoolExecutor(PLATFORM_THREADS, "platform")
+        self._batch_executor = ThreadPoolExecutor(batch_threads, "batch")
+        self._table: dict[type, Callable[[Any], None]] = {
+            SendDatagram: lambda effect: self._peers.send(effect.address, effect.message),
+            AppendToLog: lambda effect: self._submit(self._log_executor, self._append, effect),
+            ReadLog: lambda effect: self._submit(self._log_executor, self._read, effect),
+            PollEngine: lambda effect: self._submit(self._poll_executor, self._poll, effect),
+            CancelAttempt: lambda effect: self._submit(self._cancel_executor, self._cancel, effect),
+            ReadMachineList: lambda effect: self._submit(
+                self._platform_executor, self._list, effect
+            ),
+            StartBatchAttempt: lambda effect: self._submit(
+                self._batch_executor, self._run_batch, effect
+            ),
+            StartOnlineAttempt: self._direct,
+            FinishOnline: self._direct,
+            AnswerCall: self._answer,
+            LogEvent: lambda effect: self._logger.info(effect.event, **effect.fields),
+            DirectoryChanged: self._set_directory,
+            Drained: lambda effect: self.drained.set(),
+        }
+
+    def set_post(self, post: Callable[[Event], None]) -> None:
+        """Sets the function that hands events to the loop."""
+        self._post = post
+
+    def carry_out(self, effect: Effect) -> None:
+        """Carries one effect out; called on the loop's thread, never blocks."""
+        self._table[type(effect)](effect)
+
+    def stop(self) -> None:
+        """Ends the executors; calls in progress are left to end by themselves."""
+        for executor in (
+            self._log_executor,
+            self._poll_executor,
+            self._cancel_executor,
+            self._platform_executor,
+            self._batch_executor,
+        ):
+            executor.shutdown(wait=False, cancel_futures=True)
+
+    # Registries for the threads of callers.
+
+    def open_channel(self, request_id: str) -> Channel[Directive]:
+        """Opens the channel on which an online request's directives come."""
+        channel: Channel[Directive] = Channel()
+        self._channels[request_id] = channel
+        return channel
+
+    def close_channel(self, request_id: str) -> None:
+        """Closes a request's channel."""
+        self._channels.pop(request_id, None)
+
+    def expect_answer(self, token: str) -> Future[CallAnswer]:
+        """Returns the future of a call's answer."""
+        future: Future[CallAnswer] = Future()
+        self._answers[token] = future
+        return future
+
+    def _set_directory(self, effect: DirectoryChanged) -> None:
+        self.directory = effect.directory
+
+    def _direct(self, effect: Directive) -> None:
+        channel = self._channels.get(effect.request_id)
+        if channel is not None:
+            channel.put(effect)
+
+    def _answer(self, effect: AnswerCall) -> None:
+        future = self._answers.pop(effect.token, None)
+        if future is not None:
+            future.set_result(effect.answer)
+
+    # Blocking calls.
+
+    def _submit(
+        self, executor: ThreadPoolExecutor, call: Callable[[Any], Event | None], effect: Any
+    ) -> None:
+        try:
+            executor.submit(self._run, call, effect)
+        except RuntimeError:
+            return  # stopping
+
+    def _run(self, call: Callable[[Any], Event | None], effect: Any) -> None:
+        try:
+            event = call(effect)
+        except Exception:
+            self._logger.exception("effect failed", effect=type(effect).__name__)
+            raise
+        if event is not None:
+            self._post(event)
+
+    def _append(self, effect: AppendToLog) -> Event:
+        try:
+            return LogAppended(effect.stream, self._log.append(effect.stream, effect.payload))
+        except LogUnavailable as error:
+            return LogAppendFailed(effect.stream, str(error))
+
+    def _read(self, effect: ReadLog) -> Event:
+        try:
+            first, entries, tail = self._log.read(effect.stream, effect.offset, effect.limit)
+        except LogUnavailable as error:
+            return LogReadFailed(effect.token, effect.stream, str(error))
+        return LogRead(effect.token, effect.stream, first, entries, tail)
+
+    def _poll(self, effect: PollEngine) -> Event:
+        return EngineLoadRead(effect.engine, self.engines.load(effect.address))
+
+    def _cancel(self, effect: CancelAttempt) -> None:
+        self.engines.cancel(effect.address, effect.attempt_id)
+
+    def _list(self, effect: ReadMachineList) -> Event:
+        return MachineListRead(self._machine_list.read())
+
+    def _run_batch(self, effect: StartBatchAttempt) -> Event:
+        stream = EngineStream(effect.address, BATCH_TIME_LIMIT_SECONDS)
+        assembler = AnswerAssembler()
+        texts: list[str] = []
+        order = CompletionOrder(
+            effect.attempt_id, effect.item.prompt, effect.item.max_tokens, effect.priority
+        )
+        try:
+            stream.open(order)
+            for piece in stream.pieces():
+                texts.extend(assembler.accept(piece, effect.attempt_id))
+        except StreamEnded as error:
+            return BatchAttemptEnded(effect.attempt_id, error.kind, error.reason, error.leaving)
+        except ForeignPiece as error:
+            return BatchAttemptEnded(effect.attempt_id, AttemptKind.CUT, str(error))
+        if not assembler.is_whole:
+            return BatchAttemptEnded(effect.attempt_id, AttemptKind.CUT, "pieces are missing")
+        return BatchAttemptEnded(effect.attempt_id, AttemptKind.COMPLETED, "".join(texts))
