--- /dev/null
+++ b/src/troutswitch/runtime/server.py
@@ -0,0 +1,120 @@
+"""One real daemon: the loop, its executors and its listeners."""
+
+import os
+import time
+
+import structlog
+
+from troutswitch.callers.batch_app import BatchApplication
+from troutswitch.callers.context import CallerContext
+from troutswitch.callers.online_app import OnlineApplication
+from troutswitch.common import Address
+from troutswitch.daemons.messages import Sealer
+from troutswitch.decisions.daemon import DaemonCore, DaemonIdentity
+from troutswitch.decisions.events import DrainAsked
+from troutswitch.logservice.client import LogClient
+from troutswitch.machinelist.client import MachineListClient
+from troutswitch.operators.app import OperatorApplication
+from troutswitch.runtime.effects import EffectRunner
+from troutswitch.runtime.http import HttpServer
+from troutswitch.runtime.loop import Clock, Loop, PeerSocket
+from troutswitch.runtime.metrics import DaemonMetrics
+from troutswitch.runtime.settings import DaemonSettings
+
+BATCH_CALL_THREADS = 16
+OPERATOR_THREADS = 8
+RELAYS_END_SECONDS = 1.0
+"""Time after the drain for the last bytes to leave."""
+
+
+class DaemonServer:
+    """A daemon on real sockets."""
+
+    def __init__(
+        self, settings: DaemonSettings, logger: structlog.typing.FilteringBoundLogger
+    ) -> None:
+        self.settings = settings
+        self.failure: BaseException | None = None
+        self._logger = logger
+        clock = Clock()
+        sealer = Sealer(settings.fleet_key.encode())
+        self.peers = PeerSocket(Address.parse(settings.peers_address), sealer, clock)
+        self.core = DaemonCore(self._identity())
+        platform = Address.parse(settings.platform_address)
+        self.runner = EffectRunner(
+            self.peers,
+            LogClient(platform),
+            MachineListClient(platform),
+            settings.batch_threads,
+            logger,
+        )
+        self.loop = Loop(self.core, self.peers, clock, self.runner.carry_out, self._on_failure)
+        self.runner.set_post(self.loop.post)
+        context = CallerContext(self.core.writer.writer, self.runner, self.loop.post, clock.now)
+        metrics = DaemonMetrics(self.core, lambda: self.loop.busy_seconds)
+        online = OnlineApplication(context, metrics.registry, metrics.count_outcome)
+        self.callers = self._listen(
+            online, settings.callers_address, settings.online_threads, "callers"
+        )
+        self.batch = self._listen(
+            BatchApplication(context), settings.batch_address, BATCH_CALL_THREADS, "batch-callers"
+        )
+        self.operators = self._listen(
+            OperatorApplication(context), settings.operators_address, OPERATOR_THREADS, "operators"
+        )
+
+    def _identity(self) -> DaemonIdentity:
+        settings = self.settings
+        return DaemonIdentity(
+            settings.name,
+            settings.zone,
+            self.peers.address,
+            int(time.time() * 1000),
+            int.from_bytes(os.urandom(8), "big"),
+            settings.shard_count,
+            tuple(Address.parse(seed) for seed in settings.seeds),
+        )
+
+    def _listen(self, application: object, address: str, threads: int, name: str) -> HttpServer:
+        return HttpServer(application, Address.parse(address), threads, name)  # type: ignore[arg-type]
+
+    def start(self) -> None:
+        """Starts the loop and the listeners."""
+        self.loop.start()
+        for server in (self.callers, self.batch, self.operators):
+            server.start()
+        self._logger.info(
+            "daemon started",
+            zone=self.settings.zone,
+            callers=str(self.callers.address),
+            batch=str(self.batch.address),
+            operators=str(self.operators.address),
+            peers=str(self.peers.address),
+        )
+
+    def _on_failure(self, error: BaseException) -> None:
+        """A broken invariant ends the daemon: its successor rebuilds all from the log."""
+        self.failure = error
+        self._logger.error("loop failed", step="loop", peer="", error=repr(error))
+        self.runner.drained.set()
+
+    def drain(self) -> None:
+        """Stops as planned: not ready at once, new requests refused after the grace time."""
+        self._logger.info("drain asked")
+        self.runner.is_stopping = True
+        time.sleep(self.settings.drain_grace_seconds)
+        self.loop.post(DrainAsked())
+
+    def wait_drained(self, timeout: float | None = None) -> bool:
+        """Waits until every request and lease is settled."""
+        return self.runner.drained.wait(timeout)
+
+    def stop(self) -> None:
+        """Closes listeners and ends the loop."""
+        time.sleep(RELAYS_END_SECONDS if self.core.is_drained else 0.0)
+        for server in (self.callers, self.batch, self.operators):
+            server.stop()
+        self.loop.stop()
+        self.runner.stop()
+        self.peers.close()
+        self._logger.info("daemon stopped")
--- /dev/null
+++ b/src/troutswitch/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""A simulated world of whole daemons on a virtual clock."""
--- /dev/null
+++ b/src/troutswitch/standins/engine.py
@@ -0,0 +1,272 @@
+"""Stand-in for a model engine, as one HTTP server on loopback.
+
+Its timing comes from `EngineModel`; a thread of its own advances the model with
+the real clock. Token `i` of an answer is a function of the prompt and `i` alone,
+so an answer that is continued elsewhere can be checked.
+"""
+
+import threading
+import time
+from collections import deque
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from troutswitch.common import Address, stable_hash
+from troutswitch.engines.protocol import CompletionOrder, FencedOrder, LoadReport, Piece, Refusal
+from troutswitch.runtime.http import (
+    EVENT_STREAM_TYPE,
+    HttpServer,
+    Request,
+    Response,
+    StartResponse,
+    json_response,
+    send,
+    status_line,
+)
+from troutswitch.standins.engine_model import EngineModel, EngineShape
+from troutswitch.standins.faults import FaultPlan, FaultSwitch
+
+ENGINE_THREADS = 700
+TICK_SECONDS = 0.005
+CHARACTERS_PER_TOKEN = 4
+LOAD_LAG_SECONDS = 0.2
+CACHE_EVENT_LAG_SECONDS = 0.5
+CACHE_EVENT_GAP = 7
+"""Every so many cache events one is not told."""
+
+
+def token_text(prompt: str, position: int) -> str:
+    """Returns the token at a position of the answer to a prompt."""
+    return f"w{stable_hash(prompt, str(position)) % 997} "
+
+
+def prompt_tokens(prompt: str) -> int:
+    """Returns a prompt's length in tokens, roughly."""
+    return len(prompt) // CHARACTERS_PER_TOKEN + 1
+
+
+class EngineStandin:
+    """One engine of one service."""
+
+    def __init__(
+        self,
+        address: Address,
+        name: str,
+        service: str,
+        shape: EngineShape | None = None,
+        seed: int = 0,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.incarnation = f"{name}-{time.time_ns():x}"
+        self.is_leaving = False
+        self.role = "mixed"
+        self.models = {service}
+        self.faults = FaultSwitch(seed)
+        self.runs: dict[str, int] = {}
+        self._model = EngineModel(shape or EngineShape())
+        self._model.time = time.monotonic()
+        self._advanced = threading.Condition()
+        self._fence = -1
+        self._loads: deque[tuple[float, LoadReport]] = deque()
+        self._stopping = threading.Event()
+        self._server = HttpServer(self._application, address, ENGINE_THREADS, name)
+        self._ticker = threading.Thread(target=self._tick, daemon=True, name=f"{name}-model")
+        self.address = self._server.address
+
+    def start(self) -> None:
+        """Starts serving."""
+        self._ticker.start()
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stops serving."""
+        self._stopping.set()
+        self._server.stop()
+
+    def _tick(self) -> None:
+        while not self._stopping.wait(TICK_SECONDS):
+            with self._advanced:
+                now = time.monotonic()
+                self._model.advance(now)
+                self._model.take_changed()
+                self._loads.append((now, self._report()))
+                while len(self._loads) > 1 and self._loads[1][0] <= now - LOAD_LAG_SECONDS:
+                    self._loads.popleft()
+                if self._model.running or self._model.sequences:
+                    self._advanced.notify_all()
+
+    def _report(self) -> LoadReport:
+        counts = self._model.counts()
+        shape = self._model.shape
+        events = len(self._model.cache_events)
+        return LoadReport(self.incarnation, shape.slots, *counts, self.is_leaving, events)
+
+    # HTTP.
+
+    def _application(
+        self, environ: dict[str, object], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        request = Request(environ)
+        if request.path == "/faults":
+            return send(self._set_faults(request), start_response)
+        handling = self.faults.before_call()
+        if handling.is_refused:
+            return send(json_response(503, {"reason": "down"}), start_response)
+        if request.path == "/v1/completions" and request.method == "POST":
+            return self._complete(request, start_response)
+        return send(self._route(request), start_response)
+
+    def _set_faults(self, request: Request) -> Response:
+        try:
+            self.faults.set(msgspec.json.decode(request.body(), type=FaultPlan))
+        except msgspec.DecodeError as error:
+            return json_response(400, {"error": str(error)})
+        return json_response(200, {})
+
+    def _route(self, request: Request) -> Response:
+        parts = request.path.strip("/").split("/")
+        match (request.method, parts):
+            case ("GET", ["v1", "load"]):
+                return self._tell_load()
+            case ("DELETE", ["v1", "requests", stream_id]):
+                return self._cancel(stream_id)
+            case ("POST", ["v1", "orders"]):
+                return self._take_order(request)
+            case ("GET", ["v1", "cache", "events"]):
+                return self._tell_cache_events(request)
+            case ("GET", ["v1", "kv", prefix]):
+                return self._export_prefix(prefix)
+            case ("POST", ["v1", "kv", prefix]):
+                return self._import_prefix(prefix, request)
+            case ("POST", ["v1", "leave"]):
+                self.is_leaving = True
+                return json_response(200, {})
+            case _:
+                return json_response(404, {"reason": "unknown path"})
+
+    def _tell_load(self) -> Response:
+        with self._advanced:
+            report = self._loads[0][1] if self._loads else self._report()
+        if self.is_leaving:
+            report = msgspec.structs.replace(report, leaving=True)
+        return Response(200, msgspec.json.encode(report))
+
+    def _cancel(self, stream_id: str) -> Response:
+        with self._advanced:
+            cancelled = self._model.cancel(time.monotonic(), stream_id)
+            self._advanced.notify_all()
+        return json_response(200, {"cancelled": cancelled})
+
+    def _take_order(self, request: Request) -> Response:
+        try:
+            order = msgspec.json.decode(request.body(), type=FencedOrder)
+        except msgspec.DecodeError as error:
+            return json_response(400, {"reason": str(error)})
+        with self._advanced:
+            if order.fence < self._fence:
+                return json_response(409, {"reason": "stale fence", "fence": self._fence})
+            self._fence = order.fence
+            if order.kind == "role":
+                self.role = order.name
+            else:
+                self.models.add(order.name)
+        return json_response(200, {"fence": order.fence})
+
+    def _tell_cache_events(self, request: Request) -> Response:
+        after = int(request.query("after", "0"))
+        with self._advanced:
+            late = len(self._model.cache_events) - 1  # the newest one is not told yet
+            events = [
+                {"sequence": e.sequence, "prefix": e.prefix, "stored": e.is_stored}
+                for e in self._model.cache_events[after : max(0, late)]
+                if e.sequence % CACHE_EVENT_GAP
+            ]
+        return json_response(200, events)
+
+    def _export_prefix(self, prefix: str) -> Response:
+        with self._advanced:
+            tokens = self._model.cached_prefixes().get(prefix)
+        if tokens is None:
+            return json_response(404, {"reason": "not cached"})
+        return json_response(200, {"prefix": prefix, "tokens": tokens})
+
+    def _import_prefix(self, prefix: str, request: Request) -> Response:
+        tokens = int(request.query("tokens", "0"))
+        with self._advanced:
+            self._model.import_prefix(prefix, tokens)
+        return json_response(200, {})
+
+    # Completions.
+
+    def _complete(self, request: Request, start_response: StartResponse) -> Iterable[bytes]:
+        try:
+            order = msgspec.json.decode(request.body(), type=CompletionOrder)
+        except msgspec.DecodeError as error:
+            return send(json_response(400, {"reason": str(error)}), start_response)
+        refusal = self._take(order)
+        if refusal is not None:
+            response = Response(503, msgspec.json.encode(refusal))
+            return send(response, start_response)
+        start_response(status_line(200), [("Content-Type", EVENT_STREAM_TYPE)])
+        return self._stream(order)
+
+    def _take(self, order: CompletionOrder) -> Refusal | None:
+        if self.is_leaving:
+            return Refusal(True, True, "leaving")
+        with self._advanced:
+            is_new = order.stream_id not in self._model.sequences
+            sequence = self._model.submit(
+                time.monotonic(),
+                order.stream_id,
+                order.priority,
+                prompt_tokens(order.prompt),
+                order.max_tokens,
+                order.prefix,
+                prompt_tokens(order.prompt),
+                order.position,
+            )
+            if sequence is not None and is_new:
+                self.runs[order.stream_id] = self.runs.get(order.stream_id, 0) + 1
+        return None if sequence is not None else Refusal(True, False, "queue full", 1.0)
+
+    def _stream(self, order: CompletionOrder) -> Iterator[bytes]:
+        sent = order.position
+        cut_after = self.faults.plan.cut_after_tokens
+        while True:
+            ready = self._wait_for_tokens(order.stream_id, sent)
+            if ready is None:
+                yield _event(Piece(order.stream_id, error="cancelled"))
+                return
+            generated, is_finished = ready
+            pieces = [
+                _event(Piece(order.stream_id, position, token_text(order.prompt, position)))
+                for position in range(sent, generated)
+            ]
+            sent = generated
+            if cut_after and sent - order.position >= cut_after:
+                return  # ends without a last piece, as a cut connection does
+            if is_finished:
+                pieces.append(_event(Piece(order.stream_id, done=True, length=sent)))
+                yield b"".join(pieces)
+                with self._advanced:
+                    self._model.forget(order.stream_id)
+                return
+            yield b"".join(pieces)
+
+    def _wait_for_tokens(self, stream_id: str, sent: int) -> tuple[int, bool] | None:
+        """Waits for a token beyond `sent`; None if the stream was cancelled."""
+        with self._advanced:
+            while not self._stopping.is_set():
+                sequence = self._model.sequences.get(stream_id)
+                if sequence is None:
+                    return None
+                if sequence.generated > sent or sequence.is_finished:
+                    return sequence.generated, sequence.is_finished
+                self._advanced.wait(1.0)
+        return None
+
+
+def _event(piece: Piece) -> bytes:
+    return b"data: " + msgspec.json.encode(piece) + b"\n\n"
--- /dev/null
+++ b/src/troutswitch/standins/engine_model.py
@@ -0,0 +1,320 @@
+"""Timing model of a model engine that batches continuously.
+
+One engine step takes `base + sequences * decoding + prefill tokens * per token`
+seconds. Each step gives every decoding sequence one token and takes up to one
+chunk of prompt from the first sequence still in prefill. Between changes of that
+composition all steps are equal, so the model advances many at once: a request
+costs a few computations, not one a token.
+
+The simulation and the stand-in process use the same model.
+"""
+
+import heapq
+import itertools
+from collections import Counter, OrderedDict
+from dataclasses import dataclass, field
+
+ONLINE_PRIORITY_BELOW = 5
+"""Sequences of a priority below this are counted as online."""
+
+
+@dataclass(frozen=True)
+class EngineShape:
+    """Sizes and speeds of an engine. Times are in seconds.
+
+    Attributes:
+        slots: sequences that run at once.
+        kv_tokens: tokens of key-value memory for running sequences.
+        cache_tokens: tokens of prefix cache.
+        step_base: time of an empty step.
+        step_per_sequence: time added by a decoding sequence.
+        prefill_per_token: time added by a prompt token.
+        prefill_chunk: most prompt tokens in one step.
+        queue_most: waiting sequences above which a request is refused.
+    """
+
+    slots: int = 24
+    kv_tokens: int = 120_000
+    cache_tokens: int = 40_000
+    step_base: float = 0.018
+    step_per_sequence: float = 0.0003
+    prefill_per_token: float = 0.00005
+    prefill_chunk: int = 512
+    queue_most: int = 256
+
+
+@dataclass(slots=True)
+class Sequence:
+    """One request on the engine. `generated` tokens are ready."""
+
+    stream_id: str
+    priority: int
+    order: int
+    prompt_tokens: int
+    max_tokens: int
+    prefix: str = ""
+    prefix_tokens: int = 0
+    generated: int = 0
+    prefill_left: int = -1
+    started_at: float = float("inf")
+    first_token_at: float = float("inf")
+    finished_at: float = float("inf")
+
+    @property
+    def kv_tokens(self) -> int:
+        """Key-value memory reserved for the sequence."""
+        return self.prompt_tokens + self.max_tokens
+
+    @property
+    def is_online(self) -> bool:
+        """Whether the sequence is of an online request."""
+        return self.priority < ONLINE_PRIORITY_BELOW
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether all tokens are generated."""
+        return self.generated >= self.max_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A prefix entered or left the cache."""
+
+    sequence: int
+    prefix: str
+    is_stored: bool
+
+
+@dataclass
+class EngineStatistics:
+    """Counts over the engine's life. `online_gaps` counts online tokens by step
+    time in tenths of a millisecond."""
+
+    online_gaps: Counter[int] = field(default_factory=Counter)
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    tokens: int = 0
+    busy_slot_seconds: float = 0.0
+    busy_seconds: float = 0.0
+
+
+class EngineModel:
+    """State of one engine at `time`, the end of its last committed step."""
+
+    def __init__(self, shape: EngineShape) -> None:
+        self.shape = shape
+        self.time = 0.0
+        self.running: list[Sequence] = []
+        self.sequences: dict[str, Sequence] = {}
+        self.statistics = EngineStatistics()
+        self.cache_events: list[CacheEvent] = []
+        self._waiting: list[tuple[int, int, Sequence]] = []
+        self._cache: OrderedDict[str, int] = OrderedDict()
+        self._orders = itertools.count()
+        self._kv_used = 0
+        self._changed: list[Sequence] = []
+
+    # Requests.
+
+    def submit(
+        self,
+        now: float,
+        stream_id: str,
+        priority: int,
+        prompt_tokens: int,
+        max_tokens: int,
+        prefix: str = "",
+        prefix_tokens: int = 0,
+        resume_from: int = 0,
+    ) -> Sequence | None:
+        """Takes a request, or a resumption of one it still has; None if the queue is full."""
+        self.advance(now)
+        held = self.sequences.get(stream_id)
+        if held is not None:
+            return held
+        if len(self._waiting) >= self.shape.queue_most:
+            return None
+        self._close_step(now)
+        sequence = Sequence(
+            stream_id,
+            priority,
+            next(self._orders),
+            prompt_tokens,
+            max(max_tokens, 1),
+            prefix,
+            prefix_tokens,
+            min(resume_from, max_tokens),
+        )
+        self.sequences[stream_id] = sequence
+        heapq.heappush(self._waiting, (priority, sequence.order, sequence))
+        return sequence
+
+    def cancel(self, now: float, stream_id: str) -> bool:
+        """Drops a request; returns whether it was there and not finished."""
+        self.advance(now)
+        sequence = self.sequences.pop(stream_id, None)
+        if sequence is None:
+            return False
+        if sequence in self.running:
+            self._close_step(now)
+            if sequence in self.running:
+                self._leave(sequence)
+        return not sequence.is_finished
+
+    def forget(self, stream_id: str) -> None:
+        """Drops a finished request's record."""
+        self.sequences.pop(stream_id, None)
+
+    def counts(self) -> tuple[int, int, int, int]:
+        """Returns running online, running batch, waiting online, waiting batch."""
+        waiting = [s for _, _, s in self._waiting if s.stream_id in self.sequences]
+        running_online = sum(1 for s in self.running if s.is_online)
+        waiting_online = sum(1 for s in waiting if s.is_online)
+        return (
+            running_online,
+            len(self.running) - running_online,
+            waiting_online,
+            len(waiting) - waiting_online,
+        )
+
+    # Time.
+
+    def take_changed(self) -> list[Sequence]:
+        """Returns the sequences that got their first or last token since the last call."""
+        changed, self._changed = self._changed, []
+        return changed
+
+    def next_change(self) -> float:
+        """Returns when a sequence will next start, get its first or its last token."""
+        if self.running:
+            steps, duration, _ = self._next_steps()
+            return self.time + steps * duration
+        return self.time if self._waiting else float("inf")
+
+    def advance(self, now: float) -> None:
+        """Runs all steps that end by `now`."""
+        while self.time <= now:
+            self._admit()
+            if not self.running:
+                self.time = now
+                return
+            steps, duration, chunk = self._next_steps()
+            whole = min(steps, int((now - self.time) / duration + 1e-9))
+            if whole <= 0:
+                return
+            self._run(whole, duration, chunk)
+
+    def _close_step(self, now: float) -> None:
+        """Commits the step in progress, so that a change begins with the next one."""
+        if self.running and self.time < now:
+            _, duration, chunk = self._next_steps()
+            self._run(1, duration, chunk)
+
+    def _admit(self) -> None:
+        while self._waiting and len(self.running) < self.shape.slots:
+            sequence = self._waiting[0][2]
+            if sequence.stream_id not in self.sequences:
+                heapq.heappop(self._waiting)
+                continue
+            if self.running and self._kv_used + sequence.kv_tokens > self.shape.kv_tokens:
+                return
+            heapq.heappop(self._waiting)
+            self._kv_used += sequence.kv_tokens
+            sequence.started_at = self.time
+            sequence.prefill_left = max(1, self._uncached_tokens(sequence) + sequence.generated)
+            self.running.append(sequence)
+
+    def _prefilling(self) -> Sequence | None:
+        candidates = [s for s in self.running if s.prefill_left > 0]
+        return min(candidates, key=lambda s: (s.priority, s.order), default=None)
+
+    def _next_steps(self) -> tuple[int, float, int]:
+        """Returns how many equal steps come next, the time of one, and its prompt tokens."""
+        shape = self.shape
+        decoding = [s for s in self.running if s.prefill_left == 0]
+        prefilling = self._prefilling()
+        steps = min((s.max_tokens - s.generated for s in decoding), default=1 << 30)
+        chunk = 0
+        if prefilling is not None:
+            chunk = min(prefilling.prefill_left, shape.prefill_chunk)
+            steps = min(steps, max(1, prefilling.prefill_left // shape.prefill_chunk))
+        duration = (
+            shape.step_base
+            + shape.step_per_sequence * len(decoding)
+            + shape.prefill_per_token * chunk
+        )
+        return max(1, steps), duration, chunk
+
+    def _run(self, steps: int, duration: float, chunk: int) -> None:
+        prefilling = self._prefilling()
+        online = 0
+        began = self.time
+        self.time += steps * duration
+        for sequence in list(self.running):
+            if sequence.prefill_left > 0:
+                continue
+            online += sequence.is_online
+            sequence.generated += steps
+            if sequence.is_finished:
+                self._finish(sequence)
+        if prefilling is not None:
+            prefilling.prefill_left -= chunk * steps
+            if prefilling.prefill_left <= 0:
+                self._end_prefill(prefilling)
+        self._count(steps, duration, online, began)
+
+    def _count(self, steps: int, duration: float, online: int, began: float) -> None:
+        statistics = self.statistics
+        if online:
+            statistics.online_gaps[round(duration * 10_000)] += steps * online
+        statistics.busy_slot_seconds += len(self.running) * (self.time - began)
+        statistics.busy_seconds += self.time - began
+
+    def _end_prefill(self, sequence: Sequence) -> None:
+        sequence.prefill_left = 0
+        sequence.generated += 1
+        sequence.first_token_at = self.time
+        self._changed.append(sequence)
+        if sequence.is_finished:
+            self._finish(sequence)
+
+    def _finish(self, sequence: Sequence) -> None:
+        sequence.finished_at = self.time
+        self.statistics.tokens += sequence.max_tokens
+        self._changed.append(sequence)
+        self._leave(sequence)
+
+    def _leave(self, sequence: Sequence) -> None:
+        self.running.remove(sequence)
+        self._kv_used -= sequence.kv_tokens
+
+    # Prefix cache.
+
+    def _uncached_tokens(self, sequence: Sequence) -> int:
+        cached = 0
+        if sequence.prefix:
+            cached = min(self._cache.get(sequence.prefix, 0), sequence.prompt_tokens)
+            self._store_prefix(sequence.prefix, sequence.prefix_tokens)
+        self.statistics.prompt_tokens += sequence.prompt_tokens
+        self.statistics.cached_tokens += cached
+        return sequence.prompt_tokens - cached
+
+    def _store_prefix(self, prefix: str, tokens: int) -> None:
+        if prefix not in self._cache:
+            self._tell_cache(prefix, True)
+        self._cache[prefix] = max(tokens, self._cache.get(prefix, 0))
+        self._cache.move_to_end(prefix)
+        while sum(self._cache.values()) > self.shape.cache_tokens and len(self._cache) > 1:
+            evicted, _ = self._cache.popitem(last=False)
+            self._tell_cache(evicted, False)
+
+    def _tell_cache(self, prefix: str, is_stored: bool) -> None:
+        self.cache_events.append(CacheEvent(len(self.cache_events) + 1, prefix, is_stored))
+
+    def cached_prefixes(self) -> dict[str, int]:
+        """Returns the cached prefixes with their tokens."""
+        return dict(self._cache)
+
+    def import_prefix(self, prefix: str, tokens: int) -> None:
+        """Takes in a prefix exported by another engine."""
+        self._store_prefix(prefix, tokens)
--- /dev/null
+++ b/src/troutswitch/standins/stores.py
@@ -0,0 +1,89 @@
+"""In-memory stores of the platform stand-in, shared by the process and the simulation."""
+
+from collections import defaultdict, deque
+from dataclasses import dataclass, replace
+
+from troutswitch.constants import LAST_ENTRY
+from troutswitch.decisions.events import Machine
+
+
+class LogStore:
+    """Append-only streams with offsets."""
+
+    def __init__(self) -> None:
+        self.streams: dict[str, list[bytes]] = defaultdict(list)
+        self.appended_bytes = 0
+
+    def append(self, stream: str, payload: bytes) -> int:
+        """Appends an entry and returns its offset."""
+        entries = self.streams[stream]
+        entries.append(payload)
+        self.appended_bytes += len(payload)
+        return len(entries) - 1
+
+    def read(self, stream: str, offset: int, limit: int) -> tuple[int, list[bytes], int]:
+        """Returns the first offset, up to `limit` entries from it on, and the tail offset."""
+        entries = self.streams.get(stream, [])
+        first = max(0, len(entries) - 1) if offset == LAST_ENTRY else offset
+        return first, entries[first : first + limit], len(entries)
+
+
+@dataclass(frozen=True, slots=True)
+class _ListChange:
+    """A change of the list that shows from `at` on."""
+
+    at: float
+    name: str
+    machine: Machine | None
+
+
+class MachineListStore:
+    """The list of machines; changes show only after `lag_seconds`."""
+
+    def __init__(self, lag_seconds: float) -> None:
+        self.lag_seconds = lag_seconds
+        self._shown: dict[str, Machine] = {}
+        self._coming: deque[_ListChange] = deque()
+        self._latest: dict[str, Machine] = {}
+
+    def put(self, now: float, machine: Machine, lag_seconds: float | None = None) -> None:
+        """Adds or changes a machine."""
+        lag = self.lag_seconds if lag_seconds is None else lag_seconds
+        self._latest[machine.name] = machine
+        self._coming.append(_ListChange(now + lag, machine.name, machine))
+
+    def mark_leaving(self, now: float, name: str) -> None:
+        """Marks a machine as leaving."""
+        machine = self._latest.get(name)
+        if machine is not None:
+            self.put(now, replace(machine, leaving=True))
+
+    def remove(self, now: float, name: str) -> None:
+        """Removes a machine."""
+        self._latest.pop(name, None)
+        self._coming.append(_ListChange(now + self.lag_seconds, name, None))
+
+    def read(self, now: float) -> list[Machine]:
+        """Returns the list as it shows at `now`."""
+        while self._coming and self._coming[0].at <= now:
+            change = self._coming.popleft()
+            if change.machine is None:
+                self._shown.pop(change.name, None)
+            else:
+                self._shown[change.name] = change.machine
+        return list(self._shown.values())
+
+
+class WeightStore:
+    """Model weights behind a rate limit in bytes a second."""
+
+    def __init__(self, bytes_per_second: float) -> None:
+        self.bytes_per_second = bytes_per_second
+        self._free_at = 0.0
+
+    def fetch(self, now: float, size: int) -> float:
+        """Starts a fetch of `size` bytes; returns 0, or seconds to wait before asking again."""
+        if self._free_at > now:
+            return self._free_at - now
+        self._free_at = now + size / self.bytes_per_second
+        return 0.0
--- /dev/null
+++ b/src/troutswitch/weightstore/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol spoken with the store of model weights."""
--- /dev/null
+++ b/tests/system/fleet.py
@@ -0,0 +1,164 @@
+"""A fleet of separate processes on loopback, for tests of real kills, pauses and stops."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from troutswitch.common import Address
+from troutswitch.decisions.events import Machine
+from troutswitch.machinelist.client import MachineListClient
+
+SERVICE = "test-lm"
+PATIENCE_SECONDS = 60.0
+"""Bound on any wait, far above what it takes; no test asserts a time."""
+
+
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def wait_until(condition: Callable[[], bool], what: str) -> None:
+    deadline = time.monotonic() + PATIENCE_SECONDS
+    while time.monotonic() < deadline:
+        if condition():
+            return
+        time.sleep(0.1)
+    raise AssertionError(f"never happened: {what}")
+
+
+@dataclass
+class DaemonProcess:
+    name: str
+    callers: Address
+    batch: Address
+    operators: Address
+    process: "subprocess.Popen[bytes]"
+
+    def is_ready(self) -> bool:
+        try:
+            if call(self.callers, "GET", "/readyz")[0] != 200:
+                return False
+            models = json.loads(call(self.callers, "GET", "/v1/models")[1])
+        except OSError:
+            return False
+        return bool(models["data"])
+
+    def signal(self, number: int) -> None:
+        os.kill(self.process.pid, number)
+
+
+def call(
+    address: Address, method: str, path: str, body: object = None, headers: Any = None
+) -> tuple[int, bytes]:
+    connection = http.client.HTTPConnection(address.host, address.port, timeout=60)
+    try:
+        data = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+        connection.request(method, path, data, headers or {})
+        response = connection.getresponse()
+        return response.status, response.read()
+    finally:
+        connection.close()
+
+
+@dataclass
+class Fleet:
+    platform: Address = field(default_factory=lambda: Address("127.0.0.1", free_port()))
+    processes: list["subprocess.Popen[bytes]"] = field(default_factory=list)
+    daemons: dict[str, DaemonProcess] = field(default_factory=dict)
+    engines: dict[str, Address] = field(default_factory=dict)
+
+    def spawn(self, *arguments: str) -> "subprocess.Popen[bytes]":
+        process = subprocess.Popen(
+            [sys.executable, "-m", "troutswitch.cli", *arguments],
+            stderr=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+        )
+        self.processes.append(process)
+        return process
+
+    def start(self, daemons: int = 2, engines: int = 2) -> "Fleet":
+        self.spawn("standin", "platform", "--address", str(self.platform), "--list-lag", "0.2")
+        for number in range(engines):
+            self.start_engine(f"engine-{number}")
+        for number in range(daemons):
+            self.start_daemon(f"daemon-{number}")
+        self.wait_ready()
+        return self
+
+    def start_engine(self, name: str) -> None:
+        address = Address("127.0.0.1", free_port())
+        self.engines[name] = address
+        arguments = ["--address", str(address), "--name", name, "--zone", "north"]
+        platform = ["--service", SERVICE, "--platform", str(self.platform)]
+        self.spawn("standin", "engine", *arguments, *platform)
+
+    def start_daemon(self, name: str) -> DaemonProcess:
+        callers, batch, operators = (Address("127.0.0.1", free_port()) for _ in range(3))
+        peers = Address("127.0.0.1", free_port(socket.SOCK_DGRAM))
+        process = self.spawn(
+            "daemon",
+            *("--name", name, "--zone", "north", "--fleet-key", "test-fleet-key"),
+            *("--callers-address", str(callers), "--batch-address", str(batch)),
+            *("--operators-address", str(operators), "--peers-address", str(peers)),
+            *("--platform-address", str(self.platform), "--shard-count", "2"),
+            *("--online-threads", "32", "--batch-threads", "16"),
+            *("--drain-grace-seconds", "0.5"),
+        )
+        machine = Machine(name, "daemon", peers, "north")
+        client = MachineListClient(self.platform)
+        wait_until(lambda: client.register(machine), "platform is up")
+        self.daemons[name] = DaemonProcess(name, callers, batch, operators, process)
+        return self.daemons[name]
+
+    def wait_ready(self) -> None:
+        for daemon in self.daemons.values():
+            wait_until(daemon.is_ready, f"{daemon.name} is ready")
+
+    def set_faults(self, address: Address, **plan: object) -> None:
+        assert call(address, "POST", "/faults", plan)[0] == 200
+
+    def submit(self, daemon: DaemonProcess, items: int, key: str = "") -> tuple[int, Any]:
+        lines = [
+            json.dumps(
+                {
+                    "custom_id": f"item-{number}",
+                    "body": {"model": SERVICE, "prompt": f"photo {number}", "max_tokens": 8},
+                }
+            )
+            for number in range(items)
+        ]
+        headers = {"Idempotency-Key": key} if key else {}
+        status, body = call(daemon.batch, "POST", "/v1/batches", "\n".join(lines).encode(), headers)
+        return status, json.loads(body)
+
+    def job(self, daemon: DaemonProcess, job_id: str) -> Any:
+        status, body = call(daemon.batch, "GET", f"/v1/batches/{job_id}")
+        return json.loads(body) if status == 200 else {"status": f"http {status}"}
+
+    def wait_completed(self, daemon: DaemonProcess, job_id: str) -> None:
+        wait_until(
+            lambda: self.job(daemon, job_id)["status"] == "completed", f"{job_id} is completed"
+        )
+
+    def result_names(self, daemon: DaemonProcess, job_id: str) -> list[str]:
+        status, body = call(daemon.batch, "GET", f"/v1/files/{job_id}/content")
+        assert status == 200, body
+        return [json.loads(line)["custom_id"] for line in body.splitlines()]
+
+    def stop(self) -> None:
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes:
+            process.wait()
--- /dev/null
+++ b/tests/system/test_whole_path.py
@@ -0,0 +1,61 @@
+"""The whole path through separate processes, and what real kills and pauses do to it."""
+
+import json
+import os
+import signal
+from collections.abc import Iterator
+
+import pytest
+
+from tests.system.fleet import SERVICE, Fleet, call, wait_until
+from troutswitch.standins.engine import token_text
+
+
+@pytest.fixture
+def fleet() -> Iterator[Fleet]:
+    held = Fleet()
+    try:
+        yield held.start()
+    finally:
+        held.stop()
+
+
+def test_online_request_and_batch_job_go_from_caller_to_engine_and_back(fleet: Fleet) -> None:
+    first, second = fleet.daemons.values()
+    body = {"model": SERVICE, "prompt": "a lake", "max_tokens": 5}
+    status, answer = call(first.callers, "POST", "/v1/completions", body)
+    assert status == 200
+    expected = "".join(token_text("a lake", position) for position in range(5))
+    assert json.loads(answer)["choices"][0]["text"] == expected
+
+    status, job = fleet.submit(first, 20, key="album-7")
+    assert status == 200
+    status, resent = fleet.submit(second, 20, key="album-7")
+    assert (status, resent["id"]) == (200, job["id"])
+    status, refused = fleet.submit(second, 21, key="album-7")
+    assert status == 409
+    assert refused["error"]["not_run"] is True
+    fleet.wait_completed(second, job["id"])
+    names = fleet.result_names(second, job["id"])
+    assert sorted(names) == sorted(f"item-{number}" for number in range(20))
+
+
+def test_killed_owner_loses_nothing_and_doubles_nothing(fleet: Fleet) -> None:
+    first, second = fleet.daemons.values()
+    status, job = fleet.submit(first, 300)
+    assert status == 200
+    wait_until(lambda: fleet.job(second, job["id"])["request_counts"]["completed"] > 10, "some")
+    os.kill(first.process.pid, signal.SIGKILL)  # started by this test
+    fleet.wait_completed(second, job["id"])
+    names = fleet.result_names(second, job["id"])
+    assert sorted(names) == sorted(f"item-{number}" for number in range(300))
+
+
+def test_planned_stop_exits_cleanly_and_hands_over(fleet: Fleet) -> None:
+    first, second = fleet.daemons.values()
+    status, job = fleet.submit(first, 100)
+    assert status == 200
+    first.signal(signal.SIGTERM)
+    assert first.process.wait(timeout=60) == 0
+    fleet.wait_completed(second, job["id"])
+    assert len(set(fleet.result_names(second, job["id"]))) == 100
