--- a/src/troutswitch/callers/relay.py
+++ b/src/troutswitch/callers/relay.py
@@ -98,12 +98,13 @@
     def _attempt(self, directive: StartOnlineAttempt) -> Iterator[str]:
         stream = EngineStream(directive.address, directive.time_limit)
         self._assembler.start_attempt()
+        self._is_first = True
         try:
             stream.open(self._order(directive))
             for piece in stream.pieces():
                 released = self._assembler.accept(piece, directive.attempt_id)
                 if released:
-                    self._note_first(directive)
+                    self._note_first(directive, stream.is_leaving)
                     self._so_far.extend(released)
                     yield "".join(released)
         except StreamEnded as error:
@@ -130,10 +131,10 @@
             arrival.prefix,
         )
 
-    def _note_first(self, directive: StartOnlineAttempt) -> None:
+    def _note_first(self, directive: StartOnlineAttempt, leaving: bool) -> None:
         if self._is_first:
             self._is_first = False
-            self._post(OnlineFirstToken(directive.request_id, directive.attempt_id))
+            self._post(OnlineFirstToken(directive.request_id, directive.attempt_id, leaving))
 
     def _end(
         self,
--- a/src/troutswitch/decisions/batch/dispatcher.py
+++ b/src/troutswitch/decisions/batch/dispatcher.py
@@ -89,6 +89,7 @@
         self._by_engine: dict[str, _EngineWork] = {}
         self._attempt_count = 0
         self._ask_at = float("-inf")
+        engines.add_load_hook(self._on_engine_polled)
 
     def set_ownership(self, ownership: Ownership) -> None:
         """Sets the shards whose items are placed."""
@@ -193,13 +194,21 @@
             engine = self._engines.engines.get(name)
             if engine is None or grant.expires_at <= now or self._engines.is_leaving(engine):
                 continue
-            if engine.incarnation != grant.incarnation and engine.incarnation:
-                continue
             work = self._by_engine.get(name)
             free = grant.slots - (len(work.running) if work is not None else 0)
-            effects.extend(self._fill_engine(now, name, engine.service, free, grant))
+            if free <= 0:
+                continue
+            engine.used_at = now
+            if not self._engines.is_fresh(now, engine):
+                effects.extend(self._engines.poll(now, engine))
+            elif engine.incarnation == grant.incarnation:
+                effects.extend(self._fill_engine(now, name, engine.service, free, grant))
         return effects
 
+    def _on_engine_polled(self, now: float, name: str) -> list[Effect]:
+        """Fills the slots of an engine that had to be asked first."""
+        return self.fill(now) if name in self.grants else []
+
     def _fill_engine(
         self, now: float, name: str, service: str, free: int, grant: HeldGrant
     ) -> list[Effect]:
--- a/src/troutswitch/decisions/batch/ownership.py
+++ b/src/troutswitch/decisions/batch/ownership.py
@@ -182,18 +182,30 @@
         for change in changes:
             if isinstance(change, OwnerChanged):
                 effects.extend(self._end_ownership(now, shard))
-        effects.extend(self._begin_ownership(now, shard))
+        effects.extend(self._follow_owner(now, shard, changes))
+        for hook in self._change_hooks:
+            effects.extend(hook(now, shard))
+        return effects
+
+    def _follow_owner(self, now: float, shard: int, changes: list[FoldChange]) -> list[Effect]:
+        """Hands changes to the owner; one that begins now takes the fold as it stands.
+
+        Changes read together with the claim may come from earlier epochs: an attempt
+        of a former owner must not pass for one of ours.
+        """
+        was_owner = shard in self.owners
+        effects = self._begin_ownership(now, shard)
         owner = self.owners.get(shard)
-        if owner is not None:
-            ensure(owner.epoch == self.replicas[shard].fold.epoch, "owner of a past epoch")
+        if owner is None:
+            return effects
+        ensure(owner.epoch == self.replicas[shard].fold.epoch, "owner of a past epoch")
+        if was_owner:
             effects.extend(owner.on_changes(now, changes))
             for change in changes:
                 if isinstance(change, JobStopped):
                     effects.extend(self._on_job_stopped(shard, change.job_id))
-            effects.extend(self._snapshot(owner))
-            effects.extend(self._on_ready(now))
-        for hook in self._change_hooks:
-            effects.extend(hook(now, shard))
+        effects.extend(self._snapshot(owner))
+        effects.extend(self._on_ready(now))
         return effects
 
     def _begin_ownership(self, now: float, shard: int) -> list[Effect]:
--- a/src/troutswitch/decisions/configuration/follower.py
+++ b/src/troutswitch/decisions/configuration/follower.py
@@ -44,6 +44,9 @@
 )
 from troutswitch.outcomes import Step
 
+NOT_READY = -1
+"""Offset on probes of a daemon that is not ready."""
+
 
 @dataclass(frozen=True, slots=True)
 class _PendingPublication:
@@ -71,7 +74,7 @@
         self._request_at = float("-inf")
         self._is_reading = False
         self._read_again = False
-        self._expected_peers = 0
+        self._expected_peers: int | None = None
         self._policies: dict[tuple[str, str, str], ServingPolicy] = {}
         self._change_hooks: list[Callable[[float], list[Effect]]] = []
 
@@ -152,7 +155,7 @@
             self._keep(offset, payload)
         if self.fold.next_offset == start:
             return []
-        self._membership.configuration_offset = self.fold.next_offset
+        self._tell_offset()
         effects = self._push(start)
         effects.extend(self._answer_pending())
         if changed:
@@ -168,6 +171,7 @@
 
     def _become_ready(self, source: str) -> list[Effect]:
         self.is_ready = True
+        self._tell_offset()
         fields: dict[str, str | int | float | bool] = {
             "version": self.fold.version,
             "source": source,
@@ -176,6 +180,10 @@
 
     # Peers.
 
+    def _tell_offset(self) -> None:
+        if self.is_ready:
+            self._membership.configuration_offset = self.fold.next_offset
+
     def _push(self, start: int) -> list[Effect]:
         message = self._entries_from(start)
         if message is None:
@@ -199,6 +207,8 @@
 
     def on_peer_offset(self, now: float, sender: Address, peer: str, offset: int) -> list[Effect]:
         """A probe tells how far a peer is."""
+        if offset == NOT_READY:
+            return []
         self.reported[peer] = max(offset, self.reported.get(peer, 0))
         if offset > self.fold.next_offset:
             return self._request(now, sender)
@@ -212,10 +222,16 @@
         return [SendDatagram(sender, request)]
 
     def _ready_from_peers(self) -> list[Effect]:
-        """With the log away: ready at the highest offset a majority has reported."""
-        if self.is_ready or len(self.reported) * 2 <= self._expected_peers:
+        """With the log away: ready at the highest offset that a majority has reported.
+
+        Only peers that are ready themselves report an offset, so that daemons that
+        all start at once do not take an empty configuration from each other.
+        """
+        if self.is_ready or self._expected_peers is None:
+            return []
+        if not self.reported or len(self.reported) * 2 <= self._expected_peers:
             return []
-        if not self.reported or self.fold.next_offset < max(self.reported.values()):
+        if self.fold.next_offset < max(self.reported.values()):
             return []
         return self._become_ready("peers")
 
--- a/src/troutswitch/decisions/engines.py
+++ b/src/troutswitch/decisions/engines.py
@@ -1,9 +1,11 @@
 """What one daemon knows of the engines: load, freshness, failures and leaving.
 
-An engine is used only if a sign of life that did not say "leaving" is younger
-than `ENGINE_FRESH_SECONDS`: an answer to a request, or a load poll. So a leaving
-engine gets no new work soon after it says so, although the machine list lags and
-peers are cut off. "Leaving" is sticky for an incarnation and told to peers.
+An engine is used only if it was asked something less than `ENGINE_FRESH_SECONDS`
+ago and has answered without saying "leaving": a load poll, or the beginning of an
+answer. The age counts from the asking, as an answer may wait for long at a machine
+that was paused. So a leaving engine gets no new work soon after it says so, although
+the machine list lags and peers are cut off. "Leaving" is sticky for an incarnation
+and told to peers.
 """
 
 from collections.abc import Callable, Iterator
@@ -49,6 +51,7 @@
     confirmed_at: float = float("-inf")
     used_at: float = float("-inf")
     poll_at: float = float("-inf")
+    asked_at: float = float("-inf")
     is_polling: bool = False
     online_in_flight: int = 0
     sent_since_load: int = 0
@@ -173,6 +176,7 @@
         if engine.is_polling:
             return []
         engine.is_polling = True
+        engine.asked_at = now
         return [PollEngine(engine.name, engine.address)]
 
     def on_load(self, now: float, event: EngineLoadRead) -> list[Effect]:
@@ -195,7 +199,8 @@
         engine.incarnation = load.incarnation
         engine.load = load
         engine.sent_since_load = 0
-        self._succeeded(now, engine)
+        self._succeeded(engine)
+        engine.confirmed_at = max(engine.confirmed_at, engine.asked_at)
         if load.leaving:
             return self.mark_leaving(now, engine.name, load.incarnation)
         return []
@@ -212,16 +217,21 @@
         """An attempt on the engine ended."""
         engine.online_in_flight = max(0, engine.online_in_flight - 1)
         if succeeded:
-            self._succeeded(now, engine)
+            self._succeeded(engine)
         else:
             self._failed(now, engine)
 
-    def on_sign_of_life(self, now: float, engine: Engine) -> None:
-        """The engine answered in some way."""
-        self._succeeded(now, engine)
+    def on_answer_begun(
+        self, now: float, engine: Engine, asked_at: float, leaving: bool
+    ) -> list[Effect]:
+        """The engine began to answer a request that was sent at `asked_at`."""
+        self._succeeded(engine)
+        if leaving:
+            return self.mark_leaving(now, engine.name, engine.incarnation)
+        engine.confirmed_at = max(engine.confirmed_at, asked_at)
+        return []
 
-    def _succeeded(self, now: float, engine: Engine) -> None:
-        engine.confirmed_at = now
+    def _succeeded(self, engine: Engine) -> None:
         engine.failures = 0
         engine.ejected_until = float("-inf")
 
@@ -234,7 +244,7 @@
     # Choosing.
 
     def is_fresh(self, now: float, engine: Engine) -> bool:
-        """Returns whether the engine was heard from recently enough to be sent work."""
+        """Returns whether the engine may be sent work without asking it first."""
         return now - engine.confirmed_at <= ENGINE_FRESH_SECONDS
 
     def usable(self, now: float, service: str) -> Iterator[Engine]:
--- a/src/troutswitch/decisions/events.py
+++ b/src/troutswitch/decisions/events.py
@@ -114,10 +114,11 @@
 
 @dataclass(frozen=True, slots=True)
 class OnlineFirstToken:
-    """The first token of an attempt reached the relay."""
+    """The first token of an attempt reached the relay; `leaving` as the engine said."""
 
     request_id: str
     attempt_id: str
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/fleet.py
+++ b/src/troutswitch/decisions/fleet.py
@@ -27,6 +27,7 @@
         self._configuration = configuration
         self._engines = engines
         self._seeds = seeds
+        self._known_seeds = list(seeds)
         self._read_at = float("-inf")
         self._is_reading = False
 
@@ -46,7 +47,7 @@
         self._is_reading = False
         self._read_at = now + MACHINE_LIST_SECONDS
         if event.machines is None:
-            return self._membership.set_seeds(now, self._seeds)
+            return self._membership.set_seeds(now, self._known_seeds)
         self.is_read = True
         daemons = [machine for machine in event.machines if machine.kind == DAEMON_KIND]
         engines = [machine for machine in event.machines if machine.kind == ENGINE_KIND]
@@ -57,4 +58,5 @@
         others = [machine for machine in daemons if machine.name != self._membership.name]
         self._configuration.expect_peers(len(others))
         addresses = [machine.address for machine in others]
-        return self._membership.set_seeds(now, sorted({*addresses, *self._seeds}, key=str))
+        self._known_seeds = sorted({*addresses, *self._seeds}, key=str)
+        return self._membership.set_seeds(now, self._known_seeds)
--- a/src/troutswitch/decisions/membership.py
+++ b/src/troutswitch/decisions/membership.py
@@ -84,7 +84,7 @@
         self.zone = zone
         self.started_incarnation = incarnation
         self.members: dict[str, Member] = {}
-        self.configuration_offset = 0
+        self.configuration_offset = -1
         self._rng = rng
         self._me = Member(name, incarnation, MemberState.ALIVE, address, zone)
         self.members[name] = self._me
--- a/src/troutswitch/decisions/online.py
+++ b/src/troutswitch/decisions/online.py
@@ -70,6 +70,7 @@
     attempt_id: str = ""
     engine: str = ""
     last_engine: str = ""
+    sent_at: float = float("-inf")
     refused_by: set[str] = field(default_factory=set)
     position: int = 0
     wake_at: float = float("inf")
@@ -233,6 +234,7 @@
         self._attempt_count += 1
         self.counts.attempts += 1
         request.state = RequestState.RUNNING
+        request.sent_at = now
         request.attempt_id = f"{self._membership.name}-{event.request_id}-{self._attempt_count}"
         request.engine = engine.name
         self._wake_up_at(request, event.deadline)
@@ -261,11 +263,12 @@
     def on_first_token(self, now: float, event: OnlineFirstToken) -> list[Effect]:
         """The engine answers, which is a sign of life."""
         request = self.requests.get(event.request_id)
-        if request is not None and request.attempt_id == event.attempt_id:
-            engine = self._engines.engines.get(request.engine)
-            if engine is not None:
-                self._engines.on_sign_of_life(now, engine)
-        return []
+        if request is None or request.attempt_id != event.attempt_id:
+            return []
+        engine = self._engines.engines.get(request.engine)
+        if engine is None:
+            return []
+        return self._engines.on_answer_begun(now, engine, request.sent_at, event.leaving)
 
     def on_attempt_ended(self, now: float, event: OnlineAttemptEnded) -> list[Effect]:
         """Finishes the request, or tries again where that is allowed."""
--- a/src/troutswitch/engines/client.py
+++ b/src/troutswitch/engines/client.py
@@ -10,7 +10,14 @@
 
 from troutswitch.common import Address
 from troutswitch.decisions.events import EngineLoad
-from troutswitch.engines.protocol import CompletionOrder, LoadReport, Piece, Refusal
+from troutswitch.engines.protocol import (
+    LEAVING_HEADER,
+    LEAVING_YES,
+    CompletionOrder,
+    LoadReport,
+    Piece,
+    Refusal,
+)
 from troutswitch.outcomes import AttemptKind
 from troutswitch.runtime.http import ConnectionPool, HttpError
 
@@ -38,6 +45,7 @@
         )
         self._time_limit = max(0.05, time_limit)
         self._response: http.client.HTTPResponse | None = None
+        self.is_leaving = False
 
     def open(self, order: CompletionOrder) -> None:
         """Sends the order and waits for the engine to take or refuse it.
@@ -57,6 +65,7 @@
         try:
             self._connection.request("POST", "/v1/completions", body, headers)
             self._response = self._connection.getresponse()
+            self.is_leaving = self._response.getheader(LEAVING_HEADER) == LEAVING_YES
             if self._response.status != 200:
                 self._raise_refusal(self._response)
         except (OSError, http.client.HTTPException) as error:
--- a/src/troutswitch/engines/protocol.py
+++ b/src/troutswitch/engines/protocol.py
@@ -11,11 +11,16 @@
   changes role; an order with a fence below one already seen is refused with 409.
 - `GET` and `POST /v1/kv/PREFIX` export and import key-value cache.
 
+Each answer to an order carries the header `X-Engine-Leaving`, "yes" or "no".
 A refusal has status 503 or 429 and `{"not_run": true, "leaving": bool}`.
 """
 
 import msgspec
 
+LEAVING_HEADER = "X-Engine-Leaving"
+LEAVING_YES = "yes"
+LEAVING_NO = "no"
+
 
 class CompletionOrder(msgspec.Struct, frozen=True):
     """A request to an engine. Positions and lengths are in tokens.
--- a/src/troutswitch/simulation/daemon.py
+++ b/src/troutswitch/simulation/daemon.py
@@ -278,13 +278,13 @@
         arrival = relay.arrival
         expected = relay.position
 
-        def on_first() -> None:
+        def on_first(leaving: bool) -> None:
             if not self.is_alive or relay.stream_id != effect.attempt_id:
                 return
             if not relay.has_first:
                 relay.has_first = True
                 relay.on_first()
-            self.post(OnlineFirstToken(effect.request_id, effect.attempt_id))
+            self.post(OnlineFirstToken(effect.request_id, effect.attempt_id, leaving))
 
         def on_end(end: StreamEnd) -> None:
             self._end_online(relay, effect, expected, end)
@@ -336,7 +336,7 @@
         self._world.engines[effect.engine].submit(
             self.zone, effect.attempt_id, effect.item.custom_id, effect.incarnation,
             effect.priority, estimate_tokens(effect.item.prompt), effect.item.max_tokens,
-            "", 0, lambda: None, on_end,
+            "", 0, lambda leaving: None, on_end,
         )  # fmt: skip
 
     def _cancel(self, effect: CancelAttempt) -> None:
--- a/src/troutswitch/simulation/engine.py
+++ b/src/troutswitch/simulation/engine.py
@@ -35,7 +35,7 @@
 
     sequence: Sequence
     reader_zone: str
-    on_first: Callable[[], None]
+    on_first: Callable[[bool], None]
     on_end: Callable[[StreamEnd], None]
     work: str
     is_ended: bool = False
@@ -128,7 +128,7 @@
         max_tokens: int,
         prefix: str,
         position: int,
-        on_first: Callable[[], None],
+        on_first: Callable[[bool], None],
         on_end: Callable[[StreamEnd], None],
     ) -> None:
         """Takes an order from a daemon in `zone`; `work` names what is asked for."""
@@ -158,7 +158,7 @@
         max_tokens: int,
         prefix: str,
         position: int,
-        on_first: Callable[[], None],
+        on_first: Callable[[bool], None],
         on_end: Callable[[StreamEnd], None],
     ) -> None:
         now = self._clock.now()
@@ -223,7 +223,7 @@
 
     def _first(self, stream: OpenStream) -> None:
         if not stream.is_ended:
-            stream.on_first()
+            stream.on_first(self.is_leaving)
 
     def _finish(self, stream_id: str, stream: OpenStream) -> None:
         if not stream.is_ended and not self._network.is_connected(self.zone, stream.reader_zone):
--- a/src/troutswitch/standins/engine.py
+++ b/src/troutswitch/standins/engine.py
@@ -13,7 +13,16 @@
 import msgspec
 
 from troutswitch.common import Address, stable_hash
-from troutswitch.engines.protocol import CompletionOrder, FencedOrder, LoadReport, Piece, Refusal
+from troutswitch.engines.protocol import (
+    LEAVING_HEADER,
+    LEAVING_NO,
+    LEAVING_YES,
+    CompletionOrder,
+    FencedOrder,
+    LoadReport,
+    Piece,
+    Refusal,
+)
 from troutswitch.runtime.http import (
     EVENT_STREAM_TYPE,
     HttpServer,
@@ -209,7 +218,9 @@
         if refusal is not None:
             response = Response(503, msgspec.json.encode(refusal))
             return send(response, start_response)
-        start_response(status_line(200), [("Content-Type", EVENT_STREAM_TYPE)])
+        leaving = LEAVING_YES if self.is_leaving else LEAVING_NO
+        headers = [("Content-Type", EVENT_STREAM_TYPE), (LEAVING_HEADER, leaving)]
+        start_response(status_line(200), headers)
         return self._stream(order)
 
     def _take(self, order: CompletionOrder) -> Refusal | None:
--- a/src/troutswitch/standins/engine_model.py
+++ b/src/troutswitch/standins/engine_model.py
@@ -277,7 +277,8 @@
 
     def _end_prefill(self, sequence: Sequence) -> None:
         sequence.prefill_left = 0
-        sequence.generated += 1
+        # A stream resumed at its very end has no token left to generate.
+        sequence.generated = min(sequence.generated + 1, sequence.max_tokens)
         sequence.first_token_at = self.time
         self._changed.append(sequence)
         if sequence.is_finished:
