--- a/src/troutswitch/simulation/engine.py
+++ b/src/troutswitch/simulation/engine.py
@@ -272,6 +272,8 @@
 
     def come_back(self) -> None:
         """The machine starts anew, empty, as a new incarnation."""
+        if self.is_alive:
+            self.die()
         self.finished_models.append(self.model)
         self.model = EngineModel(self._shape)
         self.model.time = self._clock.now()
--- a/src/troutswitch/simulation/platform.py
+++ b/src/troutswitch/simulation/platform.py
@@ -34,10 +34,35 @@
         self.machines = MachineListStore(LIST_LAG_SECONDS)
         self.faults = LogFaults()
         self.appends = 0
+        self._troubled_at = float("-inf")
         self._clock = clock
         self._network = network
         self._rng = rng
 
+    def begin(self, down: int = 0, slow: int = 0) -> None:
+        """Begins an outage or a slow time."""
+        self.faults.down += down
+        self.faults.slow += slow
+
+    def end(self, down: int = 0, slow: int = 0) -> None:
+        """Ends an outage or a slow time."""
+        self.faults.down -= down
+        self.faults.slow -= slow
+        self._troubled_at = self._clock.now()
+
+    def lose_answers(self, lost: float, late: float) -> None:
+        """Sets the shares of answers that are lost and of appends that come late."""
+        self.faults.lost_answers = lost
+        self.faults.late_effects = late
+        self._troubled_at = self._clock.now()
+
+    def untroubled_since(self) -> float:
+        """Returns since when the log service has worked well; infinity if it does not."""
+        faults = self.faults
+        if faults.down or faults.slow or faults.lost_answers:
+            return float("inf")
+        return self._troubled_at
+
     def append(
         self, zone: str, stream: str, payload: bytes, answer: Callable[[int | None], None]
     ) -> None:
