Bound the batch items that cannot yield; count what lagging load reports miss

Ruled out: lost grants, lapsed grants (both were renewed). Change: unknown appends are ignored; notices and sends are kept until a report can show them; a quarter of an engine's slots at most for items that cannot yield.

--- a/src/troutswitch/constants.py
+++ b/src/troutswitch/constants.py
@@ -39,7 +39,7 @@
 """Daemons that follow each shard: the preferred owner and its standby."""
 CLAIM_RETRY_SECONDS = 1.0
 """Interval between looks at whether a shard should be claimed."""
-SNAPSHOT_EVERY_ENTRIES = 512
+SNAPSHOT_EVERY_ENTRIES = 128
 """Entries folded between two snapshots of a shard."""
 VERDICTS_KEPT = 10_000
 """Submission verdicts kept in a shard fold."""
@@ -59,6 +59,8 @@
 """An engine not heard from for this long is asked before new work is sent to it."""
 ENGINE_POLL_SECONDS = 0.5
 """Interval between load polls of an engine in use or stewarded."""
+LOAD_LAG_SECONDS = 0.3
+"""Time by which an engine's load report may be older than its answer."""
 ENGINE_IN_USE_SECONDS = 5.0
 """An engine counts as in use this long after work was sent to it."""
 ENGINE_SUBSET = 32
@@ -77,6 +79,8 @@
 """Interval between two asks for batch slots by one daemon."""
 SLOT_ASK_ENGINES = 8
 """Engines asked in one round."""
+FIRM_SHARE = 0.25
+"""Share of an engine's slots for batch items not to be repeated, which cannot yield."""
 ONLINE_WINDOW_SECONDS = 4.0
 """Window over which a steward takes the peak of online work."""
 
--- a/src/troutswitch/daemons/messages.py
+++ b/src/troutswitch/daemons/messages.py
@@ -99,13 +99,15 @@
 class SlotGrant(msgspec.Struct, frozen=True, array_like=True, tag="sgrant"):
     """The receiver may keep `slots` batch items on the engine for `seconds`.
 
-    If it has more running, it cancels the excess at once.
+    At most `firm` of them may be items not to be repeated, which cannot yield. If it
+    has more running, it cancels the excess at once.
     """
 
     sender: str
     engine: str
     incarnation: str
     slots: int
+    firm: int
     seconds: float
     priority: int
 
--- a/src/troutswitch/decisions/batch/dispatcher.py
+++ b/src/troutswitch/decisions/batch/dispatcher.py
@@ -30,9 +30,11 @@
 
 @dataclass(slots=True)
 class HeldGrant:
-    """Slots held on one engine until `expires_at`."""
+    """Slots held on one engine until `expires_at`, `firm` of them for items not to be
+    repeated."""
 
     slots: int
+    firm: int
     expires_at: float
     priority: int
     incarnation: str
@@ -161,7 +163,11 @@
     def on_grant(self, now: float, message: SlotGrant) -> list[Effect]:
         """Takes in a grant: fills new slots, or cancels what is above it."""
         self.grants[message.engine] = HeldGrant(
-            message.slots, now + message.seconds, message.priority, message.incarnation
+            message.slots,
+            message.firm,
+            now + message.seconds,
+            message.priority,
+            message.incarnation,
         )
         effects = self._yield_excess(message.engine, message.slots)
         return effects + self.fill(now)
@@ -214,7 +220,7 @@
     ) -> list[Effect]:
         effects: list[Effect] = []
         for owner, job in self._jobs_by_deadline(service):
-            while free > 0:
+            while free > 0 and (job.repeatable or self._firm_running(name) < grant.firm):
                 handout, more = owner.take_item(now, job)
                 effects.extend(more)
                 if handout is None:
@@ -228,6 +234,12 @@
                 break
         return effects
 
+    def _firm_running(self, name: str) -> int:
+        work = self._by_engine.get(name)
+        if work is None:
+            return 0
+        return sum(1 for item in work.running.values() if not item.repeatable)
+
     def _jobs_by_deadline(self, service: str) -> list[tuple[ShardOwner, Job]]:
         pairs = [
             (owner, job) for owner in self._shards.open_owners() for job in owner.open_jobs(service)
--- a/src/troutswitch/decisions/engines.py
+++ b/src/troutswitch/decisions/engines.py
@@ -8,8 +8,9 @@
 and told to peers.
 """
 
+from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from troutswitch.common import Address, rendezvous_order
 from troutswitch.constants import (
@@ -20,6 +21,7 @@
     ENGINE_IN_USE_SECONDS,
     ENGINE_POLL_SECONDS,
     ENGINE_SUBSET,
+    LOAD_LAG_SECONDS,
 )
 from troutswitch.daemons.messages import EngineLeaving
 from troutswitch.decisions.effects import Effect, LogEvent, PollEngine, SendDatagram
@@ -38,8 +40,8 @@
 class Engine:
     """One engine as this daemon sees it.
 
-    `online_in_flight` counts this daemon's own online requests on it;
-    `sent_since_load` those sent after the last load report.
+    `online_in_flight` counts this daemon's own online requests on it; `sends` are the
+    times of those that the last load report cannot show yet, as it lags.
     """
 
     name: str
@@ -54,7 +56,7 @@
     asked_at: float = float("-inf")
     is_polling: bool = False
     online_in_flight: int = 0
-    sent_since_load: int = 0
+    sends: deque[float] = field(default_factory=deque)
     failures: int = 0
     ejected_until: float = float("-inf")
     listed: bool = True
@@ -70,7 +72,7 @@
         if self.load is None:
             return self.online_in_flight
         reported = self.load.running_online + self.load.waiting_online
-        return max(reported + self.sent_since_load, self.online_in_flight)
+        return max(reported + len(self.sends), self.online_in_flight)
 
 
 class EngineRegistry:
@@ -198,7 +200,8 @@
     def _take_load(self, now: float, engine: Engine, load: EngineLoad) -> list[Effect]:
         engine.incarnation = load.incarnation
         engine.load = load
-        engine.sent_since_load = 0
+        while engine.sends and engine.sends[0] < engine.asked_at - LOAD_LAG_SECONDS:
+            engine.sends.popleft()
         self._succeeded(engine)
         engine.confirmed_at = max(engine.confirmed_at, engine.asked_at)
         if load.leaving:
@@ -211,7 +214,7 @@
         """An online request was sent to the engine."""
         engine.used_at = now
         engine.online_in_flight += 1
-        engine.sent_since_load += 1
+        engine.sends.append(now)
 
     def on_answered(self, now: float, engine: Engine, succeeded: bool) -> None:
         """An attempt on the engine ended."""
--- a/src/troutswitch/decisions/logwriter.py
+++ b/src/troutswitch/decisions/logwriter.py
@@ -60,8 +60,13 @@
         return self._send(stream, queue)
 
     def on_appended(self, stream: str) -> list[Effect]:
-        """The entry in flight was confirmed."""
-        queue = self._queues[stream]
+        """The entry in flight was confirmed.
+
+        Snapshots are appended without this queue: one that is lost is not missed.
+        """
+        queue = self._queues.get(stream)
+        if queue is None:
+            return []
         queue.payload = None
         queue.records_in_flight = 0
         queue.is_calling = False
@@ -70,7 +75,9 @@
 
     def on_failed(self, now: float, stream: str) -> list[Effect]:
         """The entry in flight was not confirmed; it is repeated after a delay."""
-        queue = self._queues[stream]
+        queue = self._queues.get(stream)
+        if queue is None:
+            return []
         queue.is_calling = False
         queue.failures += 1
         delay = LOG_RETRY_FIRST_SECONDS * 2 ** min(queue.failures - 1, 10)
--- a/src/troutswitch/decisions/stewardship.py
+++ b/src/troutswitch/decisions/stewardship.py
@@ -10,8 +10,13 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from troutswitch.common import rendezvous_choice
-from troutswitch.constants import GRANT_SECONDS, ONLINE_WINDOW_SECONDS
+from troutswitch.common import rendezvous_choice, rendezvous_order
+from troutswitch.constants import (
+    FIRM_SHARE,
+    GRANT_SECONDS,
+    LOAD_LAG_SECONDS,
+    ONLINE_WINDOW_SECONDS,
+)
 from troutswitch.daemons.messages import OnlineNotice, SlotAsk, SlotGrant
 from troutswitch.decisions.configuration.follower import ConfigurationFollower
 from troutswitch.decisions.effects import Effect, SendDatagram
@@ -23,9 +28,13 @@
 
 @dataclass(slots=True)
 class Grant:
-    """Slots granted to one daemon; `wanted` is what it last asked for."""
+    """Slots granted to one daemon; `wanted` is what it last asked for.
+
+    Of the slots at most `firm` may hold items that cannot be cancelled.
+    """
 
     slots: int
+    firm: int
     wanted: int
     expires_at: float
 
@@ -35,11 +44,12 @@
     """What the steward keeps for one engine.
 
     `online_samples` are (time, online requests) over the last window, kept with
-    decreasing counts so that the first is the peak.
+    decreasing counts so that the first is the peak. `notices` are (time, requests)
+    that the engine's load report, which lags, cannot show yet.
     """
 
     grants: dict[str, Grant] = field(default_factory=dict)
-    noticed: int = 0
+    notices: deque[tuple[float, int]] = field(default_factory=deque)
     online_samples: deque[tuple[float, int]] = field(default_factory=deque)
 
 
@@ -92,7 +102,7 @@
         share = self._shares.setdefault(message.engine, EngineShare())
         self._drop_expired(now, share)
         wanted = message.held + message.wanted
-        grant = share.grants.setdefault(message.sender, Grant(0, 0, 0.0))
+        grant = share.grants.setdefault(message.sender, Grant(0, 0, 0, 0.0))
         grant.wanted = wanted
         grant.expires_at = now + GRANT_SECONDS
         self._divide(now, engine, share)
@@ -104,7 +114,7 @@
         share = self._shares.get(message.engine)
         if engine is None or share is None:
             return []
-        share.noticed += message.count
+        share.notices.append((now, message.count))
         return self._cut(now, engine, share)
 
     def _on_load(self, now: float, engine_name: str) -> list[Effect]:
@@ -113,7 +123,8 @@
         if share is None or not self.is_steward(engine_name):
             self._shares.pop(engine_name, None)
             return []
-        share.noticed = 0
+        while share.notices and share.notices[0][0] < engine.asked_at - LOAD_LAG_SECONDS:
+            share.notices.popleft()
         return self._cut(now, engine, share)
 
     # Dividing.
@@ -133,7 +144,8 @@
         load = engine.load
         ensure(load is not None, "a share is computed without a load report")
         assert load is not None
-        online_now = load.running_online + load.waiting_online + share.noticed
+        noticed = sum(count for _, count in share.notices)
+        online_now = load.running_online + load.waiting_online + noticed
         samples = share.online_samples
         while samples and samples[0][0] < now - ONLINE_WINDOW_SECONDS:
             samples.popleft()
@@ -151,6 +163,17 @@
             grant.slots = min(grant.wanted, fair)
             left -= grant.slots
         ensure(left >= 0, "more batch slots are granted than allowed")
+        self._divide_firm(engine, share)
+
+    def _divide_firm(self, engine: Engine, share: EngineShare) -> None:
+        """Limits the items that cannot be cancelled, so that online can take the rest."""
+        left = int(engine.slots * FIRM_SHARE)
+        ordered = rendezvous_order(engine.name, list(share.grants))
+        each = 1 + left // max(1, len(ordered))
+        for name in ordered:
+            grant = share.grants[name]
+            grant.firm = min(grant.slots, each, left)
+            left -= grant.firm
 
     def _cut(self, now: float, engine: Engine, share: EngineShare) -> list[Effect]:
         """Divides anew and tells the daemons whose grant became smaller."""
@@ -178,6 +201,7 @@
             engine.name,
             engine.incarnation,
             grant.slots,
+            grant.firm,
             GRANT_SECONDS,
             SHARING_POLICIES[policy.batch_policy].priority,
         )
--- a/src/troutswitch/simulation/daemon.py
+++ b/src/troutswitch/simulation/daemon.py
@@ -42,7 +42,6 @@
     OnlineFirstToken,
     TimerFired,
 )
-from troutswitch.decisions.invariants import InvariantViolated
 from troutswitch.outcomes import (
     AttemptKind,
     Cut,
@@ -117,7 +116,7 @@
             AnswerCall: self._answer,
             LogEvent: lambda effect: None,
             DirectoryChanged: lambda effect: None,
-            Drained: lambda effect: self._leave(),
+            Drained: lambda effect: self._end_drain(),
         }
         world.network.attach(identity.address, identity.zone, self._receive)
         self.post(TimerFired())
@@ -133,8 +132,9 @@
             return
         try:
             effects = self.core.step(self._clock.now(), event)
-        except InvariantViolated as error:
-            self._world.observer.violation(f"invariant in {self.name}: {error}")
+        except Exception as error:
+            # A broken invariant or a defect: either ends the real daemon's loop.
+            self._world.observer.violation(f"loop of {self.name} failed: {error!r}")
             self.kill()
             return
         for effect in effects:
@@ -207,6 +207,10 @@
         for on_answer in list(self._calls.values()):
             on_answer(None)
 
+    def _end_drain(self) -> None:
+        self._world.observer.on_drained(self.name, len(self._relays))
+        self.kill()
+
     def _leave(self) -> None:
         self.is_alive = False
         self._world.network.detach(self.core.identity.address)
--- a/src/troutswitch/simulation/engine.py
+++ b/src/troutswitch/simulation/engine.py
@@ -15,6 +15,8 @@
 
 LOAD_LAG_SECONDS = 0.2
 LOAD_SAMPLE_SECONDS = 0.1
+WAIT_LOOK_SECONDS = 0.1
+"""Interval between looks at an online sequence that waits: five to six steps."""
 CONNECT_SECONDS = 1.0
 """Time after which a call to a dead engine fails."""
 
@@ -170,9 +172,25 @@
             on_end(StreamEnd(AttemptKind.REFUSED, position, self.is_leaving, "queue full"))
             return
         self._observer.on_run(work, stream_id)
+        if sequence.is_online:
+            self._watch_wait(now, sequence)
         self._streams[stream_id] = OpenStream(sequence, zone, on_first, on_end, work)
         self._settle()
 
+    def _watch_wait(self, taken_at: float, sequence: Sequence) -> None:
+        """Notes an online sequence that waits while batch items hold slots."""
+
+        def look() -> None:
+            _, running_batch, _, _ = self.model.counts()
+            is_waiting = sequence.started_at == float("inf")
+            if self.is_alive and is_waiting and sequence.stream_id in self.model.sequences:
+                if running_batch:
+                    waited = self._clock.now() - taken_at
+                    self._observer.on_wait_behind_batch(waited, running_batch)
+                self._clock.call_later(WAIT_LOOK_SECONDS, look)
+
+        self._clock.call_later(WAIT_LOOK_SECONDS, look)
+
     def cancel(self, zone: str, stream_id: str) -> None:
         """Cancels a stream."""
         if not self.is_alive or not self._network.is_connected(zone, self.zone):
--- a/src/troutswitch/simulation/observer.py
+++ b/src/troutswitch/simulation/observer.py
@@ -68,6 +68,9 @@
         self.faults: Counter[str] = Counter()
         self.publications_accepted: list[tuple[float, int]] = []
         self.configuration_spread: list[float] = []
+        self.longest_wait_behind_batch = 0.0
+        self.waits_behind_batch = 0
+        self.wait_limit = float("inf")
         self._job_by_id: dict[str, JobRecord] = {}
         self._versions: dict[str, int] = {}
         self._runs_of_key: dict[str, set[str]] = defaultdict(set)
@@ -92,6 +95,18 @@
         if record is not None and record.key:
             self._runs_of_key[record.key].add(stream_id)
 
+    def on_wait_behind_batch(self, waited: float, batch: int) -> None:
+        """An online request still waits on an engine that runs batch items."""
+        self.longest_wait_behind_batch = max(self.longest_wait_behind_batch, waited)
+        self.waits_behind_batch += 1
+        if waited > self.wait_limit:
+            self.violation(f"online waited {waited:.2f} s behind {batch} batch items")
+
+    def on_drained(self, daemon: str, open_requests: int) -> None:
+        """A daemon has ended a planned stop."""
+        if open_requests:
+            self.violation(f"the planned stop of {daemon} cut {open_requests} requests")
+
     # Online.
 
     def on_delivered(self, request_id: str, start: int, end: int) -> None:
--- a/src/troutswitch/simulation/world.py
+++ b/src/troutswitch/simulation/world.py
@@ -305,6 +305,11 @@
                 "batch_cancelled_jobs": sum(1 for job in jobs if job.cancel_asked),
                 "log_entries": sum(len(e) for e in self.platform.log.streams.values()),
                 "log_bytes": self.platform.log.appended_bytes,
+                "waits_behind_batch": observer.waits_behind_batch,
+                "longest_wait_behind_batch": round(observer.longest_wait_behind_batch, 3),
+                "batch_may_have_run": sum(
+                    1 for job in jobs for r in job.results if r.outcome == "may_have_run"
+                ),
                 "publications_accepted": len(observer.publications_accepted),
             },
         )
