--- a/src/troutswitch/decisions/engines.py
+++ b/src/troutswitch/decisions/engines.py
@@ -71,8 +71,16 @@
         """Online requests on the engine, as far as known."""
         if self.load is None:
             return self.online_in_flight
-        reported = self.load.running_online + self.load.waiting_online
-        return max(reported + len(self.sends), self.online_in_flight)
+        return max(self.reported_online + len(self.sends), self.online_in_flight)
+
+    @property
+    def reported_online(self) -> int:
+        """Online requests that the engine reported."""
+        return self.load.running_online + self.load.waiting_online if self.load else 0
+
+    def expected_load(self, gateways: int) -> int:
+        """Returns online requests on the engine if other gateways send as this one does."""
+        return max(self.reported_online + gateways * len(self.sends), self.online_in_flight)
 
 
 class EngineRegistry:
--- a/src/troutswitch/decisions/online.py
+++ b/src/troutswitch/decisions/online.py
@@ -177,7 +177,10 @@
         candidates = self._candidates(now, request)
         fresh = [engine for engine in candidates if self._engines.is_fresh(now, engine)]
         resumed = self._resume_target(fresh, request)
-        engine = resumed or self._router.choose(request.policy.routing_policy, event.prefix, fresh)
+        gateways = len(self._membership.serving_names())
+        engine = resumed or self._router.choose(
+            request.policy.routing_policy, event.prefix, fresh, gateways
+        )
         if engine is not None:
             return self._start(now, request, engine)
         if candidates and not request.probes_sent:
--- a/src/troutswitch/decisions/routing.py
+++ b/src/troutswitch/decisions/routing.py
@@ -2,18 +2,20 @@
 
 import random
 from abc import ABC, abstractmethod
-from collections import OrderedDict
 
 from troutswitch.common import stable_hash
 from troutswitch.decisions.configuration.keys import RoutingPolicyName
 from troutswitch.decisions.engines import Engine
 
-PREFIXES_KEPT = 4096
-"""Prefixes whose last engine a gateway remembers."""
-
 PREFIX_LOAD_SLACK = 1.25
 """A prefix stays on its engine while that engine's load is within this factor of the
-least loaded one's, plus one request."""
+least loaded one's, plus one request and a share of its slots."""
+
+PREFIX_SLOT_SLACK = 0.25
+"""Share of an engine's slots by which a prefix's home may be above the least loaded."""
+
+GATEWAYS_MOST = 8
+"""Most gateways that are taken to send alike within the lag of a load report."""
 
 CROSS_ZONE_COST = 0.15
 """Cost of leaving the zone, in shares of an engine's slots."""
@@ -24,7 +26,7 @@
 
     @abstractmethod
     def choose(
-        self, prefix: str, candidates: list[Engine], zone: str, rng: random.Random
+        self, prefix: str, candidates: list[Engine], zone: str, gateways: int, rng: random.Random
     ) -> Engine:
         """Chooses one of the candidates.
 
@@ -32,6 +34,7 @@
             prefix: identity of the prompt's beginning, or empty.
             candidates: engines that may take the request; at least one.
             zone: the gateway's zone.
+            gateways: daemons that send requests to the same engines.
             rng: seeded source of randomness.
         """
 
@@ -48,7 +51,7 @@
         self._next = 0
 
     def choose(
-        self, prefix: str, candidates: list[Engine], zone: str, rng: random.Random
+        self, prefix: str, candidates: list[Engine], zone: str, gateways: int, rng: random.Random
     ) -> Engine:
         """Chooses the next engine in name order."""
         ordered = sorted(candidates, key=lambda engine: engine.name)
@@ -60,7 +63,7 @@
     """The better of two random engines by load; a baseline."""
 
     def choose(
-        self, prefix: str, candidates: list[Engine], zone: str, rng: random.Random
+        self, prefix: str, candidates: list[Engine], zone: str, gateways: int, rng: random.Random
     ) -> Engine:
         """Chooses by known load, own zone preferred a little."""
         pair = rng.sample(candidates, min(2, len(candidates)))
@@ -77,23 +80,22 @@
 
     def __init__(self) -> None:
         self._fallback = LeastLoaded()
-        self._homes: OrderedDict[str, str] = OrderedDict()
 
     def choose(
-        self, prefix: str, candidates: list[Engine], zone: str, rng: random.Random
+        self, prefix: str, candidates: list[Engine], zone: str, gateways: int, rng: random.Random
     ) -> Engine:
         """Chooses the prefix's home unless it is loaded well above the least loaded."""
         if not prefix:
-            return self._fallback.choose(prefix, candidates, zone, rng)
+            return self._fallback.choose(prefix, candidates, zone, gateways, rng)
         least = min(engine.online_load for engine in candidates)
-        bound = PREFIX_LOAD_SLACK * least + 1 + candidates[0].slots / 8
+        bound = PREFIX_LOAD_SLACK * least + 1 + candidates[0].slots * PREFIX_SLOT_SLACK
         ordered = sorted(
             candidates, key=lambda engine: stable_hash(prefix, engine.name), reverse=True
         )
         for engine in ordered:
-            if engine.online_load <= bound:
+            if engine.expected_load(gateways) <= bound:
                 return engine
-        return self._fallback.choose(prefix, candidates, zone, rng)
+        return self._fallback.choose(prefix, candidates, zone, gateways, rng)
 
 
 def _cost(engine: Engine, zone: str) -> float:
@@ -114,9 +116,10 @@
         }
 
     def choose(
-        self, name: RoutingPolicyName, prefix: str, candidates: list[Engine]
+        self, name: RoutingPolicyName, prefix: str, candidates: list[Engine], gateways: int
     ) -> Engine | None:
         """Chooses by the named policy, or None if there is no candidate."""
         if not candidates:
             return None
-        return self._policies[name].choose(prefix, candidates, self._zone, self._rng)
+        alike = min(gateways, GATEWAYS_MOST)
+        return self._policies[name].choose(prefix, candidates, self._zone, alike, self._rng)
--- a/src/troutswitch/simulation/engine.py
+++ b/src/troutswitch/simulation/engine.py
@@ -15,6 +15,8 @@
 
 LOAD_LAG_SECONDS = 0.2
 LOAD_SAMPLE_SECONDS = 0.1
+PREFIX_SHARE = 0.5
+"""Share of a prompt that it has in common with others of its prefix."""
 WAIT_LOOK_SECONDS = 0.1
 """Interval between looks at an online sequence that waits: five to six steps."""
 CONNECT_SECONDS = 1.0
@@ -165,8 +167,9 @@
     ) -> None:
         now = self._clock.now()
         self._observer.on_engine_took(now, self.name, self.leaving_since, work)
+        prefix_tokens = int(prompt_tokens * PREFIX_SHARE)
         sequence = self.model.submit(
-            now, stream_id, priority, prompt_tokens, max_tokens, prefix, prompt_tokens, position
+            now, stream_id, priority, prompt_tokens, max_tokens, prefix, prefix_tokens, position
         )
         if sequence is None:
             on_end(StreamEnd(AttemptKind.REFUSED, position, self.is_leaving, "queue full"))
--- a/src/troutswitch/standins/engine.py
+++ b/src/troutswitch/standins/engine.py
@@ -39,6 +39,8 @@
 ENGINE_THREADS = 700
 TICK_SECONDS = 0.005
 CHARACTERS_PER_TOKEN = 4
+PREFIX_TOKENS = 64
+"""Tokens that prompts of one prefix have in common."""
 LOAD_LAG_SECONDS = 0.2
 CACHE_EVENT_LAG_SECONDS = 0.5
 CACHE_EVENT_GAP = 7
@@ -235,7 +237,7 @@
                 prompt_tokens(order.prompt),
                 order.max_tokens,
                 order.prefix,
-                prompt_tokens(order.prompt),
+                min(PREFIX_TOKENS, prompt_tokens(order.prompt)),
                 order.position,
             )
             if sequence is not None and is_new:
