--- a/src/troutswitch/simulation/world.py
+++ b/src/troutswitch/simulation/world.py
@@ -276,6 +276,9 @@
             for daemon in self.daemons.values()
             if daemon.is_alive and not daemon.is_paused
         ]
+        if not folds:
+            self.observer.violation("no daemon is left")
+            return
         if len({fold.digest() for fold in folds}) > 1:
             self.observer.violation("daemons disagree on the configuration")
         accepted = {line.publication.publication_id: line.version for line in folds[0].history}
--- /dev/null
+++ b/tests/proofs/test_promises.py
@@ -0,0 +1,254 @@
+"""Each promise holds under its faults, and breaks when its mechanism is taken out.
+
+The mechanism is taken out here, by replacing a method; the product has no switch.
+docs/PROOFS.md has a row for each test.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from tests.proofs.worlds import run_world
+from troutswitch.decisions import online
+from troutswitch.decisions.batch import claims, owner, ownership, submission
+from troutswitch.decisions.batch.calls import Progress
+from troutswitch.decisions.batch.fold import Accepted, ShardFold
+from troutswitch.decisions.batch.jobs import ItemState
+from troutswitch.decisions.batch.replica import shard_stream
+from troutswitch.decisions.configuration.follower import ConfigurationFollower
+from troutswitch.decisions.daemon import DaemonCore
+from troutswitch.decisions.effects import AnswerCall, Drained, JobView
+from troutswitch.decisions.engines import EngineRegistry
+from troutswitch.outcomes import AttemptKind, NotRun
+
+
+@dataclass(frozen=True)
+class Proof:
+    """One promise: the faults it is proved under and how to take its mechanism out."""
+
+    name: str
+    faults: tuple[str, ...]
+    remove: Callable[[pytest.MonkeyPatch], None]
+    symptom: str
+    seed: int = 1
+    minutes: float = 2.0
+    workload: dict[str, Any] = field(default_factory=dict)
+
+
+def accept_any_submission(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ShardFold, "_judge", lambda self, record, chunks: Accepted())
+    patch.setattr(submission.Submission, "_earlier_job", lambda self, fold: None)
+
+
+def never_take_over(patch: pytest.MonkeyPatch) -> None:
+    original = ownership.Ownership._may_claim
+
+    def may_claim(self: Any, now: float, replica: Any, is_preferred: bool) -> bool:
+        return not replica.fold.owner and original(self, now, replica, is_preferred)
+
+    patch.setattr(ownership.Ownership, "_may_claim", may_claim)
+
+
+def dispatch_without_attempt_record(patch: pytest.MonkeyPatch) -> None:
+    original = owner.ShardOwner.take_item
+
+    def take_item(self: Any, now: float, job: Any) -> Any:
+        progress = self._progress.get(job.job_id)
+        if progress is not None:
+            progress.attempted_here.update(range(job.item_count))
+        return original(self, now, job)
+
+    patch.setattr(owner.ShardOwner, "take_item", take_item)
+
+
+def forget_attempts_at_takeover(patch: pytest.MonkeyPatch) -> None:
+    original = owner.ShardOwner._open
+
+    def open_job(self: Any, job: Any) -> Any:
+        for index, state in enumerate(job.item_states):
+            if state == ItemState.ATTEMPTED:
+                job.item_states[index] = ItemState.OPEN
+        return original(self, job)
+
+    patch.setattr(owner.ShardOwner, "_open", open_job)
+
+
+def acknowledge_before_the_log(patch: pytest.MonkeyPatch) -> None:
+    def on_job_submitted(self: Any, now: float, event: Any) -> Any:
+        call = self._submissions.prepare(now, event)
+        commit = call._commit
+        view = JobView(commit.job_id, "running", commit.service, commit.item_count, 0, 0, now, now)
+        append = self.writer.append(shard_stream(call.shard), call._records())
+        return [*append, AnswerCall(event.token, view)]
+
+    patch.setattr(DaemonCore, "_on_job_submitted", on_job_submitted)
+
+
+def keep_cancelled_jobs(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(owner.ShardOwner, "_forget", lambda self, job_id: None)
+    patch.setattr(ownership.Ownership, "set_job_stopped", lambda self, hook: None)
+
+
+def say_not_run_always(patch: pytest.MonkeyPatch) -> None:
+    def conclude(
+        attempts: Any, position: Any, reason: str, step: Any, peer: str, after: Any
+    ) -> Any:
+        return NotRun(reason, step, peer, after)
+
+    patch.setattr(online, "conclude", conclude)
+
+
+def repeat_unrepeatable(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(online, "RAN_NOTHING", frozenset(AttemptKind))
+
+
+def skip_claims(patch: pytest.MonkeyPatch) -> None:
+    def poll(self: Any, now: float, replica: Any) -> Progress:
+        return Progress(True, self._on_ended(now, self._request_id, None))
+
+    patch.setattr(claims.OnceClaim, "poll", poll)
+
+
+def trust_old_news_of_engines(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(EngineRegistry, "is_fresh", lambda self, now, engine: engine.load is not None)
+
+
+def stop_at_once(patch: pytest.MonkeyPatch) -> None:
+    def check_drained(self: Any, now: float) -> Any:
+        self._drain_check_at = float("inf")
+        return [Drained()]
+
+    patch.setattr(DaemonCore, "_check_drained", check_drained)
+
+
+def read_configuration_from_log_only(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ConfigurationFollower, "_push", lambda self, start: [])
+    patch.setattr(ConfigurationFollower, "on_peer_offset", lambda self, *arguments: [])
+
+
+def be_ready_with_any_configuration(patch: pytest.MonkeyPatch) -> None:
+    original = ConfigurationFollower.on_timer
+
+    def on_timer(self: Any, now: float) -> Any:
+        ready = [] if self.is_ready else self._become_ready("nobody")
+        return ready + original(self, now)
+
+    patch.setattr(ConfigurationFollower, "on_timer", on_timer)
+
+
+PROOFS = (
+    Proof(
+        "a resent job is one job",
+        ("client_resend", "answer_lost"),
+        accept_any_submission,
+        "became",
+    ),
+    Proof(
+        "accepted work survives its owner",
+        ("machine_loss", "engine_death"),
+        never_take_over,
+        "results",
+        minutes=3.0,
+    ),
+    Proof(
+        "an attempt is on record before it runs",
+        ("machine_loss", "pause", "zone_cut"),
+        dispatch_without_attempt_record,
+        "ran twice",
+        minutes=4.0,
+        workload={"once_share": 0.6},
+    ),
+    Proof(
+        "an attempt without a result is not repeated",
+        ("machine_loss", "pause"),
+        forget_attempts_at_takeover,
+        "ran twice",
+        minutes=4.0,
+        workload={"once_share": 0.6, "batch_tokens": (200, 400)},
+    ),
+    Proof(
+        "acknowledged means on the log",
+        ("machine_loss", "log_down"),
+        acknowledge_before_the_log,
+        "cannot be read",
+        minutes=4.0,
+    ),
+    Proof(
+        "a cancelled job stops",
+        (),
+        keep_cancelled_jobs,
+        "cancel",
+        workload={"cancel_share": 0.5, "items_per_job": (40, 90), "heap_every_seconds": 4.0},
+    ),
+    Proof(
+        "not run is only said when true",
+        ("stream_cut", "engine_death"),
+        say_not_run_always,
+        "not run",
+        minutes=4.0,
+        workload={"once_share": 0.5, "online_per_second": 20.0},
+    ),
+    Proof(
+        "a request not to be repeated is sent once",
+        ("stream_cut", "engine_death"),
+        repeat_unrepeatable,
+        "",
+        workload={"once_share": 0.5},
+    ),
+    Proof(
+        "a key runs at most once through any daemon",
+        ("client_resend",),
+        skip_claims,
+        "must run at most once",
+        workload={"once_share": 0.5},
+    ),
+    Proof(
+        "a leaving engine gets no new work",
+        ("engine_leaving", "pause"),
+        trust_old_news_of_engines,
+        "began to leave",
+        minutes=8.0,
+        workload={"online_per_second": 20.0},
+    ),
+    Proof(
+        "a planned stop cuts no request",
+        ("planned_stop",),
+        stop_at_once,
+        "planned stop",
+        minutes=5.0,
+    ),
+    Proof(
+        "configuration reaches a zone that is cut from the log",
+        ("zone_cut",),
+        read_configuration_from_log_only,
+        "has configuration",
+        minutes=6.0,
+    ),
+    Proof(
+        "configuration never reverts across a restart",
+        ("machine_loss", "log_down", "planned_stop"),
+        be_ready_with_any_configuration,
+        "back to",
+        minutes=10.0,
+        workload={"online_per_second": 1.0},
+    ),
+)
+
+
+@pytest.mark.parametrize("proof", PROOFS, ids=lambda proof: proof.name)
+def test_promise_holds(proof: Proof) -> None:
+    report = run_world(proof.faults, proof.seed, proof.minutes, **proof.workload)
+    assert report.violations == []
+    for fault in proof.faults:
+        assert report.faults.get(fault, 0) > 0, f"{fault} never struck"
+
+
+@pytest.mark.parametrize("proof", PROOFS, ids=lambda proof: proof.name)
+def test_promise_breaks_without_its_mechanism(
+    proof: Proof, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    proof.remove(monkeypatch)
+    report = run_world(proof.faults, proof.seed, proof.minutes, **proof.workload)
+    assert any(proof.symptom in text for text in report.violations), report.violations
