--- a/src/troutswitch/constants.py
+++ b/src/troutswitch/constants.py
@@ -85,7 +85,7 @@
 """Window over which a steward takes the peak of online work."""
 
 # Machine list.
-MACHINE_LIST_SECONDS = 2.0
+MACHINE_LIST_SECONDS = 5.0
 """Interval between reads of the machine list."""
 
 # Membership.
@@ -103,10 +103,22 @@
 """Member updates carried on one datagram."""
 GOSSIP_RETRANSMIT_FACTOR = 3
 """An update is sent this many times the logarithm of the member count."""
+EAGER_PEERS = 2
+"""Members told at once of a new suspicion, death or refutation; gossip does the rest."""
 SYNC_SECONDS = 10.0
 """Interval between anti-entropy exchanges."""
+SEED_SECONDS = 1.0
+"""Interval between contacts of seeds that are not known as live members."""
+SEEDS_AT_ONCE = 2
+"""Such seeds contacted each time."""
 SYNC_MEMBERS_PER_DATAGRAM = 16
 """Members carried on one anti-entropy datagram."""
+SYNC_DATAGRAMS_PER_SECOND = 16.0
+"""Anti-entropy datagrams a member sends a second."""
+SYNC_BURST_DATAGRAMS = 48
+"""Anti-entropy datagrams a member may send at once: a table of 700 members."""
+DIGEST_BUCKETS = 64
+"""Parts of the member table whose digests are compared."""
 DATAGRAM_MOST_BYTES = 60_000
 """Datagrams longer than this are dropped."""
 REPLAY_WINDOW_SECONDS = 30.0
--- a/src/troutswitch/daemons/messages.py
+++ b/src/troutswitch/daemons/messages.py
@@ -58,10 +58,10 @@
 
 
 class SyncRequest(msgspec.Struct, frozen=True, array_like=True, tag="sync"):
-    """Asks for the receiver's members if their digest differs."""
+    """Asks for the receiver's members in buckets whose digests differ from the sender's."""
 
     sender: str
-    digest: int
+    digests: list[int]
     members: list[MemberUpdate]
 
 
--- a/src/troutswitch/decisions/daemon.py
+++ b/src/troutswitch/decisions/daemon.py
@@ -53,7 +53,8 @@
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.logreader import LogReader
 from troutswitch.decisions.logwriter import LogWriter
-from troutswitch.decisions.membership import INCARNATION_STEP, Membership
+from troutswitch.decisions.members import INCARNATION_STEP
+from troutswitch.decisions.membership import Membership
 from troutswitch.decisions.online import OnlineRequests
 from troutswitch.decisions.status import (
     build_directory,
--- a/src/troutswitch/decisions/fleet.py
+++ b/src/troutswitch/decisions/fleet.py
@@ -47,16 +47,17 @@
         self._is_reading = False
         self._read_at = now + MACHINE_LIST_SECONDS
         if event.machines is None:
-            return self._membership.set_seeds(now, self._known_seeds)
+            self._membership.set_seeds(self._known_seeds)
+            return []
         self.is_read = True
         daemons = [machine for machine in event.machines if machine.kind == DAEMON_KIND]
         engines = [machine for machine in event.machines if machine.kind == ENGINE_KIND]
-        effects = self._seed_peers(now, daemons)
-        return effects + self._engines.on_machine_list(now, engines)
+        self._seed_peers(daemons)
+        return self._engines.on_machine_list(now, engines)
 
-    def _seed_peers(self, now: float, daemons: list[Machine]) -> list[Effect]:
+    def _seed_peers(self, daemons: list[Machine]) -> None:
         others = [machine for machine in daemons if machine.name != self._membership.name]
         self._configuration.expect_peers(len(others))
         addresses = [machine.address for machine in others]
         self._known_seeds = sorted({*addresses, *self._seeds}, key=str)
-        return self._membership.set_seeds(now, self._known_seeds)
+        self._membership.set_seeds(self._known_seeds)
--- a/src/troutswitch/decisions/membership.py
+++ b/src/troutswitch/decisions/membership.py
@@ -6,20 +6,25 @@
 times. Anti-entropy with one random member closes what gossip missed.
 """
 
+import heapq
 import math
 import random
 from dataclasses import dataclass
-from enum import IntEnum
 
-from troutswitch.common import Address, stable_hash
+from troutswitch.common import Address
 from troutswitch.constants import (
     DEAD_KEPT_SECONDS,
+    EAGER_PEERS,
     GOSSIP_RETRANSMIT_FACTOR,
     GOSSIP_UPDATES_MOST,
     INDIRECT_PROBES,
     PROBE_PERIOD_SECONDS,
     PROBE_TIMEOUT_SECONDS,
+    SEED_SECONDS,
+    SEEDS_AT_ONCE,
     SUSPICION_SECONDS,
+    SYNC_BURST_DATAGRAMS,
+    SYNC_DATAGRAMS_PER_SECOND,
     SYNC_MEMBERS_PER_DATAGRAM,
     SYNC_SECONDS,
 )
@@ -32,35 +37,13 @@
     SyncRequest,
 )
 from troutswitch.decisions.effects import Effect, LogEvent, SendDatagram
-from troutswitch.decisions.invariants import ensure
-
-
-class MemberState(IntEnum):
-    """State of a member; at equal incarnation the higher one wins."""
-
-    ALIVE = 0
-    LEAVING = 1
-    SUSPECT = 2
-    DEAD = 3
-
-
-@dataclass(slots=True)
-class Member:
-    """What this daemon believes of one member."""
-
-    name: str
-    incarnation: int
-    state: MemberState
-    address: Address
-    zone: str
-    was_leaving: bool = False
-    changed_at: float = 0.0
-
-    def update(self) -> MemberUpdate:
-        """Returns what is told to others."""
-        return MemberUpdate(
-            self.name, self.incarnation, self.state.name.lower(), str(self.address), self.zone
-        )
+from troutswitch.decisions.members import (
+    Member,
+    MemberState,
+    MemberTable,
+    make_member,
+    started_part,
+)
 
 
 @dataclass(slots=True)
@@ -82,12 +65,10 @@
     ) -> None:
         self.name = name
         self.zone = zone
-        self.started_incarnation = incarnation
-        self.members: dict[str, Member] = {}
+        self.table = MemberTable()
         self.configuration_offset = -1
         self._rng = rng
-        self._me = Member(name, incarnation, MemberState.ALIVE, address, zone)
-        self.members[name] = self._me
+        self.table.put(make_member(0.0, name, incarnation, MemberState.ALIVE, address, zone))
         self._gossip: dict[str, int] = {}
         self._ring: list[str] = []
         self._probe: _Probe | None = None
@@ -95,99 +76,83 @@
         self._sequence = 0
         self._probe_at = float("-inf")
         self._sync_at = float("-inf")
+        self._seed_at = float("inf")
         self._suspect_until: dict[str, float] = {}
+        self._dead: dict[str, float] = {}
         self._seeds: list[Address] = []
-        self._serving: list[str] | None = None
-        self._serving_by_zone: dict[str, tuple[str, ...]] = {}
+        self._sync_credit = float(SYNC_BURST_DATAGRAMS)
+        self._sync_credited_at = 0.0
 
     # What other modules ask.
 
+    @property
+    def members(self) -> dict[str, Member]:
+        """All members by name."""
+        return self.table.members
+
+    @property
+    def _me(self) -> Member:
+        return self.table.members[self.name]
+
     def serving_names(self) -> list[str]:
-        """Returns the members that take on work: alive, or suspected but not yet dead."""
-        if self._serving is None:
-            self._serving = sorted(
-                member.name for member in self.members.values() if _is_serving(member)
-            )
-        return self._serving
+        """Returns the members that take on work, in name order."""
+        return self.table.serving_names()
 
     def serving_in_zone(self, zone: str) -> tuple[str, ...]:
         """Returns the serving members of a zone; the same object while nothing changes."""
-        names = self.serving_names()
-        held = self._serving_by_zone.get(zone)
-        if held is None:
-            held = tuple(name for name in names if self.members[name].zone == zone)
-            self._serving_by_zone[zone] = held
-        return held
-
-    def _serving_changed(self) -> None:
-        self._serving = None
-        self._serving_by_zone.clear()
+        return self.table.serving_in_zone(zone)
 
     def address_of(self, name: str) -> Address | None:
         """Returns the peer address of a member that is not dead."""
         member = self.members.get(name)
-        if member is None or member.state is MemberState.DEAD:
-            return None
-        return member.address
+        return None if member is None or member.is_dead else member.address
 
     def is_alive_incarnation(self, identity: str) -> bool:
-        """Returns whether `name#incarnation` names a member that still runs as such.
+        """Returns whether `name#started` names a member that still runs as such.
 
-        The incarnation in an identity is the one the process started with; refuting
-        a suspicion raises the low bits only.
+        Refuting a suspicion raises the low part of an incarnation only.
         """
         name, _, started = identity.partition("#")
         member = self.members.get(name)
-        if member is None or member.state is MemberState.DEAD:
+        if member is None or member.is_dead:
             return False
         return str(started_part(member.incarnation)) == started
 
     def live_count(self) -> int:
         """Returns the members not known dead, this one included."""
-        return sum(1 for m in self.members.values() if m.state is not MemberState.DEAD)
+        return sum(1 for member in self.members.values() if not member.is_dead)
 
     def random_peers(self, count: int, zone: str | None = None) -> list[Member]:
         """Returns up to `count` random other members that are not dead."""
-        peers = [
-            member
-            for member in self.members.values()
-            if member is not self._me
-            and member.state is not MemberState.DEAD
-            and (zone is None or member.zone == zone)
-        ]
-        return self._rng.sample(peers, min(count, len(peers)))
-
-    def digest(self) -> int:
-        """Returns a hash of the table, the same for equal tables."""
-        total = 0
-        for member in self.members.values():
-            text = f"{member.name}/{member.incarnation}/{int(member.state)}"
-            total ^= stable_hash(text)
-        return total
+        return self.table.random_peers(self.name, count, zone, self._rng)
 
     # Joining and leaving.
 
-    def set_seeds(self, now: float, seeds: list[Address]) -> list[Effect]:
-        """Learns addresses from the machine list; the unknown ones are contacted."""
+    def set_seeds(self, seeds: list[Address]) -> None:
+        """Learns addresses from the machine list; those not known are contacted."""
         self._seeds = [seed for seed in seeds if seed != self._me.address]
-        known = {member.address for member in self.members.values() if not _is_dead(member)}
-        unknown = [seed for seed in self._seeds if seed not in known]
-        chosen = self._rng.sample(unknown, min(3, len(unknown)))
+        self._seed_at = float("-inf")
+
+    def _contact_seeds(self) -> list[Effect]:
+        """Contacts seeds that are unknown or dead to us: the way out of a healed cut."""
+        unknown = self._unknown_seeds()
+        chosen = self._rng.sample(unknown, min(SEEDS_AT_ONCE, len(unknown)))
         return [SendDatagram(seed, self._sync_request()) for seed in chosen]
 
+    def _unknown_seeds(self) -> list[Address]:
+        known = {member.address for member in self.members.values() if not member.is_dead}
+        return [seed for seed in self._seeds if seed not in known]
+
     def leave(self, now: float) -> list[Effect]:
         """Tells everyone that this daemon takes on no more work."""
-        self._me.state = MemberState.LEAVING
-        self._me.was_leaving = True
-        self._serving_changed()
-        self._queue_gossip(self.name)
+        self._change(now, self._me, self._me.incarnation, MemberState.LEAVING)
         return [SendDatagram(peer.address, self._ping(0)) for peer in self.random_peers(8)]
 
     # Timers.
 
     def next_due(self) -> float:
         """Returns when something is due."""
-        due = min(self._probe_at, self._sync_at)
+        due = min(self._probe_at, self._sync_at, self._seed_at)
         if self._probe is not None:
             probe = self._probe
             due = min(due, probe.fail_at if probe.indirect_sent else probe.indirect_at)
@@ -201,6 +166,9 @@
             self._probe_at = now + PROBE_PERIOD_SECONDS
             effects.extend(self._start_probe(now))
             self._forget_long_dead(now)
+        if now >= self._seed_at:
+            self._seed_at = now + SEED_SECONDS if self._seeds else float("inf")
+            effects.extend(self._contact_seeds())
         if now >= self._sync_at:
             self._sync_at = now + SYNC_SECONDS * self._rng.uniform(0.75, 1.25)
             effects.extend(self._start_sync())
@@ -227,7 +195,7 @@
             if not self._ring:
                 return None
             member = self.members.get(self._ring.pop())
-            if member is not None and not _is_dead(member):
+            if member is not None and not member.is_dead:
                 return member
         return None
 
@@ -255,35 +223,31 @@
         member = self.members.get(name)
         if member is None or member.state >= MemberState.SUSPECT:
             return []
-        return self._set_state(now, member, member.incarnation, MemberState.SUSPECT)
+        return self._change(now, member, member.incarnation, MemberState.SUSPECT)
 
     def _expire_suspects(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
         for name, until in list(self._suspect_until.items()):
             if now >= until:
                 member = self.members[name]
-                effects.extend(self._set_state(now, member, member.incarnation, MemberState.DEAD))
+                effects.extend(self._change(now, member, member.incarnation, MemberState.DEAD))
         return effects
 
     def _forget_long_dead(self, now: float) -> None:
-        for member in list(self.members.values()):
-            if _is_dead(member) and now - member.changed_at > DEAD_KEPT_SECONDS:
-                del self.members[member.name]
-                self._serving_changed()
-                self._gossip.pop(member.name, None)
+        for name, died_at in list(self._dead.items()):
+            if now - died_at <= DEAD_KEPT_SECONDS:
+                return  # kept in order of death
+            del self._dead[name]
+            if self.members[name].is_dead:
+                self.table.forget(name)
+                self._gossip.pop(name, None)
 
     def _start_sync(self) -> list[Effect]:
         peers = self.random_peers(1)
-        addresses = [peer.address for peer in peers]
-        known = {member.address for member in self.members.values() if not _is_dead(member)}
-        lost = [seed for seed in self._seeds if seed not in known]
-        if lost:
-            # A seed that is dead or unknown to us: the way out of a healed cut.
-            addresses.append(self._rng.choice(lost))
-        return [SendDatagram(address, self._sync_request()) for address in addresses]
+        return [SendDatagram(peer.address, self._sync_request()) for peer in peers]
 
     def _sync_request(self) -> SyncRequest:
-        return SyncRequest(self.name, self.digest(), [self._me.update()])
+        return SyncRequest(self.name, list(self.table.digests), [self._me.update])
 
     # Messages.
 
@@ -318,24 +282,32 @@
         return [SendDatagram(address, self._ping(self._sequence))]
 
     def on_sync_request(self, now: float, sender: Address, message: SyncRequest) -> list[Effect]:
-        """Sends the member table if the sender's differs."""
+        """Sends the part of the member table in which the sender's differs."""
         effects = self._merge_all(now, message.members)
-        if message.digest == self.digest():
-            return effects
-        return effects + self._send_table(sender)
+        updates = self.table.updates_where_digests_differ(message.digests)
+        size = SYNC_MEMBERS_PER_DATAGRAM
+        for first in range(0, len(updates), size):
+            if not self._take_sync_credit(now):
+                break  # the sender asks again, others too
+            reply = SyncReply(self.name, updates[first : first + size])
+            effects.append(SendDatagram(sender, reply))
+        return effects
+
+    def _take_sync_credit(self, now: float) -> bool:
+        """Bounds the tables sent a second, so that a fleet that starts at once gets through."""
+        elapsed = now - self._sync_credited_at
+        self._sync_credited_at = now
+        credit = self._sync_credit + elapsed * SYNC_DATAGRAMS_PER_SECOND
+        self._sync_credit = min(credit, float(SYNC_BURST_DATAGRAMS))
+        if self._sync_credit < 1.0:
+            return False
+        self._sync_credit -= 1.0
+        return True
 
     def on_sync_reply(self, now: float, sender: Address, message: SyncReply) -> list[Effect]:
         """Takes in part of another's table."""
         return self._merge_all(now, message.members)
 
-    def _send_table(self, address: Address) -> list[Effect]:
-        updates = [member.update() for member in self.members.values()]
-        size = SYNC_MEMBERS_PER_DATAGRAM
-        return [
-            SendDatagram(address, SyncReply(self.name, updates[first : first + size]))
-            for first in range(0, len(updates), size)
-        ]
-
     def _ping(self, sequence: int) -> Ping:
         return Ping(sequence, self.name, self.configuration_offset, self._take_gossip())
 
@@ -350,49 +322,74 @@
     def _merge(self, now: float, update: MemberUpdate) -> list[Effect]:
         state = MemberState[update.state.upper()]
         if update.name == self.name:
-            return self._refute(update.incarnation, state)
+            return self._refute(now, update.incarnation, state)
         member = self.members.get(update.name)
+        address = Address.parse(update.address)
         if member is None:
             if state is MemberState.DEAD:
                 return []
-            member = Member(update.name, -1, state, Address.parse(update.address), update.zone)
-            self.members[update.name] = member
+            return self._set(
+                now,
+                make_member(now, update.name, update.incarnation, state, address, update.zone),
+                None,
+            )
         # Legal only forward: a higher incarnation, or a worse state of the same one.
         if (update.incarnation, state) <= (member.incarnation, member.state):
             return []
-        if started_part(update.incarnation) != started_part(member.incarnation):
-            member.was_leaving = False
-        member.address = Address.parse(update.address)
-        return self._set_state(now, member, update.incarnation, state)
+        is_same_start = started_part(update.incarnation) == started_part(member.incarnation)
+        was_leaving = member.was_leaving and is_same_start
+        changed = make_member(
+            now, update.name, update.incarnation, state, address, update.zone, was_leaving
+        )
+        return self._set(now, changed, member)
 
-    def _refute(self, incarnation: int, state: MemberState) -> list[Effect]:
-        if (incarnation, state) <= (self._me.incarnation, self._me.state):
+    def _refute(self, now: float, incarnation: int, state: MemberState) -> list[Effect]:
+        me = self._me
+        if (incarnation, state) <= (me.incarnation, me.state):
             return []
-        self._me.incarnation = max(incarnation, self._me.incarnation) + 1
-        self._queue_gossip(self.name)
-        return [LogEvent("suspicion refuted", {"incarnation": self._me.incarnation})]
+        higher = max(incarnation, me.incarnation) + 1
+        self._change(now, me, higher, me.state)
+        line = LogEvent("suspicion refuted", {"incarnation": higher})
+        return [line, *self._tell_eagerly(True)]
 
-    def _set_state(
+    def _change(
         self, now: float, member: Member, incarnation: int, state: MemberState
     ) -> list[Effect]:
-        ensure(
-            (incarnation, state) > (member.incarnation, member.state),
-            "a member went back to an earlier state",
+        changed = make_member(
+            now,
+            member.name,
+            incarnation,
+            state,
+            member.address,
+            member.zone,
+            member.was_leaving,
         )
-        previous = member.state
-        member.incarnation = incarnation
-        member.state = state
-        member.changed_at = now
-        member.was_leaving = member.was_leaving or state is MemberState.LEAVING
-        self._serving_changed()
+        return self._set(now, changed, member)
+
+    def _set(self, now: float, member: Member, previous: Member | None) -> list[Effect]:
+        self.table.put(member)
         self._suspect_until.pop(member.name, None)
-        if state is MemberState.SUSPECT:
+        if member.state is MemberState.SUSPECT:
             self._suspect_until[member.name] = now + SUSPICION_SECONDS
+        if member.is_dead:
+            self._dead.pop(member.name, None)
+            self._dead[member.name] = now
         self._queue_gossip(member.name)
-        if previous is state:
+        if previous is not None and previous.state is member.state:
+            return []
+        fields: dict[str, str | int | float | bool] = {
+            "member": member.name,
+            "state": member.state.name.lower(),
+        }
+        line = LogEvent("member changed", fields)
+        return [line, *self._tell_eagerly(member.state >= MemberState.SUSPECT)]
+
+    def _tell_eagerly(self, is_urgent: bool) -> list[Effect]:
+        """Tells a few members at once, so that a death is known well before gossip ends."""
+        if not is_urgent:
             return []
-        fields = {"member": member.name, "state": state.name.lower()}
-        return [LogEvent("member changed", dict(fields))]
+        ping = self._ping(0)
+        return [SendDatagram(p.address, ping) for p in self.random_peers(EAGER_PEERS)]
 
     # Gossip.
 
@@ -401,8 +398,7 @@
         self._gossip[name] = max(count, GOSSIP_RETRANSMIT_FACTOR)
 
     def _take_gossip(self, about: str = "") -> list[MemberUpdate]:
-        chosen = sorted(self._gossip, key=lambda name: -self._gossip[name])
-        names = chosen[:GOSSIP_UPDATES_MOST]
+        names = heapq.nlargest(GOSSIP_UPDATES_MOST, self._gossip, key=self._gossip.__getitem__)
         for name in names:
             self._gossip[name] -= 1
             if self._gossip[name] <= 0:
@@ -410,21 +406,4 @@
         suspected = self.members.get(about)
         if suspected is not None and suspected.state is MemberState.SUSPECT:
             names.append(about)  # a suspect hears of it first, so that it can refute
-        return [self.members[name].update() for name in dict.fromkeys(names)]
-
-
-INCARNATION_STEP = 1 << 20
-"""Incarnations are `started * INCARNATION_STEP + refutations`."""
-
-
-def started_part(incarnation: int) -> int:
-    """Returns the part of an incarnation that tells one process start from another."""
-    return incarnation // INCARNATION_STEP
-
-
-def _is_serving(member: Member) -> bool:
-    return member.state in (MemberState.ALIVE, MemberState.SUSPECT) and not member.was_leaving
-
-
-def _is_dead(member: Member) -> bool:
-    return member.state is MemberState.DEAD
+        return [self.members[name].update for name in dict.fromkeys(names)]
--- a/tests/decisions/batch/test_owner.py
+++ b/tests/decisions/batch/test_owner.py
@@ -10,7 +10,8 @@
 from troutswitch.decisions.events import LogRead
 from troutswitch.decisions.logreader import LogReader
 from troutswitch.decisions.logwriter import LogWriter
-from troutswitch.decisions.membership import INCARNATION_STEP, Membership
+from troutswitch.decisions.members import INCARNATION_STEP
+from troutswitch.decisions.membership import Membership
 from troutswitch.logservice.records import (
     AttemptStarted,
     BatchItem,
