--- a/src/troutswitch/callers/batch_app.py
+++ b/src/troutswitch/callers/batch_app.py
@@ -20,6 +20,7 @@
     JobResultsAsked,
     JobSubmitted,
 )
+from troutswitch.logservice.records import content_digest
 from troutswitch.runtime.http import (
     Environ,
     Request,
@@ -74,11 +75,12 @@
         key = request.header("Idempotency-Key")
         service, items = parse_batch(request.body())
         self._context.check_service(service)
+        digest = content_digest(service, repeatable, items)
 
         def make(token: str, deadline: float) -> Event:
             due = self._context.now() + window
             return JobSubmitted(
-                token, tenant, service, key, items, due, repeatable, call_deadline=deadline
+                token, tenant, service, key, digest, items, due, repeatable, deadline
             )
 
         return _job_response(self._context.ask(make))
--- a/src/troutswitch/cli/daemon.py
+++ b/src/troutswitch/cli/daemon.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from troutswitch.runtime.logging import configure_logging
+from troutswitch.runtime.memory import freeze_startup_objects, limit_allocator_arenas
 from troutswitch.runtime.server import DaemonServer
 from troutswitch.runtime.settings import DaemonSettings, SettingsError, load_settings
 
@@ -51,6 +52,7 @@
 def daemon(settings_path: str | None, **flags: Any) -> None:
     """Run one daemon until SIGTERM, which stops it as planned."""
     settings = read_settings(settings_path, flags)
+    limit_allocator_arenas()
     logger = configure_logging(settings.log_level, settings.name)
     try:
         server = DaemonServer(settings, logger)
@@ -60,6 +62,7 @@
     signal.signal(signal.SIGTERM, lambda number, frame: asked.set())
     signal.signal(signal.SIGINT, lambda number, frame: asked.set())
     server.start()
+    freeze_startup_objects()
     while not asked.wait(0.5) and server.failure is None:
         pass
     if server.failure is None:
--- a/src/troutswitch/cli/load.py
+++ b/src/troutswitch/cli/load.py
@@ -9,7 +9,14 @@
 
 
 @click.command()
-@click.option("--target", default="127.0.0.1:8000", show_default=True, help="Callers' address.")
+@click.option(
+    "--target",
+    "targets",
+    multiple=True,
+    default=("127.0.0.1:8000",),
+    show_default=True,
+    help="Callers' address; may be repeated, streams take them in turn.",
+)
 @click.option("--model", required=True)
 @click.option("--streams", default=50, show_default=True, help="Concurrent streams.")
 @click.option("--tokens", default=64, show_default=True, help="Tokens an answer.")
@@ -18,7 +25,7 @@
 @click.option("--direct", is_flag=True, help="The target is an engine, not a daemon.")
 @click.option("--json", "as_json", is_flag=True)
 def load(
-    target: str,
+    targets: tuple[str, ...],
     model: str,
     streams: int,
     tokens: int,
@@ -28,8 +35,8 @@
     as_json: bool,
 ) -> None:
     """Run a bounded load and print what callers saw."""
-    address = parse_address(target)
-    plan = LoadPlan((address,), model, streams, tokens, requests, spread, direct)
+    addresses = tuple(parse_address(target) for target in targets)
+    plan = LoadPlan(addresses, model, streams, tokens, requests, spread, direct)
     report = run_load(plan)
     if as_json:
         click.echo(json.dumps(report.summary()))
--- a/src/troutswitch/cli/main.py
+++ b/src/troutswitch/cli/main.py
@@ -5,6 +5,7 @@
 import click
 
 from troutswitch import __version__
+from troutswitch.cli.bench import bench
 from troutswitch.cli.ctl import ctl
 from troutswitch.cli.daemon import daemon, settings
 from troutswitch.cli.demo import demo
@@ -20,7 +21,7 @@
     """Serving system for online and batch language-model inference on one fleet."""
 
 
-for command in (daemon, settings, ctl, demo, load, standin, simulate, experiment, scale):
+for command in (daemon, settings, ctl, demo, load, standin, simulate, experiment, scale, bench):
     cli.add_command(command)
 
 
--- a/src/troutswitch/cli/standin.py
+++ b/src/troutswitch/cli/standin.py
@@ -14,6 +14,7 @@
 from troutswitch.standins.platform import PlatformStandin
 
 REGISTER_TRIES = 50
+KV_TOKENS_A_SLOT = 5000
 REGISTER_SECONDS = 0.1
 
 
@@ -61,7 +62,8 @@
     address: str, name: str, zone: str, service: str, platform_address: str, slots: int
 ) -> None:
     """Run one engine and put it on the machine list."""
-    server = EngineStandin(parse_address(address), name, service, EngineShape(slots=slots))
+    shape = EngineShape(slots=slots, kv_tokens=slots * KV_TOKENS_A_SLOT)
+    server = EngineStandin(parse_address(address), name, service, shape)
     server.start()
     machine = Machine(name, "engine", server.address, zone, service, server.incarnation)
     register(parse_address(platform_address), machine)
--- a/src/troutswitch/decisions/batch/submission.py
+++ b/src/troutswitch/decisions/batch/submission.py
@@ -1,10 +1,7 @@
 """Submission and cancellation of batch jobs."""
 
-import hashlib
 import itertools
 
-import cbor2
-
 from troutswitch.common import stable_hash
 from troutswitch.constants import (
     CHUNK_ITEMS,
@@ -34,7 +31,6 @@
 from troutswitch.decisions.effects import AnswerCall, CallAnswer, CallRefused, Effect
 from troutswitch.decisions.events import JobSubmitted
 from troutswitch.logservice.records import (
-    BatchItem,
     ChunkSubmitted,
     JobCancelled,
     JobCommitted,
@@ -45,14 +41,6 @@
 JOB_ID_PREFIX = "batch_"
 
 
-def content_digest(service: str, repeatable: bool, items: tuple[BatchItem, ...]) -> str:
-    """Returns a digest of all that a submission asks for."""
-    digest = hashlib.sha256(cbor2.dumps([service, repeatable]))
-    for item in items:
-        digest.update(cbor2.dumps([item.custom_id, item.prompt, item.max_tokens]))
-    return digest.hexdigest()
-
-
 def job_id_of(shard: int, unique: int) -> str:
     """Returns a job id; it names the job's shard, so that any daemon finds it."""
     return f"{JOB_ID_PREFIX}{shard:04x}{unique:016x}"
@@ -96,7 +84,7 @@
 
     def prepare(self, now: float, call: JobSubmitted) -> "Submission":
         """Returns the call that submits the job."""
-        digest = content_digest(call.service, call.repeatable, call.items)
+        digest = call.content_digest
         identity = (
             f"{call.tenant}/key/{call.key}" if call.key else f"{call.tenant}/content/{digest}"
         )
@@ -160,7 +148,9 @@
         items = self._call.items
         job_id = self._commit.job_id
         chunks = [
-            ChunkSubmitted(job_id, index, list(items[index * CHUNK_ITEMS :][:CHUNK_ITEMS]))
+            ChunkSubmitted(
+                job_id, index, list(items[index * CHUNK_ITEMS : (index + 1) * CHUNK_ITEMS])
+            )
             for index in range(chunk_count(len(items)))
         ]
         return [*chunks, self._commit]
--- a/src/troutswitch/decisions/events.py
+++ b/src/troutswitch/decisions/events.py
@@ -153,12 +153,16 @@
 
 @dataclass(frozen=True, slots=True)
 class JobSubmitted:
-    """A caller submits a batch job. `token` names the call; `key` may be empty."""
+    """A caller submits a batch job. `token` names the call; `key` may be empty.
+
+    `content_digest` is made on the caller's thread, as it takes long for a large job.
+    """
 
     token: str
     tenant: str
     service: str
     key: str
+    content_digest: str
     items: tuple[BatchItem, ...]
     deadline: float
     repeatable: bool = True
--- a/src/troutswitch/logservice/records.py
+++ b/src/troutswitch/logservice/records.py
@@ -7,6 +7,7 @@
 is answered.
 """
 
+import hashlib
 import zlib
 from array import array
 
@@ -158,6 +159,14 @@
     """An entry that this version cannot read: malformed, or of a newer schema."""
 
 
+def content_digest(service: str, repeatable: bool, items: tuple[BatchItem, ...]) -> str:
+    """Returns a digest of all that a submission asks for."""
+    digest = hashlib.sha256(cbor2.dumps([service, repeatable]))
+    for item in items:
+        digest.update(cbor2.dumps([item.custom_id, item.prompt, item.max_tokens]))
+    return digest.hexdigest()
+
+
 def pack_offsets(offsets: "array[int]") -> bytes:
     """Packs log offsets (unsigned 64-bit) into compressed bytes."""
     return zlib.compress(offsets.tobytes(), 6)
--- a/src/troutswitch/simulation/callers.py
+++ b/src/troutswitch/simulation/callers.py
@@ -16,7 +16,7 @@
     JobSubmitted,
     OnlineArrived,
 )
-from troutswitch.logservice.records import BatchItem
+from troutswitch.logservice.records import BatchItem, content_digest
 from troutswitch.outcomes import NotRun, OnlineOutcome
 from troutswitch.simulation.clock import VirtualClock
 from troutswitch.simulation.daemon import SimulatedDaemon
@@ -207,8 +207,9 @@
             return
         now = self._clock.now()
         token = self._token()
+        digest = content_digest(self._scenario.service, record.repeatable, items)
         event = JobSubmitted(
-            token, JOB_TENANT, self._scenario.service, key, items, now + DAY_SECONDS,
+            token, JOB_TENANT, self._scenario.service, key, digest, items, now + DAY_SECONDS,
             record.repeatable, now + CALL_SECONDS,
         )  # fmt: skip
 
