A yielded batch item goes on where it was; smaller reserve and window

Cause: stewards keep slots free for a peak over 4 s, and a yielded item began anew. Change: a cancelled or cut attempt's partial answer is kept by the owner, bounded, and the next attempt continues it; window 0.2 s, reserve 0.04 (one slot of 24).

--- a/src/troutswitch/constants.py
+++ b/src/troutswitch/constants.py
@@ -49,6 +49,8 @@
 """Writers whose last sequence number a fold remembers."""
 CHUNK_CACHE_ENTRIES = 32
 """Chunk records an owner keeps decoded while it dispatches their items."""
+PARTIALS_KEPT = 256
+"""Partial answers of yielded items that a shard owner keeps."""
 ITEM_RETRY_FIRST_SECONDS = 0.2
 """Delay before an item that failed is dispatched again."""
 ITEM_RETRY_MOST_SECONDS = 5.0
@@ -81,7 +83,7 @@
 """Engines asked in one round."""
 FIRM_SHARE = 0.25
 """Share of an engine's slots for batch items not to be repeated, which cannot yield."""
-ONLINE_WINDOW_SECONDS = 4.0
+ONLINE_WINDOW_SECONDS = 0.2
 """Window over which a steward takes the peak of online work."""
 
 # Machine list.
--- a/src/troutswitch/decisions/batch/dispatcher.py
+++ b/src/troutswitch/decisions/batch/dispatcher.py
@@ -265,6 +265,8 @@
             job.job_id,
             handout.item,
             grant.priority,
+            handout.partial.position,
+            handout.partial.text,
         )
 
     # The end of an attempt.
@@ -278,7 +280,7 @@
         effects = self._learn(now, item, event)
         owner = self._shards.owners.get(item.shard)
         if owner is not None and owner.epoch == item.epoch:
-            effects.extend(owner.on_attempt_ended(now, item.reference, event.kind, event.body))
+            effects.extend(owner.on_attempt_ended(now, item.reference, event))
         return effects + self.fill(now)
 
     def _forget_on_engine(self, item: RunningItem) -> None:
--- a/src/troutswitch/decisions/batch/owner.py
+++ b/src/troutswitch/decisions/batch/owner.py
@@ -14,6 +14,7 @@
     CHUNK_ITEMS,
     ITEM_RETRY_FIRST_SECONDS,
     ITEM_RETRY_MOST_SECONDS,
+    PARTIALS_KEPT,
     RENEW_SECONDS,
     SNAPSHOT_EVERY_ENTRIES,
 )
@@ -28,7 +29,7 @@
 from troutswitch.decisions.batch.jobs import ItemState, Job
 from troutswitch.decisions.batch.replica import ShardReplica, shard_stream
 from troutswitch.decisions.effects import Effect
-from troutswitch.decisions.events import LogRead, LogReadFailed
+from troutswitch.decisions.events import BatchAttemptEnded, LogRead, LogReadFailed
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.logreader import LogReader
 from troutswitch.decisions.logwriter import LogWriter
@@ -55,12 +56,24 @@
     index: int
 
 
+@dataclass(frozen=True, slots=True)
+class PartialAnswer:
+    """What an attempt that was cancelled or cut had generated: `position` tokens."""
+
+    position: int
+    text: str
+
+
+NOTHING_YET = PartialAnswer(0, "")
+
+
 @dataclass(frozen=True, slots=True)
 class Handout:
-    """An item that may run now."""
+    """An item that may run now, going on from an earlier attempt's partial answer."""
 
     reference: ItemReference
     item: BatchItem
+    partial: PartialAnswer
 
 
 @dataclass(slots=True)
@@ -99,6 +112,7 @@
         self._on_ready = on_ready
         self._progress: dict[str, JobProgress] = {}
         self._recording: set[ItemReference] = set()
+        self._partials: OrderedDict[ItemReference, PartialAnswer] = OrderedDict()
         self._chunks: OrderedDict[tuple[str, int], list[BatchItem]] = OrderedDict()
         self._chunks_wanted: set[tuple[str, int]] = set()
         self._renew_at = float("-inf")
@@ -240,7 +254,8 @@
         ensure(not job.state_of(index).is_final, "a finished item is handed out")
         ensure(index not in progress.out, "an item is handed out twice at once")
         progress.out.add(index)
-        return Handout(ItemReference(job.job_id, index), item), []
+        partial = self._partials.pop(ItemReference(job.job_id, index), NOTHING_YET)
+        return Handout(ItemReference(job.job_id, index), item, partial), []
 
     def _next_index(self, now: float, job: Job, progress: JobProgress) -> int | None:
         while progress.retries and progress.retries[0][0] <= now:
@@ -288,24 +303,32 @@
     # What became of an item.
 
     def on_attempt_ended(
-        self, now: float, reference: ItemReference, kind: AttemptKind, body: str
+        self, now: float, reference: ItemReference, event: BatchAttemptEnded
     ) -> list[Effect]:
-        """Records a result, or puts the item back."""
+        """Records a result, or puts the item back with what it had generated."""
         job = self.fold.jobs.get(reference.job_id)
         progress = self._progress.get(reference.job_id)
         if job is None or progress is None:
             return []  # cancelled or closed meanwhile: late results are not counted
-        match kind:
+        match event.kind:
             case AttemptKind.COMPLETED:
-                return self._record(reference, ItemState.COMPLETED, body)
+                return self._record(reference, ItemState.COMPLETED, event.body)
             case AttemptKind.REJECTED:
-                return self._record(reference, ItemState.FAILED, body)
+                return self._record(reference, ItemState.FAILED, event.body)
             case AttemptKind.CUT | AttemptKind.CANCELLED if not job.repeatable:
-                return self._record(reference, ItemState.MAY_HAVE_RUN, body)
+                return self._record(reference, ItemState.MAY_HAVE_RUN, event.body)
             case _:
-                self._put_back(now, progress, reference.index, kind)
+                self._keep_partial(reference, PartialAnswer(event.position, event.partial))
+                self._put_back(now, progress, reference.index, event.kind)
                 return []
 
+    def _keep_partial(self, reference: ItemReference, partial: PartialAnswer) -> None:
+        if partial.position == 0:
+            return
+        self._partials[reference] = partial
+        if len(self._partials) > PARTIALS_KEPT:
+            self._partials.popitem(last=False)
+
     def _record(self, reference: ItemReference, state: ItemState, body: str) -> list[Effect]:
         self._recording.add(reference)
         record = ItemFinished(
--- a/src/troutswitch/decisions/configuration/keys.py
+++ b/src/troutswitch/decisions/configuration/keys.py
@@ -39,7 +39,7 @@
     routing_policy: RoutingPolicyName = "prefix_aware"
     batch_policy: BatchPolicyName = "stewarded"
     batch_fixed_share: Share = 0.5
-    batch_reserve_share: Share = 0.1
+    batch_reserve_share: Share = 0.04
     batch_slots_most: Count = 1_000_000
     online_concurrency: Count = 1000
     engine_queue_most: Count = 64
--- a/src/troutswitch/decisions/effects.py
+++ b/src/troutswitch/decisions/effects.py
@@ -80,7 +80,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StartBatchAttempt:
-    """Run a batch item; answered by `BatchAttemptEnded`. Lower `priority` runs first."""
+    """Run a batch item; answered by `BatchAttemptEnded`. Lower `priority` runs first.
+
+    The engine goes on at token `position`, after `text_so_far` of an earlier attempt.
+    """
 
     attempt_id: str
     engine: str
@@ -89,6 +92,8 @@
     job_id: str
     item: BatchItem
     priority: int
+    position: int = 0
+    text_so_far: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/events.py
+++ b/src/troutswitch/decisions/events.py
@@ -143,12 +143,17 @@
 
 @dataclass(frozen=True, slots=True)
 class BatchAttemptEnded:
-    """A batch attempt ended; `body` is the answer if it completed, else the reason."""
+    """A batch attempt ended; `body` is the answer if it completed, else the reason.
+
+    If it did not complete, `partial` is the answer's text up to token `position`.
+    """
 
     attempt_id: str
     kind: AttemptKind
     body: str
     leaving: bool = False
+    position: int = 0
+    partial: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/engines/assembler.py
+++ b/src/troutswitch/engines/assembler.py
@@ -23,8 +23,8 @@
     attempts at the same request.
     """
 
-    def __init__(self) -> None:
-        self.position = 0
+    def __init__(self, position: int = 0) -> None:
+        self.position = position
         self.length: int | None = None
         self._ahead: dict[int, str] = {}
 
--- a/src/troutswitch/engines/client.py
+++ b/src/troutswitch/engines/client.py
@@ -102,6 +102,7 @@
         self.close()
         if response.status in (400, 404, 413, 422):
             raise StreamEnded(AttemptKind.REJECTED, refusal.reason or f"status {response.status}")
+        self.is_leaving = self.is_leaving or refusal.leaving
         kind = AttemptKind.REFUSED if refusal.not_run else AttemptKind.CUT
         reason = refusal.reason or f"status {response.status}"
         raise StreamEnded(kind, reason, refusal.leaving, refusal.retry_after)
--- a/src/troutswitch/runtime/effects.py
+++ b/src/troutswitch/runtime/effects.py
@@ -198,21 +198,35 @@
 
     def _run_batch(self, effect: StartBatchAttempt) -> Event:
         stream = EngineStream(effect.address, BATCH_TIME_LIMIT_SECONDS)
-        assembler = AnswerAssembler()
-        texts: list[str] = []
-        order = CompletionOrder(
-            effect.attempt_id, effect.item.prompt, effect.item.max_tokens, effect.priority
-        )
+        assembler = AnswerAssembler(effect.position)
+        texts = [effect.text_so_far]
         try:
-            stream.open(order)
+            stream.open(_batch_order(effect))
             for pieces in stream.pieces():
                 texts.append(assembler.accept(pieces, effect.attempt_id))
+            kind = AttemptKind.COMPLETED if assembler.is_whole else AttemptKind.CUT
+            reason = "pieces are missing"
         except StreamEnded as error:
-            return BatchAttemptEnded(effect.attempt_id, error.kind, error.reason, error.leaving)
+            kind, reason = error.kind, error.reason
         except BrokenStream as error:
-            return BatchAttemptEnded(effect.attempt_id, ending_of(error), error.reason)
+            texts.append(error.released)
+            kind, reason = ending_of(error), error.reason
         except ForeignPiece as error:
-            return BatchAttemptEnded(effect.attempt_id, AttemptKind.CUT, str(error))
-        if not assembler.is_whole:
-            return BatchAttemptEnded(effect.attempt_id, AttemptKind.CUT, "pieces are missing")
-        return BatchAttemptEnded(effect.attempt_id, AttemptKind.COMPLETED, "".join(texts))
+            kind, reason = AttemptKind.CUT, str(error)
+        text = "".join(texts)
+        if kind is AttemptKind.COMPLETED:
+            return BatchAttemptEnded(effect.attempt_id, kind, text, stream.is_leaving)
+        return BatchAttemptEnded(
+            effect.attempt_id, kind, reason, stream.is_leaving, assembler.position, text
+        )
+
+
+def _batch_order(effect: StartBatchAttempt) -> CompletionOrder:
+    return CompletionOrder(
+        effect.attempt_id,
+        effect.item.prompt,
+        effect.item.max_tokens,
+        effect.priority,
+        effect.position,
+        effect.text_so_far,
+    )
--- a/src/troutswitch/simulation/daemon.py
+++ b/src/troutswitch/simulation/daemon.py
@@ -335,12 +335,14 @@
             self._batch_streams.pop(effect.attempt_id, None)
             body = f"answer to {effect.item.custom_id}"
             text = body if end.kind is AttemptKind.COMPLETED else end.reason
-            self.post(BatchAttemptEnded(effect.attempt_id, end.kind, text, end.leaving))
+            self.post(
+                BatchAttemptEnded(effect.attempt_id, end.kind, text, end.leaving, end.generated)
+            )
 
         self._world.engines[effect.engine].submit(
             self.zone, effect.attempt_id, effect.item.custom_id, effect.incarnation,
             effect.priority, estimate_tokens(effect.item.prompt), effect.item.max_tokens,
-            "", 0, lambda leaving: None, on_end,
+            "", effect.position, lambda leaving: None, on_end,
         )  # fmt: skip
 
     def _cancel(self, effect: CancelAttempt) -> None:
--- a/tests/decisions/batch/test_owner.py
+++ b/tests/decisions/batch/test_owner.py
@@ -7,7 +7,7 @@
 from troutswitch.decisions.batch.ownership import Ownership
 from troutswitch.decisions.batch.replica import ShardReplica, shard_stream
 from troutswitch.decisions.effects import AppendToLog, Effect, ReadLog
-from troutswitch.decisions.events import LogRead
+from troutswitch.decisions.events import BatchAttemptEnded, LogRead
 from troutswitch.decisions.logreader import LogReader
 from troutswitch.decisions.logwriter import LogWriter
 from troutswitch.decisions.members import INCARNATION_STEP
@@ -112,13 +112,15 @@
     shard.carry_out(fetch)
     first, _ = owner.take_item(NOW, job)
     assert first is not None
-    owner.on_attempt_ended(NOW, first.reference, AttemptKind.CANCELLED, "")
+    cut = BatchAttemptEnded("a", AttemptKind.CANCELLED, "yielded", False, 7, "half an")
+    owner.on_attempt_ended(NOW, first.reference, cut)
     again, _ = owner.take_item(NOW, job)
     assert again is not None and again.reference == first.reference
-    shard.carry_out(owner.on_attempt_ended(NOW, again.reference, AttemptKind.COMPLETED, "answer"))
-    shard.carry_out(
-        owner.on_attempt_ended(NOW, ItemReference("job", 0), AttemptKind.COMPLETED, "late")
-    )
+    assert (again.partial.position, again.partial.text) == (7, "half an")
+    done = BatchAttemptEnded("b", AttemptKind.COMPLETED, "half an answer")
+    late = BatchAttemptEnded("c", AttemptKind.COMPLETED, "late")
+    shard.carry_out(owner.on_attempt_ended(NOW, again.reference, done))
+    shard.carry_out(owner.on_attempt_ended(NOW, ItemReference("job", 0), late))
     assert job.completed == 1
 
 
