--- a/src/troutswitch/constants.py
+++ b/src/troutswitch/constants.py
@@ -60,11 +60,13 @@
 ENGINE_FRESH_SECONDS = 1.5
 """An engine not heard from for this long is asked before new work is sent to it."""
 ENGINE_POLL_SECONDS = 0.5
-"""Interval between load polls of an engine in use or stewarded."""
+"""Least interval between load polls of an engine."""
+POLLS_PER_SECOND = 25.0
+"""Load polls a daemon makes a second; more engines are polled less often each."""
 LOAD_LAG_SECONDS = 0.3
 """Time by which an engine's load report may be older than its answer."""
 ENGINE_IN_USE_SECONDS = 5.0
-"""An engine counts as in use this long after work was sent to it."""
+"""A service counts as in use this long after work for it arrived."""
 ENGINE_SUBSET = 32
 """Engines of one service that one gateway sends work to."""
 EJECT_AFTER_FAILURES = 3
--- a/src/troutswitch/decisions/batch/dispatcher.py
+++ b/src/troutswitch/decisions/batch/dispatcher.py
@@ -204,7 +204,7 @@
             free = grant.slots - (len(work.running) if work is not None else 0)
             if free <= 0:
                 continue
-            engine.used_at = now
+            self._engines.on_service_used(now, engine.service)
             if not self._engines.is_fresh(now, engine):
                 effects.extend(self._engines.poll(now, engine))
             elif engine.incarnation == grant.incarnation:
--- a/src/troutswitch/decisions/engines.py
+++ b/src/troutswitch/decisions/engines.py
@@ -22,6 +22,7 @@
     ENGINE_POLL_SECONDS,
     ENGINE_SUBSET,
     LOAD_LAG_SECONDS,
+    POLLS_PER_SECOND,
 )
 from troutswitch.daemons.messages import EngineLeaving
 from troutswitch.decisions.effects import Effect, LogEvent, PollEngine, SendDatagram
@@ -51,7 +52,6 @@
     incarnation: str = ""
     load: EngineLoad | None = None
     confirmed_at: float = float("-inf")
-    used_at: float = float("-inf")
     poll_at: float = float("-inf")
     asked_at: float = float("-inf")
     is_polling: bool = False
@@ -93,6 +93,8 @@
         self._load_hooks: list[EngineHook] = []
         self._stewarded: Callable[[str], bool] = lambda name: False
         self._subsets: dict[str, list[str]] = {}
+        self._service_used_at: dict[str, float] = {}
+        self._poll_interval = ENGINE_POLL_SECONDS
         self._active: list[Engine] = []
         self._active_until = float("-inf")
         self._tick_at = float("-inf")
@@ -170,16 +172,28 @@
         effects: list[Effect] = []
         for engine in self._active:
             if engine.poll_at <= now:
-                engine.poll_at = now + ENGINE_POLL_SECONDS
+                engine.poll_at = now + self._poll_interval
                 effects.extend(self.poll(now, engine))
         return effects
 
     def _choose_active(self, now: float) -> None:
-        self._active = [
-            engine
-            for engine in self.engines.values()
-            if now - engine.used_at < ENGINE_IN_USE_SECONDS or self._stewarded(engine.name)
-        ]
+        """Chooses the engines to poll: those stewarded, and all of a service in use.
+
+        All of them, not only those that get work: a gateway that knew few engines as
+        fresh sent everything to these, and so never heard of the others.
+        """
+        names = {name for name in self.engines if self._stewarded(name)}
+        for service, used_at in self._service_used_at.items():
+            if now - used_at < ENGINE_IN_USE_SECONDS:
+                names.update(self._subset(service))
+        self._active = [self.engines[name] for name in sorted(names) if name in self.engines]
+        self._poll_interval = max(ENGINE_POLL_SECONDS, len(self._active) / POLLS_PER_SECOND)
+
+    def on_service_used(self, now: float, service: str) -> None:
+        """Work for a service arrived here; its engines are polled from now on."""
+        if now - self._service_used_at.get(service, float("-inf")) >= ENGINE_IN_USE_SECONDS:
+            self._active_until = now
+        self._service_used_at[service] = now
 
     def poll(self, now: float, engine: Engine) -> list[Effect]:
         """Asks an engine for its load, unless it is being asked."""
@@ -195,7 +209,7 @@
         if engine is None:
             return []
         engine.is_polling = False
-        engine.poll_at = now + ENGINE_POLL_SECONDS
+        engine.poll_at = now + self._poll_interval
         effects: list[Effect] = []
         if event.load is None:
             self._failed(now, engine)
@@ -220,7 +234,6 @@
 
     def on_sent(self, now: float, engine: Engine) -> None:
         """An online request was sent to the engine."""
-        engine.used_at = now
         engine.online_in_flight += 1
         engine.sends.append(now)
 
--- a/src/troutswitch/decisions/online.py
+++ b/src/troutswitch/decisions/online.py
@@ -131,6 +131,7 @@
     def on_arrived(self, now: float, event: OnlineArrived) -> list[Effect]:
         """Admits a request and starts it, or refuses it at once."""
         self.counts.arrived += 1
+        self._engines.on_service_used(now, event.service)
         refusal = self._why_refused(now, event)
         if refusal is not None:
             self.counts.refused += 1
@@ -219,7 +220,6 @@
         self._wake_up_at(request, request.probe_until)
         effects: list[Effect] = []
         for engine in candidates[:4]:
-            engine.used_at = now
             effects.extend(self._engines.poll(now, engine))
         return effects
 
--- a/src/troutswitch/decisions/routing.py
+++ b/src/troutswitch/decisions/routing.py
@@ -4,6 +4,7 @@
 from abc import ABC, abstractmethod
 
 from troutswitch.common import stable_hash
+from troutswitch.constants import FIRM_SHARE
 from troutswitch.decisions.configuration.keys import RoutingPolicyName
 from troutswitch.decisions.engines import Engine
 
@@ -88,7 +89,10 @@
         if not prefix:
             return self._fallback.choose(prefix, candidates, zone, gateways, rng)
         least = min(engine.online_load for engine in candidates)
-        bound = PREFIX_LOAD_SLACK * least + 1 + candidates[0].slots * PREFIX_SLOT_SLACK
+        slots = candidates[0].slots
+        bound = PREFIX_LOAD_SLACK * least + 1 + slots * PREFIX_SLOT_SLACK
+        # Batch items that cannot yield may hold the rest of the slots.
+        bound = min(bound, slots * (1.0 - FIRM_SHARE) - 1)
         ordered = sorted(
             candidates, key=lambda engine: stable_hash(prefix, engine.name), reverse=True
         )
