--- a/src/troutswitch/simulation/experiment.py
+++ b/src/troutswitch/simulation/experiment.py
@@ -108,7 +108,7 @@
 
     def measure(self) -> PolicyRun:
         """Runs load for its time and takes the figures."""
-        self.clock.run_until(self._ends_at)
+        self.clock.run_until(self.ends_at)
         data = self.run_data
         result = data.result
         seconds = self.options.seconds
--- a/src/troutswitch/simulation/world.py
+++ b/src/troutswitch/simulation/world.py
@@ -90,10 +90,10 @@
         )
         self._make_engines()
         self._make_daemons()
-        self._ends_at = self.clock.now() + WARM_UP_SECONDS + options.seconds
+        self.ends_at = self.clock.now() + WARM_UP_SECONDS + options.seconds
         self.faults: Faults | None = None
         self.operators = Operators(
-            self.clock, self.observer, self._choose, stream_of(seed, "operators"), self._ends_at
+            self.clock, self.observer, self._choose, stream_of(seed, "operators"), self.ends_at
         )
         self.clock.call_later(WARM_UP_SECONDS, self._begin)
         self.clock.call_later(LOOK_SECONDS, self._look)
@@ -166,7 +166,7 @@
             self.observer,
             self._choose,
             stream_of(seed, "online"),
-            self._ends_at,
+            self.ends_at,
         )
         self.batch_callers = BatchCallers(
             self.scenario,
@@ -174,10 +174,10 @@
             self.observer,
             self._choose,
             stream_of(seed, "batch"),
-            self._ends_at,
+            self.ends_at,
             resends,
         )
-        self.faults = Faults(self, self.options.faults, stream_of(seed, "faults"), self._ends_at)
+        self.faults = Faults(self, self.options.faults, stream_of(seed, "faults"), self.ends_at)
 
     def _choose(self) -> SimulatedDaemon | None:
         """Chooses a daemon as a caller's balancer does: any that says it is ready."""
@@ -238,7 +238,7 @@
 
     def run(self) -> WorldReport:
         """Runs load and faults, lets everything settle, and checks every promise."""
-        self.clock.run_until(self._ends_at)
+        self.clock.run_until(self.ends_at)
         self._settle()
         self.observer.check_online()
         self.observer.check_jobs()
@@ -308,6 +308,9 @@
                 "batch_cancelled_jobs": sum(1 for job in jobs if job.cancel_asked),
                 "log_entries": sum(len(e) for e in self.platform.log.streams.values()),
                 "log_bytes": self.platform.log.appended_bytes,
+                "batch_yielded": sum(
+                    daemon.core.dispatcher.counts.yielded for daemon in self.daemons.values()
+                ),
                 "waits_behind_batch": observer.waits_behind_batch,
                 "longest_wait_behind_batch": round(observer.longest_wait_behind_batch, 3),
                 "batch_may_have_run": sum(
