--- a/src/troutswitch/cli/ctl.py
+++ b/src/troutswitch/cli/ctl.py
@@ -7,6 +7,7 @@
 import uuid
 from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
 import click
 import msgspec
@@ -18,7 +19,7 @@
     changes_between,
     read_declarations,
 )
-from troutswitch.decisions.configuration.tree import ConfigurationTree
+from troutswitch.decisions.configuration.tree import ConfigurationTree, place_of
 from troutswitch.logservice.records import ConfigurationChange
 from troutswitch.runtime.http import ConnectionPool, HttpError
 
@@ -87,6 +88,34 @@
         )
 
 
+@ctl.group()
+def jobs() -> None:
+    """Show and cancel batch jobs."""
+
+
+def _show_job(view: dict[str, Any]) -> None:
+    done = f"{view['completed']} completed, {view['failed']} failed of {view['total']}"
+    click.echo(f"{view['job_id']}  {view['status']}  {view['service']}  {done}")
+
+
+@jobs.command(name="show")
+@click.argument("job_id")
+@click.option("--tenant", default="anonymous", show_default=True)
+@click.pass_obj
+def show_job(client: OperatorClient, job_id: str, tenant: str) -> None:
+    """Show a job's state."""
+    _show_job(client.call("GET", f"/jobs/{quote(job_id)}?tenant={quote(tenant)}"))
+
+
+@jobs.command(name="cancel")
+@click.argument("job_id")
+@click.option("--tenant", default="anonymous", show_default=True)
+@click.pass_obj
+def cancel_job(client: OperatorClient, job_id: str, tenant: str) -> None:
+    """Cancel a job."""
+    _show_job(client.call("POST", f"/jobs/{quote(job_id)}/cancel?tenant={quote(tenant)}"))
+
+
 @ctl.group()
 def config() -> None:
     """Plan, apply and read the configuration."""
@@ -116,6 +145,22 @@
         click.echo(f"  {change.path}: {change.key} = {value}")
 
 
+def _show_effect(client: OperatorClient, changes: list[ConfigurationChange]) -> None:
+    """Shows, for each changed path, the value in force there before and after."""
+    before = _tree_of(client.call("GET", "/configuration"))
+    after = before.copy()
+    for change in changes:
+        after.apply(change)
+    for change in changes:
+        place = place_of(change.path)
+        old = before.effective(*place)[change.key]
+        new = after.effective(*place)[change.key]
+        click.echo(
+            f"  in force at {change.path}: {change.key} {json.dumps(old.value)} "
+            f"({old.source}) -> {json.dumps(new.value)} ({new.source})"
+        )
+
+
 @config.command()
 @click.argument("directory")
 @click.pass_obj
@@ -124,6 +169,7 @@
     version, changes = _plan(client, directory)
     click.echo(f"against version {version}:")
     _show_changes(changes)
+    _show_effect(client, changes)
 
 
 @config.command()
--- a/src/troutswitch/operators/app.py
+++ b/src/troutswitch/operators/app.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from troutswitch.callers.context import CallerContext
+from troutswitch.callers.context import ANONYMOUS_TENANT, CallerContext
 from troutswitch.callers.errors import bad_request, refused_call
 from troutswitch.callers.parsing import BadInput
 from troutswitch.decisions.effects import CallAnswer, CallRefused
@@ -12,6 +12,8 @@
     ConfigurationSubmitted,
     EffectiveAsked,
     HistoryAsked,
+    JobAsked,
+    JobCancelAsked,
     StatusAsked,
     TreeAsked,
 )
@@ -26,6 +28,8 @@
 )
 
 HISTORY_LIMIT = 100
+JOBS_PATH = "/jobs/"
+CANCEL_SUFFIX = "/cancel"
 
 
 class ChangeBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -73,9 +77,22 @@
                 return _told(self._context.ask(lambda token, _: HistoryAsked(token, HISTORY_LIMIT)))
             case ("POST", "/configuration"):
                 return self._publish(request)
+            case ("GET", path) if path.startswith(JOBS_PATH):
+                return self._job(request, path.removeprefix(JOBS_PATH), JobAsked)
+            case ("POST", path) if path.startswith(JOBS_PATH) and path.endswith(CANCEL_SUFFIX):
+                job_id = path.removeprefix(JOBS_PATH).removesuffix(CANCEL_SUFFIX)
+                return self._job(request, job_id, JobCancelAsked)
             case _:
                 return bad_request("unknown path", 404)
 
+    def _job(
+        self, request: Request, job_id: str, kind: type[JobAsked] | type[JobCancelAsked]
+    ) -> Response:
+        tenant = request.query("tenant", ANONYMOUS_TENANT)
+        return _told(
+            self._context.ask(lambda token, deadline: kind(token, tenant, job_id, deadline))
+        )
+
     def _effective(self, request: Request) -> Response:
         zone, service, tenant = (request.query(key) for key in ("zone", "service", "tenant"))
         return _told(
--- /dev/null
+++ b/tests/decisions/configuration/test_declarations.py
@@ -0,0 +1,51 @@
+"""Declarations kept in version control."""
+
+from pathlib import Path
+
+import pytest
+
+from troutswitch.decisions.configuration.declarations import (
+    DeclarationError,
+    changes_between,
+    read_declarations,
+)
+from troutswitch.decisions.configuration.tree import ConfigurationTree, place_of
+from troutswitch.runtime.settings import load_settings
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+
+
+@pytest.mark.parametrize("name", ["quetzal", "ndiaye"])
+def test_the_examples_are_valid(name: str) -> None:
+    tree = read_declarations(EXAMPLES / name / "configuration")
+    assert changes_between(ConfigurationTree(), tree)
+    assert changes_between(tree, tree) == []
+    assert load_settings(EXAMPLES / name / "daemon.toml", {}).shard_count == 16
+
+
+@pytest.mark.parametrize(
+    ("text", "reason"),
+    [
+        ('["zone/"]\nbatch_policy = "none"\n', "not a path"),
+        ("[root]\ncolour = 1\n", "unknown key"),
+        ("[root]\nbatch_fixed_share = 2.0\n", "batch_fixed_share"),
+        ("root = 1\n", "a table is expected"),
+        ("[root\n", "Expected"),
+    ],
+)
+def test_bad_declarations_name_the_file_and_the_reason(
+    tmp_path: Path, text: str, reason: str
+) -> None:
+    file = tmp_path / "bad.toml"
+    file.write_text(text)
+    with pytest.raises(DeclarationError, match=reason) as caught:
+        read_declarations(tmp_path)
+    assert str(file) in str(caught.value)
+
+
+def test_what_is_taken_out_is_unset_and_places_are_read_from_paths() -> None:
+    before = read_declarations(EXAMPLES / "quetzal" / "configuration")
+    changes = changes_between(before, ConfigurationTree())
+    assert all(change.value is None for change in changes)
+    assert place_of("zone/a/service/b") == ("a", "b", "")
+    assert place_of("root") == ("", "", "")
