--- a/src/troutswitch/callers/batch_app.py
+++ b/src/troutswitch/callers/batch_app.py
@@ -1,8 +1,6 @@
 """WSGI application for batch callers: submit, status, results and cancellation."""
 
-from collections.abc import Iterable
-
-from troutswitch.callers.context import CallerContext
+from troutswitch.callers.context import CallApplication
 from troutswitch.callers.errors import bad_request, refused_call
 from troutswitch.callers.parsing import BadInput, parse_batch, parse_window, to_json_lines
 from troutswitch.decisions.batch.results import RESULTS_MOST
@@ -22,12 +20,9 @@
 )
 from troutswitch.logservice.records import content_digest
 from troutswitch.runtime.http import (
-    Environ,
     Request,
     Response,
-    StartResponse,
     json_response,
-    send,
 )
 
 DEFAULT_WINDOW = "24h"
@@ -35,22 +30,11 @@
 DUPLICATE_HEADER = "X-Duplicate-Of"
 
 
-class BatchApplication:
+class BatchApplication(CallApplication):
     """Serves batch callers of one daemon."""
 
-    def __init__(self, context: CallerContext) -> None:
-        self._context = context
-
-    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
-        """Handles one call."""
-        request = Request(environ)
-        try:
-            response = self._route(request)
-        except BadInput as error:
-            response = bad_request(str(error), error.status)
-        return send(response, start_response)
-
-    def _route(self, request: Request) -> Response:
+    def route(self, request: Request) -> Response:
+        """Returns the answer to a call."""
         parts = request.path.strip("/").split("/")
         match (request.method, parts):
             case ("POST", ["v1", "batches"]):
--- a/src/troutswitch/callers/context.py
+++ b/src/troutswitch/callers/context.py
@@ -3,17 +3,42 @@
 import hashlib
 import itertools
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from dataclasses import dataclass, field
 
+from troutswitch.callers.errors import bad_request
 from troutswitch.callers.parsing import BadInput
 from troutswitch.decisions.effects import CallAnswer, CallRefused
 from troutswitch.decisions.events import Event
 from troutswitch.decisions.views import Directory
 from troutswitch.outcomes import Step
 from troutswitch.runtime.effects import EffectRunner
-from troutswitch.runtime.http import Request
+from troutswitch.runtime.http import Environ, Request, Response, StartResponse, send
+
+
+class CallApplication:
+    """A WSGI application whose answers are whole; subclasses route the calls."""
+
+    def __init__(self, context: "CallerContext") -> None:
+        self._context = context
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Handles one call; bad input gets a clear refusal."""
+        try:
+            response = self.route(Request(environ))
+        except BadInput as error:
+            response = bad_request(str(error), error.status)
+        return send(response, start_response)
+
+    def route(self, request: Request) -> Response:
+        """Returns the answer to a call.
+
+        Raises:
+            BadInput: the call is at fault.
+        """
+        raise NotImplementedError
+
 
 ANONYMOUS_TENANT = "anonymous"
 CALL_SECONDS = 30.0
--- a/src/troutswitch/decisions/daemon.py
+++ b/src/troutswitch/decisions/daemon.py
@@ -13,7 +13,13 @@
 from troutswitch.common import Address
 from troutswitch.constants import CONFIGURATION_STREAM
 from troutswitch.daemons import messages
-from troutswitch.decisions.batch.calls import CallContext, JobQuestion, WaitingCalls, unknown_job
+from troutswitch.decisions.batch.calls import (
+    CallContext,
+    JobCall,
+    JobQuestion,
+    WaitingCalls,
+    unknown_job,
+)
 from troutswitch.decisions.batch.claims import ClaimOutcome, OnceClaim
 from troutswitch.decisions.batch.dispatcher import BatchDispatcher
 from troutswitch.decisions.batch.ownership import Ownership
@@ -283,41 +289,55 @@
         return self.calls.start(now, self._submissions.prepare(now, event))
 
     def _on_job_asked(self, now: float, event: JobAsked) -> list[Effect]:
-        shard = shard_of_job(event.job_id, self.identity.shard_count)
-        if shard is None:
-            return [AnswerCall(event.token, unknown_job(event.job_id))]
-        call = JobQuestion(event.token, event.tenant, event.job_id, shard, event.call_deadline)
-        return self.calls.start(now, call.started_at(now))
+        return self._about_job(
+            now,
+            event,
+            lambda shard: JobQuestion(
+                event.token, event.tenant, event.job_id, shard, event.call_deadline
+            ),
+        )
 
     def _on_job_cancel_asked(self, now: float, event: JobCancelAsked) -> list[Effect]:
-        shard = shard_of_job(event.job_id, self.identity.shard_count)
-        if shard is None:
-            return [AnswerCall(event.token, unknown_job(event.job_id))]
-        call = Cancellation(
-            self._context,
-            event.token,
-            event.tenant,
-            event.job_id,
-            shard,
-            event.call_deadline,
+        return self._about_job(
+            now,
+            event,
+            lambda shard: Cancellation(
+                self._context,
+                event.token,
+                event.tenant,
+                event.job_id,
+                shard,
+                event.call_deadline,
+            ),
         )
-        return self.calls.start(now, call.started_at(now))
 
     def _on_job_results_asked(self, now: float, event: JobResultsAsked) -> list[Effect]:
+        return self._about_job(
+            now,
+            event,
+            lambda shard: ResultsRead(
+                self._context,
+                event.token,
+                event.tenant,
+                event.job_id,
+                shard,
+                event.call_deadline,
+                event.first,
+                event.limit,
+            ),
+        )
+
+    def _about_job(
+        self,
+        now: float,
+        event: JobAsked | JobCancelAsked | JobResultsAsked,
+        make_call: Callable[[int], JobCall],
+    ) -> list[Effect]:
+        """Starts a call about a job on the shard that the job's id names."""
         shard = shard_of_job(event.job_id, self.identity.shard_count)
         if shard is None:
             return [AnswerCall(event.token, unknown_job(event.job_id))]
-        call = ResultsRead(
-            self._context,
-            event.token,
-            event.tenant,
-            event.job_id,
-            shard,
-            event.call_deadline,
-            event.first,
-            event.limit,
-        )
-        return self.calls.start(now, call.started_at(now))
+        return self.calls.start(now, make_call(shard).started_at(now))
 
     # Operators.
 
--- a/src/troutswitch/operators/app.py
+++ b/src/troutswitch/operators/app.py
@@ -1,10 +1,8 @@
 """WSGI application for operators: configuration, history, jobs and status."""
 
-from collections.abc import Iterable
-
 import msgspec
 
-from troutswitch.callers.context import ANONYMOUS_TENANT, CallerContext
+from troutswitch.callers.context import ANONYMOUS_TENANT, CallApplication
 from troutswitch.callers.errors import bad_request, refused_call
 from troutswitch.callers.parsing import BadInput
 from troutswitch.decisions.effects import CallAnswer, CallRefused
@@ -19,12 +17,9 @@
 )
 from troutswitch.logservice.records import ConfigurationChange
 from troutswitch.runtime.http import (
-    Environ,
     Request,
     Response,
-    StartResponse,
     json_response,
-    send,
 )
 
 HISTORY_LIMIT = 100
@@ -50,22 +45,11 @@
     changes: list[ChangeBody]
 
 
-class OperatorApplication:
+class OperatorApplication(CallApplication):
     """Serves operators of one daemon."""
 
-    def __init__(self, context: CallerContext) -> None:
-        self._context = context
-
-    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
-        """Handles one call."""
-        request = Request(environ)
-        try:
-            response = self._route(request)
-        except BadInput as error:
-            response = bad_request(str(error), error.status)
-        return send(response, start_response)
-
-    def _route(self, request: Request) -> Response:
+    def route(self, request: Request) -> Response:
+        """Returns the answer to a call."""
         match (request.method, request.path):
             case ("GET", "/status"):
                 return _told(self._context.ask(lambda token, _: StatusAsked(token)))
