Waitress sends each write by default; say so no more

Cause: the option is deprecated and has been the default. Change: the argument is gone. Conclusion: done.

--- a/src/troutswitch/runtime/http.py
+++ b/src/troutswitch/runtime/http.py
@@ -106,7 +106,6 @@
             host=address.host,
             port=address.port,
             threads=threads,
-            send_bytes=1,
             asyncore_use_poll=True,
             connection_limit=threads + 200,
             channel_timeout=60,
