--- a/src/troutswitch/decisions/batch/ownership.py
+++ b/src/troutswitch/decisions/batch/ownership.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Callable, Iterator
 
-from troutswitch.common import rendezvous_order
 from troutswitch.constants import (
     CLAIM_RETRY_SECONDS,
     HANDOVER_SECONDS,
@@ -18,6 +17,7 @@
 from troutswitch.daemons.messages import ShardTouched, ShardWanted
 from troutswitch.decisions.batch.fold import FoldChange, JobStopped, OwnerChanged
 from troutswitch.decisions.batch.owner import ShardOwner
+from troutswitch.decisions.batch.placement import ShardPlacement
 from troutswitch.decisions.batch.replica import ShardReplica, snapshot_stream
 from troutswitch.decisions.batch.snapshot import encode_snapshot
 from troutswitch.decisions.effects import AppendToLog, Effect, LogEvent, SendDatagram
@@ -47,6 +47,7 @@
         self.owners: dict[int, ShardOwner] = {}
         self.is_draining = False
         self._membership = membership
+        self._placement = ShardPlacement(shard_count, SHARD_FOLLOWERS)
         self._writer = writer
         self._reader = reader
         self._on_ready = on_ready
@@ -107,12 +108,10 @@
 
     def _check(self, now: float) -> list[Effect]:
         effects: list[Effect] = []
-        for shard in range(self.shard_count):
-            followers = self.followers(shard)
-            if self._membership.name in followers and not self.is_draining:
-                replica, loading = self.replica(now, shard)
-                effects.extend(loading)
-                effects.extend(self._consider_claim(now, replica, followers))
+        for shard in self._followed_shards():
+            replica, loading = self.replica(now, shard)
+            effects.extend(loading)
+            effects.extend(self._consider_claim(now, replica, self.followers(shard)))
         for owner in list(self.owners.values()):
             effects.extend(self._tend(now, owner))
         self._unload_idle(now)
@@ -120,8 +119,14 @@
 
     def followers(self, shard: int) -> list[str]:
         """Returns the daemons that follow a shard, preferred owner first."""
-        order = rendezvous_order(f"shard-{shard}", self._membership.serving_names())
-        return order[:SHARD_FOLLOWERS]
+        self._placement.update(self._membership.serving_names())
+        return self._placement.followers(shard)
+
+    def _followed_shards(self) -> list[int]:
+        if self.is_draining:
+            return []
+        self._placement.update(self._membership.serving_names())
+        return self._placement.followed_by(self._membership.name)
 
     def owner_name(self, shard: int) -> str:
         """Returns the name of the shard's owner as far as known, else its preferred owner."""
--- a/src/troutswitch/decisions/engines.py
+++ b/src/troutswitch/decisions/engines.py
@@ -93,6 +93,7 @@
         self._load_hooks: list[EngineHook] = []
         self._stewarded: Callable[[str], bool] = lambda name: False
         self._subsets: dict[str, list[str]] = {}
+        self._names_by_zone: dict[str, list[str]] = {}
         self._service_used_at: dict[str, float] = {}
         self._poll_interval = ENGINE_POLL_SECONDS
         self._active: list[Engine] = []
@@ -121,6 +122,9 @@
             if not engine.listed and engine.online_in_flight == 0:
                 del self.engines[engine.name]
         self._subsets.clear()
+        self._names_by_zone.clear()
+        for engine in self.engines.values():
+            self._names_by_zone.setdefault(engine.zone, []).append(engine.name)
         return effects
 
     def _take_machine(self, now: float, machine: Machine) -> list[Effect]:
@@ -182,13 +186,19 @@
         All of them, not only those that get work: a gateway that knew few engines as
         fresh sent everything to these, and so never heard of the others.
         """
-        names = {name for name in self.engines if self._stewarded(name)}
+        names = set(self._stewarded_engines())
         for service, used_at in self._service_used_at.items():
             if now - used_at < ENGINE_IN_USE_SECONDS:
                 names.update(self._subset(service))
         self._active = [self.engines[name] for name in sorted(names) if name in self.engines]
         self._poll_interval = max(ENGINE_POLL_SECONDS, len(self._active) / POLLS_PER_SECOND)
 
+    def _stewarded_engines(self) -> Iterator[str]:
+        """Yields the engines this daemon is steward of; only some zones can have any."""
+        for zone, names in self._names_by_zone.items():
+            if zone == self._membership.zone or not self._membership.serving_in_zone(zone):
+                yield from (name for name in names if self._stewarded(name))
+
     def on_service_used(self, now: float, service: str) -> None:
         """Work for a service arrived here; its engines are polled from now on."""
         if now - self._service_used_at.get(service, float("-inf")) >= ENGINE_IN_USE_SECONDS:
--- a/src/troutswitch/simulation/network.py
+++ b/src/troutswitch/simulation/network.py
@@ -56,6 +56,10 @@
         else:
             del self._cuts[pair]
 
+    def has_cuts(self) -> bool:
+        """Returns whether any two places are cut off from each other."""
+        return bool(self._cuts)
+
     def last_change_before(self, at: float) -> bool:
         """Returns whether no cut has begun or ended since a time."""
         return self._changed_at < at
