Log lines for the ends of requests and the lives of jobs

Ruled out: a line a token or an attempt. Change: request ended; job accepted, cancelled, completed. Before: none. Conclusion: done.

--- a/src/troutswitch/decisions/batch/owner.py
+++ b/src/troutswitch/decisions/batch/owner.py
@@ -28,7 +28,7 @@
 )
 from troutswitch.decisions.batch.jobs import ItemState, Job
 from troutswitch.decisions.batch.replica import ShardReplica, shard_stream
-from troutswitch.decisions.effects import Effect
+from troutswitch.decisions.effects import Effect, LogEvent
 from troutswitch.decisions.events import BatchAttemptEnded, LogRead, LogReadFailed
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.logreader import LogReader
@@ -165,9 +165,12 @@
             match change:
                 case JobOpened(job_id):
                     self._progress[job_id] = JobProgress()
+                    effects.append(self._line("job accepted", job_id))
                 case JobStopped(job_id):
                     self._forget(job_id)
+                    effects.append(self._line("job cancelled", job_id))
                 case JobCompleted(job_id):
+                    effects.append(self._line("job completed", job_id))
                     effects.extend(self._close(self.fold.jobs[job_id]))
                 case AttemptRecorded(job_id, index):
                     self._attempt_recorded(job_id, index)
@@ -179,6 +182,20 @@
             self.snapshot_due = True
         return effects
 
+    def _line(self, event: str, job_id: str) -> LogEvent:
+        job = self.fold.jobs[job_id]
+        return LogEvent(
+            event,
+            {
+                "job_id": job_id,
+                "tenant": job.tenant,
+                "service": job.service,
+                "items": job.item_count,
+                "shard": self.shard,
+                "epoch": self.epoch,
+            },
+        )
+
     def _attempt_recorded(self, job_id: str, index: int) -> None:
         progress = self._progress.get(job_id)
         if progress is not None:
--- a/src/troutswitch/decisions/online.py
+++ b/src/troutswitch/decisions/online.py
@@ -25,6 +25,7 @@
     CancelAttempt,
     Effect,
     FinishOnline,
+    LogEvent,
     SendDatagram,
     StartOnlineAttempt,
 )
@@ -403,4 +404,19 @@
             self.counts.completed += 1
         del self.requests[request.arrival.request_id]
         self._admission.release(request.arrival.tenant)
-        return [FinishOnline(request.arrival.request_id, outcome)]
+        return [FinishOnline(request.arrival.request_id, outcome), _line_of(request, outcome)]
+
+
+def _line_of(request: OnlineRequest, outcome: OnlineOutcome) -> LogEvent:
+    """Returns the log line of a request's end."""
+    fields: dict[str, str | int | float | bool] = {
+        "request_id": request.arrival.request_id,
+        "tenant": request.arrival.tenant,
+        "service": request.arrival.service,
+        "attempts": len(request.attempts),
+        "outcome": type(outcome).__name__,
+        "peer": request.engine,
+    }
+    if not isinstance(outcome, Completed):
+        fields.update(step=outcome.step.value, peer=outcome.peer, reason=outcome.reason)
+    return LogEvent("request ended", fields)
