A caller's error and the log name a request by the same id

Cause: the answer's id and the request's were drawn apart. Ruled out: nothing; seen in a log beside an answer. Change: the answer carries the request's id; the system test compares both. After: the test passes.

--- a/src/troutswitch/callers/online_app.py
+++ b/src/troutswitch/callers/online_app.py
@@ -98,7 +98,7 @@
         self._context.check_service(body.model)
         relay = self._relay(request, tenant, body)
         shape = _ChatShape if is_chat else _TextShape
-        answer = shape(self._context.next_id(), body.model, int(self._context.now()))
+        answer = shape(relay.request_id, body.model, int(self._context.now()))
         if body.stream:
             return self._stream(relay, answer, start_response)
         return send(self._whole(relay, answer, body), start_response)
--- a/src/troutswitch/callers/relay.py
+++ b/src/troutswitch/callers/relay.py
@@ -55,6 +55,11 @@
         self._so_far: list[str] = []
         self._is_first = True
 
+    @property
+    def request_id(self) -> str:
+        """The request's id, by which its caller and the logs know it."""
+        return self._work.arrival.request_id
+
     def texts(self) -> Iterator[str]:
         """Yields the answer's text in order; `outcome` is set when it ends."""
         request_id = self._work.arrival.request_id
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -8,10 +8,11 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import IO, Any
 
 from troutswitch.common import Address
 from troutswitch.decisions.events import Machine
@@ -86,11 +87,17 @@
     processes: list["subprocess.Popen[bytes]"] = field(default_factory=list)
     daemons: dict[str, DaemonProcess] = field(default_factory=dict)
     engines: dict[str, Address] = field(default_factory=dict)
+    errors: IO[bytes] = field(default_factory=tempfile.TemporaryFile)
+
+    def log_lines(self) -> list[dict[str, Any]]:
+        self.errors.seek(0)
+        lines = self.errors.read().splitlines()
+        return [json.loads(line) for line in lines if line.startswith(b"{")]
 
     def spawn(self, *arguments: str) -> "subprocess.Popen[bytes]":
         process = subprocess.Popen(
             [sys.executable, "-m", "troutswitch.cli", *arguments],
-            stderr=subprocess.DEVNULL,
+            stderr=self.errors,
             stdout=subprocess.DEVNULL,
         )
         self.processes.append(process)
@@ -172,3 +179,4 @@
                 process.kill()
         for process in self.processes:
             process.wait()
+        self.errors.close()
--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -72,6 +72,9 @@
     assert status == 200 and b"[DONE]" not in answer
     error = json.loads(answer.strip().splitlines()[-1][6:])["error"]
     assert error["not_run"] is False and error["step"] and error["peer"]
+    ended = [line for line in fleet.log_lines() if line["event"] == "request ended"]
+    assert [line["request_id"] for line in ended] == [error["request_id"]]
+    assert (ended[0]["step"], ended[0]["peer"]) == (error["step"], error["peer"])
 
 
 def test_a_request_not_to_be_repeated_runs_once_through_any_daemon(fleet: Fleet) -> None:
