--- /dev/null
+++ b/src/troutswitch/cli/gateway.py
@@ -0,0 +1,45 @@
+"""Command `gateway`: one daemon on the users' platform."""
+
+import os
+import sys
+
+import click
+
+from troutswitch.gateway.settings import GatewaySettingsError
+
+LOOK_SECONDS = 1.0
+"""Interval between looks at a settings file that changes without a signal."""
+
+
+@click.command()
+def gateway() -> None:
+    """Run one daemon on the platform until SIGTERM, which stops it as planned."""
+    from troutswitch.gateway.logging import configure_line_logging
+    from troutswitch.gateway.process import GatewayProcess, Signals
+    from troutswitch.platform.settings import load_gateway_settings, settings_path
+    from troutswitch.runtime.memory import freeze_startup_objects, limit_allocator_arenas
+
+    signals = Signals()
+    try:
+        settings = load_gateway_settings(settings_path())
+    except GatewaySettingsError as error:
+        raise click.UsageError(str(error)) from error
+    limit_allocator_arenas()
+    logger, writer = configure_line_logging(settings.name)
+    try:
+        process = GatewayProcess(settings, logger)
+    except OSError as error:
+        raise click.UsageError(f"listeners: {error}") from error
+    process.start()
+    freeze_startup_objects()
+    while not signals.stop_asked.is_set() and process.failure is None:
+        signals.wait(LOOK_SECONDS)
+        if signals.reload_asked.is_set():
+            signals.reload_asked.clear()
+            logger.info("settings reload asked")
+    if process.failure is None:
+        process.drain()
+    process.stop()
+    writer.drain(0.3)
+    sys.stdout.flush()
+    os._exit(0 if process.failure is None else 1)
--- a/src/troutswitch/cli/main.py
+++ b/src/troutswitch/cli/main.py
@@ -9,6 +9,7 @@
 from troutswitch.cli.ctl import ctl
 from troutswitch.cli.daemon import daemon, settings
 from troutswitch.cli.demo import demo
+from troutswitch.cli.gateway import gateway
 from troutswitch.cli.load import load
 from troutswitch.cli.scale import scale
 from troutswitch.cli.standin import standin
@@ -21,7 +22,7 @@
     """Serving system for online and batch language-model inference on one fleet."""
 
 
-for command in (daemon, settings, ctl, demo, load, standin, simulate, experiment, scale, bench):
+for command in (gateway, daemon, settings, ctl, demo, load, standin, simulate, experiment, scale, bench):
     cli.add_command(command)
 
 
--- /dev/null
+++ b/src/troutswitch/decisions/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions about opaque requests: routes, servers, placement and attempts."""
--- /dev/null
+++ b/src/troutswitch/decisions/forwarding/messages.py
@@ -0,0 +1,116 @@
+"""Typed events that reach the forwarding decisions, and the instructions they give."""
+
+from dataclasses import dataclass
+
+from troutswitch.common import Address
+from troutswitch.decisions.forwarding.types import PromptShape, ServerLoad
+from troutswitch.outcomes import AttemptKind, Cut, MayHaveRun, NotRun
+
+# Events.
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A caller's whole request was read.
+
+    `token` names the request within this process, `request_id` is the caller's.
+    `time_left` is what the caller will wait, in seconds.
+    """
+
+    token: int
+    request_id: str
+    host: str
+    path: str
+    time_left: float
+    prompt: PromptShape
+    resume_after: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerBegun:
+    """A server began its answer to an attempt."""
+
+    token: int
+    attempt: int
+    load: ServerLoad | None
+
+
+@dataclass(frozen=True, slots=True)
+class RequestAttemptEnded:
+    """An attempt ended.
+
+    `position` is the id of the last whole event delivered to the caller, or empty.
+    `has_answer` tells that the relay holds a whole answer of the server that can be
+    passed on as it is.
+    """
+
+    token: int
+    attempt: int
+    kind: AttemptKind
+    reason: str = ""
+    position: str = ""
+    delivered: int = 0
+    status: int = 0
+    load: ServerLoad | None = None
+    retry_after: float | None = None
+    wrong_instance: bool = False
+    has_answer: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller closed its connection."""
+
+    token: int
+
+
+# Instructions.
+
+
+@dataclass(frozen=True, slots=True)
+class SendRequest:
+    """Send the request to a server. Times are seconds.
+
+    `first_wait` and `gap_wait` bound how long the answer's first bytes and each next
+    ones may take; `time_left` is told to the server as the deadline.
+    """
+
+    token: int
+    attempt: int
+    server_id: str
+    address: Address
+    time_left: float
+    first_wait: float
+    gap_wait: float
+    resume_after: str
+
+
+@dataclass(frozen=True, slots=True)
+class FinishRequest:
+    """Give the caller its final answer.
+
+    `passes_on` tells to pass on the server's whole answer that the relay holds.
+    """
+
+    token: int
+    outcome: NotRun | MayHaveRun | Cut
+    passes_on: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AbortAttempt:
+    """Close the connection of an attempt that is no longer wanted."""
+
+    token: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """Write one log line."""
+
+    event: str
+    fields: dict[str, object]
+
+
+ForwardingInstruction = SendRequest | FinishRequest | AbortAttempt | LogLine
--- /dev/null
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -0,0 +1,403 @@
+"""Forwarded requests: route, attempts, repetition and the final answer.
+
+A request's states and the moves between them:
+
+    (arrived) -> RUNNING    a route and a server were found, an attempt started
+    RUNNING   -> RUNNING    the attempt failed, may be repeated, and another started
+    any       -> finished   at most one `FinishRequest` is given, the request forgotten
+
+An attempt that the server says it did not run may be followed by another one on any
+route. One that may have run is followed only where the route allows repetition, and on
+a resumable stream the next one goes on after the last whole event delivered.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+from troutswitch.decisions.forwarding.messages import (
+    AbortAttempt,
+    AnswerBegun,
+    CallerGone,
+    FinishRequest,
+    ForwardingInstruction,
+    LogLine,
+    RequestArrived,
+    RequestAttemptEnded,
+    SendRequest,
+)
+from troutswitch.decisions.forwarding.placement import POLICIES, PlacementPolicy
+from troutswitch.decisions.forwarding.routes import RouteTable, choose_service
+from troutswitch.decisions.forwarding.servers import Server, ServerRegistry
+from troutswitch.decisions.forwarding.types import Route, RouteKind
+from troutswitch.decisions.invariants import ensure
+from troutswitch.decisions.limits import RetryBudget
+from troutswitch.outcomes import (
+    RAN_NOTHING,
+    AttemptKind,
+    Cut,
+    MayHaveRun,
+    NotRun,
+    Step,
+    conclude,
+)
+
+RETRY_AFTER_FIRST_SECONDS = 0.1
+"""Least time after which a refused caller is asked to come back."""
+RETRY_AFTER_SPREAD_SECONDS = 0.2
+"""Random part of that time, so that callers do not come back together."""
+NO_CONFIGURATION_RETRY_SECONDS = 0.5
+"""Time to come back before the first configuration is known."""
+FIRST_WAIT_LEAST_SECONDS = 0.6
+"""Least time for the first event of a stream before another server is tried."""
+FIRST_WAIT_OBJECTIVES = 2.0
+"""The same time in objectives of the route."""
+GAP_WAIT_LEAST_SECONDS = 0.3
+"""Least time between events before a resumable stream goes on elsewhere."""
+GAP_WAIT_LIMITS = 2.0
+"""The same time in pauses that the route allows."""
+TIME_LEFT_LEAST_SECONDS = 0.05
+"""Time left below which a request is not sent any more."""
+FULL_SECONDS = 0.15
+"""Time for which a server that rejected a request as full is left out."""
+SERVER_REJECTIONS_MOST = 3
+"""Servers that may reject one request unrun before the caller is told to come back."""
+
+Instructions = list[ForwardingInstruction]
+
+
+@dataclass(slots=True)
+class ForwardedRequest:
+    """One request in flight on this daemon. Times are this process's clock."""
+
+    arrival: RequestArrived
+    route: Route
+    service: str
+    deadline: float
+    limit_at: float
+    attempt: int = 0
+    server_id: str = ""
+    kinds: list[AttemptKind] = field(default_factory=list)
+    tried: set[str] = field(default_factory=set)
+    position: str = ""
+    delivered: int = 0
+    began: bool = False
+
+    @property
+    def ends_at(self) -> float:
+        """When the request gets its final answer at the latest."""
+        return min(self.deadline, self.limit_at)
+
+
+@dataclass
+class RequestCounts:
+    """Counters for metrics."""
+
+    arrived: int = 0
+    refused: int = 0
+    attempts: int = 0
+    retries: int = 0
+    gone: int = 0
+
+
+class ForwardedRequests:
+    """All requests that this daemon forwards."""
+
+    def __init__(
+        self,
+        zone: str,
+        routes: RouteTable,
+        servers: ServerRegistry,
+        rng: random.Random,
+        policy: str = "prefix_aware",
+    ) -> None:
+        self.requests: dict[int, ForwardedRequest] = {}
+        self.counts = RequestCounts()
+        self._zone = zone
+        self._routes = routes
+        self._servers = servers
+        self._rng = rng
+        self._policy: PlacementPolicy = POLICIES[policy]()
+        self._budget = RetryBudget()
+
+    # Arrival.
+
+    def on_arrived(self, now: float, event: RequestArrived) -> Instructions:
+        """Starts a request, or gives the final answer at once."""
+        self.counts.arrived += 1
+        ensure(event.token not in self.requests, "a request token is used twice")
+        refusal, route = self._admit(event)
+        if refusal is not None or route is None:
+            return self._refuse(event, refusal)
+        request = ForwardedRequest(
+            event,
+            route,
+            choose_service(route, self._rng),
+            now + event.time_left,
+            now + route.time_limit,
+            position=event.resume_after,
+        )
+        self.requests[event.token] = request
+        return self._dispatch(now, request, "no server can take the request now")
+
+    def _admit(self, event: RequestArrived) -> tuple[NotRun | None, Route | None]:
+        if self._routes.configuration is None:
+            wait = NO_CONFIGURATION_RETRY_SECONDS
+            return NotRun("no configuration yet", Step.ADMIT, "", wait), None
+        route = self._routes.match(event.host, event.path)
+        if route is None or route.kind is RouteKind.JOBS:
+            return NotRun("no such route", Step.ROUTE, "", None, 404), None
+        return None, route
+
+    def _refuse(self, event: RequestArrived, refusal: NotRun | None) -> Instructions:
+        ensure(refusal is not None, "a request without a route is refused")
+        assert refusal is not None
+        self.counts.refused += 1
+        return [
+            FinishRequest(event.token, refusal),
+            LogLine(
+                "request refused",
+                {
+                    "request_id": event.request_id,
+                    "reason": refusal.reason,
+                    "step": refusal.step,
+                    "status": refusal.status,
+                    "configuration_version": self._routes.version,
+                },
+            ),
+        ]
+
+    # Dispatch.
+
+    def _dispatch(self, now: float, request: ForwardedRequest, reason: str) -> Instructions:
+        left = request.ends_at - now
+        if left < TIME_LEFT_LEAST_SECONDS:
+            return self._give_up(now, request, "time ran out", Step.DISPATCH)
+        candidates = self._candidates(now, request)
+        if not candidates:
+            return self._give_up(now, request, reason, Step.ROUTE)
+        server = self._policy.choose(
+            now, candidates, request.arrival.prompt, self._zone, self._rng
+        )
+        return self._start(now, request, server)
+
+    def _candidates(self, now: float, request: ForwardedRequest) -> list[Server]:
+        usable = self._servers.usable(now, request.service)
+        untried = [s for s in usable if s.record.server_id not in request.tried]
+        return [s for s in untried if now >= s.full_until] or untried
+
+    def _start(self, now: float, request: ForwardedRequest, server: Server) -> Instructions:
+        ran = any(kind not in RAN_NOTHING for kind in request.kinds)
+        ensure(not ran or request.route.is_repeatable, "a request not to be repeated is sent again")
+        self.counts.attempts += 1
+        request.attempt += 1
+        request.server_id = server.record.server_id
+        request.tried.add(server.record.server_id)
+        request.began = False
+        self._servers.on_sent(server.record.server_id, False, self._tokens(request))
+        send = SendRequest(
+            request.arrival.token,
+            request.attempt,
+            server.record.server_id,
+            server.record.address,
+            request.ends_at - now,
+            self._first_wait(now, request),
+            self._gap_wait(now, request),
+            request.position,
+        )
+        return [send, self._line_of_start(now, request, server)]
+
+    def _line_of_start(
+        self, now: float, request: ForwardedRequest, server: Server
+    ) -> ForwardingInstruction:
+        return LogLine(
+            "request sent",
+            {
+                "request_id": request.arrival.request_id,
+                "route": request.route.name,
+                "attempt": request.attempt,
+                "server": server.record.server_id,
+                "load": server.in_flight(now),
+                "load_age_ms": _milliseconds(now - server.load_at),
+                "time_left_ms": _milliseconds(request.ends_at - now),
+                "configuration_version": self._routes.version,
+            },
+        )
+
+    @staticmethod
+    def _tokens(request: ForwardedRequest) -> int:
+        prompt = request.arrival.prompt
+        return prompt.prompt_tokens + prompt.output_tokens_most
+
+    def _first_wait(self, now: float, request: ForwardedRequest) -> float:
+        left = request.ends_at - now
+        if not self._may_try_again(request):
+            return left
+        wait = max(FIRST_WAIT_LEAST_SECONDS, FIRST_WAIT_OBJECTIVES * request.route.objective)
+        return min(left, wait)
+
+    def _gap_wait(self, now: float, request: ForwardedRequest) -> float:
+        left = request.ends_at - now
+        if not self._may_try_again(request):
+            return left
+        return min(left, max(GAP_WAIT_LEAST_SECONDS, GAP_WAIT_LIMITS * request.route.gap_limit))
+
+    def _may_try_again(self, request: ForwardedRequest) -> bool:
+        return request.route.is_repeatable and request.attempt < request.route.attempts_most
+
+    # Attempts.
+
+    def on_answer_begun(self, now: float, event: AnswerBegun) -> Instructions:
+        """The server's first bytes came, a sign of life."""
+        request = self.requests.get(event.token)
+        if request is None or request.attempt != event.attempt:
+            return []
+        request.began = True
+        if event.load is not None:
+            self._servers.on_load(now, request.server_id, event.load)
+        return []
+
+    def on_attempt_ended(self, now: float, event: RequestAttemptEnded) -> Instructions:
+        """Forgets the request, or tries another server where that is allowed."""
+        request = self.requests.get(event.token)
+        if request is None or request.attempt != event.attempt:
+            return []  # the end of an attempt that was given up
+        self._account(now, request, event)
+        request.kinds.append(event.kind)
+        request.position = event.position or request.position
+        request.delivered = event.delivered
+        if event.kind is AttemptKind.COMPLETED:
+            self._budget.on_success(request.service)
+            del self.requests[event.token]
+            return [self._line_of_end(request, event)]
+        return self._after_failure(now, request, event)
+
+    def _account(
+        self, now: float, request: ForwardedRequest, event: RequestAttemptEnded
+    ) -> None:
+        failed = event.kind in (AttemptKind.CUT, AttemptKind.UNREACHABLE)
+        tokens = self._tokens(request)
+        self._servers.on_ended(now, request.server_id, False, tokens, failed)
+        if event.load is not None:
+            self._servers.on_load(now, request.server_id, event.load)
+        if event.wrong_instance:
+            self._servers.mark_draining(request.server_id)
+        server = self._servers.servers.get(request.server_id)
+        if event.kind is AttemptKind.REFUSED and server is not None:
+            server.full_until = now + FULL_SECONDS
+
+    def _line_of_end(
+        self, request: ForwardedRequest, event: RequestAttemptEnded
+    ) -> ForwardingInstruction:
+        return LogLine(
+            "attempt ended",
+            {
+                "request_id": request.arrival.request_id,
+                "attempt": request.attempt,
+                "server": request.server_id,
+                "kind": event.kind,
+                "status": event.status,
+                "reason": event.reason,
+                "position": event.position,
+            },
+        )
+
+    def _after_failure(
+        self, now: float, request: ForwardedRequest, event: RequestAttemptEnded
+    ) -> Instructions:
+        line = self._line_of_end(request, event)
+        if event.has_answer and not self._may_repeat_answered(request):
+            del self.requests[request.arrival.token]
+            passed = MayHaveRun(event.reason, Step.RELAY, request.server_id)
+            return [line, FinishRequest(request.arrival.token, passed, passes_on=True)]
+        ran = [kind for kind in request.kinds if kind not in RAN_NOTHING]
+        if ran and not request.route.is_repeatable:
+            return [line, *self._give_up(now, request, event.reason, Step.RELAY)]
+        if len(ran) >= request.route.attempts_most:
+            return [line, *self._give_up(now, request, event.reason, Step.RELAY)]
+        if len(request.kinds) >= request.route.attempts_most + SERVER_REJECTIONS_MOST:
+            return [line, *self._give_up(now, request, event.reason, Step.DISPATCH)]
+        if ran and not self._budget.take(request.service):
+            reason = f"{event.reason}; retry budget spent"
+            return [line, *self._give_up(now, request, reason, Step.DISPATCH)]
+        self.counts.retries += 1
+        return [line, *self._dispatch(now, request, event.reason)]
+
+    @staticmethod
+    def _may_repeat_answered(request: ForwardedRequest) -> bool:
+        ran = [kind for kind in request.kinds if kind not in RAN_NOTHING]
+        return request.route.is_repeatable and len(ran) < request.route.attempts_most
+
+    # Ends.
+
+    def _give_up(
+        self, now: float, request: ForwardedRequest, reason: str, step: Step
+    ) -> Instructions:
+        del self.requests[request.arrival.token]
+        wait = RETRY_AFTER_FIRST_SECONDS + self._rng.random() * RETRY_AFTER_SPREAD_SECONDS
+        peer = request.server_id
+        outcome = conclude(request.kinds, request.delivered, reason, step, peer, wait)
+        self.counts.refused += 1
+        return [
+            FinishRequest(request.arrival.token, outcome),
+            LogLine(
+                "request given up",
+                {
+                    "request_id": request.arrival.request_id,
+                    "route": request.route.name,
+                    "outcome": _tag(outcome),
+                    "reason": reason,
+                    "step": step,
+                    "peer": peer,
+                    "attempts": len(request.kinds),
+                    "servers_known": len(self._servers.servers),
+                    "list_age_ms": _milliseconds(now - self._servers.listed_at),
+                },
+            ),
+        ]
+
+    def on_caller_gone(self, now: float, event: CallerGone) -> Instructions:
+        """The caller went away: its work at the server is stopped."""
+        request = self.requests.get(event.token)
+        if request is None:
+            return []
+        self.counts.gone += 1
+        aborted = self._abort(now, request, AttemptKind.CANCELLED)
+        return aborted + self._give_up(now, request, "caller went away", Step.RELAY)
+
+    def _abort(
+        self, now: float, request: ForwardedRequest, kind: AttemptKind
+    ) -> Instructions:
+        request.kinds.append(kind)
+        self._servers.on_ended(now, request.server_id, False, self._tokens(request), False)
+        return [AbortAttempt(request.arrival.token, request.attempt)]
+
+    # Timers.
+
+    def next_due(self) -> float:
+        """Returns when the next request runs out of time."""
+        return min((r.ends_at for r in self.requests.values()), default=float("inf"))
+
+    def on_timer(self, now: float) -> Instructions:
+        """Ends what has run out of time, with its final answer at once."""
+        late = [request for request in self.requests.values() if request.ends_at <= now]
+        instructions: Instructions = []
+        for request in late:
+            at_limit = request.limit_at <= request.deadline
+            reason = "route's time limit reached" if at_limit else "deadline reached"
+            instructions += self._abort(now, request, AttemptKind.CANCELLED)
+            instructions += self._give_up(now, request, reason, Step.RELAY)
+        return instructions
+
+    def validate(self) -> None:
+        """Asserts what must hold between events."""
+        for token, request in self.requests.items():
+            ensure(token == request.arrival.token, "a request is held under another token")
+            ensure(request.attempt == len(request.kinds) + 1, "a held request has no attempt")
+
+
+def _tag(outcome: NotRun | MayHaveRun | Cut) -> str:
+    return type(outcome).__name__
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(min(seconds, 3600.0) * 1000)
--- /dev/null
+++ b/src/troutswitch/decisions/forwarding/routes.py
@@ -0,0 +1,57 @@
+"""Finds the route of a request: by host, then by the longest path prefix."""
+
+import random
+
+from troutswitch.decisions.forwarding.types import FleetConfiguration, Route
+
+
+class RouteTable:
+    """The routes of the newest configuration that this process has seen.
+
+    A version older than the one in force is ignored, so what this process has acted
+    on never reverts.
+    """
+
+    def __init__(self) -> None:
+        self.configuration: FleetConfiguration | None = None
+        self.changed_at = float("-inf")
+        self._by_host: dict[str, list[Route]] = {}
+        self._by_name: dict[str, Route] = {}
+
+    @property
+    def version(self) -> int:
+        """Version in force, or -1 before the first."""
+        return self.configuration.version if self.configuration is not None else -1
+
+    def replace(self, now: float, configuration: FleetConfiguration) -> bool:
+        """Puts a configuration in force; returns False if it is not newer."""
+        if configuration.version <= self.version:
+            return False
+        self.configuration = configuration
+        self.changed_at = now
+        self._by_host = {}
+        self._by_name = {route.name: route for route in configuration.routes}
+        for route in configuration.routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        return True
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Returns the route of the host whose prefix begins the path and is longest."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def named(self, name: str) -> Route | None:
+        """Returns the route of a name."""
+        return self._by_name.get(name)
+
+
+def choose_service(route: Route, rng: random.Random) -> str:
+    """Chooses one of the route's services by weight; an empty string if it has none."""
+    weights = [backend.weight for backend in route.backends]
+    if not weights or sum(weights) <= 0:
+        return route.backends[0].service if route.backends else ""
+    return rng.choices(route.backends, weights)[0].service
--- /dev/null
+++ b/src/troutswitch/decisions/forwarding/serverlist.py
@@ -0,0 +1,79 @@
+"""Reads the whole list of servers again and again, page by page.
+
+Reading the newest records whole, instead of following them, costs no more at the list's
+rate of heartbeats, and an entry that lapsed is missed at the next reading.
+"""
+
+import random
+
+from troutswitch.decisions.storage.follower import CallNumbers
+from troutswitch.decisions.storage.messages import (
+    KeyedRecord,
+    NewestPage,
+    Partition,
+    ReadNewest,
+    StoreCall,
+    StoreOutcome,
+)
+
+SERVERS_TOPIC = "servers"
+RETRY_SECONDS = 0.3
+CALL_LOST_SECONDS = 5.0
+
+
+class ServerListReader:
+    """Reads the list each `interval` seconds."""
+
+    def __init__(self, numbers: CallNumbers, rng: random.Random, interval: float) -> None:
+        self.interval = interval
+        self.failures = 0
+        self._numbers = numbers
+        self._rng = rng
+        self._call = 0
+        self._due = float("-inf")
+        self._lost_at = float("inf")
+        self._after_key = ""
+        self._rows: list[KeyedRecord] = []
+
+    def next_due(self) -> float:
+        """Returns when `on_timer` has something to do."""
+        return self._lost_at if self._call else self._due
+
+    def owns(self, call: int) -> bool:
+        """Returns whether an answer belongs to this reader."""
+        return call == self._call != 0
+
+    def on_timer(self, now: float) -> list[StoreCall]:
+        """Asks for the next page if it is due."""
+        if self._call and now >= self._lost_at:
+            self._begin_again(now)
+        if self._call or now < self._due:
+            return []
+        self._call = self._numbers.next()
+        self._lost_at = now + CALL_LOST_SECONDS
+        return [ReadNewest(self._call, Partition(SERVERS_TOPIC), self._after_key)]
+
+    def on_answer(self, now: float, outcome: StoreOutcome) -> list[KeyedRecord] | None:
+        """Takes a page; returns the whole list's records after the last one."""
+        self._call = 0
+        if not isinstance(outcome, NewestPage):
+            self._begin_again(now)
+            return None
+        self.failures = 0
+        self._rows.extend(outcome.records)
+        if outcome.has_more and outcome.records:
+            self._after_key = outcome.records[-1].key
+            self._due = now
+            return None
+        rows, self._rows = self._rows, []
+        self._after_key = ""
+        self._due = now + self.interval * self._rng.uniform(0.8, 1.2)
+        return rows
+
+    def _begin_again(self, now: float) -> None:
+        self._call = 0
+        self.failures += 1
+        self._rows = []
+        self._after_key = ""
+        self._due = now + RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
+
--- /dev/null
+++ b/src/troutswitch/decisions/forwarding/servers.py
@@ -0,0 +1,195 @@
+"""What one daemon knows of the servers: the list, its own work there, load and failures.
+
+Each incarnation of a server has an id of its own. An id that was seen draining, or whose
+address answered as another instance, never takes new work again here. An id that only
+left the list takes none while it is away: entries also lapse while the store is down.
+"""
+
+from dataclasses import dataclass, field
+
+from troutswitch.decisions.forwarding.types import ServerLoad, ServerRecord
+
+FAILURES_TO_EJECT = 2
+"""Failures in a row after which a server is left out for a while."""
+EJECT_FIRST_SECONDS = 0.5
+EJECT_MOST_SECONDS = 4.0
+LOAD_FRESH_SECONDS = 1.0
+"""Age up to which a load that a server told counts."""
+GONE_REMEMBERED = 4096
+"""Incarnations that are remembered as draining or replaced."""
+UNSTABLE_SECONDS = 3.0
+"""Time after a failed read of the list for which a missing entry is not taken for a leave."""
+
+
+@dataclass(slots=True)
+class Server:
+    """One incarnation of a server as this daemon sees it."""
+
+    record: ServerRecord
+    online_in_flight: int = 0
+    batch_in_flight: int = 0
+    tokens_in_flight: int = 0
+    load: ServerLoad | None = None
+    load_at: float = float("-inf")
+    sent_since_load: int = 0
+    peers_online: int = 0
+    peers_batch: int = 0
+    failures: int = 0
+    ejected_until: float = float("-inf")
+    is_draining: bool = False
+    is_listed: bool = True
+    full_until: float = float("-inf")
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the server must not be sent new work."""
+        return self.is_draining or not self.is_listed
+
+    @property
+    def slots(self) -> int:
+        """Requests that the server runs at once."""
+        return max(1, self.record.slots)
+
+    def in_flight(self, now: float) -> int:
+        """Returns the requests on the server, as far as known here.
+
+        The counts that daemons tell each other and the server's own word both lag, so
+        the larger of the two holds.
+        """
+        mine = self.online_in_flight + self.batch_in_flight
+        counted = mine + self.peers_online + self.peers_batch
+        if self.load is None or now - self.load_at > LOAD_FRESH_SECONDS:
+            return counted
+        told = self.load.running + self.load.waiting + self.sent_since_load
+        return max(counted, told) if self.peers_online or self.peers_batch else max(mine, told)
+
+    def online(self) -> int:
+        """Returns the online requests on the server, as far as daemons told."""
+        return self.online_in_flight + self.peers_online
+
+    def batch(self) -> int:
+        """Returns the batch items on the server, as far as daemons told."""
+        return self.batch_in_flight + self.peers_batch
+
+
+@dataclass
+class ServerRegistry:
+    """All servers that the list names, and those that just left it."""
+
+    servers: dict[str, Server] = field(default_factory=dict)
+    listed_at: float = float("-inf")
+    list_failed_at: float = float("-inf")
+    _draining: dict[str, None] = field(default_factory=dict)
+    _by_service: dict[str, list[Server]] = field(default_factory=dict)
+
+    def on_list(self, now: float, records: list[ServerRecord]) -> tuple[list[str], list[str]]:
+        """Takes in the whole list; returns the ids that came and those that began to leave."""
+        self.listed_at = now
+        before = {name for name, server in self.servers.items() if not server.is_leaving}
+        listed = {record.server_id for record in records}
+        for record in records:
+            self._take(record)
+        if now - self.list_failed_at > UNSTABLE_SECONDS:
+            self._unlist(listed)
+        after = {name for name, server in self.servers.items() if not server.is_leaving}
+        self._index()
+        return sorted(after - before), sorted(before - after)
+
+    def on_list_failed(self, now: float) -> None:
+        """The list could not be read; what is known of it stays in use."""
+        self.list_failed_at = now
+
+    def _take(self, record: ServerRecord) -> None:
+        server = self.servers.get(record.server_id)
+        if server is None:
+            server = Server(record)
+            self.servers[record.server_id] = server
+        server.record = record
+        server.is_listed = True
+        if record.is_draining:
+            self._remember_draining(record.server_id)
+        server.is_draining = record.server_id in self._draining
+
+    def _unlist(self, listed: set[str]) -> None:
+        for name in [name for name in self.servers if name not in listed]:
+            server = self.servers[name]
+            server.is_listed = False
+            if server.online_in_flight + server.batch_in_flight == 0:
+                del self.servers[name]
+
+    def _remember_draining(self, server_id: str) -> None:
+        self._draining[server_id] = None
+        if len(self._draining) > GONE_REMEMBERED:
+            del self._draining[next(iter(self._draining))]
+
+    def _index(self) -> None:
+        self._by_service = {}
+        for server in self.servers.values():
+            self._by_service.setdefault(server.record.service, []).append(server)
+
+    def of_service(self, service: str) -> list[Server]:
+        """Returns the servers of a service that have not begun to leave."""
+        return [server for server in self._by_service.get(service, ()) if not server.is_leaving]
+
+    def usable(self, now: float, service: str) -> list[Server]:
+        """Returns the servers of a service that may be sent work now.
+
+        When all of them are left out after failures, all are tried again: a guess that
+        every server failed is more often a fault of this daemon's own links.
+        """
+        present = self.of_service(service)
+        sound = [server for server in present if now >= server.ejected_until]
+        return sound or present
+
+    def mark_draining(self, server_id: str) -> bool:
+        """Notes for good that an incarnation takes no new work; returns whether it is news."""
+        if server_id in self._draining:
+            return False
+        self._remember_draining(server_id)
+        server = self.servers.get(server_id)
+        if server is not None:
+            server.is_draining = True
+        return True
+
+    def on_load(self, now: float, server_id: str, load: ServerLoad) -> None:
+        """Takes in a load that came with an answer."""
+        server = self.servers.get(server_id)
+        if server is not None:
+            server.load = load
+            server.load_at = now
+            server.sent_since_load = 0
+
+    def on_sent(self, server_id: str, is_batch: bool, tokens: int) -> None:
+        """A request was sent to the server."""
+        server = self.servers[server_id]
+        server.sent_since_load += 1
+        server.tokens_in_flight += tokens
+        if is_batch:
+            server.batch_in_flight += 1
+        else:
+            server.online_in_flight += 1
+
+    def on_ended(
+        self, now: float, server_id: str, is_batch: bool, tokens: int, failed: bool
+    ) -> None:
+        """An attempt on the server ended."""
+        server = self.servers.get(server_id)
+        if server is None:
+            return
+        server.tokens_in_flight = max(0, server.tokens_in_flight - tokens)
+        if is_batch:
+            server.batch_in_flight = max(0, server.batch_in_flight - 1)
+        else:
+            server.online_in_flight = max(0, server.online_in_flight - 1)
+        if failed:
+            self._count_failure(now, server)
+        else:
+            server.failures = 0
+            server.ejected_until = float("-inf")
+
+    def _count_failure(self, now: float, server: Server) -> None:
+        server.failures += 1
+        if server.failures >= FAILURES_TO_EJECT:
+            doubling = min(server.failures - FAILURES_TO_EJECT, 8)
+            pause = min(EJECT_FIRST_SECONDS * 2**doubling, EJECT_MOST_SECONDS)
+            server.ejected_until = now + pause
--- /dev/null
+++ b/src/troutswitch/decisions/forwarding/types.py
@@ -0,0 +1,130 @@
+"""Types of the fleet's configuration and of its servers, in the product's own terms."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from troutswitch.common import Address
+
+
+class RouteKind(Enum):
+    """What a route's requests are, which decides whether they may be repeated."""
+
+    REPEATABLE = "repeatable"
+    AT_MOST_ONCE = "at_most_once"
+    STREAM = "stream"
+    JOBS = "jobs"
+
+
+@dataclass(frozen=True, slots=True)
+class Backend:
+    """One service behind a route, with its share of the route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where the requests of a host and path prefix go. Times are seconds."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    backends: tuple[Backend, ...]
+    time_limit: float
+    objective: float
+    attempts_most: int
+    priority: int = 0
+    is_resumable: bool = False
+    is_sticky: bool = False
+    gap_limit: float = 0.0
+    queued_tokens_most: int = 0
+    completion_target: float = 0.0
+    retention: float = 0.0
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        if self.kind is RouteKind.STREAM:
+            return self.is_resumable
+        return self.kind in (RouteKind.REPEATABLE, RouteKind.JOBS)
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service's limits: connections from all callers, slots and cache tokens a server."""
+
+    name: str
+    connections_most: int
+    slots: int
+    cache_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """Limits on what a caller sends. Times are seconds."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class FleetConfiguration:
+    """One whole version of the configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: RequestLimits
+
+
+@dataclass(frozen=True, slots=True)
+class ServerRecord:
+    """A server as the list names it; each incarnation has an id of its own."""
+
+    server_id: str
+    service: str
+    address: Address
+    zone: str
+    slots: int
+    is_draining: bool
+    cold_seconds: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """Load that a server told with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt that other requests may share."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class PromptShape:
+    """What is known of a request's size before it runs."""
+
+    prompt_tokens: int = 0
+    output_tokens_most: int = 0
+    parts: tuple[PromptPart, ...] = ()
+
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts before the last, which is the request's own."""
+        return sum(part.tokens for part in self.parts[:-1])
+
+    @property
+    def session_part(self) -> str:
+        """Id of the last shared part, or an empty string."""
+        return self.parts[-2].part_id if len(self.parts) > 1 else ""
--- /dev/null
+++ b/src/troutswitch/decisions/gateway.py
@@ -0,0 +1,207 @@
+"""The gateway daemon's decisions in one place: events in, instructions out.
+
+It owns the parts (configuration, servers, forwarded requests, batch jobs) and passes
+each event to the part that it concerns. It holds no clock, socket or thread.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from troutswitch.decisions.forwarding.messages import (
+    AnswerBegun,
+    CallerGone,
+    LogLine,
+    RequestArrived,
+    RequestAttemptEnded,
+)
+from troutswitch.decisions.forwarding.requests import ForwardedRequests
+from troutswitch.decisions.forwarding.routes import RouteTable
+from troutswitch.decisions.forwarding.serverlist import ServerListReader
+from troutswitch.decisions.forwarding.servers import ServerRegistry
+from troutswitch.decisions.forwarding.types import (
+    FleetConfiguration,
+    RequestLimits,
+    ServerRecord,
+)
+from troutswitch.decisions.storage.follower import CallNumbers, PartitionFollower
+from troutswitch.decisions.storage.messages import (
+    KeyedRecord,
+    Partition,
+    StoreAnswered,
+    StoreOutcome,
+)
+
+CONFIGURATION_TOPIC = "configuration"
+CONFIGURATION_WAIT_SECONDS = 8.0
+"""Time for which a read of the configuration waits at the store."""
+CONFIGURATION_PAUSE_SECONDS = 0.1
+SERVER_LIST_SHARE = 0.3
+"""Interval of readings of the server list, in bounds for draining."""
+
+
+class Formats(Protocol):
+    """Decodes what operators and servers write; each raises `ValueError` on bad data."""
+
+    def configuration(self, key: str, data: bytes) -> FleetConfiguration | None:
+        """Decodes a record of the configuration's topic; None if it is another one."""
+        ...
+
+    def server(self, server_id: str, data: bytes) -> ServerRecord:
+        """Decodes a server's record."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayIdentity:
+    """Who this daemon is, and the bounds it keeps. Times are seconds."""
+
+    name: str
+    zone: str
+    drain: float
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    """Event: something may be due."""
+
+
+@dataclass(frozen=True, slots=True)
+class DrainAsked:
+    """Event: a planned stop begins."""
+
+
+@dataclass(frozen=True, slots=True)
+class LimitsChanged:
+    """Instruction: put the configuration's limits on requests in force."""
+
+    limits: RequestLimits
+
+
+@dataclass(frozen=True, slots=True)
+class ServersLeft:
+    """Instruction: drop what is kept for servers that left."""
+
+    server_ids: tuple[str, ...]
+
+
+Instruction = object
+Handler = Callable[[float, object], list[Instruction]]
+
+
+class GatewayCore:
+    """All decisions of one gateway daemon."""
+
+    def __init__(self, identity: GatewayIdentity, formats: Formats, rng: random.Random) -> None:
+        self.identity = identity
+        self.is_draining = False
+        self.routes = RouteTable()
+        self.servers = ServerRegistry()
+        self.requests = ForwardedRequests(identity.zone, self.routes, self.servers, rng)
+        self._formats = formats
+        self._rng = rng
+        self._instructions: list[Instruction] = []
+        self.numbers = CallNumbers()
+        self.server_list = ServerListReader(self.numbers, rng, SERVER_LIST_SHARE * identity.drain)
+        self.configuration = PartitionFollower(
+            Partition(CONFIGURATION_TOPIC),
+            self.numbers,
+            rng,
+            self._take_configuration,
+            lambda: None,
+            CONFIGURATION_WAIT_SECONDS,
+            CONFIGURATION_PAUSE_SECONDS,
+        )
+        self._now = float("-inf")
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections may come: there is a configuration and a server."""
+        known = self.routes.configuration is not None and bool(self.servers.servers)
+        return known and not self.is_draining
+
+    def step(self, now: float, event: object) -> list[Instruction]:
+        """Takes one event and returns what is to be done."""
+        self._now = now
+        self._instructions = []
+        match event:
+            case RequestArrived():
+                self._instructions += self.requests.on_arrived(now, event)
+            case AnswerBegun():
+                self._instructions += self.requests.on_answer_begun(now, event)
+            case RequestAttemptEnded():
+                self._instructions += self.requests.on_attempt_ended(now, event)
+            case CallerGone():
+                self._instructions += self.requests.on_caller_gone(now, event)
+            case StoreAnswered():
+                self._on_store(now, event.call, event.outcome)
+            case DrainAsked():
+                self.is_draining = True
+                self._log("drain started", in_flight=len(self.requests.requests))
+            case TimerFired():
+                pass
+        self._on_timer(now)
+        self.requests.validate()
+        instructions, self._instructions = self._instructions, []
+        return instructions
+
+    def next_due(self) -> float:
+        """Returns when the next timer fires."""
+        return min(
+            self.requests.next_due(), self.server_list.next_due(), self.configuration.next_due()
+        )
+
+    def _on_timer(self, now: float) -> None:
+        self._instructions += self.requests.on_timer(now)
+        self._instructions += self.server_list.on_timer(now)
+        self._instructions += self.configuration.on_timer(now)
+
+    # The store.
+
+    def _on_store(self, now: float, call: int, outcome: StoreOutcome) -> None:
+        if self.server_list.owns(call):
+            self._on_server_list(now, outcome)
+        elif self.configuration.owns(call):
+            self.configuration.on_answer(now, outcome)
+
+    def _on_server_list(self, now: float, outcome: StoreOutcome) -> None:
+        rows = self.server_list.on_answer(now, outcome)
+        if self.server_list.failures:
+            self.servers.on_list_failed(now)
+            if self.server_list.failures == 1:
+                self._log("server list lost", outcome=str(outcome)[:200])
+        if rows is None:
+            return
+        records = [record for row in rows if (record := self._server(row)) is not None]
+        came, left = self.servers.on_list(now, records)
+        if came or left:
+            self._log("servers changed", came=came, left=left, listed=len(records))
+        if left:
+            self._instructions.append(ServersLeft(tuple(left)))
+
+    def _server(self, row: KeyedRecord) -> ServerRecord | None:
+        try:
+            return self._formats.server(row.key, row.value)
+        except ValueError as error:
+            self._log("server record malformed", server=row.key, reason=str(error))
+            return None
+
+    def _take_configuration(self, record: KeyedRecord) -> None:
+        try:
+            configuration = self._formats.configuration(record.key, record.value)
+        except ValueError as error:
+            self._log("configuration malformed", offset=record.offset, reason=str(error))
+            return
+        if configuration is None or not self.routes.replace(self._now, configuration):
+            return
+        self._instructions.append(LimitsChanged(configuration.limits))
+        self._log(
+            "configuration in force",
+            version=configuration.version,
+            routes=len(configuration.routes),
+            offset=record.offset,
+        )
+
+    def _log(self, event: str, **fields: object) -> None:
+        self._instructions.append(LogLine(event, fields))
--- /dev/null
+++ b/src/troutswitch/decisions/storage/follower.py
@@ -0,0 +1,185 @@
+"""Follows one keyed partition: reads it whole once, then what is appended.
+
+    STARTING  -> FOLLOWING   the last page of newest records was taken
+    FOLLOWING -> STARTING    the history behind this reader's offset is gone
+    any       -> same        a call failed and is made again after a pause
+
+Pages of newest records are no snapshot. The tail is read from the end that the first
+page told, so records that changed between pages come again; a fold must take a record
+any number of times.
+"""
+
+import itertools
+import random
+from collections.abc import Callable
+from enum import Enum
+
+from troutswitch.decisions.storage.messages import (
+    CallFailed,
+    HistoryGone,
+    KeyedRecord,
+    NewestPage,
+    Partition,
+    ReadNewest,
+    ReadRecords,
+    RecordsRead,
+    StoreCall,
+    StoreOutcome,
+)
+
+RETRY_FIRST_SECONDS = 0.1
+RETRY_MOST_SECONDS = 1.0
+CALL_LOST_SECONDS = 5.0
+"""Time past its wait after which a call counts as lost."""
+
+
+class FollowState(Enum):
+    """State of a follower."""
+
+    STARTING = "starting"
+    FOLLOWING = "following"
+
+
+class CallNumbers:
+    """Numbers for the store calls of one process."""
+
+    def __init__(self) -> None:
+        self._numbers = itertools.count(1)
+
+    def next(self) -> int:
+        """Returns a number that was not used before."""
+        return next(self._numbers)
+
+
+class PartitionFollower:
+    """Follows one partition for a fold.
+
+    Args:
+        partition: what is followed.
+        numbers: source of call numbers.
+        rng: source of jitter.
+        take: called with a record to fold in.
+        reset: called before a whole read begins again.
+        wait: seconds a read waits at the store for a record; 0 reads without waiting.
+        pause: least seconds between reads, which bounds the calls under many appends.
+    """
+
+    def __init__(
+        self,
+        partition: Partition,
+        numbers: CallNumbers,
+        rng: random.Random,
+        take: Callable[[KeyedRecord], None],
+        reset: Callable[[], None],
+        wait: float,
+        pause: float,
+    ) -> None:
+        self.partition = partition
+        self.state = FollowState.STARTING
+        self.next_offset = 0
+        self.current_at = float("-inf")
+        self.failures = 0
+        self.wait = wait
+        self.pause = pause
+        self._numbers = numbers
+        self._rng = rng
+        self._take = take
+        self._reset = reset
+        self._call = 0
+        self._asked_at = float("-inf")
+        self._lost_at = float("inf")
+        self._due = float("-inf")
+        self._after_key = ""
+        self._first_end: int | None = None
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the partition was read to an end at least once."""
+        return self.state is FollowState.FOLLOWING
+
+    def next_due(self) -> float:
+        """Returns when `on_timer` has something to do."""
+        return self._lost_at if self._call else self._due
+
+    def poke(self, now: float) -> None:
+        """Asks for a read at once."""
+        self._due = min(self._due, now)
+
+    def owns(self, call: int) -> bool:
+        """Returns whether an answer belongs to this follower."""
+        return call == self._call != 0
+
+    def on_timer(self, now: float) -> list[StoreCall]:
+        """Makes the next call if it is due."""
+        if self._call and now >= self._lost_at:
+            self._call = 0
+            self._fail(now)
+        if self._call or now < self._due:
+            return []
+        self._call = self._numbers.next()
+        self._asked_at = now
+        self._lost_at = now + self.wait + CALL_LOST_SECONDS
+        if self.state is FollowState.STARTING:
+            return [ReadNewest(self._call, self.partition, self._after_key)]
+        return [ReadRecords(self._call, self.partition, self.next_offset, self.wait)]
+
+    def on_answer(self, now: float, outcome: StoreOutcome) -> None:
+        """Takes the outcome of the call in flight."""
+        self._call = 0
+        match outcome:
+            case NewestPage():
+                self._take_page(now, outcome)
+            case RecordsRead():
+                self._take_records(now, outcome)
+            case HistoryGone():
+                self.restart(now)
+            case CallFailed():
+                self._fail(now)
+            case _:
+                self._fail(now)
+
+    def restart(self, now: float) -> None:
+        """Reads the partition whole again."""
+        self.state = FollowState.STARTING
+        self._after_key = ""
+        self._first_end = None
+        self._due = now
+        self._call = 0
+
+    def _take_page(self, now: float, page: NewestPage) -> None:
+        self.failures = 0
+        if self._first_end is None:
+            self._first_end = page.end
+            self._reset()
+        for record in page.records:
+            self._take(record)
+        self._due = now
+        if page.has_more and page.records:
+            self._after_key = page.records[-1].key
+            return
+        self.state = FollowState.FOLLOWING
+        self.next_offset = self._first_end
+        self._after_key = ""
+        self._first_end = None
+        self.current_at = self._asked_at
+        self._due = now + (0.0 if self.wait else self.pause)
+
+    def _take_records(self, now: float, read: RecordsRead) -> None:
+        self.failures = 0
+        if read.next_offset >= self.next_offset:
+            for record in read.records:
+                self._take(record)
+            self.next_offset = read.next_offset
+        is_behind = self.next_offset < read.end
+        if not is_behind:
+            self.current_at = self._asked_at
+        self._due = now if is_behind or self._timed_out(read) else now + self.pause
+
+    def _timed_out(self, read: RecordsRead) -> bool:
+        """Returns whether the read waited at the store and nothing came."""
+        return self.wait > 0 and not read.records
+
+    def _fail(self, now: float) -> None:
+        self.failures += 1
+        pause = min(RETRY_FIRST_SECONDS * 2 ** min(self.failures, 6), RETRY_MOST_SECONDS)
+        self._due = now + pause * self._rng.uniform(0.5, 1.0)
--- /dev/null
+++ b/src/troutswitch/gateway/application.py
@@ -0,0 +1,120 @@
+"""WSGI application for callers on the users' platform."""
+
+from collections.abc import Callable, Iterable, Iterator
+
+from troutswitch.gateway.exchange import ServerConnections
+from troutswitch.gateway.registry import Relays
+from troutswitch.gateway.relay import Relay, WholeAnswer
+from troutswitch.outcomes import Cut, MayHaveRun, NotRun
+from troutswitch.platform import names
+from troutswitch.platform.requests import Environ, IncomingRequest, read_request
+from troutswitch.runtime.http import Response, StartResponse, send, status_line
+
+
+JobHandler = Callable[[IncomingRequest, bytes], Response | None]
+
+
+class AnswerCut(Exception):
+    """A streamed answer cannot be completed: its connection is closed without an end."""
+
+
+class CallerApplication:
+    """Serves the callers of one daemon.
+
+    Args:
+        relays: the requests in progress.
+        connections: connections to servers.
+        post: hands an event to the loop.
+        handle_job: answers calls about batch jobs, or returns None for other requests.
+    """
+
+    def __init__(
+        self,
+        relays: Relays,
+        connections: ServerConnections,
+        post: Callable[[object], None],
+        handle_job: JobHandler,
+    ) -> None:
+        self._relays = relays
+        self._connections = connections
+        self._post = post
+        self._handle_job = handle_job
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Handles one request."""
+        request = read_request(environ)
+        body = _read_body(environ)
+        answer = self._handle_job(request, body)
+        if answer is not None:
+            return send(answer, start_response)
+        if not request.request_id:
+            return send(_plain(400, f"missing {names.REQUEST_ID}"), start_response)
+        return self._forward(environ, request, body, start_response)
+
+    def _forward(
+        self,
+        environ: Environ,
+        request: IncomingRequest,
+        body: bytes,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        token = self._relays.next_token()
+        relay = Relay(token, request, body, self._relays, self._connections, self._post)
+        self._relays.watch(token, environ["waitress.client_disconnected"])
+        chunks = relay.run()
+        try:
+            first = next(chunks, None)
+        except BaseException:
+            self._relays.unwatch(token)
+            raise
+        if first is None:
+            self._relays.unwatch(token)
+            return self._whole(relay, start_response)
+        assert relay.head is not None
+        start_response(status_line(relay.head.status), relay.head.headers)
+        return self._stream(relay, first, chunks)
+
+    def _whole(self, relay: Relay, start_response: StartResponse) -> Iterable[bytes]:
+        finish = relay.finish
+        if finish is not None and not finish.passes_on:
+            return send(final_answer(finish.outcome, relay.request.request_id), start_response)
+        if relay.whole is not None:
+            return _pass_on(relay.whole, start_response)
+        assert relay.head is not None
+        start_response(status_line(relay.head.status), relay.head.headers)
+        return []
+
+    def _stream(self, relay: Relay, first: bytes, chunks: Iterator[bytes]) -> Iterator[bytes]:
+        try:
+            yield first
+            yield from chunks
+            if relay.finish is not None:
+                raise AnswerCut(relay.finish.outcome.reason)
+        finally:
+            chunks.close()  # type: ignore[attr-defined]
+            self._relays.unwatch(relay.token)
+
+
+def final_answer(outcome: NotRun | MayHaveRun | Cut, request_id: str) -> Response:
+    """Returns the answer of a request that is given up."""
+    status = outcome.status if isinstance(outcome, NotRun | MayHaveRun) else 502
+    headers = [(names.REQUEST_ID, request_id)] if request_id else []
+    if isinstance(outcome, NotRun) and outcome.retry_after is not None:
+        headers.append((names.RETRY_AFTER, f"{outcome.retry_after:.3f}"))
+    text = f"{type(outcome).__name__}: {outcome.reason} ({outcome.step}, {outcome.peer})\n"
+    return Response(status, text.encode(), "text/plain", tuple(headers))
+
+
+def _plain(status: int, text: str) -> Response:
+    return Response(status, f"{text}\n".encode(), "text/plain")
+
+
+def _pass_on(answer: WholeAnswer, start_response: StartResponse) -> list[bytes]:
+    headers = [*answer.head.headers, ("Content-Length", str(len(answer.body)))]
+    start_response(status_line(answer.head.status), headers)
+    return [answer.body]
+
+
+def _read_body(environ: Environ) -> bytes:
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    return bytes(environ["wsgi.input"].read(length)) if length else b""
--- /dev/null
+++ b/src/troutswitch/gateway/eventstream.py
@@ -0,0 +1,82 @@
+"""Splits a stream of server-sent events into whole events.
+
+Source: the HTML standard, section "Server-sent events". Half an event is held back
+until it is whole, so an answer that breaks off never delivers a part of one.
+"""
+
+from dataclasses import dataclass
+
+EVENT_BYTES_MOST = 4 * 1024 * 1024
+
+
+class BrokenEvents(Exception):
+    """Bytes that are not the next event of the stream."""
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEvent:
+    """One whole event: its bytes as they came, its id, and its data lines joined."""
+
+    raw: bytes
+    event_id: str
+    data: str
+
+
+class EventSplitter:
+    """Collects bytes into events, and checks that their ids rise by one."""
+
+    def __init__(self, last_id: str = "") -> None:
+        self.last_id = last_id
+        self._rest = b""
+
+    @property
+    def is_between_events(self) -> bool:
+        """Whether no part of an event is held back."""
+        return not self._rest.strip()
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Returns the events that became whole.
+
+        Raises:
+            BrokenEvents: an event is too long, or ids do not follow one another.
+        """
+        self._rest += data
+        events: list[StreamEvent] = []
+        while (end := _end_of_event(self._rest)) > 0:
+            raw, self._rest = self._rest[:end], self._rest[end:]
+            if raw.strip():
+                events.append(self._event(raw))
+        if len(self._rest) > EVENT_BYTES_MOST:
+            raise BrokenEvents("an event is too long")
+        return events
+
+    def _event(self, raw: bytes) -> StreamEvent:
+        event_id = ""
+        data: list[str] = []
+        for line in raw.decode("utf-8", errors="surrogateescape").splitlines():
+            name, _, value = line.partition(":")
+            value = value.removeprefix(" ")
+            if name == "id":
+                event_id = value
+            elif name == "data":
+                data.append(value)
+        self._check_id(event_id)
+        return StreamEvent(raw, event_id, "\n".join(data))
+
+    def _check_id(self, event_id: str) -> None:
+        if not event_id:
+            raise BrokenEvents("an event has no id")
+        if event_id.isdigit() and self.last_id.isdigit():
+            if int(event_id) != int(self.last_id) + 1:
+                raise BrokenEvents(f"event {event_id} follows {self.last_id}")
+        self.last_id = event_id
+
+
+def _end_of_event(data: bytes) -> int:
+    """Returns the length of the first event with its blank line, or 0 if it is not whole."""
+    ends = [
+        position + len(mark)
+        for mark in (b"\n\n", b"\r\n\r\n")
+        if (position := data.find(mark)) >= 0
+    ]
+    return min(ends, default=0)
--- /dev/null
+++ b/src/troutswitch/gateway/front.py
@@ -0,0 +1,95 @@
+"""The waitress server for callers, which tells kept connections to close while draining."""
+
+import logging
+import threading
+from typing import Any
+
+import waitress.channel
+import waitress.server
+import waitress.task
+
+from troutswitch.common import Address
+from troutswitch.decisions.forwarding.types import RequestLimits
+from troutswitch.runtime.http import WsgiApplication
+
+THREAD_STACK_BYTES = 256 * 1024
+BACKLOG = 1024
+CHANNEL_SECONDS = 60
+"""Idle time after which a caller's connection is closed; well above what callers use."""
+LOOKAHEAD = 1
+"""Requests read ahead of the one in progress, which lets a close be seen at once."""
+
+
+class _Task(waitress.task.WSGITask):  # type: ignore[misc]
+    """A request whose answer says `Connection: close` while the server drains."""
+
+    def build_response_header(self) -> bytes:
+        """Returns the answer's head."""
+        if self.channel.server.is_draining:
+            self.set_close_on_finish()
+        return bytes(super().build_response_header())
+
+
+class _Channel(waitress.channel.HTTPChannel):  # type: ignore[misc]
+    """A caller's connection."""
+
+    task_class = _Task
+
+
+class FrontServer:
+    """A waitress server with its own threads."""
+
+    def __init__(
+        self,
+        application: WsgiApplication,
+        address: Address,
+        threads: int,
+        name: str,
+        connections_most: int,
+    ) -> None:
+        logging.getLogger("waitress").setLevel(logging.CRITICAL)
+        logging.getLogger("waitress.queue").setLevel(logging.CRITICAL)
+        threading.stack_size(THREAD_STACK_BYTES)
+        self._server: Any = waitress.server.create_server(
+            application,
+            host=address.host,
+            port=address.port,
+            threads=threads,
+            backlog=BACKLOG,
+            asyncore_use_poll=True,
+            connection_limit=connections_most,
+            channel_timeout=CHANNEL_SECONDS,
+            cleanup_interval=10,
+            channel_request_lookahead=LOOKAHEAD,
+            max_request_header_size=RequestLimits().header_bytes,
+            max_request_body_size=RequestLimits().body_bytes,
+            ident="troutswitch",
+        )
+        self._server.is_draining = False
+        self._server.channel_class = _Channel
+        self.address = Address(address.host, int(self._server.effective_port))
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+
+    def start(self) -> None:
+        """Starts serving."""
+        self._thread.start()
+
+    def set_limits(self, limits: RequestLimits) -> None:
+        """Puts the limits of the configuration in force for requests read from now on."""
+        self._server.adj.max_request_header_size = limits.header_bytes
+        self._server.adj.max_request_body_size = limits.body_bytes
+        self._server.adj.channel_timeout = max(CHANNEL_SECONDS, 2 * limits.idle_seconds)
+
+    def drain(self) -> None:
+        """Tells callers from now on to close their connections."""
+        self._server.is_draining = True
+
+    def _run(self) -> None:
+        try:
+            self._server.run()
+        except OSError:
+            return  # the listening socket was closed by `stop`
+
+    def stop(self) -> None:
+        """Stops listening."""
+        self._server.close()
--- /dev/null
+++ b/src/troutswitch/gateway/loop.py
@@ -0,0 +1,81 @@
+"""The gateway's loop: one thread that owns all state and makes every decision."""
+
+import queue
+import threading
+import time
+from collections.abc import Callable
+
+from troutswitch.decisions.forwarding.messages import CallerGone
+from troutswitch.decisions.gateway import GatewayCore, TimerFired
+from troutswitch.gateway.registry import Relays
+
+IDLE_SECONDS = 1.0
+"""Longest wait when nothing is due."""
+WATCH_SECONDS = 0.1
+"""Interval between looks at whether callers closed their connections."""
+
+
+class GatewayLoop:
+    """Feeds events to the core and hands its instructions on."""
+
+    def __init__(
+        self,
+        core: GatewayCore,
+        relays: Relays,
+        carry_out: Callable[[object], None],
+        on_failure: Callable[[BaseException], None],
+    ) -> None:
+        self.core = core
+        self._relays = relays
+        self._carry_out = carry_out
+        self._on_failure = on_failure
+        self._events: queue.SimpleQueue[object] = queue.SimpleQueue()
+        self._watched_at = float("-inf")
+        self._is_stopping = False
+        self._thread = threading.Thread(target=self._run, name="loop", daemon=True)
+
+    def start(self) -> None:
+        """Starts the loop's thread."""
+        self._thread.start()
+
+    def post(self, event: object) -> None:
+        """Hands an event in, from any thread."""
+        self._events.put(event)
+
+    def stop(self) -> None:
+        """Ends the loop."""
+        self._is_stopping = True
+        self.post(TimerFired())
+
+    def _run(self) -> None:
+        try:
+            while not self._is_stopping:
+                self._turn()
+        except BaseException as error:
+            self._on_failure(error)
+            raise
+
+    def _turn(self) -> None:
+        now = time.monotonic()
+        wait = min(max(0.0, self.core.next_due() - now), self._idle_most())
+        try:
+            event = self._events.get(timeout=wait) if wait else self._events.get_nowait()
+        except queue.Empty:
+            event = TimerFired()
+        self._step(event)
+        self._watch_callers()
+
+    def _idle_most(self) -> float:
+        return WATCH_SECONDS if self._relays.count else IDLE_SECONDS
+
+    def _step(self, event: object) -> None:
+        for instruction in self.core.step(time.monotonic(), event):
+            self._carry_out(instruction)
+
+    def _watch_callers(self) -> None:
+        now = time.monotonic()
+        if now - self._watched_at < WATCH_SECONDS:
+            return
+        self._watched_at = now
+        for token in self._relays.gone_callers():
+            self._step(CallerGone(token))
--- /dev/null
+++ b/src/troutswitch/gateway/process.py
@@ -0,0 +1,154 @@
+"""One gateway daemon as a process: start, planned stop and reload."""
+
+import os
+import random
+import signal
+import threading
+import time
+from collections.abc import Iterable
+
+import structlog
+
+from troutswitch.decisions.gateway import (
+    DrainAsked,
+    GatewayCore,
+    GatewayIdentity,
+    LimitsChanged,
+)
+from troutswitch.gateway.application import CallerApplication
+from troutswitch.gateway.exchange import ServerConnections
+from troutswitch.gateway.front import FrontServer
+from troutswitch.gateway.loop import GatewayLoop
+from troutswitch.gateway.registry import Relays
+from troutswitch.gateway.runner import InstructionRunner
+from troutswitch.gateway.settings import GatewaySettings
+from troutswitch.platform.configuration import PlatformFormats
+from troutswitch.platform.names import READINESS_PATH
+from troutswitch.platform.requests import Environ, IncomingRequest
+from troutswitch.platform.store import StoreClient
+from troutswitch.runtime.http import Response, StartResponse, send
+
+CALLER_THREADS = 96
+"""Requests in progress at once; more wait unread."""
+READINESS_THREADS = 1
+CONNECTIONS_MOST = 2000
+STAY_SECONDS = 3.2
+"""Time a stopping daemon stays for callers that do not know yet that it is not ready."""
+STOP_RESERVE_SECONDS = 0.6
+"""Part of the grace time that is left at the end."""
+LOOK_SECONDS = 0.05
+
+
+class GatewayProcess:
+    """Listeners, loop and executors of one gateway daemon."""
+
+    def __init__(
+        self, settings: GatewaySettings, logger: structlog.typing.FilteringBoundLogger
+    ) -> None:
+        self.settings = settings
+        self.failure: BaseException | None = None
+        self._logger = logger
+        self._relays = Relays()
+        self._connections = ServerConnections()
+        store = StoreClient(settings.store.address)
+        identity = GatewayIdentity(settings.name, settings.zone, settings.bounds.drain)
+        rng = random.Random(os.urandom(8))
+        self.core = GatewayCore(identity, PlatformFormats(), rng)
+        self.runner = InstructionRunner(self._relays, self._connections, store.call, logger)
+        self.loop = GatewayLoop(self.core, self._relays, self.runner.carry_out, self._on_failure)
+        self.runner.set_post(self.loop.post)
+        self.runner.set_limits = self._set_limits
+        self._callers = self._make_callers()
+        self._readiness = self._make_readiness()
+
+    def _make_callers(self) -> FrontServer | None:
+        if self.settings.callers is None:
+            return None
+        application = CallerApplication(
+            self._relays, self._connections, self.loop.post, self._handle_job
+        )
+        return FrontServer(
+            application, self.settings.callers, CALLER_THREADS, "callers", CONNECTIONS_MOST
+        )
+
+    def _make_readiness(self) -> FrontServer | None:
+        if self.settings.readiness is None:
+            return None
+        return FrontServer(
+            self._answer_readiness,
+            self.settings.readiness,
+            READINESS_THREADS,
+            "readiness",
+            CONNECTIONS_MOST,
+        )
+
+    def _answer_readiness(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        is_known = environ.get("PATH_INFO") == READINESS_PATH
+        status = (200 if self.core.is_ready else 503) if is_known else 404
+        return send(Response(status, b"", "text/plain"), start_response)
+
+    def _handle_job(self, request: IncomingRequest, body: bytes) -> Response | None:
+        return None
+
+    def _set_limits(self, change: LimitsChanged) -> None:
+        if self._callers is not None:
+            self._callers.set_limits(change.limits)
+
+    def _on_failure(self, error: BaseException) -> None:
+        self.failure = error
+        self._logger.error("loop failed", error=f"{type(error).__name__}: {error}")
+
+    def start(self) -> None:
+        """Starts listeners and loop."""
+        self.loop.start()
+        for server in (self._readiness, self._callers):
+            if server is not None:
+                server.start()
+        self._logger.info("daemon started", zone=self.settings.zone)
+
+    def drain(self) -> None:
+        """Stops as planned: not ready at once, everything taken in is finished."""
+        began = time.monotonic()
+        end = began + self.settings.bounds.grace - STOP_RESERVE_SECONDS
+        self.loop.post(DrainAsked())
+        if self._callers is not None:
+            self._callers.drain()
+        while time.monotonic() < end:
+            stayed = time.monotonic() - began >= STAY_SECONDS
+            if stayed and self._relays.count == 0:
+                break
+            time.sleep(LOOK_SECONDS)
+        left = self._relays.count
+        self._logger.info("daemon stopped", seconds=time.monotonic() - began, unfinished=left)
+
+    def stop(self) -> None:
+        """Ends loop and executors."""
+        self.loop.stop()
+        self.runner.stop()
+
+
+class Signals:
+    """Signals of the platform, taken before anything else is done."""
+
+    def __init__(self) -> None:
+        self.stop_asked = threading.Event()
+        self.reload_asked = threading.Event()
+        self._woken = threading.Event()
+        signal.signal(signal.SIGTERM, self._on_stop)
+        signal.signal(signal.SIGINT, self._on_stop)
+        signal.signal(signal.SIGHUP, self._on_reload)
+
+    def _on_stop(self, number: int, frame: object) -> None:
+        self.stop_asked.set()
+        self._woken.set()
+
+    def _on_reload(self, number: int, frame: object) -> None:
+        self.reload_asked.set()
+        self._woken.set()
+
+    def wait(self, seconds: float) -> None:
+        """Waits for a signal, up to some seconds."""
+        self._woken.wait(seconds)
+        self._woken.clear()
--- /dev/null
+++ b/src/troutswitch/gateway/relay.py
@@ -0,0 +1,190 @@
+"""Relays one forwarded request: the caller's thread, the loop's decisions, a server's bytes."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from troutswitch.decisions.forwarding.messages import (
+    AnswerBegun,
+    CallerGone,
+    FinishRequest,
+    RequestArrived,
+    RequestAttemptEnded,
+    SendRequest,
+)
+from troutswitch.gateway.eventstream import BrokenEvents, EventSplitter
+from troutswitch.gateway.exchange import (
+    AnswerLost,
+    Exchange,
+    NotConnected,
+    OutgoingRequest,
+    ServerConnections,
+)
+from troutswitch.gateway.registry import Relays
+from troutswitch.outcomes import AttemptKind
+from troutswitch.platform import names
+from troutswitch.platform.requests import AnswerHead, IncomingRequest, read_head, server_headers
+
+DIRECTIVE_SECONDS = 60.0
+"""Longest wait for the loop's next directive; beyond it the loop is taken for dead."""
+MISDIRECTED = 421
+
+Post = Callable[[object], None]
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """A whole answer of a server, to be passed on as it is."""
+
+    head: AnswerHead
+    body: bytes
+
+
+@dataclass
+class Relay:
+    """One request. After `begin`, `head` is set or `finish` tells the final answer.
+
+    `events` then yields the bytes of a streamed answer; it raises `AnswerCut` if the
+    stream cannot be completed, so that the caller never takes a part for the whole.
+    """
+
+    token: int
+    request: IncomingRequest
+    body: bytes
+    relays: Relays
+    connections: ServerConnections
+    post: Post
+    head: AnswerHead | None = None
+    whole: WholeAnswer | None = None
+    finish: FinishRequest | None = None
+    _splitter: EventSplitter = field(default_factory=EventSplitter)
+    _delivered: int = 0
+    _is_completed: bool = False
+
+    def run(self) -> Iterator[bytes]:
+        """Yields the answer's bytes; `head` stands before the first, `finish` after the last."""
+        channel = self.relays.open(self.token)
+        self._splitter = EventSplitter(self.request.last_event_id)
+        try:
+            self.post(self._arrival())
+            while not self._is_completed and self.finish is None:
+                directive = channel.get(DIRECTIVE_SECONDS)
+                if isinstance(directive, FinishRequest):
+                    self.finish = directive
+                else:
+                    yield from self._attempt(directive)
+        finally:
+            self.relays.close(self.token)
+            if not self._is_completed and self.finish is None:
+                self.post(CallerGone(self.token))
+
+    def _arrival(self) -> RequestArrived:
+        request = self.request
+        return RequestArrived(
+            self.token,
+            request.request_id,
+            request.host,
+            request.path,
+            request.time_left,
+            request.prompt,
+            request.last_event_id,
+        )
+
+    def _attempt(self, directive: SendRequest) -> Iterator[bytes]:
+        exchange = Exchange(
+            self.connections,
+            directive.server_id,
+            directive.address,
+            self._outgoing(directive),
+            names.REQUEST_ID,
+        )
+        self.relays.begin_attempt(self.token, directive.attempt, exchange)
+        try:
+            yield from self._exchange(directive, exchange)
+        finally:
+            exchange.close()
+
+    def _outgoing(self, directive: SendRequest) -> OutgoingRequest:
+        request = self.request
+        headers = server_headers(
+            request, directive.server_id, directive.time_left, directive.resume_after
+        )
+        return OutgoingRequest(
+            request.request_id, request.method, request.url, headers, self.body
+        )
+
+    def _exchange(self, directive: SendRequest, exchange: Exchange) -> Iterator[bytes]:
+        try:
+            head = read_head(exchange.open(directive.first_wait))
+        except NotConnected as error:
+            return self._end(directive, AttemptKind.UNREACHABLE, str(error))
+        except AnswerLost as error:
+            return self._end(directive, AttemptKind.CUT, str(error))
+        self.post(AnswerBegun(self.token, directive.attempt, head.load))
+        try:
+            if head.status == 200 and head.is_event_stream:
+                yield from self._stream(directive, exchange, head)
+            else:
+                self._take_whole(directive, head, exchange.body())
+        except (AnswerLost, BrokenEvents) as error:
+            self._end(directive, AttemptKind.CUT, str(error), head)
+
+    def _stream(
+        self, directive: SendRequest, exchange: Exchange, head: AnswerHead
+    ) -> Iterator[bytes]:
+        splitter = EventSplitter(directive.resume_after)
+        self._splitter = splitter
+        exchange.set_wait(directive.first_wait)
+        for data in exchange.chunks():
+            events = splitter.feed(data)
+            if not events:
+                continue
+            exchange.set_wait(directive.gap_wait)
+            self.head = self.head or head
+            self._delivered += len(events)
+            yield b"".join(event.raw for event in events)
+        if not splitter.is_between_events:
+            raise AnswerLost("the stream ended inside an event")
+        self.head = self.head or head
+        self._is_completed = True
+        self._end(directive, AttemptKind.COMPLETED, "", head)
+
+    def _take_whole(self, directive: SendRequest, head: AnswerHead, body: bytes) -> None:
+        if head.not_run:
+            reason = f"server said not run, status {head.status}"
+            self._end(directive, AttemptKind.REFUSED, reason, head)
+            return
+        if self._delivered:
+            reason = f"status {head.status} in the middle of a stream"
+            self._end(directive, AttemptKind.CUT, reason, head)
+            return
+        self.whole = WholeAnswer(head, body)
+        if head.status >= 500:
+            reason = f"server failed, status {head.status}"
+            self._end(directive, AttemptKind.CUT, reason, head, has_answer=True)
+            return
+        self._is_completed = True
+        self._end(directive, AttemptKind.COMPLETED, "", head)
+
+    def _end(
+        self,
+        directive: SendRequest,
+        kind: AttemptKind,
+        reason: str,
+        head: AnswerHead | None = None,
+        has_answer: bool = False,
+    ) -> None:
+        self.post(
+            RequestAttemptEnded(
+                self.token,
+                directive.attempt,
+                kind,
+                reason,
+                self._splitter.last_id,
+                self._delivered,
+                head.status if head is not None else 0,
+                head.load if head is not None else None,
+                head.retry_after if head is not None else None,
+                head is not None and head.status == MISDIRECTED,
+                has_answer,
+            )
+        )
--- /dev/null
+++ b/src/troutswitch/gateway/runner.py
@@ -0,0 +1,88 @@
+"""Carries the gateway's instructions out; blocking calls go to executors."""
+
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+import structlog
+
+from troutswitch.decisions.forwarding.messages import (
+    AbortAttempt,
+    FinishRequest,
+    LogLine,
+    SendRequest,
+)
+from troutswitch.decisions.gateway import LimitsChanged, ServersLeft
+from troutswitch.decisions.storage.messages import (
+    AppendRecords,
+    CallFailed,
+    JoinGroup,
+    LeaveGroup,
+    ReadNewest,
+    ReadRecords,
+    StoreAnswered,
+    StoreCall,
+    StoreOutcome,
+)
+from troutswitch.gateway.exchange import ServerConnections
+from troutswitch.gateway.registry import Relays
+
+STORE_THREADS = 48
+
+
+class InstructionRunner:
+    """Executors and registries behind the loop; `carry_out` never blocks."""
+
+    def __init__(
+        self,
+        relays: Relays,
+        connections: ServerConnections,
+        call_store: Callable[[StoreCall], StoreOutcome],
+        logger: structlog.typing.FilteringBoundLogger,
+    ) -> None:
+        self.set_limits: Callable[[LimitsChanged], None] = lambda change: None
+        self._relays = relays
+        self._connections = connections
+        self._call_store = call_store
+        self._logger = logger
+        self._post: Callable[[object], None] = lambda event: None
+        self._store_executor = ThreadPoolExecutor(STORE_THREADS, "store")
+
+    def set_post(self, post: Callable[[object], None]) -> None:
+        """Sets the function that hands events to the loop."""
+        self._post = post
+
+    def carry_out(self, instruction: object) -> None:
+        """Carries one instruction out; called on the loop's thread."""
+        match instruction:
+            case LogLine():
+                self._logger.info(instruction.event, **instruction.fields)
+            case SendRequest() | FinishRequest():
+                self._relays.direct(instruction)
+            case AbortAttempt():
+                self._relays.abort(instruction)
+            case LimitsChanged():
+                self.set_limits(instruction)
+            case ServersLeft():
+                self._connections.drop_servers(list(instruction.server_ids))
+            case ReadNewest() | ReadRecords() | AppendRecords() | JoinGroup() | LeaveGroup():
+                self._submit(instruction)
+            case _:
+                raise TypeError(f"unknown instruction {type(instruction).__name__}")
+
+    def _submit(self, call: StoreCall) -> None:
+        try:
+            self._store_executor.submit(self._run, call)
+        except RuntimeError:
+            return  # stopping
+
+    def _run(self, call: StoreCall) -> None:
+        try:
+            outcome = self._call_store(call)
+        except Exception as error:
+            self._logger.exception("store call failed")
+            outcome = CallFailed(f"{type(error).__name__}: {error}", True)
+        self._post(StoreAnswered(call.call, outcome))
+
+    def stop(self) -> None:
+        """Ends the executors; calls in progress are left to end by themselves."""
+        self._store_executor.shutdown(wait=False, cancel_futures=True)
--- /dev/null
+++ b/src/troutswitch/gateway/settings.py
@@ -0,0 +1,51 @@
+"""Checked settings of a gateway daemon, in the product's own terms."""
+
+from dataclasses import dataclass, field
+
+from troutswitch.common import Address
+
+
+class GatewaySettingsError(Exception):
+    """Settings that cannot be used; the text names the field and the reason."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreSettings:
+    """The store's address and limits."""
+
+    address: Address
+    partitions: int = 8
+    record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
+    member_ttl_least: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Bounds that the system keeps, in seconds unless named otherwise."""
+
+    configuration_apply: float = 2.0
+    drain: float = 2.0
+    grace: float = 8.0
+    recovery: float = 12.0
+    settle: float = 1.0
+    acknowledge: float = 4.0
+    job_kept: float = 120.0
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Everything that a gateway daemon is told at its start."""
+
+    name: str
+    zone: str
+    callers: Address | None
+    readiness: Address | None
+    peer_host: str
+    peer_ports: tuple[int, int]
+    seeds: tuple[Address, ...]
+    heartbeat: float
+    store: StoreSettings
+    bounds: Bounds = field(default_factory=Bounds)
+    memory_mb: int = 0
+    descriptors_most: int = 0
--- /dev/null
+++ b/src/troutswitch/platform/configuration.py
@@ -0,0 +1,176 @@
+"""Decodes the operator's configuration and the servers' records."""
+
+import msgspec
+
+from troutswitch.common import Address
+from troutswitch.decisions.forwarding.types import (
+    Backend,
+    FleetConfiguration,
+    RequestLimits,
+    Route,
+    RouteKind,
+    ServerRecord,
+    Service,
+)
+from troutswitch.platform.names import CONFIGURATION_KEY
+
+ROUTE_KINDS = {
+    "idempotent": RouteKind.REPEATABLE,
+    "non_idempotent": RouteKind.AT_MOST_ONCE,
+    "keyed": RouteKind.AT_MOST_ONCE,
+    "streaming": RouteKind.STREAM,
+    "batch": RouteKind.JOBS,
+}
+"""The platform's words for kinds of routes."""
+DRAINING = "draining"
+DEFAULT_TIME_LIMIT_MS = 30_000.0
+
+
+class FormatError(ValueError):
+    """A record that does not have the agreed form."""
+
+
+class _Backend(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    pathPrefix: str
+    routeType: str
+    service: str = ""
+    backends: list[_Backend] = []
+    timeoutMs: float = DEFAULT_TIME_LIMIT_MS
+    targetLatencyMs: float = 0.0
+    maxAttempts: int = 1
+    priority: int = 0
+    sticky: bool = False
+    resumable: bool = False
+    gapTargetMs: float = 0.0
+    maxQueuedTokens: int = 0
+    completionTargetMs: float = 0.0
+    retentionS: float = 0.0
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 0
+    kvCacheTokens: int = 0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    maxConnections: int = 0
+    engine: _Engine | None = None
+
+
+class _RequestLimits(msgspec.Struct):
+    maxHeaderBytes: int = 16384
+    maxBodyBytes: int = 4 * 1024 * 1024
+    headerTimeoutMs: float = 3000
+    idleTimeoutMs: float = 15000
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _RequestLimits = msgspec.field(default_factory=_RequestLimits)
+
+
+class _Server(msgspec.Struct):
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+    coldRemainingMs: float = 0.0
+
+
+_CONFIGURATION = msgspec.json.Decoder(_Configuration)
+_SERVER = msgspec.json.Decoder(_Server)
+
+
+def decode_configuration(data: bytes) -> FleetConfiguration:
+    """Decodes a whole configuration.
+
+    Raises:
+        FormatError: the record is malformed.
+    """
+    try:
+        held = _CONFIGURATION.decode(data)
+        routes = tuple(_route(route) for route in held.routes)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise FormatError(f"configuration: {error}") from error
+    limits = RequestLimits(
+        held.limits.maxHeaderBytes,
+        held.limits.maxBodyBytes,
+        held.limits.headerTimeoutMs / 1000,
+        held.limits.idleTimeoutMs / 1000,
+    )
+    services = {service.name: _service(service) for service in held.services}
+    return FleetConfiguration(held.version, routes, services, limits)
+
+
+def _route(held: _Route) -> Route:
+    kind = ROUTE_KINDS.get(held.routeType)
+    if kind is None:
+        raise ValueError(f"route {held.name}: unknown kind {held.routeType!r}")
+    backends = tuple(Backend(b.service, b.weight) for b in held.backends)
+    return Route(
+        name=held.name,
+        host=held.host,
+        path_prefix=held.pathPrefix,
+        kind=kind,
+        backends=backends or (Backend(held.service, 1.0),),
+        time_limit=held.timeoutMs / 1000,
+        objective=held.targetLatencyMs / 1000,
+        attempts_most=max(1, held.maxAttempts),
+        priority=held.priority,
+        is_resumable=held.resumable,
+        is_sticky=held.sticky,
+        gap_limit=held.gapTargetMs / 1000,
+        queued_tokens_most=held.maxQueuedTokens,
+        completion_target=held.completionTargetMs / 1000,
+        retention=held.retentionS,
+    )
+
+
+def _service(held: _Service) -> Service:
+    engine = held.engine or _Engine()
+    return Service(held.name, held.maxConnections, engine.slots, engine.kvCacheTokens)
+
+
+def decode_server(server_id: str, data: bytes) -> ServerRecord:
+    """Decodes a server's record.
+
+    Raises:
+        FormatError: the record is malformed.
+    """
+    try:
+        held = _SERVER.decode(data)
+        address = Address.parse(held.address)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise FormatError(f"server {server_id}: {error}") from error
+    return ServerRecord(
+        server_id,
+        held.service,
+        address,
+        held.zone,
+        held.slots,
+        held.state == DRAINING,
+        held.coldRemainingMs / 1000,
+    )
+
+
+class PlatformFormats:
+    """The platform's forms for the gateway's decisions."""
+
+    def configuration(self, key: str, data: bytes) -> FleetConfiguration | None:
+        """Decodes a record of the operators' topic; None if it is not the configuration."""
+        return decode_configuration(data) if key == CONFIGURATION_KEY and data else None
+
+    def server(self, server_id: str, data: bytes) -> ServerRecord:
+        """Decodes a server's record."""
+        return decode_server(server_id, data)
--- /dev/null
+++ b/src/troutswitch/platform/requests.py
@@ -0,0 +1,142 @@
+"""Headers of requests and answers: the platform's forms to typed values and back."""
+
+import http.client
+from dataclasses import dataclass
+from typing import Any
+
+from troutswitch.decisions.forwarding.types import PromptPart, PromptShape, ServerLoad
+from troutswitch.platform import names
+
+Environ = dict[str, Any]
+Headers = list[tuple[str, str]]
+
+DEADLINE_DEFAULT_SECONDS = 30.0
+"""Time a caller is taken to wait where it tells none."""
+
+
+@dataclass(frozen=True, slots=True)
+class IncomingRequest:
+    """A caller's request as the platform's forms tell it."""
+
+    request_id: str
+    method: str
+    url: str
+    host: str
+    path: str
+    query: str
+    headers: Headers
+    time_left: float
+    last_event_id: str
+    prompt: PromptShape
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """What the head of a server's answer tells."""
+
+    status: int
+    not_run: bool
+    load: ServerLoad | None
+    retry_after: float | None
+    is_event_stream: bool
+    headers: Headers
+
+
+def read_request(environ: Environ) -> IncomingRequest:
+    """Reads a request from a WSGI environment."""
+    headers = _incoming_headers(environ)
+    url = str(environ.get("REQUEST_URI") or environ.get("PATH_INFO", "/"))
+    path, _, query = url.partition("?")
+    return IncomingRequest(
+        request_id=_header(environ, names.REQUEST_ID),
+        method=str(environ["REQUEST_METHOD"]),
+        url=url,
+        host=_header(environ, "Host"),
+        path=path,
+        query=query,
+        headers=headers,
+        time_left=_seconds(_header(environ, names.DEADLINE_MS)),
+        last_event_id=_header(environ, names.LAST_EVENT_ID),
+        prompt=read_prompt(
+            _header(environ, names.TOKEN_USAGE), _header(environ, names.PROMPT_PREFIX)
+        ),
+    )
+
+
+def _header(environ: Environ, name: str) -> str:
+    return str(environ.get("HTTP_" + name.upper().replace("-", "_"), ""))
+
+
+def _incoming_headers(environ: Environ) -> Headers:
+    headers: Headers = []
+    for key, value in environ.items():
+        if key.startswith("HTTP_"):
+            name = key[5:].replace("_", "-").title()
+            if name.lower() not in names.CONNECTION_HEADERS | names.SYSTEM_HEADERS:
+                headers.append((name, str(value)))
+    if environ.get("CONTENT_TYPE"):
+        headers.append(("Content-Type", str(environ["CONTENT_TYPE"])))
+    return headers
+
+
+def _seconds(milliseconds: str) -> float:
+    try:
+        return max(0.0, float(milliseconds) / 1000)
+    except ValueError:
+        return DEADLINE_DEFAULT_SECONDS
+
+
+def read_prompt(usage: str, parts: str) -> PromptShape:
+    """Reads the sizes of a prompt; malformed ones count as unknown."""
+    try:
+        counts = [int(count) for count in usage.split(",")] if usage else [0, 0]
+        named = [part.rpartition(":") for part in parts.split(",") if part]
+        shape = tuple(PromptPart(name.strip(), int(tokens)) for name, _, tokens in named)
+    except ValueError:
+        return PromptShape()
+    return PromptShape(counts[0], counts[1] if len(counts) > 1 else 0, shape)
+
+
+def server_headers(
+    request: IncomingRequest, server_id: str, time_left: float | None, resume_after: str
+) -> Headers:
+    """Returns the headers of a request to a server."""
+    headers: Headers = [("Host", request.host), *request.headers]
+    headers.append((names.EXPECT_INSTANCE, server_id))
+    if time_left is not None:
+        headers.append((names.DEADLINE_MS, str(max(1, int(time_left * 1000)))))
+    if resume_after:
+        headers.append((names.LAST_EVENT_ID, resume_after))
+    return headers
+
+
+def read_head(response: http.client.HTTPResponse) -> AnswerHead:
+    """Reads the head of a server's answer."""
+    content_type = response.getheader("Content-Type", "")
+    return AnswerHead(
+        status=response.status,
+        not_run=response.getheader(names.NOT_EXECUTED) is not None or response.status == 421,
+        load=_load(response.getheader(names.SERVER_LOAD)),
+        retry_after=_retry_after(response.getheader(names.RETRY_AFTER)),
+        is_event_stream=content_type.partition(";")[0].strip() == "text/event-stream",
+        headers=[
+            (name, value)
+            for name, value in response.getheaders()
+            if name.lower() not in names.CONNECTION_HEADERS
+        ],
+    )
+
+
+def _load(header: str | None) -> ServerLoad | None:
+    try:
+        running, waiting, slots = (int(part) for part in (header or "").split(","))
+    except ValueError:
+        return None
+    return ServerLoad(running, waiting, slots)
+
+
+def _retry_after(header: str | None) -> float | None:
+    try:
+        return float(header) if header else None
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/troutswitch/platform/settings.py
@@ -0,0 +1,131 @@
+"""Reads the platform's settings file into `GatewaySettings`; unknown fields are ignored."""
+
+import os
+from pathlib import Path
+
+import msgspec
+
+from troutswitch.common import Address
+from troutswitch.gateway.settings import (
+    Bounds,
+    GatewaySettings,
+    GatewaySettingsError,
+    StoreSettings,
+)
+from troutswitch.platform.names import SETTINGS_VARIABLE
+
+
+class _Listen(msgspec.Struct):
+    front: str = ""
+    ready: str = ""
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    memory_mb: int = 0
+    max_fds: int = 0
+
+
+class _Bounds(msgspec.Struct):
+    configApplyMs: float = 2000
+    drainTimeoutMs: float = 2000
+    gracePeriodS: float = 8
+    recoveryS: float = 12
+    settleTimeoutMs: float = 1000
+    ackTimeoutMs: float = 4000
+    statusIntervalS: float = 120
+
+
+class _Store(msgspec.Struct):
+    address: str
+    parts: int = 8
+    record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
+    ttl_min_ms: float = 1000
+
+
+class _Settings(msgspec.Struct, rename="camel"):
+    node_name: str
+    ip: str
+    zone: str
+    listen: _Listen
+    platform: _Store
+    internal_ports: tuple[int, int] = (0, 0)
+    seed_nodes: list[str] = []
+    heartbeat_ms: float = 1200
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    timing_bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def settings_path() -> Path:
+    """Returns the path of the settings file.
+
+    Raises:
+        GatewaySettingsError: the variable is not set.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        raise GatewaySettingsError(f"{SETTINGS_VARIABLE}: not set")
+    return Path(path)
+
+
+def load_gateway_settings(path: Path) -> GatewaySettings:
+    """Loads and checks a settings file.
+
+    Raises:
+        GatewaySettingsError: the file, a field or a value is missing or wrong.
+    """
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        raise GatewaySettingsError(f"{path}: {error.strerror}") from error
+    try:
+        held = msgspec.toml.decode(data, type=_Settings)
+        return _translate(held)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise GatewaySettingsError(f"{path}: {error}") from error
+
+
+def _translate(held: _Settings) -> GatewaySettings:
+    bounds = held.timing_bounds
+    return GatewaySettings(
+        name=held.node_name,
+        zone=held.zone,
+        callers=_address("listen.front", held.listen.front),
+        readiness=_address("listen.ready", held.listen.ready),
+        peer_host=held.ip,
+        peer_ports=held.internal_ports,
+        seeds=tuple(Address.parse(seed) for seed in held.seed_nodes),
+        heartbeat=held.heartbeat_ms / 1000,
+        store=_store(held.platform),
+        bounds=Bounds(
+            configuration_apply=bounds.configApplyMs / 1000,
+            drain=bounds.drainTimeoutMs / 1000,
+            grace=bounds.gracePeriodS,
+            recovery=bounds.recoveryS,
+            settle=bounds.settleTimeoutMs / 1000,
+            acknowledge=bounds.ackTimeoutMs / 1000,
+            job_kept=bounds.statusIntervalS,
+        ),
+        memory_mb=held.limits.memory_mb,
+        descriptors_most=held.limits.max_fds,
+    )
+
+
+def _store(held: _Store) -> StoreSettings:
+    address = _address("platform.address", held.address)
+    if address is None:
+        raise ValueError("platform.address: missing")
+    if held.parts < 1:
+        raise ValueError(f"platform.parts: expected at least 1, got {held.parts}")
+    return StoreSettings(
+        address, held.parts, held.record_bytes, held.call_bytes, held.ttl_min_ms / 1000
+    )
+
+
+def _address(field: str, text: str) -> Address | None:
+    if not text:
+        return None
+    try:
+        return Address.parse(text)
+    except ValueError as error:
+        raise ValueError(f"{field}: {error}") from error
--- /dev/null
+++ b/src/troutswitch/platform/store.py
@@ -0,0 +1,279 @@
+"""Client of the platform's store: one blocking call each, typed outcomes."""
+
+import http.client
+import socket
+import struct
+import threading
+from base64 import b64decode
+from collections import deque
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from troutswitch.common import Address
+from troutswitch.decisions.storage.messages import (
+    Appended,
+    AppendRecords,
+    CallFailed,
+    EndMoved,
+    FencedOff,
+    GroupJoined,
+    GroupLeft,
+    HistoryGone,
+    JoinGroup,
+    KeyedRecord,
+    LeaveGroup,
+    NewestPage,
+    OutOfSequence,
+    Partition,
+    ReadNewest,
+    ReadRecords,
+    RecordsRead,
+    StoreCall,
+    StoreOutcome,
+)
+from troutswitch.platform.names import CONFIGURATION_TOPIC, SERVERS_TOPIC, TOPIC_PREFIX
+
+CALL_SECONDS = 3.0
+"""Longest time for an answer, beyond what a read waits at the store."""
+CONNECT_SECONDS = 1.0
+IDLE_CONNECTIONS = 8
+NOT_DONE = frozenset({400, 403, 404, 429, 503, 507})
+"""Statuses after which the store has done nothing."""
+READ_KB = 1024
+
+TOPICS = {"configuration": CONFIGURATION_TOPIC, "servers": SERVERS_TOPIC}
+"""The platform's own topics by the product's names."""
+
+
+class _NewestRow(msgspec.Struct, rename={"key": "tlsKey"}):
+    key: str
+    value: str = ""
+    offset: int = -1
+
+
+class _Newest(msgspec.Struct, rename={"rows": "requests"}):
+    rows: list[_NewestRow] = []
+    more: bool = False
+    end: int = 0
+
+
+class _Appended(msgspec.Struct):
+    offset: int
+    end: int
+
+
+class _Refused(msgspec.Struct):
+    end: int = 0
+    why: str = ""
+    epoch: int = 0
+    sequence: int = 0
+    first: int = 0
+
+
+class _Joined(msgspec.Struct):
+    generation: int
+    parts: list[tuple[str, int, int]] = []
+
+
+def topic_name(topic: str) -> str:
+    """Returns the platform's name of a topic."""
+    return TOPICS.get(topic, TOPIC_PREFIX + topic)
+
+
+def encode_records(records: tuple[KeyedRecord, ...]) -> bytes:
+    """Encodes keyed records: length, length of the key, key, value."""
+    parts: list[bytes] = []
+    for record in records:
+        key = record.key.encode()
+        parts.append(struct.pack(">IB", 1 + len(key) + len(record.value), len(key)))
+        parts.append(key)
+        parts.append(record.value)
+    return b"".join(parts)
+
+
+def decode_records(data: bytes, offset: int) -> tuple[KeyedRecord, ...]:
+    """Decodes keyed records that begin at an offset; a cut last record is left out."""
+    records: list[KeyedRecord] = []
+    position = 0
+    while position + 5 <= len(data):
+        length, key_length = struct.unpack_from(">IB", data, position)
+        end = position + 4 + length
+        if end > len(data):
+            break
+        key_end = position + 5 + key_length
+        key = data[position + 5 : key_end].decode(errors="replace")
+        records.append(KeyedRecord(key, data[key_end:end], offset + len(records)))
+        position = end
+    return tuple(records)
+
+
+class StoreClient:
+    """Calls to the store over kept connections; safe for many threads."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._idle: deque[http.client.HTTPConnection] = deque()
+        self._lock = threading.Lock()
+
+    def call(self, call: StoreCall) -> StoreOutcome:
+        """Makes a call and returns its outcome; it does not raise for the store's faults."""
+        match call:
+            case ReadNewest():
+                return self._newest(call)
+            case ReadRecords():
+                return self._read(call)
+            case AppendRecords():
+                return self._append(call)
+            case JoinGroup():
+                return self._join(call)
+            case LeaveGroup():
+                return self._leave(call)
+
+    def _newest(self, call: ReadNewest) -> StoreOutcome:
+        query = _place(call.partition)
+        if call.after_key:
+            query["afterRevision"] = call.after_key
+        status, body = self._exchange("GET", "/log-newest", query)
+        if status != 200:
+            return _failed(status, body)
+        try:
+            held = msgspec.json.decode(body, type=_Newest)
+            records = tuple(
+                KeyedRecord(row.key, b64decode(row.value), row.offset) for row in held.rows
+            )
+        except (msgspec.DecodeError, ValueError) as error:
+            return CallFailed(f"malformed answer: {error}", True)
+        return NewestPage(records, held.more, held.end)
+
+    def _read(self, call: ReadRecords) -> StoreOutcome:
+        query = _place(call.partition) | {"from": call.offset, "max_kb": READ_KB}
+        if call.wait > 0:
+            query["waitMs"] = round(call.wait * 1000)
+        status, body = self._exchange("GET", "/log-read", query, wait=call.wait)
+        if status == 410:
+            return HistoryGone(_refusal(body).first)
+        if status != 200 or len(body) < 16:
+            return _failed(status, body)
+        end, _first = struct.unpack_from(">QQ", body)
+        records = decode_records(body[16:], call.offset)
+        return RecordsRead(records, call.offset + len(records), end)
+
+    def _append(self, call: AppendRecords) -> StoreOutcome:
+        query = _place(call.partition)
+        if call.expected_end is not None:
+            query["at"] = call.expected_end
+        if call.stamp is not None:
+            query["producer"] = call.stamp.writer
+            query["epoch"] = call.stamp.epoch
+            query["sequence"] = call.stamp.sequence
+        status, body = self._exchange("POST", "/log-append", query, encode_records(call.records))
+        match status:
+            case 200:
+                return self._appended(body)
+            case 412:
+                return EndMoved(_refusal(body).end)
+            case 409:
+                refusal = _refusal(body)
+                if refusal.why == "fenced":
+                    return FencedOff(refusal.epoch)
+                return OutOfSequence(refusal.sequence)
+            case _:
+                return _failed(status, body)
+
+    @staticmethod
+    def _appended(body: bytes) -> StoreOutcome:
+        try:
+            held = msgspec.json.decode(body, type=_Appended)
+        except msgspec.DecodeError as error:
+            return CallFailed(f"malformed answer: {error}", True)
+        return Appended(held.offset, held.end)
+
+    def _join(self, call: JoinGroup) -> StoreOutcome:
+        topics = {topic_name(topic): topic for topic in call.topics}
+        body = {
+            "group": call.group,
+            "member": call.member,
+            "topics": list(topics),
+            "ttl_ms": round(call.ttl * 1000),
+            "generation": call.generation,
+        }
+        status, answer = self._exchange("POST", "/log-join", {}, msgspec.json.encode(body))
+        if status != 200:
+            return _failed(status, answer)
+        try:
+            held = msgspec.json.decode(answer, type=_Joined)
+        except msgspec.DecodeError as error:
+            return CallFailed(f"malformed answer: {error}", True)
+        rows = tuple(
+            Partition(topics[name], number) for name, number, _ in held.parts if name in topics
+        )
+        return GroupJoined(held.generation, rows)
+
+    def _leave(self, call: LeaveGroup) -> StoreOutcome:
+        body = msgspec.json.encode({"group": call.group, "member": call.member})
+        status, answer = self._exchange("POST", "/log-leave", {}, body)
+        return GroupLeft() if status == 200 else _failed(status, answer)
+
+    # Connections.
+
+    def _exchange(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str | int],
+        body: bytes | None = None,
+        wait: float = 0.0,
+    ) -> tuple[int, bytes]:
+        """Makes one exchange; status 0 means no answer, -1 that nothing was sent."""
+        connection = self._take_connection()
+        url = f"{path}?{urlencode(query, quote_via=quote)}" if query else path
+        headers = {"Content-Type": "application/json"} if body is not None else {}
+        try:
+            if connection.sock is None:
+                connection.connect()
+                connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError as error:
+            connection.close()
+            return -1, str(error).encode()
+        try:
+            connection.sock.settimeout(CALL_SECONDS + wait)
+            connection.request(method, url, body, headers)
+            response = connection.getresponse()
+            answer = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            connection.close()
+            return 0, f"{type(error).__name__}: {error}".encode()
+        self._keep_connection(connection)
+        return response.status, answer
+
+    def _take_connection(self) -> http.client.HTTPConnection:
+        with self._lock:
+            if self._idle:
+                return self._idle.pop()
+        return http.client.HTTPConnection(
+            self._address.host, self._address.port, timeout=CONNECT_SECONDS
+        )
+
+    def _keep_connection(self, connection: http.client.HTTPConnection) -> None:
+        with self._lock:
+            if connection.sock is not None and len(self._idle) < IDLE_CONNECTIONS:
+                self._idle.append(connection)
+                return
+        connection.close()
+
+
+def _place(partition: Partition) -> dict[str, str | int]:
+    return {"topic": topic_name(partition.topic), "part": partition.number}
+
+
+def _refusal(body: bytes) -> _Refused:
+    try:
+        return msgspec.json.decode(body, type=_Refused)
+    except msgspec.DecodeError:
+        return _Refused()
+
+
+def _failed(status: int, body: bytes) -> CallFailed:
+    text = body[:120].decode(errors="replace")
+    return CallFailed(f"status {status}: {text}", status != -1 and status not in NOT_DONE)
