--- a/src/troutswitch/cli/main.py
+++ b/src/troutswitch/cli/main.py
@@ -22,7 +22,19 @@
     """Serving system for online and batch language-model inference on one fleet."""
 
 
-for command in (gateway, daemon, settings, ctl, demo, load, standin, simulate, experiment, scale, bench):
+for command in (
+    gateway,
+    daemon,
+    settings,
+    ctl,
+    demo,
+    load,
+    standin,
+    simulate,
+    experiment,
+    scale,
+    bench,
+):
     cli.add_command(command)
 
 
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -175,9 +175,7 @@
         candidates = self._candidates(now, request)
         if not candidates:
             return self._give_up(now, request, reason, Step.ROUTE)
-        server = self._policy.choose(
-            now, candidates, request.arrival.prompt, self._zone, self._rng
-        )
+        server = self._policy.choose(now, candidates, request.arrival.prompt, self._zone, self._rng)
         return self._start(now, request, server)
 
     def _candidates(self, now: float, request: ForwardedRequest) -> list[Server]:
@@ -271,9 +269,7 @@
             return [self._line_of_end(request, event)]
         return self._after_failure(now, request, event)
 
-    def _account(
-        self, now: float, request: ForwardedRequest, event: RequestAttemptEnded
-    ) -> None:
+    def _account(self, now: float, request: ForwardedRequest, event: RequestAttemptEnded) -> None:
         failed = event.kind in (AttemptKind.CUT, AttemptKind.UNREACHABLE)
         tokens = self._tokens(request)
         self._servers.on_ended(now, request.server_id, False, tokens, failed)
@@ -364,9 +360,7 @@
         aborted = self._abort(now, request, AttemptKind.CANCELLED)
         return aborted + self._give_up(now, request, "caller went away", Step.RELAY)
 
-    def _abort(
-        self, now: float, request: ForwardedRequest, kind: AttemptKind
-    ) -> Instructions:
+    def _abort(self, now: float, request: ForwardedRequest, kind: AttemptKind) -> Instructions:
         request.kinds.append(kind)
         self._servers.on_ended(now, request.server_id, False, self._tokens(request), False)
         return [AbortAttempt(request.arrival.token, request.attempt)]
--- a/src/troutswitch/decisions/forwarding/routes.py
+++ b/src/troutswitch/decisions/forwarding/routes.py
@@ -27,14 +27,16 @@
         """Puts a configuration in force; returns False if it is not newer."""
         if configuration.version <= self.version:
             return False
-        self.configuration = configuration
-        self.changed_at = now
-        self._by_host = {}
-        self._by_name = {route.name: route for route in configuration.routes}
+        by_host: dict[str, list[Route]] = {}
         for route in configuration.routes:
-            self._by_host.setdefault(route.host, []).append(route)
-        for routes in self._by_host.values():
+            by_host.setdefault(route.host, []).append(route)
+        for routes in by_host.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        # Whole new tables, so that a thread that only looks a route up sees old or new.
+        self._by_host = by_host
+        self._by_name = {route.name: route for route in configuration.routes}
+        self.configuration = configuration
+        self.changed_at = now
         return True
 
     def match(self, host: str, path: str) -> Route | None:
--- a/src/troutswitch/decisions/forwarding/serverlist.py
+++ b/src/troutswitch/decisions/forwarding/serverlist.py
@@ -76,4 +76,3 @@
         self._rows = []
         self._after_key = ""
         self._due = now + RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
-
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -25,6 +25,15 @@
     RequestLimits,
     ServerRecord,
 )
+from troutswitch.decisions.jobs.coordinator import JobCoordinator
+from troutswitch.decisions.jobs.intake import StoreRoom
+from troutswitch.decisions.jobs.messages import (
+    BodyAsked,
+    ItemRunEnded,
+    JobEndAsked,
+    JobSubmitted,
+    ResultsAsked,
+)
 from troutswitch.decisions.storage.follower import CallNumbers, PartitionFollower
 from troutswitch.decisions.storage.messages import (
     KeyedRecord,
@@ -60,6 +69,8 @@
     name: str
     zone: str
     drain: float
+    member_ttl_least: float
+    store_room: StoreRoom
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,11 +120,23 @@
             self.numbers,
             rng,
             self._take_configuration,
-            lambda: None,
             CONFIGURATION_WAIT_SECONDS,
             CONFIGURATION_PAUSE_SECONDS,
         )
         self._now = float("-inf")
+        self.jobs = JobCoordinator(
+            identity.name,
+            identity.member_ttl_least,
+            self.routes,
+            self.servers,
+            self.numbers,
+            identity.store_room,
+            rng,
+            self._emit,
+        )
+
+    def _emit(self, instruction: Instruction) -> None:
+        self._instructions.append(instruction)
 
     @property
     def is_ready(self) -> bool:
@@ -134,10 +157,13 @@
                 self._instructions += self.requests.on_attempt_ended(now, event)
             case CallerGone():
                 self._instructions += self.requests.on_caller_gone(now, event)
+            case JobSubmitted() | ResultsAsked() | BodyAsked() | JobEndAsked() | ItemRunEnded():
+                self.jobs.on_event(now, event)
             case StoreAnswered():
                 self._on_store(now, event.call, event.outcome)
             case DrainAsked():
                 self.is_draining = True
+                self.jobs.drain()
                 self._log("drain started", in_flight=len(self.requests.requests))
             case TimerFired():
                 pass
@@ -149,13 +175,17 @@
     def next_due(self) -> float:
         """Returns when the next timer fires."""
         return min(
-            self.requests.next_due(), self.server_list.next_due(), self.configuration.next_due()
+            self.requests.next_due(),
+            self.server_list.next_due(),
+            self.configuration.next_due(),
+            self.jobs.next_due(),
         )
 
     def _on_timer(self, now: float) -> None:
         self._instructions += self.requests.on_timer(now)
         self._instructions += self.server_list.on_timer(now)
         self._instructions += self.configuration.on_timer(now)
+        self.jobs.on_timer(now)
 
     # The store.
 
@@ -164,6 +194,8 @@
             self._on_server_list(now, outcome)
         elif self.configuration.owns(call):
             self.configuration.on_answer(now, outcome)
+        else:
+            self.jobs.on_store(now, call, outcome)
 
     def _on_server_list(self, now: float, outcome: StoreOutcome) -> None:
         rows = self.server_list.on_answer(now, outcome)
--- /dev/null
+++ b/src/troutswitch/decisions/jobs/coordinator.py
@@ -0,0 +1,113 @@
+"""Batch jobs of one daemon: intake, reads, ownership and runs, behind one door."""
+
+import random
+from collections.abc import Callable, Iterable
+
+from troutswitch.decisions.forwarding.messages import LogLine
+from troutswitch.decisions.forwarding.routes import RouteTable
+from troutswitch.decisions.forwarding.servers import ServerRegistry
+from troutswitch.decisions.jobs.intake import JobIntake, StoreRoom
+from troutswitch.decisions.jobs.messages import (
+    AnswerJobCall,
+    BodyAsked,
+    ItemRunEnded,
+    JobAnswer,
+    JobEndAsked,
+    JobSubmitted,
+    ResultsAsked,
+)
+from troutswitch.decisions.jobs.owner import JobOwner
+from troutswitch.decisions.jobs.ownership import ShardOwnership
+from troutswitch.decisions.jobs.reads import JobReads
+from troutswitch.decisions.jobs.replicas import JobReplicas
+from troutswitch.decisions.storage.follower import CallNumbers
+from troutswitch.decisions.storage.messages import StoreOutcome
+
+JobEvent = JobSubmitted | ResultsAsked | BodyAsked | JobEndAsked | ItemRunEnded
+
+
+class JobCoordinator:
+    """All decisions about batch jobs on one daemon."""
+
+    def __init__(
+        self,
+        member: str,
+        ttl_least: float,
+        routes: RouteTable,
+        servers: ServerRegistry,
+        numbers: CallNumbers,
+        room: StoreRoom,
+        rng: random.Random,
+        emit: Callable[[object], None],
+    ) -> None:
+        self._emit = emit
+        self.replicas = JobReplicas(numbers, rng)
+        self.intake = JobIntake(routes, self.replicas, numbers, room, self._answer, self._log)
+        self.reads = JobReads(self.replicas, numbers, self._answer, self._log)
+        self.ownership = ShardOwnership(member, ttl_least, self.replicas, numbers, rng, self._log)
+        self.owner = JobOwner(
+            routes,
+            servers,
+            self.replicas,
+            self.ownership,
+            numbers,
+            room.call_bytes,
+            rng,
+            self._log,
+        )
+
+    def _answer(self, token: int, answer: JobAnswer) -> None:
+        self._emit(AnswerJobCall(token, answer))
+
+    def _log(self, event: str, **fields: object) -> None:
+        self._emit(LogLine(event, fields))
+
+    def on_event(self, now: float, event: JobEvent) -> None:
+        """Takes an event of a client or of a run."""
+        match event:
+            case JobSubmitted():
+                self._emit_all(self.intake.on_submitted(now, event))
+            case ItemRunEnded():
+                self.owner.on_run_ended(now, event)
+            case _:
+                self._emit_all(self.reads.on_asked(now, event))
+
+    def on_store(self, now: float, call: int, outcome: StoreOutcome) -> None:
+        """Takes the outcome of a store call."""
+        if self.intake.owns(call):
+            self._emit_all(self.intake.on_answer(now, call, outcome))
+        elif self.reads.owns(call):
+            self._emit_all(self.reads.on_answer(now, call, outcome))
+        elif self.ownership.owns(call):
+            self.ownership.on_answer(now, call, outcome)
+        elif self.owner.owns(call):
+            self.owner.on_answer(now, call, outcome)
+        else:
+            self._emit_all(self.replicas.on_answer(now, call, outcome) or [])
+
+    def next_due(self) -> float:
+        """Returns when `on_timer` has something to do."""
+        return min(
+            self.replicas.next_due(),
+            self.intake.next_due(),
+            self.reads.next_due(),
+            self.ownership.next_due(),
+            self.owner.next_due(),
+        )
+
+    def on_timer(self, now: float) -> None:
+        """Does what is due."""
+        self._emit_all(self.ownership.on_timer(now))
+        self._emit_all(self.owner.on_timer(now))
+        self._emit_all(self.intake.on_timer(now))
+        self._emit_all(self.reads.on_timer(now))
+        # Last, as the others may have asked for reads.
+        self._emit_all(self.replicas.on_timer(now))
+
+    def drain(self) -> None:
+        """Passes the shards on; runs of their items are stopped at the next timer."""
+        self._emit_all(self.ownership.leave())
+
+    def _emit_all(self, instructions: Iterable[object]) -> None:
+        for instruction in instructions:
+            self._emit(instruction)
--- /dev/null
+++ b/src/troutswitch/decisions/jobs/index.py
@@ -0,0 +1,103 @@
+"""The index of all jobs: a fold over the index partition, the same on every daemon."""
+
+from dataclasses import dataclass, field
+
+from troutswitch.decisions.jobs.records import (
+    END_MARK,
+    MANIFEST,
+    PROGRESS,
+    Manifest,
+    RecordError,
+    read_manifest,
+    read_progress,
+    split_key,
+)
+from troutswitch.decisions.storage.messages import KeyedRecord
+
+
+@dataclass(slots=True)
+class JobEntry:
+    """One job as the index tells it."""
+
+    manifest: Manifest
+    tokens_left: int
+    seen_at: float
+    is_ended: bool = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether items of the job may still run."""
+        return not self.is_ended and self.tokens_left > 0
+
+
+@dataclass
+class JobIndex:
+    """All jobs by id. Records may be taken any number of times, in the order of the log."""
+
+    jobs: dict[str, JobEntry] = field(default_factory=dict)
+    malformed: int = 0
+    _early_ends: set[str] = field(default_factory=set)
+    _early_progress: dict[str, int] = field(default_factory=dict)
+
+    def take(self, now: float, record: KeyedRecord) -> None:
+        """Folds a record in; one that this version cannot read is counted."""
+        kind, job_id, _ = split_key(record.key)
+        if not record.value:
+            self._remove(kind, job_id)
+            return
+        try:
+            self._take_value(now, kind, job_id, record.value)
+        except RecordError:
+            self.malformed += 1
+
+    def _take_value(self, now: float, kind: str, job_id: str, value: bytes) -> None:
+        if kind == MANIFEST:
+            self._take_manifest(now, read_manifest(job_id, value))
+        elif kind == END_MARK:
+            self._take_end(job_id)
+        elif kind == PROGRESS:
+            self._take_progress(job_id, read_progress(value))
+
+    def _take_manifest(self, now: float, manifest: Manifest) -> None:
+        """Takes a manifest; a whole read comes by key, so marks may come before it."""
+        if manifest.job_id in self.jobs:
+            return  # the first manifest of a job holds
+        entry = JobEntry(manifest, manifest.tokens, now)
+        self.jobs[manifest.job_id] = entry
+        entry.is_ended = manifest.job_id in self._early_ends
+        left = self._early_progress.pop(manifest.job_id, manifest.tokens)
+        entry.tokens_left = min(left, manifest.tokens)
+        self._early_ends.discard(manifest.job_id)
+
+    def _take_end(self, job_id: str) -> None:
+        entry = self.jobs.get(job_id)
+        if entry is None:
+            self._early_ends.add(job_id)
+        else:
+            entry.is_ended = True
+
+    def _take_progress(self, job_id: str, tokens_left: int) -> None:
+        entry = self.jobs.get(job_id)
+        if entry is None:
+            self._early_progress[job_id] = tokens_left
+        else:
+            # What is listed stays listed, so a late word of a former owner changes nothing.
+            entry.tokens_left = min(entry.tokens_left, tokens_left)
+
+    def _remove(self, kind: str, job_id: str) -> None:
+        if kind == MANIFEST:
+            self.jobs.pop(job_id, None)
+        self._early_ends.discard(job_id)
+        self._early_progress.pop(job_id, None)
+
+    def waiting_tokens(self, route: str) -> int:
+        """Returns the tokens of a route's accepted items that are not listed yet."""
+        return sum(
+            entry.tokens_left
+            for entry in self.jobs.values()
+            if entry.manifest.route == route and not entry.is_ended
+        )
+
+    def open_in_shard(self, shard: int) -> list[JobEntry]:
+        """Returns the open jobs of a shard, oldest first."""
+        return [e for e in self.jobs.values() if e.manifest.shard == shard and e.is_open]
--- /dev/null
+++ b/src/troutswitch/decisions/jobs/messages.py
@@ -0,0 +1,143 @@
+"""Typed events and instructions of batch jobs."""
+
+from dataclasses import dataclass
+
+from troutswitch.common import Address
+from troutswitch.decisions.forwarding.types import ServerLoad
+from troutswitch.decisions.jobs.records import ItemResult, JobItem
+from troutswitch.outcomes import AttemptKind
+
+# Events.
+
+
+@dataclass(frozen=True, slots=True)
+class JobSubmitted:
+    """A client hands a job in. `time_left` is what it will wait, in seconds."""
+
+    token: int
+    job_id: str
+    host: str
+    path: str
+    items: tuple[JobItem, ...]
+    digest: str
+    time_left: float
+
+
+@dataclass(frozen=True, slots=True)
+class ResultsAsked:
+    """A client reads a job's results from a position on."""
+
+    token: int
+    job_id: str
+    position: int
+    time_left: float
+
+
+@dataclass(frozen=True, slots=True)
+class BodyAsked:
+    """A client asks for the body of an item."""
+
+    token: int
+    job_id: str
+    item_id: str
+    time_left: float
+
+
+@dataclass(frozen=True, slots=True)
+class JobEndAsked:
+    """A client ends a job."""
+
+    token: int
+    job_id: str
+    time_left: float
+
+
+@dataclass(frozen=True, slots=True)
+class ItemRunEnded:
+    """A run of an item ended.
+
+    `texts` are the data of the whole events that came in this run, in order, and
+    `position` is the id of the last of them.
+    """
+
+    run: int
+    kind: AttemptKind
+    status: int
+    reason: str
+    position: str
+    texts: tuple[str, ...]
+    load: ServerLoad | None = None
+    wrong_instance: bool = False
+
+
+# Instructions.
+
+
+@dataclass(frozen=True, slots=True)
+class RunItem:
+    """Run an item at a server, from the event after `resume_after`. Times are seconds."""
+
+    run: int
+    server_id: str
+    address: Address
+    host: str
+    item: JobItem
+    resume_after: str
+    first_wait: float
+    gap_wait: float
+
+
+@dataclass(frozen=True, slots=True)
+class StopItem:
+    """Close the connection of an item's run."""
+
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobAccepted:
+    """Answer: the job is kept."""
+
+
+@dataclass(frozen=True, slots=True)
+class JobRefused:
+    """Answer: the call was not carried out. `status` is that of HTTP.
+
+    429 and 503 are only given where none of the job will ever run.
+    """
+
+    status: int
+    reason: str
+    retry_after: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class JobResults:
+    """Answer: results from a position on; `total` counts the job's items."""
+
+    total: int
+    position: int
+    results: tuple[ItemResult, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ItemBody:
+    """Answer: an item's body."""
+
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class JobEnded:
+    """Answer: the job is ended."""
+
+
+JobAnswer = JobAccepted | JobRefused | JobResults | ItemBody | JobEnded
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerJobCall:
+    """Answer a client's call about a job."""
+
+    token: int
+    answer: JobAnswer
--- /dev/null
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -0,0 +1,539 @@
+"""Runs the items of the shards that this daemon owns, and lists their results.
+
+An item's states:
+
+    PENDING  -> RUNNING   a server has room, and its run started
+    RUNNING  -> PENDING   the run ended early; the next goes on after its last whole event
+    RUNNING  -> FINISHED  the output is whole, or the item can never be done
+    FINISHED -> listed    its result was appended at a position under the shard's epoch
+
+Items may run more than once; a result is listed once, because only the fenced owner
+appends results, and it appends none for an item that is listed.
+"""
+
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from troutswitch.decisions.forwarding.messages import LogLine
+from troutswitch.decisions.forwarding.routes import RouteTable, choose_service
+from troutswitch.decisions.forwarding.servers import Server, ServerRegistry
+from troutswitch.decisions.forwarding.types import Route
+from troutswitch.decisions.invariants import ensure
+from troutswitch.decisions.jobs.index import JobEntry
+from troutswitch.decisions.jobs.messages import ItemRunEnded, RunItem, StopItem
+from troutswitch.decisions.jobs.ownership import WRITER, ShardClaim, ShardOwnership
+from troutswitch.decisions.jobs.records import (
+    DEAD,
+    DONE,
+    INDEX,
+    ItemResult,
+    JobItem,
+    progress_record,
+    result_record,
+    shard_partition,
+)
+from troutswitch.decisions.jobs.replicas import JobReplicas
+from troutswitch.decisions.jobs.room import BatchRoomPolicy, has_room, must_yield
+from troutswitch.decisions.storage.follower import CallNumbers
+from troutswitch.decisions.storage.messages import (
+    Appended,
+    AppendRecords,
+    CallFailed,
+    KeyedRecord,
+    StoreCall,
+    StoreOutcome,
+    WriterStamp,
+)
+from troutswitch.outcomes import AttemptKind
+
+TICK_SECONDS = 0.1
+"""Interval between looks for work."""
+RUNS_MOST = 64
+"""Items that run at once from this daemon."""
+STARTS_A_TICK = 8
+"""Items that start in one look, so that peers hear of them before many follow."""
+FIRST_WAIT_SECONDS = 5.0
+GAP_WAIT_SECONDS = 1.5
+RETRY_SECONDS = 0.2
+FAILED_RETRY_SECONDS = 0.4
+WRITE_RETRY_SECONDS = 0.2
+WRITE_LOST_SECONDS = 4.0
+PROGRESS_SECONDS = 0.4
+"""Least time between words on progress in the index."""
+ROUTE_GONE_SECONDS = 6.0
+"""Time without a route after which an item is given up."""
+NEVER_STATUSES = frozenset({422})
+"""Statuses with which a server says that an item can never be done."""
+
+Instruction = StoreCall | RunItem | StopItem | LogLine
+
+
+@dataclass(slots=True)
+class ItemProgress:
+    """What is known of an item that is not listed."""
+
+    shard: int
+    job_id: str
+    item: JobItem
+    position: str = ""
+    texts: list[str] = field(default_factory=list)
+    failures: int = 0
+    runs: int = 0
+    retry_at: float = float("-inf")
+    no_route_since: float = float("inf")
+    run: int = 0
+    is_finished: bool = False
+
+
+@dataclass(slots=True)
+class ItemRun:
+    """One run of an item at a server."""
+
+    progress: ItemProgress
+    server_id: str
+    started_at: float
+    is_stopped: bool = False
+
+
+@dataclass(slots=True)
+class ShardWriter:
+    """Results of one shard that are to be appended, in order."""
+
+    waiting: deque[tuple[str, ItemResult]] = field(default_factory=deque)
+    call: int = 0
+    call_at: float = 0.0
+    retry_at: float = float("-inf")
+    batch: list[tuple[str, int, ItemResult]] = field(default_factory=list)
+    is_unsure: bool = False
+    epoch: int = 0
+    changed_jobs: set[str] = field(default_factory=set)
+    progress_call: int = 0
+    progress_at: float = float("-inf")
+
+
+@dataclass
+class OwnerCounts:
+    """Counters for metrics."""
+
+    runs: int = 0
+    listed: int = 0
+    dead: int = 0
+    yielded: int = 0
+
+
+class JobOwner:
+    """All items that this daemon runs."""
+
+    def __init__(
+        self,
+        routes: RouteTable,
+        servers: ServerRegistry,
+        replicas: JobReplicas,
+        ownership: ShardOwnership,
+        numbers: CallNumbers,
+        call_bytes: int,
+        rng: random.Random,
+        log: Callable[..., None],
+        policy: BatchRoomPolicy | None = None,
+    ) -> None:
+        self.runs: dict[int, ItemRun] = {}
+        self.counts = OwnerCounts()
+        self._items: dict[tuple[str, str], ItemProgress] = {}
+        self._writers: dict[int, ShardWriter] = {}
+        self._routes = routes
+        self._servers = servers
+        self._replicas = replicas
+        self._ownership = ownership
+        self._numbers = numbers
+        self._call_bytes = call_bytes
+        self._rng = rng
+        self._log = log
+        self._policy = policy or BatchRoomPolicy()
+        self._run_numbers = itertools.count(1)
+        self._tick_at = float("-inf")
+        self._asked_shards: set[int] = set()
+
+    # Timers.
+
+    def next_due(self) -> float:
+        """Returns when `on_timer` has something to do."""
+        if not self._ownership.claims and not self.runs:
+            return float("inf")
+        return self._tick_at
+
+    def on_timer(self, now: float) -> list[Instruction]:
+        """Looks for work, stops what must not run, and writes results."""
+        if now < self._tick_at:
+            return []
+        self._tick_at = now + TICK_SECONDS
+        instructions: list[Instruction] = []
+        owned = {claim.shard: claim for claim in self._ownership.owned()}
+        instructions += self._stop_unwanted(now)
+        instructions += self._yield_slots(now)
+        instructions += self._start_items(now, owned)
+        for claim in owned.values():
+            instructions += self._write(now, claim)
+            instructions += self._tell_progress(now, claim)
+        return instructions
+
+    # Stopping.
+
+    def _stop_unwanted(self, now: float) -> list[Instruction]:
+        """Stops runs of ended jobs and of shards that passed on."""
+        instructions: list[Instruction] = []
+        for number, run in self.runs.items():
+            if not run.is_stopped and not self._is_wanted(run.progress):
+                run.is_stopped = True
+                instructions.append(StopItem(number))
+        for key, progress in list(self._items.items()):
+            if not progress.run and not self._is_wanted(progress):
+                del self._items[key]
+        for shard in set(self._writers) - set(self._ownership.claims):
+            del self._writers[shard]
+        return instructions
+
+    def _is_wanted(self, progress: ItemProgress) -> bool:
+        entry = self._replicas.index.jobs.get(progress.job_id)
+        is_open = entry is not None and not entry.is_ended
+        return is_open and progress.shard in self._ownership.claims
+
+    def _yield_slots(self, now: float) -> list[Instruction]:
+        """Stops the newest of this daemon's items where online requests wait."""
+        instructions: list[Instruction] = []
+        newest: dict[str, int] = {}
+        for number, run in self.runs.items():
+            if not run.is_stopped:
+                newest[run.server_id] = number
+        for server_id, number in newest.items():
+            server = self._servers.servers.get(server_id)
+            if server is not None and must_yield(now, server, self._policy):
+                self.runs[number].is_stopped = True
+                self.counts.yielded += 1
+                instructions.append(StopItem(number))
+        return instructions
+
+    # Starting.
+
+    def _start_items(self, now: float, owned: dict[int, ShardClaim]) -> list[Instruction]:
+        instructions: list[Instruction] = []
+        for progress in self._candidates(now, owned):
+            if len(self.runs) >= RUNS_MOST or len(instructions) >= STARTS_A_TICK:
+                break
+            instructions += self._try_start(now, progress)
+        return instructions
+
+    def _candidates(self, now: float, owned: dict[int, ShardClaim]) -> list[ItemProgress]:
+        """Returns the items that may start, of the most urgent jobs first."""
+        jobs = [entry for shard in owned for entry in self._replicas.index.open_in_shard(shard)]
+        jobs.sort(key=lambda entry: self._urgency(now, entry))
+        return [progress for entry in jobs for progress in self._waiting_items(now, entry)]
+
+    def _urgency(self, now: float, entry: JobEntry) -> tuple[bool, float]:
+        """Orders jobs by when they are due; those that are late anyway come last."""
+        route = self._routes.named(entry.manifest.route)
+        due = entry.seen_at + (route.completion_target if route is not None else 0.0)
+        return now > due, due
+
+    def _waiting_items(self, now: float, entry: JobEntry) -> list[ItemProgress]:
+        manifest = entry.manifest
+        content = self._replicas.shard(manifest.shard).fold.content(manifest.job_id)
+        items = content.items()
+        if len(items) < manifest.item_count:
+            self._ask_shard(manifest.shard)
+        waiting: list[ItemProgress] = []
+        for item in items:
+            if item.item_id in content.listed:
+                continue
+            key = (manifest.job_id, item.item_id)
+            progress = self._items.get(key)
+            if progress is None:
+                progress = ItemProgress(manifest.shard, manifest.job_id, item)
+                self._items[key] = progress
+            if not progress.run and not progress.is_finished and now >= progress.retry_at:
+                waiting.append(progress)
+        return waiting
+
+    def _ask_shard(self, shard: int) -> None:
+        """Has the shard read on: a job's items are stored before the job is placed."""
+        if shard in self._asked_shards:
+            return
+        self._asked_shards.add(shard)
+        self._replicas.shard(shard).refresher.ask(
+            lambda now, succeeded: self._asked_shards.discard(shard)
+        )
+
+    def _try_start(self, now: float, progress: ItemProgress) -> list[Instruction]:
+        entry = self._replicas.index.jobs[progress.job_id]
+        route = self._routes.match(entry.manifest.host, progress.item.path)
+        if route is None:
+            self._without_route(now, progress)
+            return []
+        progress.no_route_since = float("inf")
+        if route.retention and now - entry.seen_at > route.retention:
+            self._give_up(progress, "its retention is over")
+            return []
+        server = self._choose(now, route, progress)
+        if server is None:
+            return []
+        return [self._start(now, progress, entry, server)]
+
+    def _without_route(self, now: float, progress: ItemProgress) -> None:
+        progress.no_route_since = min(progress.no_route_since, now)
+        if now - progress.no_route_since > ROUTE_GONE_SECONDS:
+            self._give_up(progress, "its route is gone")
+        else:
+            progress.retry_at = now + RETRY_SECONDS
+
+    def _choose(self, now: float, route: Route, progress: ItemProgress) -> Server | None:
+        """Chooses the server with most room, any of those that are alike."""
+        service = choose_service(route, self._rng)
+        configuration = self._routes.configuration
+        known = configuration.services.get(service) if configuration is not None else None
+        memory = known.cache_tokens if known is not None else 0
+        tokens = progress.item.tokens
+        open_servers = [
+            server
+            for server in self._servers.usable(now, service)
+            if now >= max(server.full_until, server.ejected_until)
+            and has_room(now, server, tokens, memory, self._policy)
+        ]
+        if not open_servers:
+            return None
+        return min(
+            open_servers,
+            key=lambda s: s.in_flight(now) / s.slots + 0.1 * self._rng.random(),
+        )
+
+    def _start(
+        self, now: float, progress: ItemProgress, entry: JobEntry, server: Server
+    ) -> Instruction:
+        ensure(not progress.run, "an item runs twice at once")
+        number = next(self._run_numbers)
+        progress.run = number
+        progress.runs += 1
+        self.counts.runs += 1
+        self.runs[number] = ItemRun(progress, server.record.server_id, now)
+        self._servers.on_sent(server.record.server_id, True, progress.item.tokens)
+        self._log(
+            "item sent",
+            job_id=progress.job_id,
+            item_id=progress.item.item_id,
+            run=progress.runs,
+            server=server.record.server_id,
+            load=server.in_flight(now),
+            resume_after=progress.position,
+        )
+        return RunItem(
+            number,
+            server.record.server_id,
+            server.record.address,
+            entry.manifest.host,
+            progress.item,
+            progress.position,
+            FIRST_WAIT_SECONDS,
+            GAP_WAIT_SECONDS,
+        )
+
+    # Ends of runs.
+
+    def on_run_ended(self, now: float, event: ItemRunEnded) -> None:
+        """Takes the end of a run: the item is finished, or goes on later."""
+        run = self.runs.pop(event.run, None)
+        if run is None:
+            return
+        progress = run.progress
+        progress.run = 0
+        self._account(now, run, event)
+        if event.position:
+            progress.position = event.position
+            progress.texts.extend(event.texts)
+        self._log_end(progress, run, event)
+        if event.kind is AttemptKind.COMPLETED:
+            self._finish(
+                progress, ItemResult(progress.item.item_id, DONE, "\n".join(progress.texts))
+            )
+        elif event.status in NEVER_STATUSES:
+            self._give_up(progress, f"status {event.status}")
+        else:
+            self._after_failure(now, progress, run, event)
+        self._tick_at = now
+
+    def _account(self, now: float, run: ItemRun, event: ItemRunEnded) -> None:
+        tokens = run.progress.item.tokens
+        sound = run.is_stopped or event.status != 0
+        failed = not sound and event.kind in (AttemptKind.CUT, AttemptKind.UNREACHABLE)
+        self._servers.on_ended(now, run.server_id, True, tokens, failed)
+        if event.load is not None:
+            self._servers.on_load(now, run.server_id, event.load)
+        if event.wrong_instance:
+            self._servers.mark_draining(run.server_id)
+        server = self._servers.servers.get(run.server_id)
+        if event.kind is AttemptKind.REFUSED and server is not None:
+            server.full_until = now + RETRY_SECONDS
+
+    def _log_end(self, progress: ItemProgress, run: ItemRun, event: ItemRunEnded) -> None:
+        self._log(
+            "item run ended",
+            job_id=progress.job_id,
+            item_id=progress.item.item_id,
+            server=run.server_id,
+            kind=event.kind,
+            status=event.status,
+            reason=event.reason,
+            position=progress.position,
+            stopped=run.is_stopped,
+        )
+
+    def _after_failure(
+        self, now: float, progress: ItemProgress, run: ItemRun, event: ItemRunEnded
+    ) -> None:
+        progress.retry_at = now + RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
+        if event.status < 500 or event.kind is AttemptKind.REFUSED:
+            return
+        progress.failures += 1
+        progress.retry_at = now + FAILED_RETRY_SECONDS
+        entry = self._replicas.index.jobs.get(progress.job_id)
+        route = self._routes.named(entry.manifest.route) if entry is not None else None
+        if route is not None and progress.failures >= route.attempts_most:
+            self._give_up(progress, f"{progress.failures} runs failed")
+
+    def _give_up(self, progress: ItemProgress, reason: str) -> None:
+        self.counts.dead += 1
+        self._log(
+            "item given up", job_id=progress.job_id, item_id=progress.item.item_id, reason=reason
+        )
+        self._finish(progress, ItemResult(progress.item.item_id, DEAD, ""))
+
+    def _finish(self, progress: ItemProgress, result: ItemResult) -> None:
+        ensure(not progress.is_finished, "an item is finished twice")
+        progress.is_finished = True
+        if progress.shard in self._ownership.claims:
+            writer = self._writers.setdefault(progress.shard, ShardWriter())
+            writer.waiting.append((progress.job_id, result))
+
+    # Writing results.
+
+    def _write(self, now: float, claim: ShardClaim) -> list[Instruction]:
+        writer = self._writers.setdefault(claim.shard, ShardWriter())
+        if writer.epoch != claim.epoch:
+            self._take_epoch(writer, claim)
+        if writer.call and now >= writer.call_at + WRITE_LOST_SECONDS:
+            writer.call = 0
+            writer.is_unsure = True
+        if writer.call or now < writer.retry_at:
+            return []
+        if not writer.batch:
+            self._form_batch(claim, writer)
+        if not writer.batch:
+            return []
+        writer.call = self._numbers.next()
+        writer.call_at = now
+        records = tuple(result_record(*row) for row in writer.batch)
+        stamp = WriterStamp(WRITER, claim.epoch, claim.next_sequence)
+        return [AppendRecords(writer.call, shard_partition(claim.shard), records, stamp=stamp)]
+
+    def _take_epoch(self, writer: ShardWriter, claim: ShardClaim) -> None:
+        """Begins anew under an epoch: what an earlier batch became was read since."""
+        for job_id, _, result in reversed(writer.batch):
+            writer.waiting.appendleft((job_id, result))
+        writer.batch = []
+        writer.call = 0
+        writer.is_unsure = False
+        writer.epoch = claim.epoch
+
+    def _form_batch(self, claim: ShardClaim, writer: ShardWriter) -> None:
+        """Gives positions to the results that wait; those listed since are dropped."""
+        fold = self._replicas.shard(claim.shard).fold
+        positions: dict[str, int] = {}
+        used = 0
+        while writer.waiting:
+            job_id, result = writer.waiting[0]
+            content = fold.content(job_id)
+            size = len(result.text.encode()) + 512
+            if writer.batch and used + size > self._call_bytes:
+                return
+            writer.waiting.popleft()
+            if result.item_id in content.listed:
+                self._items.pop((job_id, result.item_id), None)
+                continue
+            position = positions.get(job_id, content.next_position)
+            positions[job_id] = position + 1
+            writer.batch.append((job_id, position, result))
+            used += size
+
+    def owns(self, call: int) -> bool:
+        """Returns whether an answer belongs to a write of results or of progress."""
+        return any(call in (w.call, w.progress_call) for w in self._writers.values())
+
+    def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> None:
+        """Takes the outcome of a write."""
+        shard, writer = next(
+            (s, w) for s, w in self._writers.items() if call in (w.call, w.progress_call)
+        )
+        if call == writer.progress_call:
+            writer.progress_call = 0
+            return
+        writer.call = 0
+        claim = self._ownership.claims.get(shard)
+        if claim is None or claim.epoch != writer.epoch:
+            return
+        self._tick_at = now
+        match outcome:
+            case Appended():
+                self._on_written(now, claim, writer, outcome)
+            case CallFailed():
+                writer.is_unsure = writer.is_unsure or outcome.may_have_acted
+                writer.retry_at = now + WRITE_RETRY_SECONDS
+            case _:
+                # Fenced off, or out of sequence: only a new epoch and a whole read tell
+                # which results stand.
+                self._log("shard write refused", shard=shard, outcome=str(outcome))
+                self._ownership.claim_again(now, shard)
+
+    def _on_written(
+        self, now: float, claim: ShardClaim, writer: ShardWriter, outcome: Appended
+    ) -> None:
+        replica = self._replicas.shard(claim.shard)
+        for number, (job_id, position, result) in enumerate(writer.batch):
+            record = result_record(job_id, position, result)
+            replica.fold.take(KeyedRecord(record.key, record.value, outcome.offset + number))
+            self._items.pop((job_id, result.item_id), None)
+            writer.changed_jobs.add(job_id)
+            self._log(
+                "item listed",
+                job_id=job_id,
+                item_id=result.item_id,
+                position=position,
+                state=result.state,
+                shard=claim.shard,
+                epoch=claim.epoch,
+            )
+        self.counts.listed += len(writer.batch)
+        replica.follower.skip(outcome.offset, outcome.end)
+        claim.next_sequence += 1
+        writer.batch = []
+        writer.is_unsure = False
+
+    # Progress.
+
+    def _tell_progress(self, now: float, claim: ShardClaim) -> list[Instruction]:
+        """Tells the index how many tokens of the shard's jobs still wait."""
+        writer = self._writers[claim.shard]
+        due = writer.progress_at + PROGRESS_SECONDS
+        if not writer.changed_jobs or writer.progress_call or now < due:
+            return []
+        fold = self._replicas.shard(claim.shard).fold
+        records: list[KeyedRecord] = []
+        for job_id in sorted(writer.changed_jobs):
+            content = fold.content(job_id)
+            left = sum(i.tokens for i in content.items() if i.item_id not in content.listed)
+            record = progress_record(job_id, left)
+            self._replicas.index.take(now, record)
+            records.append(record)
+        writer.changed_jobs.clear()
+        writer.progress_at = now
+        writer.progress_call = self._numbers.next()
+        return [AppendRecords(writer.progress_call, INDEX, tuple(records))]
--- /dev/null
+++ b/src/troutswitch/decisions/jobs/records.py
@@ -0,0 +1,202 @@
+"""Records of batch jobs in the store, their keys and their encoding.
+
+The index partition tells which jobs there are:
+
+    j:JOB           manifest, written at the expected end of the partition
+    e:JOB           the job was ended by its client
+    p:JOB           tokens of the job's items that are not listed yet
+
+A shard partition holds the content of its jobs:
+
+    b:JOB:CHUNK     items of the job, in order
+    r:JOB:POSITION  one result; written only by the shard's fenced owner
+
+Values are CBOR arrays that begin with the schema's version.
+"""
+
+from dataclasses import dataclass
+from typing import Any
+
+import cbor2
+
+from troutswitch.common import stable_hash
+from troutswitch.decisions.storage.messages import KeyedRecord, Partition
+
+SCHEMA_VERSION = 1
+INDEX_TOPIC = "jobs"
+SHARD_TOPIC = "items"
+INDEX = Partition(INDEX_TOPIC)
+MANIFEST = "j"
+END_MARK = "e"
+PROGRESS = "p"
+CHUNK = "b"
+RESULT = "r"
+RECORD_OVERHEAD_BYTES = 512
+"""Room left in a record for its key and the arrays around the items."""
+
+DONE = "done"
+DEAD = "dead"
+
+
+class RecordError(ValueError):
+    """A record that this version cannot read."""
+
+
+@dataclass(frozen=True, slots=True)
+class Manifest:
+    """What is known of a job from the moment it is accepted."""
+
+    job_id: str
+    route: str
+    host: str
+    item_count: int
+    tokens: int
+    digest: str
+    shard: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobItem:
+    """One item of a job, as it is sent to a server."""
+
+    item_id: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class ItemResult:
+    """A listed result. `state` is `DONE` or `DEAD`; `text` is the whole output."""
+
+    item_id: str
+    state: str
+    text: str
+
+
+def shard_of(job_id: str, shards: int) -> int:
+    """Returns the shard that keeps a job."""
+    return stable_hash("job", job_id) % shards
+
+
+def shard_partition(shard: int) -> Partition:
+    """Returns the partition of a shard."""
+    return Partition(SHARD_TOPIC, shard)
+
+
+def split_key(key: str) -> tuple[str, str, int]:
+    """Returns kind, job and number of a key; the number is -1 where there is none."""
+    kind, _, rest = key.partition(":")
+    if kind not in (CHUNK, RESULT):
+        return kind, rest, -1
+    job_id, _, number = rest.rpartition(":")
+    return kind, job_id, int(number) if number.isdigit() else -1
+
+
+def manifest_record(manifest: Manifest) -> KeyedRecord:
+    """Encodes a manifest."""
+    value = [
+        SCHEMA_VERSION,
+        manifest.route,
+        manifest.host,
+        manifest.item_count,
+        manifest.tokens,
+        manifest.digest,
+        manifest.shard,
+    ]
+    return KeyedRecord(f"{MANIFEST}:{manifest.job_id}", cbor2.dumps(value))
+
+
+def read_manifest(job_id: str, value: bytes) -> Manifest:
+    """Decodes a manifest.
+
+    Raises:
+        RecordError: the record is malformed or of a newer version.
+    """
+    route, host, item_count, tokens, digest, shard = _fields(value, 6)
+    return Manifest(job_id, route, host, item_count, tokens, digest, shard)
+
+
+def end_record(job_id: str) -> KeyedRecord:
+    """Encodes the mark that a job was ended."""
+    return KeyedRecord(f"{END_MARK}:{job_id}", cbor2.dumps([SCHEMA_VERSION]))
+
+
+def progress_record(job_id: str, tokens_left: int) -> KeyedRecord:
+    """Encodes how many tokens of a job are not listed yet."""
+    return KeyedRecord(f"{PROGRESS}:{job_id}", cbor2.dumps([SCHEMA_VERSION, tokens_left]))
+
+
+def read_progress(value: bytes) -> int:
+    """Decodes the tokens of a job that are not listed yet."""
+    (tokens_left,) = _fields(value, 1)
+    return int(tokens_left)
+
+
+def chunk_records(
+    job_id: str, items: tuple[JobItem, ...], record_bytes: int
+) -> tuple[KeyedRecord, ...]:
+    """Packs items into as few records as fit.
+
+    Raises:
+        RecordError: an item is larger than a record.
+    """
+    room = record_bytes - RECORD_OVERHEAD_BYTES
+    chunks: list[list[list[object]]] = [[]]
+    used = 0
+    for item in items:
+        row = [item.item_id, item.path, dict(item.headers), item.body, item.tokens]
+        size = len(cbor2.dumps(row))
+        if size > room:
+            raise RecordError(f"item {item.item_id} takes {size} bytes, a record holds {room}")
+        if used + size > room:
+            chunks.append([])
+            used = 0
+        chunks[-1].append(row)
+        used += size
+    return tuple(
+        KeyedRecord(f"{CHUNK}:{job_id}:{number:05d}", cbor2.dumps([SCHEMA_VERSION, rows]))
+        for number, rows in enumerate(chunks)
+    )
+
+
+def read_chunk(value: bytes) -> tuple[JobItem, ...]:
+    """Decodes the items of a chunk.
+
+    Raises:
+        RecordError: the record is malformed or of a newer version.
+    """
+    (rows,) = _fields(value, 1)
+    return tuple(
+        JobItem(item_id, path, tuple(headers.items()), body, tokens)
+        for item_id, path, headers, body, tokens in rows
+    )
+
+
+def result_record(job_id: str, position: int, result: ItemResult) -> KeyedRecord:
+    """Encodes a result at its position."""
+    value = [SCHEMA_VERSION, result.item_id, result.state, result.text]
+    return KeyedRecord(f"{RESULT}:{job_id}:{position:05d}", cbor2.dumps(value))
+
+
+def read_result(value: bytes) -> ItemResult:
+    """Decodes a result.
+
+    Raises:
+        RecordError: the record is malformed or of a newer version.
+    """
+    item_id, state, text = _fields(value, 3)
+    return ItemResult(item_id, state, text)
+
+
+def _fields(value: bytes, count: int) -> list[Any]:
+    try:
+        fields = cbor2.loads(value)
+    except (cbor2.CBORDecodeError, ValueError) as error:
+        raise RecordError(f"malformed record: {error}") from error
+    if not isinstance(fields, list) or not fields or fields[0] != SCHEMA_VERSION:
+        raise RecordError("record of another version")
+    if len(fields) != count + 1:
+        raise RecordError(f"expected {count + 1} fields, got {len(fields)}")
+    return fields[1:]
--- /dev/null
+++ b/src/troutswitch/decisions/jobs/shard.py
@@ -0,0 +1,80 @@
+"""The content of one shard's jobs: a fold over the shard's partition."""
+
+from dataclasses import dataclass, field
+
+from troutswitch.decisions.jobs.records import (
+    CHUNK,
+    RESULT,
+    ItemResult,
+    JobItem,
+    RecordError,
+    read_chunk,
+    read_result,
+    split_key,
+)
+from troutswitch.decisions.storage.messages import KeyedRecord
+
+
+@dataclass(slots=True)
+class JobContent:
+    """Items and results of one job."""
+
+    chunks: dict[int, tuple[JobItem, ...]] = field(default_factory=dict)
+    results: dict[int, ItemResult] = field(default_factory=dict)
+    listed: set[str] = field(default_factory=set)
+
+    def items(self) -> list[JobItem]:
+        """Returns the items in order."""
+        return [item for number in sorted(self.chunks) for item in self.chunks[number]]
+
+    def item(self, item_id: str) -> JobItem | None:
+        """Returns the item of an id."""
+        return next((item for item in self.items() if item.item_id == item_id), None)
+
+    @property
+    def next_position(self) -> int:
+        """Position of the next result."""
+        return len(self.results)
+
+    def results_from(self, position: int, bytes_most: int) -> list[ItemResult]:
+        """Returns results at a position and after, as many as fit but at least one."""
+        rows: list[ItemResult] = []
+        size = 0
+        while (result := self.results.get(position + len(rows))) is not None:
+            size += len(result.text) + len(result.item_id)
+            if rows and size > bytes_most:
+                break
+            rows.append(result)
+        return rows
+
+
+@dataclass
+class ShardFold:
+    """All jobs of a shard. Records may be taken any number of times."""
+
+    jobs: dict[str, JobContent] = field(default_factory=dict)
+    malformed: int = 0
+
+    def take(self, record: KeyedRecord) -> None:
+        """Folds a record in; one that this version cannot read is counted."""
+        kind, job_id, number = split_key(record.key)
+        if not record.value:
+            self.jobs.pop(job_id, None)
+            return
+        content = self.jobs.setdefault(job_id, JobContent())
+        try:
+            if kind == CHUNK:
+                content.chunks[number] = read_chunk(record.value)
+            elif kind == RESULT:
+                self._take_result(content, number, read_result(record.value))
+        except RecordError:
+            self.malformed += 1
+
+    @staticmethod
+    def _take_result(content: JobContent, position: int, result: ItemResult) -> None:
+        content.results[position] = result
+        content.listed.add(result.item_id)
+
+    def content(self, job_id: str) -> JobContent:
+        """Returns a job's content, empty if nothing of it was read."""
+        return self.jobs.get(job_id) or JobContent()
--- a/src/troutswitch/decisions/storage/follower.py
+++ b/src/troutswitch/decisions/storage/follower.py
@@ -59,9 +59,9 @@
         numbers: source of call numbers.
         rng: source of jitter.
         take: called with a record to fold in.
-        reset: called before a whole read begins again.
         wait: seconds a read waits at the store for a record; 0 reads without waiting.
         pause: least seconds between reads, which bounds the calls under many appends.
+        is_tailing: whether to go on reading by itself; otherwise only `absorb` does.
     """
 
     def __init__(
@@ -70,9 +70,9 @@
         numbers: CallNumbers,
         rng: random.Random,
         take: Callable[[KeyedRecord], None],
-        reset: Callable[[], None],
         wait: float,
         pause: float,
+        is_tailing: bool = True,
     ) -> None:
         self.partition = partition
         self.state = FollowState.STARTING
@@ -81,10 +81,10 @@
         self.failures = 0
         self.wait = wait
         self.pause = pause
+        self.is_tailing = is_tailing
         self._numbers = numbers
         self._rng = rng
         self._take = take
-        self._reset = reset
         self._call = 0
         self._asked_at = float("-inf")
         self._lost_at = float("inf")
@@ -99,8 +99,29 @@
 
     def next_due(self) -> float:
         """Returns when `on_timer` has something to do."""
+        if self._is_at_rest:
+            return float("inf")
         return self._lost_at if self._call else self._due
 
+    @property
+    def _is_at_rest(self) -> bool:
+        return not self.is_tailing and self.is_current and not self._call
+
+    def absorb(self, asked_at: float, read: RecordsRead) -> None:
+        """Takes records that another read of this partition brought."""
+        if not self.is_current or read.next_offset < self.next_offset:
+            return
+        for record in read.records:
+            self._take(record)
+        self.next_offset = read.next_offset
+        if read.next_offset >= read.end:
+            self.current_at = max(self.current_at, asked_at)
+
+    def skip(self, offset: int, end: int) -> None:
+        """Leaves out records that this process appended and has folded in itself."""
+        if self.is_current and offset == self.next_offset:
+            self.next_offset = end
+
     def poke(self, now: float) -> None:
         """Asks for a read at once."""
         self._due = min(self._due, now)
@@ -114,7 +135,7 @@
         if self._call and now >= self._lost_at:
             self._call = 0
             self._fail(now)
-        if self._call or now < self._due:
+        if self._call or now < self._due or self._is_at_rest:
             return []
         self._call = self._numbers.next()
         self._asked_at = now
@@ -150,7 +171,6 @@
         self.failures = 0
         if self._first_end is None:
             self._first_end = page.end
-            self._reset()
         for record in page.records:
             self._take(record)
         self._due = now
--- a/src/troutswitch/gateway/application.py
+++ b/src/troutswitch/gateway/application.py
@@ -10,7 +10,6 @@
 from troutswitch.platform.requests import Environ, IncomingRequest, read_request
 from troutswitch.runtime.http import Response, StartResponse, send, status_line
 
-
 JobHandler = Callable[[IncomingRequest, bytes], Response | None]
 
 
--- a/src/troutswitch/gateway/eventstream.py
+++ b/src/troutswitch/gateway/eventstream.py
@@ -66,9 +66,9 @@
     def _check_id(self, event_id: str) -> None:
         if not event_id:
             raise BrokenEvents("an event has no id")
-        if event_id.isdigit() and self.last_id.isdigit():
-            if int(event_id) != int(self.last_id) + 1:
-                raise BrokenEvents(f"event {event_id} follows {self.last_id}")
+        is_numbered = event_id.isdigit() and self.last_id.isdigit()
+        if is_numbered and int(event_id) != int(self.last_id) + 1:
+            raise BrokenEvents(f"event {event_id} follows {self.last_id}")
         self.last_id = event_id
 
 
--- a/src/troutswitch/gateway/exchange.py
+++ b/src/troutswitch/gateway/exchange.py
@@ -72,18 +72,16 @@
         """Connects, with bounds on what a silent peer can hold up."""
         super().connect()
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS
-        )
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
         raw = self.sock.makefile("rb", buffering=0)
-        self.reader = _SharedReader(raw, READ_BYTES)  # type: ignore[arg-type]
+        self.reader = _SharedReader(raw, READ_BYTES)
 
     def close(self) -> None:
         """Closes the connection and its reader."""
+        super().close()
         reader, self.reader = self.reader, None
         if reader is not None:
             reader.raw.close()
-        super().close()
 
     def _make_response(self, sock: Any, **options: Any) -> http.client.HTTPResponse:
         return http.client.HTTPResponse(_ReaderSource(self.reader), **options)  # type: ignore[arg-type]
@@ -264,6 +262,7 @@
     def _finish(self) -> None:
         connection, response = self._connection, self.response
         assert connection is not None and response is not None
+        response.close()  # read by length, it does not notice its end by itself
         reusable = not response.will_close and connection.sock is not None
         told = _idle_seconds(response.getheader("Keep-Alive"))
         if told is not None:
--- a/src/troutswitch/gateway/front.py
+++ b/src/troutswitch/gateway/front.py
@@ -47,7 +47,7 @@
         name: str,
         connections_most: int,
     ) -> None:
-        logging.getLogger("waitress").setLevel(logging.CRITICAL)
+        logging.getLogger("waitress").setLevel(logging.ERROR)
         logging.getLogger("waitress.queue").setLevel(logging.CRITICAL)
         threading.stack_size(THREAD_STACK_BYTES)
         self._server: Any = waitress.server.create_server(
--- /dev/null
+++ b/src/troutswitch/gateway/itemruns.py
@@ -0,0 +1,158 @@
+"""Runs batch items at servers, one blocking call a thread."""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+import structlog
+
+from troutswitch.decisions.jobs.messages import ItemRunEnded, RunItem, StopItem
+from troutswitch.gateway.eventstream import BrokenEvents, EventSplitter
+from troutswitch.gateway.exchange import (
+    AnswerLost,
+    Exchange,
+    NotConnected,
+    OutgoingRequest,
+    ServerConnections,
+)
+from troutswitch.outcomes import AttemptKind
+from troutswitch.platform import names
+from troutswitch.platform.requests import AnswerHead, item_headers, read_head
+
+ITEM_THREADS = 64
+MISDIRECTED = 421
+
+
+class ItemRuns:
+    """The runs in progress."""
+
+    def __init__(
+        self,
+        connections: ServerConnections,
+        post: Callable[[object], None],
+        logger: structlog.typing.FilteringBoundLogger,
+    ) -> None:
+        self._connections = connections
+        self._post = post
+        self._logger = logger
+        self._exchanges: dict[int, Exchange] = {}
+        self._stopped: set[int] = set()
+        self._lock = threading.Lock()
+        self._executor = ThreadPoolExecutor(ITEM_THREADS, "items")
+
+    def start(self, instruction: RunItem) -> None:
+        """Starts a run."""
+        try:
+            self._executor.submit(self._run_safely, instruction)
+        except RuntimeError:
+            return  # stopping
+
+    def stop(self, instruction: StopItem) -> None:
+        """Closes the connection of a run."""
+        with self._lock:
+            exchange = self._exchanges.get(instruction.run)
+            if exchange is None:
+                self._stopped.add(instruction.run)
+        if exchange is not None:
+            exchange.abort()
+
+    def shut_down(self) -> None:
+        """Closes all runs."""
+        self._executor.shutdown(wait=False, cancel_futures=True)
+        with self._lock:
+            exchanges = list(self._exchanges.values())
+        for exchange in exchanges:
+            exchange.abort()
+
+    def _run_safely(self, instruction: RunItem) -> None:
+        splitter = EventSplitter(instruction.resume_after)
+        texts: list[str] = []
+        try:
+            ended = self._run(instruction, splitter, texts)
+        except Exception as error:
+            self._logger.exception("item run failed")
+            ended = _ended(instruction, AttemptKind.CUT, f"{type(error).__name__}: {error}")
+        finally:
+            with self._lock:
+                self._exchanges.pop(instruction.run, None)
+                self._stopped.discard(instruction.run)
+        self._post(ended)
+
+    def _run(self, instruction: RunItem, splitter: EventSplitter, texts: list[str]) -> ItemRunEnded:
+        exchange = self._open(instruction)
+        try:
+            head = read_head(exchange.open(instruction.first_wait))
+        except NotConnected as error:
+            return _ended(instruction, AttemptKind.UNREACHABLE, str(error))
+        except AnswerLost as error:
+            return _ended(instruction, AttemptKind.CUT, str(error))
+        try:
+            if head.status != 200 or not head.is_event_stream:
+                return self._refused(instruction, exchange, head)
+            self._read(instruction, exchange, splitter, texts)
+        except (AnswerLost, BrokenEvents) as error:
+            return _ended(instruction, AttemptKind.CUT, str(error), head, splitter, texts)
+        finally:
+            exchange.close()
+        return _ended(instruction, AttemptKind.COMPLETED, "", head, splitter, texts)
+
+    def _open(self, instruction: RunItem) -> Exchange:
+        item = instruction.item
+        headers = item_headers(
+            instruction.host,
+            item.item_id,
+            dict(item.headers),
+            instruction.server_id,
+            instruction.resume_after,
+        )
+        request = OutgoingRequest(item.item_id, "POST", item.path, headers, item.body)
+        exchange = Exchange(
+            self._connections,
+            instruction.server_id,
+            instruction.address,
+            request,
+            names.REQUEST_ID,
+        )
+        with self._lock:
+            self._exchanges[instruction.run] = exchange
+            if instruction.run in self._stopped:
+                exchange.is_aborted = True
+        return exchange
+
+    @staticmethod
+    def _read(
+        instruction: RunItem, exchange: Exchange, splitter: EventSplitter, texts: list[str]
+    ) -> None:
+        for data in exchange.chunks():
+            events = splitter.feed(data)
+            if events:
+                exchange.set_wait(instruction.gap_wait)
+            texts.extend(event.data for event in events)
+        if not splitter.is_between_events:
+            raise AnswerLost("the stream ended inside an event")
+
+    @staticmethod
+    def _refused(instruction: RunItem, exchange: Exchange, head: AnswerHead) -> ItemRunEnded:
+        exchange.body()
+        kind = AttemptKind.REFUSED if head.not_run else AttemptKind.CUT
+        return _ended(instruction, kind, f"status {head.status}", head)
+
+
+def _ended(
+    instruction: RunItem,
+    kind: AttemptKind,
+    reason: str,
+    head: AnswerHead | None = None,
+    splitter: EventSplitter | None = None,
+    texts: list[str] | None = None,
+) -> ItemRunEnded:
+    return ItemRunEnded(
+        instruction.run,
+        kind,
+        head.status if head is not None else 0,
+        reason,
+        splitter.last_id if splitter is not None and texts else "",
+        tuple(texts or ()),
+        head.load if head is not None else None,
+        head is not None and head.status == MISDIRECTED,
+    )
--- /dev/null
+++ b/src/troutswitch/gateway/jobcalls.py
@@ -0,0 +1,80 @@
+"""Calls about batch jobs on a caller's thread: read the form, ask the loop, answer."""
+
+import itertools
+import threading
+from collections.abc import Callable
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+
+from troutswitch.decisions.forwarding.routes import RouteTable
+from troutswitch.decisions.forwarding.types import RouteKind
+from troutswitch.decisions.jobs.messages import AnswerJobCall, JobAnswer
+from troutswitch.platform import names
+from troutswitch.platform.jobs import (
+    JobFormatError,
+    call_target,
+    read_call,
+    read_submission,
+    write_answer,
+)
+from troutswitch.platform.requests import IncomingRequest
+from troutswitch.runtime.http import Response
+
+ANSWER_SECONDS = 35.0
+"""Longest wait for the loop's answer; beyond it the loop is taken for dead."""
+
+
+class JobCalls:
+    """Calls about jobs between callers' threads and the loop."""
+
+    def __init__(self, routes: RouteTable, post: Callable[[object], None]) -> None:
+        self._routes = routes
+        self._post = post
+        self._tokens = itertools.count(1)
+        self._answers: dict[int, Future[JobAnswer]] = {}
+        self._lock = threading.Lock()
+
+    @property
+    def count(self) -> int:
+        """Calls in progress."""
+        return len(self._answers)
+
+    def handle(self, request: IncomingRequest, body: bytes) -> Response | None:
+        """Answers a call about a job, or returns None for any other request."""
+        target = call_target(request)
+        is_submission = target is None and self._is_submission(request)
+        if target is None and not is_submission:
+            return None
+        token = next(self._tokens)
+        try:
+            if target is not None:
+                return self._ask(token, read_call(token, request, target))
+            if not request.request_id:
+                raise JobFormatError(f"missing {names.REQUEST_ID}")
+            return self._ask(token, read_submission(token, request, body))
+        except JobFormatError as error:
+            return Response(400, f"{error}\n".encode(), "text/plain")
+
+    def _is_submission(self, request: IncomingRequest) -> bool:
+        route = self._routes.match(request.host, request.path)
+        return request.method == "POST" and route is not None and route.kind is RouteKind.JOBS
+
+    def _ask(self, token: int, event: object) -> Response:
+        future: Future[JobAnswer] = Future()
+        with self._lock:
+            self._answers[token] = future
+        self._post(event)
+        try:
+            return write_answer(future.result(ANSWER_SECONDS))
+        except FutureTimeoutError:
+            return Response(504, b"no decision in time\n", "text/plain")
+        finally:
+            with self._lock:
+                self._answers.pop(token, None)
+
+    def answer(self, instruction: AnswerJobCall) -> None:
+        """Hands an answer to the thread that waits for it."""
+        with self._lock:
+            future = self._answers.get(instruction.token)
+        if future is not None:
+            future.set_result(instruction.answer)
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -15,16 +15,19 @@
     GatewayIdentity,
     LimitsChanged,
 )
+from troutswitch.decisions.jobs.intake import StoreRoom
 from troutswitch.gateway.application import CallerApplication
 from troutswitch.gateway.exchange import ServerConnections
 from troutswitch.gateway.front import FrontServer
+from troutswitch.gateway.itemruns import ItemRuns
+from troutswitch.gateway.jobcalls import JobCalls
 from troutswitch.gateway.loop import GatewayLoop
 from troutswitch.gateway.registry import Relays
 from troutswitch.gateway.runner import InstructionRunner
 from troutswitch.gateway.settings import GatewaySettings
 from troutswitch.platform.configuration import PlatformFormats
 from troutswitch.platform.names import READINESS_PATH
-from troutswitch.platform.requests import Environ, IncomingRequest
+from troutswitch.platform.requests import Environ
 from troutswitch.platform.store import StoreClient
 from troutswitch.runtime.http import Response, StartResponse, send
 
@@ -51,10 +54,22 @@
         self._relays = Relays()
         self._connections = ServerConnections()
         store = StoreClient(settings.store.address)
-        identity = GatewayIdentity(settings.name, settings.zone, settings.bounds.drain)
+        identity = GatewayIdentity(
+            settings.name,
+            settings.zone,
+            settings.bounds.drain,
+            settings.store.member_ttl_least,
+            StoreRoom(
+                settings.store.record_bytes, settings.store.call_bytes, settings.store.partitions
+            ),
+        )
         rng = random.Random(os.urandom(8))
         self.core = GatewayCore(identity, PlatformFormats(), rng)
-        self.runner = InstructionRunner(self._relays, self._connections, store.call, logger)
+        self._jobs = JobCalls(self.core.routes, self._post)
+        items = ItemRuns(self._connections, self._post, logger)
+        self.runner = InstructionRunner(
+            self._relays, self._connections, store.call, items, self._jobs.answer, logger
+        )
         self.loop = GatewayLoop(self.core, self._relays, self.runner.carry_out, self._on_failure)
         self.runner.set_post(self.loop.post)
         self.runner.set_limits = self._set_limits
@@ -65,7 +80,7 @@
         if self.settings.callers is None:
             return None
         application = CallerApplication(
-            self._relays, self._connections, self.loop.post, self._handle_job
+            self._relays, self._connections, self._post, self._jobs.handle
         )
         return FrontServer(
             application, self.settings.callers, CALLER_THREADS, "callers", CONNECTIONS_MOST
@@ -82,15 +97,13 @@
             CONNECTIONS_MOST,
         )
 
-    def _answer_readiness(
-        self, environ: Environ, start_response: StartResponse
-    ) -> Iterable[bytes]:
+    def _answer_readiness(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         is_known = environ.get("PATH_INFO") == READINESS_PATH
         status = (200 if self.core.is_ready else 503) if is_known else 404
         return send(Response(status, b"", "text/plain"), start_response)
 
-    def _handle_job(self, request: IncomingRequest, body: bytes) -> Response | None:
-        return None
+    def _post(self, event: object) -> None:
+        self.loop.post(event)
 
     def _set_limits(self, change: LimitsChanged) -> None:
         if self._callers is not None:
@@ -117,7 +130,7 @@
             self._callers.drain()
         while time.monotonic() < end:
             stayed = time.monotonic() - began >= STAY_SECONDS
-            if stayed and self._relays.count == 0:
+            if stayed and self._relays.count + self._jobs.count == 0:
                 break
             time.sleep(LOOK_SECONDS)
         left = self._relays.count
--- a/src/troutswitch/gateway/relay.py
+++ b/src/troutswitch/gateway/relay.py
@@ -108,9 +108,7 @@
         headers = server_headers(
             request, directive.server_id, directive.time_left, directive.resume_after
         )
-        return OutgoingRequest(
-            request.request_id, request.method, request.url, headers, self.body
-        )
+        return OutgoingRequest(request.request_id, request.method, request.url, headers, self.body)
 
     def _exchange(self, directive: SendRequest, exchange: Exchange) -> Iterator[bytes]:
         try:
--- a/src/troutswitch/gateway/runner.py
+++ b/src/troutswitch/gateway/runner.py
@@ -12,6 +12,7 @@
     SendRequest,
 )
 from troutswitch.decisions.gateway import LimitsChanged, ServersLeft
+from troutswitch.decisions.jobs.messages import AnswerJobCall, RunItem, StopItem
 from troutswitch.decisions.storage.messages import (
     AppendRecords,
     CallFailed,
@@ -24,6 +25,7 @@
     StoreOutcome,
 )
 from troutswitch.gateway.exchange import ServerConnections
+from troutswitch.gateway.itemruns import ItemRuns
 from troutswitch.gateway.registry import Relays
 
 STORE_THREADS = 48
@@ -37,12 +39,16 @@
         relays: Relays,
         connections: ServerConnections,
         call_store: Callable[[StoreCall], StoreOutcome],
+        items: ItemRuns,
+        answer_job: Callable[[AnswerJobCall], None],
         logger: structlog.typing.FilteringBoundLogger,
     ) -> None:
         self.set_limits: Callable[[LimitsChanged], None] = lambda change: None
         self._relays = relays
         self._connections = connections
         self._call_store = call_store
+        self._items = items
+        self._answer_job = answer_job
         self._logger = logger
         self._post: Callable[[object], None] = lambda event: None
         self._store_executor = ThreadPoolExecutor(STORE_THREADS, "store")
@@ -60,6 +66,12 @@
                 self._relays.direct(instruction)
             case AbortAttempt():
                 self._relays.abort(instruction)
+            case RunItem():
+                self._items.start(instruction)
+            case StopItem():
+                self._items.stop(instruction)
+            case AnswerJobCall():
+                self._answer_job(instruction)
             case LimitsChanged():
                 self.set_limits(instruction)
             case ServersLeft():
@@ -85,4 +97,5 @@
 
     def stop(self) -> None:
         """Ends the executors; calls in progress are left to end by themselves."""
+        self._items.shut_down()
         self._store_executor.shutdown(wait=False, cancel_futures=True)
--- /dev/null
+++ b/src/troutswitch/platform/jobs.py
@@ -0,0 +1,149 @@
+"""Forms of batch jobs: hand-ins, results and calls about jobs."""
+
+import hashlib
+from base64 import b64decode
+from dataclasses import dataclass
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+
+from troutswitch.decisions.jobs.messages import (
+    BodyAsked,
+    ItemBody,
+    JobAccepted,
+    JobAnswer,
+    JobEndAsked,
+    JobEnded,
+    JobRefused,
+    JobResults,
+    JobSubmitted,
+    ResultsAsked,
+)
+from troutswitch.decisions.jobs.records import DONE, JobItem
+from troutswitch.platform import names
+from troutswitch.platform.requests import IncomingRequest
+from troutswitch.runtime.http import JSON_TYPE, Response
+
+ITEMS_MOST = 200
+RESULT_STATES = {DONE: "completed"}
+DEAD_STATE = "dead_lettered"
+
+
+class JobFormatError(ValueError):
+    """A hand-in or a call that does not have the agreed form."""
+
+
+class _Item(msgspec.Struct):
+    id: str
+    path: str
+    body: str = ""
+    headers: dict[str, str] = {}
+    tokens: int = 0
+
+
+class _Submission(msgspec.Struct, rename={"items": "requests"}):
+    items: list[_Item]
+
+
+class _Result(msgspec.Struct, rename={"text": "message"}):
+    id: str
+    state: str
+    text: str
+
+
+class _Results(msgspec.Struct, rename={"position": "nextToken"}):
+    total: int
+    position: int
+    results: list[_Result]
+
+
+_SUBMISSION = msgspec.json.Decoder(_Submission)
+
+
+@dataclass(frozen=True, slots=True)
+class JobCallTarget:
+    """What a call's path names: a job, and whether its items are meant."""
+
+    job_id: str
+    is_item: bool
+
+
+def call_target(request: IncomingRequest) -> JobCallTarget | None:
+    """Returns the job that a call is about, or None for other requests."""
+    if request.method not in ("GET", "DELETE"):
+        return None
+    for prefix, is_item in ((names.JOB_PATH, False), (names.ITEM_PATH, True)):
+        if request.path.startswith(prefix) and len(request.path) > len(prefix):
+            return JobCallTarget(unquote(request.path[len(prefix) :]), is_item)
+    return None
+
+
+def read_call(
+    token: int, request: IncomingRequest, target: JobCallTarget
+) -> ResultsAsked | BodyAsked | JobEndAsked:
+    """Reads a call about a job.
+
+    Raises:
+        JobFormatError: a parameter is missing or wrong.
+    """
+    if request.method == "DELETE":
+        return JobEndAsked(token, target.job_id, request.time_left)
+    values = parse_qs(request.query)
+    if target.is_item:
+        item_id = values.get("id", [""])[0]
+        return BodyAsked(token, target.job_id, item_id, request.time_left)
+    position = values.get("afterRevision", ["0"])[0]
+    if not position.isdigit():
+        raise JobFormatError(f"afterRevision: expected a number, got {position!r}")
+    return ResultsAsked(token, target.job_id, int(position), request.time_left)
+
+
+def read_submission(token: int, request: IncomingRequest, body: bytes) -> JobSubmitted:
+    """Reads a hand-in.
+
+    Raises:
+        JobFormatError: the body is malformed, or has too many items or one twice.
+    """
+    try:
+        held = _SUBMISSION.decode(body)
+        items = tuple(
+            JobItem(i.id, i.path, tuple(i.headers.items()), b64decode(i.body), i.tokens)
+            for i in held.items
+        )
+    except (msgspec.DecodeError, ValueError) as error:
+        raise JobFormatError(f"malformed job: {error}") from error
+    if not items or len(items) > ITEMS_MOST:
+        raise JobFormatError(f"expected 1 to {ITEMS_MOST} items, got {len(items)}")
+    if len({item.item_id for item in items}) != len(items):
+        raise JobFormatError("an item's id stands twice")
+    digest = hashlib.blake2b(body, digest_size=12).hexdigest()
+    return JobSubmitted(
+        token, request.request_id, request.host, request.path, items, digest, request.time_left
+    )
+
+
+def write_answer(answer: JobAnswer) -> Response:
+    """Writes the answer to a call about a job."""
+    match answer:
+        case JobAccepted():
+            return Response(202, b"{}")
+        case JobEnded():
+            return Response(200, b"{}")
+        case ItemBody():
+            return Response(200, answer.body, "application/octet-stream")
+        case JobResults():
+            return Response(200, _write_results(answer), JSON_TYPE)
+        case JobRefused():
+            headers: tuple[tuple[str, str], ...] = ()
+            if answer.retry_after is not None:
+                headers = ((names.RETRY_AFTER, f"{answer.retry_after:.3f}"),)
+            text = f"{answer.reason}\n".encode()
+            return Response(answer.status, text, "text/plain", headers)
+
+
+def _write_results(answer: JobResults) -> bytes:
+    rows = [
+        _Result(row.item_id, RESULT_STATES.get(row.state, DEAD_STATE), row.text)
+        for row in answer.results
+    ]
+    return msgspec.json.encode(_Results(answer.total, answer.position + len(rows), rows))
--- a/src/troutswitch/platform/requests.py
+++ b/src/troutswitch/platform/requests.py
@@ -140,3 +140,20 @@
         return float(header) if header else None
     except ValueError:
         return None
+
+
+def item_headers(
+    host: str, item_id: str, headers: dict[str, str], server_id: str, resume_after: str
+) -> Headers:
+    """Returns the headers of a batch item's request to a server."""
+    rows: Headers = [("Host", host), (names.REQUEST_ID, item_id)]
+    rows += [
+        (name, value)
+        for name, value in headers.items()
+        if name.lower() not in names.CONNECTION_HEADERS | names.SYSTEM_HEADERS
+        and name.lower() != names.REQUEST_ID.lower()
+    ]
+    rows.append((names.EXPECT_INSTANCE, server_id))
+    if resume_after:
+        rows.append((names.LAST_EVENT_ID, resume_after))
+    return rows
--- a/src/troutswitch/platform/store.py
+++ b/src/troutswitch/platform/store.py
@@ -232,7 +232,8 @@
         try:
             if connection.sock is None:
                 connection.connect()
-                connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                sock: socket.socket = connection.sock
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError as error:
             connection.close()
             return -1, str(error).encode()
