Daemons tell each other their requests in flight; a loaded server is not left

Ruled out: servers' rejections (2 of them said full). Change: load reports over UDP, peers found in the store; the loop leaves a server only if it sends nothing to anyone.

--- a/src/troutswitch/decisions/forwarding/messages.py
+++ b/src/troutswitch/decisions/forwarding/messages.py
@@ -64,6 +64,13 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class ServerHeard:
+    """Bytes of an answer came from a server; told a few times a second at most."""
+
+    server_id: str
+
+
 # Instructions.
 
 
@@ -71,8 +78,8 @@
 class SendRequest:
     """Send the request to a server. Times are seconds.
 
-    `first_wait` and `gap_wait` bound how long the answer's first bytes and each next
-    ones may take; `time_left` is told to the server as the deadline.
+    `gap_wait` bounds how long each next bytes of the answer may take; `time_left` bounds
+    the first ones and is told to the server as the deadline.
     """
 
     token: int
@@ -80,7 +87,6 @@
     server_id: str
     address: Address
     time_left: float
-    first_wait: float
     gap_wait: float
     resume_after: str
 
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -47,10 +47,16 @@
 """Random part of that time, so that callers do not come back together."""
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
 """Time to come back before the first configuration is known."""
-FIRST_WAIT_LEAST_SECONDS = 0.6
-"""Least time for the first event of a stream before another server is tried."""
-FIRST_WAIT_OBJECTIVES = 2.0
+SUSPECT_LEAST_SECONDS = 0.4
+"""Least time without a first event, and without any byte of the server, before another
+server is tried."""
+SUSPECT_OBJECTIVES = 1.0
 """The same time in objectives of the route."""
+HUNG_SUSPECTS = 5.0
+"""The time for the first event in these units after which a request is taken for hung,
+although the server answers others."""
+LOOK_SECONDS = 0.1
+"""Interval between looks for servers that fell silent."""
 GAP_WAIT_LEAST_SECONDS = 0.3
 """Least time between events before a resumable stream goes on elsewhere."""
 GAP_WAIT_LIMITS = 2.0
@@ -81,6 +87,7 @@
     position: str = ""
     delivered: int = 0
     began: bool = False
+    sent_at: float = 0.0
 
     @property
     def ends_at(self) -> float:
@@ -118,6 +125,7 @@
         self._rng = rng
         self._policy: PlacementPolicy = POLICIES[policy]()
         self._budget = RetryBudget()
+        self._look_at = float("-inf")
 
     # Arrival.
 
@@ -191,6 +199,7 @@
         request.server_id = server.record.server_id
         request.tried.add(server.record.server_id)
         request.began = False
+        request.sent_at = now
         self._servers.on_sent(server.record.server_id, False, self._tokens(request))
         send = SendRequest(
             request.arrival.token,
@@ -198,7 +207,6 @@
             server.record.server_id,
             server.record.address,
             request.ends_at - now,
-            self._first_wait(now, request),
             self._gap_wait(now, request),
             request.position,
         )
@@ -226,13 +234,6 @@
         prompt = request.arrival.prompt
         return prompt.prompt_tokens + prompt.output_tokens_most
 
-    def _first_wait(self, now: float, request: ForwardedRequest) -> float:
-        left = request.ends_at - now
-        if not self._may_try_again(request):
-            return left
-        wait = max(FIRST_WAIT_LEAST_SECONDS, FIRST_WAIT_OBJECTIVES * request.route.objective)
-        return min(left, wait)
-
     def _gap_wait(self, now: float, request: ForwardedRequest) -> float:
         left = request.ends_at - now
         if not self._may_try_again(request):
@@ -368,20 +369,61 @@
     # Timers.
 
     def next_due(self) -> float:
-        """Returns when the next request runs out of time."""
-        return min((r.ends_at for r in self.requests.values()), default=float("inf"))
+        """Returns when `on_timer` has something to do."""
+        if not self.requests:
+            return float("inf")
+        return min(self._look_at, min(r.ends_at for r in self.requests.values()))
 
     def on_timer(self, now: float) -> Instructions:
-        """Ends what has run out of time, with its final answer at once."""
-        late = [request for request in self.requests.values() if request.ends_at <= now]
+        """Ends what has run out of time, and leaves servers that fell silent."""
         instructions: Instructions = []
-        for request in late:
-            at_limit = request.limit_at <= request.deadline
-            reason = "route's time limit reached" if at_limit else "deadline reached"
-            instructions += self._abort(now, request, AttemptKind.CANCELLED)
-            instructions += self._give_up(now, request, reason, Step.RELAY)
+        for request in [r for r in self.requests.values() if r.ends_at <= now]:
+            instructions += self._time_out(now, request)
+        if now >= self._look_at:
+            self._look_at = now + LOOK_SECONDS
+            for request in [r for r in self.requests.values() if self._is_stuck(now, r)]:
+                instructions += self._leave_server(now, request)
         return instructions
 
+    def _time_out(self, now: float, request: ForwardedRequest) -> Instructions:
+        at_limit = request.limit_at <= request.deadline
+        reason = "route's time limit reached" if at_limit else "deadline reached"
+        aborted = self._abort(now, request, AttemptKind.CANCELLED)
+        return aborted + self._give_up(now, request, reason, Step.RELAY)
+
+    def _is_stuck(self, now: float, request: ForwardedRequest) -> bool:
+        """Returns whether the server seems not to answer this request any more.
+
+        A loaded server answers others meanwhile: leaving it would only add to the load.
+        """
+        if request.began or not self._may_try_again(request):
+            return False
+        patience = max(SUSPECT_LEAST_SECONDS, SUSPECT_OBJECTIVES * request.route.objective)
+        if now - request.sent_at > HUNG_SUSPECTS * patience:
+            return True
+        server = self._servers.servers.get(request.server_id)
+        heard_at = server.heard_at if server is not None else float("-inf")
+        return now - max(heard_at, request.sent_at) > patience
+
+    def _leave_server(self, now: float, request: ForwardedRequest) -> Instructions:
+        server_id = request.server_id
+        request.kinds.append(AttemptKind.CUT)
+        self._servers.on_ended(now, server_id, False, self._tokens(request), True)
+        left = AbortAttempt(request.arrival.token, request.attempt)
+        line = LogLine(
+            "server fell silent",
+            {
+                "request_id": request.arrival.request_id,
+                "server": server_id,
+                "waited_ms": _milliseconds(now - request.sent_at),
+            },
+        )
+        if not self._budget.take(request.service):
+            reason = "server fell silent; retry budget spent"
+            return [left, line, *self._give_up(now, request, reason, Step.DISPATCH)]
+        self.counts.retries += 1
+        return [left, line, *self._dispatch(now, request, "server fell silent")]
+
     def validate(self) -> None:
         """Asserts what must hold between events."""
         for token, request in self.requests.items():
--- a/src/troutswitch/decisions/forwarding/servers.py
+++ b/src/troutswitch/decisions/forwarding/servers.py
@@ -13,7 +13,7 @@
 """Failures in a row after which a server is left out for a while."""
 EJECT_FIRST_SECONDS = 0.5
 EJECT_MOST_SECONDS = 4.0
-LOAD_FRESH_SECONDS = 1.0
+LOAD_FRESH_SECONDS = 0.4
 """Age up to which a load that a server told counts."""
 GONE_REMEMBERED = 4096
 """Incarnations that are remembered as draining or replaced."""
@@ -31,6 +31,7 @@
     tokens_in_flight: int = 0
     load: ServerLoad | None = None
     load_at: float = float("-inf")
+    heard_at: float = float("-inf")
     sent_since_load: int = 0
     peers_online: int = 0
     peers_batch: int = 0
@@ -151,12 +152,19 @@
             server.is_draining = True
         return True
 
+    def on_heard(self, now: float, server_id: str) -> None:
+        """Bytes came from the server, a sign of life."""
+        server = self.servers.get(server_id)
+        if server is not None:
+            server.heard_at = now
+
     def on_load(self, now: float, server_id: str, load: ServerLoad) -> None:
         """Takes in a load that came with an answer."""
         server = self.servers.get(server_id)
         if server is not None:
             server.load = load
             server.load_at = now
+            server.heard_at = now
             server.sent_since_load = 0
 
     def on_sent(self, server_id: str, is_batch: bool, tokens: int) -> None:
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -9,12 +9,14 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from troutswitch.common import Address
 from troutswitch.decisions.forwarding.messages import (
     AnswerBegun,
     CallerGone,
     LogLine,
     RequestArrived,
     RequestAttemptEnded,
+    ServerHeard,
 )
 from troutswitch.decisions.forwarding.requests import ForwardedRequests
 from troutswitch.decisions.forwarding.routes import RouteTable
@@ -34,6 +36,7 @@
     JobSubmitted,
     ResultsAsked,
 )
+from troutswitch.decisions.peers.loads import PeerLoads, ReportReceived
 from troutswitch.decisions.storage.follower import CallNumbers, PartitionFollower
 from troutswitch.decisions.storage.messages import (
     KeyedRecord,
@@ -68,6 +71,7 @@
 
     name: str
     zone: str
+    peer_address: Address
     drain: float
     member_ttl_least: float
     store_room: StoreRoom
@@ -135,6 +139,10 @@
             self._emit,
         )
 
+        self.peers = PeerLoads(
+            identity.name, identity.peer_address, self.servers, self.numbers, rng, self._log
+        )
+
     def _emit(self, instruction: Instruction) -> None:
         self._instructions.append(instruction)
 
@@ -159,11 +167,16 @@
                 self._instructions += self.requests.on_caller_gone(now, event)
             case JobSubmitted() | ResultsAsked() | BodyAsked() | JobEndAsked() | ItemRunEnded():
                 self.jobs.on_event(now, event)
+            case ServerHeard():
+                self.servers.on_heard(now, event.server_id)
+            case ReportReceived():
+                self.peers.on_report(now, event)
             case StoreAnswered():
                 self._on_store(now, event.call, event.outcome)
             case DrainAsked():
                 self.is_draining = True
                 self.jobs.drain()
+                self._instructions += self.peers.leave(now)
                 self._log("drain started", in_flight=len(self.requests.requests))
             case TimerFired():
                 pass
@@ -179,6 +192,7 @@
             self.server_list.next_due(),
             self.configuration.next_due(),
             self.jobs.next_due(),
+            self.peers.next_due(),
         )
 
     def _on_timer(self, now: float) -> None:
@@ -186,6 +200,7 @@
         self._instructions += self.server_list.on_timer(now)
         self._instructions += self.configuration.on_timer(now)
         self.jobs.on_timer(now)
+        self._instructions += self.peers.on_timer(now)
 
     # The store.
 
@@ -194,6 +209,8 @@
             self._on_server_list(now, outcome)
         elif self.configuration.owns(call):
             self.configuration.on_answer(now, outcome)
+        elif self.peers.owns(call):
+            self.peers.on_answer(now, call, outcome)
         else:
             self.jobs.on_store(now, call, outcome)
 
--- /dev/null
+++ b/src/troutswitch/decisions/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions about the other daemons of the fleet."""
--- /dev/null
+++ b/src/troutswitch/decisions/peers/loads.py
@@ -0,0 +1,229 @@
+"""Daemons tell each other how many requests each has in flight on each server.
+
+All requests reach servers through daemons, so the sum of what all tell is the load of a
+server, a few tenths of a second old. Peers are found through a keyed topic of the store;
+whoever is heard is a peer too, so a daemon that starts needs one reading.
+
+A report goes to a bounded number of peers, chosen at random, so that a daemon's traffic
+does not grow with the fleet; what is heard then lasts for longer.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import cbor2
+
+from troutswitch.common import Address
+from troutswitch.daemons.loadreport import LoadReport, ServerShare, server_key
+from troutswitch.decisions.forwarding.servers import ServerRegistry
+from troutswitch.decisions.storage.follower import CallNumbers
+from troutswitch.decisions.storage.messages import (
+    Appended,
+    AppendRecords,
+    KeyedRecord,
+    NewestPage,
+    Partition,
+    ReadNewest,
+    StoreCall,
+    StoreOutcome,
+)
+
+PEERS_TOPIC = "daemons"
+REPORT_SECONDS = 0.15
+"""Least interval between reports."""
+QUIET_REPORT_SECONDS = 0.6
+"""Interval between reports while nothing changes."""
+PEERS_A_REPORT = 24
+"""Peers that one report goes to."""
+SILENT_SECONDS = 2.0
+"""Silence after which a peer's requests no longer count, in a fleet told at once."""
+FORGET_SECONDS = 60.0
+"""Silence after which a peer is sent nothing more."""
+READ_FIRST_SECONDS = 1.0
+READ_SECONDS = 10.0
+CALL_LOST_SECONDS = 4.0
+WRITE_RETRY_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class SendReport:
+    """Instruction: send a report to peers."""
+
+    addresses: tuple[Address, ...]
+    report: LoadReport
+
+
+@dataclass(frozen=True, slots=True)
+class ReportReceived:
+    """Event: a peer's report came."""
+
+    sender: Address
+    report: LoadReport
+
+
+@dataclass(slots=True)
+class Peer:
+    """Another daemon."""
+
+    address: Address
+    heard_at: float
+    life: int = -1
+    sequence: int = -1
+    shares: dict[int, tuple[int, int]] = field(default_factory=dict)
+
+
+class PeerLoads:
+    """What peers tell, and what is told to them."""
+
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        servers: ServerRegistry,
+        numbers: CallNumbers,
+        rng: random.Random,
+        log: Callable[..., None],
+    ) -> None:
+        self.peers: dict[str, Peer] = {}
+        self._name = name
+        self._address = address
+        self._servers = servers
+        self._numbers = numbers
+        self._rng = rng
+        self._log = log
+        self._life = rng.getrandbits(31)
+        self._sequence = 0
+        self._told: dict[str, tuple[int, int]] = {}
+        self._report_at = float("-inf")
+        self._quiet_at = float("-inf")
+        self._read_at = float("-inf")
+        self._read_call = 0
+        self._write_at = float("-inf")
+        self._write_call = 0
+        self._readings = 0
+
+    # Reports out.
+
+    def next_due(self) -> float:
+        """Returns when `on_timer` has something to do."""
+        return min(self._report_at, self._read_at, self._write_at)
+
+    def on_timer(self, now: float) -> list[StoreCall | SendReport]:
+        """Reports if something changed, and looks for peers."""
+        instructions: list[StoreCall | SendReport] = []
+        if now >= self._write_at:
+            instructions.append(self._write(now))
+        if now >= self._read_at:
+            instructions.append(self._read(now))
+        if now >= self._report_at:
+            self._report_at = now + REPORT_SECONDS
+            self._drop_silent(now)
+            instructions += self._report(now)
+        return instructions
+
+    def _report(self, now: float, is_leaving: bool = False) -> list[StoreCall | SendReport]:
+        current = {
+            name: (server.online_in_flight, server.batch_in_flight)
+            for name, server in self._servers.servers.items()
+            if server.online_in_flight or server.batch_in_flight
+        }
+        if current == self._told and now < self._quiet_at and not is_leaving:
+            return []
+        self._told = current
+        self._quiet_at = now + QUIET_REPORT_SECONDS
+        self._sequence += 1
+        shares = tuple(ServerShare(server_key(n), o, b) for n, (o, b) in current.items())
+        report = LoadReport(self._name, self._life, self._sequence, shares, is_leaving)
+        addresses = [peer.address for peer in self.peers.values()]
+        if len(addresses) > PEERS_A_REPORT:
+            addresses = self._rng.sample(addresses, PEERS_A_REPORT)
+        return [SendReport(tuple(addresses), report)] if addresses else []
+
+    def leave(self, now: float) -> list[StoreCall | SendReport]:
+        """Tells peers that this daemon stops."""
+        return self._report(now, is_leaving=True)
+
+    # Reports in.
+
+    def on_report(self, now: float, event: ReportReceived) -> None:
+        """Takes a peer's report, unless a newer one of the same life was taken."""
+        report = event.report
+        if report.sender == self._name:
+            return
+        peer = self.peers.get(report.sender)
+        if peer is None:
+            peer = Peer(event.sender, now)
+            self.peers[report.sender] = peer
+        is_old = report.life == peer.life and report.sequence <= peer.sequence
+        if is_old:
+            return
+        peer.address = event.sender
+        peer.heard_at = now
+        peer.life = report.life
+        peer.sequence = report.sequence
+        self._set_shares(
+            peer, {share.server_key: (share.online, share.batch) for share in report.shares}
+        )
+
+    def _set_shares(self, peer: Peer, shares: dict[int, tuple[int, int]]) -> None:
+        by_key = {server_key(name): server for name, server in self._servers.servers.items()}
+        for key in peer.shares.keys() | shares.keys():
+            server = by_key.get(key)
+            if server is None:
+                continue
+            old_online, old_batch = peer.shares.get(key, (0, 0))
+            online, batch = shares.get(key, (0, 0))
+            server.peers_online = max(0, server.peers_online + online - old_online)
+            server.peers_batch = max(0, server.peers_batch + batch - old_batch)
+        peer.shares = shares
+
+    def _drop_silent(self, now: float) -> None:
+        rounds = max(1.0, len(self.peers) / PEERS_A_REPORT)
+        for name, peer in list(self.peers.items()):
+            silence = now - peer.heard_at
+            if silence > SILENT_SECONDS * rounds and peer.shares:
+                self._set_shares(peer, {})
+            if silence > FORGET_SECONDS:
+                del self.peers[name]
+
+    # Discovery.
+
+    def _write(self, now: float) -> StoreCall:
+        self._write_at = now + CALL_LOST_SECONDS
+        self._write_call = self._numbers.next()
+        value = cbor2.dumps([self._address.host, self._address.port])
+        record = KeyedRecord(self._name, value)
+        return AppendRecords(self._write_call, Partition(PEERS_TOPIC), (record,))
+
+    def _read(self, now: float) -> StoreCall:
+        self._read_at = now + CALL_LOST_SECONDS
+        self._read_call = self._numbers.next()
+        return ReadNewest(self._read_call, Partition(PEERS_TOPIC))
+
+    def owns(self, call: int) -> bool:
+        """Returns whether an answer belongs here."""
+        return call in (self._read_call, self._write_call)
+
+    def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> None:
+        """Takes the outcome of a reading, or of the word on this daemon's address."""
+        if call == self._write_call:
+            written = isinstance(outcome, Appended)
+            self._write_at = float("inf") if written else now + WRITE_RETRY_SECONDS
+            return
+        self._readings += 1
+        early = self._readings <= 2
+        self._read_at = now + (READ_FIRST_SECONDS if early else READ_SECONDS)
+        if isinstance(outcome, NewestPage):
+            for record in outcome.records:
+                self._take_address(now, record)
+
+    def _take_address(self, now: float, record: KeyedRecord) -> None:
+        if record.key == self._name or record.key in self.peers:
+            return
+        try:
+            host, port = cbor2.loads(record.value)
+        except (cbor2.CBORDecodeError, ValueError, TypeError):
+            self._log("peer record malformed", peer=record.key)
+            return
+        self.peers[record.key] = Peer(Address(str(host), int(port)), now)
--- a/src/troutswitch/gateway/application.py
+++ b/src/troutswitch/gateway/application.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable, Iterator
 
 from troutswitch.gateway.exchange import ServerConnections
+from troutswitch.gateway.pulse import Pulse
 from troutswitch.gateway.registry import Relays
 from troutswitch.gateway.relay import Relay, WholeAnswer
 from troutswitch.outcomes import Cut, MayHaveRun, NotRun
@@ -24,6 +25,7 @@
         relays: the requests in progress.
         connections: connections to servers.
         post: hands an event to the loop.
+        pulse: notes signs of life of servers.
         handle_job: answers calls about batch jobs, or returns None for other requests.
     """
 
@@ -32,11 +34,13 @@
         relays: Relays,
         connections: ServerConnections,
         post: Callable[[object], None],
+        pulse: Pulse,
         handle_job: JobHandler,
     ) -> None:
         self._relays = relays
         self._connections = connections
         self._post = post
+        self._pulse = pulse
         self._handle_job = handle_job
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
@@ -58,7 +62,9 @@
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         token = self._relays.next_token()
-        relay = Relay(token, request, body, self._relays, self._connections, self._post)
+        relay = Relay(
+            token, request, body, self._relays, self._connections, self._post, self._pulse
+        )
         self._relays.watch(token, environ["waitress.client_disconnected"])
         chunks = relay.run()
         try:
--- a/src/troutswitch/gateway/itemruns.py
+++ b/src/troutswitch/gateway/itemruns.py
@@ -15,6 +15,7 @@
     OutgoingRequest,
     ServerConnections,
 )
+from troutswitch.gateway.pulse import Pulse
 from troutswitch.outcomes import AttemptKind
 from troutswitch.platform import names
 from troutswitch.platform.requests import AnswerHead, item_headers, read_head
@@ -30,10 +31,12 @@
         self,
         connections: ServerConnections,
         post: Callable[[object], None],
+        pulse: Pulse,
         logger: structlog.typing.FilteringBoundLogger,
     ) -> None:
         self._connections = connections
         self._post = post
+        self._pulse = pulse
         self._logger = logger
         self._exchanges: dict[int, Exchange] = {}
         self._stopped: set[int] = set()
@@ -119,11 +122,11 @@
                 exchange.is_aborted = True
         return exchange
 
-    @staticmethod
     def _read(
-        instruction: RunItem, exchange: Exchange, splitter: EventSplitter, texts: list[str]
+        self, instruction: RunItem, exchange: Exchange, splitter: EventSplitter, texts: list[str]
     ) -> None:
         for data in exchange.chunks():
+            self._pulse.beat(instruction.server_id)
             events = splitter.feed(data)
             if events:
                 exchange.set_wait(instruction.gap_wait)
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from troutswitch.common import Address
 from troutswitch.decisions.gateway import (
     DrainAsked,
     GatewayCore,
@@ -22,6 +23,8 @@
 from troutswitch.gateway.itemruns import ItemRuns
 from troutswitch.gateway.jobcalls import JobCalls
 from troutswitch.gateway.loop import GatewayLoop
+from troutswitch.gateway.peersocket import ReportSocket
+from troutswitch.gateway.pulse import Pulse
 from troutswitch.gateway.registry import Relays
 from troutswitch.gateway.runner import InstructionRunner
 from troutswitch.gateway.settings import GatewaySettings
@@ -54,9 +57,13 @@
         self._relays = Relays()
         self._connections = ServerConnections()
         store = StoreClient(settings.store.address)
+        peer_address = Address(settings.peer_host, settings.peer_ports[0])
+        self._reports = ReportSocket(peer_address, self._post)
+        self._pulse = Pulse(self._post)
         identity = GatewayIdentity(
             settings.name,
             settings.zone,
+            self._reports.address,
             settings.bounds.drain,
             settings.store.member_ttl_least,
             StoreRoom(
@@ -66,9 +73,15 @@
         rng = random.Random(os.urandom(8))
         self.core = GatewayCore(identity, PlatformFormats(), rng)
         self._jobs = JobCalls(self.core.routes, self._post)
-        items = ItemRuns(self._connections, self._post, logger)
+        items = ItemRuns(self._connections, self._post, self._pulse, logger)
         self.runner = InstructionRunner(
-            self._relays, self._connections, store.call, items, self._jobs.answer, logger
+            self._relays,
+            self._connections,
+            store.call,
+            items,
+            self._jobs.answer,
+            self._reports.send,
+            logger,
         )
         self.loop = GatewayLoop(self.core, self._relays, self.runner.carry_out, self._on_failure)
         self.runner.set_post(self.loop.post)
@@ -80,7 +93,7 @@
         if self.settings.callers is None:
             return None
         application = CallerApplication(
-            self._relays, self._connections, self._post, self._jobs.handle
+            self._relays, self._connections, self._post, self._pulse, self._jobs.handle
         )
         return FrontServer(
             application, self.settings.callers, CALLER_THREADS, "callers", CONNECTIONS_MOST
@@ -116,6 +129,7 @@
     def start(self) -> None:
         """Starts listeners and loop."""
         self.loop.start()
+        self._reports.start()
         for server in (self._readiness, self._callers):
             if server is not None:
                 server.start()
--- /dev/null
+++ b/src/troutswitch/gateway/pulse.py
@@ -0,0 +1,23 @@
+"""Tells the loop, a few times a second, which servers send bytes."""
+
+import time
+from collections.abc import Callable
+
+from troutswitch.decisions.forwarding.messages import ServerHeard
+
+PULSE_SECONDS = 0.2
+
+
+class Pulse:
+    """Signs of life of servers, from the threads that read their answers."""
+
+    def __init__(self, post: Callable[[object], None]) -> None:
+        self._post = post
+        self._told_at: dict[str, float] = {}
+
+    def beat(self, server_id: str) -> None:
+        """Notes that bytes came; two threads at once may tell it twice, which does no harm."""
+        now = time.monotonic()
+        if now - self._told_at.get(server_id, float("-inf")) >= PULSE_SECONDS:
+            self._told_at[server_id] = now
+            self._post(ServerHeard(server_id))
--- a/src/troutswitch/gateway/relay.py
+++ b/src/troutswitch/gateway/relay.py
@@ -19,6 +19,7 @@
     OutgoingRequest,
     ServerConnections,
 )
+from troutswitch.gateway.pulse import Pulse
 from troutswitch.gateway.registry import Relays
 from troutswitch.outcomes import AttemptKind
 from troutswitch.platform import names
@@ -53,6 +54,7 @@
     relays: Relays
     connections: ServerConnections
     post: Post
+    pulse: Pulse
     head: AnswerHead | None = None
     whole: WholeAnswer | None = None
     finish: FinishRequest | None = None
@@ -112,7 +114,7 @@
 
     def _exchange(self, directive: SendRequest, exchange: Exchange) -> Iterator[bytes]:
         try:
-            head = read_head(exchange.open(directive.first_wait))
+            head = read_head(exchange.open(directive.time_left))
         except NotConnected as error:
             return self._end(directive, AttemptKind.UNREACHABLE, str(error))
         except AnswerLost as error:
@@ -131,8 +133,8 @@
     ) -> Iterator[bytes]:
         splitter = EventSplitter(directive.resume_after)
         self._splitter = splitter
-        exchange.set_wait(directive.first_wait)
         for data in exchange.chunks():
+            self.pulse.beat(directive.server_id)
             events = splitter.feed(data)
             if not events:
                 continue
--- a/src/troutswitch/gateway/runner.py
+++ b/src/troutswitch/gateway/runner.py
@@ -13,6 +13,7 @@
 )
 from troutswitch.decisions.gateway import LimitsChanged, ServersLeft
 from troutswitch.decisions.jobs.messages import AnswerJobCall, RunItem, StopItem
+from troutswitch.decisions.peers.loads import SendReport
 from troutswitch.decisions.storage.messages import (
     AppendRecords,
     CallFailed,
@@ -41,6 +42,7 @@
         call_store: Callable[[StoreCall], StoreOutcome],
         items: ItemRuns,
         answer_job: Callable[[AnswerJobCall], None],
+        send_report: Callable[[SendReport], None],
         logger: structlog.typing.FilteringBoundLogger,
     ) -> None:
         self.set_limits: Callable[[LimitsChanged], None] = lambda change: None
@@ -49,6 +51,7 @@
         self._call_store = call_store
         self._items = items
         self._answer_job = answer_job
+        self._send_report = send_report
         self._logger = logger
         self._post: Callable[[object], None] = lambda event: None
         self._store_executor = ThreadPoolExecutor(STORE_THREADS, "store")
@@ -70,6 +73,8 @@
                 self._items.start(instruction)
             case StopItem():
                 self._items.stop(instruction)
+            case SendReport():
+                self._send_report(instruction)
             case AnswerJobCall():
                 self._answer_job(instruction)
             case LimitsChanged():
--- a/src/troutswitch/platform/store.py
+++ b/src/troutswitch/platform/store.py
@@ -6,6 +6,7 @@
 import threading
 from base64 import b64decode
 from collections import deque
+from typing import Any
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -232,7 +233,7 @@
         try:
             if connection.sock is None:
                 connection.connect()
-                sock: socket.socket = connection.sock
+                sock: Any = connection.sock
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError as error:
             connection.close()
