Owners share the starts and stops of items; first reads of the store time out early

Change: an owner takes its random part of free and surplus slots; timeouts of first reads begin at 0.6 s and double.

--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -137,6 +137,7 @@
             identity.store_room,
             rng,
             self._emit,
+            lambda: 1 + self.peers.live_count(self._now),
         )
 
         self.peers = PeerLoads(
--- a/src/troutswitch/decisions/jobs/coordinator.py
+++ b/src/troutswitch/decisions/jobs/coordinator.py
@@ -39,6 +39,7 @@
         room: StoreRoom,
         rng: random.Random,
         emit: Callable[[object], None],
+        daemons: Callable[[], int],
     ) -> None:
         self._emit = emit
         self.replicas = JobReplicas(numbers, rng)
@@ -54,6 +55,7 @@
             room.call_bytes,
             rng,
             self._log,
+            lambda: min(room.shards, daemons()),
         )
 
     def _answer(self, token: int, answer: JobAnswer) -> None:
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -36,7 +36,13 @@
     shard_partition,
 )
 from troutswitch.decisions.jobs.replicas import JobReplicas
-from troutswitch.decisions.jobs.room import BatchRoomPolicy, has_room, must_yield
+from troutswitch.decisions.jobs.room import (
+    BatchRoomPolicy,
+    free_slots,
+    has_memory,
+    own_part,
+    surplus,
+)
 from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import (
     Appended,
@@ -51,6 +57,8 @@
 
 TICK_SECONDS = 0.1
 """Interval between looks for work."""
+PEERS_LAG_SECONDS = 0.25
+"""Time after which peers have heard of a step taken here."""
 RUNS_MOST = 64
 """Items that run at once from this daemon."""
 STARTS_A_TICK = 8
@@ -137,6 +145,7 @@
         call_bytes: int,
         rng: random.Random,
         log: Callable[..., None],
+        owners: Callable[[], int],
         policy: BatchRoomPolicy | None = None,
     ) -> None:
         self.runs: dict[int, ItemRun] = {}
@@ -154,6 +163,8 @@
         self._policy = policy or BatchRoomPolicy()
         self._run_numbers = itertools.count(1)
         self._tick_at = float("-inf")
+        self._owners = owners
+        self._allowed: dict[str, int] = {}
         self._asked_shards: set[int] = set()
 
     # Timers.
@@ -203,13 +214,17 @@
     def _yield_slots(self, now: float) -> list[Instruction]:
         """Stops the newest of this daemon's items where online requests wait."""
         instructions: list[Instruction] = []
-        newest: dict[str, int] = {}
+        mine: dict[str, list[int]] = {}
         for number, run in self.runs.items():
             if not run.is_stopped:
-                newest[run.server_id] = number
-        for server_id, number in newest.items():
+                mine.setdefault(run.server_id, []).append(number)
+        for server_id, numbers in mine.items():
             server = self._servers.servers.get(server_id)
-            if server is not None and must_yield(now, server, self._policy):
+            if server is None:
+                continue
+            part = len(numbers) / max(1, server.batch()) * TICK_SECONDS / PEERS_LAG_SECONDS
+            count = own_part(surplus(now, server, self._policy), part, self._rng)
+            for number in numbers[len(numbers) - min(count, len(numbers)) :]:
                 self.runs[number].is_stopped = True
                 self.counts.yielded += 1
                 instructions.append(StopItem(number))
@@ -219,6 +234,7 @@
 
     def _start_items(self, now: float, owned: dict[int, ShardClaim]) -> list[Instruction]:
         instructions: list[Instruction] = []
+        self._allowed = {}
         for progress in self._candidates(now, owned):
             if len(self.runs) >= RUNS_MOST or len(instructions) >= STARTS_A_TICK:
                 break
@@ -298,7 +314,8 @@
             server
             for server in self._servers.usable(now, service)
             if now >= max(server.full_until, server.ejected_until)
-            and has_room(now, server, tokens, memory, self._policy)
+            and has_memory(server, tokens, memory, self._policy)
+            and self._allowance(now, server) > 0
         ]
         if not open_servers:
             return None
@@ -307,6 +324,17 @@
             key=lambda s: s.in_flight(now) / s.slots + 0.1 * self._rng.random(),
         )
 
+    def _allowance(self, now: float, server: Server) -> int:
+        """Returns how many items this daemon may still start there in this look."""
+        server_id = server.record.server_id
+        allowed = self._allowed.get(server_id)
+        if allowed is None:
+            part = TICK_SECONDS / PEERS_LAG_SECONDS / max(1, self._owners())
+            free = free_slots(now, server, self._policy)
+            allowed = own_part(free, part, self._rng)
+            self._allowed[server_id] = allowed
+        return allowed
+
     def _start(
         self, now: float, progress: ItemProgress, entry: JobEntry, server: Server
     ) -> Instruction:
@@ -317,6 +345,7 @@
         self.counts.runs += 1
         self.runs[number] = ItemRun(progress, server.record.server_id, now)
         self._servers.on_sent(server.record.server_id, True, progress.item.tokens)
+        self._allowed[server.record.server_id] -= 1
         self._log(
             "item sent",
             job_id=progress.job_id,
--- a/src/troutswitch/decisions/jobs/room.py
+++ b/src/troutswitch/decisions/jobs/room.py
@@ -4,6 +4,7 @@
 kept free before it is needed. An item gives its slot back only by being stopped.
 """
 
+import random
 from dataclasses import dataclass
 
 from troutswitch.decisions.forwarding.servers import Server
@@ -24,19 +25,34 @@
     memory_share: float = 0.85
 
 
-def has_room(
-    now: float, server: Server, tokens: int, cache_tokens: int, policy: BatchRoomPolicy
-) -> bool:
-    """Returns whether one more item of some tokens may be sent to the server."""
-    if server.batch() + 1 > max(1.0, server.slots * policy.batch_share):
-        return False
-    if server.in_flight(now) + 1 > max(1.0, server.slots * policy.total_share):
-        return False
+def has_memory(server: Server, tokens: int, cache_tokens: int, policy: BatchRoomPolicy) -> bool:
+    """Returns whether an item of some tokens fits the server's memory, as far as known."""
     if cache_tokens <= 0:
         return True
     return server.tokens_in_flight + tokens <= cache_tokens * policy.memory_share
 
 
-def must_yield(now: float, server: Server, policy: BatchRoomPolicy) -> bool:
-    """Returns whether online requests wait at the server while items hold its slots."""
-    return server.in_flight(now) > server.slots * policy.yield_share and server.online() > 0
+def free_slots(now: float, server: Server, policy: BatchRoomPolicy) -> int:
+    """Returns how many more items the server may take from all daemons together."""
+    for_batch = max(1, int(server.slots * policy.batch_share)) - server.batch()
+    for_all = max(1, int(server.slots * policy.total_share)) - server.in_flight(now)
+    return max(0, min(for_batch, for_all))
+
+
+def surplus(now: float, server: Server, policy: BatchRoomPolicy) -> int:
+    """Returns how many items all daemons together should stop for online requests."""
+    if server.online() == 0:
+        return 0
+    over = server.in_flight(now) - int(server.slots * policy.yield_share)
+    return max(0, min(over, server.batch()))
+
+
+def own_part(count: int, part: float, rng: random.Random) -> int:
+    """Returns this daemon's part of a count, rounded at random so that parts add up.
+
+    Daemons hear of each other's steps late. If each took all the room it sees, all
+    would start, and then all would stop.
+    """
+    exact = count * part
+    whole = int(exact)
+    return whole + (rng.random() < exact - whole)
--- a/src/troutswitch/decisions/peers/loads.py
+++ b/src/troutswitch/decisions/peers/loads.py
@@ -187,6 +187,12 @@
             if silence > FORGET_SECONDS:
                 del self.peers[name]
 
+    def live_count(self, now: float) -> int:
+        """Returns the peers that were heard lately."""
+        rounds = max(1.0, len(self.peers) / PEERS_A_REPORT)
+        oldest = now - SILENT_SECONDS * rounds
+        return sum(peer.heard_at >= oldest and peer.life >= 0 for peer in self.peers.values())
+
     # Discovery.
 
     def _write(self, now: float) -> StoreCall:
--- a/src/troutswitch/decisions/storage/follower.py
+++ b/src/troutswitch/decisions/storage/follower.py
@@ -29,8 +29,12 @@
 
 RETRY_FIRST_SECONDS = 0.1
 RETRY_MOST_SECONDS = 1.0
-CALL_LOST_SECONDS = 5.0
-"""Time past its wait after which a call counts as lost."""
+TIMEOUT_FIRST_SECONDS = 0.6
+"""Time for the answer to the first try; it doubles with each failure, as a store may be
+silent for a moment, or slow for long."""
+TIMEOUT_MOST_SECONDS = 3.0
+CALL_LOST_SECONDS = 2.0
+"""Time past its timeout after which a call counts as lost."""
 
 
 class FollowState(Enum):
@@ -139,10 +143,11 @@
             return []
         self._call = self._numbers.next()
         self._asked_at = now
-        self._lost_at = now + self.wait + CALL_LOST_SECONDS
+        timeout = min(TIMEOUT_FIRST_SECONDS * 2 ** min(self.failures, 5), TIMEOUT_MOST_SECONDS)
+        self._lost_at = now + self.wait + timeout + CALL_LOST_SECONDS
         if self.state is FollowState.STARTING:
-            return [ReadNewest(self._call, self.partition, self._after_key)]
-        return [ReadRecords(self._call, self.partition, self.next_offset, self.wait)]
+            return [ReadNewest(self._call, self.partition, self._after_key, timeout)]
+        return [ReadRecords(self._call, self.partition, self.next_offset, self.wait, timeout)]
 
     def on_answer(self, now: float, outcome: StoreOutcome) -> None:
         """Takes the outcome of the call in flight."""
--- a/src/troutswitch/decisions/storage/messages.py
+++ b/src/troutswitch/decisions/storage/messages.py
@@ -37,7 +37,11 @@
     sequence: int
 
 
-# Calls.
+# Calls. Each has a `timeout`, the longest time in seconds for its answer beyond what a
+# read waits at the store.
+
+READ_TIMEOUT_SECONDS = 1.5
+WRITE_TIMEOUT_SECONDS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +51,7 @@
     call: int
     partition: Partition
     after_key: str = ""
+    timeout: float = READ_TIMEOUT_SECONDS
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +62,7 @@
     partition: Partition
     offset: int
     wait: float = 0.0
+    timeout: float = READ_TIMEOUT_SECONDS
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +78,7 @@
     records: tuple[KeyedRecord, ...]
     expected_end: int | None = None
     stamp: WriterStamp | None = None
+    timeout: float = WRITE_TIMEOUT_SECONDS
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +91,7 @@
     topics: tuple[str, ...]
     ttl: float
     generation: int
+    timeout: float = WRITE_TIMEOUT_SECONDS
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +101,7 @@
     call: int
     group: str
     member: str
+    timeout: float = WRITE_TIMEOUT_SECONDS
 
 
 StoreCall = ReadNewest | ReadRecords | AppendRecords | JoinGroup | LeaveGroup
--- a/src/troutswitch/platform/store.py
+++ b/src/troutswitch/platform/store.py
@@ -35,9 +35,7 @@
 )
 from troutswitch.platform.names import CONFIGURATION_TOPIC, SERVERS_TOPIC, TOPIC_PREFIX
 
-CALL_SECONDS = 3.0
-"""Longest time for an answer, beyond what a read waits at the store."""
-CONNECT_SECONDS = 1.0
+CONNECT_SECONDS = 0.5
 IDLE_CONNECTIONS = 8
 NOT_DONE = frozenset({400, 403, 404, 429, 503, 507})
 """Statuses after which the store has done nothing."""
@@ -135,7 +133,7 @@
         query = _place(call.partition)
         if call.after_key:
             query["afterRevision"] = call.after_key
-        status, body = self._exchange("GET", "/log-newest", query)
+        status, body = self._exchange("GET", "/log-newest", query, timeout=call.timeout)
         if status != 200:
             return _failed(status, body)
         try:
@@ -151,7 +149,7 @@
         query = _place(call.partition) | {"from": call.offset, "max_kb": READ_KB}
         if call.wait > 0:
             query["waitMs"] = round(call.wait * 1000)
-        status, body = self._exchange("GET", "/log-read", query, wait=call.wait)
+        status, body = self._exchange("GET", "/log-read", query, timeout=call.timeout + call.wait)
         if status == 410:
             return HistoryGone(_refusal(body).first)
         if status != 200 or len(body) < 16:
@@ -168,7 +166,9 @@
             query["producer"] = call.stamp.writer
             query["epoch"] = call.stamp.epoch
             query["sequence"] = call.stamp.sequence
-        status, body = self._exchange("POST", "/log-append", query, encode_records(call.records))
+        status, body = self._exchange(
+            "POST", "/log-append", query, encode_records(call.records), timeout=call.timeout
+        )
         match status:
             case 200:
                 return self._appended(body)
@@ -199,7 +199,9 @@
             "ttl_ms": round(call.ttl * 1000),
             "generation": call.generation,
         }
-        status, answer = self._exchange("POST", "/log-join", {}, msgspec.json.encode(body))
+        status, answer = self._exchange(
+            "POST", "/log-join", {}, msgspec.json.encode(body), timeout=call.timeout
+        )
         if status != 200:
             return _failed(status, answer)
         try:
@@ -213,7 +215,7 @@
 
     def _leave(self, call: LeaveGroup) -> StoreOutcome:
         body = msgspec.json.encode({"group": call.group, "member": call.member})
-        status, answer = self._exchange("POST", "/log-leave", {}, body)
+        status, answer = self._exchange("POST", "/log-leave", {}, body, timeout=call.timeout)
         return GroupLeft() if status == 200 else _failed(status, answer)
 
     # Connections.
@@ -224,7 +226,8 @@
         path: str,
         query: dict[str, str | int],
         body: bytes | None = None,
-        wait: float = 0.0,
+        *,
+        timeout: float,
     ) -> tuple[int, bytes]:
         """Makes one exchange; status 0 means no answer, -1 that nothing was sent."""
         connection = self._take_connection()
@@ -239,7 +242,7 @@
             connection.close()
             return -1, str(error).encode()
         try:
-            connection.sock.settimeout(CALL_SECONDS + wait)
+            connection.sock.settimeout(timeout)
             connection.request(method, url, body, headers)
             response = connection.getresponse()
             answer = response.read()
