--- a/src/troutswitch/gateway/exchange.py
+++ b/src/troutswitch/gateway/exchange.py
@@ -66,6 +66,7 @@
         self.reader: _SharedReader | None = None
         self.idle_since = 0.0
         self.idle_most = IDLE_SECONDS_DEFAULT
+        self._is_reading_head = False
         self.response_class = self._make_response  # type: ignore[assignment]
 
     def connect(self) -> None:
@@ -76,8 +77,23 @@
         raw = self.sock.makefile("rb", buffering=0)
         self.reader = _SharedReader(raw, READ_BYTES)
 
+    def getresponse(self) -> http.client.HTTPResponse:
+        """Reads the head of an answer; the connection stays open for its body."""
+        self._is_reading_head = True
+        try:
+            return super().getresponse()
+        finally:
+            self._is_reading_head = False
+
     def close(self) -> None:
-        """Closes the connection and its reader."""
+        """Closes the connection and its reader.
+
+        While a head is read this does nothing: the base class closes a connection as soon
+        as a head says that it will close, and leaves the body to the response's own
+        reader, which here is the connection's. Whoever reads a head closes afterwards.
+        """
+        if self._is_reading_head:
+            return
         super().close()
         reader, self.reader = self.reader, None
         if reader is not None:
