The output of running items is saved, and handed over at a planned stop

Change: owners append what running items made, each second and at a planned stop, before the shards pass on; a successor goes on after it (Last-Event-Id). The writes have a module of their own.

--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -31,6 +31,7 @@
 from troutswitch.decisions.jobs.intake import StoreRoom
 from troutswitch.decisions.jobs.messages import (
     BodyAsked,
+    ItemProgressed,
     ItemRunEnded,
     JobEndAsked,
     JobSubmitted,
@@ -166,7 +167,14 @@
                 self._instructions += self.requests.on_attempt_ended(now, event)
             case CallerGone():
                 self._instructions += self.requests.on_caller_gone(now, event)
-            case JobSubmitted() | ResultsAsked() | BodyAsked() | JobEndAsked() | ItemRunEnded():
+            case (
+                JobSubmitted()
+                | ResultsAsked()
+                | BodyAsked()
+                | JobEndAsked()
+                | ItemRunEnded()
+                | ItemProgressed()
+            ):
                 self.jobs.on_event(now, event)
             case ServerHeard():
                 self.servers.on_heard(now, event.server_id)
@@ -176,7 +184,7 @@
                 self._on_store(now, event.call, event.outcome)
             case DrainAsked():
                 self.is_draining = True
-                self.jobs.drain()
+                self.jobs.drain(now)
                 self._instructions += self.peers.leave(now)
                 self._log("drain started", in_flight=len(self.requests.requests))
             case TimerFired():
--- a/src/troutswitch/decisions/jobs/coordinator.py
+++ b/src/troutswitch/decisions/jobs/coordinator.py
@@ -10,6 +10,7 @@
 from troutswitch.decisions.jobs.messages import (
     AnswerJobCall,
     BodyAsked,
+    ItemProgressed,
     ItemRunEnded,
     JobAnswer,
     JobEndAsked,
@@ -23,7 +24,10 @@
 from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import StoreOutcome
 
-JobEvent = JobSubmitted | ResultsAsked | BodyAsked | JobEndAsked | ItemRunEnded
+DRAIN_SECONDS = 1.5
+"""Longest time for which a stopping daemon keeps its shards to save running items."""
+
+JobEvent = JobSubmitted | ResultsAsked | BodyAsked | JobEndAsked | ItemRunEnded | ItemProgressed
 
 
 class JobCoordinator:
@@ -42,6 +46,7 @@
         daemons: Callable[[], int],
     ) -> None:
         self._emit = emit
+        self._drain_until = float("inf")
         self.replicas = JobReplicas(numbers, rng)
         self.intake = JobIntake(routes, self.replicas, numbers, room, self._answer, self._log)
         self.reads = JobReads(self.replicas, numbers, self._answer, self._log)
@@ -71,6 +76,8 @@
                 self._emit_all(self.intake.on_submitted(now, event))
             case ItemRunEnded():
                 self.owner.on_run_ended(now, event)
+            case ItemProgressed():
+                self.owner.on_progressed(event)
             case _:
                 self._emit_all(self.reads.on_asked(now, event))
 
@@ -101,14 +108,28 @@
         """Does what is due."""
         self._emit_all(self.ownership.on_timer(now))
         self._emit_all(self.owner.on_timer(now))
+        self._go_on_draining(now)
         self._emit_all(self.intake.on_timer(now))
         self._emit_all(self.reads.on_timer(now))
         # Last, as the others may have asked for reads.
         self._emit_all(self.replicas.on_timer(now))
 
-    def drain(self) -> None:
-        """Passes the shards on; runs of their items are stopped at the next timer."""
-        self._emit_all(self.ownership.leave())
+    def drain(self, now: float) -> None:
+        """Stops running items, saves what they made, then passes the shards on."""
+        self.owner.is_draining = True
+        self._drain_until = now + DRAIN_SECONDS
+
+    @property
+    def is_drained(self) -> bool:
+        """Whether the shards were passed on."""
+        return self.ownership.is_leaving
+
+    def _go_on_draining(self, now: float) -> None:
+        if not self.owner.is_draining or self.ownership.is_leaving:
+            return
+        if self.owner.is_saved() or now >= self._drain_until:
+            self._log("shards passed on", saved=self.owner.is_saved())
+            self._emit_all(self.ownership.leave())
 
     def _emit_all(self, instructions: Iterable[object]) -> None:
         for instruction in instructions:
--- /dev/null
+++ b/src/troutswitch/decisions/jobs/items.py
@@ -0,0 +1,82 @@
+"""What is known here of an item that is not listed: its output so far and its runs."""
+
+from dataclasses import dataclass, field
+
+from troutswitch.decisions.invariants import ensure
+from troutswitch.decisions.jobs.messages import OutputEvent
+from troutswitch.decisions.jobs.records import JobItem, OutputPart
+
+
+@dataclass(slots=True)
+class ItemProgress:
+    """An item of a shard that this daemon owns.
+
+    `number` is the item's place in its job. `texts` is the output so far, of which the
+    events in `unsaved` are not in the store yet; `parts` counts the records that are.
+    """
+
+    shard: int
+    job_id: str
+    item: JobItem
+    number: int
+    position: str = ""
+    texts: list[str] = field(default_factory=list)
+    unsaved: list[OutputEvent] = field(default_factory=list)
+    saved_position: str = ""
+    parts: int = 0
+    failures: int = 0
+    runs: int = 0
+    retry_at: float = float("-inf")
+    no_route_since: float = float("inf")
+    run: int = 0
+    is_finished: bool = False
+
+    def restore(self, parts: list[OutputPart]) -> None:
+        """Takes over the output that an earlier owner saved."""
+        ensure(not self.texts, "an item with output takes over another's")
+        if not parts:
+            return
+        self.texts = [part.text for part in parts]
+        self.position = self.saved_position = parts[-1].position
+        self.parts = len(parts)
+
+    def add(self, events: tuple[OutputEvent, ...]) -> None:
+        """Takes the next events of the output."""
+        if not events:
+            return
+        self.texts.extend(event.text for event in events)
+        self.unsaved.extend(events)
+        self.position = events[-1].position
+
+    @property
+    def output(self) -> str:
+        """The output so far."""
+        return "\n".join(self.texts)
+
+    def next_part(self) -> OutputPart:
+        """Returns the part that is not saved yet."""
+        text = "\n".join(event.text for event in self.unsaved)
+        return OutputPart(self.saved_position, self.unsaved[-1].position, text)
+
+    def on_saved(self, part: OutputPart) -> None:
+        """A part stands in the store."""
+        ensure(part.after == self.saved_position, "parts are saved out of order")
+        while self.unsaved and self.saved_position != part.position:
+            self.saved_position = self.unsaved.pop(0).position
+        ensure(self.saved_position == part.position, "a part was saved that is not known")
+        self.parts += 1
+
+    def agrees_with(self, parts: list[OutputPart]) -> bool:
+        """Makes sure that the saved parts are those of this output.
+
+        After a write whose fate was not known, the store may have a part more. Returns
+        False if it has one that is not from here, after which this item begins anew.
+        """
+        if len(parts) < self.parts:
+            return False
+        for part in parts[self.parts :]:
+            known = any(event.position == part.position for event in self.unsaved)
+            if part.after != self.saved_position or not known:
+                return False
+            self.on_saved(part)
+        return True
--- a/src/troutswitch/decisions/jobs/messages.py
+++ b/src/troutswitch/decisions/jobs/messages.py
@@ -53,19 +53,30 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ItemRunEnded:
-    """A run of an item ended.
+class OutputEvent:
+    """The data of one whole event of an item's output, and the event's id."""
+
+    position: str
+    text: str
 
-    `texts` are the data of the whole events that came in this run, in order, and
-    `position` is the id of the last of them.
-    """
+
+@dataclass(frozen=True, slots=True)
+class ItemProgressed:
+    """Events of a run came; told a few times a second."""
+
+    run: int
+    events: tuple[OutputEvent, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ItemRunEnded:
+    """A run of an item ended. `events` are those that were not told yet."""
 
     run: int
     kind: AttemptKind
     status: int
     reason: str
-    position: str
-    texts: tuple[str, ...]
+    events: tuple[OutputEvent, ...]
     load: ServerLoad | None = None
     wrong_instance: bool = False
 
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -13,9 +13,8 @@
 
 import itertools
 import random
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from troutswitch.decisions.forwarding.messages import LogLine
 from troutswitch.decisions.forwarding.routes import RouteTable, choose_service
@@ -23,18 +22,10 @@
 from troutswitch.decisions.forwarding.types import Route
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.jobs.index import JobEntry
-from troutswitch.decisions.jobs.messages import ItemRunEnded, RunItem, StopItem
-from troutswitch.decisions.jobs.ownership import WRITER, ShardClaim, ShardOwnership
-from troutswitch.decisions.jobs.records import (
-    DEAD,
-    DONE,
-    INDEX,
-    ItemResult,
-    JobItem,
-    progress_record,
-    result_record,
-    shard_partition,
-)
+from troutswitch.decisions.jobs.items import ItemProgress
+from troutswitch.decisions.jobs.messages import ItemProgressed, ItemRunEnded, RunItem, StopItem
+from troutswitch.decisions.jobs.ownership import ShardClaim, ShardOwnership
+from troutswitch.decisions.jobs.records import DEAD, DONE, ItemResult
 from troutswitch.decisions.jobs.replicas import JobReplicas
 from troutswitch.decisions.jobs.room import (
     BatchRoomPolicy,
@@ -43,16 +34,9 @@
     own_part,
     surplus,
 )
+from troutswitch.decisions.jobs.writer import ShardWriter
 from troutswitch.decisions.storage.follower import CallNumbers
-from troutswitch.decisions.storage.messages import (
-    Appended,
-    AppendRecords,
-    CallFailed,
-    KeyedRecord,
-    StoreCall,
-    StoreOutcome,
-    WriterStamp,
-)
+from troutswitch.decisions.storage.messages import StoreCall, StoreOutcome
 from troutswitch.outcomes import AttemptKind
 
 TICK_SECONDS = 0.1
@@ -67,10 +51,6 @@
 GAP_WAIT_SECONDS = 1.5
 RETRY_SECONDS = 0.2
 FAILED_RETRY_SECONDS = 0.4
-WRITE_RETRY_SECONDS = 0.2
-WRITE_LOST_SECONDS = 4.0
-PROGRESS_SECONDS = 0.4
-"""Least time between words on progress in the index."""
 ROUTE_GONE_SECONDS = 6.0
 """Time without a route after which an item is given up."""
 NEVER_STATUSES = frozenset({422})
@@ -79,23 +59,6 @@
 Instruction = StoreCall | RunItem | StopItem | LogLine
 
 
-@dataclass(slots=True)
-class ItemProgress:
-    """What is known of an item that is not listed."""
-
-    shard: int
-    job_id: str
-    item: JobItem
-    position: str = ""
-    texts: list[str] = field(default_factory=list)
-    failures: int = 0
-    runs: int = 0
-    retry_at: float = float("-inf")
-    no_route_since: float = float("inf")
-    run: int = 0
-    is_finished: bool = False
-
-
 @dataclass(slots=True)
 class ItemRun:
     """One run of an item at a server."""
@@ -106,22 +69,6 @@
     is_stopped: bool = False
 
 
-@dataclass(slots=True)
-class ShardWriter:
-    """Results of one shard that are to be appended, in order."""
-
-    waiting: deque[tuple[str, ItemResult]] = field(default_factory=deque)
-    call: int = 0
-    call_at: float = 0.0
-    retry_at: float = float("-inf")
-    batch: list[tuple[str, int, ItemResult]] = field(default_factory=list)
-    is_unsure: bool = False
-    epoch: int = 0
-    changed_jobs: set[str] = field(default_factory=set)
-    progress_call: int = 0
-    progress_at: float = float("-inf")
-
-
 @dataclass
 class OwnerCounts:
     """Counters for metrics."""
@@ -151,13 +98,12 @@
         self.runs: dict[int, ItemRun] = {}
         self.counts = OwnerCounts()
         self._items: dict[tuple[str, str], ItemProgress] = {}
-        self._writers: dict[int, ShardWriter] = {}
         self._routes = routes
         self._servers = servers
         self._replicas = replicas
         self._ownership = ownership
-        self._numbers = numbers
-        self._call_bytes = call_bytes
+        self.is_draining = False
+        self.writer = ShardWriter(replicas, ownership, numbers, call_bytes, self._on_listed, log)
         self._rng = rng
         self._log = log
         self._policy = policy or BatchRoomPolicy()
@@ -184,29 +130,63 @@
         owned = {claim.shard: claim for claim in self._ownership.owned()}
         instructions += self._stop_unwanted(now)
         instructions += self._yield_slots(now)
-        instructions += self._start_items(now, owned)
         for claim in owned.values():
-            instructions += self._write(now, claim)
-            instructions += self._tell_progress(now, claim)
+            if self.writer.begin_epoch(claim):
+                self._compare_saved(claim.shard)
+        if not self.is_draining:
+            instructions += self._start_items(now, owned)
+        for claim in owned.values():
+            unlisted = [p for p in self._items.values() if p.shard == claim.shard]
+            instructions += self.writer.write(now, claim, unlisted, self.is_draining)
         return instructions
 
+    def _compare_saved(self, shard: int) -> None:
+        """Compares items with what the shard's new reading tells; strange ones begin anew."""
+        fold = self._replicas.shard(shard).fold
+        for key, progress in list(self._items.items()):
+            if progress.shard != shard or progress.is_finished:
+                continue
+            saved = fold.content(progress.job_id).saved_output(progress.number)
+            if not progress.agrees_with(saved):
+                del self._items[key]
+
+    def _on_listed(self, progress: ItemProgress) -> None:
+        self._items.pop((progress.job_id, progress.item.item_id), None)
+
+    def owns(self, call: int) -> bool:
+        """Returns whether an answer belongs to a write."""
+        return self.writer.owns(call)
+
+    def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> None:
+        """Takes the outcome of a write; the next one goes at once."""
+        self.writer.on_answer(now, call, outcome)
+        self._tick_at = now
+
+    def is_saved(self) -> bool:
+        """Whether no run is left, and all that came of them was written."""
+        unsaved = any(p.unsaved and not p.is_finished for p in self._items.values())
+        return not self.runs and not unsaved and self.writer.is_idle()
+
     # Stopping.
 
     def _stop_unwanted(self, now: float) -> list[Instruction]:
         """Stops runs of ended jobs and of shards that passed on."""
         instructions: list[Instruction] = []
         for number, run in self.runs.items():
-            if not run.is_stopped and not self._is_wanted(run.progress):
+            unwanted = self.is_draining or not self._is_wanted(run.progress)
+            if not run.is_stopped and unwanted:
                 run.is_stopped = True
                 instructions.append(StopItem(number))
         for key, progress in list(self._items.items()):
             if not progress.run and not self._is_wanted(progress):
                 del self._items[key]
-        for shard in set(self._writers) - set(self._ownership.claims):
-            del self._writers[shard]
+        self.writer.forget_shards()
         return instructions
 
     def _is_wanted(self, progress: ItemProgress) -> bool:
+        key = (progress.job_id, progress.item.item_id)
+        if self._items.get(key) is not progress:
+            return False  # it began anew
         entry = self._replicas.index.jobs.get(progress.job_id)
         is_open = entry is not None and not entry.is_ended
         return is_open and progress.shard in self._ownership.claims
@@ -260,13 +240,14 @@
         if len(items) < manifest.item_count:
             self._ask_shard(manifest.shard)
         waiting: list[ItemProgress] = []
-        for item in items:
+        for number, item in enumerate(items):
             if item.item_id in content.listed:
                 continue
             key = (manifest.job_id, item.item_id)
             progress = self._items.get(key)
             if progress is None:
-                progress = ItemProgress(manifest.shard, manifest.job_id, item)
+                progress = ItemProgress(manifest.shard, manifest.job_id, item, number)
+                progress.restore(content.saved_output(number))
                 self._items[key] = progress
             if not progress.run and not progress.is_finished and now >= progress.retry_at:
                 waiting.append(progress)
@@ -366,7 +347,13 @@
             GAP_WAIT_SECONDS,
         )
 
-    # Ends of runs.
+    # Progress and ends of runs.
+
+    def on_progressed(self, event: ItemProgressed) -> None:
+        """Takes what a run made so far."""
+        run = self.runs.get(event.run)
+        if run is not None:
+            run.progress.add(event.events)
 
     def on_run_ended(self, now: float, event: ItemRunEnded) -> None:
         """Takes the end of a run: the item is finished, or goes on later."""
@@ -376,14 +363,10 @@
         progress = run.progress
         progress.run = 0
         self._account(now, run, event)
-        if event.position:
-            progress.position = event.position
-            progress.texts.extend(event.texts)
+        progress.add(event.events)
         self._log_end(progress, run, event)
         if event.kind is AttemptKind.COMPLETED:
-            self._finish(
-                progress, ItemResult(progress.item.item_id, DONE, "\n".join(progress.texts))
-            )
+            self._finish(progress, ItemResult(progress.item.item_id, DONE, progress.output))
         elif event.status in NEVER_STATUSES:
             self._give_up(progress, f"status {event.status}")
         else:
@@ -439,130 +422,5 @@
     def _finish(self, progress: ItemProgress, result: ItemResult) -> None:
         ensure(not progress.is_finished, "an item is finished twice")
         progress.is_finished = True
-        if progress.shard in self._ownership.claims:
-            writer = self._writers.setdefault(progress.shard, ShardWriter())
-            writer.waiting.append((progress.job_id, result))
-
-    # Writing results.
-
-    def _write(self, now: float, claim: ShardClaim) -> list[Instruction]:
-        writer = self._writers.setdefault(claim.shard, ShardWriter())
-        if writer.epoch != claim.epoch:
-            self._take_epoch(writer, claim)
-        if writer.call and now >= writer.call_at + WRITE_LOST_SECONDS:
-            writer.call = 0
-            writer.is_unsure = True
-        if writer.call or now < writer.retry_at:
-            return []
-        if not writer.batch:
-            self._form_batch(claim, writer)
-        if not writer.batch:
-            return []
-        writer.call = self._numbers.next()
-        writer.call_at = now
-        records = tuple(result_record(*row) for row in writer.batch)
-        stamp = WriterStamp(WRITER, claim.epoch, claim.next_sequence)
-        return [AppendRecords(writer.call, shard_partition(claim.shard), records, stamp=stamp)]
-
-    def _take_epoch(self, writer: ShardWriter, claim: ShardClaim) -> None:
-        """Begins anew under an epoch: what an earlier batch became was read since."""
-        for job_id, _, result in reversed(writer.batch):
-            writer.waiting.appendleft((job_id, result))
-        writer.batch = []
-        writer.call = 0
-        writer.is_unsure = False
-        writer.epoch = claim.epoch
-
-    def _form_batch(self, claim: ShardClaim, writer: ShardWriter) -> None:
-        """Gives positions to the results that wait; those listed since are dropped."""
-        fold = self._replicas.shard(claim.shard).fold
-        positions: dict[str, int] = {}
-        used = 0
-        while writer.waiting:
-            job_id, result = writer.waiting[0]
-            content = fold.content(job_id)
-            size = len(result.text.encode()) + 512
-            if writer.batch and used + size > self._call_bytes:
-                return
-            writer.waiting.popleft()
-            if result.item_id in content.listed:
-                self._items.pop((job_id, result.item_id), None)
-                continue
-            position = positions.get(job_id, content.next_position)
-            positions[job_id] = position + 1
-            writer.batch.append((job_id, position, result))
-            used += size
-
-    def owns(self, call: int) -> bool:
-        """Returns whether an answer belongs to a write of results or of progress."""
-        return any(call in (w.call, w.progress_call) for w in self._writers.values())
-
-    def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> None:
-        """Takes the outcome of a write."""
-        shard, writer = next(
-            (s, w) for s, w in self._writers.items() if call in (w.call, w.progress_call)
-        )
-        if call == writer.progress_call:
-            writer.progress_call = 0
-            return
-        writer.call = 0
-        claim = self._ownership.claims.get(shard)
-        if claim is None or claim.epoch != writer.epoch:
-            return
-        self._tick_at = now
-        match outcome:
-            case Appended():
-                self._on_written(now, claim, writer, outcome)
-            case CallFailed():
-                writer.is_unsure = writer.is_unsure or outcome.may_have_acted
-                writer.retry_at = now + WRITE_RETRY_SECONDS
-            case _:
-                # Fenced off, or out of sequence: only a new epoch and a whole read tell
-                # which results stand.
-                self._log("shard write refused", shard=shard, outcome=str(outcome))
-                self._ownership.claim_again(now, shard)
-
-    def _on_written(
-        self, now: float, claim: ShardClaim, writer: ShardWriter, outcome: Appended
-    ) -> None:
-        replica = self._replicas.shard(claim.shard)
-        for number, (job_id, position, result) in enumerate(writer.batch):
-            record = result_record(job_id, position, result)
-            replica.fold.take(KeyedRecord(record.key, record.value, outcome.offset + number))
-            self._items.pop((job_id, result.item_id), None)
-            writer.changed_jobs.add(job_id)
-            self._log(
-                "item listed",
-                job_id=job_id,
-                item_id=result.item_id,
-                position=position,
-                state=result.state,
-                shard=claim.shard,
-                epoch=claim.epoch,
-            )
-        self.counts.listed += len(writer.batch)
-        replica.follower.skip(outcome.offset, outcome.end)
-        claim.next_sequence += 1
-        writer.batch = []
-        writer.is_unsure = False
-
-    # Progress.
-
-    def _tell_progress(self, now: float, claim: ShardClaim) -> list[Instruction]:
-        """Tells the index how many tokens of the shard's jobs still wait."""
-        writer = self._writers[claim.shard]
-        due = writer.progress_at + PROGRESS_SECONDS
-        if not writer.changed_jobs or writer.progress_call or now < due:
-            return []
-        fold = self._replicas.shard(claim.shard).fold
-        records: list[KeyedRecord] = []
-        for job_id in sorted(writer.changed_jobs):
-            content = fold.content(job_id)
-            left = sum(i.tokens for i in content.items() if i.item_id not in content.listed)
-            record = progress_record(job_id, left)
-            self._replicas.index.take(now, record)
-            records.append(record)
-        writer.changed_jobs.clear()
-        writer.progress_at = now
-        writer.progress_call = self._numbers.next()
-        return [AppendRecords(writer.progress_call, INDEX, tuple(records))]
+        if self._is_wanted(progress):
+            self.writer.finish(progress, result)
--- a/src/troutswitch/decisions/jobs/records.py
+++ b/src/troutswitch/decisions/jobs/records.py
@@ -10,6 +10,8 @@
 
     b:JOB:CHUNK     items of the job, in order
     r:JOB:POSITION  one result; written only by the shard's fenced owner
+    c:JOB:ITEM:PART a part of an item's output that is not whole yet; written likewise,
+                    so that a successor goes on after it instead of running anew
 
 Values are CBOR arrays that begin with the schema's version.
 """
@@ -31,6 +33,7 @@
 PROGRESS = "p"
 CHUNK = "b"
 RESULT = "r"
+CHECKPOINT = "c"
 RECORD_OVERHEAD_BYTES = 512
 """Room left in a record for its key and the arrays around the items."""
 
@@ -75,6 +78,15 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class OutputPart:
+    """A part of an item's output: the data of the events after `after` up to `position`."""
+
+    after: str
+    position: str
+    text: str
+
+
 def shard_of(job_id: str, shards: int) -> int:
     """Returns the shard that keeps a job."""
     return stable_hash("job", job_id) % shards
@@ -190,6 +202,34 @@
     return ItemResult(item_id, state, text)
 
 
+def checkpoint_record(job_id: str, item: int, part: int, output: OutputPart) -> KeyedRecord:
+    """Encodes a part of an item's output; `item` is the item's number in its job."""
+    value = [SCHEMA_VERSION, output.after, output.position, output.text]
+    return KeyedRecord(f"{CHECKPOINT}:{job_id}:{item:05d}:{part:05d}", cbor2.dumps(value))
+
+
+def split_checkpoint_key(key: str) -> tuple[str, int, int]:
+    """Returns job, item number and part number of a checkpoint's key.
+
+    Raises:
+        RecordError: the key has another form.
+    """
+    fields = key.removeprefix(f"{CHECKPOINT}:").rsplit(":", 2)
+    if len(fields) != 3 or not (fields[1].isdigit() and fields[2].isdigit()):
+        raise RecordError(f"malformed key {key!r}")
+    return fields[0], int(fields[1]), int(fields[2])
+
+
+def read_checkpoint(value: bytes) -> OutputPart:
+    """Decodes a part of an item's output.
+
+    Raises:
+        RecordError: the record is malformed or of a newer version.
+    """
+    after, position, text = _fields(value, 3)
+    return OutputPart(after, position, text)
+
+
 def _fields(value: bytes, count: int) -> list[Any]:
     try:
         fields = cbor2.loads(value)
--- a/src/troutswitch/decisions/jobs/shard.py
+++ b/src/troutswitch/decisions/jobs/shard.py
@@ -3,13 +3,17 @@
 from dataclasses import dataclass, field
 
 from troutswitch.decisions.jobs.records import (
+    CHECKPOINT,
     CHUNK,
     RESULT,
     ItemResult,
     JobItem,
+    OutputPart,
     RecordError,
+    read_checkpoint,
     read_chunk,
     read_result,
+    split_checkpoint_key,
     split_key,
 )
 from troutswitch.decisions.storage.messages import KeyedRecord
@@ -22,6 +26,7 @@
     chunks: dict[int, tuple[JobItem, ...]] = field(default_factory=dict)
     results: dict[int, ItemResult] = field(default_factory=dict)
     listed: set[str] = field(default_factory=set)
+    parts: dict[int, dict[int, OutputPart]] = field(default_factory=dict)
 
     def items(self) -> list[JobItem]:
         """Returns the items in order."""
@@ -31,6 +36,16 @@
         """Returns the item of an id."""
         return next((item for item in self.items() if item.item_id == item_id), None)
 
+    def saved_output(self, item: int) -> list[OutputPart]:
+        """Returns the parts of an item's output that follow one another from the start."""
+        held = self.parts.get(item, {})
+        chain: list[OutputPart] = []
+        position = ""
+        while (part := held.get(len(chain))) is not None and part.after == position:
+            chain.append(part)
+            position = part.position
+        return chain
+
     @property
     def next_position(self) -> int:
         """Position of the next result."""
@@ -57,6 +72,9 @@
 
     def take(self, record: KeyedRecord) -> None:
         """Folds a record in; one that this version cannot read is counted."""
+        if record.key.startswith(f"{CHECKPOINT}:"):
+            self._take_checkpoint(record)
+            return
         kind, job_id, number = split_key(record.key)
         if not record.value:
             self.jobs.pop(job_id, None)
@@ -75,6 +93,17 @@
         content.results[position] = result
         content.listed.add(result.item_id)
 
+    def _take_checkpoint(self, record: KeyedRecord) -> None:
+        try:
+            job_id, item, part = split_checkpoint_key(record.key)
+            output = read_checkpoint(record.value) if record.value else None
+        except RecordError:
+            self.malformed += 1
+            return
+        if output is not None:
+            content = self.jobs.setdefault(job_id, JobContent())
+            content.parts.setdefault(item, {})[part] = output
+
     def content(self, job_id: str) -> JobContent:
         """Returns a job's content, empty if nothing of it was read."""
         return self.jobs.get(job_id) or JobContent()
--- a/src/troutswitch/gateway/itemruns.py
+++ b/src/troutswitch/gateway/itemruns.py
@@ -1,12 +1,19 @@
 """Runs batch items at servers, one blocking call a thread."""
 
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 import structlog
 
-from troutswitch.decisions.jobs.messages import ItemRunEnded, RunItem, StopItem
+from troutswitch.decisions.jobs.messages import (
+    ItemProgressed,
+    ItemRunEnded,
+    OutputEvent,
+    RunItem,
+    StopItem,
+)
 from troutswitch.gateway.eventstream import BrokenEvents, EventSplitter
 from troutswitch.gateway.exchange import (
     AnswerLost,
@@ -22,6 +29,8 @@
 
 ITEM_THREADS = 64
 MISDIRECTED = 421
+TELL_SECONDS = 0.4
+"""Interval in which a run tells what came."""
 
 
 class ItemRuns:
@@ -69,19 +78,22 @@
 
     def _run_safely(self, instruction: RunItem) -> None:
         splitter = EventSplitter(instruction.resume_after)
-        texts: list[str] = []
+        events: list[OutputEvent] = []
         try:
-            ended = self._run(instruction, splitter, texts)
+            ended = self._run(instruction, splitter, events)
         except Exception as error:
             self._logger.exception("item run failed")
-            ended = _ended(instruction, AttemptKind.CUT, f"{type(error).__name__}: {error}")
+            reason = f"{type(error).__name__}: {error}"
+            ended = _ended(instruction, AttemptKind.CUT, reason, None, events)
         finally:
             with self._lock:
                 self._exchanges.pop(instruction.run, None)
                 self._stopped.discard(instruction.run)
         self._post(ended)
 
-    def _run(self, instruction: RunItem, splitter: EventSplitter, texts: list[str]) -> ItemRunEnded:
+    def _run(
+        self, instruction: RunItem, splitter: EventSplitter, events: list[OutputEvent]
+    ) -> ItemRunEnded:
         exchange = self._open(instruction)
         try:
             head = read_head(exchange.open(instruction.first_wait))
@@ -92,12 +104,12 @@
         try:
             if head.status != 200 or not head.is_event_stream:
                 return self._refused(instruction, exchange, head)
-            self._read(instruction, exchange, splitter, texts)
+            self._read(instruction, exchange, splitter, events)
         except (AnswerLost, BrokenEvents) as error:
-            return _ended(instruction, AttemptKind.CUT, str(error), head, splitter, texts)
+            return _ended(instruction, AttemptKind.CUT, str(error), head, events)
         finally:
             exchange.close()
-        return _ended(instruction, AttemptKind.COMPLETED, "", head, splitter, texts)
+        return _ended(instruction, AttemptKind.COMPLETED, "", head, events)
 
     def _open(self, instruction: RunItem) -> Exchange:
         item = instruction.item
@@ -123,14 +135,24 @@
         return exchange
 
     def _read(
-        self, instruction: RunItem, exchange: Exchange, splitter: EventSplitter, texts: list[str]
+        self,
+        instruction: RunItem,
+        exchange: Exchange,
+        splitter: EventSplitter,
+        events: list[OutputEvent],
     ) -> None:
+        """Reads the stream, and tells what came from time to time."""
+        told_at = time.monotonic()
         for data in exchange.chunks():
             self._pulse.beat(instruction.server_id)
-            events = splitter.feed(data)
-            if events:
+            came = splitter.feed(data)
+            if came:
                 exchange.set_wait(instruction.gap_wait)
-            texts.extend(event.data for event in events)
+            events.extend(OutputEvent(event.event_id, event.data) for event in came)
+            if events and time.monotonic() - told_at >= TELL_SECONDS:
+                told_at = time.monotonic()
+                self._post(ItemProgressed(instruction.run, tuple(events)))
+                events.clear()
         if not splitter.is_between_events:
             raise AnswerLost("the stream ended inside an event")
 
@@ -146,16 +168,14 @@
     kind: AttemptKind,
     reason: str,
     head: AnswerHead | None = None,
-    splitter: EventSplitter | None = None,
-    texts: list[str] | None = None,
+    events: list[OutputEvent] | None = None,
 ) -> ItemRunEnded:
     return ItemRunEnded(
         instruction.run,
         kind,
         head.status if head is not None else 0,
         reason,
-        splitter.last_id if splitter is not None and texts else "",
-        tuple(texts or ()),
+        tuple(events or ()),
         head.load if head is not None else None,
         head is not None and head.status == MISDIRECTED,
     )
