--- a/src/troutswitch/decisions/forwarding/placement.py
+++ b/src/troutswitch/decisions/forwarding/placement.py
@@ -12,7 +12,7 @@
 
 SHARED_TOKENS_LEAST = 600
 """Shared prompt tokens from which it pays to keep to one server."""
-HOME_LOAD_MOST = 0.85
+HOME_LOAD_MOST = 0.7
 """Share of its slots up to which a prompt's home server is preferred."""
 ZONE_PENALTY = 0.08
 """Load share that a server of another zone counts as more."""
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -110,7 +110,7 @@
         self._run_numbers = itertools.count(1)
         self._tick_at = float("-inf")
         self._owners = owners
-        self._allowed: dict[str, int] = {}
+        self._allowed: dict[tuple[str, bool], int] = {}
         self._asked_shards: set[int] = set()
 
     # Timers.
@@ -272,7 +272,7 @@
         if route.retention and now - entry.seen_at > route.retention:
             self._give_up(progress, "its retention is over")
             return []
-        server = self._choose(now, route, progress)
+        server = self._choose(now, route, progress, self._is_pressing(now, entry))
         if server is None:
             return []
         return [self._start(now, progress, entry, server)]
@@ -284,7 +284,14 @@
         else:
             progress.retry_at = now + RETRY_SECONDS
 
-    def _choose(self, now: float, route: Route, progress: ItemProgress) -> Server | None:
+    def _is_pressing(self, now: float, entry: JobEntry) -> bool:
+        route = self._routes.named(entry.manifest.route)
+        objective = route.completion_target if route is not None else 0.0
+        return self._policy.is_pressing(now - entry.seen_at, objective)
+
+    def _choose(
+        self, now: float, route: Route, progress: ItemProgress, is_pressing: bool
+    ) -> Server | None:
         """Chooses the server with most room, any of those that are alike."""
         service = choose_service(route, self._rng)
         configuration = self._routes.configuration
@@ -296,7 +303,7 @@
             for server in self._servers.usable(now, service)
             if now >= max(server.full_until, server.ejected_until)
             and has_memory(server, tokens, memory, self._policy)
-            and self._allowance(now, server) > 0
+            and self._allowance(now, server, is_pressing) > 0
         ]
         if not open_servers:
             return None
@@ -305,15 +312,15 @@
             key=lambda s: s.in_flight(now) / s.slots + 0.1 * self._rng.random(),
         )
 
-    def _allowance(self, now: float, server: Server) -> int:
+    def _allowance(self, now: float, server: Server, is_pressing: bool) -> int:
         """Returns how many items this daemon may still start there in this look."""
-        server_id = server.record.server_id
-        allowed = self._allowed.get(server_id)
+        key = (server.record.server_id, is_pressing)
+        allowed = self._allowed.get(key)
         if allowed is None:
             part = TICK_SECONDS / PEERS_LAG_SECONDS / max(1, self._owners())
-            free = free_slots(now, server, self._policy)
-            allowed = own_part(free, part, self._rng)
-            self._allowed[server_id] = allowed
+            shares = self._policy.pressing if is_pressing else self._policy.relaxed
+            allowed = own_part(free_slots(now, server, shares), part, self._rng)
+            self._allowed[key] = allowed
         return allowed
 
     def _start(
@@ -326,7 +333,9 @@
         self.counts.runs += 1
         self.runs[number] = ItemRun(progress, server.record.server_id, now)
         self._servers.on_sent(server.record.server_id, True, progress.item.tokens)
-        self._allowed[server.record.server_id] -= 1
+        for is_pressing in (False, True):
+            key = (server.record.server_id, is_pressing)
+            self._allowed[key] = self._allowed.get(key, 1) - 1
         self._log(
             "item sent",
             job_id=progress.job_id,
--- a/src/troutswitch/decisions/jobs/room.py
+++ b/src/troutswitch/decisions/jobs/room.py
@@ -10,20 +10,34 @@
 from troutswitch.decisions.forwarding.servers import Server
 
 
+@dataclass(frozen=True, slots=True)
+class BatchShares:
+    """Shares of a server's slots: of batch items alone, and of all requests together."""
+
+    batch: float
+    total: float
+
+
 @dataclass(frozen=True, slots=True)
 class BatchRoomPolicy:
-    """Shares of a server's slots and memory.
+    """Shares of a server's slots and memory that batch items may take.
 
-    `batch_share` bounds batch items alone, `total_share` all requests beyond which no
-    item is added, `yield_share` all requests beyond which an item is stopped, and
-    `memory_share` the tokens of this daemon's own requests.
+    A job whose time is less than `pressing_age` of its objective gone is `relaxed`, and
+    one past its objective is again, as haste no longer helps it; between, it is
+    `pressing`. Beyond `yield_share` of all requests an item is stopped; `memory_share`
+    bounds the tokens of this daemon's own requests.
     """
 
-    batch_share: float = 0.6
-    total_share: float = 0.8
+    relaxed: BatchShares = BatchShares(0.42, 0.75)
+    pressing: BatchShares = BatchShares(0.7, 0.9)
+    pressing_age: float = 0.35
     yield_share: float = 1.0
     memory_share: float = 0.85
 
+    def is_pressing(self, age: float, objective: float) -> bool:
+        """Returns whether a job of some age must hurry. Times are seconds."""
+        return self.pressing_age * objective <= age <= objective
+
 
 def has_memory(server: Server, tokens: int, cache_tokens: int, policy: BatchRoomPolicy) -> bool:
     """Returns whether an item of some tokens fits the server's memory, as far as known."""
@@ -32,10 +46,10 @@
     return server.tokens_in_flight + tokens <= cache_tokens * policy.memory_share
 
 
-def free_slots(now: float, server: Server, policy: BatchRoomPolicy) -> int:
+def free_slots(now: float, server: Server, shares: BatchShares) -> int:
     """Returns how many more items the server may take from all daemons together."""
-    for_batch = max(1, int(server.slots * policy.batch_share)) - server.batch()
-    for_all = max(1, int(server.slots * policy.total_share)) - server.in_flight(now)
+    for_batch = max(1, int(server.slots * shares.batch)) - server.batch()
+    for_all = max(1, int(server.slots * shares.total)) - server.in_flight(now)
     return max(0, min(for_batch, for_all))
 
 
--- a/src/troutswitch/gateway/application.py
+++ b/src/troutswitch/gateway/application.py
@@ -14,8 +14,11 @@
 JobHandler = Callable[[IncomingRequest, bytes], Response | None]
 
 
-class AnswerCut(Exception):
-    """A streamed answer cannot be completed: its connection is closed without an end."""
+class AnswerCut(ConnectionError):
+    """A streamed answer cannot be completed: its connection is closed without an end.
+
+    waitress takes an `OSError` for a lost connection and closes it without another word.
+    """
 
 
 class CallerApplication:
--- a/src/troutswitch/gateway/front.py
+++ b/src/troutswitch/gateway/front.py
@@ -63,6 +63,7 @@
             channel_request_lookahead=LOOKAHEAD,
             max_request_header_size=RequestLimits().header_bytes,
             max_request_body_size=RequestLimits().body_bytes,
+            log_socket_errors=False,
             ident="troutswitch",
         )
         self._server.is_draining = False
