--- a/src/troutswitch/decisions/forwarding/messages.py
+++ b/src/troutswitch/decisions/forwarding/messages.py
@@ -41,7 +41,7 @@
 
     `position` is the id of the last whole event delivered to the caller, or empty.
     `has_answer` tells that the relay holds a whole answer of the server that can be
-    passed on as it is.
+    passed on as it is; `longest_gap` is the longest pause between events, in seconds.
     """
 
     token: int
@@ -55,6 +55,7 @@
     retry_after: float | None = None
     wrong_instance: bool = False
     has_answer: bool = False
+    longest_gap: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/forwarding/placement.py
+++ b/src/troutswitch/decisions/forwarding/placement.py
@@ -14,10 +14,16 @@
 """Shared prompt tokens from which it pays to keep to one server."""
 HOME_LOAD_MOST = 0.7
 """Share of its slots up to which a prompt's home server is preferred."""
-ZONE_PENALTY = 0.08
+HOME_PREFILL_MOST = 3072
+"""Prompt tokens waiting at a home up to which it is preferred."""
+PREFILL_TOKENS_AS_FULL = 8192
+"""Prompt tokens waiting at a server that count as much as all its slots taken: they hold
+up the first token of whatever comes, while free slots beyond one do not matter."""
+ZONE_PENALTY = 0.1
 """Load share that a server of another zone counts as more."""
-NEAR_EQUAL = 0.12
-"""Load shares closer than this are taken for equal, so that daemons do not all agree."""
+CHOICES = 3
+"""Servers drawn at random, of which the better one is taken. What is known of loads is
+some tenths of a second old: if all took the best server, all would take the same one."""
 
 
 class PlacementPolicy(Protocol):
@@ -40,6 +46,26 @@
     return server.in_flight(now) / server.slots
 
 
+def placement_cost(now: float, server: Server, zone: str) -> float:
+    """Returns how bad a server is for the next request: 1 is as bad as no free slot."""
+    away = ZONE_PENALTY if server.record.zone != zone else 0.0
+    prefill = server.waiting_prefill_tokens / PREFILL_TOKENS_AS_FULL
+    return load_share(now, server) + prefill + away
+
+
+def home_of(prompt: PromptShape, candidates: list[Server]) -> list[Server]:
+    """Orders servers by how well they suit a prompt's session; all daemons agree."""
+    part = prompt.session_part
+    return sorted(candidates, key=lambda s: stable_hash(part, s.record.server_id), reverse=True)
+
+
+def expected_prefill(prompt: PromptShape, server: Server, servers: list[Server]) -> int:
+    """Returns the prompt tokens that a server has probably to read for a request."""
+    if prompt.shared_tokens < SHARED_TOKENS_LEAST or home_of(prompt, servers)[0] is not server:
+        return prompt.prompt_tokens
+    return max(0, prompt.prompt_tokens - prompt.shared_tokens)
+
+
 class RoundRobin:
     """Each in turn."""
 
@@ -60,7 +86,7 @@
 
 
 class LeastLoaded:
-    """The least loaded, any of those that are nearly equal."""
+    """The better one of few servers drawn at random."""
 
     def choose(
         self,
@@ -70,15 +96,9 @@
         zone: str,
         rng: random.Random,
     ) -> Server:
-        """Chooses one of the least loaded."""
-        costs = [(self._cost(now, server, zone), server) for server in candidates]
-        least = min(cost for cost, _ in costs)
-        return rng.choice([server for cost, server in costs if cost <= least + NEAR_EQUAL])
-
-    @staticmethod
-    def _cost(now: float, server: Server, zone: str) -> float:
-        away = ZONE_PENALTY if server.record.zone != zone else 0.0
-        return load_share(now, server) + away
+        """Chooses the better of the servers drawn."""
+        drawn = rng.sample(candidates, min(CHOICES, len(candidates)))
+        return min(drawn, key=lambda server: placement_cost(now, server, zone))
 
 
 class PrefixAware:
@@ -98,12 +118,9 @@
         """Chooses the best home with room; all daemons order homes alike."""
         if prompt.shared_tokens < SHARED_TOKENS_LEAST:
             return self._fallback.choose(now, candidates, prompt, zone, rng)
-        part = prompt.session_part
-        homes = sorted(
-            candidates, key=lambda s: stable_hash(part, s.record.server_id), reverse=True
-        )
-        for server in homes[:2]:
-            if load_share(now, server) <= HOME_LOAD_MOST:
+        for server in home_of(prompt, candidates)[:2]:
+            is_free = load_share(now, server) <= HOME_LOAD_MOST
+            if is_free and server.waiting_prefill_tokens <= HOME_PREFILL_MOST:
                 return server
         return self._fallback.choose(now, candidates, prompt, zone, rng)
 
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -25,9 +25,13 @@
     RequestAttemptEnded,
     SendRequest,
 )
-from troutswitch.decisions.forwarding.placement import POLICIES, PlacementPolicy
+from troutswitch.decisions.forwarding.placement import (
+    POLICIES,
+    PlacementPolicy,
+    expected_prefill,
+)
 from troutswitch.decisions.forwarding.routes import RouteTable, choose_service
-from troutswitch.decisions.forwarding.servers import Server, ServerRegistry
+from troutswitch.decisions.forwarding.servers import NO_SIZE, RequestSize, Server, ServerRegistry
 from troutswitch.decisions.forwarding.types import Route, RouteKind
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.limits import RetryBudget
@@ -86,7 +90,8 @@
     tried: set[str] = field(default_factory=set)
     position: str = ""
     delivered: int = 0
-    began: bool = False
+    size: RequestSize = NO_SIZE
+    began_at: float = float("inf")
     sent_at: float = 0.0
 
     @property
@@ -198,9 +203,10 @@
         request.attempt += 1
         request.server_id = server.record.server_id
         request.tried.add(server.record.server_id)
-        request.began = False
+        request.began_at = float("inf")
         request.sent_at = now
-        self._servers.on_sent(server.record.server_id, False, self._tokens(request))
+        request.size = self._size(request, server)
+        self._servers.on_sent(server.record.server_id, False, request.size)
         send = SendRequest(
             request.arrival.token,
             request.attempt,
@@ -229,10 +235,11 @@
             },
         )
 
-    @staticmethod
-    def _tokens(request: ForwardedRequest) -> int:
+    def _size(self, request: ForwardedRequest, server: Server) -> RequestSize:
         prompt = request.arrival.prompt
-        return prompt.prompt_tokens + prompt.output_tokens_most
+        servers = self._servers.of_service(request.service) or [server]
+        prefill = expected_prefill(prompt, server, servers)
+        return RequestSize(prompt.prompt_tokens + prompt.output_tokens_most, prefill)
 
     def _gap_wait(self, now: float, request: ForwardedRequest) -> float:
         left = request.ends_at - now
@@ -250,7 +257,8 @@
         request = self.requests.get(event.token)
         if request is None or request.attempt != event.attempt:
             return []
-        request.began = True
+        request.began_at = now
+        self._servers.on_begun(request.server_id, request.size)
         if event.load is not None:
             self._servers.on_load(now, request.server_id, event.load)
         return []
@@ -267,13 +275,12 @@
         if event.kind is AttemptKind.COMPLETED:
             self._budget.on_success(request.service)
             del self.requests[event.token]
-            return [self._line_of_end(request, event)]
+            return [self._line_of_end(now, request, event)]
         return self._after_failure(now, request, event)
 
     def _account(self, now: float, request: ForwardedRequest, event: RequestAttemptEnded) -> None:
         failed = event.kind in (AttemptKind.CUT, AttemptKind.UNREACHABLE)
-        tokens = self._tokens(request)
-        self._servers.on_ended(now, request.server_id, False, tokens, failed)
+        self._end_at_server(now, request, failed)
         if event.load is not None:
             self._servers.on_load(now, request.server_id, event.load)
         if event.wrong_instance:
@@ -282,8 +289,14 @@
         if event.kind is AttemptKind.REFUSED and server is not None:
             server.full_until = now + FULL_SECONDS
 
+    def _end_at_server(self, now: float, request: ForwardedRequest, failed: bool) -> None:
+        begun = request.began_at <= now
+        self._servers.on_ended(
+            now, request.server_id, False, request.size, begun=begun, failed=failed
+        )
+
     def _line_of_end(
-        self, request: ForwardedRequest, event: RequestAttemptEnded
+        self, now: float, request: ForwardedRequest, event: RequestAttemptEnded
     ) -> ForwardingInstruction:
         return LogLine(
             "attempt ended",
@@ -295,13 +308,16 @@
                 "status": event.status,
                 "reason": event.reason,
                 "position": event.position,
+                "first_ms": _milliseconds(request.began_at - request.sent_at),
+                "total_ms": _milliseconds(now - request.sent_at),
+                "longest_gap_ms": _milliseconds(event.longest_gap),
             },
         )
 
     def _after_failure(
         self, now: float, request: ForwardedRequest, event: RequestAttemptEnded
     ) -> Instructions:
-        line = self._line_of_end(request, event)
+        line = self._line_of_end(now, request, event)
         if event.has_answer and not self._may_repeat_answered(request):
             del self.requests[request.arrival.token]
             passed = MayHaveRun(event.reason, Step.RELAY, request.server_id)
@@ -363,7 +379,7 @@
 
     def _abort(self, now: float, request: ForwardedRequest, kind: AttemptKind) -> Instructions:
         request.kinds.append(kind)
-        self._servers.on_ended(now, request.server_id, False, self._tokens(request), False)
+        self._end_at_server(now, request, False)
         return [AbortAttempt(request.arrival.token, request.attempt)]
 
     # Timers.
@@ -396,7 +412,7 @@
 
         A loaded server answers others meanwhile: leaving it would only add to the load.
         """
-        if request.began or not self._may_try_again(request):
+        if request.began_at <= now or not self._may_try_again(request):
             return False
         patience = max(SUSPECT_LEAST_SECONDS, SUSPECT_OBJECTIVES * request.route.objective)
         if now - request.sent_at > HUNG_SUSPECTS * patience:
@@ -408,7 +424,7 @@
     def _leave_server(self, now: float, request: ForwardedRequest) -> Instructions:
         server_id = request.server_id
         request.kinds.append(AttemptKind.CUT)
-        self._servers.on_ended(now, server_id, False, self._tokens(request), True)
+        self._end_at_server(now, request, True)
         left = AbortAttempt(request.arrival.token, request.attempt)
         line = LogLine(
             "server fell silent",
--- a/src/troutswitch/decisions/forwarding/serverlist.py
+++ b/src/troutswitch/decisions/forwarding/serverlist.py
@@ -18,7 +18,11 @@
 
 SERVERS_TOPIC = "servers"
 RETRY_SECONDS = 0.3
-CALL_LOST_SECONDS = 5.0
+TIMEOUT_FIRST_SECONDS = 0.6
+"""Time for the answer to the first try; it doubles with each failure."""
+TIMEOUT_MOST_SECONDS = 3.0
+CALL_LOST_SECONDS = 2.0
+"""Time past its timeout after which a call counts as lost."""
 
 
 class ServerListReader:
@@ -50,8 +54,9 @@
         if self._call or now < self._due:
             return []
         self._call = self._numbers.next()
-        self._lost_at = now + CALL_LOST_SECONDS
-        return [ReadNewest(self._call, Partition(SERVERS_TOPIC), self._after_key)]
+        timeout = min(TIMEOUT_FIRST_SECONDS * 2 ** min(self.failures, 5), TIMEOUT_MOST_SECONDS)
+        self._lost_at = now + timeout + CALL_LOST_SECONDS
+        return [ReadNewest(self._call, Partition(SERVERS_TOPIC), self._after_key, timeout)]
 
     def on_answer(self, now: float, outcome: StoreOutcome) -> list[KeyedRecord] | None:
         """Takes a page; returns the whole list's records after the last one."""
--- a/src/troutswitch/decisions/forwarding/servers.py
+++ b/src/troutswitch/decisions/forwarding/servers.py
@@ -21,6 +21,17 @@
 """Time after a failed read of the list for which a missing entry is not taken for a leave."""
 
 
+@dataclass(frozen=True, slots=True)
+class RequestSize:
+    """What a request takes of a server: tokens of memory, and prompt tokens to read."""
+
+    tokens: int
+    prefill_tokens: int
+
+
+NO_SIZE = RequestSize(0, 0)
+
+
 @dataclass(slots=True)
 class Server:
     """One incarnation of a server as this daemon sees it."""
@@ -29,12 +40,14 @@
     online_in_flight: int = 0
     batch_in_flight: int = 0
     tokens_in_flight: int = 0
+    prefill_tokens: int = 0
     load: ServerLoad | None = None
     load_at: float = float("-inf")
     heard_at: float = float("-inf")
     sent_since_load: int = 0
     peers_online: int = 0
     peers_batch: int = 0
+    peers_prefill_tokens: int = 0
     failures: int = 0
     ejected_until: float = float("-inf")
     is_draining: bool = False
@@ -64,6 +77,11 @@
         told = self.load.running + self.load.waiting + self.sent_since_load
         return max(counted, told) if self.peers_online or self.peers_batch else max(mine, told)
 
+    @property
+    def waiting_prefill_tokens(self) -> int:
+        """Prompt tokens that the server has still to read, as far as daemons told."""
+        return self.prefill_tokens + self.peers_prefill_tokens
+
     def online(self) -> int:
         """Returns the online requests on the server, as far as daemons told."""
         return self.online_in_flight + self.peers_online
@@ -167,24 +185,40 @@
             server.heard_at = now
             server.sent_since_load = 0
 
-    def on_sent(self, server_id: str, is_batch: bool, tokens: int) -> None:
+    def on_sent(self, server_id: str, is_batch: bool, size: RequestSize) -> None:
         """A request was sent to the server."""
         server = self.servers[server_id]
+        server.prefill_tokens += size.prefill_tokens
         server.sent_since_load += 1
-        server.tokens_in_flight += tokens
+        server.tokens_in_flight += size.tokens
         if is_batch:
             server.batch_in_flight += 1
         else:
             server.online_in_flight += 1
 
+    def on_begun(self, server_id: str, size: RequestSize) -> None:
+        """The server read a request's prompt and made its first token."""
+        server = self.servers.get(server_id)
+        if server is not None:
+            server.prefill_tokens = max(0, server.prefill_tokens - size.prefill_tokens)
+
     def on_ended(
-        self, now: float, server_id: str, is_batch: bool, tokens: int, failed: bool
+        self,
+        now: float,
+        server_id: str,
+        is_batch: bool,
+        size: RequestSize,
+        *,
+        begun: bool,
+        failed: bool,
     ) -> None:
         """An attempt on the server ended."""
         server = self.servers.get(server_id)
         if server is None:
             return
-        server.tokens_in_flight = max(0, server.tokens_in_flight - tokens)
+        if not begun:
+            self.on_begun(server_id, size)
+        server.tokens_in_flight = max(0, server.tokens_in_flight - size.tokens)
         if is_batch:
             server.batch_in_flight = max(0, server.batch_in_flight - 1)
         else:
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -47,8 +47,9 @@
 )
 
 CONFIGURATION_TOPIC = "configuration"
-CONFIGURATION_WAIT_SECONDS = 8.0
-"""Time for which a read of the configuration waits at the store."""
+CONFIGURATION_WAIT_SHARE = 0.35
+"""Time for which a read of the configuration waits at the store, in bounds for applying
+it: an answer that is lost must be noticed, and the read made again, inside the bound."""
 CONFIGURATION_PAUSE_SECONDS = 0.1
 SERVER_LIST_SHARE = 0.3
 """Interval of readings of the server list, in bounds for draining."""
@@ -74,6 +75,7 @@
     zone: str
     peer_address: Address
     drain: float
+    configuration_apply: float
     member_ttl_least: float
     store_room: StoreRoom
 
@@ -125,12 +127,14 @@
             self.numbers,
             rng,
             self._take_configuration,
-            CONFIGURATION_WAIT_SECONDS,
+            CONFIGURATION_WAIT_SHARE * identity.configuration_apply,
             CONFIGURATION_PAUSE_SECONDS,
         )
         self._now = float("-inf")
+        self._asked_version = -1
         self.jobs = JobCoordinator(
             identity.name,
+            identity.zone,
             identity.member_ttl_least,
             self.routes,
             self.servers,
@@ -142,7 +146,13 @@
         )
 
         self.peers = PeerLoads(
-            identity.name, identity.peer_address, self.servers, self.numbers, rng, self._log
+            identity.name,
+            identity.peer_address,
+            self.servers,
+            lambda: self.routes.version,
+            self.numbers,
+            rng,
+            self._log,
         )
 
     def _emit(self, instruction: Instruction) -> None:
@@ -180,6 +190,7 @@
                 self.servers.on_heard(now, event.server_id)
             case ReportReceived():
                 self.peers.on_report(now, event)
+                self._on_peer_version(now, event)
             case StoreAnswered():
                 self._on_store(now, event.call, event.outcome)
             case DrainAsked():
@@ -211,6 +222,14 @@
         self.jobs.on_timer(now)
         self._instructions += self.peers.on_timer(now)
 
+    def _on_peer_version(self, now: float, event: ReportReceived) -> None:
+        """A peer that acts on a newer configuration shows that a read here was lost."""
+        version = event.report.configuration_version
+        if version > self.routes.version and version > self._asked_version:
+            self._asked_version = version
+            self._log("peer has newer configuration", peer=event.report.sender, version=version)
+            self.configuration.read_again(now)
+
     # The store.
 
     def _on_store(self, now: float, call: int, outcome: StoreOutcome) -> None:
--- a/src/troutswitch/decisions/jobs/coordinator.py
+++ b/src/troutswitch/decisions/jobs/coordinator.py
@@ -10,6 +10,7 @@
 from troutswitch.decisions.jobs.messages import (
     AnswerJobCall,
     BodyAsked,
+    ItemBegun,
     ItemProgressed,
     ItemRunEnded,
     JobAnswer,
@@ -27,7 +28,15 @@
 DRAIN_SECONDS = 1.5
 """Longest time for which a stopping daemon keeps its shards to save running items."""
 
-JobEvent = JobSubmitted | ResultsAsked | BodyAsked | JobEndAsked | ItemRunEnded | ItemProgressed
+JobEvent = (
+    JobSubmitted
+    | ResultsAsked
+    | BodyAsked
+    | JobEndAsked
+    | ItemRunEnded
+    | ItemBegun
+    | ItemProgressed
+)
 
 
 class JobCoordinator:
@@ -36,6 +45,7 @@
     def __init__(
         self,
         member: str,
+        zone: str,
         ttl_least: float,
         routes: RouteTable,
         servers: ServerRegistry,
@@ -61,6 +71,7 @@
             rng,
             self._log,
             lambda: min(room.shards, daemons()),
+            zone,
         )
 
     def _answer(self, token: int, answer: JobAnswer) -> None:
@@ -76,6 +87,8 @@
                 self._emit_all(self.intake.on_submitted(now, event))
             case ItemRunEnded():
                 self.owner.on_run_ended(now, event)
+            case ItemBegun():
+                self.owner.on_begun(event)
             case ItemProgressed():
                 self.owner.on_progressed(event)
             case _:
--- a/src/troutswitch/decisions/jobs/messages.py
+++ b/src/troutswitch/decisions/jobs/messages.py
@@ -60,6 +60,13 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class ItemBegun:
+    """A server made the first token of a run."""
+
+    run: int
+
+
 @dataclass(frozen=True, slots=True)
 class ItemProgressed:
     """Events of a run came; told a few times a second."""
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -17,13 +17,20 @@
 from dataclasses import dataclass
 
 from troutswitch.decisions.forwarding.messages import LogLine
+from troutswitch.decisions.forwarding.placement import placement_cost
 from troutswitch.decisions.forwarding.routes import RouteTable, choose_service
-from troutswitch.decisions.forwarding.servers import Server, ServerRegistry
+from troutswitch.decisions.forwarding.servers import RequestSize, Server, ServerRegistry
 from troutswitch.decisions.forwarding.types import Route
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.jobs.index import JobEntry
 from troutswitch.decisions.jobs.items import ItemProgress
-from troutswitch.decisions.jobs.messages import ItemProgressed, ItemRunEnded, RunItem, StopItem
+from troutswitch.decisions.jobs.messages import (
+    ItemBegun,
+    ItemProgressed,
+    ItemRunEnded,
+    RunItem,
+    StopItem,
+)
 from troutswitch.decisions.jobs.ownership import ShardClaim, ShardOwnership
 from troutswitch.decisions.jobs.records import DEAD, DONE, ItemResult
 from troutswitch.decisions.jobs.replicas import JobReplicas
@@ -66,6 +73,8 @@
     progress: ItemProgress
     server_id: str
     started_at: float
+    size: RequestSize
+    is_begun: bool = False
     is_stopped: bool = False
 
 
@@ -93,6 +102,7 @@
         rng: random.Random,
         log: Callable[..., None],
         owners: Callable[[], int],
+        zone: str,
         policy: BatchRoomPolicy | None = None,
     ) -> None:
         self.runs: dict[int, ItemRun] = {}
@@ -106,6 +116,7 @@
         self.writer = ShardWriter(replicas, ownership, numbers, call_bytes, self._on_listed, log)
         self._rng = rng
         self._log = log
+        self._zone = zone
         self._policy = policy or BatchRoomPolicy()
         self._run_numbers = itertools.count(1)
         self._tick_at = float("-inf")
@@ -309,7 +320,7 @@
             return None
         return min(
             open_servers,
-            key=lambda s: s.in_flight(now) / s.slots + 0.1 * self._rng.random(),
+            key=lambda s: placement_cost(now, s, self._zone) + 0.1 * self._rng.random(),
         )
 
     def _allowance(self, now: float, server: Server, is_pressing: bool) -> int:
@@ -331,8 +342,9 @@
         progress.run = number
         progress.runs += 1
         self.counts.runs += 1
-        self.runs[number] = ItemRun(progress, server.record.server_id, now)
-        self._servers.on_sent(server.record.server_id, True, progress.item.tokens)
+        size = RequestSize(progress.item.tokens, progress.item.tokens // 2)
+        self.runs[number] = ItemRun(progress, server.record.server_id, now, size)
+        self._servers.on_sent(server.record.server_id, True, self.runs[number].size)
         for is_pressing in (False, True):
             key = (server.record.server_id, is_pressing)
             self._allowed[key] = self._allowed.get(key, 1) - 1
@@ -358,6 +370,13 @@
 
     # Progress and ends of runs.
 
+    def on_begun(self, event: ItemBegun) -> None:
+        """A run's prompt was read."""
+        run = self.runs.get(event.run)
+        if run is not None and not run.is_begun:
+            run.is_begun = True
+            self._servers.on_begun(run.server_id, run.size)
+
     def on_progressed(self, event: ItemProgressed) -> None:
         """Takes what a run made so far."""
         run = self.runs.get(event.run)
@@ -383,10 +402,11 @@
         self._tick_at = now
 
     def _account(self, now: float, run: ItemRun, event: ItemRunEnded) -> None:
-        tokens = run.progress.item.tokens
         sound = run.is_stopped or event.status != 0
         failed = not sound and event.kind in (AttemptKind.CUT, AttemptKind.UNREACHABLE)
-        self._servers.on_ended(now, run.server_id, True, tokens, failed)
+        self._servers.on_ended(
+            now, run.server_id, True, run.size, begun=run.is_begun, failed=failed
+        )
         if event.load is not None:
             self._servers.on_load(now, run.server_id, event.load)
         if event.wrong_instance:
--- a/src/troutswitch/decisions/jobs/replicas.py
+++ b/src/troutswitch/decisions/jobs/replicas.py
@@ -10,8 +10,9 @@
 from troutswitch.decisions.storage.messages import KeyedRecord, StoreCall, StoreOutcome
 from troutswitch.decisions.storage.refresh import Refresher
 
-INDEX_WAIT_SECONDS = 5.0
-"""Time for which a read of the index waits at the store."""
+INDEX_WAIT_SECONDS = 1.0
+"""Time for which a read of the index waits at the store. Ends of jobs are heard of here,
+so a lost answer must be noticed well inside their bound."""
 INDEX_PAUSE_SECONDS = 0.25
 """Least time between reads of the index, which bounds the calls under many jobs."""
 
--- a/src/troutswitch/decisions/peers/loads.py
+++ b/src/troutswitch/decisions/peers/loads.py
@@ -15,7 +15,12 @@
 import cbor2
 
 from troutswitch.common import Address
-from troutswitch.daemons.loadreport import LoadReport, ServerShare, server_key
+from troutswitch.daemons.loadreport import (
+    PREFILL_UNIT_TOKENS,
+    LoadReport,
+    ServerShare,
+    server_key,
+)
 from troutswitch.decisions.forwarding.servers import ServerRegistry
 from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import (
@@ -70,7 +75,7 @@
     heard_at: float
     life: int = -1
     sequence: int = -1
-    shares: dict[int, tuple[int, int]] = field(default_factory=dict)
+    shares: dict[int, ServerShare] = field(default_factory=dict)
 
 
 class PeerLoads:
@@ -81,6 +86,7 @@
         name: str,
         address: Address,
         servers: ServerRegistry,
+        configuration_version: Callable[[], int],
         numbers: CallNumbers,
         rng: random.Random,
         log: Callable[..., None],
@@ -89,12 +95,13 @@
         self._name = name
         self._address = address
         self._servers = servers
+        self._configuration_version = configuration_version
         self._numbers = numbers
         self._rng = rng
         self._log = log
         self._life = rng.getrandbits(31)
         self._sequence = 0
-        self._told: dict[str, tuple[int, int]] = {}
+        self._told: tuple[tuple[ServerShare, ...], int] = ((), -1)
         self._report_at = float("-inf")
         self._quiet_at = float("-inf")
         self._read_at = float("-inf")
@@ -123,23 +130,31 @@
         return instructions
 
     def _report(self, now: float, is_leaving: bool = False) -> list[StoreCall | SendReport]:
-        current = {
-            name: (server.online_in_flight, server.batch_in_flight)
-            for name, server in self._servers.servers.items()
-            if server.online_in_flight or server.batch_in_flight
-        }
-        if current == self._told and now < self._quiet_at and not is_leaving:
+        shares = self._own_shares()
+        version = self._configuration_version()
+        if (shares, version) == self._told and now < self._quiet_at and not is_leaving:
             return []
-        self._told = current
+        self._told = (shares, version)
         self._quiet_at = now + QUIET_REPORT_SECONDS
         self._sequence += 1
-        shares = tuple(ServerShare(server_key(n), o, b) for n, (o, b) in current.items())
-        report = LoadReport(self._name, self._life, self._sequence, shares, is_leaving)
+        report = LoadReport(self._name, self._life, self._sequence, shares, version, is_leaving)
         addresses = [peer.address for peer in self.peers.values()]
         if len(addresses) > PEERS_A_REPORT:
             addresses = self._rng.sample(addresses, PEERS_A_REPORT)
         return [SendReport(tuple(addresses), report)] if addresses else []
 
+    def _own_shares(self) -> tuple[ServerShare, ...]:
+        return tuple(
+            ServerShare(
+                server_key(name),
+                server.online_in_flight,
+                server.batch_in_flight,
+                -(-server.prefill_tokens // PREFILL_UNIT_TOKENS),
+            )
+            for name, server in self._servers.servers.items()
+            if server.online_in_flight or server.batch_in_flight
+        )
+
     def leave(self, now: float) -> list[StoreCall | SendReport]:
         """Tells peers that this daemon stops."""
         return self._report(now, is_leaving=True)
@@ -162,20 +177,20 @@
         peer.heard_at = now
         peer.life = report.life
         peer.sequence = report.sequence
-        self._set_shares(
-            peer, {share.server_key: (share.online, share.batch) for share in report.shares}
-        )
+        self._set_shares(peer, {share.server_key: share for share in report.shares})
 
-    def _set_shares(self, peer: Peer, shares: dict[int, tuple[int, int]]) -> None:
+    def _set_shares(self, peer: Peer, shares: dict[int, ServerShare]) -> None:
         by_key = {server_key(name): server for name, server in self._servers.servers.items()}
         for key in peer.shares.keys() | shares.keys():
             server = by_key.get(key)
             if server is None:
                 continue
-            old_online, old_batch = peer.shares.get(key, (0, 0))
-            online, batch = shares.get(key, (0, 0))
-            server.peers_online = max(0, server.peers_online + online - old_online)
-            server.peers_batch = max(0, server.peers_batch + batch - old_batch)
+            old = peer.shares.get(key, ServerShare(key, 0, 0, 0))
+            new = shares.get(key, ServerShare(key, 0, 0, 0))
+            prefill = (new.prefill_units - old.prefill_units) * PREFILL_UNIT_TOKENS
+            server.peers_online = max(0, server.peers_online + new.online - old.online)
+            server.peers_batch = max(0, server.peers_batch + new.batch - old.batch)
+            server.peers_prefill_tokens = max(0, server.peers_prefill_tokens + prefill)
         peer.shares = shares
 
     def _drop_silent(self, now: float) -> None:
--- a/src/troutswitch/decisions/storage/follower.py
+++ b/src/troutswitch/decisions/storage/follower.py
@@ -126,9 +126,10 @@
         if self.is_current and offset == self.next_offset:
             self.next_offset = end
 
-    def poke(self, now: float) -> None:
-        """Asks for a read at once."""
-        self._due = min(self._due, now)
+    def read_again(self, now: float) -> None:
+        """Gives a read in flight up for lost, and reads at once."""
+        self._call = 0
+        self._due = now
 
     def owns(self, call: int) -> bool:
         """Returns whether an answer belongs to this follower."""
--- a/src/troutswitch/gateway/itemruns.py
+++ b/src/troutswitch/gateway/itemruns.py
@@ -8,6 +8,7 @@
 import structlog
 
 from troutswitch.decisions.jobs.messages import (
+    ItemBegun,
     ItemProgressed,
     ItemRunEnded,
     OutputEvent,
@@ -104,6 +105,7 @@
         try:
             if head.status != 200 or not head.is_event_stream:
                 return self._refused(instruction, exchange, head)
+            self._post(ItemBegun(instruction.run))
             self._read(instruction, exchange, splitter, events)
         except (AnswerLost, BrokenEvents) as error:
             return _ended(instruction, AttemptKind.CUT, str(error), head, events)
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -65,6 +65,7 @@
             settings.zone,
             self._reports.address,
             settings.bounds.drain,
+            settings.bounds.configuration_apply,
             settings.store.member_ttl_least,
             StoreRoom(
                 settings.store.record_bytes, settings.store.call_bytes, settings.store.partitions
--- a/src/troutswitch/gateway/relay.py
+++ b/src/troutswitch/gateway/relay.py
@@ -1,5 +1,6 @@
 """Relays one forwarded request: the caller's thread, the loop's decisions, a server's bytes."""
 
+import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -61,6 +62,7 @@
     _splitter: EventSplitter = field(default_factory=EventSplitter)
     _delivered: int = 0
     _is_completed: bool = False
+    _longest_gap: float = 0.0
 
     def run(self) -> Iterator[bytes]:
         """Yields the answer's bytes; `head` stands before the first, `finish` after the last."""
@@ -133,12 +135,16 @@
     ) -> Iterator[bytes]:
         splitter = EventSplitter(directive.resume_after)
         self._splitter = splitter
+        event_at = time.monotonic()
         for data in exchange.chunks():
             self.pulse.beat(directive.server_id)
             events = splitter.feed(data)
             if not events:
                 continue
             exchange.set_wait(directive.gap_wait)
+            if self._delivered:
+                self._longest_gap = max(self._longest_gap, time.monotonic() - event_at)
+            event_at = time.monotonic()
             self.head = self.head or head
             self._delivered += len(events)
             yield b"".join(event.raw for event in events)
@@ -186,5 +192,6 @@
                 head.retry_after if head is not None else None,
                 head is not None and head.status == MISDIRECTED,
                 has_answer,
+                self._longest_gap,
             )
         )
--- /dev/null
+++ b/src/troutswitch/simulation/gatewayworld.py
@@ -0,0 +1,469 @@
+"""Gateway daemons on a virtual clock: the decisions that run, before a modelled store.
+
+Each daemon is a whole `GatewayCore`. Its instructions are carried out by this world:
+store calls by a `KeyedStoreModel`, with delays and faults, and batch items by modelled
+servers that make one event each `EVENT_SECONDS`. Clients hand jobs in and read results;
+an observer checks what they were promised.
+"""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import cbor2
+import simpy
+
+from troutswitch.common import Address
+from troutswitch.decisions.forwarding.types import (
+    Backend,
+    FleetConfiguration,
+    RequestLimits,
+    Route,
+    RouteKind,
+    ServerRecord,
+    Service,
+)
+from troutswitch.decisions.gateway import (
+    DrainAsked,
+    GatewayCore,
+    GatewayIdentity,
+    TimerFired,
+)
+from troutswitch.decisions.jobs.intake import StoreRoom
+from troutswitch.decisions.jobs.messages import (
+    AnswerJobCall,
+    ItemBegun,
+    ItemProgressed,
+    ItemRunEnded,
+    JobAccepted,
+    JobAnswer,
+    JobEndAsked,
+    JobEnded,
+    JobRefused,
+    JobResults,
+    JobSubmitted,
+    OutputEvent,
+    ResultsAsked,
+    RunItem,
+    StopItem,
+)
+from troutswitch.decisions.jobs.ownership import GROUP
+from troutswitch.decisions.jobs.records import DONE, JobItem
+from troutswitch.decisions.peers.loads import ReportReceived, SendReport
+from troutswitch.decisions.storage.messages import (
+    AppendRecords,
+    CallFailed,
+    JoinGroup,
+    KeyedRecord,
+    LeaveGroup,
+    Partition,
+    ReadNewest,
+    ReadRecords,
+    RecordsRead,
+    StoreAnswered,
+    StoreCall,
+)
+from troutswitch.outcomes import AttemptKind
+from troutswitch.standins.keyedstore import KeyedStoreModel
+
+HOST = "jobs.example"
+PREFIX = "/jobs/"
+SERVICE = "service"
+STORE_SECONDS = 0.01
+LATE_SECONDS = 2.0
+"""Time after which an append whose answer was lost may still act."""
+EVENT_SECONDS = 0.1
+"""Mean time between events; each run has a pace of its own around it."""
+EVENTS_AN_ITEM = 20
+READ_INTERVAL_SECONDS = 0.5
+RESTART_SECONDS = 0.5
+CALL_SECONDS = 4.0
+
+
+class PlainFormats:
+    """Forms of the modelled store's configuration and servers."""
+
+    def __init__(self, configuration: FleetConfiguration) -> None:
+        self._configuration = configuration
+
+    def configuration(self, key: str, data: bytes) -> FleetConfiguration | None:
+        """Returns the world's configuration, whatever the record says."""
+        return self._configuration
+
+    def server(self, server_id: str, data: bytes) -> ServerRecord:
+        """Decodes a server's record."""
+        slots = int(cbor2.loads(data))
+        return ServerRecord(server_id, SERVICE, Address("10.0.0.1", 1), "z", slots, False)
+
+
+@dataclass
+class StoreFaults:
+    """What goes wrong at the store now; shares of calls from 0 to 1."""
+
+    is_down: bool = False
+    answers_lost: float = 0.0
+    is_late: bool = False
+
+
+@dataclass
+class Daemon:
+    """One daemon's life. A killed one is replaced by another `life` of the same name."""
+
+    name: str
+    core: GatewayCore
+    life: int
+    is_alive: bool = True
+    paused_until: float = 0.0
+    runs: set[int] = field(default_factory=set)
+    stopped: set[int] = field(default_factory=set)
+    timer_at: float = float("inf")
+
+
+@dataclass
+class JobTruth:
+    """What the observer knows of a job."""
+
+    job_id: str
+    items: tuple[JobItem, ...]
+    handed_in_at: float
+    accepted_at: float = float("inf")
+    refusals: list[int] = field(default_factory=list)
+    ended_at: float = float("inf")
+    results: dict[int, tuple[str, str, str]] = field(default_factory=dict)
+    ran: Counter[str] = field(default_factory=Counter)
+
+
+class GatewayWorld:
+    """Daemons, store, servers, clients and observer."""
+
+    def __init__(
+        self,
+        seed: int,
+        daemons: int = 4,
+        servers: int = 3,
+        tokens_most: int = 0,
+        change: Callable[[StoreCall], StoreCall] | None = None,
+    ) -> None:
+        self.env = simpy.Environment()
+        self.rng = random.Random(seed)
+        self.store = KeyedStoreModel(4)
+        self.faults = StoreFaults()
+        self.violations: list[str] = []
+        self.jobs: dict[str, JobTruth] = {}
+        self.daemons: dict[str, Daemon] = {}
+        self.store_calls: Counter[str] = Counter()
+        self._change = change or (lambda call: call)
+        self._tokens = 0
+        self._calls: dict[int, Callable[[JobAnswer], None]] = {}
+        route = Route(
+            "jobs",
+            HOST,
+            PREFIX,
+            RouteKind.JOBS,
+            (Backend(SERVICE, 1.0),),
+            30.0,
+            0.5,
+            3,
+            queued_tokens_most=tokens_most,
+            completion_target=20.0,
+            retention=600.0,
+        )
+        services = {SERVICE: Service(SERVICE, 100, 8, 0)}
+        self._formats = PlainFormats(FleetConfiguration(1, (route,), services, RequestLimits()))
+        configuration = KeyedRecord("configuration", b"1")
+        self.store.log(Partition("configuration")).append((configuration,))
+        for number in range(servers):
+            record = KeyedRecord(f"server-{number}", cbor2.dumps(8))
+            self.store.log(Partition("servers")).append((record,))
+        for number in range(daemons):
+            self.start_daemon(f"daemon-{number}", 0)
+
+    # Daemons.
+
+    def start_daemon(self, name: str, life: int) -> None:
+        """Starts a daemon's life, with nothing that an earlier one knew."""
+        number = int(name.rpartition("-")[2])
+        identity = GatewayIdentity(
+            name,
+            "z",
+            Address("10.0.1.1", number),
+            drain=2.0,
+            configuration_apply=2.0,
+            member_ttl_least=1.0,
+            store_room=StoreRoom(262_144, 2_097_152, 4),
+        )
+        rng = random.Random(self.rng.getrandbits(64))
+        daemon = Daemon(name, GatewayCore(identity, self._formats, rng), life)
+        self.daemons[name] = daemon
+        self.step(daemon, TimerFired())
+
+    def kill(self, name: str, down: float = RESTART_SECONDS) -> None:
+        """Ends a daemon's life at once; another begins after some seconds."""
+        daemon = self.daemons[name]
+        daemon.is_alive = False
+        self.after(down, lambda: self.start_daemon(name, daemon.life + 1))
+
+    def pause(self, name: str, seconds: float) -> None:
+        """Freezes a daemon: what reaches it waits, and it believes what it believed."""
+        self.daemons[name].paused_until = self.env.now + seconds
+
+    def drain(self, name: str) -> None:
+        """Stops a daemon as planned, and starts it anew."""
+        daemon = self.daemons[name]
+        self.step(daemon, DrainAsked())
+        self.after(2.0, lambda: self.kill(name))
+
+    def after(self, seconds: float, call: Callable[[], None]) -> None:
+        """Calls a function later."""
+        self.env.timeout(seconds).callbacks.append(lambda _: call())
+
+    def step(self, daemon: Daemon, event: object) -> None:
+        """Has a daemon take an event, now or when it is no longer paused."""
+        if not daemon.is_alive:
+            return
+        if self.env.now < daemon.paused_until:
+            self.after(daemon.paused_until - self.env.now, lambda: self.step(daemon, event))
+            return
+        for instruction in daemon.core.step(self.env.now, event):
+            self._carry_out(daemon, instruction)
+        self._set_timer(daemon)
+
+    def _set_timer(self, daemon: Daemon) -> None:
+        due = max(daemon.core.next_due(), self.env.now + 0.001)
+        if due >= daemon.timer_at and daemon.timer_at > self.env.now:
+            return
+        daemon.timer_at = due
+        self.after(due - self.env.now, lambda: self._on_timer(daemon, due))
+
+    def _on_timer(self, daemon: Daemon, due: float) -> None:
+        if daemon.timer_at == due:
+            daemon.timer_at = float("inf")
+            self.step(daemon, TimerFired())
+
+    def _carry_out(self, daemon: Daemon, instruction: object) -> None:
+        match instruction:
+            case ReadNewest() | ReadRecords() | AppendRecords() | JoinGroup() | LeaveGroup():
+                self._call_store(daemon, instruction)
+            case RunItem():
+                self._run_item(daemon, instruction)
+            case StopItem():
+                daemon.stopped.add(instruction.run)
+            case SendReport():
+                self._send_report(daemon, instruction)
+            case AnswerJobCall():
+                answer = self._calls.pop(instruction.token, None)
+                if answer is not None:
+                    answer(instruction.answer)
+
+    def _send_report(self, daemon: Daemon, instruction: SendReport) -> None:
+        sender = daemon.core.identity.peer_address
+        event = ReportReceived(sender, instruction.report)
+        for peer in self.daemons.values():
+            if peer.core.identity.peer_address in instruction.addresses:
+                self.step_later(peer, event, 0.002)
+
+    def step_later(self, daemon: Daemon, event: object, seconds: float) -> None:
+        """Has a daemon take an event later."""
+        self.after(seconds, lambda: self.step(daemon, event))
+
+    # The store.
+
+    def _call_store(self, daemon: Daemon, call: StoreCall) -> None:
+        self.store_calls[type(call).__name__] += 1
+        call = self._change(call)
+        if self.faults.is_down:
+            self._answer(daemon, call.call, CallFailed("down", False), 0.5)
+            return
+        is_write = isinstance(call, AppendRecords)
+        if is_write and self.rng.random() < self.faults.answers_lost:
+            late = LATE_SECONDS if self.faults.is_late else STORE_SECONDS
+            self.after(late, lambda: self._act(call))
+            self._answer(daemon, call.call, CallFailed("answer lost", True), 1.0)
+            return
+        if isinstance(call, ReadRecords) and call.wait > 0:
+            self._read_waiting(daemon, call, self.env.now + call.wait)
+            return
+        self.after(STORE_SECONDS / 2, lambda: self._act_and_answer(daemon, call))
+
+    def _act(self, call: StoreCall) -> None:
+        self.store.call(self.env.now, call)
+
+    def _act_and_answer(self, daemon: Daemon, call: StoreCall) -> None:
+        outcome = self.store.call(self.env.now, call)
+        self._answer(daemon, call.call, outcome, STORE_SECONDS / 2)
+
+    def _read_waiting(self, daemon: Daemon, call: ReadRecords, until: float) -> None:
+        outcome = self.store.call(self.env.now, call)
+        if isinstance(outcome, RecordsRead) and not outcome.records and self.env.now < until:
+            self.after(0.05, lambda: self._read_waiting(daemon, call, until))
+            return
+        self._answer(daemon, call.call, outcome, STORE_SECONDS)
+
+    def _answer(self, daemon: Daemon, call: int, outcome: object, seconds: float) -> None:
+        self.step_later(daemon, StoreAnswered(call, outcome), seconds)  # type: ignore[arg-type]
+
+    def compact(self) -> None:
+        """Drops the history of all partitions."""
+        for log in self.store.logs.values():
+            log.drop_history()
+
+    def deal_anew(self) -> None:
+        """Deals all shards anew at once."""
+        self.store.deal_anew(GROUP)
+
+    # Servers.
+
+    def _run_item(self, daemon: Daemon, run: RunItem) -> None:
+        truth = next(
+            (j for j in self.jobs.values() if any(i.item_id == run.item.item_id for i in j.items)),
+            None,
+        )
+        if truth is None:
+            self.violations.append(f"an item that nobody sent ran: {run.item.item_id}")
+            return
+        truth.ran[run.item.item_id] += 1
+        if self.env.now > truth.ended_at + 3.0:
+            self.violations.append(f"an item of an ended job ran: {run.item.item_id}")
+        first = int(run.resume_after or 0)
+        self.step_later(daemon, ItemBegun(run.run), 0.05)
+        pace = EVENT_SECONDS * self.rng.uniform(0.5, 1.5)
+        self.after(pace, lambda: self._make_event(daemon, run, first + 1, pace))
+
+    def _make_event(self, daemon: Daemon, run: RunItem, number: int, pace: float) -> None:
+        if not daemon.is_alive:
+            return
+        if run.run in daemon.stopped:
+            ended = ItemRunEnded(run.run, AttemptKind.CUT, 200, "stopped", ())
+            self.step(daemon, ended)
+            return
+        event = OutputEvent(str(number), event_text(run.item.item_id, number))
+        self.step(daemon, ItemProgressed(run.run, (event,)))
+        if number == EVENTS_AN_ITEM:
+            self.step(daemon, ItemRunEnded(run.run, AttemptKind.COMPLETED, 200, "", ()))
+            return
+        self.after(pace, lambda: self._make_event(daemon, run, number + 1, pace))
+
+    # Clients.
+
+    def ask(self, daemon: Daemon, event: object, answer: Callable[[JobAnswer], None]) -> None:
+        """Makes a client's call at a daemon."""
+        self._calls[event.token] = answer  # type: ignore[attr-defined]
+        self.step(daemon, event)
+
+    def next_token(self) -> int:
+        """Returns a token for a call."""
+        self._tokens += 1
+        return self._tokens
+
+    def any_daemon(self) -> Daemon:
+        """Returns a daemon that a client may reach."""
+        alive = [d for d in self.daemons.values() if d.is_alive and self.env.now >= d.paused_until]
+        return self.rng.choice(alive or list(self.daemons.values()))
+
+    def hand_in(self, job_id: str, items: int, tokens: int = 100, tries: int = 3) -> JobTruth:
+        """Hands a job in, again after each failure, and then reads its results."""
+        rows = tuple(
+            JobItem(f"{job_id}-{n}", f"{PREFIX}{n}", (), b"body", tokens) for n in range(items)
+        )
+        truth = JobTruth(job_id, rows, self.env.now)
+        self.jobs[job_id] = truth
+        self._try_hand_in(truth, tries)
+        return truth
+
+    def _try_hand_in(self, truth: JobTruth, tries: int) -> None:
+        token = self.next_token()
+        event = JobSubmitted(
+            token, truth.job_id, HOST, f"{PREFIX}{truth.job_id}", truth.items, "d", CALL_SECONDS
+        )
+        self.ask(self.any_daemon(), event, lambda answer: self._on_handed_in(truth, answer))
+        if tries > 1:
+            self.after(CALL_SECONDS + 0.5, lambda: self._hand_in_again(truth, token, tries - 1))
+
+    def _hand_in_again(self, truth: JobTruth, token: int, tries: int) -> None:
+        self._calls.pop(token, None)
+        if truth.accepted_at == float("inf"):
+            self._try_hand_in(truth, tries)
+
+    def _on_handed_in(self, truth: JobTruth, answer: JobAnswer) -> None:
+        if isinstance(answer, JobAccepted) and truth.accepted_at == float("inf"):
+            truth.accepted_at = self.env.now
+            self.after(READ_INTERVAL_SECONDS, lambda: self._read(truth))
+        elif isinstance(answer, JobRefused):
+            truth.refusals.append(answer.status)
+
+    def _read(self, truth: JobTruth) -> None:
+        position = self.rng.choice([0, len(truth.results)])
+        event = ResultsAsked(self.next_token(), truth.job_id, position, CALL_SECONDS)
+        self.ask(self.any_daemon(), event, lambda answer: self._on_read(truth, answer))
+        self.after(READ_INTERVAL_SECONDS, lambda: self._read(truth))
+
+    def _on_read(self, truth: JobTruth, answer: JobAnswer) -> None:
+        if isinstance(answer, JobRefused) and answer.status == 404:
+            self.violations.append(f"an accepted job was not found: {truth.job_id}")
+        if not isinstance(answer, JobResults):
+            return
+        if answer.total != len(truth.items):
+            self.violations.append(f"wrong total of {truth.job_id}")
+        for place, row in enumerate(answer.results, answer.position):
+            self._check_result(truth, place, (row.item_id, row.state, row.text))
+
+    def _check_result(self, truth: JobTruth, place: int, row: tuple[str, str, str]) -> None:
+        held = truth.results.setdefault(place, row)
+        if held != row:
+            self.violations.append(f"position {place} of {truth.job_id} changed")
+        names = [result[0] for result in truth.results.values()]
+        if len(set(names)) != len(names):
+            self.violations.append(f"an item of {truth.job_id} stands twice")
+        if row[1] == DONE and row[2] != whole_text(row[0]):
+            self.violations.append(f"the output of {row[0]} is not whole")
+
+    def end_job(self, truth: JobTruth) -> None:
+        """Ends a job."""
+        event = JobEndAsked(self.next_token(), truth.job_id, CALL_SECONDS)
+        self.ask(self.any_daemon(), event, lambda answer: self._on_ended(truth, answer))
+
+    def _on_ended(self, truth: JobTruth, answer: JobAnswer) -> None:
+        if isinstance(answer, JobEnded):
+            truth.ended_at = min(truth.ended_at, self.env.now)
+
+    # Runs.
+
+    def run(self, seconds: float) -> None:
+        """Lets some virtual seconds pass."""
+        self.env.run(until=self.env.now + seconds)
+
+    def unfinished(self) -> list[str]:
+        """Returns the accepted jobs that are neither ended nor listed whole."""
+        return [
+            job.job_id
+            for job in self.jobs.values()
+            if job.accepted_at < float("inf")
+            and job.ended_at == float("inf")
+            and len(job.results) < len(job.items)
+        ]
+
+    def waiting_tokens(self) -> int:
+        """Returns the tokens of accepted items that no client has read as listed."""
+        return sum(
+            sum(item.tokens for item in job.items) - listed_tokens(job)
+            for job in self.jobs.values()
+            if job.accepted_at < float("inf") and job.ended_at == float("inf")
+        )
+
+
+def listed_tokens(job: JobTruth) -> int:
+    """Returns the tokens of a job's items that a client has read."""
+    names = {row[0] for row in job.results.values()}
+    return sum(item.tokens for item in job.items if item.item_id in names)
+
+
+def event_text(item_id: str, number: int) -> str:
+    """Returns the data of an event of an item's output."""
+    return f"{item_id}:{number}"
+
+
+def whole_text(item_id: str) -> str:
+    """Returns the whole output of an item."""
+    numbers: Iterable[int] = range(1, EVENTS_AN_ITEM + 1)
+    return "\n".join(event_text(item_id, number) for number in numbers)
--- /dev/null
+++ b/src/troutswitch/standins/keyedstore.py
@@ -0,0 +1,243 @@
+"""Model of the platform's store: keyed partitions, fenced appends and groups.
+
+A pure model without clock or sockets: the simulation calls it on virtual time, and the
+stand-in process serves it over HTTP. Source: the users' page PROTOCOL, section on the
+platform's metadata store, and the answers recorded in docs/PLATFORM.md.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from troutswitch.decisions.storage.messages import (
+    Appended,
+    AppendRecords,
+    CallFailed,
+    EndMoved,
+    FencedOff,
+    GroupJoined,
+    GroupLeft,
+    HistoryGone,
+    JoinGroup,
+    KeyedRecord,
+    LeaveGroup,
+    NewestPage,
+    OutOfSequence,
+    Partition,
+    ReadNewest,
+    ReadRecords,
+    RecordsRead,
+    StoreCall,
+    StoreOutcome,
+    WriterStamp,
+)
+
+PAGE_RECORDS = 500
+PAGE_BYTES = 1_000_000
+ANSWERS_KEPT = 5
+"""Last appends of a writer whose first answer is given again."""
+
+
+@dataclass(slots=True)
+class WriterState:
+    """What a partition knows of a writer."""
+
+    epoch: int = -1
+    next_sequence: int | None = None
+    answers: deque[tuple[int, Appended]] = field(default_factory=lambda: deque(maxlen=ANSWERS_KEPT))
+
+
+@dataclass(slots=True)
+class PartitionLog:
+    """One partition."""
+
+    first: int = 0
+    records: list[KeyedRecord] = field(default_factory=list)
+    newest: dict[str, KeyedRecord] = field(default_factory=dict)
+    writers: dict[str, WriterState] = field(default_factory=dict)
+
+    @property
+    def end(self) -> int:
+        """Offset after the last record."""
+        return self.first + len(self.records)
+
+    def append(self, records: tuple[KeyedRecord, ...]) -> Appended:
+        """Adds records."""
+        offset = self.end
+        for record in records:
+            held = KeyedRecord(record.key, record.value, self.end)
+            self.records.append(held)
+            if record.value:
+                self.newest[record.key] = held
+            else:
+                self.newest.pop(record.key, None)
+        return Appended(offset, self.end)
+
+    def drop_history(self) -> None:
+        """Drops all records, but not the newest of each key."""
+        self.first = self.end
+        self.records = []
+
+
+@dataclass(slots=True)
+class Member:
+    """A member of a group."""
+
+    heard_at: float
+    ttl: float
+    generation: int
+
+
+@dataclass(slots=True)
+class Group:
+    """A group that deals partitions to its members."""
+
+    generation: int = 0
+    members: dict[str, Member] = field(default_factory=dict)
+    targets: dict[int, str] = field(default_factory=dict)
+    holders: dict[int, str] = field(default_factory=dict)
+    rotation: int = 0
+
+
+class KeyedStoreModel:
+    """All partitions and groups."""
+
+    def __init__(self, partitions: int = 8) -> None:
+        self.partitions = partitions
+        self.logs: dict[Partition, PartitionLog] = {}
+        self.groups: dict[str, Group] = {}
+
+    def log(self, partition: Partition) -> PartitionLog:
+        """Returns a partition, which exists from its first use."""
+        return self.logs.setdefault(partition, PartitionLog())
+
+    def call(self, now: float, call: StoreCall) -> StoreOutcome:
+        """Carries a call out."""
+        match call:
+            case ReadNewest():
+                return self._newest(call)
+            case ReadRecords():
+                return self._read(call)
+            case AppendRecords():
+                return self._append(call)
+            case JoinGroup():
+                return self._join(now, call)
+            case LeaveGroup():
+                return self._leave(now, call)
+
+    # Partitions.
+
+    def _newest(self, call: ReadNewest) -> NewestPage:
+        log = self.log(call.partition)
+        keys = sorted(key for key in log.newest if key > call.after_key)
+        page: list[KeyedRecord] = []
+        size = 0
+        for key in keys[:PAGE_RECORDS]:
+            size += len(log.newest[key].value)
+            if page and size > PAGE_BYTES:
+                break
+            page.append(log.newest[key])
+        return NewestPage(tuple(page), len(page) < len(keys), log.end)
+
+    def _read(self, call: ReadRecords) -> StoreOutcome:
+        log = self.log(call.partition)
+        if call.offset < log.first:
+            return HistoryGone(log.first)
+        records = tuple(log.records[call.offset - log.first :])
+        return RecordsRead(records, call.offset + len(records), log.end)
+
+    def _append(self, call: AppendRecords) -> StoreOutcome:
+        if call.partition.number >= self.partitions:
+            return CallFailed("no such partition", False)
+        log = self.log(call.partition)
+        if call.stamp is None:
+            return self._append_at(log, call)
+        return self._append_stamped(log, call, call.stamp)
+
+    def _append_at(self, log: PartitionLog, call: AppendRecords) -> StoreOutcome:
+        if call.expected_end is not None and call.expected_end != log.end:
+            return EndMoved(log.end)
+        return log.append(call.records)
+
+    def _append_stamped(
+        self, log: PartitionLog, call: AppendRecords, stamp: WriterStamp
+    ) -> StoreOutcome:
+        writer = log.writers.setdefault(stamp.writer, WriterState())
+        if stamp.epoch < writer.epoch:
+            return FencedOff(writer.epoch)
+        if stamp.epoch > writer.epoch:
+            writer.epoch = stamp.epoch
+            writer.next_sequence = None
+            writer.answers.clear()
+        if not call.records:
+            return Appended(log.end, log.end)
+        for sequence, answer in writer.answers:
+            if sequence == stamp.sequence:
+                return answer
+        if writer.next_sequence is not None and stamp.sequence != writer.next_sequence:
+            return OutOfSequence(writer.next_sequence)
+        outcome = self._append_at(log, call)
+        if isinstance(outcome, Appended):
+            writer.next_sequence = stamp.sequence + 1
+            writer.answers.append((stamp.sequence, outcome))
+        return outcome
+
+    # Groups.
+
+    def _join(self, now: float, call: JoinGroup) -> GroupJoined:
+        group = self.groups.setdefault(call.group, Group())
+        self._expire(now, group)
+        if call.member not in group.members:
+            group.members[call.member] = Member(now, call.ttl, call.generation)
+            self._deal(group)
+        member = group.members[call.member]
+        member.heard_at = now
+        member.generation = call.generation
+        self._hand_over(group)
+        mine = tuple(
+            Partition(topic, number)
+            for topic in call.topics
+            for number, holder in sorted(group.holders.items())
+            if holder == call.member and group.targets.get(number) == call.member
+        )
+        return GroupJoined(group.generation, mine)
+
+    def _leave(self, now: float, call: LeaveGroup) -> GroupLeft:
+        group = self.groups.setdefault(call.group, Group())
+        self._expire(now, group)
+        if group.members.pop(call.member, None) is not None:
+            self._deal(group)
+            self._hand_over(group)
+        return GroupLeft()
+
+    def _expire(self, now: float, group: Group) -> None:
+        silent = [n for n, m in group.members.items() if now - m.heard_at > m.ttl]
+        for name in silent:
+            del group.members[name]
+        if silent:
+            self._deal(group)
+            self._hand_over(group)
+
+    def deal_anew(self, name: str) -> None:
+        """Deals all partitions anew at once, unasked, whoever believes to hold them."""
+        group = self.groups.setdefault(name, Group())
+        group.rotation += 1
+        self._deal(group)
+        group.holders = dict(group.targets)
+
+    def _deal(self, group: Group) -> None:
+        group.generation += 1
+        names = sorted(group.members)
+        group.targets = {
+            number: names[(number + group.rotation) % len(names)]
+            for number in range(self.partitions)
+            if names
+        }
+
+    @staticmethod
+    def _hand_over(group: Group) -> None:
+        """Passes a partition on once its holder knows the new deal, or is gone."""
+        for number, target in group.targets.items():
+            holder = group.holders.get(number)
+            member = group.members.get(holder) if holder is not None else None
+            if member is None or holder == target or member.generation >= group.generation:
+                group.holders[number] = target
--- /dev/null
+++ b/tests/decisions/forwarding/test_requests.py
@@ -0,0 +1,163 @@
+import pytest
+
+from tests.decisions.forwarding.worlds import World, arrival, route, server
+from troutswitch.decisions.forwarding.messages import (
+    AbortAttempt,
+    AnswerBegun,
+    CallerGone,
+    FinishRequest,
+    SendRequest,
+    ServerHeard,
+)
+from troutswitch.decisions.forwarding.routes import RouteTable
+from troutswitch.decisions.forwarding.types import RouteKind
+from troutswitch.outcomes import AttemptKind, Cut, MayHaveRun, NotRun
+
+
+def sent(directive: object) -> SendRequest:
+    assert isinstance(directive, SendRequest)
+    return directive
+
+
+def finished(directive: object) -> FinishRequest:
+    assert isinstance(directive, FinishRequest)
+    return directive
+
+
+def test_before_any_configuration_the_answer_is_not_404() -> None:
+    world = World()
+    world.requests._routes = RouteTable()
+    outcome = finished(world.arrive(0.0, arrival(1))).outcome
+    assert isinstance(outcome, NotRun)
+    assert outcome.status == 503
+    assert outcome.retry_after
+
+
+def test_an_unknown_route_is_404() -> None:
+    outcome = finished(World().arrive(0.0, arrival(1, "/b/x"))).outcome
+    assert isinstance(outcome, NotRun)
+    assert outcome.status == 404
+
+
+def test_what_a_server_did_not_run_is_offered_to_another() -> None:
+    world = World(route(resumable=False, attempts=1))
+    first = sent(world.arrive(0.0, arrival(1)))
+    second = sent(world.end(0.1, first, AttemptKind.REFUSED))
+    assert second.server_id != first.server_id
+
+
+def test_a_request_that_may_have_run_is_not_repeated_unless_allowed() -> None:
+    world = World(route(resumable=False, attempts=2))
+    first = sent(world.arrive(0.0, arrival(1)))
+    outcome = finished(world.end(0.1, first, AttemptKind.CUT)).outcome
+    assert isinstance(outcome, MayHaveRun)
+
+
+def test_a_refusal_is_only_given_if_nothing_ran() -> None:
+    world = World(route(attempts=2), servers=2)
+    first = sent(world.arrive(0.0, arrival(1)))
+    second = sent(world.end(0.1, first, AttemptKind.CUT))
+    outcome = finished(world.end(0.2, second, AttemptKind.REFUSED)).outcome
+    assert isinstance(outcome, MayHaveRun)
+
+
+def test_a_cut_stream_goes_on_after_its_last_event() -> None:
+    world = World()
+    first = sent(world.arrive(0.0, arrival(1)))
+    second = sent(world.end(0.1, first, AttemptKind.CUT, position="7", delivered=7))
+    assert second.resume_after == "7"
+    assert second.server_id != first.server_id
+
+
+def test_attempts_that_may_have_run_are_bounded() -> None:
+    world = World(route(attempts=2), servers=4)
+    first = sent(world.arrive(0.0, arrival(1)))
+    second = sent(world.end(0.1, first, AttemptKind.CUT))
+    assert finished(world.end(0.2, second, AttemptKind.CUT))
+
+
+def test_a_cut_stream_that_cannot_go_on_is_never_an_end() -> None:
+    world = World(route(resumable=False))
+    first = sent(world.arrive(0.0, arrival(1)))
+    outcome = finished(world.end(0.1, first, AttemptKind.CUT, position="3", delivered=3)).outcome
+    assert isinstance(outcome, Cut)
+
+
+@pytest.mark.parametrize(("deadline", "limit"), [(1.0, 5.0), (5.0, 1.0)])
+def test_the_final_answer_comes_at_the_deadline_or_the_limit(deadline: float, limit: float) -> None:
+    world = World(route(time_limit=limit, resumable=False))
+    sent(world.arrive(0.0, arrival(1, time_left=deadline)))
+    assert world.requests.on_timer(0.99) == []
+    assert world.requests.next_due() <= 1.0
+    instructions = world.requests.on_timer(1.0)
+    assert any(isinstance(i, AbortAttempt) for i in instructions)
+    assert any(isinstance(i, FinishRequest) for i in instructions)
+    assert world.requests.requests == {}
+
+
+def test_a_caller_that_left_stops_the_server() -> None:
+    world = World()
+    first = sent(world.arrive(0.0, arrival(1)))
+    instructions = world.requests.on_caller_gone(0.1, CallerGone(1))
+    assert AbortAttempt(1, first.attempt) in instructions
+    assert world.servers.servers[first.server_id].online_in_flight == 0
+
+
+def test_a_silent_server_is_left_for_another() -> None:
+    world = World()
+    first = sent(world.arrive(0.0, arrival(1)))
+    instructions = world.requests.on_timer(0.5)
+    again = sent(World.directive(instructions))
+    assert again.server_id != first.server_id
+    assert AbortAttempt(1, first.attempt) in instructions
+
+
+def test_a_loaded_server_that_answers_others_is_not_left() -> None:
+    """A trial lost half of a day's requests: each loaded server was left for the next."""
+    world = World()
+    first = sent(world.arrive(0.0, arrival(1)))
+    world.servers.on_heard(0.45, ServerHeard(first.server_id).server_id)
+    assert world.requests.on_timer(0.5) == []
+
+
+def test_a_hung_request_is_left_although_the_server_answers_others() -> None:
+    world = World()
+    first = sent(world.arrive(0.0, arrival(1)))
+    world.servers.on_heard(2.4, first.server_id)
+    assert sent(World.directive(world.requests.on_timer(2.5))).server_id != first.server_id
+
+
+def test_a_begun_stream_is_not_left_for_silence_by_the_loop() -> None:
+    world = World()
+    first = sent(world.arrive(0.0, arrival(1)))
+    world.requests.on_answer_begun(0.1, AnswerBegun(1, first.attempt, None))
+    assert world.requests.on_timer(3.0) == []
+
+
+def test_a_late_end_of_an_attempt_that_was_given_up_changes_nothing() -> None:
+    world = World()
+    first = sent(world.arrive(0.0, arrival(1)))
+    world.requests.on_timer(0.5)
+    assert world.end(0.6, first, AttemptKind.COMPLETED) is None
+    assert len(world.requests.requests) == 1
+
+
+def test_another_instance_at_the_address_is_never_asked_again() -> None:
+    world = World(servers=1)
+    first = sent(world.arrive(0.0, arrival(1)))
+    world.end(0.1, first, AttemptKind.REFUSED, wrong_instance=True)
+    world.servers.on_list(0.2, [server("s0")])
+    assert world.servers.of_service("s") == []
+
+
+def test_a_failure_is_passed_on_where_it_may_not_be_repeated() -> None:
+    world = World(route(resumable=False))
+    first = sent(world.arrive(0.0, arrival(1)))
+    end = finished(world.end(0.1, first, AttemptKind.CUT, status=500, has_answer=True))
+    assert end.passes_on
+
+
+def test_a_route_of_jobs_takes_no_requests() -> None:
+    world = World(route(kind=RouteKind.JOBS))
+    outcome = finished(world.arrive(0.0, arrival(1))).outcome
+    assert isinstance(outcome, NotRun)
--- /dev/null
+++ b/tests/decisions/forwarding/test_routes.py
@@ -0,0 +1,20 @@
+from tests.decisions.forwarding.worlds import HOST, configuration, route
+from troutswitch.decisions.forwarding.routes import RouteTable
+
+
+def test_the_longest_prefix_of_the_host_wins() -> None:
+    table = RouteTable()
+    table.replace(0.0, configuration(1, route("short", "/a/"), route("long", "/a/b/")))
+    found = table.match(HOST, "/a/b/c")
+    assert found is not None
+    assert found.name == "long"
+    assert table.match("other", "/a/b/c") is None
+    assert table.match(HOST, "/ab") is None
+
+
+def test_an_older_version_never_comes_back() -> None:
+    table = RouteTable()
+    assert table.replace(0.0, configuration(7, route("new")))
+    assert not table.replace(1.0, configuration(6, route("old")))
+    assert not table.replace(1.0, configuration(7, route("old")))
+    assert table.named("new") is not None
--- /dev/null
+++ b/tests/decisions/forwarding/worlds.py
@@ -0,0 +1,93 @@
+"""Small worlds for tests of forwarding decisions."""
+
+import random
+from collections.abc import Sequence
+
+from troutswitch.common import Address
+from troutswitch.decisions.forwarding.messages import (
+    FinishRequest,
+    RequestArrived,
+    RequestAttemptEnded,
+    SendRequest,
+)
+from troutswitch.decisions.forwarding.requests import ForwardedRequests
+from troutswitch.decisions.forwarding.routes import RouteTable
+from troutswitch.decisions.forwarding.servers import ServerRegistry
+from troutswitch.decisions.forwarding.types import (
+    Backend,
+    FleetConfiguration,
+    PromptShape,
+    RequestLimits,
+    Route,
+    RouteKind,
+    ServerRecord,
+    Service,
+)
+from troutswitch.outcomes import AttemptKind
+
+HOST = "host.example"
+
+
+def route(
+    name: str = "r",
+    prefix: str = "/a/",
+    kind: RouteKind = RouteKind.STREAM,
+    attempts: int = 2,
+    resumable: bool = True,
+    time_limit: float = 5.0,
+    **more: object,
+) -> Route:
+    return Route(
+        name,
+        HOST,
+        prefix,
+        kind,
+        (Backend("s", 1.0),),
+        time_limit,
+        0.2,
+        attempts,
+        is_resumable=resumable,
+        **more,  # type: ignore[arg-type]
+    )
+
+
+def configuration(version: int = 1, *routes: Route) -> FleetConfiguration:
+    held = routes or (route(),)
+    return FleetConfiguration(version, held, {"s": Service("s", 100, 8, 0)}, RequestLimits())
+
+
+def server(name: str, draining: bool = False, service: str = "s", slots: int = 8) -> ServerRecord:
+    return ServerRecord(name, service, Address("127.0.0.1", 1), "z", slots, draining)
+
+
+def arrival(token: int, path: str = "/a/x", time_left: float = 4.0) -> RequestArrived:
+    return RequestArrived(token, f"id-{token}", HOST, path, time_left, PromptShape())
+
+
+class World:
+    """Routes, servers and requests of one daemon."""
+
+    def __init__(self, *routes: Route, servers: int = 3) -> None:
+        self.routes = RouteTable()
+        self.routes.replace(0.0, configuration(1, *routes))
+        self.servers = ServerRegistry()
+        self.servers.on_list(0.0, [server(f"s{n}") for n in range(servers)])
+        self.requests = ForwardedRequests("z", self.routes, self.servers, random.Random(1))
+
+    def arrive(self, now: float, event: RequestArrived) -> SendRequest | FinishRequest:
+        return self.directive(self.requests.on_arrived(now, event))
+
+    def end(
+        self, now: float, sent: SendRequest, kind: AttemptKind, **more: object
+    ) -> SendRequest | FinishRequest | None:
+        event = RequestAttemptEnded(sent.token, sent.attempt, kind, **more)  # type: ignore[arg-type]
+        instructions = self.requests.on_attempt_ended(now, event)
+        self.requests.validate()
+        found = [i for i in instructions if isinstance(i, SendRequest | FinishRequest)]
+        return found[0] if found else None
+
+    @staticmethod
+    def directive(instructions: Sequence[object]) -> SendRequest | FinishRequest:
+        found = [i for i in instructions if isinstance(i, SendRequest | FinishRequest)]
+        assert len(found) == 1
+        return found[0]
