Followers read on from the last record they saw, not from the end a page told

A page of newest records and the end that it tells are not one moment, so the record between them was never read. Test: fails without the change.

--- a/src/troutswitch/decisions/storage/follower.py
+++ b/src/troutswitch/decisions/storage/follower.py
@@ -4,9 +4,10 @@
     FOLLOWING -> STARTING    the history behind this reader's offset is gone
     any       -> same        a call failed and is made again after a pause
 
-Pages of newest records are no snapshot. The tail is read from the end that the first
-page told, so records that changed between pages come again; a fold must take a record
-any number of times.
+Pages of newest records are no snapshot, nor is a page one with the end that it tells: a
+record may be appended between the two. So the tail is read from the offset after the
+last record that the first page showed, and records may come again; a fold must take a
+record any number of times.
 """
 
 import itertools
@@ -94,7 +95,8 @@
         self._lost_at = float("inf")
         self._due = float("-inf")
         self._after_key = ""
-        self._first_end: int | None = None
+        self._tail_from: int | None = None
+        self._first_kept = 0
 
     @property
     def is_current(self) -> bool:
@@ -159,24 +161,30 @@
             case RecordsRead():
                 self._take_records(now, outcome)
             case HistoryGone():
-                self.restart(now)
+                self.on_history_gone(now, outcome)
             case CallFailed():
                 self._fail(now)
             case _:
                 self._fail(now)
 
+    def on_history_gone(self, now: float, gone: HistoryGone) -> None:
+        """Reads the partition whole again, then on from the first record that is kept."""
+        self._first_kept = max(self._first_kept, gone.first)
+        self.restart(now)
+
     def restart(self, now: float) -> None:
         """Reads the partition whole again."""
         self.state = FollowState.STARTING
         self._after_key = ""
-        self._first_end = None
+        self._tail_from = None
         self._due = now
         self._call = 0
 
     def _take_page(self, now: float, page: NewestPage) -> None:
         self.failures = 0
-        if self._first_end is None:
-            self._first_end = page.end
+        if self._tail_from is None:
+            shown = max((record.offset for record in page.records), default=-1)
+            self._tail_from = max(shown + 1, self._first_kept)
         for record in page.records:
             self._take(record)
         self._due = now
@@ -184,9 +192,11 @@
             self._after_key = page.records[-1].key
             return
         self.state = FollowState.FOLLOWING
-        self.next_offset = self._first_end
+        # Never back behind what was read before: a claim that reads its shard again
+        # would otherwise take in its whole history each time.
+        self.next_offset = max(self._tail_from, self.next_offset)
         self._after_key = ""
-        self._first_end = None
+        self._tail_from = None
         self.current_at = self._asked_at
         self._due = now + (0.0 if self.wait else self.pause)
 
--- a/src/troutswitch/decisions/storage/refresh.py
+++ b/src/troutswitch/decisions/storage/refresh.py
@@ -77,7 +77,7 @@
                     return [self._read(now)]
                 self._serve(now, True)
             case HistoryGone():
-                self.follower.restart(now)
+                self.follower.on_history_gone(now, outcome)
                 self._queued = self._served + self._queued
                 self._served = []
             case _:
--- /dev/null
+++ b/tests/decisions/storage/test_follower.py
@@ -0,0 +1,139 @@
+import random
+
+from troutswitch.decisions.storage.follower import CallNumbers, PartitionFollower
+from troutswitch.decisions.storage.messages import (
+    CallFailed,
+    HistoryGone,
+    KeyedRecord,
+    NewestPage,
+    Partition,
+    ReadNewest,
+    ReadRecords,
+    RecordsRead,
+)
+from troutswitch.decisions.storage.refresh import Refresher
+
+
+class Follower:
+    """A follower with what it has taken."""
+
+    def __init__(self, wait: float = 1.0, is_tailing: bool = True) -> None:
+        self.taken: dict[str, bytes] = {}
+        self.numbers = CallNumbers()
+        self.follower = PartitionFollower(
+            Partition("t"),
+            self.numbers,
+            random.Random(1),
+            self._take,
+            wait,
+            0.2,
+            is_tailing,
+        )
+
+    def _take(self, record: KeyedRecord) -> None:
+        self.taken[record.key] = record.value
+
+    def next_call(self, now: float) -> ReadNewest | ReadRecords:
+        (call,) = self.follower.on_timer(now)
+        assert isinstance(call, ReadNewest | ReadRecords)
+        return call
+
+    def bootstrap(self, now: float, *records: KeyedRecord, end: int) -> None:
+        assert isinstance(self.next_call(now), ReadNewest)
+        self.follower.on_answer(now, NewestPage(records, False, end))
+
+
+def record(key: str, value: bytes, offset: int) -> KeyedRecord:
+    return KeyedRecord(key, value, offset)
+
+
+def test_a_record_appended_between_a_page_and_its_end_is_not_missed() -> None:
+    """Found by a hunt: a daemon that started while the configuration changed kept the old
+    one, since the page showed the old record and an end after the new one."""
+    held = Follower()
+    held.bootstrap(0.0, record("config", b"2", 0), end=2)
+    call = held.next_call(0.1)
+    assert isinstance(call, ReadRecords)
+    assert call.offset == 1
+    held.follower.on_answer(0.2, RecordsRead((record("config", b"4", 1),), 2, 2))
+    assert held.taken == {"config": b"4"}
+
+
+def test_history_that_is_gone_does_not_make_it_start_for_ever() -> None:
+    held = Follower()
+    held.bootstrap(0.0, record("a", b"1", 3), end=9)
+    assert held.next_call(0.1).partition == Partition("t")
+    held.follower.on_answer(0.2, HistoryGone(9))
+    held.bootstrap(0.3, record("a", b"1", 3), end=9)
+    call = held.next_call(0.4)
+    assert isinstance(call, ReadRecords)
+    assert call.offset == 9
+
+
+def test_changes_between_pages_come_again() -> None:
+    held = Follower()
+    call = held.next_call(0.0)
+    held.follower.on_answer(0.0, NewestPage((record("a", b"1", 0),), True, 2))
+    call = held.next_call(0.1)
+    assert isinstance(call, ReadNewest)
+    assert call.after_key == "a"
+    # Meanwhile a changed at 2, and z came at 3.
+    held.follower.on_answer(0.1, NewestPage((record("z", b"1", 3),), False, 4))
+    call = held.next_call(0.2)
+    assert isinstance(call, ReadRecords)
+    assert call.offset <= 2
+
+
+def test_failures_are_made_up_for_with_longer_and_longer_time_outs() -> None:
+    held = Follower()
+    timeouts = []
+    now = 0.0
+    for _ in range(5):
+        timeouts.append(held.next_call(now).timeout)
+        held.follower.on_answer(now, CallFailed("lost", True))
+        now += 2.0
+    assert timeouts == sorted(timeouts)
+    assert timeouts[0] < 1.0 < timeouts[-1]
+
+
+def test_an_answer_that_never_comes_is_given_up() -> None:
+    held = Follower()
+    first = held.next_call(0.0)
+    assert held.follower.on_timer(held.follower.next_due() + 0.001) == []
+    again = held.next_call(held.follower.next_due() + 0.001)
+    assert again.call != first.call
+
+
+def test_reading_again_leaves_the_answer_in_flight_out() -> None:
+    held = Follower()
+    held.bootstrap(0.0, end=0)
+    waiting = held.next_call(0.1)
+    held.follower.read_again(0.2)
+    assert held.next_call(0.2).call != waiting.call
+    assert not held.follower.owns(waiting.call)
+
+
+def test_reads_are_paced_while_records_come() -> None:
+    held = Follower()
+    held.bootstrap(0.0, end=0)
+    held.next_call(0.0)
+    held.follower.on_answer(0.5, RecordsRead((record("a", b"1", 0),), 1, 1))
+    assert held.follower.on_timer(0.6) == []
+    held.next_call(0.7)
+
+
+def test_a_refresh_serves_all_who_asked_before_it_began() -> None:
+    held = Follower(wait=0.0, is_tailing=False)
+    held.bootstrap(0.0, end=0)
+    refresher = Refresher(held.follower, held.numbers)
+    served: list[tuple[str, bool]] = []
+    refresher.ask(lambda now, succeeded: served.append(("first", succeeded)))
+    (call,) = refresher.on_timer(0.1)
+    refresher.ask(lambda now, succeeded: served.append(("second", succeeded)))
+    refresher.on_answer(0.2, RecordsRead((record("a", b"1", 0),), 1, 1))
+    assert served == [("first", True)]
+    assert held.taken == {"a": b"1"}
+    (again,) = refresher.on_timer(0.2)
+    assert again.call != call.call
+    refresher.on_answer(0.3, CallFailed("down", False))
+    assert served == [("first", True), ("second", False)]
