Metrics at the last internal port, and the command explain

Change: counters and histograms fed by the decisions' log lines; explain reads logs of several daemons and tells one request's story with its cause; bad lines are counted.

--- /dev/null
+++ b/src/troutswitch/cli/explain.py
@@ -0,0 +1,107 @@
+"""Command `explain`: the story of one request or job from the logs of several daemons."""
+
+import json
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import click
+
+ID_FIELDS = ("request_id", "job_id", "item_id")
+HIDDEN_FIELDS = frozenset({*ID_FIELDS, "event", "level", "timestamp", "daemon"})
+NO_STORY = 1
+"""Exit code if no line names the id."""
+
+ENDINGS = {
+    "request given up": "given up",
+    "request refused": "refused",
+    "item listed": "listed",
+    "item given up": "dead-lettered",
+    "job does not fit": "refused: too many tokens wait",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """One log line; `order` is its place where times are equal."""
+
+    time: str
+    order: int
+    daemon: str
+    event: str
+    fields: dict[str, Any]
+
+
+@dataclass
+class Story:
+    """All lines that name an id, in order, and how many lines could not be read."""
+
+    lines: list[Line] = field(default_factory=list)
+    bad_lines: int = 0
+
+    def cause(self) -> str:
+        """Returns, in one line, where it ended and why."""
+        ends = [line for line in self.lines if line.event in ENDINGS]
+        if ends:
+            last = ends[-1]
+            reason = last.fields.get("reason", "")
+            return f"{ENDINGS[last.event]} at {last.daemon}: {reason}".rstrip(": ")
+        attempts = [line for line in self.lines if line.event == "attempt ended"]
+        if attempts:
+            last = attempts[-1]
+            waits = f"first {last.fields.get('first_ms')} ms, in all {last.fields.get('total_ms')}"
+            return f"{last.fields.get('kind')} at {last.daemon}, {waits} ms"
+        last = self.lines[-1]
+        return f"no end was logged; the last word is {last.event!r} at {last.daemon}"
+
+
+def read_story(identifier: str, texts: Iterable[str]) -> Story:
+    """Reads the lines that name an id; those that are no JSON are counted."""
+    story = Story()
+    for order, text in enumerate(texts):
+        start = text.find("{")
+        if start < 0:
+            story.bad_lines += bool(text.strip())
+            continue
+        try:
+            fields = json.loads(text[start:])
+        except ValueError:
+            story.bad_lines += 1
+            continue
+        if any(fields.get(name) == identifier for name in ID_FIELDS):
+            time = str(fields.get("timestamp", ""))
+            daemon, event = str(fields.get("daemon", "?")), str(fields.get("event", "?"))
+            story.lines.append(Line(time, order, daemon, event, fields))
+    story.lines.sort(key=lambda line: (line.time, line.order))
+    return story
+
+
+def tell(line: Line) -> str:
+    """Writes one line of a story."""
+    facts = [f"{k}={v}" for k, v in line.fields.items() if k not in HIDDEN_FIELDS and v != ""]
+    clock = re.sub(r"^.*T|Z$", "", line.time)
+    return f"{clock}  {line.daemon}  {line.event}  {' '.join(facts)}".rstrip()
+
+
+@click.command()
+@click.argument("identifier")
+@click.option("--logs", "paths", multiple=True, required=True, help="Log file; may be repeated.")
+def explain(identifier: str, paths: tuple[str, ...]) -> None:
+    """Tell the story of one request, item or job from daemons' logs."""
+    texts: list[str] = []
+    for path in paths:
+        try:
+            texts += Path(path).read_text(errors="replace").splitlines()
+        except OSError as error:
+            raise click.UsageError(f"{path}: {error.strerror}") from error
+    story = read_story(identifier, texts)
+    for line in story.lines:
+        click.echo(tell(line))
+    if story.bad_lines:
+        click.echo(f"({story.bad_lines} lines could not be read)")
+    if not story.lines:
+        click.echo(f"no line names {identifier}")
+        raise click.exceptions.Exit(NO_STORY)
+    click.echo(f"cause: {story.cause()}")
--- a/src/troutswitch/cli/main.py
+++ b/src/troutswitch/cli/main.py
@@ -9,6 +9,7 @@
 from troutswitch.cli.ctl import ctl
 from troutswitch.cli.daemon import daemon, settings
 from troutswitch.cli.demo import demo
+from troutswitch.cli.explain import explain
 from troutswitch.cli.gateway import gateway
 from troutswitch.cli.load import load
 from troutswitch.cli.scale import scale
@@ -23,6 +24,7 @@
 
 
 for command in (
+    explain,
     gateway,
     daemon,
     settings,
--- /dev/null
+++ b/src/troutswitch/gateway/metrics.py
@@ -0,0 +1,71 @@
+"""Counters and histograms of one gateway daemon, in the Prometheus text format.
+
+Label values are bounded: routes come from the configuration, outcomes and steps from
+enumerations. Times are seconds.
+"""
+
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from troutswitch.decisions.forwarding.messages import LogLine
+from troutswitch.decisions.gateway import GatewayCore
+
+SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+OTHER = "other"
+CONTENT_TYPE = "text/plain; version=0.0.4"
+
+
+class GatewayMetrics:
+    """Figures told at the metrics address; log lines feed those of requests."""
+
+    def __init__(self, core: GatewayCore) -> None:
+        self.registry = CollectorRegistry()
+        self._attempts = Counter(
+            "troutswitch_attempts",
+            "Attempts at servers by how they ended",
+            ["kind"],
+            registry=self.registry,
+        )
+        self._first = Histogram(
+            "troutswitch_first_event_seconds",
+            "Time from sending to the first event of an answer",
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+        self._ends = Counter(
+            "troutswitch_requests_given_up",
+            "Requests given up by outcome, step and route",
+            ["outcome", "step", "route"],
+            registry=self.registry,
+        )
+        self._events = Counter(
+            "troutswitch_decisions", "Decisions logged", ["event"], registry=self.registry
+        )
+        self._gauge("requests_in_flight", "Requests", lambda: len(core.requests.requests))
+        self._gauge("item_runs_in_flight", "Runs of items", lambda: len(core.jobs.owner.runs))
+        self._gauge("shards_owned", "Shards owned", lambda: len(core.jobs.ownership.owned()))
+        self._gauge("servers_known", "Servers known", lambda: len(core.servers.servers))
+        self._gauge("peers_known", "Peers known", lambda: len(core.peers.peers))
+        self._gauge("configuration_version", "Version in force", lambda: core.routes.version)
+
+    def _gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        gauge = Gauge(f"troutswitch_{name}", text, registry=self.registry)
+        gauge.set_function(read)
+
+    def on_line(self, line: LogLine) -> None:
+        """Counts what a log line tells."""
+        self._events.labels(line.event).inc()
+        fields = line.fields
+        if line.event in ("attempt ended", "item run ended"):
+            self._attempts.labels(str(fields.get("kind", OTHER))).inc()
+        first = fields.get("first_ms")
+        if line.event == "attempt ended" and isinstance(first, int) and first < 60_000:
+            self._first.observe(first / 1000)
+        if line.event == "request given up":
+            labels = (str(fields.get(name, OTHER)) for name in ("outcome", "step", "route"))
+            self._ends.labels(*labels).inc()
+
+    def text(self) -> bytes:
+        """Returns all figures as text."""
+        return generate_latest(self.registry)
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -23,6 +23,7 @@
 from troutswitch.gateway.itemruns import ItemRuns
 from troutswitch.gateway.jobcalls import JobCalls
 from troutswitch.gateway.loop import GatewayLoop
+from troutswitch.gateway.metrics import CONTENT_TYPE, GatewayMetrics
 from troutswitch.gateway.peersocket import ReportSocket
 from troutswitch.gateway.pulse import Pulse
 from troutswitch.gateway.registry import Relays
@@ -37,6 +38,8 @@
 CALLER_THREADS = 96
 """Requests in progress at once; more wait unread."""
 READINESS_THREADS = 1
+METRICS_THREADS = 1
+METRICS_PATH = "/metrics"
 CONNECTIONS_MOST = 2000
 STAY_SECONDS = 3.2
 """Time a stopping daemon stays for callers that do not know yet that it is not ready."""
@@ -87,6 +90,9 @@
         self.loop = GatewayLoop(self.core, self._relays, self.runner.carry_out, self._on_failure)
         self.runner.set_post(self.loop.post)
         self.runner.set_limits = self._set_limits
+        self._metrics = GatewayMetrics(self.core)
+        self.runner.on_line = self._metrics.on_line
+        self._metrics_server = self._make_metrics()
         self._callers = self._make_callers()
         self._readiness = self._make_readiness()
 
@@ -111,6 +117,21 @@
             CONNECTIONS_MOST,
         )
 
+    def _make_metrics(self) -> FrontServer | None:
+        """Makes the listener for metrics, at the last of the ports left to daemons."""
+        first, last = self.settings.peer_ports
+        if last <= first:
+            return None
+        address = Address(self.settings.peer_host, last)
+        return FrontServer(
+            self._answer_metrics, address, METRICS_THREADS, "metrics", CONNECTIONS_MOST
+        )
+
+    def _answer_metrics(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        if environ.get("PATH_INFO") != METRICS_PATH:
+            return send(Response(404, b"", "text/plain"), start_response)
+        return send(Response(200, self._metrics.text(), CONTENT_TYPE), start_response)
+
     def _answer_readiness(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         is_known = environ.get("PATH_INFO") == READINESS_PATH
         status = (200 if self.core.is_ready else 503) if is_known else 404
@@ -131,7 +152,7 @@
         """Starts listeners and loop."""
         self.loop.start()
         self._reports.start()
-        for server in (self._readiness, self._callers):
+        for server in (self._readiness, self._callers, self._metrics_server):
             if server is not None:
                 server.start()
         self._logger.info("daemon started", zone=self.settings.zone)
--- a/src/troutswitch/gateway/runner.py
+++ b/src/troutswitch/gateway/runner.py
@@ -45,6 +45,7 @@
         send_report: Callable[[SendReport], None],
         logger: structlog.typing.FilteringBoundLogger,
     ) -> None:
+        self.on_line: Callable[[LogLine], None] = lambda line: None
         self.set_limits: Callable[[LimitsChanged], None] = lambda change: None
         self._relays = relays
         self._connections = connections
@@ -64,6 +65,7 @@
         """Carries one instruction out; called on the loop's thread."""
         match instruction:
             case LogLine():
+                self.on_line(instruction)
                 self._logger.info(instruction.event, **instruction.fields)
             case SendRequest() | FinishRequest():
                 self._relays.direct(instruction)
