--- /dev/null
+++ b/tests/gateway/test_process.py
@@ -0,0 +1,270 @@
+"""One gateway daemon as a process, before stand-ins of the store and of servers."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from base64 import b64encode
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.platform.standins import ServerStandin, StoreStandin, configuration
+
+WAIT_SECONDS = 30.0
+HEADERS = {"Host": "h.example", "X-Troutswitch-Deadline-Ms": "9000"}
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return int(listener.getsockname()[1])
+
+
+def wait_for(condition: Callable[[], bool], what: str) -> None:
+    until = time.monotonic() + WAIT_SECONDS
+    while not condition():
+        assert time.monotonic() < until, f"not in time: {what}"
+        time.sleep(0.02)
+
+
+class Gateway:
+    """A gateway's process and its addresses."""
+
+    def __init__(self, store: StoreStandin, folder: Path) -> None:
+        self.front, self.ready, first = free_port(), free_port(), free_port()
+        settings = folder / "node.toml"
+        settings.write_text(
+            f"""
+nodeName = "edge-1"
+zone = "z"
+ip = "127.0.0.1"
+internalPorts = [{first}, {first + 1}]
+seedNodes = []
+somethingNew = true
+[listen]
+front = "127.0.0.1:{self.front}"
+ready = "127.0.0.1:{self.ready}"
+[platform]
+address = "{store.address}"
+[timingBounds]
+gracePeriodS = 8
+"""
+        )
+        environment = {**os.environ, "TROUTSWITCH_NODE_FILE": str(settings)}
+        self.metrics = first + 1
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "troutswitch.gateway"],
+            env=environment,
+            stdout=subprocess.DEVNULL,
+        )
+
+    def call(
+        self, method: str, path: str, body: bytes = b"", port: int = 0, **headers: str
+    ) -> tuple[int, dict[str, str], bytes]:
+        connection = http.client.HTTPConnection("127.0.0.1", port or self.front, timeout=20)
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        try:
+            connection.request(method, path, body, {**HEADERS, **named})
+            response = connection.getresponse()
+            return response.status, dict(response.getheaders()), response.read()
+        finally:
+            connection.close()
+
+    def is_ready(self) -> bool:
+        try:
+            return self.call("GET", "/readiness", port=self.ready)[0] == 200
+        except OSError:
+            return False
+
+    def stream(self, request_id: str) -> tuple[int, dict[str, str], bytes]:
+        return self.call("POST", "/chat/x?y=1", b"prompt", X_Troutswitch_Request_Id=request_id)
+
+
+@pytest.fixture
+def store() -> Iterator[StoreStandin]:
+    held = StoreStandin()
+    yield held
+    held.server.shutdown()
+
+
+@pytest.fixture
+def servers(store: StoreStandin) -> list[ServerStandin]:
+    held = [ServerStandin(f"i-{number}") for number in range(2)]
+    for server in held:
+        store.put("keyed.servers", server.server_id, server.record("service"))
+    return held
+
+
+@pytest.fixture
+def gateway(store: StoreStandin, servers: list[ServerStandin], tmp_path: Path) -> Iterator[Gateway]:
+    store.put("keyed.op", "config", configuration("service"))
+    held = Gateway(store, tmp_path)
+    wait_for(held.is_ready, "readiness")
+    yield held
+    held.process.kill()
+    held.process.wait()
+
+
+def whole(request_id: str, events: int = 5) -> bytes:
+    return b"".join(f"id: {n}\ndata: {request_id}-{n}\n\n".encode() for n in range(1, events + 1))
+
+
+def test_a_stream_comes_whole_with_its_server_s_signature(
+    gateway: Gateway, servers: list[ServerStandin]
+) -> None:
+    status, headers, body = gateway.stream("one")
+    assert (status, body) == (200, whole("one"))
+    assert headers["X-Troutswitch-Response-Stamp"] == "stamp-one"
+    method, path, sent, content = (servers[0].requests + servers[1].requests)[0]
+    assert (method, path, content) == ("POST", "/chat/x?y=1", b"prompt")
+    assert sent["host"] == "h.example"
+    assert 0 < int(sent["x-troutswitch-deadline-ms"]) <= 5000
+
+
+def test_a_stream_cut_inside_an_event_goes_on_at_another_server(
+    gateway: Gateway, servers: list[ServerStandin]
+) -> None:
+    for server in servers:
+        server.break_after = 2
+    with pytest.raises(http.client.IncompleteRead):
+        gateway.stream("two")  # the second attempt is the last: the answer has no end
+    servers[0].break_after = 2
+    for number in range(50):
+        assert gateway.stream(f"three-{number}")[2] == whole(f"three-{number}")
+        if servers[0].break_after == 0:
+            break
+    assert servers[0].break_after == 0
+
+
+def test_full_servers_are_refused_plainly_with_a_time_to_come_back(
+    gateway: Gateway, servers: list[ServerStandin]
+) -> None:
+    for server in servers:
+        server.is_full = True
+    status, headers, _ = gateway.stream("four")
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+
+
+def test_unknown_routes_and_bad_jobs_get_a_clear_answer(gateway: Gateway) -> None:
+    assert gateway.call("POST", "/none/x", X_Troutswitch_Request_Id="a")[0] == 404
+    assert gateway.call("POST", "/jobs/x", b"{", X_Troutswitch_Request_Id="a")[0] == 400
+    assert gateway.call("POST", "/chat/x", b"")[0] == 400
+    assert gateway.call("GET", "/lots/none")[0] == 404
+    assert gateway.call("POST", "/chat/x", b"", X_Big="x" * 20000)[0] == 431
+
+
+def submission(job_id: str, items: int) -> bytes:
+    rows = [
+        {
+            "id": f"{job_id}-{number}",
+            "path": f"/jobs/{number}",
+            "headers": {"X-Troutswitch-Model": "m"},
+            "body": b64encode(b"body").decode(),
+            "tokens": 100,
+        }
+        for number in range(items)
+    ]
+    return json.dumps({"requests": rows}).encode()
+
+
+def test_a_job_s_life(gateway: Gateway) -> None:
+    body = submission("j", 3)
+    for _ in range(2):  # a resend is the same job
+        assert gateway.call("POST", "/jobs/j", body, X_Troutswitch_Request_Id="j")[0] == 202
+    other = submission("j", 2)
+    assert gateway.call("POST", "/jobs/j", other, X_Troutswitch_Request_Id="j")[0] == 409
+    assert gateway.call("GET", "/items/j?id=j-1")[2] == b"body"
+    results: list[dict[str, str]] = []
+
+    def read() -> bool:
+        status, _, answer = gateway.call("GET", f"/lots/j?afterRevision={len(results)}")
+        assert status == 200
+        held = json.loads(answer)
+        assert held["total"] == 3
+        results.extend(held["results"])
+        assert held["nextToken"] == len(results)
+        return len(results) == 3
+
+    wait_for(read, "results")
+    for row in results:
+        assert row["state"] == "completed"
+        assert row["message"] == "\n".join(f"{row['id']}-{n}" for n in range(1, 6))
+    large = submission("k", 150)
+    assert gateway.call("POST", "/jobs/k", large, X_Troutswitch_Request_Id="k")[0] == 429
+    assert gateway.call("DELETE", "/lots/j")[0] == 200
+    assert gateway.call("DELETE", "/lots/j")[0] == 200
+
+
+def test_a_planned_stop_cuts_nothing(gateway: Gateway, servers: list[ServerStandin]) -> None:
+    for server in servers:
+        server.events, server.pause = 20, 0.05
+    answers: list[tuple[int, dict[str, str], bytes]] = []
+    caller = threading.Thread(target=lambda: answers.append(gateway.stream("stop")))
+    caller.start()
+    wait_for(lambda: any(s.requests for s in servers), "the request at a server")
+    gateway.process.send_signal(signal.SIGTERM)
+    wait_for(lambda: not gateway.is_ready(), "not ready")
+    assert gateway.process.poll() is None
+    assert gateway.stream("late")[0] == 200  # what still arrives is served
+    caller.join()
+    assert answers[0][2] == whole("stop", 20)
+    assert gateway.process.wait(WAIT_SECONDS) == 0
+
+
+def test_a_hangup_does_not_end_it(gateway: Gateway) -> None:
+    gateway.process.send_signal(signal.SIGHUP)
+    assert gateway.stream("hup")[0] == 200
+
+
+def test_metrics_are_served(gateway: Gateway) -> None:
+    gateway.stream("m")
+    status, _, text = gateway.call("GET", "/metrics", port=gateway.metrics)
+    assert status == 200
+    assert b'troutswitch_attempts_total{kind="completed"} 1.0' in text
+
+
+def test_before_a_configuration_it_is_not_ready_and_refuses(
+    store: StoreStandin, servers: list[ServerStandin], tmp_path: Path
+) -> None:
+    gateway = Gateway(store, tmp_path)
+    try:
+
+        def answers() -> bool:
+            try:
+                return gateway.call("GET", "/readiness", port=gateway.ready)[0] == 503
+            except OSError:
+                return False
+
+        wait_for(answers, "an answer on readiness")
+        status, headers, _ = gateway.stream("early")
+        assert status == 503
+        assert "Retry-After" in headers
+        store.put("keyed.op", "config", configuration("service"))
+        wait_for(gateway.is_ready, "readiness")
+    finally:
+        gateway.process.kill()
+        gateway.process.wait()
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [("zone = 1", "zone"), ('nodeName = "a"', "ip"), ("not toml", "")],
+)
+def test_wrong_settings_are_named_in_one_line(tmp_path: Path, text: str, named: str) -> None:
+    settings = tmp_path / "node.toml"
+    settings.write_text(text)
+    environment = {**os.environ, "TROUTSWITCH_NODE_FILE": str(settings)}
+    ended = subprocess.run(
+        [sys.executable, "-m", "troutswitch.gateway"], env=environment, capture_output=True
+    )
+    lines = ended.stderr.decode().strip().splitlines()
+    assert ended.returncode == 2
+    assert len(lines) == 1
+    assert named in lines[0]
