Finished jobs leave the store when their time is over

Cause: nothing removed what the store keeps of a job; at today's rates its 400 MB would be full in under half an hour, and then no job could be taken in. Change: owners remove the index's words of jobs past their time, then content that the index has not known for a minute (also what refused hand-ins left). Tests: removal through deaths of owners; open jobs stay. A test of metrics raced with the loop; it now waits for the count.

--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -77,6 +77,7 @@
     drain: float
     configuration_apply: float
     member_ttl_least: float
+    job_kept: float
     store_room: StoreRoom
 
 
@@ -136,6 +137,7 @@
             identity.name,
             identity.zone,
             identity.member_ttl_least,
+            identity.job_kept,
             self.routes,
             self.servers,
             self.numbers,
--- a/src/troutswitch/decisions/jobs/coordinator.py
+++ b/src/troutswitch/decisions/jobs/coordinator.py
@@ -22,6 +22,7 @@
 from troutswitch.decisions.jobs.ownership import ShardOwnership
 from troutswitch.decisions.jobs.reads import JobReads
 from troutswitch.decisions.jobs.replicas import JobReplicas
+from troutswitch.decisions.jobs.retention import JobRetention
 from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import StoreOutcome
 
@@ -47,6 +48,7 @@
         member: str,
         zone: str,
         ttl_least: float,
+        job_kept: float,
         routes: RouteTable,
         servers: ServerRegistry,
         numbers: CallNumbers,
@@ -74,6 +76,8 @@
             zone,
         )
 
+        self.retention = JobRetention(self.replicas, self.ownership, numbers, job_kept, self._log)
+
     def _answer(self, token: int, answer: JobAnswer) -> None:
         self._emit(AnswerJobCall(token, answer))
 
@@ -104,6 +108,8 @@
             self.ownership.on_answer(now, call, outcome)
         elif self.owner.owns(call):
             self.owner.on_answer(now, call, outcome)
+        elif self.retention.owns(call):
+            self.retention.on_answer(now, outcome)
         else:
             self._emit_all(self.replicas.on_answer(now, call, outcome) or [])
 
@@ -115,12 +121,14 @@
             self.reads.next_due(),
             self.ownership.next_due(),
             self.owner.next_due(),
+            self.retention.next_due(),
         )
 
     def on_timer(self, now: float) -> None:
         """Does what is due."""
         self._emit_all(self.ownership.on_timer(now))
         self._emit_all(self.owner.on_timer(now))
+        self._emit_all(self.retention.on_timer(now))
         self._go_on_draining(now)
         self._emit_all(self.intake.on_timer(now))
         self._emit_all(self.reads.on_timer(now))
--- /dev/null
+++ b/src/troutswitch/decisions/jobs/retention.py
@@ -0,0 +1,152 @@
+"""Removes what is kept of jobs whose time is over, so that the store does not fill.
+
+A job's words in the index go first; from then on it is unknown. What a shard holds of
+a job that the index has not known for a while goes next. The second rule also takes
+what a hand-in left that was refused, and what a removal left that was broken off.
+
+Removals carry no fence and are harmless any number of times: a job is removed only long
+after its client may read it, and a shard's content only while the index is read to
+its end all the time.
+"""
+
+from collections.abc import Callable
+
+from troutswitch.decisions.jobs.index import JobEntry
+from troutswitch.decisions.jobs.ownership import ShardOwnership
+from troutswitch.decisions.jobs.records import (
+    CHECKPOINT,
+    CHUNK,
+    END_MARK,
+    INDEX,
+    MANIFEST,
+    PROGRESS,
+    RESULT,
+    shard_partition,
+)
+from troutswitch.decisions.jobs.replicas import JobReplicas
+from troutswitch.decisions.jobs.shard import JobContent
+from troutswitch.decisions.storage.follower import CallNumbers
+from troutswitch.decisions.storage.messages import (
+    Appended,
+    AppendRecords,
+    KeyedRecord,
+    Partition,
+    StoreCall,
+    StoreOutcome,
+)
+
+LOOK_SECONDS = 5.0
+MARGIN_SECONDS = 30.0
+"""Time beyond a job's own for which it is kept all the same."""
+ORPHAN_SECONDS = 60.0
+"""Time for which the index must not know a job before its content is removed; well above
+the time that a hand-in, or an append without an answer, may take."""
+INDEX_FRESH_SECONDS = 3.0
+"""Age up to which the index counts as read to its end."""
+RECORDS_A_CALL = 200
+
+
+class JobRetention:
+    """Removals of one daemon, for the shards that it owns."""
+
+    def __init__(
+        self,
+        replicas: JobReplicas,
+        ownership: ShardOwnership,
+        numbers: CallNumbers,
+        job_kept: float,
+        log: Callable[..., None],
+    ) -> None:
+        self._replicas = replicas
+        self._ownership = ownership
+        self._numbers = numbers
+        self._job_kept = job_kept
+        self._log = log
+        self._look_at = float("-inf")
+        self._call = 0
+        self._removing: tuple[Partition, tuple[KeyedRecord, ...]] | None = None
+        self._orphan_since: dict[str, float] = {}
+
+    def next_due(self) -> float:
+        """Returns when `on_timer` has something to do."""
+        return self._look_at if self._ownership.claims else float("inf")
+
+    def on_timer(self, now: float) -> list[StoreCall]:
+        """Removes what is over, a call at a time."""
+        if now < self._look_at:
+            return []
+        self._look_at = now + LOOK_SECONDS
+        self._call = 0
+        if now - self._replicas.index_follower.current_at > INDEX_FRESH_SECONDS:
+            self._orphan_since.clear()
+            return []
+        shards = {claim.shard for claim in self._ownership.owned()}
+        return self._remove_expired(now, shards) or self._remove_orphans(now, shards)
+
+    def _remove_expired(self, now: float, shards: set[int]) -> list[StoreCall]:
+        expired = [
+            job_id
+            for job_id, entry in self._replicas.index.jobs.items()
+            if entry.manifest.shard in shards and self._is_over(now, entry)
+        ]
+        keys = [
+            f"{kind}:{job_id}"
+            for job_id in expired[: RECORDS_A_CALL // 3]
+            for kind in (MANIFEST, END_MARK, PROGRESS)
+        ]
+        return self._remove(INDEX, keys)
+
+    def _is_over(self, now: float, entry: JobEntry) -> bool:
+        return not entry.is_open and now - entry.seen_at > self._job_kept + MARGIN_SECONDS
+
+    def _remove_orphans(self, now: float, shards: set[int]) -> list[StoreCall]:
+        known = self._replicas.index.jobs
+        orphans = {
+            job_id: shard
+            for shard in sorted(shards)
+            for job_id in self._replicas.shard(shard).fold.jobs
+            if job_id not in known
+        }
+        self._orphan_since = {job_id: self._orphan_since.get(job_id, now) for job_id in orphans}
+        for job_id, shard in orphans.items():
+            if now - self._orphan_since[job_id] > ORPHAN_SECONDS:
+                content = self._replicas.shard(shard).fold.content(job_id)
+                return self._remove(shard_partition(shard), content_keys(job_id, content))
+        return []
+
+    def _remove(self, partition: Partition, keys: list[str]) -> list[StoreCall]:
+        if not keys:
+            return []
+        records = tuple(KeyedRecord(key, b"") for key in keys[:RECORDS_A_CALL])
+        self._call = self._numbers.next()
+        self._removing = (partition, records)
+        return [AppendRecords(self._call, partition, records)]
+
+    def owns(self, call: int) -> bool:
+        """Returns whether an answer belongs to a removal."""
+        return call == self._call != 0
+
+    def on_answer(self, now: float, outcome: StoreOutcome) -> None:
+        """Takes the outcome of a removal; one that failed is made again."""
+        self._call = 0
+        if not isinstance(outcome, Appended) or self._removing is None:
+            return
+        partition, records = self._removing
+        for record in records:
+            if partition == INDEX:
+                self._replicas.index.take(now, record)
+            else:
+                self._replicas.shard(partition.number).fold.take(record)
+        self._log("job records removed", topic=partition.topic, records=len(records))
+        self._look_at = now
+
+
+def content_keys(job_id: str, content: JobContent) -> list[str]:
+    """Returns the keys of all records of a job's content, its items last."""
+    keys = [f"{RESULT}:{job_id}:{position:05d}" for position in content.results]
+    keys += [
+        f"{CHECKPOINT}:{job_id}:{item:05d}:{part:05d}"
+        for item, parts in content.parts.items()
+        for part in parts
+    ]
+    return keys + [f"{CHUNK}:{job_id}:{number:05d}" for number in content.chunks]
--- a/src/troutswitch/decisions/jobs/shard.py
+++ b/src/troutswitch/decisions/jobs/shard.py
@@ -77,7 +77,7 @@
             return
         kind, job_id, number = split_key(record.key)
         if not record.value:
-            self.jobs.pop(job_id, None)
+            self._remove(kind, job_id, number)
             return
         content = self.jobs.setdefault(job_id, JobContent())
         try:
@@ -88,6 +88,18 @@
         except RecordError:
             self.malformed += 1
 
+    def _remove(self, kind: str, job_id: str, number: int) -> None:
+        """Forgets a record; a job is forgotten with the last one."""
+        content = self.jobs.get(job_id)
+        if content is None:
+            return
+        if kind == RESULT:
+            content.results.pop(number, None)
+        elif kind == CHUNK:
+            content.chunks.pop(number, None)
+        if not (content.chunks or content.results or content.parts):
+            del self.jobs[job_id]
+
     @staticmethod
     def _take_result(content: JobContent, position: int, result: ItemResult) -> None:
         content.results[position] = result
@@ -103,6 +115,10 @@
         if output is not None:
             content = self.jobs.setdefault(job_id, JobContent())
             content.parts.setdefault(item, {})[part] = output
+        elif (held := self.jobs.get(job_id)) is not None:
+            held.parts.get(item, {}).pop(part, None)
+            if not held.parts.get(item, True):
+                del held.parts[item]
 
     def content(self, job_id: str) -> JobContent:
         """Returns a job's content, empty if nothing of it was read."""
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -70,6 +70,7 @@
             settings.bounds.drain,
             settings.bounds.configuration_apply,
             settings.store.member_ttl_least,
+            settings.bounds.job_kept,
             StoreRoom(
                 settings.store.record_bytes, settings.store.call_bytes, settings.store.partitions
             ),
--- a/src/troutswitch/simulation/gatewayworld.py
+++ b/src/troutswitch/simulation/gatewayworld.py
@@ -79,6 +79,7 @@
 READ_INTERVAL_SECONDS = 0.5
 RESTART_SECONDS = 0.5
 CALL_SECONDS = 4.0
+JOB_KEPT_SECONDS = 120.0
 
 
 class PlainFormats:
@@ -191,6 +192,7 @@
             drain=2.0,
             configuration_apply=2.0,
             member_ttl_least=1.0,
+            job_kept=JOB_KEPT_SECONDS,
             store_room=StoreRoom(262_144, 2_097_152, 4),
         )
         rng = random.Random(self.rng.getrandbits(64))
@@ -396,7 +398,8 @@
         position = self.rng.choice([0, len(truth.results)])
         event = ResultsAsked(self.next_token(), truth.job_id, position, CALL_SECONDS)
         self.ask(self.any_daemon(), event, lambda answer: self._on_read(truth, answer))
-        self.after(READ_INTERVAL_SECONDS, lambda: self._read(truth))
+        if self.env.now < truth.accepted_at + JOB_KEPT_SECONDS:
+            self.after(READ_INTERVAL_SECONDS, lambda: self._read(truth))
 
     def _on_read(self, truth: JobTruth, answer: JobAnswer) -> None:
         if isinstance(answer, JobRefused) and answer.status == 404:
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -225,9 +225,13 @@
 
 def test_metrics_are_served(gateway: Gateway) -> None:
     gateway.stream("m")
-    status, _, text = gateway.call("GET", "/metrics", port=gateway.metrics)
-    assert status == 200
-    assert b'troutswitch_attempts_total{kind="completed"} 1.0' in text
+
+    def is_counted() -> bool:
+        status, _, text = gateway.call("GET", "/metrics", port=gateway.metrics)
+        assert status == 200
+        return b'troutswitch_attempts_total{kind="completed"} 1.0' in text
+
+    wait_for(is_counted, "the attempt in the metrics")  # its end reaches the loop a little later
 
 
 def test_before_a_configuration_it_is_not_ready_and_refuses(
--- a/tests/proofs/test_jobs.py
+++ b/tests/proofs/test_jobs.py
@@ -221,6 +221,31 @@
     check(world, 4)
 
 
+def test_finished_jobs_leave_the_store_when_their_time_is_over() -> None:
+    world = started(13)
+    for number in range(3):
+        world.hand_in(f"job{number}", 4)
+    world.run(20.0)
+    check(world, 3)
+    kept = [key for log in world.store.logs.values() for key in log.newest if "job" in key]
+    assert len(kept) > 3 * 4
+    for name in list(world.daemons)[:2]:
+        world.kill(name)  # an owner that dies half way leaves nothing behind
+        world.run(100.0)
+    world.run(300.0)
+    held = [key for log in world.store.logs.values() for key in log.newest if "job" in key]
+    assert held == []
+    assert all(not daemon.core.jobs.replicas.index.jobs for daemon in world.daemons.values())
+
+
+def test_open_jobs_stay_however_old_they_are() -> None:
+    world = started(14, servers=0)
+    world.hand_in("job", 2)
+    world.run(400.0)
+    assert "job" in world.any_daemon().core.jobs.replicas.index.jobs
+    assert world.violations == []
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_random_faults(seed: int) -> None:
     world = started(100 + seed)
