--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,42 @@
+import json
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from troutswitch.cli.explain import explain, read_story
+
+
+def line(time: str, daemon: str, event: str, **fields: object) -> str:
+    return json.dumps({"timestamp": time, "daemon": daemon, "event": event, **fields})
+
+
+STORY = [
+    line("T2", "b", "attempt ended", request_id="x", kind="cut", first_ms=9, total_ms=30),
+    line("T1", "a", "request sent", request_id="x", server="s1"),
+    "not a line of ours",
+    '{"timestamp": "T3", "cut',
+    line("T3", "a", "request sent", request_id="other"),
+    line("T4", "b", "request given up", request_id="x", reason="deadline reached"),
+]
+
+
+def test_lines_of_several_daemons_are_put_in_order() -> None:
+    story = read_story("x", STORY)
+    assert [held.event for held in story.lines] == [
+        "request sent",
+        "attempt ended",
+        "request given up",
+    ]
+    assert story.bad_lines == 2
+    assert story.cause() == "given up at b: deadline reached"
+
+
+def test_the_command_tells_the_story(tmp_path: Path) -> None:
+    for number, rows in enumerate((STORY[:2], STORY[2:])):
+        (tmp_path / f"{number}.log").write_text("\n".join(rows))
+    paths = [f"--logs={tmp_path / name}" for name in ("0.log", "1.log")]
+    told = CliRunner().invoke(explain, ["x", *paths])
+    assert told.exit_code == 0
+    assert told.output.splitlines()[-1] == "cause: given up at b: deadline reached"
+    assert CliRunner().invoke(explain, ["y", *paths]).exit_code == 1
+    assert CliRunner().invoke(explain, ["x", "--logs=/none"]).exit_code == 2
--- /dev/null
+++ b/tests/gateway/test_logging.py
@@ -0,0 +1,27 @@
+import os
+import time
+
+from troutswitch.gateway.logging import QUEUE_LINES_MOST, LineWriter
+
+
+def test_nobody_waits_for_an_output_that_nobody_reads() -> None:
+    """The pipe fills, then the queue; from then on lines are dropped and counted."""
+    _, writer = os.pipe()
+    lines = LineWriter(writer)
+    line = "x" * 1000 + "\n"
+    for _ in range(3 * QUEUE_LINES_MOST):
+        lines.write(line)
+    assert lines.dropped > 0
+
+
+def test_lines_are_written_in_order() -> None:
+    reader, writer = os.pipe()
+    lines = LineWriter(writer)
+    for number in range(100):
+        lines.write(f"{number}\n")
+    data = b""
+    until = time.monotonic() + 20
+    while data.count(b"\n") < 100 and time.monotonic() < until:
+        data += os.read(reader, 65536)
+    assert data.split() == [str(number).encode() for number in range(100)]
+    assert lines.dropped == 0
--- /dev/null
+++ b/tests/platform/test_forms.py
@@ -0,0 +1,210 @@
+import json
+from base64 import b64encode
+from functools import partial
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from troutswitch.decisions.jobs.messages import (
+    BodyAsked,
+    JobEndAsked,
+    JobRefused,
+    JobResults,
+    ResultsAsked,
+)
+from troutswitch.decisions.jobs.records import DEAD, DONE, ItemResult
+from troutswitch.decisions.storage.messages import KeyedRecord
+from troutswitch.platform.configuration import (
+    FormatError,
+    PlatformFormats,
+    decode_configuration,
+    decode_server,
+)
+from troutswitch.platform.jobs import (
+    JobFormatError,
+    call_target,
+    read_call,
+    read_submission,
+    write_answer,
+)
+from troutswitch.platform.requests import (
+    IncomingRequest,
+    item_headers,
+    read_prompt,
+    read_request,
+    server_headers,
+)
+from troutswitch.platform.store import decode_records, encode_records
+
+DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=60)
+
+
+def environ(**more: str) -> dict[str, str]:
+    return {
+        "REQUEST_METHOD": "POST",
+        "REQUEST_URI": "/a%20b/c?q=%2F",
+        "PATH_INFO": "/a b/c",
+        "HTTP_HOST": "h.example",
+        "HTTP_X_TROUTSWITCH_REQUEST_ID": "id-1",
+        "HTTP_X_TROUTSWITCH_DEADLINE_MS": "1500",
+        "HTTP_X_OTHER": "kept",
+        "HTTP_CONNECTION": "keep-alive",
+        "CONTENT_TYPE": "text/plain",
+        **more,
+    }
+
+
+def incoming(method: str = "GET", url: str = "/lots/j", request_id: str = "j") -> IncomingRequest:
+    path, _, query = url.partition("?")
+    shape = read_prompt("", "")
+    return IncomingRequest(request_id, method, url, "h", path, query, [], 4.0, "", shape)
+
+
+def test_a_request_keeps_its_url_and_headers_as_they_were() -> None:
+    request = read_request(environ())
+    assert request.url == "/a%20b/c?q=%2F"
+    assert (request.path, request.query) == ("/a%20b/c", "q=%2F")
+    sent = dict(server_headers(request, "i-9", 1.25, "7"))
+    assert sent["Host"] == "h.example"
+    assert sent["X-Troutswitch-Request-Id"] == "id-1"
+    assert sent["X-Other"] == "kept"
+    assert sent["Content-Type"] == "text/plain"
+    assert "Connection" not in sent
+    assert sent["X-Troutswitch-Expect-Instance"] == "i-9"
+    assert sent["X-Troutswitch-Deadline-Ms"] == "1250"
+    assert sent["Last-Event-Id"] == "7"
+
+
+def test_a_caller_cannot_name_the_instance() -> None:
+    forged = environ(HTTP_X_TROUTSWITCH_EXPECT_INSTANCE="i-0", HTTP_LAST_EVENT_ID="3")
+    sent = server_headers(read_request(forged), "i-9", 1.0, "")
+    named = [value for name, value in sent if name == "X-Troutswitch-Expect-Instance"]
+    assert named == ["i-9"]
+    assert not [value for name, value in sent if name == "Last-Event-Id"]
+
+
+def test_an_item_keeps_its_own_id() -> None:
+    rows = item_headers("h", "item", {"X-Troutswitch-Request-Id": "other", "A": "b"}, "i-1", "")
+    assert [v for n, v in rows if n == "X-Troutswitch-Request-Id"] == ["item"]
+    assert ("A", "b") in rows
+
+
+@DETERMINISTIC
+@given(st.text(max_size=30), st.text(max_size=60))
+def test_any_prompt_header_is_read_or_counts_as_unknown(usage: str, parts: str) -> None:
+    shape = read_prompt(usage, parts)
+    assert shape.shared_tokens == sum(part.tokens for part in shape.parts[:-1])
+
+
+def test_a_prompt_s_parts() -> None:
+    shape = read_prompt("1460,80", "5c1e:800,91bd:410,e440:250")
+    assert (shape.prompt_tokens, shape.output_tokens_most) == (1460, 80)
+    assert (shape.shared_tokens, shape.session_part) == (1210, "91bd")
+
+
+KEYS = st.text(min_size=1, max_size=40).filter(lambda key: len(key.encode()) <= 255)
+
+
+@DETERMINISTIC
+@given(st.lists(st.tuples(KEYS, st.binary(max_size=200)), max_size=8), st.integers(0, 1000))
+def test_records_come_back_as_they_went(rows: list[tuple[str, bytes]], offset: int) -> None:
+    records = tuple(KeyedRecord(key, value) for key, value in rows)
+    decoded = decode_records(encode_records(records), offset)
+    assert [(r.key, r.value) for r in decoded] == rows
+    assert [r.offset for r in decoded] == list(range(offset, offset + len(rows)))
+
+
+@DETERMINISTIC
+@given(st.integers(0, 40))
+def test_a_record_that_is_cut_is_left_out(length: int) -> None:
+    records = (KeyedRecord("a", b"12345"), KeyedRecord("b", b"67890"))
+    data = encode_records(records)
+    whole = decode_records(data[: min(length, len(data))], 0)
+    assert all((r.key, r.value) in (("a", b"12345"), ("b", b"67890")) for r in whole)
+
+
+@DETERMINISTIC
+@given(st.binary(max_size=60))
+def test_malformed_records_raise_one_error(data: bytes) -> None:
+    for decode in (decode_configuration, partial(decode_server, "i")):
+        try:
+            decode(data)
+        except FormatError:
+            continue
+
+
+def test_unknown_fields_of_a_configuration_are_ignored() -> None:
+    route = {
+        "name": "r",
+        "host": "h",
+        "pathPrefix": "/a/",
+        "routeType": "batch",
+        "backends": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+        "somethingNew": 1,
+        "retentionS": 60,
+    }
+    data = json.dumps({"version": 3, "routes": [route], "services": [], "new": {}}).encode()
+    held = PlatformFormats().configuration("config", data)
+    assert held is not None
+    assert [backend.weight for backend in held.routes[0].backends] == [90.0, 10.0]
+    assert held.routes[0].retention == 60.0
+    assert PlatformFormats().configuration("other", data) is None
+
+
+def submission(*items: dict[str, object]) -> bytes:
+    return json.dumps({"requests": list(items)}).encode()
+
+
+def item(name: str = "i") -> dict[str, object]:
+    body = b64encode(b"body").decode()
+    return {"id": name, "path": "/p", "headers": {"A": "b"}, "body": body, "tokens": 5}
+
+
+def test_a_hand_in_is_read() -> None:
+    event = read_submission(1, incoming("POST", "/jobs/j"), submission(item("a"), item("b")))
+    assert [held.item_id for held in event.items] == ["a", "b"]
+    assert event.items[0].body == b"body"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b"{}",
+        submission(),
+        submission(item("a"), item("a")),
+        submission(*(item(str(number)) for number in range(201))),
+        submission({"id": "a", "path": "/p", "body": "not base64!"}),
+    ],
+)
+def test_a_malformed_hand_in_is_refused(body: bytes) -> None:
+    with pytest.raises(JobFormatError):
+        read_submission(1, incoming("POST", "/jobs/j"), body)
+
+
+def test_calls_about_jobs() -> None:
+    def read(method: str, url: str) -> object:
+        request = incoming(method, url)
+        target = call_target(request)
+        assert target is not None
+        return read_call(1, request, target)
+
+    assert read("GET", "/lots/j?afterRevision=12") == ResultsAsked(1, "j", 12, 4.0)
+    assert read("GET", "/items/j?id=x") == BodyAsked(1, "j", "x", 4.0)
+    assert read("DELETE", "/lots/j") == JobEndAsked(1, "j", 4.0)
+    assert call_target(incoming("POST", "/lots/j")) is None
+    with pytest.raises(JobFormatError):
+        read("GET", "/lots/j?afterRevision=x")
+
+
+def test_results_and_refusals_are_written() -> None:
+    rows = (ItemResult("a", DONE, "one\ntwo"), ItemResult("b", DEAD, ""))
+    held = json.loads(write_answer(JobResults(9, 4, rows)).body)
+    assert (held["total"], held["nextToken"]) == (9, 6)
+    assert [row["state"] for row in held["results"]] == ["completed", "dead_lettered"]
+    assert held["results"][0]["message"] == "one\ntwo"
+    refused = write_answer(JobRefused(429, "full", 0.5))
+    assert refused.status == 429
+    assert dict(refused.headers)["Retry-After"] == "0.500"
