A next attempt goes on after what the caller has, not after what the loop heard

Trace: the first server's stream reached the caller, then the request ran at a second server from its beginning. The loop had left the first server for silence before it took the word that its events had come (a machine that stood still or lost its place handles its timer first), and so told the second attempt to begin at the beginning. Ruled out: servers (each run is whole), resends (one client attempt). Change: the relay's thread, which alone knows what the caller has, names the event to go on after; a partly delivered answer that cannot be resumed is never begun anew. Tests fail without the change.

--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -323,7 +323,8 @@
             passed = MayHaveRun(event.reason, Step.RELAY, request.server_id)
             return [line, FinishRequest(request.arrival.token, passed, passes_on=True)]
         ran = [kind for kind in request.kinds if kind not in RAN_NOTHING]
-        if ran and not request.route.is_repeatable:
+        may_go_on = request.route.is_resumable or not request.delivered
+        if ran and not (request.route.is_repeatable and may_go_on):
             return [line, *self._give_up(now, request, event.reason, Step.RELAY)]
         if len(ran) >= request.route.attempts_most:
             return [line, *self._give_up(now, request, event.reason, Step.RELAY)]
--- a/src/troutswitch/gateway/relay.py
+++ b/src/troutswitch/gateway/relay.py
@@ -107,10 +107,18 @@
         finally:
             exchange.close()
 
+    def _resume_after(self, directive: SendRequest) -> str:
+        """Returns the event after which an attempt goes on.
+
+        What this thread gave to the caller counts, not what the loop has heard of: it may
+        have left a server before it took the word that events had come.
+        """
+        return self._splitter.last_id if self._delivered else directive.resume_after
+
     def _outgoing(self, directive: SendRequest) -> OutgoingRequest:
         request = self.request
         headers = server_headers(
-            request, directive.server_id, directive.time_left, directive.resume_after
+            request, directive.server_id, directive.time_left, self._resume_after(directive)
         )
         return OutgoingRequest(request.request_id, request.method, request.url, headers, self.body)
 
@@ -133,7 +141,7 @@
     def _stream(
         self, directive: SendRequest, exchange: Exchange, head: AnswerHead
     ) -> Iterator[bytes]:
-        splitter = EventSplitter(directive.resume_after)
+        splitter = EventSplitter(self._resume_after(directive))
         self._splitter = splitter
         event_at = time.monotonic()
         for data in exchange.chunks():
--- a/tests/decisions/forwarding/test_requests.py
+++ b/tests/decisions/forwarding/test_requests.py
@@ -161,3 +161,10 @@
     world = World(route(kind=RouteKind.JOBS))
     outcome = finished(world.arrive(0.0, arrival(1))).outcome
     assert isinstance(outcome, NotRun)
+
+
+def test_a_repeatable_answer_of_which_a_part_was_delivered_is_not_begun_anew() -> None:
+    world = World(route(kind=RouteKind.REPEATABLE, resumable=False))
+    first = sent(world.arrive(0.0, arrival(1)))
+    outcome = finished(world.end(0.1, first, AttemptKind.CUT, position="3", delivered=3)).outcome
+    assert isinstance(outcome, Cut)
--- /dev/null
+++ b/tests/gateway/test_relay.py
@@ -0,0 +1,68 @@
+import threading
+
+from tests.platform.standins import ServerStandin
+from troutswitch.decisions.forwarding.messages import (
+    RequestArrived,
+    RequestAttemptEnded,
+    SendRequest,
+)
+from troutswitch.decisions.forwarding.types import PromptShape
+from troutswitch.gateway.exchange import ServerConnections
+from troutswitch.gateway.pulse import Pulse
+from troutswitch.gateway.registry import Relays
+from troutswitch.gateway.relay import Relay
+from troutswitch.outcomes import AttemptKind
+from troutswitch.platform.requests import IncomingRequest
+
+
+class LateLoop:
+    """Answers a relay as a loop does that has not yet heard of an answer's events.
+
+    It left the first server for silence before it took the word that events came, and so
+    tells the next attempt to begin at the beginning.
+    """
+
+    def __init__(self, relays: Relays, servers: list[ServerStandin]) -> None:
+        self.ended: list[RequestAttemptEnded] = []
+        self._relays = relays
+        self._servers = servers
+
+    def post(self, event: object) -> None:
+        if isinstance(event, RequestArrived):
+            self._send(event.token, 1)
+        elif isinstance(event, RequestAttemptEnded):
+            self.ended.append(event)
+            if event.attempt < len(self._servers):
+                self._send(event.token, event.attempt + 1)
+
+    def _send(self, token: int, attempt: int) -> None:
+        server = self._servers[attempt - 1]
+        send = SendRequest(token, attempt, server.server_id, server.address, 5.0, 2.0, "")
+        threading.Timer(0.0, lambda: self._relays.direct(send)).start()
+
+
+def run() -> tuple[list[ServerStandin], LateLoop, bytes]:
+    servers = [ServerStandin("one"), ServerStandin("two")]
+    servers[0].break_after = 2
+    relays = Relays()
+    loop = LateLoop(relays, servers)
+    request = IncomingRequest("x", "POST", "/a", "h", "/a", "", [], 5.0, "", PromptShape())
+    request.headers.append(("X-Troutswitch-Request-Id", "x"))
+    relay = Relay(1, request, b"body", relays, ServerConnections(), loop.post, Pulse(loop.post))
+    chunks = relay.run()
+    data = b""
+    for chunk in chunks:
+        data += chunk
+        if len(loop.ended) == len(servers):
+            break
+    return servers, loop, data
+
+
+def test_a_next_attempt_goes_on_after_what_the_caller_has() -> None:
+    """Found by a hunt (ORDER: a piece came twice): the loop woke from a freeze, left the
+    server for silence before it took the word that events had come, and had the request
+    run from its beginning, while the caller had its first events already."""
+    servers, loop, data = run()
+    assert data == b"".join(f"id: {n}\ndata: x-{n}\n\n".encode() for n in range(1, 6))
+    assert servers[1].requests[0][2]["last-event-id"] == "2"
+    assert loop.ended[-1].kind is AttemptKind.COMPLETED
