Another run's saved output is not taken for ours because positions are alike

A part of another owner's run then stood before its own, and a successor joined the two. Change: the texts are compared too; on any difference the item begins anew from the store. Test: fails without the change.

--- a/src/troutswitch/decisions/jobs/items.py
+++ b/src/troutswitch/decisions/jobs/items.py
@@ -66,6 +66,15 @@
         ensure(self.saved_position == part.position, "a part was saved that is not known")
         self.parts += 1
 
+    def _text_up_to(self, position: str) -> str | None:
+        """Returns the output that is not saved yet up to a position, if it is reached."""
+        texts: list[str] = []
+        for event in self.unsaved:
+            texts.append(event.text)
+            if event.position == position:
+                return "\n".join(texts)
+        return None
+
     def agrees_with(self, parts: list[OutputPart]) -> bool:
         """Makes sure that the saved parts are those of this output.
 
@@ -75,8 +84,7 @@
         if len(parts) < self.parts:
             return False
         for part in parts[self.parts :]:
-            known = any(event.position == part.position for event in self.unsaved)
-            if part.after != self.saved_position or not known:
+            if part.after != self.saved_position or part.text != self._text_up_to(part.position):
                 return False
             self.on_saved(part)
         return True
--- a/tests/decisions/jobs/test_parts.py
+++ b/tests/decisions/jobs/test_parts.py
@@ -85,6 +85,13 @@
         held.restore([OutputPart("", "7", "other")])
 
 
+def test_another_s_output_up_to_a_known_position_is_not_taken_for_ours() -> None:
+    """Two owners in turn run an item: positions are alike, but the runs are not."""
+    held = progress()
+    held.add(events(1, 2, 3))
+    assert not held.agrees_with([OutputPart("", "2", "of another run")])
+
+
 # Index and records.
 
 
