A begun batch item no longer counts as waiting to be read

The logs of all daemons together show that 80 in 100 of the late ones went to a server with 24 requests on 17 slots, of which 21 were online, while another server had 11. The dispatch of events in GatewayCore named each job event and left out ItemBegun, so the prompt of a running item (about 1,600 tokens) counted as waiting until its end 5 s later. Placement fled servers with batch items and crowded the others. Ruled out: saturation (17.5 of 17 slots is the mean of all servers at those moments, but the least loaded had 11); stale load reports alone (told 20.6 against 24.3 there). Change: every job event goes to the coordinator; an event that nobody takes is an error. Test: tests/decisions/jobs/test_begun.py, two of three fail without the change.

--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -27,16 +27,8 @@
     RequestLimits,
     ServerRecord,
 )
-from troutswitch.decisions.jobs.coordinator import JobCoordinator
+from troutswitch.decisions.jobs.coordinator import JobCoordinator, JobEvent
 from troutswitch.decisions.jobs.intake import StoreRoom
-from troutswitch.decisions.jobs.messages import (
-    BodyAsked,
-    ItemProgressed,
-    ItemRunEnded,
-    JobEndAsked,
-    JobSubmitted,
-    ResultsAsked,
-)
 from troutswitch.decisions.peers.loads import PeerLoads, ReportReceived
 from troutswitch.decisions.storage.follower import CallNumbers, PartitionFollower
 from troutswitch.decisions.storage.messages import (
@@ -179,14 +171,7 @@
                 self._instructions += self.requests.on_attempt_ended(now, event)
             case CallerGone():
                 self._instructions += self.requests.on_caller_gone(now, event)
-            case (
-                JobSubmitted()
-                | ResultsAsked()
-                | BodyAsked()
-                | JobEndAsked()
-                | ItemRunEnded()
-                | ItemProgressed()
-            ):
+            case _ if isinstance(event, JobEvent):
                 self.jobs.on_event(now, event)
             case ServerHeard():
                 self.servers.on_heard(now, event.server_id)
@@ -202,6 +187,8 @@
                 self._log("drain started", in_flight=len(self.requests.requests))
             case TimerFired():
                 pass
+            case _:
+                raise TypeError(f"unknown event {type(event).__name__}")
         self._on_timer(now)
         self.requests.validate()
         instructions, self._instructions = self._instructions, []
--- /dev/null
+++ b/tests/decisions/jobs/test_begun.py
@@ -0,0 +1,45 @@
+"""An item's prompt counts as waiting at its server only until the run has begun."""
+
+from troutswitch.decisions.jobs.messages import ItemBegun
+from troutswitch.simulation.gatewayworld import Daemon, GatewayWorld
+
+START_SECONDS = 3.0
+AFTER_START_SECONDS = 0.3
+
+
+def waiting_prefill(daemon: Daemon) -> int:
+    return sum(server.prefill_tokens for server in daemon.core.servers.servers.values())
+
+
+def test_a_begun_item_no_longer_waits_to_be_read() -> None:
+    world = GatewayWorld(1)
+    world.run(START_SECONDS)
+    world.hand_in("job", 3, tokens=1000)
+    for _ in range(40):
+        world.run(0.05)
+        owner = next((d for d in world.daemons.values() if d.core.jobs.owner.runs), None)
+        if owner is not None:
+            break
+    assert owner is not None
+    world.run(AFTER_START_SECONDS)
+    assert owner.core.jobs.owner.runs
+    assert all(run.is_begun for run in owner.core.jobs.owner.runs.values())
+    assert waiting_prefill(owner) == 0
+
+
+def test_an_event_that_nobody_takes_is_an_error() -> None:
+    world = GatewayWorld(1)
+    daemon = next(iter(world.daemons.values()))
+    try:
+        daemon.core.step(0.0, object())
+    except TypeError:
+        return
+    raise AssertionError("an unknown event was passed over")
+
+
+def test_a_word_of_a_run_that_is_over_changes_nothing() -> None:
+    world = GatewayWorld(1)
+    world.run(START_SECONDS)
+    daemon = next(iter(world.daemons.values()))
+    daemon.core.step(START_SECONDS, ItemBegun(999))
+    assert waiting_prefill(daemon) == 0
