Load reports cross each zone boundary once; batch items start to 0.8 of all slots, yield above 0.95

Batch items alone were held to 0.42 of a server's slots although online leaves far more between its peaks: their mean need is 0.3 to 0.45 of all slots, their room was about that, so each lost server made them late. Ruled out: prefill alone (late requests at servers that were not full: 93 of 209).

--- a/src/troutswitch/daemons/loadreport.py
+++ b/src/troutswitch/daemons/loadreport.py
@@ -1,12 +1,13 @@
 """The datagram with which daemons tell each other their requests in flight."""
 
 from dataclasses import dataclass
+from typing import Any
 
 import cbor2
 
-from troutswitch.common import stable_hash
+from troutswitch.common import Address, stable_hash
 
-VERSION = 3
+VERSION = 4
 PREFILL_UNIT_TOKENS = 256
 """Unit in which prompt tokens are told, rounded up."""
 SERVER_KEY_MASK = 0xFFFFFFFF
@@ -34,15 +35,22 @@
     """All of one daemon's requests in flight; servers with none are left out.
 
     `sequence` rises with each report of one life of the sender; `life` names the life.
-    `configuration_version` is the version that the sender acts on.
+    `address` is where the sender takes reports: a report may come through another daemon.
+    `configuration_version` is the version that the sender acts on, `waiting_items` the
+    batch items that it could start now. `spreads` asks the receiver to pass the report on
+    to the other daemons of its zone.
     """
 
     sender: str
+    zone: str
+    address: Address
     life: int
     sequence: int
     shares: tuple[ServerShare, ...]
     configuration_version: int = -1
     is_leaving: bool = False
+    waiting_items: int = 0
+    spreads: bool = False
 
 
 def server_key(server_id: str) -> int:
@@ -61,10 +69,15 @@
         [
             VERSION,
             report.sender,
+            report.zone,
+            report.address.host,
+            report.address.port,
             report.life,
             report.sequence,
             report.configuration_version,
             report.is_leaving,
+            report.waiting_items,
+            report.spreads,
             shares,
         ]
     )
@@ -77,11 +90,26 @@
         DatagramError: the bytes are no report of this version.
     """
     try:
-        version, sender, life, sequence, held, is_leaving, numbers = cbor2.loads(data)
-        rows = zip(*(numbers[place::4] for place in range(4)), strict=True)
-        shares = tuple(ServerShare(int(k), int(o), int(b), int(p)) for k, o, b, p in rows)
+        version, *fields = cbor2.loads(data)
+        if version != VERSION:
+            raise DatagramError(f"report of version {version}")
+        return _report(fields)
     except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
         raise DatagramError(f"malformed report: {error}") from error
-    if version != VERSION:
-        raise DatagramError(f"report of version {version}")
-    return LoadReport(str(sender), int(life), int(sequence), shares, int(held), bool(is_leaving))
+
+
+def _report(fields: list[Any]) -> LoadReport:
+    sender, zone, host, port, life, sequence, held, leaving, waiting, spreads, numbers = fields
+    rows = zip(*(numbers[place::4] for place in range(4)), strict=True)
+    return LoadReport(
+        str(sender),
+        str(zone),
+        Address(str(host), int(port)),
+        int(life),
+        int(sequence),
+        tuple(ServerShare(int(k), int(o), int(b), int(p)) for k, o, b, p in rows),
+        int(held),
+        bool(leaving),
+        int(waiting),
+        bool(spreads),
+    )
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -136,14 +136,16 @@
             identity.store_room,
             rng,
             self._emit,
-            lambda: 1 + self.peers.live_count(self._now),
+            lambda: 1 + self.peers.count_starting(),
         )
 
         self.peers = PeerLoads(
             identity.name,
+            identity.zone,
             identity.peer_address,
             self.servers,
             lambda: self.routes.version,
+            lambda: self.jobs.owner.waiting_items,
             self.numbers,
             rng,
             self._log,
@@ -176,7 +178,7 @@
             case ServerHeard():
                 self.servers.on_heard(now, event.server_id)
             case ReportReceived():
-                self.peers.on_report(now, event)
+                self._instructions += self.peers.on_report(now, event)
                 self._on_peer_version(now, event)
             case StoreAnswered():
                 self._on_store(now, event.call, event.outcome)
--- a/src/troutswitch/decisions/jobs/coordinator.py
+++ b/src/troutswitch/decisions/jobs/coordinator.py
@@ -55,7 +55,7 @@
         room: StoreRoom,
         rng: random.Random,
         emit: Callable[[object], None],
-        daemons: Callable[[], int],
+        starters: Callable[[], int],
     ) -> None:
         self._emit = emit
         self._drain_until = float("inf")
@@ -72,7 +72,7 @@
             room.call_bytes,
             rng,
             self._log,
-            lambda: min(room.shards, daemons()),
+            starters,
             zone,
         )
 
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -101,7 +101,7 @@
         call_bytes: int,
         rng: random.Random,
         log: Callable[..., None],
-        owners: Callable[[], int],
+        starters: Callable[[], int],
         zone: str,
         policy: BatchRoomPolicy | None = None,
     ) -> None:
@@ -120,7 +120,8 @@
         self._policy = policy or BatchRoomPolicy()
         self._run_numbers = itertools.count(1)
         self._tick_at = float("-inf")
-        self._owners = owners
+        self.waiting_items = 0
+        self._starters = starters
         self._allowed: dict[tuple[str, bool], int] = {}
         self._asked_shards: set[int] = set()
 
@@ -144,6 +145,7 @@
         for claim in owned.values():
             if self.writer.begin_epoch(claim):
                 self._compare_saved(claim.shard)
+        self.waiting_items = 0
         if not self.is_draining:
             instructions += self._start_items(now, owned)
         for claim in owned.values():
@@ -226,7 +228,9 @@
     def _start_items(self, now: float, owned: dict[int, ShardClaim]) -> list[Instruction]:
         instructions: list[Instruction] = []
         self._allowed = {}
-        for progress in self._candidates(now, owned):
+        candidates = self._candidates(now, owned)
+        self.waiting_items = len(candidates)
+        for progress in candidates:
             if len(self.runs) >= RUNS_MOST or len(instructions) >= STARTS_A_TICK:
                 break
             instructions += self._try_start(now, progress)
@@ -328,7 +332,7 @@
         key = (server.record.server_id, is_pressing)
         allowed = self._allowed.get(key)
         if allowed is None:
-            part = TICK_SECONDS / PEERS_LAG_SECONDS / max(1, self._owners())
+            part = TICK_SECONDS / PEERS_LAG_SECONDS / max(1, self._starters())
             shares = self._policy.pressing if is_pressing else self._policy.relaxed
             allowed = own_part(free_slots(now, server, shares), part, self._rng)
             self._allowed[key] = allowed
--- a/src/troutswitch/decisions/jobs/room.py
+++ b/src/troutswitch/decisions/jobs/room.py
@@ -28,10 +28,10 @@
     bounds the tokens of this daemon's own requests.
     """
 
-    relaxed: BatchShares = BatchShares(0.42, 0.75)
-    pressing: BatchShares = BatchShares(0.7, 0.9)
+    relaxed: BatchShares = BatchShares(0.8, 0.8)
+    pressing: BatchShares = BatchShares(0.85, 0.88)
     pressing_age: float = 0.35
-    yield_share: float = 1.0
+    yield_share: float = 0.95
     memory_share: float = 0.85
 
     def is_pressing(self, age: float, objective: float) -> bool:
--- a/src/troutswitch/decisions/peers/loads.py
+++ b/src/troutswitch/decisions/peers/loads.py
@@ -4,13 +4,12 @@
 server, a few tenths of a second old. Peers are found through a keyed topic of the store;
 whoever is heard is a peer too, so a daemon that starts needs one reading.
 
-A report goes to a bounded number of peers, chosen at random, so that a daemon's traffic
-does not grow with the fleet; what is heard then lasts for longer.
+Who gets a report, and how often, is told in `spread`.
 """
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import cbor2
 
@@ -22,6 +21,13 @@
     server_key,
 )
 from troutswitch.decisions.forwarding.servers import ServerRegistry
+from troutswitch.decisions.peers.spread import (
+    PeerPlace,
+    quiet_interval,
+    recipients,
+    report_interval,
+    silence_limit,
+)
 from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import (
     Appended,
@@ -35,14 +41,6 @@
 )
 
 PEERS_TOPIC = "daemons"
-REPORT_SECONDS = 0.15
-"""Least interval between reports."""
-QUIET_REPORT_SECONDS = 0.6
-"""Interval between reports while nothing changes."""
-PEERS_A_REPORT = 24
-"""Peers that one report goes to."""
-SILENT_SECONDS = 2.0
-"""Silence after which a peer's requests no longer count, in a fleet told at once."""
 FORGET_SECONDS = 60.0
 """Silence after which a peer is sent nothing more."""
 READ_FIRST_SECONDS = 1.0
@@ -61,9 +59,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportReceived:
-    """Event: a peer's report came."""
+    """Event: a peer's report came, from it or through another daemon."""
 
-    sender: Address
     report: LoadReport
 
 
@@ -73,8 +70,10 @@
 
     address: Address
     heard_at: float
+    zone: str = ""
     life: int = -1
     sequence: int = -1
+    waiting_items: int = 0
     shares: dict[int, ServerShare] = field(default_factory=dict)
 
 
@@ -84,24 +83,28 @@
     def __init__(
         self,
         name: str,
+        zone: str,
         address: Address,
         servers: ServerRegistry,
         configuration_version: Callable[[], int],
+        waiting_items: Callable[[], int],
         numbers: CallNumbers,
         rng: random.Random,
         log: Callable[..., None],
     ) -> None:
         self.peers: dict[str, Peer] = {}
         self._name = name
+        self._zone = zone
         self._address = address
         self._servers = servers
         self._configuration_version = configuration_version
+        self._waiting_items = waiting_items
         self._numbers = numbers
         self._rng = rng
         self._log = log
         self._life = rng.getrandbits(31)
         self._sequence = 0
-        self._told: tuple[tuple[ServerShare, ...], int] = ((), -1)
+        self._told: tuple[tuple[ServerShare, ...], int, bool] = ((), -1, False)
         self._report_at = float("-inf")
         self._quiet_at = float("-inf")
         self._read_at = float("-inf")
@@ -124,7 +127,7 @@
         if now >= self._read_at:
             instructions.append(self._read(now))
         if now >= self._report_at:
-            self._report_at = now + REPORT_SECONDS
+            self._report_at = now + report_interval(len(self.peers))
             self._drop_silent(now)
             instructions += self._report(now)
         return instructions
@@ -132,16 +135,43 @@
     def _report(self, now: float, is_leaving: bool = False) -> list[StoreCall | SendReport]:
         shares = self._own_shares()
         version = self._configuration_version()
-        if (shares, version) == self._told and now < self._quiet_at and not is_leaving:
+        waiting = self._waiting_items()
+        told = (shares, version, waiting > 0)
+        if told == self._told and now < self._quiet_at and not is_leaving:
             return []
-        self._told = (shares, version)
-        self._quiet_at = now + QUIET_REPORT_SECONDS
+        self._told = told
+        self._quiet_at = now + quiet_interval(len(self.peers))
         self._sequence += 1
-        report = LoadReport(self._name, self._life, self._sequence, shares, version, is_leaving)
-        addresses = [peer.address for peer in self.peers.values()]
-        if len(addresses) > PEERS_A_REPORT:
-            addresses = self._rng.sample(addresses, PEERS_A_REPORT)
-        return [SendReport(tuple(addresses), report)] if addresses else []
+        return self._send(
+            now,
+            LoadReport(
+                self._name,
+                self._zone,
+                self._address,
+                self._life,
+                self._sequence,
+                shares,
+                version,
+                is_leaving,
+                waiting,
+            ),
+        )
+
+    def _send(self, now: float, report: LoadReport) -> list[StoreCall | SendReport]:
+        chosen = recipients(self._places(now), self._zone, self._rng)
+        instructions: list[StoreCall | SendReport] = []
+        if chosen.direct:
+            instructions.append(SendReport(chosen.direct, report))
+        if chosen.relays:
+            instructions.append(SendReport(chosen.relays, replace(report, spreads=True)))
+        return instructions
+
+    def _places(self, now: float) -> list[PeerPlace]:
+        oldest = now - silence_limit(len(self.peers))
+        return [
+            PeerPlace(peer.address, peer.zone, peer.heard_at >= oldest and peer.life >= 0)
+            for peer in self.peers.values()
+        ]
 
     def _own_shares(self) -> tuple[ServerShare, ...]:
         return tuple(
@@ -161,23 +191,33 @@
 
     # Reports in.
 
-    def on_report(self, now: float, event: ReportReceived) -> None:
-        """Takes a peer's report, unless a newer one of the same life was taken."""
+    def on_report(self, now: float, event: ReportReceived) -> list[SendReport]:
+        """Takes a peer's report, unless a newer one of the same life was taken.
+
+        Returns the report to be passed on in this zone, where its sender asks for that.
+        """
         report = event.report
         if report.sender == self._name:
-            return
+            return []
         peer = self.peers.get(report.sender)
         if peer is None:
-            peer = Peer(event.sender, now)
+            peer = Peer(report.address, now)
             self.peers[report.sender] = peer
         is_old = report.life == peer.life and report.sequence <= peer.sequence
         if is_old:
-            return
-        peer.address = event.sender
+            return []
+        peer.address = report.address
+        peer.zone = report.zone
         peer.heard_at = now
         peer.life = report.life
         peer.sequence = report.sequence
+        peer.waiting_items = report.waiting_items
         self._set_shares(peer, {share.server_key: share for share in report.shares})
+        return self._pass_on(report) if report.spreads else []
+
+    def _pass_on(self, report: LoadReport) -> list[SendReport]:
+        near = tuple(peer.address for peer in self.peers.values() if peer.zone == self._zone)
+        return [SendReport(near, replace(report, spreads=False))] if near else []
 
     def _set_shares(self, peer: Peer, shares: dict[int, ServerShare]) -> None:
         by_key = {server_key(name): server for name, server in self._servers.servers.items()}
@@ -194,26 +234,25 @@
         peer.shares = shares
 
     def _drop_silent(self, now: float) -> None:
-        rounds = max(1.0, len(self.peers) / PEERS_A_REPORT)
+        limit = silence_limit(len(self.peers))
         for name, peer in list(self.peers.items()):
             silence = now - peer.heard_at
-            if silence > SILENT_SECONDS * rounds and peer.shares:
+            if silence > limit and (peer.shares or peer.waiting_items):
                 self._set_shares(peer, {})
+                peer.waiting_items = 0
             if silence > FORGET_SECONDS:
                 del self.peers[name]
 
-    def live_count(self, now: float) -> int:
-        """Returns the peers that were heard lately."""
-        rounds = max(1.0, len(self.peers) / PEERS_A_REPORT)
-        oldest = now - SILENT_SECONDS * rounds
-        return sum(peer.heard_at >= oldest and peer.life >= 0 for peer in self.peers.values())
+    def count_starting(self) -> int:
+        """Returns the peers that have batch items to start."""
+        return sum(peer.waiting_items > 0 for peer in self.peers.values())
 
     # Discovery.
 
     def _write(self, now: float) -> StoreCall:
         self._write_at = now + CALL_LOST_SECONDS
         self._write_call = self._numbers.next()
-        value = cbor2.dumps([self._address.host, self._address.port])
+        value = cbor2.dumps([self._address.host, self._address.port, self._zone])
         record = KeyedRecord(self._name, value)
         return AppendRecords(self._write_call, Partition(PEERS_TOPIC), (record,))
 
@@ -243,8 +282,8 @@
         if record.key == self._name or record.key in self.peers:
             return
         try:
-            host, port = cbor2.loads(record.value)
+            host, port, zone = cbor2.loads(record.value)
         except (cbor2.CBORDecodeError, ValueError, TypeError):
             self._log("peer record malformed", peer=record.key)
             return
-        self.peers[record.key] = Peer(Address(str(host), int(port)), now)
+        self.peers[record.key] = Peer(Address(str(host), int(port)), now, str(zone))
--- a/src/troutswitch/gateway/peersocket.py
+++ b/src/troutswitch/gateway/peersocket.py
@@ -37,7 +37,7 @@
     def _run(self) -> None:
         while True:
             try:
-                datagram, (host, port) = self._socket.recvfrom(DATAGRAM_BYTES_MOST)
+                datagram = self._socket.recv(DATAGRAM_BYTES_MOST)
             except ConnectionRefusedError:
                 continue
             except OSError:
@@ -46,4 +46,4 @@
                 report = decode_report(datagram)
             except DatagramError:
                 continue
-            self._post(ReportReceived(Address(host, port), report))
+            self._post(ReportReceived(report))
