Items that can still be in time start first, the least urgent yield first

Ruled out: ownership (a shard without owner for at most 0.6 s, 8 s in all over eight shards); the store. Change: decisions/jobs/selection.py orders items by whether they can be done in time, then by when they are due, then by how far they are; decisions/jobs/pace.py learns how long runs take.

--- a/src/troutswitch/decisions/jobs/items.py
+++ b/src/troutswitch/decisions/jobs/items.py
@@ -48,6 +48,11 @@
         self.unsaved.extend(events)
         self.position = events[-1].position
 
+    @property
+    def events_done(self) -> int:
+        """Events made so far, as their ids tell; 0 where ids are no numbers."""
+        return int(self.position) if self.position.isdigit() else 0
+
     @property
     def output(self) -> str:
         """The output so far."""
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -17,10 +17,8 @@
 from dataclasses import dataclass
 
 from troutswitch.decisions.forwarding.messages import LogLine
-from troutswitch.decisions.forwarding.placement import placement_cost
-from troutswitch.decisions.forwarding.routes import RouteTable, choose_service
+from troutswitch.decisions.forwarding.routes import RouteTable
 from troutswitch.decisions.forwarding.servers import RequestSize, Server, ServerRegistry
-from troutswitch.decisions.forwarding.types import Route
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.jobs.index import JobEntry
 from troutswitch.decisions.jobs.items import ItemProgress
@@ -34,22 +32,17 @@
 from troutswitch.decisions.jobs.ownership import ShardClaim, ShardOwnership
 from troutswitch.decisions.jobs.records import DEAD, DONE, ItemResult
 from troutswitch.decisions.jobs.replicas import JobReplicas
-from troutswitch.decisions.jobs.room import (
-    BatchRoomPolicy,
-    free_slots,
-    has_memory,
-    own_part,
-    surplus,
+from troutswitch.decisions.jobs.room import BatchRoomPolicy, own_part, surplus
+from troutswitch.decisions.jobs.selection import (
+    PEERS_LAG_SECONDS,
+    TICK_SECONDS,
+    ItemSelection,
 )
 from troutswitch.decisions.jobs.writer import ShardWriter
 from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import StoreCall, StoreOutcome
 from troutswitch.outcomes import AttemptKind
 
-TICK_SECONDS = 0.1
-"""Interval between looks for work."""
-PEERS_LAG_SECONDS = 0.25
-"""Time after which peers have heard of a step taken here."""
 RUNS_MOST = 64
 """Items that run at once from this daemon."""
 STARTS_A_TICK = 8
@@ -74,6 +67,7 @@
     server_id: str
     started_at: float
     size: RequestSize
+    events_before: int
     is_begun: bool = False
     is_stopped: bool = False
 
@@ -116,13 +110,13 @@
         self.writer = ShardWriter(replicas, ownership, numbers, call_bytes, self._on_listed, log)
         self._rng = rng
         self._log = log
-        self._zone = zone
         self._policy = policy or BatchRoomPolicy()
+        self._selection = ItemSelection(
+            routes, servers, replicas.index, rng, starters, zone, self._policy
+        )
         self._run_numbers = itertools.count(1)
         self._tick_at = float("-inf")
         self.waiting_items = 0
-        self._starters = starters
-        self._allowed: dict[tuple[str, bool], int] = {}
         self._asked_shards: set[int] = set()
 
     # Timers.
@@ -205,29 +199,29 @@
         return is_open and progress.shard in self._ownership.claims
 
     def _yield_slots(self, now: float) -> list[Instruction]:
-        """Stops the newest of this daemon's items where online requests wait."""
+        """Stops this daemon's least urgent items where online requests need their slots."""
         instructions: list[Instruction] = []
-        mine: dict[str, list[int]] = {}
-        for number, run in self.runs.items():
+        mine: dict[str, list[ItemProgress]] = {}
+        for run in self.runs.values():
             if not run.is_stopped:
-                mine.setdefault(run.server_id, []).append(number)
-        for server_id, numbers in mine.items():
+                mine.setdefault(run.server_id, []).append(run.progress)
+        for server_id, items in mine.items():
             server = self._servers.servers.get(server_id)
             if server is None:
                 continue
-            part = len(numbers) / max(1, server.batch()) * TICK_SECONDS / PEERS_LAG_SECONDS
+            part = len(items) / max(1, server.batch()) * TICK_SECONDS / PEERS_LAG_SECONDS
             count = own_part(surplus(now, server, self._policy), part, self._rng)
-            for number in numbers[len(numbers) - min(count, len(numbers)) :]:
-                self.runs[number].is_stopped = True
+            for progress in self._selection.least_urgent(now, items, count) if count else ():
+                self.runs[progress.run].is_stopped = True
                 self.counts.yielded += 1
-                instructions.append(StopItem(number))
+                instructions.append(StopItem(progress.run))
         return instructions
 
     # Starting.
 
     def _start_items(self, now: float, owned: dict[int, ShardClaim]) -> list[Instruction]:
         instructions: list[Instruction] = []
-        self._allowed = {}
+        self._selection.begin_look()
         candidates = self._candidates(now, owned)
         self.waiting_items = len(candidates)
         for progress in candidates:
@@ -237,16 +231,10 @@
         return instructions
 
     def _candidates(self, now: float, owned: dict[int, ShardClaim]) -> list[ItemProgress]:
-        """Returns the items that may start, of the most urgent jobs first."""
+        """Returns the items that may start, the most urgent ones first."""
         jobs = [entry for shard in owned for entry in self._replicas.index.open_in_shard(shard)]
-        jobs.sort(key=lambda entry: self._urgency(now, entry))
-        return [progress for entry in jobs for progress in self._waiting_items(now, entry)]
-
-    def _urgency(self, now: float, entry: JobEntry) -> tuple[bool, float]:
-        """Orders jobs by when they are due; those that are late anyway come last."""
-        route = self._routes.named(entry.manifest.route)
-        due = entry.seen_at + (route.completion_target if route is not None else 0.0)
-        return now > due, due
+        items = [progress for entry in jobs for progress in self._waiting_items(now, entry)]
+        return self._selection.most_urgent_first(now, items)
 
     def _waiting_items(self, now: float, entry: JobEntry) -> list[ItemProgress]:
         manifest = entry.manifest
@@ -287,7 +275,7 @@
         if route.retention and now - entry.seen_at > route.retention:
             self._give_up(progress, "its retention is over")
             return []
-        server = self._choose(now, route, progress, self._is_pressing(now, entry))
+        server = self._selection.choose(now, route, progress, entry)
         if server is None:
             return []
         return [self._start(now, progress, entry, server)]
@@ -299,45 +287,6 @@
         else:
             progress.retry_at = now + RETRY_SECONDS
 
-    def _is_pressing(self, now: float, entry: JobEntry) -> bool:
-        route = self._routes.named(entry.manifest.route)
-        objective = route.completion_target if route is not None else 0.0
-        return self._policy.is_pressing(now - entry.seen_at, objective)
-
-    def _choose(
-        self, now: float, route: Route, progress: ItemProgress, is_pressing: bool
-    ) -> Server | None:
-        """Chooses the server with most room, any of those that are alike."""
-        service = choose_service(route, self._rng)
-        configuration = self._routes.configuration
-        known = configuration.services.get(service) if configuration is not None else None
-        memory = known.cache_tokens if known is not None else 0
-        tokens = progress.item.tokens
-        open_servers = [
-            server
-            for server in self._servers.usable(now, service)
-            if now >= max(server.full_until, server.ejected_until)
-            and has_memory(server, tokens, memory, self._policy)
-            and self._allowance(now, server, is_pressing) > 0
-        ]
-        if not open_servers:
-            return None
-        return min(
-            open_servers,
-            key=lambda s: placement_cost(now, s, self._zone) + 0.1 * self._rng.random(),
-        )
-
-    def _allowance(self, now: float, server: Server, is_pressing: bool) -> int:
-        """Returns how many items this daemon may still start there in this look."""
-        key = (server.record.server_id, is_pressing)
-        allowed = self._allowed.get(key)
-        if allowed is None:
-            part = TICK_SECONDS / PEERS_LAG_SECONDS / max(1, self._starters())
-            shares = self._policy.pressing if is_pressing else self._policy.relaxed
-            allowed = own_part(free_slots(now, server, shares), part, self._rng)
-            self._allowed[key] = allowed
-        return allowed
-
     def _start(
         self, now: float, progress: ItemProgress, entry: JobEntry, server: Server
     ) -> Instruction:
@@ -347,11 +296,10 @@
         progress.runs += 1
         self.counts.runs += 1
         size = RequestSize(progress.item.tokens, progress.item.tokens // 2)
-        self.runs[number] = ItemRun(progress, server.record.server_id, now, size)
-        self._servers.on_sent(server.record.server_id, True, self.runs[number].size)
-        for is_pressing in (False, True):
-            key = (server.record.server_id, is_pressing)
-            self._allowed[key] = self._allowed.get(key, 1) - 1
+        server_id = server.record.server_id
+        self.runs[number] = ItemRun(progress, server_id, now, size, progress.events_done)
+        self._servers.on_sent(server_id, True, size)
+        self._selection.on_started(server_id)
         self._log(
             "item sent",
             job_id=progress.job_id,
@@ -398,6 +346,9 @@
         progress.add(event.events)
         self._log_end(progress, run, event)
         if event.kind is AttemptKind.COMPLETED:
+            events = progress.events_done - run.events_before
+            pace = self._selection.pace
+            pace.on_completed(now - run.started_at, events, progress.events_done)
             self._finish(progress, ItemResult(progress.item.item_id, DONE, progress.output))
         elif event.status in NEVER_STATUSES:
             self._give_up(progress, f"status {event.status}")
--- a/src/troutswitch/decisions/jobs/room.py
+++ b/src/troutswitch/decisions/jobs/room.py
@@ -28,8 +28,8 @@
     bounds the tokens of this daemon's own requests.
     """
 
-    relaxed: BatchShares = BatchShares(0.8, 0.8)
-    pressing: BatchShares = BatchShares(0.85, 0.88)
+    relaxed: BatchShares = BatchShares(0.85, 0.85)
+    pressing: BatchShares = BatchShares(0.92, 0.92)
     pressing_age: float = 0.35
     yield_share: float = 0.95
     memory_share: float = 0.85
--- /dev/null
+++ b/tests/decisions/jobs/test_selection.py
@@ -0,0 +1,104 @@
+import random
+
+from tests.decisions.forwarding.worlds import server
+from troutswitch.decisions.forwarding.routes import RouteTable
+from troutswitch.decisions.forwarding.servers import ServerRegistry
+from troutswitch.decisions.forwarding.types import (
+    Backend,
+    FleetConfiguration,
+    RequestLimits,
+    Route,
+    RouteKind,
+)
+from troutswitch.decisions.jobs.index import JobIndex
+from troutswitch.decisions.jobs.items import ItemProgress
+from troutswitch.decisions.jobs.messages import OutputEvent
+from troutswitch.decisions.jobs.pace import RunPace
+from troutswitch.decisions.jobs.records import JobItem, Manifest, manifest_record
+from troutswitch.decisions.jobs.room import BatchRoomPolicy
+from troutswitch.decisions.jobs.selection import ItemSelection
+
+OBJECTIVE_SECONDS = 20.0
+ROUTE = Route(
+    "route",
+    "host",
+    "/p/",
+    RouteKind.JOBS,
+    (Backend("service", 1.0),),
+    30.0,
+    0.5,
+    3,
+    completion_target=OBJECTIVE_SECONDS,
+)
+
+
+def item(job_id: str, number: int = 0, events: int = 0) -> ItemProgress:
+    progress = ItemProgress(0, job_id, JobItem(f"{job_id}-{number}", "/p/", (), b"", 100), number)
+    if events:
+        progress.add((OutputEvent(str(events), "text"),))
+    return progress
+
+
+def selection(seen: dict[str, float], starters: int = 1) -> ItemSelection:
+    routes = RouteTable()
+    routes.replace(0.0, FleetConfiguration(1, (ROUTE,), {}, RequestLimits()))
+    index = JobIndex()
+    for job_id, at in seen.items():
+        index.take(at, manifest_record(Manifest(job_id, "route", "host", 2, 200, "d", 0)))
+    registry = ServerRegistry()
+    registry.on_list(0.0, [server("a", service="service", slots=12)])
+    return ItemSelection(
+        routes, registry, index, random.Random(1), lambda: starters, "z", BatchRoomPolicy()
+    )
+
+
+def test_the_pace_is_learned_from_whole_runs() -> None:
+    pace = RunPace()
+    assert pace.seconds_left(item("job")) == 0.0
+    pace.on_completed(4.0, 40, 40)
+    assert pace.seconds_left(item("job")) == 4.0
+    assert pace.seconds_left(item("job", events=30)) == 1.0
+    assert pace.seconds_left(item("job", events=99)) == 0.0
+
+
+def test_a_run_that_went_on_elsewhere_tells_its_own_pace() -> None:
+    pace = RunPace()
+    pace.on_completed(1.0, 10, 40)
+    assert pace.event_seconds == 0.1
+    assert pace.item_events == 40
+
+
+def test_the_job_that_is_due_first_goes_first() -> None:
+    chosen = selection({"old": 0.0, "new": 5.0})
+    ordered = chosen.most_urgent_first(6.0, [item("new"), item("old")])
+    assert [progress.job_id for progress in ordered] == ["old", "new"]
+
+
+def test_an_item_that_cannot_be_in_time_waits_for_one_that_can() -> None:
+    chosen = selection({"old": 0.0, "new": 5.0})
+    chosen.pace.on_completed(6.0, 60, 60)
+    ordered = chosen.most_urgent_first(15.0, [item("old"), item("new")])
+    assert [progress.job_id for progress in ordered] == ["new", "old"]
+    nearly_done = item("old", 1, events=50)
+    ordered = chosen.most_urgent_first(15.0, [item("old"), item("new"), nearly_done])
+    assert ordered[0] is nearly_done
+
+
+def test_of_one_job_the_item_that_is_furthest_goes_first_and_yields_last() -> None:
+    chosen = selection({"job": 0.0})
+    items = [item("job", 0), item("job", 1, events=9), item("job", 2, events=4)]
+    assert [p.number for p in chosen.most_urgent_first(1.0, items)] == [1, 2, 0]
+    assert [p.number for p in chosen.least_urgent(1.0, items, 1)] == [0]
+    assert len(chosen.least_urgent(1.0, items, 9)) == 3
+
+
+def test_a_look_starts_only_this_daemon_s_part_of_the_room() -> None:
+    chosen = selection({"job": 0.0}, starters=4)
+    entry = chosen._index.jobs["job"]
+    started = 0
+    for _ in range(400):
+        chosen.begin_look()
+        while chosen.choose(1.0, ROUTE, item("job"), entry) is not None:
+            chosen.on_started("a")
+            started += 1
+    assert 0.7 < started / 400 < 1.0  # a third of 10 free slots, shared by 4 daemons
