A daemon cut from the store learns configuration and servers from peers

Ruled out: sending the content with the load reports (30 KB and more a datagram). Change: while its own readings fail for 0.4 s, or a peer acts on a newer version, a daemon asks one live peer, of its own zone if possible, for the records as the store holds them, at most about twice a second, over HTTP at the last internal port. A configuration counts only if newer, a list only if it was read later than the own; nothing goes back. Tests: tests/decisions/peers/test_catchup.py plays whole daemons: one cut learns a version and that a server drains; one that starts while cut becomes ready; nothing goes back. tests/gateway/test_peerstate.py does it over connections.

--- a/src/troutswitch/cli/gateway.py
+++ b/src/troutswitch/cli/gateway.py
@@ -16,12 +16,14 @@
     """Run one daemon on the platform until SIGTERM, which stops it as planned."""
     from troutswitch.gateway.logging import configure_line_logging
     from troutswitch.gateway.process import GatewayProcess, Signals
+    from troutswitch.gateway.settingsfile import SettingsFile
     from troutswitch.platform.settings import load_gateway_settings, settings_path
     from troutswitch.runtime.memory import freeze_startup_objects, limit_allocator_arenas
 
     signals = Signals()
     try:
-        settings = load_gateway_settings(settings_path())
+        path = settings_path()
+        settings = load_gateway_settings(path)
     except GatewaySettingsError as error:
         raise click.UsageError(str(error)) from error
     limit_allocator_arenas()
@@ -30,6 +32,7 @@
         process = GatewayProcess(settings, logger)
     except OSError as error:
         raise click.UsageError(f"listeners: {error}") from error
+    settings_file = SettingsFile(path, load_gateway_settings, logger)
     process.start()
     freeze_startup_objects()
     while not signals.stop_asked.is_set() and process.failure is None:
@@ -37,6 +40,9 @@
         if signals.reload_asked.is_set():
             signals.reload_asked.clear()
             logger.info("settings reload asked")
+        changed = settings_file.changed()
+        if changed is not None:
+            process.reload(changed)
     if process.failure is None:
         process.drain()
     process.stop()
--- a/src/troutswitch/decisions/forwarding/serverlist.py
+++ b/src/troutswitch/decisions/forwarding/serverlist.py
@@ -31,6 +31,7 @@
     def __init__(self, numbers: CallNumbers, rng: random.Random, interval: float) -> None:
         self.interval = interval
         self.failures = 0
+        self.failing_since = float("inf")
         self._numbers = numbers
         self._rng = rng
         self._call = 0
@@ -65,6 +66,7 @@
             self._begin_again(now)
             return None
         self.failures = 0
+        self.failing_since = float("inf")
         self._rows.extend(outcome.records)
         if outcome.has_more and outcome.records:
             self._after_key = outcome.records[-1].key
@@ -78,6 +80,7 @@
     def _begin_again(self, now: float) -> None:
         self._call = 0
         self.failures += 1
+        self.failing_since = min(self.failing_since, now)
         self._rows = []
         self._after_key = ""
         self._due = now + RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from troutswitch.common import Address
+from troutswitch.daemons.peerstate import PeerState, StoredRecord
 from troutswitch.decisions.forwarding.messages import (
     AnswerBegun,
     CallerGone,
@@ -29,6 +30,7 @@
 )
 from troutswitch.decisions.jobs.coordinator import JobCoordinator, JobEvent
 from troutswitch.decisions.jobs.intake import StoreRoom
+from troutswitch.decisions.peers.catchup import PeerCatchUp, PeerStateTold, ReadingState
 from troutswitch.decisions.peers.loads import PeerLoads, ReportReceived
 from troutswitch.decisions.storage.follower import CallNumbers, PartitionFollower
 from troutswitch.decisions.storage.messages import (
@@ -83,6 +85,15 @@
     """Event: a planned stop begins."""
 
 
+@dataclass(frozen=True, slots=True)
+class BoundsChanged:
+    """Event: the settings tell other bounds. Times are seconds."""
+
+    drain: float
+    configuration_apply: float
+    job_kept: float
+
+
 @dataclass(frozen=True, slots=True)
 class LimitsChanged:
     """Instruction: put the configuration's limits on requests in force."""
@@ -125,6 +136,9 @@
         )
         self._now = float("-inf")
         self._asked_version = -1
+        self._catch_up = PeerCatchUp(rng)
+        self._configuration_record: StoredRecord | None = None
+        self._listing: tuple[tuple[StoredRecord, ...], float] | None = None
         self.jobs = JobCoordinator(
             identity.name,
             identity.zone,
@@ -180,8 +194,12 @@
             case ReportReceived():
                 self._instructions += self.peers.on_report(now, event)
                 self._on_peer_version(now, event)
+            case PeerStateTold():
+                self._on_peer_state(now, event)
             case StoreAnswered():
                 self._on_store(now, event.call, event.outcome)
+            case BoundsChanged():
+                self._on_bounds(event)
             case DrainAsked():
                 self.is_draining = True
                 self.jobs.drain(now)
@@ -196,6 +214,17 @@
         instructions, self._instructions = self._instructions, []
         return instructions
 
+    def _on_bounds(self, event: BoundsChanged) -> None:
+        self.server_list.interval = SERVER_LIST_SHARE * event.drain
+        self.configuration.wait = CONFIGURATION_WAIT_SHARE * event.configuration_apply
+        self.jobs.retention.job_kept = event.job_kept
+        self._log(
+            "bounds changed",
+            drain=event.drain,
+            configuration_apply=event.configuration_apply,
+            job_kept=event.job_kept,
+        )
+
     def next_due(self) -> float:
         """Returns when the next timer fires."""
         return min(
@@ -204,6 +233,7 @@
             self.configuration.next_due(),
             self.jobs.next_due(),
             self.peers.next_due(),
+            self._catch_up.next_due(),
         )
 
     def _on_timer(self, now: float) -> None:
@@ -212,6 +242,40 @@
         self._instructions += self.configuration.on_timer(now)
         self.jobs.on_timer(now)
         self._instructions += self.peers.on_timer(now)
+        self._instructions += self._catch_up.on_timer(
+            now, self._reading(), lambda: self.peers.live_addresses(now)
+        )
+
+    # Peers.
+
+    def _reading(self) -> ReadingState:
+        return ReadingState(
+            self.routes.version,
+            self.peers.newest_version(),
+            self.configuration.failing_since,
+            self.server_list.failing_since,
+        )
+
+    def share_state(self, now: float, version: int) -> PeerState:
+        """Returns what a peer with some version may be told; safe to call from any thread."""
+        record = self._configuration_record if self.routes.version > version else None
+        listing = self._listing
+        if listing is None:
+            return PeerState(record, (), None)
+        rows, read_at = listing
+        return PeerState(record, rows, now - read_at)
+
+    def _on_peer_state(self, now: float, event: PeerStateTold) -> None:
+        self._catch_up.on_told()
+        if event.state is None:
+            return
+        held = event.state.configuration
+        if held is not None:
+            self._take_configuration(KeyedRecord(held.key, held.value))
+        age = event.state.servers_age
+        if age is not None and now - age > self.servers.listed_at:
+            rows = [KeyedRecord(row.key, row.value) for row in event.state.servers]
+            self._take_server_list(now - age, rows, event.host)
 
     def _on_peer_version(self, now: float, event: ReportReceived) -> None:
         """A peer that acts on a newer configuration shows that a read here was lost."""
@@ -239,12 +303,16 @@
             self.servers.on_list_failed(now)
             if self.server_list.failures == 1:
                 self._log("server list lost", outcome=str(outcome)[:200])
-        if rows is None:
-            return
+        if rows is not None:
+            self._take_server_list(now, rows)
+
+    def _take_server_list(self, read_at: float, rows: list[KeyedRecord], peer: str = "") -> None:
+        """Takes a list of servers that was read here, or by a peer."""
+        self._listing = (tuple(StoredRecord(row.key, row.value) for row in rows), read_at)
         records = [record for row in rows if (record := self._server(row)) is not None]
-        came, left = self.servers.on_list(now, records)
+        came, left = self.servers.on_list(read_at, records)
         if came or left:
-            self._log("servers changed", came=came, left=left, listed=len(records))
+            self._log("servers changed", came=came, left=left, listed=len(records), peer=peer)
         if left:
             self._instructions.append(ServersLeft(tuple(left)))
 
@@ -263,6 +331,7 @@
             return
         if configuration is None or not self.routes.replace(self._now, configuration):
             return
+        self._configuration_record = StoredRecord(record.key, record.value)
         self._instructions.append(LimitsChanged(configuration.limits))
         self._log(
             "configuration in force",
--- a/src/troutswitch/decisions/jobs/retention.py
+++ b/src/troutswitch/decisions/jobs/retention.py
@@ -60,7 +60,7 @@
         self._replicas = replicas
         self._ownership = ownership
         self._numbers = numbers
-        self._job_kept = job_kept
+        self.job_kept = job_kept
         self._log = log
         self._look_at = float("-inf")
         self._call = 0
@@ -97,7 +97,7 @@
         return self._remove(INDEX, keys)
 
     def _is_over(self, now: float, entry: JobEntry) -> bool:
-        return not entry.is_open and now - entry.seen_at > self._job_kept + MARGIN_SECONDS
+        return not entry.is_open and now - entry.seen_at > self.job_kept + MARGIN_SECONDS
 
     def _remove_orphans(self, now: float, shards: set[int]) -> list[StoreCall]:
         known = self._replicas.index.jobs
--- a/src/troutswitch/decisions/peers/loads.py
+++ b/src/troutswitch/decisions/peers/loads.py
@@ -73,6 +73,7 @@
     zone: str = ""
     life: int = -1
     sequence: int = -1
+    configuration_version: int = -1
     waiting_items: int = 0
     shares: dict[int, ServerShare] = field(default_factory=dict)
 
@@ -211,6 +212,7 @@
         peer.heard_at = now
         peer.life = report.life
         peer.sequence = report.sequence
+        peer.configuration_version = report.configuration_version
         peer.waiting_items = report.waiting_items
         self._set_shares(peer, {share.server_key: share for share in report.shares})
         return self._pass_on(report) if report.spreads else []
@@ -243,6 +245,16 @@
             if silence > FORGET_SECONDS:
                 del self.peers[name]
 
+    def live_addresses(self, now: float) -> list[Address]:
+        """Returns the peers that were heard lately, those of this zone if there are any."""
+        live = [place for place in self._places(now) if place.is_live]
+        near = [place.address for place in live if place.zone == self._zone]
+        return near or [place.address for place in live]
+
+    def newest_version(self) -> int:
+        """Returns the highest configuration version that a peer acts on, or -1."""
+        return max((p.configuration_version for p in self.peers.values()), default=-1)
+
     def count_starting(self) -> int:
         """Returns the peers that have batch items to start."""
         return sum(peer.waiting_items > 0 for peer in self.peers.values())
--- a/src/troutswitch/decisions/storage/follower.py
+++ b/src/troutswitch/decisions/storage/follower.py
@@ -84,6 +84,7 @@
         self.next_offset = 0
         self.current_at = float("-inf")
         self.failures = 0
+        self.failing_since = float("inf")
         self.wait = wait
         self.pause = pause
         self.is_tailing = is_tailing
@@ -180,8 +181,12 @@
         self._due = now
         self._call = 0
 
-    def _take_page(self, now: float, page: NewestPage) -> None:
+    def _succeed(self) -> None:
         self.failures = 0
+        self.failing_since = float("inf")
+
+    def _take_page(self, now: float, page: NewestPage) -> None:
+        self._succeed()
         if self._tail_from is None:
             shown = max((record.offset for record in page.records), default=-1)
             self._tail_from = max(shown + 1, self._first_kept)
@@ -201,7 +206,7 @@
         self._due = now + (0.0 if self.wait else self.pause)
 
     def _take_records(self, now: float, read: RecordsRead) -> None:
-        self.failures = 0
+        self._succeed()
         if read.next_offset >= self.next_offset:
             for record in read.records:
                 self._take(record)
@@ -217,5 +222,6 @@
 
     def _fail(self, now: float) -> None:
         self.failures += 1
+        self.failing_since = min(self.failing_since, now)
         pause = min(RETRY_FIRST_SECONDS * 2 ** min(self.failures, 6), RETRY_MOST_SECONDS)
         self._due = now + pause * self._rng.uniform(0.5, 1.0)
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -6,11 +6,13 @@
 import threading
 import time
 from collections.abc import Iterable
+from dataclasses import fields, replace
 
 import structlog
 
 from troutswitch.common import Address
 from troutswitch.decisions.gateway import (
+    BoundsChanged,
     DrainAsked,
     GatewayCore,
     GatewayIdentity,
@@ -25,6 +27,7 @@
 from troutswitch.gateway.loop import GatewayLoop
 from troutswitch.gateway.metrics import CONTENT_TYPE, GatewayMetrics
 from troutswitch.gateway.peersocket import ReportSocket
+from troutswitch.gateway.peerstate import PEER_STATE_PATH, answer_peer, ask_peer
 from troutswitch.gateway.pulse import Pulse
 from troutswitch.gateway.registry import Relays
 from troutswitch.gateway.runner import InstructionRunner
@@ -38,7 +41,7 @@
 CALLER_THREADS = 96
 """Requests in progress at once; more wait unread."""
 READINESS_THREADS = 1
-METRICS_THREADS = 1
+INTERNAL_THREADS = 2
 METRICS_PATH = "/metrics"
 CONNECTIONS_MOST = 2000
 STAY_SECONDS = 3.2
@@ -86,6 +89,7 @@
             items,
             self._jobs.answer,
             self._reports.send,
+            lambda ask: ask_peer(settings.peer_ports[1], ask),
             logger,
         )
         self.loop = GatewayLoop(self.core, self._relays, self.runner.carry_out, self._on_failure)
@@ -93,7 +97,7 @@
         self.runner.set_limits = self._set_limits
         self._metrics = GatewayMetrics(self.core)
         self.runner.on_line = self._metrics.on_line
-        self._metrics_server = self._make_metrics()
+        self._internal = self._make_internal()
         self._callers = self._make_callers()
         self._readiness = self._make_readiness()
 
@@ -118,17 +122,19 @@
             CONNECTIONS_MOST,
         )
 
-    def _make_metrics(self) -> FrontServer | None:
-        """Makes the listener for metrics, at the last of the ports left to daemons."""
+    def _make_internal(self) -> FrontServer | None:
+        """Makes the listener for metrics and peers, at the last of the daemons' ports."""
         first, last = self.settings.peer_ports
         if last <= first:
             return None
         address = Address(self.settings.peer_host, last)
         return FrontServer(
-            self._answer_metrics, address, METRICS_THREADS, "metrics", CONNECTIONS_MOST
+            self._answer_internal, address, INTERNAL_THREADS, "internal", CONNECTIONS_MOST
         )
 
-    def _answer_metrics(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+    def _answer_internal(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        if environ.get("PATH_INFO") == PEER_STATE_PATH:
+            return answer_peer(self.core.share_state, environ, start_response)
         if environ.get("PATH_INFO") != METRICS_PATH:
             return send(Response(404, b"", "text/plain"), start_response)
         return send(Response(200, self._metrics.text(), CONTENT_TYPE), start_response)
@@ -153,11 +159,24 @@
         """Starts listeners and loop."""
         self.loop.start()
         self._reports.start()
-        for server in (self._readiness, self._callers, self._metrics_server):
+        for server in (self._readiness, self._callers, self._internal):
             if server is not None:
                 server.start()
         self._logger.info("daemon started", zone=self.settings.zone)
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Puts changed bounds in force; any other change needs a restart, and is logged."""
+        before, self.settings = self.settings, replace(self.settings, bounds=settings.bounds)
+        if before.bounds != settings.bounds:
+            bounds = settings.bounds
+            self.loop.post(BoundsChanged(bounds.drain, bounds.configuration_apply, bounds.job_kept))
+        others = [
+            field.name
+            for field in fields(settings)
+            if getattr(settings, field.name) != getattr(self.settings, field.name)
+        ]
+        self._logger.info("settings read again", need_restart=others)
+
     def drain(self) -> None:
         """Stops as planned: not ready at once, everything taken in is finished."""
         began = time.monotonic()
--- a/src/troutswitch/gateway/runner.py
+++ b/src/troutswitch/gateway/runner.py
@@ -13,6 +13,7 @@
 )
 from troutswitch.decisions.gateway import LimitsChanged, ServersLeft
 from troutswitch.decisions.jobs.messages import AnswerJobCall, RunItem, StopItem
+from troutswitch.decisions.peers.catchup import AskPeerState, PeerStateTold
 from troutswitch.decisions.peers.loads import SendReport
 from troutswitch.decisions.storage.messages import (
     AppendRecords,
@@ -43,6 +44,7 @@
         items: ItemRuns,
         answer_job: Callable[[AnswerJobCall], None],
         send_report: Callable[[SendReport], None],
+        ask_peer: Callable[[AskPeerState], PeerStateTold],
         logger: structlog.typing.FilteringBoundLogger,
     ) -> None:
         self.on_line: Callable[[LogLine], None] = lambda line: None
@@ -53,6 +55,7 @@
         self._items = items
         self._answer_job = answer_job
         self._send_report = send_report
+        self._ask_peer = ask_peer
         self._logger = logger
         self._post: Callable[[object], None] = lambda event: None
         self._store_executor = ThreadPoolExecutor(STORE_THREADS, "store")
@@ -77,6 +80,8 @@
                 self._items.stop(instruction)
             case SendReport():
                 self._send_report(instruction)
+            case AskPeerState():
+                self._submit(lambda: self._ask_peer(instruction))
             case AnswerJobCall():
                 self._answer_job(instruction)
             case LimitsChanged():
@@ -84,23 +89,24 @@
             case ServersLeft():
                 self._connections.drop_servers(list(instruction.server_ids))
             case ReadNewest() | ReadRecords() | AppendRecords() | JoinGroup() | LeaveGroup():
-                self._submit(instruction)
+                self._submit(lambda: self._run(instruction))
             case _:
                 raise TypeError(f"unknown instruction {type(instruction).__name__}")
 
-    def _submit(self, call: StoreCall) -> None:
+    def _submit(self, call: Callable[[], object]) -> None:
+        """Has a blocking call made, whose outcome is an event."""
         try:
-            self._store_executor.submit(self._run, call)
+            self._store_executor.submit(lambda: self._post(call()))
         except RuntimeError:
             return  # stopping
 
-    def _run(self, call: StoreCall) -> None:
+    def _run(self, call: StoreCall) -> StoreAnswered:
         try:
             outcome = self._call_store(call)
         except Exception as error:
             self._logger.exception("store call failed")
             outcome = CallFailed(f"{type(error).__name__}: {error}", True)
-        self._post(StoreAnswered(call.call, outcome))
+        return StoreAnswered(call.call, outcome)
 
     def stop(self) -> None:
         """Ends the executors; calls in progress are left to end by themselves."""
--- /dev/null
+++ b/src/troutswitch/gateway/settingsfile.py
@@ -0,0 +1,50 @@
+"""Notices that the settings file changed, with a signal or without one."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import structlog
+
+from troutswitch.gateway.settings import GatewaySettings, GatewaySettingsError
+
+
+class SettingsFile:
+    """The settings file as it was last read.
+
+    Args:
+        path: the file.
+        load: reads and checks it; raises `GatewaySettingsError`.
+        logger: where a file that cannot be used is told.
+    """
+
+    def __init__(
+        self,
+        path: Path,
+        load: Callable[[Path], GatewaySettings],
+        logger: structlog.typing.FilteringBoundLogger,
+    ) -> None:
+        self._path = path
+        self._load = load
+        self._logger = logger
+        self._seen = self._content()
+
+    def _content(self) -> bytes | None:
+        try:
+            return self._path.read_bytes()
+        except OSError:
+            return None
+
+    def changed(self) -> GatewaySettings | None:
+        """Returns the settings if the file changed and they are sound.
+
+        A file that is missing or wrong leaves the settings in force; it is told once.
+        """
+        content = self._content()
+        if content == self._seen:
+            return None
+        self._seen = content
+        try:
+            return self._load(self._path)
+        except GatewaySettingsError as error:
+            self._logger.error("settings unusable", reason=str(error))
+            return None
--- a/src/troutswitch/simulation/gatewayworld.py
+++ b/src/troutswitch/simulation/gatewayworld.py
@@ -9,7 +9,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import cbor2
 import simpy
@@ -50,6 +50,7 @@
 )
 from troutswitch.decisions.jobs.ownership import GROUP
 from troutswitch.decisions.jobs.records import DONE, JobItem
+from troutswitch.decisions.peers.catchup import AskPeerState, PeerStateTold
 from troutswitch.decisions.peers.loads import ReportReceived, SendReport
 from troutswitch.decisions.storage.messages import (
     AppendRecords,
@@ -89,13 +90,13 @@
         self._configuration = configuration
 
     def configuration(self, key: str, data: bytes) -> FleetConfiguration | None:
-        """Returns the world's configuration, whatever the record says."""
-        return self._configuration
+        """Returns the world's configuration in the version that the record tells."""
+        return replace(self._configuration, version=int(data))
 
     def server(self, server_id: str, data: bytes) -> ServerRecord:
         """Decodes a server's record."""
-        slots = int(cbor2.loads(data))
-        return ServerRecord(server_id, SERVICE, Address("10.0.0.1", 1), "z", slots, False)
+        slots, is_draining = cbor2.loads(data)
+        return ServerRecord(server_id, SERVICE, Address("10.0.0.1", 1), "z", slots, is_draining)
 
 
 @dataclass
@@ -116,6 +117,7 @@
     life: int
     is_alive: bool = True
     paused_until: float = 0.0
+    is_cut_from_store: bool = False
     runs: set[int] = field(default_factory=set)
     stopped: set[int] = field(default_factory=set)
     timer_at: float = float("inf")
@@ -172,14 +174,22 @@
         )
         services = {SERVICE: Service(SERVICE, 100, 8, 0)}
         self._formats = PlainFormats(FleetConfiguration(1, (route,), services, RequestLimits()))
-        configuration = KeyedRecord("configuration", b"1")
-        self.store.log(Partition("configuration")).append((configuration,))
+        self.publish(1)
         for number in range(servers):
-            record = KeyedRecord(f"server-{number}", cbor2.dumps(8))
-            self.store.log(Partition("servers")).append((record,))
+            self.list_server(f"server-{number}", 8)
         for number in range(daemons):
             self.start_daemon(f"daemon-{number}", 0)
 
+    def publish(self, version: int) -> None:
+        """Has the operator write a version of the configuration."""
+        record = KeyedRecord("configuration", str(version).encode())
+        self.store.log(Partition("configuration")).append((record,))
+
+    def list_server(self, name: str, slots: int, is_draining: bool = False) -> None:
+        """Has a server write its entry."""
+        record = KeyedRecord(name, cbor2.dumps([slots, is_draining]))
+        self.store.log(Partition("servers")).append((record,))
+
     # Daemons.
 
     def start_daemon(self, name: str, life: int) -> None:
@@ -188,7 +198,7 @@
         identity = GatewayIdentity(
             name,
             "z",
-            Address("10.0.1.1", number),
+            Address(f"10.0.1.{number + 1}", 7),
             drain=2.0,
             configuration_apply=2.0,
             member_ttl_least=1.0,
@@ -196,7 +206,9 @@
             store_room=StoreRoom(262_144, 2_097_152, 4),
         )
         rng = random.Random(self.rng.getrandbits(64))
+        earlier = self.daemons.get(name)
         daemon = Daemon(name, GatewayCore(identity, self._formats, rng), life)
+        daemon.is_cut_from_store = earlier is not None and earlier.is_cut_from_store
         self.daemons[name] = daemon
         self.step(daemon, TimerFired())
 
@@ -253,6 +265,8 @@
                 daemon.stopped.add(instruction.run)
             case SendReport():
                 self._send_report(daemon, instruction)
+            case AskPeerState():
+                self._ask_peer(daemon, instruction)
             case AnswerJobCall():
                 answer = self._calls.pop(instruction.token, None)
                 if answer is not None:
@@ -264,6 +278,12 @@
             if peer.core.identity.peer_address in instruction.addresses:
                 self.step_later(peer, event, 0.002)
 
+    def _ask_peer(self, daemon: Daemon, instruction: AskPeerState) -> None:
+        for peer in self.daemons.values():
+            if peer.core.identity.peer_address.host == instruction.host and peer.is_alive:
+                state = peer.core.share_state(self.env.now, instruction.version)
+                self.step_later(daemon, PeerStateTold(instruction.host, state), 0.005)
+
     def step_later(self, daemon: Daemon, event: object, seconds: float) -> None:
         """Has a daemon take an event later."""
         self.after(seconds, lambda: self.step(daemon, event))
@@ -273,7 +293,7 @@
     def _call_store(self, daemon: Daemon, call: StoreCall) -> None:
         self.store_calls[type(call).__name__] += 1
         call = self._change(call)
-        if self.faults.is_down:
+        if self.faults.is_down or daemon.is_cut_from_store:
             self._answer(daemon, call.call, CallFailed("down", False), 0.5)
             return
         is_write = isinstance(call, AppendRecords)
--- /dev/null
+++ b/tests/decisions/peers/test_catchup.py
@@ -0,0 +1,90 @@
+import random
+
+from troutswitch.common import Address
+from troutswitch.decisions.peers.catchup import (
+    ANSWER_SECONDS,
+    PATIENCE_SECONDS,
+    PeerCatchUp,
+    ReadingState,
+)
+from troutswitch.simulation.gatewayworld import Daemon, GatewayWorld
+
+NEVER = float("inf")
+SOUND = ReadingState(3, 3, NEVER, NEVER)
+CUT = "daemon-0"
+
+
+def one_peer() -> list[Address]:
+    return [Address("10.0.0.9", 7)]
+
+
+def test_a_daemon_that_reads_the_store_asks_nobody() -> None:
+    catch_up = PeerCatchUp(random.Random(1))
+    assert all(not catch_up.on_timer(now / 10, SOUND, one_peer) for now in range(100))
+    assert catch_up.next_due() == NEVER
+
+
+def test_a_peer_is_asked_once_a_reading_fails_for_a_while() -> None:
+    catch_up = PeerCatchUp(random.Random(1))
+    failing = ReadingState(3, 3, 10.0, NEVER)
+    assert catch_up.on_timer(10.1, failing, one_peer) == []
+    (asked,) = catch_up.on_timer(10.0 + PATIENCE_SECONDS, failing, one_peer)
+    assert (asked.host, asked.version) == ("10.0.0.9", 3)
+    assert catch_up.on_timer(10.9, failing, one_peer) == []
+
+
+def test_another_peer_is_asked_when_one_does_not_answer() -> None:
+    catch_up = PeerCatchUp(random.Random(1))
+    failing = ReadingState(3, 3, NEVER, 10.0)
+    assert catch_up.on_timer(11.0, failing, one_peer)
+    assert catch_up.on_timer(11.0 + ANSWER_SECONDS, failing, one_peer)
+
+
+def test_a_newer_version_at_a_peer_is_asked_for_when_the_reading_does_not_bring_it() -> None:
+    catch_up = PeerCatchUp(random.Random(1))
+    older = ReadingState(3, 4, NEVER, NEVER)
+    assert catch_up.on_timer(10.0, older, one_peer) == []
+    assert catch_up.on_timer(10.0 + PATIENCE_SECONDS, older, one_peer)
+
+
+def cut_world() -> tuple[GatewayWorld, Daemon]:
+    world = GatewayWorld(1)
+    world.run(3.0)
+    world.daemons[CUT].is_cut_from_store = True
+    world.run(1.0)
+    return world, world.daemons[CUT]
+
+
+def test_a_daemon_cut_from_the_store_learns_a_configuration_from_peers() -> None:
+    world, cut = cut_world()
+    world.publish(2)
+    world.run(3.0)
+    assert cut.core.routes.version == 2
+
+
+def test_a_daemon_cut_from_the_store_learns_from_peers_that_a_server_drains() -> None:
+    world, cut = cut_world()
+    world.list_server("server-1", 8, is_draining=True)
+    world.run(3.0)
+    assert cut.core.servers.servers["server-1"].is_draining
+
+
+def test_a_daemon_that_starts_cut_from_the_store_becomes_ready_through_peers() -> None:
+    world, _ = cut_world()
+    world.kill(CUT, down=0.5)
+    world.run(4.0)
+    again = world.daemons[CUT]
+    assert again.life == 1
+    assert again.core.is_ready
+
+
+def test_what_a_peer_tells_is_never_taken_back_behind_what_is_known() -> None:
+    world, cut = cut_world()
+    cut.is_cut_from_store = False
+    world.publish(5)
+    world.run(2.0)
+    peer = world.daemons["daemon-1"]
+    peer.core.routes.configuration = None
+    cut.is_cut_from_store = True
+    world.run(3.0)
+    assert cut.core.routes.version == 5
--- a/tests/decisions/jobs/test_begun.py
+++ b/tests/decisions/test_gateway.py
@@ -1,5 +1,10 @@
-"""An item's prompt counts as waiting at its server only until the run has begun."""
+"""The gateway core hands each event to the part that it concerns."""
 
+from troutswitch.decisions.gateway import (
+    CONFIGURATION_WAIT_SHARE,
+    SERVER_LIST_SHARE,
+    BoundsChanged,
+)
 from troutswitch.decisions.jobs.messages import ItemBegun
 from troutswitch.simulation.gatewayworld import Daemon, GatewayWorld
 
@@ -43,3 +48,12 @@
     daemon = next(iter(world.daemons.values()))
     daemon.core.step(START_SECONDS, ItemBegun(999))
     assert waiting_prefill(daemon) == 0
+
+
+def test_changed_bounds_are_in_force_at_once() -> None:
+    world = GatewayWorld(1)
+    core = next(iter(world.daemons.values())).core
+    core.step(0.0, BoundsChanged(drain=1.0, configuration_apply=4.0, job_kept=60.0))
+    assert core.server_list.interval == SERVER_LIST_SHARE * 1.0
+    assert core.configuration.wait == CONFIGURATION_WAIT_SHARE * 4.0
+    assert core.jobs.retention.job_kept == 60.0
--- /dev/null
+++ b/tests/gateway/test_peerstate.py
@@ -0,0 +1,47 @@
+"""Daemons tell each other their state over real connections."""
+
+import pytest
+
+from troutswitch.common import Address
+from troutswitch.daemons.peerstate import PeerState, PeerStateError, StoredRecord, decode_state
+from troutswitch.decisions.peers.catchup import AskPeerState
+from troutswitch.gateway.front import FrontServer
+from troutswitch.gateway.peerstate import answer_peer, ask_peer
+from troutswitch.runtime.http import Environ, StartResponse
+
+CONFIGURATION = StoredRecord("config", b"{}")
+SERVERS = (StoredRecord("i-1", b"\x00\xff"), StoredRecord("i-2", b""))
+
+
+def test_a_peer_s_state_comes_back_whole() -> None:
+    asked: list[int] = []
+
+    def share(now: float, version: int) -> PeerState:
+        asked.append(version)
+        return PeerState(CONFIGURATION, SERVERS, 1.5)
+
+    def application(environ: Environ, start_response: StartResponse) -> object:
+        return answer_peer(share, environ, start_response)
+
+    server = FrontServer(application, Address("127.0.0.1", 0), 1, "peers", 10)  # type: ignore[arg-type]
+    server.start()
+    try:
+        told = ask_peer(server.address.port, AskPeerState("127.0.0.1", 7, 5.0))
+    finally:
+        server.stop()
+    assert told.state == PeerState(CONFIGURATION, SERVERS, 1.5)
+    assert asked == [7]
+
+
+def test_a_peer_that_is_not_there_counts_as_knowing_nothing() -> None:
+    server = FrontServer(lambda *_: [], Address("127.0.0.1", 0), 1, "gone", 10)
+    port = server.address.port
+    server.stop()
+    told = ask_peer(port, AskPeerState("127.0.0.1", -1, 0.5))
+    assert told.state is None
+
+
+@pytest.mark.parametrize("data", [b"", b"\x01", b"\x84\x09\xf6\x80\xf6"])
+def test_other_bytes_are_no_state(data: bytes) -> None:
+    with pytest.raises(PeerStateError):
+        decode_state(data)
