A repeat of a request never goes on the connection that carried it before

A batch item carries the same request id on every run. A server that gives a second answer to a run (garble, extra) may send it late; answers are matched by that id, so a repeat on the same connection could take the surplus answer of the earlier run for its own: a text that goes on with a run that was not asked to go on there, or a 500 counted twice. Ruled out: a client's own tries (each has a new id); a surplus answer in another request's place (it is dropped by its id, tested before). Change: a connection remembers the id of its last request and is closed instead of used for the same one again. Items of a job are numbered only up to the first part that was not read yet, since saved output is found by that number. Test: tests/gateway/test_exchange.py, fails without the change (the repeat used the same connection).

--- a/src/troutswitch/decisions/jobs/shard.py
+++ b/src/troutswitch/decisions/jobs/shard.py
@@ -1,5 +1,6 @@
 """The content of one shard's jobs: a fold over the shard's partition."""
 
+import itertools
 from dataclasses import dataclass, field
 
 from troutswitch.decisions.jobs.records import (
@@ -29,8 +30,12 @@
     parts: dict[int, dict[int, OutputPart]] = field(default_factory=dict)
 
     def items(self) -> list[JobItem]:
-        """Returns the items in order."""
-        return [item for number in sorted(self.chunks) for item in self.chunks[number]]
+        """Returns the items in order, up to the first chunk that was not read yet.
+
+        An item's place among them is its number, by which its saved output is found.
+        """
+        numbers = itertools.takewhile(lambda number: number in self.chunks, itertools.count())
+        return [item for number in numbers for item in self.chunks[number]]
 
     def item(self, item_id: str) -> JobItem | None:
         """Returns the item of an id."""
--- a/src/troutswitch/gateway/exchange.py
+++ b/src/troutswitch/gateway/exchange.py
@@ -66,6 +66,7 @@
         self.reader: _SharedReader | None = None
         self.idle_since = 0.0
         self.idle_most = IDLE_SECONDS_DEFAULT
+        self.last_request_id = ""
         self._is_reading_head = False
         self.response_class = self._make_response  # type: ignore[assignment]
 
@@ -135,8 +136,12 @@
         self._idle: dict[str, deque[_Connection]] = {}
         self._lock = threading.Lock()
 
-    def take(self, server_id: str, address: Address) -> _Connection:
-        """Returns an idle connection that is sound, or a new one not yet connected."""
+    def take(self, server_id: str, address: Address, request_id: str) -> _Connection:
+        """Returns an idle connection that is sound, or a new one not yet connected.
+
+        One whose last request had the same id is closed: a late surplus answer to that
+        one could not be told from the answer to this one.
+        """
         while True:
             with self._lock:
                 held = self._idle.get(server_id)
@@ -144,7 +149,8 @@
             if connection is None:
                 return _Connection(address)
             age = time.monotonic() - connection.idle_since
-            if age < connection.idle_most and not connection.has_waiting_bytes():
+            is_fresh = age < connection.idle_most and connection.last_request_id != request_id
+            if is_fresh and not connection.has_waiting_bytes():
                 return connection
             connection.close()
 
@@ -188,7 +194,9 @@
             NotConnected: no connection was made.
             AnswerLost: the request was sent and no head of its answer came.
         """
-        connection = self.connections.take(self.server_id, self.address)
+        request_id = self.request.request_id
+        connection = self.connections.take(self.server_id, self.address, request_id)
+        connection.last_request_id = request_id
         with self._lock:
             self._connection = connection
         self._connect(connection)
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/test_exchange.py
@@ -198,3 +198,18 @@
     assert sent.count(b"Host:") == 1
     assert b"Accept-Encoding" not in sent
     assert sent.endswith(b"\r\n\r\nbody")
+
+
+def test_a_surplus_answer_is_not_taken_for_the_answer_to_a_repeat(
+    server: ScriptedServer, make: Make
+) -> None:
+    # A second answer to "1" may yet come on its connection, and would carry the same id.
+    first = head("1") + chunk(b"run one") + b"0\r\n\r\n"
+    server.answers = [first, head("1") + chunk(b"run two") + b"0\r\n\r\n"]
+    exchange = make("1")
+    exchange.open(5.0)
+    assert exchange.body() == b"run one"
+    again = make("1")
+    again.open(5.0)
+    assert again.body() == b"run two"
+    assert server.connections == 2
