Long prompts keep to a third of the servers; short ones avoid where prompts often wait

A prompt of 9,000 tokens is read for 150 ms; a report of it comes 0.1 s and more after it was sent, so no choice by told loads can avoid it. Ruled out: full servers (52 in 100 of the late ones met none); batch prompts (0.6 started there in the last 0.25 s, for late and others alike). Change: all daemons rank a service's servers alike; the first third takes the prompts of twice the mean size and more, each session at its own server of these while less than one long prompt waits there; what usually waits at a server (mean of 3 s) counts for others. Batch items do not mind waiting prompts. Tests: tests/decisions/forwarding/test_placement.py.

--- /dev/null
+++ b/src/troutswitch/decisions/forwarding/lines.py
@@ -0,0 +1,86 @@
+"""Log lines about forwarded requests: what was decided, from what, and how old that was."""
+
+from troutswitch.decisions.forwarding.messages import LogLine, RequestAttemptEnded
+from troutswitch.decisions.forwarding.request import ForwardedRequest
+from troutswitch.decisions.forwarding.servers import Server
+from troutswitch.outcomes import Cut, MayHaveRun, NotRun, Step
+
+MILLISECONDS_MOST = 3_600_000
+"""Stands for a time that was never."""
+
+
+def milliseconds(seconds: float) -> int:
+    """Returns whole milliseconds, an hour at most."""
+    return round(min(seconds * 1000, MILLISECONDS_MOST))
+
+
+def line_of_start(now: float, request: ForwardedRequest, server: Server, version: int) -> LogLine:
+    """Returns the line of an attempt that begins."""
+    return LogLine(
+        "request sent",
+        {
+            "request_id": request.arrival.request_id,
+            "route": request.route.name,
+            "attempt": request.attempt,
+            "server": server.record.server_id,
+            "load": server.in_flight(now),
+            "load_age_ms": milliseconds(now - server.load_at),
+            "time_left_ms": milliseconds(request.ends_at - now),
+            "configuration_version": version,
+        },
+    )
+
+
+def line_of_end(now: float, request: ForwardedRequest, event: RequestAttemptEnded) -> LogLine:
+    """Returns the line of an attempt that ended."""
+    return LogLine(
+        "attempt ended",
+        {
+            "request_id": request.arrival.request_id,
+            "attempt": request.attempt,
+            "server": request.server_id,
+            "kind": event.kind,
+            "status": event.status,
+            "reason": event.reason,
+            "position": event.position,
+            "first_ms": milliseconds(request.began_at - request.sent_at),
+            "total_ms": milliseconds(now - request.sent_at),
+            "longest_gap_ms": milliseconds(event.longest_gap),
+        },
+    )
+
+
+def line_of_silence(now: float, request: ForwardedRequest) -> LogLine:
+    """Returns the line of an attempt that is left since its server sends nothing."""
+    return LogLine(
+        "server fell silent",
+        {
+            "request_id": request.arrival.request_id,
+            "server": request.server_id,
+            "waited_ms": milliseconds(now - request.sent_at),
+        },
+    )
+
+
+def line_of_give_up(
+    request: ForwardedRequest,
+    outcome: NotRun | MayHaveRun | Cut,
+    step: Step,
+    servers_known: int,
+    list_age: float,
+) -> LogLine:
+    """Returns the line of a request that gets its final answer; `list_age` is in seconds."""
+    return LogLine(
+        "request given up",
+        {
+            "request_id": request.arrival.request_id,
+            "route": request.route.name,
+            "outcome": type(outcome).__name__,
+            "reason": outcome.reason,
+            "step": step,
+            "peer": request.server_id,
+            "attempts": len(request.kinds),
+            "servers_known": servers_known,
+            "list_age_ms": milliseconds(list_age),
+        },
+    )
--- a/src/troutswitch/decisions/forwarding/placement.py
+++ b/src/troutswitch/decisions/forwarding/placement.py
@@ -1,21 +1,17 @@
 """Chooses a server for a request: an interface and its implementations.
 
-`least_loaded` and `round_robin` are the baselines that `prefix_aware` is compared with.
+`least_loaded` and `round_robin` are the baselines that `headroom` and `prefix_aware` are
+compared with.
 """
 
 import random
+from collections.abc import Callable
 from typing import Protocol
 
-from troutswitch.common import stable_hash
+from troutswitch.decisions.forwarding.longprompts import PromptSizes, choose_home
 from troutswitch.decisions.forwarding.servers import Server
 from troutswitch.decisions.forwarding.types import PromptShape
 
-SHARED_TOKENS_LEAST = 600
-"""Shared prompt tokens from which it pays to keep to one server."""
-HOME_LOAD_MOST = 0.7
-"""Share of its slots up to which a prompt's home server is preferred."""
-HOME_PREFILL_MOST = 3072
-"""Prompt tokens waiting at a home up to which it is preferred."""
 PREFILL_TOKENS_AS_FULL = 8192
 """Prompt tokens waiting at a server that count as much as all its slots taken: they hold
 up the first token of whatever comes, while free slots beyond one do not matter."""
@@ -25,6 +21,11 @@
 """Servers drawn at random, of which the better one is taken. What is known of loads is
 some tenths of a second old: if all took the best server, all would take the same one."""
 
+HEADROOM_CHOICES = 2
+"""Servers drawn by their room, of which the better one is taken."""
+HEADROOM_LEAST = 0.05
+"""Room by which a server without any is still drawn now and then."""
+
 
 class PlacementPolicy(Protocol):
     """Chooses among servers that may take a request."""
@@ -47,23 +48,22 @@
 
 
 def placement_cost(now: float, server: Server, zone: str) -> float:
-    """Returns how bad a server is for the next request: 1 is as bad as no free slot."""
-    away = ZONE_PENALTY if server.record.zone != zone else 0.0
-    prefill = server.waiting_prefill_tokens / PREFILL_TOKENS_AS_FULL
-    return load_share(now, server) + prefill + away
+    """Returns how bad a server is for the next request: 1 is as bad as no free slot.
 
+    Where prompts often wait, they probably wait again when the request arrives.
+    """
+    prefill = max(server.waiting_prefill_tokens, server.usual_prefill_tokens)
+    return _room_cost(now, server, zone) + prefill / PREFILL_TOKENS_AS_FULL
 
-def home_of(prompt: PromptShape, candidates: list[Server]) -> list[Server]:
-    """Orders servers by how well they suit a prompt's session; all daemons agree."""
-    part = prompt.session_part
-    return sorted(candidates, key=lambda s: stable_hash(part, s.record.server_id), reverse=True)
 
+def batch_cost(now: float, server: Server, zone: str) -> float:
+    """Returns how bad a server is for a batch item, which may wait to be read."""
+    return _room_cost(now, server, zone)
 
-def expected_prefill(prompt: PromptShape, server: Server, servers: list[Server]) -> int:
-    """Returns the prompt tokens that a server has probably to read for a request."""
-    if prompt.shared_tokens < SHARED_TOKENS_LEAST or home_of(prompt, servers)[0] is not server:
-        return prompt.prompt_tokens
-    return max(0, prompt.prompt_tokens - prompt.shared_tokens)
+
+def _room_cost(now: float, server: Server, zone: str) -> float:
+    away = ZONE_PENALTY if server.record.zone != zone else 0.0
+    return load_share(now, server) + away
 
 
 class RoundRobin:
@@ -101,11 +101,34 @@
         return min(drawn, key=lambda server: placement_cost(now, server, zone))
 
 
+class Headroom:
+    """The better one of two servers, drawn the more often the more room they have.
+
+    What is known of loads is as old as the last reports. If many daemons took the server
+    that seems best, it would not stay so; drawn by their room, all fill alike.
+    """
+
+    def choose(
+        self,
+        now: float,
+        candidates: list[Server],
+        prompt: PromptShape,
+        zone: str,
+        rng: random.Random,
+    ) -> Server:
+        """Chooses the better of the servers drawn."""
+        costs = [placement_cost(now, server, zone) for server in candidates]
+        weights = [max(HEADROOM_LEAST, 1.0 - cost) ** 2 for cost in costs]
+        places = rng.choices(range(len(candidates)), weights, k=HEADROOM_CHOICES)
+        return candidates[min(places, key=lambda place: costs[place])]
+
+
 class PrefixAware:
-    """The home of the prompt's session while it has room, else the least loaded."""
+    """Long prompts to their session's server among few, others to servers with headroom."""
 
     def __init__(self) -> None:
-        self._fallback = LeastLoaded()
+        self._sizes = PromptSizes()
+        self._fallback = Headroom()
 
     def choose(
         self,
@@ -115,19 +138,18 @@
         zone: str,
         rng: random.Random,
     ) -> Server:
-        """Chooses the best home with room; all daemons order homes alike."""
-        if prompt.shared_tokens < SHARED_TOKENS_LEAST:
-            return self._fallback.choose(now, candidates, prompt, zone, rng)
-        for server in home_of(prompt, candidates)[:2]:
-            is_free = load_share(now, server) <= HOME_LOAD_MOST
-            if is_free and server.waiting_prefill_tokens <= HOME_PREFILL_MOST:
-                return server
-        return self._fallback.choose(now, candidates, prompt, zone, rng)
+        """Chooses a server; all daemons order those for long prompts alike."""
+        service = candidates[0].record.service
+        is_long = self._sizes.is_long(service, prompt.prompt_tokens)
+        self._sizes.add(service, prompt.prompt_tokens)
+        home = choose_home(prompt, candidates) if is_long else None
+        return home or self._fallback.choose(now, candidates, prompt, zone, rng)
 
 
-POLICIES: dict[str, type[RoundRobin] | type[LeastLoaded] | type[PrefixAware]] = {
+POLICIES: dict[str, Callable[[], PlacementPolicy]] = {
     "round_robin": RoundRobin,
     "least_loaded": LeastLoaded,
+    "headroom": Headroom,
     "prefix_aware": PrefixAware,
 }
 """Placement policies by name."""
--- /dev/null
+++ b/src/troutswitch/decisions/forwarding/request.py
@@ -0,0 +1,76 @@
+"""One forwarded request in flight, and how long its server may stay silent."""
+
+from dataclasses import dataclass, field
+
+from troutswitch.decisions.forwarding.messages import RequestArrived
+from troutswitch.decisions.forwarding.servers import NO_SIZE, RequestSize, Server
+from troutswitch.decisions.forwarding.types import Route
+from troutswitch.outcomes import RAN_NOTHING, AttemptKind
+
+SUSPECT_LEAST_SECONDS = 0.4
+"""Least time without a first event, and without any byte of the server, before another
+server is tried."""
+SUSPECT_OBJECTIVES = 1.0
+"""The same time in objectives of the route."""
+HUNG_SUSPECTS = 5.0
+"""The time for the first event in these units after which a request is taken for hung,
+although the server answers others."""
+GAP_WAIT_LEAST_SECONDS = 0.3
+"""Least time between events before a resumable stream goes on elsewhere."""
+GAP_WAIT_LIMITS = 2.0
+"""The same time in pauses that the route allows."""
+
+
+@dataclass(slots=True)
+class ForwardedRequest:
+    """One request in flight on this daemon. Times are this process's clock."""
+
+    arrival: RequestArrived
+    route: Route
+    service: str
+    deadline: float
+    limit_at: float
+    attempt: int = 0
+    server_id: str = ""
+    kinds: list[AttemptKind] = field(default_factory=list)
+    tried: set[str] = field(default_factory=set)
+    position: str = ""
+    delivered: int = 0
+    size: RequestSize = NO_SIZE
+    began_at: float = float("inf")
+    sent_at: float = 0.0
+
+    @property
+    def ends_at(self) -> float:
+        """When the request gets its final answer at the latest."""
+        return min(self.deadline, self.limit_at)
+
+    @property
+    def runs(self) -> int:
+        """Attempts that may have run at a server."""
+        return sum(kind not in RAN_NOTHING for kind in self.kinds)
+
+    @property
+    def may_try_again(self) -> bool:
+        """Whether another attempt is allowed if the one in flight may have run."""
+        return self.route.is_repeatable and self.attempt < self.route.attempts_most
+
+    def gap_wait(self, now: float) -> float:
+        """Returns the seconds that each next event may take, before the attempt is left."""
+        left = self.ends_at - now
+        if not self.may_try_again:
+            return left
+        return min(left, max(GAP_WAIT_LEAST_SECONDS, GAP_WAIT_LIMITS * self.route.gap_limit))
+
+    def is_stuck(self, now: float, server: Server | None) -> bool:
+        """Returns whether the server seems not to answer this request any more.
+
+        A loaded server answers others meanwhile: leaving it would only add to the load.
+        """
+        if self.began_at <= now or not self.may_try_again:
+            return False
+        patience = max(SUSPECT_LEAST_SECONDS, SUSPECT_OBJECTIVES * self.route.objective)
+        if now - self.sent_at > HUNG_SUSPECTS * patience:
+            return True
+        heard_at = server.heard_at if server is not None else float("-inf")
+        return now - max(heard_at, self.sent_at) > patience
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -12,8 +12,15 @@
 """
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
+from troutswitch.decisions.forwarding.lines import (
+    line_of_end,
+    line_of_give_up,
+    line_of_silence,
+    line_of_start,
+)
+from troutswitch.decisions.forwarding.longprompts import expected_prefill
 from troutswitch.decisions.forwarding.messages import (
     AbortAttempt,
     AnswerBegun,
@@ -25,20 +32,15 @@
     RequestAttemptEnded,
     SendRequest,
 )
-from troutswitch.decisions.forwarding.placement import (
-    POLICIES,
-    PlacementPolicy,
-    expected_prefill,
-)
+from troutswitch.decisions.forwarding.placement import POLICIES, PlacementPolicy
+from troutswitch.decisions.forwarding.request import ForwardedRequest
 from troutswitch.decisions.forwarding.routes import RouteTable, choose_service
-from troutswitch.decisions.forwarding.servers import NO_SIZE, RequestSize, Server, ServerRegistry
+from troutswitch.decisions.forwarding.servers import RequestSize, Server, ServerRegistry
 from troutswitch.decisions.forwarding.types import Route, RouteKind
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.limits import RetryBudget
 from troutswitch.outcomes import (
-    RAN_NOTHING,
     AttemptKind,
-    Cut,
     MayHaveRun,
     NotRun,
     Step,
@@ -51,20 +53,8 @@
 """Random part of that time, so that callers do not come back together."""
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
 """Time to come back before the first configuration is known."""
-SUSPECT_LEAST_SECONDS = 0.4
-"""Least time without a first event, and without any byte of the server, before another
-server is tried."""
-SUSPECT_OBJECTIVES = 1.0
-"""The same time in objectives of the route."""
-HUNG_SUSPECTS = 5.0
-"""The time for the first event in these units after which a request is taken for hung,
-although the server answers others."""
 LOOK_SECONDS = 0.1
 """Interval between looks for servers that fell silent."""
-GAP_WAIT_LEAST_SECONDS = 0.3
-"""Least time between events before a resumable stream goes on elsewhere."""
-GAP_WAIT_LIMITS = 2.0
-"""The same time in pauses that the route allows."""
 TIME_LEFT_LEAST_SECONDS = 0.05
 """Time left below which a request is not sent any more."""
 FULL_SECONDS = 0.15
@@ -75,31 +65,6 @@
 Instructions = list[ForwardingInstruction]
 
 
-@dataclass(slots=True)
-class ForwardedRequest:
-    """One request in flight on this daemon. Times are this process's clock."""
-
-    arrival: RequestArrived
-    route: Route
-    service: str
-    deadline: float
-    limit_at: float
-    attempt: int = 0
-    server_id: str = ""
-    kinds: list[AttemptKind] = field(default_factory=list)
-    tried: set[str] = field(default_factory=set)
-    position: str = ""
-    delivered: int = 0
-    size: RequestSize = NO_SIZE
-    began_at: float = float("inf")
-    sent_at: float = 0.0
-
-    @property
-    def ends_at(self) -> float:
-        """When the request gets its final answer at the latest."""
-        return min(self.deadline, self.limit_at)
-
-
 @dataclass
 class RequestCounts:
     """Counters for metrics."""
@@ -197,8 +162,10 @@
         return [s for s in untried if now >= s.full_until] or untried
 
     def _start(self, now: float, request: ForwardedRequest, server: Server) -> Instructions:
-        ran = any(kind not in RAN_NOTHING for kind in request.kinds)
-        ensure(not ran or request.route.is_repeatable, "a request not to be repeated is sent again")
+        ensure(
+            not request.runs or request.route.is_repeatable,
+            "a request not to be repeated is sent again",
+        )
         self.counts.attempts += 1
         request.attempt += 1
         request.server_id = server.record.server_id
@@ -213,27 +180,10 @@
             server.record.server_id,
             server.record.address,
             request.ends_at - now,
-            self._gap_wait(now, request),
+            request.gap_wait(now),
             request.position,
         )
-        return [send, self._line_of_start(now, request, server)]
-
-    def _line_of_start(
-        self, now: float, request: ForwardedRequest, server: Server
-    ) -> ForwardingInstruction:
-        return LogLine(
-            "request sent",
-            {
-                "request_id": request.arrival.request_id,
-                "route": request.route.name,
-                "attempt": request.attempt,
-                "server": server.record.server_id,
-                "load": server.in_flight(now),
-                "load_age_ms": _milliseconds(now - server.load_at),
-                "time_left_ms": _milliseconds(request.ends_at - now),
-                "configuration_version": self._routes.version,
-            },
-        )
+        return [send, line_of_start(now, request, server, self._routes.version)]
 
     def _size(self, request: ForwardedRequest, server: Server) -> RequestSize:
         prompt = request.arrival.prompt
@@ -241,15 +191,6 @@
         prefill = expected_prefill(prompt, server, servers)
         return RequestSize(prompt.prompt_tokens + prompt.output_tokens_most, prefill)
 
-    def _gap_wait(self, now: float, request: ForwardedRequest) -> float:
-        left = request.ends_at - now
-        if not self._may_try_again(request):
-            return left
-        return min(left, max(GAP_WAIT_LEAST_SECONDS, GAP_WAIT_LIMITS * request.route.gap_limit))
-
-    def _may_try_again(self, request: ForwardedRequest) -> bool:
-        return request.route.is_repeatable and request.attempt < request.route.attempts_most
-
     # Attempts.
 
     def on_answer_begun(self, now: float, event: AnswerBegun) -> Instructions:
@@ -275,7 +216,7 @@
         if event.kind is AttemptKind.COMPLETED:
             self._budget.on_success(request.service)
             del self.requests[event.token]
-            return [self._line_of_end(now, request, event)]
+            return [line_of_end(now, request, event)]
         return self._after_failure(now, request, event)
 
     def _account(self, now: float, request: ForwardedRequest, event: RequestAttemptEnded) -> None:
@@ -295,42 +236,22 @@
             now, request.server_id, False, request.size, begun=begun, failed=failed
         )
 
-    def _line_of_end(
-        self, now: float, request: ForwardedRequest, event: RequestAttemptEnded
-    ) -> ForwardingInstruction:
-        return LogLine(
-            "attempt ended",
-            {
-                "request_id": request.arrival.request_id,
-                "attempt": request.attempt,
-                "server": request.server_id,
-                "kind": event.kind,
-                "status": event.status,
-                "reason": event.reason,
-                "position": event.position,
-                "first_ms": _milliseconds(request.began_at - request.sent_at),
-                "total_ms": _milliseconds(now - request.sent_at),
-                "longest_gap_ms": _milliseconds(event.longest_gap),
-            },
-        )
-
     def _after_failure(
         self, now: float, request: ForwardedRequest, event: RequestAttemptEnded
     ) -> Instructions:
-        line = self._line_of_end(now, request, event)
+        line = line_of_end(now, request, event)
         if event.has_answer and not self._may_repeat_answered(request):
             del self.requests[request.arrival.token]
             passed = MayHaveRun(event.reason, Step.RELAY, request.server_id)
             return [line, FinishRequest(request.arrival.token, passed, passes_on=True)]
-        ran = [kind for kind in request.kinds if kind not in RAN_NOTHING]
         may_go_on = request.route.is_resumable or not request.delivered
-        if ran and not (request.route.is_repeatable and may_go_on):
+        if request.runs and not (request.route.is_repeatable and may_go_on):
             return [line, *self._give_up(now, request, event.reason, Step.RELAY)]
-        if len(ran) >= request.route.attempts_most:
+        if request.runs >= request.route.attempts_most:
             return [line, *self._give_up(now, request, event.reason, Step.RELAY)]
         if len(request.kinds) >= request.route.attempts_most + SERVER_REJECTIONS_MOST:
             return [line, *self._give_up(now, request, event.reason, Step.DISPATCH)]
-        if ran and not self._budget.take(request.service):
+        if request.runs and not self._budget.take(request.service):
             reason = f"{event.reason}; retry budget spent"
             return [line, *self._give_up(now, request, reason, Step.DISPATCH)]
         self.counts.retries += 1
@@ -338,8 +259,7 @@
 
     @staticmethod
     def _may_repeat_answered(request: ForwardedRequest) -> bool:
-        ran = [kind for kind in request.kinds if kind not in RAN_NOTHING]
-        return request.route.is_repeatable and len(ran) < request.route.attempts_most
+        return request.route.is_repeatable and request.runs < request.route.attempts_most
 
     # Ends.
 
@@ -351,23 +271,10 @@
         peer = request.server_id
         outcome = conclude(request.kinds, request.delivered, reason, step, peer, wait)
         self.counts.refused += 1
-        return [
-            FinishRequest(request.arrival.token, outcome),
-            LogLine(
-                "request given up",
-                {
-                    "request_id": request.arrival.request_id,
-                    "route": request.route.name,
-                    "outcome": _tag(outcome),
-                    "reason": reason,
-                    "step": step,
-                    "peer": peer,
-                    "attempts": len(request.kinds),
-                    "servers_known": len(self._servers.servers),
-                    "list_age_ms": _milliseconds(now - self._servers.listed_at),
-                },
-            ),
-        ]
+        servers = self._servers
+        list_age = now - servers.listed_at
+        line = line_of_give_up(request, outcome, step, len(servers.servers), list_age)
+        return [FinishRequest(request.arrival.token, outcome), line]
 
     def on_caller_gone(self, now: float, event: CallerGone) -> Instructions:
         """The caller went away: its work at the server is stopped."""
@@ -409,32 +316,13 @@
         return aborted + self._give_up(now, request, reason, Step.RELAY)
 
     def _is_stuck(self, now: float, request: ForwardedRequest) -> bool:
-        """Returns whether the server seems not to answer this request any more.
-
-        A loaded server answers others meanwhile: leaving it would only add to the load.
-        """
-        if request.began_at <= now or not self._may_try_again(request):
-            return False
-        patience = max(SUSPECT_LEAST_SECONDS, SUSPECT_OBJECTIVES * request.route.objective)
-        if now - request.sent_at > HUNG_SUSPECTS * patience:
-            return True
-        server = self._servers.servers.get(request.server_id)
-        heard_at = server.heard_at if server is not None else float("-inf")
-        return now - max(heard_at, request.sent_at) > patience
+        return request.is_stuck(now, self._servers.servers.get(request.server_id))
 
     def _leave_server(self, now: float, request: ForwardedRequest) -> Instructions:
-        server_id = request.server_id
         request.kinds.append(AttemptKind.CUT)
         self._end_at_server(now, request, True)
         left = AbortAttempt(request.arrival.token, request.attempt)
-        line = LogLine(
-            "server fell silent",
-            {
-                "request_id": request.arrival.request_id,
-                "server": server_id,
-                "waited_ms": _milliseconds(now - request.sent_at),
-            },
-        )
+        line = line_of_silence(now, request)
         if not self._budget.take(request.service):
             reason = "server fell silent; retry budget spent"
             return [left, line, *self._give_up(now, request, reason, Step.DISPATCH)]
@@ -446,11 +334,3 @@
         for token, request in self.requests.items():
             ensure(token == request.arrival.token, "a request is held under another token")
             ensure(request.attempt == len(request.kinds) + 1, "a held request has no attempt")
-
-
-def _tag(outcome: NotRun | MayHaveRun | Cut) -> str:
-    return type(outcome).__name__
-
-
-def _milliseconds(seconds: float) -> int:
-    return round(min(seconds, 3600.0) * 1000)
--- a/src/troutswitch/decisions/forwarding/servers.py
+++ b/src/troutswitch/decisions/forwarding/servers.py
@@ -15,6 +15,10 @@
 EJECT_MOST_SECONDS = 4.0
 LOAD_FRESH_SECONDS = 0.4
 """Age up to which a load that a server told counts."""
+PREFILL_LOOK_SECONDS = 0.1
+"""Interval between looks at the prompt tokens that wait at each server."""
+PREFILL_MEMORY_SECONDS = 3.0
+"""Time over which the prompt tokens that wait are averaged."""
 GONE_REMEMBERED = 4096
 """Incarnations that are remembered as draining or replaced."""
 UNSTABLE_SECONDS = 3.0
@@ -48,6 +52,7 @@
     peers_online: int = 0
     peers_batch: int = 0
     peers_prefill_tokens: int = 0
+    usual_prefill_tokens: float = 0.0
     failures: int = 0
     ejected_until: float = float("-inf")
     is_draining: bool = False
@@ -98,6 +103,7 @@
     servers: dict[str, Server] = field(default_factory=dict)
     listed_at: float = float("-inf")
     list_failed_at: float = float("-inf")
+    _look_at: float = float("-inf")
     _draining: dict[str, None] = field(default_factory=dict)
     _by_service: dict[str, list[Server]] = field(default_factory=dict)
 
@@ -170,6 +176,16 @@
             server.is_draining = True
         return True
 
+    def on_timer(self, now: float) -> None:
+        """Averages the prompt tokens that wait; a look that was due late counts once."""
+        if now < self._look_at:
+            return
+        self._look_at = now + PREFILL_LOOK_SECONDS
+        part = PREFILL_LOOK_SECONDS / PREFILL_MEMORY_SECONDS
+        for server in self.servers.values():
+            change = server.waiting_prefill_tokens - server.usual_prefill_tokens
+            server.usual_prefill_tokens += part * change
+
     def on_heard(self, now: float, server_id: str) -> None:
         """Bytes came from the server, a sign of life."""
         server = self.servers.get(server_id)
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -237,6 +237,7 @@
         )
 
     def _on_timer(self, now: float) -> None:
+        self.servers.on_timer(now)
         self._instructions += self.requests.on_timer(now)
         self._instructions += self.server_list.on_timer(now)
         self._instructions += self.configuration.on_timer(now)
--- a/src/troutswitch/decisions/jobs/selection.py
+++ b/src/troutswitch/decisions/jobs/selection.py
@@ -8,7 +8,7 @@
 import random
 from collections.abc import Callable, Iterable
 
-from troutswitch.decisions.forwarding.placement import placement_cost
+from troutswitch.decisions.forwarding.placement import batch_cost
 from troutswitch.decisions.forwarding.routes import RouteTable, choose_service
 from troutswitch.decisions.forwarding.servers import Server, ServerRegistry
 from troutswitch.decisions.forwarding.types import Route
@@ -96,7 +96,7 @@
             return None
         return min(
             open_servers,
-            key=lambda s: placement_cost(now, s, self._zone) + CHOICE_NOISE * self._rng.random(),
+            key=lambda s: batch_cost(now, s, self._zone) + CHOICE_NOISE * self._rng.random(),
         )
 
     def _memory(self, service: str) -> int:
--- a/tests/decisions/forwarding/test_placement.py
+++ b/tests/decisions/forwarding/test_placement.py
@@ -3,14 +3,19 @@
 import pytest
 
 from tests.decisions.forwarding.worlds import server
+from troutswitch.decisions.forwarding.longprompts import (
+    PromptSizes,
+    expected_prefill,
+    homes_of,
+    long_prompt_servers,
+)
 from troutswitch.decisions.forwarding.placement import (
     POLICIES,
     LeastLoaded,
     PrefixAware,
-    expected_prefill,
-    home_of,
+    placement_cost,
 )
-from troutswitch.decisions.forwarding.servers import Server
+from troutswitch.decisions.forwarding.servers import Server, ServerRegistry
 from troutswitch.decisions.forwarding.types import PromptPart, PromptShape
 
 SESSION = PromptShape(
@@ -42,7 +47,7 @@
 
 def test_a_loaded_home_is_not_chosen() -> None:
     held = servers()
-    for home in home_of(SESSION, held)[:2]:
+    for home in homes_of(SESSION, held)[:2]:
         home.online_in_flight = home.slots
     chosen = PrefixAware().choose(0.0, held, SESSION, "z", random.Random(1))
     assert chosen.online_in_flight == 0
@@ -69,6 +74,84 @@
 
 def test_only_the_home_is_expected_to_have_read_a_session() -> None:
     held = servers()
-    first, second = home_of(SESSION, held)[:2]
+    first, second = homes_of(SESSION, held)[:2]
     assert expected_prefill(SESSION, first, held) == 2700
     assert expected_prefill(SESSION, second, held) == 9000
+
+
+def test_headroom_fills_servers_in_proportion_to_their_room() -> None:
+    held = servers(4)
+    held[0].online_in_flight = 7
+    held[1].online_in_flight = 4
+    rng = random.Random(1)
+    counts = dict.fromkeys((s.record.server_id for s in held), 0)
+    for _ in range(2000):
+        chosen = POLICIES["headroom"]().choose(0.0, held, PromptShape(), "z", rng)
+        counts[chosen.record.server_id] += 1
+    assert counts["s0"] < 40
+    assert counts["s0"] < counts["s1"] < counts["s2"]
+    assert 0.8 < counts["s2"] / counts["s3"] < 1.25
+
+
+def test_headroom_still_chooses_where_no_server_has_room() -> None:
+    held = servers(2)
+    for full in held:
+        full.online_in_flight = 3 * full.slots
+    assert POLICIES["headroom"]().choose(0.0, held, PromptShape(), "z", random.Random(1)) in held
+
+
+def test_all_daemons_agree_on_few_servers_for_long_prompts() -> None:
+    held = servers(9)
+    chosen = {s.record.server_id for s in long_prompt_servers(held)}
+    assert len(chosen) == 3
+    assert chosen == {s.record.server_id for s in long_prompt_servers(held[::-1])}
+    # Of the others, at most one takes over when a server goes.
+    gone = [s for s in held if s.record.server_id != min(chosen)]
+    assert len(chosen - {s.record.server_id for s in long_prompt_servers(gone)}) == 1
+
+
+def test_long_prompts_stay_off_the_other_servers() -> None:
+    held = servers(9)
+    policy = PrefixAware()
+    rng = random.Random(1)
+    long_ones = {s.record.server_id for s in long_prompt_servers(held)}
+    for number in range(60):
+        parts = (PromptPart("a", 2500), PromptPart(str(number), 3800), PromptPart("own", 2700))
+        policy.choose(0.0, held, PromptShape(600, 50), "z", rng)
+        policy.choose(0.0, held, PromptShape(600, 50), "z", rng)
+        chosen = policy.choose(0.0, held, PromptShape(9000, 50, parts), "z", rng)
+        assert chosen.record.server_id in long_ones
+
+
+def test_a_long_prompt_goes_elsewhere_once_its_servers_have_too_much_to_read() -> None:
+    held = servers(9)
+    for one in long_prompt_servers(held):
+        one.prefill_tokens = 40_000
+    chosen = PrefixAware().choose(0.0, held, SESSION, "z", random.Random(1))
+    assert chosen not in long_prompt_servers(held)
+
+
+def test_what_is_long_follows_the_service_s_prompts() -> None:
+    sizes = PromptSizes()
+    assert sizes.is_long("s", 500)
+    for _ in range(200):
+        sizes.add("s", 500)
+    assert not sizes.is_long("s", 900)
+    assert sizes.is_long("s", 1100)
+    for _ in range(400):
+        sizes.add("s", 9000)
+    assert not sizes.is_long("s", 9000)
+
+
+def test_a_server_where_prompts_often_wait_is_avoided_by_others() -> None:
+    registry = ServerRegistry()
+    registry.on_list(0.0, [server("usual"), server("free")])
+    registry.servers["usual"].prefill_tokens = 9000
+    for look in range(60):
+        registry.on_timer(look / 10)
+    registry.servers["usual"].prefill_tokens = 0
+    usual, free = registry.servers["usual"], registry.servers["free"]
+    assert placement_cost(6.0, usual, "z") > 0.9 + placement_cost(6.0, free, "z")
+    for look in range(60, 200):
+        registry.on_timer(look / 10)
+    assert placement_cost(20.0, usual, "z") < 0.1 + placement_cost(20.0, free, "z")
