--- a/src/troutswitch/simulation/gatewayworld.py
+++ b/src/troutswitch/simulation/gatewayworld.py
@@ -8,8 +8,8 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 import cbor2
 import simpy
@@ -21,7 +21,6 @@
     RequestLimits,
     Route,
     RouteKind,
-    ServerRecord,
     Service,
 )
 from troutswitch.decisions.gateway import (
@@ -49,7 +48,7 @@
     StopItem,
 )
 from troutswitch.decisions.jobs.ownership import GROUP
-from troutswitch.decisions.jobs.records import DONE, JobItem
+from troutswitch.decisions.jobs.records import JobItem
 from troutswitch.decisions.peers.catchup import AskPeerState, PeerStateTold
 from troutswitch.decisions.peers.loads import ReportReceived, SendReport
 from troutswitch.decisions.storage.messages import (
@@ -66,39 +65,23 @@
     StoreCall,
 )
 from troutswitch.outcomes import AttemptKind
+from troutswitch.simulation.jobtruth import EVENTS_AN_ITEM, JobTruth, event_text
+from troutswitch.simulation.plainformats import SERVICE, PlainFormats
 from troutswitch.standins.keyedstore import KeyedStoreModel
 
 HOST = "jobs.example"
 PREFIX = "/jobs/"
-SERVICE = "service"
 STORE_SECONDS = 0.01
 LATE_SECONDS = 2.0
 """Time after which an append whose answer was lost may still act."""
 EVENT_SECONDS = 0.1
 """Mean time between events; each run has a pace of its own around it."""
-EVENTS_AN_ITEM = 20
 READ_INTERVAL_SECONDS = 0.5
 RESTART_SECONDS = 0.5
 CALL_SECONDS = 4.0
 JOB_KEPT_SECONDS = 120.0
 
 
-class PlainFormats:
-    """Forms of the modelled store's configuration and servers."""
-
-    def __init__(self, configuration: FleetConfiguration) -> None:
-        self._configuration = configuration
-
-    def configuration(self, key: str, data: bytes) -> FleetConfiguration | None:
-        """Returns the world's configuration in the version that the record tells."""
-        return replace(self._configuration, version=int(data))
-
-    def server(self, server_id: str, data: bytes) -> ServerRecord:
-        """Decodes a server's record."""
-        slots, is_draining = cbor2.loads(data)
-        return ServerRecord(server_id, SERVICE, Address("10.0.0.1", 1), "z", slots, is_draining)
-
-
 @dataclass
 class StoreFaults:
     """What goes wrong at the store now; shares of calls from 0 to 1."""
@@ -123,20 +106,6 @@
     timer_at: float = float("inf")
 
 
-@dataclass
-class JobTruth:
-    """What the observer knows of a job."""
-
-    job_id: str
-    items: tuple[JobItem, ...]
-    handed_in_at: float
-    accepted_at: float = float("inf")
-    refusals: list[int] = field(default_factory=list)
-    ended_at: float = float("inf")
-    results: dict[int, tuple[str, str, str]] = field(default_factory=dict)
-    ran: Counter[str] = field(default_factory=Counter)
-
-
 class GatewayWorld:
     """Daemons, store, servers, clients and observer."""
 
@@ -423,22 +392,8 @@
     def _on_read(self, truth: JobTruth, answer: JobAnswer) -> None:
         if isinstance(answer, JobRefused) and answer.status == 404:
             self.violations.append(f"an accepted job was not found: {truth.job_id}")
-        if not isinstance(answer, JobResults):
-            return
-        if answer.total != len(truth.items):
-            self.violations.append(f"wrong total of {truth.job_id}")
-        for place, row in enumerate(answer.results, answer.position):
-            self._check_result(truth, place, (row.item_id, row.state, row.text))
-
-    def _check_result(self, truth: JobTruth, place: int, row: tuple[str, str, str]) -> None:
-        held = truth.results.setdefault(place, row)
-        if held != row:
-            self.violations.append(f"position {place} of {truth.job_id} changed")
-        names = [result[0] for result in truth.results.values()]
-        if len(set(names)) != len(names):
-            self.violations.append(f"an item of {truth.job_id} stands twice")
-        if row[1] == DONE and row[2] != whole_text(row[0]):
-            self.violations.append(f"the output of {row[0]} is not whole")
+        if isinstance(answer, JobResults):
+            self.violations += truth.take_results(answer)
 
     def end_job(self, truth: JobTruth) -> None:
         """Ends a job."""
@@ -460,32 +415,9 @@
         return [
             job.job_id
             for job in self.jobs.values()
-            if job.accepted_at < float("inf")
-            and job.ended_at == float("inf")
-            and len(job.results) < len(job.items)
+            if job.is_open and len(job.results) < len(job.items)
         ]
 
     def waiting_tokens(self) -> int:
         """Returns the tokens of accepted items that no client has read as listed."""
-        return sum(
-            sum(item.tokens for item in job.items) - listed_tokens(job)
-            for job in self.jobs.values()
-            if job.accepted_at < float("inf") and job.ended_at == float("inf")
-        )
-
-
-def listed_tokens(job: JobTruth) -> int:
-    """Returns the tokens of a job's items that a client has read."""
-    names = {row[0] for row in job.results.values()}
-    return sum(item.tokens for item in job.items if item.item_id in names)
-
-
-def event_text(item_id: str, number: int) -> str:
-    """Returns the data of an event of an item's output."""
-    return f"{item_id}:{number}"
-
-
-def whole_text(item_id: str) -> str:
-    """Returns the whole output of an item."""
-    numbers: Iterable[int] = range(1, EVENTS_AN_ITEM + 1)
-    return "\n".join(event_text(item_id, number) for number in numbers)
+        return sum(job.waiting_tokens() for job in self.jobs.values() if job.is_open)
--- a/tests/proofs/test_jobs.py
+++ b/tests/proofs/test_jobs.py
@@ -21,7 +21,8 @@
     StoreCall,
     WriterStamp,
 )
-from troutswitch.simulation.gatewayworld import EVENTS_AN_ITEM, Daemon, GatewayWorld
+from troutswitch.simulation.gatewayworld import Daemon, GatewayWorld
+from troutswitch.simulation.jobtruth import EVENTS_AN_ITEM
 from troutswitch.standins.keyedstore import KeyedStoreModel
 
 START_SECONDS = 3.0
