--- a/src/troutswitch/decisions/jobs/selection.py
+++ b/src/troutswitch/decisions/jobs/selection.py
@@ -1,8 +1,9 @@
 """Chooses which items start next, at which server, and which ones yield first.
 
-Items that can still be done in time go first, those of the job that is due first ahead.
-An item that cannot be is worth little whenever it is done, so it waits for room that no
-other item needs, and it is the first to yield.
+Items that can still be done in time go first, those with the least slack ahead: the time
+until their job is due, less the time that they are likely to run yet. An item that cannot
+be in time is worth little whenever it is done, so it waits for room that no other item
+needs, and it is the first to yield.
 """
 
 import random
@@ -59,11 +60,11 @@
         ordered = self.most_urgent_first(now, items)
         return ordered[len(ordered) - min(count, len(ordered)) :]
 
-    def _urgency(self, now: float, progress: ItemProgress) -> tuple[bool, float, int]:
+    def _urgency(self, now: float, progress: ItemProgress) -> tuple[bool, float]:
         entry = self._index.jobs.get(progress.job_id)
         due = self._due(entry) if entry is not None else float("inf")
-        is_hopeless = now + self.pace.seconds_left(progress) > due
-        return is_hopeless, due, -progress.events_done
+        slack = due - now - self.pace.seconds_left(progress)
+        return slack < 0, slack
 
     def _due(self, entry: JobEntry) -> float:
         return entry.seen_at + self._objective(entry)
