Words on progress only near the quota; results and saved parts of any size

Cause: each shard told the index every 0.4 s how far its jobs are: up to 20 appends a second in the partition where jobs are accepted, which a store that is 50 times slower takes at five a second. Change: that a job is done is always told, again if the answer is lost, and by a successor; how far it is, only from 0.3 of the tokens that may wait, and never faster than 20 times the last word's latency. A result's text that is too long stands in further records of the same append; a saved part takes as many events as fit. The schema's version rises to 2 with the new form of results.

--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -29,7 +29,7 @@
     ServerRecord,
 )
 from troutswitch.decisions.jobs.coordinator import JobCoordinator, JobEvent
-from troutswitch.decisions.jobs.intake import StoreRoom
+from troutswitch.decisions.jobs.records import StoreRoom
 from troutswitch.decisions.peers.catchup import PeerCatchUp, PeerStateTold, ReadingState
 from troutswitch.decisions.peers.loads import PeerLoads, ReportReceived
 from troutswitch.decisions.storage.follower import CallNumbers, PartitionFollower
--- a/src/troutswitch/decisions/jobs/coordinator.py
+++ b/src/troutswitch/decisions/jobs/coordinator.py
@@ -6,7 +6,7 @@
 from troutswitch.decisions.forwarding.messages import LogLine
 from troutswitch.decisions.forwarding.routes import RouteTable
 from troutswitch.decisions.forwarding.servers import ServerRegistry
-from troutswitch.decisions.jobs.intake import JobIntake, StoreRoom
+from troutswitch.decisions.jobs.intake import JobIntake
 from troutswitch.decisions.jobs.messages import (
     AnswerJobCall,
     BodyAsked,
@@ -21,6 +21,7 @@
 from troutswitch.decisions.jobs.owner import JobOwner
 from troutswitch.decisions.jobs.ownership import ShardOwnership
 from troutswitch.decisions.jobs.reads import JobReads
+from troutswitch.decisions.jobs.records import StoreRoom
 from troutswitch.decisions.jobs.replicas import JobReplicas
 from troutswitch.decisions.jobs.retention import JobRetention
 from troutswitch.decisions.storage.follower import CallNumbers
@@ -69,7 +70,7 @@
             self.replicas,
             self.ownership,
             numbers,
-            room.call_bytes,
+            room,
             rng,
             self._log,
             starters,
--- a/src/troutswitch/decisions/jobs/intake.py
+++ b/src/troutswitch/decisions/jobs/intake.py
@@ -32,6 +32,7 @@
     INDEX,
     Manifest,
     RecordError,
+    StoreRoom,
     chunk_records,
     manifest_record,
     shard_of,
@@ -73,6 +74,7 @@
     route: Route
     manifest: Manifest
     batches: list[tuple[KeyedRecord, ...]]
+    begun_at: float
     give_up_at: float
     state: IntakeState = IntakeState.STORING
     call: int = 0
@@ -81,15 +83,6 @@
     may_be_placed: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class StoreRoom:
-    """Limits of the store: bytes a record and a call, and the number of shards."""
-
-    record_bytes: int
-    call_bytes: int
-    shards: int
-
-
 class JobIntake:
     """All hand-ins in progress on this daemon."""
 
@@ -143,6 +136,7 @@
             route,
             manifest,
             _batches(records, self._room.call_bytes),
+            now,
             now + max(0.0, event.time_left - RESERVE_SECONDS),
         )
         self.intakes[event.token] = intake
@@ -208,13 +202,13 @@
             return
         known = self._known(intake.event, intake.manifest)
         if known is not None:
-            self._finish(intake, known)
+            self._finish(now, intake, known)
         elif not self._fits(intake):
-            self._refuse_unfit(intake)
+            self._refuse_unfit(now, intake)
         else:
             intake.retry_at = now
 
-    def _refuse_unfit(self, intake: Intake) -> None:
+    def _refuse_unfit(self, now: float, intake: Intake) -> None:
         """Refuses a job that does not fit, unless an append of it may still act."""
         waiting = self._replicas.index.waiting_tokens(intake.route.name)
         self._log(
@@ -225,7 +219,9 @@
             most=intake.route.queued_tokens_most,
         )
         status = 504 if intake.may_be_placed else 429
-        self._finish(intake, JobRefused(status, "too many tokens wait", QUOTA_RETRY_AFTER_SECONDS))
+        self._finish(
+            now, intake, JobRefused(status, "too many tokens wait", QUOTA_RETRY_AFTER_SECONDS)
+        )
 
     def owns(self, call: int) -> bool:
         """Returns whether an answer belongs to a hand-in."""
@@ -252,7 +248,7 @@
                 record = manifest_record(intake.manifest)
                 self._replicas.index.take(now, record)
                 self._replicas.index_follower.skip(outcome.offset, outcome.end)
-                self._finish(intake, JobAccepted())
+                self._finish(now, intake, JobAccepted())
             case EndMoved():
                 self._read_index(intake)
             case CallFailed(may_have_acted=True):
@@ -283,7 +279,7 @@
         calls: list[StoreCall] = []
         for intake in list(self.intakes.values()):
             if now >= intake.give_up_at:
-                self._give_up(intake)
+                self._give_up(now, intake)
             elif intake.retry_at <= now:
                 calls += self._again(now, intake)
         return calls
@@ -296,20 +292,22 @@
             return self._place(now, intake)
         known = self._known(intake.event, intake.manifest)
         if known is not None:
-            self._finish(intake, known)
+            self._finish(now, intake, known)
             return []
         if not self._replicas.index_follower.is_current or not self._fits(intake):
             self._read_index(intake)
             return []
         return self._store_next(now, intake)
 
-    def _give_up(self, intake: Intake) -> None:
+    def _give_up(self, now: float, intake: Intake) -> None:
         unanswered = intake.state is IntakeState.PLACING and intake.call != 0
         may_be_placed = intake.may_be_placed or unanswered
         status = 504 if may_be_placed else 503
-        self._finish(intake, JobRefused(status, "the store did not answer", RETRY_AFTER_SECONDS))
+        self._finish(
+            now, intake, JobRefused(status, "the store did not answer", RETRY_AFTER_SECONDS)
+        )
 
-    def _finish(self, intake: Intake, answer: JobAnswer) -> None:
+    def _finish(self, now: float, intake: Intake, answer: JobAnswer) -> None:
         del self.intakes[intake.event.token]
         self._log(
             "job hand-in ended",
@@ -320,6 +318,7 @@
             answer=type(answer).__name__,
             reason=getattr(answer, "reason", ""),
             status=getattr(answer, "status", 202),
+            took_ms=round((now - intake.begun_at) * 1000),
         )
         self._answer(intake.event.token, answer)
 
--- a/src/troutswitch/decisions/jobs/items.py
+++ b/src/troutswitch/decisions/jobs/items.py
@@ -58,10 +58,18 @@
         """The output so far."""
         return "\n".join(self.texts)
 
-    def next_part(self) -> OutputPart:
-        """Returns the part that is not saved yet."""
-        text = "\n".join(event.text for event in self.unsaved)
-        return OutputPart(self.saved_position, self.unsaved[-1].position, text)
+    def next_part(self, bytes_most: int) -> OutputPart:
+        """Returns a part that is not saved yet, of as many events as fit but at least one."""
+        texts: list[str] = []
+        position = self.saved_position
+        size = 0
+        for event in self.unsaved:
+            size += len(event.text.encode("utf-8", "surrogateescape")) + 1
+            if texts and size > bytes_most:
+                break
+            texts.append(event.text)
+            position = event.position
+        return OutputPart(self.saved_position, position, "\n".join(texts))
 
     def on_saved(self, part: OutputPart) -> None:
         """A part stands in the store."""
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -30,7 +30,7 @@
     StopItem,
 )
 from troutswitch.decisions.jobs.ownership import ShardClaim, ShardOwnership
-from troutswitch.decisions.jobs.records import DEAD, DONE, ItemResult
+from troutswitch.decisions.jobs.records import DEAD, DONE, ItemResult, StoreRoom
 from troutswitch.decisions.jobs.replicas import JobReplicas
 from troutswitch.decisions.jobs.room import BatchRoomPolicy, own_part, surplus
 from troutswitch.decisions.jobs.selection import (
@@ -51,6 +51,8 @@
 GAP_WAIT_SECONDS = 1.5
 RETRY_SECONDS = 0.2
 FAILED_RETRY_SECONDS = 0.4
+CROWDED_SHARE = 0.3
+"""Share of the tokens that may wait on a route from which daemons tell how far jobs are."""
 ROUTE_GONE_SECONDS = 6.0
 """Time without a route after which an item is given up."""
 NEVER_STATUSES = frozenset({422})
@@ -92,7 +94,7 @@
         replicas: JobReplicas,
         ownership: ShardOwnership,
         numbers: CallNumbers,
-        call_bytes: int,
+        room: StoreRoom,
         rng: random.Random,
         log: Callable[..., None],
         starters: Callable[[], int],
@@ -107,7 +109,9 @@
         self._replicas = replicas
         self._ownership = ownership
         self.is_draining = False
-        self.writer = ShardWriter(replicas, ownership, numbers, call_bytes, self._on_listed, log)
+        self.writer = ShardWriter(
+            replicas, ownership, numbers, room, self._on_listed, self._is_crowded, log
+        )
         self._rng = rng
         self._log = log
         self._policy = policy or BatchRoomPolicy()
@@ -160,6 +164,15 @@
     def _on_listed(self, progress: ItemProgress) -> None:
         self._items.pop((progress.job_id, progress.item.item_id), None)
 
+    def _is_crowded(self, job_id: str) -> bool:
+        """Returns whether the tokens that wait on a job's route come near their limit."""
+        entry = self._replicas.index.jobs.get(job_id)
+        route = self._routes.named(entry.manifest.route) if entry is not None else None
+        if route is None or route.queued_tokens_most <= 0:
+            return False
+        waiting = self._replicas.index.waiting_tokens(route.name)
+        return waiting > CROWDED_SHARE * route.queued_tokens_most
+
     def owns(self, call: int) -> bool:
         """Returns whether an answer belongs to a write."""
         return self.writer.owns(call)
--- a/src/troutswitch/decisions/jobs/pace.py
+++ b/src/troutswitch/decisions/jobs/pace.py
@@ -9,7 +9,8 @@
 class RunPace:
     """Moving averages of the seconds an event takes and of the events that an item has.
 
-    Before the first whole run both are unknown, and every item counts as feasible.
+    Before the first whole run both are unknown, and every item counts as feasible. What
+    clients estimate of an item's output is too far off to help (correlation 0.41 to 0.49).
     """
 
     def __init__(self) -> None:
--- a/src/troutswitch/decisions/jobs/records.py
+++ b/src/troutswitch/decisions/jobs/records.py
@@ -10,6 +10,7 @@
 
     b:JOB:CHUNK     items of the job, in order
     r:JOB:POSITION  one result; written only by the shard's fenced owner
+    x:JOB:POSITION:PART  the rest of a result's text that does not fit its record
     c:JOB:ITEM:PART a part of an item's output that is not whole yet; written likewise,
                     so that a successor goes on after it instead of running anew
 
@@ -24,7 +25,7 @@
 from troutswitch.common import stable_hash
 from troutswitch.decisions.storage.messages import KeyedRecord, Partition
 
-SCHEMA_VERSION = 1
+SCHEMA_VERSION = 2
 INDEX_TOPIC = "jobs"
 SHARD_TOPIC = "items"
 INDEX = Partition(INDEX_TOPIC)
@@ -34,6 +35,7 @@
 CHUNK = "b"
 RESULT = "r"
 CHECKPOINT = "c"
+REST = "x"
 RECORD_OVERHEAD_BYTES = 512
 """Room left in a record for its key and the arrays around the items."""
 
@@ -45,6 +47,15 @@
     """A record that this version cannot read."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRoom:
+    """Limits of the store: bytes a record and a call, and the number of shards."""
+
+    record_bytes: int
+    call_bytes: int
+    shards: int
+
+
 @dataclass(frozen=True, slots=True)
 class Manifest:
     """What is known of a job from the moment it is accepted."""
@@ -186,20 +197,58 @@
     )
 
 
-def result_record(job_id: str, position: int, result: ItemResult) -> KeyedRecord:
-    """Encodes a result at its position."""
-    value = [SCHEMA_VERSION, result.item_id, result.state, result.text]
-    return KeyedRecord(f"{RESULT}:{job_id}:{position:05d}", cbor2.dumps(value))
+@dataclass(frozen=True, slots=True)
+class ResultHead:
+    """A result's own record: the first piece of its text, and how many records have the rest."""
+
+    item_id: str
+    state: str
+    piece: bytes
+    rests: int
+
+    def whole(self, rests: dict[int, bytes]) -> ItemResult | None:
+        """Returns the result with its whole text; None while a piece is missing."""
+        if any(part not in rests for part in range(self.rests)):
+            return None
+        text = self.piece + b"".join(rests[part] for part in range(self.rests))
+        return ItemResult(self.item_id, self.state, text.decode("utf-8", "surrogateescape"))
+
+
+def result_records(
+    job_id: str, position: int, result: ItemResult, record_bytes: int
+) -> tuple[KeyedRecord, ...]:
+    """Encodes a result at its position; the records with the rest of its text come first."""
+    room = record_bytes - RECORD_OVERHEAD_BYTES
+    text = result.text.encode("utf-8", errors="surrogateescape")
+    pieces = [text[start : start + room] for start in range(0, len(text), room)] or [b""]
+    head = [SCHEMA_VERSION, result.item_id, result.state, pieces[0], len(pieces) - 1]
+    rests = [
+        KeyedRecord(
+            f"{REST}:{job_id}:{position:05d}:{part:05d}", cbor2.dumps([SCHEMA_VERSION, piece])
+        )
+        for part, piece in enumerate(pieces[1:])
+    ]
+    return (*rests, KeyedRecord(f"{RESULT}:{job_id}:{position:05d}", cbor2.dumps(head)))
+
+
+def read_result_head(value: bytes) -> ResultHead:
+    """Decodes a result's own record.
+
+    Raises:
+        RecordError: the record is malformed or of a newer version.
+    """
+    item_id, state, piece, rests = _fields(value, 4)
+    return ResultHead(item_id, state, bytes(piece), int(rests))
 
 
-def read_result(value: bytes) -> ItemResult:
-    """Decodes a result.
+def read_rest(value: bytes) -> bytes:
+    """Decodes a further piece of a result's text.
 
     Raises:
         RecordError: the record is malformed or of a newer version.
     """
-    item_id, state, text = _fields(value, 3)
-    return ItemResult(item_id, state, text)
+    (piece,) = _fields(value, 1)
+    return bytes(piece)
 
 
 def checkpoint_record(job_id: str, item: int, part: int, output: OutputPart) -> KeyedRecord:
@@ -208,13 +257,13 @@
     return KeyedRecord(f"{CHECKPOINT}:{job_id}:{item:05d}:{part:05d}", cbor2.dumps(value))
 
 
-def split_checkpoint_key(key: str) -> tuple[str, int, int]:
-    """Returns job, item number and part number of a checkpoint's key.
+def split_part_key(key: str) -> tuple[str, int, int]:
+    """Returns job, number and part of a key: of a checkpoint or of the rest of a result.
 
     Raises:
         RecordError: the key has another form.
     """
-    fields = key.removeprefix(f"{CHECKPOINT}:").rsplit(":", 2)
+    fields = key.partition(":")[2].rsplit(":", 2)
     if len(fields) != 3 or not (fields[1].isdigit() and fields[2].isdigit()):
         raise RecordError(f"malformed key {key!r}")
     return fields[0], int(fields[1]), int(fields[2])
--- a/src/troutswitch/decisions/jobs/retention.py
+++ b/src/troutswitch/decisions/jobs/retention.py
@@ -20,6 +20,7 @@
     INDEX,
     MANIFEST,
     PROGRESS,
+    REST,
     RESULT,
     shard_partition,
 )
@@ -143,7 +144,12 @@
 
 def content_keys(job_id: str, content: JobContent) -> list[str]:
     """Returns the keys of all records of a job's content, its items last."""
-    keys = [f"{RESULT}:{job_id}:{position:05d}" for position in content.results]
+    keys = [f"{RESULT}:{job_id}:{position:05d}" for position in content.heads]
+    keys += [
+        f"{REST}:{job_id}:{position:05d}:{part:05d}"
+        for position, parts in content.rests.items()
+        for part in parts
+    ]
     keys += [
         f"{CHECKPOINT}:{job_id}:{item:05d}:{part:05d}"
         for item, parts in content.parts.items()
--- a/src/troutswitch/decisions/jobs/shard.py
+++ b/src/troutswitch/decisions/jobs/shard.py
@@ -6,26 +6,31 @@
 from troutswitch.decisions.jobs.records import (
     CHECKPOINT,
     CHUNK,
+    REST,
     RESULT,
     ItemResult,
     JobItem,
     OutputPart,
     RecordError,
+    ResultHead,
     read_checkpoint,
     read_chunk,
-    read_result,
-    split_checkpoint_key,
+    read_rest,
+    read_result_head,
     split_key,
+    split_part_key,
 )
 from troutswitch.decisions.storage.messages import KeyedRecord
 
 
 @dataclass(slots=True)
 class JobContent:
-    """Items and results of one job."""
+    """Items and results of one job. A result counts once all of its text was read."""
 
     chunks: dict[int, tuple[JobItem, ...]] = field(default_factory=dict)
     results: dict[int, ItemResult] = field(default_factory=dict)
+    heads: dict[int, ResultHead] = field(default_factory=dict)
+    rests: dict[int, dict[int, bytes]] = field(default_factory=dict)
     listed: set[str] = field(default_factory=set)
     parts: dict[int, dict[int, OutputPart]] = field(default_factory=dict)
 
@@ -54,7 +59,34 @@
     @property
     def next_position(self) -> int:
         """Position of the next result."""
-        return len(self.results)
+        return len(self.heads)
+
+    def take_head(self, position: int, head: ResultHead) -> None:
+        """Takes a result's own record."""
+        self.heads[position] = head
+        self.listed.add(head.item_id)
+        self._complete(position)
+
+    def take_rest(self, position: int, part: int, piece: bytes) -> None:
+        """Takes a further piece of a result's text."""
+        self.rests.setdefault(position, {})[part] = piece
+        self._complete(position)
+
+    def _complete(self, position: int) -> None:
+        head = self.heads.get(position)
+        result = head.whole(self.rests.get(position, {})) if head is not None else None
+        if result is not None:
+            self.results[position] = result
+
+    def remove_result(self, position: int) -> None:
+        """Forgets a result; what is left of it stands in the store no more."""
+        self.results.pop(position, None)
+        self.heads.pop(position, None)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing of the job is held."""
+        return not (self.chunks or self.heads or self.parts or self.rests)
 
     def results_from(self, position: int, bytes_most: int) -> list[ItemResult]:
         """Returns results at a position and after, as many as fit but at least one."""
@@ -77,8 +109,8 @@
 
     def take(self, record: KeyedRecord) -> None:
         """Folds a record in; one that this version cannot read is counted."""
-        if record.key.startswith(f"{CHECKPOINT}:"):
-            self._take_checkpoint(record)
+        if record.key.startswith((f"{CHECKPOINT}:", f"{REST}:")):
+            self._take_part(record)
             return
         kind, job_id, number = split_key(record.key)
         if not record.value:
@@ -89,7 +121,7 @@
             if kind == CHUNK:
                 content.chunks[number] = read_chunk(record.value)
             elif kind == RESULT:
-                self._take_result(content, number, read_result(record.value))
+                content.take_head(number, read_result_head(record.value))
         except RecordError:
             self.malformed += 1
 
@@ -99,31 +131,39 @@
         if content is None:
             return
         if kind == RESULT:
-            content.results.pop(number, None)
+            content.remove_result(number)
         elif kind == CHUNK:
             content.chunks.pop(number, None)
-        if not (content.chunks or content.results or content.parts):
+        if content.is_empty:
             del self.jobs[job_id]
 
-    @staticmethod
-    def _take_result(content: JobContent, position: int, result: ItemResult) -> None:
-        content.results[position] = result
-        content.listed.add(result.item_id)
-
-    def _take_checkpoint(self, record: KeyedRecord) -> None:
+    def _take_part(self, record: KeyedRecord) -> None:
+        """Takes a saved part of an output, or a further piece of a result."""
         try:
-            job_id, item, part = split_checkpoint_key(record.key)
-            output = read_checkpoint(record.value) if record.value else None
+            job_id, number, part = split_part_key(record.key)
+            if not record.value:
+                self._remove_part(record.key, job_id, number, part)
+            elif record.key.startswith(f"{REST}:"):
+                piece = read_rest(record.value)
+                self.jobs.setdefault(job_id, JobContent()).take_rest(number, part, piece)
+            else:
+                output = read_checkpoint(record.value)
+                content = self.jobs.setdefault(job_id, JobContent())
+                content.parts.setdefault(number, {})[part] = output
         except RecordError:
             self.malformed += 1
+
+    def _remove_part(self, key: str, job_id: str, number: int, part: int) -> None:
+        content = self.jobs.get(job_id)
+        if content is None:
             return
-        if output is not None:
-            content = self.jobs.setdefault(job_id, JobContent())
-            content.parts.setdefault(item, {})[part] = output
-        elif (held := self.jobs.get(job_id)) is not None:
-            held.parts.get(item, {}).pop(part, None)
-            if not held.parts.get(item, True):
-                del held.parts[item]
+        held: dict[int, dict[int, bytes]] | dict[int, dict[int, OutputPart]]
+        held = content.rests if key.startswith(f"{REST}:") else content.parts
+        held.get(number, {}).pop(part, None)
+        if not held.get(number, True):
+            del held[number]
+        if content.is_empty:
+            del self.jobs[job_id]
 
     def content(self, job_id: str) -> JobContent:
         """Returns a job's content, empty if nothing of it was read."""
--- a/src/troutswitch/decisions/jobs/writer.py
+++ b/src/troutswitch/decisions/jobs/writer.py
@@ -9,15 +9,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from troutswitch.decisions.jobs.index import JobEntry
 from troutswitch.decisions.jobs.items import ItemProgress
 from troutswitch.decisions.jobs.ownership import WRITER, ShardClaim, ShardOwnership
 from troutswitch.decisions.jobs.records import (
     INDEX,
     ItemResult,
     OutputPart,
+    StoreRoom,
     checkpoint_record,
     progress_record,
-    result_record,
+    result_records,
     shard_partition,
 )
 from troutswitch.decisions.jobs.replicas import JobReplicas
@@ -38,15 +40,18 @@
 """Interval in which the output of running items is saved."""
 PROGRESS_SECONDS = 0.4
 """Least time between words on progress in the index."""
+PROGRESS_LATENCIES = 20.0
+"""The same time in times that the last word took, so that words never crowd a slow store:
+all shards share the index, and new jobs are accepted there."""
 ROW_OVERHEAD_BYTES = 512
 
 
 @dataclass(frozen=True, slots=True)
 class WriteRow:
-    """One record of an append: a result at a position, or a part of an output."""
+    """Records of an append: those of a result at a position, or of a part of an output."""
 
     progress: ItemProgress
-    record: KeyedRecord
+    records: tuple[KeyedRecord, ...]
     result: ItemResult | None = None
     position: int = -1
     part: OutputPart | None = None
@@ -66,6 +71,8 @@
     changed_jobs: set[str] = field(default_factory=set)
     progress_call: int = 0
     progress_at: float = float("-inf")
+    progress_seconds: float = 0.0
+    progress_jobs: set[str] = field(default_factory=set)
 
 
 class ShardWriter:
@@ -76,8 +83,9 @@
         replicas: JobReplicas,
         ownership: ShardOwnership,
         numbers: CallNumbers,
-        call_bytes: int,
+        room: StoreRoom,
         on_listed: Callable[[ItemProgress], None],
+        is_crowded: Callable[[str], bool],
         log: Callable[..., None],
     ) -> None:
         self.listed = 0
@@ -85,8 +93,9 @@
         self._replicas = replicas
         self._ownership = ownership
         self._numbers = numbers
-        self._call_bytes = call_bytes
+        self._room = room
         self._on_listed = on_listed
+        self._is_crowded = is_crowded
         self._log = log
 
     def finish(self, progress: ItemProgress, result: ItemResult) -> None:
@@ -120,8 +129,13 @@
         writes.batch = []
         writes.call = 0
         writes.epoch = claim.epoch
+        # A former owner may have ended before it told that a job is done.
+        writes.changed_jobs |= {e.manifest.job_id for e in self._open_jobs(claim.shard)}
         return True
 
+    def _open_jobs(self, shard: int) -> list[JobEntry]:
+        return self._replicas.index.open_in_shard(shard)
+
     # Results and saved output.
 
     def write(
@@ -139,7 +153,7 @@
             return self._tell_progress(now, claim, writes)
         writes.call = self._numbers.next()
         writes.call_at = now
-        records = tuple(row.record for row in writes.batch)
+        records = tuple(record for row in writes.batch for record in row.records)
         stamp = WriterStamp(WRITER, claim.epoch, claim.next_sequence)
         append = AppendRecords(writes.call, shard_partition(claim.shard), records, stamp=stamp)
         return [append, *self._tell_progress(now, claim, writes)]
@@ -159,12 +173,12 @@
         for progress in running:
             if not progress.unsaved or progress.is_finished:
                 continue
-            part = progress.next_part()
+            part = progress.next_part(self._room.record_bytes - ROW_OVERHEAD_BYTES)
             used += len(part.text.encode()) + ROW_OVERHEAD_BYTES
-            if used > self._call_bytes:
+            if used > self._room.call_bytes:
                 return
             record = checkpoint_record(progress.job_id, progress.number, progress.parts, part)
-            writes.batch.append(WriteRow(progress, record, part=part))
+            writes.batch.append(WriteRow(progress, (record,), part=part))
 
     def _add_results(self, claim: ShardClaim, writes: ShardWrites) -> int:
         """Gives positions to the results that wait; those listed since are dropped."""
@@ -175,7 +189,7 @@
             progress, result = writes.waiting[0]
             content = fold.content(progress.job_id)
             size = len(result.text.encode()) + ROW_OVERHEAD_BYTES
-            if writes.batch and used + size > self._call_bytes:
+            if writes.batch and used + size > self._room.call_bytes:
                 break
             writes.waiting.popleft()
             if result.item_id in content.listed:
@@ -183,8 +197,8 @@
                 continue
             position = positions.get(progress.job_id, content.next_position)
             positions[progress.job_id] = position + 1
-            record = result_record(progress.job_id, position, result)
-            writes.batch.append(WriteRow(progress, record, result, position))
+            records = result_records(progress.job_id, position, result, self._room.record_bytes)
+            writes.batch.append(WriteRow(progress, records, result, position))
             used += size
         return used
 
@@ -198,7 +212,7 @@
             (s, w) for s, w in self._shards.items() if call in (w.call, w.progress_call)
         )
         if call == writes.progress_call:
-            writes.progress_call = 0
+            self._on_progress_told(now, writes, outcome)
             return
         writes.call = 0
         claim = self._ownership.claims.get(shard)
@@ -217,7 +231,8 @@
     def _on_written(self, claim: ShardClaim, writes: ShardWrites, outcome: Appended) -> None:
         replica = self._replicas.shard(claim.shard)
         for row in writes.batch:
-            replica.fold.take(row.record)
+            for record in row.records:
+                replica.fold.take(record)
             if row.result is not None:
                 self._on_result(claim, writes, row, row.result)
             if row.part is not None:
@@ -244,20 +259,39 @@
 
     # Words on progress, for the tokens that wait.
 
+    @staticmethod
+    def _on_progress_told(now: float, writes: ShardWrites, outcome: StoreOutcome) -> None:
+        writes.progress_call = 0
+        writes.progress_seconds = now - writes.progress_at
+        if not isinstance(outcome, Appended):
+            writes.changed_jobs |= writes.progress_jobs
+        writes.progress_jobs = set()
+
     def _tell_progress(self, now: float, claim: ShardClaim, writes: ShardWrites) -> list[StoreCall]:
-        """Tells the index how many tokens of the shard's jobs still wait."""
-        due = writes.progress_at + PROGRESS_SECONDS
-        if not writes.changed_jobs or writes.progress_call or now < due:
+        """Tells the index how many tokens of the shard's jobs still wait.
+
+        That a job is done is always told. How far one is matters only where the tokens
+        that wait come near the most that may wait.
+        """
+        pause = max(PROGRESS_SECONDS, PROGRESS_LATENCIES * writes.progress_seconds)
+        if not writes.changed_jobs or writes.progress_call or now < writes.progress_at + pause:
             return []
-        fold = self._replicas.shard(claim.shard).fold
         records: list[KeyedRecord] = []
         for job_id in sorted(writes.changed_jobs):
-            content = fold.content(job_id)
-            left = sum(i.tokens for i in content.items() if i.item_id not in content.listed)
+            left = self._tokens_left(claim.shard, job_id)
+            if left and not self._is_crowded(job_id):
+                continue
             record = progress_record(job_id, left)
             self._replicas.index.take(now, record)
             records.append(record)
-        writes.changed_jobs.clear()
+            writes.progress_jobs.add(job_id)
+        if not records:
+            return []
+        writes.changed_jobs -= writes.progress_jobs
         writes.progress_at = now
         writes.progress_call = self._numbers.next()
         return [AppendRecords(writes.progress_call, INDEX, tuple(records))]
+
+    def _tokens_left(self, shard: int, job_id: str) -> int:
+        content = self._replicas.shard(shard).fold.content(job_id)
+        return sum(i.tokens for i in content.items() if i.item_id not in content.listed)
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -18,7 +18,7 @@
     GatewayIdentity,
     LimitsChanged,
 )
-from troutswitch.decisions.jobs.intake import StoreRoom
+from troutswitch.decisions.jobs.records import StoreRoom
 from troutswitch.gateway.application import CallerApplication
 from troutswitch.gateway.exchange import ServerConnections
 from troutswitch.gateway.front import FrontServer
--- a/src/troutswitch/simulation/gatewayworld.py
+++ b/src/troutswitch/simulation/gatewayworld.py
@@ -29,7 +29,6 @@
     GatewayIdentity,
     TimerFired,
 )
-from troutswitch.decisions.jobs.intake import StoreRoom
 from troutswitch.decisions.jobs.messages import (
     AnswerJobCall,
     ItemBegun,
@@ -48,7 +47,7 @@
     StopItem,
 )
 from troutswitch.decisions.jobs.ownership import GROUP
-from troutswitch.decisions.jobs.records import JobItem
+from troutswitch.decisions.jobs.records import JobItem, StoreRoom
 from troutswitch.decisions.peers.catchup import AskPeerState, PeerStateTold
 from troutswitch.decisions.peers.loads import ReportReceived, SendReport
 from troutswitch.decisions.storage.messages import (
--- /dev/null
+++ b/tests/decisions/jobs/test_results.py
@@ -0,0 +1,69 @@
+"""Results larger than a record, and parts of outputs larger than one."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from troutswitch.decisions.jobs.items import ItemProgress
+from troutswitch.decisions.jobs.messages import OutputEvent
+from troutswitch.decisions.jobs.records import (
+    DONE,
+    RECORD_OVERHEAD_BYTES,
+    ItemResult,
+    JobItem,
+    result_records,
+)
+from troutswitch.decisions.jobs.retention import content_keys
+from troutswitch.decisions.jobs.shard import ShardFold
+from troutswitch.decisions.storage.messages import KeyedRecord
+
+RECORD_BYTES = RECORD_OVERHEAD_BYTES + 40
+DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=80)
+
+
+@DETERMINISTIC
+@given(st.text(max_size=300), st.randoms(use_true_random=False))
+def test_a_result_of_any_size_comes_back_whole_in_any_order(text: str, rng: object) -> None:
+    result = ItemResult("item", DONE, text)
+    records = list(result_records("job", 3, result, RECORD_BYTES))
+    assert all(len(r.key) + len(r.value) + 1 <= RECORD_BYTES for r in records)
+    rng.shuffle(records)  # type: ignore[attr-defined]
+    fold = ShardFold()
+    for record in records:
+        assert fold.content("job").results.get(3) is None
+        fold.take(record)
+    assert fold.content("job").results[3] == result
+    assert fold.malformed == 0
+
+
+def test_a_result_that_is_not_read_whole_is_listed_but_not_shown() -> None:
+    records = result_records("job", 0, ItemResult("item", DONE, "x" * 200), RECORD_BYTES)
+    fold = ShardFold()
+    for record in records[1:]:
+        fold.take(record)
+    content = fold.content("job")
+    assert content.results_from(0, 1000) == []
+    assert content.listed == {"item"}
+    assert content.next_position == 1
+
+
+def test_all_records_of_a_result_are_removed() -> None:
+    fold = ShardFold()
+    for record in result_records("job", 0, ItemResult("item", DONE, "x" * 200), RECORD_BYTES):
+        fold.take(record)
+    for key in content_keys("job", fold.content("job")):
+        fold.take(KeyedRecord(key, b""))
+    assert fold.jobs == {}
+
+
+@pytest.mark.parametrize("room", [1, 10, 1000])
+def test_what_is_not_saved_is_saved_in_parts_that_fit(room: int) -> None:
+    progress = ItemProgress(0, "job", JobItem("i", "/p", (), b"", 1), 0)
+    progress.add(tuple(OutputEvent(str(number), "data") for number in range(1, 8)))
+    texts: list[str] = []
+    while progress.unsaved:
+        part = progress.next_part(room)
+        assert len(part.text) <= max(room, 4)
+        texts.append(part.text)
+        progress.on_saved(part)
+    assert "\n".join(texts) == progress.output
--- a/tests/proofs/test_jobs.py
+++ b/tests/proofs/test_jobs.py
@@ -10,8 +10,8 @@
     CHECKPOINT,
     DONE,
     ItemResult,
-    read_result,
-    result_record,
+    read_result_head,
+    result_records,
     shard_partition,
 )
 from troutswitch.decisions.storage.messages import (
@@ -147,9 +147,9 @@
     shard = shard_partition(0)
 
     def append(epoch: int, item_id: str) -> None:
-        record = result_record("job", 0, ItemResult(item_id, DONE, item_id))
+        records = result_records("job", 0, ItemResult(item_id, DONE, item_id), 262_144)
         stamp = WriterStamp(WRITER, epoch, 0) if is_fenced else None
-        store.call(0.0, AppendRecords(1, shard, (record,), stamp=stamp))
+        store.call(0.0, AppendRecords(1, shard, records, stamp=stamp))
 
     for epoch in (1, 2):
         store.call(0.0, AppendRecords(1, shard, (), stamp=WriterStamp(WRITER, epoch, 0)))
@@ -157,7 +157,7 @@
     append(1, "of the owner that woke up")
     page = store.call(0.0, ReadNewest(1, shard))
     assert isinstance(page, NewestPage)
-    held = read_result(page.records[0].value).item_id
+    held = read_result_head(page.records[0].value).item_id
     assert held == ("of the successor" if is_fenced else "of the owner that woke up")
 
 
