Only a server's own 500 counts as a failed run of an item; runs in a module of their own

Cause: found by reading RULES.md beside decisions/jobs/owner.py: any status of 500 and above that did not say "not run" counted towards giving an item up (502, 503, 504), which the rule on dead-lettered results allows for answers of 500 only. Change: status 500 alone counts.

--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -11,14 +11,13 @@
 appends results, and it appends none for an item that is listed.
 """
 
-import itertools
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from troutswitch.decisions.forwarding.messages import LogLine
 from troutswitch.decisions.forwarding.routes import RouteTable
-from troutswitch.decisions.forwarding.servers import RequestSize, Server, ServerRegistry
+from troutswitch.decisions.forwarding.servers import ServerRegistry
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.jobs.index import JobEntry
 from troutswitch.decisions.jobs.items import ItemProgress
@@ -33,6 +32,7 @@
 from troutswitch.decisions.jobs.records import DEAD, DONE, ItemResult, StoreRoom
 from troutswitch.decisions.jobs.replicas import JobReplicas
 from troutswitch.decisions.jobs.room import BatchRoomPolicy, own_part, surplus
+from troutswitch.decisions.jobs.runs import ItemRun, ItemRuns
 from troutswitch.decisions.jobs.selection import (
     PEERS_LAG_SECONDS,
     TICK_SECONDS,
@@ -47,39 +47,24 @@
 """Items that run at once from this daemon."""
 STARTS_A_TICK = 8
 """Items that start in one look, so that peers hear of them before many follow."""
-FIRST_WAIT_SECONDS = 5.0
-GAP_WAIT_SECONDS = 1.5
 RETRY_SECONDS = 0.2
 FAILED_RETRY_SECONDS = 0.4
 CROWDED_SHARE = 0.3
 """Share of the tokens that may wait on a route from which daemons tell how far jobs are."""
 ROUTE_GONE_SECONDS = 6.0
 """Time without a route after which an item is given up."""
-NEVER_STATUSES = frozenset({422})
-"""Statuses with which a server says that an item can never be done."""
+FAILED_STATUS = 500
+"""Status with which a server says that an item's run failed; others say nothing of it."""
+NEVER_STATUS = 422
+"""Status with which a server says that an item can never be done."""
 
 Instruction = StoreCall | RunItem | StopItem | LogLine
 
 
-@dataclass(slots=True)
-class ItemRun:
-    """One run of an item at a server."""
-
-    progress: ItemProgress
-    server_id: str
-    started_at: float
-    size: RequestSize
-    events_before: int
-    is_begun: bool = False
-    is_stopped: bool = False
-
-
 @dataclass
 class OwnerCounts:
     """Counters for metrics."""
 
-    runs: int = 0
-    listed: int = 0
     dead: int = 0
     yielded: int = 0
 
@@ -101,7 +86,7 @@
         zone: str,
         policy: BatchRoomPolicy | None = None,
     ) -> None:
-        self.runs: dict[int, ItemRun] = {}
+        self._runs = ItemRuns(servers, log)
         self.counts = OwnerCounts()
         self._items: dict[tuple[str, str], ItemProgress] = {}
         self._routes = routes
@@ -118,11 +103,20 @@
         self._selection = ItemSelection(
             routes, servers, replicas.index, rng, starters, zone, self._policy
         )
-        self._run_numbers = itertools.count(1)
         self._tick_at = float("-inf")
         self.waiting_items = 0
         self._asked_shards: set[int] = set()
 
+    @property
+    def runs(self) -> dict[int, ItemRun]:
+        """Runs in flight, by number."""
+        return self._runs.by_number
+
+    @property
+    def runs_started(self) -> int:
+        """Runs started since this daemon began."""
+        return self._runs.started
+
     # Timers.
 
     def next_due(self) -> float:
@@ -291,7 +285,8 @@
         server = self._selection.choose(now, route, progress, entry)
         if server is None:
             return []
-        return [self._start(now, progress, entry, server)]
+        self._selection.on_started(server.record.server_id)
+        return [self._runs.start(now, progress, entry.manifest.host, server)]
 
     def _without_route(self, now: float, progress: ItemProgress) -> None:
         progress.no_route_since = min(progress.no_route_since, now)
@@ -300,107 +295,36 @@
         else:
             progress.retry_at = now + RETRY_SECONDS
 
-    def _start(
-        self, now: float, progress: ItemProgress, entry: JobEntry, server: Server
-    ) -> Instruction:
-        ensure(not progress.run, "an item runs twice at once")
-        number = next(self._run_numbers)
-        progress.run = number
-        progress.runs += 1
-        self.counts.runs += 1
-        size = RequestSize(progress.item.tokens, progress.item.tokens // 2)
-        server_id = server.record.server_id
-        self.runs[number] = ItemRun(progress, server_id, now, size, progress.events_done)
-        self._servers.on_sent(server_id, True, size)
-        self._selection.on_started(server_id)
-        self._log(
-            "item sent",
-            job_id=progress.job_id,
-            item_id=progress.item.item_id,
-            run=progress.runs,
-            server=server.record.server_id,
-            load=server.in_flight(now),
-            resume_after=progress.position,
-        )
-        return RunItem(
-            number,
-            server.record.server_id,
-            server.record.address,
-            entry.manifest.host,
-            progress.item,
-            progress.position,
-            FIRST_WAIT_SECONDS,
-            GAP_WAIT_SECONDS,
-        )
-
     # Progress and ends of runs.
 
     def on_begun(self, event: ItemBegun) -> None:
         """A run's prompt was read."""
-        run = self.runs.get(event.run)
-        if run is not None and not run.is_begun:
-            run.is_begun = True
-            self._servers.on_begun(run.server_id, run.size)
+        self._runs.on_begun(event)
 
     def on_progressed(self, event: ItemProgressed) -> None:
         """Takes what a run made so far."""
-        run = self.runs.get(event.run)
-        if run is not None:
-            run.progress.add(event.events)
+        self._runs.on_progressed(event)
 
     def on_run_ended(self, now: float, event: ItemRunEnded) -> None:
         """Takes the end of a run: the item is finished, or goes on later."""
-        run = self.runs.pop(event.run, None)
+        run = self._runs.end(now, event)
         if run is None:
             return
         progress = run.progress
-        progress.run = 0
-        self._account(now, run, event)
-        progress.add(event.events)
-        self._log_end(progress, run, event)
         if event.kind is AttemptKind.COMPLETED:
             events = progress.events_done - run.events_before
             pace = self._selection.pace
             pace.on_completed(now - run.started_at, events, progress.events_done)
             self._finish(progress, ItemResult(progress.item.item_id, DONE, progress.output))
-        elif event.status in NEVER_STATUSES:
+        elif event.status == NEVER_STATUS:
             self._give_up(progress, f"status {event.status}")
         else:
-            self._after_failure(now, progress, run, event)
+            self._after_failure(now, progress, event)
         self._tick_at = now
 
-    def _account(self, now: float, run: ItemRun, event: ItemRunEnded) -> None:
-        sound = run.is_stopped or event.status != 0
-        failed = not sound and event.kind in (AttemptKind.CUT, AttemptKind.UNREACHABLE)
-        self._servers.on_ended(
-            now, run.server_id, True, run.size, begun=run.is_begun, failed=failed
-        )
-        if event.load is not None:
-            self._servers.on_load(now, run.server_id, event.load)
-        if event.wrong_instance:
-            self._servers.mark_draining(run.server_id)
-        server = self._servers.servers.get(run.server_id)
-        if event.kind is AttemptKind.REFUSED and server is not None:
-            server.full_until = now + RETRY_SECONDS
-
-    def _log_end(self, progress: ItemProgress, run: ItemRun, event: ItemRunEnded) -> None:
-        self._log(
-            "item run ended",
-            job_id=progress.job_id,
-            item_id=progress.item.item_id,
-            server=run.server_id,
-            kind=event.kind,
-            status=event.status,
-            reason=event.reason,
-            position=progress.position,
-            stopped=run.is_stopped,
-        )
-
-    def _after_failure(
-        self, now: float, progress: ItemProgress, run: ItemRun, event: ItemRunEnded
-    ) -> None:
+    def _after_failure(self, now: float, progress: ItemProgress, event: ItemRunEnded) -> None:
         progress.retry_at = now + RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
-        if event.status < 500 or event.kind is AttemptKind.REFUSED:
+        if event.status != FAILED_STATUS or event.kind is AttemptKind.REFUSED:
             return
         progress.failures += 1
         progress.retry_at = now + FAILED_RETRY_SECONDS
