Callers' threads start when they are needed

Ruled out: a smaller fixed number (requests in progress would wait unread). Change: four threads from the start, one more whenever a task finds none idle, up to 96.

--- a/src/troutswitch/gateway/front.py
+++ b/src/troutswitch/gateway/front.py
@@ -10,6 +10,7 @@
 
 from troutswitch.common import Address
 from troutswitch.decisions.forwarding.types import RequestLimits
+from troutswitch.gateway.dispatcher import GrowingDispatcher
 from troutswitch.runtime.http import WsgiApplication
 
 THREAD_STACK_BYTES = 256 * 1024
@@ -55,6 +56,7 @@
             host=address.host,
             port=address.port,
             threads=threads,
+            _dispatcher=GrowingDispatcher(threads),
             backlog=BACKLOG,
             asyncore_use_poll=True,
             connection_limit=connections_most,
