--- a/src/troutswitch/decisions/daemon.py
+++ b/src/troutswitch/decisions/daemon.py
@@ -65,12 +65,14 @@
 from troutswitch.decisions.status import (
     build_directory,
     view_effective,
+    view_engines,
     view_history,
     view_members,
+    view_shards,
     view_tree,
 )
 from troutswitch.decisions.stewardship import Stewardship
-from troutswitch.decisions.views import Directory, EngineView, ShardView, StatusView
+from troutswitch.decisions.views import Directory, StatusView
 
 DRAIN_CHECK_SECONDS = 0.1
 """Interval between looks at whether a stopping daemon has finished."""
@@ -361,32 +363,8 @@
             self.writer.queued_records(),
             self.writer.is_failing_anywhere(),
             view_members(self.membership, self.configuration.reported, fold.next_offset),
-            tuple(self._view_engine(name) for name in sorted(self.engines.engines)),
-            tuple(
-                ShardView(
-                    shard,
-                    replica.fold.owner,
-                    replica.fold.epoch,
-                    len(replica.fold.open_jobs),
-                    replica.fold.next_offset,
-                )
-                for shard, replica in sorted(self.ownership.replicas.items())
-            ),
-        )
-
-    def _view_engine(self, name: str) -> EngineView:
-        engine = self.engines.engines[name]
-        load = engine.load
-        return EngineView(
-            name,
-            engine.service,
-            engine.zone,
-            str(engine.address),
-            load.running_online + load.waiting_online if load is not None else 0,
-            load.running_batch + load.waiting_batch if load is not None else 0,
-            engine.slots,
-            self.engines.is_leaving(engine),
-            self.stewardship.steward_of(name) or "",
+            view_engines(self.engines, self.stewardship),
+            view_shards(self.ownership),
         )
 
     # Planned stop.
--- a/src/troutswitch/decisions/members.py
+++ b/src/troutswitch/decisions/members.py
@@ -145,3 +145,14 @@
 
 def _serves_alike(one: Member, other: Member) -> bool:
     return one.is_serving == other.is_serving and one.zone == other.zone
+
+
+@dataclass(slots=True)
+class Probe:
+    """A probe in progress."""
+
+    sequence: int
+    subject: str
+    indirect_at: float
+    fail_at: float
+    indirect_sent: bool = False
--- a/src/troutswitch/decisions/membership.py
+++ b/src/troutswitch/decisions/membership.py
@@ -6,17 +6,12 @@
 times. Anti-entropy with one random member closes what gossip missed.
 """
 
-import heapq
-import math
 import random
-from dataclasses import dataclass
 
 from troutswitch.common import Address
 from troutswitch.constants import (
     DEAD_KEPT_SECONDS,
     EAGER_PEERS,
-    GOSSIP_RETRANSMIT_FACTOR,
-    GOSSIP_UPDATES_MOST,
     INDIRECT_PROBES,
     PROBE_PERIOD_SECONDS,
     PROBE_TIMEOUT_SECONDS,
@@ -24,8 +19,6 @@
     SEEDS_AT_ONCE,
     STARVED_SECONDS,
     SUSPICION_SECONDS,
-    SYNC_BURST_DATAGRAMS,
-    SYNC_DATAGRAMS_PER_SECOND,
     SYNC_MEMBERS_PER_DATAGRAM,
     SYNC_SECONDS,
 )
@@ -38,26 +31,17 @@
     SyncRequest,
 )
 from troutswitch.decisions.effects import Effect, LogEvent, SendDatagram
+from troutswitch.decisions.gossip import GossipQueue, SyncCredit
 from troutswitch.decisions.members import (
     Member,
     MemberState,
     MemberTable,
+    Probe,
     make_member,
     started_part,
 )
 
 
-@dataclass(slots=True)
-class _Probe:
-    """A probe in progress."""
-
-    sequence: int
-    subject: str
-    indirect_at: float
-    fail_at: float
-    indirect_sent: bool = False
-
-
 class Membership:
     """The member table of one daemon and the protocol that keeps it."""
 
@@ -70,9 +54,9 @@
         self.configuration_offset = -1
         self._rng = rng
         self.table.put(make_member(0.0, name, incarnation, MemberState.ALIVE, address, zone))
-        self._gossip: dict[str, int] = {}
+        self._gossip = GossipQueue()
         self._ring: list[str] = []
-        self._probe: _Probe | None = None
+        self._probe: Probe | None = None
         self._relayed: dict[int, tuple[Address, int]] = {}
         self._sequence = 0
         self._probe_at = float("-inf")
@@ -82,8 +66,7 @@
         self._suspect_until: dict[str, float] = {}
         self._dead: dict[str, float] = {}
         self._seeds: list[Address] = []
-        self._sync_credit = float(SYNC_BURST_DATAGRAMS)
-        self._sync_credited_at = 0.0
+        self._sync_credit = SyncCredit()
 
     # What other modules ask.
 
@@ -199,7 +182,7 @@
         if subject is None:
             return []
         self._sequence += 1
-        self._probe = _Probe(
+        self._probe = Probe(
             self._sequence,
             subject.name,
             now + PROBE_TIMEOUT_SECONDS,
@@ -231,7 +214,7 @@
             return self._suspect(now, probe.subject)
         return []
 
-    def _probe_indirectly(self, probe: _Probe) -> list[Effect]:
+    def _probe_indirectly(self, probe: Probe) -> list[Effect]:
         subject = self.members.get(probe.subject)
         if subject is None:
             return []
@@ -260,7 +243,7 @@
             del self._dead[name]
             if self.members[name].is_dead:
                 self.table.forget(name)
-                self._gossip.pop(name, None)
+                self._gossip.drop(name)
 
     def _start_sync(self) -> list[Effect]:
         peers = self.random_peers(1)
@@ -307,23 +290,12 @@
         updates = self.table.updates_where_digests_differ(message.digests)
         size = SYNC_MEMBERS_PER_DATAGRAM
         for first in range(0, len(updates), size):
-            if not self._take_sync_credit(now):
+            if not self._sync_credit.take(now):
                 break  # the sender asks again, others too
             reply = SyncReply(self.name, updates[first : first + size])
             effects.append(SendDatagram(sender, reply))
         return effects
 
-    def _take_sync_credit(self, now: float) -> bool:
-        """Bounds the tables sent a second, so that a fleet that starts at once gets through."""
-        elapsed = now - self._sync_credited_at
-        self._sync_credited_at = now
-        credit = self._sync_credit + elapsed * SYNC_DATAGRAMS_PER_SECOND
-        self._sync_credit = min(credit, float(SYNC_BURST_DATAGRAMS))
-        if self._sync_credit < 1.0:
-            return False
-        self._sync_credit -= 1.0
-        return True
-
     def on_sync_reply(self, now: float, sender: Address, message: SyncReply) -> list[Effect]:
         """Takes in part of another's table."""
         return self._merge_all(now, message.members)
@@ -414,15 +386,10 @@
     # Gossip.
 
     def _queue_gossip(self, name: str) -> None:
-        count = GOSSIP_RETRANSMIT_FACTOR * math.ceil(math.log2(len(self.members) + 1))
-        self._gossip[name] = max(count, GOSSIP_RETRANSMIT_FACTOR)
+        self._gossip.put(name, len(self.members))
 
     def _take_gossip(self, about: str = "") -> list[MemberUpdate]:
-        names = heapq.nlargest(GOSSIP_UPDATES_MOST, self._gossip, key=self._gossip.__getitem__)
-        for name in names:
-            self._gossip[name] -= 1
-            if self._gossip[name] <= 0:
-                del self._gossip[name]
+        names = self._gossip.take()
         suspected = self.members.get(about)
         if suspected is not None and suspected.state is MemberState.SUSPECT:
             names.append(about)  # a suspect hears of it first, so that it can refute
--- a/src/troutswitch/decisions/online.py
+++ b/src/troutswitch/decisions/online.py
@@ -11,8 +11,6 @@
 import heapq
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import Enum
 
 from troutswitch.constants import (
     RETRY_AFTER_SECONDS,
@@ -25,7 +23,6 @@
     CancelAttempt,
     Effect,
     FinishOnline,
-    LogEvent,
     SendDatagram,
     StartOnlineAttempt,
 )
@@ -39,6 +36,12 @@
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.limits import AdmissionControl, RetryBudget
 from troutswitch.decisions.membership import Membership
+from troutswitch.decisions.onlinerequest import (
+    OnlineCounts,
+    OnlineRequest,
+    RequestState,
+    line_of_end,
+)
 from troutswitch.decisions.routing import Router
 from troutswitch.outcomes import (
     RAN_NOTHING,
@@ -55,45 +58,6 @@
 """Longest time a request waits for engines that had to be asked first."""
 
 
-class RequestState(Enum):
-    """State of an online request that is not finished."""
-
-    CLAIMING = "claiming"
-    WAITING = "waiting"
-    RUNNING = "running"
-
-
-@dataclass(slots=True)
-class OnlineRequest:
-    """One online request in flight on this daemon."""
-
-    arrival: OnlineArrived
-    policy: ServingPolicy
-    state: RequestState = RequestState.WAITING
-    attempts: list[AttemptKind] = field(default_factory=list)
-    attempt_id: str = ""
-    engine: str = ""
-    last_engine: str = ""
-    sent_at: float = float("-inf")
-    refused_by: set[str] = field(default_factory=set)
-    position: int = 0
-    wake_at: float = float("inf")
-    probes_sent: bool = False
-    probe_until: float = float("-inf")
-    retry_after: float = RETRY_AFTER_SECONDS
-
-
-@dataclass
-class OnlineCounts:
-    """Counters for metrics and for the simulation."""
-
-    arrived: int = 0
-    completed: int = 0
-    refused: int = 0
-    attempts: int = 0
-    retries: int = 0
-
-
 ClaimFunction = Callable[[float, OnlineArrived, ServingPolicy], list[Effect]]
 StewardOf = Callable[[str], str | None]
 
@@ -404,19 +368,4 @@
             self.counts.completed += 1
         del self.requests[request.arrival.request_id]
         self._admission.release(request.arrival.tenant)
-        return [FinishOnline(request.arrival.request_id, outcome), _line_of(request, outcome)]
-
-
-def _line_of(request: OnlineRequest, outcome: OnlineOutcome) -> LogEvent:
-    """Returns the log line of a request's end."""
-    fields: dict[str, str | int | float | bool] = {
-        "request_id": request.arrival.request_id,
-        "tenant": request.arrival.tenant,
-        "service": request.arrival.service,
-        "attempts": len(request.attempts),
-        "outcome": type(outcome).__name__,
-        "peer": request.engine,
-    }
-    if not isinstance(outcome, Completed):
-        fields.update(step=outcome.step.value, peer=outcome.peer, reason=outcome.reason)
-    return LogEvent("request ended", fields)
+        return [FinishOnline(request.arrival.request_id, outcome), line_of_end(request, outcome)]
--- /dev/null
+++ b/src/troutswitch/decisions/onlinerequest.py
@@ -0,0 +1,64 @@
+"""One online request in flight, its states, and the log line of its end."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from troutswitch.constants import RETRY_AFTER_SECONDS
+from troutswitch.decisions.configuration.keys import ServingPolicy
+from troutswitch.decisions.effects import LogEvent
+from troutswitch.decisions.events import OnlineArrived
+from troutswitch.outcomes import AttemptKind, Completed, OnlineOutcome
+
+
+class RequestState(Enum):
+    """State of an online request that is not finished."""
+
+    CLAIMING = "claiming"
+    WAITING = "waiting"
+    RUNNING = "running"
+
+
+@dataclass(slots=True)
+class OnlineRequest:
+    """One online request in flight on this daemon."""
+
+    arrival: OnlineArrived
+    policy: ServingPolicy
+    state: RequestState = RequestState.WAITING
+    attempts: list[AttemptKind] = field(default_factory=list)
+    attempt_id: str = ""
+    engine: str = ""
+    last_engine: str = ""
+    sent_at: float = float("-inf")
+    refused_by: set[str] = field(default_factory=set)
+    position: int = 0
+    wake_at: float = float("inf")
+    probes_sent: bool = False
+    probe_until: float = float("-inf")
+    retry_after: float = RETRY_AFTER_SECONDS
+
+
+@dataclass
+class OnlineCounts:
+    """Counters for metrics and for the simulation."""
+
+    arrived: int = 0
+    completed: int = 0
+    refused: int = 0
+    attempts: int = 0
+    retries: int = 0
+
+
+def line_of_end(request: OnlineRequest, outcome: OnlineOutcome) -> LogEvent:
+    """Returns the log line of a request's end."""
+    fields: dict[str, str | int | float | bool] = {
+        "request_id": request.arrival.request_id,
+        "tenant": request.arrival.tenant,
+        "service": request.arrival.service,
+        "attempts": len(request.attempts),
+        "outcome": type(outcome).__name__,
+        "peer": request.engine,
+    }
+    if not isinstance(outcome, Completed):
+        fields.update(step=outcome.step.value, peer=outcome.peer, reason=outcome.reason)
+    return LogEvent("request ended", fields)
--- a/src/troutswitch/decisions/status.py
+++ b/src/troutswitch/decisions/status.py
@@ -1,14 +1,18 @@
 """Builds the views of a daemon's state."""
 
+from troutswitch.decisions.batch.ownership import Ownership
 from troutswitch.decisions.configuration.follower import ConfigurationFollower
 from troutswitch.decisions.engines import EngineRegistry
 from troutswitch.decisions.membership import Membership
+from troutswitch.decisions.stewardship import Stewardship
 from troutswitch.decisions.views import (
     Directory,
     EffectiveView,
+    EngineView,
     HistoryView,
     MemberView,
     PublicationView,
+    ShardView,
     TreeView,
 )
 
@@ -81,3 +85,38 @@
             for line in lines
         ),
     )
+
+
+def view_engines(engines: EngineRegistry, stewardship: Stewardship) -> tuple[EngineView, ...]:
+    """Builds the views of all engines."""
+    return tuple(_view_engine(engines, stewardship, name) for name in sorted(engines.engines))
+
+
+def _view_engine(engines: EngineRegistry, stewardship: Stewardship, name: str) -> EngineView:
+    engine = engines.engines[name]
+    load = engine.load
+    return EngineView(
+        name,
+        engine.service,
+        engine.zone,
+        str(engine.address),
+        load.running_online + load.waiting_online if load is not None else 0,
+        load.running_batch + load.waiting_batch if load is not None else 0,
+        engine.slots,
+        engines.is_leaving(engine),
+        stewardship.steward_of(name) or "",
+    )
+
+
+def view_shards(ownership: Ownership) -> tuple[ShardView, ...]:
+    """Builds the views of the shards that this daemon follows."""
+    return tuple(
+        ShardView(
+            shard,
+            replica.fold.owner,
+            replica.fold.epoch,
+            len(replica.fold.open_jobs),
+            replica.fold.next_offset,
+        )
+        for shard, replica in sorted(ownership.replicas.items())
+    )
--- a/src/troutswitch/simulation/gatewayworld.py
+++ b/src/troutswitch/simulation/gatewayworld.py
@@ -34,20 +34,13 @@
     ItemBegun,
     ItemProgressed,
     ItemRunEnded,
-    JobAccepted,
     JobAnswer,
-    JobEndAsked,
-    JobEnded,
-    JobRefused,
-    JobResults,
-    JobSubmitted,
     OutputEvent,
-    ResultsAsked,
     RunItem,
     StopItem,
 )
 from troutswitch.decisions.jobs.ownership import GROUP
-from troutswitch.decisions.jobs.records import JobItem, StoreRoom
+from troutswitch.decisions.jobs.records import StoreRoom
 from troutswitch.decisions.peers.catchup import AskPeerState, PeerStateTold
 from troutswitch.decisions.peers.loads import ReportReceived, SendReport
 from troutswitch.decisions.storage.messages import (
@@ -64,21 +57,17 @@
     StoreCall,
 )
 from troutswitch.outcomes import AttemptKind
+from troutswitch.simulation.jobclients import JOB_KEPT_SECONDS, JobClients
 from troutswitch.simulation.jobtruth import EVENTS_AN_ITEM, JobTruth, event_text
-from troutswitch.simulation.plainformats import SERVICE, PlainFormats
+from troutswitch.simulation.plainformats import HOST, PREFIX, SERVICE, PlainFormats
 from troutswitch.standins.keyedstore import KeyedStoreModel
 
-HOST = "jobs.example"
-PREFIX = "/jobs/"
 STORE_SECONDS = 0.01
 LATE_SECONDS = 2.0
 """Time after which an append whose answer was lost may still act."""
 EVENT_SECONDS = 0.1
 """Mean time between events; each run has a pace of its own around it."""
-READ_INTERVAL_SECONDS = 0.5
 RESTART_SECONDS = 0.5
-CALL_SECONDS = 4.0
-JOB_KEPT_SECONDS = 120.0
 
 
 @dataclass
@@ -127,6 +116,7 @@
         self._change = change or (lambda call: call)
         self._tokens = 0
         self._calls: dict[int, Callable[[JobAnswer], None]] = {}
+        self.clients = JobClients(self)
         route = Route(
             "jobs",
             HOST,
@@ -340,6 +330,15 @@
         self._calls[event.token] = answer  # type: ignore[attr-defined]
         self.step(daemon, event)
 
+    def ask_any(self, event: object, answer: Callable[[JobAnswer], None]) -> None:
+        """Makes a client's call at a daemon that it may reach."""
+        self.ask(self.any_daemon(), event, answer)
+
+    @property
+    def now(self) -> float:
+        """Virtual time, in seconds."""
+        return float(self.env.now)
+
     def next_token(self) -> int:
         """Returns a token for a call."""
         self._tokens += 1
@@ -352,56 +351,15 @@
 
     def hand_in(self, job_id: str, items: int, tokens: int = 100, tries: int = 3) -> JobTruth:
         """Hands a job in, again after each failure, and then reads its results."""
-        rows = tuple(
-            JobItem(f"{job_id}-{n}", f"{PREFIX}{n}", (), b"body", tokens) for n in range(items)
-        )
-        truth = JobTruth(job_id, rows, self.env.now)
-        self.jobs[job_id] = truth
-        self._try_hand_in(truth, tries)
-        return truth
-
-    def _try_hand_in(self, truth: JobTruth, tries: int) -> None:
-        token = self.next_token()
-        event = JobSubmitted(
-            token, truth.job_id, HOST, f"{PREFIX}{truth.job_id}", truth.items, "d", CALL_SECONDS
-        )
-        self.ask(self.any_daemon(), event, lambda answer: self._on_handed_in(truth, answer))
-        if tries > 1:
-            self.after(CALL_SECONDS + 0.5, lambda: self._hand_in_again(truth, token, tries - 1))
-
-    def _hand_in_again(self, truth: JobTruth, token: int, tries: int) -> None:
-        self._calls.pop(token, None)
-        if truth.accepted_at == float("inf"):
-            self._try_hand_in(truth, tries)
-
-    def _on_handed_in(self, truth: JobTruth, answer: JobAnswer) -> None:
-        if isinstance(answer, JobAccepted) and truth.accepted_at == float("inf"):
-            truth.accepted_at = self.env.now
-            self.after(READ_INTERVAL_SECONDS, lambda: self._read(truth))
-        elif isinstance(answer, JobRefused):
-            truth.refusals.append(answer.status)
-
-    def _read(self, truth: JobTruth) -> None:
-        position = self.rng.choice([0, len(truth.results)])
-        event = ResultsAsked(self.next_token(), truth.job_id, position, CALL_SECONDS)
-        self.ask(self.any_daemon(), event, lambda answer: self._on_read(truth, answer))
-        if self.env.now < truth.accepted_at + JOB_KEPT_SECONDS:
-            self.after(READ_INTERVAL_SECONDS, lambda: self._read(truth))
-
-    def _on_read(self, truth: JobTruth, answer: JobAnswer) -> None:
-        if isinstance(answer, JobRefused) and answer.status == 404:
-            self.violations.append(f"an accepted job was not found: {truth.job_id}")
-        if isinstance(answer, JobResults):
-            self.violations += truth.take_results(answer)
+        return self.clients.hand_in(job_id, items, tokens, tries)
 
     def end_job(self, truth: JobTruth) -> None:
         """Ends a job."""
-        event = JobEndAsked(self.next_token(), truth.job_id, CALL_SECONDS)
-        self.ask(self.any_daemon(), event, lambda answer: self._on_ended(truth, answer))
+        self.clients.end_job(truth)
 
-    def _on_ended(self, truth: JobTruth, answer: JobAnswer) -> None:
-        if isinstance(answer, JobEnded):
-            truth.ended_at = min(truth.ended_at, self.env.now)
+    def drop_call(self, token: int) -> None:
+        """Has a client wait no more for the answer to a call."""
+        self._calls.pop(token, None)
 
     # Runs.
 
--- a/src/troutswitch/simulation/plainformats.py
+++ b/src/troutswitch/simulation/plainformats.py
@@ -7,6 +7,8 @@
 from troutswitch.common import Address
 from troutswitch.decisions.forwarding.types import FleetConfiguration, ServerRecord
 
+HOST = "jobs.example"
+PREFIX = "/jobs/"
 SERVICE = "service"
 
 
