Readings of the store slow down in a large fleet; reports cost less to take

Cause: at 300 machines the list of servers (each 0.6 s) and the index (each 0.25 s under new jobs) alone would ask for about 1,700 of the store's 2,000 reads a second; more get 429. Ruled out: slower readings for all fleets (bounds of drains are kept by them). Change: either reading takes at most a quarter of `reads_per_s` of the settings over the whole fleet, which changes nothing below about 300 machines; keys of servers in reports are remembered, and a report with the shares of the last one is not taken apart again. Test: tests/decisions/test_gateway.py, at 10 and 300 peers.

--- a/src/troutswitch/daemons/loadreport.py
+++ b/src/troutswitch/daemons/loadreport.py
@@ -1,6 +1,7 @@
 """The datagram with which daemons tell each other their requests in flight."""
 
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Any
 
 import cbor2
@@ -11,6 +12,7 @@
 PREFILL_UNIT_TOKENS = 256
 """Unit in which prompt tokens are told, rounded up."""
 SERVER_KEY_MASK = 0xFFFFFFFF
+SERVER_KEYS_REMEMBERED = 8192
 
 
 class DatagramError(ValueError):
@@ -53,6 +55,7 @@
     spreads: bool = False
 
 
+@lru_cache(maxsize=SERVER_KEYS_REMEMBERED)
 def server_key(server_id: str) -> int:
     """Returns the short key that names a server in reports."""
     return stable_hash("server", server_id) & SERVER_KEY_MASK
--- a/src/troutswitch/decisions/forwarding/serverlist.py
+++ b/src/troutswitch/decisions/forwarding/serverlist.py
@@ -26,10 +26,11 @@
 
 
 class ServerListReader:
-    """Reads the list each `interval` seconds."""
+    """Reads the list each `interval` seconds, or `pace` if the size of the fleet asks for more."""
 
     def __init__(self, numbers: CallNumbers, rng: random.Random, interval: float) -> None:
         self.interval = interval
+        self.pace = 0.0
         self.failures = 0
         self.failing_since = float("inf")
         self._numbers = numbers
@@ -74,7 +75,7 @@
             return None
         rows, self._rows = self._rows, []
         self._after_key = ""
-        self._due = now + self.interval * self._rng.uniform(0.8, 1.2)
+        self._due = now + max(self.interval, self.pace) * self._rng.uniform(0.8, 1.2)
         return rows
 
     def _begin_again(self, now: float) -> None:
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -45,6 +45,8 @@
 """Time for which a read of the configuration waits at the store, in bounds for applying
 it: an answer that is lost must be noticed, and the read made again, inside the bound."""
 CONFIGURATION_PAUSE_SECONDS = 0.1
+READS_SHARE = 0.25
+"""Share of the store's reads that all daemons' readings of one thing may take."""
 SERVER_LIST_SHARE = 0.3
 """Interval of readings of the server list, in bounds for draining."""
 
@@ -63,7 +65,10 @@
 
 @dataclass(frozen=True, slots=True)
 class GatewayIdentity:
-    """Who this daemon is, and the bounds it keeps. Times are seconds."""
+    """Who this daemon is, and the bounds it keeps. Times are seconds.
+
+    `store_reads_per_second` bounds the reads of all daemons together; 0 is no bound.
+    """
 
     name: str
     zone: str
@@ -73,6 +78,7 @@
     member_ttl_least: float
     job_kept: float
     store_room: StoreRoom
+    store_reads_per_second: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -238,6 +244,7 @@
 
     def _on_timer(self, now: float) -> None:
         self.servers.on_timer(now)
+        self._pace_readings()
         self._instructions += self.requests.on_timer(now)
         self._instructions += self.server_list.on_timer(now)
         self._instructions += self.configuration.on_timer(now)
@@ -247,6 +254,13 @@
             now, self._reading(), lambda: self.peers.live_addresses(now)
         )
 
+    def _pace_readings(self) -> None:
+        """Reads less often in a large fleet, so that all readings together stay bounded."""
+        rate = READS_SHARE * self.identity.store_reads_per_second
+        pace = (1 + len(self.peers.peers)) / rate if rate > 0 else 0.0
+        self.server_list.pace = pace
+        self.jobs.replicas.index_follower.pace = pace
+
     # Peers.
 
     def _reading(self) -> ReadingState:
--- a/src/troutswitch/decisions/peers/loads.py
+++ b/src/troutswitch/decisions/peers/loads.py
@@ -222,6 +222,8 @@
         return [SendReport(near, replace(report, spreads=False))] if near else []
 
     def _set_shares(self, peer: Peer, shares: dict[int, ServerShare]) -> None:
+        if shares == peer.shares:
+            return
         by_key = {server_key(name): server for name, server in self._servers.servers.items()}
         for key in peer.shares.keys() | shares.keys():
             server = by_key.get(key)
--- a/src/troutswitch/decisions/storage/follower.py
+++ b/src/troutswitch/decisions/storage/follower.py
@@ -87,6 +87,7 @@
         self.failing_since = float("inf")
         self.wait = wait
         self.pause = pause
+        self.pace = 0.0
         self.is_tailing = is_tailing
         self._numbers = numbers
         self._rng = rng
@@ -214,7 +215,8 @@
         is_behind = self.next_offset < read.end
         if not is_behind:
             self.current_at = self._asked_at
-        self._due = now if is_behind or self._timed_out(read) else now + self.pause
+        pause = max(self.pause, self.pace)
+        self._due = now if is_behind or self._timed_out(read) else now + pause
 
     def _timed_out(self, read: RecordsRead) -> bool:
         """Returns whether the read waited at the store and nothing came."""
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -77,6 +77,7 @@
             StoreRoom(
                 settings.store.record_bytes, settings.store.call_bytes, settings.store.partitions
             ),
+            settings.store.reads_per_second,
         )
         rng = random.Random(os.urandom(8))
         self.core = GatewayCore(identity, PlatformFormats(), rng)
--- a/src/troutswitch/gateway/settings.py
+++ b/src/troutswitch/gateway/settings.py
@@ -11,13 +11,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreSettings:
-    """The store's address and limits."""
+    """The store's address and limits; `reads_per_second` of all daemons, 0 if unlimited."""
 
     address: Address
     partitions: int = 8
     record_bytes: int = 262_144
     call_bytes: int = 2_097_152
     member_ttl_least: float = 1.0
+    reads_per_second: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/platform/settings.py
+++ b/src/troutswitch/platform/settings.py
@@ -41,6 +41,7 @@
     record_bytes: int = 262_144
     call_bytes: int = 2_097_152
     ttl_min_ms: float = 1000
+    reads_per_s: float = 0
 
 
 class _Settings(msgspec.Struct, rename="camel"):
@@ -118,7 +119,12 @@
     if held.parts < 1:
         raise ValueError(f"platform.parts: expected at least 1, got {held.parts}")
     return StoreSettings(
-        address, held.parts, held.record_bytes, held.call_bytes, held.ttl_min_ms / 1000
+        address,
+        held.parts,
+        held.record_bytes,
+        held.call_bytes,
+        held.ttl_min_ms / 1000,
+        held.reads_per_s,
     )
 
 
--- a/tests/decisions/test_gateway.py
+++ b/tests/decisions/test_gateway.py
@@ -1,11 +1,17 @@
 """The gateway core hands each event to the part that it concerns."""
 
+from dataclasses import replace
+
+from troutswitch.common import Address
 from troutswitch.decisions.gateway import (
     CONFIGURATION_WAIT_SHARE,
+    READS_SHARE,
     SERVER_LIST_SHARE,
     BoundsChanged,
+    TimerFired,
 )
 from troutswitch.decisions.jobs.messages import ItemBegun
+from troutswitch.decisions.peers.loads import Peer
 from troutswitch.simulation.gatewayworld import Daemon, GatewayWorld
 
 START_SECONDS = 3.0
@@ -57,3 +63,18 @@
     assert core.server_list.interval == SERVER_LIST_SHARE * 1.0
     assert core.configuration.wait == CONFIGURATION_WAIT_SHARE * 4.0
     assert core.jobs.retention.job_kept == 60.0
+
+
+def test_readings_slow_down_only_in_a_fleet_that_would_use_up_the_store_s_reads() -> None:
+    world = GatewayWorld(1)
+    core = next(iter(world.daemons.values())).core
+    core.identity = replace(core.identity, store_reads_per_second=2000.0)
+    for peers in (10, 300):
+        address = Address("10.0.9.9", 7)
+        core.peers.peers = {f"peer-{n}": Peer(address, 0.0) for n in range(peers)}
+        core.step(0.0, TimerFired())
+        read_every = max(core.server_list.interval, core.server_list.pace)
+        assert peers / read_every <= READS_SHARE * 2000.0
+        assert read_every < core.identity.drain / 2
+    assert core.server_list.pace > core.server_list.interval
+    assert core.jobs.replicas.index_follower.pace == core.server_list.pace
