--- a/tests/decisions/peers/test_catchup.py
+++ b/tests/decisions/peers/test_catchup.py
@@ -1,5 +1,7 @@
 import random
 
+import pytest
+
 from troutswitch.common import Address
 from troutswitch.decisions.peers.catchup import (
     ANSWER_SECONDS,
@@ -88,3 +90,18 @@
     cut.is_cut_from_store = True
     world.run(3.0)
     assert cut.core.routes.version == 5
+
+
+def test_without_asking_peers_a_daemon_cut_from_the_store_learns_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(PeerCatchUp, "on_timer", lambda *_: [])
+    world, cut = cut_world()
+    world.publish(2)
+    world.list_server("server-1", 8, is_draining=True)
+    world.run(3.0)
+    assert cut.core.routes.version == 1
+    assert not cut.core.servers.servers["server-1"].is_draining
+    world.kill(CUT, down=0.5)
+    world.run(4.0)
+    assert not world.daemons[CUT].core.is_ready
