A job whose items were not read yet is never told to be done

Since the change of words on progress a new owner looks at all open jobs of its shard; one whose items its replica had not read yet seemed to have none left, and was told to be done, which closes it for good on every daemon. Ruled out: a later loss of the items (they stood in the shard; the job was closed at its first look). Test: test_a_job_whose_items_were_not_read_yet_is_never_told_to_be_done, fails without.

--- a/src/troutswitch/decisions/jobs/writer.py
+++ b/src/troutswitch/decisions/jobs/writer.py
@@ -43,6 +43,8 @@
 PROGRESS_LATENCIES = 20.0
 """The same time in times that the last word took, so that words never crowd a slow store:
 all shards share the index, and new jobs are accepted there."""
+PROGRESS_MOST_SECONDS = 2.0
+"""Longest time between words that such a latency asks for."""
 ROW_OVERHEAD_BYTES = 512
 
 
@@ -273,13 +275,16 @@
         That a job is done is always told. How far one is matters only where the tokens
         that wait come near the most that may wait.
         """
-        pause = max(PROGRESS_SECONDS, PROGRESS_LATENCIES * writes.progress_seconds)
+        slowness = min(PROGRESS_LATENCIES * writes.progress_seconds, PROGRESS_MOST_SECONDS)
+        pause = max(PROGRESS_SECONDS, slowness)
         if not writes.changed_jobs or writes.progress_call or now < writes.progress_at + pause:
             return []
+        writes.progress_at = now
+        writes.changed_jobs &= self._replicas.index.jobs.keys()
         records: list[KeyedRecord] = []
         for job_id in sorted(writes.changed_jobs):
             left = self._tokens_left(claim.shard, job_id)
-            if left and not self._is_crowded(job_id):
+            if left is None or (left and not self._is_crowded(job_id)):
                 continue
             record = progress_record(job_id, left)
             self._replicas.index.take(now, record)
@@ -288,10 +293,18 @@
         if not records:
             return []
         writes.changed_jobs -= writes.progress_jobs
-        writes.progress_at = now
         writes.progress_call = self._numbers.next()
         return [AppendRecords(writes.progress_call, INDEX, tuple(records))]
 
-    def _tokens_left(self, shard: int, job_id: str) -> int:
+    def _tokens_left(self, shard: int, job_id: str) -> int | None:
+        """Returns the tokens of a job's items that are not listed; None if not all are read.
+
+        A job that is told to be done is closed for good, so items that this replica has
+        not read yet must never count as done.
+        """
+        manifest = self._replicas.index.jobs[job_id].manifest
         content = self._replicas.shard(shard).fold.content(job_id)
-        return sum(i.tokens for i in content.items() if i.item_id not in content.listed)
+        items = content.items()
+        if len(items) < manifest.item_count:
+            return None
+        return sum(item.tokens for item in items if item.item_id not in content.listed)
--- a/tests/decisions/jobs/test_progress.py
+++ b/tests/decisions/jobs/test_progress.py
@@ -1,8 +1,24 @@
 """Words on how far jobs are: always at the end, before that only near the quota."""
 
+import random
 from collections import Counter
 
-from troutswitch.decisions.jobs.records import INDEX, PROGRESS
+from troutswitch.decisions.jobs.ownership import ShardClaim, ShardOwnership, ShardState
+from troutswitch.decisions.jobs.records import (
+    DONE,
+    INDEX,
+    PROGRESS,
+    ItemResult,
+    JobItem,
+    Manifest,
+    StoreRoom,
+    chunk_records,
+    manifest_record,
+    result_records,
+)
+from troutswitch.decisions.jobs.replicas import JobReplicas
+from troutswitch.decisions.jobs.writer import ShardWriter
+from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import AppendRecords, StoreCall
 from troutswitch.simulation.gatewayworld import GatewayWorld
 
@@ -85,3 +101,34 @@
             call.call, call.partition, kept, call.expected_end, call.stamp, call.timeout
         )
     return call
+
+
+def test_a_job_whose_items_were_not_read_yet_is_never_told_to_be_done() -> None:
+    numbers = CallNumbers()
+    rng = random.Random(1)
+    replicas = JobReplicas(numbers, rng)
+    ownership = ShardOwnership("me", 1.0, replicas, numbers, rng, lambda *_, **__: None)
+    room = StoreRoom(262_144, 2_097_152, 4)
+    writer = ShardWriter(
+        replicas, ownership, numbers, room, lambda _: None, lambda _: False, lambda *_, **__: None
+    )
+    claim = ShardClaim(0, 5, ShardState.OWNED)
+    ownership.claims[0] = claim
+    items = (JobItem("a", "/p", (), b"", 7), JobItem("b", "/p", (), b"", 7))
+    replicas.index.take(0.0, manifest_record(Manifest("job", "r", "h", 2, 14, "d", 0)))
+    assert writer.begin_epoch(claim)
+    assert writer.write(1.0, claim, [], False) == []
+    for record in chunk_records("job", items[:1], 262_144):
+        replicas.shard(0).fold.take(record)
+    assert writer.write(2.0, claim, [], False) == []
+    for record in chunk_records("job", items, 262_144):
+        replicas.shard(0).fold.take(record)
+    assert writer.write(3.0, claim, [], False) == []
+    assert replicas.index.jobs["job"].is_open
+    for position, item in enumerate(items):
+        result = ItemResult(item.item_id, DONE, "text")
+        for record in result_records("job", position, result, 262_144):
+            replicas.shard(0).fold.take(record)
+    (told,) = writer.write(4.0, claim, [], False)
+    assert isinstance(told, AppendRecords)
+    assert not replicas.index.jobs["job"].is_open
