--- a/src/troutswitch/daemons/loadreport.py
+++ b/src/troutswitch/daemons/loadreport.py
@@ -86,18 +86,18 @@
     )
 
 
-def decode_report(data: bytes) -> LoadReport:
-    """Decodes a report.
+def decode_report(fields: list[Any]) -> LoadReport:
+    """Makes a report of a datagram's fields.
 
     Raises:
-        DatagramError: the bytes are no report of this version.
+        DatagramError: the fields are not those of a report of this version.
     """
     try:
-        version, *fields = cbor2.loads(data)
+        version, *rest = fields
         if version != VERSION:
             raise DatagramError(f"report of version {version}")
-        return _report(fields)
-    except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
+        return _report(rest)
+    except (ValueError, TypeError) as error:
         raise DatagramError(f"malformed report: {error}") from error
 
 
--- a/src/troutswitch/decisions/forwarding/messages.py
+++ b/src/troutswitch/decisions/forwarding/messages.py
@@ -112,6 +112,14 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class SlotWanted:
+    """A request was sent to a server that has no free slot: a batch item there is to yield."""
+
+    server_id: str
+    request_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class LogLine:
     """Write one log line."""
@@ -120,4 +128,4 @@
     fields: dict[str, object]
 
 
-ForwardingInstruction = SendRequest | FinishRequest | AbortAttempt | LogLine
+ForwardingInstruction = SendRequest | FinishRequest | AbortAttempt | SlotWanted | LogLine
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -31,6 +31,7 @@
     RequestArrived,
     RequestAttemptEnded,
     SendRequest,
+    SlotWanted,
 )
 from troutswitch.decisions.forwarding.placement import POLICIES, PlacementPolicy
 from troutswitch.decisions.forwarding.request import ForwardedRequest
@@ -183,7 +184,10 @@
             request.gap_wait(now),
             request.position,
         )
-        return [send, line_of_start(now, request, server, self._routes.version)]
+        line = line_of_start(now, request, server, self._routes.version)
+        if server.in_flight(now) <= server.slots or server.batch() == 0:
+            return [send, line]
+        return [send, line, SlotWanted(server.record.server_id, request.arrival.request_id)]
 
     def _size(self, request: ForwardedRequest, server: Server) -> RequestSize:
         prompt = request.arrival.prompt
--- a/src/troutswitch/decisions/forwarding/servers.py
+++ b/src/troutswitch/decisions/forwarding/servers.py
@@ -218,6 +218,12 @@
         if server is not None:
             server.prefill_tokens = max(0, server.prefill_tokens - size.prefill_tokens)
 
+    def on_stopped(self, server_id: str, size: RequestSize, *, begun: bool) -> None:
+        """A batch item at the server was told to stop, which says nothing of the server."""
+        server = self.servers.get(server_id)
+        if server is not None:
+            self._free(server, True, size, begun)
+
     def on_ended(
         self,
         now: float,
@@ -232,18 +238,21 @@
         server = self.servers.get(server_id)
         if server is None:
             return
+        self._free(server, is_batch, size, begun)
+        if failed:
+            self._count_failure(now, server)
+        else:
+            server.failures = 0
+            server.ejected_until = float("-inf")
+
+    def _free(self, server: Server, is_batch: bool, size: RequestSize, begun: bool) -> None:
         if not begun:
-            self.on_begun(server_id, size)
+            self.on_begun(server.record.server_id, size)
         server.tokens_in_flight = max(0, server.tokens_in_flight - size.tokens)
         if is_batch:
             server.batch_in_flight = max(0, server.batch_in_flight - 1)
         else:
             server.online_in_flight = max(0, server.online_in_flight - 1)
-        if failed:
-            self._count_failure(now, server)
-        else:
-            server.failures = 0
-            server.ejected_until = float("-inf")
 
     def _count_failure(self, now: float, server: Server) -> None:
         server.failures += 1
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from troutswitch.common import Address
+from troutswitch.daemons.loadreport import server_key
 from troutswitch.daemons.peerstate import PeerState, StoredRecord
 from troutswitch.decisions.forwarding.messages import (
     AnswerBegun,
@@ -18,6 +19,7 @@
     RequestArrived,
     RequestAttemptEnded,
     ServerHeard,
+    SlotWanted,
 )
 from troutswitch.decisions.forwarding.requests import ForwardedRequests
 from troutswitch.decisions.forwarding.routes import RouteTable
@@ -29,9 +31,11 @@
     ServerRecord,
 )
 from troutswitch.decisions.jobs.coordinator import JobCoordinator, JobEvent
+from troutswitch.decisions.jobs.owner import BatchPeers
 from troutswitch.decisions.jobs.records import StoreRoom
 from troutswitch.decisions.peers.catchup import PeerCatchUp, PeerStateTold, ReadingState
 from troutswitch.decisions.peers.loads import PeerLoads, ReportReceived
+from troutswitch.decisions.peers.slots import SlotAsked, SlotAsks
 from troutswitch.decisions.storage.follower import CallNumbers, PartitionFollower
 from troutswitch.decisions.storage.messages import (
     KeyedRecord,
@@ -156,7 +160,10 @@
             identity.store_room,
             rng,
             self._emit,
-            lambda: 1 + self.peers.count_starting(),
+            BatchPeers(
+                lambda: 1 + self.peers.count_starting(),
+                lambda server_id: self.peers.batch_before(server_id),
+            ),
         )
 
         self.peers = PeerLoads(
@@ -170,6 +177,7 @@
             rng,
             self._log,
         )
+        self._slot_asks = SlotAsks(identity.name, self.peers, rng)
 
     def _emit(self, instruction: Instruction) -> None:
         self._instructions.append(instruction)
@@ -195,6 +203,8 @@
                 self._instructions += self.requests.on_caller_gone(now, event)
             case _ if isinstance(event, JobEvent):
                 self.jobs.on_event(now, event)
+            case SlotAsked():
+                self._on_slot_asked(now, event)
             case ServerHeard():
                 self.servers.on_heard(now, event.server_id)
             case ReportReceived():
@@ -218,7 +228,39 @@
         self._on_timer(now)
         self.requests.validate()
         instructions, self._instructions = self._instructions, []
-        return instructions
+        return [made for given in instructions for made in self._resolve(now, given)]
+
+    def _resolve(self, now: float, instruction: Instruction) -> list[Instruction]:
+        """Turns the wish for a slot into a stop here, or into a word to a peer."""
+        if not isinstance(instruction, SlotWanted):
+            return [instruction]
+        server_id = instruction.server_id
+        stop = self.jobs.owner.give_slot(now, server_id)
+        ask = None if stop is not None else self._slot_asks.ask(server_id)
+        line = LogLine(
+            "slot wanted",
+            {
+                "request_id": instruction.request_id,
+                "server": server_id,
+                "stopped_run": stop.run if stop is not None else 0,
+                "asked": f"{ask.address.host}:{ask.address.port}" if ask is not None else "",
+            },
+        )
+        return [line, *(made for made in (stop, ask) if made is not None)]
+
+    def _on_slot_asked(self, now: float, event: SlotAsked) -> None:
+        server = next(
+            (name for name in self.servers.servers if server_key(name) == event.ask.server_key), ""
+        )
+        stop = self.jobs.owner.give_slot(now, server)
+        self._log(
+            "slot asked",
+            peer=event.ask.sender,
+            server=server,
+            stopped_run=stop.run if stop is not None else 0,
+        )
+        if stop is not None:
+            self._instructions.append(stop)
 
     def _on_bounds(self, event: BoundsChanged) -> None:
         self.server_list.interval = SERVER_LIST_SHARE * event.drain
--- a/src/troutswitch/decisions/jobs/coordinator.py
+++ b/src/troutswitch/decisions/jobs/coordinator.py
@@ -18,7 +18,7 @@
     JobSubmitted,
     ResultsAsked,
 )
-from troutswitch.decisions.jobs.owner import JobOwner
+from troutswitch.decisions.jobs.owner import BatchPeers, JobOwner
 from troutswitch.decisions.jobs.ownership import ShardOwnership
 from troutswitch.decisions.jobs.reads import JobReads
 from troutswitch.decisions.jobs.records import StoreRoom
@@ -56,7 +56,7 @@
         room: StoreRoom,
         rng: random.Random,
         emit: Callable[[object], None],
-        starters: Callable[[], int],
+        peers: BatchPeers,
     ) -> None:
         self._emit = emit
         self._drain_until = float("inf")
@@ -73,7 +73,7 @@
             room,
             rng,
             self._log,
-            starters,
+            peers,
             zone,
         )
 
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -31,13 +31,9 @@
 from troutswitch.decisions.jobs.ownership import ShardClaim, ShardOwnership
 from troutswitch.decisions.jobs.records import DEAD, DONE, ItemResult, StoreRoom
 from troutswitch.decisions.jobs.replicas import JobReplicas
-from troutswitch.decisions.jobs.room import BatchRoomPolicy, own_part, surplus
+from troutswitch.decisions.jobs.room import BatchRoomPolicy, surplus
 from troutswitch.decisions.jobs.runs import ItemRun, ItemRuns
-from troutswitch.decisions.jobs.selection import (
-    PEERS_LAG_SECONDS,
-    TICK_SECONDS,
-    ItemSelection,
-)
+from troutswitch.decisions.jobs.selection import TICK_SECONDS, ItemSelection
 from troutswitch.decisions.jobs.writer import ShardWriter
 from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import StoreCall, StoreOutcome
@@ -69,6 +65,18 @@
     yielded: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class BatchPeers:
+    """What is known of other daemons' batch items.
+
+    `starters` counts the daemons that have items to start, this one included;
+    `batch_before` counts, of a server, the items that yield before those of this daemon.
+    """
+
+    starters: Callable[[], int]
+    batch_before: Callable[[str], int]
+
+
 class JobOwner:
     """All items that this daemon runs."""
 
@@ -82,7 +90,7 @@
         room: StoreRoom,
         rng: random.Random,
         log: Callable[..., None],
-        starters: Callable[[], int],
+        peers: BatchPeers,
         zone: str,
         policy: BatchRoomPolicy | None = None,
     ) -> None:
@@ -99,9 +107,10 @@
         )
         self._rng = rng
         self._log = log
+        self._peers = peers
         self._policy = policy or BatchRoomPolicy()
         self._selection = ItemSelection(
-            routes, servers, replicas.index, rng, starters, zone, self._policy
+            routes, servers, replicas.index, rng, peers.starters, zone, self._policy
         )
         self._tick_at = float("-inf")
         self.waiting_items = 0
@@ -189,8 +198,7 @@
         for number, run in self.runs.items():
             unwanted = self.is_draining or not self._is_wanted(run.progress)
             if not run.is_stopped and unwanted:
-                run.is_stopped = True
-                instructions.append(StopItem(number))
+                instructions.append(self._runs.stop(number))
         for key, progress in list(self._items.items()):
             if not progress.run and not self._is_wanted(progress):
                 del self._items[key]
@@ -206,24 +214,33 @@
         return is_open and progress.shard in self._ownership.claims
 
     def _yield_slots(self, now: float) -> list[Instruction]:
-        """Stops this daemon's least urgent items where online requests need their slots."""
+        """Stops this daemon's part of the items that stand in the way of online requests."""
         instructions: list[Instruction] = []
-        mine: dict[str, list[ItemProgress]] = {}
-        for run in self.runs.values():
-            if not run.is_stopped:
-                mine.setdefault(run.server_id, []).append(run.progress)
-        for server_id, items in mine.items():
+        for server_id in {run.server_id for run in self.runs.values() if not run.is_stopped}:
             server = self._servers.servers.get(server_id)
             if server is None:
                 continue
-            part = len(items) / max(1, server.batch()) * TICK_SECONDS / PEERS_LAG_SECONDS
-            count = own_part(surplus(now, server, self._policy), part, self._rng)
-            for progress in self._selection.least_urgent(now, items, count) if count else ():
-                self.runs[progress.run].is_stopped = True
-                self.counts.yielded += 1
-                instructions.append(StopItem(progress.run))
+            over = surplus(now, server, self._policy) - self._peers.batch_before(server_id)
+            instructions += self._stop_least_urgent(now, server_id, over)
         return instructions
 
+    def give_slot(self, now: float, server_id: str) -> StopItem | None:
+        """Stops the least urgent item at a server; None if this daemon has none there."""
+        stopped = self._stop_least_urgent(now, server_id, 1)
+        return stopped[0] if stopped else None
+
+    def _stop_least_urgent(self, now: float, server_id: str, count: int) -> list[StopItem]:
+        running = [
+            run.progress
+            for run in self.runs.values()
+            if run.server_id == server_id and not run.is_stopped
+        ]
+        if count <= 0 or not running:
+            return []
+        chosen = self._selection.least_urgent(now, running, count)
+        self.counts.yielded += len(chosen)
+        return [self._runs.stop(progress.run) for progress in chosen]
+
     # Starting.
 
     def _start_items(self, now: float, owned: dict[int, ShardClaim]) -> list[Instruction]:
--- a/src/troutswitch/decisions/jobs/runs.py
+++ b/src/troutswitch/decisions/jobs/runs.py
@@ -7,7 +7,13 @@
 from troutswitch.decisions.forwarding.servers import RequestSize, Server, ServerRegistry
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.jobs.items import ItemProgress
-from troutswitch.decisions.jobs.messages import ItemBegun, ItemProgressed, ItemRunEnded, RunItem
+from troutswitch.decisions.jobs.messages import (
+    ItemBegun,
+    ItemProgressed,
+    ItemRunEnded,
+    RunItem,
+    StopItem,
+)
 from troutswitch.outcomes import AttemptKind
 
 FIRST_WAIT_SECONDS = 5.0
@@ -75,7 +81,7 @@
     def on_begun(self, event: ItemBegun) -> None:
         """A run's prompt was read."""
         run = self.by_number.get(event.run)
-        if run is not None and not run.is_begun:
+        if run is not None and not run.is_begun and not run.is_stopped:
             run.is_begun = True
             self._servers.on_begun(run.server_id, run.size)
 
@@ -85,6 +91,14 @@
         if run is not None:
             run.progress.add(event.events)
 
+    def stop(self, number: int) -> StopItem:
+        """Stops a run. From now on it counts as gone from its server."""
+        run = self.by_number[number]
+        ensure(not run.is_stopped, "a run is stopped twice")
+        run.is_stopped = True
+        self._servers.on_stopped(run.server_id, run.size, begun=run.is_begun)
+        return StopItem(number)
+
     def end(self, now: float, event: ItemRunEnded) -> ItemRun | None:
         """Takes the end of a run; returns the run, or None if it was not known."""
         run = self.by_number.pop(event.run, None)
@@ -109,9 +123,10 @@
     def _account(self, now: float, run: ItemRun, event: ItemRunEnded) -> None:
         sound = run.is_stopped or event.status != 0
         failed = not sound and event.kind in (AttemptKind.CUT, AttemptKind.UNREACHABLE)
-        self._servers.on_ended(
-            now, run.server_id, True, run.size, begun=run.is_begun, failed=failed
-        )
+        if not run.is_stopped:
+            self._servers.on_ended(
+                now, run.server_id, True, run.size, begun=run.is_begun, failed=failed
+            )
         if event.load is not None:
             self._servers.on_load(now, run.server_id, event.load)
         if event.wrong_instance:
--- a/src/troutswitch/decisions/peers/loads.py
+++ b/src/troutswitch/decisions/peers/loads.py
@@ -13,7 +13,7 @@
 
 import cbor2
 
-from troutswitch.common import Address
+from troutswitch.common import Address, stable_hash
 from troutswitch.daemons.loadreport import (
     PREFILL_UNIT_TOKENS,
     LoadReport,
@@ -77,6 +77,11 @@
     waiting_items: int = 0
     shares: dict[int, ServerShare] = field(default_factory=dict)
 
+    def batch_at(self, key: int) -> int:
+        """Returns the batch items that it has at a server."""
+        share = self.shares.get(key)
+        return share.batch if share is not None else 0
+
 
 class PeerLoads:
     """What peers tell, and what is told to them."""
@@ -237,6 +242,27 @@
             server.peers_prefill_tokens = max(0, server.peers_prefill_tokens + prefill)
         peer.shares = shares
 
+    def batch_holders(self, key: int) -> list[Peer]:
+        """Returns the peers that told of batch items at a server."""
+        return [peer for peer in self.peers.values() if peer.batch_at(key) > 0]
+
+    def batch_before(self, server_id: str) -> int:
+        """Returns the batch items at a server of the peers that stop theirs before this daemon.
+
+        The order is another one at each server, so that no daemon always comes first.
+        """
+        key = server_key(server_id)
+        place = stable_hash(server_id, self._name)
+        return sum(
+            peer.batch_at(key)
+            for name, peer in self.peers.items()
+            if stable_hash(server_id, name) < place
+        )
+
+    def set_share(self, peer: Peer, share: ServerShare) -> None:
+        """Takes a peer's share of one server as changed, until it reports again."""
+        self._set_shares(peer, {**peer.shares, share.server_key: share})
+
     def _drop_silent(self, now: float) -> None:
         limit = silence_limit(len(self.peers))
         for name, peer in list(self.peers.items()):
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -26,7 +26,7 @@
 from troutswitch.gateway.jobcalls import JobCalls
 from troutswitch.gateway.loop import GatewayLoop
 from troutswitch.gateway.metrics import CONTENT_TYPE, GatewayMetrics
-from troutswitch.gateway.peersocket import ReportSocket
+from troutswitch.gateway.peersocket import PeerSocket
 from troutswitch.gateway.peerstate import PEER_STATE_PATH, answer_peer, ask_peer
 from troutswitch.gateway.pulse import Pulse
 from troutswitch.gateway.registry import Relays
@@ -64,12 +64,12 @@
         self._connections = ServerConnections()
         store = StoreClient(settings.store.address)
         peer_address = Address(settings.peer_host, settings.peer_ports[0])
-        self._reports = ReportSocket(peer_address, self._post)
+        self._peers = PeerSocket(peer_address, self._post)
         self._pulse = Pulse(self._post)
         identity = GatewayIdentity(
             settings.name,
             settings.zone,
-            self._reports.address,
+            self._peers.address,
             settings.bounds.drain,
             settings.bounds.configuration_apply,
             settings.store.member_ttl_least,
@@ -89,7 +89,7 @@
             store.call,
             items,
             self._jobs.answer,
-            self._reports.send,
+            self._peers.send,
             lambda ask: ask_peer(settings.peer_ports[1], ask),
             logger,
         )
@@ -159,7 +159,7 @@
     def start(self) -> None:
         """Starts listeners and loop."""
         self.loop.start()
-        self._reports.start()
+        self._peers.start()
         for server in (self._readiness, self._callers, self._internal):
             if server is not None:
                 server.start()
--- a/src/troutswitch/gateway/runner.py
+++ b/src/troutswitch/gateway/runner.py
@@ -15,6 +15,7 @@
 from troutswitch.decisions.jobs.messages import AnswerJobCall, RunItem, StopItem
 from troutswitch.decisions.peers.catchup import AskPeerState, PeerStateTold
 from troutswitch.decisions.peers.loads import SendReport
+from troutswitch.decisions.peers.slots import SendSlotAsk
 from troutswitch.decisions.storage.messages import (
     AppendRecords,
     CallFailed,
@@ -43,7 +44,7 @@
         call_store: Callable[[StoreCall], StoreOutcome],
         items: ItemRuns,
         answer_job: Callable[[AnswerJobCall], None],
-        send_report: Callable[[SendReport], None],
+        send_to_peers: Callable[[SendReport | SendSlotAsk], None],
         ask_peer: Callable[[AskPeerState], PeerStateTold],
         logger: structlog.typing.FilteringBoundLogger,
     ) -> None:
@@ -54,7 +55,7 @@
         self._call_store = call_store
         self._items = items
         self._answer_job = answer_job
-        self._send_report = send_report
+        self._send_to_peers = send_to_peers
         self._ask_peer = ask_peer
         self._logger = logger
         self._post: Callable[[object], None] = lambda event: None
@@ -78,8 +79,8 @@
                 self._items.start(instruction)
             case StopItem():
                 self._items.stop(instruction)
-            case SendReport():
-                self._send_report(instruction)
+            case SendReport() | SendSlotAsk():
+                self._send_to_peers(instruction)
             case AskPeerState():
                 self._submit(lambda: self._ask_peer(instruction))
             case AnswerJobCall():
--- a/src/troutswitch/simulation/gatewayworld.py
+++ b/src/troutswitch/simulation/gatewayworld.py
@@ -43,6 +43,7 @@
 from troutswitch.decisions.jobs.records import StoreRoom
 from troutswitch.decisions.peers.catchup import AskPeerState, PeerStateTold
 from troutswitch.decisions.peers.loads import ReportReceived, SendReport
+from troutswitch.decisions.peers.slots import SendSlotAsk, SlotAsked
 from troutswitch.decisions.storage.messages import (
     AppendRecords,
     CallFailed,
@@ -222,7 +223,9 @@
             case StopItem():
                 daemon.stopped.add(instruction.run)
             case SendReport():
-                self._send_report(daemon, instruction)
+                self._send_to_peers(instruction.addresses, ReportReceived(instruction.report))
+            case SendSlotAsk():
+                self._send_to_peers((instruction.address,), SlotAsked(instruction.ask))
             case AskPeerState():
                 self._ask_peer(daemon, instruction)
             case AnswerJobCall():
@@ -230,10 +233,9 @@
                 if answer is not None:
                     answer(instruction.answer)
 
-    def _send_report(self, daemon: Daemon, instruction: SendReport) -> None:
-        event = ReportReceived(instruction.report)
+    def _send_to_peers(self, addresses: tuple[Address, ...], event: object) -> None:
         for peer in self.daemons.values():
-            if peer.core.identity.peer_address in instruction.addresses:
+            if peer.core.identity.peer_address in addresses:
                 self.step_later(peer, event, 0.002)
 
     def _ask_peer(self, daemon: Daemon, instruction: AskPeerState) -> None:
--- a/tests/daemons/test_loadreport.py
+++ b/tests/daemons/test_loadreport.py
@@ -3,12 +3,11 @@
 from hypothesis import strategies as st
 
 from troutswitch.common import Address
+from troutswitch.daemons.datagram import decode, encode
 from troutswitch.daemons.loadreport import (
     DatagramError,
     LoadReport,
     ServerShare,
-    decode_report,
-    encode_report,
 )
 
 COUNTS = st.integers(0, 10_000)
@@ -32,18 +31,18 @@
 @DETERMINISTIC
 @given(REPORTS)
 def test_a_report_comes_back_as_it_went(report: LoadReport) -> None:
-    assert decode_report(encode_report(report)) == report
+    assert decode(encode(report)) == report
 
 
 @DETERMINISTIC
 @given(st.binary(max_size=60))
 def test_other_bytes_are_an_error(data: bytes) -> None:
     with pytest.raises(DatagramError):
-        decode_report(data)
+        decode(data)
 
 
 def test_today_s_report_is_small() -> None:
     shares = tuple(ServerShare(0xFFFFFFFF, 20, 10, 30) for _ in range(9))
     address = Address("10.1.2.10", 7720)
     report = LoadReport("edge-guediawaye-3", "guediawaye", address, 2**31, 9999, shares, 12)
-    assert len(encode_report(report)) < 190
+    assert len(encode(report)) < 190
