--- a/src/troutswitch/decisions/forwarding/servers.py
+++ b/src/troutswitch/decisions/forwarding/servers.py
@@ -103,6 +103,8 @@
     servers: dict[str, Server] = field(default_factory=dict)
     listed_at: float = float("-inf")
     list_failed_at: float = float("-inf")
+    changes: int = 0
+    """Changes of this daemon's own work at servers, to tell whether peers know it all."""
     _look_at: float = float("-inf")
     _draining: dict[str, None] = field(default_factory=dict)
     _by_service: dict[str, list[Server]] = field(default_factory=dict)
@@ -204,6 +206,7 @@
     def on_sent(self, server_id: str, is_batch: bool, size: RequestSize) -> None:
         """A request was sent to the server."""
         server = self.servers[server_id]
+        self.changes += 1
         server.prefill_tokens += size.prefill_tokens
         server.sent_since_load += 1
         server.tokens_in_flight += size.tokens
@@ -215,7 +218,8 @@
     def on_begun(self, server_id: str, size: RequestSize) -> None:
         """The server read a request's prompt and made its first token."""
         server = self.servers.get(server_id)
-        if server is not None:
+        if server is not None and size.prefill_tokens:
+            self.changes += 1
             server.prefill_tokens = max(0, server.prefill_tokens - size.prefill_tokens)
 
     def on_stopped(self, server_id: str, size: RequestSize, *, begun: bool) -> None:
@@ -246,6 +250,7 @@
             server.ejected_until = float("-inf")
 
     def _free(self, server: Server, is_batch: bool, size: RequestSize, begun: bool) -> None:
+        self.changes += 1
         if not begun:
             self.on_begun(server.record.server_id, size)
         server.tokens_in_flight = max(0, server.tokens_in_flight - size.tokens)
--- a/src/troutswitch/decisions/peers/loads.py
+++ b/src/troutswitch/decisions/peers/loads.py
@@ -23,9 +23,9 @@
 from troutswitch.decisions.forwarding.servers import ServerRegistry
 from troutswitch.decisions.peers.spread import (
     PeerPlace,
+    ReportPace,
     quiet_interval,
     recipients,
-    report_interval,
     silence_limit,
 )
 from troutswitch.decisions.storage.follower import CallNumbers
@@ -46,6 +46,8 @@
 READ_FIRST_SECONDS = 1.0
 READ_SECONDS = 10.0
 CALL_LOST_SECONDS = 4.0
+DROP_LOOK_SECONDS = 0.1
+"""Interval between looks for peers that fell silent."""
 WRITE_RETRY_SECONDS = 1.0
 
 
@@ -110,8 +112,9 @@
         self._log = log
         self._life = rng.getrandbits(31)
         self._sequence = 0
-        self._told: tuple[tuple[ServerShare, ...], int, bool] = ((), -1, False)
-        self._report_at = float("-inf")
+        self._told = (-1, -1, False)
+        self._pace = ReportPace()
+        self._dropped_at = float("-inf")
         self._quiet_at = float("-inf")
         self._read_at = float("-inf")
         self._read_call = 0
@@ -123,7 +126,13 @@
 
     def next_due(self) -> float:
         """Returns when `on_timer` has something to do."""
-        return min(self._report_at, self._read_at, self._write_at)
+        return min(self._report_due(), self._read_at, self._write_at)
+
+    def _report_due(self) -> float:
+        """Returns when a report may go: soon if something changed, else to be heard of."""
+        told = (self._servers.changes, self._configuration_version(), self._waiting_items() > 0)
+        soonest = self._pace.next_at(len(self.peers))
+        return soonest if told != self._told else max(soonest, self._quiet_at)
 
     def on_timer(self, now: float) -> list[StoreCall | SendReport]:
         """Reports if something changed, and looks for peers."""
@@ -132,20 +141,18 @@
             instructions.append(self._write(now))
         if now >= self._read_at:
             instructions.append(self._read(now))
-        if now >= self._report_at:
-            self._report_at = now + report_interval(len(self.peers))
+        if now >= self._dropped_at + DROP_LOOK_SECONDS:
+            self._dropped_at = now
             self._drop_silent(now)
+        if now >= self._report_due():
             instructions += self._report(now)
         return instructions
 
     def _report(self, now: float, is_leaving: bool = False) -> list[StoreCall | SendReport]:
-        shares = self._own_shares()
         version = self._configuration_version()
         waiting = self._waiting_items()
-        told = (shares, version, waiting > 0)
-        if told == self._told and now < self._quiet_at and not is_leaving:
-            return []
-        self._told = told
+        self._told = (self._servers.changes, version, waiting > 0)
+        self._pace.on_sent(now, len(self.peers))
         self._quiet_at = now + quiet_interval(len(self.peers))
         self._sequence += 1
         return self._send(
@@ -156,7 +163,7 @@
                 self._address,
                 self._life,
                 self._sequence,
-                shares,
+                self._own_shares(),
                 version,
                 is_leaving,
                 waiting,
--- a/src/troutswitch/decisions/peers/spread.py
+++ b/src/troutswitch/decisions/peers/spread.py
@@ -11,10 +11,13 @@
 
 from troutswitch.common import Address
 
-REPORT_SECONDS = 0.1
+REPORT_SECONDS = 0.01
 """Least interval between reports."""
 REPORTS_TAKEN_A_SECOND = 160
-"""Reports that one daemon takes in a second, whatever the size of the fleet."""
+"""Reports that one daemon takes in a second over a longer time, whatever the size of the
+fleet."""
+REPORTS_AT_ONCE = 8
+"""Reports that a daemon may send in a row after a quiet time, beyond what its pace allows."""
 QUIET_REPORT_SECONDS = 0.6
 """Least interval between reports while nothing changes."""
 SILENT_SECONDS = 2.0
@@ -41,10 +44,28 @@
 
 
 def report_interval(peers: int) -> float:
-    """Returns the seconds between reports in a fleet of so many other daemons."""
+    """Returns the mean seconds between reports in a fleet of so many other daemons."""
     return max(REPORT_SECONDS, peers / REPORTS_TAKEN_A_SECOND)
 
 
+class ReportPace:
+    """Lets reports go at once after a quiet time, and at the fleet's pace in the long run."""
+
+    def __init__(self) -> None:
+        self._paid_until = float("-inf")
+        self._last_at = float("-inf")
+
+    def next_at(self, peers: int) -> float:
+        """Returns when the next report may be sent."""
+        reserve = (REPORTS_AT_ONCE - 1) * report_interval(peers)
+        return max(self._last_at + REPORT_SECONDS, self._paid_until - reserve)
+
+    def on_sent(self, now: float, peers: int) -> None:
+        """A report was sent."""
+        self._last_at = now
+        self._paid_until = max(now, self._paid_until) + report_interval(peers)
+
+
 def quiet_interval(peers: int) -> float:
     """Returns the seconds between reports while nothing changes."""
     return max(QUIET_REPORT_SECONDS, report_interval(peers))
