--- /dev/null
+++ b/src/troutswitch/decisions/forwarding/admission.py
@@ -0,0 +1,124 @@
+"""Decides whether a request is sent now or its caller is asked to come back.
+
+Servers serve in the order of arrival. While more arrives than they can do, a queue stands
+before them, and once its wait is longer than the objective leaves, each request that joins
+it is late and makes the next ones late. A request that would be late is refused at once
+instead, with a time to come back at which room is expected; one that came back is sent
+whatever the wait.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from troutswitch.decisions.forwarding.runtimes import ServiceTimes
+from troutswitch.decisions.forwarding.servers import Server
+
+OBJECTIVE_SHARE = 0.85
+"""Share of the objective inside which the first event must be expected. The rest is for
+what is not known: requests on the way, and the way to the caller."""
+RETURN_SHARE = 1 / 3
+"""Share of the time left up to which callers heed a time to come back."""
+RETURN_LEAST = 0.6
+"""Least part of that time, so that those who come back meet room, spread over the rest."""
+RETURNED_SECONDS = 0.1
+"""Time by which a caller's time left is shorter than usual if it was here before."""
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionRequest:
+    """What is known of a request that asks to be sent. Times are seconds."""
+
+    route: str
+    objective: float
+    time_left: float
+    is_resumed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """The shortest wait for a slot at any server, and what it was worked out from."""
+
+    wait: float
+    queued: int
+    slots: int
+    held: float
+
+
+@dataclass(frozen=True, slots=True)
+class Deferral:
+    """The caller is to come back after some seconds."""
+
+    come_back: float
+    estimate: Estimate
+
+
+class AdmissionPolicy(Protocol):
+    """Decides on requests that have not been sent yet."""
+
+    def decide(
+        self,
+        now: float,
+        request: AdmissionRequest,
+        servers: list[Server],
+        times: ServiceTimes,
+        rng: random.Random,
+    ) -> Deferral | None:
+        """Returns a deferral, or None if the request is to be sent now."""
+        ...
+
+
+def slot_wait(now: float, server: Server, times: ServiceTimes) -> Estimate:
+    """Returns how long one more request waits at a server. Batch items yield at once."""
+    queued = max(0, server.online() + 1 - server.slots)
+    return Estimate(queued * times.held / server.slots, queued, server.slots, times.held)
+
+
+class AdmitAll:
+    """Sends every request at once: the baseline."""
+
+    def decide(
+        self,
+        now: float,
+        request: AdmissionRequest,
+        servers: list[Server],
+        times: ServiceTimes,
+        rng: random.Random,
+    ) -> Deferral | None:
+        """Sends it."""
+        return None
+
+
+class DeferLate:
+    """Refuses what would be late, once."""
+
+    def __init__(self) -> None:
+        self._time_left_most: dict[str, float] = {}
+
+    def decide(
+        self,
+        now: float,
+        request: AdmissionRequest,
+        servers: list[Server],
+        times: ServiceTimes,
+        rng: random.Random,
+    ) -> Deferral | None:
+        """Defers a request that is new here and would wait too long at every server."""
+        most = max(request.time_left, self._time_left_most.get(request.route, 0.0))
+        self._time_left_most[request.route] = most
+        is_back = request.is_resumed or request.time_left < most - RETURNED_SECONDS
+        if is_back or not servers or request.objective <= 0 or times.held == 0.0:
+            return None
+        best = min((slot_wait(now, s, times) for s in servers), key=lambda e: e.wait)
+        if best.wait == 0 or times.first + best.wait <= request.objective * OBJECTIVE_SHARE:
+            return None
+        longest = request.time_left * RETURN_SHARE
+        return Deferral(longest * rng.uniform(RETURN_LEAST, 1.0), best)
+
+
+ADMISSION_POLICIES: dict[str, Callable[[], AdmissionPolicy]] = {
+    "admit_all": AdmitAll,
+    "defer_late": DeferLate,
+}
+"""Admission policies by name."""
--- a/src/troutswitch/decisions/forwarding/lines.py
+++ b/src/troutswitch/decisions/forwarding/lines.py
@@ -1,7 +1,9 @@
 """Log lines about forwarded requests: what was decided, from what, and how old that was."""
 
+from troutswitch.decisions.forwarding.admission import Deferral
 from troutswitch.decisions.forwarding.messages import LogLine, RequestAttemptEnded
 from troutswitch.decisions.forwarding.request import ForwardedRequest
+from troutswitch.decisions.forwarding.runtimes import ServiceTimes
 from troutswitch.decisions.forwarding.servers import Server
 from troutswitch.outcomes import Cut, MayHaveRun, NotRun, Step
 
@@ -31,6 +33,25 @@
     )
 
 
+def line_of_deferral(request: ForwardedRequest, deferral: Deferral, times: ServiceTimes) -> LogLine:
+    """Returns the line of a request whose caller is asked to come back."""
+    estimate = deferral.estimate
+    return LogLine(
+        "request deferred",
+        {
+            "request_id": request.arrival.request_id,
+            "route": request.route.name,
+            "wait_ms": milliseconds(estimate.wait),
+            "queued": estimate.queued,
+            "slots": estimate.slots,
+            "held_ms": milliseconds(estimate.held),
+            "first_ms": milliseconds(times.first),
+            "objective_ms": milliseconds(request.route.objective),
+            "come_back_ms": milliseconds(deferral.come_back),
+        },
+    )
+
+
 def line_of_end(now: float, request: ForwardedRequest, event: RequestAttemptEnded) -> LogLine:
     """Returns the line of an attempt that ended."""
     return LogLine(
--- a/src/troutswitch/decisions/forwarding/request.py
+++ b/src/troutswitch/decisions/forwarding/request.py
@@ -39,6 +39,7 @@
     size: RequestSize = NO_SIZE
     began_at: float = float("inf")
     sent_at: float = 0.0
+    waited: bool = False
 
     @property
     def ends_at(self) -> float:
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -14,7 +14,14 @@
 import random
 from dataclasses import dataclass
 
+from troutswitch.decisions.forwarding.admission import (
+    ADMISSION_POLICIES,
+    AdmissionPolicy,
+    AdmissionRequest,
+    Deferral,
+)
 from troutswitch.decisions.forwarding.lines import (
+    line_of_deferral,
     line_of_end,
     line_of_give_up,
     line_of_silence,
@@ -36,6 +43,7 @@
 from troutswitch.decisions.forwarding.placement import POLICIES, PlacementPolicy
 from troutswitch.decisions.forwarding.request import ForwardedRequest
 from troutswitch.decisions.forwarding.routes import RouteTable, choose_service
+from troutswitch.decisions.forwarding.runtimes import RunTimes
 from troutswitch.decisions.forwarding.servers import RequestSize, Server, ServerRegistry
 from troutswitch.decisions.forwarding.types import Route, RouteKind
 from troutswitch.decisions.invariants import ensure
@@ -72,6 +80,7 @@
 
     arrived: int = 0
     refused: int = 0
+    deferred: int = 0
     attempts: int = 0
     retries: int = 0
     gone: int = 0
@@ -87,6 +96,7 @@
         servers: ServerRegistry,
         rng: random.Random,
         policy: str = "prefix_aware",
+        admission: str = "defer_late",
     ) -> None:
         self.requests: dict[int, ForwardedRequest] = {}
         self.counts = RequestCounts()
@@ -95,6 +105,8 @@
         self._servers = servers
         self._rng = rng
         self._policy: PlacementPolicy = POLICIES[policy]()
+        self._admission: AdmissionPolicy = ADMISSION_POLICIES[admission]()
+        self._times = RunTimes()
         self._budget = RetryBudget()
         self._look_at = float("-inf")
 
@@ -115,6 +127,9 @@
             now + route.time_limit,
             position=event.resume_after,
         )
+        deferral = self._defer(now, request)
+        if deferral is not None:
+            return self._tell_deferral(request, deferral)
         self.requests[event.token] = request
         return self._dispatch(now, request, "no server can take the request now")
 
@@ -145,6 +160,27 @@
             ),
         ]
 
+    def _defer(self, now: float, request: ForwardedRequest) -> Deferral | None:
+        route = request.route
+        asked = AdmissionRequest(
+            route.name,
+            route.objective,
+            request.arrival.time_left,
+            bool(request.arrival.resume_after),
+        )
+        usable = self._servers.usable(now, request.service)
+        times = self._times.of(request.service)
+        return self._admission.decide(now, asked, usable, times, self._rng)
+
+    def _tell_deferral(self, request: ForwardedRequest, deferral: Deferral) -> Instructions:
+        self.counts.deferred += 1
+        reason = "all servers would answer late"
+        refusal = NotRun(reason, Step.ADMIT, "", deferral.come_back)
+        return [
+            FinishRequest(request.arrival.token, refusal),
+            line_of_deferral(request, deferral, self._times.of(request.service)),
+        ]
+
     # Dispatch.
 
     def _dispatch(self, now: float, request: ForwardedRequest, reason: str) -> Instructions:
@@ -174,6 +210,7 @@
         request.began_at = float("inf")
         request.sent_at = now
         request.size = self._size(request, server)
+        request.waited = server.in_flight(now) >= server.slots
         self._servers.on_sent(server.record.server_id, False, request.size)
         send = SendRequest(
             request.arrival.token,
@@ -219,10 +256,17 @@
         request.delivered = event.delivered
         if event.kind is AttemptKind.COMPLETED:
             self._budget.on_success(request.service)
+            self._learn_times(now, request)
             del self.requests[event.token]
             return [line_of_end(now, request, event)]
         return self._after_failure(now, request, event)
 
+    def _learn_times(self, now: float, request: ForwardedRequest) -> None:
+        if request.began_at > now:
+            return  # its first bytes were not told
+        first, total = request.began_at - request.sent_at, now - request.sent_at
+        self._times.on_completed(request.service, first, total, waited=request.waited)
+
     def _account(self, now: float, request: ForwardedRequest, event: RequestAttemptEnded) -> None:
         failed = event.kind in (AttemptKind.CUT, AttemptKind.UNREACHABLE)
         self._end_at_server(now, request, failed)
--- /dev/null
+++ b/tests/decisions/forwarding/test_admission.py
@@ -0,0 +1,155 @@
+"""Requests that would be late are asked to come back, once."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.decisions.forwarding.worlds import World, arrival, server
+from troutswitch.decisions.forwarding.admission import (
+    RETURN_LEAST,
+    RETURN_SHARE,
+    AdmissionRequest,
+    AdmitAll,
+    DeferLate,
+    Deferral,
+)
+from troutswitch.decisions.forwarding.messages import AnswerBegun, FinishRequest, SendRequest
+from troutswitch.decisions.forwarding.requests import ForwardedRequests
+from troutswitch.decisions.forwarding.runtimes import RunTimes, ServiceTimes
+from troutswitch.decisions.forwarding.servers import Server
+from troutswitch.outcomes import AttemptKind, NotRun
+
+TIMES = ServiceTimes(first=0.06, held=0.64)
+OBJECTIVE_SECONDS = 0.3
+TIME_LEFT_SECONDS = 5.0
+DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=150)
+
+
+def held_servers(*online: int) -> list[Server]:
+    """Returns servers of eight slots with some online requests each, sent just now."""
+    servers = [Server(server(f"s{n}")) for n in range(len(online))]
+    for held, count in zip(servers, online, strict=True):
+        held.peers_online = count
+    return servers
+
+
+def asked(time_left: float = TIME_LEFT_SECONDS, is_resumed: bool = False) -> AdmissionRequest:
+    return AdmissionRequest("r", OBJECTIVE_SECONDS, time_left, is_resumed)
+
+
+def decide(policy: DeferLate, request: AdmissionRequest, servers: list[Server]) -> Deferral | None:
+    return policy.decide(0.0, request, servers, TIMES, random.Random(1))
+
+
+def test_while_any_server_has_a_slot_all_are_sent() -> None:
+    assert decide(DeferLate(), asked(), held_servers(30, 7)) is None
+
+
+def test_what_would_be_late_at_every_server_is_deferred_with_its_figures() -> None:
+    deferral = decide(DeferLate(), asked(), held_servers(16, 14))
+    assert deferral is not None
+    assert deferral.estimate.slots == 8
+    assert deferral.estimate.queued == 7
+    assert deferral.estimate.wait > OBJECTIVE_SECONDS
+    longest = TIME_LEFT_SECONDS * RETURN_SHARE
+    assert longest * RETURN_LEAST <= deferral.come_back <= longest
+
+
+def test_a_free_slot_is_used_however_slow_the_servers_are() -> None:
+    slow = ServiceTimes(first=4.0, held=9.0)
+    policy = DeferLate()
+    assert policy.decide(0.0, asked(), held_servers(7), slow, random.Random(1)) is None
+    assert policy.decide(0.0, asked(), held_servers(8), slow, random.Random(1)) is not None
+
+
+def test_batch_items_do_not_count_as_they_yield() -> None:
+    servers = held_servers(0)
+    servers[0].batch_in_flight = 20
+    assert decide(DeferLate(), asked(), servers) is None
+
+
+def test_one_that_came_back_or_goes_on_is_sent_whatever_the_wait() -> None:
+    policy = DeferLate()
+    full = held_servers(20, 20)
+    assert decide(policy, asked(), full) is not None
+    assert decide(policy, asked(time_left=3.6), full) is None
+    assert decide(policy, asked(is_resumed=True), full) is None
+    assert decide(policy, asked(), full) is not None
+
+
+def test_before_anything_is_learnt_all_are_sent() -> None:
+    policy = DeferLate()
+    unknown = ServiceTimes()
+    assert policy.decide(0.0, asked(), held_servers(30), unknown, random.Random(1)) is None
+    assert AdmitAll().decide(0.0, asked(), held_servers(30), TIMES, random.Random(1)) is None
+
+
+def test_the_times_of_those_that_waited_do_not_count_as_first_times() -> None:
+    times = RunTimes()
+    times.on_completed("s", 0.06, 0.7, waited=False)
+    times.on_completed("s", 0.5, 1.14, waited=True)
+    assert times.of("s").first == 0.06
+    assert abs(times.of("s").held - 0.7) < 1e-9
+
+
+# In the forwarding decisions.
+
+
+def fill(world: World, requests: int) -> list[SendRequest]:
+    """Sends requests until all slots and some more are taken; the first ones teach times."""
+    for token in range(3):
+        sent = world.arrive(0.0, arrival(token, time_left=TIME_LEFT_SECONDS))
+        assert isinstance(sent, SendRequest)
+        world.requests.on_answer_begun(0.06, AnswerBegun(token, sent.attempt, None))
+        world.end(0.64, sent, AttemptKind.COMPLETED)
+    given_out = [
+        world.arrive(1.0, arrival(token, time_left=TIME_LEFT_SECONDS))
+        for token in range(10, 10 + requests)
+    ]
+    return [made for made in given_out if isinstance(made, SendRequest)]
+
+
+def test_a_deferred_request_is_told_that_it_was_not_run_and_when_to_come_back() -> None:
+    world = World(servers=1)
+    sent = fill(world, 40)
+    assert 8 <= len(sent) < 40
+    refused = world.arrive(1.0, arrival(900, time_left=TIME_LEFT_SECONDS))
+    assert isinstance(refused, FinishRequest)
+    assert isinstance(refused.outcome, NotRun)
+    assert refused.outcome.status == 503
+    assert refused.outcome.retry_after is not None
+    assert refused.outcome.retry_after <= TIME_LEFT_SECONDS * RETURN_SHARE
+    assert 900 not in world.requests.requests
+    back = world.arrive(2.0, arrival(901, time_left=TIME_LEFT_SECONDS - 1.0))
+    assert isinstance(back, SendRequest)
+
+
+def test_without_the_policy_all_join_the_queue() -> None:
+    world = World(servers=1)
+    world.requests = ForwardedRequests(
+        "z", world.routes, world.servers, random.Random(1), admission="admit_all"
+    )
+    assert len(fill(world, 40)) == 40
+
+
+@DETERMINISTIC
+@given(st.lists(st.tuples(st.integers(0, 3), st.floats(0.2, 5.0)), max_size=60))
+def test_every_request_is_sent_or_answered_and_ends(steps: list[tuple[int, float]]) -> None:
+    world = World(servers=2)
+    running = fill(world, 0)
+    now = 1.0
+    for token, (kind, time_left) in enumerate(steps, start=100):
+        now += 0.01
+        if kind == 0 and running:
+            world.end(now, running.pop(0), AttemptKind.COMPLETED)
+            continue
+        given_out = world.arrive(now, arrival(token, time_left=time_left))
+        if isinstance(given_out, SendRequest):
+            running.append(given_out)
+        else:
+            assert isinstance(given_out.outcome, NotRun)
+    for sent in running:
+        world.end(now + 0.1, sent, AttemptKind.COMPLETED)
+    assert not world.requests.requests
+    assert all(s.online_in_flight == 0 for s in world.servers.servers.values())
