--- a/src/troutswitch/cli/gateway.py
+++ b/src/troutswitch/cli/gateway.py
@@ -15,6 +15,7 @@
 def gateway() -> None:
     """Run one daemon on the platform until SIGTERM, which stops it as planned."""
     from troutswitch.gateway.logging import configure_line_logging
+    from troutswitch.gateway.policies import POLICIES_VARIABLE, read_policies
     from troutswitch.gateway.process import GatewayProcess, Signals
     from troutswitch.gateway.settingsfile import SettingsFile
     from troutswitch.platform.settings import load_gateway_settings, settings_path
@@ -24,12 +25,13 @@
     try:
         path = settings_path()
         settings = load_gateway_settings(path)
+        policies = read_policies(os.environ.get(POLICIES_VARIABLE, ""))
     except GatewaySettingsError as error:
         raise click.UsageError(str(error)) from error
     limit_allocator_arenas()
     logger, writer = configure_line_logging(settings.name)
     try:
-        process = GatewayProcess(settings, logger)
+        process = GatewayProcess(settings, logger, policies)
     except OSError as error:
         raise click.UsageError(f"listeners: {error}") from error
     settings_file = SettingsFile(path, load_gateway_settings, logger)
--- a/src/troutswitch/daemons/loadreport.py
+++ b/src/troutswitch/daemons/loadreport.py
@@ -8,7 +8,7 @@
 
 from troutswitch.common import Address, stable_hash
 
-VERSION = 4
+VERSION = 5
 PREFILL_UNIT_TOKENS = 256
 """Unit in which prompt tokens are told, rounded up."""
 SERVER_KEY_MASK = 0xFFFFFFFF
@@ -39,8 +39,8 @@
     `sequence` rises with each report of one life of the sender; `life` names the life.
     `address` is where the sender takes reports: a report may come through another daemon.
     `configuration_version` is the version that the sender acts on, `waiting_items` the
-    batch items that it could start now. `spreads` asks the receiver to pass the report on
-    to the other daemons of its zone.
+    batch items that it could start now, `open_items` those that it has to finish.
+    `spreads` asks the receiver to pass the report on to the other daemons of its zone.
     """
 
     sender: str
@@ -52,6 +52,7 @@
     configuration_version: int = -1
     is_leaving: bool = False
     waiting_items: int = 0
+    open_items: int = 0
     spreads: bool = False
 
 
@@ -80,6 +81,7 @@
             report.configuration_version,
             report.is_leaving,
             report.waiting_items,
+            report.open_items,
             report.spreads,
             shares,
         ]
@@ -102,7 +104,8 @@
 
 
 def _report(fields: list[Any]) -> LoadReport:
-    sender, zone, host, port, life, sequence, held, leaving, waiting, spreads, numbers = fields
+    sender, zone, host, port, life, sequence, held, leaving, *rest = fields
+    waiting, open_items, spreads, numbers = rest
     rows = zip(*(numbers[place::4] for place in range(4)), strict=True)
     return LoadReport(
         str(sender),
@@ -114,5 +117,6 @@
         int(held),
         bool(leaving),
         int(waiting),
+        int(open_items),
         bool(spreads),
     )
--- a/src/troutswitch/decisions/forwarding/servers.py
+++ b/src/troutswitch/decisions/forwarding/servers.py
@@ -19,6 +19,9 @@
 """Interval between looks at the prompt tokens that wait at each server."""
 PREFILL_MEMORY_SECONDS = 3.0
 """Time over which the prompt tokens that wait are averaged."""
+ONLINE_MEMORY_SECONDS = 8.0
+"""Time over which the slots that online requests take are averaged."""
+ONLINE_PART = PREFILL_LOOK_SECONDS / ONLINE_MEMORY_SECONDS
 GONE_REMEMBERED = 4096
 """Incarnations that are remembered as draining or replaced."""
 UNSTABLE_SECONDS = 3.0
@@ -53,6 +56,7 @@
     peers_batch: int = 0
     peers_prefill_tokens: int = 0
     usual_prefill_tokens: float = 0.0
+    usual_online: float = 0.0
     failures: int = 0
     ejected_until: float = float("-inf")
     is_draining: bool = False
@@ -168,6 +172,14 @@
         sound = [server for server in present if now >= server.ejected_until]
         return sound or present
 
+    def usual_free_slots(self, now: float) -> float:
+        """Returns the mean number of slots, at all servers, that online requests leave."""
+        return sum(
+            server.slots - server.usual_online
+            for server in self.servers.values()
+            if not server.is_leaving and now >= server.ejected_until
+        )
+
     def mark_draining(self, server_id: str) -> bool:
         """Notes for good that an incarnation takes no new work; returns whether it is news."""
         if server_id in self._draining:
@@ -179,7 +191,7 @@
         return True
 
     def on_timer(self, now: float) -> None:
-        """Averages the prompt tokens that wait; a look that was due late counts once."""
+        """Averages what servers usually have to do; a look that was due late counts once."""
         if now < self._look_at:
             return
         self._look_at = now + PREFILL_LOOK_SECONDS
@@ -187,6 +199,8 @@
         for server in self.servers.values():
             change = server.waiting_prefill_tokens - server.usual_prefill_tokens
             server.usual_prefill_tokens += part * change
+            more = min(server.online(), server.slots) - server.usual_online
+            server.usual_online += ONLINE_PART * more
 
     def on_heard(self, now: float, server_id: str) -> None:
         """Bytes came from the server, a sign of life."""
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -36,6 +36,7 @@
 from troutswitch.decisions.peers.catchup import PeerCatchUp, PeerStateTold, ReadingState
 from troutswitch.decisions.peers.loads import PeerLoads, ReportReceived
 from troutswitch.decisions.peers.slots import SlotAsked, SlotAsks
+from troutswitch.decisions.policies import Policies
 from troutswitch.decisions.storage.follower import CallNumbers, PartitionFollower
 from troutswitch.decisions.storage.messages import (
     KeyedRecord,
@@ -125,12 +126,26 @@
 class GatewayCore:
     """All decisions of one gateway daemon."""
 
-    def __init__(self, identity: GatewayIdentity, formats: Formats, rng: random.Random) -> None:
+    def __init__(
+        self,
+        identity: GatewayIdentity,
+        formats: Formats,
+        rng: random.Random,
+        policies: Policies | None = None,
+    ) -> None:
+        policies = policies or Policies()
         self.identity = identity
         self.is_draining = False
         self.routes = RouteTable()
         self.servers = ServerRegistry()
-        self.requests = ForwardedRequests(identity.zone, self.routes, self.servers, rng)
+        self.requests = ForwardedRequests(
+            identity.zone,
+            self.routes,
+            self.servers,
+            rng,
+            policies.placement,
+            policies.admission,
+        )
         self._formats = formats
         self._rng = rng
         self._instructions: list[Instruction] = []
@@ -162,8 +177,10 @@
             self._emit,
             BatchPeers(
                 lambda: 1 + self.peers.count_starting(),
+                lambda: self.peers.count_open_items(),
                 lambda server_id: self.peers.batch_before(server_id),
             ),
+            policies.batch,
         )
 
         self.peers = PeerLoads(
@@ -173,6 +190,7 @@
             self.servers,
             lambda: self.routes.version,
             lambda: self.jobs.owner.waiting_items,
+            lambda: self.jobs.owner.open_items,
             self.numbers,
             rng,
             self._log,
--- a/src/troutswitch/decisions/jobs/coordinator.py
+++ b/src/troutswitch/decisions/jobs/coordinator.py
@@ -24,6 +24,7 @@
 from troutswitch.decisions.jobs.records import StoreRoom
 from troutswitch.decisions.jobs.replicas import JobReplicas
 from troutswitch.decisions.jobs.retention import JobRetention
+from troutswitch.decisions.policies import BatchPolicies
 from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import StoreOutcome
 
@@ -57,6 +58,7 @@
         rng: random.Random,
         emit: Callable[[object], None],
         peers: BatchPeers,
+        policies: BatchPolicies,
     ) -> None:
         self._emit = emit
         self._drain_until = float("inf")
@@ -75,6 +77,7 @@
             self._log,
             peers,
             zone,
+            policies,
         )
 
         self.retention = JobRetention(self.replicas, self.ownership, numbers, job_kept, self._log)
--- a/src/troutswitch/decisions/jobs/items.py
+++ b/src/troutswitch/decisions/jobs/items.py
@@ -13,6 +13,7 @@
 
     `number` is the item's place in its job. `texts` is the output so far, of which the
     events in `unsaved` are not in the store yet; `parts` counts the records that are.
+    `started_at` is the first start on this daemon, `ran_seconds` the time in runs here.
     """
 
     shard: int
@@ -30,6 +31,13 @@
     no_route_since: float = float("inf")
     run: int = 0
     is_finished: bool = False
+    started_at: float = float("inf")
+    ran_seconds: float = 0.0
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """What names the item on this daemon: ids of its job and of itself."""
+        return self.job_id, self.item.item_id
 
     def restore(self, parts: list[OutputPart]) -> None:
         """Takes over the output that an earlier owner saved."""
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -28,13 +28,15 @@
     RunItem,
     StopItem,
 )
+from troutswitch.decisions.jobs.order import ITEM_ORDERS, BatchCapacity
 from troutswitch.decisions.jobs.ownership import ShardClaim, ShardOwnership
 from troutswitch.decisions.jobs.records import DEAD, DONE, ItemResult, StoreRoom
 from troutswitch.decisions.jobs.replicas import JobReplicas
-from troutswitch.decisions.jobs.room import BatchRoomPolicy, surplus
+from troutswitch.decisions.jobs.room import ROOM_POLICIES
 from troutswitch.decisions.jobs.runs import ItemRun, ItemRuns
 from troutswitch.decisions.jobs.selection import TICK_SECONDS, ItemSelection
 from troutswitch.decisions.jobs.writer import ShardWriter
+from troutswitch.decisions.policies import BatchPolicies
 from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import StoreCall, StoreOutcome
 from troutswitch.outcomes import AttemptKind
@@ -70,10 +72,12 @@
     """What is known of other daemons' batch items.
 
     `starters` counts the daemons that have items to start, this one included;
-    `batch_before` counts, of a server, the items that yield before those of this daemon.
+    `open_items` counts the items that others have to finish; `batch_before` counts, of a
+    server, the items that yield before those of this daemon.
     """
 
     starters: Callable[[], int]
+    open_items: Callable[[], int]
     batch_before: Callable[[str], int]
 
 
@@ -92,7 +96,7 @@
         log: Callable[..., None],
         peers: BatchPeers,
         zone: str,
-        policy: BatchRoomPolicy | None = None,
+        policies: BatchPolicies,
     ) -> None:
         self._runs = ItemRuns(servers, log)
         self.counts = OwnerCounts()
@@ -108,9 +112,16 @@
         self._rng = rng
         self._log = log
         self._peers = peers
-        self._policy = policy or BatchRoomPolicy()
+        self._room = ROOM_POLICIES[policies.room]()
         self._selection = ItemSelection(
-            routes, servers, replicas.index, rng, peers.starters, zone, self._policy
+            routes,
+            servers,
+            replicas.index,
+            rng,
+            peers.starters,
+            zone,
+            self._room,
+            ITEM_ORDERS[policies.items](),
         )
         self._tick_at = float("-inf")
         self.waiting_items = 0
@@ -220,7 +231,7 @@
             server = self._servers.servers.get(server_id)
             if server is None:
                 continue
-            over = surplus(now, server, self._policy) - self._peers.batch_before(server_id)
+            over = self._room.surplus(now, server) - self._peers.batch_before(server_id)
             instructions += self._stop_least_urgent(now, server_id, over)
         return instructions
 
@@ -237,7 +248,7 @@
         ]
         if count <= 0 or not running:
             return []
-        chosen = self._selection.least_urgent(now, running, count)
+        chosen = self._selection.least_urgent(running, count)
         self.counts.yielded += len(chosen)
         return [self._runs.stop(progress.run) for progress in chosen]
 
@@ -245,8 +256,9 @@
 
     def _start_items(self, now: float, owned: dict[int, ShardClaim]) -> list[Instruction]:
         instructions: list[Instruction] = []
-        self._selection.begin_look()
         candidates = self._candidates(now, owned)
+        self._selection.begin_look(now, self._unlisted(), self._capacity(now))
+        candidates = self._selection.most_urgent_first(candidates)
         self.waiting_items = len(candidates)
         for progress in candidates:
             if len(self.runs) >= RUNS_MOST or len(instructions) >= STARTS_A_TICK:
@@ -255,10 +267,24 @@
         return instructions
 
     def _candidates(self, now: float, owned: dict[int, ShardClaim]) -> list[ItemProgress]:
-        """Returns the items that may start, the most urgent ones first."""
+        """Returns the items that may start."""
         jobs = [entry for shard in owned for entry in self._replicas.index.open_in_shard(shard)]
-        items = [progress for entry in jobs for progress in self._waiting_items(now, entry)]
-        return self._selection.most_urgent_first(now, items)
+        return [progress for entry in jobs for progress in self._waiting_items(now, entry)]
+
+    def _unlisted(self) -> list[ItemProgress]:
+        return [progress for progress in self._items.values() if not progress.is_finished]
+
+    def _capacity(self, now: float) -> BatchCapacity:
+        """Returns what this daemon's items may count on, by its part of all open items."""
+        slots = self._servers.usual_free_slots(now)
+        mine = len(self._unlisted())
+        all_items = mine + self._peers.open_items()
+        return BatchCapacity(slots * mine / max(1, all_items), self._selection.pace.duty)
+
+    @property
+    def open_items(self) -> int:
+        """Items that this daemon has to finish."""
+        return len(self._unlisted())
 
     def _waiting_items(self, now: float, entry: JobEntry) -> list[ItemProgress]:
         manifest = entry.manifest
@@ -332,6 +358,7 @@
             events = progress.events_done - run.events_before
             pace = self._selection.pace
             pace.on_completed(now - run.started_at, events, progress.events_done)
+            pace.on_item_done(progress.ran_seconds, now - progress.started_at)
             self._finish(progress, ItemResult(progress.item.item_id, DONE, progress.output))
         elif event.status == NEVER_STATUS:
             self._give_up(progress, f"status {event.status}")
--- a/src/troutswitch/decisions/jobs/room.py
+++ b/src/troutswitch/decisions/jobs/room.py
@@ -1,64 +1,94 @@
 """How much of a server batch items may take, so that online requests find room.
 
-Servers know no priorities and admit in the order of arrival, so room for online must be
-kept free before it is needed. An item gives its slot back only by being stopped.
+Servers know no priorities and admit in the order of arrival. An item gives its slot back
+only by being stopped, which takes a few milliseconds once somebody asks for the slot.
 """
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from troutswitch.decisions.forwarding.servers import Server
 
+MEMORY_SHARE = 0.85
+"""Share of a server's memory that this daemon's own requests may fill with a batch item."""
 
-@dataclass(frozen=True, slots=True)
-class BatchShares:
-    """Shares of a server's slots: of batch items alone, and of all requests together."""
 
-    batch: float
-    total: float
+class RoomPolicy(Protocol):
+    """Tells how many items may start at a server, and how many must stop."""
+
+    def free(self, now: float, server: Server, age_share: float) -> int:
+        """Returns how many more items the server may take from all daemons together.
+
+        Args:
+            now: this process's clock, in seconds.
+            server: the server.
+            age_share: age of the item's job, in its objectives.
+        """
+        ...
+
+    def surplus(self, now: float, server: Server) -> int:
+        """Returns how many items all daemons together should stop for online requests."""
+        ...
 
 
 @dataclass(frozen=True, slots=True)
-class BatchRoomPolicy:
-    """Shares of a server's slots and memory that batch items may take.
+class ShareRoom:
+    """Room by shares of the slots: the baseline.
 
     A job whose time is less than `pressing_age` of its objective gone is `relaxed`, and
     one past its objective is again, as haste no longer helps it; between, it is
-    `pressing`. Beyond `yield_share` of all requests an item is stopped; `memory_share`
-    bounds the tokens of this daemon's own requests.
+    `pressing`. Beyond `yield_share` of all requests an item is stopped.
     """
 
-    relaxed: BatchShares = BatchShares(0.85, 0.85)
-    pressing: BatchShares = BatchShares(0.92, 0.92)
+    relaxed: float = 0.85
+    pressing: float = 0.92
     pressing_age: float = 0.35
     yield_share: float = 0.95
-    memory_share: float = 0.85
 
-    def is_pressing(self, age: float, objective: float) -> bool:
-        """Returns whether a job of some age must hurry. Times are seconds."""
-        return self.pressing_age * objective <= age <= objective
+    def free(self, now: float, server: Server, age_share: float) -> int:
+        """Returns how many more items fit the share of a job of that age."""
+        is_pressing = self.pressing_age <= age_share <= 1.0
+        share = self.pressing if is_pressing else self.relaxed
+        return max(0, max(1, int(server.slots * share)) - server.in_flight(now))
 
+    def surplus(self, now: float, server: Server) -> int:
+        """Returns how many items stand above the share from which they yield."""
+        return _surplus(now, server, int(server.slots * self.yield_share))
 
-def has_memory(server: Server, tokens: int, cache_tokens: int, policy: BatchRoomPolicy) -> bool:
-    """Returns whether an item of some tokens fits the server's memory, as far as known."""
-    if cache_tokens <= 0:
-        return True
-    return server.tokens_in_flight + tokens <= cache_tokens * policy.memory_share
 
+@dataclass(frozen=True, slots=True)
+class SlotRoom:
+    """Room by whole slots: items fill all but `reserve` of them, and yield when asked."""
+
+    reserve: int = 0
 
-def free_slots(now: float, server: Server, shares: BatchShares) -> int:
-    """Returns how many more items the server may take from all daemons together."""
-    for_batch = max(1, int(server.slots * shares.batch)) - server.batch()
-    for_all = max(1, int(server.slots * shares.total)) - server.in_flight(now)
-    return max(0, min(for_batch, for_all))
+    def free(self, now: float, server: Server, age_share: float) -> int:
+        """Returns the slots that are free beyond the reserve."""
+        most = max(1, server.slots - self.reserve)
+        return max(0, most - server.in_flight(now))
 
+    def surplus(self, now: float, server: Server) -> int:
+        """Returns how many items hold slots for which online requests wait."""
+        return _surplus(now, server, server.slots)
 
-def surplus(now: float, server: Server, policy: BatchRoomPolicy) -> int:
-    """Returns how many items all daemons together should stop for online requests."""
+
+def _surplus(now: float, server: Server, most: int) -> int:
     if server.online() == 0:
         return 0
-    over = server.in_flight(now) - int(server.slots * policy.yield_share)
-    return max(0, min(over, server.batch()))
+    return max(0, min(server.in_flight(now) - most, server.batch()))
+
+
+ROOM_POLICIES: dict[str, Callable[[], RoomPolicy]] = {"shares": ShareRoom, "slots": SlotRoom}
+"""Room policies by name."""
+
+
+def has_memory(server: Server, tokens: int, cache_tokens: int) -> bool:
+    """Returns whether an item of some tokens fits the server's memory, as far as known."""
+    if cache_tokens <= 0:
+        return True
+    return server.tokens_in_flight + tokens <= cache_tokens * MEMORY_SHARE
 
 
 def own_part(count: int, part: float, rng: random.Random) -> int:
--- a/src/troutswitch/decisions/jobs/runs.py
+++ b/src/troutswitch/decisions/jobs/runs.py
@@ -52,6 +52,7 @@
         ensure(not progress.run, "an item runs twice at once")
         number = next(self._numbers)
         progress.run = number
+        progress.started_at = min(progress.started_at, now)
         progress.runs += 1
         self.started += 1
         size = RequestSize(progress.item.tokens, progress.item.tokens // 2)
@@ -105,6 +106,7 @@
         if run is None:
             return None
         run.progress.run = 0
+        run.progress.ran_seconds += now - run.started_at
         self._account(now, run, event)
         run.progress.add(event.events)
         self._log(
--- a/src/troutswitch/decisions/jobs/selection.py
+++ b/src/troutswitch/decisions/jobs/selection.py
@@ -1,10 +1,4 @@
-"""Chooses which items start next, at which server, and which ones yield first.
-
-Items that can still be done in time go first, those with the least slack ahead: the time
-until their job is due, less the time that they are likely to run yet. An item that cannot
-be in time is worth little whenever it is done, so it waits for room that no other item
-needs, and it is the first to yield.
-"""
+"""Chooses which items start next, at which server, and which ones yield first."""
 
 import random
 from collections.abc import Callable, Iterable
@@ -15,8 +9,15 @@
 from troutswitch.decisions.forwarding.types import Route
 from troutswitch.decisions.jobs.index import JobEntry, JobIndex
 from troutswitch.decisions.jobs.items import ItemProgress
+from troutswitch.decisions.jobs.order import (
+    BatchCapacity,
+    ItemKey,
+    ItemOrder,
+    ItemProspect,
+    ItemRank,
+)
 from troutswitch.decisions.jobs.pace import RunPace
-from troutswitch.decisions.jobs.room import BatchRoomPolicy, free_slots, has_memory, own_part
+from troutswitch.decisions.jobs.room import RoomPolicy, has_memory, own_part
 
 TICK_SECONDS = 0.05
 """Interval between looks for work."""
@@ -24,10 +25,12 @@
 """Time after which peers have heard of a step taken here."""
 CHOICE_NOISE = 0.1
 """Random part of a server's cost, so that daemons do not all choose the same one."""
+UNRANKED = ItemRank(True, float("inf"))
+"""Rank of an item that came after the last look."""
 
 
 class ItemSelection:
-    """Orders items and finds servers with room for them."""
+    """Ranks items and finds servers with room for them."""
 
     def __init__(
         self,
@@ -37,35 +40,53 @@
         rng: random.Random,
         starters: Callable[[], int],
         zone: str,
-        policy: BatchRoomPolicy,
+        room: RoomPolicy,
+        order: ItemOrder,
     ) -> None:
         self.pace = RunPace()
-        self.policy = policy
+        self._room = room
+        self._order = order
         self._routes = routes
         self._servers = servers
         self._index = index
         self._rng = rng
         self._starters = starters
         self._zone = zone
-        self._allowed: dict[tuple[str, bool], int] = {}
+        self._ranks: dict[ItemKey, ItemRank] = {}
+        self._allowed: dict[tuple[str, int], int] = {}
+        self._started: dict[str, int] = {}
 
     # Order.
 
-    def most_urgent_first(self, now: float, items: Iterable[ItemProgress]) -> list[ItemProgress]:
+    def begin_look(
+        self, now: float, items: Iterable[ItemProgress], capacity: BatchCapacity
+    ) -> None:
+        """Begins a new look for work: ranks all items, with a new part of the room."""
+        self._started = {}
+        self._allowed = {}
+        self._ranks = self._order.rank(now, [self._prospect(p) for p in items], capacity)
+
+    def _prospect(self, progress: ItemProgress) -> ItemProspect:
+        entry = self._index.jobs.get(progress.job_id)
+        due = self._due(entry) if entry is not None else float("inf")
+        return ItemProspect(progress.key, due, self.pace.seconds_left(progress))
+
+    def _rank(self, progress: ItemProgress) -> ItemRank:
+        return self._ranks.get(progress.key, UNRANKED)
+
+    def is_late(self, progress: ItemProgress) -> bool:
+        """Returns whether the last look found no way to have the item in time."""
+        return self._rank(progress).is_late
+
+    def most_urgent_first(self, items: Iterable[ItemProgress]) -> list[ItemProgress]:
         """Orders items by how much is lost if they wait."""
-        return sorted(items, key=lambda progress: self._urgency(now, progress))
+        return sorted(items, key=self._rank)
 
-    def least_urgent(self, now: float, items: list[ItemProgress], count: int) -> list[ItemProgress]:
+    def least_urgent(self, items: Iterable[ItemProgress], count: int) -> list[ItemProgress]:
         """Returns the items that lose least by being stopped."""
-        ordered = self.most_urgent_first(now, items)
+        ordered = self.most_urgent_first(items)
         return ordered[len(ordered) - min(count, len(ordered)) :]
 
-    def _urgency(self, now: float, progress: ItemProgress) -> tuple[bool, float]:
-        entry = self._index.jobs.get(progress.job_id)
-        due = self._due(entry) if entry is not None else float("inf")
-        slack = due - now - self.pace.seconds_left(progress)
-        return slack < 0, slack
-
     def _due(self, entry: JobEntry) -> float:
         return entry.seen_at + self._objective(entry)
 
@@ -75,23 +96,20 @@
 
     # Servers.
 
-    def begin_look(self) -> None:
-        """Begins a new look for work, with a new part of the room."""
-        self._allowed = {}
-
     def choose(
         self, now: float, route: Route, progress: ItemProgress, entry: JobEntry
     ) -> Server | None:
         """Chooses the server with most room, any of those that are alike."""
         service = choose_service(route, self._rng)
-        is_pressing = self.policy.is_pressing(now - entry.seen_at, self._objective(entry))
+        objective = self._objective(entry)
+        age_share = (now - entry.seen_at) / objective if objective > 0 else 0.0
         memory = self._memory(service)
         open_servers = [
             server
             for server in self._servers.usable(now, service)
             if now >= max(server.full_until, server.ejected_until)
-            and has_memory(server, progress.item.tokens, memory, self.policy)
-            and self._allowance(now, server, is_pressing) > 0
+            and has_memory(server, progress.item.tokens, memory)
+            and self._may_start(now, server, age_share)
         ]
         if not open_servers:
             return None
@@ -105,19 +123,17 @@
         known = configuration.services.get(service) if configuration is not None else None
         return known.cache_tokens if known is not None else 0
 
-    def _allowance(self, now: float, server: Server, is_pressing: bool) -> int:
-        """Returns how many items this daemon may still start there in this look."""
-        key = (server.record.server_id, is_pressing)
-        allowed = self._allowed.get(key)
-        if allowed is None:
+    def _may_start(self, now: float, server: Server, age_share: float) -> bool:
+        """Returns whether this daemon's part of a server's room takes one more in this look."""
+        server_id = server.record.server_id
+        started = self._started.get(server_id, 0)
+        free = self._room.free(now, server, age_share)
+        key = (server_id, free + started)
+        if key not in self._allowed:
             part = TICK_SECONDS / PEERS_LAG_SECONDS / max(1, self._starters())
-            shares = self.policy.pressing if is_pressing else self.policy.relaxed
-            allowed = own_part(free_slots(now, server, shares), part, self._rng)
-            self._allowed[key] = allowed
-        return allowed
+            self._allowed[key] = own_part(free + started, part, self._rng)
+        return free > 0 and started < self._allowed[key]
 
     def on_started(self, server_id: str) -> None:
         """Takes a start off what this look may still start there."""
-        for is_pressing in (False, True):
-            key = (server_id, is_pressing)
-            self._allowed[key] = self._allowed.get(key, 1) - 1
+        self._started[server_id] = self._started.get(server_id, 0) + 1
--- a/src/troutswitch/decisions/peers/loads.py
+++ b/src/troutswitch/decisions/peers/loads.py
@@ -77,6 +77,7 @@
     sequence: int = -1
     configuration_version: int = -1
     waiting_items: int = 0
+    open_items: int = 0
     shares: dict[int, ServerShare] = field(default_factory=dict)
 
     def batch_at(self, key: int) -> int:
@@ -96,6 +97,7 @@
         servers: ServerRegistry,
         configuration_version: Callable[[], int],
         waiting_items: Callable[[], int],
+        open_items: Callable[[], int],
         numbers: CallNumbers,
         rng: random.Random,
         log: Callable[..., None],
@@ -107,6 +109,7 @@
         self._servers = servers
         self._configuration_version = configuration_version
         self._waiting_items = waiting_items
+        self._open_items = open_items
         self._numbers = numbers
         self._rng = rng
         self._log = log
@@ -167,6 +170,7 @@
                 version,
                 is_leaving,
                 waiting,
+                self._open_items(),
             ),
         )
 
@@ -226,6 +230,7 @@
         peer.sequence = report.sequence
         peer.configuration_version = report.configuration_version
         peer.waiting_items = report.waiting_items
+        peer.open_items = report.open_items
         self._set_shares(peer, {share.server_key: share for share in report.shares})
         return self._pass_on(report) if report.spreads else []
 
@@ -274,9 +279,10 @@
         limit = silence_limit(len(self.peers))
         for name, peer in list(self.peers.items()):
             silence = now - peer.heard_at
-            if silence > limit and (peer.shares or peer.waiting_items):
+            if silence > limit:
                 self._set_shares(peer, {})
                 peer.waiting_items = 0
+                peer.open_items = 0
             if silence > FORGET_SECONDS:
                 del self.peers[name]
 
@@ -294,6 +300,10 @@
         """Returns the peers that have batch items to start."""
         return sum(peer.waiting_items > 0 for peer in self.peers.values())
 
+    def count_open_items(self) -> int:
+        """Returns the batch items that peers have to finish."""
+        return sum(peer.open_items for peer in self.peers.values())
+
     # Discovery.
 
     def _write(self, now: float) -> StoreCall:
--- /dev/null
+++ b/src/troutswitch/gateway/policies.py
@@ -0,0 +1,68 @@
+"""Reads which policies are in force: `name=value` pairs, separated by commas."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+import msgspec
+
+from troutswitch.decisions.forwarding.admission import ADMISSION_POLICIES
+from troutswitch.decisions.forwarding.placement import POLICIES as PLACEMENT_POLICIES
+from troutswitch.decisions.jobs.order import ITEM_ORDERS
+from troutswitch.decisions.jobs.room import ROOM_POLICIES
+from troutswitch.decisions.policies import BatchPolicies, Policies
+from troutswitch.gateway.settings import GatewaySettingsError
+
+POLICIES_VARIABLE = "TROUTSWITCH_POLICIES"
+"""Environment variable that names policies other than the usual ones."""
+
+
+USUAL = Policies()
+
+
+class _Names(msgspec.Struct, forbid_unknown_fields=True):
+    placement: str = USUAL.placement
+    admission: str = USUAL.admission
+    items: str = USUAL.batch.items
+    room: str = USUAL.batch.room
+
+
+@dataclass(frozen=True, slots=True)
+class _Choice:
+    field: str
+    value: str
+    known: Collection[str]
+
+    def check(self) -> None:
+        if self.value not in self.known:
+            expected = ", ".join(sorted(self.known))
+            text = f"{POLICIES_VARIABLE}: {self.field}: expected one of {expected}"
+            raise GatewaySettingsError(f"{text}; got {self.value!r}")
+
+
+def read_policies(text: str) -> Policies:
+    """Reads the policies that a text names; those that it does not name are as usual.
+
+    Raises:
+        GatewaySettingsError: a pair is malformed, or a name or value is unknown.
+    """
+    pairs = dict(_pair(part.strip()) for part in text.split(",") if part.strip())
+    try:
+        names = msgspec.convert(pairs, _Names)
+    except msgspec.ValidationError as error:
+        raise GatewaySettingsError(f"{POLICIES_VARIABLE}: {error}") from error
+    for choice in (
+        _Choice("placement", names.placement, PLACEMENT_POLICIES),
+        _Choice("admission", names.admission, ADMISSION_POLICIES),
+        _Choice("items", names.items, ITEM_ORDERS),
+        _Choice("room", names.room, ROOM_POLICIES),
+    ):
+        choice.check()
+    batch = BatchPolicies(names.items, names.room)
+    return Policies(names.placement, names.admission, batch)
+
+
+def _pair(part: str) -> tuple[str, str]:
+    name, separator, value = part.partition("=")
+    if not separator:
+        raise GatewaySettingsError(f"{POLICIES_VARIABLE}: expected name=value, got {part!r}")
+    return name.strip(), value.strip()
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -19,6 +19,7 @@
     LimitsChanged,
 )
 from troutswitch.decisions.jobs.records import StoreRoom
+from troutswitch.decisions.policies import Policies
 from troutswitch.gateway.application import CallerApplication
 from troutswitch.gateway.exchange import ServerConnections
 from troutswitch.gateway.front import FrontServer
@@ -55,7 +56,10 @@
     """Listeners, loop and executors of one gateway daemon."""
 
     def __init__(
-        self, settings: GatewaySettings, logger: structlog.typing.FilteringBoundLogger
+        self,
+        settings: GatewaySettings,
+        logger: structlog.typing.FilteringBoundLogger,
+        policies: Policies | None = None,
     ) -> None:
         self.settings = settings
         self.failure: BaseException | None = None
@@ -80,7 +84,7 @@
             settings.store.reads_per_second,
         )
         rng = random.Random(os.urandom(8))
-        self.core = GatewayCore(identity, PlatformFormats(), rng)
+        self.core = GatewayCore(identity, PlatformFormats(), rng, policies)
         self._jobs = JobCalls(self.core.routes, self._post)
         items = ItemRuns(self._connections, self._post, self._pulse, logger)
         self.runner = InstructionRunner(
--- a/tests/daemons/test_loadreport.py
+++ b/tests/daemons/test_loadreport.py
@@ -23,6 +23,7 @@
     st.integers(-1, 10_000),
     st.booleans(),
     COUNTS,
+    COUNTS,
     st.booleans(),
 )
 DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=60)
--- a/tests/decisions/jobs/test_parts.py
+++ b/tests/decisions/jobs/test_parts.py
@@ -1,9 +1,5 @@
-import random
-
 import pytest
 
-from tests.decisions.forwarding.worlds import server
-from troutswitch.decisions.forwarding.servers import Server
 from troutswitch.decisions.invariants import InvariantViolated
 from troutswitch.decisions.jobs.index import JobIndex
 from troutswitch.decisions.jobs.items import ItemProgress
@@ -20,12 +16,6 @@
     progress_record,
     read_chunk,
 )
-from troutswitch.decisions.jobs.room import (
-    BatchRoomPolicy,
-    free_slots,
-    own_part,
-    surplus,
-)
 from troutswitch.decisions.jobs.shard import ShardFold
 from troutswitch.decisions.storage.messages import KeyedRecord
 
@@ -130,55 +120,3 @@
     assert tuple(item for record in records for item in read_chunk(record.value)) == items
     with pytest.raises(RecordError):
         chunk_records("job", (JobItem("i", "/p", (), b"x" * 4000, 1),), 4000)
-
-
-# Room.
-
-
-def test_room_for_items_grows_as_their_job_must_hurry() -> None:
-    policy = BatchRoomPolicy()
-    assert not policy.is_pressing(1.0, 20.0)
-    assert policy.is_pressing(10.0, 20.0)
-    assert not policy.is_pressing(25.0, 20.0)
-    held = Server(server("a", slots=12))
-    assert free_slots(0.0, held, policy.relaxed) < free_slots(0.0, held, policy.pressing)
-
-
-def test_items_never_take_the_slots_that_online_uses() -> None:
-    policy = BatchRoomPolicy()
-    held = Server(server("a", slots=12))
-    held.online_in_flight = 11
-    assert free_slots(0.0, held, policy.pressing) == 0
-
-
-def test_only_online_requests_make_items_yield() -> None:
-    policy = BatchRoomPolicy()
-    held = Server(server("a", slots=12))
-    held.batch_in_flight = 14
-    assert surplus(0.0, held, policy) == 0
-    held.online_in_flight = 2
-    assert surplus(0.0, held, policy) == 5
-
-
-def test_items_yield_before_the_last_slot_is_taken() -> None:
-    policy = BatchRoomPolicy()
-    held = Server(server("a", slots=12))
-    held.batch_in_flight = 8
-    held.online_in_flight = 4
-    assert surplus(0.0, held, policy) == 1
-
-
-def test_what_may_start_does_not_yield_at_once() -> None:
-    policy = BatchRoomPolicy()
-    for slots in range(4, 40):
-        held = Server(server("a", slots=slots))
-        held.online_in_flight = 1
-        while free_slots(0.0, held, policy.pressing):
-            held.batch_in_flight += 1
-        assert surplus(0.0, held, policy) == 0
-
-
-def test_parts_of_daemons_add_up() -> None:
-    rng = random.Random(1)
-    total = sum(own_part(7, 1 / 8, rng) for _ in range(8 * 500)) / 500
-    assert 6.5 < total < 7.5
--- a/tests/decisions/jobs/test_selection.py
+++ b/tests/decisions/jobs/test_selection.py
@@ -13,9 +13,10 @@
 from troutswitch.decisions.jobs.index import JobIndex
 from troutswitch.decisions.jobs.items import ItemProgress
 from troutswitch.decisions.jobs.messages import OutputEvent
+from troutswitch.decisions.jobs.order import BatchCapacity, ItemOrder, LeastSlack
 from troutswitch.decisions.jobs.pace import RunPace
 from troutswitch.decisions.jobs.records import JobItem, Manifest, manifest_record
-from troutswitch.decisions.jobs.room import BatchRoomPolicy
+from troutswitch.decisions.jobs.room import RoomPolicy, ShareRoom
 from troutswitch.decisions.jobs.selection import ItemSelection
 
 OBJECTIVE_SECONDS = 20.0
@@ -40,7 +41,12 @@
     return progress
 
 
-def selection(seen: dict[str, float], starters: int = 1) -> ItemSelection:
+def selection(
+    seen: dict[str, float],
+    starters: int = 1,
+    room: RoomPolicy | None = None,
+    order: ItemOrder | None = None,
+) -> ItemSelection:
     routes = RouteTable()
     routes.replace(0.0, FleetConfiguration(1, (ROUTE,), {}, RequestLimits()))
     index = JobIndex()
@@ -49,10 +55,31 @@
     registry = ServerRegistry()
     registry.on_list(0.0, [server("a", service="service", slots=12)])
     return ItemSelection(
-        routes, registry, index, random.Random(1), lambda: starters, "z", BatchRoomPolicy()
+        routes,
+        registry,
+        index,
+        random.Random(1),
+        lambda: starters,
+        "z",
+        room or ShareRoom(),
+        order or LeastSlack(),
     )
 
 
+def most_urgent_first(
+    chosen: ItemSelection, now: float, items: list[ItemProgress]
+) -> list[ItemProgress]:
+    chosen.begin_look(now, items, BatchCapacity(1.0, 1.0))
+    return chosen.most_urgent_first(items)
+
+
+def least_urgent(
+    chosen: ItemSelection, now: float, items: list[ItemProgress], count: int
+) -> list[ItemProgress]:
+    chosen.begin_look(now, items, BatchCapacity(1.0, 1.0))
+    return chosen.least_urgent(items, count)
+
+
 def test_the_pace_is_learned_from_whole_runs() -> None:
     pace = RunPace()
     assert pace.seconds_left(item("job")) == 0.0
@@ -71,30 +98,30 @@
 
 def test_the_job_that_is_due_first_goes_first() -> None:
     chosen = selection({"old": 0.0, "new": 5.0})
-    ordered = chosen.most_urgent_first(6.0, [item("new"), item("old")])
+    ordered = most_urgent_first(chosen, 6.0, [item("new"), item("old")])
     assert [progress.job_id for progress in ordered] == ["old", "new"]
 
 
 def test_an_item_that_cannot_be_in_time_waits_for_one_that_can() -> None:
     chosen = selection({"old": 0.0, "new": 5.0})
     chosen.pace.on_completed(6.0, 60, 60)
-    ordered = chosen.most_urgent_first(15.0, [item("old"), item("new")])
+    ordered = most_urgent_first(chosen, 15.0, [item("old"), item("new")])
     assert [progress.job_id for progress in ordered] == ["new", "old"]
     nearly_done = item("old", 1, events=52)
     hopeless = item("old")
-    ordered = chosen.most_urgent_first(16.0, [hopeless, item("new"), nearly_done])
+    ordered = most_urgent_first(chosen, 16.0, [hopeless, item("new"), nearly_done])
     assert [progress.job_id for progress in ordered] == ["new", "old", "old"]
     assert ordered[1] is nearly_done
-    assert chosen.least_urgent(16.0, [hopeless, nearly_done], 1) == [hopeless]
+    assert least_urgent(chosen, 16.0, [hopeless, nearly_done], 1) == [hopeless]
 
 
 def test_of_one_job_the_item_with_most_left_goes_first_and_yields_last() -> None:
     chosen = selection({"job": 0.0})
     chosen.pace.on_completed(6.0, 60, 60)
     items = [item("job", 0, events=50), item("job", 1), item("job", 2, events=20)]
-    assert [p.number for p in chosen.most_urgent_first(1.0, items)] == [1, 2, 0]
-    assert [p.number for p in chosen.least_urgent(1.0, items, 1)] == [0]
-    assert len(chosen.least_urgent(1.0, items, 9)) == 3
+    assert [p.number for p in most_urgent_first(chosen, 1.0, items)] == [1, 2, 0]
+    assert [p.number for p in least_urgent(chosen, 1.0, items, 1)] == [0]
+    assert len(least_urgent(chosen, 1.0, items, 9)) == 3
 
 
 def test_a_look_starts_only_this_daemon_s_part_of_the_room() -> None:
@@ -102,7 +129,7 @@
     entry = chosen._index.jobs["job"]
     started = 0
     for _ in range(400):
-        chosen.begin_look()
+        chosen.begin_look(1.0, [], BatchCapacity(1.0, 1.0))
         while chosen.choose(1.0, ROUTE, item("job"), entry) is not None:
             chosen.on_started("a")
             started += 1
--- a/tests/decisions/peers/test_loads.py
+++ b/tests/decisions/peers/test_loads.py
@@ -31,6 +31,7 @@
             self.registry,
             lambda: 4,
             lambda: self.waiting,
+            lambda: self.waiting,
             CallNumbers(),
             random.Random(1),
             lambda event, **fields: None,
--- a/tests/decisions/peers/test_slots.py
+++ b/tests/decisions/peers/test_slots.py
@@ -32,6 +32,7 @@
         registry,
         lambda: 1,
         lambda: 0,
+        lambda: 0,
         CallNumbers(),
         random.Random(1),
         lambda event, **fields: None,
--- /dev/null
+++ b/tests/gateway/test_policies.py
@@ -0,0 +1,30 @@
+import pytest
+
+from troutswitch.decisions.policies import BatchPolicies, Policies
+from troutswitch.gateway.policies import read_policies
+from troutswitch.gateway.settings import GatewaySettingsError
+
+
+def test_what_is_not_named_is_as_usual() -> None:
+    assert read_policies("") == Policies()
+    assert read_policies(" admission = admit_all ,") == Policies(admission="admit_all")
+
+
+def test_each_policy_can_be_named() -> None:
+    text = "placement=headroom,admission=admit_all,items=least_slack,room=shares"
+    batch = BatchPolicies("least_slack", "shares")
+    assert read_policies(text) == Policies("headroom", "admit_all", batch)
+
+
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("placement", "expected name=value"),
+        ("colour=red", "unknown field `colour`"),
+        ("items=none", "items: expected one of least_slack, most_in_time"),
+        ("room=", "room: expected one of"),
+    ],
+)
+def test_what_cannot_be_used_is_told(text: str, told: str) -> None:
+    with pytest.raises(GatewaySettingsError, match=told):
+        read_policies(text)
