--- /dev/null
+++ b/src/troutswitch/cli/logfiles.py
@@ -0,0 +1,22 @@
+"""Log files named on the command line."""
+
+from pathlib import Path
+
+import click
+
+from troutswitch.hindsight.loglines import LogLines, read_lines
+
+
+def read_files(paths: tuple[str, ...]) -> LogLines:
+    """Reads log files.
+
+    Raises:
+        click.UsageError: a file cannot be read.
+    """
+    texts: list[str] = []
+    for path in paths:
+        try:
+            texts += Path(path).read_text(errors="replace").splitlines()
+        except OSError as error:
+            raise click.UsageError(f"{path}: {error.strerror}") from error
+    return read_lines(texts)
--- a/src/troutswitch/decisions/forwarding/admission.py
+++ b/src/troutswitch/decisions/forwarding/admission.py
@@ -14,6 +14,7 @@
 
 from troutswitch.decisions.forwarding.runtimes import ServiceTimes
 from troutswitch.decisions.forwarding.servers import Server
+from troutswitch.decisions.forwarding.waits import Estimate, slot_wait
 
 OBJECTIVE_SHARE = 0.85
 """Share of the objective inside which the first event must be expected. The rest is for
@@ -36,16 +37,6 @@
     is_resumed: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Estimate:
-    """The shortest wait for a slot at any server, and what it was worked out from."""
-
-    wait: float
-    queued: int
-    slots: int
-    held: float
-
-
 @dataclass(frozen=True, slots=True)
 class Deferral:
     """The caller is to come back after some seconds."""
@@ -69,12 +60,6 @@
         ...
 
 
-def slot_wait(now: float, server: Server, times: ServiceTimes) -> Estimate:
-    """Returns how long one more request waits at a server. Batch items yield at once."""
-    queued = max(0, server.online() + 1 - server.slots)
-    return Estimate(queued * times.held / server.slots, queued, server.slots, times.held)
-
-
 class AdmitAll:
     """Sends every request at once: the baseline."""
 
--- a/src/troutswitch/decisions/forwarding/placement.py
+++ b/src/troutswitch/decisions/forwarding/placement.py
@@ -26,6 +26,11 @@
 HEADROOM_LEAST = 0.05
 """Room by which a server without any is still drawn now and then."""
 
+BATCH_WEIGHT = 0.2
+"""Part of a request that a batch item counts as where items yield at once."""
+QUEUE_NOISE = 0.1
+"""Random part of a server's cost, in shares of its slots."""
+
 
 class PlacementPolicy(Protocol):
     """Chooses among servers that may take a request."""
@@ -56,6 +61,14 @@
     return _room_cost(now, server, zone) + prefill / PREFILL_TOKENS_AS_FULL
 
 
+def queue_cost(now: float, server: Server, zone: str) -> float:
+    """Returns how bad a server is for the next request where batch items yield at once."""
+    away = ZONE_PENALTY if server.record.zone != zone else 0.0
+    taken = server.online_load(now) + BATCH_WEIGHT * server.batch()
+    prefill = max(server.waiting_prefill_tokens, server.usual_prefill_tokens)
+    return taken / server.slots + away + prefill / PREFILL_TOKENS_AS_FULL
+
+
 def batch_cost(now: float, server: Server, zone: str) -> float:
     """Returns how bad a server is for a batch item, which may wait to be read."""
     return _room_cost(now, server, zone)
@@ -123,12 +136,34 @@
         return candidates[min(places, key=lambda place: costs[place])]
 
 
+class ShortestQueue:
+    """The server with fewest online requests for its slots.
+
+    Batch items count little, as they yield. It needs counts that are fresh: with old ones
+    all daemons take the same server, which the random part of the cost lessens.
+    """
+
+    def choose(
+        self,
+        now: float,
+        candidates: list[Server],
+        prompt: PromptShape,
+        zone: str,
+        rng: random.Random,
+    ) -> Server:
+        """Chooses the best server, any of those that are nearly alike."""
+        return min(
+            candidates,
+            key=lambda server: queue_cost(now, server, zone) + QUEUE_NOISE * rng.random(),
+        )
+
+
 class PrefixAware:
-    """Long prompts to their session's server among few, others to servers with headroom."""
+    """Long prompts to their session's server among few, others as a second policy says."""
 
-    def __init__(self) -> None:
+    def __init__(self, others: PlacementPolicy) -> None:
         self._sizes = PromptSizes()
-        self._fallback = Headroom()
+        self._others = others
 
     def choose(
         self,
@@ -143,13 +178,15 @@
         is_long = self._sizes.is_long(service, prompt.prompt_tokens)
         self._sizes.add(service, prompt.prompt_tokens)
         home = choose_home(prompt, candidates) if is_long else None
-        return home or self._fallback.choose(now, candidates, prompt, zone, rng)
+        return home or self._others.choose(now, candidates, prompt, zone, rng)
 
 
 POLICIES: dict[str, Callable[[], PlacementPolicy]] = {
     "round_robin": RoundRobin,
     "least_loaded": LeastLoaded,
     "headroom": Headroom,
-    "prefix_aware": PrefixAware,
+    "shortest_queue": ShortestQueue,
+    "prefix_aware": lambda: PrefixAware(Headroom()),
+    "prefix_shortest": lambda: PrefixAware(ShortestQueue()),
 }
 """Placement policies by name."""
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -211,7 +211,7 @@
         request.sent_at = now
         request.size = self._size(request, server)
         request.waited = server.in_flight(now) >= server.slots
-        self._servers.on_sent(server.record.server_id, False, request.size)
+        self._servers.on_sent(now, server.record.server_id, False, request.size)
         send = SendRequest(
             request.arrival.token,
             request.attempt,
--- a/src/troutswitch/decisions/forwarding/servers.py
+++ b/src/troutswitch/decisions/forwarding/servers.py
@@ -5,6 +5,7 @@
 left the list takes none while it is away: entries also lapse while the store is down.
 """
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from troutswitch.decisions.forwarding.types import ServerLoad, ServerRecord
@@ -62,6 +63,8 @@
     is_draining: bool = False
     is_listed: bool = True
     full_until: float = float("-inf")
+    online_sent_at: deque[float] = field(default_factory=deque)
+    """When the online requests on the server were sent, as far as known, oldest first."""
 
     @property
     def is_leaving(self) -> bool:
@@ -95,6 +98,29 @@
         """Returns the online requests on the server, as far as daemons told."""
         return self.online_in_flight + self.peers_online
 
+    def change_peers_online(self, now: float, change: int) -> None:
+        """Takes a change of the online requests that peers have on the server."""
+        change = max(change, -self.peers_online)
+        self.peers_online += change
+        self._note_online(now, change)
+
+    def change_own_online(self, now: float, change: int) -> None:
+        """Takes a change of this daemon's online requests on the server."""
+        change = max(change, -self.online_in_flight)
+        self.online_in_flight += change
+        self._note_online(now, change)
+
+    def _note_online(self, now: float, change: int) -> None:
+        """Notes times of sending; which request ended is not known, the oldest most likely."""
+        for _ in range(change):
+            self.online_sent_at.append(now)
+        for _ in range(min(-change, len(self.online_sent_at))):
+            self.online_sent_at.popleft()
+
+    def online_load(self, now: float) -> int:
+        """Returns the online requests on the server, by counts or by its own word."""
+        return max(self.online(), self.in_flight(now) - self.batch())
+
     def batch(self) -> int:
         """Returns the batch items on the server, as far as daemons told."""
         return self.batch_in_flight + self.peers_batch
@@ -217,7 +243,7 @@
             server.heard_at = now
             server.sent_since_load = 0
 
-    def on_sent(self, server_id: str, is_batch: bool, size: RequestSize) -> None:
+    def on_sent(self, now: float, server_id: str, is_batch: bool, size: RequestSize) -> None:
         """A request was sent to the server."""
         server = self.servers[server_id]
         self.changes += 1
@@ -227,7 +253,7 @@
         if is_batch:
             server.batch_in_flight += 1
         else:
-            server.online_in_flight += 1
+            server.change_own_online(now, 1)
 
     def on_begun(self, server_id: str, size: RequestSize) -> None:
         """The server read a request's prompt and made its first token."""
@@ -236,11 +262,11 @@
             self.changes += 1
             server.prefill_tokens = max(0, server.prefill_tokens - size.prefill_tokens)
 
-    def on_stopped(self, server_id: str, size: RequestSize, *, begun: bool) -> None:
+    def on_stopped(self, now: float, server_id: str, size: RequestSize, *, begun: bool) -> None:
         """A batch item at the server was told to stop, which says nothing of the server."""
         server = self.servers.get(server_id)
         if server is not None:
-            self._free(server, True, size, begun)
+            self._free(now, server, True, size, begun)
 
     def on_ended(
         self,
@@ -256,14 +282,16 @@
         server = self.servers.get(server_id)
         if server is None:
             return
-        self._free(server, is_batch, size, begun)
+        self._free(now, server, is_batch, size, begun)
         if failed:
             self._count_failure(now, server)
         else:
             server.failures = 0
             server.ejected_until = float("-inf")
 
-    def _free(self, server: Server, is_batch: bool, size: RequestSize, begun: bool) -> None:
+    def _free(
+        self, now: float, server: Server, is_batch: bool, size: RequestSize, begun: bool
+    ) -> None:
         self.changes += 1
         if not begun:
             self.on_begun(server.record.server_id, size)
@@ -271,7 +299,7 @@
         if is_batch:
             server.batch_in_flight = max(0, server.batch_in_flight - 1)
         else:
-            server.online_in_flight = max(0, server.online_in_flight - 1)
+            server.change_own_online(now, -1)
 
     def _count_failure(self, now: float, server: Server) -> None:
         server.failures += 1
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -254,7 +254,7 @@
             return [instruction]
         server_id = instruction.server_id
         stop = self.jobs.owner.give_slot(now, server_id)
-        ask = None if stop is not None else self._slot_asks.ask(server_id)
+        ask = None if stop is not None else self._slot_asks.ask(now, server_id)
         line = LogLine(
             "slot wanted",
             {
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -209,7 +209,7 @@
         for number, run in self.runs.items():
             unwanted = self.is_draining or not self._is_wanted(run.progress)
             if not run.is_stopped and unwanted:
-                instructions.append(self._runs.stop(number))
+                instructions.append(self._runs.stop(now, number))
         for key, progress in list(self._items.items()):
             if not progress.run and not self._is_wanted(progress):
                 del self._items[key]
@@ -250,7 +250,7 @@
             return []
         chosen = self._selection.least_urgent(running, count)
         self.counts.yielded += len(chosen)
-        return [self._runs.stop(progress.run) for progress in chosen]
+        return [self._runs.stop(now, progress.run) for progress in chosen]
 
     # Starting.
 
--- a/src/troutswitch/decisions/jobs/runs.py
+++ b/src/troutswitch/decisions/jobs/runs.py
@@ -58,7 +58,7 @@
         size = RequestSize(progress.item.tokens, progress.item.tokens // 2)
         server_id = server.record.server_id
         self.by_number[number] = ItemRun(progress, server_id, now, size, progress.events_done)
-        self._servers.on_sent(server_id, True, size)
+        self._servers.on_sent(now, server_id, True, size)
         self._log(
             "item sent",
             job_id=progress.job_id,
@@ -92,12 +92,12 @@
         if run is not None:
             run.progress.add(event.events)
 
-    def stop(self, number: int) -> StopItem:
+    def stop(self, now: float, number: int) -> StopItem:
         """Stops a run. From now on it counts as gone from its server."""
         run = self.by_number[number]
         ensure(not run.is_stopped, "a run is stopped twice")
         run.is_stopped = True
-        self._servers.on_stopped(run.server_id, run.size, begun=run.is_begun)
+        self._servers.on_stopped(now, run.server_id, run.size, begun=run.is_begun)
         return StopItem(number)
 
     def end(self, now: float, event: ItemRunEnded) -> ItemRun | None:
--- a/src/troutswitch/decisions/peers/loads.py
+++ b/src/troutswitch/decisions/peers/loads.py
@@ -231,14 +231,14 @@
         peer.configuration_version = report.configuration_version
         peer.waiting_items = report.waiting_items
         peer.open_items = report.open_items
-        self._set_shares(peer, {share.server_key: share for share in report.shares})
+        self._set_shares(now, peer, {share.server_key: share for share in report.shares})
         return self._pass_on(report) if report.spreads else []
 
     def _pass_on(self, report: LoadReport) -> list[SendReport]:
         near = tuple(peer.address for peer in self.peers.values() if peer.zone == self._zone)
         return [SendReport(near, replace(report, spreads=False))] if near else []
 
-    def _set_shares(self, peer: Peer, shares: dict[int, ServerShare]) -> None:
+    def _set_shares(self, now: float, peer: Peer, shares: dict[int, ServerShare]) -> None:
         if shares == peer.shares:
             return
         by_key = {server_key(name): server for name, server in self._servers.servers.items()}
@@ -249,7 +249,7 @@
             old = peer.shares.get(key, ServerShare(key, 0, 0, 0))
             new = shares.get(key, ServerShare(key, 0, 0, 0))
             prefill = (new.prefill_units - old.prefill_units) * PREFILL_UNIT_TOKENS
-            server.peers_online = max(0, server.peers_online + new.online - old.online)
+            server.change_peers_online(now, new.online - old.online)
             server.peers_batch = max(0, server.peers_batch + new.batch - old.batch)
             server.peers_prefill_tokens = max(0, server.peers_prefill_tokens + prefill)
         peer.shares = shares
@@ -271,16 +271,16 @@
             if stable_hash(server_id, name) < place
         )
 
-    def set_share(self, peer: Peer, share: ServerShare) -> None:
+    def set_share(self, now: float, peer: Peer, share: ServerShare) -> None:
         """Takes a peer's share of one server as changed, until it reports again."""
-        self._set_shares(peer, {**peer.shares, share.server_key: share})
+        self._set_shares(now, peer, {**peer.shares, share.server_key: share})
 
     def _drop_silent(self, now: float) -> None:
         limit = silence_limit(len(self.peers))
         for name, peer in list(self.peers.items()):
             silence = now - peer.heard_at
             if silence > limit:
-                self._set_shares(peer, {})
+                self._set_shares(now, peer, {})
                 peer.waiting_items = 0
                 peer.open_items = 0
             if silence > FORGET_SECONDS:
--- a/src/troutswitch/decisions/peers/slots.py
+++ b/src/troutswitch/decisions/peers/slots.py
@@ -37,7 +37,7 @@
         self._peers = peers
         self._rng = rng
 
-    def ask(self, server_id: str) -> SendSlotAsk | None:
+    def ask(self, now: float, server_id: str) -> SendSlotAsk | None:
         """Asks one of the peers that told of batch items at the server; None if there is none.
 
         The peer's share is taken as one less from now on, until it reports again: the next
@@ -49,5 +49,5 @@
             return None
         peer = self._rng.choices(holders, [peer.shares[key].batch for peer in holders])[0]
         held = peer.shares[key]
-        self._peers.set_share(peer, replace(held, batch=held.batch - 1))
+        self._peers.set_share(now, peer, replace(held, batch=held.batch - 1))
         return SendSlotAsk(peer.address, SlotAsk(self._name, key))
--- /dev/null
+++ b/src/troutswitch/hindsight/__init__.py
@@ -0,0 +1,1 @@
+"""What decisions could have reached with hindsight, worked out from daemons' logs."""
--- a/tests/decisions/forwarding/test_admission.py
+++ b/tests/decisions/forwarding/test_admission.py
@@ -30,7 +30,7 @@
     """Returns servers of eight slots with some online requests each, sent just now."""
     servers = [Server(server(f"s{n}")) for n in range(len(online))]
     for held, count in zip(servers, online, strict=True):
-        held.peers_online = count
+        held.change_peers_online(0.0, count)
     return servers
 
 
--- a/tests/decisions/forwarding/test_placement.py
+++ b/tests/decisions/forwarding/test_placement.py
@@ -12,7 +12,7 @@
 from troutswitch.decisions.forwarding.placement import (
     POLICIES,
     LeastLoaded,
-    PrefixAware,
+    ShortestQueue,
     placement_cost,
 )
 from troutswitch.decisions.forwarding.servers import Server, ServerRegistry
@@ -39,7 +39,9 @@
 
 def test_a_session_keeps_to_its_home_on_every_daemon() -> None:
     homes = {
-        PrefixAware().choose(0.0, servers(), SESSION, zone, random.Random(seed)).record.server_id
+        POLICIES["prefix_aware"]()
+        .choose(0.0, servers(), SESSION, zone, random.Random(seed))
+        .record.server_id
         for seed, zone in enumerate(("z", "y", "x"))
     }
     assert len(homes) == 1
@@ -49,10 +51,31 @@
     held = servers()
     for home in homes_of(SESSION, held)[:2]:
         home.online_in_flight = home.slots
-    chosen = PrefixAware().choose(0.0, held, SESSION, "z", random.Random(1))
+    chosen = POLICIES["prefix_aware"]().choose(0.0, held, SESSION, "z", random.Random(1))
     assert chosen.online_in_flight == 0
 
 
+def test_the_shortest_queue_is_that_of_online_requests() -> None:
+    busy, batch = servers(2)
+    busy.online_in_flight = 5
+    batch.batch_in_flight = 8
+    for seed in range(20):
+        rng = random.Random(seed)
+        chosen = ShortestQueue().choose(0.0, [busy, batch], PromptShape(), "z", rng)
+        assert chosen is batch
+
+
+def test_the_shortest_queue_takes_nearly_equal_servers_in_turn() -> None:
+    held = servers(6)
+    held[0].online_in_flight = 4
+    rng = random.Random(1)
+    chosen = {
+        ShortestQueue().choose(0.0, held, PromptShape(), "z", rng).record.server_id
+        for _ in range(100)
+    }
+    assert chosen == {"s1", "s2", "s3", "s4", "s5"}
+
+
 def test_a_server_with_prompts_to_read_is_worse_than_one_with_some_requests() -> None:
     reading, running = servers(2)
     reading.prefill_tokens = 8000
@@ -112,7 +135,7 @@
 
 def test_long_prompts_stay_off_the_other_servers() -> None:
     held = servers(9)
-    policy = PrefixAware()
+    policy = POLICIES["prefix_aware"]()
     rng = random.Random(1)
     long_ones = {s.record.server_id for s in long_prompt_servers(held)}
     for number in range(60):
@@ -127,7 +150,7 @@
     held = servers(9)
     for one in long_prompt_servers(held):
         one.prefill_tokens = 40_000
-    chosen = PrefixAware().choose(0.0, held, SESSION, "z", random.Random(1))
+    chosen = POLICIES["prefix_aware"]().choose(0.0, held, SESSION, "z", random.Random(1))
     assert chosen not in long_prompt_servers(held)
 
 
--- a/tests/decisions/forwarding/test_servers.py
+++ b/tests/decisions/forwarding/test_servers.py
@@ -46,7 +46,7 @@
     registry = ServerRegistry()
     registry.on_list(0.0, [server("a"), server("b")])
     for _ in range(2):
-        registry.on_sent("a", False, NO_SIZE)
+        registry.on_sent(0.0, "a", False, NO_SIZE)
         registry.on_ended(1.0, "a", False, NO_SIZE, begun=False, failed=True)
     assert [s.record.server_id for s in registry.usable(1.1, "s")] == ["b"]
     assert len(registry.usable(5.0, "s")) == 2
@@ -56,7 +56,7 @@
     registry = ServerRegistry()
     registry.on_list(0.0, [server("a")])
     for _ in range(3):
-        registry.on_sent("a", False, NO_SIZE)
+        registry.on_sent(0.0, "a", False, NO_SIZE)
         registry.on_ended(1.0, "a", False, NO_SIZE, begun=False, failed=True)
     assert len(registry.usable(1.1, "s")) == 1
 
@@ -65,8 +65,8 @@
     registry = ServerRegistry()
     registry.on_list(0.0, [server("a")])
     size = RequestSize(100, 60)
-    registry.on_sent("a", False, size)
-    registry.on_sent("a", True, size)
+    registry.on_sent(0.0, "a", False, size)
+    registry.on_sent(0.0, "a", True, size)
     registry.on_begun("a", size)
     registry.on_ended(1.0, "a", False, size, begun=True, failed=False)
     registry.on_ended(1.0, "a", True, size, begun=False, failed=False)
--- a/tests/decisions/peers/test_loads.py
+++ b/tests/decisions/peers/test_loads.py
@@ -98,7 +98,7 @@
     fleet.hear(0.0, 1)
     assert len(fleet.reports(0.0)) == 1
     assert fleet.reports(0.2) == []
-    fleet.registry.on_sent("a", False, NO_SIZE)
+    fleet.registry.on_sent(0.0, "a", False, NO_SIZE)
     (told,) = fleet.reports(0.4)
     assert told.report.shares == (ServerShare(server_key("a"), 1, 0, 0),)
     assert told.report.configuration_version == 4
--- a/tests/decisions/peers/test_slots.py
+++ b/tests/decisions/peers/test_slots.py
@@ -58,7 +58,7 @@
     hear(peers, "idle", 0)
     hear(peers, "busy-peer", 2)
     asks = SlotAsks("me", peers, random.Random(1))
-    first, second, third = (asks.ask("a") for _ in range(3))
+    first, second, third = (asks.ask(0.0, "a") for _ in range(3))
     assert first == second
     assert first is not None
     assert first.address.port == len("busy-peer")
@@ -66,7 +66,7 @@
     assert third is None
     assert servers.servers["a"].peers_batch == 0
     hear(peers, "busy-peer", 1, sequence=2)
-    assert asks.ask("a") is not None
+    assert asks.ask(0.0, "a") is not None
 
 
 @DETERMINISTIC
