--- a/src/troutswitch/decisions/policies.py
+++ b/src/troutswitch/decisions/policies.py
@@ -15,6 +15,6 @@
 class Policies:
     """All policies of a daemon."""
 
-    placement: str = "prefix_aware"
+    placement: str = "prefix_shortest"
     admission: str = "defer_late"
     batch: BatchPolicies = field(default_factory=BatchPolicies)
