--- a/src/troutswitch/cli/explain.py
+++ b/src/troutswitch/cli/explain.py
@@ -1,14 +1,13 @@
 """Command `explain`: the story of one request or job from the logs of several daemons."""
 
-import json
 import re
-from collections.abc import Iterable
 from dataclasses import dataclass, field
-from pathlib import Path
-from typing import Any
 
 import click
 
+from troutswitch.cli.logfiles import read_files
+from troutswitch.hindsight.loglines import Line, LogLines
+
 ID_FIELDS = ("request_id", "job_id", "item_id")
 HIDDEN_FIELDS = frozenset({*ID_FIELDS, "event", "level", "timestamp", "daemon"})
 NO_STORY = 1
@@ -17,23 +16,13 @@
 ENDINGS = {
     "request given up": "given up",
     "request refused": "refused",
+    "request deferred": "asked to come back",
     "item listed": "listed",
     "item given up": "dead-lettered",
     "job does not fit": "refused: too many tokens wait",
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Line:
-    """One log line; `order` is its place where times are equal."""
-
-    time: str
-    order: int
-    daemon: str
-    event: str
-    fields: dict[str, Any]
-
-
 @dataclass
 class Story:
     """All lines that name an id, in order, and how many lines could not be read."""
@@ -57,25 +46,14 @@
         return f"no end was logged; the last word is {last.event!r} at {last.daemon}"
 
 
-def read_story(identifier: str, texts: Iterable[str]) -> Story:
-    """Reads the lines that name an id; those that are no JSON are counted."""
-    story = Story()
-    for order, text in enumerate(texts):
-        start = text.find("{")
-        if start < 0:
-            story.bad_lines += bool(text.strip())
-            continue
-        try:
-            fields = json.loads(text[start:])
-        except ValueError:
-            story.bad_lines += 1
-            continue
-        if any(fields.get(name) == identifier for name in ID_FIELDS):
-            time = str(fields.get("timestamp", ""))
-            daemon, event = str(fields.get("daemon", "?")), str(fields.get("event", "?"))
-            story.lines.append(Line(time, order, daemon, event, fields))
-    story.lines.sort(key=lambda line: (line.time, line.order))
-    return story
+def read_story(identifier: str, held: LogLines) -> Story:
+    """Picks the lines that name an id."""
+    named = [line for line in held.lines if _names(line, identifier)]
+    return Story(named, held.bad_lines)
+
+
+def _names(line: Line, identifier: str) -> bool:
+    return any(line.fields.get(name) == identifier for name in ID_FIELDS)
 
 
 def tell(line: Line) -> str:
@@ -90,13 +68,7 @@
 @click.option("--logs", "paths", multiple=True, required=True, help="Log file; may be repeated.")
 def explain(identifier: str, paths: tuple[str, ...]) -> None:
     """Tell the story of one request, item or job from daemons' logs."""
-    texts: list[str] = []
-    for path in paths:
-        try:
-            texts += Path(path).read_text(errors="replace").splitlines()
-        except OSError as error:
-            raise click.UsageError(f"{path}: {error.strerror}") from error
-    story = read_story(identifier, texts)
+    story = read_story(identifier, read_files(paths))
     for line in story.lines:
         click.echo(tell(line))
     if story.bad_lines:
--- a/src/troutswitch/cli/main.py
+++ b/src/troutswitch/cli/main.py
@@ -6,6 +6,7 @@
 
 from troutswitch import __version__
 from troutswitch.cli.bench import bench
+from troutswitch.cli.bound import bound
 from troutswitch.cli.ctl import ctl
 from troutswitch.cli.daemon import daemon, settings
 from troutswitch.cli.demo import demo
@@ -25,6 +26,7 @@
 
 for command in (
     explain,
+    bound,
     gateway,
     daemon,
     settings,
--- a/src/troutswitch/daemons/loadreport.py
+++ b/src/troutswitch/daemons/loadreport.py
@@ -39,7 +39,8 @@
     `sequence` rises with each report of one life of the sender; `life` names the life.
     `address` is where the sender takes reports: a report may come through another daemon.
     `configuration_version` is the version that the sender acts on, `waiting_items` the
-    batch items that it could start now, `open_items` those that it has to finish.
+    batch items that it could start now to have them in time, `late_items` those that it
+    could start although they will be late, `open_items` all that it has to finish.
     `spreads` asks the receiver to pass the report on to the other daemons of its zone.
     """
 
@@ -52,6 +53,7 @@
     configuration_version: int = -1
     is_leaving: bool = False
     waiting_items: int = 0
+    late_items: int = 0
     open_items: int = 0
     spreads: bool = False
 
@@ -81,6 +83,7 @@
             report.configuration_version,
             report.is_leaving,
             report.waiting_items,
+            report.late_items,
             report.open_items,
             report.spreads,
             shares,
@@ -105,7 +108,7 @@
 
 def _report(fields: list[Any]) -> LoadReport:
     sender, zone, host, port, life, sequence, held, leaving, *rest = fields
-    waiting, open_items, spreads, numbers = rest
+    waiting, late, open_items, spreads, numbers = rest
     rows = zip(*(numbers[place::4] for place in range(4)), strict=True)
     return LoadReport(
         str(sender),
@@ -117,6 +120,7 @@
         int(held),
         bool(leaving),
         int(waiting),
+        int(late),
         int(open_items),
         bool(spreads),
     )
--- a/src/troutswitch/decisions/forwarding/lines.py
+++ b/src/troutswitch/decisions/forwarding/lines.py
@@ -27,6 +27,7 @@
             "server": server.record.server_id,
             "load": server.in_flight(now),
             "load_age_ms": milliseconds(now - server.load_at),
+            "objective_ms": milliseconds(request.route.objective),
             "time_left_ms": milliseconds(request.ends_at - now),
             "configuration_version": version,
         },
--- a/src/troutswitch/decisions/forwarding/servers.py
+++ b/src/troutswitch/decisions/forwarding/servers.py
@@ -198,6 +198,10 @@
         sound = [server for server in present if now >= server.ejected_until]
         return sound or present
 
+    def slots_in_use(self) -> int:
+        """Returns the slots of all servers that have not begun to leave."""
+        return sum(server.slots for server in self.servers.values() if not server.is_leaving)
+
     def usual_free_slots(self, now: float) -> float:
         """Returns the mean number of slots, at all servers, that online requests leave."""
         return sum(
--- a/src/troutswitch/decisions/forwarding/waits.py
+++ b/src/troutswitch/decisions/forwarding/waits.py
@@ -26,7 +26,12 @@
 
 
 def slot_wait(now: float, server: Server, times: ServiceTimes) -> Estimate:
-    """Returns how long one more request waits at a server."""
+    """Returns how long one more request waits at a server.
+
+    Two estimates, of which the larger holds: by when each request there was sent, which
+    tells that slots taken together are free together; and by how many wait, as which of the
+    requests ended is not known.
+    """
     queued = max(0, server.online() + 1 - server.slots)
     if queued == 0:
         return Estimate(0.0, 0, server.slots, times.held)
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -176,7 +176,8 @@
             rng,
             self._emit,
             BatchPeers(
-                lambda: 1 + self.peers.count_starting(),
+                lambda: self.peers.count_starting(),
+                lambda: self.peers.count_starting_late(),
                 lambda: self.peers.count_open_items(),
                 lambda server_id: self.peers.batch_before(server_id),
             ),
@@ -189,7 +190,7 @@
             identity.peer_address,
             self.servers,
             lambda: self.routes.version,
-            lambda: self.jobs.owner.waiting_items,
+            lambda: self.jobs.owner.waiting,
             lambda: self.jobs.owner.open_items,
             self.numbers,
             rng,
@@ -387,7 +388,14 @@
         records = [record for row in rows if (record := self._server(row)) is not None]
         came, left = self.servers.on_list(read_at, records)
         if came or left:
-            self._log("servers changed", came=came, left=left, listed=len(records), peer=peer)
+            self._log(
+                "servers changed",
+                came=came,
+                left=left,
+                listed=len(records),
+                slots=self.servers.slots_in_use(),
+                peer=peer,
+            )
         if left:
             self._instructions.append(ServersLeft(tuple(left)))
 
--- a/src/troutswitch/decisions/jobs/intake.py
+++ b/src/troutswitch/decisions/jobs/intake.py
@@ -319,9 +319,14 @@
             reason=getattr(answer, "reason", ""),
             status=getattr(answer, "status", 202),
             took_ms=round((now - intake.begun_at) * 1000),
+            due_ms=round(self._objective(intake.manifest.route) * 1000),
         )
         self._answer(intake.event.token, answer)
 
+    def _objective(self, route_name: str) -> float:
+        route = self._routes.named(route_name)
+        return route.completion_target if route is not None else 0.0
+
     def _reply(self, event: JobSubmitted, answer: JobAnswer) -> list[StoreCall]:
         self._log(
             "job answered at once",
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -36,6 +36,7 @@
 from troutswitch.decisions.jobs.runs import ItemRun, ItemRuns
 from troutswitch.decisions.jobs.selection import TICK_SECONDS, ItemSelection
 from troutswitch.decisions.jobs.writer import ShardWriter
+from troutswitch.decisions.peers.loads import WaitingItems
 from troutswitch.decisions.policies import BatchPolicies
 from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import StoreCall, StoreOutcome
@@ -43,6 +44,11 @@
 
 RUNS_MOST = 64
 """Items that run at once from this daemon."""
+SETTLE_SECONDS = 0.5
+"""Time after its start for which a daemon starts no items: it does not know yet what others
+have at servers. After all were killed at once, all would fill the same slots."""
+LATE_TURN = 8
+"""One start in so many goes to an item that will be late, however many could be in time."""
 STARTS_A_TICK = 8
 """Items that start in one look, so that peers hear of them before many follow."""
 RETRY_SECONDS = 0.2
@@ -71,12 +77,14 @@
 class BatchPeers:
     """What is known of other daemons' batch items.
 
-    `starters` counts the daemons that have items to start, this one included;
+    `starters` counts the other daemons that have items to start that can be in time,
+    `late_starters` those with items that will be late;
     `open_items` counts the items that others have to finish; `batch_before` counts, of a
     server, the items that yield before those of this daemon.
     """
 
     starters: Callable[[], int]
+    late_starters: Callable[[], int]
     open_items: Callable[[], int]
     batch_before: Callable[[str], int]
 
@@ -118,13 +126,14 @@
             servers,
             replicas.index,
             rng,
-            peers.starters,
             zone,
             self._room,
             ITEM_ORDERS[policies.items](),
         )
         self._tick_at = float("-inf")
-        self.waiting_items = 0
+        self.waiting = WaitingItems()
+        self._begun_at = float("inf")
+        self._starts_since_late = 0
         self._asked_shards: set[int] = set()
 
     @property
@@ -157,8 +166,9 @@
         for claim in owned.values():
             if self.writer.begin_epoch(claim):
                 self._compare_saved(claim.shard)
-        self.waiting_items = 0
-        if not self.is_draining:
+        self._begun_at = min(self._begun_at, now)
+        self.waiting = WaitingItems()
+        if not self.is_draining and now >= self._begun_at + SETTLE_SECONDS:
             instructions += self._start_items(now, owned)
         for claim in owned.values():
             unlisted = [p for p in self._items.values() if p.shard == claim.shard]
@@ -258,14 +268,45 @@
         instructions: list[Instruction] = []
         candidates = self._candidates(now, owned)
         self._selection.begin_look(now, self._unlisted(), self._capacity(now))
-        candidates = self._selection.most_urgent_first(candidates)
-        self.waiting_items = len(candidates)
-        for progress in candidates:
+        ordered = self._selection.most_urgent_first(candidates)
+        late = [progress for progress in ordered if self._selection.is_late(progress)]
+        in_time = ordered[: len(ordered) - len(late)]
+        self.waiting = WaitingItems(len(in_time), len(late))
+        instructions += self._start_some(now, in_time, 1 + self._peers.starters())
+        if late and self._may_start_late(in_time):
+            instructions += self._start_some(now, late, 1 + self._peers.late_starters())
+        return instructions
+
+    def _may_start_late(self, in_time: list[ItemProgress]) -> bool:
+        """Late items take room that no item needs which can be in time, and their turn."""
+        if self._starts_since_late >= LATE_TURN:
+            return True
+        is_wanted = any(not progress.run for progress in in_time)
+        return not is_wanted and self._peers.starters() == 0
+
+    def _start_some(
+        self, now: float, ordered: list[ItemProgress], starters: int
+    ) -> list[Instruction]:
+        instructions: list[Instruction] = []
+        self._selection.share_room(starters)
+        for progress in ordered:
             if len(self.runs) >= RUNS_MOST or len(instructions) >= STARTS_A_TICK:
                 break
-            instructions += self._try_start(now, progress)
+            started = self._try_start(now, progress)
+            instructions += started
+            if started and self._count_start(progress):
+                break
         return instructions
 
+    def _count_start(self, progress: ItemProgress) -> bool:
+        """Counts a start; returns whether a late item's turn is over or has come."""
+        if not self._selection.is_late(progress):
+            self._starts_since_late += 1
+            return False
+        is_turn = self._starts_since_late >= LATE_TURN
+        self._starts_since_late = 0
+        return is_turn
+
     def _candidates(self, now: float, owned: dict[int, ShardClaim]) -> list[ItemProgress]:
         """Returns the items that may start."""
         jobs = [entry for shard in owned for entry in self._replicas.index.open_in_shard(shard)]
--- a/src/troutswitch/decisions/jobs/selection.py
+++ b/src/troutswitch/decisions/jobs/selection.py
@@ -1,7 +1,7 @@
 """Chooses which items start next, at which server, and which ones yield first."""
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from troutswitch.decisions.forwarding.placement import batch_cost
 from troutswitch.decisions.forwarding.routes import RouteTable, choose_service
@@ -38,7 +38,6 @@
         servers: ServerRegistry,
         index: JobIndex,
         rng: random.Random,
-        starters: Callable[[], int],
         zone: str,
         room: RoomPolicy,
         order: ItemOrder,
@@ -50,7 +49,7 @@
         self._servers = servers
         self._index = index
         self._rng = rng
-        self._starters = starters
+        self._starters = 1
         self._zone = zone
         self._ranks: dict[ItemKey, ItemRank] = {}
         self._allowed: dict[tuple[str, int], int] = {}
@@ -66,6 +65,11 @@
         self._allowed = {}
         self._ranks = self._order.rank(now, [self._prospect(p) for p in items], capacity)
 
+    def share_room(self, starters: int) -> None:
+        """Shares the room of what starts next with other daemons, this one included."""
+        self._starters = starters
+        self._allowed = {}
+
     def _prospect(self, progress: ItemProgress) -> ItemProspect:
         entry = self._index.jobs.get(progress.job_id)
         due = self._due(entry) if entry is not None else float("inf")
@@ -130,7 +134,7 @@
         free = self._room.free(now, server, age_share)
         key = (server_id, free + started)
         if key not in self._allowed:
-            part = TICK_SECONDS / PEERS_LAG_SECONDS / max(1, self._starters())
+            part = TICK_SECONDS / PEERS_LAG_SECONDS / max(1, self._starters)
             self._allowed[key] = own_part(free + started, part, self._rng)
         return free > 0 and started < self._allowed[key]
 
--- a/src/troutswitch/decisions/peers/loads.py
+++ b/src/troutswitch/decisions/peers/loads.py
@@ -66,6 +66,14 @@
     report: LoadReport
 
 
+@dataclass(frozen=True, slots=True)
+class WaitingItems:
+    """Batch items that a daemon could start now: those that can be in time, and the others."""
+
+    in_time: int = 0
+    late: int = 0
+
+
 @dataclass(slots=True)
 class Peer:
     """Another daemon."""
@@ -77,6 +85,7 @@
     sequence: int = -1
     configuration_version: int = -1
     waiting_items: int = 0
+    late_items: int = 0
     open_items: int = 0
     shares: dict[int, ServerShare] = field(default_factory=dict)
 
@@ -96,7 +105,7 @@
         address: Address,
         servers: ServerRegistry,
         configuration_version: Callable[[], int],
-        waiting_items: Callable[[], int],
+        waiting_items: Callable[[], WaitingItems],
         open_items: Callable[[], int],
         numbers: CallNumbers,
         rng: random.Random,
@@ -115,7 +124,7 @@
         self._log = log
         self._life = rng.getrandbits(31)
         self._sequence = 0
-        self._told = (-1, -1, False)
+        self._told = (-1, -1, False, False)
         self._pace = ReportPace()
         self._dropped_at = float("-inf")
         self._quiet_at = float("-inf")
@@ -131,9 +140,15 @@
         """Returns when `on_timer` has something to do."""
         return min(self._report_due(), self._read_at, self._write_at)
 
+    def _to_tell(self) -> tuple[int, int, bool, bool]:
+        """Returns what peers are told of at once when it changes."""
+        waiting = self._waiting_items()
+        version = self._configuration_version()
+        return self._servers.changes, version, waiting.in_time > 0, waiting.late > 0
+
     def _report_due(self) -> float:
         """Returns when a report may go: soon if something changed, else to be heard of."""
-        told = (self._servers.changes, self._configuration_version(), self._waiting_items() > 0)
+        told = self._to_tell()
         soonest = self._pace.next_at(len(self.peers))
         return soonest if told != self._told else max(soonest, self._quiet_at)
 
@@ -154,7 +169,7 @@
     def _report(self, now: float, is_leaving: bool = False) -> list[StoreCall | SendReport]:
         version = self._configuration_version()
         waiting = self._waiting_items()
-        self._told = (self._servers.changes, version, waiting > 0)
+        self._told = self._to_tell()
         self._pace.on_sent(now, len(self.peers))
         self._quiet_at = now + quiet_interval(len(self.peers))
         self._sequence += 1
@@ -169,7 +184,8 @@
                 self._own_shares(),
                 version,
                 is_leaving,
-                waiting,
+                waiting.in_time,
+                waiting.late,
                 self._open_items(),
             ),
         )
@@ -230,6 +246,7 @@
         peer.sequence = report.sequence
         peer.configuration_version = report.configuration_version
         peer.waiting_items = report.waiting_items
+        peer.late_items = report.late_items
         peer.open_items = report.open_items
         self._set_shares(now, peer, {share.server_key: share for share in report.shares})
         return self._pass_on(report) if report.spreads else []
@@ -282,6 +299,7 @@
             if silence > limit:
                 self._set_shares(now, peer, {})
                 peer.waiting_items = 0
+                peer.late_items = 0
                 peer.open_items = 0
             if silence > FORGET_SECONDS:
                 del self.peers[name]
@@ -297,9 +315,13 @@
         return max((p.configuration_version for p in self.peers.values()), default=-1)
 
     def count_starting(self) -> int:
-        """Returns the peers that have batch items to start."""
+        """Returns the peers that have batch items to start that can be in time."""
         return sum(peer.waiting_items > 0 for peer in self.peers.values())
 
+    def count_starting_late(self) -> int:
+        """Returns the peers that have batch items to start that will be late."""
+        return sum(peer.late_items > 0 for peer in self.peers.values())
+
     def count_open_items(self) -> int:
         """Returns the batch items that peers have to finish."""
         return sum(peer.open_items for peer in self.peers.values())
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -4,6 +4,7 @@
 from click.testing import CliRunner
 
 from troutswitch.cli.explain import explain, read_story
+from troutswitch.hindsight.loglines import read_lines
 
 
 def line(time: str, daemon: str, event: str, **fields: object) -> str:
@@ -21,7 +22,7 @@
 
 
 def test_lines_of_several_daemons_are_put_in_order() -> None:
-    story = read_story("x", STORY)
+    story = read_story("x", read_lines(STORY))
     assert [held.event for held in story.lines] == [
         "request sent",
         "attempt ended",
--- a/tests/daemons/test_loadreport.py
+++ b/tests/daemons/test_loadreport.py
@@ -24,6 +24,7 @@
     st.booleans(),
     COUNTS,
     COUNTS,
+    COUNTS,
     st.booleans(),
 )
 DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=60)
--- a/tests/decisions/jobs/test_selection.py
+++ b/tests/decisions/jobs/test_selection.py
@@ -43,7 +43,6 @@
 
 def selection(
     seen: dict[str, float],
-    starters: int = 1,
     room: RoomPolicy | None = None,
     order: ItemOrder | None = None,
 ) -> ItemSelection:
@@ -59,7 +58,6 @@
         registry,
         index,
         random.Random(1),
-        lambda: starters,
         "z",
         room or ShareRoom(),
         order or LeastSlack(),
@@ -125,11 +123,12 @@
 
 
 def test_a_look_starts_only_this_daemon_s_part_of_the_room() -> None:
-    chosen = selection({"job": 0.0}, starters=4)
+    chosen = selection({"job": 0.0})
     entry = chosen._index.jobs["job"]
     started = 0
     for _ in range(400):
         chosen.begin_look(1.0, [], BatchCapacity(1.0, 1.0))
+        chosen.share_room(4)
         while chosen.choose(1.0, ROUTE, item("job"), entry) is not None:
             chosen.on_started("a")
             started += 1
--- a/tests/decisions/peers/test_loads.py
+++ b/tests/decisions/peers/test_loads.py
@@ -4,7 +4,7 @@
 from troutswitch.common import Address
 from troutswitch.daemons.loadreport import LoadReport, ServerShare, server_key
 from troutswitch.decisions.forwarding.servers import NO_SIZE, ServerRegistry
-from troutswitch.decisions.peers.loads import PeerLoads, ReportReceived, SendReport
+from troutswitch.decisions.peers.loads import PeerLoads, ReportReceived, SendReport, WaitingItems
 from troutswitch.decisions.peers.spread import (
     REPORTS_TAKEN_A_SECOND,
     quiet_interval,
@@ -30,7 +30,7 @@
             Address("10.0.0.1", 7),
             self.registry,
             lambda: 4,
-            lambda: self.waiting,
+            lambda: WaitingItems(self.waiting, 0),
             lambda: self.waiting,
             CallNumbers(),
             random.Random(1),
--- a/tests/decisions/peers/test_slots.py
+++ b/tests/decisions/peers/test_slots.py
@@ -14,7 +14,7 @@
 from troutswitch.decisions.forwarding.servers import ServerRegistry
 from troutswitch.decisions.forwarding.types import PromptShape
 from troutswitch.decisions.jobs.messages import StopItem
-from troutswitch.decisions.peers.loads import PeerLoads, ReportReceived
+from troutswitch.decisions.peers.loads import PeerLoads, ReportReceived, WaitingItems
 from troutswitch.decisions.peers.slots import SendSlotAsk, SlotAsked, SlotAsks
 from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.simulation.gatewayworld import Daemon, GatewayWorld
@@ -31,7 +31,7 @@
         address,
         registry,
         lambda: 1,
-        lambda: 0,
+        WaitingItems,
         lambda: 0,
         CallNumbers(),
         random.Random(1),
