--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -105,6 +105,13 @@
     job_kept: float
 
 
+@dataclass(frozen=True, slots=True)
+class ClockCompared:
+    """Event: how far the time of day is ahead of this process's clock, in seconds."""
+
+    offset: float
+
+
 @dataclass(frozen=True, slots=True)
 class LimitsChanged:
     """Instruction: put the configuration's limits on requests in force."""
@@ -235,6 +242,8 @@
                 self._on_store(now, event.call, event.outcome)
             case BoundsChanged():
                 self._on_bounds(event)
+            case ClockCompared():
+                self.jobs.replicas.clock_offset = event.offset
             case DrainAsked():
                 self.is_draining = True
                 self.jobs.drain(now)
--- a/src/troutswitch/decisions/jobs/index.py
+++ b/src/troutswitch/decisions/jobs/index.py
@@ -14,15 +14,27 @@
 )
 from troutswitch.decisions.storage.messages import KeyedRecord
 
+AGE_MOST_SECONDS = 86_400.0
+"""Longest age of a job that is taken from the time of day."""
+
 
 @dataclass(slots=True)
 class JobEntry:
-    """One job as the index tells it."""
+    """One job as the index tells it. Times are seconds.
+
+    `seen_at` is when this daemon first read of it, `age_when_seen` the job's age by then,
+    as far as the time of day tells.
+    """
 
     manifest: Manifest
     tokens_left: int
     seen_at: float
     is_ended: bool = False
+    age_when_seen: float = 0.0
+
+    def age(self, now: float) -> float:
+        """Returns the time since the job was handed in, as far as known."""
+        return now - self.seen_at + self.age_when_seen
 
     @property
     def is_open(self) -> bool:
@@ -39,30 +51,38 @@
     _early_ends: set[str] = field(default_factory=set)
     _early_progress: dict[str, int] = field(default_factory=dict)
 
-    def take(self, now: float, record: KeyedRecord) -> None:
-        """Folds a record in; one that this version cannot read is counted."""
+    def take(self, now: float, record: KeyedRecord, time_of_day: float = 0.0) -> None:
+        """Folds a record in; one that this version cannot read is counted.
+
+        `time_of_day` is given where the record may be old, in seconds since the epoch.
+        """
         kind, job_id, _ = split_key(record.key)
         if not record.value:
             self._remove(kind, job_id)
             return
         try:
-            self._take_value(now, kind, job_id, record.value)
+            self._take_value(now, kind, job_id, record.value, time_of_day)
         except RecordError:
             self.malformed += 1
 
-    def _take_value(self, now: float, kind: str, job_id: str, value: bytes) -> None:
+    def _take_value(
+        self, now: float, kind: str, job_id: str, value: bytes, time_of_day: float
+    ) -> None:
         if kind == MANIFEST:
-            self._take_manifest(now, read_manifest(job_id, value))
+            self._take_manifest(now, read_manifest(job_id, value), time_of_day)
         elif kind == END_MARK:
             self._take_end(job_id)
         elif kind == PROGRESS:
             self._take_progress(job_id, read_progress(value))
 
-    def _take_manifest(self, now: float, manifest: Manifest) -> None:
+    def _take_manifest(self, now: float, manifest: Manifest, time_of_day: float) -> None:
         """Takes a manifest; a whole read comes by key, so marks may come before it."""
         if manifest.job_id in self.jobs:
             return  # the first manifest of a job holds
         entry = JobEntry(manifest, manifest.tokens, now)
+        if time_of_day and manifest.handed_in_at:
+            age = time_of_day - manifest.handed_in_at
+            entry.age_when_seen = min(max(0.0, age), AGE_MOST_SECONDS)
         self.jobs[manifest.job_id] = entry
         entry.is_ended = manifest.job_id in self._early_ends
         left = self._early_progress.pop(manifest.job_id, manifest.tokens)
--- a/src/troutswitch/decisions/jobs/intake.py
+++ b/src/troutswitch/decisions/jobs/intake.py
@@ -123,6 +123,7 @@
             sum(item.tokens for item in event.items),
             event.digest,
             shard_of(event.job_id, self._room.shards),
+            self._replicas.time_of_day(now),
         )
         try:
             records = chunk_records(event.job_id, event.items, self._room.record_bytes)
--- a/src/troutswitch/decisions/jobs/records.py
+++ b/src/troutswitch/decisions/jobs/records.py
@@ -25,7 +25,7 @@
 from troutswitch.common import stable_hash
 from troutswitch.decisions.storage.messages import KeyedRecord, Partition
 
-SCHEMA_VERSION = 2
+SCHEMA_VERSION = 3
 INDEX_TOPIC = "jobs"
 SHARD_TOPIC = "items"
 INDEX = Partition(INDEX_TOPIC)
@@ -58,7 +58,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Manifest:
-    """What is known of a job from the moment it is accepted."""
+    """What is known of a job from the moment it is accepted.
+
+    `handed_in_at` is the time of day, in seconds since the epoch, at the daemon that took
+    the job; 0 if it is not known. Clocks differ: it may order work, never end it.
+    """
 
     job_id: str
     route: str
@@ -67,6 +71,7 @@
     tokens: int
     digest: str
     shard: int
+    handed_in_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +132,7 @@
         manifest.tokens,
         manifest.digest,
         manifest.shard,
+        manifest.handed_in_at,
     ]
     return KeyedRecord(f"{MANIFEST}:{manifest.job_id}", cbor2.dumps(value))
 
@@ -137,8 +143,8 @@
     Raises:
         RecordError: the record is malformed or of a newer version.
     """
-    route, host, item_count, tokens, digest, shard = _fields(value, 6)
-    return Manifest(job_id, route, host, item_count, tokens, digest, shard)
+    route, host, item_count, tokens, digest, shard, handed_in_at = _fields(value, 7)
+    return Manifest(job_id, route, host, item_count, tokens, digest, shard, float(handed_in_at))
 
 
 def end_record(job_id: str) -> KeyedRecord:
--- a/src/troutswitch/decisions/jobs/replicas.py
+++ b/src/troutswitch/decisions/jobs/replicas.py
@@ -32,6 +32,8 @@
     def __init__(self, numbers: CallNumbers, rng: random.Random) -> None:
         self.index = JobIndex()
         self.shards: dict[int, ShardReplica] = {}
+        self.clock_offset = 0.0
+        """How far the time of day is ahead of this process's clock; 0 if not told yet."""
         self._numbers = numbers
         self._rng = rng
         self._now = float("-inf")
@@ -46,7 +48,13 @@
         self.index_refresher = Refresher(self.index_follower, numbers)
 
     def _take_index_record(self, record: KeyedRecord) -> None:
-        self.index.take(self._now, record)
+        """Takes a record; those of the first reading may be old, those after it are new."""
+        is_old = not self.index_follower.is_current
+        self.index.take(self._now, record, self.time_of_day(self._now) if is_old else 0.0)
+
+    def time_of_day(self, now: float) -> float:
+        """Returns the seconds since the epoch, or 0 if the clock was not told yet."""
+        return now + self.clock_offset if self.clock_offset else 0.0
 
     def shard(self, number: int) -> ShardReplica:
         """Returns the replica of a shard, which begins to read when first asked for."""
--- a/src/troutswitch/decisions/jobs/selection.py
+++ b/src/troutswitch/decisions/jobs/selection.py
@@ -92,7 +92,7 @@
         return ordered[len(ordered) - min(count, len(ordered)) :]
 
     def _due(self, entry: JobEntry) -> float:
-        return entry.seen_at + self._objective(entry)
+        return entry.seen_at - entry.age_when_seen + self._objective(entry)
 
     def _objective(self, entry: JobEntry) -> float:
         route = self._routes.named(entry.manifest.route)
@@ -106,7 +106,7 @@
         """Chooses the server with most room, any of those that are alike."""
         service = choose_service(route, self._rng)
         objective = self._objective(entry)
-        age_share = (now - entry.seen_at) / objective if objective > 0 else 0.0
+        age_share = entry.age(now) / objective if objective > 0 else 0.0
         memory = self._memory(service)
         open_servers = [
             server
--- a/src/troutswitch/gateway/loop.py
+++ b/src/troutswitch/gateway/loop.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from troutswitch.decisions.forwarding.messages import CallerGone
-from troutswitch.decisions.gateway import GatewayCore, TimerFired
+from troutswitch.decisions.gateway import ClockCompared, GatewayCore, TimerFired
 from troutswitch.gateway.registry import Relays
 
 IDLE_SECONDS = 1.0
@@ -14,6 +14,9 @@
 WATCH_SECONDS = 0.1
 """Interval between looks at whether callers closed their connections."""
 
+COMPARE_SECONDS = 2.0
+"""Interval between looks at the time of day, which may jump."""
+
 
 class GatewayLoop:
     """Feeds events to the core and hands its instructions on."""
@@ -31,6 +34,7 @@
         self._on_failure = on_failure
         self._events: queue.SimpleQueue[object] = queue.SimpleQueue()
         self._watched_at = float("-inf")
+        self._compared_at = float("-inf")
         self._is_stopping = False
         self._thread = threading.Thread(target=self._run, name="loop", daemon=True)
 
@@ -49,6 +53,7 @@
 
     def _run(self) -> None:
         try:
+            self._compare_clocks(time.monotonic())
             while not self._is_stopping:
                 self._turn()
         except BaseException as error:
@@ -72,10 +77,17 @@
         for instruction in self.core.step(time.monotonic(), event):
             self._carry_out(instruction)
 
+    def _compare_clocks(self, now: float) -> None:
+        if now - self._compared_at < COMPARE_SECONDS:
+            return
+        self._compared_at = now
+        self._step(ClockCompared(time.time() - now))
+
     def _watch_callers(self) -> None:
         now = time.monotonic()
         if now - self._watched_at < WATCH_SECONDS:
             return
         self._watched_at = now
+        self._compare_clocks(now)
         for token in self._relays.gone_callers():
             self._step(CallerGone(token))
--- a/src/troutswitch/simulation/gatewayworld.py
+++ b/src/troutswitch/simulation/gatewayworld.py
@@ -24,6 +24,7 @@
     Service,
 )
 from troutswitch.decisions.gateway import (
+    ClockCompared,
     DrainAsked,
     GatewayCore,
     GatewayIdentity,
@@ -69,6 +70,8 @@
 EVENT_SECONDS = 0.1
 """Mean time between events; each run has a pace of its own around it."""
 RESTART_SECONDS = 0.5
+EPOCH_SECONDS = 1.7e9
+"""Time of day at which the virtual clock begins."""
 
 
 @dataclass
@@ -169,7 +172,7 @@
         daemon = Daemon(name, GatewayCore(identity, self._formats, rng), life)
         daemon.is_cut_from_store = earlier is not None and earlier.is_cut_from_store
         self.daemons[name] = daemon
-        self.step(daemon, TimerFired())
+        self.step(daemon, ClockCompared(EPOCH_SECONDS))
 
     def kill(self, name: str, down: float = RESTART_SECONDS) -> None:
         """Ends a daemon's life at once; another begins after some seconds."""
