--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -183,8 +183,7 @@
             rng,
             self._emit,
             BatchPeers(
-                lambda: self.peers.count_starting(),
-                lambda: self.peers.count_starting_late(),
+                lambda: self.peers.waiting_items(),
                 lambda: self.peers.count_open_items(),
                 lambda server_id: self.peers.batch_before(server_id),
             ),
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -77,14 +77,12 @@
 class BatchPeers:
     """What is known of other daemons' batch items.
 
-    `starters` counts the other daemons that have items to start that can be in time,
-    `late_starters` those with items that will be late;
+    `waiting` counts the items that others could start now;
     `open_items` counts the items that others have to finish; `batch_before` counts, of a
     server, the items that yield before those of this daemon.
     """
 
-    starters: Callable[[], int]
-    late_starters: Callable[[], int]
+    waiting: Callable[[], WaitingItems]
     open_items: Callable[[], int]
     batch_before: Callable[[str], int]
 
@@ -272,9 +270,10 @@
         late = [progress for progress in ordered if self._selection.is_late(progress)]
         in_time = ordered[: len(ordered) - len(late)]
         self.waiting = WaitingItems(len(in_time), len(late))
-        instructions += self._start_some(now, in_time, 1 + self._peers.starters())
+        others = self._peers.waiting()
+        instructions += self._start_some(now, in_time, others.in_time)
         if late and self._may_start_late(in_time):
-            instructions += self._start_some(now, late, 1 + self._peers.late_starters())
+            instructions += self._start_some(now, late, others.late)
         return instructions
 
     def _may_start_late(self, in_time: list[ItemProgress]) -> bool:
@@ -282,13 +281,13 @@
         if self._starts_since_late >= LATE_TURN:
             return True
         is_wanted = any(not progress.run for progress in in_time)
-        return not is_wanted and self._peers.starters() == 0
+        return not is_wanted and self._peers.waiting().in_time == 0
 
     def _start_some(
-        self, now: float, ordered: list[ItemProgress], starters: int
+        self, now: float, ordered: list[ItemProgress], others: int
     ) -> list[Instruction]:
         instructions: list[Instruction] = []
-        self._selection.share_room(starters)
+        self._selection.share_room(len(ordered) / max(1, len(ordered) + others))
         for progress in ordered:
             if len(self.runs) >= RUNS_MOST or len(instructions) >= STARTS_A_TICK:
                 break
--- a/src/troutswitch/decisions/jobs/selection.py
+++ b/src/troutswitch/decisions/jobs/selection.py
@@ -49,7 +49,7 @@
         self._servers = servers
         self._index = index
         self._rng = rng
-        self._starters = 1
+        self._own_share = 1.0
         self._zone = zone
         self._ranks: dict[ItemKey, ItemRank] = {}
         self._allowed: dict[tuple[str, int], int] = {}
@@ -65,9 +65,9 @@
         self._allowed = {}
         self._ranks = self._order.rank(now, [self._prospect(p) for p in items], capacity)
 
-    def share_room(self, starters: int) -> None:
-        """Shares the room of what starts next with other daemons, this one included."""
-        self._starters = starters
+    def share_room(self, own_share: float) -> None:
+        """Sets this daemon's share, from 0 to 1, of the room for what starts next."""
+        self._own_share = own_share
         self._allowed = {}
 
     def _prospect(self, progress: ItemProgress) -> ItemProspect:
@@ -134,7 +134,7 @@
         free = self._room.free(now, server, age_share)
         key = (server_id, free + started)
         if key not in self._allowed:
-            part = TICK_SECONDS / PEERS_LAG_SECONDS / max(1, self._starters)
+            part = TICK_SECONDS / PEERS_LAG_SECONDS * self._own_share
             self._allowed[key] = own_part(free + started, part, self._rng)
         return free > 0 and started < self._allowed[key]
 
--- a/src/troutswitch/decisions/peers/loads.py
+++ b/src/troutswitch/decisions/peers/loads.py
@@ -314,13 +314,12 @@
         """Returns the highest configuration version that a peer acts on, or -1."""
         return max((p.configuration_version for p in self.peers.values()), default=-1)
 
-    def count_starting(self) -> int:
-        """Returns the peers that have batch items to start that can be in time."""
-        return sum(peer.waiting_items > 0 for peer in self.peers.values())
-
-    def count_starting_late(self) -> int:
-        """Returns the peers that have batch items to start that will be late."""
-        return sum(peer.late_items > 0 for peer in self.peers.values())
+    def waiting_items(self) -> WaitingItems:
+        """Returns the batch items that peers could start now."""
+        peers = self.peers.values()
+        return WaitingItems(
+            sum(peer.waiting_items for peer in peers), sum(peer.late_items for peer in peers)
+        )
 
     def count_open_items(self) -> int:
         """Returns the batch items that peers have to finish."""
