--- a/src/troutswitch/decisions/forwarding/admission.py
+++ b/src/troutswitch/decisions/forwarding/admission.py
@@ -46,7 +46,12 @@
 
 
 class AdmissionPolicy(Protocol):
-    """Decides on requests that have not been sent yet."""
+    """Decides on requests that have not been sent yet.
+
+    `patience` is the longest time left, in seconds, that callers came with, by route.
+    """
+
+    patience: dict[str, float]
 
     def decide(
         self,
@@ -63,6 +68,9 @@
 class AdmitAll:
     """Sends every request at once: the baseline."""
 
+    def __init__(self) -> None:
+        self.patience: dict[str, float] = {}
+
     def decide(
         self,
         now: float,
@@ -79,7 +87,7 @@
     """Refuses what would be late, once."""
 
     def __init__(self) -> None:
-        self._time_left_most: dict[str, float] = {}
+        self.patience: dict[str, float] = {}
 
     def decide(
         self,
@@ -90,8 +98,8 @@
         rng: random.Random,
     ) -> Deferral | None:
         """Defers a request that is new here and would wait too long at every server."""
-        most = max(request.time_left, self._time_left_most.get(request.route, 0.0))
-        self._time_left_most[request.route] = most
+        most = max(request.time_left, self.patience.get(request.route, 0.0))
+        self.patience[request.route] = most
         is_back = request.is_resumed or request.time_left < most - RETURNED_SECONDS
         if is_back or not servers or request.objective <= 0 or times.held == 0.0:
             return None
--- /dev/null
+++ b/src/troutswitch/decisions/forwarding/experience.py
@@ -0,0 +1,52 @@
+"""What daemons have learnt of requests, in the form in which it outlives them."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+LIKE_PART = 0.2
+"""Change, as a part of the older figure, up to which two experiences are alike."""
+NAMES_MOST = 64
+"""Services, and routes, that are kept."""
+
+
+@dataclass(frozen=True, slots=True)
+class Experience:
+    """Times in milliseconds.
+
+    `times` holds, by service, the time to the first event where a slot was free and the time
+    for which a request has its slot; `patience`, by route, the longest that a caller waits.
+    """
+
+    times: dict[str, tuple[int, int]] = field(default_factory=dict)
+    patience: dict[str, int] = field(default_factory=dict)
+
+    def is_like(self, other: "Experience") -> bool:
+        """Returns whether the other one tells nearly the same of the same names."""
+        mine, others = self._figures(), other._figures()
+        return mine.keys() == others.keys() and all(
+            abs(mine[name] - others[name]) <= LIKE_PART * others[name] for name in mine
+        )
+
+    def _figures(self) -> dict[tuple[str, str], int]:
+        figures = {("first", name): first for name, (first, _) in self.times.items()}
+        figures |= {("held", name): held for name, (_, held) in self.times.items()}
+        return figures | {("patience", name): most for name, most in self.patience.items()}
+
+    def as_maps(self) -> list[dict[str, Any]]:
+        """Returns plain maps, of bounded size."""
+        times = dict(list(self.times.items())[:NAMES_MOST])
+        patience = dict(list(self.patience.items())[:NAMES_MOST])
+        return [{name: list(pair) for name, pair in times.items()}, patience]
+
+    @classmethod
+    def of_maps(cls, maps: Any) -> "Experience":
+        """Reads what `as_maps` returned.
+
+        Raises:
+            ValueError, TypeError or AttributeError: it is malformed.
+        """
+        times, patience = maps
+        return cls(
+            {str(name): (int(first), int(held)) for name, (first, held) in times.items()},
+            {str(name): int(most) for name, most in patience.items()},
+        )
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -20,6 +20,7 @@
     AdmissionRequest,
     Deferral,
 )
+from troutswitch.decisions.forwarding.experience import Experience
 from troutswitch.decisions.forwarding.lines import (
     line_of_deferral,
     line_of_end,
@@ -181,6 +182,18 @@
             line_of_deferral(request, deferral, self._times.of(request.service)),
         ]
 
+    def experience(self) -> Experience:
+        """Returns what was learnt here and may be of use to a daemon that starts."""
+        patience = {name: round(most * 1000) for name, most in self._admission.patience.items()}
+        return Experience(self._times.learnt(), patience)
+
+    def begin_with(self, experience: Experience) -> None:
+        """Takes what another daemon learnt of what is not known here."""
+        self._times.begin_with(experience.times)
+        patience = self._admission.patience
+        for name, most in experience.patience.items():
+            patience[name] = max(patience.get(name, 0.0), most / 1000)
+
     # Dispatch.
 
     def _dispatch(self, now: float, request: ForwardedRequest, reason: str) -> Instructions:
--- a/src/troutswitch/decisions/forwarding/runtimes.py
+++ b/src/troutswitch/decisions/forwarding/runtimes.py
@@ -28,6 +28,21 @@
         """Returns the times of a service."""
         return self._by_service.setdefault(service, ServiceTimes())
 
+    def learnt(self) -> dict[str, tuple[int, int]]:
+        """Returns first-event and held times by service, in milliseconds."""
+        return {
+            name: (round(times.first * 1000), round(times.held * 1000))
+            for name, times in self._by_service.items()
+            if times.held > 0
+        }
+
+    def begin_with(self, learnt: dict[str, tuple[int, int]]) -> None:
+        """Takes what another daemon learnt of services that are not known here."""
+        for name, (first, held) in learnt.items():
+            times = self.of(name)
+            if times.held == 0.0 and held > 0:
+                times.first, times.held = first / 1000, held / 1000
+
     def on_completed(self, service: str, first: float, total: float, *, waited: bool) -> None:
         """Takes a request that was answered whole.
 
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -34,6 +34,7 @@
 from troutswitch.decisions.jobs.owner import BatchPeers
 from troutswitch.decisions.jobs.records import StoreRoom
 from troutswitch.decisions.peers.catchup import PeerCatchUp, PeerStateTold, ReadingState
+from troutswitch.decisions.peers.directory import DirectoryEntry, PeerDirectory
 from troutswitch.decisions.peers.loads import PeerLoads, ReportReceived
 from troutswitch.decisions.peers.slots import SlotAsked, SlotAsks
 from troutswitch.decisions.policies import Policies
@@ -198,8 +199,13 @@
             lambda: self.routes.version,
             lambda: self.jobs.owner.waiting,
             lambda: self.jobs.owner.open_items,
-            self.numbers,
             rng,
+        )
+        self.directory = PeerDirectory(
+            self._own_entry,
+            lambda: len(self.peers.peers),
+            self.numbers,
+            self._on_directory_entry,
             self._log,
         )
         self._slot_asks = SlotAsks(identity.name, self.peers, rng)
@@ -308,6 +314,7 @@
             self.configuration.next_due(),
             self.jobs.next_due(),
             self.peers.next_due(),
+            self.directory.next_due(),
             self._catch_up.next_due(),
         )
 
@@ -319,6 +326,7 @@
         self._instructions += self.configuration.on_timer(now)
         self.jobs.on_timer(now)
         self._instructions += self.peers.on_timer(now)
+        self._instructions += self.directory.on_timer(now)
         self._instructions += self._catch_up.on_timer(
             now, self._reading(), lambda: self.peers.live_addresses(now)
         )
@@ -349,6 +357,15 @@
         rows, read_at = listing
         return PeerState(record, rows, now - read_at)
 
+    def _own_entry(self) -> DirectoryEntry:
+        identity = self.identity
+        experience = self.requests.experience()
+        return DirectoryEntry(identity.name, identity.peer_address, identity.zone, experience)
+
+    def _on_directory_entry(self, now: float, entry: DirectoryEntry) -> None:
+        self.peers.meet(now, entry)
+        self.requests.begin_with(entry.experience)
+
     def _on_peer_state(self, now: float, event: PeerStateTold) -> None:
         self._catch_up.on_told()
         if event.state is None:
@@ -376,8 +393,8 @@
             self._on_server_list(now, outcome)
         elif self.configuration.owns(call):
             self.configuration.on_answer(now, outcome)
-        elif self.peers.owns(call):
-            self.peers.on_answer(now, call, outcome)
+        elif self.directory.owns(call):
+            self.directory.on_answer(now, call, outcome)
         else:
             self.jobs.on_store(now, call, outcome)
 
--- /dev/null
+++ b/src/troutswitch/decisions/peers/directory.py
@@ -0,0 +1,156 @@
+"""The daemons' directory in the store: where each takes messages, and what it has learnt.
+
+A daemon that starts finds its peers here, and begins with what they knew of the services'
+run times: after all were killed at once, nobody else could tell.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import cbor2
+
+from troutswitch.common import Address
+from troutswitch.decisions.forwarding.experience import Experience
+from troutswitch.decisions.storage.follower import CallNumbers
+from troutswitch.decisions.storage.messages import (
+    Appended,
+    AppendRecords,
+    KeyedRecord,
+    NewestPage,
+    Partition,
+    ReadNewest,
+    StoreCall,
+    StoreOutcome,
+)
+
+PEERS_TOPIC = "daemons"
+READ_FIRST_SECONDS = 1.0
+READ_SECONDS = 10.0
+CALL_LOST_SECONDS = 4.0
+WRITE_RETRY_SECONDS = 1.0
+EXPERIENCE_SECONDS = 6.0
+"""Least interval between words on what was learnt."""
+EXPERIENCE_SECONDS_A_PEER = 0.1
+"""The same interval for each other daemon, which bounds the writes of a large fleet."""
+
+
+@dataclass(frozen=True, slots=True)
+class DirectoryEntry:
+    """One daemon as the directory tells it."""
+
+    name: str
+    address: Address
+    zone: str
+    experience: Experience
+
+
+class PeerDirectory:
+    """Reads the directory, and keeps this daemon's entry."""
+
+    def __init__(
+        self,
+        own: Callable[[], DirectoryEntry],
+        peers: Callable[[], int],
+        numbers: CallNumbers,
+        take: Callable[[float, DirectoryEntry], None],
+        log: Callable[..., None],
+    ) -> None:
+        self._own = own
+        self._peers = peers
+        self._numbers = numbers
+        self._take = take
+        self._log = log
+        self._read_at = float("-inf")
+        self._read_call = 0
+        self._write_at = float("inf")
+        self._write_call = 0
+        self._written = Experience()
+        self._readings = 0
+
+    def next_due(self) -> float:
+        """Returns when `on_timer` has something to do."""
+        return min(self._read_at, self._write_at)
+
+    def on_timer(self, now: float) -> list[StoreCall]:
+        """Makes the calls that are due."""
+        calls: list[StoreCall] = []
+        if now >= self._write_at:
+            calls += self._write(now)
+        if now >= self._read_at:
+            calls.append(self._read(now))
+            if self._readings == 0:
+                self._write_at = min(self._write_at, now + READ_FIRST_SECONDS)
+        return calls
+
+    def _write(self, now: float) -> list[StoreCall]:
+        entry = self._own()
+        is_first = self._write_call == 0
+        if not is_first and entry.experience.is_like(self._written):
+            self._write_at = now + self._experience_interval()
+            return []
+        self._write_at = now + CALL_LOST_SECONDS
+        self._write_call = self._numbers.next()
+        self._written = entry.experience
+        record = KeyedRecord(entry.name, encode_entry(entry))
+        return [AppendRecords(self._write_call, Partition(PEERS_TOPIC), (record,))]
+
+    def _experience_interval(self) -> float:
+        return max(EXPERIENCE_SECONDS, EXPERIENCE_SECONDS_A_PEER * self._peers())
+
+    def _read(self, now: float) -> StoreCall:
+        self._read_at = now + CALL_LOST_SECONDS
+        self._read_call = self._numbers.next()
+        return ReadNewest(self._read_call, Partition(PEERS_TOPIC))
+
+    def owns(self, call: int) -> bool:
+        """Returns whether an answer belongs here."""
+        return call in (self._read_call, self._write_call)
+
+    def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> None:
+        """Takes the outcome of a reading, or of the word on this daemon."""
+        if call == self._write_call:
+            self._on_written(now, isinstance(outcome, Appended))
+            return
+        self._readings += 1
+        if self._readings == 1:  # only now, as an entry of this daemon's earlier life counts
+            self._write_at = min(self._write_at, now)
+        early = self._readings <= 2
+        self._read_at = now + (READ_FIRST_SECONDS if early else READ_SECONDS)
+        if isinstance(outcome, NewestPage):
+            for record in outcome.records:
+                self._take_record(now, record)
+
+    def _on_written(self, now: float, succeeded: bool) -> None:
+        if succeeded:
+            self._write_at = now + self._experience_interval()
+        else:
+            self._written = Experience()
+            self._write_call = 0
+            self._write_at = now + WRITE_RETRY_SECONDS
+
+    def _take_record(self, now: float, record: KeyedRecord) -> None:
+        try:
+            entry = decode_entry(record)
+        except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError):
+            self._log("peer record malformed", peer=record.key)
+            return
+        self._take(now, entry)
+
+
+def encode_entry(entry: DirectoryEntry) -> bytes:
+    """Encodes an entry."""
+    address = entry.address
+    return cbor2.dumps([address.host, address.port, entry.zone, entry.experience.as_maps()])
+
+
+def decode_entry(record: KeyedRecord) -> DirectoryEntry:
+    """Decodes an entry.
+
+    Raises:
+        ValueError, TypeError, AttributeError or cbor2.CBORDecodeError: it is malformed.
+    """
+    fields: list[Any] = cbor2.loads(record.value)
+    host, port, zone, maps = fields
+    experience = Experience.of_maps(maps)
+    return DirectoryEntry(record.key, Address(str(host), int(port)), str(zone), experience)
--- a/src/troutswitch/decisions/peers/loads.py
+++ b/src/troutswitch/decisions/peers/loads.py
@@ -1,8 +1,8 @@
 """Daemons tell each other how many requests each has in flight on each server.
 
 All requests reach servers through daemons, so the sum of what all tell is the load of a
-server, a few tenths of a second old. Peers are found through a keyed topic of the store;
-whoever is heard is a peer too, so a daemon that starts needs one reading.
+server, some milliseconds old while a small fleet is busy. Peers are found through the
+directory in the store; whoever is heard is a peer too.
 
 Who gets a report, and how often, is told in `spread`.
 """
@@ -11,8 +11,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-import cbor2
-
 from troutswitch.common import Address, stable_hash
 from troutswitch.daemons.loadreport import (
     PREFILL_UNIT_TOKENS,
@@ -21,6 +19,7 @@
     server_key,
 )
 from troutswitch.decisions.forwarding.servers import ServerRegistry
+from troutswitch.decisions.peers.directory import DirectoryEntry
 from troutswitch.decisions.peers.spread import (
     PeerPlace,
     ReportPace,
@@ -28,27 +27,11 @@
     recipients,
     silence_limit,
 )
-from troutswitch.decisions.storage.follower import CallNumbers
-from troutswitch.decisions.storage.messages import (
-    Appended,
-    AppendRecords,
-    KeyedRecord,
-    NewestPage,
-    Partition,
-    ReadNewest,
-    StoreCall,
-    StoreOutcome,
-)
 
-PEERS_TOPIC = "daemons"
 FORGET_SECONDS = 60.0
 """Silence after which a peer is sent nothing more."""
-READ_FIRST_SECONDS = 1.0
-READ_SECONDS = 10.0
-CALL_LOST_SECONDS = 4.0
 DROP_LOOK_SECONDS = 0.1
 """Interval between looks for peers that fell silent."""
-WRITE_RETRY_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,9 +90,7 @@
         configuration_version: Callable[[], int],
         waiting_items: Callable[[], WaitingItems],
         open_items: Callable[[], int],
-        numbers: CallNumbers,
         rng: random.Random,
-        log: Callable[..., None],
     ) -> None:
         self.peers: dict[str, Peer] = {}
         self._name = name
@@ -119,26 +100,24 @@
         self._configuration_version = configuration_version
         self._waiting_items = waiting_items
         self._open_items = open_items
-        self._numbers = numbers
         self._rng = rng
-        self._log = log
         self._life = rng.getrandbits(31)
         self._sequence = 0
         self._told = (-1, -1, False, False)
         self._pace = ReportPace()
         self._dropped_at = float("-inf")
         self._quiet_at = float("-inf")
-        self._read_at = float("-inf")
-        self._read_call = 0
-        self._write_at = float("-inf")
-        self._write_call = 0
-        self._readings = 0
+
+    def meet(self, now: float, entry: DirectoryEntry) -> None:
+        """Takes a daemon that the directory tells of as a peer."""
+        if entry.name != self._name and entry.name not in self.peers:
+            self.peers[entry.name] = Peer(entry.address, now, entry.zone)
 
     # Reports out.
 
     def next_due(self) -> float:
         """Returns when `on_timer` has something to do."""
-        return min(self._report_due(), self._read_at, self._write_at)
+        return self._report_due()
 
     def _to_tell(self) -> tuple[int, int, bool, bool]:
         """Returns what peers are told of at once when it changes."""
@@ -152,13 +131,9 @@
         soonest = self._pace.next_at(len(self.peers))
         return soonest if told != self._told else max(soonest, self._quiet_at)
 
-    def on_timer(self, now: float) -> list[StoreCall | SendReport]:
-        """Reports if something changed, and looks for peers."""
-        instructions: list[StoreCall | SendReport] = []
-        if now >= self._write_at:
-            instructions.append(self._write(now))
-        if now >= self._read_at:
-            instructions.append(self._read(now))
+    def on_timer(self, now: float) -> list[SendReport]:
+        """Reports if something changed."""
+        instructions: list[SendReport] = []
         if now >= self._dropped_at + DROP_LOOK_SECONDS:
             self._dropped_at = now
             self._drop_silent(now)
@@ -166,7 +141,7 @@
             instructions += self._report(now)
         return instructions
 
-    def _report(self, now: float, is_leaving: bool = False) -> list[StoreCall | SendReport]:
+    def _report(self, now: float, is_leaving: bool = False) -> list[SendReport]:
         version = self._configuration_version()
         waiting = self._waiting_items()
         self._told = self._to_tell()
@@ -190,9 +165,9 @@
             ),
         )
 
-    def _send(self, now: float, report: LoadReport) -> list[StoreCall | SendReport]:
+    def _send(self, now: float, report: LoadReport) -> list[SendReport]:
         chosen = recipients(self._places(now), self._zone, self._rng)
-        instructions: list[StoreCall | SendReport] = []
+        instructions: list[SendReport] = []
         if chosen.direct:
             instructions.append(SendReport(chosen.direct, report))
         if chosen.relays:
@@ -218,7 +193,7 @@
             if server.online_in_flight or server.batch_in_flight
         )
 
-    def leave(self, now: float) -> list[StoreCall | SendReport]:
+    def leave(self, now: float) -> list[SendReport]:
         """Tells peers that this daemon stops."""
         return self._report(now, is_leaving=True)
 
@@ -324,44 +299,3 @@
     def count_open_items(self) -> int:
         """Returns the batch items that peers have to finish."""
         return sum(peer.open_items for peer in self.peers.values())
-
-    # Discovery.
-
-    def _write(self, now: float) -> StoreCall:
-        self._write_at = now + CALL_LOST_SECONDS
-        self._write_call = self._numbers.next()
-        value = cbor2.dumps([self._address.host, self._address.port, self._zone])
-        record = KeyedRecord(self._name, value)
-        return AppendRecords(self._write_call, Partition(PEERS_TOPIC), (record,))
-
-    def _read(self, now: float) -> StoreCall:
-        self._read_at = now + CALL_LOST_SECONDS
-        self._read_call = self._numbers.next()
-        return ReadNewest(self._read_call, Partition(PEERS_TOPIC))
-
-    def owns(self, call: int) -> bool:
-        """Returns whether an answer belongs here."""
-        return call in (self._read_call, self._write_call)
-
-    def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> None:
-        """Takes the outcome of a reading, or of the word on this daemon's address."""
-        if call == self._write_call:
-            written = isinstance(outcome, Appended)
-            self._write_at = float("inf") if written else now + WRITE_RETRY_SECONDS
-            return
-        self._readings += 1
-        early = self._readings <= 2
-        self._read_at = now + (READ_FIRST_SECONDS if early else READ_SECONDS)
-        if isinstance(outcome, NewestPage):
-            for record in outcome.records:
-                self._take_address(now, record)
-
-    def _take_address(self, now: float, record: KeyedRecord) -> None:
-        if record.key == self._name or record.key in self.peers:
-            return
-        try:
-            host, port, zone = cbor2.loads(record.value)
-        except (cbor2.CBORDecodeError, ValueError, TypeError):
-            self._log("peer record malformed", peer=record.key)
-            return
-        self.peers[record.key] = Peer(Address(str(host), int(port)), now, str(zone))
--- /dev/null
+++ b/tests/decisions/peers/test_directory.py
@@ -0,0 +1,160 @@
+"""The directory of daemons, and what they have learnt."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.decisions.forwarding.worlds import World, arrival
+from troutswitch.common import Address
+from troutswitch.decisions.forwarding.experience import Experience
+from troutswitch.decisions.forwarding.messages import AnswerBegun, FinishRequest, SendRequest
+from troutswitch.decisions.forwarding.requests import ForwardedRequests
+from troutswitch.decisions.peers.directory import (
+    EXPERIENCE_SECONDS,
+    READ_FIRST_SECONDS,
+    WRITE_RETRY_SECONDS,
+    DirectoryEntry,
+    PeerDirectory,
+    decode_entry,
+    encode_entry,
+)
+from troutswitch.decisions.storage.follower import CallNumbers
+from troutswitch.decisions.storage.messages import (
+    Appended,
+    AppendRecords,
+    CallFailed,
+    KeyedRecord,
+    NewestPage,
+    ReadNewest,
+    StoreCall,
+)
+from troutswitch.outcomes import AttemptKind
+
+ADDRESS = Address("10.0.0.1", 7)
+KNOWN = Experience({"s": (60, 640)}, {"r": 5000})
+NAMES = st.text(max_size=8)
+MILLISECONDS = st.integers(0, 100_000)
+EXPERIENCES = st.builds(
+    Experience,
+    st.dictionaries(NAMES, st.tuples(MILLISECONDS, MILLISECONDS), max_size=5),
+    st.dictionaries(NAMES, MILLISECONDS, max_size=5),
+)
+DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=60)
+
+
+class Store:
+    """A directory and what it asked of the store."""
+
+    def __init__(self) -> None:
+        self.experience = Experience()
+        self.taken: list[DirectoryEntry] = []
+        self.malformed = 0
+        self.directory = PeerDirectory(
+            lambda: DirectoryEntry("me", ADDRESS, "z", self.experience),
+            lambda: 8,
+            CallNumbers(),
+            lambda now, entry: self.taken.append(entry),
+            self._log,
+        )
+
+    def _log(self, event: str, **fields: object) -> None:
+        self.malformed += 1
+
+    def read(self, now: float) -> ReadNewest | None:
+        return next((c for c in self.calls(now) if isinstance(c, ReadNewest)), None)
+
+    def written(self, now: float) -> AppendRecords | None:
+        return next((c for c in self.calls(now) if isinstance(c, AppendRecords)), None)
+
+    def calls(self, now: float) -> list[StoreCall]:
+        return self.directory.on_timer(now)
+
+    def answer(self, now: float, call: StoreCall, *records: KeyedRecord) -> None:
+        assert self.directory.owns(call.call)
+        outcome = NewestPage(records, False, 1) if isinstance(call, ReadNewest) else Appended(0, 1)
+        self.directory.on_answer(now, call.call, outcome)
+
+
+def test_the_directory_is_read_before_this_daemon_s_entry_is_replaced() -> None:
+    store = Store()
+    first = store.calls(0.0)
+    assert [type(call) for call in first] == [ReadNewest]
+    earlier = KeyedRecord("me", encode_entry(DirectoryEntry("me", ADDRESS, "z", KNOWN)))
+    store.answer(0.1, first[0], earlier, KeyedRecord("bad", b"\xff"), KeyedRecord("odd", b"\x01"))
+    assert [entry.experience for entry in store.taken] == [KNOWN]
+    assert store.malformed == 2
+    store.experience = store.taken[0].experience
+    written = store.written(0.1)
+    assert written is not None
+    assert decode_entry(written.records[0]).experience == KNOWN
+
+
+def test_without_an_answer_the_entry_is_written_all_the_same() -> None:
+    store = Store()
+    store.calls(0.0)
+    assert store.written(READ_FIRST_SECONDS / 2) is None
+    written = store.written(READ_FIRST_SECONDS)
+    assert written is not None
+    store.directory.on_answer(2.0, written.call, CallFailed("down", True))
+    assert store.written(2.0 + WRITE_RETRY_SECONDS) is not None
+
+
+def test_only_what_changed_is_written_again_and_not_often() -> None:
+    store = Store()
+    read = store.read(0.0)
+    assert read is not None
+    store.answer(0.0, read)
+    written = store.written(0.0)
+    assert written is not None
+    store.answer(0.1, written)
+    store.experience = KNOWN
+    assert store.written(EXPERIENCE_SECONDS / 2) is None
+    written = store.written(0.1 + EXPERIENCE_SECONDS)
+    assert written is not None
+    store.answer(7.0, written)
+    store.experience = Experience({"s": (65, 660)}, {"r": 5000})
+    assert store.written(7.0 + EXPERIENCE_SECONDS) is None
+
+
+@DETERMINISTIC
+@given(EXPERIENCES)
+def test_an_entry_comes_back_as_it_went(experience: Experience) -> None:
+    entry = DirectoryEntry("me", ADDRESS, "z", experience)
+    assert decode_entry(KeyedRecord("me", encode_entry(entry))) == entry
+    assert experience.is_like(experience)
+
+
+# Its use.
+
+
+def busy_world(experience: Experience | None) -> World:
+    """Returns a world whose one server was sent 40 requests since the daemon started."""
+    world = World(servers=1)
+    world.requests = ForwardedRequests("z", world.routes, world.servers, random.Random(1))
+    if experience is not None:
+        world.requests.begin_with(experience)
+    for token in range(40):
+        world.requests.on_arrived(1.0, arrival(token, time_left=3.0))
+    return world
+
+
+def test_a_daemon_that_starts_knows_who_came_back_and_what_would_be_late() -> None:
+    world = busy_world(KNOWN)
+    assert isinstance(world.arrive(1.0, arrival(90, time_left=5.0)), FinishRequest)
+    assert isinstance(world.arrive(1.0, arrival(91, time_left=3.0)), SendRequest)
+
+
+def test_without_experience_it_defers_nothing_yet() -> None:
+    world = busy_world(None)
+    assert isinstance(world.arrive(1.0, arrival(90, time_left=5.0)), SendRequest)
+
+
+def test_what_is_learnt_here_counts_more_than_what_others_knew() -> None:
+    world = World(servers=1)
+    sent = world.arrive(0.0, arrival(1, time_left=5.0))
+    assert isinstance(sent, SendRequest)
+    world.requests.on_answer_begun(0.1, AnswerBegun(1, sent.attempt, None))
+    world.end(1.0, sent, AttemptKind.COMPLETED)
+    world.requests.begin_with(KNOWN)
+    assert world.requests.experience().times["s"] == (100, 1000)
--- a/tests/decisions/peers/test_loads.py
+++ b/tests/decisions/peers/test_loads.py
@@ -3,16 +3,19 @@
 from tests.decisions.forwarding.worlds import server
 from troutswitch.common import Address
 from troutswitch.daemons.loadreport import LoadReport, ServerShare, server_key
+from troutswitch.decisions.forwarding.experience import Experience
 from troutswitch.decisions.forwarding.servers import NO_SIZE, ServerRegistry
+from troutswitch.decisions.peers.directory import DirectoryEntry
 from troutswitch.decisions.peers.loads import PeerLoads, ReportReceived, SendReport, WaitingItems
 from troutswitch.decisions.peers.spread import (
+    REPORT_SECONDS,
+    REPORTS_AT_ONCE,
     REPORTS_TAKEN_A_SECOND,
+    ReportPace,
     quiet_interval,
     report_interval,
     silence_limit,
 )
-from troutswitch.decisions.storage.follower import CallNumbers
-from troutswitch.decisions.storage.messages import AppendRecords, KeyedRecord, NewestPage
 
 PEER = Address("10.0.0.2", 7)
 
@@ -32,9 +35,7 @@
             lambda: 4,
             lambda: WaitingItems(self.waiting, 0),
             lambda: self.waiting,
-            CallNumbers(),
             random.Random(1),
-            lambda event, **fields: None,
         )
 
     def hear(
@@ -161,13 +162,24 @@
     assert told.report.waiting_items == 7
 
 
-def test_peers_are_found_in_the_store_and_own_address_is_put_there() -> None:
+def test_peers_are_met_through_the_directory_once() -> None:
     fleet = Fleet()
-    calls = fleet.loads.on_timer(0.0)
-    (written,) = [call for call in calls if isinstance(call, AppendRecords)]
-    (record,) = written.records
-    assert record.key == "me"
-    read = next(i.call for i in calls if not isinstance(i, AppendRecords | SendReport))
-    rows = (record, KeyedRecord("other", record.value), KeyedRecord("bad", b"\xff"))
-    fleet.loads.on_answer(0.1, read, NewestPage(rows, False, 3))
+    for name in ("other", "other", "me"):
+        fleet.loads.meet(0.0, DirectoryEntry(name, PEER, "there", Experience()))
     assert set(fleet.loads.peers) == {"other"}
+    assert fleet.loads.peers["other"].address == PEER
+
+
+def test_a_change_is_told_at_once_and_many_at_the_fleet_s_pace() -> None:
+    pace = ReportPace()
+    peers = 80
+    sent = []
+    now = 100.0
+    while now < 110.0:
+        if now >= pace.next_at(peers):
+            pace.on_sent(now, peers)
+            sent.append(now)
+        now += REPORT_SECONDS / 2
+    first = [at for at in sent if at < 100.2]
+    assert len(first) == REPORTS_AT_ONCE
+    assert len(sent) * peers <= 10.0 * REPORTS_TAKEN_A_SECOND + REPORTS_AT_ONCE * peers
--- a/tests/decisions/peers/test_slots.py
+++ b/tests/decisions/peers/test_slots.py
@@ -16,7 +16,6 @@
 from troutswitch.decisions.jobs.messages import StopItem
 from troutswitch.decisions.peers.loads import PeerLoads, ReportReceived, WaitingItems
 from troutswitch.decisions.peers.slots import SendSlotAsk, SlotAsked, SlotAsks
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.simulation.gatewayworld import Daemon, GatewayWorld
 from troutswitch.simulation.plainformats import HOST, PREFIX
 
@@ -33,9 +32,7 @@
         lambda: 1,
         WaitingItems,
         lambda: 0,
-        CallNumbers(),
         random.Random(1),
-        lambda event, **fields: None,
     )
 
 
