--- a/src/troutswitch/hindsight/day.py
+++ b/src/troutswitch/hindsight/day.py
@@ -19,13 +19,15 @@
     """An online request that was sent to a server. Times are seconds.
 
     `first` is the wait for the first event as it was, infinite if none came; `held` the
-    time for which the request had its slot, 0 if it is not known.
+    time for which the request had its slot, 0 if it is not known. Answers without events
+    hold no slot for long and are left out.
     """
 
     sent_at: float
     objective: float
     first: float = float("inf")
     held: float = 0.0
+    is_stream: bool = True
 
     @property
     def is_in_aim(self) -> bool:
@@ -121,6 +123,8 @@
         first = int(line.fields.get("first_ms", UNKNOWN_MILLISECONDS))
         if request is None or first >= UNKNOWN_MILLISECONDS:
             return
+        if line.fields.get("kind") == "completed" and not line.fields.get("position"):
+            request.is_stream = False
         request.first = first / 1000
         if line.fields.get("kind") == "completed":
             request.held = int(line.fields.get("total_ms", 0)) / 1000
@@ -148,9 +152,19 @@
         for job, (accepted, due, count) in self._jobs.items():
             missing = max(0, count - known[job])
             self.day.items += [BatchItem(accepted, due) for _ in range(missing)]
+        self._finish_work()
         self._finish_online()
 
+    def _finish_work(self) -> None:
+        """Takes an item that was not finished for one that needs as much as others did."""
+        listed = [item.work for item in self.day.items if item.listed_at != float("inf")]
+        usual = mean(listed or [0.0])
+        for item in self.day.items:
+            if item.listed_at == float("inf"):
+                item.work = max(item.work, usual)
+
     def _finish_online(self) -> None:
+        self.day.online = [request for request in self.day.online if request.is_stream]
         free_first = self.free_first()
         for request in self.day.online:
             if request.held:
--- a/src/troutswitch/hindsight/loglines.py
+++ b/src/troutswitch/hindsight/loglines.py
@@ -51,5 +51,10 @@
         time = str(fields.get("timestamp", ""))
         daemon, event = str(fields.get("daemon", "?")), str(fields.get("event", "?"))
         held.lines.append(Line(time, order, daemon, event, fields))
-    held.lines.sort(key=lambda line: (line.time, line.order))
+    held.lines.sort(key=lambda line: (_sortable(line.time), line.order))
     return held
+
+
+def _sortable(time: str) -> str:
+    """Returns a time that sorts as text; a whole second is written without its fraction."""
+    return time if "." in time else time.replace("Z", ".000000Z")
--- /dev/null
+++ b/tests/decisions/forwarding/test_policy_properties.py
@@ -0,0 +1,96 @@
+"""What holds under every placement and admission policy."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.decisions.forwarding.worlds import World, arrival, server
+from troutswitch.decisions.forwarding.admission import ADMISSION_POLICIES
+from troutswitch.decisions.forwarding.messages import AnswerBegun, FinishRequest, SendRequest
+from troutswitch.decisions.forwarding.placement import POLICIES
+from troutswitch.decisions.forwarding.requests import ForwardedRequests
+from troutswitch.outcomes import AttemptKind
+
+SERVERS = 4
+DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=40)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["arrive", "arrive", "arrive", "end", "refuse", "cut", "drain", "list"]),
+        st.integers(0, SERVERS - 1),
+    ),
+    max_size=80,
+)
+every_placement = pytest.mark.parametrize("placement", sorted(POLICIES))
+every_admission = pytest.mark.parametrize("admission", sorted(ADMISSION_POLICIES))
+
+
+class Driver:
+    """Plays steps on one daemon's forwarding and checks each instruction."""
+
+    def __init__(self, placement: str, admission: str) -> None:
+        self.world = World(servers=SERVERS)
+        self.world.requests = ForwardedRequests(
+            "z", self.world.routes, self.world.servers, random.Random(1), placement, admission
+        )
+        self.running: dict[int, SendRequest] = {}
+        self.leaving: set[str] = set()
+        self.finished = 0
+        self.arrived = 0
+        self.now = 0.0
+
+    def take(self, given_out: SendRequest | FinishRequest | None) -> None:
+        match given_out:
+            case SendRequest():
+                assert given_out.server_id not in self.leaving
+                self.running[given_out.token] = given_out
+                begun = AnswerBegun(given_out.token, given_out.attempt, None)
+                self.world.requests.on_answer_begun(self.now, begun)
+            case FinishRequest():
+                self.running.pop(given_out.token, None)
+                self.finished += 1
+
+    def play(self, step: str, place: int) -> None:
+        self.now += 0.02
+        match step:
+            case "arrive":
+                self.arrived += 1
+                self.take(self.world.arrive(self.now, arrival(self.arrived)))
+            case "drain":
+                self.leaving.add(f"s{place}")
+                self.world.servers.mark_draining(f"s{place}")
+            case "list":
+                listed = [server(f"s{n}", f"s{n}" in self.leaving) for n in range(SERVERS)]
+                self.world.servers.on_list(self.now, listed)
+            case _ if self.running:
+                self.end(step, place)
+
+    def end(self, step: str, place: int) -> None:
+        token = sorted(self.running)[place % len(self.running)]
+        sent = self.running.pop(token)
+        if step == "end":
+            self.finished += 1
+            self.world.end(self.now, sent, AttemptKind.COMPLETED, delivered=3)
+        elif step == "refuse":
+            self.take(self.world.end(self.now, sent, AttemptKind.REFUSED))
+        else:
+            self.take(self.world.end(self.now, sent, AttemptKind.CUT))
+
+
+@every_placement
+@every_admission
+@DETERMINISTIC
+@given(steps=STEPS)
+def test_no_request_goes_to_a_leaving_server_and_every_request_ends(
+    placement: str, admission: str, steps: list[tuple[str, int]]
+) -> None:
+    driver = Driver(placement, admission)
+    for step, place in steps:
+        driver.play(step, place)
+    while driver.running:
+        driver.play("end", 0)
+    assert driver.finished == driver.arrived
+    assert not driver.world.requests.requests
+    held = driver.world.servers.servers.values()
+    assert all(s.online_in_flight == 0 and not s.online_sent_at for s in held)
--- a/tests/hindsight/test_bound.py
+++ b/tests/hindsight/test_bound.py
@@ -34,6 +34,7 @@
             kind="completed",
             first_ms=first_ms,
             total_ms=total_ms,
+            position="31",
         ),
     ]
 
@@ -73,6 +74,13 @@
     assert work_out(*rows).online.possible == 1
 
 
+def test_an_answer_without_events_is_left_out() -> None:
+    rows = [line(0, "servers changed", slots=2)]
+    rows += online(1, 1.0, 3, 3) + online(2, 2.0, 100, 1000)
+    rows[2] = rows[2].replace('"position": "31"', '"position": ""')
+    assert work_out(*rows).online.asked == 1
+
+
 def test_a_deferral_counts_where_it_came_back() -> None:
     rows = [line(0, "servers changed", slots=2), line(1, "request deferred", request_id="x")]
     rows += online(1, 2.0, 100, 1000)
@@ -103,6 +111,13 @@
     assert work_out(*rows).batch.possible == 2
 
 
+def test_an_item_that_never_ran_needs_what_others_did() -> None:
+    rows = batch(items=2, done=2, due_ms=9000, run_ms=4000)
+    rows[1] = rows[1].replace('"items": 2', '"items": 5')
+    found = work_out(*rows)
+    assert (found.batch.asked, found.batch.possible) == (5, 2)
+
+
 def test_a_job_of_which_nothing_started_counts() -> None:
     rows = [line(0, "servers changed", slots=1)]
     rows.append(line(1, "job hand-in ended", job_id="j", items=3, status=202, due_ms=1000))
