--- a/src/troutswitch/decisions/forwarding/admission.py
+++ b/src/troutswitch/decisions/forwarding/admission.py
@@ -23,6 +23,8 @@
 """Share of the time left up to which callers heed a time to come back."""
 RETURN_LEAST = 0.6
 """Least part of that time, so that those who come back meet room, spread over the rest."""
+ROUTES_REMEMBERED = 512
+"""Routes whose callers' patience is remembered; the one used longest ago goes first."""
 RETURNED_SECONDS = 0.1
 """Time by which a caller's time left is shorter than usual if it was here before."""
 
@@ -99,7 +101,10 @@
     ) -> Deferral | None:
         """Defers a request that is new here and would wait too long at every server."""
         most = max(request.time_left, self.patience.get(request.route, 0.0))
+        self.patience.pop(request.route, None)
         self.patience[request.route] = most
+        if len(self.patience) > ROUTES_REMEMBERED:
+            del self.patience[next(iter(self.patience))]
         is_back = request.is_resumed or request.time_left < most - RETURNED_SECONDS
         if is_back or not servers or request.objective <= 0 or times.held == 0.0:
             return None
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -20,6 +20,7 @@
 from troutswitch.decisions.forwarding.servers import ServerRegistry
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.jobs.items import ItemProgress
+from troutswitch.decisions.jobs.lateturns import LateTurns
 from troutswitch.decisions.jobs.messages import (
     ItemBegun,
     ItemProgressed,
@@ -48,8 +49,6 @@
 SETTLE_SECONDS = 0.5
 """Time after its start for which a daemon starts no items: it does not know yet what others
 have at servers. After all were killed at once, all would fill the same slots."""
-LATE_TURN = 8
-"""One start in so many goes to an item that will be late, however many could be in time."""
 STARTS_A_TICK = 8
 """Items that start in one look, so that peers hear of them before many follow."""
 RETRY_SECONDS = 0.2
@@ -132,7 +131,7 @@
         self._tick_at = float("-inf")
         self.waiting = WaitingItems()
         self._begun_at = float("inf")
-        self._starts_since_late = 0
+        self._late_turns = LateTurns(float("inf"))
 
     @property
     def pace(self) -> RunPace:
@@ -169,7 +168,9 @@
         for claim in owned.values():
             if self.writer.begin_epoch(claim):
                 self._items.compare_saved(claim.shard)
-        self._begun_at = min(self._begun_at, now)
+        if self._begun_at > now:
+            self._begun_at = now
+            self._late_turns = LateTurns(now)
         self.waiting = WaitingItems()
         if not self.is_draining and now >= self._begun_at + SETTLE_SECONDS:
             instructions += self._start_items(now)
@@ -230,8 +231,10 @@
             server = self._servers.servers.get(server_id)
             if server is None:
                 continue
-            over = self._room.surplus(now, server) - self._peers.batch_before(server_id)
-            instructions += self._stop_least_urgent(now, server_id, over)
+            surplus = self._room.surplus(now, server)
+            if surplus > 0:
+                own_part = surplus - self._peers.batch_before(server_id)
+                instructions += self._stop_least_urgent(now, server_id, own_part)
         return instructions
 
     def give_slot(self, now: float, server_id: str) -> StopItem | None:
@@ -263,13 +266,13 @@
         self.waiting = WaitingItems(len(in_time), len(late))
         others = self._peers.waiting()
         instructions += self._start_some(now, in_time, others.in_time)
-        if late and self._may_start_late(in_time):
+        if late and self._may_start_late(now, in_time):
             instructions += self._start_some(now, late, others.late)
         return instructions
 
-    def _may_start_late(self, in_time: list[ItemProgress]) -> bool:
+    def _may_start_late(self, now: float, in_time: list[ItemProgress]) -> bool:
         """Late items take room that no item needs which can be in time, and their turn."""
-        if self._starts_since_late >= LATE_TURN:
+        if self._late_turns.has_turn(now):
             return True
         is_wanted = any(not progress.run for progress in in_time)
         return not is_wanted and self._peers.waiting().in_time == 0
@@ -284,17 +287,17 @@
                 break
             started = self._try_start(now, progress)
             instructions += started
-            if started and self._count_start(progress):
+            if started and self._count_start(now, progress):
                 break
         return instructions
 
-    def _count_start(self, progress: ItemProgress) -> bool:
-        """Counts a start; returns whether a late item's turn is over or has come."""
+    def _count_start(self, now: float, progress: ItemProgress) -> bool:
+        """Counts a start; returns whether it was a late item's turn, of which one has it."""
         if not self._selection.is_late(progress):
-            self._starts_since_late += 1
+            self._late_turns.on_started_in_time()
             return False
-        is_turn = self._starts_since_late >= LATE_TURN
-        self._starts_since_late = 0
+        is_turn = self._late_turns.has_turn(now)
+        self._late_turns.on_started_late(now)
         return is_turn
 
     def _candidates(self, now: float) -> list[ItemProgress]:
--- a/src/troutswitch/decisions/peers/loads.py
+++ b/src/troutswitch/decisions/peers/loads.py
@@ -260,7 +260,7 @@
         return sum(
             peer.batch_at(key)
             for name, peer in self.peers.items()
-            if stable_hash(server_id, name) < place
+            if peer.batch_at(key) and stable_hash(server_id, name) < place
         )
 
     def set_share(self, now: float, peer: Peer, share: ServerShare) -> None:
--- a/tests/decisions/forwarding/test_admission.py
+++ b/tests/decisions/forwarding/test_admission.py
@@ -1,6 +1,7 @@
 """Requests that would be late are asked to come back, once."""
 
 import random
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -9,6 +10,7 @@
 from troutswitch.decisions.forwarding.admission import (
     RETURN_LEAST,
     RETURN_SHARE,
+    ROUTES_REMEMBERED,
     AdmissionRequest,
     AdmitAll,
     DeferLate,
@@ -78,6 +80,15 @@
     assert decide(policy, asked(), full) is not None
 
 
+def test_the_patience_of_few_routes_is_remembered() -> None:
+    policy = DeferLate()
+    for number in range(2 * ROUTES_REMEMBERED):
+        decide(policy, replace(asked(), route=f"r{number}"), held_servers(0))
+        decide(policy, asked(), held_servers(0))
+    assert len(policy.patience) == ROUTES_REMEMBERED
+    assert "r" in policy.patience
+
+
 def test_before_anything_is_learnt_all_are_sent() -> None:
     policy = DeferLate()
     unknown = ServiceTimes()
