Lines that join the tries of a request, and tell ended servers from broken answers

Cause: the logs of the incident can't tell whether one request or several end the servers, nor whether the servers ended at all: each try has an id of its own, and 'cut' is said of both. Change: requests are named by host, method, path and body (16 digits in the lines of sending, end and giving up). After a lost answer the server is asked once for a connection: refused is an end, accepted a broken answer, no word waits for the list of servers. Nothing is decided by it yet. Ruled out: telling it from the next attempt's failure; a daemon with little traffic has none.

--- a/src/troutswitch/decisions/forwarding/lines.py
+++ b/src/troutswitch/decisions/forwarding/lines.py
@@ -30,6 +30,7 @@
         "request sent",
         {
             "request_id": request.arrival.request_id,
+            "content": request.arrival.content,
             "route": request.route.name,
             "attempt": request.attempt,
             "server": server.record.server_id,
@@ -75,6 +76,7 @@
         "attempt ended",
         {
             "request_id": request.arrival.request_id,
+            "content": request.arrival.content,
             "attempt": request.attempt,
             "server": request.server_id,
             "kind": event.kind,
@@ -156,6 +158,7 @@
         "request given up",
         {
             "request_id": request.arrival.request_id,
+            "content": request.arrival.content,
             "route": request.route.name,
             "outcome": type(outcome).__name__,
             "reason": outcome.reason,
--- a/src/troutswitch/decisions/forwarding/messages.py
+++ b/src/troutswitch/decisions/forwarding/messages.py
@@ -14,7 +14,8 @@
     """A caller's whole request was read.
 
     `token` names the request within this process, `request_id` is the caller's.
-    `time_left` is what the caller will wait, in seconds.
+    `time_left` is what the caller will wait, in seconds; `content` names the request by its
+    content (`crashes.content`), empty where nobody needs it.
     """
 
     token: int
@@ -24,6 +25,7 @@
     time_left: float
     prompt: PromptShape
     resume_after: str = ""
+    content: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, replace
 
 from troutswitch.constants import ROOM_WAIT_SECONDS
+from troutswitch.decisions.crashes.suspects import CrashSuspects
 from troutswitch.decisions.forwarding.admission import (
     ADMISSION_POLICIES,
     AdmissionPolicy,
@@ -123,12 +124,14 @@
         rng: random.Random,
         policy: str = "prefix_aware",
         admission: str = "defer_late",
+        suspects: CrashSuspects | None = None,
     ) -> None:
         self.requests: dict[int, ForwardedRequest] = {}
         self.counts = RequestCounts()
         self._routes = routes
         self._servers = servers
         self._rng = rng
+        self._suspects = suspects or CrashSuspects(servers)
         self._admission: AdmissionPolicy = ADMISSION_POLICIES[admission]()
         self.times = RunTimes()
         self._zone = zone
@@ -346,6 +349,8 @@
         if request is None or request.is_placing or request.attempt != event.attempt:
             return []  # the end of an attempt that was given up
         self._account(now, request, event)
+        if event.kind is AttemptKind.CUT and not event.has_answer:
+            self._suspects.on_lost(now, request.arrival.content, request.server_id)
         request.kinds.append(event.kind)
         request.position = event.position or request.position
         request.delivered = event.delivered
@@ -513,6 +518,8 @@
 
     def _leave_server(self, now: float, request: ForwardedRequest) -> Instructions:
         request.kinds.append(AttemptKind.CUT)
+        content = request.arrival.content
+        self._suspects.on_lost(now, content, request.server_id, is_silent=True)
         self._end_at_server(now, request, True)
         left = AbortAttempt(request.arrival.token, request.attempt, is_silent=True)
         line = line_of_silence(now, request)
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -9,6 +9,8 @@
 
 from troutswitch.daemons.peerstate import PeerState, StoredRecord
 from troutswitch.daemons.slotmessages import Hello, PlaceAnswer
+from troutswitch.decisions.crashes.messages import ServerChecked
+from troutswitch.decisions.crashes.suspects import CrashSuspects
 from troutswitch.decisions.forwarding.lines import line_of_unserved, milliseconds
 from troutswitch.decisions.forwarding.messages import (
     AnswerBegun,
@@ -85,6 +87,7 @@
         self.is_draining = False
         self.routes = RouteTable()
         self.servers = ServerRegistry()
+        self.suspects = CrashSuspects(self.servers, self._emit, self._log)
         self.requests = ForwardedRequests(
             identity.zone,
             self.routes,
@@ -92,6 +95,7 @@
             rng,
             policies.placement,
             policies.admission,
+            self.suspects,
         )
         self._formats = formats
         self._rng = rng
@@ -144,6 +148,7 @@
             self._emit,
             self.slots,
             policies.batch,
+            self.suspects,
         )
         self.contacts = PeerContacts(
             identity.name,
@@ -192,6 +197,8 @@
                 self._emit(line_of_unserved(event))
             case _ if isinstance(event, JobEvent):
                 self.jobs.on_event(now, event)
+            case ServerChecked():
+                self.suspects.on_checked(now, event)
             case ServerHeard():
                 self.servers.on_heard(now, event.server_id)
             case PeerMessageReceived():
@@ -283,10 +290,12 @@
             self.contacts.next_due(),
             self.directory.next_due(),
             self._catch_up.next_due(),
+            self.suspects.next_due(),
         )
 
     def _on_timer(self, now: float) -> None:
         self.servers.on_timer(now)
+        self.suspects.on_timer(now)
         self._pace_readings()
         self._instructions += self.requests.on_timer(now)
         self._instructions += self._read_server_list(now)
@@ -396,6 +405,7 @@
         records = [record for row in rows if (record := self._server(row)) is not None]
         kept_before = self.servers.kept_missing
         came, left = self.servers.on_list(read_at, records)
+        self.suspects.on_list(self._now)
         if self.servers.kept_missing != kept_before:
             self._log(
                 "missing servers kept",
--- a/src/troutswitch/decisions/jobs/coordinator.py
+++ b/src/troutswitch/decisions/jobs/coordinator.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable, Iterable
 
+from troutswitch.decisions.crashes.suspects import CrashSuspects
 from troutswitch.decisions.forwarding.messages import LogLine
 from troutswitch.decisions.forwarding.routes import RouteTable
 from troutswitch.decisions.forwarding.servers import ServerRegistry
@@ -59,6 +60,7 @@
         emit: Callable[[object], None],
         slots: BatchSlots,
         policies: BatchPolicies,
+        suspects: CrashSuspects,
     ) -> None:
         self._emit = emit
         self._drain_until = float("inf")
@@ -78,6 +80,7 @@
             slots,
             zone,
             policies,
+            suspects,
         )
 
         self.retention = JobRetention(self.replicas, self.ownership, numbers, job_kept, self._log)
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -16,6 +16,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from troutswitch.decisions.crashes.content import content_key
+from troutswitch.decisions.crashes.suspects import CrashSuspects
 from troutswitch.decisions.forwarding.messages import LogLine
 from troutswitch.decisions.forwarding.routes import RouteTable
 from troutswitch.decisions.forwarding.servers import Server, ServerRegistry
@@ -62,6 +64,8 @@
 """Time without a route after which an item is given up."""
 FAILED_STATUS = 500
 """Status with which a server says that an item's run failed; others say nothing of it."""
+LOST_STATUSES = (0, 200)
+"""Statuses of a run whose answer did not come whole: none was read, or a stream broke off."""
 NEVER_STATUS = 422
 """Status with which a server says that an item can never be done."""
 
@@ -104,7 +108,9 @@
         slots: BatchSlots,
         zone: str,
         policies: BatchPolicies,
+        suspects: CrashSuspects,
     ) -> None:
+        self._suspects = suspects
         self._runs = ItemRuns(servers, log)
         self.counts = OwnerCounts()
         self._items = OpenItems(replicas)
@@ -423,6 +429,8 @@
         if run is None:
             return
         progress = run.progress
+        if event.kind is AttemptKind.CUT and not run.is_stopped and event.status in LOST_STATUSES:
+            self._suspects.on_lost(now, self._content_of(progress), run.server_id)
         if event.kind is AttemptKind.COMPLETED:
             events = progress.events_done - run.events_before
             self.pace.on_completed(now - run.started_at, events, progress.events_done)
@@ -435,6 +443,13 @@
             self._after_failure(now, progress, event)
         self._tick_at = now
 
+    def _content_of(self, progress: ItemProgress) -> str:
+        entry = self._replicas.index.jobs.get(progress.job_id)
+        if entry is None:
+            return ""
+        item = progress.item
+        return content_key(entry.manifest.host, "POST", item.path, item.body)
+
     def _after_failure(self, now: float, progress: ItemProgress, event: ItemRunEnded) -> None:
         progress.retry_at = now + RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
         if event.status != FAILED_STATUS or event.kind is AttemptKind.REFUSED:
--- a/src/troutswitch/gateway/relay.py
+++ b/src/troutswitch/gateway/relay.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+from troutswitch.decisions.crashes.content import content_key
 from troutswitch.decisions.forwarding.messages import (
     AnswerBegun,
     CallerGone,
@@ -93,6 +94,7 @@
             request.time_left,
             request.prompt,
             request.last_event_id,
+            content_key(request.host, request.method, request.url, self.body),
         )
 
     def _attempt(self, directive: SendRequest) -> Iterator[bytes]:
--- a/src/troutswitch/gateway/runner.py
+++ b/src/troutswitch/gateway/runner.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from troutswitch.decisions.crashes.messages import CheckServer
 from troutswitch.decisions.forwarding.messages import (
     AbortAttempt,
     FinishRequest,
@@ -29,6 +30,7 @@
 from troutswitch.gateway.exchange import ServerConnections
 from troutswitch.gateway.itemruns import ItemRuns
 from troutswitch.gateway.registry import Relays
+from troutswitch.gateway.servercheck import check_server
 
 STORE_THREADS = 48
 
@@ -82,6 +84,8 @@
                 self._send_to_peers(instruction)
             case AskPeerState():
                 self._submit(lambda: self._ask_peer(instruction))
+            case CheckServer():
+                self._submit(lambda: check_server(instruction))
             case AnswerJobCall():
                 self._answer_job(instruction)
             case LimitsChanged():
--- /dev/null
+++ b/tests/decisions/crashes/test_endings.py
@@ -0,0 +1,71 @@
+"""A server that ended is told from an answer that broke off, from silence and from a leave."""
+
+from tests.decisions.forwarding.worlds import server
+from troutswitch.decisions.crashes.endings import AWAITED_SECONDS, ServerEndings
+from troutswitch.decisions.crashes.messages import CheckServer, Crash, ServerChecked, ServerFound
+from troutswitch.decisions.forwarding.servers import ServerRegistry
+
+
+class World:
+    def __init__(self) -> None:
+        self.servers = ServerRegistry()
+        self.servers.on_list(0.0, [server("a"), server("b")])
+        self.checks: list[CheckServer] = []
+        self.endings = ServerEndings(self.servers, self.checks.append)
+
+    def found(self, found: ServerFound) -> list[Crash]:
+        return self.endings.on_checked(ServerChecked("a", found))
+
+
+def test_a_server_whose_port_refuses_has_ended_under_all_that_were_on_it() -> None:
+    world = World()
+    world.endings.on_lost(1.0, "x", "a", False)
+    world.endings.on_lost(1.0, "y", "a", False)
+    assert [check.server_id for check in world.checks] == ["a"]
+    assert world.found(ServerFound.ENDED) == [Crash("x", "a"), Crash("y", "a")]
+
+
+def test_a_server_that_takes_connections_only_broke_an_answer_off() -> None:
+    world = World()
+    world.endings.on_lost(1.0, "x", "a", False)
+    assert world.found(ServerFound.ALIVE) == []
+    assert world.endings.next_due() == float("inf")
+
+
+def test_a_silent_server_is_not_asked_and_counts_once_its_entry_went() -> None:
+    world = World()
+    world.endings.on_lost(1.0, "x", "a", True)
+    assert not world.checks
+    assert world.endings.on_list() == []
+    world.servers.on_list(5.0, [server("b")])
+    assert world.endings.on_list() == [Crash("x", "a")]
+
+
+def test_a_silent_server_that_stays_listed_is_forgotten() -> None:
+    world = World()
+    world.endings.on_lost(1.0, "x", "a", True)
+    world.endings.on_timer(1.0 + AWAITED_SECONDS)
+    world.servers.on_list(20.0, [server("b")])
+    assert world.endings.on_list() == []
+
+
+def test_a_cut_machine_that_gets_no_word_waits_for_the_list() -> None:
+    world = World()
+    world.endings.on_lost(1.0, "x", "a", False)
+    assert world.found(ServerFound.UNKNOWN) == []
+    world.servers.on_list(5.0, [server("b")])
+    assert world.endings.on_list() == [Crash("x", "a")]
+
+
+def test_a_planned_end_has_no_cause_among_the_requests() -> None:
+    world = World()
+    world.servers.on_list(0.5, [server("a", draining=True), server("b")])
+    world.endings.on_lost(1.0, "x", "a", False)
+    assert not world.checks
+
+
+def test_a_silent_server_that_then_drains_left_as_planned() -> None:
+    world = World()
+    world.endings.on_lost(1.0, "x", "a", True)
+    world.servers.on_list(2.0, [server("a", draining=True), server("b")])
+    assert world.endings.on_list() == []
