--- a/src/troutswitch/simulation/gatewayworld.py
+++ b/src/troutswitch/simulation/gatewayworld.py
@@ -107,6 +107,7 @@
         servers: int = 3,
         tokens_most: int = 0,
         change: Callable[[StoreCall], StoreCall] | None = None,
+        more_routes: tuple[Route, ...] = (),
     ) -> None:
         self.env = simpy.Environment()
         self.rng = random.Random(seed)
@@ -134,7 +135,8 @@
             retention=600.0,
         )
         services = {SERVICE: Service(SERVICE, 100, 8, 0)}
-        self._formats = PlainFormats(FleetConfiguration(1, (route,), services, RequestLimits()))
+        routes = (route, *more_routes)
+        self._formats = PlainFormats(FleetConfiguration(1, routes, services, RequestLimits()))
         self.publish(1)
         for number in range(servers):
             self.list_server(f"server-{number}", 8)
@@ -205,7 +207,7 @@
             self.after(daemon.paused_until - self.env.now, lambda: self.step(daemon, event))
             return
         for instruction in daemon.core.step(self.env.now, event):
-            self._carry_out(daemon, instruction)
+            self.carry_out(daemon, instruction)
         self._set_timer(daemon)
 
     def _set_timer(self, daemon: Daemon) -> None:
@@ -220,17 +222,18 @@
             daemon.timer_at = float("inf")
             self.step(daemon, TimerFired())
 
-    def _carry_out(self, daemon: Daemon, instruction: object) -> None:
+    def carry_out(self, daemon: Daemon, instruction: object) -> None:
+        """Does what a daemon's core asks for."""
         match instruction:
             case ReadNewest() | ReadRecords() | AppendRecords() | JoinGroup() | LeaveGroup():
                 self._call_store(daemon, instruction)
             case RunItem():
-                self._run_item(daemon, instruction)
+                self.run_item(daemon, instruction)
             case StopItem():
                 daemon.stopped.add(instruction.run)
             case SendToPeers():
                 received = PeerMessageReceived(instruction.message)
-                self._send_to_peers(instruction.addresses, received)
+                self.send_to_peers(daemon, instruction.addresses, received)
             case AskPeerState():
                 self._ask_peer(daemon, instruction)
             case AnswerJobCall():
@@ -238,7 +241,8 @@
                 if answer is not None:
                     answer(instruction.answer)
 
-    def _send_to_peers(self, addresses: tuple[Address, ...], event: object) -> None:
+    def send_to_peers(self, daemon: Daemon, addresses: tuple[Address, ...], event: object) -> None:
+        """Carries a message from a daemon to others."""
         for peer in self.daemons.values():
             if peer.core.identity.peer_address in addresses:
                 self.step_later(peer, event, 0.002)
@@ -300,7 +304,8 @@
 
     # Servers.
 
-    def _run_item(self, daemon: Daemon, run: RunItem) -> None:
+    def run_item(self, daemon: Daemon, run: RunItem) -> None:
+        """Has a server run an item."""
         truth = next(
             (j for j in self.jobs.values() if any(i.item_id == run.item.item_id for i in j.items)),
             None,
--- a/tests/decisions/jobs/test_failures.py
+++ b/tests/decisions/jobs/test_failures.py
@@ -16,10 +16,10 @@
     statuses: list[int]
     runs = 0
 
-    def _run_item(self, daemon: Daemon, run: RunItem) -> None:
+    def run_item(self, daemon: Daemon, run: RunItem) -> None:
         self.runs += 1
         if not self.statuses:
-            super()._run_item(daemon, run)
+            super().run_item(daemon, run)
             return
         status = self.statuses.pop(0)
         ended = ItemRunEnded(run.run, AttemptKind.CUT, status, f"status {status}", ())
