Time on a suspended machine counts, and a daemon that stood still finds that out first

Cause: leases, deadlines and ages were kept by time.monotonic, which stands still while the machine is suspended; a daemon woke with all of them as they were. And in a freeze, too, what waited in the queue was acted on before what was over by its time. A turn of the loop that is 0.8 s late is told to the core before what waited: it ends what is over and reads configuration, servers, claims and crashes again. A request's time counts from its reading, and an attempt is sent with what is left of its time, or not at all. Ruled out: comparing the two clocks to find suspensions; a freeze needs the same, and one clock tells both. Left: waits of the kernel end late by what was left of them when the machine was suspended.

--- a/src/troutswitch/cli/ctl.py
+++ b/src/troutswitch/cli/ctl.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from troutswitch.cli.standin import parse_address
+from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
 from troutswitch.decisions.configuration.declarations import (
     DeclarationError,
@@ -248,8 +249,8 @@
 def _wait_in_force(client: OperatorClient) -> None:
     """Waits until every live member reports the configuration offset of this daemon."""
     target = int(client.call("GET", "/status")["configuration_offset"])
-    deadline = time.monotonic() + 30.0
-    while time.monotonic() < deadline:
+    deadline = steady_seconds() + 30.0
+    while steady_seconds() < deadline:
         members = client.call("GET", "/status")["members"]
         behind = [
             m["name"]
--- a/src/troutswitch/decisions/crashes/suspects.py
+++ b/src/troutswitch/decisions/crashes/suspects.py
@@ -179,6 +179,10 @@
         """Takes a store's answer."""
         self._shared.on_store(now, call, outcome)
 
+    def read_again(self, now: float) -> None:
+        """Reads what others wrote while this daemon stood still."""
+        self._shared.follower.read_again(now)
+
     def set_pace(self, pace: float) -> None:
         """Sets the least time between reads of the store, in seconds, for a large fleet."""
         self._shared.follower.pace = pace
--- a/src/troutswitch/decisions/forwarding/messages.py
+++ b/src/troutswitch/decisions/forwarding/messages.py
@@ -15,7 +15,8 @@
 
     `token` names the request within this process, `request_id` is the caller's.
     `time_left` is what the caller will wait, in seconds; `content` names the request by its
-    content (`crashes.content`), empty where nobody needs it.
+    content (`crashes.content`), empty where nobody needs it. `read_at` is when it was read, by
+    this process's clock; infinite stands for now.
     """
 
     token: int
@@ -26,6 +27,7 @@
     prompt: PromptShape
     resume_after: str = ""
     content: str = ""
+    read_at: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,7 +99,8 @@
 
     `gap_wait` bounds how long each next bytes of the answer may take after its first event,
     `first_event_wait` those after its head; `time_left` bounds the head and is told to the
-    server as the deadline.
+    server as the deadline. `decided_at` is when that was worked out, by this process's clock;
+    infinite stands for now.
     """
 
     token: int
@@ -108,6 +111,7 @@
     gap_wait: float
     resume_after: str
     first_event_wait: float = float("inf")
+    decided_at: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -154,7 +154,7 @@
             event,
             route,
             choose_service(route, self._rng),
-            now + event.time_left,
+            min(now, event.read_at) + event.time_left,
             now + route.time_limit,
             position=event.resume_after,
         )
@@ -322,6 +322,7 @@
             request.gap_wait(now),
             request.position,
             request.first_event_wait(now),
+            now,
         )
         line = line_of_start(now, request, place, self._routes.version, self._servers.listed_at)
         makes_room = place.found_by is FoundBy.COORDINATOR  # the coordinator did
--- a/src/troutswitch/decisions/forwarding/serverlist.py
+++ b/src/troutswitch/decisions/forwarding/serverlist.py
@@ -49,6 +49,13 @@
         """Returns whether an answer belongs to this reader."""
         return call == self._call != 0
 
+    def read_again(self, now: float) -> None:
+        """Gives a reading in flight up, and begins another at once."""
+        self._call = 0
+        self._rows = []
+        self._after_key = ""
+        self._due = now
+
     def on_timer(self, now: float) -> list[StoreCall]:
         """Asks for the next page if it is due."""
         if self._call and now >= self._lost_at:
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -38,6 +38,7 @@
     GatewayIdentity,
     LimitsChanged,
     ServersLeft,
+    StoodStill,
     TimerFired,
 )
 from troutswitch.decisions.jobs.coordinator import JobCoordinator, JobEvent
@@ -221,6 +222,8 @@
             case ClockCompared():
                 self.jobs.replicas.clock_offset = event.offset
                 self.suspects.clock_offset = event.offset
+            case StoodStill():
+                self._on_stood_still(now, event)
             case DrainAsked():
                 self.is_draining = True
                 self.jobs.drain(now)
@@ -281,6 +284,22 @@
         for found in ended:
             self._instructions += self.requests.on_placed(now, found.token, found.placing)
 
+    def _on_stood_still(self, now: float, event: StoodStill) -> None:
+        """Reads again what others changed meanwhile; reads in flight are of before.
+
+        What is over by its time ends in this same step, before any event that waited.
+        """
+        self._log(
+            "stood still",
+            seconds=round(event.seconds, 3),
+            in_flight=len(self.requests.requests),
+            list_age_ms=milliseconds(now - self.servers.listed_at),
+        )
+        self.configuration.read_again(now)
+        self.server_list.read_again(now)
+        self.slots.claims.read_again(now)
+        self.suspects.read_again(now)
+
     def _on_bounds(self, event: BoundsChanged) -> None:
         self.server_list.interval = SERVER_LIST_SHARE * event.drain
         self.configuration.wait = CONFIGURATION_WAIT_SHARE * event.configuration_apply
--- a/src/troutswitch/decisions/gatewaymessages.py
+++ b/src/troutswitch/decisions/gatewaymessages.py
@@ -68,6 +68,13 @@
     offset: float
 
 
+@dataclass(frozen=True, slots=True)
+class StoodStill:
+    """Event: this process did not run for some seconds: frozen, or on a suspended machine."""
+
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class LimitsChanged:
     """Instruction: put the configuration's limits on requests in force."""
--- a/src/troutswitch/decisions/slots/claims.py
+++ b/src/troutswitch/decisions/slots/claims.py
@@ -197,6 +197,10 @@
 
     # Claiming.
 
+    def read_again(self, now: float) -> None:
+        """Reads who coordinates what, as that may have changed while this daemon stood still."""
+        self._follower.read_again(now)
+
     def next_due(self) -> float:
         """Returns when `on_timer` has something to do."""
         return min(self._follower.next_due(), max(self._look_at, self._next_claim))
--- a/src/troutswitch/gateway/exchange.py
+++ b/src/troutswitch/gateway/exchange.py
@@ -15,12 +15,12 @@
 import socket
 import struct
 import threading
-import time
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
+from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
 from troutswitch.runtime.silence import bound_silence
 
@@ -171,7 +171,7 @@
                 connection = held.pop() if held else None
             if connection is None:
                 return _Connection(address)
-            age = time.monotonic() - connection.idle_since
+            age = steady_seconds() - connection.idle_since
             is_fresh = age < connection.idle_most and connection.last_request_id != request_id
             if is_fresh and not connection.has_waiting_bytes():
                 return connection
@@ -179,7 +179,7 @@
 
     def keep(self, server_id: str, connection: _Connection) -> None:
         """Keeps a connection whose answer was read whole."""
-        connection.idle_since = time.monotonic()
+        connection.idle_since = steady_seconds()
         with self._lock:
             held = self._idle.setdefault(server_id, deque())
             if len(held) < IDLE_CONNECTIONS_A_SERVER:
@@ -221,7 +221,7 @@
     id_header: str
     response: http.client.HTTPResponse | None = None
     is_aborted: bool = False
-    heard_at: float = field(default_factory=time.monotonic)
+    heard_at: float = field(default_factory=steady_seconds)
     """When the request was begun to be sent, or the last bytes of its answer came."""
     _connection: _Connection | None = None
     _lock: threading.Lock = field(default_factory=threading.Lock)
@@ -244,12 +244,12 @@
             raise NotConnected("aborted before it was sent")
         try:
             connection.sock.settimeout(max(0.01, first_wait))
-            self.heard_at = time.monotonic()
+            self.heard_at = steady_seconds()
             self._send(connection)
             response = self._head(connection)
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise self._lost(error) from error
-        self.heard_at = time.monotonic()
+        self.heard_at = steady_seconds()
         return response
 
     def _lost(self, error: Exception) -> AnswerLost:
@@ -260,7 +260,7 @@
         return AnswerLost(f"{type(error).__name__}: {error}")
 
     def _doubt_others(self) -> None:
-        if time.monotonic() - self.heard_at >= DOUBT_LEAST_SECONDS:
+        if steady_seconds() - self.heard_at >= DOUBT_LEAST_SECONDS:
             self.connections.doubt(self.server_id, self.heard_at)
 
     def _connect(self, connection: _Connection) -> None:
@@ -318,7 +318,7 @@
         assert self.response is not None
         try:
             while data := self.response.read1(READ_BYTES):
-                self.heard_at = time.monotonic()
+                self.heard_at = steady_seconds()
                 yield data
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise self._lost(error) from error
--- a/src/troutswitch/gateway/itemruns.py
+++ b/src/troutswitch/gateway/itemruns.py
@@ -1,12 +1,12 @@
 """Runs batch items at servers, one blocking call a thread."""
 
 import threading
-import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 import structlog
 
+from troutswitch.clock import steady_seconds
 from troutswitch.decisions.jobs.messages import (
     ItemBegun,
     ItemProgressed,
@@ -144,15 +144,15 @@
         events: list[OutputEvent],
     ) -> None:
         """Reads the stream, and tells what came from time to time."""
-        told_at = time.monotonic()
+        told_at = steady_seconds()
         for data in exchange.chunks():
             self._pulse.beat(instruction.server_id)
             came = splitter.feed(data)
             if came:
                 exchange.set_wait(instruction.gap_wait)
             events.extend(OutputEvent(event.event_id, event.data) for event in came)
-            if events and time.monotonic() - told_at >= TELL_SECONDS:
-                told_at = time.monotonic()
+            if events and steady_seconds() - told_at >= TELL_SECONDS:
+                told_at = steady_seconds()
                 self._post(ItemProgressed(instruction.run, tuple(events)))
                 events.clear()
         if not splitter.is_between_events:
--- a/src/troutswitch/gateway/logging.py
+++ b/src/troutswitch/gateway/logging.py
@@ -11,6 +11,8 @@
 
 import structlog
 
+from troutswitch.clock import steady_seconds
+
 QUEUE_LINES_MOST = 4096
 
 
@@ -37,8 +39,8 @@
 
     def drain(self, seconds: float) -> None:
         """Waits until the lines so far were written, up to some seconds."""
-        until = time.monotonic() + seconds
-        while not self._lines.empty() and time.monotonic() < until:
+        until = steady_seconds() + seconds
+        while not self._lines.empty() and steady_seconds() < until:
             time.sleep(0.01)
 
     def _run(self) -> None:
--- a/src/troutswitch/gateway/loop.py
+++ b/src/troutswitch/gateway/loop.py
@@ -5,11 +5,15 @@
 import time
 from collections.abc import Callable
 
+from troutswitch.clock import steady_seconds
 from troutswitch.decisions.gateway import GatewayCore
-from troutswitch.decisions.gatewaymessages import ClockCompared, TimerFired
+from troutswitch.decisions.gatewaymessages import ClockCompared, StoodStill, TimerFired
 
 IDLE_SECONDS = 1.0
 """Longest wait when nothing is due."""
+STANDSTILL_SECONDS = 0.8
+"""Delay of a turn from which this process counts as having stood still, frozen or suspended:
+below the shortest lease (1 s), and far above what a busy machine takes (0.1 s)."""
 COMPARE_SECONDS = 2.0
 """Interval between looks at the time of day, which may jump."""
 
@@ -46,7 +50,7 @@
 
     def _run(self) -> None:
         try:
-            self._compare_clocks(time.monotonic())
+            self._compare_clocks(steady_seconds())
             while not self._is_stopping:
                 self._turn()
         except BaseException as error:
@@ -54,17 +58,28 @@
             raise
 
     def _turn(self) -> None:
-        now = time.monotonic()
+        now = steady_seconds()
         wait = min(max(0.0, self.core.next_due() - now), IDLE_SECONDS)
         try:
             event = self._events.get(timeout=wait) if wait else self._events.get_nowait()
         except queue.Empty:
             event = TimerFired()
+        self._note_standstill(now + wait)
         self._step(event)
-        self._compare_clocks(time.monotonic())
+        self._compare_clocks(steady_seconds())
+
+    def _note_standstill(self, due: float) -> None:
+        """Tells the core first of all if this process did not run for a while.
+
+        What waits in the queue was true before. Leases and deadlines must be over before it is
+        acted on.
+        """
+        late = steady_seconds() - due
+        if late >= STANDSTILL_SECONDS:
+            self._step(StoodStill(late))
 
     def _step(self, event: object) -> None:
-        for instruction in self.core.step(time.monotonic(), event):
+        for instruction in self.core.step(steady_seconds(), event):
             self._carry_out(instruction)
 
     def _compare_clocks(self, now: float) -> None:
--- a/src/troutswitch/gateway/peerstate.py
+++ b/src/troutswitch/gateway/peerstate.py
@@ -1,10 +1,10 @@
 """Asks a peer for its state, and answers peers that ask, over HTTP at an internal port."""
 
 import http.client
-import time
 from collections.abc import Callable, Iterable
 from urllib.parse import parse_qs
 
+from troutswitch.clock import steady_seconds
 from troutswitch.daemons.peerstate import (
     PeerState,
     PeerStateError,
@@ -42,5 +42,5 @@
     """Answers a peer that asks."""
     told = parse_qs(str(environ.get("QUERY_STRING", ""))).get("version", [""])[0]
     version = int(told) if told.isdigit() else -1
-    state = share_state(time.monotonic(), version)
+    state = share_state(steady_seconds(), version)
     return send(Response(200, encode_state(state), CONTENT_TYPE), start_response)
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
 from troutswitch.decisions.gateway import GatewayCore
 from troutswitch.decisions.gatewaymessages import (
@@ -200,18 +201,18 @@
 
     def drain(self) -> None:
         """Stops as planned: not ready at once, everything taken in is finished."""
-        began = time.monotonic()
+        began = steady_seconds()
         end = began + self.settings.bounds.grace - STOP_RESERVE_SECONDS
         self.loop.post(DrainAsked())
         if self._callers is not None:
             self._callers.drain()
-        while time.monotonic() < end:
-            if time.monotonic() - began >= STAY_SECONDS and self._is_finished():
+        while steady_seconds() < end:
+            if steady_seconds() - began >= STAY_SECONDS and self._is_finished():
                 time.sleep(FLUSH_SECONDS)
                 break
             time.sleep(LOOK_SECONDS)
         left = self._relays.count
-        self._logger.info("daemon stopped", seconds=time.monotonic() - began, unfinished=left)
+        self._logger.info("daemon stopped", seconds=steady_seconds() - began, unfinished=left)
 
     def _is_finished(self) -> bool:
         """Lets no more callers in, and tells whether nothing is left to do."""
--- a/src/troutswitch/gateway/pulse.py
+++ b/src/troutswitch/gateway/pulse.py
@@ -1,8 +1,8 @@
 """Tells the loop, a few times a second, which servers send bytes."""
 
-import time
 from collections.abc import Callable
 
+from troutswitch.clock import steady_seconds
 from troutswitch.decisions.forwarding.messages import ServerHeard
 
 PULSE_SECONDS = 0.2
@@ -17,7 +17,7 @@
 
     def beat(self, server_id: str) -> None:
         """Notes that bytes came; two threads at once may tell it twice, which does no harm."""
-        now = time.monotonic()
+        now = steady_seconds()
         if now - self._told_at.get(server_id, float("-inf")) >= PULSE_SECONDS:
             self._told_at[server_id] = now
             self._post(ServerHeard(server_id))
--- a/src/troutswitch/gateway/registry.py
+++ b/src/troutswitch/gateway/registry.py
@@ -3,10 +3,10 @@
 import itertools
 import socket
 import threading
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from troutswitch.clock import steady_seconds
 from troutswitch.decisions.forwarding.messages import (
     AbortAttempt,
     CallerGone,
@@ -84,7 +84,7 @@
 
         Guards against a loop that is busy or late: the server was freed only after it.
         """
-        closed_at = time.monotonic() - age
+        closed_at = steady_seconds() - age
         with self._lock:
             entry = self._entries.get(token)
             exchange = entry.exchange if entry is not None else None
@@ -93,7 +93,7 @@
         aborted_at = float("inf")
         if exchange is not None:
             exchange.abort()
-            aborted_at = time.monotonic()
+            aborted_at = steady_seconds()
         self._post(CallerGone(token, closed_at, aborted_at))
 
     def open(self, token: int) -> Channel[Directive]:
--- a/src/troutswitch/gateway/relay.py
+++ b/src/troutswitch/gateway/relay.py
@@ -1,9 +1,9 @@
 """Relays one forwarded request: the caller's thread, the loop's decisions, a server's bytes."""
 
-import time
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+from troutswitch.clock import steady_seconds
 from troutswitch.decisions.crashes.content import content_key
 from troutswitch.decisions.forwarding.messages import (
     AnswerBegun,
@@ -81,7 +81,7 @@
         finally:
             self.relays.close(self.token)
             if not self._is_completed and self.finish is None:
-                now = time.monotonic()
+                now = steady_seconds()
                 self.post(CallerGone(self.token, now, now))
 
     def _arrival(self) -> RequestArrived:
@@ -95,9 +95,21 @@
             request.prompt,
             request.last_event_id,
             content_key(request.host, request.method, request.url, self.body),
+            steady_seconds(),
         )
 
-    def _attempt(self, directive: SendRequest) -> Iterator[bytes]:
+    def _attempt(self, decided: SendRequest) -> Iterator[bytes]:
+        """Makes one attempt, with what is left of its time.
+
+        Guards against a machine that stood still between decision and sending: the server was
+        given seconds more than the caller waits.
+        """
+        stood_still = max(0.0, steady_seconds() - decided.decided_at)
+        time_left = decided.time_left - stood_still
+        directive = replace(decided, time_left=time_left)
+        if time_left <= 0:
+            self._end(directive, AttemptKind.UNREACHABLE, "time ran out before it was sent")
+            return
         exchange = Exchange(
             self.connections,
             directive.server_id,
@@ -149,7 +161,7 @@
     ) -> Iterator[bytes]:
         splitter = EventSplitter(self._resume_after(directive))
         self._splitter = splitter
-        event_at = time.monotonic()
+        event_at = steady_seconds()
         for data in exchange.chunks():
             self.pulse.beat(directive.server_id)
             events = splitter.feed(data)
@@ -157,8 +169,8 @@
                 continue
             exchange.set_wait(directive.gap_wait)
             if self._delivered:
-                self._longest_gap = max(self._longest_gap, time.monotonic() - event_at)
-            event_at = time.monotonic()
+                self._longest_gap = max(self._longest_gap, steady_seconds() - event_at)
+            event_at = steady_seconds()
             self.head = self.head or head
             self._delivered += len(events)
             yield b"".join(event.raw for event in events)
--- a/src/troutswitch/platform/storeservice.py
+++ b/src/troutswitch/platform/storeservice.py
@@ -9,6 +9,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlparse
 
+from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
 from troutswitch.decisions.storage.messages import (
     Appended,
@@ -112,7 +113,7 @@
     def call(self, call: StoreCall) -> StoreOutcome:
         """Carries a call out on the model."""
         with self.lock:
-            return self.model.call(time.monotonic(), call)
+            return self.model.call(steady_seconds(), call)
 
     def set_faults(self, faults: StoreFaults) -> None:
         """Puts faults in force; those that happen once happen now."""
@@ -142,13 +143,13 @@
         return 200, json.dumps({"requests": rows, "more": page.has_more, "end": page.end}).encode()
 
     def _read(self, query: dict[str, str], partition: Partition) -> tuple[int, bytes]:
-        until = time.monotonic() + int(query.get("waitMs", "0")) / 1000
+        until = steady_seconds() + int(query.get("waitMs", "0")) / 1000
         while True:
             read = self.call(ReadRecords(0, partition, int(query["from"])))
             if isinstance(read, HistoryGone):
                 return 410, json.dumps({"first": read.first}).encode()
             assert isinstance(read, RecordsRead)
-            if read.records or time.monotonic() >= until:
+            if read.records or steady_seconds() >= until:
                 return 200, struct.pack(">QQ", read.end, 0) + encode_records(read.records)
             time.sleep(POLL_SECONDS)
 
--- a/src/troutswitch/runtime/keptconnections.py
+++ b/src/troutswitch/runtime/keptconnections.py
@@ -10,12 +10,12 @@
 import select
 import socket
 import threading
-import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
+from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
 from troutswitch.runtime.silence import bound_silence
 
@@ -29,7 +29,7 @@
 
     connection: http.client.HTTPConnection
     heard_at: float = float("-inf")
-    sent_at: float = field(default_factory=time.monotonic)
+    sent_at: float = field(default_factory=steady_seconds)
     waits: bool = False
 
     @property
@@ -85,7 +85,7 @@
             if held.connection.sock is None or held.is_sound():
                 break
             held.connection.close()
-        held.sent_at = time.monotonic()
+        held.sent_at = steady_seconds()
         held.waits = waits
         with self._lock:
             self._in_use.append(held)
@@ -102,7 +102,7 @@
         """Keeps a connection whose answer was read whole."""
         with self._lock:
             self._in_use.remove(held)
-            held.heard_at = time.monotonic()
+            held.heard_at = steady_seconds()
             if held.connection.sock is not None and len(self._idle) < IDLE_CONNECTIONS:
                 self._idle.append(held)
                 return
--- a/src/troutswitch/runtime/loop.py
+++ b/src/troutswitch/runtime/loop.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
 from troutswitch.constants import DATAGRAM_MOST_BYTES
 from troutswitch.daemons.messages import Message, Sealer
@@ -28,11 +29,11 @@
     """Seconds since the epoch that never go back."""
 
     def __init__(self) -> None:
-        self._offset = time.time() - time.monotonic()
+        self._offset = time.time() - steady_seconds()
 
     def now(self) -> float:
         """Returns the time."""
-        return time.monotonic() + self._offset
+        return steady_seconds() + self._offset
 
 
 class PeerSocket:
--- a/tests/decisions/forwarding/test_requests.py
+++ b/tests/decisions/forwarding/test_requests.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 
 from tests.decisions.forwarding.worlds import World, arrival, route, server
@@ -178,3 +180,11 @@
     first = sent(world.arrive(0.0, arrival(1)))
     outcome = finished(world.end(0.1, first, AttemptKind.CUT, position="3", delivered=3)).outcome
     assert isinstance(outcome, Cut)
+
+
+def test_time_between_reading_and_deciding_is_the_caller_s() -> None:
+    """A machine that was suspended in between gave the server time that its caller had lost."""
+    world = World(route())
+    sent = world.arrive(103.0, replace(arrival(1, time_left=4.0), read_at=100.0))
+    assert isinstance(sent, SendRequest)
+    assert sent.time_left == pytest.approx(1.0)
