Proofs of the shared record of crashes: cuts, losses, restarts, bystanders, batch items

Worlds of six daemons and six servers: daemons that only the store joins, a store that is away, all daemons killed at once, daemons killed and suspended between rounds with 3 in 10 messages lost, 60 callers a second beside two marked requests, servers that end for another reason, an item that ends servers while its owners change. Found on the way and mended: taking a crash back did not judge anew the requests that it had explained; a full record took no further crash, so that a refusal could not be renewed after its ten minutes.

--- a/src/troutswitch/decisions/crashes/record.py
+++ b/src/troutswitch/decisions/crashes/record.py
@@ -29,7 +29,7 @@
 CONTENTS_MOST = 4096
 """Requests on record. A fleet of 300 servers that all end at once adds up to some 4,000."""
 CRASHES_MOST = 12
-"""Crashes on one request's record: far more than refuse it."""
+"""Crashes on one request's record, the newest: far more than refuse it."""
 
 
 @dataclass(slots=True)
@@ -93,13 +93,13 @@
         at = min(at, now)
         entry = self._entry(crash.content) or _Entry()
         is_known = crash.server_id in entry.ended_at
-        if is_known or self.is_over(now, at) or len(entry.ended_at) >= CRASHES_MOST:
+        if is_known or self.is_over(now, at):
             return False
         entry.ended_at[crash.server_id] = at
         self._contents[crash.server_id].add(crash.content)
         self._file(crash.content, entry)
-        self._make_room()
-        self._judge(now, crash.content)
+        self._make_room(crash.content, entry)
+        self._judge(now, len(entry.ended_at))
         return True
 
     def remove(self, now: float, crash: Crash) -> bool:
@@ -107,10 +107,11 @@
         entry = self._entry(crash.content)
         if entry is None or crash.server_id not in entry.ended_at:
             return False
+        count = len(entry.ended_at)
         del entry.ended_at[crash.server_id]
         self._unlink(crash)
         self._file(crash.content, entry)
-        self._judge(now, crash.content)
+        self._judge(now, count)
         return True
 
     def _unlink(self, crash: Crash) -> None:
@@ -128,11 +129,15 @@
         elif entry.ended_at:
             self._once[content] = entry
 
-    def _make_room(self) -> None:
+    def _make_room(self, content: str, entry: _Entry) -> None:
+        while len(entry.ended_at) > CRASHES_MOST:
+            oldest = min(entry.ended_at, key=lambda server_id: entry.ended_at[server_id])
+            del entry.ended_at[oldest]
+            self._unlink(Crash(content, oldest))
         while len(self) > CONTENTS_MOST:
-            content, entry = (self._once or self._often).popitem(last=False)
-            for server_id in entry.ended_at:
-                self._unlink(Crash(content, server_id))
+            forgotten, held = (self._once or self._often).popitem(last=False)
+            for server_id in held.ended_at:
+                self._unlink(Crash(forgotten, server_id))
 
     def lapse(self, now: float) -> list[Crash]:
         """Forgets crashes that are too old, and returns them; ends refusals that are over."""
@@ -150,9 +155,9 @@
 
     # Which requests are the cause.
 
-    def _judge(self, now: float, changed: str) -> None:
-        """Works out anew what is refused, where the change can matter to it."""
-        if changed in self.refused or self.crashes(changed) >= CRASHES_TO_REFUSE:
+    def _judge(self, now: float, crashes: int) -> None:
+        """Works out anew what is refused, if a record of so many crashes can matter to it."""
+        if crashes >= CRASHES_TO_REFUSE:
             self.refused = self._causes(now)
 
     def _causes(self, now: float) -> frozenset[str]:
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -64,6 +64,14 @@
             "Groups of servers whose slots this daemon counts",
             lambda: len(core.slots.coordinator.coordinated),
         )
+        self._gauge(
+            "crash_suspects", "Requests under which servers ended", lambda: core.suspects.count
+        )
+        self._gauge(
+            "requests_refused_for_crashes",
+            "Requests that are refused as servers ended under them",
+            lambda: len(core.suspects.refused),
+        )
         self._gauge("configuration_version", "Version in force", lambda: core.routes.version)
 
     def _gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
--- a/tests/proofs/test_crashes.py
+++ b/tests/proofs/test_crashes.py
@@ -11,7 +11,18 @@
 arrivals at servers came more than three seconds after the third end.
 """
 
-from troutswitch.simulation.crashworld import Caller, CrashWorld
+import pytest
+
+from troutswitch.decisions.crashes.content import content_key
+from troutswitch.decisions.crashes.record import CrashRecord
+from troutswitch.simulation.crashworld import (
+    CALLER_SECONDS,
+    CONTACT_SECONDS,
+    REJECTED,
+    Caller,
+    CrashWorld,
+)
+from troutswitch.simulation.plainformats import HOST
 
 START_SECONDS = 3.0
 BETWEEN_SECONDS = 5.0
@@ -46,3 +57,131 @@
     marked, _ = come_again_and_again(world)
     assert len(world.ended[marked.content]) >= 3
     assert world.sent_on(marked.content) <= SENT_ON_MOST
+
+
+def started(seed: int, **sizes: int) -> CrashWorld:
+    world = CrashWorld(seed, **sizes)
+    world.run(START_SECONDS)
+    return world
+
+
+def test_the_mechanism_is_what_stops_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(CrashRecord, "add", lambda self, now, crash, at: False)
+    world = started(1)
+    marked, _ = come_again_and_again(world, rounds=3)
+    assert world.sent_on(marked.content) > SENT_ON_MOST
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_daemons_that_only_the_store_joins_know_the_same(seed: int) -> None:
+    world = started(seed)
+    world.cut_from_peers = set(world.daemons)
+    marked, _ = come_again_and_again(world, rounds=3)
+    assert world.sent_on(marked.content) <= SENT_ON_MOST
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_peers_tell_each_other_while_the_store_is_away(seed: int) -> None:
+    world = started(seed)
+    world.peer_loss = 0.1
+    world.faults.is_down = True
+    marked, _ = come_again_and_again(world, rounds=1)
+    assert len(world.ended[marked.content]) <= 2 * SENT_ON_MOST
+    assert world.sent_on(marked.content) <= SENT_ON_MOST
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_what_peers_told_while_the_store_was_away_is_written_after(seed: int) -> None:
+    world = started(seed)
+    world.faults.is_down = True
+    marked, _ = come_again_and_again(world, rounds=1)
+    world.faults.is_down = False
+    world.run(CONTACT_SECONDS)
+    kill_all(world)
+    before = len(world.ended[marked.content])
+    world.come_again(marked)
+    send_beside(world, BETWEEN_SECONDS)
+    assert len(world.ended[marked.content]) == before
+
+
+def kill_all(world: CrashWorld) -> None:
+    """Has all daemons lose what they know at the same moment."""
+    for name in list(world.daemons):
+        world.kill(name)
+    world.run(START_SECONDS)
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_a_daemon_that_starts_anew_refuses_what_others_refused(seed: int) -> None:
+    world = started(seed)
+    marked, _ = come_again_and_again(world, rounds=1)
+    before = len(world.ended[marked.content])
+    kill_all(world)
+    world.come_again(marked)
+    send_beside(world, BETWEEN_SECONDS)
+    assert len(world.ended[marked.content]) == before
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_daemons_that_die_and_sleep_in_between_do_not_lose_the_count(seed: int) -> None:
+    world = started(seed)
+    world.peer_loss = 0.3
+    marked = world.ask_online("marked", is_marked=True)
+    for _ in range(ROUNDS):
+        world.kill(world.rng.choice(list(world.daemons)))
+        world.suspend(world.rng.choice(list(world.daemons)), 4.0)
+        send_beside(world, BETWEEN_SECONDS)
+        world.come_again(marked)
+    send_beside(world, BETWEEN_SECONDS)
+    assert world.sent_on(marked.content) <= SENT_ON_MOST
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_requests_beside_the_cause_are_served(seed: int) -> None:
+    """Sixty callers a second beside it, so that each server that ends cuts many of them."""
+    world = started(seed)
+    beside: list[Caller] = []
+    marked = [world.ask_online(f"marked-{n}", is_marked=True) for n in range(2)]
+    for _ in range(3):
+        for number in range(240):
+            beside.append(world.ask_online(f"beside-{world.now:.3f}-{number}"))
+            world.run(1 / 60)
+        for caller in marked:
+            world.come_again(caller)
+    world.run(CALLER_SECONDS)
+    assert all(world.sent_on(caller.content) <= SENT_ON_MOST for caller in marked)
+    assert not any(REJECTED in caller.statuses for caller in beside)
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_servers_that_end_for_another_reason_condemn_nobody(seed: int) -> None:
+    """A third of the servers end at once, again and again; each time other requests are there."""
+    world = started(seed)
+    callers: list[Caller] = []
+    for _ in range(6):
+        callers += send_beside(world, 2.0)
+        alive = [life.server_id for life in world.lives.values() if life.is_alive]
+        for server_id in world.rng.sample(alive, 2):
+            world.crash(server_id)
+        callers += send_beside(world, BETWEEN_SECONDS)
+    assert not any(REJECTED in caller.statuses for caller in callers)
+    assert not any(daemon.core.suspects.refused for daemon in world.daemons.values())
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_a_batch_item_that_ends_servers_waits_and_the_others_are_done(seed: int) -> None:
+    """Items are run by owners, which change; an item that ends servers must not go with them."""
+    world = started(seed)
+    truth = world.hand_in("job", 6)
+    marked = truth.items[0]
+    world.marked_items.add(marked.item_id)
+    for _ in range(4):
+        world.run(BETWEEN_SECONDS)
+        world.deal_anew()
+        world.kill(world.rng.choice(list(world.daemons)))
+    world.run(2 * BETWEEN_SECONDS)
+    content = content_key(HOST, "POST", marked.path, marked.body)
+    listed = {row[0] for row in truth.results.values()}
+    assert len(world.ended[content]) >= 3
+    assert world.sent_on(content) <= SENT_ON_MOST
+    assert listed == {item.item_id for item in truth.items[1:]}
