A request that met two causes of crashes is not refused for them

Cause: records were explained longest first, so among equally long ones each stood for itself: a request two of whose servers ended by one cause and one by another was refused for ten minutes. Change: of the requests with three crashes or more, those are refused that some crash can't be explained without; from five on, whatever else explains them. Ruled out: asking for two crashes of a request's own; one more server ends each time for it.

--- a/src/troutswitch/decisions/crashes/record.py
+++ b/src/troutswitch/decisions/crashes/record.py
@@ -2,25 +2,22 @@
 
 Everything that was on a server is cut with it, so each of a server's requests gets the crash on
 its record, the innocent ones too. These come again and may meet the cause at its next server: as
-servers end, the rest carry all. So a record of three crashes is no proof by itself. A crash counts
-only for the requests that no request with a longer record explains it by, and of two that share all
-three crashes neither is refused until a fourth tells them apart.
+servers end, the rest carry all. So a record of three crashes is no proof by itself. Of the requests
+with three or more, those are refused that at least one crash can't be explained without. Two that
+share all crashes are told apart by the next one, which only the cause has.
 """
 
-from collections import OrderedDict, defaultdict
-from collections.abc import Iterable
+from collections import Counter, OrderedDict, defaultdict
 from dataclasses import dataclass, field
 
 from troutswitch.decisions.crashes.messages import Crash
 
 CRASHES_TO_REFUSE = 3
-"""Server lives that must have ended under a request alone before it is refused: users allow three,
-and each costs all that ran beside."""
-CRASHES_TO_REFUSE_ALIKE = 4
-"""The same where another request was on all of them."""
+"""Server lives that must have ended under a request before it is refused: users allow three, and
+each costs all that ran beside."""
 CRASHES_CERTAIN = 5
-"""Crashes after which a request is refused whatever else explains them: one that always comes
-together with another cause would otherwise never be."""
+"""Crashes after which a request is refused whatever else explains them. Causes that always come
+together would otherwise never be; users allow three more times once all daemons know of three."""
 REFUSED_SECONDS = 600.0
 """Time after its last crash for which a request is refused. Then one try shows whether servers
 can run it by now; a crash in it refuses the request again at once."""
@@ -161,31 +158,21 @@
             self.refused = self._causes(now)
 
     def _causes(self, now: float) -> frozenset[str]:
-        """Returns the requests that explain the crashes, longest records first."""
-        by_length: defaultdict[int, dict[str, frozenset[str]]] = defaultdict(dict)
-        for content, entry in self._often.items():
-            if len(entry.ended_at) >= CRASHES_TO_REFUSE:
-                by_length[len(entry.ended_at)][content] = frozenset(entry.ended_at)
-        causes: set[str] = set()
-        explained: set[str] = set()
-        for length in sorted(by_length, reverse=True):
-            found = _causes_among(by_length[length], explained)
-            causes.update(found)
-            explained.update(*(by_length[length][content] for content in found))
-        return frozenset(c for c in causes if self.last_at(c) > now - REFUSED_SECONDS)
-
-
-def _causes_among(records: dict[str, frozenset[str]], explained: set[str]) -> list[str]:
-    """Returns the causes among requests with equally many crashes."""
-    return [content for content in records if _is_cause(content, records, explained)]
-
-
-def _is_cause(content: str, records: dict[str, frozenset[str]], explained: Iterable[str]) -> bool:
-    lives = records[content]
-    if len(lives) >= CRASHES_CERTAIN:
-        return True
-    own = lives.difference(explained)
-    if len(own) < CRASHES_TO_REFUSE:
-        return False
-    has_equal = any(other != content and own <= held for other, held in records.items())
-    return len(own) >= (CRASHES_TO_REFUSE_ALIKE if has_equal else CRASHES_TO_REFUSE)
+        """Returns the requests that are the cause of crashes, but for those whose time is over."""
+        records = {
+            content: frozenset(entry.ended_at)
+            for content, entry in self._often.items()
+            if len(entry.ended_at) >= CRASHES_TO_REFUSE
+        }
+        on_records = Counter(server_id for lives in records.values() for server_id in lives)
+        return frozenset(
+            content
+            for content, lives in records.items()
+            if _is_cause(lives, on_records) and self.last_at(content) > now - REFUSED_SECONDS
+        )
+
+
+def _is_cause(lives: frozenset[str], on_records: Counter[str]) -> bool:
+    """Returns whether a request is the only explanation of a crash, by the records that count."""
+    is_needed = any(on_records[server_id] == 1 for server_id in lives)
+    return is_needed or len(lives) >= CRASHES_CERTAIN
--- a/tests/proofs/test_crashes.py
+++ b/tests/proofs/test_crashes.py
@@ -151,6 +151,8 @@
     world.run(CALLER_SECONDS)
     assert all(world.sent_on(caller.content) <= SENT_ON_MOST for caller in marked)
     assert not any(REJECTED in caller.statuses for caller in beside)
+    causes = {caller.content for caller in marked}
+    assert all(daemon.core.suspects.refused <= causes for daemon in world.daemons.values())
 
 
 @pytest.mark.parametrize("seed", range(1, 4))
