The soak has requests that end servers, on real processes

Checked: no more than three arrivals at servers once all daemons can know of three ends, and at the calm end each daemon refuses what ended three servers, whatever it has lived through. Of suspended machines the soak still lacks what the kernel does: a stopped process is like one by this clock, but its waits end in time.

--- a/src/troutswitch/soak/calmend.py
+++ b/src/troutswitch/soak/calmend.py
@@ -3,8 +3,10 @@
 import time
 from collections.abc import Callable
 
+from troutswitch.soak.checks import CRASHES_TO_REFUSE
 from troutswitch.soak.conductor import TICK_SECONDS, Conductor
-from troutswitch.soak.evidence import JobSeen, StruckSpan
+from troutswitch.soak.endingrequests import REQUESTS, EndingCaller, ending_path, is_refused
+from troutswitch.soak.evidence import JobSeen, StruckSpan, read_journal
 from troutswitch.soak.fleet import LEAVE_SECONDS, Daemon, Fleet
 from troutswitch.soak.jobs import listed_at, read_results
 from troutswitch.soak.probes import Prober, denies, serves
@@ -38,6 +40,7 @@
             what = f"{daemon.child.name} is not ready"
             self._expect("RECOVER", what, daemon.is_ready)
         self._wait_for_calm()
+        self._expect_refused()
         self.fleet.drain_server(self.fleet.servers[0])
         left_at = time.monotonic()
         self.fleet.operator.configure()
@@ -73,6 +76,24 @@
             what = f"{name} does not deny version {newest - 1}"
             self._expect("CONFIG", what, lambda held=prober: denies(held.ask(newest - 1)))  # type: ignore[misc]
 
+    def _expect_refused(self) -> None:
+        """A request under which three servers ended is refused by each daemon, also by new ones."""
+        for number in range(REQUESTS):
+            if len(self._lives_ended(number)) < CRASHES_TO_REFUSE:
+                continue
+            for front in self.fleet.direct_fronts():
+                caller = EndingCaller(number, [front], self.fleet.evidence)
+                what = f"{front.daemon} does not refuse {ending_path(number)}"
+                self._expect("BUDGET", what, lambda held=caller: is_refused(held.ask()))  # type: ignore[misc]
+
+    def _lives_ended(self, number: int) -> set[str]:
+        return {
+            run.server
+            for server in self.fleet.servers
+            for run in read_journal(server.journal)
+            if run.kind == "ended under" and run.path == ending_path(number)
+        }
+
     def _stop_one(self, daemon: Daemon) -> None:
         self.conductor.run(time.monotonic() + LEAVING_SECONDS, self.is_stopped)
         begin = time.monotonic()
--- a/src/troutswitch/soak/checks.py
+++ b/src/troutswitch/soak/checks.py
@@ -35,6 +35,12 @@
 """Bound on new runs of an ended job's items: twice `ackTimeoutMs` of the daemons' settings."""
 SETTLE_SECONDS = 5.0
 """Bound on a daemon's hearing of a job: five times `settleTimeoutMs` of the settings."""
+CRASHES_TO_REFUSE = 3
+"""Servers that may end under a request before it is refused."""
+KNOWN_SECONDS = 6.0
+"""Time by which all daemons know of a server's end: twice `contactMs` of the daemons' settings."""
+SENT_ON_MOST = 3
+"""Times that such a request may reach servers after that."""
 ATTEMPTS_MOST = 3
 """`maxAttempts` of all routes."""
 MEMORY_MB_MOST = 600.0
@@ -324,6 +330,39 @@
     ]
 
 
+def ending_requests_stop(evidence: Evidence) -> list[Violation]:
+    """BUDGET: a request under which three servers ended reaches few more once all can know."""
+    found: list[Violation] = []
+    ended: dict[str, list[float]] = defaultdict(list)
+    for run in evidence.runs:
+        if run.kind == "ended under":
+            ended[run.path].append(run.at)
+    for path, times in ended.items():
+        if len(times) < CRASHES_TO_REFUSE:
+            continue
+        known_at = sorted(times)[CRASHES_TO_REFUSE - 1] + KNOWN_SECONDS
+        late = [
+            run
+            for run in evidence.runs
+            if run.kind == "begun"
+            and run.path == path
+            and run.at > known_at
+            and _is_quiet(evidence, run.at - KNOWN_SECONDS, run.at)
+        ]
+        if len(late) > SENT_ON_MOST:
+            found.append(Violation("BUDGET", path, f"was sent to servers {len(late)} times more"))
+    return found
+
+
+def _is_quiet(evidence: Evidence, begin: float, end: float) -> bool:
+    """Tells whether nothing but ending requests and planned work touched a span."""
+    return not any(
+        span.begin <= end and span.end >= begin
+        for span in evidence.strikes
+        if not span.strike.is_planned and span.strike.action is not Action.ENDING_REQUEST
+    )
+
+
 def calm_end(evidence: Evidence) -> list[Violation]:
     """RECOVER, CONFIG, LOST: what must come true once all faults are over, and didn't."""
     return [Violation(promise, "calm end", what) for promise, what in evidence.unmet]
@@ -344,6 +383,7 @@
     results_keep,
     jobs_are_found,
     ended_jobs_stop,
+    ending_requests_stop,
     calm_end,
 )
 
--- a/src/troutswitch/soak/conductor.py
+++ b/src/troutswitch/soak/conductor.py
@@ -8,11 +8,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from troutswitch.soak.endingrequests import EndingCaller, ending_path
 from troutswitch.soak.evidence import StruckSpan
 from troutswitch.soak.fleet import Daemon, Fleet, Server
-from troutswitch.soak.processes import Child
+from troutswitch.soak.processes import Child, ProcessEnd
 from troutswitch.soak.proxy import Link
-from troutswitch.soak.schedule import Action, Schedule, Strike
+from troutswitch.soak.schedule import Action, LinkFault, Schedule, Strike
 from troutswitch.standins.modelserver import Behaviour
 
 TICK_SECONDS = 0.02
@@ -23,6 +24,8 @@
 """A process that was asked to stop is killed after its grace period of 8 s and 2 s more."""
 RECOVER_SECONDS = 1.0
 """A strike's span is counted a little longer, for what it leaves in flight."""
+SEEN_SECONDS = 0.5
+"""Time that may pass from a process's end until it is seen, on a full machine."""
 START_SECONDS = 5.0
 """After a kill, the span lasts until the next life has surely begun to serve."""
 ACTS_LATE_SECONDS = 2.0
@@ -102,6 +105,8 @@
         end = child.take_end()
         if end is not None:
             self.fleet.evidence.ends.append(end)
+            if end.ended_under_request:
+                self._note_crash(end)
             self._stops.pop(child.name, None)
             self._ended_at[child.name] = now + next(self._rests)
         if child.process is None and now >= self._ended_at.get(child.name, now):
@@ -109,6 +114,13 @@
         if now > self._stops.get(child.name, now) + STOP_SECONDS:
             child.signal(signal.SIGKILL)
 
+    def _note_crash(self, end: ProcessEnd) -> None:
+        """Notes the time around a server's end under a request, in which answers break off."""
+        strike = Strike(0.0, Action.ENDING_REQUEST, 0, 0.0, 1.0, LinkFault.DELAY, False)
+        begin = end.at - SEEN_SECONDS
+        span = StruckSpan(strike, end.name, begin, end.at + START_SECONDS)
+        self.fleet.evidence.strikes.append(span)
+
     def _start_again(self, child: Child) -> None:
         for server in self.fleet.servers:
             if server.child is child:
@@ -156,6 +168,9 @@
             case Action.CALLERS_FLOOD:
                 self._flood(daemon, until)
                 return strike.seconds, daemon.child.name
+            case Action.ENDING_REQUEST:
+                EndingCaller(strike.target, fleet.fronts(), fleet.evidence).start(until)
+                return strike.seconds, ending_path(strike.target)
             case Action.CONFIGURE:
                 fleet.configure_soon()
                 return strike.seconds, "configuration"
--- a/src/troutswitch/soak/processes.py
+++ b/src/troutswitch/soak/processes.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from troutswitch.standins.modelserver import ENDED_CODE
+
 PROCESSES_MOST = 40
 """Bound on processes of one soak, the users' limit for one machine."""
 EXIT_SECONDS = 10.0
@@ -30,10 +32,15 @@
     code: int
     asked_by: int
 
+    @property
+    def ended_under_request(self) -> bool:
+        """Whether it is a server that ended under a request."""
+        return self.code == ENDED_CODE
+
     @property
     def is_own(self) -> bool:
         """Whether it ended by itself, or not as a planned stop has to end."""
-        if self.asked_by == signal.SIGKILL:
+        if self.asked_by == signal.SIGKILL or self.ended_under_request:
             return False
         return self.asked_by != signal.SIGTERM or self.code not in STOPPED_CODES
 
--- a/src/troutswitch/soak/schedule.py
+++ b/src/troutswitch/soak/schedule.py
@@ -51,6 +51,7 @@
     FRONT_LINK = "front_link"
     STORE_LINK = "store_link"
     SERVER_LINK = "server_link"
+    ENDING_REQUEST = "ending_request"
 
 
 class LinkFault(StrEnum):
@@ -67,6 +68,12 @@
 
 PLANNED_ACTIONS = (Action.STOP_DAEMON, Action.RELOAD_DAEMON, Action.CONFIGURE, Action.SERVER_DRAINS)
 """Work that must cut no request."""
+HARM_ACTIONS = tuple(action for action in Action if action is not Action.ENDING_REQUEST)
+"""What an episode of harm draws from; ending requests are drawn apart."""
+ENDING_SHARE = 0.7
+"""Share of the episodes of harm in which an ending request comes."""
+ENDING_SECONDS = (2.0, 5.0)
+"""Time for which it comes again and again: longer than a server's restart."""
 LINK_ACTIONS = frozenset({Action.FRONT_LINK, Action.STORE_LINK, Action.SERVER_LINK})
 
 
@@ -100,6 +107,7 @@
 def draw_schedule(seed: int, seconds: float) -> Schedule:
     """Draws a schedule of about some seconds; episodes of harm and planned work alternate."""
     drawn = random.Random(seed)
+    ending = random.Random(f"{seed}-ending")
     strikes: list[Strike] = []
     at = LEAD_SECONDS
     is_planned = drawn.random() < 0.5
@@ -107,15 +115,29 @@
         length = drawn.uniform(*(PLANNED_SECONDS if is_planned else HARM_SECONDS))
         length = min(length, seconds - at)
         strikes += _episode(drawn, at, length, is_planned)
+        if not is_planned and ending.random() < ENDING_SHARE:
+            strikes.append(_ending_request(ending, at, length))
         at += length + CONTACT_SECONDS
         is_planned = not is_planned
     strikes.sort(key=lambda strike: strike.at)
     return Schedule(seed, seconds, tuple(strikes))
 
 
+def _ending_request(drawn: random.Random, at: float, length: float) -> Strike:
+    return Strike(
+        at=at + drawn.uniform(0.0, length),
+        action=Action.ENDING_REQUEST,
+        target=drawn.randrange(1000),
+        seconds=drawn.uniform(*ENDING_SECONDS),
+        share=1.0,
+        link_fault=LinkFault.DELAY,
+        is_planned=False,
+    )
+
+
 def _episode(drawn: random.Random, at: float, length: float, is_planned: bool) -> list[Strike]:
     count = drawn.randint(*(PLANNED_STRIKES if is_planned else HARM_STRIKES))
-    actions = PLANNED_ACTIONS if is_planned else tuple(Action)
+    actions = PLANNED_ACTIONS if is_planned else HARM_ACTIONS
     return [
         Strike(
             at=at + drawn.uniform(0.0, length),
--- a/src/troutswitch/standins/modelserver.py
+++ b/src/troutswitch/standins/modelserver.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import os
 import random
 import threading
 import time
@@ -18,6 +19,10 @@
 from troutswitch.standins.loopback import LoopbackHandler, LoopbackServer
 
 BEHAVIOUR_PATH = "/behaviour"
+ENDING_MARK = b"this request ends its server "
+"""Begins the body of a request under which the process ends once it has begun to run it."""
+ENDED_CODE = 86
+"""Exit code of a process that ended under a request."""
 PLAIN_SECONDS = 0.02
 """Time of a plain answer: short beside the callers' deadlines, long enough to be struck."""
 SILENT_SECONDS = 4.0
@@ -59,6 +64,11 @@
         with self._lock:
             self._journal.write(json.dumps(row | fields) + "\n")
 
+    def end_under(self, request_id: str, path: str) -> None:
+        """Ends this process at once, as a request does that no server can run."""
+        self.note("ended under", request_id, path=path)
+        os._exit(ENDED_CODE)
+
     def draws(self, share: float) -> bool:
         """Draws whether a request meets a fault of some share."""
         with self._lock:
@@ -106,6 +116,9 @@
         self._run(request_id, body, resume_after, behaviour)
 
     def _run(self, request_id: str, body: bytes, after: int, behaviour: Behaviour) -> None:
+        ends = body.startswith(ENDING_MARK)
+        if ends and "/stream" not in self.path:
+            self.standin.end_under(request_id, self.path)
         draws = self.standin.draws
         if draws(behaviour.silent):
             time.sleep(SILENT_SECONDS)
@@ -120,7 +133,7 @@
             return
         is_broken = draws(behaviour.break_off)
         if "/stream" in self.path or "/item" in self.path:
-            self._stream(request_id, after, signed, is_broken)
+            self._stream(request_id, after, signed, is_broken, ends)
         else:
             self._plain(request_id, body, signed, is_broken)
         if not is_broken and draws(behaviour.surplus):
@@ -144,7 +157,9 @@
         self.wfile.write(answer[: len(answer) // 2])
         self.close_connection = True
 
-    def _stream(self, request_id: str, after: int, signed: dict[str, str], is_broken: bool) -> None:
+    def _stream(
+        self, request_id: str, after: int, signed: dict[str, str], is_broken: bool, ends: bool
+    ) -> None:
         self.send_response(200)
         for name, value in signed.items():
             self.send_header(name, value)
@@ -154,6 +169,8 @@
         events = event_bytes(request_id, after)
         for number, event in enumerate(events):
             time.sleep(EVENT_SECONDS)
+            if ends and number == len(events) // 2:
+                self.standin.end_under(request_id, self.path)
             if is_broken and number == len(events) // 2:
                 half = event[: len(event) // 2]
                 self.wfile.write(f"{len(half):x}\r\n".encode() + half + b"\r\n")
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -19,6 +19,7 @@
 )
 from troutswitch.soak.processes import ProcessEnd
 from troutswitch.soak.schedule import Action
+from troutswitch.standins.modelserver import ENDED_CODE
 
 
 def promises(evidence: Evidence) -> set[str]:
@@ -331,3 +332,46 @@
     evidence = all_well()
     evidence.unmet.append(("LOST", "job is not wholly listed"))
     assert promises(evidence) == {"LOST"}
+
+
+def ended_under(count: int, begin: float = 10.0) -> list[Run]:
+    """Lines of servers that ended under one request, each as a life of its own."""
+    return [
+        Run("ended under", f"ending-{number}", begin + number, f"server-0-{number}", ENDING)
+        for number in range(count)
+    ]
+
+
+def sent_on(count: int, begin: float) -> list[Run]:
+    return [
+        Run("begun", f"late-{number}", begin + number, f"server-1-{number}", ENDING, model="m")
+        for number in range(count)
+    ]
+
+
+ENDING = "/read/ending-0"
+
+
+@pytest.mark.parametrize(("times", "is_found"), [(3, False), (4, True)])
+def test_a_request_that_ends_servers_and_goes_on_is_found(times: int, is_found: bool) -> None:
+    evidence = all_well()
+    evidence.runs = ended_under(3) + sent_on(times, 12.0 + checks.KNOWN_SECONDS + 1.0)
+    found = checks.ending_requests_stop(evidence)
+    assert [violation.promise for violation in found] == (["BUDGET"] if is_found else [])
+
+
+def test_servers_that_a_request_reaches_before_all_can_know_are_none() -> None:
+    evidence = all_well()
+    evidence.runs = ended_under(3) + sent_on(5, 12.5)
+    assert not checks.ending_requests_stop(evidence)
+
+
+def test_two_ends_bind_nobody() -> None:
+    evidence = all_well()
+    evidence.runs = ended_under(2) + sent_on(9, 30.0)
+    assert not checks.ending_requests_stop(evidence)
+
+
+def test_a_server_that_ended_under_a_request_did_not_end_by_itself() -> None:
+    assert not ProcessEnd("server-0", 1, 10.0, ENDED_CODE, 0).is_own
+    assert ProcessEnd("server-0", 1, 10.0, 1, 0).is_own
