--- a/src/troutswitch/decisions/crashes/shared.py
+++ b/src/troutswitch/decisions/crashes/shared.py
@@ -144,7 +144,7 @@
         content, _, server_id = record.key.partition("/")
         try:
             at = float(cbor2.loads(record.value)[0]) if record.value else 0.0
-        except (cbor2.CBORDecodeError, ValueError, TypeError, IndexError):
+        except (cbor2.CBORDecodeError, ValueError, TypeError, LookupError):
             self._log("crash record malformed", key=record.key)
             return
         self._take(self._now, Crash(content, server_id), at, bool(record.value))
--- /dev/null
+++ b/tests/decisions/crashes/test_shared.py
@@ -0,0 +1,169 @@
+"""How crashes reach other daemons: what is written, told, passed on and taken back."""
+
+import random
+
+import cbor2
+import pytest
+
+from troutswitch.common import Address
+from troutswitch.daemons.datagram import decode, encode
+from troutswitch.daemons.slotmessages import CrashNews, CrashTold
+from troutswitch.decisions.crashes import shared as shared_module
+from troutswitch.decisions.crashes.messages import Crash
+from troutswitch.decisions.crashes.shared import (
+    PEERS_TOLD,
+    RECORDS_A_WRITE,
+    RECORDS_WAITING_MOST,
+    TOLD_A_MESSAGE,
+    TOLD_WAITING_MOST,
+    WRITE_RETRY_SECONDS,
+    WRITE_SECONDS,
+    SharedCrashes,
+)
+from troutswitch.decisions.slots.messages import SendToPeers
+from troutswitch.decisions.storage.follower import CallNumbers
+from troutswitch.decisions.storage.messages import (
+    Appended,
+    AppendRecords,
+    CallFailed,
+    KeyedRecord,
+    NewestPage,
+    ReadNewest,
+    ReadRecords,
+)
+from troutswitch.gateway.peersocket import DATAGRAM_BYTES_MOST
+
+AT = 1.7e9
+PEERS = [Address(f"10.0.0.{n}", 7) for n in range(20)]
+CRASH = Crash("0123456789abcdef", "i-0123456789")
+
+
+class World:
+    """One daemon's sharing, with a record that takes each crash once."""
+
+    def __init__(self, peers: list[Address] = PEERS) -> None:
+        self.known: set[Crash] = set()
+        self.logged: list[str] = []
+        self.shared = SharedCrashes(
+            "d",
+            CallNumbers(),
+            random.Random(1),
+            lambda: peers,
+            self.take,
+            lambda event, **fields: self.logged.append(event),
+        )
+
+    def take(self, now: float, crash: Crash, at: float, stands: bool) -> bool:
+        is_news = (crash in self.known) != stands
+        (self.known.add if stands else self.known.discard)(crash)
+        return is_news
+
+    def writes(self, now: float) -> list[AppendRecords]:
+        return [i for i in self.shared.on_timer(now, True) if isinstance(i, AppendRecords)]
+
+    def messages(self, now: float) -> list[SendToPeers]:
+        return [i for i in self.shared.on_timer(now, True) if isinstance(i, SendToPeers)]
+
+    def news(self, stands: bool = True) -> CrashNews:
+        return CrashNews("p", (CrashTold(CRASH.content, CRASH.server_id, int(AT), stands),))
+
+
+def test_crashes_of_one_moment_go_in_one_write() -> None:
+    world = World()
+    for number in range(5):
+        world.shared.publish(1.0, Crash("x", f"s{number}"), AT, True)
+    assert not world.writes(1.0)
+    (write,) = world.writes(1.0 + WRITE_SECONDS)
+    assert [record.key for record in write.records] == [f"x/s{n}" for n in range(5)]
+    assert cbor2.loads(write.records[0].value) == [int(AT)]
+
+
+def test_a_write_that_fails_is_made_again_and_the_rest_follows() -> None:
+    world = World()
+    for number in range(RECORDS_A_WRITE + 1):
+        world.shared.publish(1.0, Crash("x", f"s{number}"), AT, True)
+    (first,) = world.writes(2.0)
+    world.shared.on_store(2.1, first.call, CallFailed("lost", True))
+    assert not world.writes(2.2)
+    (again,) = world.writes(2.1 + WRITE_RETRY_SECONDS)
+    assert again.records == first.records
+    world.shared.on_store(3.0, again.call, Appended(0, RECORDS_A_WRITE))
+    (rest,) = world.writes(3.0)
+    assert [record.key for record in rest.records] == [f"x/s{RECORDS_A_WRITE}"]
+
+
+def test_what_waits_is_bounded() -> None:
+    world = World()
+    for number in range(2 * RECORDS_WAITING_MOST):
+        world.shared.publish(1.0, Crash("x", f"s{number}"), AT, True)
+    assert len(world.shared._to_write) == RECORDS_WAITING_MOST
+    assert len(world.shared._to_tell) == TOLD_WAITING_MOST
+
+
+def test_news_is_passed_on_once_to_some_peers() -> None:
+    world = World()
+    world.shared.on_news(1.0, world.news())
+    (message,) = world.messages(1.0)
+    assert len(set(message.addresses)) == PEERS_TOLD
+    world.shared.on_news(2.0, world.news())
+    assert not world.messages(2.0)
+
+
+def test_a_late_message_does_not_bring_back_what_was_taken_back() -> None:
+    world = World()
+    world.shared.on_news(1.0, world.news())
+    world.shared.on_news(2.0, world.news(stands=False))
+    assert not world.known
+    world.shared.on_news(3.0, world.news())
+    assert not world.known
+
+
+def test_the_store_s_word_counts_also_after_it_was_taken_back() -> None:
+    world = World()
+    world.shared.on_news(1.0, world.news())
+    world.shared.on_news(1.0, world.news(stands=False))
+    read = next(i for i in world.shared.on_timer(1.0, False) if isinstance(i, ReadNewest))
+    record = KeyedRecord(f"{CRASH.content}/{CRASH.server_id}", cbor2.dumps([int(AT)]), 0)
+    world.shared.on_store(1.1, read.call, NewestPage((record,), False, 1))
+    assert world.known == {CRASH}
+
+
+@pytest.mark.parametrize("value", [b"\xff", cbor2.dumps({}), cbor2.dumps(["late"])])
+def test_a_malformed_record_is_logged_and_left(value: bytes) -> None:
+    world = World()
+    read = next(i for i in world.shared.on_timer(1.0, False) if isinstance(i, ReadNewest))
+    record = KeyedRecord("x/s", value, 0)
+    world.shared.on_store(1.1, read.call, NewestPage((record,), False, 1))
+    assert world.logged == ["crash record malformed"]
+    assert not world.known
+
+
+def test_reads_wait_long_only_while_nothing_is_known_of() -> None:
+    world = World()
+    read = next(i for i in world.shared.on_timer(1.0, False) if isinstance(i, ReadNewest))
+    world.shared.on_store(1.1, read.call, NewestPage((), False, 0))
+    (calm,) = (i for i in world.shared.on_timer(1.2, False) if isinstance(i, ReadRecords))
+    world.shared.follower.read_again(1.3)
+    (alert,) = (i for i in world.shared.on_timer(1.3, True) if isinstance(i, ReadRecords))
+    assert (calm.wait, alert.wait) == (
+        shared_module.READ_WAIT_SECONDS,
+        shared_module.READ_WAIT_ALERT_SECONDS,
+    )
+
+
+def test_a_full_message_fits_into_a_packet() -> None:
+    told = CrashTold(CRASH.content, CRASH.server_id, int(AT), True)
+    news = CrashNews("edge-guediawaye-3", (told,) * TOLD_A_MESSAGE)
+    data = encode(news)
+    assert len(data) < 1400 < DATAGRAM_BYTES_MOST
+    assert decode(data) == news
+
+
+def test_of_all_daemons_about_one_removes_what_is_too_old() -> None:
+    removed = 0
+    for seed in range(2000):
+        world = World()
+        world.shared._rng = random.Random(seed)
+        world.shared.forget(1.0, CRASH)
+        removed += len(world.shared._to_write)
+    assert 0.7 < removed / 2000 * (1 + len(PEERS)) < 1.3
--- /dev/null
+++ b/tests/decisions/crashes/test_suspects.py
@@ -0,0 +1,93 @@
+"""What a daemon answers to requests under which servers ended, and what clears them."""
+
+import random
+
+from tests.decisions.forwarding.worlds import server
+from troutswitch.daemons.slotmessages import CrashNews, CrashTold
+from troutswitch.decisions.crashes.messages import ServerChecked, ServerFound
+from troutswitch.decisions.crashes.suspects import NEVER_STATUS, SETTLED_SECONDS, CrashSuspects
+from troutswitch.decisions.forwarding.servers import ServerRegistry
+from troutswitch.decisions.storage.follower import CallNumbers
+
+OFFSET = 1.7e9
+
+
+class World:
+    def __init__(self) -> None:
+        self.servers = ServerRegistry()
+        self.servers.on_list(0.0, [server(f"s{n}") for n in range(6)])
+        self.logged: list[str] = []
+        self.suspects = CrashSuspects(
+            "d",
+            self.servers,
+            CallNumbers(),
+            lambda: [],
+            lambda instruction: None,
+            lambda event, **fields: self.logged.append(event),
+            random.Random(1),
+        )
+        self.suspects.clock_offset = OFFSET
+
+    def crash(self, now: float, content: str, *server_ids: str) -> None:
+        for server_id in server_ids:
+            self.suspects.on_lost(now, content, server_id)
+            self.suspects.on_checked(now, ServerChecked(server_id, ServerFound.ENDED))
+
+    def told(self, now: float, content: str, *server_ids: str) -> None:
+        told = tuple(CrashTold(content, name, int(now + OFFSET), True) for name in server_ids)
+        self.suspects.on_news(now, CrashNews("p", told))
+
+
+def test_own_crashes_and_those_of_others_count_together() -> None:
+    world = World()
+    world.crash(1.0, "x", "s0")
+    world.told(1.1, "x", "s0", "s1")
+    assert not world.suspects.refused
+    world.told(1.2, "x", "elsewhere")
+    assert world.suspects.refused == {"x"}
+    assert "request refused from now on" in world.logged
+
+
+def test_a_caller_is_asked_to_come_back_first_and_told_to_stop_later() -> None:
+    world = World()
+    world.crash(1.0, "x", "s0", "s1", "s2")
+    first = world.suspects.refusal(1.1, "x")
+    assert (first.status, first.retry_after) == (503, SETTLED_SECONDS)
+    later = world.suspects.refusal(1.1 + SETTLED_SECONDS, "x")
+    assert (later.status, later.retry_after) == (NEVER_STATUS, None)
+
+
+def test_a_request_that_was_served_is_cleared() -> None:
+    world = World()
+    world.crash(1.0, "x", "s0", "s1", "s2")
+    world.suspects.on_served(2.0, "x")
+    assert not world.suspects.refused
+    assert world.suspects.count == 0
+
+
+def test_a_server_that_answers_a_later_attempt_has_not_ended() -> None:
+    """A daemon cut off with resets takes all its servers for ended, under all its requests."""
+    world = World()
+    world.told(1.0, "x", "s0", "s1", "s2")
+    world.told(1.0, "y", "s0", "s1", "s2")
+    world.suspects.on_answered(2.0, "s0", sent_at=1.5)
+    assert world.suspects.count == 2
+    assert not world.suspects.waits_for_word("z")
+    world.suspects.on_answered(2.0, "s1", sent_at=1.5)
+    world.suspects.on_answered(2.0, "s2", sent_at=1.5)
+    assert world.suspects.count == 0
+
+
+def test_an_answer_to_an_attempt_sent_before_tells_nothing() -> None:
+    world = World()
+    world.told(1.0, "x", "s0", "s1", "s2")
+    world.suspects.on_answered(1.1, "s0", sent_at=0.9)
+    assert world.suspects.refused == {"x"}
+
+
+def test_a_second_crash_makes_the_next_attempt_wait() -> None:
+    world = World()
+    world.crash(1.0, "x", "s0")
+    assert not world.suspects.waits_for_word("x")
+    world.told(1.1, "x", "s1")
+    assert world.suspects.waits_for_word("x")
--- a/tests/decisions/forwarding/test_requests.py
+++ b/tests/decisions/forwarding/test_requests.py
@@ -1,8 +1,11 @@
+import random
 from dataclasses import replace
 
 import pytest
 
 from tests.decisions.forwarding.worlds import World, arrival, route, server
+from troutswitch.constants import ROOM_WAIT_SECONDS
+from troutswitch.decisions.crashes.interface import NoSuspects
 from troutswitch.decisions.forwarding.messages import (
     AbortAttempt,
     AnswerBegun,
@@ -11,7 +14,7 @@
     SendRequest,
     ServerHeard,
 )
-from troutswitch.decisions.forwarding.requests import TIME_LEFT_LEAST_SECONDS
+from troutswitch.decisions.forwarding.requests import TIME_LEFT_LEAST_SECONDS, ForwardedRequests
 from troutswitch.decisions.forwarding.routes import RouteTable
 from troutswitch.decisions.forwarding.types import RouteKind
 from troutswitch.outcomes import AttemptKind, Cut, MayHaveRun, NotRun
@@ -188,3 +191,71 @@
     sent = world.arrive(103.0, replace(arrival(1, time_left=4.0), read_at=100.0))
     assert isinstance(sent, SendRequest)
     assert sent.time_left == pytest.approx(1.0)
+
+
+class Refusing(NoSuspects):
+    """Suspects that refuse what a test names."""
+
+    def __init__(self) -> None:
+        self.refused = frozenset()
+        self.waits = False
+        self.lost: list[tuple[str, bool]] = []
+
+    def waits_for_word(self, content: str) -> bool:
+        return self.waits
+
+    def on_lost(self, now: float, content: str, server_id: str, *, is_silent: bool = False) -> None:
+        self.lost.append((server_id, is_silent))
+
+
+def crash_world() -> tuple[World, Refusing]:
+    world = World(route(attempts=3))
+    suspects = Refusing()
+    world.requests = ForwardedRequests(
+        "z", world.routes, world.servers, random.Random(1), suspects=suspects
+    )
+    return world, suspects
+
+
+def test_a_refused_request_is_sent_nowhere() -> None:
+    world, suspects = crash_world()
+    suspects.refused = frozenset({"x"})
+    finish = world.arrive(0.0, replace(arrival(1), content="x"))
+    assert isinstance(finish, FinishRequest)
+    assert isinstance(finish.outcome, NotRun)
+    assert isinstance(world.arrive(0.0, replace(arrival(2), content="y")), SendRequest)
+
+
+def test_a_request_in_flight_is_ended_when_it_is_refused() -> None:
+    """It is at a server, queued there perhaps, and would end this one too."""
+    world, suspects = crash_world()
+    world.arrive(0.0, replace(arrival(1), content="x"))
+    world.arrive(0.0, replace(arrival(2), content="y"))
+    suspects.refused = frozenset({"x"})
+    made = world.requests.end_refused(0.1)
+    assert [i.token for i in made if isinstance(i, AbortAttempt)] == [1]
+    (finish,) = (i for i in made if isinstance(i, FinishRequest))
+    assert isinstance(finish.outcome, MayHaveRun)
+    assert list(world.requests.requests) == [2]
+    world.requests.validate()
+
+
+def test_a_suspect_waits_before_its_next_attempt_and_goes_on_unless_it_is_refused() -> None:
+    world, suspects = crash_world()
+    suspects.waits = True
+    sent = world.arrive(0.0, replace(arrival(1), content="x"))
+    assert isinstance(sent, SendRequest)
+    assert world.end(0.1, sent, AttemptKind.CUT) is None
+    assert suspects.lost == [(sent.server_id, False)]
+    again = world.directive(world.requests.on_timer(0.1 + ROOM_WAIT_SECONDS))
+    assert isinstance(again, SendRequest)
+    assert again.server_id != sent.server_id
+
+
+def test_a_suspect_goes_on_at_once_after_a_server_that_ran_nothing() -> None:
+    world, suspects = crash_world()
+    suspects.waits = True
+    sent = world.arrive(0.0, replace(arrival(1), content="x"))
+    assert isinstance(sent, SendRequest)
+    assert isinstance(world.end(0.1, sent, AttemptKind.UNREACHABLE), SendRequest)
+    assert not suspects.lost
