--- a/src/troutswitch/simulation/crashworld.py
+++ b/src/troutswitch/simulation/crashworld.py
@@ -22,6 +22,7 @@
     SendRequest,
 )
 from troutswitch.decisions.forwarding.types import Backend, PromptShape, Route, RouteKind
+from troutswitch.decisions.gatewaymessages import StoodStill
 from troutswitch.decisions.jobs.messages import ItemRunEnded, RunItem
 from troutswitch.outcomes import AttemptKind, Cut, MayHaveRun, NotRun
 from troutswitch.simulation.gatewayworld import Daemon, GatewayWorld
@@ -171,10 +172,12 @@
                 self._end_try(token, "closed", 0)
 
     def suspend(self, name: str, seconds: float) -> None:
-        """Suspends a daemon's machine: nothing runs, and its clock shows the time on waking."""
+        """Suspends a daemon's machine; on waking it finds the time on its clock before all else."""
+        daemon = self.daemons[name]
         self.note_trouble(name)
         self.pause(name, seconds)
         self.after(seconds, lambda: self.note_trouble(name))
+        self.after(seconds, lambda: self.step(daemon, StoodStill(seconds)))
 
     def send_to_peers(self, daemon: Daemon, addresses: tuple[Address, ...], event: object) -> None:
         """Carries a message, unless it is lost."""
--- a/tests/proofs/test_crashes.py
+++ b/tests/proofs/test_crashes.py
@@ -187,3 +187,18 @@
     assert len(world.ended[content]) >= 3
     assert world.sent_on(content) <= SENT_ON_MOST
     assert listed == {item.item_id for item in truth.items[1:]}
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_a_suspended_machine_knows_on_waking_what_was_refused_meanwhile(seed: int) -> None:
+    """Nobody tells it anything any more, and its reads are of before: it reads again at once."""
+    world = started(seed)
+    sleeper = next(iter(world.daemons.values()))
+    world.cut_from_peers = {sleeper.name}
+    world.suspend(sleeper.name, 8.0)
+    world.run(0.5)
+    marked = world.ask_online("marked", is_marked=True)
+    world.run(7.5)
+    assert not sleeper.core.suspects.refused
+    world.run(0.1)
+    assert sleeper.core.suspects.refused == {marked.content}
