The soak sets clocks of daemons off, and has the store turn one machine away

Two actions of harm more, drawn apart so that seeds keep what they drew before: the time of day of one daemon jumps by 2 s, forward or back, and returns (a clock given to the process, not the machine's); a daemon's link to the store answers 503 in its place while the others are served.

--- a/src/troutswitch/soak/conductor.py
+++ b/src/troutswitch/soak/conductor.py
@@ -24,6 +24,8 @@
 """A process that was asked to stop is killed after its grace period of 8 s and 2 s more."""
 RECOVER_SECONDS = 1.0
 """A strike's span is counted a little longer, for what it leaves in flight."""
+CLOCK_SECONDS = 2.0
+"""Jump of a daemon's time of day, forward or back: the platform's usual one."""
 SEEN_SECONDS = 0.5
 """Time that may pass from a process's end until it is seen, on a full machine."""
 START_SECONDS = 5.0
@@ -89,6 +91,8 @@
             link.strike(None)
         for child in self.fleet.group.children:
             child.signal(signal.SIGCONT)
+        for daemon in self.fleet.daemons:
+            self._set_clock(daemon, 0.0)
         self._store_faults.clear()
         self.fleet.set_store_faults()
         for server in self.fleet.servers:
@@ -168,6 +172,14 @@
             case Action.CALLERS_FLOOD:
                 self._flood(daemon, until)
                 return strike.seconds, daemon.child.name
+            case Action.CLOCK_JUMPS:
+                self._set_clock(daemon, CLOCK_SECONDS if strike.target % 2 else -CLOCK_SECONDS)
+                self._at(until, lambda: self._set_clock(daemon, 0.0))
+                return strike.seconds, daemon.child.name
+            case Action.STORE_REFUSES_ONE:
+                daemon.store_link.strike(LinkFault.BUSY)
+                self._at(until, lambda: daemon.store_link.strike(None))
+                return strike.seconds, f"{daemon.child.name} to the store"
             case Action.ENDING_REQUEST:
                 EndingCaller(strike.target, fleet.fronts(), fleet.evidence).start(until)
                 return strike.seconds, ending_path(strike.target)
@@ -235,6 +247,13 @@
         held = [connection for _ in range(FLOOD_CONNECTIONS) if (connection := _open(daemon))]
         self._at(until, lambda: _close(held))
 
+    @staticmethod
+    def _set_clock(daemon: Daemon, ahead: float) -> None:
+        """Sets a daemon's time of day off, if it has begun to follow it."""
+        daemon.clock.write_text(str(ahead))
+        if daemon.child.handles(signal.SIGUSR1):
+            daemon.child.signal(signal.SIGUSR1)
+
     def _strike_link(self, link: Link, strike: Strike, until: float) -> None:
         link.strike(strike.link_fault)
         self._at(until, lambda: link.strike(None))
--- a/src/troutswitch/soak/fleet.py
+++ b/src/troutswitch/soak/fleet.py
@@ -14,6 +14,7 @@
 from troutswitch.platform.names import READINESS_PATH, SETTINGS_VARIABLE
 from troutswitch.platform.settings import write_settings
 from troutswitch.soak.callers import Front
+from troutswitch.soak.clockeddaemon import CLOCK_VARIABLE
 from troutswitch.soak.evidence import Evidence, ServerLeft
 from troutswitch.soak.operator import Operator
 from troutswitch.soak.processes import Child, ProcessGroup
@@ -57,6 +58,8 @@
     front: Address
     front_link: Link
     store_link: Link
+    clock: Path
+    """The file with the seconds by which its time of day is ahead."""
 
     def is_ready(self) -> bool:
         """Tells whether it says that it is ready."""
@@ -224,18 +227,25 @@
         front, ready, peers, metrics = (self.ports.take() for _ in range(4))
         store_link = self._link(self.store_address)
         settings = self.folder / f"{name}.toml"
+        clock = self.folder / f"{name}.clock"
+        clock.write_text("0.0")
         settings.write_text(
             write_settings(name, HOST, front, ready, (peers, metrics), store_link.address)
         )
         child = Child(
             name,
-            [sys.executable, "-m", "troutswitch.gateway"],
+            [sys.executable, "-m", "troutswitch.soak.clockeddaemon"],
             self.folder / f"{name}.log",
-            {SETTINGS_VARIABLE: str(settings)},
+            {SETTINGS_VARIABLE: str(settings), CLOCK_VARIABLE: str(clock)},
         )
         front_address = Address(HOST, front)
         daemon = Daemon(
-            child, Address(HOST, ready), front_address, self._link(front_address), store_link
+            child,
+            Address(HOST, ready),
+            front_address,
+            self._link(front_address),
+            store_link,
+            clock,
         )
         self.daemons.append(daemon)
         self.group.add(child)
--- a/src/troutswitch/soak/proxy.py
+++ b/src/troutswitch/soak/proxy.py
@@ -22,6 +22,8 @@
 CONNECT_SECONDS = 2.0
 """Bound on connecting on loopback, which takes no time unless the target's backlog is full."""
 BACKLOG = 256
+BUSY_ANSWER = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+"""What a link says in place of its target under `BUSY`; the request goes no further."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 SILENT_UP = frozenset({LinkFault.SILENT, LinkFault.SILENT_UP})
@@ -173,6 +175,10 @@
         try:
             while data := source.recv(READ_BYTES):
                 self._hold(silences)
+                if is_up and self.fault is LinkFault.BUSY:
+                    source.sendall(BUSY_ANSWER)
+                    source.shutdown(socket.SHUT_WR)
+                    break
                 if not is_up and self.fault is LinkFault.TRUNCATE:
                     data = data[: max(0, TRUNCATE_BYTES - passed)]
                 self._send(sink, data)
--- a/src/troutswitch/soak/schedule.py
+++ b/src/troutswitch/soak/schedule.py
@@ -52,6 +52,8 @@
     STORE_LINK = "store_link"
     SERVER_LINK = "server_link"
     ENDING_REQUEST = "ending_request"
+    CLOCK_JUMPS = "clock_jumps"
+    STORE_REFUSES_ONE = "store_refuses_one"
 
 
 class LinkFault(StrEnum):
@@ -64,16 +66,22 @@
     SILENT_DOWN = "silent_down"
     DRIP = "drip"
     TRUNCATE = "truncate"
+    BUSY = "busy"
 
 
 PLANNED_ACTIONS = (Action.STOP_DAEMON, Action.RELOAD_DAEMON, Action.CONFIGURE, Action.SERVER_DRAINS)
 """Work that must cut no request."""
-HARM_ACTIONS = tuple(action for action in Action if action is not Action.ENDING_REQUEST)
-"""What an episode of harm draws from; ending requests are drawn apart."""
-ENDING_SHARE = 0.7
-"""Share of the episodes of harm in which an ending request comes."""
-ENDING_SECONDS = (2.0, 5.0)
-"""Time for which it comes again and again: longer than a server's restart."""
+DRAWN_APART = (Action.ENDING_REQUEST, Action.CLOCK_JUMPS, Action.STORE_REFUSES_ONE)
+"""Actions with a source of chance of their own each, so that what a seed draws of the others
+stays as it was."""
+HARM_ACTIONS = tuple(action for action in Action if action not in DRAWN_APART)
+"""What an episode of harm draws from beside them."""
+APART_SHARE = 0.7
+"""Share of the episodes of harm in which an action that is drawn apart comes, each for itself."""
+APART_SECONDS = (2.0, 5.0)
+"""Length of such an action: longer than a server's restart, and than the store's time-outs."""
+LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.BUSY)
+"""What a strike on a link draws from; the store alone says that it is busy."""
 LINK_ACTIONS = frozenset({Action.FRONT_LINK, Action.STORE_LINK, Action.SERVER_LINK})
 
 
@@ -107,7 +115,7 @@
 def draw_schedule(seed: int, seconds: float) -> Schedule:
     """Draws a schedule of about some seconds; episodes of harm and planned work alternate."""
     drawn = random.Random(seed)
-    ending = random.Random(f"{seed}-ending")
+    apart = {action: random.Random(f"{seed}-{action}") for action in DRAWN_APART}
     strikes: list[Strike] = []
     at = LEAD_SECONDS
     is_planned = drawn.random() < 0.5
@@ -115,24 +123,28 @@
         length = drawn.uniform(*(PLANNED_SECONDS if is_planned else HARM_SECONDS))
         length = min(length, seconds - at)
         strikes += _episode(drawn, at, length, is_planned)
-        if not is_planned and ending.random() < ENDING_SHARE:
-            strikes.append(_ending_request(ending, at, length))
+        if not is_planned:
+            strikes += _drawn_apart(apart, at, length)
         at += length + CONTACT_SECONDS
         is_planned = not is_planned
     strikes.sort(key=lambda strike: strike.at)
     return Schedule(seed, seconds, tuple(strikes))
 
 
-def _ending_request(drawn: random.Random, at: float, length: float) -> Strike:
-    return Strike(
-        at=at + drawn.uniform(0.0, length),
-        action=Action.ENDING_REQUEST,
-        target=drawn.randrange(1000),
-        seconds=drawn.uniform(*ENDING_SECONDS),
-        share=1.0,
-        link_fault=LinkFault.DELAY,
-        is_planned=False,
-    )
+def _drawn_apart(apart: dict[Action, random.Random], at: float, length: float) -> list[Strike]:
+    return [
+        Strike(
+            at=at + drawn.uniform(0.0, length),
+            action=action,
+            target=drawn.randrange(1000),
+            seconds=drawn.uniform(*APART_SECONDS),
+            share=drawn.uniform(0.1, 1.0),
+            link_fault=LinkFault.DELAY,
+            is_planned=False,
+        )
+        for action, drawn in apart.items()
+        if drawn.random() < APART_SHARE
+    ]
 
 
 def _episode(drawn: random.Random, at: float, length: float, is_planned: bool) -> list[Strike]:
@@ -145,7 +157,7 @@
             target=drawn.randrange(1000),
             seconds=drawn.uniform(*STRIKE_SECONDS),
             share=drawn.uniform(0.1, 1.0),
-            link_fault=drawn.choice(tuple(LinkFault)),
+            link_fault=drawn.choice(LINK_FAULTS),
             is_planned=is_planned,
         )
         for _ in range(count)
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -8,7 +8,7 @@
 import pytest
 
 from troutswitch.common import Address
-from troutswitch.soak.proxy import DRIP_BYTES, TRUNCATE_BYTES, Link
+from troutswitch.soak.proxy import BUSY_ANSWER, DRIP_BYTES, TRUNCATE_BYTES, Link
 from troutswitch.soak.schedule import LinkFault
 
 PATIENCE_SECONDS = 30.0
@@ -191,3 +191,16 @@
     target.listener.close()
     assert not is_refused(link.address)
     link.close()
+
+
+def test_a_busy_link_answers_in_its_target_s_place_and_passes_nothing_on(
+    echo: Echo, link: Link
+) -> None:
+    link.strike(LinkFault.BUSY)
+    held = connect(link)
+    held.sendall(b"POST /log-append HTTP/1.1\r\n\r\n")
+    answer = b""
+    while data := held.recv(65536):
+        answer += data
+    assert answer == BUSY_ANSWER
+    assert echo.received == b""
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -2,8 +2,12 @@
 
 import itertools
 
+import pytest
+
+from troutswitch.soak import schedule
 from troutswitch.soak.schedule import (
     CONTACT_SECONDS,
+    DRAWN_APART,
     PLANNED_ACTIONS,
     Action,
     draw_schedule,
@@ -36,3 +40,12 @@
         if before.is_planned != after.is_planned:
             assert after.at - before.at >= CONTACT_SECONDS
     assert all(s.action in PLANNED_ACTIONS for s in strikes if s.is_planned)
+
+
+def test_what_is_drawn_apart_leaves_the_rest_of_a_seed_as_it_was(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    whole = draw_schedule(7, SECONDS).strikes
+    monkeypatch.setattr(schedule, "APART_SHARE", 0.0)
+    rest = draw_schedule(7, SECONDS).strikes
+    assert rest == tuple(s for s in whole if s.action not in DRAWN_APART)
