A stopped HTTP server answers what it has read

Cause: the threads of a listener ended before what waited for them, which was cancelled: its caller saw a close without an answer. Change: accept what is connected, close the listener, answer what was read, then end the threads.

--- a/src/troutswitch/runtime/http.py
+++ b/src/troutswitch/runtime/http.py
@@ -1,8 +1,12 @@
 """Small helpers around waitress and http.client, shared by all HTTP peers."""
 
+import contextlib
 import http.client
 import json
+import select
+import socket
 import threading
+import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -10,6 +14,7 @@
 
 import waitress.server
 
+from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
 
 StartResponse = Callable[..., Any]
@@ -21,6 +26,12 @@
 EVENT_STREAM_TYPE = "text/event-stream"
 BODY_MOST_BYTES = 64 * 1024 * 1024
 """Longest request body that is read."""
+ANSWER_SECONDS = 1.0
+"""Longest wait at the end for requests in progress: a daemon has refused new ones for a second by
+then, and a refusal takes milliseconds."""
+QUIET_SECONDS = 0.1
+"""Time without a request in progress after which none is on its way from the socket any more."""
+LOOK_SECONDS = 0.01
 THREAD_STACK_BYTES = 256 * 1024
 """Stack of a server thread; the relay needs little."""
 
@@ -128,10 +139,41 @@
             return  # the listening socket was closed by `stop`
 
     def stop(self) -> None:
-        """Stops listening; requests in progress have ended before this is called."""
+        """Takes no more connections, answers what was read, and closes.
+
+        Guards against a request that comes at the very end: where the threads ended first, one
+        that waited for a thread was cancelled, and its caller saw a close without an answer.
+        """
+        self._wait_until_accepted()
+        self._server.del_channel()
+        with contextlib.suppress(OSError):
+            self._server.socket.shutdown(socket.SHUT_RDWR)  # also while its thread polls it
+        self._server.socket.close()
+        self._wait_until_answered()
         self._server.task_dispatcher.shutdown(timeout=1)
         self._server.close()
 
+    def _wait_until_accepted(self) -> None:
+        """Waits until no connection waits to be accepted; closing the listener resets those."""
+        until = steady_seconds() + ANSWER_SECONDS
+        poller = select.poll()
+        poller.register(self._server.socket, select.POLLIN)
+        while poller.poll(0) and steady_seconds() < until:
+            time.sleep(LOOK_SECONDS)
+
+    def _wait_until_answered(self) -> None:
+        """Waits until nothing was in progress for a moment, and not for long."""
+        until = steady_seconds() + ANSWER_SECONDS
+        quiet_since = steady_seconds()
+        while steady_seconds() < min(until, quiet_since + QUIET_SECONDS):
+            if self._is_answering():
+                quiet_since = steady_seconds()
+            time.sleep(LOOK_SECONDS)
+
+    def _is_answering(self) -> bool:
+        channels = list(self._server.active_channels.values())
+        return any(channel.requests or channel.total_outbufs_len for channel in channels)
+
 
 class HttpError(Exception):
     """A call that was not answered as hoped. `was_sent` tells whether it may have run."""
