--- a/src/troutswitch/soak/fleet.py
+++ b/src/troutswitch/soak/fleet.py
@@ -194,7 +194,12 @@
 
     def _list_soon(self, server: Server, server_id: str) -> None:
         def list_it() -> None:
-            self._wait(lambda: http_call(server.address, "POST", BEHAVIOUR_PATH, b"{}") == 200)
+            try:
+                self._wait(lambda: http_call(server.address, "POST", BEHAVIOUR_PATH, b"{}") == 200)
+            except NotStarted:
+                if not self.operator.asked_to_stop.is_set():
+                    raise
+                return  # the soak ended while the server started
             self.operator.list_server(server_id, server.link.address)
 
         threading.Thread(target=list_it, daemon=True).start()
