Items that share a path are counted together until one is done; a refused item is tried again, twice

Cause: (1) a job of eight items with one path ended 35 servers, as each item was counted apart by its body and ended three and more of its own. Ruled out: giving the item up at once (only a server's word or its retention allows that). Change: ItemContents names items of one job and path together until one of them was done; ItemRefusals holds what is refused and tries it again after 16 s without a crash, twice at most. Owner loses what moved there.

--- a/src/troutswitch/decisions/crashes/interface.py
+++ b/src/troutswitch/decisions/crashes/interface.py
@@ -21,6 +21,14 @@
         """Returns whether a request's next attempt waits for word of its last server."""
         ...
 
+    def may_try(self, now: float, content: str, pause: float, trials_most: int) -> bool:
+        """Returns whether a refused request may be tried once more.
+
+        Its last crash is then at least `pause` seconds ago, and at most `trials_most` servers
+        ended under it since it was refused first.
+        """
+        ...
+
     def on_lost(self, now: float, content: str, server_id: str, *, is_silent: bool = False) -> None:
         """An attempt's answer was lost; `is_silent` if nothing came, not even an end."""
         ...
@@ -47,6 +55,10 @@
         """Returns False."""
         return False
 
+    def may_try(self, now: float, content: str, pause: float, trials_most: int) -> bool:
+        """Is not asked, as nothing is refused."""
+        return True
+
     def on_lost(self, now: float, content: str, server_id: str, *, is_silent: bool = False) -> None:
         """Takes no note."""
 
--- a/src/troutswitch/decisions/crashes/suspects.py
+++ b/src/troutswitch/decisions/crashes/suspects.py
@@ -7,7 +7,7 @@
 from troutswitch.daemons.slotmessages import CrashNews
 from troutswitch.decisions.crashes.endings import ServerEndings
 from troutswitch.decisions.crashes.messages import Crash, ServerChecked
-from troutswitch.decisions.crashes.record import CrashRecord
+from troutswitch.decisions.crashes.record import CRASHES_TO_REFUSE, CrashRecord
 from troutswitch.decisions.crashes.shared import SharedCrashes
 from troutswitch.decisions.forwarding.servers import ServerRegistry
 from troutswitch.decisions.storage.follower import CallNumbers
@@ -76,6 +76,11 @@
         """Returns whether a request's next attempt waits for word of its last server."""
         return self._record.crashes(content) >= CRASHES_TO_WAIT
 
+    def may_try(self, now: float, content: str, pause: float, trials_most: int) -> bool:
+        """Returns whether a refused request may be tried once more; see `Suspects`."""
+        is_quiet = now + self.clock_offset >= self._record.last_at(content) + pause
+        return is_quiet and self._record.crashes(content) < CRASHES_TO_REFUSE + trials_most
+
     def refusal(self, now: float, content: str) -> NotRun:
         """Returns the answer to a request that is refused and has not run in this try."""
         reason = f"{self._record.crashes(content)} servers ended under this request"
--- /dev/null
+++ b/src/troutswitch/decisions/jobs/itemcontents.py
@@ -0,0 +1,91 @@
+"""Names items by what servers read of them, so that their crashes are counted over all owners.
+
+Items of one job that share a path are named together until one of them was done: what ends
+servers is then likely what they have in common, and counted apart each of them would end three.
+"""
+
+from collections import Counter
+
+from troutswitch.decisions.crashes.content import content_key
+from troutswitch.decisions.jobs.items import ItemProgress
+from troutswitch.decisions.jobs.records import DONE
+from troutswitch.decisions.jobs.replicas import JobReplicas
+from troutswitch.decisions.jobs.shard import JobContent
+
+SHARED_METHOD = "ITEMS"
+"""Stands for the method in the name of several items, which no request can have."""
+
+
+class ItemContents:
+    """The content keys of the items that this daemon owns.
+
+    On a day with such a job of eight items, 35 servers ended under it where the items were
+    counted apart (a play with the logs of all daemons).
+    """
+
+    def __init__(self, replicas: JobReplicas) -> None:
+        self._replicas = replicas
+        self._done: set[tuple[str, str]] = set()
+        """Jobs and paths of which an item was done here."""
+        self._paths: dict[str, Counter[str]] = {}
+        """How many items of a job have a path; kept once all items of the job were read."""
+
+    def of(self, progress: ItemProgress) -> str:
+        """Returns the key under which a run of an item counts; empty if its job is not known."""
+        return self._shared(progress) or self._own(progress)
+
+    def both(self, progress: ItemProgress) -> tuple[str, ...]:
+        """Returns the keys under which an item may be refused."""
+        shared = self._shared(progress)
+        return (self._own(progress), shared) if shared else (self._own(progress),)
+
+    def on_done(self, progress: ItemProgress) -> None:
+        """An item was done: from now on those that share its path are named apart."""
+        if self._siblings(progress) > 1:
+            self._done.add((progress.job_id, progress.item.path))
+
+    def forget(self, jobs: set[str]) -> None:
+        """Forgets all jobs but those given."""
+        self._done = {held for held in self._done if held[0] in jobs}
+        self._paths = {job_id: held for job_id, held in self._paths.items() if job_id in jobs}
+
+    def _own(self, progress: ItemProgress) -> str:
+        entry = self._replicas.index.jobs.get(progress.job_id)
+        if not progress.content and entry is not None:
+            item = progress.item
+            progress.content = content_key(entry.manifest.host, "POST", item.path, item.body)
+        return progress.content
+
+    def _shared(self, progress: ItemProgress) -> str:
+        """Returns the key of all items with this one's path; empty if it is named alone."""
+        entry = self._replicas.index.jobs.get(progress.job_id)
+        if entry is None or self._siblings(progress) < 2 or self._was_done(progress):
+            return ""
+        path = progress.item.path
+        return content_key(entry.manifest.host, SHARED_METHOD, path, progress.job_id.encode())
+
+    def _siblings(self, progress: ItemProgress) -> int:
+        """Returns how many items of the job have this item's path, itself among them."""
+        paths = self._paths.get(progress.job_id)
+        if paths is None:
+            items = self._content(progress).items()
+            paths = Counter(item.path for item in items)
+            entry = self._replicas.index.jobs.get(progress.job_id)
+            if entry is not None and len(items) == entry.manifest.item_count:
+                self._paths[progress.job_id] = paths
+        return paths[progress.item.path]
+
+    def _was_done(self, progress: ItemProgress) -> bool:
+        """Returns whether an item with this path was done, here or by an earlier owner."""
+        path = progress.item.path
+        if (progress.job_id, path) in self._done:
+            return True
+        content = self._content(progress)
+        done = {result.item_id for result in content.results.values() if result.state == DONE}
+        if not any(item.item_id in done and item.path == path for item in content.items()):
+            return False
+        self._done.add((progress.job_id, path))
+        return True
+
+    def _content(self, progress: ItemProgress) -> JobContent:
+        return self._replicas.shard(progress.shard).fold.content(progress.job_id)
--- /dev/null
+++ b/src/troutswitch/decisions/jobs/itemrefusals.py
@@ -0,0 +1,76 @@
+"""Which items may not run, as servers ended under them, and when one of them is tried again.
+
+FREE     -> REFUSED   three servers ended under the item, or under those named with it
+REFUSED  -> ON_TRIAL  no server has ended under it for `TRIAL_SECONDS`
+ON_TRIAL -> REFUSED   one more server ended: the next trial comes as long after that
+ON_TRIAL -> FREE      a server ran it to its end
+"""
+
+from troutswitch.decisions.crashes.interface import Suspects
+from troutswitch.decisions.jobs.itemcontents import ItemContents
+from troutswitch.decisions.jobs.items import ItemProgress
+from troutswitch.decisions.jobs.replicas import JobReplicas
+
+TRIAL_SECONDS = 16.0
+"""Time without a crash after which a refused item is tried once more: users count an item as left
+lying that no server has had for 20 s, of which some go by until it has a place."""
+TRIALS_MOST = 2
+"""Servers that trials of an item may end: users allow three more after the first three, and one may
+be in flight when the third becomes known. With these an item is never left lying for 50 s, by
+when its retention (60 s) allows to give it up."""
+
+
+class ItemRefusals:
+    """What crashes mean for the items that this daemon owns."""
+
+    def __init__(self, suspects: Suspects, replicas: JobReplicas) -> None:
+        self._suspects = suspects
+        self._contents = ItemContents(replicas)
+        self._tried_at: dict[str, float] = {}
+        """When a trial of a content was last started here."""
+
+    def holds(self, now: float, progress: ItemProgress) -> bool:
+        """Returns whether an item may not start now."""
+        return any(not self._may_try(now, content) for content in self._refused(progress))
+
+    def stops(self, progress: ItemProgress) -> bool:
+        """Returns whether a run of an item must be stopped."""
+        return not progress.is_on_trial and bool(self._refused(progress))
+
+    def on_started(self, now: float, progress: ItemProgress) -> None:
+        """A run of an item was started; one of a refused item is its trial."""
+        refused = self._refused(progress)
+        progress.is_on_trial = bool(refused)
+        for content in refused:
+            self._tried_at[content] = now
+
+    def on_stopped(self, progress: ItemProgress) -> None:
+        """A run was stopped here: if it was a trial, it has shown nothing."""
+        if progress.is_on_trial:
+            progress.is_on_trial = False
+            for content in self._contents.both(progress):
+                self._tried_at.pop(content, None)
+
+    def on_lost(self, now: float, progress: ItemProgress, server_id: str) -> None:
+        """A run's answer was lost."""
+        progress.is_on_trial = False
+        self._suspects.on_lost(now, self._contents.of(progress), server_id)
+
+    def on_done(self, now: float, progress: ItemProgress) -> None:
+        """A server ran an item to its end."""
+        progress.is_on_trial = False
+        for content in self._contents.both(progress):
+            self._suspects.on_served(now, content)
+            self._tried_at.pop(content, None)
+        self._contents.on_done(progress)
+
+    def _refused(self, progress: ItemProgress) -> list[str]:
+        refused = self._suspects.refused
+        if not refused:
+            return []
+        return [content for content in self._contents.both(progress) if content in refused]
+
+    def _may_try(self, now: float, content: str) -> bool:
+        if now < self._tried_at.get(content, float("-inf")) + TRIAL_SECONDS:
+            return False
+        return self._suspects.may_try(now, content, TRIAL_SECONDS, TRIALS_MOST)
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -16,7 +16,6 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from troutswitch.decisions.crashes.content import content_key
 from troutswitch.decisions.crashes.interface import Suspects
 from troutswitch.decisions.forwarding.messages import LogLine
 from troutswitch.decisions.forwarding.routes import RouteTable
@@ -24,6 +23,7 @@
 from troutswitch.decisions.forwarding.types import Route
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.jobs.index import JobEntry
+from troutswitch.decisions.jobs.itemrefusals import ItemRefusals
 from troutswitch.decisions.jobs.items import ItemProgress
 from troutswitch.decisions.jobs.lateturns import LateTurns
 from troutswitch.decisions.jobs.messages import (
@@ -58,8 +58,9 @@
 """Items that start in one look, so that peers hear of them before many follow."""
 RETRY_SECONDS = 0.2
 FAILED_RETRY_SECONDS = 0.4
-REFUSED_RETRY_SECONDS = 5.0
-"""Time after which an item that is refused is looked at again: refusals last minutes."""
+REFUSED_RETRY_SECONDS = 1.0
+"""Time after which an item that is refused is looked at again. It may not be listed as given up:
+only a server's word or the end of its retention allows that."""
 CROWDED_SHARE = 0.3
 """Share of the tokens that may wait on a route from which daemons tell how far jobs are."""
 ROUTE_GONE_SECONDS = 6.0
@@ -112,10 +113,10 @@
         policies: BatchPolicies,
         suspects: Suspects,
     ) -> None:
-        self._suspects = suspects
         self._runs = ItemRuns(servers, log)
         self.counts = OwnerCounts()
         self._items = OpenItems(replicas)
+        self._refusals = ItemRefusals(suspects, replicas)
         self._routes = routes
         self._servers = servers
         self._replicas = replicas
@@ -219,7 +220,7 @@
         for number, run in self.runs.items():
             progress = run.progress
             unwanted = self.is_draining or not self._is_wanted(progress)
-            unwanted |= self._is_refused(progress)
+            unwanted |= self._refusals.stops(progress)
             if not run.is_stopped and unwanted:
                 instructions.append(self._runs.stop(now, number))
         for progress in self._items:
@@ -372,6 +373,7 @@
         if route is None or not self._selection.may_run_at(route, progress, server):
             return []
         self._count_start(now, progress)
+        self._refusals.on_started(now, progress)
         return [self._runs.start(now, progress, entry.manifest.host, server)]
 
     def _count_waiting(self, started: int) -> None:
@@ -389,6 +391,7 @@
         if server is None:
             return []
         self._selection.on_started(server.record.server_id)
+        self._refusals.on_started(now, progress)
         return [self._runs.start(now, progress, entry.manifest.host, server)]
 
     def _is_uncoordinated(self, now: float, server: Server) -> bool:
@@ -411,19 +414,11 @@
         if progress.failures >= route.attempts_most:
             self._give_up(progress, f"{progress.failures} runs failed at earlier owners")
             return None
-        if self._is_refused(progress):
+        if self._refusals.holds(now, progress):
             progress.retry_at = now + REFUSED_RETRY_SECONDS
             return None
         return route
 
-    def _is_refused(self, progress: ItemProgress) -> bool:
-        """Returns whether servers ended under an item, so that it waits until its retention ends.
-
-        It may not be listed as given up before: only a server's word or that time allows it.
-        """
-        refused = self._suspects.refused
-        return bool(refused) and self._content_of(progress) in refused
-
     def _without_route(self, now: float, progress: ItemProgress) -> None:
         progress.no_route_since = min(progress.no_route_since, now)
         if now - progress.no_route_since > ROUTE_GONE_SECONDS:
@@ -447,10 +442,12 @@
         if run is None:
             return
         progress = run.progress
+        if run.is_stopped:
+            self._refusals.on_stopped(progress)
         if event.kind is AttemptKind.CUT and not run.is_stopped and event.status in LOST_STATUSES:
-            self._suspects.on_lost(now, self._content_of(progress), run.server_id)
+            self._refusals.on_lost(now, progress, run.server_id)
         if event.kind is AttemptKind.COMPLETED:
-            self._suspects.on_served(now, self._content_of(progress))
+            self._refusals.on_done(now, progress)
             events = progress.events_done - run.events_before
             self.pace.on_completed(now - run.started_at, events, progress.events_done)
             if not self._selection.is_overdue(now, progress):
@@ -462,14 +459,6 @@
             self._after_failure(now, progress, event)
         self._tick_at = now
 
-    def _content_of(self, progress: ItemProgress) -> str:
-        """Returns an item's content key, which is made once; empty if its job is not known."""
-        entry = self._replicas.index.jobs.get(progress.job_id)
-        if not progress.content and entry is not None:
-            item = progress.item
-            progress.content = content_key(entry.manifest.host, "POST", item.path, item.body)
-        return progress.content
-
     def _after_failure(self, now: float, progress: ItemProgress, event: ItemRunEnded) -> None:
         progress.retry_at = now + RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
         if event.status != FAILED_STATUS or event.kind is AttemptKind.REFUSED:
--- a/src/troutswitch/simulation/gatewayworld.py
+++ b/src/troutswitch/simulation/gatewayworld.py
@@ -361,9 +361,14 @@
         alive = [d for d in self.daemons.values() if d.is_alive and self.env.now >= d.paused_until]
         return self.rng.choice(alive or list(self.daemons.values()))
 
-    def hand_in(self, job_id: str, items: int, tokens: int = 100, tries: int = 3) -> JobTruth:
-        """Hands a job in, again after each failure, and then reads its results."""
-        return self.clients.hand_in(job_id, items, tokens, tries)
+    def hand_in(
+        self, job_id: str, items: int, tokens: int = 100, tries: int = 3, path: str = ""
+    ) -> JobTruth:
+        """Hands a job in, again after each failure, and then reads its results.
+
+        Each item has a path and body of its own, unless a `path` for all is given.
+        """
+        return self.clients.hand_in(job_id, items, tokens, tries, path)
 
     def end_job(self, truth: JobTruth) -> None:
         """Ends a job."""
--- a/src/troutswitch/simulation/jobclients.py
+++ b/src/troutswitch/simulation/jobclients.py
@@ -58,10 +58,20 @@
     def __init__(self, world: ClientWorld) -> None:
         self._world = world
 
-    def hand_in(self, job_id: str, items: int, tokens: int, tries: int) -> JobTruth:
-        """Hands a job in, again after each failure, and then reads its results."""
+    def hand_in(self, job_id: str, items: int, tokens: int, tries: int, path: str = "") -> JobTruth:
+        """Hands a job in, again after each failure, and then reads its results.
+
+        Items have paths of their own, or one `path` and bodies of their own.
+        """
         rows = tuple(
-            JobItem(f"{job_id}-{n}", f"{PREFIX}{n}", (), b"body", tokens) for n in range(items)
+            JobItem(
+                f"{job_id}-{n}",
+                path or f"{PREFIX}{n}",
+                (),
+                f"body {n}".encode() if path else b"body",
+                tokens,
+            )
+            for n in range(items)
         )
         truth = JobTruth(job_id, rows, self._world.now)
         self._world.jobs[job_id] = truth
--- a/tests/proofs/test_crashes.py
+++ b/tests/proofs/test_crashes.py
@@ -11,10 +11,13 @@
 arrivals at servers came more than three seconds after the third end.
 """
 
+import itertools
+
 import pytest
 
 from troutswitch.decisions.crashes.content import content_key
 from troutswitch.decisions.crashes.record import CrashRecord
+from troutswitch.decisions.jobs.itemrefusals import TRIAL_SECONDS, TRIALS_MOST
 from troutswitch.simulation.crashworld import (
     CALLER_SECONDS,
     CONTACT_SECONDS,
@@ -22,9 +25,11 @@
     Caller,
     CrashWorld,
 )
-from troutswitch.simulation.plainformats import HOST
+from troutswitch.simulation.plainformats import HOST, PREFIX
 
 START_SECONDS = 3.0
+LEFT_LYING_SECONDS = 20.0
+"""Time after its last failure at a server for which users do not count an item as left lying."""
 BETWEEN_SECONDS = 5.0
 ROUNDS = 6
 BESIDE_A_SECOND = 12
@@ -232,3 +237,59 @@
     for number in range(round(seconds * BUSY_A_SECOND)):
         world.ask_online(f"busy-{world.now:.3f}-{number}")
         world.run(1 / BUSY_A_SECOND)
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_items_that_share_a_path_are_counted_together_until_one_is_done(seed: int) -> None:
+    """What users saw: 35 servers ended under one job of eight items with one path.
+
+    Order: each item ended a server at each run, and each was refused only after three of its own.
+    Cause: items were counted apart by their bodies, whatever they had in common. Evidence: the
+    lines of a play in which all eight have one path, eight bodies, and three crashes and more
+    each.
+    """
+    world = started(seed, servers=9)
+    truth = world.hand_in("job", 8, path=f"{PREFIX}shared")
+    world.marked_items |= {item.item_id for item in truth.items}
+    world.run(3 * BETWEEN_SECONDS)
+    contents = [content_key(HOST, "POST", item.path, item.body) for item in truth.items]
+    ended = sorted(at for content in contents for at in world.ended[content])
+    known_at = ended[2] + CONTACT_SECONDS
+    late = [s for content in contents for s in world.sightings[content] if s.at > known_at]
+    assert len(late) <= SENT_ON_MOST
+    assert len(ended) <= len(contents) + SENT_ON_MOST
+
+
+def test_once_an_item_of_a_path_is_done_the_others_are_counted_apart() -> None:
+    """Else one that ends servers would hold up all items of a job that names one path for all."""
+    world = started(1, servers=9)
+    truth = world.hand_in("job", 8, path=f"{PREFIX}shared")
+    marked = truth.items[0]
+    world.marked_items.add(marked.item_id)
+    world.run(6 * BETWEEN_SECONDS)
+    listed = {row[0] for row in truth.results.values()}
+    assert listed == {item.item_id for item in truth.items[1:]}
+    assert len(world.ended[content_key(HOST, "POST", marked.path, marked.body)]) >= 3
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_a_refused_item_is_tried_again_twice_and_not_more(seed: int) -> None:
+    """What users saw: an accepted item that no server had had for 20 s, with capacity for it.
+
+    Order: three servers ended under it within 5 s, and it then waited for its retention to end.
+    Cause: a refusal had no trial before ten minutes were over. Evidence: a play's record, in which
+    the item's last run was 38 s before the day's end.
+    """
+    world = started(seed)
+    truth = world.hand_in("job", 4)
+    marked = truth.items[0]
+    world.marked_items.add(marked.item_id)
+    world.run(60.0)
+    content = content_key(HOST, "POST", marked.path, marked.body)
+    ended = world.ended[content]
+    assert len(ended) == 3 + TRIALS_MOST
+    assert all(
+        TRIAL_SECONDS <= later - earlier <= LEFT_LYING_SECONDS
+        for earlier, later in itertools.pairwise(ended[2:])
+    )
+    assert world.sent_on(content) <= SENT_ON_MOST
