--- a/src/troutswitch/daemons/datagram.py
+++ b/src/troutswitch/daemons/datagram.py
@@ -5,7 +5,7 @@
 
 from troutswitch.daemons.slotmessages import SlotMessage
 
-VERSION = 7
+VERSION = 8
 
 
 class DatagramError(ValueError):
--- a/src/troutswitch/daemons/slotmessages.py
+++ b/src/troutswitch/daemons/slotmessages.py
@@ -1,4 +1,4 @@
-"""Messages between daemons about the slots of servers, about each other, and about crashes.
+"""Messages between daemons about the slots of servers, each other, crashes and quotas.
 
 One daemon, the coordinator, counts the slots of a group of servers. The others report to it
 what they hold there, and ask it for a place before they send a request.
@@ -181,6 +181,47 @@
     crashes: tuple[CrashTold, ...]
 
 
+class QuotaAsk(msgspec.Struct, frozen=True, array_like=True, tag="quota"):
+    """Asks whether a tenant may send one more request; its key is not told.
+
+    `number` names the ask within the sender's life. `rate` (requests a second), `burst` and
+    `version` are the limit as the sender's configuration has it. `count` is how many requests
+    the sender takes, all but the first in advance.
+    """
+
+    sender: str
+    address: Address
+    number: int
+    group: str
+    tenant: str
+    rate: float
+    burst: float
+    version: int
+    count: int
+
+
+class QuotaAnswer(msgspec.Struct, frozen=True, array_like=True, tag="quotaed"):
+    """Answers an ask: how many requests may go, or after which time there is room for one.
+
+    `is_coordinator` is false if the sender does not count for this group's tenants.
+    """
+
+    sender: str
+    number: int
+    group: str
+    granted: int
+    wait_ms: int
+    is_coordinator: bool = True
+
+
 SlotMessage = (
-    HoldingsReport | PlaceAsk | PlaceAnswer | BatchPlaces | GroupDigest | Hello | CrashNews
+    HoldingsReport
+    | PlaceAsk
+    | PlaceAnswer
+    | BatchPlaces
+    | GroupDigest
+    | Hello
+    | CrashNews
+    | QuotaAsk
+    | QuotaAnswer
 )
--- a/src/troutswitch/decisions/forwarding/lines.py
+++ b/src/troutswitch/decisions/forwarding/lines.py
@@ -1,6 +1,7 @@
 """Log lines about forwarded requests: what was decided, from what, and how old that was."""
 
 from troutswitch.decisions.forwarding.admission import Deferral
+from troutswitch.decisions.forwarding.arrivals import Refused
 from troutswitch.decisions.forwarding.messages import (
     CallerGone,
     LogLine,
@@ -21,6 +22,25 @@
     return round(min(seconds * 1000, MILLISECONDS_MOST))
 
 
+def line_of_refusal(refused: Refused, version: int) -> LogLine:
+    """Returns the line of a request that is refused on its arrival."""
+    refusal = refused.refusal
+    return LogLine(
+        "request refused",
+        {
+            "request_id": refused.arrival.request_id,
+            "content": refused.arrival.content,
+            "tenant": refused.tenant,
+            "reason": refusal.reason,
+            "step": refusal.step,
+            "status": refusal.status,
+            "come_back_ms": milliseconds(refusal.retry_after or 0.0),
+            "decided_by": refused.decided_by,
+            "configuration_version": version,
+        },
+    )
+
+
 def line_of_start(
     now: float, request: ForwardedRequest, place: Place, version: int, listed_at: float
 ) -> LogLine:
@@ -32,6 +52,7 @@
             "request_id": request.arrival.request_id,
             "content": request.arrival.content,
             "route": request.route.name,
+            "tenant": request.tenant,
             "attempt": request.attempt,
             "server": server.record.server_id,
             "load": server.in_flight(now),
--- a/src/troutswitch/decisions/forwarding/messages.py
+++ b/src/troutswitch/decisions/forwarding/messages.py
@@ -4,6 +4,7 @@
 
 from troutswitch.common import Address
 from troutswitch.decisions.forwarding.types import PromptShape, ServerLoad
+from troutswitch.decisions.tenants.types import NO_KEY, NO_TENANT
 from troutswitch.outcomes import AttemptKind, Cut, MayHaveRun, NotRun
 
 # Events.
@@ -16,7 +17,8 @@
     `token` names the request within this process, `request_id` is the caller's.
     `time_left` is what the caller will wait, in seconds; `content` names the request by its
     content (`crashes.content`), empty where nobody needs it. `read_at` is when it was read, by
-    this process's clock; infinite stands for now.
+    this process's clock; infinite stands for now. `caller_key` is the digest of the key that the
+    caller shows, empty if it shows none.
     """
 
     token: int
@@ -28,6 +30,7 @@
     resume_after: str = ""
     content: str = ""
     read_at: float = float("inf")
+    caller_key: str = NO_KEY
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +108,7 @@
     `gap_wait` bounds how long each next bytes of the answer may take after its first event,
     `first_event_wait` those after its head; `time_left` bounds the head and is told to the
     server as the deadline. `decided_at` is when that was worked out, by this process's clock;
-    infinite stands for now.
+    infinite stands for now. `tenant` names the caller's tenant to the server.
     """
 
     token: int
@@ -117,6 +120,7 @@
     resume_after: str
     first_event_wait: float = float("inf")
     decided_at: float = float("inf")
+    tenant: str = NO_TENANT
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/forwarding/request.py
+++ b/src/troutswitch/decisions/forwarding/request.py
@@ -5,6 +5,7 @@
 from troutswitch.decisions.forwarding.messages import RequestArrived
 from troutswitch.decisions.forwarding.servers import NO_SIZE, RequestSize, Server
 from troutswitch.decisions.forwarding.types import Route
+from troutswitch.decisions.tenants.types import NO_TENANT
 from troutswitch.outcomes import RAN_NOTHING, AttemptKind
 
 SUSPECT_LEAST_SECONDS = 0.4
@@ -51,6 +52,7 @@
     """Times for which it waited for room."""
     is_held: bool = False
     """Whether the request is late anyway and waits for a slot that is free."""
+    tenant: str = NO_TENANT
     owes_retry: bool = False
     """Whether the next attempt must first be taken from the retry budget."""
 
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -26,12 +26,14 @@
     AdmissionRequest,
     Deferral,
 )
+from troutswitch.decisions.forwarding.arrivals import Admitted, Arrivals, Refused
 from troutswitch.decisions.forwarding.experience import Experience
 from troutswitch.decisions.forwarding.lines import (
     line_of_deferral,
     line_of_end,
     line_of_give_up,
     line_of_gone_caller,
+    line_of_refusal,
     line_of_silence,
     line_of_start,
     line_of_wait,
@@ -43,7 +45,6 @@
     CallerGone,
     FinishRequest,
     ForwardingInstruction,
-    LogLine,
     RequestArrived,
     RequestAttemptEnded,
     SendRequest,
@@ -64,9 +65,9 @@
 from troutswitch.decisions.forwarding.routes import RouteTable, choose_service
 from troutswitch.decisions.forwarding.runtimes import RunTimes
 from troutswitch.decisions.forwarding.servers import RequestSize, Server, ServerRegistry
-from troutswitch.decisions.forwarding.types import Route, RouteKind
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.limits import RetryBudget
+from troutswitch.decisions.tenants.quota import QuotaEnd
 from troutswitch.outcomes import (
     RAN_NOTHING,
     AttemptKind,
@@ -80,8 +81,6 @@
 """Least time after which a refused caller is asked to come back."""
 RETRY_AFTER_SPREAD_SECONDS = 0.2
 """Random part of that time, so that callers do not come back together."""
-NO_CONFIGURATION_RETRY_SECONDS = 0.5
-"""Time to come back before the first configuration is known."""
 LOOK_SECONDS = 0.1
 """Interval between looks for servers that fell silent."""
 TIME_LEFT_LEAST_SECONDS = 0.05
@@ -134,6 +133,7 @@
         self._servers = servers
         self._rng = rng
         self._suspects = suspects
+        self.arrivals = Arrivals(routes, suspects)
         self._admission: AdmissionPolicy = ADMISSION_POLICIES[admission]()
         self.times = RunTimes()
         self._zone = zone
@@ -144,12 +144,23 @@
     # Arrival.
 
     def on_arrived(self, now: float, event: RequestArrived) -> Instructions:
-        """Starts a request, or gives the final answer at once."""
+        """Starts a request, or gives the final answer at once; waits if its quota is asked for."""
         self.counts.arrived += 1
         ensure(event.token not in self.requests, "a request token is used twice")
-        refusal, route = self._admit(now, event)
-        if refusal is not None or route is None:
-            return self._refuse(event, refusal)
+        return self._begin(now, self.arrivals.on_arrived(now, event))
+
+    def on_counted(self, now: float, end: QuotaEnd) -> Instructions:
+        """Takes the word on a request's quota."""
+        return self._begin(now, self.arrivals.on_counted(now, end))
+
+    def _begin(self, now: float, decided: Admitted | Refused | None) -> Instructions:
+        if decided is None:
+            return []
+        if isinstance(decided, Refused):
+            self.counts.refused += 1
+            line = line_of_refusal(decided, self._routes.version)
+            return [FinishRequest(decided.arrival.token, decided.refusal), line]
+        event, route = decided.arrival, decided.route
         request = ForwardedRequest(
             event,
             route,
@@ -157,41 +168,12 @@
             min(now, event.read_at) + event.time_left,
             now + route.time_limit,
             position=event.resume_after,
+            tenant=decided.tenant.name,
         )
         request.longest_wait = self._longest_wait(request)
         self.requests[event.token] = request
         return self._dispatch(now, request, "no server can take the request now")
 
-    def _admit(self, now: float, event: RequestArrived) -> tuple[NotRun | None, Route | None]:
-        if self._routes.configuration is None:
-            wait = NO_CONFIGURATION_RETRY_SECONDS
-            return NotRun("no configuration yet", Step.ADMIT, "", wait), None
-        route = self._routes.match(event.host, event.path)
-        if route is None or route.kind is RouteKind.JOBS:
-            return NotRun("no such route", Step.ROUTE, "", None, 404), None
-        if event.content in self._suspects.refused:
-            return self._suspects.refusal(now, event.content), None
-        return None, route
-
-    def _refuse(self, event: RequestArrived, refusal: NotRun | None) -> Instructions:
-        ensure(refusal is not None, "a request without a route is refused")
-        assert refusal is not None
-        self.counts.refused += 1
-        return [
-            FinishRequest(event.token, refusal),
-            LogLine(
-                "request refused",
-                {
-                    "request_id": event.request_id,
-                    "content": event.content,
-                    "reason": refusal.reason,
-                    "step": refusal.step,
-                    "status": refusal.status,
-                    "configuration_version": self._routes.version,
-                },
-            ),
-        ]
-
     def _longest_wait(self, request: ForwardedRequest) -> float:
         route = request.route
         asked = AdmissionRequest(
@@ -286,8 +268,29 @@
             return self._wait_or_give_up(now, request, reason, Step.ROUTE)
         if request.ends_at - now < TIME_LEFT_LEAST_SECONDS:
             return self._give_up(now, request, "time ran out", Step.DISPATCH)
+        refusal = self._identify_again(request)
+        if refusal is not None:
+            return self._refuse_late(now, request, refusal)
         return self._start(now, request, found)
 
+    def _identify_again(self, request: ForwardedRequest) -> NotRun | None:
+        """Looks at the caller's key once more before its request is first sent.
+
+        Guards against a key that was taken away, or given to another tenant, while the request
+        waited. One that was sent already goes on: its caller had the right to it.
+        """
+        if request.kinds:
+            return None
+        tenant = self.arrivals.callers.identify(request.arrival.caller_key, request.route)
+        if isinstance(tenant, NotRun):
+            return tenant
+        request.tenant = tenant.name
+        return None
+
+    def _refuse_late(self, now: float, request: ForwardedRequest, refusal: NotRun) -> Instructions:
+        del self.requests[request.arrival.token]
+        return self._begin(now, Refused(request.arrival, refusal, request.tenant))
+
     def _candidates(self, now: float, request: ForwardedRequest) -> list[Server]:
         usable = self._servers.usable(now, request.service)
         untried = [s for s in usable if s.record.server_id not in request.tried]
@@ -323,6 +326,7 @@
             request.position,
             request.first_event_wait(now),
             now,
+            request.tenant,
         )
         line = line_of_start(now, request, place, self._routes.version, self._servers.listed_at)
         makes_room = place.found_by is FoundBy.COORDINATOR  # the coordinator did
@@ -488,12 +492,24 @@
         """The caller went away: its work at the server is stopped."""
         request = self.requests.get(event.token)
         if request is None:
-            return []
+            return self._leave_counting(event)
         self.counts.gone += 1
         line = line_of_gone_caller(now, request, event)
         aborted = self._abort(now, request, AttemptKind.CANCELLED)
         return [line, *aborted, *self._give_up(now, request, "caller went away", Step.RELAY)]
 
+    def _leave_counting(self, event: CallerGone) -> Instructions:
+        """The caller went away while its tenant's quota was asked for."""
+        arrival = self.arrivals.withdraw(event.token)
+        if arrival is None:
+            return []
+        self.counts.gone += 1
+        refusal = NotRun("caller went away", Step.ADMIT)
+        return [
+            FinishRequest(event.token, refusal),
+            line_of_refusal(Refused(arrival, refusal), self._routes.version),
+        ]
+
     def _abort(
         self, now: float, request: ForwardedRequest, kind: AttemptKind, is_silent: bool = False
     ) -> Instructions:
--- a/src/troutswitch/decisions/forwarding/types.py
+++ b/src/troutswitch/decisions/forwarding/types.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from troutswitch.common import Address
+from troutswitch.decisions.tenants.types import Tenant
 
 
 class RouteKind(Enum):
@@ -42,6 +43,12 @@
     queued_tokens_most: int = 0
     completion_target: float = 0.0
     retention: float = 0.0
+    allows_anonymous: bool = False
+
+    @property
+    def is_for_jobs(self) -> bool:
+        """Whether batch jobs are handed in on this route."""
+        return self.kind is RouteKind.JOBS
 
     @property
     def is_repeatable(self) -> bool:
@@ -73,12 +80,16 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetConfiguration:
-    """One whole version of the configuration."""
+    """One whole version of the configuration.
+
+    With `tenants`, callers show a key; None stands for a configuration that knows none.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: RequestLimits
+    tenants: tuple[Tenant, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -8,7 +8,13 @@
 from dataclasses import replace
 
 from troutswitch.daemons.peerstate import PeerState, StoredRecord
-from troutswitch.daemons.slotmessages import CrashNews, Hello, PlaceAnswer
+from troutswitch.daemons.slotmessages import (
+    CrashNews,
+    Hello,
+    PlaceAnswer,
+    QuotaAnswer,
+    QuotaAsk,
+)
 from troutswitch.decisions.crashes.messages import ServerChecked
 from troutswitch.decisions.crashes.suspects import CrashSuspects
 from troutswitch.decisions.forwarding.lines import line_of_unserved, milliseconds
@@ -58,12 +64,17 @@
     StoreCall,
     StoreOutcome,
 )
+from troutswitch.decisions.tenants.choice import make_quota
+from troutswitch.decisions.tenants.quota import Quota, QuotaEnd
 
 CONFIGURATION_TOPIC = "configuration"
 CONFIGURATION_WAIT_SHARE = 0.35
 """Time for which a read of the configuration waits at the store, in bounds for applying
 it: an answer that is lost must be noticed, and the read made again, inside the bound."""
 CONFIGURATION_PAUSE_SECONDS = 0.1
+BEHIND_SECONDS = 0.4
+"""Time for which readings of the configuration must have failed before an unknown key may be one
+that was added meanwhile: as long as `peers/catchup.py` waits before it asks a peer."""
 READS_SHARE = 0.25
 """Share of the store's reads that all daemons' readings of one thing may take."""
 SERVER_LIST_SHARE = 0.3
@@ -145,6 +156,16 @@
         )
         if policies.places == "coordinators":
             self.requests.placer = self.slots.asks
+        self.quota: Quota = make_quota(
+            policies.quota,
+            identity,
+            self.slots,
+            lambda: self.routes.version,
+            lambda: 1 + len(self.contacts.contacts),
+            self._emit,
+            rng,
+        )
+        self.requests.arrivals.quota = self.quota
         self.jobs = JobCoordinator(
             identity.name,
             identity.zone,
@@ -159,6 +180,7 @@
             self.slots,
             policies.batch,
             self.suspects,
+            self.requests.arrivals.callers,
         )
         self.contacts = PeerContacts(
             identity.name,
@@ -272,6 +294,12 @@
         if isinstance(message, CrashNews):
             self.suspects.on_news(now, message)
             return
+        if isinstance(message, QuotaAsk):
+            self.quota.on_ask(now, message)
+            return
+        if isinstance(message, QuotaAnswer):
+            self._counted(now, self.quota.on_answer(now, message))
+            return
         claim = None
         if isinstance(message, PlaceAnswer):
             claim = self.slots.claim_by(message.group, message.sender)
@@ -280,6 +308,10 @@
         if claim is not None and known:
             self.slots.reports.assume_known(claim)
 
+    def _counted(self, now: float, ended: list[QuotaEnd]) -> None:
+        for end in ended:
+            self._instructions += self.requests.on_counted(now, end)
+
     def _place_found(self, now: float, ended: list[Found]) -> None:
         for found in ended:
             self._instructions += self.requests.on_placed(now, found.token, found.placing)
@@ -323,6 +355,7 @@
             self.directory.next_due(),
             self._catch_up.next_due(),
             self.suspects.next_due(),
+            self.quota.next_due(),
         )
 
     def _on_timer(self, now: float) -> None:
@@ -332,6 +365,8 @@
             self._suspects_changes = self.suspects.changes
             self._instructions += self.requests.end_refused(now)
         self._pace_readings()
+        self._look_whether_behind(now)
+        self._counted(now, self.quota.on_timer(now))
         self._instructions += self.requests.on_timer(now)
         self._instructions += self._read_server_list(now)
         self._instructions += self.configuration.on_timer(now)
@@ -345,6 +380,13 @@
             now, self._reading(), lambda: self.contacts.live_addresses(now)
         )
 
+    def _look_whether_behind(self, now: float) -> None:
+        """Notes whether a newer configuration may be in force than the one known here."""
+        behind_since = self.configuration.failing_since
+        is_older = self.contacts.newest_version() > self.routes.version
+        is_behind = is_older or now - behind_since >= BEHIND_SECONDS
+        self.requests.arrivals.callers.is_behind = is_behind
+
     def _read_server_list(self, now: float) -> list[StoreCall]:
         """Reads the list if it is due; a reading that ended without an outcome has failed too."""
         failures = self.server_list.failures
--- a/src/troutswitch/decisions/gatewaymessages.py
+++ b/src/troutswitch/decisions/gatewaymessages.py
@@ -1,6 +1,6 @@
 """What the gateway's core is told and tells beside its parts' own messages."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from troutswitch.common import Address
@@ -10,6 +10,7 @@
     ServerRecord,
 )
 from troutswitch.decisions.jobs.records import StoreRoom
+from troutswitch.decisions.tenants.types import QuotaBounds
 
 
 class Formats(Protocol):
@@ -40,6 +41,7 @@
     job_kept: float
     store_room: StoreRoom
     store_reads_per_second: float = 0.0
+    quota_bounds: QuotaBounds = field(default_factory=QuotaBounds)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/jobs/coordinator.py
+++ b/src/troutswitch/decisions/jobs/coordinator.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from troutswitch.decisions.crashes.interface import Suspects
 from troutswitch.decisions.forwarding.messages import LogLine
@@ -16,18 +17,21 @@
     ItemRunEnded,
     JobAnswer,
     JobEndAsked,
+    JobRefused,
     JobSubmitted,
     ResultsAsked,
 )
 from troutswitch.decisions.jobs.owner import BatchSlots, JobOwner
 from troutswitch.decisions.jobs.ownership import ShardOwnership
-from troutswitch.decisions.jobs.reads import JobReads
+from troutswitch.decisions.jobs.reads import JobCall, JobReads
 from troutswitch.decisions.jobs.records import StoreRoom
 from troutswitch.decisions.jobs.replicas import JobReplicas
 from troutswitch.decisions.jobs.retention import JobRetention
 from troutswitch.decisions.policies import BatchPolicies
 from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import StoreOutcome
+from troutswitch.decisions.tenants.callers import CallerDirectory
+from troutswitch.outcomes import NotRun
 
 DRAIN_SECONDS = 1.5
 """Longest time for which a stopping daemon keeps its shards to save running items."""
@@ -61,7 +65,9 @@
         slots: BatchSlots,
         policies: BatchPolicies,
         suspects: Suspects,
+        callers: CallerDirectory,
     ) -> None:
+        self._callers = callers
         self._emit = emit
         self._drain_until = float("inf")
         self.replicas = JobReplicas(numbers, rng)
@@ -94,8 +100,8 @@
     def on_event(self, now: float, event: JobEvent) -> None:
         """Takes an event of a client or of a run."""
         match event:
-            case JobSubmitted():
-                self._emit_all(self.intake.on_submitted(now, event))
+            case JobSubmitted() | ResultsAsked() | BodyAsked() | JobEndAsked():
+                self._on_call(now, event)
             case ItemRunEnded():
                 self.owner.on_run_ended(now, event)
             case ItemBegun():
@@ -103,7 +109,21 @@
             case ItemProgressed():
                 self.owner.on_progressed(event)
             case _:
-                self._emit_all(self.reads.on_asked(now, event))
+                raise TypeError(f"no event of jobs: {type(event).__name__}")
+
+    def _on_call(self, now: float, event: JobCall | JobSubmitted) -> None:
+        """Takes a client's call, if its key is known."""
+        tenant = self._callers.identify_for_jobs(event.caller_key)
+        if isinstance(tenant, NotRun):
+            refusal = JobRefused(tenant.status, tenant.reason, tenant.retry_after)
+            self._log("job call refused", job_id=event.job_id, reason=tenant.reason)
+            self._answer(event.token, refusal)
+            return
+        call = replace(event, tenant=tenant.name)
+        if isinstance(call, JobSubmitted):
+            self._emit_all(self.intake.on_submitted(now, call))
+        else:
+            self._emit_all(self.reads.on_asked(now, call))
 
     def on_store(self, now: float, call: int, outcome: StoreOutcome) -> None:
         """Takes the outcome of a store call."""
--- a/src/troutswitch/decisions/jobs/index.py
+++ b/src/troutswitch/decisions/jobs/index.py
@@ -110,12 +110,14 @@
         self._early_ends.discard(job_id)
         self._early_progress.pop(job_id, None)
 
-    def waiting_tokens(self, route: str) -> int:
-        """Returns the tokens of a route's accepted items that are not listed yet."""
+    def waiting_tokens(self, route: str, tenant: str) -> int:
+        """Returns the tokens of a tenant's accepted items on a route that are not listed yet."""
         return sum(
             entry.tokens_left
             for entry in self.jobs.values()
-            if entry.manifest.route == route and not entry.is_ended
+            if entry.manifest.route == route
+            and entry.manifest.tenant == tenant
+            and not entry.is_ended
         )
 
     def open_in_shard(self, shard: int) -> list[JobEntry]:
--- a/src/troutswitch/decisions/jobs/intake.py
+++ b/src/troutswitch/decisions/jobs/intake.py
@@ -124,6 +124,7 @@
             event.digest,
             shard_of(event.job_id, self._room.shards),
             self._replicas.time_of_day(now),
+            event.tenant,
         )
         try:
             records = chunk_records(event.job_id, event.items, self._room.record_bytes)
@@ -151,7 +152,8 @@
         entry: JobEntry | None = self._replicas.index.jobs.get(event.job_id)
         if entry is None:
             return None
-        if entry.manifest.digest == manifest.digest:
+        is_same = entry.manifest.digest == manifest.digest
+        if is_same and entry.manifest.tenant == manifest.tenant:
             return JobAccepted()
         return JobRefused(409, "the job's id was used for other content")
 
@@ -159,7 +161,7 @@
         most = intake.route.queued_tokens_most
         if most <= 0:
             return True
-        waiting = self._replicas.index.waiting_tokens(intake.route.name)
+        waiting = self._replicas.index.waiting_tokens(intake.route.name, intake.manifest.tenant)
         return waiting + intake.manifest.tokens <= most
 
     # Steps.
@@ -211,7 +213,7 @@
 
     def _refuse_unfit(self, now: float, intake: Intake) -> None:
         """Refuses a job that does not fit, unless an append of it may still act."""
-        waiting = self._replicas.index.waiting_tokens(intake.route.name)
+        waiting = self._replicas.index.waiting_tokens(intake.route.name, intake.manifest.tenant)
         self._log(
             "job does not fit",
             job_id=intake.event.job_id,
--- a/src/troutswitch/decisions/jobs/messages.py
+++ b/src/troutswitch/decisions/jobs/messages.py
@@ -5,6 +5,7 @@
 from troutswitch.common import Address
 from troutswitch.decisions.forwarding.types import ServerLoad
 from troutswitch.decisions.jobs.records import ItemResult, JobItem
+from troutswitch.decisions.tenants.types import NO_KEY, NO_TENANT
 from troutswitch.outcomes import AttemptKind
 
 # Events.
@@ -12,7 +13,11 @@
 
 @dataclass(frozen=True, slots=True)
 class JobSubmitted:
-    """A client hands a job in. `time_left` is what it will wait, in seconds."""
+    """A client hands a job in. `time_left` is what it will wait, in seconds.
+
+    `caller_key` is the digest of the key that it shows; `tenant` is worked out from it. So in all
+    calls about jobs.
+    """
 
     token: int
     job_id: str
@@ -21,6 +26,8 @@
     items: tuple[JobItem, ...]
     digest: str
     time_left: float
+    caller_key: str = NO_KEY
+    tenant: str = NO_TENANT
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +38,8 @@
     job_id: str
     position: int
     time_left: float
+    caller_key: str = NO_KEY
+    tenant: str = NO_TENANT
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +50,8 @@
     job_id: str
     item_id: str
     time_left: float
+    caller_key: str = NO_KEY
+    tenant: str = NO_TENANT
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +61,8 @@
     token: int
     job_id: str
     time_left: float
+    caller_key: str = NO_KEY
+    tenant: str = NO_TENANT
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +116,7 @@
     resume_after: str
     first_wait: float
     gap_wait: float
+    tenant: str = NO_TENANT
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -193,9 +193,9 @@
         """Returns whether the tokens that wait on a job's route come near their limit."""
         entry = self._replicas.index.jobs.get(job_id)
         route = self._routes.named(entry.manifest.route) if entry is not None else None
-        if route is None or route.queued_tokens_most <= 0:
+        if entry is None or route is None or route.queued_tokens_most <= 0:
             return False
-        waiting = self._replicas.index.waiting_tokens(route.name)
+        waiting = self._replicas.index.waiting_tokens(route.name, entry.manifest.tenant)
         return waiting > CROWDED_SHARE * route.queued_tokens_most
 
     def owns(self, call: int) -> bool:
@@ -374,7 +374,7 @@
             return []
         self._count_start(now, progress)
         self._refusals.on_started(now, progress)
-        return [self._runs.start(now, progress, entry.manifest.host, server)]
+        return [self._runs.start(now, progress, entry.manifest, server)]
 
     def _count_waiting(self, started: int) -> None:
         """Takes items that started off those that wait, until the next look counts them."""
@@ -392,7 +392,7 @@
             return []
         self._selection.on_started(server.record.server_id)
         self._refusals.on_started(now, progress)
-        return [self._runs.start(now, progress, entry.manifest.host, server)]
+        return [self._runs.start(now, progress, entry.manifest, server)]
 
     def _is_uncoordinated(self, now: float, server: Server) -> bool:
         return not self._slots.is_coordinated(now, server.record.server_id)
--- a/src/troutswitch/decisions/jobs/reads.py
+++ b/src/troutswitch/decisions/jobs/reads.py
@@ -71,17 +71,25 @@
         left = min(max(0.0, event.time_left - RESERVE_SECONDS), READ_SECONDS_MOST)
         self.pending[event.token] = PendingCall(event, now + left)
         if event.job_id in self._replicas.index.jobs:
+            if self._entry_of(event) is None:
+                self._finish(event.token, JobRefused(404, "no such job"))
+                return []
             return self._with_job(now, event.token)
         self._replicas.index_refresher.ask(
             lambda at, succeeded: self._on_index_read(at, event.token, succeeded)
         )
         return []
 
+    def _entry_of(self, event: JobCall) -> JobEntry | None:
+        """Returns the job of a call; another tenant's job is none."""
+        entry = self._replicas.index.jobs.get(event.job_id)
+        return entry if entry is not None and entry.manifest.tenant == event.tenant else None
+
     def _on_index_read(self, now: float, token: int, succeeded: bool) -> None:
         call = self.pending.get(token)
         if call is None:
             return
-        if call.event.job_id in self._replicas.index.jobs:
+        if self._entry_of(call.event) is not None:
             call.retry_at = now  # goes on at the next timer, which can make calls
         elif succeeded:
             self._finish(token, JobRefused(404, "no such job"))
@@ -91,7 +99,10 @@
     def _with_job(self, now: float, token: int) -> list[StoreCall]:
         call = self.pending[token]
         call.retry_at = float("inf")
-        entry = self._replicas.index.jobs[call.event.job_id]
+        entry = self._entry_of(call.event)
+        if entry is None:
+            self._finish(token, JobRefused(404, "no such job"))
+            return []
         match call.event:
             case ResultsAsked():
                 self._read_results(call.event, entry)
--- a/src/troutswitch/decisions/jobs/records.py
+++ b/src/troutswitch/decisions/jobs/records.py
@@ -26,8 +26,9 @@
 
 from troutswitch.common import stable_hash
 from troutswitch.decisions.storage.messages import KeyedRecord, Partition
+from troutswitch.decisions.tenants.types import NO_TENANT
 
-SCHEMA_VERSION = 3
+SCHEMA_VERSION = 4
 INDEX_TOPIC = "jobs"
 SHARD_TOPIC = "items"
 INDEX = Partition(INDEX_TOPIC)
@@ -63,6 +64,7 @@
 class Manifest:
     """What is known of a job from the moment it is accepted.
 
+    `tenant` names the tenant whose job it is, empty if none is known.
     `handed_in_at` is the time of day, in seconds since the epoch, at the daemon that took
     the job; 0 if it is not known. Clocks differ: it may order work, never end it.
     """
@@ -75,6 +77,7 @@
     digest: str
     shard: int
     handed_in_at: float = 0.0
+    tenant: str = NO_TENANT
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +139,7 @@
         manifest.digest,
         manifest.shard,
         manifest.handed_in_at,
+        manifest.tenant,
     ]
     return KeyedRecord(f"{MANIFEST}:{manifest.job_id}", cbor2.dumps(value))
 
@@ -146,8 +150,10 @@
     Raises:
         RecordError: the record is malformed or of a newer version.
     """
-    route, host, item_count, tokens, digest, shard, handed_in_at = _fields(value, 7)
-    return Manifest(job_id, route, host, item_count, tokens, digest, shard, float(handed_in_at))
+    route, host, item_count, tokens, digest, shard, handed_in_at, tenant = _fields(value, 8)
+    return Manifest(
+        job_id, route, host, item_count, tokens, digest, shard, float(handed_in_at), str(tenant)
+    )
 
 
 def end_record(job_id: str) -> KeyedRecord:
--- a/src/troutswitch/decisions/jobs/runs.py
+++ b/src/troutswitch/decisions/jobs/runs.py
@@ -14,6 +14,7 @@
     RunItem,
     StopItem,
 )
+from troutswitch.decisions.jobs.records import Manifest
 from troutswitch.outcomes import AttemptKind
 
 FIRST_WAIT_SECONDS = 5.0
@@ -47,7 +48,9 @@
         self._log = log
         self._numbers = itertools.count(1)
 
-    def start(self, now: float, progress: ItemProgress, host: str, server: Server) -> RunItem:
+    def start(
+        self, now: float, progress: ItemProgress, manifest: Manifest, server: Server
+    ) -> RunItem:
         """Starts a run of an item that has none."""
         ensure(not progress.run, "an item runs twice at once")
         number = next(self._numbers)
@@ -72,11 +75,12 @@
             number,
             server_id,
             server.record.address,
-            host,
+            manifest.host,
             progress.item,
             progress.position,
             FIRST_WAIT_SECONDS,
             GAP_WAIT_SECONDS,
+            manifest.tenant,
         )
 
     def on_begun(self, event: ItemBegun) -> None:
--- a/src/troutswitch/decisions/limits.py
+++ b/src/troutswitch/decisions/limits.py
@@ -14,16 +14,23 @@
 
 @dataclass(slots=True)
 class TokenBucket:
-    """A rate limit with a burst of one second's worth, at least one request."""
+    """A rate limit with a burst."""
 
     tokens: float
     filled_at: float
 
+    def refill(self, now: float, rate: float, burst: float) -> float:
+        """Adds what has come since the last call, and returns the tokens that are there."""
+        self.tokens = min(burst, self.tokens + max(0.0, now - self.filled_at) * rate)
+        self.filled_at = max(now, self.filled_at)
+        return self.tokens
+
     def take(self, now: float, rate: float) -> float:
-        """Takes one token; returns 0, or the seconds until one is there."""
-        burst = max(1.0, rate)
-        self.tokens = min(burst, self.tokens + (now - self.filled_at) * rate)
-        self.filled_at = now
+        """Takes one token; returns 0, or the seconds until one is there.
+
+        The burst is one second's worth, at least one request.
+        """
+        self.refill(now, rate, max(1.0, rate))
         if self.tokens >= 1.0:
             self.tokens -= 1.0
             return 0.0
--- a/src/troutswitch/decisions/policies.py
+++ b/src/troutswitch/decisions/policies.py
@@ -4,6 +4,8 @@
 
 PLACES = ("coordinators", "own_counts")
 """Ways to find a place for an online request."""
+QUOTAS = ("asked", "leased", "equal_shares")
+"""Ways to keep quotas over all daemons."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,10 +21,12 @@
     """All policies of a daemon.
 
     `places` says who finds a place for an online request: `coordinators`, or each daemon by
-    its `own_counts`, which holds no more than it holds itself and what coordinators tell.
+    its `own_counts`, which holds no more than it holds itself and what coordinators tell. `quota`
+    says how the quotas of tenants are kept over all daemons.
     """
 
     places: str = "coordinators"
     placement: str = "prefix_shortest"
     admission: str = "hold_late"
     batch: BatchPolicies = field(default_factory=BatchPolicies)
+    quota: str = "asked"
--- /dev/null
+++ b/src/troutswitch/decisions/tenants/callers.py
@@ -0,0 +1,81 @@
+"""Tells whose key a caller shows, by the newest configuration in force."""
+
+from dataclasses import dataclass
+
+from troutswitch.decisions.forwarding.routes import RouteTable
+from troutswitch.decisions.forwarding.types import FleetConfiguration, Route
+from troutswitch.decisions.tenants.types import NO_KEY, NO_TENANT, Tenant
+from troutswitch.outcomes import NotRun, Step
+
+UNAUTHORIZED = 401
+BEHIND_RETRY_SECONDS = 0.5
+"""Time after which a caller with an unknown key comes back to a daemon that knows it is behind:
+it asks a peer each half second."""
+ANONYMOUS = Tenant(NO_TENANT, frozenset())
+"""Stands for callers without a tenant, who have no quota."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Known:
+    """The keys of one configuration."""
+
+    configuration: FleetConfiguration
+    by_key: dict[str, Tenant]
+
+
+class CallerDirectory:
+    """The tenants of the configuration in force, by the digests of their keys."""
+
+    def __init__(self, routes: RouteTable) -> None:
+        self.is_behind = False
+        """Whether this daemon knows that it may lack the newest configuration."""
+        self._routes = routes
+        self._known: _Known | None = None
+
+    def _by_key(self) -> dict[str, Tenant] | None:
+        """Returns tenants by key; None if the configuration knows no tenants."""
+        configuration = self._routes.configuration
+        if configuration is None or configuration.tenants is None:
+            return None
+        if self._known is None or self._known.configuration is not configuration:
+            by_key = {key: tenant for tenant in configuration.tenants for key in tenant.keys}
+            self._known = _Known(configuration, by_key)
+        return self._known.by_key
+
+    def identify(self, key: str, route: Route) -> Tenant | NotRun:
+        """Returns a caller's tenant, or the refusal of its request."""
+        if key == NO_KEY and route.allows_anonymous:
+            return ANONYMOUS
+        return self.owner_of(key)
+
+    def identify_for_jobs(self, key: str) -> Tenant | NotRun:
+        """Returns the tenant of a call about a job, of which no route is known yet."""
+        configuration = self._routes.configuration
+        routes = configuration.routes if configuration is not None else ()
+        if key == NO_KEY and any(r.is_for_jobs and r.allows_anonymous for r in routes):
+            return ANONYMOUS
+        return self.owner_of(key)
+
+    def owner_of(self, key: str) -> Tenant | NotRun:
+        """Returns the tenant that holds a key, or the refusal.
+
+        A daemon that knows it is behind asks the caller to come back, as a 401 is final for it.
+        """
+        by_key = self._by_key()
+        if by_key is None:
+            return ANONYMOUS
+        tenant = by_key.get(key)
+        if tenant is not None:
+            return tenant
+        if key == NO_KEY:
+            return NotRun("no key", Step.ADMIT, "", None, UNAUTHORIZED)
+        if self.is_behind:
+            reason = "unknown key, and the configuration may be old"
+            return NotRun(reason, Step.ADMIT, "", BEHIND_RETRY_SECONDS)
+        return NotRun("unknown key", Step.ADMIT, "", None, UNAUTHORIZED)
+
+    def named(self, name: str) -> Tenant | None:
+        """Returns the tenant of a name."""
+        configuration = self._routes.configuration
+        tenants = (configuration.tenants if configuration is not None else None) or ()
+        return next((tenant for tenant in tenants if tenant.name == name), None)
--- a/src/troutswitch/gateway/itemruns.py
+++ b/src/troutswitch/gateway/itemruns.py
@@ -121,6 +121,7 @@
             dict(item.headers),
             instruction.server_id,
             instruction.resume_after,
+            instruction.tenant,
         )
         request = OutgoingRequest(item.item_id, "POST", item.path, headers, item.body)
         exchange = Exchange(
--- a/src/troutswitch/gateway/policies.py
+++ b/src/troutswitch/gateway/policies.py
@@ -9,7 +9,7 @@
 from troutswitch.decisions.forwarding.placement import POLICIES as PLACEMENT_POLICIES
 from troutswitch.decisions.jobs.order import ITEM_ORDERS
 from troutswitch.decisions.jobs.room import ROOM_POLICIES
-from troutswitch.decisions.policies import PLACES, BatchPolicies, Policies
+from troutswitch.decisions.policies import PLACES, QUOTAS, BatchPolicies, Policies
 from troutswitch.gateway.settings import GatewaySettingsError
 
 POLICIES_VARIABLE = "TROUTSWITCH_POLICIES"
@@ -25,6 +25,7 @@
     admission: str = USUAL.admission
     items: str = USUAL.batch.items
     room: str = USUAL.batch.room
+    quota: str = USUAL.quota
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,10 +58,11 @@
         _Choice("admission", names.admission, ADMISSION_POLICIES),
         _Choice("items", names.items, ITEM_ORDERS),
         _Choice("room", names.room, ROOM_POLICIES),
+        _Choice("quota", names.quota, QUOTAS),
     ):
         choice.check()
     batch = BatchPolicies(names.items, names.room)
-    return Policies(names.places, names.placement, names.admission, batch)
+    return Policies(names.places, names.placement, names.admission, batch, names.quota)
 
 
 def _pair(part: str) -> tuple[str, str]:
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -87,6 +87,7 @@
                 settings.store.record_bytes, settings.store.call_bytes, settings.store.partitions
             ),
             settings.store.reads_per_second,
+            settings.bounds.quota,
         )
         rng = random.Random(os.urandom(8))
         self.core = GatewayCore(identity, PlatformFormats(), rng, policies)
--- a/src/troutswitch/gateway/relay.py
+++ b/src/troutswitch/gateway/relay.py
@@ -96,6 +96,7 @@
             request.last_event_id,
             content_key(request.host, request.method, request.url, self.body),
             steady_seconds(),
+            request.caller_key,
         )
 
     def _attempt(self, decided: SendRequest) -> Iterator[bytes]:
@@ -135,7 +136,11 @@
     def _outgoing(self, directive: SendRequest) -> OutgoingRequest:
         request = self.request
         headers = server_headers(
-            request, directive.server_id, directive.time_left, self._resume_after(directive)
+            request,
+            directive.server_id,
+            directive.time_left,
+            self._resume_after(directive),
+            directive.tenant,
         )
         return OutgoingRequest(request.request_id, request.method, request.url, headers, self.body)
 
--- a/src/troutswitch/gateway/settings.py
+++ b/src/troutswitch/gateway/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from troutswitch.common import Address
+from troutswitch.decisions.tenants.types import QuotaBounds
 
 
 class GatewaySettingsError(Exception):
@@ -32,6 +33,7 @@
     settle: float = 1.0
     acknowledge: float = 4.0
     job_kept: float = 120.0
+    quota: QuotaBounds = field(default_factory=QuotaBounds)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/platform/configuration.py
+++ b/src/troutswitch/platform/configuration.py
@@ -12,6 +12,7 @@
     ServerRecord,
     Service,
 )
+from troutswitch.decisions.tenants.types import Tenant, key_digest
 from troutswitch.platform.names import CONFIGURATION_KEY
 
 ROUTE_KINDS = {
@@ -45,6 +46,7 @@
     timeoutMs: float = DEFAULT_TIME_LIMIT_MS
     targetLatencyMs: float = 0.0
     maxAttempts: int = 1
+    allowAnonymous: bool = False
     priority: int = 0
     sticky: bool = False
     resumable: bool = False
@@ -65,6 +67,14 @@
     engine: _Engine | None = None
 
 
+class _Tenant(msgspec.Struct):
+    name: str
+    apiKeys: list[str] = []
+    priority: int | None = None
+    ratePerS: float = 0.0
+    burst: float = 0.0
+
+
 class _RequestLimits(msgspec.Struct):
     maxHeaderBytes: int = 16384
     maxBodyBytes: int = 4 * 1024 * 1024
@@ -77,6 +87,7 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _RequestLimits = msgspec.field(default_factory=_RequestLimits)
+    tenants: list[_Tenant] | None = None
 
 
 class _Server(msgspec.Struct):
@@ -110,7 +121,18 @@
         held.limits.idleTimeoutMs / 1000,
     )
     services = {service.name: _service(service) for service in held.services}
-    return FleetConfiguration(held.version, routes, services, limits)
+    tenants = None if held.tenants is None else tuple(_tenant(tenant) for tenant in held.tenants)
+    return FleetConfiguration(held.version, routes, services, limits, tenants)
+
+
+def _tenant(held: _Tenant) -> Tenant:
+    return Tenant(
+        held.name,
+        frozenset(key_digest(key) for key in held.apiKeys if key),
+        max(0.0, held.ratePerS),
+        max(0.0, held.burst),
+        held.priority,
+    )
 
 
 def _route(held: _Route) -> Route:
@@ -134,6 +156,7 @@
         queued_tokens_most=held.maxQueuedTokens,
         completion_target=held.completionTargetMs / 1000,
         retention=held.retentionS,
+        allows_anonymous=held.allowAnonymous,
     )
 
 
--- a/src/troutswitch/platform/jobs.py
+++ b/src/troutswitch/platform/jobs.py
@@ -87,15 +87,15 @@
         JobFormatError: a parameter is missing or wrong.
     """
     if request.method == "DELETE":
-        return JobEndAsked(token, target.job_id, request.time_left)
+        return JobEndAsked(token, target.job_id, request.time_left, request.caller_key)
     values = parse_qs(request.query)
     if target.is_item:
         item_id = values.get("id", [""])[0]
-        return BodyAsked(token, target.job_id, item_id, request.time_left)
+        return BodyAsked(token, target.job_id, item_id, request.time_left, request.caller_key)
     position = values.get("afterRevision", ["0"])[0]
     if not position.isdigit():
         raise JobFormatError(f"afterRevision: expected a number, got {position!r}")
-    return ResultsAsked(token, target.job_id, int(position), request.time_left)
+    return ResultsAsked(token, target.job_id, int(position), request.time_left, request.caller_key)
 
 
 def read_submission(token: int, request: IncomingRequest, body: bytes) -> JobSubmitted:
@@ -118,7 +118,14 @@
         raise JobFormatError("an item's id stands twice")
     digest = hashlib.blake2b(body, digest_size=12).hexdigest()
     return JobSubmitted(
-        token, request.request_id, request.host, request.path, items, digest, request.time_left
+        token,
+        request.request_id,
+        request.host,
+        request.path,
+        items,
+        digest,
+        request.time_left,
+        request.caller_key,
     )
 
 
--- a/src/troutswitch/platform/names.py
+++ b/src/troutswitch/platform/names.py
@@ -10,6 +10,8 @@
 SERVER_LOAD = "X-Troutswitch-Server-Load"
 NOT_EXECUTED = "X-Troutswitch-Not-Executed"
 LAST_EVENT_ID = "Last-Event-Id"
+API_KEY = "Api-Key"
+TENANT = "X-Troutswitch-Tenant"
 RETRY_AFTER = "Retry-After"
 
 SETTINGS_VARIABLE = "TROUTSWITCH_NODE_FILE"
@@ -42,6 +44,14 @@
 """Headers of a single connection, in lower case; they are not forwarded."""
 
 SYSTEM_HEADERS = frozenset(
-    {DEADLINE_MS.lower(), EXPECT_INSTANCE.lower(), LAST_EVENT_ID.lower(), "host"}
+    {
+        DEADLINE_MS.lower(),
+        EXPECT_INSTANCE.lower(),
+        LAST_EVENT_ID.lower(),
+        API_KEY.lower(),
+        TENANT.lower(),
+        "host",
+    }
 )
-"""Headers that the adapter sets itself on a forwarded request, in lower case."""
+"""Headers that the adapter sets itself on a forwarded request, or keeps from servers, in lower
+case."""
--- a/src/troutswitch/platform/requests.py
+++ b/src/troutswitch/platform/requests.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from troutswitch.decisions.forwarding.types import PromptPart, PromptShape, ServerLoad
+from troutswitch.decisions.tenants.types import NO_KEY, NO_TENANT, key_digest
 from troutswitch.platform import names
 
 Environ = dict[str, Any]
@@ -16,7 +17,10 @@
 
 @dataclass(frozen=True, slots=True)
 class IncomingRequest:
-    """A caller's request as the platform's forms tell it."""
+    """A caller's request as the platform's forms tell it.
+
+    `caller_key` is the digest of the key that the caller shows, empty if it shows none.
+    """
 
     request_id: str
     method: str
@@ -28,6 +32,7 @@
     time_left: float
     last_event_id: str
     prompt: PromptShape
+    caller_key: str = NO_KEY
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +65,7 @@
         prompt=read_prompt(
             _header(environ, names.TOKEN_USAGE), _header(environ, names.PROMPT_PREFIX)
         ),
+        caller_key=key_digest(_header(environ, names.API_KEY)),
     )
 
 
@@ -98,10 +104,16 @@
 
 
 def server_headers(
-    request: IncomingRequest, server_id: str, time_left: float | None, resume_after: str
+    request: IncomingRequest,
+    server_id: str,
+    time_left: float | None,
+    resume_after: str,
+    tenant: str = NO_TENANT,
 ) -> Headers:
     """Returns the headers of a request to a server."""
     headers: Headers = [("Host", request.host), *request.headers]
+    if tenant:
+        headers.append((names.TENANT, tenant))
     headers.append((names.EXPECT_INSTANCE, server_id))
     if time_left is not None:
         headers.append((names.DEADLINE_MS, str(max(1, int(time_left * 1000)))))
@@ -143,7 +155,12 @@
 
 
 def item_headers(
-    host: str, item_id: str, headers: dict[str, str], server_id: str, resume_after: str
+    host: str,
+    item_id: str,
+    headers: dict[str, str],
+    server_id: str,
+    resume_after: str,
+    tenant: str = NO_TENANT,
 ) -> Headers:
     """Returns the headers of a batch item's request to a server."""
     rows: Headers = [("Host", host), (names.REQUEST_ID, item_id)]
@@ -153,6 +170,8 @@
         if name.lower() not in names.CONNECTION_HEADERS | names.SYSTEM_HEADERS
         and name.lower() != names.REQUEST_ID.lower()
     ]
+    if tenant:
+        rows.append((names.TENANT, tenant))
     rows.append((names.EXPECT_INSTANCE, server_id))
     if resume_after:
         rows.append((names.LAST_EVENT_ID, resume_after))
--- a/src/troutswitch/platform/settings.py
+++ b/src/troutswitch/platform/settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from troutswitch.common import Address
+from troutswitch.decisions.tenants.types import QuotaBounds
 from troutswitch.gateway.settings import (
     Bounds,
     GatewaySettings,
@@ -33,6 +34,9 @@
     settleTimeoutMs: float = 1000
     ackTimeoutMs: float = 4000
     statusIntervalS: float = 120
+    quotaWindowS: float = 5
+    quotaOvershoot: float = 0.1
+    quotaSlack: float = 20
 
 
 class _Store(msgspec.Struct):
@@ -125,6 +129,7 @@
             settle=bounds.settleTimeoutMs / 1000,
             acknowledge=bounds.ackTimeoutMs / 1000,
             job_kept=bounds.statusIntervalS,
+            quota=QuotaBounds(bounds.quotaWindowS, bounds.quotaOvershoot, bounds.quotaSlack),
         ),
         memory_mb=held.limits.memory_mb,
         descriptors_most=held.limits.max_fds,
--- a/src/troutswitch/simulation/gatewayworld.py
+++ b/src/troutswitch/simulation/gatewayworld.py
@@ -57,6 +57,7 @@
     StoreAnswered,
     StoreCall,
 )
+from troutswitch.decisions.tenants.types import Tenant
 from troutswitch.outcomes import AttemptKind
 from troutswitch.simulation.jobclients import JOB_KEPT_SECONDS, JobClients
 from troutswitch.simulation.jobtruth import EVENTS_AN_ITEM, JobTruth, event_text
@@ -108,6 +109,7 @@
         tokens_most: int = 0,
         change: Callable[[StoreCall], StoreCall] | None = None,
         more_routes: tuple[Route, ...] = (),
+        tenants: tuple[Tenant, ...] | None = None,
     ) -> None:
         self.env = simpy.Environment()
         self.rng = random.Random(seed)
@@ -136,7 +138,8 @@
         )
         services = {SERVICE: Service(SERVICE, 100, 8, 0)}
         routes = (route, *more_routes)
-        self._formats = PlainFormats(FleetConfiguration(1, routes, services, RequestLimits()))
+        configuration = FleetConfiguration(1, routes, services, RequestLimits(), tenants)
+        self._formats = PlainFormats(configuration)
         self.publish(1)
         for number in range(servers):
             self.list_server(f"server-{number}", 8)
--- a/tests/decisions/forwarding/test_requests.py
+++ b/tests/decisions/forwarding/test_requests.py
@@ -5,7 +5,8 @@
 
 from tests.decisions.forwarding.worlds import World, arrival, route, server
 from troutswitch.constants import ROOM_WAIT_SECONDS
-from troutswitch.decisions.crashes.interface import NoSuspects
+from troutswitch.decisions.crashes.interface import NO_SUSPECTS, NoSuspects
+from troutswitch.decisions.forwarding.arrivals import Arrivals
 from troutswitch.decisions.forwarding.messages import (
     AbortAttempt,
     AnswerBegun,
@@ -32,7 +33,7 @@
 
 def test_before_any_configuration_the_answer_is_not_404() -> None:
     world = World()
-    world.requests._routes = RouteTable()
+    world.requests.arrivals = Arrivals(RouteTable(), NO_SUSPECTS)
     outcome = finished(world.arrive(0.0, arrival(1))).outcome
     assert isinstance(outcome, NotRun)
     assert outcome.status == 503
--- a/tests/decisions/jobs/test_parts.py
+++ b/tests/decisions/jobs/test_parts.py
@@ -95,7 +95,7 @@
         index.take(0.0, records[number])
     assert index.jobs["job"].is_ended
     assert index.jobs["job"].tokens_left == 50
-    assert index.waiting_tokens("route") == 0
+    assert index.waiting_tokens("route", "") == 0
 
 
 def test_tokens_that_are_left_never_rise() -> None:
@@ -103,7 +103,7 @@
     index.take(0.0, manifest_record(MANIFEST))
     index.take(0.0, progress_record("job", 50))
     index.take(0.0, progress_record("job", 150))  # late, of a former owner
-    assert index.waiting_tokens("route") == 50
+    assert index.waiting_tokens("route", "") == 50
 
 
 def test_a_record_of_another_version_is_counted_and_left_out() -> None:
--- /dev/null
+++ b/tests/decisions/jobs/test_tenants.py
@@ -0,0 +1,119 @@
+"""Jobs belong to tenants: whose key opens which job, and whose tokens count against whom."""
+
+import pytest
+
+from troutswitch.decisions.jobs.messages import (
+    BodyAsked,
+    ItemBody,
+    JobAccepted,
+    JobAnswer,
+    JobEndAsked,
+    JobEnded,
+    JobRefused,
+    JobResults,
+    JobSubmitted,
+    ResultsAsked,
+    RunItem,
+)
+from troutswitch.decisions.jobs.records import JobItem, Manifest, manifest_record, read_manifest
+from troutswitch.decisions.tenants.types import Tenant, key_digest
+from troutswitch.simulation.gatewayworld import Daemon, GatewayWorld
+from troutswitch.simulation.plainformats import HOST, PREFIX
+
+OURS = key_digest("ours-1")
+OURS_NEW = key_digest("ours-2")
+THEIRS = key_digest("theirs-1")
+UNKNOWN = key_digest("nobody")
+
+
+class TenantWorld(GatewayWorld):
+    """Daemons with two tenants; notes for which tenant items run."""
+
+    def __init__(self, seed: int = 1, tokens_most: int = 0) -> None:
+        self.ran_for: set[str] = set()
+        tenants = (
+            Tenant("ours", frozenset({OURS, OURS_NEW})),
+            Tenant("theirs", frozenset({THEIRS})),
+        )
+        super().__init__(seed, tokens_most=tokens_most, tenants=tenants)
+        self.run(3.0)
+
+    def run_item(self, daemon: Daemon, run: RunItem) -> None:
+        self.ran_for.add(run.tenant)
+        super().run_item(daemon, run)
+
+    def call(self, event: object) -> JobAnswer:
+        """Makes a call and returns its answer."""
+        answers: list[JobAnswer] = []
+        self.ask_any(event, answers.append)
+        self.run(2.5)
+        assert answers, "a call was not answered"
+        return answers[0]
+
+    def hand_in_for(self, key: str, job_id: str = "job", tokens: int = 100) -> JobAnswer:
+        items = (JobItem(f"{job_id}-0", f"{PREFIX}0", (), b"body", tokens),)
+        return self.call(
+            JobSubmitted(self.next_token(), job_id, HOST, PREFIX, items, "d", 4.0, key)
+        )
+
+
+def status(answer: JobAnswer) -> int:
+    assert isinstance(answer, JobRefused)
+    return answer.status
+
+
+def test_items_run_for_the_tenant_whose_key_handed_them_in() -> None:
+    world = TenantWorld()
+    assert isinstance(world.hand_in_for(OURS), JobAccepted)
+    world.run(8.0)
+    assert world.ran_for == {"ours"}
+
+
+@pytest.mark.parametrize("key", ["", UNKNOWN])
+def test_no_call_about_a_job_goes_without_a_known_key(key: str) -> None:
+    world = TenantWorld()
+    assert status(world.hand_in_for(key)) == 401
+    assert isinstance(world.hand_in_for(OURS), JobAccepted)
+    assert status(world.call(ResultsAsked(world.next_token(), "job", 0, 4.0, key))) == 401
+    assert status(world.call(BodyAsked(world.next_token(), "job", "job-0", 4.0, key))) == 401
+    assert status(world.call(JobEndAsked(world.next_token(), "job", 4.0, key))) == 401
+
+
+def test_another_tenant_learns_nothing_of_a_job_not_even_that_it_exists() -> None:
+    world = TenantWorld()
+    assert isinstance(world.hand_in_for(OURS), JobAccepted)
+    for job_id in ("job", "no-job"):
+        results = world.call(ResultsAsked(world.next_token(), job_id, 0, 4.0, THEIRS))
+        body = world.call(BodyAsked(world.next_token(), job_id, "job-0", 4.0, THEIRS))
+        end = world.call(JobEndAsked(world.next_token(), job_id, 4.0, THEIRS))
+        assert {results, body, end} == {JobRefused(404, "no such job")}
+    assert isinstance(world.call(ResultsAsked(world.next_token(), "job", 0, 4.0, OURS)), JobResults)
+
+
+def test_another_key_of_the_tenant_goes_on_with_its_job() -> None:
+    world = TenantWorld()
+    world.hand_in_for(OURS)
+    answer = world.call(BodyAsked(world.next_token(), "job", "job-0", 4.0, OURS_NEW))
+    assert isinstance(answer, ItemBody | JobRefused)
+    assert isinstance(world.hand_in_for(OURS_NEW), JobAccepted)
+    assert isinstance(world.call(JobEndAsked(world.next_token(), "job", 4.0, OURS_NEW)), JobEnded)
+
+
+def test_the_same_id_of_another_tenant_is_not_taken_for_a_resend() -> None:
+    world = TenantWorld()
+    assert isinstance(world.hand_in_for(OURS), JobAccepted)
+    assert status(world.hand_in_for(THEIRS)) == 409
+
+
+def test_tokens_that_wait_are_counted_by_tenant() -> None:
+    world = TenantWorld(tokens_most=1000)
+    for daemon in world.daemons.values():
+        daemon.core.jobs.owner.is_draining = True  # so that nothing is done meanwhile
+    assert isinstance(world.hand_in_for(OURS, "a", 900), JobAccepted)
+    assert status(world.hand_in_for(OURS, "b", 900)) == 429
+    assert isinstance(world.hand_in_for(THEIRS, "c", 900), JobAccepted)
+
+
+def test_a_manifest_keeps_its_tenant() -> None:
+    manifest = Manifest("job", "route", HOST, 1, 10, "d", 0, 5.0, "ours")
+    assert read_manifest("job", manifest_record(manifest).value) == manifest
--- /dev/null
+++ b/tests/decisions/tenants/test_asked.py
@@ -0,0 +1,185 @@
+"""Quotas that coordinators count: asks, answers, silence, and changes of who counts."""
+
+import random
+
+import pytest
+
+from tests.decisions.forwarding.worlds import server
+from troutswitch.common import Address
+from troutswitch.daemons import datagram
+from troutswitch.daemons.slotmessages import QuotaAnswer, QuotaAsk
+from troutswitch.decisions.slots.claims import Claim, CoordinatorClaims
+from troutswitch.decisions.slots.groups import ServerGroups
+from troutswitch.decisions.slots.messages import SendToPeers
+from troutswitch.decisions.storage.follower import CallNumbers
+from troutswitch.decisions.tenants.asked import ANSWER_SECONDS, AskedQuota
+from troutswitch.decisions.tenants.quota import QuotaWord
+from troutswitch.decisions.tenants.types import QuotaBounds, Tenant
+
+TENANT = Tenant("t", frozenset(), rate=2.0, burst=2.0)
+FREE = Tenant("free", frozenset())
+HERE = Address("127.0.0.1", 1)
+THERE = Address("127.0.0.1", 2)
+
+
+class Daemon:
+    """One daemon's quota, with what it sends."""
+
+    def __init__(self, name: str, address: Address, *, leases: bool = False) -> None:
+        self.sent: list[SendToPeers] = []
+        self.coordinated: dict[str, float] = {}
+        groups = ServerGroups()
+        groups.update([server("s0"), server("s1")])
+        self.group = groups.all()[0].name
+        rng = random.Random(1)
+        self.claims = CoordinatorClaims(
+            name, "z", address, groups, CallNumbers(), rng, lambda event, **fields: None
+        )
+        self.quota = AskedQuota(
+            name,
+            address,
+            QuotaBounds(),
+            groups,
+            self.claims,
+            self.coordinated,
+            lambda: 1,
+            lambda: 10,
+            self._emit,
+            rng,
+            leases=leases,
+        )
+
+    def _emit(self, made: object) -> None:
+        if isinstance(made, SendToPeers):
+            self.sent.append(made)
+
+    def coordinate(self, since: float = -100.0) -> None:
+        self.coordinated[self.group] = since
+
+    def know_coordinator(self, name: str, address: Address) -> None:
+        self.claims.take_told([])
+        self.claims._take(Claim(self.group, name, address, 1))
+
+    def message(self) -> QuotaAsk | QuotaAnswer:
+        message = datagram.decode(datagram.encode(self.sent.pop().message))
+        assert isinstance(message, QuotaAsk | QuotaAnswer)
+        return message
+
+
+def pair(*, leases: bool = False) -> tuple[Daemon, Daemon]:
+    asking, counting = Daemon("a", HERE, leases=leases), Daemon("b", THERE)
+    counting.coordinate()
+    asking.know_coordinator("b", THERE)
+    return asking, counting
+
+
+def ask(now: float, token: int, asking: Daemon, counting: Daemon) -> QuotaWord:
+    word = asking.quota.take(now, token, TENANT)
+    if word is not None:
+        return word
+    question = asking.message()
+    assert isinstance(question, QuotaAsk)
+    counting.quota.on_ask(now, question)
+    answer = counting.message()
+    assert isinstance(answer, QuotaAnswer)
+    ended = asking.quota.on_answer(now, answer)
+    assert [end.token for end in ended] == [token]
+    return ended[0].word
+
+
+def test_a_tenant_without_a_limit_costs_no_message() -> None:
+    asking, _ = pair()
+    word = asking.quota.take(0.0, 1, FREE)
+    assert word is not None
+    assert word.is_allowed
+    assert not asking.sent
+
+
+def test_many_daemons_share_one_count() -> None:
+    asking, counting = pair()
+    words = [ask(0.0, n, asking, counting).is_allowed for n in range(40)]
+    words += [ask(0.0, n, counting, counting).is_allowed for n in range(40, 60)]
+    assert 0 < sum(words) <= (2 * 5 + 2) * 1.1 + 20
+    assert not words[-1]
+
+
+def test_a_refusal_tells_when_there_is_room() -> None:
+    asking, counting = pair()
+    while (word := ask(0.0, 1, asking, counting)).is_allowed:
+        pass
+    assert 0 < word.wait <= 1.0
+    assert word.decided_by == "counted by b"
+
+
+def test_a_silent_coordinator_is_waited_for_a_moment_and_then_suspected() -> None:
+    asking, _ = pair()
+    assert asking.quota.take(0.0, 1, TENANT) is None
+    assert asking.quota.next_due() == ANSWER_SECONDS
+    assert asking.quota.on_timer(ANSWER_SECONDS / 2) == []
+    ended = asking.quota.on_timer(ANSWER_SECONDS)
+    assert [(end.token, end.word.is_allowed) for end in ended] == [(1, True)]
+    asking.quota.take(0.1, 2, TENANT)
+    asking.quota.on_timer(0.2)
+    assert asking.claims.coordinator(0.2, asking.group) is None
+    assert asking.quota.take(0.3, 3, TENANT) is not None
+
+
+def test_a_late_answer_changes_nothing() -> None:
+    asking, counting = pair()
+    asking.quota.take(0.0, 1, TENANT)
+    question = asking.message()
+    assert isinstance(question, QuotaAsk)
+    counting.quota.on_ask(0.0, question)
+    asking.quota.on_timer(1.0)
+    answer = counting.message()
+    assert isinstance(answer, QuotaAnswer)
+    assert asking.quota.on_answer(1.0, answer) == []
+
+
+def test_a_withdrawn_request_gets_no_word() -> None:
+    asking, counting = pair()
+    asking.quota.take(0.0, 1, TENANT)
+    asking.quota.withdraw(1)
+    assert asking.quota.on_timer(1.0) == []
+    assert counting.quota.next_due() == float("inf")
+
+
+def test_a_daemon_that_does_not_count_says_so_and_the_asker_decides() -> None:
+    asking, counting = pair()
+    counting.coordinated.clear()
+    word = ask(0.0, 1, asking, counting)
+    assert word.is_allowed
+    assert asking.claims.coordinator(0.0, asking.group) is None
+
+
+def test_while_nobody_counts_a_tenant_gets_as_large_a_part_as_before() -> None:
+    """Else each of many daemons would allow the tenant's whole rate for as long as that lasts."""
+    asking, counting = pair()
+    for number in range(200):
+        ask(0.0, number, asking, counting)
+    asking.claims.on_denied(0.0, asking.group)
+    alone = [asking.quota.take(0.01 * n, n, TENANT) for n in range(100)]
+    assert sum(word is not None and word.is_allowed for word in alone) <= 3
+
+
+def test_with_leases_requests_go_without_a_message_while_much_is_left() -> None:
+    asking, counting = pair(leases=True)
+    words = [ask(0.0, number, asking, counting) for number in range(6)]
+    assert all(word.is_allowed for word in words)
+    assert [word.decided_by for word in words] == ["counted by b"] * 2 + ["lease"] * 4
+
+
+def test_a_lease_lapses() -> None:
+    asking, counting = pair(leases=True)
+    ask(0.0, 1, asking, counting)
+    ask(0.0, 2, asking, counting)
+    assert asking.quota.take(10.0, 3, TENANT) is None
+
+
+@pytest.mark.parametrize("rate", [0.0, -1.0])
+def test_an_ask_with_a_senseless_rate_is_answered(rate: float) -> None:
+    _, counting = pair()
+    counting.quota.on_ask(0.0, QuotaAsk("a", HERE, 1, counting.group, "t", rate, 1.0, 1, 1))
+    answer = counting.message()
+    assert isinstance(answer, QuotaAnswer)
+    assert answer.granted == 0
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -15,6 +15,7 @@
 )
 from troutswitch.decisions.jobs.records import DEAD, DONE, ItemResult
 from troutswitch.decisions.storage.messages import KeyedRecord
+from troutswitch.decisions.tenants.types import key_digest
 from troutswitch.platform.configuration import (
     FormatError,
     PlatformFormats,
@@ -37,6 +38,7 @@
 )
 from troutswitch.platform.store import decode_records, encode_records
 
+TENANT_HEADER = "X-Troutswitch-Tenant"
 DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=60)
 
 
@@ -84,6 +86,37 @@
     assert not [value for name, value in sent if name == "Last-Event-Id"]
 
 
+def test_a_key_is_known_by_its_digest_alone_and_reaches_no_server() -> None:
+    request = read_request(environ(HTTP_API_KEY="secret-key"))
+    assert request.caller_key == key_digest("secret-key")
+    assert "secret-key" not in repr(request)
+    assert "secret-key" not in repr(server_headers(request, "i-9", 1.0, "", "ours"))
+    assert read_request(environ()).caller_key == ""
+
+
+def test_the_tenant_that_a_server_is_told_is_ours_whatever_the_caller_wrote() -> None:
+    forged = read_request(environ(HTTP_X_TROUTSWITCH_TENANT="theirs"))
+    told = [v for n, v in server_headers(forged, "i-9", 1.0, "", "ours") if n == TENANT_HEADER]
+    assert told == ["ours"]
+    assert "theirs" not in repr(server_headers(forged, "i-9", 1.0, ""))
+    own = {"x-troutswitch-TENANT": "theirs", "API-key": "secret-key"}
+    rows = item_headers("h", "item", own, "i-1", "", "ours")
+    assert [v for n, v in rows if n.lower() == TENANT_HEADER.lower()] == ["ours"]
+    assert "secret-key" not in repr(rows)
+
+
+def test_tenants_of_a_configuration_are_read_with_digests_of_their_keys() -> None:
+    text = b"""{"version": 7, "tenants": [
+        {"name": "a", "apiKeys": ["k1", "k2"], "priority": 1, "ratePerS": 65, "burst": 6.5},
+        {"name": "b", "apiKeys": []}]}"""
+    first, second = decode_configuration(text).tenants or ()
+    assert first.keys == {key_digest("k1"), key_digest("k2")}
+    assert (first.rate, first.burst, first.priority) == (65.0, 6.5, 1)
+    assert second.keys == frozenset()
+    assert not second.is_limited
+    assert decode_configuration(b'{"version": 7}').tenants is None
+
+
 def test_an_item_keeps_its_own_id() -> None:
     rows = item_headers("h", "item", {"X-Troutswitch-Request-Id": "other", "A": "b"}, "i-1", "")
     assert [v for n, v in rows if n == "X-Troutswitch-Request-Id"] == ["item"]
