--- a/src/troutswitch/cli/explain.py
+++ b/src/troutswitch/cli/explain.py
@@ -21,6 +21,8 @@
     "item given up": "dead-lettered",
     "job does not fit": "refused: too many tokens wait",
 }
+DECIDED_BY = ("status", "tenant", "decided_by", "come_back_ms", "configuration_version")
+"""Fields that tell what decided on a request, in the last line of its story."""
 
 
 @dataclass
@@ -35,8 +37,9 @@
         ends = [line for line in self.lines if line.event in ENDINGS]
         if ends:
             last = ends[-1]
-            reason = last.fields.get("reason", "")
-            return f"{ENDINGS[last.event]} at {last.daemon}: {reason}".rstrip(": ")
+            state = last.fields.get("state", "")
+            ending = f"{ENDINGS[last.event]} {state}".rstrip()
+            return f"{ending} at {last.daemon}: {_reason(ends)}".rstrip(": ")
         attempts = [line for line in self.lines if line.event == "attempt ended"]
         if attempts:
             last = attempts[-1]
@@ -46,6 +49,16 @@
         return f"no end was logged; the last word is {last.event!r} at {last.daemon}"
 
 
+def _reason(ends: list[Line]) -> str:
+    """Returns why it ended: an item that was given up is listed later, which tells no reason."""
+    told = [str(line.fields["reason"]) for line in ends if line.fields.get("reason")]
+    decided = [
+        f"{name}={ends[-1].fields[name]}" for name in DECIDED_BY if ends[-1].fields.get(name)
+    ]
+    facts = f" ({', '.join(decided)})" if decided else ""
+    return f"{told[-1] if told else ''}{facts}"
+
+
 def read_story(identifier: str, held: LogLines) -> Story:
     """Picks the lines that name an id."""
     named = [line for line in held.lines if _names(line, identifier)]
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -45,6 +45,12 @@
             ["outcome", "step", "route"],
             registry=self.registry,
         )
+        self._refusals = Counter(
+            "troutswitch_requests_refused",
+            "Requests refused on their arrival by status",
+            ["status"],
+            registry=self.registry,
+        )
         self._events = Counter(
             "troutswitch_decisions", "Decisions logged", ["event"], registry=self.registry
         )
@@ -90,6 +96,8 @@
         aborted = fields.get("close_to_abort_ms")
         if line.event == "caller gone" and isinstance(aborted, int):
             self._close_to_abort.observe(aborted / 1000)
+        if line.event == "request refused":
+            self._refusals.labels(str(fields.get("status", OTHER))).inc()
         if line.event == "request given up":
             labels = (str(fields.get(name, OTHER)) for name in ("outcome", "step", "route"))
             self._ends.labels(*labels).inc()
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -41,3 +41,21 @@
     assert told.output.splitlines()[-1] == "cause: given up at b: deadline reached"
     assert CliRunner().invoke(explain, ["y", *paths]).exit_code == 1
     assert CliRunner().invoke(explain, ["x", "--logs=/none"]).exit_code == 2
+
+
+def test_an_item_that_was_given_up_says_why_although_it_was_listed_later() -> None:
+    """What an operator saw: an item given up after a 422 ended with "listed at", and no reason."""
+    rows = [
+        line("T1", "a", "item given up", item_id="i", reason="status 422"),
+        line("T2", "a", "item listed", item_id="i", state="dead", position=0),
+    ]
+    assert read_story("i", read_lines(rows)).cause() == "listed dead at a: status 422"
+
+
+def test_a_refusal_says_what_decided_it() -> None:
+    fields = {"reason": "above the tenant's quota", "status": 429, "tenant": "t", "decided_by": "b"}
+    rows = [line("T1", "a", "request refused", request_id="x", configuration_version=7, **fields)]
+    assert read_story("x", read_lines(rows)).cause() == (
+        "refused at a: above the tenant's quota "
+        "(status=429, tenant=t, decided_by=b, configuration_version=7)"
+    )
