A test of a cut stream waits for the line that tells its end

Cause: seen once, in the whole script beside four plays (load 11): no line 'request ended' yet when the test read the log; the captured output has the line with the very id, so it was written after the answer, by the log's own thread. Ruled out: a lost line (it is there). Change: the test waits for the line, and then asserts what it asserted.

--- a/tests/system/test_failures.py
+++ b/tests/system/test_failures.py
@@ -7,6 +7,7 @@
 import socket
 import threading
 from collections.abc import Iterator
+from typing import Any
 
 import openai
 import pytest
@@ -63,6 +64,10 @@
     assert text == expected_answer("cut me", 12)
 
 
+def lines_of_ends(fleet: Fleet) -> list[dict[str, Any]]:
+    return [line for line in fleet.log_lines() if line["event"] == "request ended"]
+
+
 def test_a_stream_that_cannot_be_continued_ends_in_an_error(fleet: Fleet) -> None:
     for address in fleet.engines.values():
         fleet.set_faults(address, cut_after_tokens=1)
@@ -72,7 +77,8 @@
     assert status == 200 and b"[DONE]" not in answer
     error = json.loads(answer.strip().splitlines()[-1][6:])["error"]
     assert error["not_run"] is False and error["step"] and error["peer"]
-    ended = [line for line in fleet.log_lines() if line["event"] == "request ended"]
+    wait_until(lambda: bool(lines_of_ends(fleet)), "the line is written, which a thread does")
+    ended = lines_of_ends(fleet)
     assert [line["request_id"] for line in ended] == [error["request_id"]]
     assert (ended[0]["step"], ended[0]["peer"]) == (error["step"], error["peer"])
 
