The soak has tenants: whose request runs, for whom, and that no server sees a key

Change: two tenants in the soak's configuration; callers and clients of jobs show keys and forge a tenant's name, one request in forty shows a key of nobody; the model server notes the tenant and whether it saw a key; checks for UNASKED and ROUTE, each caught with its evidence broken. Violation has a module of its own. Not played: quotas, keys taken away, starving.

--- a/src/troutswitch/platform/standinforms.py
+++ b/src/troutswitch/platform/standinforms.py
@@ -19,6 +19,14 @@
     is_resumable: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class TenantForm:
+    """A tenant as an operator writes it, without a limit."""
+
+    name: str
+    keys: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RouteLimitsForm:
     """Limits that all routes of a configuration share; times are seconds."""
@@ -58,8 +66,9 @@
     slots: int,
     routes: Sequence[RouteForm],
     limits: RouteLimitsForm,
+    tenants: Sequence[TenantForm] = (),
 ) -> bytes:
-    """Writes a configuration."""
+    """Writes a configuration; one without tenants asks for no keys."""
     shared = {
         "timeoutMs": limits.time_limit * 1000,
         "targetLatencyMs": limits.objective * 1000,
@@ -84,4 +93,6 @@
     services = [{"name": service, "maxConnections": 200, "engine": {"slots": slots}}]
     sizes = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304}
     record = {"version": version, "routes": rows, "services": services, "limits": sizes}
+    if tenants:
+        record["tenants"] = [{"name": held.name, "apiKeys": held.keys} for held in tenants]
     return json.dumps(record).encode()
--- a/src/troutswitch/soak/callers.py
+++ b/src/troutswitch/soak/callers.py
@@ -11,6 +11,7 @@
 from troutswitch.common import Address
 from troutswitch.platform import names
 from troutswitch.soak.evidence import Evidence, Exchange, Kind, Outcome
+from troutswitch.soak.tenants import STRANGER_KEY, is_stranger, key_of, tenant_of
 
 HOST = "soak.example"
 DEADLINE_SECONDS = 6.0
@@ -25,6 +26,8 @@
 """Share of requests whose caller leaves before the answer is whole."""
 BODY_BYTES_MOST = 3000
 """Largest body; above one segment on the wire."""
+FORGED_TENANT = "forged"
+"""What callers write for their tenant's name; no server may see it."""
 KINDS = (Kind.READ, Kind.ONCE, Kind.STREAM, Kind.STREAM_ONCE)
 
 
@@ -36,10 +39,15 @@
     address: Address
 
 
-def request_headers(request_id: str) -> dict[str, str]:
-    """Returns the headers of a caller's request."""
+def request_headers(
+    request_id: str, owner: str = "", *, is_strange: bool = False
+) -> dict[str, str]:
+    """Returns the headers of a caller's request; `owner` is the job that a call is about."""
+    key = STRANGER_KEY if is_strange else key_of(tenant_of(owner or request_id))
     return {
         "Host": HOST,
+        names.API_KEY: key,
+        names.TENANT: FORGED_TENANT,
         names.REQUEST_ID: request_id,
         names.DEADLINE_MS: str(int(DEADLINE_SECONDS * 1000)),
         names.MODEL: "m",
@@ -63,7 +71,7 @@
 def exchange(connection: http.client.HTTPConnection, held: Exchange) -> bool:
     """Sends a request and takes its answer in; returns whether the connection may be kept."""
     try:
-        headers = request_headers(held.request_id)
+        headers = request_headers(held.request_id, is_strange=held.is_strange)
         connection.request("POST", held.path, held.body, headers)
         response = connection.getresponse()
         held.status = response.status
@@ -136,9 +144,11 @@
         held.daemon = self._front.daemon
         held.stray = stray_bytes(self._connection)
         held.sent_at = time.monotonic()
+        held.is_strange = is_stranger(held.request_id)
         with self.evidence.lock:
-            self.evidence.exchanges.append(held)
-        if leaves:
+            seen = self.evidence.strangers if held.is_strange else self.evidence.exchanges
+            seen.append(held)
+        if leaves and not held.is_strange:
             return self._leave(held)
         return exchange(self._connection, held)
 
--- a/src/troutswitch/soak/checks.py
+++ b/src/troutswitch/soak/checks.py
@@ -5,8 +5,6 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable
-from dataclasses import dataclass
 
 from troutswitch.soak.evidence import (
     AT_MOST_ONCE,
@@ -18,6 +16,8 @@
     Run,
 )
 from troutswitch.soak.schedule import CONTACT_SECONDS, Action
+from troutswitch.soak.tenantchecks import only_for_its_tenant, strangers_do_not_run
+from troutswitch.soak.violations import Check, Violation
 from troutswitch.standins.content import digest, event_bytes, event_texts, plain_answer
 
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
@@ -53,18 +53,6 @@
 """Log volume that one request may cost over all daemons, about thirty lines."""
 
 
-@dataclass(frozen=True, slots=True)
-class Violation:
-    """A broken promise and whom it struck."""
-
-    promise: str
-    subject: str
-    what: str
-
-
-Check = Callable[[Evidence], list[Violation]]
-
-
 def _begun(evidence: Evidence) -> dict[str, list[Run]]:
     held: dict[str, list[Run]] = defaultdict(list)
     for run in evidence.runs:
@@ -384,6 +372,8 @@
     jobs_are_found,
     ended_jobs_stop,
     ending_requests_stop,
+    only_for_its_tenant,
+    strangers_do_not_run,
     calm_end,
 )
 
--- a/src/troutswitch/soak/evidence.py
+++ b/src/troutswitch/soak/evidence.py
@@ -51,6 +51,8 @@
     answer: bytes = b""
     reason: str = ""
     stray: bytes = b""
+    is_strange: bool = False
+    """Whether it shows a key that nobody holds."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +68,8 @@
     model: str = ""
     after: int = 0
     status: int = 0
+    tenant: str = ""
+    has_key: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +141,8 @@
     ends: list[ProcessEnd] = field(default_factory=list)
     samples: list[Sample] = field(default_factory=list)
     unmet: list[tuple[str, str]] = field(default_factory=list)
+    strangers: list[Exchange] = field(default_factory=list)
+    """Requests with a key that nobody holds."""
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     def is_calm(self, begin: float, end: float) -> bool:
@@ -167,6 +173,8 @@
                 row.get("model", ""),
                 row.get("after", 0),
                 row.get("status", 0),
+                row.get("tenant", ""),
+                row.get("has_key", False),
             )
         )
     return runs
--- a/src/troutswitch/soak/jobs.py
+++ b/src/troutswitch/soak/jobs.py
@@ -39,14 +39,16 @@
     body: bytes
 
 
-def call(front: Front, method: str, path: str, call_id: str, body: bytes = b"") -> Answer:
-    """Makes one call about a job on a new connection."""
+def call(
+    front: Front, method: str, path: str, call_id: str, job_id: str, body: bytes = b""
+) -> Answer:
+    """Makes one call about a job on a new connection, with a key of the job's tenant."""
     try:
         connection = connect(front.address)
     except OSError:
         return Answer(0, b"")
     try:
-        connection.request(method, path, body, request_headers(call_id))
+        connection.request(method, path, body, request_headers(call_id, job_id))
         response = connection.getresponse()
         return Answer(response.status, response.read())
     except (OSError, http.client.HTTPException):
@@ -58,7 +60,7 @@
 def read_results(front: Front, job: JobSeen, position: int) -> int:
     """Reads results from a position, notes them, and returns the answer's status."""
     path = results_path(job.job_id, position)
-    answer = call(front, "GET", path, f"read-{job.job_id}")
+    answer = call(front, "GET", path, f"read-{job.job_id}", job.job_id)
     if answer.status in NO_SUCH_JOB:
         job.denied.append((front.daemon, time.monotonic()))
     if answer.status != 200:
@@ -111,7 +113,7 @@
         body = write_submission(job)
         for _ in range(HAND_IN_TRIES):
             front = self._random.choice(self.fronts)
-            answer = call(front, "POST", f"/item/{job.job_id}", job.job_id, body)
+            answer = call(front, "POST", f"/item/{job.job_id}", job.job_id, job.job_id, body)
             job.statuses.append(answer.status)
             if answer.status == ACCEPTED:
                 job.accepted_at = time.monotonic()
@@ -134,7 +136,8 @@
 
     def _end(self, front: Front, job: JobSeen) -> None:
         job.end_asked_at = job.end_asked_at or time.monotonic()
-        answer = call(front, "DELETE", f"{names.JOB_PATH}{job.job_id}", f"end-{job.job_id}")
+        path = f"{names.JOB_PATH}{job.job_id}"
+        answer = call(front, "DELETE", path, f"end-{job.job_id}", job.job_id)
         if answer.status == 200 and not job.ended_at:
             job.ended_at = time.monotonic()
 
--- a/src/troutswitch/soak/operator.py
+++ b/src/troutswitch/soak/operator.py
@@ -16,6 +16,7 @@
 from troutswitch.platform.store import StoreClient
 from troutswitch.soak.callers import HOST
 from troutswitch.soak.evidence import Kind
+from troutswitch.soak.tenants import tenant_forms
 
 SERVICE = "service-1"
 SLOTS = 8
@@ -72,7 +73,10 @@
             self.version += 1
             version = self.version
             probe = RouteForm(f"version-{version}", version_path(version), "idempotent")
-            record = configuration_record(version, HOST, SERVICE, SLOTS, (*ROUTES, probe), LIMITS)
+            routes = (*ROUTES, probe)
+            record = configuration_record(
+                version, HOST, SERVICE, SLOTS, routes, LIMITS, tenant_forms()
+            )
             if self._write(CONFIGURATION, CONFIGURATION_KEY, record):
                 self.acknowledged.append(Acknowledged(version, time.monotonic()))
 
--- a/src/troutswitch/soak/report.py
+++ b/src/troutswitch/soak/report.py
@@ -7,9 +7,9 @@
 from pathlib import Path
 from typing import Any
 
-from troutswitch.soak.checks import Violation
 from troutswitch.soak.evidence import Evidence, Outcome
 from troutswitch.soak.schedule import Schedule
+from troutswitch.soak.violations import Violation
 
 ROW_PIXELS = 16
 SECOND_PIXELS = 24
--- a/src/troutswitch/soak/run.py
+++ b/src/troutswitch/soak/run.py
@@ -9,7 +9,7 @@
 
 from troutswitch.soak.callers import Caller
 from troutswitch.soak.calmend import CalmEnd
-from troutswitch.soak.checks import Violation, find_violations
+from troutswitch.soak.checks import find_violations
 from troutswitch.soak.conductor import Conductor
 from troutswitch.soak.evidence import Evidence, read_journal
 from troutswitch.soak.fleet import Fleet
@@ -17,6 +17,7 @@
 from troutswitch.soak.probes import Prober
 from troutswitch.soak.report import Verdict
 from troutswitch.soak.schedule import Schedule, draw_schedule
+from troutswitch.soak.violations import Violation
 from troutswitch.soak.watcher import Watcher
 
 CHECK_SECONDS = 10.0
@@ -97,6 +98,7 @@
                 list(evidence.ends),
                 list(evidence.samples),
                 list(evidence.unmet),
+                list(evidence.strangers),
             )
         return find_violations(seen)
 
--- /dev/null
+++ b/src/troutswitch/soak/tenants.py
@@ -0,0 +1,29 @@
+"""The tenants of a soak: whose key a request shows follows from its id, so that checks know it."""
+
+from troutswitch.common import stable_hash
+from troutswitch.platform.standinforms import TenantForm
+
+NAMES = ("east", "west")
+STRANGER_EACH = 40
+"""One request in so many shows a key that no configuration ever held."""
+STRANGER_KEY = "key-of-nobody"
+
+
+def key_of(tenant: str) -> str:
+    """Returns a tenant's key."""
+    return f"key-of-{tenant}"
+
+
+def tenant_of(owner: str) -> str:
+    """Returns the tenant whose request or job it is, by its id."""
+    return NAMES[stable_hash("tenant", owner) % len(NAMES)]
+
+
+def is_stranger(request_id: str) -> bool:
+    """Returns whether a request shows a key that nobody holds."""
+    return stable_hash("stranger", request_id) % STRANGER_EACH == 0
+
+
+def tenant_forms() -> tuple[TenantForm, ...]:
+    """Returns the tenants as the operator writes them; none has a limit."""
+    return tuple(TenantForm(name, (key_of(name),)) for name in NAMES)
--- a/src/troutswitch/standins/modelserver.py
+++ b/src/troutswitch/standins/modelserver.py
@@ -112,6 +112,8 @@
             body=digest(body),
             model=self.headers.get(names.MODEL, ""),
             after=resume_after,
+            tenant=self.headers.get(names.TENANT, ""),
+            has_key=names.API_KEY in self.headers,
         )
         self._run(request_id, body, resume_after, behaviour)
 
--- a/tests/soak/evidences.py
+++ b/tests/soak/evidences.py
@@ -12,6 +12,7 @@
     StruckSpan,
 )
 from troutswitch.soak.schedule import Action, LinkFault, Strike
+from troutswitch.soak.tenants import tenant_of
 from troutswitch.standins.content import digest, event_bytes, event_texts, plain_answer
 
 SERVER = "server-0-1"
@@ -38,7 +39,16 @@
 
 def run_of(held: Exchange, at: float = 10.05) -> Run:
     """The line that a server wrote as it began a request."""
-    return Run("begun", held.request_id, at, SERVER, held.path, digest(held.body), "m")
+    return Run(
+        "begun",
+        held.request_id,
+        at,
+        SERVER,
+        held.path,
+        digest(held.body),
+        "m",
+        tenant=tenant_of(held.request_id),
+    )
 
 
 def listed_job(job_id: str = "job") -> JobSeen:
@@ -56,7 +66,9 @@
     """The line of a server that began an item."""
     item = list(job.items)[number]
     path = item_path(job.job_id, number)
-    return Run(kind, item, at, SERVER, path, digest(job.items[item]), "m")
+    return Run(
+        kind, item, at, SERVER, path, digest(job.items[item]), "m", tenant=tenant_of(job.job_id)
+    )
 
 
 def struck(action: Action, begin: float, end: float, target: str = "daemon-0") -> StruckSpan:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -375,3 +375,32 @@
 def test_a_server_that_ended_under_a_request_did_not_end_by_itself() -> None:
     assert not ProcessEnd("server-0", 1, 10.0, ENDED_CODE, 0).is_own
     assert ProcessEnd("server-0", 1, 10.0, 1, 0).is_own
+
+
+@pytest.mark.parametrize("told", ["", "forged"])
+def test_a_run_for_another_tenant_is_found(told: str) -> None:
+    evidence = all_well()
+    evidence.runs[0] = replace(evidence.runs[0], tenant=told)
+    assert promises(evidence) == {"UNASKED"}
+
+
+def test_an_item_s_run_for_another_tenant_is_found() -> None:
+    evidence = all_well()
+    evidence.runs[-1] = replace(evidence.runs[-1], tenant="forged")
+    assert promises(evidence) == {"UNASKED"}
+
+
+def test_a_key_that_a_server_was_shown_is_found() -> None:
+    evidence = all_well()
+    evidence.runs[0] = replace(evidence.runs[0], has_key=True)
+    assert promises(evidence) == {"UNASKED"}
+
+
+@pytest.mark.parametrize(("status", "is_found"), [(401, False), (503, False), (200, True)])
+def test_a_stranger_that_is_served_is_found(status: int, is_found: bool) -> None:
+    evidence = all_well()
+    stranger = replace(answered("stranger", Kind.READ), status=status)
+    evidence.strangers.append(stranger)
+    assert promises(evidence) == ({"ROUTE"} if is_found else set())
+    evidence.runs.append(run_of(stranger))
+    assert "ROUTE" in promises(evidence)
