--- a/src/troutswitch/callers/context.py
+++ b/src/troutswitch/callers/context.py
@@ -1,6 +1,5 @@
 """What the callers' applications need of their daemon."""
 
-import hashlib
 import itertools
 import threading
 from collections.abc import Callable, Iterable
@@ -11,6 +10,7 @@
 from troutswitch.callers.parsing import BadInput
 from troutswitch.decisions.effects import CallAnswer, CallRefused
 from troutswitch.decisions.events import Event
+from troutswitch.decisions.tenants.types import key_digest
 from troutswitch.decisions.views import Directory
 from troutswitch.outcomes import Step
 from troutswitch.runtime.effects import EffectRunner
@@ -92,7 +92,7 @@
         directory = self.directory
         scheme, _, key = request.header("Authorization").partition(" ")
         if scheme.lower() == "bearer" and key:
-            digest = hashlib.sha256(key.strip().encode()).hexdigest()
+            digest = key_digest(key.strip())
             for known, tenant in directory.tenant_of_key:
                 if known == digest:
                     return tenant
