What is remembered of items' paths is bounded

Cause: found by reading the diff: nobody called what forgets jobs, so an owner kept a count of paths for each job of its life. Ruled out: forgetting with each job's end, which an owner hears of in several ways. Change: the newest 1,024 are kept; what was forgotten is looked up in the shard again.

--- a/src/troutswitch/decisions/jobs/itemcontents.py
+++ b/src/troutswitch/decisions/jobs/itemcontents.py
@@ -14,6 +14,8 @@
 
 SHARED_METHOD = "ITEMS"
 """Stands for the method in the name of several items, which no request can have."""
+REMEMBERED_MOST = 1024
+"""Jobs, and paths of done items, that are remembered; one that was forgotten is looked up again."""
 
 
 class ItemContents:
@@ -25,7 +27,7 @@
 
     def __init__(self, replicas: JobReplicas) -> None:
         self._replicas = replicas
-        self._done: set[tuple[str, str]] = set()
+        self._done: dict[tuple[str, str], None] = {}
         """Jobs and paths of which an item was done here."""
         self._paths: dict[str, Counter[str]] = {}
         """How many items of a job have a path; kept once all items of the job were read."""
@@ -42,12 +44,7 @@
     def on_done(self, progress: ItemProgress) -> None:
         """An item was done: from now on those that share its path are named apart."""
         if self._siblings(progress) > 1:
-            self._done.add((progress.job_id, progress.item.path))
-
-    def forget(self, jobs: set[str]) -> None:
-        """Forgets all jobs but those given."""
-        self._done = {held for held in self._done if held[0] in jobs}
-        self._paths = {job_id: held for job_id, held in self._paths.items() if job_id in jobs}
+            self._note_done(progress)
 
     def _own(self, progress: ItemProgress) -> str:
         entry = self._replicas.index.jobs.get(progress.job_id)
@@ -73,6 +70,8 @@
             entry = self._replicas.index.jobs.get(progress.job_id)
             if entry is not None and len(items) == entry.manifest.item_count:
                 self._paths[progress.job_id] = paths
+                if len(self._paths) > REMEMBERED_MOST:
+                    del self._paths[next(iter(self._paths))]
         return paths[progress.item.path]
 
     def _was_done(self, progress: ItemProgress) -> bool:
@@ -84,8 +83,13 @@
         done = {result.item_id for result in content.results.values() if result.state == DONE}
         if not any(item.item_id in done and item.path == path for item in content.items()):
             return False
-        self._done.add((progress.job_id, path))
+        self._note_done(progress)
         return True
 
+    def _note_done(self, progress: ItemProgress) -> None:
+        self._done[progress.job_id, progress.item.path] = None
+        if len(self._done) > REMEMBERED_MOST:
+            del self._done[next(iter(self._done))]
+
     def _content(self, progress: ItemProgress) -> JobContent:
         return self._replicas.shard(progress.shard).fold.content(progress.job_id)
