Logs and metrics tell which configuration handled what, how old it was and how it came

Cause: a version in force, the age of that knowledge, the path by which it came, the version that a request was bound to and the reason for which each engine was left out could not be told from logs, so the hypotheses of the incident could not be told apart. Change: fields learnt_by, configuration_age_ms and admitted_version on requests and items, engines_left_out on requests without an engine; lines for failed and regained reads of the configuration; gauges for age, path, read in flight, blocking calls and unusable entries. A peer's state has the configuration's age, in a second version of the encoding which only daemons that ask for it get; the form of the first version is unchanged. A malformed entry of the engine list is logged when it is new, not at each reading. Result: tests/decisions/test_configuration_logs.py; no behaviour of a request changes.

--- a/src/troutswitch/decisions/active_configuration.py
+++ b/src/troutswitch/decisions/active_configuration.py
@@ -10,8 +10,9 @@
 import random
 
 from troutswitch.daemons.messages import Heartbeat
-from troutswitch.daemons.peer_state import StoredRecord
-from troutswitch.decisions.forwarding.routes import RouteTable
+from troutswitch.daemons.peer_state import PeerState, StoredRecord
+from troutswitch.decisions.forwarding.log_events import milliseconds
+from troutswitch.decisions.forwarding.routes import LearntBy, RouteTable
 from troutswitch.decisions.gateway_messages import Formats, LimitsChanged
 from troutswitch.decisions.instruction_queue import InstructionQueue
 from troutswitch.decisions.storage.follower import CallNumbers, PartitionFollower
@@ -31,6 +32,7 @@
 OUTDATED_SECONDS = 0.4
 """Time for which reads must have failed before an unknown key may be one that was added
 meanwhile: as long as `peers/catch_up.py` waits before it asks a peer."""
+OUTCOME_LOGGED_CHARACTERS = 200
 
 
 class ActiveConfiguration:
@@ -70,6 +72,13 @@
         """Returns the version in force."""
         return self._routes.version
 
+    def age(self, now: float) -> float:
+        """Returns the time, in seconds, since no newer version existed as far as known here.
+
+        Safe to call from any thread.
+        """
+        return now - self._routes.current_at
+
     def set_apply_bound(self, seconds: float) -> None:
         """Follows a changed bound for applying a configuration."""
         self.follower.wait = CONFIGURATION_WAIT_SHARE * seconds
@@ -92,25 +101,61 @@
     def on_answer(self, now: float, outcome: StoreOutcome) -> None:
         """Takes the outcome of the read in flight."""
         self._now = now
+        failures, failing_since = self.follower.failures, self.follower.failing_since
         self.follower.on_answer(now, outcome)
+        self._routes.confirm(self.follower.current_at)
+        if not failures and self.follower.failures:
+            self._log_read("configuration read failed", now, now, outcome)
+        elif failures and not self.follower.failures:
+            self._log_read("configuration read again", now, failing_since)
+
+    def _log_read(
+        self, event: str, now: float, failing_since: float, outcome: StoreOutcome | None = None
+    ) -> None:
+        known = self._routes.known(now)
+        self._output.log(
+            event,
+            version=known.version,
+            age_ms=milliseconds(known.age),
+            learnt_by=known.learnt_by.value,
+            failing_ms=milliseconds(now - failing_since),
+            outcome="" if outcome is None else str(outcome)[:OUTCOME_LOGGED_CHARACTERS],
+        )
 
     def on_timer(self, now: float) -> list[StoreCall]:
-        """Reads on if it is due."""
-        return self.follower.on_timer(now)
-
-    def take(self, now: float, record: StoredRecord) -> None:
-        """Takes the configuration that a peer has in force."""
+        """Reads on if it is due; a call that was never answered counts as failed."""
+        failures = self.follower.failures
+        calls = self.follower.on_timer(now)
+        if not failures and self.follower.failures:
+            self._log_read("configuration read failed", now, now)
+        return calls
+
+    def take_from_peer(self, now: float, peer: str, state: PeerState) -> None:
+        """Takes what a peer knows of the configuration.
+
+        Without a record the peer has none that is newer, which confirms the one in force here.
+        """
         self._now = now
-        self._take_record(KeyedRecord(record.key, record.value))
+        if state.configuration is not None:
+            record = KeyedRecord(state.configuration.key, state.configuration.value)
+            if not self._put_in_force(record, LearntBy.PEER, peer):
+                return
+        self._routes.confirm(now - state.configuration_age)
 
     def _take_record(self, record: KeyedRecord) -> None:
+        is_first = self._routes.configuration is None
+        self._put_in_force(record, LearntBy.START if is_first else LearntBy.STORE)
+
+    def _put_in_force(self, record: KeyedRecord, learnt_by: LearntBy, peer: str = "") -> bool:
+        """Puts a record in force if it is newer; returns whether it could be decoded."""
         try:
             configuration = self._formats.configuration(record.key, record.value)
         except ValueError as error:
             self._output.log("configuration malformed", offset=record.offset, reason=str(error))
-            return
-        if configuration is None or not self._routes.replace(configuration):
-            return
+            return False
+        before = self._routes.known(self._now)
+        if configuration is None or not self._routes.replace(configuration, learnt_by):
+            return True
         self.record = StoredRecord(record.key, record.value)
         self._output.emit(LimitsChanged(configuration.limits))
         self._output.log(
@@ -118,4 +163,9 @@
             version=configuration.version,
             routes=len(configuration.routes),
             offset=record.offset,
+            learnt_by=learnt_by.value,
+            peer=peer,
+            replaced_version=before.version,
+            replaced_age_ms=milliseconds(before.age),
         )
+        return True
--- a/src/troutswitch/decisions/engine_membership.py
+++ b/src/troutswitch/decisions/engine_membership.py
@@ -100,7 +100,8 @@
     ) -> None:
         """Takes a list that was read here, or by a peer."""
         self.newest_list = (tuple(StoredRecord(row.key, row.value) for row in rows), read_at)
-        records = [record for row in rows if (record := self._decode(row)) is not None]
+        records, unusable = self._decode(rows)
+        self._engines.unusable_entries = unusable
         kept_before = self._engines.kept_missing
         came, left = self._engines.on_list(read_at, records)
         self._suspects.on_list(now)
@@ -114,12 +115,22 @@
         if left:
             self._output.emit(EnginesLeft(tuple(left)))
 
-    def _decode(self, row: KeyedRecord) -> EngineRecord | None:
-        try:
-            return self._formats.engine(row.key, row.value)
-        except ValueError as error:
-            self._output.log("engine record malformed", engine=row.key, reason=str(error))
-            return None
+    def _decode(self, rows: list[KeyedRecord]) -> tuple[list[EngineRecord], dict[str, str]]:
+        """Returns the entries of engines, and why each other entry names none.
+
+        An entry is logged when it, or what is wrong with it, is new.
+        """
+        records: list[EngineRecord] = []
+        unusable: dict[str, str] = {}
+        for row in rows:
+            try:
+                records.append(self._formats.engine(row.key, row.value))
+            except ValueError as error:
+                unusable[row.key] = str(error)
+        for key, reason in unusable.items():
+            if self._engines.unusable_entries.get(key) != reason:
+                self._output.log("engine record malformed", engine=key, reason=reason)
+        return records, unusable
 
     def _log_kept(self, read_at: float, peer: str) -> None:
         self._output.log(
--- a/src/troutswitch/decisions/forwarding/arrivals.py
+++ b/src/troutswitch/decisions/forwarding/arrivals.py
@@ -20,7 +20,7 @@
 Owns the requests that await a quota decision. Measurements: docs/POLICY.md, docs/design/tenants.md.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from troutswitch.decisions.crashes.interface import Suspects
 from troutswitch.decisions.forwarding.messages import RequestArrived
@@ -39,10 +39,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Admitted:
-    """A request that may be sent; `decided_by` says who counted it for the quota, for logs."""
+    """A request that may be sent.
+
+    `version` is that of the configuration that has `route`; `decided_by` says who counted it for
+    the quota. Both are for logs.
+    """
 
     arrival: RequestArrived
     route: Route
+    version: int
     tenant: Tenant
     decided_by: str
 
@@ -63,6 +68,7 @@
 
     arrival: RequestArrived
     route: Route
+    version: int
     tenant: Tenant
 
 
@@ -89,7 +95,7 @@
             return Refused(event, tenant)
         if event.content in self._suspects.refused:
             return Refused(event, self._suspects.refusal(now, event.content), tenant.name)
-        waiting = _AwaitingQuota(event, route, tenant)
+        waiting = _AwaitingQuota(event, route, self._routes.version, tenant)
         decision = self.quota.take(now, event.token, tenant)
         if decision is None:
             self._awaiting_quota[event.token] = waiting
@@ -107,13 +113,13 @@
         tenant = self.callers.identify(waiting.arrival.caller_key, waiting.route)
         if isinstance(tenant, NotRun):
             return Refused(waiting.arrival, tenant)
-        return self._decided(_AwaitingQuota(waiting.arrival, waiting.route, tenant), end.result)
+        return self._decided(replace(waiting, tenant=tenant), end.result)
 
     @staticmethod
     def _decided(waiting: _AwaitingQuota, decision: QuotaResult) -> Admitted | Refused:
         arrival, tenant = waiting.arrival, waiting.tenant
         if decision.is_allowed:
-            return Admitted(arrival, waiting.route, tenant, decision.decided_by)
+            return Admitted(arrival, waiting.route, waiting.version, tenant, decision.decided_by)
         refusal = NotRun(
             "above the tenant's quota", Step.ADMIT, "", decision.wait, ABOVE_QUOTA_STATUS
         )
--- a/src/troutswitch/decisions/forwarding/candidates.py
+++ b/src/troutswitch/decisions/forwarding/candidates.py
@@ -10,12 +10,16 @@
 Measurements: docs/POLICY.md.
 """
 
+import itertools
+
 from troutswitch.decisions.forwarding.engine import Engine
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.request import ForwardedRequest
 
 FULL_SECONDS = 0.15
 """Time for which an engine that rejected a request as full is left out."""
+ENGINES_LOGGED_MOST = 32
+"""Engines that one log line names."""
 
 
 def candidate_engines(
@@ -27,6 +31,36 @@
     return [engine for engine in untried if now >= engine.full_until] or untried
 
 
+def engines_left_out(
+    now: float, request: ForwardedRequest, engines: EngineRegistry
+) -> dict[str, str]:
+    """Returns why each engine of the request's service may not be sent it, by engine, for logs.
+
+    Entries of the engine list that could not be used stand there too, of whatever service.
+    """
+    left_out = {
+        engine.record.engine_id: reason
+        for engine in engines.engines.values()
+        if engine.record.service == request.service
+        and (reason := _reason_left_out(now, request, engine))
+    }
+    left_out |= engines.unusable_entries
+    return dict(itertools.islice(left_out.items(), ENGINES_LOGGED_MOST))
+
+
+def _reason_left_out(now: float, request: ForwardedRequest, engine: Engine) -> str:
+    """Returns why an engine is left out; an empty string if it isn't."""
+    if engine.is_draining:
+        return "draining"
+    if not engine.is_listed:
+        return "not listed"
+    if now < engine.ejected_until:
+        return f"failed {engine.failures} times in a row"
+    if engine.record.engine_id in request.tried:
+        return "tried"
+    return "rejected requests as full" if now < engine.full_until else ""
+
+
 def forget_tried(now: float, request: ForwardedRequest, engines: EngineRegistry) -> None:
     """Lets a request that waited go again to engines that it was sent to."""
     request.tried -= request.rejected_by
--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -42,6 +42,8 @@
     """Changes of which engines there are, after which groups are made anew."""
     kept_missing: set[str] = field(default_factory=set)
     """Engines that the last list lacks and that stay in use all the same."""
+    unusable_entries: dict[str, str] = field(default_factory=dict)
+    """Entries of the last list that name no engine to use, and why."""
     _sample_at: float = float("-inf")
     _left_at: dict[str, float] = field(default_factory=dict)
     """When peers reported that engines left the list, until a list read later decides."""
--- a/src/troutswitch/decisions/forwarding/log_events.py
+++ b/src/troutswitch/decisions/forwarding/log_events.py
@@ -4,6 +4,10 @@
 `troutswitch bound` (`hindsight`) read these lines, `gateway/metrics.py` counts them. Fields that
 end in `_ms` are whole milliseconds. `objective_ms` is the latency objective of the route,
 `client_timeout_ms` the time left with which the request came, `elapsed_ms` the time since then.
+`configuration_version` is the version in force, `configuration_age_ms` the time since the daemon
+knew that no newer one existed, `learnt_by` how it came; `admitted_version` is the version whose
+route the request goes by. `engines_left_out` has each engine of the service that it can't be sent
+to, and why.
 """
 
 from troutswitch.decisions.forwarding.admission import Deferral
@@ -16,6 +20,7 @@
 )
 from troutswitch.decisions.forwarding.placer import Assignment
 from troutswitch.decisions.forwarding.request import ForwardedRequest
+from troutswitch.decisions.forwarding.routes import KnownConfiguration
 from troutswitch.decisions.forwarding.run_times import ServiceTimes
 from troutswitch.outcomes import AttemptKind, Cut, MayHaveRun, NotRun, Step
 
@@ -28,7 +33,16 @@
     return round(min(seconds * 1000, MILLISECONDS_MOST))
 
 
-def line_of_refusal(refused: Refused, version: int) -> LogLine:
+def fields_of_configuration(known: KnownConfiguration) -> dict[str, object]:
+    """Returns the fields that tell what a daemon knows of the configuration."""
+    return {
+        "configuration_version": known.version,
+        "configuration_age_ms": milliseconds(known.age),
+        "learnt_by": known.learnt_by.value,
+    }
+
+
+def line_of_refusal(refused: Refused, known: KnownConfiguration) -> LogLine:
     """Returns the line of a request that is refused on its arrival."""
     refusal = refused.refusal
     return LogLine(
@@ -42,13 +56,17 @@
             "status": refusal.status,
             "retry_after_ms": milliseconds(refusal.retry_after or 0.0),
             "decided_by": refused.decided_by,
-            "configuration_version": version,
+            **fields_of_configuration(known),
         },
     )
 
 
 def line_of_start(
-    now: float, request: ForwardedRequest, assignment: Assignment, version: int, listed_at: float
+    now: float,
+    request: ForwardedRequest,
+    assignment: Assignment,
+    known: KnownConfiguration,
+    listed_at: float,
 ) -> LogLine:
     """Returns the line of an attempt that begins; the list of engines was read at `listed_at`."""
     engine = assignment.engine
@@ -66,7 +84,8 @@
             "load_age_ms": milliseconds(now - engine.load_at),
             "objective_ms": milliseconds(request.route.objective),
             "time_left_ms": milliseconds(request.ends_at - now),
-            "configuration_version": version,
+            **fields_of_configuration(known),
+            "admitted_version": request.admitted_version,
             "list_age_ms": milliseconds(now - listed_at),
             "client_timeout_ms": milliseconds(request.arrival.time_left),
             "elapsed_ms": milliseconds(now - request.arrived_at),
@@ -154,7 +173,13 @@
     return LogLine("caller gone", {**fields, "close_age_ms": age})
 
 
-def line_of_wait(now: float, request: ForwardedRequest, reason: str) -> LogLine:
+def line_of_wait(
+    now: float,
+    request: ForwardedRequest,
+    reason: str,
+    known: KnownConfiguration,
+    left_out: dict[str, str],
+) -> LogLine:
     """Returns the line of a request that waits for capacity for the first time.
 
     It has run somewhere, or was delivered in part, so it can't be refused any more; or it would
@@ -168,6 +193,9 @@
             "attempts": len(request.ended_attempts),
             "delivered": request.delivered,
             "time_left_ms": milliseconds(request.ends_at - now),
+            "admitted_version": request.admitted_version,
+            **fields_of_configuration(known),
+            "engines_left_out": left_out,
         },
     )
 
@@ -177,7 +205,9 @@
     request: ForwardedRequest,
     outcome: NotRun | MayHaveRun | Cut,
     step: Step,
+    known: KnownConfiguration,
     engines_known: int,
+    left_out: dict[str, str],
     list_age: float,
 ) -> LogLine:
     """Returns the line of a request that gets its final answer; `list_age` is in seconds."""
@@ -200,7 +230,10 @@
             "client_timeout_ms": milliseconds(request.arrival.time_left),
             "elapsed_ms": milliseconds(now - request.arrived_at),
             "objective_ms": milliseconds(request.route.objective),
+            "admitted_version": request.admitted_version,
+            **fields_of_configuration(known),
             "engines_known": engines_known,
+            "engines_left_out": left_out,
             "list_age_ms": milliseconds(list_age),
         },
     )
--- a/src/troutswitch/decisions/forwarding/open_requests.py
+++ b/src/troutswitch/decisions/forwarding/open_requests.py
@@ -8,6 +8,7 @@
 
 from troutswitch.decisions.forwarding.admission import Deferral
 from troutswitch.decisions.forwarding.arrivals import Refused
+from troutswitch.decisions.forwarding.candidates import engines_left_out
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.log_events import (
     line_of_deferral,
@@ -18,6 +19,7 @@
 from troutswitch.decisions.forwarding.messages import (
     FinishRequest,
     ForwardingInstruction,
+    LogLine,
     RequestAttemptEnded,
 )
 from troutswitch.decisions.forwarding.request import ForwardedRequest, RequestState
@@ -70,7 +72,7 @@
         was_delayed, request.was_delayed = request.was_delayed, True
         request.longest_wait = 0.0
         self.wait(now, request)
-        return [] if was_delayed else [line_of_wait(now, request, LATE_REASON)]
+        return [] if was_delayed else [self._line_of_wait(now, request, LATE_REASON)]
 
     def wait_or_end(
         self, now: float, request: ForwardedRequest, reason: str, step: Step
@@ -80,13 +82,17 @@
             return self.end_unserved(now, request, reason, step)
         self.wait(now, request)
         request.waits += 1
-        return [line_of_wait(now, request, reason)] if request.waits == 1 else []
+        return [self._line_of_wait(now, request, reason)] if request.waits == 1 else []
+
+    def _line_of_wait(self, now: float, request: ForwardedRequest, reason: str) -> LogLine:
+        left_out = engines_left_out(now, request, self._engines)
+        return line_of_wait(now, request, reason, self._routes.known(now), left_out)
 
     # Ends.
 
-    def refuse(self, refused: Refused) -> Instructions:
+    def refuse(self, now: float, refused: Refused) -> Instructions:
         """Refuses a request on its arrival, or one that is not kept here any more."""
-        line = line_of_refusal(refused, self._routes.version)
+        line = line_of_refusal(refused, self._routes.known(now))
         return [FinishRequest(refused.arrival.token, refused.refusal), line]
 
     def defer(
@@ -118,7 +124,14 @@
             request.engine_id,
             retry_after(self._rng),
         )
-        engines_known = len(self._engines.engines)
-        list_age = now - self._engines.listed_at
-        line = line_of_give_up(now, request, outcome, step, engines_known, list_age)
+        line = line_of_give_up(
+            now,
+            request,
+            outcome,
+            step,
+            self._routes.known(now),
+            len(self._engines.engines),
+            engines_left_out(now, request, self._engines),
+            now - self._engines.listed_at,
+        )
         return [FinishRequest(request.arrival.token, outcome), line]
--- a/src/troutswitch/decisions/forwarding/placing.py
+++ b/src/troutswitch/decisions/forwarding/placing.py
@@ -119,10 +119,10 @@
         refusal = self._identify_again(request)
         if refusal is not None:
             self._open.remove(request)
-            return self._open.refuse(Refused(request.arrival, refusal, request.tenant))
+            return self._open.refuse(now, Refused(request.arrival, refusal, request.tenant))
         send = self._attempts.start(now, request, assignment)
         line = line_of_start(
-            now, request, assignment, self._routes.version, self._engines.listed_at
+            now, request, assignment, self._routes.known(now), self._engines.listed_at
         )
         return [send, line, *slot_wanted(now, request, assignment)]
 
--- a/src/troutswitch/decisions/forwarding/request.py
+++ b/src/troutswitch/decisions/forwarding/request.py
@@ -38,6 +38,8 @@
     """When the route's time limit ends."""
     state: RequestState = RequestState.PLACING
     tenant: str = NO_TENANT
+    admitted_version: int = -1
+    """Version of the configuration by whose route it goes."""
     longest_wait: float = float("inf")
     """Wait for a slot with which it is sent, in seconds, while it has not been sent."""
 
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -130,7 +130,7 @@
             case None:
                 return []
             case Refused():
-                return self._open.refuse(decided)
+                return self._open.refuse(now, decided)
             case Admitted():
                 return self._admit(now, decided)
             case _:
@@ -146,6 +146,7 @@
             limit_at=now + route.time_limit,
             position=arrival.resume_after,
             tenant=admitted.tenant.name,
+            admitted_version=admitted.version,
         )
         return self._placing.begin(now, request)
 
@@ -249,7 +250,7 @@
         """Ends a request whose caller closed its connection, and its work at the engine."""
         request = self.requests.get(event.token)
         if request is None:
-            return self._withdraw_arrival(event)
+            return self._withdraw_arrival(now, event)
         line = line_of_gone_caller(now, request, event)
         stopped = self._stop(now, request)
         return [
@@ -258,12 +259,12 @@
             *self._open.end_unserved(now, request, "caller went away", Step.RELAY),
         ]
 
-    def _withdraw_arrival(self, event: CallerGone) -> Instructions:
+    def _withdraw_arrival(self, now: float, event: CallerGone) -> Instructions:
         """The caller closed its connection while its tenant's quota was requested."""
         arrival = self.arrivals.withdraw(event.token)
         if arrival is None:
             return []
-        return self._open.refuse(Refused(arrival, NotRun("caller went away", Step.ADMIT)))
+        return self._open.refuse(now, Refused(arrival, NotRun("caller went away", Step.ADMIT)))
 
     def end_refused(self, now: float) -> Instructions:
         """Ends the requests that are refused for crashes from now on, wherever they are.
--- a/src/troutswitch/decisions/forwarding/routes.py
+++ b/src/troutswitch/decisions/forwarding/routes.py
@@ -1,14 +1,38 @@
 """Finds the route of a request: by host, then by the longest path prefix.
 
-Owns the configuration in force on this daemon. Threads of the gateway look routes up while the
-loop puts a configuration in force.
+Owns the configuration in force on this daemon, and how and when it was learnt. Threads of the
+gateway look routes up while the loop puts a configuration in force.
 """
 
 import random
+from dataclasses import dataclass
+from enum import Enum
 
 from troutswitch.decisions.forwarding.types import FleetConfiguration, Route
 
 
+class LearntBy(Enum):
+    """How this daemon learnt the configuration in force; the values stand in logs."""
+
+    NOTHING = "none"
+    START = "start"
+    """Read whole from the store, with no configuration in force before."""
+    STORE = "store"
+    PEER = "peer"
+
+
+@dataclass(frozen=True, slots=True)
+class KnownConfiguration:
+    """What this daemon knew of the configuration at one moment, for logs.
+
+    `age` is the time, in seconds, since no newer version existed, as far as is known here.
+    """
+
+    version: int
+    age: float
+    learnt_by: LearntBy
+
+
 class RouteTable:
     """The routes of the newest configuration that this process has seen.
 
@@ -18,6 +42,9 @@
 
     def __init__(self) -> None:
         self.configuration: FleetConfiguration | None = None
+        self.learnt_by = LearntBy.NOTHING
+        self.current_at = float("-inf")
+        """The latest time at which no newer version existed, on this process's clock."""
         self._by_host: dict[str, list[Route]] = {}
         self._by_name: dict[str, Route] = {}
 
@@ -26,7 +53,17 @@
         """Version in force, or -1 before the first."""
         return self.configuration.version if self.configuration is not None else -1
 
-    def replace(self, configuration: FleetConfiguration) -> bool:
+    def known(self, now: float) -> KnownConfiguration:
+        """Returns what is known of the configuration now."""
+        return KnownConfiguration(self.version, now - self.current_at, self.learnt_by)
+
+    def confirm(self, current_at: float) -> None:
+        """Takes note that at some time no newer version existed than the one in force."""
+        self.current_at = max(self.current_at, current_at)
+
+    def replace(
+        self, configuration: FleetConfiguration, learnt_by: LearntBy = LearntBy.STORE
+    ) -> bool:
         """Puts a configuration in force; returns False if it is not newer."""
         if configuration.version <= self.version:
             return False
@@ -39,6 +76,7 @@
         self._by_host = by_host
         self._by_name = {route.name: route for route in configuration.routes}
         self.configuration = configuration
+        self.learnt_by = learnt_by
         return True
 
     def match(self, host: str, path: str) -> Route | None:
--- a/src/troutswitch/decisions/jobs/intake.py
+++ b/src/troutswitch/decisions/jobs/intake.py
@@ -23,6 +23,7 @@
 from enum import Enum
 from typing import assert_never
 
+from troutswitch.decisions.forwarding.log_events import fields_of_configuration
 from troutswitch.decisions.forwarding.types import Route, RouteKind
 from troutswitch.decisions.jobs.dependencies import JobDependencies
 from troutswitch.decisions.jobs.due_times import completion_target
@@ -129,13 +130,13 @@
         """Begins a submission, or answers it at once."""
         if self._routes.configuration is None:
             refusal = JobRefused(503, "no configuration yet", RETRY_AFTER_SECONDS)
-            return self._answer_at_once(event, refusal)
+            return self._answer_at_once(now, event, refusal)
         route = self._routes.match(event.host, event.path)
         if route is None or route.kind is not RouteKind.JOBS:
-            return self._answer_at_once(event, JobRefused(404, "no such route"))
+            return self._answer_at_once(now, event, JobRefused(404, "no such route"))
         if not self._replicas.index_follower.is_current:
             refusal = JobRefused(503, "the index is not read yet", RETRY_AFTER_SECONDS)
-            return self._answer_at_once(event, refusal)
+            return self._answer_at_once(now, event, refusal)
         return self._begin(now, event, route)
 
     def _begin(self, now: float, event: JobSubmitted, route: Route) -> list[StoreCall]:
@@ -143,10 +144,10 @@
         try:
             records = chunk_records(event.job_id, event.items, self._limits.record_bytes)
         except RecordError as error:
-            return self._answer_at_once(event, JobRefused(413, str(error)))
+            return self._answer_at_once(now, event, JobRefused(413, str(error)))
         known = self._known(manifest)
         if known is not None:
-            return self._answer_at_once(event, known)
+            return self._answer_at_once(now, event, known)
         batches = _batches(records, self._limits.call_bytes)
         expires_at = now + max(0.0, event.time_left - RESERVE_SECONDS)
         submission = Submission(event, route, manifest, batches, now, expires_at)
@@ -180,12 +181,15 @@
             return JobAccepted()
         return JobRefused(409, "the job's id was used for other content")
 
-    def _answer_at_once(self, event: JobSubmitted, answer: JobAnswer) -> list[StoreCall]:
+    def _answer_at_once(
+        self, now: float, event: JobSubmitted, answer: JobAnswer
+    ) -> list[StoreCall]:
         self._log(
             "job answered at once",
             job_id=event.job_id,
             answer=type(answer).__name__,
             reason=getattr(answer, "reason", ""),
+            **fields_of_configuration(self._routes.known(now)),
         )
         self._answer(event.token, answer)
         return []
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -216,7 +216,7 @@
     endings = ItemEndings(items, writer, log)
     return ItemParts(
         items,
-        ItemRuns(dependencies.engines, log),
+        ItemRuns(routes, dependencies.engines, log),
         ItemRanking(routes, replicas.index, order),
         refusals,
         endings,
--- a/src/troutswitch/decisions/jobs/runs.py
+++ b/src/troutswitch/decisions/jobs/runs.py
@@ -10,6 +10,8 @@
 
 from troutswitch.decisions.forwarding.engine import Engine, RequestSize
 from troutswitch.decisions.forwarding.engines import EngineRegistry
+from troutswitch.decisions.forwarding.log_events import fields_of_configuration
+from troutswitch.decisions.forwarding.routes import RouteTable
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.jobs.items import ItemProgress
 from troutswitch.decisions.jobs.messages import (
@@ -50,9 +52,12 @@
 class ItemRuns:
     """All runs in flight, by number."""
 
-    def __init__(self, engines: EngineRegistry, log: Callable[..., None]) -> None:
+    def __init__(
+        self, routes: RouteTable, engines: EngineRegistry, log: Callable[..., None]
+    ) -> None:
         self.by_number: dict[int, ItemRun] = {}
         self.started = 0
+        self._routes = routes
         self._engines = engines
         self._log = log
         self._numbers = itertools.count(1)
@@ -71,7 +76,7 @@
         engine_id = engine.record.engine_id
         self.by_number[number] = ItemRun(progress, engine_id, now, size, progress.events_done)
         self._engines.on_sent(now, engine_id, True, size)
-        self._log_start(progress, engine_id, engine.in_flight(now))
+        self._log_start(now, progress, engine)
         return RunItem(
             number,
             engine_id,
@@ -84,15 +89,16 @@
             manifest.tenant,
         )
 
-    def _log_start(self, progress: ItemProgress, engine_id: str, load: int) -> None:
+    def _log_start(self, now: float, progress: ItemProgress, engine: Engine) -> None:
         self._log(
             "item sent",
             job_id=progress.job_id,
             item_id=progress.item.item_id,
             run=progress.runs,
-            engine=engine_id,
-            load=load,
+            engine=engine.record.engine_id,
+            load=engine.in_flight(now),
             resume_after=progress.position,
+            **fields_of_configuration(self._routes.known(now)),
         )
 
     def on_begun(self, event: ItemBegun) -> None:
--- a/src/troutswitch/decisions/peer_state_exchange.py
+++ b/src/troutswitch/decisions/peer_state_exchange.py
@@ -39,19 +39,19 @@
         Safe to call from any thread.
         """
         record = self._configuration.record if self._configuration.version() > version else None
+        age = self._configuration.age(now)
         newest_list = self._membership.newest_list
         if newest_list is None:
-            return PeerState(record, (), None)
+            return PeerState(record, (), None, age)
         records, read_at = newest_list
-        return PeerState(record, records, now - read_at)
+        return PeerState(record, records, now - read_at, age)
 
     def on_received(self, now: float, event: PeerStateReceived) -> None:
         """Takes what is newer in a peer's state."""
         self._catch_up.on_reply()
         if event.state is None:
             return
-        if event.state.configuration is not None:
-            self._configuration.take(now, event.state.configuration)
+        self._configuration.take_from_peer(now, event.host, event.state)
         age = event.state.engines_age
         if age is not None:
             self._membership.take_peer_list(now, event.host, event.state.engines, age)
--- a/src/troutswitch/decisions/storage/follower.py
+++ b/src/troutswitch/decisions/storage/follower.py
@@ -111,6 +111,10 @@
         self._tail_from: int | None = None
         self._first_kept = 0
 
+    def read_seconds(self, now: float) -> float:
+        """Returns how long the read in flight has taken, 0 without one."""
+        return now - self._requested_at if self._call else 0.0
+
     @property
     def is_current(self) -> bool:
         """Whether the partition was read to an end at least once."""
--- a/src/troutswitch/gateway/daemons/peer_state.py
+++ b/src/troutswitch/gateway/daemons/peer_state.py
@@ -9,6 +9,8 @@
 
 from troutswitch.clock import steady_seconds
 from troutswitch.daemons.peer_state import (
+    FIRST_VERSION,
+    VERSION,
     PeerState,
     PeerStateError,
     decode_state,
@@ -31,7 +33,9 @@
     """
     connection = http.client.HTTPConnection(instruction.host, port, timeout=instruction.timeout)
     try:
-        connection.request("GET", f"{PEER_STATE_PATH}?version={instruction.version}")
+        connection.request(
+            "GET", f"{PEER_STATE_PATH}?version={instruction.version}&encoding={VERSION}"
+        )
         response = connection.getresponse()
         data = response.read(STATE_BYTES_MOST)
         state = decode_state(data) if response.status == 200 else None
@@ -46,7 +50,12 @@
     share_state: ShareState, environ: Environ, start_response: StartResponse
 ) -> Iterable[bytes]:
     """Answers a peer's request for this daemon's state."""
-    version_text = parse_qs(str(environ.get("QUERY_STRING", ""))).get("version", [""])[0]
-    version = int(version_text) if version_text.isdigit() else -1
-    state = share_state(steady_seconds(), version)
-    return send(Response(200, encode_state(state), CONTENT_TYPE), start_response)
+    query = parse_qs(str(environ.get("QUERY_STRING", "")))
+    state = share_state(steady_seconds(), _whole_number(query, "version", -1))
+    data = encode_state(state, _whole_number(query, "encoding", FIRST_VERSION))
+    return send(Response(200, data, CONTENT_TYPE), start_response)
+
+
+def _whole_number(query: dict[str, list[str]], name: str, default: int) -> int:
+    text = query.get(name, [""])[0]
+    return int(text) if text.isdigit() else default
--- a/src/troutswitch/gateway/instruction_executor.py
+++ b/src/troutswitch/gateway/instruction_executor.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import assert_never
 
@@ -75,6 +75,12 @@
         self._post = post
         self._logger = logger
         self._threads = ThreadPoolExecutor(STORE_THREADS, "store")
+        self._blocking_calls: set[Future[None]] = set()
+
+    @property
+    def blocking_calls(self) -> int:
+        """Blocking calls that run or wait for a thread."""
+        return len(self._blocking_calls)
 
     def carry_out(self, instruction: GatewayInstruction) -> None:
         """Carries one instruction out; called on the loop's thread."""
@@ -114,9 +120,11 @@
     def _submit(self, call: Callable[[], GatewayEvent]) -> None:
         """Makes a blocking call on a thread; its outcome is posted as an event."""
         try:
-            self._threads.submit(lambda: self._post(call()))
+            future = self._threads.submit(lambda: self._post(call()))
         except RuntimeError:
             return  # the process stops
+        self._blocking_calls.add(future)
+        future.add_done_callback(self._blocking_calls.discard)
 
     def _call_store(self, call: StoreCall) -> StoreAnswered:
         try:
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -6,10 +6,13 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from troutswitch.clock import steady_seconds
 from troutswitch.decisions.forwarding.messages import LogLine
+from troutswitch.decisions.forwarding.routes import LearntBy
 from troutswitch.decisions.gateway import GatewayCore
 
 SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
@@ -23,7 +26,7 @@
 class GatewayMetrics:
     """The figures at the metrics path."""
 
-    def __init__(self, core: GatewayCore) -> None:
+    def __init__(self, core: GatewayCore, blocking_calls: Callable[[], int] = lambda: 0) -> None:
         self.registry = CollectorRegistry()
         self._attempts = self._counter("attempts", "Attempts at engines, by kind of end", "kind")
         self._first_event = self._histogram(
@@ -46,6 +49,12 @@
         self._events = self._counter("decisions", "Log lines of decisions, by event", "event")
         self._add_gauges_of_work(core)
         self._add_gauges_of_fleet(core)
+        self._add_gauges_of_configuration(core)
+        self._gauge(
+            "blocking_calls",
+            "Calls to the store, peers and engines' ports that run or wait for a thread",
+            blocking_calls,
+        )
 
     def _add_gauges_of_work(self, core: GatewayCore) -> None:
         self._gauge(
@@ -91,10 +100,41 @@
             "Requests that are refused as engines crashed under them",
             lambda: len(suspects.refused),
         )
+
+    def _add_gauges_of_configuration(self, core: GatewayCore) -> None:
+        configuration = core.configuration
         self._gauge(
             "configuration_version",
             "Version of the configuration in force",
-            core.configuration.version,
+            configuration.version,
+        )
+        self._gauge(
+            "configuration_age_seconds",
+            "Time since no newer configuration existed, as far as known here",
+            lambda: configuration.age(steady_seconds()),
+        )
+        self._gauge(
+            "configuration_read_seconds",
+            "Age of the read of the configuration that is in flight, 0 without one",
+            lambda: configuration.follower.read_seconds(steady_seconds()),
+        )
+        self._gauge(
+            "configuration_reads_failed",
+            "Reads of the configuration that failed since the last success",
+            lambda: configuration.follower.failures,
+        )
+        learnt_by = Gauge(
+            "troutswitch_configuration_learnt_by",
+            "1 for the way by which the configuration in force came",
+            ("way",),
+            registry=self.registry,
+        )
+        for way in LearntBy:
+            learnt_by.labels(way.value).set_function(partial(_is_learnt_by, core, way))
+        self._gauge(
+            "engine_entries_unusable",
+            "Entries of the newest engine list that name no engine to use",
+            lambda: len(core.engines.unusable_entries),
         )
 
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
@@ -138,5 +178,9 @@
         return generate_latest(self.registry)
 
 
+def _is_learnt_by(core: GatewayCore, way: LearntBy) -> float:
+    return float(core.routes.learnt_by is way)
+
+
 def _label(line: LogLine, field: str) -> str:
     return str(line.fields.get(field, OTHER))
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -88,7 +88,7 @@
         rng = random.Random(os.urandom(8))
         self.core = GatewayCore(identity, PlatformFormats(), rng, policies)
         self._jobs = JobCalls(self.core.routes, self._post)
-        self._metrics = GatewayMetrics(self.core)
+        self._metrics = GatewayMetrics(self.core, lambda: self._executor.blocking_calls)
         self._internal = self._make_internal()
         self._gate: StopGate | None = None
         self._callers = self._make_callers()
--- /dev/null
+++ b/tests/decisions/test_configuration_logs.py
@@ -0,0 +1,99 @@
+"""Logs tell which configuration a daemon and a request went by, and why engines were left out.
+
+Guards against incidents that nobody can explain afterwards.
+"""
+
+from tests.decisions.forwarding.worlds import World, arrival, engine
+from tests.worlds.gateway_world import GatewayWorld
+from troutswitch.decisions.forwarding.messages import LogLine
+from troutswitch.decisions.forwarding.routes import LearntBy
+from troutswitch.decisions.gateway_interface import GatewayInstruction
+from troutswitch.outcomes import AttemptKind
+
+
+class LoggedWorld(GatewayWorld):
+    """Keeps the log lines of each daemon."""
+
+    def __init__(self, seed: int) -> None:
+        self.lines: dict[str, list[LogLine]] = {}
+        super().__init__(seed)
+
+    def carry_out(self, daemon, instruction: GatewayInstruction) -> None:  # type: ignore[no-untyped-def]
+        if isinstance(instruction, LogLine):
+            self.lines.setdefault(daemon.name, []).append(instruction)
+        super().carry_out(daemon, instruction)
+
+    def of(self, daemon: str, event: str) -> list[dict[str, object]]:
+        return [line.fields for line in self.lines[daemon] if line.event == event]
+
+
+def test_each_way_in_which_a_configuration_comes_is_told() -> None:
+    world = LoggedWorld(1)
+    world.run(3.0)
+    world.publish(2)
+    world.run(1.0)
+    world.daemons["daemon-0"].is_cut_from_store = True
+    world.run(2.0)
+    world.publish(3)
+    world.run(2.0)
+    rows = world.of("daemon-0", "configuration in force")
+    assert [row["learnt_by"] for row in rows] == ["start", "store", "peer"]
+    assert [row["replaced_version"] for row in rows] == [-1, 1, 2]
+    assert rows[2]["peer"] in {f"10.0.1.{number}" for number in (2, 3, 4)}
+    (failed,) = world.of("daemon-0", "configuration read failed")
+    assert (failed["version"], failed["learnt_by"]) == (2, "store")
+    world.daemons["daemon-0"].is_cut_from_store = False
+    world.run(2.0)
+    (again,) = world.of("daemon-0", "configuration read again")
+    assert again["version"] == 3
+    assert int(str(again["failing_ms"])) > 3000
+
+
+def test_the_age_of_what_is_known_grows_while_neither_store_nor_peers_answer() -> None:
+    world = GatewayWorld(1)
+    world.run(3.0)
+    core = world.daemons["daemon-0"].core
+    assert core.configuration.age(world.now) < 1.0
+    world.faults.is_down = True
+    world.run(3.0)
+    assert core.configuration.age(world.now) > 3.0
+
+
+def test_a_peer_without_a_newer_configuration_confirms_the_one_in_force() -> None:
+    world = GatewayWorld(1)
+    world.run(3.0)
+    core = world.daemons["daemon-0"].core
+    world.daemons["daemon-0"].is_cut_from_store = True
+    world.run(5.0)
+    assert core.configuration.age(world.now) < 2.0
+
+
+def lines(instructions: list[object], event: str) -> list[dict[str, object]]:
+    return [i.fields for i in instructions if isinstance(i, LogLine) and i.event == event]
+
+
+def test_a_request_tells_the_version_it_was_admitted_by_and_the_one_in_force() -> None:
+    world = World(engines=1)
+    world.routes.confirm(9.5)
+    (row,) = lines(list(world.requests.on_arrived(10.0, arrival(1))), "request sent")
+    assert row["admitted_version"] == row["configuration_version"] == 1
+    assert row["configuration_age_ms"] == 500
+    assert row["learnt_by"] == LearntBy.STORE.value
+
+
+def test_a_route_without_an_engine_to_use_tells_why_each_was_left_out() -> None:
+    world = World(engines=0)
+    world.engines.on_list(0.0, [engine("drains", draining=True), engine("goes"), engine("fails")])
+    world.engines.on_list(1.0, [engine("drains", draining=True), engine("fails")])
+    world.engines.unusable_entries = {"odd": "no address"}
+    (sent,) = [world.arrive(1.0, arrival(1))]
+    assert sent.engine_id == "fails"  # type: ignore[union-attr]
+    world.engines.on_list(2.0, [engine("drains", draining=True)])
+    instructions = world.requests.on_arrived(2.0, arrival(2))
+    (row,) = lines(list(instructions), "request given up")
+    assert row["engines_left_out"] == {
+        "drains": "draining",
+        "fails": "not listed",
+        "odd": "no address",
+    }
+    world.end(2.1, sent, AttemptKind.CUT)  # type: ignore[arg-type]
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -235,10 +235,10 @@
 # The store's state, told to a daemon that cannot read the store.
 
 
-def _peer_state(state: peer_state.PeerState) -> Form:
+def _peer_state(state: peer_state.PeerState, version: int = peer_state.FIRST_VERSION) -> Form:
     return Form(
-        lambda: peer_state.encode_state(state),
-        lambda data: peer_state.encode_state(peer_state.decode_state(data)),
+        lambda: peer_state.encode_state(state, version),
+        lambda data: peer_state.encode_state(peer_state.decode_state(data), version),
     )
 
 
@@ -251,6 +251,15 @@
             1.25,
         )
     ),
+    "with the configuration's age": _peer_state(
+        peer_state.PeerState(
+            peer_state.StoredRecord("config", b'{"version": 7}'),
+            (peer_state.StoredRecord("i-1", b"{}"),),
+            1.25,
+            0.75,
+        ),
+        peer_state.VERSION,
+    ),
 }
 
 # Messages between daemons of the other product.
