--- /dev/null
+++ b/tests/proofs/test_configuration.py
@@ -0,0 +1,35 @@
+"""A confirmed configuration is in force everywhere in time, and never reverts.
+
+The bounds are the users': `APPLY_SECONDS` after its confirmation, or `CONTACT_SECONDS` after the end
+of what kept a daemon from the store, whichever is later.
+"""
+
+from tests.worlds.gateway_world import GatewayWorld
+
+APPLY_SECONDS = 2.0
+CONTACT_SECONDS = 3.0
+START_SECONDS = 3.0
+STEP_SECONDS = 0.05
+
+
+def versions(world: GatewayWorld) -> set[int]:
+    return {daemon.core.routes.version for daemon in world.daemons.values()}
+
+
+def versions_after_outage(seed: int, outage: float) -> set[int]:
+    """Has version 2 confirmed just after an outage; returns the versions in force at the bound."""
+    world = GatewayWorld(seed, daemons=9)
+    world.run(START_SECONDS)
+    world.faults.is_silent = True
+    world.run(outage)
+    world.faults.is_silent = False
+    world.run(0.1)
+    world.publish(2)
+    world.run(max(APPLY_SECONDS, CONTACT_SECONDS - 0.1))
+    return versions(world)
+
+
+def test_a_version_confirmed_after_a_silent_store_returned_is_in_force_in_time() -> None:
+    outages = (1.5, 3.9, 5.0, 7.8, 9.0)
+    found = {(seed, s): versions_after_outage(seed, s) for seed in range(1, 5) for s in outages}
+    assert {case: held for case, held in found.items() if held != {2}} == {}
--- a/tests/worlds/gateway_world.py
+++ b/tests/worlds/gateway_world.py
@@ -80,9 +80,14 @@
 
 @dataclass
 class StoreFaults:
-    """Faults of the store now; `answers_lost` is a share of calls, from 0 to 1."""
+    """Faults of the store now; `answers_lost` is a share of calls, from 0 to 1.
+
+    While it `is_silent`, calls that are sent or wait there are never answered: they fail at their
+    time-outs, also where the silence ends before.
+    """
 
     is_down: bool = False
+    is_silent: bool = False
     answers_lost: float = 0.0
     is_late: bool = False
 
@@ -274,6 +279,9 @@
         if self.faults.is_down or daemon.is_cut_from_store:
             self._answer(daemon, call.call, CallFailed("down", False), 0.5)
             return
+        if self.faults.is_silent:
+            self._time_out(daemon, call, self.env.now)
+            return
         is_write = isinstance(call, AppendRecords)
         if is_write and self.rng.random() < self.faults.answers_lost:
             late = LATE_SECONDS if self.faults.is_late else STORE_SECONDS
@@ -281,7 +289,7 @@
             self._answer(daemon, call.call, CallFailed("answer lost", True), 1.0)
             return
         if isinstance(call, ReadRecords) and call.wait > 0:
-            self._read_waiting(daemon, call, self.env.now + call.wait)
+            self._read_waiting(daemon, call, self.env.now)
             return
         self.after(STORE_SECONDS / 2, lambda: self._act_and_answer(daemon, call))
 
@@ -292,10 +300,19 @@
         outcome = self.store.call(self.env.now, call)
         self._answer(daemon, call.call, outcome, STORE_SECONDS / 2)
 
-    def _read_waiting(self, daemon: Daemon, call: ReadRecords, until: float) -> None:
+    def _time_out(self, daemon: Daemon, call: StoreCall, sent_at: float) -> None:
+        wait = call.wait if isinstance(call, ReadRecords) else 0.0
+        left = max(0.0, sent_at + call.timeout + wait - self.now)
+        self._answer(daemon, call.call, CallFailed("timed out", True), left)
+
+    def _read_waiting(self, daemon: Daemon, call: ReadRecords, sent_at: float) -> None:
+        if self.faults.is_silent:
+            self._time_out(daemon, call, sent_at)
+            return
         outcome = self.store.call(self.env.now, call)
-        if isinstance(outcome, RecordsRead) and not outcome.records and self.env.now < until:
-            self.after(0.05, lambda: self._read_waiting(daemon, call, until))
+        is_waiting = self.env.now < sent_at + call.wait
+        if isinstance(outcome, RecordsRead) and not outcome.records and is_waiting:
+            self.after(0.05, lambda: self._read_waiting(daemon, call, sent_at))
             return
         self._answer(daemon, call.call, outcome, STORE_SECONDS)
 
