--- a/src/troutswitch/decisions/active_configuration.py
+++ b/src/troutswitch/decisions/active_configuration.py
@@ -15,18 +15,23 @@
 from troutswitch.decisions.forwarding.routes import LearntBy, RouteTable
 from troutswitch.decisions.gateway_messages import Formats, LimitsChanged
 from troutswitch.decisions.instruction_queue import InstructionQueue
-from troutswitch.decisions.storage.follower import CallNumbers, PartitionFollower
+from troutswitch.decisions.storage.follower import PartitionFollower
 from troutswitch.decisions.storage.messages import (
     KeyedRecord,
     Partition,
     StoreCall,
     StoreOutcome,
 )
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 CONFIGURATION_TOPIC = "configuration"
 CONFIGURATION_WAIT_SHARE = 0.35
 """Time for which a read waits at the store, as a share of the bound for applying a configuration:
 a lost answer must be noticed, and the read repeated, inside the bound."""
+CONFIGURATION_REPEAT_SHARE = 0.3
+"""Time beyond that after which a read without an answer is repeated beside the one in flight, as a
+share of the same bound: while the store is silent a read is sent this often, and the first after
+its return brings what was missed."""
 CONFIGURATION_PAUSE_SECONDS = 0.1
 """Least interval between reads."""
 OUTDATED_SECONDS = 0.4
@@ -61,6 +66,7 @@
             CONFIGURATION_WAIT_SHARE * apply_seconds,
             CONFIGURATION_PAUSE_SECONDS,
         )
+        self.set_apply_bound(apply_seconds)
         self._routes = routes
         self._formats = formats
         self._output = output
@@ -82,12 +88,13 @@
     def set_apply_bound(self, seconds: float) -> None:
         """Follows a changed bound for applying a configuration."""
         self.follower.wait = CONFIGURATION_WAIT_SHARE * seconds
+        self.follower.attempts.repeat_after = CONFIGURATION_REPEAT_SHARE * seconds
 
     def may_be_outdated(self, now: float, newest_peer_version: int) -> bool:
         """Returns whether a newer configuration may be in force elsewhere."""
         if newest_peer_version > self._routes.version:
             return True
-        return now - self.follower.failing_since >= OUTDATED_SECONDS
+        return now - self.follower.attempts.failing_since >= OUTDATED_SECONDS
 
     def on_heartbeat(self, now: float, heartbeat: Heartbeat) -> None:
         """Reads again if a peer has a newer configuration: a read of it was lost here."""
@@ -98,15 +105,16 @@
         self._output.log("peer has newer configuration", peer=heartbeat.sender, version=version)
         self.follower.read_again(now)
 
-    def on_answer(self, now: float, outcome: StoreOutcome) -> None:
-        """Takes the outcome of the read in flight."""
+    def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> None:
+        """Takes the outcome of a read in flight."""
         self._now = now
-        failures, failing_since = self.follower.failures, self.follower.failing_since
-        self.follower.on_answer(now, outcome)
+        attempts = self.follower.attempts
+        failures, failing_since = attempts.failures, attempts.failing_since
+        self.follower.on_answer(now, call, outcome)
         self._routes.confirm(self.follower.current_at)
-        if not failures and self.follower.failures:
+        if not failures and attempts.failures:
             self._log_read("configuration read failed", now, now, outcome)
-        elif failures and not self.follower.failures:
+        elif failures and not attempts.failures:
             self._log_read("configuration read again", now, failing_since)
 
     def _log_read(
@@ -124,9 +132,9 @@
 
     def on_timer(self, now: float) -> list[StoreCall]:
         """Reads on if it is due; a call that was never answered counts as failed."""
-        failures = self.follower.failures
+        failures = self.follower.attempts.failures
         calls = self.follower.on_timer(now)
-        if not failures and self.follower.failures:
+        if not failures and self.follower.attempts.failures:
             self._log_read("configuration read failed", now, now)
         return calls
 
--- a/src/troutswitch/decisions/crashes/shared.py
+++ b/src/troutswitch/decisions/crashes/shared.py
@@ -19,7 +19,7 @@
 from troutswitch.daemons.messages import CrashReport, ReportedCrash
 from troutswitch.decisions.crashes.messages import Crash
 from troutswitch.decisions.slots.messages import SendToPeers
-from troutswitch.decisions.storage.follower import CallNumbers, PartitionFollower
+from troutswitch.decisions.storage.follower import PartitionFollower
 from troutswitch.decisions.storage.messages import (
     Appended,
     AppendRecords,
@@ -28,6 +28,7 @@
     StoreCall,
     StoreOutcome,
 )
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 CRASHES_TOPIC = "crashes"
 READ_WAIT_SECONDS = 5.0
@@ -166,7 +167,7 @@
         """Takes a store's answer."""
         self._now = now
         if call != self._write_call:
-            self.follower.on_answer(now, outcome)
+            self.follower.on_answer(now, call, outcome)
             return
         self._write_call = 0
         if isinstance(outcome, Appended):
--- a/src/troutswitch/decisions/crashes/suspects.py
+++ b/src/troutswitch/decisions/crashes/suspects.py
@@ -26,8 +26,8 @@
 from troutswitch.decisions.crashes.shared import SharedCrashes
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.slots.messages import SendToPeers
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import StoreCall, StoreOutcome
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 from troutswitch.outcomes import NotRun, Step
 
 CRASHES_TO_WAIT = 2
--- a/src/troutswitch/decisions/engine_membership.py
+++ b/src/troutswitch/decisions/engine_membership.py
@@ -53,18 +53,19 @@
 
     def on_timer(self, now: float) -> list[StoreCall]:
         """Reads the list if it is due; a call that was never answered counts as failed."""
-        failures = self.reader.failures
+        failures = self.reader.attempts.failures
         calls = self.reader.on_timer(now)
-        if self.reader.failures > failures:
+        if self.reader.attempts.failures > failures:
             self._engines.on_list_failed(now)
         return calls
 
-    def on_answer(self, now: float, outcome: StoreOutcome) -> None:
-        """Takes the outcome of the read in flight."""
-        rows = self.reader.on_answer(now, outcome)
-        if self.reader.failures:
-            self._engines.on_list_failed(now)
-            if self.reader.failures == 1:
+    def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> None:
+        """Takes the outcome of a read in flight."""
+        had_failed = bool(self.reader.attempts.failures)
+        rows = self.reader.on_answer(now, call, outcome)
+        if had_failed or self.reader.attempts.failures:
+            self._engines.on_list_failed(now)  # it was away for this daemon until now
+            if self.reader.attempts.failures == 1:
                 reason = str(outcome)[:OUTCOME_LOGGED_CHARACTERS]
                 self._output.log("engine list read failed", outcome=reason)
         if rows is not None:
@@ -90,6 +91,8 @@
         read_at = now - age
         if read_at <= self._engines.listed_at:
             return
+        if self.reader.attempts.failures:
+            self._engines.on_list_failed(now)
         rows = [KeyedRecord(record.key, record.value) for record in records]
         self._take_list(now, read_at, rows, peer)
 
--- a/src/troutswitch/decisions/forwarding/engine_list.py
+++ b/src/troutswitch/decisions/forwarding/engine_list.py
@@ -9,7 +9,6 @@
 
 import random
 
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import (
     KeyedRecord,
     NewestPage,
@@ -18,6 +17,7 @@
     StoreCall,
     StoreOutcome,
 )
+from troutswitch.decisions.storage.read_attempts import CallNumbers, ReadAttempts
 
 ENGINES_TOPIC = "servers"
 RETRY_SECONDS = 0.3
@@ -26,12 +26,9 @@
 """Shares of that time, between which it is drawn."""
 INTERVAL_JITTER = (0.8, 1.2)
 """Shares of the interval, between which the time to the next reading is drawn."""
-TIMEOUT_FIRST_SECONDS = 0.6
-"""Timeout of the first call; it doubles with each failure."""
-TIMEOUT_MOST_SECONDS = 3.0
-TIMEOUT_DOUBLINGS_MOST = 5
-CALL_LOST_SECONDS = 2.0
-"""Time past its timeout after which a call without any outcome counts as failed."""
+REPEAT_SHARE = 1.0
+"""Time without an answer after which a call is repeated beside the one in flight, as a share of the
+interval between readings: a list is then hardly older for a call that was not answered."""
 READING_SECONDS_MOST = 3.0
 """Age up to which the first pages of a reading count when a later one must be read again. Begun
 anew after each failure, a list of many pages is hardly ever read while one call in two fails."""
@@ -45,33 +42,29 @@
         self.least_interval = 0.0
         self.pages = 1
         """Pages of the last whole reading."""
-        self.failures = 0
-        """Calls in a row that failed."""
-        self.failing_since = float("inf")
-        """When the first of them failed; infinite if the last call succeeded."""
-        self._numbers = numbers
+        self.attempts = ReadAttempts(numbers, rng, self._pause)
         self._rng = rng
-        self._call = 0
-        self._due = float("-inf")
-        self._lost_at = float("inf")
         self._after_key = ""
         self._rows: list[KeyedRecord] = []
         self._pages_read = 0
         self._began_at = float("-inf")
 
+    def _pause(self, failures: int) -> float:
+        """Returns the pause after a failed call, however many failed before."""
+        return RETRY_SECONDS * self._rng.uniform(*RETRY_JITTER)
+
     def next_due(self) -> float:
         """Returns when `on_timer` has something to do."""
-        return self._lost_at if self._call else self._due
+        return self.attempts.next_due()
 
     def owns(self, call: int) -> bool:
         """Returns whether an answer belongs to this reader."""
-        return call == self._call != 0
+        return self.attempts.owns(call)
 
     def read_again(self, now: float) -> None:
         """Drops the reading in progress, and begins another at once."""
-        self._call = 0
         self._forget_pages()
-        self._due = now
+        self.attempts.abandon(now, doubts_connections=True)
 
     def _forget_pages(self) -> None:
         self._rows = []
@@ -80,43 +73,43 @@
 
     def on_timer(self, now: float) -> list[StoreCall]:
         """Returns the call for the next page, if it is due."""
-        if self._call and now >= self._lost_at:
-            self._on_failed(now)
-        if self._call or now < self._due:
+        self.attempts.repeat_after = max(REPEAT_SHARE * self.interval, self.least_interval)
+        if not self.attempts.is_due(now):
             return []
-        self._call = self._numbers.next()
+        self._forget_old_pages(now)
         if not self._after_key:
             self._began_at = now
-        doublings = min(self.failures, TIMEOUT_DOUBLINGS_MOST)
-        timeout = min(TIMEOUT_FIRST_SECONDS * 2**doublings, TIMEOUT_MOST_SECONDS)
-        self._lost_at = now + timeout + CALL_LOST_SECONDS
-        return [ReadNewest(self._call, Partition(ENGINES_TOPIC), self._after_key, timeout)]
+        attempt = self.attempts.begin(now)
+        return [
+            ReadNewest(
+                attempt.call,
+                Partition(ENGINES_TOPIC),
+                self._after_key,
+                attempt.timeout,
+                attempt.on_new_connection,
+            )
+        ]
 
-    def on_answer(self, now: float, outcome: StoreOutcome) -> list[KeyedRecord] | None:
+    def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> list[KeyedRecord] | None:
         """Takes a page or a failure; returns the whole list's records after the last page."""
-        self._call = 0
         if not isinstance(outcome, NewestPage):
-            self._on_failed(now)
+            self.attempts.on_failed(now, call)
             return None
-        self.failures = 0
-        self.failing_since = float("inf")
         self._rows.extend(outcome.records)
         self._pages_read += 1
         if outcome.has_more and outcome.records:
             self._after_key = outcome.records[-1].key
-            self._due = now
+            self.attempts.on_succeeded(call, now)
             return None
         rows, self.pages = self._rows, self._pages_read
         self._forget_pages()
-        self._due = now + max(self.interval, self.least_interval) * self._rng.uniform(
-            *INTERVAL_JITTER
-        )
+        interval = max(self.interval, self.least_interval)
+        self.attempts.on_succeeded(call, now + interval * self._rng.uniform(*INTERVAL_JITTER))
         return rows
 
-    def _on_failed(self, now: float) -> None:
-        self._call = 0
-        self.failures += 1
-        self.failing_since = min(self.failing_since, now)
-        if now - self._began_at > READING_SECONDS_MOST:
+    def _forget_old_pages(self, now: float) -> None:
+        """Begins the list anew if a page failed and the pages before it are old."""
+        is_old = now - self._began_at > READING_SECONDS_MOST
+        if self._after_key and self.attempts.failures and is_old:
             self._forget_pages()
-        self._due = now + RETRY_SECONDS * self._rng.uniform(*RETRY_JITTER)
+            self.attempts.abandon(now)
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -202,9 +202,9 @@
 
     def _on_store(self, now: float, call: int, outcome: StoreOutcome) -> None:
         if self.membership.reader.owns(call):
-            self.membership.on_answer(now, outcome)
+            self.membership.on_answer(now, call, outcome)
         elif self.configuration.follower.owns(call):
-            self.configuration.on_answer(now, outcome)
+            self.configuration.on_answer(now, call, outcome)
         elif self.suspects.owns(call):
             self.suspects.on_store(now, call, outcome)
         elif self.slots.owns(call):
--- a/src/troutswitch/decisions/gateway_parts.py
+++ b/src/troutswitch/decisions/gateway_parts.py
@@ -35,7 +35,7 @@
 from troutswitch.decisions.run_time_sharing import RunTimeSharing
 from troutswitch.decisions.slots.fleet import FleetSlots, SlotPolicies
 from troutswitch.decisions.slots.messages import WaitingItems
-from troutswitch.decisions.storage.follower import CallNumbers
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 from troutswitch.decisions.tenants.quota_groups import QuotaGroups
 from troutswitch.decisions.tenants.quota_policies import make_quota
 
--- a/src/troutswitch/decisions/jobs/dependencies.py
+++ b/src/troutswitch/decisions/jobs/dependencies.py
@@ -16,8 +16,8 @@
 from troutswitch.decisions.jobs.records import StoreLimits
 from troutswitch.decisions.policies import BatchPolicies
 from troutswitch.decisions.slots.messages import FleetShare
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import StoreCall
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 from troutswitch.decisions.tenants.tenant_keys import TenantKeys
 
 JobInstruction = StoreCall | RunItem | StopItem | AnswerJobCall | LogLine
--- a/src/troutswitch/decisions/jobs/ownership.py
+++ b/src/troutswitch/decisions/jobs/ownership.py
@@ -22,7 +22,6 @@
 
 from troutswitch.decisions.jobs.records import SHARD_TOPIC, shard_partition
 from troutswitch.decisions.jobs.replicas import JobReplicas
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import (
     Appended,
     AppendRecords,
@@ -34,6 +33,7 @@
     StoreOutcome,
     WriterStamp,
 )
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 GROUP = "shard-owners"
 WRITER = "shard-owner"
--- a/src/troutswitch/decisions/jobs/progress_reports.py
+++ b/src/troutswitch/decisions/jobs/progress_reports.py
@@ -15,7 +15,6 @@
 from troutswitch.decisions.jobs.records import INDEX, progress_record
 from troutswitch.decisions.jobs.replicas import JobReplicas
 from troutswitch.decisions.jobs.token_limits import TokenLimits
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import (
     Appended,
     AppendRecords,
@@ -23,6 +22,7 @@
     StoreCall,
     StoreOutcome,
 )
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 REPORT_SECONDS = 0.4
 """Least interval between reports of a shard."""
--- a/src/troutswitch/decisions/jobs/reads.py
+++ b/src/troutswitch/decisions/jobs/reads.py
@@ -24,13 +24,13 @@
 )
 from troutswitch.decisions.jobs.records import INDEX, end_record
 from troutswitch.decisions.jobs.replicas import JobReplicas
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import (
     Appended,
     AppendRecords,
     StoreCall,
     StoreOutcome,
 )
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 RESULT_BYTES_MOST = 900_000
 """Bytes of texts in one answer, below the platform's limit of 1 MB."""
--- a/src/troutswitch/decisions/jobs/replicas.py
+++ b/src/troutswitch/decisions/jobs/replicas.py
@@ -11,8 +11,9 @@
 from troutswitch.decisions.jobs.index import JobIndex
 from troutswitch.decisions.jobs.records import INDEX, shard_partition
 from troutswitch.decisions.jobs.shard import ShardFold
-from troutswitch.decisions.storage.follower import CallNumbers, PartitionFollower
+from troutswitch.decisions.storage.follower import PartitionFollower
 from troutswitch.decisions.storage.messages import KeyedRecord, StoreCall, StoreOutcome
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 from troutswitch.decisions.storage.refresh import Refresher
 
 INDEX_WAIT_SECONDS = 1.0
@@ -107,7 +108,7 @@
         self._now = now
         for follower, refresher in list(self._readers()):
             if follower.owns(call):
-                follower.on_answer(now, outcome)
+                follower.on_answer(now, call, outcome)
                 return []
             if refresher.owns(call):
                 return refresher.on_answer(now, outcome)
--- a/src/troutswitch/decisions/jobs/retention.py
+++ b/src/troutswitch/decisions/jobs/retention.py
@@ -33,7 +33,6 @@
 )
 from troutswitch.decisions.jobs.replicas import JobReplicas
 from troutswitch.decisions.jobs.shard import JobContent
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import (
     Appended,
     AppendRecords,
@@ -42,6 +41,7 @@
     StoreCall,
     StoreOutcome,
 )
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 CHECK_SECONDS = 5.0
 """Interval between checks for what is to be removed."""
--- a/src/troutswitch/decisions/jobs/writer.py
+++ b/src/troutswitch/decisions/jobs/writer.py
@@ -26,7 +26,6 @@
 )
 from troutswitch.decisions.jobs.replicas import JobReplicas
 from troutswitch.decisions.jobs.token_limits import TokenLimits
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import (
     Appended,
     AppendRecords,
@@ -36,6 +35,7 @@
     StoreOutcome,
     WriterStamp,
 )
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 RETRY_SECONDS = 0.2
 """Pause after a write that failed."""
--- a/src/troutswitch/decisions/peer_state_exchange.py
+++ b/src/troutswitch/decisions/peer_state_exchange.py
@@ -65,7 +65,7 @@
         reading = ReadingState(
             self._configuration.version(),
             self._peers.newest_version(),
-            self._configuration.follower.failing_since,
-            self._membership.reader.failing_since,
+            self._configuration.follower.attempts.failing_since,
+            self._membership.reader.attempts.failing_since,
         )
         return self._catch_up.on_timer(now, reading, self._peers)
--- a/src/troutswitch/decisions/peers/peer_registry.py
+++ b/src/troutswitch/decisions/peers/peer_registry.py
@@ -14,7 +14,6 @@
 
 from troutswitch.common import Address
 from troutswitch.decisions.forwarding.experience import Experience
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import (
     Appended,
     AppendRecords,
@@ -25,6 +24,7 @@
     StoreCall,
     StoreOutcome,
 )
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 PEERS_TOPIC = "daemons"
 READ_FIRST_SECONDS = 1.0
--- a/src/troutswitch/decisions/slots/coordinator_claims.py
+++ b/src/troutswitch/decisions/slots/coordinator_claims.py
@@ -36,7 +36,7 @@
 from troutswitch.daemons.messages import KnownClaim
 from troutswitch.decisions.slots.coordinator_health import NEVER, CoordinatorHealth
 from troutswitch.decisions.slots.groups import EngineGroups, Group
-from troutswitch.decisions.storage.follower import CallNumbers, PartitionFollower
+from troutswitch.decisions.storage.follower import PartitionFollower
 from troutswitch.decisions.storage.messages import (
     Appended,
     AppendRecords,
@@ -46,6 +46,7 @@
     StoreCall,
     StoreOutcome,
 )
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 CLAIMS_TOPIC = "coordinators"
 READ_WAIT_SECONDS = 3.0
@@ -215,7 +216,7 @@
         return max(missing_since + self._claim_delay(group), claimed_at + CLAIM_INTERVAL_SECONDS)
 
     def _may_claim(self, group: str) -> bool:
-        if self.is_draining or not self._follower.is_current or self._follower.failures:
+        if self.is_draining or not self._follower.is_current or self._follower.attempts.failures:
             return False
         is_claiming = any(claim.group == group for claim in self._own_claims.values())
         return not is_claiming and not self.is_own(group)
@@ -275,7 +276,7 @@
     def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> None:
         """Takes the outcome of a read or of a claim."""
         if self._follower.owns(call):
-            self._follower.on_answer(now, outcome)
+            self._follower.on_answer(now, call, outcome)
             self._plan()
             return
         group = self._own_claims.pop(call).group
--- a/src/troutswitch/decisions/slots/fleet.py
+++ b/src/troutswitch/decisions/slots/fleet.py
@@ -39,8 +39,8 @@
 )
 from troutswitch.decisions.slots.reports import HoldingsReports
 from troutswitch.decisions.slots.slot_requests import PlacementFound, SlotRequests
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import StoreCall, StoreOutcome
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/storage/follower.py
+++ b/src/troutswitch/decisions/storage/follower.py
@@ -8,10 +8,11 @@
 that it reports. So the tail is read from the offset after the last record of the first page, and
 records may come again: what they are folded into must take a record any number of times.
 
-It owns the offset up to which the partition was read, and the read in flight.
+It owns the offset up to which the partition was read. Relies on `ReadAttempts` for when reads are
+sent and how long they may take. A read waits at the store only while none has failed: a reader that
+fell behind wants the answer at once.
 """
 
-import itertools
 import random
 from collections.abc import Callable
 from enum import Enum
@@ -27,18 +28,7 @@
     StoreCall,
     StoreOutcome,
 )
-
-RETRY_FIRST_SECONDS = 0.1
-"""Pause after a failure; it doubles with each one."""
-RETRY_MOST_SECONDS = 1.0
-RETRY_DOUBLINGS = 6
-TIMEOUT_FIRST_SECONDS = 0.6
-"""Timeout of the first try; it doubles with each failure, as a store may be silent for a moment, or
-slow for long."""
-TIMEOUT_MOST_SECONDS = 3.0
-TIMEOUT_DOUBLINGS = 5
-CALL_LOST_SECONDS = 2.0
-"""Time past its timeout after which a call counts as lost."""
+from troutswitch.decisions.storage.read_attempts import CallNumbers, ReadAttempts
 
 
 class FollowState(Enum):
@@ -48,17 +38,6 @@
     FOLLOWING = "following"
 
 
-class CallNumbers:
-    """Numbers for the store calls of one process."""
-
-    def __init__(self) -> None:
-        self._numbers = itertools.count(1)
-
-    def next(self) -> int:
-        """Returns a number that was not used before."""
-        return next(self._numbers)
-
-
 class PartitionFollower:
     """Follows one partition for a fold.
 
@@ -74,8 +53,7 @@
     Attributes:
         next_offset: where the next read begins.
         current_at: when the last read to the partition's end was begun, on this process's clock.
-        failures: reads that failed since the last success.
-        failing_since: when the first of these failed, or infinite.
+        attempts: the reads in flight, and how many have failed since the last success.
         least_interval: least seconds between reads that the size of the fleet asks for, which
             bounds the reads of all daemons together.
     """
@@ -94,27 +72,16 @@
         self.state = FollowState.STARTING
         self.next_offset = 0
         self.current_at = float("-inf")
-        self.failures = 0
-        self.failing_since = float("inf")
+        self.attempts = ReadAttempts(numbers, rng)
         self.wait = wait
         self._pause = pause
         self.least_interval = 0.0
         self.is_tailing = is_tailing
-        self._numbers = numbers
-        self._rng = rng
         self._take = take
-        self._call = 0
-        self._requested_at = float("-inf")
-        self._lost_at = float("inf")
-        self._due = float("-inf")
         self._after_key = ""
         self._tail_from: int | None = None
         self._first_kept = 0
 
-    def read_seconds(self, now: float) -> float:
-        """Returns how long the read in flight has taken, 0 without one."""
-        return now - self._requested_at if self._call else 0.0
-
     @property
     def is_current(self) -> bool:
         """Whether the partition was read to an end at least once."""
@@ -124,11 +91,11 @@
         """Returns when `on_timer` has something to do."""
         if self._is_idle:
             return float("inf")
-        return self._lost_at if self._call else self._due
+        return self.attempts.next_due()
 
     @property
     def _is_idle(self) -> bool:
-        return not self.is_tailing and self.is_current and not self._call
+        return not self.is_tailing and self.is_current and not self.attempts.is_reading
 
     def absorb(self, requested_at: float, read: RecordsRead) -> None:
         """Takes records that another read of this partition brought."""
@@ -146,42 +113,52 @@
             self.next_offset = end
 
     def read_again(self, now: float) -> None:
-        """Abandons the read in flight, and reads at once."""
-        self._call = 0
-        self._due = now
+        """Abandons the reads in flight, and reads at once, on a new connection."""
+        self.attempts.abandon(now, doubts_connections=True)
 
     def owns(self, call: int) -> bool:
         """Returns whether a store call is this follower's read."""
-        return call == self._call != 0
+        return self.attempts.owns(call)
 
     def on_timer(self, now: float) -> list[StoreCall]:
         """Makes the next call if it is due."""
-        if self._call and now >= self._lost_at:
-            self._call = 0
-            self._fail(now)
-        if self._call or now < self._due or self._is_idle:
+        if not self.attempts.is_due(now) or self._is_idle:
             return []
-        self._call = self._numbers.next()
-        self._requested_at = now
-        doublings = min(self.failures, TIMEOUT_DOUBLINGS)
-        timeout = min(TIMEOUT_FIRST_SECONDS * 2**doublings, TIMEOUT_MOST_SECONDS)
-        self._lost_at = now + self.wait + timeout + CALL_LOST_SECONDS
         if self.state is FollowState.STARTING:
-            return [ReadNewest(self._call, self.partition, self._after_key, timeout)]
-        return [ReadRecords(self._call, self.partition, self.next_offset, self.wait, timeout)]
-
-    def on_answer(self, now: float, outcome: StoreOutcome) -> None:
-        """Takes the outcome of the call in flight."""
-        self._call = 0
+            attempt = self.attempts.begin(now)
+            return [
+                ReadNewest(
+                    attempt.call,
+                    self.partition,
+                    self._after_key,
+                    attempt.timeout,
+                    attempt.on_new_connection,
+                )
+            ]
+        wait = 0.0 if self.attempts.failures else self.wait
+        attempt = self.attempts.begin(now, wait)
+        return [
+            ReadRecords(
+                attempt.call,
+                self.partition,
+                self.next_offset,
+                wait,
+                attempt.timeout,
+                attempt.on_new_connection,
+            )
+        ]
+
+    def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> None:
+        """Takes the outcome of a read in flight."""
         match outcome:
             case NewestPage():
-                self._take_page(now, outcome)
+                self._take_page(now, call, outcome)
             case RecordsRead():
-                self._take_records(now, outcome)
+                self._take_records(now, call, outcome)
             case HistoryGone():
                 self.on_history_gone(now, outcome)
             case _:
-                self._fail(now)
+                self.attempts.on_failed(now, call)
 
     def on_history_gone(self, now: float, gone: HistoryGone) -> None:
         """Reads the partition whole again, and continues from the first record that is kept."""
@@ -193,21 +170,15 @@
         self.state = FollowState.STARTING
         self._after_key = ""
         self._tail_from = None
-        self._due = now
-        self._call = 0
-
-    def _succeed(self) -> None:
-        self.failures = 0
-        self.failing_since = float("inf")
+        self.attempts.abandon(now)
 
-    def _take_page(self, now: float, page: NewestPage) -> None:
-        self._succeed()
+    def _take_page(self, now: float, call: int, page: NewestPage) -> None:
+        attempt = self.attempts.on_succeeded(call, now)
         if self._tail_from is None:
             last = max((record.offset for record in page.records), default=-1)
             self._tail_from = max(last + 1, self._first_kept)
         for record in page.records:
             self._take(record)
-        self._due = now
         if page.has_more and page.records:
             self._after_key = page.records[-1].key
             return
@@ -217,28 +188,21 @@
         self.next_offset = max(self._tail_from, self.next_offset)
         self._after_key = ""
         self._tail_from = None
-        self.current_at = self._requested_at
-        self._due = now + (0.0 if self.wait else self._pause)
+        self.current_at = attempt.requested_at
+        self.attempts.abandon(now + (0.0 if self.wait else self._pause))
 
-    def _take_records(self, now: float, read: RecordsRead) -> None:
-        self._succeed()
+    def _take_records(self, now: float, call: int, read: RecordsRead) -> None:
         if read.next_offset >= self.next_offset:
             for record in read.records:
                 self._take(record)
             self.next_offset = read.next_offset
         is_behind = self.next_offset < read.end
-        if not is_behind:
-            self.current_at = self._requested_at
         pause = max(self._pause, self.least_interval)
-        self._due = now if is_behind or self._timed_out(read) else now + pause
+        due = now if is_behind or self._timed_out(read) else now + pause
+        attempt = self.attempts.on_succeeded(call, due)
+        if not is_behind:
+            self.current_at = attempt.requested_at
 
     def _timed_out(self, read: RecordsRead) -> bool:
         """Returns whether the read waited at the store and brought nothing."""
         return self.wait > 0 and not read.records
-
-    def _fail(self, now: float) -> None:
-        self.failures += 1
-        self.failing_since = min(self.failing_since, now)
-        doublings = min(self.failures, RETRY_DOUBLINGS)
-        pause = min(RETRY_FIRST_SECONDS * 2**doublings, RETRY_MOST_SECONDS)
-        self._due = now + pause * self._rng.uniform(0.5, 1.0)
--- a/src/troutswitch/decisions/storage/messages.py
+++ b/src/troutswitch/decisions/storage/messages.py
@@ -40,7 +40,8 @@
     sequence: int
 
 
-# Calls. `timeout` is the longest time for the answer beyond what a read waits at the store.
+# Calls. `timeout` is the longest time for the answer beyond what a read waits at the store. With
+# `on_new_connection`, a read is not sent on a connection that is already open.
 
 READ_TIMEOUT_SECONDS = 1.5
 """Timeout of reads that name none."""
@@ -56,6 +57,7 @@
     partition: Partition
     after_key: str = ""
     timeout: float = READ_TIMEOUT_SECONDS
+    on_new_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +69,7 @@
     offset: int
     wait: float = 0.0
     timeout: float = READ_TIMEOUT_SECONDS
+    on_new_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/troutswitch/decisions/storage/read_attempts.py
@@ -0,0 +1,170 @@
+"""Decides how long each read of one reader may take, and when the next one is sent.
+
+Inputs: the reads in flight, and the reads in a row that failed; this process's clock, in seconds.
+
+Rule:
+
+- The time-out is `TIMEOUT_FIRST_SECONDS`, doubled with each failure up to `TIMEOUT_MOST_SECONDS`.
+- A read without an answer for `repeat_after` is repeated beside it, with at most
+  `READS_IN_FLIGHT_MOST` in flight; the first answer counts, the others are ignored.
+- After a failure with nothing else in flight the next read follows after a pause.
+- While reads fail, each is sent on a new connection.
+
+Why: a slow store answers late, so time-outs must grow. A store that was silent never answers what
+it was sent meanwhile, so a reader that only waits for its time-out stays blind for that long after
+the store's return. And open connections may stay silent for good while new ones work.
+
+It owns the reads in flight. The reader makes the calls and takes their outcomes.
+"""
+
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+TIMEOUT_FIRST_SECONDS = 0.6
+"""Timeout of the first try: a store that is well answers far sooner."""
+TIMEOUT_MOST_SECONDS = 3.0
+TIMEOUT_DOUBLINGS = 5
+CALL_LOST_SECONDS = 2.0
+"""Time past its timeout after which a call without any outcome counts as failed."""
+READS_IN_FLIGHT_MOST = 6
+"""Each takes a thread until its time-out: as many as a repetition each 0.6 s makes in the longest
+one, and one more."""
+RETRY_FIRST_SECONDS = 0.1
+"""Pause after a failure; it doubles with each one."""
+RETRY_MOST_SECONDS = 1.0
+RETRY_DOUBLINGS = 6
+
+
+class CallNumbers:
+    """Numbers for the store calls of one process."""
+
+    def __init__(self) -> None:
+        self._numbers = itertools.count(1)
+
+    def next(self) -> int:
+        """Returns a number that was not used before."""
+        return next(self._numbers)
+
+
+@dataclass(frozen=True, slots=True)
+class ReadAttempt:
+    """One read. Times are this process's clock, in seconds.
+
+    `timeout` bounds it beyond its wait at the store; at `lost_at` it counts as failed without any
+    outcome.
+    """
+
+    call: int
+    requested_at: float
+    timeout: float
+    lost_at: float
+    on_new_connection: bool
+
+
+class ReadAttempts:
+    """The reads of one reader.
+
+    Args:
+        numbers: source of call numbers.
+        rng: source of jitter.
+        pause: returns the seconds to pause after a number of failures in a row; by default they
+            double from `RETRY_FIRST_SECONDS` to `RETRY_MOST_SECONDS`.
+
+    Attributes:
+        repeat_after: seconds without an answer, beyond the wait at the store, after which a read
+            is repeated beside the one in flight; infinite for readers that never repeat.
+        failures: reads that failed since the last success.
+        failing_since: when the first of these failed, or infinite.
+    """
+
+    def __init__(
+        self,
+        numbers: CallNumbers,
+        rng: random.Random,
+        pause: Callable[[int], float] | None = None,
+    ) -> None:
+        self.repeat_after = float("inf")
+        self.failures = 0
+        self.failing_since = float("inf")
+        self._numbers = numbers
+        self._rng = rng
+        self._pause = pause or self._doubling_pause
+        self._in_flight: dict[int, ReadAttempt] = {}
+        self._due = float("-inf")
+        self._doubts_connections = False
+
+    def _doubling_pause(self, failures: int) -> float:
+        doublings = min(failures, RETRY_DOUBLINGS)
+        pause: float = min(RETRY_FIRST_SECONDS * 2**doublings, RETRY_MOST_SECONDS)
+        return pause * self._rng.uniform(0.5, 1.0)
+
+    def owns(self, call: int) -> bool:
+        """Returns whether a store call is one of the reads in flight."""
+        return call in self._in_flight
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether a read is in flight."""
+        return bool(self._in_flight)
+
+    def read_seconds(self, now: float) -> float:
+        """Returns how long the oldest read in flight has taken, 0 without one."""
+        begun = (attempt.requested_at for attempt in self._in_flight.values())
+        return now - min(begun, default=now)
+
+    def next_due(self) -> float:
+        """Returns when a read is due, or one in flight counts as failed."""
+        lost = (attempt.lost_at for attempt in self._in_flight.values())
+        due = float("inf") if self._is_full else self._due
+        return min(due, min(lost, default=float("inf")))
+
+    @property
+    def _is_full(self) -> bool:
+        return len(self._in_flight) >= READS_IN_FLIGHT_MOST
+
+    def is_due(self, now: float) -> bool:
+        """Returns whether a read is to be sent now; a call without any outcome counts as failed."""
+        lost = [call for call, attempt in self._in_flight.items() if now >= attempt.lost_at]
+        for call in lost:
+            self.on_failed(now, call)
+        return now >= self._due and not self._is_full
+
+    def begin(self, now: float, wait: float = 0.0) -> ReadAttempt:
+        """Notes a read that is sent now and may wait at the store for `wait` seconds."""
+        doublings = min(self.failures, TIMEOUT_DOUBLINGS)
+        timeout = min(TIMEOUT_FIRST_SECONDS * 2**doublings, TIMEOUT_MOST_SECONDS)
+        is_suspect = self._doubts_connections or bool(self.failures or self._in_flight)
+        lost_at = now + wait + timeout + CALL_LOST_SECONDS
+        attempt = ReadAttempt(self._numbers.next(), now, timeout, lost_at, is_suspect)
+        self._in_flight[attempt.call] = attempt
+        self._due = now + wait + self.repeat_after
+        return attempt
+
+    def on_succeeded(self, call: int, due: float) -> ReadAttempt:
+        """Takes a read that was answered; the others are abandoned, the next is due at `due`."""
+        attempt = self._in_flight[call]
+        self._in_flight.clear()
+        self._due = due
+        self.failures = 0
+        self.failing_since = float("inf")
+        self._doubts_connections = False
+        return attempt
+
+    def on_failed(self, now: float, call: int) -> None:
+        """Takes a read that failed; a pause follows unless another is in flight."""
+        del self._in_flight[call]
+        self.failures += 1
+        self.failing_since = min(self.failing_since, now)
+        if not self._in_flight:
+            self._due = now + self._pause(self.failures)
+
+    def abandon(self, due: float, *, doubts_connections: bool = False) -> None:
+        """Abandons the reads in flight; the next is due at `due`.
+
+        With `doubts_connections`, it is sent on a new connection.
+        """
+        self._in_flight.clear()
+        self._due = due
+        self._doubts_connections |= doubts_connections
--- a/src/troutswitch/decisions/storage/refresh.py
+++ b/src/troutswitch/decisions/storage/refresh.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 
-from troutswitch.decisions.storage.follower import CallNumbers, PartitionFollower
+from troutswitch.decisions.storage.follower import PartitionFollower
 from troutswitch.decisions.storage.messages import (
     HistoryGone,
     ReadRecords,
@@ -14,6 +14,7 @@
     StoreCall,
     StoreOutcome,
 )
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 CALL_LOST_SECONDS = 4.0
 """Time after which a read without an answer counts as failed."""
@@ -58,7 +59,7 @@
         if self._call or not self._waiting:
             return []
         if not self._follower.is_current:
-            if self._follower.failures:
+            if self._follower.attempts.failures:
                 self._in_read, self._waiting = self._waiting, []
                 self._notify(now, False)
             return []
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -115,13 +115,13 @@
         )
         self._gauge(
             "configuration_read_seconds",
-            "Age of the read of the configuration that is in flight, 0 without one",
-            lambda: configuration.follower.read_seconds(steady_seconds()),
+            "Age of the oldest read of the configuration that is in flight, 0 without one",
+            lambda: configuration.follower.attempts.read_seconds(steady_seconds()),
         )
         self._gauge(
             "configuration_reads_failed",
             "Reads of the configuration that failed since the last success",
-            lambda: configuration.follower.failures,
+            lambda: configuration.follower.attempts.failures,
         )
         learnt_by = Gauge(
             "troutswitch_configuration_learnt_by",
--- a/src/troutswitch/platform/store.py
+++ b/src/troutswitch/platform/store.py
@@ -147,7 +147,13 @@
         query = _partition_query(call.partition)
         if call.after_key:
             query["afterRevision"] = call.after_key  # a key, no revision
-        status, body = self._exchange("GET", "/log-newest", query, timeout=call.timeout)
+        status, body = self._exchange(
+            "GET",
+            "/log-newest",
+            query,
+            timeout=call.timeout,
+            on_new_connection=call.on_new_connection,
+        )
         if status != 200:
             return _failed(status, body)
         try:
@@ -167,7 +173,12 @@
         if call.wait > 0:
             query["waitMs"] = round(call.wait * 1000)
         status, body = self._exchange(
-            "GET", "/log-read", query, timeout=call.timeout + call.wait, waits=call.wait > 0
+            "GET",
+            "/log-read",
+            query,
+            timeout=call.timeout + call.wait,
+            waits=call.wait > 0,
+            on_new_connection=call.on_new_connection,
         )
         if status == 410:
             return HistoryGone(_refusal(body).first)
@@ -248,12 +259,13 @@
         *,
         timeout: float,
         waits: bool = False,
+        on_new_connection: bool = False,
     ) -> tuple[int, bytes]:
         """Makes one exchange and returns its status and body.
 
         The status is `NO_ANSWER` or `NOT_SENT`, and the body the error's text, if it failed.
         """
-        pooled = self.connections.take(waits)
+        pooled = self.connections.take(waits, on_new_connection)
         connection = pooled.connection
         url = f"{path}?{urlencode(query, quote_via=quote)}" if query else path
         headers = {"Content-Type": "application/json"} if body is not None else {}
--- a/src/troutswitch/runtime/connection_pool.py
+++ b/src/troutswitch/runtime/connection_pool.py
@@ -84,14 +84,15 @@
         self._in_use: list[PooledConnection] = []
         self._lock = threading.Lock()
 
-    def take(self, waits: bool = False) -> PooledConnection:
+    def take(self, waits: bool = False, is_new: bool = False) -> PooledConnection:
         """Returns an idle connection that is sound, or a new one not yet connected.
 
-        `waits` says that the peer may hold the answer back until something happens.
+        `waits` says that the peer may hold the answer back until something happens. With `is_new`,
+        none that is open already is returned.
         """
         while True:
             with self._lock:
-                pooled = self._idle.pop() if self._idle else self._new()
+                pooled = self._idle.pop() if self._idle and not is_new else self._new()
             if pooled.connection.sock is None or pooled.is_sound():
                 break
             pooled.connection.close()
--- a/tests/decisions/crashes/test_shared.py
+++ b/tests/decisions/crashes/test_shared.py
@@ -21,7 +21,6 @@
     SharedCrashes,
 )
 from troutswitch.decisions.slots.messages import SendToPeers
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import (
     Appended,
     AppendRecords,
@@ -31,6 +30,7 @@
     ReadNewest,
     ReadRecords,
 )
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 from troutswitch.gateway.daemons.peer_socket import DATAGRAM_BYTES_MOST
 
 AT = 1.7e9
--- a/tests/decisions/crashes/test_suspects.py
+++ b/tests/decisions/crashes/test_suspects.py
@@ -13,7 +13,7 @@
     CrashSuspects,
 )
 from troutswitch.decisions.forwarding.engines import EngineRegistry
-from troutswitch.decisions.storage.follower import CallNumbers
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 OFFSET = 1.7e9
 
--- a/tests/decisions/forwarding/test_engine_list.py
+++ b/tests/decisions/forwarding/test_engine_list.py
@@ -3,9 +3,11 @@
 import heapq
 import random
 
+import pytest
+
 from troutswitch.decisions.forwarding.engine_list import READING_SECONDS_MOST, EngineListReader
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import CallFailed, KeyedRecord, NewestPage, ReadNewest
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 PAGE = 500
 INTERVAL = 0.6
@@ -32,13 +34,16 @@
 def test_a_page_that_failed_is_asked_for_again_not_the_whole_list() -> None:
     held = reader()
     call = ask(held, 0.0)
-    assert held.on_answer(0.1, page_of(1200, call.after_key)) is None
-    assert ask(held, 0.1).after_key == "00499"
-    assert held.on_answer(0.2, CallFailed("429", False)) is None
-    assert held.failures == 1
-    assert ask(held, 1.0).after_key == "00499"
-    assert held.on_answer(1.1, page_of(1200, "00499")) is None
-    rows = held.on_answer(1.2, page_of(1200, ask(held, 1.1).after_key))
+    assert held.on_answer(0.1, call.call, page_of(1200, call.after_key)) is None
+    call = ask(held, 0.1)
+    assert call.after_key == "00499"
+    assert held.on_answer(0.2, call.call, CallFailed("429", False)) is None
+    assert held.attempts.failures == 1
+    call = ask(held, 1.0)
+    assert call.after_key == "00499"
+    assert held.on_answer(1.1, call.call, page_of(1200, "00499")) is None
+    call = ask(held, 1.1)
+    rows = held.on_answer(1.2, call.call, page_of(1200, call.after_key))
     assert rows is not None
     assert len(rows) == 1200
     assert held.pages == 3
@@ -47,12 +52,31 @@
 def test_pages_that_are_old_are_read_again() -> None:
     held = reader()
     call = ask(held, 0.0)
-    held.on_answer(0.1, page_of(1200, call.after_key))
-    ask(held, 0.1)
-    held.on_answer(READING_SECONDS_MOST + 1, CallFailed("timeout", False))
+    held.on_answer(0.1, call.call, page_of(1200, call.after_key))
+    call = ask(held, 0.1)
+    held.on_answer(READING_SECONDS_MOST + 1, call.call, CallFailed("timeout", False))
     assert ask(held, READING_SECONDS_MOST + 2).after_key == ""
 
 
+def test_a_late_answer_to_an_earlier_page_is_not_taken_for_the_next_one() -> None:
+    held = reader()
+    first = ask(held, 0.0)
+    repeated = ask(held, held.next_due())
+    held.on_answer(1.0, repeated.call, page_of(1200, ""))
+    assert not held.owns(first.call)
+    assert ask(held, 1.0).after_key == "00499"
+
+
+def test_an_unanswered_call_is_repeated_beside_it_each_interval() -> None:
+    held = reader()
+    times = [0.0]
+    ask(held, 0.0)
+    while len(times) < 4:
+        ask(held, held.next_due())
+        times.append(held.next_due() - INTERVAL)
+    assert times == pytest.approx([INTERVAL * number for number in range(4)])
+
+
 def play_fleet(daemons: int, engines: int, calls_a_second: float, paced: bool) -> list[float]:
     """Has all daemons read the list at one store that takes so many calls a second.
 
@@ -76,7 +100,7 @@
             filled_at = now
             outcome = page_of(engines, call.after_key) if tokens >= 1 else CallFailed("429", False)
             tokens -= tokens >= 1
-            if one.on_answer(now + 0.01, outcome) is not None:
+            if one.on_answer(now + 0.01, call.call, outcome) is not None:
                 listed[number] = now
         heapq.heappush(due, (max(one.next_due(), now + 0.01), number))
     assert pages >= 1
--- a/tests/decisions/forwarding/test_expired_entries.py
+++ b/tests/decisions/forwarding/test_expired_entries.py
@@ -14,10 +14,10 @@
 from tests.decisions.forwarding.worlds import engine
 from tests.worlds.gateway_world import GatewayWorld
 from tests.worlds.plain_formats import SERVICE
-from troutswitch.decisions.forwarding.engine_list import TIMEOUT_FIRST_SECONDS, EngineListReader
+from troutswitch.decisions.forwarding.engine_list import EngineListReader
 from troutswitch.decisions.forwarding.engines import EngineRegistry
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import CallFailed, NewestPage, ReadNewest
+from troutswitch.decisions.storage.read_attempts import TIMEOUT_FIRST_SECONDS, CallNumbers
 
 DRAIN_SECONDS = 2.0
 
@@ -50,10 +50,10 @@
             readings += 1
             if readings == 4:
                 now += TIMEOUT_FIRST_SECONDS
-                reader.on_answer(now, CallFailed("no answer", False))
+                reader.on_answer(now, call.call, CallFailed("no answer", False))
                 registry.on_list_failed(now)
                 continue
-            reader.on_answer(now, NewestPage((), False, 0))
+            reader.on_answer(now, call.call, NewestPage((), False, 0))
             has_left = now > left_at
             registry.on_list(now, [engine("b")] if has_left else [engine("a"), engine("b")])
             if readings == 3:
@@ -79,7 +79,7 @@
     call_store = world._call_store
     world._call_store = lambda daemon, call: None  # type: ignore[method-assign]
     world.run(8.0)
-    assert world.daemons["daemon-0"].core.membership.reader.failures
+    assert world.daemons["daemon-0"].core.membership.reader.attempts.failures
     world.remove_engine("server-0")
     world._call_store = call_store  # type: ignore[method-assign]
     returned_at = world.now
@@ -87,3 +87,20 @@
         world.run(0.05)
     for name, daemon in world.daemons.items():
         assert "server-0" in in_use(daemon.core.engines, SERVICE), name
+
+
+def test_entries_that_come_back_two_seconds_after_a_silent_outage_were_in_use_all_the_time() -> (
+    None
+):
+    for seed in range(1, 6):
+        world = GatewayWorld(seed)
+        world.run(3.0)
+        world.faults.is_silent = True
+        world.run(2.0)
+        world.remove_engine("server-0")
+        world.run(1.5 + 0.1 * seed)
+        world.faults.is_silent = False
+        for _ in range(18):
+            world.run(0.1)
+            for name, daemon in world.daemons.items():
+                assert "server-0" in in_use(daemon.core.engines, SERVICE), (seed, name)
--- a/tests/decisions/jobs/test_progress_reports.py
+++ b/tests/decisions/jobs/test_progress_reports.py
@@ -22,8 +22,8 @@
 from troutswitch.decisions.jobs.replicas import JobReplicas
 from troutswitch.decisions.jobs.token_limits import TokenLimits
 from troutswitch.decisions.jobs.writer import ShardWriter
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import AppendRecords, StoreCall
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 JOBS = 3
 ITEMS = 4
--- a/tests/decisions/peers/test_peer_registry.py
+++ b/tests/decisions/peers/test_peer_registry.py
@@ -19,7 +19,6 @@
     decode_entry,
     encode_entry,
 )
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import (
     Appended,
     AppendRecords,
@@ -29,6 +28,7 @@
     ReadNewest,
     StoreCall,
 )
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 from troutswitch.outcomes import AttemptKind
 
 ADDRESS = Address("10.0.0.1", 7)
--- a/tests/decisions/slots/test_coordinator_claims.py
+++ b/tests/decisions/slots/test_coordinator_claims.py
@@ -14,7 +14,6 @@
 )
 from troutswitch.decisions.slots.coordinator_health import SUSPECT_MISSES, SUSPECT_SECONDS
 from troutswitch.decisions.slots.groups import EngineGroups
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import (
     Appended,
     AppendRecords,
@@ -25,6 +24,7 @@
     RecordsRead,
     StoreCall,
 )
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 
 class Store:
--- a/tests/decisions/slots/worlds.py
+++ b/tests/decisions/slots/worlds.py
@@ -29,7 +29,7 @@
     StartItems,
     WaitingItems,
 )
-from troutswitch.decisions.storage.follower import CallNumbers
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 SERVICE = "service"
 ZONE = "z"
--- a/tests/decisions/storage/test_follower.py
+++ b/tests/decisions/storage/test_follower.py
@@ -1,6 +1,6 @@
 import random
 
-from troutswitch.decisions.storage.follower import CallNumbers, PartitionFollower
+from troutswitch.decisions.storage.follower import PartitionFollower
 from troutswitch.decisions.storage.messages import (
     CallFailed,
     HistoryGone,
@@ -10,7 +10,9 @@
     ReadNewest,
     ReadRecords,
     RecordsRead,
+    StoreOutcome,
 )
+from troutswitch.decisions.storage.read_attempts import READS_IN_FLIGHT_MOST, CallNumbers
 from troutswitch.decisions.storage.refresh import Refresher
 
 
@@ -36,11 +38,16 @@
     def next_call(self, now: float) -> ReadNewest | ReadRecords:
         (call,) = self.follower.on_timer(now)
         assert isinstance(call, ReadNewest | ReadRecords)
+        self.newest_call = call.call
         return call
 
+    def answer(self, now: float, outcome: StoreOutcome) -> None:
+        """Answers the newest call."""
+        self.follower.on_answer(now, self.newest_call, outcome)
+
     def bootstrap(self, now: float, *records: KeyedRecord, end: int) -> None:
         assert isinstance(self.next_call(now), ReadNewest)
-        self.follower.on_answer(now, NewestPage(records, False, end))
+        self.answer(now, NewestPage(records, False, end))
 
 
 def record(key: str, value: bytes, offset: int) -> KeyedRecord:
@@ -55,7 +62,7 @@
     call = held.next_call(0.1)
     assert isinstance(call, ReadRecords)
     assert call.offset == 1
-    held.follower.on_answer(0.2, RecordsRead((record("config", b"4", 1),), 2, 2))
+    held.answer(0.2, RecordsRead((record("config", b"4", 1),), 2, 2))
     assert held.taken == {"config": b"4"}
 
 
@@ -63,7 +70,7 @@
     held = Follower()
     held.bootstrap(0.0, record("a", b"1", 3), end=9)
     assert held.next_call(0.1).partition == Partition("t")
-    held.follower.on_answer(0.2, HistoryGone(9))
+    held.answer(0.2, HistoryGone(9))
     held.bootstrap(0.3, record("a", b"1", 3), end=9)
     call = held.next_call(0.4)
     assert isinstance(call, ReadRecords)
@@ -73,12 +80,12 @@
 def test_changes_between_pages_come_again() -> None:
     held = Follower()
     call = held.next_call(0.0)
-    held.follower.on_answer(0.0, NewestPage((record("a", b"1", 0),), True, 2))
+    held.answer(0.0, NewestPage((record("a", b"1", 0),), True, 2))
     call = held.next_call(0.1)
     assert isinstance(call, ReadNewest)
     assert call.after_key == "a"
     # Meanwhile a changed at 2, and z came at 3.
-    held.follower.on_answer(0.1, NewestPage((record("z", b"1", 3),), False, 4))
+    held.answer(0.1, NewestPage((record("z", b"1", 3),), False, 4))
     call = held.next_call(0.2)
     assert isinstance(call, ReadRecords)
     assert call.offset <= 2
@@ -90,7 +97,7 @@
     now = 0.0
     for _ in range(5):
         timeouts.append(held.next_call(now).timeout)
-        held.follower.on_answer(now, CallFailed("lost", True))
+        held.answer(now, CallFailed("lost", True))
         now += 2.0
     assert timeouts == sorted(timeouts)
     assert timeouts[0] < 1.0 < timeouts[-1]
@@ -104,6 +111,40 @@
     assert again.call != first.call
 
 
+def test_an_unanswered_read_is_repeated_beside_it_on_a_new_connection() -> None:
+    held = Follower()
+    held.follower.attempts.repeat_after = 0.5
+    held.bootstrap(0.0, end=0)
+    waiting = held.next_call(0.0)
+    assert isinstance(waiting, ReadRecords)
+    assert not waiting.on_new_connection
+    assert held.follower.on_timer(1.49) == []
+    repeated = held.next_call(1.5)
+    assert repeated.on_new_connection
+    assert held.follower.owns(waiting.call)
+    held.follower.on_answer(1.6, waiting.call, RecordsRead((record("a", b"1", 0),), 1, 1))
+    assert held.taken == {"a": b"1"}
+    assert not held.follower.owns(repeated.call)
+
+
+def test_reads_in_flight_stay_bounded_while_the_store_is_silent() -> None:
+    held = Follower()
+    held.follower.attempts.repeat_after = 0.1
+    calls = [call for tenth in range(20) for call in held.follower.on_timer(tenth / 10)]
+    assert len(calls) == READS_IN_FLIGHT_MOST
+
+
+def test_a_read_after_a_failure_does_not_wait_at_the_store() -> None:
+    held = Follower()
+    held.bootstrap(0.0, end=0)
+    assert held.next_call(0.0).wait == 1.0  # type: ignore[union-attr]
+    held.answer(1.0, CallFailed("lost", True))
+    call = held.next_call(2.0)
+    assert isinstance(call, ReadRecords)
+    assert call.wait == 0.0
+    assert call.on_new_connection
+
+
 def test_reading_again_leaves_the_answer_in_flight_out() -> None:
     held = Follower()
     held.bootstrap(0.0, end=0)
@@ -117,7 +158,7 @@
     held = Follower()
     held.bootstrap(0.0, end=0)
     held.next_call(0.0)
-    held.follower.on_answer(0.5, RecordsRead((record("a", b"1", 0),), 1, 1))
+    held.answer(0.5, RecordsRead((record("a", b"1", 0),), 1, 1))
     assert held.follower.on_timer(0.6) == []
     held.next_call(0.7)
 
--- a/tests/decisions/tenants/test_coordinated_quota.py
+++ b/tests/decisions/tenants/test_coordinated_quota.py
@@ -13,7 +13,7 @@
 from troutswitch.decisions.slots.coordinator_claims import Claim, CoordinatorClaims
 from troutswitch.decisions.slots.groups import EngineGroups
 from troutswitch.decisions.slots.messages import SendToPeers
-from troutswitch.decisions.storage.follower import CallNumbers
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 from troutswitch.decisions.tenants.coordinated_quota import (
     DECISION_SECONDS,
     RESEND_SECONDS,
--- a/tests/decisions/tenants/test_machine.py
+++ b/tests/decisions/tenants/test_machine.py
@@ -19,7 +19,7 @@
 from troutswitch.decisions.slots.coordinator_claims import Claim, CoordinatorClaims
 from troutswitch.decisions.slots.groups import EngineGroups
 from troutswitch.decisions.slots.messages import SendToPeers
-from troutswitch.decisions.storage.follower import CallNumbers
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 from troutswitch.decisions.tenants.coordinated_quota import CoordinatedQuota
 from troutswitch.decisions.tenants.quota import QuotaEnd
 from troutswitch.decisions.tenants.quota_groups import QuotaGroups
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -50,7 +50,6 @@
 from troutswitch.decisions.slots import coordinator_claims as claims_module
 from troutswitch.decisions.slots.coordinator_claims import CoordinatorClaims
 from troutswitch.decisions.slots.groups import EngineGroups, assign_groups
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import (
     AppendRecords,
     GroupJoined,
@@ -64,6 +63,7 @@
     StoreCall,
     WriterStamp,
 )
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 from troutswitch.decisions.tenants.tenant_keys import TenantKeys
 from troutswitch.decisions.tenants.types import key_digest
 from troutswitch.gateway.callers.application import CallerApplication, final_answer
--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -25,7 +25,6 @@
     TTL_JOINS,
     ShardOwnership,
 )
-from troutswitch.decisions.storage.follower import CallNumbers
 from troutswitch.decisions.storage.messages import (
     Appended,
     AppendRecords,
@@ -41,6 +40,7 @@
     StoreCall,
     StoreOutcome,
 )
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 from troutswitch.platform.store import StoreClient
 from troutswitch.runtime.connection_pool import CONNECT_SECONDS
 
--- a/tests/proofs/test_configuration.py
+++ b/tests/proofs/test_configuration.py
@@ -1,7 +1,7 @@
 """A confirmed configuration is in force everywhere in time, and never reverts.
 
-The bounds are the users': `APPLY_SECONDS` after its confirmation, or `CONTACT_SECONDS` after the end
-of what kept a daemon from the store, whichever is later.
+The bounds are the users': `APPLY_SECONDS` after its confirmation, or `CONTACT_SECONDS` after the
+end of what kept a daemon from the store, whichever is later.
 """
 
 from tests.worlds.gateway_world import GatewayWorld
--- a/tests/worlds/quota_world.py
+++ b/tests/worlds/quota_world.py
@@ -15,7 +15,7 @@
 from troutswitch.decisions.slots.coordinator_claims import Claim, CoordinatorClaims
 from troutswitch.decisions.slots.groups import EngineGroups
 from troutswitch.decisions.slots.messages import SendToPeers
-from troutswitch.decisions.storage.follower import CallNumbers
+from troutswitch.decisions.storage.read_attempts import CallNumbers
 from troutswitch.decisions.tenants.coordinated_quota import CoordinatedQuota
 from troutswitch.decisions.tenants.equal_shares import EqualShares
 from troutswitch.decisions.tenants.quota import Quota, QuotaEnd, QuotaResult
