An engine that starts again under its id is another incarnation

All that is remembered of an engine stands under its id: that it drained or that its address answered as another one (for the life of the daemon), failures, load, requests in flight, slots, grants, notices to peers, crashes on record, open connections. An engine that drained once and came back got no work any more; a crash before a quick restart was never noticed, and a second one under the same id not counted. The list that has the next incarnation ends the one before, also while missing engines are kept after an outage. The form of a decoded entry has the engine's name as one field more; entries without a start are read as before.

--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -3,7 +3,8 @@
 Owns the engines by their id. Each incarnation of an engine has an id of its own. An id that was
 seen draining, or whose address answered as another incarnation, never takes new work again here.
 One that only left the list takes none while it is away: entries also expire while the store is
-down (`expired_entries`).
+down (`expired_entries`). One that started again is gone with the list that has its next
+incarnation.
 
 Relies on the list of engines (`engine_list`, or a peer's copy), on drain notices of peers, and on
 each attempt being reported from its start to its end. All times are this process's clock, in
@@ -66,7 +67,9 @@
         listed = {record.engine_id for record in records}
         for record in records:
             self._take(record)
-        self._unlist(self.expired.on_list(now, self.engines.keys() - listed))
+        missing = self.engines.keys() - listed
+        restarted = self._restarted(missing, records)
+        self._unlist(self.expired.on_list(now, missing - restarted) | restarted)
         after = self._taking_work()
         self.kept_missing = {name for name in after if name not in listed}
         if before != after:
@@ -74,6 +77,11 @@
         self._index()
         return sorted(after - before), sorted(before - after)
 
+    def _restarted(self, missing: set[str], records: list[EngineRecord]) -> set[str]:
+        """Returns the missing incarnations of engines of which the list has another."""
+        instances = {record.instance for record in records if record.instance}
+        return {name for name in missing if self.engines[name].record.instance in instances}
+
     def _taking_work(self) -> set[str]:
         return {name for name, engine in self.engines.items() if not engine.is_leaving}
 
--- a/src/troutswitch/decisions/forwarding/types.py
+++ b/src/troutswitch/decisions/forwarding/types.py
@@ -102,7 +102,11 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineRecord:
-    """An entry of the engine list; each incarnation of an engine has an id of its own."""
+    """An entry of the engine list.
+
+    `engine_id` names one incarnation of an engine, `instance` the engine, which may start again:
+    the list has its newest incarnation alone. An empty `instance` stands for `engine_id`.
+    """
 
     engine_id: str
     service: str
@@ -110,6 +114,7 @@
     zone: str
     slots: int
     is_draining: bool
+    instance: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/gateway_messages.py
+++ b/src/troutswitch/decisions/gateway_messages.py
@@ -23,8 +23,8 @@
         """Decodes a record of the configuration's topic; None if it is another one."""
         ...
 
-    def engine(self, engine_id: str, data: bytes) -> EngineRecord:
-        """Decodes an engine's record."""
+    def engine(self, key: str, data: bytes) -> EngineRecord:
+        """Decodes the record of an engine that stands under a key of the engine list."""
         ...
 
 
--- a/src/troutswitch/platform/configuration.py
+++ b/src/troutswitch/platform/configuration.py
@@ -17,6 +17,7 @@
     Service,
 )
 from troutswitch.decisions.tenants.types import Tenant, key_digest
+from troutswitch.platform.engine_ids import incarnation_id
 from troutswitch.platform.names import CONFIGURATION_KEY
 
 ROUTE_KINDS = {
@@ -103,6 +104,7 @@
     slots: int = 1
     state: str = "ready"
     coldRemainingMs: float = 0.0
+    born: int | None = None  # Unix millisecond of the engine's start, which its id may outlive
 
 
 _CONFIGURATION = msgspec.json.Decoder(_Configuration)
@@ -171,8 +173,8 @@
     return Service(service.name, service.maxConnections, engine.slots, engine.kvCacheTokens)
 
 
-def decode_engine(engine_id: str, data: bytes) -> EngineRecord:
-    """Decodes an engine's record.
+def decode_engine(instance: str, data: bytes) -> EngineRecord:
+    """Decodes the record of an engine, whose id on the platform is `instance`.
 
     Raises:
         FormatError: the record is malformed.
@@ -181,14 +183,15 @@
         decoded = _SERVER.decode(data)
         address = Address.parse(decoded.address)
     except (msgspec.DecodeError, ValueError) as error:
-        raise FormatError(f"engine {engine_id}: {error}") from error
+        raise FormatError(f"engine {instance}: {error}") from error
     return EngineRecord(
-        engine_id,
+        incarnation_id(instance, decoded.born),
         decoded.service,
         address,
         decoded.zone,
         decoded.slots,
         decoded.state == DRAINING,
+        instance,
     )
 
 
@@ -199,6 +202,6 @@
         """Decodes a record of the operators' topic; None if it is not the configuration."""
         return decode_configuration(data) if key == CONFIGURATION_KEY and data else None
 
-    def engine(self, engine_id: str, data: bytes) -> EngineRecord:
-        """Decodes an engine's record."""
-        return decode_engine(engine_id, data)
+    def engine(self, key: str, data: bytes) -> EngineRecord:
+        """Decodes the record of an engine that stands under a key of the engine list."""
+        return decode_engine(key, data)
--- a/src/troutswitch/platform/requests.py
+++ b/src/troutswitch/platform/requests.py
@@ -11,6 +11,7 @@
 from troutswitch.decisions.forwarding.types import EngineLoad, PromptPart, PromptShape
 from troutswitch.decisions.tenants.types import NO_KEY, NO_TENANT, key_digest
 from troutswitch.platform import names
+from troutswitch.platform.engine_ids import instance_id
 
 Environ = dict[str, Any]
 Headers = list[tuple[str, str]]
@@ -134,7 +135,7 @@
     headers: Headers = [("Host", request.host), *request.headers]
     if tenant:
         headers.append((names.TENANT, tenant))
-    headers.append((names.EXPECT_INSTANCE, engine_id))
+    headers.append((names.EXPECT_INSTANCE, instance_id(engine_id)))
     if time_left is not None:
         headers.append((names.DEADLINE_MS, str(max(1, int(time_left * 1000)))))
     if resume_after:
@@ -193,7 +194,7 @@
     ]
     if tenant:
         rows.append((names.TENANT, tenant))
-    rows.append((names.EXPECT_INSTANCE, engine_id))
+    rows.append((names.EXPECT_INSTANCE, instance_id(engine_id)))
     if resume_after:
         rows.append((names.LAST_EVENT_ID, resume_after))
     return rows
--- a/tests/platform/test_engine_entries.py
+++ b/tests/platform/test_engine_entries.py
@@ -3,8 +3,12 @@
 import json
 from typing import Any
 
+from troutswitch.decisions.crashes.engine_crashes import EngineCrashes
+from troutswitch.decisions.forwarding.engine import NO_SIZE
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.platform.configuration import FormatError, decode_engine
+from troutswitch.platform.engine_ids import incarnation_id, instance_id
+from troutswitch.platform.requests import item_headers
 
 ENTRY: dict[str, Any] = {
     "service": "s",
@@ -72,3 +76,45 @@
     engines.on_list(1.0, [])
     engines.on_list(2.0, [decode_engine("i-1", entry(born=2000, sequence=0))])
     assert len(engines.usable(2.0, "s")) == 1
+
+
+def test_an_incarnation_ends_at_once_with_the_list_that_has_the_next_one() -> None:
+    """Guards against two incarnations in use at once after an outage, when others are kept."""
+    engines = EngineRegistry()
+    engines.on_list(0.0, [decode_engine("i-1", entry()), decode_engine("i-2", entry())])
+    engines.on_list_failed(4.9)
+    engines.on_list(5.0, [decode_engine("i-1", entry(born=2000))])
+    assert {held.record.engine_id for held in engines.of_service("s")} == {"i-1@2000", "i-2@1000"}
+
+
+def test_an_engine_that_starts_again_is_not_left_out_for_failures_before() -> None:
+    engines = EngineRegistry()
+    engines.on_list(0.0, [decode_engine(name, entry()) for name in ("i-1", "i-2")])
+    for _ in range(3):
+        engines.on_sent(0.0, "i-1@1000", False, NO_SIZE)
+        engines.on_ended(0.0, "i-1@1000", False, NO_SIZE, begun=False, failed=True)
+    assert len(engines.usable(0.1, "s")) == 1
+    again = [decode_engine("i-1", entry(born=2000)), decode_engine("i-2", entry())]
+    engines.on_list(0.2, again)
+    assert len(engines.usable(0.2, "s")) == 2
+
+
+def test_an_engine_that_crashed_and_started_again_at_once_is_taken_for_crashed() -> None:
+    engines = EngineRegistry()
+    engines.on_list(0.0, [decode_engine("i-1", entry())])
+    crashes = EngineCrashes(engines, lambda check: None)
+    crashes.on_lost(0.1, "content", "i-1@1000", False)
+    engines.on_list(0.5, [decode_engine("i-1", entry(born=2000))])
+    assert [crash.engine_id for crash in crashes.on_list()] == ["i-1@1000"]
+
+
+def test_a_request_names_the_engine_by_the_id_that_it_has_on_the_platform() -> None:
+    record = decode_engine("i-1", entry())
+    headers = dict(item_headers("h", "item", {}, record.engine_id, ""))
+    assert headers["X-Troutswitch-Expect-Instance"] == "i-1"
+
+
+def test_every_id_on_the_platform_comes_back_from_that_of_an_incarnation() -> None:
+    for name in ("i-1", "i@1", "i@", "@", "i@1@2"):
+        assert instance_id(incarnation_id(name, None)) == name
+        assert instance_id(incarnation_id(name, 1700000000000)) == name
