--- a/src/troutswitch/platform/configuration.py
+++ b/src/troutswitch/platform/configuration.py
@@ -4,6 +4,8 @@
 checked and left out.
 """
 
+from typing import Annotated, Literal
+
 import msgspec
 
 from troutswitch.common import Address
@@ -30,6 +32,9 @@
 """The platform's names for kinds of routes."""
 DRAINING = "draining"
 """State of an engine that takes no new requests."""
+SLOTS_MOST = 65_536
+"""Most requests that an engine may say it runs at once: more is no figure of an engine, and would
+draw all requests to it."""
 DEFAULT_TIME_LIMIT_MS = 30_000.0
 """Time limit of a request on a route that names none."""
 
@@ -97,14 +102,22 @@
     tenants: list[_Tenant] | None = None
 
 
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+
+
 class _Server(msgspec.Struct):
-    service: str
-    address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
-    coldRemainingMs: float = 0.0
-    born: int | None = None  # Unix millisecond of the engine's start, which its id may outlive
+    """An entry of the engine list; one that lacks a field is another writer's."""
+
+    service: _Text
+    address: _Text
+    zone: _Text
+    version: str | int  # of its software
+    slots: Annotated[int, msgspec.Meta(ge=1, le=SLOTS_MOST)]
+    state: Literal["ready", "draining"]
+    coldRemainingMs: float
+    sequence: int
+    # Unix millisecond of the engine's start, which its id may outlive.
+    born: Annotated[int, msgspec.Meta(ge=0)] | None = None
 
 
 _CONFIGURATION = msgspec.json.Decoder(_Configuration)
@@ -176,6 +189,9 @@
 def decode_engine(instance: str, data: bytes) -> EngineRecord:
     """Decodes the record of an engine, whose id on the platform is `instance`.
 
+    Other writers may leave entries in the list: one without all fields of an engine's entry, or
+    with other types or values, names no engine.
+
     Raises:
         FormatError: the record is malformed.
     """
--- a/src/troutswitch/platform/stand_in_forms.py
+++ b/src/troutswitch/platform/stand_in_forms.py
@@ -54,6 +54,7 @@
         "service": service,
         "address": str(address),
         "zone": "z",
+        "version": "v1",
         "slots": slots,
         "state": DRAINING if is_draining else "ready",
         "coldRemainingMs": 0,
--- a/tests/gateway/callers/test_caller_gone_process.py
+++ b/tests/gateway/callers/test_caller_gone_process.py
@@ -37,6 +37,7 @@
         "service": "service",
         "address": str(engine.address),
         "zone": "z",
+        "version": "v1",
         "slots": 8,
         "state": "ready",
         "coldRemainingMs": 0,
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -42,6 +42,7 @@
             "service": service,
             "address": str(self.address),
             "zone": "z",
+            "version": "v1",
             "slots": 8,
             "state": state,
             "coldRemainingMs": 0,
--- a/tests/platform/test_engine_entries.py
+++ b/tests/platform/test_engine_entries.py
@@ -42,7 +42,7 @@
     {"born": 10.5},
     {"born": -1},
 ]
-REQUIRED = ("service", "address", "zone", "version", "slots", "state", "sequence")
+REQUIRED = tuple(name for name in ENTRY if name != "born")
 
 
 def entry(**changed: Any) -> bytes:
