A row of newest records that can't be read leaves the others as they are

Cause: a page of newest records was decoded as one; a single row without a key, or with a value that is no base64, failed the page, and with it the whole engine list or configuration, at each reading. Change: rows are decoded one by one; a row without a key is left out, an unreadable value is empty, which its reader refuses and logs.

--- a/src/troutswitch/platform/store.py
+++ b/src/troutswitch/platform/store.py
@@ -58,7 +58,7 @@
 
 
 class _Newest(msgspec.Struct, rename={"rows": "requests"}):
-    rows: list[_NewestRow] = []  # on the wire "requests", though they are records
+    rows: list[msgspec.Raw] = []  # on the wire "requests", though they are records
     more: bool = False
     end: int = 0
 
@@ -158,11 +158,10 @@
             return _failed(status, body)
         try:
             decoded = msgspec.json.decode(body, type=_Newest)
-            records = tuple(
-                KeyedRecord(row.key, b64decode(row.value), row.offset) for row in decoded.rows
-            )
-        except (msgspec.DecodeError, ValueError) as error:
+        except msgspec.DecodeError as error:
             return CallFailed(f"malformed answer: {error}", True)
+        rows = (_newest_record(row) for row in decoded.rows)
+        records = tuple(record for record in rows if record is not None)
         return NewestPage(records, decoded.more, decoded.end)
 
     def _read(self, call: ReadRecords) -> StoreOutcome:
@@ -286,6 +285,23 @@
         return response.status, answer
 
 
+def _newest_record(row: msgspec.Raw) -> KeyedRecord | None:
+    """Decodes one row of a page; None if it has no key.
+
+    A row that can't be read must not take the others of its page with it: its value is left
+    empty, which its reader refuses or takes for a record that is gone.
+    """
+    try:
+        decoded = msgspec.json.decode(row, type=_NewestRow)
+    except msgspec.DecodeError:
+        return None
+    try:
+        value = b64decode(decoded.value, validate=True)
+    except ValueError:
+        value = b""
+    return KeyedRecord(decoded.key, value, decoded.offset)
+
+
 def _partition_query(partition: Partition) -> dict[str, str | int]:
     return {"topic": topic_name(partition.topic), "part": partition.number}
 
