A daemon whose configuration may be old gives no final refusal for want of a route

Cause: an unknown key got 503 with a time to retry while the configuration might be old, an unknown route got a final 404 from the same daemon, and the item of an accepted job whose route is unknown to its owner was given up after six seconds. Change: one flag on the route table for all three. Result: tests in test_arrivals and test_item_retries, which fail without the change.

--- a/src/troutswitch/decisions/forwarding/arrivals.py
+++ b/src/troutswitch/decisions/forwarding/arrivals.py
@@ -6,7 +6,8 @@
 Rule, in this order; the first that fails refuses the request:
 
 1. There is a configuration. (503, to be retried)
-2. A route for online requests matches host and path. (404)
+2. A route for online requests matches host and path. (404; 503, to be retried, where none matches
+   and the configuration may be old)
 3. The key is one of a tenant, or the route allows anonymous callers. (401)
 4. The request is not refused for engines that crashed under it. (503, then 400)
 5. Its tenant is inside the quota. (429, with the time after which a request fits)
@@ -24,7 +25,7 @@
 
 from troutswitch.decisions.crashes.interface import Suspects
 from troutswitch.decisions.forwarding.messages import RequestArrived
-from troutswitch.decisions.forwarding.routes import RouteTable
+from troutswitch.decisions.forwarding.routes import OUTDATED_RETRY_SECONDS, RouteTable
 from troutswitch.decisions.forwarding.types import Route
 from troutswitch.decisions.tenants.quota import NoQuota, Quota, QuotaEnd, QuotaResult
 from troutswitch.decisions.tenants.tenant_keys import TenantKeys
@@ -88,6 +89,9 @@
             wait = NO_CONFIGURATION_RETRY_SECONDS
             return Refused(event, NotRun("no configuration yet", Step.ADMIT, "", wait))
         route = self._routes.match(event.host, event.path)
+        if route is None and self._routes.may_be_outdated:
+            reason = "no such route, and the configuration may be old"
+            return Refused(event, NotRun(reason, Step.ROUTE, "", OUTDATED_RETRY_SECONDS))
         if route is None or route.is_for_jobs:
             return Refused(event, NotRun("no such route", Step.ROUTE, "", None, NO_ROUTE_STATUS))
         tenant = self.callers.identify(event.caller_key, route)
--- a/src/troutswitch/decisions/forwarding/routes.py
+++ b/src/troutswitch/decisions/forwarding/routes.py
@@ -10,6 +10,10 @@
 
 from troutswitch.decisions.forwarding.types import FleetConfiguration, Route
 
+OUTDATED_RETRY_SECONDS = 0.5
+"""Time after which a caller is to retry whose key or route is unknown to a daemon with a
+configuration that may be old: as often as such a daemon requests a newer one from a peer."""
+
 
 class LearntBy(Enum):
     """How this daemon learnt the configuration in force; the values stand in logs."""
@@ -42,6 +46,9 @@
 
     def __init__(self) -> None:
         self.configuration: FleetConfiguration | None = None
+        self.may_be_outdated = False
+        """Whether a newer configuration may be in force elsewhere: what this one doesn't have is
+        then no ground for a final refusal."""
         self.learnt_by = LearntBy.NOTHING
         self.current_at = float("-inf")
         """The latest time at which no newer version existed, on this process's clock."""
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -238,7 +238,7 @@
         self.suspects.on_timer(now)
         self._end_refused_requests(now)
         self._read_intervals.update(self.identity.store_reads_per_second)
-        self.requests.arrivals.callers.is_behind = self.configuration.may_be_outdated(
+        self.routes.may_be_outdated = self.configuration.may_be_outdated(
             now, self.peers.newest_version()
         )
         self._peer_messages.end_quota_waits(now, self.quota.on_timer(now))
--- a/src/troutswitch/decisions/jobs/intake.py
+++ b/src/troutswitch/decisions/jobs/intake.py
@@ -24,6 +24,7 @@
 from typing import assert_never
 
 from troutswitch.decisions.forwarding.log_events import fields_of_configuration
+from troutswitch.decisions.forwarding.routes import OUTDATED_RETRY_SECONDS
 from troutswitch.decisions.forwarding.types import Route, RouteKind
 from troutswitch.decisions.jobs.dependencies import JobDependencies
 from troutswitch.decisions.jobs.due_times import completion_target
@@ -132,6 +133,10 @@
             refusal = JobRefused(503, "no configuration yet", RETRY_AFTER_SECONDS)
             return self._answer_at_once(now, event, refusal)
         route = self._routes.match(event.host, event.path)
+        if route is None and self._routes.may_be_outdated:
+            reason = "no such route, and the configuration may be old"
+            refusal = JobRefused(503, reason, OUTDATED_RETRY_SECONDS)
+            return self._answer_at_once(now, event, refusal)
         if route is None or route.kind is not RouteKind.JOBS:
             return self._answer_at_once(now, event, JobRefused(404, "no such route"))
         if not self._replicas.index_follower.is_current:
--- a/src/troutswitch/decisions/jobs/item_retries.py
+++ b/src/troutswitch/decisions/jobs/item_retries.py
@@ -6,8 +6,8 @@
 
 The rule, for an item that could start:
 
-- without a route for `ROUTE_GONE_SECONDS`, past the route's retention, or with as many failed runs
-  as the route allows, it is dead-lettered;
+- without a route for `ROUTE_GONE_SECONDS`, in a configuration that is known to be the newest, past
+  the route's retention, or with as many failed runs as the route allows, it is dead-lettered;
 - while crashes forbid its start, it waits for `REFUSED_RETRY_SECONDS`.
 
 And for one whose run ended early:
@@ -99,6 +99,10 @@
         return StartableItem(progress, entry, route)
 
     def _on_no_route(self, now: float, progress: ItemProgress) -> None:
+        if self._routes.may_be_outdated:
+            progress.no_route_since = float("inf")
+            progress.retry_at = now + RETRY_SECONDS
+            return
         progress.no_route_since = min(progress.no_route_since, now)
         if now - progress.no_route_since > ROUTE_GONE_SECONDS:
             self._endings.dead_letter(progress, "its route is gone")
--- a/src/troutswitch/decisions/tenants/tenant_keys.py
+++ b/src/troutswitch/decisions/tenants/tenant_keys.py
@@ -13,15 +13,12 @@
 
 from dataclasses import dataclass
 
-from troutswitch.decisions.forwarding.routes import RouteTable
+from troutswitch.decisions.forwarding.routes import OUTDATED_RETRY_SECONDS, RouteTable
 from troutswitch.decisions.forwarding.types import FleetConfiguration, Route
 from troutswitch.decisions.tenants.types import NO_KEY, NO_TENANT, Tenant
 from troutswitch.outcomes import NotRun, Step
 
 UNAUTHORIZED = 401
-BEHIND_RETRY_SECONDS = 0.5
-"""Time after which a caller with an unknown key is to retry at a daemon whose configuration
-may be old: as often as such a daemon requests a newer one from a peer."""
 ANONYMOUS = Tenant(NO_TENANT, frozenset())
 """Stands for callers without a tenant, who have no quota."""
 
@@ -38,8 +35,6 @@
     """The tenants of the configuration in force, by the digests of their keys."""
 
     def __init__(self, routes: RouteTable) -> None:
-        self.is_behind = False
-        """Whether a newer configuration may exist than the one in force here."""
         self._routes = routes
         self._known: _Known | None = None
 
@@ -77,9 +72,9 @@
             return tenant
         if key == NO_KEY:
             return NotRun("no key", Step.ADMIT, "", None, UNAUTHORIZED)
-        if self.is_behind:
+        if self._routes.may_be_outdated:
             reason = "unknown key, and the configuration may be old"
-            return NotRun(reason, Step.ADMIT, "", BEHIND_RETRY_SECONDS)
+            return NotRun(reason, Step.ADMIT, "", OUTDATED_RETRY_SECONDS)
         return NotRun("unknown key", Step.ADMIT, "", None, UNAUTHORIZED)
 
     def named(self, name: str) -> Tenant | None:
--- a/tests/decisions/forwarding/test_arrivals.py
+++ b/tests/decisions/forwarding/test_arrivals.py
@@ -14,6 +14,7 @@
     Placement,
     PlacementRequest,
 )
+from troutswitch.decisions.forwarding.routes import OUTDATED_RETRY_SECONDS
 from troutswitch.decisions.forwarding.types import Route
 from troutswitch.decisions.tenants.quota import NoQuota, QuotaEnd, QuotaResult
 from troutswitch.decisions.tenants.types import Tenant, key_digest
@@ -87,7 +88,7 @@
 def test_a_daemon_that_knows_it_is_behind_has_an_unknown_key_retry_after() -> None:
     """A 401 is final for a caller, and the key may have been added a second ago."""
     world = tenant_world()
-    world.requests.arrivals.callers.is_behind = True
+    world.routes.may_be_outdated = True
     finish = world.arrive(0.0, replace(arrival(1), caller_key=OTHER))
     assert status(finish) == 503
     assert isinstance(finish, FinishRequest)
@@ -173,3 +174,16 @@
 
 def sends(made: Sequence[object]) -> list[SendRequest]:
     return [m for m in made if isinstance(m, SendRequest)]
+
+
+def test_a_daemon_whose_configuration_may_be_old_has_an_unknown_route_retried() -> None:
+    """Guards against a final 404 on a route that was added while the store could not be read."""
+    world = tenant_world()
+    unknown = replace(arrival(1, path="/new/x"), caller_key=KEY)
+    assert status(world.arrive(0.0, unknown)) == 404
+    world.routes.may_be_outdated = True
+    refused = world.arrive(0.0, replace(unknown, token=2))
+    assert status(refused) == 503
+    assert isinstance(refused, FinishRequest)
+    assert isinstance(refused.outcome, NotRun)
+    assert refused.outcome.retry_after == OUTDATED_RETRY_SECONDS
--- /dev/null
+++ b/tests/decisions/jobs/test_item_retries.py
@@ -0,0 +1,28 @@
+"""What becomes of items that can't start."""
+
+import random
+from dataclasses import replace
+from unittest.mock import MagicMock
+
+import pytest
+
+from tests.decisions.jobs.worlds import item, job_index, route_table
+from troutswitch.decisions.jobs.item_retries import ROUTE_GONE_SECONDS, ItemRetries
+
+
+@pytest.mark.parametrize("may_be_outdated", [False, True])
+def test_an_item_without_a_route_ends_only_by_a_configuration_that_is_the_newest(
+    may_be_outdated: bool,
+) -> None:
+    """Guards against an accepted item given up by an owner that has not read of its route yet."""
+    routes, endings, refusals = route_table(), MagicMock(), MagicMock()
+    index = job_index({"job": 0.0})
+    held = routes.configuration
+    assert held is not None
+    routes.replace(replace(held, version=2, routes=()))
+    retries = ItemRetries(routes, index, refusals, endings, random.Random(1))
+    progress = item("job")
+    routes.may_be_outdated = may_be_outdated
+    for second in range(int(ROUTE_GONE_SECONDS) + 2):
+        assert retries.check(float(second), progress) is None
+    assert endings.dead_letter.called is not may_be_outdated
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -727,7 +727,7 @@
     routes = MagicMock()
     routes.configuration = decode_configuration(CONFIGURATION_OF_TENANTS)
     tenant_keys = TenantKeys(routes)
-    tenant_keys.is_behind = is_behind
+    routes.may_be_outdated = is_behind
     refusal = tenant_keys.owner_of(key)
     assert isinstance(refusal, NotRun)
     return refusal
