A daemon that is behind asks the peer that is known to be ahead, and other zones

Cause: a daemon that could not read the store asked live peers of its own zone alone, one at random. Where the store turned the whole zone away, all of them were as far behind, for as long as it lasted; heartbeats of other zones only had the same store read once more for each version. The question began 0.4 s after the first heartbeat with a newer version. Change: a peer whose heartbeat has a newer version is asked 0.1 s after it; without one, peers of this zone and of any zone are asked by turns.

--- a/src/troutswitch/decisions/peers/catch_up.py
+++ b/src/troutswitch/decisions/peers/catch_up.py
@@ -6,13 +6,15 @@
 
 The rule:
 
-    CURRENT    -> BEHIND      a reading has failed, or a peer acts on a newer configuration, for
-                              `GRACE_SECONDS`
-    BEHIND     -> REQUESTING  a live peer, drawn at random, is asked for its state
+    CURRENT    -> BEHIND      a reading has failed for `GRACE_SECONDS`, or a peer has acted on a
+                              newer configuration for `NEWER_GRACE_SECONDS`
+    BEHIND     -> REQUESTING  a peer that acts on a newer configuration is asked for its state; if
+                              there is none, a live one, by turns of this zone and of any zone
     REQUESTING -> BEHIND      its reply came, or did not; after a pause another peer is asked
     BEHIND     -> CURRENT     this daemon's own readings succeed again
 
-Why: while the store is away for some daemons only, the others still learn of changes. What a peer
+Why: while the store is away for some daemons only, the others still learn of changes. Those of one
+zone may be turned away together, so peers of this zone alone may know as little. What a peer
 replies never reverts what is known here: a configuration counts only if its version is newer, a
 list of engines only if it was read later than the own one.
 
@@ -28,6 +30,9 @@
 
 GRACE_SECONDS = 0.4
 """Time for which a reading must have failed before a peer is asked."""
+NEWER_GRACE_SECONDS = 0.1
+"""Time after a peer's newer version is known before that peer is asked: this daemon's own reading
+brings the version in that time if the store is well."""
 REQUEST_SECONDS = 0.5
 """Mean interval between requests."""
 REPLY_TIMEOUT_SECONDS = 1.0
@@ -38,7 +43,15 @@
     """The peers that are live."""
 
     def live_addresses(self, now: float) -> list[Address]:
-        """Returns the addresses of peers that may be asked."""
+        """Returns the addresses of peers that may be asked, those of this zone if there are any."""
+        ...
+
+    def live_addresses_anywhere(self, now: float) -> list[Address]:
+        """Returns the addresses of peers of all zones that may be asked."""
+        ...
+
+    def newer_addresses(self, now: float, version: int) -> list[Address]:
+        """Returns the addresses of live peers that act on a newer configuration."""
         ...
 
 
@@ -85,14 +98,15 @@
         self._request_at = float("-inf")
         self._requested_at = float("-inf")
         self._is_requesting = False
-        self._behind_since = float("inf")
+        self._behind_at = float("inf")
+        self._asks_anywhere = False
         self._older_since = float("inf")
 
     def next_due(self) -> float:
         """Returns when `on_timer` has something to do."""
         if self._is_requesting:
             return self._requested_at + REPLY_TIMEOUT_SECONDS
-        return max(self._request_at, self._behind_since + GRACE_SECONDS)
+        return max(self._request_at, self._behind_at)
 
     def on_timer(
         self, now: float, reading: ReadingState, peers: LivePeers
@@ -100,11 +114,11 @@
         """Asks one of the live peers if this daemon has been behind for a while."""
         if self._is_requesting and now >= self._requested_at + REPLY_TIMEOUT_SECONDS:
             self._is_requesting = False
-        self._behind_since = self._find_behind_since(now, reading)
+        self._behind_at = self._find_behind_at(now, reading)
         if self._is_requesting or now < self.next_due():
             return []
         self._request_at = now + REQUEST_SECONDS * self._rng.uniform(0.8, 1.2)
-        addresses = peers.live_addresses(now)
+        addresses = self._candidates(now, reading.version, peers)
         if not addresses:
             return []
         self._is_requesting = True
@@ -112,15 +126,19 @@
         host = self._rng.choice(addresses).host
         return [RequestPeerState(host, reading.version, REPLY_TIMEOUT_SECONDS)]
 
-    def _find_behind_since(self, now: float, reading: ReadingState) -> float:
-        """Returns since when a reading fails or a peer is ahead; infinite if neither."""
+    def _candidates(self, now: float, version: int, peers: LivePeers) -> list[Address]:
+        newer = peers.newer_addresses(now, version)
+        if newer:
+            return newer
+        asks_anywhere, self._asks_anywhere = self._asks_anywhere, not self._asks_anywhere
+        return peers.live_addresses_anywhere(now) if asks_anywhere else peers.live_addresses(now)
+
+    def _find_behind_at(self, now: float, reading: ReadingState) -> float:
+        """Returns from when on peers are asked; infinite if nothing fails and no peer is ahead."""
         is_older = reading.peer_version > reading.version
         self._older_since = min(self._older_since, now) if is_older else float("inf")
-        return min(
-            self._older_since,
-            reading.configuration_failing_since,
-            reading.engines_failing_since,
-        )
+        failing_since = min(reading.configuration_failing_since, reading.engines_failing_since)
+        return min(self._older_since + NEWER_GRACE_SECONDS, failing_since + GRACE_SECONDS)
 
     def on_reply(self) -> None:
         """Takes note that the peer replied, or could not be reached."""
--- a/src/troutswitch/decisions/peers/heartbeats.py
+++ b/src/troutswitch/decisions/peers/heartbeats.py
@@ -130,13 +130,24 @@
 
     def live_addresses(self, now: float) -> list[Address]:
         """Returns live daemons, those of this zone if there are any; else a few silent ones."""
-        live = [peer for peer in self.peers.values() if now - peer.last_seen_at <= LIVE_SECONDS]
-        near = [peer.address for peer in live if peer.zone == self._zone]
-        if near or live:
-            return near or [peer.address for peer in live]
+        near = [peer.address for peer in self._live(now) if peer.zone == self._zone]
+        return near or self.live_addresses_anywhere(now)
+
+    def live_addresses_anywhere(self, now: float) -> list[Address]:
+        """Returns live daemons of all zones; a few silent ones if there are none."""
+        live = [peer.address for peer in self._live(now)]
+        if live:
+            return live
         others = [peer.address for peer in self.peers.values()]
         return self._rng.sample(others, min(SILENT_MOST, len(others)))
 
+    def newer_addresses(self, now: float, version: int) -> list[Address]:
+        """Returns live daemons that act on a newer version of the configuration than this one."""
+        return [peer.address for peer in self._live(now) if peer.configuration_version > version]
+
+    def _live(self, now: float) -> list[Peer]:
+        return [peer for peer in self.peers.values() if now - peer.last_seen_at <= LIVE_SECONDS]
+
     def newest_version(self) -> int:
         """Returns the highest configuration version of any heartbeat, or -1."""
         return self._newest_version
--- a/tests/decisions/peers/test_catch_up.py
+++ b/tests/decisions/peers/test_catch_up.py
@@ -6,6 +6,7 @@
 from troutswitch.common import Address
 from troutswitch.decisions.peers.catch_up import (
     GRACE_SECONDS,
+    NEWER_GRACE_SECONDS,
     REPLY_TIMEOUT_SECONDS,
     PeerCatchUp,
     ReadingState,
@@ -20,6 +21,12 @@
     def live_addresses(self, now: float) -> list[Address]:
         return [Address("10.0.0.9", 7)]
 
+    def live_addresses_anywhere(self, now: float) -> list[Address]:
+        return [Address("10.0.0.9", 7)]
+
+    def newer_addresses(self, now: float, version: int) -> list[Address]:
+        return []
+
 
 ONE_PEER = OnePeer()
 
@@ -53,6 +60,37 @@
     assert catch_up.on_timer(10.0 + GRACE_SECONDS, older, ONE_PEER)
 
 
+class NearPeersAndOneThatIsNewer(OnePeer):
+    newer = Address("10.0.9.9", 7)
+
+    def newer_addresses(self, now: float, version: int) -> list[Address]:
+        return [self.newer]
+
+
+def test_the_peer_that_acts_on_the_newer_version_is_asked_and_soon() -> None:
+    catch_up = PeerCatchUp(random.Random(1))
+    older = ReadingState(3, 4, NEVER, NEVER)
+    peers = NearPeersAndOneThatIsNewer()
+    assert catch_up.on_timer(10.0, older, peers) == []
+    (asked,) = catch_up.on_timer(10.0 + NEWER_GRACE_SECONDS, older, peers)
+    assert asked.host == peers.newer.host
+
+
+class NearAndFarPeer(OnePeer):
+    def live_addresses_anywhere(self, now: float) -> list[Address]:
+        return [Address("10.0.9.9", 7)]
+
+
+def test_peers_of_this_zone_and_of_any_zone_are_asked_by_turns() -> None:
+    catch_up = PeerCatchUp(random.Random(1))
+    failing = ReadingState(3, 3, 10.0, NEVER)
+    hosts = []
+    for second in range(11, 15):
+        hosts += [asked.host for asked in catch_up.on_timer(second, failing, NearAndFarPeer())]
+        catch_up.on_reply()
+    assert hosts == ["10.0.0.9", "10.0.9.9"] * 2
+
+
 def cut_world() -> tuple[GatewayWorld, Daemon]:
     world = GatewayWorld(1)
     world.run(3.0)
--- a/tests/proofs/test_configuration.py
+++ b/tests/proofs/test_configuration.py
@@ -33,3 +33,21 @@
     outages = (1.5, 3.9, 5.0, 7.8, 9.0)
     found = {(seed, s): versions_after_outage(seed, s) for seed in range(1, 5) for s in outages}
     assert {case: held for case, held in found.items() if held != {2}} == {}
+
+
+def test_a_zone_that_the_store_turns_away_learns_a_version_from_other_zones() -> None:
+    """Guards against daemons that ask only peers which know as little as they do."""
+    late: dict[int, list[str]] = {}
+    for seed in range(1, 11):
+        world = GatewayWorld(seed, daemons=12, zones=("a", "b", "c"))
+        world.run(START_SECONDS)
+        away = [d for d in world.daemons.values() if d.core.identity.zone == "a"]
+        for daemon in away:
+            daemon.is_cut_from_store = True
+        world.run(3.0)
+        world.publish(2)
+        world.run(APPLY_SECONDS)
+        held = [daemon.name for daemon in away if daemon.core.routes.version < 2]
+        if held:
+            late[seed] = held
+    assert late == {}
--- a/tests/worlds/gateway_world.py
+++ b/tests/worlds/gateway_world.py
@@ -119,6 +119,7 @@
         change: Callable[[StoreCall], StoreCall] | None = None,
         more_routes: tuple[Route, ...] = (),
         tenants: tuple[Tenant, ...] | None = None,
+        zones: tuple[str, ...] = ("z",),
     ) -> None:
         self.env = simpy.Environment()
         self.rng = random.Random(seed)
@@ -128,6 +129,7 @@
         self.jobs: dict[str, JobTruth] = {}
         self.daemons: dict[str, Daemon] = {}
         self.store_calls: Counter[str] = Counter()
+        self.zones = zones
         self._change = change or (lambda call: call)
         self._tokens = 0
         self._calls: dict[int, Callable[[JobAnswer], None]] = {}
@@ -176,7 +178,7 @@
         number = int(name.rpartition("-")[2])
         identity = GatewayIdentity(
             name,
-            "z",
+            self.zones[number % len(self.zones)],
             Address(f"10.0.1.{number + 1}", 7),
             drain=2.0,
             configuration_apply=2.0,
