Reads of the configuration and the engine list have threads of their own

Cause: all blocking calls shared 48 threads. Result: tests/gateway/test_instruction_executor.py fails before (no read while 95 appends block) and passes now.

--- a/src/troutswitch/gateway/instruction_executor.py
+++ b/src/troutswitch/gateway/instruction_executor.py
@@ -2,6 +2,8 @@
 
 It owns the threads that call the store, peers and engines' ports. What doesn't block is done on the
 loop's thread at once; each blocking call runs on a thread, and its outcome is posted as an event.
+Calls that bring the configuration and the engine list have threads of their own: while the store is
+silent, those for jobs take a thread each until their time-outs, and as many come as clients submit.
 """
 
 from collections.abc import Callable
@@ -11,7 +13,9 @@
 
 import structlog
 
+from troutswitch.decisions.active_configuration import CONFIGURATION_TOPIC
 from troutswitch.decisions.crashes.messages import CheckEngine
+from troutswitch.decisions.forwarding.engine_list import ENGINES_TOPIC
 from troutswitch.decisions.forwarding.messages import (
     AbortAttempt,
     FinishRequest,
@@ -34,6 +38,7 @@
     StoreCall,
     StoreOutcome,
 )
+from troutswitch.decisions.storage.read_attempts import READS_IN_FLIGHT_MOST
 from troutswitch.gateway.callers.relay_registry import Relays
 from troutswitch.gateway.engines.connection_pool import EngineConnections
 from troutswitch.gateway.engines.engine_check import check_engine
@@ -41,6 +46,10 @@
 
 STORE_THREADS = 48
 """Blocking calls at once: a read may wait some seconds at the store."""
+FLEET_THREADS = 2 * READS_IN_FLIGHT_MOST + 1
+"""Blocking calls at once that bring the configuration and the engine list: the reads of both that
+may be in flight, and one to a peer."""
+FLEET_TOPICS = frozenset({CONFIGURATION_TOPIC, ENGINES_TOPIC})
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +84,7 @@
         self._post = post
         self._logger = logger
         self._threads = ThreadPoolExecutor(STORE_THREADS, "store")
+        self._fleet_threads = ThreadPoolExecutor(FLEET_THREADS, "fleet")
         self._blocking_calls: set[Future[None]] = set()
 
     @property
@@ -99,17 +109,21 @@
             case SendToPeers():
                 executors.send_to_peers(instruction)
             case RequestPeerState():
-                self._submit(lambda: executors.request_peer_state(instruction))
+                self._submit(self._fleet_threads, lambda: executors.request_peer_state(instruction))
             case CheckEngine():
-                self._submit(lambda: check_engine(instruction))
+                self._submit(self._threads, lambda: check_engine(instruction))
             case AnswerJobCall():
                 executors.answer_job(instruction)
             case LimitsChanged():
                 executors.set_limits(instruction)
             case EnginesLeft():
                 executors.connections.drop_engines(list(instruction.engine_ids))
-            case ReadNewest() | ReadRecords() | AppendRecords() | JoinGroup() | LeaveGroup():
-                self._submit(lambda: self._call_store(instruction))
+            case ReadNewest() | ReadRecords():
+                is_fleet = instruction.partition.topic in FLEET_TOPICS
+                threads = self._fleet_threads if is_fleet else self._threads
+                self._submit(threads, lambda: self._call_store(instruction))
+            case AppendRecords() | JoinGroup() | LeaveGroup():
+                self._submit(self._threads, lambda: self._call_store(instruction))
             case _:
                 assert_never(instruction)
 
@@ -117,10 +131,10 @@
         self._executors.count_log_line(line)
         self._logger.info(line.event, **line.fields)
 
-    def _submit(self, call: Callable[[], GatewayEvent]) -> None:
+    def _submit(self, threads: ThreadPoolExecutor, call: Callable[[], GatewayEvent]) -> None:
         """Makes a blocking call on a thread; its outcome is posted as an event."""
         try:
-            future = self._threads.submit(lambda: self._post(call()))
+            future = threads.submit(lambda: self._post(call()))
         except RuntimeError:
             return  # the process stops
         self._blocking_calls.add(future)
@@ -137,4 +151,5 @@
     def stop(self) -> None:
         """Ends the threads; calls in progress are left to end by themselves."""
         self._executors.items.shut_down()
-        self._threads.shutdown(wait=False, cancel_futures=True)
+        for threads in (self._threads, self._fleet_threads):
+            threads.shutdown(wait=False, cancel_futures=True)
--- /dev/null
+++ b/tests/gateway/test_instruction_executor.py
@@ -0,0 +1,79 @@
+"""Blocking calls run on threads, and none keeps another kind waiting."""
+
+import queue
+import threading
+from collections.abc import Iterator
+from unittest.mock import MagicMock
+
+import pytest
+
+from troutswitch.decisions.active_configuration import CONFIGURATION_TOPIC
+from troutswitch.decisions.forwarding.engine_list import ENGINES_TOPIC
+from troutswitch.decisions.gateway_interface import GatewayEvent
+from troutswitch.decisions.peers.catch_up import PeerStateReceived, RequestPeerState
+from troutswitch.decisions.storage.messages import (
+    AppendRecords,
+    KeyedRecord,
+    NewestPage,
+    Partition,
+    ReadNewest,
+    ReadRecords,
+    RecordsRead,
+    StoreAnswered,
+    StoreCall,
+    StoreOutcome,
+)
+from troutswitch.gateway.instruction_executor import (
+    STORE_THREADS,
+    Executors,
+    InstructionExecutor,
+)
+
+WAIT_SECONDS = 30.0
+
+
+class SilentForWrites:
+    """A store that answers reads at once, and no write until it is released."""
+
+    def __init__(self) -> None:
+        self.released = threading.Event()
+
+    def call(self, call: StoreCall) -> StoreOutcome:
+        match call:
+            case ReadNewest():
+                return NewestPage((), False, 0)
+            case ReadRecords():
+                return RecordsRead((), 0, 0)
+            case _:
+                self.released.wait(WAIT_SECONDS)
+                return NewestPage((), False, 0)
+
+
+@pytest.fixture
+def store() -> Iterator[SilentForWrites]:
+    held = SilentForWrites()
+    yield held
+    held.released.set()
+
+
+def test_calls_for_jobs_that_block_do_not_hold_up_reads_of_the_configuration(
+    store: SilentForWrites,
+) -> None:
+    events: queue.SimpleQueue[GatewayEvent] = queue.SimpleQueue()
+    executors = MagicMock(spec=Executors)
+    executors.call_store = store.call
+    executors.request_peer_state = lambda asked: PeerStateReceived(asked.host, None)
+    executor = InstructionExecutor(executors, events.put, MagicMock())
+    record = KeyedRecord("k", b"v")
+    for number in range(1, 2 * STORE_THREADS):
+        executor.carry_out(AppendRecords(number, Partition("items"), (record,)))
+    executor.carry_out(ReadRecords(1001, Partition(CONFIGURATION_TOPIC), 0))
+    executor.carry_out(ReadNewest(1002, Partition(ENGINES_TOPIC)))
+    executor.carry_out(RequestPeerState("peer", 1, 1.0))
+    found = [events.get(timeout=WAIT_SECONDS) for _ in range(3)]
+    calls = {event.call for event in found if isinstance(event, StoreAnswered)}
+    assert calls == {1001, 1002}
+    assert PeerStateReceived("peer", None) in found
+    assert executor.blocking_calls >= 2 * STORE_THREADS - 1
+    store.released.set()
+    executor.stop()
