A peer's configuration version is forgotten with the peer

Cause: the highest version of any heartbeat was kept for as long as the daemon ran. A daemon that heard of a version which nobody has any more took itself for outdated for good: unknown routes and keys got 503 in place of 404 and 401, and a peer was asked twice a second. Change: the highest version of the daemons that are known, taken anew with each heartbeat sent. Result: a test in test_heartbeats, which fails without the change.

--- a/src/troutswitch/decisions/peers/heartbeats.py
+++ b/src/troutswitch/decisions/peers/heartbeats.py
@@ -111,6 +111,8 @@
         for name, peer in list(self.peers.items()):
             if FORGET_SECONDS < now - peer.last_seen_at < float("inf"):
                 del self.peers[name]
+        versions = (peer.configuration_version for peer in self.peers.values())
+        self._newest_version = max(versions, default=-1)
 
     def _heartbeat(self) -> Heartbeat:
         claims = self._claims()
@@ -149,5 +151,5 @@
         return [peer for peer in self.peers.values() if now - peer.last_seen_at <= LIVE_SECONDS]
 
     def newest_version(self) -> int:
-        """Returns the highest configuration version of any heartbeat, or -1."""
+        """Returns the highest configuration version that a known daemon acts on, or -1."""
         return self._newest_version
--- a/tests/decisions/peers/test_heartbeats.py
+++ b/tests/decisions/peers/test_heartbeats.py
@@ -6,6 +6,7 @@
 from troutswitch.daemons.messages import Heartbeat
 from troutswitch.decisions.forwarding.experience import Experience
 from troutswitch.decisions.peers.heartbeats import (
+    FORGET_SECONDS,
     HEARTBEAT_FANOUT,
     HEARTBEAT_SECONDS,
     LIVE_SECONDS,
@@ -77,6 +78,15 @@
     assert held.newest_version() == 7
 
 
+def test_a_version_of_a_daemon_that_is_gone_is_forgotten_with_it() -> None:
+    """Guards against a daemon that takes itself for outdated for as long as it runs."""
+    held = peers()
+    held.on_heartbeat(0.0, heartbeat("a", 1, version=7))
+    held.on_heartbeat(FORGET_SECONDS, heartbeat("b", 2, version=5))
+    held.on_timer(FORGET_SECONDS + 1.0)
+    assert held.newest_version() == 5
+
+
 def test_a_daemon_that_moved_gets_heartbeats_at_its_new_address() -> None:
     held = peers()
     held.on_registered(entry("a", 1))
