Engines that were left out are looked at only where a search found none

Cause: each line of a request that waits or is given up looked at all engines, also where the request ended for another reason; in a fleet of thousands of engines that would cost most under load. Change: the field is filled where the step is the search for an engine, from the engines of its service.

--- a/src/troutswitch/decisions/forwarding/candidates.py
+++ b/src/troutswitch/decisions/forwarding/candidates.py
@@ -40,9 +40,8 @@
     """
     left_out = {
         engine.record.engine_id: reason
-        for engine in engines.engines.values()
-        if engine.record.service == request.service
-        and (reason := _reason_left_out(now, request, engine))
+        for engine in engines.all_of_service(request.service)
+        if (reason := _reason_left_out(now, request, engine))
     }
     left_out |= engines.unusable_entries
     return dict(itertools.islice(left_out.items(), ENGINES_LOGGED_MOST))
--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -127,9 +127,13 @@
         """Returns the engine that a short key names in messages, if it is known here."""
         return self._by_key.get(key)
 
+    def all_of_service(self, service: str) -> list[Engine]:
+        """Returns the engines of a service, also those that have begun to leave."""
+        return self._by_service.get(service, [])
+
     def of_service(self, service: str) -> list[Engine]:
         """Returns the engines of a service that have not begun to leave."""
-        return [engine for engine in self._by_service.get(service, ()) if not engine.is_leaving]
+        return [engine for engine in self.all_of_service(service) if not engine.is_leaving]
 
     def usable(self, now: float, service: str) -> list[Engine]:
         """Returns the engines of a service that may be sent work now.
--- a/src/troutswitch/decisions/forwarding/log_events.py
+++ b/src/troutswitch/decisions/forwarding/log_events.py
@@ -7,7 +7,7 @@
 `configuration_version` is the version in force, `configuration_age_ms` the time since the daemon
 knew that no newer one existed, `learnt_by` how it came; `admitted_version` is the version whose
 route the request goes by. `engines_left_out` has each engine of the service that it can't be sent
-to, and why.
+to, and why, where a search for an engine found none.
 """
 
 from troutswitch.decisions.forwarding.admission import Deferral
--- a/src/troutswitch/decisions/forwarding/open_requests.py
+++ b/src/troutswitch/decisions/forwarding/open_requests.py
@@ -72,7 +72,7 @@
         was_delayed, request.was_delayed = request.was_delayed, True
         request.longest_wait = 0.0
         self.wait(now, request)
-        return [] if was_delayed else [self._line_of_wait(now, request, LATE_REASON)]
+        return [] if was_delayed else [self._line_of_wait(now, request, LATE_REASON, Step.ADMIT)]
 
     def wait_or_end(
         self, now: float, request: ForwardedRequest, reason: str, step: Step
@@ -82,12 +82,23 @@
             return self.end_unserved(now, request, reason, step)
         self.wait(now, request)
         request.waits += 1
-        return [self._line_of_wait(now, request, reason)] if request.waits == 1 else []
+        return [self._line_of_wait(now, request, reason, step)] if request.waits == 1 else []
 
-    def _line_of_wait(self, now: float, request: ForwardedRequest, reason: str) -> LogLine:
-        left_out = engines_left_out(now, request, self._engines)
+    def _line_of_wait(
+        self, now: float, request: ForwardedRequest, reason: str, step: Step
+    ) -> LogLine:
+        left_out = self._engines_left_out(now, request, step)
         return line_of_wait(now, request, reason, self._routes.known(now), left_out)
 
+    def _engines_left_out(
+        self, now: float, request: ForwardedRequest, step: Step
+    ) -> dict[str, str]:
+        """Returns why each engine was left out of a search that found none; empty elsewhere.
+
+        Looking at all engines for each request that ends otherwise would cost most under load.
+        """
+        return engines_left_out(now, request, self._engines) if step is Step.ROUTE else {}
+
     # Ends.
 
     def refuse(self, now: float, refused: Refused) -> Instructions:
@@ -131,7 +142,7 @@
             step,
             self._routes.known(now),
             len(self._engines.engines),
-            engines_left_out(now, request, self._engines),
+            self._engines_left_out(now, request, step),
             now - self._engines.listed_at,
         )
         return [FinishRequest(request.arrival.token, outcome), line]
