Scrapes read the reads in flight safely; the engine list repeats at its interval

Cause: a scrape went through the reads in flight while the loop may change them; a share of 1.0 of the interval stood for the interval. Change: a copy is read; the share goes. Result: tests of the reader, the follower and the metrics pass unchanged.

--- a/src/troutswitch/decisions/forwarding/engine_list.py
+++ b/src/troutswitch/decisions/forwarding/engine_list.py
@@ -26,16 +26,16 @@
 """Shares of that time, between which it is drawn."""
 INTERVAL_JITTER = (0.8, 1.2)
 """Shares of the interval, between which the time to the next reading is drawn."""
-REPEAT_SHARE = 1.0
-"""Time without an answer after which a call is repeated beside the one in flight, as a share of the
-interval between readings: a list is then hardly older for a call that was not answered."""
 READING_SECONDS_MOST = 3.0
 """Age up to which the first pages of a reading count when a later one must be read again. Begun
 anew after each failure, a list of many pages is hardly ever read while one call in two fails."""
 
 
 class EngineListReader:
-    """Reads the list each `interval` seconds, or `least_interval` if that is longer."""
+    """Reads the list each `interval` seconds, or `least_interval` if that is longer.
+
+    A call without an answer is repeated beside it after the same time.
+    """
 
     def __init__(self, numbers: CallNumbers, rng: random.Random, interval: float) -> None:
         self.interval = interval
@@ -73,7 +73,7 @@
 
     def on_timer(self, now: float) -> list[StoreCall]:
         """Returns the call for the next page, if it is due."""
-        self.attempts.repeat_after = max(REPEAT_SHARE * self.interval, self.least_interval)
+        self.attempts.repeat_after = max(self.interval, self.least_interval)
         if not self.attempts.is_due(now):
             return []
         self._forget_old_pages(now)
--- a/src/troutswitch/decisions/storage/read_attempts.py
+++ b/src/troutswitch/decisions/storage/read_attempts.py
@@ -110,8 +110,11 @@
         return bool(self._in_flight)
 
     def read_seconds(self, now: float) -> float:
-        """Returns how long the oldest read in flight has taken, 0 without one."""
-        begun = (attempt.requested_at for attempt in self._in_flight.values())
+        """Returns how long the oldest read in flight has taken, 0 without one.
+
+        Safe to call from any thread.
+        """
+        begun = [attempt.requested_at for attempt in tuple(self._in_flight.values())]
         return now - min(begun, default=now)
 
     def next_due(self) -> float:
