Abandoned reads don't take the threads of requests to peers

Cause: a read that is abandoned holds its thread until its time-out; with the reads of configuration and engine list in flight, some abandoned ones fill the 13 threads, and requests to peers wait. Found by reading. Change: 24 threads, twice the reads that may be in flight.

--- a/src/troutswitch/gateway/instruction_executor.py
+++ b/src/troutswitch/gateway/instruction_executor.py
@@ -46,9 +46,9 @@
 
 STORE_THREADS = 48
 """Blocking calls at once: a read may wait some seconds at the store."""
-FLEET_THREADS = 2 * READS_IN_FLIGHT_MOST + 1
-"""Blocking calls at once that bring the configuration and the engine list: the reads of both that
-may be in flight, and one to a peer."""
+FLEET_THREADS = 4 * READS_IN_FLIGHT_MOST
+"""Blocking calls at once that bring the configuration and the engine list: twice the reads of both
+that may be in flight, as one that is abandoned holds its thread until its time-out."""
 FLEET_TOPICS = frozenset({CONFIGURATION_TOPIC, ENGINES_TOPIC})
 
 
