A newer version at a peer has the store read beside the read in flight

Cause: each heartbeat with a newer version abandoned the read in flight. While versions come in quick succession and the store is slow, reads were abandoned before they were answered. Change: the next read is sent at once beside it, on a new connection; the first answer counts. Result: a test in test_follower, which fails where the read in flight is abandoned.

--- a/src/troutswitch/decisions/active_configuration.py
+++ b/src/troutswitch/decisions/active_configuration.py
@@ -97,13 +97,16 @@
         return now - self.follower.attempts.failing_since >= OUTDATED_SECONDS
 
     def on_heartbeat(self, now: float, heartbeat: Heartbeat) -> None:
-        """Reads again if a peer has a newer configuration: a read of it was lost here."""
+        """Reads at once if a peer has a newer configuration: a read of it may be lost here.
+
+        The read in flight goes on: a slow store may be about to answer it.
+        """
         version = heartbeat.configuration_version
         if version <= self._routes.version or version <= self._version_reread_for:
             return
         self._version_reread_for = version
         self._output.log("peer has newer configuration", peer=heartbeat.sender, version=version)
-        self.follower.read_again(now)
+        self.follower.read_beside(now)
 
     def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> None:
         """Takes the outcome of a read in flight."""
--- a/src/troutswitch/decisions/storage/follower.py
+++ b/src/troutswitch/decisions/storage/follower.py
@@ -112,6 +112,10 @@
         if self.is_current and offset == self.next_offset:
             self.next_offset = end
 
+    def read_beside(self, now: float) -> None:
+        """Reads at once, on a new connection, beside the reads in flight."""
+        self.attempts.hasten(now)
+
     def read_again(self, now: float) -> None:
         """Abandons the reads in flight, and reads at once, on a new connection."""
         self.attempts.abandon(now, doubts_connections=True)
--- a/src/troutswitch/decisions/storage/read_attempts.py
+++ b/src/troutswitch/decisions/storage/read_attempts.py
@@ -163,6 +163,11 @@
         if not self._in_flight:
             self._due = now + self._pause(self.failures)
 
+    def hasten(self, now: float) -> None:
+        """Has a read sent now, on a new connection, beside those in flight."""
+        self._due = min(self._due, now)
+        self._doubts_connections = True
+
     def abandon(self, due: float, *, doubts_connections: bool = False) -> None:
         """Abandons the reads in flight; the next is due at `due`.
 
--- a/tests/decisions/storage/test_follower.py
+++ b/tests/decisions/storage/test_follower.py
@@ -127,6 +127,18 @@
     assert not held.follower.owns(repeated.call)
 
 
+def test_a_read_that_is_hastened_leaves_the_one_in_flight_to_its_answer() -> None:
+    """Guards against a slow store whose answers are never awaited while versions come often."""
+    held = Follower()
+    held.bootstrap(0.0, end=0)
+    waiting = held.next_call(0.0)
+    for tenth in range(1, 4):
+        held.follower.read_beside(tenth / 10)
+        assert held.next_call(tenth / 10).on_new_connection
+    held.follower.on_answer(0.5, waiting.call, RecordsRead((record("a", b"1", 0),), 1, 1))
+    assert held.taken == {"a": b"1"}
+
+
 def test_reads_in_flight_stay_bounded_while_the_store_is_silent() -> None:
     held = Follower()
     held.follower.attempts.repeat_after = 0.1
