Readings of the peer registry that failed are repeated each second

Cause: failed readings counted as the first ones, after which the registry is read each ten seconds. A daemon that starts while the store is away for some seconds knew no peer for up to ten seconds after its return, and could then learn nothing from peers if the store turned it away. Change: only readings that succeed count; a failed one is repeated after a second. Result: a test in test_peer_registry, which fails without the change.

--- a/src/troutswitch/decisions/peers/peer_registry.py
+++ b/src/troutswitch/decisions/peers/peer_registry.py
@@ -32,6 +32,8 @@
 READ_SECONDS = 10.0
 """Interval between later readings."""
 FIRST_READINGS = 2
+"""Readings that succeed before the longer interval: a daemon that starts while the store is away
+knows no peer until one has."""
 CALL_LOST_SECONDS = 4.0
 """Time after which a call without an answer is made again."""
 WRITE_RETRY_SECONDS = 1.0
@@ -127,15 +129,17 @@
         if call == self._write_call:
             self._on_written(now, isinstance(outcome, Appended))
             return
+        if not isinstance(outcome, NewestPage):
+            self._read_at = now + READ_FIRST_SECONDS
+            return
         self._readings += 1
         if self._readings == 1:
             # Not before, since the entry of this daemon's last incarnation is read first.
             self._write_at = min(self._write_at, now)
         is_early = self._readings <= FIRST_READINGS
         self._read_at = now + (READ_FIRST_SECONDS if is_early else READ_SECONDS)
-        if isinstance(outcome, NewestPage):
-            for record in outcome.records:
-                self._take_record(now, record)
+        for record in outcome.records:
+            self._take_record(now, record)
 
     def _on_written(self, now: float, succeeded: bool) -> None:
         if succeeded:
--- a/tests/decisions/peers/test_peer_registry.py
+++ b/tests/decisions/peers/test_peer_registry.py
@@ -101,6 +101,19 @@
     assert store.written(2.0 + WRITE_RETRY_SECONDS) is not None
 
 
+def test_a_daemon_that_starts_while_the_store_is_away_reads_of_its_peers_soon_after() -> None:
+    """Guards against a daemon that knows no peer for ten seconds after the store's return."""
+    store = Store()
+    for second in range(5):
+        read = store.read(float(second))
+        assert read is not None
+        store.peer_registry.on_answer(float(second), read.call, CallFailed("down", False))
+    read = store.read(4.0 + READ_FIRST_SECONDS)
+    assert read is not None
+    store.answer(5.0, read)
+    assert store.read(5.0 + READ_FIRST_SECONDS) is not None
+
+
 def test_only_what_changed_is_written_again_and_not_often() -> None:
     store = Store()
     read = store.read(0.0)
