Lines of deferred requests and of job submissions have the configuration's version

Cause: a request that was refused with a time to retry, and a job that was taken in, did not tell the configuration by which that was decided. Change: the same fields as on all other lines of requests. Result: tests in test_admission; no behaviour changes.

--- a/src/troutswitch/decisions/forwarding/log_events.py
+++ b/src/troutswitch/decisions/forwarding/log_events.py
@@ -94,7 +94,11 @@
 
 
 def line_of_deferral(
-    now: float, request: ForwardedRequest, deferral: Deferral, times: ServiceTimes
+    now: float,
+    request: ForwardedRequest,
+    deferral: Deferral,
+    times: ServiceTimes,
+    known: KnownConfiguration,
 ) -> LogLine:
     """Returns the line of a request that is refused with a time to retry, and why."""
     estimate = deferral.estimate
@@ -110,6 +114,8 @@
             "first_ms": milliseconds(times.first_event),
             "objective_ms": milliseconds(request.route.objective),
             "retry_after_ms": milliseconds(deferral.retry_after),
+            "admitted_version": request.admitted_version,
+            **fields_of_configuration(known),
             "client_timeout_ms": milliseconds(request.arrival.time_left),
             "elapsed_ms": milliseconds(now - request.arrived_at),
         },
--- a/src/troutswitch/decisions/forwarding/open_requests.py
+++ b/src/troutswitch/decisions/forwarding/open_requests.py
@@ -113,7 +113,7 @@
         ensure(not request.ended_attempts, "a request that was sent is deferred")
         self.remove(request)
         refusal = NotRun(LATE_REASON, Step.ADMIT, "", deferral.retry_after)
-        line = line_of_deferral(now, request, deferral, times)
+        line = line_of_deferral(now, request, deferral, times, self._routes.known(now))
         return [FinishRequest(request.arrival.token, refusal), line]
 
     def pass_answer_on(self, request: ForwardedRequest, event: RequestAttemptEnded) -> Instructions:
--- a/src/troutswitch/decisions/jobs/intake.py
+++ b/src/troutswitch/decisions/jobs/intake.py
@@ -362,6 +362,7 @@
             status=getattr(answer, "status", 202),
             took_ms=round((now - submission.begun_at) * 1000),
             due_ms=round(completion_target(self._routes, manifest) * 1000),
+            **fields_of_configuration(self._routes.known(now)),
         )
         self._answer(submission.event.token, answer)
 
--- a/tests/decisions/forwarding/test_admission.py
+++ b/tests/decisions/forwarding/test_admission.py
@@ -20,7 +20,12 @@
     HoldLate,
 )
 from troutswitch.decisions.forwarding.engine import Engine
-from troutswitch.decisions.forwarding.messages import AnswerBegun, FinishRequest, SendRequest
+from troutswitch.decisions.forwarding.messages import (
+    AnswerBegun,
+    FinishRequest,
+    LogLine,
+    SendRequest,
+)
 from troutswitch.decisions.forwarding.requests import ForwardedRequests
 from troutswitch.decisions.forwarding.run_times import RunTimes, ServiceTimes
 from troutswitch.decisions.forwarding.wait_estimate import least_wait
@@ -162,6 +167,14 @@
     assert isinstance(back, SendRequest)
 
 
+def test_a_deferred_request_s_line_has_the_version_that_it_was_admitted_by() -> None:
+    world = World(engines=1)
+    fill(world, 40)
+    made = world.requests.on_arrived(1.0, arrival(900, time_left=TIME_LEFT_SECONDS))
+    (line,) = [row for row in made if isinstance(row, LogLine) and row.event == "request deferred"]
+    assert line.fields["admitted_version"] == line.fields["configuration_version"] == 1
+
+
 def test_nothing_is_learnt_of_answers_without_events() -> None:
     world = World(engines=1)
     sent = world.arrive(0.0, arrival(1))
--- a/tests/decisions/test_configuration_logs.py
+++ b/tests/decisions/test_configuration_logs.py
@@ -81,6 +81,15 @@
     assert row["learnt_by"] == LearntBy.STORE.value
 
 
+def test_a_job_that_is_taken_in_tells_the_version_in_force() -> None:
+    world = LoggedWorld(1)
+    world.run(3.0)
+    world.hand_in("job", 2)
+    world.run(1.0)
+    rows = [row for name in world.lines for row in world.of(name, "job submission ended")]
+    assert [row["configuration_version"] for row in rows] == [1]
+
+
 def test_a_route_without_an_engine_to_use_tells_why_each_was_left_out() -> None:
     world = World(engines=0)
     world.engines.on_list(0.0, [engine("drains", draining=True), engine("goes"), engine("fails")])
