Logs and metrics tell by which count a tenant's requests were admitted

Change: `request sent` and `request refused` carry decided_by, quota_way (counted, leased, alone) and quota_ms; `quota decision late` is new; three metrics; `troutswitch quota` reads, for a tenant and any window, admissions by daemon and way, times of decisions, late ones, runs by admission, and who coordinated since when. No decision changes.

Measured: tests of hindsight, decisions, forms, cli and gateway pass. The stored forms of metrics gained three metrics; no older name changed.

--- a/src/troutswitch/cli/main.py
+++ b/src/troutswitch/cli/main.py
@@ -11,6 +11,7 @@
 from troutswitch.cli.explain import explain
 from troutswitch.cli.gateway import gateway
 from troutswitch.cli.load import load
+from troutswitch.cli.quota import quota
 from troutswitch.cli.simulation import experiment, simulate
 from troutswitch.cli.soak import soak
 from troutswitch.cli.standin import standin
@@ -26,6 +27,7 @@
 for command in (
     explain,
     bound,
+    quota,
     gateway,
     daemon,
     settings,
--- a/src/troutswitch/decisions/forwarding/arrivals.py
+++ b/src/troutswitch/decisions/forwarding/arrivals.py
@@ -28,7 +28,13 @@
 from troutswitch.decisions.forwarding.messages import RequestArrived
 from troutswitch.decisions.forwarding.routes import OUTDATED_RETRY_SECONDS, RouteTable
 from troutswitch.decisions.forwarding.types import Route
-from troutswitch.decisions.tenants.quota import NoQuota, Quota, QuotaCompletion, QuotaResult
+from troutswitch.decisions.tenants.quota import (
+    NOT_COUNTED,
+    NoQuota,
+    Quota,
+    QuotaCompletion,
+    QuotaResult,
+)
 from troutswitch.decisions.tenants.tenant_keys import TenantKeys
 from troutswitch.decisions.tenants.types import NO_TENANT, Tenant
 from troutswitch.outcomes import NotRun, Step
@@ -43,25 +49,27 @@
 class Admitted:
     """A request that may be sent.
 
-    `version` is the version of the configuration that `route` comes from; `decided_by` names what
-    counted the request for the quota. Both are for logs.
+    `version` is the version of the configuration that `route` comes from; `quota` is the
+    decision on the quota, which took `quota_seconds`. All three are for logs.
     """
 
     arrival: RequestArrived
     route: Route
     version: int
     tenant: Tenant
-    decided_by: str
+    quota: QuotaResult
+    quota_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """A request that is not sent to any engine; `tenant` and `decided_by` are for logs."""
+    """A request that is not sent to any engine; `tenant` and `quota` are for logs."""
 
     arrival: RequestArrived
     refusal: NotRun
     tenant: str = NO_TENANT
-    decided_by: str = ""
+    quota: QuotaResult = NOT_COUNTED
+    quota_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +80,7 @@
     route: Route
     version: int
     tenant: Tenant
+    arrived_at: float
 
 
 class Arrivals:
@@ -100,12 +109,12 @@
             return Refused(event, tenant)
         if event.content in self._suspects.refused:
             return Refused(event, self._suspects.refusal(now, event.content), tenant.name)
-        waiting = _AwaitingQuota(event, route, self._routes.version, tenant)
+        waiting = _AwaitingQuota(event, route, self._routes.version, tenant, now)
         decision = self.quota.take(now, event.token, tenant)
         if decision is None:
             self._awaiting_quota[event.token] = waiting
             return None
-        return self._apply_quota(waiting, decision)
+        return self._apply_quota(now, waiting, decision)
 
     def on_quota_decided(self, now: float, end: QuotaCompletion) -> Admitted | Refused | None:
         """Returns the result of a quota decision; None if the request no longer awaits one.
@@ -118,17 +127,20 @@
         tenant = self.tenant_keys.identify(waiting.arrival.caller_key, waiting.route)
         if isinstance(tenant, NotRun):
             return Refused(waiting.arrival, tenant)
-        return self._apply_quota(replace(waiting, tenant=tenant), end.result)
+        return self._apply_quota(now, replace(waiting, tenant=tenant), end.result)
 
     @staticmethod
-    def _apply_quota(waiting: _AwaitingQuota, decision: QuotaResult) -> Admitted | Refused:
+    def _apply_quota(
+        now: float, waiting: _AwaitingQuota, decision: QuotaResult
+    ) -> Admitted | Refused:
         arrival, tenant = waiting.arrival, waiting.tenant
+        seconds = now - waiting.arrived_at
         if decision.is_allowed:
-            return Admitted(arrival, waiting.route, waiting.version, tenant, decision.decided_by)
+            return Admitted(arrival, waiting.route, waiting.version, tenant, decision, seconds)
         refusal = NotRun(
             "above the tenant's quota", Step.ADMIT, "", decision.wait, ABOVE_QUOTA_STATUS
         )
-        return Refused(arrival, refusal, tenant.name, decision.decided_by)
+        return Refused(arrival, refusal, tenant.name, decision, seconds)
 
     def withdraw(self, token: int) -> RequestArrived | None:
         """Drops a request whose caller disconnected; returns it if a decision was pending."""
--- a/src/troutswitch/decisions/forwarding/log_events.py
+++ b/src/troutswitch/decisions/forwarding/log_events.py
@@ -7,6 +7,8 @@
 time since its arrival. `configuration_version` is the version in force, `configuration_age_ms` the
 time since no newer version existed, as far as the daemon knows, and `learnt_by` the source of that
 version. `admitted_version` is the version whose route the request was admitted by.
+`decided_by` names the count that decided on the
+quota, `quota_way` is its `QuotaWay`, `quota_ms` the time that the decision took.
 `engines_left_out` has the engines of the service that the request can't be sent to, with the
 reasons, if a search for an engine found none.
 """
@@ -23,6 +25,7 @@
 from troutswitch.decisions.forwarding.request import ForwardedRequest
 from troutswitch.decisions.forwarding.routes import KnownConfiguration
 from troutswitch.decisions.forwarding.run_times import ServiceTimes
+from troutswitch.decisions.tenants.quota import QuotaResult
 from troutswitch.outcomes import AttemptOutcome, Cut, MayHaveRun, NotRun, Step
 
 MAX_MILLISECONDS = 3_600_000
@@ -43,6 +46,15 @@
     }
 
 
+def quota_fields(quota: QuotaResult, seconds: float) -> dict[str, object]:
+    """Returns the log fields about a quota decision that took some seconds."""
+    return {
+        "decided_by": quota.decided_by,
+        "quota_way": quota.way.value,
+        "quota_ms": milliseconds(seconds),
+    }
+
+
 def refusal_line(refused: Refused, known: KnownConfiguration) -> LogLine:
     """Returns the line for a request that is refused on its arrival."""
     refusal = refused.refusal
@@ -56,7 +68,7 @@
             "step": refusal.step,
             "status": refusal.status,
             "retry_after_ms": milliseconds(refusal.retry_after or 0.0),
-            "decided_by": refused.decided_by,
+            **quota_fields(refused.quota, refused.quota_seconds),
             **configuration_fields(known),
         },
     )
@@ -79,6 +91,7 @@
             "route": request.route.name,
             "tenant": request.tenant,
             "attempt": request.attempt,
+            **quota_fields(request.quota, request.quota_seconds),
             "engine": engine.record.engine_id,
             "load": engine.in_flight(now),
             "assigned_by": assignment.assigned_by.value,
--- a/src/troutswitch/decisions/forwarding/request.py
+++ b/src/troutswitch/decisions/forwarding/request.py
@@ -10,6 +10,7 @@
 from troutswitch.decisions.forwarding.engine import NO_SIZE, RequestSize
 from troutswitch.decisions.forwarding.messages import RequestArrived
 from troutswitch.decisions.forwarding.types import Route
+from troutswitch.decisions.tenants.quota import NOT_COUNTED, QuotaResult
 from troutswitch.decisions.tenants.types import NO_TENANT
 from troutswitch.outcomes import NOT_EXECUTED_OUTCOMES, AttemptOutcome
 
@@ -40,6 +41,10 @@
     tenant: str = NO_TENANT
     admitted_version: int = -1
     """Version of the configuration that `route` comes from."""
+    quota: QuotaResult = NOT_COUNTED
+    """The decision on the quota by which it was admitted."""
+    quota_seconds: float = 0.0
+    """Time that this decision took."""
     longest_wait: float = float("inf")
     """Longest wait for a slot, in seconds, with which it is sent for the first time."""
 
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -147,6 +147,8 @@
             position=arrival.resume_after,
             tenant=admitted.tenant.name,
             admitted_version=admitted.version,
+            quota=admitted.quota,
+            quota_seconds=admitted.quota_seconds,
         )
         return self._placing.begin(now, request)
 
--- a/src/troutswitch/decisions/tenants/coordinated_quota.py
+++ b/src/troutswitch/decisions/tenants/coordinated_quota.py
@@ -35,7 +35,12 @@
 from troutswitch.decisions.slots.coordinator_claims import Claim
 from troutswitch.decisions.slots.groups import Group
 from troutswitch.decisions.slots.messages import SendToPeers
-from troutswitch.decisions.tenants.quota import UNLIMITED, QuotaCompletion, QuotaResult
+from troutswitch.decisions.tenants.quota import (
+    UNLIMITED,
+    QuotaCompletion,
+    QuotaResult,
+    QuotaWay,
+)
 from troutswitch.decisions.tenants.quota_coordinator import QuotaCoordinator
 from troutswitch.decisions.tenants.quota_groups import QuotaGroups
 from troutswitch.decisions.tenants.quota_ledger import QuotaLimit
@@ -44,6 +49,8 @@
 
 DECISION_TIMEOUT_SECONDS = 0.03
 """Time within which a coordinator must decide, as for slots: a tenth of an objective of 300 ms."""
+LATE_DECISION_SECONDS = 2.0
+"""Time for which a request that ended without a decision is remembered, to log how late it came."""
 RESEND_SECONDS = 0.012
 """Time after which a request without a decision is sent again."""
 LEASE_SECONDS = 0.5
@@ -121,6 +128,8 @@
         self._pending: dict[int, _Pending] = {}
         self._leases: dict[str, _Lease] = {}
         self._numbers = itertools.count(1)
+        self._overdue: dict[int, _Pending] = {}
+        """Requests that ended without a decision a short time ago."""
         self._unreported: Counter[str] = Counter()
         """Requests by tenant that were admitted without a coordinator and are not reported yet."""
 
@@ -131,14 +140,14 @@
         if not tenant.is_limited:
             return UNLIMITED
         if self._use_lease(now, tenant.name):
-            return QuotaResult(True, 0.0, "lease")
+            return QuotaResult(True, 0.0, "lease", QuotaWay.LEASED)
         group = self._groups.group_of(tenant.name)
         if group is None:
             return self._decide_alone(now, tenant)
         if self.coordinator.counts_for(group.name):
             limit = QuotaLimit(tenant.rate, tenant.burst, self._fleet.configuration_version)
             grant = self.coordinator.take_own(now, group.name, tenant.name, limit)
-            return QuotaResult(grant.granted > 0, grant.wait, "counted here")
+            return QuotaResult(grant.granted > 0, grant.wait, "counted here", QuotaWay.COUNTED)
         claim = self._groups.claims.coordinator(now, group.name)
         if claim is None:
             self._groups.claims.on_coordinator_needed(now, group.name)
@@ -196,6 +205,7 @@
         """Handles a coordinator's decision. A late decision has no effect."""
         pending = self._pending.pop(decision.number, None)
         if pending is None:
+            self._log_late(now, decision)
             return []
         if not decision.is_coordinator:
             self._groups.claims.on_not_coordinator(now, pending.group)
@@ -203,6 +213,20 @@
         self._groups.claims.on_activity(pending.group, decision.sender)
         return [QuotaCompletion(pending.token, self._result(now, pending, decision))]
 
+    def _log_late(self, now: float, decision: QuotaDecision) -> None:
+        """Logs a decision that came after its request was decided without it."""
+        pending = self._overdue.pop(decision.number, None)
+        if pending is None:
+            return
+        fields: dict[str, object] = {
+            "group": pending.group,
+            "tenant": pending.tenant.name,
+            "coordinator": decision.sender,
+            "granted": decision.granted,
+            "decision_ms": round((now - pending.requested_at) * 1000),
+        }
+        self._emit(LogLine("quota decision late", fields))
+
     def _result(self, now: float, pending: _Pending, decision: QuotaDecision) -> QuotaResult:
         """Records a coordinator's decision, and returns the request's result."""
         tenant = pending.tenant.name
@@ -211,7 +235,8 @@
         self._uncoordinated.on_decision(now, tenant, is_allowed)
         if decision.granted > 1:
             self._leases[tenant] = _Lease(decision.granted - 1, now + LEASE_SECONDS)
-        return QuotaResult(is_allowed, decision.wait_ms / 1000, f"counted by {decision.sender}")
+        by = f"counted by {decision.sender}"
+        return QuotaResult(is_allowed, decision.wait_ms / 1000, by, QuotaWay.COUNTED)
 
     # Timers.
 
@@ -222,6 +247,7 @@
     def on_timer(self, now: float) -> list[QuotaCompletion]:
         """Sends requests again, and ends those whose decision is overdue."""
         self.coordinator.on_timer(now)
+        self._forget_overdue(now)
         ended: list[QuotaCompletion] = []
         for number, pending in list(self._pending.items()):
             if now < pending.due_at:
@@ -231,9 +257,15 @@
                 self._emit(pending.message)
                 continue
             del self._pending[number]
+            self._overdue[number] = pending
             ended.append(self._end_overdue(now, pending))
         return ended
 
+    def _forget_overdue(self, now: float) -> None:
+        for number, pending in list(self._overdue.items()):
+            if now - pending.requested_at > LATE_DECISION_SECONDS:
+                del self._overdue[number]
+
     def _end_overdue(self, now: float, pending: _Pending) -> QuotaCompletion:
         self._groups.claims.on_reply_timeout(now, pending.group)
         fields: dict[str, object] = {"group": pending.group, "tenant": pending.tenant.name}
--- a/src/troutswitch/decisions/tenants/equal_shares.py
+++ b/src/troutswitch/decisions/tenants/equal_shares.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 
 from troutswitch.decisions.limits import TokenBucket
-from troutswitch.decisions.tenants.quota import UNLIMITED, NoQuota, QuotaResult
+from troutswitch.decisions.tenants.quota import UNLIMITED, NoQuota, QuotaResult, QuotaWay
 from troutswitch.decisions.tenants.types import Tenant
 
 
@@ -41,5 +41,5 @@
         available = bucket.refill(now, rate, depth)
         if available >= 1.0:
             bucket.tokens -= 1.0
-            return QuotaResult(True, 0.0, "own share")
-        return QuotaResult(False, (1.0 - available) / rate, "own share")
+            return QuotaResult(True, 0.0, "own share", QuotaWay.ALONE)
+        return QuotaResult(False, (1.0 - available) / rate, "own share", QuotaWay.ALONE)
--- a/src/troutswitch/decisions/tenants/quota.py
+++ b/src/troutswitch/decisions/tenants/quota.py
@@ -8,12 +8,26 @@
 """
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 from troutswitch.daemons.messages import QuotaDecision, QuotaRequest
 from troutswitch.decisions.tenants.types import Tenant
 
 
+class QuotaWay(Enum):
+    """By which count a request was admitted or refused, for logs and metrics."""
+
+    NONE = "none"
+    """No quota applies."""
+    COUNTED = "counted"
+    """A coordinator counted the request."""
+    LEASED = "leased"
+    """A coordinator granted it in advance."""
+    ALONE = "alone"
+    """This daemon decided without a coordinator."""
+
+
 @dataclass(frozen=True, slots=True)
 class QuotaResult:
     """Whether one request is inside its tenant's quota.
@@ -25,6 +39,7 @@
     is_allowed: bool
     wait: float
     decided_by: str
+    way: QuotaWay = QuotaWay.NONE
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +51,8 @@
 
 
 UNLIMITED = QuotaResult(True, 0.0, "no limit")
+NOT_COUNTED = QuotaResult(True, 0.0, "")
+"""The result for a request that is refused before its quota is checked."""
 
 
 class Quota(Protocol):
--- a/src/troutswitch/decisions/tenants/uncoordinated_quota.py
+++ b/src/troutswitch/decisions/tenants/uncoordinated_quota.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass
 
 from troutswitch.decisions.tenants.equal_shares import EqualShares
-from troutswitch.decisions.tenants.quota import QuotaResult
+from troutswitch.decisions.tenants.quota import QuotaResult, QuotaWay
 from troutswitch.decisions.tenants.types import Tenant
 
 UNCOORDINATED_FACTOR = 1.5
@@ -62,7 +62,7 @@
         if decisions is not None and decisions.refused:
             admitted_fraction = decisions.allowed / (decisions.allowed + decisions.refused)
             if self._rng.random() >= admitted_fraction:
-                return QuotaResult(False, 1.0 / tenant.rate, "recent decisions")
+                return QuotaResult(False, 1.0 / tenant.rate, "recent decisions", QuotaWay.ALONE)
         return self._shares.take(now, 0, tenant)
 
     def _recent(self, now: float, tenant: str) -> _Decisions | None:
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -14,6 +14,7 @@
 from troutswitch.decisions.forwarding.messages import LogLine
 from troutswitch.decisions.forwarding.routes import ConfigurationSource
 from troutswitch.decisions.gateway import GatewayCore
+from troutswitch.decisions.tenants.quota import QuotaWay
 
 SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
 MISSING_LABEL = "other"
@@ -46,6 +47,18 @@
         self._refused = self._counter(
             "requests_refused", "Requests refused on arrival, by HTTP status", "status"
         )
+        self._quota_decisions = self._counter(
+            "quota_decisions",
+            "Decisions on requests of tenants with a quota, by count and result",
+            "way",
+            "result",
+        )
+        self._quota_seconds = self._histogram(
+            "quota_decision_seconds", "Time that a decision on the quota took"
+        )
+        self._further_attempts = self._counter(
+            "further_attempts", "Attempts after the first of a request", "quota_way"
+        )
         self._events = self._counter("decisions", "Log lines of decisions, by event", "event")
         self._add_workload_gauges(core)
         self._add_fleet_gauges(core)
@@ -161,12 +174,30 @@
                 aborted = line.fields.get("close_to_abort_ms")
                 if isinstance(aborted, int):
                     self._close_to_abort.observe(aborted / 1000)
+            case "request sent":
+                self._on_sent(line)
             case "request refused":
                 self._refused.labels(_label(line, "status")).inc()
+                self._on_quota_decided(line, "refused")
             case "request given up":
                 labels = (_label(line, name) for name in ("outcome", "step", "route"))
                 self._given_up.labels(*labels).inc()
 
+    def _on_sent(self, line: LogLine) -> None:
+        if line.fields.get("attempt") == 1:
+            self._on_quota_decided(line, "admitted")
+        else:
+            self._further_attempts.labels(_label(line, "quota_way")).inc()
+
+    def _on_quota_decided(self, line: LogLine, result: str) -> None:
+        """Counts a decision on a tenant with a quota; a request without one counts nothing."""
+        way, taken = _label(line, "quota_way"), line.fields.get("quota_ms")
+        if way in (MISSING_LABEL, QuotaWay.NONE.value):
+            return
+        self._quota_decisions.labels(way, result).inc()
+        if isinstance(taken, int):
+            self._quota_seconds.observe(taken / 1000)
+
     def _on_attempt_ended(self, line: LogLine) -> None:
         self._attempts.labels(_label(line, "kind")).inc()
         first = line.fields.get("first_ms")
