--- a/src/troutswitch/cli/soak.py
+++ b/src/troutswitch/cli/soak.py
@@ -32,6 +32,8 @@
 @click.option("--daemons", default=SoakSize().daemons, show_default=True)
 @click.option("--servers", default=SoakSize().engines, show_default=True)
 @click.option("--callers", default=SoakSize().callers, show_default=True)
+@click.option("--stall", default=0.0, show_default=True, help="Share of time that daemons stall.")
+@click.option("--faults/--no-faults", default=True, show_default=True)
 @click.option("--report", type=click.Path(path_type=Path), help="Folder for summary and logs.")
 def soak(
     minutes: float,
@@ -40,6 +42,8 @@
     daemons: int,
     servers: int,
     callers: int,
+    stall: float,
+    faults: bool,
     report: Path | None,
 ) -> None:
     """Inject faults into real processes and check the promises; exit 1 if one is broken."""
@@ -53,7 +57,7 @@
     overrun_timer.start()
     folder = Path(tempfile.mkdtemp(prefix="soak-"))
     click.echo(f"soak of {length:.0f} s, seed {actual_seed}, logs in {folder}", err=True)
-    size = SoakSize(daemons, servers, callers)
+    size = SoakSize(daemons, servers, callers, stall_share=stall, has_faults=faults)
 
     def print_progress(line: str) -> None:
         click.echo(line, err=True)
--- a/src/troutswitch/platform/stand_in_forms.py
+++ b/src/troutswitch/platform/stand_in_forms.py
@@ -24,10 +24,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TenantSpec:
-    """A tenant in an operator's configuration, without a quota."""
+    """A tenant in an operator's configuration.
+
+    `rate` is its quota in requests per second, with `burst` more requests; 0 means no limit.
+    """
 
     name: str
     keys: tuple[str, ...]
+    rate: float = 0.0
+    burst: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,5 +103,13 @@
     sizes = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304}
     record = {"version": version, "routes": rows, "services": services, "limits": sizes}
     if tenants:
-        record["tenants"] = [{"name": tenant.name, "apiKeys": tenant.keys} for tenant in tenants]
+        record["tenants"] = [_tenant_row(tenant) for tenant in tenants]
     return json.dumps(record).encode()
+
+
+def _tenant_row(tenant: TenantSpec) -> dict[str, object]:
+    """Returns a tenant as it stands in a configuration; one without a quota has no limits."""
+    row: dict[str, object] = {"name": tenant.name, "apiKeys": tenant.keys}
+    if tenant.rate > 0:
+        row |= {"ratePerS": tenant.rate, "burst": tenant.burst}
+    return row
--- a/src/troutswitch/soak/checks.py
+++ b/src/troutswitch/soak/checks.py
@@ -19,6 +19,7 @@
 from troutswitch.soak.schedule import FAULT_FREE_SECONDS, ActionKind
 from troutswitch.soak.tenant_checks import (
     runs_have_the_tenant_of_their_key,
+    tenants_stay_within_their_quota,
     unknown_keys_do_not_run,
 )
 from troutswitch.soak.violations import Check, Violation
@@ -450,6 +451,7 @@
     crashing_requests_are_stopped,
     runs_have_the_tenant_of_their_key,
     unknown_keys_do_not_run,
+    tenants_stay_within_their_quota,
     recovery_succeeds,
 )
 
--- a/src/troutswitch/soak/processes.py
+++ b/src/troutswitch/soak/processes.py
@@ -9,8 +9,9 @@
 
 from troutswitch.standins.model_engine import CRASH_EXIT_CODE
 
-MAX_PROCESSES = 40
-"""Maximum number of processes of a soak, the users' limit for one machine."""
+MAX_PROCESSES = 160
+"""Maximum number of processes of a soak: at 60 MB a daemon, under half of the memory of a test
+machine of the users."""
 EXIT_TIMEOUT_SECONDS = 10.0
 """Timeout for a killed process to exit; the kernel needs milliseconds."""
 
--- a/src/troutswitch/soak/run.py
+++ b/src/troutswitch/soak/run.py
@@ -12,12 +12,14 @@
 from troutswitch.soak.fault_injector import FaultInjector
 from troutswitch.soak.fleet import Fleet
 from troutswitch.soak.jobs import JobClient
+from troutswitch.soak.limited_callers import LimitedCallers
 from troutswitch.soak.observations import Observations, read_journal
 from troutswitch.soak.probes import Prober
 from troutswitch.soak.recovery_phase import RecoveryPhase
 from troutswitch.soak.report import SoakResult
 from troutswitch.soak.resource_sampler import ResourceSampler
 from troutswitch.soak.schedule import FaultSchedule, draw_schedule
+from troutswitch.soak.stalls import Stalls
 from troutswitch.soak.violations import Violation
 
 CHECK_INTERVAL_SECONDS = 10.0
@@ -30,12 +32,18 @@
 
 @dataclass(frozen=True, slots=True)
 class SoakSize:
-    """Number of processes and clients of a soak."""
+    """Number of processes and clients of a soak.
+
+    `stall_share` is the share of each tenth of a second in which daemons do not run.
+    `has_faults` is false for a soak without faults and planned operations.
+    """
 
     daemons: int = 3
     engines: int = 4
     callers: int = 12
     job_clients: int = 2
+    stall_share: float = 0.0
+    has_faults: bool = True
 
 
 class _Worker(Protocol):
@@ -70,7 +78,7 @@
             self.fleet.start()
             self._start_workers()
             fault_injector = FaultInjector(self.fleet, self.schedule)
-            self._run_schedule(fault_injector)
+            self._run_stalled(fault_injector)
             RecoveryPhase(self.fleet, fault_injector, self.stop_requested.is_set).run()
             self._stop_workers()
             fault_injector.run(time.monotonic() + SETTLE_SECONDS, self.stop_requested.is_set)
@@ -106,6 +114,18 @@
             )
         return find_violations(snapshot)
 
+    def _run_stalled(self, fault_injector: FaultInjector) -> None:
+        """Runs the schedule while daemons stall, and ends the stalls."""
+        stalls = Stalls(self.fleet.daemons, self._size.stall_share)
+        for thread in stalls.threads:
+            thread.start()
+        try:
+            self._run_schedule(fault_injector)
+        finally:
+            stalls.stop_requested.set()
+            for thread in stalls.threads:
+                thread.join()
+
     def _run_schedule(self, fault_injector: FaultInjector) -> None:
         while time.monotonic() < fault_injector.ends_at and not self.stop_requested.is_set():
             until = min(fault_injector.ends_at, time.monotonic() + CHECK_INTERVAL_SECONDS)
@@ -138,6 +158,9 @@
             prober = Prober(endpoint, self.fleet.operator, observations)
             self._workers.append(prober)
             self._threads.append(prober.thread)
+        limited = LimitedCallers(seed, endpoints, observations)
+        self._workers.append(limited)
+        self._threads += limited.threads
         resource_sampler = ResourceSampler(self.fleet.daemons, observations)
         self._workers.append(resource_sampler)
         self._threads.append(resource_sampler.thread)
@@ -162,4 +185,7 @@
 ) -> SoakResult:
     """Runs a soak; `seconds` is the length of the schedule, without start and recovery phase."""
     folder.mkdir(parents=True, exist_ok=True)
-    return Soak(draw_schedule(seed, seconds), folder, size, report_progress, stop_requested).run()
+    schedule = draw_schedule(seed, seconds)
+    if not size.has_faults:
+        schedule = FaultSchedule(seed, seconds, ())
+    return Soak(schedule, folder, size, report_progress, stop_requested).run()
--- a/src/troutswitch/soak/tenants.py
+++ b/src/troutswitch/soak/tenants.py
@@ -7,6 +7,14 @@
 from troutswitch.platform.stand_in_forms import TenantSpec
 
 TENANTS = ("east", "west")
+LIMITED_TENANT = "limited"
+"""A tenant with a quota, whose callers send far more than it (`limited_callers.py`)."""
+LIMITED_RATE = 3.0
+"""Its quota in requests per second. The excess that the platform permits beside so small a quota
+is larger than the quota itself, and one request for each daemon would use it up."""
+LIMITED_BURST = 3.0
+LIMITED_PREFIX = "limited-"
+"""Prefix of the ids of its requests."""
 UNKNOWN_KEY_INTERVAL = 40
 """About one request in this many uses a key that is in no configuration."""
 UNKNOWN_KEY = "key-of-nobody"
@@ -19,14 +27,20 @@
 
 def tenant_of(owner: str) -> str:
     """Returns the tenant of a request or job; `owner` is its id."""
+    if owner.startswith(LIMITED_PREFIX):
+        return LIMITED_TENANT
     return TENANTS[stable_hash("tenant", owner) % len(TENANTS)]
 
 
 def uses_unknown_key(request_id: str) -> bool:
     """Returns whether a request uses a key that no tenant has."""
+    if request_id.startswith(LIMITED_PREFIX):
+        return False
     return stable_hash("stranger", request_id) % UNKNOWN_KEY_INTERVAL == 0
 
 
 def tenant_forms() -> tuple[TenantSpec, ...]:
-    """Returns the tenants as they are written to the configuration; none has a limit."""
-    return tuple(TenantSpec(name, (key_of(name),)) for name in TENANTS)
+    """Returns the tenants as they are written to the configuration; one has a quota."""
+    unlimited = tuple(TenantSpec(name, (key_of(name),)) for name in TENANTS)
+    limited = TenantSpec(LIMITED_TENANT, (key_of(LIMITED_TENANT),), LIMITED_RATE, LIMITED_BURST)
+    return (*unlimited, limited)
