One confirmed coordinator at a time counts a tenant's requests

What callers saw: a tenant got more than its quota (QUOTA). Cause: nothing ended an older coordinator's authority. A new one began with an allowance for each takeover, whoever still believed in the old one went on with the whole rate, stalls of 60 ms were enough for takeovers, and daemons with different engine lists asked different groups in good faith.

Change (decisions/tenants/coordination.py): three quota groups that don't depend on the engine list; claims in the store name the process and the predecessors that may still count; a coordinator counts only within 12 s of a time at which the store had no newer claim; a successor asks its predecessors to stop, takes over the accounts of the only one, and otherwise waits until their leases have ended, with a small reserve that no two daemons use at once. Accounts and reserves begin empty, so ledgers that follow each other admit no more than one. A coordinator that ends as planned hands over what is left. Decisions, accounts and leases are checked on each request.

Tests: the state machine now asserts the users' rule itself, with restarts and cuts from the store, instead of a sum derived from the implementation.

--- a/src/troutswitch/daemons/messages.py
+++ b/src/troutswitch/daemons/messages.py
@@ -154,13 +154,26 @@
     open_items: int
 
 
+class ClaimHolder(msgspec.Struct, frozen=True, array_like=True):
+    """A daemon that claimed a group, and where it receives messages."""
+
+    daemon: str
+    address: Address
+
+
 class KnownClaim(msgspec.Struct, frozen=True, array_like=True):
-    """A claim of a group that the sender knows. `offset` is its offset in the store's topic."""
+    """A claim of a group that the sender knows. `offset` is its offset in the store's topic.
+
+    `incarnation` and `predecessors` are set for quota groups only: the process that made the claim,
+    and the holders of earlier claims that may not have stopped when it was made.
+    """
 
     group: str
     daemon: str
     address: Address
     offset: int
+    incarnation: int = 0
+    predecessors: tuple[ClaimHolder, ...] = ()
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
@@ -228,7 +241,9 @@
     """Replies to a quota request: `granted` is 1 if the request is admitted, else 0.
 
     `wait_ms` is the time until there is quota for one request. `is_coordinator` is false if the
-    sender does not count for the tenants of this group.
+    sender does not count for the tenants of this group. `is_confirmed` is false if the sender can't
+    exclude that another daemon counts too: it then grants from a reserve alone, and `granted` 0
+    means that it can't decide.
     """
 
     sender: str
@@ -237,6 +252,40 @@
     granted: int
     wait_ms: int
     is_coordinator: bool = True
+    is_confirmed: bool = True
+
+
+class QuotaHandoverRequest(msgspec.Struct, frozen=True, array_like=True, tag="handover"):
+    """Asks the holder of an earlier claim of a quota group to stop counting.
+
+    `claim` is the sender's newer claim; `predecessor` names the daemon that is asked.
+    """
+
+    sender: str
+    address: Address
+    predecessor: str
+    claim: KnownClaim
+
+
+class QuotaBalance(msgspec.Struct, frozen=True, array_like=True):
+    """What is left in a tenant's account, in hundredths of a request."""
+
+    tenant: str
+    hundredths: int
+
+
+class QuotaHandover(msgspec.Struct, frozen=True, array_like=True, tag="handed over"):
+    """States that the sender has stopped counting for a group, with the accounts that it kept.
+
+    `offset` is that of the newer claim. Accounts of tenants that are not listed were opened empty
+    `opened_ms` milliseconds ago; 0 if the sender kept no accounts.
+    """
+
+    sender: str
+    group: str
+    offset: int
+    opened_ms: int = 0
+    balances: tuple[QuotaBalance, ...] = ()
 
 
 SlotMessage = HoldingsReport | SlotRequest | SlotReply | BatchSlotGrant | GroupDigest
@@ -252,5 +301,7 @@
     | EngineDrainNotice
     | QuotaRequest
     | QuotaDecision
+    | QuotaHandoverRequest
+    | QuotaHandover
 )
 """All messages between daemons."""
--- a/src/troutswitch/decisions/gateway_parts.py
+++ b/src/troutswitch/decisions/gateway_parts.py
@@ -36,7 +36,7 @@
 from troutswitch.decisions.slots.fleet import FleetSlots, SlotPolicies
 from troutswitch.decisions.slots.messages import WaitingItems
 from troutswitch.decisions.storage.read_attempts import CallNumbers
-from troutswitch.decisions.tenants.quota_groups import QuotaGroups
+from troutswitch.decisions.tenants.quota_groups import QUOTA_GROUPS
 from troutswitch.decisions.tenants.quota_policies import make_quota
 
 
@@ -141,6 +141,7 @@
             self.numbers,
             self._emit,
             rng,
+            QUOTA_GROUPS,
         )
 
     def _daemon_identity(self, incarnation: int) -> DaemonIdentity:
@@ -219,7 +220,7 @@
             policies.quota,
             self._daemon_identity(incarnation),
             self.identity.quota_bounds,
-            QuotaGroups(self.slots.groups, self.slots.claims, self.slots.coordinator.coordinated),
+            self.slots.claims,
             _FleetState(self.routes, self.peers),
             self._emit,
             rng,
--- a/src/troutswitch/decisions/peer_messages.py
+++ b/src/troutswitch/decisions/peer_messages.py
@@ -16,6 +16,8 @@
     HoldingsReport,
     PeerMessage,
     QuotaDecision,
+    QuotaHandover,
+    QuotaHandoverRequest,
     QuotaRequest,
     SlotReply,
     SlotRequest,
@@ -59,6 +61,10 @@
                 self.quota.on_request(now, message)
             case QuotaDecision():
                 self.end_quota_waits(now, self.quota.on_decision(now, message))
+            case QuotaHandoverRequest():
+                self.quota.on_handover_request(now, message)
+            case QuotaHandover():
+                self.quota.on_handover(now, message)
             case SlotReply():
                 self._on_slot_reply(now, message)
             case HoldingsReport() | SlotRequest() | BatchSlotGrant() | GroupDigest():
--- a/src/troutswitch/decisions/slots/coordinator_claims.py
+++ b/src/troutswitch/decisions/slots/coordinator_claims.py
@@ -7,6 +7,10 @@
 Inputs: the claims, read from the store's topic or received with peers' heartbeats, up to some
 hundred milliseconds old; the health of coordinators as this daemon sees it.
 
+Claims of exclusive groups (quota groups) also name the process that claims, and its predecessors:
+the holders of earlier claims that may still act. A claimant that knows that they have stopped
+claims the group again without predecessors. `tenants/coordination.py` relies on this.
+
 Rule: a daemon claims a group that has no coordinator, or whose coordinator is missing, after a
 delay. The delay is a part of `CLAIM_SPREAD_SECONDS` that a hash of the group's and the daemon's
 name determines, plus `OTHER_ZONE_SECONDS` if the group is in another zone. The claim is appended on
@@ -34,7 +38,7 @@
 
 from troutswitch.common import Address, stable_hash
 from troutswitch.daemons.identity import DaemonIdentity
-from troutswitch.daemons.messages import KnownClaim
+from troutswitch.daemons.messages import ClaimHolder, KnownClaim
 from troutswitch.decisions.slots.coordinator_health import NEVER, CoordinatorHealth
 from troutswitch.decisions.slots.groups import EngineGroups, Group
 from troutswitch.decisions.storage.follower import PartitionFollower
@@ -64,6 +68,13 @@
 """Minimum interval between claims of one group by one daemon."""
 CONFLICT_RETRY_SECONDS = 0.1
 """Time after which a claim is retried if another record was appended before it."""
+EXCLUSIVE_READ_WAIT_SECONDS = 1.0
+"""The same wait for a daemon that holds an exclusive group: it must know soon that no newer claim
+exists."""
+MAX_PREDECESSORS = 8
+"""Maximum number of predecessors in a claim, which then fits into a datagram."""
+UNKNOWN_PREDECESSOR = ClaimHolder("", Address("", 0))
+"""Stands for the predecessors beyond the maximum; it never confirms that it stopped."""
 CALL_TIMEOUT_SECONDS = 4.0
 """Time after which an unanswered claim is abandoned."""
 
@@ -76,6 +87,8 @@
     daemon: str
     address: Address
     offset: int
+    incarnation: int = 0
+    predecessors: tuple[ClaimHolder, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +97,8 @@
 
     group: str
     sent_at: float
+    incarnation: int
+    predecessors: tuple[ClaimHolder, ...]
 
 
 class CoordinatorClaims:
@@ -96,6 +111,7 @@
         numbers: CallNumbers,
         rng: random.Random,
         log: Callable[..., None],
+        exclusive_groups: tuple[Group, ...] = (),
     ) -> None:
         self.is_draining = False
         """Whether this daemon is draining; it then coordinates and claims no group."""
@@ -103,6 +119,9 @@
         """Number of changes of coordinators; reports are computed again when it changes."""
         self._identity = identity
         self._groups = groups
+        self._exclusive = {group.name: group for group in exclusive_groups}
+        self._settled: set[str] = set()
+        """Own exclusive groups whose predecessors are known to have stopped."""
         self._numbers = numbers
         self._log = log
         self._claims: dict[str, Claim] = {}
@@ -128,9 +147,27 @@
         return self._claims.get(group)
 
     def is_own(self, group: str) -> bool:
-        """Returns whether this daemon coordinates a group, by the newest known claim."""
+        """Returns whether this daemon coordinates a group, by the newest known claim.
+
+        An exclusive group must have been claimed by this process.
+        """
         claim = self._claims.get(group)
-        return claim is not None and claim.daemon == self._identity.name and not self.is_draining
+        if claim is None or claim.daemon != self._identity.name or self.is_draining:
+            return False
+        return group not in self._exclusive or claim.incarnation == self._identity.incarnation
+
+    @property
+    def proven_at(self) -> float:
+        """A time at which the store had no newer claim than those known here."""
+        return self._follower.current_at
+
+    def settle(self, group: str) -> None:
+        """Claims an exclusive group again without predecessors, as they have stopped."""
+        self._settled.add(group)
+        self._schedule_next_claim()
+
+    def _all_groups(self) -> list[Group]:
+        return [*self._groups.all(), *self._exclusive.values()]
 
     def coordinator(self, now: float, group: str) -> Claim | None:
         """Returns the claim of a group's coordinator, or None if it is unknown or suspected."""
@@ -141,22 +178,17 @@
 
     def known_claims(self) -> tuple[KnownClaim, ...]:
         """Returns the known claims of present groups, as they are sent to peers."""
-        known = [self._claims.get(group.name) for group in self._groups.all()]
-        return tuple(
-            KnownClaim(claim.group, claim.daemon, claim.address, claim.offset)
-            for claim in known
-            if claim is not None
-        )
+        known = [self._claims.get(group.name) for group in self._all_groups()]
+        return tuple(known_claim(claim) for claim in known if claim is not None)
 
     def add_claims(self, claims: Iterable[KnownClaim]) -> None:
         """Adds claims received from a peer, which may be newer than those read from the store."""
         for known in claims:
-            self.add_claim(Claim(known.group, known.daemon, known.address, known.offset))
+            self.add_claim(claim_from(known))
 
     def _on_record(self, record: KeyedRecord) -> None:
         try:
-            daemon, host, port = cbor2.loads(record.value)
-            claim = Claim(record.key, str(daemon), Address(str(host), int(port)), record.offset)
+            claim = decode_claim(record)
         except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
             self._log("claim malformed", group=record.key, reason=str(error))
             return
@@ -230,18 +262,31 @@
 
     def _schedule_next_claim(self) -> None:
         """Computes when the next claim is due; called after each change that may affect it."""
-        due = (self._claim_due(group) for group in self._groups.all())
+        due = [self._claim_due(group) for group in self._all_groups()]
+        due += [self._settle_due(group) for group in self._settled]
         self._next_claim = min(due, default=NEVER)
 
+    def _settle_due(self, group: str) -> float:
+        """Returns when a group whose predecessors have stopped is claimed again."""
+        claim = self._claims.get(group)
+        is_claiming = any(claim.group == group for claim in self._own_claims.values())
+        if claim is None or not claim.predecessors or not self.is_own(group) or is_claiming:
+            return NEVER
+        return self._claimed_at.get(group, float("-inf")) + CLAIM_INTERVAL_SECONDS
+
     def _check(self, now: float) -> list[StoreCall]:
         """Claims the groups whose claim is due."""
         self._abandon_unanswered(now)
         calls: list[StoreCall] = []
-        for group in self._groups.all():
+        for group in self._all_groups():
             if group.name not in self._claims:
                 self.on_coordinator_needed(now, group.name)
             if now >= self._claim_due(group):
-                calls.append(self._claim(now, group.name))
+                calls.append(self._claim(now, group.name, self._predecessors_of(group.name)))
+        for name in sorted(self._settled):
+            if now >= self._settle_due(name):
+                calls.append(self._claim(now, name, ()))
+        self._settled = {name for name in self._settled if self.is_own(name)}
         self._schedule_next_claim()
         return calls
 
@@ -250,16 +295,34 @@
             if now >= claim.sent_at + CALL_TIMEOUT_SECONDS:
                 del self._own_claims[call]
 
-    def _claim(self, now: float, group: str) -> StoreCall:
+    def _predecessors_of(self, group: str) -> tuple[ClaimHolder, ...]:
+        """Returns the holders of earlier claims of an exclusive group that may still act."""
+        claim = self._claims.get(group)
+        if claim is None or group not in self._exclusive:
+            return ()
+        holder = ClaimHolder(claim.daemon, claim.address)
+        earlier = tuple(other for other in claim.predecessors if other != holder)
+        if len(earlier) >= MAX_PREDECESSORS:
+            earlier = (UNKNOWN_PREDECESSOR, *earlier[-MAX_PREDECESSORS + 2 :])
+        return (*earlier, holder)
+
+    def _claim(self, now: float, group: str, predecessors: tuple[ClaimHolder, ...]) -> StoreCall:
         self._claimed_at[group] = now
         call = self._numbers.next()
-        self._own_claims[call] = _OwnClaim(group, now)
-        address = self._identity.address
-        value = cbor2.dumps([self._identity.name, address.host, address.port])
-        record = KeyedRecord(group, value)
+        incarnation = self._identity.incarnation if group in self._exclusive else 0
+        own = self._own_claims[call] = _OwnClaim(group, now, incarnation, predecessors)
+        record = KeyedRecord(group, self._encode(own))
         end = self._follower.next_offset
         return AppendRecords(call, Partition(CLAIMS_TOPIC), (record,), expected_end=end)
 
+    def _encode(self, claim: _OwnClaim) -> bytes:
+        address = self._identity.address
+        fields: list[object] = [self._identity.name, address.host, address.port]
+        if claim.group in self._exclusive:
+            earlier = [[p.daemon, p.address.host, p.address.port] for p in claim.predecessors]
+            fields += [claim.incarnation, earlier]
+        return cbor2.dumps(fields)
+
     # The store.
 
     def set_min_read_interval(self, seconds: float) -> None:
@@ -284,10 +347,18 @@
             self._follower.on_answer(now, call, outcome)
             self._schedule_next_claim()
             return
-        group = self._own_claims.pop(call).group
+        own = self._own_claims.pop(call)
+        group = own.group
         if isinstance(outcome, Appended):
             self.add_claim(
-                Claim(group, self._identity.name, self._identity.address, outcome.offset)
+                Claim(
+                    group,
+                    self._identity.name,
+                    self._identity.address,
+                    outcome.offset,
+                    own.incarnation,
+                    own.predecessors,
+                )
             )
             return
         if isinstance(outcome, EndMoved):
@@ -303,8 +374,51 @@
 
     def on_timer(self, now: float) -> list[StoreCall]:
         """Reads claims, and claims groups that have had no coordinator for long enough."""
+        holds_exclusive = any(self.is_own(name) for name in self._exclusive)
+        self._follower.wait = EXCLUSIVE_READ_WAIT_SECONDS if holds_exclusive else READ_WAIT_SECONDS
         calls: list[StoreCall] = list(self._follower.on_timer(now))
         if now >= self._check_at:
             self._check_at = now + CHECK_SECONDS
             calls += self._check(now)
         return calls
+
+
+def claim_from(known: KnownClaim) -> Claim:
+    """Returns a claim that was received from a peer."""
+    return Claim(
+        known.group,
+        known.daemon,
+        known.address,
+        known.offset,
+        known.incarnation,
+        known.predecessors,
+    )
+
+
+def known_claim(claim: Claim) -> KnownClaim:
+    """Returns a claim as it is sent to peers."""
+    return KnownClaim(
+        claim.group,
+        claim.daemon,
+        claim.address,
+        claim.offset,
+        claim.incarnation,
+        claim.predecessors,
+    )
+
+
+def decode_claim(record: KeyedRecord) -> Claim:
+    """Decodes a claim's record: daemon, host and port; incarnation and predecessors if exclusive.
+
+    Raises:
+        ValueError, TypeError: the record is malformed.
+    """
+    daemon, host, port, *exclusive = cbor2.loads(record.value)
+    address = Address(str(host), int(port))
+    if not exclusive:
+        return Claim(record.key, str(daemon), address, record.offset)
+    incarnation, earlier = exclusive
+    predecessors = tuple(
+        ClaimHolder(str(name), Address(str(host), int(port))) for name, host, port in earlier
+    )
+    return Claim(record.key, str(daemon), address, record.offset, int(incarnation), predecessors)
--- a/src/troutswitch/decisions/slots/fleet.py
+++ b/src/troutswitch/decisions/slots/fleet.py
@@ -29,7 +29,7 @@
 from troutswitch.decisions.slots.batch_coordination import BatchCoordination
 from troutswitch.decisions.slots.coordinator import SlotCoordinator
 from troutswitch.decisions.slots.coordinator_claims import Claim, CoordinatorClaims
-from troutswitch.decisions.slots.groups import EngineGroups
+from troutswitch.decisions.slots.groups import EngineGroups, Group
 from troutswitch.decisions.slots.ledger import SlotLedger
 from troutswitch.decisions.slots.local_placement import LocalPlacement, RequestCandidates
 from troutswitch.decisions.slots.messages import (
@@ -70,12 +70,15 @@
         numbers: CallNumbers,
         emit: Callable[[SlotInstruction], None],
         rng: random.Random,
+        exclusive_groups: tuple[Group, ...] = (),
     ) -> None:
         self._engines = engines
         self._emit = emit
         self._list_changes = -1
         self.groups = EngineGroups()
-        self.claims = CoordinatorClaims(identity, self.groups, numbers, rng, self._log)
+        self.claims = CoordinatorClaims(
+            identity, self.groups, numbers, rng, self._log, exclusive_groups
+        )
         self.ledger = SlotLedger(engines, identity.incarnation)
         self.coordinator = SlotCoordinator(
             identity,
--- a/src/troutswitch/decisions/tenants/coordinated_quota.py
+++ b/src/troutswitch/decisions/tenants/coordinated_quota.py
@@ -1,7 +1,7 @@
 """Decides on a request's quota by asking the daemon that counts the requests of its tenant.
 
-Inputs: the coordinator of the tenant's group (`quota_groups.py`), by the claims known here; its
-decisions; the tenant's limit in this daemon's configuration.
+Inputs: the coordinator of the tenant's quota group (`quota_groups.py`), by the claims known here;
+its decisions; the tenant's limit in this daemon's configuration.
 
 Rule:
 
@@ -9,7 +9,8 @@
 2. If this daemon coordinates the tenant's group, it counts the request itself
    (`quota_coordinator.py`).
 3. Otherwise a request is sent to the coordinator, and sent again after each of
-   `RESEND_AFTER_SECONDS`. If a newer coordinator becomes known, it is sent to that one.
+   `RESEND_AFTER_SECONDS`. If a newer coordinator becomes known, it is sent to that one. A
+   coordinator that can't decide yet, as another one may still count, is asked again likewise.
 4. A coordinator that has not decided after `SILENCE_SECONDS` counts as silent, so that daemons
    claim its group. Its decision is still awaited.
 5. A request without a decision after `MAX_WAIT_SECONDS` is refused, with a time to retry. No daemon
@@ -29,10 +30,16 @@
 from typing import Protocol
 
 from troutswitch.daemons.identity import DaemonIdentity
-from troutswitch.daemons.messages import QuotaDecision, QuotaRequest
+from troutswitch.daemons.messages import (
+    QuotaDecision,
+    QuotaHandover,
+    QuotaHandoverRequest,
+    QuotaRequest,
+)
 from troutswitch.decisions.forwarding.messages import LogLine
-from troutswitch.decisions.slots.coordinator_claims import Claim
+from troutswitch.decisions.slots.coordinator_claims import Claim, CoordinatorClaims
 from troutswitch.decisions.slots.messages import SendToPeers
+from troutswitch.decisions.tenants.coordination import QuotaCoordination
 from troutswitch.decisions.tenants.quota import (
     UNLIMITED,
     QuotaCompletion,
@@ -40,7 +47,7 @@
     QuotaWay,
 )
 from troutswitch.decisions.tenants.quota_coordinator import QuotaCoordinator
-from troutswitch.decisions.tenants.quota_groups import QuotaGroups
+from troutswitch.decisions.tenants.quota_groups import group_of
 from troutswitch.decisions.tenants.quota_ledger import QuotaLimit
 from troutswitch.decisions.tenants.types import QuotaBounds, Tenant
 
@@ -112,14 +119,15 @@
         self,
         identity: DaemonIdentity,
         bounds: QuotaBounds,
-        groups: QuotaGroups,
+        claims: CoordinatorClaims,
         configuration: ConfigurationState,
         emit: Callable[[SendToPeers | LogLine], None],
         rng: random.Random,
     ) -> None:
-        self.coordinator = QuotaCoordinator(identity.name, bounds, groups)
+        self.coordination = QuotaCoordination(identity, bounds, claims, emit)
+        self.coordinator = QuotaCoordinator(self.coordination)
         self._identity = identity
-        self._groups = groups
+        self._claims = claims
         self._configuration = configuration
         self._emit = emit
         self._rng = rng
@@ -134,19 +142,20 @@
         """Counts one request against a tenant's quota; None if a coordinator decides on it."""
         if not tenant.is_limited:
             return UNLIMITED
-        group = self._groups.group_of(tenant.name)
-        if group is None:
-            return self._undecided()
-        if self.coordinator.counts_for(group.name):
-            return self._take_own(now, group.name, tenant)
+        group = group_of(tenant.name)
+        result = self._take_own(now, group, tenant)
+        if result is not None:
+            return result
         number = next(self._numbers)
-        self._pending[number] = _Pending(token, tenant, group.name, now)
+        self._pending[number] = _Pending(token, tenant, group, now)
         self._ask(now, number, self._pending[number])
         return None
 
-    def _take_own(self, now: float, group: str, tenant: Tenant) -> QuotaResult:
-        grant = self.coordinator.take_own(now, group, tenant.name, self._limit(tenant))
-        return QuotaResult(grant.is_granted, grant.wait, "counted here", QuotaWay.COUNTED)
+    def _take_own(self, now: float, group: str, tenant: Tenant) -> QuotaResult | None:
+        """Decides here; None if this daemon does not coordinate the group, or can't decide now."""
+        if not self.coordinator.counts_for(group):
+            return None
+        return self.coordinator.take_own(now, group, tenant.name, self._limit(tenant))
 
     def _limit(self, tenant: Tenant) -> QuotaLimit:
         return QuotaLimit(tenant.rate, tenant.burst, self._configuration.configuration_version)
@@ -157,15 +166,20 @@
 
     def _ask(self, now: float, number: int, pending: _Pending) -> None:
         """Asks the coordinator whose claim is the newest known."""
-        pending.claim = self._groups.claims.claim_of(pending.group)
+        pending.claim = self._claims.claim_of(pending.group)
         pending.asked_at, pending.sent, pending.is_silent = now, 0, False
         if pending.claim is None:
-            self._groups.claims.on_coordinator_needed(now, pending.group)
+            self._claims.on_coordinator_needed(now, pending.group)
         else:
-            self._send(number, pending, pending.claim)
+            self._try_again(number, pending, pending.claim)
 
-    def _send(self, number: int, pending: _Pending, claim: Claim) -> None:
+    def _try_again(self, number: int, pending: _Pending, claim: Claim) -> None:
+        """Sends a request, unless this daemon itself is the coordinator that can't decide yet."""
         pending.sent += 1
+        if not self.coordinator.counts_for(pending.group):
+            self._send(number, pending, claim)
+
+    def _send(self, number: int, pending: _Pending, claim: Claim) -> None:
         limit = self._limit(pending.tenant)
         request = QuotaRequest(
             self._identity.name,
@@ -202,17 +216,18 @@
         if not decision.is_coordinator:
             self._on_denial(now, pending, decision.sender)
             return []
-        self._groups.claims.on_activity(pending.group, decision.sender)
+        self._claims.on_activity(pending.group, decision.sender)
+        if not decision.granted and not decision.is_confirmed:
+            return []
         del self._pending[decision.number]
-        by = f"counted by {decision.sender}"
-        wait = decision.wait_ms / 1000
-        result = QuotaResult(decision.granted > 0, wait, by, QuotaWay.COUNTED)
-        return [QuotaCompletion(pending.token, result)]
+        by, wait = f"counted by {decision.sender}", decision.wait_ms / 1000
+        way = QuotaWay.COUNTED if decision.is_confirmed else QuotaWay.RESERVE
+        return [QuotaCompletion(pending.token, QuotaResult(decision.granted > 0, wait, by, way))]
 
     def _on_denial(self, now: float, pending: _Pending, sender: str) -> None:
         """Has the group claimed if the daemon that was asked denies that it coordinates it."""
         if pending.claim is not None and pending.claim.daemon == sender:
-            self._groups.claims.on_not_coordinator(now, pending.group)
+            self._claims.on_not_coordinator(now, pending.group)
 
     def _log_late(self, now: float, decision: QuotaDecision) -> None:
         """Logs a decision that came after its request ended without it."""
@@ -228,14 +243,24 @@
         }
         self._emit(LogLine("quota decision late", fields))
 
+    def on_handover_request(self, now: float, request: QuotaHandoverRequest) -> None:
+        """Stops counting for a group, as a successor asks for it."""
+        self.coordination.on_handover_request(now, request)
+
+    def on_handover(self, now: float, handover: QuotaHandover) -> None:
+        """Handles the statement of a predecessor that it has stopped counting."""
+        self.coordination.on_handover(now, handover)
+
     # Timers.
 
     def next_due(self) -> float:
         """Returns when `on_timer` is due next, in seconds of this process's clock."""
-        return min((pending.due_at for pending in self._pending.values()), default=float("inf"))
+        pending = min((pending.due_at for pending in self._pending.values()), default=float("inf"))
+        return min(pending, self.coordination.next_due())
 
     def on_timer(self, now: float) -> list[QuotaCompletion]:
         """Asks new coordinators, sends requests again, and ends those without a decision."""
+        self.coordination.on_timer(now)
         self.coordinator.on_timer(now)
         self._forget_overdue(now)
         completions: list[QuotaCompletion] = []
@@ -245,13 +270,13 @@
 
     def _advance(self, now: float, number: int, pending: _Pending) -> list[QuotaCompletion]:
         """Does what is due for one request; returns its result if it ended."""
-        if self.coordinator.counts_for(pending.group):
+        result = self._take_own(now, pending.group, pending.tenant)
+        if result is not None:
             del self._pending[number]
-            result = self._take_own(now, pending.group, pending.tenant)
             return [QuotaCompletion(pending.token, result)]
         if now >= pending.ends_at:
             return [self._end_overdue(number, pending)]
-        if self._groups.claims.claim_of(pending.group) != pending.claim:
+        if self._claims.claim_of(pending.group) != pending.claim:
             self._ask(now, number, pending)
         elif pending.claim is not None and now >= pending.due_at:
             self._remind(now, number, pending, pending.claim)
@@ -261,10 +286,11 @@
         """Sends a request again, and reports a silent coordinator."""
         if not pending.is_silent and now >= pending.asked_at + SILENCE_SECONDS:
             pending.is_silent = True
-            self._groups.claims.on_reply_timeout(now, pending.group)
+            if not self.coordinator.counts_for(pending.group):
+                self._claims.on_reply_timeout(now, pending.group)
         is_last = pending.sent > len(RESEND_AFTER_SECONDS)
         if not is_last and now >= pending.asked_at + RESEND_AFTER_SECONDS[pending.sent - 1]:
-            self._send(number, pending, claim)
+            self._try_again(number, pending, claim)
 
     def _end_overdue(self, number: int, pending: _Pending) -> QuotaCompletion:
         """Refuses a request on which no coordinator decided."""
--- a/src/troutswitch/decisions/tenants/quota.py
+++ b/src/troutswitch/decisions/tenants/quota.py
@@ -11,7 +11,12 @@
 from enum import Enum
 from typing import Protocol
 
-from troutswitch.daemons.messages import QuotaDecision, QuotaRequest
+from troutswitch.daemons.messages import (
+    QuotaDecision,
+    QuotaHandover,
+    QuotaHandoverRequest,
+    QuotaRequest,
+)
 from troutswitch.decisions.tenants.types import Tenant
 
 
@@ -22,6 +27,8 @@
     """No quota applies."""
     COUNTED = "counted"
     """A coordinator counted the request."""
+    RESERVE = "reserve"
+    """A coordinator counted it beside which another one may have counted."""
     UNDECIDED = "undecided"
     """No coordinator decided in time, so it was refused."""
     ALONE = "alone"
@@ -74,6 +81,14 @@
         """Handles a coordinator's decision."""
         ...
 
+    def on_handover_request(self, now: float, request: QuotaHandoverRequest) -> None:
+        """Stops counting for a group, as a successor asks for it."""
+        ...
+
+    def on_handover(self, now: float, handover: QuotaHandover) -> None:
+        """Handles the statement of a predecessor that it has stopped counting."""
+        ...
+
     def next_due(self) -> float:
         """Returns when `on_timer` is due next, in seconds of this process's clock."""
         ...
@@ -100,6 +115,12 @@
         """Returns no results, because no request is pending."""
         return []
 
+    def on_handover_request(self, now: float, request: QuotaHandoverRequest) -> None:
+        """Sends no reply, so the successor waits until this daemon's lease would have ended."""
+
+    def on_handover(self, now: float, handover: QuotaHandover) -> None:
+        """Does nothing, because no group is coordinated."""
+
     def next_due(self) -> float:
         """Returns infinity."""
         return float("inf")
--- a/src/troutswitch/decisions/tenants/quota_groups.py
+++ b/src/troutswitch/decisions/tenants/quota_groups.py
@@ -1,35 +1,22 @@
-"""Decides which daemon counts a tenant's requests: the coordinator of one group of engines.
+"""Decides which daemon counts a tenant's requests: the coordinator of one of a few quota groups.
 
-Inputs: the groups of this daemon's engine list; the claims of coordinators known here
-(`slots/coordinator_claims.py`).
+Rule: a hash of the tenant's name selects one of `QUOTA_GROUP_COUNT` groups.
 
-Rule: the group with the highest hash of the group's and the tenant's name.
-
-Why: daemons with the same engine list agree without a message, tenants are spread over the
-coordinators, and a silent coordinator is replaced by the same claims as for slots.
+Why: the groups don't depend on the engine list or the configuration, so that daemons whose lists
+differ still ask the same coordinator. Tenants are spread over the coordinators, which are claimed
+and replaced like those of slots (`slots/coordinator_claims.py`).
 """
 
-from collections.abc import Mapping
-from dataclasses import dataclass
-
 from troutswitch.common import stable_hash
-from troutswitch.decisions.slots.coordinator_claims import CoordinatorClaims
-from troutswitch.decisions.slots.groups import EngineGroups, Group
-
-
-@dataclass(frozen=True, slots=True)
-class QuotaGroups:
-    """The groups of engines and their coordinators.
+from troutswitch.decisions.slots.groups import Group
 
-    `coordinated` maps the groups that this daemon coordinates to the time at which it took each
-    over, in seconds of its clock. It is a live view of the state of the slot coordinator.
-    """
+QUOTA_GROUP_COUNT = 3
+"""Number of quota groups. All daemons must have the same number: a change of it moves tenants to
+coordinators that don't know each other."""
+QUOTA_GROUPS = tuple(Group("#quota", "", number) for number in range(QUOTA_GROUP_COUNT))
+"""The quota groups. No service has a name that begins with `#`."""
 
-    groups: EngineGroups
-    claims: CoordinatorClaims
-    coordinated: Mapping[str, float]
 
-    def group_of(self, tenant: str) -> Group | None:
-        """Returns the group whose coordinator counts for a tenant, or None if there is no group."""
-        groups = self.groups.all()
-        return max(groups, key=lambda group: stable_hash(group.name, tenant), default=None)
+def group_of(tenant: str) -> str:
+    """Returns the name of the group whose coordinator counts for a tenant."""
+    return QUOTA_GROUPS[stable_hash("quota", tenant) % QUOTA_GROUP_COUNT].name
--- a/src/troutswitch/decisions/tenants/quota_policies.py
+++ b/src/troutswitch/decisions/tenants/quota_policies.py
@@ -5,11 +5,11 @@
 from typing import Protocol
 
 from troutswitch.daemons.identity import DaemonIdentity
+from troutswitch.decisions.slots.coordinator_claims import CoordinatorClaims
 from troutswitch.decisions.slots.messages import SlotInstruction
 from troutswitch.decisions.tenants.coordinated_quota import ConfigurationState, CoordinatedQuota
 from troutswitch.decisions.tenants.equal_shares import EqualShares
 from troutswitch.decisions.tenants.quota import Quota
-from troutswitch.decisions.tenants.quota_groups import QuotaGroups
 from troutswitch.decisions.tenants.types import QuotaBounds
 
 
@@ -26,7 +26,7 @@
     policy: str,
     identity: DaemonIdentity,
     bounds: QuotaBounds,
-    groups: QuotaGroups,
+    claims: CoordinatorClaims,
     fleet: FleetState,
     emit: Callable[[SlotInstruction], None],
     rng: random.Random,
@@ -34,4 +34,4 @@
     """Returns the quota of one daemon; `policy` is one of `policies.QUOTA_POLICIES`."""
     if policy == "equal_shares":
         return EqualShares(lambda: fleet.daemons)
-    return CoordinatedQuota(identity, bounds, groups, fleet, emit, rng)
+    return CoordinatedQuota(identity, bounds, claims, fleet, emit, rng)
--- a/src/troutswitch/hindsight/quota_use.py
+++ b/src/troutswitch/hindsight/quota_use.py
@@ -1,7 +1,7 @@
 """Reads from daemons' logs how a tenant's quota was used: who admitted, by which count, what ran.
 
 Relies on the lines `request sent`, `attempt ended`, `request refused`, `quota decision late`,
-`coordination begun` and `coordination ended`. Times are seconds since the first line of the logs.
+`quota coordination begun`, `confirmed` and `ended`. Times are seconds since the first line.
 """
 
 from collections import Counter, defaultdict
@@ -12,7 +12,11 @@
 from troutswitch.outcomes import NOT_EXECUTED_OUTCOMES
 
 NOT_RUN_KINDS = frozenset(kind.value for kind in NOT_EXECUTED_OUTCOMES)
-COORDINATION_EVENTS = ("coordination begun", "coordination ended")
+COORDINATION_EVENTS = (
+    "quota coordination begun",
+    "quota coordination confirmed",
+    "quota coordination ended",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +32,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CoordinationChange:
-    """A daemon began or ended to coordinate a group."""
+    """A daemon began to coordinate a quota group, was confirmed, or ended."""
 
     at: float
     daemon: str
