A daemon without a configuration refuses calls about jobs with 503

Cause: before the first configuration, a caller was taken for anonymous, and another tenant's job looks like one that does not exist.

--- a/src/troutswitch/decisions/forwarding/arrivals.py
+++ b/src/troutswitch/decisions/forwarding/arrivals.py
@@ -27,7 +27,11 @@
 
 from troutswitch.decisions.crashes.interface import Suspects
 from troutswitch.decisions.forwarding.messages import RequestArrived
-from troutswitch.decisions.forwarding.routes import OUTDATED_RETRY_SECONDS, RouteTable
+from troutswitch.decisions.forwarding.routes import (
+    NO_CONFIGURATION_RETRY_SECONDS,
+    OUTDATED_RETRY_SECONDS,
+    RouteTable,
+)
 from troutswitch.decisions.forwarding.types import Route
 from troutswitch.decisions.tenants.quota import (
     NOT_COUNTED,
@@ -41,8 +45,6 @@
 from troutswitch.decisions.tenants.types import NO_TENANT, Tenant
 from troutswitch.outcomes import NotRun, Step
 
-NO_CONFIGURATION_RETRY_SECONDS = 0.5
-"""`Retry-After` before the first configuration is known."""
 ABOVE_QUOTA_STATUS = 429
 NO_ROUTE_STATUS = 404
 
--- a/src/troutswitch/decisions/forwarding/routes.py
+++ b/src/troutswitch/decisions/forwarding/routes.py
@@ -10,6 +10,8 @@
 
 from troutswitch.decisions.forwarding.types import FleetConfiguration, Route
 
+NO_CONFIGURATION_RETRY_SECONDS = 0.5
+"""`Retry-After` before the first configuration is known."""
 OUTDATED_RETRY_SECONDS = 0.5
 """Time after which a caller should retry if its key or route is unknown and the daemon's
 configuration may be outdated. It equals the interval at which such a daemon requests a newer
--- a/src/troutswitch/decisions/tenants/tenant_keys.py
+++ b/src/troutswitch/decisions/tenants/tenant_keys.py
@@ -13,7 +13,11 @@
 
 from dataclasses import dataclass
 
-from troutswitch.decisions.forwarding.routes import OUTDATED_RETRY_SECONDS, RouteTable
+from troutswitch.decisions.forwarding.routes import (
+    NO_CONFIGURATION_RETRY_SECONDS,
+    OUTDATED_RETRY_SECONDS,
+    RouteTable,
+)
 from troutswitch.decisions.forwarding.types import FleetConfiguration, Route
 from troutswitch.decisions.tenants.types import NO_KEY, NO_TENANT, Tenant
 from troutswitch.outcomes import NotRun, Step
@@ -58,10 +62,13 @@
         """Returns the tenant of a call about a job, or the refusal of the call.
 
         The route of the job is not known yet, so any route for jobs may admit callers without a
-        key.
+        key. Before the first configuration is known, nobody's tenant is.
         """
         configuration = self._routes.configuration
-        routes = configuration.routes if configuration is not None else ()
+        if configuration is None:
+            wait = NO_CONFIGURATION_RETRY_SECONDS
+            return NotRun("no configuration yet", Step.ADMIT, "", wait)
+        routes = configuration.routes
         if key == NO_KEY and any(r.is_for_jobs and r.allows_anonymous for r in routes):
             return ANONYMOUS
         return self.owner_of(key)
