Requests without a quota decision are sent again less often

Cause: found by reading. A coordinator that can't decide yet got five messages for each request, for up to 12.5 s: some 2,700 a second for a tenant of 540 a second, at a daemon with half a core. A coordinator that is slow as it is busy got as many. Change: three repetitions instead of four (0.02, 0.06, 0.14 s), and one after an answer that no decision is possible yet.

--- a/src/troutswitch/decisions/tenants/coordinated_quota.py
+++ b/src/troutswitch/decisions/tenants/coordinated_quota.py
@@ -10,7 +10,7 @@
    (`quota_coordinator.py`).
 3. Otherwise a request is sent to the coordinator, and sent again after each of
    `RESEND_AFTER_SECONDS`. If a newer coordinator becomes known, it is sent to that one. A
-   coordinator that can't decide yet, as another one may still count, is asked again likewise.
+   coordinator that can't decide yet, as another one may still count, is asked again less often.
 4. A coordinator that has not decided after `SILENCE_SECONDS` counts as silent, so that daemons
    claim its group. Its decision is still awaited.
 5. A request without a decision after `MAX_WAIT_SECONDS` is refused, with a time to retry. No daemon
@@ -58,8 +58,9 @@
 SILENCE_SECONDS = 0.1
 """Time without a decision after which a coordinator counts as silent: above the round trip between
 two processes that each wait for a busy processor."""
-RESEND_AFTER_SECONDS = (0.012, 0.04, 0.09, 0.16)
-"""Times after which a request without a decision is sent again, in case a datagram was lost."""
+RESEND_AFTER_SECONDS = (0.02, 0.06, 0.14)
+"""Times after which a request without a decision is sent again, in case a datagram was lost. Few,
+as a coordinator that is slow because it is busy receives each of them."""
 LATE_DECISION_SECONDS = 2.0
 """Time for which a request that ended without a decision is remembered, to log how late it came."""
 RETRY_SECONDS = 0.3
@@ -226,6 +227,7 @@
             return []
         self._claims.on_activity(pending.group, decision.sender)
         if not decision.granted and not decision.is_confirmed:
+            pending.sent += 1
             return []
         del self._pending[decision.number]
         by, wait = f"counted by {decision.sender}", decision.wait_ms / 1000
--- a/tests/decisions/tenants/test_coordinated_quota.py
+++ b/tests/decisions/tenants/test_coordinated_quota.py
@@ -200,6 +200,20 @@
     assert completion.result.is_allowed
 
 
+def test_a_coordinator_that_cannot_decide_yet_is_asked_again_less_often() -> None:
+    """Guards against a load on a new coordinator of several times the requests."""
+    requester, _ = pair()
+    requester.quota.take(0.0, 1, TENANT)
+    undecided = QuotaDecision("b", 1, requester.group, 0, 0, is_confirmed=False)
+    messages = 1
+    for step in range(50):
+        assert requester.quota.on_decision(step / 200, undecided) == []
+        requester.sent.clear()
+        requester.quota.on_timer((step + 1) / 200 - 0.0001)
+        messages += len(requester.sent)
+    assert messages <= 2
+
+
 def test_a_late_decision_has_no_effect_and_is_logged() -> None:
     requester, coordinator = pair()
     requester.quota.take(0.0, 1, TENANT)
