--- a/tests/decisions/slots/test_coordinator_claims.py
+++ b/tests/decisions/slots/test_coordinator_claims.py
@@ -6,14 +6,18 @@
 
 from tests.decisions.slots.harness import GROUP, ZONE, address_of, record
 from troutswitch.daemons.identity import DaemonIdentity
-from troutswitch.daemons.messages import KnownClaim
+from troutswitch.daemons.messages import ClaimHolder, KnownClaim
 from troutswitch.decisions.slots.coordinator_claims import (
     CLAIM_SPREAD_SECONDS,
+    MAX_PREDECESSORS,
     OTHER_ZONE_SECONDS,
+    UNKNOWN_PREDECESSOR,
+    Claim,
     CoordinatorClaims,
+    decode_claim,
 )
 from troutswitch.decisions.slots.coordinator_health import SUSPECT_MISSES, SUSPECT_SECONDS
-from troutswitch.decisions.slots.groups import EngineGroups
+from troutswitch.decisions.slots.groups import EngineGroups, Group
 from troutswitch.decisions.storage.messages import (
     Appended,
     AppendRecords,
@@ -21,6 +25,7 @@
     EndMoved,
     KeyedRecord,
     NewestPage,
+    ReadNewest,
     RecordsRead,
     StoreCall,
 )
@@ -163,3 +168,67 @@
     assert claim is not None
     assert claim.daemon == "other"
     assert "claim malformed" in daemon.log_events
+
+
+EXCLUSIVE = Group("#exclusive", "", 0)
+
+
+def exclusive_daemon(incarnation: int) -> CoordinatorClaims:
+    """Returns the claims of a daemon that knows no engine and may claim one exclusive group."""
+    claims = CoordinatorClaims(
+        DaemonIdentity("me", ZONE, address_of("me"), incarnation),
+        EngineGroups(),
+        CallNumbers(),
+        random.Random(1),
+        lambda event, **fields: None,
+        (EXCLUSIVE,),
+    )
+    (read,) = [call for call in claims.on_timer(0.0) if isinstance(call, ReadNewest)]
+    claims.on_answer(0.0, read.call, NewestPage((), False, 0))
+    return claims
+
+
+def appended_claim(claims: CoordinatorClaims, now: float, offset: int) -> KeyedRecord:
+    """Returns the record of the claim that is due, after the store has appended it."""
+    (call,) = [call for call in claims.on_timer(now) if isinstance(call, AppendRecords)]
+    claims.on_answer(now, call.call, Appended(offset, offset + 1))
+    return call.records[0]
+
+
+def test_a_restarted_process_does_not_hold_the_exclusive_claim_of_its_earlier_process() -> None:
+    claims = exclusive_daemon(incarnation=1)
+    record = appended_claim(claims, 1.0, 0)
+    assert claims.is_own(EXCLUSIVE.name)
+    restarted = exclusive_daemon(incarnation=2)
+    restarted.add_claim(decode_claim(KeyedRecord(record.key, record.value, 0)))
+    assert not restarted.is_own(EXCLUSIVE.name)
+
+
+def test_an_exclusive_claim_names_the_holders_that_may_still_act_until_it_is_settled() -> None:
+    claims = exclusive_daemon(incarnation=1)
+    former = ClaimHolder("former", address_of("former"))
+    earlier = ClaimHolder("earlier", address_of("earlier"))
+    claims.add_claim(Claim(EXCLUSIVE.name, former.daemon, former.address, 5, 9, (earlier,)))
+    claims.on_not_coordinator(0.0, EXCLUSIVE.name)
+    appended_claim(claims, 1.0, 6)
+    claim = claims.claim_of(EXCLUSIVE.name)
+    assert claim is not None
+    assert claim.predecessors == (earlier, former)
+    claims.settle(EXCLUSIVE.name)
+    appended_claim(claims, 3.0, 7)
+    claim = claims.claim_of(EXCLUSIVE.name)
+    assert claim is not None
+    assert claim.predecessors == ()
+    assert claims.is_own(EXCLUSIVE.name)
+
+
+def test_a_claim_with_many_predecessors_stays_small() -> None:
+    claims = exclusive_daemon(incarnation=1)
+    many = tuple(ClaimHolder(f"d{n}", address_of(f"d{n}")) for n in range(MAX_PREDECESSORS))
+    claims.add_claim(Claim(EXCLUSIVE.name, "former", address_of("former"), 5, 9, many))
+    claims.on_not_coordinator(0.0, EXCLUSIVE.name)
+    appended_claim(claims, 1.0, 6)
+    claim = claims.claim_of(EXCLUSIVE.name)
+    assert claim is not None
+    assert len(claim.predecessors) == MAX_PREDECESSORS
+    assert claim.predecessors[0] == UNKNOWN_PREDECESSOR
