Soak: a crashing request is sent until a deferral has ended

Cause: an error of the check. It sent the request for 3 s and then waited for an answer that nothing could bring. Change: the request is sent for the deferral and 3 s more, and must be refused for good as before. How often it may still reach engines is bounded by another check, as before.

--- a/src/troutswitch/soak/crashing_requests.py
+++ b/src/troutswitch/soak/crashing_requests.py
@@ -39,6 +39,7 @@
         self._endpoints = endpoints
         self._observations = observations
         self._count = 0
+        self.stop_requested = threading.Event()
         self.last: Exchange | None = None
         """The latest attempt whose connection a daemon accepted."""
 
@@ -47,7 +48,7 @@
         threading.Thread(target=self._send_repeatedly, args=(until,), daemon=True).start()
 
     def _send_repeatedly(self, until: float) -> None:
-        while time.monotonic() < until:
+        while time.monotonic() < until and not self.stop_requested.is_set():
             exchange = self.send()
             was_refused = exchange is not None and exchange.status == REFUSED_STATUS
             self.last = exchange or self.last
--- a/src/troutswitch/soak/recovery_phase.py
+++ b/src/troutswitch/soak/recovery_phase.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 
+from troutswitch.decisions.crashes.causes import MAX_DEFERRAL_SECONDS
 from troutswitch.soak.checks import CRASHES_TO_REFUSE
 from troutswitch.soak.crashing_requests import (
     CRASHING_REQUESTS,
@@ -22,8 +23,9 @@
 PLANNED_STOP_SECONDS = 3.0
 """Time for which callers run before the planned stop, so that the stop would interrupt requests if
 any stop does; also the length of its recorded span."""
-CRASHING_CALLER_SECONDS = 3.0
-"""Time for which a crashing request is sent to a daemon before it is expected to refuse it."""
+CRASHING_CALLER_SECONDS = 3.0 + MAX_DEFERRAL_SECONDS
+"""Time for which a crashing request is sent to a daemon that is expected to refuse it. Until the
+end of a deferral the daemon may answer 503, as another request may have caused the crashes."""
 
 
 class RecoveryPhase:
@@ -99,11 +101,10 @@
                 continue
             for endpoint in self.fleet.direct_endpoints():
                 caller = CrashingRequestCaller(number, [endpoint], self.fleet.observations)
-                until = time.monotonic() + CRASHING_CALLER_SECONDS
-                caller.start(until)
-                self.fault_injector.run(until, self.is_stop_requested)
+                caller.start(time.monotonic() + CRASHING_CALLER_SECONDS)
                 what = f"{endpoint.daemon} does not refuse {crashing_path(number)}"
                 self._expect("BUDGET", what, lambda caller=caller: is_refused(caller.last))  # type: ignore[misc]
+                caller.stop_requested.set()
 
     def _crashed_engines(self, number: int) -> set[str]:
         return {
