A late decision for an earlier process of a daemon is not taken for its own

Cause: found by reading. A restarted daemon numbered its quota requests from 1 again, so a decision that was still on its way could admit another request than the one that was counted. Change: the numbers of two incarnations don't overlap. `troutswitch quota` shows why a coordinator was confirmed. The new test failed before.

--- a/src/troutswitch/cli/quota.py
+++ b/src/troutswitch/cli/quota.py
@@ -64,5 +64,6 @@
     _print_decisions(use)
     click.echo(f"admissions by their number of runs: {dict(sorted(use.runs_by_admission.items()))}")
     for change in use.changes:
-        click.echo(f"{change.at:9.2f} s {change.daemon:24s} {change.event}: {change.group}")
+        cause = f" ({change.cause})" if change.cause else ""
+        click.echo(f"{change.at:9.2f} s {change.daemon:24s} {change.event}: {change.group}{cause}")
     click.echo(f"lines not read: {logs.bad_lines}")
--- a/src/troutswitch/decisions/tenants/coordinated_quota.py
+++ b/src/troutswitch/decisions/tenants/coordinated_quota.py
@@ -67,6 +67,9 @@
 """Minimum `Retry-After` of a request without a decision. A new coordinator counts by then."""
 RETRY_JITTER_SECONDS = 0.3
 """Maximum random addition to that time, so that callers don't all return at the same time."""
+NUMBERS_PER_INCARNATION = 1_000_000
+"""Distance between the first request numbers of two incarnations, so that a late decision for an
+earlier process is not taken for one on a request of this process."""
 NO_DECISION = "no coordinator decided"
 
 
@@ -137,7 +140,7 @@
         self._pending: dict[int, _Pending] = {}
         self._overdue: dict[int, _Pending] = {}
         """Requests that ended without a decision a short time ago."""
-        self._numbers = itertools.count(1)
+        self._numbers = itertools.count(identity.incarnation * NUMBERS_PER_INCARNATION)
 
     # Requests of this daemon.
 
--- a/src/troutswitch/decisions/tenants/coordination.py
+++ b/src/troutswitch/decisions/tenants/coordination.py
@@ -70,8 +70,6 @@
 MAX_BALANCES = 32
 """Maximum number of accounts in a handover, which then fits into a datagram. Further accounts begin
 empty."""
-
-
 FIRST_LEDGER_SECONDS = 86_400.0
 """Age of the ledger of a group that nobody has claimed before: its accounts have filled up."""
 
@@ -80,9 +78,10 @@
 class _Held:
     """A group whose newest claim this process holds.
 
-    `offset` is that of its first claim, `awaited` has the predecessors that have not stopped,
-    `asked` counts the requests to them. `is_first` is set if nobody had claimed the group before.
-    `ledger` is None before the coordinator is confirmed.
+    `offset` is that of its first claim, learnt at `since`. `awaited` has the addresses of the
+    predecessors that have not stopped; they were asked `asked` times and are asked again at
+    `ask_at`. `is_first` is set if nobody had claimed the group before. `handover` is that of the
+    only predecessor, if it had one. `ledger` is None before the coordinator is confirmed.
     """
 
     offset: int
--- a/src/troutswitch/hindsight/quota_use.py
+++ b/src/troutswitch/hindsight/quota_use.py
@@ -32,12 +32,16 @@
 
 @dataclass(frozen=True, slots=True)
 class CoordinationChange:
-    """A daemon began to coordinate a quota group, was confirmed, or ended."""
+    """A daemon began to coordinate a quota group, was confirmed, or ended.
+
+    `cause` is why it was confirmed, or which predecessors it awaits.
+    """
 
     at: float
     daemon: str
     event: str
     group: str
+    cause: str = ""
 
 
 @dataclass(slots=True)
@@ -98,7 +102,10 @@
         is_of_tenant = line.fields.get("tenant") == self._tenant
         if line.event in COORDINATION_EVENTS:
             group = str(line.fields.get("group", ""))
-            self._use.changes.append(CoordinationChange(at, line.daemon, line.event, group))
+            awaited = line.fields.get("predecessors") or ()
+            cause = str(line.fields.get("by", "")) or ", ".join(map(str, awaited))
+            change = CoordinationChange(at, line.daemon, line.event, group, cause)
+            self._use.changes.append(change)
         elif line.event == "attempt ended":
             self._on_attempt_ended(line)
         elif is_of_tenant and line.event == "request sent":
--- a/tests/decisions/tenants/test_coordinated_quota.py
+++ b/tests/decisions/tenants/test_coordinated_quota.py
@@ -49,12 +49,12 @@
 class Daemon:
     """The quota of one daemon, and the messages that it sends."""
 
-    def __init__(self, name: str, address: Address) -> None:
+    def __init__(self, name: str, address: Address, incarnation: int = 1) -> None:
         self.sent: list[SendToPeers] = []
         self.lines: list[LogLine] = []
         self.group = group_of(TENANT.name)
         self.name, self.address = name, address
-        identity = DaemonIdentity(name, "z", address, 1)
+        identity = DaemonIdentity(name, "z", address, incarnation)
         rng = random.Random(1)
         self.claims = CoordinatorClaims(
             identity,
@@ -204,7 +204,8 @@
     """Guards against a load on a new coordinator of several times the requests."""
     requester, _ = pair()
     requester.quota.take(0.0, 1, TENANT)
-    undecided = QuotaDecision("b", 1, requester.group, 0, 0, is_confirmed=False)
+    number = requester.take_message(QuotaRequest).number
+    undecided = QuotaDecision("b", number, requester.group, 0, 0, is_confirmed=False)
     messages = 1
     for step in range(50):
         assert requester.quota.on_decision(step / 200, undecided) == []
@@ -241,6 +242,16 @@
     assert request(0.0, 2, requester, coordinator).is_allowed
 
 
+def test_a_decision_for_an_earlier_process_has_no_effect() -> None:
+    earlier, coordinator = pair()
+    earlier.quota.take(0.0, 1, TENANT)
+    coordinator.quota.on_request(0.0, earlier.take_message(QuotaRequest))
+    restarted = Daemon("a", HERE, incarnation=2)
+    restarted.know_coordinator("b", THERE)
+    restarted.quota.take(0.1, 1, TENANT)
+    assert restarted.quota.on_decision(0.1, coordinator.take_message(QuotaDecision)) == []
+
+
 def test_a_pending_request_is_sent_to_a_new_coordinator() -> None:
     requester, _ = pair()
     requester.quota.take(0.0, 1, TENANT)
