A new coordinator of a quota group is not suspected before it can answer

By its logs a group was claimed nine times in 2 s, each claim replaced after 0.15 to 0.4 s, and with each the number of predecessors to wait for grew. Cause: an answer "can't decide yet" did not count as an answer, so the coordinator was suspected after 0.1 s; and one denial, from a claimant that others knew earlier than itself, had the group claimed anew at once. Change: any answer ends the watch for silence; two denials on one request are needed.

--- a/src/troutswitch/decisions/tenants/coordinated_quota.py
+++ b/src/troutswitch/decisions/tenants/coordinated_quota.py
@@ -58,6 +58,8 @@
 SILENCE_SECONDS = 0.1
 """Time without a decision after which a coordinator counts as silent: above the round trip between
 two processes that each wait for a busy processor."""
+DENIALS_TO_REPORT = 2
+"""Denials on one request after which the group is taken for one without a coordinator."""
 RESEND_AFTER_SECONDS = (0.02, 0.06, 0.14)
 """Times after which a request without a decision is sent again, in case a datagram was lost. Few,
 as a coordinator that is slow because it is busy receives each of them."""
@@ -87,7 +89,9 @@
     """A request that awaits a coordinator's decision. Times are in seconds.
 
     `claim` is the claim of the coordinator that was asked last, or None while none is known;
-    `asked_at` is when it was first asked, and `sent` the number of messages to it.
+    `asked_at` is when it was first asked, and `sent` the number of messages to it. `denials` counts
+    its replies that it is no coordinator. `reports_silence` is false once it has replied, or its
+    silence was reported.
     """
 
     token: int
@@ -98,7 +102,8 @@
     claim: Claim | None = None
     asked_at: float = 0.0
     sent: int = 0
-    is_silent: bool = False
+    denials: int = 0
+    reports_silence: bool = True
 
     @property
     def ends_at(self) -> float:
@@ -113,7 +118,7 @@
         due = [self.ends_at]
         if self.sent <= len(RESEND_AFTER_SECONDS):
             due.append(self.asked_at + RESEND_AFTER_SECONDS[self.sent - 1])
-        if not self.is_silent:
+        if self.reports_silence:
             due.append(self.asked_at + SILENCE_SECONDS)
         return min(due)
 
@@ -178,7 +183,8 @@
     def _ask(self, now: float, number: int, pending: _Pending) -> None:
         """Asks the coordinator whose claim is the newest known."""
         pending.claim = self._claims.claim_of(pending.group)
-        pending.asked_at, pending.sent, pending.is_silent = now, 0, False
+        pending.asked_at, pending.sent = now, 0
+        pending.denials, pending.reports_silence = 0, True
         if pending.claim is None:
             self._claims.on_coordinator_needed(now, pending.group)
         else:
@@ -231,6 +237,7 @@
         self._claims.on_activity(pending.group, decision.sender)
         if not decision.granted and not decision.is_confirmed:
             pending.sent += 1
+            pending.reports_silence = False
             return []
         del self._pending[decision.number]
         by, wait = f"counted by {decision.sender}", decision.wait_ms / 1000
@@ -238,8 +245,15 @@
         return [QuotaCompletion(pending.token, QuotaResult(decision.granted > 0, wait, by, way))]
 
     def _on_denial(self, now: float, pending: _Pending, sender: str) -> None:
-        """Has the group claimed if the daemon that was asked denies that it coordinates it."""
-        if pending.claim is not None and pending.claim.daemon == sender:
+        """Has the group claimed if the daemon that was asked denies repeatedly.
+
+        A claimant may learn of its own claim later than the daemons that ask it.
+        """
+        if pending.claim is None or pending.claim.daemon != sender:
+            return
+        pending.denials += 1
+        pending.reports_silence = False
+        if pending.denials >= DENIALS_TO_REPORT:
             self._claims.on_not_coordinator(now, pending.group)
 
     def _log_late(self, now: float, decision: QuotaDecision) -> None:
@@ -301,8 +315,8 @@
 
     def _remind(self, now: float, number: int, pending: _Pending, claim: Claim) -> None:
         """Sends a request again, and reports a silent coordinator."""
-        if not pending.is_silent and now >= pending.asked_at + SILENCE_SECONDS:
-            pending.is_silent = True
+        if pending.reports_silence and now >= pending.asked_at + SILENCE_SECONDS:
+            pending.reports_silence = False
             if not self.coordinator.counts_for(pending.group):
                 self._claims.on_reply_timeout(now, pending.group)
         is_last = pending.sent > len(RESEND_AFTER_SECONDS)
