Idle connections are checked in processes with more than 1,023 descriptors

What callers would see: in a daemon with a thousand callers' connections each request that takes an idle connection to an engine or to the store fails. Cause: select takes descriptors below 1,024 only; machines allow 4,100 and more.

--- a/src/troutswitch/gateway/engines/connection.py
+++ b/src/troutswitch/gateway/engines/connection.py
@@ -7,13 +7,13 @@
 
 import http.client
 import io
-import select
 import socket
 import struct
 from typing import Any
 
 from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
+from troutswitch.runtime.readiness import is_readable
 from troutswitch.runtime.silence import bound_silence
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -121,8 +121,7 @@
     def _has_waiting_bytes(self) -> bool:
         """Returns whether unsolicited bytes, or the end of the stream, can be read."""
         assert self.reader is not None
-        readable, _, _ = select.select([self.sock], [], [], 0)
-        return bool(readable)
+        return is_readable(self.sock)
 
     def apply_keep_alive(self, keep_alive: str | None) -> None:
         """Applies the idle timeout of a response's `Keep-Alive` header, if it has one."""
--- a/src/troutswitch/runtime/connection_pool.py
+++ b/src/troutswitch/runtime/connection_pool.py
@@ -11,7 +11,6 @@
 """
 
 import http.client
-import select
 import socket
 import threading
 from collections import deque
@@ -21,6 +20,7 @@
 
 from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
+from troutswitch.runtime.readiness import is_readable
 from troutswitch.runtime.silence import bound_silence
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -62,7 +62,7 @@
 
     def is_usable(self) -> bool:
         """Returns whether an idle connection has neither been closed nor received surplus bytes."""
-        return not select.select([self.connection.sock], [], [], 0)[0]
+        return not is_readable(self.connection.sock)
 
 
 def _ignore(closed: int) -> None:
--- a/src/troutswitch/soak/callers.py
+++ b/src/troutswitch/soak/callers.py
@@ -2,7 +2,6 @@
 
 import http.client
 import random
-import select
 import socket
 import threading
 import time
@@ -10,6 +9,7 @@
 
 from troutswitch.common import Address
 from troutswitch.platform import names
+from troutswitch.runtime.readiness import is_readable
 from troutswitch.soak.observations import Exchange, Observations, Outcome, RequestKind
 from troutswitch.soak.tenants import UNKNOWN_KEY, key_of, tenant_of, uses_unknown_key
 
@@ -188,20 +188,10 @@
         return _finish(exchange, Outcome.CALLER_LEFT, "the caller left")
 
 
-def _is_readable(sock: socket.socket) -> bool:
-    """Returns whether bytes or an end of file can be read.
-
-    Uses `poll`, as `select` fails for file descriptors above 1,023.
-    """
-    poller = select.poll()
-    poller.register(sock, select.POLLIN)
-    return bool(poller.poll(0))
-
-
 def peek_stray_bytes(connection: http.client.HTTPConnection) -> bytes:
     """Returns the bytes received on a connection on which no request is waiting."""
     sock = connection.sock
-    if sock is None or not _is_readable(sock):
+    if sock is None or not is_readable(sock):
         return b""
     try:
         return bytes(sock.recv(200, socket.MSG_PEEK))
