A load with a fourth figure is read, and the engine's pace is kept

Cause: engines of two deployments report with their load how long work takes there. A header with four figures was malformed, so no load at all was used there. Change: the fourth figure is decoded as the pace in percent; an implausible one is left out. Each engine keeps its newest pace and a moving average. Types of the messages that carry paces and queued slot requests are defined.

--- a/src/troutswitch/daemons/messages.py
+++ b/src/troutswitch/daemons/messages.py
@@ -154,6 +154,100 @@
     open_items: int
 
 
+class PaceReading(msgspec.Struct, frozen=True, array_like=True):
+    """How long work takes at an engine, in percent of the usual time, as the engine reported.
+
+    `age_ms` is the age of the reading when the message was sent.
+    """
+
+    engine_key: int
+    percent: int
+    age_ms: int
+
+
+class PacedReport(msgspec.Struct, frozen=True, array_like=True, tag="paced holds"):
+    """A holdings report with paces that the receiver has not been sent.
+
+    Sent in place of a plain report by a daemon that has such readings.
+    """
+
+    report: HoldingsReport
+    paces: tuple[PaceReading, ...]
+
+
+class PacedDigest(msgspec.Struct, frozen=True, array_like=True, tag="paced digest"):
+    """A digest with the coordinator's newest reading of each engine that reported a pace."""
+
+    digest: GroupDigest
+    paces: tuple[PaceReading, ...]
+
+
+class QueuedSlotRequest(msgspec.Struct, frozen=True, array_like=True, tag="queue"):
+    """Requests a slot for one online request, or a place in the coordinator's queue.
+
+    It is repeated with the same `number` while the request is queued. `max_wait_ms` is the longest
+    wait with which the request meets its objective; a negative value means that it will be late
+    whatever the wait. `expires_ms` is the time after which a slot is of no use to it. `share` names
+    the tenant, or the route for callers without a tenant, between which slots are shared fairly.
+    `priority` 0 is the highest. A request that may not queue gets a slot now or none. The other
+    fields have the same meaning as in `SlotRequest` and `PacedReport`.
+    """
+
+    report: HoldingsReport
+    paces: tuple[PaceReading, ...]
+    number: int
+    group: str
+    prefill_units: int
+    max_wait_ms: int
+    expires_ms: int
+    share: str
+    priority: int
+    may_queue: bool
+    excluded: tuple[int, ...] = ()
+
+
+class SlotQueued(msgspec.Struct, frozen=True, array_like=True, tag="queued"):
+    """Confirms that a request is in the sender's queue, at a position from 1.
+
+    `incarnation` is the sender's, `wait_ms` the expected wait for a slot.
+    """
+
+    sender: str
+    incarnation: int
+    number: int
+    group: str
+    position: int
+    wait_ms: int
+
+
+class SlotDenied(msgspec.Struct, frozen=True, array_like=True, tag="denied"):
+    """States that a request gets no slot, and is not or no longer queued.
+
+    `wait_ms`, `queued` and `slots` have the same meaning as in `SlotReply`. `retry_after_ms` is
+    when the caller should send the request again. `is_final` is set if it can't be served in time,
+    and false if the sender only has no slot now.
+    """
+
+    sender: str
+    incarnation: int
+    number: int
+    group: str
+    wait_ms: int
+    queued: int
+    slots: int
+    retry_after_ms: int
+    is_final: bool
+
+
+class SlotRequestWithdrawn(msgspec.Struct, frozen=True, array_like=True, tag="withdraw"):
+    """States that a queued request no longer needs a slot; `incarnation` is the sender's."""
+
+    sender: str
+    incarnation: int
+    number: int
+    group: str
+
+
 class ClaimHolder(msgspec.Struct, frozen=True, array_like=True):
     """A daemon that claimed a group, and where it receives messages."""
 
--- a/src/troutswitch/decisions/forwarding/engine.py
+++ b/src/troutswitch/decisions/forwarding/engine.py
@@ -18,6 +18,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from troutswitch.decisions.forwarding.engine_pace import EnginePace
 from troutswitch.decisions.forwarding.types import EngineLoad, EngineRecord
 
 MAX_LOAD_AGE_SECONDS = 0.4
@@ -70,6 +71,7 @@
     load_at: float = float("-inf")
     sent_since_load: int = 0
     """Requests that this daemon sent since the load was reported."""
+    pace: EnginePace = field(default_factory=EnginePace)
     last_seen_at: float = float("-inf")
     """When bytes of any of its answers were last received."""
 
@@ -122,6 +124,10 @@
             return max(counted, reported)
         return max(own, reported)
 
+    def time_factor(self, now: float) -> float:
+        """Returns how many times as long as usual work takes here; 1 if it is not known."""
+        return self.pace.time_factor(now)
+
     def online_load(self, now: float) -> int:
         """Returns the online requests on the engine: the larger of the counts and the load."""
         return max(self.online_count(), self.in_flight(now) - self.batch_count())
--- /dev/null
+++ b/src/troutswitch/decisions/forwarding/engine_pace.py
@@ -0,0 +1,52 @@
+"""Tracks how long work takes at one engine now, compared with the usual time.
+
+Engines that share their machines with others report this as a percentage with their load: 100
+means as usual, 200 twice as long. It includes the engine's own speed. It changes many times a
+second, so a reading describes the engine only for a short time, and the average after that.
+
+Inputs: the percentages that the engine reported, here or to a peer, with the time of each.
+"""
+
+from dataclasses import dataclass
+
+USUAL_PERCENT = 100
+FRESH_SECONDS = 0.25
+"""Age up to which the newest reading is used by itself. Slow episodes last some 0.2 to 1.5 s."""
+AVERAGE_SECONDS = 2.0
+"""Time over which readings are averaged: longer than an episode."""
+MAX_AGE_SECONDS = 30.0
+"""Age of the newest reading after which the average is no longer used."""
+
+
+@dataclass(slots=True)
+class EnginePace:
+    """Readings of one incarnation of an engine. Times are this process's clock, in seconds."""
+
+    percent: int | None = None
+    """The newest reading, or None before the first one."""
+    read_at: float = float("-inf")
+    average_percent: float = 0.0
+
+    def on_reading(self, percent: int, read_at: float) -> None:
+        """Records a percentage that the engine reported at `read_at`; older readings are ignored.
+
+        Args:
+            percent: time that work takes, in percent of the usual time; above 0.
+            read_at: when the engine reported it.
+        """
+        if self.percent is None:
+            self.average_percent = percent
+        elif read_at < self.read_at:
+            return
+        else:
+            weight = min(1.0, (read_at - self.read_at) / AVERAGE_SECONDS)
+            self.average_percent += weight * (percent - self.average_percent)
+        self.percent, self.read_at = percent, read_at
+
+    def time_factor(self, now: float) -> float:
+        """Returns how many times as long as usual work takes; 1 if it is not known."""
+        age = now - self.read_at
+        if self.percent is None or age > MAX_AGE_SECONDS:
+            return 1.0
+        percent = self.percent if age <= FRESH_SECONDS else self.average_percent
+        return percent / USUAL_PERCENT
--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -47,6 +47,7 @@
     """Engines that the last list does not have and that stay in use."""
     unusable_entries: dict[str, str] = field(default_factory=dict)
     """Why entries of the last list could not be used, by entry."""
+    _paced_services: set[str] = field(default_factory=set)
     _sample_at: float = float("-inf")
     _reported_gone_at: dict[str, float] = field(default_factory=dict)
     """When peers reported that engines left the list; kept until a later list decides."""
@@ -228,6 +229,17 @@
             engine.load_at = now
             engine.last_seen_at = now
             engine.sent_since_load = 0
+            if load.pace_percent is not None:
+                self.on_pace(engine, load.pace_percent, now)
+
+    def on_pace(self, engine: Engine, percent: int, read_at: float) -> None:
+        """Records a pace that an engine reported here or to a peer at `read_at`."""
+        engine.pace.on_reading(percent, read_at)
+        self._paced_services.add(engine.record.service)
+
+    def is_paced(self, service: str) -> bool:
+        """Returns whether an engine of a service has reported a pace to this daemon or a peer."""
+        return service in self._paced_services
 
     def on_sent(self, now: float, engine_id: str, is_batch: bool, size: RequestSize) -> None:
         """Counts a request that was sent to the engine."""
--- a/src/troutswitch/decisions/forwarding/types.py
+++ b/src/troutswitch/decisions/forwarding/types.py
@@ -120,11 +120,16 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineLoad:
-    """Load that an engine reported with an answer, as numbers of requests."""
+    """Load that an engine reported with an answer, as numbers of requests.
+
+    `pace_percent` is the time that work takes there now, in percent of the usual time; None if the
+    engine does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace_percent: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/platform/requests.py
+++ b/src/troutswitch/platform/requests.py
@@ -18,6 +18,10 @@
 
 MISDIRECTED = 421
 """Status with which an engine refuses a request that is intended for a different engine."""
+LOAD_FIGURES = (3, 4)
+"""Numbers of figures in an engine's load."""
+MAX_PACE_PERCENT = 10_000
+"""Maximum plausible pace. A load with a larger one, or with 0, is used without its pace."""
 DEFAULT_DEADLINE_SECONDS = 30.0
 """Assumed time limit of a caller whose request specifies no deadline."""
 
@@ -167,11 +171,16 @@
 
 
 def _load(header: str | None) -> EngineLoad | None:
+    """Decodes running, waiting, slots and, on some services, the pace in percent."""
     try:
-        running, waiting, slots = (int(part) for part in (header or "").split(","))
+        figures = [int(part) for part in (header or "").split(",")]
     except ValueError:
         return None
-    return EngineLoad(running, waiting, slots)
+    if len(figures) not in LOAD_FIGURES or min(figures) < 0:
+        return None
+    running, waiting, slots, *pace = figures
+    has_pace = bool(pace) and 0 < pace[0] <= MAX_PACE_PERCENT
+    return EngineLoad(running, waiting, slots, pace[0] if has_pace else None)
 
 
 def _retry_after(header: str | None) -> float | None:
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -1,11 +1,13 @@
 import json
 from base64 import b64encode
 from functools import partial
+from unittest.mock import Mock
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from troutswitch.decisions.forwarding.types import EngineLoad
 from troutswitch.decisions.jobs.messages import (
     BodyRequested,
     JobEndRequested,
@@ -33,6 +35,7 @@
     IncomingRequest,
     engine_headers,
     item_headers,
+    read_head,
     read_prompt,
     read_request,
 )
@@ -241,3 +244,27 @@
     refused = encode_answer(JobRefused(429, "full", 0.5))
     assert refused.status == 429
     assert dict(refused.headers)["Retry-After"] == "0.500"
+
+
+def reported_load(header: str) -> EngineLoad | None:
+    response = Mock(status=200)
+    headers = {"X-Troutswitch-Server-Load": header}
+    response.getheader = lambda name, default=None: headers.get(name, default)
+    response.getheaders = lambda: list(headers.items())
+    return read_head(response).load
+
+
+def test_load_with_a_pace_is_read() -> None:
+    # A fourth figure made the whole load unreadable, so engines that report one had no load.
+    assert reported_load("3,1,8,137") == EngineLoad(3, 1, 8, 137)
+    assert reported_load("3,1,8") == EngineLoad(3, 1, 8)
+
+
+@pytest.mark.parametrize("pace", ["0", "10001"])
+def test_load_with_an_implausible_pace_is_used_without_it(pace: str) -> None:
+    assert reported_load(f"3,1,8,{pace}") == EngineLoad(3, 1, 8)
+
+
+@pytest.mark.parametrize("header", ["", "3", "3,1", "3,1,8,100,1", "3,x,8", "3,1,8,", "-1,0,8"])
+def test_malformed_load_is_no_load(header: str) -> None:
+    assert reported_load(header) is None
