Quota coordinators that don't reach the store hand over before their lease ends

Cause: a quota coordinator that was partitioned from the store counted until its lease of 12 s ended. Then each request of its tenants waited 0.25 s and got 503 until the partition ended, although most daemons read the store. No log line told that the lease had ended.

Change: a coordinator whose last confirmation is older than OLD_CONFIRMATION_SECONDS (4 s) says so in its decisions (QuotaDecision.reads_store, encoded only when false, so that all existing samples keep their bytes) and counts on. A daemon whose reads have succeeded for READS_SETTLED_SECONDS (4 s) claims the group after its usual delay. The existing handover stops the predecessor and passes its accounts on. A statement is dropped when the coordinator replies without it, or after 1 s. The bound holds as before: at most one confirmed coordinator at a time. The end and the renewal of a lease are logged, and so is the reason of such a claim.

The state machine has the new step, and test_quota_limit.py three new cases. No existing test was changed.

--- a/src/troutswitch/daemons/datagram.py
+++ b/src/troutswitch/daemons/datagram.py
@@ -7,7 +7,7 @@
 import cbor2
 import msgspec
 
-from troutswitch.daemons.messages import PeerMessage
+from troutswitch.daemons.messages import PeerMessage, QuotaDecision
 
 VERSION = 8
 """Version of the protocol. Daemons ignore datagrams of other versions."""
@@ -19,7 +19,10 @@
 
 def encode(message: PeerMessage) -> bytes:
     """Returns the datagram for a message."""
-    return cbor2.dumps([VERSION, msgspec.to_builtins(message)])
+    fields = msgspec.to_builtins(message)
+    if isinstance(message, QuotaDecision) and message.reads_store:
+        fields = fields[:-1]
+    return cbor2.dumps([VERSION, fields])
 
 
 def decode(data: bytes) -> PeerMessage:
--- a/src/troutswitch/daemons/messages.py
+++ b/src/troutswitch/daemons/messages.py
@@ -338,7 +338,9 @@
     `wait_ms` is the time until there is quota for one request. `is_coordinator` is false if the
     sender does not count for the tenants of this group. `is_confirmed` is false if the sender can't
     exclude that another daemon counts too: it then grants from a reserve alone, and `granted` 0
-    means that it can't decide.
+    means that it can't decide. `reads_store` is false if the sender has not read the store for so
+    long that another daemon is to take over. It is encoded only when false, so that other decisions
+    keep their bytes.
     """
 
     sender: str
@@ -348,6 +350,7 @@
     wait_ms: int
     is_coordinator: bool = True
     is_confirmed: bool = True
+    reads_store: bool = True
 
 
 class QuotaHandoverRequest(msgspec.Struct, frozen=True, array_like=True, tag="handover"):
--- a/src/troutswitch/decisions/slots/coordinator_claims.py
+++ b/src/troutswitch/decisions/slots/coordinator_claims.py
@@ -3,6 +3,8 @@
     (none)   -> CLAIMED   a daemon of the group's zone appended a claim at the expected end
     CLAIMED  -> SUSPECT   requests to the coordinator got no reply (`coordinator_health.py`)
     SUSPECT  -> CLAIMED   the coordinator sent a message, or another daemon's claim was read
+    CLAIMED  -> CLAIMED   another daemon claimed an exclusive group whose coordinator said that the
+                          store has not confirmed it for some seconds
 
 Inputs: the claims, read from the store's topic or received with peers' heartbeats, up to some
 hundred milliseconds old; the health of coordinators as this daemon sees it.
@@ -18,6 +20,9 @@
 cannot read the topic, or while its own claim of the group is in flight. It claims one group at most
 once in `CLAIM_INTERVAL_SECONDS`.
 
+A group whose coordinator says that it is unconfirmed is claimed after the same delay, by a daemon
+whose reads of the topic have succeeded for `READS_SETTLED_SECONDS`.
+
 Why: the store's condition lets one of several concurrent claims succeed. All daemons read the
 topic, so they agree once they have read it. The delay lets one daemon claim and the others read its
 claim. Until then two daemons may both act as coordinator; each grants slots by the reports that it
@@ -75,6 +80,10 @@
 """Maximum number of predecessors in a claim, which then fits into a datagram."""
 UNKNOWN_PREDECESSOR = ClaimHolder("", Address("", 0))
 """Stands for the predecessors beyond the maximum; it never confirms that it stopped."""
+READS_SETTLED_SECONDS = 4.0
+"""Time for which a daemon's reads must have succeeded before it succeeds an unconfirmed
+coordinator. After an outage of the whole store, the coordinator's own reads succeed again within
+it: the longest timeout of a read and the longest pause after a failure, 3 s and 1 s."""
 CALL_TIMEOUT_SECONDS = 4.0
 """Time after which an unanswered claim is abandoned."""
 
@@ -131,6 +140,8 @@
         self._claimed_at: dict[str, float] = {}
         self._check_at = float("-inf")
         self._next_claim = NEVER
+        self._reading_since = NEVER
+        """Since when reads of the topic have succeeded; infinite while they fail."""
         self._follower = PartitionFollower(
             Partition(CLAIMS_TOPIC),
             numbers,
@@ -215,6 +226,14 @@
         if claim is not None and claim.daemon == daemon:
             self._health.on_activity(group)
 
+    def on_unconfirmed(self, now: float, group: str, daemon: str) -> None:
+        """Handles a message whose sender coordinates a group and has long not read the store."""
+        claim = self._claims.get(group)
+        if claim is None or claim.daemon != daemon:
+            return
+        self._health.on_unconfirmed(now, group)
+        self._schedule_next_claim()
+
     def on_reply_timeout(self, now: float, group: str) -> None:
         """Handles a request to the coordinator of a group that got no reply in time."""
         self._on_missing_coordinator(group, self._health.on_reply_timeout(now, group))
@@ -242,11 +261,26 @@
         if not self._may_claim(group.name):
             return NEVER
         has_coordinator = group.name in self._claims and not self._health.is_missing(group.name)
-        missing_since = self._health.missing_since(group.name)
-        if has_coordinator or missing_since == NEVER:
+        if has_coordinator:
+            needed_since = self._succession_since(group.name)
+        else:
+            needed_since = self._health.missing_since(group.name)
+        if needed_since == NEVER:
             return NEVER
         claimed_at = self._claimed_at.get(group.name, float("-inf"))
-        return max(missing_since + self._claim_delay(group), claimed_at + CLAIM_INTERVAL_SECONDS)
+        return max(needed_since + self._claim_delay(group), claimed_at + CLAIM_INTERVAL_SECONDS)
+
+    def _succession_since(self, group: str) -> float:
+        """Returns since when a group needs a successor for its unconfirmed coordinator."""
+        unconfirmed_since = self._health.unconfirmed_since(group)
+        return max(unconfirmed_since, self._reading_since + READS_SETTLED_SECONDS)
+
+    def _note_reads(self, now: float) -> None:
+        """Notes since when reads of the topic have succeeded."""
+        if not self._follower.is_current or self._follower.attempts.failures:
+            self._reading_since = NEVER
+        else:
+            self._reading_since = min(self._reading_since, now)
 
     def _may_claim(self, group: str) -> bool:
         if self.is_draining or not self._follower.is_current or self._follower.attempts.failures:
@@ -277,11 +311,13 @@
     def _check(self, now: float) -> list[StoreCall]:
         """Claims the groups whose claim is due."""
         self._abandon_unanswered(now)
+        self._health.forget_old_statements(now)
         calls: list[StoreCall] = []
         for group in self._all_groups():
             if group.name not in self._claims:
                 self.on_coordinator_needed(now, group.name)
             if now >= self._claim_due(group):
+                self._log_reason(now, group.name)
                 calls.append(self._claim(now, group.name, self._predecessors_of(group.name)))
         for name in sorted(self._settled):
             if now >= self._settle_due(name):
@@ -306,6 +342,19 @@
             earlier = (UNKNOWN_PREDECESSOR, *earlier[-MAX_PREDECESSORS + 2 :])
         return (*earlier, holder)
 
+    def _log_reason(self, now: float, group: str) -> None:
+        """Logs a claim that succeeds a coordinator which replies, but is unconfirmed."""
+        claim = self._claims.get(group)
+        since = self._health.unconfirmed_since(group)
+        if claim is not None and since != NEVER:
+            age = round((now - since) * 1000)
+            self._log(
+                "claim of an unconfirmed coordinator's group",
+                group=group,
+                coordinator=claim.daemon,
+                unconfirmed_ms=age,
+            )
+
     def _claim(self, now: float, group: str, predecessors: tuple[ClaimHolder, ...]) -> StoreCall:
         self._claimed_at[group] = now
         call = self._numbers.next()
@@ -345,6 +394,7 @@
         """Handles the outcome of a read or of a claim."""
         if self._follower.owns(call):
             self._follower.on_answer(now, call, outcome)
+            self._note_reads(now)
             self._schedule_next_claim()
             return
         own = self._own_claims.pop(call)
@@ -377,6 +427,7 @@
         holds_exclusive = any(self.is_own(name) for name in self._exclusive)
         self._follower.wait = EXCLUSIVE_READ_WAIT_SECONDS if holds_exclusive else READ_WAIT_SECONDS
         calls: list[StoreCall] = list(self._follower.on_timer(now))
+        self._note_reads(now)
         if now >= self._check_at:
             self._check_at = now + CHECK_SECONDS
             calls += self._check(now)
--- a/src/troutswitch/decisions/slots/coordinator_health.py
+++ b/src/troutswitch/decisions/slots/coordinator_health.py
@@ -8,6 +8,10 @@
 `SUSPECT_SECONDS`, and daemons claim its group (`coordinator_claims.py`). Any message from it, or a
 newer claim of the group, ends the suspicion.
 
+A coordinator that replies, but says that the store has not confirmed it for some seconds, is not
+suspected. It counts as unconfirmed until it replies without saying so, or says nothing for
+`STATEMENT_SECONDS`.
+
 Why: a single missing reply is more often a lost datagram than a failed daemon. A suspected
 coordinator is tried again, because it may only have been suspended or disconnected.
 
@@ -20,16 +24,25 @@
 """Consecutive requests without a reply after which a coordinator is suspected."""
 SUSPECT_SECONDS = 2.0
 """Time after which requests are sent to a suspected coordinator again."""
+STATEMENT_SECONDS = 1.0
+"""Time for which a coordinator's statement that it is unconfirmed is used. It exceeds the delay of
+a claim, 0.3 s at most, and is short because the coordinator may read the store again."""
 NEVER = float("inf")
 
 
 @dataclass(slots=True)
 class _Health:
-    """Health of one group's coordinator as this daemon sees it. Times are in seconds."""
+    """Health of one group's coordinator as this daemon sees it. Times are in seconds.
+
+    `unconfirmed_since` and `unconfirmed_at` are the times of the first and the last of its
+    consecutive statements that the store has not confirmed it.
+    """
 
     misses: int = 0
     suspected_until: float = float("-inf")
     missing_since: float = NEVER
+    unconfirmed_since: float = NEVER
+    unconfirmed_at: float = NEVER
 
 
 class CoordinatorHealth:
@@ -61,6 +74,21 @@
         """Handles a message from the coordinator."""
         self._groups[group] = _Health()
 
+    def unconfirmed_since(self, group: str) -> float:
+        """Returns since when the coordinator says that it is unconfirmed; infinite if not."""
+        return self._of(group).unconfirmed_since
+
+    def on_unconfirmed(self, now: float, group: str) -> None:
+        """Handles a message in which the coordinator says that it is unconfirmed."""
+        since = min(self._of(group).unconfirmed_since, now)
+        self._groups[group] = _Health(unconfirmed_since=since, unconfirmed_at=now)
+
+    def forget_old_statements(self, now: float) -> None:
+        """Drops what coordinators said longer than `STATEMENT_SECONDS` ago."""
+        for health in self._groups.values():
+            if now >= health.unconfirmed_at + STATEMENT_SECONDS:
+                health.unconfirmed_since = health.unconfirmed_at = NEVER
+
     def on_reply_timeout(self, now: float, group: str) -> bool:
         """Handles a request without a reply; returns whether the coordinator becomes suspected."""
         health = self._of(group)
--- a/src/troutswitch/decisions/tenants/coordinated_quota.py
+++ b/src/troutswitch/decisions/tenants/coordinated_quota.py
@@ -13,7 +13,9 @@
    coordinator that can't decide yet, as another one may still count, is asked again less often.
 4. A coordinator that has not decided after `SILENCE_SECONDS` counts as silent, so that daemons
    claim its group. Its decision is still awaited.
-5. A request without a decision after `MAX_WAIT_SECONDS` is refused, with a time to retry. No daemon
+5. A coordinator that says that the store has not confirmed it for some seconds goes on deciding,
+   and a daemon that reads the store claims its group.
+6. A request without a decision after `MAX_WAIT_SECONDS` is refused, with a time to retry. No daemon
    admits a request without a coordinator's decision on it.
 
 Why: a single count over all daemons neither exceeds a quota nor refuses requests inside it. What
@@ -234,7 +236,10 @@
         if not decision.is_coordinator:
             self._on_denial(now, pending, decision.sender)
             return []
-        self._claims.on_activity(pending.group, decision.sender)
+        if decision.reads_store:
+            self._claims.on_activity(pending.group, decision.sender)
+        else:
+            self._claims.on_unconfirmed(now, pending.group, decision.sender)
         if not decision.granted and not decision.is_confirmed:
             pending.sent += 1
             pending.reports_silence = False
--- a/src/troutswitch/decisions/tenants/coordination.py
+++ b/src/troutswitch/decisions/tenants/coordination.py
@@ -21,6 +21,9 @@
    coordinator with a single predecessor may use it: that predecessor was confirmed, so that no
    other reserve is in use.
 5. A confirmed coordinator claims the group again without predecessors.
+6. A coordinator whose last read of the store is older than `OLD_CONFIRMATION_SECONDS` says so to
+   the daemons that ask it. One that reads the store claims the group (`coordinator_claims.py`). The
+   coordinator counts on until it is asked to stop, or until its lease ends.
 
 Why: the ledgers of confirmed coordinators follow each other, and so do the reserves. So whatever
 the number of daemons, claims and restarts, the requests counted in a window are at most the depth
@@ -62,6 +65,12 @@
 LEASE_SECONDS = 12.0
 """Time for which a coordinator counts without reading the store. It exceeds the outages that a
 fleet must bear without harm, of some 9 s, by the age that the last read may have had."""
+OLD_CONFIRMATION_SECONDS = 4.0
+"""Age of the last confirmation from which a coordinator asks to be succeeded. Reads wait for 1 s at
+the store, so the age reaches 2 s without a fault, and 3 s if one answer is lost; a daemon may need
+3 s to be in contact again. The remaining 8 s of the lease exceed the 4 s that a daemon waits which
+has itself just reached the store again (`READS_SETTLED_SECONDS`). The outages of some 9 s that a
+fleet must bear are longer than this age, but nobody can claim during one."""
 SUCCESSION_SECONDS = 12.5
 """Time after its claim at which a successor counts although a predecessor did not answer. It
 exceeds the lease by the drift of two clocks."""
@@ -82,6 +91,7 @@
     predecessors that have not stopped; they were asked `asked` times and are asked again at
     `ask_at`. `is_first` is set if nobody had claimed the group before. `handover` is that of the
     only predecessor, if it had one. `ledger` is None before the coordinator is confirmed.
+    `is_lease_over` is set once the end of the lease was logged.
     """
 
     offset: int
@@ -94,6 +104,7 @@
     asked: int = 0
     ask_at: float = float("-inf")
     handover: QuotaHandover | None = None
+    is_lease_over: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +138,10 @@
         is_confirmed = self._held[group].ledger is not None
         return Authority.CONFIRMED if is_confirmed else Authority.PROVISIONAL
 
+    def reads_store(self, now: float) -> bool:
+        """Returns whether the last confirmation by the store is recent."""
+        return now < self.claims.proven_at + OLD_CONFIRMATION_SECONDS
+
     def ledger(self, now: float, group: str) -> QuotaLedger | None:
         """Returns the ledger with which this daemon counts now; None if it must not count."""
         match self.authority(now, group):
@@ -193,10 +208,21 @@
                 self._confirm(now, group, held)
             if held.ledger is None and now >= held.ask_at:
                 self._ask_predecessors(now, group, held)
+            self._log_lease(now, group, held)
             for ledger in (held.ledger, held.reserve):
                 if ledger is not None:
                     ledger.drop_idle(now, self.bounds.window)
 
+    def _log_lease(self, now: float, group: str, held: _Held) -> None:
+        """Logs when the lease of a held group has ended, and when the store confirms it again."""
+        is_over = now >= self.claims.proven_at + LEASE_SECONDS
+        if is_over == held.is_lease_over:
+            return
+        held.is_lease_over = is_over
+        event = "quota lease ended" if is_over else "quota lease renewed"
+        age = round((now - self.claims.proven_at) * 1000)
+        self._log(event, group, confirmation_age_ms=age)
+
     def _update(self, now: float) -> None:
         """Begins and ends to hold groups, by the newest known claims."""
         for group in (group.name for group in QUOTA_GROUPS):
--- a/src/troutswitch/decisions/tenants/quota_coordinator.py
+++ b/src/troutswitch/decisions/tenants/quota_coordinator.py
@@ -1,13 +1,16 @@
 """Counts the requests of the tenants whose quota group this daemon coordinates.
 
 Rule: a request is counted once. If its message is received again, the first decision is repeated. A
-daemon that can't decide now says so, and decides if the message comes again.
+daemon that can't decide now says so, and decides if the message comes again. While the store has
+not confirmed this daemon for some seconds, its replies say so.
 
 It owns the recent decisions. It relies on `coordination.py` for the ledgers.
 """
 
 from dataclasses import dataclass
 
+import msgspec
+
 from troutswitch.daemons.messages import QuotaDecision, QuotaRequest
 from troutswitch.decisions.tenants.coordination import QuotaCoordination
 from troutswitch.decisions.tenants.quota import Authority, QuotaResult, QuotaWay
@@ -59,6 +62,13 @@
             return QuotaDecision(
                 self._name, request.number, request.group, 0, 0, is_coordinator=False
             )
+        decision = self._decide_once(now, request)
+        if self._coordination.reads_store(now):
+            return decision
+        return msgspec.structs.replace(decision, reads_store=False)
+
+    def _decide_once(self, now: float, request: QuotaRequest) -> QuotaDecision:
+        """Decides on a request, or returns the earlier decision on it."""
         key = (request.sender, request.incarnation, request.number)
         decided = self._decided.get(key)
         if decided is not None:
--- a/tests/decisions/tenants/test_coordinated_quota.py
+++ b/tests/decisions/tenants/test_coordinated_quota.py
@@ -14,6 +14,8 @@
 from troutswitch.decisions.slots.groups import EngineGroups
 from troutswitch.decisions.slots.messages import SendToPeers
 from troutswitch.decisions.storage.messages import (
+    AppendRecords,
+    CallFailed,
     NewestPage,
     ReadNewest,
     ReadRecords,
@@ -26,6 +28,7 @@
     SILENCE_SECONDS,
     CoordinatedQuota,
 )
+from troutswitch.decisions.tenants.coordination import LEASE_SECONDS, OLD_CONFIRMATION_SECONDS
 from troutswitch.decisions.tenants.quota import QuotaResult, QuotaWay
 from troutswitch.decisions.tenants.quota_groups import QUOTA_GROUPS, group_of
 from troutswitch.decisions.tenants.quota_ledger import QuotaLimit
@@ -335,3 +338,73 @@
     decision = coordinator.message()
     assert isinstance(decision, QuotaDecision)
     assert decision.granted == 0
+
+
+def answered(now: float, token: int, requester: Daemon, coordinator: Daemon) -> QuotaDecision:
+    """Sends one request, and returns the decision on it after the requester has handled it."""
+    assert requester.quota.take(now, token, TENANT) is None
+    coordinator.quota.on_request(now, requester.take_message(QuotaRequest))
+    decision = coordinator.take_message(QuotaDecision)
+    requester.quota.on_decision(now, decision)
+    return decision
+
+
+def claims_made(daemon: Daemon, now: float) -> int:
+    """Returns the number of claims of the tenant's group that a daemon makes."""
+    calls = daemon.claims.on_timer(now)
+    appends = [call for call in calls if isinstance(call, AppendRecords)]
+    return sum(record.key == daemon.group for call in appends for record in call.records)
+
+
+def test_a_coordinator_says_that_its_last_confirmation_is_old_and_counts_on() -> None:
+    requester, coordinator = pair()
+    old_at = coordinator.claims.proven_at + OLD_CONFIRMATION_SECONDS
+    assert answered(old_at - 0.01, 1, requester, coordinator).reads_store
+    for token, now in enumerate((old_at, coordinator.claims.proven_at + LEASE_SECONDS - 0.01), 2):
+        decision = answered(now, token, requester, coordinator)
+        assert not decision.reads_store
+        assert decision.granted == 1
+        assert decision.is_confirmed
+
+
+def test_a_daemon_that_reads_the_store_succeeds_an_unconfirmed_coordinator() -> None:
+    requester, coordinator = pair()
+    requester.prove(-100.0)
+    answered(5.0, 1, requester, coordinator)
+    assert claims_made(requester, 5.0) == 0, "the delay differs between daemons"
+    assert claims_made(requester, 5.35) == 1
+
+
+def test_a_daemon_does_not_succeed_a_coordinator_that_is_confirmed_again() -> None:
+    requester, coordinator = pair()
+    requester.prove(-100.0)
+    answered(5.0, 1, requester, coordinator)
+    assert claims_made(requester, 5.0) == 0
+    coordinator.prove(5.0)
+    assert answered(5.01, 2, requester, coordinator).reads_store
+    assert claims_made(requester, 5.35) == 0
+
+
+def test_a_daemon_that_just_reached_the_store_does_not_succeed_a_coordinator() -> None:
+    """Guards against handovers of all groups when an outage of the whole store ends."""
+    requester, coordinator = pair()
+    requester.prove(5.0)
+    answered(5.0, 1, requester, coordinator)
+    assert claims_made(requester, 5.35) == 0
+
+
+def test_an_old_statement_of_a_coordinator_leads_to_no_claim() -> None:
+    """Guards against a claim by a daemon that was suspended while the partition ended."""
+    requester, coordinator = pair()
+    requester.prove(-100.0)
+    answered(5.0, 1, requester, coordinator)
+    assert claims_made(requester, 7.0) == 0
+
+
+def test_a_daemon_that_does_not_read_the_store_succeeds_no_coordinator() -> None:
+    requester, coordinator = pair()
+    requester.prove(-100.0)
+    for call in requester.claims.on_timer(4.9):
+        requester.claims.on_answer(4.9, call.call, CallFailed("cut", False))
+    answered(5.0, 1, requester, coordinator)
+    assert claims_made(requester, 5.35) == 0
--- a/tests/decisions/tenants/test_coordination.py
+++ b/tests/decisions/tenants/test_coordination.py
@@ -143,3 +143,18 @@
     assert len(handover.balances) == MAX_BALANCES
     assert handover.opened_ms == 0, "accounts that are not listed begin empty"
     assert len(datagram.encode(handover)) < 1400
+
+
+def test_the_end_of_a_lease_is_logged_once() -> None:
+    """Guards against refusals of a whole quota group without a trace of their cause."""
+    former = Daemon("b", THERE)
+    former.coordinate()
+    end = former.claims.proven_at + LEASE_SECONDS
+    for now in (end - 0.01, end, end + 1.0):
+        former.quota.on_timer(now)
+    former.prove(end + 2.0)
+    former.quota.on_timer(end + 2.0)
+    lines = [(line.event, line.fields) for line in former.lines if "lease" in line.event]
+    age = {"group": former.group, "confirmation_age_ms": 12_000}
+    renewed = {"group": former.group, "confirmation_age_ms": 0}
+    assert lines == [("quota lease ended", age), ("quota lease renewed", renewed)]
--- a/tests/decisions/tenants/test_machine.py
+++ b/tests/decisions/tenants/test_machine.py
@@ -143,6 +143,11 @@
         self.isolated.update(self.coordinators())
         self.cut_off.update(self.coordinators())
 
+    @rule()
+    def cut_coordinators_from_store(self) -> None:
+        """Has coordinators that peers still reach hand over."""
+        self.cut_off.update(self.coordinators())
+
     @rule()
     def restart_coordinators(self) -> None:
         for number in self.coordinators():
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -232,6 +232,9 @@
     "answer on a quota of one that may not be alone": _peer_message_sample(
         peer_messages.QuotaDecision("d-2", 91, "s|z|0", 0, 0, is_confirmed=False)
     ),
+    "answer on a quota of one that reads no store": _peer_message_sample(
+        peer_messages.QuotaDecision("d-2", 91, "s|z|0", 101, 102, reads_store=False)
+    ),
     "claim of a quota group": _peer_message_sample(
         peer_messages.QuotaHandoverRequest(
             sender="d-1",
--- a/tests/proofs/test_quota_limit.py
+++ b/tests/proofs/test_quota_limit.py
@@ -92,6 +92,39 @@
     fleet.call_later(8.0, lambda: setattr(fleet.faults, "is_down", False))
 
 
+def cut_from_store(fleet: LimitedTenantFleet, names: list[str], seconds: float) -> None:
+    """Partitions daemons from the store alone, for some seconds."""
+
+    def set_cut(is_cut: bool) -> None:
+        for name in names:
+            fleet.daemons[name].is_partitioned_from_store = is_cut
+
+    set_cut(True)
+    fleet.call_later(seconds, lambda: set_cut(False))
+
+
+def coordinators_cut_from_store(fleet: LimitedTenantFleet) -> None:
+    """Has the coordinators hand over, as other daemons reach the store."""
+    fleet.call_later(1.0, lambda: cut_from_store(fleet, coordinators(fleet), 10.0))
+
+
+def coordinators_cut_again_and_again(fleet: LimitedTenantFleet) -> None:
+    """Ends each partition about when the successors claim."""
+    for begin in (0.5, 5.0, 9.0):
+        fleet.call_later(begin, lambda: cut_from_store(fleet, coordinators(fleet), 4.0))
+
+
+def coordinators_cut_and_killed(fleet: LimitedTenantFleet) -> None:
+    """Kills the coordinators about when their successors claim."""
+
+    def cut() -> None:
+        names = coordinators(fleet)
+        cut_from_store(fleet, names, 10.0)
+        fleet.call_later(4.0, lambda: kill_all(fleet, names, 1.0))
+
+    fleet.call_later(1.0, cut)
+
+
 def added_daemons(fleet: LimitedTenantFleet) -> None:
     first = len(fleet.daemons)
     for number in range(first, 2 * first):
@@ -118,6 +151,9 @@
     (kill_coordinators, 20.0, 24, BUSY),
     (suspend_coordinators, 20.0, 24, IDLE),
     (store_outage, 3.0, 24, IDLE),
+    (coordinators_cut_from_store, 20.0, 24, IDLE),
+    (coordinators_cut_again_and_again, 20.0, 24, BUSY),
+    (coordinators_cut_and_killed, 20.0, 24, IDLE),
     (added_daemons, 3.0, 24, BUSY),
 ]
 
