Time factors relative to the mean of a service, and learned from run times

Cause: an engine without a pace, or with a false one, had the factor 1 or the false one; and a factor could not be applied to a mean run time, which is that of engines at their mean pace.

--- a/src/troutswitch/decisions/forwarding/attempts.py
+++ b/src/troutswitch/decisions/forwarding/attempts.py
@@ -112,7 +112,13 @@
             return
         first_event = request.answer_began_at - request.sent_at
         total = now - request.sent_at
-        self._times.on_completed(request.service, first_event, total, was_queued=request.was_queued)
+        mean_slot_time = self._times.of(request.service).slot_time  # without this stream
+        slot_time = self._times.on_completed(
+            request.service, first_event, total, was_queued=request.was_queued
+        )
+        engine = self._engines.engines.get(request.engine_id)
+        if engine is not None:
+            engine.on_run(now, slot_time, mean_slot_time)
 
     def abort(
         self, now: float, request: ForwardedRequest, *, is_silent: bool = False
--- a/src/troutswitch/decisions/forwarding/engine.py
+++ b/src/troutswitch/decisions/forwarding/engine.py
@@ -17,8 +17,10 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from troutswitch.decisions.forwarding.engine_pace import EnginePace
+from troutswitch.decisions.forwarding.learned_factor import LearnedFactor
 from troutswitch.decisions.forwarding.types import EngineLoad, EngineRecord
 
 MAX_LOAD_AGE_SECONDS = 0.4
@@ -44,6 +46,18 @@
 NO_SIZE = RequestSize(0, 0)
 
 
+class FactorSource(StrEnum):
+    """Where an engine's time factor comes from."""
+
+    REPORTED = "reported"
+    """The newest pace that the engine reported."""
+    AVERAGE = "average"
+    """The average of the paces that it reported, as the newest is too old."""
+    LEARNED = "learned"
+    """Its run times, because it reports no pace or one that its run times contradict."""
+    UNKNOWN = "unknown"
+
+
 @dataclass(slots=True)
 class Engine:
     """One incarnation of an engine. Times are this process's clock, in seconds."""
@@ -72,6 +86,12 @@
     sent_since_load: int = 0
     """Requests that this daemon sent since the load was reported."""
     pace: EnginePace = field(default_factory=EnginePace)
+    learned: LearnedFactor = field(default_factory=LearnedFactor)
+    mean_factor: float | None = None
+    """Mean of the reported time factors of its service's engines, updated each `SAMPLE_SECONDS`;
+    None if its service has no pace."""
+    busy_at: float = float("-inf")
+    """When it was last seen with a request of any daemon; kept for services with a pace only."""
     last_seen_at: float = float("-inf")
     """When bytes of any of its answers were last received."""
 
@@ -124,9 +144,58 @@
             return max(counted, reported)
         return max(own, reported)
 
+    def factor_source(self, now: float) -> FactorSource:
+        """Returns where the time factor comes from."""
+        if self.pace.is_known(now) and not self.learned.contradicts_reports:
+            return FactorSource.REPORTED if self.pace.is_fresh(now) else FactorSource.AVERAGE
+        is_learned = self.mean_factor is not None and self.learned.is_known
+        return FactorSource.LEARNED if is_learned else FactorSource.UNKNOWN
+
     def time_factor(self, now: float) -> float:
-        """Returns how many times as long as usual work takes here; 1 if it is not known."""
-        return self.pace.time_factor(now)
+        """Returns how many times as long as usual work takes here; 1 if it is not known.
+
+        "Usual" is what engines report as 100 percent, for all engines of a service. The reported
+        percentage includes the engine's own speed, so the mean of a service's engines is not 100.
+        The mean run times of a service (`RunTimes`) are those of engines at that mean. A learned
+        ratio is relative to the mean run time, and is converted with the service's mean factor.
+        """
+        source = self.factor_source(now)
+        if source is FactorSource.LEARNED:
+            return self.learned.ratio * (self.mean_factor or 1.0)
+        return 1.0 if source is FactorSource.UNKNOWN else self.pace.time_factor(now)
+
+    def relative_factor(self, now: float) -> float:
+        """Returns how long work takes here, compared with the mean of its service's engines.
+
+        Multiplied with a mean run time of the service, it gives the run time here. It is 1 if the
+        factor is not known, and for services without a pace.
+        """
+        if self.mean_factor is None:
+            return 1.0
+        source = self.factor_source(now)
+        if source is FactorSource.LEARNED:
+            return self.learned.ratio
+        if source is FactorSource.UNKNOWN:
+            return 1.0
+        return self.pace.time_factor(now) / self.mean_factor
+
+    def factor_age(self, now: float) -> float:
+        """Returns the age of the newest value that the time factor is computed from, in seconds."""
+        match self.factor_source(now):
+            case FactorSource.LEARNED:
+                return now - self.learned.learned_at
+            case FactorSource.UNKNOWN:
+                return float("inf")
+            case _:
+                return now - self.pace.read_at
+
+    def on_run(self, now: float, slot_time: float, mean_slot_time: float) -> None:
+        """Records the slot time of a completed stream, in relation to the mean of its service."""
+        if self.mean_factor is None or mean_slot_time <= 0:
+            return
+        is_reported = self.pace.is_known(now)
+        predicted = self.pace.average_factor / self.mean_factor if is_reported else None
+        self.learned.on_run(now, slot_time / mean_slot_time, predicted)
 
     def online_load(self, now: float) -> int:
         """Returns the online requests on the engine: the larger of the counts and the load."""
--- a/src/troutswitch/decisions/forwarding/engine_pace.py
+++ b/src/troutswitch/decisions/forwarding/engine_pace.py
@@ -43,10 +43,21 @@
             self.average_percent += weight * (percent - self.average_percent)
         self.percent, self.read_at = percent, read_at
 
+    def is_known(self, now: float) -> bool:
+        """Returns whether there is a reading that is not too old."""
+        return self.percent is not None and now - self.read_at <= MAX_AGE_SECONDS
+
+    def is_fresh(self, now: float) -> bool:
+        """Returns whether the newest reading is used by itself."""
+        return now - self.read_at <= FRESH_SECONDS
+
+    @property
+    def average_factor(self) -> float:
+        """How many times as long as usual work took on average; meaningless without a reading."""
+        return self.average_percent / USUAL_PERCENT
+
     def time_factor(self, now: float) -> float:
         """Returns how many times as long as usual work takes; 1 if it is not known."""
-        age = now - self.read_at
-        if self.percent is None or age > MAX_AGE_SECONDS:
+        if self.percent is None or not self.is_known(now):
             return 1.0
-        percent = self.percent if age <= FRESH_SECONDS else self.average_percent
-        return percent / USUAL_PERCENT
+        return self.percent / USUAL_PERCENT if self.is_fresh(now) else self.average_factor
--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -18,6 +18,7 @@
 from troutswitch.decisions.forwarding.engine import (
     SAMPLE_SECONDS,
     Engine,
+    FactorSource,
     RequestSize,
 )
 from troutswitch.decisions.forwarding.expired_entries import ExpiredEntries
@@ -214,6 +215,26 @@
         self._sample_at = now + SAMPLE_SECONDS
         for engine in self.engines.values():
             engine.sample()
+        for service in self._paced_services:
+            self._sample_paces(now, self.all_of_service(service))
+
+    @staticmethod
+    def _sample_paces(now: float, engines: list[Engine]) -> None:
+        """Updates the mean factor of a service with a pace, and which of its engines are busy.
+
+        The mean is that of the averaged paces: run times of a service, which it is compared with,
+        are averages too. Paces that run times contradict are left out.
+        """
+        factors = [
+            engine.pace.average_factor
+            for engine in engines
+            if engine.pace.is_known(now) and not engine.learned.contradicts_reports
+        ]
+        mean = sum(factors) / len(factors) if factors else 1.0
+        for engine in engines:
+            engine.mean_factor = mean
+            if engine.online_count() or engine.batch_count():
+                engine.busy_at = now
 
     def on_activity(self, now: float, engine_id: str) -> None:
         """Records that bytes were received from the engine."""
@@ -237,6 +258,22 @@
         engine.pace.on_reading(percent, read_at)
         self._paced_services.add(engine.record.service)
 
+    def relative_factor(self, now: float, engine: Engine) -> float:
+        """Returns how long work takes at an engine, compared with the mean of its service.
+
+        See `Engine.relative_factor`; 1 for services without a pace. The mean that it is relative to
+        is up to `SAMPLE_SECONDS` old.
+        """
+        return engine.relative_factor(now)
+
+    def count_by_source(self, now: float, source: FactorSource) -> int:
+        """Returns the number of engines of paced services whose factor comes from a source."""
+        return sum(
+            engine.factor_source(now) is source
+            for engine in list(self.engines.values())
+            if engine.mean_factor is not None
+        )
+
     def is_paced(self, service: str) -> bool:
         """Returns whether an engine of a service has reported a pace to this daemon or a peer."""
         return service in self._paced_services
--- a/src/troutswitch/decisions/forwarding/run_times.py
+++ b/src/troutswitch/decisions/forwarding/run_times.py
@@ -51,8 +51,8 @@
 
     def on_completed(
         self, service: str, first_event: float, total: float, *, was_queued: bool
-    ) -> None:
-        """Updates the averages with a request that was answered completely.
+    ) -> float:
+        """Updates the averages with a completely answered request; returns its slot time.
 
         Args:
             service: the service that answered.
@@ -66,6 +66,7 @@
             times.first_event = moving_average(times.first_event, first_event, NEW_SAMPLE_WEIGHT)
         slot_time = total - max(0.0, first_event - times.first_event)
         times.slot_time = moving_average(times.slot_time, slot_time, NEW_SAMPLE_WEIGHT)
+        return slot_time
 
 
 def moving_average(average: float, value: float, weight: float) -> float:
