Reports and digests carry the paces of engines

Cause: what one daemon learned of an engine's pace never reached the coordinator that places requests for all, nor the other daemons. Change: a report is sent as PacedReport if it has readings that the coordinator was not sent, and a digest as PacedDigest if the coordinator knows paces of its group; a reading alone sends nothing. HoldingsReports.new_paces is the same for other messages. Receivers record a reading at its age, and ignore the paces of a report that a newer one has overtaken, and implausible ones. At most 64 readings are in a message, the newest first. Existing messages keep their bytes.

--- a/src/troutswitch/daemons/messages.py
+++ b/src/troutswitch/daemons/messages.py
@@ -24,6 +24,9 @@
 ENGINE_KEYS_REMEMBERED = 8192
 NO_ENGINE = 0
 """Engine key in a reply that grants no slot."""
+MAX_PACES = 64
+"""Maximum number of pace readings in a message. They take at most 14 bytes each, and a datagram
+with a report of some hundred engines must stay below 8,192 bytes, the longest that is received."""
 UNBOUNDED_WAIT_MS = -1
 """Maximum wait of a request that accepts any wait."""
 
@@ -383,7 +386,15 @@
     balances: tuple[QuotaBalance, ...] = ()
 
 
-SlotMessage = HoldingsReport | SlotRequest | SlotReply | BatchSlotGrant | GroupDigest
+SlotMessage = (
+    HoldingsReport
+    | SlotRequest
+    | SlotReply
+    | BatchSlotGrant
+    | GroupDigest
+    | PacedReport
+    | PacedDigest
+)
 """Messages about slots."""
 PeerMessage = (
     HoldingsReport
@@ -391,6 +402,8 @@
     | SlotReply
     | BatchSlotGrant
     | GroupDigest
+    | PacedReport
+    | PacedDigest
     | Heartbeat
     | CrashReport
     | EngineDrainNotice
--- a/src/troutswitch/decisions/forwarding/engine_pace.py
+++ b/src/troutswitch/decisions/forwarding/engine_pace.py
@@ -14,10 +14,20 @@
 """Age up to which the newest reading is used by itself. Slow episodes last some 0.2 to 1.5 s."""
 AVERAGE_SECONDS = 2.0
 """Time over which readings are averaged: longer than an episode."""
+MAX_PERCENT = 10_000
+"""Maximum plausible pace in peers' messages, the same as for engines' answers."""
 MAX_AGE_SECONDS = 30.0
 """Age of the newest reading after which the average is no longer used."""
 
 
+@dataclass(frozen=True, slots=True)
+class PaceObservation:
+    """A percentage that an engine reported to this daemon, and when."""
+
+    percent: int
+    read_at: float
+
+
 @dataclass(slots=True)
 class EnginePace:
     """Readings of one incarnation of an engine. Times are this process's clock, in seconds."""
--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from troutswitch.daemons.messages import EngineCounts, engine_key
+from troutswitch.daemons.messages import MAX_PACES, EngineCounts, PaceReading, engine_key
 from troutswitch.decisions.forwarding import engine_ejection
 from troutswitch.decisions.forwarding.engine import (
     SAMPLE_SECONDS,
@@ -21,6 +21,7 @@
     FactorSource,
     RequestSize,
 )
+from troutswitch.decisions.forwarding.engine_pace import MAX_PERCENT, PaceObservation
 from troutswitch.decisions.forwarding.expired_entries import ExpiredEntries
 from troutswitch.decisions.forwarding.types import EngineLoad, EngineRecord
 
@@ -48,6 +49,8 @@
     """Engines that the last list does not have and that stay in use."""
     unusable_entries: dict[str, str] = field(default_factory=dict)
     """Why entries of the last list could not be used, by entry."""
+    _own_paces: dict[str, PaceObservation] = field(default_factory=dict)
+    """The newest pace that each engine reported to this daemon, until it is taken; newest last."""
     _paced_services: set[str] = field(default_factory=set)
     _sample_at: float = float("-inf")
     _reported_gone_at: dict[str, float] = field(default_factory=dict)
@@ -121,6 +124,7 @@
             engine.is_listed = False
             if engine.online_in_flight + engine.batch_in_flight == 0:
                 del self.engines[engine_id]
+                self._own_paces.pop(engine_id, None)
 
     def _remember_draining(self, engine_id: str) -> None:
         self._draining[engine_id] = None
@@ -252,6 +256,35 @@
             engine.sent_since_load = 0
             if load.pace_percent is not None:
                 self.on_pace(engine, load.pace_percent, now)
+                self._own_paces.pop(engine_id, None)
+                self._own_paces[engine_id] = PaceObservation(load.pace_percent, now)
+
+    def take_own_paces(self) -> dict[str, PaceObservation]:
+        """Returns the paces that engines reported to this daemon since the last call, by id."""
+        taken, self._own_paces = self._own_paces, {}
+        return taken
+
+    def on_peer_paces(self, now: float, readings: Iterable[PaceReading]) -> None:
+        """Records the paces in a peer's message that was received now."""
+        for reading in readings:
+            engine = self.by_key(reading.engine_key)
+            if engine is not None and 0 < reading.percent <= MAX_PERCENT and reading.age_ms >= 0:
+                self.on_pace(engine, reading.percent, now - reading.age_ms / 1000)
+
+    @staticmethod
+    def paces_of(now: float, engines: Iterable[Engine]) -> tuple[PaceReading, ...]:
+        """Returns the newest readings of some engines, at most `MAX_PACES`, for messages."""
+        known = [engine for engine in engines if engine.pace.is_known(now)]
+        if len(known) > MAX_PACES:
+            known = sorted(known, key=lambda engine: -engine.pace.read_at)[:MAX_PACES]
+        return tuple(
+            PaceReading(
+                engine_key(engine.record.engine_id),
+                engine.pace.percent or 0,
+                round((now - engine.pace.read_at) * 1000),
+            )
+            for engine in known
+        )
 
     def on_pace(self, engine: Engine, percent: int, read_at: float) -> None:
         """Records a pace that an engine reported here or to a peer at `read_at`."""
--- a/src/troutswitch/decisions/peer_messages.py
+++ b/src/troutswitch/decisions/peer_messages.py
@@ -14,6 +14,8 @@
     GroupDigest,
     Heartbeat,
     HoldingsReport,
+    PacedDigest,
+    PacedReport,
     PeerMessage,
     QuotaDecision,
     QuotaHandover,
@@ -67,7 +69,14 @@
                 self.quota.on_handover(now, message)
             case SlotReply():
                 self._on_slot_reply(now, message)
-            case HoldingsReport() | SlotRequest() | BatchSlotGrant() | GroupDigest():
+            case (
+                HoldingsReport()
+                | SlotRequest()
+                | BatchSlotGrant()
+                | GroupDigest()
+                | PacedReport()
+                | PacedDigest()
+            ):
                 self.end_slot_searches(now, self.slots.on_message(now, message))
             case _:
                 assert_never(message)
--- a/src/troutswitch/decisions/slots/coordinator.py
+++ b/src/troutswitch/decisions/slots/coordinator.py
@@ -16,6 +16,7 @@
     NO_ENGINE,
     EngineShare,
     GroupDigest,
+    PacedDigest,
     SlotReply,
     SlotRequest,
     engine_key,
@@ -214,16 +215,19 @@
             return []
         return [SendToPeers(addresses, self._digest(now, group)) for group in self.coordinated]
 
-    def _digest(self, now: float, group: str) -> GroupDigest:
+    def _digest(self, now: float, group: str) -> GroupDigest | PacedDigest:
         free_slots = max(0.0, self.mean_free_slots(now, group))
-        return GroupDigest(
+        engines = self.engines_of(group)
+        digest = GroupDigest(
             self._identity.name,
             self._identity.incarnation,
             group,
-            self._engines.counts_of(self.engines_of(group)),
+            self._engines.counts_of(engines),
             round(free_slots * 100),
             self._own_items.open_items + self._ledger.open_items(),
         )
+        paces = self._engines.paces_of(now, engines)
+        return PacedDigest(digest, paces) if paces else digest
 
     def mean_free_slots(self, now: float, group: str) -> float:
         """Returns the mean number of slots that online requests leave free in a group."""
--- a/src/troutswitch/decisions/slots/fleet.py
+++ b/src/troutswitch/decisions/slots/fleet.py
@@ -17,6 +17,8 @@
     BatchSlotGrant,
     GroupDigest,
     HoldingsReport,
+    PacedDigest,
+    PacedReport,
     SlotMessage,
     SlotReply,
     SlotRequest,
@@ -119,6 +121,12 @@
                 self._on_batch_grant(now, message)
             case GroupDigest():
                 self._on_digest(now, message)
+            case PacedReport():
+                if self.ledger.on_report(now, message.report):
+                    self._engines.on_peer_paces(now, message.paces)
+            case PacedDigest():
+                if self._on_digest(now, message.digest):
+                    self._engines.on_peer_paces(now, message.paces)
             case _:
                 assert_never(message)
         return []
@@ -154,13 +162,15 @@
         self.claims.on_activity(grant.group, grant.sender)
         self._emit(StartItems(engine.record.engine_id, grant.count))
 
-    def _on_digest(self, now: float, digest: GroupDigest) -> None:
+    def _on_digest(self, now: float, digest: GroupDigest) -> bool:
+        """Applies a digest; returns False if it is not from the group's newest coordinator."""
         if self.claim_by(digest.group, digest.sender) is None:
-            return
+            return False
         self.batch.on_digest(now, digest)
         self.claims.on_activity(digest.group, digest.sender)
         if not self.coordinator.coordinates(digest.group):
             self._engines.update_peer_counts(now, digest.counts)
+        return True
 
     def claim_by(self, group: str, sender: str) -> Claim | None:
         """Returns the newest known claim of a group if `sender` made it, else None."""
--- a/src/troutswitch/decisions/slots/reports.py
+++ b/src/troutswitch/decisions/slots/reports.py
@@ -7,6 +7,9 @@
 `HoldingsReports` owns what was last sent to each coordinator, the number of the newest grant that
 each one sent, and the sequence number of this daemon's reports. It relies on the claims for which
 daemon coordinates a group.
+
+A report also has the paces that engines of the coordinator's groups have reported to this daemon,
+if it was not sent them before. A pace alone is no reason for a report.
 """
 
 from collections.abc import Iterator
@@ -15,12 +18,16 @@
 from troutswitch.common import Address
 from troutswitch.daemons.identity import DaemonIdentity
 from troutswitch.daemons.messages import (
+    MAX_PACES,
     EngineShare,
     HoldingsReport,
+    PacedReport,
+    PaceReading,
     engine_key,
     prefill_units,
 )
 from troutswitch.decisions.forwarding.engine import Engine
+from troutswitch.decisions.forwarding.engine_pace import MAX_AGE_SECONDS, PaceObservation
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.slots.coordinator_claims import Claim, CoordinatorClaims
 from troutswitch.decisions.slots.groups import EngineGroups
@@ -61,6 +68,8 @@
     has_unacknowledged: bool = False
     has_unused_grant: bool = False
     """Whether it granted a slot to a request that no longer needs it."""
+    paces: dict[str, PaceObservation] = field(default_factory=dict)
+    """Paces that it was not sent, by engine, the newest last."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,6 +216,35 @@
             self._unusable(now),
         )
 
+    def new_paces(self, now: float, claim: Claim) -> tuple[PaceReading, ...]:
+        """Returns the paces that a coordinator was not sent, and marks them as sent now.
+
+        There are at most `MAX_PACES`, the newest ones; the others remain for the next message.
+        """
+        return self._new_paces(now, self._coordinator(claim))
+
+    def _new_paces(self, now: float, coordinator: _Coordinator) -> tuple[PaceReading, ...]:
+        self._sort_own_paces()
+        readings: list[PaceReading] = []
+        while coordinator.paces and len(readings) < MAX_PACES:
+            engine_id, pace = coordinator.paces.popitem()
+            age = now - pace.read_at
+            if age > MAX_AGE_SECONDS:
+                coordinator.paces.clear()  # all others are older
+                break
+            readings.append(PaceReading(engine_key(engine_id), pace.percent, round(age * 1000)))
+        return tuple(readings)
+
+    def _sort_own_paces(self) -> None:
+        """Assigns the new paces to the coordinators that do not know them."""
+        for engine_id, pace in self._engines.take_own_paces().items():
+            group = self._groups.of_engine(engine_id)
+            claim = self._claims.claim_of(group.name) if group is not None else None
+            if claim is not None and claim.daemon != self._identity.name:
+                paces = self._coordinator(claim).paces
+                paces.pop(engine_id, None)
+                paces[engine_id] = pace
+
     def _unusable(self, now: float) -> tuple[int, ...]:
         return tuple(
             engine_key(name)
@@ -237,7 +275,9 @@
         for name in [name for name in self._holdings if now >= self._due(name)]:
             coordinator = self._coordinators[name]
             report = self._report(now, coordinator, self._holdings[name])
-            instructions.append(SendToPeers((coordinator.address,), report))
+            paces = self._new_paces(now, coordinator)
+            message = PacedReport(report, paces) if paces else report
+            instructions.append(SendToPeers((coordinator.address,), message))
         return instructions
 
 
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -158,6 +158,21 @@
             sender="d-2", incarnation=6, group="s|z|0", grant_number=61, engine_key=62, count=-3
         )
     ),
+    "report with paces": _peer_message_sample(
+        peer_messages.PacedReport(
+            report=_FULL_REPORT,
+            paces=(
+                peer_messages.PaceReading(engine_key=4294967295, percent=120, age_ms=30000),
+                peer_messages.PaceReading(11, 55, 0),
+            ),
+        )
+    ),
+    "digest with paces": _peer_message_sample(
+        peer_messages.PacedDigest(
+            digest=peer_messages.GroupDigest("d-2", 6, "s|z|0", (), 0, 0),
+            paces=(peer_messages.PaceReading(11, 300, 251),),
+        )
+    ),
     "digest of a group, empty": _peer_message_sample(
         peer_messages.GroupDigest("d-2", 6, "s|z|0", (), 0, 0)
     ),
