Coordinators ask idle engines for their pace at the health path

Cause: an engine that is avoided since it reported a slow episode gets no requests, so it reports no newer pace, and stays avoided until the reading is too old (30 s). Change: healthPath of a service is decoded. The coordinator of a group asks one engine that has had no requests and no readings for 10 s, while others of the group are in use; the next request of the group follows after 20 s, which bounds the cost. The call runs on the thread pool with a timeout of 0.5 s; a reply with another engine's id is not used.

--- a/src/troutswitch/decisions/forwarding/engine.py
+++ b/src/troutswitch/decisions/forwarding/engine.py
@@ -91,7 +91,10 @@
     """Mean of the reported time factors of its service's engines, updated each `SAMPLE_SECONDS`;
     None if its service has no pace."""
     busy_at: float = float("-inf")
-    """When it was last seen with a request of any daemon; kept for services with a pace only."""
+    """When it was last seen with a request of any daemon, or first seen; kept for services with a
+    pace only."""
+    health_asked_at: float = float("-inf")
+    """When this daemon last asked it at its health path."""
     last_seen_at: float = float("-inf")
     """When bytes of any of its answers were last received."""
 
--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -236,8 +236,9 @@
         ]
         mean = sum(factors) / len(factors) if factors else 1.0
         for engine in engines:
+            is_new = engine.mean_factor is None
             engine.mean_factor = mean
-            if engine.online_count() or engine.batch_count():
+            if is_new or engine.online_count() or engine.batch_count():
                 engine.busy_at = now
 
     def on_activity(self, now: float, engine_id: str) -> None:
--- a/src/troutswitch/decisions/forwarding/routes.py
+++ b/src/troutswitch/decisions/forwarding/routes.py
@@ -101,6 +101,13 @@
                 return route
         return None
 
+    def health_path(self, service: str) -> str:
+        """Returns the health path of a service's engines; an empty string if it is not known."""
+        if self.configuration is None:
+            return ""
+        known = self.configuration.services.get(service)
+        return known.health_path if known is not None else ""
+
     def named(self, name: str) -> Route | None:
         """Returns the route with a name; None if there is none."""
         return self._by_name.get(name)
--- a/src/troutswitch/decisions/forwarding/types.py
+++ b/src/troutswitch/decisions/forwarding/types.py
@@ -70,12 +70,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service's limits: connections of all callers; slots and cache tokens per engine."""
+    """A service's limits: connections of all callers; slots and cache tokens per engine.
+
+    `health_path` is where its engines reply with their load, empty if it is not known.
+    """
 
     name: str
     max_connections: int
     slots: int
     cache_tokens: int
+    health_path: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -47,7 +47,7 @@
 from troutswitch.decisions.peers.catch_up import PeerStateReceived
 from troutswitch.decisions.policies import Policies
 from troutswitch.decisions.slot_instructions import resolve_instructions
-from troutswitch.decisions.slots.messages import PeerMessageReceived
+from troutswitch.decisions.slots.messages import HealthAnswered, PeerMessageReceived
 from troutswitch.decisions.storage.messages import StoreAnswered, StoreOutcome
 
 
@@ -117,6 +117,8 @@
                 self.suspects.on_checked(now, event)
             case EngineActivity():
                 self.engines.on_activity(now, event.engine_id)
+            case HealthAnswered():
+                self._emit(self.slots.health.on_answered(now, event))
             case PeerMessageReceived():
                 self._peer_messages.on_message(now, event.message)
             case PeerStateReceived():
--- a/src/troutswitch/decisions/gateway_interface.py
+++ b/src/troutswitch/decisions/gateway_interface.py
@@ -30,7 +30,13 @@
 from troutswitch.decisions.jobs.coordinator import JobEvent
 from troutswitch.decisions.jobs.messages import AnswerJobCall, RunItem, StopItem
 from troutswitch.decisions.peers.catch_up import PeerStateReceived, RequestPeerState
-from troutswitch.decisions.slots.messages import PeerMessageReceived, SendToPeers, StartItems
+from troutswitch.decisions.slots.messages import (
+    HealthAnswered,
+    PeerMessageReceived,
+    RequestHealth,
+    SendToPeers,
+    StartItems,
+)
 from troutswitch.decisions.storage.messages import StoreAnswered, StoreCall
 
 RequestEvent = (
@@ -46,6 +52,7 @@
     | JobEvent
     | EngineChecked
     | EngineActivity
+    | HealthAnswered
     | PeerMessageReceived
     | PeerStateReceived
     | StoreAnswered
@@ -62,6 +69,7 @@
     | SendToPeers
     | RequestPeerState
     | CheckEngine
+    | RequestHealth
     | AnswerJobCall
     | LimitsChanged
     | EnginesRemoved
--- a/src/troutswitch/decisions/gateway_parts.py
+++ b/src/troutswitch/decisions/gateway_parts.py
@@ -142,6 +142,7 @@
             self._emit,
             rng,
             QUOTA_GROUPS,
+            self.routes.health_path,
         )
 
     def _daemon_identity(self, incarnation: int) -> DaemonIdentity:
--- a/src/troutswitch/decisions/slots/fleet.py
+++ b/src/troutswitch/decisions/slots/fleet.py
@@ -32,6 +32,7 @@
 from troutswitch.decisions.slots.coordinator import SlotCoordinator
 from troutswitch.decisions.slots.coordinator_claims import Claim, CoordinatorClaims
 from troutswitch.decisions.slots.groups import EngineGroups, Group
+from troutswitch.decisions.slots.health_requests import HealthRequests
 from troutswitch.decisions.slots.ledger import SlotLedger
 from troutswitch.decisions.slots.local_placement import LocalPlacement, RequestCandidates
 from troutswitch.decisions.slots.messages import (
@@ -73,6 +74,7 @@
         emit: Callable[[SlotInstruction], None],
         rng: random.Random,
         exclusive_groups: tuple[Group, ...] = (),
+        health_path: Callable[[str], str] = lambda service: "",
     ) -> None:
         self._engines = engines
         self._emit = emit
@@ -92,6 +94,9 @@
             policies.batch_capacity,
             rng,
         )
+        self.health = HealthRequests(
+            engines, self.groups, self.coordinator.coordinated, health_path
+        )
         self.batch = BatchCoordination(self.groups, self.coordinator, self.ledger, own_items)
         self.reports = HoldingsReports(identity, engines, self.groups, self.claims, own_items)
         self.requests = SlotRequests(
@@ -207,6 +212,7 @@
             self.coordinator.next_due(),
             self.reports.next_due(),
             self.requests.next_due(),
+            self.health.next_due(),
         )
 
     def on_timer(self, now: float) -> tuple[list[PlacementResult], list[StoreCall]]:
@@ -218,6 +224,7 @@
         self._emit_all(self.coordinator.on_timer(now))
         results = self.requests.on_timer(now)
         self._emit_all(self.reports.on_timer(now))
+        self._emit_all(self.health.on_timer(now))
         self.ledger.validate()
         return results, calls
 
--- a/src/troutswitch/decisions/slots/messages.py
+++ b/src/troutswitch/decisions/slots/messages.py
@@ -1,6 +1,7 @@
 """Events, instructions and interfaces between the decisions on slots and the rest of a daemon."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Protocol
 
 from troutswitch.common import Address
@@ -46,7 +47,37 @@
     count: int
 
 
-SlotInstruction = SendToPeers | StartItems | LogLine
+class HealthResult(StrEnum):
+    """Result of a health request."""
+
+    PACE = "pace"
+    NO_PACE = "no pace"
+    """The engine replied without a readable pace."""
+    OTHER_ENGINE = "other engine"
+    """The reply has no engine's id, or that of another engine, and is not used."""
+    FAILED = "failed"
+    """No reply."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHealth:
+    """Instruction: ask an engine for its pace, at its health path."""
+
+    engine_id: str
+    address: Address
+    path: str
+
+
+@dataclass(frozen=True, slots=True)
+class HealthAnswered:
+    """Event: a health request ended. `percent` is the pace, None without one."""
+
+    engine_id: str
+    result: HealthResult
+    percent: int | None = None
+
+
+SlotInstruction = SendToPeers | StartItems | RequestHealth | LogLine
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/gateway/instruction_executor.py
+++ b/src/troutswitch/gateway/instruction_executor.py
@@ -27,7 +27,7 @@
 from troutswitch.decisions.gateway_messages import EnginesRemoved, LimitsChanged
 from troutswitch.decisions.jobs.messages import AnswerJobCall, RunItem, StopItem
 from troutswitch.decisions.peers.catch_up import PeerStateReceived, RequestPeerState
-from troutswitch.decisions.slots.messages import SendToPeers
+from troutswitch.decisions.slots.messages import RequestHealth, SendToPeers
 from troutswitch.decisions.storage.messages import (
     AppendRecords,
     CallFailed,
@@ -43,6 +43,7 @@
 from troutswitch.gateway.callers.relay_registry import RelayRegistry
 from troutswitch.gateway.engines.connection_pool import EngineConnections
 from troutswitch.gateway.engines.engine_check import check_engine
+from troutswitch.gateway.engines.health_request import request_health
 from troutswitch.gateway.engines.item_runs import ItemRuns
 
 STORE_THREADS = 48
@@ -114,6 +115,8 @@
                 self._submit(self._fleet_threads, lambda: executors.request_peer_state(instruction))
             case CheckEngine():
                 self._submit(self._threads, lambda: check_engine(instruction))
+            case RequestHealth():
+                self._submit(self._threads, lambda: request_health(instruction))
             case AnswerJobCall():
                 executors.answer_job(instruction)
             case LimitsChanged():
--- a/src/troutswitch/platform/configuration.py
+++ b/src/troutswitch/platform/configuration.py
@@ -76,6 +76,7 @@
 class _Service(msgspec.Struct):
     name: str
     maxConnections: int = 0
+    healthPath: str | None = None
     engine: _Engine | None = None
 
 
@@ -183,7 +184,14 @@
 
 def _service(service: _Service) -> Service:
     engine = service.engine or _Engine()
-    return Service(service.name, service.maxConnections, engine.slots, engine.kvCacheTokens)
+    path = service.healthPath or ""
+    return Service(
+        service.name,
+        service.maxConnections,
+        engine.slots,
+        engine.kvCacheTokens,
+        path if path.startswith("/") else "",
+    )
 
 
 def decode_engine(instance: str, data: bytes) -> EngineRecord:
--- a/src/troutswitch/platform/requests.py
+++ b/src/troutswitch/platform/requests.py
@@ -170,6 +170,20 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class EngineHealth:
+    """What an engine replies at its health path; the id is empty and the load None if missing."""
+
+    instance_id: str
+    load: EngineLoad | None
+
+
+def read_health(response: http.client.HTTPResponse) -> EngineHealth:
+    """Decodes the head of a response at an engine's health path."""
+    load = _load(response.getheader(names.SERVER_LOAD))
+    return EngineHealth(response.getheader(names.INSTANCE_ID, "").strip(), load)
+
+
 def _load(header: str | None) -> EngineLoad | None:
     """Decodes running, waiting, slots and, on some services, the pace in percent."""
     try:
--- a/tests/decisions/slots/harness.py
+++ b/tests/decisions/slots/harness.py
@@ -24,6 +24,7 @@
 from troutswitch.decisions.jobs.batch_capacity import SlotCapacity
 from troutswitch.decisions.slots.fleet import FleetSlots, SlotPolicies
 from troutswitch.decisions.slots.messages import (
+    RequestHealth,
     SendToPeers,
     SlotInstruction,
     StartItems,
@@ -77,7 +78,12 @@
     """One daemon's decisions on slots, which also runs the requests and items that they start."""
 
     def __init__(
-        self, name: str, records: list[EngineRecord], zone: str = ZONE, incarnation: int = 0
+        self,
+        name: str,
+        records: list[EngineRecord],
+        zone: str = ZONE,
+        incarnation: int = 0,
+        health_path: str = "",
     ) -> None:
         self.name = name
         self.address = address_of(name)
@@ -90,6 +96,7 @@
         self.items: list[str] = []
         self.placements: list[tuple[int, Placement]] = []
         self.log_events: list[str] = []
+        self.health_requests: list[RequestHealth] = []
         self.times = RunTimes()
         self.fleet = FleetSlots(
             DaemonIdentity(name, zone, self.address, incarnation or incarnation_of(name)),
@@ -101,6 +108,7 @@
             CallNumbers(),
             self._emit,
             random.Random(name),
+            health_path=lambda service: health_path,
         )
 
     def candidates(self, now: float, token: int) -> list[Engine]:
@@ -112,6 +120,8 @@
                 self.outbox.append(instruction)
             case StartItems():
                 self._start_items(instruction)
+            case RequestHealth():
+                self.health_requests.append(instruction)
             case LogLine():
                 self.log_events.append(instruction.event)
             case _:
--- /dev/null
+++ b/tests/gateway/engines/test_health_request.py
@@ -0,0 +1,72 @@
+"""Health requests to engines, with real sockets."""
+
+import socket
+
+import pytest
+
+from tests.gateway.raw_server import RawServer
+from troutswitch.common import Address
+from troutswitch.decisions.slots.messages import HealthAnswered, HealthResult, RequestHealth
+from troutswitch.gateway.engines import health_request
+from troutswitch.gateway.engines.health_request import request_health
+from troutswitch.platform import names
+
+ENGINE = "engine-7@1700"
+
+
+def ask(address: Address, path: str = "/health") -> HealthAnswered:
+    return request_health(RequestHealth(ENGINE, address, path))
+
+
+def ask_server(headers: dict[str, str], status: str = "200 OK") -> HealthAnswered:
+    """Returns the answer of a server that replies with some headers."""
+    rows = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    head = f"HTTP/1.1 {status}\r\n{rows}Content-Length: 0\r\n\r\n".encode()
+
+    def reply(server: RawServer, connection: socket.socket) -> None:
+        connection.recv(4096)
+        connection.sendall(head)
+        connection.close()
+
+    return ask(RawServer(reply).address)
+
+
+@pytest.mark.parametrize(
+    "instance, load, result, percent",
+    [
+        ("engine-7", "1, 2, 8, 137", HealthResult.PACE, 137),
+        ("engine-7", "1,2,8", HealthResult.NO_PACE, None),
+        ("engine-7", "1,2,8,0", HealthResult.NO_PACE, None),
+        ("engine-7", "fast", HealthResult.NO_PACE, None),
+        ("engine-8", "1,2,8,137", HealthResult.OTHER_ENGINE, None),
+        ("", "1,2,8,137", HealthResult.OTHER_ENGINE, None),
+    ],
+)
+def test_pace_of_the_expected_engine_alone_is_used(
+    instance: str, load: str, result: HealthResult, percent: int | None
+) -> None:
+    headers = {names.INSTANCE_ID: instance, names.SERVER_LOAD: load}
+    assert ask_server(headers) == HealthAnswered(ENGINE, result, percent)
+
+
+def test_answer_without_headers_is_of_no_known_engine() -> None:
+    assert ask_server({}).result is HealthResult.OTHER_ENGINE
+
+
+def test_closed_port_fails() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = Address("127.0.0.1", listener.getsockname()[1])
+    assert ask(address).result is HealthResult.FAILED
+
+
+def test_silent_engine_ends_the_call_by_its_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(health_request, "HEALTH_TIMEOUT_SECONDS", 0.05)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = Address("127.0.0.1", listener.getsockname()[1])
+        assert ask(address).result is HealthResult.FAILED
+
+
+def test_malformed_path_fails() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = Address("127.0.0.1", listener.getsockname()[1])
+        assert ask(address, "/he alth\r\nX: y").result is HealthResult.FAILED
