Metrics and log fields about paces

Cause: a load header with a fourth figure was unreadable for whole deployments, and neither a metric nor a log line told it; nor could an operator see which factor a choice of engine used.

--- a/src/troutswitch/decisions/forwarding/log_events.py
+++ b/src/troutswitch/decisions/forwarding/log_events.py
@@ -9,12 +9,16 @@
 version. `admitted_version` is the version whose route the request was admitted by.
 `decided_by` names the count that decided on the
 quota, `quota_way` is its `QuotaWay`, `quota_ms` the time that the decision took.
+`time_factor` is how many times as long as usual work takes at the engine, `relative_factor` the
+same compared with the mean of its service, `factor_source` is its `FactorSource` and
+`factor_age_ms` its age; they are present for services with a pace.
 `engines_left_out` has the engines of the service that the request can't be sent to, with the
 reasons, if a search for an engine found none.
 """
 
 from troutswitch.decisions.forwarding.admission import Deferral
 from troutswitch.decisions.forwarding.arrivals import Refused
+from troutswitch.decisions.forwarding.engine import Engine
 from troutswitch.decisions.forwarding.messages import (
     CallerGone,
     CallerGoneBeforeHandling,
@@ -55,6 +59,18 @@
     }
 
 
+def factor_fields(now: float, engine: Engine) -> dict[str, object]:
+    """Returns the log fields about an engine's time factor; none if its service has no pace."""
+    if engine.mean_factor is None:
+        return {}
+    return {
+        "time_factor": round(engine.time_factor(now), 2),
+        "relative_factor": round(engine.relative_factor(now), 2),
+        "factor_source": engine.factor_source(now).value,
+        "factor_age_ms": milliseconds(engine.factor_age(now)),
+    }
+
+
 def refusal_line(refused: Refused, known: KnownConfiguration) -> LogLine:
     """Returns the line for a request that is refused on its arrival."""
     refusal = refused.refusal
@@ -96,6 +112,7 @@
             "load": engine.in_flight(now),
             "assigned_by": assignment.assigned_by.value,
             "load_age_ms": milliseconds(now - engine.load_at),
+            **factor_fields(now, engine),
             "objective_ms": milliseconds(request.route.objective),
             "time_left_ms": milliseconds(request.ends_at - now),
             **configuration_fields(known),
--- a/src/troutswitch/decisions/jobs/runs.py
+++ b/src/troutswitch/decisions/jobs/runs.py
@@ -10,7 +10,7 @@
 
 from troutswitch.decisions.forwarding.engine import Engine, RequestSize
 from troutswitch.decisions.forwarding.engines import EngineRegistry
-from troutswitch.decisions.forwarding.log_events import configuration_fields
+from troutswitch.decisions.forwarding.log_events import configuration_fields, factor_fields
 from troutswitch.decisions.forwarding.routes import RouteTable
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.jobs.items import ItemProgress
@@ -99,6 +99,7 @@
             engine=engine.record.engine_id,
             load=engine.in_flight(now),
             resume_after=progress.position,
+            **factor_fields(now, engine),
             **configuration_fields(self._routes.known(now)),
         )
 
--- a/src/troutswitch/gateway/callers/relay.py
+++ b/src/troutswitch/gateway/callers/relay.py
@@ -167,6 +167,7 @@
             return self._end(directive, AttemptOutcome.UNREACHABLE, str(error))
         except AnswerLost as error:
             return self._end(directive, AttemptOutcome.CUT, str(error))
+        self.engine_activity.record_head(head)
         self.post(AnswerBegun(self.token, directive.attempt, head.load, head.not_run))
         exchange.set_wait(min(directive.first_event_wait, directive.time_left))
         try:
--- a/src/troutswitch/gateway/engines/item_runs.py
+++ b/src/troutswitch/gateway/engines/item_runs.py
@@ -138,6 +138,7 @@
             return self.end_event(AttemptOutcome.UNREACHABLE, str(error))
         except AnswerLost as error:
             return self.end_event(AttemptOutcome.CUT, str(error))
+        self.engine_activity.record_head(head)
         try:
             if head.status != 200 or not head.is_event_stream:
                 return self._refusal(exchange, head)
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -11,6 +11,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from troutswitch.clock import steady_seconds
+from troutswitch.decisions.forwarding.engine import FactorSource
 from troutswitch.decisions.forwarding.messages import LogLine
 from troutswitch.decisions.forwarding.routes import ConfigurationSource
 from troutswitch.decisions.gateway import GatewayCore
@@ -59,6 +60,12 @@
         self._further_attempts = self._counter(
             "further_attempts", "Attempts after the first of a request", "quota_way"
         )
+        self._unreadable_loads = self._counter(
+            "load_headers_unreadable", "Load headers of engines that are not three or four numbers"
+        )
+        self._health_requests = self._counter(
+            "health_requests", "Requests to engines' health paths, by result", "result"
+        )
         self._events = self._counter("decisions", "Log lines of decisions, by event", "event")
         self._add_workload_gauges(core)
         self._add_fleet_gauges(core)
@@ -104,6 +111,7 @@
             lambda: len(core.slots.coordinator.coordinated),
         )
         self._add_quota_gauge(core)
+        self._add_factor_gauge(core)
         self._gauge(
             "crash_suspects",
             "Requests under which engines crashed, refused or not",
@@ -125,6 +133,16 @@
         for authority in Authority:
             groups.labels(authority.value).set_function(partial(_quota_groups, core, authority))
 
+    def _add_factor_gauge(self, core: GatewayCore) -> None:
+        engines = Gauge(
+            "troutswitch_engines_by_factor_source",
+            "Engines of services with a pace, by the source of their time factor",
+            ("source",),
+            registry=self.registry,
+        )
+        for source in FactorSource:
+            engines.labels(source.value).set_function(partial(_engines_by_source, core, source))
+
     def _add_configuration_gauges(self, core: GatewayCore) -> None:
         configuration = core.configuration
         self._gauge(
@@ -173,6 +191,10 @@
         gauge = Gauge(f"troutswitch_{name}", text, registry=self.registry)
         gauge.set_function(read)
 
+    def count_unreadable_load(self) -> None:
+        """Counts a load header that could not be read; called on the threads that read answers."""
+        self._unreadable_loads.inc()
+
     def on_log_line(self, line: LogLine) -> None:
         """Updates the metrics from a log line of the core; called on the loop's thread."""
         self._events.labels(line.event).inc()
@@ -185,6 +207,8 @@
                 aborted = line.fields.get("close_to_abort_ms")
                 if isinstance(aborted, int):
                     self._close_to_abort.observe(aborted / 1000)
+            case "engine health answered":
+                self._health_requests.labels(_label(line, "result")).inc()
             case "request sent":
                 self._on_sent(line)
             case "request refused":
@@ -228,5 +252,9 @@
     return float(core.quota.authorities(steady_seconds()).count(authority))
 
 
+def _engines_by_source(core: GatewayCore, source: FactorSource) -> float:
+    return float(core.engines.count_by_source(steady_seconds(), source))
+
+
 def _label(line: LogLine, field: str) -> str:
     return str(line.fields.get(field, MISSING_LABEL))
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -83,7 +83,9 @@
         self._relays = RelayRegistry(self._post)
         self._connections = EngineConnections(self._on_suspect_connections)
         self._peers = PeerSocket(Address(settings.peer_host, settings.peer_ports[0]), self._post)
-        self._engine_activity = EngineActivityReporter(self._post)
+        self._engine_activity = EngineActivityReporter(
+            self._post, lambda: self._metrics.count_unreadable_load()
+        )
         identity = _identity(settings, self._peers.address)
         rng = random.Random(os.urandom(8))
         self.core = GatewayCore(identity, PlatformFormats(), rng, policies)
--- a/src/troutswitch/platform/requests.py
+++ b/src/troutswitch/platform/requests.py
@@ -53,7 +53,8 @@
     """The head of an engine's response.
 
     `not_run` is whether the engine states that it did not run the request. `load` is the engine's
-    load at the time of the response, None if not reported. `retry_after` is in seconds.
+    load at the time of the response, None if not reported. `has_unreadable_load` is set if it was
+    reported in an unknown form. `retry_after` is in seconds.
     """
 
     status: int
@@ -62,6 +63,7 @@
     retry_after: float | None
     is_event_stream: bool
     headers: Headers
+    has_unreadable_load: bool = False
 
     @property
     def is_wrong_instance(self) -> bool:
@@ -155,11 +157,13 @@
 def read_head(response: http.client.HTTPResponse) -> AnswerHead:
     """Decodes the head of an engine's response."""
     content_type = response.getheader("Content-Type", "")
+    load_header = response.getheader(names.SERVER_LOAD)
+    load = _load(load_header)
     return AnswerHead(
         status=response.status,
         not_run=response.getheader(names.NOT_EXECUTED) is not None
         or response.status == MISDIRECTED,
-        load=_load(response.getheader(names.SERVER_LOAD)),
+        load=load,
         retry_after=_retry_after(response.getheader(names.RETRY_AFTER)),
         is_event_stream=content_type.partition(";")[0].strip() == "text/event-stream",
         headers=[
@@ -167,6 +171,7 @@
             for name, value in response.getheaders()
             if name.lower() not in names.CONNECTION_HEADERS
         ],
+        has_unreadable_load=load is None and load_header is not None,
     )
 
 
--- a/tests/decisions/forwarding/test_learned_factor.py
+++ b/tests/decisions/forwarding/test_learned_factor.py
@@ -7,12 +7,14 @@
 
 import pytest
 
-from tests.decisions.forwarding.harness import engine
+from tests.decisions.forwarding.harness import ForwardingHarness, arrival, engine
 from troutswitch.decisions.forwarding.engine import Engine, FactorSource
 from troutswitch.decisions.forwarding.engine_pace import MAX_AGE_SECONDS
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.learned_factor import CONTRADICTION, MIN_RUNS, LearnedFactor
+from troutswitch.decisions.forwarding.messages import AnswerBegun, LogLine, SendRequest
 from troutswitch.decisions.forwarding.types import EngineLoad
+from troutswitch.outcomes import AttemptOutcome
 
 MEAN_SLOT_TIME = 0.45
 
@@ -119,3 +121,52 @@
     assert not learned.contradicts_reports
     learned.on_run(0.0, 2 * CONTRADICTION, 1.0)
     assert learned.contradicts_reports
+
+
+def complete_streams(harness: ForwardingHarness, paced: bool, count: int = 30) -> list[LogLine]:
+    """Completes streams, which take 0.2 s at `s0` and 0.4 s elsewhere; returns the log lines."""
+    lines: list[LogLine] = []
+    load = EngineLoad(0, 0, 8, 120 if paced else None)
+    for token in range(count):
+        now = 10.0 + token
+        harness.engines.on_timer(now)
+        instructions = harness.requests.on_arrived(now, arrival(token))
+        lines += [i for i in instructions if isinstance(i, LogLine)]
+        sent = harness.only_instruction(instructions)
+        assert isinstance(sent, SendRequest)
+        harness.requests.on_answer_begun(now + 0.05, AnswerBegun(token, 1, load))
+        end = now + (0.2 if sent.engine_id == "s0" else 0.4)
+        harness.end(end, sent, AttemptOutcome.COMPLETED, delivered=18, status=200)
+    return lines
+
+
+def test_completed_streams_are_learned_from_and_the_factor_is_logged() -> None:
+    harness = ForwardingHarness()
+    lines = complete_streams(harness, paced=True)
+    engines = harness.engines.engines
+    assert engines["s0"].learned.ratio < 0.8
+    assert engines["s1"].learned.ratio > 1.0
+    fields = lines[-1].fields
+    assert lines[-1].event == "request sent"
+    assert fields["factor_source"] == "average"
+    assert fields["time_factor"] == 1.2
+    assert isinstance(fields["factor_age_ms"], int)
+    assert "factor_source" not in lines[0].fields, "before the first pace"
+
+
+def test_streams_of_services_without_a_pace_are_logged_as_before() -> None:
+    harness = ForwardingHarness()
+    lines = complete_streams(harness, paced=False)
+    assert not [line for line in lines if "factor_source" in line.fields]
+    assert {engine.learned.runs for engine in harness.engines.engines.values()} == {0}
+
+
+def test_engines_are_counted_by_the_source_of_their_factor() -> None:
+    registry = paced_registry(fast=60, slow=120)
+    counts = {source: registry.count_by_source(1.0, source) for source in FactorSource}
+    assert counts == {
+        FactorSource.REPORTED: 2,
+        FactorSource.AVERAGE: 0,
+        FactorSource.LEARNED: 0,
+        FactorSource.UNKNOWN: 1,
+    }
--- a/tests/decisions/test_gateway.py
+++ b/tests/decisions/test_gateway.py
@@ -8,10 +8,13 @@
 from troutswitch.common import Address
 from troutswitch.decisions.active_configuration import CONFIGURATION_WAIT_SHARE
 from troutswitch.decisions.engine_membership import ENGINE_LIST_SHARE
+from troutswitch.decisions.forwarding.messages import LogLine
+from troutswitch.decisions.gateway_interface import GatewayEvent, GatewayInstruction
 from troutswitch.decisions.gateway_messages import BoundsChanged, TimerFired
 from troutswitch.decisions.jobs.messages import ItemBegun
 from troutswitch.decisions.peers.heartbeats import Peer
 from troutswitch.decisions.read_intervals import READS_SHARE
+from troutswitch.decisions.slots.messages import HealthAnswered, HealthResult
 
 START_SECONDS = 3.0
 AFTER_START_SECONDS = 0.3
@@ -74,3 +77,48 @@
         assert read_every < core.identity.drain_bound / 2
     assert core.membership.reader.min_interval > core.membership.reader.interval
     assert core.jobs.replicas.index_follower.min_interval == core.membership.reader.min_interval
+
+
+def test_health_answer_updates_the_engine_and_is_logged() -> None:
+    fleet = SimulatedFleet(1)
+    fleet.run(START_SECONDS)
+    core = next(iter(fleet.daemons.values())).core
+    name = min(core.engines.engines)
+    instructions = core.step(START_SECONDS, HealthAnswered(name, HealthResult.PACE, 120))
+    assert core.engines.engines[name].pace.percent == 120
+    (line,) = [i for i in instructions if isinstance(i, LogLine)]
+    assert (line.event, line.fields["result"]) == ("engine health answered", "pace")
+
+
+def record_sent_items(daemon: Daemon, sent: list[LogLine]) -> None:
+    """Adds the lines about items that a daemon sends from now on to `sent`."""
+    step = daemon.core.step
+
+    def recording_step(now: float, event: GatewayEvent) -> list[GatewayInstruction]:
+        instructions = step(now, event)
+        sent.extend(i for i in instructions if isinstance(i, LogLine) and i.event == "item sent")
+        return instructions
+
+    daemon.core.step = recording_step  # type: ignore[method-assign]
+
+
+def test_items_of_paced_services_are_logged_with_the_factor_and_its_source() -> None:
+    fleet = SimulatedFleet(1)
+    fleet.run(START_SECONDS)
+    sent: list[LogLine] = []
+    for daemon in fleet.daemons.values():
+        record_sent_items(daemon, sent)
+    fleet.submit_job("unpaced", 1, tokens=100)
+    fleet.run(3.0)
+    assert sent
+    assert "factor_source" not in sent[0].fields
+    sent.clear()
+    for daemon in fleet.daemons.values():
+        for name in sorted(daemon.core.engines.engines):
+            fleet.step(daemon, HealthAnswered(name, HealthResult.PACE, 120))
+    fleet.run(1.0)
+    fleet.submit_job("paced", 1, tokens=100)
+    fleet.run(3.0)
+    assert sent[0].fields["factor_source"] == "average"
+    assert sent[0].fields["time_factor"] == 1.2
+    assert sent[0].fields["relative_factor"] == 1.0
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -943,6 +943,8 @@
     ("request refused", {}),
     ("request given up", {"outcome": "NotRun", "step": Step.ADMIT, "route": "r"}),
     ("request given up", {}),
+    ("engine health answered", {"engine": "e", "result": "pace", "percent": 120}),
+    ("engine health answered", {"engine": "e", "result": "failed", "percent": None}),
 ]
 
 # Settings, configuration and engine records: text that operators and the platform write.
--- a/tests/gateway/test_instruction_executor.py
+++ b/tests/gateway/test_instruction_executor.py
@@ -1,16 +1,19 @@
 """Blocking calls run on threads, and calls of one kind do not delay those of another."""
 
 import queue
+import socket
 import threading
 from collections.abc import Iterator
 from unittest.mock import MagicMock
 
 import pytest
 
+from troutswitch.common import Address
 from troutswitch.decisions.active_configuration import CONFIGURATION_TOPIC
 from troutswitch.decisions.forwarding.engine_list import ENGINES_TOPIC
 from troutswitch.decisions.gateway_interface import GatewayEvent
 from troutswitch.decisions.peers.catch_up import PeerStateReceived, RequestPeerState
+from troutswitch.decisions.slots.messages import HealthAnswered, HealthResult, RequestHealth
 from troutswitch.decisions.storage.messages import (
     AppendRecords,
     KeyedRecord,
@@ -77,3 +80,13 @@
     assert executor.blocking_calls >= 2 * STORE_THREADS - 1
     store.released.set()
     executor.stop()
+
+
+def test_health_request_runs_on_a_thread_and_posts_its_result() -> None:
+    events: queue.SimpleQueue[GatewayEvent] = queue.SimpleQueue()
+    executor = InstructionExecutor(MagicMock(spec=Executors), events.put, MagicMock())
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = Address("127.0.0.1", listener.getsockname()[1])
+    executor.execute(RequestHealth("e", address, "/health"))
+    assert events.get(timeout=WAIT_SECONDS) == HealthAnswered("e", HealthResult.FAILED)
+    executor.stop()
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -32,6 +32,7 @@
     encode_answer,
 )
 from troutswitch.platform.requests import (
+    AnswerHead,
     IncomingRequest,
     engine_headers,
     item_headers,
@@ -246,12 +247,15 @@
     assert dict(refused.headers)["Retry-After"] == "0.500"
 
 
-def reported_load(header: str) -> EngineLoad | None:
+def answer_head(headers: dict[str, str]) -> AnswerHead:
     response = Mock(status=200)
-    headers = {"X-Troutswitch-Server-Load": header}
     response.getheader = lambda name, default=None: headers.get(name, default)
     response.getheaders = lambda: list(headers.items())
-    return read_head(response).load
+    return read_head(response)
+
+
+def reported_load(header: str) -> EngineLoad | None:
+    return answer_head({"X-Troutswitch-Server-Load": header}).load
 
 
 def test_load_with_a_pace_is_read() -> None:
@@ -268,3 +272,15 @@
 @pytest.mark.parametrize("header", ["", "3", "3,1", "3,1,8,100,1", "3,x,8", "3,1,8,", "-1,0,8"])
 def test_malformed_load_is_no_load(header: str) -> None:
     assert reported_load(header) is None
+    assert answer_head({"X-Troutswitch-Server-Load": header}).has_unreadable_load
+
+
+@pytest.mark.parametrize("header", ["3,1,8", "3,1,8,137", "3,1,8,0"])
+def test_readable_load_does_not_count_as_unreadable(header: str) -> None:
+    assert not answer_head({"X-Troutswitch-Server-Load": header}).has_unreadable_load
+
+
+def test_missing_load_is_not_unreadable() -> None:
+    """Answers of other servers than engines have no load."""
+    head = answer_head({})
+    assert (head.load, head.has_unreadable_load) == (None, False)
