Outlying paces are left out of the mean of a service

Cause: one engine of four that reported 10,000 percent made the mean so large that the true paces of the others were contradicted by their run times, and were no longer used. It gets no streams itself, so its own pace is never contradicted. Change: paces of more than 5 times the median, or less than a fifth, are left out of the mean.

--- a/src/troutswitch/decisions/forwarding/engine_pace.py
+++ b/src/troutswitch/decisions/forwarding/engine_pace.py
@@ -18,6 +18,22 @@
 """Maximum plausible pace in peers' messages, the same as for engines' answers."""
 MAX_AGE_SECONDS = 30.0
 """Age of the newest reading after which the average is no longer used."""
+OUTLIER = 5.0
+"""Ratio to the median from which a pace is left out of the mean of a service. Observed paces are
+from 0.46 to 2.5 times the median."""
+
+
+def mean_factor(factors: list[float]) -> float:
+    """Returns the mean of the factors of a service's engines without outliers; 1 without factors.
+
+    An engine that claims to be slow gets no streams, so no run times contradict it. In the mean,
+    its pace would make the true paces of the other engines look false.
+    """
+    if not factors:
+        return 1.0
+    median = sorted(factors)[len(factors) // 2]
+    plausible = [f for f in factors if median <= f * OUTLIER and f <= median * OUTLIER]
+    return sum(plausible) / len(plausible)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -21,7 +21,11 @@
     FactorSource,
     RequestSize,
 )
-from troutswitch.decisions.forwarding.engine_pace import MAX_PERCENT, PaceObservation
+from troutswitch.decisions.forwarding.engine_pace import (
+    MAX_PERCENT,
+    PaceObservation,
+    mean_factor,
+)
 from troutswitch.decisions.forwarding.expired_entries import ExpiredEntries
 from troutswitch.decisions.forwarding.types import EngineLoad, EngineRecord
 
@@ -227,14 +231,14 @@
         """Updates the mean factor of a service with a pace, and which of its engines are busy.
 
         The mean is that of the averaged paces: run times of a service, which it is compared with,
-        are averages too. Paces that run times contradict are left out.
+        are averages too. Outliers, and paces that run times contradict, are left out.
         """
         factors = [
             engine.pace.average_factor
             for engine in engines
             if engine.pace.is_known(now) and not engine.learned.contradicts_reports
         ]
-        mean = sum(factors) / len(factors) if factors else 1.0
+        mean = mean_factor(factors)
         for engine in engines:
             is_new = engine.mean_factor is None
             engine.mean_factor = mean
--- a/tests/decisions/forwarding/test_learned_factor.py
+++ b/tests/decisions/forwarding/test_learned_factor.py
@@ -86,6 +86,18 @@
     assert registry.engines["fast"].mean_factor == pytest.approx(0.9), "without the false pace"
 
 
+@pytest.mark.parametrize("false_pace", [1, 10_000])
+def test_one_false_pace_does_not_change_the_factors_of_other_engines(false_pace: int) -> None:
+    """An engine that claims to be slow gets no streams, so no run times contradict it.
+
+    Its pace in the mean made all true paces look false, as they were compared with that mean.
+    """
+    registry = paced_registry(fast=60, slow=120, other=120, liar=false_pace)
+    slow = run(registry, "slow", 1.2 * MEAN_SLOT_TIME, 2 * MIN_RUNS)
+    assert not slow.learned.contradicts_reports
+    assert registry.relative_factor(1.0, slow) == pytest.approx(1.2)
+
+
 def test_pace_that_is_true_again_is_used_again() -> None:
     learned = LearnedFactor()
     for _ in range(10):
