One stalled stream does not contradict a pace

Cause: the contradiction compared plain means, so one stream of 60 times the predicted time contradicted a true pace, also after 50 streams that agreed with it. Change: the deviation of one stream from the prediction is limited to a factor of 5 in this mean. Result: test_one_stalled_stream_is_no_contradiction failed for 4 and 50 other streams, and passes.

--- a/src/troutswitch/decisions/forwarding/learned_factor.py
+++ b/src/troutswitch/decisions/forwarding/learned_factor.py
@@ -17,6 +17,10 @@
 """Factor between run times and the reported pace from which the pace counts as false. It is above
 2.5, the ratio of an engine's pace in a slow episode and its usual pace: streams that began before
 an episode contradict the pace by up to this much."""
+MAX_DEVIATION = 5.0
+"""Factor to which one stream's deviation from the prediction is limited when it is averaged. A
+stream of usually 0.3 s that stalls for 5 s deviates by 17: without the limit, one of them among
+five streams would contradict the pace. With it, this takes three of five."""
 MEMORY_RUNS = 20
 """Streams over which the ratios are averaged, so that an engine whose pace is true again is trusted
 again after some tens of streams."""
@@ -37,7 +41,7 @@
     predicted_ratio: float = 1.0
     """Mean ratio that the reported paces predicted for these streams."""
     observed_ratio: float = 1.0
-    """Mean ratio that was observed for these streams."""
+    """Mean ratio that was observed for these streams, each limited by `MAX_DEVIATION`."""
     learned_at: float = float("-inf")
 
     def on_run(self, now: float, ratio: float, predicted: float | None) -> None:
@@ -57,7 +61,8 @@
         self.predicted_runs += 1
         weight = 1 / min(self.predicted_runs, MEMORY_RUNS)
         self.predicted_ratio += weight * (predicted - self.predicted_ratio)
-        self.observed_ratio += weight * (ratio - self.observed_ratio)
+        limited = min(predicted * MAX_DEVIATION, max(predicted / MAX_DEVIATION, ratio))
+        self.observed_ratio += weight * (limited - self.observed_ratio)
 
     @property
     def is_known(self) -> bool:
--- a/tests/decisions/forwarding/test_learned_factor.py
+++ b/tests/decisions/forwarding/test_learned_factor.py
@@ -126,6 +126,16 @@
         assert swinging.time_factor(now) == pytest.approx(percent / 100)
 
 
+@pytest.mark.parametrize("other_runs", [MIN_RUNS - 1, 50])
+def test_one_stalled_stream_is_no_contradiction(other_runs: int) -> None:
+    """A stream of 60 times the predicted time outweighed all others in the mean."""
+    learned = LearnedFactor()
+    for _ in range(other_runs):
+        learned.on_run(0.0, 1.0, 1.0)
+    learned.on_run(0.0, 60.0, 1.0)
+    assert not learned.contradicts_reports
+
+
 def test_contradiction_needs_more_than_the_stated_factor() -> None:
     learned = LearnedFactor()
     for _ in range(MIN_RUNS):
