--- a/src/troutswitch/gateway/instruction_executor.py
+++ b/src/troutswitch/gateway/instruction_executor.py
@@ -27,7 +27,12 @@
 from troutswitch.decisions.gateway_messages import EnginesRemoved, LimitsChanged
 from troutswitch.decisions.jobs.messages import AnswerJobCall, RunItem, StopItem
 from troutswitch.decisions.peers.catch_up import PeerStateReceived, RequestPeerState
-from troutswitch.decisions.slots.messages import RequestHealth, SendToPeers
+from troutswitch.decisions.slots.messages import (
+    HealthAnswered,
+    HealthResult,
+    RequestHealth,
+    SendToPeers,
+)
 from troutswitch.decisions.storage.messages import (
     AppendRecords,
     CallFailed,
@@ -116,7 +121,7 @@
             case CheckEngine():
                 self._submit(self._threads, lambda: check_engine(instruction))
             case RequestHealth():
-                self._submit(self._threads, lambda: request_health(instruction))
+                self._submit(self._threads, lambda: self._request_health(instruction))
             case AnswerJobCall():
                 executors.answer_job(instruction)
             case LimitsChanged():
@@ -153,6 +158,14 @@
             outcome = CallFailed(f"{type(error).__name__}: {error}", True)
         return StoreAnswered(call.call, outcome)
 
+    def _request_health(self, request: RequestHealth) -> HealthAnswered:
+        """Always returns: a request without an answer would be the last one of its group."""
+        try:
+            return request_health(request)
+        except Exception:
+            self._logger.exception("health request failed")
+            return HealthAnswered(request.engine_id, HealthResult.FAILED)
+
     def stop(self) -> None:
         """Stops the thread pools without waiting for the calls in progress."""
         self._executors.items.shut_down()
--- a/tests/gateway/engines/test_health_request.py
+++ b/tests/gateway/engines/test_health_request.py
@@ -1,6 +1,7 @@
 """Health requests to engines, with real sockets."""
 
 import socket
+import time
 
 import pytest
 
@@ -66,6 +67,25 @@
         assert ask(address).result is HealthResult.FAILED
 
 
+def test_engine_that_sends_its_head_slowly_ends_the_call_by_its_timeout(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each byte restarted the timeout, so the call held its thread and its group for hours."""
+    monkeypatch.setattr(health_request, "HEALTH_TIMEOUT_SECONDS", 0.2)
+    head = f"HTTP/1.1 200 OK\r\n{names.INSTANCE_ID}: engine-7\r\n{names.SERVER_LOAD}: 1,2,8,1"
+
+    def reply(server: RawServer, connection: socket.socket) -> None:
+        connection.recv(4096)
+        connection.sendall(head.encode())
+        for _ in range(20):
+            time.sleep(0.1)
+            connection.sendall(b"0")
+
+    started = time.monotonic()
+    assert ask(RawServer(reply).address).result is HealthResult.FAILED
+    assert time.monotonic() - started < 1.0
+
+
 def test_malformed_path_fails() -> None:
     with socket.create_server(("127.0.0.1", 0)) as listener:
         address = Address("127.0.0.1", listener.getsockname()[1])
--- a/tests/gateway/test_instruction_executor.py
+++ b/tests/gateway/test_instruction_executor.py
@@ -26,6 +26,7 @@
     StoreCall,
     StoreOutcome,
 )
+from troutswitch.gateway import instruction_executor
 from troutswitch.gateway.instruction_executor import (
     STORE_THREADS,
     Executors,
@@ -90,3 +91,16 @@
     executor.execute(RequestHealth("e", address, "/health"))
     assert events.get(timeout=WAIT_SECONDS) == HealthAnswered("e", HealthResult.FAILED)
     executor.stop()
+
+
+def test_health_request_that_raises_an_unexpected_error_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Without an answer it stays in flight, and no engine of its group is asked again."""
+    events: queue.SimpleQueue[GatewayEvent] = queue.SimpleQueue()
+    executor = InstructionExecutor(MagicMock(spec=Executors), events.put, MagicMock())
+    failing = MagicMock(side_effect=RuntimeError("unexpected"))
+    monkeypatch.setattr(instruction_executor, "request_health", failing)
+    executor.execute(RequestHealth("e", Address("127.0.0.1", 1), "/health"))
+    assert events.get(timeout=WAIT_SECONDS) == HealthAnswered("e", HealthResult.FAILED)
+    executor.stop()
