Health paths of a wrong type do not reject the configuration

Cause: a "healthPath" that is not a string made the whole configuration unreadable. Change: a value of another type counts as no path.

--- a/src/troutswitch/platform/configuration.py
+++ b/src/troutswitch/platform/configuration.py
@@ -76,7 +76,7 @@
 class _Service(msgspec.Struct):
     name: str
     maxConnections: int = 0
-    healthPath: str | None = None
+    healthPath: object = None  # of any type: without it only the requests for paces are missing
     engine: _Engine | None = None
 
 
@@ -184,13 +184,13 @@
 
 def _service(service: _Service) -> Service:
     engine = service.engine or _Engine()
-    path = service.healthPath or ""
+    path = service.healthPath
     return Service(
         service.name,
         service.maxConnections,
         engine.slots,
         engine.kvCacheTokens,
-        path if path.startswith("/") else "",
+        path if isinstance(path, str) and path.startswith("/") else "",
     )
 
 
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -121,6 +121,13 @@
     assert decode_configuration(b'{"version": 7}').tenants is None
 
 
+@pytest.mark.parametrize("path", ["5", "true", "[]", "{}", "null", '""', '"health"'])
+def test_unusable_health_path_does_not_reject_the_configuration(path: str) -> None:
+    """Earlier versions did not read the field, and served such configurations."""
+    text = f'{{"version": 7, "services": [{{"name": "s", "healthPath": {path}}}]}}'
+    assert decode_configuration(text.encode()).services["s"].health_path == ""
+
+
 def test_item_id_replaces_a_request_id_header() -> None:
     rows = item_headers("h", "item", {"X-Troutswitch-Request-Id": "other", "A": "b"}, "i-1", "")
     assert [v for n, v in rows if n == "X-Troutswitch-Request-Id"] == ["item"]
