Tests of three rules about paces that no test covered

Cause: the tests passed without the wait of a new coordinator before it asks an engine, without the check that the engine has no requests, and without the order of readings by age in reports. Change: a test for each. Result: each new test fails if its rule is removed from the code, and passes with it.

--- a/tests/decisions/slots/test_health_requests.py
+++ b/tests/decisions/slots/test_health_requests.py
@@ -94,6 +94,21 @@
     assert fleet.asked == []
 
 
+def test_engine_that_was_just_sent_a_request_is_not_asked() -> None:
+    """It answers the request anyway; `busy_at` is only updated with the next sample."""
+    fleet = Fleet()
+    fleet.play(IDLE_SECONDS - 0.5)
+    daemon = fleet.daemon
+    daemon.engines.on_sent(fleet.now, "s0", False, NO_SIZE)
+    now = fleet.now + 1.5
+    daemon.engines.on_timer(now)
+    daemon.engines.on_sent(now, "s1", False, NO_SIZE)
+    assert daemon.fleet.health.on_timer(now) == []
+    daemon.engines.on_ended(now, "s1", False, NO_SIZE, begun=False, failed=False)
+    asked = daemon.fleet.health.on_timer(now + 1.0)
+    assert [request.engine_id for request in asked] == ["s1"]
+
+
 def test_no_engine_is_asked_while_no_caller_needs_the_group() -> None:
     """At the end of the traffic all engines are idle, and their paces are worth nothing."""
     fleet = Fleet()
@@ -145,6 +160,19 @@
     assert [request.engine_id for _, request in fleet.asked] == ["s1", "s1"]
 
 
+def test_daemon_that_becomes_the_coordinator_waits_before_it_asks() -> None:
+    """The former coordinator may have asked the same engine just before."""
+    fleet = Fleet()
+    own, others = fleet.daemon.address, fleet.daemon.fleet.claims
+    others.add_claims((KnownClaim(GROUP, "other", own, 9),))
+    fleet.play(2 * IDLE_SECONDS)
+    others.add_claims((KnownClaim(GROUP, fleet.daemon.name, own, 10),))
+    fleet.play(IDLE_SECONDS - 1.0)
+    assert fleet.asked == []
+    fleet.play(3.0)
+    assert [request.engine_id for _, request in fleet.asked] == ["s1"]
+
+
 def test_former_coordinator_uses_the_answer_that_came_late() -> None:
     fleet = Fleet()
     fleet.play(IDLE_SECONDS + 2.0, percent=None)
--- a/tests/decisions/slots/test_pace_messages.py
+++ b/tests/decisions/slots/test_pace_messages.py
@@ -172,6 +172,18 @@
     assert not coordinator.engines.is_paced("service")
 
 
+def test_engine_that_answers_again_counts_as_newest() -> None:
+    """Readings after the first outdated one are dropped, so the order must be that of their age."""
+    _, peer, _ = fleet()
+    answer(peer, NOW, "s0", 55)
+    answer(peer, NOW + 1.0, "s1", 120)
+    answer(peer, NOW + MAX_AGE_SECONDS, "s0", 137)
+    readings = peer.fleet.reports.new_paces(NOW + MAX_AGE_SECONDS + 1.1, claim_of(peer))
+    assert [(reading.engine_key, reading.percent) for reading in readings] == [
+        (engine_key("s0"), 137)
+    ]
+
+
 def test_outdated_readings_are_not_sent() -> None:
     _, peer, _ = fleet()
     answer(peer, NOW, "s0", 55)
