Learned time factors are forgotten after a time without streams

Cause: an engine that seemed slow by its run times gets no streams, so its ratio was never corrected. Change: the ratios are dropped 30 s after the last stream. Result: the new test fails without the change and passes with it; tests of slots and messages pass.

--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -233,6 +233,8 @@
         The mean is that of the averaged paces: run times of a service, which it is compared with,
         are averages too. Outliers, and paces that run times contradict, are left out.
         """
+        for engine in engines:
+            engine.learned.forget_if_idle(now)
         factors = [
             engine.pace.average_factor
             for engine in engines
--- a/src/troutswitch/decisions/forwarding/learned_factor.py
+++ b/src/troutswitch/decisions/forwarding/learned_factor.py
@@ -24,6 +24,9 @@
 MEMORY_RUNS = 20
 """Streams over which the ratios are averaged, so that an engine whose pace is true again is trusted
 again after some tens of streams."""
+MAX_IDLE_SECONDS = 30.0
+"""Time without a stream after which the ratios are forgotten. An engine that seems slow gets no
+streams, so nothing else would show that it is as fast as others again."""
 MIN_RATIO = 0.01
 MAX_RATIO = 100.0
 """Bounds of a ratio; the largest pace that is plausible, 10,000 percent, is 100 times as usual."""
@@ -64,6 +67,11 @@
         limited = min(predicted * MAX_DEVIATION, max(predicted / MAX_DEVIATION, ratio))
         self.observed_ratio += weight * (limited - self.observed_ratio)
 
+    def forget_if_idle(self, now: float) -> None:
+        """Drops the ratios if no stream ended for `MAX_IDLE_SECONDS`; called each sample."""
+        if self.runs and now - self.learned_at > MAX_IDLE_SECONDS:
+            self.runs = self.predicted_runs = 0
+
     @property
     def is_known(self) -> bool:
         """Whether enough streams were recorded."""
--- a/tests/decisions/forwarding/test_learned_factor.py
+++ b/tests/decisions/forwarding/test_learned_factor.py
@@ -192,3 +192,17 @@
         FactorSource.LEARNED: 0,
         FactorSource.UNKNOWN: 1,
     }
+
+
+def test_engine_that_seemed_slow_is_tried_again_after_a_while() -> None:
+    # An engine whose learned ratio was high got no streams, so the ratio was never corrected.
+    learned = LearnedFactor()
+    for run in range(MIN_RUNS):
+        learned.on_run(float(run), 10.0, 1.0)
+    assert learned.is_known and learned.contradicts_reports
+    learned.forget_if_idle(MIN_RUNS - 1 + MAX_IDLE_SECONDS)
+    assert learned.is_known and learned.contradicts_reports
+    learned.forget_if_idle(MIN_RUNS + MAX_IDLE_SECONDS)
+    assert not learned.is_known and not learned.contradicts_reports
+    learned.on_run(100.0, 1.0, 1.0)
+    assert learned.ratio == 1.0
