--- a/src/troutswitch/decisions/forwarding/engine_pace.py
+++ b/src/troutswitch/decisions/forwarding/engine_pace.py
@@ -14,8 +14,34 @@
 """Age up to which the newest reading is used by itself. Slow episodes last some 0.2 to 1.5 s."""
 AVERAGE_SECONDS = 2.0
 """Time over which readings are averaged: longer than an episode."""
+MAX_PERCENT = 10_000
+"""Maximum plausible pace in peers' messages, the same as for engines' answers."""
 MAX_AGE_SECONDS = 30.0
 """Age of the newest reading after which the average is no longer used."""
+OUTLIER = 5.0
+"""Ratio to the median from which a pace is left out of the mean of a service. Observed paces are
+from 0.46 to 2.5 times the median."""
+
+
+def mean_factor(factors: list[float]) -> float:
+    """Returns the mean of the factors of a service's engines without outliers; 1 without factors.
+
+    An engine that claims to be slow gets no streams, so no run times contradict it. In the mean,
+    its pace would make the true paces of the other engines look false.
+    """
+    if not factors:
+        return 1.0
+    median = sorted(factors)[len(factors) // 2]
+    plausible = [f for f in factors if median <= f * OUTLIER and f <= median * OUTLIER]
+    return sum(plausible) / len(plausible)
+
+
+@dataclass(frozen=True, slots=True)
+class PaceObservation:
+    """A percentage that an engine reported to this daemon, and when."""
+
+    percent: int
+    read_at: float
 
 
 @dataclass(slots=True)
@@ -43,10 +69,21 @@
             self.average_percent += weight * (percent - self.average_percent)
         self.percent, self.read_at = percent, read_at
 
+    def is_known(self, now: float) -> bool:
+        """Returns whether there is a reading that is not too old."""
+        return self.percent is not None and now - self.read_at <= MAX_AGE_SECONDS
+
+    def is_fresh(self, now: float) -> bool:
+        """Returns whether the newest reading is used by itself."""
+        return now - self.read_at <= FRESH_SECONDS
+
+    @property
+    def average_factor(self) -> float:
+        """How many times as long as usual work took on average; meaningless without a reading."""
+        return self.average_percent / USUAL_PERCENT
+
     def time_factor(self, now: float) -> float:
         """Returns how many times as long as usual work takes; 1 if it is not known."""
-        age = now - self.read_at
-        if self.percent is None or age > MAX_AGE_SECONDS:
+        if self.percent is None or not self.is_known(now):
             return 1.0
-        percent = self.percent if age <= FRESH_SECONDS else self.average_percent
-        return percent / USUAL_PERCENT
+        return self.percent / USUAL_PERCENT if self.is_fresh(now) else self.average_factor
--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -13,13 +13,19 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from troutswitch.daemons.messages import EngineCounts, engine_key
+from troutswitch.daemons.messages import MAX_PACES, EngineCounts, PaceReading, engine_key
 from troutswitch.decisions.forwarding import engine_ejection
 from troutswitch.decisions.forwarding.engine import (
     SAMPLE_SECONDS,
     Engine,
+    FactorSource,
     RequestSize,
 )
+from troutswitch.decisions.forwarding.engine_pace import (
+    MAX_PERCENT,
+    PaceObservation,
+    mean_factor,
+)
 from troutswitch.decisions.forwarding.expired_entries import ExpiredEntries
 from troutswitch.decisions.forwarding.types import EngineLoad, EngineRecord
 
@@ -47,6 +53,8 @@
     """Engines that the last list does not have and that stay in use."""
     unusable_entries: dict[str, str] = field(default_factory=dict)
     """Why entries of the last list could not be used, by entry."""
+    _own_paces: dict[str, PaceObservation] = field(default_factory=dict)
+    """The newest pace that each engine reported to this daemon, until it is taken; newest last."""
     _paced_services: set[str] = field(default_factory=set)
     _sample_at: float = float("-inf")
     _reported_gone_at: dict[str, float] = field(default_factory=dict)
@@ -120,6 +128,7 @@
             engine.is_listed = False
             if engine.online_in_flight + engine.batch_in_flight == 0:
                 del self.engines[engine_id]
+                self._own_paces.pop(engine_id, None)
 
     def _remember_draining(self, engine_id: str) -> None:
         self._draining[engine_id] = None
@@ -214,6 +223,29 @@
         self._sample_at = now + SAMPLE_SECONDS
         for engine in self.engines.values():
             engine.sample()
+        for service in self._paced_services:
+            self._sample_paces(now, self.all_of_service(service))
+
+    @staticmethod
+    def _sample_paces(now: float, engines: list[Engine]) -> None:
+        """Updates the mean factor of a service with a pace, and which of its engines are busy.
+
+        The mean is that of the averaged paces: run times of a service, which it is compared with,
+        are averages too. Outliers, and paces that run times contradict, are left out.
+        """
+        for engine in engines:
+            engine.learned.forget_if_idle(now)
+        factors = [
+            engine.pace.average_factor
+            for engine in engines
+            if engine.pace.is_known(now) and not engine.learned.contradicts_reports
+        ]
+        mean = mean_factor(factors)
+        for engine in engines:
+            is_new = engine.mean_factor is None
+            engine.mean_factor = mean
+            if is_new or engine.online_count() or engine.batch_count():
+                engine.busy_at = now
 
     def on_activity(self, now: float, engine_id: str) -> None:
         """Records that bytes were received from the engine."""
@@ -231,12 +263,57 @@
             engine.sent_since_load = 0
             if load.pace_percent is not None:
                 self.on_pace(engine, load.pace_percent, now)
+                self._own_paces.pop(engine_id, None)
+                self._own_paces[engine_id] = PaceObservation(load.pace_percent, now)
+
+    def take_own_paces(self) -> dict[str, PaceObservation]:
+        """Returns the paces that engines reported to this daemon since the last call, by id."""
+        taken, self._own_paces = self._own_paces, {}
+        return taken
+
+    def on_peer_paces(self, now: float, readings: Iterable[PaceReading]) -> None:
+        """Records the paces in a peer's message that was received now."""
+        for reading in readings:
+            engine = self.by_key(reading.engine_key)
+            if engine is not None and 0 < reading.percent <= MAX_PERCENT and reading.age_ms >= 0:
+                self.on_pace(engine, reading.percent, now - reading.age_ms / 1000)
+
+    @staticmethod
+    def paces_of(now: float, engines: Iterable[Engine]) -> tuple[PaceReading, ...]:
+        """Returns the newest readings of some engines, at most `MAX_PACES`, for messages."""
+        known = [engine for engine in engines if engine.pace.is_known(now)]
+        if len(known) > MAX_PACES:
+            known = sorted(known, key=lambda engine: -engine.pace.read_at)[:MAX_PACES]
+        return tuple(
+            PaceReading(
+                engine_key(engine.record.engine_id),
+                engine.pace.percent or 0,
+                round((now - engine.pace.read_at) * 1000),
+            )
+            for engine in known
+        )
 
     def on_pace(self, engine: Engine, percent: int, read_at: float) -> None:
         """Records a pace that an engine reported here or to a peer at `read_at`."""
         engine.pace.on_reading(percent, read_at)
         self._paced_services.add(engine.record.service)
 
+    def relative_factor(self, now: float, engine: Engine) -> float:
+        """Returns how long work takes at an engine, compared with the mean of its service.
+
+        See `Engine.relative_factor`; 1 for services without a pace. The mean that it is relative to
+        is up to `SAMPLE_SECONDS` old.
+        """
+        return engine.relative_factor(now)
+
+    def count_by_source(self, now: float, source: FactorSource) -> int:
+        """Returns the number of engines of paced services whose factor comes from a source."""
+        return sum(
+            engine.factor_source(now) is source
+            for engine in list(self.engines.values())
+            if engine.mean_factor is not None
+        )
+
     def is_paced(self, service: str) -> bool:
         """Returns whether an engine of a service has reported a pace to this daemon or a peer."""
         return service in self._paced_services
--- a/src/troutswitch/decisions/slots/fleet.py
+++ b/src/troutswitch/decisions/slots/fleet.py
@@ -17,6 +17,8 @@
     BatchSlotGrant,
     GroupDigest,
     HoldingsReport,
+    PacedDigest,
+    PacedReport,
     SlotMessage,
     SlotReply,
     SlotRequest,
@@ -30,6 +32,7 @@
 from troutswitch.decisions.slots.coordinator import SlotCoordinator
 from troutswitch.decisions.slots.coordinator_claims import Claim, CoordinatorClaims
 from troutswitch.decisions.slots.groups import EngineGroups, Group
+from troutswitch.decisions.slots.health_requests import HealthRequests
 from troutswitch.decisions.slots.ledger import SlotLedger
 from troutswitch.decisions.slots.local_placement import LocalPlacement, RequestCandidates
 from troutswitch.decisions.slots.messages import (
@@ -71,6 +74,7 @@
         emit: Callable[[SlotInstruction], None],
         rng: random.Random,
         exclusive_groups: tuple[Group, ...] = (),
+        health_path: Callable[[str], str] = lambda service: "",
     ) -> None:
         self._engines = engines
         self._emit = emit
@@ -90,6 +94,9 @@
             policies.batch_capacity,
             rng,
         )
+        self.health = HealthRequests(
+            engines, self.groups, self.coordinator.coordinated, health_path
+        )
         self.batch = BatchCoordination(self.groups, self.coordinator, self.ledger, own_items)
         self.reports = HoldingsReports(identity, engines, self.groups, self.claims, own_items)
         self.requests = SlotRequests(
@@ -119,6 +126,12 @@
                 self._on_batch_grant(now, message)
             case GroupDigest():
                 self._on_digest(now, message)
+            case PacedReport():
+                if self.ledger.on_report(now, message.report):
+                    self._engines.on_peer_paces(now, message.paces)
+            case PacedDigest():
+                if self._on_digest(now, message.digest):
+                    self._engines.on_peer_paces(now, message.paces)
             case _:
                 assert_never(message)
         return []
@@ -154,13 +167,15 @@
         self.claims.on_activity(grant.group, grant.sender)
         self._emit(StartItems(engine.record.engine_id, grant.count))
 
-    def _on_digest(self, now: float, digest: GroupDigest) -> None:
+    def _on_digest(self, now: float, digest: GroupDigest) -> bool:
+        """Applies a digest; returns False if it is not from the group's newest coordinator."""
         if self.claim_by(digest.group, digest.sender) is None:
-            return
+            return False
         self.batch.on_digest(now, digest)
         self.claims.on_activity(digest.group, digest.sender)
         if not self.coordinator.coordinates(digest.group):
             self._engines.update_peer_counts(now, digest.counts)
+        return True
 
     def claim_by(self, group: str, sender: str) -> Claim | None:
         """Returns the newest known claim of a group if `sender` made it, else None."""
@@ -197,6 +212,7 @@
             self.coordinator.next_due(),
             self.reports.next_due(),
             self.requests.next_due(),
+            self.health.next_due(),
         )
 
     def on_timer(self, now: float) -> tuple[list[PlacementResult], list[StoreCall]]:
@@ -208,6 +224,7 @@
         self._emit_all(self.coordinator.on_timer(now))
         results = self.requests.on_timer(now)
         self._emit_all(self.reports.on_timer(now))
+        self._emit_all(self.health.on_timer(now))
         self.ledger.validate()
         return results, calls
 
--- a/src/troutswitch/platform/configuration.py
+++ b/src/troutswitch/platform/configuration.py
@@ -76,6 +76,7 @@
 class _Service(msgspec.Struct):
     name: str
     maxConnections: int = 0
+    healthPath: object = None  # of any type: without it only the requests for paces are missing
     engine: _Engine | None = None
 
 
@@ -183,7 +184,14 @@
 
 def _service(service: _Service) -> Service:
     engine = service.engine or _Engine()
-    return Service(service.name, service.maxConnections, engine.slots, engine.kvCacheTokens)
+    path = service.healthPath
+    return Service(
+        service.name,
+        service.maxConnections,
+        engine.slots,
+        engine.kvCacheTokens,
+        path if isinstance(path, str) and path.startswith("/") else "",
+    )
 
 
 def decode_engine(instance: str, data: bytes) -> EngineRecord:
