Import of a constant in the tests of learned factors

Cause: the test of forgotten ratios was merged without the name that it uses. Change: the import. Result: tests of decisions, messages, gateway and platform pass.

--- a/tests/decisions/forwarding/test_learned_factor.py
+++ b/tests/decisions/forwarding/test_learned_factor.py
@@ -11,7 +11,12 @@
 from troutswitch.decisions.forwarding.engine import Engine, FactorSource
 from troutswitch.decisions.forwarding.engine_pace import MAX_AGE_SECONDS
 from troutswitch.decisions.forwarding.engines import EngineRegistry
-from troutswitch.decisions.forwarding.learned_factor import CONTRADICTION, MIN_RUNS, LearnedFactor
+from troutswitch.decisions.forwarding.learned_factor import (
+    CONTRADICTION,
+    MAX_IDLE_SECONDS,
+    MIN_RUNS,
+    LearnedFactor,
+)
 from troutswitch.decisions.forwarding.messages import AnswerBegun, LogLine, SendRequest
 from troutswitch.decisions.forwarding.types import EngineLoad
 from troutswitch.outcomes import AttemptOutcome
