A trial of a refused path runs an item that lost the fewest runs

Cause: items of a job with one path share a key until one of them is done. Three crashes refuse the key, which stops the runs of all its items, and 16 s later one item is tried (ItemRefusals). That was the most urgent one, which could be the crashing item again.

Change: the owner counts the lost runs of each item under a common key. A trial is left to the items that lost the fewest, for 2 s; then any may start, so that an item without a slot blocks no trial. The number and the pace of trials are as before: one for each 16 s without a crash, and at most 2.

Found and not mended: once an item of the path is done, the crashing one counts anew by its own key.

--- a/src/troutswitch/decisions/jobs/item_contents.py
+++ b/src/troutswitch/decisions/jobs/item_contents.py
@@ -31,16 +31,16 @@
 
     def run_key(self, progress: ItemProgress) -> str:
         """Returns the key under which a run of an item counts; empty if its job is unknown."""
-        return self._shared_key(progress) or self._own_key(progress)
+        return self.shared_key(progress) or self._own_key(progress)
 
     def refusal_keys(self, progress: ItemProgress) -> tuple[str, ...]:
         """Returns the keys under which an item may be refused: its own and any common key."""
-        shared = self._shared_key(progress)
+        shared = self.shared_key(progress)
         return (self._own_key(progress), shared) if shared else (self._own_key(progress),)
 
     def on_done(self, progress: ItemProgress) -> None:
         """Records that an item is done, after which items with its path have no common key."""
-        if self._path_count(progress) > 1:
+        if self.path_count(progress) > 1:
             self._record_done(progress)
 
     def _own_key(self, progress: ItemProgress) -> str:
@@ -50,15 +50,15 @@
             progress.content = content_key(entry.manifest.host, "POST", item.path, item.body)
         return progress.content
 
-    def _shared_key(self, progress: ItemProgress) -> str:
+    def shared_key(self, progress: ItemProgress) -> str:
         """Returns the common key of the job's items with this path; empty if there is none."""
         entry = self._replicas.index.jobs.get(progress.job_id)
-        if entry is None or self._path_count(progress) < 2 or self._path_was_done(progress):
+        if entry is None or self.path_count(progress) < 2 or self._path_was_done(progress):
             return ""
         path = progress.item.path
         return content_key(entry.manifest.host, SHARED_METHOD, path, progress.job_id.encode())
 
-    def _path_count(self, progress: ItemProgress) -> int:
+    def path_count(self, progress: ItemProgress) -> int:
         """Returns how many items of the job have this item's path, including itself."""
         paths = self._paths.get(progress.job_id)
         if paths is None:
--- a/src/troutswitch/decisions/jobs/item_refusals.py
+++ b/src/troutswitch/decisions/jobs/item_refusals.py
@@ -10,12 +10,19 @@
     ON_TRIAL -> REFUSED   another engine crashed: the next trial is `TRIAL_SECONDS` later
     ON_TRIAL -> FREE      an engine ran it to its end
 
+A trial of items with a common key is a run of one of those that lost the fewest runs here. If none
+of these starts within `FEWEST_LOST_SECONDS`, any of them may.
+
 Why: an item must not crash one engine after another, yet crashes may not dead-letter it: only an
 engine's answer, the end of its retention or the loss of its route may. So it waits, and is retried
-in case something else caused the crashes. tests/proofs/test_crashes.py tests the bounds;
-docs/POLICY.md, "Rules", lists the constants.
+in case something else caused the crashes. An item that alone causes the crashes under a common key
+lost a run in each of them, and the others only where they shared its engine. A trial of that item
+would crash another engine, and keep the others refused. tests/proofs/test_crashes.py tests the
+bounds; docs/POLICY.md, "Rules", lists the constants.
 """
 
+from collections import Counter
+
 from troutswitch.decisions.crashes.interface import Suspects
 from troutswitch.decisions.jobs.item_contents import ItemContentKeys
 from troutswitch.decisions.jobs.items import ItemProgress
@@ -24,6 +31,11 @@
 TRIAL_SECONDS = 16.0
 """Time without a crash after which a refused item is retried once. An item counts as abandoned when
 no engine has run it for 20 s, and it may wait some seconds for a slot."""
+FEWEST_LOST_SECONDS = 2.0
+"""Time for which a trial of a common key is left to the items that lost the fewest runs. Together
+with `TRIAL_SECONDS` it stays below the 20 s after which an item counts as abandoned."""
+MAX_COUNTED_KEYS = 1024
+"""Maximum number of common keys for which lost runs are counted; drops the oldest first."""
 MAX_TRIALS = 2
 """Maximum number of engines that trials of an item may crash. Three crashes are allowed after the
 first three, and one more run may be in flight when the third crash becomes known."""
@@ -37,10 +49,15 @@
         self._content_keys = ItemContentKeys(replicas)
         self._tried_at: dict[str, float] = {}
         """When a trial of a content was last started here."""
+        self._lost: dict[str, Counter[str]] = {}
+        """Lost runs by common key and item id."""
 
     def forbids_start(self, now: float, progress: ItemProgress) -> bool:
         """Returns whether an item may not start now."""
-        return any(not self._may_try(now, content) for content in self._refused(progress))
+        refused = self._refused(progress)
+        if any(not self._may_try(now, content) for content in refused):
+            return True
+        return any(self._leaves_trial_to_others(now, progress, content) for content in refused)
 
     def forbids_run(self, progress: ItemProgress) -> bool:
         """Returns whether a run of an item must be stopped."""
@@ -63,6 +80,7 @@
     def on_lost(self, now: float, progress: ItemProgress, engine_id: str) -> None:
         """Records that the connection of a run was lost before its end."""
         progress.is_on_trial = False
+        self._count_lost(progress)
         self._suspects.on_lost(now, self._content_keys.run_key(progress), engine_id)
 
     def on_done(self, now: float, progress: ItemProgress) -> None:
@@ -71,6 +89,7 @@
         for content in self._content_keys.refusal_keys(progress):
             self._suspects.on_served(now, content)
             self._tried_at.pop(content, None)
+            self._lost.pop(content, None)
         self._content_keys.on_done(progress)
 
     def _refused(self, progress: ItemProgress) -> list[str]:
@@ -85,3 +104,23 @@
         if now < self._tried_at.get(content, float("-inf")) + TRIAL_SECONDS:
             return False
         return self._suspects.may_retry(now, content, TRIAL_SECONDS, MAX_TRIALS)
+
+    def _leaves_trial_to_others(self, now: float, progress: ItemProgress, content: str) -> bool:
+        """Returns whether a trial is left to items of a common key that lost fewer runs."""
+        lost = self._lost.get(content)
+        if not lost:
+            return False
+        pause = TRIAL_SECONDS + FEWEST_LOST_SECONDS
+        if self._suspects.may_retry(now, content, pause, MAX_TRIALS):
+            return False
+        is_any_without = len(lost) < self._content_keys.path_count(progress)
+        fewest = 0 if is_any_without else min(lost.values())
+        return lost[progress.item.item_id] > fewest
+
+    def _count_lost(self, progress: ItemProgress) -> None:
+        shared = self._content_keys.shared_key(progress)
+        if not shared:
+            return
+        self._lost.setdefault(shared, Counter())[progress.item.item_id] += 1
+        if len(self._lost) > MAX_COUNTED_KEYS:
+            del self._lost[next(iter(self._lost))]
--- a/tests/proofs/test_crashes.py
+++ b/tests/proofs/test_crashes.py
@@ -267,16 +267,37 @@
     assert len(crash_times) <= len(contents) + MAX_LATE_ATTEMPTS
 
 
-def test_items_of_a_path_are_counted_separately_once_one_completes() -> None:
-    """Otherwise one crashing item would block all items of a job with a single path."""
-    fleet = started_fleet(1, engines=9)
+@pytest.mark.parametrize("seed", range(1, 13))
+def test_items_of_a_path_are_counted_separately_once_one_completes(seed: int) -> None:
+    """Guards against one crashing item that blocks all items of a job with a single path.
+
+    The trials of a refused path ran the crashing item again, so that no other item completed.
+    """
+    fleet = started_fleet(seed, engines=9)
     job = fleet.submit_job("job", 8, path=f"{PREFIX}shared")
     crashing = job.items[0]
     fleet.crashing_items.add(crashing.item_id)
     fleet.run(6 * ROUND_SECONDS)
     listed = {row[0] for row in job.results.values()}
     assert listed == {item.item_id for item in job.items[1:]}
-    assert len(fleet.crash_times[content_key(HOST, "POST", crashing.path, crashing.body)]) >= 3
+    content = content_key(HOST, "POST", crashing.path, crashing.body)
+    assert len(fleet.crash_times[content]) >= 3
+    assert fleet.late_attempts(content) <= MAX_LATE_ATTEMPTS
+
+
+def test_item_of_a_completed_path_crashes_no_more_engines_than_any_other() -> None:
+    """Guards against an item that counts anew by its own key once its path has completed.
+
+    It crashed 8 engines within 60 s: three by the common key, and five by its own.
+    """
+    fleet = started_fleet(1, engines=9)
+    job = fleet.submit_job("job", 8, path=f"{PREFIX}shared")
+    crashing = job.items[0]
+    fleet.crashing_items.add(crashing.item_id)
+    fleet.run(60.0)
+    content = content_key(HOST, "POST", crashing.path, crashing.body)
+    assert len(fleet.crash_times[content]) <= 3 + MAX_TRIALS
+    assert fleet.late_attempts(content) <= MAX_LATE_ATTEMPTS
 
 
 @pytest.mark.parametrize("seed", range(1, 4))
