Online requests count the speed of engines; policy `speed`

Cause: `queue_cost` and the wait estimates took all engines of a service for equally fast, so an engine that takes twice as long got as many requests. Change: `forwarding/engine_cost.py` has the policies `weighted_share` (default), `expected_time` and `ignored`; the coordinator's choice, the wait estimates, the local placement and the order in which batch slots are granted use the relative factor of an engine. Where no difference in pace is known, choices and random draws are those of `ignored`. The longest pause between events is averaged, so that an engine that would exceed a route's limit is left out.

--- a/src/troutswitch/decisions/forwarding/attempts.py
+++ b/src/troutswitch/decisions/forwarding/attempts.py
@@ -112,7 +112,13 @@
             return
         first_event = request.answer_began_at - request.sent_at
         total = now - request.sent_at
-        self._times.on_completed(request.service, first_event, total, was_queued=request.was_queued)
+        self._times.on_completed(
+            request.service,
+            first_event,
+            total,
+            was_queued=request.was_queued,
+            longest_pause=event.longest_gap,
+        )
 
     def abort(
         self, now: float, request: ForwardedRequest, *, is_silent: bool = False
--- a/src/troutswitch/decisions/forwarding/placement.py
+++ b/src/troutswitch/decisions/forwarding/placement.py
@@ -9,7 +9,8 @@
 
 Rule of `prefix_shortest`, the default: a long prompt goes to a home of its session, one of the few
 engines that get long prompts (`long_prompts`). Any other request goes to the engine with the lowest
-`queue_cost`, with a small random part. Costs are shares of an engine's slots.
+cost, with a small random part. Costs are shares of an engine's slots, and count the speed of
+engines by the policy `speed` (`engine_cost`).
 
 With any policy, `two_choices` decides if no coordinator answers (`slots/slot_requests.py`).
 `prefix_aware` exists for comparison.
@@ -21,24 +22,22 @@
 """
 
 import random
-from collections.abc import Callable
 from typing import Protocol
 
 from troutswitch.decisions.forwarding.engine import Engine
+from troutswitch.decisions.forwarding.engine_cost import (
+    IgnoredSpeed,
+    SpeedPolicy,
+    prefill_cost,
+    zone_cost,
+)
 from troutswitch.decisions.forwarding.long_prompts import PromptSizes, choose_home
 from troutswitch.decisions.forwarding.types import PromptShape
 
-FULL_PREFILL_TOKENS = 8192
-"""Waiting prompt tokens that cost as much as if all slots of the engine were taken."""
-ZONE_PENALTY = 0.1
-"""Cost that is added for an engine of another zone."""
 WEIGHTED_CHOICES = 2
 """Engines drawn by `Headroom`, of which the better one is chosen."""
 MIN_HEADROOM = 0.05
 """Minimum free share used as a weight, so that full engines are still drawn occasionally."""
-BATCH_WEIGHT = 0.2
-"""Cost of a batch item relative to an online request; it is low as items are preempted
-immediately."""
 RANDOM_CHOICES = 2
 """Engines drawn by `TwoChoices`, and the minimum number of engines in its own zone to draw from."""
 COST_JITTER = 0.1
@@ -76,32 +75,12 @@
 
 def placement_cost(now: float, engine: Engine, zone: str) -> float:
     """Returns the cost of sending the next request to an engine; 1 corresponds to no free slot."""
-    return batch_cost(now, engine, zone) + _prefill_cost(engine)
-
-
-def queue_cost(now: float, engine: Engine, zone: str) -> float:
-    """Returns the cost of sending the next request to an engine that preempts batch items."""
-    taken = engine.online_load(now) + BATCH_WEIGHT * engine.batch_count()
-    return taken / engine.slots + _zone_cost(engine, zone) + _prefill_cost(engine)
+    return batch_cost(now, engine, zone) + prefill_cost(engine)
 
 
 def batch_cost(now: float, engine: Engine, zone: str) -> float:
     """Returns the cost of sending a batch item to an engine; waiting prompts do not count."""
-    return load_share(now, engine) + _zone_cost(engine, zone)
-
-
-def _zone_cost(engine: Engine, zone: str) -> float:
-    return ZONE_PENALTY if engine.record.zone != zone else 0.0
-
-
-def _prefill_cost(engine: Engine) -> float:
-    """Returns the cost of waiting prompt tokens.
-
-    The average counts as well: an engine that often has some will probably have some again when
-    the request arrives.
-    """
-    waiting = max(engine.waiting_prefill_tokens, engine.mean_prefill_tokens)
-    return waiting / FULL_PREFILL_TOKENS
+    return load_share(now, engine) + zone_cost(engine, zone)
 
 
 class Headroom:
@@ -127,12 +106,15 @@
 
 
 class ShortestQueue:
-    """Chooses the engine with the lowest `queue_cost`.
+    """Chooses the engine with the lowest cost.
 
     It relies on fresh counts: with old counts, all daemons choose the same engine. The random part
     of the cost mitigates this.
     """
 
+    def __init__(self, speed: SpeedPolicy | None = None) -> None:
+        self._speed = speed or IgnoredSpeed()
+
     def choose(
         self,
         now: float,
@@ -142,9 +124,12 @@
         rng: random.Random,
     ) -> Engine:
         """Returns the engine with the lowest cost; any of several with nearly the same cost."""
+        factors = self._speed.factors(now, candidates)
         return min(
             candidates,
-            key=lambda engine: queue_cost(now, engine, zone) + COST_JITTER * rng.random(),
+            key=lambda engine: (
+                self._speed.cost(now, engine, zone, factors) + COST_JITTER * rng.random()
+            ),
         )
 
 
@@ -154,6 +139,9 @@
     It is meant for old counts, with which all daemons would choose the same best engine.
     """
 
+    def __init__(self, speed: SpeedPolicy | None = None) -> None:
+        self._speed = speed or IgnoredSpeed()
+
     def choose(
         self,
         now: float,
@@ -166,7 +154,8 @@
         near = [engine for engine in candidates if engine.record.zone == zone]
         pool = near if len(near) >= RANDOM_CHOICES else candidates
         drawn = rng.sample(pool, min(RANDOM_CHOICES, len(pool)))
-        return min(drawn, key=lambda engine: queue_cost(now, engine, zone))
+        factors = self._speed.factors(now, candidates)
+        return min(drawn, key=lambda engine: self._speed.cost(now, engine, zone, factors))
 
 
 class LongPromptHomes:
@@ -213,10 +202,27 @@
         return home or self.fallback.choose(now, candidates, prompt, zone, rng)
 
 
-POLICIES: dict[str, Callable[[], PlacementPolicy]] = {
+class PlacementFactory(Protocol):
+    """Constructs a placement policy."""
+
+    def __call__(self, speed: SpeedPolicy | None = None, /) -> PlacementPolicy:
+        """Returns the policy; without `speed`, it ignores the speed of engines."""
+        ...
+
+
+def _prefix_aware(speed: SpeedPolicy | None = None) -> PlacementPolicy:
+    """Returns the policy for old counts, whose draws do not depend on the speed of engines."""
+    return PrefixAware(Headroom())
+
+
+def _prefix_shortest(speed: SpeedPolicy | None = None) -> PlacementPolicy:
+    return PrefixAware(ShortestQueue(speed))
+
+
+POLICIES: dict[str, PlacementFactory] = {
     "two_choices": TwoChoices,
-    "prefix_aware": lambda: PrefixAware(Headroom()),
-    "prefix_shortest": lambda: PrefixAware(ShortestQueue()),
+    "prefix_aware": _prefix_aware,
+    "prefix_shortest": _prefix_shortest,
 }
 """Placement policies by name."""
 
--- a/src/troutswitch/decisions/forwarding/placer.py
+++ b/src/troutswitch/decisions/forwarding/placer.py
@@ -3,10 +3,10 @@
 Question: which engine is a request sent to, or is no slot free in time at any engine?
 
 `LocalPlacer` decides immediately, by this daemon's own counts of requests and by those that peers
-reported (`engines`; up to a second old). It estimates the shortest wait for a slot. If that is
-longer than the request's longest wait, no slot is free in time; otherwise the placement policy
-chooses an engine. The other implementation, `slots.slot_requests`, requests slots from
-coordinators.
+reported (`engines`; up to a second old). It estimates the shortest wait for a slot, with each
+engine's own speed (`engine_cost`). If that is longer than the request's longest wait, no slot is
+free in time; otherwise the placement policy chooses an engine. The other implementation,
+`slots.slot_requests`, requests slots from coordinators.
 
 Measurements: docs/POLICY.md, "Rounds with coordinators of slots".
 """
@@ -17,6 +17,7 @@
 from typing import Protocol
 
 from troutswitch.decisions.forwarding.engine import Engine
+from troutswitch.decisions.forwarding.engine_cost import IgnoredSpeed, SpeedPolicy
 from troutswitch.decisions.forwarding.placement import PlacementPolicy
 from troutswitch.decisions.forwarding.run_times import RunTimes
 from troutswitch.decisions.forwarding.types import PromptShape
@@ -94,19 +95,26 @@
     """Assigns requests immediately, by the local slot counts: the baseline."""
 
     def __init__(
-        self, zone: str, policy: PlacementPolicy, times: RunTimes, rng: random.Random
+        self,
+        zone: str,
+        policy: PlacementPolicy,
+        times: RunTimes,
+        rng: random.Random,
+        speed: SpeedPolicy | None = None,
     ) -> None:
         self._zone = zone
         self._policy = policy
         self._times = times
         self._rng = rng
+        self._speed = speed or IgnoredSpeed()
 
     def place(
         self, now: float, request: PlacementRequest, candidates: list[Engine]
     ) -> Placement | None:
         """Returns the policy's choice, unless the wait is too long at every engine."""
         if request.max_wait < float("inf"):
-            best = shortest_wait(now, candidates, self._times.of(request.service))
+            factors = self._speed.factors(now, candidates)
+            best = shortest_wait(now, candidates, self._times.of(request.service), factors)
             if best is not None and best.wait > request.max_wait:
                 return NoSlotInTime(best)
         engine = self._policy.choose(now, candidates, request.prompt, self._zone, self._rng)
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -34,6 +34,7 @@
 from troutswitch.decisions.forwarding.attempts import EngineAttempts
 from troutswitch.decisions.forwarding.candidates import candidate_engines, reset_tried
 from troutswitch.decisions.forwarding.engine import Engine
+from troutswitch.decisions.forwarding.engine_cost import SPEED_POLICIES
 from troutswitch.decisions.forwarding.engine_silence import is_engine_silent
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.learned_times import LearnedTimes
@@ -63,6 +64,7 @@
 from troutswitch.decisions.forwarding.run_times import RunTimes
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.limits import RetryBudget
+from troutswitch.decisions.policies import DEFAULT_SPEED
 from troutswitch.decisions.tenants.quota import QuotaCompletion, QuotaResult
 from troutswitch.outcomes import NOT_EXECUTED_OUTCOMES, AttemptOutcome, NotRun, Step
 
@@ -82,9 +84,11 @@
         policy: str,
         admission: str,
         suspects: Suspects = NO_SUSPECTS,
+        speed: str = DEFAULT_SPEED,
     ) -> None:
         self.arrivals = Arrivals(routes, suspects)
         self.times = RunTimes()
+        self.speed = SPEED_POLICIES[speed](self.times, routes)
         self._engines = engines
         self._rng = rng
         self._suspects = suspects
@@ -98,7 +102,7 @@
             self.arrivals.tenant_keys,
             self._admission,
             self._attempts,
-            LocalPlacer(zone, POLICIES[policy](), self.times, rng),
+            LocalPlacer(zone, POLICIES[policy](self.speed), self.times, rng, self.speed),
         )
         self._budget = RetryBudget()
         self._check_silence_at = float("-inf")
--- a/src/troutswitch/decisions/forwarding/routes.py
+++ b/src/troutswitch/decisions/forwarding/routes.py
@@ -60,6 +60,7 @@
         """
         self._by_host: dict[str, list[Route]] = {}
         self._by_name: dict[str, Route] = {}
+        self._gap_limits: dict[str, float] = {}
 
     @property
     def version(self) -> int:
@@ -90,6 +91,7 @@
         # The tables are replaced, not modified, so that other threads see a consistent table.
         self._by_host = by_host
         self._by_name = {route.name: route for route in configuration.routes}
+        self._gap_limits = _shortest_gap_limits(configuration)
         self.configuration = configuration
         self.source = source
         return True
@@ -105,6 +107,22 @@
         """Returns the route with a name; None if there is none."""
         return self._by_name.get(name)
 
+    def shortest_gap_limit(self, service: str) -> float:
+        """Returns the shortest pause that an online route of a service allows; else infinity."""
+        return self._gap_limits.get(service, float("inf"))
+
+
+def _shortest_gap_limits(configuration: FleetConfiguration) -> dict[str, float]:
+    """Returns the shortest pause that the online routes of each service allow, in seconds."""
+    limits: dict[str, float] = {}
+    for route in configuration.routes:
+        if route.is_for_jobs or route.gap_limit <= 0.0:
+            continue
+        for backend in route.backends:
+            limit = limits.get(backend.service, float("inf"))
+            limits[backend.service] = min(limit, route.gap_limit)
+    return limits
+
 
 def choose_service(route: Route, rng: random.Random) -> str:
     """Returns one of the route's services, drawn by weight; an empty string if it has none."""
--- a/src/troutswitch/decisions/forwarding/run_times.py
+++ b/src/troutswitch/decisions/forwarding/run_times.py
@@ -16,11 +16,13 @@
     """Moving averages of one service's online requests, in seconds; 0 before the first one.
 
     `first_event` is the time from sending to the first event if a slot was free, `slot_time` the
-    time for which a request occupies its slot.
+    time for which a request occupies its slot. `longest_pause` is the longest pause between the
+    events of a request; it is not stored.
     """
 
     first_event: float = 0.0
     slot_time: float = 0.0
+    longest_pause: float = 0.0
 
 
 class RunTimes:
@@ -50,7 +52,13 @@
                 times.slot_time = slot_time / 1000
 
     def on_completed(
-        self, service: str, first_event: float, total: float, *, was_queued: bool
+        self,
+        service: str,
+        first_event: float,
+        total: float,
+        *,
+        was_queued: bool,
+        longest_pause: float = 0.0,
     ) -> None:
         """Updates the averages with a request that was answered completely.
 
@@ -60,10 +68,15 @@
             total: seconds from sending to the end.
             was_queued: whether all slots seemed taken when the request was sent. If so, its time to
                 the first event includes a wait, which is not part of its slot time.
+            longest_pause: longest pause between its events, in seconds; 0 if it is not known.
         """
         times = self.of(service)
         if not was_queued:
             times.first_event = moving_average(times.first_event, first_event, NEW_SAMPLE_WEIGHT)
+        if longest_pause > 0.0:
+            times.longest_pause = moving_average(
+                times.longest_pause, longest_pause, NEW_SAMPLE_WEIGHT
+            )
         slot_time = total - max(0.0, first_event - times.first_event)
         times.slot_time = moving_average(times.slot_time, slot_time, NEW_SAMPLE_WEIGHT)
 
--- a/src/troutswitch/decisions/gateway_parts.py
+++ b/src/troutswitch/decisions/gateway_parts.py
@@ -126,6 +126,7 @@
             policies.placement,
             policies.admission,
             self.suspects,
+            policies.speed,
         )
 
     def _make_slots(self, policies: Policies, incarnation: int, rng: random.Random) -> FleetSlots:
@@ -135,7 +136,7 @@
             self._daemon_identity(incarnation),
             self.engines,
             self.requests.times,
-            SlotPolicies(placement, capacity),
+            SlotPolicies(placement, capacity, self.requests.speed),
             _OwnItems(self),
             self.requests,
             self.numbers,
@@ -159,6 +160,7 @@
             self.numbers,
             rng,
             self._emit,
+            self.requests.speed,
         )
         settings = JobSettings(
             identity.name,
--- a/src/troutswitch/decisions/jobs/dependencies.py
+++ b/src/troutswitch/decisions/jobs/dependencies.py
@@ -5,10 +5,11 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from troutswitch.decisions.crashes.interface import Suspects
+from troutswitch.decisions.forwarding.engine_cost import IgnoredSpeed, SpeedPolicy
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.messages import LogLine
 from troutswitch.decisions.forwarding.routes import RouteTable
@@ -68,6 +69,7 @@
     numbers: CallNumbers
     rng: random.Random
     emit: Callable[[JobInstruction], None]
+    speed: SpeedPolicy = field(default_factory=IgnoredSpeed)
 
     def log(self, event: str, **fields: object) -> None:
         """Emits a log line."""
--- a/src/troutswitch/decisions/policies.py
+++ b/src/troutswitch/decisions/policies.py
@@ -8,6 +8,9 @@
 """Policies for enforcing quotas across all daemons. `leased` is the same as `asked`; the name stays
 valid for settings that have it."""
 
+DEFAULT_SPEED = "weighted_share"
+"""Policy for how the speed of engines counts; `forwarding/engine_cost.py` has them all."""
+
 
 @dataclass(frozen=True, slots=True)
 class BatchPolicies:
@@ -23,7 +26,8 @@
 
     `slot_assignment` selects who assigns a slot to an online request: `coordinators`, or each
     daemon from its `own_counts`, which are its own requests and the coordinators' last digests.
-    `quota` selects how the quotas of tenants are enforced across all daemons.
+    `quota` selects how the quotas of tenants are enforced across all daemons, and `speed` how the
+    speed of engines counts, for online requests and batch items.
     """
 
     slot_assignment: str = "coordinators"
@@ -31,3 +35,4 @@
     admission: str = "hold_late"
     batch: BatchPolicies = field(default_factory=BatchPolicies)
     quota: str = "asked"
+    speed: str = DEFAULT_SPEED
--- a/src/troutswitch/decisions/slots/batch_slots.py
+++ b/src/troutswitch/decisions/slots/batch_slots.py
@@ -7,10 +7,11 @@
 miss it, from its newest report (up to 0.5 s old), less the slots granted since; engines that a
 daemon cannot use.
 
-Rule: slots are assigned engine by engine, the least loaded engine first. Each slot goes to a daemon
-drawn at random, weighted by its number of items that can still meet their objective and by
-`SAME_ZONE_WEIGHT` if it is in the engine's zone. Every `LATE_SLOT_INTERVAL`th slot goes to a daemon
-drawn by its number of late items, and so does every slot if no other items wait.
+Rule: slots are assigned engine by engine, the fastest engine first, and the least loaded one first
+of engines that are equally fast or whose speed is not known (`forwarding/engine_cost.py`). Each
+slot goes to a daemon drawn at random, weighted by its number of items that can still meet their
+objective and by `SAME_ZONE_WEIGHT` if it is in the engine's zone. Every `LATE_SLOT_INTERVAL`th slot
+goes to a daemon drawn by its number of late items, and so does every slot if no other items wait.
 
 Why: late items come second, because starting them earlier does not restore a missed objective.
 Their reserved slots keep them from starving. Weighting by the number of items lets the jobs of all
@@ -26,6 +27,7 @@
 
 from troutswitch.daemons.messages import engine_key
 from troutswitch.decisions.forwarding.engine import Engine
+from troutswitch.decisions.forwarding.engine_cost import IgnoredSpeed, SpeedPolicy
 from troutswitch.decisions.jobs.batch_capacity import BatchCapacityPolicy
 from troutswitch.decisions.slots.ledger import Holder, SlotLedger
 from troutswitch.decisions.slots.messages import OwnItems, WaitingItems
@@ -77,12 +79,14 @@
         own_items: OwnItems,
         capacity: BatchCapacityPolicy,
         rng: random.Random,
+        speed: SpeedPolicy | None = None,
     ) -> None:
         self._zone = zone
         self._ledger = ledger
         self._own_items = own_items
         self._capacity = capacity
         self._rng = rng
+        self._speed = speed or IgnoredSpeed()
         self._assigned_at = float("-inf")
         self._own_granted = 0
         """Slots assigned to this daemon's own items in the current round."""
@@ -120,7 +124,13 @@
 
     def _assign_group(self, now: float, engines: list[Engine]) -> list[BatchAssignment]:
         assignments: list[BatchAssignment] = []
-        for engine in sorted(engines, key=lambda e: e.in_flight(now) / e.slots):
+        factors = self._speed.factors(now, engines)
+
+        def fastest_first(engine: Engine) -> tuple[float, float]:
+            factor = factors.get(engine.record.engine_id, 1.0)
+            return factor, engine.in_flight(now) / engine.slots
+
+        for engine in sorted(engines, key=fastest_first):
             counts = self._assign_engine(engine, self._capacity.free_slots(now, engine, 0.0))
             self._own_granted += counts.get(SELF, 0)
             assignments += [BatchAssignment(name, engine, n) for name, n in counts.items()]
--- a/src/troutswitch/decisions/slots/coordinator.py
+++ b/src/troutswitch/decisions/slots/coordinator.py
@@ -21,6 +21,7 @@
     engine_key,
 )
 from troutswitch.decisions.forwarding.engine import Engine
+from troutswitch.decisions.forwarding.engine_cost import IgnoredSpeed, SpeedPolicy
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.run_times import RunTimes
 from troutswitch.decisions.forwarding.wait_estimate import NO_WAIT
@@ -58,7 +59,9 @@
         own_items: OwnItems,
         capacity: BatchCapacityPolicy,
         rng: random.Random,
+        speed: SpeedPolicy | None = None,
     ) -> None:
+        speed = speed or IgnoredSpeed()
         self.coordinated: dict[str, float] = {}
         """Groups that this daemon coordinates, with the time at which it took each over."""
         self._identity = identity
@@ -67,10 +70,10 @@
         self._ledger = ledger
         self._own_items = own_items
         self._digest_at = float("-inf")
-        self._choice = SlotChoice(ledger, times, rng)
+        self._choice = SlotChoice(ledger, times, rng, speed)
         self._grants = BatchGrants(identity, groups, ledger)
         self._preemption = ItemPreemption(identity.name, ledger, self._grants, rng)
-        self._assigner = BatchSlotAssigner(identity.zone, ledger, own_items, capacity, rng)
+        self._assigner = BatchSlotAssigner(identity.zone, ledger, own_items, capacity, rng, speed)
 
     # Coordinated groups.
 
--- a/src/troutswitch/decisions/slots/fleet.py
+++ b/src/troutswitch/decisions/slots/fleet.py
@@ -9,7 +9,7 @@
 
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import assert_never
 
 from troutswitch.daemons.identity import DaemonIdentity
@@ -21,6 +21,7 @@
     SlotReply,
     SlotRequest,
 )
+from troutswitch.decisions.forwarding.engine_cost import IgnoredSpeed, SpeedPolicy
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.messages import LogLine
 from troutswitch.decisions.forwarding.placement import HomePolicy
@@ -49,11 +50,12 @@
     """Policies that the decisions on slots use.
 
     `homes` knows the home engines of long prompts. `batch_capacity` determines how much of an
-    engine batch items may use.
+    engine batch items may use, and `speed` how the speed of engines counts.
     """
 
     homes: HomePolicy
     batch_capacity: BatchCapacityPolicy
+    speed: SpeedPolicy = field(default_factory=IgnoredSpeed)
 
 
 class FleetSlots:
@@ -89,6 +91,7 @@
             own_items,
             policies.batch_capacity,
             rng,
+            policies.speed,
         )
         self.batch = BatchCoordination(self.groups, self.coordinator, self.ledger, own_items)
         self.reports = HoldingsReports(identity, engines, self.groups, self.claims, own_items)
@@ -98,7 +101,7 @@
             self.claims,
             self.coordinator,
             self.reports,
-            LocalPlacement(identity.zone, engines, requests, policies.homes, rng),
+            LocalPlacement(identity.zone, engines, requests, policies.homes, rng, policies.speed),
             emit,
             rng,
         )
--- a/src/troutswitch/decisions/slots/local_placement.py
+++ b/src/troutswitch/decisions/slots/local_placement.py
@@ -9,7 +9,8 @@
 1. A long prompt is sent to the home engine of its session (`forwarding/long_prompts.py`),
    regardless of the coordinators' counts.
 2. If no coordinator is known, or none replies in time, the better of two randomly drawn engines is
-   chosen, preferably in this daemon's zone (`TwoChoices`). If the request may no longer be sent to
+   chosen, preferably in this daemon's zone (`TwoChoices`), with this daemon's own readings of the
+   engines' pace. If the request may no longer be sent to
    any of its engines, the two are drawn from all usable engines of its service.
 3. If there is no such engine, the request ends with `NoEngine`.
 
@@ -25,6 +26,7 @@
 
 from troutswitch.daemons.messages import engine_key
 from troutswitch.decisions.forwarding.engine import Engine
+from troutswitch.decisions.forwarding.engine_cost import SpeedPolicy
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.placement import HomePolicy, TwoChoices
 from troutswitch.decisions.forwarding.placer import (
@@ -53,13 +55,14 @@
         requests: RequestCandidates,
         homes: HomePolicy,
         rng: random.Random,
+        speed: SpeedPolicy | None = None,
     ) -> None:
         self._zone = zone
         self._engines = engines
         self._requests = requests
         self._homes = homes
         self._rng = rng
-        self._fallback = TwoChoices()
+        self._fallback = TwoChoices(speed)
 
     def home(
         self, now: float, request: PlacementRequest, candidates: list[Engine]
--- a/src/troutswitch/decisions/slots/slot_choice.py
+++ b/src/troutswitch/decisions/slots/slot_choice.py
@@ -14,8 +14,22 @@
 2. The engine with the lowest cost gets the request; of engines with equal costs, one is drawn at
    random. The cost is the share of the engine's slots that online requests use, with additions for
    another zone, for prompt tokens that are still to be processed, and for having no free slot.
+   Where engines are known to differ in speed, the policy `speed` determines the cost
+   (`forwarding/engine_cost.py`).
 3. If the wait for a slot at that engine is longer than the request accepts, the request gets none.
 
+Where engines are known to differ in speed, an engine whose slots all have online requests comes
+after one where a slot is free or has an item, whatever the cost, and an engine where an item must
+be stopped costs `ITEM_STOP_COST` more. These engines come after all others:
+
+- an engine at which the wait, and the time by which its first event comes later than at a mean
+  engine, exceed the wait that the request accepts (unless it accepts none: it is late anyway);
+- an engine whose pauses between events exceed the limit of a route;
+- an engine that is slower by `SLOW_RATIO` than the mean of the other candidates, while an engine
+  that is not has a free slot.
+
+A request gets no slot only if the wait is longer than it accepts at every engine.
+
 Why: batch items add little cost, since they are stopped immediately when needed. But a free slot is
 better than one that an item must give up, because the item's work since its last event is lost.
 
@@ -28,15 +42,33 @@
 
 from troutswitch.daemons.messages import engine_key
 from troutswitch.decisions.forwarding.engine import Engine
-from troutswitch.decisions.forwarding.placement import queue_cost
+from troutswitch.decisions.forwarding.engine_cost import (
+    IgnoredSpeed,
+    RelativeFactors,
+    SpeedPolicy,
+    queue_cost,
+)
 from troutswitch.decisions.forwarding.run_times import RunTimes
-from troutswitch.decisions.forwarding.wait_estimate import NO_WAIT, WaitEstimate, slot_wait
+from troutswitch.decisions.forwarding.wait_estimate import (
+    NO_WAIT,
+    WaitEstimate,
+    least_wait,
+    slot_wait,
+)
 from troutswitch.decisions.slots.groups import Group
 from troutswitch.decisions.slots.ledger import SlotLedger
 
 NO_FREE_SLOT_COST = 1.0
 """Cost, as a share of the engine's slots, of having no free slot. Sending one more online request
 to an engine with a free slot is always better than stopping a batch item elsewhere."""
+ITEM_STOP_COST = 0.4
+"""Cost, in slot times, of stopping an item where engines differ in speed: its prompt is processed
+again, and its current event is lost. A dominating cost would send requests to slow engines while
+items fill the fast ones."""
+SLOW_RATIO = 2.0
+"""Ratio of an engine's factor to the mean of the other candidates at which it gets no online
+request while another has a free slot. A request that waits for one slot time at a mean engine and
+then runs there ends as early."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,16 +96,26 @@
 class SlotChoice:
     """Chooses engines for online requests by the coordinator's counts."""
 
-    def __init__(self, ledger: SlotLedger, times: RunTimes, rng: random.Random) -> None:
+    def __init__(
+        self,
+        ledger: SlotLedger,
+        times: RunTimes,
+        rng: random.Random,
+        speed: SpeedPolicy | None = None,
+    ) -> None:
         self._ledger = ledger
         self._times = times
         self._rng = rng
+        self._speed = speed or IgnoredSpeed()
 
     def choose(self, now: float, query: SlotQuery, engines: list[Engine]) -> SlotDecision:
         """Chooses among `engines`, the engines of the query's group that are not leaving."""
         candidates = self._candidates(now, query, engines)
         if not candidates:
             return SlotDecision(None, NO_WAIT)
+        factors = self._speed.factors(now, engines)
+        if factors:
+            return self._choose_by_speed(now, query, candidates, factors)
         costs = {e.record.engine_id: _cost(now, e, query.zone) for e in candidates}
         engine = min(candidates, key=lambda e: (costs[e.record.engine_id], self._rng.random()))
         estimate = slot_wait(now, engine, self._times.of(query.group.service))
@@ -81,6 +123,46 @@
             return SlotDecision(None, estimate)
         return SlotDecision(engine, estimate)
 
+    def _choose_by_speed(
+        self, now: float, query: SlotQuery, candidates: list[Engine], factors: RelativeFactors
+    ) -> SlotDecision:
+        """Chooses among engines that differ in speed."""
+        times = self._times.of(query.group.service)
+        acceptable: SlotDecision | None = None
+        best: WaitEstimate | None = None
+        for engine in self._in_order(now, query.zone, candidates, factors):
+            factor = factors.get(engine.record.engine_id, 1.0)
+            if best is not None and least_wait(engine, times, factor) > query.max_wait:
+                continue
+            estimate = slot_wait(now, engine, times, factor)
+            best = best or estimate
+            if estimate.wait > query.max_wait:
+                continue
+            delay = estimate.wait + max(0.0, (factor - 1.0) * times.first_event)
+            if delay <= query.max_wait or query.max_wait <= 0.0:
+                return SlotDecision(engine, estimate)
+            acceptable = acceptable or SlotDecision(engine, estimate)
+        return acceptable or SlotDecision(None, best or NO_WAIT)
+
+    def _in_order(
+        self, now: float, zone: str, candidates: list[Engine], factors: RelativeFactors
+    ) -> list[Engine]:
+        """Returns the engines by queue and cost, and after them those that are too slow."""
+        full = {e.record.engine_id for e in candidates if e.in_flight(now) >= e.slots}
+        slow = _slow_engines(candidates, factors)
+        if all(e.record.engine_id in slow or e.record.engine_id in full for e in candidates):
+            slow = set()
+
+        def key(engine: Engine) -> tuple[bool, bool, float, float]:
+            engine_id = engine.record.engine_id
+            is_last = engine_id in slow or self._speed.exceeds_pause(engine, factors)
+            is_queued = engine_id in full and engine.online_load(now) >= engine.slots
+            cost = self._speed.cost(now, engine, zone, factors)
+            cost += ITEM_STOP_COST if engine_id in full else 0.0
+            return is_last, is_queued, cost, self._rng.random()
+
+        return sorted(candidates, key=key)
+
     def _candidates(self, now: float, query: SlotQuery, engines: list[Engine]) -> list[Engine]:
         permitted = [e for e in engines if engine_key(e.record.engine_id) not in query.excluded]
         usable = [engine for engine in permitted if self.is_usable(now, engine)]
@@ -96,3 +178,10 @@
 def _cost(now: float, engine: Engine, zone: str) -> float:
     is_full = engine.in_flight(now) >= engine.slots
     return queue_cost(now, engine, zone) + (NO_FREE_SLOT_COST if is_full else 0.0)
+
+
+def _slow_engines(candidates: list[Engine], factors: RelativeFactors) -> set[str]:
+    """Returns the ids of the engines that are slower by `SLOW_RATIO` than the others' mean."""
+    by_id = {e.record.engine_id: factors.get(e.record.engine_id, 1.0) for e in candidates}
+    total, others = sum(by_id.values()), len(by_id) - 1
+    return {name for name, f in by_id.items() if others and f >= SLOW_RATIO * (total - f) / others}
--- a/src/troutswitch/gateway/policies.py
+++ b/src/troutswitch/gateway/policies.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from troutswitch.decisions.forwarding.admission import ADMISSION_POLICIES
+from troutswitch.decisions.forwarding.engine_cost import SPEED_POLICIES
 from troutswitch.decisions.forwarding.placement import POLICIES as PLACEMENT_POLICIES
 from troutswitch.decisions.jobs.batch_capacity import BATCH_CAPACITY_POLICIES
 from troutswitch.decisions.jobs.order import ITEM_ORDERS
@@ -33,6 +34,7 @@
     items: str = DEFAULTS.batch.item_order
     room: str = DEFAULTS.batch.capacity
     quota: str = DEFAULTS.quota
+    speed: str = DEFAULTS.speed
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,10 +68,11 @@
         _Choice("items", names.items, ITEM_ORDERS),
         _Choice("room", names.room, BATCH_CAPACITY_POLICIES),
         _Choice("quota", names.quota, QUOTA_POLICIES),
+        _Choice("speed", names.speed, SPEED_POLICIES),
     ):
         choice.check()
     batch = BatchPolicies(names.items, names.room)
-    return Policies(names.places, names.placement, names.admission, batch, names.quota)
+    return Policies(names.places, names.placement, names.admission, batch, names.quota, names.speed)
 
 
 def _pair(part: str) -> tuple[str, str]:
--- a/tests/decisions/forwarding/test_wait_estimate.py
+++ b/tests/decisions/forwarding/test_wait_estimate.py
@@ -6,7 +6,7 @@
 from tests.decisions.forwarding.harness import engine
 from troutswitch.decisions.forwarding.engine import Engine
 from troutswitch.decisions.forwarding.run_times import ServiceTimes
-from troutswitch.decisions.forwarding.wait_estimate import slot_wait
+from troutswitch.decisions.forwarding.wait_estimate import least_wait, shortest_wait, slot_wait
 
 TIMES = ServiceTimes(first_event=0.1, slot_time=1.0)
 DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=150)
@@ -63,3 +63,21 @@
         assert before <= wait <= TIMES.slot_time * (1 + len(times) / slots)
         assert (wait == 0.0) or loaded_engine.online_count() >= slots
         before = wait
+
+
+def test_wait_is_that_of_the_engine_s_own_speed() -> None:
+    """Load: engines at half and twice the mean time. The mean would tell the same wait for both."""
+    loaded_engine = engine_with_requests([0.9, 0.9])
+    assert abs(slot_wait(1.0, loaded_engine, TIMES, 0.5).wait - 0.4) < 1e-9
+    slow = slot_wait(1.0, loaded_engine, TIMES, 2.0)
+    assert abs(slow.wait - 1.9) < 1e-9
+    assert slow.slot_time == 2.0
+    assert least_wait(loaded_engine, TIMES, 2.0) <= slow.wait
+
+
+def test_shortest_wait_counts_the_speed_of_each_engine() -> None:
+    few, many = engine_with_requests([0.9, 0.9]), Engine(engine("b", slots=2))
+    many.change_own_online(0.9, 3)
+    best = shortest_wait(1.0, [few, many], TIMES, {"a": 2.0, "b": 0.25})
+    assert best is not None
+    assert best.queued == 2
--- a/tests/decisions/slots/harness.py
+++ b/tests/decisions/slots/harness.py
@@ -15,13 +15,16 @@
     engine_key,
 )
 from troutswitch.decisions.forwarding.engine import NO_SIZE, Engine
+from troutswitch.decisions.forwarding.engine_cost import SPEED_POLICIES
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.messages import LogLine
 from troutswitch.decisions.forwarding.placement import NoHomes
 from troutswitch.decisions.forwarding.placer import Assignment, Placement, PlacementRequest
+from troutswitch.decisions.forwarding.routes import RouteTable
 from troutswitch.decisions.forwarding.run_times import RunTimes
 from troutswitch.decisions.forwarding.types import EngineRecord, PromptShape
 from troutswitch.decisions.jobs.batch_capacity import SlotCapacity
+from troutswitch.decisions.policies import DEFAULT_SPEED
 from troutswitch.decisions.slots.fleet import FleetSlots, SlotPolicies
 from troutswitch.decisions.slots.messages import (
     SendToPeers,
@@ -77,7 +80,12 @@
     """One daemon's decisions on slots, which also runs the requests and items that they start."""
 
     def __init__(
-        self, name: str, records: list[EngineRecord], zone: str = ZONE, incarnation: int = 0
+        self,
+        name: str,
+        records: list[EngineRecord],
+        zone: str = ZONE,
+        incarnation: int = 0,
+        speed: str = DEFAULT_SPEED,
     ) -> None:
         self.name = name
         self.address = address_of(name)
@@ -95,7 +103,9 @@
             DaemonIdentity(name, zone, self.address, incarnation or incarnation_of(name)),
             self.engines,
             self.times,
-            SlotPolicies(NoHomes(), SlotCapacity()),
+            SlotPolicies(
+                NoHomes(), SlotCapacity(), SPEED_POLICIES[speed](self.times, RouteTable())
+            ),
             DaemonItems(self),
             self,
             CallNumbers(),
--- a/tests/decisions/slots/test_coordinator.py
+++ b/tests/decisions/slots/test_coordinator.py
@@ -233,3 +233,13 @@
     for number in range(1, 4):
         coordinator.receive(NOW + rng.random(), slot_request(number))
     assert {reply.engine_key for reply in replies(coordinator)} == {engine_key("s1")}
+
+
+def test_slots_of_fast_engines_are_granted_first() -> None:
+    """Load: fewer items wait than slots are free, at engines that differ in speed."""
+    coordinator, _ = pair(engines=3, slots=2)
+    for name, percent in (("s0", 120), ("s1", 300), ("s2", 55)):
+        coordinator.engines.on_pace(coordinator.engine(name), percent, SETTLED)
+    coordinator.waiting = 3
+    coordinator.tick(SETTLED)
+    assert sorted(coordinator.items) == ["s0", "s2", "s2"]
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -51,3 +51,9 @@
     text = str(removed_error.value)
     assert text.startswith(f"TROUTSWITCH_POLICIES: {name}: expected one of ")
     assert text == str(unknown_error.value).replace("unknown", removed)
+
+
+def test_speed_policy_can_be_selected_and_is_checked() -> None:
+    assert read_policies("speed=ignored") == Policies(speed="ignored")
+    with pytest.raises(GatewaySettingsError, match="speed: expected one of expected_time, ignored"):
+        read_policies("speed=fast")
