Batch items go to engines at which they meet their due time

Cause: granted slots got the most urgent item whatever the engine's speed, and the mean time per event depended on which engines ran the items. Change: `jobs/speed_order.py` puts the items that need it first at a fast engine, and those that would be late only there last at a slow one; such an item waits only for a free slot at a faster engine. The time per event of a finished run is divided by the engine's relative factor over the last seconds.

--- a/src/troutswitch/decisions/jobs/dispatcher.py
+++ b/src/troutswitch/decisions/jobs/dispatcher.py
@@ -6,7 +6,8 @@
 The rule: a coordinator grants the slots of an engine to daemons with waiting items, and this daemon
 starts its most urgent items in them. Where no coordinator answers, it starts items by its own
 view of the engines, a few in each round, and only in its own share of the free slots. Items that
-can meet their targets start before late ones, except on a late item's turn.
+can meet their targets start before late ones, except on a late item's turn. Where engines differ in
+speed, `speed_order` determines which items an engine is suited for.
 
 Why: without grants several daemons would fill the same slot. If a coordinator is lost, batch work
 continues: each daemon then uses a share of the slots in proportion to its open items. Measured in
@@ -14,12 +15,14 @@
 """
 
 from troutswitch.decisions.forwarding.engine import Engine
+from troutswitch.decisions.forwarding.engine_cost import RelativeFactors
 from troutswitch.decisions.jobs.dependencies import JobDependencies
 from troutswitch.decisions.jobs.engine_choice import EngineChoice, accepts_items
 from troutswitch.decisions.jobs.item_parts import ItemParts
 from troutswitch.decisions.jobs.items import ItemProgress
 from troutswitch.decisions.jobs.messages import RunItem
 from troutswitch.decisions.jobs.order import AvailableCapacity
+from troutswitch.decisions.jobs.speed_order import is_better_served_elsewhere, order_for
 from troutswitch.decisions.jobs.starvation_guard import StarvationGuard
 from troutswitch.decisions.slots.messages import FleetShare, StartItems, WaitingItems
 
@@ -47,6 +50,7 @@
         self._engine_choice = engine_choice
         self._engines = dependencies.engines
         self._slots = dependencies.slots
+        self._speed = dependencies.speed
 
     # A round of dispatching.
 
@@ -139,14 +143,48 @@
         engine = self._engines.engines.get(grant.engine_id)
         if engine is None or engine.is_leaving or not accepts_items(now, engine):
             return []
+        factors = self._factors(now, engine)
+        factor = factors.get(grant.engine_id, 1.0)
+        order = order_for(
+            now,
+            factor,
+            self._startable_in_order(now),
+            self._ranking,
+            is_late_turn=self.starvation_guard.is_late_turn(now),
+        )
+        started = self._start_in_slots(now, order.preferred, engine, grant.count)
+        if len(started) < grant.count and order.endangered:
+            usable = self._engines.usable(now, engine.record.service)
+            accepting = [other for other in usable if accepts_items(now, other)]
+            endangered = [
+                item
+                for item in order.endangered
+                if not is_better_served_elsewhere(
+                    now, item, engine, accepting, factors, self._ranking
+                )
+            ]
+            count = grant.count - len(started)
+            started += self._start_in_slots(now, endangered, engine, count)
+        self._subtract_started(len(started))
+        return started
+
+    def _factors(self, now: float, engine: Engine) -> RelativeFactors:
+        service = engine.record.service
+        if not self._engines.is_paced(service):
+            return {}
+        return self._speed.factors(now, self._engines.of_service(service))
+
+    def _start_in_slots(
+        self, now: float, ordered: list[ItemProgress], engine: Engine, count: int
+    ) -> list[RunItem]:
+        """Starts up to `count` items at an engine, in the given order."""
         started: list[RunItem] = []
-        for progress in self._startable_in_order(now):
-            if len(self._runs.by_number) >= MAX_RUNS or len(started) >= grant.count:
+        for progress in ordered:
+            if len(self._runs.by_number) >= MAX_RUNS or len(started) >= count:
                 break
             run = self._start_at(now, progress, engine)
             if run is not None:
                 started.append(run)
-        self._subtract_started(len(started))
         return started
 
     def _startable_in_order(self, now: float) -> list[ItemProgress]:
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -83,7 +83,7 @@
         self._items = parts.items
         self._runs = parts.runs
         self._ranking = parts.ranking
-        self._run_ends = RunEnds(parts)
+        self._run_ends = RunEnds(parts, dependencies.engines, dependencies.speed)
         self._run_stops = RunStops(parts, capacity, dependencies)
         engine_choice = EngineChoice(
             dependencies.routes, dependencies.engines, capacity, settings.zone, dependencies.rng
--- a/src/troutswitch/decisions/jobs/ranking.py
+++ b/src/troutswitch/decisions/jobs/ranking.py
@@ -34,9 +34,10 @@
 
     def rank(self, now: float, items: Iterable[ItemProgress], capacity: AvailableCapacity) -> None:
         """Computes the ranks of all items."""
-        self._ranks = self._order.rank(now, [self._forecast(item) for item in items], capacity)
+        self._ranks = self._order.rank(now, [self.forecast(item) for item in items], capacity)
 
-    def _forecast(self, progress: ItemProgress) -> ItemForecast:
+    def forecast(self, progress: ItemProgress) -> ItemForecast:
+        """Returns when an item is due and its remaining run time at an engine of mean speed."""
         entry = self._index.jobs.get(progress.job_id)
         due = due_at(self._routes, entry) if entry is not None else float("inf")
         return ItemForecast(progress.key, due, self.run_times.remaining_seconds(progress))
--- a/src/troutswitch/decisions/jobs/run_ends.py
+++ b/src/troutswitch/decisions/jobs/run_ends.py
@@ -3,6 +3,8 @@
 It owns no state; it passes each end on to the parts that handle it.
 """
 
+from troutswitch.decisions.forwarding.engine_cost import SpeedPolicy
+from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.jobs.item_parts import ItemParts
 from troutswitch.decisions.jobs.messages import ItemRunEnded
 from troutswitch.decisions.jobs.runs import ItemRun
@@ -15,12 +17,14 @@
 class RunEnds:
     """Handles the ends of runs."""
 
-    def __init__(self, parts: ItemParts) -> None:
+    def __init__(self, parts: ItemParts, engines: EngineRegistry, speed: SpeedPolicy) -> None:
         self._runs = parts.runs
         self._refusals = parts.refusals
         self._retries = parts.retries
         self._endings = parts.endings
         self._ranking = parts.ranking
+        self._engines = engines
+        self._speed = speed
 
     def on_run_ended(self, now: float, event: ItemRunEnded) -> bool:
         """Handles the end of a run; returns False if the run is unknown."""
@@ -42,7 +46,17 @@
         self._refusals.on_done(now, progress)
         events = progress.event_count - run.events_before
         run_times = self._ranking.run_times
-        run_times.on_completed(now - run.started_at, events, progress.event_count)
+        run_times.on_completed(
+            now - run.started_at, events, progress.event_count, self._factor(now, run)
+        )
         if not self._ranking.is_overdue(now, progress):
             run_times.on_item_done(progress.run_seconds, now - progress.started_at)
         self._endings.complete(progress)
+
+    def _factor(self, now: float, run: ItemRun) -> float:
+        """Returns the relative factor of a run's engine over the last seconds."""
+        engine = self._engines.engines.get(run.engine_id)
+        if engine is None or not self._engines.is_paced(engine.record.service):
+            return 1.0
+        engines = self._engines.all_of_service(engine.record.service)
+        return self._speed.average_factor(now, engine, engines)
--- a/src/troutswitch/decisions/jobs/run_time_estimate.py
+++ b/src/troutswitch/decisions/jobs/run_time_estimate.py
@@ -1,11 +1,14 @@
 """Rule: what is the remaining run time of a batch item?
 
-Inputs: the finished runs on this daemon (seconds, events, and for items that met their target the
+Inputs: the finished runs on this daemon (seconds, events, the engine's relative factor in the last
+seconds, see `forwarding/engine_cost.py`; for items that met their target the
 share of the time since their first start in which they ran); before the first finished run, the
 estimates of another daemon, from the peer registry.
 
-The rule: exponential moving averages of the seconds per event and of the events per item. The
-remaining time is the expected number of remaining events multiplied by the seconds per event.
+The rule: exponential moving averages of the seconds per event and of the events per item. A run's
+seconds per event are divided by the engine's relative factor, so the average is that of an engine
+of mean speed, whichever engines ran the items. The remaining time is the expected number of
+remaining events multiplied by the seconds per event, and at one engine also by its factor.
 
 Why: the order of items depends on which can still meet their targets. The clients' own estimates of
 an item's output are too inaccurate. Measured in docs/POLICY.md, "Rounds" (10
@@ -35,16 +38,20 @@
         self.item_events = 0.0
         self.duty = 1.0
 
-    def on_completed(self, seconds: float, events: int, item_events: int) -> None:
+    def on_completed(
+        self, seconds: float, events: int, item_events: int, factor: float = 1.0
+    ) -> None:
         """Adds a run that completed its item's output.
 
         Args:
             seconds: duration of the run.
             events: number of events from this run.
             item_events: number of events of the whole item, including earlier runs.
+            factor: relative factor of the engine during the run.
         """
         if events > 0:
-            self.event_seconds = moving_average(self.event_seconds, seconds / events, WEIGHT_OF_NEW)
+            event_seconds = seconds / events / factor
+            self.event_seconds = moving_average(self.event_seconds, event_seconds, WEIGHT_OF_NEW)
         self.item_events = moving_average(self.item_events, item_events, WEIGHT_OF_NEW)
 
     def on_item_done(self, run_seconds: float, since_start: float) -> None:
--- /dev/null
+++ b/tests/decisions/jobs/test_dispatcher.py
@@ -0,0 +1,115 @@
+"""Start of items in granted slots. Load: more items than slots, at engines that differ in speed."""
+
+import random
+from types import SimpleNamespace
+from typing import cast
+
+from tests.decisions.forwarding.harness import engine
+from tests.decisions.jobs.fixtures import ROUTE, item, job_index, route_table
+from troutswitch.decisions.forwarding.engine_cost import SPEED_POLICIES
+from troutswitch.decisions.forwarding.engines import EngineRegistry
+from troutswitch.decisions.forwarding.run_times import RunTimes
+from troutswitch.decisions.jobs.batch_capacity import SlotCapacity
+from troutswitch.decisions.jobs.dependencies import JobDependencies
+from troutswitch.decisions.jobs.dispatcher import ItemDispatcher
+from troutswitch.decisions.jobs.engine_choice import EngineChoice
+from troutswitch.decisions.jobs.item_parts import ItemParts
+from troutswitch.decisions.jobs.items import ItemProgress
+from troutswitch.decisions.jobs.messages import ItemRunEnded, OutputEvent
+from troutswitch.decisions.jobs.order import AvailableCapacity, MostInTime
+from troutswitch.decisions.jobs.ranking import ItemRanking
+from troutswitch.decisions.jobs.run_ends import RunEnds
+from troutswitch.decisions.jobs.runs import ItemRuns
+from troutswitch.decisions.slots.messages import StartItems
+from troutswitch.outcomes import AttemptOutcome
+
+NOW = 12.0
+MEAN_ONLY, EASY = 0.0, 8.0
+"""First reads of jobs whose items have 8 and 16 s left, and take 6 s at mean speed."""
+
+
+class Daemon:
+    """A daemon's items, with engines "fast" and "slow" at 55 and 145 percent of the usual time."""
+
+    def __init__(self, *read_at: float, speed: str = "weighted_share", paced: bool = True) -> None:
+        self.registry = EngineRegistry()
+        records = [engine(name, service="service", slots=4) for name in ("fast", "slow")]
+        self.registry.on_list(0.0, records)
+        if paced:
+            for name, percent in (("fast", 55), ("slow", 145)):
+                self.registry.on_pace(self.registry.engines[name], percent, NOW)
+        index = job_index({f"job{n}": at for n, at in enumerate(read_at)})
+        self.items = [item(f"job{n}") for n in range(len(read_at))]
+        self.ranking = ItemRanking(route_table(), index, MostInTime())
+        self.ranking.run_times.on_completed(6.0, 60, 60)
+        self.ranking.rank(NOW, self.items, AvailableCapacity(8.0, 1.0))
+        self.runs = ItemRuns(route_table(), self.registry, lambda event, **fields: None)
+        policy = SPEED_POLICIES[speed](RunTimes(), route_table())
+        dependencies = SimpleNamespace(engines=self.registry, slots=None, speed=policy)
+        choice = EngineChoice(route_table(), self.registry, SlotCapacity(), "z", random.Random(1))
+
+        def prepare_start(now: float, progress: ItemProgress) -> object:
+            return SimpleNamespace(
+                progress=progress, entry=index.jobs[progress.job_id], route=ROUTE
+            )
+
+        def startable(now: float, listed_at: float) -> list[ItemProgress]:
+            return [progress for progress in self.items if progress.may_start(now)]
+
+        parts = SimpleNamespace(
+            items=SimpleNamespace(startable=startable),
+            runs=self.runs,
+            ranking=self.ranking,
+            retries=SimpleNamespace(prepare_start=prepare_start),
+            refusals=SimpleNamespace(
+                on_started=lambda now, progress: None, on_done=lambda now, progress: None
+            ),
+            endings=SimpleNamespace(complete=lambda progress: None),
+        )
+        self.ends = RunEnds(cast(ItemParts, parts), self.registry, policy)
+        self.dispatcher = ItemDispatcher(
+            cast(ItemParts, parts), choice, cast(JobDependencies, dependencies)
+        )
+
+    def started(self, engine_id: str, count: int = 1) -> list[str]:
+        runs = self.dispatcher.start_granted(NOW, StartItems(engine_id, count))
+        return [self.runs.by_number[run.run].progress.job_id for run in runs]
+
+
+def test_slow_engine_gets_the_item_that_has_time_there() -> None:
+    assert Daemon(MEAN_ONLY, EASY).started("slow") == ["job1"]
+
+
+def test_slot_of_a_slow_engine_is_left_if_a_faster_one_has_a_slot_for_the_only_item() -> None:
+    daemon = Daemon(MEAN_ONLY)
+    assert daemon.started("slow") == []
+    assert daemon.started("fast") == ["job0"]
+
+
+def test_slot_of_a_slow_engine_is_used_if_no_faster_one_is_free() -> None:
+    """Guards against slots that stay unused while items wait."""
+    daemon = Daemon(MEAN_ONLY)
+    daemon.registry.engines["fast"].peers_batch = 4
+    assert daemon.started("slow") == ["job0"]
+
+
+def test_items_start_by_rank_if_no_pace_is_known_or_speed_is_ignored() -> None:
+    for daemon in (
+        Daemon(MEAN_ONLY, EASY, paced=False),
+        Daemon(MEAN_ONLY, EASY, speed="ignored"),
+    ):
+        assert daemon.started("slow", 2) == ["job0", "job1"]
+
+
+def test_mean_run_time_does_not_depend_on_which_engine_ran_the_item() -> None:
+    """Guards against estimates that are too short because fast engines ran most items."""
+    for engine_id, seconds in (("fast", 3.3), ("slow", 8.7)):
+        daemon = Daemon(EASY)
+        daemon.dispatcher.start_granted(NOW, StartItems(engine_id, 1))
+        (number,) = daemon.runs.by_number
+        run = daemon.runs.by_number[number]
+        run.progress.add_events(tuple(OutputEvent(str(n), "text") for n in range(1, 61)))
+        daemon.ends.on_run_ended(
+            NOW + seconds, ItemRunEnded(number, AttemptOutcome.COMPLETED, 200, "", ())
+        )
+        assert abs(daemon.ranking.run_times.event_seconds - 0.1) < 1e-9
--- a/tests/decisions/jobs/test_run_time_estimate.py
+++ b/tests/decisions/jobs/test_run_time_estimate.py
@@ -45,3 +45,11 @@
     for _ in range(200):
         estimate.on_item_done(9.0, 5.0)
     assert 0.99 < estimate.duty <= 1.0
+
+
+def test_time_per_event_is_that_of_an_engine_of_mean_speed() -> None:
+    """Load: engines at 0.5 and 1.5 times the mean time run the same items."""
+    estimate = RunTimeEstimate()
+    estimate.on_completed(2.0, 40, 40, 0.5)
+    estimate.on_completed(6.0, 40, 40, 1.5)
+    assert abs(estimate.event_seconds - 0.1) < 1e-9
