The choice by speed takes less processor time

Cause: the order by speed counted the requests at each engine several times, and `expected_time` estimated each wait by send times. Change: counts and factors are computed once for each choice, and `expected_time` uses the wait by the number of queued requests. The limit of pauses is one factor for each service.

--- a/src/troutswitch/decisions/forwarding/engine_cost.py
+++ b/src/troutswitch/decisions/forwarding/engine_cost.py
@@ -11,7 +11,8 @@
 - `weighted_share`, the default: the share of slots that is taken, including the new request, and
   the waiting prompt tokens, both multiplied by the engine's relative factor.
 - `expected_time`: the expected time to the first event, in slot times of the service. The expected
-  end and the weighted share decide between engines with nearly the same time.
+  end and the weighted share decide between engines with nearly the same time. The wait in it
+  is estimated by the number of queued requests alone: by send times takes too long for each engine.
 - `ignored`: the share of slots that is taken and the waiting prompt tokens, whatever the speed.
 
 All three add `ZONE_PENALTY` for an engine of another zone. `slots/slot_choice.py` adds a cost for
@@ -29,8 +30,8 @@
 from troutswitch.decisions.forwarding.engine import Engine
 from troutswitch.decisions.forwarding.engine_pace import MAX_AGE_SECONDS
 from troutswitch.decisions.forwarding.routes import RouteTable
-from troutswitch.decisions.forwarding.run_times import RunTimes, ServiceTimes
-from troutswitch.decisions.forwarding.wait_estimate import slot_wait
+from troutswitch.decisions.forwarding.run_times import RunTimes
+from troutswitch.decisions.forwarding.wait_estimate import least_wait
 
 FULL_PREFILL_TOKENS = 8192
 """Waiting prompt tokens that cost as much as if all slots of the engine were taken."""
@@ -148,10 +149,10 @@
         """
         ...
 
-    def exceeds_pause(self, engine: Engine, factors: RelativeFactors) -> bool:
-        """Returns whether pauses between events there would exceed the limit of a route.
+    def max_factor(self, service: str) -> float:
+        """Returns the relative factor above which pauses between events exceed a route's limit.
 
-        False where the pauses or the limit are not known.
+        Infinite where the pauses or the limit are not known.
         """
         ...
 
@@ -171,9 +172,9 @@
         """Returns `queue_cost`."""
         return queue_cost(now, engine, zone)
 
-    def exceeds_pause(self, engine: Engine, factors: RelativeFactors) -> bool:
-        """Returns False."""
-        return False
+    def max_factor(self, service: str) -> float:
+        """Returns infinity."""
+        return float("inf")
 
 
 class _KnownSpeed:
@@ -191,11 +192,10 @@
         """Returns `average_relative_factor`."""
         return average_relative_factor(now, engine, engines)
 
-    def exceeds_pause(self, engine: Engine, factors: RelativeFactors) -> bool:
-        """Returns whether the mean of the longest pauses, times the factor, exceeds the limit."""
-        service = engine.record.service
-        pause = self._times.of(service).longest_pause * factors.get(engine.record.engine_id, 1.0)
-        return pause > 0.0 and pause > self._routes.shortest_gap_limit(service)
+    def max_factor(self, service: str) -> float:
+        """Returns the limit of the routes, divided by the mean of the longest pauses."""
+        pause = self._times.of(service).longest_pause
+        return self._routes.shortest_gap_limit(service) / pause if pause > 0.0 else float("inf")
 
 
 class WeightedShare(_KnownSpeed):
@@ -213,13 +213,15 @@
         """Returns the expected time to the first event, in slot times, with small additions."""
         times = self._times.of(engine.record.service)
         share = _weighted_share(now, engine, zone, factors)
-        if not factors or times.slot_time <= 0.0:
+        slot_time = times.slot_time
+        if not factors or slot_time <= 0.0:
             return share
         factor = factors.get(engine.record.engine_id, 1.0)
-        first_event = _first_event(now, engine, times, factor)
-        end = first_event + factor * max(0.0, times.slot_time - times.first_event)
+        work = times.first_event + _waiting_tokens(engine) * PREFILL_TOKEN_SECONDS
+        first_event = least_wait(engine, times, factor) + factor * work
+        end = first_event + factor * max(0.0, slot_time - times.first_event)
         seconds = first_event + END_WEIGHT * end
-        return seconds / times.slot_time + zone_cost(engine, zone) + SHARE_WEIGHT * share
+        return seconds / slot_time + zone_cost(engine, zone) + SHARE_WEIGHT * share
 
 
 def _weighted_share(now: float, engine: Engine, zone: str, factors: RelativeFactors) -> float:
@@ -230,12 +232,6 @@
     return factor * (taken + prefill_cost(engine)) + zone_cost(engine, zone)
 
 
-def _first_event(now: float, engine: Engine, times: ServiceTimes, factor: float) -> float:
-    """Returns the expected time to the first event of one more request, in seconds."""
-    work = times.first_event + _waiting_tokens(engine) * PREFILL_TOKEN_SECONDS
-    return slot_wait(now, engine, times, factor).wait + factor * work
-
-
 SPEED_POLICIES: dict[str, Callable[[RunTimes, RouteTable], SpeedPolicy]] = {
     "weighted_share": WeightedShare,
     "expected_time": ExpectedTime,
--- a/src/troutswitch/decisions/slots/slot_choice.py
+++ b/src/troutswitch/decisions/slots/slot_choice.py
@@ -37,6 +37,7 @@
 counts in "Rounds with coordinators of slots" (round 14).
 """
 
+import operator
 import random
 from dataclasses import dataclass
 
@@ -70,6 +71,9 @@
 request while another has a free slot. A request that waits for one slot time at a mean engine and
 then runs there ends as early."""
 
+MIN_COMPARED_ENGINES = 2
+"""Minimum number of candidates of which one can be slower than the others."""
+
 
 @dataclass(frozen=True, slots=True)
 class SlotQuery:
@@ -148,20 +152,22 @@
         self, now: float, zone: str, candidates: list[Engine], factors: RelativeFactors
     ) -> list[Engine]:
         """Returns the engines by queue and cost, and after them those that are too slow."""
-        full = {e.record.engine_id for e in candidates if e.in_flight(now) >= e.slots}
-        slow = _slow_engines(candidates, factors)
-        if all(e.record.engine_id in slow or e.record.engine_id in full for e in candidates):
-            slow = set()
-
-        def key(engine: Engine) -> tuple[bool, bool, float, float]:
-            engine_id = engine.record.engine_id
-            is_last = engine_id in slow or self._speed.exceeds_pause(engine, factors)
-            is_queued = engine_id in full and engine.online_load(now) >= engine.slots
+        known = [factors.get(engine.record.engine_id, 1.0) for engine in candidates]
+        full = [engine.in_flight(now) >= engine.slots for engine in candidates]
+        max_factor = self._speed.max_factor(candidates[0].record.service)
+        slow_factor = _slow_factor(known)
+        if all(map(operator.or_, full, (factor >= slow_factor for factor in known))):
+            slow_factor = float("inf")
+        keys: list[tuple[bool, bool, float, float, int]] = []
+        for index, engine in enumerate(candidates):
+            is_last = known[index] >= slow_factor or known[index] > max_factor
             cost = self._speed.cost(now, engine, zone, factors)
-            cost += ITEM_STOP_COST if engine_id in full else 0.0
-            return is_last, is_queued, cost, self._rng.random()
-
-        return sorted(candidates, key=key)
+            is_queued = False
+            if full[index]:
+                is_queued = engine.online_load(now) >= engine.slots
+                cost += ITEM_STOP_COST
+            keys.append((is_last, is_queued, cost, self._rng.random(), index))
+        return [candidates[key[-1]] for key in sorted(keys)]
 
     def _candidates(self, now: float, query: SlotQuery, engines: list[Engine]) -> list[Engine]:
         permitted = [e for e in engines if engine_key(e.record.engine_id) not in query.excluded]
@@ -180,8 +186,11 @@
     return queue_cost(now, engine, zone) + (NO_FREE_SLOT_COST if is_full else 0.0)
 
 
-def _slow_engines(candidates: list[Engine], factors: RelativeFactors) -> set[str]:
-    """Returns the ids of the engines that are slower by `SLOW_RATIO` than the others' mean."""
-    by_id = {e.record.engine_id: factors.get(e.record.engine_id, 1.0) for e in candidates}
-    total, others = sum(by_id.values()), len(by_id) - 1
-    return {name for name, f in by_id.items() if others and f >= SLOW_RATIO * (total - f) / others}
+def _slow_factor(factors: list[float]) -> float:
+    """Returns the factor from which on an engine is slower by `SLOW_RATIO` than the others' mean.
+
+    With n engines whose factors add up to s, f >= r (s - f) / (n - 1) is f >= r s / (n - 1 + r).
+    """
+    if len(factors) < MIN_COMPARED_ENGINES:
+        return float("inf")
+    return SLOW_RATIO * sum(factors) / (len(factors) - 1 + SLOW_RATIO)
