--- a/src/troutswitch/decisions/forwarding/attempts.py
+++ b/src/troutswitch/decisions/forwarding/attempts.py
@@ -114,7 +114,11 @@
         total = now - request.sent_at
         mean_slot_time = self._times.of(request.service).slot_time  # without this stream
         slot_time = self._times.on_completed(
-            request.service, first_event, total, was_queued=request.was_queued
+            request.service,
+            first_event,
+            total,
+            was_queued=request.was_queued,
+            longest_pause=event.longest_gap,
         )
         engine = self._engines.engines.get(request.engine_id)
         if engine is not None:
