Count other daemons' requests when an item needs space in an engine's cache

Cause: has_cache_space counted this daemon's tokens only, so each of many daemons could fill the same engine's cache, and an engine ends beyond its memory.

Change: peers_online and peers_batch are multiplied by this daemon's mean sizes (MeanTokens, moving means of what it sent; without a sample the size of the item that is to start). Only items are affected; online requests are never delayed by it.

--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -21,6 +21,7 @@
     RequestSize,
 )
 from troutswitch.decisions.forwarding.expired_entries import ExpiredEntries
+from troutswitch.decisions.forwarding.mean_tokens import MeanTokens
 from troutswitch.decisions.forwarding.types import EngineLoad, EngineRecord
 
 DRAIN_NOTICE_SECONDS = 1.0
@@ -47,6 +48,7 @@
     """Engines that the last list does not have and that stay in use."""
     unusable_entries: dict[str, str] = field(default_factory=dict)
     """Why entries of the last list could not be used, by entry."""
+    mean_tokens: MeanTokens = field(default_factory=MeanTokens)
     _paced_services: set[str] = field(default_factory=set)
     _sample_at: float = float("-inf")
     _reported_gone_at: dict[str, float] = field(default_factory=dict)
@@ -248,6 +250,7 @@
         engine.prefill_tokens += size.prefill_tokens
         engine.sent_since_load += 1
         engine.tokens_in_flight += size.tokens
+        self.mean_tokens.add(size.tokens, is_batch)
         if is_batch:
             engine.batch_in_flight += 1
         else:
--- a/src/troutswitch/decisions/gateway_messages.py
+++ b/src/troutswitch/decisions/gateway_messages.py
@@ -38,7 +38,8 @@
     that the store accepts for a member of a group. `job_retention` is how long a job stays readable
     at least, counted from when this daemon first read its manifest; a job that is not open is
     removed `RETENTION_MARGIN_SECONDS` later. `store_reads_per_second` bounds the reads of all
-    daemons together; 0 means no bound.
+    daemons together; 0 means no bound. `has_memory_limit` is set if the settings name a limit of
+    memory.
     """
 
     name: str
@@ -51,6 +52,7 @@
     store_limits: StoreLimits
     store_reads_per_second: float = 0.0
     quota_bounds: QuotaBounds = field(default_factory=QuotaBounds)
+    has_memory_limit: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/gateway_parts.py
+++ b/src/troutswitch/decisions/gateway_parts.py
@@ -167,6 +167,7 @@
             identity.job_retention,
             identity.store_limits,
             policies.batch,
+            identity.has_memory_limit,
         )
         return JobCoordinator(dependencies, settings)
 
--- a/src/troutswitch/decisions/jobs/batch_capacity.py
+++ b/src/troutswitch/decisions/jobs/batch_capacity.py
@@ -22,8 +22,8 @@
 from troutswitch.decisions.forwarding.engine import Engine
 
 MEMORY_SHARE = 0.85
-"""Maximum share of an engine's cache that this daemon's requests and items may fill together. The
-tokens of other daemons are not counted."""
+"""Maximum share of an engine's cache that the counted requests and items may fill together. The
+tokens of other daemons are counted only where the settings name a limit of memory."""
 
 
 class BatchCapacityPolicy(Protocol):
@@ -99,17 +99,30 @@
 """Capacity policies by name."""
 
 
-def has_cache_space(engine: Engine, tokens: int, cache_tokens: int) -> bool:
-    """Returns whether an item fits into an engine's cache beside this daemon's own requests.
+def peer_tokens(engine: Engine, mean_online: float, mean_batch: float) -> int:
+    """Returns the tokens that other daemons are estimated to hold at an engine.
+
+    Peers report numbers of requests. Their sizes are taken to be this daemon's mean sizes, as all
+    daemons serve the same routes.
+    """
+    return round(engine.peers_online * mean_online + engine.peers_batch * mean_batch)
+
+
+def has_cache_space(
+    engine: Engine, tokens: int, cache_tokens: int, tokens_of_peers: int = 0
+) -> bool:
+    """Returns whether an item fits into an engine's cache beside the requests there.
 
     Args:
         engine: the engine.
         tokens: estimated size of the item.
         cache_tokens: size of the engine's cache; 0 if unknown, then every item fits.
+        tokens_of_peers: estimate of what other daemons hold there, 0 to count only own requests.
     """
     if cache_tokens <= 0:
         return True
-    return engine.tokens_in_flight + tokens <= cache_tokens * MEMORY_SHARE
+    held = engine.tokens_in_flight + tokens_of_peers
+    return held + tokens <= cache_tokens * MEMORY_SHARE
 
 
 def own_share_of(count: int, share: float, rng: random.Random) -> int:
--- a/src/troutswitch/decisions/jobs/dependencies.py
+++ b/src/troutswitch/decisions/jobs/dependencies.py
@@ -45,7 +45,8 @@
 
     `member` names this daemon in the group of shard owners. `min_member_ttl` is the shortest time
     to live, in seconds, that the store accepts for a member. `job_kept` is how long, in seconds, a
-    client may read a job after submitting it.
+    client may read a job after submitting it. `counts_peer_tokens` makes other daemons' requests
+    count when an item needs space in an engine's cache.
     """
 
     member: str
@@ -54,6 +55,7 @@
     job_kept: float
     limits: StoreLimits
     policies: BatchPolicies
+    counts_peer_tokens: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/jobs/engine_choice.py
+++ b/src/troutswitch/decisions/jobs/engine_choice.py
@@ -25,6 +25,7 @@
     BatchCapacityPolicy,
     has_cache_space,
     own_share_of,
+    peer_tokens,
 )
 from troutswitch.decisions.jobs.due_times import completion_target
 from troutswitch.decisions.jobs.item_retries import StartableItem
@@ -48,12 +49,14 @@
         capacity: BatchCapacityPolicy,
         zone: str,
         rng: random.Random,
+        counts_peer_tokens: bool = False,
     ) -> None:
         self._routes = routes
         self._engines = engines
         self._capacity = capacity
         self._zone = zone
         self._rng = rng
+        self._counts_peer_tokens = counts_peer_tokens
         self._own_share = 1.0
         self._max_starts: dict[tuple[str, int], int] = {}
         """Most starts of this daemon in a round, by engine and free slots; each drawn once."""
@@ -74,7 +77,9 @@
         service = engine.record.service
         if all(backend.service != service for backend in item.route.backends):
             return False
-        return has_cache_space(engine, item.progress.item.tokens, self._cache_tokens(service))
+        tokens = item.progress.item.tokens
+        peers = self._peer_tokens(engine, tokens)
+        return has_cache_space(engine, tokens, self._cache_tokens(service), peers)
 
     def choose(
         self, now: float, item: StartableItem, may_start_at: Callable[[float, Engine], bool]
@@ -96,11 +101,18 @@
             for engine in self._engines.usable(now, service)
             if may_start_at(now, engine)
             and accepts_items(now, engine)
-            and has_cache_space(engine, tokens, cache_tokens)
+            and has_cache_space(engine, tokens, cache_tokens, self._peer_tokens(engine, tokens))
             and self._has_own_slot(now, engine, age_share)
         ]
         return min(candidates, key=lambda engine: self._cost(now, engine), default=None)
 
+    def _peer_tokens(self, engine: Engine, tokens: int) -> int:
+        """Returns the tokens that peers are estimated to hold at an engine, 0 if not counted."""
+        if not self._counts_peer_tokens:
+            return 0
+        means = self._engines.mean_tokens
+        return peer_tokens(engine, means.online or tokens, means.batch or tokens)
+
     def _cost(self, now: float, engine: Engine) -> float:
         return batch_cost(now, engine, self._zone) + CHOICE_NOISE * self._rng.random()
 
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -86,7 +86,12 @@
         self._run_ends = RunEnds(parts)
         self._run_stops = RunStops(parts, capacity, dependencies)
         engine_choice = EngineChoice(
-            dependencies.routes, dependencies.engines, capacity, settings.zone, dependencies.rng
+            dependencies.routes,
+            dependencies.engines,
+            capacity,
+            settings.zone,
+            dependencies.rng,
+            settings.counts_peer_tokens,
         )
         self._dispatcher = ItemDispatcher(parts, engine_choice, dependencies)
 
--- a/tests/decisions/jobs/test_batch_capacity.py
+++ b/tests/decisions/jobs/test_batch_capacity.py
@@ -15,6 +15,7 @@
     SlotCapacity,
     has_cache_space,
     own_share_of,
+    peer_tokens,
 )
 
 URGENT_AGE = 0.5
@@ -106,6 +107,18 @@
     assert has_cache_space(loaded, 6_000, 0)  # the size of the cache is unknown
 
 
+def test_other_daemons_requests_take_cache_space_at_their_mean_sizes() -> None:
+    """Guards against items beyond an engine's cache: each daemon knew only its own tokens."""
+    loaded = engine_with(online=1)
+    loaded.tokens_in_flight = 5_000
+    loaded.peers_online, loaded.peers_batch = 3, 4
+    peers = peer_tokens(loaded, 5_000.0, 15_000.0)
+    assert peers == 75_000
+    assert has_cache_space(loaded, 5_000, 100_000, peers)
+    assert not has_cache_space(loaded, 6_000, 100_000, peers)
+    assert has_cache_space(loaded, 6_000, 100_000)
+
+
 def test_random_rounding_keeps_the_mean_of_all_shares() -> None:
     rng = random.Random(1)
     total = sum(own_share_of(7, 1 / 8, rng) for _ in range(8 * 500)) / 500
--- a/tests/decisions/jobs/test_engine_choice.py
+++ b/tests/decisions/jobs/test_engine_choice.py
@@ -1,20 +1,30 @@
 """Choice of an engine for an item that starts without a granted slot."""
 
 import random
+from dataclasses import replace
 
 from tests.decisions.forwarding.harness import engine
 from tests.decisions.jobs.fixtures import ROUTE, item, job_index, route_table
 from troutswitch.decisions.forwarding.engine import NO_SIZE, Engine
 from troutswitch.decisions.forwarding.engines import EngineRegistry
+from troutswitch.decisions.forwarding.types import Service
 from troutswitch.decisions.jobs.batch_capacity import ShareCapacity
 from troutswitch.decisions.jobs.engine_choice import EngineChoice
 from troutswitch.decisions.jobs.item_retries import StartableItem
 
 
-def engine_choice() -> tuple[EngineChoice, EngineRegistry]:
+def engine_choice(
+    cache_tokens: int = 0, counts_peer_tokens: bool = False
+) -> tuple[EngineChoice, EngineRegistry]:
     registry = EngineRegistry()
     registry.on_list(0.0, [engine("a", service="service", slots=12)])
-    choice = EngineChoice(route_table(), registry, ShareCapacity(), "z", random.Random(1))
+    routes = route_table()
+    assert routes.configuration is not None
+    service = Service("service", 100, 12, cache_tokens)
+    routes.replace(replace(routes.configuration, version=2, services={"service": service}))
+    choice = EngineChoice(
+        routes, registry, ShareCapacity(), "z", random.Random(1), counts_peer_tokens
+    )
     return choice, registry
 
 
@@ -39,6 +49,20 @@
     assert not choice.may_run_at(startable("job"), Engine(engine("b", service="other")))
 
 
+def test_no_item_starts_beyond_the_cache_that_peers_leave() -> None:
+    """Guards against an engine that ends for lack of memory, as each daemon fills its cache."""
+    for counts_peer_tokens in (False, True):
+        choice, registry = engine_choice(10_000, counts_peer_tokens)
+        registry.engines["a"].peers_online = 3
+        registry.mean_tokens.add(2_800, is_batch=False)
+        choice.begin_round()
+        item_fits = not counts_peer_tokens  # 3 x 2,800 + 100 is as much as 0.85 of the cache
+        assert choice.may_run_at(startable("job"), registry.engines["a"])
+        registry.mean_tokens.add(2_900, is_batch=False)
+        assert choice.may_run_at(startable("job"), registry.engines["a"]) == item_fits
+        assert (choice.choose(1.0, startable("job"), any_engine) is not None) == item_fits
+
+
 def test_a_round_starts_only_this_daemon_s_share_of_the_free_slots() -> None:
     choice, registry = engine_choice()
     started = 0
