Count the bytes of the records that a shard's fold holds

Cause: nothing adds up what a daemon holds for batch jobs.

Change: ShardFold counts the bytes of the applied records that are not removed, each key once; JobReplicas adds up all shards. Nothing uses the sum yet.

Result: tests/decisions/jobs/test_shard.py, with each record applied and removed twice, returns to 0. tests/decisions/jobs and tests/test_layout.py passed.

--- a/src/troutswitch/decisions/jobs/replicas.py
+++ b/src/troutswitch/decisions/jobs/replicas.py
@@ -87,6 +87,11 @@
         for replica in self.shards.values():
             yield replica.follower, replica.refresher
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the records of all shards that are read; may be asked on any thread."""
+        return sum(replica.fold.held_bytes for replica in list(self.shards.values()))
+
     def next_due(self) -> float:
         """Returns when `on_timer` has something to do."""
         return min(
--- a/src/troutswitch/decisions/jobs/shard.py
+++ b/src/troutswitch/decisions/jobs/shard.py
@@ -123,9 +123,14 @@
 
     jobs: dict[str, JobContent] = field(default_factory=dict)
     malformed: int = 0
+    held_bytes: int = 0
+    """Bytes of the records that are applied and not removed."""
+    _record_bytes: dict[str, int] = field(default_factory=dict)
+    """Bytes of each such record, by its key."""
 
     def apply(self, record: KeyedRecord) -> None:
         """Applies a record; counts it as malformed if this version cannot decode it."""
+        self._count_bytes(record)
         if record.key.startswith((f"{CHECKPOINT}:", f"{CONTINUATION}:")):
             self._apply_part(record)
             return
@@ -144,6 +149,12 @@
         except RecordError:
             self.malformed += 1
 
+    def _count_bytes(self, record: KeyedRecord) -> None:
+        size = len(record.value)
+        self.held_bytes += size - self._record_bytes.pop(record.key, 0)
+        if size:
+            self._record_bytes[record.key] = size
+
     def _remove(self, kind: str, job_id: str, number: int) -> None:
         """Drops a removed record, and the job with its last record."""
         content = self.jobs.get(job_id)
