Refuse a job for which the process has no memory, before anything is stored

Cause: nothing refuses a job whose items do not fit the daemon's memory.

A job that was accepted before is accepted again: 503 says that the job never runs.

--- a/src/troutswitch/decisions/jobs/intake.py
+++ b/src/troutswitch/decisions/jobs/intake.py
@@ -66,6 +66,9 @@
 """Retry-After if the store did not answer, or the configuration or the index is not read yet."""
 LIMIT_RETRY_AFTER_SECONDS = 1.0
 """Retry-After if a job exceeds its route's limit of queued tokens."""
+MEMORY_RETRY_AFTER_SECONDS = 2.0
+"""Retry-After if this process has no memory for a job's items. Items that are kept free their
+memory over the seconds in which they are run."""
 ROW_OVERHEAD_BYTES = 8
 """Estimated bytes of a record in a call beside its key and value."""
 
@@ -153,6 +156,8 @@
         existing = self._existing_answer(manifest)
         if existing is not None:
             return self._answer_immediately(now, event, existing)
+        if not event.has_room:
+            return self._refuse_for_memory(now, event)
         batches = _split_into_batches(records, self._limits.call_bytes)
         expires_at = now + max(0.0, event.time_left - ANSWER_RESERVE_SECONDS)
         submission = Submission(event, route, manifest, batches, now, expires_at)
@@ -163,6 +168,18 @@
             return []
         return self._store_next(now, submission)
 
+    def _refuse_for_memory(self, now: float, event: JobSubmitted) -> list[StoreCall]:
+        """Refuses a job before anything of it is stored."""
+        self._log(
+            "job refused for memory",
+            job_id=event.job_id,
+            items=len(event.items),
+            body_bytes=sum(len(item.body) for item in event.items),
+            retry_after_ms=round(MEMORY_RETRY_AFTER_SECONDS * 1000),
+        )
+        refusal = JobRefused(503, "no memory for the job's items", MEMORY_RETRY_AFTER_SECONDS)
+        return self._answer_immediately(now, event, refusal)
+
     def _manifest(self, now: float, event: JobSubmitted, route: Route) -> Manifest:
         return Manifest(
             event.job_id,
--- a/src/troutswitch/decisions/jobs/messages.py
+++ b/src/troutswitch/decisions/jobs/messages.py
@@ -20,6 +20,7 @@
 
     In all calls about jobs, `time_left` is how long the client will still wait, `caller_key` the
     digest of its API key, and `tenant` the tenant's name, which this daemon looks up by the key.
+    `has_room` tells whether this process has memory for the items.
     """
 
     token: int
@@ -31,6 +32,7 @@
     time_left: float
     caller_key: str = NO_KEY
     tenant: str = NO_TENANT
+    has_room: bool = True
 
 
 @dataclass(frozen=True, slots=True)
