Account of memory: bodies, unread answers and jobs are counted and limited

Cause: nothing added up what a daemon holds for others. waitress read each body (up to 4 MB) before the application ran, buffered up to 16 MB for each caller that did not read, kept bytes that were read until a buffer was rotated, and continued in temporary files, which count as memory. A process above limits.memoryMb is killed, and the settings' value was dropped.

Change: GatewaySettings.memory_bytes, and gateway/memory: the limits, the account, the pure rule of what is refused or closed, and buffers that stay in memory and free what was read. AccountedChannel and AccountedRequest take the place of waitress's classes only where there is a limit: - a body is reserved when its head is parsed (a chunked one as it grows), else 503 with Retry-After and Connection: close; what the caller still sends is discarded for up to 2 s, as closing at once resets the connection and the refusal is lost; - a body that arrives too slowly gets 408 (headerTimeoutMs, plus its size at 256 KiB/s); - the unread part of an answer is bounded by 2 MiB or a quarter of the limit; when the account is full, the slowest readers are closed; so is a caller that reads nothing for as long as its request was to take. A connection that takes bytes is never closed, so that a process that resumes after a suspension cuts nobody off; - a complete answer of an engine is counted while it is read, never left unread; - a submission's items are counted until it is answered; the records of this daemon's shards are counted up to half of the limit. Gauges, counters and log lines show each of these. Items count peers' requests at engines where there is a limit.

Without a limit the listener uses the same classes as before.

--- a/src/troutswitch/decisions/forwarding/types.py
+++ b/src/troutswitch/decisions/forwarding/types.py
@@ -85,6 +85,7 @@
     header_bytes: int = 16384
     body_bytes: int = 4 * 1024 * 1024
     idle_seconds: float = 15.0
+    header_seconds: float = 3.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/gateway/callers/application.py
+++ b/src/troutswitch/gateway/callers/application.py
@@ -8,11 +8,12 @@
 
 from troutswitch.decisions.forwarding.messages import CallerGoneBeforeHandling
 from troutswitch.decisions.gateway_interface import GatewayEvent
-from troutswitch.gateway.callers.listener import CONNECTION_KEY
+from troutswitch.gateway.callers.listener import CONNECTION_KEY, DESCRIBE_ANSWER_KEY
 from troutswitch.gateway.callers.relay import CompleteAnswer, Relay
 from troutswitch.gateway.callers.relay_registry import RelayRegistry
 from troutswitch.gateway.engines.connection_pool import EngineConnections
 from troutswitch.gateway.engines.engine_activity import EngineActivityReporter
+from troutswitch.gateway.memory.account import MemoryAccount
 from troutswitch.outcomes import Cut, MayHaveRun, NotRun
 from troutswitch.platform import names
 from troutswitch.platform.requests import Environ, IncomingRequest, read_request
@@ -39,6 +40,7 @@
         post: posts an event to the loop.
         engine_activity: records which engines send bytes.
         handle_job: answers a call about a batch job; returns None for any other request.
+        memory: account of what is held for callers.
     """
 
     def __init__(
@@ -48,18 +50,23 @@
         post: Callable[[GatewayEvent], None],
         engine_activity: EngineActivityReporter,
         handle_job: JobHandler,
+        memory: MemoryAccount | None = None,
     ) -> None:
         self._relays = relays
         self._connections = connections
         self._post = post
         self._engine_activity = engine_activity
         self._handle_job = handle_job
+        self._memory = memory or MemoryAccount()
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Handles one request."""
         request = read_request(environ)
         body = _read_body(environ)
         response = self._handle_job(request, body)
+        describe_answer = environ.get(DESCRIBE_ANSWER_KEY)
+        if describe_answer is not None:
+            describe_answer(request.request_id, response is not None, request.time_left)
         if response is not None:
             return send(response, start_response)
         if not request.request_id:
@@ -81,7 +88,14 @@
         """Relays a request; the response becomes a stream with its first event."""
         token = self._relays.next_token()
         relay = Relay(
-            token, request, body, self._relays, self._connections, self._post, self._engine_activity
+            token,
+            request,
+            body,
+            self._relays,
+            self._connections,
+            self._post,
+            self._engine_activity,
+            self._memory,
         )
         self._relays.register_caller(token, environ[CONNECTION_KEY])
         chunks = relay.run()
@@ -89,8 +103,10 @@
             first = next(chunks, None)
         except BaseException:
             self._relays.unregister_caller(token)
+            relay.release_answer()
             raise
         if first is None:
+            relay.release_answer()
             self._relays.unregister_caller(token)
             return self._send_complete(relay, start_response)
         assert relay.head is not None
@@ -114,6 +130,7 @@
             if relay.finish is not None:
                 raise AnswerCut(relay.finish.outcome.reason)
         finally:
+            relay.release_answer()
             chunks.close()  # type: ignore[attr-defined]
             self._relays.unregister_caller(relay.token)
 
--- a/src/troutswitch/gateway/callers/job_calls.py
+++ b/src/troutswitch/gateway/callers/job_calls.py
@@ -9,12 +9,15 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
+from dataclasses import replace
 
 from troutswitch.decisions.forwarding.routes import RouteTable
 from troutswitch.decisions.forwarding.types import RouteKind
 from troutswitch.decisions.gateway_interface import GatewayEvent
 from troutswitch.decisions.jobs.coordinator import JobEvent
-from troutswitch.decisions.jobs.messages import AnswerJobCall, JobAnswer
+from troutswitch.decisions.jobs.messages import AnswerJobCall, JobAnswer, JobSubmitted
+from troutswitch.gateway.memory.account import Holding, MemoryAccount
+from troutswitch.gateway.memory.pressure import Kind
 from troutswitch.platform import names
 from troutswitch.platform.jobs import (
     JobFormatError,
@@ -28,6 +31,8 @@
 
 ANSWER_TIMEOUT_SECONDS = 35.0
 """Longest wait for the loop's answer, after which the loop is considered dead."""
+SUBMISSION_COPIES = 2
+"""Copies of a job's items during its submission: decoded, and as records for the store."""
 
 
 class JobCalls:
@@ -36,11 +41,18 @@
     Args:
         routes: table that determines which requests submit a job.
         post: posts an event to the loop.
+        memory: account in which a job's items are counted until the job is answered.
     """
 
-    def __init__(self, routes: RouteTable, post: Callable[[GatewayEvent], None]) -> None:
+    def __init__(
+        self,
+        routes: RouteTable,
+        post: Callable[[GatewayEvent], None],
+        memory: MemoryAccount | None = None,
+    ) -> None:
         self._routes = routes
         self._post = post
+        self._memory = memory or MemoryAccount()
         self._tokens = itertools.count(1)
         self._answers: dict[int, Future[JobAnswer]] = {}
         self._lock = threading.Lock()
@@ -62,7 +74,7 @@
                 return self._post_and_wait(token, decode_call(token, request, target))
             if not request.request_id:
                 raise JobFormatError(f"missing {names.REQUEST_ID}")
-            return self._post_and_wait(token, decode_submission(token, request, body))
+            return self._submit(decode_submission(token, request, body))
         except JobFormatError as error:
             return Response(400, f"{error}\n".encode(), "text/plain")
 
@@ -70,6 +82,21 @@
         route = self._routes.match(request.host, request.path)
         return request.method == "POST" and route is not None and route.kind is RouteKind.JOBS
 
+    def _submit(self, event: JobSubmitted) -> Response:
+        """Posts a job and waits for the answer; its items are counted meanwhile.
+
+        The loop refuses a job without room, unless it has accepted the job before.
+        """
+        if not self._memory.is_limited:
+            return self._post_and_wait(event.token, event)
+        items = Holding(self._memory, Kind.ITEMS)
+        size = SUBMISSION_COPIES * sum(len(item.body) for item in event.items)
+        has_room = items.try_resize(size)
+        try:
+            return self._post_and_wait(event.token, replace(event, has_room=has_room))
+        finally:
+            items.release()
+
     def _post_and_wait(self, token: int, event: JobEvent) -> Response:
         """Posts a call and waits for the loop's answer."""
         future: Future[JobAnswer] = Future()
--- a/src/troutswitch/gateway/callers/listener.py
+++ b/src/troutswitch/gateway/callers/listener.py
@@ -17,8 +17,10 @@
 
 from troutswitch.common import Address
 from troutswitch.decisions.forwarding.types import RequestLimits
+from troutswitch.gateway.callers.accounted_channel import AccountedChannel
 from troutswitch.gateway.callers.caller_watch import close_age, is_closed
 from troutswitch.gateway.callers.dispatcher import GrowingDispatcher
+from troutswitch.gateway.memory.account import MemoryAccount
 from troutswitch.runtime.http import WsgiApplication
 
 THREAD_STACK_BYTES = 256 * 1024
@@ -36,6 +38,10 @@
 """Key of the connection's socket in a request's WSGI environment."""
 
 
+DESCRIBE_ANSWER_KEY = "troutswitch.describe_answer"
+"""Key of `AccountedChannel.describe_answer` in the WSGI environment, where answers are counted."""
+
+
 class _Task(waitress.task.WSGITask):  # type: ignore[misc]
     """A request whose response carries `Connection: close` while the listener drains."""
 
@@ -49,6 +55,8 @@
         """Returns the request's WSGI environment, including the connection's socket."""
         environment: dict[str, Any] = super().get_environment()
         environment[CONNECTION_KEY] = self.channel.connection
+        if isinstance(self.channel, AccountedChannel):
+            environment[DESCRIBE_ANSWER_KEY] = self.channel.describe_answer
         return environment
 
 
@@ -78,6 +86,10 @@
         super().service()
 
 
+class _LimitedChannel(_Channel, AccountedChannel):
+    """A caller's connection whose memory is counted and limited."""
+
+
 class HttpListener:
     """A waitress server with its own threads.
 
@@ -87,6 +99,7 @@
         before_close: called with a connection's socket before this process closes it.
         on_unserved: called with the headers of a request whose caller disconnected before it was
             served, and the age of that disconnect in seconds.
+        memory: account of what connections hold; without a limit nothing is counted.
 
     Raises:
         OSError: the address cannot be bound.
@@ -101,6 +114,7 @@
         max_connections: int,
         before_close: Callable[[socket.socket], None] = lambda connection: None,
         on_unserved: Callable[[dict[str, str], float], None] = lambda headers, age: None,
+        memory: MemoryAccount | None = None,
     ) -> None:
         logging.getLogger("waitress").setLevel(logging.ERROR)
         logging.getLogger("waitress.queue").setLevel(logging.CRITICAL)
@@ -126,6 +140,10 @@
         self._server.before_close = before_close
         self._server.on_unserved = on_unserved
         self._server.channel_class = _Channel
+        if memory is not None and memory.is_limited:
+            self._server.memory = memory
+            self._server.header_seconds = RequestLimits().header_seconds
+            self._server.channel_class = _LimitedChannel
         self.address = Address(address.host, int(self._server.effective_port))
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
 
@@ -137,6 +155,7 @@
         """Applies the configuration's limits to requests that are read from now on."""
         self._server.adj.max_request_header_size = limits.header_bytes
         self._server.adj.max_request_body_size = limits.body_bytes
+        self._server.header_seconds = limits.header_seconds
         self._server.adj.channel_timeout = max(CONNECTION_IDLE_SECONDS, 2 * limits.idle_seconds)
 
     def drain(self) -> None:
--- a/src/troutswitch/gateway/callers/relay.py
+++ b/src/troutswitch/gateway/callers/relay.py
@@ -29,6 +29,8 @@
     NotConnected,
     OutgoingRequest,
 )
+from troutswitch.gateway.memory.account import Holding, MemoryAccount
+from troutswitch.gateway.memory.pressure import Kind
 from troutswitch.outcomes import AttemptOutcome
 from troutswitch.platform import names
 from troutswitch.platform.requests import AnswerHead, IncomingRequest, engine_headers, read_head
@@ -55,6 +57,7 @@
 
     Args:
         post: posts an event to the loop.
+        memory: account in which a complete answer is counted while it is read.
     """
 
     token: int
@@ -64,10 +67,13 @@
     connections: EngineConnections
     post: Callable[[GatewayEvent], None]
     engine_activity: EngineActivityReporter
+    memory: MemoryAccount = field(default_factory=MemoryAccount)
     head: AnswerHead | None = None
     """Head of the response that is streamed to the caller."""
     complete_answer: CompleteAnswer | None = None
     finish: FinishRequest | None = None
+    answer_bytes: Holding | None = None
+    """What is counted of a complete response."""
     _splitter: EventSplitter = field(default_factory=EventSplitter)
     _delivered: int = 0
     _is_completed: bool = False
@@ -173,7 +179,7 @@
             if head.status == 200 and head.is_event_stream:
                 yield from self._stream(directive, exchange, head)
             else:
-                self._handle_complete_answer(directive, head, exchange.body())
+                self._handle_complete_answer(directive, head, self._read_body(exchange))
         except (AnswerLost, EventStreamError) as error:
             self._end(directive, AttemptOutcome.CUT, str(error), head)
 
@@ -200,6 +206,26 @@
         self._is_completed = True
         self._end(directive, AttemptOutcome.COMPLETED, "", head)
 
+    def _read_body(self, exchange: Exchange) -> bytes:
+        """Reads a complete response. An engine's response is never left unread for lack of room."""
+        if not self.memory.is_limited:
+            return exchange.body()
+        if self.answer_bytes is None:
+            self.answer_bytes = Holding(self.memory, Kind.ANSWERS)
+        self.answer_bytes.release()  # the response of an earlier attempt is replaced
+        parts: list[bytes] = []
+        for part in exchange.chunks():
+            parts.append(part)
+            self.answer_bytes.resize(self.answer_bytes.size + len(part))
+            if self.memory.is_full:
+                self.memory.relieve()
+        return b"".join(parts)
+
+    def release_answer(self) -> None:
+        """Ends the count of the complete response; the caller's connection counts it from now."""
+        if self.answer_bytes is not None:
+            self.answer_bytes.release()
+
     def _handle_complete_answer(
         self, directive: SendRequest, head: AnswerHead, body: bytes
     ) -> None:
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -15,6 +15,8 @@
 from troutswitch.decisions.forwarding.routes import ConfigurationSource
 from troutswitch.decisions.gateway import GatewayCore
 from troutswitch.decisions.tenants.quota import Authority, QuotaWay
+from troutswitch.gateway.memory.account import MemoryAccount
+from troutswitch.gateway.memory.pressure import Kind
 
 SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
 MISSING_LABEL = "other"
@@ -27,7 +29,12 @@
 class GatewayMetrics:
     """The metrics of one daemon, as served at the metrics path."""
 
-    def __init__(self, core: GatewayCore, blocking_calls: Callable[[], int] = lambda: 0) -> None:
+    def __init__(
+        self,
+        core: GatewayCore,
+        blocking_calls: Callable[[], int] = lambda: 0,
+        memory: MemoryAccount | None = None,
+    ) -> None:
         self.registry = CollectorRegistry()
         self._attempts = self._counter("attempts", "Attempts at engines, by kind of end", "kind")
         self._first_event = self._histogram(
@@ -60,6 +67,18 @@
             "further_attempts", "Attempts after the first of a request", "quota_way"
         )
         self._events = self._counter("decisions", "Log lines of decisions, by event", "event")
+        self._memory_bodies = self._counter(
+            "memory_refused_bodies", "Bodies of requests refused as the memory account was full"
+        )
+        self._memory_readers = self._counter(
+            "memory_closed_readers",
+            "Connections closed as their callers did not read, by reason",
+            "reason",
+        )
+        self._memory_jobs = self._counter(
+            "memory_refused_jobs", "Jobs refused as the memory account had no room for their items"
+        )
+        self._add_memory_gauges(memory or MemoryAccount())
         self._add_workload_gauges(core)
         self._add_fleet_gauges(core)
         self._add_configuration_gauges(core)
@@ -69,6 +88,26 @@
             blocking_calls,
         )
 
+    def _add_memory_gauges(self, memory: MemoryAccount) -> None:
+        held = Gauge(
+            "troutswitch_memory_held_bytes",
+            "Bytes held for callers, engines and jobs, by kind",
+            ("kind",),
+            registry=self.registry,
+        )
+        for kind in Kind:
+            held.labels(kind.value).set_function(partial(memory.held, kind))
+        self._gauge(
+            "memory_limit_bytes",
+            "Limit of the bytes held, 0 without one",
+            lambda: memory.limits.account_bytes,
+        )
+        self._gauge(
+            "memory_high_water_bytes",
+            "Most bytes held at once since the start",
+            lambda: memory.high_water,
+        )
+
     def _add_workload_gauges(self, core: GatewayCore) -> None:
         self._gauge(
             "requests_in_flight",
@@ -190,6 +229,12 @@
             case "request refused":
                 self._refused.labels(_label(line, "status")).inc()
                 self._on_quota_decided(line, "refused")
+            case "body refused for memory":
+                self._memory_bodies.inc()
+            case "reader closed for memory":
+                self._memory_readers.labels(_label(line, "reason")).inc()
+            case "job refused for memory":
+                self._memory_jobs.inc()
             case "request given up":
                 labels = (_label(line, name) for name in ("outcome", "step", "route"))
                 self._given_up.labels(*labels).inc()
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -18,6 +18,7 @@
 
 from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
+from troutswitch.decisions.forwarding.messages import LogLine
 from troutswitch.decisions.gateway import GatewayCore
 from troutswitch.decisions.gateway_interface import GatewayEvent
 from troutswitch.decisions.gateway_messages import (
@@ -40,6 +41,9 @@
 from troutswitch.gateway.engines.item_runs import ItemRuns
 from troutswitch.gateway.instruction_executor import Executors, InstructionExecutor
 from troutswitch.gateway.loop import GatewayLoop
+from troutswitch.gateway.memory.account import MemoryAccount
+from troutswitch.gateway.memory.limits import memory_limits
+from troutswitch.gateway.memory.pressure import Kind
 from troutswitch.gateway.metrics import CONTENT_TYPE, GatewayMetrics
 from troutswitch.gateway.settings import GatewaySettings
 from troutswitch.platform.configuration import PlatformFormats
@@ -84,11 +88,16 @@
         self._connections = EngineConnections(self._on_suspect_connections)
         self._peers = PeerSocket(Address(settings.peer_host, settings.peer_ports[0]), self._post)
         self._engine_activity = EngineActivityReporter(self._post)
+        self._memory = MemoryAccount(memory_limits(settings.memory_bytes), self._log_memory)
         identity = _identity(settings, self._peers.address)
         rng = random.Random(os.urandom(8))
         self.core = GatewayCore(identity, PlatformFormats(), rng, policies)
-        self._jobs = JobCalls(self.core.routes, self._post)
-        self._metrics = GatewayMetrics(self.core, lambda: self._executor.blocking_calls)
+        if self._memory.is_limited:
+            self._memory.observe(Kind.ITEMS, lambda: self.core.jobs.replicas.held_bytes)
+        self._jobs = JobCalls(self.core.routes, self._post, self._memory)
+        self._metrics = GatewayMetrics(
+            self.core, lambda: self._executor.blocking_calls, self._memory
+        )
         self._internal = self._make_internal()
         self._gate: StopGate | None = None
         self._callers = self._make_callers()
@@ -117,7 +126,12 @@
         if self.settings.callers is None:
             return None
         application = CallerApplication(
-            self._relays, self._connections, self._post, self._engine_activity, self._jobs.handle
+            self._relays,
+            self._connections,
+            self._post,
+            self._engine_activity,
+            self._jobs.handle,
+            self._memory,
         )
         self._gate = StopGate(application)
         return HttpListener(
@@ -128,6 +142,7 @@
             MAX_CONNECTIONS,
             self._relays.caller_watch.before_close,
             application.on_unserved,
+            self._memory,
         )
 
     def _make_readiness(self) -> HttpListener | None:
@@ -166,6 +181,11 @@
     def _on_suspect_connections(self, peer: str, closed: int) -> None:
         self._logger.info("suspect connections closed", peer=peer, closed=closed)
 
+    def _log_memory(self, event: str, **fields: object) -> None:
+        """Logs and counts a line of the memory account; called on any thread."""
+        self._logger.info(event, **fields)
+        self._metrics.on_log_line(LogLine(event, fields))
+
     def _set_limits(self, change: LimitsChanged) -> None:
         if self._callers is not None:
             self._callers.set_limits(change.limits)
@@ -244,6 +264,7 @@
         StoreLimits(store.record_bytes, store.call_bytes, store.partitions),
         store.reads_per_second,
         bounds.quota,
+        settings.memory_bytes > 0,
     )
 
 
--- a/src/troutswitch/gateway/settings.py
+++ b/src/troutswitch/gateway/settings.py
@@ -57,7 +57,8 @@
 
     `callers` and `readiness` are the addresses of its listeners; None disables a listener. The
     first of `peer_ports` receives peers' datagrams (UDP), the last is the internal HTTP port. There
-    is no internal port unless the last is greater than the first.
+    is no internal port unless the last is greater than the first. `memory_bytes` is the memory that
+    the process may use; 0 means no limit.
     """
 
     name: str
@@ -68,3 +69,4 @@
     peer_ports: tuple[int, int]
     store: StoreSettings
     bounds: Bounds = field(default_factory=Bounds)
+    memory_bytes: int = 0
--- a/src/troutswitch/platform/configuration.py
+++ b/src/troutswitch/platform/configuration.py
@@ -139,6 +139,7 @@
         decoded.limits.maxHeaderBytes,
         decoded.limits.maxBodyBytes,
         decoded.limits.idleTimeoutMs / 1000,
+        decoded.limits.headerTimeoutMs / 1000,
     )
     services = {service.name: _service(service) for service in decoded.services}
     tenants = (
--- a/src/troutswitch/platform/settings.py
+++ b/src/troutswitch/platform/settings.py
@@ -1,8 +1,8 @@
 """Decodes the users' settings file into `GatewaySettings`.
 
 This module defines the format of the file (TOML). Unknown fields are ignored. Fields of the
-contract that nothing depends on (`limits`, `heartbeatMs`, `recoveryS` and others) are validated and
-otherwise ignored.
+contract that nothing depends on (`limits.maxFds`, `heartbeatMs`, `recoveryS` and others) are
+validated and otherwise ignored.
 """
 
 import os
@@ -20,6 +20,9 @@
 )
 from troutswitch.platform.names import SETTINGS_VARIABLE
 
+MEGABYTE = 1_000_000
+"""Unit of `memoryMb`. The smaller reading of the unit keeps the process below either."""
+
 
 class _Listen(msgspec.Struct):
     front: str = ""  # for callers
@@ -131,6 +134,7 @@
             job_kept=bounds.statusIntervalS,
             quota=QuotaBounds(bounds.quotaWindowS, bounds.quotaOvershoot, bounds.quotaSlack),
         ),
+        memory_bytes=max(0, settings.limits.memory_mb) * MEGABYTE,
     )
 
 
--- a/tests/gateway/callers/test_relay.py
+++ b/tests/gateway/callers/test_relay.py
@@ -1,7 +1,10 @@
+import socket
 import threading
 
+from tests.gateway.raw_server import RawServer, request_id
 from tests.platform.standins import EngineStandin
 from troutswitch.decisions.forwarding.messages import (
+    FinishRequest,
     RequestArrived,
     RequestAttemptEnded,
     SendRequest,
@@ -11,7 +14,10 @@
 from troutswitch.gateway.callers.relay_registry import RelayRegistry
 from troutswitch.gateway.engines.connection_pool import EngineConnections
 from troutswitch.gateway.engines.engine_activity import EngineActivityReporter
-from troutswitch.outcomes import AttemptOutcome
+from troutswitch.gateway.memory.account import MemoryAccount
+from troutswitch.gateway.memory.limits import MemoryLimits
+from troutswitch.gateway.memory.pressure import Kind
+from troutswitch.outcomes import AttemptOutcome, MayHaveRun, Step
 from troutswitch.platform.requests import IncomingRequest
 
 
@@ -77,3 +83,48 @@
     assert data == b"".join(f"id: {n}\ndata: x-{n}\n\n".encode() for n in range(1, 6))
     assert engines[1].requests[0][2]["last-event-id"] == "2"
     assert loop.ended[-1].kind is AttemptOutcome.COMPLETED
+
+
+ANSWER_BYTES = 300_000
+
+
+def failing_with_a_large_answer(server: RawServer, connection: socket.socket) -> None:
+    name = request_id(server.read_head(connection))
+    head = (
+        f"HTTP/1.1 500 Failed\r\nX-Troutswitch-Request-Id: {name}\r\n"
+        f"Content-Length: {ANSWER_BYTES}\r\n\r\n"
+    )
+    connection.sendall(head.encode() + b"y" * ANSWER_BYTES)
+    server.wait_for_end(connection)
+
+
+def test_a_complete_answer_is_counted_once_while_it_is_read_and_until_it_is_handed_on() -> None:
+    """Also beyond the limit: an engine's answer is never left unread for lack of room."""
+    account = MemoryAccount(MemoryLimits(ANSWER_BYTES // 2, ANSWER_BYTES))
+    engine = RawServer(failing_with_a_large_answer)
+    relays = RelayRegistry(lambda event: None)
+    attempts: list[int] = []
+
+    def post(event: object) -> None:
+        if isinstance(event, RequestArrived):
+            send(event.token, 1)
+        elif isinstance(event, RequestAttemptEnded):
+            attempts.append(account.held(Kind.ANSWERS))
+            if event.attempt == 1:
+                send(event.token, 2)
+            else:
+                outcome = MayHaveRun("twice", Step.RELAY, "")
+                relays.send_directive(FinishRequest(event.token, outcome))
+
+    def send(token: int, attempt: int) -> None:
+        relays.send_directive(SendRequest(token, attempt, "e", engine.address, 30.0, 30.0, ""))
+
+    request = IncomingRequest("x", "POST", "/a", "h", "/a", "", [], 5.0, "", PromptShape())
+    request.headers.append(("X-Troutswitch-Request-Id", "x"))
+    relay = Relay(
+        1, request, b"", relays, EngineConnections(), post, EngineActivityReporter(post), account
+    )
+    assert list(relay.run()) == []
+    assert attempts == [ANSWER_BYTES, ANSWER_BYTES]
+    relay.release_answer()
+    assert account.total == 0
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -35,8 +36,9 @@
 class Gateway:
     """A gateway process and its ports."""
 
-    def __init__(self, store: StoreStandin, folder: Path) -> None:
+    def __init__(self, store: StoreStandin, folder: Path, limits: str = "") -> None:
         self.ports = Ports()
+        self.limits = limits
         self.log = folder / "gateway.log"
         for _ in range(START_TRIES):
             self._start(store, folder)
@@ -63,6 +65,7 @@
 address = "{store.address}"
 [timingBounds]
 gracePeriodS = 8
+{self.limits}
 """
         )
         environment = {**os.environ, "TROUTSWITCH_NODE_FILE": str(settings)}
@@ -332,6 +335,73 @@
     wait_for(is_counted, "the attempt in the metrics")  # the loop processes its end slightly later
 
 
+def metric(gateway: Gateway, name: str) -> float:
+    """Returns the value of a metric; `name` includes its labels."""
+    text = gateway.call("GET", "/metrics", port=gateway.metrics)[2].decode()
+    rows = dict(row.rsplit(" ", 1) for row in text.splitlines() if not row.startswith("#"))
+    return float(rows[f"troutswitch_memory_{name}"])
+
+
+def test_a_job_without_memory_is_refused_and_others_are_served(
+    store: StoreStandin, engines: list[EngineStandin], tmp_path: Path
+) -> None:
+    """The job fits the configured bound of a body, but not twice into half of the account."""
+    store.put("keyed.op", "config", configuration("service"))
+    gateway = Gateway(store, tmp_path, "[limits]\nmemoryMb = 64")
+    try:
+        wait_for(gateway.is_ready, "readiness")
+        wait_for(
+            lambda: (
+                gateway.call("POST", "/jobs/s", submission("s", 1), X_Troutswitch_Request_Id="s")[0]
+                == 202
+            ),
+            "a small job",
+        )
+        large = json.loads(submission("j", 12))
+        for row in large["requests"]:
+            row["body"] = b64encode(b"x" * 240_000).decode()
+        body = json.dumps(large).encode()
+        status, headers, text = gateway.call("POST", "/jobs/j", body, X_Troutswitch_Request_Id="j")
+        assert (status, headers["Retry-After"]) == (503, "2.000")
+        assert b"memory" in text
+        assert gateway.stream("one")[2] == complete_stream("one")
+        wait_for(lambda: metric(gateway, "refused_jobs_total") == 1, "the count")
+        assert metric(gateway, "limit_bytes") == 8 * 1024 * 1024
+        assert len(body) < metric(gateway, "high_water_bytes") < 8 * 1024 * 1024
+        kinds = ("bodies", "answers", "job_reads")
+        held = [f'held_bytes{{kind="{kind}"}}' for kind in kinds]
+        wait_for(lambda: all(metric(gateway, name) == 0 for name in held), "the release")
+        assert metric(gateway, 'held_bytes{kind="items"}') > 0  # the small job's records
+    finally:
+        gateway.stop()
+
+
+def test_a_large_body_is_refused_by_a_daemon_whose_account_is_full(
+    store: StoreStandin, engines: list[EngineStandin], tmp_path: Path
+) -> None:
+    store.put("keyed.op", "config", configuration("service"))
+    gateway = Gateway(store, tmp_path, "[limits]\nmemoryMb = 64")
+    try:
+        wait_for(gateway.is_ready, "readiness")
+        head = "POST /chat/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3000000\r\n\r\n"
+        with socket.create_connection(("127.0.0.1", gateway.front)) as holder:
+            holder.sendall(head.encode())
+            wait_for(lambda: metric(gateway, 'held_bytes{kind="bodies"}') == 3_000_000, "the body")
+            body = b"z" * 3_000_000
+            status, headers, _ = gateway.call(
+                "POST", "/chat/x", body, X_Troutswitch_Request_Id="big"
+            )
+            assert (status, headers["Retry-After"]) == (503, "1.000")
+            assert gateway.stream("one")[2] == complete_stream("one")
+        wait_for(lambda: metric(gateway, 'held_bytes{kind="bodies"}') == 0, "the release")
+        assert metric(gateway, "refused_bodies_total") == 1
+        lines = [json.loads(line) for line in gateway.log.read_text().splitlines()]
+        (line,) = [line for line in lines if line.get("event") == "body refused for memory"]
+        assert (line["request_id"], line["body_bytes"]) == ("big", 3_000_000)
+    finally:
+        gateway.stop()
+
+
 def test_daemon_without_a_configuration_is_not_ready_and_refuses_requests(
     store: StoreStandin, engines: list[EngineStandin], tmp_path: Path
 ) -> None:
