Test of a refused job waits until the daemon owns the accepted job's shard

Cause: test_a_job_without_memory_is_refused_and_others_are_served read the gauge of items once; a daemon reads a shard only after it joined the group of owners.

Change: it waits for the gauge.

--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -371,7 +371,8 @@
         kinds = ("bodies", "answers", "job_reads")
         held = [f'held_bytes{{kind="{kind}"}}' for kind in kinds]
         wait_for(lambda: all(metric(gateway, name) == 0 for name in held), "the release")
-        assert metric(gateway, 'held_bytes{kind="items"}') > 0  # the small job's records
+        # The small job's records are read once this daemon owns their shard.
+        wait_for(lambda: metric(gateway, 'held_bytes{kind="items"}') > 0, "the small job's records")
     finally:
         gateway.stop()
 
