--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -27,6 +27,7 @@
     mean_factor,
 )
 from troutswitch.decisions.forwarding.expired_entries import ExpiredEntries
+from troutswitch.decisions.forwarding.mean_tokens import MeanTokens
 from troutswitch.decisions.forwarding.types import EngineLoad, EngineRecord
 
 DRAIN_NOTICE_SECONDS = 1.0
@@ -53,6 +54,7 @@
     """Engines that the last list does not have and that stay in use."""
     unusable_entries: dict[str, str] = field(default_factory=dict)
     """Why entries of the last list could not be used, by entry."""
+    mean_tokens: MeanTokens = field(default_factory=MeanTokens)
     _own_paces: dict[str, PaceObservation] = field(default_factory=dict)
     """The newest pace that each engine reported to this daemon, until it is taken; newest last."""
     _paced_services: set[str] = field(default_factory=set)
@@ -325,6 +327,7 @@
         engine.prefill_tokens += size.prefill_tokens
         engine.sent_since_load += 1
         engine.tokens_in_flight += size.tokens
+        self.mean_tokens.add(size.tokens, is_batch)
         if is_batch:
             engine.batch_in_flight += 1
         else:
