A group's coordinator queues requests for slots of paced services

Cause: a request that finds no slot in time waits at its own daemon and asks again each 0.1 s, so chance decides which gets the next free slot, and a tenant at 7 times its share gets 7 of 8 slots.

Only services whose engines have reported a pace use them, under the admission policy hold_late. QueuedSlotRequest gets the field is_returned, which only the daemon of the request can know.

--- a/src/troutswitch/daemons/messages.py
+++ b/src/troutswitch/daemons/messages.py
@@ -189,8 +189,9 @@
     wait with which the request meets its objective; a negative value means that it will be late
     whatever the wait. `expires_ms` is the time after which a slot is of no use to it. `share` names
     the tenant, or the route for callers without a tenant, between which slots are shared fairly.
-    `priority` 0 is the highest. A request that may not queue gets a slot now or none. The other
-    fields have the same meaning as in `SlotRequest` and `PacedReport`.
+    `priority` 0 is the highest. A request that may not queue gets a slot now or none. `is_returned`
+    is set if its caller was refused before, or if it was sent before. The other fields have the
+    same meaning as in `SlotRequest` and `PacedReport`.
     """
 
     report: HoldingsReport
@@ -204,6 +205,7 @@
     priority: int
     may_queue: bool
     excluded: tuple[int, ...] = ()
+    is_returned: bool = False
 
 
 class SlotQueued(msgspec.Struct, frozen=True, array_like=True, tag="queued"):
@@ -383,7 +385,17 @@
     balances: tuple[QuotaBalance, ...] = ()
 
 
-SlotMessage = HoldingsReport | SlotRequest | SlotReply | BatchSlotGrant | GroupDigest
+SlotMessage = (
+    HoldingsReport
+    | SlotRequest
+    | SlotReply
+    | BatchSlotGrant
+    | GroupDigest
+    | QueuedSlotRequest
+    | SlotQueued
+    | SlotDenied
+    | SlotRequestWithdrawn
+)
 """Messages about slots."""
 PeerMessage = (
     HoldingsReport
@@ -391,6 +403,10 @@
     | SlotReply
     | BatchSlotGrant
     | GroupDigest
+    | QueuedSlotRequest
+    | SlotQueued
+    | SlotDenied
+    | SlotRequestWithdrawn
     | Heartbeat
     | CrashReport
     | EngineDrainNotice
--- a/src/troutswitch/decisions/forwarding/admission.py
+++ b/src/troutswitch/decisions/forwarding/admission.py
@@ -17,6 +17,10 @@
    until a slot is expected; requests that were refused earlier come first.
 4. A request that has waited for `MAX_DELAY_SHARE` of the client's timeout, or is within
    `SEND_MARGIN_SECONDS` of the last moment at which it can end in time, is sent whatever the wait.
+5. Of these rules, only the first decides on a request of a paced service. It waits in the queue of
+   a coordinator, which denies it if its slot comes after `MAX_DELAY_SHARE` of the client's timeout,
+   or too late to end in time. It is then refused, with the coordinator's time to return; one that
+   was sent before is sent anyway.
 
 Why: engines serve requests in the order of arrival. Under overload, each late request that joins
 their queue makes the following ones late too.
@@ -50,6 +54,8 @@
 end in time. Covers the error of the wait estimate."""
 MAX_REMEMBERED_ROUTES = 512
 """Routes whose client timeout is remembered; the least recently used one is dropped first."""
+MIN_TIME_LEFT_SECONDS = 0.05
+"""Minimum time left with which a queued request is still sent, as in `retry`."""
 RETRY_THRESHOLD_SECONDS = 0.1
 """A request counts as a retry if its time left is shorter than the client's timeout by more."""
 MIN_RETRY_AFTER_SECONDS = 0.1
@@ -94,10 +100,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Deferral:
-    """A refusal: the client should retry after `retry_after` seconds; `estimate` is the reason."""
+    """A refusal: the client should retry after `retry_after` seconds; `estimate` is the reason.
+
+    `is_denied` is set if a coordinator decided both.
+    """
 
     retry_after: float
     estimate: WaitEstimate
+    is_denied: bool = False
 
 
 class AdmissionPolicy(Protocol):
@@ -107,6 +117,8 @@
     """
 
     client_timeouts: dict[str, float]
+    uses_queues: bool
+    """Whether requests of paced services wait in the coordinators' queues."""
 
     def longest_wait(self, request: AdmissionRequest, times: ServiceTimes) -> float:
         """Returns the longest wait for a slot, in seconds, with which a request is sent.
@@ -129,6 +141,8 @@
 class AdmitAll:
     """Sends every request immediately: the baseline."""
 
+    uses_queues = False
+
     def __init__(self) -> None:
         self.client_timeouts: dict[str, float] = {}
 
@@ -150,6 +164,8 @@
 class DeferLate:
     """Refuses the first try of a late request; its retry is sent whatever the wait."""
 
+    uses_queues = False
+
     def __init__(self) -> None:
         self.client_timeouts: dict[str, float] = {}
 
@@ -195,6 +211,8 @@
     to be late.
     """
 
+    uses_queues = True
+
     def __init__(self) -> None:
         super().__init__()
         self._retry_times = _RetryTimes()
@@ -273,6 +291,30 @@
         new = AdmissionRequest(route.name, route.objective, arrival.time_left, is_resumed)
         return self._policy.longest_wait(new, self.times_of(request))
 
+    @property
+    def uses_queues(self) -> bool:
+        """Whether requests of paced services wait in the coordinators' queues."""
+        return self._policy.uses_queues
+
+    def is_returned(self, request: ForwardedRequest) -> bool:
+        """Returns whether a request's time left shows that its client was refused before."""
+        time_left = request.arrival.time_left
+        usual = self._policy.client_timeouts.get(request.route.name, time_left)
+        return usual - time_left > RETRY_THRESHOLD_SECONDS
+
+    def queue_expiry(self, request: ForwardedRequest) -> float:
+        """Returns the time after which a slot is of no use to a request.
+
+        A request that was never sent may be refused, which is better for its client than a wait
+        after which it leaves.
+        """
+        slot_time = max(MIN_TIME_LEFT_SECONDS, self.times_of(request).slot_time)
+        expires_at = request.ends_at - slot_time
+        if not request.may_be_refused:
+            return expires_at
+        longest_delay = request.arrival.time_left * MAX_DELAY_SHARE
+        return min(expires_at, request.arrived_at + longest_delay)
+
     def on_late(self, now: float, request: ForwardedRequest, estimate: WaitEstimate) -> LateAction:
         """Decides on a request for which no slot is free in time."""
         time_left = request.arrival.time_left
--- a/src/troutswitch/decisions/forwarding/log_events.py
+++ b/src/troutswitch/decisions/forwarding/log_events.py
@@ -31,6 +31,9 @@
 MAX_MILLISECONDS = 3_600_000
 """Upper bound of logged times, so that an infinite time can be logged: one hour."""
 
+DENIED_REASON = "no slot before it expires"
+"""Reason of a deferral that a coordinator decided."""
+
 
 def milliseconds(seconds: float) -> int:
     """Returns a time rounded to milliseconds, at most `MAX_MILLISECONDS`."""
@@ -114,8 +117,12 @@
     times: ServiceTimes,
     known: KnownConfiguration,
 ) -> LogLine:
-    """Returns the line for a request that is deferred, with the wait estimate behind it."""
+    """Returns the line for a request that is deferred, with the wait estimate behind it.
+
+    `reason` is logged only for a denial by a coordinator; `slot request denied` has its inputs.
+    """
     estimate = deferral.estimate
+    denial = {"reason": DENIED_REASON} if deferral.is_denied else {}
     return LogLine(
         "request deferred",
         {
@@ -132,6 +139,7 @@
             **configuration_fields(known),
             "client_timeout_ms": milliseconds(request.arrival.time_left),
             "elapsed_ms": milliseconds(now - request.arrived_at),
+            **denial,
         },
     )
 
--- a/src/troutswitch/decisions/forwarding/placer.py
+++ b/src/troutswitch/decisions/forwarding/placer.py
@@ -23,18 +23,39 @@
 from troutswitch.decisions.forwarding.wait_estimate import WaitEstimate, shortest_wait
 
 
+@dataclass(frozen=True, slots=True)
+class QueueTerms:
+    """On which terms a request waits in the queue of a group's coordinator.
+
+    `share` names the tenant, or the route for callers without a tenant. `priority` 0 is the
+    highest. `objective_at` is the latest time of a slot with which the request meets its objective,
+    negative infinity if it will be late anyway; `expires_at` is the time after which a slot is of
+    no use to it. Both are of this process's clock. `is_returned` is set if its caller was refused
+    before, or if the request was sent before.
+    """
+
+    request_id: str
+    share: str
+    priority: int
+    objective_at: float
+    expires_at: float
+    is_returned: bool
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementRequest:
     """A request to be placed.
 
     `token` identifies the request within this process. `max_wait` is the maximum wait for a slot,
-    in seconds, with which it is sent; infinite if it is sent whatever the wait.
+    in seconds, with which it is sent; infinite if it is sent whatever the wait. A request without
+    `queue_terms` waits in no coordinator's queue.
     """
 
     token: int
     service: str
     prompt: PromptShape
     max_wait: float
+    queue_terms: QueueTerms | None = None
 
 
 class AssignedBy(Enum):
@@ -57,9 +78,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NoSlotInTime:
-    """The request would wait too long at every engine; `estimate` is the shortest wait."""
+    """The request would wait too long at every engine; `estimate` is the shortest wait.
+
+    `retry_after` is set if a coordinator denied the request a slot: the seconds after which its
+    caller should return.
+    """
 
     estimate: WaitEstimate
+    retry_after: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/forwarding/placing.py
+++ b/src/troutswitch/decisions/forwarding/placing.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 from typing import assert_never
 
-from troutswitch.decisions.forwarding.admission import Admission, LateAction
+from troutswitch.decisions.forwarding.admission import Admission, Deferral, LateAction
 from troutswitch.decisions.forwarding.arrivals import Refused
 from troutswitch.decisions.forwarding.attempts import EngineAttempts, preempt_if_full
 from troutswitch.decisions.forwarding.candidates import candidate_engines
@@ -25,10 +25,12 @@
     Placement,
     PlacementRequest,
     Placer,
+    QueueTerms,
 )
 from troutswitch.decisions.forwarding.request import ForwardedRequest, RequestState
 from troutswitch.decisions.forwarding.retry import has_time_to_send
 from troutswitch.decisions.forwarding.routes import RouteTable
+from troutswitch.decisions.forwarding.wait_estimate import WaitEstimate
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.tenants.tenant_keys import TenantKeys
 from troutswitch.outcomes import NotRun, Step
@@ -58,6 +60,9 @@
     def begin(self, now: float, request: ForwardedRequest) -> Instructions:
         """Places a request that has just been admitted."""
         request.longest_wait = self._admission.longest_wait(request)
+        is_late = request.longest_wait <= 0.0
+        request.objective_at = float("-inf") if is_late else now + request.longest_wait
+        request.is_returned = self._admission.is_returned(request)
         self._open.add(request)
         return self.place(now, request, NO_ENGINE_REASON)
 
@@ -72,11 +77,28 @@
         arrival = request.arrival
         max_wait = float("inf") if request.ended_attempts else request.longest_wait
         placement_request = PlacementRequest(
-            arrival.token, request.service, arrival.prompt, max_wait
+            arrival.token,
+            request.service,
+            arrival.prompt,
+            max_wait,
+            self._queue_terms(request),
         )
         placement = self.placer.place(now, placement_request, candidates)
         return self.on_placement(now, request, placement) if placement is not None else []
 
+    def _queue_terms(self, request: ForwardedRequest) -> QueueTerms | None:
+        """Returns the terms on which a request waits in a coordinator's queue, if it may."""
+        if request.is_denied or not self._admission.uses_queues:
+            return None
+        return QueueTerms(
+            request.arrival.request_id,
+            request.tenant or request.route.name,
+            request.priority,
+            request.objective_at,
+            self._admission.queue_expiry(request),
+            is_returned=request.is_returned or not request.may_be_refused,
+        )
+
     def on_placement(
         self, now: float, request: ForwardedRequest, placement: Placement
     ) -> Instructions:
@@ -96,6 +118,8 @@
         self, now: float, request: ForwardedRequest, placement: NoSlotInTime
     ) -> Instructions:
         """Applies the admission policy to a new request for which no slot is free in time."""
+        if placement.retry_after is not None:
+            return self._on_denied(now, request, placement.estimate, placement.retry_after)
         times = self._admission.times_of(request)
         estimate = replace(placement.estimate, slot_time=times.slot_time)
         action = self._admission.on_late(now, request, estimate)
@@ -111,6 +135,21 @@
             case _:
                 assert_never(action)
 
+    def _on_denied(
+        self, now: float, request: ForwardedRequest, estimate: WaitEstimate, retry_after: float
+    ) -> Instructions:
+        """Refuses a request that a coordinator denied a slot; sends it anyway if it may have run.
+
+        A refusal says that the request has not run, so it must never have been sent.
+        """
+        if not request.may_be_refused:
+            request.is_denied = True
+            request.longest_wait = float("inf")
+            return self.place(now, request, NO_ENGINE_REASON)
+        times = self._admission.times_of(request)
+        estimate = replace(estimate, slot_time=times.slot_time)
+        return self._open.defer(now, request, Deferral(retry_after, estimate, True), times)
+
     def _on_assigned(
         self, now: float, request: ForwardedRequest, assignment: Assignment
     ) -> Instructions:
--- a/src/troutswitch/decisions/forwarding/request.py
+++ b/src/troutswitch/decisions/forwarding/request.py
@@ -49,6 +49,14 @@
     """Time that this decision took."""
     longest_wait: float = float("inf")
     """Longest wait for a slot, in seconds, with which it is sent for the first time."""
+    priority: int = 0
+    """Its tenant's priority, else its route's; 0 is the highest."""
+    objective_at: float = float("inf")
+    """Latest time of a slot with which it meets its objective; negative infinity if it can't."""
+    is_returned: bool = False
+    """Whether its caller was refused before."""
+    is_denied: bool = False
+    """Whether a coordinator denied it a slot and it is sent anyway, as it may have run."""
 
     # Attempts so far.
     ended_attempts: list[AttemptOutcome] = field(default_factory=list)
@@ -111,6 +119,11 @@
         """Number of ended attempts that may have run at an engine."""
         return sum(kind not in NOT_EXECUTED_OUTCOMES for kind in self.ended_attempts)
 
+    @property
+    def may_be_refused(self) -> bool:
+        """Whether it was never sent to an engine, also not before its stream was cut."""
+        return not self.ended_attempts and not self.arrival.resume_after
+
     @property
     def may_retry(self) -> bool:
         """Whether another attempt is allowed if the one in flight may have run.
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -144,6 +144,7 @@
 
     def _admit(self, now: float, admitted: Admitted) -> Instructions:
         arrival, route = admitted.arrival, admitted.route
+        tenant_priority = admitted.tenant.priority
         request = ForwardedRequest(
             arrival,
             route,
@@ -155,6 +156,7 @@
             admitted_version=admitted.version,
             quota=admitted.quota,
             quota_seconds=admitted.quota_seconds,
+            priority=route.priority if tenant_priority is None else tenant_priority,
         )
         return self._placing.begin(now, request)
 
--- a/src/troutswitch/decisions/peer_messages.py
+++ b/src/troutswitch/decisions/peer_messages.py
@@ -15,12 +15,16 @@
     Heartbeat,
     HoldingsReport,
     PeerMessage,
+    QueuedSlotRequest,
     QuotaDecision,
     QuotaHandover,
     QuotaHandoverRequest,
     QuotaRequest,
+    SlotDenied,
+    SlotQueued,
     SlotReply,
     SlotRequest,
+    SlotRequestWithdrawn,
 )
 from troutswitch.decisions.active_configuration import ActiveConfiguration
 from troutswitch.decisions.crashes.suspects import CrashSuspects
@@ -29,7 +33,7 @@
 from troutswitch.decisions.instruction_queue import InstructionQueue
 from troutswitch.decisions.peers.heartbeats import Peers
 from troutswitch.decisions.slots.fleet import FleetSlots
-from troutswitch.decisions.slots.slot_requests import PlacementResult
+from troutswitch.decisions.slots.queued_requests import PlacementResult
 from troutswitch.decisions.tenants.quota import Quota, QuotaCompletion
 
 
@@ -67,7 +71,16 @@
                 self.quota.on_handover(now, message)
             case SlotReply():
                 self._on_slot_reply(now, message)
-            case HoldingsReport() | SlotRequest() | BatchSlotGrant() | GroupDigest():
+            case (
+                HoldingsReport()
+                | SlotRequest()
+                | BatchSlotGrant()
+                | GroupDigest()
+                | QueuedSlotRequest()
+                | SlotQueued()
+                | SlotDenied()
+                | SlotRequestWithdrawn()
+            ):
                 self.end_slot_searches(now, self.slots.on_message(now, message))
             case _:
                 assert_never(message)
--- a/src/troutswitch/decisions/slots/coordinator.py
+++ b/src/troutswitch/decisions/slots/coordinator.py
@@ -110,13 +110,19 @@
         grant_number = 0
         preempted: list[SlotInstruction] = []
         if decision.engine is not None:
-            key = engine_key(decision.engine.record.engine_id)
-            share = EngineShare(key, 1, 0, request.prefill_units)
-            grant_number = self._ledger.grant(now, request.report.sender, share)
-            preempted = self._preemption.preempt(now, decision.engine)
+            sender, units = request.report.sender, request.prefill_units
+            grant_number, preempted = self.grant_slot(now, sender, decision.engine, units)
         reply = self._reply(request, decision, grant_number)
         return [SendToPeers((holder.address,), reply), *preempted]
 
+    def grant_slot(
+        self, now: float, holder: str, engine: Engine, units: int
+    ) -> tuple[int, list[SlotInstruction]]:
+        """Counts a slot for a peer's request; returns the grant's number, and stops of items."""
+        share = EngineShare(engine_key(engine.record.engine_id), 1, 0, units)
+        number = self._ledger.grant(now, holder, share)
+        return number, self._preemption.preempt(now, engine)
+
     def _query(self, request: SlotRequest) -> SlotQuery | None:
         """Returns the query of a peer's request, or None if a peer coordinates the group."""
         group = self._groups.named(request.group)
--- a/src/troutswitch/decisions/slots/fleet.py
+++ b/src/troutswitch/decisions/slots/fleet.py
@@ -7,6 +7,7 @@
 become known meanwhile.
 """
 
+import itertools
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -17,9 +18,13 @@
     BatchSlotGrant,
     GroupDigest,
     HoldingsReport,
+    QueuedSlotRequest,
+    SlotDenied,
     SlotMessage,
+    SlotQueued,
     SlotReply,
     SlotRequest,
+    SlotRequestWithdrawn,
 )
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.messages import LogLine
@@ -38,8 +43,10 @@
     SlotInstruction,
     StartItems,
 )
+from troutswitch.decisions.slots.queue_coordinator import QueueCoordinator
+from troutswitch.decisions.slots.queued_requests import PlacementResult, QueuedRequests
 from troutswitch.decisions.slots.reports import HoldingsReports
-from troutswitch.decisions.slots.slot_requests import PlacementResult, SlotRequests
+from troutswitch.decisions.slots.slot_requests import SlotRequests
 from troutswitch.decisions.storage.messages import StoreCall, StoreOutcome
 from troutswitch.decisions.storage.read_attempts import CallNumbers
 
@@ -92,13 +99,31 @@
         )
         self.batch = BatchCoordination(self.groups, self.coordinator, self.ledger, own_items)
         self.reports = HoldingsReports(identity, engines, self.groups, self.claims, own_items)
+        self.queues = QueueCoordinator(
+            identity, self.groups, engines, self.ledger, self.coordinator, times
+        )
+        local = LocalPlacement(identity.zone, engines, requests, policies.homes, rng)
+        request_numbers = itertools.count(1)
+        queued = QueuedRequests(
+            identity,
+            self.claims,
+            self.coordinator,
+            self.queues,
+            self.reports,
+            local,
+            request_numbers,
+            emit,
+        )
         self.requests = SlotRequests(
             identity.zone,
             self.groups,
             self.claims,
             self.coordinator,
             self.reports,
-            LocalPlacement(identity.zone, engines, requests, policies.homes, rng),
+            local,
+            queued,
+            engines.is_paced,
+            request_numbers,
             emit,
             rng,
         )
@@ -109,10 +134,17 @@
         """Handles a peer's message; returns the searches for a slot that it ended."""
         match message:
             case HoldingsReport():
-                self.ledger.on_report(now, message)
+                self._apply_report(now, message)
             case SlotRequest():
-                self.ledger.on_report(now, message.report)
+                self._apply_report(now, message.report)
                 self._emit_all(self.coordinator.on_request(now, message))
+            case QueuedSlotRequest():
+                self._apply_report(now, message.report)
+                self._emit_all(self.queues.on_request(now, message))
+            case SlotRequestWithdrawn():
+                self.queues.on_withdrawn(now, message)
+            case SlotQueued() | SlotDenied():
+                return self._on_queue_answer(now, message)
             case SlotReply():
                 return self._on_reply(now, message)
             case BatchSlotGrant():
@@ -123,6 +155,17 @@
                 assert_never(message)
         return []
 
+    def _apply_report(self, now: float, report: HoldingsReport) -> None:
+        self.ledger.on_report(now, report)
+        self.queues.on_report()
+
+    def _on_queue_answer(
+        self, now: float, answer: SlotQueued | SlotDenied
+    ) -> list[PlacementResult]:
+        if self.claim_by(answer.group, answer.sender) is not None:
+            self.batch.on_activity(now, answer.group)
+        return self.requests.on_queue_answer(now, answer)
+
     def _on_reply(self, now: float, reply: SlotReply) -> list[PlacementResult]:
         claim = self.claim_by(reply.group, reply.sender)
         if claim is not None:
@@ -195,6 +238,7 @@
             self.claims.next_due(),
             self.ledger.next_due(),
             self.coordinator.next_due(),
+            self.queues.next_due(),
             self.reports.next_due(),
             self.requests.next_due(),
         )
@@ -206,6 +250,7 @@
         self._update_coordinated(now)
         self.ledger.on_timer(now)
         self._emit_all(self.coordinator.on_timer(now))
+        self._emit_all(self.queues.on_timer(now))
         results = self.requests.on_timer(now)
         self._emit_all(self.reports.on_timer(now))
         self.ledger.validate()
@@ -230,6 +275,7 @@
         for group in sorted(coordinated - own):
             self._log("coordination ended", group=group)
             self.coordinator.stop_coordinating(group)
+            self.queues.stop_coordinating(group)
 
     def drain(self) -> None:
         """Stops coordinating groups, so that other daemons claim them."""
--- a/src/troutswitch/decisions/slots/group_search.py
+++ b/src/troutswitch/decisions/slots/group_search.py
@@ -70,10 +70,14 @@
         self.group = self._groups.pop(0)
         return self.group
 
+    @property
+    def has_alternative(self) -> bool:
+        """Whether another group is left to try, or another one with a slot was tried before."""
+        return bool(self._groups) or self._shortest is not None
+
     def max_accepted_wait(self) -> float:
         """Returns the maximum wait to accept in the current group, in seconds."""
-        has_alternative = bool(self._groups) or self._shortest is not None
-        if self._joins_queue or not has_alternative:
+        if self._joins_queue or not self.has_alternative:
             return self.request.max_wait
         return min(SHORT_WAIT_SECONDS, self.request.max_wait)
 
--- a/src/troutswitch/decisions/slots/slot_requests.py
+++ b/src/troutswitch/decisions/slots/slot_requests.py
@@ -8,20 +8,23 @@
 
 If this daemon coordinates a group itself, it decides immediately, without a message.
 
+Requests of paced services wait in the coordinators' queues instead (`queued_requests.py`).
+
 `SlotRequests` owns the searches that await a reply. `group_search.py` decides which group comes
 next and which wait is accepted; `local_placement.py` decides placements without a coordinator.
 Whether coordinators reply is reported to the claims, so that a silent coordinator is replaced.
 """
 
 import enum
-import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from troutswitch.daemons.messages import (
     NO_ENGINE,
     UNBOUNDED_WAIT_MS,
+    SlotDenied,
+    SlotQueued,
     SlotReply,
     SlotRequest,
     prefill_units,
@@ -42,13 +45,18 @@
 from troutswitch.decisions.slots.groups import EngineGroups, Group
 from troutswitch.decisions.slots.local_placement import LocalPlacement
 from troutswitch.decisions.slots.messages import SendToPeers, SlotInstruction
+from troutswitch.decisions.slots.queued_requests import (
+    REPLY_TIMEOUT_SECONDS as REPLY_TIMEOUT_SECONDS,
+)
+from troutswitch.decisions.slots.queued_requests import (
+    PlacementResult as PlacementResult,
+)
+from troutswitch.decisions.slots.queued_requests import (
+    QueuedRequests,
+)
 from troutswitch.decisions.slots.reports import HoldingsReports
 from troutswitch.decisions.slots.slot_choice import SlotQuery
 
-REPLY_TIMEOUT_SECONDS = 0.03
-"""Time within which a coordinator must reply: a tenth of an objective of 300 ms, and several times
-what a reply from another zone takes."""
-
 
 class _Pending(enum.Enum):
     """A request was sent to a coordinator, and its reply is awaited."""
@@ -70,14 +78,6 @@
         return self.requested_at + REPLY_TIMEOUT_SECONDS
 
 
-@dataclass(frozen=True, slots=True)
-class PlacementResult:
-    """The result of the search for the request that `token` identifies."""
-
-    token: int
-    placement: Placement
-
-
 class SlotRequests:
     """Searches for slots of this daemon's online requests; implements `Placer`."""
 
@@ -89,9 +89,14 @@
         coordinator: SlotCoordinator,
         reports: HoldingsReports,
         local: LocalPlacement,
+        queued: QueuedRequests,
+        is_paced: Callable[[str], bool],
+        numbers: Iterator[int],
         emit: Callable[[SlotInstruction], None],
         rng: random.Random,
     ) -> None:
+        self._queued = queued
+        self._is_paced = is_paced
         self._zone = zone
         self._groups = groups
         self._claims = claims
@@ -103,7 +108,7 @@
         self._open: dict[int, _OpenSearch] = {}
         self._tokens: dict[int, int] = {}
         """Tokens of requests, by the number of the slot request whose reply is awaited."""
-        self._numbers = itertools.count(1)
+        self._numbers = numbers
 
     # `Placer`.
 
@@ -116,6 +121,8 @@
             return home
         groups = self._groups.of_service(request.service)
         search = GroupSearch(request, groups_in_order(groups, self._zone, self._rng))
+        if request.queue_terms is not None and self._is_paced(request.service):
+            return self._queued.place(now, search, request.queue_terms)
         return self._advance(now, search)
 
     def withdraw(self, now: float, token: int) -> None:
@@ -123,6 +130,7 @@
         open_search = self._open.pop(token, None)
         if open_search is not None:
             self._tokens.pop(open_search.number, None)
+        self._queued.withdraw(now, token)
 
     # Progress of a search.
 
@@ -200,13 +208,19 @@
 
     def is_awaited(self, reply: SlotReply) -> bool:
         """Returns whether a search still awaits a reply."""
-        return reply.number in self._tokens
+        return reply.number in self._tokens or self._queued.is_awaited(reply.number)
+
+    def on_queue_answer(self, now: float, answer: SlotQueued | SlotDenied) -> list[PlacementResult]:
+        """Handles a coordinator's answer about its queue; returns the search that it ended."""
+        return self._queued.on_answer(now, answer)
 
     def on_reply(self, now: float, reply: SlotReply) -> PlacementResult | None:
         """Handles a coordinator's reply; returns the search's result if it ends the search.
 
         A late reply, or a reply to a withdrawn request, has no effect.
         """
+        if self._queued.is_awaited(reply.number):
+            return next(iter(self._queued.on_answer(now, reply)), None)
         token = self._tokens.pop(reply.number, None)
         open_search = self._open.get(token) if token is not None else None
         if open_search is None or open_search.number != reply.number:
@@ -241,12 +255,14 @@
 
     def next_due(self) -> float:
         """Returns when `on_timer` is due next, in seconds of this process's clock."""
-        return min((search.due_at for search in self._open.values()), default=float("inf"))
+        own_due = min((search.due_at for search in self._open.values()), default=float("inf"))
+        return min(own_due, self._queued.next_due())
 
     def on_timer(self, now: float) -> list[PlacementResult]:
         """Ends the searches whose reply is overdue."""
         overdue = [search for search in self._open.values() if now >= search.due_at]
-        return [self._end_overdue(now, search) for search in overdue]
+        ended = [self._end_overdue(now, search) for search in overdue]
+        return ended + self._queued.on_timer(now)
 
     def _end_overdue(self, now: float, overdue: _OpenSearch) -> PlacementResult:
         search = overdue.search
--- a/tests/decisions/slots/harness.py
+++ b/tests/decisions/slots/harness.py
@@ -18,7 +18,12 @@
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.messages import LogLine
 from troutswitch.decisions.forwarding.placement import NoHomes
-from troutswitch.decisions.forwarding.placer import Assignment, Placement, PlacementRequest
+from troutswitch.decisions.forwarding.placer import (
+    Assignment,
+    Placement,
+    PlacementRequest,
+    QueueTerms,
+)
 from troutswitch.decisions.forwarding.run_times import RunTimes
 from troutswitch.decisions.forwarding.types import EngineRecord, PromptShape
 from troutswitch.decisions.jobs.batch_capacity import SlotCapacity
@@ -34,6 +39,8 @@
 SERVICE = "service"
 ZONE = "z"
 GROUP = f"{SERVICE}||0"
+SLOT_SECONDS = 0.4
+"""Slot time of the requests of a paced service."""
 
 
 def record(name: str, zone: str = ZONE, slots: int = 8) -> EngineRecord:
@@ -149,9 +156,15 @@
         for result in found:
             self._record_placement(now, result.token, result.placement)
 
-    def request_slot(self, now: float, token: int, max_wait: float = float("inf")) -> None:
+    def request_slot(
+        self,
+        now: float,
+        token: int,
+        max_wait: float = float("inf"),
+        terms: QueueTerms | None = None,
+    ) -> None:
         """Requests a slot for an online request."""
-        request = PlacementRequest(token, SERVICE, PromptShape(), max_wait)
+        request = PlacementRequest(token, SERVICE, PromptShape(), max_wait, terms)
         placement = self.fleet.requests.place(now, request, self.engines.usable(now, SERVICE))
         if placement is not None:
             self._record_placement(now, token, placement)
@@ -169,6 +182,29 @@
             self.online[token] = engine_id
             self.engines.on_sent(now, engine_id, False, NO_SIZE)
 
+    def make_paced(self, now: float) -> None:
+        """Makes the service paced, with a slot time of 0.4 s at engines of usual speed."""
+        for engine in self.engines.engines.values():
+            self.engines.on_pace(engine, 100, now)
+        self.times.on_completed(SERVICE, 0.06, SLOT_SECONDS, was_queued=False)
+
+    def queue_slot(
+        self,
+        now: float,
+        token: int,
+        flow: str = "flow",
+        *,
+        priority: int = 0,
+        objective: float = 0.3,
+        expiry: float = 1.7,
+        is_returned: bool = False,
+    ) -> None:
+        """Requests a slot for which the request may wait in a queue, with times from now."""
+        terms = QueueTerms(
+            f"request-{token}", flow, priority, now + objective, now + expiry, is_returned
+        )
+        self.request_slot(now, token, objective, terms)
+
     def end_request(self, now: float, token: int) -> None:
         """Ends a request at its engine."""
         engine_id = self.online.pop(token)
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -150,6 +150,56 @@
             is_coordinator=False,
         )
     ),
+    "queue for a place, defaults": _peer_message_sample(
+        peer_messages.QueuedSlotRequest(
+            _SHORT_REPORT, (), 31, "s|z|0", 4, -1, 1500, "tenant", 2, False
+        )
+    ),
+    "queue for a place, all fields": _peer_message_sample(
+        peer_messages.QueuedSlotRequest(
+            report=_FULL_REPORT,
+            paces=(
+                peer_messages.PaceReading(engine_key=11, percent=137, age_ms=3),
+                peer_messages.PaceReading(4294967295, 55, 250),
+            ),
+            number=31,
+            group="s|z|0",
+            prefill_units=4,
+            max_wait_ms=250,
+            expires_ms=1500,
+            share="tenant é",
+            priority=1,
+            may_queue=True,
+            excluded=(41, 42),
+            is_returned=True,
+        )
+    ),
+    "place in a queue": _peer_message_sample(
+        peer_messages.SlotQueued(
+            sender="d-2", incarnation=LARGE, number=31, group="s|z|0", position=43, wait_ms=44
+        )
+    ),
+    "no place": _peer_message_sample(
+        peer_messages.SlotDenied(
+            sender="d-2",
+            incarnation=LARGE,
+            number=31,
+            group="s|z|0",
+            wait_ms=45,
+            queued=46,
+            slots=47,
+            retry_after_ms=48,
+            is_final=True,
+        )
+    ),
+    "no place now": _peer_message_sample(
+        peer_messages.SlotDenied("d-2", 6, 31, "s|z|0", 45, 46, 47, 0, False)
+    ),
+    "place no longer wanted": _peer_message_sample(
+        peer_messages.SlotRequestWithdrawn(
+            sender="d-1", incarnation=LARGE, number=31, group="s|z|0"
+        )
+    ),
     "places for batch items, granted": _peer_message_sample(
         peer_messages.BatchSlotGrant("d-2", 6, "s|z|0", 61, 62, 63)
     ),
