--- a/src/troutswitch/decisions/slots/queued_requests.py
+++ b/src/troutswitch/decisions/slots/queued_requests.py
@@ -316,7 +316,7 @@
             case SlotDenied():
                 return self._on_denied(now, request, answer)
             case SlotReply(is_coordinator=False):
-                return self._on_not_coordinator(now, request)
+                return self._on_not_coordinator(now, request, answer.sender)
             case SlotReply():
                 return self._on_granted(now, request, answer)
 
@@ -350,13 +350,16 @@
         )
         return NoSlotInTime(estimate, denied.retry_after_ms / 1000)
 
-    def _on_not_coordinator(self, now: float, request: _OpenRequest) -> Placement | None:
-        self._claims.on_not_coordinator(now, request.group.name)
+    def _on_not_coordinator(
+        self, now: float, request: _OpenRequest, sender: str
+    ) -> Placement | None:
+        claim = self._claims.claim_of(request.group.name)
+        if claim is not None and claim.daemon == sender:
+            self._claims.on_not_coordinator(now, request.group.name)
         self._close(request.token)
         if not request.may_queue:
             return self._advance(now, request.search, request.terms)
-        placement = self._move(now, request)
-        return placement
+        return self._move(now, request)
 
     # Another coordinator of the same group.
 
