Queued requests are explained, counted and denied by the next free slot

Cause: a denial's inputs are in two daemons' logs, of which one has no request id; and the wait of the first requests was the mean interval of free slots (25 ms), also if all slots were taken together and become free together 400 ms later.

Change: `explain` adds the coordinator's line to that of the request; counters by outcome and by reason, and a histogram of the wait. The wait is at least that for the next slot at the best engine.

Result: a request with 200 ms left that finds all 16 slots just taken is denied in the same step; it was kept for 225 ms before.

--- a/src/troutswitch/cli/explain.py
+++ b/src/troutswitch/cli/explain.py
@@ -25,6 +25,12 @@
     "item dead-lettered": "dead-lettered",
     "job does not fit": "refused: too many tokens wait",
 }
+QUEUED, GRANTED, DENIED = "slot request queued", "slot granted after wait", "slot request denied"
+DENIED_BY_COORDINATOR = "queued request denied"
+"""Events of requests for slots. The last one is the coordinator's line, which has no request id: it
+names the daemon and number of the request."""
+QUEUE_FIELDS = ("flow", "coordinator", "position", "wait_ms", "waited_ms", "expires_ms", "slots")
+"""Fields of the events of queued requests that show why a request waited or was denied."""
 DECISION_FIELDS = ("status", "tenant", "decided_by", "retry_after_ms", "configuration_version")
 """Fields of the last end event that show why a request was refused or deferred."""
 
@@ -38,6 +44,25 @@
 
     def cause(self) -> str:
         """Returns one line of text that says where and why the request, item or job ended."""
+        queue = self._queue()
+        return f"{self._end()}; {queue}" if queue else self._end()
+
+    def _queue(self) -> str:
+        """Returns why the request waited in a queue or was denied a slot; empty if it did not."""
+        facts = [
+            f"{line.event}: {', '.join(_named(line, QUEUE_FIELDS))}"
+            for line in self.lines
+            if line.event in (QUEUED, GRANTED, DENIED)
+        ]
+        reasons = [
+            f"the coordinator's reason: {line.fields.get('reason')}"
+            for line in self.lines
+            if line.event == DENIED_BY_COORDINATOR
+        ]
+        return "; ".join([*facts, *reasons])
+
+    def _end(self) -> str:
+        """Returns where and why the request, item or job ended."""
         end_lines = [line for line in self.lines if line.event in END_EVENTS]
         if end_lines:
             last = end_lines[-1]
@@ -61,19 +86,40 @@
     The reason may be in an earlier line: a dead-lettered item is listed later, without a reason.
     """
     reasons = [str(line.fields["reason"]) for line in end_lines if line.fields.get("reason")]
-    decided = [
-        f"{name}={end_lines[-1].fields[name]}"
-        for name in DECISION_FIELDS
-        if end_lines[-1].fields.get(name)
-    ]
+    decided = _named(end_lines[-1], DECISION_FIELDS)
     facts = f" ({', '.join(decided)})" if decided else ""
     return f"{reasons[-1] if reasons else ''}{facts}"
 
 
+def _named(line: Line, names: tuple[str, ...]) -> list[str]:
+    """Returns the fields with the given names that a line has, as text."""
+    return [f"{name}={line.fields[name]}" for name in names if line.fields.get(name)]
+
+
 def read_timeline(identifier: str, logs: LogLines) -> Timeline:
-    """Selects the lines that contain an id."""
+    """Selects the lines that contain an id, and the coordinator's lines about the same request."""
     named = [line for line in logs.lines if _mentions(line, identifier)]
-    return Timeline(named, logs.bad_lines)
+    queued = {_slot_request(line, line.daemon) for line in named if line.event == DENIED}
+    lines = [
+        line
+        for line in logs.lines
+        if _mentions(line, identifier)
+        or (
+            line.event == DENIED_BY_COORDINATOR
+            and _slot_request(line, str(line.fields.get("peer"))) in queued
+        )
+    ]
+    return Timeline(lines, logs.bad_lines)
+
+
+def _slot_request(line: Line, daemon: str) -> tuple[str, object, object, object]:
+    """Returns what identifies a slot request.
+
+    A daemon that restarts begins with number 1 again, so its time to return is part of the result:
+    a denial states the same one on both sides.
+    """
+    fields = line.fields
+    return daemon, fields.get("number"), fields.get("group"), fields.get("retry_after_ms")
 
 
 def _mentions(line: Line, identifier: str) -> bool:
--- a/src/troutswitch/decisions/slots/queue_coordinator.py
+++ b/src/troutswitch/decisions/slots/queue_coordinator.py
@@ -99,6 +99,8 @@
     answers: OrderedDict[EntryKey, _LastAnswer] = field(default_factory=OrderedDict)
     own_granted: bool = False
     """Whether a request of this daemon was granted a slot that is not counted yet."""
+    next_slot_at: float = float("-inf")
+    """When a slot is expected to be free, by the last search that found none."""
     served_at: float = float("-inf")
     served_changes: int = -1
     checked_at: float = float("-inf")
@@ -235,14 +237,14 @@
     ) -> None:
         rate = self._rate(now, state)
         if not may_queue:
-            wait = state.queue.position(now, entry.key) * rate.interval
+            wait = self._wait(now, state, state.queue.position(now, entry.key))
             self._deny(now, state, entry, wait, NO_SLOT_NOW, is_final=False)
             return
         for last in state.queue.beyond(now, QUEUE_SLOT_MULTIPLE * rate.slots):
-            wait = len(state.queue) * rate.interval
+            wait = self._wait(now, state, len(state.queue))
             self._deny(now, state, last, wait, BEYOND_BOUND)
         if entry.key in state.queue.entries:
-            wait = state.queue.position(now, entry.key) * rate.interval
+            wait = self._wait(now, state, state.queue.position(now, entry.key))
             if now + wait > entry.expires_at:
                 self._deny(now, state, entry, wait, EXPIRES_FIRST)
 
@@ -251,7 +253,7 @@
         if key not in state.queue.entries:
             return None
         position = state.queue.position(now, key)
-        wait = position * self._rate(now, state).interval
+        wait = self._wait(now, state, position)
         name, incarnation = self._identity.name, self._identity.incarnation
         group = state.group.name
         return SlotQueued(name, incarnation, key.number, group, position, milliseconds(wait))
@@ -279,6 +281,14 @@
         slots = sum(engine.slots for engine in usable)
         return _GroupRate(slots, self._times.of(state.group.service).slot_time)
 
+    def _wait(self, now: float, state: _GroupQueue, position: int) -> float:
+        """Returns the expected wait at a position, in seconds.
+
+        The mean interval alone would be too short for the first ones if all slots were taken
+        together, as they become free together.
+        """
+        return max(state.next_slot_at - now, position * self._rate(now, state).interval)
+
     # Serving.
 
     def _serve(self, now: float, state: _GroupQueue) -> None:
@@ -287,6 +297,7 @@
         Stops after a grant to this daemon, whose request is counted when it is sent.
         """
         state.served_at, state.served_changes = now, self._changes
+        state.next_slot_at = float("-inf")
         while state.queue.entries and not state.own_granted:
             chosen = state.queue.choose(now, lambda entry: self._free_slot(now, state, entry))
             if chosen is None:
@@ -300,7 +311,11 @@
     def _free_slot(self, now: float, state: _GroupQueue, entry: QueueEntry) -> SlotDecision | None:
         query = SlotQuery(state.group, entry.zone, SHORT_WAIT_SECONDS, entry.excluded)
         decision = self._coordinator.decide(now, query)
-        return decision if decision.engine is not None else None
+        if decision.engine is not None:
+            return decision
+        if state.next_slot_at < now and decision.estimate.slots:
+            state.next_slot_at = now + decision.estimate.wait
+        return None
 
     def _grant(
         self, now: float, state: _GroupQueue, entry: QueueEntry, decision: SlotDecision
@@ -352,7 +367,7 @@
             retry_after = state.returns.next(
                 now,
                 entry.flow,
-                queue_wait=len(state.queue) * rate.interval,
+                queue_wait=self._wait(now, state, len(state.queue)),
                 interval=rate.interval,
                 flows=max(1, len(flows)),
             )
@@ -464,7 +479,8 @@
         for entry in state.queue.silent(now):
             state.queue.remove(entry.key)
         interval = self._rate(now, state).interval
-        for entry, wait in state.queue.unservable(now, interval):
+        next_slot = state.next_slot_at - now
+        for entry, wait in state.queue.unservable(now, interval, next_slot):
             self._deny(now, state, entry, wait, EXPIRES_FIRST)
         state.queue.validate()
 
--- a/src/troutswitch/decisions/slots/slot_queue.py
+++ b/src/troutswitch/decisions/slots/slot_queue.py
@@ -266,7 +266,9 @@
             if e.key.holder == key.holder and e.key.incarnation != key.incarnation
         ]
 
-    def unservable(self, now: float, interval: float) -> list[tuple[QueueEntry, float]]:
+    def unservable(
+        self, now: float, interval: float, next_slot: float = 0.0
+    ) -> list[tuple[QueueEntry, float]]:
         """Returns the entries whose slot is expected after their expiry, with the expected wait.
 
         An entry that is denied makes those after it move up, so they are judged without it.
@@ -274,11 +276,12 @@
         Args:
             now: the coordinator's clock, in seconds.
             interval: mean seconds between two slots that become free.
+            next_slot: seconds until the next slot is expected to be free.
         """
         denied: list[tuple[QueueEntry, float]] = []
         place = 1
         for entry in self.order(now):
-            wait = place * interval
+            wait = max(next_slot, place * interval)
             if now + wait > entry.expires_at:
                 denied.append((entry, wait))
             else:
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -21,6 +21,13 @@
 """Label value if a log line does not have the field."""
 NO_FIRST_EVENT_MILLISECONDS = 60_000
 """A time to the first event that is this long or longer denotes an attempt without events."""
+QUEUE_OUTCOMES = {
+    "slot request queued": "queued",
+    "slot granted after wait": "granted",
+    "slot request denied": "denied",
+    "queue not confirmed": "not confirmed",
+}
+"""Values of the label `outcome` of queued requests, by log event."""
 CONTENT_TYPE = "text/plain; version=0.0.4"
 
 
@@ -59,6 +66,17 @@
         self._further_attempts = self._counter(
             "further_attempts", "Attempts after the first of a request", "quota_way"
         )
+        self._queued = self._counter(
+            "queued_slot_requests",
+            "Requests for slots in coordinators' queues, by what happened to them",
+            "outcome",
+        )
+        self._queue_wait = self._histogram(
+            "slot_queue_wait_seconds", "Time that a queued request waited for its slot"
+        )
+        self._queue_denials = self._counter(
+            "slot_queue_denials", "Requests that this daemon denied as a coordinator", "reason"
+        )
         self._events = self._counter("decisions", "Log lines of decisions, by event", "event")
         self._add_workload_gauges(core)
         self._add_fleet_gauges(core)
@@ -193,6 +211,16 @@
             case "request given up":
                 labels = (_label(line, name) for name in ("outcome", "step", "route"))
                 self._given_up.labels(*labels).inc()
+            case "queued request denied":
+                self._queue_denials.labels(_label(line, "reason")).inc()
+            case _ if line.event in QUEUE_OUTCOMES:
+                self._on_queue_line(line)
+
+    def _on_queue_line(self, line: LogLine) -> None:
+        self._queued.labels(QUEUE_OUTCOMES[line.event]).inc()
+        waited = line.fields.get("waited_ms")
+        if line.event == "slot granted after wait" and isinstance(waited, int):
+            self._queue_wait.observe(waited / 1000)
 
     def _on_sent(self, line: LogLine) -> None:
         if line.fields.get("attempt") == 1:
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -61,3 +61,33 @@
         "refused at a: above the tenant's quota "
         "(status=429, tenant=t, decided_by=b, configuration_version=7)"
     )
+
+
+def test_cause_of_a_denied_request_has_the_coordinators_inputs_and_reason() -> None:
+    """The line of the coordinator has no request id; it names the daemon and the number."""
+    denial = {"group": "s||0", "number": 7, "retry_after_ms": 700}
+    rows = [
+        line("T1", "a", "slot request queued", request_id="x", flow="t", position=9, wait_ms=300),
+        line("T2", "c", "queued request denied", peer="a", reason="too late", **denial),
+        line("T2", "c", "queued request denied", peer="b", reason="other", **denial),
+        line("T3", "a", "slot request denied", request_id="x", wait_ms=900, slots=16, **denial),
+        line("T4", "a", "request deferred", request_id="x", reason="no slot", retry_after_ms=700),
+    ]
+    assert read_timeline("x", read_lines(rows)).cause() == (
+        "asked to come back at a: no slot (retry_after_ms=700); "
+        "slot request queued: flow=t, position=9, wait_ms=300; "
+        "slot request denied: wait_ms=900, slots=16; the coordinator's reason: too late"
+    )
+
+
+def test_cause_of_a_request_that_waited_says_how_long_and_why() -> None:
+    rows = [
+        line("T1", "a", "slot request queued", request_id="x", flow="t", position=2, wait_ms=40),
+        line("T2", "a", "slot granted after wait", request_id="x", flow="t", waited_ms=55),
+        line("T3", "a", "attempt ended", request_id="x", kind="completed", first_ms=9, total_ms=30),
+    ]
+    assert read_timeline("x", read_lines(rows)).cause() == (
+        "completed at a, first 9 ms, in all 30 ms; "
+        "slot request queued: flow=t, position=2, wait_ms=40; "
+        "slot granted after wait: flow=t, waited_ms=55"
+    )
--- a/tests/decisions/slots/test_queue_coordinator.py
+++ b/tests/decisions/slots/test_queue_coordinator.py
@@ -66,7 +66,7 @@
         *,
         sender: str = "p",
         online: int = 0,
-        last_grant: int = 0,
+        last_grant: int | None = None,
         max_wait_ms: int = 300,
         expires_ms: int = 1700,
         flow: str = "flow",
@@ -75,7 +75,7 @@
     ) -> list[QueueAnswer]:
         """Sends a request; returns the answers to all requests that follow from it."""
         message = QueuedSlotRequest(
-            self.report(sender, online, last_grant),
+            self.report(sender, online, online if last_grant is None else last_grant),
             (),
             number,
             GROUP,
@@ -182,6 +182,17 @@
     assert "queued request denied" in peers.coordinator.log_events
 
 
+def test_slots_that_were_taken_together_are_expected_together() -> None:
+    """By the mean interval alone, a request that expires before any slot is free was kept until
+    then: `wait_ms` was 50 with 8 slots that were all free 400 ms later."""
+    peers = Peers(slots=8)
+    for number in range(1, 9):
+        peers.ask(number)
+    (denied,) = peers.ask(9, online=8, last_grant=8, expires_ms=300)
+    assert isinstance(denied, SlotDenied)
+    assert denied.wait_ms == round(SLOT_SECONDS * 1000)
+
+
 def test_a_queued_request_that_can_no_longer_be_served_is_denied_before_it_expires() -> None:
     peers = Peers()
     peers.ask(1)
--- a/tests/decisions/slots/test_queued_requests.py
+++ b/tests/decisions/slots/test_queued_requests.py
@@ -122,10 +122,17 @@
         peer.queue_slot(NOW, token)
         deliver(NOW, here, there, peer)
     assert len(peer.online) == 27
-    peer.queue_slot(NOW, 99)
+    now = NOW + 0.2
+    for token in range(9):
+        peer.end_request(now, token)
+    for token in range(100, 109):
+        peer.queue_slot(now, token)
+        deliver(now, here, there, peer)
+    assert len(peer.online) == 27
+    peer.queue_slot(now, 99)
     sent: list[QueuedSlotRequest] = []
     deliver(
-        NOW,
+        now,
         here,
         there,
         peer,
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -978,6 +978,12 @@
     ("request refused", {}),
     ("request given up", {"outcome": "NotRun", "step": Step.ADMIT, "route": "r"}),
     ("request given up", {}),
+    ("slot request queued", {"position": 3, "wait_ms": 70}),
+    ("slot granted after wait", {"waited_ms": 60}),
+    ("slot granted after wait", {}),
+    ("slot request denied", {"waited_ms": 300}),
+    ("queue not confirmed", {"waited_ms": 30}),
+    ("queued request denied", {"reason": "the queue is beyond its bound"}),
 ]
 
 # Settings, configuration and engine records: text that operators and the platform write.
