--- a/src/troutswitch/decisions/forwarding/admission.py
+++ b/src/troutswitch/decisions/forwarding/admission.py
@@ -35,6 +35,7 @@
 from typing import Protocol
 
 from troutswitch.decisions.forwarding.request import ForwardedRequest
+from troutswitch.decisions.forwarding.retry import MIN_TIME_LEFT_SECONDS
 from troutswitch.decisions.forwarding.run_times import RunTimes, ServiceTimes
 from troutswitch.decisions.forwarding.wait_estimate import WaitEstimate
 
@@ -54,8 +55,6 @@
 end in time. Covers the error of the wait estimate."""
 MAX_REMEMBERED_ROUTES = 512
 """Routes whose client timeout is remembered; the least recently used one is dropped first."""
-MIN_TIME_LEFT_SECONDS = 0.05
-"""Minimum time left with which a queued request is still sent, as in `retry`."""
 RETRY_THRESHOLD_SECONDS = 0.1
 """A request counts as a retry if its time left is shorter than the client's timeout by more."""
 MIN_RETRY_AFTER_SECONDS = 0.1
--- a/src/troutswitch/decisions/slots/queue_coordinator.py
+++ b/src/troutswitch/decisions/slots/queue_coordinator.py
@@ -58,6 +58,8 @@
 CHECK_SECONDS = 0.05
 """Interval between checks for requests that can't be served or are no longer repeated: a part of
 the time of a first event, so that a caller is refused as good as at once."""
+RATE_SECONDS = 0.1
+"""Time for which the rate of free slots is used before the group's engines are summed again."""
 ANSWER_SECONDS = 1.0
 """Time for which the last answer to a request is kept: two intervals of its repetitions."""
 EXPIRES_FIRST = "its slot is expected after it expires"
@@ -99,6 +101,8 @@
     answers: OrderedDict[EntryKey, _LastAnswer] = field(default_factory=OrderedDict)
     own_granted: bool = False
     """Whether a request of this daemon was granted a slot that is not counted yet."""
+    rate: _GroupRate | None = None
+    rate_at: float = float("-inf")
     next_slot_at: float = float("-inf")
     """When a slot is expected to be free, by the last search that found none."""
     served_at: float = float("-inf")
@@ -276,10 +280,13 @@
         return state
 
     def _rate(self, now: float, state: _GroupQueue) -> _GroupRate:
-        engines = self._coordinator.engines_of(state.group.name)
-        usable = [e for e in engines if now >= e.ejected_until] or engines
-        slots = sum(engine.slots for engine in usable)
-        return _GroupRate(slots, self._times.of(state.group.service).slot_time)
+        if state.rate is None or now >= state.rate_at + RATE_SECONDS:
+            engines = self._coordinator.engines_of(state.group.name)
+            usable = [e for e in engines if now >= e.ejected_until] or engines
+            slots = sum(engine.slots for engine in usable)
+            state.rate = _GroupRate(slots, self._times.of(state.group.service).slot_time)
+            state.rate_at = now
+        return state.rate
 
     def _wait(self, now: float, state: _GroupQueue, position: int) -> float:
         """Returns the expected wait at a position, in seconds.
