Queued requests are sent only to coordinators that are known to queue

Cause: a daemon of an earlier version ignores QueuedSlotRequest. While it coordinated a group of a paced service, each request to it timed out after 30 ms, and its group was claimed again and again during a rolling restart.

Change: SlotReply has a last field `queues`, encoded only when true, that a coordinator of a paced service sets. A coordinator whose present incarnation has sent no such reply, no SlotQueued and no SlotDenied is sent SlotRequest. If its reply shows that it queues, the request then queues there. What is known of a coordinator ends with a suspicion of it, or with a message of another incarnation.

The bytes of all earlier samples of messages are unchanged. A request that finds a slot takes two datagrams, also at a coordinator that is not known yet.

--- a/src/troutswitch/daemons/datagram.py
+++ b/src/troutswitch/daemons/datagram.py
@@ -7,10 +7,14 @@
 import cbor2
 import msgspec
 
-from troutswitch.daemons.messages import PeerMessage
+from troutswitch.daemons.messages import PeerMessage, SlotReply
 
 VERSION = 8
 """Version of the protocol. Daemons ignore datagrams of other versions."""
+OMITTED_DEFAULTS: dict[type, object] = {SlotReply: False}
+"""Default of the last field of messages that are encoded without it while it has its default. Such
+a field was added later, and the messages that do not use it keep their bytes."""
+_NOT_OMITTED = object()
 
 
 class DatagramError(ValueError):
@@ -19,7 +23,10 @@
 
 def encode(message: PeerMessage) -> bytes:
     """Returns the datagram for a message."""
-    return cbor2.dumps([VERSION, msgspec.to_builtins(message)])
+    fields = msgspec.to_builtins(message)
+    if fields[-1] is OMITTED_DEFAULTS.get(type(message), _NOT_OMITTED):
+        fields = fields[:-1]
+    return cbor2.dumps([VERSION, fields])
 
 
 def decode(data: bytes) -> PeerMessage:
--- a/src/troutswitch/daemons/messages.py
+++ b/src/troutswitch/daemons/messages.py
@@ -102,6 +102,7 @@
     `incarnation` is the sender's. `grant_number` numbers the sender's grants to the receiver; it is
     0 if no slot is granted. `wait_ms` is the expected wait for a slot, computed from the counts
     `queued` and `slots`. `is_coordinator` is false if the sender does not coordinate the group.
+    `queues` is set if the sender keeps a queue for the group and accepts `QueuedSlotRequest`.
     """
 
     sender: str
@@ -114,6 +115,7 @@
     queued: int
     slots: int
     is_coordinator: bool = True
+    queues: bool = False
 
 
 class BatchSlotGrant(msgspec.Struct, frozen=True, array_like=True, tag="batch"):
--- a/src/troutswitch/decisions/slots/coordinator.py
+++ b/src/troutswitch/decisions/slots/coordinator.py
@@ -112,7 +112,8 @@
         if decision.engine is not None:
             sender, units = request.report.sender, request.prefill_units
             grant_number, preempted = self.grant_slot(now, sender, decision.engine, units)
-        reply = self._reply(request, decision, grant_number)
+        queues = self._engines.is_paced(query.group.service)
+        reply = self._reply(request, decision, grant_number, queues=queues)
         return [SendToPeers((holder.address,), reply), *preempted]
 
     def grant_slot(
@@ -139,6 +140,7 @@
         grant_number: int,
         *,
         is_coordinator: bool = True,
+        queues: bool = False,
     ) -> SlotReply:
         engine, estimate = decision.engine, decision.estimate
         return SlotReply(
@@ -152,6 +154,7 @@
             estimate.queued,
             estimate.slots,
             is_coordinator,
+            queues,
         )
 
     def decide(self, now: float, query: SlotQuery) -> SlotDecision:
--- a/src/troutswitch/decisions/slots/fleet.py
+++ b/src/troutswitch/decisions/slots/fleet.py
@@ -45,6 +45,7 @@
 )
 from troutswitch.decisions.slots.queue_coordinator import QueueCoordinator
 from troutswitch.decisions.slots.queued_requests import PlacementResult, QueuedRequests
+from troutswitch.decisions.slots.queueing_coordinators import QueueingCoordinators
 from troutswitch.decisions.slots.reports import HoldingsReports
 from troutswitch.decisions.slots.slot_requests import SlotRequests
 from troutswitch.decisions.storage.messages import StoreCall, StoreOutcome
@@ -104,9 +105,11 @@
         )
         local = LocalPlacement(identity.zone, engines, requests, policies.homes, rng)
         request_numbers = itertools.count(1)
+        self.queueing = QueueingCoordinators()
         queued = QueuedRequests(
             identity,
             self.claims,
+            self.queueing,
             self.coordinator,
             self.queues,
             self.reports,
@@ -150,6 +153,7 @@
             case BatchSlotGrant():
                 self._on_batch_grant(now, message)
             case GroupDigest():
+                self.queueing.on_message(message.sender, message.incarnation, queues=False)
                 self._on_digest(now, message)
             case _:
                 assert_never(message)
@@ -162,11 +166,13 @@
     def _on_queue_answer(
         self, now: float, answer: SlotQueued | SlotDenied
     ) -> list[PlacementResult]:
+        self.queueing.on_message(answer.sender, answer.incarnation, queues=True)
         if self.claim_by(answer.group, answer.sender) is not None:
             self.batch.on_activity(now, answer.group)
         return self.requests.on_queue_answer(now, answer)
 
     def _on_reply(self, now: float, reply: SlotReply) -> list[PlacementResult]:
+        self.queueing.on_message(reply.sender, reply.incarnation, queues=reply.queues)
         claim = self.claim_by(reply.group, reply.sender)
         if claim is not None:
             if reply.is_coordinator:
--- a/src/troutswitch/decisions/slots/group_search.py
+++ b/src/troutswitch/decisions/slots/group_search.py
@@ -81,6 +81,11 @@
             return self.request.max_wait
         return min(SHORT_WAIT_SECONDS, self.request.max_wait)
 
+    @property
+    def shortest_group(self) -> Group | None:
+        """The tried group with the shortest wait."""
+        return self._shortest.group if self._shortest is not None else None
+
     def record_wait(self, group: Group, estimate: WaitEstimate) -> None:
         """Records the wait at a group that was not accepted."""
         if estimate.slots == 0:
--- a/src/troutswitch/decisions/slots/queued_requests.py
+++ b/src/troutswitch/decisions/slots/queued_requests.py
@@ -11,6 +11,10 @@
     any       -> fallback  a message was not answered within `REPLY_TIMEOUT_SECONDS`, or the daemon
                            is no coordinator and no other is known: this daemon decides alone
 
+A coordinator that is not known to queue requests (`queueing_coordinators.py`) is sent a
+`SlotRequest` instead, as for services without a pace. If its reply shows that it queues, it is then
+sent the request that may queue.
+
 If this daemon coordinates a group itself, the request enters the queue without a message.
 
 A request waits in one queue at a time. It is withdrawn if its search ends in any other way than by
@@ -27,10 +31,12 @@
 from troutswitch.daemons.identity import DaemonIdentity
 from troutswitch.daemons.messages import (
     NO_ENGINE,
+    UNBOUNDED_WAIT_MS,
     QueuedSlotRequest,
     SlotDenied,
     SlotQueued,
     SlotReply,
+    SlotRequest,
     SlotRequestWithdrawn,
     prefill_units,
 )
@@ -51,6 +57,7 @@
 from troutswitch.decisions.slots.local_placement import LocalPlacement
 from troutswitch.decisions.slots.messages import SendToPeers, SlotInstruction
 from troutswitch.decisions.slots.queue_coordinator import QueueAnswer, QueueCoordinator
+from troutswitch.decisions.slots.queueing_coordinators import QueueingCoordinators
 from troutswitch.decisions.slots.reports import HoldingsReports
 from troutswitch.decisions.slots.slot_queue import QueueEntry
 
@@ -90,6 +97,8 @@
     """The coordinator that was asked; None if this daemon coordinates the group."""
     number: int
     may_queue: bool
+    is_plain: bool
+    """Whether it is sent as a `SlotRequest`, which never queues."""
     begun_at: float
     """When the request with this number was first sent."""
     sent_at: float
@@ -122,6 +131,7 @@
         self,
         identity: DaemonIdentity,
         claims: CoordinatorClaims,
+        queueing: QueueingCoordinators,
         coordinator: SlotCoordinator,
         queues: QueueCoordinator,
         reports: HoldingsReports,
@@ -131,6 +141,7 @@
     ) -> None:
         self._identity = identity
         self._claims = claims
+        self._queueing = queueing
         self._coordinator = coordinator
         self._queues = queues
         self._reports = reports
@@ -173,6 +184,9 @@
             )
             if is_waiting or placement is not None:
                 return placement
+        too_long_wait = search.too_long_wait()
+        if too_long_wait is not None and self._is_without_queue(now, search.shortest_group):
+            return NoSlotInTime(too_long_wait)
         best = search.join_queue()
         if best is not None:
             is_waiting, placement = self._try_group(now, search, terms, best, may_queue=True)
@@ -180,8 +194,24 @@
                 return placement
         return self._local.fall_back(now, search.request)
 
+    def _is_without_queue(self, now: float, group: Group | None) -> bool:
+        """Returns whether a group's coordinator is a peer that is not known to queue requests."""
+        if group is None or self._coordinator.coordinates(group.name):
+            return False
+        return self._is_plain(self._claims.coordinator(now, group.name))
+
+    def _is_plain(self, claim: Claim | None) -> bool:
+        return claim is not None and not self._queueing.queues(claim.daemon)
+
     def _try_group(
-        self, now: float, search: GroupSearch, terms: QueueTerms, group: Group, *, may_queue: bool
+        self,
+        now: float,
+        search: GroupSearch,
+        terms: QueueTerms,
+        group: Group,
+        *,
+        may_queue: bool,
+        moves: int = 0,
     ) -> tuple[bool, Placement | None]:
         """Asks a group's coordinator for a slot.
 
@@ -194,7 +224,16 @@
                 self._claims.on_coordinator_needed(now, group.name)
                 return False, None
         request = _OpenRequest(
-            search, terms, group, claim, next(self._numbers), may_queue, now, now
+            search,
+            terms,
+            group,
+            claim,
+            next(self._numbers),
+            may_queue,
+            self._is_plain(claim),
+            now,
+            now,
+            moves=moves,
         )
         return self._start(now, request)
 
@@ -247,6 +286,9 @@
     def _send(self, now: float, request: _OpenRequest) -> None:
         assert request.claim is not None
         request.sent_at, request.is_answered = now, False
+        if request.is_plain:
+            self._emit(SendToPeers((request.claim.address,), self._plain(now, request)))
+            return
         terms = request.terms
         max_wait_ms = LATE_MAX_WAIT_MS
         if terms.objective_at >= now:
@@ -267,9 +309,21 @@
         )
         self._emit(SendToPeers((request.claim.address,), message))
 
+    def _plain(self, now: float, request: _OpenRequest) -> SlotRequest:
+        assert request.claim is not None
+        max_wait = request.search.max_accepted_wait()
+        return SlotRequest(
+            self._reports.report(now, request.claim),
+            request.number,
+            request.group.name,
+            prefill_units(request.search.request.prompt.prompt_tokens),
+            UNBOUNDED_WAIT_MS if max_wait == float("inf") else round(max_wait * 1000),
+            tuple(sorted(self._excluded(now, request))),
+        )
+
     def _leave_queue(self, now: float, request: _OpenRequest) -> None:
         """Withdraws a request that may be queued."""
-        if not request.may_queue:
+        if not request.may_queue or request.is_plain:
             return
         number, group = request.number, request.group.name
         if request.claim is None:
@@ -317,6 +371,8 @@
                 return self._on_denied(now, request, answer)
             case SlotReply(is_coordinator=False):
                 return self._on_not_coordinator(now, request, answer.sender)
+            case SlotReply() if answer.engine_key == NO_ENGINE:
+                return self._on_no_slot(now, request, answer)
             case SlotReply():
                 return self._on_granted(now, request, answer)
 
@@ -332,6 +388,20 @@
             return self._local.fall_back(now, request.search.request)
         return Assignment(engine, AssignedBy.COORDINATOR, reply.wait_ms > 0)
 
+    def _on_no_slot(self, now: float, request: _OpenRequest, reply: SlotReply) -> Placement | None:
+        """Handles the reply to a `SlotRequest` without a slot."""
+        self._close(request.token)
+        search, terms, group = request.search, request.terms, request.group
+        if request.may_queue and self._queueing.queues(reply.sender):
+            is_waiting, placement = self._try_group(
+                now, search, terms, group, may_queue=True, moves=request.moves
+            )
+            if is_waiting or placement is not None:
+                return placement
+        wait = reply.wait_ms / 1000
+        search.record_wait(group, WaitEstimate(wait, reply.queued, reply.slots, 0.0))
+        return self._advance(now, search, terms)
+
     def _on_denied(self, now: float, request: _OpenRequest, denied: SlotDenied) -> Placement | None:
         estimate = WaitEstimate(denied.wait_ms / 1000, denied.queued, denied.slots, 0.0)
         self._close(request.token)
@@ -383,6 +453,7 @@
             claim,
             next(self._numbers),
             may_queue=True,
+            is_plain=self._is_plain(claim),
             begun_at=now,
             sent_at=now,
             moves=request.moves + 1,
@@ -437,6 +508,9 @@
     def _on_overdue(self, now: float, request: _OpenRequest) -> Placement:
         """Decides alone, because the newest message was not answered in time."""
         self._claims.on_reply_timeout(now, request.group.name)
+        is_suspected = self._claims.coordinator(now, request.group.name) is None
+        if request.claim is not None and is_suspected:
+            self._queueing.forget(request.claim.daemon)
         event = "queue not confirmed" if request.is_logged else "slot request not answered"
         self._log(event, request, waited_ms=milliseconds(REPLY_TIMEOUT_SECONDS))
         self._close(request.token)
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -150,6 +150,9 @@
             is_coordinator=False,
         )
     ),
+    "answer of one that queues": _peer_message_sample(
+        peer_messages.SlotReply("d-2", 6, 31, "s|z|0", 51, 61, 52, 53, 54, queues=True)
+    ),
     "queue for a place, defaults": _peer_message_sample(
         peer_messages.QueuedSlotRequest(
             _SHORT_REPORT, (), 31, "s|z|0", 4, -1, 1500, "tenant", 2, False
