A request that can use no engine of a group does not wait in its queue

Cause: the coordinator queued a request whose excluded engines are all engines of the group, and counted these engines in its answer. The request waited until it expired although other groups could run it, or its daemon could decide alone at once. With no engine left in the group, the bound of the queue was 0, so each request was finally refused for the bound.

Change: such a request gets a denial that is not final and states 0 slots, when it comes and when it is repeated. Its daemon then goes on as without a slot in this group.

--- a/src/troutswitch/decisions/slots/queue_coordinator.py
+++ b/src/troutswitch/decisions/slots/queue_coordinator.py
@@ -64,6 +64,7 @@
 """Time for which the last answer to a request is kept: two intervals of its repetitions."""
 EXPIRES_FIRST = "its slot is expected after it expires"
 BEYOND_BOUND = "the queue is beyond its bound"
+NO_ENGINE_LEFT = "the group has no engine that it can use"
 NO_SLOT_NOW = "no slot is free, and it may not queue"
 """Reasons of denials, for log lines."""
 
@@ -193,8 +194,11 @@
 
     def confirm_own(self, now: float, group: str, number: int, excluded: frozenset[int]) -> bool:
         """Confirms a request of this daemon; returns False if it is no longer queued."""
-        state = self._queues.get(group)
-        return state is not None and state.queue.confirm(now, self.own_key(number), excluded)
+        state, key = self._queues.get(group), self.own_key(number)
+        if state is None or not state.queue.confirm(now, key, excluded):
+            return False
+        self._deny_without_engine(now, state, key)  # its answer is collected like others
+        return True
 
     def withdraw_own(self, now: float, group: str, number: int) -> None:
         """Removes a request of this daemon, which needs no slot any more."""
@@ -223,6 +227,7 @@
             return self._not_coordinator(entry.key.number, group)
         if state.queue.confirm(now, entry.key, entry.excluded):
             self._serve(now, state)
+            self._deny_without_engine(now, state, entry.key)
             return self._queued(now, state, entry.key)
         last = state.last_answer(now, entry.key)
         if last is not None:
@@ -239,6 +244,8 @@
     def _queue_or_deny(
         self, now: float, state: _GroupQueue, entry: QueueEntry, may_queue: bool
     ) -> None:
+        if self._deny_without_engine(now, state, entry.key):
+            return
         rate = self._rate(now, state)
         if not may_queue:
             wait = self._wait(now, state, state.queue.position(now, entry.key))
@@ -252,6 +259,20 @@
             if now + wait > entry.expires_at:
                 self._deny(now, state, entry, wait, EXPIRES_FIRST)
 
+    def _deny_without_engine(self, now: float, state: _GroupQueue, key: EntryKey) -> bool:
+        """Denies a queued request that can use no engine of the group; returns whether it did.
+
+        The denial is not final: its daemon tries other groups, or decides alone.
+        """
+        entry = state.queue.entries.get(key)
+        if entry is None:
+            return False
+        engines = self._coordinator.engines_of(state.group.name)
+        if any(engine_key(e.record.engine_id) not in entry.excluded for e in engines):
+            return False
+        self._deny(now, state, entry, 0.0, NO_ENGINE_LEFT, is_final=False)
+        return True
+
     def _queued(self, now: float, state: _GroupQueue, key: EntryKey) -> SlotQueued | None:
         """Returns the confirmation of a request, or None if it is not in the queue."""
         if key not in state.queue.entries:
@@ -386,7 +407,7 @@
             state.group.name,
             milliseconds(wait),
             queued,
-            rate.slots,
+            0 if reason == NO_ENGINE_LEFT else rate.slots,
             milliseconds(retry_after),
             is_final,
         )
--- a/tests/decisions/slots/test_queue_coordinator.py
+++ b/tests/decisions/slots/test_queue_coordinator.py
@@ -333,3 +333,41 @@
     placed = [p for _, p in coordinator.placements if isinstance(p, Assignment)]
     assert len(placed) == 6
     assert coordinator.engine("s0").online_count() == 4
+
+
+def test_a_request_that_can_use_no_engine_of_the_group_is_not_queued() -> None:
+    """Failure: it waited until it expired, while engines of other groups could run it."""
+    peers = Peers()
+    for is_full in (False, True):
+        number = 1 + is_full
+        message = QueuedSlotRequest(
+            peers.report("p", 0), (), number, GROUP, 0, 300, 1700, "flow", 0, True, (KEY,)
+        )
+        peers.coordinator.receive(NOW, message)
+        (denied,) = peers.answers()
+        assert isinstance(denied, SlotDenied)
+        assert (denied.is_final, denied.slots) == (False, 0)
+        peers.ask(10, sender="q")
+
+
+def test_a_queued_request_that_can_use_no_engine_any_more_leaves_the_queue() -> None:
+    peers = Peers()
+    peers.ask(1)
+    peers.ask(2, online=1)
+    message = QueuedSlotRequest(
+        peers.report("p", 1, 1), (), 2, GROUP, 0, 200, 1600, "flow", 0, True, (KEY,)
+    )
+    peers.coordinator.receive(NOW + 0.1, message)
+    (denied,) = peers.answers()
+    assert isinstance(denied, SlotDenied)
+    assert (denied.is_final, denied.slots) == (False, 0)
+    assert len(peers.coordinator.fleet.queues._queues[GROUP].queue) == 0
+
+
+def test_requests_are_not_refused_while_the_group_has_no_engine() -> None:
+    """Failure: a queue without slots has a bound of 0, so each request was refused for it."""
+    peers = Peers()
+    peers.coordinator.engines.mark_draining("s0")
+    (denied,) = peers.ask(1)
+    assert isinstance(denied, SlotDenied)
+    assert (denied.is_final, denied.slots) == (False, 0)
--- a/tests/decisions/slots/test_queued_requests.py
+++ b/tests/decisions/slots/test_queued_requests.py
@@ -417,3 +417,15 @@
     peer.end_request(NOW + 0.05, 1)
     play(NOW + 0.1, NOW + 0.05, coordinator, peer)
     assert not isinstance(placement_of(peer, 2), Assignment)
+
+
+def test_an_own_request_that_can_use_no_engine_any_more_leaves_the_queue(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    (coordinator,) = fleet("c")
+    coordinator.queue_slot(NOW, 1)
+    coordinator.queue_slot(NOW, 2)
+    assert placement_of(coordinator, 2) is None
+    monkeypatch.setattr(coordinator, "candidates", lambda now, token: [])
+    play(NOW + FIRST_REPEATS_SECONDS[0] + 0.02, NOW, coordinator)
+    assert assigned_by(coordinator, 2) is AssignedBy.FALLBACK
