A free slot goes to a queued request before a batch item

Cause: in a step, the coordinator assigned free slots to batch items before it served its queues. An item was started in the slot that a queued request needed, and was stopped at once for it.

Change: the queues are served first.

--- a/src/troutswitch/decisions/slots/fleet.py
+++ b/src/troutswitch/decisions/slots/fleet.py
@@ -255,8 +255,9 @@
         calls = self.claims.on_timer(now)
         self._update_coordinated(now)
         self.ledger.on_timer(now)
-        self._emit_all(self.coordinator.on_timer(now))
+        # Queued requests come first: an item in a slot that they need would be stopped at once.
         self._emit_all(self.queues.on_timer(now))
+        self._emit_all(self.coordinator.on_timer(now))
         results = self.requests.on_timer(now)
         self._emit_all(self.reports.on_timer(now))
         self.ledger.validate()
--- a/tests/decisions/slots/test_queued_requests.py
+++ b/tests/decisions/slots/test_queued_requests.py
@@ -20,6 +20,7 @@
 )
 from troutswitch.decisions.forwarding.placer import AssignedBy, Assignment, NoSlotInTime, Placement
 from troutswitch.decisions.forwarding.wait_estimate import WaitEstimate
+from troutswitch.decisions.slots.coordinator import GRACE_SECONDS
 from troutswitch.decisions.slots.coordinator_health import SUSPECT_MISSES
 from troutswitch.decisions.slots.queued_requests import (
     FIRST_REPEATS_SECONDS,
@@ -230,6 +231,25 @@
     ]
 
 
+@pytest.mark.parametrize("ended_after", range(0, 100, 10))
+def test_a_free_slot_goes_to_a_queued_request_before_a_batch_item(ended_after: int) -> None:
+    """Failure: an item was started in the slot and stopped at once for the queued request."""
+    coordinator, peer = fleet("c", "p")
+    peer.queue_slot(NOW, 1)
+    deliver(NOW, coordinator, peer)
+    play(NOW + GRACE_SECONDS, NOW, coordinator, peer)
+    now = NOW + GRACE_SECONDS
+    peer.queue_slot(now, 2)
+    deliver(now, coordinator, peer)
+    coordinator.waiting = 3
+    end = now + 0.1 + ended_after / 1000
+    play(end, now, coordinator, peer)
+    peer.end_request(end, 1)
+    play(end + 0.1, end, coordinator, peer)
+    assert assigned_by(peer, 2) is AssignedBy.COORDINATOR
+    assert "item to yield" not in coordinator.log_events
+
+
 def test_a_queued_request_is_repeated_and_its_messages_are_bounded() -> None:
     coordinator, peer = full_pair()
     sent_at: list[float] = []
