Queued requests await the next coordinator after a planned stop

Cause: when a coordinator stopped as planned, each daemon decided alone on all its requests in that queue at the same moment, because the next coordinator is known only after a claim. Up to four times the group's slots were sent to its engines at once, out of order.

Change: a request whose place in the queue was confirmed awaits the claim of the next coordinator for up to 0.2 s, looks for it every 20 ms, and moves to its queue. Without a claim its daemon decides alone, as before. The test of a planned stop without a successor now expects this after 0.2 s. The module comment of slot_queue.py states the tag of a flow that begins to wait as the code has it.

Result: five requests, one slot, and a successor that claims 0.1 s after the stop: the four queued ones move to its queue; before, all four were sent to the engine at once.

--- a/src/troutswitch/decisions/slots/queued_requests.py
+++ b/src/troutswitch/decisions/slots/queued_requests.py
@@ -6,6 +6,8 @@
                            that may queue; it is the first request if there is only one group
     QUEUEING  -> QUEUED    the coordinator confirmed it
     QUEUED    -> QUEUEING  it was sent again, after 0.1 s, 0.3 s and then every 0.5 s
+    QUEUED    -> QUEUED    its coordinator stops as planned: the next one is awaited for
+                           `NEXT_COORDINATOR_SECONDS`
     any       -> assigned  a slot was granted
     QUEUEING, QUEUED -> no slot   the coordinator denied it; its caller may return when that says
     any       -> fallback  a message was not answered within `REPLY_TIMEOUT_SECONDS`, or the daemon
@@ -69,6 +71,12 @@
 short, and a coordinator that has died must not cost an objective of 300 ms."""
 REPEAT_SECONDS = 0.5
 """Interval of later repetitions."""
+NEXT_COORDINATOR_SECONDS = 0.2
+"""Time for which a queued request awaits the next coordinator of its group after a planned stop:
+part of `CLAIM_SPREAD_SECONDS`, and some calls to the store. Without it, all requests of the queue
+are sent to engines at the same moment."""
+NEXT_COORDINATOR_CHECK_SECONDS = 0.02
+"""Interval between checks for the next coordinator."""
 MAX_MOVES = 3
 """How often a request moves to another coordinator of its group before this daemon decides alone.
 Bounds its messages if coordinators deny the group in turn."""
@@ -106,6 +114,8 @@
     """Whether the newest message was answered."""
     repeats: int = 0
     moves: int = 0
+    moves_until: float | None = None
+    """Until when the next coordinator is awaited, if the one that queued it has stopped."""
     is_logged: bool = False
     """Whether its place in the queue was logged."""
 
@@ -116,7 +126,9 @@
 
     @property
     def due_at(self) -> float:
-        """When the answer is overdue, or the next repetition is due."""
+        """When the answer is overdue, or the next repetition or check is due."""
+        if self.moves_until is not None:
+            return self.sent_at + NEXT_COORDINATOR_CHECK_SECONDS
         if not self.is_answered:
             return self.sent_at + REPLY_TIMEOUT_SECONDS
         if self.repeats < len(FIRST_REPEATS_SECONDS):
@@ -426,6 +438,13 @@
         claim = self._claims.claim_of(request.group.name)
         if claim is not None and claim.daemon == sender:
             self._claims.on_not_coordinator(now, request.group.name)
+        if request.moves_until is not None:
+            return None
+        is_known, _ = self._current_claim(now, request)
+        if request.is_logged and not is_known:
+            request.moves_until = min(now + NEXT_COORDINATOR_SECONDS, request.terms.expires_at)
+            request.sent_at = now
+            return None
         self._close(request.token)
         if not request.may_queue:
             return self._advance(now, request.search, request.terms)
@@ -440,6 +459,16 @@
         claim = self._claims.coordinator(now, request.group.name)
         return claim is not None, claim
 
+    def _await_next_coordinator(self, now: float, request: _OpenRequest) -> Placement | None:
+        """Moves a request to the next coordinator once it is known, until `moves_until`."""
+        assert request.moves_until is not None
+        is_known, _ = self._current_claim(now, request)
+        if not is_known and now < request.moves_until:
+            request.sent_at = now
+            return None
+        self._close(request.token)
+        return self._move(now, request)
+
     def _move(self, now: float, request: _OpenRequest) -> Placement | None:
         """Queues a closed request with the present coordinator of its group, if it is another."""
         is_known, claim = self._current_claim(now, request)
@@ -475,7 +504,9 @@
         for answer in self._queues.take_own_answers():
             results += self.on_answer(now, answer)
         for request in [r for r in self._open.values() if now >= r.due_at]:
-            if request.is_answered:
+            if request.moves_until is not None:
+                placement = self._await_next_coordinator(now, request)
+            elif request.is_answered:
                 placement = self._repeat(now, request)
             else:
                 placement = self._on_overdue(now, request)
--- a/src/troutswitch/decisions/slots/slot_queue.py
+++ b/src/troutswitch/decisions/slots/slot_queue.py
@@ -11,8 +11,9 @@
 1. The highest priority first, which has the lowest number.
 2. Between flows of one priority: start-time fair queueing over slot time. Each flow has a start
    tag; the flow with the lowest tag is next, and a grant moves its tag on by the slot time that
-   it uses. A flow that begins to wait gets at least the tag of the last grant, so that it gains
-   nothing from the time in which it did not wait.
+   it uses. A flow that begins to wait gets the tag at which its last grant ended, but at least the
+   highest tag of a grant less its equal share of the group's slots, so that what it gains from the
+   time in which it did not wait is bounded.
 3. Within a flow: callers that return after a refusal; then the earliest objective that can still
    be met; then requests that will be late anyway, in the order of their arrival.
 4. A slot that the first request can't use goes to the next one that can.
--- a/tests/decisions/slots/test_queued_requests.py
+++ b/tests/decisions/slots/test_queued_requests.py
@@ -24,6 +24,7 @@
 from troutswitch.decisions.slots.coordinator_health import SUSPECT_MISSES
 from troutswitch.decisions.slots.queued_requests import (
     FIRST_REPEATS_SECONDS,
+    NEXT_COORDINATOR_SECONDS,
     REPEAT_SECONDS,
     REPLY_TIMEOUT_SECONDS,
 )
@@ -340,10 +341,40 @@
 def test_a_planned_stop_ends_no_request_unplaced() -> None:
     coordinator, peer = full_pair()
     coordinator.fleet.drain()
-    play(NOW + 0.05, NOW, coordinator, peer)
+    play(NOW + NEXT_COORDINATOR_SECONDS + 0.03, NOW, coordinator, peer)
     assert assigned_by(peer, 2) is AssignedBy.FALLBACK
 
 
+def test_requests_move_to_the_next_coordinator_after_a_planned_stop() -> None:
+    """Failure: all queued requests were sent to engines at the moment of the stop."""
+    coordinator, successor, peer = fleet("c", "d", "p")
+    for token in range(1, 6):
+        peer.queue_slot(NOW, token, expiry=5.0)
+        deliver(NOW, coordinator, successor, peer)
+    coordinator.fleet.drain()
+    play(NOW + 0.1, NOW, coordinator, successor, peer)
+    claim = KnownClaim(GROUP, "d", successor.address, 2)
+    for daemon in (successor, peer):
+        daemon.fleet.claims.add_claims((claim,))
+    play(NOW + 0.15, NOW + 0.1, coordinator, successor, peer)
+    assert list(peer.online) == [1]
+    assert len(successor.fleet.queues._queues[GROUP].queue) == 4
+    peer.end_request(NOW + 0.15, 1)
+    play(NOW + 0.2, NOW + 0.15, coordinator, successor, peer)
+    assert assigned_by(peer, 2) is AssignedBy.COORDINATOR
+    assert list(peer.online) == [2]
+
+
+def test_a_caller_that_leaves_after_a_planned_stop_is_forgotten() -> None:
+    coordinator, peer = full_pair()
+    coordinator.fleet.drain()
+    play(NOW + 0.05, NOW, coordinator, peer)
+    peer.fleet.requests.withdraw(NOW + 0.05, 2)
+    play(NOW + 1.0, NOW + 0.05, coordinator, peer)
+    assert placement_of(peer, 2) is None
+    assert not peer.fleet.requests._queued.open_tokens
+
+
 def test_own_queued_requests_move_to_the_next_coordinator() -> None:
     coordinator, peer = fleet("c", "p")
     for token in (1, 2):
