--- a/src/troutswitch/daemons/messages.py
+++ b/src/troutswitch/daemons/messages.py
@@ -105,6 +105,7 @@
     `incarnation` is the sender's. `grant_number` numbers the sender's grants to the receiver; it is
     0 if no slot is granted. `wait_ms` is the expected wait for a slot, computed from the counts
     `queued` and `slots`. `is_coordinator` is false if the sender does not coordinate the group.
+    `queues` is set if the sender keeps a queue for the group and accepts `QueuedSlotRequest`.
     """
 
     sender: str
@@ -117,6 +118,7 @@
     queued: int
     slots: int
     is_coordinator: bool = True
+    queues: bool = False
 
 
 class BatchSlotGrant(msgspec.Struct, frozen=True, array_like=True, tag="batch"):
@@ -192,8 +194,9 @@
     wait with which the request meets its objective; a negative value means that it will be late
     whatever the wait. `expires_ms` is the time after which a slot is of no use to it. `share` names
     the tenant, or the route for callers without a tenant, between which slots are shared fairly.
-    `priority` 0 is the highest. A request that may not queue gets a slot now or none. The other
-    fields have the same meaning as in `SlotRequest` and `PacedReport`.
+    `priority` 0 is the highest. A request that may not queue gets a slot now or none. `is_returned`
+    is set if its caller was refused before, or if it was sent before. The other fields have the
+    same meaning as in `SlotRequest` and `PacedReport`.
     """
 
     report: HoldingsReport
@@ -207,6 +210,7 @@
     priority: int
     may_queue: bool
     excluded: tuple[int, ...] = ()
+    is_returned: bool = False
 
 
 class SlotQueued(msgspec.Struct, frozen=True, array_like=True, tag="queued"):
@@ -397,6 +401,10 @@
     | GroupDigest
     | PacedReport
     | PacedDigest
+    | QueuedSlotRequest
+    | SlotQueued
+    | SlotDenied
+    | SlotRequestWithdrawn
 )
 """Messages about slots."""
 PeerMessage = (
@@ -407,6 +415,10 @@
     | GroupDigest
     | PacedReport
     | PacedDigest
+    | QueuedSlotRequest
+    | SlotQueued
+    | SlotDenied
+    | SlotRequestWithdrawn
     | Heartbeat
     | CrashReport
     | EngineDrainNotice
--- a/src/troutswitch/decisions/peer_messages.py
+++ b/src/troutswitch/decisions/peer_messages.py
@@ -17,12 +17,16 @@
     PacedDigest,
     PacedReport,
     PeerMessage,
+    QueuedSlotRequest,
     QuotaDecision,
     QuotaHandover,
     QuotaHandoverRequest,
     QuotaRequest,
+    SlotDenied,
+    SlotQueued,
     SlotReply,
     SlotRequest,
+    SlotRequestWithdrawn,
 )
 from troutswitch.decisions.active_configuration import ActiveConfiguration
 from troutswitch.decisions.crashes.suspects import CrashSuspects
@@ -31,7 +35,7 @@
 from troutswitch.decisions.instruction_queue import InstructionQueue
 from troutswitch.decisions.peers.heartbeats import Peers
 from troutswitch.decisions.slots.fleet import FleetSlots
-from troutswitch.decisions.slots.slot_requests import PlacementResult
+from troutswitch.decisions.slots.queued_requests import PlacementResult
 from troutswitch.decisions.tenants.quota import Quota, QuotaCompletion
 
 
@@ -76,6 +80,10 @@
                 | GroupDigest()
                 | PacedReport()
                 | PacedDigest()
+                | QueuedSlotRequest()
+                | SlotQueued()
+                | SlotDenied()
+                | SlotRequestWithdrawn()
             ):
                 self.end_slot_searches(now, self.slots.on_message(now, message))
             case _:
--- a/src/troutswitch/decisions/slots/coordinator.py
+++ b/src/troutswitch/decisions/slots/coordinator.py
@@ -114,13 +114,20 @@
         grant_number = 0
         preempted: list[SlotInstruction] = []
         if decision.engine is not None:
-            key = engine_key(decision.engine.record.engine_id)
-            share = EngineShare(key, 1, 0, request.prefill_units)
-            grant_number = self._ledger.grant(now, request.report.sender, share)
-            preempted = self._preemption.preempt(now, decision.engine)
-        reply = self._reply(request, decision, grant_number)
+            sender, units = request.report.sender, request.prefill_units
+            grant_number, preempted = self.grant_slot(now, sender, decision.engine, units)
+        queues = self._engines.is_paced(query.group.service)
+        reply = self._reply(request, decision, grant_number, queues=queues)
         return [SendToPeers((holder.address,), reply), *preempted]
 
+    def grant_slot(
+        self, now: float, holder: str, engine: Engine, units: int
+    ) -> tuple[int, list[SlotInstruction]]:
+        """Counts a slot for a peer's request; returns the grant's number, and stops of items."""
+        share = EngineShare(engine_key(engine.record.engine_id), 1, 0, units)
+        number = self._ledger.grant(now, holder, share)
+        return number, self._preemption.preempt(now, engine)
+
     def _query(self, request: SlotRequest) -> SlotQuery | None:
         """Returns the query of a peer's request, or None if a peer coordinates the group."""
         group = self._groups.named(request.group)
@@ -137,6 +144,7 @@
         grant_number: int,
         *,
         is_coordinator: bool = True,
+        queues: bool = False,
     ) -> SlotReply:
         engine, estimate = decision.engine, decision.estimate
         return SlotReply(
@@ -150,6 +158,7 @@
             estimate.queued,
             estimate.slots,
             is_coordinator,
+            queues,
         )
 
     def decide(self, now: float, query: SlotQuery) -> SlotDecision:
--- a/src/troutswitch/decisions/slots/fleet.py
+++ b/src/troutswitch/decisions/slots/fleet.py
@@ -7,6 +7,7 @@
 become known meanwhile.
 """
 
+import itertools
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -19,9 +20,14 @@
     HoldingsReport,
     PacedDigest,
     PacedReport,
+    PaceReading,
+    QueuedSlotRequest,
+    SlotDenied,
     SlotMessage,
+    SlotQueued,
     SlotReply,
     SlotRequest,
+    SlotRequestWithdrawn,
 )
 from troutswitch.decisions.forwarding.engine_cost import IgnoredSpeed, SpeedPolicy
 from troutswitch.decisions.forwarding.engines import EngineRegistry
@@ -42,8 +48,11 @@
     SlotInstruction,
     StartItems,
 )
+from troutswitch.decisions.slots.queue_coordinator import QueueCoordinator
+from troutswitch.decisions.slots.queued_requests import PlacementResult, QueuedRequests
+from troutswitch.decisions.slots.queueing_coordinators import QueueingCoordinators
 from troutswitch.decisions.slots.reports import HoldingsReports
-from troutswitch.decisions.slots.slot_requests import PlacementResult, SlotRequests
+from troutswitch.decisions.slots.slot_requests import SlotRequests
 from troutswitch.decisions.storage.messages import StoreCall, StoreOutcome
 from troutswitch.decisions.storage.read_attempts import CallNumbers
 
@@ -101,14 +110,38 @@
             engines, self.groups, self.coordinator.coordinated, health_path
         )
         self.batch = BatchCoordination(self.groups, self.coordinator, self.ledger, own_items)
-        self.reports = HoldingsReports(identity, engines, self.groups, self.claims, own_items)
+        self.queueing = QueueingCoordinators()
+        self.reports = HoldingsReports(
+            identity, engines, self.groups, self.claims, own_items, self.queueing.queues
+        )
+        self.queues = QueueCoordinator(
+            identity, self.groups, engines, self.ledger, self.coordinator, times
+        )
+        local = LocalPlacement(
+            identity.zone, engines, requests, policies.homes, rng, policies.speed
+        )
+        request_numbers = itertools.count(1)
+        queued = QueuedRequests(
+            identity,
+            self.claims,
+            self.queueing,
+            self.coordinator,
+            self.queues,
+            self.reports,
+            local,
+            request_numbers,
+            emit,
+        )
         self.requests = SlotRequests(
             identity.zone,
             self.groups,
             self.claims,
             self.coordinator,
             self.reports,
-            LocalPlacement(identity.zone, engines, requests, policies.homes, rng, policies.speed),
+            local,
+            queued,
+            engines.is_paced,
+            request_numbers,
             emit,
             rng,
         )
@@ -119,27 +152,59 @@
         """Handles a peer's message; returns the searches for a slot that it ended."""
         match message:
             case HoldingsReport():
-                self.ledger.on_report(now, message)
+                self._apply_report(now, message)
             case SlotRequest():
-                self.ledger.on_report(now, message.report)
+                self._apply_report(now, message.report)
                 self._emit_all(self.coordinator.on_request(now, message))
+            case QueuedSlotRequest():
+                self._apply_paced_report(now, message.report, message.paces)
+                self._emit_all(self.queues.on_request(now, message))
+            case SlotRequestWithdrawn():
+                self.queues.on_withdrawn(now, message)
+            case SlotQueued() | SlotDenied():
+                return self._on_queue_answer(now, message)
             case SlotReply():
                 return self._on_reply(now, message)
             case BatchSlotGrant():
                 self._on_batch_grant(now, message)
             case GroupDigest():
+                self.queueing.on_message(message.sender, message.incarnation, queues=False)
                 self._on_digest(now, message)
             case PacedReport():
-                if self.ledger.on_report(now, message.report):
-                    self._engines.on_peer_paces(now, message.paces)
+                self._apply_paced_report(now, message.report, message.paces)
             case PacedDigest():
+                self.queueing.on_message(
+                    message.digest.sender, message.digest.incarnation, queues=True
+                )
                 if self._on_digest(now, message.digest):
                     self._engines.on_peer_paces(now, message.paces)
             case _:
                 assert_never(message)
         return []
 
+    def _apply_report(self, now: float, report: HoldingsReport) -> bool:
+        """Applies a report; returns False if a newer one was applied before."""
+        is_new = self.ledger.on_report(now, report)
+        self.queues.on_report()
+        return is_new
+
+    def _apply_paced_report(
+        self, now: float, report: HoldingsReport, paces: tuple[PaceReading, ...]
+    ) -> None:
+        """Applies a report with paces, whose ages are too low if the report was overtaken."""
+        if self._apply_report(now, report):
+            self._engines.on_peer_paces(now, paces)
+
+    def _on_queue_answer(
+        self, now: float, answer: SlotQueued | SlotDenied
+    ) -> list[PlacementResult]:
+        self.queueing.on_message(answer.sender, answer.incarnation, queues=True)
+        if self.claim_by(answer.group, answer.sender) is not None:
+            self.batch.on_activity(now, answer.group)
+        return self.requests.on_queue_answer(now, answer)
+
     def _on_reply(self, now: float, reply: SlotReply) -> list[PlacementResult]:
+        self.queueing.on_message(reply.sender, reply.incarnation, queues=reply.queues)
         claim = self.claim_by(reply.group, reply.sender)
         if claim is not None:
             if reply.is_coordinator:
@@ -213,6 +278,7 @@
             self.claims.next_due(),
             self.ledger.next_due(),
             self.coordinator.next_due(),
+            self.queues.next_due(),
             self.reports.next_due(),
             self.requests.next_due(),
             self.health.next_due(),
@@ -224,6 +290,8 @@
         calls = self.claims.on_timer(now)
         self._update_coordinated(now)
         self.ledger.on_timer(now)
+        # Queued requests come first: an item in a slot that they need would be stopped at once.
+        self._emit_all(self.queues.on_timer(now))
         self._emit_all(self.coordinator.on_timer(now))
         results = self.requests.on_timer(now)
         self._emit_all(self.reports.on_timer(now))
@@ -250,6 +318,7 @@
         for group in sorted(coordinated - own):
             self._log("coordination ended", group=group)
             self.coordinator.stop_coordinating(group)
+            self.queues.stop_coordinating(group)
 
     def drain(self) -> None:
         """Stops coordinating groups, so that other daemons claim them."""
--- a/src/troutswitch/decisions/slots/reports.py
+++ b/src/troutswitch/decisions/slots/reports.py
@@ -9,10 +9,11 @@
 daemon coordinates a group.
 
 A report also has the paces that engines of the coordinator's groups have reported to this daemon,
-if it was not sent them before. A pace alone is no reason for a report.
+if it was not sent them before. A pace alone is no reason for a report. A coordinator of an earlier
+version ignores reports with paces, so it is sent none.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from troutswitch.common import Address
@@ -93,7 +94,10 @@
         groups: EngineGroups,
         claims: CoordinatorClaims,
         own_items: OwnItems,
+        reads_paces: Callable[[str], bool] = lambda daemon: True,
     ) -> None:
+        self._reads_paces = reads_paces
+        """Returns whether a daemon understands reports with paces."""
         self._identity = identity
         self._engines = engines
         self._groups = groups
@@ -275,7 +279,7 @@
         for name in [name for name in self._holdings if now >= self._due(name)]:
             coordinator = self._coordinators[name]
             report = self._report(now, coordinator, self._holdings[name])
-            paces = self._new_paces(now, coordinator)
+            paces = self._new_paces(now, coordinator) if self._reads_paces(name) else ()
             message = PacedReport(report, paces) if paces else report
             instructions.append(SendToPeers((coordinator.address,), message))
         return instructions
--- a/tests/decisions/slots/test_pace_messages.py
+++ b/tests/decisions/slots/test_pace_messages.py
@@ -36,6 +36,7 @@
     daemons = [SlotsDaemon(name, records) for name in names or ("first", "second", "third")]
     daemons[0].coordinate(NOW, *daemons[1:])
     for daemon in daemons:
+        daemon.fleet.queueing.on_message(daemons[0].name, 0, queues=True)
         daemon.messages()
     return daemons
 
@@ -77,6 +78,16 @@
     assert [type(message) for message in peer.messages()] == [HoldingsReport]
 
 
+def test_coordinator_of_an_earlier_version_is_sent_no_paces() -> None:
+    """It ignores a report with paces, and would lose the holdings in it."""
+    _, peer, _ = fleet()
+    peer.fleet.queueing.forget("first")
+    answer(peer, NOW, "s0", 55)
+    peer.engines.on_sent(NOW, "s1", True, NO_SIZE)
+    peer.tick(NOW)
+    assert [type(message) for message in peer.messages()] == [HoldingsReport]
+
+
 def test_pace_reaches_the_other_daemons_with_the_digest() -> None:
     coordinator, peer, third = fleet()
     answer(peer, NOW, "s0", 137)
