Slots for items of paced services are fair between tenants

Cause: the coordinator draws the daemon that gets a free slot by its number of waiting items, so a tenant with ten times the items gets ten times the slots, and one item waits behind a backlog of another tenant.

Change: in services whose engines report a pace, tenants with waiting items take turns (deficit round robin), then the daemon is drawn as before among those with items of that tenant. Reports divide the waiting items by tenant in trailing fields of PacedReport and QueuedSlotRequest, and BatchSlotGrant names the tenant in one. They are left out while they have their default, and earlier versions ignore them. A daemon that reports no tenants counts as one tenant. Log line "batch slots granted", a counter by whether several tenants wait. Other services keep their messages and draws.

Existing messages keep their bytes (tests/forms: lines only added).

--- a/src/troutswitch/daemons/messages.py
+++ b/src/troutswitch/daemons/messages.py
@@ -27,6 +27,14 @@
 MAX_PACES = 64
 """Maximum number of pace readings in a message. They take at most 14 bytes each, and a datagram
 with a report of some hundred engines must stay below 8,192 bytes, the longest that is received."""
+MAX_TENANT_ROWS = 16
+"""Maximum number of tenants named in a message. Their rows take at most 80 bytes each, which leaves
+room for a report of some hundred engines in a datagram of 8,192 bytes."""
+MAX_TENANT_NAME_BYTES = 64
+"""Maximum length of a tenant's name in a row; items of other tenants count in the last row."""
+OTHER_TENANTS = "\x00others"
+"""Name in the row that sums the tenants without a row. Tenants whose names are not printable have
+none, so this is no tenant's name in a row."""
 UNBOUNDED_WAIT_MS = -1
 """Maximum wait of a request that accepts any wait."""
 
@@ -125,7 +133,9 @@
     """Grants a peer slots for batch items at an engine, or retracts slots.
 
     A negative `count` tells the peer to stop that number of its items, because online requests need
-    their slots. `grant_number` has the same meaning as in `SlotReply`.
+    their slots. `grant_number` has the same meaning as in `SlotReply`. `tenant` names the tenant
+    whose items get the slots, as in the peer's report; it is encoded only if the report named
+    tenants, and a daemon of an earlier version ignores it and chooses the items itself.
     """
 
     sender: str
@@ -134,6 +144,7 @@
     grant_number: int
     engine_key: int
     count: int
+    tenant: str | None = None
 
 
 class EngineCounts(msgspec.Struct, frozen=True, array_like=True):
@@ -170,14 +181,29 @@
     age_ms: int
 
 
+class TenantItems(msgspec.Struct, frozen=True, array_like=True):
+    """Batch items of one tenant that a daemon could start now.
+
+    `tenant` is empty for jobs without a tenant. `in_time` and `late` count as `waiting_items` and
+    `late_items` of `HoldingsReport` do.
+    """
+
+    tenant: str
+    in_time: int
+    late: int
+
+
 class PacedReport(msgspec.Struct, frozen=True, array_like=True, tag="paced holds"):
     """A holdings report with paces that the receiver has not been sent.
 
-    Sent in place of a plain report by a daemon that has such readings.
+    Sent in place of a plain report by a daemon that has such readings, or items of tenants that
+    wait. `tenants` divides the waiting items by tenant. It is encoded only if it has rows, and a
+    daemon of an earlier version ignores it. Without rows all items count as one tenant's.
     """
 
     report: HoldingsReport
     paces: tuple[PaceReading, ...]
+    tenants: tuple[TenantItems, ...] = ()
 
 
 class PacedDigest(msgspec.Struct, frozen=True, array_like=True, tag="paced digest"):
@@ -196,7 +222,7 @@
     the tenant, or the route for callers without a tenant, between which slots are shared fairly.
     `priority` 0 is the highest. A request that may not queue gets a slot now or none. `is_returned`
     is set if its caller was refused before, or if it was sent before. The other fields have the
-    same meaning as in `SlotRequest` and `PacedReport`.
+    same meaning as in `SlotRequest` and `PacedReport`; `tenants` is encoded only if it has rows.
     """
 
     report: HoldingsReport
@@ -211,6 +237,7 @@
     may_queue: bool
     excluded: tuple[int, ...] = ()
     is_returned: bool = False
+    tenants: tuple[TenantItems, ...] = ()
 
 
 class SlotQueued(msgspec.Struct, frozen=True, array_like=True, tag="queued"):
--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -316,6 +316,11 @@
             if engine.mean_factor is not None
         )
 
+    @property
+    def has_paced_service(self) -> bool:
+        """Whether any service is paced."""
+        return bool(self._paced_services)
+
     def is_paced(self, service: str) -> bool:
         """Returns whether an engine of a service has reported a pace to this daemon or a peer."""
         return service in self._paced_services
--- a/src/troutswitch/decisions/jobs/dispatcher.py
+++ b/src/troutswitch/decisions/jobs/dispatcher.py
@@ -4,16 +4,18 @@
 from digests of coordinators that are at most 2 s old; the slots that a coordinator grants.
 
 The rule: a coordinator grants the slots of an engine to daemons with waiting items, and this daemon
-starts its most urgent items in them. Where no coordinator answers, it starts items by its own
-view of the engines, a few in each round, and only in its own share of the free slots. Items that
-can meet their targets start before late ones, except on a late item's turn. Where engines differ in
-speed, `speed_order` determines which items an engine is suited for.
+starts its most urgent items in them. A grant to a tenant's items goes to these, and to others only
+if none of them can start (`waiting_tenants`). Where no coordinator answers, it starts items by its
+own view of the engines, a few in each round, and only in its own share of the free slots. Items
+that can meet their targets start before late ones, except on a late item's turn. Where engines
+differ in speed, `speed_order` determines which items an engine is suited for.
 
 Why: without grants several daemons would fill the same slot. If a coordinator is lost, batch work
 continues: each daemon then uses a share of the slots in proportion to its open items. Measured in
 docs/POLICY.md, "Rounds" (7) and "Rounds with coordinators of slots" (14).
 """
 
+from troutswitch.daemons.messages import TenantItems
 from troutswitch.decisions.forwarding.engine import Engine
 from troutswitch.decisions.forwarding.engine_cost import RelativeFactors
 from troutswitch.decisions.jobs.dependencies import JobDependencies
@@ -24,6 +26,11 @@
 from troutswitch.decisions.jobs.order import AvailableCapacity
 from troutswitch.decisions.jobs.speed_order import is_better_served_elsewhere, order_for
 from troutswitch.decisions.jobs.starvation_guard import StarvationGuard
+from troutswitch.decisions.jobs.waiting_tenants import (
+    is_in_row,
+    rows_by_tenant,
+    without_started,
+)
 from troutswitch.decisions.slots.messages import FleetShare, StartItems, WaitingItems
 
 MAX_RUNS = 64
@@ -41,6 +48,8 @@
     ) -> None:
         self.waiting = WaitingItems()
         """Items that could start now, up to this daemon's limit of runs."""
+        self.waiting_by_tenant: tuple[TenantItems, ...] = ()
+        """The waiting items by tenant, for coordinators of paced services."""
         self.starvation_guard = StarvationGuard()
         self._items = parts.items
         self._runs = parts.runs
@@ -70,6 +79,12 @@
         in_time = ordered[: len(ordered) - len(late)]
         available = max(0, MAX_RUNS - len(self._runs.by_number))
         self.waiting = WaitingItems(min(available, len(in_time)), min(available, len(late)))
+        if self._engines.has_paced_service:
+            tenant_of = self._ranking.tenant_of
+            tenants = [tenant_of(progress) for progress in ordered]
+            self.waiting_by_tenant = rows_by_tenant(
+                tenants[: len(in_time)], tenants[len(in_time) :], available
+            )
         if all(self._slots.is_coordinated(now, name) for name in self._engines.engines):
             return []  # coordinators grant all slots
         self._engine_choice.set_own_share(self._own_share(share))
@@ -143,17 +158,36 @@
         engine = self._engines.engines.get(grant.engine_id)
         if engine is None or engine.is_leaving or not accepts_items(now, engine):
             return []
+        ordered = self._startable_in_order(now)
+        if grant.tenant is None:
+            started = self._start_ordered(now, ordered, engine, grant.count)
+        else:
+            rows = self.waiting_by_tenant
+            tenants = [self._ranking.tenant_of(progress) for progress in ordered]
+            is_own = [is_in_row(tenant, grant.tenant, rows) for tenant in tenants]
+            own = [progress for progress, own in zip(ordered, is_own, strict=True) if own]
+            others = [progress for progress, own in zip(ordered, is_own, strict=True) if not own]
+            started = self._start_ordered(now, own, engine, grant.count)
+            if len(started) < grant.count:
+                started += self._start_ordered(now, others, engine, grant.count - len(started))
+        self._subtract_started(started)
+        return started
+
+    def _start_ordered(
+        self, now: float, ordered: list[ItemProgress], engine: Engine, count: int
+    ) -> list[RunItem]:
+        """Starts up to `count` of the items at an engine, in the order that suits its speed."""
         factors = self._factors(now, engine)
-        factor = factors.get(grant.engine_id, 1.0)
+        factor = factors.get(engine.record.engine_id, 1.0)
         order = order_for(
             now,
             factor,
-            self._startable_in_order(now),
+            ordered,
             self._ranking,
             is_late_turn=self.starvation_guard.is_late_turn(now),
         )
-        started = self._start_in_slots(now, order.preferred, engine, grant.count)
-        if len(started) < grant.count and order.endangered:
+        started = self._start_in_slots(now, order.preferred, engine, count)
+        if len(started) < count and order.endangered:
             usable = self._engines.usable(now, engine.record.service)
             accepting = [other for other in usable if accepts_items(now, other)]
             endangered = [
@@ -163,9 +197,7 @@
                     now, item, engine, accepting, factors, self._ranking
                 )
             ]
-            count = grant.count - len(started)
-            started += self._start_in_slots(now, endangered, engine, count)
-        self._subtract_started(len(started))
+            started += self._start_in_slots(now, endangered, engine, count - len(started))
         return started
 
     def _factors(self, now: float, engine: Engine) -> RelativeFactors:
@@ -206,8 +238,12 @@
         self._refusals.on_started(now, progress)
         return self._runs.start(now, progress, item.entry.manifest, engine)
 
-    def _subtract_started(self, started: int) -> None:
+    def _subtract_started(self, runs: list[RunItem]) -> None:
         """Subtracts started items from the waiting ones until the next round counts them again."""
+        self.waiting_by_tenant = without_started(
+            self.waiting_by_tenant, [run.tenant for run in runs]
+        )
+        started = len(runs)
         in_time = max(0, self.waiting.in_time - started)
         late = max(0, self.waiting.late - max(0, started - self.waiting.in_time))
         self.waiting = WaitingItems(in_time, late)
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -14,6 +14,7 @@
 which items start, `run_stops` which runs stop, `run_ends` and `item_retries` what follows a run.
 """
 
+from troutswitch.daemons.messages import TenantItems
 from troutswitch.decisions.jobs.batch_capacity import BATCH_CAPACITY_POLICIES
 from troutswitch.decisions.jobs.dependencies import JobDependencies, JobSettings
 from troutswitch.decisions.jobs.dispatcher import ItemDispatcher
@@ -115,6 +116,11 @@
         """Numbers of items that could start now if slots were free."""
         return self._dispatcher.waiting
 
+    @property
+    def waiting_by_tenant(self) -> tuple[TenantItems, ...]:
+        """The waiting items by tenant, if a named tenant has some and a service is paced."""
+        return self._dispatcher.waiting_by_tenant
+
     @property
     def open_items(self) -> int:
         """Number of items that this daemon has to finish."""
@@ -155,6 +161,7 @@
             self._first_round_at = now
             self._dispatcher.starvation_guard.begin(now)
         self._dispatcher.waiting = WaitingItems()
+        self._dispatcher.waiting_by_tenant = ()
         if self.is_draining or now < self._first_round_at + SETTLE_SECONDS:
             return []
         return self._dispatcher.start_round(now)
--- a/src/troutswitch/decisions/jobs/ranking.py
+++ b/src/troutswitch/decisions/jobs/ranking.py
@@ -17,6 +17,7 @@
     ItemRank,
 )
 from troutswitch.decisions.jobs.run_time_estimate import RunTimeEstimate
+from troutswitch.decisions.tenants.types import NO_TENANT
 
 UNRANKED = ItemRank(True, float("inf"))
 """Rank of an item that was added after the last round."""
@@ -42,6 +43,11 @@
         due = due_at(self._routes, entry) if entry is not None else float("inf")
         return ItemForecast(progress.key, due, self.run_times.remaining_seconds(progress))
 
+    def tenant_of(self, progress: ItemProgress) -> str:
+        """Returns the tenant that submitted an item's job, empty if unknown."""
+        entry = self._index.jobs.get(progress.job_id)
+        return entry.manifest.tenant if entry is not None else NO_TENANT
+
     def _rank(self, progress: ItemProgress) -> ItemRank:
         return self._ranks.get(progress.key, UNRANKED)
 
--- a/src/troutswitch/decisions/slots/batch_grants.py
+++ b/src/troutswitch/decisions/slots/batch_grants.py
@@ -21,19 +21,23 @@
         self._groups = groups
         self._ledger = ledger
 
-    def grant(self, now: float, peer: str, engine: Engine, count: int) -> SendToPeers:
+    def grant(
+        self, now: float, peer: str, engine: Engine, count: int, tenant: str | None = None
+    ) -> SendToPeers:
         """Grants a peer `count` slots at an engine; a negative count retracts slots.
 
+        `tenant` names the tenant whose items get the slots; None leaves the choice to the peer.
+
         Raises:
             InvariantViolated: The engine is not in any group.
         """
         key = engine_key(engine.record.engine_id)
-        grant_number = self._ledger.grant(now, peer, EngineShare(key, 0, count, 0))
+        grant_number = self._ledger.grant(now, peer, EngineShare(key, 0, count, 0), tenant)
         group = self._groups.of_engine(engine.record.engine_id)
         ensure(group is not None, "granted a slot at an engine that is in no group")
         assert group is not None
         incarnation = self._identity.incarnation
         message = BatchSlotGrant(
-            self._identity.name, incarnation, group.name, grant_number, key, count
+            self._identity.name, incarnation, group.name, grant_number, key, count, tenant
         )
         return SendToPeers((self._ledger.holders[peer].address,), message)
--- a/src/troutswitch/decisions/slots/batch_slots.py
+++ b/src/troutswitch/decisions/slots/batch_slots.py
@@ -8,10 +8,13 @@
 daemon cannot use.
 
 Rule: slots are assigned engine by engine, the fastest engine first, and the least loaded one first
-of engines that are equally fast or whose speed is not known (`forwarding/engine_cost.py`). Each
+of engines that are equally fast or whose speed is not known (`forwarding/engine_cost.py`). In
+a paced service the tenant whose items get a slot is chosen first (`tenant_turns.py`), and only its
+items count for the draw; items of a daemon that reports no tenants count under an empty name. Each
 slot goes to a daemon drawn at random, weighted by its number of items that can still meet their
 objective and by `SAME_ZONE_WEIGHT` if it is in the engine's zone. Every `LATE_SLOT_INTERVAL`th slot
-goes to a daemon drawn by its number of late items, and so does every slot if no other items wait.
+goes to a daemon drawn by its number of late items, and so does every slot if no other items wait;
+in a paced service the slots are counted for each tenant.
 
 Why: late items come second, because starting them earlier does not restore a missed objective.
 Their reserved slots keep them from starving. Weighting by the number of items lets the jobs of all
@@ -23,14 +26,18 @@
 """
 
 import random
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
-from troutswitch.daemons.messages import engine_key
+from troutswitch.daemons.messages import TenantItems, engine_key
 from troutswitch.decisions.forwarding.engine import Engine
 from troutswitch.decisions.forwarding.engine_cost import IgnoredSpeed, SpeedPolicy
+from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.jobs.batch_capacity import BatchCapacityPolicy
 from troutswitch.decisions.slots.ledger import Holder, SlotLedger
 from troutswitch.decisions.slots.messages import OwnItems, WaitingItems
+from troutswitch.decisions.slots.tenant_turns import TenantShare, TenantTurns
+from troutswitch.decisions.tenants.types import NO_TENANT
 
 ASSIGN_SECONDS = 0.02
 """Interval between checks for free slots while items wait: about the time between two events of an
@@ -45,11 +52,17 @@
 
 @dataclass(frozen=True, slots=True)
 class BatchAssignment:
-    """Slots at an engine that are assigned to a daemon's items."""
+    """Slots at an engine that are assigned to a daemon's items.
+
+    `tenant` names the tenant whose items they are; None leaves the choice to the daemon. `share` is
+    set if tenants compete for the slots.
+    """
 
     daemon: str
     engine: Engine
     count: int
+    tenant: str | None = None
+    share: TenantShare | None = None
 
 
 @dataclass(slots=True)
@@ -68,6 +81,37 @@
         if late > 0:
             self.late[name] = late
 
+    def limit_to(self, total: "_Demand") -> "_Demand":
+        """Returns this demand without the items beyond the total demand of their daemon."""
+        return _Demand(
+            {
+                name: min(n, total.in_time[name])
+                for name, n in self.in_time.items()
+                if name in total.in_time
+            },
+            {name: min(n, total.late[name]) for name, n in self.late.items() if name in total.late},
+        )
+
+
+@dataclass(slots=True)
+class _TenantDemand:
+    """Items that still need a slot at one engine, of all tenants and by tenant.
+
+    The total is less than the sum if a daemon can't run all of its items at once.
+    """
+
+    total: _Demand
+    tenants: dict[str, _Demand] = field(default_factory=dict)
+
+    def can_use(self, tenant: str) -> bool:
+        """Returns whether an item of a tenant needs a slot at the engine."""
+        own = self.tenants.get(tenant)
+        if own is None:
+            return False
+        return any(name in self.total.in_time for name in own.in_time) or any(
+            name in self.total.late for name in own.late
+        )
+
 
 class BatchSlotAssigner:
     """Assigns free slots to daemons. The coordinator sends the grants."""
@@ -80,7 +124,12 @@
         capacity: BatchCapacityPolicy,
         rng: random.Random,
         speed: SpeedPolicy | None = None,
+        is_paced: Callable[[str], bool] = lambda service: False,
     ) -> None:
+        self._is_paced = is_paced
+        self._turns = TenantTurns()
+        self._own_granted_to: dict[str, int] = {}
+        """Slots assigned to this daemon's own items in the current round, by tenant."""
         self._zone = zone
         self._ledger = ledger
         self._own_items = own_items
@@ -115,8 +164,14 @@
         """Assigns the free slots of `groups`, which maps group names to usable engines."""
         self._assigned_at = now
         self._own_granted = 0
+        self._own_granted_to.clear()
         if not self._has_waiting_items():
+            self._turns.update(())
             return []
+        if any(
+            self._is_paced(e.record.service) for engines in groups.values() for e in engines[:1]
+        ):
+            self._turns.update(self._waiting_tenants())
         assignments: list[BatchAssignment] = []
         for engines in groups.values():
             assignments += self._assign_group(now, engines)
@@ -131,7 +186,11 @@
             return factor, engine.in_flight(now) / engine.slots
 
         for engine in sorted(engines, key=fastest_first):
-            counts = self._assign_engine(engine, self._capacity.free_slots(now, engine, 0.0))
+            free_slots = self._capacity.free_slots(now, engine, 0.0)
+            if self._is_paced(engine.record.service):
+                assignments += self._assign_fairly(engine, free_slots)
+                continue
+            counts = self._assign_engine(engine, free_slots)
             self._own_granted += counts.get(SELF, 0)
             assignments += [BatchAssignment(name, engine, n) for name, n in counts.items()]
         return assignments
@@ -149,32 +208,125 @@
 
     def _draw(self, demand: _Demand, engine: Engine) -> str | None:
         """Draws the daemon that gets the next slot, and reduces its demand by one."""
-        is_late_slot = (self._slots_assigned + 1) % LATE_SLOT_INTERVAL == 0
+        drawn = self._draw_after(self._slots_assigned, demand, engine)
+        if drawn is None:
+            return None
+        self._slots_assigned += 1
+        name, waiting = drawn
+        _take_one(waiting, name)
+        return name
+
+    def _draw_after(
+        self, assigned: int, demand: _Demand, engine: Engine
+    ) -> tuple[str, dict[str, int]] | None:
+        """Draws a daemon after `assigned` slots; returns it with the items that it was drawn by."""
+        is_late_slot = (assigned + 1) % LATE_SLOT_INTERVAL == 0
         is_for_late = bool(demand.late) and (is_late_slot or not demand.in_time)
         waiting = demand.late if is_for_late else demand.in_time
         if not waiting:
             return None
-        self._slots_assigned += 1
         weights = [count * self._weight(name, engine) for name, count in waiting.items()]
-        name = self._rng.choices(list(waiting), weights)[0]
-        waiting[name] -= 1
-        if waiting[name] <= 0:
-            del waiting[name]
-        return name
+        return self._rng.choices(list(waiting), weights)[0], waiting
 
     def _weight(self, name: str, engine: Engine) -> int:
         zone = self._zone if name == SELF else self._ledger.holders[name].zone
         return SAME_ZONE_WEIGHT if zone == engine.record.zone else 1
 
-    def _demand(self, engine: Engine) -> _Demand:
+    def _demand(self, engine: Engine | None) -> _Demand:
+        """Returns the items that need a slot at an engine, or at any engine for None."""
         demand = _Demand()
         demand.add(SELF, self._own_items.waiting, self._own_granted)
         for name, holder in self._ledger.holders.items():
-            if _can_use(holder, engine):
+            if engine is None or _can_use(holder, engine):
                 waiting = WaitingItems(holder.waiting_items, holder.late_items)
                 demand.add(name, waiting, holder.unreported_batch_grants)
         return demand
 
+    # Tenants, in paced services.
+
+    def _assign_fairly(self, engine: Engine, slots: int) -> list[BatchAssignment]:
+        """Assigns an engine's free slots between tenants, then between their daemons."""
+        if slots <= 0:
+            return []
+        demand = self._demand_by_tenant(engine)
+        counts: dict[tuple[str, str], int] = {}
+        for _ in range(slots):
+            tenant = self._turns.take(demand.can_use)
+            if tenant is None:
+                break
+            key = self._draw_of(tenant, demand, engine), tenant
+            counts[key] = counts.get(key, 0) + 1
+        return [self._assignment(engine, *key, count) for key, count in counts.items()]
+
+    def _draw_of(self, tenant: str, demand: _TenantDemand, engine: Engine) -> str:
+        """Draws the daemon whose item of a tenant gets the slot that the tenant has taken."""
+        own = demand.tenants[tenant]
+        limited = own.limit_to(demand.total)
+        drawn = self._draw_after(self._turns.slots_of(tenant) - 1, limited, engine)
+        ensure(drawn is not None, "a tenant without waiting items took a slot")
+        assert drawn is not None
+        name, waiting = drawn
+        is_late = waiting is limited.late
+        _take_one(own.late if is_late else own.in_time, name)
+        _take_one(demand.total.late if is_late else demand.total.in_time, name)
+        return name
+
+    def _assignment(self, engine: Engine, name: str, tenant: str, count: int) -> BatchAssignment:
+        if name == SELF:
+            self._own_granted += count
+            self._own_granted_to[tenant] = self._own_granted_to.get(tenant, 0) + count
+        share = self._turns.share(tenant)
+        competes = bool(tenant) or share.tenants_waiting > 1
+        named = tenant if self._rows_of(name) else None
+        return BatchAssignment(name, engine, count, named, share if competes else None)
+
+    def _rows_of(self, name: str) -> tuple[TenantItems, ...]:
+        """Returns a daemon's waiting items by tenant, as it reported them."""
+        if name == SELF:
+            return self._own_items.waiting_by_tenant
+        return self._ledger.holders[name].tenants
+
+    def _granted_to(self, name: str, tenant: str) -> int:
+        if name == SELF:
+            return self._own_granted_to.get(tenant, 0)
+        return self._ledger.holders[name].granted_to(tenant)
+
+    def _waiting_tenants(self) -> Iterator[str]:
+        """Yields the tenants with items that wait at any daemon for a slot not yet granted."""
+        total = self._demand(None)
+        for name in total.in_time.keys() | total.late.keys():
+            for tenant, demand in self._tenants_of(name, total):
+                if demand.in_time or demand.late:
+                    yield tenant
+
+    def _demand_by_tenant(self, engine: Engine) -> _TenantDemand:
+        demand = _TenantDemand(self._demand(engine))
+        for name in dict.fromkeys([*demand.total.in_time, *demand.total.late]):
+            for tenant, own in self._tenants_of(name, demand.total):
+                merged = demand.tenants.setdefault(tenant, _Demand())
+                merged.in_time.update(own.in_time)
+                merged.late.update(own.late)
+        return demand
+
+    def _tenants_of(self, name: str, total: _Demand) -> Iterator[tuple[str, _Demand]]:
+        """Yields a daemon's items that need a slot, by tenant."""
+        rows = self._rows_of(name)
+        if not rows:
+            in_time, late = total.in_time.get(name, 0), total.late.get(name, 0)
+            rows = (TenantItems(NO_TENANT, in_time, late),)
+        for row in rows:
+            demand = _Demand()
+            granted = self._granted_to(name, row.tenant) if self._rows_of(name) else 0
+            demand.add(name, WaitingItems(row.in_time, row.late), granted)
+            yield row.tenant, demand
+
+
+def _take_one(waiting: dict[str, int], name: str) -> None:
+    """Reduces a daemon's number of waiting items by one."""
+    waiting[name] -= 1
+    if waiting[name] <= 0:
+        del waiting[name]
+
 
 def _can_use(holder: Holder, engine: Engine) -> bool:
     if not holder.waiting_items and not holder.late_items:
--- a/src/troutswitch/decisions/slots/coordinator.py
+++ b/src/troutswitch/decisions/slots/coordinator.py
@@ -24,6 +24,7 @@
 from troutswitch.decisions.forwarding.engine import Engine
 from troutswitch.decisions.forwarding.engine_cost import IgnoredSpeed, SpeedPolicy
 from troutswitch.decisions.forwarding.engines import EngineRegistry
+from troutswitch.decisions.forwarding.messages import LogLine
 from troutswitch.decisions.forwarding.run_times import RunTimes
 from troutswitch.decisions.forwarding.wait_estimate import NO_WAIT
 from troutswitch.decisions.jobs.batch_capacity import BatchCapacityPolicy
@@ -74,7 +75,9 @@
         self._choice = SlotChoice(ledger, times, rng, speed)
         self._grants = BatchGrants(identity, groups, ledger)
         self._preemption = ItemPreemption(identity.name, ledger, self._grants, rng)
-        self._assigner = BatchSlotAssigner(identity.zone, ledger, own_items, capacity, rng, speed)
+        self._assigner = BatchSlotAssigner(
+            identity.zone, ledger, own_items, capacity, rng, speed, engines.is_paced
+        )
 
     # Coordinated groups.
 
@@ -208,12 +211,31 @@
             if now - coordinated_since >= GRACE_SECONDS
         }
         assignments = self._assigner.assign(now, settled)
-        return [self._grant(now, assignment) for assignment in assignments]
+        return [step for assignment in assignments for step in self._grant(now, assignment)]
+
+    def _grant(self, now: float, assignment: BatchAssignment) -> list[SlotInstruction]:
+        daemon, engine = assignment.daemon, assignment.engine
+        count, tenant = assignment.count, assignment.tenant
+        lines = self._grant_lines(assignment)
+        if daemon == SELF:
+            return [StartItems(engine.record.engine_id, count, tenant), *lines]
+        return [self._grants.grant(now, daemon, engine, count, tenant), *lines]
 
-    def _grant(self, now: float, assignment: BatchAssignment) -> SlotInstruction:
-        if assignment.daemon == SELF:
-            return StartItems(assignment.engine.record.engine_id, assignment.count)
-        return self._grants.grant(now, assignment.daemon, assignment.engine, assignment.count)
+    def _grant_lines(self, assignment: BatchAssignment) -> list[SlotInstruction]:
+        """Returns the log line of a grant to a tenant's items, none if no tenant is named."""
+        share = assignment.share
+        if share is None:
+            return []
+        fields: dict[str, object] = {
+            "engine": assignment.engine.record.engine_id,
+            "peer": assignment.daemon or self._identity.name,
+            "tenant": share.tenant,
+            "count": assignment.count,
+            "tenants_waiting": share.tenants_waiting,
+            "tenant_slots": share.slots,
+            "slots_meanwhile": share.slots_of_all,
+        }
+        return [LogLine("batch slots granted", fields)]
 
     # Digests.
 
--- a/src/troutswitch/decisions/slots/fleet.py
+++ b/src/troutswitch/decisions/slots/fleet.py
@@ -28,6 +28,7 @@
     SlotReply,
     SlotRequest,
     SlotRequestWithdrawn,
+    TenantItems,
 )
 from troutswitch.decisions.forwarding.engine_cost import IgnoredSpeed, SpeedPolicy
 from troutswitch.decisions.forwarding.engines import EngineRegistry
@@ -154,10 +155,10 @@
             case HoldingsReport():
                 self._apply_report(now, message)
             case SlotRequest():
-                self._apply_report(now, message.report)
+                self._apply_report(now, message.report, None)
                 self._emit_all(self.coordinator.on_request(now, message))
             case QueuedSlotRequest():
-                self._apply_paced_report(now, message.report, message.paces)
+                self._apply_paced_report(now, message.report, message.paces, message.tenants)
                 self._emit_all(self.queues.on_request(now, message))
             case SlotRequestWithdrawn():
                 self.queues.on_withdrawn(now, message)
@@ -171,7 +172,7 @@
                 self.queueing.on_message(message.sender, message.incarnation, queues=False)
                 self._on_digest(now, message)
             case PacedReport():
-                self._apply_paced_report(now, message.report, message.paces)
+                self._apply_paced_report(now, message.report, message.paces, message.tenants)
             case PacedDigest():
                 self.queueing.on_message(
                     message.digest.sender, message.digest.incarnation, queues=True
@@ -182,17 +183,26 @@
                 assert_never(message)
         return []
 
-    def _apply_report(self, now: float, report: HoldingsReport) -> bool:
+    def _apply_report(
+        self,
+        now: float,
+        report: HoldingsReport,
+        tenants: tuple[TenantItems, ...] | None = (),
+    ) -> bool:
         """Applies a report; returns False if a newer one was applied before."""
-        is_new = self.ledger.on_report(now, report)
+        is_new = self.ledger.on_report(now, report, tenants)
         self.queues.on_report()
         return is_new
 
     def _apply_paced_report(
-        self, now: float, report: HoldingsReport, paces: tuple[PaceReading, ...]
+        self,
+        now: float,
+        report: HoldingsReport,
+        paces: tuple[PaceReading, ...],
+        tenants: tuple[TenantItems, ...],
     ) -> None:
         """Applies a report with paces, whose ages are too low if the report was overtaken."""
-        if self._apply_report(now, report):
+        if self._apply_report(now, report, tenants):
             self._engines.on_peer_paces(now, paces)
 
     def _on_queue_answer(
@@ -233,7 +243,7 @@
             return
         self.batch.on_activity(now, grant.group)
         self.claims.on_activity(grant.group, grant.sender)
-        self._emit(StartItems(engine.record.engine_id, grant.count))
+        self._emit(StartItems(engine.record.engine_id, grant.count, grant.tenant))
 
     def _on_digest(self, now: float, digest: GroupDigest) -> bool:
         """Applies a digest; returns False if it is not from the group's newest coordinator."""
--- a/src/troutswitch/decisions/slots/ledger.py
+++ b/src/troutswitch/decisions/slots/ledger.py
@@ -21,6 +21,7 @@
     PREFILL_UNIT_TOKENS,
     EngineShare,
     HoldingsReport,
+    TenantItems,
     engine_key,
 )
 from troutswitch.decisions.forwarding.engine import Engine
@@ -48,6 +49,8 @@
     number: int
     granted_at: float
     share: EngineShare
+    tenant: str | None = None
+    """The tenant whose items get the slots; None if the peer chooses."""
 
 
 @dataclass(slots=True)
@@ -69,6 +72,8 @@
     shares: dict[int, EngineShare] = field(default_factory=dict)
     waiting_items: int = 0
     late_items: int = 0
+    tenants: tuple[TenantItems, ...] = ()
+    """The waiting items by tenant; empty if they count as one tenant's."""
     open_items: int = 0
     unusable: frozenset[int] = frozenset()
 
@@ -82,13 +87,22 @@
         """Number of slots for batch items granted since the newest report."""
         return sum(grant.share.batch for grant in self.grants if grant.share.batch > 0)
 
-    def apply_report(self, now: float, report: HoldingsReport) -> None:
+    def granted_to(self, tenant: str) -> int:
+        """Returns the number of slots granted to a tenant's items since the newest report."""
+        shares = (grant.share for grant in self.grants if grant.tenant == tenant)
+        return sum(share.batch for share in shares if share.batch > 0)
+
+    def apply_report(
+        self, now: float, report: HoldingsReport, tenants: tuple[TenantItems, ...] | None
+    ) -> None:
         """Replaces the reported state with that of a newer report."""
         self.address, self.zone = report.address, report.zone
         self.incarnation, self.sequence = report.incarnation, report.sequence
         self.last_seen_at = now
         self.waiting_items = report.waiting_items
         self.late_items = report.late_items
+        if tenants is not None:
+            self.tenants = tenants
         self.open_items = report.open_items
         self.unusable = frozenset(report.unusable)
         self.reported = {share.engine_key: share for share in report.shares}
@@ -109,6 +123,7 @@
         self.grants.clear()
         self.waiting_items = 0
         self.late_items = 0
+        self.tenants = ()
         self.open_items = 0
         self.unusable = frozenset()
 
@@ -122,27 +137,37 @@
         self._engines = engines
         self._checked_at = float("-inf")
 
-    def on_report(self, now: float, report: HoldingsReport) -> bool:
-        """Applies a report; returns False if a newer report was applied before."""
+    def on_report(
+        self,
+        now: float,
+        report: HoldingsReport,
+        tenants: tuple[TenantItems, ...] | None = (),
+    ) -> bool:
+        """Applies a report; returns False if a newer report was applied before.
+
+        `tenants` divides the waiting items by tenant; None if the message has no room for it, so
+        that the division of the report before stays.
+        """
         holder = self.holders.get(report.sender)
         if holder is None:
             holder = Holder(report.address, report.zone, report.incarnation, -1, now)
             self.holders[report.sender] = holder
         if holder.incarnation != report.incarnation:
             holder.grants.clear()
+            holder.tenants = ()
         elif report.sequence <= holder.sequence:
             return False
-        holder.apply_report(now, report)
+        holder.apply_report(now, report, tenants)
         if report.coordinator_incarnation == self._incarnation:
             holder.drop_reported_grants(report.last_grant_seen)
         self._apply(now, holder)
         return True
 
-    def grant(self, now: float, name: str, share: EngineShare) -> int:
+    def grant(self, now: float, name: str, share: EngineShare, tenant: str | None = None) -> int:
         """Counts a grant to a holder from now on; returns the grant's number."""
         holder = self.holders[name]
         holder.last_grant += 1
-        holder.grants.append(Grant(holder.last_grant, now, share))
+        holder.grants.append(Grant(holder.last_grant, now, share, tenant))
         self._apply(now, holder)
         return holder.last_grant
 
--- a/src/troutswitch/decisions/slots/messages.py
+++ b/src/troutswitch/decisions/slots/messages.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from troutswitch.common import Address
-from troutswitch.daemons.messages import PeerMessage
+from troutswitch.daemons.messages import PeerMessage, TenantItems
 from troutswitch.decisions.forwarding.messages import LogLine
 
 
@@ -40,11 +40,13 @@
 class StartItems:
     """Instruction: start up to `count` of this daemon's batch items at an engine.
 
-    A negative `count` means that number of running items is stopped there.
+    A negative `count` means that number of running items is stopped there. `tenant` names the
+    tenant whose items start, as reported; None leaves the choice to this daemon.
     """
 
     engine_id: str
     count: int
+    tenant: str | None = None
 
 
 class HealthResult(StrEnum):
@@ -100,6 +102,11 @@
         """Items that could start now."""
         ...
 
+    @property
+    def waiting_by_tenant(self) -> tuple[TenantItems, ...]:
+        """The waiting items by tenant, if a named tenant has some and a service is paced."""
+        ...
+
     @property
     def open_items(self) -> int:
         """Number of unfinished items."""
--- a/src/troutswitch/decisions/slots/queued_requests.py
+++ b/src/troutswitch/decisions/slots/queued_requests.py
@@ -318,6 +318,7 @@
             request.may_queue,
             tuple(sorted(self._excluded(now, request))),
             terms.is_returned,
+            self._reports.tenants(request.claim),
         )
         self._emit(SendToPeers((request.claim.address,), message))
 
--- a/src/troutswitch/decisions/slots/reports.py
+++ b/src/troutswitch/decisions/slots/reports.py
@@ -11,6 +11,9 @@
 A report also has the paces that engines of the coordinator's groups have reported to this daemon,
 if it was not sent them before. A pace alone is no reason for a report. A coordinator of an earlier
 version ignores reports with paces, so it is sent none.
+
+A report to a coordinator of a paced service that reads paces also divides the waiting items by
+tenant, if a named tenant has some.
 """
 
 from collections.abc import Callable, Iterator
@@ -24,6 +27,7 @@
     HoldingsReport,
     PacedReport,
     PaceReading,
+    TenantItems,
     engine_key,
     prefill_units,
 )
@@ -50,6 +54,7 @@
     shares: tuple[EngineShare, ...] = ()
     waiting: WaitingItems = field(default_factory=WaitingItems)
     open_items: int = 0
+    tenants: tuple[TenantItems, ...] = ()
 
     @property
     def is_empty(self) -> bool:
@@ -82,6 +87,9 @@
     group_changes: int
     waiting: WaitingItems
     open_items: int
+    tenants: tuple[TenantItems, ...]
+    tenant_readers: frozenset[str]
+    """Coordinators that are sent the division by tenant."""
 
 
 class HoldingsReports:
@@ -163,6 +171,8 @@
             self._groups.changes,
             self._own_items.waiting,
             self._own_items.open_items,
+            self._own_items.waiting_by_tenant,
+            self._tenant_readers(),
         )
         if inputs == self._inputs:
             return
@@ -172,7 +182,24 @@
         for claim in self._peers_claims():
             self._coordinator(claim)
             in_flight = tuple(shares.get(claim.daemon, ()))
-            self._holdings[claim.daemon] = _Holdings(in_flight, inputs.waiting, inputs.open_items)
+            self._holdings[claim.daemon] = _Holdings(
+                in_flight,
+                inputs.waiting,
+                inputs.open_items,
+                inputs.tenants if claim.daemon in inputs.tenant_readers else (),
+            )
+
+    def _tenant_readers(self) -> frozenset[str]:
+        """Returns the coordinators of paced services that read the division by tenant."""
+        if not self._own_items.waiting_by_tenant:
+            return frozenset()
+        return frozenset(
+            claim.daemon
+            for group in self._groups.all()
+            if self._engines.is_paced(group.service)
+            and (claim := self._claims.claim_of(group.name)) is not None
+            and self._reads_paces(claim.daemon)
+        )
 
     def _shares(self) -> dict[str, list[EngineShare]]:
         """Returns the requests and items in flight, by the coordinator that counts them."""
@@ -220,6 +247,10 @@
             self._unusable(now),
         )
 
+    def tenants(self, claim: Claim) -> tuple[TenantItems, ...]:
+        """Returns the waiting items by tenant for a message to a coordinator with a report."""
+        return self._holdings_for(claim).tenants
+
     def new_paces(self, now: float, claim: Claim) -> tuple[PaceReading, ...]:
         """Returns the paces that a coordinator was not sent, and marks them as sent now.
 
@@ -280,7 +311,8 @@
             coordinator = self._coordinators[name]
             report = self._report(now, coordinator, self._holdings[name])
             paces = self._new_paces(now, coordinator) if self._reads_paces(name) else ()
-            message = PacedReport(report, paces) if paces else report
+            tenants = self._holdings[name].tenants
+            message = PacedReport(report, paces, tenants) if paces or tenants else report
             instructions.append(SendToPeers((coordinator.address,), message))
         return instructions
 
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -91,6 +91,11 @@
         self._queue_denials = self._counter(
             "slot_queue_denials", "Requests that this daemon denied as a coordinator", "reason"
         )
+        self._batch_slots = self._counter(
+            "batch_slots_granted_to_tenants",
+            "Slots that this daemon granted to tenants' items as a coordinator",
+            "tenants",
+        )
         self._events = self._counter("decisions", "Log lines of decisions, by event", "event")
         self._memory_bodies = self._counter(
             "memory_refused_bodies", "Bodies of requests refused as the memory account was full"
@@ -282,6 +287,8 @@
                 self._given_up.labels(*labels).inc()
             case "queued request denied":
                 self._queue_denials.labels(_label(line, "reason")).inc()
+            case "batch slots granted":
+                self._on_batch_slots_granted(line)
             case _ if line.event in QUEUE_OUTCOMES:
                 self._on_queue_line(line)
 
@@ -291,6 +298,12 @@
         if line.event == "slot granted after wait" and isinstance(waited, int):
             self._queue_wait.observe(waited / 1000)
 
+    def _on_batch_slots_granted(self, line: LogLine) -> None:
+        """Counts slots by whether one or several tenants had waiting items."""
+        count, waiting = line.fields.get("count"), line.fields.get("tenants_waiting")
+        if isinstance(count, int) and isinstance(waiting, int):
+            self._batch_slots.labels("several" if waiting > 1 else "one").inc(count)
+
     def _on_sent(self, line: LogLine) -> None:
         if line.fields.get("attempt") == 1:
             self._on_quota_decided(line, "admitted")
--- a/tests/decisions/jobs/test_dispatcher.py
+++ b/tests/decisions/jobs/test_dispatcher.py
@@ -1,11 +1,13 @@
 """Start of items in granted slots. Load: more items than slots, at engines that differ in speed."""
 
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import cast
 
 from tests.decisions.forwarding.harness import engine
 from tests.decisions.jobs.fixtures import ROUTE, item, job_index, route_table
+from troutswitch.daemons.messages import OTHER_TENANTS, TenantItems
 from troutswitch.decisions.forwarding.engine_cost import SPEED_POLICIES
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.run_times import RunTimes
@@ -31,7 +33,13 @@
 class Daemon:
     """A daemon's items, with engines "fast" and "slow" at 55 and 145 percent of the usual time."""
 
-    def __init__(self, *read_at: float, speed: str = "weighted_share", paced: bool = True) -> None:
+    def __init__(
+        self,
+        *read_at: float,
+        speed: str = "weighted_share",
+        paced: bool = True,
+        tenants: tuple[str, ...] = (),
+    ) -> None:
         self.registry = EngineRegistry()
         records = [engine(name, service="service", slots=4) for name in ("fast", "slow")]
         self.registry.on_list(0.0, records)
@@ -39,6 +47,9 @@
             for name, percent in (("fast", 55), ("slow", 145)):
                 self.registry.on_pace(self.registry.engines[name], percent, NOW)
         index = job_index({f"job{n}": at for n, at in enumerate(read_at)})
+        for number, tenant in enumerate(tenants):
+            entry = index.jobs[f"job{number}"]
+            entry.manifest = replace(entry.manifest, tenant=tenant)
         self.items = [item(f"job{n}") for n in range(len(read_at))]
         self.ranking = ItemRanking(route_table(), index, MostInTime())
         self.ranking.run_times.on_completed(6.0, 60, 60)
@@ -71,8 +82,8 @@
             cast(ItemParts, parts), choice, cast(JobDependencies, dependencies)
         )
 
-    def started(self, engine_id: str, count: int = 1) -> list[str]:
-        runs = self.dispatcher.start_granted(NOW, StartItems(engine_id, count))
+    def started(self, engine_id: str, count: int = 1, tenant: str | None = None) -> list[str]:
+        runs = self.dispatcher.start_granted(NOW, StartItems(engine_id, count, tenant))
         return [self.runs.by_number[run.run].progress.job_id for run in runs]
 
 
@@ -113,3 +124,26 @@
             NOW + seconds, ItemRunEnded(number, AttemptOutcome.COMPLETED, 200, "", ())
         )
         assert abs(daemon.ranking.run_times.event_seconds - 0.1) < 1e-9
+
+
+def test_granted_slot_goes_to_the_tenant_that_the_grant_names() -> None:
+    """The load: one item of a tenant behind three more urgent ones of another, at one daemon."""
+    daemon = Daemon(0.0, 0.5, 1.0, EASY, tenants=("large", "large", "large", "small"))
+    daemon.dispatcher.waiting_by_tenant = (TenantItems("large", 3, 0), TenantItems("small", 1, 0))
+    assert daemon.started("fast", 1, "small") == ["job3"]
+    assert list(daemon.dispatcher.waiting_by_tenant) == [TenantItems("large", 3, 0)]
+    assert daemon.started("fast", 1, "large") == ["job0"]
+
+
+def test_granted_slot_of_a_tenant_without_an_item_is_used_by_another() -> None:
+    """Guards against slots that stay idle until the next report, after a start elsewhere."""
+    daemon = Daemon(0.0, 0.5, tenants=("large", "large"))
+    daemon.dispatcher.waiting_by_tenant = (TenantItems("large", 2, 0),)
+    assert daemon.started("fast", 2, "small") == ["job0", "job1"]
+
+
+def test_grant_to_other_tenants_starts_items_of_tenants_without_a_row() -> None:
+    daemon = Daemon(0.0, 0.5, tenants=("named", "unnamed"))
+    rows = (TenantItems("named", 1, 0), TenantItems(OTHER_TENANTS, 1, 0))
+    daemon.dispatcher.waiting_by_tenant = rows
+    assert daemon.started("fast", 1, OTHER_TENANTS) == ["job1"]
--- a/tests/decisions/slots/harness.py
+++ b/tests/decisions/slots/harness.py
@@ -1,6 +1,7 @@
 """Daemons for tests of the decisions on slots."""
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from typing import assert_never
 
@@ -12,6 +13,7 @@
     KnownClaim,
     PeerMessage,
     SlotMessage,
+    TenantItems,
     engine_key,
 )
 from troutswitch.decisions.forwarding.engine import NO_SIZE, Engine
@@ -29,6 +31,7 @@
 from troutswitch.decisions.forwarding.run_times import RunTimes
 from troutswitch.decisions.forwarding.types import EngineRecord, PromptShape
 from troutswitch.decisions.jobs.batch_capacity import SlotCapacity
+from troutswitch.decisions.jobs.waiting_tenants import rows_by_tenant
 from troutswitch.decisions.policies import DEFAULT_SPEED
 from troutswitch.decisions.slots.fleet import FleetSlots, SlotPolicies
 from troutswitch.decisions.slots.messages import (
@@ -79,6 +82,12 @@
     def waiting(self) -> WaitingItems:
         return WaitingItems(self._daemon.waiting, self._daemon.late)
 
+    @property
+    def waiting_by_tenant(self) -> tuple[TenantItems, ...]:
+        if not self._daemon.engines.has_paced_service:
+            return ()
+        return rows_by_tenant(self._daemon.waiting_tenants.elements(), (), self._daemon.waiting)
+
     @property
     def open_items(self) -> int:
         return self._daemon.waiting + self._daemon.late + len(self._daemon.items)
@@ -102,6 +111,9 @@
         self.engines.on_list(0.0, records)
         self.waiting = 0
         self.late = 0
+        self.waiting_tenants: Counter[str] = Counter()
+        """Items among `waiting` that belong to a tenant."""
+        self.started_tenants: list[str] = []
         self.outbox: list[SendToPeers] = []
         self.online: dict[int, str] = {}
         self.items: list[str] = []
@@ -146,6 +158,7 @@
                 return
             if self.waiting:
                 self.waiting -= 1
+                self._start_item_of(grant.tenant)
             else:
                 self.late -= 1
             self.items.append(grant.engine_id)
@@ -153,6 +166,21 @@
         for _ in range(max(0, -grant.count)):
             self.end_item(0.0, grant.engine_id)
 
+    def add_items(self, tenant: str, count: int) -> None:
+        """Adds waiting items of a tenant."""
+        self.waiting += count
+        self.waiting_tenants[tenant] += count
+
+    def _start_item_of(self, tenant: str | None) -> None:
+        """Counts the start of an item of a tenant, or of the one with most items."""
+        self.waiting_tenants = +self.waiting_tenants
+        if not self.waiting_tenants:
+            return
+        most = self.waiting_tenants.most_common(1)[0][0]
+        started = tenant if tenant is not None and self.waiting_tenants[tenant] else most
+        self.waiting_tenants[started] -= 1
+        self.started_tenants.append(started)
+
     def end_item(self, now: float, engine_id: str) -> None:
         if engine_id in self.items:
             self.items.remove(engine_id)
--- a/tests/decisions/slots/test_machine.py
+++ b/tests/decisions/slots/test_machine.py
@@ -6,6 +6,8 @@
 coordinator never grants a slot that is not free. After messages were lost, the counts are correct
 again once the holders have refreshed their reports, and the slots of a dead holder are free after
 its silence.
+
+The same holds for a paced service whose items belong to tenants.
 """
 
 import pytest
@@ -59,8 +61,13 @@
         coordinator = self.daemons["c"]
         coordinator.coordinate(self.now, *(self.daemons[name] for name in HOLDERS))
         self.now += GRACE_SECONDS
+        for daemon in self.daemons.values():
+            self.prepare(daemon)
         self.collect_messages()
 
+    def prepare(self, daemon: SlotsDaemon) -> None:
+        """Prepares a daemon that has just started."""
+
     def collect_messages(self) -> None:
         for daemon in self.daemons.values():
             for sent in daemon.outbox:
@@ -145,6 +152,7 @@
         incarnation = incarnation_of(name) + 1000 * self.incarnations
         restarted = SlotsDaemon(name, records, incarnation=incarnation)
         restarted.fleet.claims.add_claims(claims)
+        self.prepare(restarted)
         self.daemons[name] = restarted
         restarted.tick(self.now)
         for token in [t for t in self.requested_at if t not in self.open_tokens()]:
@@ -210,6 +218,29 @@
 TestSlots = SlotsMachine.TestCase
 
 
+class TenantSlotsMachine(SlotsMachine):
+    """Items of tenants in a paced service: reports name tenants, and grants are for their items."""
+
+    def prepare(self, daemon: SlotsDaemon) -> None:
+        daemon.make_paced(self.now)
+        daemon.fleet.queueing.on_message("c", incarnation_of("c"), queues=True)
+
+    @rule(index=INDEXES, tenant=st.sampled_from(("", "large", "small")), items=st.integers(1, 6))
+    def add_tenant_items(self, index: int, tenant: str, items: int) -> None:
+        self.holder(index).add_items(tenant, items)
+
+    @invariant()
+    def a_daemon_starts_no_more_items_than_it_has(self) -> None:
+        """Guards against grants that are counted twice, for a tenant and for its daemon."""
+        for daemon in self.daemons.values():
+            assert daemon.waiting >= 0
+            assert all(count >= 0 for count in daemon.waiting_tenants.values())
+
+
+TenantSlotsMachine.TestCase.settings = SETTINGS
+TestTenantSlots = TenantSlotsMachine.TestCase
+
+
 def test_the_slots_of_dead_holders_stay_counted_without_timeouts(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -211,6 +211,38 @@
             sender="d-2", incarnation=6, group="s|z|0", grant_number=61, engine_key=62, count=-3
         )
     ),
+    "places for batch items of a tenant": _peer_message_sample(
+        peer_messages.BatchSlotGrant("d-2", 6, "s|z|0", 61, 62, 63, "tenant é")
+    ),
+    "places for batch items of jobs without a tenant": _peer_message_sample(
+        peer_messages.BatchSlotGrant("d-2", 6, "s|z|0", 61, 62, 63, "")
+    ),
+    "report with tenants": _peer_message_sample(
+        peer_messages.PacedReport(
+            report=_SHORT_REPORT,
+            paces=(),
+            tenants=(
+                peer_messages.TenantItems(tenant="", in_time=2, late=0),
+                peer_messages.TenantItems("tenant é", 64, 3),
+                peer_messages.TenantItems(peer_messages.OTHER_TENANTS, 1, 64),
+            ),
+        )
+    ),
+    "queue for a place, with tenants": _peer_message_sample(
+        peer_messages.QueuedSlotRequest(
+            _SHORT_REPORT,
+            (),
+            31,
+            "s|z|0",
+            4,
+            -1,
+            1500,
+            "tenant",
+            2,
+            False,
+            tenants=(peer_messages.TenantItems("tenant", 1, 0),),
+        )
+    ),
     "report with paces": _peer_message_sample(
         peer_messages.PacedReport(
             report=_FULL_REPORT,
@@ -1007,6 +1039,9 @@
     ("slot request denied", {"waited_ms": 300}),
     ("queue not confirmed", {"waited_ms": 30}),
     ("queued request denied", {"reason": "the queue is beyond its bound"}),
+    ("batch slots granted", {"tenant": "a", "count": 3, "tenants_waiting": 2}),
+    ("batch slots granted", {"tenant": "a", "count": 2, "tenants_waiting": 1}),
+    ("batch slots granted", {}),
 ]
 
 # Settings, configuration and engine records: text that operators and the platform write.
