Stops of items in paced services weigh the work that is lost

Cause: the least urgent item by rank is stopped for an online request. Among items of one job that is the one with most time remaining, which has often just started, so it reads its prompt again and again.

Change: in services whose engines report a pace, an item that is answering is stopped before one that has just begun, reads its prompt or is near its end, if both are about equally urgent: both late, or both in time and due within 1 s of each other. Log line "item chosen to stop", a counter by stage. Other services stop by rank as before.

--- a/src/troutswitch/decisions/jobs/ranking.py
+++ b/src/troutswitch/decisions/jobs/ranking.py
@@ -55,6 +55,17 @@
         """Returns whether the item will miss its completion target, as of the last round."""
         return self._rank(progress).is_late
 
+    def is_about_as_urgent(
+        self, progress: ItemProgress, other: ItemProgress, max_difference: float
+    ) -> bool:
+        """Returns whether two items are late, or in time and due within `max_difference` s."""
+        if self.is_late(progress) != self.is_late(other):
+            return False
+        if self.is_late(progress):
+            return True
+        dues = [self.forecast(item).due_at for item in (progress, other)]
+        return dues[0] == dues[1] or abs(dues[0] - dues[1]) <= max_difference
+
     def is_overdue(self, now: float, progress: ItemProgress) -> bool:
         """Returns whether the item's job is past its due time."""
         entry = self._index.jobs.get(progress.job_id)
--- a/src/troutswitch/decisions/jobs/run_stops.py
+++ b/src/troutswitch/decisions/jobs/run_stops.py
@@ -6,7 +6,8 @@
 The rule: runs stop that are no longer wanted (the job was ended, the shard has another owner, the
 daemon drains) or that crashes forbid. Where items occupy slots that online requests need, the least
 urgent items stop: as many as the engine's coordinator requests or, without a coordinator, as the
-capacity policy counts as surplus. One stops immediately when an online request of this daemon needs
+capacity policy counts as surplus. In a paced service the work that a stop loses counts too
+(`stop_choice`). One stops immediately when an online request of this daemon needs
 its slot.
 
 Why: engines have no priorities, so an item releases its slot only if it is stopped. It resumes
@@ -17,6 +18,8 @@
 from troutswitch.decisions.jobs.dependencies import JobDependencies
 from troutswitch.decisions.jobs.item_parts import ItemParts
 from troutswitch.decisions.jobs.messages import StopItem
+from troutswitch.decisions.jobs.runs import ItemRun
+from troutswitch.decisions.jobs.stop_choice import choose_stops
 
 
 class RunStops:
@@ -31,6 +34,7 @@
         self._ranking = parts.ranking
         self._capacity = capacity
         self._engines = dependencies.engines
+        self._log = dependencies.log
         self._slots = dependencies.slots
 
     def stop_unwanted(self, now: float, *, is_draining: bool) -> list[StopItem]:
@@ -60,11 +64,31 @@
     def stop_least_urgent(self, now: float, engine_id: str, count: int) -> list[StopItem]:
         """Stops at most `count` items at an engine, the least urgent first."""
         running = [
-            run.progress
+            run
             for run in self._runs.by_number.values()
             if run.engine_id == engine_id and not run.is_stopped
         ]
         if count <= 0 or not running:
             return []
-        chosen = self._ranking.least_urgent(running, count)
+        engine = self._engines.engines.get(engine_id)
+        if engine is not None and self._engines.is_paced(engine.record.service):
+            return self._stop_cheapest(now, running, count)
+        chosen = self._ranking.least_urgent([run.progress for run in running], count)
         return [self._runs.stop(now, progress.run_number) for progress in chosen]
+
+    def _stop_cheapest(self, now: float, running: list[ItemRun], count: int) -> list[StopItem]:
+        """Stops the items that lose least among those that are about equally urgent."""
+        stops: list[StopItem] = []
+        for chosen in choose_stops(now, running, count, self._ranking):
+            progress = chosen.run.progress
+            self._log(
+                "item chosen to stop",
+                job_id=progress.job_id,
+                item_id=progress.item.item_id,
+                engine=chosen.run.engine_id,
+                stage=chosen.stage.name.lower(),
+                lost_ms=round(chosen.lost_seconds * 1000),
+                candidates=chosen.candidates,
+            )
+            stops.append(self._runs.stop(now, progress.run_number))
+        return stops
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -96,6 +96,11 @@
             "Slots that this daemon granted to tenants' items as a coordinator",
             "tenants",
         )
+        self._item_stops = self._counter(
+            "item_stops",
+            "Items of paced services stopped for online requests, by the stage of their run",
+            "stage",
+        )
         self._events = self._counter("decisions", "Log lines of decisions, by event", "event")
         self._memory_bodies = self._counter(
             "memory_refused_bodies", "Bodies of requests refused as the memory account was full"
@@ -287,6 +292,8 @@
                 self._given_up.labels(*labels).inc()
             case "queued request denied":
                 self._queue_denials.labels(_label(line, "reason")).inc()
+            case "item chosen to stop":
+                self._item_stops.labels(_label(line, "stage")).inc()
             case "batch slots granted":
                 self._on_batch_slots_granted(line)
             case _ if line.event in QUEUE_OUTCOMES:
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -1042,6 +1042,8 @@
     ("batch slots granted", {"tenant": "a", "count": 3, "tenants_waiting": 2}),
     ("batch slots granted", {"tenant": "a", "count": 2, "tenants_waiting": 1}),
     ("batch slots granted", {}),
+    ("item chosen to stop", {"stage": "reading", "lost_ms": 50}),
+    ("item chosen to stop", {}),
 ]
 
 # Settings, configuration and engine records: text that operators and the platform write.
