A daemon is assigned no more slots in a round than it has items

Cause: the ledger counts the grants of a round only after the round, so a peer with three waiting items was assigned slots for them at each engine. In paced services these took the turns of other tenants.

Change: the assigner subtracts the slots of paced services assigned in this round, by daemon and tenant. Other services draw as before. Tests of late items of two tenants, and of the division by tenant in a round.

--- a/src/troutswitch/decisions/slots/batch_slots.py
+++ b/src/troutswitch/decisions/slots/batch_slots.py
@@ -14,7 +14,8 @@
 slot goes to a daemon drawn at random, weighted by its number of items that can still meet their
 objective and by `SAME_ZONE_WEIGHT` if it is in the engine's zone. Every `LATE_SLOT_INTERVAL`th slot
 goes to a daemon drawn by its number of late items, and so does every slot if no other items wait;
-in a paced service the slots are counted for each tenant.
+in a paced service the slots are counted for each tenant, and a daemon is assigned no more of them
+in a round than it has waiting items.
 
 Why: late items come second, because starting them earlier does not restore a missed objective.
 Their reserved slots keep them from starving. Weighting by the number of items lets the jobs of all
@@ -26,8 +27,10 @@
 """
 
 import random
-from collections.abc import Callable, Iterator
+from collections import Counter
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
 from troutswitch.daemons.messages import TenantItems, engine_key
 from troutswitch.decisions.forwarding.engine import Engine
@@ -128,8 +131,9 @@
     ) -> None:
         self._is_paced = is_paced
         self._turns = TenantTurns()
-        self._own_granted_to: dict[str, int] = {}
-        """Slots assigned to this daemon's own items in the current round, by tenant."""
+        self._assigned_to: Counter[tuple[str, str]] = Counter()
+        """Slots of paced services assigned in the current round, by daemon and tenant. The ledger
+        counts them only after the round."""
         self._zone = zone
         self._ledger = ledger
         self._own_items = own_items
@@ -164,7 +168,7 @@
         """Assigns the free slots of `groups`, which maps group names to usable engines."""
         self._assigned_at = now
         self._own_granted = 0
-        self._own_granted_to.clear()
+        self._assigned_to.clear()
         if not self._has_waiting_items():
             self._turns.update(())
             return []
@@ -232,14 +236,20 @@
         zone = self._zone if name == SELF else self._ledger.holders[name].zone
         return SAME_ZONE_WEIGHT if zone == engine.record.zone else 1
 
-    def _demand(self, engine: Engine | None) -> _Demand:
-        """Returns the items that need a slot at an engine, or at any engine for None."""
+    def _demand(
+        self, engine: Engine | None, assigned: Mapping[str, int] = MappingProxyType({})
+    ) -> _Demand:
+        """Returns the items that need a slot at an engine, or at any engine for None.
+
+        `assigned` has the slots that peers were assigned in this round.
+        """
         demand = _Demand()
         demand.add(SELF, self._own_items.waiting, self._own_granted)
         for name, holder in self._ledger.holders.items():
             if engine is None or _can_use(holder, engine):
                 waiting = WaitingItems(holder.waiting_items, holder.late_items)
-                demand.add(name, waiting, holder.unreported_batch_grants)
+                granted = holder.unreported_batch_grants + assigned.get(name, 0)
+                demand.add(name, waiting, granted)
         return demand
 
     # Tenants, in paced services.
@@ -274,7 +284,7 @@
     def _assignment(self, engine: Engine, name: str, tenant: str, count: int) -> BatchAssignment:
         if name == SELF:
             self._own_granted += count
-            self._own_granted_to[tenant] = self._own_granted_to.get(tenant, 0) + count
+        self._assigned_to[name, tenant] += count
         share = self._turns.share(tenant)
         competes = bool(tenant) or share.tenants_waiting > 1
         named = tenant if self._rows_of(name) else None
@@ -287,9 +297,10 @@
         return self._ledger.holders[name].tenants
 
     def _granted_to(self, name: str, tenant: str) -> int:
+        assigned = self._assigned_to[name, tenant]
         if name == SELF:
-            return self._own_granted_to.get(tenant, 0)
-        return self._ledger.holders[name].granted_to(tenant)
+            return assigned
+        return assigned + self._ledger.holders[name].granted_to(tenant)
 
     def _waiting_tenants(self) -> Iterator[str]:
         """Yields the tenants with items that wait at any daemon for a slot not yet granted."""
@@ -300,7 +311,10 @@
                     yield tenant
 
     def _demand_by_tenant(self, engine: Engine) -> _TenantDemand:
-        demand = _TenantDemand(self._demand(engine))
+        assigned: Counter[str] = Counter()
+        for (name, _), count in self._assigned_to.items():
+            assigned[name] += count
+        demand = _TenantDemand(self._demand(engine, assigned))
         for name in dict.fromkeys([*demand.total.in_time, *demand.total.late]):
             for tenant, own in self._tenants_of(name, demand.total):
                 merged = demand.tenants.setdefault(tenant, _Demand())
--- a/tests/decisions/jobs/test_dispatcher.py
+++ b/tests/decisions/jobs/test_dispatcher.py
@@ -22,7 +22,7 @@
 from troutswitch.decisions.jobs.ranking import ItemRanking
 from troutswitch.decisions.jobs.run_ends import RunEnds
 from troutswitch.decisions.jobs.runs import ItemRuns
-from troutswitch.decisions.slots.messages import StartItems
+from troutswitch.decisions.slots.messages import FleetShare, StartItems
 from troutswitch.outcomes import AttemptOutcome
 
 NOW = 12.0
@@ -56,7 +56,10 @@
         self.ranking.rank(NOW, self.items, AvailableCapacity(8.0, 1.0))
         self.runs = ItemRuns(route_table(), self.registry, lambda event, **fields: None)
         policy = SPEED_POLICIES[speed](RunTimes(), route_table())
-        dependencies = SimpleNamespace(engines=self.registry, slots=None, speed=policy)
+        slots = SimpleNamespace(
+            share=lambda now: FleetShare(8.0, 0), is_coordinated=lambda now, engine_id: True
+        )
+        dependencies = SimpleNamespace(engines=self.registry, slots=slots, speed=policy)
         choice = EngineChoice(route_table(), self.registry, SlotCapacity(), "z", random.Random(1))
 
         def prepare_start(now: float, progress: ItemProgress) -> object:
@@ -68,7 +71,7 @@
             return [progress for progress in self.items if progress.may_start(now)]
 
         parts = SimpleNamespace(
-            items=SimpleNamespace(startable=startable),
+            items=SimpleNamespace(startable=startable, unfinished=lambda: self.items),
             runs=self.runs,
             ranking=self.ranking,
             retries=SimpleNamespace(prepare_start=prepare_start),
@@ -147,3 +150,19 @@
     rows = (TenantItems("named", 1, 0), TenantItems(OTHER_TENANTS, 1, 0))
     daemon.dispatcher.waiting_by_tenant = rows
     assert daemon.started("fast", 1, OTHER_TENANTS) == ["job1"]
+
+
+def test_round_counts_the_waiting_items_by_tenant_in_paced_services_only() -> None:
+    """The load: two items in time and a late one of two tenants, with slots for all."""
+    tenants = ("large", "small", "large")
+    for paced, rows in (
+        (True, [TenantItems("large", 1, 1), TenantItems("small", 1, 0)]),
+        (False, []),
+    ):
+        daemon = Daemon(EASY, EASY, -20.0, paced=paced, tenants=tenants)
+        daemon.dispatcher.start_round(NOW)
+        assert list(daemon.dispatcher.waiting_by_tenant) == rows
+        assert (daemon.dispatcher.waiting.in_time, daemon.dispatcher.waiting.late) == (2, 1)
+    without = Daemon(EASY, EASY)
+    without.dispatcher.start_round(NOW)
+    assert list(without.dispatcher.waiting_by_tenant) == []
--- a/tests/decisions/slots/test_tenant_turns.py
+++ b/tests/decisions/slots/test_tenant_turns.py
@@ -263,3 +263,40 @@
     daemons[0].receive(NOW, message)
     play(daemons, 120)
     assert len(started(daemons)) == 40
+
+
+def grants_after_reports(*rows: tuple[str, TenantItems]) -> dict[tuple[str, str | None], int]:
+    """Returns the slots granted at 64 free ones, by daemon and tenant, after one report each."""
+    (coordinator,) = fleet("first", engines=8)
+    now = NOW + GRACE_SECONDS + ASSIGN_SECONDS
+    for name, row in rows:
+        report = HoldingsReport(
+            name, ZONE, address_of(name), 1, 1, (), row.in_time, row.late, row.in_time + row.late
+        )
+        coordinator.receive(now, PacedReport(report, (), (row,)))
+    coordinator.tick(now)
+    names = {address_of(name): name for name, _ in rows}
+    granted: dict[tuple[str, str | None], int] = {}
+    for sent in coordinator.outbox:
+        if isinstance(sent.message, BatchSlotGrant):
+            key = names[sent.addresses[0]], sent.message.tenant
+            granted[key] = granted.get(key, 0) + sent.message.count
+    return granted
+
+
+def test_late_items_get_each_eighth_slot_of_their_own_tenant() -> None:
+    """Guards against a count of slots over all tenants: with two, each eighth is the same one's."""
+    assert grants_after_reports(
+        ("punctual", TenantItems("a", 100, 0)),
+        ("behind", TenantItems("a", 0, 100)),
+        ("other", TenantItems("b", 100, 0)),
+    ) == {("punctual", "a"): 28, ("behind", "a"): 4, ("other", "b"): 32}
+
+
+def test_tenant_with_few_items_leaves_the_other_slots_to_the_others() -> None:
+    """Guards against slots that stay free because a tenant can't use its turn."""
+    assert grants_after_reports(
+        ("one", TenantItems("a", 3, 0)),
+        ("two", TenantItems("", 0, 5)),
+        ("three", TenantItems("b", 100, 0)),
+    ) == {("one", "a"): 3, ("two", ""): 5, ("three", "b"): 56}
