Test that reports with the longest tenant rows fit in a datagram

Cause: a datagram longer than 8,192 bytes is cut off when received, and its holdings are lost. The bounds on rows and names were not tested together.

--- a/tests/decisions/slots/test_tenant_turns.py
+++ b/tests/decisions/slots/test_tenant_turns.py
@@ -11,18 +11,24 @@
 from tests.decisions.slots.harness import GROUP, ZONE, SlotsDaemon, address_of, deliver, record
 from troutswitch.daemons import datagram
 from troutswitch.daemons.messages import (
+    MAX_PACES,
+    MAX_TENANT_NAME_BYTES,
     OTHER_TENANTS,
     BatchSlotGrant,
+    EngineShare,
     HoldingsReport,
     PacedReport,
+    PaceReading,
     QueuedSlotRequest,
     SlotRequest,
     TenantItems,
 )
+from troutswitch.decisions.jobs.waiting_tenants import rows_by_tenant
 from troutswitch.decisions.slots.batch_slots import ASSIGN_SECONDS
 from troutswitch.decisions.slots.coordinator import GRACE_SECONDS
 from troutswitch.decisions.slots.reports import REFRESH_SECONDS, REPORT_SECONDS
 from troutswitch.decisions.slots.tenant_turns import MAX_DEFICIT_SLOTS, TenantTurns
+from troutswitch.gateway.daemons.peer_socket import MAX_DATAGRAM_BYTES
 
 NOW = 5.0
 
@@ -300,3 +306,15 @@
         ("two", TenantItems("", 0, 5)),
         ("three", TenantItems("b", 100, 0)),
     ) == {("one", "a"): 3, ("two", ""): 5, ("three", "b"): 56}
+
+
+def test_longest_rows_fit_in_a_datagram_with_paces_and_200_engines() -> None:
+    """Guards against reports that are cut off when received, and then lost with their holdings."""
+    shares = tuple(EngineShare(2**32 - n, 8, 8, 9_999) for n in range(1, 201))
+    report = HoldingsReport(
+        "d" * 64, ZONE, address_of("d"), 2**63, 2**31, shares, 64, 64, 400, 2**63, 2**31
+    )
+    paces = tuple(PaceReading(2**32 - n, 9_999, 30_000) for n in range(1, MAX_PACES + 1))
+    names = [f"{n:02}".ljust(MAX_TENANT_NAME_BYTES, "x") for n in range(40)]
+    rows = rows_by_tenant(names * 20, names * 20, 64)
+    assert len(datagram.encode(PacedReport(report, paces, rows))) <= MAX_DATAGRAM_BYTES
