--- a/src/troutswitch/decisions/jobs/ranking.py
+++ b/src/troutswitch/decisions/jobs/ranking.py
@@ -17,6 +17,7 @@
     ItemRank,
 )
 from troutswitch.decisions.jobs.run_time_estimate import RunTimeEstimate
+from troutswitch.decisions.tenants.types import NO_TENANT
 
 UNRANKED = ItemRank(True, float("inf"))
 """Rank of an item that was added after the last round."""
@@ -42,6 +43,11 @@
         due = due_at(self._routes, entry) if entry is not None else float("inf")
         return ItemForecast(progress.key, due, self.run_times.remaining_seconds(progress))
 
+    def tenant_of(self, progress: ItemProgress) -> str:
+        """Returns the tenant that submitted an item's job, empty if unknown."""
+        entry = self._index.jobs.get(progress.job_id)
+        return entry.manifest.tenant if entry is not None else NO_TENANT
+
     def _rank(self, progress: ItemProgress) -> ItemRank:
         return self._ranks.get(progress.key, UNRANKED)
 
@@ -49,6 +55,17 @@
         """Returns whether the item will miss its completion target, as of the last round."""
         return self._rank(progress).is_late
 
+    def is_about_as_urgent(
+        self, progress: ItemProgress, other: ItemProgress, max_difference: float
+    ) -> bool:
+        """Returns whether two items are late, or in time and due within `max_difference` s."""
+        if self.is_late(progress) != self.is_late(other):
+            return False
+        if self.is_late(progress):
+            return True
+        dues = [self.forecast(item).due_at for item in (progress, other)]
+        return dues[0] == dues[1] or abs(dues[0] - dues[1]) <= max_difference
+
     def is_overdue(self, now: float, progress: ItemProgress) -> bool:
         """Returns whether the item's job is past its due time."""
         entry = self._index.jobs.get(progress.job_id)
