Idle connections to engines are bounded over all daemons

Cause: each daemon kept up to 6 idle connections to each engine, so 65 daemons could hold 390 of the 440 that an engine accepts, and larger fleets all of them.

The core sends the pool its limits by engine when they change; the pool closes the oldest connections beyond a lowered limit.

--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -316,6 +316,11 @@
             if engine.mean_factor is not None
         )
 
+    @property
+    def paced_service_count(self) -> int:
+        """Number of paced services."""
+        return len(self._paced_services)
+
     def is_paced(self, service: str) -> bool:
         """Returns whether an engine of a service has reported a pace to this daemon or a peer."""
         return service in self._paced_services
--- a/src/troutswitch/decisions/gateway_interface.py
+++ b/src/troutswitch/decisions/gateway_interface.py
@@ -23,6 +23,7 @@
     ClockCompared,
     DrainRequested,
     EnginesRemoved,
+    IdleConnectionsLimited,
     LimitsChanged,
     ProcessResumed,
     TimerFired,
@@ -73,6 +74,7 @@
     | AnswerJobCall
     | LimitsChanged
     | EnginesRemoved
+    | IdleConnectionsLimited
     | StoreCall
 )
 
--- a/src/troutswitch/decisions/gateway_messages.py
+++ b/src/troutswitch/decisions/gateway_messages.py
@@ -100,3 +100,13 @@
     """Instruction: close the idle connections to engines that were removed from the list."""
 
     engine_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class IdleConnectionsLimited:
+    """Instruction: keep at most these numbers of idle connections, by engine id.
+
+    Replaces all earlier limits; engines that are not named have the pool's own limit.
+    """
+
+    limits: tuple[tuple[str, int], ...]
--- a/src/troutswitch/decisions/gateway_parts.py
+++ b/src/troutswitch/decisions/gateway_parts.py
@@ -21,6 +21,7 @@
     Formats,
     GatewayIdentity,
 )
+from troutswitch.decisions.idle_connections import IdleConnectionLimits
 from troutswitch.decisions.instruction_queue import InstructionQueue
 from troutswitch.decisions.jobs.batch_capacity import BATCH_CAPACITY_POLICIES
 from troutswitch.decisions.jobs.coordinator import JobCoordinator
@@ -105,6 +106,7 @@
             rng,
         )
         self.requests = self._make_requests(policies, rng)
+        self._idle_connections = IdleConnectionLimits(self.engines, self.routes)
         incarnation = rng.getrandbits(31)
         self.slots = self._make_slots(policies, incarnation, rng)
         if policies.slot_assignment == "coordinators":
--- a/src/troutswitch/gateway/engines/connection_pool.py
+++ b/src/troutswitch/gateway/engines/connection_pool.py
@@ -11,10 +11,9 @@
 
 from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
+from troutswitch.decisions.idle_connections import MAX_IDLE_CONNECTIONS_PER_ENGINE
 from troutswitch.gateway.engines.connection import EngineConnection
 
-MAX_IDLE_CONNECTIONS_PER_ENGINE = 6
-
 
 def _ignore(engine_id: str, closed: int) -> None:
     """Ignores closed connections."""
@@ -31,6 +30,8 @@
     def __init__(self, on_suspects_closed: Callable[[str, int], None] = _ignore) -> None:
         self._on_suspects_closed = on_suspects_closed
         self._idle: dict[str, deque[EngineConnection]] = {}
+        self._limits: dict[str, int] = {}
+        """Limits by engine id; other engines have `MAX_IDLE_CONNECTIONS_PER_ENGINE`."""
         self._lock = threading.Lock()
 
     def acquire(self, engine_id: str, address: Address, request_id: str) -> EngineConnection:
@@ -50,11 +51,25 @@
         connection.idle_since = steady_seconds()
         with self._lock:
             idle = self._idle.setdefault(engine_id, deque())
-            if len(idle) < MAX_IDLE_CONNECTIONS_PER_ENGINE:
+            if len(idle) < self._limit(engine_id):
                 idle.append(connection)
                 return
         connection.close()
 
+    def _limit(self, engine_id: str) -> int:
+        return self._limits.get(engine_id, MAX_IDLE_CONNECTIONS_PER_ENGINE)
+
+    def limit_idle(self, limits: dict[str, int]) -> None:
+        """Replaces the limits by engine id, and closes the connections beyond, oldest first."""
+        surplus: list[EngineConnection] = []
+        with self._lock:
+            self._limits = limits
+            for engine_id, idle in self._idle.items():
+                while len(idle) > self._limit(engine_id):
+                    surplus.append(idle.popleft())
+        for connection in surplus:
+            connection.close()
+
     def close_suspects(self, engine_id: str, silent_since: float) -> None:
         """Closes an engine's idle connections that have received nothing since another timed out.
 
--- a/src/troutswitch/gateway/instruction_executor.py
+++ b/src/troutswitch/gateway/instruction_executor.py
@@ -24,7 +24,11 @@
     SendRequest,
 )
 from troutswitch.decisions.gateway_interface import GatewayEvent, GatewayInstruction
-from troutswitch.decisions.gateway_messages import EnginesRemoved, LimitsChanged
+from troutswitch.decisions.gateway_messages import (
+    EnginesRemoved,
+    IdleConnectionsLimited,
+    LimitsChanged,
+)
 from troutswitch.decisions.jobs.messages import AnswerJobCall, RunItem, StopItem
 from troutswitch.decisions.peers.catch_up import PeerStateReceived, RequestPeerState
 from troutswitch.decisions.slots.messages import (
@@ -128,6 +132,8 @@
                 executors.set_limits(instruction)
             case EnginesRemoved():
                 executors.connections.remove_engines(list(instruction.engine_ids))
+            case IdleConnectionsLimited():
+                executors.connections.limit_idle(dict(instruction.limits))
             case ReadNewest() | ReadRecords():
                 is_fleet = instruction.partition.topic in FLEET_TOPICS
                 threads = self._fleet_threads if is_fleet else self._threads
