Requests prefer engines to which their daemon has an idle connection

Cause: 65 daemons share few connections to each of 45 engines, and the choice of an engine ignored connections, so every second request opened one. No counter told it.

Change: each end of an attempt tells the loop for how long its connection may be reused, from which it estimates where idle connections are (forwarding/idle_connections.py). QueuedSlotRequest names up to 8 engines of the daemon's zone in a last field that is left out while empty; its other bytes are unchanged. In paced services the coordinator, the local decision and the choice for items without a grant subtract CONNECTION_COST, one request on 8 slots. A counter troutswitch_engine_connections_used has new and reused connections by kind.

--- a/src/troutswitch/daemons/datagram.py
+++ b/src/troutswitch/daemons/datagram.py
@@ -7,11 +7,15 @@
 import cbor2
 import msgspec
 
-from troutswitch.daemons.messages import PeerMessage, QuotaDecision, SlotReply
+from troutswitch.daemons.messages import PeerMessage, QueuedSlotRequest, QuotaDecision, SlotReply
 
 VERSION = 8
 """Version of the protocol. Daemons ignore datagrams of other versions."""
-OMITTED_DEFAULTS: dict[type, object] = {QuotaDecision: True, SlotReply: False}
+OMITTED_DEFAULTS: dict[type, object] = {
+    QuotaDecision: True,
+    SlotReply: False,
+    QueuedSlotRequest: (),
+}
 """Default of the last field of messages that are encoded without it while it has its default. Such
 a field was added later, and the messages that do not use it keep their bytes."""
 _NOT_OMITTED = object()
@@ -24,7 +28,7 @@
 def encode(message: PeerMessage) -> bytes:
     """Returns the datagram for a message."""
     fields = msgspec.to_builtins(message)
-    if fields[-1] is OMITTED_DEFAULTS.get(type(message), _NOT_OMITTED):
+    if fields[-1] == OMITTED_DEFAULTS.get(type(message), _NOT_OMITTED):
         fields = fields[:-1]
     return cbor2.dumps([VERSION, fields])
 
--- a/src/troutswitch/daemons/messages.py
+++ b/src/troutswitch/daemons/messages.py
@@ -196,7 +196,8 @@
     the tenant, or the route for callers without a tenant, between which slots are shared fairly.
     `priority` 0 is the highest. A request that may not queue gets a slot now or none. `is_returned`
     is set if its caller was refused before, or if it was sent before. The other fields have the
-    same meaning as in `SlotRequest` and `PacedReport`.
+    same meaning as in `SlotRequest` and `PacedReport`. `connected` has the keys of engines to which
+    the daemon has an idle connection; it is encoded only when there are some.
     """
 
     report: HoldingsReport
@@ -211,6 +212,7 @@
     may_queue: bool
     excluded: tuple[int, ...] = ()
     is_returned: bool = False
+    connected: tuple[int, ...] = ()
 
 
 class SlotQueued(msgspec.Struct, frozen=True, array_like=True, tag="queued"):
--- a/src/troutswitch/decisions/forwarding/attempts.py
+++ b/src/troutswitch/decisions/forwarding/attempts.py
@@ -79,6 +79,7 @@
         """Records the end of the running attempt for its request and its engine."""
         failed = event.kind in (AttemptOutcome.CUT, AttemptOutcome.UNREACHABLE)
         self._end_at_engine(now, request, failed=failed)
+        self._engines.idle_connections.on_kept(now, request.engine_id, event.connection_seconds)
         if event.load is not None:
             self._engines.on_load(now, request.engine_id, event.load)
         if event.wrong_instance:
--- a/src/troutswitch/decisions/forwarding/engine_cost.py
+++ b/src/troutswitch/decisions/forwarding/engine_cost.py
@@ -37,6 +37,10 @@
 """Waiting prompt tokens that cost as much as if all slots of the engine were taken."""
 ZONE_PENALTY = 0.1
 """Cost that is added for an engine of another zone."""
+CONNECTION_COST = 0.125
+"""Cost that an idle connection to an engine of the same zone saves: a new one takes 1 ms and a
+round trip, and may hold a slot for a moment. It is the cost of one request on 8 slots of mean
+speed, so it decides only between engines that are nearly equal."""
 BATCH_WEIGHT = 0.2
 """Cost of a batch item relative to an online request; it is low as items are preempted
 immediately."""
--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -27,6 +27,7 @@
     mean_factor,
 )
 from troutswitch.decisions.forwarding.expired_entries import ExpiredEntries
+from troutswitch.decisions.forwarding.idle_connections import IdleConnections
 from troutswitch.decisions.forwarding.mean_tokens import MeanTokens
 from troutswitch.decisions.forwarding.types import EngineLoad, EngineRecord
 
@@ -55,6 +56,7 @@
     unusable_entries: dict[str, str] = field(default_factory=dict)
     """Why entries of the last list could not be used, by entry."""
     mean_tokens: MeanTokens = field(default_factory=MeanTokens)
+    idle_connections: IdleConnections = field(default_factory=IdleConnections)
     _own_paces: dict[str, PaceObservation] = field(default_factory=dict)
     """The newest pace that each engine reported to this daemon, until it is taken; newest last."""
     _paced_services: set[str] = field(default_factory=set)
@@ -90,6 +92,7 @@
         if before != after:
             self.list_changes += 1
         self._index()
+        self.idle_connections.forget(sorted(before - after))
         return sorted(after - before), sorted(before - after)
 
     def _restarted(self, missing: set[str], records: list[EngineRecord]) -> set[str]:
@@ -316,6 +319,16 @@
             if engine.mean_factor is not None
         )
 
+    def is_connected(self, now: float, engine: Engine, zone: str) -> bool:
+        """Returns whether an idle connection to an engine counts for a daemon in `zone`.
+
+        It does so in paced services, for engines of that zone: an engine elsewhere must not be
+        preferred to a near one for its connection, as bytes between zones cost more.
+        """
+        if engine.record.zone != zone or not self.is_paced(engine.record.service):
+            return False
+        return self.idle_connections.has(now, engine.record.engine_id)
+
     @property
     def paced_service_count(self) -> int:
         """Number of paced services."""
@@ -329,6 +342,7 @@
         """Counts a request that was sent to the engine."""
         engine = self.engines[engine_id]
         self.own_changes += 1
+        self.idle_connections.on_sent(engine_id)
         engine.prefill_tokens += size.prefill_tokens
         engine.sent_since_load += 1
         engine.tokens_in_flight += size.tokens
--- a/src/troutswitch/decisions/forwarding/messages.py
+++ b/src/troutswitch/decisions/forwarding/messages.py
@@ -61,7 +61,8 @@
     is the number of events delivered. `status` is the HTTP status of the answer, or 0 without one.
     `has_answer` is set if the relay has a complete answer of the engine that can be relayed
     unchanged, `wrong_instance` if another incarnation answered at the engine's address.
-    `longest_gap` is the longest pause between events.
+    `longest_gap` is the longest pause between events. `connection_seconds` is how long its
+    connection may be reused, 0 if it was closed.
     """
 
     token: int
@@ -76,6 +77,7 @@
     wrong_instance: bool = False
     has_answer: bool = False
     longest_gap: float = 0.0
+    connection_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/forwarding/placement.py
+++ b/src/troutswitch/decisions/forwarding/placement.py
@@ -22,6 +22,7 @@
 """
 
 import random
+from collections.abc import Callable
 from typing import Protocol
 
 from troutswitch.decisions.forwarding.engine import Engine
@@ -133,14 +134,26 @@
         )
 
 
+def _none(now: float, engine: Engine) -> float:
+    """Returns 0, the saving where idle connections do not count."""
+    return 0.0
+
+
 class TwoChoices:
     """Chooses the better of two random engines, of this daemon's zone if it has two.
 
     It is meant for old counts, with which all daemons would choose the same best engine.
+
+    Args:
+        speed: how the speed of engines counts; without it, it does not.
+        saving: returns how much less an engine costs because of an idle connection to it.
     """
 
-    def __init__(self, speed: SpeedPolicy | None = None) -> None:
+    def __init__(
+        self, speed: SpeedPolicy | None = None, saving: Callable[[float, Engine], float] = _none
+    ) -> None:
         self._speed = speed or IgnoredSpeed()
+        self._saving = saving
 
     def choose(
         self,
@@ -155,7 +168,12 @@
         pool = near if len(near) >= RANDOM_CHOICES else candidates
         drawn = rng.sample(pool, min(RANDOM_CHOICES, len(pool)))
         factors = self._speed.factors(now, candidates)
-        return min(drawn, key=lambda engine: self._speed.cost(now, engine, zone, factors))
+        return min(
+            drawn,
+            key=lambda engine: (
+                self._speed.cost(now, engine, zone, factors) - self._saving(now, engine)
+            ),
+        )
 
 
 class LongPromptHomes:
--- a/src/troutswitch/decisions/jobs/engine_choice.py
+++ b/src/troutswitch/decisions/jobs/engine_choice.py
@@ -6,8 +6,9 @@
 
 The rule: candidates are the engines of the item's service that have a free slot by the capacity
 policy, cache space for the item, and no recent rejection or failure. The engine with the lowest
-cost is chosen, by load and zone (`batch_cost`). In one round a daemon uses only its own share of
-the free slots.
+cost is chosen, by load and zone (`batch_cost`). In paced services, an idle connection to an engine
+of this zone saves `CONNECTION_COST`. In one round a daemon uses only its own share of the free
+slots.
 
 Why: without a coordinator all daemons see the same free slots at the same time. The shares keep
 them from filling each slot several times, and the noise in the cost keeps them from choosing the
@@ -18,6 +19,7 @@
 from collections.abc import Callable
 
 from troutswitch.decisions.forwarding.engine import Engine
+from troutswitch.decisions.forwarding.engine_cost import CONNECTION_COST
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.placement import batch_cost
 from troutswitch.decisions.forwarding.routes import RouteTable, choose_service
@@ -114,7 +116,10 @@
         return peer_tokens(engine, means.online or tokens, means.batch or tokens)
 
     def _cost(self, now: float, engine: Engine) -> float:
-        return batch_cost(now, engine, self._zone) + CHOICE_NOISE * self._rng.random()
+        cost = batch_cost(now, engine, self._zone) + CHOICE_NOISE * self._rng.random()
+        return cost - (
+            CONNECTION_COST if self._engines.is_connected(now, engine, self._zone) else 0.0
+        )
 
     def _cache_tokens(self, service: str) -> int:
         configuration = self._routes.configuration
--- a/src/troutswitch/decisions/jobs/messages.py
+++ b/src/troutswitch/decisions/jobs/messages.py
@@ -100,6 +100,7 @@
     `events` are those not reported by an `ItemProgressed`. `status` is the HTTP status of the
     response, 0 if there was none. `load` is the load that the engine reported in the response, if
     any. `wrong_instance` is set if another engine instance answered at the address.
+    `connection_seconds` is how long the connection may be reused, 0 if it was closed.
     """
 
     run: int
@@ -109,6 +110,7 @@
     events: tuple[OutputEvent, ...]
     load: EngineLoad | None = None
     wrong_instance: bool = False
+    connection_seconds: float = 0.0
 
 
 # Instructions.
--- a/src/troutswitch/decisions/jobs/runs.py
+++ b/src/troutswitch/decisions/jobs/runs.py
@@ -154,6 +154,7 @@
             self._engines.on_ended(
                 now, run.engine_id, True, run.size, begun=run.has_first_token, failed=failed
             )
+        self._engines.idle_connections.on_kept(now, run.engine_id, event.connection_seconds)
         if event.load is not None:
             self._engines.on_load(now, run.engine_id, event.load)
         if event.wrong_instance:
--- a/src/troutswitch/decisions/slots/fleet.py
+++ b/src/troutswitch/decisions/slots/fleet.py
@@ -123,6 +123,7 @@
         request_numbers = itertools.count(1)
         queued = QueuedRequests(
             identity,
+            self.groups,
             self.claims,
             self.queueing,
             self.coordinator,
--- a/src/troutswitch/decisions/slots/local_placement.py
+++ b/src/troutswitch/decisions/slots/local_placement.py
@@ -10,7 +10,7 @@
    regardless of the coordinators' counts.
 2. If no coordinator is known, or none replies in time, the better of two randomly drawn engines is
    chosen, preferably in this daemon's zone (`TwoChoices`), with this daemon's own readings of the
-   engines' pace. If the request may no longer be sent to
+   engines' pace and idle connections. If the request may no longer be sent to
    any of its engines, the two are drawn from all usable engines of its service.
 3. If there is no such engine, the request ends with `NoEngine`.
 
@@ -21,12 +21,14 @@
 uses no coordinators at all (policy `own_counts`) decides in `forwarding/placer.py` instead.
 """
 
+import itertools
 import random
+from collections.abc import Callable
 from typing import Protocol
 
 from troutswitch.daemons.messages import engine_key
 from troutswitch.decisions.forwarding.engine import Engine
-from troutswitch.decisions.forwarding.engine_cost import SpeedPolicy
+from troutswitch.decisions.forwarding.engine_cost import CONNECTION_COST, SpeedPolicy
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.placement import HomePolicy, TwoChoices
 from troutswitch.decisions.forwarding.placer import (
@@ -36,6 +38,10 @@
     PlacementRequest,
 )
 
+MAX_CONNECTED_KEYS = 8
+"""Most engines with idle connections that a request names, 5 bytes each: enough that one of them is
+among the engines of lowest cost, and a small part of a datagram."""
+
 
 class RequestCandidates(Protocol):
     """Provides the engines to which a request may still be sent."""
@@ -62,7 +68,10 @@
         self._requests = requests
         self._homes = homes
         self._rng = rng
-        self._fallback = TwoChoices(speed)
+        self._fallback = TwoChoices(speed, self._connection_saving)
+
+    def _connection_saving(self, now: float, engine: Engine) -> float:
+        return CONNECTION_COST if self._engines.is_connected(now, engine, self._zone) else 0.0
 
     def home(
         self, now: float, request: PlacementRequest, candidates: list[Engine]
@@ -87,6 +96,21 @@
         allowed = self._requests.candidates(now, token)
         return engine if engine is not None and engine in allowed else None
 
+    def connected_keys(self, now: float, is_member: Callable[[str], bool]) -> tuple[int, ...]:
+        """Returns the keys of some engines of a group to which idle connections count.
+
+        These are the ones whose connections may be reused for longest, as they were used last.
+        """
+        known = map(self._engines.engines.get, self._engines.idle_connections.newest(now))
+        names = (
+            engine.record.engine_id
+            for engine in known
+            if engine is not None
+            and is_member(engine.record.engine_id)
+            and self._engines.is_connected(now, engine, self._zone)
+        )
+        return tuple(sorted(map(engine_key, itertools.islice(names, MAX_CONNECTED_KEYS))))
+
     def excluded_keys(self, now: float, token: int, engines: list[Engine]) -> frozenset[int]:
         """Returns the keys of those `engines` to which a request may not be sent."""
         allowed = {e.record.engine_id for e in self._requests.candidates(now, token)}
--- a/src/troutswitch/decisions/slots/queue_coordinator.py
+++ b/src/troutswitch/decisions/slots/queue_coordinator.py
@@ -337,7 +337,9 @@
         return self._report_changes + self._engines.own_changes
 
     def _free_slot(self, now: float, state: _GroupQueue, entry: QueueEntry) -> SlotDecision | None:
-        query = SlotQuery(state.group, entry.zone, SHORT_WAIT_SECONDS, entry.excluded)
+        query = SlotQuery(
+            state.group, entry.zone, SHORT_WAIT_SECONDS, entry.excluded, entry.connected
+        )
         decision = self._coordinator.decide(now, query)
         if decision.engine is not None:
             return decision
@@ -527,4 +529,5 @@
         request.report.zone,
         request.prefill_units,
         frozenset(request.excluded),
+        frozenset(request.connected),
     )
--- a/src/troutswitch/decisions/slots/queued_requests.py
+++ b/src/troutswitch/decisions/slots/queued_requests.py
@@ -55,7 +55,7 @@
 from troutswitch.decisions.slots.coordinator import SlotCoordinator
 from troutswitch.decisions.slots.coordinator_claims import Claim, CoordinatorClaims
 from troutswitch.decisions.slots.group_search import GroupSearch
-from troutswitch.decisions.slots.groups import Group
+from troutswitch.decisions.slots.groups import EngineGroups, Group
 from troutswitch.decisions.slots.local_placement import LocalPlacement
 from troutswitch.decisions.slots.messages import SendToPeers, SlotInstruction
 from troutswitch.decisions.slots.queue_coordinator import QueueAnswer, QueueCoordinator
@@ -142,6 +142,7 @@
     def __init__(
         self,
         identity: DaemonIdentity,
+        groups: EngineGroups,
         claims: CoordinatorClaims,
         queueing: QueueingCoordinators,
         coordinator: SlotCoordinator,
@@ -152,6 +153,7 @@
         emit: Callable[[SlotInstruction], None],
     ) -> None:
         self._identity = identity
+        self._groups = groups
         self._claims = claims
         self._queueing = queueing
         self._coordinator = coordinator
@@ -287,12 +289,19 @@
             self._identity.zone,
             prefill_units(request.search.request.prompt.prompt_tokens),
             self._excluded(now, request),
+            frozenset(self._connected(now, request)),
         )
 
     def _excluded(self, now: float, request: _OpenRequest) -> frozenset[int]:
         engines = self._coordinator.engines_of(request.group.name)
         return self._local.excluded_keys(now, request.token, engines)
 
+    def _connected(self, now: float, request: _OpenRequest) -> tuple[int, ...]:
+        """Returns the keys of engines of the group to which this daemon has idle connections."""
+        return self._local.connected_keys(
+            now, lambda engine_id: self._groups.of_engine(engine_id) == request.group
+        )
+
     # Messages to a coordinator.
 
     def _send(self, now: float, request: _OpenRequest) -> None:
@@ -318,6 +327,7 @@
             request.may_queue,
             tuple(sorted(self._excluded(now, request))),
             terms.is_returned,
+            self._connected(now, request),
         )
         self._emit(SendToPeers((request.claim.address,), message))
 
--- a/src/troutswitch/decisions/slots/slot_choice.py
+++ b/src/troutswitch/decisions/slots/slot_choice.py
@@ -15,7 +15,8 @@
    random. The cost is the share of the engine's slots that online requests use, with additions for
    another zone, for prompt tokens that are still to be processed, and for having no free slot.
    Where engines are known to differ in speed, the policy `speed` determines the cost
-   (`forwarding/engine_cost.py`).
+   (`forwarding/engine_cost.py`). An engine to which the daemon of the request has an idle
+   connection costs `CONNECTION_COST` less.
 3. If the wait for a slot at that engine is longer than the request accepts, the request gets none.
 
 Where engines are known to differ in speed, an engine whose slots all have online requests comes
@@ -44,6 +45,7 @@
 from troutswitch.daemons.messages import engine_key
 from troutswitch.decisions.forwarding.engine import Engine
 from troutswitch.decisions.forwarding.engine_cost import (
+    CONNECTION_COST,
     IgnoredSpeed,
     RelativeFactors,
     SpeedPolicy,
@@ -80,13 +82,15 @@
     """An online request of this daemon or a peer that needs a slot.
 
     `zone` is the zone of the daemon that has the request. `max_wait` is in seconds. `excluded` has
-    the keys of engines to which the request may not be sent.
+    the keys of engines to which the request may not be sent, `connected` those of
+    its daemon's zone to which it has an idle connection.
     """
 
     group: Group
     zone: str
     max_wait: float
     excluded: frozenset[int]
+    connected: frozenset[int] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,7 +124,10 @@
         factors = self._speed.factors(now, engines)
         if factors:
             return self._choose_by_speed(now, query, candidates, factors)
-        costs = {e.record.engine_id: _cost(now, e, query.zone) for e in candidates}
+        costs = {
+            e.record.engine_id: _cost(now, e, query.zone) - _connection_saving(query, e)
+            for e in candidates
+        }
         engine = min(candidates, key=lambda e: (costs[e.record.engine_id], self._rng.random()))
         estimate = slot_wait(now, engine, self._times.of(query.group.service))
         if estimate.wait > query.max_wait:
@@ -134,7 +141,7 @@
         times = self._times.of(query.group.service)
         acceptable: SlotDecision | None = None
         best: WaitEstimate | None = None
-        for engine in self._in_order(now, query.zone, candidates, factors):
+        for engine in self._in_order(now, query, candidates, factors):
             factor = factors.get(engine.record.engine_id, 1.0)
             if best is not None and least_wait(engine, times, factor) > query.max_wait:
                 continue
@@ -149,7 +156,7 @@
         return acceptable or SlotDecision(None, best or NO_WAIT)
 
     def _in_order(
-        self, now: float, zone: str, candidates: list[Engine], factors: RelativeFactors
+        self, now: float, query: SlotQuery, candidates: list[Engine], factors: RelativeFactors
     ) -> list[Engine]:
         """Returns the engines by queue and cost, and after them those that are too slow."""
         known = [factors.get(engine.record.engine_id, 1.0) for engine in candidates]
@@ -161,7 +168,8 @@
         keys: list[tuple[bool, bool, float, float, int]] = []
         for index, engine in enumerate(candidates):
             is_last = known[index] >= slow_factor or known[index] > max_factor
-            cost = self._speed.cost(now, engine, zone, factors)
+            cost = self._speed.cost(now, engine, query.zone, factors)
+            cost -= _connection_saving(query, engine)
             is_queued = False
             if full[index]:
                 is_queued = engine.online_load(now) >= engine.slots
@@ -186,6 +194,12 @@
     return queue_cost(now, engine, zone) + (NO_FREE_SLOT_COST if is_full else 0.0)
 
 
+def _connection_saving(query: SlotQuery, engine: Engine) -> float:
+    """Returns how much less an engine costs because the request needs no new connection there."""
+    is_connected = query.connected and engine_key(engine.record.engine_id) in query.connected
+    return CONNECTION_COST if is_connected else 0.0
+
+
 def _slow_factor(factors: list[float]) -> float:
     """Returns the factor from which on an engine is slower by `SLOW_RATIO` than the others' mean.
 
--- a/src/troutswitch/decisions/slots/slot_queue.py
+++ b/src/troutswitch/decisions/slots/slot_queue.py
@@ -69,7 +69,8 @@
 
     `objective_at` is the latest time of a slot with which it meets its objective, `expires_at` the
     time after which a slot is of no use to it. `is_returned` is set for a caller that was refused
-    before. `confirmed_at` is when its daemon last sent it.
+    before. `connected` has the keys of engines to which its daemon had an idle connection when it
+    arrived. `confirmed_at` is when its daemon last sent it.
     """
 
     key: EntryKey
@@ -82,6 +83,7 @@
     zone: str = ""
     prefill_units: int = 0
     excluded: frozenset[int] = frozenset()
+    connected: frozenset[int] = frozenset()
     confirmed_at: float = field(init=False)
 
     def __post_init__(self) -> None:
--- a/src/troutswitch/gateway/callers/relay.py
+++ b/src/troutswitch/gateway/callers/relay.py
@@ -78,6 +78,8 @@
     _delivered: int = 0
     _is_completed: bool = False
     _longest_gap: float = 0.0
+    _attempt_exchange: Exchange | None = None
+    """The exchange of the newest attempt, if it was sent."""
 
     def run(self) -> Iterator[bytes]:
         """Yields the response's bytes; `head` is set before the first, `finish` after the last.
@@ -123,6 +125,7 @@
         If the process was suspended between the decision and the sending, the time limit computed
         by the loop would let the engine run for seconds after the caller's deadline.
         """
+        self._attempt_exchange = None
         delay = max(0.0, steady_seconds() - decided.decided_at)
         time_left = decided.time_left - delay
         directive = replace(decided, time_left=time_left)
@@ -140,6 +143,7 @@
             self._outgoing(directive),
             names.REQUEST_ID,
         )
+        self._attempt_exchange = exchange
         self.relays.begin_attempt(self.token, directive.attempt, exchange)
         try:
             yield from self._exchange(directive, exchange)
@@ -258,6 +262,7 @@
         """Reports the end of an attempt, unless it ended because the caller disconnected."""
         if self.relays.is_caller_gone(self.token):
             return
+        exchange = self._attempt_exchange
         self.post(
             RequestAttemptEnded(
                 self.token,
@@ -272,5 +277,6 @@
                 head is not None and head.is_wrong_instance,
                 has_answer,
                 self._longest_gap,
+                exchange.kept_seconds if exchange is not None else 0.0,
             )
         )
--- a/src/troutswitch/gateway/engines/connection_pool.py
+++ b/src/troutswitch/gateway/engines/connection_pool.py
@@ -8,6 +8,7 @@
 import threading
 from collections import deque
 from collections.abc import Callable
+from enum import StrEnum
 
 from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
@@ -15,34 +16,60 @@
 from troutswitch.gateway.engines.connection import EngineConnection
 
 
+class ConnectionUse(StrEnum):
+    """What a connection to an engine is used for, as a label of metrics."""
+
+    ONLINE = "online"
+    ITEMS = "items"
+
+
 def _ignore(engine_id: str, closed: int) -> None:
     """Ignores closed connections."""
 
 
+def _ignore_use(use: ConnectionUse, is_new: bool) -> None:
+    """Ignores the uses of connections."""
+
+
 class EngineConnections:
     """Idle connections by engine id.
 
     Args:
         on_suspects_closed: called with an engine's id and the number of its idle connections that
             were closed because another connection timed out.
+        on_acquired: called, on any thread, with the use of a connection and whether it is new.
     """
 
-    def __init__(self, on_suspects_closed: Callable[[str, int], None] = _ignore) -> None:
+    def __init__(
+        self,
+        on_suspects_closed: Callable[[str, int], None] = _ignore,
+        on_acquired: Callable[[ConnectionUse, bool], None] = _ignore_use,
+    ) -> None:
+        self._on_acquired = on_acquired
         self._on_suspects_closed = on_suspects_closed
         self._idle: dict[str, deque[EngineConnection]] = {}
         self._limits: dict[str, int] = {}
         """Limits by engine id; other engines have `MAX_IDLE_CONNECTIONS_PER_ENGINE`."""
         self._lock = threading.Lock()
 
-    def acquire(self, engine_id: str, address: Address, request_id: str) -> EngineConnection:
+    def acquire(
+        self,
+        engine_id: str,
+        address: Address,
+        request_id: str,
+        use: ConnectionUse = ConnectionUse.ONLINE,
+    ) -> EngineConnection:
         """Returns a reusable idle connection, or a new one that is not connected yet."""
+        connection = self._take_reusable(engine_id, request_id)
+        self._on_acquired(use, connection is None)
+        return connection or EngineConnection(address)
+
+    def _take_reusable(self, engine_id: str, request_id: str) -> EngineConnection | None:
         while True:
             with self._lock:
                 idle = self._idle.get(engine_id)
                 connection = idle.pop() if idle else None
-            if connection is None:
-                return EngineConnection(address)
-            if connection.is_reusable(request_id):
+            if connection is None or connection.is_reusable(request_id):
                 return connection
             connection.close()
 
--- a/src/troutswitch/gateway/engines/exchange.py
+++ b/src/troutswitch/gateway/engines/exchange.py
@@ -14,7 +14,7 @@
 from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
 from troutswitch.gateway.engines.connection import READ_BYTES, EngineConnection, shut_down
-from troutswitch.gateway.engines.connection_pool import EngineConnections
+from troutswitch.gateway.engines.connection_pool import ConnectionUse, EngineConnections
 
 SUSPECT_SILENCE_SECONDS = 0.25
 """Minimum silence that makes other connections suspect. It is longer than the kernel's first
@@ -59,8 +59,11 @@
     address: Address
     request: OutgoingRequest
     id_header: str
+    use: ConnectionUse = ConnectionUse.ONLINE
     response: http.client.HTTPResponse | None = None
     is_aborted: bool = False
+    kept_seconds: float = 0.0
+    """How long the connection may be reused after it was returned to the pool, else 0."""
     last_seen_at: float = field(default_factory=steady_seconds)
     """Time at which the sending began or the last bytes of the response arrived, in seconds of the
     process's steady clock."""
@@ -94,7 +97,7 @@
 
     def _acquire_connection(self) -> EngineConnection:
         request_id = self.request.request_id
-        connection = self.connections.acquire(self.engine_id, self.address, request_id)
+        connection = self.connections.acquire(self.engine_id, self.address, request_id, self.use)
         connection.last_request_id = request_id
         with self._lock:
             self._connection = connection
@@ -184,6 +187,7 @@
             return
         with self._lock:
             self._connection = None
+        self.kept_seconds = connection.max_idle_seconds
         self.connections.release(self.engine_id, connection)
 
     def _lost(self, error: Exception) -> AnswerLost:
--- a/src/troutswitch/gateway/engines/item_runs.py
+++ b/src/troutswitch/gateway/engines/item_runs.py
@@ -7,7 +7,7 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import structlog
 
@@ -21,7 +21,7 @@
     RunItem,
     StopItem,
 )
-from troutswitch.gateway.engines.connection_pool import EngineConnections
+from troutswitch.gateway.engines.connection_pool import ConnectionUse, EngineConnections
 from troutswitch.gateway.engines.engine_activity import EngineActivityReporter
 from troutswitch.gateway.engines.event_stream import EventSplitter, EventStreamError
 from troutswitch.gateway.engines.exchange import (
@@ -95,7 +95,9 @@
         """Runs an item and posts its end, even after an unexpected error."""
         run = _ItemRun(instruction, self._post, self._engine_activity)
         try:
-            end_event = run.execute(self._open_exchange(instruction))
+            exchange = self._open_exchange(instruction)
+            end_event = run.execute(exchange)
+            end_event = replace(end_event, connection_seconds=exchange.kept_seconds)
         except Exception as error:
             self._logger.exception("item run failed")
             end_event = run.end_event(AttemptOutcome.CUT, f"{type(error).__name__}: {error}")
@@ -113,6 +115,7 @@
             instruction.address,
             _outgoing(instruction),
             names.REQUEST_ID,
+            ConnectionUse.ITEMS,
         )
         with self._lock:
             self._exchanges[instruction.run] = exchange
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -16,6 +16,7 @@
 from troutswitch.decisions.forwarding.routes import ConfigurationSource
 from troutswitch.decisions.gateway import GatewayCore
 from troutswitch.decisions.tenants.quota import Authority, QuotaWay
+from troutswitch.gateway.engines.connection_pool import ConnectionUse
 from troutswitch.gateway.memory.account import MemoryAccount
 from troutswitch.gateway.memory.pressure import Kind
 
@@ -80,6 +81,12 @@
         self._health_requests = self._counter(
             "health_requests", "Requests to engines' health paths, by result", "result"
         )
+        self._connections = self._counter(
+            "engine_connections_used",
+            "Connections to engines used for requests, by kind of request and whether new",
+            "kind",
+            "state",
+        )
         self._queued = self._counter(
             "queued_slot_requests",
             "Requests for slots in coordinators' queues, by what happened to them",
@@ -252,6 +259,10 @@
         """Counts a load header that could not be read; called on the threads that read answers."""
         self._unreadable_loads.inc()
 
+    def count_connection(self, use: ConnectionUse, is_new: bool) -> None:
+        """Counts a use of a connection to an engine; called on the threads that send requests."""
+        self._connections.labels(use.value, "new" if is_new else "reused").inc()
+
     def on_log_line(self, line: LogLine) -> None:
         """Updates the metrics from a log line of the core; called on the loop's thread."""
         self._events.labels(line.event).inc()
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -85,7 +85,10 @@
         events: queue.SimpleQueue[GatewayEvent] = queue.SimpleQueue()
         self._post: Callable[[GatewayEvent], None] = events.put
         self._relays = RelayRegistry(self._post)
-        self._connections = EngineConnections(self._on_suspect_connections)
+        self._connections = EngineConnections(
+            self._on_suspect_connections,
+            lambda use, is_new: self._metrics.count_connection(use, is_new),
+        )
         self._peers = PeerSocket(Address(settings.peer_host, settings.peer_ports[0]), self._post)
         self._engine_activity = EngineActivityReporter(
             self._post, lambda: self._metrics.count_unreadable_load()
--- a/tests/decisions/jobs/test_engine_choice.py
+++ b/tests/decisions/jobs/test_engine_choice.py
@@ -78,3 +78,17 @@
             registry.on_preempted(1.0, "a", NO_SIZE, begun=True)
         started += round_starts
     assert 2.3 < started / 400 < 2.7  # 10 free slots, shared by 4 daemons
+
+
+def test_item_prefers_an_engine_with_an_idle_connection_in_a_paced_service() -> None:
+    """Guards against a new connection for an item where an equal engine needs none."""
+    for is_paced in (False, True):
+        choice, registry = engine_choice()
+        registry.on_list(0.0, [engine(name, service="service", slots=12) for name in "ab"])
+        registry.idle_connections.on_kept(1.0, "b", 4.0)
+        if is_paced:
+            registry.on_pace(registry.engines["a"], 100, 1.0)
+        choice.begin_round()
+        chosen = [choice.choose(1.0, startable("job"), any_engine) for _ in range(30)]
+        names = {e.record.engine_id for e in chosen if e is not None}
+        assert names == ({"b"} if is_paced else {"a", "b"})
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -177,6 +177,11 @@
             is_returned=True,
         )
     ),
+    "queue for a place, connected": _peer_message_sample(
+        peer_messages.QueuedSlotRequest(
+            _SHORT_REPORT, (), 31, "s|z|0", 4, -1, 1500, "tenant", 2, False, connected=(41, 42)
+        )
+    ),
     "place in a queue": _peer_message_sample(
         peer_messages.SlotQueued(
             sender="d-2", incarnation=LARGE, number=31, group="s|z|0", position=43, wait_ms=44
--- a/tests/gateway/engines/test_connection_pool.py
+++ b/tests/gateway/engines/test_connection_pool.py
@@ -5,7 +5,7 @@
 from troutswitch.common import Address
 from troutswitch.decisions.idle_connections import MAX_IDLE_CONNECTIONS_PER_ENGINE
 from troutswitch.gateway.engines.connection import EngineConnection
-from troutswitch.gateway.engines.connection_pool import EngineConnections
+from troutswitch.gateway.engines.connection_pool import ConnectionUse, EngineConnections
 
 ADDRESS = Address("127.0.0.1", 1)
 
@@ -54,3 +54,14 @@
     pool.limit_idle({"a": 1})
     pool.limit_idle({})
     assert closed(fill(pool, "a", 7)) == [False] * 6 + [True]
+
+
+def test_new_and_reused_connections_are_counted_by_use() -> None:
+    """Without the counter, nothing told that every second request opened a connection."""
+    counted: list[tuple[str, bool]] = []
+    pool = EngineConnections(on_acquired=lambda use, is_new: counted.append((use, is_new)))
+    fill(pool, "a", 1)
+    pool.acquire("a", ADDRESS, "id", ConnectionUse.ITEMS)
+    pool.acquire("a", ADDRESS, "id", ConnectionUse.ITEMS)
+    pool.acquire("b", ADDRESS, "id")
+    assert counted == [("items", False), ("items", True), ("online", True)]
--- a/tests/gateway/engines/test_exchange.py
+++ b/tests/gateway/engines/test_exchange.py
@@ -120,6 +120,22 @@
     assert engine.connections == 1
 
 
+@pytest.mark.parametrize(
+    ("more", "seconds"),
+    [("", 4.0), ("Keep-Alive: timeout=5\r\n", 3.0), ("Connection: close\r\n", 0)],
+)
+def test_exchange_tells_how_long_its_connection_may_be_reused(
+    engine: ScriptedEngine, make: MakeExchange, more: str, seconds: float
+) -> None:
+    """The loop's estimate of idle connections depends on it."""
+    engine.answers = [head("1", more) + chunk(b"one") + b"0\r\n\r\n"]
+    exchange = make("1")
+    exchange.open(2.0)
+    assert exchange.kept_seconds == 0
+    exchange.body()
+    assert exchange.kept_seconds == seconds
+
+
 def test_surplus_response_before_the_expected_one_is_dropped(
     engine: ScriptedEngine, make: MakeExchange
 ) -> None:
