The estimate of idle connections drops engines that have left the list

Cause: an attempt that ended after its engine was removed entered the engine again, and nothing removed it any more.

Change: entries are dropped from the oldest on when their connections have expired; the call at a new list is not needed any more.

--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -92,7 +92,6 @@
         if before != after:
             self.list_changes += 1
         self._index()
-        self.idle_connections.forget(sorted(before - after))
         return sorted(after - before), sorted(before - after)
 
     def _restarted(self, missing: set[str], records: list[EngineRecord]) -> set[str]:
--- a/src/troutswitch/decisions/forwarding/idle_connections.py
+++ b/src/troutswitch/decisions/forwarding/idle_connections.py
@@ -28,6 +28,7 @@
         until = self._until.pop(engine_id, None) or deque(maxlen=MAX_COUNTED)
         until.append(now + seconds)
         self._until[engine_id] = until
+        self._drop_expired(now)
 
     def on_sent(self, engine_id: str) -> None:
         """Uncounts the connection that a request probably uses."""
@@ -44,7 +45,15 @@
         """Yields the engines with an idle connection, those that were used last first."""
         return (name for name in reversed(self._until) if self.has(now, name))
 
-    def forget(self, engine_ids: list[str]) -> None:
-        """Forgets engines that have left the list."""
-        for engine_id in engine_ids:
-            self._until.pop(engine_id, None)
+    def _drop_expired(self, now: float) -> None:
+        """Drops engines from the oldest on, also those that have left the list."""
+        while self._until:
+            oldest = next(iter(self._until))
+            if self.has(now, oldest):
+                break
+            del self._until[oldest]
+
+    @property
+    def engine_count(self) -> int:
+        """Number of engines for which something is kept."""
+        return len(self._until)
