One bound on retries over the fleet for paced services

Cause: each daemon started with 10 retries for each service, so 65 daemons could make 650 at once, and as many again when they restarted.

Change: for paced services the credit at the start and its maximum are a share of a fleet credit of 200 (forwarding/fleet_retry_credit.py), at most 10. A daemon that has not read the registry of daemons twice has no credit for up to 10 s; while the registry is not read, the largest known number of daemons counts. RetryBudget adds the difference when the start changes, so that retries taken count against the new start and changes of the fleet create no credit. The maximum is at least 1, or daemons of fleets above 200 could never retry; what exceeds the share there is earned.

--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -37,6 +37,7 @@
 from troutswitch.decisions.forwarding.engine_cost import SPEED_POLICIES
 from troutswitch.decisions.forwarding.engine_silence import is_engine_silent
 from troutswitch.decisions.forwarding.engines import EngineRegistry
+from troutswitch.decisions.forwarding.fleet_retry_credit import FleetRetryCredit
 from troutswitch.decisions.forwarding.learned_times import LearnedTimes
 from troutswitch.decisions.forwarding.log_events import (
     attempt_ended_line,
@@ -104,7 +105,8 @@
             self._attempts,
             LocalPlacer(zone, POLICIES[policy](self.speed), self.times, rng, self.speed),
         )
-        self._budget = RetryBudget()
+        self.retry_credit = FleetRetryCredit(engines.is_paced)
+        self._budget = RetryBudget(self.retry_credit.limits)
         self._check_silence_at = float("-inf")
 
     @property
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -252,7 +252,11 @@
         self.output.emit_all(calls)
         self._peer_messages.end_slot_searches(now, found)
         self.output.emit_all(self.peers.on_timer(now))
-        self.output.emit_all(self._idle_connections.update(1 + self.peers.count()))
+        daemons = 1 + self.peers.count()
+        self.output.emit_all(self._idle_connections.update(daemons))
+        self.requests.retry_credit.update(
+            now, daemons, is_current=self.peer_registry.is_current(now)
+        )
         self.output.emit_all(self.drain_notices.on_timer(now))
         self.output.emit_all(self.peer_registry.on_timer(now))
         self.output.emit_all(self._peer_state.on_timer(now))
--- a/src/troutswitch/decisions/limits.py
+++ b/src/troutswitch/decisions/limits.py
@@ -4,6 +4,7 @@
 use the budget.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 RETRY_CREDIT_PER_SUCCESS = 0.1
@@ -37,21 +38,58 @@
         return (1.0 - self.tokens) / rate if rate > 0 else 60.0
 
 
+@dataclass(frozen=True, slots=True)
+class CreditLimits:
+    """The credit with which a retry budget starts, and the most that it accumulates."""
+
+    start: float
+    maximum: float
+
+
+USUAL_CREDIT = CreditLimits(MAX_RETRY_CREDIT, MAX_RETRY_CREDIT)
+"""Limits of a budget that does not depend on the fleet."""
+
+
+def _usual_limits(service: str) -> CreditLimits:
+    """Returns the limits of services without others."""
+    return USUAL_CREDIT
+
+
 class RetryBudget:
-    """Allows retries as a share of recent successes, for each service."""
+    """Allows retries as a share of recent successes, for each service.
+
+    If the credit at the start changes, the difference is added, so that the retries that were taken
+    count against the new start too, and no change of it creates credit.
 
-    def __init__(self) -> None:
+    Args:
+        limits: returns the present limits of a service's budget.
+    """
+
+    def __init__(self, limits: Callable[[str], CreditLimits] = _usual_limits) -> None:
+        self._limits = limits
         self._credit: dict[str, float] = {}
+        self._starts: dict[str, float] = {}
+        """The credit at the start that is contained in the present one, by service."""
 
     def on_success(self, service: str) -> None:
         """Records that a request succeeded."""
-        credit = self._credit.get(service, MAX_RETRY_CREDIT) + RETRY_CREDIT_PER_SUCCESS
-        self._credit[service] = min(credit, MAX_RETRY_CREDIT)
+        credit = self._present_credit(service) + RETRY_CREDIT_PER_SUCCESS
+        self._credit[service] = min(credit, self._limits(service).maximum)
 
     def take(self, service: str) -> bool:
         """Takes one retry; returns whether there was credit for it."""
-        credit = self._credit.get(service, MAX_RETRY_CREDIT)
+        credit = self._present_credit(service)
         if credit < 1.0:
             return False
         self._credit[service] = credit - 1.0
         return True
+
+    def _present_credit(self, service: str) -> float:
+        limits = self._limits(service)
+        credit = self._credit.get(service, limits.start)
+        former_start = self._starts.get(service, limits.start)
+        if former_start != limits.start:
+            credit += limits.start - former_start
+        credit = min(credit, limits.maximum)
+        self._credit[service], self._starts[service] = credit, limits.start
+        return credit
--- a/src/troutswitch/decisions/peers/peer_registry.py
+++ b/src/troutswitch/decisions/peers/peer_registry.py
@@ -31,6 +31,8 @@
 """Interval between the first reads, while other daemons may be starting too."""
 READ_INTERVAL_SECONDS = 10.0
 """Interval between later reads."""
+MAX_READ_AGE_SECONDS = 3 * READ_INTERVAL_SECONDS
+"""Age of the last successful read up to which the registry counts as current: two lost reads."""
 INITIAL_READS = 2
 """Successful reads before the longer interval applies. A daemon that starts while the store is
 unreachable knows no peer until a read succeeds."""
@@ -84,6 +86,15 @@
         self._write_call = 0
         self._last_written = LearnedTimes()
         self._successful_reads = 0
+        self._read_at = float("-inf")
+
+    def is_current(self, now: float) -> bool:
+        """Returns whether the registry was read lately, and often enough after the start.
+
+        Daemons that start together find each other with the second read.
+        """
+        is_recent = now - self._read_at <= MAX_READ_AGE_SECONDS
+        return is_recent and self._successful_reads >= INITIAL_READS
 
     def next_due(self) -> float:
         """Returns when `on_timer` has something to do."""
@@ -136,6 +147,7 @@
             self._next_read_at = now + INITIAL_READ_INTERVAL_SECONDS
             return
         self._successful_reads += 1
+        self._read_at = now
         if self._successful_reads == 1:
             # The entry of this daemon's previous incarnation must be read before it is replaced.
             self._next_write_at = min(self._next_write_at, now)
--- a/tests/decisions/peers/test_peer_registry.py
+++ b/tests/decisions/peers/test_peer_registry.py
@@ -12,6 +12,7 @@
 from troutswitch.decisions.forwarding.requests import ForwardedRequests
 from troutswitch.decisions.peers.peer_registry import (
     INITIAL_READ_INTERVAL_SECONDS,
+    MAX_READ_AGE_SECONDS,
     MIN_LEARNED_TIMES_INTERVAL_SECONDS,
     WRITE_RETRY_PAUSE_SECONDS,
     PeerRegistry,
@@ -176,3 +177,18 @@
     harness.end(1.0, sent, AttemptOutcome.COMPLETED, delivered=31)
     harness.requests.merge(KNOWN)
     assert harness.requests.learned_times().times["s"] == (100, 1000)
+
+
+def test_registry_is_current_after_two_reads_until_they_are_old() -> None:
+    """Daemons that start together read an empty registry first, and would count as one daemon."""
+    harness = RegistryHarness()
+    now = 0.0
+    for expected in (False, True):
+        read = harness.next_read(now)
+        assert read is not None
+        harness.peer_registry.on_answer(now, read.call, NewestPage((), False, 0))
+        assert harness.peer_registry.is_current(now) == expected
+        now += INITIAL_READ_INTERVAL_SECONDS
+    last_read_at = now - INITIAL_READ_INTERVAL_SECONDS
+    assert harness.peer_registry.is_current(last_read_at + MAX_READ_AGE_SECONDS)
+    assert not harness.peer_registry.is_current(last_read_at + MAX_READ_AGE_SECONDS + 0.1)
--- a/tests/decisions/test_gateway.py
+++ b/tests/decisions/test_gateway.py
@@ -5,13 +5,16 @@
 import pytest
 
 from tests.simulation.fleet import Daemon, SimulatedFleet
+from tests.simulation.plain_formats import SERVICE
 from troutswitch.common import Address
 from troutswitch.decisions.active_configuration import CONFIGURATION_WAIT_SHARE
 from troutswitch.decisions.engine_membership import ENGINE_LIST_SHARE
+from troutswitch.decisions.forwarding.fleet_retry_credit import FLEET_RETRY_CREDIT
 from troutswitch.decisions.forwarding.messages import LogLine
 from troutswitch.decisions.gateway_interface import GatewayEvent, GatewayInstruction
-from troutswitch.decisions.gateway_messages import BoundsChanged, TimerFired
+from troutswitch.decisions.gateway_messages import BoundsChanged, IdleConnectionsLimited, TimerFired
 from troutswitch.decisions.jobs.messages import ItemBegun
+from troutswitch.decisions.limits import USUAL_CREDIT
 from troutswitch.decisions.peers.heartbeats import Peer
 from troutswitch.decisions.read_intervals import READS_SHARE
 from troutswitch.decisions.slots.messages import HealthAnswered, HealthResult
@@ -79,6 +82,19 @@
     assert core.jobs.replicas.index_follower.min_interval == core.membership.reader.min_interval
 
 
+def test_size_of_the_fleet_limits_idle_connections_and_retries_of_a_paced_service() -> None:
+    fleet = SimulatedFleet(1)
+    fleet.run(START_SECONDS)
+    core = next(iter(fleet.daemons.values())).core
+    assert core.requests.retry_credit.limits(SERVICE) == USUAL_CREDIT
+    core.peers.peers = {f"p-{n}": Peer(Address("10.0.9.9", 7), "z", 0.0) for n in range(64)}
+    name = min(core.engines.engines)
+    instructions = core.step(START_SECONDS, HealthAnswered(name, HealthResult.PACE, 120))
+    assert core.requests.retry_credit.limits(SERVICE).start == FLEET_RETRY_CREDIT / 65
+    (limited,) = [i for i in instructions if isinstance(i, IdleConnectionsLimited)]
+    assert {engine_id for engine_id, _ in limited.limits} == set(core.engines.engines)
+
+
 def test_health_answer_updates_the_engine_and_is_logged() -> None:
     fleet = SimulatedFleet(1)
     fleet.run(START_SECONDS)
