--- a/src/troutswitch/decisions/forwarding/fleet_retry_credit.py
+++ b/src/troutswitch/decisions/forwarding/fleet_retry_credit.py
@@ -20,7 +20,7 @@
 FLEET_RETRY_CREDIT = 200.0
 """Retry credit of all daemons together. If 5 engines with 8 slots crash at once, 40 requests are
 spread over the daemons by chance. With a share of 3 at 65 daemons, nearly every one of them finds
-credit where it is; with the mean of 40 / 65, four in ten would not."""
+credit at its daemon; with a share of 1, a quarter would not."""
 UNKNOWN_FLEET_SECONDS = 10.0
 """Time after its start for which a daemon that can't read the registry has no credit. It receives
 some 4 heartbeats a second, so it has then heard from about half of a fleet of 65."""
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -253,7 +253,11 @@
         self._peer_messages.end_slot_searches(now, found)
         self.output.emit_all(self.peers.on_timer(now))
         daemons = 1 + self.peers.count()
-        self.output.emit_all(self._idle_connections.update(daemons))
+        for limited in self._idle_connections.update(daemons):
+            self._emit(limited)
+            fewest = min((limit for _, limit in limited.limits), default=None)
+            engines = len(limited.limits)
+            self._log("idle connections limited", daemons=daemons, engines=engines, fewest=fewest)
         self.requests.retry_credit.update(
             now, daemons, is_current=self.peer_registry.is_current(now)
         )
--- a/tests/decisions/test_gateway.py
+++ b/tests/decisions/test_gateway.py
@@ -93,6 +93,10 @@
     assert core.requests.retry_credit.limits(SERVICE).start == FLEET_RETRY_CREDIT / 65
     (limited,) = [i for i in instructions if isinstance(i, IdleConnectionsLimited)]
     assert {engine_id for engine_id, _ in limited.limits} == set(core.engines.engines)
+    lines = [i for i in instructions if isinstance(i, LogLine)]
+    (line,) = [i for i in lines if i.event == "idle connections limited"]
+    assert line.fields["daemons"] == 65
+    assert line.fields["engines"] == len(core.engines.engines)
 
 
 def test_health_answer_updates_the_engine_and_is_logged() -> None:
