--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -252,6 +252,15 @@
         self.output.emit_all(calls)
         self._peer_messages.end_slot_searches(now, found)
         self.output.emit_all(self.peers.on_timer(now))
+        daemons = 1 + self.peers.count()
+        for limited in self._idle_connections.update(daemons):
+            self._emit(limited)
+            fewest = min((limit for _, limit in limited.limits), default=None)
+            engines = len(limited.limits)
+            self._log("idle connections limited", daemons=daemons, engines=engines, fewest=fewest)
+        self.requests.retry_credit.update(
+            now, daemons, is_current=self.peer_registry.is_current(now)
+        )
         self.output.emit_all(self.drain_notices.on_timer(now))
         self.output.emit_all(self.peer_registry.on_timer(now))
         self.output.emit_all(self._peer_state.on_timer(now))
