Stand-in engine of the soak reports a pace and takes as long as it says

Cause: the soak covered no paced service, as its stand-in engine reported no load and had no health path. Change: ModelEngine takes a pace (own speed, episodes of 2.5 times from the seed). Its answers and its health path then report running, waiting, slots and pace. Without a pace it answers as before, and the encoded configuration has a health path only if one is given. Marked requests get an answer of 1 MiB.

--- a/src/troutswitch/cli/standin.py
+++ b/src/troutswitch/cli/standin.py
@@ -15,6 +15,7 @@
 from troutswitch.standalone.standins.engine_model import EngineSpec
 from troutswitch.standalone.standins.platform import PlatformStandin
 from troutswitch.standins.model_engine import ModelEngine
+from troutswitch.standins.pace import Pace
 
 MAX_REGISTER_ATTEMPTS = 50
 """Maximum attempts to register while the platform starts."""
@@ -97,11 +98,14 @@
     "--seed",
     default=0,
     show_default=True,
-    help="Seed of the random faults.",
+    help="Seed of the random faults and of the pace.",
 )
-def server(address: str, engine_id: str, journal: Path, seed: int) -> None:
+@click.option("--pace", default=0, help="Own speed in percent of the usual time; 0 reports none.")
+@click.option("--slots", default=0, help="Slots that are reported with a pace.")
+def server(address: str, engine_id: str, journal: Path, seed: int, pace: int, slots: int) -> None:
     """Run an engine of the users' protocol that records its requests in a journal."""
-    model_engine = ModelEngine(parse_address(address), engine_id, journal, seed)
+    own_pace = Pace(pace, seed) if pace > 0 else None
+    model_engine = ModelEngine(parse_address(address), engine_id, journal, seed, own_pace, slots)
     click.echo(f"engine {engine_id} on {model_engine.address}", err=True)
     wait_for_signal()
 
--- a/src/troutswitch/platform/stand_in_forms.py
+++ b/src/troutswitch/platform/stand_in_forms.py
@@ -76,6 +76,7 @@
     routes: Sequence[RouteSpec],
     limits: RouteLimitsSpec,
     tenants: Sequence[TenantSpec] = (),
+    health_path: str = "",
 ) -> bytes:
     """Encodes a configuration; without tenants it requires no API keys."""
     shared = {
@@ -99,9 +100,15 @@
         }
         for route in routes
     ]
-    services = [{"name": service, "maxConnections": 200, "engine": {"slots": slots}}]
+    service_row: dict[str, object] = {
+        "name": service,
+        "maxConnections": 200,
+        "engine": {"slots": slots},
+    }
+    if health_path:
+        service_row["healthPath"] = health_path
     sizes = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304}
-    record = {"version": version, "routes": rows, "services": services, "limits": sizes}
+    record = {"version": version, "routes": rows, "services": [service_row], "limits": sizes}
     if tenants:
         record["tenants"] = [_tenant_row(tenant) for tenant in tenants]
     return json.dumps(record).encode()
--- a/src/troutswitch/standins/content.py
+++ b/src/troutswitch/standins/content.py
@@ -12,6 +12,12 @@
 """Maximum units of 64 bytes in a plain answer: up to 25 KB, which takes several socket reads."""
 
 
+LARGE_ANSWER_PREFIX = b"this request has a large answer "
+"""Prefix of the body of a request whose plain answer has `LARGE_ANSWER_UNITS`."""
+LARGE_ANSWER_UNITS = 16_384
+"""Units of 64 bytes of a large answer: 1 MiB, like the largest answers of the load."""
+
+
 def digest(data: bytes) -> str:
     """Returns a short digest of a body."""
     return hashlib.blake2b(data, digest_size=12).hexdigest()
@@ -20,6 +26,8 @@
 def plain_answer(request_id: str, body: bytes) -> bytes:
     """Returns the complete body of a plain answer."""
     unit = hashlib.sha256(request_id.encode() + b"\n" + body).hexdigest()
+    if body.startswith(LARGE_ANSWER_PREFIX):
+        return unit.encode() * LARGE_ANSWER_UNITS
     return (unit * (1 + int(unit[:4], 16) % MAX_BODY_UNITS)).encode()
 
 
--- a/src/troutswitch/standins/model_engine.py
+++ b/src/troutswitch/standins/model_engine.py
@@ -10,6 +10,8 @@
 import random
 import threading
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 from typing import IO, Any
@@ -18,8 +20,10 @@
 from troutswitch.platform import names
 from troutswitch.standins.content import digest, event_bytes, plain_answer
 from troutswitch.standins.loopback import LoopbackHandler, LoopbackServer
+from troutswitch.standins.pace import Pace
 
 BEHAVIOUR_PATH = "/behaviour"
+HEALTH_PATH = "/health"
 CRASHING_BODY_PREFIX = b"this request ends its server "
 """Prefix of the body of a request that crashes the engine after it has begun to run."""
 CRASH_EXIT_CODE = 86
@@ -46,10 +50,26 @@
 
 
 class ModelEngine:
-    """Answers requests over HTTP and records them in its journal."""
-
-    def __init__(self, address: Address, engine_id: str, journal: Path, seed: int) -> None:
+    """Answers requests over HTTP and records them in its journal.
+
+    With a pace, its work takes as long as the pace says, and its answers report its load with the
+    pace as fourth figure. Without a pace they report no load.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        engine_id: str,
+        journal: Path,
+        seed: int,
+        pace: Pace | None = None,
+        slots: int = 0,
+    ) -> None:
         self.engine_id = engine_id
+        self.pace = pace
+        self.slots = slots
+        self._running = 0
+        self._started_at = time.monotonic()
         self.behaviour = Behaviour()
         self.random = random.Random(seed)
         self._journal: IO[str] = journal.open("a", buffering=1)
@@ -70,6 +90,35 @@
         self.write_journal("ended under", request_id, path=path)
         os._exit(CRASH_EXIT_CODE)
 
+    @contextmanager
+    def counted_run(self) -> Iterator[None]:
+        """Counts a request as running."""
+        with self._lock:
+            self._running += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._running -= 1
+
+    def load_headers(self) -> dict[str, str]:
+        """Returns the header with the present load: running, waiting, slots and pace."""
+        if self.pace is None:
+            return {}
+        with self._lock:
+            running = min(self._running, self.slots)
+            percent = self.pace.percent(time.monotonic() - self._started_at)
+            figures = (running, self._running - running, self.slots, percent)
+        return {names.SERVER_LOAD: ",".join(str(figure) for figure in figures)}
+
+    def work(self, usual_seconds: float) -> None:
+        """Takes as long as a piece of work does at the present pace."""
+        factor = 1.0
+        if self.pace is not None:
+            with self._lock:
+                factor = self.pace.percent(time.monotonic() - self._started_at) / 100
+        time.sleep(usual_seconds * factor)
+
     def draw(self, share: float) -> bool:
         """Draws whether a request is hit by a fault that affects a share of requests."""
         with self._lock:
@@ -80,7 +129,11 @@
     standin: ModelEngine
 
     def do_GET(self) -> None:
-        """Answers a request."""
+        """Answers a request, or reports the load at the health path."""
+        if self.path == HEALTH_PATH:
+            instance = {names.INSTANCE_ID: self.standin.engine_id}
+            self.reply(200, b"", instance | self.standin.load_headers())
+            return
         self._answer()
 
     def do_POST(self) -> None:
@@ -94,7 +147,7 @@
     def _answer(self) -> None:
         body = self.body()
         request_id = self.headers.get(names.REQUEST_ID, "")
-        common = {names.REQUEST_ID: request_id}
+        common = {names.REQUEST_ID: request_id} | self.standin.load_headers()
         not_run = common | {names.NOT_EXECUTED: "1"}
         if self.headers.get(names.EXPECT_INSTANCE) != self.standin.engine_id:
             self.reply(421, b"", not_run)
@@ -116,7 +169,8 @@
             tenant=self.headers.get(names.TENANT, ""),
             has_key=names.API_KEY in self.headers,
         )
-        self._run(request_id, body, resume_after, behaviour)
+        with self.standin.counted_run():
+            self._run(request_id, body, resume_after, behaviour)
 
     def _run(self, request_id: str, body: bytes, after: int, behaviour: Behaviour) -> None:
         crashes = body.startswith(CRASHING_BODY_PREFIX)
@@ -130,6 +184,7 @@
             self.close_connection = True
             return
         signed = {names.REQUEST_ID: request_id, names.RESPONSE_STAMP: self._stamp(request_id)}
+        signed |= self.standin.load_headers()
         if draw(behaviour.fail):
             self.standin.write_journal("failed", request_id, status=500)
             self.reply(500, b"failed", signed)
@@ -149,7 +204,7 @@
     def _plain(
         self, request_id: str, body: bytes, signed: dict[str, str], breaks_off: bool
     ) -> None:
-        time.sleep(PLAIN_ANSWER_SECONDS)
+        self.standin.work(PLAIN_ANSWER_SECONDS)
         answer = plain_answer(request_id, body)
         if not breaks_off:
             self.reply(200, answer, signed)
@@ -173,7 +228,7 @@
         self.end_headers()
         events = event_bytes(request_id, after)
         for number, event in enumerate(events):
-            time.sleep(EVENT_INTERVAL_SECONDS)
+            self.standin.work(EVENT_INTERVAL_SECONDS)
             if crashes and number == len(events) // 2:
                 self.standin.crash_on(request_id, self.path)
             if breaks_off and number == len(events) // 2:
--- a/tests/standins/test_model_engine.py
+++ b/tests/standins/test_model_engine.py
@@ -10,8 +10,9 @@
 
 from troutswitch.common import Address
 from troutswitch.platform import names
-from troutswitch.standins.content import event_bytes, plain_answer
-from troutswitch.standins.model_engine import Behaviour, ModelEngine
+from troutswitch.standins.content import LARGE_ANSWER_PREFIX, event_bytes, plain_answer
+from troutswitch.standins.model_engine import HEALTH_PATH, Behaviour, ModelEngine
+from troutswitch.standins.pace import Pace
 
 TIMEOUT_SECONDS = 30.0
 
@@ -81,3 +82,56 @@
         caller.shutdown(socket.SHUT_WR)
         assert caller.recv(1) == b""
     assert journal(tmp_path) == []
+
+
+@pytest.fixture
+def paced_engine(tmp_path: Path) -> Iterator[ModelEngine]:
+    paced = ModelEngine(
+        Address("127.0.0.1", 0), "server-1", tmp_path / "journal", 1, Pace(60, 1), slots=3
+    )
+    yield paced
+    paced.server.shutdown()
+
+
+def test_an_engine_without_pace_reports_no_load(engine: ModelEngine) -> None:
+    """Guards fleets without paces, in which engines must not look paced."""
+    assert names.SERVER_LOAD not in call(engine, "/read/1", b"", headers("one"))[1]
+
+
+@pytest.mark.parametrize("path", ["/read/1", "/stream/1"])
+def test_answers_of_a_paced_engine_report_its_load(paced_engine: ModelEngine, path: str) -> None:
+    sent = call(paced_engine, path, b"", headers("one"))[1]
+    running, waiting, slots, pace = sent[names.SERVER_LOAD].split(",")
+    assert (running, waiting, slots) == ("1", "0", "3")
+    assert int(pace) in (60, 150)
+
+
+def test_health_path_reports_load_and_id_and_runs_nothing(
+    paced_engine: ModelEngine, tmp_path: Path
+) -> None:
+    paced_engine.behaviour = Behaviour(silent=1.0, reject=1.0)
+    connection = http.client.HTTPConnection(*paced_engine.address, timeout=TIMEOUT_SECONDS)
+    connection.request("GET", HEALTH_PATH)
+    response = connection.getresponse()
+    assert response.status == 200
+    assert response.getheader(names.INSTANCE_ID) == "server-1"
+    assert response.getheader(names.SERVER_LOAD, "").startswith("0,0,3,")
+    connection.close()
+    assert journal(tmp_path) == []
+
+
+def test_work_takes_as_long_as_the_pace_says(
+    paced_engine: ModelEngine, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an engine that reports a pace which its run times contradict."""
+    slept: list[float] = []
+    monkeypatch.setattr("troutswitch.standins.model_engine.time.sleep", slept.append)
+    monkeypatch.setattr(paced_engine.pace, "percent", lambda seconds: 150)
+    paced_engine.work(2.0)
+    assert slept == [3.0]
+
+
+def test_a_marked_request_has_a_large_answer(engine: ModelEngine) -> None:
+    body = call(engine, "/read/1", LARGE_ANSWER_PREFIX, headers("one"))[2]
+    assert body == plain_answer("one", LARGE_ANSWER_PREFIX)
+    assert len(body) == 1024 * 1024
