Settings files of local daemons can name a memory limit

Cause: the soak started all daemons without limits.memoryMb, so that memory was not accounted. Change: format_settings takes memory_mb; without it the file is the same as before.

--- a/src/troutswitch/platform/settings.py
+++ b/src/troutswitch/platform/settings.py
@@ -98,9 +98,19 @@
 
 
 def format_settings(
-    name: str, ip: str, front: int, ready: int, internal: tuple[int, int], store: Address
+    name: str,
+    ip: str,
+    front: int,
+    ready: int,
+    internal: tuple[int, int],
+    store: Address,
+    memory_mb: int = 0,
 ) -> str:
-    """Returns the text of a settings file for a daemon that a test or soak starts locally."""
+    """Returns the text of a settings file for a daemon that a test or soak starts locally.
+
+    `memory_mb` is its memory limit; 0 means none.
+    """
+    limits = f"[limits]\nmemoryMb = {memory_mb}\n" if memory_mb > 0 else ""
     return f"""nodeName = "{name}"
 zone = "z"
 ip = "{ip}"
@@ -111,7 +121,7 @@
 ready = "{ip}:{ready}"
 [platform]
 address = "{store}"
-[timingBounds]
+{limits}[timingBounds]
 gracePeriodS = 8
 """
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -40,3 +40,14 @@
 ) -> None:
     with pytest.raises(GatewaySettingsError, match=message):
         load(tmp_path, text)
+
+
+@pytest.mark.parametrize(("memory_mb", "expected"), [(0, 0), (160, 160_000_000)])
+def test_written_settings_name_the_memory_limit(
+    tmp_path: Path, memory_mb: int, expected: int
+) -> None:
+    """Guards against a soak whose daemons do not know the limit that it checks."""
+    path = tmp_path / "settings"
+    address = Address("127.0.0.1", 5)
+    path.write_text(format_settings("n", "127.0.0.1", 1, 2, (3, 4), address, memory_mb))
+    assert load_gateway_settings(path).memory_bytes == expected
