Soak with paced engines, competing tenants, slow callers and small memory

Checks: a tenant inside its share is served (SHARE), refusals come while engines are busy (IDLE), and the highest resident memory of a daemon stays under limits.memoryMb (BOUND). The present checks cover runs of refused requests and second runs, as the surge sends requests that must not be repeated. Surges and slow callers end before the recovery phase. Ruled out: 3 slots and a surge of six times.

--- a/src/troutswitch/cli/soak.py
+++ b/src/troutswitch/cli/soak.py
@@ -14,6 +14,7 @@
 from troutswitch.cli.explain import format_line, read_timeline
 from troutswitch.cli.log_files import read_files
 from troutswitch.soak.fleet import FleetStartError
+from troutswitch.soak.load_kinds import draw_load, format_load, parse_load
 from troutswitch.soak.report import SoakResult, summarize, write_report
 from troutswitch.soak.run import SoakSize, run_soak
 
@@ -34,6 +35,11 @@
 @click.option("--callers", default=SoakSize().callers, show_default=True)
 @click.option("--stall", default=0.0, show_default=True, help="Share of time that daemons stall.")
 @click.option("--faults/--no-faults", default=True, show_default=True)
+@click.option(
+    "--load",
+    "load_names",
+    help="Kinds of demanding load, separated by commas, or none; drawn from the seed if not given.",
+)
 @click.option("--report", type=click.Path(path_type=Path), help="Folder for summary and logs.")
 def soak(
     minutes: float,
@@ -44,11 +50,16 @@
     callers: int,
     stall: float,
     faults: bool,
+    load_names: str | None,
     report: Path | None,
 ) -> None:
     """Inject faults into real processes and check the promises; exit 1 if one is broken."""
     actual_seed = random.SystemRandom().randrange(1, 1_000_000_000) if seed is None else seed
     length = minutes * SECONDS_PER_MINUTE if seconds is None else seconds
+    try:
+        load = draw_load(actual_seed) if load_names is None else parse_load(load_names)
+    except ValueError as error:
+        raise click.UsageError(f"load: {error}") from error
     stop_requested = threading.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         signal.signal(number, lambda number, frame: stop_requested.set())
@@ -56,8 +67,11 @@
     overrun_timer.daemon = True
     overrun_timer.start()
     folder = Path(tempfile.mkdtemp(prefix="soak-"))
-    click.echo(f"soak of {length:.0f} s, seed {actual_seed}, logs in {folder}", err=True)
-    size = SoakSize(daemons, servers, callers, stall_share=stall, has_faults=faults)
+    click.echo(
+        f"soak of {length:.0f} s, seed {actual_seed}, load {format_load(load)}, logs in {folder}",
+        err=True,
+    )
+    size = SoakSize(daemons, servers, callers, stall_share=stall, has_faults=faults, load=load)
 
     def print_progress(line: str) -> None:
         click.echo(line, err=True)
--- a/src/troutswitch/soak/callers.py
+++ b/src/troutswitch/soak/callers.py
@@ -41,7 +41,11 @@
 
 
 def request_headers(
-    request_id: str, owner: str = "", *, has_unknown_key: bool = False
+    request_id: str,
+    owner: str = "",
+    *,
+    has_unknown_key: bool = False,
+    deadline_seconds: float = DEADLINE_SECONDS,
 ) -> dict[str, str]:
     """Returns the headers of a request; for calls about a job, `owner` is the job's id."""
     key = UNKNOWN_KEY if has_unknown_key else key_of(tenant_of(owner or request_id))
@@ -50,7 +54,7 @@
         names.API_KEY: key,
         names.TENANT: FORGED_TENANT,
         names.REQUEST_ID: request_id,
-        names.DEADLINE_MS: str(int(DEADLINE_SECONDS * 1000)),
+        names.DEADLINE_MS: str(int(deadline_seconds * 1000)),
         names.MODEL: "m",
         names.TOKEN_USAGE: "40,12",
         names.PROMPT_PREFIX: f"{request_id}:40",
@@ -74,7 +78,11 @@
 def send_and_receive(connection: http.client.HTTPConnection, exchange: Exchange) -> bool:
     """Sends a request and records its answer; returns whether the connection can be reused."""
     try:
-        headers = request_headers(exchange.request_id, has_unknown_key=exchange.has_unknown_key)
+        headers = request_headers(
+            exchange.request_id,
+            has_unknown_key=exchange.has_unknown_key,
+            deadline_seconds=exchange.deadline_seconds or DEADLINE_SECONDS,
+        )
         connection.request("POST", exchange.path, exchange.body, headers)
         response = connection.getresponse()
         exchange.status = response.status
--- a/src/troutswitch/soak/checks.py
+++ b/src/troutswitch/soak/checks.py
@@ -7,6 +7,11 @@
 
 from collections import defaultdict
 
+from troutswitch.soak.hard_load_checks import (
+    callers_inside_their_share_are_served,
+    memory_stays_under_its_limit,
+    refusals_come_while_engines_are_busy,
+)
 from troutswitch.soak.observations import (
     AT_MOST_ONCE,
     Exchange,
@@ -452,6 +457,9 @@
     runs_have_the_tenant_of_their_key,
     unknown_keys_do_not_run,
     tenants_stay_within_their_quota,
+    callers_inside_their_share_are_served,
+    refusals_come_while_engines_are_busy,
+    memory_stays_under_its_limit,
     recovery_succeeds,
 )
 
--- a/src/troutswitch/soak/fleet.py
+++ b/src/troutswitch/soak/fleet.py
@@ -15,11 +15,13 @@
 from troutswitch.platform.settings import format_settings
 from troutswitch.soak.callers import DaemonEndpoint
 from troutswitch.soak.clocked_daemon import CLOCK_VARIABLE
+from troutswitch.soak.load_kinds import COMPETITION_SLOTS, MEMORY_LIMIT_MB, LoadKind
 from troutswitch.soak.observations import EngineDeparture, Observations
-from troutswitch.soak.operator import Operator
+from troutswitch.soak.operator import SLOTS, Operator
 from troutswitch.soak.processes import Child, ProcessGroup
 from troutswitch.soak.proxy import Link
-from troutswitch.standins.model_engine import BEHAVIOUR_PATH, Behaviour
+from troutswitch.standins.model_engine import BEHAVIOUR_PATH, HEALTH_PATH, Behaviour
+from troutswitch.standins.pace import own_percent
 from troutswitch.standins.ports import HOST, Ports
 
 CONTROL_TIMEOUT_SECONDS = 2.0
@@ -78,6 +80,8 @@
     link: Link
     journal: Path
     seed: int
+    pace_percent: int = 0
+    """Its own speed; 0 for an engine that reports no pace."""
     starts: int = 0
     behaviour: Behaviour = field(default_factory=Behaviour)
     is_leaving: bool = False
@@ -97,7 +101,14 @@
 class Fleet:
     """Store, engine and daemon processes, and the links through which they are reached."""
 
-    def __init__(self, folder: Path, seed: int, daemons: int, engines: int) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        seed: int,
+        daemons: int,
+        engines: int,
+        load: frozenset[LoadKind] = frozenset(),
+    ) -> None:
         self.folder = folder
         self.seed = seed
         self.observations = Observations(time.monotonic())
@@ -108,7 +119,13 @@
         self.daemons: list[Daemon] = []
         self._process_counts = (daemons, engines)
         self.store_address = Address(HOST, self.ports.reserve())
-        self.operator = Operator(self.store_address)
+        self._has_paces = LoadKind.PACES in load
+        self._memory_mb = MEMORY_LIMIT_MB if LoadKind.MEMORY_LIMIT in load else 0
+        slots = COMPETITION_SLOTS if LoadKind.COMPETITION in load else SLOTS
+        health_path = HEALTH_PATH if self._has_paces else ""
+        self.operator = Operator(self.store_address, slots, health_path)
+        self.observations.slots = slots * engines
+        self.observations.memory_limit_mb = self._memory_mb
 
     def start(self) -> None:
         """Starts all processes and waits until each daemon is ready.
@@ -218,6 +235,7 @@
         journal = self.folder / f"{name}.journal"
         journal.touch()
         engine = Engine(self._make_child(name), address, link, journal, self.seed + number)
+        engine.pace_percent = own_percent(number) if self._has_paces else 0
         engine.starts = 1
         engine.child.arguments = self._engine_arguments(engine)
         self.engines.append(engine)
@@ -230,6 +248,7 @@
             *(sys.executable, "-m", "troutswitch.cli", "standin", "server"),
             *("--address", str(engine.address), "--id", engine.engine_id),
             *("--journal", str(engine.journal), "--seed", str(engine.seed + engine.starts)),
+            *("--pace", str(engine.pace_percent), "--slots", str(self.operator.slots)),
         ]
 
     # Daemons.
@@ -251,6 +270,7 @@
                 readiness_port,
                 (peer_port, metrics_port),
                 store_link.address,
+                self._memory_mb,
             )
         )
         child = Child(
--- a/src/troutswitch/soak/observations.py
+++ b/src/troutswitch/soak/observations.py
@@ -54,6 +54,8 @@
     stray_bytes: bytes = b""
     has_unknown_key: bool = False
     """Whether the request has an API key that no tenant has."""
+    deadline_seconds: float = 0.0
+    """Deadline that the caller sends; 0 for the usual one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +132,8 @@
     memory_mb: float
     descriptors: int
     log_bytes: int
+    peak_memory_mb: float = 0.0
+    """Highest resident memory since the process started."""
 
 
 @dataclass(slots=True)
@@ -147,6 +151,10 @@
     unmet_expectations: list[tuple[str, str]] = field(default_factory=list)
     unknown_key_exchanges: list[Exchange] = field(default_factory=list)
     """Requests with a key that no tenant has; they are not among `exchanges`."""
+    slots: int = 0
+    """Slots of all engines together; 0 if unknown."""
+    memory_limit_mb: float = 0.0
+    """Memory limit in the daemons' settings, in units of 1,000,000 bytes; 0 means none."""
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     def is_fault_free(self, begin: float, end: float) -> bool:
--- a/src/troutswitch/soak/operator.py
+++ b/src/troutswitch/soak/operator.py
@@ -61,7 +61,9 @@
 class Operator:
     """Writes configurations, one at a time, and engines' records to the store."""
 
-    def __init__(self, store: Address) -> None:
+    def __init__(self, store: Address, slots: int = SLOTS, health_path: str = "") -> None:
+        self.slots = slots
+        self._health_path = health_path
         self._client = StoreClient(store)
         self._lock = threading.Lock()
         self.version = 0
@@ -79,14 +81,21 @@
             probe = RouteSpec(f"version-{version}", version_path(version), "idempotent")
             routes = (*ROUTES, probe)
             record = configuration_record(
-                version, HOST, SERVICE, SLOTS, routes, LIMITS, tenant_forms()
+                version,
+                HOST,
+                SERVICE,
+                self.slots,
+                routes,
+                LIMITS,
+                tenant_forms(),
+                self._health_path,
             )
             if self._write(CONFIGURATION, CONFIGURATION_KEY, record):
                 self.acknowledged.append(AcknowledgedVersion(version, time.monotonic()))
 
     def list_engine(self, engine_id: str, address: Address, is_draining: bool = False) -> bool:
         """Writes an engine's record; returns False if the soak stopped first."""
-        record = engine_record(SERVICE, address, SLOTS, is_draining)
+        record = engine_record(SERVICE, address, self.slots, is_draining)
         return self._write(ENGINES, engine_id, record)
 
     def unlist_engine(self, engine_id: str) -> bool:
--- a/src/troutswitch/soak/resource_sampler.py
+++ b/src/troutswitch/soak/resource_sampler.py
@@ -40,6 +40,11 @@
         log_bytes = daemon.child.log.stat().st_size
     except OSError:
         return None
-    resident = [line for line in status.splitlines() if line.startswith("VmRSS:")]
-    memory = int(resident[0].split()[1]) / KB_PER_MB if resident else 0.0
-    return ResourceSample(daemon.child.name, time.monotonic(), memory, descriptors, log_bytes)
+    memory, peak = (_read_mb(status, field) for field in ("VmRSS:", "VmHWM:"))
+    return ResourceSample(daemon.child.name, time.monotonic(), memory, descriptors, log_bytes, peak)
+
+
+def _read_mb(status: str, field: str) -> float:
+    """Returns a field of a process's status in MiB, 0 for a process that has exited."""
+    lines = [line for line in status.splitlines() if line.startswith(field)]
+    return int(lines[0].split()[1]) / KB_PER_MB if lines else 0.0
--- a/src/troutswitch/soak/run.py
+++ b/src/troutswitch/soak/run.py
@@ -9,16 +9,19 @@
 
 from troutswitch.soak.callers import Caller
 from troutswitch.soak.checks import find_violations
+from troutswitch.soak.competing_callers import SteadyCaller, SurgingCallers
 from troutswitch.soak.fault_injector import FaultInjector
 from troutswitch.soak.fleet import Fleet
 from troutswitch.soak.jobs import JobClient
 from troutswitch.soak.limited_callers import LimitedCallers
+from troutswitch.soak.load_kinds import LoadKind
 from troutswitch.soak.observations import Observations, read_journal
 from troutswitch.soak.probes import Prober
 from troutswitch.soak.recovery_phase import RecoveryPhase
 from troutswitch.soak.report import SoakResult
 from troutswitch.soak.resource_sampler import ResourceSampler
 from troutswitch.soak.schedule import FaultSchedule, draw_schedule
+from troutswitch.soak.slow_callers import SlowCallers
 from troutswitch.soak.stalls import Stalls
 from troutswitch.soak.violations import Violation
 
@@ -35,7 +38,8 @@
     """Number of processes and clients of a soak.
 
     `stall_share` is the share of each tenth of a second in which daemons do not run.
-    `has_faults` is false for a soak without faults and planned operations.
+    `has_faults` is false for a soak without faults and planned operations. `load` has the kinds of
+    demanding load.
     """
 
     daemons: int = 3
@@ -44,6 +48,7 @@
     job_clients: int = 2
     stall_share: float = 0.0
     has_faults: bool = True
+    load: frozenset[LoadKind] = frozenset()
 
 
 class _Worker(Protocol):
@@ -52,6 +57,12 @@
     stop_requested: threading.Event
 
 
+class _CallerGroup(_Worker, Protocol):
+    """Callers of one kind."""
+
+    threads: list[threading.Thread]
+
+
 class Soak:
     """Runs one soak: its fleet, workers, schedule and recovery phase."""
 
@@ -66,9 +77,10 @@
         self.schedule = schedule
         self.report_progress = report_progress
         self.stop_requested = stop_requested
-        self.fleet = Fleet(folder, schedule.seed, size.daemons, size.engines)
+        self.fleet = Fleet(folder, schedule.seed, size.daemons, size.engines, size.load)
         self._size = size
         self._workers: list[_Worker] = []
+        self._hard_load: list[_CallerGroup] = []
         self._threads: list[threading.Thread] = []
 
     def run(self) -> SoakResult:
@@ -79,6 +91,7 @@
             self._start_workers()
             fault_injector = FaultInjector(self.fleet, self.schedule)
             self._run_stalled(fault_injector)
+            self._stop_hard_load()
             RecoveryPhase(self.fleet, fault_injector, self.stop_requested.is_set).run()
             self._stop_workers()
             fault_injector.run(time.monotonic() + SETTLE_SECONDS, self.stop_requested.is_set)
@@ -111,6 +124,8 @@
                 list(observations.samples),
                 list(observations.unmet_expectations),
                 list(observations.unknown_key_exchanges),
+                observations.slots,
+                observations.memory_limit_mb,
             )
         return find_violations(snapshot)
 
@@ -158,15 +173,38 @@
             prober = Prober(endpoint, self.fleet.operator, observations)
             self._workers.append(prober)
             self._threads.append(prober.thread)
-        limited = LimitedCallers(seed, endpoints, observations)
-        self._workers.append(limited)
-        self._threads += limited.threads
+        for group in self._make_caller_groups():
+            self._workers.append(group)
+            self._threads += group.threads
         resource_sampler = ResourceSampler(self.fleet.daemons, observations)
         self._workers.append(resource_sampler)
         self._threads.append(resource_sampler.thread)
         for thread in self._threads:
             thread.start()
 
+    def _make_caller_groups(self) -> list[_CallerGroup]:
+        """Returns the callers of tenants with a quota, competing callers and slow callers."""
+        seed, observations = self.schedule.seed, self.fleet.observations
+        direct = self.fleet.direct_endpoints()
+        load = self._size.load
+        groups: list[_CallerGroup] = [LimitedCallers(seed, self.fleet.endpoints(), observations)]
+        if LoadKind.COMPETITION in load:
+            self._hard_load.append(SurgingCallers(seed, direct, observations))
+        if LoadKind.SLOW_CALLERS in load:
+            self._hard_load.append(SlowCallers(seed, direct, observations))
+        groups += self._hard_load
+        if load & {LoadKind.COMPETITION, LoadKind.SLOW_CALLERS}:
+            groups.append(SteadyCaller(seed, direct, observations))
+        return groups
+
+    def _stop_hard_load(self) -> None:
+        """Ends surges and slow callers before the recovery phase, which expects a normal load."""
+        for group in self._hard_load:
+            group.stop_requested.set()
+        for group in self._hard_load:
+            for thread in group.threads:
+                thread.join(JOIN_TIMEOUT_SECONDS)
+
     def _stop_workers(self) -> None:
         for worker in self._workers:
             worker.stop_requested.set()
