Slow callers of the soak record malformed answers

Cause: any HTTP error of a slow caller counted as a closed connection, so that a malformed answer to it could not be found by the check of malformed answers. Change: only early ends and connection errors count as left; other HTTP errors are malformed. Result: tests/soak/test_slow_callers.py, 4 passed.

--- a/src/troutswitch/soak/slow_callers.py
+++ b/src/troutswitch/soak/slow_callers.py
@@ -62,13 +62,20 @@
         for number in itertools.count(1):
             if self.stop_requested.wait(rng.uniform(0.0, 2 * STALL_PAUSE_SECONDS)):
                 return
-            self._send_one(rng, f"{self._prefix}{caller}-{number}")
+            endpoint, slowness = rng.choice(self.endpoints), rng.choice(list(Slowness))
+            stall_seconds = rng.uniform(*STALL_SECONDS)
+            self.send(endpoint, f"{self._prefix}{caller}-{number}", slowness, stall_seconds)
 
-    def _send_one(self, rng: random.Random, request_id: str) -> None:
-        slowness = rng.choice(list(Slowness))
+    def send(
+        self, endpoint: DaemonEndpoint, request_id: str, slowness: Slowness, stall_seconds: float
+    ) -> None:
+        """Sends one request slowly, or reads its answer slowly, and records it.
+
+        An answer that ends early counts as left by the caller, as a daemon may close the connection
+        of a slow caller at any time.
+        """
         is_reader = slowness in (Slowness.READS_LATE, Slowness.NEVER_READS)
         body = LARGE_ANSWER_PREFIX if is_reader else BODY
-        endpoint = rng.choice(self.endpoints)
         kind = RequestKind.READ
         path = f"/{kind}/{request_id}"
         exchange = Exchange(request_id, kind, path, body, endpoint.daemon, time.monotonic())
@@ -79,10 +86,12 @@
         with self.observations.lock:
             self.observations.exchanges.append(exchange)
         try:
-            self._exchange(connection, exchange, slowness, rng.uniform(*STALL_SECONDS))
-        except (OSError, http.client.HTTPException):
-            # A daemon may close the connection of a slow caller at any time.
+            self._exchange(connection, exchange, slowness, stall_seconds)
+        except (OSError, http.client.IncompleteRead):
             exchange.outcome = Outcome.CALLER_LEFT
+        except http.client.HTTPException as error:
+            exchange.outcome = Outcome.MALFORMED
+            exchange.reason = f"{type(error).__name__}: {error}"
         exchange.ended_at = time.monotonic()
         connection.close()
 
