An old load with a pace does not hide free slots

Cause: engines of paced services report their load with their answers, and it was used up to an age of 0.4 s. Ruled out: grants that are never returned (counts fell to 0 after the load), calls that stall. Change: a load with a pace is used up to an age of 0.1 s; loads without one as before.

--- a/src/troutswitch/decisions/forwarding/engine.py
+++ b/src/troutswitch/decisions/forwarding/engine.py
@@ -4,7 +4,8 @@
 
 - this daemon's own requests there, which are exact;
 - other daemons' requests, as reported by peers and coordinators (`peers_*`, up to a second old);
-- the load that the engine reports with its answers, used up to an age of `MAX_LOAD_AGE_SECONDS`.
+- the load that the engine reports with its answers, used up to an age of `MAX_LOAD_AGE_SECONDS`, or
+  `MAX_PACED_LOAD_AGE_SECONDS` if it has a pace.
 
 Rule: the larger of the counts and the engine's load is used, as both lag. Moving averages of the
 waiting prompt tokens and of the slots that online requests occupy are kept too.
@@ -25,6 +26,9 @@
 
 MAX_LOAD_AGE_SECONDS = 0.4
 """Age up to which a load that an engine reported is used."""
+MAX_PACED_LOAD_AGE_SECONDS = 0.1
+"""The same for a load with a pace. Streams at such engines take some 0.3 s, so an older load counts
+requests that have ended, and batch items would leave their slots unused."""
 SAMPLE_SECONDS = 0.1
 """Interval between samples of the waiting prompt tokens and of the slots of online requests."""
 PREFILL_AVERAGE_SECONDS = 3.0
@@ -140,13 +144,18 @@
         """Returns the requests on the engine: the larger of the counts and the reported load."""
         own = self.online_in_flight + self.batch_in_flight
         counted = own + self.peers_online + self.peers_batch
-        if self.load is None or now - self.load_at > MAX_LOAD_AGE_SECONDS:
+        if self.load is None or now - self.load_at > self._max_load_age(self.load):
             return counted
         reported = self.load.running + self.load.waiting + self.sent_since_load
         if self.peers_online or self.peers_batch:
             return max(counted, reported)
         return max(own, reported)
 
+    @staticmethod
+    def _max_load_age(load: EngineLoad) -> float:
+        has_pace = load.pace_percent is not None
+        return MAX_PACED_LOAD_AGE_SECONDS if has_pace else MAX_LOAD_AGE_SECONDS
+
     def factor_source(self, now: float) -> FactorSource:
         """Returns where the time factor comes from."""
         if self.pace.is_known(now) and not self.learned.contradicts_reports:
--- a/tests/decisions/forwarding/test_engines.py
+++ b/tests/decisions/forwarding/test_engines.py
@@ -86,3 +86,13 @@
     registry.on_load(1.0, "a", EngineLoad(5, 2, 8))
     assert registry.engines["a"].in_flight(1.1) == 7
     assert registry.engines["a"].in_flight(3.0) == 0
+
+
+def test_old_load_with_a_pace_does_not_hide_free_slots() -> None:
+    # A load from a peak, 0.4 s old, counted requests that had ended, so items left slots unused.
+    registry = EngineRegistry()
+    registry.on_list(0.0, [engine("a"), engine("b")])
+    registry.on_load(1.0, "a", EngineLoad(5, 0, 8, 120))
+    registry.on_load(1.0, "b", EngineLoad(5, 0, 8))
+    assert [registry.engines[name].in_flight(1.05) for name in "ab"] == [5, 5]
+    assert [registry.engines[name].in_flight(1.2) for name in "ab"] == [0, 5]
