Less processor time for the memory account and the mean pace

By reading: the account summed the records of all shards at each release, and the mean pace of a service was computed ten times a second. Change: the account sums only when it grows; the mean pace is computed twice a second.

--- a/src/troutswitch/decisions/forwarding/engine.py
+++ b/src/troutswitch/decisions/forwarding/engine.py
@@ -92,7 +92,7 @@
     pace: EnginePace = field(default_factory=EnginePace)
     learned: LearnedFactor = field(default_factory=LearnedFactor)
     mean_factor: float | None = None
-    """Mean of the reported time factors of its service's engines, updated each `SAMPLE_SECONDS`;
+    """Mean of the reported time factors of its service's engines, updated twice a second;
     None if its service has no pace."""
     busy_at: float = float("-inf")
     """When it was last seen with a request of any daemon, or first seen; kept for services with a
--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -34,6 +34,9 @@
 DRAIN_NOTICE_SECONDS = 1.0
 """Time for which a peer's notice that an engine left outweighs a list that still has it. The list
 may have been read earlier: a reading takes several pages, and may be shared by a peer."""
+PACE_SAMPLE_SECONDS = 0.5
+"""Interval between computations of a service's mean pace: a quarter of the time over which paces
+are averaged. Each takes a pass over all engines of the service."""
 MAX_REMEMBERED_DRAINING = 4096
 """Maximum number of incarnations that are remembered as draining or replaced."""
 
@@ -61,6 +64,7 @@
     """The newest pace that each engine reported to this daemon, until it is taken; newest last."""
     _paced_services: set[str] = field(default_factory=set)
     _sample_at: float = float("-inf")
+    _pace_sample_at: float = float("-inf")
     _reported_gone_at: dict[str, float] = field(default_factory=dict)
     """When peers reported that engines left the list; kept until a later list decides."""
     _draining: dict[str, None] = field(default_factory=dict)
@@ -227,8 +231,10 @@
         self._sample_at = now + SAMPLE_SECONDS
         for engine in self.engines.values():
             engine.sample()
-        for service in self._paced_services:
-            self._sample_paces(now, self.all_of_service(service))
+        if now >= self._pace_sample_at:
+            self._pace_sample_at = now + PACE_SAMPLE_SECONDS
+            for service in self._paced_services:
+                self._sample_paces(now, self.all_of_service(service))
 
     @staticmethod
     def _sample_paces(now: float, engines: list[Engine]) -> None:
@@ -306,7 +312,7 @@
         """Returns how long work takes at an engine, compared with the mean of its service.
 
         See `Engine.relative_factor`; 1 for services without a pace. The mean that it is relative to
-        is up to `SAMPLE_SECONDS` old.
+        is up to `PACE_SAMPLE_SECONDS` old.
         """
         return engine.relative_factor(now)
 
--- a/src/troutswitch/decisions/slots/health_requests.py
+++ b/src/troutswitch/decisions/slots/health_requests.py
@@ -4,7 +4,7 @@
 paces may be those of a slow episode, and be the reason why it gets no requests. Is it asked?
 
 Inputs: the groups that this daemon coordinates, and since when; the readings of their engines, and
-when each engine last had a request of any daemon, known here at most 0.1 s later; the health path
+when each engine last had a request of any daemon, known here at most 0.5 s later; the health path
 in the configuration.
 
 Rule: an engine is asked after `IDLE_SECONDS` without a reading and without requests, while others
--- a/src/troutswitch/gateway/memory/account.py
+++ b/src/troutswitch/gateway/memory/account.py
@@ -108,14 +108,14 @@
         """Changes the size of a holding, and returns whether the change was made."""
         with self._lock:
             change = size - holding.size
-            total = self.total
-            is_allowed = is_forced or change <= 0
-            if not is_allowed and not self._fits(holding.kind, change, total, size):
-                return False
+            if change > 0:
+                total = self.total
+                if not is_forced and not self._fits(holding.kind, change, total, size):
+                    return False
+                self.high_water = max(self.high_water, total + change)
             holding.size = size
             self._held[holding.kind] += change
             assert self._held[holding.kind] >= 0, "more was released than held"
-            self.high_water = max(self.high_water, total + change)
             return True
 
     def _fits(self, kind: Kind, change: int, total: int, size: int) -> bool:
