Log the engines' software version, and the stream that a request resumes

No line named the version of an engine's software, whether a request resumes a stream, or the attempt that it names in Resumes.

Change: the version is kept in EngineRecord, Resumes is decoded, and both are logged: request sent (engine_version; resume_after and resumed_id for a stream that goes on), item sent (engine_version), engines changed (number of engines by version). No decision uses them.

Evidence: tests of the decoding; no message between daemons and no stored record changes.

--- a/src/troutswitch/decisions/engine_membership.py
+++ b/src/troutswitch/decisions/engine_membership.py
@@ -5,6 +5,8 @@
 shows to the crash suspects and the drain notices.
 """
 
+from collections import Counter
+
 from troutswitch.daemons.messages import EngineDrainNotice
 from troutswitch.daemons.peer_state import StoredRecord
 from troutswitch.decisions.crashes.suspects import CrashSuspects
@@ -114,7 +116,7 @@
         if self._engines.kept_missing != kept_before:
             self._log_missing_kept(read_at, peer)
         if added or removed:
-            self._log_change(added, removed, len(records), peer)
+            self._log_change(added, removed, records, peer)
         if removed:
             self._output.emit(EnginesRemoved(tuple(removed)))
 
@@ -143,12 +145,15 @@
             peer=peer,
         )
 
-    def _log_change(self, added: list[str], removed: list[str], listed: int, peer: str) -> None:
+    def _log_change(
+        self, added: list[str], removed: list[str], records: list[EngineRecord], peer: str
+    ) -> None:
         self._output.log(
             "engines changed",
             came=added,
             left=removed,
-            listed=listed,
+            listed=len(records),
+            versions=dict(Counter(record.version for record in records)),
             slots=self._engines.total_slots(),
             peer=peer,
         )
--- a/src/troutswitch/decisions/forwarding/log_events.py
+++ b/src/troutswitch/decisions/forwarding/log_events.py
@@ -93,6 +93,13 @@
     )
 
 
+def resumption_fields(request: ForwardedRequest) -> dict[str, object]:
+    """Returns the log fields about a stream that goes on after an event; none for a new one."""
+    if not request.position:
+        return {}
+    return {"resume_after": request.position, "resumed_id": request.arrival.resumed_id}
+
+
 def attempt_started_line(
     now: float,
     request: ForwardedRequest,
@@ -112,6 +119,8 @@
             "attempt": request.attempt,
             **quota_fields(request.quota, request.quota_seconds),
             "engine": engine.record.engine_id,
+            "engine_version": engine.record.version,
+            **resumption_fields(request),
             "load": engine.in_flight(now),
             "assigned_by": assignment.assigned_by.value,
             "load_age_ms": milliseconds(now - engine.load_at),
--- a/src/troutswitch/decisions/forwarding/messages.py
+++ b/src/troutswitch/decisions/forwarding/messages.py
@@ -24,7 +24,8 @@
     name derived from the request's content (`crashes.content`), or empty if it is not needed.
     `read_at` is when the request was read; infinite stands for now. `caller_key` is the digest of
     the caller's key, or empty if it sent none. `resume_after` is the id of the last event that the
-    caller has received, or empty.
+    caller has received, or empty. `resumed_id` is the id of the request that brought the first
+    event of a resumed stream, or empty if the caller does not name it.
     """
 
     token: int
@@ -37,6 +38,7 @@
     content: str = ""
     read_at: float = float("inf")
     caller_key: str = NO_KEY
+    resumed_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/forwarding/types.py
+++ b/src/troutswitch/decisions/forwarding/types.py
@@ -111,7 +111,8 @@
     """An entry of the engine list.
 
     `engine_id` identifies one incarnation of an engine, `instance` the engine across restarts; the
-    list has only its newest incarnation. An empty `instance` stands for `engine_id`.
+    list has only its newest incarnation. An empty `instance` stands for `engine_id`. `version` is
+    that of the engine's software, an opaque text without an order.
     """
 
     engine_id: str
@@ -121,6 +122,7 @@
     slots: int
     is_draining: bool
     instance: str = ""
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/jobs/runs.py
+++ b/src/troutswitch/decisions/jobs/runs.py
@@ -97,6 +97,7 @@
             item_id=progress.item.item_id,
             run=progress.runs_started,
             engine=engine.record.engine_id,
+            engine_version=engine.record.version,
             load=engine.in_flight(now),
             resume_after=progress.position,
             **factor_fields(now, engine),
--- a/src/troutswitch/gateway/callers/relay.py
+++ b/src/troutswitch/gateway/callers/relay.py
@@ -117,6 +117,7 @@
             content_key(request.host, request.method, request.url, self.body),
             steady_seconds(),
             request.caller_key,
+            request.resumed_id,
         )
 
     def _attempt(self, decided: SendRequest) -> Iterator[bytes]:
--- a/src/troutswitch/platform/configuration.py
+++ b/src/troutswitch/platform/configuration.py
@@ -217,6 +217,7 @@
         decoded.slots,
         decoded.state == DRAINING,
         instance,
+        str(decoded.version),
     )
 
 
--- a/src/troutswitch/platform/requests.py
+++ b/src/troutswitch/platform/requests.py
@@ -33,6 +33,8 @@
     `headers` are the headers to forward to engines. `time_left` is how long the caller waits, in
     seconds. `last_event_id` is the id of the event after which to resume a stream, empty for a new
     stream. `caller_key` is the digest of the caller's API key, empty if the request has none.
+    `resumed_id` is the request id of the attempt that brought the first event of a resumed stream,
+    empty if the caller does not name it.
     """
 
     request_id: str
@@ -46,6 +48,7 @@
     last_event_id: str
     prompt: PromptShape
     caller_key: str = NO_KEY
+    resumed_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +93,7 @@
             _header(environ, names.TOKEN_USAGE), _header(environ, names.PROMPT_PREFIX)
         ),
         caller_key=key_digest(_header(environ, names.API_KEY)),
+        resumed_id=_header(environ, names.RESUMES),
     )
 
 
--- a/tests/platform/test_engine_entries.py
+++ b/tests/platform/test_engine_entries.py
@@ -70,6 +70,11 @@
     assert is_usable(json.dumps({k: v for k, v in ENTRY.items() if k != "born"}).encode())
 
 
+def test_entry_states_the_version_of_the_engine_software() -> None:
+    assert decode_engine("i-1", entry(version="v1.2")).version == "v1.2"
+    assert decode_engine("i-1", entry(version=3)).version == "3"
+
+
 def test_draining_engine_that_restarts_under_its_id_is_usable() -> None:
     engines = EngineRegistry()
     engines.on_list(0.0, [decode_engine("i-1", entry(state="draining"))])
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -82,6 +82,13 @@
     assert sent["Last-Event-Id"] == "7"
 
 
+def test_resumed_attempt_is_decoded_and_forwarded() -> None:
+    resumed = read_request(environ(HTTP_LAST_EVENT_ID="7", HTTP_RESUMES="id-0"))
+    assert (resumed.last_event_id, resumed.resumed_id) == ("7", "id-0")
+    assert dict(engine_headers(resumed, "i-9", 1.0, "7"))["Resumes"] == "id-0"
+    assert read_request(environ()).resumed_id == ""
+
+
 def test_callers_cannot_choose_the_expected_instance() -> None:
     forged = environ(HTTP_X_TROUTSWITCH_EXPECT_INSTANCE="i-0", HTTP_LAST_EVENT_ID="3")
     sent = engine_headers(read_request(forged), "i-9", 1.0, "")
