--- a/tests/simulation/crashing_fleet.py
+++ b/tests/simulation/crashing_fleet.py
@@ -18,6 +18,7 @@
 from troutswitch.decisions.forwarding.messages import (
     AbortAttempt,
     AnswerBegun,
+    CallerGone,
     FinishRequest,
     RequestArrived,
     RequestAttemptEnded,
@@ -89,7 +90,7 @@
 
 
 @dataclass
-class _CallerRequest:
+class CallerRequest:
     """One try of a caller at one daemon."""
 
     token: int
@@ -118,7 +119,7 @@
         """Time from an engine's crash until its entry is removed."""
         self.misdirected_requests = 0
         """Requests to a crashed incarnation that the next one at its address refused with 421."""
-        self._requests_by_token: dict[int, _CallerRequest] = {}
+        self.requests_by_token: dict[int, CallerRequest] = {}
         self._disturbed_at: dict[str, float] = {}
         online = Route(
             "online",
@@ -174,10 +175,15 @@
         self.mark_disturbed(name)
         daemon = self.daemons[name]
         super().kill(name, down)
-        for token, request in list(self._requests_by_token.items()):
+        for token, request in list(self.requests_by_token.items()):
             if request.daemon is daemon:
-                self._detach_from_engine(request)
-                self._end_request(token, "closed", 0)
+                self.lose_connection(token, request)
+
+    def lose_connection(self, token: int, request: CallerRequest) -> None:
+        """Ends a caller's try without an answer; its daemon is told if it is alive."""
+        self._detach_from_engine(request)
+        self.step(request.daemon, CallerGone(token, self.now))
+        self.end_request(token, "closed", 0)
 
     def suspend(self, name: str, seconds: float) -> None:
         """Suspends a daemon's machine; the daemon notices the suspension first when it resumes."""
@@ -233,21 +239,25 @@
         body = b"marked" if crashes_engines else b"plain"
         caller = Caller(f"{ONLINE_PREFIX}{name}", body, crashes_engines)
         self.callers.append(caller)
-        self._send_request(caller)
+        self.send_request(caller)
         return caller
 
     def resend(self, caller: Caller) -> None:
         """Has a caller send the same path and body again, with all its retries."""
         caller.remaining_tries = MAX_CALLER_TRIES
         caller.outcome = ""
-        self._send_request(caller)
+        self.send_request(caller)
 
-    def _send_request(self, caller: Caller) -> None:
+    def send_request(self, caller: Caller) -> None:
         caller.remaining_tries -= 1
         token = self.next_token()
         daemon = self.random_daemon()
-        self._requests_by_token[token] = _CallerRequest(token, caller, daemon)
-        event = RequestArrived(
+        self.requests_by_token[token] = CallerRequest(token, caller, daemon)
+        self.step(daemon, self.arrival(token, caller))
+
+    def arrival(self, token: int, caller: Caller) -> RequestArrived:
+        """Returns the event of a caller's request that arrives at a daemon."""
+        return RequestArrived(
             token,
             f"try-{token}",
             HOST,
@@ -256,33 +266,32 @@
             PromptShape(),
             content=caller.content,
         )
-        self.step(daemon, event)
 
     def _start_attempt(self, daemon: Daemon, send: SendRequest) -> None:
-        request = self._requests_by_token.get(send.token)
+        request = self.requests_by_token.get(send.token)
         if request is None:
             return
         request.attempt = send.attempt
         request.incarnation = self.incarnations[send.engine_id]
         key = (send.token, send.attempt)
-        request.incarnation.running[key] = lambda: self._end_attempt(send, AttemptOutcome.CUT)
+        request.incarnation.running[key] = lambda: self.end_attempt(send, AttemptOutcome.CUT)
         self.call_later(CONNECT_SECONDS, lambda: self._arrive(daemon, request, send))
 
-    def _arrive(self, daemon: Daemon, request: _CallerRequest, send: SendRequest) -> None:
-        if not self._is_running(request, send):
+    def _arrive(self, daemon: Daemon, request: CallerRequest, send: SendRequest) -> None:
+        if not self.is_running(request, send):
             return
         assert request.incarnation is not None
         if not request.incarnation.is_alive and self._has_successor(request.incarnation):
             self.misdirected_requests += 1
             self.step(daemon, AnswerBegun(send.token, send.attempt, None, not_run=True))
-            self._end_attempt(send, AttemptOutcome.REFUSED)
+            self.end_attempt(send, AttemptOutcome.REFUSED)
         elif not request.incarnation.is_alive:
-            self._end_attempt(send, AttemptOutcome.UNREACHABLE)
+            self.end_attempt(send, AttemptOutcome.UNREACHABLE)
         elif len(request.incarnation.running) > 2 * SLOTS:
-            self._end_attempt(send, AttemptOutcome.REFUSED)
+            self.end_attempt(send, AttemptOutcome.REFUSED)
         else:
             self._record_arrival(daemon, request.caller.content)
-            self.call_later(FIRST_EVENT_SECONDS, lambda: self._begin_answer(request, send))
+            self.call_later(FIRST_EVENT_SECONDS, lambda: self.begin_answer(request, send))
 
     def _has_successor(self, ended: EngineIncarnation) -> bool:
         """Whether a later incarnation listens at the address of one that crashed."""
@@ -295,12 +304,12 @@
         arrival = EngineArrival(self.now, daemon.name, self.can_be_informed(daemon))
         self.arrivals[content].append(arrival)
 
-    def _is_running(self, request: _CallerRequest, send: SendRequest) -> bool:
-        is_current = request.attempt == send.attempt and send.token in self._requests_by_token
+    def is_running(self, request: CallerRequest, send: SendRequest) -> bool:
+        is_current = request.attempt == send.attempt and send.token in self.requests_by_token
         return is_current and request.incarnation is not None
 
-    def _begin_answer(self, request: _CallerRequest, send: SendRequest) -> None:
-        if not self._is_running(request, send):
+    def begin_answer(self, request: CallerRequest, send: SendRequest) -> None:
+        if not self.is_running(request, send):
             return
         self.step(request.daemon, AnswerBegun(send.token, send.attempt, None))
         if request.caller.crashes_engines:
@@ -315,57 +324,62 @@
         self.call_later(seconds, lambda: self._complete(request, send))
 
     def _crash_under(
-        self, request: _CallerRequest, send: SendRequest, incarnation: EngineIncarnation
+        self, request: CallerRequest, send: SendRequest, incarnation: EngineIncarnation
     ) -> None:
-        if self._is_running(request, send) and incarnation.is_alive:
+        if self.is_running(request, send) and incarnation.is_alive:
             self.crash_times[request.caller.content].append(self.now)
             self.crash(incarnation.engine_id)
 
-    def _complete(self, request: _CallerRequest, send: SendRequest) -> None:
-        if self._is_running(request, send):
+    def _complete(self, request: CallerRequest, send: SendRequest) -> None:
+        if self.is_running(request, send):
             request.delivered = EVENTS_PER_ANSWER
-            self._end_attempt(send, AttemptOutcome.COMPLETED)
-            self._end_request(send.token, "served", 200)
+            self.end_attempt(send, AttemptOutcome.COMPLETED)
+            self.end_request(send.token, "served", 200)
 
-    def _end_attempt(self, send: SendRequest, outcome: AttemptOutcome) -> None:
-        request = self._requests_by_token.get(send.token)
+    def end_attempt(self, send: SendRequest, outcome: AttemptOutcome) -> None:
+        request = self.requests_by_token.get(send.token)
         if request is None or request.attempt != send.attempt:
             return
         self._detach_from_engine(request)
+        self.step(request.daemon, self.attempt_ended(request, send, outcome))
+
+    def attempt_ended(
+        self, request: CallerRequest, send: SendRequest, outcome: AttemptOutcome
+    ) -> RequestAttemptEnded:
+        """Returns the event of an attempt's end."""
         position = str(request.delivered) if request.delivered else ""
-        event = RequestAttemptEnded(
+        return RequestAttemptEnded(
             send.token, send.attempt, outcome, position=position, delivered=request.delivered
         )
-        self.step(request.daemon, event)
 
-    def _detach_from_engine(self, request: _CallerRequest) -> None:
+    def _detach_from_engine(self, request: CallerRequest) -> None:
         incarnation, request.incarnation = request.incarnation, None
         if incarnation is not None:
             incarnation.running.pop((request.token, request.attempt), None)
 
     def _abort(self, abort: AbortAttempt) -> None:
-        request = self._requests_by_token.get(abort.token)
+        request = self.requests_by_token.get(abort.token)
         if request is not None and request.attempt == abort.attempt:
             self._detach_from_engine(request)
 
     def _finish(self, finish: FinishRequest) -> None:
         match finish.outcome:
             case NotRun() as refused:
-                self._end_request(finish.token, "refused", refused.status)
+                self.end_request(finish.token, "refused", refused.status)
             case MayHaveRun() as failed:
-                self._end_request(finish.token, "failed", failed.status)
+                self.end_request(finish.token, "failed", failed.status)
             case Cut():
-                self._end_request(finish.token, "cut", 0)
+                self.end_request(finish.token, "cut", 0)
 
-    def _end_request(self, token: int, outcome: str, status: int) -> None:
-        request = self._requests_by_token.pop(token, None)
+    def end_request(self, token: int, outcome: str, status: int) -> None:
+        request = self.requests_by_token.pop(token, None)
         if request is None:
             return
         caller = request.caller
         caller.outcome = outcome
         caller.statuses.append(status)
         if outcome != "served" and status != REJECTED_STATUS and caller.remaining_tries > 0:
-            self.call_later(CALLER_RETRY_SECONDS, lambda: self._send_request(caller))
+            self.call_later(CALLER_RETRY_SECONDS, lambda: self.send_request(caller))
 
     # Batch items.
 
--- a/tests/simulation/fleet.py
+++ b/tests/simulation/fleet.py
@@ -132,6 +132,8 @@
         self.jobs: dict[str, ObservedJob] = {}
         self.daemons: dict[str, Daemon] = {}
         self.store_calls: Counter[str] = Counter()
+        self.engine_versions: dict[str, str] = {}
+        """Software versions of engines, by the part of their names before the first dot."""
         self.zones = zones
         self._policies = policies
         self._rewrite_call = rewrite_call or (lambda call: call)
@@ -168,9 +170,14 @@
 
     def register_engine(self, name: str, slots: int, is_draining: bool = False) -> None:
         """Writes an engine's entry to the store."""
-        record = KeyedRecord(name, cbor2.dumps([slots, is_draining]))
+        version = self.engine_version(name)
+        record = KeyedRecord(name, cbor2.dumps([slots, is_draining, version]))
         self.store.log(Partition("servers")).append((record,))
 
+    def engine_version(self, name: str) -> str:
+        """Returns the software version of an engine, which all its incarnations share."""
+        return self.engine_versions.get(name.partition(".")[0], "v1")
+
     def remove_engine(self, name: str) -> None:
         """Removes an engine's entry from the store without draining the engine first."""
         self.store.log(Partition("servers")).append((KeyedRecord(name, b""),))
--- a/tests/simulation/plain_formats.py
+++ b/tests/simulation/plain_formats.py
@@ -24,5 +24,13 @@
 
     def engine(self, engine_id: str, data: bytes) -> EngineRecord:
         """Decodes an engine entry."""
-        slots, is_draining = cbor2.loads(data)
-        return EngineRecord(engine_id, SERVICE, Address("10.0.0.1", 1), "z", slots, is_draining)
+        slots, is_draining, version = cbor2.loads(data)
+        return EngineRecord(
+            engine_id,
+            SERVICE,
+            Address("10.0.0.1", 1),
+            "z",
+            slots,
+            is_draining,
+            version=version,
+        )
--- /dev/null
+++ b/tests/simulation/versioned_fleet.py
@@ -0,0 +1,171 @@
+"""A simulated fleet with engines of several software versions, and callers that resume streams.
+
+Each event of a stream carries the version of the engine that wrote it. When a stream breaks off,
+its caller resumes it at a random daemon after the last event that it received, and names the try
+that brought the first event. The simulation counts the streams that hold events of two versions,
+and how many tries began or continued a stream.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field, replace
+
+from tests.simulation.crashing_fleet import (
+    EVENTS_PER_ANSWER,
+    ONLINE_PREFIX,
+    SLOTS,
+    Caller,
+    CallerRequest,
+    CrashingFleet,
+)
+from tests.simulation.fleet import Daemon
+from troutswitch.common import Address
+from troutswitch.decisions.forwarding.messages import (
+    AnswerBegun,
+    RequestArrived,
+    RequestAttemptEnded,
+    SendRequest,
+)
+from troutswitch.decisions.gateway_interface import GatewayEvent
+from troutswitch.decisions.slots.messages import PeerMessageReceived
+from troutswitch.outcomes import AttemptOutcome
+
+EVENT_SECONDS = 0.15
+EVENTS_PER_STREAM = 2 * EVENTS_PER_ANSWER
+
+
+@dataclass
+class StreamCaller(Caller):
+    """A caller with the events that it received, over all its tries."""
+
+    versions: list[str] = field(default_factory=list)
+    """Version of the engine that wrote each event, in order."""
+    first_try_id: str = ""
+    """Id of the try that brought the first event."""
+
+    @property
+    def is_mixed(self) -> bool:
+        """Whether the stream holds events of several versions."""
+        return len(set(self.versions)) > 1
+
+
+class VersionedFleet(CrashingFleet):
+    """A fleet with engines of several versions.
+
+    Args:
+        versions: the versions of the first engines, in order, repeated for further engines.
+    """
+
+    def __init__(
+        self, seed: int, versions: tuple[str, ...], daemons: int = 6, engines: int = 6
+    ) -> None:
+        self._initial_versions = versions
+        self.streams: list[StreamCaller] = []
+        self.tries: Counter[str] = Counter()
+        """Tries that began a stream anew ("new") or resumed one ("resumed"), and those of each
+        kind that brought an event ("new, served", "resumed, served")."""
+        self.peer_messages: Counter[str] = Counter()
+        """Messages sent between daemons, by type."""
+        super().__init__(seed, daemons, engines)
+
+    def register_engine(self, name: str, slots: int, is_draining: bool = False) -> None:
+        """Writes an engine's entry; engines that have no version yet get one of the first ones."""
+        address = name.partition(".")[0]
+        if address not in self.engine_versions:
+            number = len(self.engine_versions) % len(self._initial_versions)
+            self.engine_versions[address] = self._initial_versions[number]
+        super().register_engine(name, slots, is_draining)
+
+    def start_engine(self, name: str, version: str) -> None:
+        """Starts a new engine of a version."""
+        self.engine_versions[name] = version
+        self.register_engine(name, SLOTS)
+
+    def retire_engine(self, name: str) -> None:
+        """Drains an engine and ends it two seconds later."""
+        self.register_engine(name, SLOTS, is_draining=True)
+        self.call_later(2.0, lambda: self._end_engine(name))
+
+    def _end_engine(self, name: str) -> None:
+        self.remove_engine(name)
+        incarnation = self.incarnations[name]
+        incarnation.is_alive = False
+        for on_end in list(incarnation.running.values()):
+            on_end()
+
+    def send_to_peers(
+        self, daemon: Daemon, addresses: tuple[Address, ...], event: GatewayEvent
+    ) -> None:
+        """Counts and delivers a message between daemons."""
+        if isinstance(event, PeerMessageReceived):
+            self.peer_messages[type(event.message).__name__] += len(addresses)
+        super().send_to_peers(daemon, addresses, event)
+
+    # Streams.
+
+    def open_stream(self) -> StreamCaller:
+        """Opens a stream at a random daemon, with retries and resumptions until it is complete."""
+        name = f"{ONLINE_PREFIX}stream-{len(self.streams)}"
+        caller = StreamCaller(name, b"plain", False)
+        self.streams.append(caller)
+        self.send_request(caller)
+        return caller
+
+    def leave(self, caller: StreamCaller) -> None:
+        """Has the caller lose its connection, after which it resumes its stream."""
+        for token, request in list(self.requests_by_token.items()):
+            if request.caller is caller:
+                self.lose_connection(token, request)
+
+    def arrival(self, token: int, caller: Caller) -> RequestArrived:
+        """Returns the arrival of a try, which resumes the stream if the caller has events of it."""
+        arrived = super().arrival(token, caller)
+        if not isinstance(caller, StreamCaller):
+            return arrived
+        if not caller.versions:
+            self.tries["new"] += 1
+            return arrived
+        self.tries["resumed"] += 1
+        position = str(len(caller.versions))
+        return replace(arrived, resume_after=position, resumed_id=caller.first_try_id)
+
+    def begin_answer(self, request: CallerRequest, send: SendRequest) -> None:
+        """Begins an engine's answer; a stream has one event per `EVENT_SECONDS`."""
+        if not isinstance(request.caller, StreamCaller):
+            super().begin_answer(request, send)
+        elif self.is_running(request, send):
+            self.step(request.daemon, AnswerBegun(send.token, send.attempt, None))
+            self._send_event(request.caller, request, send)
+
+    def _send_event(self, caller: StreamCaller, request: CallerRequest, send: SendRequest) -> None:
+        if not self.is_running(request, send):
+            return
+        if not request.delivered:
+            self.tries["resumed, served" if caller.versions else "new, served"] += 1
+        caller.first_try_id = caller.first_try_id or f"try-{request.token}"
+        caller.versions.append(self.engine_version(send.engine_id))
+        request.delivered += 1
+        if len(caller.versions) < EVENTS_PER_STREAM:
+            self.call_later(EVENT_SECONDS, lambda: self._send_event(caller, request, send))
+            return
+        self.end_attempt(send, AttemptOutcome.COMPLETED)
+        self.end_request(send.token, "served", 200)
+
+    def attempt_ended(
+        self, request: CallerRequest, send: SendRequest, outcome: AttemptOutcome
+    ) -> RequestAttemptEnded:
+        """Returns the event of an attempt's end; positions count the events of all tries."""
+        ended = super().attempt_ended(request, send, outcome)
+        if not isinstance(request.caller, StreamCaller):
+            return ended
+        return replace(ended, position=str(len(request.caller.versions) or ""))
+
+    # Results.
+
+    @property
+    def mixed_streams(self) -> int:
+        """Number of streams that hold events of several versions."""
+        return sum(caller.is_mixed for caller in self.streams)
+
+    def served_share(self, kind: str) -> float:
+        """Returns the share of the "new" or "resumed" tries that brought an event."""
+        return self.tries[f"{kind}, served"] / max(1, self.tries[kind])
