--- a/src/troutswitch/daemons/messages.py
+++ b/src/troutswitch/daemons/messages.py
@@ -348,6 +348,65 @@
     removed: tuple[str, ...]
 
 
+class ListedVersion(msgspec.Struct, frozen=True, array_like=True):
+    """A software version of a service's engines, both by their keys (`streams.versions`).
+
+    `age_ms` is the time since the version was last listed.
+    """
+
+    service: int
+    version: int
+    age_ms: int
+
+
+class VersionsNotice(msgspec.Struct, frozen=True, array_like=True, tag="versions"):
+    """States the versions of the services that have engines of several versions."""
+
+    sender: str
+    rows: tuple[ListedVersion, ...]
+
+
+class OriginRow(msgspec.Struct, frozen=True, array_like=True):
+    """The service and the software version that began a stream, all by their keys.
+
+    `attempt` is the ordinal of the attempt that began it, within its request.
+    """
+
+    stream: int
+    service: int
+    version: int
+    attempt: int
+
+
+class StreamOrigins(msgspec.Struct, frozen=True, array_like=True, tag="origins"):
+    """Tells a holder of streams which versions began them."""
+
+    sender: str
+    rows: tuple[OriginRow, ...]
+
+
+class OriginQuery(msgspec.Struct, frozen=True, array_like=True, tag="origin?"):
+    """Asks which version began a stream; `number` is unique within the sender's `incarnation`."""
+
+    sender: str
+    address: Address
+    incarnation: int
+    number: int
+    stream: int
+
+
+class OriginReply(msgspec.Struct, frozen=True, array_like=True, tag="origin"):
+    """Replies to an `OriginQuery`, with one row or, if the sender does not know it, none.
+
+    `incarnation` and `number` are those of the query.
+    """
+
+    sender: str
+    incarnation: int
+    number: int
+    rows: tuple[OriginRow, ...] = ()
+
+
 class QuotaRequest(msgspec.Struct, frozen=True, array_like=True, tag="quota"):
     """Asks the coordinator that counts a tenant's requests to admit one.
 
@@ -455,5 +514,9 @@
     | QuotaDecision
     | QuotaHandoverRequest
     | QuotaHandover
+    | VersionsNotice
+    | StreamOrigins
+    | OriginQuery
+    | OriginReply
 )
 """All messages between daemons."""
--- a/src/troutswitch/decisions/forwarding/attempts.py
+++ b/src/troutswitch/decisions/forwarding/attempts.py
@@ -2,11 +2,11 @@
 
 Owns no state: the fields of the running attempt are part of its request. Each attempt is counted in
 the engine registry from its start to its end. Its events update the engine (load, failures, drain),
-the run times of the service, and the suspected crashes of engines.
+the run times of the service, the suspected crashes of engines, and the origins of streams.
 """
 
 from troutswitch.decisions.crashes.interface import Suspects
-from troutswitch.decisions.forwarding.candidates import FULL_EXCLUSION_SECONDS
+from troutswitch.decisions.forwarding.candidates import FULL_EXCLUSION_SECONDS, may_continue
 from troutswitch.decisions.forwarding.engine import Engine, RequestSize
 from troutswitch.decisions.forwarding.engine_silence import event_gap_timeout, first_event_timeout
 from troutswitch.decisions.forwarding.engines import EngineRegistry
@@ -22,6 +22,8 @@
 from troutswitch.decisions.forwarding.request import ForwardedRequest, RequestState
 from troutswitch.decisions.forwarding.run_times import RunTimes
 from troutswitch.decisions.invariants import ensure
+from troutswitch.decisions.streams.interface import Origins
+from troutswitch.decisions.streams.versions import version_key
 from troutswitch.outcomes import AttemptOutcome
 
 MIN_FAILURE_STATUS = 300
@@ -31,7 +33,10 @@
 class EngineAttempts:
     """Starts and ends the attempts of requests on engines."""
 
-    def __init__(self, engines: EngineRegistry, times: RunTimes, suspects: Suspects) -> None:
+    def __init__(
+        self, engines: EngineRegistry, times: RunTimes, suspects: Suspects, origins: Origins
+    ) -> None:
+        self._origins = origins
         self._engines = engines
         self._times = times
         self._suspects = suspects
@@ -43,12 +48,17 @@
             "a request that must not be repeated is sent again",
         )
         engine = assignment.engine
+        ensure(
+            may_continue(request, engine),
+            "a stream continues at an engine of another version",
+        )
         request.state = RequestState.RUNNING
         request.attempt += 1
         request.engine_id = engine.record.engine_id
         request.tried.add(request.engine_id)
         request.answer_began_at = float("inf")
         request.sent_at = now
+        request.engine_version = engine.record.version
         request.size = self._size(request, engine)
         request.was_queued = assignment.is_queued
         self._engines.on_sent(now, request.engine_id, False, request.size)
@@ -70,6 +80,14 @@
         if event.not_run:
             return
         request.answer_began_at = now
+        if request.begins_stream:
+            self._origins.on_begun(
+                now,
+                request.arrival.request_id,
+                request.service,
+                request.engine_version,
+                request.attempt,
+            )
         self._engines.on_first_token(request.engine_id, request.size)
         self._suspects.on_answered(now, request.engine_id, request.sent_at)
         if event.load is not None:
@@ -91,6 +109,8 @@
         request.ended_attempts.append(event.kind)
         request.position = event.position or request.position
         request.delivered = event.delivered
+        if event.delivered and request.origin is None:
+            request.origin = version_key(event.began_version)
         if event.kind is AttemptOutcome.COMPLETED:
             self._record_completion(now, request, event)
 
@@ -160,6 +180,7 @@
         first_event_wait=first_event_timeout(now, request),
         decided_at=now,
         tenant=request.tenant,
+        engine_version=engine.record.version,
     )
 
 
--- a/src/troutswitch/decisions/forwarding/candidates.py
+++ b/src/troutswitch/decisions/forwarding/candidates.py
@@ -6,6 +6,9 @@
 Rule: engines that the request was not sent to. Of these, engines that rejected some request as full
 less than `FULL_EXCLUSION_SECONDS` ago are excluded, unless no others remain. After a wait, a
 request may go again to engines that rejected it, and if none remains, also to those that failed.
+A stream that continues goes only to engines of the software version that began it. A new one that
+can be resumed goes to engines of a further version only after a while (`streams.versions`), unless
+no others remain.
 
 Measurements: docs/POLICY.md.
 """
@@ -15,6 +18,7 @@
 from troutswitch.decisions.forwarding.engine import Engine
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.request import ForwardedRequest
+from troutswitch.decisions.streams.versions import version_key
 
 FULL_EXCLUSION_SECONDS = 0.15
 """Time for which an engine that rejected a request as full is not a candidate."""
@@ -26,11 +30,34 @@
     now: float, request: ForwardedRequest, engines: EngineRegistry
 ) -> list[Engine]:
     """Returns the engines that may take a request, in the order of the engine list."""
-    usable = engines.usable(now, request.service)
+    usable = permitted_engines(now, request, engines)
     untried = [engine for engine in usable if engine.record.engine_id not in request.tried]
     return [engine for engine in untried if now >= engine.full_until] or untried
 
 
+def permitted_engines(
+    now: float, request: ForwardedRequest, engines: EngineRegistry
+) -> list[Engine]:
+    """Returns the usable engines whose software version suits a request, tried ones included."""
+    usable = engines.usable(now, request.service)
+    if request.origin is not None:
+        return [engine for engine in usable if may_continue(request, engine)]
+    if request.begins_stream and engines.versions.is_mixed(now, request.service):
+        versions = engines.versions
+        return [e for e in usable if versions.may_begin(now, e.record)] or usable
+    return usable
+
+
+def may_continue(request: ForwardedRequest, engine: Engine) -> bool:
+    """Returns whether the stream of a request may continue at an engine, by its version."""
+    return request.origin is None or version_key(engine.record.version) == request.origin
+
+
+def has_engine_of_origin(request: ForwardedRequest, engines: EngineRegistry) -> bool:
+    """Returns whether any engine that isn't leaving may continue the stream of a request."""
+    return any(may_continue(request, engine) for engine in engines.of_service(request.service))
+
+
 def excluded_engines(
     now: float, request: ForwardedRequest, engines: EngineRegistry
 ) -> dict[str, str]:
@@ -53,6 +80,8 @@
         return "draining"
     if not engine.is_listed:
         return "not listed"
+    if not may_continue(request, engine):
+        return "another version"
     if now < engine.ejected_until:
         return f"failed {engine.failures} times in a row"
     if engine.record.engine_id in request.tried:
--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -30,6 +30,7 @@
 from troutswitch.decisions.forwarding.idle_connections import IdleConnections
 from troutswitch.decisions.forwarding.mean_tokens import MeanTokens
 from troutswitch.decisions.forwarding.types import EngineLoad, EngineRecord
+from troutswitch.decisions.streams.versions import EngineVersions
 
 DRAIN_NOTICE_SECONDS = 1.0
 """Time for which a peer's notice that an engine left outweighs a list that still has it. The list
@@ -60,6 +61,7 @@
     """Why entries of the last list could not be used, by entry."""
     mean_tokens: MeanTokens = field(default_factory=MeanTokens)
     idle_connections: IdleConnections = field(default_factory=IdleConnections)
+    versions: EngineVersions = field(default_factory=EngineVersions)
     _own_paces: dict[str, PaceObservation] = field(default_factory=dict)
     """The newest pace that each engine reported to this daemon, until it is taken; newest last."""
     _paced_services: set[str] = field(default_factory=set)
@@ -78,6 +80,7 @@
             now: when the list was read, here or by a peer, in seconds of this process's clock.
             records: all entries.
         """
+        self.versions.on_list(now, records)
         before = self._accepting_work()
         self._reported_gone_at = {
             engine_id: at
--- a/src/troutswitch/decisions/forwarding/messages.py
+++ b/src/troutswitch/decisions/forwarding/messages.py
@@ -64,7 +64,8 @@
     `has_answer` is set if the relay has a complete answer of the engine that can be relayed
     unchanged, `wrong_instance` if another incarnation answered at the engine's address.
     `longest_gap` is the longest pause between events. `connection_seconds` is how long its
-    connection may be reused, 0 if it was closed.
+    connection may be reused, 0 if it was closed. `began_version` is the software version of the
+    engine that brought the first of the delivered events, or empty without one.
     """
 
     token: int
@@ -80,6 +81,7 @@
     has_answer: bool = False
     longest_gap: float = 0.0
     connection_seconds: float = 0.0
+    began_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,7 +122,8 @@
     deadline. `first_event_wait` is the timeout for the first event after the head, `gap_wait` the
     timeout for each following event. `decided_at` is when these were computed; infinite stands for
     now. `resume_after` is the id of the last event that the caller has received, or empty. `tenant`
-    is the caller's tenant, which is sent to the engine.
+    is the caller's tenant, which is sent to the engine. `engine_version` is the engine's software
+    version.
     """
 
     token: int
@@ -133,6 +136,7 @@
     first_event_wait: float = float("inf")
     decided_at: float = float("inf")
     tenant: str = NO_TENANT
+    engine_version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/forwarding/open_requests.py
+++ b/src/troutswitch/decisions/forwarding/open_requests.py
@@ -39,6 +39,8 @@
 LATE_REASON = "all servers would answer late"
 CRASHES_REASON = "servers ended under this request"
 SILENT_REASON = "server fell silent"
+VERSION_GONE_REASON = "no server of the version that began the stream"
+ORIGIN_UNKNOWN_REASON = "the version that began the stream is not known"
 """Reasons that are sent to callers; their wording is part of the interface."""
 
 Instructions = list[ForwardingInstruction]
--- a/src/troutswitch/decisions/forwarding/placing.py
+++ b/src/troutswitch/decisions/forwarding/placing.py
@@ -10,11 +10,12 @@
 from troutswitch.decisions.forwarding.admission import Admission, Deferral, LateAction
 from troutswitch.decisions.forwarding.arrivals import Refused
 from troutswitch.decisions.forwarding.attempts import EngineAttempts, preempt_if_full
-from troutswitch.decisions.forwarding.candidates import candidate_engines
+from troutswitch.decisions.forwarding.candidates import candidate_engines, has_engine_of_origin
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.log_events import attempt_started_line
 from troutswitch.decisions.forwarding.open_requests import (
     NO_ENGINE_REASON,
+    VERSION_GONE_REASON,
     Instructions,
     OpenRequests,
 )
@@ -73,7 +74,7 @@
             return self._open.end_unanswered(now, request, "time ran out", Step.DISPATCH)
         candidates = candidate_engines(now, request, self._engines)
         if not candidates:
-            return self._open.wait_or_end(now, request, reason, Step.ROUTE)
+            return self._without_engine(now, request, reason)
         request.state = RequestState.PLACING
         arrival = request.arrival
         max_wait = float("inf") if request.ended_attempts else request.longest_wait
@@ -87,6 +88,15 @@
         placement = self.placer.place(now, placement_request, candidates)
         return self.on_placement(now, request, placement) if placement is not None else []
 
+    def _without_engine(self, now: float, request: ForwardedRequest, reason: str) -> Instructions:
+        """Makes a request without a candidate wait, or ends it.
+
+        A stream ends at once if the version that began it has no engine any more.
+        """
+        if not has_engine_of_origin(request, self._engines):
+            return self._open.end_unanswered(now, request, VERSION_GONE_REASON, Step.ROUTE)
+        return self._open.wait_or_end(now, request, reason, Step.ROUTE)
+
     def _queue_terms(self, request: ForwardedRequest) -> QueueTerms | None:
         """Returns the terms on which a request waits in a coordinator's queue, if it may."""
         if request.is_denied or not self._admission.uses_queues:
@@ -109,7 +119,7 @@
             case NoSlotInTime():
                 return self._on_late(now, request, placement)
             case NoEngine():
-                return self._open.wait_or_end(now, request, NO_ENGINE_REASON, Step.ROUTE)
+                return self._without_engine(now, request, NO_ENGINE_REASON)
             case Assignment():
                 return self._on_assigned(now, request, placement)
             case _:
--- a/src/troutswitch/decisions/forwarding/request.py
+++ b/src/troutswitch/decisions/forwarding/request.py
@@ -18,6 +18,8 @@
 class RequestState(Enum):
     """State of a request; `requests` documents the transitions."""
 
+    LOCATING = "locating"
+    """It resumes a stream, and the version that began the stream is being searched."""
     PLACING = "placing"
     """An engine is being chosen."""
     WAITING = "waiting for capacity"
@@ -69,6 +71,8 @@
     """Id of the last complete event delivered to the client."""
     delivered: int = 0
     """Number of events delivered to the client."""
+    origin: int | None = None
+    """Key of the only engine version that may continue the stream; None if any version may."""
     needs_retry_budget: bool = False
     """Whether the next attempt takes from the retry budget."""
     needs_quota: bool = False
@@ -80,6 +84,8 @@
     attempt: int = 0
     """Ordinal of the newest attempt, from 1; 0 before the first."""
     engine_id: str = ""
+    engine_version: str = ""
+    """Software version of that engine."""
     size: RequestSize = NO_SIZE
     sent_at: float = 0.0
     answer_began_at: float = float("inf")
@@ -99,6 +105,11 @@
         """Whether an attempt is in flight."""
         return self.state is RequestState.RUNNING
 
+    @property
+    def begins_stream(self) -> bool:
+        """Whether its next attempt begins a stream that can be resumed at other daemons."""
+        return self.route.is_resumable and self.origin is None and not self.position
+
     @property
     def arrived_at(self) -> float:
         """When this daemon admitted the request."""
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -3,6 +3,8 @@
 The states of a request and the transitions between them:
 
     (arrived) -> PLACING    it was admitted, and an engine is being chosen
+    (arrived) -> LOCATING   it resumes a stream, and the version that began it is being searched
+    LOCATING  -> PLACING    the version is known, or any may continue the stream
     PLACING   -> RUNNING    it was assigned to an engine, and an attempt started
     RUNNING   -> PLACING    the attempt failed and may be repeated
     PLACING   -> WAITING    no engine can take it now, and it can't be refused any more; or it would
@@ -16,7 +18,9 @@
 
 If an engine reports that it did not run an attempt, another attempt may follow on any route. If an
 attempt may have run, another follows only if the route allows repetition; on a resumable stream it
-continues after the last complete event delivered.
+continues after the last complete event delivered. A stream, also one that a caller resumes,
+continues only at engines of the software version that began it; if that is unknown or has no
+engine, it ends.
 
 This module handles the events and starts the transitions. `placing` handles requests in PLACING,
 `open_requests` makes requests wait or ends them, `attempts` updates the counts at the engines. The
@@ -32,7 +36,11 @@
 from troutswitch.decisions.forwarding.admission import Admission
 from troutswitch.decisions.forwarding.arrivals import Admitted, Arrivals, Refused
 from troutswitch.decisions.forwarding.attempts import EngineAttempts
-from troutswitch.decisions.forwarding.candidates import candidate_engines, reset_tried
+from troutswitch.decisions.forwarding.candidates import (
+    candidate_engines,
+    permitted_engines,
+    reset_tried,
+)
 from troutswitch.decisions.forwarding.engine import Engine
 from troutswitch.decisions.forwarding.engine_cost import SPEED_POLICIES
 from troutswitch.decisions.forwarding.engine_silence import is_engine_silent
@@ -52,7 +60,9 @@
 )
 from troutswitch.decisions.forwarding.open_requests import (
     CRASHES_REASON,
+    ORIGIN_UNKNOWN_REASON,
     SILENT_REASON,
+    VERSION_GONE_REASON,
     Instructions,
     OpenRequests,
 )
@@ -63,9 +73,13 @@
 from troutswitch.decisions.forwarding.retry import FailureAction, action_after_failure
 from troutswitch.decisions.forwarding.routes import RouteTable, choose_service
 from troutswitch.decisions.forwarding.run_times import RunTimes
+from troutswitch.decisions.forwarding.types import RouteKind
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.limits import RetryBudget
 from troutswitch.decisions.policies import DEFAULT_SPEED
+from troutswitch.decisions.streams.interface import NO_ORIGINS, Origins
+from troutswitch.decisions.streams.origin_records import Located, NoOriginNeeded, StreamOrigin
+from troutswitch.decisions.streams.versions import service_key
 from troutswitch.decisions.tenants.quota import QuotaCompletion, QuotaResult
 from troutswitch.outcomes import NOT_EXECUTED_OUTCOMES, AttemptOutcome, NotRun, Step
 
@@ -86,6 +100,7 @@
         admission: str,
         suspects: Suspects = NO_SUSPECTS,
         speed: str = DEFAULT_SPEED,
+        origins: Origins = NO_ORIGINS,
     ) -> None:
         self.arrivals = Arrivals(routes, suspects)
         self.times = RunTimes()
@@ -93,8 +108,9 @@
         self._engines = engines
         self._rng = rng
         self._suspects = suspects
+        self._origins = origins
         self._open = OpenRequests(routes, engines, rng)
-        self._attempts = EngineAttempts(engines, self.times, suspects)
+        self._attempts = EngineAttempts(engines, self.times, suspects, origins)
         self._admission = Admission(admission, self.times, rng)
         self._placing = RequestPlacing(
             self._open,
@@ -164,6 +180,45 @@
             quota_seconds=admitted.quota_seconds,
             priority=route.priority if tenant_priority is None else tenant_priority,
         )
+        if arrival.resume_after and route.kind is RouteKind.STREAM:
+            return self._locate(now, request)
+        return self._placing.begin(now, request)
+
+    # Resumed streams.
+
+    def _locate(self, now: float, request: ForwardedRequest) -> Instructions:
+        """Searches the version that began the stream which a request resumes."""
+        request.state = RequestState.LOCATING
+        self._open.add(request)
+        arrival = request.arrival
+        located = self._origins.locate(now, arrival.token, arrival.resumed_id, request.service)
+        return self.on_located(now, located) if located is not None else []
+
+    def on_located(self, now: float, located: Located) -> Instructions:
+        """Places a request that resumes a stream, or ends it if the origin is unknown."""
+        request = self.requests.get(located.token)
+        if request is None or request.state is not RequestState.LOCATING:
+            return []
+        match located.location:
+            case None:
+                return self._open.end_unanswered(now, request, ORIGIN_UNKNOWN_REASON, Step.ROUTE)
+            case NoOriginNeeded():
+                return self._placing.begin(now, request)
+            case StreamOrigin() as origin:
+                return self._continue_at(now, request, origin)
+            case _:
+                assert_never(located.location)
+
+    def _continue_at(
+        self, now: float, request: ForwardedRequest, origin: StreamOrigin
+    ) -> Instructions:
+        """Places a request at the service and the version that began its stream."""
+        names = [backend.service for backend in request.route.backends]
+        service = next((name for name in names if service_key(name) == origin.service), None)
+        if service is None:
+            return self._open.end_unanswered(now, request, VERSION_GONE_REASON, Step.ROUTE)
+        request.service = service
+        request.origin = origin.version
         return self._placing.begin(now, request)
 
     # Placement.
@@ -173,10 +228,15 @@
         request = self.requests.get(token)
         return candidate_engines(now, request, self._engines) if request is not None else []
 
+    def permitted(self, now: float, token: int) -> list[Engine]:
+        """Returns the same with the engines that the request was sent to before."""
+        request = self.requests.get(token)
+        return permitted_engines(now, request, self._engines) if request is not None else []
+
     def on_placed(self, now: float, token: int, placement: Placement) -> Instructions:
         """Applies a placement that was decided later."""
         request = self.requests.get(token)
-        if request is None or request.is_running:
+        if request is None or request.is_running or request.state is RequestState.LOCATING:
             return []
         return self._placing.on_placement(now, request, placement)
 
@@ -292,6 +352,7 @@
         if request.state is RequestState.COUNTING:
             self.arrivals.quota.withdraw(request.arrival.token)
             return []
+        self._origins.withdraw(request.arrival.token)
         self.placer.withdraw(now, request.arrival.token)
         return []
 
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -232,6 +232,8 @@
             self.suspects.next_due(),
             self.quota.next_due(),
             self.drain_notices.next_due(),
+            self.version_notices.next_due(),
+            self.origins.next_due(),
         )
 
     def _on_timer(self, now: float) -> None:
@@ -244,6 +246,8 @@
             now, self.peers.newest_version()
         )
         self._peer_messages.end_quota_waits(now, self.quota.on_timer(now))
+        for located in self.origins.on_timer(now):
+            self.output.emit_all(self.requests.on_located(now, located))
         self.output.emit_all(self.requests.on_timer(now))
         self.output.emit_all(self.membership.on_timer(now))
         self.output.emit_all(self.configuration.on_timer(now))
@@ -262,6 +266,7 @@
             now, daemons, is_current=self.peer_registry.is_current(now)
         )
         self.output.emit_all(self.drain_notices.on_timer(now))
+        self.output.emit_all(self.version_notices.on_timer(now))
         self.output.emit_all(self.peer_registry.on_timer(now))
         self.output.emit_all(self._peer_state.on_timer(now))
 
--- a/src/troutswitch/decisions/gateway_parts.py
+++ b/src/troutswitch/decisions/gateway_parts.py
@@ -38,6 +38,8 @@
 from troutswitch.decisions.slots.fleet import FleetSlots, SlotPolicies
 from troutswitch.decisions.slots.messages import WaitingItems
 from troutswitch.decisions.storage.read_attempts import CallNumbers
+from troutswitch.decisions.streams.origins import OriginSearches
+from troutswitch.decisions.streams.version_notices import VersionNotices
 from troutswitch.decisions.tenants.quota_groups import QUOTA_GROUPS
 from troutswitch.decisions.tenants.quota_policies import make_quota
 
@@ -110,9 +112,19 @@
             self._log,
             rng,
         )
+        incarnation = rng.getrandbits(31)
+        self.origins = OriginSearches(
+            self._daemon_identity(incarnation),
+            self.engines.versions,
+            self._peer_addresses_by_name,
+            self._emit,
+            self._log,
+        )
+        self.version_notices = VersionNotices(
+            identity.name, self.engines.versions, self._peer_addresses, rng
+        )
         self.requests = self._make_requests(policies, rng)
         self._idle_connections = IdleConnectionLimits(self.engines, self.routes)
-        incarnation = rng.getrandbits(31)
         self.slots = self._make_slots(policies, incarnation, rng)
         if policies.slot_assignment == "coordinators":
             self.requests.placer = self.slots.requests
@@ -134,6 +146,7 @@
             policies.admission,
             self.suspects,
             policies.speed,
+            self.origins,
         )
 
     def _make_slots(self, policies: Policies, incarnation: int, rng: random.Random) -> FleetSlots:
@@ -246,12 +259,19 @@
             self.slots,
             self.quota,
             self.requests,
+            self.engines.versions,
+            self.version_notices,
+            self.origins,
             self.output,
         )
 
     def _peer_addresses(self) -> list[Address]:
         """Returns the addresses of other daemons.
 
-        `CrashSuspects` sends reports to them and is constructed before `Peers`.
+        `CrashSuspects` and `VersionNotices` are constructed before `Peers`.
         """
         return self.peers.addresses()
+
+    def _peer_addresses_by_name(self) -> dict[str, Address]:
+        """Returns the same by name, for `OriginSearches`."""
+        return self.peers.addresses_by_name()
--- a/src/troutswitch/decisions/peer_messages.py
+++ b/src/troutswitch/decisions/peer_messages.py
@@ -14,6 +14,8 @@
     GroupDigest,
     Heartbeat,
     HoldingsReport,
+    OriginQuery,
+    OriginReply,
     PacedDigest,
     PacedReport,
     PeerMessage,
@@ -27,6 +29,8 @@
     SlotReply,
     SlotRequest,
     SlotRequestWithdrawn,
+    StreamOrigins,
+    VersionsNotice,
 )
 from troutswitch.decisions.active_configuration import ActiveConfiguration
 from troutswitch.decisions.crashes.suspects import CrashSuspects
@@ -36,6 +40,9 @@
 from troutswitch.decisions.peers.heartbeats import Peers
 from troutswitch.decisions.slots.fleet import FleetSlots
 from troutswitch.decisions.slots.queued_requests import PlacementResult
+from troutswitch.decisions.streams.origins import OriginSearches
+from troutswitch.decisions.streams.version_notices import VersionNotices
+from troutswitch.decisions.streams.versions import EngineVersions
 from troutswitch.decisions.tenants.quota import Quota, QuotaCompletion
 
 
@@ -50,10 +57,14 @@
     slots: FleetSlots
     quota: Quota
     requests: ForwardedRequests
+    versions: EngineVersions
+    version_notices: VersionNotices
+    origins: OriginSearches
     output: InstructionQueue
 
     def on_message(self, now: float, message: PeerMessage) -> None:
         """Handles a message."""
+        self.versions.on_heard(now)
         match message:
             case Heartbeat():
                 self.peers.on_heartbeat(now, message)
@@ -71,6 +82,10 @@
                 self.quota.on_handover_request(now, message)
             case QuotaHandover():
                 self.quota.on_handover(now, message)
+            case VersionsNotice():
+                self.version_notices.on_notice(now, message)
+            case StreamOrigins() | OriginQuery() | OriginReply():
+                self._on_origin_message(now, message)
             case SlotReply():
                 self._on_slot_reply(now, message)
             case (
@@ -101,6 +116,21 @@
         if claim is not None and is_known:
             self.slots.reports.mark_reported(claim)
 
+    def _on_origin_message(
+        self, now: float, message: StreamOrigins | OriginQuery | OriginReply
+    ) -> None:
+        match message:
+            case StreamOrigins():
+                self.origins.on_origins(now, message)
+            case OriginQuery():
+                self.origins.on_query(now, message)
+            case OriginReply():
+                located = self.origins.on_reply(now, message)
+                if located is not None:
+                    self.output.emit_all(self.requests.on_located(now, located))
+            case _:
+                assert_never(message)
+
     def end_quota_waits(self, now: float, ended: list[QuotaCompletion]) -> None:
         """Continues the requests whose quota was decided."""
         for end in ended:
--- a/src/troutswitch/decisions/peers/heartbeats.py
+++ b/src/troutswitch/decisions/peers/heartbeats.py
@@ -132,6 +132,10 @@
         """Returns the addresses of all known other daemons."""
         return [peer.address for peer in self.peers.values()]
 
+    def addresses_by_name(self) -> dict[str, Address]:
+        """Returns the addresses of all known other daemons, by name."""
+        return {name: peer.address for name, peer in self.peers.items()}
+
     def live_addresses(self, now: float) -> list[Address]:
         """Returns the addresses of live peers of this zone; without one, of peers of any zone."""
         near = [peer.address for peer in self._live(now) if peer.zone == self._zone]
--- a/src/troutswitch/decisions/slots/local_placement.py
+++ b/src/troutswitch/decisions/slots/local_placement.py
@@ -11,7 +11,8 @@
 2. If no coordinator is known, or none replies in time, the better of two randomly drawn engines is
    chosen, preferably in this daemon's zone (`TwoChoices`), with this daemon's own readings of the
    engines' pace and idle connections. If the request may no longer be sent to
-   any of its engines, the two are drawn from all usable engines of its service.
+   any of its engines, the two are drawn from all usable engines of its service, or of the version
+   at which its stream began.
 3. If there is no such engine, the request ends with `NoEngine`.
 
 Why two choices: while no coordinator replies, the local view is old, and daemons that all chose the
@@ -50,6 +51,10 @@
         """Returns the engines for the request that `token` identifies within this process."""
         ...
 
+    def permitted(self, now: float, token: int) -> list[Engine]:
+        """Returns the same with the engines that the request was sent to before."""
+        ...
+
 
 class LocalPlacement:
     """Assigns requests to engines by this daemon's local view."""
@@ -84,7 +89,7 @@
         """Assigns a request for which no coordinator granted a slot."""
         candidates = self._requests.candidates(now, request.token)
         if not candidates:
-            candidates = self._engines.usable(now, request.service)
+            candidates = self._requests.permitted(now, request.token)
         if not candidates:
             return NoEngine()
         engine = self._fallback.choose(now, candidates, request.prompt, self._zone, self._rng)
--- /dev/null
+++ b/src/troutswitch/decisions/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Continuation of streams at engines of the software version that began them."""
--- /dev/null
+++ b/src/troutswitch/decisions/streams/versions.py
@@ -0,0 +1,151 @@
+"""Which software versions the engines of each service run, as far as this daemon knows.
+
+Question: may a service have engines of several versions now? Then a stream that continues needs to
+know the version that began it.
+
+Inputs: the engine list, here and at the peers that report versions; when this daemon last read the
+list or heard a peer. Times are by this process's clock, in seconds.
+
+Rule:
+
+1. A service is mixed if two of its versions were listed within `MIXED_SECONDS`, here or at a peer.
+   That is longer than any stream lasts, so a stream of a version that has gone is still noticed.
+2. A further version begins new streams `ACTIVATION_SECONDS` after it was first seen. Until then the
+   peers are told of it.
+3. That a service is not mixed is confirmed while the list was read, or a peer was heard, within
+   `CONFIRMED_SECONDS`. A daemon without either may have missed a version.
+
+Why: `CONFIRMED_SECONDS` is shorter than `ACTIVATION_SECONDS`, so a daemon that does not know of a
+version yet either learns of it before the first stream begins there, or is not confirmed. Without
+the delay, a stream could be resumed at a daemon with an older list, at an engine of another
+version. While a service has one version, nothing is sent and nothing waits.
+
+Measurements: docs/design/stream-versions.md.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from functools import lru_cache
+
+from troutswitch.common import stable_hash
+from troutswitch.decisions.forwarding.types import EngineRecord
+
+MIXED_SECONDS = 30.0
+"""Time for which a version counts after it was last listed: several times a caller's deadline."""
+ACTIVATION_SECONDS = 1.5
+"""Time from the first sight of a further version until streams begin at its engines."""
+CONFIRMED_SECONDS = 1.0
+"""Time since the last sign of the fleet for which this daemon's versions count as complete. The
+difference to `ACTIVATION_SECONDS` covers slow answers of the store and lost messages."""
+MIN_ADVANCE_SECONDS = 1.0
+"""Least advance of the time at which a version was last listed. The ages that peers report lack the
+time of the message; without this, they would keep a version recent by echoing it."""
+KEY_MASK = 0xFFFFFFFF
+MAX_SERVICES = 256
+"""Maximum number of services of which versions are kept; peers may report services that this
+daemon does not list."""
+MAX_VERSIONS_PER_SERVICE = 16
+"""Maximum number of versions of a service; the one that was seen least recently is dropped."""
+KEYS_REMEMBERED = 1024
+
+
+@lru_cache(maxsize=KEYS_REMEMBERED)
+def service_key(service: str) -> int:
+    """Returns the 32-bit key that identifies a service in messages about versions."""
+    return stable_hash("service", service) & KEY_MASK
+
+
+@lru_cache(maxsize=KEYS_REMEMBERED)
+def version_key(version: str) -> int:
+    """Returns the 32-bit key that identifies a software version in messages."""
+    return stable_hash("version", version) & KEY_MASK
+
+
+@dataclass(slots=True)
+class SeenVersion:
+    """When a version of a service was first and last listed."""
+
+    first_at: float
+    last_at: float
+
+    def is_recent(self, now: float) -> bool:
+        """Returns whether streams of the version may still be resumed."""
+        return now - self.last_at < MIXED_SECONDS
+
+
+def _drop_old(versions: dict[int, SeenVersion], now: float) -> None:
+    """Drops the versions that are not recent, and the oldest one beyond the bound."""
+    for key in [key for key, seen in versions.items() if not seen.is_recent(now)]:
+        del versions[key]
+    if len(versions) >= MAX_VERSIONS_PER_SERVICE:
+        del versions[min(versions, key=lambda key: versions[key].last_at)]
+
+
+class EngineVersions:
+    """The versions of all services.
+
+    `news` counts the changes after which peers are to be told: a further version of a service.
+    """
+
+    def __init__(self) -> None:
+        self.news = 0
+        self.heard_at = float("-inf")
+        """When the list was last read, or a peer was last heard."""
+        self._by_service: dict[int, dict[int, SeenVersion]] = {}
+
+    def on_list(self, read_at: float, records: Iterable[EngineRecord]) -> None:
+        """Records the versions of a list of engines that was read at `read_at`."""
+        self.on_heard(read_at)
+        known_before = set(self._by_service)
+        for record in records:
+            service = service_key(record.service)
+            is_first = service not in known_before
+            first_at = float("-inf") if is_first else read_at
+            self.on_seen(service, version_key(record.version), first_at, read_at)
+
+    def on_heard(self, now: float) -> None:
+        """Records a sign of the fleet: a reading of the list, or a message of a peer."""
+        self.heard_at = max(self.heard_at, now)
+
+    def on_seen(self, service: int, version: int, first_at: float, last_at: float) -> None:
+        """Records that a version of a service was listed, here or at a peer."""
+        versions = self._by_service.get(service)
+        if versions is None:
+            if len(self._by_service) >= MAX_SERVICES:
+                return
+            versions = self._by_service[service] = {}
+        seen = versions.get(version)
+        if seen is not None and last_at < seen.last_at + MIXED_SECONDS:
+            if last_at >= seen.last_at + MIN_ADVANCE_SECONDS:
+                seen.last_at = last_at
+            return
+        _drop_old(versions, last_at)
+        versions[version] = SeenVersion(first_at, last_at)
+        if len(versions) > 1:
+            self.news += 1
+
+    def is_mixed(self, now: float, service: str) -> bool:
+        """Returns whether a service may have engines, or recent streams, of several versions."""
+        versions = self._by_service.get(service_key(service), {})
+        return len(versions) > 1 and self._count_recent(now, versions) > 1
+
+    @staticmethod
+    def _count_recent(now: float, versions: dict[int, SeenVersion]) -> int:
+        return sum(seen.is_recent(now) for seen in versions.values())
+
+    def mixed(self, now: float) -> Iterator[tuple[int, dict[int, SeenVersion]]]:
+        """Yields the mixed services with their recent versions, by their keys."""
+        for service, versions in self._by_service.items():
+            if len(versions) > 1 and self._count_recent(now, versions) > 1:
+                recent = {key: seen for key, seen in versions.items() if seen.is_recent(now)}
+                yield service, recent
+
+    def is_confirmed(self, now: float) -> bool:
+        """Returns whether the versions are complete as far as streams have begun."""
+        return now - self.heard_at <= CONFIRMED_SECONDS
+
+    def may_begin(self, now: float, record: EngineRecord) -> bool:
+        """Returns whether new streams may begin at an engine, by its version."""
+        versions = self._by_service.get(service_key(record.service), {})
+        seen = versions.get(version_key(record.version))
+        return seen is None or now >= seen.first_at + ACTIVATION_SECONDS
--- a/src/troutswitch/gateway/callers/relay.py
+++ b/src/troutswitch/gateway/callers/relay.py
@@ -76,6 +76,8 @@
     """What is counted of a complete response."""
     _splitter: EventSplitter = field(default_factory=EventSplitter)
     _delivered: int = 0
+    _began_version: str = ""
+    """Software version of the engine that brought the first delivered event."""
     _is_completed: bool = False
     _longest_gap: float = 0.0
     _attempt_exchange: Exchange | None = None
@@ -123,6 +125,9 @@
     def _attempt(self, decided: SendRequest) -> Iterator[bytes]:
         """Makes one attempt within the time that remains since it was decided.
 
+        An attempt at another engine version than the one that began the stream is not sent. The
+        loop may decide on one if it abandons an engine before it learns of the first event.
+
         If the process was suspended between the decision and the sending, the time limit computed
         by the loop would let the engine run for seconds after the caller's deadline.
         """
@@ -137,6 +142,10 @@
                 "time ran out before it was sent",
             )
             return
+        if self._delivered and directive.engine_version != self._began_version:
+            reason = "the stream began at another version"
+            self._end(directive, AttemptOutcome.UNREACHABLE, reason)
+            return
         exchange = Exchange(
             self.connections,
             directive.engine_id,
@@ -205,6 +214,8 @@
                 self._longest_gap = max(self._longest_gap, steady_seconds() - event_at)
             event_at = steady_seconds()
             self.head = self.head or head
+            if not self._delivered:
+                self._began_version = directive.engine_version
             self._delivered += len(events)
             yield b"".join(event.raw for event in events)
         splitter.check_ended()
@@ -279,5 +290,6 @@
                 has_answer,
                 self._longest_gap,
                 exchange.kept_seconds if exchange is not None else 0.0,
+                self._began_version,
             )
         )
--- a/tests/decisions/slots/harness.py
+++ b/tests/decisions/slots/harness.py
@@ -139,6 +139,9 @@
     def candidates(self, now: float, token: int) -> list[Engine]:
         return self.engines.usable(now, SERVICE)
 
+    def permitted(self, now: float, token: int) -> list[Engine]:
+        return self.engines.usable(now, SERVICE)
+
     def _emit(self, instruction: SlotInstruction) -> None:
         match instruction:
             case SendToPeers():
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -318,6 +318,40 @@
             sender="d-1", draining=("i-1", "i-2"), removed=("i-3", "i-4", "i-5")
         )
     ),
+    "versions of engines": _peer_message_sample(
+        peer_messages.VersionsNotice(
+            sender="d-1",
+            rows=(
+                peer_messages.ListedVersion(service=1, version=2, age_ms=3),
+                peer_messages.ListedVersion(0xFFFFFFFF, 0xFFFFFFFE, 30_000),
+            ),
+        )
+    ),
+    "origins of streams": _peer_message_sample(
+        peer_messages.StreamOrigins(
+            sender="d-1",
+            rows=(
+                peer_messages.OriginRow(stream=LARGE, service=1, version=2, attempt=3),
+                peer_messages.OriginRow(5, 6, 7, 1),
+            ),
+        )
+    ),
+    "ask for the origin of a stream": _peer_message_sample(
+        peer_messages.OriginQuery(
+            sender="d-1", address=HOST, incarnation=LARGE, number=93, stream=LARGE
+        )
+    ),
+    "origin of a stream, unknown": _peer_message_sample(
+        peer_messages.OriginReply("d-1", LARGE, 93)
+    ),
+    "origin of a stream, known": _peer_message_sample(
+        peer_messages.OriginReply(
+            sender="d-1",
+            incarnation=LARGE,
+            number=93,
+            rows=(peer_messages.OriginRow(LARGE, 1, 2, 3),),
+        )
+    ),
     "ask for a quota": _peer_message_sample(
         peer_messages.QuotaRequest(
             sender="d-1",
--- a/tests/gateway/callers/test_relay.py
+++ b/tests/gateway/callers/test_relay.py
@@ -17,7 +17,7 @@
 from troutswitch.gateway.memory.account import MemoryAccount
 from troutswitch.gateway.memory.limits import MemoryLimits
 from troutswitch.gateway.memory.pressure import Kind
-from troutswitch.outcomes import AttemptOutcome, MayHaveRun, Step
+from troutswitch.outcomes import AttemptOutcome, Cut, MayHaveRun, Step
 from troutswitch.platform.requests import IncomingRequest
 
 
@@ -28,7 +28,10 @@
     events, and therefore directs the second attempt to start from the beginning.
     """
 
-    def __init__(self, relays: RelayRegistry, engines: list[EngineStandin]) -> None:
+    def __init__(
+        self, relays: RelayRegistry, engines: list[EngineStandin], versions: tuple[str, ...]
+    ) -> None:
+        self._versions = versions
         self.ended: list[RequestAttemptEnded] = []
         self._relays = relays
         self._engines = engines
@@ -40,18 +43,30 @@
             self.ended.append(event)
             if event.attempt < len(self._engines):
                 self._send(event.token, event.attempt + 1)
+            elif event.kind is not AttemptOutcome.COMPLETED:
+                outcome = Cut(event.reason, event.delivered, Step.RELAY)
+                self._relays.send_directive(FinishRequest(event.token, outcome))
 
     def _send(self, token: int, attempt: int) -> None:
         engine = self._engines[attempt - 1]
-        send = SendRequest(token, attempt, engine.engine_id, engine.address, 5.0, 2.0, "")
+        send = SendRequest(
+            token,
+            attempt,
+            engine.engine_id,
+            engine.address,
+            5.0,
+            2.0,
+            "",
+            engine_version=self._versions[attempt - 1],
+        )
         threading.Timer(0.0, lambda: self._relays.send_directive(send)).start()
 
 
-def run() -> tuple[list[EngineStandin], LateLoop, bytes]:
+def run(*versions: str) -> tuple[list[EngineStandin], LateLoop, bytes]:
     engines = [EngineStandin("one"), EngineStandin("two")]
     engines[0].break_after = 2
     relays = RelayRegistry(lambda event: None)
-    loop = LateLoop(relays, engines)
+    loop = LateLoop(relays, engines, versions)
     request = IncomingRequest("x", "POST", "/a", "h", "/a", "", [], 5.0, "", PromptShape())
     request.headers.append(("X-Troutswitch-Request-Id", "x"))
     relay = Relay(
@@ -79,12 +94,21 @@
     report of that engine's events. The second attempt started from the beginning, although the
     caller already had the first events.
     """
-    engines, loop, data = run()
+    engines, loop, data = run("v1", "v1")
     assert data == b"".join(f"id: {n}\ndata: x-{n}\n\n".encode() for n in range(1, 6))
     assert engines[1].requests[0][2]["last-event-id"] == "2"
     assert loop.ended[-1].kind is AttemptOutcome.COMPLETED
 
 
+def test_delivered_stream_is_not_sent_to_an_engine_of_another_version() -> None:
+    """Guards against a loop that chose the engine before it learned of the first event."""
+    engines, loop, data = run("v1", "v2")
+    assert data == b"".join(f"id: {n}\ndata: x-{n}\n\n".encode() for n in range(1, 3))
+    assert not engines[1].requests
+    assert loop.ended[-1].kind is AttemptOutcome.UNREACHABLE
+    assert (loop.ended[-1].began_version, loop.ended[-1].delivered) == ("v1", 2)
+
+
 ANSWER_BYTES = 300_000
 
 
--- a/tests/proofs/test_stream_versions.py
+++ b/tests/proofs/test_stream_versions.py
@@ -6,13 +6,16 @@
 
 from functools import partial
 
+import pytest
+
 from tests.simulation.versioned_fleet import VersionedFleet
+from troutswitch.decisions.streams import origins, versions
 
 START_SECONDS = 4.0
 STREAMS_PER_SECOND = 12
 MAX_MIXED_STREAMS = 2
 """The users' bound on streams that hold events of two versions."""
-MIN_RESUMED_TRIES = 12
+MIN_RESUMED_STREAMS = 12
 """Number of resumed streams from which users judge the share that goes on."""
 MIN_CONTINUED_SHARE = 0.5
 """The users' bound on the share of resumed streams that go on, as a part of that of new ones."""
@@ -39,8 +42,8 @@
 
 
 def has_continued_enough(fleet: VersionedFleet) -> bool:
-    required = MIN_CONTINUED_SHARE * fleet.served_share("new")
-    return fleet.served_share("resumed") >= required
+    assert fleet.resumed_streams >= MIN_RESUMED_STREAMS
+    return fleet.continued_share >= MIN_CONTINUED_SHARE * fleet.begun_share
 
 
 def test_stream_holds_events_of_one_engine_version() -> None:
@@ -48,6 +51,92 @@
         fleet = VersionedFleet(seed, ("v1", "v2"))
         fleet.run(START_SECONDS)
         crash_and_kill(fleet, rounds=3)
-        assert fleet.tries["resumed"] >= MIN_RESUMED_TRIES
         assert fleet.mixed_streams <= MAX_MIXED_STREAMS
         assert has_continued_enough(fleet)
+
+
+def started_fleet(seed: int, *versions: str, daemons: int = 6) -> VersionedFleet:
+    fleet = VersionedFleet(seed, versions, daemons=daemons)
+    fleet.run(START_SECONDS)
+    return fleet
+
+
+def kill_half(fleet: VersionedFleet) -> None:
+    """Opens streams and kills half of the daemons at once, three times."""
+    for _ in range(3):
+        open_streams(fleet, 2.0, leave_share=0.0)
+        for name in fleet.rng.sample(list(fleet.daemons), len(fleet.daemons) // 2):
+            fleet.kill(name, 1.0)
+        open_streams(fleet, 2.0, leave_share=0.0)
+    fleet.run(5.0)
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_most_streams_of_killed_daemons_continue(seed: int) -> None:
+    fleet = started_fleet(seed, "v1", "v2", daemons=12)
+    kill_half(fleet)
+    assert fleet.mixed_streams == 0
+    assert has_continued_enough(fleet)
+
+
+def test_without_holders_no_stream_of_a_killed_daemon_continues(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(origins, "HOLDERS", 0)
+    fleet = started_fleet(1, "v1", "v2", daemons=12)
+    kill_half(fleet)
+    assert fleet.mixed_streams == 0
+    assert not has_continued_enough(fleet)
+
+
+def release_half(fleet: VersionedFleet) -> None:
+    """Replaces half of the engines by those of another version, one after the other."""
+    names = list(fleet.incarnations)
+    for number, name in enumerate(names[: len(names) // 2]):
+        fleet.call_later(0.4 * number, partial(fleet.start_engine, f"new-{number}", "v2"))
+        fleet.call_later(1.0 + 0.4 * number, partial(fleet.retire_engine, name))
+
+
+def release_beside_cut_off_daemons(seed: int) -> VersionedFleet:
+    """Has a release while two daemons do not reach the store, and a third reaches nobody."""
+    fleet = started_fleet(seed, "v1")
+    without_store = list(fleet.daemons)[:3]
+    for name in without_store:
+        fleet.daemons[name].is_partitioned_from_store = True
+    fleet.isolated_from_peers.add(without_store[-1])
+    open_streams(fleet, 2.0, leave_share=0.5)
+    release_half(fleet)
+    open_streams(fleet, 8.0, leave_share=0.5)
+    fleet.run(5.0)
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_daemons_with_an_old_list_continue_no_stream_at_another_version(seed: int) -> None:
+    fleet = release_beside_cut_off_daemons(seed)
+    assert fleet.mixed_streams == 0
+    assert has_continued_enough(fleet)
+
+
+def test_without_confirmation_cut_off_daemons_continue_streams_at_another_version(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(versions.EngineVersions, "is_confirmed", lambda self, now: True)
+    assert release_beside_cut_off_daemons(4).mixed_streams > MAX_MIXED_STREAMS
+
+
+def test_streams_continue_while_the_store_is_down() -> None:
+    fleet = started_fleet(1, "v1", "v2")
+    fleet.faults.is_down = True
+    crash_and_kill(fleet, rounds=2)
+    assert fleet.mixed_streams == 0
+    assert has_continued_enough(fleet)
+
+
+@pytest.mark.parametrize("seed", range(1, 3))
+def test_one_version_needs_no_messages_about_streams(seed: int) -> None:
+    fleet = started_fleet(seed, "v1")
+    crash_and_kill(fleet, rounds=2)
+    kinds = {"VersionsNotice", "StreamOrigins", "OriginQuery", "OriginReply"}
+    assert not kinds & fleet.peer_messages.keys()
+    assert fleet.continued_share == 1.0
--- a/tests/simulation/versioned_fleet.py
+++ b/tests/simulation/versioned_fleet.py
@@ -3,7 +3,7 @@
 Each event of a stream carries the version of the engine that wrote it. When a stream breaks off,
 its caller resumes it at a random daemon after the last event that it received, and names the try
 that brought the first event. The simulation counts the streams that hold events of two versions,
-and how many tries began or continued a stream.
+and how many streams began and went on.
 """
 
 from collections import Counter
@@ -25,7 +25,8 @@
     RequestAttemptEnded,
     SendRequest,
 )
-from troutswitch.decisions.gateway_interface import GatewayEvent
+from troutswitch.decisions.gateway_interface import GatewayEvent, GatewayInstruction
+from troutswitch.decisions.peers.catch_up import RequestPeerState
 from troutswitch.decisions.slots.messages import PeerMessageReceived
 from troutswitch.outcomes import AttemptOutcome
 
@@ -41,6 +42,10 @@
     """Version of the engine that wrote each event, in order."""
     first_try_id: str = ""
     """Id of the try that brought the first event."""
+    is_resumed: bool = False
+    """Whether a try resumed the stream at a daemon that can be informed."""
+    has_continued: bool = False
+    """Whether a try that resumed the stream brought an event."""
 
     @property
     def is_mixed(self) -> bool:
@@ -60,6 +65,8 @@
     ) -> None:
         self._initial_versions = versions
         self.streams: list[StreamCaller] = []
+        self._resuming: set[int] = set()
+        """Tokens of the tries that resume a stream."""
         self.tries: Counter[str] = Counter()
         """Tries that began a stream anew ("new") or resumed one ("resumed"), and those of each
         kind that brought an event ("new, served", "resumed, served")."""
@@ -100,6 +107,12 @@
             self.peer_messages[type(event.message).__name__] += len(addresses)
         super().send_to_peers(daemon, addresses, event)
 
+    def execute(self, daemon: Daemon, instruction: GatewayInstruction) -> None:
+        """Executes an instruction; an isolated daemon reads no state from its peers."""
+        is_isolated = daemon.name in self.isolated_from_peers
+        if not (is_isolated and isinstance(instruction, RequestPeerState)):
+            super().execute(daemon, instruction)
+
     # Streams.
 
     def open_stream(self) -> StreamCaller:
@@ -125,6 +138,8 @@
             self.tries["new"] += 1
             return arrived
         self.tries["resumed"] += 1
+        self._resuming.add(token)
+        caller.is_resumed |= self.can_be_informed(self.requests_by_token[token].daemon)
         position = str(len(caller.versions))
         return replace(arrived, resume_after=position, resumed_id=caller.first_try_id)
 
@@ -140,7 +155,9 @@
         if not self.is_running(request, send):
             return
         if not request.delivered:
-            self.tries["resumed, served" if caller.versions else "new, served"] += 1
+            is_resumed = request.token in self._resuming
+            caller.has_continued |= is_resumed
+            self.tries["resumed, served" if is_resumed else "new, served"] += 1
         caller.first_try_id = caller.first_try_id or f"try-{request.token}"
         caller.versions.append(self.engine_version(send.engine_id))
         request.delivered += 1
@@ -157,7 +174,9 @@
         ended = super().attempt_ended(request, send, outcome)
         if not isinstance(request.caller, StreamCaller):
             return ended
-        return replace(ended, position=str(len(request.caller.versions) or ""))
+        versions = request.caller.versions
+        began = versions[-request.delivered] if request.delivered else ""
+        return replace(ended, position=str(len(versions) or ""), began_version=began)
 
     # Results.
 
@@ -166,6 +185,18 @@
         """Number of streams that hold events of several versions."""
         return sum(caller.is_mixed for caller in self.streams)
 
-    def served_share(self, kind: str) -> float:
-        """Returns the share of the "new" or "resumed" tries that brought an event."""
-        return self.tries[f"{kind}, served"] / max(1, self.tries[kind])
+    @property
+    def begun_share(self) -> float:
+        """Share of the tries for new streams that brought an event."""
+        return self.tries["new, served"] / max(1, self.tries["new"])
+
+    @property
+    def resumed_streams(self) -> int:
+        """Number of streams that callers resumed at daemons that can be informed."""
+        return sum(caller.is_resumed for caller in self.streams)
+
+    @property
+    def continued_share(self) -> float:
+        """Share of these streams that went on."""
+        continued = sum(caller.is_resumed and caller.has_continued for caller in self.streams)
+        return continued / max(1, self.resumed_streams)
