Batch items go on at the engine version that wrote their output (ORDER)

Found by looking for the same cause elsewhere; users have not reported it. What they would see: the text of an item that was stopped, cut or moved to another owner goes on with events of another engine version.

The output of an item, also its saved parts, named no version, and a run that goes on after an event was started at any engine.

Change: an item keeps the version that wrote its output. It goes on there; while an engine of that version accepts work, other versions are left to other items for 2 s, and then, or without such an engine, the item starts again: its output is dropped, and the next saved part overwrites the first one and removes the others in the same append. An item doesn't start again while a part is being written. A saved part states its version as a fourth field while a service is mixed; parts of before keep their bytes, and their output goes on only while there is one version. ItemRuns asserts the rule. A daemon of the version before counts a part with a fourth field as malformed and runs the item from the parts before it.

--- a/src/troutswitch/decisions/jobs/dispatcher.py
+++ b/src/troutswitch/decisions/jobs/dispatcher.py
@@ -15,12 +15,15 @@
 docs/POLICY.md, "Rounds" (7) and "Rounds with coordinators of slots" (14).
 """
 
+from functools import partial
+
 from troutswitch.daemons.messages import TenantItems
 from troutswitch.decisions.forwarding.engine import Engine
 from troutswitch.decisions.forwarding.engine_cost import RelativeFactors
 from troutswitch.decisions.jobs.dependencies import JobDependencies
 from troutswitch.decisions.jobs.engine_choice import EngineChoice, accepts_items
 from troutswitch.decisions.jobs.item_parts import ItemParts
+from troutswitch.decisions.jobs.item_retries import StartableItem
 from troutswitch.decisions.jobs.items import ItemProgress
 from troutswitch.decisions.jobs.messages import RunItem
 from troutswitch.decisions.jobs.order import AvailableCapacity
@@ -56,6 +59,7 @@
         self._ranking = parts.ranking
         self._retries = parts.retries
         self._refusals = parts.refusals
+        self._versions = parts.versions
         self._engine_choice = engine_choice
         self._engines = dependencies.engines
         self._slots = dependencies.slots
@@ -129,15 +133,23 @@
         item = self._retries.prepare_start(now, progress)
         if item is None:
             return None
-        engine = self._engine_choice.choose(now, item, self._is_uncoordinated)
+        may_start_at = partial(self._may_start_ungranted, item)
+        engine = self._engine_choice.choose(now, item, may_start_at)
         if engine is None:
             return None
         self._engine_choice.on_started(engine.record.engine_id)
-        self._refusals.on_started(now, progress)
-        return self._runs.start(now, progress, item.entry.manifest, engine)
+        return self._start(now, item, engine)
+
+    def _may_start_ungranted(self, item: StartableItem, now: float, engine: Engine) -> bool:
+        """Returns whether an item may start at an engine without a granted slot."""
+        if self._slots.is_coordinated(now, engine.record.engine_id):
+            return False
+        return self._versions.may_start_at(now, item.progress, engine)
 
-    def _is_uncoordinated(self, now: float, engine: Engine) -> bool:
-        return not self._slots.is_coordinated(now, engine.record.engine_id)
+    def _start(self, now: float, item: StartableItem, engine: Engine) -> RunItem:
+        self._refusals.on_started(now, item.progress)
+        self._versions.prepare_run(now, item.progress, engine)
+        return self._runs.start(now, item.progress, item.entry.manifest, engine)
 
     def _count_start(self, now: float, progress: ItemProgress) -> bool:
         """Counts a start; returns whether it used up the turn of late items."""
@@ -234,9 +246,10 @@
         item = self._retries.prepare_start(now, progress)
         if item is None or not self._engine_choice.may_run_at(item, engine):
             return None
+        if not self._versions.may_start_at(now, progress, engine):
+            return None
         self._count_start(now, progress)
-        self._refusals.on_started(now, progress)
-        return self._runs.start(now, progress, item.entry.manifest, engine)
+        return self._start(now, item, engine)
 
     def _subtract_started(self, runs: list[RunItem]) -> None:
         """Subtracts started items from the waiting ones until the next round counts them again."""
--- a/src/troutswitch/decisions/jobs/engine_choice.py
+++ b/src/troutswitch/decisions/jobs/engine_choice.py
@@ -91,7 +91,7 @@
         Args:
             now: this process's clock, in seconds.
             item: the item to start.
-            may_start_at: returns whether items may start at an engine without a granted slot.
+            may_start_at: returns whether the item may start at an engine without a granted slot.
         """
         service = choose_service(item.route, self._rng)
         target = completion_target(self._routes, item.entry.manifest)
--- a/src/troutswitch/decisions/jobs/item_parts.py
+++ b/src/troutswitch/decisions/jobs/item_parts.py
@@ -8,6 +8,7 @@
 from troutswitch.decisions.jobs.item_endings import ItemEndings
 from troutswitch.decisions.jobs.item_refusals import ItemRefusals
 from troutswitch.decisions.jobs.item_retries import ItemRetries
+from troutswitch.decisions.jobs.item_versions import ItemVersions
 from troutswitch.decisions.jobs.open_items import OpenItems
 from troutswitch.decisions.jobs.ranking import ItemRanking
 from troutswitch.decisions.jobs.runs import ItemRuns
@@ -23,3 +24,4 @@
     refusals: ItemRefusals
     endings: ItemEndings
     retries: ItemRetries
+    versions: ItemVersions
--- a/src/troutswitch/decisions/jobs/items.py
+++ b/src/troutswitch/decisions/jobs/items.py
@@ -36,6 +36,10 @@
         run_seconds: total duration of its runs here.
         content: its content key, computed on first use (`item_contents`).
         is_on_trial: whether its last run is a trial after crashes (`item_refusals`).
+        version: software version of the engines that wrote its output, empty if unknown.
+        version_wait_ends_at: until when it waits for an engine of that version, if it does.
+        is_saving: whether a part of its output is being written to the store.
+        obsolete_parts: number of records that may hold output from before it started again.
     """
 
     shard: int
@@ -58,6 +62,10 @@
     run_seconds: float = 0.0
     content: str = ""
     is_on_trial: bool = False
+    version: str = ""
+    version_wait_ends_at: float | None = None
+    is_saving: bool = False
+    obsolete_parts: int = 0
 
     @property
     def key(self) -> tuple[str, str]:
@@ -76,6 +84,18 @@
         self.texts = [part.text for part in parts]
         self.position = self.saved_position = parts[-1].position
         self.saved_parts = len(parts)
+        self.version = next((part.version for part in parts if part.version), "")
+
+    def start_again(self) -> None:
+        """Drops the output; its saved parts are overwritten or removed with the next part."""
+        ensure(not self.run_number, "an item starts again during its run")
+        ensure(not self.is_saving, "an item starts again while its output is written")
+        self.obsolete_parts = max(self.obsolete_parts, self.saved_parts)
+        self.texts = []
+        self.unsaved = []
+        self.position = self.saved_position = ""
+        self.saved_parts = 0
+        self.version = ""
 
     def add_events(self, events: tuple[OutputEvent, ...]) -> None:
         """Appends the next events of the output."""
@@ -95,7 +115,7 @@
         """The output so far."""
         return "\n".join(self.texts)
 
-    def next_part(self, max_bytes: int) -> OutputPart:
+    def next_part(self, max_bytes: int, *, names_version: bool = False) -> OutputPart:
         """Returns the next unsaved part: as many events as fit `max_bytes`, but at least one."""
         texts: list[str] = []
         position = self.saved_position
@@ -106,7 +126,8 @@
                 break
             texts.append(event.text)
             position = event.position
-        return OutputPart(self.saved_position, position, "\n".join(texts))
+        version = self.version if names_version else ""
+        return OutputPart(self.saved_position, position, "\n".join(texts), version)
 
     def on_saved(self, part: OutputPart) -> None:
         """Records that a part was saved in the store."""
@@ -117,6 +138,7 @@
             self.saved_position == part.position, "a saved part does not match the unsaved events"
         )
         self.saved_parts += 1
+        self.obsolete_parts = 0
 
     def _text_up_to(self, position: str) -> str | None:
         """Returns the unsaved output up to a position; None if no unsaved event is there."""
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -3,7 +3,8 @@
 An item's states:
 
     PENDING  -> RUNNING   an engine has a free or granted slot, and a run started there
-    RUNNING  -> PENDING   the run ended early; the next one resumes after its last whole event
+    RUNNING  -> PENDING   the run ended early; the next one resumes after its last whole event, or
+                          starts again at another engine version (`item_versions`)
     RUNNING  -> FINISHED  the output is complete, or the item is dead-lettered
     FINISHED -> listed    the result was appended at a position under the shard's epoch
 
@@ -23,6 +24,7 @@
 from troutswitch.decisions.jobs.item_parts import ItemParts
 from troutswitch.decisions.jobs.item_refusals import ItemRefusals
 from troutswitch.decisions.jobs.item_retries import ItemRetries
+from troutswitch.decisions.jobs.item_versions import ItemVersions
 from troutswitch.decisions.jobs.messages import (
     ItemBegun,
     ItemProgressed,
@@ -78,6 +80,7 @@
             settings.limits,
             items,
             token_limits,
+            dependencies.engines.versions,
             dependencies.log,
         )
         parts = _build_parts(dependencies, settings, replicas, items, self._writer)
@@ -233,4 +236,5 @@
         refusals,
         endings,
         ItemRetries(routes, replicas.index, refusals, endings, dependencies.rng),
+        ItemVersions(dependencies.engines, log),
     )
--- a/src/troutswitch/decisions/jobs/records.py
+++ b/src/troutswitch/decisions/jobs/records.py
@@ -107,11 +107,15 @@
 
 @dataclass(frozen=True, slots=True)
 class OutputPart:
-    """A part of an item's output: the data of the events after id `after` up to id `position`."""
+    """A part of an item's output: the data of the events after id `after` up to id `position`.
+
+    `version` is the software version of the engines that wrote it, empty if it is not stated.
+    """
 
     after: str
     position: str
     text: str
+    version: str = ""
 
 
 def shard_of(job_id: str, shards: int) -> int:
@@ -277,8 +281,13 @@
 
 
 def checkpoint_record(job_id: str, item: int, part: int, output: OutputPart) -> KeyedRecord:
-    """Encodes a part of an item's output; `item` is the item's index in its job."""
+    """Encodes a part of an item's output; `item` is the item's index in its job.
+
+    The version is encoded only if it is stated, so that other parts keep their bytes.
+    """
     value = [SCHEMA_VERSION, output.after, output.position, output.text]
+    if output.version:
+        value.append(output.version)
     return KeyedRecord(f"{CHECKPOINT}:{job_id}:{item:05d}:{part:05d}", cbor2.dumps(value))
 
 
@@ -315,17 +324,22 @@
     Raises:
         RecordError: the record is malformed or of another version.
     """
-    after, position, text = _fields(value, 3)
-    return OutputPart(after, position, text)
+    after, position, text, *version = _fields(value, 3, optional=1)
+    return OutputPart(after, position, text, *map(str, version))
+
+
+def checkpoint_removal(job_id: str, item: int, part: int) -> KeyedRecord:
+    """Encodes the removal of a part of an item's output."""
+    return KeyedRecord(f"{CHECKPOINT}:{job_id}:{item:05d}:{part:05d}", b"")
 
 
-def _fields(value: bytes, count: int) -> list[Any]:
+def _fields(value: bytes, count: int, optional: int = 0) -> list[Any]:
     try:
         fields = cbor2.loads(value)
     except (cbor2.CBORDecodeError, ValueError) as error:
         raise RecordError(f"malformed record: {error}") from error
     if not isinstance(fields, list) or not fields or fields[0] != SCHEMA_VERSION:
         raise RecordError("record of another version")
-    if len(fields) != count + 1:
+    if not count <= len(fields) - 1 <= count + optional:
         raise RecordError(f"expected {count + 1} fields, got {len(fields)}")
     return fields[1:]
--- a/src/troutswitch/decisions/jobs/runs.py
+++ b/src/troutswitch/decisions/jobs/runs.py
@@ -68,6 +68,8 @@
     ) -> RunItem:
         """Starts a run of an item that has no run in flight."""
         ensure(not progress.run_number, "an item has two runs in flight")
+        is_one_version = not progress.position or progress.version == engine.record.version
+        ensure(is_one_version, "an item goes on at an engine of another version")
         number = next(self._numbers)
         progress.run_number = number
         progress.started_at = min(progress.started_at, now)
--- a/src/troutswitch/decisions/jobs/writer.py
+++ b/src/troutswitch/decisions/jobs/writer.py
@@ -20,6 +20,7 @@
     OutputPart,
     StoreLimits,
     checkpoint_record,
+    checkpoint_removal,
     failures_record,
     result_records,
     shard_partition,
@@ -36,6 +37,7 @@
     WriterStamp,
 )
 from troutswitch.decisions.storage.read_attempts import CallNumbers
+from troutswitch.decisions.streams.versions import EngineVersions
 
 RETRY_SECONDS = 0.2
 """Pause after a failed write."""
@@ -83,8 +85,12 @@
         limits: StoreLimits,
         items: OpenItems,
         token_limits: TokenLimits,
+        versions: EngineVersions,
         log: Callable[..., None],
     ) -> None:
+        self._versions = versions
+        self._names_versions = False
+        """Whether parts state the version that wrote them, as a service has several."""
         self._shards: dict[int, _ShardWrites] = {}
         self._reports = ProgressReports(replicas, numbers, token_limits)
         self._replicas = replicas
@@ -124,6 +130,7 @@
         for row in reversed(writes.batch):
             if row.result is not None:
                 writes.pending_results.appendleft((row.progress, row.result))
+        _end_saving(writes.batch)
         writes.batch = []
         writes.call = 0
         writes.epoch = lease.epoch
@@ -170,6 +177,7 @@
         used = self._add_results(lease, writes) + _add_failures(writes, items)
         if is_draining or now >= writes.checkpoint_at:
             writes.checkpoint_at = now + CHECKPOINT_SECONDS
+            self._names_versions = any(True for _ in self._versions.mixed(now))
             self._add_checkpoints(writes, items, used)
 
     def _add_results(self, lease: ShardLease, writes: _ShardWrites) -> int:
@@ -202,12 +210,13 @@
         for progress in items:
             if not progress.unsaved or progress.is_finished:
                 continue
-            part = progress.next_part(self._limits.record_bytes - ROW_OVERHEAD_BYTES)
+            max_bytes = self._limits.record_bytes - ROW_OVERHEAD_BYTES
+            part = progress.next_part(max_bytes, names_version=self._names_versions)
             used += len(part.text.encode()) + ROW_OVERHEAD_BYTES
             if used > self._limits.call_bytes:
                 return
-            record = checkpoint_record(progress.job_id, progress.number, progress.saved_parts, part)
-            writes.batch.append(WriteRow(progress, (record,), part=part))
+            progress.is_saving = True
+            writes.batch.append(WriteRow(progress, _part_records(progress, part), part=part))
 
     # Outcomes.
 
@@ -250,6 +259,7 @@
             row.progress.saved_failures = max(row.progress.saved_failures, row.failures)
         replica.follower.skip_own_records(outcome.offset, outcome.end)
         lease.next_sequence += 1
+        _end_saving(writes.batch)
         writes.batch = []
 
     def _on_listed(self, lease: ShardLease, row: WriteRow, result: ItemResult) -> None:
@@ -266,6 +276,20 @@
         )
 
 
+def _part_records(progress: ItemProgress, part: OutputPart) -> tuple[KeyedRecord, ...]:
+    """Returns the record of the next part, and removals of parts from before a new start."""
+    job_id, number = progress.job_id, progress.number
+    record = checkpoint_record(job_id, number, progress.saved_parts, part)
+    obsolete = range(progress.saved_parts + 1, progress.obsolete_parts)
+    return (record, *(checkpoint_removal(job_id, number, row) for row in obsolete))
+
+
+def _end_saving(batch: list[WriteRow]) -> None:
+    """Marks the items whose parts were in a batch as no longer being written."""
+    for row in batch:
+        row.progress.is_saving = False
+
+
 def _add_failures(writes: _ShardWrites, items: list[ItemProgress]) -> int:
     """Adds the counts of failed runs that are not saved; returns their estimated bytes.
 
--- a/tests/decisions/jobs/test_dispatcher.py
+++ b/tests/decisions/jobs/test_dispatcher.py
@@ -16,6 +16,7 @@
 from troutswitch.decisions.jobs.dispatcher import ItemDispatcher
 from troutswitch.decisions.jobs.engine_choice import EngineChoice
 from troutswitch.decisions.jobs.item_parts import ItemParts
+from troutswitch.decisions.jobs.item_versions import ItemVersions
 from troutswitch.decisions.jobs.items import ItemProgress
 from troutswitch.decisions.jobs.messages import ItemRunEnded, OutputEvent
 from troutswitch.decisions.jobs.order import AvailableCapacity, MostInTime
@@ -79,6 +80,7 @@
                 on_started=lambda now, progress: None, on_done=lambda now, progress: None
             ),
             endings=SimpleNamespace(complete=lambda progress: None),
+            versions=ItemVersions(self.registry, lambda event, **fields: None),
         )
         self.ends = RunEnds(cast(ItemParts, parts), self.registry, policy)
         self.dispatcher = ItemDispatcher(
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -772,6 +772,12 @@
         ],
         _reencode_part,
     ),
+    "part of an item's output, with its version": _records_sample(
+        lambda: [
+            records.checkpoint_record("job:1", 3, 12, records.OutputPart("4", "9", "text", "v1"))
+        ],
+        _reencode_part,
+    ),
     "failed runs of an item": _records_sample(
         lambda: [records.failures_record("job:1", 7, 2)], _reencode_failures
     ),
--- a/tests/proofs/test_stream_versions.py
+++ b/tests/proofs/test_stream_versions.py
@@ -140,3 +140,25 @@
     kinds = {"VersionsNotice", "StreamOrigins", "OriginQuery", "OriginReply"}
     assert not kinds & fleet.peer_messages.keys()
     assert fleet.continued_share == 1.0
+
+
+def run_jobs_beside_crashes(seed: int) -> VersionedFleet:
+    """Runs batch items while engines crash and shards change their owners."""
+    fleet = started_fleet(seed, "v1", "v2")
+    for number in range(4):
+        fleet.submit_job(f"job-{number}", 12)
+        open_streams(fleet, 2.0)
+        alive = [i.engine_id for i in fleet.incarnations.values() if i.is_alive]
+        fleet.crash(fleet.rng.choice(alive))
+        fleet.kill(fleet.rng.choice(list(fleet.daemons)))
+        fleet.reassign_shards()
+        open_streams(fleet, 2.0)
+    fleet.run(30.0)
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_output_of_a_batch_item_is_of_one_engine_version(seed: int) -> None:
+    fleet = run_jobs_beside_crashes(seed)
+    assert fleet.violations == []
+    assert fleet.unfinished_jobs() == []
--- a/tests/simulation/fleet.py
+++ b/tests/simulation/fleet.py
@@ -369,7 +369,8 @@
             ended = ItemRunEnded(run.run, AttemptOutcome.CUT, 200, "stopped", ())
             self.step(daemon, ended)
             return
-        event = OutputEvent(str(number), event_text(run.item.item_id, number))
+        text = event_text(run.item.item_id, number, self.engine_version(run.engine_id))
+        event = OutputEvent(str(number), text)
         self.step(daemon, ItemProgressed(run.run, (event,)))
         if number == EVENTS_PER_ITEM:
             self.step(daemon, ItemRunEnded(run.run, AttemptOutcome.COMPLETED, 200, "", ()))
--- a/tests/simulation/observed_job.py
+++ b/tests/simulation/observed_job.py
@@ -49,16 +49,22 @@
         item_ids = [result[0] for result in self.results.values()]
         if len(set(item_ids)) != len(item_ids):
             violations.append(f"an item of {self.job_id} is listed twice")
-        if row[1] == DONE and row[2] != full_output(row[0]):
-            violations.append(f"the output of {row[0]} is not whole")
+        if row[1] == DONE and row[2] != full_output(row[0], _version_of(row[2])):
+            violations.append(f"the output of {row[0]} is not that of one whole run")
         return violations
 
 
-def event_text(item_id: str, number: int) -> str:
-    """Returns the data of one event of an item's output."""
-    return f"{item_id}:{number}"
+def event_text(item_id: str, number: int, version: str) -> str:
+    """Returns the data of one event of an item's output, by an engine of a version."""
+    return f"{item_id}:{number}:{version}"
 
 
-def full_output(item_id: str) -> str:
-    """Returns the complete output of an item."""
-    return "\n".join(event_text(item_id, number) for number in range(1, EVENTS_PER_ITEM + 1))
+def full_output(item_id: str, version: str) -> str:
+    """Returns the complete output of an item that engines of one version ran."""
+    numbers = range(1, EVENTS_PER_ITEM + 1)
+    return "\n".join(event_text(item_id, number, version) for number in numbers)
+
+
+def _version_of(output: str) -> str:
+    """Returns the version of the engine that wrote the first event of an output."""
+    return output.partition("\n")[0].rpartition(":")[2]
