Soak with engines of two software versions and callers that resume streams

The load kind versions lists neighbouring engines as v1 and v2, with the other version after each restart. Callers read one to three events, leave, and resume at a random daemon with Last-Event-Id and Resumes. Two checks: all runs of a stream after its first event are at the version that began it (ORDER), and without faults resumed streams go on at least half as often as new ones begin (LOST).

--- a/src/troutswitch/platform/stand_in_forms.py
+++ b/src/troutswitch/platform/stand_in_forms.py
@@ -11,6 +11,9 @@
 from troutswitch.platform.configuration import DRAINING
 from troutswitch.platform.names import JOB_PATH
 
+ENGINE_VERSION = "v1"
+"""Software version of engines, unless several versions are used."""
+
 
 @dataclass(frozen=True, slots=True)
 class RouteSpec:
@@ -53,13 +56,19 @@
     return f"{JOB_PATH}{job_id}?afterRevision={position}"
 
 
-def engine_record(service: str, address: Address, slots: int, is_draining: bool) -> bytes:
+def engine_record(
+    service: str,
+    address: Address,
+    slots: int,
+    is_draining: bool,
+    version: str = ENGINE_VERSION,
+) -> bytes:
     """Encodes an engine's record."""
     row = {
         "service": service,
         "address": str(address),
         "zone": "z",
-        "version": "v1",
+        "version": version,
         "slots": slots,
         "state": DRAINING if is_draining else "ready",
         "coldRemainingMs": 0,
--- a/src/troutswitch/soak/checks.py
+++ b/src/troutswitch/soak/checks.py
@@ -27,6 +27,10 @@
     tenants_stay_within_their_quota,
     unknown_keys_do_not_run,
 )
+from troutswitch.soak.version_checks import (
+    most_resumed_streams_continue,
+    streams_continue_at_their_version,
+)
 from troutswitch.soak.violations import Check, Violation
 from troutswitch.standins.content import digest, event_bytes, event_texts, plain_answer
 
@@ -138,7 +142,7 @@
 
 
 def _check_stream(exchange: Exchange) -> list[Violation]:
-    if exchange.answer == b"".join(event_bytes(exchange.request_id)):
+    if exchange.answer == b"".join(event_bytes(exchange.request_id, exchange.resumed_after)):
         return []
     return [Violation("ORDER", exchange.request_id, "complete, but not its whole stream")]
 
@@ -153,7 +157,9 @@
         if exchange.kind in (RequestKind.STREAM, RequestKind.STREAM_ONCE)
         and exchange.outcome is Outcome.INTERRUPTED
         and exchange.status == 200
-        and not b"".join(event_bytes(exchange.request_id)).startswith(exchange.answer)
+        and not b"".join(event_bytes(exchange.request_id, exchange.resumed_after)).startswith(
+            exchange.answer
+        )
     ]
 
 
@@ -460,6 +466,8 @@
     callers_inside_their_share_are_served,
     refusals_come_while_engines_are_busy,
     memory_stays_under_its_limit,
+    streams_continue_at_their_version,
+    most_resumed_streams_continue,
     recovery_succeeds,
 )
 
--- a/src/troutswitch/soak/fleet.py
+++ b/src/troutswitch/soak/fleet.py
@@ -13,6 +13,7 @@
 from troutswitch.common import Address
 from troutswitch.platform.names import READINESS_PATH, SETTINGS_VARIABLE
 from troutswitch.platform.settings import format_settings
+from troutswitch.platform.stand_in_forms import ENGINE_VERSION
 from troutswitch.soak.callers import DaemonEndpoint
 from troutswitch.soak.clocked_daemon import CLOCK_VARIABLE
 from troutswitch.soak.load_kinds import COMPETITION_SLOTS, MEMORY_LIMIT_MB, LoadKind
@@ -29,6 +30,9 @@
 START_TIMEOUT_SECONDS = 60.0
 """Timeout for a started process to answer; far longer than a start takes."""
 POLL_SECONDS = 0.05
+VERSIONS = ("v1", "v2")
+"""Software versions of the engines if there are several: neighbours differ, and each restart is at
+the other version."""
 SERVE_AFTER_DEPARTURE_SECONDS = 10.0
 """Time for which a departed engine keeps serving. It exceeds all bounds on a drain, so that late
 requests are observed."""
@@ -85,12 +89,19 @@
     starts: int = 0
     behaviour: Behaviour = field(default_factory=Behaviour)
     is_leaving: bool = False
+    versions: tuple[str, ...] = (ENGINE_VERSION,)
+    """Software versions that it runs in turn, one in each start."""
 
     @property
     def engine_id(self) -> str:
         """The engine id of the latest start."""
         return f"{self.child.name}-{self.starts}"
 
+    @property
+    def version(self) -> str:
+        """The software version of the latest start."""
+        return self.versions[self.starts % len(self.versions)]
+
     def set_behaviour(self, behaviour: Behaviour) -> None:
         """Sets the faults that the engine process applies to requests."""
         self.behaviour = behaviour
@@ -120,6 +131,7 @@
         self._process_counts = (daemons, engines)
         self.store_address = Address(HOST, self.ports.reserve())
         self._has_paces = LoadKind.PACES in load
+        self._versions = VERSIONS if LoadKind.VERSIONS in load else (ENGINE_VERSION,)
         self._memory_mb = MEMORY_LIMIT_MB if LoadKind.MEMORY_LIMIT in load else 0
         slots = COMPETITION_SLOTS if LoadKind.COMPETITION in load else SLOTS
         health_path = HEALTH_PATH if self._has_paces else ""
@@ -177,6 +189,7 @@
         engine.is_leaving = False
         engine.behaviour = Behaviour()
         engine.child.arguments = self._engine_arguments(engine)
+        self.observations.engine_versions[engine.engine_id] = engine.version
         engine.child.start()
         self._list_in_background(engine, engine.engine_id)
 
@@ -197,8 +210,9 @@
 
     def _remove_engine(self, engine: Engine, engine_id: str, is_announced: bool) -> None:
         if is_announced:
+            version = self.observations.engine_versions[engine_id]
             is_acknowledged = self.operator.list_engine(
-                engine_id, engine.link.address, is_draining=True
+                engine_id, engine.link.address, is_draining=True, version=version
             )
         else:
             is_acknowledged = self.operator.unlist_engine(engine_id)
@@ -224,7 +238,8 @@
                 if not self.operator.stop_requested.is_set():
                     raise
                 return  # the soak ended while the engine started
-            self.operator.list_engine(engine_id, engine.link.address)
+            version = self.observations.engine_versions[engine_id]
+            self.operator.list_engine(engine_id, engine.link.address, version=version)
 
         threading.Thread(target=list_when_answering, daemon=True).start()
 
@@ -237,11 +252,13 @@
         engine = Engine(self._make_child(name), address, link, journal, self.seed + number)
         engine.pace_percent = own_percent(number) if self._has_paces else 0
         engine.starts = 1
+        engine.versions = self._versions[number % 2 :] + self._versions[: number % 2]
         engine.child.arguments = self._engine_arguments(engine)
+        self.observations.engine_versions[engine.engine_id] = engine.version
         self.engines.append(engine)
         self.group.add(engine.child)
         self._wait_until(lambda: http_call(address, "POST", BEHAVIOUR_PATH, b"{}") == 200)
-        self.operator.list_engine(engine.engine_id, link.address)
+        self.operator.list_engine(engine.engine_id, link.address, version=engine.version)
 
     def _engine_arguments(self, engine: Engine) -> list[str]:
         return [
--- a/src/troutswitch/soak/load_kinds.py
+++ b/src/troutswitch/soak/load_kinds.py
@@ -19,6 +19,7 @@
     COMPETITION = "competition"
     SLOW_CALLERS = "slow-callers"
     MEMORY_LIMIT = "memory-limit"
+    VERSIONS = "versions"
 
 
 def draw_load(seed: int) -> frozenset[LoadKind]:
--- a/src/troutswitch/soak/observations.py
+++ b/src/troutswitch/soak/observations.py
@@ -56,6 +56,15 @@
     """Whether the request has an API key that no tenant has."""
     deadline_seconds: float = 0.0
     """Deadline that the caller sends; 0 for the usual one."""
+    resumed_id: str = ""
+    """Request id of the attempt that brought the first event of a stream that it resumes."""
+    resumed_after: int = 0
+    """Number of events that the caller had when it resumed the stream."""
+
+    @property
+    def events_received(self) -> int:
+        """Number of complete events in the answer of a stream."""
+        return self.answer.count(b"\n\n") if self.status == 200 else 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +164,8 @@
     """Slots of all engines together; 0 if unknown."""
     memory_limit_mb: float = 0.0
     """Memory limit in the daemons' settings, in units of 1,000,000 bytes; 0 means none."""
+    engine_versions: dict[str, str] = field(default_factory=dict)
+    """Software version of each engine, by its id."""
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     def is_fault_free(self, begin: float, end: float) -> bool:
--- a/src/troutswitch/soak/operator.py
+++ b/src/troutswitch/soak/operator.py
@@ -8,6 +8,7 @@
 from troutswitch.decisions.storage.messages import Appended, AppendRecords, KeyedRecord, Partition
 from troutswitch.platform.names import CONFIGURATION_KEY
 from troutswitch.platform.stand_in_forms import (
+    ENGINE_VERSION,
     RouteLimitsSpec,
     RouteSpec,
     configuration_record,
@@ -93,9 +94,15 @@
             if self._write(CONFIGURATION, CONFIGURATION_KEY, record):
                 self.acknowledged.append(AcknowledgedVersion(version, time.monotonic()))
 
-    def list_engine(self, engine_id: str, address: Address, is_draining: bool = False) -> bool:
+    def list_engine(
+        self,
+        engine_id: str,
+        address: Address,
+        is_draining: bool = False,
+        version: str = ENGINE_VERSION,
+    ) -> bool:
         """Writes an engine's record; returns False if the soak stopped first."""
-        record = engine_record(SERVICE, address, self.slots, is_draining)
+        record = engine_record(SERVICE, address, self.slots, is_draining, version)
         return self._write(ENGINES, engine_id, record)
 
     def unlist_engine(self, engine_id: str) -> bool:
--- a/src/troutswitch/soak/report.py
+++ b/src/troutswitch/soak/report.py
@@ -9,6 +9,7 @@
 
 from troutswitch.soak.observations import Observations, Outcome
 from troutswitch.soak.schedule import FaultSchedule
+from troutswitch.soak.version_checks import count_streams
 from troutswitch.soak.violations import Violation
 
 ROW_PIXELS = 16
@@ -38,6 +39,7 @@
     outcomes = Counter(str(exchange.outcome) for exchange in observations.exchanges)
     statuses = Counter(e.status for e in observations.exchanges if e.outcome is Outcome.COMPLETE)
     samples = observations.samples
+    streams = count_streams(observations.exchanges)
     return {
         "seed": result.schedule.seed,
         "seconds": round(result.seconds, 1),
@@ -47,6 +49,8 @@
         "requests": len(observations.exchanges),
         "outcomes": dict(outcomes),
         "statuses": {str(status): count for status, count in sorted(statuses.items())},
+        "streams_resumed": streams.resumed,
+        "streams_continued": streams.continued,
         "jobs": len(observations.jobs),
         "jobs_accepted": sum(job.accepted_at > 0 for job in observations.jobs),
         "process_ends": len(observations.exits),
--- a/src/troutswitch/soak/run.py
+++ b/src/troutswitch/soak/run.py
@@ -20,6 +20,7 @@
 from troutswitch.soak.recovery_phase import RecoveryPhase
 from troutswitch.soak.report import SoakResult
 from troutswitch.soak.resource_sampler import ResourceSampler
+from troutswitch.soak.resuming_callers import ResumingCallers
 from troutswitch.soak.schedule import FaultSchedule, draw_schedule
 from troutswitch.soak.slow_callers import SlowCallers
 from troutswitch.soak.stalls import Stalls
@@ -126,6 +127,7 @@
                 list(observations.unknown_key_exchanges),
                 observations.slots,
                 observations.memory_limit_mb,
+                dict(observations.engine_versions),
             )
         return find_violations(snapshot)
 
@@ -193,6 +195,8 @@
         if LoadKind.SLOW_CALLERS in load:
             self._hard_load.append(SlowCallers(seed, direct, observations))
         groups += self._hard_load
+        if LoadKind.VERSIONS in load:
+            groups.append(ResumingCallers(seed, direct, observations))
         if load & {LoadKind.COMPETITION, LoadKind.SLOW_CALLERS}:
             groups.append(SteadyCaller(seed, direct, observations))
         return groups
