--- a/tests/simulation/crashing_fleet.py
+++ b/tests/simulation/crashing_fleet.py
@@ -24,7 +24,13 @@
     RequestAttemptEnded,
     SendRequest,
 )
-from troutswitch.decisions.forwarding.types import Backend, PromptShape, Route, RouteKind
+from troutswitch.decisions.forwarding.types import (
+    Backend,
+    PromptPart,
+    PromptShape,
+    Route,
+    RouteKind,
+)
 from troutswitch.decisions.gateway_interface import GatewayEvent, GatewayInstruction
 from troutswitch.decisions.gateway_messages import ProcessResumed
 from troutswitch.decisions.jobs.messages import ItemRunEnded, RunItem
@@ -48,6 +54,8 @@
 CALLER_TIMEOUT_SECONDS = 4.0
 MAX_CALLER_TRIES = 4
 CALLER_RETRY_SECONDS = 0.1
+PART_TOKENS = 50
+OUTPUT_TOKENS = 20
 REJECTED_STATUS = 400
 """Status after which callers do not retry."""
 
@@ -79,6 +87,8 @@
     path: str
     body: bytes
     crashes_engines: bool
+    parts: tuple[str, ...] = ()
+    """Ids of the parts of its prompt; the last belongs to the request alone."""
     remaining_tries: int = MAX_CALLER_TRIES
     outcome: str = ""
     statuses: list[int] = field(default_factory=list)
@@ -115,6 +125,8 @@
         """Daemons that neither send nor receive messages between daemons."""
         self.callers: list[Caller] = []
         self.crashing_items: set[str] = set()
+        self.crashing_part = ""
+        """Id of the part of prompts that crashes engines, or empty."""
         self.entry_expiry_seconds = ENTRY_EXPIRY_SECONDS
         """Time from an engine's crash until its entry is removed."""
         self.misdirected_requests = 0
@@ -242,6 +254,15 @@
         self.send_request(caller)
         return caller
 
+    def send_parts(self, name: str, *parts: str) -> Caller:
+        """Sends a request of its own path and body, with the given parts in its prompt."""
+        crashes_engines = self.crashing_part in parts
+        path, body = f"{ONLINE_PREFIX}{name}", name.encode()
+        caller = Caller(path, body, crashes_engines, (*parts, f"own-{name}"))
+        self.callers.append(caller)
+        self.send_request(caller)
+        return caller
+
     def resend(self, caller: Caller) -> None:
         """Has a caller send the same path and body again, with all its retries."""
         caller.remaining_tries = MAX_CALLER_TRIES
@@ -263,7 +284,7 @@
             HOST,
             caller.path,
             CALLER_TIMEOUT_SECONDS,
-            PromptShape(),
+            _prompt_of(caller.parts),
             content=caller.content,
         )
 
@@ -291,6 +312,8 @@
             self.end_attempt(send, AttemptOutcome.REFUSED)
         else:
             self._record_arrival(daemon, request.caller.content)
+            if self.crashing_part in request.caller.parts:
+                self._record_arrival(daemon, self.crashing_part)
             self.call_later(FIRST_EVENT_SECONDS, lambda: self.begin_answer(request, send))
 
     def _has_successor(self, ended: EngineIncarnation) -> bool:
@@ -328,6 +351,8 @@
     ) -> None:
         if self.is_running(request, send) and incarnation.is_alive:
             self.crash_times[request.caller.content].append(self.now)
+            if self.crashing_part in request.caller.parts:
+                self.crash_times[self.crashing_part].append(self.now)
             self.crash(incarnation.engine_id)
 
     def _complete(self, request: CallerRequest, send: SendRequest) -> None:
@@ -415,16 +440,28 @@
 
     # Observations.
 
-    def late_attempts(self, content: str) -> int:
+    def late_attempts(self, content: str, crashes: int = 3) -> int:
         """Returns the number of attempts of a request after its third crash had to be known.
 
         Attempts of daemons that could not be informed are not counted.
+
+        Args:
+            content: the key of the request's content, or the id of the crashing part.
+            crashes: number of crashes from which attempts count.
         """
         crash_times = self.crash_times[content]
-        if len(crash_times) < 3:
+        if len(crash_times) < crashes:
             return 0
-        known_at = crash_times[2] + CONTACT_SECONDS
+        known_at = crash_times[crashes - 1] + CONTACT_SECONDS
         return sum(
             arrival.at > known_at and arrival.could_be_informed
             for arrival in self.arrivals[content]
         )
+
+
+def _prompt_of(parts: tuple[str, ...]) -> PromptShape:
+    """Returns a prompt with the given parts, or one of unknown size without any."""
+    if not parts:
+        return PromptShape()
+    shape = tuple(PromptPart(part, PART_TOKENS) for part in parts)
+    return PromptShape(PART_TOKENS * len(parts), OUTPUT_TOKENS, shape)
