--- a/src/troutswitch/decisions/forwarding/log_events.py
+++ b/src/troutswitch/decisions/forwarding/log_events.py
@@ -173,7 +173,9 @@
 def attempt_ended_line(
     now: float, request: ForwardedRequest, event: RequestAttemptEnded
 ) -> LogLine:
-    """Returns the line for an attempt that ended."""
+    """Returns the line for an attempt that ended; `parts` are those of a prompt that was cut."""
+    was_cut = event.kind is AttemptOutcome.CUT
+    parts = {"parts": [part.part_id for part in request.arrival.prompt.parts]} if was_cut else {}
     return LogLine(
         "attempt ended",
         {
@@ -188,6 +190,7 @@
             "first_ms": milliseconds(request.answer_began_at - request.sent_at),
             "total_ms": milliseconds(now - request.sent_at),
             "longest_gap_ms": milliseconds(event.longest_gap),
+            **parts,
         },
     )
 
