--- a/src/troutswitch/decisions/crashes/causes.py
+++ b/src/troutswitch/decisions/crashes/causes.py
@@ -27,7 +27,8 @@
 
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+
+from troutswitch.decisions.crashes.rules import RequestCrashes
 
 CRASHES_TO_REFUSE = 3
 """Crashes after which a request may be refused: users accept three, and each one also ends every
@@ -43,21 +44,31 @@
 several simultaneous causes is found before its fifth crash."""
 
 
-@dataclass(slots=True)
-class RequestCrashes:
-    """When each engine incarnation crashed under one request, in seconds since the epoch."""
+class RequestCauses:
+    """The rule for whole requests.
+
+    `deferral_seconds` is the time after its last crash for which this daemon defers a request.
+    """
+
+    min_crashes = CRASHES_TO_REFUSE
+
+    def __init__(self, deferral_seconds: float) -> None:
+        self.deferral_seconds = deferral_seconds
+
+    def refused(self, now: float, by_content: Mapping[str, RequestCrashes]) -> frozenset[str]:
+        """Returns the contents of the requests that cause crashes and are refused at `now`."""
+        return refused_contents(now, by_content)
 
-    crashed_at: dict[str, float] = field(default_factory=dict)
+    def deferred(
+        self, now: float, by_content: Mapping[str, RequestCrashes], refused: frozenset[str]
+    ) -> frozenset[str]:
+        """Returns the contents of the requests whose crashes others may explain."""
+        return deferred_contents(now, by_content, refused, self.deferral_seconds)
 
-    @property
-    def last_crash_at(self) -> float:
-        """When the last engine crashed."""
-        return max(self.crashed_at.values())
 
-    @property
-    def may_be_refused(self) -> bool:
-        """Whether there are enough crashes to refuse the request."""
-        return len(self.crashed_at) >= CRASHES_TO_REFUSE
+def _may_be_refused(crashes: RequestCrashes) -> bool:
+    """Returns whether there are enough crashes to refuse the request."""
+    return len(crashes.crashed_at) >= CRASHES_TO_REFUSE
 
 
 def refused_contents(now: float, by_content: Mapping[str, RequestCrashes]) -> frozenset[str]:
@@ -65,7 +76,7 @@
     engines = {
         content: frozenset(crashes.crashed_at)
         for content, crashes in by_content.items()
-        if crashes.may_be_refused
+        if _may_be_refused(crashes)
     }
     request_counts = Counter(engine_id for ids in engines.values() for engine_id in ids)
     return frozenset(
@@ -92,7 +103,7 @@
     return frozenset(
         content
         for content, crashes in by_content.items()
-        if crashes.may_be_refused
+        if _may_be_refused(crashes)
         and content not in refused
         and crashes.last_crash_at > now - deferral_seconds
     )
--- a/src/troutswitch/decisions/crashes/content.py
+++ b/src/troutswitch/decisions/crashes/content.py
@@ -1,10 +1,15 @@
-"""Computes a key from a request's content, so that its attempts at all daemons share one key.
+"""Keys under which crashes count: of a request's content, and of the shared parts of its prompt.
+
+All daemons compute the same keys, so that a request's attempts at all of them share one.
 
 The id of an attempt and the caller's address are not part of the key: whether a request crashes an
 engine depends only on what the engine reads.
 """
 
 import hashlib
+from functools import lru_cache
+
+from troutswitch.decisions.forwarding.types import PromptShape
 
 KEY_BYTES = 8
 """Length of a key: two requests of one day hardly ever share a key of 8 bytes."""
@@ -17,3 +22,25 @@
         digest.update(len(part).to_bytes(8))
         digest.update(part)
     return digest.hexdigest()
+
+
+PART_PREFIX = "part:"
+"""Begins the keys of parts, which therefore differ from those of contents."""
+PART_KEYS_REMEMBERED = 8192
+
+
+@lru_cache(maxsize=PART_KEYS_REMEMBERED)
+def part_key(part_id: str) -> str:
+    """Returns the key of a part of prompts."""
+    digest = hashlib.blake2b(part_id.encode("utf-8", "surrogateescape"), digest_size=KEY_BYTES)
+    return PART_PREFIX + digest.hexdigest()
+
+
+def part_keys(prompt: PromptShape) -> tuple[str, ...]:
+    """Returns the keys of a prompt's shared parts; the last part belongs to one request alone."""
+    return tuple(part_key(part.part_id) for part in prompt.parts[:-1])
+
+
+def is_part_key(key: str) -> bool:
+    """Returns whether a key is that of a part."""
+    return key.startswith(PART_PREFIX)
--- a/src/troutswitch/decisions/crashes/interface.py
+++ b/src/troutswitch/decisions/crashes/interface.py
@@ -1,9 +1,11 @@
 """Interface between the code that sends requests to engines and the crash decisions.
 
 `suspects.CrashSuspects` implements it. A request is identified by the key of its content
-(`content.content_key`). `now` and `sent_at` are by this process's clock, in seconds.
+(`content.content_key`), and its shared parts by theirs (`content.part_keys`). `now` and `sent_at`
+are by this process's clock, in seconds.
 """
 
+from collections.abc import Iterable
 from typing import Protocol
 
 from troutswitch.outcomes import NotRun, Step
@@ -14,15 +16,19 @@
 
     @property
     def refused(self) -> frozenset[str]:
-        """The contents of the requests that are refused."""
+        """The keys of the requests and of the parts that are refused."""
         ...
 
     def refusal(self, now: float, content: str) -> NotRun:
-        """Returns the outcome for a refused request that no engine ran in this attempt."""
+        """Returns the outcome for a request with a refused key that was not run in this attempt."""
         ...
 
-    def awaits_crash_report(self, content: str) -> bool:
-        """Returns whether a request's next attempt must wait for the check of its last engine."""
+    def awaits_crash_report(self, keys: Iterable[str]) -> bool:
+        """Returns whether a request's next attempt must wait for the check of its last engine.
+
+        Args:
+            keys: the key of its content, and those of its parts.
+        """
         ...
 
     def may_retry(self, now: float, content: str, pause: float, max_trials: int) -> bool:
@@ -34,16 +40,25 @@
         """
         ...
 
-    def on_lost(self, now: float, content: str, engine_id: str, *, is_silent: bool = False) -> None:
+    def on_lost(
+        self,
+        now: float,
+        content: str,
+        engine_id: str,
+        *,
+        parts: Iterable[str] = (),
+        is_silent: bool = False,
+    ) -> None:
         """Records that an attempt's answer was lost.
 
         Args:
+            parts: the keys of the shared parts of its prompt.
             is_silent: nothing was received, not even the end of the connection.
         """
         ...
 
-    def on_served(self, now: float, content: str) -> None:
-        """Records that an engine ran a request to its end."""
+    def on_served(self, now: float, content: str, parts: Iterable[str] = ()) -> None:
+        """Records that an engine ran a request, with these shared parts, to its end."""
         ...
 
     def on_answered(self, now: float, engine_id: str, sent_at: float) -> None:
@@ -60,7 +75,7 @@
         """Is never called, because nothing is refused."""
         return NotRun("refused", Step.ADMIT)
 
-    def awaits_crash_report(self, content: str) -> bool:
+    def awaits_crash_report(self, keys: Iterable[str]) -> bool:
         """Returns False."""
         return False
 
@@ -68,10 +83,18 @@
         """Is never called, because nothing is refused."""
         return True
 
-    def on_lost(self, now: float, content: str, engine_id: str, *, is_silent: bool = False) -> None:
+    def on_lost(
+        self,
+        now: float,
+        content: str,
+        engine_id: str,
+        *,
+        parts: Iterable[str] = (),
+        is_silent: bool = False,
+    ) -> None:
         """Does nothing."""
 
-    def on_served(self, now: float, content: str) -> None:
+    def on_served(self, now: float, content: str, parts: Iterable[str] = ()) -> None:
         """Does nothing."""
 
     def on_answered(self, now: float, engine_id: str, sent_at: float) -> None:
--- a/src/troutswitch/decisions/crashes/record.py
+++ b/src/troutswitch/decisions/crashes/record.py
@@ -1,19 +1,15 @@
 """The crashes that one daemon knows: which engine incarnations crashed under which requests.
 
 Owns a bounded set of crashes, indexed by request and by engine, and the sets of refused and
-deferred requests that `causes` derives from them. The order and number of reports of a crash make
+deferred requests that a rule derives from them. A second record has parts of prompts in place of
+requests. The order and number of reports of a crash make
 no difference. Times are seconds since the epoch.
 """
 
 from collections import OrderedDict, defaultdict
 
-from troutswitch.decisions.crashes.causes import (
-    CRASHES_TO_REFUSE,
-    RequestCrashes,
-    deferred_contents,
-    refused_contents,
-)
 from troutswitch.decisions.crashes.messages import Crash
+from troutswitch.decisions.crashes.rules import RefusalRule, RequestCrashes
 
 RETENTION_SECONDS = 3600.0
 """Time for which a crash is kept: six attempts of a request that keeps crashing engines."""
@@ -29,9 +25,8 @@
     When the record is full, it evicts the oldest request with a single crash first.
     """
 
-    def __init__(self, deferral_seconds: float) -> None:
-        self.deferral_seconds = deferral_seconds
-        """Time after its last crash for which this daemon defers a request, in seconds."""
+    def __init__(self, rule: RefusalRule) -> None:
+        self._rule = rule
         self.refused: frozenset[str] = frozenset()
         """Contents of the requests that cause crashes."""
         self.deferred: frozenset[str] = frozenset()
@@ -40,6 +35,11 @@
         self._crashed_repeatedly: OrderedDict[str, RequestCrashes] = OrderedDict()
         self._contents_by_engine: defaultdict[str, set[str]] = defaultdict(set)
 
+    @property
+    def deferral_seconds(self) -> float:
+        """Time after its last crash for which this daemon defers a request, in seconds."""
+        return self._rule.deferral_seconds
+
     def __len__(self) -> int:
         return len(self._crashed_once) + len(self._crashed_repeatedly)
 
@@ -70,6 +70,17 @@
             for content in sorted(self._contents_by_engine.get(engine_id, ()))
         ]
 
+    def engine_count(self, since: float) -> int:
+        """Returns how many of the engines on record crashed after a time."""
+        return sum(
+            any(self._crashed_after(content, engine_id, since) for content in contents)
+            for engine_id, contents in self._contents_by_engine.items()
+        )
+
+    def _crashed_after(self, content: str, engine_id: str, since: float) -> bool:
+        crashes = self._find(content)
+        return crashes is not None and crashes.crashed_at.get(engine_id, since) > since
+
     @staticmethod
     def is_expired(now: float, at: float) -> bool:
         """Returns whether a crash at the time `at` is too old to count."""
@@ -146,16 +157,15 @@
 
     def next_deferral_end(self) -> float:
         """Returns when the first deferral ends; infinite without one."""
-        ends = (self.last_crash_at(content) + self.deferral_seconds for content in self.deferred)
+        pause = self.deferral_seconds
+        ends = (self.last_crash_at(content) + pause for content in self.deferred)
         return min(ends, default=float("inf"))
 
     def _on_changed(self, now: float, crashes: int) -> None:
         """Updates the refusals if a request with this number of crashes can affect them."""
-        if crashes >= CRASHES_TO_REFUSE:
+        if crashes >= self._rule.min_crashes:
             self._update_refusals(now)
 
     def _update_refusals(self, now: float) -> None:
-        self.refused = refused_contents(now, self._crashed_repeatedly)
-        self.deferred = deferred_contents(
-            now, self._crashed_repeatedly, self.refused, self.deferral_seconds
-        )
+        self.refused = self._rule.refused(now, self._crashed_repeatedly)
+        self.deferred = self._rule.deferred(now, self._crashed_repeatedly, self.refused)
--- a/src/troutswitch/decisions/crashes/shared.py
+++ b/src/troutswitch/decisions/crashes/shared.py
@@ -134,6 +134,10 @@
         if len(self._pending_reports) > MAX_PENDING_REPORTS:
             self._pending_reports.popleft()
 
+    def is_retracted(self, crash: Crash) -> bool:
+        """Returns whether a crash is known to have been retracted."""
+        return crash in self._retracted
+
     def _remember_if_retracted(self, crash: Crash, is_valid: bool) -> None:
         if is_valid:
             self._retracted.pop(crash, None)
--- a/src/troutswitch/decisions/crashes/suspects.py
+++ b/src/troutswitch/decisions/crashes/suspects.py
@@ -11,17 +11,31 @@
 A request is cleared when an engine runs it to its end. A crash is retracted when the engine answers
 a request that was sent after the crash was reported.
 
+Crashes also count under the parts of prompts that the requests on an engine shared with others
+(`part_suspects`, `part_causes`). A request with a refused part is answered 503.
+
 `now` is by this process's clock, in seconds; `now + clock_offset` is the time of day.
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from troutswitch.common import Address, stable_hash
 from troutswitch.daemons.messages import CrashReport
-from troutswitch.decisions.crashes.causes import CRASHES_TO_REFUSE, MAX_DEFERRAL_SECONDS
+from troutswitch.decisions.crashes.causes import (
+    CRASHES_TO_REFUSE,
+    MAX_DEFERRAL_SECONDS,
+    RequestCauses,
+)
+from troutswitch.decisions.crashes.content import is_part_key
 from troutswitch.decisions.crashes.engine_crashes import EngineCrashes
 from troutswitch.decisions.crashes.messages import CheckEngine, Crash, EngineChecked
+from troutswitch.decisions.crashes.part_causes import PART_CRASHES_TO_REFUSE, PartCauses
+from troutswitch.decisions.crashes.part_suspects import (
+    ANNOUNCEMENT_DELAY_SECONDS,
+    PENDING_SECONDS,
+    PartSuspects,
+)
 from troutswitch.decisions.crashes.record import CrashRecord
 from troutswitch.decisions.crashes.shared import SharedCrashes
 from troutswitch.decisions.forwarding.engines import EngineRegistry
@@ -48,6 +62,8 @@
 """Maximum number of engine incarnations remembered as crashed."""
 MAX_LOGGED_CONTENTS = 24
 """Maximum number of requests in one log line: as many as two engines have slots."""
+PART_RETRY_SECONDS = 10.0
+"""`Retry-After` of a request with a refused part: longer than engines take to return."""
 NON_RETRYABLE_STATUS = 400
 """HTTP status after which a well-behaved client does not retry."""
 
@@ -83,7 +99,10 @@
         self._emit = emit
         self._log = log
         self._engine_crashes = EngineCrashes(engines, emit)
-        self._record = CrashRecord(_deferral_seconds(name))
+        self._record = CrashRecord(RequestCauses(_deferral_seconds(name)))
+        self._part_record = CrashRecord(PartCauses())
+        self._part_suspects = PartSuspects()
+        self._announcement_checked_at = float("-inf")
         self._shared = SharedCrashes(name, numbers, rng, peers, self._apply, log)
         self._crashed_at: dict[str, float] = {}
         """When this daemon learnt that an engine incarnation had crashed, by its own clock."""
@@ -94,25 +113,39 @@
 
     @property
     def refused(self) -> frozenset[str]:
-        """The contents of the requests that are refused, including deferred ones."""
+        """The keys of the requests, including deferred ones, and of the parts that are refused."""
         return self._refused
 
     @property
     def count(self) -> int:
-        """Number of requests on record."""
-        return len(self._record)
+        """Number of requests and parts on record."""
+        return len(self._record) + len(self._part_record)
+
+    def _record_of(self, key: str) -> CrashRecord:
+        """Returns the record that counts a key."""
+        return self._part_record if is_part_key(key) else self._record
 
-    def awaits_crash_report(self, content: str) -> bool:
+    def awaits_crash_report(self, keys: Iterable[str]) -> bool:
         """Returns whether a request's next attempt must wait for the check of its last engine."""
-        return self._record.crash_count(content) >= CRASHES_TO_AWAIT_REPORT
+        return any(self._record_of(key).crash_count(key) >= CRASHES_TO_AWAIT_REPORT for key in keys)
 
     def may_retry(self, now: float, content: str, pause: float, max_trials: int) -> bool:
         """Returns whether a refused request may be attempted once more; see `Suspects`."""
-        is_quiet = now + self.clock_offset >= self._record.last_crash_at(content) + pause
-        return is_quiet and self._record.crash_count(content) < CRASHES_TO_REFUSE + max_trials
+        record = self._record_of(content)
+        min_crashes = PART_CRASHES_TO_REFUSE if is_part_key(content) else CRASHES_TO_REFUSE
+        is_quiet = now + self.clock_offset >= record.last_crash_at(content) + pause
+        return is_quiet and record.crash_count(content) < min_crashes + max_trials
 
     def refusal(self, now: float, content: str) -> NotRun:
-        """Returns the outcome for a refused request that no engine ran in this attempt."""
+        """Returns the outcome for a request with a refused key that was not run in this attempt.
+
+        Which part crashes engines is inferred from different requests, so that the caller of a
+        request with a refused part is told to retry later.
+        """
+        if is_part_key(content):
+            crashes = self._part_record.crash_count(content)
+            reason = f"{crashes} servers ended under requests with a part of this one"
+            return NotRun(reason, Step.ADMIT, "", PART_RETRY_SECONDS)
         time_of_day = now + self.clock_offset
         last_crash_at = self._record.last_crash_at(content)
         reason = f"{self._record.crash_count(content)} servers ended under this request"
@@ -126,8 +159,17 @@
 
     # Evidence from requests and the engine list.
 
-    def on_lost(self, now: float, content: str, engine_id: str, *, is_silent: bool = False) -> None:
+    def on_lost(
+        self,
+        now: float,
+        content: str,
+        engine_id: str,
+        *,
+        parts: Iterable[str] = (),
+        is_silent: bool = False,
+    ) -> None:
         """Records that an attempt's answer was lost; see `Suspects`."""
+        self._part_suspects.on_lost(now, parts, engine_id)
         self._engine_crashes.on_lost(now, content, engine_id, is_silent)
 
     def on_checked(self, now: float, event: EngineChecked) -> None:
@@ -153,11 +195,28 @@
         for crash in crashes:
             if self._apply(now, crash, at, True):
                 self._shared.publish(now, crash, at, True)
+        for engine_id in {crash.engine_id: None for crash in crashes}:
+            self._part_suspects.on_crashed(now, engine_id)
 
-    def on_served(self, now: float, content: str) -> None:
-        """Clears a request that an engine ran to its end: it did not cause its crashes."""
-        if self._record.crash_count(content):
-            self._retract(now, self._record.crashes_of_content(content), "served")
+    def _announce_parts(self, now: float) -> None:
+        """Announces the parts that may have caused crashes, once enough engines crashed."""
+        if now < self._part_suspects.next_due():
+            return
+        self._announcement_checked_at = now
+        at = now + self.clock_offset
+        unexplained = self._record.engine_count(at - PENDING_SECONDS)
+        for crash in self._part_suspects.take_announced(now, unexplained):
+            if self._apply(now, crash, at, True):
+                self._shared.publish(now, crash, at, True)
+
+    def on_served(self, now: float, content: str, parts: Iterable[str] = ()) -> None:
+        """Clears a request that an engine ran to its end, and its parts: they crash no engine."""
+        keys = (content, *parts)
+        self._part_suspects.on_served(now, keys[1:])
+        for key in keys:
+            record = self._record_of(key)
+            if record.crash_count(key):
+                self._retract(now, record.crashes_of_content(key), "served")
 
     def on_answered(self, now: float, engine_id: str, sent_at: float) -> None:
         """Retracts an engine's crash if the engine answers an attempt sent after it was known.
@@ -168,7 +227,10 @@
         self._engine_crashes.on_answered(engine_id, sent_at)
         if sent_at > self._crashed_at.get(engine_id, float("inf")):
             del self._crashed_at[engine_id]
-            self._retract(now, self._record.crashes_of_engine(engine_id), "engine lives")
+            self._part_suspects.on_alive(engine_id)
+            crashes = self._record.crashes_of_engine(engine_id)
+            crashes += self._part_record.crashes_of_engine(engine_id)
+            self._retract(now, crashes, "engine lives")
 
     # The record.
 
@@ -182,24 +244,34 @@
     def _apply(self, now: float, crash: Crash, at: float, is_valid: bool) -> bool:
         """Adds a crash, or removes a retracted one; returns whether the record changed."""
         time_of_day = now + self.clock_offset
+        record = self._record_of(crash.content)
         if not is_valid:
-            was_unknown = self._record.remove(time_of_day, crash)
-        elif self._record.is_expired(time_of_day, at):
+            was_unknown = record.remove(time_of_day, crash)
+        elif record.is_expired(time_of_day, at):
             self._shared.forget(now, crash)
             return False
+        elif self._part_suspects.was_served(now, crash.content):
+            self._clear_served(now, crash)
+            return False
         else:
-            was_unknown = self._record.add(time_of_day, crash, at)
+            was_unknown = record.add(time_of_day, crash, at)
             self._remember_crashed(now, crash.engine_id)
         self._update_refused()
         return was_unknown
 
+    def _clear_served(self, now: float, crash: Crash) -> None:
+        """Retracts the crash of a part of which a request was completed here recently."""
+        if not self._shared.is_retracted(crash):
+            self._shared.publish(now, crash, 0.0, False)
+
     def _remember_crashed(self, now: float, engine_id: str) -> None:
         self._crashed_at.setdefault(engine_id, now)
         if len(self._crashed_at) > MAX_CRASHED_ENGINES:
             del self._crashed_at[next(iter(self._crashed_at))]
 
     def _update_refused(self) -> None:
-        before, self._refused = self._refused, self._record.refused | self._record.deferred
+        refused = self._record.refused | self._record.deferred | self._part_record.refused
+        before, self._refused = self._refused, refused
         if self._refused == before:
             return
         self.changes += 1
@@ -207,7 +279,7 @@
             self._log(
                 "request refused from now on",
                 content=content,
-                engines=[crash.engine_id for crash in self._record.crashes_of_content(content)],
+                engines=[c.engine_id for c in self._record_of(content).crashes_of_content(content)],
                 is_deferred=content in self._record.deferred,
             )
         for content in sorted(before - self._refused):
@@ -239,7 +311,17 @@
 
     def next_due(self) -> float:
         """Returns when `on_timer` has something to do."""
-        return min(self._engine_crashes.next_due(), self._shared.next_due(), self._expiry_due())
+        return min(
+            self._engine_crashes.next_due(),
+            self._shared.next_due(),
+            self._expiry_due(),
+            self._announcement_due(),
+        )
+
+    def _announcement_due(self) -> float:
+        """Returns when suspected parts are checked next; checks are repeated while they wait."""
+        due = self._part_suspects.next_due()
+        return max(due, self._announcement_checked_at + ANNOUNCEMENT_DELAY_SECONDS)
 
     def _expiry_due(self) -> float:
         """Returns when expired crashes are next removed, or the next deferral ends."""
@@ -251,6 +333,7 @@
     def on_timer(self, now: float) -> None:
         """Removes expired crashes, and emits the calls and reports that are due."""
         self._engine_crashes.on_timer(now)
+        self._announce_parts(now)
         if self.count and now >= self._expiry_due():
             self._expire(now)
         for instruction in self._shared.on_timer(now, self.count > 0):
@@ -258,7 +341,8 @@
 
     def _expire(self, now: float) -> None:
         self._expiry_checked_at = now
-        for crash in self._record.expire(now + self.clock_offset):
+        time_of_day = now + self.clock_offset
+        for crash in self._record.expire(time_of_day) + self._part_record.expire(time_of_day):
             self._shared.forget(now, crash)
         self._update_refused()
 
--- a/src/troutswitch/decisions/forwarding/arrivals.py
+++ b/src/troutswitch/decisions/forwarding/arrivals.py
@@ -9,7 +9,8 @@
 2. A route for online requests matches host and path. (404; 503, to be retried, if none matches
    and the configuration may be outdated)
 3. The key belongs to a tenant, or the route allows anonymous callers. (401)
-4. The request is not refused because engines crashed while they ran it. (503, then 400)
+4. The request is not refused because engines crashed while they ran it (503, then 400), or
+   requests with a part of its prompt (503).
 5. The tenant is within its quota. (429, with the time after which a request fits; 503, to be
    retried, if no coordinator decided in time)
 
@@ -25,6 +26,7 @@
 
 from dataclasses import dataclass, replace
 
+from troutswitch.decisions.crashes.content import part_keys
 from troutswitch.decisions.crashes.interface import Suspects
 from troutswitch.decisions.forwarding.messages import RequestArrived
 from troutswitch.decisions.forwarding.routes import (
@@ -111,8 +113,9 @@
         tenant = self.tenant_keys.identify(event.caller_key, route)
         if isinstance(tenant, NotRun):
             return Refused(event, tenant)
-        if event.content in self._suspects.refused:
-            return Refused(event, self._suspects.refusal(now, event.content), tenant.name)
+        refused_key = self._refused_key(event)
+        if refused_key is not None:
+            return Refused(event, self._suspects.refusal(now, refused_key), tenant.name)
         waiting = _AwaitingQuota(event, route, self._routes.version, tenant, now)
         decision = self.quota.take(now, event.token, tenant)
         if decision is None:
@@ -120,6 +123,14 @@
             return None
         return self._apply_quota(now, waiting, decision)
 
+    def _refused_key(self, event: RequestArrived) -> str | None:
+        """Returns the key for which a request is refused for crashes, or None."""
+        refused = self._suspects.refused
+        if not refused:
+            return None
+        keys = (event.content, *part_keys(event.prompt))
+        return next((key for key in keys if key in refused), None)
+
     def count_further_attempt(self, now: float, token: int, tenant: str) -> QuotaResult | None:
         """Counts a further attempt of an admitted request; returns None if the result is pending.
 
--- a/src/troutswitch/decisions/forwarding/attempts.py
+++ b/src/troutswitch/decisions/forwarding/attempts.py
@@ -105,7 +105,7 @@
         if event.kind is AttemptOutcome.REFUSED:
             self._record_rejection(now, request)
         if event.kind is AttemptOutcome.CUT and not event.has_answer:
-            self._suspects.on_lost(now, request.arrival.content, request.engine_id)
+            self._on_lost(now, request)
         request.ended_attempts.append(event.kind)
         request.position = event.position or request.position
         request.delivered = event.delivered
@@ -114,6 +114,15 @@
         if event.kind is AttemptOutcome.COMPLETED:
             self._record_completion(now, request, event)
 
+    def _on_lost(self, now: float, request: ForwardedRequest, *, is_silent: bool = False) -> None:
+        self._suspects.on_lost(
+            now,
+            request.arrival.content,
+            request.engine_id,
+            parts=request.crash_keys[1:],
+            is_silent=is_silent,
+        )
+
     def _record_rejection(self, now: float, request: ForwardedRequest) -> None:
         engine = self._engines.engines.get(request.engine_id)
         if engine is not None:
@@ -128,7 +137,7 @@
         Answers without events occupy a slot too briefly to count.
         """
         if event.status < MIN_FAILURE_STATUS:
-            self._suspects.on_served(now, request.arrival.content)
+            self._suspects.on_served(now, request.arrival.content, request.crash_keys[1:])
         if not event.delivered or request.answer_began_at > now:
             return
         first_event = request.answer_began_at - request.sent_at
@@ -156,8 +165,7 @@
     def abandon(self, now: float, request: ForwardedRequest) -> AbortAttempt:
         """Ends the running attempt because its engine is silent."""
         request.ended_attempts.append(AttemptOutcome.CUT)
-        content = request.arrival.content
-        self._suspects.on_lost(now, content, request.engine_id, is_silent=True)
+        self._on_lost(now, request, is_silent=True)
         self._end_at_engine(now, request, failed=True)
         return AbortAttempt(request.arrival.token, request.attempt, is_silent=True)
 
--- a/src/troutswitch/decisions/forwarding/request.py
+++ b/src/troutswitch/decisions/forwarding/request.py
@@ -42,6 +42,8 @@
     time_limit_at: float
     """When the route's time limit ends."""
     state: RequestState = RequestState.PLACING
+    crash_keys: tuple[str, ...] = ()
+    """Keys under which crashes count: of its content, and of the shared parts of its prompt."""
     tenant: str = NO_TENANT
     admitted_version: int = -1
     """Version of the configuration that `route` comes from."""
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -32,6 +32,7 @@
 import random
 from typing import assert_never
 
+from troutswitch.decisions.crashes.content import part_keys
 from troutswitch.decisions.crashes.interface import NO_SUSPECTS, Suspects
 from troutswitch.decisions.forwarding.admission import Admission
 from troutswitch.decisions.forwarding.arrivals import Admitted, Arrivals, Refused
@@ -174,6 +175,7 @@
             deadline=min(now, arrival.read_at) + arrival.time_left,
             time_limit_at=now + route.time_limit,
             position=arrival.resume_after,
+            crash_keys=(arrival.content, *part_keys(arrival.prompt)),
             tenant=admitted.tenant.name,
             admitted_version=admitted.version,
             quota=admitted.quota,
@@ -284,8 +286,7 @@
         may_have_run = event.kind not in NOT_EXECUTED_OUTCOMES
         request.needs_retry_budget |= may_have_run
         request.needs_quota |= may_have_run
-        content = request.arrival.content
-        awaits_report = may_have_run and self._suspects.awaits_crash_report(content)
+        awaits_report = may_have_run and self._suspects.awaits_crash_report(request.crash_keys)
         action = action_after_failure(request, event, awaits_crash_report=awaits_report)
         match action:
             case FailureAction.RELAY_ANSWER:
@@ -377,14 +378,15 @@
         return self._open.refuse(now, Refused(arrival, NotRun("caller went away", Step.ADMIT)))
 
     def end_refused_for_crashes(self, now: float) -> Instructions:
-        """Ends open requests, in any state, whose content is now refused for crashes.
+        """Ends open requests, in any state, that are now refused for crashes.
 
-        When the third crash becomes known, such a request may be waiting, in transit, or queued at
-        an engine. If it continued, it would crash another engine.
+        When the crash becomes known that decides it, such a request may be waiting, in transit, or
+        queued at an engine. If it continued, it would crash another engine.
         """
         refused = self._suspects.refused
         instructions: Instructions = []
-        for request in [r for r in self.requests.values() if r.arrival.content in refused]:
+        open_requests = list(self.requests.values())
+        for request in [r for r in open_requests if not refused.isdisjoint(r.crash_keys)]:
             instructions += self._cancel(now, request)
             instructions += self._open.end_unanswered(now, request, CRASHES_REASON, Step.DISPATCH)
         return instructions
--- a/src/troutswitch/decisions/gateway_messages.py
+++ b/src/troutswitch/decisions/gateway_messages.py
@@ -3,6 +3,7 @@
 The parts define their messages in their own modules; `gateway_interface.py` combines all of them.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -10,6 +11,7 @@
 from troutswitch.decisions.forwarding.types import (
     EngineRecord,
     FleetConfiguration,
+    PromptShape,
     RequestLimits,
 )
 from troutswitch.decisions.jobs.records import StoreLimits
@@ -27,6 +29,10 @@
         """Decodes the record of an engine, stored under `key` in the engine list."""
         ...
 
+    def prompt(self, headers: Mapping[str, str]) -> PromptShape:
+        """Returns the prompt that the headers of a batch item describe."""
+        ...
+
 
 @dataclass(frozen=True, slots=True)
 class GatewayIdentity:
--- a/src/troutswitch/decisions/gateway_parts.py
+++ b/src/troutswitch/decisions/gateway_parts.py
@@ -128,7 +128,7 @@
         self.slots = self._make_slots(policies, incarnation, rng)
         if policies.slot_assignment == "coordinators":
             self.requests.placer = self.slots.requests
-        self.jobs = self._make_jobs(policies, rng)
+        self.jobs = self._make_jobs(policies, formats, rng)
         self.configuration = ActiveConfiguration(
             self.routes, formats, self.numbers, rng, identity.apply_bound, self.output
         )
@@ -170,7 +170,9 @@
         identity = self.identity
         return DaemonIdentity(identity.name, identity.zone, identity.peer_address, incarnation)
 
-    def _make_jobs(self, policies: Policies, rng: random.Random) -> JobCoordinator:
+    def _make_jobs(
+        self, policies: Policies, formats: Formats, rng: random.Random
+    ) -> JobCoordinator:
         identity = self.identity
         dependencies = JobDependencies(
             self.routes,
@@ -182,6 +184,7 @@
             rng,
             self._emit,
             self.requests.speed,
+            formats.prompt,
         )
         settings = JobSettings(
             identity.name,
--- a/src/troutswitch/decisions/jobs/dependencies.py
+++ b/src/troutswitch/decisions/jobs/dependencies.py
@@ -4,7 +4,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -13,6 +13,8 @@
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.messages import LogLine
 from troutswitch.decisions.forwarding.routes import RouteTable
+from troutswitch.decisions.forwarding.types import PromptShape
+from troutswitch.decisions.jobs.item_contents import unknown_prompt
 from troutswitch.decisions.jobs.messages import AnswerJobCall, RunItem, StopItem
 from troutswitch.decisions.jobs.records import StoreLimits
 from troutswitch.decisions.policies import BatchPolicies
@@ -72,6 +74,8 @@
     rng: random.Random
     emit: Callable[[JobInstruction], None]
     speed: SpeedPolicy = field(default_factory=IgnoredSpeed)
+    prompt_of: Callable[[Mapping[str, str]], PromptShape] = unknown_prompt
+    """Returns the prompt that an item's headers describe."""
 
     def log(self, event: str, **fields: object) -> None:
         """Emits a log line."""
--- a/src/troutswitch/decisions/jobs/item_contents.py
+++ b/src/troutswitch/decisions/jobs/item_contents.py
@@ -6,8 +6,10 @@
 """
 
 from collections import Counter
+from collections.abc import Callable, Mapping
 
-from troutswitch.decisions.crashes.content import content_key
+from troutswitch.decisions.crashes.content import content_key, part_keys
+from troutswitch.decisions.forwarding.types import PromptShape
 from troutswitch.decisions.jobs.items import ItemProgress
 from troutswitch.decisions.jobs.records import DONE
 from troutswitch.decisions.jobs.replicas import JobReplicas
@@ -19,11 +21,21 @@
 """Maximum number of entries in each cache; missing ones are computed again."""
 
 
+def unknown_prompt(headers: Mapping[str, str]) -> PromptShape:
+    """Returns a prompt without parts, where headers are not decoded."""
+    return PromptShape()
+
+
 class ItemContentKeys:
     """Content keys of the items that this daemon owns."""
 
-    def __init__(self, replicas: JobReplicas) -> None:
+    def __init__(
+        self,
+        replicas: JobReplicas,
+        prompt_of: Callable[[Mapping[str, str]], PromptShape] = unknown_prompt,
+    ) -> None:
         self._replicas = replicas
+        self._prompt_of = prompt_of
         self._done: dict[tuple[str, str], None] = {}
         """Jobs and paths with an item that is known to be done; drops the oldest first."""
         self._paths: dict[str, Counter[str]] = {}
@@ -34,9 +46,15 @@
         return self.shared_key(progress) or self._own_key(progress)
 
     def refusal_keys(self, progress: ItemProgress) -> tuple[str, ...]:
-        """Returns the keys under which an item may be refused: its own and any common key."""
+        """Returns the keys under which an item may be refused: its own, shared ones, its parts'."""
         shared = self.shared_key(progress)
-        return (self._own_key(progress), shared) if shared else (self._own_key(progress),)
+        parts = self.part_keys(progress)
+        own = self._own_key(progress)
+        return (own, shared, *parts) if shared else (own, *parts)
+
+    def part_keys(self, progress: ItemProgress) -> tuple[str, ...]:
+        """Returns the keys of the shared parts of an item's prompt."""
+        return part_keys(self._prompt_of(dict(progress.item.headers)))
 
     def on_done(self, progress: ItemProgress) -> None:
         """Records that an item is done, after which items with its path have no common key."""
--- a/src/troutswitch/decisions/jobs/item_refusals.py
+++ b/src/troutswitch/decisions/jobs/item_refusals.py
@@ -5,7 +5,8 @@
 
 The rule:
 
-    FREE     -> REFUSED   three engines crashed under the item, or under items with the same key
+    FREE     -> REFUSED   three engines crashed under the item, or under items with the same key,
+                          or a part of its prompt is refused
     REFUSED  -> ON_TRIAL  no engine has crashed under it for `TRIAL_SECONDS`
     ON_TRIAL -> REFUSED   another engine crashed: the next trial is `TRIAL_SECONDS` later
     ON_TRIAL -> FREE      an engine ran it to its end
@@ -22,9 +23,11 @@
 """
 
 from collections import Counter
+from collections.abc import Callable, Mapping
 
 from troutswitch.decisions.crashes.interface import Suspects
-from troutswitch.decisions.jobs.item_contents import ItemContentKeys
+from troutswitch.decisions.forwarding.types import PromptShape
+from troutswitch.decisions.jobs.item_contents import ItemContentKeys, unknown_prompt
 from troutswitch.decisions.jobs.items import ItemProgress
 from troutswitch.decisions.jobs.replicas import JobReplicas
 
@@ -44,9 +47,14 @@
 class ItemRefusals:
     """Refusals and trials of the items that this daemon owns."""
 
-    def __init__(self, suspects: Suspects, replicas: JobReplicas) -> None:
+    def __init__(
+        self,
+        suspects: Suspects,
+        replicas: JobReplicas,
+        prompt_of: Callable[[Mapping[str, str]], PromptShape] = unknown_prompt,
+    ) -> None:
         self._suspects = suspects
-        self._content_keys = ItemContentKeys(replicas)
+        self._content_keys = ItemContentKeys(replicas, prompt_of)
         self._tried_at: dict[str, float] = {}
         """When a trial of a content was last started here."""
         self._lost: dict[str, Counter[str]] = {}
@@ -81,13 +89,15 @@
         """Records that the connection of a run was lost before its end."""
         progress.is_on_trial = False
         self._count_lost(progress)
-        self._suspects.on_lost(now, self._content_keys.run_key(progress), engine_id)
+        parts = self._content_keys.part_keys(progress)
+        self._suspects.on_lost(now, self._content_keys.run_key(progress), engine_id, parts=parts)
 
     def on_done(self, now: float, progress: ItemProgress) -> None:
         """Records that an engine ran an item to its end."""
         progress.is_on_trial = False
+        parts = self._content_keys.part_keys(progress)
         for content in self._content_keys.refusal_keys(progress):
-            self._suspects.on_served(now, content)
+            self._suspects.on_served(now, content, parts)
             self._tried_at.pop(content, None)
             self._lost.pop(content, None)
         self._content_keys.on_done(progress)
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -227,7 +227,7 @@
 ) -> ItemParts:
     routes, log = dependencies.routes, dependencies.log
     order = ITEM_ORDERS[settings.policies.item_order]()
-    refusals = ItemRefusals(dependencies.suspects, replicas)
+    refusals = ItemRefusals(dependencies.suspects, replicas, dependencies.prompt_of)
     endings = ItemEndings(items, writer, log)
     return ItemParts(
         items,
--- a/src/troutswitch/platform/configuration.py
+++ b/src/troutswitch/platform/configuration.py
@@ -4,6 +4,7 @@
 dropped.
 """
 
+from collections.abc import Mapping
 from typing import Annotated, Literal
 
 import msgspec
@@ -13,6 +14,7 @@
     Backend,
     EngineRecord,
     FleetConfiguration,
+    PromptShape,
     RequestLimits,
     Route,
     RouteKind,
@@ -20,7 +22,8 @@
 )
 from troutswitch.decisions.tenants.types import Tenant, key_digest
 from troutswitch.platform.engine_ids import incarnation_id
-from troutswitch.platform.names import CONFIGURATION_KEY
+from troutswitch.platform.names import CONFIGURATION_KEY, PROMPT_PREFIX, TOKEN_USAGE
+from troutswitch.platform.requests import read_prompt
 
 ROUTE_KINDS = {
     "idempotent": RouteKind.REPEATABLE,
@@ -231,3 +234,9 @@
     def engine(self, key: str, data: bytes) -> EngineRecord:
         """Decodes an engine's record, stored under `key` in the engine list."""
         return decode_engine(key, data)
+
+    def prompt(self, headers: Mapping[str, str]) -> PromptShape:
+        """Decodes the prompt that a batch item's headers describe."""
+        by_name = {name.lower(): value for name, value in headers.items()}
+        usage, parts = TOKEN_USAGE.lower(), PROMPT_PREFIX.lower()
+        return read_prompt(by_name.get(usage, ""), by_name.get(parts, ""))
--- a/tests/decisions/crashes/test_record.py
+++ b/tests/decisions/crashes/test_record.py
@@ -7,6 +7,7 @@
     CONCLUSIVE_CRASHES,
     MAX_DEFERRAL_SECONDS,
     REFUSAL_SECONDS,
+    RequestCauses,
 )
 from troutswitch.decisions.crashes.messages import Crash
 from troutswitch.decisions.crashes.record import (
@@ -21,7 +22,7 @@
 
 def record_of(**engines: str) -> CrashRecord:
     """Returns a record of requests, each with the letters of its crashed engines."""
-    record = CrashRecord(MAX_DEFERRAL_SECONDS)
+    record = CrashRecord(RequestCauses(MAX_DEFERRAL_SECONDS))
     for content, letters in engines.items():
         for letter in letters:
             record.add(NOW, Crash(content, letter), NOW)
@@ -81,7 +82,7 @@
 def test_order_of_reports_makes_no_difference() -> None:
     crashes = [Crash("x", "a"), Crash("x", "b"), Crash("x", "c"), Crash("y", "a"), Crash("y", "b")]
     for order in permutations(crashes):
-        record = CrashRecord(MAX_DEFERRAL_SECONDS)
+        record = CrashRecord(RequestCauses(MAX_DEFERRAL_SECONDS))
         for crash in order:
             record.add(NOW, crash, NOW)
         assert record.refused == {"x"}
@@ -97,7 +98,7 @@
 
 
 def test_newest_crashes_are_kept_when_the_record_of_a_request_is_full() -> None:
-    record = CrashRecord(MAX_DEFERRAL_SECONDS)
+    record = CrashRecord(RequestCauses(MAX_DEFERRAL_SECONDS))
     for number in range(MAX_CRASHES_PER_CONTENT + 3):
         at = NOW + number
         record.add(at, Crash("x", f"s{number}"), at)
@@ -113,7 +114,7 @@
 
 
 def test_crash_time_in_the_future_does_not_prolong_a_refusal() -> None:
-    record = CrashRecord(MAX_DEFERRAL_SECONDS)
+    record = CrashRecord(RequestCauses(MAX_DEFERRAL_SECONDS))
     for letter in "abc":
         record.add(NOW, Crash("x", letter), NOW + 1e6)
     assert record.last_crash_at("x") == NOW
@@ -131,7 +132,7 @@
 def test_index_by_engine_agrees_with_the_index_by_request() -> None:
     """Random additions and removals, checked against a plain set."""
     rng = random.Random(7)
-    record, expected = CrashRecord(MAX_DEFERRAL_SECONDS), set[Crash]()
+    record, expected = CrashRecord(RequestCauses(MAX_DEFERRAL_SECONDS)), set[Crash]()
     for _ in range(3000):
         crash = Crash(f"c{rng.randrange(9)}", f"s{rng.randrange(9)}")
         if rng.random() < 0.6:
--- a/tests/decisions/crashes/test_suspects.py
+++ b/tests/decisions/crashes/test_suspects.py
@@ -6,9 +6,11 @@
 from troutswitch.daemons.messages import CrashReport, ReportedCrash
 from troutswitch.decisions.crashes.causes import MAX_DEFERRAL_SECONDS
 from troutswitch.decisions.crashes.messages import EngineChecked, EngineCheckResult
+from troutswitch.decisions.crashes.part_suspects import ANNOUNCEMENT_DELAY_SECONDS
 from troutswitch.decisions.crashes.suspects import (
     MIN_DEFERRAL_SHARE,
     NON_RETRYABLE_STATUS,
+    PART_RETRY_SECONDS,
     RETRACTION_WINDOW_SECONDS,
     CrashSuspects,
 )
@@ -126,3 +128,56 @@
     assert ended_at[0] >= MIN_DEFERRAL_SHARE * MAX_DEFERRAL_SECONDS
     assert ended_at[-1] <= MAX_DEFERRAL_SECONDS + 0.1
     assert sum(at < ended_at[0] + 0.15 for at in ended_at) <= 3
+
+
+def crash_under_part(harness: SuspectsHarness, now: float, part: str, *engine_ids: str) -> None:
+    """Crashes engines, each under another request with the same part."""
+    for engine_id in engine_ids:
+        content = f"{now}-{engine_id}"
+        harness.suspects.on_lost(now, content, engine_id, parts=[part])
+        harness.suspects.on_checked(now, EngineChecked(engine_id, EngineCheckResult.ENDED))
+    harness.suspects.on_timer(now + ANNOUNCEMENT_DELAY_SECONDS)
+
+
+ENGINE_IDS = ("s0", "s1", "s2", "s3", "s4")
+
+
+def test_part_is_refused_after_five_crashes_under_different_requests() -> None:
+    harness = SuspectsHarness()
+    crash_under_part(harness, 1.0, "part:x", *ENGINE_IDS[:4])
+    assert not harness.suspects.refused
+    crash_under_part(harness, 3.0, "part:x", ENGINE_IDS[4])
+    assert harness.suspects.refused == {"part:x"}
+    refusal = harness.suspects.refusal(5.0, "part:x")
+    assert (refusal.status, refusal.retry_after) == (503, PART_RETRY_SECONDS)
+
+
+def test_part_is_cleared_when_a_request_with_it_completes() -> None:
+    harness = SuspectsHarness()
+    crash_under_part(harness, 1.0, "part:x", *ENGINE_IDS)
+    harness.suspects.on_served(3.0, "y", ["part:x"])
+    assert not harness.suspects.refused
+    harness.report(3.1, "part:x", *ENGINE_IDS)
+    assert not harness.suspects.refused
+
+
+def test_part_of_engines_that_live_is_not_refused() -> None:
+    harness = SuspectsHarness()
+    crash_under_part(harness, 1.0, "part:x", *ENGINE_IDS)
+    for engine_id in ENGINE_IDS:
+        harness.suspects.on_answered(4.0, engine_id, 3.0)
+    assert not harness.suspects.refused
+
+
+def test_peers_reports_of_a_part_are_applied() -> None:
+    harness = SuspectsHarness()
+    harness.report(1.0, "part:x", *ENGINE_IDS)
+    assert harness.suspects.refused == {"part:x"}
+
+
+def test_next_attempt_waits_for_the_check_once_two_engines_crashed_under_a_part() -> None:
+    harness = SuspectsHarness()
+    harness.report(1.0, "part:x", "s0")
+    assert not harness.suspects.awaits_crash_report(["y", "part:x"])
+    harness.report(1.0, "part:x", "s1")
+    assert harness.suspects.awaits_crash_report(["y", "part:x"])
--- a/tests/decisions/forwarding/test_requests.py
+++ b/tests/decisions/forwarding/test_requests.py
@@ -1,6 +1,7 @@
 """Forwarded requests from arrival to the final answer: retries, silence, deadlines, crashes."""
 
 import random
+from collections.abc import Iterable
 from dataclasses import replace
 
 import pytest
@@ -231,10 +232,18 @@
         self.awaits_report = False
         self.lost: list[tuple[str, bool]] = []
 
-    def awaits_crash_report(self, content: str) -> bool:
+    def awaits_crash_report(self, keys: Iterable[str]) -> bool:
         return self.awaits_report
 
-    def on_lost(self, now: float, content: str, engine_id: str, *, is_silent: bool = False) -> None:
+    def on_lost(
+        self,
+        now: float,
+        content: str,
+        engine_id: str,
+        *,
+        parts: Iterable[str] = (),
+        is_silent: bool = False,
+    ) -> None:
         self.lost.append((engine_id, is_silent))
 
 
--- a/tests/simulation/fleet.py
+++ b/tests/simulation/fleet.py
@@ -408,13 +408,20 @@
         return self.rng.choice(alive or list(self.daemons.values()))
 
     def submit_job(
-        self, job_id: str, items: int, tokens: int = 100, tries: int = 3, path: str = ""
+        self,
+        job_id: str,
+        items: int,
+        tokens: int = 100,
+        tries: int = 3,
+        path: str = "",
+        parts: str = "",
     ) -> ObservedJob:
         """Submits a job, retrying on failure, and then reads its results periodically.
 
-        Items have different paths, or the same `path` and different bodies.
+        Items have different paths, or the same `path` and different bodies. `parts` has the ids of
+        the parts of their prompts, separated by spaces.
         """
-        return self.clients.submit_job(job_id, items, tokens, tries, path)
+        return self.clients.submit_job(job_id, items, tokens, tries, path, parts)
 
     def end_job(self, job: ObservedJob) -> None:
         """Has a client end a job."""
--- a/tests/simulation/job_clients.py
+++ b/tests/simulation/job_clients.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from tests.simulation.observed_job import ObservedJob
-from tests.simulation.plain_formats import HOST, PREFIX
+from tests.simulation.plain_formats import HOST, PARTS_HEADER, PREFIX
 from troutswitch.decisions.jobs.messages import (
     JobAccepted,
     JobAnswer,
@@ -65,17 +65,19 @@
         self._fleet = fleet
 
     def submit_job(
-        self, job_id: str, items: int, tokens: int, tries: int, path: str = ""
+        self, job_id: str, items: int, tokens: int, tries: int, path: str = "", parts: str = ""
     ) -> ObservedJob:
         """Submits a job, retrying on failure, and then reads its results periodically.
 
-        Items have different paths, or the same `path` and different bodies.
+        Items have different paths, or the same `path` and different bodies. `parts` has the ids of
+        the parts of their prompts, separated by spaces.
         """
+        headers = ((PARTS_HEADER, parts),) if parts else ()
         job_items = tuple(
             JobItem(
                 f"{job_id}-{n}",
                 path or f"{PREFIX}{n}",
-                (),
+                headers,
                 f"body {n}".encode() if path else b"body",
                 tokens,
             )
--- a/tests/simulation/plain_formats.py
+++ b/tests/simulation/plain_formats.py
@@ -1,15 +1,23 @@
 """Simple encodings of the configuration and of engine entries in the simulated store."""
 
+from collections.abc import Mapping
 from dataclasses import replace
 
 import cbor2
 
 from troutswitch.common import Address
-from troutswitch.decisions.forwarding.types import EngineRecord, FleetConfiguration
+from troutswitch.decisions.forwarding.types import (
+    EngineRecord,
+    FleetConfiguration,
+    PromptPart,
+    PromptShape,
+)
 
 HOST = "jobs.example"
 PREFIX = "/jobs/"
 SERVICE = "service"
+PARTS_HEADER = "parts"
+"""Header of batch items with the ids of the parts of their prompts, separated by spaces."""
 
 
 class PlainFormats:
@@ -22,6 +30,11 @@
         """Returns the fleet's configuration with the version in the record."""
         return replace(self._configuration, version=int(data))
 
+    def prompt(self, headers: Mapping[str, str]) -> PromptShape:
+        """Returns the prompt of a batch item, with the parts that its headers name."""
+        names = headers.get(PARTS_HEADER, "").split()
+        return PromptShape(0, 0, tuple(PromptPart(name, 1) for name in names))
+
     def engine(self, engine_id: str, data: bytes) -> EngineRecord:
         """Decodes an engine entry."""
         slots, is_draining, version = cbor2.loads(data)
