--- a/tests/gateway/callers/test_relay.py
+++ b/tests/gateway/callers/test_relay.py
@@ -1,9 +1,11 @@
 import socket
+import struct
 import threading
 
 from tests.gateway.raw_server import RawServer, request_id
 from tests.platform.standins import EngineStandin
 from troutswitch.decisions.forwarding.messages import (
+    AnswerBegun,
     FinishRequest,
     RequestArrived,
     RequestAttemptEnded,
@@ -152,3 +154,64 @@
     assert attempts == [ANSWER_BYTES, ANSWER_BYTES]
     relay.release_answer()
     assert account.total == 0
+
+
+WHOLE_EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+HEAD_WITHOUT_LENGTH = (
+    "HTTP/1.1 200 OK\r\nX-Troutswitch-Request-Id: {id}\r\nContent-Type: {type}\r\n\r\n"
+)
+
+
+def relay_answer_without_length(
+    content_type: str, body: bytes, resets: bool = False
+) -> tuple[RequestAttemptEnded, bytes]:
+    """Relays an answer that ends with its connection; returns the attempt's end and the events."""
+
+    def answer(server: RawServer, connection: socket.socket) -> None:
+        name = request_id(server.read_head(connection))
+        head = HEAD_WITHOUT_LENGTH.format(id=name, type=content_type)
+        connection.sendall(head.encode() + body)
+        if resets:
+            server.may_respond.wait(5.0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+    engine = RawServer(answer)
+    relays = RelayRegistry(lambda event: None)
+    ended: list[RequestAttemptEnded] = []
+
+    def post(event: object) -> None:
+        if isinstance(event, RequestArrived):
+            send = SendRequest(event.token, 1, "e", engine.address, 30.0, 30.0, "")
+            relays.send_directive(send)
+        elif isinstance(event, AnswerBegun):
+            engine.may_respond.set()
+        elif isinstance(event, RequestAttemptEnded):
+            ended.append(event)
+            outcome = MayHaveRun("ended", Step.RELAY, "")
+            relays.send_directive(FinishRequest(event.token, outcome))
+
+    request = IncomingRequest("x", "POST", "/a", "h", "/a", "", [], 5.0, "", PromptShape())
+    request.headers.append(("X-Troutswitch-Request-Id", "x"))
+    relay = Relay(1, request, b"", relays, EngineConnections(), post, EngineActivityReporter(post))
+    data = b"".join(relay.run())
+    return ended[0], data
+
+
+def test_stream_without_length_ends_with_its_connection() -> None:
+    ended, data = relay_answer_without_length("text/event-stream", WHOLE_EVENTS)
+    assert (ended.kind, ended.delivered, data) == (AttemptOutcome.COMPLETED, 2, WHOLE_EVENTS)
+
+
+def test_stream_without_length_that_ends_inside_an_event_is_cut() -> None:
+    partial = WHOLE_EVENTS + b"id: 3\ndata: c"
+    ended, data = relay_answer_without_length("text/event-stream", partial)
+    assert (ended.kind, ended.delivered, data) == (AttemptOutcome.CUT, 2, WHOLE_EVENTS)
+
+
+def test_plain_answer_without_length_ends_with_its_connection() -> None:
+    assert relay_answer_without_length("text/plain", b"whole")[0].kind is AttemptOutcome.COMPLETED
+
+
+def test_plain_answer_without_length_whose_connection_is_reset_is_cut() -> None:
+    ended, _ = relay_answer_without_length("text/plain", b"part", resets=True)
+    assert ended.kind is AttemptOutcome.CUT
