--- a/src/troutswitch/decisions/streams/version_notices.py
+++ b/src/troutswitch/decisions/streams/version_notices.py
@@ -73,7 +73,7 @@
 
     def _rows(self, now: float) -> tuple[ListedVersion, ...]:
         rows = [
-            ListedVersion(service, version, round((now - seen.last_at) * 1000))
+            ListedVersion(service, version, round(seen.age(now) * 1000))
             for service, versions in self._versions.mixed(now)
             for version, seen in versions.items()
         ]
--- a/src/troutswitch/decisions/streams/versions.py
+++ b/src/troutswitch/decisions/streams/versions.py
@@ -8,8 +8,10 @@
 
 Rule:
 
-1. A service is mixed if two of its versions were listed within `MIXED_SECONDS`, here or at a peer.
-   That is longer than any stream lasts, so a stream of a version that has gone is still noticed.
+1. A service is mixed if its newest list, here or at a peer, has two versions, or had another one
+   within `MIXED_SECONDS`. That is longer than any stream lasts, so a stream of a version that has
+   gone is still noticed. The age of the newest list makes no difference: while the store is away,
+   its engines stay in use.
 2. A further version begins new streams `ACTIVATION_SECONDS` after it was first seen. Until then the
    peers are told of it.
 3. That a service is not mixed is confirmed while the list was read, or a peer was heard, within
@@ -63,14 +65,22 @@
 
 @dataclass(slots=True)
 class SeenVersion:
-    """When a version of a service was first and last listed."""
+    """When a version of a service was first listed, and until when.
+
+    `is_listed` is whether the newest list of this daemon has it.
+    """
 
     first_at: float
     last_at: float
+    is_listed: bool = False
+
+    def age(self, now: float) -> float:
+        """Returns the seconds since the version was last listed."""
+        return 0.0 if self.is_listed else now - self.last_at
 
     def is_recent(self, now: float) -> bool:
         """Returns whether streams of the version may still be resumed."""
-        return now - self.last_at < MIXED_SECONDS
+        return self.age(now) < MIXED_SECONDS
 
 
 def _drop_old(versions: dict[int, SeenVersion], now: float) -> None:
@@ -97,11 +107,22 @@
         """Records the versions of a list of engines that was read at `read_at`."""
         self.on_heard(read_at)
         known_before = set(self._by_service)
+        self._end_former_list(read_at)
         for record in records:
-            service = service_key(record.service)
-            is_first = service not in known_before
-            first_at = float("-inf") if is_first else read_at
-            self.on_seen(service, version_key(record.version), first_at, read_at)
+            service, version = service_key(record.service), version_key(record.version)
+            first_at = read_at if service in known_before else float("-inf")
+            self.on_seen(service, version, first_at, read_at)
+            seen = self._by_service.get(service, {}).get(version)
+            if seen is not None:
+                seen.is_listed = True
+
+    def _end_former_list(self, read_at: float) -> None:
+        """Marks all versions as listed until now; those of the new list are marked again."""
+        for versions in self._by_service.values():
+            for seen in versions.values():
+                if seen.is_listed:
+                    seen.is_listed = False
+                    seen.last_at = max(seen.last_at, read_at)
 
     def on_heard(self, now: float) -> None:
         """Records a sign of the fleet: a reading of the list, or a message of a peer."""
