--- a/src/troutswitch/daemons/messages.py
+++ b/src/troutswitch/daemons/messages.py
@@ -1,4 +1,4 @@
-"""Messages between daemons about engine slots, coordinators, crashes, drains and quotas.
+"""Messages between daemons: engine slots, coordinators, crashes, drains, versions and quotas.
 
 One daemon, the coordinator, counts the slots of a group of engines. The other daemons report their
 requests in flight at these engines to it, and request a slot from it before they send an online
--- a/src/troutswitch/decisions/crashes/interface.py
+++ b/src/troutswitch/decisions/crashes/interface.py
@@ -19,7 +19,7 @@
         """The keys of the requests and of the parts that are refused."""
         ...
 
-    def refusal(self, now: float, content: str) -> NotRun:
+    def refusal(self, now: float, key: str) -> NotRun:
         """Returns the outcome for a request with a refused key that was not run in this attempt."""
         ...
 
@@ -31,7 +31,7 @@
         """
         ...
 
-    def may_retry(self, now: float, content: str, pause: float, max_trials: int) -> bool:
+    def may_retry(self, now: float, key: str, pause: float, max_trials: int) -> bool:
         """Returns whether a refused request may be attempted once more.
 
         Args:
@@ -71,7 +71,7 @@
 
     refused: frozenset[str] = frozenset()
 
-    def refusal(self, now: float, content: str) -> NotRun:
+    def refusal(self, now: float, key: str) -> NotRun:
         """Is never called, because nothing is refused."""
         return NotRun("refused", Step.ADMIT)
 
@@ -79,7 +79,7 @@
         """Returns False."""
         return False
 
-    def may_retry(self, now: float, content: str, pause: float, max_trials: int) -> bool:
+    def may_retry(self, now: float, key: str, pause: float, max_trials: int) -> bool:
         """Is never called, because nothing is refused."""
         return True
 
--- a/src/troutswitch/decisions/crashes/suspects.py
+++ b/src/troutswitch/decisions/crashes/suspects.py
@@ -129,27 +129,27 @@
         """Returns whether a request's next attempt must wait for the check of its last engine."""
         return any(self._record_of(key).crash_count(key) >= CRASHES_TO_AWAIT_REPORT for key in keys)
 
-    def may_retry(self, now: float, content: str, pause: float, max_trials: int) -> bool:
+    def may_retry(self, now: float, key: str, pause: float, max_trials: int) -> bool:
         """Returns whether a refused request may be attempted once more; see `Suspects`."""
-        record = self._record_of(content)
-        min_crashes = PART_CRASHES_TO_REFUSE if is_part_key(content) else CRASHES_TO_REFUSE
-        is_quiet = now + self.clock_offset >= record.last_crash_at(content) + pause
-        return is_quiet and record.crash_count(content) < min_crashes + max_trials
+        record = self._record_of(key)
+        min_crashes = PART_CRASHES_TO_REFUSE if is_part_key(key) else CRASHES_TO_REFUSE
+        is_quiet = now + self.clock_offset >= record.last_crash_at(key) + pause
+        return is_quiet and record.crash_count(key) < min_crashes + max_trials
 
-    def refusal(self, now: float, content: str) -> NotRun:
+    def refusal(self, now: float, key: str) -> NotRun:
         """Returns the outcome for a request with a refused key that was not run in this attempt.
 
         Which part crashes engines is inferred from different requests, so that the caller of a
         request with a refused part is told to retry later.
         """
-        if is_part_key(content):
-            crashes = self._part_record.crash_count(content)
+        if is_part_key(key):
+            crashes = self._part_record.crash_count(key)
             reason = f"{crashes} servers ended under requests with a part of this one"
             return NotRun(reason, Step.ADMIT, "", PART_RETRY_SECONDS)
         time_of_day = now + self.clock_offset
-        last_crash_at = self._record.last_crash_at(content)
-        reason = f"{self._record.crash_count(content)} servers ended under this request"
-        if content in self._record.deferred:
+        last_crash_at = self._record.last_crash_at(key)
+        reason = f"{self._record.crash_count(key)} servers ended under this request"
+        if key in self._record.deferred:
             over_at = last_crash_at + self._record.deferral_seconds
             wait = max(RETRACTION_WINDOW_SECONDS, over_at - now - self.clock_offset)
             return NotRun(f"{reason}, or another", Step.ADMIT, "", wait)
