The soak takes a stream's origin from the signature of its answer

Traced by the daemons' logs and the engines' journals: the first attempt went to a silent engine of v1 and was abandoned after 1.0 s; the second, at v2, brought both events, and the caller's resumption went to v2, as it must. The delayed first request reached its engine 0.2 s after the caller had left, and the check took the run that was journaled last for the origin.

The signature names the engine that brought the first event, so the check now compares with that: it judges the same runs, and no longer by their order. The test of a stream continued in one answer has such a late run, and fails with the check as it was for the stream that continued rightly.

--- a/src/troutswitch/soak/version_checks.py
+++ b/src/troutswitch/soak/version_checks.py
@@ -1,7 +1,8 @@
 """Checks of streams while engines of several software versions serve.
 
-Which engines ran an attempt is known from their journals. A run that asks for the events after one
-that its caller already has continues the stream, whether or not any event of it arrives.
+The signature of an answer names the engine that brought its first event. A run, by the journals of
+the engines, that asks for the events after one that its caller already has continues the stream,
+whether or not any event of it arrives.
 """
 
 from collections import defaultdict
@@ -35,9 +36,9 @@
         if entry.kind == "begun":
             runs_by_request[entry.request_id].append(entry)
     origins = {
-        exchange.request_id: versions.get(runs[-1].engine, "")
+        exchange.request_id: versions.get(_signing_engine(exchange), "")
         for exchange in observations.exchanges
-        if (runs := _first_runs(exchange, runs_by_request[exchange.request_id]))
+        if not exchange.resumed_id and exchange.events_received
     }
     found: list[Violation] = []
     for exchange in observations.exchanges:
@@ -53,11 +54,9 @@
     return found
 
 
-def _first_runs(exchange: Exchange, runs: list[JournalEntry]) -> list[JournalEntry]:
-    """Returns the runs of a new stream from its beginning, in order, if it brought an event."""
-    if exchange.resumed_id or not exchange.events_received:
-        return []
-    return sorted((run for run in runs if run.after == 0), key=lambda run: run.written_at)
+def _signing_engine(exchange: Exchange) -> str:
+    """Returns the id of the engine that signed an answer."""
+    return exchange.stamp.removesuffix(f".{exchange.request_id}")
 
 
 def most_resumed_streams_continue(observations: Observations) -> list[Violation]:
--- a/tests/soak/test_versions.py
+++ b/tests/soak/test_versions.py
@@ -30,6 +30,7 @@
     exchange = completed_exchange(f"left-{number}", RequestKind.STREAM)
     exchange.answer = event_bytes(exchange.request_id)[0]
     exchange.outcome = Outcome.CALLER_LEFT
+    exchange.stamp = f"{engine}.{exchange.request_id}"
     return exchange, run_at(exchange, engine, 0)
 
 
@@ -88,11 +89,13 @@
 def test_stream_continued_in_one_answer_is_checked_too(engine: str, expected: list[str]) -> None:
     observations = observations_of_two_versions()
     exchange = completed_exchange("whole", RequestKind.STREAM)
+    exchange.stamp = f"one.{exchange.request_id}"
     observations.exchanges.append(exchange)
     observations.journal_entries += [
         run_at(exchange, "two", 0, 10.01),  # brought no event
         run_at(exchange, "one", 0, 10.02),
         run_at(exchange, engine, 2, 10.05),
+        run_at(exchange, "two", 0, 10.06),  # abandoned before it reached the engine
     ]
     assert promises(observations) == expected
 
