Crashes of an item count under its own key from the start

What callers saw: an item that crashes engines, in a job whose items share a path, crashed 8 engines within 60 s instead of 5, and 5 of its runs began more than three seconds after the third crash. With daemons killed, shards moved or the store down it was up to 10 engines and 7 late runs. Each crash ended all other requests on its engine.

Cause: a crash counted under one key, that of the path until an item of the path completed, and the item's own key from then on. The own key had no crashes yet, so the item had three new ones free, and two trials. Which key held was decided by each daemon for itself, and the completion cleared the only count that the item had.

Change: every crash counts under the item's own key, and under its path's as well while no item of the path is done. An item's key names its path, so that the rule for causes does not take one of the two as the explanation of the other. Which item of a path is tried is chosen by the shared record instead of each owner's memory, and a trial does not share an engine with its siblings.

Why it works: the key of an item never changes, so its count survives the completion of a sibling, another owner, and daemons that disagree on the path.

--- a/src/troutswitch/decisions/crashes/causes.py
+++ b/src/troutswitch/decisions/crashes/causes.py
@@ -11,7 +11,8 @@
 Rule, applied to the requests with at least `CRASHES_TO_REFUSE` crashes:
 
 1. A request is a cause if one of its crashed engines ran no other of these requests, or if it has
-   `CONCLUSIVE_CRASHES` crashes. It is refused until `REFUSAL_SECONDS` after its last crash.
+   `CONCLUSIVE_CRASHES` crashes. It is refused until `REFUSAL_SECONDS` after its last crash. An item
+   counts by itself and by its path, and neither of these two explains a crash of the other.
 2. Any other is deferred: refused for at most `MAX_DEFERRAL_SECONDS` after its last crash.
 
 Why: a crash is recorded for every request on the engine, including the innocent ones. Those are
@@ -25,9 +26,10 @@
 Measurements: docs/design/crashes.md.
 """
 
-from collections import Counter
-from collections.abc import Mapping
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
 
+from troutswitch.decisions.crashes.content import path_of_item
 from troutswitch.decisions.crashes.rules import RequestCrashes
 
 CRASHES_TO_REFUSE = 3
@@ -79,17 +81,43 @@
         if _may_be_refused(crashes)
     }
     request_counts = Counter(engine_id for ids in engines.values() for engine_id in ids)
+    relatives = _relatives(engines)
     return frozenset(
         content
         for content, ids in engines.items()
-        if _is_cause(ids, request_counts)
+        if _is_cause(ids, request_counts, [engines[relative] for relative in relatives[content]])
         and by_content[content].last_crash_at > now - REFUSAL_SECONDS
     )
 
 
-def _is_cause(engine_ids: frozenset[str], request_counts: Counter[str]) -> bool:
-    """Returns whether a request is the only explanation of a crash, or has conclusive crashes."""
-    is_needed = any(request_counts[engine_id] == 1 for engine_id in engine_ids)
+def _relatives(contents: Iterable[str]) -> defaultdict[str, list[str]]:
+    """Returns, for each of the keys, those of its path and of the items with its path."""
+    keys = set(contents)
+    relatives: defaultdict[str, list[str]] = defaultdict(list)
+    for key in keys:
+        path = path_of_item(key)
+        if path in keys:
+            relatives[key].append(path)
+            relatives[path].append(key)
+    return relatives
+
+
+def _is_cause(
+    engine_ids: frozenset[str],
+    request_counts: Counter[str],
+    relatives: list[frozenset[str]],
+) -> bool:
+    """Returns whether a request is the only explanation of a crash, or has conclusive crashes.
+
+    Args:
+        engine_ids: the engines that crashed under it.
+        request_counts: number of requests by engine that crashed under them.
+        relatives: the engines that crashed under its path, or under the items with this path.
+    """
+    is_needed = any(
+        request_counts[engine_id] - sum(engine_id in ids for ids in relatives) == 1
+        for engine_id in engine_ids
+    )
     return is_needed or len(engine_ids) >= CONCLUSIVE_CRASHES
 
 
--- a/src/troutswitch/decisions/crashes/content.py
+++ b/src/troutswitch/decisions/crashes/content.py
@@ -1,6 +1,7 @@
-"""Keys under which crashes count: of a request's content, and of the shared parts of its prompt.
+"""Keys under which crashes count: of contents, of paths of items, and of shared parts of prompts.
 
-All daemons compute the same keys, so that a request's attempts at all of them share one.
+All daemons compute the same keys, so that a request's attempts at all of them share one. The key of
+an item begins with that of its path, so that daemons without the item can relate the two.
 
 The id of an attempt and the caller's address are not part of the key: whether a request crashes an
 engine depends only on what the engine reads.
@@ -15,15 +16,43 @@
 """Length of a key: two requests of one day hardly ever share a key of 8 bytes."""
 
 
-def content_key(host: str, method: str, url: str, body: bytes) -> str:
-    """Returns a request's key, 16 hexadecimal digits; `url` is the path with its query."""
+def _digest(*parts: bytes) -> str:
     digest = hashlib.blake2b(digest_size=KEY_BYTES)
-    for part in (host.encode(), method.encode(), url.encode(), body):
+    for part in parts:
         digest.update(len(part).to_bytes(8))
         digest.update(part)
     return digest.hexdigest()
 
 
+def content_key(host: str, method: str, url: str, body: bytes) -> str:
+    """Returns a request's key, 16 hexadecimal digits; `url` is the path with its query."""
+    return _digest(host.encode(), method.encode(), url.encode(), body)
+
+
+PATH_PREFIX = "path:"
+"""Begins the keys of paths and of items, which therefore differ from those of requests."""
+ITEM_SEPARATOR = ":"
+"""Between the key of a path and the digest of an item's body, in the key of the item."""
+
+
+def path_key(host: str, job_id: str, path: str) -> str:
+    """Returns the common key of all items of a job with a path."""
+    return PATH_PREFIX + _digest(host.encode(), job_id.encode(), path.encode())
+
+
+def item_key(path: str, body: bytes) -> str:
+    """Returns the key of an item; `path` is the key of its path."""
+    return f"{path}{ITEM_SEPARATOR}{_digest(body)}"
+
+
+def path_of_item(key: str) -> str:
+    """Returns the key of an item's path; empty if the key is not that of an item."""
+    if not key.startswith(PATH_PREFIX):
+        return ""
+    path, separator, _ = key.removeprefix(PATH_PREFIX).partition(ITEM_SEPARATOR)
+    return PATH_PREFIX + path if separator else ""
+
+
 PART_PREFIX = "part:"
 """Begins the keys of parts, which therefore differ from those of contents."""
 PART_KEYS_REMEMBERED = 8192
--- a/src/troutswitch/decisions/crashes/interface.py
+++ b/src/troutswitch/decisions/crashes/interface.py
@@ -1,8 +1,9 @@
 """Interface between the code that sends requests to engines and the crash decisions.
 
 `suspects.CrashSuspects` implements it. A request is identified by the key of its content
-(`content.content_key`), and its shared parts by theirs (`content.part_keys`). `now` and `sent_at`
-are by this process's clock, in seconds.
+(`content.content_key`), an item by its own key and that of its path (`content.item_key`,
+`content.path_key`), and shared parts by theirs (`content.part_keys`). `now` and `sent_at` are by
+this process's clock, in seconds.
 """
 
 from collections.abc import Iterable
@@ -31,6 +32,10 @@
         """
         ...
 
+    def crash_count(self, key: str) -> int:
+        """Returns how many engine incarnations are known to have crashed under a key."""
+        ...
+
     def may_retry(self, now: float, key: str, pause: float, max_trials: int) -> bool:
         """Returns whether a refused request may be attempted once more.
 
@@ -46,12 +51,14 @@
         content: str,
         engine_id: str,
         *,
+        path: str = "",
         parts: Iterable[str] = (),
         is_silent: bool = False,
     ) -> None:
         """Records that an attempt's answer was lost.
 
         Args:
+            path: the key of the path under which an item counts as well, if any.
             parts: the keys of the shared parts of its prompt.
             is_silent: nothing was received, not even the end of the connection.
         """
@@ -79,6 +86,10 @@
         """Returns False."""
         return False
 
+    def crash_count(self, key: str) -> int:
+        """Returns 0."""
+        return 0
+
     def may_retry(self, now: float, key: str, pause: float, max_trials: int) -> bool:
         """Is never called, because nothing is refused."""
         return True
@@ -89,6 +100,7 @@
         content: str,
         engine_id: str,
         *,
+        path: str = "",
         parts: Iterable[str] = (),
         is_silent: bool = False,
     ) -> None:
--- a/src/troutswitch/decisions/crashes/suspects.py
+++ b/src/troutswitch/decisions/crashes/suspects.py
@@ -129,6 +129,10 @@
         """Returns whether a request's next attempt must wait for the check of its last engine."""
         return any(self._record_of(key).crash_count(key) >= CRASHES_TO_AWAIT_REPORT for key in keys)
 
+    def crash_count(self, key: str) -> int:
+        """Returns how many engine incarnations are known to have crashed under a key."""
+        return self._record_of(key).crash_count(key)
+
     def may_retry(self, now: float, key: str, pause: float, max_trials: int) -> bool:
         """Returns whether a refused request may be attempted once more; see `Suspects`."""
         record = self._record_of(key)
@@ -165,11 +169,13 @@
         content: str,
         engine_id: str,
         *,
+        path: str = "",
         parts: Iterable[str] = (),
         is_silent: bool = False,
     ) -> None:
         """Records that an attempt's answer was lost; see `Suspects`."""
         self._part_suspects.on_lost(now, parts, engine_id)
+        self._engine_crashes.on_lost(now, path, engine_id, is_silent=True)
         self._engine_crashes.on_lost(now, content, engine_id, is_silent)
 
     def on_checked(self, now: float, event: EngineChecked) -> None:
--- a/src/troutswitch/decisions/jobs/dispatcher.py
+++ b/src/troutswitch/decisions/jobs/dispatcher.py
@@ -144,7 +144,17 @@
         """Returns whether an item may start at an engine without a granted slot."""
         if self._slots.is_coordinated(now, engine.record.engine_id):
             return False
-        return self._versions.may_start_at(now, item.progress, engine)
+        return self._may_start_beside_others(now, item.progress, engine)
+
+    def _may_start_beside_others(self, now: float, progress: ItemProgress, engine: Engine) -> bool:
+        """Returns whether an engine's version and its other items let an item start there."""
+        engine_id = engine.record.engine_id
+        running = (
+            run.progress for run in self._runs.by_number.values() if run.engine_id == engine_id
+        )
+        if self._refusals.keeps_apart(progress, running):
+            return False
+        return self._versions.may_start_at(now, progress, engine)
 
     def _start(self, now: float, item: StartableItem, engine: Engine) -> RunItem:
         self._refusals.on_started(now, item.progress)
@@ -246,7 +256,7 @@
         item = self._retries.prepare_start(now, progress)
         if item is None or not self._engine_choice.may_run_at(item, engine):
             return None
-        if not self._versions.may_start_at(now, progress, engine):
+        if not self._may_start_beside_others(now, progress, engine):
             return None
         self._count_start(now, progress)
         return self._start(now, item, engine)
--- a/src/troutswitch/decisions/jobs/item_contents.py
+++ b/src/troutswitch/decisions/jobs/item_contents.py
@@ -1,24 +1,34 @@
-"""Content keys of items, under which engine crashes are counted over all owners.
+"""Keys of items, under which engine crashes are counted over all owners.
 
-Items of one job that share a path have a common key until one of them is done. Guards against a
-job whose items all crash engines: the likely cause is then what they have in common, and if each
-item were counted separately, each could crash as many engines as a single item may.
+Every crash counts under the item's own key. It counts under the key of the item's path as well,
+until an item of the job with that path is done. Guards against a job whose items all crash engines:
+the likely cause is then what they have in common, and if each were only counted separately, each
+could crash as many engines as a single item may.
 """
 
-from collections import Counter
+from collections import defaultdict
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 
-from troutswitch.decisions.crashes.content import content_key, part_keys
+from troutswitch.decisions.crashes.content import item_key, part_keys, path_key
 from troutswitch.decisions.forwarding.types import PromptShape
 from troutswitch.decisions.jobs.items import ItemProgress
-from troutswitch.decisions.jobs.records import DONE
+from troutswitch.decisions.jobs.records import DONE, JobItem
 from troutswitch.decisions.jobs.replicas import JobReplicas
 from troutswitch.decisions.jobs.shard import JobContent
 
-SHARED_METHOD = "ITEMS"
-"""Stands for the method in a common key, so that no request has the same key."""
-MAX_CACHE_ENTRIES = 1024
-"""Maximum number of entries in each cache; missing ones are computed again."""
+MAX_CACHED_JOBS = 1024
+"""Maximum number of jobs in the cache; the oldest are dropped and computed again."""
+
+
+@dataclass(slots=True)
+class _JobPaths:
+    """The items of a job by path, and the paths of which an item is done."""
+
+    items: dict[str, list[JobItem]]
+    done: set[str] = field(default_factory=set)
+    results_read: int = 0
+    """Number of results that are included in `done`."""
 
 
 def unknown_prompt(headers: Mapping[str, str]) -> PromptShape:
@@ -27,7 +37,7 @@
 
 
 class ItemContentKeys:
-    """Content keys of the items that this daemon owns."""
+    """Keys of the items that this daemon owns."""
 
     def __init__(
         self,
@@ -36,79 +46,77 @@
     ) -> None:
         self._replicas = replicas
         self._prompt_of = prompt_of
-        self._done: dict[tuple[str, str], None] = {}
-        """Jobs and paths with an item that is known to be done; drops the oldest first."""
-        self._paths: dict[str, Counter[str]] = {}
-        """Items counted by job and path; cached once all items of the job are read."""
+        self._jobs: dict[str, _JobPaths] = {}
+        """Jobs of which all items are read; drops the oldest first."""
+
+    def own_key(self, progress: ItemProgress) -> str:
+        """Returns the key of an item; empty if its job is unknown."""
+        path = self.path_key(progress)
+        if not progress.content and path:
+            progress.content = item_key(path, progress.item.body)
+        return progress.content
 
-    def run_key(self, progress: ItemProgress) -> str:
-        """Returns the key under which a run of an item counts; empty if its job is unknown."""
-        return self.shared_key(progress) or self._own_key(progress)
+    def path_key(self, progress: ItemProgress) -> str:
+        """Returns the key of an item's path; empty if its job is unknown."""
+        entry = self._replicas.index.jobs.get(progress.job_id)
+        if entry is None:
+            return ""
+        return path_key(entry.manifest.host, progress.job_id, progress.item.path)
 
     def refusal_keys(self, progress: ItemProgress) -> tuple[str, ...]:
-        """Returns the keys under which an item may be refused: its own, shared ones, its parts'."""
-        shared = self.shared_key(progress)
+        """Returns the keys under which an item may be refused: its own, its path's, its parts'."""
+        path = self.unproven_path_key(progress)
         parts = self.part_keys(progress)
-        own = self._own_key(progress)
-        return (own, shared, *parts) if shared else (own, *parts)
+        own = self.own_key(progress)
+        return (own, path, *parts) if path else (own, *parts)
 
     def part_keys(self, progress: ItemProgress) -> tuple[str, ...]:
         """Returns the keys of the shared parts of an item's prompt."""
         return part_keys(self._prompt_of(dict(progress.item.headers)))
 
-    def on_done(self, progress: ItemProgress) -> None:
-        """Records that an item is done, after which items with its path have no common key."""
-        if self.path_count(progress) > 1:
-            self._record_done(progress)
+    def unproven_path_key(self, progress: ItemProgress) -> str:
+        """Returns the key of an item's path; empty once an item of the job with it is done."""
+        job = self._paths_of(progress)
+        self._add_results(job, self._content(progress))
+        return "" if progress.item.path in job.done else self.path_key(progress)
 
-    def _own_key(self, progress: ItemProgress) -> str:
-        entry = self._replicas.index.jobs.get(progress.job_id)
-        if not progress.content and entry is not None:
-            item = progress.item
-            progress.content = content_key(entry.manifest.host, "POST", item.path, item.body)
-        return progress.content
-
-    def shared_key(self, progress: ItemProgress) -> str:
-        """Returns the common key of the job's items with this path; empty if there is none."""
-        entry = self._replicas.index.jobs.get(progress.job_id)
-        if entry is None or self.path_count(progress) < 2 or self._path_was_done(progress):
-            return ""
-        path = progress.item.path
-        return content_key(entry.manifest.host, SHARED_METHOD, path, progress.job_id.encode())
-
-    def path_count(self, progress: ItemProgress) -> int:
-        """Returns how many items of the job have this item's path, including itself."""
-        paths = self._paths.get(progress.job_id)
-        if paths is None:
-            paths = self._count_paths(progress)
-        return paths[progress.item.path]
-
-    def _count_paths(self, progress: ItemProgress) -> Counter[str]:
+    def on_done(self, progress: ItemProgress) -> None:
+        """Records that an item is done, before its result is listed."""
+        self._paths_of(progress).done.add(progress.item.path)
+
+    def unlisted_siblings(self, progress: ItemProgress) -> list[str]:
+        """Returns the keys of the unlisted items of a job that have an item's path."""
+        path = self.path_key(progress)
+        listed = self._content(progress).listed
+        siblings = self._paths_of(progress).items[progress.item.path]
+        return [item_key(path, item.body) for item in siblings if item.item_id not in listed]
+
+    def _paths_of(self, progress: ItemProgress) -> _JobPaths:
+        job = self._jobs.get(progress.job_id)
+        if job is not None:
+            return job
         items = self._content(progress).items()
-        paths = Counter(item.path for item in items)
+        by_path: defaultdict[str, list[JobItem]] = defaultdict(list)
+        for item in items:
+            by_path[item.path].append(item)
+        job = _JobPaths(by_path)
         entry = self._replicas.index.jobs.get(progress.job_id)
         if entry is not None and len(items) == entry.manifest.item_count:
-            self._paths[progress.job_id] = paths
-            if len(self._paths) > MAX_CACHE_ENTRIES:
-                del self._paths[next(iter(self._paths))]
-        return paths
-
-    def _path_was_done(self, progress: ItemProgress) -> bool:
-        """Returns whether an item of the job with this path is done, at any owner."""
-        path = progress.item.path
-        if (progress.job_id, path) in self._done:
-            return True
-        content = self._content(progress)
+            self._jobs[progress.job_id] = job
+            if len(self._jobs) > MAX_CACHED_JOBS:
+                del self._jobs[next(iter(self._jobs))]
+        return job
+
+    @staticmethod
+    def _add_results(job: _JobPaths, content: JobContent) -> None:
+        """Adds the paths of the job's results, of any owner, since the last call."""
+        if job.results_read == len(content.results):
+            return
+        job.results_read = len(content.results)
         done = {result.item_id for result in content.results.values() if result.state == DONE}
-        if not any(item.item_id in done and item.path == path for item in content.items()):
-            return False
-        self._record_done(progress)
-        return True
-
-    def _record_done(self, progress: ItemProgress) -> None:
-        self._done[progress.job_id, progress.item.path] = None
-        if len(self._done) > MAX_CACHE_ENTRIES:
-            del self._done[next(iter(self._done))]
+        for path, items in job.items.items():
+            if any(item.item_id in done for item in items):
+                job.done.add(path)
 
     def _content(self, progress: ItemProgress) -> JobContent:
         return self._replicas.shard(progress.shard).fold.content(progress.job_id)
--- a/tests/decisions/crashes/test_content.py
+++ b/tests/decisions/crashes/test_content.py
@@ -2,7 +2,7 @@
 
 from itertools import combinations
 
-from troutswitch.decisions.crashes.content import content_key
+from troutswitch.decisions.crashes.content import content_key, item_key, path_key, path_of_item
 
 
 def test_key_depends_on_all_that_an_engine_reads() -> None:
@@ -17,3 +17,12 @@
     keys = [content_key(*request) for request in requests]
     assert keys[0] == content_key(*requests[0])
     assert all(first != second for first, second in combinations(keys, 2))
+
+
+def test_key_of_an_item_names_its_path() -> None:
+    path = path_key("host", "job", "/p")
+    item = item_key(path, b"body")
+    assert path_of_item(item) == path
+    assert item != item_key(path, b"other")
+    assert path_of_item(path) == ""
+    assert path_of_item(content_key("host", "POST", "/p", b"body")) == ""
--- a/tests/decisions/crashes/test_suspects.py
+++ b/tests/decisions/crashes/test_suspects.py
@@ -1,10 +1,8 @@
 """How a daemon refuses requests under which engines crashed, and what clears them."""
 
-import random
-
-from tests.decisions.forwarding.harness import engine
-from troutswitch.daemons.messages import CrashReport, ReportedCrash
+from tests.decisions.crashes.harness import SuspectsHarness
 from troutswitch.decisions.crashes.causes import MAX_DEFERRAL_SECONDS
+from troutswitch.decisions.crashes.content import item_key, path_key
 from troutswitch.decisions.crashes.messages import EngineChecked, EngineCheckResult
 from troutswitch.decisions.crashes.part_suspects import ANNOUNCEMENT_DELAY_SECONDS
 from troutswitch.decisions.crashes.suspects import (
@@ -12,42 +10,7 @@
     NON_RETRYABLE_STATUS,
     PART_RETRY_SECONDS,
     RETRACTION_WINDOW_SECONDS,
-    CrashSuspects,
 )
-from troutswitch.decisions.forwarding.engines import EngineRegistry
-from troutswitch.decisions.storage.read_attempts import CallNumbers
-
-OFFSET = 1.7e9
-
-
-class SuspectsHarness:
-    """The crash suspects of one daemon with six engines."""
-
-    def __init__(self, name: str = "d") -> None:
-        self.engines = EngineRegistry()
-        self.engines.on_list(0.0, [engine(f"s{n}") for n in range(6)])
-        self.logged: list[str] = []
-        self.suspects = CrashSuspects(
-            name,
-            self.engines,
-            CallNumbers(),
-            lambda: [],
-            lambda instruction: None,
-            lambda event, **fields: self.logged.append(event),
-            random.Random(1),
-        )
-        self.suspects.clock_offset = OFFSET
-
-    def crash(self, now: float, content: str, *engine_ids: str) -> None:
-        for engine_id in engine_ids:
-            self.suspects.on_lost(now, content, engine_id)
-            self.suspects.on_checked(now, EngineChecked(engine_id, EngineCheckResult.ENDED))
-
-    def report(self, now: float, content: str, *engine_ids: str) -> None:
-        reported = tuple(
-            ReportedCrash(content, name, int(now + OFFSET), True) for name in engine_ids
-        )
-        self.suspects.on_report(now, CrashReport("p", reported))
 
 
 def test_detected_and_reported_crashes_count_together() -> None:
@@ -181,3 +144,30 @@
     assert not harness.suspects.awaits_crash_report(["y", "part:x"])
     harness.report(1.0, "part:x", "s1")
     assert harness.suspects.awaits_crash_report(["y", "part:x"])
+
+
+def test_item_and_its_path_do_not_explain_each_others_crashes() -> None:
+    """Guards against an item that is deferred, not refused, as its path has the same crashes."""
+    harness = SuspectsHarness()
+    path = path_key("host", "job", "/p")
+    item, other = item_key(path, b"crashing"), item_key(path, b"other")
+    harness.report(1.0, path, "s0", "s1", "s2")
+    harness.report(1.0, item, "s0", "s1", "s2")
+    harness.report(1.0, other, "s0")
+    harness.report(1.0, "bystander", "s0", "s1", "s2")
+    harness.suspects.on_served(1.5, "bystander")
+    assert harness.suspects.refused == {path, item}
+    harness.suspects.on_timer(2.0 + MAX_DEFERRAL_SECONDS)
+    assert harness.suspects.refused == {path, item}
+
+
+def test_request_beside_crashing_items_of_a_path_is_not_refused_for_them() -> None:
+    """Guards against a bystander that is refused as no single item explains its crashes."""
+    harness = SuspectsHarness()
+    path = path_key("host", "job", "/p")
+    for number in range(4):
+        harness.report(1.0, path, f"s{number}")
+        harness.report(1.0, item_key(path, str(number).encode()), f"s{number}")
+    harness.report(1.0, "bystander", "s0", "s1", "s2")
+    harness.suspects.on_timer(1.0 + MAX_DEFERRAL_SECONDS)
+    assert harness.suspects.refused == {path}
--- a/tests/decisions/forwarding/test_requests.py
+++ b/tests/decisions/forwarding/test_requests.py
@@ -241,6 +241,7 @@
         content: str,
         engine_id: str,
         *,
+        path: str = "",
         parts: Iterable[str] = (),
         is_silent: bool = False,
     ) -> None:
--- a/tests/decisions/jobs/test_dispatcher.py
+++ b/tests/decisions/jobs/test_dispatcher.py
@@ -77,7 +77,9 @@
             ranking=self.ranking,
             retries=SimpleNamespace(prepare_start=prepare_start),
             refusals=SimpleNamespace(
-                on_started=lambda now, progress: None, on_done=lambda now, progress: None
+                on_started=lambda now, progress: None,
+                on_done=lambda now, progress: None,
+                keeps_apart=lambda progress, running: False,
             ),
             endings=SimpleNamespace(complete=lambda progress: None),
             versions=ItemVersions(self.registry, lambda event, **fields: None),
--- a/tests/decisions/jobs/test_item_refusals.py
+++ b/tests/decisions/jobs/test_item_refusals.py
@@ -3,10 +3,11 @@
 from dataclasses import replace
 from unittest.mock import MagicMock
 
+from tests.decisions.crashes.harness import SuspectsHarness
 from tests.decisions.jobs.fixtures import item, job_index
-from troutswitch.decisions.jobs.item_contents import ItemContentKeys
+from troutswitch.decisions.crashes.messages import EngineChecked, EngineCheckResult
 from troutswitch.decisions.jobs.item_refusals import (
-    FEWEST_LOST_SECONDS,
+    FEWEST_CRASHES_SECONDS,
     TRIAL_SECONDS,
     ItemRefusals,
 )
@@ -14,7 +15,10 @@
 
 
 def items_of_a_refused_path() -> tuple[ItemRefusals, ItemProgress, ItemProgress]:
-    """Returns two items of one path, of which the first lost three runs and the second one."""
+    """Returns two items of one path: engines crashed thrice under the first, once under the second.
+
+    The last crash was at the time 0.
+    """
     first, second = item("job", 0), item("job", 1)
     second.item = replace(second.item, body=b"other")
     replicas = MagicMock()
@@ -22,12 +26,13 @@
     content = replicas.shard.return_value.fold.content.return_value
     content.items.return_value = [first.item, second.item]
     content.results = {}
-    suspects = MagicMock()
-    suspects.refused = frozenset({ItemContentKeys(replicas).run_key(first)})
-    suspects.may_retry.side_effect = lambda now, content, pause, trials: now >= pause
-    refusals = ItemRefusals(suspects, replicas)
-    for engine, lost in enumerate((first, first, second, first)):
-        refusals.on_lost(0.0, lost, f"engine-{engine}")
+    content.listed = set()
+    harness = SuspectsHarness()
+    refusals = ItemRefusals(harness.suspects, replicas)
+    for number, lost in enumerate((first, first, second, first)):
+        refusals.on_lost(0.0, lost, f"s{number}")
+        checked = EngineChecked(f"s{number}", EngineCheckResult.ENDED)
+        harness.suspects.on_checked(0.0, checked)
     return refusals, first, second
 
 
@@ -42,13 +47,22 @@
 def test_any_item_of_a_path_is_tried_if_the_one_that_lost_the_fewest_does_not_start() -> None:
     """Guards against a path that is never tried because that item has no slot or no route."""
     refusals, first, _ = items_of_a_refused_path()
-    assert refusals.forbids_start(TRIAL_SECONDS + FEWEST_LOST_SECONDS - 0.1, first)
-    assert not refusals.forbids_start(TRIAL_SECONDS + FEWEST_LOST_SECONDS, first)
+    assert refusals.forbids_start(TRIAL_SECONDS + FEWEST_CRASHES_SECONDS - 0.1, first)
+    assert not refusals.forbids_start(TRIAL_SECONDS + FEWEST_CRASHES_SECONDS, first)
 
 
 def test_a_path_has_one_trial_at_a_time() -> None:
     refusals, first, second = items_of_a_refused_path()
     refusals.on_started(TRIAL_SECONDS, second)
-    after = TRIAL_SECONDS + FEWEST_LOST_SECONDS
+    after = TRIAL_SECONDS + FEWEST_CRASHES_SECONDS
     assert refusals.forbids_start(after, first)
     assert refusals.forbids_start(after, second)
+
+
+def test_a_trial_and_other_items_of_its_path_run_on_different_engines() -> None:
+    """Guards against a trial that crashes the engine of items that only share its path."""
+    refusals, first, second = items_of_a_refused_path()
+    assert refusals.keeps_apart(first, [second])
+    assert not refusals.keeps_apart(first, [])
+    refusals.on_started(TRIAL_SECONDS, first)
+    assert refusals.keeps_apart(second, [first])
--- a/tests/proofs/test_crashes.py
+++ b/tests/proofs/test_crashes.py
@@ -11,6 +11,7 @@
 """
 
 import itertools
+from collections.abc import Callable
 
 import pytest
 
@@ -300,6 +301,46 @@
     assert fleet.late_attempts(content) <= MAX_LATE_ATTEMPTS
 
 
+def kill_a_daemon(fleet: CrashingFleet) -> None:
+    fleet.kill(fleet.rng.choice(list(fleet.daemons)))
+
+
+def lose_messages(fleet: CrashingFleet) -> None:
+    fleet.peer_loss_rate = 0.3
+
+
+def isolate_a_daemon(fleet: CrashingFleet) -> None:
+    fleet.isolated_from_peers = {fleet.rng.choice(list(fleet.daemons))}
+
+
+def toggle_store(fleet: CrashingFleet) -> None:
+    fleet.faults.is_down = not fleet.faults.is_down
+
+
+@pytest.mark.parametrize(
+    "disturb",
+    [kill_a_daemon, CrashingFleet.reassign_shards, lose_messages, isolate_a_daemon, toggle_store],
+)
+@pytest.mark.parametrize("seed", range(1, 3))
+def test_crashes_of_an_item_of_a_completed_path_count_under_disturbances(
+    disturb: Callable[[CrashingFleet], None], seed: int
+) -> None:
+    """Guards against crashes that stop counting as the item's path completes or its owner changes.
+
+    With a key that changed, 8 to 10 engines crashed under the item, and 5 to 7 attempts were late.
+    """
+    fleet = started_fleet(seed, engines=9)
+    job = fleet.submit_job("job", 8, path=f"{PREFIX}shared")
+    crashing = job.items[0]
+    fleet.crashing_items.add(crashing.item_id)
+    for _ in range(12):
+        fleet.run(ROUND_SECONDS)
+        disturb(fleet)
+    content = content_key(HOST, "POST", crashing.path, crashing.body)
+    assert len(fleet.crash_times[content]) <= 3 + MAX_LATE_ATTEMPTS
+    assert fleet.late_attempts(content) <= MAX_LATE_ATTEMPTS
+
+
 @pytest.mark.parametrize("seed", range(1, 4))
 def test_refused_item_is_retried_twice_and_no_more(seed: int) -> None:
     """Guards against an accepted item that is never run again although there is capacity.
