Crashes of batch items count by path over all jobs of a tenant

What callers saw: a crashing batch request came again in other jobs under the same path with other bytes, and counted anew each time: 19 engines ended under six items of one path in five jobs, and took down all else that they ran.

Cause: the key under which items of a path count together held the job's id, and an item's own key its body, so no two of these items shared a key.

Change: the key of a path is that of host, tenant and path.

Why it works: all daemons compute the same key for all of these items. Sound items of a path wait for one trial at most, as before, and those of a job in which one is done don't wait.

--- a/src/troutswitch/decisions/crashes/content.py
+++ b/src/troutswitch/decisions/crashes/content.py
@@ -35,9 +35,9 @@
 """Between the key of a path and the digest of an item's body, in the key of the item."""
 
 
-def path_key(host: str, job_id: str, path: str) -> str:
-    """Returns the common key of all items of a job with a path."""
-    return PATH_PREFIX + _digest(host.encode(), job_id.encode(), path.encode())
+def path_key(host: str, tenant: str, path: str) -> str:
+    """Returns the common key of the items with a path that a tenant submits, in any job."""
+    return PATH_PREFIX + _digest(host.encode(), tenant.encode(), path.encode())
 
 
 def item_key(path: str, body: bytes) -> str:
--- a/src/troutswitch/decisions/jobs/item_contents.py
+++ b/src/troutswitch/decisions/jobs/item_contents.py
@@ -1,9 +1,9 @@
 """Keys of items, under which engine crashes are counted over all owners.
 
 Every crash counts under the item's own key. It counts under the key of the item's path as well,
-until an item of the job with that path is done. Guards against a job whose items all crash engines:
-the likely cause is then what they have in common, and if each were only counted separately, each
-could crash as many engines as a single item may.
+which is the same in all jobs of a tenant, until an item of the job with that path is done. Guards
+against items that all crash engines: the likely cause is then what they have in common, and if each
+were only counted separately, each could crash as many engines as a single item may.
 """
 
 from collections import defaultdict
@@ -61,7 +61,7 @@
         entry = self._replicas.index.jobs.get(progress.job_id)
         if entry is None:
             return ""
-        return path_key(entry.manifest.host, progress.job_id, progress.item.path)
+        return path_key(entry.manifest.host, entry.manifest.tenant, progress.item.path)
 
     def refusal_keys(self, progress: ItemProgress) -> tuple[str, ...]:
         """Returns the keys under which an item may be refused: its own, its path's, its parts'."""
--- a/tests/proofs/test_crashes.py
+++ b/tests/proofs/test_crashes.py
@@ -268,6 +268,26 @@
     assert len(crash_times) <= len(contents) + MAX_LATE_ATTEMPTS
 
 
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_items_of_several_jobs_that_share_a_path_are_counted_together(seed: int) -> None:
+    """Guards against a crashing item that counts anew in each job as its body differs.
+
+    Users saw 19 engines crash under six items of one path in five jobs.
+    """
+    fleet = started_fleet(seed, engines=9)
+    jobs = [fleet.submit_job(f"job-{n}", 1 + n % 2, path=f"{PREFIX}shared") for n in range(5)]
+    sound = fleet.submit_job("sound", 8)
+    items = [item for job in jobs for item in job.items]
+    fleet.crashing_items |= {item.item_id for item in items}
+    fleet.run(60.0)
+    contents = [content_key(HOST, "POST", item.path, item.body) for item in items]
+    crash_times = sorted(at for content in contents for at in fleet.crash_times[content])
+    known_at = crash_times[2] + CONTACT_SECONDS
+    late = [a for content in contents for a in fleet.arrivals[content] if a.at > known_at]
+    assert len(late) <= MAX_LATE_ATTEMPTS
+    assert len(sound.results) == len(sound.items)
+
+
 @pytest.mark.parametrize("seed", range(1, 13))
 def test_items_of_a_path_are_counted_separately_once_one_completes(seed: int) -> None:
     """Guards against one crashing item that blocks all items of a job with a single path.
--- a/tests/simulation/job_clients.py
+++ b/tests/simulation/job_clients.py
@@ -69,7 +69,7 @@
     ) -> ObservedJob:
         """Submits a job, retrying on failure, and then reads its results periodically.
 
-        Items have different paths, or the same `path` and different bodies. `parts` has the ids of
+        Items have different paths, or the same `path` and different bodies in all jobs. `parts` has the ids of
         the parts of their prompts, separated by spaces.
         """
         headers = ((PARTS_HEADER, parts),) if parts else ()
@@ -78,7 +78,7 @@
                 f"{job_id}-{n}",
                 path or f"{PREFIX}{n}",
                 headers,
-                f"body {n}".encode() if path else b"body",
+                f"body {n} of {job_id}".encode() if path else b"body",
                 tokens,
             )
             for n in range(items)
