A trial of a refused item counts as a crash from its start

Cause: when a trial was last started was known to its owner alone. Other owners saw no crash for 16 s either and started trials in the same moment, and a trial whose owner was killed, or whose shard moved, had never taken place.

Change: a trial is announced when it starts, as a crash of the item's refused keys under an id of its own. It is taken back when the run ends otherwise, or when the crash of its engine is on record instead.

Why it works: the pause before the next trial and the limit on trials are computed from the record, which all daemons share. If the owner is killed, the trial stands as a crash, which is the safe side.

The three new tests of the record fail without it, having no trial to announce.

--- a/src/troutswitch/decisions/crashes/engine_crashes.py
+++ b/src/troutswitch/decisions/crashes/engine_crashes.py
@@ -99,11 +99,16 @@
         lost = self._lost.pop(event.engine_id, _LostAnswers())
         return _crashes(event.engine_id, lost)
 
-    def on_answered(self, engine_id: str, sent_at: float) -> None:
-        """Forgets an engine that answers an attempt sent after the loss, as it is alive."""
+    def on_answered(self, engine_id: str, sent_at: float) -> bool:
+        """Forgets an engine that answers an attempt sent after the loss, as it is alive.
+
+        Returns whether it was forgotten.
+        """
         lost = self._lost.get(engine_id)
-        if lost is not None and sent_at > lost.lost_at:
-            del self._lost[engine_id]
+        if lost is None or sent_at <= lost.lost_at:
+            return False
+        del self._lost[engine_id]
+        return True
 
     def on_list(self) -> list[Crash]:
         """Returns the crashes that a new list of engines proves."""
--- a/src/troutswitch/decisions/crashes/interface.py
+++ b/src/troutswitch/decisions/crashes/interface.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from typing import Protocol
 
+from troutswitch.decisions.crashes.messages import Trial
 from troutswitch.outcomes import NotRun, Step
 
 
@@ -45,6 +46,18 @@
         """
         ...
 
+    def begin_trial(self, now: float, keys: Iterable[str]) -> Trial:
+        """Records that a refused request is attempted once more.
+
+        Until the trial ends otherwise, it counts as a crash under each of the keys at all daemons,
+        so that they start no other trial, and a trial counts whose daemon is killed.
+        """
+        ...
+
+    def end_trial(self, now: float, trial: Trial) -> None:
+        """Records that a trial ended without a crash."""
+        ...
+
     def on_lost(
         self,
         now: float,
@@ -53,11 +66,14 @@
         *,
         path: str = "",
         parts: Iterable[str] = (),
+        trial: Trial = (),
         is_silent: bool = False,
     ) -> None:
         """Records that an attempt's answer was lost.
 
         Args:
+            trial: the trial that the attempt was; it ends when it is known whether the engine
+                crashed.
             path: the key of the path under which an item counts as well, if any.
             parts: the keys of the shared parts of its prompt.
             is_silent: nothing was received, not even the end of the connection.
@@ -94,6 +110,13 @@
         """Is never called, because nothing is refused."""
         return True
 
+    def begin_trial(self, now: float, keys: Iterable[str]) -> Trial:
+        """Is never called, because nothing is refused."""
+        return ()
+
+    def end_trial(self, now: float, trial: Trial) -> None:
+        """Does nothing."""
+
     def on_lost(
         self,
         now: float,
@@ -102,6 +125,7 @@
         *,
         path: str = "",
         parts: Iterable[str] = (),
+        trial: Trial = (),
         is_silent: bool = False,
     ) -> None:
         """Does nothing."""
--- a/src/troutswitch/decisions/crashes/messages.py
+++ b/src/troutswitch/decisions/crashes/messages.py
@@ -43,3 +43,9 @@
 
     content: str
     engine_id: str
+
+
+Trial = tuple[Crash, ...]
+"""A trial of a refused request: the crashes as which it counts until its end, one for each key.
+
+Their engine ids name the trial and no engine."""
--- a/src/troutswitch/decisions/crashes/suspects.py
+++ b/src/troutswitch/decisions/crashes/suspects.py
@@ -29,7 +29,7 @@
 )
 from troutswitch.decisions.crashes.content import is_part_key
 from troutswitch.decisions.crashes.engine_crashes import EngineCrashes
-from troutswitch.decisions.crashes.messages import CheckEngine, Crash, EngineChecked
+from troutswitch.decisions.crashes.messages import CheckEngine, Crash, EngineChecked, Trial
 from troutswitch.decisions.crashes.part_causes import PART_CRASHES_TO_REFUSE, PartCauses
 from troutswitch.decisions.crashes.part_suspects import (
     ANNOUNCEMENT_DELAY_SECONDS,
@@ -96,6 +96,7 @@
         """How far the time of day is ahead of this process's clock, in seconds."""
         self.changes = 0
         """Number of times that the set of refused contents changed."""
+        self._name = name
         self._emit = emit
         self._log = log
         self._engine_crashes = EngineCrashes(engines, emit)
@@ -106,6 +107,8 @@
         self._shared = SharedCrashes(name, numbers, rng, peers, self._apply, log)
         self._crashed_at: dict[str, float] = {}
         """When this daemon learnt that an engine incarnation had crashed, by its own clock."""
+        self._lost_trials: dict[str, list[Crash]] = {}
+        """Trials whose answers were lost, by engine, until it is known whether it crashed."""
         self._expiry_checked_at = float("-inf")
         self._refused: frozenset[str] = frozenset()
 
@@ -171,9 +174,14 @@
         *,
         path: str = "",
         parts: Iterable[str] = (),
+        trial: Trial = (),
         is_silent: bool = False,
     ) -> None:
         """Records that an attempt's answer was lost; see `Suspects`."""
+        if trial:
+            self._lost_trials.setdefault(engine_id, []).extend(trial)
+            if len(self._lost_trials) > MAX_CRASHED_ENGINES:
+                del self._lost_trials[next(iter(self._lost_trials))]
         self._part_suspects.on_lost(now, parts, engine_id)
         self._engine_crashes.on_lost(now, path, engine_id, is_silent=True)
         self._engine_crashes.on_lost(now, content, engine_id, is_silent)
@@ -203,6 +211,7 @@
                 self._shared.publish(now, crash, at, True)
         for engine_id in {crash.engine_id: None for crash in crashes}:
             self._part_suspects.on_crashed(now, engine_id)
+            self.end_trial(now, tuple(self._lost_trials.pop(engine_id, ())))
 
     def _announce_parts(self, now: float) -> None:
         """Announces the parts that may have caused crashes, once enough engines crashed."""
@@ -230,7 +239,8 @@
         Guards against a daemon whose connections the network refuses or resets: it considers all
         its engines crashed, under all its requests.
         """
-        self._engine_crashes.on_answered(engine_id, sent_at)
+        if self._engine_crashes.on_answered(engine_id, sent_at):
+            self.end_trial(now, tuple(self._lost_trials.pop(engine_id, ())))
         if sent_at > self._crashed_at.get(engine_id, float("inf")):
             del self._crashed_at[engine_id]
             self._part_suspects.on_alive(engine_id)
@@ -238,6 +248,22 @@
             crashes += self._part_record.crashes_of_engine(engine_id)
             self._retract(now, crashes, "engine lives")
 
+    # Trials.
+
+    def begin_trial(self, now: float, keys: Iterable[str]) -> Trial:
+        """Records that a refused request is attempted once more; see `Suspects`."""
+        at = now + self.clock_offset
+        trial_id = f"trial:{self._name}:{round(at * 1000)}"
+        trial = tuple(Crash(key, trial_id) for key in keys)
+        for crash in trial:
+            self._apply(now, crash, at, True)
+            self._shared.publish(now, crash, at, True)
+        return trial
+
+    def end_trial(self, now: float, trial: Trial) -> None:
+        """Records that a trial ended without a crash, or that its crash is on record."""
+        self._retract(now, list(trial), "trial ended")
+
     # The record.
 
     def _retract(self, now: float, crashes: list[Crash], reason: str) -> None:
--- a/src/troutswitch/decisions/jobs/item_refusals.py
+++ b/src/troutswitch/decisions/jobs/item_refusals.py
@@ -1,7 +1,7 @@
 """Rule: which items may not run because engines crashed under them, and when is one retried?
 
 Inputs: the keys that the crash record refuses, and the number and time of their crashes, from this
-daemon and from peers' reports (seconds old at most); when a trial was last started here.
+daemon and from peers' reports (seconds old at most). A trial counts as a crash while it runs.
 
 The rule:
 
@@ -54,8 +54,6 @@
     ) -> None:
         self._suspects = suspects
         self._content_keys = ItemContentKeys(replicas, prompt_of)
-        self._tried_at: dict[str, float] = {}
-        """When a trial of a key was last started here."""
 
     def forbids_start(self, now: float, progress: ItemProgress) -> bool:
         """Returns whether an item may not start now."""
@@ -85,19 +83,16 @@
     def on_started(self, now: float, progress: ItemProgress) -> None:
         """Records the start of a run, which is a trial if the item is refused."""
         refused = self._refused(progress)
-        progress.is_on_trial = bool(refused)
-        for key in refused:
-            self._tried_at[key] = now
+        progress.trial = self._suspects.begin_trial(now, refused) if refused else ()
 
-    def on_stopped(self, progress: ItemProgress) -> None:
-        """Records that this daemon stopped a run; a stopped trial does not delay the next one."""
-        if progress.is_on_trial:
-            progress.is_on_trial = False
-            self._forget_trial(progress)
+    def on_ended_otherwise(self, now: float, progress: ItemProgress) -> None:
+        """Records that a run ended early, but not with the loss of its connection."""
+        trial, progress.trial = progress.trial, ()
+        self._suspects.end_trial(now, trial)
 
     def on_lost(self, now: float, progress: ItemProgress, engine_id: str) -> None:
         """Records that the connection of a run was lost before its end."""
-        progress.is_on_trial = False
+        trial, progress.trial = progress.trial, ()
         keys = self._content_keys
         self._suspects.on_lost(
             now,
@@ -105,21 +100,18 @@
             engine_id,
             path=keys.unproven_path_key(progress),
             parts=keys.part_keys(progress),
+            trial=trial,
         )
 
     def on_done(self, now: float, progress: ItemProgress) -> None:
         """Records that an engine ran an item to its end, which clears its path and parts too."""
-        progress.is_on_trial = False
+        trial, progress.trial = progress.trial, ()
+        self._suspects.end_trial(now, trial)
         keys = self._content_keys
         self._suspects.on_served(now, keys.own_key(progress), keys.part_keys(progress))
         self._suspects.on_served(now, keys.path_key(progress))
-        self._forget_trial(progress)
         keys.on_done(progress)
 
-    def _forget_trial(self, progress: ItemProgress) -> None:
-        for key in self._content_keys.refusal_keys(progress):
-            self._tried_at.pop(key, None)
-
     def _refused(self, progress: ItemProgress) -> list[str]:
         refused = self._suspects.refused
         if not refused:
@@ -127,8 +119,6 @@
         return [key for key in self._content_keys.refusal_keys(progress) if key in refused]
 
     def _may_try(self, now: float, key: str) -> bool:
-        if now < self._tried_at.get(key, float("-inf")) + TRIAL_SECONDS:
-            return False
         return self._suspects.may_retry(now, key, TRIAL_SECONDS, MAX_TRIALS)
 
     def _leaves_trial_to_others(self, now: float, progress: ItemProgress, path: str) -> bool:
--- a/src/troutswitch/decisions/jobs/items.py
+++ b/src/troutswitch/decisions/jobs/items.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field
 
+from troutswitch.decisions.crashes.messages import Trial
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.jobs.messages import OutputEvent
 from troutswitch.decisions.jobs.records import JobItem, OutputPart
@@ -35,7 +36,7 @@
         started_at: when its first run here started.
         run_seconds: total duration of its runs here.
         content: its content key, computed on first use (`item_contents`).
-        is_on_trial: whether its last run is a trial after crashes (`item_refusals`).
+        trial: the trial after crashes that its run is, or empty (`item_refusals`).
         version: software version of the engines that wrote its output, empty if unknown.
         version_wait_ends_at: until when it waits for an engine of that version, if it does.
         is_saving: whether a part of its output is being written to the store.
@@ -61,7 +62,7 @@
     started_at: float = float("inf")
     run_seconds: float = 0.0
     content: str = ""
-    is_on_trial: bool = False
+    trial: Trial = ()
     version: str = ""
     version_wait_ends_at: float | None = None
     is_saving: bool = False
@@ -72,6 +73,11 @@
         """Job id and item id."""
         return self.job_id, self.item.item_id
 
+    @property
+    def is_on_trial(self) -> bool:
+        """Whether its run is a trial after crashes."""
+        return bool(self.trial)
+
     def may_start(self, now: float) -> bool:
         """Returns whether it is unfinished, has no run in flight, and its retry time has passed."""
         return not self.run_number and not self.is_finished and now >= self.retry_at
--- a/src/troutswitch/decisions/jobs/run_ends.py
+++ b/src/troutswitch/decisions/jobs/run_ends.py
@@ -31,16 +31,20 @@
         run = self._runs.end(now, event)
         if run is None:
             return False
-        if run.is_stopped:
-            self._refusals.on_stopped(run.progress)
-        elif event.kind is AttemptOutcome.CUT and event.status in CONNECTION_LOST_STATUSES:
-            self._refusals.on_lost(now, run.progress, run.engine_id)
         if event.kind is AttemptOutcome.COMPLETED:
             self._on_completed(now, run)
         else:
-            self._retries.on_ended_early(now, run.progress, event)
+            self._on_ended_early(now, run, event)
         return True
 
+    def _on_ended_early(self, now: float, run: ItemRun, event: ItemRunEnded) -> None:
+        is_lost = event.kind is AttemptOutcome.CUT and event.status in CONNECTION_LOST_STATUSES
+        if is_lost and not run.is_stopped:
+            self._refusals.on_lost(now, run.progress, run.engine_id)
+        else:
+            self._refusals.on_ended_otherwise(now, run.progress)
+        self._retries.on_ended_early(now, run.progress, event)
+
     def _on_completed(self, now: float, run: ItemRun) -> None:
         progress = run.progress
         self._refusals.on_done(now, progress)
--- a/tests/decisions/crashes/test_suspects.py
+++ b/tests/decisions/crashes/test_suspects.py
@@ -171,3 +171,36 @@
     harness.report(1.0, "bystander", "s0", "s1", "s2")
     harness.suspects.on_timer(1.0 + MAX_DEFERRAL_SECONDS)
     assert harness.suspects.refused == {path}
+
+
+def test_trial_counts_as_a_crash_until_it_ends_otherwise() -> None:
+    """Guards against several owners that start a trial of one path at about the same time."""
+    harness = SuspectsHarness()
+    harness.report(1.0, "path", "s0", "s1", "s2")
+    assert harness.suspects.may_retry(20.0, "path", 16.0, 2)
+    trial = harness.suspects.begin_trial(20.0, ["path"])
+    assert harness.suspects.crash_count("path") == 4
+    assert not harness.suspects.may_retry(35.0, "path", 16.0, 2)
+    harness.suspects.end_trial(21.0, trial)
+    assert harness.suspects.crash_count("path") == 3
+    assert harness.suspects.may_retry(21.0, "path", 16.0, 2)
+
+
+def test_trial_of_which_the_answer_is_lost_counts_as_one_crash() -> None:
+    harness = SuspectsHarness()
+    harness.report(1.0, "x", "s0", "s1", "s2")
+    trial = harness.suspects.begin_trial(20.0, ["x"])
+    harness.suspects.on_lost(20.2, "x", "s3", trial=trial)
+    assert harness.suspects.crash_count("x") == 4
+    harness.suspects.on_checked(20.3, EngineChecked("s3", EngineCheckResult.ENDED))
+    assert harness.suspects.crash_count("x") == 4
+    assert not harness.suspects.may_retry(36.2, "x", 16.0, 2)
+
+
+def test_trial_that_was_lost_by_a_living_engine_is_no_crash() -> None:
+    harness = SuspectsHarness()
+    harness.report(1.0, "x", "s0", "s1", "s2")
+    trial = harness.suspects.begin_trial(20.0, ["x"])
+    harness.suspects.on_lost(20.2, "x", "s3", trial=trial)
+    harness.suspects.on_answered(21.0, "s3", 20.9)
+    assert harness.suspects.crash_count("x") == 3
--- a/tests/decisions/forwarding/test_requests.py
+++ b/tests/decisions/forwarding/test_requests.py
@@ -8,6 +8,7 @@
 
 from tests.decisions.forwarding.harness import ForwardingHarness, arrival, engine, route
 from troutswitch.decisions.crashes.interface import NO_SUSPECTS, NoSuspects
+from troutswitch.decisions.crashes.messages import Trial
 from troutswitch.decisions.forwarding.arrivals import Arrivals
 from troutswitch.decisions.forwarding.messages import (
     AbortAttempt,
@@ -243,6 +244,7 @@
         *,
         path: str = "",
         parts: Iterable[str] = (),
+        trial: Trial = (),
         is_silent: bool = False,
     ) -> None:
         self.lost.append((engine_id, is_silent))
--- a/tests/proofs/test_crashes.py
+++ b/tests/proofs/test_crashes.py
@@ -268,18 +268,29 @@
     assert len(crash_times) <= len(contents) + MAX_LATE_ATTEMPTS
 
 
+def kill_a_daemon(fleet: CrashingFleet) -> None:
+    fleet.kill(fleet.rng.choice(list(fleet.daemons)))
+
+
+@pytest.mark.parametrize("kills", [0, 3])
 @pytest.mark.parametrize("seed", range(1, 7))
-def test_items_of_several_jobs_that_share_a_path_are_counted_together(seed: int) -> None:
+def test_items_of_several_jobs_that_share_a_path_are_counted_together(
+    seed: int, kills: int
+) -> None:
     """Guards against a crashing item that counts anew in each job as its body differs.
 
-    Users saw 19 engines crash under six items of one path in five jobs.
+    Users saw 19 engines crash under six items of one path in five jobs. Killed daemons guard
+    against trials that only their owner knows of.
     """
     fleet = started_fleet(seed, engines=9)
     jobs = [fleet.submit_job(f"job-{n}", 1 + n % 2, path=f"{PREFIX}shared") for n in range(5)]
     sound = fleet.submit_job("sound", 8)
     items = [item for job in jobs for item in job.items]
     fleet.crashing_items |= {item.item_id for item in items}
-    fleet.run(60.0)
+    for _ in range(kills):
+        fleet.run(ROUND_SECONDS)
+        kill_a_daemon(fleet)
+    fleet.run(60.0 - kills * ROUND_SECONDS)
     contents = [content_key(HOST, "POST", item.path, item.body) for item in items]
     crash_times = sorted(at for content in contents for at in fleet.crash_times[content])
     known_at = crash_times[2] + CONTACT_SECONDS
@@ -321,10 +332,6 @@
     assert fleet.late_attempts(content) <= MAX_LATE_ATTEMPTS
 
 
-def kill_a_daemon(fleet: CrashingFleet) -> None:
-    fleet.kill(fleet.rng.choice(list(fleet.daemons)))
-
-
 def lose_messages(fleet: CrashingFleet) -> None:
     fleet.peer_loss_rate = 0.3
 
--- a/tests/simulation/job_clients.py
+++ b/tests/simulation/job_clients.py
@@ -69,8 +69,8 @@
     ) -> ObservedJob:
         """Submits a job, retrying on failure, and then reads its results periodically.
 
-        Items have different paths, or the same `path` and different bodies in all jobs. `parts` has the ids of
-        the parts of their prompts, separated by spaces.
+        Items have different paths, or the same `path` and different bodies in all jobs. `parts` has
+        the ids of the parts of their prompts, separated by spaces.
         """
         headers = ((PARTS_HEADER, parts),) if parts else ()
         job_items = tuple(
