A full record of crashes still counts those of a new request

What callers would see: after some thousands of requests had two crashes each within an hour, as when a large fleet crashes twice, a new crashing request was never refused and went on to crash engines.

Cause: a full record evicted the oldest request with a single crash, and with none other on record that was the one just added.

Change: the newest request is not evicted, and refused and deferred ones are evicted last. The record has room for twice as many keys, as an item has two, and a report between daemons has at most 14 crashes, since keys of items and names of trials are longer: 20 of them did not fit into one packet.

Both tests failed before.

--- a/src/troutswitch/decisions/crashes/record.py
+++ b/src/troutswitch/decisions/crashes/record.py
@@ -6,6 +6,7 @@
 no difference. Times are seconds since the epoch.
 """
 
+import itertools
 from collections import OrderedDict, defaultdict
 
 from troutswitch.decisions.crashes.messages import Crash
@@ -13,8 +14,9 @@
 
 RETENTION_SECONDS = 3600.0
 """Time for which a crash is kept: six attempts of a request that keeps crashing engines."""
-MAX_CONTENTS = 4096
-"""Maximum number of requests on record: those of a fleet of 300 engines that all crash at once."""
+MAX_CONTENTS = 8192
+"""Maximum number of keys on record: those of a fleet of 300 engines that all crash at once, where
+each item has two."""
 MAX_CRASHES_PER_CONTENT = 12
 """Newest crashes kept for one request: far more than are needed to refuse it."""
 
@@ -22,7 +24,8 @@
 class CrashRecord:
     """All crashes that a daemon knows, its own and reported ones.
 
-    When the record is full, it evicts the oldest request with a single crash first.
+    When the record is full, it evicts the oldest request with a single crash first, and refused and
+    deferred ones last. The newest request is never evicted.
     """
 
     def __init__(self, rule: RefusalRule) -> None:
@@ -135,11 +138,21 @@
             del crashed_at[oldest]
             self._unlink(Crash(content, oldest))
         while len(self) > MAX_CONTENTS:
-            forgotten, its_crashes = (self._crashed_once or self._crashed_repeatedly).popitem(
-                last=False
-            )
-            for engine_id in its_crashes.crashed_at:
-                self._unlink(Crash(forgotten, engine_id))
+            forgotten = self._least_important(content)
+            for crash in self.crashes_of_content(forgotten):
+                self._unlink(crash)
+            self._crashed_once.pop(forgotten, None)
+            self._crashed_repeatedly.pop(forgotten, None)
+
+    def _least_important(self, newest: str) -> str:
+        """Returns the request to evict next, which is not the newest one."""
+        contents = itertools.chain(self._crashed_once, self._crashed_repeatedly)
+        evictable = (content for content in contents if content != newest)
+        oldest = next(evictable)
+        for content in itertools.chain([oldest], evictable):
+            if content not in self.refused and content not in self.deferred:
+                return content
+        return oldest
 
     def expire(self, now: float) -> list[Crash]:
         """Removes and returns the expired crashes, and ends expired refusals."""
--- a/src/troutswitch/decisions/crashes/shared.py
+++ b/src/troutswitch/decisions/crashes/shared.py
@@ -50,8 +50,8 @@
 PEERS_NOTIFIED = 8
 """Daemons that one report is sent to. As each daemon that learns of a crash forwards it to this
 many, hardly any daemon misses it."""
-MAX_CRASHES_PER_REPORT = 20
-"""Maximum number of crashes in one report, at about 50 bytes each: it fits into one packet."""
+MAX_CRASHES_PER_REPORT = 14
+"""Maximum number of crashes in one report, at most 90 bytes each: it fits into one packet."""
 MIN_REPORT_INTERVAL_SECONDS = 0.01
 """Minimum time between reports."""
 MAX_PENDING_REPORTS = 1024
--- a/tests/decisions/crashes/test_record.py
+++ b/tests/decisions/crashes/test_record.py
@@ -129,6 +129,19 @@
     assert record.crash_count("twice") == 2
 
 
+def test_crashes_of_a_new_request_count_while_the_record_is_full() -> None:
+    """Guards against a full record that evicts each new crash, so that no new cause is found."""
+    record = record_of(x="abc")
+    for number in range(MAX_CONTENTS):
+        for letter in "de":
+            record.add(NOW, Crash(f"twice-{number}", f"{letter}{number}"), NOW)
+    for letter in "fgh":
+        record.add(NOW, Crash("new", letter), NOW)
+    assert len(record) == MAX_CONTENTS
+    assert record.refused == {"x", "new"}
+    assert record.crash_count("x") == 3
+
+
 def test_index_by_engine_agrees_with_the_index_by_request() -> None:
     """Random additions and removals, checked against a plain set."""
     rng = random.Random(7)
--- a/tests/decisions/crashes/test_shared.py
+++ b/tests/decisions/crashes/test_shared.py
@@ -9,6 +9,7 @@
 from troutswitch.daemons.datagram import decode, encode
 from troutswitch.daemons.messages import CrashReport, ReportedCrash
 from troutswitch.decisions.crashes import shared as shared_module
+from troutswitch.decisions.crashes.content import item_key, path_key
 from troutswitch.decisions.crashes.messages import Crash
 from troutswitch.decisions.crashes.shared import (
     MAX_CRASHES_PER_REPORT,
@@ -152,7 +153,9 @@
 
 
 def test_report_of_maximum_size_fits_into_a_packet() -> None:
-    reported = ReportedCrash(CRASH.content, CRASH.engine_id, int(AT), True)
+    item = item_key(path_key("host", "tenant", "/path"), b"body")
+    trial_id = "trial:edge-guediawaye-3:1764808000123"
+    reported = ReportedCrash(item, trial_id, int(AT), True)
     report = CrashReport("edge-guediawaye-3", (reported,) * MAX_CRASHES_PER_REPORT)
     data = encode(report)
     assert len(data) < 1400 < MAX_DATAGRAM_BYTES
