The test of an interrupted soak waits for the soak's processes

The test looked once, at the first progress line, which comes after 14.2 to 14.8 s here and later on a busier machine.

The test still demands two processes before it interrupts the soak, and none afterwards; it waits for the two instead of looking at one moment.

--- a/tests/soak/test_command.py
+++ b/tests/soak/test_command.py
@@ -26,6 +26,16 @@
     return found
 
 
+def wait_for_processes(folder: str, count: int) -> None:
+    """Waits until processes of a folder run: the schedule replaces the engine meanwhile."""
+    until = time.monotonic() + TIMEOUT_SECONDS
+    found = process_ids_of(folder)
+    while len(found) < count and time.monotonic() < until:
+        time.sleep(0.05)
+        found = process_ids_of(folder)
+    assert len(found) >= count
+
+
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
 def test_an_interrupted_soak_leaves_no_process_running(number: int, tmp_path: Path) -> None:
     soak = subprocess.Popen(
@@ -38,7 +48,7 @@
         assert soak.stderr is not None
         folder = soak.stderr.readline().split("logs in ")[1].strip()
         assert "violations" in soak.stderr.readline()  # the schedule has started
-        assert len(process_ids_of(folder)) >= 2
+        wait_for_processes(folder, 2)
         soak.send_signal(number)
         output, _ = soak.communicate(timeout=TIMEOUT_SECONDS)
     finally:
