Sound items of a refused path are tried though its trials crashed engines

What callers would see: once items of a path crashed engines in five runs, a sound job of the same tenant with the same path was not run for ten minutes, as a path now counts over all jobs and its trials were used up.

Change: after the trials, an item without a crash of its own may still be tried, after twice the pause. Beyond eight crashes the pause doubles with each.

Why it works: an item that crashed an engine is not tried again this way, so each crashing item has one such trial at most, and within 60 s the path has no more than three late runs (the test of several jobs holds as it was).

--- a/src/troutswitch/decisions/jobs/item_refusals.py
+++ b/src/troutswitch/decisions/jobs/item_refusals.py
@@ -12,20 +12,23 @@
     ON_TRIAL -> FREE      an engine ran it to its end
 
 A trial of a path is a run of one of the items under which the fewest engines crashed, at any owner.
-If none of these starts within `FEWEST_CRASHES_SECONDS`, any of them may. A trial does not share its
-engine with other items of its path, as far as this daemon runs them.
+If none of these starts within `FEWEST_CRASHES_SECONDS`, any of them may. After the trials only items
+of the path without a crash of their own are tried, after twice the pause, which doubles with each
+crash beyond `MAX_CRASHES_BEFORE_BACKOFF`. A trial does not share its engine with other items of its
+path, as far as this daemon runs them.
 
 Why: an item must not crash one engine after another, yet crashes may not dead-letter it: only an
 engine's answer, the end of its retention or the loss of its route may. So it waits, and is retried
 in case something else caused the crashes. An item that alone causes the crashes under its path was
 on each crashed engine, and the others only where they shared one. A trial of that item would crash
 another engine, and keep the others refused. Each item counts by itself too, so that its crashes
-still count when its path is cleared. tests/proofs/test_crashes.py tests the
-bounds; docs/POLICY.md, "Rules", lists the constants.
+still count when its path is cleared. tests/proofs/test_crashes.py tests the bounds; docs/POLICY.md,
+"Rules", lists the constants.
 """
 
 from collections.abc import Callable, Iterable, Mapping
 
+from troutswitch.decisions.crashes.causes import CRASHES_TO_REFUSE
 from troutswitch.decisions.crashes.interface import Suspects
 from troutswitch.decisions.forwarding.types import PromptShape
 from troutswitch.decisions.jobs.item_contents import ItemContentKeys, unknown_prompt
@@ -42,6 +45,10 @@
 """Maximum number of engines that trials of an item may crash. Three crashes are allowed after the
 first three, and one more run may be in flight when the third crash becomes known."""
 
+MAX_CRASHES_BEFORE_BACKOFF = CRASHES_TO_REFUSE + MAX_TRIALS + 3
+"""Crashes of a path up to which the pause before its further trials does not grow: three engines
+may crash under items that run at the same time as the first ones."""
+
 
 class ItemRefusals:
     """Refusals and trials of the items that this daemon owns."""
@@ -58,10 +65,14 @@
     def forbids_start(self, now: float, progress: ItemProgress) -> bool:
         """Returns whether an item may not start now."""
         refused = self._refused(progress)
-        if any(not self._may_try(now, key) for key in refused):
-            return True
         path = self._content_keys.path_key(progress)
-        return path in refused and self._leaves_trial_to_others(now, progress, path)
+        if any(not self._may_try(now, key) for key in refused if key != path):
+            return True
+        if path not in refused:
+            return False
+        return not self._may_try_path(now, progress, path) or self._leaves_trial_to_others(
+            now, progress, path
+        )
 
     def keeps_apart(self, progress: ItemProgress, running: Iterable[ItemProgress]) -> bool:
         """Returns whether an item may not start beside the items that run on an engine.
@@ -121,6 +132,16 @@
     def _may_try(self, now: float, key: str) -> bool:
         return self._suspects.may_retry(now, key, TRIAL_SECONDS, MAX_TRIALS)
 
+    def _may_try_path(self, now: float, progress: ItemProgress, path: str) -> bool:
+        if self._may_try(now, path):
+            return True
+        if self._suspects.crash_count(self._content_keys.own_key(progress)):
+            return False
+        crashes = self._suspects.crash_count(path)
+        doublings = 1 + max(0, crashes - MAX_CRASHES_BEFORE_BACKOFF)
+        pause = TRIAL_SECONDS * 2.0**doublings
+        return self._suspects.may_retry(now, path, pause, crashes)
+
     def _leaves_trial_to_others(self, now: float, progress: ItemProgress, path: str) -> bool:
         """Returns whether a trial of a path is left to its items with fewer crashes."""
         crashes = self._suspects.crash_count(self._content_keys.own_key(progress))
--- a/tests/decisions/jobs/test_item_refusals.py
+++ b/tests/decisions/jobs/test_item_refusals.py
@@ -66,3 +66,25 @@
     assert not refusals.keeps_apart(first, [])
     refusals.on_started(TRIAL_SECONDS, first)
     assert refusals.keeps_apart(second, [first])
+
+
+def test_an_item_without_crashes_is_tried_after_the_trials_of_its_path() -> None:
+    """Guards against sound items that crashing ones of other jobs keep from ever running."""
+    refusals, first, second = items_of_a_refused_path()
+    third = item("job", 2)
+    third.item = replace(third.item, body=b"third")
+    refusals.on_started(TRIAL_SECONDS, second)
+    assert refusals.forbids_start(3 * TRIAL_SECONDS - 0.1, third)
+    assert refusals.forbids_start(3 * TRIAL_SECONDS, first)
+    assert refusals.forbids_start(3 * TRIAL_SECONDS, second)
+    assert not refusals.forbids_start(3 * TRIAL_SECONDS, third)
+    pauses: list[float] = []
+    started_at = 3 * TRIAL_SECONDS
+    for _ in range(5):
+        refusals.on_started(started_at, third)
+        pause = TRIAL_SECONDS
+        while refusals.forbids_start(started_at + pause, third):
+            pause += TRIAL_SECONDS
+        pauses.append(pause / TRIAL_SECONDS)
+        started_at += pause
+    assert pauses == [2, 2, 2, 4, 8]
--- a/tests/proofs/test_crashes.py
+++ b/tests/proofs/test_crashes.py
@@ -299,6 +299,18 @@
     assert len(sound.results) == len(sound.items)
 
 
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_sound_items_of_a_refused_path_are_tried_though_its_trials_crashed(seed: int) -> None:
+    """Guards against a sound job that never runs as items of other jobs with its path crash."""
+    fleet = started_fleet(seed, engines=9)
+    jobs = [fleet.submit_job(f"job-{n}", 1, path=f"{PREFIX}shared") for n in range(5)]
+    fleet.crashing_items |= {job.items[0].item_id for job in jobs}
+    fleet.run(40.0)
+    sound = fleet.submit_job("sound", 4, path=f"{PREFIX}shared")
+    fleet.run(65.0)
+    assert len(sound.results) == len(sound.items)
+
+
 @pytest.mark.parametrize("seed", range(1, 13))
 def test_items_of_a_path_are_counted_separately_once_one_completes(seed: int) -> None:
     """Guards against one crashing item that blocks all items of a job with a single path.
