--- a/src/troutswitch/decisions/jobs/item_refusals.py
+++ b/src/troutswitch/decisions/jobs/item_refusals.py
@@ -12,10 +12,10 @@
     ON_TRIAL -> FREE      an engine ran it to its end
 
 A trial of a path is a run of one of the items under which the fewest engines crashed, at any owner.
-If none of these starts within `FEWEST_CRASHES_SECONDS`, any of them may. After the trials only items
-of the path without a crash of their own are tried, after twice the pause, which doubles with each
-crash beyond `MAX_CRASHES_BEFORE_BACKOFF`. A trial does not share its engine with other items of its
-path, as far as this daemon runs them.
+If none of these starts within `FEWEST_CRASHES_SECONDS`, any of them may. After the trials only
+items of the path without a crash of their own are tried, after twice the pause, which doubles with
+each crash beyond `MAX_CRASHES_BEFORE_BACKOFF`. A trial does not share its engine with other items
+of its path, as far as this daemon runs them.
 
 Why: an item must not crash one engine after another, yet crashes may not dead-letter it: only an
 engine's answer, the end of its retention or the loss of its route may. So it waits, and is retried
