Datagrams between daemons that are dropped are counted and logged

What operators saw: nothing. A datagram that could not be decoded, or was longer than 8,192 bytes and cut by the receiver, was left out without a trace, so that a daemon of another version, or a message that grew too long, looked like lost packets.

Change: the receiver reports the reason and the peer's host, a sender reports a message that no peer could receive and doesn't send it. Both are counted in peer_datagrams_dropped, with a log line at most each 10 s.

--- a/src/troutswitch/gateway/daemons/peer_socket.py
+++ b/src/troutswitch/gateway/daemons/peer_socket.py
@@ -1,7 +1,7 @@
 """The UDP socket on which daemons exchange messages.
 
 It owns the socket and the receiving thread. Datagrams may be lost, duplicated or reordered: the
-decisions tolerate all three.
+decisions tolerate all three. One that cannot be read or is too long is dropped and reported.
 """
 
 import socket
@@ -14,7 +14,7 @@
 from troutswitch.decisions.slots.messages import PeerMessageReceived, SendToPeers
 
 MAX_DATAGRAM_BYTES = 8192
-"""Longest datagram that is received without truncation."""
+"""Longest datagram that is sent and received."""
 
 
 class PeerSocket:
@@ -23,16 +23,24 @@
     Args:
         address: address to bind; port 0 selects a free port.
         post: posts an event to the loop.
+        on_dropped: called with the reason and the peer's host when a datagram is dropped, on the
+            receiving thread or that of the sender.
 
     Raises:
         OSError: the address cannot be bound.
     """
 
-    def __init__(self, address: Address, post: Callable[[GatewayEvent], None]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        post: Callable[[GatewayEvent], None],
+        on_dropped: Callable[[str, str], None],
+    ) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((address.host, address.port))
         self.address = Address(address.host, self._socket.getsockname()[1])
         self._post = post
+        self._on_dropped = on_dropped
         self._thread = threading.Thread(target=self._run, name="reports", daemon=True)
 
     def start(self) -> None:
@@ -42,6 +50,9 @@
     def send(self, instruction: SendToPeers) -> None:
         """Sends a message; drops it if the send buffer is full, as the network may do."""
         datagram = encode(instruction.message)
+        if len(datagram) > MAX_DATAGRAM_BYTES:
+            self._on_dropped(f"{len(datagram)} bytes to send", "")
+            return
         for address in instruction.addresses:
             try:
                 self._socket.sendto(datagram, socket.MSG_DONTWAIT, (address.host, address.port))
@@ -51,13 +62,17 @@
     def _run(self) -> None:
         while True:
             try:
-                datagram = self._socket.recv(MAX_DATAGRAM_BYTES)
+                datagram, sender = self._socket.recvfrom(MAX_DATAGRAM_BYTES + 1)
             except ConnectionRefusedError:
                 continue
             except OSError:
                 return
+            if len(datagram) > MAX_DATAGRAM_BYTES:
+                self._on_dropped("too long", sender[0])
+                continue
             try:
                 message = decode(datagram)
-            except DatagramError:
+            except DatagramError as error:
+                self._on_dropped(str(error), sender[0])
                 continue
             self._post(PeerMessageReceived(message))
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -75,6 +75,9 @@
         self._further_attempts = self._counter(
             "further_attempts", "Attempts after the first of a request", "quota_way"
         )
+        self._dropped_datagrams = self._counter(
+            "peer_datagrams_dropped", "Datagrams between daemons that were unreadable or too long"
+        )
         self._unreadable_loads = self._counter(
             "load_headers_unreadable", "Load headers of engines that are not three or four numbers"
         )
@@ -265,6 +268,10 @@
         gauge = Gauge(f"troutswitch_{name}", text, registry=self.registry)
         gauge.set_function(read)
 
+    def count_dropped_datagram(self) -> None:
+        """Counts a datagram between daemons that was dropped; called on any thread."""
+        self._dropped_datagrams.inc()
+
     def count_unreadable_load(self) -> None:
         """Counts a load header that could not be read; called on the threads that read answers."""
         self._unreadable_loads.inc()
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -57,6 +57,8 @@
 READINESS_THREADS = 1
 INTERNAL_THREADS = 2
 METRICS_PATH = "/metrics"
+DROPPED_DATAGRAM_LOG_SECONDS = 10.0
+"""Minimum time between log lines about dropped datagrams; all are counted in the metrics."""
 MAX_CONNECTIONS = 2000
 """Maximum number of open connections to each listener."""
 MIN_DRAIN_SECONDS = 3.2
@@ -89,7 +91,12 @@
             self._on_suspect_connections,
             lambda use, is_new: self._metrics.count_connection(use, is_new),
         )
-        self._peers = PeerSocket(Address(settings.peer_host, settings.peer_ports[0]), self._post)
+        self._peers = PeerSocket(
+            Address(settings.peer_host, settings.peer_ports[0]),
+            self._post,
+            self._on_dropped_datagram,
+        )
+        self._dropped_datagram_logged_at = float("-inf")
         self._engine_activity = EngineActivityReporter(
             self._post, lambda: self._metrics.count_unreadable_load()
         )
@@ -110,6 +117,14 @@
         self._executor = InstructionExecutor(self._make_executors(), self._post, logger)
         self.loop = GatewayLoop(self.core, events, self._executor.execute, self._on_failure)
 
+    def _on_dropped_datagram(self, reason: str, host: str) -> None:
+        """Counts a dropped datagram; logs one at most each `DROPPED_DATAGRAM_LOG_SECONDS`."""
+        self._metrics.count_dropped_datagram()
+        now = steady_seconds()
+        if now >= self._dropped_datagram_logged_at + DROPPED_DATAGRAM_LOG_SECONDS:
+            self._dropped_datagram_logged_at = now
+            self._logger.warning("peer datagram dropped", reason=reason, host=host)
+
     def _make_executors(self) -> Executors:
         store = StoreClient(
             self.settings.store.address, partial(self._on_suspect_connections, "store")
