A request is deferred if the queue that it joins has grown too long

What callers saw: a request that accepts a short wait was sent to a full engine and answered late, where another daemon could still have served it. Its search had found two groups with a wait that it accepts, and the queue of the shorter one had grown by the time that it was tried again.

Cause: a search that had joined a queue never compared a wait with the request's limit again, so a refusal by that group ended in the fallback, which looks at no wait.

Change: the wait that the joined group replies replaces the earlier one, and is held against the limit as before.

The new test failed before: the request was assigned to an engine.

--- a/src/troutswitch/decisions/slots/group_search.py
+++ b/src/troutswitch/decisions/slots/group_search.py
@@ -12,7 +12,8 @@
    only if its wait is at most `SHORT_WAIT_SECONDS`. If there is only one group, any wait up to the
    request's own limit is accepted.
 3. If no group was accepted, the request joins the queue of the group with the shortest wait: that
-   group is tried again. If its wait is longer than the request accepts, there is no slot in time.
+   group is tried again. If its wait is longer than the request accepts, then or by the time that it
+   is tried again, there is no slot in time.
 
 Why: a free slot in another zone is worth one more message of a few milliseconds, but trying every
 group would cost more than the wait that it saves. The order is random so that daemons which send
@@ -90,12 +91,16 @@
         """Records the wait at a group that was not accepted."""
         if estimate.slots == 0:
             return  # the group has no engine for the request
-        if self._shortest is None or estimate.wait < self._shortest.estimate.wait:
+        if (
+            self._joins_queue
+            or self._shortest is None
+            or estimate.wait < self._shortest.estimate.wait
+        ):
             self._shortest = _GroupWait(group, estimate)
 
     def too_long_wait(self) -> WaitEstimate | None:
         """Returns the shortest replied wait if it is longer than the request accepts, else None."""
-        if self._shortest is None or self._joins_queue:
+        if self._shortest is None:
             return None
         estimate = self._shortest.estimate
         return estimate if estimate.wait > self.request.max_wait else None
--- a/tests/decisions/slots/test_slot_requests.py
+++ b/tests/decisions/slots/test_slot_requests.py
@@ -3,8 +3,9 @@
 import pytest
 
 from tests.decisions.slots.harness import GROUP, SlotsDaemon, deliver, record
-from troutswitch.daemons.messages import SlotRequest
+from troutswitch.daemons.messages import NO_ENGINE, SlotReply, SlotRequest
 from troutswitch.decisions.forwarding.placer import AssignedBy, Assignment, NoEngine, NoSlotInTime
+from troutswitch.decisions.forwarding.wait_estimate import WaitEstimate
 from troutswitch.decisions.slots.coordinator_health import SUSPECT_SECONDS
 from troutswitch.decisions.slots.slot_requests import REPLY_TIMEOUT_SECONDS
 
@@ -148,3 +149,18 @@
     deliver(NOW, coordinator, peer)
     assert assigned_by(peer) == [AssignedBy.FALLBACK]
     assert peer.fleet.claims.coordinator(NOW, GROUP) is None
+
+
+def test_a_request_is_deferred_if_the_queue_that_it_joins_has_grown_too_long() -> None:
+    """Guards against a request that is sent to a full engine as its wait became too long."""
+    _, _, requester = zones()
+    requester.request_slot(NOW, 1, max_wait=0.1)
+    waits = iter((50, 60, 400))
+    for _ in range(3):
+        (asked,) = (m for m in requester.messages() if isinstance(m, SlotRequest))
+        wait_ms = next(waits)
+        requester.receive(
+            NOW, SlotReply("peer", 1, asked.number, asked.group, 0, NO_ENGINE, wait_ms, 9, 9)
+        )
+    assert [type(placement) for _, placement in requester.placements] == [NoSlotInTime]
+    assert requester.placements[0][1] == NoSlotInTime(WaitEstimate(0.4, 9, 9, 0.0))
