Soak with requests whose part of the prompt crashes engines

A load kind of its own now sends requests with a part that crashes each engine which begins to answer, no two alike, beside sound ones with the same first part. Two checks hold the users' bounds: no more than three requests with the part reach engines after the fifth crash had to be known, and half of the sound ones are served from then on.

--- a/src/troutswitch/soak/checks.py
+++ b/src/troutswitch/soak/checks.py
@@ -21,6 +21,12 @@
     Outcome,
     RequestKind,
 )
+from troutswitch.soak.part_checks import (
+    CRASH_KNOWN_SECONDS,
+    crashing_parts_are_stopped,
+    is_free_of_other_faults,
+    requests_beside_a_crashing_part_are_served,
+)
 from troutswitch.soak.schedule import FAULT_FREE_SECONDS, ActionKind
 from troutswitch.soak.tenant_checks import (
     runs_have_the_tenant_of_their_key,
@@ -53,8 +59,6 @@
 """Time until all daemons know an accepted job: five times `settleTimeoutMs` of their settings."""
 CRASHES_TO_REFUSE = 3
 """Number of engines that a request crashes before it is refused."""
-CRASH_KNOWN_SECONDS = 6.0
-"""Time until all daemons know of an engine's crash: twice `contactMs` of their settings."""
 MAX_LATE_STARTS = 3
 """Number of times that such a request may still reach engines after `CRASH_KNOWN_SECONDS`."""
 MAX_ATTEMPTS = 3
@@ -416,7 +420,7 @@
             if entry.kind == "begun"
             and entry.path == path
             and entry.written_at > known_at
-            and _is_free_of_other_faults(
+            and is_free_of_other_faults(
                 observations, entry.written_at - CRASH_KNOWN_SECONDS, entry.written_at
             )
         ]
@@ -425,15 +429,6 @@
     return found
 
 
-def _is_free_of_other_faults(observations: Observations, begin: float, end: float) -> bool:
-    """Returns whether no fault except crashing requests overlaps a span; planned operations may."""
-    return not any(
-        span.begin <= end and span.end >= begin
-        for span in observations.actions
-        if not span.scheduled.is_planned and span.scheduled.kind is not ActionKind.CRASHING_REQUEST
-    )
-
-
 def recovery_succeeds(observations: Observations) -> list[Violation]:
     """RECOVER, CONFIG, LOST, BUDGET, SOAK: all expectations that the soak recorded were met.
 
@@ -460,6 +455,8 @@
     accepted_jobs_are_found,
     ended_jobs_start_nothing,
     crashing_requests_are_stopped,
+    crashing_parts_are_stopped,
+    requests_beside_a_crashing_part_are_served,
     runs_have_the_tenant_of_their_key,
     unknown_keys_do_not_run,
     tenants_stay_within_their_quota,
--- a/src/troutswitch/soak/load_kinds.py
+++ b/src/troutswitch/soak/load_kinds.py
@@ -20,6 +20,7 @@
     SLOW_CALLERS = "slow-callers"
     MEMORY_LIMIT = "memory-limit"
     VERSIONS = "versions"
+    CRASHING_PARTS = "crashing-parts"
 
 
 def draw_load(seed: int) -> frozenset[LoadKind]:
--- a/src/troutswitch/soak/resuming_callers.py
+++ b/src/troutswitch/soak/resuming_callers.py
@@ -1,6 +1,5 @@
 """Callers that read a part of a stream, leave, and resume the stream at another daemon."""
 
-import http.client
 import random
 import threading
 import time
@@ -8,6 +7,7 @@
 from troutswitch.platform import names
 from troutswitch.soak.callers import DaemonEndpoint, connect, request_headers
 from troutswitch.soak.observations import Exchange, Observations, Outcome, RequestKind
+from troutswitch.soak.receiving import receive
 
 CALLERS = 4
 RESUMING_PREFIX = "resuming-"
@@ -87,36 +87,6 @@
             return None
         with self._observations.lock:
             self._observations.exchanges.append(exchange)
-        _receive(connection, exchange, headers, max_events)
+        receive(connection, exchange, headers, max_events)
         connection.close()
         return exchange
-
-
-def _receive(
-    connection: http.client.HTTPConnection,
-    exchange: Exchange,
-    headers: dict[str, str],
-    max_events: int | None,
-) -> None:
-    """Sends a request and reads its answer, or only its first events."""
-    outcome, reason = Outcome.COMPLETE, ""
-    try:
-        connection.request("POST", exchange.path, exchange.body, headers)
-        response = connection.getresponse()
-        exchange.status = response.status
-        exchange.stamp = response.getheader(names.RESPONSE_STAMP, "")
-        while data := response.read1():
-            exchange.answer += data
-            if max_events is not None and exchange.events_received >= max_events:
-                outcome, reason = Outcome.CALLER_LEFT, "the caller left"
-                break
-    except http.client.IncompleteRead as error:
-        exchange.answer += error.partial
-        outcome, reason = Outcome.INTERRUPTED, "the answer ended early"
-    except (http.client.RemoteDisconnected, OSError) as error:
-        outcome, reason = Outcome.INTERRUPTED, f"{type(error).__name__}: {error}"
-    except http.client.HTTPException as error:
-        outcome, reason = Outcome.MALFORMED, f"{type(error).__name__}: {error}"
-    exchange.ended_at = time.monotonic()
-    exchange.outcome = outcome
-    exchange.reason = reason
--- a/src/troutswitch/soak/run.py
+++ b/src/troutswitch/soak/run.py
@@ -10,6 +10,7 @@
 from troutswitch.soak.callers import Caller
 from troutswitch.soak.checks import find_violations
 from troutswitch.soak.competing_callers import SteadyCaller, SurgingCallers
+from troutswitch.soak.crashing_parts import CrashingPartCallers
 from troutswitch.soak.fault_injector import FaultInjector
 from troutswitch.soak.fleet import Fleet
 from troutswitch.soak.jobs import JobClient
@@ -197,6 +198,9 @@
         groups += self._hard_load
         if LoadKind.VERSIONS in load:
             groups.append(ResumingCallers(seed, direct, observations))
+        if LoadKind.CRASHING_PARTS in load:
+            self._hard_load.append(CrashingPartCallers(seed, direct, observations))
+            groups.append(self._hard_load[-1])
         if load & {LoadKind.COMPETITION, LoadKind.SLOW_CALLERS}:
             groups.append(SteadyCaller(seed, direct, observations))
         return groups
--- a/src/troutswitch/standins/model_engine.py
+++ b/src/troutswitch/standins/model_engine.py
@@ -26,6 +26,8 @@
 HEALTH_PATH = "/health"
 CRASHING_BODY_PREFIX = b"this request ends its server "
 """Prefix of the body of a request that crashes the engine after it has begun to run."""
+CRASHING_PART = "part-that-ends-its-server"
+"""Part of a prompt under which the engine crashes before it begins to answer."""
 CRASH_EXIT_CODE = 86
 """Exit code of a process that a request has crashed."""
 PLAIN_ANSWER_SECONDS = 0.02
@@ -174,7 +176,8 @@
 
     def _run(self, request_id: str, body: bytes, after: int, behaviour: Behaviour) -> None:
         crashes = body.startswith(CRASHING_BODY_PREFIX)
-        if crashes and "/stream" not in self.path:
+        has_crashing_part = CRASHING_PART in self.headers.get(names.PROMPT_PREFIX, "")
+        if has_crashing_part or (crashes and "/stream" not in self.path):
             self.standin.crash_on(request_id, self.path)
         draw = self.standin.draw
         if draw(behaviour.silent):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -24,6 +24,7 @@
     RequestKind,
     ResourceSample,
 )
+from troutswitch.soak.part_checks import CRASH_KNOWN_SECONDS
 from troutswitch.soak.processes import ProcessExit
 from troutswitch.soak.schedule import ActionKind
 from troutswitch.standins.model_engine import CRASH_EXIT_CODE
@@ -389,7 +390,7 @@
 ) -> None:
     observations = clean_observations()
     observations.journal_entries = crash_entries(3) + late_starts(
-        times, 12.0 + checks.CRASH_KNOWN_SECONDS + 1.0
+        times, 12.0 + CRASH_KNOWN_SECONDS + 1.0
     )
     found = checks.crashing_requests_are_stopped(observations)
     assert [violation.promise for violation in found] == (["BUDGET"] if is_violation else [])
