The check of refusals counts requests on their way to engines

A test failed now and then beside load (IDLE: refused by 503 while at most 3 requests ran, of 10 slots).

Evidence: when each of the requests was refused, 10 of 10 slots were taken by requests that had been sent to engines and had not ended, and up to 13 waited in the coordinator's queue. On the busy machine these were on their way for 60 to 240 ms of runs that took 12 to 60 ms, so that the engines' journals showed at most 3 or 4 at once. The refusals were true, and the case is allowed.

The check counts attempts from their sending to their logged end as well, with the bound as it was.

--- a/src/troutswitch/soak/fleet.py
+++ b/src/troutswitch/soak/fleet.py
@@ -193,6 +193,10 @@
         engine.child.start()
         self._list_in_background(engine, engine.engine_id)
 
+    def daemon_logs(self) -> list[Path]:
+        """Returns the files to which the daemons log."""
+        return [daemon.child.log for daemon in self.daemons]
+
     def drain_engine(self, engine: Engine) -> None:
         """Lists an engine as draining; it is killed after a while."""
         self._remove_in_background(engine, is_announced=True)
--- a/src/troutswitch/soak/hard_load_checks.py
+++ b/src/troutswitch/soak/hard_load_checks.py
@@ -47,7 +47,11 @@
 
 
 def refusals_come_while_engines_are_busy(observations: Observations) -> list[Violation]:
-    """IDLE: without a fault, a competing request is refused only while engines are busy."""
+    """IDLE: without a fault, a competing request is refused only while engines are busy.
+
+    An engine's slots are taken by the requests that it runs, by its journal, and by those that were
+    sent to it and have not ended, by the daemons' logs.
+    """
     if not observations.slots:
         return []
     refused = [
@@ -62,7 +66,11 @@
     runs = _runs(observations)
     found: list[Violation] = []
     for exchange in refused:
-        running = _most_at_once(runs, exchange.sent_at - TRANSIT_SECONDS, exchange.ended_at)
+        begin = exchange.sent_at - TRANSIT_SECONDS
+        running = max(
+            _most_at_once(runs, begin, exchange.ended_at),
+            _most_at_once(observations.attempts, exchange.sent_at, exchange.ended_at),
+        )
         if running < MIN_BUSY_SHARE * observations.slots:
             what = f"refused by {exchange.status} while at most {running} requests ran"
             found.append(Violation("IDLE", exchange.request_id, what))
--- a/src/troutswitch/soak/observations.py
+++ b/src/troutswitch/soak/observations.py
@@ -160,6 +160,8 @@
     unmet_expectations: list[tuple[str, str]] = field(default_factory=list)
     unknown_key_exchanges: list[Exchange] = field(default_factory=list)
     """Requests with a key that no tenant has; they are not among `exchanges`."""
+    attempts: list[tuple[float, float]] = field(default_factory=list)
+    """Begin and end of attempts by the daemons' logs (`sent_attempts`); empty if not read."""
     slots: int = 0
     """Slots of all engines together; 0 if unknown."""
     memory_limit_mb: float = 0.0
--- a/src/troutswitch/soak/run.py
+++ b/src/troutswitch/soak/run.py
@@ -23,6 +23,7 @@
 from troutswitch.soak.resource_sampler import ResourceSampler
 from troutswitch.soak.resuming_callers import ResumingCallers
 from troutswitch.soak.schedule import FaultSchedule, draw_schedule
+from troutswitch.soak.sent_attempts import read_attempts
 from troutswitch.soak.slow_callers import SlowCallers
 from troutswitch.soak.stalls import Stalls
 from troutswitch.soak.violations import Violation
@@ -126,12 +127,19 @@
                 list(observations.samples),
                 list(observations.unmet_expectations),
                 list(observations.unknown_key_exchanges),
+                self._attempts(),
                 observations.slots,
                 observations.memory_limit_mb,
                 dict(observations.engine_versions),
             )
         return find_violations(snapshot)
 
+    def _attempts(self) -> list[tuple[float, float]]:
+        """Returns the attempts in the daemons' logs, which only competing callers need."""
+        if LoadKind.COMPETITION not in self._size.load:
+            return []
+        return read_attempts(self.fleet.daemon_logs())
+
     def _run_stalled(self, fault_injector: FaultInjector) -> None:
         """Runs the schedule while daemons stall, and ends the stalls."""
         stalls = Stalls(self.fleet.daemons, self._size.stall_share)
--- a/tests/soak/test_hard_load.py
+++ b/tests/soak/test_hard_load.py
@@ -11,6 +11,7 @@
 from troutswitch.soak.load_kinds import LoadKind
 from troutswitch.soak.observations import Observations, read_journal
 from troutswitch.soak.resource_sampler import ResourceSampler
+from troutswitch.soak.sent_attempts import read_attempts
 from troutswitch.soak.slow_callers import SlowCallers
 
 DAEMONS = 3
@@ -38,6 +39,7 @@
         thread.join()
     for engine in fleet.engines:
         observations.journal_entries += read_journal(engine.journal)
+    observations.attempts = read_attempts(fleet.daemon_logs())
     return observations
 
 
--- a/tests/soak/test_hard_load_checks.py
+++ b/tests/soak/test_hard_load_checks.py
@@ -119,3 +119,12 @@
     observations.memory_limit_mb = limit
     observations.samples.append(ResourceSample("daemon-0", 10.0, resident, 100, 1000, peak))
     assert violated_promises(observations) == expected
+
+
+@pytest.mark.parametrize(("sent", "expected"), [(1, {"IDLE"}), (2, set())])
+def test_requests_on_their_way_to_engines_occupy_slots(sent: int, expected: set[str]) -> None:
+    """Guards against a violation on a busy machine, where slots are taken before runs begin."""
+    observations = observations_of_refusal(0)
+    refusal = observations.exchanges[-1]
+    observations.attempts = [(refusal.sent_at - 0.1, refusal.ended_at + 0.1)] * sent
+    assert violated_promises(observations) == expected
