A daemon serves up to 256 callers' requests at once

What callers would see: while most new connections of a zone go to one daemon, and answers take seconds, requests beyond 96 waited unread at that daemon. No decision saw them, so they were neither queued at a coordinator nor refused with a time to return, while other daemons had room.

Our test: of 240 requests on new connections that are answered once all are in progress, none was answered with 96 threads; all are now.

--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -52,8 +52,9 @@
 from troutswitch.platform.store import StoreClient
 from troutswitch.runtime.http import Response, StartResponse, send
 
-CALLER_THREADS = 96
-"""Maximum number of callers' requests in progress; further requests wait unserved."""
+CALLER_THREADS = 256
+"""Maximum number of callers' requests in progress; further ones wait, and no decision sees them.
+Most new connections of a zone may go to one daemon. Threads are started on demand."""
 READINESS_THREADS = 1
 INTERNAL_THREADS = 2
 METRICS_PATH = "/metrics"
--- /dev/null
+++ b/tests/gateway/callers/test_listener.py
@@ -0,0 +1,53 @@
+"""The listener serves the requests of many new connections at the same time."""
+
+import http.client
+import threading
+from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from troutswitch.common import Address
+from troutswitch.gateway.callers.listener import HttpListener
+from troutswitch.gateway.process import CALLER_THREADS, MAX_CONNECTIONS
+from troutswitch.runtime.http import Environ, Response, StartResponse, send
+
+TIMEOUT_SECONDS = 60.0
+CONNECTIONS = 240
+"""Callers of a zone whose new connections all go to one daemon while answers take seconds."""
+
+
+class Rendezvous:
+    """An application that answers requests once a number of them are in progress."""
+
+    def __init__(self, count: int) -> None:
+        self._barrier = threading.Barrier(count)
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        self._barrier.wait(TIMEOUT_SECONDS)
+        return send(Response(200, b"", "text/plain"), start_response)
+
+
+@pytest.mark.parametrize("rounds", [1, 3])
+def test_requests_of_many_new_connections_are_in_progress_at_once(rounds: int) -> None:
+    """Guards against requests that wait unread, which no decision of the daemon sees."""
+    listener = HttpListener(
+        Rendezvous(CONNECTIONS), Address("127.0.0.1", 0), CALLER_THREADS, "test", MAX_CONNECTIONS
+    )
+    listener.start()
+
+    def get(number: int) -> int:
+        connection = http.client.HTTPConnection(
+            listener.address.host, listener.address.port, timeout=TIMEOUT_SECONDS
+        )
+        connection.request("GET", f"/{number}")
+        status = connection.getresponse().status
+        connection.close()
+        return status
+
+    try:
+        with ThreadPoolExecutor(CONNECTIONS) as callers:
+            for _ in range(rounds):
+                assert set(callers.map(get, range(CONNECTIONS))) == {200}
+    finally:
+        listener.stop()
