Soak with most new connections going to one daemon

A load kind of the soak opens a connection for each request, at times nearly all at one daemon and at another one in the next turn, and a check holds the users' bound: served at least three quarters as often as before, from contactMs on, without a fault.

--- a/src/troutswitch/soak/checks.py
+++ b/src/troutswitch/soak/checks.py
@@ -28,6 +28,7 @@
     requests_beside_a_crashing_part_are_served,
 )
 from troutswitch.soak.schedule import FAULT_FREE_SECONDS, ActionKind
+from troutswitch.soak.skew_checks import skewed_connections_are_served
 from troutswitch.soak.tenant_checks import (
     runs_have_the_tenant_of_their_key,
     tenants_stay_within_their_quota,
@@ -465,6 +466,7 @@
     memory_stays_under_its_limit,
     streams_continue_at_their_version,
     most_resumed_streams_continue,
+    skewed_connections_are_served,
     recovery_succeeds,
 )
 
--- a/src/troutswitch/soak/load_kinds.py
+++ b/src/troutswitch/soak/load_kinds.py
@@ -21,6 +21,7 @@
     MEMORY_LIMIT = "memory-limit"
     VERSIONS = "versions"
     CRASHING_PARTS = "crashing-parts"
+    SKEWED_CONNECTIONS = "skewed-connections"
 
 
 def draw_load(seed: int) -> frozenset[LoadKind]:
--- a/src/troutswitch/soak/run.py
+++ b/src/troutswitch/soak/run.py
@@ -24,6 +24,7 @@
 from troutswitch.soak.resuming_callers import ResumingCallers
 from troutswitch.soak.schedule import FaultSchedule, draw_schedule
 from troutswitch.soak.sent_attempts import read_attempts
+from troutswitch.soak.skewed_callers import SkewedCallers
 from troutswitch.soak.slow_callers import SlowCallers
 from troutswitch.soak.stalls import Stalls
 from troutswitch.soak.violations import Violation
@@ -206,6 +207,8 @@
         groups += self._hard_load
         if LoadKind.VERSIONS in load:
             groups.append(ResumingCallers(seed, direct, observations))
+        if LoadKind.SKEWED_CONNECTIONS in load:
+            groups.append(SkewedCallers(seed, direct, observations))
         if LoadKind.CRASHING_PARTS in load:
             self._hard_load.append(CrashingPartCallers(seed, direct, observations))
             groups.append(self._hard_load[-1])
