--- a/src/troutswitch/decisions/jobs/item_refusals.py
+++ b/src/troutswitch/decisions/jobs/item_refusals.py
@@ -65,6 +65,8 @@
     def forbids_start(self, now: float, progress: ItemProgress) -> bool:
         """Returns whether an item may not start now."""
         refused = self._refused(progress)
+        if not refused:
+            return False
         path = self._content_keys.path_key(progress)
         if any(not self._may_try(now, key) for key in refused if key != path):
             return True
--- a/src/troutswitch/soak/crashing_parts.py
+++ b/src/troutswitch/soak/crashing_parts.py
@@ -9,9 +9,9 @@
 import time
 
 from troutswitch.platform import names
-from troutswitch.soak.callers import DaemonEndpoint, connect, request_headers
+from troutswitch.soak.callers import DaemonEndpoint, request_headers
 from troutswitch.soak.observations import Exchange, Observations, RequestKind
-from troutswitch.soak.receiving import receive
+from troutswitch.soak.receiving import exchange_on_new_connection
 from troutswitch.standins.model_engine import CRASHING_PART
 
 FIRST_PART = "first-part"
@@ -64,11 +64,4 @@
         parts = (FIRST_PART, *crashing, request_id)
         headers = request_headers(request_id)
         headers[names.PROMPT_PREFIX] = ",".join(f"{part}:{PART_TOKENS}" for part in parts)
-        try:
-            connection = connect(endpoint.address)
-        except OSError:
-            return
-        with self._observations.lock:
-            self._observations.exchanges.append(exchange)
-        receive(connection, exchange, headers)
-        connection.close()
+        exchange_on_new_connection(endpoint.address, exchange, headers, self._observations)
--- a/src/troutswitch/soak/receiving.py
+++ b/src/troutswitch/soak/receiving.py
@@ -1,10 +1,31 @@
-"""Sends a request with given headers, and records its answer as it arrives."""
+"""Sends requests with given headers, and records their answers as they arrive."""
 
 import http.client
 import time
 
+from troutswitch.common import Address
 from troutswitch.platform import names
-from troutswitch.soak.observations import Exchange, Outcome
+from troutswitch.soak.callers import connect
+from troutswitch.soak.observations import Exchange, Observations, Outcome
+
+
+def exchange_on_new_connection(
+    address: Address,
+    exchange: Exchange,
+    headers: dict[str, str],
+    observations: Observations,
+    max_events: int | None = None,
+) -> bool:
+    """Sends a request on a connection of its own; returns False if the daemon refuses that."""
+    try:
+        connection = connect(address)
+    except OSError:
+        return False
+    with observations.lock:
+        observations.exchanges.append(exchange)
+    receive(connection, exchange, headers, max_events)
+    connection.close()
+    return True
 
 
 def receive(
--- a/src/troutswitch/soak/resuming_callers.py
+++ b/src/troutswitch/soak/resuming_callers.py
@@ -5,9 +5,9 @@
 import time
 
 from troutswitch.platform import names
-from troutswitch.soak.callers import DaemonEndpoint, connect, request_headers
+from troutswitch.soak.callers import DaemonEndpoint, request_headers
 from troutswitch.soak.observations import Exchange, Observations, Outcome, RequestKind
-from troutswitch.soak.receiving import receive
+from troutswitch.soak.receiving import exchange_on_new_connection
 
 CALLERS = 4
 RESUMING_PREFIX = "resuming-"
@@ -81,12 +81,7 @@
             first, received = resumed
             exchange.resumed_id, exchange.resumed_after = first.request_id, received
             headers |= {names.LAST_EVENT_ID: str(received), names.RESUMES: first.request_id}
-        try:
-            connection = connect(endpoint.address)
-        except OSError:
-            return None
-        with self._observations.lock:
-            self._observations.exchanges.append(exchange)
-        receive(connection, exchange, headers, max_events)
-        connection.close()
-        return exchange
+        is_connected = exchange_on_new_connection(
+            endpoint.address, exchange, headers, self._observations, max_events
+        )
+        return exchange if is_connected else None
--- a/src/troutswitch/soak/skewed_callers.py
+++ b/src/troutswitch/soak/skewed_callers.py
@@ -4,9 +4,9 @@
 import threading
 import time
 
-from troutswitch.soak.callers import DaemonEndpoint, connect, request_headers
+from troutswitch.soak.callers import DaemonEndpoint, request_headers
 from troutswitch.soak.observations import Exchange, Observations, RequestKind
-from troutswitch.soak.receiving import receive
+from troutswitch.soak.receiving import exchange_on_new_connection
 
 CALLERS = 16
 EVEN_PREFIX = "even-"
@@ -63,11 +63,6 @@
             endpoint.daemon,
             time.monotonic(),
         )
-        try:
-            connection = connect(endpoint.address)
-        except OSError:
-            return
-        with self._observations.lock:
-            self._observations.exchanges.append(exchange)
-        receive(connection, exchange, request_headers(request_id))
-        connection.close()
+        exchange_on_new_connection(
+            endpoint.address, exchange, request_headers(request_id), self._observations
+        )
