Skewed and crashing callers of the soak end before its recovery phase

By the daemons' logs the open item was sent 29 times with its siblings and stopped 24 times for online requests: the skewed callers went on through the recovery phase, which expects a normal load. They end with the other demanding load now.

--- a/src/troutswitch/soak/run.py
+++ b/src/troutswitch/soak/run.py
@@ -195,7 +195,7 @@
             thread.start()
 
     def _make_caller_groups(self) -> list[_CallerGroup]:
-        """Returns the callers of tenants with a quota, competing callers and slow callers."""
+        """Returns the callers of tenants with a quota, and those of the kinds of load."""
         seed, observations = self.schedule.seed, self.fleet.observations
         direct = self.fleet.direct_endpoints()
         load = self._size.load
@@ -204,20 +204,19 @@
             self._hard_load.append(SurgingCallers(seed, direct, observations))
         if LoadKind.SLOW_CALLERS in load:
             self._hard_load.append(SlowCallers(seed, direct, observations))
-        groups += self._hard_load
-        if LoadKind.VERSIONS in load:
-            groups.append(ResumingCallers(seed, direct, observations))
         if LoadKind.SKEWED_CONNECTIONS in load:
-            groups.append(SkewedCallers(seed, direct, observations))
+            self._hard_load.append(SkewedCallers(seed, direct, observations))
         if LoadKind.CRASHING_PARTS in load:
             self._hard_load.append(CrashingPartCallers(seed, direct, observations))
-            groups.append(self._hard_load[-1])
+        groups += self._hard_load
+        if LoadKind.VERSIONS in load:
+            groups.append(ResumingCallers(seed, direct, observations))
         if load & {LoadKind.COMPETITION, LoadKind.SLOW_CALLERS}:
             groups.append(SteadyCaller(seed, direct, observations))
         return groups
 
     def _stop_hard_load(self) -> None:
-        """Ends surges and slow callers before the recovery phase, which expects a normal load."""
+        """Ends the demanding load before the recovery phase, which expects a normal one."""
         for group in self._hard_load:
             group.stop_requested.set()
         for group in self._hard_load:
