The check of skewed connections leaves out daemons that stop as planned

By its log the daemon that got most new connections drained from 36:32.9 to 36:36.5 and started again at 36:37.3, by a planned stop of the schedule. It refuses requests then, and the platform gives it no new connections; the soak's callers do. The check leaves out requests near a planned operation on their own daemon, as that of refusals does. The bound stays as it is.

--- a/src/troutswitch/soak/hard_load_checks.py
+++ b/src/troutswitch/soak/hard_load_checks.py
@@ -61,7 +61,7 @@
         and exchange.outcome is Outcome.COMPLETE
         and exchange.status in REFUSED_STATUSES
         and _is_undisturbed(observations, exchange)
-        and not _is_planned_at(observations, exchange)
+        and not is_planned_at(observations, exchange)
     ]
     runs = _runs(observations)
     found: list[Violation] = []
@@ -89,7 +89,7 @@
     return observations.is_fault_free(begin, exchange.ended_at)
 
 
-def _is_planned_at(observations: Observations, exchange: Exchange) -> bool:
+def is_planned_at(observations: Observations, exchange: Exchange) -> bool:
     """Returns whether a planned operation on the daemon of an exchange overlaps it.
 
     A daemon that stops or starts refuses requests for that reason.
--- a/src/troutswitch/soak/skew_checks.py
+++ b/src/troutswitch/soak/skew_checks.py
@@ -1,5 +1,6 @@
 """Check of requests while most new connections go to one daemon."""
 
+from troutswitch.soak.hard_load_checks import is_planned_at
 from troutswitch.soak.observations import Observations, Outcome
 from troutswitch.soak.schedule import FAULT_FREE_SECONDS
 from troutswitch.soak.skewed_callers import EVEN_PREFIX, SKEWED_PREFIX
@@ -24,11 +25,15 @@
 
 
 def _outcomes(observations: Observations, prefix: str) -> list[bool]:
-    """Returns whether each ended request was served, of those without a fault around them."""
+    """Returns whether each ended request was served, of those without a fault around them.
+
+    A daemon that stops or starts refuses requests; the platform gives it no new connections then.
+    """
     return [
         exchange.outcome is Outcome.COMPLETE and exchange.status == 200
         for exchange in observations.exchanges
         if exchange.request_id.startswith(prefix)
         and exchange.outcome is not Outcome.OPEN
         and observations.is_fault_free(exchange.sent_at - FAULT_FREE_SECONDS, exchange.ended_at)
+        and not is_planned_at(observations, exchange)
     ]
