--- a/review/1/run.py
+++ b/review/1/run.py
@@ -20,7 +20,6 @@
     COULD_NOT_RUN,
     HELD,
     HOST,
-    CouldNotRun,
     Daemon,
     Deployment,
     Record,
@@ -202,8 +201,8 @@
     record.write(f"trouble: {is_troubled()}")
     try:
         return play(record)
-    except (CouldNotRun, OSError) as error:
-        record.write(f"could not run: {error}")
+    except Exception as error:
+        record.write(f"could not run: {type(error).__name__}: {error}")
         return COULD_NOT_RUN
 
 
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -203,8 +203,8 @@
     record.write(f"trouble: {is_troubled()}")
     try:
         return play(record)
-    except (CouldNotRun, OSError) as error:
-        record.write(f"could not run: {error}")
+    except Exception as error:
+        record.write(f"could not run: {type(error).__name__}: {error}")
         return COULD_NOT_RUN
 
 
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -11,4 +11,4 @@
   export PYTHONPATH="$root/target/deps"
 fi
 export PYTHONDONTWRITEBYTECODE=1 TROUBLE="${TROUBLE:-1}"
-exec timeout -k 5 115 "$python" "$here/run.py"
+exec timeout --preserve-status -k 5 115 "$python" "$here/run.py"
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -158,9 +158,7 @@
         return judge(record, deployment, answers, terminated_at)
 
 
-def judge(
-    record: Record, deployment: Deployment, answers: list[Got], terminated_at: float
-) -> int:
+def judge(record: Record, deployment: Deployment, answers: list[Got], terminated_at: float) -> int:
     """Compares what callers got with what servers ran."""
     ran = {
         str(row["id"]): str(row["engine"])
@@ -194,8 +192,8 @@
     record.write(f"trouble: {is_troubled()}")
     try:
         return play(record)
-    except (CouldNotRun, OSError) as error:
-        record.write(f"could not run: {error}")
+    except Exception as error:
+        record.write(f"could not run: {type(error).__name__}: {error}")
         return COULD_NOT_RUN
 
 
--- a/review/harness.py
+++ b/review/harness.py
@@ -137,8 +137,7 @@
     def __enter__(self) -> "Deployment":
         signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(COULD_NOT_RUN))
         self.store_port = free_port()
-        arguments = ["-m", "troutswitch.cli", "standin", "store"]
-        self._start([*arguments, "--address", f"127.0.0.1:{self.store_port}"], "store")
+        self._start([str(FOLDER / "store.py"), str(self.store_port)], "store")
         self._wait(lambda: self.set_store_faults().status == 200, "the store")
         self._configure()
         return self
@@ -199,9 +198,7 @@
         return list(json.loads(answer.body)["requests"]) if answer.status == 200 else []
 
     def _configure(self) -> None:
-        services = [
-            {"name": SERVICE, "maxConnections": 210, "engine": {"slots": self.slots}}
-        ]
+        services = [{"name": SERVICE, "maxConnections": 210, "engine": {"slots": self.slots}}]
         limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304}
         limits |= {"headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
         routes = [{"host": HOST, "service": SERVICE, **route} for route in self._routes]
@@ -325,7 +322,11 @@
             }
             for item in items
         ]
-        headers = {"Host": HOST, "X-Troutswitch-Request-Id": job, "X-Troutswitch-Deadline-Ms": "4000"}
+        headers = {
+            "Host": HOST,
+            "X-Troutswitch-Request-Id": job,
+            "X-Troutswitch-Deadline-Ms": "4000",
+        }
         headers["Content-Type"] = "application/json"
         body = json.dumps({"requests": rows}).encode()
         answer = call(daemon.ip, Daemon.FRONT, "POST", f"/lot/{job}", body, headers)
