The line of a failed loop names the event and the place of the error

What an operator saw: "loop failed" with the error's text alone, so that the log could not tell a value in a run's event from one in a store's answer.

Cause: the loop passed its error on without the event that it handled.

Change: the line has the type of the event (step) and the file, line and function that raised the error (at).

--- a/src/troutswitch/gateway/loop.py
+++ b/src/troutswitch/gateway/loop.py
@@ -30,7 +30,7 @@
         core: makes the decisions.
         events: queue of events, to which any thread may add.
         execute: executes an instruction; called on the loop's thread, must not block.
-        on_failure: called with the error that ended the loop.
+        on_failure: called with the error that ended the loop, and the event that was handled.
     """
 
     def __init__(
@@ -38,12 +38,13 @@
         core: GatewayCore,
         events: queue.SimpleQueue[GatewayEvent],
         execute: Callable[[GatewayInstruction], None],
-        on_failure: Callable[[BaseException], None],
+        on_failure: Callable[[BaseException, GatewayEvent], None],
     ) -> None:
         self.core = core
         self._execute = execute
         self._on_failure = on_failure
         self._events = events
+        self._handled: GatewayEvent = TimerFired()
         self._compared_at = float("-inf")
         self._is_stopping = False
         self._thread = threading.Thread(target=self._run, name="loop", daemon=True)
@@ -67,7 +68,7 @@
             while not self._is_stopping:
                 self._run_once()
         except BaseException as error:
-            self._on_failure(error)
+            self._on_failure(error, self._handled)
             raise
 
     def _run_once(self) -> None:
@@ -93,6 +94,7 @@
             self._step(ProcessResumed(delay))
 
     def _step(self, event: GatewayEvent) -> None:
+        self._handled = event
         for instruction in self.core.step(steady_seconds(), event):
             self._execute(instruction)
 
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -10,6 +10,7 @@
 import signal
 import threading
 import time
+import traceback
 from collections.abc import Callable, Iterable
 from dataclasses import fields, replace
 from functools import partial
@@ -211,9 +212,14 @@
         if self._callers is not None:
             self._callers.set_limits(change.limits)
 
-    def _on_failure(self, error: BaseException) -> None:
+    def _on_failure(self, error: BaseException, event: GatewayEvent) -> None:
         self.failure = error
-        self._logger.error("loop failed", error=f"{type(error).__name__}: {error}")
+        self._logger.error(
+            "loop failed",
+            error=f"{type(error).__name__}: {error}",
+            step=type(event).__name__,
+            at=_innermost_frame(error),
+        )
 
     def start(self) -> None:
         """Starts the loop, the peer socket and the listeners."""
@@ -289,6 +295,15 @@
     )
 
 
+def _innermost_frame(error: BaseException) -> str:
+    """Returns where an error was raised, as file, line and function; empty if unknown."""
+    frames = traceback.extract_tb(error.__traceback__)
+    if not frames:
+        return ""
+    frame = frames[-1]
+    return f"{os.path.basename(frame.filename)}:{frame.lineno} {frame.name}"
+
+
 class Signals:
     """Handlers of the signals that request a stop or a reload of the settings.
 
--- a/tests/gateway/test_suspension.py
+++ b/tests/gateway/test_suspension.py
@@ -65,7 +65,7 @@
         core,  # type: ignore[arg-type]
         queue.SimpleQueue(),
         lambda instruction: None,
-        lambda error: None,
+        lambda error, event: None,
     )
     loop.post("waited")  # type: ignore[arg-type]
     get = loop._events.get_nowait
