An event that is not UTF-8 ends its run and not the daemon that owns the item

What callers saw: a model server put one wrong byte into one event of a batch item.

Cause: the text of an item's event was decoded with surrogateescape, so that it could hold lone surrogates. The owner encodes it strictly when it writes the part or the result, on the loop's thread, and the error ended the loop. Fixing the writer alone would move the fault: a page of results is JSON, which can't hold such a text, so that all results on the page would become unreadable.

The two new tests send such an event over a socket through a daemon's own code: both failed before, with UnicodeEncodeError in ShardWriter._add_results, and pass now.

Change: the text is checked where it enters. An event of an item that is not UTF-8 is not an event of the format, so the run counts as cut with that reason, keeps the events before it, and is repeated as after any cut run. The encoders behind it are strict. Results that earlier versions listed with other bytes are read with replacement characters, so that their page stays readable.

--- a/src/troutswitch/decisions/jobs/items.py
+++ b/src/troutswitch/decisions/jobs/items.py
@@ -127,7 +127,7 @@
         position = self.saved_position
         size = 0
         for event in self.unsaved:
-            size += len(event.text.encode("utf-8", "surrogateescape")) + 1
+            size += len(event.text.encode()) + 1
             if texts and size > max_bytes:
                 break
             texts.append(event.text)
--- a/src/troutswitch/decisions/jobs/records.py
+++ b/src/troutswitch/decisions/jobs/records.py
@@ -239,7 +239,8 @@
         if any(part not in continuations for part in range(self.continuation_count)):
             return None
         text = self.piece + b"".join(continuations[part] for part in range(self.continuation_count))
-        return ItemResult(self.item_id, self.state, text.decode("utf-8", "surrogateescape"))
+        # Earlier versions listed bytes that are not UTF-8. A position keeps its result.
+        return ItemResult(self.item_id, self.state, text.decode(errors="replace"))
 
 
 def result_records(
@@ -247,7 +248,7 @@
 ) -> tuple[KeyedRecord, ...]:
     """Encodes a result at its position; the continuations come before the head record."""
     max_bytes = record_bytes - RECORD_OVERHEAD_BYTES
-    text = result.text.encode("utf-8", errors="surrogateescape")
+    text = result.text.encode()
     pieces = [text[start : start + max_bytes] for start in range(0, len(text), max_bytes)] or [b""]
     head = [SCHEMA_VERSION, result.item_id, result.state, pieces[0], len(pieces) - 1]
     continuations = [
--- a/src/troutswitch/gateway/engines/event_stream.py
+++ b/src/troutswitch/gateway/engines/event_stream.py
@@ -15,12 +15,27 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
-    """A complete event: its raw bytes, its id, and its data lines joined by newlines."""
+    """A complete event: its raw bytes, its id, and its data lines joined by newlines.
+
+    `data` has a lone surrogate for each byte that is not UTF-8; `text` rejects these.
+    """
 
     raw: bytes
     event_id: str
     data: str
 
+    def text(self) -> str:
+        """Returns the data as a text that can be stored and sent.
+
+        Raises:
+            EventStreamError: the data is not UTF-8, as the standard requires.
+        """
+        try:
+            self.data.encode()
+        except UnicodeEncodeError as error:
+            raise EventStreamError(f"event {self.event_id} is not UTF-8") from error
+        return self.data
+
 
 class EventSplitter:
     """Collects bytes into events, and checks that numeric ids increase by one.
--- a/src/troutswitch/gateway/engines/item_runs.py
+++ b/src/troutswitch/gateway/engines/item_runs.py
@@ -162,7 +162,7 @@
             events = splitter.feed(data)
             if events:
                 exchange.set_wait(self.instruction.event_timeout)
-            self.events.extend(OutputEvent(event.event_id, event.data) for event in events)
+            self.events.extend(OutputEvent(event.event_id, event.text()) for event in events)
             if self.events and steady_seconds() - reported_at >= PROGRESS_INTERVAL_SECONDS:
                 reported_at = steady_seconds()
                 self.post(ItemProgressed(self.instruction.run, tuple(self.events)))
--- /dev/null
+++ b/tests/proofs/test_engine_output.py
@@ -0,0 +1,51 @@
+"""What an engine sends for a batch item ends no daemon, and harms no other item.
+
+The bytes go over a socket to a daemon's own code, then through its core in a simulated fleet.
+"""
+
+from tests.simulation.raw_engine import RawEngineFleet, stream_answer
+from troutswitch.decisions.jobs.messages import RunItem
+
+START_SECONDS = 3.0
+RUN_SECONDS = 20.0
+SPOILED = "job-0"
+"""The item whose runs are answered with the bytes of a test."""
+ITEMS = 4
+
+
+def events(*data: bytes) -> bytes:
+    return b"".join(b"id: %d\ndata: %s\n\n" % (n, text) for n, text in enumerate(data, 1))
+
+
+def play(answer: bytes, runs: int | None = None) -> RawEngineFleet:
+    """Plays a job of which one item gets `answer` in its first `runs` runs, by default in all."""
+
+    def answer_run(run: RunItem) -> bytes | None:
+        is_spoiled = run.item.item_id == SPOILED
+        if is_spoiled and (runs is None or fleet.runs_of_raw_items < runs):
+            return answer
+        return None
+
+    fleet = RawEngineFleet(1, answer_run)
+    fleet.run(START_SECONDS)
+    fleet.submit_job("job", ITEMS)
+    fleet.run(RUN_SECONDS)
+    return fleet
+
+
+def listed(fleet: RawEngineFleet) -> set[str]:
+    return {result[0] for result in fleet.jobs["job"].results.values()}
+
+
+def test_event_that_is_not_utf8_does_not_end_the_daemon_that_owns_its_item() -> None:
+    answer = stream_answer(SPOILED, events(b"first", b"wrong \xff"))
+    fleet = play(answer)
+    assert fleet.runs_of_raw_items > 1
+    assert listed(fleet) == {f"job-{n}" for n in range(1, ITEMS)}
+
+
+def test_item_with_an_event_that_is_not_utf8_completes_in_a_later_run() -> None:
+    answer = stream_answer(SPOILED, events(b"wrong \xff"))
+    fleet = play(answer, runs=2)
+    assert listed(fleet) == {f"job-{n}" for n in range(ITEMS)}
+    assert fleet.violations == []
