An event's id is visible ASCII of bounded length, or its run is cut

What callers saw: a daemon that owned a batch item ended, with the callers' requests in progress there, when the first event of a run had an id such as a superscript two or a number of some thousand digits. Each next owner ended in turn. An id of another kind that no header can carry left the item in runs that could never resume.

Cause: str.isdigit accepts what int() does not, and int() accepts at most 4,300 digits. ItemProgress.event_count converted the id of the last event on the loop's thread.

Evidence: six kinds of ids over a socket through a daemon's own code. Two ended the daemon with ValueError, the others were taken over; all six tests failed before and pass now.

Change: EventSplitter rejects an id that is not visible ASCII, is longer than 256 characters, or is a number of more than 18 digits; the run counts as cut. The checks of texts and numbers stand in one module, wire_values, and the decisions convert positions, which may come from a record, with parse_number.

--- a/src/troutswitch/decisions/jobs/items.py
+++ b/src/troutswitch/decisions/jobs/items.py
@@ -10,6 +10,7 @@
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.jobs.messages import OutputEvent
 from troutswitch.decisions.jobs.records import JobItem, OutputPart
+from troutswitch.wire_values import parse_number
 
 
 @dataclass(slots=True)
@@ -114,7 +115,7 @@
     @property
     def event_count(self) -> int:
         """Number of events so far, from the last event's id; 0 if ids are not numbers."""
-        return int(self.position) if self.position.isdigit() else 0
+        return parse_number(self.position) or 0
 
     @property
     def output(self) -> str:
--- a/src/troutswitch/gateway/engines/event_stream.py
+++ b/src/troutswitch/gateway/engines/event_stream.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass
 
+from troutswitch.wire_values import is_event_id
+
 MAX_EVENT_BYTES = 4 * 1024 * 1024
 
 
@@ -56,7 +58,7 @@
         """Returns the events that `data` completes.
 
         Raises:
-            EventStreamError: an event is too long, has no id, or is out of sequence.
+            EventStreamError: an event is too long, has no valid id, or is out of sequence.
         """
         self._rest += data
         events: list[StreamEvent] = []
@@ -93,6 +95,8 @@
     def _check_id(self, event_id: str) -> None:
         if not event_id:
             raise EventStreamError("an event has no id")
+        if not is_event_id(event_id):
+            raise EventStreamError("an event's id is malformed")
         is_numbered = event_id.isdigit() and self.last_id.isdigit()
         if is_numbered and int(event_id) != int(self.last_id) + 1:
             raise EventStreamError(f"event {event_id} follows {self.last_id}")
--- a/tests/proofs/test_engine_output.py
+++ b/tests/proofs/test_engine_output.py
@@ -3,6 +3,8 @@
 The bytes go over a socket to a daemon's own code, then through its core in a simulated fleet.
 """
 
+import pytest
+
 from tests.simulation.raw_engine import RawEngineFleet, stream_answer
 from troutswitch.decisions.jobs.messages import RunItem
 
@@ -49,3 +51,17 @@
     fleet = play(answer, runs=2)
     assert listed(fleet) == {f"job-{n}" for n in range(ITEMS)}
     assert fleet.violations == []
+
+
+@pytest.mark.parametrize(
+    "event_id",
+    ["\N{SUPERSCRIPT TWO}", "\N{ARABIC-INDIC DIGIT ONE}", "9" * 5000, "x" * 5000, "1 2", "\x7f"],
+    ids=["superscript", "digit of another script", "many digits", "long", "space", "control"],
+)
+def test_event_id_that_is_no_number_does_not_end_the_daemon_that_owns_its_item(
+    event_id: str,
+) -> None:
+    stream = f"id: {event_id}\ndata: first\n\n".encode()
+    fleet = play(stream_answer(SPOILED, stream))
+    assert fleet.runs_of_raw_items > 1
+    assert listed(fleet) == {f"job-{n}" for n in range(1, ITEMS)}
