The pause before an item's next run grows with each run that brought no event

What callers saw: an item whose runs were all cut took a slot of an engine four to five times a second until its retention was over, 37 runs in 20 s here.

Cause: the pause after a run that ended early was 0.2 s, whatever came before.

Change: it doubles with each run in a row that brought no event, to 6 s on average, with jitter; after a run that the engine refused or that was not sent, to 0.8 s. Any event sets it back, and a stop by this daemon does not count. The bound is far enough below the 20 s after which an item counts as abandoned.

Evidence: tests/proofs/test_engine_output.py, an item cut in every run: 37 runs in 20 s before, at most 12 now; the test failed before. tests/proofs/test_jobs.py passes.

--- /dev/null
+++ b/src/troutswitch/cbor_values.py
@@ -0,0 +1,60 @@
+"""Decodes CBOR that another process wrote, and checks its form.
+
+Daemons of other versions, and any program that can write to the store or to a daemon's port, choose
+these bytes. What passes has the requested types and numbers that arithmetic can handle.
+"""
+
+import math
+from typing import TypeVar
+
+import cbor2
+import msgspec
+
+Form = TypeVar("Form")
+
+MAX_INTEGER = 2**64 - 1
+"""Largest magnitude of an integer, enough for 64-bit hashes. CBOR has integers of any length, whose
+division or conversion to a float fails."""
+
+
+class MalformedCbor(ValueError):
+    """The bytes are not CBOR, or the decoded value does not have the requested form."""
+
+
+def decode_cbor(data: bytes, form: type[Form]) -> Form:
+    """Returns the value that the bytes encode.
+
+    Args:
+        data: the encoded value.
+        form: type of the value, as `msgspec.convert` takes it.
+
+    Raises:
+        MalformedCbor: the bytes encode no such value.
+    """
+    try:
+        value = cbor2.loads(data)
+        _check_numbers(value)
+        return msgspec.convert(value, form, builtin_types=(bytes,))
+    except Exception as error:  # decoders of tagged values raise errors of many types
+        raise MalformedCbor(f"{type(error).__name__}: {error}") from error
+
+
+def _check_numbers(value: object) -> None:
+    """Checks all numbers in a value.
+
+    Raises:
+        ValueError: a number is too large, infinite or not a number.
+    """
+    if isinstance(value, int):
+        if abs(value) > MAX_INTEGER:
+            raise ValueError("an integer is out of range")
+    elif isinstance(value, float):
+        if not math.isfinite(value):
+            raise ValueError("a number is not finite")
+    elif isinstance(value, list | tuple):
+        for part in value:
+            _check_numbers(part)
+    elif isinstance(value, dict):
+        for key, part in value.items():
+            _check_numbers(key)
+            _check_numbers(part)
--- a/src/troutswitch/decisions/jobs/item_retries.py
+++ b/src/troutswitch/decisions/jobs/item_retries.py
@@ -15,10 +15,13 @@
 - status 422 dead-letters it: the engine reports that the item can never be done;
 - status 500 counts as a failed run; the last failed run that the route allows dead-letters it;
 - any other end (a stop, a crash, a lost connection, a full engine) is not attributed to the item,
-  which is retried without a bound on the number of runs.
+  which is retried without a bound on the number of runs. The pause before the next run doubles with
+  each run in a row that brought no event, up to `MAX_RETRY_SECONDS`, or `MAX_UNSENT_RETRY_SECONDS`
+  after runs that the engine did not begin. A stop by this daemon does not count as such a run.
 
 Why: an accepted item must complete, so only an engine's answer about it, its retention or the loss
-of its route may end it. tests/decisions/jobs/test_failures.py tests the bound on failed runs over
+of its route may end it. A run that fails again and again must not occupy an engine's slot all the
+time. tests/decisions/jobs/test_failures.py tests the bound on failed runs over
 all owners; docs/POLICY.md, "Rules", lists the constants.
 """
 
@@ -36,6 +39,11 @@
 
 RETRY_SECONDS = 0.2
 """Mean pause after a run that ended early, or while an item has no route."""
+MAX_RETRY_SECONDS = 6.0
+"""Upper bound of the mean pause after a run that ended early. An item counts as abandoned when no
+engine has run it for 20 s, and it may wait some seconds for a slot."""
+MAX_UNSENT_RETRY_SECONDS = 0.8
+"""Upper bound of the mean pause after a run that the engine did not begin, which costs no slot."""
 FAILED_RETRY_SECONDS = 0.4
 """Pause after a run that the engine reported as failed."""
 REFUSED_RETRY_SECONDS = 1.0
@@ -109,18 +117,37 @@
         else:
             progress.retry_at = now + RETRY_SECONDS
 
-    def on_ended_early(self, now: float, progress: ItemProgress, event: ItemRunEnded) -> None:
-        """Handles the end of a run that did not complete the item's output."""
+    def on_ended_early(
+        self, now: float, progress: ItemProgress, event: ItemRunEnded, *, is_stopped: bool
+    ) -> None:
+        """Handles the end of a run that did not complete the item's output.
+
+        `is_stopped` is whether this daemon stopped the run.
+        """
         if event.status == UNPROCESSABLE_STATUS:
             self._endings.dead_letter(progress, f"status {event.status}")
             return
-        progress.retry_at = now + RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
+        is_unsent = event.kind in (AttemptOutcome.REFUSED, AttemptOutcome.UNREACHABLE)
+        longest = MAX_UNSENT_RETRY_SECONDS if is_unsent else MAX_RETRY_SECONDS
+        pause = RETRY_SECONDS if is_stopped else self._growing_pause(progress, longest)
+        progress.retry_at = now + pause * self._rng.uniform(0.5, 1.5)
         if event.status == RUN_FAILED_STATUS and event.kind is not AttemptOutcome.REFUSED:
             self._on_failed(now, progress)
 
+    @staticmethod
+    def _growing_pause(progress: ItemProgress, longest: float) -> float:
+        """Counts a run that ended early, and returns the mean pause after it, in seconds.
+
+        Events of the item's output set the count back.
+        """
+        pause = min(RETRY_SECONDS * 2.0**progress.fruitless_runs, longest)
+        if pause < longest:
+            progress.fruitless_runs += 1
+        return pause
+
     def _on_failed(self, now: float, progress: ItemProgress) -> None:
         progress.failures += 1
-        progress.retry_at = now + FAILED_RETRY_SECONDS
+        progress.retry_at = max(progress.retry_at, now + FAILED_RETRY_SECONDS)
         entry = self._index.jobs.get(progress.job_id)
         route = self._routes.named(entry.manifest.route) if entry is not None else None
         if route is not None and progress.failures >= route.max_attempts:
--- a/src/troutswitch/decisions/jobs/items.py
+++ b/src/troutswitch/decisions/jobs/items.py
@@ -30,6 +30,7 @@
         failures: failed runs, here and at earlier owners.
         saved_failures: the number of failed runs in the store.
         runs_started: number of runs started here.
+        fruitless_runs: runs in a row that ended early without an event (`item_retries`).
         retry_at: when the next run may start.
         no_route_since: when it lost its route; infinite while it has one.
         run_number: number of the run in flight, or 0.
@@ -56,6 +57,7 @@
     failures: int = 0
     saved_failures: int = 0
     runs_started: int = 0
+    fruitless_runs: int = 0
     retry_at: float = float("-inf")
     no_route_since: float = float("inf")
     run_number: int = 0
@@ -108,6 +110,7 @@
         """Appends the next events of the output."""
         if not events:
             return
+        self.fruitless_runs = 0
         self.texts.extend(event.text for event in events)
         self.unsaved.extend(events)
         self.position = events[-1].position
--- a/src/troutswitch/decisions/jobs/run_ends.py
+++ b/src/troutswitch/decisions/jobs/run_ends.py
@@ -43,7 +43,7 @@
             self._refusals.on_lost(now, run.progress, run.engine_id)
         else:
             self._refusals.on_ended_otherwise(now, run.progress)
-        self._retries.on_ended_early(now, run.progress, event)
+        self._retries.on_ended_early(now, run.progress, event, is_stopped=run.is_stopped)
 
     def _on_completed(self, now: float, run: ItemRun) -> None:
         progress = run.progress
--- a/tests/decisions/jobs/test_item_retries.py
+++ b/tests/decisions/jobs/test_item_retries.py
@@ -7,7 +7,15 @@
 import pytest
 
 from tests.decisions.jobs.fixtures import item, job_index, route_table
-from troutswitch.decisions.jobs.item_retries import ROUTE_GONE_SECONDS, ItemRetries
+from troutswitch.decisions.jobs.item_retries import (
+    MAX_RETRY_SECONDS,
+    MAX_UNSENT_RETRY_SECONDS,
+    RETRY_SECONDS,
+    ROUTE_GONE_SECONDS,
+    ItemRetries,
+)
+from troutswitch.decisions.jobs.messages import ItemRunEnded, OutputEvent
+from troutswitch.outcomes import AttemptOutcome
 
 
 @pytest.mark.parametrize("may_be_outdated", [False, True])
@@ -26,3 +34,51 @@
     for second in range(int(ROUTE_GONE_SECONDS) + 2):
         assert retries.prepare_start(float(second), progress) is None
     assert endings.dead_letter.called is not may_be_outdated
+
+
+def run_ended(kind: AttemptOutcome, status: int = 200) -> ItemRunEnded:
+    return ItemRunEnded(1, kind, status, "", ())
+
+
+class RetriedItem:
+    """An item whose runs end early, and the pauses after them in seconds."""
+
+    def __init__(self) -> None:
+        index = job_index({"job": 0.0})
+        self.retries = ItemRetries(route_table(), index, MagicMock(), MagicMock(), random.Random(1))
+        self.progress = item("job")
+
+    def pause(self, kind: AttemptOutcome, *, is_stopped: bool = False) -> float:
+        self.retries.on_ended_early(0.0, self.progress, run_ended(kind), is_stopped=is_stopped)
+        return self.progress.retry_at
+
+
+def test_pause_after_runs_without_an_event_grows_to_its_bound() -> None:
+    """Guards against an item that is cut in every run and occupies a slot all the time."""
+    retried = RetriedItem()
+    pauses = [retried.pause(AttemptOutcome.CUT) for _ in range(40)]
+    assert pauses[0] <= 1.5 * RETRY_SECONDS
+    assert max(pauses) <= 1.5 * MAX_RETRY_SECONDS
+    assert min(pauses[8:]) >= 0.5 * MAX_RETRY_SECONDS
+    assert len(set(pauses)) == len(pauses)
+
+
+def test_pause_is_the_shortest_again_after_an_event() -> None:
+    retried = RetriedItem()
+    for _ in range(10):
+        retried.pause(AttemptOutcome.CUT)
+    retried.progress.add_events((OutputEvent("1", "text"),))
+    assert retried.pause(AttemptOutcome.CUT) <= 1.5 * RETRY_SECONDS
+
+
+@pytest.mark.parametrize("kind", [AttemptOutcome.REFUSED, AttemptOutcome.UNREACHABLE])
+def test_pause_after_runs_that_did_not_begin_stays_short(kind: AttemptOutcome) -> None:
+    retried = RetriedItem()
+    assert max(retried.pause(kind) for _ in range(20)) <= 1.5 * MAX_UNSENT_RETRY_SECONDS
+    assert retried.pause(AttemptOutcome.CUT) <= 1.5 * MAX_UNSENT_RETRY_SECONDS
+
+
+def test_runs_that_this_daemon_stops_do_not_lengthen_the_pause() -> None:
+    retried = RetriedItem()
+    pauses = [retried.pause(AttemptOutcome.CUT, is_stopped=True) for _ in range(20)]
+    assert max(pauses) <= 1.5 * RETRY_SECONDS
--- a/tests/proofs/test_engine_output.py
+++ b/tests/proofs/test_engine_output.py
@@ -13,6 +13,9 @@
 SPOILED = "job-0"
 """The item whose runs are answered with the bytes of a test."""
 ITEMS = 4
+MAX_RUNS = 12
+"""Bound of the runs of an item in `RUN_SECONDS` whose every run brings no event: the shortest
+pauses, half of the mean, are 0.1, 0.2, 0.4, 0.8, 1.6 and then 3 s."""
 
 
 def events(*data: bytes) -> bytes:
@@ -65,3 +68,8 @@
     fleet = play(stream_answer(SPOILED, stream))
     assert fleet.runs_of_raw_items > 1
     assert listed(fleet) == {f"job-{n}" for n in range(1, ITEMS)}
+
+
+def test_item_that_is_cut_in_every_run_is_rarely_retried() -> None:
+    fleet = play(stream_answer(SPOILED, events(b"wrong \xff")))
+    assert 3 <= fleet.runs_of_raw_items <= MAX_RUNS
