Lines of an event end at CR, LF or CRLF alone, and no byte of a stream is left out

What callers saw: a batch item was listed as completed without the text that followed U+2028, U+0085, a form feed or U+001C to U+001E in an event's data. Of an online stream, blank lines after the last event were not forwarded.

Cause: EventSplitter split an event with str.splitlines, which breaks lines at these characters too; the rest of the line had no field name and was dropped. The format (HTML standard, server-sent events) ends lines at CR, LF and CRLF. An event whose lines end in CR alone was not recognized at all.

Evidence: a result with each of four characters, through a daemon's own code: the tests failed before, and pass now, as does one with a NUL. A test with streams of all three marks, cut at any place, shows that the events are the same and that the forwarded bytes are the stream's.

Change: events are split as bytes by the format's three marks. A CR at the end of the received bytes is not taken for the end of a line before the next byte, or the end of the stream, is there. Received bytes are searched once, and an event may have 1 MiB instead of 4: a longer one fits no page of results, and each connection may hold one. Arbitrary bytes give events or an error.

--- a/src/troutswitch/gateway/callers/relay.py
+++ b/src/troutswitch/gateway/callers/relay.py
@@ -213,16 +213,22 @@
             if self._delivered:
                 self._longest_gap = max(self._longest_gap, steady_seconds() - event_at)
             event_at = steady_seconds()
-            self.head = self.head or head
-            if not self._delivered:
-                self._began_version = directive.engine_version
-            self._delivered += len(events)
+            self._count_events(directive, head, len(events))
             yield b"".join(event.raw for event in events)
-        splitter.check_ended()
-        self.head = self.head or head
+        events, blank_lines = splitter.finish()
+        self._count_events(directive, head, len(events))
+        if end := b"".join(event.raw for event in events) + blank_lines:
+            yield end
         self._is_completed = True
         self._end(directive, AttemptOutcome.COMPLETED, "", head)
 
+    def _count_events(self, directive: SendRequest, head: AnswerHead, count: int) -> None:
+        """Counts events that are delivered next; the first ones determine the stream's version."""
+        self.head = self.head or head
+        if count and not self._delivered:
+            self._began_version = directive.engine_version
+        self._delivered += count
+
     def _read_body(self, exchange: Exchange) -> bytes:
         """Reads a complete response. An engine's response is never left unread for lack of room."""
         if not self.memory.is_limited:
--- a/src/troutswitch/gateway/engines/event_stream.py
+++ b/src/troutswitch/gateway/engines/event_stream.py
@@ -4,11 +4,21 @@
 complete, so that a response that breaks off never delivers part of an event.
 """
 
+import re
 from dataclasses import dataclass
 
 from troutswitch.wire_values import is_event_id
 
-MAX_EVENT_BYTES = 4 * 1024 * 1024
+MAX_EVENT_BYTES = 1024 * 1024
+"""Longest event. As a page of results holds 1 MB, no client could read a longer output."""
+
+_LINE_END = re.compile(rb"\r\n|\n|\r")
+_BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
+"""The end of a line and a blank line, which end an event."""
+_CERTAIN_BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r(?!\Z))")
+"""The same, unless the next bytes may continue it: a CR at the end may be half of a CRLF."""
+_BLANK_LINE_BYTES = 4
+"""Longest match of these patterns."""
 
 
 class EventStreamError(Exception):
@@ -19,24 +29,23 @@
 class StreamEvent:
     """A complete event: its raw bytes, its id, and its data lines joined by newlines.
 
-    `data` has a lone surrogate for each byte that is not UTF-8; `text` rejects these.
+    The data may be any bytes; `text` decodes them.
     """
 
     raw: bytes
     event_id: str
-    data: str
+    data: bytes
 
     def text(self) -> str:
-        """Returns the data as a text that can be stored and sent.
+        """Returns the data as text.
 
         Raises:
             EventStreamError: the data is not UTF-8, as the standard requires.
         """
         try:
-            self.data.encode()
-        except UnicodeEncodeError as error:
+            return self.data.decode()
+        except UnicodeDecodeError as error:
             raise EventStreamError(f"event {self.event_id} is not UTF-8") from error
-        return self.data
 
 
 class EventSplitter:
@@ -47,7 +56,9 @@
 
     def __init__(self, last_id: str = "") -> None:
         self.last_id = last_id
-        self._rest = b""
+        self._rest = bytearray()
+        self._searched = 0
+        """Bytes of `_rest` in which no event ends."""
 
     @property
     def is_between_events(self) -> bool:
@@ -61,38 +72,51 @@
             EventStreamError: an event is too long, has no valid id, or is out of sequence.
         """
         self._rest += data
-        events: list[StreamEvent] = []
-        while (end := _end_of_event(self._rest)) > 0:
-            raw, self._rest = self._rest[:end], self._rest[end:]
-            if raw.strip():
-                events.append(self._event(raw))
+        events = self._split(_CERTAIN_BLANK_LINE)
         if len(self._rest) > MAX_EVENT_BYTES:
             raise EventStreamError("an event is too long")
         return events
 
-    def check_ended(self) -> None:
-        """Checks that the stream ended between two events.
+    def finish(self) -> tuple[list[StreamEvent], bytes]:
+        """Returns the events that the end of the stream completes, and the blank lines after them.
 
         Raises:
-            EventStreamError: the stream ended inside an event.
+            EventStreamError: the stream ended inside an event, or as for `feed`.
         """
+        self._searched = 0
+        events = self._split(_BLANK_LINE)
         if not self.is_between_events:
             raise EventStreamError("the stream ended inside an event")
+        return events, bytes(self._rest)
+
+    def _split(self, end: re.Pattern[bytes]) -> list[StreamEvent]:
+        """Removes the events that end in the buffer, with the blank lines before them."""
+        events: list[StreamEvent] = []
+        begin = 0
+        while (match := end.search(self._rest, max(begin, self._searched))) is not None:
+            self._searched = match.end()
+            raw = bytes(self._rest[begin : match.end()])
+            if raw.strip():
+                events.append(self._event(raw))
+                begin = match.end()
+        del self._rest[:begin]
+        self._searched = max(0, len(self._rest) - _BLANK_LINE_BYTES + 1)
+        return events
 
     def _event(self, raw: bytes) -> StreamEvent:
-        event_id = ""
-        data: list[str] = []
-        for line in raw.decode("utf-8", errors="surrogateescape").splitlines():
-            name, _, value = line.partition(":")
-            value = value.removeprefix(" ")
-            if name == "id":
+        event_id = b""
+        data: list[bytes] = []
+        for line in _LINE_END.split(raw):
+            name, _, value = line.partition(b":")
+            value = value.removeprefix(b" ")
+            if name == b"id":
                 event_id = value
-            elif name == "data":
+            elif name == b"data":
                 data.append(value)
-        self._check_id(event_id)
-        return StreamEvent(raw, event_id, "\n".join(data))
+        self.last_id = self._next_id(event_id.decode("latin-1"))
+        return StreamEvent(raw, self.last_id, b"\n".join(data))
 
-    def _check_id(self, event_id: str) -> None:
+    def _next_id(self, event_id: str) -> str:
         if not event_id:
             raise EventStreamError("an event has no id")
         if not is_event_id(event_id):
@@ -100,14 +124,4 @@
         is_numbered = event_id.isdigit() and self.last_id.isdigit()
         if is_numbered and int(event_id) != int(self.last_id) + 1:
             raise EventStreamError(f"event {event_id} follows {self.last_id}")
-        self.last_id = event_id
-
-
-def _end_of_event(data: bytes) -> int:
-    """Returns the length of the first event with its blank line, or 0 if it is incomplete."""
-    ends = [
-        position + len(mark)
-        for mark in (b"\n\n", b"\r\n\r\n")
-        if (position := data.find(mark)) >= 0
-    ]
-    return min(ends, default=0)
+        return event_id
--- a/src/troutswitch/gateway/engines/item_runs.py
+++ b/src/troutswitch/gateway/engines/item_runs.py
@@ -23,7 +23,11 @@
 )
 from troutswitch.gateway.engines.connection_pool import ConnectionUse, EngineConnections
 from troutswitch.gateway.engines.engine_activity import EngineActivityReporter
-from troutswitch.gateway.engines.event_stream import EventSplitter, EventStreamError
+from troutswitch.gateway.engines.event_stream import (
+    EventSplitter,
+    EventStreamError,
+    StreamEvent,
+)
 from troutswitch.gateway.engines.exchange import (
     AnswerLost,
     Exchange,
@@ -162,12 +166,17 @@
             events = splitter.feed(data)
             if events:
                 exchange.set_wait(self.instruction.event_timeout)
-            self.events.extend(OutputEvent(event.event_id, event.text()) for event in events)
+            self._add(events)
             if self.events and steady_seconds() - reported_at >= PROGRESS_INTERVAL_SECONDS:
                 reported_at = steady_seconds()
                 self.post(ItemProgressed(self.instruction.run, tuple(self.events)))
                 self.events.clear()
-        splitter.check_ended()
+        events, _ = splitter.finish()
+        self._add(events)
+
+    def _add(self, events: list[StreamEvent]) -> None:
+        """Adds events to those not reported yet, up to the first that is not text."""
+        self.events.extend(OutputEvent(event.event_id, event.text()) for event in events)
 
     def _refusal(self, exchange: Exchange, head: AnswerHead) -> ItemRunEnded:
         exchange.body()
--- a/tests/gateway/engines/test_event_stream.py
+++ b/tests/gateway/engines/test_event_stream.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from troutswitch.gateway.engines.event_stream import EventSplitter, EventStreamError
+from troutswitch.gateway.engines.event_stream import EventSplitter, EventStreamError, StreamEvent
 
 STREAM = b"".join(f"id: {n}\ndata: a{n}\ndata: b\n\n".encode() for n in range(1, 6))
 
@@ -18,7 +18,7 @@
     for start, end in itertools.pairwise(edges):
         events += splitter.feed(STREAM[start:end])
     assert b"".join(event.raw for event in events) == STREAM
-    assert [event.data for event in events] == [f"a{n}\nb" for n in range(1, 6)]
+    assert [event.text() for event in events] == [f"a{n}\nb" for n in range(1, 6)]
     assert splitter.is_between_events
 
 
@@ -36,3 +36,59 @@
 
 def test_resumed_stream_continues_after_its_last_id() -> None:
     assert EventSplitter("7").feed(b"id: 8\ndata: x\n\n")[0].event_id == "8"
+
+
+def split(stream: bytes, *positions: int) -> tuple[list[StreamEvent], bytes]:
+    """Returns the events of a stream that arrives in parts, and all bytes that are forwarded."""
+    splitter = EventSplitter()
+    events: list[StreamEvent] = []
+    for start, end in itertools.pairwise([0, *sorted(positions), len(stream)]):
+        events += splitter.feed(stream[start:end])
+    last_events, blank_lines = splitter.finish()
+    events += last_events
+    return events, b"".join(event.raw for event in events) + blank_lines
+
+
+OTHER_SEPARATORS = ["\u2028", "\u2029", "\x85", "\x0b", "\x0c", "\x1c", "\x1d", "\x1e", "\t"]
+
+
+@pytest.mark.parametrize("separator", OTHER_SEPARATORS, ids=ascii)
+def test_data_of_an_event_is_whole_with_a_character_that_ends_lines_elsewhere(
+    separator: str,
+) -> None:
+    """Guards against an output that is listed as complete without what follows the character."""
+    text = f"before{separator}after"
+    events, _ = split(f"id: 1\ndata: {text}\n\n".encode())
+    assert [event.text() for event in events] == [text]
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(
+    st.lists(st.sampled_from([b"\n", b"\r\n", b"\r"]), min_size=3, max_size=3),
+    st.lists(st.integers(0, 120), max_size=6),
+    st.sampled_from([b"", b"\n", b"\r\n", b"\r\r"]),
+)
+def test_lines_end_at_any_of_the_three_marks_and_all_bytes_are_forwarded(
+    ends: list[bytes], positions: list[int], after: bytes
+) -> None:
+    """Guards against a body that lacks the bytes after its last event."""
+    stream = b"".join(
+        end.join((b"id: %d" % n, b"data: x%d" % n, b"data: y", b"", b""))
+        for n, end in enumerate(ends, 1)
+    )
+    stream += after
+    events, forwarded = split(stream, *(p for p in positions if p <= len(stream)))
+    assert [event.text() for event in events] == [f"x{n}\ny" for n in range(1, 4)]
+    assert forwarded == stream
+
+
+@settings(derandomize=True, deadline=None, max_examples=500)
+@given(st.binary(max_size=60), st.lists(st.integers(0, 60), max_size=4))
+def test_arbitrary_bytes_are_events_or_an_error(data: bytes, positions: list[int]) -> None:
+    stream = b"id: 1\ndata: x\n\nid: 2\n" + data
+    try:
+        events, forwarded = split(stream, *positions)
+    except EventStreamError:
+        return
+    assert forwarded == stream
+    assert all(event.event_id for event in events)
--- a/tests/proofs/test_engine_output.py
+++ b/tests/proofs/test_engine_output.py
@@ -73,3 +73,13 @@
 def test_item_that_is_cut_in_every_run_is_rarely_retried() -> None:
     fleet = play(stream_answer(SPOILED, events(b"wrong \xff")))
     assert 3 <= fleet.runs_of_raw_items <= MAX_RUNS
+
+
+@pytest.mark.parametrize("character", ["\u2028", "\x85", "\x0c", "\x1e", "\x00"], ids=ascii)
+def test_result_has_all_text_of_an_event_with_a_line_separator_of_other_formats(
+    character: str,
+) -> None:
+    text = f"before{character}after"
+    fleet = play(stream_answer(SPOILED, events(text.encode())), runs=1)
+    texts = {row[0]: row[2] for row in fleet.jobs["job"].results.values()}
+    assert texts[SPOILED] == text
