The pause before an item's next run grows after eight runs without an event

Cause: the pause grew from the second such run on. A crash tells nothing of the items that only shared the engine.

Change: the pause grows after RUNS_BEFORE_BACKOFF, 8.

Evidence: test_crashes.py, test_crashing_parts.py and test_jobs.py pass.

--- a/src/troutswitch/decisions/jobs/item_retries.py
+++ b/src/troutswitch/decisions/jobs/item_retries.py
@@ -15,9 +15,10 @@
 - status 422 dead-letters it: the engine reports that the item can never be done;
 - status 500 counts as a failed run; the last failed run that the route allows dead-letters it;
 - any other end (a stop, a crash, a lost connection, a full engine) is not attributed to the item,
-  which is retried without a bound on the number of runs. The pause before the next run doubles with
-  each run in a row that brought no event, up to `MAX_RETRY_SECONDS`, or `MAX_UNSENT_RETRY_SECONDS`
-  after runs that the engine did not begin. A stop by this daemon does not count as such a run.
+  which is retried without a bound on the number of runs. After `RUNS_BEFORE_BACKOFF` runs in a row
+  that brought no event, the pause before the next run doubles with each, up to `MAX_RETRY_SECONDS`,
+  or up to `MAX_UNSENT_RETRY_SECONDS` after runs that the engine did not begin. A stop by this
+  daemon does not count as such a run.
 
 Why: an accepted item must complete, so only an engine's answer about it, its retention or the loss
 of its route may end it. A run that fails again and again must not occupy an engine's slot all the
@@ -39,6 +40,9 @@
 
 RETRY_SECONDS = 0.2
 """Mean pause after a run that ended early, or while an item has no route."""
+RUNS_BEFORE_BACKOFF = 8
+"""Runs in a row without an event after which the pause does not grow yet. Engines that crash under
+other items may cut several."""
 MAX_RETRY_SECONDS = 6.0
 """Upper bound of the mean pause after a run that ended early. An item counts as abandoned when no
 engine has run it for 20 s, and it may wait some seconds for a slot."""
@@ -140,10 +144,12 @@
 
         Events of the item's output set the count back.
         """
-        pause = min(RETRY_SECONDS * 2.0**progress.fruitless_runs, longest)
-        if pause < longest:
-            progress.fruitless_runs += 1
-        return pause
+        progress.fruitless_runs += 1
+        doublings = max(0, progress.fruitless_runs - RUNS_BEFORE_BACKOFF)
+        pause = RETRY_SECONDS * 2.0**doublings
+        if pause > longest:
+            progress.fruitless_runs -= 1  # the pause doesn't grow any further
+        return min(pause, longest)
 
     def _on_failed(self, now: float, progress: ItemProgress) -> None:
         progress.failures += 1
