An output too long for a record, a call or a page stops no results of its shard

What callers saw: an event of 256 KB and more in an item's output, or an output of some megabytes, and no result of the shard was listed any more, of sound items either. An output that is short as text and long as JSON gave a page of results over the limit of 1 MB.

Cause: an owner writes its shard's records in order, and the store refuses a record or a call over its limits each time. A part held at least one event whatever its size, and a result was always one call. Pages counted characters. The stand-in of the store had no limits, so no test could show it. Saving many small events took quadratic time on the loop's thread.

Evidence: the new tests failed before, with the limits in the stand-in: no result of four items was listed (many events, one long event), and a page held more than its limit (escapes, empty events).

Change: a run is cut when the output, as a JSON string, becomes longer than 900,000 bytes, and the item starts again at any engine. An event that doesn't fit a record is not saved in parts; the result has it, in continuations. The room in a part's record covers its ids and version. The stand-in refuses what PROTOCOL says that the store refuses: records, calls and keys that are too long.

--- a/src/troutswitch/decisions/jobs/item_versions.py
+++ b/src/troutswitch/decisions/jobs/item_versions.py
@@ -11,7 +11,8 @@
 2. If such an engine accepts work, the item does not start elsewhere for `VERSION_WAIT_SECONDS`.
    After that, or without such an engine, it starts again at another version: its output is dropped,
    and its saved parts are overwritten.
-3. Output that was saved while its service had one version names none. It goes on while the service
+3. An item whose output became too long for a result starts again at any engine.
+4. Output that was saved while its service had one version names none. It goes on while the service
    still has one; otherwise the item starts again.
 
 Why: what two versions write does not fit together. Starting again costs a run, but an item that
@@ -43,6 +44,8 @@
             return True
         if progress.is_saving:
             return False  # its saved parts can't be replaced before their write has ended
+        if progress.needs_restart:
+            return True
         if not progress.version:
             return self._is_mixed(now, engine)
         if not self._has_engine(now, progress, engine.record.service):
@@ -63,6 +66,7 @@
                 engine_version=engine.record.version,
             )
             progress.start_again()
+        progress.needs_restart = False
         progress.version = engine.record.version
         progress.version_wait_ends_at = None
 
@@ -70,6 +74,8 @@
         """Returns whether the output of an item may go on at an engine."""
         if not progress.position:
             return True
+        if progress.needs_restart:
+            return False
         if progress.version:
             return progress.version == engine.record.version
         return not self._is_mixed(now, engine) and self._engines.versions.is_confirmed(now)
--- a/src/troutswitch/decisions/jobs/items.py
+++ b/src/troutswitch/decisions/jobs/items.py
@@ -9,7 +9,7 @@
 from troutswitch.decisions.crashes.messages import Trial
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.jobs.messages import OutputEvent
-from troutswitch.decisions.jobs.records import JobItem, OutputPart
+from troutswitch.decisions.jobs.records import JobItem, OutputPart, output_bytes
 from troutswitch.wire_values import parse_number
 
 
@@ -41,6 +41,8 @@
         trial: the trial after crashes that its run is, or empty (`item_refusals`).
         version: software version of the engines that wrote its output, empty if unknown.
         version_wait_ends_at: until when it waits for an engine of that version, if it does.
+        output_bytes: size of its output so far, as `records.output_bytes` counts it.
+        needs_restart: whether its output is dropped before the next run (`item_versions`).
         is_saving: whether a part of its output is being written to the store.
         obsolete_parts: number of records that may hold output from before it started again.
     """
@@ -68,6 +70,8 @@
     trial: Trial = ()
     version: str = ""
     version_wait_ends_at: float | None = None
+    output_bytes: int = 0
+    needs_restart: bool = False
     is_saving: bool = False
     obsolete_parts: int = 0
 
@@ -91,6 +95,7 @@
         if not parts:
             return
         self.texts = [part.text for part in parts]
+        self.output_bytes = sum(output_bytes(part.text) for part in parts)
         self.position = self.saved_position = parts[-1].position
         self.saved_parts = len(parts)
         self.version = next((part.version for part in parts if part.version), "")
@@ -104,6 +109,7 @@
         self.unsaved = []
         self.position = self.saved_position = ""
         self.saved_parts = 0
+        self.output_bytes = 0
         self.version = ""
 
     def add_events(self, events: tuple[OutputEvent, ...]) -> None:
@@ -111,6 +117,7 @@
         if not events:
             return
         self.fruitless_runs = 0
+        self.output_bytes += sum(output_bytes(event.text) for event in events)
         self.texts.extend(event.text for event in events)
         self.unsaved.extend(events)
         self.position = events[-1].position
@@ -125,6 +132,10 @@
         """The output so far."""
         return "\n".join(self.texts)
 
+    def can_save(self, max_bytes: int) -> bool:
+        """Returns whether the next unsaved event fits a part; otherwise only the result has it."""
+        return bool(self.unsaved) and len(self.unsaved[0].text.encode()) < max_bytes
+
     def next_part(self, max_bytes: int, *, names_version: bool = False) -> OutputPart:
         """Returns the next unsaved part: as many events as fit `max_bytes`, but at least one."""
         texts: list[str] = []
@@ -142,11 +153,10 @@
     def on_saved(self, part: OutputPart) -> None:
         """Records that a part was saved in the store."""
         ensure(part.after == self.saved_position, "parts are saved out of order")
-        while self.unsaved and self.saved_position != part.position:
-            self.saved_position = self.unsaved.pop(0).position
-        ensure(
-            self.saved_position == part.position, "a saved part does not match the unsaved events"
-        )
+        positions = [event.position for event in self.unsaved]
+        ensure(part.position in positions, "a saved part does not match the unsaved events")
+        del self.unsaved[: positions.index(part.position) + 1]
+        self.saved_position = part.position
         self.saved_parts += 1
         self.obsolete_parts = 0
 
--- a/src/troutswitch/decisions/jobs/messages.py
+++ b/src/troutswitch/decisions/jobs/messages.py
@@ -7,7 +7,7 @@
 
 from troutswitch.common import Address
 from troutswitch.decisions.forwarding.types import EngineLoad
-from troutswitch.decisions.jobs.records import ItemResult, JobItem
+from troutswitch.decisions.jobs.records import MAX_OUTPUT_BYTES, ItemResult, JobItem
 from troutswitch.decisions.tenants.types import NO_KEY, NO_TENANT
 from troutswitch.outcomes import AttemptOutcome
 
@@ -100,6 +100,7 @@
     `events` are those not reported by an `ItemProgressed`. `status` is the HTTP status of the
     response, 0 if there was none. `load` is the load that the engine reported in the response, if
     any. `wrong_instance` is set if another engine instance answered at the address.
+    `is_too_long` is set if the output became longer than the instruction allowed.
     `connection_seconds` is how long the connection may be reused, 0 if it was closed.
     """
 
@@ -111,6 +112,7 @@
     load: EngineLoad | None = None
     wrong_instance: bool = False
     connection_seconds: float = 0.0
+    is_too_long: bool = False
 
 
 # Instructions.
@@ -121,7 +123,7 @@
     """Run an item at an engine, from the event after `resume_after`.
 
     `response_timeout` bounds each wait for data up to the first event, `event_timeout` each wait
-    after it.
+    after it. `max_output_bytes` bounds the texts of the run's events (`records.output_bytes`).
     """
 
     run: int
@@ -133,6 +135,7 @@
     response_timeout: float
     event_timeout: float
     tenant: str = NO_TENANT
+    max_output_bytes: int = MAX_OUTPUT_BYTES
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -131,7 +131,7 @@
 
     def is_drained(self) -> bool:
         """Returns whether no run is in flight and all output and results are written."""
-        unsaved = any(progress.unsaved for progress in self._items.unfinished())
+        unsaved = any(self._writer.has_unsaved(progress) for progress in self._items.unfinished())
         return not self.runs and not unsaved and self._writer.is_idle()
 
     # Rounds.
@@ -231,7 +231,7 @@
     endings = ItemEndings(items, writer, log)
     return ItemParts(
         items,
-        ItemRuns(routes, dependencies.engines, log),
+        ItemRuns(routes, dependencies.engines, log, settings.limits),
         ItemRanking(routes, replicas.index, order),
         refusals,
         endings,
--- a/src/troutswitch/decisions/jobs/reads.py
+++ b/src/troutswitch/decisions/jobs/reads.py
@@ -21,7 +21,7 @@
     JobResults,
     ResultsRequested,
 )
-from troutswitch.decisions.jobs.records import INDEX, end_record
+from troutswitch.decisions.jobs.records import INDEX, MAX_OUTPUT_BYTES, end_record
 from troutswitch.decisions.jobs.replicas import JobReplicas
 from troutswitch.decisions.storage.messages import (
     Appended,
@@ -31,8 +31,6 @@
 )
 from troutswitch.decisions.storage.read_attempts import CallNumbers
 
-MAX_RESULT_BYTES = 900_000
-"""Maximum bytes of result texts in one answer, below the platform's limit of 1 MB."""
 RETRY_AFTER_SECONDS = 0.3
 """Retry-After if the store could not be read."""
 END_RETRY_SECONDS = 0.15
@@ -139,7 +137,7 @@
 
     def _answer_results(self, event: ResultsRequested, entry: JobEntry) -> None:
         content = self._replicas.shard(entry.manifest.shard).fold.content(event.job_id)
-        rows = content.results_from(event.position, MAX_RESULT_BYTES)
+        rows = content.results_from(event.position, MAX_OUTPUT_BYTES)
         total = entry.manifest.item_count
         self._finish(event.token, JobResults(total, event.position, tuple(rows)))
 
--- a/src/troutswitch/decisions/jobs/records.py
+++ b/src/troutswitch/decisions/jobs/records.py
@@ -25,6 +25,7 @@
 from typing import Any
 
 import cbor2
+import msgspec
 
 from troutswitch.common import stable_hash
 from troutswitch.decisions.storage.messages import KeyedRecord, Partition
@@ -45,6 +46,10 @@
 RECORD_OVERHEAD_BYTES = 512
 """Bytes reserved in a record for its key and the arrays around the items."""
 
+MAX_OUTPUT_BYTES = 900_000
+"""Longest output of an item, as a JSON string. A page of results holds at least one result, and at
+most 1 MB."""
+
 DONE = "done"
 """State of a result with the item's complete output."""
 DEAD = "dead"
@@ -118,6 +123,11 @@
     version: str = ""
 
 
+def output_bytes(text: str) -> int:
+    """Returns the size of a text as a JSON string."""
+    return len(msgspec.json.encode(text))
+
+
 def shard_of(job_id: str, shards: int) -> int:
     """Returns the shard that stores a job."""
     return stable_hash("job", job_id) % shards
--- a/src/troutswitch/decisions/jobs/run_ends.py
+++ b/src/troutswitch/decisions/jobs/run_ends.py
@@ -43,6 +43,7 @@
             self._refusals.on_lost(now, run.progress, run.engine_id)
         else:
             self._refusals.on_ended_otherwise(now, run.progress)
+        run.progress.needs_restart |= event.is_too_long
         self._retries.on_ended_early(now, run.progress, event, is_stopped=run.is_stopped)
 
     def _on_completed(self, now: float, run: ItemRun) -> None:
--- a/src/troutswitch/decisions/jobs/runs.py
+++ b/src/troutswitch/decisions/jobs/runs.py
@@ -21,7 +21,7 @@
     RunItem,
     StopItem,
 )
-from troutswitch.decisions.jobs.records import Manifest
+from troutswitch.decisions.jobs.records import MAX_OUTPUT_BYTES, Manifest, StoreLimits
 from troutswitch.outcomes import AttemptOutcome
 
 FIRST_EVENT_TIMEOUT_SECONDS = 5.0
@@ -54,8 +54,14 @@
     """All runs in flight, by number."""
 
     def __init__(
-        self, routes: RouteTable, engines: EngineRegistry, log: Callable[..., None]
+        self,
+        routes: RouteTable,
+        engines: EngineRegistry,
+        log: Callable[..., None],
+        limits: StoreLimits,
     ) -> None:
+        # A result is stored in one call, and escapes make it shorter there than as JSON.
+        self._max_output_bytes = min(MAX_OUTPUT_BYTES, limits.call_bytes // 2)
         self.by_number: dict[int, ItemRun] = {}
         self.started = 0
         self._routes = routes
@@ -90,6 +96,7 @@
             FIRST_EVENT_TIMEOUT_SECONDS,
             EVENT_TIMEOUT_SECONDS,
             manifest.tenant,
+            self._max_output_bytes - progress.output_bytes,
         )
 
     def _log_start(self, now: float, progress: ItemProgress, engine: Engine) -> None:
--- a/src/troutswitch/decisions/jobs/shard.py
+++ b/src/troutswitch/decisions/jobs/shard.py
@@ -18,6 +18,7 @@
     OutputPart,
     RecordError,
     ResultHead,
+    output_bytes,
     read_checkpoint,
     read_chunk,
     read_continuation,
@@ -106,11 +107,14 @@
         return not (self.chunks or self.heads or self.parts or self.continuations or self.failures)
 
     def results_from(self, position: int, max_bytes: int) -> list[ItemResult]:
-        """Returns the results from a position on: as many as fit `max_bytes`, but at least one."""
+        """Returns the results from a position on: as many as fit `max_bytes`, but at least one.
+
+        Texts count with their size as JSON strings.
+        """
         rows: list[ItemResult] = []
         size = 0
         while (result := self.results.get(position + len(rows))) is not None:
-            size += len(result.text) + len(result.item_id)
+            size += output_bytes(result.text) + len(result.item_id)
             if rows and size > max_bytes:
                 break
             rows.append(result)
--- a/src/troutswitch/decisions/jobs/writer.py
+++ b/src/troutswitch/decisions/jobs/writer.py
@@ -47,6 +47,8 @@
 """Interval at which the output of running items is saved."""
 ROW_OVERHEAD_BYTES = 512
 """Estimated bytes of the key and the fields of a row beside its text."""
+PART_OVERHEAD_BYTES = 2048
+"""Upper bound of the key, the ids of two events and the version in the record of a part."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +119,14 @@
         """Returns whether no result is pending and no write is in flight."""
         return not any(s.pending_results or s.batch or s.call for s in self._shards.values())
 
+    @property
+    def _part_bytes(self) -> int:
+        return self._limits.record_bytes - PART_OVERHEAD_BYTES
+
+    def has_unsaved(self, progress: ItemProgress) -> bool:
+        """Returns whether the next events of an item's output are still to be saved."""
+        return progress.can_save(self._part_bytes)
+
     def begin_epoch(self, lease: ShardLease) -> bool:
         """Restarts the writes under a new epoch; returns False if the epoch has not changed.
 
@@ -208,11 +218,10 @@
     def _add_checkpoints(self, writes: _ShardWrites, items: list[ItemProgress], used: int) -> None:
         """Adds the next part of each item's output, as far as it fits into the store call."""
         for progress in items:
-            if not progress.unsaved or progress.is_finished:
+            if progress.is_finished or not self.has_unsaved(progress):
                 continue
-            max_bytes = self._limits.record_bytes - ROW_OVERHEAD_BYTES
-            part = progress.next_part(max_bytes, names_version=self._names_versions)
-            used += len(part.text.encode()) + ROW_OVERHEAD_BYTES
+            part = progress.next_part(self._part_bytes, names_version=self._names_versions)
+            used += len(part.text.encode()) + PART_OVERHEAD_BYTES
             if used > self._limits.call_bytes:
                 return
             progress.is_saving = True
--- a/src/troutswitch/gateway/engines/event_stream.py
+++ b/src/troutswitch/gateway/engines/event_stream.py
@@ -9,8 +9,8 @@
 
 from troutswitch.wire_values import is_event_id
 
-MAX_EVENT_BYTES = 1024 * 1024
-"""Longest event. As a page of results holds 1 MB, no client could read a longer output."""
+MAX_EVENT_BYTES = 4 * 1024 * 1024
+"""Longest event of a stream that is forwarded."""
 
 _LINE_END = re.compile(rb"\r\n|\n|\r")
 _BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
@@ -25,6 +25,10 @@
     """The received bytes are not the next event of the stream."""
 
 
+class EventTooLong(EventStreamError):
+    """An event, or the output that it belongs to, is too long."""
+
+
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
     """A complete event: its raw bytes, its id, and its data lines joined by newlines.
@@ -52,10 +56,12 @@
     """Collects bytes into events, and checks that numeric ids increase by one.
 
     `last_id` is the id of the last complete event, initially the id after which the stream resumes.
+    `max_event_bytes` is the length of the longest event that is buffered.
     """
 
-    def __init__(self, last_id: str = "") -> None:
+    def __init__(self, last_id: str = "", max_event_bytes: int = MAX_EVENT_BYTES) -> None:
         self.last_id = last_id
+        self._max_event_bytes = max_event_bytes
         self._rest = bytearray()
         self._searched = 0
         """Bytes of `_rest` in which no event ends."""
@@ -73,8 +79,8 @@
         """
         self._rest += data
         events = self._split(_CERTAIN_BLANK_LINE)
-        if len(self._rest) > MAX_EVENT_BYTES:
-            raise EventStreamError("an event is too long")
+        if len(self._rest) > self._max_event_bytes:
+            raise EventTooLong("an event is too long")
         return events
 
     def finish(self) -> tuple[list[StreamEvent], bytes]:
--- a/src/troutswitch/gateway/engines/item_runs.py
+++ b/src/troutswitch/gateway/engines/item_runs.py
@@ -21,11 +21,13 @@
     RunItem,
     StopItem,
 )
+from troutswitch.decisions.jobs.records import output_bytes
 from troutswitch.gateway.engines.connection_pool import ConnectionUse, EngineConnections
 from troutswitch.gateway.engines.engine_activity import EngineActivityReporter
 from troutswitch.gateway.engines.event_stream import (
     EventSplitter,
     EventStreamError,
+    EventTooLong,
     StreamEvent,
 )
 from troutswitch.gateway.engines.exchange import (
@@ -38,6 +40,8 @@
 from troutswitch.platform import names
 from troutswitch.platform.requests import AnswerHead, item_headers, read_head
 
+EVENT_OVERHEAD_BYTES = 4096
+"""Bytes of an event beyond its text: its id and other fields."""
 ITEM_THREADS = 64
 """Maximum number of concurrent runs."""
 PROGRESS_INTERVAL_SECONDS = 0.4
@@ -136,6 +140,7 @@
     post: Callable[[GatewayEvent], None]
     engine_activity: EngineActivityReporter
     events: list[OutputEvent] = field(default_factory=list)
+    output_bytes: int = 0
 
     def execute(self, exchange: Exchange) -> ItemRunEnded:
         """Performs the exchange and returns the event that reports its end."""
@@ -152,14 +157,17 @@
             self.post(ItemBegun(self.instruction.run))
             self._read(exchange)
         except (AnswerLost, EventStreamError) as error:
-            return self.end_event(AttemptOutcome.CUT, str(error), head)
+            ended = self.end_event(AttemptOutcome.CUT, str(error), head)
+            return replace(ended, is_too_long=isinstance(error, EventTooLong))
         finally:
             exchange.close()
         return self.end_event(AttemptOutcome.COMPLETED, "", head)
 
     def _read(self, exchange: Exchange) -> None:
         """Reads the stream, and reports its events periodically."""
-        splitter = EventSplitter(self.instruction.resume_after)
+        # A longer event is too long for the output as well, whatever its text is.
+        max_event_bytes = max(0, self.instruction.max_output_bytes) + EVENT_OVERHEAD_BYTES
+        splitter = EventSplitter(self.instruction.resume_after, max_event_bytes)
         reported_at = steady_seconds()
         for data in exchange.chunks():
             self.engine_activity.record(self.instruction.engine_id)
@@ -175,8 +183,13 @@
         self._add(events)
 
     def _add(self, events: list[StreamEvent]) -> None:
-        """Adds events to those not reported yet, up to the first that is not text."""
-        self.events.extend(OutputEvent(event.event_id, event.text()) for event in events)
+        """Adds events to those not reported yet, up to the first that is not text or too long."""
+        for event in events:
+            text = event.text()
+            self.output_bytes += output_bytes(text)
+            if self.output_bytes > self.instruction.max_output_bytes:
+                raise EventTooLong("the output is too long for a result")
+            self.events.append(OutputEvent(event.event_id, text))
 
     def _refusal(self, exchange: Exchange, head: AnswerHead) -> ItemRunEnded:
         exchange.body()
--- a/src/troutswitch/standins/keyed_store.py
+++ b/src/troutswitch/standins/keyed_store.py
@@ -33,6 +33,11 @@
 
 PAGE_RECORDS = 500
 PAGE_BYTES = 1_000_000
+RECORD_BYTES = 262_144
+"""Maximum bytes of a record: the length of its key, the key and the value."""
+CALL_BYTES = 2_097_152
+"""Maximum bytes of the records of an append, each with four bytes for its length."""
+MAX_KEY_BYTES = 255
 CACHED_ANSWERS = 5
 """Number of a writer's latest appends whose answers are repeated if the append is repeated."""
 
@@ -154,6 +159,8 @@
     def _append(self, call: AppendRecords) -> StoreOutcome:
         if call.partition.number >= self.partitions:
             return CallFailed("no such partition", False)
+        if not _are_within_limits(call.records):
+            return CallFailed("a record or the call is too large", False)
         log = self.log(call.partition)
         if call.stamp is None:
             return self._append_at(log, call)
@@ -247,3 +254,11 @@
             member = group.members.get(holder) if holder is not None else None
             if member is None or holder == target or member.generation >= group.generation:
                 group.holders[number] = target
+
+
+def _are_within_limits(records: tuple[KeyedRecord, ...]) -> bool:
+    """Returns whether the store takes records in one call."""
+    keys = [len(record.key.encode()) for record in records]
+    sizes = [1 + key + len(record.value) for key, record in zip(keys, records, strict=True)]
+    is_record = max(keys, default=0) <= MAX_KEY_BYTES and max(sizes, default=0) <= RECORD_BYTES
+    return is_record and sum(sizes) + 4 * len(sizes) <= CALL_BYTES
--- a/src/troutswitch/wire_values.py
+++ b/src/troutswitch/wire_values.py
@@ -11,7 +11,7 @@
 """Longest number that is read; it fits 64 bits."""
 MAX_SECONDS = 86_400.0
 """Upper bound of the times that peers may state."""
-MAX_EVENT_ID_CHARACTERS = 256
+MAX_EVENT_ID_CHARACTERS = 128
 """Longest id of an event. It is kept with each part of an item's output, and sent in a header."""
 
 _DIGITS = re.compile(rf"[0-9]{{1,{MAX_DIGITS}}}")
--- a/tests/decisions/jobs/fixtures.py
+++ b/tests/decisions/jobs/fixtures.py
@@ -11,9 +11,10 @@
 from troutswitch.decisions.jobs.index import JobIndex
 from troutswitch.decisions.jobs.items import ItemProgress
 from troutswitch.decisions.jobs.messages import OutputEvent
-from troutswitch.decisions.jobs.records import JobItem, Manifest, manifest_record
+from troutswitch.decisions.jobs.records import JobItem, Manifest, StoreLimits, manifest_record
 
 TARGET_SECONDS = 20.0
+STORE_LIMITS = StoreLimits(262_144, 2_097_152, 4)
 ROUTE = Route(
     "route",
     "host",
--- a/tests/decisions/jobs/test_results.py
+++ b/tests/decisions/jobs/test_results.py
@@ -1,11 +1,12 @@
 """Results and parts of outputs that are larger than a record."""
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from troutswitch.decisions.jobs.items import ItemProgress
-from troutswitch.decisions.jobs.messages import OutputEvent
+from troutswitch.decisions.jobs.messages import JobResults, OutputEvent
 from troutswitch.decisions.jobs.records import (
     DONE,
     RECORD_OVERHEAD_BYTES,
@@ -16,6 +17,7 @@
 from troutswitch.decisions.jobs.retention import content_keys
 from troutswitch.decisions.jobs.shard import ShardFold
 from troutswitch.decisions.storage.messages import KeyedRecord
+from troutswitch.platform.jobs import encode_answer
 
 RECORD_BYTES = RECORD_OVERHEAD_BYTES + 40
 DETERMINISTIC = settings(derandomize=True, deadline=None, max_examples=80)
@@ -69,3 +71,18 @@
         texts.append(part.text)
         progress.on_saved(part)
     assert "\n".join(texts) == progress.output
+
+
+EARLIER_RECORD = bytes.fromhex("8504666974656d2d3464646f6e6543ff807800")
+"""A result that an earlier version stored, with a text of the bytes 0xff, 0x80 and an x."""
+
+
+def test_result_of_bytes_that_are_not_text_is_read_as_one_that_pages_can_hold() -> None:
+    """Guards against a page of results that can't be encoded as JSON."""
+    fold = ShardFold()
+    fold.apply(KeyedRecord("r:job:1:00002", EARLIER_RECORD))
+    result = fold.content("job:1").results[2]
+    assert result == ItemResult("item-4", DONE, "\ufffd\ufffdx")
+    assert fold.malformed == 0
+    (row,) = msgspec.json.decode(encode_answer(JobResults(3, 2, (result,))).body)["results"]
+    assert row["message"] == result.text
--- a/tests/proofs/test_engine_output.py
+++ b/tests/proofs/test_engine_output.py
@@ -83,3 +83,42 @@
     fleet = play(stream_answer(SPOILED, events(text.encode())), runs=1)
     texts = {row[0]: row[2] for row in fleet.jobs["job"].results.values()}
     assert texts[SPOILED] == text
+
+
+RECORD = 262_144
+"""Longest record that the store takes."""
+CUT_RUNS = 5
+"""Runs without an event; their pauses are longer than the interval at which output is saved."""
+
+
+def test_event_that_is_longer_than_a_record_stops_no_results_of_its_shard() -> None:
+    text = "x" * (RECORD + 1)
+    first = stream_answer(SPOILED, events(text.encode()) + b"id: 2")  # breaks off in event 2
+    second = stream_answer(SPOILED, b"id: 2\ndata: last\n\n")
+
+    def answer_run(run: RunItem) -> bytes | None:
+        if run.item.item_id != SPOILED:
+            return None
+        if not run.resume_after:
+            return first
+        return second if fleet.runs_of_raw_items > CUT_RUNS else b""
+
+    fleet = RawEngineFleet(1, answer_run)
+    fleet.run(START_SECONDS)
+    fleet.submit_job("job", ITEMS)
+    fleet.run(RUN_SECONDS)
+    texts = {row[0]: row[2] for row in fleet.jobs["job"].results.values()}
+    assert texts[SPOILED] == f"{text}\nlast"
+    assert listed(fleet) == {f"job-{n}" for n in range(ITEMS)}
+
+
+@pytest.mark.parametrize(
+    "data",
+    [[b"x" * 100_000] * 30, [b"\x01" * 170_000], [b"x" * 3_000_000], [b""] * 450_001],
+    ids=["many events", "escapes", "one event", "empty events"],
+)
+def test_output_that_is_too_long_for_a_page_of_results_is_dropped(data: list[bytes]) -> None:
+    """Guards against a shard whose writes are refused for ever, and against unreadable pages."""
+    fleet = play(stream_answer(SPOILED, events(*data)), runs=1)
+    assert listed(fleet) == {f"job-{n}" for n in range(ITEMS)}
+    assert fleet.violations == []
--- a/tests/simulation/raw_engine.py
+++ b/tests/simulation/raw_engine.py
@@ -52,6 +52,8 @@
     def _respond(self, server: RawServer, connection: socket.socket) -> None:
         server.read_head(connection)
         connection.sendall(self._answer)
+        connection.shutdown(socket.SHUT_WR)
+        server.wait_for_end(connection)  # closing with unread bytes would reset the connection
 
     def run(self, instruction: RunItem, answer: bytes) -> list[GatewayEvent]:
         """Executes a run that is answered with the given bytes, and returns its events in order."""
