A job that can't be stored or sent is rejected when it is submitted

What callers saw: a job was accepted with 202 although no engine could ever receive one of its items: a header with a line break or beyond Latin-1, a path with a space. The item was cut four to five times a second until its retention was over. An item of -5 tokens was never started, and nothing told why. A job whose id has 3,000 characters was tried at the store every 0.15 s, and refused with 503 after 3.7 s. A call with a position of 5,000 digits got a 500.

Cause: the submission was checked for its form alone. What http.client refuses to send was found at each run, and a key over 255 bytes at each append.

Bodies that are no base64 were taken without their other characters, so that an engine got other bytes than the client sent.

Change: 400 at submission for an id, a path or a header that can't be sent, an id of over 200 bytes, a body that is no base64, and tokens that are negative or over 10^9; 400 for a position that is no number.

--- a/src/troutswitch/decisions/jobs/records.py
+++ b/src/troutswitch/decisions/jobs/records.py
@@ -46,6 +46,9 @@
 RECORD_OVERHEAD_BYTES = 512
 """Bytes reserved in a record for its key and the arrays around the items."""
 
+MAX_ID_BYTES = 200
+"""Longest id of a job or an item in UTF-8. The store takes keys of 255 bytes, which hold a job's id
+and two numbers, and `RECORD_OVERHEAD_BYTES` hold a key and an item's id."""
 MAX_OUTPUT_BYTES = 900_000
 """Longest output of an item, as a JSON string. A page of results holds at least one result, and at
 most 1 MB."""
--- a/src/troutswitch/gateway/engines/item_runs.py
+++ b/src/troutswitch/gateway/engines/item_runs.py
@@ -121,7 +121,7 @@
             self._connections,
             instruction.engine_id,
             instruction.address,
-            _outgoing(instruction),
+            outgoing_request(instruction),
             names.REQUEST_ID,
             ConnectionUse.ITEMS,
         )
@@ -211,7 +211,8 @@
         )
 
 
-def _outgoing(instruction: RunItem) -> OutgoingRequest:
+def outgoing_request(instruction: RunItem) -> OutgoingRequest:
+    """Returns the request by which a run is sent to its engine."""
     item = instruction.item
     headers = item_headers(
         instruction.host,
--- a/src/troutswitch/platform/jobs.py
+++ b/src/troutswitch/platform/jobs.py
@@ -6,6 +6,7 @@
 import hashlib
 from base64 import b64decode
 from dataclasses import dataclass
+from typing import Annotated
 from urllib.parse import parse_qs, unquote
 
 import msgspec
@@ -22,13 +23,22 @@
     JobSubmitted,
     ResultsRequested,
 )
-from troutswitch.decisions.jobs.records import DONE, JobItem
+from troutswitch.decisions.jobs.records import DONE, MAX_ID_BYTES, JobItem
 from troutswitch.platform import names
 from troutswitch.platform.requests import IncomingRequest
 from troutswitch.runtime.http import JSON_TYPE, Response
+from troutswitch.wire_values import (
+    is_header_name,
+    is_header_value,
+    is_request_id,
+    is_request_target,
+    parse_number,
+)
 
 MAX_JOB_ITEMS = 200
 """Maximum number of items in one job, set by the platform's contract."""
+MAX_ITEM_TOKENS = 1_000_000_000
+"""Maximum plausible number of tokens of an item."""
 RESULT_STATES = {DONE: "completed"}
 """The platform's names for states of results; all other states are `DEAD_STATE`."""
 DEAD_STATE = "dead_lettered"
@@ -43,7 +53,7 @@
     path: str
     body: str = ""
     headers: dict[str, str] = {}
-    tokens: int = 0
+    tokens: Annotated[int, msgspec.Meta(ge=0, le=MAX_ITEM_TOKENS)] = 0
 
 
 class _Submission(msgspec.Struct, rename={"items": "requests"}):
@@ -98,25 +108,30 @@
         item_id = values.get("id", [""])[0]
         return BodyRequested(token, target.job_id, item_id, request.time_left, request.caller_key)
     position = values.get("afterRevision", ["0"])[0]  # the position of a page, despite its name
-    if not position.isdigit():
-        raise JobFormatError(f"afterRevision: expected a number, got {position!r}")
-    return ResultsRequested(
-        token, target.job_id, int(position), request.time_left, request.caller_key
-    )
+    number = parse_number(position)
+    if number is None:
+        raise JobFormatError(f"afterRevision: expected a number, got {position[:20]!r}")
+    return ResultsRequested(token, target.job_id, number, request.time_left, request.caller_key)
 
 
 def decode_submission(token: int, request: IncomingRequest, body: bytes) -> JobSubmitted:
     """Decodes a submission.
 
     Raises:
-        JobFormatError: the body is malformed, or it contains no items, too many items or duplicate
-            item ids.
+        JobFormatError: the body is malformed, it contains no items, too many items or duplicate
+            item ids, or an engine can never receive one of the items.
     """
+    if not is_request_id(request.request_id) or _is_too_long(request.request_id):
+        raise JobFormatError("malformed id of a job")
     try:
         submission = _SUBMISSION.decode(body)
         items = tuple(
             JobItem(
-                item.id, item.path, tuple(item.headers.items()), b64decode(item.body), item.tokens
+                item.id,
+                item.path,
+                tuple(item.headers.items()),
+                b64decode(item.body, validate=True),
+                item.tokens,
             )
             for item in submission.items
         )
@@ -126,6 +141,8 @@
         raise JobFormatError(f"expected 1 to {MAX_JOB_ITEMS} items, got {len(items)}")
     if len({item.item_id for item in items}) != len(items):
         raise JobFormatError("an item's id stands twice")
+    for item in items:
+        _check_item(item)
     digest = hashlib.blake2b(body, digest_size=12).hexdigest()
     return JobSubmitted(
         token,
@@ -139,6 +156,26 @@
     )
 
 
+def _is_too_long(identifier: str) -> bool:
+    return len(identifier.encode()) > MAX_ID_BYTES
+
+
+def _check_item(item: JobItem) -> None:
+    """Checks that an item can be sent to an engine.
+
+    Raises:
+        JobFormatError: its id, path or a header is malformed.
+    """
+    label = f"item {item.item_id[:40]!r}"
+    if not is_request_id(item.item_id) or _is_too_long(item.item_id):
+        raise JobFormatError(f"{label}: malformed id")
+    if not is_request_target(item.path):
+        raise JobFormatError(f"{label}: malformed path")
+    for name, value in item.headers:
+        if not (is_header_name(name) and is_header_value(value)):
+            raise JobFormatError(f"{label}: malformed header {name[:40]!r}")
+
+
 def encode_answer(answer: JobAnswer) -> Response:
     """Encodes the answer to a call about a job."""
     match answer:
--- a/src/troutswitch/wire_values.py
+++ b/src/troutswitch/wire_values.py
@@ -10,7 +10,7 @@
 MAX_DIGITS = 18
 """Longest number that is read; it fits 64 bits."""
 MAX_SECONDS = 86_400.0
-"""Upper bound of the times that peers may state."""
+"""Upper bound of a time that a caller or an engine states."""
 MAX_EVENT_ID_CHARACTERS = 128
 """Longest id of an event. It is kept with each part of an item's output, and sent in a header."""
 
@@ -28,15 +28,13 @@
     return number if number <= maximum else None
 
 
-def parse_seconds(text: str) -> float | None:
-    """Returns a time in seconds, at most `MAX_SECONDS`; None if it is negative or no number."""
+def parse_decimal(text: str, maximum: float) -> float | None:
+    """Returns a number, bounded by 0 and `maximum`; None if the text is no number."""
     try:
-        seconds = float(text)
+        number = float(text)
     except ValueError:
         return None
-    if math.isnan(seconds) or seconds < 0:
-        return None
-    return min(seconds, MAX_SECONDS)
+    return None if math.isnan(number) else min(max(0.0, number), maximum)
 
 
 def is_event_id(text: str) -> bool:
