Numbers and headers of requests and answers are checked where they enter

What callers saw: an engine's Keep-Alive with a superscript digit ended a whole answer with an error after its last byte. A folded header of an engine gave the caller a 500 of our own. A request with an infinite deadline, a path or an event id that no header can hold was counted as run, though it was never sent.

Cause: float() and int() accept NaN, infinity, digits of any script and any number of them; http.client refused the rest only while it sent the request, which counts as possibly run. What follows a malformed line of an engine's head was dropped by the parser, its length included.

Change: check_request rejects with 400 what can't be sent; deadlines, times, loads and tokens are bounded; an answer whose head is malformed counts as lost.

--- a/src/troutswitch/gateway/callers/application.py
+++ b/src/troutswitch/gateway/callers/application.py
@@ -16,7 +16,13 @@
 from troutswitch.gateway.memory.account import MemoryAccount
 from troutswitch.outcomes import Cut, MayHaveRun, NotRun
 from troutswitch.platform import names
-from troutswitch.platform.requests import Environ, IncomingRequest, read_request
+from troutswitch.platform.requests import (
+    Environ,
+    IncomingRequest,
+    RequestFormatError,
+    check_request,
+    read_request,
+)
 from troutswitch.runtime.http import Response, StartResponse, send, status_line
 
 JobHandler = Callable[[IncomingRequest, bytes], Response | None]
@@ -69,8 +75,10 @@
             describe_answer(request.request_id, response is not None, request.time_left)
         if response is not None:
             return send(response, start_response)
-        if not request.request_id:
-            return send(_plain(400, f"missing {names.REQUEST_ID}"), start_response)
+        try:
+            check_request(request)
+        except RequestFormatError as error:
+            return send(_plain(400, str(error)), start_response)
         return self._forward(environ, request, body, start_response)
 
     def on_unserved(self, headers: dict[str, str], age: float) -> None:
--- a/src/troutswitch/gateway/engines/connection.py
+++ b/src/troutswitch/gateway/engines/connection.py
@@ -15,6 +15,7 @@
 from troutswitch.common import Address
 from troutswitch.runtime.readiness import is_readable
 from troutswitch.runtime.silence import bound_silence
+from troutswitch.wire_values import MAX_SECONDS, parse_decimal
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 READ_BYTES = 1 << 16
@@ -147,6 +148,6 @@
     """Returns the timeout of a `Keep-Alive` header in seconds, or None if it has none."""
     for part in (header or "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
-            return float(value)
+        if name.lower() == "timeout":
+            return parse_decimal(value, MAX_SECONDS)
     return None
--- a/src/troutswitch/gateway/engines/exchange.py
+++ b/src/troutswitch/gateway/engines/exchange.py
@@ -15,6 +15,7 @@
 from troutswitch.common import Address
 from troutswitch.gateway.engines.connection import READ_BYTES, EngineConnection, shut_down
 from troutswitch.gateway.engines.connection_pool import ConnectionUse, EngineConnections
+from troutswitch.wire_values import is_header_name, is_header_value
 
 SUSPECT_SILENCE_SECONDS = 0.25
 """Minimum silence that makes other connections suspect. It is longer than the kernel's first
@@ -135,6 +136,7 @@
         response = connection.getresponse()
         for _ in range(MAX_SURPLUS_RESPONSES):
             if response.getheader(self.id_header) == self.request.request_id:
+                _check_headers(response)
                 self.response = response
                 return response
             response.read()
@@ -224,3 +226,16 @@
             connection, self._connection = self._connection, None
         if connection is not None:
             connection.close()
+
+
+def _check_headers(response: http.client.HTTPResponse) -> None:
+    """Checks that a response's headers can be forwarded; folded lines, for one, can't.
+
+    Raises:
+        http.client.HTTPException: a header is malformed.
+    """
+    if response.msg.defects:  # the parser drops the lines after a malformed one
+        raise http.client.HTTPException("the head of the answer is malformed")
+    for name, value in response.getheaders():
+        if not (is_header_name(name) and is_header_value(value)):
+            raise http.client.HTTPException("a header of the answer is malformed")
--- a/src/troutswitch/platform/requests.py
+++ b/src/troutswitch/platform/requests.py
@@ -12,6 +12,16 @@
 from troutswitch.decisions.tenants.types import NO_KEY, NO_TENANT, key_digest
 from troutswitch.platform import names
 from troutswitch.platform.engine_ids import instance_id
+from troutswitch.wire_values import (
+    MAX_SECONDS,
+    is_event_id,
+    is_header_name,
+    is_header_value,
+    is_request_id,
+    is_request_target,
+    parse_decimal,
+    parse_number,
+)
 
 Environ = dict[str, Any]
 Headers = list[tuple[str, str]]
@@ -20,12 +30,20 @@
 """Status with which an engine refuses a request that is intended for a different engine."""
 LOAD_FIGURES = (3, 4)
 """Numbers of figures in an engine's load."""
+MAX_LOAD = 1_000_000
+"""Maximum plausible figure of an engine's load."""
+MAX_TOKENS = 1_000_000_000
+"""Maximum plausible number of tokens of a prompt or of a part of one."""
 MAX_PACE_PERCENT = 10_000
 """Maximum plausible pace. A load with a larger one, or with 0, is used without its pace."""
 DEFAULT_DEADLINE_SECONDS = 30.0
 """Assumed time limit of a caller whose request specifies no deadline."""
 
 
+class RequestFormatError(ValueError):
+    """A request can't be sent to an engine as it is; the message names the reason."""
+
+
 @dataclass(frozen=True, slots=True)
 class IncomingRequest:
     """A caller's request.
@@ -97,6 +115,27 @@
     )
 
 
+def check_request(request: IncomingRequest) -> None:
+    """Checks that a request can be sent to an engine.
+
+    Raises:
+        RequestFormatError: a part of it is missing or malformed.
+    """
+    if not request.request_id:
+        raise RequestFormatError(f"missing {names.REQUEST_ID}")
+    if not is_request_id(request.request_id):
+        raise RequestFormatError(f"malformed {names.REQUEST_ID}")
+    if not is_header_name(request.method):
+        raise RequestFormatError("malformed method")
+    if not is_request_target(request.url):
+        raise RequestFormatError("malformed path")
+    if request.last_event_id and not is_event_id(request.last_event_id):
+        raise RequestFormatError(f"malformed {names.LAST_EVENT_ID}")
+    for name, value in [("Host", request.host), *request.headers]:
+        if not (is_header_name(name) and is_header_value(value)):
+            raise RequestFormatError("malformed header")
+
+
 def _header(environ: Environ, name: str) -> str:
     return str(environ.get("HTTP_" + name.upper().replace("-", "_"), ""))
 
@@ -114,23 +153,28 @@
 
 
 def _seconds(milliseconds: str) -> float:
-    try:
-        return max(0.0, float(milliseconds) / 1000)
-    except ValueError:
-        return DEFAULT_DEADLINE_SECONDS
+    number = parse_decimal(milliseconds, MAX_SECONDS * 1000)
+    return DEFAULT_DEADLINE_SECONDS if number is None else number / 1000
 
 
 def read_prompt(usage: str, parts: str) -> PromptShape:
     """Decodes the token counts of a prompt; malformed headers yield an unknown shape."""
     try:
-        counts = [int(count) for count in usage.split(",")] if usage else [0, 0]
+        counts = [_tokens(count) for count in usage.split(",")] if usage else [0, 0]
         named = [part.rpartition(":") for part in parts.split(",") if part]
-        shape = tuple(PromptPart(name.strip(), int(tokens)) for name, _, tokens in named)
+        shape = tuple(PromptPart(name.strip(), _tokens(tokens)) for name, _, tokens in named)
     except ValueError:
         return PromptShape()
     return PromptShape(counts[0], counts[1] if len(counts) > 1 else 0, shape)
 
 
+def _tokens(text: str) -> int:
+    tokens = parse_number(text.strip(), MAX_TOKENS)
+    if tokens is None:
+        raise ValueError(f"not a number of tokens: {text[:20]!r}")
+    return tokens
+
+
 def engine_headers(
     request: IncomingRequest,
     engine_id: str,
@@ -195,22 +239,17 @@
 
 def _load(header: str | None) -> EngineLoad | None:
     """Decodes running, waiting, slots and, on some services, the pace in percent."""
-    try:
-        figures = [int(part) for part in (header or "").split(",")]
-    except ValueError:
+    figures = [parse_number(part.strip(), MAX_LOAD) for part in (header or "").split(",")]
+    known = [figure for figure in figures if figure is not None]
+    if len(known) != len(figures) or len(known) not in LOAD_FIGURES:
         return None
-    if len(figures) not in LOAD_FIGURES or min(figures) < 0:
-        return None
-    running, waiting, slots, *pace = figures
+    running, waiting, slots, *pace = known
     has_pace = bool(pace) and 0 < pace[0] <= MAX_PACE_PERCENT
     return EngineLoad(running, waiting, slots, pace[0] if has_pace else None)
 
 
 def _retry_after(header: str | None) -> float | None:
-    try:
-        return float(header) if header else None
-    except ValueError:
-        return None
+    return parse_decimal(header, MAX_SECONDS) if header else None
 
 
 def item_headers(
