What other daemons wrote or sent is decoded to checked types

What callers saw: a record or a message with a value that a daemon did not expect ended each daemon that read it, with all its callers' requests: a superscript digit in a record's key (ValueError), a mark of a crash that is a map (TypeError), a wait or an age of 10^400 in a message (OverflowError), a port of 2^40 or a host that is no address in a heartbeat.

Cause: records and messages were decoded without bounds, and partly converted with int(), str() and float(), whose errors were caught in part. CBOR has integers of any size, infinities and NaN.

Change: decode_cbor is the one decoder of CBOR from elsewhere. It bounds all numbers and converts to a typed form; any error is MalformedCbor. Hosts are IPv4 addresses and ports are bounded where they are decoded, since sending to a name would look it up on the loop's thread.

--- a/src/troutswitch/cbor_values.py
+++ b/src/troutswitch/cbor_values.py
@@ -21,40 +21,41 @@
     """The bytes are not CBOR, or the decoded value does not have the requested form."""
 
 
-def decode_cbor(data: bytes, form: type[Form]) -> Form:
+def decode_cbor(data: bytes, form: type[Form], *, allows_infinity: bool = False) -> Form:
     """Returns the value that the bytes encode.
 
     Args:
         data: the encoded value.
         form: type of the value, as `msgspec.convert` takes it.
+        allows_infinity: whether floats may be infinite.
 
     Raises:
         MalformedCbor: the bytes encode no such value.
     """
     try:
         value = cbor2.loads(data)
-        _check_numbers(value)
+        _check_numbers(value, allows_infinity)
         return msgspec.convert(value, form, builtin_types=(bytes,))
     except Exception as error:  # decoders of tagged values raise errors of many types
         raise MalformedCbor(f"{type(error).__name__}: {error}") from error
 
 
-def _check_numbers(value: object) -> None:
+def _check_numbers(value: object, allows_infinity: bool) -> None:
     """Checks all numbers in a value.
 
     Raises:
-        ValueError: a number is too large, infinite or not a number.
+        ValueError: a number is too large, or not a number, or infinite if that is not allowed.
     """
     if isinstance(value, int):
         if abs(value) > MAX_INTEGER:
             raise ValueError("an integer is out of range")
     elif isinstance(value, float):
-        if not math.isfinite(value):
+        if math.isnan(value) or (math.isinf(value) and not allows_infinity):
             raise ValueError("a number is not finite")
     elif isinstance(value, list | tuple):
         for part in value:
-            _check_numbers(part)
+            _check_numbers(part, allows_infinity)
     elif isinstance(value, dict):
         for key, part in value.items():
-            _check_numbers(key)
-            _check_numbers(part)
+            _check_numbers(key, allows_infinity)
+            _check_numbers(part, allows_infinity)
--- a/src/troutswitch/common.py
+++ b/src/troutswitch/common.py
@@ -1,15 +1,21 @@
 """Types and hash functions shared by several packages."""
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
+import msgspec
 import xxhash
 
+_OCTET = r"(25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)"
+Ipv4Host = Annotated[str, msgspec.Meta(pattern=rf"^{_OCTET}(\.{_OCTET}){{3}}$", max_length=15)]
+"""An IPv4 address as it is accepted from other processes: sending to a name would look it up."""
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+
 
 class Address(NamedTuple):
-    """An IP address and port."""
+    """An IP address and port. The bounds hold where `msgspec` decodes one."""
 
-    host: str
-    port: int
+    host: Ipv4Host
+    port: Port
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
--- a/src/troutswitch/daemons/datagram.py
+++ b/src/troutswitch/daemons/datagram.py
@@ -4,9 +4,12 @@
 whose fields are type-checked on decoding.
 """
 
+from typing import Any
+
 import cbor2
 import msgspec
 
+from troutswitch.cbor_values import MalformedCbor, decode_cbor
 from troutswitch.daemons.messages import (
     BatchSlotGrant,
     PacedReport,
@@ -49,10 +52,10 @@
         DatagramError: The bytes are not a valid message of this protocol version.
     """
     try:
-        version, fields = cbor2.loads(data)
+        version, fields = decode_cbor(data, tuple[int, list[Any]])
         if version != VERSION:
             raise DatagramError(f"unsupported version {version}")
         message: PeerMessage = msgspec.convert(fields, PeerMessage)
         return message
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, TypeError) as error:
+    except (MalformedCbor, msgspec.ValidationError) as error:
         raise DatagramError(f"malformed datagram: {error}") from error
--- a/src/troutswitch/daemons/peer_state.py
+++ b/src/troutswitch/daemons/peer_state.py
@@ -7,9 +7,12 @@
 """
 
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated
 
 import cbor2
+import msgspec
+
+from troutswitch.cbor_values import MalformedCbor, decode_cbor
 
 FIRST_VERSION = 1
 """Version of the encoding without the configuration's age."""
@@ -29,6 +32,11 @@
     value: bytes
 
 
+_Age = Annotated[float, msgspec.Meta(ge=0)]
+_RecordFields = tuple[str, bytes]
+_StateFields = tuple[_RecordFields | None, tuple[_RecordFields, ...], _Age | None, _Age]
+
+
 @dataclass(frozen=True, slots=True)
 class PeerState:
     """The configuration in force at a daemon, and the engine list that it read last.
@@ -63,22 +71,19 @@
         PeerStateError: The bytes are not a valid state of a supported version.
     """
     try:
-        version, *fields = cbor2.loads(data)
+        version, *fields = decode_cbor(data, list, allows_infinity=True)
         if version not in (FIRST_VERSION, VERSION):
             raise PeerStateError(f"unsupported version {version}")
-        configuration, engines, age, *ages = fields
-        return PeerState(
-            None if configuration is None else _record(configuration),
-            tuple(_record(row) for row in engines),
-            None if age is None else float(age),
-            float(ages[0]) if ages else float("inf"),
+        if version == FIRST_VERSION:
+            fields.append(float("inf"))
+        configuration, engines, age, configuration_age = msgspec.convert(
+            fields, _StateFields, builtin_types=(bytes,)
         )
-    except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
+    except (MalformedCbor, ValueError) as error:
         raise PeerStateError(f"malformed state: {error}") from error
-
-
-def _record(fields: list[Any]) -> StoredRecord:
-    key, value = fields
-    if not isinstance(key, str) or not isinstance(value, bytes):
-        raise PeerStateError("a record must be a string key and a bytes value")
-    return StoredRecord(key, value)
+    return PeerState(
+        None if configuration is None else StoredRecord(*configuration),
+        tuple(StoredRecord(*row) for row in engines),
+        age,
+        configuration_age,
+    )
--- a/src/troutswitch/decisions/crashes/shared.py
+++ b/src/troutswitch/decisions/crashes/shared.py
@@ -16,6 +16,7 @@
 
 import cbor2
 
+from troutswitch.cbor_values import MalformedCbor, decode_cbor
 from troutswitch.common import Address
 from troutswitch.daemons.messages import CrashReport, ReportedCrash
 from troutswitch.decisions.crashes.messages import Crash
@@ -160,8 +161,8 @@
     def _apply_record(self, record: KeyedRecord) -> None:
         content, _, engine_id = record.key.partition("/")
         try:
-            at = float(cbor2.loads(record.value)[0]) if record.value else 0.0
-        except (cbor2.CBORDecodeError, ValueError, TypeError, LookupError):
+            (at,) = decode_cbor(record.value, tuple[float]) if record.value else (0.0,)
+        except MalformedCbor:
             self._log("crash record malformed", key=record.key)
             return
         self._apply(self._now, Crash(content, engine_id), at, bool(record.value))
--- a/src/troutswitch/decisions/forwarding/learned_times.py
+++ b/src/troutswitch/decisions/forwarding/learned_times.py
@@ -6,7 +6,16 @@
 """
 
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Annotated, Any
+
+import msgspec
+
+_Quantity = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_StoredFields = tuple[
+    dict[str, tuple[_Quantity, _Quantity]],
+    dict[str, _Quantity],
+    tuple[_Quantity, _Quantity, _Quantity] | None,
+]
 
 SIMILARITY_TOLERANCE = 0.2
 """Change, as a share of the older value, up to which two values count as similar."""
@@ -72,11 +81,7 @@
         """Returns the object that `to_fields` encoded.
 
         Raises:
-            ValueError, TypeError or AttributeError: the fields are malformed.
+            ValueError: the fields are malformed.
         """
-        times, timeouts, batch = fields
-        return cls(
-            {str(name): (int(first), int(slot_time)) for name, (first, slot_time) in times.items()},
-            {str(name): int(timeout) for name, timeout in timeouts.items()},
-            BatchRunTimes(*(int(value) for value in batch)) if batch is not None else None,
-        )
+        times, timeouts, batch = msgspec.convert(fields, _StoredFields)
+        return cls(times, timeouts, BatchRunTimes(*batch) if batch is not None else None)
--- a/src/troutswitch/decisions/jobs/records.py
+++ b/src/troutswitch/decisions/jobs/records.py
@@ -22,14 +22,19 @@
 """
 
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, TypeVar, get_args
 
 import cbor2
 import msgspec
 
+from troutswitch.cbor_values import MalformedCbor, decode_cbor
 from troutswitch.common import stable_hash
 from troutswitch.decisions.storage.messages import KeyedRecord, Partition
 from troutswitch.decisions.tenants.types import NO_TENANT
+from troutswitch.wire_values import is_event_id, parse_number
+
+Form = TypeVar("Form")
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 
 SCHEMA_VERSION = 4
 INDEX_TOPIC = "jobs"
@@ -72,6 +77,9 @@
     shards: int
 
 
+_ItemFields = tuple[str, str, dict[str, str], bytes, Count]
+
+
 @dataclass(frozen=True, slots=True)
 class Manifest:
     """Description of a job; immutable once the job is accepted.
@@ -147,7 +155,8 @@
     if kind not in (CHUNK, RESULT, FAILURES):
         return kind, rest, -1
     job_id, _, number = rest.rpartition(":")
-    return kind, job_id, int(number) if number.isdigit() else -1
+    parsed = parse_number(number)
+    return kind, job_id, -1 if parsed is None else parsed
 
 
 def manifest_record(manifest: Manifest) -> KeyedRecord:
@@ -172,10 +181,8 @@
     Raises:
         RecordError: the record is malformed or of another version.
     """
-    route, host, item_count, tokens, digest, shard, submitted_at, tenant = _fields(value, 8)
-    return Manifest(
-        job_id, route, host, item_count, tokens, digest, shard, float(submitted_at), str(tenant)
-    )
+    fields = _fields(value, tuple[str, str, Count, Count, str, Count, float, str])
+    return Manifest(job_id, *fields)
 
 
 def end_record(job_id: str) -> KeyedRecord:
@@ -194,8 +201,8 @@
     Raises:
         RecordError: the record is malformed or of another version.
     """
-    (remaining_tokens,) = _fields(value, 1)
-    return int(remaining_tokens)
+    (remaining_tokens,) = _fields(value, tuple[Count])
+    return remaining_tokens
 
 
 def chunk_records(
@@ -231,7 +238,7 @@
     Raises:
         RecordError: the record is malformed or of another version.
     """
-    (rows,) = _fields(value, 1)
+    (rows,) = _fields(value, tuple[tuple[_ItemFields, ...]])
     return tuple(
         JobItem(item_id, path, tuple(headers.items()), body, tokens)
         for item_id, path, headers, body, tokens in rows
@@ -280,8 +287,7 @@
     Raises:
         RecordError: the record is malformed or of another version.
     """
-    item_id, state, piece, continuation_count = _fields(value, 4)
-    return ResultHead(item_id, state, bytes(piece), int(continuation_count))
+    return ResultHead(*_fields(value, tuple[str, str, bytes, Count]))
 
 
 def read_continuation(value: bytes) -> bytes:
@@ -290,8 +296,8 @@
     Raises:
         RecordError: the record is malformed or of another version.
     """
-    (piece,) = _fields(value, 1)
-    return bytes(piece)
+    (piece,) = _fields(value, tuple[bytes])
+    return piece
 
 
 def checkpoint_record(job_id: str, item: int, part: int, output: OutputPart) -> KeyedRecord:
@@ -316,8 +322,8 @@
     Raises:
         RecordError: the record is malformed or of another version.
     """
-    (count,) = _fields(value, 1)
-    return int(count)
+    (count,) = _fields(value, tuple[Count])
+    return count
 
 
 def split_part_key(key: str) -> tuple[str, int, int]:
@@ -327,9 +333,10 @@
         RecordError: the key is malformed.
     """
     fields = key.partition(":")[2].rsplit(":", 2)
-    if len(fields) != 3 or not (fields[1].isdigit() and fields[2].isdigit()):
+    numbers = [parse_number(field) for field in fields[1:]]
+    if len(numbers) != 2 or numbers[0] is None or numbers[1] is None:
         raise RecordError(f"malformed key {key!r}")
-    return fields[0], int(fields[1]), int(fields[2])
+    return fields[0], numbers[0], numbers[1]
 
 
 def read_checkpoint(value: bytes) -> OutputPart:
@@ -338,8 +345,10 @@
     Raises:
         RecordError: the record is malformed or of another version.
     """
-    after, position, text, *version = _fields(value, 3, optional=1)
-    return OutputPart(after, position, text, *map(str, version))
+    after, position, text, version = _fields(value, tuple[str, str, str, str], "")
+    if not (is_event_id(position) and (is_event_id(after) or not after)):
+        raise RecordError("malformed id of an event")
+    return OutputPart(after, position, text, version)
 
 
 def checkpoint_removal(job_id: str, item: int, part: int) -> KeyedRecord:
@@ -347,13 +356,23 @@
     return KeyedRecord(f"{CHECKPOINT}:{job_id}:{item:05d}:{part:05d}", b"")
 
 
-def _fields(value: bytes, count: int, optional: int = 0) -> list[Any]:
+def _fields(value: bytes, form: type[Form], last: str | None = None) -> Form:
+    """Returns the fields of a record after its schema's version, as a tuple of the given form.
+
+    `last` is the value of the last field if the record may lack it.
+
+    Raises:
+        RecordError: the record is malformed or of another version.
+    """
     try:
-        fields = cbor2.loads(value)
-    except (cbor2.CBORDecodeError, ValueError) as error:
+        version, *fields = decode_cbor(value, list)
+    except (MalformedCbor, ValueError) as error:
         raise RecordError(f"malformed record: {error}") from error
-    if not isinstance(fields, list) or not fields or fields[0] != SCHEMA_VERSION:
+    if version != SCHEMA_VERSION:
         raise RecordError("record of another version")
-    if not count <= len(fields) - 1 <= count + optional:
-        raise RecordError(f"expected {count + 1} fields, got {len(fields)}")
-    return fields[1:]
+    if last is not None and len(fields) == len(get_args(form)) - 1:
+        fields.append(last)
+    try:
+        return msgspec.convert(fields, form, builtin_types=(bytes,))
+    except msgspec.ValidationError as error:
+        raise RecordError(f"malformed record: {error}") from error
--- a/src/troutswitch/decisions/peers/peer_registry.py
+++ b/src/troutswitch/decisions/peers/peer_registry.py
@@ -12,7 +12,8 @@
 
 import cbor2
 
-from troutswitch.common import Address
+from troutswitch.cbor_values import decode_cbor
+from troutswitch.common import Address, Ipv4Host, Port
 from troutswitch.decisions.forwarding.learned_times import LearnedTimes
 from troutswitch.decisions.storage.messages import (
     Appended,
@@ -169,7 +170,7 @@
     def _apply_record(self, now: float, record: KeyedRecord) -> None:
         try:
             entry = decode_entry(record)
-        except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError):
+        except ValueError:
             self._log("peer record malformed", peer=record.key)
             return
         self._apply_entry(now, entry)
@@ -185,9 +186,8 @@
     """Decodes the entry in a record.
 
     Raises:
-        ValueError, TypeError, AttributeError or cbor2.CBORDecodeError: it is malformed.
+        ValueError: it is malformed.
     """
-    fields: list[Any] = cbor2.loads(record.value)
-    host, port, zone, learnt = fields
+    host, port, zone, learnt = decode_cbor(record.value, tuple[Ipv4Host, Port, str, list[Any]])
     learned_times = LearnedTimes.from_fields(learnt)
-    return PeerRegistryEntry(record.key, Address(str(host), int(port)), str(zone), learned_times)
+    return PeerRegistryEntry(record.key, Address(host, port), zone, learned_times)
--- a/src/troutswitch/decisions/slots/coordinator_claims.py
+++ b/src/troutswitch/decisions/slots/coordinator_claims.py
@@ -40,8 +40,10 @@
 from dataclasses import dataclass
 
 import cbor2
+import msgspec
 
-from troutswitch.common import Address, stable_hash
+from troutswitch.cbor_values import MalformedCbor, decode_cbor
+from troutswitch.common import Address, Ipv4Host, Port, stable_hash
 from troutswitch.daemons.identity import DaemonIdentity
 from troutswitch.daemons.messages import ClaimHolder, KnownClaim
 from troutswitch.decisions.slots.coordinator_health import NEVER, CoordinatorHealth
@@ -200,7 +202,7 @@
     def _on_record(self, record: KeyedRecord) -> None:
         try:
             claim = decode_claim(record)
-        except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
+        except MalformedCbor as error:
             self._log("claim malformed", group=record.key, reason=str(error))
             return
         self.add_claim(claim)
@@ -458,18 +460,25 @@
     )
 
 
+class _ClaimFields(msgspec.Struct, frozen=True, array_like=True):
+    daemon: str
+    host: Ipv4Host
+    port: Port
+    incarnation: int = 0
+    predecessors: tuple[tuple[str, Ipv4Host, Port], ...] = ()
+
+
 def decode_claim(record: KeyedRecord) -> Claim:
     """Decodes a claim's record: daemon, host and port; incarnation and predecessors if exclusive.
 
     Raises:
-        ValueError, TypeError: the record is malformed.
+        MalformedCbor: the record is malformed.
     """
-    daemon, host, port, *exclusive = cbor2.loads(record.value)
-    address = Address(str(host), int(port))
-    if not exclusive:
-        return Claim(record.key, str(daemon), address, record.offset)
-    incarnation, earlier = exclusive
+    fields = decode_cbor(record.value, _ClaimFields)
+    address = Address(fields.host, fields.port)
     predecessors = tuple(
-        ClaimHolder(str(name), Address(str(host), int(port))) for name, host, port in earlier
+        ClaimHolder(name, Address(host, port)) for name, host, port in fields.predecessors
+    )
+    return Claim(
+        record.key, fields.daemon, address, record.offset, fields.incarnation, predecessors
     )
-    return Claim(record.key, str(daemon), address, record.offset, int(incarnation), predecessors)
--- a/tests/daemons/test_datagram.py
+++ b/tests/daemons/test_datagram.py
@@ -29,7 +29,8 @@
 TEXT = st.text(max_size=30)
 COUNT = st.integers(0, 2**31)
 KEY = st.integers(0, 2**32 - 1)
-ADDRESS = st.builds(Address, TEXT, st.integers(0, 65535))
+HOST = st.ip_addresses(v=4).map(str)
+ADDRESS = st.builds(Address, HOST, st.integers(0, 65535))
 SHARES = st.lists(st.builds(EngineShare, KEY, COUNT, COUNT, COUNT), max_size=5).map(tuple)
 KEYS = st.lists(KEY, max_size=5).map(tuple)
 REPORT = st.builds(
