Entries of engines, configurations and the store's answers have bounded values

What callers saw, by reading: an engine's entry whose address is a name had each request look it up, and an id that no header can hold cut each request to that engine as possibly run. A number of a configuration that overflows when it is multiplied would reach the decisions. A record with a key longer than itself shifted what was read of the next one.

Cause: the types were checked and not the values.

Change: bounds in the types of both formats and of the store's answers; engines have IPv4 addresses and ids that a header and a key can hold; a chunk size that is no number is a failed call of the store, and closes its connection.

--- a/src/troutswitch/gateway/daemons/peer_state.py
+++ b/src/troutswitch/gateway/daemons/peer_state.py
@@ -12,12 +12,12 @@
     FIRST_VERSION,
     VERSION,
     PeerState,
-    PeerStateError,
     decode_state,
     encode_state,
 )
 from troutswitch.decisions.peers.catch_up import PeerStateReceived, RequestPeerState
 from troutswitch.runtime.http import Environ, Response, StartResponse, send
+from troutswitch.wire_values import parse_number
 
 PEER_STATE_PATH = "/peer-state"
 CONTENT_TYPE = "application/cbor"
@@ -40,7 +40,7 @@
         response = connection.getresponse()
         data = response.read(MAX_STATE_BYTES)
         state = decode_state(data) if response.status == 200 else None
-    except (OSError, http.client.HTTPException, PeerStateError):
+    except (OSError, http.client.HTTPException, ValueError):
         state = None
     finally:
         connection.close()
@@ -59,4 +59,5 @@
 
 def _parse_integer(query: dict[str, list[str]], name: str, default: int) -> int:
     text = query.get(name, [""])[0]
-    return int(text) if text.isdigit() else default
+    number = parse_number(text)
+    return default if number is None else number
--- a/src/troutswitch/platform/configuration.py
+++ b/src/troutswitch/platform/configuration.py
@@ -24,6 +24,7 @@
 from troutswitch.platform.engine_ids import incarnation_id
 from troutswitch.platform.names import CONFIGURATION_KEY, PROMPT_PREFIX, TOKEN_USAGE
 from troutswitch.platform.requests import read_prompt
+from troutswitch.wire_values import is_request_id
 
 ROUTE_KINDS = {
     "idempotent": RouteKind.REPEATABLE,
@@ -38,6 +39,10 @@
 MAX_ENGINE_SLOTS = 65_536
 """Maximum number of slots that an engine's entry may report. A larger number is implausible, and
 would attract all requests to that engine."""
+MAX_ENGINE_ID_BYTES = 200
+"""Longest id of an engine. Keys of records hold one beside a digest, in 255 bytes."""
+MAX_NAME_CHARACTERS = 128
+"""Longest text in an engine's entry. Messages and records hold them."""
 DEFAULT_TIME_LIMIT_MS = 30_000.0
 """Time limit of a request on a route that specifies none."""
 
@@ -46,9 +51,16 @@
     """A record is malformed."""
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_Quantity = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+"""A time, a rate or a weight. JSON has numbers that overflow when they are multiplied."""
+_Number = Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
+_Integer = Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
+
+
 class _Backend(msgspec.Struct):
     service: str
-    weight: float = 1.0
+    weight: _Quantity = 1.0
 
 
 class _Route(msgspec.Struct):
@@ -58,27 +70,27 @@
     routeType: str
     service: str = ""
     backends: list[_Backend] = []
-    timeoutMs: float = DEFAULT_TIME_LIMIT_MS
-    targetLatencyMs: float = 0.0
-    maxAttempts: int = 1
+    timeoutMs: _Quantity = DEFAULT_TIME_LIMIT_MS
+    targetLatencyMs: _Quantity = 0.0
+    maxAttempts: _Integer = 1
     allowAnonymous: bool = False
-    priority: int = 0
+    priority: _Integer = 0
     sticky: bool = False
     resumable: bool = False
-    gapTargetMs: float = 0.0  # a limit, despite its name
-    maxQueuedTokens: int = 0  # for the items of all jobs; 0 means unlimited
-    completionTargetMs: float = 0.0
-    retentionS: float = 0.0
+    gapTargetMs: _Quantity = 0.0  # a limit, despite its name
+    maxQueuedTokens: _Count = 0  # for the items of all jobs; 0 means unlimited
+    completionTargetMs: _Quantity = 0.0
+    retentionS: _Quantity = 0.0
 
 
 class _Engine(msgspec.Struct):
-    slots: int = 0
-    kvCacheTokens: int = 0
+    slots: _Count = 0
+    kvCacheTokens: _Count = 0
 
 
 class _Service(msgspec.Struct):
     name: str
-    maxConnections: int = 0
+    maxConnections: _Count = 0
     healthPath: object = None  # of any type: without it only the requests for paces are missing
     engine: _Engine | None = None
 
@@ -86,27 +98,28 @@
 class _Tenant(msgspec.Struct):
     name: str
     apiKeys: list[str] = []
-    priority: int | None = None
-    ratePerS: float = 0.0
-    burst: float = 0.0
+    priority: _Integer | None = None
+    ratePerS: _Number = 0.0
+    burst: _Number = 0.0
 
 
 class _RequestLimits(msgspec.Struct):
-    maxHeaderBytes: int = 16384
-    maxBodyBytes: int = 4 * 1024 * 1024
-    headerTimeoutMs: float = 3000
-    idleTimeoutMs: float = 15000
+    maxHeaderBytes: _Count = 16384
+    maxBodyBytes: _Count = 4 * 1024 * 1024
+    headerTimeoutMs: _Quantity = 3000
+    idleTimeoutMs: _Quantity = 15000
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: _Integer
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _RequestLimits = msgspec.field(default_factory=_RequestLimits)
     tenants: list[_Tenant] | None = None
 
 
-_Text = Annotated[str, msgspec.Meta(min_length=1)]
+_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)]
+_Version = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)] | _Integer
 
 
 class _Server(msgspec.Struct):
@@ -115,13 +128,13 @@
     service: _Text
     address: _Text
     zone: _Text
-    version: str | int  # of the engine's software
+    version: _Version  # of the engine's software
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_ENGINE_SLOTS)]
     state: Literal["ready", "draining"]
     coldRemainingMs: float
     sequence: int
     # Unix time of the engine's start in milliseconds. An engine may restart under the same id.
-    born: Annotated[int, msgspec.Meta(ge=0)] | None = None
+    born: _Count | None = None
 
 
 _CONFIGURATION = msgspec.json.Decoder(_Configuration)
@@ -207,9 +220,11 @@
     Raises:
         FormatError: the record is malformed.
     """
+    if not is_request_id(instance) or len(instance.encode()) > MAX_ENGINE_ID_BYTES:
+        raise FormatError(f"engine {instance[:40]!r}: no header can hold the id")
     try:
         decoded = _SERVER.decode(data)
-        address = Address.parse(decoded.address)
+        address = msgspec.convert(Address.parse(decoded.address), Address)
     except (msgspec.DecodeError, ValueError) as error:
         raise FormatError(f"engine {instance}: {error}") from error
     return EngineRecord(
--- a/src/troutswitch/platform/store.py
+++ b/src/troutswitch/platform/store.py
@@ -9,6 +9,7 @@
 import struct
 from base64 import b64decode
 from collections.abc import Callable
+from typing import Annotated
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -51,34 +52,37 @@
 """Names of the platform's own topics, by the product's names."""
 
 
+_Offset = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class _NewestRow(msgspec.Struct, rename={"key": "tlsKey"}):
     key: str  # on the wire "tlsKey", for records of any kind
     value: str = ""
-    offset: int = -1
+    offset: Annotated[int, msgspec.Meta(ge=-1, le=2**63 - 1)] = -1
 
 
 class _Newest(msgspec.Struct, rename={"rows": "requests"}):
     rows: list[msgspec.Raw] = []  # on the wire "requests", although they are records
     more: bool = False
-    end: int = 0
+    end: _Offset = 0
 
 
 class _Appended(msgspec.Struct):
-    offset: int
-    end: int
+    offset: _Offset
+    end: _Offset
 
 
 class _Refused(msgspec.Struct):
-    end: int = 0
+    end: _Offset = 0
     why: str = ""
-    epoch: int = 0
-    sequence: int = 0
-    first: int = 0
+    epoch: _Offset = 0
+    sequence: _Offset = 0
+    first: _Offset = 0
 
 
 class _Joined(msgspec.Struct):
-    generation: int
-    parts: list[tuple[str, int, int]] = []
+    generation: _Offset
+    parts: list[tuple[str, _Offset, _Offset]] = []
 
 
 def topic_name(topic: str) -> str:
@@ -98,17 +102,23 @@
 
 
 def decode_records(data: bytes, offset: int) -> tuple[KeyedRecord, ...]:
-    """Decodes keyed records, the first of which has `offset`; drops a truncated last record."""
+    """Decodes keyed records, the first of which has `offset`; drops a truncated last record.
+
+    A record whose key is longer than the record has no key and no value, which nobody reads. It
+    keeps its place, as the offsets of the records after it depend on that.
+    """
     records: list[KeyedRecord] = []
     position = 0
     while position + 5 <= len(data):
         length, key_length = struct.unpack_from(">IB", data, position)
-        end = position + 4 + length
+        end = position + 4 + max(length, 1)
         if end > len(data):
             break
         key_end = position + 5 + key_length
-        key = data[position + 5 : key_end].decode(errors="replace")
-        records.append(KeyedRecord(key, data[key_end:end], offset + len(records)))
+        is_sound = key_end <= end
+        key = data[position + 5 : key_end].decode(errors="replace") if is_sound else ""
+        value = data[key_end:end] if is_sound else b""
+        records.append(KeyedRecord(key, value, offset + len(records)))
         position = end
     return tuple(records)
 
@@ -280,7 +290,7 @@
             connection.request(method, url, body, headers)
             response = connection.getresponse()
             content = response.read()
-        except (OSError, http.client.HTTPException) as error:
+        except (OSError, http.client.HTTPException, ValueError) as error:
             self.connections.discard(pooled, error)
             return NO_ANSWER, f"{type(error).__name__}: {error}".encode()
         self.connections.release(pooled)
