A planned stop waits for callers that still read their answers

Cause: the stop counted a request until waitress had taken the last chunk of its answer into its buffers. With none left it waited 0.1 s and ended the process, with whatever was in these buffers and, for a connection on which a further request was unread, in the kernel's.

Change: the stop ends when no request is in progress and no connection of a caller has an unanswered request, bytes in our buffers or bytes that the caller has not acknowledged, except for callers whose own time limit is over; at the latest shortly before the end of the grace period. A connection with much under way, and any during a stop, has its sending side closed first: closing it with a request unread resets it. The last line of a stop tells what is left unread, a line each names the answers that are cut, and two metrics show it before.

--- a/src/troutswitch/gateway/callers/application.py
+++ b/src/troutswitch/gateway/callers/application.py
@@ -8,7 +8,11 @@
 
 from troutswitch.decisions.forwarding.messages import CallerGoneBeforeHandling
 from troutswitch.decisions.gateway_interface import GatewayEvent
-from troutswitch.gateway.callers.listener import CONNECTION_KEY, DESCRIBE_ANSWER_KEY
+from troutswitch.gateway.callers.listener import (
+    BEGIN_ANSWER_KEY,
+    CONNECTION_KEY,
+    DESCRIBE_ANSWER_KEY,
+)
 from troutswitch.gateway.callers.relay import CompleteAnswer, Relay
 from troutswitch.gateway.callers.relay_registry import RelayRegistry
 from troutswitch.gateway.engines.connection_pool import EngineConnections
@@ -68,6 +72,9 @@
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Handles one request."""
         request = read_request(environ)
+        begin_answer = environ.get(BEGIN_ANSWER_KEY)
+        if begin_answer is not None:
+            begin_answer(request.request_id, request.time_left)
         body = _read_body(environ)
         response = self._handle_job(request, body)
         describe_answer = environ.get(DESCRIBE_ANSWER_KEY)
--- a/src/troutswitch/gateway/callers/listener.py
+++ b/src/troutswitch/gateway/callers/listener.py
@@ -5,6 +5,7 @@
 and requests whose callers disconnected before they were served.
 """
 
+import contextlib
 import logging
 import socket
 import threading
@@ -15,13 +16,19 @@
 import waitress.server
 import waitress.task
 
+from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
 from troutswitch.decisions.forwarding.types import RequestLimits
-from troutswitch.gateway.callers.accounted_channel import AccountedChannel
+from troutswitch.gateway.callers.accounted_channel import (
+    DEFAULT_TIME_LIMIT_SECONDS,
+    AccountedChannel,
+)
 from troutswitch.gateway.callers.caller_watch import close_age, is_closed
 from troutswitch.gateway.callers.dispatcher import GrowingDispatcher
+from troutswitch.gateway.callers.unread_answers import UnreadAnswer, UnreadAnswers
 from troutswitch.gateway.memory.account import MemoryAccount
 from troutswitch.runtime.http import WsgiApplication
+from troutswitch.runtime.send_queue import unacknowledged_bytes
 
 THREAD_STACK_BYTES = 256 * 1024
 """Small, because most threads only wait for I/O."""
@@ -31,6 +38,9 @@
 """Minimum idle time after which a caller's connection is closed."""
 LOOKAHEAD_REQUESTS = 1
 """Requests read ahead of the one in progress: waitress keeps reading, and so detects a close."""
+LINGER_BYTES = 64 * 1024
+"""Bytes that a caller has not acknowledged from which on its connection is kept open. Fewer bytes
+are on their way for a moment only. A draining listener closes no connection with any."""
 CLEANUP_INTERVAL_SECONDS = 10
 """Interval between sweeps for idle connections."""
 
@@ -38,6 +48,8 @@
 """Key of the connection's socket in a request's WSGI environment."""
 
 
+BEGIN_ANSWER_KEY = "troutswitch.begin_answer"
+"""Key of `_Channel.begin_answer` in the WSGI environment."""
 DESCRIBE_ANSWER_KEY = "troutswitch.describe_answer"
 """Key of `AccountedChannel.describe_answer` in the WSGI environment, where answers are counted."""
 
@@ -55,20 +67,75 @@
         """Returns the request's WSGI environment, including the connection's socket."""
         environment: dict[str, Any] = super().get_environment()
         environment[CONNECTION_KEY] = self.channel.connection
+        environment[BEGIN_ANSWER_KEY] = self.channel.begin_answer
         if isinstance(self.channel, AccountedChannel):
             environment[DESCRIBE_ANSWER_KEY] = self.channel.describe_answer
         return environment
 
 
 class _Channel(waitress.channel.HTTPChannel):  # type: ignore[misc]
-    """A caller's connection."""
+    """A caller's connection.
+
+    waitress closes a connection as soon as the kernel has taken the last answer on it. If the
+    caller has sent or sends a further request, that resets the connection, and the caller loses
+    what it has not received. So this process first closes its sending side, and the connection once
+    the caller has acknowledged everything or its time limit is over.
+    """
 
     task_class = _Task
 
     def __init__(self, server: Any, connection: socket.socket, *rest: Any, **named: Any) -> None:
         self.connection = connection
+        self._answered_id = ""
+        self._due_at = 0.0
+        self._is_sending_side_closed = False
         super().__init__(server, connection, *rest, **named)
 
+    def begin_answer(self, request_id: str, time_limit: float) -> None:
+        """Tells which request is answered next, and how long its caller waits, in seconds."""
+        self._answered_id = request_id
+        self._due_at = steady_seconds() + time_limit
+
+    def unread_answer(self) -> UnreadAnswer | None:
+        """Returns what the caller has not received; None if nothing. Called on any thread."""
+        size = self.total_outbufs_len + unacknowledged_bytes(self.connection)
+        if not size and not self.requests:
+            return None
+        return UnreadAnswer(self._answered_id, size, self._due_at)
+
+    def readable(self) -> bool:
+        """Returns whether to wait for bytes; the listener asks at least once in a second."""
+        if not self._is_sending_side_closed:
+            return bool(super().readable())
+        is_late = steady_seconds() >= self._due_at
+        if is_late or not unacknowledged_bytes(self.connection):
+            self.will_close = True
+        return False
+
+    def writable(self) -> bool:
+        """Returns whether there is something to send, or the connection is to be closed."""
+        if self._is_sending_side_closed:
+            return bool(self.will_close)
+        return bool(super().writable())
+
+    def handle_write(self) -> None:
+        """Sends what is buffered; closes the sending side after the last answer."""
+        if self.close_when_flushed and not self.will_close and not self._is_sending_side_closed:
+            self._flush_exception(self._flush_some)
+            if not self.total_outbufs_len and self._is_much_unacknowledged():
+                self._close_sending_side()
+                return
+        super().handle_write()
+
+    def _is_much_unacknowledged(self) -> bool:
+        least = 1 if self.server.is_draining else LINGER_BYTES
+        return unacknowledged_bytes(self.connection) >= least
+
+    def _close_sending_side(self) -> None:
+        self._is_sending_side_closed = True
+        with contextlib.suppress(OSError):  # the caller has closed the connection meanwhile
+            self.connection.shutdown(socket.SHUT_WR)
+
     def handle_close(self) -> None:
         """Reports the close, then closes the connection."""
         self.server.before_close(self.connection)
@@ -83,6 +150,7 @@
         if is_closed(self.connection):
             self.server.on_unserved(self.requests[0].headers, close_age(self.connection))
             self.connected = False  # makes the base class skip the request
+        self.begin_answer("", DEFAULT_TIME_LIMIT_SECONDS)
         super().service()
 
 
@@ -162,6 +230,19 @@
         """Asks callers, with each response from now on, to close their connections."""
         self._server.is_draining = True
 
+    def unread_answers(self) -> UnreadAnswers:
+        """Returns what callers have not received."""
+        unread = [channel.unread_answer() for channel in self._channels()]
+        return UnreadAnswers(tuple(answer for answer in unread if answer is not None))
+
+    def _channels(self) -> list[_Channel]:
+        """Returns the open connections, which the listener's thread adds and removes."""
+        while True:
+            try:
+                return list(self._server.active_channels.values())
+            except RuntimeError:  # changed during the iteration
+                continue
+
     def _run(self) -> None:
         try:
             self._server.run()
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -16,6 +16,7 @@
 from troutswitch.decisions.forwarding.routes import ConfigurationSource
 from troutswitch.decisions.gateway import GatewayCore
 from troutswitch.decisions.tenants.quota import Authority, QuotaWay
+from troutswitch.gateway.callers.unread_answers import UnreadAnswers
 from troutswitch.gateway.engines.connection_pool import ConnectionUse
 from troutswitch.gateway.memory.account import MemoryAccount
 from troutswitch.gateway.memory.pressure import Kind
@@ -43,6 +44,7 @@
         core: GatewayCore,
         blocking_calls: Callable[[], int] = lambda: 0,
         memory: MemoryAccount | None = None,
+        unread_answers: Callable[[], UnreadAnswers] = UnreadAnswers,
     ) -> None:
         self.registry = CollectorRegistry()
         self._attempts = self._counter("attempts", "Attempts at engines, by kind of end", "kind")
@@ -124,6 +126,7 @@
             "memory_refused_jobs", "Jobs refused as the memory account had no room for their items"
         )
         self._add_memory_gauges(memory or MemoryAccount())
+        self._add_unread_gauges(unread_answers)
         self._add_workload_gauges(core)
         self._add_fleet_gauges(core)
         self._add_configuration_gauges(core)
@@ -153,6 +156,18 @@
             lambda: memory.high_water,
         )
 
+    def _add_unread_gauges(self, unread_answers: Callable[[], UnreadAnswers]) -> None:
+        self._gauge(
+            "unread_answers",
+            "Connections on which a caller has not received its whole answer",
+            lambda: len(unread_answers().answers),
+        )
+        self._gauge(
+            "unread_answer_bytes",
+            "Bytes of answers that callers have not received",
+            lambda: unread_answers().size,
+        )
+
     def _add_workload_gauges(self, core: GatewayCore) -> None:
         self._gauge(
             "requests_in_flight",
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -35,6 +35,7 @@
 from troutswitch.gateway.callers.listener import HttpListener
 from troutswitch.gateway.callers.relay_registry import RelayRegistry
 from troutswitch.gateway.callers.stop_gate import StopGate
+from troutswitch.gateway.callers.unread_answers import UnreadAnswers
 from troutswitch.gateway.daemons.peer_socket import PeerSocket
 from troutswitch.gateway.daemons.peer_state import PEER_STATE_PATH, answer_peer, request_peer_state
 from troutswitch.gateway.engines.connection_pool import EngineConnections
@@ -69,8 +70,8 @@
 """Part of the grace period reserved for the termination of the process."""
 DRAIN_POLL_SECONDS = 0.05
 """Interval between checks whether a stopping daemon has completed its requests."""
-FLUSH_SECONDS = 0.1
-"""Time for waitress to write the last buffered responses to their sockets."""
+MAX_CUT_ANSWERS_LOGGED = 20
+"""Maximum number of answers cut by a stop that are logged one by one; all are counted."""
 
 
 class GatewayProcess:
@@ -110,7 +111,10 @@
             self._memory.observe(Kind.ITEMS, lambda: self.core.jobs.replicas.held_bytes)
         self._jobs = JobCalls(self.core.routes, self._post, self._memory)
         self._metrics = GatewayMetrics(
-            self.core, lambda: self._executor.blocking_calls, self._memory
+            self.core,
+            lambda: self._executor.blocking_calls,
+            self._memory,
+            self._unread_answers,
         )
         self._internal = self._make_internal()
         self._gate: StopGate | None = None
@@ -247,29 +251,60 @@
     def drain(self) -> None:
         """Performs a planned stop: reports not ready, then completes every accepted request.
 
-        Returns when all requests are complete, or shortly before the grace period ends.
+        Returns when each caller has received its answer or its time limit is over, or shortly
+        before the grace period ends.
         """
         started_at = steady_seconds()
         deadline = started_at + self.settings.bounds.grace - STOP_RESERVE_SECONDS
         self.loop.post(DrainRequested())
         if self._callers is not None:
             self._callers.drain()
-        while steady_seconds() < deadline:
-            if steady_seconds() - started_at >= MIN_DRAIN_SECONDS and self._try_finish():
-                time.sleep(FLUSH_SECONDS)
-                break
+        is_complete = False
+        while not is_complete and steady_seconds() < deadline:
             time.sleep(DRAIN_POLL_SECONDS)
-        unfinished = self._relays.count
-        self._logger.info(
-            "daemon stopped", seconds=steady_seconds() - started_at, unfinished=unfinished
-        )
+            is_early = steady_seconds() - started_at < MIN_DRAIN_SECONDS
+            is_complete = not is_early and self._try_finish()
+        self._log_stopped(started_at, is_complete)
 
     def _try_finish(self) -> bool:
-        """Refuses new requests, and returns whether no request or job call is in progress."""
+        """Refuses new requests, and returns whether no caller waits for an answer or a part of one.
+
+        The requests in progress are counted first: each of them is then either still counted or
+        among the unread answers.
+        """
         if self._gate is not None:
             self._gate.close()
         in_flight = self._gate.in_flight if self._gate is not None else 0
-        return in_flight + self._relays.count + self._jobs.count == 0
+        if in_flight + self._relays.count + self._jobs.count:
+            return False
+        return not self._unread_answers().expected_at(steady_seconds()).answers
+
+    def _unread_answers(self) -> UnreadAnswers:
+        return UnreadAnswers() if self._callers is None else self._callers.unread_answers()
+
+    def _log_stopped(self, started_at: float, is_complete: bool) -> None:
+        """Logs the end of a planned stop, and the answers that it cuts off.
+
+        `is_complete` is whether no caller waits any longer; otherwise the grace period is over.
+        """
+        now = steady_seconds()
+        unread = self._unread_answers()
+        for answer in unread.answers[:MAX_CUT_ANSWERS_LOGGED]:
+            self._logger.warning(
+                "answer cut by stop",
+                request_id=answer.request_id,
+                unread_bytes=answer.size,
+                time_left=answer.due_at - now,
+            )
+        self._logger.info(
+            "daemon stopped",
+            seconds=now - started_at,
+            is_complete=is_complete,
+            unfinished=self._relays.count,
+            unread_answers=len(unread.answers),
+            unread_in_time=len(unread.expected_at(now).answers),
+            unread_bytes=unread.size,
+        )
 
     def stop(self) -> None:
         """Stops the loop and the executors."""
