A key that was removed unseen is removed when its partition is read again

Cause: a new owner reads its shard again from the pages of newest records. A removed key is on none of them, and the tail, which begins after the first page's last record, may begin after the removal. The fold kept the parts that the former owner had removed, and chained the new first part with them.

The new test of the follower failed before. Followers of crashes, claims and the index had the same gap.

Change: a follower knows the keys that it applied and their offsets. After the last page it applies a removal for each key that is on no page, if its record is before the tail; a later one is read again there. Nothing is taken away before, so that no position that a client has read is missing meanwhile.

--- a/src/troutswitch/decisions/jobs/intake.py
+++ b/src/troutswitch/decisions/jobs/intake.py
@@ -296,8 +296,9 @@
     ) -> None:
         match outcome:
             case Appended():
-                self._replicas.index.apply(now, manifest_record(submission.manifest))
-                self._replicas.index_follower.skip_own_records(outcome.offset, outcome.end)
+                record = manifest_record(submission.manifest)
+                self._replicas.index.apply(now, record)
+                self._replicas.index_follower.skip_own_records((record,), outcome)
                 self._finish(now, submission, JobAccepted())
             case EndMoved():
                 self._read_index(submission)
--- a/src/troutswitch/decisions/jobs/reads.py
+++ b/src/troutswitch/decisions/jobs/reads.py
@@ -184,8 +184,9 @@
             call.retry_at = now + END_RETRY_SECONDS
             return []
         job_id = call.event.job_id
-        self._replicas.index.apply(now, end_record(job_id))
-        self._replicas.index_follower.skip_own_records(outcome.offset, outcome.end)
+        record = end_record(job_id)
+        self._replicas.index.apply(now, record)
+        self._replicas.index_follower.skip_own_records((record,), outcome)
         self._log("job end stored", job_id=job_id, offset=outcome.offset)
         self._finish(call.event.token, JobEnded())
         return []
--- a/src/troutswitch/decisions/jobs/writer.py
+++ b/src/troutswitch/decisions/jobs/writer.py
@@ -258,15 +258,16 @@
 
     def _on_written(self, lease: ShardLease, writes: _ShardWrites, outcome: Appended) -> None:
         replica = self._replicas.shard(lease.shard)
+        records = [record for row in writes.batch for record in row.records]
+        for record in records:
+            replica.fold.apply(record)
+        replica.follower.skip_own_records(records, outcome)
         for row in writes.batch:
-            for record in row.records:
-                replica.fold.apply(record)
             if row.result is not None:
                 self._on_listed(lease, row, row.result)
             if row.part is not None:
                 row.progress.on_saved(row.part)
             row.progress.saved_failures = max(row.progress.saved_failures, row.failures)
-        replica.follower.skip_own_records(outcome.offset, outcome.end)
         lease.next_sequence += 1
         _end_saving(writes.batch)
         writes.batch = []
--- a/src/troutswitch/decisions/storage/follower.py
+++ b/src/troutswitch/decisions/storage/follower.py
@@ -8,16 +8,22 @@
 page and the end offset that it reports. So the tail is read from the offset after the last record
 of the first page. A record may therefore be read repeatedly, and applying it must be idempotent.
 
-Owns the offset up to which the partition was read. Relies on `ReadAttempts` to decide when reads
-are sent and how long they may take. After a failure, reads do not wait at the store for new
-records: a reader that may have fallen behind needs the answer immediately.
+A removed key is on no page, and its removal may be before the tail. So after the last page, each
+key that was applied from an earlier offset and is on no page is removed. Until then it stays, since
+clearing everything first would take away for a moment what others have read.
+
+Owns the offset up to which the partition was read, and the keys that are applied and not removed.
+Relies on `ReadAttempts` to decide when reads are sent and how long they may take. After a failure,
+reads do not wait at the store for new records: a reader that may have fallen behind needs the
+answer immediately.
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 from troutswitch.decisions.storage.messages import (
+    Appended,
     HistoryGone,
     KeyedRecord,
     NewestPage,
@@ -45,7 +51,7 @@
         partition: the partition to follow.
         numbers: source of call numbers.
         rng: source of jitter.
-        apply: called with each record.
+        apply: called with each record, and with a removal for each key that was removed unseen.
         wait: seconds for which a read waits at the store for a record; 0 reads without waiting.
         pause: minimum seconds between reads, which bounds the calls while many records are
             appended.
@@ -84,6 +90,10 @@
         self._after_key = ""
         self._tail_from: int | None = None
         self._first_retained = 0
+        self._offsets: dict[str, int] = {}
+        """Offset of the newest record of each applied key."""
+        self._paged_keys: set[str] = set()
+        """Keys on the pages since the last restart."""
 
     @property
     def is_current(self) -> bool:
@@ -100,20 +110,38 @@
     def _is_idle(self) -> bool:
         return not self.is_tailing and self.is_current and not self.attempts.is_reading
 
-    def apply_records(self, requested_at: float, read: RecordsRead) -> None:
-        """Applies records that another read of this partition, sent at `requested_at`, returned."""
-        if not self.is_current or read.next_offset < self.next_offset:
-            return
-        for record in read.records:
-            self._apply(record)
+    def apply_records(self, requested_at: float, read: RecordsRead) -> bool:
+        """Applies records that another read of this partition, sent at `requested_at`, returned.
+
+        Returns whether the partition is read up to there; False if it is being read again.
+        """
+        if not self.is_current:
+            return False
+        if read.next_offset < self.next_offset:
+            return True
+        self._apply_all(read.records)
         self.next_offset = read.next_offset
         if read.next_offset >= read.end:
             self.current_at = max(self.current_at, requested_at)
+        return True
 
-    def skip_own_records(self, offset: int, end: int) -> None:
+    def skip_own_records(self, records: Iterable[KeyedRecord], appended: Appended) -> None:
         """Skips the records that this process appended and has already applied itself."""
-        if self.is_current and offset == self.next_offset:
-            self.next_offset = end
+        for offset, record in enumerate(records, appended.offset):
+            self._note(record, offset)
+        if self.is_current and appended.offset == self.next_offset:
+            self.next_offset = appended.end
+
+    def _apply_all(self, records: Iterable[KeyedRecord]) -> None:
+        for record in records:
+            self._note(record, record.offset)
+            self._apply(record)
+
+    def _note(self, record: KeyedRecord, offset: int) -> None:
+        if record.value:
+            self._offsets[record.key] = offset
+        else:
+            self._offsets.pop(record.key, None)
 
     def read_concurrently(self, now: float) -> None:
         """Reads immediately on a new connection; the reads in flight continue."""
@@ -177,6 +205,7 @@
         self.state = FollowState.STARTING
         self._after_key = ""
         self._tail_from = None
+        self._paged_keys.clear()
         self.attempts.abandon(now)
 
     def _apply_page(self, now: float, call: int, page: NewestPage) -> None:
@@ -184,11 +213,12 @@
         if self._tail_from is None:
             last = max((record.offset for record in page.records), default=-1)
             self._tail_from = max(last + 1, self._first_retained)
-        for record in page.records:
-            self._apply(record)
+        self._apply_all(page.records)
+        self._paged_keys.update(record.key for record in page.records)
         if page.has_more and page.records:
             self._after_key = page.records[-1].key
             return
+        self._remove_missing_keys(self._tail_from)
         self.state = FollowState.FOLLOWING
         # The offset never goes back: an owner that reads its shard again would otherwise read the
         # whole history each time.
@@ -198,10 +228,19 @@
         self.current_at = attempt.requested_at
         self.attempts.abandon(now + (0.0 if self.wait else self._pause))
 
+    def _remove_missing_keys(self, tail_from: int) -> None:
+        """Removes the keys that are on no page, though their records are before the tail."""
+        missing = [
+            key
+            for key, offset in self._offsets.items()
+            if offset < tail_from and key not in self._paged_keys
+        ]
+        self._apply_all(KeyedRecord(key, b"") for key in missing)
+        self._paged_keys.clear()
+
     def _apply_read(self, now: float, call: int, read: RecordsRead) -> None:
         if read.next_offset >= self.next_offset:
-            for record in read.records:
-                self._apply(record)
+            self._apply_all(read.records)
             self.next_offset = read.next_offset
         is_behind = self.next_offset < read.end
         pause = max(self._pause, self.min_interval)
--- a/tests/decisions/storage/test_follower.py
+++ b/tests/decisions/storage/test_follower.py
@@ -4,6 +4,7 @@
 
 from troutswitch.decisions.storage.follower import PartitionFollower
 from troutswitch.decisions.storage.messages import (
+    Appended,
     CallFailed,
     HistoryGone,
     KeyedRecord,
@@ -192,3 +193,32 @@
     assert again.call != call.call
     refresher.on_answer(0.3, CallFailed("down", False))
     assert served == [("first", True), ("second", False)]
+
+
+def test_key_that_was_removed_unseen_is_removed_after_the_partition_is_read_again() -> None:
+    """Guards against an item's text that joins a new part with removed ones of an earlier run."""
+    harness = FollowerHarness(wait=0.0, is_tailing=False)
+    harness.next_call(0.0)
+    harness.answer(0.0, NewestPage((record("a", b"1", 0), record("b", b"1", 1)), False, 2))
+    harness.follower.restart(1.0)
+    harness.next_call(1.0)
+    # Meanwhile "b" was removed at offset 2 and "a" written at 3; the tail begins after 3.
+    harness.answer(1.1, NewestPage((record("a", b"2", 3),), True, 4))
+    assert harness.applied == {"a": b"2", "b": b"1"}  # what was read stays until the last page
+    harness.next_call(1.1)
+    harness.answer(1.2, NewestPage((), False, 4))
+    assert harness.applied == {"a": b"2", "b": b""}
+
+
+def test_key_that_was_written_after_its_page_stays_after_the_partition_is_read_again() -> None:
+    harness = FollowerHarness(wait=0.0, is_tailing=False)
+    harness.bootstrap(0.0, end=0)
+    harness.follower.restart(1.0)
+    harness.next_call(1.0)
+    harness.answer(1.1, NewestPage((record("z", b"1", 0),), True, 1))
+    own = record("a", b"1", -1)
+    harness.applied["a"] = own.value
+    harness.follower.skip_own_records((own,), Appended(1, 2))
+    harness.next_call(1.1)
+    harness.answer(1.2, NewestPage((), False, 2))
+    assert harness.applied == {"a": b"1", "z": b"1"}
