A read that crosses a reread of its partition does not prove its end

What clients could see: a position of results that they had read, answered as if it did not exist, for one answer of the store.

Cause: a daemon that begins to own a shard reads it again. The records of a read for a client that was in flight then are not applied, but the client was answered as if the shard had been read to its end.

Evidence: the new test of Refresher failed before and passes now.

Change: the waiters of such a read wait for the partition to be read again.

--- a/src/troutswitch/decisions/storage/refresh.py
+++ b/src/troutswitch/decisions/storage/refresh.py
@@ -77,18 +77,24 @@
         self._call = 0
         match outcome:
             case RecordsRead():
-                self._follower.apply_records(self._requested_at, outcome)
+                if not self._follower.apply_records(self._requested_at, outcome):
+                    self._wait_for_follower()
+                    return []
                 if outcome.next_offset < outcome.end and outcome.records:
                     return [self._read(now)]
                 self._notify(now, True)
             case HistoryGone():
                 self._follower.on_history_gone(now, outcome)
-                self._next_waiters = self._current_waiters + self._next_waiters
-                self._current_waiters = []
+                self._wait_for_follower()
             case _:
                 self._notify(now, False)
         return []
 
+    def _wait_for_follower(self) -> None:
+        """Keeps the waiters while the follower reads the whole partition again."""
+        self._next_waiters = self._current_waiters + self._next_waiters
+        self._current_waiters = []
+
     def _notify(self, now: float, succeeded: bool) -> None:
         waiters, self._current_waiters = self._current_waiters, []
         for waiter in waiters:
--- a/tests/decisions/storage/test_follower.py
+++ b/tests/decisions/storage/test_follower.py
@@ -222,3 +222,26 @@
     harness.next_call(1.1)
     harness.answer(1.2, NewestPage((), False, 2))
     assert harness.applied == {"a": b"1", "z": b"1"}
+
+
+def test_waiter_waits_for_the_partition_to_be_read_again() -> None:
+    """Guards against a position that a client has read and is then told does not exist.
+
+    The read in flight when the follower restarts is not applied, so it proves nothing.
+    """
+    harness = FollowerHarness(wait=0.0, is_tailing=False)
+    harness.bootstrap(0.0, end=0)
+    refresher = Refresher(harness.follower, harness.numbers)
+    served: list[bool] = []
+    refresher.refresh(lambda now, succeeded: served.append(succeeded))
+    refresher.on_timer(0.1)
+    harness.follower.restart(0.1)
+    refresher.on_answer(0.2, RecordsRead((record("a", b"1", 0),), 1, 1))
+    assert served == []
+    harness.next_call(0.2)
+    harness.answer(0.3, NewestPage((record("a", b"1", 0),), False, 1))
+    (again,) = refresher.on_timer(0.3)
+    refresher.on_answer(0.4, RecordsRead((), 1, 1))
+    assert again.call
+    assert served == [True]
+    assert harness.applied == {"a": b"1"}
