Soak with engines that send malformed items, and callers that read steadily

Engines send events of items that no output can hold: not UTF-8, an id that is no number, 5,000 digits, an event of 2 MB, one without an id, half of one. The fault is drawn apart, so that a seed draws the same schedule of the others.

Six callers keep a connection each and read answers of 1 MiB at 600 KB/s with the segments of an ordinary network; the check of planned stops covers them. They are left out where slow callers fill the memory, as a daemon may close a slow reader then.

--- a/src/troutswitch/soak/fault_injector.py
+++ b/src/troutswitch/soak/fault_injector.py
@@ -45,6 +45,7 @@
     ActionKind.ENGINE_SENDS_GARBAGE: "garbage",
     ActionKind.ENGINE_HANGS: "silent",
     ActionKind.ENGINE_SENDS_SURPLUS: "surplus",
+    ActionKind.ENGINE_SENDS_MALFORMED_ITEMS: "malformed_items",
 }
 """Field of `Behaviour` that each engine fault sets."""
 
--- a/src/troutswitch/soak/run.py
+++ b/src/troutswitch/soak/run.py
@@ -18,6 +18,7 @@
 from troutswitch.soak.load_kinds import LoadKind
 from troutswitch.soak.observations import Observations, read_journal
 from troutswitch.soak.probes import Prober
+from troutswitch.soak.reading_callers import ReadingCallers
 from troutswitch.soak.recovery_phase import RecoveryPhase
 from troutswitch.soak.report import SoakResult
 from troutswitch.soak.resource_sampler import ResourceSampler
@@ -204,6 +205,8 @@
             self._hard_load.append(SurgingCallers(seed, direct, observations))
         if LoadKind.SLOW_CALLERS in load:
             self._hard_load.append(SlowCallers(seed, direct, observations))
+        else:  # a daemon whose memory is nearly full may close the connection of a slow reader
+            groups.append(ReadingCallers(seed, direct, observations))
         if LoadKind.SKEWED_CONNECTIONS in load:
             self._hard_load.append(SkewedCallers(seed, direct, observations))
         if LoadKind.CRASHING_PARTS in load:
--- a/src/troutswitch/soak/schedule.py
+++ b/src/troutswitch/soak/schedule.py
@@ -54,6 +54,7 @@
     CALLER_LINK = "front_link"
     STORE_LINK = "store_link"
     ENGINE_LINK = "server_link"
+    ENGINE_SENDS_MALFORMED_ITEMS = "server_malformed_items"
     CRASHING_REQUEST = "ending_request"
     CLOCK_JUMPS = "clock_jumps"
     STORE_BUSY_FOR_ONE_DAEMON = "store_refuses_one"
@@ -80,6 +81,7 @@
 )
 """Planned operations, which must not interrupt any request."""
 SEPARATELY_DRAWN_ACTIONS = (
+    ActionKind.ENGINE_SENDS_MALFORMED_ITEMS,
     ActionKind.CRASHING_REQUEST,
     ActionKind.CLOCK_JUMPS,
     ActionKind.STORE_BUSY_FOR_ONE_DAEMON,
--- a/src/troutswitch/soak/tenants.py
+++ b/src/troutswitch/soak/tenants.py
@@ -18,12 +18,15 @@
 SURGE_PREFIX = "surge-"
 STEADY_PREFIX = "steady-"
 SLOW_PREFIX = "slow-"
-"""Prefixes of the ids of the requests of tenants that compete for slots, and of slow callers."""
+READER_PREFIX = "reader-"
+"""Prefixes of the ids of the requests of tenants that compete for slots, of slow callers, and of
+callers that read large answers steadily."""
 TENANTS_BY_PREFIX = {
     LIMITED_PREFIX: LIMITED_TENANT,
     SURGE_PREFIX: "surge",
     STEADY_PREFIX: "steady",
     SLOW_PREFIX: "slow",
+    READER_PREFIX: "reader",
 }
 UNKNOWN_KEY_INTERVAL = 40
 """About one request in this many uses a key that is in no configuration."""
--- a/src/troutswitch/standins/model_engine.py
+++ b/src/troutswitch/standins/model_engine.py
@@ -24,6 +24,19 @@
 
 BEHAVIOUR_PATH = "/behaviour"
 HEALTH_PATH = "/health"
+NUMBER = b"NUMBER"
+"""Placeholder of the next event's id in `MALFORMED_EVENTS`."""
+MALFORMED_EVENTS = (
+    b"id: NUMBER\ndata: \xff\n\n",
+    b"id: NUMBER\ndata: \xed\xa0\x80\n\n",
+    b"id: \xc2\xb2\ndata: x\n\n",
+    b"id: " + b"9" * 5000 + b"\ndata: x\n\n",
+    b"id: NUMBER\ndata: " + b"x" * 2_000_000 + b"\n\n",
+    b"data: x\n\n",
+    b"id: NUMBER\ndata: x",
+    b"\x00" * 100,
+)
+"""Events of a batch item that are malformed or too long."""
 CRASHING_BODY_PREFIX = b"this request ends its server "
 """Prefix of the body of a request that crashes the engine after it has begun to run."""
 CRASHING_PART = "part-that-ends-its-server"
@@ -48,6 +61,7 @@
     garbage: float = 0.0
     silent: float = 0.0
     surplus: float = 0.0
+    malformed_items: float = 0.0
     is_draining: bool = False
 
 
@@ -75,7 +89,7 @@
         self.behaviour = Behaviour()
         self.random = random.Random(seed)
         self._journal: IO[str] = journal.open("a", buffering=1)
-        self._lock = threading.Lock()
+        self.lock = threading.Lock()
         handler = type("Handler", (_Handler,), {"standin": self})
         self.server = LoopbackServer(address, handler)
         self.address = Address("127.0.0.1", self.server.server_address[1])
@@ -84,7 +98,7 @@
     def write_journal(self, kind: str, request_id: str, **fields: Any) -> None:
         """Appends a line to the journal."""
         row = {"kind": kind, "id": request_id, "at": time.monotonic(), "engine": self.engine_id}
-        with self._lock:
+        with self.lock:
             self._journal.write(json.dumps(row | fields) + "\n")
 
     def crash_on(self, request_id: str, path: str) -> None:
@@ -95,19 +109,19 @@
     @contextmanager
     def counted_run(self) -> Iterator[None]:
         """Counts a request as running."""
-        with self._lock:
+        with self.lock:
             self._running += 1
         try:
             yield
         finally:
-            with self._lock:
+            with self.lock:
                 self._running -= 1
 
     def load_headers(self) -> dict[str, str]:
         """Returns the header with the present load: running, waiting, slots and pace."""
         if self.pace is None:
             return {}
-        with self._lock:
+        with self.lock:
             running = min(self._running, self.slots)
             percent = self.pace.percent(time.monotonic() - self._started_at)
             figures = (running, self._running - running, self.slots, percent)
@@ -117,13 +131,13 @@
         """Takes as long as a piece of work does at the present pace."""
         factor = 1.0
         if self.pace is not None:
-            with self._lock:
+            with self.lock:
                 factor = self.pace.percent(time.monotonic() - self._started_at) / 100
         time.sleep(usual_seconds * factor)
 
     def draw(self, share: float) -> bool:
         """Draws whether a request is hit by a fault that affects a share of requests."""
-        with self._lock:
+        with self.lock:
             return self.random.random() < share
 
 
@@ -192,6 +206,9 @@
             self.standin.write_journal("failed", request_id, status=500)
             self.reply(500, b"failed", signed)
             return
+        if "/item" in self.path and draw(behaviour.malformed_items):
+            self._malformed_stream(request_id, after, signed)
+            return
         breaks_off = draw(behaviour.break_off)
         if "/stream" in self.path or "/item" in self.path:
             self._stream(request_id, after, signed, breaks_off, crashes)
@@ -204,6 +221,15 @@
     def _stamp(self, request_id: str) -> str:
         return f"{self.standin.engine_id}.{request_id}"
 
+    def _malformed_stream(self, request_id: str, after: int, signed: dict[str, str]) -> None:
+        """Sends one event as it should be, and one that no output can hold."""
+        with self.standin.lock:
+            malformed = self.standin.random.choice(MALFORMED_EVENTS)
+        first = b"".join(event_bytes(request_id, after)[:1])
+        headers = signed | {"Content-Type": "text/event-stream"}
+        self.reply(200, first + malformed.replace(NUMBER, b"%d" % (after + 2)), headers)
+        self.standin.write_journal("malformed", request_id)
+
     def _plain(
         self, request_id: str, body: bytes, signed: dict[str, str], breaks_off: bool
     ) -> None:
