The standalone daemon's stop waits for callers that still read

What callers would see: an answer larger than the kernel's buffers, read slowly, ends in the middle when the standalone daemon stops.

Cause: its server waited at most a second for requests in progress and bytes in buffers together.

Evidence: the new test, in which a caller begins to read 2.5 s after the stop, failed before: the stop was over. It passes now.

Change: requests are waited for as before, and answers that are being read for up to 10 s, with what callers have not acknowledged.

--- a/src/troutswitch/standalone/runtime/http_server.py
+++ b/src/troutswitch/standalone/runtime/http_server.py
@@ -10,17 +10,21 @@
 import threading
 import time
 
+import waitress.channel
 import waitress.server
 
 from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
 from troutswitch.runtime.http import WsgiApplication
+from troutswitch.runtime.send_queue import unacknowledged_bytes
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Maximum length of a request body."""
 ANSWER_SECONDS = 1.0
 """Maximum wait of `stop` for requests in progress: by then the daemon has refused new requests for
 a second, and a refusal takes milliseconds."""
+READ_SECONDS = 10.0
+"""Maximum wait of `stop` for callers that still read their answers."""
 QUIET_SECONDS = 0.1
 """After this time without a request in progress, none is left between socket and thread."""
 POLL_SECONDS = 0.01
@@ -91,14 +95,27 @@
             time.sleep(POLL_SECONDS)
 
     def _wait_until_answered(self) -> None:
-        """Waits until no request was in progress for `QUIET_SECONDS`, at most `ANSWER_SECONDS`."""
-        deadline = steady_seconds() + ANSWER_SECONDS
-        quiet_since = steady_seconds()
-        while steady_seconds() < min(deadline, quiet_since + QUIET_SECONDS):
-            if self._is_answering():
+        """Waits until nothing was in progress for `QUIET_SECONDS`.
+
+        Waits at most `ANSWER_SECONDS` for requests, and `READ_SECONDS` for callers that still read.
+        """
+        started_at = quiet_since = steady_seconds()
+        while steady_seconds() < quiet_since + QUIET_SECONDS:
+            elapsed = steady_seconds() - started_at
+            is_answering = elapsed < ANSWER_SECONDS and self._is_answering()
+            if is_answering or (elapsed < READ_SECONDS and self._is_being_read()):
                 quiet_since = steady_seconds()
             time.sleep(POLL_SECONDS)
 
     def _is_answering(self) -> bool:
-        channels = list(self._server.active_channels.values())
-        return any(channel.requests or channel.total_outbufs_len for channel in channels)
+        return any(channel.requests for channel in self._channels())
+
+    def _is_being_read(self) -> bool:
+        """Returns whether a caller has not received what was written to its connection."""
+        return any(
+            channel.total_outbufs_len or unacknowledged_bytes(channel.socket)
+            for channel in self._channels()
+        )
+
+    def _channels(self) -> list[waitress.channel.HTTPChannel]:
+        return list(self._server.active_channels.values())
--- a/tests/standalone/runtime/test_http_server.py
+++ b/tests/standalone/runtime/test_http_server.py
@@ -8,6 +8,7 @@
 
 import http.client
 import threading
+import time
 from collections.abc import Iterable
 
 from troutswitch.common import Address
@@ -63,3 +64,28 @@
     except ConnectionRefusedError:
         return
     raise AssertionError("a stopped server accepts connections")
+
+
+ANSWER_BYTES = 8_000_000
+"""More than the kernel's buffers of a connection hold."""
+LATE_SECONDS = 2.5
+"""Time after which the caller begins to read: more than the server waits for requests and their threads."""
+
+
+def large_answer(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+    return send(Response(200, bytes(ANSWER_BYTES)), start_response)
+
+
+def test_an_answer_that_is_still_read_is_complete_before_the_server_stops() -> None:
+    """Guards against a stop that drops what a slow reader has not received."""
+    server = HttpServer(large_answer, Address("127.0.0.1", 0), 1, "test")
+    server.start()
+    connection = send_request(server.address)
+    response = connection.getresponse()
+    stopper = threading.Thread(target=server.stop)
+    stopper.start()
+    time.sleep(LATE_SECONDS)
+    assert stopper.is_alive()  # the process ends after `stop`
+    assert len(response.read()) == ANSWER_BYTES
+    connection.close()
+    stopper.join(TIMEOUT_SECONDS)
