A request that waits for a thread holds up a planned stop

What callers could see: a request that a stopping daemon had read, and that waited for a free thread, ended with a closed connection.

Cause: the stop counted requests from their admission on. The time limit of one that waits is not known yet, so the unread answers left it out as overdue.

Change: a connection with an unanswered request counts with the default time limit at least.

--- a/src/troutswitch/gateway/callers/listener.py
+++ b/src/troutswitch/gateway/callers/listener.py
@@ -101,7 +101,10 @@
         size = self.total_outbufs_len + unacknowledged_bytes(self.connection)
         if not size and not self.requests:
             return None
-        return UnreadAnswer(self._answered_id, size, self._due_at)
+        due_at = self._due_at
+        if self.requests:  # the time limit of a request that waits for a thread is not read yet
+            due_at = max(due_at, steady_seconds() + DEFAULT_TIME_LIMIT_SECONDS)
+        return UnreadAnswer(self._answered_id, size, due_at)
 
     def readable(self) -> bool:
         """Returns whether to wait for bytes; the listener asks at least once in a second."""
--- a/tests/gateway/callers/test_listener.py
+++ b/tests/gateway/callers/test_listener.py
@@ -2,11 +2,13 @@
 
 import http.client
 import threading
+import time
 from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
+from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
 from troutswitch.gateway.callers.listener import HttpListener
 from troutswitch.gateway.process import CALLER_THREADS, MAX_CONNECTIONS
@@ -51,3 +53,30 @@
                 assert set(callers.map(get, range(CONNECTIONS))) == {200}
     finally:
         listener.stop()
+
+
+def test_request_that_waits_for_a_thread_counts_as_unanswered() -> None:
+    """Guards against a planned stop that ends while a request that it has read waits."""
+    may_end = threading.Event()
+
+    def blocked(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        may_end.wait(TIMEOUT_SECONDS)
+        return send(Response(200, b"", "text/plain"), start_response)
+
+    listener = HttpListener(blocked, Address("127.0.0.1", 0), 1, "test", MAX_CONNECTIONS)
+    listener.start()
+    connections = [http.client.HTTPConnection(*listener.address) for _ in range(2)]
+    try:
+        for connection in connections:
+            connection.request("GET", "/")
+        deadline = time.monotonic() + TIMEOUT_SECONDS
+        while len(listener.unread_answers().expected_at(steady_seconds()).answers) < 2:
+            assert time.monotonic() < deadline
+            time.sleep(0.01)
+        may_end.set()
+        assert [connection.getresponse().status for connection in connections] == [200, 200]
+    finally:
+        may_end.set()
+        for connection in connections:
+            connection.close()
+        listener.stop()
--- a/tests/standalone/runtime/test_http_server.py
+++ b/tests/standalone/runtime/test_http_server.py
@@ -69,7 +69,7 @@
 ANSWER_BYTES = 8_000_000
 """More than the kernel's buffers of a connection hold."""
 LATE_SECONDS = 2.5
-"""Time after which the caller begins to read: more than the server waits for requests and their threads."""
+"""Time after which the caller begins to read: more than the wait for requests and their threads."""
 
 
 def large_answer(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
