The stand-in store ends reads at their limit, and its pages can be small

Cause of the change: the stand-in was kinder than the store's protocol. A read returned all records whatever `max_kb` said, so an append was never split between two reads, and a partition never took more than one. Pages held 500 records, which no soak fills. Faults of readers that show only then could not be seen by any test.

Change: a read ends at `max_kb` and at the store's own limit, but has at least one record, and states the first offset that is kept. The sizes of pages and reads can be set by the faults' call, and history can be dropped in part.

The new tests of the stand-in fail on the code before. The suites of platform, standins, jobs and tenants pass.

--- a/src/troutswitch/platform/store_service.py
+++ b/src/troutswitch/platform/store_service.py
@@ -8,7 +8,7 @@
 import threading
 import time
 from base64 import b64encode
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 from urllib.parse import parse_qs, urlparse
 
@@ -35,12 +35,13 @@
     WriterStamp,
 )
 from troutswitch.platform.store import decode_records, encode_records
-from troutswitch.standins.keyed_store import KeyedStoreModel
+from troutswitch.standins.keyed_store import KeyedStoreModel, ReadLimits
 from troutswitch.standins.loopback import LoopbackHandler, LoopbackServer
 
 POLL_SECONDS = 0.01
 """Interval at which a long-polling read checks for records; far below any caller's wait."""
 FAULTS_PATH = "/faults"
+KILOBYTE = 1024
 
 
 @dataclass(slots=True)
@@ -59,6 +60,10 @@
     """Partitions of all groups are reassigned, once."""
     drops_history: bool = False
     """All logs drop their history, once."""
+    page_records: int = ReadLimits().page_records
+    """Maximum number of records in a page of newest records."""
+    read_kilobytes: int = ReadLimits().read_bytes // KILOBYTE
+    """Maximum size of a read, also if its call allows more."""
 
 
 class _Handler(LoopbackHandler):
@@ -124,6 +129,11 @@
         """Sets the injected faults; one-time faults take effect immediately."""
         self.faults = faults
         with self.lock:
+            self.model.limits = replace(
+                self.model.limits,
+                page_records=faults.page_records,
+                read_bytes=faults.read_kilobytes * KILOBYTE,
+            )
             if faults.deals_anew:
                 for group in self.model.groups:
                     self.model.reassign(group)
@@ -149,13 +159,16 @@
 
     def _read(self, query: dict[str, str], partition: Partition) -> tuple[int, bytes]:
         deadline = steady_seconds() + int(query.get("waitMs", "0")) / 1000
+        max_bytes = int(query.get("max_kb", "1024")) * KILOBYTE
         while True:
             read = self.call(ReadRecords(0, partition, int(query["from"])))
             if isinstance(read, HistoryGone):
                 return 410, json.dumps({"first": read.first_offset}).encode()
             assert isinstance(read, RecordsRead)
             if read.records or steady_seconds() >= deadline:
-                return 200, struct.pack(">QQ", read.end, 0) + encode_records(read.records)
+                first = self.model.log(partition).first_offset
+                records = _encode_up_to(read.records, max_bytes)
+                return 200, struct.pack(">QQ", read.end, first) + records
             time.sleep(POLL_SECONDS)
 
     def post(self, target: str, body: bytes) -> tuple[int, bytes]:
@@ -201,6 +214,17 @@
                 return 400, b"{}"
 
 
+def _encode_up_to(records: tuple[KeyedRecord, ...], max_bytes: int) -> bytes:
+    """Encodes the first records that fit a read, but at least one."""
+    encoded = bytearray()
+    for record in records:
+        row = encode_records((record,))
+        if encoded and len(encoded) + len(row) > max_bytes:
+            break
+        encoded += row
+    return bytes(encoded)
+
+
 def _parse_target(target: str) -> tuple[str, dict[str, str], Partition]:
     url = urlparse(target)
     query = {name: values[0] for name, values in parse_qs(url.query).items()}
--- a/src/troutswitch/standins/keyed_store.py
+++ b/src/troutswitch/standins/keyed_store.py
@@ -31,17 +31,29 @@
     WriterStamp,
 )
 
-PAGE_RECORDS = 500
-PAGE_BYTES = 1_000_000
 RECORD_BYTES = 262_144
 """Maximum bytes of a record: the length of its key, the key and the value."""
 CALL_BYTES = 2_097_152
 """Maximum bytes of the records of an append, each with four bytes for its length."""
+LENGTH_BYTES = 4
+"""Bytes of a record's length, which precedes it."""
 MAX_KEY_BYTES = 255
 CACHED_ANSWERS = 5
 """Number of a writer's latest appends whose answers are repeated if the append is repeated."""
 
 
+@dataclass(frozen=True, slots=True)
+class ReadLimits:
+    """Limits of one answer: records and bytes of a page of newest records, bytes of a read.
+
+    An answer that is not empty has at least one record, whatever its size.
+    """
+
+    page_records: int = 500
+    page_bytes: int = 1_000_000
+    read_bytes: int = 1_048_576
+
+
 @dataclass(slots=True)
 class WriterState:
     """A partition's state of one writer."""
@@ -79,10 +91,11 @@
                 self.newest.pop(record.key, None)
         return Appended(offset, self.end)
 
-    def drop_history(self) -> None:
-        """Drops the history; the newest record of each key stays."""
-        self.first_offset = self.end
-        self.records = []
+    def drop_history(self, before: int | None = None) -> None:
+        """Drops the records before an offset, or all; the newest record of each key stays."""
+        first = self.end if before is None else min(max(before, self.first_offset), self.end)
+        self.records = self.records[first - self.first_offset :]
+        self.first_offset = first
 
 
 @dataclass(slots=True)
@@ -110,10 +123,15 @@
 
 
 class KeyedStoreModel:
-    """The whole store: all partitions and groups."""
+    """The whole store: all partitions and groups.
 
-    def __init__(self, partitions: int = 8) -> None:
+    Attributes:
+        limits: limits of each answer; tests set small ones.
+    """
+
+    def __init__(self, partitions: int = 8, limits: ReadLimits | None = None) -> None:
         self.partitions = partitions
+        self.limits = limits or ReadLimits()
         self.logs: dict[Partition, PartitionLog] = {}
         self.groups: dict[str, Group] = {}
 
@@ -142,9 +160,9 @@
         keys = sorted(key for key in log.newest if key > call.after_key)
         page: list[KeyedRecord] = []
         size = 0
-        for key in keys[:PAGE_RECORDS]:
+        for key in keys[: self.limits.page_records]:
             size += len(log.newest[key].value)
-            if page and size > PAGE_BYTES:
+            if page and size > self.limits.page_bytes:
                 break
             page.append(log.newest[key])
         return NewestPage(tuple(page), len(page) < len(keys), log.end)
@@ -153,8 +171,14 @@
         log = self.log(call.partition)
         if call.offset < log.first_offset:
             return HistoryGone(log.first_offset)
-        records = tuple(log.records[call.offset - log.first_offset :])
-        return RecordsRead(records, call.offset + len(records), log.end)
+        records: list[KeyedRecord] = []
+        size = 0
+        for record in log.records[call.offset - log.first_offset :]:
+            size += _encoded_bytes(record)
+            if records and size > self.limits.read_bytes:
+                break
+            records.append(record)
+        return RecordsRead(tuple(records), call.offset + len(records), log.end)
 
     def _append(self, call: AppendRecords) -> StoreOutcome:
         if call.partition.number >= self.partitions:
@@ -256,9 +280,15 @@
                 group.holders[number] = target
 
 
+def _encoded_bytes(record: KeyedRecord) -> int:
+    """Returns the bytes of a record: its length, the length of its key, the key and the value."""
+    return LENGTH_BYTES + 1 + len(record.key.encode()) + len(record.value)
+
+
 def _are_within_limits(records: tuple[KeyedRecord, ...]) -> bool:
     """Returns whether the store takes records in one call."""
     keys = [len(record.key.encode()) for record in records]
-    sizes = [1 + key + len(record.value) for key, record in zip(keys, records, strict=True)]
-    is_record = max(keys, default=0) <= MAX_KEY_BYTES and max(sizes, default=0) <= RECORD_BYTES
-    return is_record and sum(sizes) + 4 * len(sizes) <= CALL_BYTES
+    sizes = [_encoded_bytes(record) for record in records]
+    is_key = max(keys, default=0) <= MAX_KEY_BYTES
+    is_record = max(sizes, default=0) <= LENGTH_BYTES + RECORD_BYTES
+    return is_key and is_record and sum(sizes) <= CALL_BYTES
--- a/tests/platform/test_store_service.py
+++ b/tests/platform/test_store_service.py
@@ -11,12 +11,15 @@
     CallFailed,
     HistoryGone,
     KeyedRecord,
+    NewestPage,
     Partition,
     ReadNewest,
     ReadRecords,
+    RecordsRead,
 )
-from troutswitch.platform.store import StoreClient
+from troutswitch.platform.store import StoreClient, decode_records
 from troutswitch.platform.store_service import StoreFaults, StoreService
+from troutswitch.standins.keyed_store import PartitionLog
 
 PARTITION = Partition("jobs")
 WAIT_SECONDS = 30.0
@@ -72,3 +75,56 @@
     assert client.call(ReadRecords(0, PARTITION, 0)) == HistoryGone(1)
     newest = client.call(ReadNewest(0, PARTITION))
     assert len(newest.records) == 1  # type: ignore[union-attr]
+
+
+def append_three_large_records(service: StoreService) -> StoreClient:
+    client = StoreClient(service.address)
+    rows = tuple(KeyedRecord(f"key-{number}", bytes(200 * 1024)) for number in range(3))
+    assert client.call(AppendRecords(0, PARTITION, rows)) == Appended(0, 3)
+    return client
+
+
+def test_read_ends_at_the_limit_of_the_store_between_records_of_one_append(
+    service: StoreService,
+) -> None:
+    client = append_three_large_records(service)
+    service.set_faults(StoreFaults(read_kilobytes=500))
+    first = client.call(ReadRecords(0, PARTITION, 0))
+    assert isinstance(first, RecordsRead)
+    assert (len(first.records), first.next_offset, first.end) == (2, 2, 3)
+    second = client.call(ReadRecords(0, PARTITION, first.next_offset))
+    assert isinstance(second, RecordsRead)
+    assert [record.key for record in second.records] == ["key-2"]
+
+
+def test_read_ends_at_the_limit_of_its_call(service: StoreService) -> None:
+    append_three_large_records(service)
+    status, content = service.get("/log-read?topic=keyed.jobs&part=0&from=0&max_kb=450", b"")
+    assert status == 200
+    assert len(decode_records(content[16:], 0)) == 2
+
+
+def test_read_returns_a_record_that_is_larger_than_its_limit(service: StoreService) -> None:
+    append_three_large_records(service)
+    _, content = service.get("/log-read?topic=keyed.jobs&part=0&from=1&max_kb=1", b"")
+    assert [record.key for record in decode_records(content[16:], 1)] == ["key-1"]
+
+
+def test_pages_of_newest_records_have_the_size_that_is_set(service: StoreService) -> None:
+    client = append_three_large_records(service)
+    service.set_faults(StoreFaults(page_records=2))
+    page = client.call(ReadNewest(0, PARTITION))
+    assert isinstance(page, NewestPage)
+    assert (len(page.records), page.has_more) == (2, True)
+    rest = client.call(ReadNewest(0, PARTITION, page.records[-1].key))
+    assert isinstance(rest, NewestPage)
+    assert (len(rest.records), rest.has_more) == (1, False)
+
+
+def test_history_can_be_dropped_in_part() -> None:
+    log = PartitionLog()
+    log.append(tuple(KeyedRecord(f"key-{number}", b"value") for number in range(4)))
+    log.drop_history(before=2)
+    assert (log.first_offset, log.end, len(log.records)) == (2, 4, 2)
+    log.drop_history(before=1)
+    assert (log.first_offset, len(log.newest)) == (2, 4)
