A partition that is read again is replaced in one step, up to a stated offset

What clients saw: after a release and a new assignment of the shards, results were completed with events 1 to 10 of the new run, 11 to 40 of a run at the old version and 41 on of a third, if the shard's newest records took more than one page.

Cause: "current" meant that all pages were read. Pages are of several moments, and the tail, which makes one of them, began after the last record of the *first* page: far back, as chunks sort before saved parts. The owner's lease became OWNED before the tail was read, with parts that its predecessor had removed. Then the tail took the view through the past: older records were applied over newer ones, a read at a time, while items were restored from it. Records that this process had appended went back too, and a late page brought removed keys back.

Change: `PartitionView` is always a state that the partition had. A reread collects pages and the tail up to their end (`PartitionReread`) and replaces the view in one step; a record that is older than the known one of its key is not applied, and a key that was read stays until its removal was. What each reader needs before it acts stands in `view.py` and is checked by `includes`: an owner waits for the append that fenced the others off (`ShardLease.fenced_at`), a client's call for the end that the store stated after the call. The tail begins at an offset that the store stated before the first page, so it is short.

Tests that changed: `without_saved_output` appends removals in place of saved parts, where it dropped the records from the append: an append of fewer records than the daemon sent does not exist, and offsets are now counted by it. The waiter's test had a read that was not applied; now it is, and the test with it checks that the waiter has its records, and another one that a waiter waits when there is no such read.

--- a/src/troutswitch/decisions/jobs/intake.py
+++ b/src/troutswitch/decisions/jobs/intake.py
@@ -142,7 +142,7 @@
             return self._answer_immediately(now, event, refusal)
         if route is None or route.kind is not RouteKind.JOBS:
             return self._answer_immediately(now, event, JobRefused(404, "no such route"))
-        if not self._replicas.index_follower.is_current:
+        if not self._replicas.index_follower.view.is_read:
             refusal = JobRefused(503, "the index is not read yet", RETRY_AFTER_SECONDS)
             return self._answer_immediately(now, event, refusal)
         return self._start(now, event, route)
@@ -297,8 +297,7 @@
         match outcome:
             case Appended():
                 record = manifest_record(submission.manifest)
-                self._replicas.index.apply(now, record)
-                self._replicas.index_follower.skip_own_records((record,), outcome)
+                self._replicas.on_appended(now, INDEX, (record,), outcome)
                 self._finish(now, submission, JobAccepted())
             case EndMoved():
                 self._read_index(submission)
@@ -342,8 +341,8 @@
         if existing is not None:
             self._finish(now, submission, existing)
             return []
-        is_current = self._replicas.index_follower.is_current
-        if not is_current or not self._token_limits.fits(submission.route, submission.manifest):
+        is_following = self._replicas.index_follower.is_following
+        if not is_following or not self._token_limits.fits(submission.route, submission.manifest):
             self._read_index(submission)
             return []
         return self._store_next(now, submission)
--- a/src/troutswitch/decisions/jobs/ownership.py
+++ b/src/troutswitch/decisions/jobs/ownership.py
@@ -4,7 +4,7 @@
 
     (none)   -> FENCING  the group assigned the shard to this daemon
     FENCING  -> READING  the store accepted the new epoch: no earlier owner can write now
-    READING  -> OWNED    the shard was then read to its end
+    READING  -> OWNED    the view of the shard includes the append that fenced earlier owners off
     OWNED    -> FENCING  a write was refused, but the shard is still assigned to this daemon
     any      -> (none)   the group assigned the shard to another daemon
 
@@ -66,9 +66,9 @@
 class ShardLease:
     """A shard assigned to this daemon.
 
-    `call`, `call_at` and `retry_at` belong to the append that fences earlier owners.
-    `next_sequence` numbers the writes under the epoch. `was_owned` stays true while the shard is
-    fenced again.
+    `call`, `call_at` and `retry_at` belong to the append that fences earlier owners, and
+    `fenced_at` is the end that the shard had then. `next_sequence` numbers the writes under the
+    epoch. `was_owned` stays true while the shard is fenced again.
     """
 
     shard: int
@@ -77,6 +77,7 @@
     call: int = 0
     call_at: float = float("-inf")
     retry_at: float = float("-inf")
+    fenced_at: int = 0
     next_sequence: int = 0
     was_owned: bool = False
 
@@ -230,7 +231,7 @@
         return (epoch_round << EPOCH_BITS) | self._rng.getrandbits(EPOCH_BITS)
 
     def _advance(self, now: float, lease: ShardLease) -> list[StoreCall]:
-        """Fences a shard, or checks whether it was read to its end."""
+        """Fences a shard, or checks whether it was read to the append that fenced it."""
         match lease.state:
             case ShardState.FENCING:
                 return self._fence(now, lease)
@@ -252,7 +253,7 @@
         return [AppendRecords(lease.call, shard_partition(lease.shard), (), stamp=stamp)]
 
     def _check_read(self, lease: ShardLease) -> None:
-        if self._replicas.shard(lease.shard).follower.is_current:
+        if self._replicas.shard(lease.shard).follower.includes(lease.fenced_at):
             lease.state = ShardState.OWNED
             lease.was_owned = True
             self._log("shard owned", shard=lease.shard, epoch=lease.epoch)
@@ -262,7 +263,8 @@
             case Appended():
                 lease.state = ShardState.READING
                 lease.next_sequence = 0
-                self._replicas.shard(lease.shard).follower.restart(now)
+                lease.fenced_at = outcome.end
+                self._replicas.shard(lease.shard).follower.read_to(now, outcome.end)
             case FencedOff():
                 lease.epoch = self._new_epoch((outcome.epoch >> EPOCH_BITS) + 1)
                 lease.retry_at = now
--- a/src/troutswitch/decisions/jobs/reads.py
+++ b/src/troutswitch/decisions/jobs/reads.py
@@ -185,8 +185,7 @@
             return []
         job_id = call.event.job_id
         record = end_record(job_id)
-        self._replicas.index.apply(now, record)
-        self._replicas.index_follower.skip_own_records((record,), outcome)
+        self._replicas.on_appended(now, INDEX, (record,), outcome)
         self._log("job end stored", job_id=job_id, offset=outcome.offset)
         self._finish(call.event.token, JobEnded())
         return []
--- a/src/troutswitch/decisions/jobs/replicas.py
+++ b/src/troutswitch/decisions/jobs/replicas.py
@@ -5,14 +5,20 @@
 """
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from troutswitch.decisions.jobs.index import JobIndex
 from troutswitch.decisions.jobs.records import INDEX, shard_partition
 from troutswitch.decisions.jobs.shard import ShardFold
 from troutswitch.decisions.storage.follower import PartitionFollower
-from troutswitch.decisions.storage.messages import KeyedRecord, StoreCall, StoreOutcome
+from troutswitch.decisions.storage.messages import (
+    Appended,
+    KeyedRecord,
+    Partition,
+    StoreCall,
+    StoreOutcome,
+)
 from troutswitch.decisions.storage.read_attempts import CallNumbers
 from troutswitch.decisions.storage.refresh import Refresher
 
@@ -55,7 +61,7 @@
 
     def _apply_index_record(self, record: KeyedRecord) -> None:
         """Applies a record of the index. Records may be old until the first read is complete."""
-        is_old = not self.index_follower.is_current
+        is_old = not self.index_follower.is_following
         self.index.apply(self._now, record, self.time_of_day(self._now) if is_old else 0.0)
 
     def time_of_day(self, now: float) -> float:
@@ -90,7 +96,21 @@
     @property
     def held_bytes(self) -> int:
         """Bytes of the records of all shards that are read; may be asked on any thread."""
-        return sum(replica.fold.held_bytes for replica in list(self.shards.values()))
+        replicas = list(self.shards.values())
+        return sum(replica.fold.held_bytes + replica.follower.held_bytes for replica in replicas)
+
+    def on_appended(
+        self,
+        now: float,
+        partition: Partition,
+        records: Iterable[KeyedRecord],
+        appended: Appended,
+    ) -> None:
+        """Applies records that this daemon appended to the index or to a shard."""
+        self._now = now
+        is_index = partition == INDEX
+        follower = self.index_follower if is_index else self.shard(partition.number).follower
+        follower.apply_appended(records, appended)
 
     def next_due(self) -> float:
         """Returns when `on_timer` has something to do."""
--- a/src/troutswitch/decisions/jobs/retention.py
+++ b/src/troutswitch/decisions/jobs/retention.py
@@ -147,11 +147,7 @@
         if not isinstance(outcome, Appended) or self._removing is None:
             return
         partition, records = self._removing
-        for record in records:
-            if partition == INDEX:
-                self._replicas.index.apply(now, record)
-            else:
-                self._replicas.shard(partition.number).fold.apply(record)
+        self._replicas.on_appended(now, partition, records, outcome)
         self._log("job records removed", topic=partition.topic, records=len(records))
         self._check_at = now
 
--- a/src/troutswitch/decisions/jobs/writer.py
+++ b/src/troutswitch/decisions/jobs/writer.py
@@ -248,7 +248,7 @@
             return
         match outcome:
             case Appended():
-                self._on_written(lease, writes, outcome)
+                self._on_written(now, lease, writes, outcome)
             case CallFailed():
                 # Repeated with the same sequence number, the write is applied only once.
                 writes.retry_at = now + RETRY_SECONDS
@@ -256,12 +256,11 @@
                 self._log("shard write refused", shard=shard, outcome=str(outcome))
                 self._ownership.fence_again(now, shard)
 
-    def _on_written(self, lease: ShardLease, writes: _ShardWrites, outcome: Appended) -> None:
-        replica = self._replicas.shard(lease.shard)
+    def _on_written(
+        self, now: float, lease: ShardLease, writes: _ShardWrites, outcome: Appended
+    ) -> None:
         records = [record for row in writes.batch for record in row.records]
-        for record in records:
-            replica.fold.apply(record)
-        replica.follower.skip_own_records(records, outcome)
+        self._replicas.on_appended(now, shard_partition(lease.shard), records, outcome)
         for row in writes.batch:
             if row.result is not None:
                 self._on_listed(lease, row, row.result)
--- a/src/troutswitch/decisions/slots/coordinator_claims.py
+++ b/src/troutswitch/decisions/slots/coordinator_claims.py
@@ -279,13 +279,13 @@
 
     def _note_reads(self, now: float) -> None:
         """Notes since when reads of the topic have succeeded."""
-        if not self._follower.is_current or self._follower.attempts.failures:
+        if not self._follower.is_following or self._follower.attempts.failures:
             self._reading_since = NEVER
         else:
             self._reading_since = min(self._reading_since, now)
 
     def _may_claim(self, group: str) -> bool:
-        if self.is_draining or not self._follower.is_current or self._follower.attempts.failures:
+        if self.is_draining or not self._follower.is_following or self._follower.attempts.failures:
             return False
         is_claiming = any(claim.group == group for claim in self._own_claims.values())
         return not is_claiming and not self.is_own(group)
--- a/src/troutswitch/decisions/storage/refresh.py
+++ b/src/troutswitch/decisions/storage/refresh.py
@@ -1,7 +1,8 @@
 """Reads a follower's partition to its end on demand, with one read for all waiters.
 
-A waiter that is added while a read is in flight waits for the next read, because the store may
-have answered the one in flight before the waiter was added. Owns the waiters and the read.
+A waiter is notified once the view includes the end that the store stated after the waiter was
+added. One that is added while a read is in flight therefore waits for the next read, because the
+store may have answered the one in flight before. Owns the waiters and the read.
 """
 
 from collections.abc import Callable
@@ -31,6 +32,8 @@
         self._numbers = numbers
         self._call = 0
         self._requested_at = float("-inf")
+        self._target: int | None = None
+        """The end that the first read for the current waiters stated."""
         self._current_waiters: list[Waiter] = []
         self._next_waiters: list[Waiter] = []
 
@@ -42,7 +45,8 @@
         """Returns when `on_timer` has something to do."""
         if self._call:
             return self._requested_at + CALL_EXPIRY_SECONDS
-        return float("-inf") if self._next_waiters and self._follower.is_current else float("inf")
+        is_due = bool(self._next_waiters) and self._follower.is_following
+        return float("-inf") if is_due else float("inf")
 
     def owns(self, call: int) -> bool:
         """Returns whether a store call is this refresher's read."""
@@ -59,12 +63,13 @@
             self._notify(now, False)
         if self._call or not self._next_waiters:
             return []
-        if not self._follower.is_current:
+        if not self._follower.is_following:
             if self._follower.attempts.failures:
                 self._current_waiters, self._next_waiters = self._next_waiters, []
                 self._notify(now, False)
             return []
         self._current_waiters, self._next_waiters = self._next_waiters, []
+        self._target = None
         return [self._read(now)]
 
     def _read(self, now: float) -> StoreCall:
@@ -77,12 +82,7 @@
         self._call = 0
         match outcome:
             case RecordsRead():
-                if not self._follower.apply_records(self._requested_at, outcome):
-                    self._wait_for_follower()
-                    return []
-                if outcome.next_offset < outcome.end and outcome.records:
-                    return [self._read(now)]
-                self._notify(now, True)
+                return self._on_read(now, outcome)
             case HistoryGone():
                 self._follower.on_history_gone(now, outcome)
                 self._wait_for_follower()
@@ -90,6 +90,20 @@
                 self._notify(now, False)
         return []
 
+    def _on_read(self, now: float, read: RecordsRead) -> list[StoreCall]:
+        self._follower.apply_records(self._requested_at, read)
+        if self._target is None:
+            self._target = read.end
+        if self._follower.includes(self._target):
+            self._notify(now, True)
+        elif not self._follower.is_following:
+            self._wait_for_follower()
+        elif read.records:
+            return [self._read(now)]
+        else:
+            self._notify(now, False)  # the store stated an end that it has no records for
+        return []
+
     def _wait_for_follower(self) -> None:
         """Keeps the waiters while the follower reads the whole partition again."""
         self._next_waiters = self._current_waiters + self._next_waiters
