A saved part states its output, and parts of two outputs are not chained

What clients saw: after all daemons had started anew while the only engine was replaced by one of another version, results joined both: events 1 to 40 of version 1, 41 to 120 of version 2. And what any gap in an owner's reading of its shard gave: texts of two runs, as parts were chained by the events between which they lie.

Cause: a part did not say to which output it belongs. It stated its version only while the service had two, which was true when it was written and not when it was read: a daemon whose whole fleet has just started knows one version, another one. An owner that was fenced and owned the shard again compared only the parts past its own, so its output could go on after another owner's.

Change: each start of an item is an output with a version and a name of its own (`OutputId`). Every part states both, the chain ends at the first part of another output, `reconcile` compares all parts, and an item goes on only at the version that its parts state. With the next part, the owner removes all records that may hold another output, not only those of its chain. A record that can't be decoded replaces the older one of its key.

Why this works whatever was read when: a join would need two parts that state the same start. Records of earlier versions state none and are not continued; daemons of earlier versions read the new field as a version that no engine has and start again.

The tests of chains, of unstated parts and of reconciling fail before, too.

--- a/src/troutswitch/decisions/gateway_parts.py
+++ b/src/troutswitch/decisions/gateway_parts.py
@@ -128,7 +128,7 @@
         self.slots = self._make_slots(policies, incarnation, rng)
         if policies.slot_assignment == "coordinators":
             self.requests.placer = self.slots.requests
-        self.jobs = self._make_jobs(policies, formats, rng)
+        self.jobs = self._make_jobs(policies, formats, incarnation, rng)
         self.configuration = ActiveConfiguration(
             self.routes, formats, self.numbers, rng, identity.apply_bound, self.output
         )
@@ -171,7 +171,7 @@
         return DaemonIdentity(identity.name, identity.zone, identity.peer_address, incarnation)
 
     def _make_jobs(
-        self, policies: Policies, formats: Formats, rng: random.Random
+        self, policies: Policies, formats: Formats, incarnation: int, rng: random.Random
     ) -> JobCoordinator:
         identity = self.identity
         dependencies = JobDependencies(
@@ -193,6 +193,7 @@
             identity.job_retention,
             identity.store_limits,
             policies.batch,
+            incarnation,
             identity.has_memory_limit,
         )
         return JobCoordinator(dependencies, settings)
--- a/src/troutswitch/decisions/jobs/dependencies.py
+++ b/src/troutswitch/decisions/jobs/dependencies.py
@@ -48,7 +48,8 @@
 
     `member` names this daemon in the group of shard owners. `min_member_ttl` is the shortest time
     to live, in seconds, that the store accepts for a member. `job_kept` is how long, in seconds, a
-    client may read a job after submitting it. `counts_peer_tokens` makes other daemons' requests
+    client may read a job after submitting it. `incarnation` is the random number of this process
+    (`DaemonIdentity`). `counts_peer_tokens` makes other daemons' requests
     count when an item needs space in an engine's cache.
     """
 
@@ -58,6 +59,7 @@
     job_kept: float
     limits: StoreLimits
     policies: BatchPolicies
+    incarnation: int
     counts_peer_tokens: bool = False
 
 
--- a/src/troutswitch/decisions/jobs/items.py
+++ b/src/troutswitch/decisions/jobs/items.py
@@ -9,7 +9,7 @@
 from troutswitch.decisions.crashes.messages import Trial
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.jobs.messages import OutputEvent
-from troutswitch.decisions.jobs.records import JobItem, OutputPart, output_bytes
+from troutswitch.decisions.jobs.records import JobItem, OutputId, OutputPart, output_bytes
 from troutswitch.wire_values import parse_number
 
 
@@ -39,12 +39,13 @@
         run_seconds: total duration of its runs here.
         content: its content key, computed on first use (`item_contents`).
         trial: the trial after crashes that its run is, or empty (`item_refusals`).
-        version: software version of the engines that wrote its output, empty if unknown.
+        output_id: identity of its output; not stated before its first run.
         version_wait_ends_at: until when it waits for an engine of that version, if it does.
         output_bytes: size of its output so far, as `records.output_bytes` counts it.
         needs_restart: whether its output is dropped before the next run (`item_versions`).
         is_saving: whether a part of its output is being written to the store.
-        obsolete_parts: number of records that may hold output from before it started again.
+        obsolete_parts: number of records that may hold another output; those after the next part
+            are removed with it.
     """
 
     shard: int
@@ -68,7 +69,7 @@
     run_seconds: float = 0.0
     content: str = ""
     trial: Trial = ()
-    version: str = ""
+    output_id: OutputId = OutputId()  # noqa: RUF009
     version_wait_ends_at: float | None = None
     output_bytes: int = 0
     needs_restart: bool = False
@@ -89,16 +90,27 @@
         """Returns whether it is unfinished, has no run in flight, and its retry time has passed."""
         return not self.run_number and not self.is_finished and now >= self.retry_at
 
-    def restore(self, parts: list[OutputPart]) -> None:
-        """Restores the output that an earlier owner saved."""
+    @property
+    def version(self) -> str:
+        """Software version of the engines that wrote its output."""
+        return self.output_id.version
+
+    def restore(self, parts: list[OutputPart], stored_parts: int = 0) -> None:
+        """Restores the output that an earlier owner saved.
+
+        Args:
+            parts: the parts of that output.
+            stored_parts: number of records that may hold saved output, also of other outputs.
+        """
         ensure(not self.texts, "saved output is restored into an item that has output")
+        self.obsolete_parts = stored_parts
         if not parts:
             return
         self.texts = [part.text for part in parts]
         self.output_bytes = sum(output_bytes(part.text) for part in parts)
         self.position = self.saved_position = parts[-1].position
         self.saved_parts = len(parts)
-        self.version = next((part.version for part in parts if part.version), "")
+        self.output_id = parts[0].output
 
     def start_again(self) -> None:
         """Drops the output; its saved parts are overwritten or removed with the next part."""
@@ -110,7 +122,12 @@
         self.position = self.saved_position = ""
         self.saved_parts = 0
         self.output_bytes = 0
-        self.version = ""
+        self.output_id = OutputId()
+
+    def begin_output(self, output_id: OutputId) -> None:
+        """Begins an output, before the first run of an item that has none."""
+        ensure(not self.position, "an output begins in an item that has output")
+        self.output_id = output_id
 
     def add_events(self, events: tuple[OutputEvent, ...]) -> None:
         """Appends the next events of the output."""
@@ -136,7 +153,7 @@
         """Returns whether the next unsaved event fits a part; otherwise only the result has it."""
         return bool(self.unsaved) and len(self.unsaved[0].text.encode()) < max_bytes
 
-    def next_part(self, max_bytes: int, *, names_version: bool = False) -> OutputPart:
+    def next_part(self, max_bytes: int) -> OutputPart:
         """Returns the next unsaved part: as many events as fit `max_bytes`, but at least one."""
         texts: list[str] = []
         position = self.saved_position
@@ -147,8 +164,8 @@
                 break
             texts.append(event.text)
             position = event.position
-        version = self.version if names_version else ""
-        return OutputPart(self.saved_position, position, "\n".join(texts), version)
+        ensure(self.output_id.is_stated, "a part does not state its output")
+        return OutputPart(self.saved_position, position, "\n".join(texts), self.output_id)
 
     def on_saved(self, part: OutputPart) -> None:
         """Records that a part was saved in the store."""
@@ -169,15 +186,18 @@
                 return "\n".join(texts)
         return None
 
-    def reconcile(self, parts: list[OutputPart]) -> bool:
+    def reconcile(self, parts: list[OutputPart], stored_parts: int = 0) -> bool:
         """Compares the parts in the store with this output; returns whether they match.
 
         After a write whose outcome is unknown, the store may have one part more than was
-        acknowledged; a further part that matches is recorded as saved. If a part is from another
-        owner's run, this item must restart from the saved output.
+        acknowledged; a further part that matches is recorded as saved. If a part is of another
+        output or from another owner's run, this item must restart from the saved output.
         """
         if len(parts) < self.saved_parts:
             return False
+        if any(part.output != self.output_id for part in parts):
+            return False
+        self.obsolete_parts = max(self.obsolete_parts, stored_parts)
         for part in parts[self.saved_parts :]:
             if part.after != self.saved_position or part.text != self._text_up_to(part.position):
                 return False
--- a/src/troutswitch/decisions/jobs/open_items.py
+++ b/src/troutswitch/decisions/jobs/open_items.py
@@ -5,19 +5,23 @@
 owner.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from troutswitch.decisions.jobs.index import JobEntry
 from troutswitch.decisions.jobs.items import ItemProgress
 from troutswitch.decisions.jobs.order import ItemKey
 from troutswitch.decisions.jobs.ownership import ShardOwnership
 from troutswitch.decisions.jobs.replicas import JobReplicas
+from troutswitch.decisions.jobs.shard import JobContent
 
 
 class OpenItems:
     """Progress of the items that this daemon has to finish."""
 
-    def __init__(self, replicas: JobReplicas, ownership: ShardOwnership) -> None:
+    def __init__(
+        self, replicas: JobReplicas, ownership: ShardOwnership, log: Callable[..., None]
+    ) -> None:
+        self._log = log
         self._replicas = replicas
         self._ownership = ownership
         self._items: dict[ItemKey, ItemProgress] = {}
@@ -75,12 +79,29 @@
             progress = self._items.get((manifest.job_id, item.item_id))
             if progress is None:
                 progress = ItemProgress(manifest.shard, manifest.job_id, item, number)
-                progress.restore(content.saved_output(number))
+                self._restore(progress, content)
                 progress.failures = progress.saved_failures = content.failures.get(number, 0)
                 self._items[progress.key] = progress
             unlisted.append(progress)
         return unlisted
 
+    def _restore(self, progress: ItemProgress, content: JobContent) -> None:
+        """Restores the output that an earlier owner of the shard saved."""
+        parts = content.saved_output(progress.number)
+        stored_parts = content.stored_parts(progress.number)
+        progress.restore(parts, stored_parts)
+        if stored_parts:
+            self._log(
+                "saved output restored",
+                job_id=progress.job_id,
+                item_id=progress.item.item_id,
+                parts=len(parts),
+                stored_parts=stored_parts,
+                position=progress.position,
+                output=progress.output_id.start,
+                written_by=progress.version,
+            )
+
     def _refresh_shard(self, shard: int) -> None:
         """Requests a read of the shard, which has all items of an accepted job."""
         if shard in self._shards_refreshing:
@@ -97,6 +118,15 @@
         """
         fold = self._replicas.shard(shard).fold
         for progress in self.in_shard(shard):
-            saved = fold.content(progress.job_id).saved_output(progress.number)
-            if not progress.is_finished and not progress.reconcile(saved):
+            content = fold.content(progress.job_id)
+            saved = content.saved_output(progress.number)
+            stored = content.stored_parts(progress.number)
+            if not progress.is_finished and not progress.reconcile(saved, stored):
+                self._log(
+                    "output of another owner found",
+                    job_id=progress.job_id,
+                    item_id=progress.item.item_id,
+                    output=progress.output_id.start,
+                    saved_output=saved[0].output.start if saved else "",
+                )
                 self.drop(progress)
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -68,7 +68,7 @@
         token_limits: TokenLimits,
     ) -> None:
         capacity = BATCH_CAPACITY_POLICIES[settings.policies.capacity]()
-        items = OpenItems(replicas, ownership)
+        items = OpenItems(replicas, ownership, dependencies.log)
         self.is_draining = False
         self._ownership = ownership
         self._round_at = float("-inf")
@@ -80,7 +80,6 @@
             settings.limits,
             items,
             token_limits,
-            dependencies.engines.versions,
             dependencies.log,
         )
         parts = _build_parts(dependencies, settings, replicas, items, self._writer)
@@ -236,5 +235,5 @@
         refusals,
         endings,
         ItemRetries(routes, replicas.index, refusals, endings, dependencies.rng),
-        ItemVersions(dependencies.engines, log),
+        ItemVersions(dependencies.engines, settings.incarnation, log),
     )
--- a/src/troutswitch/decisions/jobs/records.py
+++ b/src/troutswitch/decisions/jobs/records.py
@@ -12,8 +12,8 @@
     b:JOB:CHUNK          items of the job, in order
     r:JOB:POSITION       one result
     x:JOB:POSITION:PART  continuation of a result's text that does not fit its record
-    c:JOB:ITEM:PART      part of an item's incomplete output, after which a successor resumes
-                         instead of restarting the item
+    c:JOB:ITEM:PART      part of an item's incomplete output, with the identity of that output; a
+                         successor resumes after it instead of restarting the item
     f:JOB:ITEM           number of failed runs of an item, which bounds them over all owners
 
 Only the fenced owner of a shard writes results, continuations, parts and failed runs. Values are
@@ -21,6 +21,7 @@
 no state.
 """
 
+import re
 from dataclasses import dataclass
 from typing import Annotated, TypeVar, get_args
 
@@ -48,6 +49,10 @@
 CHECKPOINT = "c"
 FAILURES = "f"
 CONTINUATION = "x"
+START_SEPARATOR = "@"
+"""Separates the version from the start in the identity of an output."""
+START = re.compile("[0-9a-f]{16}")
+"""Form of the name of an output's start."""
 RECORD_OVERHEAD_BYTES = 512
 """Bytes reserved in a record for its key and the arrays around the items."""
 
@@ -122,16 +127,31 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OutputPart:
-    """A part of an item's output: the data of the events after id `after` up to id `position`.
+class OutputId:
+    """Identity of one output of an item: what its runs gave from one start of the item on.
 
-    `version` is the software version of the engines that wrote it, empty if it is not stated.
+    Each of these runs continued after the last event of the one before, at an engine of the
+    software `version`. `start` names that start, uniquely among all daemons. It is empty if a
+    record of an earlier version of this program does not state it.
     """
 
+    version: str = ""
+    start: str = ""
+
+    @property
+    def is_stated(self) -> bool:
+        """Whether it is known which output this is."""
+        return bool(self.start)
+
+
+@dataclass(frozen=True, slots=True)
+class OutputPart:
+    """A part of the output `output`: the data of the events after id `after` up to `position`."""
+
     after: str
     position: str
     text: str
-    version: str = ""
+    output: OutputId = OutputId()
 
 
 def output_bytes(text: str) -> int:
@@ -301,16 +321,26 @@
 
 
 def checkpoint_record(job_id: str, item: int, part: int, output: OutputPart) -> KeyedRecord:
-    """Encodes a part of an item's output; `item` is the item's index in its job.
-
-    The version is encoded only if it is stated, so that other parts keep their bytes.
-    """
+    """Encodes a part of an item's output; `item` is the item's index in its job."""
     value = [SCHEMA_VERSION, output.after, output.position, output.text]
-    if output.version:
-        value.append(output.version)
+    if output.output != OutputId():
+        value.append(_encode_output_id(output.output))
     return KeyedRecord(f"{CHECKPOINT}:{job_id}:{item:05d}:{part:05d}", cbor2.dumps(value))
 
 
+def _encode_output_id(output: OutputId) -> str:
+    """Encodes an output's identity in the field that had only the version earlier.
+
+    A daemon of such a version finds no engine of this version, and starts the item again.
+    """
+    return f"{output.version}{START_SEPARATOR}{output.start}" if output.start else output.version
+
+
+def _decode_output_id(text: str) -> OutputId:
+    version, separator, start = text.rpartition(START_SEPARATOR)
+    return OutputId(version, start) if separator and START.fullmatch(start) else OutputId(text)
+
+
 def failures_record(job_id: str, item: int, count: int) -> KeyedRecord:
     """Encodes the number of failed runs of an item; `item` is the item's index in its job."""
     return KeyedRecord(f"{FAILURES}:{job_id}:{item:05d}", cbor2.dumps([SCHEMA_VERSION, count]))
@@ -345,10 +375,10 @@
     Raises:
         RecordError: the record is malformed or of another version.
     """
-    after, position, text, version = _fields(value, tuple[str, str, str, str], "")
+    after, position, text, output = _fields(value, tuple[str, str, str, str], "")
     if not (is_event_id(position) and (is_event_id(after) or not after)):
         raise RecordError("malformed id of an event")
-    return OutputPart(after, position, text, version)
+    return OutputPart(after, position, text, _decode_output_id(output))
 
 
 def checkpoint_removal(job_id: str, item: int, part: int) -> KeyedRecord:
--- a/src/troutswitch/decisions/jobs/runs.py
+++ b/src/troutswitch/decisions/jobs/runs.py
@@ -109,6 +109,7 @@
             engine_version=engine.record.version,
             load=engine.in_flight(now),
             resume_after=progress.position,
+            output=progress.output_id.start,
             **factor_fields(now, engine),
             **configuration_fields(self._routes.known(now)),
         )
--- a/src/troutswitch/decisions/jobs/shard.py
+++ b/src/troutswitch/decisions/jobs/shard.py
@@ -65,15 +65,25 @@
         return next((item for item in self.items() if item.item_id == item_id), None)
 
     def saved_output(self, item: int) -> list[OutputPart]:
-        """Returns the parts of an item's saved output, in order, up to the first gap."""
+        """Returns the parts of an item's saved output, in order, up to the first gap.
+
+        All are of the output that the first part states. Without a stated output there is none:
+        what follows could be of another one.
+        """
         parts = self.parts.get(item, {})
         chain: list[OutputPart] = []
         position = ""
         while (part := parts.get(len(chain))) is not None and part.after == position:
+            if not part.output.is_stated or part.output != parts[0].output:
+                break
             chain.append(part)
             position = part.position
         return chain
 
+    def stored_parts(self, item: int) -> int:
+        """Returns how many records may hold saved output of an item, of whatever output."""
+        return 1 + max(self.parts.get(item, ()), default=-1)
+
     @property
     def next_position(self) -> int:
         """Position at which the next result is listed."""
@@ -183,6 +193,7 @@
                 piece = read_continuation(record.value)
                 self.jobs.setdefault(job_id, JobContent()).add_continuation(number, part, piece)
             else:
+                self._remove_part(record.key, job_id, number, part)
                 output = read_checkpoint(record.value)
                 content = self.jobs.setdefault(job_id, JobContent())
                 content.parts.setdefault(number, {})[part] = output
--- a/src/troutswitch/decisions/jobs/writer.py
+++ b/src/troutswitch/decisions/jobs/writer.py
@@ -37,7 +37,6 @@
     WriterStamp,
 )
 from troutswitch.decisions.storage.read_attempts import CallNumbers
-from troutswitch.decisions.streams.versions import EngineVersions
 
 RETRY_SECONDS = 0.2
 """Pause after a failed write."""
@@ -87,12 +86,8 @@
         limits: StoreLimits,
         items: OpenItems,
         token_limits: TokenLimits,
-        versions: EngineVersions,
         log: Callable[..., None],
     ) -> None:
-        self._versions = versions
-        self._names_versions = False
-        """Whether parts state the version that wrote them, as a service has several."""
         self._shards: dict[int, _ShardWrites] = {}
         self._reports = ProgressReports(replicas, numbers, token_limits)
         self._replicas = replicas
@@ -187,7 +182,6 @@
         used = self._add_results(lease, writes) + _add_failures(writes, items)
         if is_draining or now >= writes.checkpoint_at:
             writes.checkpoint_at = now + CHECKPOINT_SECONDS
-            self._names_versions = any(True for _ in self._versions.mixed(now))
             self._add_checkpoints(writes, items, used)
 
     def _add_results(self, lease: ShardLease, writes: _ShardWrites) -> int:
@@ -220,7 +214,7 @@
         for progress in items:
             if progress.is_finished or not self.has_unsaved(progress):
                 continue
-            part = progress.next_part(self._part_bytes, names_version=self._names_versions)
+            part = progress.next_part(self._part_bytes)
             used += len(part.text.encode()) + PART_OVERHEAD_BYTES
             if used > self._limits.call_bytes:
                 return
@@ -280,6 +274,7 @@
             item_id=result.item_id,
             position=row.position,
             state=result.state,
+            output=row.progress.output_id.start,
             shard=lease.shard,
             epoch=lease.epoch,
         )
--- a/tests/decisions/jobs/test_dispatcher.py
+++ b/tests/decisions/jobs/test_dispatcher.py
@@ -84,7 +84,7 @@
                 keeps_apart=lambda progress, running: False,
             ),
             endings=SimpleNamespace(complete=lambda progress: None),
-            versions=ItemVersions(self.registry, lambda event, **fields: None),
+            versions=ItemVersions(self.registry, 7, lambda event, **fields: None),
         )
         self.ends = RunEnds(cast(ItemParts, parts), self.registry, policy)
         self.dispatcher = ItemDispatcher(
--- a/tests/decisions/jobs/test_parts.py
+++ b/tests/decisions/jobs/test_parts.py
@@ -9,6 +9,7 @@
 from troutswitch.decisions.jobs.records import (
     JobItem,
     Manifest,
+    OutputId,
     OutputPart,
     RecordError,
     checkpoint_record,
@@ -26,10 +27,20 @@
 MANIFEST = Manifest("job", "route", "host", 2, 200, "digest", 3)
 
 
+OUTPUT = OutputId("v1", "000000010000000a")
+OTHER_OUTPUT = OutputId("v1", "000000010000000b")
+
+
 def new_progress() -> ItemProgress:
     return ItemProgress(0, "job", ITEM, 0)
 
 
+def begun_progress() -> ItemProgress:
+    progress = new_progress()
+    progress.begin_output(OUTPUT)
+    return progress
+
+
 def events(*numbers: int) -> tuple[OutputEvent, ...]:
     return tuple(OutputEvent(str(number), f"t{number}") for number in numbers)
 
@@ -38,7 +49,7 @@
 
 
 def test_a_successor_resumes_after_the_saved_output() -> None:
-    owner_progress = new_progress()
+    owner_progress = begun_progress()
     fold = ShardFold()
     for new_events in (events(1, 2), events(3)):
         owner_progress.add_events(new_events)
@@ -50,39 +61,69 @@
     assert successor_progress.position == "3"
     successor_progress.add_events(events(4))
     assert successor_progress.output == "t1\nt2\nt3\nt4"
-    assert successor_progress.next_part(RECORD_BYTES) == OutputPart("3", "4", "t4")
+    assert successor_progress.next_part(RECORD_BYTES) == OutputPart("3", "4", "t4", OUTPUT)
 
 
 def test_saved_output_ends_at_the_first_gap() -> None:
     fold = ShardFold()
-    fold.apply(checkpoint_record("job", 0, 0, OutputPart("", "2", "x")))
-    fold.apply(checkpoint_record("job", 0, 1, OutputPart("5", "6", "y")))
+    fold.apply(checkpoint_record("job", 0, 0, OutputPart("", "2", "x", OUTPUT)))
+    fold.apply(checkpoint_record("job", 0, 1, OutputPart("5", "6", "y", OUTPUT)))
     assert [part.position for part in fold.content("job").saved_output(0)] == ["2"]
 
 
+@pytest.mark.parametrize("other", [OTHER_OUTPUT, OutputId("v2", OUTPUT.start), OutputId()])
+def test_parts_of_two_outputs_are_not_chained(other: OutputId) -> None:
+    """Guards against text that joins two runs, whatever an owner has read of its shard."""
+    fold = ShardFold()
+    fold.apply(checkpoint_record("job", 0, 0, OutputPart("", "2", "new", OUTPUT)))
+    fold.apply(checkpoint_record("job", 0, 1, OutputPart("2", "4", "old", other)))
+    content = fold.content("job")
+    assert [part.text for part in content.saved_output(0)] == ["new"]
+    progress = new_progress()
+    progress.restore(content.saved_output(0), content.stored_parts(0))
+    assert (progress.position, progress.obsolete_parts) == ("2", 2)
+
+
+def test_part_that_cannot_be_decoded_replaces_the_older_one() -> None:
+    fold = ShardFold()
+    stored = checkpoint_record("job", 0, 0, OutputPart("", "2", "old", OUTPUT))
+    fold.apply(stored)
+    fold.apply(KeyedRecord(stored.key, b"\x81\x18\x63"))
+    assert fold.content("job").saved_output(0) == []
+
+
+def test_output_does_not_match_another_owners_output_of_as_many_parts() -> None:
+    """Guards against a part that is saved after the parts of another owner's run."""
+    item_progress = begun_progress()
+    item_progress.add_events(events(1, 2))
+    item_progress.on_saved(item_progress.next_part(RECORD_BYTES))
+    assert item_progress.reconcile([OutputPart("", "2", "t1\nt2", OUTPUT)], 1)
+    assert not item_progress.reconcile([OutputPart("", "2", "t1\nt2", OTHER_OUTPUT)], 1)
+
+
 def test_a_part_from_a_write_with_unknown_outcome_counts_as_saved() -> None:
-    item_progress = new_progress()
+    item_progress = begun_progress()
     item_progress.add_events(events(1, 2))
     part = item_progress.next_part(RECORD_BYTES)
     item_progress.add_events(events(3))
     assert item_progress.reconcile([part])
     assert (item_progress.saved_parts, item_progress.saved_position) == (1, "2")
-    assert item_progress.next_part(RECORD_BYTES) == OutputPart("2", "3", "t3")
+    assert item_progress.next_part(RECORD_BYTES) == OutputPart("2", "3", "t3", OUTPUT)
 
 
 def test_output_of_another_run_is_not_joined_to_existing_output() -> None:
-    item_progress = new_progress()
+    item_progress = begun_progress()
     item_progress.add_events(events(1, 2))
-    assert not item_progress.reconcile([OutputPart("", "7", "other")])
+    assert not item_progress.reconcile([OutputPart("", "7", "other", OUTPUT)])
     with pytest.raises(InvariantViolated):
-        item_progress.restore([OutputPart("", "7", "other")])
+        item_progress.restore([OutputPart("", "7", "other", OUTPUT)])
 
 
 def test_output_of_another_run_up_to_the_same_position_does_not_match() -> None:
     """Two owners run an item in turn: the positions are equal, but the texts differ."""
-    item_progress = new_progress()
+    item_progress = begun_progress()
     item_progress.add_events(events(1, 2, 3))
-    assert not item_progress.reconcile([OutputPart("", "2", "of another run")])
+    assert not item_progress.reconcile([OutputPart("", "2", "of another run", OUTPUT)])
 
 
 # Index and records.
--- a/tests/decisions/jobs/test_progress_reports.py
+++ b/tests/decisions/jobs/test_progress_reports.py
@@ -24,7 +24,6 @@
 from troutswitch.decisions.jobs.writer import ShardWriter
 from troutswitch.decisions.storage.messages import AppendRecords, StoreCall
 from troutswitch.decisions.storage.read_attempts import CallNumbers
-from troutswitch.decisions.streams.versions import EngineVersions
 
 JOBS = 3
 ITEMS = 4
@@ -119,9 +118,8 @@
         ownership,
         numbers,
         StoreLimits(262_144, 2_097_152, 4),
-        OpenItems(replicas, ownership),
+        OpenItems(replicas, ownership, lambda *_, **__: None),
         TokenLimits(RouteTable(), replicas.index),
-        EngineVersions(),
         lambda *_, **__: None,
     )
     lease = ShardLease(0, 5, ShardState.OWNED)
--- a/tests/decisions/jobs/test_results.py
+++ b/tests/decisions/jobs/test_results.py
@@ -12,6 +12,7 @@
     RECORD_OVERHEAD_BYTES,
     ItemResult,
     JobItem,
+    OutputId,
     result_records,
 )
 from troutswitch.decisions.jobs.retention import content_keys
@@ -63,6 +64,7 @@
 @pytest.mark.parametrize("max_bytes", [1, 10, 1000])
 def test_unsaved_output_is_saved_in_parts_within_the_limit(max_bytes: int) -> None:
     progress = ItemProgress(0, "job", JobItem("i", "/p", (), b"", 1), 0)
+    progress.begin_output(OutputId("v1", "0" * 16))
     progress.add_events(tuple(OutputEvent(str(number), "data") for number in range(1, 8)))
     texts: list[str] = []
     while progress.unsaved:
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -773,7 +773,20 @@
     ),
     "part of an item's output, with its version": _records_sample(
         lambda: [
-            records.checkpoint_record("job:1", 3, 12, records.OutputPart("4", "9", "text", "v1"))
+            records.checkpoint_record(
+                "job:1", 3, 12, records.OutputPart("4", "9", "text", records.OutputId("v1"))
+            )
+        ],
+        _reencode_part,
+    ),
+    "part of a stated output": _records_sample(
+        lambda: [
+            records.checkpoint_record(
+                "job:1",
+                3,
+                12,
+                records.OutputPart("4", "9", "text", records.OutputId("v1", "0000000a0000000b")),
+            )
         ],
         _reencode_part,
     ),
--- a/tests/platform/test_submissions.py
+++ b/tests/platform/test_submissions.py
@@ -14,6 +14,7 @@
 from troutswitch.decisions.jobs.records import (
     DONE,
     ItemResult,
+    OutputId,
     OutputPart,
     RecordError,
     checkpoint_record,
@@ -173,7 +174,9 @@
 def test_longest_ids_fit_all_records_of_a_job() -> None:
     job_id, item_id, position = "a" * 200, "\xe9" * 100, "9" * 18
     result = ItemResult(item_id, DONE, "x" * RECORD_BYTES * 3)
-    part = OutputPart("b" * 128, position, "y" * (RECORD_BYTES - 2048), "\u20ac" * 128)
+    part = OutputPart(
+        "b" * 128, position, "y" * (RECORD_BYTES - 2048), OutputId("\u20ac" * 128, "0" * 16)
+    )
     records = [
         *result_records(job_id, 99_999, result, RECORD_BYTES),
         checkpoint_record(job_id, 99_999, 99_999, part),
