A daemon that starts learns which versions its services had before

What callers could see: a stream that began at one engine version and was continued at another, if it was resumed at a daemon that had started after the first version left the list, as after a restart of the whole fleet during a release.

Cause: origins and versions of streams are kept by daemons alone. A daemon whose fleet has just started sees the versions that are listed then. With one of them it let every resumed stream go on at any engine.

Change: the recent versions of each service are kept in the store, one record a service in the topic `versions`, written by three daemons by hash when they change and read by each daemon when it starts (`VersionHistory`). Its versions count as listed until then, so a service with another one in the list is mixed, and a stream without a known origin does not go on.

Why this works: a stream can only be of a version that some daemon had listed, and those versions are in the record or in the list.

On real processes this was not played.

--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -213,6 +213,8 @@
             self.slots.on_store(now, call, outcome)
         elif self.peer_registry.owns(call):
             self.peer_registry.on_answer(now, call, outcome)
+        elif self.version_history.owns(call):
+            self.version_history.on_answer(now, call, outcome)
         else:
             self.jobs.on_store(now, call, outcome)
 
@@ -233,6 +235,7 @@
             self.quota.next_due(),
             self.drain_notices.next_due(),
             self.version_notices.next_due(),
+            self.version_history.next_due(),
             self.origins.next_due(),
         )
 
@@ -267,6 +270,7 @@
         )
         self.output.emit_all(self.drain_notices.on_timer(now))
         self.output.emit_all(self.version_notices.on_timer(now))
+        self.output.emit_all(self.version_history.on_timer(now))
         self.output.emit_all(self.peer_registry.on_timer(now))
         self.output.emit_all(self._peer_state.on_timer(now))
 
--- a/src/troutswitch/decisions/gateway_parts.py
+++ b/src/troutswitch/decisions/gateway_parts.py
@@ -39,6 +39,7 @@
 from troutswitch.decisions.slots.messages import WaitingItems
 from troutswitch.decisions.storage.read_attempts import CallNumbers
 from troutswitch.decisions.streams.origins import OriginSearches
+from troutswitch.decisions.streams.version_history import VersionHistory
 from troutswitch.decisions.streams.version_notices import VersionNotices
 from troutswitch.decisions.tenants.quota_groups import QUOTA_GROUPS
 from troutswitch.decisions.tenants.quota_policies import make_quota
@@ -133,6 +134,14 @@
             self.routes, formats, self.numbers, rng, identity.apply_bound, self.output
         )
         self._make_peers(incarnation, rng)
+        self.version_history = VersionHistory(
+            identity.name,
+            self.engines.versions,
+            self._peer_names,
+            self.numbers,
+            rng,
+            self._log,
+        )
         self._make_engine_membership(formats, rng)
         self._make_peer_exchanges(policies, incarnation, rng)
 
@@ -279,3 +288,9 @@
     def _peer_addresses_by_name(self) -> dict[str, Address]:
         """Returns the same by name, for `OriginSearches`."""
         return self.peers.addresses_by_name()
+
+    def _peer_names(self, now: float) -> list[str] | None:
+        """Returns the names of other daemons, or None until the registry was read."""
+        if not self.peer_registry.is_current(now):
+            return None
+        return list(self._peer_addresses_by_name())
--- a/src/troutswitch/decisions/streams/origins.py
+++ b/src/troutswitch/decisions/streams/origins.py
@@ -10,7 +10,8 @@
 
 1. While the stream's service has one version, and that is confirmed, any engine may continue it,
    and no message is sent. If it isn't confirmed within `CONFIRMATION_SECONDS`, the origin is
-   unknown.
+   unknown. A daemon that does not know which versions the service had before it started searches
+   for the origin as if the service were mixed.
 2. While the service is mixed, each daemon sends the origin of each stream to its `HOLDERS`: the
    daemons that rank highest in the rendezvous order of the stream's key. When a service becomes
    mixed, the origins of the last `PUBLISHED_SECONDS` are sent, because the streams may still run.
@@ -161,12 +162,12 @@
             service: the service chosen for the request.
         """
         search = _Search(token, service, resumed_id, now + CONFIRMATION_SECONDS)
-        if not self._versions.is_mixed(now, service):
-            if self._is_confirmed(now):
-                return Located(token, ONE_VERSION)
-            self._searches[token] = search
-            return None
-        return self._search(now, search)
+        if self._versions.is_mixed(now, service) or not self._versions.knows_past:
+            return self._search(now, search)
+        if self._is_confirmed(now):
+            return Located(token, ONE_VERSION)
+        self._searches[token] = search
+        return None
 
     def _is_confirmed(self, now: float) -> bool:
         """Returns whether no other daemon can have begun a stream at another version.
--- /dev/null
+++ b/src/troutswitch/decisions/streams/version_history.py
@@ -0,0 +1,190 @@
+"""Keeps in the store which versions the engines of each service ran lately.
+
+Question: which versions may have begun streams before this process started? Daemons know that from
+the engine list and from each other, so a daemon whose whole fleet has just started knows neither a
+version that is gone nor a peer that could tell.
+
+Rule:
+
+1. A record of each service states its recent versions (`EngineVersions.recent`). It is written
+   again when they change, by the `WRITERS` daemons that rank highest in the rendezvous order of the
+   service, so that the number of writes does not grow with the fleet.
+2. A daemon reads the records when it starts, and counts the versions in them as listed until then.
+3. Until it has read them it does not know the past, and asks its peers for the origin of each
+   stream that a caller resumes. Once it has run for `MIXED_SECONDS`, nothing from before matters.
+
+A record is no older than its versions: one that was gone for long is removed by the next write,
+and one that no daemon could remove costs searches for `MIXED_SECONDS` after a start. So no clock is
+needed to judge it.
+
+Owns the calls that read and write the records. Times are by this process's clock, in seconds.
+"""
+
+import random
+import re
+from collections.abc import Callable
+from typing import Annotated
+
+import cbor2
+import msgspec
+
+from troutswitch.cbor_values import MalformedCbor, decode_cbor
+from troutswitch.common import rendezvous_order
+from troutswitch.decisions.storage.follower import PartitionFollower
+from troutswitch.decisions.storage.messages import (
+    Appended,
+    AppendRecords,
+    KeyedRecord,
+    Partition,
+    StoreCall,
+    StoreOutcome,
+)
+from troutswitch.decisions.storage.read_attempts import CallNumbers
+from troutswitch.decisions.streams.versions import KEY_MASK, MIXED_SECONDS, EngineVersions
+
+_Key = Annotated[int, msgspec.Meta(ge=0, le=KEY_MASK)]
+
+VERSIONS = Partition("versions")
+KEY_FORM = re.compile("[0-9a-f]{8}")
+"""Form of the key of a service in the records' keys."""
+SCHEMA_VERSION = 1
+WRITERS = 3
+"""Daemons that write a service's record: one may be cut off from the store, another restarted."""
+CHECK_SECONDS = 0.5
+"""Interval at which the versions are compared with the records. It is shorter than the time for
+which a further version begins no streams."""
+CALL_EXPIRY_SECONDS = 4.0
+"""Time after which a write without an outcome is repeated."""
+
+
+class VersionHistory:
+    """The records of all services, as this daemon reads and writes them.
+
+    Args:
+        name: name of this daemon.
+        peers: returns the names of other daemons; None if they are not known yet.
+        log: writes a log line: its event, and its fields by name.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        versions: EngineVersions,
+        peers: Callable[[float], list[str] | None],
+        numbers: CallNumbers,
+        rng: random.Random,
+        log: Callable[..., None],
+    ) -> None:
+        self._name = name
+        self._versions = versions
+        self._versions.knows_past = False
+        self._peers = peers
+        self._numbers = numbers
+        self._log = log
+        self._now = float("-inf")
+        self._started_at: float | None = None
+        self._check_at = float("-inf")
+        self._stored: dict[int, frozenset[int]] = {}
+        """Versions by service, as they were read or written last."""
+        self._writing: dict[int, frozenset[int]] = {}
+        self._write_call = 0
+        self._written_at = float("-inf")
+        self._follower = PartitionFollower(
+            VERSIONS, numbers, rng, self._apply_record, wait=0.0, pause=0.0, is_tailing=False
+        )
+
+    def _apply_record(self, record: KeyedRecord) -> None:
+        try:
+            service, versions = decode_record(record)
+        except MalformedCbor as error:
+            self._log("record of versions malformed", key=record.key, reason=str(error))
+            return
+        self._stored[service] = versions
+        for version in versions:
+            self._versions.on_seen(service, version, float("-inf"), self._now)
+
+    # The store.
+
+    def owns(self, call: int) -> bool:
+        """Returns whether a store call was made here."""
+        return call == self._write_call != 0 or self._follower.owns(call)
+
+    def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> None:
+        """Handles the outcome of a store call."""
+        self._now = now
+        if call == self._write_call:
+            self._write_call = 0
+            if isinstance(outcome, Appended):
+                self._stored |= self._writing
+            return
+        self._follower.on_answer(now, call, outcome)
+        if self._follower.is_following and not self._versions.knows_past:
+            self._learn_past("store")
+
+    def _learn_past(self, source: str) -> None:
+        self._versions.knows_past = True
+        self._log("versions before the start known", source=source, services=len(self._stored))
+
+    # Timers.
+
+    def next_due(self) -> float:
+        """Returns when `on_timer` has something to do."""
+        return min(self._follower.next_due(), self._check_at)
+
+    def on_timer(self, now: float) -> list[StoreCall]:
+        """Returns the calls that are due."""
+        self._now = now
+        calls = self._follower.on_timer(now)
+        if now < self._check_at:
+            return calls
+        self._check_at = now + CHECK_SECONDS
+        if self._started_at is None:
+            self._started_at = now
+        if not self._versions.knows_past and now >= self._started_at + MIXED_SECONDS:
+            self._learn_past("time")
+        return calls + self._write(now)
+
+    def _write(self, now: float) -> list[StoreCall]:
+        """Writes the records of services whose versions changed, if this daemon is to."""
+        if self._write_call and now < self._written_at + CALL_EXPIRY_SECONDS:
+            return []
+        peers = self._peers(now)
+        if peers is None or not self._follower.is_following:
+            return []
+        self._writing = {
+            service: versions
+            for service, versions in self._versions.recent(now)
+            if versions != self._stored.get(service) and self._is_writer(service, peers)
+        }
+        if not self._writing:
+            return []
+        self._write_call = self._numbers.next()
+        self._written_at = now
+        records = tuple(encode_record(*row) for row in sorted(self._writing.items()))
+        return [AppendRecords(self._write_call, VERSIONS, records)]
+
+    def _is_writer(self, service: int, peers: list[str]) -> bool:
+        order = rendezvous_order(f"{service:x}", [self._name, *peers])
+        return self._name in order[:WRITERS]
+
+
+def encode_record(service: int, versions: frozenset[int]) -> KeyedRecord:
+    """Encodes the versions of a service, all by their keys."""
+    return KeyedRecord(f"{service:08x}", cbor2.dumps([SCHEMA_VERSION, sorted(versions)]))
+
+
+def decode_record(record: KeyedRecord) -> tuple[int, frozenset[int]]:
+    """Decodes the key of a service and those of its versions; none if the record was removed.
+
+    Raises:
+        MalformedCbor: the record is malformed or of another schema.
+    """
+    if KEY_FORM.fullmatch(record.key) is None:
+        raise MalformedCbor(f"malformed key {record.key!r}")
+    service = int(record.key, 16)
+    if not record.value:
+        return service, frozenset()
+    schema, versions = decode_cbor(record.value, tuple[int, list[_Key]])
+    if schema != SCHEMA_VERSION:
+        raise MalformedCbor(f"record of schema {schema}")
+    return service, frozenset(versions)
--- a/src/troutswitch/decisions/streams/versions.py
+++ b/src/troutswitch/decisions/streams/versions.py
@@ -16,6 +16,8 @@
    peers are told of it.
 3. That a service is not mixed is confirmed while the list was read, or a peer was heard, within
    `CONFIRMED_SECONDS`. A daemon without either may have missed a version.
+4. Versions from before this process started are read from the store (`version_history`). Until then
+   no service is known to have one version only.
 
 Why: `CONFIRMED_SECONDS` is shorter than `ACTIVATION_SECONDS`, so a daemon that does not know of a
 version yet either learns of it before the first stream begins there, or is not confirmed. Without
@@ -95,10 +97,13 @@
     """The versions of all services.
 
     `news` counts the changes after which peers are to be told: a further version of a service.
+    `knows_past` is whether the versions from before this process started are known
+    (`version_history`).
     """
 
     def __init__(self) -> None:
         self.news = 0
+        self.knows_past = True
         self.heard_at = float("-inf")
         """When the list was last read, or a peer was last heard."""
         self._by_service: dict[int, dict[int, SeenVersion]] = {}
@@ -161,6 +166,13 @@
                 recent = {key: seen for key, seen in versions.items() if seen.is_recent(now)}
                 yield service, recent
 
+    def recent(self, now: float) -> Iterator[tuple[int, frozenset[int]]]:
+        """Yields each service with its recent versions, if it has some, by their keys."""
+        for service, versions in self._by_service.items():
+            recent = frozenset(key for key, seen in versions.items() if seen.is_recent(now))
+            if recent:
+                yield service, recent
+
     def is_confirmed(self, now: float) -> bool:
         """Returns whether the versions are complete as far as streams have begun."""
         return now - self.heard_at <= CONFIRMED_SECONDS
--- a/tests/proofs/test_stream_versions.py
+++ b/tests/proofs/test_stream_versions.py
@@ -8,10 +8,14 @@
 
 import pytest
 
-from tests.simulation.versioned_fleet import VersionedFleet
+from tests.simulation.versioned_fleet import EVENTS_PER_STREAM, VersionedFleet
 from troutswitch.decisions.streams import origins, versions
+from troutswitch.decisions.streams.version_history import VersionHistory
 
 START_SECONDS = 4.0
+RESTART_SECONDS = 0.05
+"""Less than callers wait before a retry, as a request to a daemon that is down gets no answer."""
+TRIES_AFTER_RESTART = 40
 STREAMS_PER_SECOND = 12
 MAX_MIXED_STREAMS = 2
 """The users' bound on streams that hold events of two versions."""
@@ -142,6 +146,99 @@
     assert fleet.continued_share == 1.0
 
 
+def replace_all_engines(fleet: VersionedFleet, version: str) -> None:
+    """Removes all engines, and starts as many of another version."""
+    for number, name in enumerate(list(fleet.incarnations)):
+        fleet.start_engine(f"{version}-{number}", version)
+        fleet.retire_engine(name)
+        fleet.remove_engine(name)
+
+
+def restart_all_daemons(fleet: VersionedFleet) -> None:
+    """Starts all daemons anew; callers try until these serve again."""
+    for caller in fleet.streams:
+        caller.remaining_tries = TRIES_AFTER_RESTART
+    for name in list(fleet.daemons):
+        fleet.kill(name, RESTART_SECONDS)
+
+
+def restart_all_daemons_beside_releases(seed: int) -> VersionedFleet:
+    """Replaces all engines three times, each time while all daemons are down."""
+    fleet = started_fleet(seed, "v1")
+    for number in range(3):
+        open_streams(fleet, 2.0, leave_share=0.0)
+        restart_all_daemons(fleet)
+        replace_all_engines(fleet, f"v{number + 2}")
+        open_streams(fleet, 3.0, leave_share=0.0)
+    fleet.run(5.0)
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_no_stream_joins_two_versions_after_all_daemons_started_anew(seed: int) -> None:
+    """Guards against daemons that know one version after they started, and not the one before."""
+    fleet = restart_all_daemons_beside_releases(seed)
+    assert fleet.tries["resumed"] >= MIN_RESUMED_STREAMS
+    assert fleet.mixed_streams == 0
+
+
+def test_without_history_streams_join_two_versions_after_all_daemons_started_anew(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    always = property(lambda self: True, lambda self, value: None)
+    monkeypatch.setattr(versions.EngineVersions, "knows_past", always, raising=False)
+    monkeypatch.setattr(VersionHistory, "_apply_record", lambda self, record: None)
+    assert restart_all_daemons_beside_releases(1).mixed_streams > MAX_MIXED_STREAMS
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_streams_of_one_version_continue_after_all_daemons_started_anew(seed: int) -> None:
+    fleet = started_fleet(seed, "v1")
+    for _ in range(2):
+        open_streams(fleet, 2.0, leave_share=0.0)
+        restart_all_daemons(fleet)
+        open_streams(fleet, 3.0, leave_share=0.0)
+    fleet.run(5.0)
+    assert fleet.tries["resumed, served"] >= MIN_RESUMED_STREAMS
+    cut = [caller for caller in fleet.streams if caller.has_continued]
+    assert all(len(caller.versions) == EVENTS_PER_STREAM for caller in cut)
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_no_stream_joins_two_versions_at_a_daemon_that_starts_after_a_release(seed: int) -> None:
+    """The version before has left the list, and its streams are resumed at the started daemons."""
+    fleet = started_fleet(seed, "v1")
+    for number in range(3):
+        open_streams(fleet, 2.0, leave_share=0.0)
+        replace_all_engines(fleet, f"v{number + 2}")
+        fleet.run(0.7)
+        for name in list(fleet.daemons)[number::2]:
+            fleet.kill(name, 0.3)
+        open_streams(fleet, 3.0, leave_share=0.5)
+    fleet.run(5.0)
+    assert fleet.mixed_streams == 0
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_started_daemons_without_the_store_continue_no_stream_at_another_version(
+    seed: int,
+) -> None:
+    fleet = started_fleet(seed, "v1")
+    for number in range(2):
+        open_streams(fleet, 2.0, leave_share=0.3)
+        names = list(fleet.daemons)[::2]
+        for name in names:
+            fleet.kill(name, 0.3)
+            fleet.daemons[name].is_partitioned_from_store = True
+        replace_all_engines(fleet, f"v{number + 2}")
+        open_streams(fleet, 4.0, leave_share=0.5)
+        for name in names:
+            fleet.daemons[name].is_partitioned_from_store = False
+        open_streams(fleet, 2.0, leave_share=0.3)
+    fleet.run(5.0)
+    assert fleet.mixed_streams == 0
+
+
 def run_jobs_beside_crashes(seed: int) -> VersionedFleet:
     """Runs batch items while engines crash and shards change their owners."""
     fleet = started_fleet(seed, "v1", "v2")
