A job whose id was used by a removed job is a new one in the index

What a client could see: a job that is accepted and never run by the owner of its shard, if that daemon had not read the removal of an earlier job of the same id.

Cause: the index ignored every further manifest of an id that it knows. Where the removal was dropped with the history, the newest records have the new manifest alone, and the entry stayed that of the former job, ended and without remaining tokens.

Change: another manifest of a known id replaces the entry. A manifest is appended only at the expected end of an index that has none of its job, so it is never another one of the same job.

Evidence: found by reading; the new test failed before.

--- a/src/troutswitch/decisions/jobs/index.py
+++ b/src/troutswitch/decisions/jobs/index.py
@@ -83,9 +83,14 @@
             self._apply_progress(job_id, read_progress(value))
 
     def _apply_manifest(self, now: float, manifest: Manifest, time_of_day: float) -> None:
-        """Adds a job. Newest records are read in key order, so its other records may come first."""
-        if manifest.job_id in self.jobs:
-            return  # the first manifest is the accepted one
+        """Adds a job. Its other records may come first.
+
+        A manifest is appended only if the index has none of its job. So another one of the same id
+        is that of a new job, after the former one was removed.
+        """
+        known = self.jobs.get(manifest.job_id)
+        if known is not None and known.manifest == manifest:
+            return
         entry = JobEntry(manifest, manifest.tokens, now)
         if time_of_day and manifest.submitted_at:
             age = time_of_day - manifest.submitted_at
--- a/tests/decisions/jobs/test_index.py
+++ b/tests/decisions/jobs/test_index.py
@@ -1,8 +1,11 @@
-"""Age of a job, computed from the clocks of two daemons."""
+"""Age of a job, computed from the clocks of two daemons, and ids that are used again."""
+
+from dataclasses import replace
 
 from tests.simulation.fleet import SimulatedFleet
 from troutswitch.decisions.jobs.index import JobIndex
-from troutswitch.decisions.jobs.records import Manifest, manifest_record
+from troutswitch.decisions.jobs.records import Manifest, end_record, manifest_record
+from troutswitch.decisions.storage.messages import KeyedRecord
 
 
 def test_the_age_of_an_older_job_follows_from_its_manifest() -> None:
@@ -23,6 +26,25 @@
     assert index.jobs["other"].age(6.0) == 1.0
 
 
+def test_job_with_the_id_of_a_removed_job_is_a_new_one() -> None:
+    """Guards against a job that counts as ended where the removal of the former one was not read.
+
+    The history was dropped, so the newest records have the new manifest and no end.
+    """
+    former = Manifest("job", "r", "h", 2, 14, "d", 0, submitted_at=1000.0)
+    index = JobIndex()
+    index.apply(5.0, manifest_record(former))
+    index.apply(6.0, end_record("job"))
+    index.apply(7.0, manifest_record(former))
+    assert not index.jobs["job"].is_open
+    manifest = replace(former, tokens=20, submitted_at=2000.0)
+    index.apply(9.0, manifest_record(manifest))
+    index.apply(9.0, KeyedRecord("e:job", b""))
+    entry = index.jobs["job"]
+    assert entry.is_open
+    assert (entry.manifest, entry.remaining_tokens, entry.first_read_at) == (manifest, 20, 9.0)
+
+
 def test_a_job_keeps_its_age_after_a_restart_of_all_daemons() -> None:
     fleet = SimulatedFleet(3)
     fleet.run(3.0)
