Soak with long items, small pages, and releases that overlap changes of owners

Cause of the change: items of the soak took 0.1 to 0.4 s, so their output was hardly ever saved, their text was the same whichever run wrote it, and a shard never took more than a page. So no soak could see results of two runs.

Change: the load `long-items` has items of 24 events in about 3 s whose events name the engine and the run, engines of two versions, and a store that answers with pages of 12 records and reads of 24 KB. `results_are_of_one_output` holds each result against the engines' journals: after event n, a run that was asked to begin after n, at the same version. The action `release` replaces three engines within two seconds, each with a new assignment of the shards and a killed daemon, and at times all of them.

--- a/src/troutswitch/decisions/jobs/ownership.py
+++ b/src/troutswitch/decisions/jobs/ownership.py
@@ -253,10 +253,17 @@
         return [AppendRecords(lease.call, shard_partition(lease.shard), (), stamp=stamp)]
 
     def _check_read(self, lease: ShardLease) -> None:
-        if self._replicas.shard(lease.shard).follower.includes(lease.fenced_at):
+        follower = self._replicas.shard(lease.shard).follower
+        if follower.includes(lease.fenced_at):
             lease.state = ShardState.OWNED
             lease.was_owned = True
-            self._log("shard owned", shard=lease.shard, epoch=lease.epoch)
+            self._log(
+                "shard owned",
+                shard=lease.shard,
+                epoch=lease.epoch,
+                fenced_at=lease.fenced_at,
+                complete_to=follower.next_offset,
+            )
 
     def _on_fence_answered(self, now: float, lease: ShardLease, outcome: StoreOutcome) -> None:
         match outcome:
--- a/src/troutswitch/soak/checks.py
+++ b/src/troutswitch/soak/checks.py
@@ -21,6 +21,7 @@
     Outcome,
     RequestKind,
 )
+from troutswitch.soak.output_checks import is_long_item, results_are_of_one_output
 from troutswitch.soak.part_checks import (
     CRASH_KNOWN_SECONDS,
     crashing_parts_are_stopped,
@@ -369,6 +370,8 @@
     for row in job.results:
         if row.item_id not in job.items:
             found.append(Violation("MIXED", row.item_id, f"is not an item of {job.job_id}"))
+        elif row.state == "completed" and is_long_item(job.items[row.item_id]):
+            continue  # checked by `results_are_of_one_output`
         elif row.state == "completed":
             if row.text != "\n".join(event_texts(row.item_id)):
                 found.append(Violation("MIXED", row.item_id, "its text is not its complete answer"))
@@ -453,6 +456,7 @@
     no_unexpected_exits,
     resource_use_is_bounded,
     results_are_stable,
+    results_are_of_one_output,
     accepted_jobs_are_found,
     ended_jobs_start_nothing,
     crashing_requests_are_stopped,
--- a/src/troutswitch/soak/fault_injector.py
+++ b/src/troutswitch/soak/fault_injector.py
@@ -35,6 +35,14 @@
 """Delay after which the store carries out a call whose answer was lost."""
 FLOOD_CONNECTIONS = 300
 """Connections of a flood: more than a daemon's threads, fewer than its file descriptors."""
+RELEASED_ENGINES = 3
+"""Engines that a release replaces one after the other."""
+RELEASE_STEP_SECONDS = 0.9
+"""Time between two of them, less than a drain takes: they overlap."""
+DEAL_AFTER_SECONDS = 0.4
+KILL_AFTER_SECONDS = 0.6
+"""When shards are assigned anew and a daemon is killed, after an engine began to drain. The second
+assignment comes before the killed daemon is back."""
 STORE_DELAY_SECONDS = 0.3
 """Delay of each call to a slow store, about fifty times the usual duration."""
 
@@ -195,6 +203,8 @@
                     scheduled.target, fleet.endpoints(), fleet.observations
                 ).start(until)
                 return scheduled.seconds, crashing_path(scheduled.target)
+            case ActionKind.RELEASE:
+                return self._release(scheduled), "engines"
             case ActionKind.CONFIGURE:
                 fleet.configure_in_background()
                 return scheduled.seconds, "configuration"
@@ -252,6 +262,28 @@
                 self._call_at(until, lambda: engine.set_behaviour(Behaviour()))
         return scheduled.seconds, engine.engine_id
 
+    def _release(self, scheduled: ScheduledAction) -> float:
+        """Replaces engines while shards change owners and daemons are killed; returns its length.
+
+        A third of the releases kill all daemons at the end.
+        """
+        fleet = self.fleet
+        begin = time.monotonic()
+        for step in range(RELEASED_ENGINES):
+            at = begin + step * RELEASE_STEP_SECONDS
+            engine = fleet.engines[(scheduled.target + step) % len(fleet.engines)]
+            daemon = fleet.daemons[(scheduled.target + step) % len(fleet.daemons)]
+            killed = [daemon]
+            if step == RELEASED_ENGINES - 1 and scheduled.target % 3 == 0:
+                killed = fleet.daemons
+            self._call_at(at, lambda engine=engine: fleet.drain_engine(engine))  # type: ignore[misc]
+            self._call_at(at + DEAL_AFTER_SECONDS, self._assign_shards_anew)
+            self._call_at(at + KILL_AFTER_SECONDS, lambda killed=killed: _kill(killed))  # type: ignore[misc]
+        return RELEASED_ENGINES * RELEASE_STEP_SECONDS + KILL_SPAN_SECONDS
+
+    def _assign_shards_anew(self) -> None:
+        self.fleet.set_store_faults(**self._store_faults, deals_anew=True)
+
     def _pause(self, children: list[Child], until: float) -> None:
         for child in children:
             child.signal(signal.SIGSTOP)
@@ -299,6 +331,11 @@
     return connection
 
 
+def _kill(daemons: list[Daemon]) -> None:
+    for daemon in daemons:
+        daemon.child.signal(signal.SIGKILL)
+
+
 def _close_all(connections: list[socket.socket]) -> None:
     for connection in connections:
         connection.close()
--- a/src/troutswitch/soak/fleet.py
+++ b/src/troutswitch/soak/fleet.py
@@ -30,6 +30,8 @@
 START_TIMEOUT_SECONDS = 60.0
 """Timeout for a started process to answer; far longer than a start takes."""
 POLL_SECONDS = 0.05
+SMALL_READS = {"page_records": 12, "read_kilobytes": 24}
+"""Limits of the store's answers with which the jobs of a soak fill several pages of a shard."""
 VERSIONS = ("v1", "v2")
 """Software versions of the engines if there are several: neighbours differ, and each restart is at
 the other version."""
@@ -131,7 +133,9 @@
         self._process_counts = (daemons, engines)
         self.store_address = Address(HOST, self.ports.reserve())
         self._has_paces = LoadKind.PACES in load
-        self._versions = VERSIONS if LoadKind.VERSIONS in load else (ENGINE_VERSION,)
+        has_versions = bool(load & {LoadKind.VERSIONS, LoadKind.LONG_ITEMS})
+        self._versions = VERSIONS if has_versions else (ENGINE_VERSION,)
+        self._store_limits = SMALL_READS if LoadKind.LONG_ITEMS in load else {}
         self._memory_mb = MEMORY_LIMIT_MB if LoadKind.MEMORY_LIMIT in load else 0
         slots = COMPETITION_SLOTS if LoadKind.COMPETITION in load else SLOTS
         health_path = HEALTH_PATH if self._has_paces else ""
@@ -148,7 +152,8 @@
         daemons, engines = self._process_counts
         arguments = ["standin", "store", "--address", str(self.store_address)]
         self.store = self.group.add(self._make_child("store", *arguments))
-        self._wait_until(lambda: http_call(self.store_address, "POST", "/faults", b"{}") == 200)
+        limits = json.dumps(self._store_limits).encode()
+        self._wait_until(lambda: http_call(self.store_address, "POST", "/faults", limits) == 200)
         self.operator.configure()
         for number in range(engines):
             self._add_engine(number)
@@ -175,7 +180,8 @@
 
     def set_store_faults(self, **faults: Any) -> None:
         """Replaces the faults of the store; without arguments, all faults end."""
-        http_call(self.store_address, "POST", "/faults", json.dumps(faults).encode())
+        content = json.dumps(self._store_limits | faults).encode()
+        http_call(self.store_address, "POST", "/faults", content)
 
     def configure_in_background(self) -> None:
         """Writes the next configuration on a thread that retries until it is acknowledged."""
--- a/src/troutswitch/soak/jobs.py
+++ b/src/troutswitch/soak/jobs.py
@@ -13,6 +13,7 @@
 from troutswitch.soak.callers import DaemonEndpoint, connect, request_headers
 from troutswitch.soak.checks import item_path
 from troutswitch.soak.observations import Observations, ObservedJob, ObservedResult
+from troutswitch.standins.content import LONG_ITEM_PREFIX
 
 ITEMS_PER_JOB = (1, 6)
 """Range of items per job; small, so that many jobs complete within a short soak."""
@@ -27,6 +28,10 @@
 END_REQUEST_SHARE = 0.02
 """Share of a reader's calls that end a job instead of reading it; a job is read about ten times."""
 MAX_ITEM_BODY_BYTES = 1000
+LONG_ITEMS_PER_JOB = (1, 3)
+LONG_JOB_INTERVAL_SECONDS = (1.5, 3.0)
+"""Range of the pause between two jobs of long items, each of which takes seconds."""
+MAX_LONG_ITEM_BODY_BYTES = 8000
 ACCEPTED = 202
 TOO_MANY_REQUESTS = 429
 NOT_FOUND_STATUSES = (404, 410)
@@ -99,13 +104,18 @@
 
     def _submit_jobs(self) -> None:
         count = 0
-        while not self.stop_requested.wait(self._rng.uniform(*JOB_INTERVAL_SECONDS)):
+        while not self.stop_requested.wait(self._pause_seconds):
             count += 1
             job = self._draw_job(f"{self.name}-{count}")
             with self.observations.lock:
                 self.observations.jobs.append(job)
             self._submit(job)
 
+    @property
+    def _pause_seconds(self) -> float:
+        """Seconds until the next job."""
+        return self._rng.uniform(*JOB_INTERVAL_SECONDS)
+
     def _draw_job(self, job_id: str) -> ObservedJob:
         count = self._rng.randint(*ITEMS_PER_JOB)
         sizes = [self._rng.randint(0, MAX_ITEM_BODY_BYTES) for _ in range(count)]
@@ -145,6 +155,23 @@
             job.ended_at = time.monotonic()
 
 
+class LongJobClient(JobClient):
+    """A client whose items have long outputs, which are saved while they run."""
+
+    def _draw_job(self, job_id: str) -> ObservedJob:
+        count = self._rng.randint(*LONG_ITEMS_PER_JOB)
+        sizes = [self._rng.randint(0, MAX_LONG_ITEM_BODY_BYTES) for _ in range(count)]
+        items = {
+            f"{job_id}-i{n}": LONG_ITEM_PREFIX + self._rng.randbytes(size)
+            for n, size in enumerate(sizes)
+        }
+        return ObservedJob(job_id, items, time.monotonic())
+
+    @property
+    def _pause_seconds(self) -> float:
+        return self._rng.uniform(*LONG_JOB_INTERVAL_SECONDS)
+
+
 def encode_submission(job: ObservedJob) -> bytes:
     """Returns the body of the request that submits a job."""
     rows = [
--- a/src/troutswitch/soak/load_kinds.py
+++ b/src/troutswitch/soak/load_kinds.py
@@ -22,6 +22,7 @@
     VERSIONS = "versions"
     CRASHING_PARTS = "crashing-parts"
     SKEWED_CONNECTIONS = "skewed-connections"
+    LONG_ITEMS = "long-items"
 
 
 def draw_load(seed: int) -> frozenset[LoadKind]:
--- a/src/troutswitch/soak/observations.py
+++ b/src/troutswitch/soak/observations.py
@@ -82,6 +82,8 @@
     status: int = 0
     tenant: str = ""
     has_key: bool = False
+    run: int = 0
+    """Number of the run at its engine."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -200,6 +202,7 @@
                 row.get("status", 0),
                 row.get("tenant", ""),
                 row.get("has_key", False),
+                row.get("run", 0),
             )
         )
     return journal_entries
--- a/src/troutswitch/soak/run.py
+++ b/src/troutswitch/soak/run.py
@@ -13,7 +13,7 @@
 from troutswitch.soak.crashing_parts import CrashingPartCallers
 from troutswitch.soak.fault_injector import FaultInjector
 from troutswitch.soak.fleet import Fleet
-from troutswitch.soak.jobs import JobClient
+from troutswitch.soak.jobs import JobClient, LongJobClient
 from troutswitch.soak.limited_callers import LimitedCallers
 from troutswitch.soak.load_kinds import LoadKind
 from troutswitch.soak.observations import Observations, read_journal
@@ -182,6 +182,10 @@
             client = JobClient(f"job-{seed}-{number}", seed, endpoints, observations)
             self._workers.append(client)
             self._threads += client.threads
+        if LoadKind.LONG_ITEMS in self._size.load:
+            client = LongJobClient(f"long-job-{seed}", seed, endpoints, observations)
+            self._workers.append(client)
+            self._threads += client.threads
         for endpoint in self.fleet.direct_endpoints():
             prober = Prober(endpoint, self.fleet.operator, observations)
             self._workers.append(prober)
--- a/src/troutswitch/soak/schedule.py
+++ b/src/troutswitch/soak/schedule.py
@@ -58,6 +58,7 @@
     CRASHING_REQUEST = "ending_request"
     CLOCK_JUMPS = "clock_jumps"
     STORE_BUSY_FOR_ONE_DAEMON = "store_refuses_one"
+    RELEASE = "release"
 
 
 class LinkFault(StrEnum):
@@ -85,6 +86,7 @@
     ActionKind.CRASHING_REQUEST,
     ActionKind.CLOCK_JUMPS,
     ActionKind.STORE_BUSY_FOR_ONE_DAEMON,
+    ActionKind.RELEASE,
 )
 """Actions that each use a random generator of their own, so that a seed draws the same schedule of
 the other actions with and without them."""
--- a/src/troutswitch/standins/content.py
+++ b/src/troutswitch/standins/content.py
@@ -18,6 +18,11 @@
 """Units of 64 bytes of a large answer: 1 MiB, like the largest answers of the load."""
 
 
+LONG_ITEM_PREFIX = b"this item has a long output "
+"""Prefix of the body of a batch item with a long output, which names the runs that wrote it."""
+LONG_ITEM_EVENTS = 24
+
+
 def digest(data: bytes) -> str:
     """Returns a short digest of a body."""
     return hashlib.blake2b(data, digest_size=12).hexdigest()
@@ -44,3 +49,14 @@
         for number, text in enumerate(event_texts(request_id), 1)
         if number > after
     ]
+
+
+def long_item_events(request_id: str, engine_id: str, run: int, after: int) -> list[bytes]:
+    """Returns the encoded events of a long item after `after`, as one run of an engine writes them.
+
+    The data of an event is the item, the event's number, the engine and the run.
+    """
+    return [
+        f"id: {number}\ndata: {request_id} {number} {engine_id} {run}\n\n".encode()
+        for number in range(after + 1, LONG_ITEM_EVENTS + 1)
+    ]
--- a/src/troutswitch/standins/model_engine.py
+++ b/src/troutswitch/standins/model_engine.py
@@ -18,7 +18,13 @@
 
 from troutswitch.common import Address
 from troutswitch.platform import names
-from troutswitch.standins.content import digest, event_bytes, plain_answer
+from troutswitch.standins.content import (
+    LONG_ITEM_PREFIX,
+    digest,
+    event_bytes,
+    long_item_events,
+    plain_answer,
+)
 from troutswitch.standins.loopback import LoopbackHandler, LoopbackServer
 from troutswitch.standins.pace import Pace
 
@@ -49,6 +55,8 @@
 """Delay of a silent engine's answer: less than callers' deadlines."""
 EVENT_INTERVAL_SECONDS = 0.03
 """Pause before each event: a stream takes 0.1 to 0.4 s, long enough for faults to hit it."""
+LONG_EVENT_INTERVAL_SECONDS = 0.12
+"""The same for a long item, whose output is saved several times while it runs."""
 
 
 @dataclass(slots=True)
@@ -85,6 +93,7 @@
         self.pace = pace
         self.slots = slots
         self._running = 0
+        self._runs = 0
         self._started_at = time.monotonic()
         self.behaviour = Behaviour()
         self.random = random.Random(seed)
@@ -106,6 +115,12 @@
         self.write_journal("ended under", request_id, path=path)
         os._exit(CRASH_EXIT_CODE)
 
+    def next_run(self) -> int:
+        """Returns the number of the next run."""
+        with self.lock:
+            self._runs += 1
+            return self._runs
+
     @contextmanager
     def counted_run(self) -> Iterator[None]:
         """Counts a request as running."""
@@ -174,6 +189,7 @@
             self.reply(503, b"", not_run)
             return
         resume_after = int(self.headers.get(names.LAST_EVENT_ID) or 0)
+        run = self.standin.next_run()
         self.standin.write_journal(
             "begun",
             request_id,
@@ -182,13 +198,16 @@
             body=digest(body),
             model=self.headers.get(names.MODEL, ""),
             after=resume_after,
+            run=run,
             tenant=self.headers.get(names.TENANT, ""),
             has_key=names.API_KEY in self.headers,
         )
         with self.standin.counted_run():
-            self._run(request_id, body, resume_after, behaviour)
+            self._run(request_id, body, resume_after, run, behaviour)
 
-    def _run(self, request_id: str, body: bytes, after: int, behaviour: Behaviour) -> None:
+    def _run(
+        self, request_id: str, body: bytes, after: int, run: int, behaviour: Behaviour
+    ) -> None:
         crashes = body.startswith(CRASHING_BODY_PREFIX)
         has_crashing_part = CRASHING_PART in self.headers.get(names.PROMPT_PREFIX, "")
         if has_crashing_part or (crashes and "/stream" not in self.path):
@@ -206,12 +225,18 @@
             self.standin.write_journal("failed", request_id, status=500)
             self.reply(500, b"failed", signed)
             return
+        is_long = "/item" in self.path and body.startswith(LONG_ITEM_PREFIX)
+        events = event_bytes(request_id, after)
+        if is_long:
+            events = long_item_events(request_id, self.standin.engine_id, run, after)
         if "/item" in self.path and draw(behaviour.malformed_items):
-            self._malformed_stream(request_id, after, signed)
+            self._malformed_stream(request_id, b"".join(events[:1]), after, signed)
             return
         breaks_off = draw(behaviour.break_off)
         if "/stream" in self.path or "/item" in self.path:
-            self._stream(request_id, after, signed, breaks_off, crashes)
+            interval = LONG_EVENT_INTERVAL_SECONDS if is_long else EVENT_INTERVAL_SECONDS
+            crash_id = request_id if crashes else ""
+            self._stream(events, interval, signed, breaks_off, crash_id)
         else:
             self._plain(request_id, body, signed, breaks_off)
         if not breaks_off and draw(behaviour.surplus):
@@ -221,11 +246,12 @@
     def _stamp(self, request_id: str) -> str:
         return f"{self.standin.engine_id}.{request_id}"
 
-    def _malformed_stream(self, request_id: str, after: int, signed: dict[str, str]) -> None:
-        """Sends one event as it should be, and one that no output can hold."""
+    def _malformed_stream(
+        self, request_id: str, first: bytes, after: int, signed: dict[str, str]
+    ) -> None:
+        """Sends the `first` event as it should be, and one that no output can hold."""
         with self.standin.lock:
             malformed = self.standin.random.choice(MALFORMED_EVENTS)
-        first = b"".join(event_bytes(request_id, after)[:1])
         headers = signed | {"Content-Type": "text/event-stream"}
         self.reply(200, first + malformed.replace(NUMBER, b"%d" % (after + 2)), headers)
         self.standin.write_journal("malformed", request_id)
@@ -247,19 +273,32 @@
         self.close_connection = True
 
     def _stream(
-        self, request_id: str, after: int, signed: dict[str, str], breaks_off: bool, crashes: bool
+        self,
+        events: list[bytes],
+        interval: float,
+        signed: dict[str, str],
+        breaks_off: bool,
+        crash_id: str = "",
     ) -> None:
+        """Sends events; crashes or breaks off half-way.
+
+        Args:
+            events: the encoded events.
+            interval: seconds before each event at the usual pace.
+            signed: headers of the answer.
+            breaks_off: whether the connection is closed within an event.
+            crash_id: id of the request under which the engine crashes, or empty.
+        """
         self.send_response(200)
         for name, value in signed.items():
             self.send_header(name, value)
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
-        events = event_bytes(request_id, after)
         for number, event in enumerate(events):
-            self.standin.work(EVENT_INTERVAL_SECONDS)
-            if crashes and number == len(events) // 2:
-                self.standin.crash_on(request_id, self.path)
+            self.standin.work(interval)
+            if crash_id and number == len(events) // 2:
+                self.standin.crash_on(crash_id, self.path)
             if breaks_off and number == len(events) // 2:
                 half = event[: len(event) // 2]
                 self.wfile.write(f"{len(half):x}\r\n".encode() + half + b"\r\n")
