--- a/tests/proofs/test_jobs.py
+++ b/tests/proofs/test_jobs.py
@@ -278,9 +278,7 @@
     assert fleet.violations == []
 
 
-@pytest.mark.parametrize("seed", range(10))
-def test_jobs_survive_random_faults(seed: int) -> None:
-    fleet = started_fleet(100 + seed)
+def submit_jobs_beside_random_faults(fleet: SimulatedFleet) -> None:
     for number in range(12):
         fleet.submit_job(f"job{number}", fleet.rng.randint(1, 6))
         name = fleet.rng.choice(list(fleet.daemons))
@@ -305,3 +303,8 @@
     fleet.faults.answer_loss_rate = 0.0
     fleet.run(60.0)
     check_jobs(fleet)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_jobs_survive_random_faults(seed: int) -> None:
+    submit_jobs_beside_random_faults(started_fleet(100 + seed))
