A started daemon knows the past of its services once it has read a list of engines

What callers could see: a stream that was resumed in the moment between a daemon's first readings of the store and of the list of engines could go on at any version.

Cause: with the record of versions read and no list yet, a service had one version or none, and a message of a peer counted as confirmation.

Change: the past counts as known once both were read; until then origins are asked for. The new test failed before.

--- a/src/troutswitch/decisions/streams/version_history.py
+++ b/src/troutswitch/decisions/streams/version_history.py
@@ -10,8 +10,9 @@
    again when they change, by the `WRITERS` daemons that rank highest in the rendezvous order of the
    service, so that the number of writes does not grow with the fleet.
 2. A daemon reads the records when it starts, and counts the versions in them as listed until then.
-3. Until it has read them it does not know the past, and asks its peers for the origin of each
-   stream that a caller resumes. Once it has run for `MIXED_SECONDS`, nothing from before matters.
+3. Until it has read them and the list of engines, it does not know the past, and asks its peers for
+   the origin of each stream that a caller resumes. Once it has run for `MIXED_SECONDS`, nothing
+   from before matters.
 
 A record is no older than its versions: one that was gone for long is removed by the next write,
 and one that no daemon could remove costs searches for `MIXED_SECONDS` after a start. So no clock is
@@ -118,12 +119,18 @@
                 self._stored |= self._writing
             return
         self._follower.on_answer(now, call, outcome)
-        if self._follower.is_following and not self._versions.knows_past:
-            self._learn_past("store")
 
-    def _learn_past(self, source: str) -> None:
-        self._versions.knows_past = True
-        self._log("versions before the start known", source=source, services=len(self._stored))
+    def _check_past(self, now: float) -> None:
+        """Records that the past is known once the records and a list were read, or after a time."""
+        if self._versions.knows_past:
+            return
+        is_read = self._follower.is_following and self._versions.has_list
+        if self._started_at is None:
+            self._started_at = now
+        if is_read or now >= self._started_at + MIXED_SECONDS:
+            self._versions.knows_past = True
+            source = "store" if is_read else "time"
+            self._log("versions before the start known", source=source, services=len(self._stored))
 
     # Timers.
 
@@ -134,14 +141,11 @@
     def on_timer(self, now: float) -> list[StoreCall]:
         """Returns the calls that are due."""
         self._now = now
+        self._check_past(now)
         calls = self._follower.on_timer(now)
         if now < self._check_at:
             return calls
         self._check_at = now + CHECK_SECONDS
-        if self._started_at is None:
-            self._started_at = now
-        if not self._versions.knows_past and now >= self._started_at + MIXED_SECONDS:
-            self._learn_past("time")
         return calls + self._write(now)
 
     def _write(self, now: float) -> list[StoreCall]:
--- a/src/troutswitch/decisions/streams/versions.py
+++ b/src/troutswitch/decisions/streams/versions.py
@@ -98,12 +98,13 @@
 
     `news` counts the changes after which peers are to be told: a further version of a service.
     `knows_past` is whether the versions from before this process started are known
-    (`version_history`).
+    (`version_history`), `has_list` whether a list of engines was read since.
     """
 
     def __init__(self) -> None:
         self.news = 0
         self.knows_past = True
+        self.has_list = False
         self.heard_at = float("-inf")
         """When the list was last read, or a peer was last heard."""
         self._by_service: dict[int, dict[int, SeenVersion]] = {}
@@ -111,6 +112,7 @@
     def on_list(self, read_at: float, records: Iterable[EngineRecord]) -> None:
         """Records the versions of a list of engines that was read at `read_at`."""
         self.on_heard(read_at)
+        self.has_list = True
         known_before = set(self._by_service)
         self._end_former_list(read_at)
         for record in records:
--- a/tests/decisions/streams/test_version_history.py
+++ b/tests/decisions/streams/test_version_history.py
@@ -85,6 +85,7 @@
     started.list_versions(10.0, "v2")
     assert not started.versions.knows_past
     started.run(10.0)
+    started.run(10.1)
     assert started.versions.knows_past
     assert started.versions.is_mixed(10.0, SERVICE)
     assert not started.versions.is_mixed(10.1 + MIXED_SECONDS, SERVICE)
@@ -175,10 +176,23 @@
     store.log(VERSIONS).append((KeyedRecord(key, value or b"\x00"),))
     store.log(VERSIONS).append((encode_record(7, frozenset({1})),))
     daemon = Daemon(store)
+    daemon.list_versions(0.0, "v1")
     daemon.run(0.0)
+    daemon.run(0.1)
     assert "record of versions malformed" in daemon.events
     assert daemon.versions.knows_past
 
 
+def test_past_is_not_known_before_a_list_was_read() -> None:
+    """Guards against a stream that may continue anywhere, as no version is known yet."""
+    daemon = Daemon(KeyedStoreModel())
+    daemon.run(0.0)
+    daemon.run(0.1)
+    assert not daemon.versions.knows_past
+    daemon.list_versions(0.2, "v1")
+    daemon.run(0.2)
+    assert daemon.versions.knows_past
+
+
 def test_versions_that_are_listed_from_the_start_are_recent() -> None:
     assert dict(listed("v1").recent(5.0)) == {service_key(SERVICE): frozenset({version_key("v1")})}
