A release of the soak leaves engines that serve

What was seen: soak 3023 reported SHARE, 228 of 388 requests not served.

Cause: the new action drained three of four engines within two seconds while another one drained, and a drained engine is replaced after ten. The daemons' logs name all four engines as draining for these seconds. A fault of the soak.

Change: a release replaces two engines, and its span lasts until the replacements serve.

--- a/src/troutswitch/soak/fault_injector.py
+++ b/src/troutswitch/soak/fault_injector.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from troutswitch.soak.crashing_requests import CrashingRequestCaller, crashing_path
-from troutswitch.soak.fleet import Daemon, Engine, Fleet
+from troutswitch.soak.fleet import SERVE_AFTER_DEPARTURE_SECONDS, Daemon, Engine, Fleet
 from troutswitch.soak.observations import InjectedAction
 from troutswitch.soak.processes import Child, ProcessExit
 from troutswitch.soak.proxy import Link
@@ -35,8 +35,9 @@
 """Delay after which the store carries out a call whose answer was lost."""
 FLOOD_CONNECTIONS = 300
 """Connections of a flood: more than a daemon's threads, fewer than its file descriptors."""
-RELEASED_ENGINES = 3
-"""Engines that a release replaces one after the other."""
+RELEASED_ENGINES = 2
+"""Engines that a release replaces one after the other: half of them, as the others have to serve
+until the replacements are listed."""
 RELEASE_STEP_SECONDS = 0.9
 """Time between two of them, less than a drain takes: they overlap."""
 DEAL_AFTER_SECONDS = 0.4
@@ -279,7 +280,8 @@
             self._call_at(at, lambda engine=engine: fleet.drain_engine(engine))  # type: ignore[misc]
             self._call_at(at + DEAL_AFTER_SECONDS, self._assign_shards_anew)
             self._call_at(at + KILL_AFTER_SECONDS, lambda killed=killed: _kill(killed))  # type: ignore[misc]
-        return RELEASED_ENGINES * RELEASE_STEP_SECONDS + KILL_SPAN_SECONDS
+        steps = RELEASED_ENGINES * RELEASE_STEP_SECONDS
+        return steps + SERVE_AFTER_DEPARTURE_SECONDS + KILL_SPAN_SECONDS
 
     def _assign_shards_anew(self) -> None:
         self.fleet.set_store_faults(**self._store_faults, deals_anew=True)
