--- a/src/troutswitch/decisions/forwarding/log_events.py
+++ b/src/troutswitch/decisions/forwarding/log_events.py
@@ -29,6 +29,7 @@
 from troutswitch.decisions.forwarding.request import ForwardedRequest
 from troutswitch.decisions.forwarding.routes import KnownConfiguration
 from troutswitch.decisions.forwarding.run_times import ServiceTimes
+from troutswitch.decisions.forwarding.types import AnswerFacts
 from troutswitch.decisions.tenants.quota import QuotaResult
 from troutswitch.outcomes import AttemptOutcome, Cut, MayHaveRun, NotRun, Step
 
@@ -170,6 +171,18 @@
     )
 
 
+def answer_fields(answer: AnswerFacts | None) -> dict[str, object]:
+    """Returns the log fields about how an engine's answer arrived; none without an answer."""
+    if answer is None:
+        return {}
+    return {
+        "signed": answer.is_signed,
+        "framing": answer.framing.value,
+        "connection_uses": answer.connection_uses,
+        "surplus_answers": answer.surplus_answers,
+    }
+
+
 def attempt_ended_line(
     now: float, request: ForwardedRequest, event: RequestAttemptEnded
 ) -> LogLine:
@@ -190,6 +203,7 @@
             "first_ms": milliseconds(request.answer_began_at - request.sent_at),
             "total_ms": milliseconds(now - request.sent_at),
             "longest_gap_ms": milliseconds(event.longest_gap),
+            **answer_fields(event.answer),
             **parts,
         },
     )
--- a/src/troutswitch/decisions/forwarding/messages.py
+++ b/src/troutswitch/decisions/forwarding/messages.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from troutswitch.common import Address
-from troutswitch.decisions.forwarding.types import EngineLoad, PromptShape
+from troutswitch.decisions.forwarding.types import AnswerFacts, EngineLoad, PromptShape
 from troutswitch.decisions.tenants.types import NO_KEY, NO_TENANT
 from troutswitch.outcomes import AttemptOutcome, Cut, MayHaveRun, NotRun
 
@@ -65,7 +65,8 @@
     unchanged, `wrong_instance` if another incarnation answered at the engine's address.
     `longest_gap` is the longest pause between events. `connection_seconds` is how long its
     connection may be reused, 0 if it was closed. `began_version` is the software version of the
-    engine that brought the first of the delivered events, or empty without one.
+    engine that brought the first of the delivered events, or empty without one. `answer` is how the
+    answer arrived, None without one.
     """
 
     token: int
@@ -82,6 +83,7 @@
     longest_gap: float = 0.0
     connection_seconds: float = 0.0
     began_version: str = ""
+    answer: AnswerFacts | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/forwarding/types.py
+++ b/src/troutswitch/decisions/forwarding/types.py
@@ -4,7 +4,7 @@
 """
 
 from dataclasses import dataclass
-from enum import Enum
+from enum import Enum, StrEnum
 
 from troutswitch.common import Address
 from troutswitch.decisions.tenants.types import Tenant
@@ -139,6 +139,32 @@
     pace_percent: int | None = None
 
 
+class Framing(StrEnum):
+    """How the end of an engine's answer is marked (RFC 9112, section 6)."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    NO_BODY = "no body"
+    CLOSE = "close"
+    """Neither a length nor chunks: the body ends with the connection."""
+    MALFORMED = "malformed"
+    """Lengths or codings that are invalid, unknown or contradict each other."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFacts:
+    """How an engine's answer arrived, for logs.
+
+    `connection_uses` is the number of requests sent on the connection before, `surplus_answers` the
+    number of answers to other requests that were dropped before this one.
+    """
+
+    is_signed: bool
+    framing: Framing
+    connection_uses: int
+    surplus_answers: int
+
+
 @dataclass(frozen=True, slots=True)
 class PromptPart:
     """A part of a prompt, which other requests may share."""
--- a/src/troutswitch/decisions/jobs/messages.py
+++ b/src/troutswitch/decisions/jobs/messages.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from troutswitch.common import Address
-from troutswitch.decisions.forwarding.types import EngineLoad
+from troutswitch.decisions.forwarding.types import AnswerFacts, EngineLoad
 from troutswitch.decisions.jobs.records import MAX_OUTPUT_BYTES, ItemResult, JobItem
 from troutswitch.decisions.tenants.types import NO_KEY, NO_TENANT
 from troutswitch.outcomes import AttemptOutcome
@@ -101,7 +101,8 @@
     response, 0 if there was none. `load` is the load that the engine reported in the response, if
     any. `wrong_instance` is set if another engine instance answered at the address.
     `is_too_long` is set if the output became longer than the instruction allowed.
-    `connection_seconds` is how long the connection may be reused, 0 if it was closed.
+    `connection_seconds` is how long the connection may be reused, 0 if it was closed. `answer` is
+    how the response arrived, None without one.
     """
 
     run: int
@@ -113,6 +114,7 @@
     wrong_instance: bool = False
     connection_seconds: float = 0.0
     is_too_long: bool = False
+    answer: AnswerFacts | None = None
 
 
 # Instructions.
--- a/src/troutswitch/decisions/jobs/runs.py
+++ b/src/troutswitch/decisions/jobs/runs.py
@@ -10,7 +10,11 @@
 
 from troutswitch.decisions.forwarding.engine import Engine, RequestSize
 from troutswitch.decisions.forwarding.engines import EngineRegistry
-from troutswitch.decisions.forwarding.log_events import configuration_fields, factor_fields
+from troutswitch.decisions.forwarding.log_events import (
+    answer_fields,
+    configuration_fields,
+    factor_fields,
+)
 from troutswitch.decisions.forwarding.routes import RouteTable
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.jobs.items import ItemProgress
@@ -154,6 +158,7 @@
             reason=event.reason,
             position=run.progress.position,
             stopped=run.is_stopped,
+            **answer_fields(event.answer),
         )
         return run
 
--- a/src/troutswitch/gateway/callers/relay.py
+++ b/src/troutswitch/gateway/callers/relay.py
@@ -297,5 +297,6 @@
                 self._longest_gap,
                 exchange.kept_seconds if exchange is not None else 0.0,
                 self._began_version,
+                exchange.facts if exchange is not None else None,
             )
         )
--- a/src/troutswitch/gateway/engines/connection.py
+++ b/src/troutswitch/gateway/engines/connection.py
@@ -51,7 +51,7 @@
 
     `idle_since` is the time at which its last response was complete, in seconds of the process's
     steady clock. The connection may be reused for `max_idle_seconds` from then on.
-    `last_request_id` is the id of the last request sent on it.
+    `last_request_id` is the id of the last request sent on it, `uses` the number of requests.
     """
 
     def __init__(self, address: Address) -> None:
@@ -60,6 +60,7 @@
         self.idle_since = 0.0
         self.max_idle_seconds = DEFAULT_IDLE_SECONDS
         self.last_request_id = ""
+        self.uses = 0
         self._is_reading_head = False
         self.response_class = self._make_response  # type: ignore[assignment]
 
--- a/src/troutswitch/gateway/engines/exchange.py
+++ b/src/troutswitch/gateway/engines/exchange.py
@@ -13,8 +13,10 @@
 
 from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
+from troutswitch.decisions.forwarding.types import AnswerFacts
 from troutswitch.gateway.engines.connection import READ_BYTES, EngineConnection, shut_down
 from troutswitch.gateway.engines.connection_pool import ConnectionUse, EngineConnections
+from troutswitch.platform.requests import is_signed, read_framing
 from troutswitch.wire_values import is_header_name, is_header_value
 
 SUSPECT_SILENCE_SECONDS = 0.25
@@ -62,6 +64,8 @@
     id_header: str
     use: ConnectionUse = ConnectionUse.ONLINE
     response: http.client.HTTPResponse | None = None
+    facts: AnswerFacts | None = None
+    """How the response arrived; None before its head was read."""
     is_aborted: bool = False
     kept_seconds: float = 0.0
     """How long the connection may be reused after it was returned to the pool, else 0."""
@@ -100,6 +104,7 @@
         request_id = self.request.request_id
         connection = self.connections.acquire(self.engine_id, self.address, request_id, self.use)
         connection.last_request_id = request_id
+        connection.uses += 1
         with self._lock:
             self._connection = connection
         return connection
@@ -134,8 +139,11 @@
     def _read_head(self, connection: EngineConnection) -> http.client.HTTPResponse:
         """Reads heads until that of this request's response; drops surplus responses."""
         response = connection.getresponse()
-        for _ in range(MAX_SURPLUS_RESPONSES):
+        for surplus in range(MAX_SURPLUS_RESPONSES):
             if response.getheader(self.id_header) == self.request.request_id:
+                framing = read_framing(response, self.request.method)
+                uses_before = connection.uses - 1
+                self.facts = AnswerFacts(is_signed(response), framing, uses_before, surplus)
                 _check_headers(response)
                 self.response = response
                 return response
--- a/src/troutswitch/gateway/engines/item_runs.py
+++ b/src/troutswitch/gateway/engines/item_runs.py
@@ -105,7 +105,9 @@
         try:
             exchange = self._open_exchange(instruction)
             end_event = run.execute(exchange)
-            end_event = replace(end_event, connection_seconds=exchange.kept_seconds)
+            end_event = replace(
+                end_event, connection_seconds=exchange.kept_seconds, answer=exchange.facts
+            )
         except Exception as error:
             self._logger.exception("item run failed")
             end_event = run.end_event(AttemptOutcome.CUT, f"{type(error).__name__}: {error}")
--- a/src/troutswitch/platform/requests.py
+++ b/src/troutswitch/platform/requests.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from troutswitch.decisions.forwarding.types import EngineLoad, PromptPart, PromptShape
+from troutswitch.decisions.forwarding.types import EngineLoad, Framing, PromptPart, PromptShape
 from troutswitch.decisions.tenants.types import NO_KEY, NO_TENANT, key_digest
 from troutswitch.platform import names
 from troutswitch.platform.engine_ids import instance_id
@@ -28,6 +28,8 @@
 
 MISDIRECTED = 421
 """Status with which an engine refuses a request that is intended for a different engine."""
+BODILESS_STATUSES = (204, 304)
+"""Statuses of responses that never have a body (RFC 9110, section 6.4.1)."""
 LOAD_FIGURES = (3, 4)
 """Numbers of figures in an engine's load."""
 MAX_LOAD = 1_000_000
@@ -202,6 +204,30 @@
     return headers
 
 
+def is_signed(response: http.client.HTTPResponse) -> bool:
+    """Returns whether an engine signed its response."""
+    return bool(response.getheader(names.RESPONSE_STAMP, "").strip())
+
+
+def read_framing(response: http.client.HTTPResponse, method: str) -> Framing:
+    """Returns how the end of a response to a request of a method is marked.
+
+    `http.client` uses the first of several lengths, prefers chunks to a length, and reads a body of
+    an unknown length up to the end of the connection.
+    """
+    lengths = response.msg.get_all("Content-Length", [])
+    codings = response.msg.get_all("Transfer-Encoding", [])
+    if response.status in BODILESS_STATUSES or method == "HEAD":
+        return Framing.NO_BODY if not codings else Framing.MALFORMED
+    if codings:
+        is_chunked = len(codings) == 1 and codings[0].strip().lower() == "chunked"
+        return Framing.CHUNKED if is_chunked and not lengths else Framing.MALFORMED
+    if not lengths:
+        return Framing.CLOSE
+    is_length = len(lengths) == 1 and parse_number(lengths[0].strip()) is not None
+    return Framing.LENGTH if is_length else Framing.MALFORMED
+
+
 def read_head(response: http.client.HTTPResponse) -> AnswerHead:
     """Decodes the head of an engine's response."""
     content_type = response.getheader("Content-Type", "")
--- a/tests/gateway/engines/test_exchange.py
+++ b/tests/gateway/engines/test_exchange.py
@@ -6,6 +6,7 @@
 import pytest
 
 from troutswitch.common import Address
+from troutswitch.decisions.forwarding.types import AnswerFacts, Framing
 from troutswitch.gateway.engines.connection_pool import EngineConnections
 from troutswitch.gateway.engines.exchange import (
     AnswerLost,
@@ -13,6 +14,7 @@
     NotConnected,
     OutgoingRequest,
 )
+from troutswitch.platform import names
 
 ID_HEADER = "X-Id"
 CHUNKED = "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nTransfer-Encoding: chunked\r\n{more}\r\n"
@@ -136,6 +138,25 @@
     assert exchange.kept_seconds == seconds
 
 
+def test_exchange_tells_how_its_answer_arrived(engine: ScriptedEngine, make: MakeExchange) -> None:
+    surplus = head("old") + chunk(b"old") + b"0\r\n\r\n"
+    signed = f"{names.RESPONSE_STAMP}: s\r\n"
+    engine.answers = [
+        b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\none",
+        surplus + head("2", signed) + chunk(b"two") + b"0\r\n\r\n",
+    ]
+    facts = []
+    for request_id in ("1", "2"):
+        exchange = make(request_id)
+        exchange.open(2.0)
+        exchange.body()
+        facts.append(exchange.facts)
+    assert facts == [
+        AnswerFacts(False, Framing.LENGTH, 0, 0),
+        AnswerFacts(True, Framing.CHUNKED, 1, 1),
+    ]
+
+
 def test_surplus_response_before_the_expected_one_is_dropped(
     engine: ScriptedEngine, make: MakeExchange
 ) -> None:
