--- a/src/troutswitch/decisions/forwarding/attempts.py
+++ b/src/troutswitch/decisions/forwarding/attempts.py
@@ -21,6 +21,7 @@
 from troutswitch.decisions.forwarding.placer import AssignedBy, Assignment
 from troutswitch.decisions.forwarding.request import ForwardedRequest, RequestState
 from troutswitch.decisions.forwarding.run_times import RunTimes
+from troutswitch.decisions.forwarding.types import RouteKind
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.streams.interface import Origins
 from troutswitch.decisions.streams.versions import version_key
@@ -189,6 +190,7 @@
         decided_at=now,
         tenant=request.tenant,
         engine_version=engine.record.version,
+        expects_stream=request.route.kind is RouteKind.STREAM,
     )
 
 
--- a/src/troutswitch/decisions/forwarding/log_events.py
+++ b/src/troutswitch/decisions/forwarding/log_events.py
@@ -180,6 +180,7 @@
         "framing": answer.framing.value,
         "connection_uses": answer.connection_uses,
         "surplus_answers": answer.surplus_answers,
+        **({"defect": answer.defect} if answer.defect else {}),
     }
 
 
--- a/src/troutswitch/decisions/forwarding/messages.py
+++ b/src/troutswitch/decisions/forwarding/messages.py
@@ -125,7 +125,7 @@
     timeout for each following event. `decided_at` is when these were computed; infinite stands for
     now. `resume_after` is the id of the last event that the caller has received, or empty. `tenant`
     is the caller's tenant, which is sent to the engine. `engine_version` is the engine's software
-    version.
+    version. `expects_stream` is set if a success must be a stream of events.
     """
 
     token: int
@@ -139,6 +139,7 @@
     decided_at: float = float("inf")
     tenant: str = NO_TENANT
     engine_version: str = ""
+    expects_stream: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/decisions/forwarding/open_requests.py
+++ b/src/troutswitch/decisions/forwarding/open_requests.py
@@ -5,6 +5,8 @@
 """
 
 import random
+from dataclasses import replace
+from http import HTTPStatus
 
 from troutswitch.decisions.forwarding.admission import Deferral
 from troutswitch.decisions.forwarding.arrivals import Refused
@@ -134,11 +136,18 @@
         return [FinishRequest(request.arrival.token, outcome, relays_answer=True)]
 
     def end_unanswered(
-        self, now: float, request: ForwardedRequest, reason: str, step: Step
+        self,
+        now: float,
+        request: ForwardedRequest,
+        reason: str,
+        step: Step,
+        *,
+        is_unproved: bool = False,
     ) -> Instructions:
         """Ends a request without a complete answer.
 
-        The outcome follows from its attempts: not run, may have run, or cut.
+        The outcome follows from its attempts: not run, may have run, or cut. `is_unproved` is set
+        if the last attempt got an answer that is not proved to be the engine's.
         """
         self.remove(request)
         outcome = failure_outcome(
@@ -149,6 +158,8 @@
             request.engine_id,
             retry_after(self._rng),
         )
+        if is_unproved and isinstance(outcome, MayHaveRun):
+            outcome = replace(outcome, status=HTTPStatus.BAD_GATEWAY)
         line = give_up_line(
             now,
             request,
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -292,7 +292,10 @@
             case FailureAction.RELAY_ANSWER:
                 return self._open.relay_answer(request, event)
             case FailureAction.END:
-                return self._open.end_unanswered(now, request, event.reason, Step.RELAY)
+                is_unproved = event.answer is not None and bool(event.answer.defect)
+                return self._open.end_unanswered(
+                    now, request, event.reason, Step.RELAY, is_unproved=is_unproved
+                )
             case FailureAction.AWAIT_CRASH_REPORT:
                 return self._open.wait_or_end(now, request, CRASHES_REASON, Step.DISPATCH)
             case FailureAction.AWAIT_CAPACITY:
--- a/src/troutswitch/decisions/forwarding/types.py
+++ b/src/troutswitch/decisions/forwarding/types.py
@@ -156,13 +156,15 @@
     """How an engine's answer arrived, for logs.
 
     `connection_uses` is the number of requests sent on the connection before, `surplus_answers` the
-    number of answers to other requests that were dropped before this one.
+    number of answers to other requests that were dropped before this one. `defect` is why the
+    answer is not proved to be the engine's, empty if it is.
     """
 
     is_signed: bool
     framing: Framing
     connection_uses: int
     surplus_answers: int
+    defect: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/gateway/callers/relay.py
+++ b/src/troutswitch/gateway/callers/relay.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
+from http import HTTPStatus
 
 from troutswitch.clock import steady_seconds
 from troutswitch.decisions.crashes.content import content_key
@@ -32,8 +33,7 @@
 from troutswitch.gateway.memory.account import Holding, MemoryAccount
 from troutswitch.gateway.memory.pressure import Kind
 from troutswitch.outcomes import AttemptOutcome
-from troutswitch.platform import names
-from troutswitch.platform.requests import AnswerHead, IncomingRequest, engine_headers, read_head
+from troutswitch.platform.requests import AnswerHead, IncomingRequest, engine_headers
 
 DIRECTIVE_TIMEOUT_SECONDS = 60.0
 """Longest wait for the loop's next directive, after which the loop is considered dead."""
@@ -151,7 +151,6 @@
             directive.engine_id,
             directive.address,
             self._outgoing(directive),
-            names.REQUEST_ID,
         )
         self._attempt_exchange = exchange
         self.relays.begin_attempt(self.token, directive.attempt, exchange)
@@ -178,11 +177,18 @@
             self._resume_after(directive),
             directive.tenant,
         )
-        return OutgoingRequest(request.request_id, request.method, request.url, headers, self.body)
+        return OutgoingRequest(
+            request.request_id,
+            request.method,
+            request.url,
+            headers,
+            self.body,
+            expects_stream=directive.expects_stream,
+        )
 
     def _exchange(self, directive: SendRequest, exchange: Exchange) -> Iterator[bytes]:
         try:
-            head = read_head(exchange.open(directive.time_left))
+            head = exchange.open(directive.time_left)
         except NotConnected as error:
             return self._end(directive, AttemptOutcome.UNREACHABLE, str(error))
         except AnswerLost as error:
@@ -191,7 +197,9 @@
         self.post(AnswerBegun(self.token, directive.attempt, head.load, head.not_run))
         exchange.set_wait(min(directive.first_event_wait, directive.time_left))
         try:
-            if head.status == 200 and head.is_event_stream:
+            if head.not_run:
+                self._handle_refusal(directive, exchange, head)
+            elif head.status == HTTPStatus.OK and head.is_event_stream:
                 yield from self._stream(directive, exchange, head)
             else:
                 self._handle_complete_answer(directive, head, self._read_body(exchange))
@@ -249,14 +257,16 @@
         if self.answer_bytes is not None:
             self.answer_bytes.release()
 
+    def _handle_refusal(self, directive: SendRequest, exchange: Exchange, head: AnswerHead) -> None:
+        """Handles a response whose head says that the request did not run."""
+        exchange.discard_body()
+        reason = f"server said not run, status {head.status}"
+        self._end(directive, AttemptOutcome.REFUSED, reason, head)
+
     def _handle_complete_answer(
         self, directive: SendRequest, head: AnswerHead, body: bytes
     ) -> None:
         """Handles a complete response; keeps a failure in case no later attempt succeeds."""
-        if head.not_run:
-            reason = f"server said not run, status {head.status}"
-            self._end(directive, AttemptOutcome.REFUSED, reason, head)
-            return
         if self._delivered:
             reason = f"status {head.status} in the middle of a stream"
             self._end(directive, AttemptOutcome.CUT, reason, head)
--- a/src/troutswitch/gateway/engines/connection.py
+++ b/src/troutswitch/gateway/engines/connection.py
@@ -3,6 +3,9 @@
 All responses are read through one buffer that belongs to the connection. `http.client` creates a
 buffer for each response, and would lose the beginning of a surplus response that arrived together
 with the previous one. Here the surplus response can be read and dropped.
+
+A connection carries each request id once. An engine may answer a request twice, the second time as
+long as the connection lives, and only the id tells that answer from the one to a later request.
 """
 
 import http.client
@@ -23,24 +26,80 @@
 """How long an idle connection is kept if the engine specifies no idle timeout."""
 IDLE_TIMEOUT_SHARE = 0.6
 """Share of an engine's idle timeout within which a connection is reused."""
+MAX_REQUESTS_PER_CONNECTION = 1000
+"""Requests after which a connection is not reused, which bounds the ids that it remembers."""
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """`SO_LINGER` of zero seconds."""
 
 
-class _SharedReader(io.BufferedReader):
+class _DeadlineSource(io.RawIOBase):
+    """Reads a socket, each time for at most `wait` seconds and never after `ends_at`.
+
+    `ends_at` is in seconds of the process's steady clock. While `is_paused`, nothing is received.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__()
+        self._sock = sock
+        self.wait = CONNECT_TIMEOUT_SECONDS
+        self.ends_at = float("inf")
+        self.is_paused = False
+
+    def readable(self) -> bool:
+        """Returns True."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Receives bytes; returns 0 at the end of the stream, None while paused.
+
+        Raises:
+            TimeoutError: nothing was received in time.
+            OSError: the connection failed.
+        """
+        if self.is_paused:
+            return None
+        left = min(self.wait, self.ends_at - steady_seconds())
+        if left <= 0:
+            raise TimeoutError("the response did not end in time")
+        self._sock.settimeout(left)
+        return self._sock.recv_into(buffer)
+
+
+class ResponseReader(io.BufferedReader):
     """A reader that stays open after the responses that are read from it."""
 
+    raw: _DeadlineSource
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Returns the next line.
+
+        Raises:
+            http.client.RemoteDisconnected: the stream ended before or inside the line.
+        """
+        line = super().readline(-1 if size is None else size)
+        if not line.endswith(b"\n") and len(line) != size:
+            raise http.client.RemoteDisconnected("the response ended inside its head or a line")
+        return line
+
+    def has_buffered_bytes(self) -> bool:
+        """Returns whether bytes were received that were not read yet."""
+        self.raw.is_paused = True
+        try:
+            return bool(self.peek(1))
+        finally:
+            self.raw.is_paused = False
+
     def close(self) -> None:
-        """Does nothing: the connection closes the raw stream."""
+        """Does nothing: the connection closes the socket."""
 
 
 class _ReaderSource:
     """Adapter that passes the shared reader to `HTTPResponse`, which expects a socket."""
 
-    def __init__(self, reader: _SharedReader | None) -> None:
+    def __init__(self, reader: ResponseReader | None) -> None:
         self._reader = reader
 
-    def makefile(self, mode: str) -> _SharedReader:
+    def makefile(self, mode: str) -> ResponseReader:
         """Returns the reader."""
         assert self._reader is not None
         return self._reader
@@ -51,16 +110,18 @@
 
     `idle_since` is the time at which its last response was complete, in seconds of the process's
     steady clock. The connection may be reused for `max_idle_seconds` from then on.
-    `last_request_id` is the id of the last request sent on it, `uses` the number of requests.
+    `request_ids` are the hashes of the ids of the requests sent on it. `had_surplus` is set once an
+    answer to another request was received.
     """
 
     def __init__(self, address: Address) -> None:
         super().__init__(address.host, address.port, timeout=CONNECT_TIMEOUT_SECONDS)
-        self.reader: _SharedReader | None = None
+        self.reader: ResponseReader | None = None
         self.idle_since = 0.0
         self.max_idle_seconds = DEFAULT_IDLE_SECONDS
-        self.last_request_id = ""
-        self.uses = 0
+        self.request_ids: set[int] = set()
+        self.had_surplus = False
+        self.last_request = 0
         self._is_reading_head = False
         self.response_class = self._make_response  # type: ignore[assignment]
 
@@ -73,8 +134,25 @@
         super().connect()
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         bound_silence(self.sock)
-        raw = self.sock.makefile("rb", buffering=0)
-        self.reader = _SharedReader(raw, READ_BYTES)
+        self.reader = ResponseReader(_DeadlineSource(self.sock), READ_BYTES)
+
+    def limit_reads(self, wait: float, ends_at: float | None = None) -> None:
+        """Limits the next reads.
+
+        Args:
+            wait: timeout of each read, in seconds.
+            ends_at: time at which all reads end, on the process's steady clock; None leaves it.
+        """
+        if self.reader is None:
+            return
+        self.reader.raw.wait = wait
+        if ends_at is not None:
+            self.reader.raw.ends_at = ends_at
+
+    def add_request(self, request_id: str) -> None:
+        """Records that a request is sent on this connection."""
+        self.last_request = hash(request_id)
+        self.request_ids.add(hash(request_id))
 
     def getresponse(self) -> http.client.HTTPResponse:
         """Reads the head of a response; the connection stays open for its body."""
@@ -104,19 +182,26 @@
         if self._is_reading_head:
             return
         super().close()
-        reader, self.reader = self.reader, None
-        if reader is not None:
-            reader.raw.close()
+        self.reader = None
+
+    def may_be_kept(self) -> bool:
+        """Returns whether the connection may be used again after a complete response.
+
+        An engine that answered another request than the last one may do so again, and what it sends
+        unasked is not worth the risk that the next request waits behind it.
+        """
+        is_worn = len(self.request_ids) >= MAX_REQUESTS_PER_CONNECTION
+        return self.max_idle_seconds > 0 and not is_worn
 
     def is_reusable(self, request_id: str) -> bool:
         """Returns whether a request may be sent on this idle connection.
 
-        A connection is not reusable after a request with the same id, because a late surplus
+        A connection is not reusable after any request with the same id, because a late surplus
         response to that request would be indistinguishable from the response to this one. It is
         not reusable either while it has unsolicited bytes to read.
         """
         age = steady_seconds() - self.idle_since
-        if age >= self.max_idle_seconds or self.last_request_id == request_id:
+        if age >= self.max_idle_seconds or hash(request_id) == self.last_request:
             return False
         return not self._has_waiting_bytes()
 
--- a/src/troutswitch/gateway/engines/exchange.py
+++ b/src/troutswitch/gateway/engines/exchange.py
@@ -2,21 +2,24 @@
 
 An exchange owns its connection until the response is complete, then returns it to the pool
 (`EngineConnections`). Responses are matched to the request by the request id; a surplus response
-that precedes the expected one is read and dropped.
+that precedes the expected one is read and dropped. Whatever an exchange returns is proved to be the
+engine's answer (`answer_proof`); all else is an error.
 """
 
 import http.client
 import socket
 import threading
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
 from troutswitch.decisions.forwarding.types import AnswerFacts
-from troutswitch.gateway.engines.connection import READ_BYTES, EngineConnection, shut_down
+from troutswitch.gateway.engines.answer_proof import Defect, answer_defect, has_marked_end
+from troutswitch.gateway.engines.connection import EngineConnection, shut_down
 from troutswitch.gateway.engines.connection_pool import ConnectionUse, EngineConnections
-from troutswitch.platform.requests import is_signed, read_framing
+from troutswitch.gateway.engines.response_body import body_pieces
+from troutswitch.platform.requests import AnswerHead, read_head
 from troutswitch.wire_values import is_header_name, is_header_value
 
 SUSPECT_SILENCE_SECONDS = 0.25
@@ -26,6 +29,12 @@
 MIN_TIMEOUT_SECONDS = 0.01
 """Minimum socket timeout; 0 would make the socket non-blocking."""
 MAX_SURPLUS_RESPONSES = 3
+DISCARD_SECONDS = 0.1
+"""Time in which the body of a refusal must arrive for its connection to be kept."""
+INTERIM_STATUSES = range(102, 200)
+"""Statuses of responses that precede the final one; `http.client` skips 100 itself. 101 would
+answer a request for another protocol, which is never sent."""
+MAX_INTERIM_RESPONSES = 8
 
 Headers = list[tuple[str, str]]
 
@@ -38,32 +47,47 @@
     """The request was sent, at least in part, but its response was not received completely."""
 
 
+class AnswerUnproved(AnswerLost):
+    """A response was received that is not proved to be the engine's answer to the request.
+
+    `status` is the status that it states, 0 without one.
+    """
+
+    def __init__(self, defect: Defect, status: int = 0) -> None:
+        super().__init__(f"unproved answer: {defect}" + (f", status {status}" if status else ""))
+        self.defect = defect
+        self.status = status
+
+
 @dataclass(frozen=True, slots=True)
 class OutgoingRequest:
-    """A request as it is sent to an engine."""
+    """A request as it is sent to an engine.
+
+    `expects_stream` is whether a success must be a stream of events.
+    """
 
     request_id: str
     method: str
     url: str
     headers: Headers
     body: bytes
+    expects_stream: bool = False
 
 
 @dataclass
 class Exchange:
-    """One exchange: call `open`, then `chunks` or `body`, then `close`.
+    """One exchange: call `open`, then `chunks`, `body` or `discard_body`, then `close`.
 
-    All calls must come from one thread, except `abort`, which is thread-safe. `id_header` is the
-    name of the header in which a response repeats the request's id.
+    All calls must come from one thread, except `abort`, which is thread-safe.
     """
 
     connections: EngineConnections
     engine_id: str
     address: Address
     request: OutgoingRequest
-    id_header: str
     use: ConnectionUse = ConnectionUse.ONLINE
-    response: http.client.HTTPResponse | None = None
+    head: AnswerHead | None = None
+    """The head of the proved response; None before it was read."""
     facts: AnswerFacts | None = None
     """How the response arrived; None before its head was read."""
     is_aborted: bool = False
@@ -73,16 +97,18 @@
     """Time at which the sending began or the last bytes of the response arrived, in seconds of the
     process's steady clock."""
     _connection: EngineConnection | None = None
+    _response: http.client.HTTPResponse | None = None
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
-    def open(self, first_wait: float) -> http.client.HTTPResponse:
+    def open(self, first_wait: float) -> AnswerHead:
         """Sends the request and reads the head of its response.
 
         Args:
-            first_wait: timeout of each send and of each read of the head, in seconds.
+            first_wait: timeout of each send, and of the head from then on, in seconds.
 
         Raises:
             NotConnected: nothing was sent.
+            AnswerUnproved: the response is not proved to be the engine's.
             AnswerLost: the request was sent, but no head of its response was received.
         """
         connection = self._acquire_connection()
@@ -90,21 +116,26 @@
         if self.is_aborted:
             self.close()
             raise NotConnected("aborted before it was sent")
+        wait = max(MIN_TIMEOUT_SECONDS, first_wait)
         try:
-            connection.sock.settimeout(max(MIN_TIMEOUT_SECONDS, first_wait))
+            connection.sock.settimeout(wait)
             self.last_seen_at = steady_seconds()
             self._send(connection)
-            response = self._read_head(connection)
+            connection.limit_reads(wait, steady_seconds() + wait)
+            self.head = self._read_head(connection)
+            connection.limit_reads(wait, float("inf"))
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise self._lost(error) from error
+        except AnswerUnproved:
+            self.close()
+            raise
         self.last_seen_at = steady_seconds()
-        return response
+        return self.head
 
     def _acquire_connection(self) -> EngineConnection:
         request_id = self.request.request_id
         connection = self.connections.acquire(self.engine_id, self.address, request_id, self.use)
-        connection.last_request_id = request_id
-        connection.uses += 1
+        connection.add_request(request_id)
         with self._lock:
             self._connection = connection
         return connection
@@ -136,45 +167,91 @@
         except (BrokenPipeError, ConnectionResetError):
             connection.max_idle_seconds = 0.0  # not reusable; its response may be readable
 
-    def _read_head(self, connection: EngineConnection) -> http.client.HTTPResponse:
-        """Reads heads until that of this request's response; drops surplus responses."""
+    def _read_head(self, connection: EngineConnection) -> AnswerHead:
+        """Reads heads until that of this request's response; drops surplus responses.
+
+        Raises:
+            AnswerUnproved: a head is malformed, or does not begin a proved answer.
+        """
+        method = self.request.method
         response = connection.getresponse()
-        for surplus in range(MAX_SURPLUS_RESPONSES):
-            if response.getheader(self.id_header) == self.request.request_id:
-                framing = read_framing(response, self.request.method)
-                uses_before = connection.uses - 1
-                self.facts = AnswerFacts(is_signed(response), framing, uses_before, surplus)
-                _check_headers(response)
-                self.response = response
-                return response
-            response.read()
-            if response.will_close or connection.sock is None:
+        for surplus in range(MAX_SURPLUS_RESPONSES + 1):
+            response = self._skip_interim(connection, response)
+            _check_headers(response)
+            head = read_head(response, method)
+            self._response = response
+            if head.request_id == self.request.request_id:
+                self._check_proof(connection, head, surplus)
+                return head
+            connection.had_surplus = True
+            self._set_facts(connection, head, surplus + 1, Defect.OTHER_REQUEST)
+            if response.will_close or not has_marked_end(head):
                 break
+            for _ in self._pieces(head):
+                continue
+            response.close()
+            response = connection.next_response(method)
+        raise AnswerUnproved(Defect.OTHER_REQUEST)
+
+    def _skip_interim(
+        self, connection: EngineConnection, response: http.client.HTTPResponse
+    ) -> http.client.HTTPResponse:
+        """Returns the first response that is not an interim one."""
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            if response.status not in INTERIM_STATUSES:
+                return response
+            response.close()
             response = connection.next_response(self.request.method)
-        raise http.client.HTTPException("the answer is of another request")
+        raise AnswerUnproved(Defect.INTERIM)
+
+    def _check_proof(self, connection: EngineConnection, head: AnswerHead, surplus: int) -> None:
+        defect = answer_defect(head, expects_stream=self.request.expects_stream)
+        self._set_facts(connection, head, surplus, defect)
+        if defect is not None:
+            raise AnswerUnproved(defect, head.status)
+
+    def _set_facts(
+        self, connection: EngineConnection, head: AnswerHead, surplus: int, defect: Defect | None
+    ) -> None:
+        uses_before = len(connection.request_ids) - 1
+        self.facts = AnswerFacts(head.is_signed, head.framing, uses_before, surplus, defect or "")
 
     def set_wait(self, seconds: float) -> None:
         """Sets the timeout of the next reads, in seconds."""
         connection = self._connection
-        if connection is not None and connection.sock is not None:
-            connection.sock.settimeout(max(MIN_TIMEOUT_SECONDS, seconds))
+        if connection is not None:
+            connection.limit_reads(max(MIN_TIMEOUT_SECONDS, seconds))
+
+    def _pieces(self, head: AnswerHead) -> Iterator[bytes]:
+        connection = self._connection
+        if connection is None or connection.reader is None:
+            raise http.client.HTTPException("the connection was closed")
+        return body_pieces(connection.reader, head.framing, head.length)
 
     def chunks(self) -> Iterator[bytes]:
         """Yields the body's bytes as they arrive; keeps the connection after a complete body.
 
         Raises:
-            AnswerLost: the response broke off, or a read timed out.
+            AnswerUnproved: the body ended before its end, or is malformed.
+            AnswerLost: the connection failed, or a read timed out.
         """
-        assert self.response is not None
+        assert self.head is not None
         try:
-            while data := self.response.read1(READ_BYTES):
+            for data in self._pieces(self.head):
                 self.last_seen_at = steady_seconds()
                 yield data
-        except (OSError, http.client.HTTPException, ValueError) as error:
+        except http.client.HTTPException as error:
+            self.close()
+            if self.is_aborted:
+                raise AnswerLost("aborted") from error
+            if self.facts is not None:
+                self.facts = replace(self.facts, defect=Defect.TRUNCATED)
+            raise AnswerUnproved(Defect.TRUNCATED, self.head.status) from error
+        except OSError as error:
             raise self._lost(error) from error
-        if self.is_aborted or (self.response.length or 0) > 0:
+        if self.is_aborted:
             self.close()
-            raise AnswerLost("the answer broke off")
+            raise AnswerLost("aborted")
         self._finish()
 
     def body(self) -> bytes:
@@ -185,16 +262,28 @@
         """
         return b"".join(self.chunks())
 
+    def discard_body(self) -> None:
+        """Drops the body of a response whose head says all; closes the connection if it is late."""
+        connection = self._connection
+        assert self.head is not None and connection is not None
+        ends_at = steady_seconds() + DISCARD_SECONDS
+        connection.limit_reads(DISCARD_SECONDS, ends_at)
+        try:
+            for _ in self.chunks():
+                continue
+        except AnswerLost:
+            self.close()
+
     def _finish(self) -> None:
         """Returns the connection to the pool if it is reusable, and closes it otherwise."""
-        connection, response = self._connection, self.response
+        connection, response = self._connection, self._response
         assert connection is not None and response is not None
-        response.close()  # reading a body with a length does not close it
+        response.close()  # its body was not read through it
         connection.apply_keep_alive(response.getheader("Keep-Alive"))
-        is_open = not response.will_close and connection.sock is not None
-        if not is_open or connection.max_idle_seconds <= 0:
+        if response.will_close or connection.sock is None or not connection.may_be_kept():
             self.close()
             return
+        connection.limit_reads(MIN_TIMEOUT_SECONDS, float("inf"))
         with self._lock:
             self._connection = None
         self.kept_seconds = connection.max_idle_seconds
@@ -240,10 +329,10 @@
     """Checks that a response's headers can be forwarded; folded lines, for one, can't.
 
     Raises:
-        http.client.HTTPException: a header is malformed.
+        AnswerUnproved: a header is malformed.
     """
     if response.msg.defects:  # the parser drops the lines after a malformed one
-        raise http.client.HTTPException("the head of the answer is malformed")
+        raise AnswerUnproved(Defect.MALFORMED_HEAD, response.status)
     for name, value in response.getheaders():
         if not (is_header_name(name) and is_header_value(value)):
-            raise http.client.HTTPException("a header of the answer is malformed")
+            raise AnswerUnproved(Defect.MALFORMED_HEAD, response.status)
--- a/src/troutswitch/gateway/engines/item_runs.py
+++ b/src/troutswitch/gateway/engines/item_runs.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field, replace
+from http import HTTPStatus
 
 import structlog
 
@@ -37,8 +38,7 @@
     OutgoingRequest,
 )
 from troutswitch.outcomes import AttemptOutcome
-from troutswitch.platform import names
-from troutswitch.platform.requests import AnswerHead, item_headers, read_head
+from troutswitch.platform.requests import AnswerHead, item_headers
 
 EVENT_OVERHEAD_BYTES = 4096
 """Bytes of an event beyond its text: its id and other fields."""
@@ -124,7 +124,6 @@
             instruction.engine_id,
             instruction.address,
             outgoing_request(instruction),
-            names.REQUEST_ID,
             ConnectionUse.ITEMS,
         )
         with self._lock:
@@ -147,14 +146,14 @@
     def execute(self, exchange: Exchange) -> ItemRunEnded:
         """Performs the exchange and returns the event that reports its end."""
         try:
-            head = read_head(exchange.open(self.instruction.response_timeout))
+            head = exchange.open(self.instruction.response_timeout)
         except NotConnected as error:
             return self.end_event(AttemptOutcome.UNREACHABLE, str(error))
         except AnswerLost as error:
             return self.end_event(AttemptOutcome.CUT, str(error))
         self.engine_activity.record_head(head)
         try:
-            if head.status != 200 or not head.is_event_stream:
+            if head.not_run or head.status != HTTPStatus.OK:
                 return self._refusal(exchange, head)
             self.post(ItemBegun(self.instruction.run))
             self._read(exchange)
@@ -194,9 +193,11 @@
             self.events.append(OutputEvent(event.event_id, text))
 
     def _refusal(self, exchange: Exchange, head: AnswerHead) -> ItemRunEnded:
+        if head.not_run:
+            exchange.discard_body()
+            return self.end_event(AttemptOutcome.REFUSED, f"status {head.status}", head)
         exchange.body()
-        kind = AttemptOutcome.REFUSED if head.not_run else AttemptOutcome.CUT
-        return self.end_event(kind, f"status {head.status}", head)
+        return self.end_event(AttemptOutcome.CUT, f"status {head.status}", head)
 
     def end_event(
         self, kind: AttemptOutcome, reason: str, head: AnswerHead | None = None
@@ -224,4 +225,4 @@
         instruction.resume_after,
         instruction.tenant,
     )
-    return OutgoingRequest(item.item_id, "POST", item.path, headers, item.body)
+    return OutgoingRequest(item.item_id, "POST", item.path, headers, item.body, expects_stream=True)
--- /dev/null
+++ b/src/troutswitch/gateway/engines/response_body.py
@@ -0,0 +1,75 @@
+"""Reads the body of a response strictly by its framing (RFC 9112, sections 6 and 7).
+
+`http.client` takes the end of a connection for the end of a body in several cases: where it knows
+no length, inside the last chunk's line, and after it. Here a body ends only at the mark of its end.
+"""
+
+import http.client
+import io
+import re
+from collections.abc import Iterator
+
+from troutswitch.decisions.forwarding.types import Framing
+
+READ_BYTES = 1 << 16
+MAX_CHUNK_LINE_BYTES = 4096
+"""Longest line of a chunk's size with its extensions, and of a trailer."""
+LINE_END = b"\r\n"
+
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r\n")
+
+
+def body_pieces(reader: io.BufferedReader, framing: Framing, length: int) -> Iterator[bytes]:
+    """Yields a body's bytes as they arrive.
+
+    Args:
+        reader: the connection's reader, at the beginning of the body.
+        framing: how the end of the body is marked.
+        length: bytes of a body with a length.
+
+    Raises:
+        http.client.HTTPException: the body was cut, is malformed, or its end is not marked.
+        OSError: the connection failed or a read timed out.
+    """
+    match framing:
+        case Framing.NO_BODY:
+            return iter(())
+        case Framing.LENGTH:
+            return _exactly(reader, length)
+        case Framing.CHUNKED:
+            return _chunks(reader)
+        case Framing.CLOSE | Framing.MALFORMED:
+            raise http.client.HTTPException("the end of the body is not marked")
+
+
+def _exactly(reader: io.BufferedReader, length: int) -> Iterator[bytes]:
+    left = length
+    while left:
+        data = reader.read1(min(left, READ_BYTES))
+        if not data:
+            raise http.client.IncompleteRead(b"", left)
+        left -= len(data)
+        yield data
+
+
+def _chunks(reader: io.BufferedReader) -> Iterator[bytes]:
+    while size := _chunk_size(_read_line(reader)):
+        yield from _exactly(reader, size)
+        if reader.read(len(LINE_END)) != LINE_END:
+            raise http.client.HTTPException("a chunk is longer than its size")
+    while _read_line(reader) != LINE_END:  # trailers are dropped
+        continue
+
+
+def _chunk_size(line: bytes) -> int:
+    match = _CHUNK_LINE.fullmatch(line)
+    if match is None:
+        raise http.client.HTTPException("the size of a chunk is malformed")
+    return int(match[1], 16)
+
+
+def _read_line(reader: io.BufferedReader) -> bytes:
+    line = reader.readline(MAX_CHUNK_LINE_BYTES)
+    if not line.endswith(LINE_END):
+        raise http.client.HTTPException("a line of a chunked body is cut or too long")
+    return line
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -48,6 +48,11 @@
     ) -> None:
         self.registry = CollectorRegistry()
         self._attempts = self._counter("attempts", "Attempts at engines, by kind of end", "kind")
+        self._unproved = self._counter(
+            "unproved_answers",
+            "Responses that were not proved to be the engine's whole answer, by defect",
+            "defect",
+        )
         self._first_event = self._histogram(
             "first_event_seconds", "Time from sending a request to its answer's first event"
         )
@@ -298,6 +303,8 @@
     def on_log_line(self, line: LogLine) -> None:
         """Updates the metrics from a log line of the core; called on the loop's thread."""
         self._events.labels(line.event).inc()
+        if "defect" in line.fields:
+            self._unproved.labels(_label(line, "defect")).inc()
         match line.event:
             case "attempt ended":
                 self._on_attempt_ended(line)
--- a/src/troutswitch/platform/requests.py
+++ b/src/troutswitch/platform/requests.py
@@ -38,6 +38,7 @@
 """Maximum plausible number of tokens of a prompt or of a part of one."""
 MAX_PACE_PERCENT = 10_000
 """Maximum plausible pace. A load with a larger one, or with 0, is used without its pace."""
+CONTENT_ENCODING = "Content-Encoding"
 DEFAULT_DEADLINE_SECONDS = 30.0
 """Assumed time limit of a caller whose request specifies no deadline."""
 
@@ -77,7 +78,9 @@
 
     `not_run` is whether the engine states that it did not run the request. `load` is the engine's
     load at the time of the response, None if not reported. `has_unreadable_load` is set if it was
-    reported in an unknown form. `retry_after` is in seconds.
+    reported in an unknown form. `retry_after` is in seconds. `request_id` is the id of the request
+    that the response names, `length` the bytes of a body with a length. `is_encoded` is whether the
+    response names a content encoding.
     """
 
     status: int
@@ -87,6 +90,11 @@
     is_event_stream: bool
     headers: Headers
     has_unreadable_load: bool = False
+    request_id: str = ""
+    is_signed: bool = False
+    framing: Framing = Framing.MALFORMED
+    length: int = 0
+    is_encoded: bool = False
 
     @property
     def is_wrong_instance(self) -> bool:
@@ -204,13 +212,8 @@
     return headers
 
 
-def is_signed(response: http.client.HTTPResponse) -> bool:
-    """Returns whether an engine signed its response."""
-    return bool(response.getheader(names.RESPONSE_STAMP, "").strip())
-
-
-def read_framing(response: http.client.HTTPResponse, method: str) -> Framing:
-    """Returns how the end of a response to a request of a method is marked.
+def _framing(response: http.client.HTTPResponse, method: str) -> tuple[Framing, int]:
+    """Returns how the end of a response to a request of a method is marked, and its length.
 
     `http.client` uses the first of several lengths, prefers chunks to a length, and reads a body of
     an unknown length up to the end of the connection.
@@ -218,18 +221,25 @@
     lengths = response.msg.get_all("Content-Length", [])
     codings = response.msg.get_all("Transfer-Encoding", [])
     if response.status in BODILESS_STATUSES or method == "HEAD":
-        return Framing.NO_BODY if not codings else Framing.MALFORMED
+        return (Framing.MALFORMED if codings else Framing.NO_BODY), 0
     if codings:
-        is_chunked = len(codings) == 1 and codings[0].strip().lower() == "chunked"
-        return Framing.CHUNKED if is_chunked and not lengths else Framing.MALFORMED
+        is_chunked = [coding.strip().lower() for coding in codings] == ["chunked"]
+        return (Framing.CHUNKED if is_chunked and not lengths else Framing.MALFORMED), 0
     if not lengths:
-        return Framing.CLOSE
-    is_length = len(lengths) == 1 and parse_number(lengths[0].strip()) is not None
-    return Framing.LENGTH if is_length else Framing.MALFORMED
+        return Framing.CLOSE, 0
+    length = parse_number(lengths[0].strip()) if len(lengths) == 1 else None
+    return (Framing.MALFORMED, 0) if length is None else (Framing.LENGTH, length)
+
 
+def _single(response: http.client.HTTPResponse, name: str) -> str:
+    """Returns the value of a header that a response has exactly once, otherwise nothing."""
+    values = response.msg.get_all(name, [])
+    return values[0].strip() if len(values) == 1 else ""
 
-def read_head(response: http.client.HTTPResponse) -> AnswerHead:
-    """Decodes the head of an engine's response."""
+
+def read_head(response: http.client.HTTPResponse, method: str) -> AnswerHead:
+    """Decodes the head of an engine's response to a request of a method."""
+    framing, length = _framing(response, method)
     content_type = response.getheader("Content-Type", "")
     load_header = response.getheader(names.SERVER_LOAD)
     load = _load(load_header)
@@ -246,6 +256,11 @@
             if name.lower() not in names.CONNECTION_HEADERS
         ],
         has_unreadable_load=load is None and load_header is not None,
+        request_id=_single(response, names.REQUEST_ID),
+        is_signed=bool(_single(response, names.RESPONSE_STAMP)),
+        framing=framing,
+        length=length,
+        is_encoded=response.getheader(CONTENT_ENCODING) is not None,
     )
 
 
@@ -253,14 +268,22 @@
 class EngineHealth:
     """What an engine replies at its health path; the id is empty and the load None if missing."""
 
+    status: int
+    framing: Framing
+    is_encoded: bool
     instance_id: str
     load: EngineLoad | None
 
 
 def read_health(response: http.client.HTTPResponse) -> EngineHealth:
     """Decodes the head of a response at an engine's health path."""
-    load = _load(response.getheader(names.SERVER_LOAD))
-    return EngineHealth(response.getheader(names.INSTANCE_ID, "").strip(), load)
+    return EngineHealth(
+        response.status,
+        _framing(response, "GET")[0],
+        response.getheader(CONTENT_ENCODING) is not None,
+        _single(response, names.INSTANCE_ID),
+        _load(response.getheader(names.SERVER_LOAD)),
+    )
 
 
 def _load(header: str | None) -> EngineLoad | None:
--- a/tests/gateway/callers/test_relay.py
+++ b/tests/gateway/callers/test_relay.py
@@ -2,6 +2,8 @@
 import struct
 import threading
 
+import pytest
+
 from tests.gateway.raw_server import RawServer, request_id
 from tests.platform.standins import EngineStandin
 from troutswitch.decisions.forwarding.messages import (
@@ -14,6 +16,7 @@
 from troutswitch.decisions.forwarding.types import PromptShape
 from troutswitch.gateway.callers.relay import Relay
 from troutswitch.gateway.callers.relay_registry import RelayRegistry
+from troutswitch.gateway.engines.answer_proof import Defect
 from troutswitch.gateway.engines.connection_pool import EngineConnections
 from troutswitch.gateway.engines.engine_activity import EngineActivityReporter
 from troutswitch.gateway.memory.account import MemoryAccount
@@ -118,7 +121,7 @@
     name = request_id(server.read_head(connection))
     head = (
         f"HTTP/1.1 500 Failed\r\nX-Troutswitch-Request-Id: {name}\r\n"
-        f"Content-Length: {ANSWER_BYTES}\r\n\r\n"
+        f"X-Troutswitch-Response-Stamp: s\r\nContent-Length: {ANSWER_BYTES}\r\n\r\n"
     )
     connection.sendall(head.encode() + b"y" * ANSWER_BYTES)
     server.wait_for_end(connection)
@@ -158,7 +161,8 @@
 
 WHOLE_EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 HEAD_WITHOUT_LENGTH = (
-    "HTTP/1.1 200 OK\r\nX-Troutswitch-Request-Id: {id}\r\nContent-Type: {type}\r\n\r\n"
+    "HTTP/1.1 200 OK\r\nX-Troutswitch-Request-Id: {id}\r\nX-Troutswitch-Response-Stamp: s\r\n"
+    "Content-Type: {type}\r\n\r\n"
 )
 
 
@@ -197,19 +201,19 @@
     return ended[0], data
 
 
-def test_stream_without_length_ends_with_its_connection() -> None:
-    ended, data = relay_answer_without_length("text/event-stream", WHOLE_EVENTS)
-    assert (ended.kind, ended.delivered, data) == (AttemptOutcome.COMPLETED, 2, WHOLE_EVENTS)
-
-
-def test_stream_without_length_that_ends_inside_an_event_is_cut() -> None:
-    partial = WHOLE_EVENTS + b"id: 3\ndata: c"
-    ended, data = relay_answer_without_length("text/event-stream", partial)
-    assert (ended.kind, ended.delivered, data) == (AttemptOutcome.CUT, 2, WHOLE_EVENTS)
+@pytest.mark.parametrize("body", [WHOLE_EVENTS, WHOLE_EVENTS + b"id: 3\ndata: c"])
+def test_stream_whose_end_is_not_marked_is_no_answer(body: bytes) -> None:
+    """Guards against a stream that ends as complete where its engine broke it off."""
+    ended, data = relay_answer_without_length("text/event-stream", body)
+    assert (ended.kind, ended.delivered, data) == (AttemptOutcome.CUT, 0, b"")
+    assert ended.answer is not None and ended.answer.defect == Defect.UNMARKED_END
 
 
-def test_plain_answer_without_length_ends_with_its_connection() -> None:
-    assert relay_answer_without_length("text/plain", b"whole")[0].kind is AttemptOutcome.COMPLETED
+def test_plain_answer_whose_end_is_not_marked_is_no_answer() -> None:
+    """Guards against a part of an answer that passes for the whole one."""
+    ended, _ = relay_answer_without_length("text/plain", b"whole")
+    assert (ended.kind, ended.has_answer) == (AttemptOutcome.CUT, False)
+    assert ended.answer is not None and ended.answer.defect == Defect.UNMARKED_END
 
 
 def test_plain_answer_without_length_whose_connection_is_reset_is_cut() -> None:
--- a/tests/gateway/engines/test_exchange.py
+++ b/tests/gateway/engines/test_exchange.py
@@ -16,8 +16,8 @@
 )
 from troutswitch.platform import names
 
-ID_HEADER = "X-Id"
-CHUNKED = "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nTransfer-Encoding: chunked\r\n{more}\r\n"
+SIGNED = f"HTTP/1.1 200 OK\r\n{names.RESPONSE_STAMP}: s\r\n{names.REQUEST_ID}: "
+CHUNKED = SIGNED + "{id}\r\nTransfer-Encoding: chunked\r\n{more}\r\n"
 
 
 class ScriptedEngine:
@@ -83,7 +83,7 @@
 def make(engine: ScriptedEngine, connections: EngineConnections) -> MakeExchange:
     def make_exchange(request_id: str) -> Exchange:
         request = OutgoingRequest(request_id, "POST", "/a/b?c=1", [("Host", "h")], b"body")
-        return Exchange(connections, "server-1", engine.address, request, ID_HEADER)
+        return Exchange(connections, "server-1", engine.address, request)
 
     return make_exchange
 
@@ -109,7 +109,7 @@
 def test_connection_is_reused_after_chunked_and_fixed_length_responses(
     engine: ScriptedEngine, make: MakeExchange
 ) -> None:
-    fixed_length = b"HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 3\r\n\r\ntwo"
+    fixed_length = SIGNED.encode() + b"2\r\nContent-Length: 3\r\n\r\ntwo"
     engine.answers = [
         head("1") + chunk(b"one") + b"0\r\n\r\n",
         fixed_length,
@@ -140,10 +140,9 @@
 
 def test_exchange_tells_how_its_answer_arrived(engine: ScriptedEngine, make: MakeExchange) -> None:
     surplus = head("old") + chunk(b"old") + b"0\r\n\r\n"
-    signed = f"{names.RESPONSE_STAMP}: s\r\n"
     engine.answers = [
-        b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\none",
-        surplus + head("2", signed) + chunk(b"two") + b"0\r\n\r\n",
+        SIGNED.encode() + b"1\r\nContent-Length: 3\r\n\r\none",
+        surplus + head("2") + chunk(b"two") + b"0\r\n\r\n",
     ]
     facts = []
     for request_id in ("1", "2"):
@@ -152,7 +151,7 @@
         exchange.body()
         facts.append(exchange.facts)
     assert facts == [
-        AnswerFacts(False, Framing.LENGTH, 0, 0),
+        AnswerFacts(True, Framing.LENGTH, 0, 0),
         AnswerFacts(True, Framing.CHUNKED, 1, 1),
     ]
 
@@ -192,7 +191,7 @@
 def test_response_shorter_than_its_content_length_is_lost(
     engine: ScriptedEngine, make: MakeExchange
 ) -> None:
-    answer = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\nContent-Length: 9\r\n\r\nshort"
+    answer = SIGNED.encode() + b"1\r\nConnection: close\r\nContent-Length: 9\r\n\r\nshort"
     engine.answers = [answer]
     exchange = make("1")
     exchange.open(2.0)
@@ -212,7 +211,7 @@
     listener.close()
     request = OutgoingRequest("1", "GET", "/", [("Host", "h")], b"")
     with pytest.raises(NotConnected):
-        Exchange(connections, "gone", address, request, ID_HEADER).open(1.0)
+        Exchange(connections, "gone", address, request).open(1.0)
 
 
 def test_abort_ends_the_wait_for_a_response(engine: ScriptedEngine, make: MakeExchange) -> None:
--- a/tests/gateway/engines/test_silent_engines.py
+++ b/tests/gateway/engines/test_silent_engines.py
@@ -45,8 +45,8 @@
 BODY_BYTES = 16 << 20
 """Size of a body that exceeds every socket buffer."""
 HEAD = (
-    b"HTTP/1.1 200 OK\r\nX-Troutswitch-Request-Id: x\r\nContent-Type: text/event-stream\r\n"
-    b"Transfer-Encoding: chunked\r\n\r\n"
+    b"HTTP/1.1 200 OK\r\nX-Troutswitch-Request-Id: x\r\nX-Troutswitch-Response-Stamp: s\r\n"
+    b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 
 
@@ -66,7 +66,7 @@
             (names.EXPECT_INSTANCE, "one"),
         ]
         request = OutgoingRequest(request_id, "POST", "/a", headers, body)
-        return Exchange(self.connections, "one", self.proxy.address, request, names.REQUEST_ID)
+        return Exchange(self.connections, "one", self.proxy.address, request)
 
     def add_idle_connections(self, count: int) -> None:
         """Creates idle connections, each of which has received a response."""
--- /dev/null
+++ b/tests/gateway/engines/test_unproved_answers.py
@@ -0,0 +1,168 @@
+"""An exchange returns an answer only if it is proved to be the engine's whole, signed answer."""
+
+import socket
+from collections.abc import Callable
+
+import pytest
+
+from tests.gateway.raw_server import RawServer, request_id
+from troutswitch.gateway.engines.connection_pool import EngineConnections
+from troutswitch.gateway.engines.exchange import AnswerLost, Exchange, OutgoingRequest
+from troutswitch.platform import names
+
+WAIT_SECONDS = 5.0
+STAMP = f"{names.RESPONSE_STAMP}: s\r\n"
+NOT_RUN = f"{names.NOT_EXECUTED}: 1\r\n"
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+EVENTS = b"id: 1\ndata: a\n\n"
+STREAM = "Content-Type: text/event-stream\r\n"
+
+Answers = list[Callable[[str], bytes]]
+
+
+def answer(headers: str, body: bytes = b"abc", status: str = "200 OK") -> Callable[[str], bytes]:
+    """Returns a function of the request's id that encodes an answer."""
+
+    def encode(name: str) -> bytes:
+        head = f"HTTP/1.1 {status}\r\n{names.REQUEST_ID}: {name}\r\n{headers}\r\n"
+        return head.encode("latin-1") + body
+
+    return encode
+
+
+def whole(body: bytes = b"abc", more: str = "", status: str = "200 OK") -> Callable[[str], bytes]:
+    """Returns a signed answer with a length."""
+    return answer(f"{STAMP}{more}Content-Length: {len(body)}\r\n", body, status)
+
+
+class Engine:
+    """Answers the requests of all connections with the next of some answers."""
+
+    def __init__(self, answers: Answers) -> None:
+        self._answers = answers
+        self.connections = EngineConnections()
+        self.served = 0
+        self.server = RawServer(self._respond)
+
+    def _respond(self, server: RawServer, connection: socket.socket) -> None:
+        self.served += 1
+        while self._answers:
+            name = request_id(server.read_head(connection))
+            connection.sendall(self._answers.pop(0)(name))
+        connection.shutdown(socket.SHUT_WR)
+        server.wait_for_end(connection)
+
+    def call(self, name: str = "r", expects_stream: bool = False) -> tuple[int, bytes]:
+        """Returns the status and the body of an exchange's answer.
+
+        Raises:
+            AnswerLost: there was no proved answer.
+        """
+        headers = [(names.REQUEST_ID, name)]
+        request = OutgoingRequest(name, "GET", "/a", headers, b"", expects_stream)
+        exchange = Exchange(self.connections, "engine", self.server.address, request)
+        try:
+            head = exchange.open(WAIT_SECONDS)
+            return head.status, exchange.body()
+        finally:
+            exchange.close()
+
+
+@pytest.mark.parametrize("status", ["200 OK", "204 No Content", "206 Partial", "404 No", "500 No"])
+@pytest.mark.parametrize("stamp", ["", f"{names.RESPONSE_STAMP}: \r\n", STAMP + STAMP])
+def test_answer_without_one_signature_is_no_answer(status: str, stamp: str) -> None:
+    body = b"" if status.startswith("204") else b"abc"
+    engine = Engine([answer(f"{stamp}Content-Length: {len(body)}\r\n", body, status)])
+    with pytest.raises(AnswerLost):
+        engine.call()
+
+
+@pytest.mark.parametrize(
+    ("framing", "body"),
+    [
+        ("", b"abc"),
+        ("Content-Length: 3x\r\n", b"abc"),
+        ("Content-Length: -5\r\n", b"abc"),
+        ("Content-Length: +3\r\n", b"abc"),
+        ("Content-Length: 3, 3\r\n", b"abc"),
+        ("Content-Length: 3\r\nContent-Length: 4\r\n", b"abc"),
+        ("Content-Length: 3\r\nContent-Length: 3\r\n", b"abc"),
+        ("Content-Length: 3\r\n" + CHUNKED, b"3\r\nabc\r\n0\r\n\r\n"),
+        ("Transfer-Encoding: chunked, x\r\n", b"3\r\nabc\r\n0\r\n\r\n"),
+        ("Transfer-Encoding: x\r\n", b"abc"),
+        (CHUNKED + CHUNKED, b"3\r\nabc\r\n0\r\n\r\n"),
+        ("Content-Length: 4\r\n", b"abc"),
+        (CHUNKED, b"3\r\nabc\r\n"),
+        (CHUNKED, b"3\r\nabc\r\n0"),
+        (CHUNKED, b"3\r\nabc\r\n0\r\n"),
+        (CHUNKED, b"3\r\nabc\r\n00"),
+        (CHUNKED, b"3\r\nabc\r\n0\r\nX: y\r\n"),
+        (CHUNKED, b"3\r\nabcde0\r\n\r\n"),
+        (CHUNKED, b"-3\r\nabc\r\n0\r\n\r\n"),
+        (CHUNKED, b"0x3\r\nabc\r\n0\r\n\r\n"),
+        (CHUNKED, b"3\nabc\n0\n\n"),
+        ("Content-Encoding: gzip\r\nContent-Length: 3\r\n", b"abc"),
+    ],
+)
+def test_answer_that_is_not_whole_by_its_framing_is_no_answer(framing: str, body: bytes) -> None:
+    with pytest.raises(AnswerLost):
+        Engine([answer(STAMP + framing, body)]).call()
+
+
+def test_head_that_is_cut_is_no_answer() -> None:
+    """Guards against a head whose last lines, the length among them, are missing."""
+    with pytest.raises(AnswerLost):
+        Engine([lambda name: answer(STAMP, b"")(name)[:-2]]).call()
+
+
+@pytest.mark.parametrize("status", ["200 OK", "204 No Content", "404 No", "500 No", "504 No"])
+def test_refusal_with_the_status_of_a_run_is_no_answer(status: str) -> None:
+    engine = Engine([answer(NOT_RUN + "Content-Length: 0\r\n", b"", status)])
+    with pytest.raises(AnswerLost):
+        engine.call()
+
+
+@pytest.mark.parametrize(
+    "made",
+    [
+        whole(EVENTS),
+        whole(EVENTS, "Content-Type: text/plain\r\n"),
+        whole(EVENTS, STREAM, "206 Partial"),
+        whole(b"", "", "204 No Content"),
+    ],
+)
+def test_success_that_is_no_event_stream_does_not_answer_a_stream(
+    made: Callable[[str], bytes],
+) -> None:
+    """Guards against a stream that ends by length before its last event."""
+    with pytest.raises(AnswerLost):
+        Engine([made]).call(expects_stream=True)
+
+
+def test_whole_signed_answers_are_returned() -> None:
+    chunks = b"3;x=y\r\nabc\r\n0\r\nX: y\r\n\r\n"
+    refusal = answer(NOT_RUN + "Content-Length: 1\r\n", b"x", "503 Full")
+    misdirected = answer("Content-Length: 0\r\n", b"", "421 Misdirected")
+    early = f"HTTP/1.1 103 Early\r\n{names.REQUEST_ID}: 4\r\n\r\n".encode()
+    answers: Answers = [
+        whole(),
+        answer(STAMP + CHUNKED, chunks),
+        whole(b"no", status="500 No"),
+        lambda name: early + whole(b"four")(name),
+        refusal,
+        misdirected,
+        whole(EVENTS, STREAM),
+    ]
+    engine = Engine(answers)
+    ends = [engine.call(str(number)) for number in range(1, 7)]
+    ends.append(engine.call("7", expects_stream=True))
+    assert ends == [
+        (200, b"abc"),
+        (200, b"abc"),
+        (500, b"no"),
+        (200, b"four"),
+        (503, b"x"),
+        (421, b""),
+        (200, EVENTS),
+    ]
+    assert engine.served == 1
--- a/tests/gateway/engines/test_untrusted_answers.py
+++ b/tests/gateway/engines/test_untrusted_answers.py
@@ -10,15 +10,15 @@
 from troutswitch.gateway.engines.connection_pool import EngineConnections
 from troutswitch.gateway.engines.exchange import AnswerLost, Exchange, OutgoingRequest
 from troutswitch.platform import names
-from troutswitch.platform.requests import read_head
 from troutswitch.wire_values import MAX_SECONDS
 
-HEAD = b"HTTP/1.1 200 OK\r\nX-Troutswitch-Request-Id: r\r\n"
+HEAD = b"HTTP/1.1 200 OK\r\nX-Troutswitch-Request-Id: r\r\nX-Troutswitch-Response-Stamp: s\r\n"
 PIECES = [
     b"HTTP/1.1 200 OK\r\n",
     b"HTTP/1.1 99999 x\r\n",
     b"HTTP/1.1 103 Early\r\n\r\n",
     b"X-Troutswitch-Request-Id: r\r\n",
+    b"X-Troutswitch-Response-Stamp: s\r\n",
     b"Transfer-Encoding: chunked\r\n",
     b"Content-Length: 3\r\n",
     b"Content-Length: -3\r\n",
@@ -53,11 +53,9 @@
         """Returns an exchange that is answered with the given bytes, and the body."""
         self.answer = answer
         request = OutgoingRequest("r", "POST", "/a", [(names.REQUEST_ID, "r")], b"")
-        exchange = Exchange(
-            EngineConnections(), "engine", self.server.address, request, names.REQUEST_ID
-        )
+        exchange = Exchange(EngineConnections(), "engine", self.server.address, request)
         try:
-            read_head(exchange.open(5.0))
+            exchange.open(5.0)
             return exchange, exchange.body()
         finally:
             exchange.close()
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -1,5 +1,6 @@
 import json
 from base64 import b64encode
+from email.message import Message
 from functools import partial
 from unittest.mock import Mock
 
@@ -262,10 +263,13 @@
 
 
 def answer_head(headers: dict[str, str]) -> AnswerHead:
-    response = Mock(status=200)
+    message = Message()
+    for name, value in headers.items():
+        message[name] = value
+    response = Mock(status=200, msg=message)
     response.getheader = lambda name, default=None: headers.get(name, default)
     response.getheaders = lambda: list(headers.items())
-    return read_head(response)
+    return read_head(response, "POST")
 
 
 def reported_load(header: str) -> EngineLoad | None:
--- a/tests/platform/test_submissions.py
+++ b/tests/platform/test_submissions.py
@@ -26,7 +26,6 @@
 from troutswitch.gateway.engines.connection_pool import EngineConnections
 from troutswitch.gateway.engines.exchange import Exchange
 from troutswitch.gateway.engines.item_runs import outgoing_request
-from troutswitch.platform import names
 from troutswitch.platform.jobs import (
     JobCallTarget,
     JobFormatError,
@@ -73,7 +72,7 @@
     for item in event.items:
         run = RunItem(1, "engine", address, event.host, item, "", 1.0, 1.0)
         request = outgoing_request(run)
-        exchange = Exchange(EngineConnections(), "engine", address, request, names.REQUEST_ID)
+        exchange = Exchange(EngineConnections(), "engine", address, request)
         connection, sink = EngineConnection(address), SentBytes()
         connection.sock = sink
         exchange._send(connection)
--- a/tests/platform/test_untrusted_heads.py
+++ b/tests/platform/test_untrusted_heads.py
@@ -101,7 +101,7 @@
     source = type("Source", (), {"makefile": lambda self, mode: io.BytesIO(data)})()
     response = http.client.HTTPResponse(source)
     response.begin()
-    return read_head(response)
+    return read_head(response, "POST")
 
 
 @SETTINGS
