A connection carries each request id once, and none after a surplus answer

Callers saw: a success where the engine had answered a failure. Cause: a connection remembered its last request's id alone. A request that failed, or was refused, and came again could get the connection that it had used before if another one went over it in between; a late second answer to the first run then passed for the answer to the second. Bytes that arrived together with an answer were in the reader's buffer, where the check for waiting bytes didn't look. Weighed: no reuse after a failure (leaves refusals), no reuse where an id was retried (needs the ids of other connections). Remembering the ids of a connection covers both and costs nothing while ids differ.

--- a/src/troutswitch/gateway/engines/connection.py
+++ b/src/troutswitch/gateway/engines/connection.py
@@ -121,7 +121,6 @@
         self.max_idle_seconds = DEFAULT_IDLE_SECONDS
         self.request_ids: set[int] = set()
         self.had_surplus = False
-        self.last_request = 0
         self._is_reading_head = False
         self.response_class = self._make_response  # type: ignore[assignment]
 
@@ -151,7 +150,6 @@
 
     def add_request(self, request_id: str) -> None:
         """Records that a request is sent on this connection."""
-        self.last_request = hash(request_id)
         self.request_ids.add(hash(request_id))
 
     def getresponse(self) -> http.client.HTTPResponse:
@@ -191,7 +189,7 @@
         unasked is not worth the risk that the next request waits behind it.
         """
         is_worn = len(self.request_ids) >= MAX_REQUESTS_PER_CONNECTION
-        return self.max_idle_seconds > 0 and not is_worn
+        return self.max_idle_seconds > 0 and not (is_worn or self.had_surplus)
 
     def is_reusable(self, request_id: str) -> bool:
         """Returns whether a request may be sent on this idle connection.
@@ -201,14 +199,14 @@
         not reusable either while it has unsolicited bytes to read.
         """
         age = steady_seconds() - self.idle_since
-        if age >= self.max_idle_seconds or hash(request_id) == self.last_request:
+        if age >= self.max_idle_seconds or hash(request_id) in self.request_ids:
             return False
         return not self._has_waiting_bytes()
 
     def _has_waiting_bytes(self) -> bool:
         """Returns whether unsolicited bytes, or the end of the stream, can be read."""
         assert self.reader is not None
-        return is_readable(self.sock)
+        return self.reader.has_buffered_bytes() or is_readable(self.sock)
 
     def apply_keep_alive(self, keep_alive: str | None) -> None:
         """Applies the idle timeout of a response's `Keep-Alive` header, if it has one."""
--- a/tests/gateway/engines/test_unproved_answers.py
+++ b/tests/gateway/engines/test_unproved_answers.py
@@ -166,3 +166,40 @@
         (200, EVENTS),
     ]
     assert engine.served == 1
+
+
+def late_surplus(server: RawServer, connection: socket.socket) -> None:
+    """Fails "a" at first; answers "a" once more when it comes again on the same connection."""
+    ids: list[str] = []
+    while True:
+        name = request_id(server.read_head(connection))
+        if name in ids:
+            connection.sendall(whole(b"surplus")(name))
+        elif name == "a" and len(server.requests) == 1:
+            connection.sendall(whole(b"no", status="500 No")(name))
+        else:
+            connection.sendall(whole(b"run of " + name.encode())(name))
+        ids.append(name)
+
+
+def test_surplus_answer_is_not_taken_for_a_later_repeat_of_its_request() -> None:
+    """Guards against a success where the engine failed: other ids went over the connection."""
+    engine = Engine([])
+    engine.server = RawServer(late_surplus)
+    ends = [engine.call(name) for name in ("a", "b", "a")]
+    assert ends == [(500, b"no"), (200, b"run of b"), (200, b"run of a")]
+
+
+def test_connection_with_a_surplus_answer_is_not_used_again() -> None:
+    engine = Engine([lambda _: whole(b"old")("old") + whole(b"new")("new"), whole(b"next")])
+    assert engine.call("new") == (200, b"new")
+    assert engine.call("next") == (200, b"next")
+    assert engine.served == 2
+
+
+def test_connection_with_buffered_bytes_is_not_used_again() -> None:
+    """Guards against bytes that arrived with an answer and precede the next one."""
+    engine = Engine([lambda name: whole()(name) + b"garbage", whole(b"next")])
+    assert engine.call("one") == (200, b"abc")
+    assert engine.call("two") == (200, b"next")
+    assert engine.served == 2
