A pace is read from a proved answer at the health path alone

Cause: the status of an answer at the health path was not read, nor its framing or encoding: a 404 or a garbled answer that names the engine set its pace, which decides where requests go. Change: answer_proof.is_proved_health: status 200, well-formed framing, no encoding, and the engine's id as before. Its head says all that is used, so its body may end with the connection.

--- a/src/troutswitch/gateway/engines/health_request.py
+++ b/src/troutswitch/gateway/engines/health_request.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 
 from troutswitch.decisions.slots.messages import HealthAnswered, HealthResult, RequestHealth
+from troutswitch.gateway.engines.answer_proof import is_proved_health
 from troutswitch.platform.engine_ids import instance_id
 from troutswitch.platform.requests import read_health
 
@@ -30,6 +31,8 @@
         return HealthAnswered(request.engine_id, HealthResult.FAILED)
     finally:
         connection.close()
+    if not is_proved_health(health):
+        return HealthAnswered(request.engine_id, HealthResult.FAILED)
     if health.instance_id != instance_id(request.engine_id):
         return HealthAnswered(request.engine_id, HealthResult.OTHER_ENGINE)
     if health.load is None or health.load.pace_percent is None:
--- a/tests/gateway/engines/test_health_request.py
+++ b/tests/gateway/engines/test_health_request.py
@@ -50,6 +50,22 @@
     assert ask_server(headers) == HealthAnswered(ENGINE, result, percent)
 
 
+@pytest.mark.parametrize(
+    ("more", "status"),
+    [
+        ({}, "503 Draining"),
+        ({}, "404 Not Found"),
+        ({"Content-Encoding": "gzip"}, "200 OK"),
+        ({"Transfer-Encoding": "x"}, "200 OK"),
+    ],
+)
+def test_pace_of_an_answer_that_is_no_success_is_not_used(
+    more: dict[str, str], status: str
+) -> None:
+    headers = {names.INSTANCE_ID: "engine-7", names.SERVER_LOAD: "1,2,8,137"} | more
+    assert ask_server(headers, status).result is HealthResult.FAILED
+
+
 def test_answer_without_headers_is_of_no_known_engine() -> None:
     assert ask_server({}).result is HealthResult.OTHER_ENGINE
 
