A failure of an earlier attempt is not relayed in place of the last one's answer

Callers could see: a failure of one engine where the last engine, which ran the request again, answered with a stream without events. Cause: a relay kept the complete answer of a failed attempt through the next attempt, and sends it on when the request ends without a directive and without an event. Change: an attempt begins without an answer; its bytes are no longer counted either.

--- a/src/troutswitch/gateway/callers/relay.py
+++ b/src/troutswitch/gateway/callers/relay.py
@@ -132,6 +132,8 @@
         by the loop would let the engine run for seconds after the caller's deadline.
         """
         self._attempt_exchange = None
+        self.complete_answer = None
+        self.release_answer()
         delay = max(0.0, steady_seconds() - decided.decided_at)
         time_left = decided.time_left - delay
         directive = replace(decided, time_left=time_left)
@@ -243,7 +245,6 @@
             return exchange.body()
         if self.answer_bytes is None:
             self.answer_bytes = Holding(self.memory, Kind.ANSWERS)
-        self.answer_bytes.release()  # the response of an earlier attempt is replaced
         parts: list[bytes] = []
         for part in exchange.chunks():
             parts.append(part)
@@ -253,7 +254,10 @@
         return b"".join(parts)
 
     def release_answer(self) -> None:
-        """Ends the count of the complete response; the caller's connection counts it from now."""
+        """Ends the count of the complete response.
+
+        The caller's connection counts it from now, or it was replaced by a further attempt.
+        """
         if self.answer_bytes is not None:
             self.answer_bytes.release()
 
@@ -266,7 +270,7 @@
     def _handle_complete_answer(
         self, directive: SendRequest, head: AnswerHead, body: bytes
     ) -> None:
-        """Handles a complete response; keeps a failure in case no later attempt succeeds."""
+        """Handles a complete response; keeps a failure in case no further attempt follows."""
         if self._delivered:
             reason = f"status {head.status} in the middle of a stream"
             self._end(directive, AttemptOutcome.CUT, reason, head)
--- a/tests/gateway/callers/test_relay.py
+++ b/tests/gateway/callers/test_relay.py
@@ -159,6 +159,45 @@
     assert account.total == 0
 
 
+def failing_then_empty(server: RawServer, connection: socket.socket) -> None:
+    """Fails the first request; answers the next with a stream without events."""
+    name = request_id(server.read_head(connection))
+    signed = f"X-Troutswitch-Request-Id: {name}\r\nX-Troutswitch-Response-Stamp: s\r\n"
+    if len(server.requests) == 1:
+        head = f"HTTP/1.1 500 Failed\r\n{signed}Content-Length: 6\r\n\r\nfailed"
+    else:
+        framing = "Content-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n"
+        head = f"HTTP/1.1 200 OK\r\n{signed}{framing}"
+    connection.sendall(head.encode())
+    server.wait_for_end(connection)
+
+
+def test_failure_of_an_earlier_attempt_is_not_kept_as_the_answer_of_the_last() -> None:
+    """Guards against a failure that is relayed where the last engine answered with success."""
+    engine = RawServer(failing_then_empty)
+    relays = RelayRegistry(lambda event: None)
+    ended: list[RequestAttemptEnded] = []
+
+    def send(token: int, attempt: int) -> None:
+        relays.send_directive(SendRequest(token, attempt, "e", engine.address, 30.0, 30.0, ""))
+
+    def post(event: object) -> None:
+        if isinstance(event, RequestArrived):
+            send(event.token, 1)
+        elif isinstance(event, RequestAttemptEnded):
+            ended.append(event)
+            if event.attempt == 1:
+                send(event.token, 2)
+
+    request = IncomingRequest("x", "POST", "/a", "h", "/a", "", [], 5.0, "", PromptShape())
+    request.headers.append(("X-Troutswitch-Request-Id", "x"))
+    relay = Relay(1, request, b"", relays, EngineConnections(), post, EngineActivityReporter(post))
+    assert list(relay.run()) == []
+    assert [event.has_answer for event in ended] == [True, False]
+    assert relay.complete_answer is None
+    assert relay.head is not None and relay.head.status == 200
+
+
 WHOLE_EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 HEAD_WITHOUT_LENGTH = (
     "HTTP/1.1 200 OK\r\nX-Troutswitch-Request-Id: {id}\r\nX-Troutswitch-Response-Stamp: s\r\n"
