Engine stand-in: answers that do not prove to be the engine's

Cause: the stand-in sent one surplus answer, at once, signed and framed. Neither its tests nor the soak met an answer without signature or framing, a cut inside a chunk, or a second answer that comes when its connection is in use again.

`Behaviour.unproved` is their share, `Behaviour.answer_fault` picks one.

--- a/src/troutswitch/standins/model_engine.py
+++ b/src/troutswitch/standins/model_engine.py
@@ -1,8 +1,8 @@
 """A stand-in engine of the users' protocol, with injected faults and a journal.
 
 The engine answers with streams and plain bodies. The journal is a file of JSON lines that record
-the start, rejection, failure and end of requests. The start of a request is written before its
-work, so that the line survives a kill of the process.
+the start, rejection, answer, failure and end of requests. The start of a request is written before
+its work, so that the line survives a kill of the process.
 """
 
 import json
@@ -25,8 +25,16 @@
     long_item_events,
     plain_answer,
 )
-from troutswitch.standins.loopback import LoopbackHandler, LoopbackServer
+from troutswitch.standins.loopback import LoopbackServer
 from troutswitch.standins.pace import Pace
+from troutswitch.standins.unproved_answers import (
+    FAILURES,
+    REFUSALS,
+    AnswerFault,
+    EngineAnswer,
+    faulty_answer,
+)
+from troutswitch.standins.wire_sender import WireSender
 
 BEHAVIOUR_PATH = "/behaviour"
 HEALTH_PATH = "/health"
@@ -61,7 +69,10 @@
 
 @dataclass(slots=True)
 class Behaviour:
-    """Shares of requests that are hit by each fault, from 0 to 1, and whether the engine drains."""
+    """Shares of requests that are hit by each fault, from 0 to 1, and whether the engine drains.
+
+    `answer_fault` is the one `AnswerFault` of unproved answers, empty for all of them.
+    """
 
     reject: float = 0.0
     fail: float = 0.0
@@ -70,6 +81,8 @@
     silent: float = 0.0
     surplus: float = 0.0
     malformed_items: float = 0.0
+    unproved: float = 0.0
+    answer_fault: str = ""
     is_draining: bool = False
 
 
@@ -97,6 +110,7 @@
         self._started_at = time.monotonic()
         self.behaviour = Behaviour()
         self.random = random.Random(seed)
+        self._answer_random = random.Random(f"{seed}-answers")
         self._journal: IO[str] = journal.open("a", buffering=1)
         self.lock = threading.Lock()
         handler = type("Handler", (_Handler,), {"standin": self})
@@ -155,8 +169,22 @@
         with self.lock:
             return self.random.random() < share
 
+    def draw_answer_fault(self) -> AnswerFault | None:
+        """Draws the fault of an answer that will not prove to be the engine's, None for none."""
+        behaviour = self.behaviour
+        with self.lock:
+            if self._answer_random.random() >= behaviour.unproved:
+                return None
+            drawn = self._answer_random.choice(list(AnswerFault))
+        return AnswerFault(behaviour.answer_fault) if behaviour.answer_fault else drawn
+
+    def answer_rng(self) -> random.Random:
+        """Returns a generator of its own for one faulty answer."""
+        with self.lock:
+            return random.Random(self._answer_random.random())
+
 
-class _Handler(LoopbackHandler):
+class _Handler(WireSender):
     standin: ModelEngine
 
     def do_GET(self) -> None:
@@ -188,6 +216,12 @@
             self.standin.write_journal("rejected", request_id)
             self.reply(503, b"", not_run)
             return
+        fault = self.standin.draw_answer_fault()
+        if fault in REFUSALS:
+            self.standin.write_journal("rejected", request_id)
+            refusal = faulty_answer(fault, self._engine_answer(request_id, ()))
+            self.send_wire_answer(refusal, self.standin.answer_rng(), 0.0)
+            return
         resume_after = int(self.headers.get(names.LAST_EVENT_ID) or 0)
         run = self.standin.next_run()
         self.standin.write_journal(
@@ -203,10 +237,16 @@
             has_key=names.API_KEY in self.headers,
         )
         with self.standin.counted_run():
-            self._run(request_id, body, resume_after, run, behaviour)
+            self._run(request_id, body, resume_after, run, behaviour, fault)
 
     def _run(
-        self, request_id: str, body: bytes, after: int, run: int, behaviour: Behaviour
+        self,
+        request_id: str,
+        body: bytes,
+        after: int,
+        run: int,
+        behaviour: Behaviour,
+        fault: AnswerFault | None,
     ) -> None:
         crashes = body.startswith(CRASHING_BODY_PREFIX)
         has_crashing_part = CRASHING_PART in self.headers.get(names.PROMPT_PREFIX, "")
@@ -223,6 +263,7 @@
         signed |= self.standin.load_headers()
         if draw(behaviour.fail):
             self.standin.write_journal("failed", request_id, status=500)
+            self._write_answered(request_id, run, 500, is_whole=True)
             self.reply(500, b"failed", signed)
             return
         is_long = "/item" in self.path and body.startswith(LONG_ITEM_PREFIX)
@@ -232,17 +273,52 @@
         if "/item" in self.path and draw(behaviour.malformed_items):
             self._malformed_stream(request_id, b"".join(events[:1]), after, signed)
             return
+        is_stream = "/stream" in self.path or "/item" in self.path
+        interval = LONG_EVENT_INTERVAL_SECONDS if is_long else EVENT_INTERVAL_SECONDS
+        if fault is not None:
+            pieces = tuple(events) if is_stream else _halves(plain_answer(request_id, body))
+            answer = self._engine_answer(request_id, pieces, is_stream)
+            self._answer_faultily(fault, answer, run, interval if is_stream else 0.0)
+            return
         breaks_off = draw(behaviour.break_off)
-        if "/stream" in self.path or "/item" in self.path:
-            interval = LONG_EVENT_INTERVAL_SECONDS if is_long else EVENT_INTERVAL_SECONDS
+        self._write_answered(request_id, run, 200, is_whole=not breaks_off)
+        if is_stream:
             crash_id = request_id if crashes else ""
-            self._stream(events, interval, signed, breaks_off, crash_id)
+            with self.sending:
+                self._stream(events, interval, signed, breaks_off, crash_id)
         else:
             self._plain(request_id, body, signed, breaks_off)
         if not breaks_off and draw(behaviour.surplus):
             self.reply(200, b"surplus", signed)
         self.standin.write_journal("ended", request_id)
 
+    def _write_answered(self, request_id: str, run: int, status: int, is_whole: bool) -> None:
+        """Records what a run is answered, and whether that goes out complete, signed and framed.
+
+        The entry is written before the answer, so that no caller has an answer without one.
+        """
+        fields = {"run": run, "status": status, "is_whole": is_whole}
+        self.standin.write_journal("answered", request_id, **fields)
+
+    def _engine_answer(
+        self, request_id: str, pieces: tuple[bytes, ...], is_stream: bool = False
+    ) -> EngineAnswer:
+        load = tuple(self.standin.load_headers().items())
+        return EngineAnswer(request_id, self._stamp(request_id), pieces, is_stream, load)
+
+    def _answer_faultily(
+        self, fault: AnswerFault, answer: EngineAnswer, run: int, interval: float
+    ) -> None:
+        """Sends the answer of a run with a fault; `interval` is the time before each part."""
+        wire = faulty_answer(fault, answer)
+        if fault in FAILURES:
+            self.standin.write_journal("failed", answer.request_id, status=wire.status)
+        self._write_answered(answer.request_id, run, wire.status, wire.is_whole)
+        if not answer.is_stream:
+            self.standin.work(PLAIN_ANSWER_SECONDS)
+        self.send_wire_answer(wire, self.standin.answer_rng(), interval)
+        self.standin.write_journal("ended", answer.request_id)
+
     def _stamp(self, request_id: str) -> str:
         return f"{self.standin.engine_id}.{request_id}"
 
@@ -264,12 +340,13 @@
         if not breaks_off:
             self.reply(200, answer, signed)
             return
-        self.send_response(200)
-        for name, value in signed.items():
-            self.send_header(name, value)
-        self.send_header("Content-Length", str(len(answer)))
-        self.end_headers()
-        self.wfile.write(answer[: len(answer) // 2])
+        with self.sending:
+            self.send_response(200)
+            for name, value in signed.items():
+                self.send_header(name, value)
+            self.send_header("Content-Length", str(len(answer)))
+            self.end_headers()
+            self.wfile.write(answer[: len(answer) // 2])
         self.close_connection = True
 
     def _stream(
@@ -306,3 +383,9 @@
                 return
             self.wfile.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
         self.wfile.write(b"0\r\n\r\n")
+
+
+def _halves(body: bytes) -> tuple[bytes, bytes]:
+    """Returns a body in the two pieces in which a faulty engine sends it."""
+    middle = len(body) // 2
+    return body[:middle], body[middle:]
