Soak: engines whose answers prove nothing, and a check by their journals

Cause: the soak's checks knew an answer's content and signature, but not which status an engine had given to a run, nor whether its answer went out whole; and no action of the schedule made engines send unproved answers.

`soak/answer_checks.py` reports a success or a completed result (MIXED) that no engine sent whole with that status.

--- a/src/troutswitch/soak/checks.py
+++ b/src/troutswitch/soak/checks.py
@@ -7,6 +7,7 @@
 
 from collections import defaultdict
 
+from troutswitch.soak.answer_checks import successes_were_answered_whole
 from troutswitch.soak.hard_load_checks import (
     callers_inside_their_share_are_served,
     memory_stays_under_its_limit,
@@ -447,6 +448,7 @@
     at_most_once,
     refused_requests_never_run,
     successes_are_complete,
+    successes_were_answered_whole,
     interrupted_streams_are_prefixes,
     engine_failures_keep_their_status,
     engines_run_only_what_was_sent,
--- a/src/troutswitch/soak/fault_injector.py
+++ b/src/troutswitch/soak/fault_injector.py
@@ -55,6 +55,7 @@
     ActionKind.ENGINE_HANGS: "silent",
     ActionKind.ENGINE_SENDS_SURPLUS: "surplus",
     ActionKind.ENGINE_SENDS_MALFORMED_ITEMS: "malformed_items",
+    ActionKind.ENGINE_SENDS_UNPROVED: "unproved",
 }
 """Field of `Behaviour` that each engine fault sets."""
 
--- a/src/troutswitch/soak/observations.py
+++ b/src/troutswitch/soak/observations.py
@@ -84,6 +84,8 @@
     has_key: bool = False
     run: int = 0
     """Number of the run at its engine."""
+    is_whole: bool = False
+    """Whether an answer goes out complete, signed and framed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,6 +205,7 @@
                 row.get("tenant", ""),
                 row.get("has_key", False),
                 row.get("run", 0),
+                row.get("is_whole", False),
             )
         )
     return journal_entries
--- a/src/troutswitch/soak/schedule.py
+++ b/src/troutswitch/soak/schedule.py
@@ -59,6 +59,7 @@
     CLOCK_JUMPS = "clock_jumps"
     STORE_BUSY_FOR_ONE_DAEMON = "store_refuses_one"
     RELEASE = "release"
+    ENGINE_SENDS_UNPROVED = "server_unproved"
 
 
 class LinkFault(StrEnum):
@@ -87,6 +88,7 @@
     ActionKind.CLOCK_JUMPS,
     ActionKind.STORE_BUSY_FOR_ONE_DAEMON,
     ActionKind.RELEASE,
+    ActionKind.ENGINE_SENDS_UNPROVED,
 )
 """Actions that each use a random generator of their own, so that a seed draws the same schedule of
 the other actions with and without them."""
--- a/src/troutswitch/standins/model_engine.py
+++ b/src/troutswitch/standins/model_engine.py
@@ -256,6 +256,7 @@
         if draw(behaviour.silent):
             time.sleep(SILENCE_SECONDS)
         if draw(behaviour.garbage):
+            self._write_answered(request_id, run, 200, is_whole=False)
             self.wfile.write(b"this is no answer\r\n\r\n")
             self.close_connection = True
             return
@@ -271,6 +272,7 @@
         if is_long:
             events = long_item_events(request_id, self.standin.engine_id, run, after)
         if "/item" in self.path and draw(behaviour.malformed_items):
+            self._write_answered(request_id, run, 200, is_whole=False)
             self._malformed_stream(request_id, b"".join(events[:1]), after, signed)
             return
         is_stream = "/stream" in self.path or "/item" in self.path
--- a/tests/soak/builders.py
+++ b/tests/soak/builders.py
@@ -53,6 +53,13 @@
     )
 
 
+def answered_entry(
+    request_id: str, at: float = 10.06, status: int = 200, is_whole: bool = True
+) -> JournalEntry:
+    """Returns the journal entry of an engine that answers a run."""
+    return JournalEntry("answered", request_id, at, ENGINE, status=status, is_whole=is_whole)
+
+
 def completed_job(job_id: str = "job") -> ObservedJob:
     """Returns an accepted job of two items whose results have been read."""
     items = {f"{job_id}-0": b"a", f"{job_id}-1": b"b"}
@@ -89,7 +96,9 @@
         exchange = completed_exchange(f"request-{kind}", kind)
         observations.exchanges.append(exchange)
         observations.journal_entries.append(started_entry(exchange))
+        observations.journal_entries.append(answered_entry(exchange.request_id))
     job = completed_job()
     observations.jobs.append(job)
+    observations.journal_entries += [answered_entry(item, 6.1) for item in job.items]
     observations.journal_entries += [item_entry(job, 0), item_entry(job, 1)]
     return observations
