Stand-in: answers cut in their head, malformed chunks, unsigned failures

Cause: the faults left out three ways in which an answer passes for a whole one: a length cut behind leading zeros, a chunk longer than its size, and a failure without signature, such as a 422, which ends a batch item for good.

Change: five more faults. The play also checks that each piece of a body that is handed over continues the run's own.

--- a/src/troutswitch/standins/unproved_answers.py
+++ b/src/troutswitch/standins/unproved_answers.py
@@ -43,10 +43,13 @@
     EMPTY_STAMP = "empty_stamp"
     UNSIGNED_204 = "unsigned_204"
     UNSIGNED_206 = "unsigned_206"
+    UNSIGNED_422 = "unsigned_422"
+    UNSIGNED_FAILURE = "unsigned_failure"
     UNSIGNED_HALF_BY_LENGTH = "unsigned_half_by_length"
     UNSIGNED_HALF_OF_OTHER_TYPE = "unsigned_half_of_other_type"
     UNFRAMED = "unframed"
     UNFRAMED_HALF = "unframed_half"
+    CUT_IN_HEAD = "cut_in_head"
     CUT_IN_CHUNK_SIZE = "cut_in_chunk_size"
     CUT_IN_CHUNK = "cut_in_chunk"
     CUT_BEFORE_LAST_CHUNK = "cut_before_last_chunk"
@@ -57,6 +60,8 @@
     LENGTHS_DIFFER = "lengths_differ"
     LENGTH_AND_CHUNKS = "length_and_chunks"
     CODING_UNKNOWN = "coding_unknown"
+    CHUNK_SIZE_NEGATIVE = "chunk_size_negative"
+    CHUNK_LONGER_THAN_SIZE = "chunk_longer_than_size"
     ENCODED = "encoded"
 
 
@@ -68,7 +73,13 @@
     }
 )
 """Faults of an engine that does not run the request."""
-FAILURES = frozenset({AnswerFault.FAILURE_REPEATED_LATE, AnswerFault.FAILURE_THEN_SUCCESS})
+FAILURES = frozenset(
+    {
+        AnswerFault.FAILURE_REPEATED_LATE,
+        AnswerFault.FAILURE_THEN_SUCCESS,
+        AnswerFault.UNSIGNED_FAILURE,
+    }
+)
 """Faults of an engine whose run fails."""
 
 
@@ -231,6 +242,16 @@
     return WireAnswer((_head(replace(answer, stamp=None, status=204)),), is_whole=False)
 
 
+def _unsigned_422(answer: EngineAnswer) -> WireAnswer:
+    head = _head(replace(answer, stamp=None, status=422), _length(b"no"))
+    return WireAnswer((head, b"no"), is_whole=False)
+
+
+def _unsigned_failure(answer: EngineAnswer) -> WireAnswer:
+    parts = genuine_parts(replace(_failure(answer), stamp=None))
+    return WireAnswer(parts, is_whole=False, status=500)
+
+
 def _unsigned_half(status: int) -> "_Writer":
     def write(answer: EngineAnswer) -> WireAnswer:
         half = b"".join(answer.half)
@@ -261,6 +282,11 @@
     return _ended(_head(answer, _CLOSE), *answer.half)
 
 
+def _cut_in_head(answer: EngineAnswer) -> WireAnswer:
+    """Cuts a length with leading zeros, so that what remains of it is the length of no body."""
+    return _ended(_head(answer, ("Content-Length", "00")).rstrip())
+
+
 def _cut_in_chunk_size(answer: EngineAnswer) -> WireAnswer:
     """Cuts a size with leading zeros, so that what remains of it is the size of a last chunk."""
     return _ended(_head(answer, _CHUNKED), *map(chunk_bytes, answer.half), b"00")
@@ -301,6 +327,18 @@
     return _ended(_head(answer, ("Transfer-Encoding", "chunked, x")), *answer.half)
 
 
+def _chunk_size_negative(answer: EngineAnswer) -> WireAnswer:
+    chunks = map(chunk_bytes, answer.half)
+    return _ended(_head(answer, _CHUNKED), *chunks, b"-5\r\n", LAST_CHUNK)
+
+
+def _chunk_longer_than_size(answer: EngineAnswer) -> WireAnswer:
+    """Sends two bytes of a chunk more than its size says, in the place of its line end."""
+    half = b"".join(answer.half) or b"half"
+    chunk = chunk_bytes(half).removesuffix(b"\r\n") + b"zz"
+    return _ended(_head(answer, _CHUNKED), chunk, LAST_CHUNK)
+
+
 def _encoded(answer: EngineAnswer) -> WireAnswer:
     body = gzip.compress(answer.body)
     head = _head(answer, ("Content-Encoding", "gzip"), _length(body))
@@ -323,10 +361,13 @@
     AnswerFault.EMPTY_STAMP: _with_stamp(""),
     AnswerFault.UNSIGNED_204: _unsigned_204,
     AnswerFault.UNSIGNED_206: _unsigned_half(206),
+    AnswerFault.UNSIGNED_422: _unsigned_422,
+    AnswerFault.UNSIGNED_FAILURE: _unsigned_failure,
     AnswerFault.UNSIGNED_HALF_BY_LENGTH: _unsigned_half(200),
     AnswerFault.UNSIGNED_HALF_OF_OTHER_TYPE: _unsigned_half_of_other_type,
     AnswerFault.UNFRAMED: _unframed,
     AnswerFault.UNFRAMED_HALF: _unframed_half,
+    AnswerFault.CUT_IN_HEAD: _cut_in_head,
     AnswerFault.CUT_IN_CHUNK_SIZE: _cut_in_chunk_size,
     AnswerFault.CUT_IN_CHUNK: _cut_in_chunk,
     AnswerFault.CUT_BEFORE_LAST_CHUNK: _cut_before_last_chunk,
@@ -337,5 +378,7 @@
     AnswerFault.LENGTHS_DIFFER: _half_with_lengths("{half}", "{longer}"),
     AnswerFault.LENGTH_AND_CHUNKS: _length_and_chunks,
     AnswerFault.CODING_UNKNOWN: _coding_unknown,
+    AnswerFault.CHUNK_SIZE_NEGATIVE: _chunk_size_negative,
+    AnswerFault.CHUNK_LONGER_THAN_SIZE: _chunk_longer_than_size,
     AnswerFault.ENCODED: _encoded,
 }
--- a/tests/gateway/engines/test_exchange_play.py
+++ b/tests/gateway/engines/test_exchange_play.py
@@ -199,7 +199,7 @@
     def finish(self, run: Run, exchange: Exchange, in_chunks: bool) -> None:
         """Reads the body of an open exchange, and judges the answer."""
         try:
-            body = b"".join(exchange.chunks()) if in_chunks else exchange.body()
+            body = self.read_chunks(run, exchange) if in_chunks else exchange.body()
         except AnswerLost:
             self.check_loss(run)
             return
@@ -216,6 +216,15 @@
         assert response.status == run.wire.status, f"{run} has status {response.status}"
         assert body == run.expected_body(), f"{run} has another body"
 
+    @staticmethod
+    def read_chunks(run: Run, exchange: Exchange) -> bytes:
+        """Reads a body in chunks, each of which continues the run's own body."""
+        body = b""
+        for data in exchange.chunks():
+            body += data
+            assert run.expected_body().startswith(body), f"{run} has bytes of another answer"
+        return body
+
     def send(self, run: Run, in_chunks: bool = False) -> None:
         """Makes a whole exchange."""
         exchange = self.open(run)
