--- a/src/troutswitch/gateway/callers/relay.py
+++ b/src/troutswitch/gateway/callers/relay.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
+from http import HTTPStatus
 
 from troutswitch.clock import steady_seconds
 from troutswitch.decisions.crashes.content import content_key
@@ -32,8 +33,7 @@
 from troutswitch.gateway.memory.account import Holding, MemoryAccount
 from troutswitch.gateway.memory.pressure import Kind
 from troutswitch.outcomes import AttemptOutcome
-from troutswitch.platform import names
-from troutswitch.platform.requests import AnswerHead, IncomingRequest, engine_headers, read_head
+from troutswitch.platform.requests import AnswerHead, IncomingRequest, engine_headers
 
 DIRECTIVE_TIMEOUT_SECONDS = 60.0
 """Longest wait for the loop's next directive, after which the loop is considered dead."""
@@ -132,6 +132,8 @@
         by the loop would let the engine run for seconds after the caller's deadline.
         """
         self._attempt_exchange = None
+        self.complete_answer = None
+        self.release_answer()
         delay = max(0.0, steady_seconds() - decided.decided_at)
         time_left = decided.time_left - delay
         directive = replace(decided, time_left=time_left)
@@ -151,7 +153,6 @@
             directive.engine_id,
             directive.address,
             self._outgoing(directive),
-            names.REQUEST_ID,
         )
         self._attempt_exchange = exchange
         self.relays.begin_attempt(self.token, directive.attempt, exchange)
@@ -178,11 +179,18 @@
             self._resume_after(directive),
             directive.tenant,
         )
-        return OutgoingRequest(request.request_id, request.method, request.url, headers, self.body)
+        return OutgoingRequest(
+            request.request_id,
+            request.method,
+            request.url,
+            headers,
+            self.body,
+            expects_stream=directive.expects_stream,
+        )
 
     def _exchange(self, directive: SendRequest, exchange: Exchange) -> Iterator[bytes]:
         try:
-            head = read_head(exchange.open(directive.time_left))
+            head = exchange.open(directive.time_left)
         except NotConnected as error:
             return self._end(directive, AttemptOutcome.UNREACHABLE, str(error))
         except AnswerLost as error:
@@ -191,7 +199,9 @@
         self.post(AnswerBegun(self.token, directive.attempt, head.load, head.not_run))
         exchange.set_wait(min(directive.first_event_wait, directive.time_left))
         try:
-            if head.status == 200 and head.is_event_stream:
+            if head.not_run:
+                self._handle_refusal(directive, exchange, head)
+            elif head.status == HTTPStatus.OK and head.is_event_stream:
                 yield from self._stream(directive, exchange, head)
             else:
                 self._handle_complete_answer(directive, head, self._read_body(exchange))
@@ -235,7 +245,6 @@
             return exchange.body()
         if self.answer_bytes is None:
             self.answer_bytes = Holding(self.memory, Kind.ANSWERS)
-        self.answer_bytes.release()  # the response of an earlier attempt is replaced
         parts: list[bytes] = []
         for part in exchange.chunks():
             parts.append(part)
@@ -245,18 +254,23 @@
         return b"".join(parts)
 
     def release_answer(self) -> None:
-        """Ends the count of the complete response; the caller's connection counts it from now."""
+        """Ends the count of the complete response.
+
+        The caller's connection counts it from now, or it was replaced by a further attempt.
+        """
         if self.answer_bytes is not None:
             self.answer_bytes.release()
 
+    def _handle_refusal(self, directive: SendRequest, exchange: Exchange, head: AnswerHead) -> None:
+        """Handles a response whose head says that the request did not run."""
+        exchange.discard_body()
+        reason = f"server said not run, status {head.status}"
+        self._end(directive, AttemptOutcome.REFUSED, reason, head)
+
     def _handle_complete_answer(
         self, directive: SendRequest, head: AnswerHead, body: bytes
     ) -> None:
-        """Handles a complete response; keeps a failure in case no later attempt succeeds."""
-        if head.not_run:
-            reason = f"server said not run, status {head.status}"
-            self._end(directive, AttemptOutcome.REFUSED, reason, head)
-            return
+        """Handles a complete response; keeps a failure in case no further attempt follows."""
         if self._delivered:
             reason = f"status {head.status} in the middle of a stream"
             self._end(directive, AttemptOutcome.CUT, reason, head)
@@ -297,5 +311,6 @@
                 self._longest_gap,
                 exchange.kept_seconds if exchange is not None else 0.0,
                 self._began_version,
+                exchange.facts if exchange is not None else None,
             )
         )
