Play of exchanges: on the proof of answers, and stricter

Cause: `Exchange` has no name of the id's header any more and returns a decoded head. The play let a refusal with the status of a run pass, and did not ask that whole answers between interim heads and surplus ones are handed over.

Change: the play uses the new head. A refusal has to have the status of one; the test of each fault states that an answer is handed over if and only if it went out whole, and that the next request on the pool's connections is answered.

--- a/tests/gateway/engines/test_exchange_play.py
+++ b/tests/gateway/engines/test_exchange_play.py
@@ -159,8 +159,8 @@
 
 def make_exchange(connections: EngineConnections, engine: ScriptedEngine, run: Run) -> Exchange:
     headers = [(names.REQUEST_ID, run.request_id), (RUN_HEADER, str(run.number))]
-    request = OutgoingRequest(run.request_id, "POST", "/a", headers, b"")
-    return Exchange(connections, ENGINE_ID, engine.server.address, request, names.REQUEST_ID)
+    request = OutgoingRequest(run.request_id, "POST", "/a", headers, b"", run.answer.is_stream)
+    return Exchange(connections, ENGINE_ID, engine.server.address, request)
 
 
 ENGINE = ScriptedEngine()
@@ -173,6 +173,8 @@
         ENGINE.forget()
         self.connections = EngineConnections()
         self.open_exchanges: list[tuple[Run, Exchange]] = []
+        self.answered: set[int] = set()
+        """Numbers of the runs whose answer was handed over."""
         self.has_surplus = False
         """Whether an engine may have sent bytes that belong to no request."""
 
@@ -205,16 +207,17 @@
             return
         finally:
             exchange.close()
-        response = exchange.response
-        assert response is not None
-        assert response.getheader(RUN_HEADER) == str(run.number), f"{run} has another's answer"
-        if response.getheader(names.NOT_EXECUTED) is not None:
-            assert run.is_refused, f"{run} was run"
-            return
+        head = exchange.head
+        assert head is not None
+        headers = dict(head.headers)
+        assert headers[RUN_HEADER] == str(run.number), f"{run} has another's answer"
         assert run.wire.is_whole, f"the answer of {run} was taken"
-        assert response.getheader(names.RESPONSE_STAMP) == run.answer.stamp
-        assert response.status == run.wire.status, f"{run} has status {response.status}"
+        assert head.status == run.wire.status, f"{run} has status {head.status}"
+        assert head.not_run == run.is_refused
+        if not run.is_refused:
+            assert headers[names.RESPONSE_STAMP] == run.answer.stamp
         assert body == run.expected_body(), f"{run} has another body"
+        self.answered.add(run.number)
 
     @staticmethod
     def read_chunks(run: Run, exchange: Exchange) -> bytes:
@@ -356,13 +359,17 @@
 def test_each_fault_on_new_and_reused_connections(
     player: Player, fault: AnswerFault, is_reused: bool, is_stream: bool, is_reset: bool
 ) -> None:
+    """Whole answers are handed over, also between interim heads and surplus answers."""
     if is_reused:
         player.send(player.new_run("b", None, 200, is_stream=False))
     run = player.new_run("a", fault, 200, is_stream)
     run.is_reset = is_reset
     player.send(run)
-    player.send(player.new_run("b", None, 200, is_stream))
+    after = player.new_run("b", None, 200, is_stream)
+    player.send(after)
     player.end()
+    assert (run.number in player.answered) == run.wire.is_whole
+    assert after.number in player.answered
 
 
 @pytest.mark.xdist_group("exchange-play")
