The response to a HEAD request has no body

Callers could see: bytes after a response to HEAD, on a connection that stays open, which are the next response to them. Cause: waitress writes the body that the application returns whatever the method: the text of a refusal of ours, the last chunk of a stream. Change: the listener's task has no body for HEAD; waitress then states no length and closes. Result: test_response_to_head_has_no_body failed in its three cases before and passes, as do the other tests of test_listener.py.

--- a/src/troutswitch/gateway/callers/listener.py
+++ b/src/troutswitch/gateway/callers/listener.py
@@ -57,6 +57,14 @@
 class _Task(waitress.task.WSGITask):  # type: ignore[misc]
     """A request whose response carries `Connection: close` while the listener drains."""
 
+    @property
+    def has_body(self) -> bool:
+        """Whether the response has a body. One to HEAD has none (RFC 9110, section 9.3.2).
+
+        waitress writes it: the caller would take its bytes for the next response.
+        """
+        return bool(super().has_body) and self.request.command != "HEAD"
+
     def build_response_header(self) -> bytes:
         """Returns the head of the response."""
         if self.channel.server.is_draining:
--- a/tests/gateway/callers/test_listener.py
+++ b/tests/gateway/callers/test_listener.py
@@ -1,6 +1,7 @@
 """The listener serves the requests of many new connections at the same time."""
 
 import http.client
+import socket
 import threading
 import time
 from collections.abc import Iterable
@@ -12,7 +13,7 @@
 from troutswitch.common import Address
 from troutswitch.gateway.callers.listener import HttpListener
 from troutswitch.gateway.process import CALLER_THREADS, MAX_CONNECTIONS
-from troutswitch.runtime.http import Environ, Response, StartResponse, send
+from troutswitch.runtime.http import Environ, Response, StartResponse, WsgiApplication, send
 
 TIMEOUT_SECONDS = 60.0
 CONNECTIONS = 240
@@ -80,3 +81,32 @@
         for connection in connections:
             connection.close()
         listener.stop()
+
+
+def not_found(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+    return send(Response(404, b"no route\n", "text/plain"), start_response)
+
+
+def stream_without_events(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+    start_response("200 OK", [("Content-Type", "text/event-stream")])
+    return []
+
+
+def stream_of_one_event(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+    start_response("200 OK", [("Content-Type", "text/event-stream")])
+    yield b"id: 1\ndata: a\n\n"
+
+
+@pytest.mark.parametrize("application", [not_found, stream_without_events, stream_of_one_event])
+def test_response_to_head_has_no_body(application: WsgiApplication) -> None:
+    """Guards against bytes that the caller takes for the next response on the connection."""
+    listener = HttpListener(application, Address("127.0.0.1", 0), 1, "test", MAX_CONNECTIONS)
+    listener.start()
+    try:
+        with socket.create_connection(listener.address, TIMEOUT_SECONDS) as caller:
+            caller.sendall(b"HEAD / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+            received = b"".join(iter(lambda: caller.recv(4096), b""))
+    finally:
+        listener.stop()
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 ") and not body
