An answer of the store without the fields of its call is no empty one

Could happen: a 200 with any JSON object, for instance an append's answer that comes in the place of a page, counts as the last page and as an empty one, by which all engines are gone; one without the rows of a join takes all shards away. Cause: each field of a page, and the rows of a join, had a default. Change: the fields that the users' page names are required; without one the call has failed, and may have been done. Result: test_answer_without_the_fields_of_a_page_is_no_empty_page failed in its four cases before, test_answer_without_the_fields_of_a_join_takes_no_partition_away in one of three; both pass, as does tests/platform.

--- a/src/troutswitch/platform/store.py
+++ b/src/troutswitch/platform/store.py
@@ -62,9 +62,9 @@
 
 
 class _Newest(msgspec.Struct, rename={"rows": "requests"}):
-    rows: list[msgspec.Raw] = []  # on the wire "requests", although they are records
-    more: bool = False
-    end: _Offset = 0
+    rows: list[msgspec.Raw]  # on the wire "requests", although they are records
+    more: bool
+    end: _Offset
 
 
 class _Appended(msgspec.Struct):
@@ -82,7 +82,7 @@
 
 class _Joined(msgspec.Struct):
     generation: _Offset
-    parts: list[tuple[str, _Offset, _Offset]] = []
+    parts: list[tuple[str, _Offset, _Offset]]
 
 
 def topic_name(topic: str) -> str:
