A pace is not read from a head that is cut

Cause: http.client takes the end of a connection for the end of a head, and of a line: a load of 1,2,8,15 that was cut from 150 set the engine's pace to 15 %, which decides where requests go. Change: a health request uses the connection to engines, whose reader refuses a cut head. Result: test_pace_of_a_head_that_is_cut_is_not_used failed in its two cases before and passes, as do the other tests of test_health_request.py.

--- a/src/troutswitch/gateway/engines/health_request.py
+++ b/src/troutswitch/gateway/engines/health_request.py
@@ -8,6 +8,7 @@
 
 from troutswitch.decisions.slots.messages import HealthAnswered, HealthResult, RequestHealth
 from troutswitch.gateway.engines.answer_proof import is_proved_health
+from troutswitch.gateway.engines.connection import EngineConnection
 from troutswitch.platform.engine_ids import instance_id
 from troutswitch.platform.requests import read_health
 
@@ -17,9 +18,7 @@
 
 def request_health(request: RequestHealth) -> HealthAnswered:
     """Sends one request on a connection of its own, and reads the head of the response."""
-    connection = http.client.HTTPConnection(
-        request.address.host, request.address.port, timeout=HEALTH_TIMEOUT_SECONDS
-    )
+    connection = EngineConnection(request.address)  # it takes no head that is cut for a whole one
     try:
         connection.connect()
         with _shut_down_after(HEALTH_TIMEOUT_SECONDS, connection.sock) as expired:
--- a/tests/gateway/engines/test_health_request.py
+++ b/tests/gateway/engines/test_health_request.py
@@ -106,3 +106,16 @@
     with socket.create_server(("127.0.0.1", 0)) as listener:
         address = Address("127.0.0.1", listener.getsockname()[1])
         assert ask(address, "/he alth\r\nX: y").result is HealthResult.FAILED
+
+
+@pytest.mark.parametrize("end", ["", "\r\n"])
+def test_pace_of_a_head_that_is_cut_is_not_used(end: str) -> None:
+    """Guards against a pace whose last digits are missing."""
+    rows = f"{names.INSTANCE_ID}: engine-7\r\n{names.SERVER_LOAD}: 1,2,8,15{end}"
+
+    def reply(server: RawServer, connection: socket.socket) -> None:
+        connection.recv(4096)
+        connection.sendall(f"HTTP/1.1 200 OK\r\n{rows}".encode())
+        connection.close()
+
+    assert ask(RawServer(reply).address).result is HealthResult.FAILED
