A surplus answer is not taken for that of the next call, in the standalone product

Cause: a kept connection was used whatever waited on it. Nothing in an answer of the log service, the machine list or an engine names its call, so a second answer to one call passed for the next call's: an offset of another append, the load of an earlier time. Change: an idle connection that can be read is closed first, as the pool of the gateway does.

--- a/src/troutswitch/standalone/runtime/http_client.py
+++ b/src/troutswitch/standalone/runtime/http_client.py
@@ -5,6 +5,7 @@
 
 from troutswitch.common import Address
 from troutswitch.runtime.http import JSON_TYPE
+from troutswitch.runtime.readiness import is_readable
 
 
 class HttpError(Exception):
@@ -36,6 +37,7 @@
             HttpError: no answer was received; `was_sent` is False only if no connection was made.
         """
         connection = self._connection(address)
+        _close_if_readable(connection)
         headers = {"Content-Type": content_type} if body is not None else {}
         was_sent = connection.sock is not None
         try:
@@ -60,3 +62,12 @@
                 address.host, address.port, timeout=self._timeout
             )
         return connections[address]
+
+
+def _close_if_readable(connection: http.client.HTTPConnection) -> None:
+    """Closes an idle connection that was closed, or that holds bytes of no call in progress.
+
+    Nothing in an answer names its call, so a surplus one would pass for that of the next call.
+    """
+    if connection.sock is not None and is_readable(connection.sock):
+        connection.close()
