An event's id that is no number does not end the sequence of a stream

Could happen: after event 1, an event with a garbled id and then event 9 pass; the answer, or an item's result, is complete without events 2 to 8. Cause: ids were compared only where both are numbers. Change: after a numeric id comes the next number. Streams whose ids are no numbers are as before.

--- a/src/troutswitch/gateway/engines/event_stream.py
+++ b/src/troutswitch/gateway/engines/event_stream.py
@@ -53,7 +53,8 @@
 
 
 class EventSplitter:
-    """Collects bytes into events, and checks that numeric ids increase by one.
+    """Collects bytes into events, and checks that ids increase by one from the first numeric
+    one on.
 
     `last_id` is the id of the last complete event, initially the id after which the stream resumes.
     `max_event_bytes` is the length of the longest event that is buffered.
@@ -127,7 +128,14 @@
             raise EventStreamError("an event has no id")
         if not is_event_id(event_id):
             raise EventStreamError("an event's id is malformed")
-        is_numbered = event_id.isdigit() and self.last_id.isdigit()
-        if is_numbered and int(event_id) != int(self.last_id) + 1:
+        if self.last_id.isdigit() and not _follows(event_id, self.last_id):
             raise EventStreamError(f"event {event_id} follows {self.last_id}")
         return event_id
+
+
+def _follows(event_id: str, number: str) -> bool:
+    """Returns whether an event's id is the number after another one.
+
+    An id that is no number would end the sequence, and hide the events that are missing after it.
+    """
+    return event_id.isdigit() and int(event_id) == int(number) + 1
--- a/tests/gateway/engines/test_event_stream.py
+++ b/tests/gateway/engines/test_event_stream.py
@@ -34,6 +34,19 @@
         EventSplitter("1").feed(data)
 
 
+def test_id_that_is_no_number_does_not_end_the_sequence() -> None:
+    """Guards against events that are missing after an event whose id was garbled."""
+    splitter = EventSplitter()
+    splitter.feed(b"id: 1\ndata: a\n\n")
+    with pytest.raises(EventStreamError):
+        splitter.feed(b"id: x\ndata: b\n\nid: 9\ndata: c\n\n")
+
+
+def test_ids_that_are_no_numbers_are_in_no_sequence() -> None:
+    events = EventSplitter().feed(b"id: a\ndata: x\n\nid: b\ndata: y\n\n")
+    assert [event.event_id for event in events] == ["a", "b"]
+
+
 def test_resumed_stream_continues_after_its_last_id() -> None:
     assert EventSplitter("7").feed(b"id: 8\ndata: x\n\n")[0].event_id == "8"
 
