An event stream is known by its media type in any case

Could happen: a whole, signed stream is turned down, and not repeated where it may run only once. Cause: media types don't depend on case, the comparison does. Change: the type is compared in lower case. Result: test_event_stream_is_known_by_its_type_in_any_case failed for one of two types before and passes, as do the other tests of test_unproved_answers.py and of the heads in tests/platform.

--- a/src/troutswitch/platform/requests.py
+++ b/src/troutswitch/platform/requests.py
@@ -39,6 +39,7 @@
 MAX_PACE_PERCENT = 10_000
 """Maximum plausible pace. A load with a larger one, or with 0, is used without its pace."""
 CONTENT_ENCODING = "Content-Encoding"
+EVENT_STREAM = "text/event-stream"
 DEFAULT_DEADLINE_SECONDS = 30.0
 """Assumed time limit of a caller whose request specifies no deadline."""
 
@@ -249,7 +250,7 @@
         or response.status == MISDIRECTED,
         load=load,
         retry_after=_retry_after(response.getheader(names.RETRY_AFTER)),
-        is_event_stream=content_type.partition(";")[0].strip() == "text/event-stream",
+        is_event_stream=content_type.partition(";")[0].strip().lower() == EVENT_STREAM,
         headers=[
             (name, value)
             for name, value in response.getheaders()
--- a/tests/gateway/engines/test_unproved_answers.py
+++ b/tests/gateway/engines/test_unproved_answers.py
@@ -139,6 +139,13 @@
         Engine([made]).call(expects_stream=True)
 
 
+@pytest.mark.parametrize("kind", ["text/event-stream", "Text/Event-Stream;charset=UTF-8"])
+def test_event_stream_is_known_by_its_type_in_any_case(kind: str) -> None:
+    """Media types don't depend on case (RFC 9110, section 8.3.1)."""
+    engine = Engine([whole(EVENTS, f"Content-Type: {kind}\r\n")])
+    assert engine.call(expects_stream=True) == (200, EVENTS)
+
+
 def test_whole_signed_answers_are_returned() -> None:
     chunks = b"3;x=y\r\nabc\r\n0\r\nX: y\r\n\r\n"
     refusal = answer(NOT_RUN + "Content-Length: 1\r\n", b"x", "503 Full")
