A switch of protocols is no answer

Could happen: a signed 101 with the request's id and a length is relayed as the complete answer. Cause: 101 is no interim response, and nothing else excluded it from the answers. Change: it is a defect of its own: no request asks for another protocol. Result: test_switch_of_protocols_is_no_answer failed before and passes, as do the other tests of test_unproved_answers.py.

--- a/src/troutswitch/gateway/engines/answer_proof.py
+++ b/src/troutswitch/gateway/engines/answer_proof.py
@@ -35,6 +35,7 @@
     """Why a response is not proved to be an engine's answer; also a label of metrics."""
 
     INTERIM = "too many interim responses"
+    OTHER_PROTOCOL = "switch to another protocol"
     MALFORMED_HEAD = "malformed head"
     OTHER_REQUEST = "of another request"
     UNSIGNED = "unsigned"
@@ -55,6 +56,8 @@
         head: the head of the response.
         expects_stream: whether a success must be a stream of events.
     """
+    if head.status == HTTPStatus.SWITCHING_PROTOCOLS:
+        return Defect.OTHER_PROTOCOL
     if head.not_run:
         return None if head.status in REFUSAL_STATUSES else Defect.CONTRADICTORY_REFUSAL
     if not head.is_signed:
--- a/tests/gateway/engines/test_unproved_answers.py
+++ b/tests/gateway/engines/test_unproved_answers.py
@@ -109,6 +109,12 @@
         Engine([answer(STAMP + framing, body)]).call()
 
 
+def test_switch_of_protocols_is_no_answer() -> None:
+    """Guards against a response to a request that was not sent, which is relayed as complete."""
+    with pytest.raises(AnswerLost):
+        Engine([whole(b"", status="101 Switching Protocols")]).call()
+
+
 def test_head_that_is_cut_is_no_answer() -> None:
     """Guards against a head whose last lines, the length among them, are missing."""
     with pytest.raises(AnswerLost):
