A refusal whose body is cut is no unproved answer

Could happen: the metric unproved_answers and the field "defect" count refusals without a length, or with a cut body, as truncated answers, and a request that ran before and ends with one is told 502 instead of 504. Cause: discard_body reads through chunks, which records the defect of a body that is cut; a refusal is proved by its head alone (answer_proof). Change: discard_body leaves the facts as they were.

--- a/src/troutswitch/gateway/engines/exchange.py
+++ b/src/troutswitch/gateway/engines/exchange.py
@@ -263,8 +263,11 @@
         return b"".join(self.chunks())
 
     def discard_body(self) -> None:
-        """Drops the body of a response whose head says all; closes the connection if it is late."""
-        connection = self._connection
+        """Drops the body of a response whose head says all; closes the connection if it is late.
+
+        What is wrong with the body is no defect of the answer.
+        """
+        connection, facts = self._connection, self.facts
         assert self.head is not None and connection is not None
         ends_at = steady_seconds() + DISCARD_SECONDS
         connection.limit_reads(DISCARD_SECONDS, ends_at)
@@ -272,6 +275,7 @@
             for _ in self.chunks():
                 continue
         except AnswerLost:
+            self.facts = facts
             self.close()
 
     def _finish(self) -> None:
--- a/tests/gateway/engines/test_unproved_answers.py
+++ b/tests/gateway/engines/test_unproved_answers.py
@@ -128,6 +128,17 @@
         engine.call()
 
 
+@pytest.mark.parametrize("framing", ["", "Content-Length: 9\r\n", CHUNKED])
+def test_refusal_is_proved_by_its_head_whatever_its_body_is(framing: str) -> None:
+    """Guards against a refusal that is counted and told as an answer that is not proved."""
+    engine = Engine([answer(NOT_RUN + framing, b"full", "503 Full")])
+    request = OutgoingRequest("r", "GET", "/a", [(names.REQUEST_ID, "r")], b"")
+    exchange = Exchange(engine.connections, "engine", engine.server.address, request)
+    assert exchange.open(WAIT_SECONDS).not_run
+    exchange.discard_body()
+    assert exchange.facts is not None and not exchange.facts.defect
+
+
 @pytest.mark.parametrize(
     "made",
     [
