The rest of a header's value is no header

Could happen: a CR inside a value begins a new header: a signature, a length or a refusal that the engine did not send as one proves an answer. Cause: the parser of heads takes a CR alone for the end of a line, and http.client lets it. Change: the reader of connections to engines refuses a line with a CR inside (RFC 9112, section 2.2). Result: test_part_of_a_header_is_no_header failed in its two cases before and passes, as does tests/gateway/engines.

--- a/src/troutswitch/gateway/engines/connection.py
+++ b/src/troutswitch/gateway/engines/connection.py
@@ -75,10 +75,14 @@
 
         Raises:
             http.client.RemoteDisconnected: the stream ended before or inside the line.
+            http.client.HTTPException: a CR inside the line, which the parser of heads takes for the
+                line's end: the rest of a value would be a header (RFC 9112, section 2.2).
         """
         line = super().readline(-1 if size is None else size)
         if not line.endswith(b"\n") and len(line) != size:
             raise http.client.RemoteDisconnected("the response ended inside its head or a line")
+        if b"\r" in line.removesuffix(b"\n").removesuffix(b"\r"):
+            raise http.client.HTTPException("a line of the response has a CR inside")
         return line
 
     def has_buffered_bytes(self) -> bool:
--- a/tests/gateway/engines/test_unproved_answers.py
+++ b/tests/gateway/engines/test_unproved_answers.py
@@ -109,6 +109,16 @@
         Engine([answer(STAMP + framing, body)]).call()
 
 
+@pytest.mark.parametrize(
+    "headers",
+    [f"X-A: b\r{STAMP}Content-Length: 3\r\n", f"{STAMP}X-A: b\rContent-Length: 3\r\n"],
+)
+def test_part_of_a_header_is_no_header(headers: str) -> None:
+    """Guards against a signature or a length that is the end of another header's value."""
+    with pytest.raises(AnswerLost):
+        Engine([answer(headers)]).call()
+
+
 def test_switch_of_protocols_is_no_answer() -> None:
     """Guards against a response to a request that was not sent, which is relayed as complete."""
     with pytest.raises(AnswerLost):
