A run with the status of a refusal is no answer

Could happen: a request that ran and may run only once is answered 503, 429 or 408, by which its caller is promised that it did not run, and sends it again. Cause: a signed answer was handed on whatever its status; a signature says that the engine ran the request (answer_proof), and only the header X-Troutswitch-Not-Executed or 421 that it did not. Change: such an answer contradicts itself; a request that may not run again is told 502. Result: test_run_with_the_status_of_a_refusal_is_no_answer failed in its three cases before and passes, as do tests/gateway/engines, tests/gateway/callers and tests/platform.

--- a/src/troutswitch/gateway/engines/answer_proof.py
+++ b/src/troutswitch/gateway/engines/answer_proof.py
@@ -29,6 +29,8 @@
     }
 )
 """Statuses with which an engine says that it did not run a request."""
+PROMISED_NOT_RUN = REFUSAL_STATUSES - {HTTPStatus.BAD_REQUEST}
+"""Those which alone tell a caller that its request did not run."""
 
 
 class Defect(StrEnum):
@@ -40,6 +42,7 @@
     OTHER_REQUEST = "of another request"
     UNSIGNED = "unsigned"
     CONTRADICTORY_REFUSAL = "refusal with the status of a run"
+    CONTRADICTORY_RUN = "run with the status of a refusal"
     MALFORMED_FRAMING = "malformed framing"
     UNMARKED_END = "no length and no chunks"
     ENCODED = "encoded body"
@@ -62,6 +65,8 @@
         return None if head.status in REFUSAL_STATUSES else Defect.CONTRADICTORY_REFUSAL
     if not head.is_signed:
         return Defect.UNSIGNED
+    if head.status in PROMISED_NOT_RUN:
+        return Defect.CONTRADICTORY_RUN
     if head.framing is Framing.MALFORMED:
         return Defect.MALFORMED_FRAMING
     if head.framing is Framing.CLOSE:
--- a/tests/gateway/engines/test_unproved_answers.py
+++ b/tests/gateway/engines/test_unproved_answers.py
@@ -138,6 +138,13 @@
         engine.call()
 
 
+@pytest.mark.parametrize("status", ["408 Late", "429 Many", "503 Full"])
+def test_run_with_the_status_of_a_refusal_is_no_answer(status: str) -> None:
+    """Guards against a caller that is promised that its request did not run, and sends it again."""
+    with pytest.raises(AnswerLost):
+        Engine([whole(b"", status=status)]).call()
+
+
 @pytest.mark.parametrize("framing", ["", "Content-Length: 9\r\n", CHUNKED])
 def test_refusal_is_proved_by_its_head_whatever_its_body_is(framing: str) -> None:
     """Guards against a refusal that is counted and told as an answer that is not proved."""
