A stream resumes after the last event that its caller got

Callers could see: a stream that is complete but lacks events. Cause: where a malformed event arrived together with sound ones before it, the splitter raised an error without returning these, but its position was after them. The relay reports that position, and the next attempt resumed there. Change: the position is that of the last event that was returned. Result: test_stream_resumes_after_the_last_event_that_its_caller_got and test_position_is_that_of_the_last_event_that_was_returned (three cases) failed before and pass, as do the other tests of test_event_stream.py and test_relay.py.

--- a/src/troutswitch/gateway/engines/event_stream.py
+++ b/src/troutswitch/gateway/engines/event_stream.py
@@ -56,7 +56,7 @@
     """Collects bytes into events, and checks that ids increase by one from the first numeric
     one on.
 
-    `last_id` is the id of the last complete event, initially the id after which the stream resumes.
+    `last_id` is the id of the last returned event, initially the id after which the stream resumes.
     `max_event_bytes` is the length of the longest event that is buffered.
     """
 
@@ -78,10 +78,15 @@
         Raises:
             EventStreamError: an event is too long, has no valid id, or is out of sequence.
         """
+        last_id = self.last_id
         self._rest += data
-        events = self._split(_CERTAIN_BLANK_LINE)
-        if len(self._rest) > self._max_event_bytes:
-            raise EventTooLong("an event is too long")
+        try:
+            events = self._split(_CERTAIN_BLANK_LINE)
+            if len(self._rest) > self._max_event_bytes:
+                raise EventTooLong("an event is too long")
+        except EventStreamError:
+            self.last_id = last_id  # the stream resumes after it: nobody got the events since
+            raise
         return events
 
     def finish(self) -> tuple[list[StreamEvent], bytes]:
--- a/tests/gateway/callers/test_relay.py
+++ b/tests/gateway/callers/test_relay.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.gateway.raw_server import RawServer, request_id
+from tests.gateway.raw_server import RawServer, event, request_id, stream_head
 from tests.platform.standins import EngineStandin
 from troutswitch.decisions.forwarding.messages import (
     AnswerBegun,
@@ -258,3 +258,42 @@
 def test_plain_answer_without_length_whose_connection_is_reset_is_cut() -> None:
     ended, _ = relay_answer_without_length("text/plain", b"part", resets=True)
     assert ended.kind is AttemptOutcome.CUT
+
+
+def malformed_then_sound(server: RawServer, connection: socket.socket) -> None:
+    """Sends two events in one chunk, of which the second is malformed; then resumes as asked."""
+    head = server.read_head(connection)
+    events = event(1) + chunk(b"id: 2\ndata: x\n\nid: 9\ndata: x\n\n")
+    if len(server.requests) > 1:
+        asked = head.lower().partition(b"last-event-id: ")[2].partition(b"\r\n")[0]
+        events = b"".join(event(number) for number in range(int(asked or 0) + 1, 5))
+    connection.sendall(stream_head(head) + events + chunk(b""))
+    server.wait_for_end(connection)
+
+
+def chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def test_stream_resumes_after_the_last_event_that_its_caller_got() -> None:
+    """Guards against an event that precedes a malformed one and that no attempt delivers."""
+    engine = RawServer(malformed_then_sound)
+    relays = RelayRegistry(lambda event: None)
+
+    def send(token: int, attempt: int, resume_after: str) -> None:
+        directive = SendRequest(
+            token, attempt, "e", engine.address, 30.0, 30.0, resume_after, expects_stream=True
+        )
+        relays.send_directive(directive)
+
+    def post(event: object) -> None:
+        if isinstance(event, RequestArrived):
+            send(event.token, 1, "")
+        elif isinstance(event, RequestAttemptEnded) and event.kind is AttemptOutcome.CUT:
+            send(event.token, event.attempt + 1, event.position)
+
+    request = IncomingRequest("x", "POST", "/a", "h", "/a", "", [], 5.0, "", PromptShape())
+    request.headers.append(("X-Troutswitch-Request-Id", "x"))
+    relay = Relay(1, request, b"", relays, EngineConnections(), post, EngineActivityReporter(post))
+    data = b"".join(relay.run())
+    assert data == b"".join(f"id: {number}\ndata: x\n\n".encode() for number in range(1, 5))
--- a/tests/gateway/engines/test_event_stream.py
+++ b/tests/gateway/engines/test_event_stream.py
@@ -47,6 +47,16 @@
     assert [event.event_id for event in events] == ["a", "b"]
 
 
+@pytest.mark.parametrize("malformed", [b"id: 5\n\n", b"data: x\n\n", b"id: 3\ndata: " + b"x" * 99])
+def test_position_is_that_of_the_last_event_that_was_returned(malformed: bytes) -> None:
+    """Guards against a stream that resumes after events which its caller never got."""
+    splitter = EventSplitter(max_event_bytes=50)
+    splitter.feed(b"id: 1\ndata: a\n\n")
+    with pytest.raises(EventStreamError):
+        splitter.feed(b"id: 2\ndata: b\n\n" + malformed)
+    assert splitter.last_id == "1"
+
+
 def test_resumed_stream_continues_after_its_last_id() -> None:
     assert EventSplitter("7").feed(b"id: 8\ndata: x\n\n")[0].event_id == "8"
 
