An end before the last released token completes no answer, in the standalone product

Cause: an answer counted as complete once the end was known and not after the tokens released. A last piece without its length has the default 0, so a cut answer of any length was complete with it. Change: an answer is complete if its end is exactly after the tokens that were released.

--- a/src/troutswitch/standalone/engines/assembler.py
+++ b/src/troutswitch/standalone/engines/assembler.py
@@ -59,8 +59,8 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether the end is known and all tokens before it were released."""
-        return self.length is not None and self.position >= self.length
+        """Whether the end is known and exactly the tokens before it were released."""
+        return self.position == self.length
 
     def start_attempt(self) -> None:
         """Drops pieces of an earlier attempt that were not yet released."""
--- a/tests/standalone/engines/test_assembler.py
+++ b/tests/standalone/engines/test_assembler.py
@@ -41,3 +41,12 @@
     assembler.start_attempt()
     assert assembler.accept([Piece("b", 1, "y")], "b") == "y"
     assert assembler.position == 2
+
+
+@pytest.mark.parametrize("end", [Piece("s", done=True), Piece("s", done=True, length=1)])
+def test_an_end_before_the_last_released_token_completes_no_answer(end: Piece) -> None:
+    """Guards against a cut answer whose last piece has lost its length, which is then 0."""
+    assembler = AnswerAssembler()
+    pieces = [Piece("s", position, "x") for position in range(2)]
+    assert assembler.accept([*pieces, end], "s") == "xx"
+    assert not assembler.is_complete
