No piece is released with one of another stream, in the standalone product

Could happen: a complete answer that lacks tokens. Cause: pieces before one of another stream were released and counted, but the error that it raises took their text away; the next attempt began after them. Change: the streams of all pieces are compared before any is released. Result: test_no_piece_is_released_with_one_of_another_stream failed before and passes, as do tests/standalone/engines, callers and standins.

--- a/src/troutswitch/standalone/engines/assembler.py
+++ b/src/troutswitch/standalone/engines/assembler.py
@@ -32,13 +32,14 @@
         """Adds pieces and returns the text that can be released now, in order.
 
         Raises:
-            UnexpectedStreamId: a piece names another stream.
+            UnexpectedStreamId: a piece names another stream; none was added.
             BrokenStream: the engine ended the stream with an error.
         """
-        released: list[str] = []
-        for piece in pieces:
+        for piece in pieces:  # before any is released: the answer goes on after what was
             if piece.stream_id != stream_id:
                 raise UnexpectedStreamId(f"piece of {piece.stream_id} on stream {stream_id}")
+        released: list[str] = []
+        for piece in pieces:
             if piece.error:
                 raise BrokenStream(piece.error, "".join(released))
             if piece.done:
--- a/tests/standalone/engines/test_assembler.py
+++ b/tests/standalone/engines/test_assembler.py
@@ -50,3 +50,11 @@
     pieces = [Piece("s", position, "x") for position in range(2)]
     assert assembler.accept([*pieces, end], "s") == "xx"
     assert not assembler.is_complete
+
+
+def test_no_piece_is_released_with_one_of_another_stream() -> None:
+    """Guards against an answer that goes on after a token which nobody got."""
+    assembler = AnswerAssembler()
+    with pytest.raises(UnexpectedStreamId):
+        assembler.accept([Piece("mine", 0, "x"), Piece("other", 1, "y")], "mine")
+    assert assembler.position == 0
