A failure whose body is cut does not decide about an item, and chunks need HTTP/1.1

Clients could see: an item given up (422) or counted as failed (500) by a part of an answer. Cause: an item's run that ended inside a failure's body reported the head's status, on which item_retries decides. And an HTTP/1.0 answer in chunks was taken, whose framing is faulty (RFC 9112, section 6.1). Change: such a run reports no status, as one whose answer was lost; a stream that is cut keeps its own.

--- a/src/troutswitch/gateway/engines/item_runs.py
+++ b/src/troutswitch/gateway/engines/item_runs.py
@@ -158,7 +158,9 @@
             self.post(ItemBegun(self.instruction.run))
             self._read(exchange)
         except (AnswerLost, EventStreamError) as error:
-            ended = self.end_event(AttemptOutcome.CUT, str(error), head)
+            # A failure whose body was cut is no answer, so that its status must not count.
+            is_stream = head.status == HTTPStatus.OK
+            ended = self.end_event(AttemptOutcome.CUT, str(error), head if is_stream else None)
             return replace(ended, is_too_long=isinstance(error, EventTooLong))
         finally:
             exchange.close()
--- a/src/troutswitch/platform/requests.py
+++ b/src/troutswitch/platform/requests.py
@@ -39,6 +39,8 @@
 """Maximum plausible number of tokens of a prompt or of a part of one."""
 MAX_PACE_PERCENT = 10_000
 """Maximum plausible pace. A load with a larger one, or with 0, is used without its pace."""
+HTTP_1_1 = 11
+"""The version of HTTP from which on bodies are chunked, as `http.client` writes it."""
 CONTENT_ENCODING = "Content-Encoding"
 EVENT_STREAM = "text/event-stream"
 DEFAULT_DEADLINE_SECONDS = 30.0
@@ -227,7 +229,8 @@
     if response.status in BODILESS_STATUSES or method == "HEAD":
         return Framing.NO_BODY, 0
     if codings:
-        is_chunked = [coding.strip().lower() for coding in codings] == ["chunked"]
+        codes = [coding.strip().lower() for coding in codings]
+        is_chunked = codes == ["chunked"] and response.version >= HTTP_1_1
         return (Framing.CHUNKED if is_chunked and not lengths else Framing.MALFORMED), 0
     if not lengths:
         return Framing.CLOSE, 0
--- a/tests/gateway/engines/test_unproved_answers.py
+++ b/tests/gateway/engines/test_unproved_answers.py
@@ -127,6 +127,12 @@
         Engine([whole(b"", status="101 Switching Protocols")]).call()
 
 
+def test_chunks_of_http_1_0_are_no_framing() -> None:
+    coded = answer(STAMP + CHUNKED, b"3\r\nabc\r\n0\r\n\r\n")
+    with pytest.raises(AnswerLost):
+        Engine([lambda name: coded(name).replace(b"HTTP/1.1", b"HTTP/1.0")]).call()
+
+
 def test_head_that_is_cut_is_no_answer() -> None:
     """Guards against a head whose last lines, the length among them, are missing."""
     with pytest.raises(AnswerLost):
