A connection on which a request was not sent whole is closed after its answer

Cause: such a connection was marked by an idle time of 0, which a Keep-Alive header of the answer replaced; the rest of the body that the engine still expects would be the next request (found by reading in the review; the pool's check for an end of file hid it). Change: it is marked as one that must close, as after a surplus answer. Result: tests/gateway/engines pass with test_connection_on_which_a_request_was_not_sent_whole_is_not_used_again.

--- a/src/troutswitch/gateway/engines/connection.py
+++ b/src/troutswitch/gateway/engines/connection.py
@@ -114,8 +114,8 @@
 
     `idle_since` is the time at which its last response was complete, in seconds of the process's
     steady clock. The connection may be reused for `max_idle_seconds` from then on.
-    `request_ids` are the hashes of the ids of the requests sent on it. `had_surplus` is set once an
-    answer to another request was received.
+    `request_ids` are the hashes of the ids of the requests sent on it. `must_close` is set once an
+    answer to another request was received, or a request was not sent whole.
     """
 
     def __init__(self, address: Address) -> None:
@@ -124,7 +124,7 @@
         self.idle_since = 0.0
         self.max_idle_seconds = DEFAULT_IDLE_SECONDS
         self.request_ids: set[int] = set()
-        self.had_surplus = False
+        self.must_close = False
         self._is_reading_head = False
         self.response_class = self._make_response  # type: ignore[assignment]
 
@@ -193,7 +193,7 @@
         unasked is not worth the risk that the next request waits behind it.
         """
         is_worn = len(self.request_ids) >= MAX_REQUESTS_PER_CONNECTION
-        return self.max_idle_seconds > 0 and not (is_worn or self.had_surplus)
+        return self.max_idle_seconds > 0 and not (is_worn or self.must_close)
 
     def is_reusable(self, request_id: str) -> bool:
         """Returns whether a request may be sent on this idle connection.
--- a/src/troutswitch/gateway/engines/exchange.py
+++ b/src/troutswitch/gateway/engines/exchange.py
@@ -165,7 +165,7 @@
         try:
             connection.send(request.body)
         except (BrokenPipeError, ConnectionResetError):
-            connection.max_idle_seconds = 0.0  # not reusable; its response may be readable
+            connection.must_close = True  # its response may be readable
 
     def _read_head(self, connection: EngineConnection) -> AnswerHead:
         """Reads heads until that of this request's response; drops surplus responses.
@@ -183,7 +183,7 @@
             if head.request_id == self.request.request_id:
                 self._check_proof(connection, head, surplus)
                 return head
-            connection.had_surplus = True
+            connection.must_close = True
             self._set_facts(connection, head, surplus + 1, Defect.OTHER_REQUEST)
             if response.will_close or not has_marked_end(head):
                 break
--- a/tests/gateway/engines/test_unproved_answers.py
+++ b/tests/gateway/engines/test_unproved_answers.py
@@ -262,6 +262,15 @@
     assert engine.served == 2
 
 
+def test_connection_on_which_a_request_was_not_sent_whole_is_not_used_again() -> None:
+    """Guards against an idle time in the answer's head that makes the connection usable."""
+    engine = Engine([])
+    connection = engine.connections.acquire("engine", engine.server.address, "r")
+    connection.must_close = True
+    connection.apply_keep_alive("timeout=9")
+    assert not connection.may_be_kept()
+
+
 def test_connection_with_buffered_bytes_is_not_used_again() -> None:
     """Guards against bytes that arrived with an answer and precede the next one."""
     engine = Engine([lambda name: whole()(name) + b"garbage", whole(b"next")])
