Play of exchanges: each fault after an answer, a failure and a refusal

Cause: the test of each fault knew new connections and those that had carried an answer; the states after a refusal and a failure were left to the state machine.

Change: the request before has no, or one of three statuses.

--- a/tests/gateway/engines/test_exchange_play.py
+++ b/tests/gateway/engines/test_exchange_play.py
@@ -354,14 +354,17 @@
 @pytest.mark.xdist_group("exchange-play")
 @pytest.mark.parametrize("is_reset", [False, True])
 @pytest.mark.parametrize("is_stream", [False, True])
-@pytest.mark.parametrize("is_reused", [False, True])
+@pytest.mark.parametrize("before", [None, *SOUND_STATUSES])
 @pytest.mark.parametrize("fault", list(AnswerFault))
 def test_each_fault_on_new_and_reused_connections(
-    player: Player, fault: AnswerFault, is_reused: bool, is_stream: bool, is_reset: bool
+    player: Player, fault: AnswerFault, before: int | None, is_stream: bool, is_reset: bool
 ) -> None:
-    """Whole answers are handed over, also between interim heads and surplus answers."""
-    if is_reused:
-        player.send(player.new_run("b", None, 200, is_stream=False))
+    """Whole answers are handed over, also between interim heads and surplus answers.
+
+    `before` is the status of the answer that the connection carried before, None for a new one.
+    """
+    if before is not None:
+        player.send(player.new_run("b", None, before, is_stream=False))
     run = player.new_run("a", fault, 200, is_stream)
     run.is_reset = is_reset
     player.send(run)
