--- a/tests/gateway/engines/test_unproved_answers.py
+++ b/tests/gateway/engines/test_unproved_answers.py
@@ -109,6 +109,22 @@
         Engine([answer(STAMP + framing, body)]).call()
 
 
+@pytest.mark.parametrize(
+    "headers",
+    [f"X-A: b\r{STAMP}Content-Length: 3\r\n", f"{STAMP}X-A: b\rContent-Length: 3\r\n"],
+)
+def test_part_of_a_header_is_no_header(headers: str) -> None:
+    """Guards against a signature or a length that is the end of another header's value."""
+    with pytest.raises(AnswerLost):
+        Engine([answer(headers)]).call()
+
+
+def test_switch_of_protocols_is_no_answer() -> None:
+    """Guards against a response to a request that was not sent, which is relayed as complete."""
+    with pytest.raises(AnswerLost):
+        Engine([whole(b"", status="101 Switching Protocols")]).call()
+
+
 def test_head_that_is_cut_is_no_answer() -> None:
     """Guards against a head whose last lines, the length among them, are missing."""
     with pytest.raises(AnswerLost):
@@ -122,6 +138,24 @@
         engine.call()
 
 
+@pytest.mark.parametrize("status", ["408 Late", "429 Many", "503 Full"])
+def test_run_with_the_status_of_a_refusal_is_no_answer(status: str) -> None:
+    """Guards against a caller that is promised that its request did not run, and sends it again."""
+    with pytest.raises(AnswerLost):
+        Engine([whole(b"", status=status)]).call()
+
+
+@pytest.mark.parametrize("framing", ["", "Content-Length: 9\r\n", CHUNKED])
+def test_refusal_is_proved_by_its_head_whatever_its_body_is(framing: str) -> None:
+    """Guards against a refusal that is counted and told as an answer that is not proved."""
+    engine = Engine([answer(NOT_RUN + framing, b"full", "503 Full")])
+    request = OutgoingRequest("r", "GET", "/a", [(names.REQUEST_ID, "r")], b"")
+    exchange = Exchange(engine.connections, "engine", engine.server.address, request)
+    assert exchange.open(WAIT_SECONDS).not_run
+    exchange.discard_body()
+    assert exchange.facts is not None and not exchange.facts.defect
+
+
 @pytest.mark.parametrize(
     "made",
     [
@@ -139,6 +173,13 @@
         Engine([made]).call(expects_stream=True)
 
 
+@pytest.mark.parametrize("kind", ["text/event-stream", "Text/Event-Stream;charset=UTF-8"])
+def test_event_stream_is_known_by_its_type_in_any_case(kind: str) -> None:
+    """Media types don't depend on case (RFC 9110, section 8.3.1)."""
+    engine = Engine([whole(EVENTS, f"Content-Type: {kind}\r\n")])
+    assert engine.call(expects_stream=True) == (200, EVENTS)
+
+
 def test_whole_signed_answers_are_returned() -> None:
     chunks = b"3;x=y\r\nabc\r\n0\r\nX: y\r\n\r\n"
     refusal = answer(NOT_RUN + "Content-Length: 1\r\n", b"x", "503 Full")
