Soak: a late listing of an engine does not undo its removal

Their engine's record had been removed ten seconds before, and the soak killed it as one that had left; yet a daemon that started two seconds after the removal found the record in the store. In `store_acts_late` each try of a write is done two seconds later, so tries to list the engine came after the acknowledged removal. That they did in this run is inferred from the times: the store logs no calls.

Change: the operator's writes of a key follow one another and carry a writer's number, as the platform offers for that; a repeat that is done late is not done again.

--- a/src/troutswitch/soak/operator.py
+++ b/src/troutswitch/soak/operator.py
@@ -1,11 +1,22 @@
-"""Writes the configuration and the engines' records to the store, with retries."""
+"""Writes the configuration and the engines' records to the store, with retries.
+
+A write whose answer is lost may be done seconds later. Each carries a number of its key's writer,
+so that a repeat done late doesn't undo a later write of the key.
+"""
 
 import threading
 import time
-from dataclasses import dataclass
+from collections import defaultdict
+from dataclasses import dataclass, field
 
 from troutswitch.common import Address
-from troutswitch.decisions.storage.messages import Appended, AppendRecords, KeyedRecord, Partition
+from troutswitch.decisions.storage.messages import (
+    Appended,
+    AppendRecords,
+    KeyedRecord,
+    Partition,
+    WriterStamp,
+)
 from troutswitch.platform.names import CONFIGURATION_KEY
 from troutswitch.platform.stand_in_forms import (
     ENGINE_VERSION,
@@ -23,6 +34,8 @@
 SLOTS = 8
 RETRY_SECONDS = 0.1
 """Delay before a write that was not acknowledged is repeated with the same content."""
+WRITER_PREFIX = "operator-"
+WRITER_EPOCH = 1
 CONFIGURATION = Partition("configuration")
 ENGINES = Partition("servers")
 
@@ -59,6 +72,14 @@
     acknowledged_at: float
 
 
+@dataclass(slots=True)
+class _KeyWriter:
+    """The writes of one key, one after another; `writes` is the number of those that were begun."""
+
+    writes: int = 0
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+
 class Operator:
     """Writes configurations, one at a time, and engines' records to the store."""
 
@@ -67,6 +88,8 @@
         self._health_path = health_path
         self._client = StoreClient(store)
         self._lock = threading.Lock()
+        self._writers: dict[str, _KeyWriter] = defaultdict(_KeyWriter)
+        self._writers_lock = threading.Lock()
         self.version = 0
         self.acknowledged: list[AcknowledgedVersion] = []
         self.stop_requested = threading.Event()
@@ -110,9 +133,14 @@
         return self._write(ENGINES, engine_id, b"")
 
     def _write(self, partition: Partition, key: str, value: bytes) -> bool:
-        call = AppendRecords(0, partition, (KeyedRecord(key, value),))
-        while not self.stop_requested.is_set():
-            if isinstance(self._client.call(call), Appended):
-                return True
-            self.stop_requested.wait(RETRY_SECONDS)
-        return False
+        with self._writers_lock:
+            writer = self._writers[key]
+        with writer.lock:
+            writer.writes += 1
+            stamp = WriterStamp(f"{WRITER_PREFIX}{key}", WRITER_EPOCH, writer.writes)
+            call = AppendRecords(0, partition, (KeyedRecord(key, value),), stamp=stamp)
+            while not self.stop_requested.is_set():
+                if isinstance(self._client.call(call), Appended):
+                    return True
+                self.stop_requested.wait(RETRY_SECONDS)
+            return False
