A head that begins inside a cut one is no answer

Callers could see: a success where the engine answered a failure, with the failure's body, if another answer was cut after the beginning of its status line or inside a header, right before the run's own. Cause: the rest of the first line was read as a reason or a header's value, and the id, the signature and the body of the second answer completed the head. Evidence: tests/gateway/engines/test_cut_answers.py, which cuts another answer at each byte: 3 of 14 red before. Change: a status line inside a reason or a value makes a head malformed. Result: tests/gateway/engines and tests/gateway/test_unproved_answers.py pass.

--- a/src/troutswitch/gateway/engines/exchange.py
+++ b/src/troutswitch/gateway/engines/exchange.py
@@ -7,6 +7,7 @@
 """
 
 import http.client
+import re
 import socket
 import threading
 from collections.abc import Iterator
@@ -35,6 +36,8 @@
 """Statuses of responses that precede the final one; `http.client` skips 100 itself. 101 would
 answer a request for another protocol, which is never sent."""
 MAX_INTERIM_RESPONSES = 8
+_STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
+"""A status line, which stands inside another line only if the head before it was cut."""
 
 Headers = list[tuple[str, str]]
 
@@ -335,6 +338,9 @@
     Raises:
         AnswerUnproved: a header is malformed.
     """
+    values = [response.reason, *(value for _, value in response.getheaders())]
+    if any(_STATUS_LINE.search(value) for value in values):
+        raise AnswerUnproved(Defect.MALFORMED_HEAD, response.status)
     if response.msg.defects:  # the parser drops the lines after a malformed one
         raise AnswerUnproved(Defect.MALFORMED_HEAD, response.status)
     for name, value in response.getheaders():
