--- a/tests/gateway/engines/test_unproved_answers.py
+++ b/tests/gateway/engines/test_unproved_answers.py
@@ -52,14 +52,16 @@
         connection.shutdown(socket.SHUT_WR)
         server.wait_for_end(connection)
 
-    def call(self, name: str = "r", expects_stream: bool = False) -> tuple[int, bytes]:
+    def call(
+        self, name: str = "r", expects_stream: bool = False, method: str = "GET"
+    ) -> tuple[int, bytes]:
         """Returns the status and the body of an exchange's answer.
 
         Raises:
             AnswerLost: there was no proved answer.
         """
         headers = [(names.REQUEST_ID, name)]
-        request = OutgoingRequest(name, "GET", "/a", headers, b"", expects_stream)
+        request = OutgoingRequest(name, method, "/a", headers, b"", expects_stream)
         exchange = Exchange(self.connections, "engine", self.server.address, request)
         try:
             head = exchange.open(WAIT_SECONDS)
@@ -125,6 +127,12 @@
         Engine([whole(b"", status="101 Switching Protocols")]).call()
 
 
+def test_chunks_of_http_1_0_are_no_framing() -> None:
+    coded = answer(STAMP + CHUNKED, b"3\r\nabc\r\n0\r\n\r\n")
+    with pytest.raises(AnswerLost):
+        Engine([lambda name: coded(name).replace(b"HTTP/1.1", b"HTTP/1.0")]).call()
+
+
 def test_head_that_is_cut_is_no_answer() -> None:
     """Guards against a head whose last lines, the length among them, are missing."""
     with pytest.raises(AnswerLost):
@@ -180,6 +188,22 @@
     assert engine.call(expects_stream=True) == (200, EVENTS)
 
 
+@pytest.mark.parametrize(
+    ("method", "status"), [("HEAD", "200 OK"), ("GET", "304 Not Modified"), ("HEAD", "204 No")]
+)
+@pytest.mark.parametrize("framing", ["", CHUNKED, "Content-Length: 3\r\n"])
+def test_answer_without_body_may_state_how_another_would_be_framed(
+    method: str, status: str, framing: str
+) -> None:
+    """A coding is allowed with HEAD and 304, and not with 204 (RFC 9112, section 6.1)."""
+    engine = Engine([answer(STAMP + framing, b"", status)])
+    if status.startswith("204") and framing == CHUNKED:
+        with pytest.raises(AnswerLost):
+            engine.call(method=method)
+    else:
+        assert engine.call(method=method) == (int(status.split()[0]), b"")
+
+
 def test_whole_signed_answers_are_returned() -> None:
     chunks = b"3;x=y\r\nabc\r\n0\r\nX: y\r\n\r\n"
     refusal = answer(NOT_RUN + "Content-Length: 1\r\n", b"x", "503 Full")
@@ -238,6 +262,15 @@
     assert engine.served == 2
 
 
+def test_connection_on_which_a_request_was_not_sent_whole_is_not_used_again() -> None:
+    """Guards against an idle time in the answer's head that makes the connection usable."""
+    engine = Engine([])
+    connection = engine.connections.acquire("engine", engine.server.address, "r")
+    connection.must_close = True
+    connection.apply_keep_alive("timeout=9")
+    assert not connection.may_be_kept()
+
+
 def test_connection_with_buffered_bytes_is_not_used_again() -> None:
     """Guards against bytes that arrived with an answer and precede the next one."""
     engine = Engine([lambda name: whole()(name) + b"garbage", whole(b"next")])
