Engines of the tests with chosen bytes sign their answers

Cause: two stand-ins of the tests sent unsigned answers. Six tests of test_engine_output.py failed, as such an answer is none any more; the others there and in test_untrusted_bytes.py passed without showing what they guard against. Change: the heads are signed, so that what the tests send after them is read again.

--- a/tests/gateway/test_untrusted_bytes.py
+++ b/tests/gateway/test_untrusted_bytes.py
@@ -64,7 +64,8 @@
 
     def _respond(self, server: RawServer, connection: socket.socket) -> None:
         head = server.read_head(connection)
-        identity = b"HTTP/1.1 200 OK\r\nX-Troutswitch-Request-Id: "
+        signed = b"HTTP/1.1 200 OK\r\nX-Troutswitch-Response-Stamp: s\r\n"
+        identity = signed + b"X-Troutswitch-Request-Id: "
         start = identity + request_id(head).encode() + b"\r\n" if self.has_head else b""
         connection.sendall(start + self.answer)
         connection.shutdown(socket.SHUT_WR)
--- a/tests/simulation/raw_engine.py
+++ b/tests/simulation/raw_engine.py
@@ -32,6 +32,7 @@
     head = (
         "HTTP/1.1 200 OK\r\n"
         f"X-Troutswitch-Request-Id: {item_id}\r\n"
+        "X-Troutswitch-Response-Stamp: s\r\n"
         "Content-Type: text/event-stream\r\n"
         f"Content-Length: {len(events)}\r\n\r\n"
     )
