A resumed stream stays bound to the version by which it was let on

What callers saw: after a kill of all daemons, resumed streams that were answered 200 and ran to the end with events of two versions.

Cause: a daemon that knows of one version let a resumption go to any engine, and forgot by which version it had decided so. If the engines of that version then left, the attempt was cut without an event, waited for capacity and was sent to the engines of the next version that were listed meanwhile. After a kill of all daemons all streams are resumed at once and meet this together. Also, with no version known at all any engine was allowed.

Change: with one version, the located origin is this version, and the request is bound to it as to any known origin; without a known version the origin is unknown, and the answer a 503 that states it was not run. ONE_VERSION stays for daemons that keep no origins (tests of single parts).

Tests in test_origins.py that expected 'any engine' expect the version now, which is stricter.

--- a/src/troutswitch/decisions/streams/interface.py
+++ b/src/troutswitch/decisions/streams/interface.py
@@ -34,7 +34,7 @@
 
 
 class NoOrigins:
-    """Implementation for a daemon whose engines all run one version."""
+    """Implementation for a daemon whose engines run one version for as long as it serves."""
 
     def on_begun(
         self, now: float, request_id: str, service: str, version: str, attempt: int
--- a/src/troutswitch/decisions/streams/origin_records.py
+++ b/src/troutswitch/decisions/streams/origin_records.py
@@ -36,7 +36,7 @@
 
 
 class NoOriginNeeded(enum.Enum):
-    """The stream's service has one version, so that any engine may continue the stream."""
+    """No origins are kept, as engines never change their version: any may continue the stream."""
 
     ONE_VERSION = enum.auto()
 
--- a/src/troutswitch/decisions/streams/origins.py
+++ b/src/troutswitch/decisions/streams/origins.py
@@ -8,10 +8,11 @@
 
 Rule:
 
-1. While the stream's service has one version, and that is confirmed, any engine may continue it,
-   and no message is sent. If it isn't confirmed within `CONFIRMATION_SECONDS`, the origin is
-   unknown. A daemon that does not know which versions the service had before it started searches
-   for the origin as if the service were mixed.
+1. While the stream's service has one version, and that is confirmed, the stream began at it, and no
+   message is sent. The stream is bound to this version, as others may be listed while it waits for
+   an engine. If the version isn't confirmed within `CONFIRMATION_SECONDS`, the origin is unknown. A
+   daemon that does not know which versions the service had before it started searches for the
+   origin as if the service were mixed.
 2. While the service is mixed, each daemon sends the origin of each stream to its `HOLDERS`: the
    daemons that rank highest in the rendezvous order of the stream's key. When a service becomes
    mixed, the origins of the last `PUBLISHED_SECONDS` are sent, because the streams may still run.
@@ -44,9 +45,7 @@
 from troutswitch.daemons.messages import OriginQuery, OriginReply, OriginRow, StreamOrigins
 from troutswitch.decisions.slots.messages import SendToPeers
 from troutswitch.decisions.streams.origin_records import (
-    ONE_VERSION,
     Located,
-    Location,
     OriginRecords,
     StreamOrigin,
     stream_key,
@@ -62,6 +61,8 @@
 """Time for which a stream awaits a sign of the fleet. Peers are heard several times a second."""
 PUBLISHED_SECONDS = 10.0
 """Age up to which origins are sent when a service becomes mixed: longer than most streams last."""
+UNKNOWN_ATTEMPT = 0
+"""Ordinal of the attempt that began a stream whose origin follows from the service's version."""
 MAX_ROWS = 64
 """Maximum number of origins in a message, at about 25 bytes each."""
 
@@ -165,10 +166,17 @@
         if self._versions.is_mixed(now, service) or not self._versions.knows_past:
             return self._search(now, search)
         if self._is_confirmed(now):
-            return Located(token, ONE_VERSION)
+            return Located(token, self._only_origin(now, service))
         self._searches[token] = search
         return None
 
+    def _only_origin(self, now: float, service: str) -> StreamOrigin | None:
+        """Returns the origin of each stream of a service with one version; None without any."""
+        version = self._versions.only_version(now, service)
+        if version is None:
+            return None
+        return StreamOrigin(service_key(service), version, UNKNOWN_ATTEMPT)
+
     def _is_confirmed(self, now: float) -> bool:
         """Returns whether no other daemon can have begun a stream at another version.
 
@@ -211,7 +219,7 @@
         holders = self._holders(search.stream, peers)
         return self._ask(now, search, [name for name in peers if name not in holders])
 
-    def _end(self, search: _Search, location: Location | None, source: str) -> Located:
+    def _end(self, search: _Search, location: StreamOrigin | None, source: str) -> Located:
         self._searches.pop(search.token, None)
         if location is None or source not in ("", "here"):
             self._log(
@@ -276,7 +284,7 @@
         if not search.number and self._versions.is_mixed(now, search.service):
             return self._search(now, search)
         if not search.number and self._is_confirmed(now):
-            return self._end(search, ONE_VERSION, "here")
+            return self._end(search, self._only_origin(now, search.service), "here")
         if now < search.due_at:
             return None
         return self._ask_others(now, search) if search.number else self._end(search, None, "")
--- a/src/troutswitch/decisions/streams/versions.py
+++ b/src/troutswitch/decisions/streams/versions.py
@@ -161,6 +161,15 @@
     def _count_recent(now: float, versions: dict[int, SeenVersion]) -> int:
         return sum(seen.is_recent(now) for seen in versions.values())
 
+    def only_version(self, now: float, service: str) -> int | None:
+        """Returns the key of the only version of a service's engines and recent streams.
+
+        Returns None if the service has several, or no version is known.
+        """
+        versions = self._by_service.get(service_key(service), {})
+        recent = [key for key, seen in versions.items() if seen.is_recent(now)]
+        return recent[0] if len(recent) == 1 else None
+
     def mixed(self, now: float) -> Iterator[tuple[int, dict[int, SeenVersion]]]:
         """Yields the mixed services with their recent versions, by their keys."""
         for service, versions in self._by_service.items():
--- a/tests/decisions/forwarding/test_stream_versions.py
+++ b/tests/decisions/forwarding/test_stream_versions.py
@@ -6,6 +6,8 @@
 import pytest
 
 from tests.decisions.forwarding.harness import ForwardingHarness, arrival, engine
+from troutswitch.common import Address
+from troutswitch.daemons.identity import DaemonIdentity
 from troutswitch.decisions.forwarding.messages import (
     AnswerBegun,
     CallerGone,
@@ -13,9 +15,15 @@
     SendRequest,
 )
 from troutswitch.decisions.forwarding.requests import ForwardedRequests
-from troutswitch.decisions.streams.interface import NoOrigins
+from troutswitch.decisions.streams.interface import NoOrigins, Origins
 from troutswitch.decisions.streams.origin_records import ONE_VERSION, Located, StreamOrigin
-from troutswitch.decisions.streams.versions import ACTIVATION_SECONDS, service_key, version_key
+from troutswitch.decisions.streams.origins import OriginSearches
+from troutswitch.decisions.streams.versions import (
+    ACTIVATION_SECONDS,
+    MIXED_SECONDS,
+    service_key,
+    version_key,
+)
 from troutswitch.outcomes import AttemptOutcome, Cut, NotRun
 
 TOKEN = 1
@@ -48,16 +56,19 @@
     def __init__(self, location: Located | None = None, v1: int = 3, v2: int = 3) -> None:
         super().__init__()
         self.origins = ScriptedOrigins(location)
-        self.requests = ForwardedRequests(
+        self.requests = self.forwarding(self.origins)
+        self.list_engines(0.0, v1, v2)
+
+    def forwarding(self, origins: Origins) -> ForwardedRequests:
+        return ForwardedRequests(
             "z",
             self.routes,
             self.engines,
             random.Random(1),
             "prefix_aware",
             "defer_late",
-            origins=self.origins,
+            origins=origins,
         )
-        self.list_engines(0.0, v1, v2)
 
     def list_engines(self, now: float, v1: int, v2: int) -> None:
         names = [(f"v1-{n}", "v1") for n in range(v1)] + [(f"v2-{n}", "v2") for n in range(v2)]
@@ -98,10 +109,34 @@
         assert (sent.engine_version, sent.resume_after) == ("v1", "3")
 
 
-def test_resumed_stream_of_a_service_with_one_version_is_sent_to_any_engine() -> None:
+def test_resumed_stream_is_sent_to_any_engine_if_no_origins_are_kept() -> None:
     assert isinstance(Streams(Located(TOKEN, ONE_VERSION)).resume(10.0), SendRequest)
 
 
+def test_resumed_stream_that_waits_is_not_sent_to_a_version_that_is_listed_later() -> None:
+    """Guards against streams that joined two versions after a kill of all daemons."""
+    streams = Streams(v1=1, v2=0)
+    streams.requests = streams.forwarding(
+        OriginSearches(
+            DaemonIdentity("d-1", "z", Address("10.0.0.1", 1), 7),
+            streams.engines.versions,
+            dict,
+            lambda instruction: None,
+            lambda event, **fields: None,
+        )
+    )
+    streams.list_engines(2 * MIXED_SECONDS, 1, 0)  # the harness's own engines are forgotten
+    now = 4 * MIXED_SECONDS
+    streams.list_engines(now, 1, 0)
+    sent = streams.resume(now + 0.1)
+    assert isinstance(sent, SendRequest)
+    assert streams.end(now + 0.2, sent, AttemptOutcome.CUT) is None
+    streams.list_engines(now + 0.3, 1, 3)
+    again = streams.only_instruction(streams.requests.on_timer(now + 0.4))
+    assert isinstance(again, SendRequest)
+    assert again.engine_version == "v1"
+
+
 def test_resumed_stream_of_unknown_origin_is_refused_at_once() -> None:
     refused = Streams(Located(TOKEN, None)).resume(10.0)
     assert isinstance(refused, FinishRequest)
--- a/tests/decisions/streams/test_origins.py
+++ b/tests/decisions/streams/test_origins.py
@@ -7,7 +7,6 @@
 from troutswitch.decisions.slots.messages import SendToPeers
 from troutswitch.decisions.streams.origin_records import (
     MAX_ORIGINS,
-    ONE_VERSION,
     ORIGIN_SECONDS,
     Located,
     OriginRecords,
@@ -17,6 +16,7 @@
     CONFIRMATION_SECONDS,
     HOLDERS,
     REPLY_SECONDS,
+    UNKNOWN_ATTEMPT,
     OriginSearches,
 )
 from troutswitch.decisions.streams.versions import EngineVersions, service_key, version_key
@@ -89,7 +89,7 @@
     fleet = Fleet("v1")
     fleet.daemons["d-0"].searches.on_begun(0.0, "first", SERVICE, "v1", 1)
     located = fleet.daemons["d-1"].searches.locate(0.1, 1, "first", SERVICE)
-    assert located == Located(1, ONE_VERSION)
+    assert located == Located(1, origin("v1", UNKNOWN_ATTEMPT))
     assert not any(daemon.sent for daemon in fleet.daemons.values())
 
 
@@ -160,7 +160,7 @@
     assert daemon.searches.locate(9.0, 5, "first", SERVICE) is None
     assert not list(daemon.searches.on_timer(9.1))
     daemon.versions.on_heard(9.2)
-    assert list(daemon.searches.on_timer(9.2)) == [Located(5, ONE_VERSION)]
+    assert list(daemon.searches.on_timer(9.2)) == [Located(5, origin("v1", UNKNOWN_ATTEMPT))]
     assert daemon.searches.locate(20.0, 6, "first", SERVICE) is None
     end = 20.0 + CONFIRMATION_SECONDS
     assert list(daemon.searches.on_timer(end)) == [Located(6, None)]
@@ -175,9 +175,25 @@
     assert daemon.sent
 
 
+def test_resumed_stream_is_bound_to_the_only_version() -> None:
+    """Guards against a stream that waits for an engine and gets one of a version listed later."""
+    daemon = Daemon("d-1", "v1")
+    bound = Located(5, origin("v1", UNKNOWN_ATTEMPT))
+    assert daemon.searches.locate(0.1, 5, "first", SERVICE) == bound
+    assert daemon.searches.locate(0.1, 5, "", SERVICE) == bound
+
+
+def test_service_without_a_known_version_has_no_origin() -> None:
+    """Guards against a stream that goes to the first engine which is listed."""
+    daemon = Daemon("d-1")
+    assert daemon.searches.locate(0.1, 5, "first", SERVICE) == Located(5, None)
+
+
 def test_single_daemon_continues_every_stream_of_one_version() -> None:
     daemon = Daemon("d-1", "v1", peers=())
-    assert daemon.searches.locate(9.0, 5, "first", SERVICE) == Located(5, ONE_VERSION)
+    assert daemon.searches.locate(9.0, 5, "first", SERVICE) == Located(
+        5, origin("v1", UNKNOWN_ATTEMPT)
+    )
 
 
 def test_later_attempt_of_a_request_replaces_its_origin() -> None:
