Real processes: all daemons are killed at once beside a release

Nothing played this on real processes: the soak kills some daemons, its engines keep both versions all the time, and its streams end within 0.4 s.

soak/restarted_fleet.py starts store, engines and daemons of its own, kills all daemons with SIGKILL while 12 callers have streams of 3 s open, starts them anew, and replaces the engines before, while or after that. Callers resume as the pages allow, at any daemon. `troutswitch restarts` plays it by hand. The stand-in writes the engine's id into each event of such a stream (as for long items), so that the text which the caller received shows by itself whether it was joined.

--- a/src/troutswitch/cli/main.py
+++ b/src/troutswitch/cli/main.py
@@ -12,6 +12,7 @@
 from troutswitch.cli.gateway import gateway
 from troutswitch.cli.load import load
 from troutswitch.cli.quota import quota
+from troutswitch.cli.restarts import restarts
 from troutswitch.cli.simulation import experiment, simulate
 from troutswitch.cli.soak import soak
 from troutswitch.cli.standin import standin
@@ -38,6 +39,7 @@
     simulate,
     experiment,
     soak,
+    restarts,
 ):
     cli.add_command(command)
 
--- a/src/troutswitch/standins/model_engine.py
+++ b/src/troutswitch/standins/model_engine.py
@@ -225,7 +225,8 @@
             self.standin.write_journal("failed", request_id, status=500)
             self.reply(500, b"failed", signed)
             return
-        is_long = "/item" in self.path and body.startswith(LONG_ITEM_PREFIX)
+        has_long_events = "/item" in self.path or "/stream/" in self.path
+        is_long = has_long_events and body.startswith(LONG_ITEM_PREFIX)
         events = event_bytes(request_id, after)
         if is_long:
             events = long_item_events(request_id, self.standin.engine_id, run, after)
