A further version begins streams once the store has its record

What callers could see: a stream joined from two versions after a kill of all daemons, if the version that began it was listed only shortly before.

Cause: a further version began streams 1.5 s after it was first listed, by time alone, whether or not the record of versions had it. If the store refused the record, or its three writers by hash were down, and all daemons ended and the version was withdrawn, the started daemons read a record and a list with one version, and let the streams of the other go on there. Three more ways to the same: a started daemon began streams at once at all versions of its first list, which others may not know; a service whose record was never written, or was malformed, counted as one with a known past.

Change: a version begins streams only when this daemon knows that the store has its record (its own append, or a read of the records, which is repeated each 0.5 s while the list has a version without one, and not otherwise). If no other engine is left, streams begin at it all the same, as before. Versions without a record are further ones to a started daemon too. If the writers do not write, the next three in order do so after 2 s each. A listed service without a readable record, while others have theirs, has an unknown past for 30 s: origins are searched, as before the records are read.

Evidence, simulated fleet: 6 engines of v2 are listed while the store refuses the record, all daemons start anew 4 s later and v2 is withdrawn.

--- a/src/troutswitch/decisions/streams/origins.py
+++ b/src/troutswitch/decisions/streams/origins.py
@@ -163,7 +163,8 @@
             service: the service chosen for the request.
         """
         search = _Search(token, service, resumed_id, now + CONFIRMATION_SECONDS)
-        if self._versions.is_mixed(now, service) or not self._versions.knows_past:
+        is_mixed = self._versions.is_mixed(now, service)
+        if is_mixed or not self._versions.knows_past_of(now, service):
             return self._search(now, search)
         if self._is_confirmed(now):
             return Located(token, self._only_origin(now, service))
--- a/src/troutswitch/decisions/streams/version_history.py
+++ b/src/troutswitch/decisions/streams/version_history.py
@@ -8,11 +8,15 @@
 
 1. A record of each service states its recent versions (`EngineVersions.recent`). It is written
    again when they change, by the `WRITERS` daemons that rank highest in the rendezvous order of the
-   service, so that the number of writes does not grow with the fleet.
+   service, so that the number of writes does not grow with the fleet. If a version stays without a
+   record, the next `WRITERS` in that order write it after each `TAKEOVER_SECONDS`.
 2. A daemon reads the records when it starts, and counts the versions in them as listed until then.
-3. Until it has read them and the list of engines, it does not know the past, and asks its peers for
+3. While the list has a version of which a daemon knows no record, it reads the records again. The
+   version begins streams when it is recorded (`EngineVersions.may_begin`).
+4. Until it has read them and the list of engines, it does not know the past, and asks its peers for
    the origin of each stream that a caller resumes. Once it has run for `MIXED_SECONDS`, nothing
-   from before matters.
+   from before matters. A service that has engines and no readable record, while others have one,
+   has an unknown past: its record was not written before all daemons ended.
 
 A record is no older than its versions: one that was gone for long is removed by the next write,
 and one that no daemon could remove costs searches for `MIXED_SECONDS` after a start. So no clock is
@@ -36,7 +40,9 @@
     Appended,
     AppendRecords,
     KeyedRecord,
+    NewestPage,
     Partition,
+    RecordsRead,
     StoreCall,
     StoreOutcome,
 )
@@ -54,6 +60,9 @@
 CHECK_SECONDS = 0.5
 """Interval at which the versions are compared with the records. It is shorter than the time for
 which a further version begins no streams."""
+TAKEOVER_SECONDS = 2.0
+"""Time after which other daemons write a record that the writers have not written: several checks
+and calls."""
 CALL_EXPIRY_SECONDS = 4.0
 """Time after which a write without an outcome is repeated."""
 
@@ -79,6 +88,7 @@
         self._name = name
         self._versions = versions
         self._versions.knows_past = False
+        self._versions.needs_record = True
         self._peers = peers
         self._numbers = numbers
         self._log = log
@@ -87,11 +97,21 @@
         self._check_at = float("-inf")
         self._stored: dict[int, frozenset[int]] = {}
         """Versions by service, as they were read or written last."""
+        self._unreadable: set[int] = set()
+        """Services whose records are malformed."""
+        self._unrecorded_since: dict[int, float] = {}
+        """When services were first seen to have a version without a record."""
         self._writing: dict[int, frozenset[int]] = {}
         self._write_call = 0
         self._written_at = float("-inf")
         self._follower = PartitionFollower(
-            VERSIONS, numbers, rng, self._apply_record, wait=0.0, pause=0.0, is_tailing=False
+            VERSIONS,
+            numbers,
+            rng,
+            self._apply_record,
+            wait=0.0,
+            pause=CHECK_SECONDS,
+            is_tailing=False,
         )
 
     def _apply_record(self, record: KeyedRecord) -> None:
@@ -99,10 +119,11 @@
             service, versions = decode_record(record)
         except MalformedCbor as error:
             self._log("record of versions malformed", key=record.key, reason=str(error))
+            if KEY_FORM.fullmatch(record.key) is not None:
+                self._unreadable.add(int(record.key, 16))
             return
+        self._unreadable.discard(service)
         self._stored[service] = versions
-        for version in versions:
-            self._versions.on_seen(service, version, float("-inf"), self._now)
 
     # The store.
 
@@ -117,8 +138,18 @@
             self._write_call = 0
             if isinstance(outcome, Appended):
                 self._stored |= self._writing
+                self._mark_recorded(now, self._writing)
             return
         self._follower.on_answer(now, call, outcome)
+        is_partial = isinstance(outcome, RecordsRead) and outcome.next_offset < outcome.end
+        is_answer = isinstance(outcome, RecordsRead | NewestPage)
+        if is_answer and not is_partial and self._follower.is_following:
+            self._mark_recorded(now, self._stored)
+
+    def _mark_recorded(self, now: float, records: dict[int, frozenset[int]]) -> None:
+        for service, versions in records.items():
+            for version in versions:
+                self._versions.on_recorded(now, service, version)
 
     def _check_past(self, now: float) -> None:
         """Records that the past is known once the records and a list were read, or after a time."""
@@ -129,9 +160,18 @@
             self._started_at = now
         if is_read or now >= self._started_at + MIXED_SECONDS:
             self._versions.knows_past = True
+            if is_read and self._stored:
+                self._check_missing(now)
             source = "store" if is_read else "time"
             self._log("versions before the start known", source=source, services=len(self._stored))
 
+    def _check_missing(self, now: float) -> None:
+        """Finds services with engines whose record is missing or unreadable."""
+        listed = {service for service, _ in self._versions.recent(now)}
+        for service in (listed - self._stored.keys()) | self._unreadable:
+            self._versions.on_past_unknown(now, service)
+            self._log("record of versions missing", service=f"{service:08x}")
+
     # Timers.
 
     def next_due(self) -> float:
@@ -142,6 +182,7 @@
         """Returns the calls that are due."""
         self._now = now
         self._check_past(now)
+        self._follower.is_tailing = self._versions.has_unrecorded()
         calls = self._follower.on_timer(now)
         if now < self._check_at:
             return calls
@@ -158,7 +199,8 @@
         self._writing = {
             service: versions
             for service, versions in self._versions.recent(now)
-            if versions != self._stored.get(service) and self._is_writer(service, peers)
+            if versions != self._stored.get(service)
+            and self._is_writer(service, peers, self._takeovers(now, service, versions))
         }
         if not self._writing:
             return []
@@ -167,9 +209,17 @@
         records = tuple(encode_record(*row) for row in sorted(self._writing.items()))
         return [AppendRecords(self._write_call, VERSIONS, records)]
 
-    def _is_writer(self, service: int, peers: list[str]) -> bool:
+    def _takeovers(self, now: float, service: int, versions: frozenset[int]) -> int:
+        """Returns how often further writers are due, as a version has no record."""
+        if versions <= self._stored.get(service, frozenset()):
+            self._unrecorded_since.pop(service, None)
+            return 0
+        since = self._unrecorded_since.setdefault(service, now)
+        return int((now - since) / TAKEOVER_SECONDS)
+
+    def _is_writer(self, service: int, peers: list[str], takeovers: int) -> bool:
         order = rendezvous_order(f"{service:x}", [self._name, *peers])
-        return self._name in order[:WRITERS]
+        return self._name in order[: WRITERS * (1 + takeovers)]
 
 
 def encode_record(service: int, versions: frozenset[int]) -> KeyedRecord:
--- a/src/troutswitch/decisions/streams/versions.py
+++ b/src/troutswitch/decisions/streams/versions.py
@@ -12,17 +12,21 @@
    within `MIXED_SECONDS`. That is longer than any stream lasts, so a stream of a version that has
    gone is still noticed. The age of the newest list makes no difference: while the store is away,
    its engines stay in use.
-2. A further version begins new streams `ACTIVATION_SECONDS` after it was first seen. Until then the
-   peers are told of it.
+2. A further version begins new streams `ACTIVATION_SECONDS` after it was first seen, and not before
+   this daemon knows that the store has a record of it (`version_history`). Until then the peers are
+   told of it. To a daemon that has just started, each version that has no record yet is a further
+   one.
 3. That a service is not mixed is confirmed while the list was read, or a peer was heard, within
    `CONFIRMED_SECONDS`. A daemon without either may have missed a version.
 4. Versions from before this process started are read from the store (`version_history`). Until then
-   no service is known to have one version only.
+   no service is known to have one version only; a service of which no record could be read, for
+   `MIXED_SECONDS`.
 
 Why: `CONFIRMED_SECONDS` is shorter than `ACTIVATION_SECONDS`, so a daemon that does not know of a
 version yet either learns of it before the first stream begins there, or is not confirmed. Without
 the delay, a stream could be resumed at a daemon with an older list, at an engine of another
-version. While a service has one version, nothing is sent and nothing waits.
+version. Without the record, nobody would know of the version once all daemons have started anew and
+its engines are gone. While a service has one version, nothing is sent and nothing waits.
 
 Measurements: docs/design/stream-versions.md.
 """
@@ -69,12 +73,14 @@
 class SeenVersion:
     """When a version of a service was first listed, and until when.
 
-    `is_listed` is whether the newest list of this daemon has it.
+    `is_listed` is whether the newest list of this daemon has it, `is_recorded` whether the store is
+    known to have a record of it.
     """
 
     first_at: float
     last_at: float
     is_listed: bool = False
+    is_recorded: bool = False
 
     def age(self, now: float) -> float:
         """Returns the seconds since the version was last listed."""
@@ -98,16 +104,19 @@
 
     `news` counts the changes after which peers are to be told: a further version of a service.
     `knows_past` is whether the versions from before this process started are known
-    (`version_history`), `has_list` whether a list of engines was read since.
+    (`version_history`), `has_list` whether a list of engines was read since. `needs_record` is
+    whether a further version begins no streams before it is recorded.
     """
 
     def __init__(self) -> None:
         self.news = 0
         self.knows_past = True
         self.has_list = False
+        self.needs_record = False
         self.heard_at = float("-inf")
         """When the list was last read, or a peer was last heard."""
         self._by_service: dict[int, dict[int, SeenVersion]] = {}
+        self._past_unknown_until: dict[int, float] = {}
 
     def on_list(self, read_at: float, records: Iterable[EngineRecord]) -> None:
         """Records the versions of a list of engines that was read at `read_at`."""
@@ -117,7 +126,8 @@
         self._end_former_list(read_at)
         for record in records:
             service, version = service_key(record.service), version_key(record.version)
-            first_at = read_at if service in known_before else float("-inf")
+            is_further = service in known_before or not self.knows_past
+            first_at = read_at if is_further else float("-inf")
             self.on_seen(service, version, first_at, read_at)
             seen = self._by_service.get(service, {}).get(version)
             if seen is not None:
@@ -152,6 +162,40 @@
         if len(versions) > 1:
             self.news += 1
 
+    # The records in the store.
+
+    def on_recorded(self, now: float, service: int, version: int) -> None:
+        """Records that the store has a record of a version.
+
+        A version in the records that a started daemon reads first begins streams at once.
+        """
+        first_at = now if self.knows_past else float("-inf")
+        if version not in self._by_service.get(service, {}):
+            self.on_seen(service, version, first_at, now)
+        seen = self._by_service.get(service, {}).get(version)
+        if seen is not None:
+            seen.is_recorded = True
+            seen.first_at = min(seen.first_at, first_at)
+
+    def has_unrecorded(self) -> bool:
+        """Returns whether the list has a version that is not known to be recorded."""
+        return any(
+            seen.is_listed and not seen.is_recorded
+            for versions in self._by_service.values()
+            for seen in versions.values()
+        )
+
+    def on_past_unknown(self, now: float, service: int) -> None:
+        """Records that the versions of a service before this process started are not known."""
+        self._past_unknown_until[service] = now + MIXED_SECONDS
+
+    def knows_past_of(self, now: float, service: str) -> bool:
+        """Returns whether all versions that may have begun a service's streams are known."""
+        until = self._past_unknown_until.get(service_key(service), float("-inf"))
+        return self.knows_past and now >= until
+
+    # What follows.
+
     def is_mixed(self, now: float, service: str) -> bool:
         """Returns whether a service may have engines, or recent streams, of several versions."""
         versions = self._by_service.get(service_key(service), {})
@@ -192,4 +236,7 @@
         """Returns whether new streams may begin at an engine, by its version."""
         versions = self._by_service.get(service_key(record.service), {})
         seen = versions.get(version_key(record.version))
-        return seen is None or now >= seen.first_at + ACTIVATION_SECONDS
+        if seen is None:
+            return True
+        is_active = now >= seen.first_at + ACTIVATION_SECONDS
+        return is_active and (seen.is_recorded or not self.needs_record)
--- a/tests/proofs/test_stream_versions.py
+++ b/tests/proofs/test_stream_versions.py
@@ -126,7 +126,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(versions.EngineVersions, "is_confirmed", lambda self, now: True)
-    assert release_beside_cut_off_daemons(1).mixed_streams > MAX_MIXED_STREAMS
+    assert release_beside_cut_off_daemons(3).mixed_streams > MAX_MIXED_STREAMS
 
 
 def test_streams_continue_while_the_store_is_down() -> None:
--- a/tests/proofs/test_streams_after_restarts.py
+++ b/tests/proofs/test_streams_after_restarts.py
@@ -54,3 +54,28 @@
     fleet = replace_engines_after_restart(seed)
     assert fleet.tries["resumed"] >= MIN_RESUMED_STREAMS
     assert fleet.mixed_streams == 0
+
+
+def withdraw_unrecorded_version(seed: int) -> VersionedFleet:
+    """Lists a version while the store refuses its record; kills all daemons, and withdraws it."""
+    fleet = started_fleet(seed, "v1")
+    open_streams(fleet, 2.0, leave_share=0.0)
+    fleet.refuses_version_records = True
+    further = [f"further-{number}" for number in range(6)]
+    for name in further:
+        fleet.start_engine(name, "v2")
+    open_streams(fleet, 4.0, leave_share=0.0)
+    restart_all_daemons(fleet)
+    for name in further:
+        fleet.remove_engine(name)
+        fleet.incarnations[name].is_alive = False
+    open_streams(fleet, 5.0, leave_share=0.0)
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_stream_of_a_version_without_a_record_does_not_join_another(seed: int) -> None:
+    """Guards against a version that began streams before the store had its record."""
+    fleet = withdraw_unrecorded_version(seed)
+    assert fleet.tries["resumed"] >= MIN_RESUMED_STREAMS
+    assert fleet.mixed_streams == 0
--- a/tests/simulation/versioned_fleet.py
+++ b/tests/simulation/versioned_fleet.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, field, replace
+from typing import TypeGuard
 
 from tests.simulation.crashing_fleet import (
     EVENTS_PER_ANSWER,
@@ -17,7 +18,7 @@
     CallerRequest,
     CrashingFleet,
 )
-from tests.simulation.fleet import Daemon
+from tests.simulation.fleet import STORE_SECONDS, Daemon
 from troutswitch.common import Address
 from troutswitch.decisions.forwarding.messages import (
     AnswerBegun,
@@ -28,6 +29,8 @@
 from troutswitch.decisions.gateway_interface import GatewayEvent, GatewayInstruction
 from troutswitch.decisions.peers.catch_up import RequestPeerState
 from troutswitch.decisions.slots.messages import PeerMessageReceived
+from troutswitch.decisions.storage.messages import AppendRecords, CallFailed, StoreAnswered
+from troutswitch.decisions.streams.version_history import VERSIONS
 from troutswitch.outcomes import AttemptOutcome
 
 EVENT_SECONDS = 0.15
@@ -70,6 +73,8 @@
         self.tries: Counter[str] = Counter()
         """Tries that began a stream anew ("new") or resumed one ("resumed"), and those of each
         kind that brought an event ("new, served", "resumed, served")."""
+        self.refuses_version_records = False
+        """Whether the store refuses to append records of versions."""
         self.peer_messages: Counter[str] = Counter()
         """Messages sent between daemons, by type."""
         super().__init__(seed, daemons, engines)
@@ -109,10 +114,18 @@
 
     def execute(self, daemon: Daemon, instruction: GatewayInstruction) -> None:
         """Executes an instruction; an isolated daemon reads no state from its peers."""
+        if self._is_refused(instruction):
+            refused = StoreAnswered(instruction.call, CallFailed("refused", False))
+            self.step_later(daemon, refused, STORE_SECONDS)
+            return
         is_isolated = daemon.name in self.isolated_from_peers
         if not (is_isolated and isinstance(instruction, RequestPeerState)):
             super().execute(daemon, instruction)
 
+    def _is_refused(self, instruction: GatewayInstruction) -> TypeGuard[AppendRecords]:
+        is_record = isinstance(instruction, AppendRecords) and instruction.partition == VERSIONS
+        return is_record and self.refuses_version_records
+
     # Streams.
 
     def open_stream(self) -> StreamCaller:
