A daemon binds a stream to its version only where it can vouch for it

What callers could see: a resumed stream that goes on at another version, at a daemon that knows no peer and has an old list; or at another service, where a route has several.

Cause: without a known peer a daemon vouched for its single version whatever the age of its list, as if every stream had begun there. A daemon that has just started, or is cut off, knows no peer either. And the service of a resumption is drawn anew from those of its route; where each had one version, no origin was asked for, and the stream went on at the drawn one.

Change: the confirmation is asked of each daemon; an origin that is known here is the answer without it, so a daemon that is alone goes on with the streams that it began, also without the store. On a route with several services the origins go to their holders and are searched as in a mixed service.

Tests: test_daemon_that_knows_no_peer_does_not_vouch_for_an_old_list failed before. test_single_daemon_continues_every_stream_of_one_version expected that a daemon alone lets any stream on with a list of 9 s ago; it can't tell that from being cut off, so the test asks for the streams that it began, and for all others with a list of now. The tests of several services call a parameter that is new.

--- a/src/troutswitch/decisions/forwarding/attempts.py
+++ b/src/troutswitch/decisions/forwarding/attempts.py
@@ -87,6 +87,7 @@
                 request.service,
                 request.engine_version,
                 request.attempt,
+                is_only_service=request.route.has_one_service,
             )
         self._engines.on_first_token(request.engine_id, request.size)
         self._suspects.on_answered(now, request.engine_id, request.sent_at)
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -193,7 +193,13 @@
         request.state = RequestState.LOCATING
         self._open.add(request)
         arrival = request.arrival
-        located = self._origins.locate(now, arrival.token, arrival.resumed_id, request.service)
+        located = self._origins.locate(
+            now,
+            arrival.token,
+            arrival.resumed_id,
+            request.service,
+            is_only_service=request.route.has_one_service,
+        )
         return self.on_located(now, located) if located is not None else []
 
     def on_located(self, now: float, located: Located) -> Instructions:
--- a/src/troutswitch/decisions/forwarding/types.py
+++ b/src/troutswitch/decisions/forwarding/types.py
@@ -60,6 +60,11 @@
         """Whether batch jobs are submitted on this route."""
         return self.kind is RouteKind.JOBS
 
+    @property
+    def has_one_service(self) -> bool:
+        """Whether all requests go to one service."""
+        return len({backend.service for backend in self.backends}) == 1
+
     @property
     def is_repeatable(self) -> bool:
         """Whether a request may run more than once."""
--- a/src/troutswitch/decisions/streams/interface.py
+++ b/src/troutswitch/decisions/streams/interface.py
@@ -12,12 +12,27 @@
     """Which software version began which stream."""
 
     def on_begun(
-        self, now: float, request_id: str, service: str, version: str, attempt: int
+        self,
+        now: float,
+        request_id: str,
+        service: str,
+        version: str,
+        attempt: int,
+        *,
+        is_only_service: bool = True,
     ) -> None:
         """Records that an engine of a version began the answer to an attempt of a request."""
         ...
 
-    def locate(self, now: float, token: int, resumed_id: str, service: str) -> Located | None:
+    def locate(
+        self,
+        now: float,
+        token: int,
+        resumed_id: str,
+        service: str,
+        *,
+        is_only_service: bool = True,
+    ) -> Located | None:
         """Returns where a resumed stream may continue; None if that is decided later.
 
         Args:
@@ -25,6 +40,7 @@
             token: the request that resumes the stream.
             resumed_id: id of the request that brought its first event, or empty if unknown.
             service: the service chosen for the request.
+            is_only_service: whether its route has no other one.
         """
         ...
 
@@ -37,11 +53,26 @@
     """Implementation for a daemon whose engines run one version for as long as it serves."""
 
     def on_begun(
-        self, now: float, request_id: str, service: str, version: str, attempt: int
+        self,
+        now: float,
+        request_id: str,
+        service: str,
+        version: str,
+        attempt: int,
+        *,
+        is_only_service: bool = True,
     ) -> None:
         """Does nothing."""
 
-    def locate(self, now: float, token: int, resumed_id: str, service: str) -> Located | None:
+    def locate(
+        self,
+        now: float,
+        token: int,
+        resumed_id: str,
+        service: str,
+        *,
+        is_only_service: bool = True,
+    ) -> Located | None:
         """Returns that any engine may continue the stream."""
         return Located(token, ONE_VERSION)
 
--- a/src/troutswitch/decisions/streams/origins.py
+++ b/src/troutswitch/decisions/streams/origins.py
@@ -8,18 +8,19 @@
 
 Rule:
 
-1. While the stream's service has one version, and that is confirmed, the stream began at it, and no
+1. An origin that is known here is the answer.
+2. While the stream's service has one version, and that is confirmed, the stream began at it, and no
    message is sent. The stream is bound to this version, as others may be listed while it waits for
    an engine. If the version isn't confirmed within `CONFIRMATION_SECONDS`, the origin is unknown. A
    daemon that does not know which versions the service had before it started searches for the
-   origin as if the service were mixed.
-2. While the service is mixed, each daemon sends the origin of each stream to its `HOLDERS`: the
+   origin as if the service were mixed, and so does any daemon if the route has several services.
+3. While the service is mixed, each daemon sends the origin of each stream to its `HOLDERS`: the
    daemons that rank highest in the rendezvous order of the stream's key. When a service becomes
    mixed, the origins of the last `PUBLISHED_SECONDS` are sent, because the streams may still run.
-3. An origin that is not known here is requested from its holders. If none knows it within
+4. An origin that is not known here is requested from its holders. If none knows it within
    `REPLY_SECONDS`, all other peers are asked: the daemon that began the stream may know another set
    of peers, or not know yet that the service is mixed.
-4. If none of these knows it, the origin is unknown, and the stream does not continue.
+5. If none of these knows it, the origin is unknown, and the stream does not continue.
 
     (resumed)  -> located      its origin is known, or the service has one version
     (resumed)  -> CONFIRMING   one version is known, but it is not confirmed
@@ -117,7 +118,14 @@
     # Streams that began here.
 
     def on_begun(
-        self, now: float, request_id: str, service: str, version: str, attempt: int
+        self,
+        now: float,
+        request_id: str,
+        service: str,
+        version: str,
+        attempt: int,
+        *,
+        is_only_service: bool = True,
     ) -> None:
         """Records that an engine began the answer to a request, and tells the holders."""
         if not request_id:
@@ -125,7 +133,7 @@
         stream = stream_key(request_id)
         origin = StreamOrigin(service_key(service), version_key(version), attempt)
         self.records.add(now, stream, origin, is_own=True)
-        if self._versions.is_mixed(now, service):
+        if self._versions.is_mixed(now, service) or not is_only_service:
             self._publish([(stream, origin)])
 
     def _publish(self, origins: list[tuple[int, StreamOrigin]]) -> None:
@@ -153,7 +161,15 @@
 
     # Streams that are resumed here.
 
-    def locate(self, now: float, token: int, resumed_id: str, service: str) -> Located | None:
+    def locate(
+        self,
+        now: float,
+        token: int,
+        resumed_id: str,
+        service: str,
+        *,
+        is_only_service: bool = True,
+    ) -> Located | None:
         """Returns where a stream may continue; None if that is decided later.
 
         Args:
@@ -161,12 +177,16 @@
             token: the request that resumes the stream.
             resumed_id: id of the request that brought its first event, or empty if unknown.
             service: the service chosen for the request.
+            is_only_service: whether its route has no other one.
         """
+        known = self.records.find(now, stream_key(resumed_id)) if resumed_id else None
+        if known is not None:
+            return Located(token, known)
         search = _Search(token, service, resumed_id, now + CONFIRMATION_SECONDS)
-        is_mixed = self._versions.is_mixed(now, service)
+        is_mixed = self._versions.is_mixed(now, service) or not is_only_service
         if is_mixed or not self._versions.knows_past_of(now, service):
             return self._search(now, search)
-        if self._is_confirmed(now):
+        if self._versions.is_confirmed(now):
             return Located(token, self._only_origin(now, service))
         self._searches[token] = search
         return None
@@ -178,13 +198,6 @@
             return None
         return StreamOrigin(service_key(service), version, UNKNOWN_ATTEMPT)
 
-    def _is_confirmed(self, now: float) -> bool:
-        """Returns whether no other daemon can have begun a stream at another version.
-
-        Without peers, every stream began here.
-        """
-        return self._versions.is_confirmed(now) or not self._peers()
-
     def _search(self, now: float, search: _Search) -> Located | None:
         if not search.resumed_id:
             return self._end(search, None, "")
@@ -284,7 +297,7 @@
         """Continues a search whose service changed, or whose time is over."""
         if not search.number and self._versions.is_mixed(now, search.service):
             return self._search(now, search)
-        if not search.number and self._is_confirmed(now):
+        if not search.number and self._versions.is_confirmed(now):
             return self._end(search, self._only_origin(now, search.service), "here")
         if now < search.due_at:
             return None
--- a/tests/decisions/forwarding/test_stream_versions.py
+++ b/tests/decisions/forwarding/test_stream_versions.py
@@ -5,7 +5,13 @@
 
 import pytest
 
-from tests.decisions.forwarding.harness import ForwardingHarness, arrival, engine
+from tests.decisions.forwarding.harness import (
+    ForwardingHarness,
+    arrival,
+    configuration,
+    engine,
+    route,
+)
 from troutswitch.common import Address
 from troutswitch.daemons.identity import DaemonIdentity
 from troutswitch.decisions.forwarding.messages import (
@@ -15,6 +21,7 @@
     SendRequest,
 )
 from troutswitch.decisions.forwarding.requests import ForwardedRequests
+from troutswitch.decisions.forwarding.types import Backend
 from troutswitch.decisions.streams.interface import NoOrigins, Origins
 from troutswitch.decisions.streams.origin_records import ONE_VERSION, Located, StreamOrigin
 from troutswitch.decisions.streams.origins import OriginSearches
@@ -37,13 +44,31 @@
         self.location = location
         self.begun: list[tuple[str, str, int]] = []
         self.withdrawn: list[int] = []
+        self.have_one_service: list[bool] = []
 
     def on_begun(
-        self, now: float, request_id: str, service: str, version: str, attempt: int
+        self,
+        now: float,
+        request_id: str,
+        service: str,
+        version: str,
+        attempt: int,
+        *,
+        is_only_service: bool = True,
     ) -> None:
         self.begun.append((request_id, version, attempt))
-
-    def locate(self, now: float, token: int, resumed_id: str, service: str) -> Located | None:
+        self.have_one_service.append(is_only_service)
+
+    def locate(
+        self,
+        now: float,
+        token: int,
+        resumed_id: str,
+        service: str,
+        *,
+        is_only_service: bool = True,
+    ) -> Located | None:
+        self.have_one_service.append(is_only_service)
         return self.location
 
     def withdraw(self, token: int) -> None:
@@ -225,3 +250,18 @@
     streams.requests.on_answer_begun(10.1, AnswerBegun(TOKEN, 1, None))
     expected = [] if resumed else [(f"id-{TOKEN}", sent.engine_version, 1)]
     assert streams.origins.begun == expected
+
+
+@pytest.mark.parametrize("services", [("s",), ("s", "s"), ("s", "other")])
+def test_origins_are_told_whether_the_route_has_several_services(services: tuple[str, ...]) -> None:
+    streams = Streams(Located(TOKEN, V1))
+    backends = tuple(Backend(service, 1.0) for service in services)
+    split = replace(route(), backends=backends)
+    streams.routes.replace(configuration(2, split))
+    streams.resume(10.0)
+    for token in range(TOKEN + 1, 20):
+        sent = streams.arrive(10.0, arrival(token))
+        if isinstance(sent, SendRequest):
+            streams.requests.on_answer_begun(10.1, AnswerBegun(token, 1, None))
+    assert len(streams.origins.have_one_service) > 1
+    assert set(streams.origins.have_one_service) == {len(set(services)) == 1}
--- a/tests/decisions/streams/test_origins.py
+++ b/tests/decisions/streams/test_origins.py
@@ -189,11 +189,36 @@
     assert daemon.searches.locate(0.1, 5, "first", SERVICE) == Located(5, None)
 
 
-def test_single_daemon_continues_every_stream_of_one_version() -> None:
+def test_single_daemon_continues_the_streams_that_it_began_without_confirmation() -> None:
     daemon = Daemon("d-1", "v1", peers=())
-    assert daemon.searches.locate(9.0, 5, "first", SERVICE) == Located(
-        5, origin("v1", UNKNOWN_ATTEMPT)
-    )
+    daemon.searches.on_begun(0.0, "first", SERVICE, "v1", 1)
+    assert daemon.searches.locate(9.0, 5, "first", SERVICE) == Located(5, origin("v1"))
+    daemon.list_versions(9.0, "v1")
+    bound = Located(6, origin("v1", UNKNOWN_ATTEMPT))
+    assert daemon.searches.locate(9.0, 6, "of another process", SERVICE) == bound
+
+
+def test_daemon_that_knows_no_peer_does_not_vouch_for_an_old_list() -> None:
+    """Guards against a cut-off daemon that takes itself for the only one."""
+    daemon = Daemon("d-1", "v1", peers=())
+    assert daemon.searches.locate(9.0, 5, "first", SERVICE) is None
+    end = 9.0 + CONFIRMATION_SECONDS
+    assert list(daemon.searches.on_timer(end)) == [Located(5, None)]
+
+
+def test_origin_is_searched_if_the_route_has_several_services() -> None:
+    """Guards against a stream that goes on at another service than the one that began it."""
+    fleet = Fleet("v1")
+    begun, resumed = fleet.daemons["d-0"].searches, fleet.daemons["d-1"].searches
+    assert resumed.locate(0.0, 4, "unknown", "other", is_only_service=False) is None
+    fleet.deliver(0.0)
+    assert fleet.located == [Located(4, None)]
+    begun.on_begun(0.0, "first", SERVICE, "v1", 1, is_only_service=False)
+    fleet.deliver(0.0)
+    del fleet.daemons["d-0"]
+    located = resumed.locate(0.1, 5, "first", "other", is_only_service=False)
+    fleet.deliver(0.1)
+    assert [located, *fleet.located][-1] == Located(5, origin("v1"))
 
 
 def test_later_attempt_of_a_request_replaces_its_origin() -> None:
