Engines with an empty version do not count as one version

What callers could see: a stream that goes on at another version, where the entries of engines state an empty one. Found by reading, not seen in a play.

Cause: an entry may state an empty text (an entry without the field is malformed and not used), and all such engines counted as one version.

Change: such an engine has a version of its own, its id, so a stream that it began goes on there or ends. Batch items that it ran start again elsewhere.

The test failed before.

--- a/src/troutswitch/platform/configuration.py
+++ b/src/troutswitch/platform/configuration.py
@@ -215,7 +215,8 @@
     """Decodes the record of the engine whose id on the platform is `instance`.
 
     Other programs may write to the engine list. An entry that lacks a required field, or whose
-    fields have other types or values, does not describe an engine.
+    fields have other types or values, does not describe an engine. An engine that states an empty
+    version gets one of its own, as nothing shows that two such engines run the same.
 
     Raises:
         FormatError: the record is malformed.
@@ -227,15 +228,16 @@
         address = msgspec.convert(Address.parse(decoded.address), Address)
     except (msgspec.DecodeError, ValueError) as error:
         raise FormatError(f"engine {instance}: {error}") from error
+    engine_id = incarnation_id(instance, decoded.born)
     return EngineRecord(
-        incarnation_id(instance, decoded.born),
+        engine_id,
         decoded.service,
         address,
         decoded.zone,
         decoded.slots,
         decoded.state == DRAINING,
         instance,
-        str(decoded.version),
+        str(decoded.version) or engine_id,
     )
 
 
--- a/tests/platform/test_engine_entries.py
+++ b/tests/platform/test_engine_entries.py
@@ -127,3 +127,10 @@
     for name in ("i-1", "i@1", "i@", "@", "i@1@2"):
         assert instance_id(incarnation_id(name, None)) == name
         assert instance_id(incarnation_id(name, 1700000000000)) == name
+
+
+def test_engines_with_an_empty_version_do_not_count_as_one_version() -> None:
+    """Guards against a stream that goes on at another version because both are unnamed."""
+    first, second = (decode_engine(name, entry(version="")) for name in ("i-1", "i-2"))
+    assert first.version != second.version
+    assert decode_engine("i-1", entry(version="v1")).version == "v1"
