--- a/tests/decisions/forwarding/test_stream_versions.py
+++ b/tests/decisions/forwarding/test_stream_versions.py
@@ -5,7 +5,15 @@
 
 import pytest
 
-from tests.decisions.forwarding.harness import ForwardingHarness, arrival, engine
+from tests.decisions.forwarding.harness import (
+    ForwardingHarness,
+    arrival,
+    configuration,
+    engine,
+    route,
+)
+from troutswitch.common import Address
+from troutswitch.daemons.identity import DaemonIdentity
 from troutswitch.decisions.forwarding.messages import (
     AnswerBegun,
     CallerGone,
@@ -13,9 +21,16 @@
     SendRequest,
 )
 from troutswitch.decisions.forwarding.requests import ForwardedRequests
-from troutswitch.decisions.streams.interface import NoOrigins
+from troutswitch.decisions.forwarding.types import Backend
+from troutswitch.decisions.streams.interface import NoOrigins, Origins
 from troutswitch.decisions.streams.origin_records import ONE_VERSION, Located, StreamOrigin
-from troutswitch.decisions.streams.versions import ACTIVATION_SECONDS, service_key, version_key
+from troutswitch.decisions.streams.origins import OriginSearches
+from troutswitch.decisions.streams.versions import (
+    ACTIVATION_SECONDS,
+    MIXED_SECONDS,
+    service_key,
+    version_key,
+)
 from troutswitch.outcomes import AttemptOutcome, Cut, NotRun
 
 TOKEN = 1
@@ -29,13 +44,31 @@
         self.location = location
         self.begun: list[tuple[str, str, int]] = []
         self.withdrawn: list[int] = []
+        self.have_one_service: list[bool] = []
 
     def on_begun(
-        self, now: float, request_id: str, service: str, version: str, attempt: int
+        self,
+        now: float,
+        request_id: str,
+        service: str,
+        version: str,
+        attempt: int,
+        *,
+        is_only_service: bool = True,
     ) -> None:
         self.begun.append((request_id, version, attempt))
-
-    def locate(self, now: float, token: int, resumed_id: str, service: str) -> Located | None:
+        self.have_one_service.append(is_only_service)
+
+    def locate(
+        self,
+        now: float,
+        token: int,
+        resumed_id: str,
+        service: str,
+        *,
+        is_only_service: bool = True,
+    ) -> Located | None:
+        self.have_one_service.append(is_only_service)
         return self.location
 
     def withdraw(self, token: int) -> None:
@@ -48,16 +81,19 @@
     def __init__(self, location: Located | None = None, v1: int = 3, v2: int = 3) -> None:
         super().__init__()
         self.origins = ScriptedOrigins(location)
-        self.requests = ForwardedRequests(
+        self.requests = self.forwarding(self.origins)
+        self.list_engines(0.0, v1, v2)
+
+    def forwarding(self, origins: Origins) -> ForwardedRequests:
+        return ForwardedRequests(
             "z",
             self.routes,
             self.engines,
             random.Random(1),
             "prefix_aware",
             "defer_late",
-            origins=self.origins,
+            origins=origins,
         )
-        self.list_engines(0.0, v1, v2)
 
     def list_engines(self, now: float, v1: int, v2: int) -> None:
         names = [(f"v1-{n}", "v1") for n in range(v1)] + [(f"v2-{n}", "v2") for n in range(v2)]
@@ -98,10 +134,34 @@
         assert (sent.engine_version, sent.resume_after) == ("v1", "3")
 
 
-def test_resumed_stream_of_a_service_with_one_version_is_sent_to_any_engine() -> None:
+def test_resumed_stream_is_sent_to_any_engine_if_no_origins_are_kept() -> None:
     assert isinstance(Streams(Located(TOKEN, ONE_VERSION)).resume(10.0), SendRequest)
 
 
+def test_resumed_stream_that_waits_is_not_sent_to_a_version_that_is_listed_later() -> None:
+    """Guards against streams that joined two versions after a kill of all daemons."""
+    streams = Streams(v1=1, v2=0)
+    streams.requests = streams.forwarding(
+        OriginSearches(
+            DaemonIdentity("d-1", "z", Address("10.0.0.1", 1), 7),
+            streams.engines.versions,
+            dict,
+            lambda instruction: None,
+            lambda event, **fields: None,
+        )
+    )
+    streams.list_engines(2 * MIXED_SECONDS, 1, 0)  # the harness's own engines are forgotten
+    now = 4 * MIXED_SECONDS
+    streams.list_engines(now, 1, 0)
+    sent = streams.resume(now + 0.1)
+    assert isinstance(sent, SendRequest)
+    assert streams.end(now + 0.2, sent, AttemptOutcome.CUT) is None
+    streams.list_engines(now + 0.3, 1, 3)
+    again = streams.only_instruction(streams.requests.on_timer(now + 0.4))
+    assert isinstance(again, SendRequest)
+    assert again.engine_version == "v1"
+
+
 def test_resumed_stream_of_unknown_origin_is_refused_at_once() -> None:
     refused = Streams(Located(TOKEN, None)).resume(10.0)
     assert isinstance(refused, FinishRequest)
@@ -190,3 +250,18 @@
     streams.requests.on_answer_begun(10.1, AnswerBegun(TOKEN, 1, None))
     expected = [] if resumed else [(f"id-{TOKEN}", sent.engine_version, 1)]
     assert streams.origins.begun == expected
+
+
+@pytest.mark.parametrize("services", [("s",), ("s", "s"), ("s", "other")])
+def test_origins_are_told_whether_the_route_has_several_services(services: tuple[str, ...]) -> None:
+    streams = Streams(Located(TOKEN, V1))
+    backends = tuple(Backend(service, 1.0) for service in services)
+    split = replace(route(), backends=backends)
+    streams.routes.replace(configuration(2, split))
+    streams.resume(10.0)
+    for token in range(TOKEN + 1, 20):
+        sent = streams.arrive(10.0, arrival(token))
+        if isinstance(sent, SendRequest):
+            streams.requests.on_answer_begun(10.1, AnswerBegun(token, 1, None))
+    assert len(streams.origins.have_one_service) > 1
+    assert set(streams.origins.have_one_service) == {len(set(services)) == 1}
