Answers at an engine's health path are bounded in bytes and work

Seen: an engine that sends interim answers (100 Continue) without end kept its caller's thread busy until the time-out: 11,337,214 bytes were received and decoded within one second. The timer that ended the call was a thread of its own for each health request.

Cause: the call was bounded in time alone; `http.client` decodes any number of interim answers.

Change: `runtime/bounded_connection.py`, an HTTP connection whose answers have an absolute deadline, a largest head (64 KiB, interim answers included) and a largest body. Health requests use it; the timer thread is gone.

--- a/src/troutswitch/gateway/engines/health_request.py
+++ b/src/troutswitch/gateway/engines/health_request.py
@@ -1,14 +1,11 @@
 """Asks an engine at its health path for its pace."""
 
-import contextlib
 import http.client
-import socket
-import threading
-from collections.abc import Iterator
 
 from troutswitch.decisions.slots.messages import HealthAnswered, HealthResult, RequestHealth
 from troutswitch.platform.engine_ids import instance_id
 from troutswitch.platform.requests import read_health
+from troutswitch.runtime.bounded_connection import BoundedConnection
 
 HEALTH_TIMEOUT_SECONDS = 0.5
 """Timeout of the connection, and of the response from then on. Engines reply immediately."""
@@ -16,16 +13,12 @@
 
 def request_health(request: RequestHealth) -> HealthAnswered:
     """Sends one request on a connection of its own, and reads the head of the response."""
-    connection = http.client.HTTPConnection(
-        request.address.host, request.address.port, timeout=HEALTH_TIMEOUT_SECONDS
-    )
+    connection = BoundedConnection(request.address, HEALTH_TIMEOUT_SECONDS, max_body_bytes=0)
     try:
         connection.connect()
-        with _shut_down_after(HEALTH_TIMEOUT_SECONDS, connection.sock) as expired:
-            connection.request("GET", request.path, headers={"Connection": "close"})
-            health = read_health(connection.getresponse())
-        if expired.is_set():  # the head may have been cut off
-            return HealthAnswered(request.engine_id, HealthResult.FAILED)
+        connection.limit_call(HEALTH_TIMEOUT_SECONDS, HEALTH_TIMEOUT_SECONDS)
+        connection.request("GET", request.path, headers={"Connection": "close"})
+        health = read_health(connection.getresponse())
     except (OSError, http.client.HTTPException, ValueError):
         return HealthAnswered(request.engine_id, HealthResult.FAILED)
     finally:
@@ -35,26 +28,3 @@
     if health.load is None or health.load.pace_percent is None:
         return HealthAnswered(request.engine_id, HealthResult.NO_PACE)
     return HealthAnswered(request.engine_id, HealthResult.PACE, health.load.pace_percent)
-
-
-@contextlib.contextmanager
-def _shut_down_after(seconds: float, connected: socket.socket) -> Iterator[threading.Event]:
-    """Ends all reads of a socket after some time, and sets the event before it does.
-
-    The socket's own timeout starts again with each byte, so an engine that sends its head slowly
-    would occupy the calling thread without a bound.
-    """
-    expired = threading.Event()
-
-    def shut_down() -> None:
-        expired.set()
-        with contextlib.suppress(OSError):  # closed or disconnected meanwhile
-            connected.shutdown(socket.SHUT_RDWR)
-
-    timer = threading.Timer(seconds, shut_down)
-    timer.daemon = True
-    timer.start()
-    try:
-        yield expired
-    finally:
-        timer.cancel()
--- a/tests/gateway/engines/test_health_request.py
+++ b/tests/gateway/engines/test_health_request.py
@@ -1,10 +1,17 @@
 """Health requests to engines, with real sockets."""
 
 import socket
+import threading
 import time
 
 import pytest
 
+from tests.endless_bytes import (
+    ENDLESS_BODIES,
+    ENDLESS_HEADS,
+    count_received_bytes,
+    endless_server,
+)
 from tests.gateway.raw_server import RawServer
 from troutswitch.common import Address
 from troutswitch.decisions.slots.messages import HealthAnswered, HealthResult, RequestHealth
@@ -13,6 +20,9 @@
 from troutswitch.platform import names
 
 ENGINE = "engine-7@1700"
+MAX_READ_BYTES = 1 << 17
+"""Twice the size of a read: more than any sound head."""
+received = pytest.fixture(count_received_bytes)
 
 
 def ask(address: Address, path: str = "/health") -> HealthAnswered:
@@ -90,3 +100,33 @@
     with socket.create_server(("127.0.0.1", 0)) as listener:
         address = Address("127.0.0.1", listener.getsockname()[1])
         assert ask(address, "/he alth\r\nX: y").result is HealthResult.FAILED
+
+
+@pytest.mark.parametrize("kind", ENDLESS_HEADS)
+def test_endless_head_fails_after_a_bounded_number_of_bytes(
+    kind: str, received: list[int], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an engine that keeps a processor busy with heads until the time-out."""
+    monkeypatch.setattr(health_request, "HEALTH_TIMEOUT_SECONDS", 1.0)
+    assert ask(endless_server(ENDLESS_HEADS[kind]).address).result is HealthResult.FAILED
+    assert sum(received) <= MAX_READ_BYTES
+
+
+@pytest.mark.parametrize("kind", ENDLESS_BODIES)
+def test_endless_body_is_not_read(kind: str, received: list[int]) -> None:
+    ask(endless_server(ENDLESS_BODIES[kind]).address)
+    assert sum(received) <= MAX_READ_BYTES
+
+
+def test_health_request_starts_no_thread(monkeypatch: pytest.MonkeyPatch) -> None:
+    started: list[threading.Thread] = []
+    start = threading.Thread.start
+
+    def recorded(thread: threading.Thread) -> None:
+        started.append(thread)
+        start(thread)
+
+    headers = {names.INSTANCE_ID: "engine-7", names.SERVER_LOAD: "1,2,8,137"}
+    monkeypatch.setattr(threading.Thread, "start", recorded)
+    assert ask_server(headers).result is HealthResult.PACE
+    assert not [thread for thread in started if isinstance(thread, threading.Timer)]
