Answers of the store are bounded in time, size and work

Seen: a call to a store that answers without end did not end. The tests, run on the code before for 100 s, had not ended.

Cause: each byte started the time-out again, interim answers and trailers were read without a limit, and a body was read whole into memory, whatever its length.

Change: the pool's connections are bounded ones. A body has 8 MiB at most, the deadline is the call's time-out and `MISSING_OUTCOME_SECONDS`, at which the followers count a read without an outcome as failed in any case. Each wait for bytes has the time-out that it had.

Measured: with limits of 1 MiB and 1.0 s, calls end as failed in each of 15 kinds of endless answers and two of single bytes, after 1.2 MB at most. tests/platform and tests/runtime pass.

--- a/src/troutswitch/platform/store.py
+++ b/src/troutswitch/platform/store.py
@@ -36,6 +36,7 @@
     StoreCall,
     StoreOutcome,
 )
+from troutswitch.decisions.storage.read_attempts import MISSING_OUTCOME_SECONDS
 from troutswitch.platform.names import CONFIGURATION_TOPIC, SERVERS_TOPIC, TOPIC_PREFIX
 from troutswitch.runtime.connection_pool import ConnectionPool
 
@@ -48,6 +49,12 @@
 NOT_SENT = -1
 """Pseudo status of a call that was not sent."""
 
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Largest body of an answer: a read or a page has about 1 MiB, or one record that is larger."""
+TRANSFER_SECONDS = MISSING_OUTCOME_SECONDS
+"""Time for an answer beyond its time-out, which bounds each wait for bytes: a slow store shares its
+rate among all reads. A read without an outcome counts as failed by then."""
+
 TOPICS = {"configuration": CONFIGURATION_TOPIC, "servers": SERVERS_TOPIC}
 """Names of the platform's own topics, by the product's names."""
 
@@ -139,7 +146,9 @@
     def __init__(
         self, address: Address, on_suspects_closed: Callable[[int], None] = _ignore
     ) -> None:
-        self.connections = ConnectionPool(address, on_suspects_closed)
+        self.connections = ConnectionPool(
+            address, on_suspects_closed, max_body_bytes=MAX_ANSWER_BYTES
+        )
 
     def call(self, call: StoreCall) -> StoreOutcome:
         """Makes a call and returns its outcome; a failure is an outcome, not an exception."""
@@ -286,10 +295,10 @@
             self.connections.discard(pooled, error)
             return NOT_SENT, str(error).encode()
         try:
-            connection.sock.settimeout(timeout)
+            connection.limit_call(timeout, timeout + TRANSFER_SECONDS)
             connection.request(method, url, body, headers)
             response = connection.getresponse()
-            content = response.read()
+            content = connection.read_body(response)
         except (OSError, http.client.HTTPException, ValueError) as error:
             self.connections.discard(pooled, error)
             return NO_ANSWER, f"{type(error).__name__}: {error}".encode()
--- a/src/troutswitch/runtime/connection_pool.py
+++ b/src/troutswitch/runtime/connection_pool.py
@@ -10,7 +10,6 @@
 slow or unreachable, and affects no other connection.
 """
 
-import http.client
 import socket
 import threading
 from collections import deque
@@ -20,6 +19,7 @@
 
 from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
+from troutswitch.runtime.bounded_connection import BoundedConnection
 from troutswitch.runtime.readiness import is_readable
 from troutswitch.runtime.silence import bound_silence
 
@@ -37,7 +37,7 @@
     seconds of the process's steady clock.
     """
 
-    connection: http.client.HTTPConnection
+    connection: BoundedConnection
     last_seen_at: float = float("-inf")
     sent_at: float = field(default_factory=steady_seconds)
     is_long_poll: bool = False
@@ -76,12 +76,18 @@
         address: address of the peer.
         on_suspects_closed: called with the number of connections that were closed because another
             one timed out.
+        max_body_bytes: size of the largest body that is read.
     """
 
     def __init__(
-        self, address: Address, on_suspects_closed: Callable[[int], None] = _ignore
+        self,
+        address: Address,
+        on_suspects_closed: Callable[[int], None] = _ignore,
+        *,
+        max_body_bytes: int,
     ) -> None:
         self._address = address
+        self._max_body_bytes = max_body_bytes
         self._on_suspects_closed = on_suspects_closed
         self._idle: deque[PooledConnection] = deque()
         self._in_use: list[PooledConnection] = []
@@ -108,9 +114,7 @@
 
     def _new(self) -> PooledConnection:
         return PooledConnection(
-            http.client.HTTPConnection(
-                self._address.host, self._address.port, timeout=CONNECT_TIMEOUT_SECONDS
-            )
+            BoundedConnection(self._address, CONNECT_TIMEOUT_SECONDS, self._max_body_bytes)
         )
 
     def release(self, pooled: PooledConnection) -> None:
