Standalone: answers of engines and services are bounded in time, size and work

Seen: with an engine that sends single bytes, or lines that are no pieces, without end, an attempt had not ended after 15 s, with a time limit of 1 s.

Cause: the time limit was the socket's time-out, which each byte started again; bodies were read whole whatever their length.

Change: `EngineStream` and `ThreadLocalConnections` use bounded connections. Lines of a stream that are no pieces count as work.

--- a/src/troutswitch/runtime/bounded_connection.py
+++ b/src/troutswitch/runtime/bounded_connection.py
@@ -67,6 +67,10 @@
         self.sock.settimeout(wait_seconds)
         self._limits = ReadLimits(wait_seconds, steady_seconds() + total_seconds, 0)
 
+    def spend(self, steps: int) -> None:
+        """Counts steps of decoding an answer, and waits if there were too many for its bytes."""
+        self._limits.pace.spend(steps)
+
     def getresponse(self) -> http.client.HTTPResponse:
         """Reads the head of an answer.
 
--- a/src/troutswitch/runtime/work_pace.py
+++ b/src/troutswitch/runtime/work_pace.py
@@ -23,6 +23,8 @@
 """Received bytes that pay for one step: answers in chunks of this size are read without a pause."""
 MIN_PAUSE_SECONDS = 0.01
 """Shortest pause: bytes must have time to accumulate, or pauses would cost more than reads."""
+MAX_PAUSE_SECONDS = 0.1
+"""Longest pause: a thread must notice soon that its deadline is over. The next step waits again."""
 
 
 class WorkPace:
@@ -55,7 +57,8 @@
             return
         self._refill()
         if self._available < 0:
-            self._sleep(max(MIN_PAUSE_SECONDS, -self._available / STEPS_PER_SECOND))
+            debt_seconds = -self._available / STEPS_PER_SECOND
+            self._sleep(min(MAX_PAUSE_SECONDS, max(MIN_PAUSE_SECONDS, debt_seconds)))
             self._refill()
 
     def _refill(self) -> None:
--- a/src/troutswitch/standalone/engines/client.py
+++ b/src/troutswitch/standalone/engines/client.py
@@ -11,6 +11,7 @@
 
 from troutswitch.common import Address
 from troutswitch.outcomes import AttemptOutcome
+from troutswitch.runtime.bounded_connection import READ_BYTES, BoundedConnection
 from troutswitch.standalone.decisions.events import EngineLoad
 from troutswitch.standalone.engines.assembler import BrokenStream
 from troutswitch.standalone.engines.protocol import (
@@ -26,7 +27,8 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 LOAD_TIMEOUT_SECONDS = 1.0
 MAX_LINE_BYTES = 1 << 20
-READ_BYTES = 1 << 16
+MAX_STREAM_BYTES = 1 << 26
+"""Longest stream that is read: some 100 bytes for each of 500,000 tokens."""
 DATA_PREFIX = b"data: "
 PIECE_DECODER = msgspec.json.Decoder(Piece)
 ENGINE_CANCELLED = "cancelled"
@@ -48,7 +50,7 @@
     return AttemptOutcome.CANCELLED if error.reason == ENGINE_CANCELLED else AttemptOutcome.CUT
 
 
-class _StreamConnection(http.client.HTTPConnection):
+class _StreamConnection(BoundedConnection):
     """Requests HTTP/1.0, so that the response ends with the connection and is not chunked.
 
     Reading a token then takes one call less per layer. A cut stream is still detected, because the
@@ -60,12 +62,15 @@
 
 
 class EngineStream:
-    """One attempt on one engine, read piece by piece."""
+    """One attempt on one engine, read piece by piece.
+
+    Args:
+        address: the engine.
+        time_limit: time in seconds in which the stream must end, from the connection on.
+    """
 
     def __init__(self, address: Address, time_limit: float) -> None:
-        self._connection = _StreamConnection(
-            address.host, address.port, timeout=CONNECT_TIMEOUT_SECONDS
-        )
+        self._connection = _StreamConnection(address, CONNECT_TIMEOUT_SECONDS, MAX_STREAM_BYTES)
         self._time_limit = max(0.05, time_limit)
         self._response: http.client.HTTPResponse | None = None
         self.is_leaving = False
@@ -82,8 +87,8 @@
         except OSError as error:
             raise StreamFailed(AttemptOutcome.UNREACHABLE, str(error)) from error
         sock: socket.socket = self._connection.sock
-        sock.settimeout(self._time_limit)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._connection.limit_call(self._time_limit, self._time_limit)
         headers = {"Content-Type": "application/json"}
         try:
             self._connection.request("POST", "/v1/completions", body, headers)
@@ -96,7 +101,7 @@
             raise StreamFailed(AttemptOutcome.CUT, f"{type(error).__name__}: {error}") from error
 
     def _raise_refusal(self, response: http.client.HTTPResponse) -> None:
-        body = response.read()
+        body = self._connection.read_body(response)
         try:
             refusal = msgspec.json.decode(body, type=Refusal)
         except msgspec.DecodeError:
@@ -126,6 +131,8 @@
                 pieces = [
                     PIECE_DECODER.decode(line[6:]) for line in lines if line[:6] == DATA_PREFIX
                 ]
+                # Each piece is followed by a blank line; other lines are work for nothing.
+                self._connection.spend(max(0, len(lines) - 2 * len(pieces)))
                 if pieces:
                     yield pieces
                     if pieces[-1].done:
--- a/src/troutswitch/standalone/runtime/http_client.py
+++ b/src/troutswitch/standalone/runtime/http_client.py
@@ -4,8 +4,14 @@
 import threading
 
 from troutswitch.common import Address
+from troutswitch.runtime.bounded_connection import BoundedConnection
 from troutswitch.runtime.http import JSON_TYPE
 
+MAX_ANSWER_BYTES = 1 << 26
+"""Largest body of an answer: a page of the log, or a list of machines."""
+TRANSFER_SECONDS = 5.0
+"""Time for an answer beyond its time-out, which bounds each wait for bytes."""
+
 
 class HttpError(Exception):
     """A call was not answered; `was_sent` is whether it may have run."""
@@ -16,7 +22,11 @@
 
 
 class ThreadLocalConnections:
-    """Persistent connections, a separate set for each thread."""
+    """Persistent connections, a separate set for each thread.
+
+    Args:
+        timeout_seconds: timeout of connecting, and of each wait for bytes.
+    """
 
     def __init__(self, timeout_seconds: float) -> None:
         self._timeout = timeout_seconds
@@ -42,21 +52,20 @@
             if connection.sock is None:
                 connection.connect()
             was_sent = True
+            connection.limit_call(self._timeout, self._timeout + TRANSFER_SECONDS)
             connection.request(method, path, body, headers)
             response = connection.getresponse()
-            return response.status, response.read()
+            return response.status, connection.read_body(response)
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             raise HttpError(f"{type(error).__name__}: {error}", was_sent) from error
 
-    def _connection(self, address: Address) -> http.client.HTTPConnection:
-        connections: dict[Address, http.client.HTTPConnection] | None
+    def _connection(self, address: Address) -> BoundedConnection:
+        connections: dict[Address, BoundedConnection] | None
         connections = getattr(self._local, "connections", None)
         if connections is None:
             connections = {}
             self._local.connections = connections
         if address not in connections:
-            connections[address] = http.client.HTTPConnection(
-                address.host, address.port, timeout=self._timeout
-            )
+            connections[address] = BoundedConnection(address, self._timeout, MAX_ANSWER_BYTES)
         return connections[address]
