Blank lines and short lines of a stream cost no more than their bytes

Seen (trials on the splitter alone): 64 KiB of blank lines took 1.0 s of processor, 128 KiB 4.0 s, 256 KiB 16.9 s; a stream may bring 4 MiB of them before it fails. An event of 4 MiB in short lines took 69 MB while it was decoded.

Cause: each two blank lines before an event copied all blank lines before them; an event was split into a list of all its lines.

Change: blank lines in a row have at most 1,024 bytes, beyond that the stream is lost. Fields are found in place, without the other lines.

--- a/src/troutswitch/gateway/engines/event_stream.py
+++ b/src/troutswitch/gateway/engines/event_stream.py
@@ -11,8 +11,12 @@
 
 MAX_EVENT_BYTES = 4 * 1024 * 1024
 """Longest event of a stream that is forwarded."""
+MAX_BLANK_BYTES = 1024
+"""Most bytes of blank lines in a row; the standard needs one line."""
 
-_LINE_END = re.compile(rb"\r\n|\n|\r")
+_FIELD = re.compile(rb"(?:\A|(?<=[\r\n]))(id|data)(?::\x20?([^\r\n]*))?(?=[\r\n]|\Z)")
+"""A line with an id or data, and its value; other lines have no meaning here."""
+_NOT_BLANK = re.compile(rb"\S")
 _BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
 """The end of a line and a blank line, which end an event."""
 _CERTAIN_BLANK_LINE = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r(?!\Z))")
@@ -75,7 +79,8 @@
         """Returns the events that `data` completes.
 
         Raises:
-            EventStreamError: an event is too long, has no valid id, or is out of sequence.
+            EventStreamError: an event is too long, has no valid id, or is out of sequence, or
+                there are too many blank lines.
         """
         self._rest += data
         events = self._split(_CERTAIN_BLANK_LINE)
@@ -101,10 +106,11 @@
         begin = 0
         while (match := end.search(self._rest, max(begin, self._searched))) is not None:
             self._searched = match.end()
-            raw = bytes(self._rest[begin : match.end()])
-            if raw.strip():
-                events.append(self._event(raw))
+            if _NOT_BLANK.search(self._rest, begin, match.end()):
+                events.append(self._event(bytes(self._rest[begin : match.end()])))
                 begin = match.end()
+            elif match.end() - begin > MAX_BLANK_BYTES:
+                raise EventStreamError("too many blank lines")
         del self._rest[:begin]
         self._searched = max(0, len(self._rest) - _BLANK_LINE_BYTES + 1)
         return events
@@ -112,12 +118,11 @@
     def _event(self, raw: bytes) -> StreamEvent:
         event_id = b""
         data: list[bytes] = []
-        for line in _LINE_END.split(raw):
-            name, _, value = line.partition(b":")
-            value = value.removeprefix(b" ")
+        for field in _FIELD.finditer(raw):
+            name, value = field.groups(b"")
             if name == b"id":
                 event_id = value
-            elif name == b"data":
+            else:
                 data.append(value)
         self.last_id = self._next_id(event_id.decode("latin-1"))
         return StreamEvent(raw, self.last_id, b"\n".join(data))
--- a/tests/gateway/engines/test_event_stream.py
+++ b/tests/gateway/engines/test_event_stream.py
@@ -1,10 +1,17 @@
 import itertools
+import tracemalloc
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from troutswitch.gateway.engines.event_stream import EventSplitter, EventStreamError, StreamEvent
+from troutswitch.gateway.engines.event_stream import (
+    MAX_BLANK_BYTES,
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    EventStreamError,
+    StreamEvent,
+)
 
 STREAM = b"".join(f"id: {n}\ndata: a{n}\ndata: b\n\n".encode() for n in range(1, 6))
 
@@ -92,3 +99,52 @@
         return
     assert forwarded == stream
     assert all(event.event_id for event in events)
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+@pytest.mark.parametrize("begin", [b"", b"id: 1\ndata: x\n\n"])
+def test_endless_blank_lines_are_no_stream(begin: bytes, line_end: bytes) -> None:
+    """Guards against work that grows with the square of the blank lines before an event."""
+    splitter = EventSplitter()
+    splitter.feed(begin)
+    with pytest.raises(EventStreamError, match="blank"):
+        for _ in range(2 * MAX_BLANK_BYTES):
+            splitter.feed(line_end)
+
+
+def test_blank_lines_before_an_event_are_forwarded_with_it() -> None:
+    blank = b"\n" * (MAX_BLANK_BYTES - 2)
+    event = b"id: 1\ndata: x\n\n"
+    assert [found.raw for found in EventSplitter().feed(blank + event)] == [blank + event]
+
+
+def test_event_of_many_short_lines_takes_little_more_memory_than_its_bytes() -> None:
+    """Guards against a list of all lines, which took a multiple of the event."""
+    event = b"id: 1\n" + b"::\n" * (MAX_EVENT_BYTES // 3 - 10) + b"data: x\n\n"
+    splitter = EventSplitter()
+    tracemalloc.start()
+    found = splitter.feed(event)
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert [(each.event_id, each.data) for each in found] == [("1", b"x")]
+    assert peak < 4 * len(event)
+
+
+LINES = [b"id: 1", b"id:1", b"id", b"id:", b"id:  1", b"idx: 9", b" id: 9", b"data", b"data:"]
+LINES += [b"data: a", b"data:a", b"data:  a", b"data: a:b", b"datum: c", b": data: c", b"x", b":"]
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(st.lists(st.tuples(st.sampled_from(LINES), st.sampled_from([b"\n", b"\r\n", b"\r"]))))
+def test_fields_of_an_event_are_those_of_its_lines(lines: list[tuple[bytes, bytes]]) -> None:
+    raw = b"id: 1\n" + b"".join(line + end for line, end in lines) + b"\n"
+    fields = [line.partition(b":") for line, _ in lines]
+    values = [(name, value.removeprefix(b" ")) for name, _, value in fields]
+    ids = [b"1", *(value for name, value in values if name == b"id")]
+    splitter = EventSplitter()
+    try:
+        found = splitter.feed(raw + b"id: 2\n\n")[0]
+    except EventStreamError:
+        assert ids[-1] != b"1"
+        return
+    assert found.data == b"\n".join(value for name, value in values if name == b"data")
