--- a/src/troutswitch/gateway/engines/event_stream.py
+++ b/src/troutswitch/gateway/engines/event_stream.py
@@ -57,9 +57,10 @@
 
 
 class EventSplitter:
-    """Collects bytes into events, and checks that numeric ids increase by one.
+    """Collects bytes into events, and checks that ids increase by one from the first numeric
+    one on.
 
-    `last_id` is the id of the last complete event, initially the id after which the stream resumes.
+    `last_id` is the id of the last returned event, initially the id after which the stream resumes.
     `max_event_bytes` is the length of the longest event that is buffered.
     """
 
@@ -82,10 +83,15 @@
             EventStreamError: an event is too long, has no valid id, or is out of sequence, or
                 there are too many blank lines.
         """
+        last_id = self.last_id
         self._rest += data
-        events = self._split(_CERTAIN_BLANK_LINE)
-        if len(self._rest) > self._max_event_bytes:
-            raise EventTooLong("an event is too long")
+        try:
+            events = self._split(_CERTAIN_BLANK_LINE)
+            if len(self._rest) > self._max_event_bytes:
+                raise EventTooLong("an event is too long")
+        except EventStreamError:
+            self.last_id = last_id  # the stream resumes after it: nobody got the events since
+            raise
         return events
 
     def finish(self) -> tuple[list[StreamEvent], bytes]:
@@ -132,7 +138,14 @@
             raise EventStreamError("an event has no id")
         if not is_event_id(event_id):
             raise EventStreamError("an event's id is malformed")
-        is_numbered = event_id.isdigit() and self.last_id.isdigit()
-        if is_numbered and int(event_id) != int(self.last_id) + 1:
+        if self.last_id.isdigit() and not _follows(event_id, self.last_id):
             raise EventStreamError(f"event {event_id} follows {self.last_id}")
         return event_id
+
+
+def _follows(event_id: str, number: str) -> bool:
+    """Returns whether an event's id is the number after another one.
+
+    An id that is no number would end the sequence, and hide the events that are missing after it.
+    """
+    return event_id.isdigit() and int(event_id) == int(number) + 1
--- a/src/troutswitch/gateway/engines/health_request.py
+++ b/src/troutswitch/gateway/engines/health_request.py
@@ -2,10 +2,12 @@
 
 import http.client
 
+from troutswitch.clock import steady_seconds
 from troutswitch.decisions.slots.messages import HealthAnswered, HealthResult, RequestHealth
+from troutswitch.gateway.engines.answer_proof import is_proved_health
+from troutswitch.gateway.engines.connection import EngineConnection
 from troutswitch.platform.engine_ids import instance_id
 from troutswitch.platform.requests import read_health
-from troutswitch.runtime.bounded_connection import BoundedConnection
 
 HEALTH_TIMEOUT_SECONDS = 0.5
 """Timeout of the connection, and of the response from then on. Engines reply immediately."""
@@ -13,16 +15,19 @@
 
 def request_health(request: RequestHealth) -> HealthAnswered:
     """Sends one request on a connection of its own, and reads the head of the response."""
-    connection = BoundedConnection(request.address, HEALTH_TIMEOUT_SECONDS, max_body_bytes=0)
+    connection = EngineConnection(request.address)  # it takes no head that is cut for a whole one
     try:
         connection.connect()
-        connection.limit_call(HEALTH_TIMEOUT_SECONDS, HEALTH_TIMEOUT_SECONDS)
+        ends_at = steady_seconds() + HEALTH_TIMEOUT_SECONDS
+        connection.limit_reads(HEALTH_TIMEOUT_SECONDS, ends_at)
         connection.request("GET", request.path, headers={"Connection": "close"})
         health = read_health(connection.getresponse())
     except (OSError, http.client.HTTPException, ValueError):
         return HealthAnswered(request.engine_id, HealthResult.FAILED)
     finally:
         connection.close()
+    if not is_proved_health(health):
+        return HealthAnswered(request.engine_id, HealthResult.FAILED)
     if health.instance_id != instance_id(request.engine_id):
         return HealthAnswered(request.engine_id, HealthResult.OTHER_ENGINE)
     if health.load is None or health.load.pace_percent is None:
--- a/src/troutswitch/platform/requests.py
+++ b/src/troutswitch/platform/requests.py
@@ -6,9 +6,10 @@
 
 import http.client
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Any
 
-from troutswitch.decisions.forwarding.types import EngineLoad, PromptPart, PromptShape
+from troutswitch.decisions.forwarding.types import EngineLoad, Framing, PromptPart, PromptShape
 from troutswitch.decisions.tenants.types import NO_KEY, NO_TENANT, key_digest
 from troutswitch.platform import names
 from troutswitch.platform.engine_ids import instance_id
@@ -28,6 +29,8 @@
 
 MISDIRECTED = 421
 """Status with which an engine refuses a request that is intended for a different engine."""
+BODILESS_STATUSES = (204, 304)
+"""Statuses of responses that never have a body (RFC 9110, section 6.4.1)."""
 LOAD_FIGURES = (3, 4)
 """Numbers of figures in an engine's load."""
 MAX_LOAD = 1_000_000
@@ -36,6 +39,10 @@
 """Maximum plausible number of tokens of a prompt or of a part of one."""
 MAX_PACE_PERCENT = 10_000
 """Maximum plausible pace. A load with a larger one, or with 0, is used without its pace."""
+HTTP_1_1 = 11
+"""The version of HTTP from which on bodies are chunked, as `http.client` writes it."""
+CONTENT_ENCODING = "Content-Encoding"
+EVENT_STREAM = "text/event-stream"
 DEFAULT_DEADLINE_SECONDS = 30.0
 """Assumed time limit of a caller whose request specifies no deadline."""
 
@@ -75,7 +82,9 @@
 
     `not_run` is whether the engine states that it did not run the request. `load` is the engine's
     load at the time of the response, None if not reported. `has_unreadable_load` is set if it was
-    reported in an unknown form. `retry_after` is in seconds.
+    reported in an unknown form. `retry_after` is in seconds. `request_id` is the id of the request
+    that the response names, `length` the bytes of a body with a length. `is_encoded` is whether the
+    response names a content encoding.
     """
 
     status: int
@@ -85,6 +94,11 @@
     is_event_stream: bool
     headers: Headers
     has_unreadable_load: bool = False
+    request_id: str = ""
+    is_signed: bool = False
+    framing: Framing = Framing.MALFORMED
+    length: int = 0
+    is_encoded: bool = False
 
     @property
     def is_wrong_instance(self) -> bool:
@@ -202,8 +216,37 @@
     return headers
 
 
-def read_head(response: http.client.HTTPResponse) -> AnswerHead:
-    """Decodes the head of an engine's response."""
+def _framing(response: http.client.HTTPResponse, method: str) -> tuple[Framing, int]:
+    """Returns how the end of a response to a request of a method is marked, and its length.
+
+    `http.client` uses the first of several lengths, prefers chunks to a length, and reads a body of
+    an unknown length up to the end of the connection.
+    """
+    lengths = response.msg.get_all("Content-Length", [])
+    codings = response.msg.get_all("Transfer-Encoding", [])
+    if response.status == HTTPStatus.NO_CONTENT and codings:  # allowed with HEAD and 304 alone
+        return Framing.MALFORMED, 0
+    if response.status in BODILESS_STATUSES or method == "HEAD":
+        return Framing.NO_BODY, 0
+    if codings:
+        codes = [coding.strip().lower() for coding in codings]
+        is_chunked = codes == ["chunked"] and response.version >= HTTP_1_1
+        return (Framing.CHUNKED if is_chunked and not lengths else Framing.MALFORMED), 0
+    if not lengths:
+        return Framing.CLOSE, 0
+    length = parse_number(lengths[0].strip()) if len(lengths) == 1 else None
+    return (Framing.MALFORMED, 0) if length is None else (Framing.LENGTH, length)
+
+
+def _single(response: http.client.HTTPResponse, name: str) -> str:
+    """Returns the value of a header that a response has exactly once, otherwise nothing."""
+    values = response.msg.get_all(name, [])
+    return values[0].strip() if len(values) == 1 else ""
+
+
+def read_head(response: http.client.HTTPResponse, method: str) -> AnswerHead:
+    """Decodes the head of an engine's response to a request of a method."""
+    framing, length = _framing(response, method)
     content_type = response.getheader("Content-Type", "")
     load_header = response.getheader(names.SERVER_LOAD)
     load = _load(load_header)
@@ -213,13 +256,18 @@
         or response.status == MISDIRECTED,
         load=load,
         retry_after=_retry_after(response.getheader(names.RETRY_AFTER)),
-        is_event_stream=content_type.partition(";")[0].strip() == "text/event-stream",
+        is_event_stream=content_type.partition(";")[0].strip().lower() == EVENT_STREAM,
         headers=[
             (name, value)
             for name, value in response.getheaders()
             if name.lower() not in names.CONNECTION_HEADERS
         ],
         has_unreadable_load=load is None and load_header is not None,
+        request_id=_single(response, names.REQUEST_ID),
+        is_signed=bool(_single(response, names.RESPONSE_STAMP)),
+        framing=framing,
+        length=length,
+        is_encoded=response.getheader(CONTENT_ENCODING) is not None,
     )
 
 
@@ -227,14 +275,22 @@
 class EngineHealth:
     """What an engine replies at its health path; the id is empty and the load None if missing."""
 
+    status: int
+    framing: Framing
+    is_encoded: bool
     instance_id: str
     load: EngineLoad | None
 
 
 def read_health(response: http.client.HTTPResponse) -> EngineHealth:
     """Decodes the head of a response at an engine's health path."""
-    load = _load(response.getheader(names.SERVER_LOAD))
-    return EngineHealth(response.getheader(names.INSTANCE_ID, "").strip(), load)
+    return EngineHealth(
+        response.status,
+        _framing(response, "GET")[0],
+        response.getheader(CONTENT_ENCODING) is not None,
+        _single(response, names.INSTANCE_ID),
+        _load(response.getheader(names.SERVER_LOAD)),
+    )
 
 
 def _load(header: str | None) -> EngineLoad | None:
--- a/src/troutswitch/standalone/engines/assembler.py
+++ b/src/troutswitch/standalone/engines/assembler.py
@@ -32,13 +32,14 @@
         """Adds pieces and returns the text that can be released now, in order.
 
         Raises:
-            UnexpectedStreamId: a piece names another stream.
+            UnexpectedStreamId: a piece names another stream; none was added.
             BrokenStream: the engine ended the stream with an error.
         """
-        released: list[str] = []
-        for piece in pieces:
+        for piece in pieces:  # before any is released: the answer goes on after what was
             if piece.stream_id != stream_id:
                 raise UnexpectedStreamId(f"piece of {piece.stream_id} on stream {stream_id}")
+        released: list[str] = []
+        for piece in pieces:
             if piece.error:
                 raise BrokenStream(piece.error, "".join(released))
             if piece.done:
@@ -59,8 +60,8 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether the end is known and all tokens before it were released."""
-        return self.length is not None and self.position >= self.length
+        """Whether the end is known and exactly the tokens before it were released."""
+        return self.position == self.length
 
     def start_attempt(self) -> None:
         """Drops pieces of an earlier attempt that were not yet released."""
--- a/tests/gateway/engines/test_event_stream.py
+++ b/tests/gateway/engines/test_event_stream.py
@@ -41,6 +41,29 @@
         EventSplitter("1").feed(data)
 
 
+def test_id_that_is_no_number_does_not_end_the_sequence() -> None:
+    """Guards against events that are missing after an event whose id was garbled."""
+    splitter = EventSplitter()
+    splitter.feed(b"id: 1\ndata: a\n\n")
+    with pytest.raises(EventStreamError):
+        splitter.feed(b"id: x\ndata: b\n\nid: 9\ndata: c\n\n")
+
+
+def test_ids_that_are_no_numbers_are_in_no_sequence() -> None:
+    events = EventSplitter().feed(b"id: a\ndata: x\n\nid: b\ndata: y\n\n")
+    assert [event.event_id for event in events] == ["a", "b"]
+
+
+@pytest.mark.parametrize("malformed", [b"id: 5\n\n", b"data: x\n\n", b"id: 3\ndata: " + b"x" * 99])
+def test_position_is_that_of_the_last_event_that_was_returned(malformed: bytes) -> None:
+    """Guards against a stream that resumes after events which its caller never got."""
+    splitter = EventSplitter(max_event_bytes=50)
+    splitter.feed(b"id: 1\ndata: a\n\n")
+    with pytest.raises(EventStreamError):
+        splitter.feed(b"id: 2\ndata: b\n\n" + malformed)
+    assert splitter.last_id == "1"
+
+
 def test_resumed_stream_continues_after_its_last_id() -> None:
     assert EventSplitter("7").feed(b"id: 8\ndata: x\n\n")[0].event_id == "8"
 
--- a/tests/gateway/engines/test_health_request.py
+++ b/tests/gateway/engines/test_health_request.py
@@ -60,6 +60,22 @@
     assert ask_server(headers) == HealthAnswered(ENGINE, result, percent)
 
 
+@pytest.mark.parametrize(
+    ("more", "status"),
+    [
+        ({}, "503 Draining"),
+        ({}, "404 Not Found"),
+        ({"Content-Encoding": "gzip"}, "200 OK"),
+        ({"Transfer-Encoding": "x"}, "200 OK"),
+    ],
+)
+def test_pace_of_an_answer_that_is_no_success_is_not_used(
+    more: dict[str, str], status: str
+) -> None:
+    headers = {names.INSTANCE_ID: "engine-7", names.SERVER_LOAD: "1,2,8,137"} | more
+    assert ask_server(headers, status).result is HealthResult.FAILED
+
+
 def test_answer_without_headers_is_of_no_known_engine() -> None:
     assert ask_server({}).result is HealthResult.OTHER_ENGINE
 
@@ -130,3 +146,16 @@
     monkeypatch.setattr(threading.Thread, "start", recorded)
     assert ask_server(headers).result is HealthResult.PACE
     assert not [thread for thread in started if isinstance(thread, threading.Timer)]
+
+
+@pytest.mark.parametrize("end", ["", "\r\n"])
+def test_pace_of_a_head_that_is_cut_is_not_used(end: str) -> None:
+    """Guards against a pace whose last digits are missing."""
+    rows = f"{names.INSTANCE_ID}: engine-7\r\n{names.SERVER_LOAD}: 1,2,8,15{end}"
+
+    def reply(server: RawServer, connection: socket.socket) -> None:
+        connection.recv(4096)
+        connection.sendall(f"HTTP/1.1 200 OK\r\n{rows}".encode())
+        connection.close()
+
+    assert ask(RawServer(reply).address).result is HealthResult.FAILED
