--- a/src/troutswitch/gateway/memory/account.py
+++ b/src/troutswitch/gateway/memory/account.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from troutswitch.gateway.memory import pressure
-from troutswitch.gateway.memory.limits import MemoryLimits
+from troutswitch.gateway.memory.limits import LARGE_ANSWERS_BYTES, MemoryLimits
 from troutswitch.gateway.memory.pressure import Kind, Reader
 
 BODY_REFUSED = "body refused for memory"
@@ -82,6 +82,8 @@
         self._closing: dict[int, int] = {}
         """Unread bytes of readers that are being closed, by number."""
         self._numbers = itertools.count(1)
+        self._large_bytes = 0
+        """What answers hold beyond the usual size."""
         self._lock = threading.Lock()
 
     @property
@@ -122,6 +124,18 @@
         """Returns whether a holding may grow to `size`: its whole size tells if it is large."""
         return pressure.fits(kind, size, total - (size - change), self.limits.account_bytes)
 
+    def reserve_large(self, change: int) -> bool:
+        """Reserves room for what an answer has beyond the usual size; returns whether there is any.
+
+        The room is bounded even without a limit of the account.
+        """
+        with self._lock:
+            total = self._large_bytes + change
+            if change > 0 and total > LARGE_ANSWERS_BYTES:
+                return False
+            self._large_bytes = total
+            return True
+
     def move(self, holding: Holding, kind: Kind) -> None:
         """Changes the kind of a holding."""
         with self._lock:
--- a/src/troutswitch/gateway/memory/limits.py
+++ b/src/troutswitch/gateway/memory/limits.py
@@ -17,6 +17,9 @@
 near its baseline refuses floods and not every large body."""
 MAX_ANSWER_BYTES = 2 * MEBIBYTE
 """Highest bound on the unread part of one answer: twice the largest answers of the load, 1 MB."""
+LARGE_ANSWERS_BYTES = 32 * MEBIBYTE
+"""Bound on what all answers that are read from engines have beyond the usual size. Each of up to 96
+threads may read one of the usual size, 1 MiB, besides."""
 ANSWER_SHARE = 0.25
 """Bound on the unread part of one answer, as a share of the limit, so that no single reader fills a
 small account."""
