An exchange with an engine ends by its deadline, in bounded memory and work

A length of 2**40 in a surplus answer or a chunk was reserved at once: MemoryError, status 500. Runs of items to which bytes trickle in did not end.

Change: - the deadline of an exchange counts from its begin, sending included, and bounds all reads of its answer; a run of an item ends unless a whole event arrives within its time-out; - lines outside bodies (heads, interim answers, sizes of chunks, trailers) have 64 KiB together, to which bytes of a body add eightfold; - bodies of surplus answers have 4 MiB together, and are dropped as they arrive; - complete answers are read into an `AnswerBuffer`; - chunks that have arrived whole are decoded together, and a connection that brings small reads or many lines for few bytes waits before its next read, which is then a short one (`WorkPace`); - a deadline that is over while bytes arrive makes no other connection suspect.

--- a/src/troutswitch/decisions/jobs/messages.py
+++ b/src/troutswitch/decisions/jobs/messages.py
@@ -124,8 +124,9 @@
 class RunItem:
     """Run an item at an engine, from the event after `resume_after`.
 
-    `response_timeout` bounds each wait for data up to the first event, `event_timeout` each wait
-    after it. `max_output_bytes` bounds the texts of the run's events (`records.output_bytes`).
+    `response_timeout` bounds the time for the head and then for the first event, `event_timeout`
+    the time for the events after it, each counted from the last event. `max_output_bytes` bounds
+    the texts of the run's events (`records.output_bytes`).
     """
 
     run: int
--- a/src/troutswitch/decisions/jobs/runs.py
+++ b/src/troutswitch/decisions/jobs/runs.py
@@ -29,9 +29,9 @@
 from troutswitch.outcomes import AttemptOutcome
 
 FIRST_EVENT_TIMEOUT_SECONDS = 5.0
-"""Longest wait for data of an engine's response up to its first event."""
+"""Longest wait for the head of an engine's response, and then for its first event."""
 EVENT_TIMEOUT_SECONDS = 1.5
-"""Longest wait for data after the first event."""
+"""Longest wait for an event after the first, whatever bytes arrive."""
 FULL_EXCLUSION_SECONDS = 0.2
 """Time for which an engine that rejected an item as full receives no further items."""
 
--- a/src/troutswitch/gateway/callers/relay.py
+++ b/src/troutswitch/gateway/callers/relay.py
@@ -30,8 +30,8 @@
     NotConnected,
     OutgoingRequest,
 )
-from troutswitch.gateway.memory.account import Holding, MemoryAccount
-from troutswitch.gateway.memory.pressure import Kind
+from troutswitch.gateway.memory.account import MemoryAccount
+from troutswitch.gateway.memory.answer_buffer import AnswerBuffer
 from troutswitch.outcomes import AttemptOutcome
 from troutswitch.platform.requests import AnswerHead, IncomingRequest, engine_headers
 
@@ -72,8 +72,8 @@
     """Head of the response that is streamed to the caller."""
     complete_answer: CompleteAnswer | None = None
     finish: FinishRequest | None = None
-    answer_bytes: Holding | None = None
-    """What is counted of a complete response."""
+    _answer: AnswerBuffer | None = None
+    """The complete response of the newest attempt."""
     _splitter: EventSplitter = field(default_factory=EventSplitter)
     _delivered: int = 0
     _began_version: str = ""
@@ -190,7 +190,7 @@
 
     def _exchange(self, directive: SendRequest, exchange: Exchange) -> Iterator[bytes]:
         try:
-            head = exchange.open(directive.time_left)
+            head = exchange.open(directive.time_left, directive.time_left)
         except NotConnected as error:
             return self._end(directive, AttemptOutcome.UNREACHABLE, str(error))
         except AnswerLost as error:
@@ -240,26 +240,17 @@
         self._delivered += count
 
     def _read_body(self, exchange: Exchange) -> bytes:
-        """Reads a complete response. An engine's response is never left unread for lack of room."""
-        if not self.memory.is_limited:
-            return exchange.body()
-        if self.answer_bytes is None:
-            self.answer_bytes = Holding(self.memory, Kind.ANSWERS)
-        parts: list[bytes] = []
-        for part in exchange.chunks():
-            parts.append(part)
-            self.answer_bytes.resize(self.answer_bytes.size + len(part))
-            if self.memory.is_full:
-                self.memory.relieve()
-        return b"".join(parts)
+        """Reads a complete response. None of usual size is left unread for lack of room."""
+        self._answer = AnswerBuffer(self.memory)
+        return exchange.body(self._answer)
 
     def release_answer(self) -> None:
         """Ends the count of the complete response.
 
         The caller's connection counts it from now, or it was replaced by a further attempt.
         """
-        if self.answer_bytes is not None:
-            self.answer_bytes.release()
+        if self._answer is not None:
+            self._answer.release()
 
     def _handle_refusal(self, directive: SendRequest, exchange: Exchange, head: AnswerHead) -> None:
         """Handles a response whose head says that the request did not run."""
--- a/src/troutswitch/gateway/engines/connection.py
+++ b/src/troutswitch/gateway/engines/connection.py
@@ -16,12 +16,17 @@
 
 from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
+from troutswitch.runtime.bounded_reads import ReadLimitExceeded, ReadLimits
 from troutswitch.runtime.readiness import is_readable
 from troutswitch.runtime.silence import bound_silence
 from troutswitch.wire_values import MAX_SECONDS, parse_decimal
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 READ_BYTES = 1 << 16
+MAX_LINE_BYTES = 1 << 16
+"""Most bytes of lines outside bodies in one exchange; heads have 16 KiB at most."""
+LINE_BYTES_PER_BODY_BYTE = 8
+"""Bytes of lines for which a byte of a body makes room: a chunk of one byte has a line of three."""
 DEFAULT_IDLE_SECONDS = 4.0
 """How long an idle connection is kept if the engine specifies no idle timeout."""
 IDLE_TIMEOUT_SHARE = 0.6
@@ -32,17 +37,17 @@
 """`SO_LINGER` of zero seconds."""
 
 
-class _DeadlineSource(io.RawIOBase):
-    """Reads a socket, each time for at most `wait` seconds and never after `ends_at`.
+class _LimitedSource(io.RawIOBase):
+    """Reads a socket within `limits`. While `is_paused`, nothing is received.
 
-    `ends_at` is in seconds of the process's steady clock. While `is_paused`, nothing is received.
+    `received_at` is the time at which the last bytes arrived, on the process's steady clock.
     """
 
     def __init__(self, sock: socket.socket) -> None:
         super().__init__()
         self._sock = sock
-        self.wait = CONNECT_TIMEOUT_SECONDS
-        self.ends_at = float("inf")
+        self.limits = ReadLimits(CONNECT_TIMEOUT_SECONDS, float("inf"), float("inf"))
+        self.received_at = float("-inf")
         self.is_paused = False
 
     def readable(self) -> bool:
@@ -54,21 +59,50 @@
 
         Raises:
             TimeoutError: nothing was received in time.
+            ReadLimitExceeded: the deadline is over, though bytes arrive.
             OSError: the connection failed.
         """
         if self.is_paused:
             return None
-        left = min(self.wait, self.ends_at - steady_seconds())
-        if left <= 0:
-            raise TimeoutError("the response did not end in time")
-        self._sock.settimeout(left)
-        return self._sock.recv_into(buffer)
+        max_bytes = self.limits.begin_read(self._sock)
+        size = self._sock.recv_into(buffer[:max_bytes])
+        self.received_at = steady_seconds()
+        self.limits.end_read(size)
+        return size
 
 
 class ResponseReader(io.BufferedReader):
-    """A reader that stays open after the responses that are read from it."""
+    """A reader that stays open after the responses that are read from it.
 
-    raw: _DeadlineSource
+    The lines outside bodies (heads, interim responses, sizes of chunks, trailers) share a budget of
+    `MAX_LINE_BYTES`, to which the bytes of bodies add: a line costs far more work than its bytes.
+    """
+
+    raw: _LimitedSource
+
+    def __init__(self, source: _LimitedSource) -> None:
+        super().__init__(source, READ_BYTES)
+        self._line_bytes_left = MAX_LINE_BYTES
+
+    def begin_exchange(self) -> None:
+        """Makes the budget for lines that of a new exchange."""
+        self._line_bytes_left = MAX_LINE_BYTES
+
+    def spend_lines(self, count: int, size: int) -> None:
+        """Counts lines outside bodies, of `size` bytes together.
+
+        Raises:
+            ReadLimitExceeded: there were too many of them.
+        """
+        self.raw.limits.pace.spend(count)
+        self._line_bytes_left -= size
+        if self._line_bytes_left < 0:
+            raise ReadLimitExceeded("the lines outside the body are too long")
+
+    def add_body_bytes(self, size: int) -> None:
+        """Counts bytes of a body, which make room for the lines of its chunks."""
+        gained = LINE_BYTES_PER_BODY_BYTE * size
+        self._line_bytes_left = min(MAX_LINE_BYTES, self._line_bytes_left + gained)
 
     def readline(self, size: int | None = -1, /) -> bytes:
         """Returns the next line.
@@ -77,12 +111,14 @@
             http.client.RemoteDisconnected: the stream ended before or inside the line.
             http.client.HTTPException: a CR inside the line, which the parser of heads takes for the
                 line's end: the rest of a value would be a header (RFC 9112, section 2.2).
+            ReadLimitExceeded: there were too many lines.
         """
         line = super().readline(-1 if size is None else size)
         if not line.endswith(b"\n") and len(line) != size:
             raise http.client.RemoteDisconnected("the response ended inside its head or a line")
         if b"\r" in line.removesuffix(b"\n").removesuffix(b"\r"):
             raise http.client.HTTPException("a line of the response has a CR inside")
+        self.spend_lines(1, len(line))
         return line
 
     def has_buffered_bytes(self) -> bool:
@@ -137,7 +173,18 @@
         super().connect()
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         bound_silence(self.sock)
-        self.reader = ResponseReader(_DeadlineSource(self.sock), READ_BYTES)
+        self.reader = ResponseReader(_LimitedSource(self.sock))
+
+    @property
+    def received_at(self) -> float:
+        """Time at which the last bytes arrived, on the process's steady clock."""
+        return self.reader.raw.received_at if self.reader is not None else float("-inf")
+
+    def begin_exchange(self, wait: float, ends_at: float) -> None:
+        """Sets the limits up to the head of the response, as `limit_reads` does."""
+        if self.reader is not None:
+            self.reader.begin_exchange()
+        self.limit_reads(wait, ends_at)
 
     def limit_reads(self, wait: float, ends_at: float | None = None) -> None:
         """Limits the next reads.
@@ -148,9 +195,10 @@
         """
         if self.reader is None:
             return
-        self.reader.raw.wait = wait
+        limits = self.reader.raw.limits
+        limits.wait_seconds = wait
         if ends_at is not None:
-            self.reader.raw.ends_at = ends_at
+            limits.deadline = ends_at
 
     def add_request(self, request_id: str) -> None:
         """Records that a request is sent on this connection."""
--- a/src/troutswitch/gateway/engines/exchange.py
+++ b/src/troutswitch/gateway/engines/exchange.py
@@ -20,7 +20,9 @@
 from troutswitch.gateway.engines.connection import EngineConnection, shut_down
 from troutswitch.gateway.engines.connection_pool import ConnectionUse, EngineConnections
 from troutswitch.gateway.engines.response_body import body_pieces
+from troutswitch.gateway.memory.answer_buffer import AnswerBuffer, AnswerTooLong
 from troutswitch.platform.requests import AnswerHead, read_head
+from troutswitch.runtime.bounded_reads import ReadLimitExceeded
 from troutswitch.wire_values import is_header_name, is_header_value
 
 SUSPECT_SILENCE_SECONDS = 0.25
@@ -30,6 +32,8 @@
 MIN_TIMEOUT_SECONDS = 0.01
 """Minimum socket timeout; 0 would make the socket non-blocking."""
 MAX_SURPLUS_RESPONSES = 3
+MAX_SURPLUS_BYTES = 4 * 1024 * 1024
+"""Most bytes of the bodies of surplus responses, which are dropped: each has 1 MiB at most."""
 DISCARD_SECONDS = 0.1
 """Time in which the body of a refusal must arrive for its connection to be kept."""
 INTERIM_STATUSES = range(102, 200)
@@ -103,11 +107,12 @@
     _response: http.client.HTTPResponse | None = None
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
-    def open(self, first_wait: float) -> AnswerHead:
+    def open(self, first_wait: float, time_limit: float = float("inf")) -> AnswerHead:
         """Sends the request and reads the head of its response.
 
         Args:
-            first_wait: timeout of each send, and of the head from then on, in seconds.
+            first_wait: time for the request and the head of its response, in seconds.
+            time_limit: time for the whole exchange, unless `set_progress_limit` changes it.
 
         Raises:
             NotConnected: nothing was sent.
@@ -120,13 +125,13 @@
             self.close()
             raise NotConnected("aborted before it was sent")
         wait = max(MIN_TIMEOUT_SECONDS, first_wait)
+        begun_at = self.last_seen_at = steady_seconds()
         try:
             connection.sock.settimeout(wait)
-            self.last_seen_at = steady_seconds()
+            connection.begin_exchange(wait, begun_at + wait)
             self._send(connection)
-            connection.limit_reads(wait, steady_seconds() + wait)
             self.head = self._read_head(connection)
-            connection.limit_reads(wait, float("inf"))
+            connection.limit_reads(wait, begun_at + max(wait, time_limit))
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise self._lost(error) from error
         except AnswerUnproved:
@@ -178,6 +183,7 @@
         """
         method = self.request.method
         response = connection.getresponse()
+        surplus_bytes = 0
         for surplus in range(MAX_SURPLUS_RESPONSES + 1):
             response = self._skip_interim(connection, response)
             _check_headers(response)
@@ -190,12 +196,24 @@
             self._set_facts(connection, head, surplus + 1, Defect.OTHER_REQUEST)
             if response.will_close or not has_marked_end(head):
                 break
-            for _ in self._pieces(head):
-                continue
+            surplus_bytes += self._drop_surplus(head, MAX_SURPLUS_BYTES - surplus_bytes)
             response.close()
             response = connection.next_response(method)
         raise AnswerUnproved(Defect.OTHER_REQUEST)
 
+    def _drop_surplus(self, head: AnswerHead, max_bytes: int) -> int:
+        """Reads a surplus response's body and drops it; returns its size in bytes.
+
+        Raises:
+            ReadLimitExceeded: it is longer than `max_bytes`.
+        """
+        size = 0
+        for data in self._pieces(head):
+            size += len(data)
+            if size > max_bytes:
+                raise ReadLimitExceeded("the responses to other requests are too long")
+        return size
+
     def _skip_interim(
         self, connection: EngineConnection, response: http.client.HTTPResponse
     ) -> http.client.HTTPResponse:
@@ -225,6 +243,17 @@
         if connection is not None:
             connection.limit_reads(max(MIN_TIMEOUT_SECONDS, seconds))
 
+    def set_progress_limit(self, seconds: float) -> None:
+        """Ends the exchange unless this is called again in time, whatever bytes arrive.
+
+        Args:
+            seconds: the time from now on.
+        """
+        connection = self._connection
+        if connection is not None:
+            wait = max(MIN_TIMEOUT_SECONDS, seconds)
+            connection.limit_reads(wait, steady_seconds() + wait)
+
     def _pieces(self, head: AnswerHead) -> Iterator[bytes]:
         connection = self._connection
         if connection is None or connection.reader is None:
@@ -257,13 +286,26 @@
             raise AnswerLost("aborted")
         self._finish()
 
-    def body(self) -> bytes:
+    def body(self, buffer: AnswerBuffer | None = None) -> bytes:
         """Returns the complete body.
 
+        Args:
+            buffer: where it is counted while it is read; it is released after a failure.
+
         Raises:
-            AnswerLost: the body was not received completely.
+            AnswerLost: the body was not received completely, or is too long.
         """
-        return b"".join(self.chunks())
+        buffer = buffer or AnswerBuffer()
+        try:
+            for data in self.chunks():
+                buffer.append(data)
+        except AnswerTooLong as error:
+            buffer.release()
+            raise self._lost(error) from error
+        except AnswerLost:
+            buffer.release()
+            raise
+        return buffer.take()
 
     def discard_body(self) -> None:
         """Drops the body of a response whose head says all; closes the connection if it is late.
@@ -298,6 +340,9 @@
 
     def _lost(self, error: Exception) -> AnswerLost:
         """Closes the connection and, after a timeout, the engine's suspect connections."""
+        connection = self._connection
+        if connection is not None:
+            self.last_seen_at = max(self.last_seen_at, connection.received_at)
         self.close()
         if isinstance(error, TimeoutError):
             self._close_suspects()
--- a/src/troutswitch/gateway/engines/health_request.py
+++ b/src/troutswitch/gateway/engines/health_request.py
@@ -19,7 +19,7 @@
     try:
         connection.connect()
         ends_at = steady_seconds() + HEALTH_TIMEOUT_SECONDS
-        connection.limit_reads(HEALTH_TIMEOUT_SECONDS, ends_at)
+        connection.begin_exchange(HEALTH_TIMEOUT_SECONDS, ends_at)
         connection.request("GET", request.path, headers={"Connection": "close"})
         health = read_health(connection.getresponse())
     except (OSError, http.client.HTTPException, ValueError):
--- a/src/troutswitch/gateway/engines/item_runs.py
+++ b/src/troutswitch/gateway/engines/item_runs.py
@@ -172,11 +172,12 @@
         max_event_bytes = max(0, self.instruction.max_output_bytes) + EVENT_OVERHEAD_BYTES
         splitter = EventSplitter(self.instruction.resume_after, max_event_bytes)
         reported_at = steady_seconds()
+        exchange.set_progress_limit(self.instruction.response_timeout)
         for data in exchange.chunks():
             self.engine_activity.record(self.instruction.engine_id)
             events = splitter.feed(data)
             if events:
-                exchange.set_wait(self.instruction.event_timeout)
+                exchange.set_progress_limit(self.instruction.event_timeout)
             self._add(events)
             if self.events and steady_seconds() - reported_at >= PROGRESS_INTERVAL_SECONDS:
                 reported_at = steady_seconds()
@@ -198,6 +199,7 @@
         if head.not_run:
             exchange.discard_body()
             return self.end_event(AttemptOutcome.REFUSED, f"status {head.status}", head)
+        exchange.set_progress_limit(self.instruction.event_timeout)
         exchange.body()
         return self.end_event(AttemptOutcome.CUT, f"status {head.status}", head)
 
--- a/src/troutswitch/runtime/bounded_connection.py
+++ b/src/troutswitch/runtime/bounded_connection.py
@@ -68,7 +68,7 @@
         self._limits = ReadLimits(wait_seconds, steady_seconds() + total_seconds, 0)
 
     def spend(self, steps: int) -> None:
-        """Counts steps of decoding an answer, and waits if there were too many for its bytes."""
+        """Counts steps of decoding an answer; too many for its bytes delay the next read."""
         self._limits.pace.spend(steps)
 
     def getresponse(self) -> http.client.HTTPResponse:
--- a/src/troutswitch/runtime/bounded_reads.py
+++ b/src/troutswitch/runtime/bounded_reads.py
@@ -13,6 +13,10 @@
 
 MIN_TIMEOUT_SECONDS = 0.001
 """Minimum socket timeout; 0 would make the socket non-blocking."""
+MAX_READ_BYTES = 1 << 16
+"""Most bytes of one read, so that the work between two reads is bounded."""
+PACED_READ_BYTES = 1 << 12
+"""The same after a pause: these bytes cost far more work than usual."""
 
 
 class ReadLimitExceeded(OSError):
@@ -32,24 +36,29 @@
 
     wait_seconds: float
     deadline: float
-    bytes_left: int
+    bytes_left: float
     pace: WorkPace = field(default_factory=WorkPace)
 
-    def timeout(self) -> float:
-        """Returns the timeout of the next read, in seconds.
+    def begin_read(self, connected: socket.socket) -> int:
+        """Waits if there were too many reads, and sets the timeout of the next one.
+
+        Returns:
+            The number of bytes that it may return.
 
         Raises:
             ReadLimitExceeded: a limit is reached.
         """
+        max_bytes = PACED_READ_BYTES if self.pace.pause() else MAX_READ_BYTES
         if self.bytes_left <= 0:
             raise ReadLimitExceeded("the answer is too long")
         seconds_left = self.deadline - steady_seconds()
         if seconds_left <= 0:
             raise ReadLimitExceeded("the answer took too long")
-        return max(MIN_TIMEOUT_SECONDS, min(self.wait_seconds, seconds_left))
+        connected.settimeout(max(MIN_TIMEOUT_SECONDS, min(self.wait_seconds, seconds_left)))
+        return int(min(self.bytes_left, max_bytes))
 
-    def spend(self, size: int) -> None:
-        """Counts a read that returned `size` bytes, and waits if there were too many reads."""
+    def end_read(self, size: int) -> None:
+        """Counts a read that returned `size` bytes."""
         self.bytes_left -= size
         self.pace.spend_read(size)
 
@@ -78,9 +87,9 @@
             ReadLimitExceeded: a limit is reached.
             OSError: the connection failed.
         """
-        self._socket.settimeout(self._limits.timeout())
-        size = self._raw.readinto(buffer[: self._limits.bytes_left])
-        self._limits.spend(size or 0)
+        max_bytes = self._limits.begin_read(self._socket)
+        size = self._raw.readinto(buffer[:max_bytes])
+        self._limits.end_read(size or 0)
         return int(size or 0)
 
     def close(self) -> None:
--- a/src/troutswitch/runtime/work_pace.py
+++ b/src/troutswitch/runtime/work_pace.py
@@ -2,7 +2,8 @@
 
 Each read and each line that is decoded is a step. A peer that sends single bytes or very short
 lines causes many steps for few bytes. `WorkPace` lets a connection take some steps at once, and
-makes its thread wait beyond that; the bytes that arrive meanwhile are then read together.
+makes its thread wait before the next read beyond that; the bytes that arrive meanwhile are then
+read together.
 """
 
 import time
@@ -16,15 +17,16 @@
 """Steps that may follow each other without a pause: an answer in several hundred chunks."""
 SMALL_READ_STEPS = 16
 """Steps that a small read counts as: it costs a system call and a switch of threads. Streams with
-up to 125 events a second are read without a pause."""
+up to 100 events a second are read without a pause."""
 SMALL_READ_BYTES = 4096
 """Reads of at least this size count as one step."""
 BYTES_PER_STEP = 128
-"""Received bytes that pay for one step: answers in chunks of this size are read without a pause."""
+"""Received bytes that pay for one step: answers in larger chunks are read without a pause."""
 MIN_PAUSE_SECONDS = 0.01
 """Shortest pause: bytes must have time to accumulate, or pauses would cost more than reads."""
-MAX_PAUSE_SECONDS = 0.1
-"""Longest pause: a thread must notice soon that its deadline is over. The next step waits again."""
+MAX_PAUSE_SECONDS = 0.25
+"""Longest pause: a thread must notice soon that it is to stop. Steps beyond are forgotten, as the
+bytes of one read bound them."""
 
 
 class WorkPace:
@@ -47,19 +49,23 @@
 
     def spend_read(self, size: int) -> None:
         """Counts a read that returned `size` bytes."""
-        self._available = min(BURST_STEPS, self._available + size // BYTES_PER_STEP)
+        self._available += size // BYTES_PER_STEP
         self.spend(SMALL_READ_STEPS if size < SMALL_READ_BYTES else 1)
 
     def spend(self, steps: int) -> None:
-        """Counts steps, and waits if the connection has taken too many."""
+        """Counts steps."""
         self._available -= steps
+
+    def pause(self) -> bool:
+        """Waits if too many steps were taken, and returns whether; called before each read."""
+        self._refill()
         if self._available >= 0:
-            return
+            return False
+        debt_seconds = -self._available / STEPS_PER_SECOND
+        self._sleep(min(MAX_PAUSE_SECONDS, max(MIN_PAUSE_SECONDS, debt_seconds)))
+        self._available = max(self._available, -MAX_PAUSE_SECONDS * STEPS_PER_SECOND)
         self._refill()
-        if self._available < 0:
-            debt_seconds = -self._available / STEPS_PER_SECOND
-            self._sleep(min(MAX_PAUSE_SECONDS, max(MIN_PAUSE_SECONDS, debt_seconds)))
-            self._refill()
+        return True
 
     def _refill(self) -> None:
         now = self._read_clock()
--- a/tests/runtime/test_work_pace.py
+++ b/tests/runtime/test_work_pace.py
@@ -2,12 +2,7 @@
 
 import pytest
 
-from troutswitch.runtime.work_pace import (
-    BURST_STEPS,
-    MAX_PAUSE_SECONDS,
-    STEPS_PER_SECOND,
-    WorkPace,
-)
+from troutswitch.runtime.work_pace import BURST_STEPS, MAX_PAUSE_SECONDS, WorkPace
 
 
 class VirtualTime:
@@ -30,18 +25,21 @@
     time = VirtualTime()
     pace = time.pace()
     for _ in range(1000):
+        pace.pause()
         pace.spend_read(1)
     assert time.now > 7.0
 
 
-def test_short_lines_are_decoded_at_a_bounded_rate() -> None:
+@pytest.mark.parametrize("lines", [2_000, 20_000])
+def test_short_lines_are_read_at_a_bounded_rate(lines: int) -> None:
+    """Guards against a peer whose bytes are cheap to send and costly to decode."""
     time = VirtualTime()
     pace = time.pace()
-    for _ in range(10):
+    for _ in range(50):
+        pace.pause()
         pace.spend_read(1 << 16)
-        for _ in range(20_000):
-            pace.spend(1)
-    assert time.now == pytest.approx(200_000 / STEPS_PER_SECOND, rel=0.1)
+        pace.spend(lines)
+    assert time.now > 50 * min(MAX_PAUSE_SECONDS, (lines - 600) / 2000) - 1.0
 
 
 def test_stream_of_100_events_a_second_is_read_without_a_pause() -> None:
@@ -49,6 +47,7 @@
     pace = time.pace()
     for _ in range(3000):
         time.now += 0.01
+        pace.pause()
         pace.spend_read(60)
         pace.spend(2)
     assert time.pauses == []
@@ -59,27 +58,17 @@
     time = VirtualTime()
     pace = time.pace()
     for _ in range((8 << 20) // (1 << 16)):
+        pace.pause()
         pace.spend_read(1 << 16)
         pace.spend(2 * (1 << 16) // chunk)
     assert time.pauses == []
 
 
-def test_pauses_end_when_the_peer_sends_slowly_again() -> None:
+def test_pauses_are_short_and_end_when_the_peer_sends_slowly_again() -> None:
+    """Guards against a thread that does not notice that it is to stop."""
     time = VirtualTime()
     pace = time.pace()
-    pace.spend(int(BURST_STEPS) + 1000)
-    pauses = len(time.pauses)
-    time.now += 1.0
-    pace.spend(int(BURST_STEPS))
-    assert len(time.pauses) == pauses > 0
-
-
-def test_debt_of_many_steps_is_paid_in_short_pauses() -> None:
-    """Guards against a thread that sleeps beyond its deadline."""
-    time = VirtualTime()
-    pace = time.pace()
-    pace.spend(1_000_000)
-    for _ in range(100):
-        pace.spend(1)
-    assert max(time.pauses) <= MAX_PAUSE_SECONDS
-    assert time.now == pytest.approx(101 * MAX_PAUSE_SECONDS)
+    pace.spend(int(BURST_STEPS) + 1_000_000)
+    pace.pause()
+    pace.pause()
+    assert time.pauses == [MAX_PAUSE_SECONDS]
