Test: a head that trickles in makes no other connection suspect

On the code before the engine's idle connections were closed, though it was not silent: the deadline was a time-out, and the last bytes counted were those of the request.

--- a/tests/gateway/engines/test_endless_answers.py
+++ b/tests/gateway/engines/test_endless_answers.py
@@ -138,6 +138,20 @@
         run(exchange)
 
 
+@pytest.mark.parametrize("kind", ["status line", "head", "interim answers"])
+def test_head_that_trickles_in_makes_no_other_connection_suspect(
+    kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an engine's sound connections that are closed though it was not silent."""
+    suspected: list[str] = []
+    monkeypatch.setattr(
+        EngineConnections, "close_suspects", lambda pool, engine, since: suspected.append(engine)
+    )
+    with pytest.raises(AnswerLost):
+        run(make_exchange(endless_server(TRICKLES[kind], TRICKLE_SECONDS).address))
+    assert suspected == []
+
+
 def test_engine_that_never_reads_a_request_ends_by_the_deadline() -> None:
     def idle(server: RawServer, connection: socket.socket) -> None:
         server.may_respond.wait(LONG_SECONDS)
