--- a/src/troutswitch/gateway/memory/answer_buffer.py
+++ b/src/troutswitch/gateway/memory/answer_buffer.py
@@ -9,7 +9,7 @@
 from troutswitch.gateway.memory.limits import MEBIBYTE
 from troutswitch.gateway.memory.pressure import Kind
 
-MAX_ANSWER_BYTES = 8 * MEBIBYTE
+MAX_COMPLETE_ANSWER_BYTES = 8 * MEBIBYTE
 """Largest complete answer that is forwarded: eight times the largest of the load."""
 USUAL_ANSWER_BYTES = MEBIBYTE
 """Part of an answer for which there is always room: the largest answers of the load."""
@@ -40,8 +40,8 @@
             AnswerTooLong: they don't fit.
         """
         size = self._holding.size + len(part)
-        if size > MAX_ANSWER_BYTES:
-            raise AnswerTooLong(f"the answer is longer than {MAX_ANSWER_BYTES} bytes")
+        if size > MAX_COMPLETE_ANSWER_BYTES:
+            raise AnswerTooLong(f"the answer is longer than {MAX_COMPLETE_ANSWER_BYTES} bytes")
         self._reserve(max(0, size - USUAL_ANSWER_BYTES))
         self._parts.append(part)
         self._holding.resize(size)
--- a/src/troutswitch/platform/store.py
+++ b/src/troutswitch/platform/store.py
@@ -49,7 +49,7 @@
 NOT_SENT = -1
 """Pseudo status of a call that was not sent."""
 
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 """Largest body of an answer: a read or a page has about 1 MiB, or one record that is larger."""
 TRANSFER_SECONDS = MISSING_OUTCOME_SECONDS
 """Time for an answer beyond its time-out, which bounds each wait for bytes: a slow store shares its
@@ -147,7 +147,7 @@
         self, address: Address, on_suspects_closed: Callable[[int], None] = _ignore
     ) -> None:
         self.connections = ConnectionPool(
-            address, on_suspects_closed, max_body_bytes=MAX_ANSWER_BYTES
+            address, on_suspects_closed, max_body_bytes=MAX_RESPONSE_BYTES
         )
 
     def call(self, call: StoreCall) -> StoreOutcome:
--- a/src/troutswitch/standalone/runtime/http_client.py
+++ b/src/troutswitch/standalone/runtime/http_client.py
@@ -8,7 +8,7 @@
 from troutswitch.runtime.http import JSON_TYPE
 from troutswitch.runtime.readiness import is_readable
 
-MAX_ANSWER_BYTES = 1 << 26
+MAX_RESPONSE_BYTES = 1 << 26
 """Largest body of an answer: a page of the log, or a list of machines."""
 TRANSFER_SECONDS = 5.0
 """Time for an answer beyond its time-out, which bounds each wait for bytes."""
@@ -69,7 +69,7 @@
             connections = {}
             self._local.connections = connections
         if address not in connections:
-            connections[address] = BoundedConnection(address, self._timeout, MAX_ANSWER_BYTES)
+            connections[address] = BoundedConnection(address, self._timeout, MAX_RESPONSE_BYTES)
         return connections[address]
 
 
--- a/tests/gateway/engines/test_endless_answers.py
+++ b/tests/gateway/engines/test_endless_answers.py
@@ -41,14 +41,14 @@
     OutgoingRequest,
 )
 from troutswitch.gateway.engines.item_runs import ItemRuns
-from troutswitch.gateway.memory.answer_buffer import MAX_ANSWER_BYTES
+from troutswitch.gateway.memory.answer_buffer import MAX_COMPLETE_ANSWER_BYTES
 from troutswitch.outcomes import AttemptOutcome
 from troutswitch.platform import names
 
 DEADLINE_SECONDS = 0.5
 LONG_SECONDS = 30.0
 """Beyond the time that a limit of bytes takes to be reached on a busy machine."""
-MAX_TRACED_BYTES = 3 * MAX_ANSWER_BYTES
+MAX_TRACED_BYTES = 3 * MAX_COMPLETE_ANSWER_BYTES
 """The parts of the largest answer, their sum and the reads of it."""
 TRICKLE_SECONDS = 0.01
 received = pytest.fixture(count_received_bytes)
@@ -113,7 +113,7 @@
     exchange = make_exchange(endless_server(ENDLESS_BODIES[kind]).address)
     with pytest.raises(AnswerLost):
         run(exchange, LONG_SECONDS)
-    assert sum(received) <= MAX_ANSWER_BYTES + MAX_ANSWER_BYTES // 8 + READ_BYTES
+    assert sum(received) <= MAX_COMPLETE_ANSWER_BYTES + MAX_COMPLETE_ANSWER_BYTES // 8 + READ_BYTES
 
 
 TRICKLES: dict[str, Pieces] = {
--- a/tests/gateway/memory/test_answer_buffer.py
+++ b/tests/gateway/memory/test_answer_buffer.py
@@ -2,7 +2,7 @@
 
 from troutswitch.gateway.memory.account import MemoryAccount
 from troutswitch.gateway.memory.answer_buffer import (
-    MAX_ANSWER_BYTES,
+    MAX_COMPLETE_ANSWER_BYTES,
     USUAL_ANSWER_BYTES,
     AnswerBuffer,
     AnswerTooLong,
@@ -32,7 +32,7 @@
 
 def test_answer_without_end_is_too_long() -> None:
     buffer = AnswerBuffer()
-    fill(buffer, MAX_ANSWER_BYTES)
+    fill(buffer, MAX_COMPLETE_ANSWER_BYTES)
     with pytest.raises(AnswerTooLong):
         buffer.append(b"x")
 
@@ -46,7 +46,7 @@
     refused = 0
     for buffer in buffers:
         try:
-            fill(buffer, MAX_ANSWER_BYTES - USUAL_ANSWER_BYTES)
+            fill(buffer, MAX_COMPLETE_ANSWER_BYTES - USUAL_ANSWER_BYTES)
         except AnswerTooLong:
             refused += 1
             buffer.release()
@@ -66,5 +66,5 @@
     account = MemoryAccount()
     for _ in range(LARGE_ANSWERS_BYTES // USUAL_ANSWER_BYTES):
         buffer = AnswerBuffer(account)
-        fill(buffer, MAX_ANSWER_BYTES)
+        fill(buffer, MAX_COMPLETE_ANSWER_BYTES)
         buffer.release()
--- a/tests/platform/test_endless_store.py
+++ b/tests/platform/test_endless_store.py
@@ -23,7 +23,7 @@
 @pytest.fixture(autouse=True)
 def limits(monkeypatch: pytest.MonkeyPatch) -> None:
     """Makes the limits small, so that each test reaches one soon."""
-    monkeypatch.setattr(store, "MAX_ANSWER_BYTES", MEBIBYTE)
+    monkeypatch.setattr(store, "MAX_RESPONSE_BYTES", MEBIBYTE)
     monkeypatch.setattr(store, "TRANSFER_SECONDS", 0.5)
 
 
--- a/tests/standalone/engines/test_endless_engines.py
+++ b/tests/standalone/engines/test_endless_engines.py
@@ -37,7 +37,7 @@
 def limits(monkeypatch: pytest.MonkeyPatch) -> None:
     """Makes the limits small, so that each test reaches one soon."""
     monkeypatch.setattr(client, "MAX_STREAM_BYTES", MEBIBYTE)
-    monkeypatch.setattr(http_client, "MAX_ANSWER_BYTES", MEBIBYTE)
+    monkeypatch.setattr(http_client, "MAX_RESPONSE_BYTES", MEBIBYTE)
     monkeypatch.setattr(http_client, "TRANSFER_SECONDS", 0.5)
 
 
