Log which record of crashes holds an item, and for how long

Callers saw batch items that were never placed again after engines had crashed. The logs named refused keys, not the items that these held, so a refusal of the item, of its path and of a part of its prompt looked alike, as did an item that had no slot.

Change: "item held" and "item no longer held", once per change, with the key, its crashes, the item's own crashes and the time of the hold. Test: it failed before, as there was no such line.

--- a/src/troutswitch/decisions/jobs/item_refusals.py
+++ b/src/troutswitch/decisions/jobs/item_refusals.py
@@ -50,6 +50,10 @@
 may crash under items that run at the same time as the first ones."""
 
 
+def _log_nothing(event: str, **fields: object) -> None:
+    """Writes no log line."""
+
+
 class ItemRefusals:
     """Refusals and trials of the items that this daemon owns."""
 
@@ -58,23 +62,46 @@
         suspects: Suspects,
         replicas: JobReplicas,
         prompt_of: Callable[[Mapping[str, str]], PromptShape] = unknown_prompt,
+        log: Callable[..., None] = _log_nothing,
     ) -> None:
         self._suspects = suspects
         self._content_keys = ItemContentKeys(replicas, prompt_of)
+        self._log = log
 
     def forbids_start(self, now: float, progress: ItemProgress) -> bool:
-        """Returns whether an item may not start now."""
+        """Returns whether an item may not start now; logs when that changes."""
+        key = self._forbidding_key(now, progress)
+        if key != progress.held_by:
+            self._log_hold(now, progress, key)
+        return bool(key)
+
+    def _forbidding_key(self, now: float, progress: ItemProgress) -> str:
+        """Returns the refused key because of which an item may not start now, or empty."""
         refused = self._refused(progress)
-        if not refused:
-            return False
         path = self._content_keys.path_key(progress)
-        if any(not self._may_try(now, key) for key in refused if key != path):
-            return True
+        for key in refused:
+            if key != path and not self._may_try(now, key):
+                return key
         if path not in refused:
-            return False
-        return not self._may_try_path(now, progress, path) or self._leaves_trial_to_others(
-            now, progress, path
+            return ""
+        may_try = self._may_try_path(now, progress, path)
+        if may_try and not self._leaves_trial_to_others(now, progress, path):
+            return ""
+        return path
+
+    def _log_hold(self, now: float, progress: ItemProgress, key: str) -> None:
+        held_ms = round((now - progress.held_since) * 1000) if progress.held_by else 0
+        self._log(
+            "item held" if key else "item no longer held",
+            job_id=progress.job_id,
+            item_id=progress.item.item_id,
+            key=key,
+            crashes=self._suspects.crash_count(key),
+            own_crashes=self._suspects.crash_count(self._content_keys.own_key(progress)),
+            held_by=progress.held_by,
+            held_ms=held_ms,
         )
+        progress.held_by, progress.held_since = key, now
 
     def keeps_apart(self, progress: ItemProgress, running: Iterable[ItemProgress]) -> bool:
         """Returns whether an item may not start beside the items that run on an engine.
--- a/src/troutswitch/decisions/jobs/items.py
+++ b/src/troutswitch/decisions/jobs/items.py
@@ -39,6 +39,8 @@
         run_seconds: total duration of its runs here.
         content: its content key, computed on first use (`item_contents`).
         trial: the trial after crashes that its run is, or empty (`item_refusals`).
+        held_by: the key whose crashes forbid its start, or empty (`item_refusals`).
+        held_since: when that key began to forbid it.
         output_id: identity of its output; not stated before its first run.
         version_wait_ends_at: until when it waits for an engine of that version, if it does.
         output_bytes: size of its output so far, as `records.output_bytes` counts it.
@@ -69,6 +71,8 @@
     run_seconds: float = 0.0
     content: str = ""
     trial: Trial = ()
+    held_by: str = ""
+    held_since: float = float("-inf")
     output_id: OutputId = OutputId()  # noqa: RUF009
     version_wait_ends_at: float | None = None
     output_bytes: int = 0
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -226,7 +226,7 @@
 ) -> ItemParts:
     routes, log = dependencies.routes, dependencies.log
     order = ITEM_ORDERS[settings.policies.item_order]()
-    refusals = ItemRefusals(dependencies.suspects, replicas, dependencies.prompt_of)
+    refusals = ItemRefusals(dependencies.suspects, replicas, dependencies.prompt_of, log)
     endings = ItemEndings(items, writer, log)
     return ItemParts(
         items,
--- a/tests/decisions/jobs/test_item_refusals.py
+++ b/tests/decisions/jobs/test_item_refusals.py
@@ -88,3 +88,16 @@
         pauses.append(pause / TRIAL_SECONDS)
         started_at += pause
     assert pauses == [2, 2, 2, 4, 8]
+
+
+def test_log_names_the_key_that_holds_an_item_and_for_how_long() -> None:
+    """Guards against items that wait without a line that says which record holds them."""
+    refusals, _, second = items_of_a_refused_path()
+    lines: list[tuple[str, dict[str, object]]] = []
+    refusals._log = lambda event, **fields: lines.append((event, fields))
+    for now in (1.0, 2.0, TRIAL_SECONDS):
+        refusals.forbids_start(now, second)
+    held, freed = lines
+    assert (held[0], held[1]["crashes"], held[1]["own_crashes"]) == ("item held", 4, 1)
+    assert (freed[0], freed[1]["held_by"]) == ("item no longer held", held[1]["key"])
+    assert freed[1]["held_ms"] == round(1000 * (TRIAL_SECONDS - 1.0))
