Items that crashes hold are placed again: no limit of trials, but a pause

Callers saw batch items that were never placed again after a burst of crashes, although all was calm and engines had room.

Cause: crashes hold an item by its own key, by that of its path and by those of the shared parts of its prompt. Two trials were allowed after the crashes that make a key refused, counted by all crashes on record: none with five under an item, or seven under a part. One volley of crashes puts more on record of a part before it is refused. The part is only cleared by a completed request with it, and all of them were held.

Change: no limit. A held key is tried after 4 s without a crash under it (5 s for a part), after 16 s once a trial failed, after 64 s at most. A crash is a failed trial if it comes after a pause, unless an engine that ran no suspect crashed within a second (`crashes/trials.py`): bursts neither use up trials nor lengthen the pause. The crash of a trial counts at once under the parts as well, and owners check held items at random times, so that trials don't begin together.

Why items that do crash engines stay bounded: they crash alone or beside other suspects, so their trials fail, and the third one comes 84 s after the first crashes.

`may_retry` has no limit to pass any more.

--- a/src/troutswitch/decisions/crashes/interface.py
+++ b/src/troutswitch/decisions/crashes/interface.py
@@ -37,12 +37,16 @@
         """Returns how many engine incarnations are known to have crashed under a key."""
         ...
 
-    def may_retry(self, now: float, key: str, pause: float, max_trials: int) -> bool:
+    def failed_trials(self, key: str) -> int:
+        """Returns how many trials of a refused request crashed their engines."""
+        ...
+
+    def may_retry(self, now: float, key: str, pause: float) -> bool:
         """Returns whether a refused request may be attempted once more.
 
         Args:
-            pause: minimum time, in seconds, since its last crash.
-            max_trials: maximum number of further engines that such attempts may crash.
+            pause: minimum time, in seconds, since its last crash, or the beginning of a trial that
+                still runs.
         """
         ...
 
@@ -106,7 +110,11 @@
         """Returns 0."""
         return 0
 
-    def may_retry(self, now: float, key: str, pause: float, max_trials: int) -> bool:
+    def failed_trials(self, key: str) -> int:
+        """Is never called, because nothing is refused."""
+        return 0
+
+    def may_retry(self, now: float, key: str, pause: float) -> bool:
         """Is never called, because nothing is refused."""
         return True
 
--- a/src/troutswitch/decisions/crashes/messages.py
+++ b/src/troutswitch/decisions/crashes/messages.py
@@ -45,6 +45,15 @@
     engine_id: str
 
 
+TRIAL_PREFIX = "trial:"
+"""Begins the engine ids of trials, which name the trial and no engine."""
+
+
+def is_trial_id(engine_id: str) -> bool:
+    """Returns whether an engine id of a crash is that of a trial."""
+    return engine_id.startswith(TRIAL_PREFIX)
+
+
 Trial = tuple[Crash, ...]
 """A trial of a refused request: the crashes as which it counts until its end, one for each key.
 
--- a/src/troutswitch/decisions/crashes/record.py
+++ b/src/troutswitch/decisions/crashes/record.py
@@ -43,6 +43,11 @@
         """Time after its last crash for which this daemon defers a request, in seconds."""
         return self._rule.deferral_seconds
 
+    @property
+    def min_crashes(self) -> int:
+        """Number of crashes below which a key is neither refused nor deferred."""
+        return self._rule.min_crashes
+
     def __len__(self) -> int:
         return len(self._crashed_once) + len(self._crashed_repeatedly)
 
@@ -84,6 +89,21 @@
         crashes = self._find(content)
         return crashes is not None and crashes.crashed_at.get(engine_id, since) > since
 
+    def crashes_of(self, content: str) -> RequestCrashes:
+        """Returns when which engines crashed under a request; trials count as engines."""
+        return self._find(content) or RequestCrashes()
+
+    def was_suspected(self, engine_id: str, before: float) -> bool:
+        """Returns whether an engine crashed under a request that might be refused before a time."""
+        return any(
+            self._crashes_before(content, before) >= self._rule.min_crashes
+            for content in self._contents_by_engine.get(engine_id, ())
+            if content in self._crashed_repeatedly
+        )
+
+    def _crashes_before(self, content: str, before: float) -> int:
+        return sum(at <= before for at in self.crashes_of(content).crashed_at.values())
+
     @staticmethod
     def is_expired(now: float, at: float) -> bool:
         """Returns whether a crash at the time `at` is too old to count."""
--- a/src/troutswitch/decisions/crashes/suspects.py
+++ b/src/troutswitch/decisions/crashes/suspects.py
@@ -22,15 +22,17 @@
 
 from troutswitch.common import Address, stable_hash
 from troutswitch.daemons.messages import CrashReport
-from troutswitch.decisions.crashes.causes import (
-    CRASHES_TO_REFUSE,
-    MAX_DEFERRAL_SECONDS,
-    RequestCauses,
-)
+from troutswitch.decisions.crashes.causes import MAX_DEFERRAL_SECONDS, RequestCauses
 from troutswitch.decisions.crashes.content import is_part_key
 from troutswitch.decisions.crashes.engine_crashes import EngineCrashes
-from troutswitch.decisions.crashes.messages import CheckEngine, Crash, EngineChecked, Trial
-from troutswitch.decisions.crashes.part_causes import PART_CRASHES_TO_REFUSE, PartCauses
+from troutswitch.decisions.crashes.messages import (
+    TRIAL_PREFIX,
+    CheckEngine,
+    Crash,
+    EngineChecked,
+    Trial,
+)
+from troutswitch.decisions.crashes.part_causes import PartCauses
 from troutswitch.decisions.crashes.part_suspects import (
     ANNOUNCEMENT_DELAY_SECONDS,
     PENDING_SECONDS,
@@ -38,6 +40,7 @@
 )
 from troutswitch.decisions.crashes.record import CrashRecord
 from troutswitch.decisions.crashes.shared import SharedCrashes
+from troutswitch.decisions.crashes.trials import TrialHistory
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.slots.messages import SendToPeers
 from troutswitch.decisions.storage.messages import StoreCall, StoreOutcome
@@ -102,6 +105,7 @@
         self._engine_crashes = EngineCrashes(engines, emit)
         self._record = CrashRecord(RequestCauses(_deferral_seconds(name)))
         self._part_record = CrashRecord(PartCauses())
+        self._trials = TrialHistory(self._record, self._part_record)
         self._part_suspects = PartSuspects()
         self._announcement_checked_at = float("-inf")
         self._shared = SharedCrashes(name, numbers, rng, peers, self._apply, log)
@@ -136,12 +140,13 @@
         """Returns how many engine incarnations are known to have crashed under a key."""
         return self._record_of(key).crash_count(key)
 
-    def may_retry(self, now: float, key: str, pause: float, max_trials: int) -> bool:
+    def failed_trials(self, key: str) -> int:
+        """Returns how many trials of a refused request crashed their engines."""
+        return self._trials.failed_trials(self._record_of(key), key)
+
+    def may_retry(self, now: float, key: str, pause: float) -> bool:
         """Returns whether a refused request may be attempted once more; see `Suspects`."""
-        record = self._record_of(key)
-        min_crashes = PART_CRASHES_TO_REFUSE if is_part_key(key) else CRASHES_TO_REFUSE
-        is_quiet = now + self.clock_offset >= record.last_crash_at(key) + pause
-        return is_quiet and record.crash_count(key) < min_crashes + max_trials
+        return now + self.clock_offset >= self._record_of(key).last_crash_at(key) + pause
 
     def refusal(self, now: float, key: str) -> NotRun:
         """Returns the outcome for a request with a refused key that was not run in this attempt.
@@ -211,7 +216,20 @@
                 self._shared.publish(now, crash, at, True)
         for engine_id in {crash.engine_id: None for crash in crashes}:
             self._part_suspects.on_crashed(now, engine_id)
-            self.end_trial(now, tuple(self._lost_trials.pop(engine_id, ())))
+            self._fail_trials(now, engine_id)
+
+    def _fail_trials(self, now: float, engine_id: str) -> None:
+        """Replaces the trials that ran on a crashed engine by its crash.
+
+        Parts of prompts are tried again sooner than their suspects are announced.
+        """
+        trial = tuple(self._lost_trials.pop(engine_id, ()))
+        at = now + self.clock_offset
+        for begun in trial:
+            crash = Crash(begun.content, engine_id)
+            if self._apply(now, crash, at, True):
+                self._shared.publish(now, crash, at, True)
+        self.end_trial(now, trial)
 
     def _announce_parts(self, now: float) -> None:
         """Announces the parts that may have caused crashes, once enough engines crashed."""
@@ -244,6 +262,7 @@
         if sent_at > self._crashed_at.get(engine_id, float("inf")):
             del self._crashed_at[engine_id]
             self._part_suspects.on_alive(engine_id)
+            self._trials.on_alive(engine_id)
             crashes = self._record.crashes_of_engine(engine_id)
             crashes += self._part_record.crashes_of_engine(engine_id)
             self._retract(now, crashes, "engine lives")
@@ -253,7 +272,7 @@
     def begin_trial(self, now: float, keys: Iterable[str]) -> Trial:
         """Records that a refused request is attempted once more; see `Suspects`."""
         at = now + self.clock_offset
-        trial_id = f"trial:{self._name}:{round(at * 1000)}"
+        trial_id = f"{TRIAL_PREFIX}{self._name}:{round(at * 1000)}"
         trial = tuple(Crash(key, trial_id) for key in keys)
         for crash in trial:
             self._apply(now, crash, at, True)
@@ -288,6 +307,7 @@
         else:
             was_unknown = record.add(time_of_day, crash, at)
             self._remember_crashed(now, crash.engine_id)
+            self._trials.on_crashed(crash.engine_id, min(at, time_of_day))
         self._update_refused()
         return was_unknown
 
@@ -302,6 +322,7 @@
             del self._crashed_at[next(iter(self._crashed_at))]
 
     def _update_refused(self) -> None:
+        self._trials.on_changed()
         refused = self._record.refused | self._record.deferred | self._part_record.refused
         before, self._refused = self._refused, refused
         if self._refused == before:
--- a/src/troutswitch/decisions/jobs/item_refusals.py
+++ b/src/troutswitch/decisions/jobs/item_refusals.py
@@ -8,46 +8,53 @@
     FREE     -> REFUSED   three engines crashed under the item, or under items with its path of
                           which none is done, or a part of its prompt is refused
     REFUSED  -> ON_TRIAL  no engine has crashed under it for `TRIAL_SECONDS`
-    ON_TRIAL -> REFUSED   another engine crashed: the next trial is `TRIAL_SECONDS` later
+    ON_TRIAL -> REFUSED   another engine crashed: the next pause is `PAUSE_FACTOR` times as long if
+                          the trial failed (`crashes.trials`), up to `MAX_TRIAL_PAUSE_SECONDS`
     ON_TRIAL -> FREE      an engine ran it to its end
 
 A trial of a path is a run of one of the items under which the fewest engines crashed, at any owner.
-If none of these starts within `FEWEST_CRASHES_SECONDS`, any of them may. After the trials only
-items of the path without a crash of their own are tried, after twice the pause, which doubles with
-each crash beyond `MAX_CRASHES_BEFORE_BACKOFF`. A trial does not share its engine with other items
-of its path, as far as this daemon runs them.
-
-Why: an item must not crash one engine after another, yet crashes may not dead-letter it: only an
-engine's answer, the end of its retention or the loss of its route may. So it waits, and is retried
-in case something else caused the crashes. An item that alone causes the crashes under its path was
-on each crashed engine, and the others only where they shared one. A trial of that item would crash
-another engine, and keep the others refused. Each item counts by itself too, so that its crashes
-still count when its path is cleared. tests/proofs/test_crashes.py tests the bounds; docs/POLICY.md,
-"Rules", lists the constants.
+If none of these starts within `FEWEST_CRASHES_SECONDS`, any of them may. Before the longest pause
+is over, items of the path without a crash of their own are tried. A trial does not share its engine
+with other items of its path, as far as this daemon runs them.
+
+Why: an item must not crash one engine after another, yet it is owed: only an engine's answer, the
+end of its retention or the loss of its route may end it. Engines that crash for another reason run
+sound items, so crashes hold an item only for a time, and its trials tell which it is. An item that
+alone causes the crashes under its path was on each crashed engine, and the others only where they
+shared one. A trial of that item would crash another engine, and keep the others refused. Trials
+that don't crash let more of them begin, a pause apart, as a run may be long. Each item counts by
+itself too, so that its crashes still count when its path is cleared.
+tests/proofs/test_crashes.py tests the bounds; docs/POLICY.md, "Rules", lists the constants.
 """
 
 from collections.abc import Callable, Iterable, Mapping
 
-from troutswitch.decisions.crashes.causes import CRASHES_TO_REFUSE
+from troutswitch.decisions.crashes.content import is_part_key
 from troutswitch.decisions.crashes.interface import Suspects
+from troutswitch.decisions.crashes.part_suspects import ANNOUNCEMENT_DELAY_SECONDS
 from troutswitch.decisions.forwarding.types import PromptShape
 from troutswitch.decisions.jobs.item_contents import ItemContentKeys, unknown_prompt
 from troutswitch.decisions.jobs.items import ItemProgress
 from troutswitch.decisions.jobs.replicas import JobReplicas
 
-TRIAL_SECONDS = 16.0
-"""Time without a crash after which a refused item is retried once. An item counts as abandoned when
-no engine has run it for 20 s, and it may wait some seconds for a slot."""
-FEWEST_CRASHES_SECONDS = 2.0
-"""Time for which a trial of a path is left to the items with the fewest crashes. Together with
-`TRIAL_SECONDS` it stays below the 20 s after which an item counts as abandoned."""
+TRIAL_SECONDS = 4.0
+"""Time without a crash after which a refused item is tried: longer than a crashed engine takes to
+return and daemons to learn of a crash."""
+PART_TRIAL_SECONDS = TRIAL_SECONDS + ANNOUNCEMENT_DELAY_SECONDS
+"""The same for an item with a refused part of its prompt, whose crashes are announced later."""
+PAUSE_FACTOR = 4.0
+"""Factor by which the pause before the next trial grows with each failed one."""
 MAX_TRIALS = 2
-"""Maximum number of engines that trials of an item may crash. Three crashes are allowed after the
-first three, and one more run may be in flight when the third crash becomes known."""
-
-MAX_CRASHES_BEFORE_BACKOFF = CRASHES_TO_REFUSE + MAX_TRIALS + 3
-"""Crashes of a path up to which the pause before its further trials does not grow: three engines
-may crash under items that run at the same time as the first ones."""
+"""Number of failed trials after which the pause does not grow any further. Three crashes are
+allowed after the first three, and one more run may be in flight when the third crash becomes
+known."""
+MAX_TRIAL_PAUSE_SECONDS = TRIAL_SECONDS * PAUSE_FACTOR**MAX_TRIALS
+"""Longest time without a crash for which crashes hold an item."""
+UNSUSPECTED_PAUSE_SECONDS = MAX_TRIAL_PAUSE_SECONDS / 2
+"""The same for an item of a refused path without a crash of its own, which goes first."""
+FEWEST_CRASHES_SECONDS = 2.0
+"""Time for which a trial of a path is left to the items with the fewest crashes. Together with the
+pause after one failed trial it stays below the 20 s after which an item counts as abandoned."""
 
 
 def _log_nothing(event: str, **fields: object) -> None:
@@ -78,6 +85,8 @@
     def _forbidding_key(self, now: float, progress: ItemProgress) -> str:
         """Returns the refused key because of which an item may not start now, or empty."""
         refused = self._refused(progress)
+        if not refused:
+            return ""
         path = self._content_keys.path_key(progress)
         for key in refused:
             if key != path and not self._may_try(now, key):
@@ -158,26 +167,28 @@
             return []
         return [key for key in self._content_keys.refusal_keys(progress) if key in refused]
 
+    def _pause(self, key: str) -> float:
+        """Returns the time without a crash after which a refused key is tried, in seconds."""
+        first = PART_TRIAL_SECONDS if is_part_key(key) else TRIAL_SECONDS
+        pause = first * PAUSE_FACTOR ** min(MAX_TRIALS, self._suspects.failed_trials(key))
+        return min(pause, MAX_TRIAL_PAUSE_SECONDS)
+
     def _may_try(self, now: float, key: str) -> bool:
-        return self._suspects.may_retry(now, key, TRIAL_SECONDS, MAX_TRIALS)
+        return self._suspects.may_retry(now, key, self._pause(key))
 
     def _may_try_path(self, now: float, progress: ItemProgress, path: str) -> bool:
-        if self._may_try(now, path):
-            return True
-        if self._suspects.crash_count(self._content_keys.own_key(progress)):
-            return False
-        crashes = self._suspects.crash_count(path)
-        doublings = 1 + max(0, crashes - MAX_CRASHES_BEFORE_BACKOFF)
-        pause = TRIAL_SECONDS * 2.0**doublings
-        return self._suspects.may_retry(now, path, pause, crashes)
+        pause = self._pause(path)
+        if not self._suspects.crash_count(self._content_keys.own_key(progress)):
+            pause = min(pause, UNSUSPECTED_PAUSE_SECONDS)
+        return self._suspects.may_retry(now, path, pause)
 
     def _leaves_trial_to_others(self, now: float, progress: ItemProgress, path: str) -> bool:
         """Returns whether a trial of a path is left to its items with fewer crashes."""
         crashes = self._suspects.crash_count(self._content_keys.own_key(progress))
         if not crashes:
             return False
-        pause = TRIAL_SECONDS + FEWEST_CRASHES_SECONDS
-        if self._suspects.may_retry(now, path, pause, MAX_TRIALS):
+        pause = self._pause(path) + FEWEST_CRASHES_SECONDS
+        if self._suspects.may_retry(now, path, pause):
             return False
         siblings = self._content_keys.unlisted_siblings(progress)
         return any(self._suspects.crash_count(key) < crashes for key in siblings)
--- a/src/troutswitch/decisions/jobs/item_retries.py
+++ b/src/troutswitch/decisions/jobs/item_retries.py
@@ -8,7 +8,7 @@
 
 - it is dead-lettered if the newest configuration has had no route for it for `ROUTE_GONE_SECONDS`,
   if the route's retention is over, or if it has as many failed runs as the route allows;
-- it waits for `REFUSED_RETRY_SECONDS` while crashes forbid its start.
+- it waits, and is checked every `REFUSED_RETRY_SECONDS` on average, while crashes forbid its start.
 
 For an item whose run ended early:
 
@@ -50,8 +50,9 @@
 """Upper bound of the mean pause after a run that the engine did not begin, which costs no slot."""
 FAILED_RETRY_SECONDS = 0.4
 """Pause after a run that the engine reported as failed."""
-REFUSED_RETRY_SECONDS = 1.0
-"""Pause until the next check of an item that crashes forbid to start."""
+REFUSED_RETRY_SECONDS = 0.8
+"""Mean pause until the next check of an item that crashes forbid to start. Owners check at
+different times, so that the first one can tell the others that it tries an item of a path."""
 ROUTE_GONE_SECONDS = 6.0
 """Time without a route after which an item is dead-lettered: a change of the configuration may
 remove a route briefly."""
@@ -106,7 +107,7 @@
             self._endings.dead_letter(progress, reason)
             return None
         if self._refusals.forbids_start(now, progress):
-            progress.retry_at = now + REFUSED_RETRY_SECONDS
+            progress.retry_at = now + REFUSED_RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
             return None
         return StartableItem(progress, entry, route)
 
