Another writer in the soak

Nothing in the soak wrote to the store but its own engines and operator. A load kind "another-writer" plays another program: a seeded generator beside the schedule's draws odd entries of the engine list (nested values at all depths around the limits, numbers, ports, hosts, texts, keys, well-formed addresses that can't be connected to, listeners that never answer or reset) and odd configurations that an operator's next good one follows. They are listed before the daemons start, written, changed, deleted and written again while daemons and engines run and end; hundreds at once; some stay through the recovery phase. Existing seeds keep their schedules and their other kinds of load.

Checks: no request is answered 500 by a daemon itself; callers are served without a fault; an engine that is listed is used; a good configuration comes into force. That no process ends by itself, and that engines that leave get no more work, was checked before. Entries whose address accepts connections are fault spans, as what is sent there may have run.

--- a/src/troutswitch/soak/checks.py
+++ b/src/troutswitch/soak/checks.py
@@ -41,6 +41,12 @@
     streams_continue_at_their_version,
 )
 from troutswitch.soak.violations import Check, Violation
+from troutswitch.soak.writer_checks import (
+    configurations_come_into_force,
+    listed_engines_are_used,
+    no_request_ends_with_an_internal_error,
+    requests_beside_odd_records_are_served,
+)
 from troutswitch.standins.content import digest, event_bytes, event_texts, plain_answer
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -473,6 +479,10 @@
     streams_continue_at_their_version,
     most_resumed_streams_continue,
     skewed_connections_are_served,
+    no_request_ends_with_an_internal_error,
+    requests_beside_odd_records_are_served,
+    listed_engines_are_used,
+    configurations_come_into_force,
     recovery_succeeds,
 )
 
--- a/src/troutswitch/soak/fleet.py
+++ b/src/troutswitch/soak/fleet.py
@@ -6,6 +6,7 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -16,8 +17,13 @@
 from troutswitch.platform.stand_in_forms import ENGINE_VERSION
 from troutswitch.soak.callers import DaemonEndpoint
 from troutswitch.soak.clocked_daemon import CLOCK_VARIABLE
-from troutswitch.soak.load_kinds import COMPETITION_SLOTS, MEMORY_LIMIT_MB, LoadKind
-from troutswitch.soak.observations import EngineDeparture, Observations
+from troutswitch.soak.load_kinds import (
+    COMPETITION_SLOTS,
+    LIGHT_LOAD,
+    MEMORY_LIMIT_MB,
+    LoadKind,
+)
+from troutswitch.soak.observations import EngineDeparture, EngineListing, Observations
 from troutswitch.soak.operator import SLOTS, Operator
 from troutswitch.soak.processes import Child, ProcessGroup
 from troutswitch.soak.proxy import Link
@@ -141,11 +147,16 @@
         health_path = HEALTH_PATH if self._has_paces else ""
         self.operator = Operator(self.store_address, slots, health_path)
         self.observations.slots = slots * engines
+        self.observations.configurations = self.operator.configurations
+        self.observations.is_lightly_loaded = load <= LIGHT_LOAD
         self.observations.memory_limit_mb = self._memory_mb
 
-    def start(self) -> None:
+    def start(self, before_daemons: Callable[[], None] | None = None) -> None:
         """Starts all processes and waits until each daemon is ready.
 
+        Args:
+            before_daemons: called when store and engines serve, and before the first daemon starts.
+
         Raises:
             FleetStartError: a process did not answer in time.
         """
@@ -157,6 +168,8 @@
         self.operator.configure()
         for number in range(engines):
             self._add_engine(number)
+        if before_daemons is not None:
+            before_daemons()
         for number in range(daemons):
             self._add_daemon(number)
         for daemon in self.daemons:
@@ -249,7 +262,8 @@
                     raise
                 return  # the soak ended while the engine started
             version = self.observations.engine_versions[engine_id]
-            self.operator.list_engine(engine_id, engine.link.address, version=version)
+            if self.operator.list_engine(engine_id, engine.link.address, version=version):
+                self.observations.listings.append(EngineListing(engine_id, time.monotonic()))
 
         threading.Thread(target=list_when_answering, daemon=True).start()
 
--- a/src/troutswitch/soak/load_kinds.py
+++ b/src/troutswitch/soak/load_kinds.py
@@ -23,6 +23,11 @@
     CRASHING_PARTS = "crashing-parts"
     SKEWED_CONNECTIONS = "skewed-connections"
     LONG_ITEMS = "long-items"
+    ANOTHER_WRITER = "another-writer"
+
+
+LIGHT_LOAD = frozenset({LoadKind.PACES, LoadKind.ANOTHER_WRITER})
+"""Kinds beside which a caller is served whenever there is no fault."""
 
 
 def draw_load(seed: int) -> frozenset[LoadKind]:
--- a/src/troutswitch/soak/observations.py
+++ b/src/troutswitch/soak/observations.py
@@ -106,6 +106,33 @@
     acknowledged_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class EngineListing:
+    """The listing of a started engine, from the time at which the store acknowledged it."""
+
+    engine: str
+    acknowledged_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationWrite:
+    """A configuration that the store acknowledged; `is_odd` if another program wrote it."""
+
+    version: int
+    begun_at: float
+    acknowledged_at: float
+    is_odd: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class OddRecordWrite:
+    """The write of an odd record; `kind` names what is odd, `key` is empty for configurations."""
+
+    kind: str
+    key: str
+    written_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class ObservedResult:
     """A batch result as one read returned it."""
@@ -172,6 +199,14 @@
     """Memory limit in the daemons' settings, in units of 1,000,000 bytes; 0 means none."""
     engine_versions: dict[str, str] = field(default_factory=dict)
     """Software version of each engine, by its id."""
+    listings: list[EngineListing] = field(default_factory=list)
+    configurations: list[ConfigurationWrite] = field(default_factory=list)
+    """The configurations by version, odd ones included."""
+    odd_records: list[OddRecordWrite] = field(default_factory=list)
+    """What another writer wrote; deletions are left out."""
+    is_lightly_loaded: bool = False
+    """Whether the callers of the soak leave most slots free, so that none is refused without a
+    fault."""
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     def is_fault_free(self, begin: float, end: float) -> bool:
--- a/src/troutswitch/soak/operator.py
+++ b/src/troutswitch/soak/operator.py
@@ -1,12 +1,13 @@
 """Writes the configuration and the engines' records to the store, with retries.
 
-A write whose answer is lost may be done seconds later. Each carries a number of its key's writer,
-so that a repeat done late doesn't undo a later write of the key.
+A write whose answer is lost may be done seconds later. Each carries a number of its writer, one for
+each key, so that a repeat done late doesn't undo a later write of the key.
 """
 
 import threading
 import time
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from troutswitch.common import Address
@@ -27,7 +28,7 @@
 )
 from troutswitch.platform.store import StoreClient
 from troutswitch.soak.callers import HOST
-from troutswitch.soak.observations import RequestKind
+from troutswitch.soak.observations import ConfigurationWrite, RequestKind
 from troutswitch.soak.tenants import tenant_forms
 
 SERVICE = "service-1"
@@ -64,17 +65,9 @@
     return f"/{RequestKind.VERSION}-{version}/"
 
 
-@dataclass(frozen=True, slots=True)
-class AcknowledgedVersion:
-    """A configuration version that the store acknowledged."""
-
-    version: int
-    acknowledged_at: float
-
-
 @dataclass(slots=True)
-class _KeyWriter:
-    """The writes of one key, one after another; `writes` is the number of those that were begun."""
+class _Writer:
+    """The calls of one writer, one after another; `writes` is the number of those begun."""
 
     writes: int = 0
     lock: threading.Lock = field(default_factory=threading.Lock)
@@ -88,10 +81,11 @@
         self._health_path = health_path
         self._client = StoreClient(store)
         self._lock = threading.Lock()
-        self._writers: dict[str, _KeyWriter] = defaultdict(_KeyWriter)
+        self._writers: dict[str, _Writer] = defaultdict(_Writer)
         self._writers_lock = threading.Lock()
         self.version = 0
-        self.acknowledged: list[AcknowledgedVersion] = []
+        self.configurations: list[ConfigurationWrite] = []
+        """The acknowledged configurations, odd ones included, by version."""
         self.stop_requested = threading.Event()
 
     def configure(self) -> None:
@@ -99,23 +93,36 @@
 
         Each version has a probe route of its own, and the previous version's is removed.
         """
+        self._configure(None)
+
+    def spoil_configuration(self, change: Callable[[bytes], bytes]) -> None:
+        """Writes the next configuration as another program does that changes its record."""
+        self._configure(change)
+
+    def _configure(self, change: Callable[[bytes], bytes] | None) -> None:
         with self._lock:
             self.version += 1
-            version = self.version
-            probe = RouteSpec(f"version-{version}", version_path(version), "idempotent")
-            routes = (*ROUTES, probe)
-            record = configuration_record(
-                version,
-                HOST,
-                SERVICE,
-                self.slots,
-                routes,
-                LIMITS,
-                tenant_forms(),
-                self._health_path,
-            )
-            if self._write(CONFIGURATION, CONFIGURATION_KEY, record):
-                self.acknowledged.append(AcknowledgedVersion(version, time.monotonic()))
+            begun_at = time.monotonic()
+            record = self._configuration(self.version)
+            value = record if change is None else change(record)
+            if self._write(CONFIGURATION, CONFIGURATION_KEY, value):
+                acknowledged_at, is_odd = time.monotonic(), change is not None
+                self.configurations.append(
+                    ConfigurationWrite(self.version, begun_at, acknowledged_at, is_odd)
+                )
+
+    def _configuration(self, version: int) -> bytes:
+        probe = RouteSpec(f"version-{version}", version_path(version), "idempotent")
+        return configuration_record(
+            version,
+            HOST,
+            SERVICE,
+            self.slots,
+            (*ROUTES, probe),
+            LIMITS,
+            tenant_forms(),
+            self._health_path,
+        )
 
     def list_engine(
         self,
@@ -132,13 +139,23 @@
         """Removes an engine's record; returns False if the soak stopped first."""
         return self._write(ENGINES, engine_id, b"")
 
+    def write_entries(self, writer: str, records: tuple[KeyedRecord, ...]) -> bool:
+        """Writes records of another writer to the engine list, in one call.
+
+        Returns False if the soak stopped first.
+        """
+        return self._write_all(ENGINES, writer, records)
+
     def _write(self, partition: Partition, key: str, value: bytes) -> bool:
+        return self._write_all(partition, f"{WRITER_PREFIX}{key}", (KeyedRecord(key, value),))
+
+    def _write_all(self, partition: Partition, name: str, records: tuple[KeyedRecord, ...]) -> bool:
         with self._writers_lock:
-            writer = self._writers[key]
+            writer = self._writers[name]
         with writer.lock:
             writer.writes += 1
-            stamp = WriterStamp(f"{WRITER_PREFIX}{key}", WRITER_EPOCH, writer.writes)
-            call = AppendRecords(0, partition, (KeyedRecord(key, value),), stamp=stamp)
+            stamp = WriterStamp(name, WRITER_EPOCH, writer.writes)
+            call = AppendRecords(0, partition, records, stamp=stamp)
             while not self.stop_requested.is_set():
                 if isinstance(self._client.call(call), Appended):
                     return True
--- a/src/troutswitch/soak/report.py
+++ b/src/troutswitch/soak/report.py
@@ -54,6 +54,7 @@
         "jobs": len(observations.jobs),
         "jobs_accepted": sum(job.accepted_at > 0 for job in observations.jobs),
         "process_ends": len(observations.exits),
+        "odd_records": dict(sorted(Counter(o.kind for o in observations.odd_records).items())),
         "memory_mb_most": round(max((s.memory_mb for s in samples), default=0.0)),
         "descriptors_most": max((s.descriptors for s in samples), default=0),
         "log_bytes_most": max((s.log_bytes for s in samples), default=0),
--- a/src/troutswitch/soak/run.py
+++ b/src/troutswitch/soak/run.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Protocol
 
+from troutswitch.soak.another_writer import AnotherWriter
 from troutswitch.soak.callers import Caller
 from troutswitch.soak.checks import find_violations
 from troutswitch.soak.competing_callers import SteadyCaller, SurgingCallers
@@ -87,16 +88,25 @@
         self._workers: list[_Worker] = []
         self._hard_load: list[_CallerGroup] = []
         self._threads: list[threading.Thread] = []
+        self._other_writer: AnotherWriter | None = None
+        if LoadKind.ANOTHER_WRITER in size.load:
+            self._other_writer = AnotherWriter(
+                schedule.seed, schedule.seconds, self.fleet.operator, self.fleet.observations
+            )
 
     def run(self) -> SoakResult:
         """Runs the schedule and the recovery phase; no process is left when it returns."""
         soak_started_at = time.monotonic()
         try:
-            self.fleet.start()
+            writer = self._other_writer
+            self.fleet.start(None if writer is None else writer.write_initial)
             self._start_workers()
             fault_injector = FaultInjector(self.fleet, self.schedule)
             self._run_stalled(fault_injector)
             self._stop_hard_load()
+            if writer is not None:
+                fault_injector.end_all_faults()  # its writes wait for the store
+                writer.stop()
             RecoveryPhase(self.fleet, fault_injector, self.stop_requested.is_set).run()
             self._stop_workers()
             fault_injector.run(time.monotonic() + SETTLE_SECONDS, self.stop_requested.is_set)
@@ -105,6 +115,8 @@
             for worker in self._workers:
                 worker.stop_requested.set()
             self.fleet.stop()
+            if writer is not None:
+                writer.close()
         seconds = time.monotonic() - soak_started_at
         was_interrupted = self.stop_requested.is_set()
         return SoakResult(
@@ -133,6 +145,10 @@
                 observations.slots,
                 observations.memory_limit_mb,
                 dict(observations.engine_versions),
+                list(observations.listings),
+                list(observations.configurations),
+                list(observations.odd_records),
+                observations.is_lightly_loaded,
             )
         return find_violations(snapshot)
 
@@ -196,6 +212,9 @@
         resource_sampler = ResourceSampler(self.fleet.daemons, observations)
         self._workers.append(resource_sampler)
         self._threads.append(resource_sampler.thread)
+        if self._other_writer is not None:
+            self._threads.append(self._other_writer.thread)
+            self._workers.append(self._other_writer)
         for thread in self._threads:
             thread.start()
 
