An engine that can't be connected to uses up no request's attempts

Callers saw 503 while sound engines were idle: entries of the engine list that are well formed, and whose address refuses connections, were usable engines. A request ended after its route's attempts and three rejections more, six different entries, which were not ejected yet or again.

Two rules: once a request could not be sent to an engine, it goes to engines that have answered this daemon and not failed since, if any are left; and attempts that could not be sent don't count as rejections for a second from the first, while an untried engine is left that is not ejected. A daemon that is cut off from all its engines has ejected them, and still rejects after six attempts, with a time to retry.

--- a/src/troutswitch/decisions/forwarding/attempts.py
+++ b/src/troutswitch/decisions/forwarding/attempts.py
@@ -55,6 +55,8 @@
         )
         request.state = RequestState.RUNNING
         request.attempt += 1
+        if request.attempt == 1:
+            request.first_sent_at = now
         request.engine_id = engine.record.engine_id
         request.tried.add(request.engine_id)
         request.answer_began_at = float("inf")
@@ -78,6 +80,7 @@
         address and rejects what was meant for the crashed one. If that rejection counted, the crash
         would be retracted, and the request that causes crashes would be sent again.
         """
+        self._engines.on_answered(request.engine_id)
         if event.not_run:
             return
         request.answer_began_at = now
--- a/src/troutswitch/decisions/forwarding/candidates.py
+++ b/src/troutswitch/decisions/forwarding/candidates.py
@@ -4,7 +4,9 @@
 the engines that the request was sent to before.
 
 Rule: engines that the request was not sent to. Of these, engines that rejected some request as full
-less than `FULL_EXCLUSION_SECONDS` ago are excluded, unless no others remain. After a wait, a
+less than `FULL_EXCLUSION_SECONDS` ago are excluded, unless no others remain. Once the request could
+not be sent to an engine, only those known to be reachable are left (`engine_ejection`), unless no
+others remain: entries of the engine list may point to addresses where no engine is. After a wait, a
 request may go again to engines that rejected it, and if none remains, also to those that failed.
 A stream that continues goes only to engines of the software version that began it. A new one that
 can be resumed goes to engines of a further version only after a while (`streams.versions`), unless
@@ -16,9 +18,11 @@
 import itertools
 
 from troutswitch.decisions.forwarding.engine import Engine
+from troutswitch.decisions.forwarding.engine_ejection import is_reachable
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.request import ForwardedRequest
 from troutswitch.decisions.streams.versions import version_key
+from troutswitch.outcomes import AttemptOutcome
 
 FULL_EXCLUSION_SECONDS = 0.15
 """Time for which an engine that rejected a request as full is not a candidate."""
@@ -32,7 +36,10 @@
     """Returns the engines that may take a request, in the order of the engine list."""
     usable = permitted_engines(now, request, engines)
     untried = [engine for engine in usable if engine.record.engine_id not in request.tried]
-    return [engine for engine in untried if now >= engine.full_until] or untried
+    available = [engine for engine in untried if now >= engine.full_until] or untried
+    if AttemptOutcome.UNREACHABLE not in request.ended_attempts:
+        return available
+    return [engine for engine in available if is_reachable(engine)] or available
 
 
 def permitted_engines(
--- a/src/troutswitch/decisions/forwarding/engine.py
+++ b/src/troutswitch/decisions/forwarding/engine.py
@@ -108,6 +108,8 @@
     online_samples: int = 0
 
     # Failures.
+    has_answered: bool = False
+    """Whether any answer of it was received here."""
     failures: int = 0
     """Consecutive failures."""
     ejected_until: float = float("-inf")
--- a/src/troutswitch/decisions/forwarding/engine_ejection.py
+++ b/src/troutswitch/decisions/forwarding/engine_ejection.py
@@ -9,6 +9,8 @@
 `MAX_EJECTION_SECONDS`. Any attempt that doesn't fail ends the ejection. If all engines of a service
 are ejected, all are used: the cause is then more often this daemon's own network.
 
+An engine is known to be reachable if it has answered this daemon and has not failed since.
+
 Measurements: docs/POLICY.md.
 """
 
@@ -38,6 +40,11 @@
     engine.ejected_until = float("-inf")
 
 
+def is_reachable(engine: Engine) -> bool:
+    """Returns whether the engine has answered, and no attempt has failed since."""
+    return engine.has_answered and engine.failures == 0
+
+
 def without_ejected(now: float, engines: list[Engine]) -> list[Engine]:
     """Returns the engines that are not ejected; all if every engine is."""
     return [engine for engine in engines if now >= engine.ejected_until] or engines
--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -10,7 +10,7 @@
 reports of the start and end of each attempt. All times are this process's clock, in seconds.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass, field
 
 from troutswitch.daemons.messages import MAX_PACES, EngineCounts, PaceReading, engine_key
@@ -171,6 +171,13 @@
         """
         return engine_ejection.without_ejected(now, self.of_service(service))
 
+    def has_untried(self, now: float, service: str, tried: Set[str]) -> bool:
+        """Returns whether an engine of a service is neither ejected nor among those tried."""
+        return any(
+            now >= engine.ejected_until and engine.record.engine_id not in tried
+            for engine in self.of_service(service)
+        )
+
     def update_peer_counts(self, now: float, counts: Iterable[EngineCounts]) -> None:
         """Updates the peers' requests from a coordinator's counts of all daemons' requests."""
         for counted in counts:
@@ -266,6 +273,12 @@
         if engine is not None:
             engine.last_seen_at = now
 
+    def on_answered(self, engine_id: str) -> None:
+        """Records that the head of an answer was received from the engine."""
+        engine = self.engines.get(engine_id)
+        if engine is not None:
+            engine.has_answered = True
+
     def on_load(self, now: float, engine_id: str, load: EngineLoad) -> None:
         """Records a load that the engine reported with an answer."""
         engine = self.engines.get(engine_id)
--- a/src/troutswitch/decisions/forwarding/request.py
+++ b/src/troutswitch/decisions/forwarding/request.py
@@ -63,6 +63,8 @@
     """Whether a coordinator denied it a slot and it is sent anyway, as it may have run."""
 
     # Attempts so far.
+    first_sent_at: float = float("inf")
+    """When its first attempt started."""
     ended_attempts: list[AttemptOutcome] = field(default_factory=list)
     """How its attempts ended, in order."""
     tried: set[str] = field(default_factory=set)
--- a/src/troutswitch/decisions/forwarding/requests.py
+++ b/src/troutswitch/decisions/forwarding/requests.py
@@ -293,7 +293,13 @@
         request.needs_retry_budget |= may_have_run
         request.needs_quota |= may_have_run
         awaits_report = may_have_run and self._suspects.awaits_crash_report(request.crash_keys)
-        action = action_after_failure(request, event, awaits_crash_report=awaits_report)
+        action = action_after_failure(
+            now,
+            request,
+            event,
+            awaits_crash_report=awaits_report,
+            has_untried=self._engines.has_untried(now, request.service, request.tried),
+        )
         match action:
             case FailureAction.RELAY_ANSWER:
                 return self._open.relay_answer(request, event)
