A nested value of another writer ends no daemon: decoders of JSON are total

What callers saw: an entry of the engine list, or a configuration, with a field that is nested deeply ended every daemon that read it, and each one that was started while it was there. Their open requests had no answer.

Cause: msgspec raises RecursionError, which is neither a DecodeError nor a ValueError, so it passed each reader and reached the loop. Worse, a value that is decoded without a type (`healthPath` of a service) calls itself for each level on a thread with a stack of 256 KiB: nested 700 to 1,000 deep, below the limit at which Python raises anything, it overflows the stack, and the process ends by a segmentation fault without a line in its log.

Evidence: before, tests/test_decoders.py fails for the readers of the store, settings, logs and the standalone product ("RecursionError: maximum recursion depth exceeded while deserializing an object"), and its test of depths ends with a crash in the first decoder, `decode_configuration`. By hand, on a thread of a daemon: depths 700, 900, 990, 1100 and 5000 of `healthPath` end the process with signal 11, 500 does not.

Fix: `json_values.decode_json` is to JSON what `decode_cbor` is to CBOR. It checks the depth by the brackets alone, before anything recursive runs, and whatever a decoder raises is `MalformedJson`. Rows of the standalone machine list are decoded one by one: one malformed row hid the others.

--- a/src/troutswitch/cli/ctl.py
+++ b/src/troutswitch/cli/ctl.py
@@ -3,7 +3,6 @@
 import getpass
 import json
 import time
-import tomllib
 import uuid
 from pathlib import Path
 from typing import Any
@@ -15,6 +14,7 @@
 from troutswitch.cli.standin import parse_address
 from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
+from troutswitch.json_values import MalformedJson, decode_json
 from troutswitch.standalone.decisions.configuration.declarations import (
     DeclarationError,
     changes_between,
@@ -23,11 +23,20 @@
 from troutswitch.standalone.decisions.configuration.tree import ConfigurationTree, scope_of_path
 from troutswitch.standalone.log_service.records import ConfigurationChange
 from troutswitch.standalone.runtime.http_client import HttpError, ThreadLocalConnections
+from troutswitch.toml_values import MalformedToml, decode_toml
 
 CALL_TIMEOUT_SECONDS = 40.0
 WAIT_POLL_SECONDS = 0.2
 
 
+class _Error(msgspec.Struct):
+    message: str = ""
+
+
+class _Refusal(msgspec.Struct):
+    error: _Error = msgspec.field(default_factory=_Error)
+
+
 class OperatorClient:
     """Makes blocking calls to a daemon's operator interface."""
 
@@ -46,11 +55,14 @@
             status, answer = self._pool.call(self._address, method, path, data)
         except HttpError as error:
             raise click.ClickException(f"daemon at {self._address}: {error}") from error
-        value = json.loads(answer)
-        if status != 200:
-            error_text = value.get("error", {}).get("message", f"status {status}")
-            raise click.ClickException(f"daemon at {self._address}: {error_text}")
-        return value
+        try:
+            if status != 200:
+                error_text = decode_json(answer, _Refusal).error.message or f"status {status}"
+                raise click.ClickException(f"daemon at {self._address}: {error_text}")
+            return decode_json(answer, object)
+        except MalformedJson as error:
+            text = f"daemon at {self._address}: status {status}, {error}"
+            raise click.ClickException(text) from error
 
 
 @click.group()
@@ -216,8 +228,8 @@
     if text == "unset":
         return None
     try:
-        value = tomllib.loads(f"value = {text}")["value"]
-    except tomllib.TOMLDecodeError:
+        value = decode_toml(f"value = {text}".encode(), dict[str, Any])["value"]
+    except MalformedToml:
         return text
     return value if isinstance(value, bool | int | float | str) else text
 
--- a/src/troutswitch/hindsight/log_lines.py
+++ b/src/troutswitch/hindsight/log_lines.py
@@ -3,12 +3,13 @@
 Lines of several daemons are merged in time order.
 """
 
-import json
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import datetime
 from typing import Any
 
+from troutswitch.json_values import decode_json
+
 
 @dataclass(frozen=True, slots=True)
 class Line:
@@ -51,7 +52,7 @@
             result.bad_lines += bool(text.strip())
             continue
         try:
-            fields = json.loads(text[start:])
+            fields = decode_json(text[start:].encode(), dict[str, Any])
         except ValueError:
             result.bad_lines += 1
             continue
--- a/src/troutswitch/platform/configuration.py
+++ b/src/troutswitch/platform/configuration.py
@@ -21,6 +21,7 @@
     Service,
 )
 from troutswitch.decisions.tenants.types import Tenant, key_digest
+from troutswitch.json_values import decode_json
 from troutswitch.platform.engine_ids import incarnation_id
 from troutswitch.platform.names import CONFIGURATION_KEY, PROMPT_PREFIX, TOKEN_USAGE
 from troutswitch.platform.requests import read_prompt
@@ -137,10 +138,6 @@
     born: _Count | None = None
 
 
-_CONFIGURATION = msgspec.json.Decoder(_Configuration)
-_SERVER = msgspec.json.Decoder(_Server)
-
-
 def decode_configuration(data: bytes) -> FleetConfiguration:
     """Decodes a complete configuration.
 
@@ -148,9 +145,9 @@
         FormatError: the record is malformed.
     """
     try:
-        decoded = _CONFIGURATION.decode(data)
+        decoded = decode_json(data, _Configuration)
         routes = tuple(_route(route) for route in decoded.routes)
-    except (msgspec.DecodeError, ValueError) as error:
+    except ValueError as error:
         raise FormatError(f"configuration: {error}") from error
     limits = RequestLimits(
         decoded.limits.maxHeaderBytes,
@@ -224,9 +221,9 @@
     if not is_request_id(instance) or len(instance.encode()) > MAX_ENGINE_ID_BYTES:
         raise FormatError(f"engine {instance[:40]!r}: no header can hold the id")
     try:
-        decoded = _SERVER.decode(data)
+        decoded = decode_json(data, _Server)
         address = msgspec.convert(Address.parse(decoded.address), Address)
-    except (msgspec.DecodeError, ValueError) as error:
+    except ValueError as error:
         raise FormatError(f"engine {instance}: {error}") from error
     engine_id = incarnation_id(instance, decoded.born)
     return EngineRecord(
--- a/src/troutswitch/platform/jobs.py
+++ b/src/troutswitch/platform/jobs.py
@@ -24,6 +24,7 @@
     ResultsRequested,
 )
 from troutswitch.decisions.jobs.records import DONE, MAX_ID_BYTES, JobItem
+from troutswitch.json_values import decode_json
 from troutswitch.platform import names
 from troutswitch.platform.requests import IncomingRequest
 from troutswitch.runtime.http import JSON_TYPE, Response
@@ -72,9 +73,6 @@
     results: list[_Result]
 
 
-_SUBMISSION = msgspec.json.Decoder(_Submission)
-
-
 @dataclass(frozen=True, slots=True)
 class JobCallTarget:
     """The job that a call's path identifies; `is_item` if the call is about one of its items."""
@@ -124,7 +122,7 @@
     if not is_request_id(request.request_id) or _is_too_long(request.request_id):
         raise JobFormatError("malformed id of a job")
     try:
-        submission = _SUBMISSION.decode(body)
+        submission = decode_json(body, _Submission)
         items = tuple(
             JobItem(
                 item.id,
@@ -135,7 +133,7 @@
             )
             for item in submission.items
         )
-    except (msgspec.DecodeError, ValueError) as error:
+    except ValueError as error:
         raise JobFormatError(f"malformed job: {error}") from error
     if not items or len(items) > MAX_JOB_ITEMS:
         raise JobFormatError(f"expected 1 to {MAX_JOB_ITEMS} items, got {len(items)}")
--- a/src/troutswitch/platform/settings.py
+++ b/src/troutswitch/platform/settings.py
@@ -19,6 +19,7 @@
     StoreSettings,
 )
 from troutswitch.platform.names import SETTINGS_VARIABLE
+from troutswitch.toml_values import decode_toml
 
 MEGABYTE = 1_000_000
 """Unit of `memoryMb`. The smaller reading of the unit keeps the process below either."""
@@ -92,8 +93,8 @@
     except OSError as error:
         raise GatewaySettingsError(f"{path}: {error.strerror}") from error
     try:
-        return _translate(msgspec.toml.decode(data, type=_Settings))
-    except (msgspec.DecodeError, ValueError) as error:
+        return _translate(decode_toml(data, _Settings))
+    except ValueError as error:
         raise GatewaySettingsError(f"{path}: {error}") from error
 
 
--- a/src/troutswitch/platform/store.py
+++ b/src/troutswitch/platform/store.py
@@ -37,6 +37,7 @@
     StoreOutcome,
 )
 from troutswitch.decisions.storage.read_attempts import MISSING_OUTCOME_SECONDS
+from troutswitch.json_values import MalformedJson, decode_json
 from troutswitch.platform.names import CONFIGURATION_TOPIC, SERVERS_TOPIC, TOPIC_PREFIX
 from troutswitch.runtime.connection_pool import ConnectionPool
 
@@ -178,8 +179,8 @@
         if status != 200:
             return _failed(status, body)
         try:
-            decoded = msgspec.json.decode(body, type=_Newest)
-        except msgspec.DecodeError as error:
+            decoded = decode_json(body, _Newest)
+        except MalformedJson as error:
             return CallFailed(f"malformed answer: {error}", True)
         rows = (_newest_record(row) for row in decoded.rows)
         records = tuple(record for record in rows if record is not None)
@@ -235,8 +236,8 @@
     @staticmethod
     def _appended(body: bytes) -> StoreOutcome:
         try:
-            decoded = msgspec.json.decode(body, type=_Appended)
-        except msgspec.DecodeError as error:
+            decoded = decode_json(body, _Appended)
+        except MalformedJson as error:
             return CallFailed(f"malformed answer: {error}", True)
         return Appended(decoded.offset, decoded.end)
 
@@ -255,8 +256,8 @@
         if status != 200:
             return _failed(status, content)
         try:
-            decoded = msgspec.json.decode(content, type=_Joined)
-        except msgspec.DecodeError as error:
+            decoded = decode_json(content, _Joined)
+        except MalformedJson as error:
             return CallFailed(f"malformed answer: {error}", True)
         rows = tuple(
             Partition(topics[name], number) for name, number, _ in decoded.parts if name in topics
@@ -291,7 +292,7 @@
         headers = {"Content-Type": "application/json"} if body is not None else {}
         try:
             pooled.connect()
-        except OSError as error:
+        except (OSError, ValueError) as error:
             self.connections.discard(pooled, error)
             return NOT_SENT, str(error).encode()
         try:
@@ -313,8 +314,8 @@
     base64 is replaced by an empty one, which readers reject or take for a deleted record.
     """
     try:
-        decoded = msgspec.json.decode(row, type=_NewestRow)
-    except msgspec.DecodeError:
+        decoded = decode_json(row, _NewestRow)
+    except MalformedJson:
         return None
     try:
         value = b64decode(decoded.value, validate=True)
@@ -329,8 +330,8 @@
 
 def _refusal(body: bytes) -> _Refused:
     try:
-        return msgspec.json.decode(body, type=_Refused)
-    except msgspec.DecodeError:
+        return decode_json(body, _Refused)
+    except MalformedJson:
         return _Refused()
 
 
--- a/src/troutswitch/standalone/callers/parsing.py
+++ b/src/troutswitch/standalone/callers/parsing.py
@@ -7,6 +7,7 @@
 import xxhash
 from msgspec import Meta
 
+from troutswitch.json_values import MalformedJson, decode_json
 from troutswitch.standalone.log_service.records import BatchItem
 
 CHARACTERS_PER_TOKEN = 4
@@ -73,11 +74,9 @@
         BadInput: the body is malformed or incomplete.
     """
     try:
-        body = msgspec.json.decode(data, type=CompletionBody)
-    except msgspec.ValidationError as error:
+        body = decode_json(data, CompletionBody)
+    except MalformedJson as error:
         raise BadInput(str(error)) from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise BadInput(f"malformed JSON: {error}") from error
     required = body.messages if needs_messages else body.prompt
     if required is None:
         raise BadInput("messages is required" if needs_messages else "prompt is required")
@@ -114,11 +113,9 @@
     if len(raw) > MAX_LINE_BYTES:
         raise BadInput(f"line {number}: longer than {MAX_LINE_BYTES} bytes", 413)
     try:
-        line = msgspec.json.decode(raw, type=BatchLine)
-    except msgspec.ValidationError as error:
+        line = decode_json(raw, BatchLine)
+    except MalformedJson as error:
         raise BadInput(f"line {number}: {error}") from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise BadInput(f"line {number}: malformed JSON: {error}") from error
     if not line.body.text():
         raise BadInput(f"line {number}: prompt or messages is required")
     return line
--- a/src/troutswitch/standalone/daemons/messages.py
+++ b/src/troutswitch/standalone/daemons/messages.py
@@ -8,10 +8,12 @@
 import hashlib
 import hmac
 from dataclasses import dataclass, field
+from typing import Any
 
 import cbor2
 import msgspec
 
+from troutswitch.cbor_values import decode_cbor
 from troutswitch.standalone.constants import MAX_DATAGRAM_BYTES, REPLAY_WINDOW_SECONDS
 
 DIGEST_BYTES = 16
@@ -202,9 +204,9 @@
             self.dropped.wrong_key += 1
             return None
         try:
-            sent_at, plain = cbor2.loads(body)
+            sent_at, plain = decode_cbor(body, tuple[float, list[Any]], allows_infinity=True)
             message: Message = msgspec.convert(plain, Message)
-        except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError, TypeError):
+        except ValueError:
             self.dropped.malformed += 1
             return None
         return message if self._is_new(now, sent_at, digest) else None
--- a/src/troutswitch/standalone/decisions/batch/snapshot.py
+++ b/src/troutswitch/standalone/decisions/batch/snapshot.py
@@ -7,6 +7,7 @@
 import cbor2
 import msgspec
 
+from troutswitch.cbor_values import decode_cbor
 from troutswitch.standalone.constants import ENTRY_SCHEMA_VERSION
 from troutswitch.standalone.decisions.batch.fold import (
     Accepted,
@@ -88,12 +89,14 @@
         UnreadableEntry: The payload is malformed or has a newer schema version.
     """
     try:
-        snapshot = msgspec.convert(cbor2.loads(zlib.decompress(payload)), _ShardSnapshot)
-    except (zlib.error, cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as error:
-        raise UnreadableEntry(str(error)) from error
-    if snapshot.schema_version > ENTRY_SCHEMA_VERSION:
-        raise UnreadableEntry(f"snapshot schema {snapshot.schema_version} is newer than ours")
-    return _fold_from_snapshot(snapshot)
+        snapshot = decode_cbor(zlib.decompress(payload), _ShardSnapshot, allows_infinity=True)
+        if snapshot.schema_version > ENTRY_SCHEMA_VERSION:
+            raise UnreadableEntry(f"snapshot schema {snapshot.schema_version} is newer than ours")
+        return _fold_from_snapshot(snapshot)
+    except UnreadableEntry:
+        raise
+    except Exception as error:  # offsets, states and digests are packed, and checked when unpacked
+        raise UnreadableEntry(f"{type(error).__name__}: {error}") from error
 
 
 def _fold_from_snapshot(snapshot: _ShardSnapshot) -> ShardFold:
--- a/src/troutswitch/standalone/decisions/configuration/declarations.py
+++ b/src/troutswitch/standalone/decisions/configuration/declarations.py
@@ -4,12 +4,12 @@
 `[root]`, `["zone/a"]`, `["service/b"]`, `["zone/a/service/b"]`, `["tenant/t"]`.
 """
 
-import tomllib
 from pathlib import Path
 from typing import Any
 
 from troutswitch.standalone.decisions.configuration.tree import ConfigurationTree, check_change
 from troutswitch.standalone.log_service.records import ConfigurationChange
+from troutswitch.toml_values import MalformedToml, decode_toml
 
 
 class DeclarationError(Exception):
@@ -37,8 +37,8 @@
 
 def _read(file: Path) -> dict[str, Any]:
     try:
-        return tomllib.loads(file.read_text())
-    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return decode_toml(file.read_bytes(), dict[str, Any])
+    except (OSError, MalformedToml) as error:
         raise DeclarationError(f"{file}: {error}") from error
 
 
--- a/src/troutswitch/standalone/engines/client.py
+++ b/src/troutswitch/standalone/engines/client.py
@@ -1,7 +1,6 @@
 """Client of inference engines: streams, cancellation and load."""
 
 import http.client
-import json
 import socket
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -10,6 +9,7 @@
 import msgspec
 
 from troutswitch.common import Address
+from troutswitch.json_values import MalformedJson, decode_json
 from troutswitch.outcomes import AttemptOutcome
 from troutswitch.runtime.bounded_connection import READ_BYTES, BoundedConnection
 from troutswitch.standalone.decisions.events import EngineLoad
@@ -17,6 +17,7 @@
 from troutswitch.standalone.engines.protocol import (
     LEAVING_HEADER,
     LEAVING_YES,
+    Cancellation,
     CompletionRequest,
     LoadReport,
     Piece,
@@ -30,7 +31,6 @@
 MAX_STREAM_BYTES = 1 << 26
 """Longest stream that is read: some 100 bytes for each of 500,000 tokens."""
 DATA_PREFIX = b"data: "
-PIECE_DECODER = msgspec.json.Decoder(Piece)
 ENGINE_CANCELLED = "cancelled"
 """Error of a piece that ends a cancelled stream."""
 
@@ -84,7 +84,7 @@
         body = msgspec.json.encode(completion)
         try:
             self._connection.connect()
-        except OSError as error:
+        except (OSError, ValueError) as error:  # a host may be no address
             raise StreamFailed(AttemptOutcome.UNREACHABLE, str(error)) from error
         sock: socket.socket = self._connection.sock
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -103,8 +103,8 @@
     def _raise_refusal(self, response: http.client.HTTPResponse) -> None:
         body = self._connection.read_body(response)
         try:
-            refusal = msgspec.json.decode(body, type=Refusal)
-        except msgspec.DecodeError:
+            refusal = decode_json(body, Refusal)
+        except MalformedJson:
             refusal = Refusal()
         self.close()
         if response.status in (400, 404, 413, 422):
@@ -128,9 +128,7 @@
             while data := self._response.read1(READ_BYTES):
                 lines = (rest + data).split(b"\n")
                 rest = lines.pop()
-                pieces = [
-                    PIECE_DECODER.decode(line[6:]) for line in lines if line[:6] == DATA_PREFIX
-                ]
+                pieces = [decode_json(line[6:], Piece) for line in lines if line[:6] == DATA_PREFIX]
                 # Each piece is followed by a blank line; other lines are work for nothing.
                 self._connection.spend(max(0, len(lines) - 2 * len(pieces)))
                 if pieces:
@@ -139,7 +137,7 @@
                         return
                 if len(rest) > MAX_LINE_BYTES:
                     raise StreamFailed(AttemptOutcome.CUT, "a line is too long")
-        except (OSError, http.client.HTTPException, msgspec.DecodeError, ValueError) as error:
+        except (OSError, http.client.HTTPException, ValueError) as error:
             raise StreamFailed(AttemptOutcome.CUT, f"{type(error).__name__}: {error}") from error
         finally:
             self.close()
@@ -162,8 +160,8 @@
             status, body = self._pool.call(address, "GET", "/v1/load")
             if status != 200:
                 return None
-            report = msgspec.json.decode(body, type=LoadReport)
-        except (HttpError, msgspec.DecodeError):
+            report = decode_json(body, LoadReport)
+        except (HttpError, MalformedJson):
             return None
         return EngineLoad(*msgspec.structs.astuple(report))
 
@@ -173,6 +171,6 @@
             status, body = self._pool.call(
                 address, "DELETE", f"/v1/requests/{quote(stream_id, safe='')}"
             )
-        except HttpError:
+            return status == 200 and decode_json(body, Cancellation).cancelled
+        except (HttpError, MalformedJson):
             return False
-        return status == 200 and bool(json.loads(body).get("cancelled", False))
--- a/src/troutswitch/standalone/engines/protocol.py
+++ b/src/troutswitch/standalone/engines/protocol.py
@@ -72,6 +72,12 @@
     cache_sequence: int = 0
 
 
+class Cancellation(msgspec.Struct, frozen=True):
+    """Answer to the cancellation of a stream."""
+
+    cancelled: bool = False
+
+
 class FencedCommand(msgspec.Struct, frozen=True):
     """A command that changes the models or the role of an engine."""
 
--- a/src/troutswitch/standalone/log_service/records.py
+++ b/src/troutswitch/standalone/log_service/records.py
@@ -13,6 +13,7 @@
 import cbor2
 import msgspec
 
+from troutswitch.cbor_values import decode_cbor
 from troutswitch.standalone.constants import ENTRY_SCHEMA_VERSION
 
 
@@ -201,11 +202,11 @@
         UnreadableEntry: the payload is malformed or of a newer schema version.
     """
     try:
-        plain = cbor2.loads(payload)
-        if isinstance(plain, list) and plain and isinstance(plain[0], int):
+        plain = decode_cbor(payload, list, allows_infinity=True)
+        if plain and isinstance(plain[0], int):
             _check_schema(plain[0])
         return msgspec.convert(plain, Entry)
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, ValueError) as error:
+    except ValueError as error:
         raise UnreadableEntry(str(error)) from error
 
 
--- a/src/troutswitch/standalone/machine_list/client.py
+++ b/src/troutswitch/standalone/machine_list/client.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from troutswitch.common import Address
+from troutswitch.json_values import decode_json
 from troutswitch.standalone.decisions.events import Machine
 from troutswitch.standalone.runtime.http_client import HttpError, ThreadLocalConnections
 
@@ -25,9 +26,6 @@
     leaving: bool = False
 
 
-_ROWS = msgspec.json.Decoder(list[MachineRow])
-
-
 def machine_to_row(machine: Machine) -> MachineRow:
     """Returns a machine as a row of the list."""
     return MachineRow(
@@ -58,13 +56,20 @@
     )
 
 
+def _decode_row(data: bytes) -> Machine | None:
+    try:
+        return machine_from_row(decode_json(data, MachineRow))
+    except ValueError:
+        return None
+
+
 class MachineListClient:
     """Blocking reads of the machine list."""
 
     def __init__(self, address: Address) -> None:
         self._address = address
         self._pool = ThreadLocalConnections(MACHINE_LIST_TIMEOUT_SECONDS)
-        self._machine_by_row: dict[MachineRow, Machine] = {}
+        self._machine_by_row: dict[bytes, Machine] = {}
 
     def read(self) -> tuple[Machine, ...] | None:
         """Returns the list, or None if it could not be read."""
@@ -77,11 +82,18 @@
             return None
 
     def _machines(self, body: bytes) -> tuple[Machine, ...]:
-        """Decodes the rows, and reuses the machines of unchanged rows."""
-        rows = _ROWS.decode(body)
-        known = self._machine_by_row
-        self._machine_by_row = {row: known.get(row) or machine_from_row(row) for row in rows}
-        return tuple(self._machine_by_row.values())
+        """Decodes the rows, and reuses the machines of unchanged rows.
+
+        A malformed row is left out, as the others are the platform's word all the same.
+        """
+        machines: dict[bytes, Machine] = {}
+        for raw in decode_json(body, list[msgspec.Raw]):
+            row = bytes(raw)
+            machine = self._machine_by_row.get(row) or _decode_row(row)
+            if machine is not None:
+                machines[row] = machine
+        self._machine_by_row = machines
+        return tuple(machines.values())
 
     def register(self, machine: Machine) -> bool:
         """Adds a machine to the list; returns whether the platform confirmed it."""
--- a/src/troutswitch/standalone/operators/app.py
+++ b/src/troutswitch/standalone/operators/app.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from troutswitch.json_values import MalformedJson, decode_json
 from troutswitch.runtime.http import Response
 from troutswitch.standalone.callers.context import ANONYMOUS_TENANT, CallApplication
 from troutswitch.standalone.callers.errors import bad_request, refused_call
@@ -93,8 +94,8 @@
 
     def _publish(self, request: Request) -> Response:
         try:
-            body = msgspec.json.decode(request.body(), type=PublicationBody)
-        except msgspec.DecodeError as error:
+            body = decode_json(request.body(), PublicationBody)
+        except MalformedJson as error:
             raise BadInput(str(error)) from error
         changes = tuple(
             ConfigurationChange(change.path, change.key, change.value) for change in body.changes
--- a/src/troutswitch/standalone/runtime/http_client.py
+++ b/src/troutswitch/standalone/runtime/http_client.py
@@ -58,7 +58,7 @@
             connection.request(method, path, body, headers)
             response = connection.getresponse()
             return response.status, connection.read_body(response)
-        except (OSError, http.client.HTTPException) as error:
+        except (OSError, http.client.HTTPException, ValueError) as error:
             connection.close()
             raise HttpError(f"{type(error).__name__}: {error}", was_sent) from error
 
--- a/src/troutswitch/standalone/runtime/settings.py
+++ b/src/troutswitch/standalone/runtime/settings.py
@@ -3,7 +3,6 @@
 Values that change while the fleet runs are in the configuration tree.
 """
 
-import tomllib
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -11,6 +10,7 @@
 from msgspec import Meta
 
 from troutswitch.common import Address
+from troutswitch.toml_values import MalformedToml, decode_toml
 
 Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
 AddressText = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
@@ -76,10 +76,10 @@
 
 def _read(path: Path) -> dict[str, Any]:
     try:
-        return tomllib.loads(path.read_text())
+        return decode_toml(path.read_bytes(), dict[str, Any])
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except MalformedToml as error:
         raise SettingsError(f"{path}: {error}") from error
 
 
