An entry whose address is no host costs no request

What callers saw: 500 for each request that was sent to an engine whose entry has a host with a NUL, a space, a line end, an empty label or a label of 80 letters. The entry counted as usable and was never ejected.

Cause: the host was never checked, as `msgspec.convert` does not look into a value that already has the type; the pattern of hosts accepted a line end, and ports accepted digits of any script. `connect` then raises UnicodeError, ValueError or InvalidURL in place of OSError, which ends the caller's thread.

Evidence: before, "Left contains 15 more items, first extra item: 'localhost:80'" of 19 addresses; "UnicodeError: label empty or too long" and "InvalidURL: URL can't contain control characters" in the exchange and in the check of an engine.

Fix: `Address.parse_unicast` accepts an IPv4 address of one host and a port from 1 on. Beyond the check, whatever connecting raises is `NotConnected`, an end of the attempt after which another engine is tried.

--- a/src/troutswitch/common.py
+++ b/src/troutswitch/common.py
@@ -1,14 +1,18 @@
 """Types and hash functions shared by several packages."""
 
+import ipaddress
 from typing import Annotated, NamedTuple
 
 import msgspec
 import xxhash
 
-_OCTET = r"(25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)"
-Ipv4Host = Annotated[str, msgspec.Meta(pattern=rf"^{_OCTET}(\.{_OCTET}){{3}}$", max_length=15)]
+from troutswitch.wire_values import parse_number
+
+_OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+Ipv4Host = Annotated[str, msgspec.Meta(pattern=rf"\A{_OCTET}(\.{_OCTET}){{3}}\Z", max_length=15)]
 """An IPv4 address as it is accepted from other processes: sending to a name would look it up."""
-Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+MAX_PORT = 65535
+Port = Annotated[int, msgspec.Meta(ge=0, le=MAX_PORT)]
 
 
 class Address(NamedTuple):
@@ -30,9 +34,23 @@
         host, separator, port_text = text.rpartition(":")
         if not separator or not host:
             raise ValueError(f"expected host:port, got {text!r}")
-        if not port_text.isdigit() or int(port_text) > 65535:
-            raise ValueError(f"port must be a number from 0 to 65535, got {port_text!r}")
-        return Address(host, int(port_text))
+        port = parse_number(port_text, MAX_PORT)
+        if port is None:
+            raise ValueError(f"port must be a number from 0 to {MAX_PORT}, got {port_text[:40]!r}")
+        return Address(host, port)
+
+    @staticmethod
+    def parse_unicast(text: str) -> "Address":
+        """Parses `host:port` of another process, which a connection can be made to.
+
+        Raises:
+            ValueError: the host is no IPv4 address of one host, or the port is not in 1..65535.
+        """
+        address = Address.parse(text)
+        host = ipaddress.IPv4Address(address.host)
+        if host.is_unspecified or host.is_multicast or host.is_reserved or not address.port:
+            raise ValueError(f"no connection can be made to {address}")
+        return address
 
 
 def stable_hash(*parts: str) -> int:
--- a/src/troutswitch/gateway/engines/engine_check.py
+++ b/src/troutswitch/gateway/engines/engine_check.py
@@ -22,6 +22,6 @@
         socket.create_connection(address, CHECK_TIMEOUT_SECONDS).close()
     except ConnectionRefusedError:
         return EngineCheckResult.ENDED
-    except OSError:
+    except Exception:  # resolving a host raises errors of many types
         return EngineCheckResult.UNKNOWN
     return EngineCheckResult.LISTENS
--- a/src/troutswitch/gateway/engines/exchange.py
+++ b/src/troutswitch/gateway/engines/exchange.py
@@ -142,7 +142,12 @@
 
     def _acquire_connection(self) -> EngineConnection:
         request_id = self.request.request_id
-        connection = self.connections.acquire(self.engine_id, self.address, request_id, self.use)
+        try:
+            connection = self.connections.acquire(
+                self.engine_id, self.address, request_id, self.use
+            )
+        except http.client.InvalidURL as error:
+            raise NotConnected(f"{type(error).__name__}: {error}") from error
         connection.add_request(request_id)
         with self._lock:
             self._connection = connection
@@ -153,7 +158,7 @@
             return
         try:
             connection.connect()
-        except OSError as error:
+        except Exception as error:  # resolving a host raises errors of many types
             connection.close()
             raise NotConnected(f"{type(error).__name__}: {error}") from error
 
--- a/src/troutswitch/gateway/engines/health_request.py
+++ b/src/troutswitch/gateway/engines/health_request.py
@@ -15,7 +15,10 @@
 
 def request_health(request: RequestHealth) -> HealthAnswered:
     """Sends one request on a connection of its own, and reads the head of the response."""
-    connection = EngineConnection(request.address)  # it takes no head that is cut for a whole one
+    try:
+        connection = EngineConnection(request.address)  # it takes no cut head for a whole one
+    except http.client.InvalidURL:
+        return HealthAnswered(request.engine_id, HealthResult.FAILED)
     try:
         connection.connect()
         ends_at = steady_seconds() + HEALTH_TIMEOUT_SECONDS
--- a/src/troutswitch/platform/configuration.py
+++ b/src/troutswitch/platform/configuration.py
@@ -222,7 +222,7 @@
         raise FormatError(f"engine {instance[:40]!r}: no header can hold the id")
     try:
         decoded = decode_json(data, _Server)
-        address = msgspec.convert(Address.parse(decoded.address), Address)
+        address = Address.parse_unicast(decoded.address)
     except ValueError as error:
         raise FormatError(f"engine {instance}: {error}") from error
     engine_id = incarnation_id(instance, decoded.born)
--- a/src/troutswitch/standalone/machine_list/client.py
+++ b/src/troutswitch/standalone/machine_list/client.py
@@ -48,7 +48,7 @@
     return Machine(
         row.name,
         row.kind,
-        Address.parse(row.address),
+        Address.parse_unicast(row.address),
         row.zone,
         row.service,
         row.incarnation,
--- a/tests/gateway/engines/test_engine_check.py
+++ b/tests/gateway/engines/test_engine_check.py
@@ -20,3 +20,8 @@
         address = address_of(listener)
         assert check_result(address) is EngineCheckResult.LISTENS
     assert check_result(address) is EngineCheckResult.ENDED
+
+
+def test_host_that_is_no_address_is_an_unknown_result() -> None:
+    for host in ("a..b", "\u00e4" * 80, "\0"):
+        assert check_result(Address(host, 80)) is EngineCheckResult.UNKNOWN
--- a/tests/gateway/engines/test_exchange.py
+++ b/tests/gateway/engines/test_exchange.py
@@ -265,3 +265,12 @@
     again.open(5.0)
     assert again.body() == b"run two"
     assert engine.connections == 2
+
+
+@pytest.mark.parametrize("host", ["a..b", "\u00e4" * 80, "\0", " ", "10.0.0.1\n", "", "0.0.0.256"])
+def test_host_that_is_no_address_fails_before_anything_is_sent(host: str) -> None:
+    """Guards against an error of the resolver that ends the caller's thread."""
+    request = OutgoingRequest("r", "POST", "/", [], b"")
+    exchange = Exchange(EngineConnections(), "e", Address(host, 80), request)
+    with pytest.raises(NotConnected):
+        exchange.open(1.0)
--- a/tests/platform/test_engine_entries.py
+++ b/tests/platform/test_engine_entries.py
@@ -42,6 +42,27 @@
     {"born": 10.5},
     {"born": -1},
 ]
+NO_ADDRESSES = (
+    "localhost:80",
+    "engine.example:80",
+    "[::1]:80",
+    "a..b:80",
+    "\u00e4" * 80 + ":80",
+    "\0:80",
+    " 10.0.0.1:80",
+    "10.0.0.1\n:80",
+    "10.0.0.256:80",
+    "10.0.0:80",
+    "0.0.0.0:80",
+    "255.255.255.255:80",
+    "224.0.0.1:80",
+    "10.0.0.1:0",
+    "10.0.0.1:65536",
+    "10.0.0.1:-1",
+    "10.0.0.1:" + "9" * 100,
+    "10.0.0.1:\N{SUPERSCRIPT TWO}",
+    "10.0.0.1:\N{ARABIC-INDIC DIGIT ONE}",
+)
 REQUIRED = tuple(name for name in ENTRY if name != "born")
 
 
@@ -64,6 +85,11 @@
     assert [data for data in malformed if is_usable(data)] == []
 
 
+def test_entry_whose_address_cannot_be_connected_to_is_not_usable() -> None:
+    """Guards against requests that are sent to a text, which raises errors of any type."""
+    assert [text for text in NO_ADDRESSES if is_usable(entry(address=text))] == []
+
+
 def test_complete_entry_is_usable() -> None:
     assert is_usable(entry())
     assert is_usable(entry(state="draining", coldRemainingMs=12.5, more="unknown"))
