A decoder that fails in an unforeseen way rejects the value

What callers would see: a record whose decoding raises an error of another type than its reader expects ends the daemon, and again after each restart, as the record is still there.

Cause: decoding is total in `decode_json` and `decode_cbor`, but not what is built from the decoded value after it, in each reader.

Ways that were weighed: to catch errors where records are applied, and go on beside them, may go on with a state that is half changed; to end on any error keeps the state sound and ends all daemons at once. So errors are caught where nothing is changed yet: `decoding.raises_only` gives functions without side effects one documented error, upon which readers set the record aside, log it and go on. An error while a decoded value is applied still ends the loop.

Evidence: the new test passes a value of a form that nobody thought of to each of the 14 decoders whose values enter the state.

--- a/src/troutswitch/daemons/datagram.py
+++ b/src/troutswitch/daemons/datagram.py
@@ -18,6 +18,7 @@
     QuotaDecision,
     SlotReply,
 )
+from troutswitch.decoding import raises_only
 
 VERSION = 8
 """Version of the protocol. Daemons ignore datagrams of other versions."""
@@ -45,6 +46,7 @@
     return cbor2.dumps([VERSION, fields])
 
 
+@raises_only(DatagramError)
 def decode(data: bytes) -> PeerMessage:
     """Returns the message in a datagram.
 
--- a/src/troutswitch/daemons/peer_state.py
+++ b/src/troutswitch/daemons/peer_state.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from troutswitch.cbor_values import MalformedCbor, decode_cbor
+from troutswitch.decoding import raises_only
 
 FIRST_VERSION = 1
 """Version of the encoding without the configuration's age."""
@@ -64,6 +65,7 @@
     return cbor2.dumps([FIRST_VERSION, *fields])
 
 
+@raises_only(PeerStateError)
 def decode_state(data: bytes) -> PeerState:
     """Returns the daemon's state that the bytes encode.
 
--- a/src/troutswitch/decisions/crashes/shared.py
+++ b/src/troutswitch/decisions/crashes/shared.py
@@ -31,6 +31,7 @@
     StoreOutcome,
 )
 from troutswitch.decisions.storage.read_attempts import CallNumbers
+from troutswitch.decoding import raises_only
 
 CRASHES_TOPIC = "crashes"
 READ_WAIT_SECONDS = 5.0
@@ -161,7 +162,7 @@
     def _apply_record(self, record: KeyedRecord) -> None:
         content, _, engine_id = record.key.partition("/")
         try:
-            (at,) = decode_cbor(record.value, tuple[float]) if record.value else (0.0,)
+            at = decode_crash_time(record.value) if record.value else 0.0
         except MalformedCbor:
             self._log("crash record malformed", key=record.key)
             return
@@ -225,3 +226,14 @@
         peers = self._peers()
         chosen = self._rng.sample(peers, min(PEERS_NOTIFIED, len(peers)))
         return [SendToPeers(tuple(chosen), CrashReport(self._name, crashes))] if chosen else []
+
+
+@raises_only(MalformedCbor)
+def decode_crash_time(value: bytes) -> float:
+    """Returns when a crash was, in seconds of the time of day, from the value of its record.
+
+    Raises:
+        MalformedCbor: the value is malformed.
+    """
+    (at,) = decode_cbor(value, tuple[float])
+    return at
--- a/src/troutswitch/decisions/jobs/records.py
+++ b/src/troutswitch/decisions/jobs/records.py
@@ -32,6 +32,7 @@
 from troutswitch.common import stable_hash
 from troutswitch.decisions.storage.messages import KeyedRecord, Partition
 from troutswitch.decisions.tenants.types import NO_TENANT
+from troutswitch.decoding import raises_only
 from troutswitch.wire_values import is_event_id, parse_number
 
 Form = TypeVar("Form")
@@ -195,6 +196,7 @@
     return KeyedRecord(f"{MANIFEST}:{manifest.job_id}", cbor2.dumps(value))
 
 
+@raises_only(RecordError)
 def read_manifest(job_id: str, value: bytes) -> Manifest:
     """Decodes a manifest.
 
@@ -215,6 +217,7 @@
     return KeyedRecord(f"{PROGRESS}:{job_id}", cbor2.dumps([SCHEMA_VERSION, remaining_tokens]))
 
 
+@raises_only(RecordError)
 def read_progress(value: bytes) -> int:
     """Decodes the tokens of a job's items that are not listed yet.
 
@@ -252,6 +255,7 @@
     )
 
 
+@raises_only(RecordError)
 def read_chunk(value: bytes) -> tuple[JobItem, ...]:
     """Decodes the items of a chunk.
 
@@ -301,6 +305,7 @@
     return (*continuations, KeyedRecord(f"{RESULT}:{job_id}:{position:05d}", cbor2.dumps(head)))
 
 
+@raises_only(RecordError)
 def read_result_head(value: bytes) -> ResultHead:
     """Decodes the head record of a result.
 
@@ -310,6 +315,7 @@
     return ResultHead(*_fields(value, tuple[str, str, bytes, Count]))
 
 
+@raises_only(RecordError)
 def read_continuation(value: bytes) -> bytes:
     """Decodes a continuation of a result's text.
 
@@ -346,6 +352,7 @@
     return KeyedRecord(f"{FAILURES}:{job_id}:{item:05d}", cbor2.dumps([SCHEMA_VERSION, count]))
 
 
+@raises_only(RecordError)
 def read_failures(value: bytes) -> int:
     """Decodes the number of failed runs of an item.
 
@@ -356,6 +363,7 @@
     return count
 
 
+@raises_only(RecordError)
 def split_part_key(key: str) -> tuple[str, int, int]:
     """Returns job, number and part of the key of a checkpoint or of a result's continuation.
 
@@ -369,6 +377,7 @@
     return fields[0], numbers[0], numbers[1]
 
 
+@raises_only(RecordError)
 def read_checkpoint(value: bytes) -> OutputPart:
     """Decodes a part of an item's output.
 
--- a/src/troutswitch/decisions/peers/peer_registry.py
+++ b/src/troutswitch/decisions/peers/peer_registry.py
@@ -12,7 +12,7 @@
 
 import cbor2
 
-from troutswitch.cbor_values import decode_cbor
+from troutswitch.cbor_values import MalformedCbor, decode_cbor
 from troutswitch.common import Address, Ipv4Host, Port
 from troutswitch.decisions.forwarding.learned_times import LearnedTimes
 from troutswitch.decisions.storage.messages import (
@@ -26,6 +26,7 @@
     StoreOutcome,
 )
 from troutswitch.decisions.storage.read_attempts import CallNumbers
+from troutswitch.decoding import raises_only
 
 PEERS_TOPIC = "daemons"
 INITIAL_READ_INTERVAL_SECONDS = 1.0
@@ -182,6 +183,7 @@
     return cbor2.dumps([address.host, address.port, entry.zone, entry.learned_times.to_fields()])
 
 
+@raises_only(MalformedCbor)
 def decode_entry(record: KeyedRecord) -> PeerRegistryEntry:
     """Decodes the entry in a record.
 
--- a/src/troutswitch/decisions/slots/coordinator_claims.py
+++ b/src/troutswitch/decisions/slots/coordinator_claims.py
@@ -59,6 +59,7 @@
     StoreOutcome,
 )
 from troutswitch.decisions.storage.read_attempts import CallNumbers
+from troutswitch.decoding import raises_only
 
 CLAIMS_TOPIC = "coordinators"
 READ_WAIT_SECONDS = 3.0
@@ -468,6 +469,7 @@
     predecessors: tuple[tuple[str, Ipv4Host, Port], ...] = ()
 
 
+@raises_only(MalformedCbor)
 def decode_claim(record: KeyedRecord) -> Claim:
     """Decodes a claim's record: daemon, host and port; incarnation and predecessors if exclusive.
 
--- a/src/troutswitch/decisions/streams/version_history.py
+++ b/src/troutswitch/decisions/streams/version_history.py
@@ -48,6 +48,7 @@
 )
 from troutswitch.decisions.storage.read_attempts import CallNumbers
 from troutswitch.decisions.streams.versions import KEY_MASK, MIXED_SECONDS, EngineVersions
+from troutswitch.decoding import raises_only
 
 _Key = Annotated[int, msgspec.Meta(ge=0, le=KEY_MASK)]
 
@@ -227,6 +228,7 @@
     return KeyedRecord(f"{service:08x}", cbor2.dumps([SCHEMA_VERSION, sorted(versions)]))
 
 
+@raises_only(MalformedCbor)
 def decode_record(record: KeyedRecord) -> tuple[int, frozenset[int]]:
     """Decodes the key of a service and those of its versions; none if the record was removed.
 
--- a/src/troutswitch/platform/configuration.py
+++ b/src/troutswitch/platform/configuration.py
@@ -21,6 +21,7 @@
     Service,
 )
 from troutswitch.decisions.tenants.types import Tenant, key_digest
+from troutswitch.decoding import raises_only
 from troutswitch.json_values import decode_json
 from troutswitch.platform.engine_ids import incarnation_id
 from troutswitch.platform.names import CONFIGURATION_KEY, PROMPT_PREFIX, TOKEN_USAGE
@@ -138,6 +139,7 @@
     born: _Count | None = None
 
 
+@raises_only(FormatError)
 def decode_configuration(data: bytes) -> FleetConfiguration:
     """Decodes a complete configuration.
 
@@ -208,6 +210,7 @@
     )
 
 
+@raises_only(FormatError)
 def decode_engine(instance: str, data: bytes) -> EngineRecord:
     """Decodes the record of the engine whose id on the platform is `instance`.
 
--- a/src/troutswitch/platform/jobs.py
+++ b/src/troutswitch/platform/jobs.py
@@ -24,6 +24,7 @@
     ResultsRequested,
 )
 from troutswitch.decisions.jobs.records import DONE, MAX_ID_BYTES, JobItem
+from troutswitch.decoding import raises_only
 from troutswitch.json_values import decode_json
 from troutswitch.platform import names
 from troutswitch.platform.requests import IncomingRequest
@@ -112,6 +113,7 @@
     return ResultsRequested(token, target.job_id, number, request.time_left, request.caller_key)
 
 
+@raises_only(JobFormatError)
 def decode_submission(token: int, request: IncomingRequest, body: bytes) -> JobSubmitted:
     """Decodes a submission.
 
--- a/src/troutswitch/standalone/callers/parsing.py
+++ b/src/troutswitch/standalone/callers/parsing.py
@@ -7,6 +7,7 @@
 import xxhash
 from msgspec import Meta
 
+from troutswitch.decoding import raises_only
 from troutswitch.json_values import MalformedJson, decode_json
 from troutswitch.standalone.log_service.records import BatchItem
 
@@ -67,6 +68,7 @@
     url: str = "/v1/completions"
 
 
+@raises_only(BadInput)
 def parse_completion(data: bytes, needs_messages: bool) -> CompletionBody:
     """Parses the body of a completion.
 
@@ -109,6 +111,7 @@
     return service, tuple(items)
 
 
+@raises_only(BadInput)
 def _parse_line(number: int, raw: bytes) -> BatchLine:
     if len(raw) > MAX_LINE_BYTES:
         raise BadInput(f"line {number}: longer than {MAX_LINE_BYTES} bytes", 413)
--- a/src/troutswitch/standalone/decisions/batch/snapshot.py
+++ b/src/troutswitch/standalone/decisions/batch/snapshot.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from troutswitch.cbor_values import decode_cbor
+from troutswitch.decoding import raises_only
 from troutswitch.standalone.constants import ENTRY_SCHEMA_VERSION
 from troutswitch.standalone.decisions.batch.fold import (
     Accepted,
@@ -82,21 +83,17 @@
     return zlib.compress(cbor2.dumps(msgspec.to_builtins(snapshot, builtin_types=(bytes,))), 1)
 
 
+@raises_only(UnreadableEntry)
 def decode_snapshot(payload: bytes) -> ShardFold:
     """Decodes a fold.
 
     Raises:
         UnreadableEntry: The payload is malformed or has a newer schema version.
     """
-    try:
-        snapshot = decode_cbor(zlib.decompress(payload), _ShardSnapshot, allows_infinity=True)
-        if snapshot.schema_version > ENTRY_SCHEMA_VERSION:
-            raise UnreadableEntry(f"snapshot schema {snapshot.schema_version} is newer than ours")
-        return _fold_from_snapshot(snapshot)
-    except UnreadableEntry:
-        raise
-    except Exception as error:  # offsets, states and digests are packed, and checked when unpacked
-        raise UnreadableEntry(f"{type(error).__name__}: {error}") from error
+    snapshot = decode_cbor(zlib.decompress(payload), _ShardSnapshot, allows_infinity=True)
+    if snapshot.schema_version > ENTRY_SCHEMA_VERSION:
+        raise UnreadableEntry(f"snapshot schema {snapshot.schema_version} is newer than ours")
+    return _fold_from_snapshot(snapshot)
 
 
 def _fold_from_snapshot(snapshot: _ShardSnapshot) -> ShardFold:
--- a/src/troutswitch/standalone/log_service/records.py
+++ b/src/troutswitch/standalone/log_service/records.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from troutswitch.cbor_values import decode_cbor
+from troutswitch.decoding import raises_only
 from troutswitch.standalone.constants import ENTRY_SCHEMA_VERSION
 
 
@@ -195,6 +196,7 @@
     )
 
 
+@raises_only(UnreadableEntry)
 def decode_entry(payload: bytes) -> Entry:
     """Decodes one entry.
 
--- a/src/troutswitch/standalone/machine_list/client.py
+++ b/src/troutswitch/standalone/machine_list/client.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from troutswitch.common import Address
+from troutswitch.decoding import raises_only
 from troutswitch.json_values import decode_json
 from troutswitch.standalone.decisions.events import Machine
 from troutswitch.standalone.runtime.http_client import HttpError, ThreadLocalConnections
@@ -39,6 +40,7 @@
     )
 
 
+@raises_only(ValueError)
 def machine_from_row(row: MachineRow) -> Machine:
     """Converts a row of the list into a machine.
 
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -298,7 +298,7 @@
         ["d", "127.0.0.1", 1, 1, [["e", "127.0.0.1", 1]]],
         (ValueError,),
     ),
-    "decisions.crashes.shared.SharedCrashes._apply_record": Decoder(apply_crash, [1.0]),
+    "decisions.crashes.shared.decode_crash_time": Decoder(apply_crash, [1.0]),
     "decisions.peers.peer_registry.decode_entry": Decoder(
         lambda data: decode_peer(KeyedRecord("d", data)),
         ["127.0.0.1", 1, "z", [{"s": [1, 1]}, {}, [1, 1, 1]]],
@@ -527,6 +527,37 @@
     decode()
 
 
+READ_INTO_STATE = (
+    "platform.configuration.decode_configuration",
+    "platform.configuration.decode_engine",
+    "platform.jobs.decode_submission",
+    "daemons.datagram.decode",
+    "daemons.peer_state.decode_state",
+    "decisions.jobs.records._fields",
+    "decisions.slots.coordinator_claims.decode_claim",
+    "decisions.crashes.shared.decode_crash_time",
+    "decisions.peers.peer_registry.decode_entry",
+    "decisions.streams.version_history.decode_record",
+    "standalone.callers.parsing.parse_completion",
+    "standalone.callers.parsing._parse_line",
+    "standalone.log_service.records.decode_entry",
+    "standalone.decisions.batch.snapshot.decode_snapshot",
+)
+"""Decoders whose errors would reach the loop, or end a request."""
+
+
+@pytest.mark.parametrize("name", READ_INTO_STATE)
+def test_decoder_that_fails_in_an_unforeseen_way_rejects_the_value(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    decoder = JSON.get(name) or CBOR[name]
+    module = f"troutswitch.{name.rpartition('.')[0]}"
+    function = "decode_json" if name in JSON else "decode_cbor"
+    monkeypatch.setattr(f"{module}.{function}", lambda *_, **__: object())
+    encode = changed_json if name in JSON else changed_cbor
+    check(decoder, encode(decoder, 0, True, b"\x01"))
+
+
 def test_sound_samples_are_decoded() -> None:
     """Guards against a test of values that are all rejected."""
     for decoder in JSON.values():
