An entry that no engine listens at is checked, and not tried by requests again

Items of batch jobs took up to 27 s where engines idled: entries of another writer whose address refuses connections look like the freest engines, each was ejected after two failures by each daemon, and came back into use after at most 4 s, so that the next item or request failed there again.

Now the port of a failed engine is checked before its ejection is over, and that of one that has never answered after its first failure, by the check that finds crashed engines. A failed check is a further failure.

--- a/src/troutswitch/decisions/forwarding/engine_ejection.py
+++ b/src/troutswitch/decisions/forwarding/engine_ejection.py
@@ -6,8 +6,9 @@
 
 Rule: after `FAILURES_TO_EJECT` consecutive failures an engine is ejected, first for
 `MIN_EJECTION_SECONDS`, then for twice as long after each further failure, up to
-`MAX_EJECTION_SECONDS`. Any attempt that doesn't fail ends the ejection. If all engines of a service
-are ejected, all are used: the cause is then more often this daemon's own network.
+`MAX_EJECTION_SECONDS`. Any attempt that doesn't fail ends the ejection. Before it is over, the
+engine's port is checked (`failed_engine_checks`). If all engines of a service are ejected, all are
+used: the cause is then more often this daemon's own network.
 
 An engine is known to be reachable if it has answered this daemon and has not failed since.
 
--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -70,6 +70,8 @@
     _reported_gone_at: dict[str, float] = field(default_factory=dict)
     """When peers reported that engines left the list; kept until a later list decides."""
     _draining: dict[str, None] = field(default_factory=dict)
+    _to_check: set[str] = field(default_factory=set)
+    """Engines to be checked that failed since `take_failed` was called."""
     _by_service: dict[str, list[Engine]] = field(default_factory=dict)
     _by_key: dict[int, Engine] = field(default_factory=dict)
 
@@ -407,10 +409,32 @@
             return
         self._uncount(now, engine, is_batch, size, begun)
         if failed:
-            engine_ejection.on_failure(now, engine)
+            self._on_failure(now, engine)
         else:
             engine_ejection.on_success(engine)
 
+    def on_check_failed(self, now: float, engine_id: str) -> None:
+        """Counts a failure of an engine that does not listen, unless it has answered meanwhile."""
+        engine = self.engines.get(engine_id)
+        if engine is not None and engine.failures:
+            self._on_failure(now, engine)
+
+    def _on_failure(self, now: float, engine: Engine) -> None:
+        engine_ejection.on_failure(now, engine)
+        if now < engine.ejected_until or not engine.has_answered:
+            self._to_check.add(engine.record.engine_id)
+
+    def take_failed(self) -> list[Engine]:
+        """Returns the engines that failed since the last call, and are ejected or never answered.
+
+        They are sorted by id.
+        """
+        failed = [
+            self.engines[engine_id] for engine_id in sorted(self._to_check & self.engines.keys())
+        ]
+        self._to_check.clear()
+        return failed
+
     def _uncount(
         self, now: float, engine: Engine, is_batch: bool, size: RequestSize, begun: bool
     ) -> None:
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -114,7 +114,8 @@
             case ItemRunEnded() | ItemBegun() | ItemProgressed():
                 self.jobs.on_event(now, event)
             case EngineChecked():
-                self.suspects.on_checked(now, event)
+                if not self.failed_engine_checks.on_checked(now, event):
+                    self.suspects.on_checked(now, event)
             case EngineActivity():
                 self.engines.on_activity(now, event.engine_id)
             case HealthAnswered():
@@ -232,6 +233,7 @@
             self.peer_registry.next_due(),
             self._peer_state.next_due(),
             self.suspects.next_due(),
+            self.failed_engine_checks.next_due(),
             self.quota.next_due(),
             self.drain_notices.next_due(),
             self.version_notices.next_due(),
@@ -252,6 +254,7 @@
         for located in self.origins.on_timer(now):
             self.output.emit_all(self.requests.on_located(now, located))
         self.output.emit_all(self.requests.on_timer(now))
+        self.output.emit_all(self.failed_engine_checks.on_timer(now))
         self.output.emit_all(self.membership.on_timer(now))
         self.output.emit_all(self.configuration.on_timer(now))
         self.jobs.on_timer(now)
--- a/src/troutswitch/decisions/gateway_parts.py
+++ b/src/troutswitch/decisions/gateway_parts.py
@@ -15,6 +15,7 @@
 from troutswitch.decisions.engine_membership import ENGINE_LIST_SHARE, EngineMembership
 from troutswitch.decisions.forwarding.engine_list import EngineListReader
 from troutswitch.decisions.forwarding.engines import EngineRegistry
+from troutswitch.decisions.forwarding.failed_engine_checks import FailedEngineChecks
 from troutswitch.decisions.forwarding.placement import home_policy
 from troutswitch.decisions.forwarding.requests import ForwardedRequests
 from troutswitch.decisions.forwarding.routes import RouteTable
@@ -103,6 +104,7 @@
         self._log = self.output.log
         self.routes = RouteTable()
         self.engines = EngineRegistry()
+        self.failed_engine_checks = FailedEngineChecks(self.engines)
         self.numbers = CallNumbers()
         self.suspects = CrashSuspects(
             identity.name,
--- a/src/troutswitch/decisions/jobs/runs.py
+++ b/src/troutswitch/decisions/jobs/runs.py
@@ -123,6 +123,7 @@
         run = self.by_number.get(event.run)
         if run is not None and not run.has_first_token and not run.is_stopped:
             run.has_first_token = True
+            self._engines.on_answered(run.engine_id)
             self._engines.on_first_token(run.engine_id, run.size)
 
     def on_progressed(self, event: ItemProgressed) -> None:
