--- a/tests/simulation/fleet.py
+++ b/tests/simulation/fleet.py
@@ -31,6 +31,7 @@
 from troutswitch.decisions.gateway_messages import (
     ClockCompared,
     DrainRequested,
+    Formats,
     GatewayIdentity,
     TimerFired,
 )
@@ -156,13 +157,17 @@
         services = {SERVICE: Service(SERVICE, 100, 8, 0)}
         routes = (route, *extra_routes)
         configuration = FleetConfiguration(1, routes, services, RequestLimits(), tenants)
-        self._formats = PlainFormats(configuration)
+        self._formats = self.make_formats(configuration)
         self.publish(1)
         for number in range(engines):
             self.register_engine(f"server-{number}", 8)
         for number in range(daemons):
             self.start_daemon(f"daemon-{number}", 0)
 
+    def make_formats(self, configuration: FleetConfiguration) -> Formats:
+        """Returns the decoders of what `publish` and `register_engine` write."""
+        return PlainFormats(configuration)
+
     def publish(self, version: int) -> None:
         """Writes a version of the configuration to the store, as an operator does."""
         record = KeyedRecord("configuration", str(version).encode())
