An engine that can't be connected to delays a batch item little

After a run whose engine could not be connected to, an item paused as after a lost one, 0.2 s and after eight such runs up to 0.8 s. Beside entries of another writer whose address refuses, one item had a dozen of these in a row. Nothing was sent, and the engine is ejected after two: the pause is now 0.05 s and doesn't grow. While all engines are ejected no item starts, as before.

--- a/src/troutswitch/decisions/jobs/item_retries.py
+++ b/src/troutswitch/decisions/jobs/item_retries.py
@@ -18,7 +18,8 @@
   which is retried without a bound on the number of runs. After `RUNS_BEFORE_BACKOFF` runs in a row
   that brought no event, the pause before the next run doubles with each, up to `MAX_RETRY_SECONDS`,
   or up to `MAX_UNSENT_RETRY_SECONDS` after runs that the engine did not begin. A stop by this
-  daemon does not count as such a run.
+  daemon does not count as such a run, nor does an engine that could not be connected to: after it
+  the item is soon run at another.
 
 Why: an accepted item must complete, so only an engine's answer about it, its retention or the loss
 of its route may end it. A run that fails again and again must not occupy an engine's slot all the
@@ -48,6 +49,9 @@
 engine has run it for 20 s, and it may wait some seconds for a slot."""
 MAX_UNSENT_RETRY_SECONDS = 0.8
 """Upper bound of the mean pause after a run that the engine did not begin, which costs no slot."""
+UNREACHABLE_RETRY_SECONDS = 0.05
+"""Mean pause after a run whose engine could not be connected to. Many entries of the engine list
+may be wrong, and each is ejected after two failures."""
 FAILED_RETRY_SECONDS = 0.4
 """Pause after a run that the engine reported as failed."""
 REFUSED_RETRY_SECONDS = 0.8
@@ -132,13 +136,22 @@
         if event.status == UNPROCESSABLE_STATUS:
             self._endings.dead_letter(progress, f"status {event.status}")
             return
-        is_unsent = event.kind in (AttemptOutcome.REFUSED, AttemptOutcome.UNREACHABLE)
-        longest = MAX_UNSENT_RETRY_SECONDS if is_unsent else MAX_RETRY_SECONDS
-        pause = RETRY_SECONDS if is_stopped else self._growing_pause(progress, longest)
+        pause = self._pause(progress, event.kind, is_stopped=is_stopped)
         progress.retry_at = now + pause * self._rng.uniform(0.5, 1.5)
         if event.status == RUN_FAILED_STATUS and event.kind is not AttemptOutcome.REFUSED:
             self._on_failed(now, progress)
 
+    def _pause(self, progress: ItemProgress, kind: AttemptOutcome, *, is_stopped: bool) -> float:
+        """Returns the mean pause after a run that ended early, in seconds."""
+        if is_stopped:
+            return RETRY_SECONDS
+        if kind is AttemptOutcome.UNREACHABLE:
+            return UNREACHABLE_RETRY_SECONDS
+        is_unsent = kind is AttemptOutcome.REFUSED
+        return self._growing_pause(
+            progress, MAX_UNSENT_RETRY_SECONDS if is_unsent else MAX_RETRY_SECONDS
+        )
+
     @staticmethod
     def _growing_pause(progress: ItemProgress, longest: float) -> float:
         """Counts a run that ended early, and returns the mean pause after it, in seconds.
--- a/tests/decisions/jobs/test_item_retries.py
+++ b/tests/decisions/jobs/test_item_retries.py
@@ -13,6 +13,7 @@
     RETRY_SECONDS,
     ROUTE_GONE_SECONDS,
     RUNS_BEFORE_BACKOFF,
+    UNREACHABLE_RETRY_SECONDS,
     ItemRetries,
 )
 from troutswitch.decisions.jobs.messages import ItemRunEnded, OutputEvent
@@ -84,3 +85,11 @@
     retried = RetriedItem()
     pauses = [retried.pause(AttemptOutcome.CUT, is_stopped=True) for _ in range(20)]
     assert max(pauses) <= 1.5 * RETRY_SECONDS
+
+
+def test_engines_that_cannot_be_connected_to_delay_an_item_little_however_many_there_are() -> None:
+    """Guards against items that wait for seconds beside entries that no engine listens at."""
+    retried = RetriedItem()
+    pauses = [retried.pause(AttemptOutcome.UNREACHABLE) for _ in range(60)]
+    assert max(pauses) <= 1.5 * UNREACHABLE_RETRY_SECONDS
+    assert retried.pause(AttemptOutcome.CUT) <= 1.5 * RETRY_SECONDS
