--- a/src/troutswitch/soak/writer_checks.py
+++ b/src/troutswitch/soak/writer_checks.py
@@ -21,6 +21,9 @@
 MAX_UNSERVED_SHARE = 0.02
 """Share of the requests without a fault that may fail beside odd records: those on their way when
 an engine ends."""
+STOPPED_SECONDS = 12.0
+"""Time from the begin of a planned stop until the daemon serves again: `gracePeriodS` of the
+daemons' settings, 8 s, and the start of a process on a busy machine."""
 USED_SECONDS = 6.0
 """Time until a listed engine has requests: a list is read in a second, and each engine gets some
 requests in each second."""
@@ -49,7 +52,7 @@
         if exchange.request_id.startswith(CALLER_PREFIX)
         and exchange.outcome in (Outcome.COMPLETE, Outcome.INTERRUPTED)
         and observations.is_fault_free(exchange.sent_at - FAULT_FREE_SECONDS, exchange.ended_at)
-        and not is_planned_at(observations, exchange)
+        and not _is_at_stopping_daemon(observations, exchange)
     ]
     unserved = [exchange for exchange in ended if _is_unserved(exchange)]
     if len(ended) < MIN_REQUESTS or len(unserved) <= MAX_UNSERVED_SHARE * len(ended):
@@ -59,6 +62,17 @@
     return [Violation("LOST", first.request_id, what)]
 
 
+def _is_at_stopping_daemon(observations: Observations, exchange: Exchange) -> bool:
+    """Returns whether the daemon of an exchange may be stopping or starting as planned."""
+    return any(
+        span.target == exchange.daemon
+        and span.begin - FAULT_FREE_SECONDS <= exchange.ended_at
+        and span.begin + STOPPED_SECONDS >= exchange.sent_at
+        for span in observations.actions
+        if span.scheduled.is_planned
+    )
+
+
 def _is_unserved(exchange: Exchange) -> bool:
     if exchange.outcome is Outcome.INTERRUPTED:
         return True
