A tagged CBOR value of another process neither hangs nor ends a daemon

What callers would see: no answer from a daemon that received one datagram of some 250 bytes, or from all daemons while a record of that size is in the store.

Cause: `decode_cbor` decoded all tags that cbor2 knows. A reference to a shared value lets each level of a value hold the one before it twice, so checking and converting it takes time that doubles with each level. A mail is parsed by `email`, which overflows the stack of 256 KiB at 1,500 mails in one another (the depth bound of cbor2 does not count them): signal 11. A set hides its numbers from `_check_numbers`, so NaN, infinity and integers of any size pass.

Fix: no value of ours is tagged, so each tag is rejected before its content is decoded.

--- a/src/troutswitch/cbor_values.py
+++ b/src/troutswitch/cbor_values.py
@@ -5,7 +5,8 @@
 """
 
 import math
-from typing import TypeVar
+from collections.abc import Callable
+from typing import Any, Never, TypeVar
 
 import cbor2
 import msgspec
@@ -21,6 +22,24 @@
     """The bytes are not CBOR, or the decoded value does not have the requested form."""
 
 
+class _TagRejection(dict[int, Callable[[Any, bool], Any]]):
+    """Gives each tag a decoder that rejects it.
+
+    No value of ours is tagged. References to shared values make work that grows exponentially with
+    the bytes, regular expressions and mails are parsed on the caller's stack, and sets hide numbers
+    from their check.
+    """
+
+    def __missing__(self, tag: int) -> Callable[[Any, bool], Any]:
+        def reject(*_: object) -> Never:
+            raise ValueError(f"tag {tag}")
+
+        return reject
+
+
+_TAG_REJECTION = _TagRejection()
+
+
 def decode_cbor(data: bytes, form: type[Form], *, allows_infinity: bool = False) -> Form:
     """Returns the value that the bytes encode.
 
@@ -33,10 +52,10 @@
         MalformedCbor: the bytes encode no such value.
     """
     try:
-        value = cbor2.loads(data)
+        value = cbor2.loads(data, semantic_decoders=_TAG_REJECTION)
         _check_numbers(value, allows_infinity)
         return msgspec.convert(value, form, builtin_types=(bytes,))
-    except Exception as error:  # decoders of tagged values raise errors of many types
+    except Exception as error:  # decoders raise errors of many types
         raise MalformedCbor(f"{type(error).__name__}: {error}") from error
 
 
