Many entries that drain make no report to coordinators too long to be sent

What callers would see: with 1,700 or more entries of another writer in the engine list, of any service, that state `draining`, no coordinator of slots gets a report or a request. Requests wait for replies that never come and are then placed by each daemon's own view; batch items get no grants.

Cause: each report has the keys of all engines of the list that get no requests. Entries that drain are among them, so the list's writers choose the length. A datagram above 8,192 bytes is dropped before it is sent.

Fix: at most 256 unusable engines are named: first those that fail or are full, then those that leave, the last used first. Coordinators know by their own lists that the others leave. Up to 256, reports are as before.

--- a/src/troutswitch/decisions/slots/reports.py
+++ b/src/troutswitch/decisions/slots/reports.py
@@ -45,6 +45,9 @@
 REFRESH_SECONDS = 0.5
 """Interval between reports while requests are in flight or items are unfinished, for a coordinator
 that is new or lost a report."""
+MAX_UNUSABLE = 256
+"""Maximum number of unusable engines in a report. Their keys take at most 5 bytes each, and a
+datagram that is too long is not sent."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -281,11 +284,19 @@
                 paces[engine_id] = pace
 
     def _unusable(self, now: float) -> tuple[int, ...]:
-        return tuple(
-            engine_key(name)
-            for name, engine in self._engines.engines.items()
+        """Returns the keys of engines that get no requests, at most `MAX_UNUSABLE`.
+
+        The first to be left out are those that leave and that this daemon has not used for long:
+        coordinators know by their own lists that they leave.
+        """
+        unusable = [
+            engine
+            for engine in self._engines.engines.values()
             if engine.is_leaving or now < max(engine.ejected_until, engine.full_until)
-        )
+        ]
+        if len(unusable) > MAX_UNUSABLE:
+            unusable.sort(key=lambda engine: (engine.is_leaving, -engine.last_seen_at))
+        return tuple(engine_key(engine.record.engine_id) for engine in unusable[:MAX_UNUSABLE])
 
     # Timers.
 
--- a/tests/decisions/slots/test_reports.py
+++ b/tests/decisions/slots/test_reports.py
@@ -1,9 +1,13 @@
 """Changes are reported to coordinators soon; a daemon without work sends no reports."""
 
+from dataclasses import replace
+
 from tests.decisions.slots.harness import SlotsDaemon, deliver, record
-from troutswitch.daemons.messages import HoldingsReport
+from troutswitch.daemons.datagram import encode
+from troutswitch.daemons.messages import HoldingsReport, engine_key
 from troutswitch.decisions.forwarding.engine import NO_SIZE
 from troutswitch.decisions.slots.reports import ACKNOWLEDGE_SECONDS, REFRESH_SECONDS, REPORT_SECONDS
+from troutswitch.gateway.daemons.peer_socket import MAX_DATAGRAM_BYTES
 
 NOW = 5.0
 
@@ -96,3 +100,19 @@
     peer.engines.on_sent(NOW, "s1", True, NO_SIZE)
     (report,) = sent_reports(peer, NOW)
     assert len(report.unusable) == 1
+
+
+def test_many_draining_entries_make_no_report_too_long_to_be_sent() -> None:
+    """Guards against entries of another writer after which no coordinator gets a report."""
+    used = [record("s0"), record("s1"), record("s2")]
+    odd = [replace(record(f"odd{n}"), is_draining=True) for n in range(3000)]
+    coordinator, peer = SlotsDaemon("first", used), SlotsDaemon("second", [*odd, *used])
+    coordinator.coordinate(NOW, peer)
+    peer.messages()
+    peer.engine("s0").ejected_until = NOW + 1.0
+    peer.engine("s1").is_draining = True
+    peer.engine("s1").last_seen_at = NOW - 1.0
+    peer.engines.on_sent(NOW, "s2", True, NO_SIZE)
+    (report,) = sent_reports(peer, NOW)
+    assert len(encode(report)) <= MAX_DATAGRAM_BYTES
+    assert {engine_key("s0"), engine_key("s1")} <= set(report.unusable)
