A notice of engines with long ids is not too long to be sent

What callers would see, in a fleet that reads the engine list rarely: a request at an engine that drains, when another writer's entries with ids of 200 bytes begin to drain in the same moment.

Cause: 40 engines stand in a notice; with the longest ids that the list may have (217 bytes with the time of the start) it has 8,777 bytes, and datagrams above 8,192 bytes are dropped. The sound engines in it are dropped with them.

Fix: 32 engines.

--- a/src/troutswitch/decisions/peers/drain_notices.py
+++ b/src/troutswitch/decisions/peers/drain_notices.py
@@ -27,8 +27,9 @@
 the list some seconds later."""
 NOTICE_DELAY_SECONDS = 0.02
 """Time for which engines are collected into one notice: those of one release leave together."""
-MAX_ENGINES_PER_NOTICE = 40
-"""Maximum number of engines in one notice, which then fits into one packet."""
+MAX_ENGINES_PER_NOTICE = 32
+"""Maximum number of engines in one notice. With usual ids it fits into one packet, and with the
+longest ids (217 bytes) into a datagram."""
 MAX_PENDING_ENGINES = 2048
 """Maximum number of engines pending for a notice; the oldest beyond it are dropped."""
 MAX_REMEMBERED_ENGINES = 8192
--- a/tests/decisions/peers/test_drain_notices.py
+++ b/tests/decisions/peers/test_drain_notices.py
@@ -13,6 +13,9 @@
     DrainNotices,
 )
 from troutswitch.decisions.slots.messages import SendToPeers
+from troutswitch.gateway.daemons.peer_socket import MAX_DATAGRAM_BYTES
+from troutswitch.platform.configuration import MAX_ENGINE_ID_BYTES
+from troutswitch.platform.engine_ids import incarnation_id
 
 FLEET = 300
 PACKET_BYTES = 1400
@@ -90,3 +93,18 @@
     assert [listed.record.engine_id for listed in registry.of_service("s")] == ["s0"]
     registry.on_list(1.1 + DRAIN_NOTICE_SECONDS, records)
     assert len(registry.of_service("s")) == 2
+
+
+def test_notice_of_engines_with_the_longest_ids_is_not_too_long_to_be_sent() -> None:
+    """Guards against entries of another writer that keep the notice of a sound engine back."""
+    odd = [incarnation_id(f"{n:05d}" + "x" * (MAX_ENGINE_ID_BYTES - 5), 2**53) for n in range(99)]
+    drain_notices = make_drain_notices()
+    drain_notices.on_list_read(0.0, [*odd, "sound"], [])
+    noted: list[str] = []
+    now = 0.0
+    while drain_notices.next_due() < float("inf"):
+        now += NOTICE_DELAY_SECONDS
+        sent = drain_notices.on_timer(now)
+        assert len(datagram.encode(sent[0].message)) <= MAX_DATAGRAM_BYTES
+        noted += decoded_notice(sent).draining
+    assert noted == [*odd, "sound"]
