A tenant's name that no header can hold does not keep its requests back

What callers would see: 502 for each request of a tenant whose name in the configuration has a character outside Latin-1, a line end or a control character, and engines that are left out for failures they had no part in.

Cause: the name goes into a header to the engine unchecked. `http.client` raises UnicodeEncodeError or ValueError after the connection is made, which counts as an answer that was lost: the attempt may have run, and the engine has failed.

Evidence: an exchange with an engine that answers, before, for the name "\u65e5\u672c": "AnswerLost UnicodeEncodeError: 'latin-1' codec can't encode characters in position 0-1", and "AnswerLost ValueError: Invalid header value" for "a\nb"; the engine got no byte.

Fix: such a name is not sent. The tenant's key and quota count as before.

--- a/src/troutswitch/platform/requests.py
+++ b/src/troutswitch/platform/requests.py
@@ -205,9 +205,7 @@
         resume_after: id of the event after which to resume a stream, empty for a new stream.
         tenant: the caller's tenant, or `NO_TENANT`.
     """
-    headers: Headers = [("Host", request.host), *request.headers]
-    if tenant:
-        headers.append((names.TENANT, tenant))
+    headers: Headers = [("Host", request.host), *request.headers, *_tenant_header(tenant)]
     headers.append((names.EXPECT_INSTANCE, instance_id(engine_id)))
     if time_left is not None:
         headers.append((names.DEADLINE_MS, str(max(1, int(time_left * 1000)))))
@@ -216,6 +214,14 @@
     return headers
 
 
+def _tenant_header(tenant: str) -> Headers:
+    """Returns the header that names a tenant; none if no header can hold the name.
+
+    The name is the operators' to choose, and must not keep requests from being sent.
+    """
+    return [(names.TENANT, tenant)] if tenant and is_header_value(tenant) else []
+
+
 def _framing(response: http.client.HTTPResponse, method: str) -> tuple[Framing, int]:
     """Returns how the end of a response to a request of a method is marked, and its length.
 
@@ -324,8 +330,7 @@
         if name.lower() not in names.CONNECTION_HEADERS | names.SYSTEM_HEADERS
         and name.lower() != names.REQUEST_ID.lower()
     ]
-    if tenant:
-        rows.append((names.TENANT, tenant))
+    rows += _tenant_header(tenant)
     rows.append((names.EXPECT_INSTANCE, instance_id(engine_id)))
     if resume_after:
         rows.append((names.LAST_EVENT_ID, resume_after))
--- a/tests/platform/test_forms.py
+++ b/tests/platform/test_forms.py
@@ -1,3 +1,4 @@
+import http.client
 import json
 from base64 import b64encode
 from email.message import Message
@@ -117,6 +118,16 @@
     assert "secret-key" not in repr(rows)
 
 
+@pytest.mark.parametrize("tenant", ["\u65e5\u672c", "a\nb", "a\r\nX: y", "a\x00", "\ud800"])
+def test_name_of_a_tenant_that_no_header_can_hold_does_not_keep_requests_back(tenant: str) -> None:
+    connection = http.client.HTTPConnection("127.0.0.1", 1)
+    connection.putrequest("POST", "/a", skip_host=True, skip_accept_encoding=True)
+    sent = engine_headers(read_request(environ()), "i-9", 1.0, "", tenant)
+    for name, value in [*sent, *item_headers("h", "item", {}, "i-1", "", tenant)]:
+        connection.putheader(name, value)
+        assert name != TENANT_HEADER
+
+
 def test_tenants_are_decoded_with_digests_of_their_keys() -> None:
     text = b"""{"version": 7, "tenants": [
         {"name": "a", "apiKeys": ["k1", "k2"], "priority": 1, "ratePerS": 65, "burst": 6.5},
