Blocking calls that raise an error, or get no thread, are answered

Callers and clients saw nothing at once: the part of the daemon that had asked waited for ever. A check of an engine or a request for a peer's state that raised an error ended in its future: no event, no log line, no count. A pool that could not start a thread was taken for a process that stops, so a store call or an item's run on a machine without further threads never ended: the shard's writer, the reader of a topic or the item stood still.

BlockingCalls posts exactly one event for each call, and UnexpectedErrors logs the step, the error and its innermost frame, counts it (troutswitch_unexpected_errors_total, a new metric in the stored forms), and is the last net for threads (threading.excepthook).

--- a/src/troutswitch/gateway/engines/item_runs.py
+++ b/src/troutswitch/gateway/engines/item_runs.py
@@ -6,7 +6,6 @@
 
 import threading
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 
@@ -23,6 +22,7 @@
     StopItem,
 )
 from troutswitch.decisions.jobs.records import output_bytes
+from troutswitch.gateway.blocking_calls import BlockingCalls, CallNotStarted
 from troutswitch.gateway.engines.connection_pool import ConnectionUse, EngineConnections
 from troutswitch.gateway.engines.engine_activity import EngineActivityReporter
 from troutswitch.gateway.engines.event_stream import (
@@ -37,6 +37,7 @@
     NotConnected,
     OutgoingRequest,
 )
+from troutswitch.gateway.unexpected_errors import UnexpectedErrors
 from troutswitch.outcomes import AttemptOutcome
 from troutswitch.platform.requests import AnswerHead, item_headers
 
@@ -56,6 +57,7 @@
         post: posts an event to the loop.
         engine_activity: records which engines send bytes.
         logger: logs unexpected errors.
+        errors: reports them in place of `logger`.
     """
 
     def __init__(
@@ -64,23 +66,22 @@
         post: Callable[[GatewayEvent], None],
         engine_activity: EngineActivityReporter,
         logger: structlog.typing.FilteringBoundLogger,
+        errors: UnexpectedErrors | None = None,
     ) -> None:
         self._connections = connections
         self._post = post
         self._engine_activity = engine_activity
-        self._logger = logger
         self._exchanges: dict[int, Exchange] = {}
         self._stopped: set[int] = set()
         """Runs that were stopped before their exchange was registered."""
         self._lock = threading.Lock()
-        self._executor = ThreadPoolExecutor(ITEM_THREADS, "items")
+        errors = errors or UnexpectedErrors(logger)
+        self._calls = BlockingCalls(ITEM_THREADS, "items", post, errors)
 
     def start(self, instruction: RunItem) -> None:
         """Starts a run; its end is posted as `ItemRunEnded`."""
-        try:
-            self._executor.submit(self._run, instruction)
-        except RuntimeError:
-            return  # the process is stopping
+        run = _ItemRun(instruction, self._post, self._engine_activity)
+        self._calls.submit("run item", lambda: self._run(run), run.failed_event)
 
     def stop(self, instruction: StopItem) -> None:
         """Aborts a run, or prevents it from sending anything if it has not begun."""
@@ -93,29 +94,24 @@
 
     def shut_down(self) -> None:
         """Aborts all runs."""
-        self._executor.shutdown(wait=False, cancel_futures=True)
+        self._calls.shut_down()
         with self._lock:
             exchanges = list(self._exchanges.values())
         for exchange in exchanges:
             exchange.abort()
 
-    def _run(self, instruction: RunItem) -> None:
-        """Runs an item and posts its end, even after an unexpected error."""
-        run = _ItemRun(instruction, self._post, self._engine_activity)
+    def _run(self, run: "_ItemRun") -> ItemRunEnded:
+        """Runs an item and returns its end."""
         try:
-            exchange = self._open_exchange(instruction)
+            exchange = self._open_exchange(run.instruction)
             end_event = run.execute(exchange)
-            end_event = replace(
+            return replace(
                 end_event, connection_seconds=exchange.kept_seconds, answer=exchange.facts
             )
-        except Exception as error:
-            self._logger.exception("item run failed")
-            end_event = run.end_event(AttemptOutcome.CUT, f"{type(error).__name__}: {error}")
         finally:
             with self._lock:
-                self._exchanges.pop(instruction.run, None)
-                self._stopped.discard(instruction.run)
-        self._post(end_event)
+                self._exchanges.pop(run.instruction.run, None)
+                self._stopped.discard(run.instruction.run)
 
     def _open_exchange(self, instruction: RunItem) -> Exchange:
         """Registers a run's exchange, so that it can be stopped."""
@@ -217,6 +213,12 @@
             head is not None and head.is_wrong_instance,
         )
 
+    def failed_event(self, error: Exception) -> ItemRunEnded:
+        """Returns the end of a run that raised an error, or for which there was no thread."""
+        is_sent = not isinstance(error, CallNotStarted)
+        kind = AttemptOutcome.CUT if is_sent else AttemptOutcome.CANCELLED
+        return self.end_event(kind, f"{type(error).__name__}: {error}")
+
 
 def outgoing_request(instruction: RunItem) -> OutgoingRequest:
     """Returns the request by which a run is sent to its engine."""
--- a/src/troutswitch/gateway/instruction_executor.py
+++ b/src/troutswitch/gateway/instruction_executor.py
@@ -8,14 +8,13 @@
 """
 
 from collections.abc import Callable
-from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import assert_never
 
 import structlog
 
 from troutswitch.decisions.active_configuration import CONFIGURATION_TOPIC
-from troutswitch.decisions.crashes.messages import CheckEngine
+from troutswitch.decisions.crashes.messages import CheckEngine, EngineChecked, EngineCheckResult
 from troutswitch.decisions.forwarding.engine_list import ENGINES_TOPIC
 from troutswitch.decisions.forwarding.messages import (
     AbortAttempt,
@@ -49,11 +48,13 @@
     StoreOutcome,
 )
 from troutswitch.decisions.storage.read_attempts import MAX_READS_IN_FLIGHT
+from troutswitch.gateway.blocking_calls import BlockingCalls, CallNotStarted
 from troutswitch.gateway.callers.relay_registry import RelayRegistry
 from troutswitch.gateway.engines.connection_pool import EngineConnections
 from troutswitch.gateway.engines.engine_check import check_engine
 from troutswitch.gateway.engines.health_request import request_health
 from troutswitch.gateway.engines.item_runs import ItemRuns
+from troutswitch.gateway.unexpected_errors import UnexpectedErrors
 
 STORE_THREADS = 48
 """Maximum number of concurrent blocking calls; a read may wait some seconds at the store."""
@@ -91,18 +92,18 @@
         executors: Executors,
         post: Callable[[GatewayEvent], None],
         logger: structlog.typing.FilteringBoundLogger,
+        errors: UnexpectedErrors | None = None,
     ) -> None:
         self._executors = executors
-        self._post = post
         self._logger = logger
-        self._threads = ThreadPoolExecutor(STORE_THREADS, "store")
-        self._fleet_threads = ThreadPoolExecutor(FLEET_THREADS, "fleet")
-        self._blocking_calls: set[Future[None]] = set()
+        errors = errors or UnexpectedErrors(logger)
+        self._calls = BlockingCalls(STORE_THREADS, "store", post, errors)
+        self._fleet_calls = BlockingCalls(FLEET_THREADS, "fleet", post, errors)
 
     @property
     def blocking_calls(self) -> int:
         """Number of blocking calls that are running or waiting for a thread."""
-        return len(self._blocking_calls)
+        return self._calls.pending + self._fleet_calls.pending
 
     def execute(self, instruction: GatewayInstruction) -> None:
         """Executes one instruction; called on the loop's thread."""
@@ -121,11 +122,11 @@
             case SendToPeers():
                 executors.send_to_peers(instruction)
             case RequestPeerState():
-                self._submit(self._fleet_threads, lambda: executors.request_peer_state(instruction))
+                self._request_peer_state(instruction)
             case CheckEngine():
-                self._submit(self._threads, lambda: check_engine(instruction))
+                self._check_engine(instruction)
             case RequestHealth():
-                self._submit(self._threads, lambda: self._request_health(instruction))
+                self._request_health(instruction)
             case AnswerJobCall():
                 executors.answer_job(instruction)
             case LimitsChanged():
@@ -136,10 +137,9 @@
                 executors.connections.limit_idle(dict(instruction.limits))
             case ReadNewest() | ReadRecords():
                 is_fleet = instruction.partition.topic in FLEET_TOPICS
-                threads = self._fleet_threads if is_fleet else self._threads
-                self._submit(threads, lambda: self._call_store(instruction))
+                self._call_store(self._fleet_calls if is_fleet else self._calls, instruction)
             case AppendRecords() | JoinGroup() | LeaveGroup():
-                self._submit(self._threads, lambda: self._call_store(instruction))
+                self._call_store(self._calls, instruction)
             case _:
                 assert_never(instruction)
 
@@ -147,33 +147,42 @@
         self._executors.count_log_line(line)
         self._logger.info(line.event, **line.fields)
 
-    def _submit(self, threads: ThreadPoolExecutor, call: Callable[[], GatewayEvent]) -> None:
-        """Runs a blocking call on a thread pool and posts its outcome as an event."""
-        try:
-            future = threads.submit(lambda: self._post(call()))
-        except RuntimeError:
-            return  # the process is stopping
-        self._blocking_calls.add(future)
-        future.add_done_callback(self._blocking_calls.discard)
-
-    def _call_store(self, call: StoreCall) -> StoreAnswered:
-        try:
-            outcome = self._executors.call_store(call)
-        except Exception as error:
-            self._logger.exception("store call failed")
-            outcome = CallFailed(f"{type(error).__name__}: {error}", True)
-        return StoreAnswered(call.call, outcome)
-
-    def _request_health(self, request: RequestHealth) -> HealthAnswered:
-        """Always returns: a request without an answer would be the last one of its group."""
-        try:
-            return request_health(request)
-        except Exception:
-            self._logger.exception("health request failed")
-            return HealthAnswered(request.engine_id, HealthResult.FAILED)
+    def _request_peer_state(self, request: RequestPeerState) -> None:
+        self._fleet_calls.submit(
+            "request peer state",
+            lambda: self._executors.request_peer_state(request),
+            lambda error: PeerStateReceived(request.host, None),
+        )
+
+    def _check_engine(self, check: CheckEngine) -> None:
+        self._calls.submit(
+            "check engine",
+            lambda: check_engine(check),
+            lambda error: EngineChecked(check.engine_id, EngineCheckResult.UNKNOWN),
+        )
+
+    def _request_health(self, request: RequestHealth) -> None:
+        self._calls.submit(
+            "request health",
+            lambda: request_health(request),
+            lambda error: HealthAnswered(request.engine_id, HealthResult.FAILED),
+        )
+
+    def _call_store(self, calls: BlockingCalls, call: StoreCall) -> None:
+        calls.submit(
+            "call store",
+            lambda: StoreAnswered(call.call, self._executors.call_store(call)),
+            lambda error: StoreAnswered(call.call, _failed(error)),
+        )
 
     def stop(self) -> None:
         """Stops the thread pools without waiting for the calls in progress."""
         self._executors.items.shut_down()
-        for threads in (self._threads, self._fleet_threads):
-            threads.shutdown(wait=False, cancel_futures=True)
+        self._calls.shut_down()
+        self._fleet_calls.shut_down()
+
+
+def _failed(error: Exception) -> CallFailed:
+    """Returns the outcome of a store call that raised an error."""
+    may_have_acted = not isinstance(error, CallNotStarted)
+    return CallFailed(f"{type(error).__name__}: {error}", may_have_acted)
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -85,6 +85,11 @@
         self._dropped_datagrams = self._counter(
             "peer_datagrams_dropped", "Datagrams between daemons that were unreadable or too long"
         )
+        self._unexpected_errors = self._counter(
+            "unexpected_errors",
+            "Errors that no code expected, by the step that raised them",
+            "step",
+        )
         self._unreadable_loads = self._counter(
             "load_headers_unreadable", "Load headers of engines that are not three or four numbers"
         )
@@ -292,6 +297,10 @@
         """Counts a datagram between daemons that was dropped; called on any thread."""
         self._dropped_datagrams.inc()
 
+    def count_unexpected_error(self, step: str) -> None:
+        """Counts an unexpected error; called on any thread. Steps are constants of the code."""
+        self._unexpected_errors.labels(step).inc()
+
     def count_unreadable_load(self) -> None:
         """Counts a load header that could not be read; called on the threads that read answers."""
         self._unreadable_loads.inc()
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -10,7 +10,6 @@
 import signal
 import threading
 import time
-import traceback
 from collections.abc import Callable, Iterable
 from dataclasses import fields, replace
 from functools import partial
@@ -48,6 +47,7 @@
 from troutswitch.gateway.memory.pressure import Kind
 from troutswitch.gateway.metrics import CONTENT_TYPE, GatewayMetrics
 from troutswitch.gateway.settings import GatewaySettings
+from troutswitch.gateway.unexpected_errors import UnexpectedErrors, error_fields
 from troutswitch.platform.configuration import PlatformFormats
 from troutswitch.platform.names import READINESS_PATH
 from troutswitch.platform.requests import Environ
@@ -87,6 +87,9 @@
         self.failure: BaseException | None = None
         """The error that ended the loop."""
         self._logger = logger
+        self._errors = UnexpectedErrors(
+            logger, lambda step: self._metrics.count_unexpected_error(step)
+        )
         events: queue.SimpleQueue[GatewayEvent] = queue.SimpleQueue()
         self._post: Callable[[GatewayEvent], None] = events.put
         self._relays = RelayRegistry(self._post)
@@ -120,7 +123,9 @@
         self._gate: StopGate | None = None
         self._callers = self._make_callers()
         self._readiness = self._make_readiness()
-        self._executor = InstructionExecutor(self._make_executors(), self._post, logger)
+        self._executor = InstructionExecutor(
+            self._make_executors(), self._post, logger, self._errors
+        )
         self.loop = GatewayLoop(self.core, events, self._executor.execute, self._on_failure)
 
     def _on_dropped_datagram(self, reason: str, host: str) -> None:
@@ -135,7 +140,9 @@
         store = StoreClient(
             self.settings.store.address, partial(self._on_suspect_connections, "store")
         )
-        items = ItemRuns(self._connections, self._post, self._engine_activity, self._logger)
+        items = ItemRuns(
+            self._connections, self._post, self._engine_activity, self._logger, self._errors
+        )
         return Executors(
             relays=self._relays,
             connections=self._connections,
@@ -220,13 +227,13 @@
         self.failure = error
         self._logger.error(
             "loop failed",
-            error=f"{type(error).__name__}: {error}",
             step=type(event).__name__,
-            at=_innermost_frame(error),
+            **error_fields(error),
         )
 
     def start(self) -> None:
         """Starts the loop, the peer socket and the listeners."""
+        self._errors.watch_threads()
         self.loop.start()
         self._relays.caller_watch.start()
         self._peers.start()
@@ -330,15 +337,6 @@
     )
 
 
-def _innermost_frame(error: BaseException) -> str:
-    """Returns where an error was raised, as file, line and function; empty if unknown."""
-    frames = traceback.extract_tb(error.__traceback__)
-    if not frames:
-        return ""
-    frame = frames[-1]
-    return f"{os.path.basename(frame.filename)}:{frame.lineno} {frame.name}"
-
-
 class Signals:
     """Handlers of the signals that request a stop or a reload of the settings.
 
--- a/tests/gateway/test_instruction_executor.py
+++ b/tests/gateway/test_instruction_executor.py
@@ -10,6 +10,7 @@
 
 from troutswitch.common import Address
 from troutswitch.decisions.active_configuration import CONFIGURATION_TOPIC
+from troutswitch.decisions.crashes.messages import CheckEngine, EngineChecked, EngineCheckResult
 from troutswitch.decisions.forwarding.engine_list import ENGINES_TOPIC
 from troutswitch.decisions.gateway_interface import GatewayEvent
 from troutswitch.decisions.peers.catch_up import PeerStateReceived, RequestPeerState
@@ -34,6 +35,7 @@
 )
 
 WAIT_SECONDS = 30.0
+ANSWER_SECONDS = 10.0
 
 
 class WriteBlockingStore:
@@ -104,3 +106,20 @@
     executor.execute(RequestHealth("e", Address("127.0.0.1", 1), "/health"))
     assert events.get(timeout=WAIT_SECONDS) == HealthAnswered("e", HealthResult.FAILED)
     executor.stop()
+
+
+def test_calls_that_raise_an_unexpected_error_are_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a state machine that waits for ever for the result of its call."""
+    events: queue.SimpleQueue[GatewayEvent] = queue.SimpleQueue()
+    failing = MagicMock(side_effect=RecursionError("unexpected"))
+    executors = MagicMock(spec=Executors)
+    executors.request_peer_state = failing
+    monkeypatch.setattr(instruction_executor, "check_engine", failing)
+    executor = InstructionExecutor(executors, events.put, MagicMock())
+    executor.execute(RequestPeerState("peer", 1, 1.0))
+    assert events.get(timeout=ANSWER_SECONDS) == PeerStateReceived("peer", None)
+    executor.execute(CheckEngine("e", Address("127.0.0.1", 1)))
+    assert events.get(timeout=ANSWER_SECONDS) == EngineChecked("e", EngineCheckResult.UNKNOWN)
+    executor.stop()
