Threads that serve go on after errors, or the daemon stops as planned

Callers waited without an answer at a daemon that reported ready: an error with one connection (its readable() or writable(), which waitress asks without catching; a thread that can't be started; an error while a connection is accepted, after which waitress closes the listening socket) ended the listener for all. An error of the kernel, or of one datagram's handling, ended the receiving of peers' messages for good; the same for the watch of callers' closes.

An error with one connection closes that one; one datagram's is a drop; a further thread that can't be started leaves the task to those that run. What waitress logs is reported too, no longer written to standard error, which can block a caller's thread.

--- a/src/troutswitch/cli/gateway.py
+++ b/src/troutswitch/cli/gateway.py
@@ -41,7 +41,7 @@
     settings_file = SettingsFile(path, load_gateway_settings, logger)
     process.start()
     freeze_startup_objects()
-    while not signals.stop_requested.is_set() and process.failure is None:
+    while not (signals.stop_requested.is_set() or process.failure or process.lost_thread):
         signals.wait(SETTINGS_POLL_SECONDS)
         if signals.reload_requested.is_set():
             signals.reload_requested.clear()
@@ -54,4 +54,4 @@
     process.stop()
     writer.drain(0.3)
     sys.stdout.flush()
-    os._exit(0 if process.failure is None else 1)
+    os._exit(1 if process.failure or process.lost_thread else 0)
--- a/src/troutswitch/gateway/callers/caller_watch.py
+++ b/src/troutswitch/gateway/callers/caller_watch.py
@@ -13,6 +13,9 @@
 import threading
 from collections.abc import Callable
 
+from troutswitch.gateway.service_thread import ServiceThread
+from troutswitch.gateway.unexpected_errors import UnexpectedErrors
+
 WATCHED_EVENTS = select.EPOLLRDHUP | select.EPOLLONESHOT
 TCP_INFO_BYTES = 64
 TCP_INFO_STATE_OFFSET = 0
@@ -54,14 +57,22 @@
     Args:
         on_disconnect: called with the request's token and the age of the close in seconds. The call
             is made on the watch's thread, or on the thread that calls `add` or `before_close`.
+        errors: reports unexpected errors.
+        on_lost: called with the thread's name if closes can't be detected any more.
     """
 
-    def __init__(self, on_disconnect: Callable[[int, float], None]) -> None:
+    def __init__(
+        self,
+        on_disconnect: Callable[[int, float], None],
+        errors: UnexpectedErrors | None = None,
+        on_lost: Callable[[str], None] = lambda name: None,
+    ) -> None:
         self._on_disconnect = on_disconnect
         self._lock = threading.Lock()
         self._watched: dict[int, tuple[int, socket.socket]] = {}
         self._epoll = select.epoll()
-        self._thread = threading.Thread(target=self._run, name="caller-watch", daemon=True)
+        self._errors = errors or UnexpectedErrors()
+        self._thread = ServiceThread("caller-watch", self._run, self._errors, on_lost)
 
     def start(self) -> None:
         """Starts the watch's thread."""
@@ -111,7 +122,14 @@
     def _run(self) -> None:
         while True:
             for descriptor, _ in self._epoll.poll():
-                self._report(descriptor)
+                self._try_report(descriptor)
+
+    def _try_report(self, descriptor: int) -> None:
+        """Reports a close; an error with one connection does not hide those of others."""
+        try:
+            self._report(descriptor)
+        except Exception as error:
+            self._errors.report("report caller's close", error)
 
     def _report(self, descriptor: int) -> None:
         with self._lock:
--- a/src/troutswitch/gateway/callers/dispatcher.py
+++ b/src/troutswitch/gateway/callers/dispatcher.py
@@ -20,6 +20,16 @@
         self._max_threads = max_threads
         self.set_thread_count(min(INITIAL_THREADS, max_threads))
 
+    def start_new_thread(self, target: Any, thread_no: int) -> None:
+        """Starts a thread; without one, tasks wait for those that run. Called with the lock."""
+        try:
+            super().start_new_thread(target, thread_no)
+        except RuntimeError:
+            if len(self.threads) == 1:
+                raise
+            self.threads.discard(thread_no)
+            self.active_count -= 1  # the base class counts the thread as started
+
     def add_task(self, task: Any) -> None:
         """Queues a task, and starts a thread for it if all threads are busy."""
         with self.lock:
--- a/src/troutswitch/gateway/callers/listener.py
+++ b/src/troutswitch/gateway/callers/listener.py
@@ -8,8 +8,10 @@
 import contextlib
 import logging
 import socket
+import sys
 import threading
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import waitress.channel
@@ -27,6 +29,8 @@
 from troutswitch.gateway.callers.dispatcher import GrowingDispatcher
 from troutswitch.gateway.callers.unread_answers import UnreadAnswer, UnreadAnswers
 from troutswitch.gateway.memory.account import MemoryAccount
+from troutswitch.gateway.service_thread import ServiceThread
+from troutswitch.gateway.unexpected_errors import UnexpectedErrors
 from troutswitch.runtime.http import WsgiApplication
 from troutswitch.runtime.send_queue import unacknowledged_bytes
 
@@ -99,6 +103,13 @@
         self._is_sending_side_closed = False
         super().__init__(server, connection, *rest, **named)
 
+    def handle_error(self) -> None:
+        """Reports an unexpected error with this connection, and closes it; others are served."""
+        error = sys.exception()
+        if error is not None:
+            self.server.errors.report("serve connection", error)
+        self.handle_close()
+
     def begin_answer(self, request_id: str, time_limit: float) -> None:
         """Tells which request is answered next, and how long its caller waits, in seconds."""
         self._answered_id = request_id
@@ -115,7 +126,17 @@
         return UnreadAnswer(self._answered_id, size, due_at)
 
     def readable(self) -> bool:
-        """Returns whether to wait for bytes; the listener asks at least once in a second."""
+        """Returns whether to wait for bytes; the listener asks at least once in a second.
+
+        waitress lets an error here end the loop that serves all connections.
+        """
+        try:
+            return self._is_readable()
+        except Exception:
+            self.handle_error()
+            return False
+
+    def _is_readable(self) -> bool:
         if not self._is_sending_side_closed:
             return bool(super().readable())
         is_late = steady_seconds() >= self._due_at
@@ -125,9 +146,11 @@
 
     def writable(self) -> bool:
         """Returns whether there is something to send, or the connection is to be closed."""
-        if self._is_sending_side_closed:
-            return bool(self.will_close)
-        return bool(super().writable())
+        try:
+            return bool(self.will_close if self._is_sending_side_closed else super().writable())
+        except Exception:
+            self.handle_error()
+            return False
 
     def handle_write(self) -> None:
         """Sends what is buffered; closes the sending side after the last answer."""
@@ -169,6 +192,34 @@
     """A caller's connection whose memory is counted and limited."""
 
 
+def _report_current_error(errors: UnexpectedErrors, step: str) -> None:
+    """Reports the error that is handled; waitress would close the listening socket."""
+    error = sys.exception()
+    if error is not None:
+        errors.report(step, error)
+
+
+class _LibraryErrors(logging.Handler):
+    """Reports what waitress logs; standard error, its default, may block or be closed."""
+
+    def __init__(self, errors: UnexpectedErrors) -> None:
+        super().__init__(logging.ERROR)
+        self._errors = errors
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Reports the error of a line, or its text."""
+        error = record.exc_info[1] if record.exc_info else None
+        self._errors.report("serve request", error or RuntimeError(record.getMessage()))
+
+
+def _report_library_errors(errors: UnexpectedErrors) -> None:
+    logger = logging.getLogger("waitress")
+    logger.setLevel(logging.ERROR)
+    logger.propagate = False
+    logger.handlers = [_LibraryErrors(errors)]
+    logging.getLogger("waitress.queue").setLevel(logging.CRITICAL)
+
+
 class HttpListener:
     """A waitress server with its own threads.
 
@@ -194,9 +245,11 @@
         before_close: Callable[[socket.socket], None] = lambda connection: None,
         on_unserved: Callable[[dict[str, str], float], None] = lambda headers, age: None,
         memory: MemoryAccount | None = None,
+        errors: UnexpectedErrors | None = None,
+        on_thread_lost: Callable[[str], None] = lambda name: None,
     ) -> None:
-        logging.getLogger("waitress").setLevel(logging.ERROR)
-        logging.getLogger("waitress.queue").setLevel(logging.CRITICAL)
+        errors = errors or UnexpectedErrors()
+        _report_library_errors(errors)
         threading.stack_size(THREAD_STACK_BYTES)
         self._server: Any = waitress.server.create_server(
             application,
@@ -219,12 +272,15 @@
         self._server.before_close = before_close
         self._server.on_unserved = on_unserved
         self._server.channel_class = _Channel
+        self._server.errors = errors
+        self._server.handle_error = partial(_report_current_error, errors, "accept connection")
         if memory is not None and memory.is_limited:
             self._server.memory = memory
             self._server.header_seconds = RequestLimits().header_seconds
             self._server.channel_class = _LimitedChannel
         self.address = Address(address.host, int(self._server.effective_port))
-        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+        self._is_stopped = False
+        self._thread = ServiceThread(name, self._run, errors, on_thread_lost)
 
     def start(self) -> None:
         """Starts serving."""
@@ -257,9 +313,11 @@
     def _run(self) -> None:
         try:
             self._server.run()
-        except OSError:
-            return  # `stop` closed the listening socket
+        except Exception:
+            if not self._is_stopped:  # `stop` closes what the loop polls
+                raise
 
     def stop(self) -> None:
         """Stops listening."""
+        self._is_stopped = True
         self._server.close()
--- a/src/troutswitch/gateway/callers/relay_registry.py
+++ b/src/troutswitch/gateway/callers/relay_registry.py
@@ -21,6 +21,7 @@
 from troutswitch.decisions.gateway_interface import GatewayEvent
 from troutswitch.gateway.callers.caller_watch import CallerWatch, is_closed
 from troutswitch.gateway.engines.exchange import Exchange
+from troutswitch.gateway.unexpected_errors import UnexpectedErrors
 from troutswitch.runtime.channels import Channel
 
 Directive = SendRequest | FinishRequest
@@ -42,11 +43,19 @@
 
     Args:
         post: posts an event to the loop.
+        errors: reports unexpected errors.
+        on_thread_lost: called with the name of a thread that keeps failing.
     """
 
-    def __init__(self, post: Callable[[GatewayEvent], None]) -> None:
+    def __init__(
+        self,
+        post: Callable[[GatewayEvent], None],
+        errors: UnexpectedErrors | None = None,
+        on_thread_lost: Callable[[str], None] = lambda name: None,
+    ) -> None:
         self._post = post
-        self.caller_watch = CallerWatch(self._on_disconnect)
+        self._errors = errors or UnexpectedErrors()
+        self.caller_watch = CallerWatch(self._on_disconnect, self._errors, on_thread_lost)
         self._tokens = itertools.count(1)
         self._entries: dict[int, _Entry] = {}
         self._callers: dict[int, socket.socket] = {}
@@ -69,11 +78,15 @@
         """Starts watching for the caller's disconnect.
 
         The request's arrival must be posted first: the loop cannot relate the disconnect to a
-        request that it does not know.
+        request that it does not know. A connection that can't be watched is served all the same.
         """
         connection = self._callers.get(token)
-        if connection is not None:
+        if connection is None:
+            return
+        try:
             self.caller_watch.add(token, connection)
+        except OSError as error:  # the kernel has no memory, or the user too many watches
+            self._errors.report("watch caller", error)
 
     def unregister_caller(self, token: int) -> None:
         """Unregisters a caller's connection and stops watching it."""
--- a/src/troutswitch/gateway/daemons/peer_socket.py
+++ b/src/troutswitch/gateway/daemons/peer_socket.py
@@ -5,13 +5,14 @@
 """
 
 import socket
-import threading
 from collections.abc import Callable
 
 from troutswitch.common import Address
 from troutswitch.daemons.datagram import DatagramError, decode, encode
 from troutswitch.decisions.gateway_interface import GatewayEvent
 from troutswitch.decisions.slots.messages import PeerMessageReceived, SendToPeers
+from troutswitch.gateway.service_thread import ServiceThread
+from troutswitch.gateway.unexpected_errors import UnexpectedErrors
 
 MAX_DATAGRAM_BYTES = 8192
 """Longest datagram that is sent and received."""
@@ -25,6 +26,8 @@
         post: posts an event to the loop.
         on_dropped: called with the reason and the peer's host when a datagram is dropped, on the
             receiving thread or that of the sender.
+        errors: reports unexpected errors.
+        on_lost: called with the thread's name if datagrams can't be received any more.
 
     Raises:
         OSError: the address cannot be bound.
@@ -35,13 +38,16 @@
         address: Address,
         post: Callable[[GatewayEvent], None],
         on_dropped: Callable[[str, str], None],
+        errors: UnexpectedErrors | None = None,
+        on_lost: Callable[[str], None] = lambda name: None,
     ) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((address.host, address.port))
         self.address = Address(address.host, self._socket.getsockname()[1])
         self._post = post
         self._on_dropped = on_dropped
-        self._thread = threading.Thread(target=self._run, name="reports", daemon=True)
+        self._errors = errors or UnexpectedErrors()
+        self._thread = ServiceThread("reports", self._run, self._errors, on_lost)
 
     def start(self) -> None:
         """Starts receiving."""
@@ -65,14 +71,19 @@
                 datagram, sender = self._socket.recvfrom(MAX_DATAGRAM_BYTES + 1)
             except ConnectionRefusedError:
                 continue
-            except OSError:
-                return
-            if len(datagram) > MAX_DATAGRAM_BYTES:
-                self._on_dropped("too long", sender[0])
-                continue
-            try:
-                message = decode(datagram)
-            except DatagramError as error:
-                self._on_dropped(str(error), sender[0])
-                continue
+            self._receive(datagram, sender[0])
+
+    def _receive(self, datagram: bytes, host: str) -> None:
+        """Posts the message of a datagram; whatever the datagram holds, the next one is read."""
+        if len(datagram) > MAX_DATAGRAM_BYTES:
+            self._on_dropped("too long", host)
+            return
+        try:
+            message = decode(datagram)
+        except DatagramError as error:
+            self._on_dropped(str(error), host)
+        except Exception as error:
+            self._errors.report("decode datagram", error)
+            self._on_dropped(f"{type(error).__name__}: {error}", host)
+        else:
             self._post(PeerMessageReceived(message))
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -86,13 +86,15 @@
         self.settings = settings
         self.failure: BaseException | None = None
         """The error that ended the loop."""
+        self.lost_thread = ""
+        """Name of a thread that keeps failing; the process is to stop, as it needs each of them."""
         self._logger = logger
         self._errors = UnexpectedErrors(
             logger, lambda step: self._metrics.count_unexpected_error(step)
         )
         events: queue.SimpleQueue[GatewayEvent] = queue.SimpleQueue()
         self._post: Callable[[GatewayEvent], None] = events.put
-        self._relays = RelayRegistry(self._post)
+        self._relays = RelayRegistry(self._post, self._errors, self._on_thread_lost)
         self._connections = EngineConnections(
             self._on_suspect_connections,
             lambda use, is_new: self._metrics.count_connection(use, is_new),
@@ -101,6 +103,8 @@
             Address(settings.peer_host, settings.peer_ports[0]),
             self._post,
             self._on_dropped_datagram,
+            self._errors,
+            self._on_thread_lost,
         )
         self._dropped_datagram_logged_at = float("-inf")
         self._engine_activity = EngineActivityReporter(
@@ -176,6 +180,8 @@
             self._relays.caller_watch.before_close,
             application.on_unserved,
             self._memory,
+            self._errors,
+            self._on_thread_lost,
         )
 
     def _make_readiness(self) -> HttpListener | None:
@@ -187,6 +193,8 @@
             READINESS_THREADS,
             "readiness",
             MAX_CONNECTIONS,
+            errors=self._errors,
+            on_thread_lost=self._on_thread_lost,
         )
 
     def _make_internal(self) -> HttpListener | None:
@@ -196,7 +204,13 @@
             return None
         address = Address(self.settings.peer_host, last)
         return HttpListener(
-            self._answer_internal, address, INTERNAL_THREADS, "internal", MAX_CONNECTIONS
+            self._answer_internal,
+            address,
+            INTERNAL_THREADS,
+            "internal",
+            MAX_CONNECTIONS,
+            errors=self._errors,
+            on_thread_lost=self._on_thread_lost,
         )
 
     def _answer_internal(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
@@ -223,6 +237,10 @@
         if self._callers is not None:
             self._callers.set_limits(change.limits)
 
+    def _on_thread_lost(self, name: str) -> None:
+        self.lost_thread = name
+        self._logger.error("thread lost", thread=name)
+
     def _on_failure(self, error: BaseException, event: GatewayEvent) -> None:
         self.failure = error
         self._logger.error(
--- a/tests/gateway/callers/test_dispatcher.py
+++ b/tests/gateway/callers/test_dispatcher.py
@@ -1,5 +1,8 @@
+import queue
 import threading
 
+import pytest
+
 from troutswitch.gateway.callers.dispatcher import INITIAL_THREADS, GrowingDispatcher
 
 WAIT_SECONDS = 10.0
@@ -47,3 +50,29 @@
         assert task.is_running.wait(WAIT_SECONDS)
     assert len(dispatcher.threads) < 20
     dispatcher.shutdown()
+
+
+def test_tasks_are_done_although_no_further_thread_can_be_started(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against connections that are closed unanswered at the machine's limit of threads."""
+    dispatcher = GrowingDispatcher(64)
+    done: queue.SimpleQueue[int] = queue.SimpleQueue()
+
+    class Task:
+        def __init__(self, number: int) -> None:
+            self.number = number
+
+        def service(self) -> None:
+            done.put(self.number)
+
+    def refuse(self: threading.Thread) -> None:
+        raise RuntimeError("can't start new thread")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(threading.Thread, "start", refuse)
+        for number in range(100):
+            dispatcher.add_task(Task(number))
+        assert {done.get(timeout=WAIT_SECONDS) for _ in range(100)} == set(range(100))
+    assert len(dispatcher.threads) == INITIAL_THREADS
+    dispatcher.shutdown()
--- a/tests/gateway/daemons/test_peer_socket.py
+++ b/tests/gateway/daemons/test_peer_socket.py
@@ -2,7 +2,9 @@
 
 import queue
 import socket
+import time
 from collections.abc import Iterator
+from unittest.mock import MagicMock
 
 import pytest
 
@@ -11,6 +13,7 @@
 from troutswitch.daemons.messages import CrashReport, ReportedCrash
 from troutswitch.decisions.gateway_interface import GatewayEvent
 from troutswitch.decisions.slots.messages import PeerMessageReceived, SendToPeers
+from troutswitch.gateway.daemons import peer_socket
 from troutswitch.gateway.daemons.peer_socket import MAX_DATAGRAM_BYTES, PeerSocket
 
 TIMEOUT_SECONDS = 10.0
@@ -70,3 +73,33 @@
     receiver.peers.send(SendToPeers((receiver.peers.address,), CrashReport("daemon", crashes)))
     reason, _ = receiver.dropped.get(timeout=TIMEOUT_SECONDS)
     assert "bytes to send" in reason
+
+
+def test_datagram_whose_handling_fails_is_dropped_and_the_next_one_received(
+    receiver: Receiver, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a daemon that hears no peer any more after one datagram."""
+    failing = MagicMock(side_effect=RecursionError("too deep"))
+    with monkeypatch.context() as patched:
+        patched.setattr(peer_socket, "decode", failing)
+        receiver.send_bytes(encode(REPORT))
+        reason, host = receiver.dropped.get(timeout=TIMEOUT_SECONDS)
+    assert (reason, host) == ("RecursionError: too deep", "127.0.0.1")
+    receiver.send_bytes(encode(REPORT))
+    assert receiver.events.get(timeout=TIMEOUT_SECONDS) == PeerMessageReceived(REPORT)
+
+
+def test_receiving_goes_on_after_an_error_of_the_socket(receiver: Receiver) -> None:
+    """Guards against a daemon that hears no peer any more after one error of the kernel."""
+    receiver.send_bytes(encode(REPORT))
+    assert receiver.events.get(timeout=TIMEOUT_SECONDS) == PeerMessageReceived(REPORT)
+    real = receiver.peers._socket
+    failing = MagicMock(side_effect=OSError(12, "Cannot allocate memory"))
+    receiver.peers._socket = MagicMock(recvfrom=failing)
+    receiver.send_bytes(encode(REPORT))  # ends the read that waits
+    receiver.events.get(timeout=TIMEOUT_SECONDS)
+    while not failing.called:
+        time.sleep(0.01)
+    receiver.peers._socket = real
+    receiver.send_bytes(encode(REPORT))
+    assert receiver.events.get(timeout=TIMEOUT_SECONDS) == PeerMessageReceived(REPORT)
