A connection with an error is closed after the poll, not before it

Its descriptor may be that of a connection accepted in the same turn, which waitress then closed as invalid: ConnectionResetError at another caller, seen once in test_listener_serves_others_after_an_error_with_one_connection[writable]. The connection is shut down instead, and the poll reports it as hung up.

--- a/src/troutswitch/gateway/callers/listener.py
+++ b/src/troutswitch/gateway/callers/listener.py
@@ -132,9 +132,8 @@
         """
         try:
             return self._is_readable()
-        except Exception:
-            self.handle_error()
-            return False
+        except Exception as error:
+            return self._hang_up(error)
 
     def _is_readable(self) -> bool:
         if not self._is_sending_side_closed:
@@ -148,9 +147,18 @@
         """Returns whether there is something to send, or the connection is to be closed."""
         try:
             return bool(self.will_close if self._is_sending_side_closed else super().writable())
-        except Exception:
-            self.handle_error()
-            return False
+        except Exception as error:
+            return self._hang_up(error)
+
+    def _hang_up(self, error: Exception) -> bool:
+        """Reports an error, and has the listener close the connection after its next poll.
+
+        A descriptor that is closed before the poll may be that of another connection after it.
+        """
+        self.server.errors.report("poll connection", error)
+        with contextlib.suppress(OSError):
+            self.connection.shutdown(socket.SHUT_RDWR)
+        return True
 
     def handle_write(self) -> None:
         """Sends what is buffered; closes the sending side after the last answer."""
