Callers get a truthful answer after an unexpected error on their thread

Callers saw a 500 without their request's id and without a word on whether it ran, or, where the error was an OSError (a loop that gives no directive for 60 s raises TimeoutError), a connection that closed without an answer: waitress takes each OSError for a lost connection. An error inside an attempt ended the request although another engine could serve it, and no line or count of ours told of it.

An attempt that raises ends as CUT (UNREACHABLE if nothing was sent), and the loop decides about another one. Any other error becomes 503 not run, or 504 may have run, by how the attempts ended (outcomes.py); a job call whose answer fails after it was posted is a 504. All are logged and counted.

--- a/src/troutswitch/gateway/callers/application.py
+++ b/src/troutswitch/gateway/callers/application.py
@@ -4,6 +4,7 @@
 `JobCalls` answers calls about batch jobs; `Relay` forwards all other requests.
 """
 
+import sys
 from collections.abc import Callable, Iterable, Iterator
 
 from troutswitch.decisions.forwarding.messages import CallerGoneBeforeHandling
@@ -13,12 +14,13 @@
     CONNECTION_KEY,
     DESCRIBE_ANSWER_KEY,
 )
-from troutswitch.gateway.callers.relay import CompleteAnswer, Relay
+from troutswitch.gateway.callers.relay import FAILURE_RETRY_AFTER_SECONDS, CompleteAnswer, Relay
 from troutswitch.gateway.callers.relay_registry import RelayRegistry
 from troutswitch.gateway.engines.connection_pool import EngineConnections
 from troutswitch.gateway.engines.engine_activity import EngineActivityReporter
 from troutswitch.gateway.memory.account import MemoryAccount
-from troutswitch.outcomes import Cut, MayHaveRun, NotRun
+from troutswitch.gateway.unexpected_errors import UnexpectedErrors
+from troutswitch.outcomes import Cut, MayHaveRun, NotRun, Step
 from troutswitch.platform import names
 from troutswitch.platform.requests import (
     Environ,
@@ -51,6 +53,7 @@
         engine_activity: records which engines send bytes.
         handle_job: answers a call about a batch job; returns None for any other request.
         memory: account of what is held for callers.
+        errors: reports unexpected errors.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         engine_activity: EngineActivityReporter,
         handle_job: JobHandler,
         memory: MemoryAccount | None = None,
+        errors: UnexpectedErrors | None = None,
     ) -> None:
         self._relays = relays
         self._connections = connections
@@ -68,9 +72,20 @@
         self._engine_activity = engine_activity
         self._handle_job = handle_job
         self._memory = memory or MemoryAccount()
+        self._errors = errors or UnexpectedErrors()
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
-        """Handles one request."""
+        """Handles one request; an unexpected error before it was forwarded is a refusal."""
+        try:
+            return self._handle(environ, start_response)
+        except Exception as error:
+            self._errors.report("handle request", error)
+            outcome = NotRun(
+                f"{type(error).__name__}: {error}", Step.PARSE, "", FAILURE_RETRY_AFTER_SECONDS
+            )
+            return _send_failure(outcome, _request_id(environ), start_response)
+
+    def _handle(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         request = read_request(environ)
         begin_answer = environ.get(BEGIN_ANSWER_KEY)
         if begin_answer is not None:
@@ -111,22 +126,32 @@
             self._post,
             self._engine_activity,
             self._memory,
+            self._errors,
         )
-        self._relays.register_caller(token, environ[CONNECTION_KEY])
         chunks = relay.run()
         try:
+            self._relays.register_caller(token, environ[CONNECTION_KEY])
             first = next(chunks, None)
+            if first is not None:
+                assert relay.head is not None
+                start_response(status_line(relay.head.status), relay.head.headers)
+                return self._stream(relay, first, chunks)
+            self._release(relay)
+            return self._send_complete(relay, start_response)
+        except Exception as error:
+            self._errors.report("forward request", error)
+            chunks.close()  # type: ignore[attr-defined]
+            self._release(relay)
+            outcome = relay.failure(f"{type(error).__name__}: {error}")
+            return _send_failure(outcome, request.request_id, start_response)
         except BaseException:
-            self._relays.unregister_caller(token)
-            relay.release_answer()
+            self._release(relay)
             raise
-        if first is None:
-            relay.release_answer()
-            self._relays.unregister_caller(token)
-            return self._send_complete(relay, start_response)
-        assert relay.head is not None
-        start_response(status_line(relay.head.status), relay.head.headers)
-        return self._stream(relay, first, chunks)
+
+    def _release(self, relay: Relay) -> None:
+        """Ends what is held for a request in progress."""
+        self._relays.unregister_caller(relay.token)
+        relay.release_answer()
 
     def _send_complete(self, relay: Relay, start_response: StartResponse) -> Iterable[bytes]:
         finish = relay.finish
@@ -144,10 +169,14 @@
             yield from chunks
             if relay.finish is not None:
                 raise AnswerCut(relay.finish.outcome.reason)
+        except AnswerCut:
+            raise
+        except Exception as error:
+            self._errors.report("forward stream", error)
+            raise AnswerCut(f"{type(error).__name__}: {error}") from error
         finally:
-            relay.release_answer()
             chunks.close()  # type: ignore[attr-defined]
-            self._relays.unregister_caller(relay.token)
+            self._release(relay)
 
 
 def error_response(outcome: NotRun | MayHaveRun | Cut, request_id: str) -> Response:
@@ -160,6 +189,21 @@
     return Response(status, text.encode(), "text/plain", tuple(headers))
 
 
+def _send_failure(
+    outcome: NotRun | MayHaveRun | Cut, request_id: str, start_response: StartResponse
+) -> list[bytes]:
+    """Sends a failure in place of any response whose head was prepared but not sent."""
+
+    def restart(status: str, headers: list[tuple[str, str]]) -> None:
+        start_response(status, headers, sys.exc_info())
+
+    return send(error_response(outcome, request_id), restart)
+
+
+def _request_id(environ: Environ) -> str:
+    return str(environ.get("HTTP_" + names.REQUEST_ID.upper().replace("-", "_"), ""))
+
+
 def _plain(status: int, text: str) -> Response:
     return Response(status, f"{text}\n".encode(), "text/plain")
 
--- a/src/troutswitch/gateway/callers/job_calls.py
+++ b/src/troutswitch/gateway/callers/job_calls.py
@@ -18,6 +18,7 @@
 from troutswitch.decisions.jobs.messages import AnswerJobCall, JobAnswer, JobSubmitted
 from troutswitch.gateway.memory.account import Holding, MemoryAccount
 from troutswitch.gateway.memory.pressure import Kind
+from troutswitch.gateway.unexpected_errors import UnexpectedErrors
 from troutswitch.platform import names
 from troutswitch.platform.jobs import (
     JobFormatError,
@@ -42,6 +43,7 @@
         routes: table that determines which requests submit a job.
         post: posts an event to the loop.
         memory: account in which a job's items are counted until the job is answered.
+        errors: reports unexpected errors.
     """
 
     def __init__(
@@ -49,7 +51,9 @@
         routes: RouteTable,
         post: Callable[[GatewayEvent], None],
         memory: MemoryAccount | None = None,
+        errors: UnexpectedErrors | None = None,
     ) -> None:
+        self._errors = errors or UnexpectedErrors()
         self._routes = routes
         self._post = post
         self._memory = memory or MemoryAccount()
@@ -102,15 +106,23 @@
         future: Future[JobAnswer] = Future()
         with self._lock:
             self._answers[token] = future
-        self._post(event)
         try:
-            return encode_answer(future.result(ANSWER_TIMEOUT_SECONDS))
-        except FutureTimeoutError:
-            return Response(504, b"no decision in time\n", "text/plain")
+            self._post(event)
+            return self._wait(future)
         finally:
             with self._lock:
                 self._answers.pop(token, None)
 
+    def _wait(self, future: Future[JobAnswer]) -> Response:
+        """Returns the loop's answer; without a usable one, the call may have been executed."""
+        try:
+            return encode_answer(future.result(ANSWER_TIMEOUT_SECONDS))
+        except FutureTimeoutError:
+            return Response(504, b"no decision in time\n", "text/plain")
+        except Exception as error:
+            self._errors.report("answer job call", error)
+            return Response(504, f"{type(error).__name__}: {error}\n".encode(), "text/plain")
+
     def answer(self, instruction: AnswerJobCall) -> None:
         """Passes an answer to the thread that waits for it."""
         with self._lock:
--- a/src/troutswitch/gateway/callers/relay.py
+++ b/src/troutswitch/gateway/callers/relay.py
@@ -32,12 +32,23 @@
 )
 from troutswitch.gateway.memory.account import MemoryAccount
 from troutswitch.gateway.memory.answer_buffer import AnswerBuffer
-from troutswitch.outcomes import AttemptOutcome
+from troutswitch.gateway.unexpected_errors import UnexpectedErrors
+from troutswitch.outcomes import (
+    AttemptOutcome,
+    Cut,
+    MayHaveRun,
+    NotRun,
+    Step,
+    failure_outcome,
+)
 from troutswitch.platform.requests import AnswerHead, IncomingRequest, engine_headers
 
 DIRECTIVE_TIMEOUT_SECONDS = 60.0
 """Longest wait for the loop's next directive, after which the loop is considered dead."""
 
+FAILURE_RETRY_AFTER_SECONDS = 0.1
+"""Retry-After of a request that this daemon ends by itself; another daemon may serve it."""
+
 
 @dataclass(frozen=True, slots=True)
 class CompleteAnswer:
@@ -58,6 +69,7 @@
     Args:
         post: posts an event to the loop.
         memory: account in which a complete answer is counted while it is read.
+        errors: reports unexpected errors.
     """
 
     token: int
@@ -68,6 +80,7 @@
     post: Callable[[GatewayEvent], None]
     engine_activity: EngineActivityReporter
     memory: MemoryAccount = field(default_factory=MemoryAccount)
+    errors: UnexpectedErrors = field(default_factory=UnexpectedErrors)
     head: AnswerHead | None = None
     """Head of the response that is streamed to the caller."""
     complete_answer: CompleteAnswer | None = None
@@ -82,6 +95,8 @@
     _longest_gap: float = 0.0
     _attempt_exchange: Exchange | None = None
     """The exchange of the newest attempt, if it was sent."""
+    _outcomes: dict[int, AttemptOutcome] = field(default_factory=dict)
+    """How each attempt that was sent ended, by its number; one in progress counts as cut."""
 
     def run(self) -> Iterator[bytes]:
         """Yields the response's bytes; `head` is set before the first, `finish` after the last.
@@ -122,7 +137,30 @@
             request.resumed_id,
         )
 
+    def failure(self, reason: str) -> NotRun | MayHaveRun | Cut:
+        """Returns the outcome of a request that ends without a decision of the loop."""
+        outcomes = list(self._outcomes.values())
+        return failure_outcome(
+            outcomes, self._delivered, reason, Step.RELAY, "", FAILURE_RETRY_AFTER_SECONDS
+        )
+
+    def fail(self, reason: str) -> None:
+        """Ends the request without a decision of the loop."""
+        self.complete_answer = None
+        self.finish = FinishRequest(self.token, self.failure(reason))
+
     def _attempt(self, decided: SendRequest) -> Iterator[bytes]:
+        """Makes one attempt; an unexpected error ends it, and the loop decides what follows."""
+        self._attempt_exchange = None
+        try:
+            yield from self._make_attempt(decided)
+        except Exception as error:
+            self.errors.report("attempt at engine", error)
+            is_sent = self._attempt_exchange is not None
+            kind = AttemptOutcome.CUT if is_sent else AttemptOutcome.UNREACHABLE
+            self._end(decided, kind, f"{type(error).__name__}: {error}")
+
+    def _make_attempt(self, decided: SendRequest) -> Iterator[bytes]:
         """Makes one attempt within the time that remains since it was decided.
 
         An attempt at another engine version than the one that began the stream is not sent. The
@@ -131,7 +169,6 @@
         If the process was suspended between the decision and the sending, the time limit computed
         by the loop would let the engine run for seconds after the caller's deadline.
         """
-        self._attempt_exchange = None
         self.complete_answer = None
         self.release_answer()
         delay = max(0.0, steady_seconds() - decided.decided_at)
@@ -155,6 +192,7 @@
             self._outgoing(directive),
         )
         self._attempt_exchange = exchange
+        self._outcomes[directive.attempt] = AttemptOutcome.CUT
         self.relays.begin_attempt(self.token, directive.attempt, exchange)
         try:
             yield from self._exchange(directive, exchange)
@@ -283,6 +321,8 @@
         has_answer: bool = False,
     ) -> None:
         """Reports the end of an attempt, unless it ended because the caller disconnected."""
+        if directive.attempt in self._outcomes:
+            self._outcomes[directive.attempt] = kind
         if self.relays.is_caller_gone(self.token):
             return
         exchange = self._attempt_exchange
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -116,7 +116,7 @@
         self.core = GatewayCore(identity, PlatformFormats(), rng, policies)
         if self._memory.is_limited:
             self._memory.observe(Kind.ITEMS, lambda: self.core.jobs.replicas.held_bytes)
-        self._jobs = JobCalls(self.core.routes, self._post, self._memory)
+        self._jobs = JobCalls(self.core.routes, self._post, self._memory, self._errors)
         self._metrics = GatewayMetrics(
             self.core,
             lambda: self._executor.blocking_calls,
@@ -169,6 +169,7 @@
             self._engine_activity,
             self._jobs.handle,
             self._memory,
+            self._errors,
         )
         self._gate = StopGate(application)
         return HttpListener(
--- a/tests/gateway/callers/test_job_calls.py
+++ b/tests/gateway/callers/test_job_calls.py
@@ -9,11 +9,13 @@
 from tests.decisions.jobs.fixtures import ROUTE, route_table
 from troutswitch.decisions.forwarding.types import PromptShape
 from troutswitch.decisions.jobs.messages import AnswerJobCall, JobAccepted, JobSubmitted
+from troutswitch.gateway.callers import job_calls
 from troutswitch.gateway.callers.job_calls import JobCalls
 from troutswitch.gateway.memory.account import MemoryAccount
 from troutswitch.gateway.memory.limits import MemoryLimits
 from troutswitch.gateway.memory.pressure import Kind
 from troutswitch.platform.requests import IncomingRequest
+from troutswitch.runtime.http import Response
 
 BODY_BYTES = 1000
 
@@ -36,7 +38,7 @@
             raise RuntimeError("the loop has ended")
         self.calls.answer(AnswerJobCall(event.token, JobAccepted()))
 
-    def submit(self) -> None:
+    def submit(self) -> Response:
         row = {"id": "i", "path": "/p", "body": b64encode(b"x" * BODY_BYTES).decode(), "tokens": 1}
         body = json.dumps({"requests": [row]}).encode()
         path = f"{ROUTE.path_prefix}x"
@@ -45,6 +47,7 @@
         )
         response = self.calls.handle(request, body)
         assert response is not None
+        return response
 
 
 def test_items_are_counted_until_the_job_is_answered() -> None:
@@ -73,3 +76,16 @@
     loop = Loop(limit=0)
     loop.submit()
     assert (loop.had_room, loop.held) == ([True], [0])
+
+
+def test_answer_that_can_not_be_encoded_is_a_call_that_may_have_been_executed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a submission that is called not run although it was accepted."""
+
+    def fail(answer: object) -> None:
+        raise RecursionError("too deep")
+
+    monkeypatch.setattr(job_calls, "encode_answer", fail)
+    loop = Loop(limit=0)
+    assert loop.submit().status == 504
