A malformed newest configuration no longer hides the sound one before it

Callers saw 503 from each daemon that started after another writer had left a malformed record under the configuration's key, until an operator wrote a further version or a peer had one: the store's pages hold the newest record of a key alone. After a start of all daemons nobody was served.

ConfigurationHistory (pure) reads the topic's records before the malformed one, from the first that the store keeps (410 tells it), in order, so that the highest version wins as ever. It starts only if a malformed record came from a page: records that are followed come one by one. Where the history is gone, heartbeats of peers with a version lead to their state, as before.

--- a/src/troutswitch/decisions/active_configuration.py
+++ b/src/troutswitch/decisions/active_configuration.py
@@ -1,7 +1,8 @@
 """The fleet configuration that is active on this daemon.
 
-Owns the follower of the configuration's topic and the stored record of the active configuration,
-which peers may ask for. Relies on `RouteTable` to keep the configuration itself.
+Owns the follower of the configuration's topic, the reader of its history, and the stored record of
+the active configuration, which peers may ask for. Relies on `RouteTable` to keep the configuration
+itself.
 
 A configuration is activated only if its version is higher than the active one, whether it was read
 from the store or sent by a peer. So an older one never replaces a newer one.
@@ -11,6 +12,7 @@
 
 from troutswitch.daemons.messages import Heartbeat
 from troutswitch.daemons.peer_state import PeerState, StoredRecord
+from troutswitch.decisions.configuration_history import ConfigurationHistory
 from troutswitch.decisions.forwarding.log_events import milliseconds
 from troutswitch.decisions.forwarding.routes import ConfigurationSource, RouteTable
 from troutswitch.decisions.gateway_messages import Formats, LimitsChanged
@@ -66,6 +68,9 @@
             CONFIGURATION_WAIT_SHARE * apply_seconds,
             CONFIGURATION_PAUSE_SECONDS,
         )
+        self._history = ConfigurationHistory(
+            Partition(CONFIGURATION_TOPIC), numbers, rng, self._apply_earlier_record
+        )
         self.set_apply_bound(apply_seconds)
         self._routes = routes
         self._formats = formats
@@ -108,9 +113,20 @@
         self._output.log("peer has newer configuration", peer=heartbeat.sender, version=version)
         self.follower.read_concurrently(now)
 
+    def owns(self, call: int) -> bool:
+        """Returns whether a store call is a read of the configuration's topic."""
+        return self.follower.owns(call) or self._history.owns(call)
+
+    def next_due(self) -> float:
+        """Returns when `on_timer` has something to do."""
+        return min(self.follower.next_due(), self._history.next_due())
+
     def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> None:
         """Handles the outcome of a read in flight."""
         self._now = now
+        if self._history.owns(call):
+            self._history.on_answer(now, call, outcome)
+            return
         attempts = self.follower.attempts
         failures, failing_since = attempts.failures, attempts.failing_since
         self.follower.on_answer(now, call, outcome)
@@ -139,7 +155,7 @@
         calls = self.follower.on_timer(now)
         if not failures and self.follower.attempts.failures:
             self._log_read("configuration read failed", now, now)
-        return calls
+        return [*calls, *self._history.on_timer(now)]
 
     def apply_peer_state(self, now: float, peer: str, state: PeerState) -> None:
         """Applies a peer's configuration if it is newer.
@@ -155,8 +171,20 @@
         self._routes.confirm(now - state.configuration_age)
 
     def _apply_record(self, record: KeyedRecord) -> None:
+        """Applies a record; a malformed one of a page hides earlier ones, which are read then.
+
+        Records that are followed come one by one, so that a malformed one hides nothing.
+        """
+        is_decodable = self._activate(record, self._source())
+        if not is_decodable and not self.follower.is_following:
+            self._history.read_up_to(self._now, record.offset)
+
+    def _apply_earlier_record(self, record: KeyedRecord) -> None:
+        self._activate(record, self._source())
+
+    def _source(self) -> ConfigurationSource:
         is_first = self._routes.configuration is None
-        self._activate(record, ConfigurationSource.START if is_first else ConfigurationSource.STORE)
+        return ConfigurationSource.START if is_first else ConfigurationSource.STORE
 
     def _activate(
         self, record: KeyedRecord, learnt_by: ConfigurationSource, peer: str = ""
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -205,7 +205,7 @@
     def _on_store(self, now: float, call: int, outcome: StoreOutcome) -> None:
         if self.membership.reader.owns(call):
             self.membership.on_answer(now, call, outcome)
-        elif self.configuration.follower.owns(call):
+        elif self.configuration.owns(call):
             self.configuration.on_answer(now, call, outcome)
         elif self.suspects.owns(call):
             self.suspects.on_store(now, call, outcome)
@@ -225,7 +225,7 @@
         return min(
             self.requests.next_due(),
             self.membership.reader.next_due(),
-            self.configuration.follower.next_due(),
+            self.configuration.next_due(),
             self.jobs.next_due(),
             self.slots.next_due(),
             self.peers.next_due(),
--- a/tests/proofs/test_configuration.py
+++ b/tests/proofs/test_configuration.py
@@ -12,6 +12,7 @@
     DisruptedFleet,
 )
 from tests.simulation.fleet import SimulatedFleet
+from troutswitch.decisions.storage.messages import KeyedRecord, Partition
 
 START_SECONDS = 3.0
 RUN_SECONDS = 40.0
@@ -61,3 +62,22 @@
 @pytest.mark.parametrize("seed", range(1, 9))
 def test_random_disruptions_during_changes_violate_no_bound(seed: int) -> None:
     assert DisruptedFleet(seed).run(RUN_SECONDS) == []
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_malformed_record_does_not_keep_daemons_that_start_from_the_sound_one(seed: int) -> None:
+    """Every daemon starts anew, at a store that is silent, beside a malformed newest record."""
+    fleet = SimulatedFleet(seed, daemons=9)
+    fleet.run(START_SECONDS)
+    fleet.publish(2)
+    fleet.store.log(Partition("configuration")).append((KeyedRecord("configuration", b"odd"),))
+    fleet.faults.is_silent = True
+    for name in list(fleet.daemons):
+        fleet.kill(name)
+    fleet.run(4.0)
+    fleet.faults.is_silent = False
+    fleet.run(CONTACT_SECONDS)
+    assert versions_in_force(fleet) == {2}
+    fleet.publish(3)
+    fleet.run(APPLY_SECONDS)
+    assert versions_in_force(fleet) == {3}
