Logging goes on after a failed write, and needs no standard output

An operator saw no line any more after one write to standard output failed (a full disk, a pipe that does not block and was full): the log's thread ended. A daemon started with standard output closed ended at once (sys.stdout is None), or would have written its lines to the next socket that got the number.

--- a/src/troutswitch/gateway/logging.py
+++ b/src/troutswitch/gateway/logging.py
@@ -4,18 +4,25 @@
 not read and the queue fills, further lines are dropped and counted.
 """
 
+import contextlib
+import os
 import queue
-import sys
+import select
 import threading
 import time
 
 import structlog
 
 from troutswitch.clock import steady_seconds
+from troutswitch.runtime.standard_streams import STANDARD_OUTPUT
 
 MAX_QUEUE_LINES = 4096
 """Maximum number of lines waiting to be written."""
-FLUSH_POLL_SECONDS = 0.01
+MAX_BATCH_LINES = 256
+"""Maximum number of lines written by one call."""
+DRAIN_POLL_SECONDS = 0.01
+WRITABLE_WAIT_MILLISECONDS = 1000
+"""Longest wait for room in an output that does not block."""
 
 
 class LineWriter:
@@ -41,27 +48,44 @@
         return len(text)
 
     def flush(self) -> None:
-        """Does nothing; the thread flushes the output when the queue is empty."""
+        """Does nothing; the thread writes lines as they come."""
 
     def drain(self, seconds: float) -> None:
-        """Waits until the queue is empty, for at most `seconds`."""
+        """Waits until all lines are written or dropped, for at most `seconds`."""
         deadline = steady_seconds() + seconds
-        while not self._lines.empty() and steady_seconds() < deadline:
-            time.sleep(FLUSH_POLL_SECONDS)
+        while self._lines.unfinished_tasks and steady_seconds() < deadline:
+            time.sleep(DRAIN_POLL_SECONDS)
 
     def _run(self) -> None:
-        with open(self._descriptor, "w", closefd=False) as output:
-            while True:
-                output.write(self._lines.get())
-                if self._lines.empty():
-                    output.flush()
+        while True:
+            lines = [self._lines.get()]
+            with contextlib.suppress(queue.Empty):
+                while len(lines) < MAX_BATCH_LINES:
+                    lines.append(self._lines.get_nowait())
+            if not self._try_write("".join(lines).encode(errors="replace")):
+                self.dropped += len(lines)
+            for _ in lines:
+                self._lines.task_done()
+
+    def _try_write(self, data: bytes) -> bool:
+        """Writes lines, and returns False if the output fails: it may take later ones again."""
+        while data:
+            try:
+                data = data[os.write(self._descriptor, data) :]
+            except BlockingIOError:
+                poller = select.poll()
+                poller.register(self._descriptor, select.POLLOUT)
+                poller.poll(WRITABLE_WAIT_MILLISECONDS)
+            except OSError:
+                return False
+        return True
 
 
 def configure_line_logging(
     daemon: str,
 ) -> tuple[structlog.typing.FilteringBoundLogger, LineWriter]:
     """Configures structlog to write JSON lines to standard output without blocking."""
-    writer = LineWriter(sys.stdout.fileno())
+    writer = LineWriter(STANDARD_OUTPUT)
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
--- a/tests/gateway/test_logging.py
+++ b/tests/gateway/test_logging.py
@@ -25,3 +25,32 @@
         data += os.read(reader, 65536)
     assert data.split() == [str(number).encode() for number in range(100)]
     assert lines.dropped == 0
+
+
+def test_lines_are_written_again_after_the_output_failed() -> None:
+    """Guards against a daemon that logs nothing any more after one failed write."""
+    reader, writer = os.pipe()
+    null = os.open("/dev/full", os.O_WRONLY)
+    output = os.dup(null)
+    lines = LineWriter(output)
+    lines.write("lost\n")
+    lines.drain(20.0)
+    assert lines.dropped == 1
+    os.dup2(writer, output)
+    lines.write("kept\n")
+    lines.drain(20.0)
+    assert os.read(reader, 100) == b"kept\n"
+
+
+def test_lines_wait_for_an_output_that_does_not_block() -> None:
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    lines = LineWriter(writer)
+    line = "x" * 999 + "\n"
+    for _ in range(200):
+        lines.write(line)
+    received = 0
+    while received < 200_000:
+        received += len(os.read(reader, 65536))
+    lines.drain(20.0)
+    assert (received, lines.dropped) == (200_000, 0)
