--- a/src/troutswitch/gateway/__main__.py
+++ b/src/troutswitch/gateway/__main__.py
@@ -1,11 +1,13 @@
 """Starts a gateway daemon: `python3 -m troutswitch.gateway`."""
 
-import signal
 import sys
 
-# SIGHUP terminates a process that has no handler for it. Ignore it before the slow imports below:
-# the settings have not been read yet, so a reload requested now has no work to do.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+from troutswitch.gateway.signals import block_signals
+from troutswitch.runtime.standard_streams import open_missing_standard_streams
+
+# Before the slow imports below: until it is blocked, a signal ends the process.
+block_signals()
+open_missing_standard_streams()
 
 import click  # noqa: E402
 
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -7,8 +7,6 @@
 import os
 import queue
 import random
-import signal
-import threading
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import fields, replace
@@ -132,6 +130,11 @@
         )
         self.loop = GatewayLoop(self.core, events, self._executor.execute, self._on_failure)
 
+    @property
+    def is_broken(self) -> bool:
+        """Whether the process is to end, as its loop or a thread that it needs has failed."""
+        return self.failure is not None or bool(self.lost_thread)
+
     def _on_dropped_datagram(self, reason: str, host: str) -> None:
         """Counts a dropped datagram; logs one at most each `DROPPED_DATAGRAM_LOG_SECONDS`."""
         self._metrics.count_dropped_datagram()
@@ -354,31 +357,3 @@
         bounds.quota,
         settings.memory_bytes > 0,
     )
-
-
-class Signals:
-    """Handlers of the signals that request a stop or a reload of the settings.
-
-    Create it before anything else, so that no signal is missed.
-    """
-
-    def __init__(self) -> None:
-        self.stop_requested = threading.Event()
-        self.reload_requested = threading.Event()
-        self._woken = threading.Event()
-        signal.signal(signal.SIGTERM, self._on_stop)
-        signal.signal(signal.SIGINT, self._on_stop)
-        signal.signal(signal.SIGHUP, self._on_reload)
-
-    def _on_stop(self, number: int, frame: object) -> None:
-        self.stop_requested.set()
-        self._woken.set()
-
-    def _on_reload(self, number: int, frame: object) -> None:
-        self.reload_requested.set()
-        self._woken.set()
-
-    def wait(self, seconds: float) -> None:
-        """Waits for a signal, for at most `seconds`."""
-        self._woken.wait(seconds)
-        self._woken.clear()
--- a/src/troutswitch/gateway/settings_file.py
+++ b/src/troutswitch/gateway/settings_file.py
@@ -47,4 +47,6 @@
             return self._load(self._path)
         except GatewaySettingsError as error:
             self._logger.error("settings unusable", reason=str(error))
-            return None
+        except Exception as error:  # the running daemon needs no file
+            self._logger.error("settings unusable", reason=f"{type(error).__name__}: {error}")
+        return None
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -253,8 +253,9 @@
 class PersistentCaller:
     """A caller that sends one stream after another until the process has ended."""
 
-    def __init__(self, gateway: Gateway, name: str) -> None:
+    def __init__(self, gateway: Gateway, name: str, events: int = 20) -> None:
         self.gateway = gateway
+        self.events = events
         self.name = name
         self.answers: dict[str, int] = {}
         self.cut: set[str] = set()
@@ -269,7 +270,7 @@
             except (OSError, http.client.HTTPException):
                 self.cut.add(request_id)
                 continue
-            assert status != 200 or body == complete_stream(request_id, 20)
+            assert status != 200 or body == complete_stream(request_id, self.events)
             self.answers[request_id] = status
 
 
