A daemon whose loop has failed answers its callers before it ends

All callers of a daemon whose loop had failed lost their connection without an answer: the process ended at once, or up to a second later, while it still reported ready and took requests in.

The state of the decisions may be half changed, so that nothing may be decided any more. But much needs no decision: the daemon is not ready from then on, refuses new requests as not run, ends those that wait for a decision by how their attempts ended (503 not run, 504 may have run), and lets answers in progress go on for 2 s (FAILURE_GRACE_SECONDS); then it aborts the rest, whose callers get 504, and ends with 1. Item runs stop at once: others place them again. The line "loop failed" names the record (key, offset, partition) whose application raised the error.

--- a/src/troutswitch/cli/gateway.py
+++ b/src/troutswitch/cli/gateway.py
@@ -58,6 +58,8 @@
             process.reload(changed)
     if process.failure is None:
         process.drain()
+    if process.failure is not None:
+        process.finish_without_loop()
     process.stop()
     writer.drain(LOG_DRAIN_SECONDS)
     os._exit(1 if process.is_broken else 0)
--- a/src/troutswitch/decisions/engine_membership.py
+++ b/src/troutswitch/decisions/engine_membership.py
@@ -132,6 +132,9 @@
                 records.append(self._formats.engine(row.key, row.value))
             except ValueError as error:
                 unusable[row.key] = str(error)
+            except Exception as error:
+                error.add_note(f"record {row.key!r} at offset {row.offset} of the engine list")
+                raise
         for key, reason in unusable.items():
             if self._engines.unusable_entries.get(key) != reason:
                 self._output.log("engine record malformed", engine=key, reason=reason)
--- a/src/troutswitch/decisions/storage/follower.py
+++ b/src/troutswitch/decisions/storage/follower.py
@@ -75,7 +75,8 @@
     ) -> None:
         self.partition = partition
         self.state = FollowState.READING
-        self.view = PartitionView(apply)
+        self.view = PartitionView(self._apply)
+        self._apply_record = apply
         self.current_at = float("-inf")
         self.attempts = ReadAttempts(numbers, rng)
         self.wait = wait
@@ -88,6 +89,15 @@
         self._reread_at = float("-inf")
         """When the newest read was sent whose end the reread reaches."""
 
+    def _apply(self, record: KeyedRecord) -> None:
+        """Applies a record; an error names it, as the record may be what causes the error."""
+        try:
+            self._apply_record(record)
+        except Exception as error:
+            partition = f"{self.partition.topic} {self.partition.number}"
+            error.add_note(f"record {record.key!r} at offset {record.offset} of {partition}")
+            raise
+
     @property
     def is_following(self) -> bool:
         """Whether the whole partition was read, and is not being read again."""
--- a/src/troutswitch/gateway/callers/job_calls.py
+++ b/src/troutswitch/gateway/callers/job_calls.py
@@ -36,6 +36,10 @@
 """Copies of a job's items during its submission: decoded, and as records for the store."""
 
 
+class LoopHasEnded(Exception):
+    """No call is answered any more, as the loop has ended."""
+
+
 class JobCalls:
     """Pending calls of the callers' threads to the loop.
 
@@ -59,6 +63,7 @@
         self._memory = memory or MemoryAccount()
         self._tokens = itertools.count(1)
         self._answers: dict[int, Future[JobAnswer]] = {}
+        self._has_ended = False
         self._lock = threading.Lock()
 
     @property
@@ -102,9 +107,15 @@
             items.release()
 
     def _post_and_wait(self, token: int, event: JobEvent) -> Response:
-        """Posts a call and waits for the loop's answer."""
+        """Posts a call and waits for the loop's answer.
+
+        Raises:
+            LoopHasEnded: the call was not posted, so that it is never executed.
+        """
         future: Future[JobAnswer] = Future()
         with self._lock:
+            if self._has_ended:
+                raise LoopHasEnded
             self._answers[token] = future
         try:
             self._post(event)
@@ -119,6 +130,8 @@
             return encode_answer(future.result(ANSWER_TIMEOUT_SECONDS))
         except FutureTimeoutError:
             return Response(504, b"no decision in time\n", "text/plain")
+        except LoopHasEnded:
+            return Response(504, b"the daemon has failed\n", "text/plain")
         except Exception as error:
             self._errors.report("answer job call", error)
             return Response(504, f"{type(error).__name__}: {error}\n".encode(), "text/plain")
@@ -129,3 +142,12 @@
             future = self._answers.get(instruction.token)
         if future is not None:
             future.set_result(instruction.answer)
+
+    def end_loop(self) -> None:
+        """Ends the calls in progress, whose execution is unknown, and accepts no further ones."""
+        with self._lock:
+            self._has_ended = True
+            futures = list(self._answers.values())
+        for future in futures:
+            if not future.done():
+                future.set_exception(LoopHasEnded())
--- a/src/troutswitch/gateway/callers/relay.py
+++ b/src/troutswitch/gateway/callers/relay.py
@@ -20,7 +20,7 @@
     SendRequest,
 )
 from troutswitch.decisions.gateway_interface import GatewayEvent
-from troutswitch.gateway.callers.relay_registry import RelayRegistry
+from troutswitch.gateway.callers.relay_registry import LoopEnded, RelayRegistry
 from troutswitch.gateway.engines.connection_pool import EngineConnections
 from troutswitch.gateway.engines.engine_activity import EngineActivityReporter
 from troutswitch.gateway.engines.event_stream import EventSplitter, EventStreamError
@@ -111,10 +111,13 @@
             self.relays.watch(self.token)
             while not self._is_completed and self.finish is None:
                 directive = channel.get(DIRECTIVE_TIMEOUT_SECONDS)
-                if isinstance(directive, FinishRequest):
-                    self.finish = directive
-                else:
-                    yield from self._attempt(directive)
+                match directive:
+                    case FinishRequest():
+                        self.finish = directive
+                    case LoopEnded():
+                        self._end_undecided(directive.reason)
+                    case SendRequest():
+                        yield from self._attempt(directive)
         finally:
             self.relays.close_channel(self.token)
             if not self._is_completed and self.finish is None:
@@ -144,10 +147,12 @@
             outcomes, self._delivered, reason, Step.RELAY, "", FAILURE_RETRY_AFTER_SECONDS
         )
 
-    def fail(self, reason: str) -> None:
-        """Ends the request without a decision of the loop."""
-        self.complete_answer = None
-        self.finish = FinishRequest(self.token, self.failure(reason))
+    def _end_undecided(self, reason: str) -> None:
+        """Ends the request without a decision; an engine's whole answer is forwarded."""
+        if self.complete_answer is not None:
+            self._is_completed = True
+        else:
+            self.finish = FinishRequest(self.token, self.failure(reason))
 
     def _attempt(self, decided: SendRequest) -> Iterator[bytes]:
         """Makes one attempt; an unexpected error ends it, and the loop decides what follows."""
--- a/src/troutswitch/gateway/callers/relay_registry.py
+++ b/src/troutswitch/gateway/callers/relay_registry.py
@@ -24,7 +24,15 @@
 from troutswitch.gateway.unexpected_errors import UnexpectedErrors
 from troutswitch.runtime.channels import Channel
 
-Directive = SendRequest | FinishRequest
+
+@dataclass(frozen=True, slots=True)
+class LoopEnded:
+    """Tells a request that the loop has ended, so that no further directive follows."""
+
+    reason: str
+
+
+Directive = SendRequest | FinishRequest | LoopEnded
 
 
 @dataclass(slots=True)
@@ -59,6 +67,7 @@
         self._tokens = itertools.count(1)
         self._entries: dict[int, _Entry] = {}
         self._callers: dict[int, socket.socket] = {}
+        self._ended: LoopEnded | None = None
         self._lock = threading.Lock()
 
     def next_token(self) -> int:
@@ -122,6 +131,9 @@
         channel: Channel[Directive] = Channel()
         with self._lock:
             self._entries[token] = _Entry(channel)
+            ended = self._ended
+        if ended is not None:
+            channel.put(ended)
         return channel
 
     def close_channel(self, token: int) -> None:
@@ -158,7 +170,24 @@
         connection = self._callers.get(token)
         return connection is not None and is_closed(connection)
 
-    def send_directive(self, directive: Directive) -> None:
+    def end_loop(self, reason: str) -> None:
+        """Has each request end with what its attempt in progress brings, without a decision."""
+        ended = LoopEnded(reason)
+        with self._lock:
+            self._ended = ended
+            entries = list(self._entries.values())
+        for entry in entries:
+            entry.channel.put(ended)
+
+    def abort_all(self) -> None:
+        """Aborts the attempts in progress."""
+        with self._lock:
+            exchanges = [entry.exchange for entry in self._entries.values()]
+        for exchange in exchanges:
+            if exchange is not None:
+                exchange.abort()
+
+    def send_directive(self, directive: SendRequest | FinishRequest) -> None:
         """Sends a directive to the request's thread."""
         with self._lock:
             entry = self._entries.get(directive.token)
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -68,6 +68,11 @@
 """Part of the grace period reserved for the termination of the process."""
 DRAIN_POLL_SECONDS = 0.05
 """Interval between checks whether a stopping daemon has completed its requests."""
+FAILURE_GRACE_SECONDS = 2.0
+"""Time for which answers that need no decision go on after the loop has failed. Other daemons use
+its slots after as long, and it is to start anew soon."""
+ABORT_SECONDS = 0.5
+"""Time for the answers to callers whose requests are aborted then."""
 MAX_CUT_ANSWERS_LOGGED = 20
 """Maximum number of answers cut by a stop that are logged one by one; all are counted."""
 
@@ -84,6 +89,7 @@
         self.settings = settings
         self.failure: BaseException | None = None
         """The error that ended the loop."""
+        self._failed_at = 0.0
         self.lost_thread = ""
         """Name of a thread that keeps failing; the process is to stop, as it needs each of them."""
         self._logger = logger
@@ -226,7 +232,8 @@
 
     def _answer_readiness(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         is_known = environ.get("PATH_INFO") == READINESS_PATH
-        status = (200 if self.core.is_ready else 503) if is_known else 404
+        is_ready = self.core.is_ready and not self.is_broken
+        status = (200 if is_ready else 503) if is_known else 404
         return send(Response(status, b"", "text/plain"), start_response)
 
     def _on_suspect_connections(self, peer: str, closed: int) -> None:
@@ -246,13 +253,41 @@
         self._logger.error("thread lost", thread=name)
 
     def _on_failure(self, error: BaseException, event: GatewayEvent) -> None:
+        """Refuses new requests, and ends those that wait for a decision; on the loop's thread.
+
+        The state of the decisions may be half changed, so that nothing may be decided any more.
+        """
+        self._failed_at = steady_seconds()
         self.failure = error
+        if self._gate is not None:
+            self._gate.close()
+        self._relays.end_loop(f"the daemon has failed: {type(error).__name__}")
+        self._jobs.end_loop()
+        if self._callers is not None:
+            self._callers.drain()
         self._logger.error(
             "loop failed",
             step=type(event).__name__,
+            in_flight=self._relays.count,
             **error_fields(error),
         )
 
+    def finish_without_loop(self) -> None:
+        """Lets answers that need no decision go on for a moment after the loop has failed.
+
+        Then the other requests in progress are aborted: their callers are told that they may have
+        run, and streams are cut.
+        """
+        self._executor.stop()
+        self._wait_until_finished(self._failed_at + FAILURE_GRACE_SECONDS)
+        self._relays.abort_all()
+        self._wait_until_finished(steady_seconds() + ABORT_SECONDS)
+        self._log_stopped(self._failed_at, self._relays.count == 0)
+
+    def _wait_until_finished(self, deadline: float) -> None:
+        while not self._try_finish() and steady_seconds() < deadline:
+            time.sleep(DRAIN_POLL_SECONDS)
+
     def start(self) -> None:
         """Starts the loop, the peer socket and the listeners."""
         self._errors.watch_threads()
--- a/tests/decisions/storage/test_follower.py
+++ b/tests/decisions/storage/test_follower.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from troutswitch.decisions.storage.follower import PartitionFollower
 from troutswitch.decisions.storage.messages import (
     Appended,
@@ -330,3 +332,17 @@
     assert (more.offset, served) == (1, [])
     assert refresher.on_answer(0.3, RecordsRead((record("b", b"1", 1),), 2, 9)) == []
     assert served == [True]
+
+
+def test_error_while_a_record_is_applied_names_the_record() -> None:
+    """Guards against an end of the daemon of which nobody can tell what caused it."""
+
+    def fail(record: KeyedRecord) -> None:
+        raise RecursionError("too deep")
+
+    numbers, rng = CallNumbers(), random.Random(1)
+    follower = PartitionFollower(Partition("topic", 3), numbers, rng, fail, 0.0, 0.1)
+    (call,) = follower.on_timer(0.0)
+    with pytest.raises(RecursionError) as raised:
+        follower.on_answer(0.1, call.call, NewestPage((KeyedRecord("k", b"v", 7),), False, 8))
+    assert raised.value.__notes__ == ["record 'k' at offset 7 of topic 3"]
--- a/tests/gateway/callers/test_job_calls.py
+++ b/tests/gateway/callers/test_job_calls.py
@@ -10,7 +10,7 @@
 from troutswitch.decisions.forwarding.types import PromptShape
 from troutswitch.decisions.jobs.messages import AnswerJobCall, JobAccepted, JobSubmitted
 from troutswitch.gateway.callers import job_calls
-from troutswitch.gateway.callers.job_calls import JobCalls
+from troutswitch.gateway.callers.job_calls import JobCalls, LoopHasEnded
 from troutswitch.gateway.memory.account import MemoryAccount
 from troutswitch.gateway.memory.limits import MemoryLimits
 from troutswitch.gateway.memory.pressure import Kind
@@ -89,3 +89,13 @@
     monkeypatch.setattr(job_calls, "encode_answer", fail)
     loop = Loop(limit=0)
     assert loop.submit().status == 504
+
+
+def test_calls_of_a_loop_that_has_ended_may_have_been_executed_or_are_not_posted() -> None:
+    loop = Loop(limit=0)
+    ended = JobCalls(route_table(), lambda event: loop.calls.end_loop())
+    loop.calls = ended
+    assert loop.submit().status == 504
+    with pytest.raises(LoopHasEnded):
+        loop.submit()
+    assert ended.count == 0
