--- a/src/troutswitch/gateway/callers/relay_registry.py
+++ b/src/troutswitch/gateway/callers/relay_registry.py
@@ -21,9 +21,18 @@
 from troutswitch.decisions.gateway_interface import GatewayEvent
 from troutswitch.gateway.callers.caller_watch import CallerWatch, is_closed
 from troutswitch.gateway.engines.exchange import Exchange
+from troutswitch.gateway.unexpected_errors import UnexpectedErrors
 from troutswitch.runtime.channels import Channel
 
-Directive = SendRequest | FinishRequest
+
+@dataclass(frozen=True, slots=True)
+class LoopEnded:
+    """Tells a request that the loop has ended, so that no further directive follows."""
+
+    reason: str
+
+
+Directive = SendRequest | FinishRequest | LoopEnded
 
 
 @dataclass(slots=True)
@@ -42,14 +51,23 @@
 
     Args:
         post: posts an event to the loop.
+        errors: reports unexpected errors.
+        on_thread_lost: called with the name of a thread that keeps failing.
     """
 
-    def __init__(self, post: Callable[[GatewayEvent], None]) -> None:
+    def __init__(
+        self,
+        post: Callable[[GatewayEvent], None],
+        errors: UnexpectedErrors | None = None,
+        on_thread_lost: Callable[[str], None] = lambda name: None,
+    ) -> None:
         self._post = post
-        self.caller_watch = CallerWatch(self._on_disconnect)
+        self._errors = errors or UnexpectedErrors()
+        self.caller_watch = CallerWatch(self._on_disconnect, self._errors, on_thread_lost)
         self._tokens = itertools.count(1)
         self._entries: dict[int, _Entry] = {}
         self._callers: dict[int, socket.socket] = {}
+        self._ended: LoopEnded | None = None
         self._lock = threading.Lock()
 
     def next_token(self) -> int:
@@ -69,11 +87,15 @@
         """Starts watching for the caller's disconnect.
 
         The request's arrival must be posted first: the loop cannot relate the disconnect to a
-        request that it does not know.
+        request that it does not know. A connection that can't be watched is served all the same.
         """
         connection = self._callers.get(token)
-        if connection is not None:
+        if connection is None:
+            return
+        try:
             self.caller_watch.add(token, connection)
+        except OSError as error:  # the kernel has no memory, or the user too many watches
+            self._errors.report("watch caller", error)
 
     def unregister_caller(self, token: int) -> None:
         """Unregisters a caller's connection and stops watching it."""
@@ -109,6 +131,9 @@
         channel: Channel[Directive] = Channel()
         with self._lock:
             self._entries[token] = _Entry(channel)
+            ended = self._ended
+        if ended is not None:
+            channel.put(ended)
         return channel
 
     def close_channel(self, token: int) -> None:
@@ -145,7 +170,24 @@
         connection = self._callers.get(token)
         return connection is not None and is_closed(connection)
 
-    def send_directive(self, directive: Directive) -> None:
+    def end_loop(self, reason: str) -> None:
+        """Has each request end with what its attempt in progress brings, without a decision."""
+        ended = LoopEnded(reason)
+        with self._lock:
+            self._ended = ended
+            entries = list(self._entries.values())
+        for entry in entries:
+            entry.channel.put(ended)
+
+    def abort_all(self) -> None:
+        """Aborts the attempts in progress."""
+        with self._lock:
+            exchanges = [entry.exchange for entry in self._entries.values()]
+        for exchange in exchanges:
+            if exchange is not None:
+                exchange.abort()
+
+    def send_directive(self, directive: SendRequest | FinishRequest) -> None:
         """Sends a directive to the request's thread."""
         with self._lock:
             entry = self._entries.get(directive.token)
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -7,10 +7,7 @@
 import os
 import queue
 import random
-import signal
-import threading
 import time
-import traceback
 from collections.abc import Callable, Iterable
 from dataclasses import fields, replace
 from functools import partial
@@ -48,6 +45,7 @@
 from troutswitch.gateway.memory.pressure import Kind
 from troutswitch.gateway.metrics import CONTENT_TYPE, GatewayMetrics
 from troutswitch.gateway.settings import GatewaySettings
+from troutswitch.gateway.unexpected_errors import UnexpectedErrors, error_fields
 from troutswitch.platform.configuration import PlatformFormats
 from troutswitch.platform.names import READINESS_PATH
 from troutswitch.platform.requests import Environ
@@ -70,6 +68,11 @@
 """Part of the grace period reserved for the termination of the process."""
 DRAIN_POLL_SECONDS = 0.05
 """Interval between checks whether a stopping daemon has completed its requests."""
+FAILURE_GRACE_SECONDS = 2.0
+"""Time for which answers that need no decision go on after the loop has failed. Other daemons use
+its slots after as long, and it is to start anew soon."""
+ABORT_SECONDS = 0.5
+"""Time for the answers to callers whose requests are aborted then."""
 MAX_CUT_ANSWERS_LOGGED = 20
 """Maximum number of answers cut by a stop that are logged one by one; all are counted."""
 
@@ -86,10 +89,16 @@
         self.settings = settings
         self.failure: BaseException | None = None
         """The error that ended the loop."""
+        self._failed_at = 0.0
+        self.lost_thread = ""
+        """Name of a thread that keeps failing; the process is to stop, as it needs each of them."""
         self._logger = logger
+        self._errors = UnexpectedErrors(
+            logger, lambda step: self._metrics.count_unexpected_error(step)
+        )
         events: queue.SimpleQueue[GatewayEvent] = queue.SimpleQueue()
         self._post: Callable[[GatewayEvent], None] = events.put
-        self._relays = RelayRegistry(self._post)
+        self._relays = RelayRegistry(self._post, self._errors, self._on_thread_lost)
         self._connections = EngineConnections(
             self._on_suspect_connections,
             lambda use, is_new: self._metrics.count_connection(use, is_new),
@@ -98,6 +107,8 @@
             Address(settings.peer_host, settings.peer_ports[0]),
             self._post,
             self._on_dropped_datagram,
+            self._errors,
+            self._on_thread_lost,
         )
         self._dropped_datagram_logged_at = float("-inf")
         self._engine_activity = EngineActivityReporter(
@@ -109,7 +120,7 @@
         self.core = GatewayCore(identity, PlatformFormats(), rng, policies)
         if self._memory.is_limited:
             self._memory.observe(Kind.ITEMS, lambda: self.core.jobs.replicas.held_bytes)
-        self._jobs = JobCalls(self.core.routes, self._post, self._memory)
+        self._jobs = JobCalls(self.core.routes, self._post, self._memory, self._errors)
         self._metrics = GatewayMetrics(
             self.core,
             lambda: self._executor.blocking_calls,
@@ -120,9 +131,16 @@
         self._gate: StopGate | None = None
         self._callers = self._make_callers()
         self._readiness = self._make_readiness()
-        self._executor = InstructionExecutor(self._make_executors(), self._post, logger)
+        self._executor = InstructionExecutor(
+            self._make_executors(), self._post, logger, self._errors
+        )
         self.loop = GatewayLoop(self.core, events, self._executor.execute, self._on_failure)
 
+    @property
+    def is_broken(self) -> bool:
+        """Whether the process is to end, as its loop or a thread that it needs has failed."""
+        return self.failure is not None or bool(self.lost_thread)
+
     def _on_dropped_datagram(self, reason: str, host: str) -> None:
         """Counts a dropped datagram; logs one at most each `DROPPED_DATAGRAM_LOG_SECONDS`."""
         self._metrics.count_dropped_datagram()
@@ -135,7 +153,9 @@
         store = StoreClient(
             self.settings.store.address, partial(self._on_suspect_connections, "store")
         )
-        items = ItemRuns(self._connections, self._post, self._engine_activity, self._logger)
+        items = ItemRuns(
+            self._connections, self._post, self._engine_activity, self._logger, self._errors
+        )
         return Executors(
             relays=self._relays,
             connections=self._connections,
@@ -158,6 +178,7 @@
             self._engine_activity,
             self._jobs.handle,
             self._memory,
+            self._errors,
         )
         self._gate = StopGate(application)
         return HttpListener(
@@ -169,6 +190,8 @@
             self._relays.caller_watch.before_close,
             application.on_unserved,
             self._memory,
+            self._errors,
+            self._on_thread_lost,
         )
 
     def _make_readiness(self) -> HttpListener | None:
@@ -180,6 +203,8 @@
             READINESS_THREADS,
             "readiness",
             MAX_CONNECTIONS,
+            errors=self._errors,
+            on_thread_lost=self._on_thread_lost,
         )
 
     def _make_internal(self) -> HttpListener | None:
@@ -189,7 +214,13 @@
             return None
         address = Address(self.settings.peer_host, last)
         return HttpListener(
-            self._answer_internal, address, INTERNAL_THREADS, "internal", MAX_CONNECTIONS
+            self._answer_internal,
+            address,
+            INTERNAL_THREADS,
+            "internal",
+            MAX_CONNECTIONS,
+            errors=self._errors,
+            on_thread_lost=self._on_thread_lost,
         )
 
     def _answer_internal(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
@@ -201,7 +232,8 @@
 
     def _answer_readiness(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         is_known = environ.get("PATH_INFO") == READINESS_PATH
-        status = (200 if self.core.is_ready else 503) if is_known else 404
+        is_ready = self.core.is_ready and not self.is_broken
+        status = (200 if is_ready else 503) if is_known else 404
         return send(Response(status, b"", "text/plain"), start_response)
 
     def _on_suspect_connections(self, peer: str, closed: int) -> None:
@@ -216,17 +248,49 @@
         if self._callers is not None:
             self._callers.set_limits(change.limits)
 
+    def _on_thread_lost(self, name: str) -> None:
+        self.lost_thread = name
+        self._logger.error("thread lost", thread=name)
+
     def _on_failure(self, error: BaseException, event: GatewayEvent) -> None:
+        """Refuses new requests, and ends those that wait for a decision; on the loop's thread.
+
+        The state of the decisions may be half changed, so that nothing may be decided any more.
+        """
+        self._failed_at = steady_seconds()
         self.failure = error
+        if self._gate is not None:
+            self._gate.close()
+        self._relays.end_loop(f"the daemon has failed: {type(error).__name__}")
+        self._jobs.end_loop()
+        if self._callers is not None:
+            self._callers.drain()
         self._logger.error(
             "loop failed",
-            error=f"{type(error).__name__}: {error}",
             step=type(event).__name__,
-            at=_innermost_frame(error),
+            in_flight=self._relays.count,
+            **error_fields(error),
         )
 
+    def finish_without_loop(self) -> None:
+        """Lets answers that need no decision go on for a moment after the loop has failed.
+
+        Then the other requests in progress are aborted: their callers are told that they may have
+        run, and streams are cut.
+        """
+        self._executor.stop()
+        self._wait_until_finished(self._failed_at + FAILURE_GRACE_SECONDS)
+        self._relays.abort_all()
+        self._wait_until_finished(steady_seconds() + ABORT_SECONDS)
+        self._log_stopped(self._failed_at, self._relays.count == 0)
+
+    def _wait_until_finished(self, deadline: float) -> None:
+        while not self._try_finish() and steady_seconds() < deadline:
+            time.sleep(DRAIN_POLL_SECONDS)
+
     def start(self) -> None:
         """Starts the loop, the peer socket and the listeners."""
+        self._errors.watch_threads()
         self.loop.start()
         self._relays.caller_watch.start()
         self._peers.start()
@@ -328,40 +392,3 @@
         bounds.quota,
         settings.memory_bytes > 0,
     )
-
-
-def _innermost_frame(error: BaseException) -> str:
-    """Returns where an error was raised, as file, line and function; empty if unknown."""
-    frames = traceback.extract_tb(error.__traceback__)
-    if not frames:
-        return ""
-    frame = frames[-1]
-    return f"{os.path.basename(frame.filename)}:{frame.lineno} {frame.name}"
-
-
-class Signals:
-    """Handlers of the signals that request a stop or a reload of the settings.
-
-    Create it before anything else, so that no signal is missed.
-    """
-
-    def __init__(self) -> None:
-        self.stop_requested = threading.Event()
-        self.reload_requested = threading.Event()
-        self._woken = threading.Event()
-        signal.signal(signal.SIGTERM, self._on_stop)
-        signal.signal(signal.SIGINT, self._on_stop)
-        signal.signal(signal.SIGHUP, self._on_reload)
-
-    def _on_stop(self, number: int, frame: object) -> None:
-        self.stop_requested.set()
-        self._woken.set()
-
-    def _on_reload(self, number: int, frame: object) -> None:
-        self.reload_requested.set()
-        self._woken.set()
-
-    def wait(self, seconds: float) -> None:
-        """Waits for a signal, for at most `seconds`."""
-        self._woken.wait(seconds)
-        self._woken.clear()
