A daemon's versions are proved by the store alone, by when its readings were requested

What callers saw: streams of a further version, resumed at a daemon that was out of step (cut off together with another one, or standing still), were answered 200 and went on at an engine of the former version, with nothing in the answer that showed it.

Cause: any message of any peer, and any list at the time its answer was handled, counted as proof that a daemon knows all versions. Two daemons cut off together were each other's proof, a delayed or queued datagram was one, and so was a list after a gap in which a version came, began streams and went.

A single version is confirmed by the store alone: by lists whose first page was requested at most 1 s ago, read without a gap, or by the records of versions, requested after the stream was resumed. A version begins streams only when it is recorded, so the latter needs no bound on time. While neither is there, the records are read once for all that wait, and after 0.1 s the origin is also searched at peers as in a mixed service, as a record of a stream's origin is a fact whatever its holder knows else. No message is new, so daemons of the version before are understood. A refusal is logged as "versions not confirmed" with its state, and the gauge engine_versions_age_seconds has the age of the knowledge.

Tests that had asserted the fault are replaced: a peer's message confirmed (test_versions_are_confirmed_for_less_time..., test_unconfirmed_daemon_waits_for_a_sign...).

--- a/src/troutswitch/decisions/engine_membership.py
+++ b/src/troutswitch/decisions/engine_membership.py
@@ -72,6 +72,7 @@
                 self._output.log("engine list read failed", outcome=reason)
         if rows is not None:
             self._apply_list(now, now, rows)
+            self._engines.versions.knowledge.on_list(self.reader.requested_at)
 
     # Peers.
 
--- a/src/troutswitch/decisions/forwarding/engine_list.py
+++ b/src/troutswitch/decisions/forwarding/engine_list.py
@@ -49,6 +49,9 @@
         self._rows: list[KeyedRecord] = []
         self._pages_read = 0
         self._started_at = float("-inf")
+        self.requested_at = float("-inf")
+        """When the first page of the last whole reading, or of the one in progress, was requested.
+        The list has all that the store had then."""
 
     def _pause(self, failures: int) -> float:
         """Returns the pause after a failed call, whatever the number of failures."""
@@ -100,14 +103,19 @@
         self._pages_read += 1
         if outcome.has_more and outcome.records:
             self._after_key = outcome.records[-1].key
-            self.attempts.on_succeeded(call, now)
+            self._on_page_read(call, now)
             return None
+        interval = max(self.interval, self.min_interval)
+        self._on_page_read(call, now + interval * self._rng.uniform(*INTERVAL_JITTER))
         rows, self.page_count = self._rows, self._pages_read
         self._clear_pages()
-        interval = max(self.interval, self.min_interval)
-        self.attempts.on_succeeded(call, now + interval * self._rng.uniform(*INTERVAL_JITTER))
         return rows
 
+    def _on_page_read(self, call: int, due: float) -> None:
+        attempt = self.attempts.on_succeeded(call, due)
+        if self._pages_read == 1:
+            self.requested_at = attempt.requested_at
+
     def _restart_if_old(self, now: float) -> None:
         """Restarts the reading if a page failed and the pages before it are old."""
         is_old = now - self._started_at > MAX_READING_SECONDS
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -84,6 +84,10 @@
         """Returns the age of the newest list of engines at the last step, in seconds."""
         return self._now - self.engines.listed_at
 
+    def versions_age(self) -> float:
+        """Returns the age of the knowledge of all versions at the last step, in seconds."""
+        return self._now - self.engines.versions.knowledge.complete_to
+
     def state_for_peer(self, now: float, version: int) -> PeerState:
         """Returns this daemon's state for a peer whose configuration has the given version."""
         return self._peer_state.state_for_peer(now, version)
@@ -193,6 +197,7 @@
         self.membership.reader.read_again(now)
         self.slots.claims.read_again(now)
         self.suspects.read_again(now)
+        self.engines.versions.knowledge.want_records(now)
 
     def _on_drain_requested(self, now: float) -> None:
         self.is_draining = True
--- a/src/troutswitch/decisions/gateway_parts.py
+++ b/src/troutswitch/decisions/gateway_parts.py
@@ -272,7 +272,6 @@
             self.slots,
             self.quota,
             self.requests,
-            self.engines.versions,
             self.version_notices,
             self.origins,
             self.output,
--- a/src/troutswitch/decisions/peer_messages.py
+++ b/src/troutswitch/decisions/peer_messages.py
@@ -42,7 +42,6 @@
 from troutswitch.decisions.slots.queued_requests import PlacementResult
 from troutswitch.decisions.streams.origins import OriginSearches
 from troutswitch.decisions.streams.version_notices import VersionNotices
-from troutswitch.decisions.streams.versions import EngineVersions
 from troutswitch.decisions.tenants.quota import Quota, QuotaCompletion
 
 
@@ -57,14 +56,12 @@
     slots: FleetSlots
     quota: Quota
     requests: ForwardedRequests
-    versions: EngineVersions
     version_notices: VersionNotices
     origins: OriginSearches
     output: InstructionQueue
 
     def on_message(self, now: float, message: PeerMessage) -> None:
         """Handles a message."""
-        self.versions.on_heard(now)
         match message:
             case Heartbeat():
                 self.peers.on_heartbeat(now, message)
--- a/src/troutswitch/decisions/streams/origins.py
+++ b/src/troutswitch/decisions/streams/origins.py
@@ -9,11 +9,14 @@
 Rule:
 
 1. An origin that is known here is the answer.
-2. While the stream's service has one version, and that is confirmed, the stream began at it, and no
-   message is sent. The stream is bound to this version, as others may be listed while it waits for
-   an engine. If the version isn't confirmed within `CONFIRMATION_SECONDS`, the origin is unknown. A
-   daemon that does not know which versions the service had before it started searches for the
-   origin as if the service were mixed, and so does any daemon if the route has several services.
+2. While the stream's service has one version, and that is confirmed (`store_knowledge`), the stream
+   began at it, and no message is sent. The stream is bound to this version, as others may be listed
+   while it waits for an engine. If the version isn't confirmed, the store is read; without its
+   answer in `STORE_SECONDS` the origin is also searched as if the service were mixed, because a
+   record of the stream is a fact whatever its holder knows else. With neither within
+   `CONFIRMATION_SECONDS` the origin is unknown. A daemon that does not know which versions the
+   service had before it started searches for the origin as if the service were mixed, and so does
+   any daemon if the route has several services.
 3. While the service is mixed, each daemon sends the origin of each stream to its `HOLDERS`: the
    daemons that rank highest in the rendezvous order of the stream's key. When a service becomes
    mixed, the origins of the last `PUBLISHED_SECONDS` are sent, because the streams may still run.
@@ -23,11 +26,13 @@
 5. If none of these knows it, the origin is unknown, and the stream does not continue.
 
     (resumed)  -> located      its origin is known, or the service has one version
-    (resumed)  -> CONFIRMING   one version is known, but it is not confirmed
+    (resumed)  -> CONFIRMING   one version is known, but it is not confirmed: the store is read
     CONFIRMING -> located      it was confirmed
-    CONFIRMING -> ASKING       the service became mixed
+    CONFIRMING -> ASKING       the service became mixed, or the store did not answer in time
     (resumed)  -> ASKING       the holders were asked
-    ASKING     -> ASKING       none of them knows it: all other peers were asked
+    ASKING     -> located      a peer knows it, or the only version was confirmed meanwhile
+    ASKING     -> ASKING       none of the holders knows it: all other peers were asked
+    ASKING     -> CONFIRMING   no peer knows it, and the only version may still be confirmed
     any        -> unknown      none of these knows it, or it was not confirmed in time
 
 Why: the daemon that began a stream is often gone when its caller resumes, because its end is what
@@ -59,7 +64,10 @@
 REPLY_SECONDS = 0.1
 """Time within which a peer replies: a message to another region and back, and its next step."""
 CONFIRMATION_SECONDS = 0.5
-"""Time for which a stream awaits a sign of the fleet. Peers are heard several times a second."""
+"""Time for which a stream waits until its service's only version is confirmed: several times that
+of a store call."""
+STORE_SECONDS = 0.1
+"""Time for which a stream waits for the store alone: several times that of a healthy call."""
 PUBLISHED_SECONDS = 10.0
 """Age up to which origins are sent when a service becomes mixed: longer than most streams last."""
 UNKNOWN_ATTEMPT = 0
@@ -75,9 +83,12 @@
     token: int
     service: str
     resumed_id: str
+    resumed_at: float
     due_at: float
     number: int = 0
-    """Number of the query, or 0 while the service's only version is being confirmed."""
+    """Number of the query in progress, or 0 while no peer is asked."""
+    is_confirming: bool = False
+    """Whether the service had one known version, which the store may still confirm."""
     awaited: set[str] = field(default_factory=set)
     """Names of the peers that have not replied."""
     has_asked_all: bool = False
@@ -182,13 +193,16 @@
         known = self.records.find(now, stream_key(resumed_id)) if resumed_id else None
         if known is not None:
             return Located(token, known)
-        search = _Search(token, service, resumed_id, now + CONFIRMATION_SECONDS)
+        search = _Search(token, service, resumed_id, now, now)
         is_mixed = self._versions.is_mixed(now, service) or not is_only_service
         if is_mixed or not self._versions.knows_past_of(now, service):
             return self._search(now, search)
-        if self._versions.is_confirmed(now):
+        if self._versions.is_confirmed(now, service, now):
             return Located(token, self._only_origin(now, service))
+        search.is_confirming = True
+        search.due_at = now + STORE_SECONDS
         self._searches[token] = search
+        self._versions.knowledge.want_records(now)
         return None
 
     def _only_origin(self, now: float, service: str) -> StreamOrigin | None:
@@ -200,7 +214,8 @@
 
     def _search(self, now: float, search: _Search) -> Located | None:
         if not search.resumed_id:
-            return self._end(search, None, "")
+            search.has_asked_all = True
+            return self._on_unknown(now, search)
         origin = self.records.find(now, search.stream)
         if origin is not None:
             return self._end(search, origin, "here")
@@ -211,7 +226,7 @@
     def _ask(self, now: float, search: _Search, names: list[str]) -> Located | None:
         """Asks peers for an origin; returns the result if there is no peer to ask."""
         if not names:
-            return self._end(search, None, "")
+            return self._on_unknown(now, search)
         peers = self._peers()
         self._next_number += 1
         search.number = self._next_number
@@ -227,12 +242,35 @@
     def _ask_others(self, now: float, search: _Search) -> Located | None:
         """Asks all peers that are no holders of the stream, once."""
         if search.has_asked_all:
-            return self._end(search, None, "")
+            return self._on_unknown(now, search)
         search.has_asked_all = True
         peers = self._peers()
         holders = self._holders(search.stream, peers)
         return self._ask(now, search, [name for name in peers if name not in holders])
 
+    def _on_unknown(self, now: float, search: _Search) -> Located | None:
+        """Ends a search in which no peer knows the origin, unless the store may still tell."""
+        confirmation_ends_at = search.resumed_at + CONFIRMATION_SECONDS
+        if not search.is_confirming or now >= confirmation_ends_at:
+            if search.is_confirming:
+                self._log_unconfirmed(now, search)
+            return self._end(search, None, "")
+        search.number = 0
+        search.awaited.clear()
+        search.due_at = confirmation_ends_at
+        return None
+
+    def _log_unconfirmed(self, now: float, search: _Search) -> None:
+        """Logs why this daemon can't tell whether its service's only version began a stream."""
+        knowledge = self._versions.knowledge
+        self._log(
+            "versions not confirmed",
+            resumed_id=search.resumed_id,
+            service=search.service,
+            state=knowledge.state(now).value,
+            known_ms=knowledge.age_ms(now),
+        )
+
     def _end(self, search: _Search, location: StreamOrigin | None, source: str) -> Located:
         self._searches.pop(search.token, None)
         if location is None or source not in ("", "here"):
@@ -295,10 +333,21 @@
 
     def _check(self, now: float, search: _Search) -> Located | None:
         """Continues a search whose service changed, or whose time is over."""
-        if not search.number and self._versions.is_mixed(now, search.service):
-            return self._search(now, search)
-        if not search.number and self._versions.is_confirmed(now):
+        if search.is_confirming and self._versions.is_mixed(now, search.service):
+            search.is_confirming = False
+            if not search.number and not search.has_asked_all:
+                return self._search(now, search)
+        if search.is_confirming and self._is_confirmed(now, search):
             return self._end(search, self._only_origin(now, search.service), "here")
         if now < search.due_at:
             return None
-        return self._ask_others(now, search) if search.number else self._end(search, None, "")
+        return self._after_wait(now, search)
+
+    def _is_confirmed(self, now: float, search: _Search) -> bool:
+        return self._versions.is_confirmed(now, search.service, search.resumed_at)
+
+    def _after_wait(self, now: float, search: _Search) -> Located | None:
+        """Asks the peers that are asked next, or ends a search that awaited the last of them."""
+        if search.number or search.has_asked_all:
+            return self._ask_others(now, search)
+        return self._search(now, search)
--- a/src/troutswitch/decisions/streams/version_history.py
+++ b/src/troutswitch/decisions/streams/version_history.py
@@ -13,7 +13,10 @@
 2. A daemon reads the records when it starts, and counts the versions in them as listed until then.
 3. While the list has a version of which a daemon knows no record, it reads the records again. The
    version begins streams when it is recorded (`EngineVersions.may_begin`).
-4. Until it has read them and the list of engines, it does not know the past, and asks its peers for
+4. Before a daemon writes whose knowledge of the versions has a gap, it reads the records, as they
+   may have a version that it has missed. It also reads them when a resumed stream needs it
+   (`store_knowledge`).
+5. Until it has read them and the list of engines, it does not know the past, and asks its peers for
    the origin of each stream that a caller resumes. Once it has run for `MIXED_SECONDS`, nothing
    from before matters. A service that has engines and no readable record, while others have one,
    has an unknown past: its record was not written before all daemons ended.
@@ -63,6 +66,8 @@
 TAKEOVER_SECONDS = 2.0
 """Time after which other daemons write a record that the writers have not written: several checks
 and calls."""
+CONFIRM_INTERVAL_SECONDS = 0.1
+"""Least interval between readings that confirm versions; all resumptions that wait share one."""
 CALL_EXPIRY_SECONDS = 4.0
 """Time after which a write without an outcome is repeated."""
 
@@ -89,6 +94,12 @@
         self._versions = versions
         self._versions.knows_past = False
         self._versions.needs_record = True
+        self._knowledge = versions.knowledge
+        self._knowledge.needs_records = True
+        self._confirm_at = float("-inf")
+        """Earliest time of the next reading that confirms versions."""
+        self._read_requested_at = float("-inf")
+        """Request of the newest reading that confirms versions."""
         self._peers = peers
         self._numbers = numbers
         self._log = log
@@ -144,6 +155,8 @@
         is_partial = isinstance(outcome, RecordsRead) and outcome.next_offset < outcome.end
         is_answer = isinstance(outcome, RecordsRead | NewestPage)
         if is_answer and not is_partial and self._follower.is_following:
+            readable = {key: self._stored[key] for key in self._stored.keys() - self._unreadable}
+            self._versions.on_records_read(now, self._follower.current_at, readable)
             self._mark_recorded(now, self._stored)
 
     def _mark_recorded(self, now: float, records: dict[int, frozenset[int]]) -> None:
@@ -176,13 +189,29 @@
 
     def next_due(self) -> float:
         """Returns when `on_timer` has something to do."""
-        return min(self._follower.next_due(), self._check_at)
+        confirm_at = self._confirm_at if self._is_wanted else float("inf")
+        return min(self._follower.next_due(), self._check_at, confirm_at)
+
+    @property
+    def _is_wanted(self) -> bool:
+        """Whether a reading is wanted that is requested later than the newest one."""
+        wanted_at = self._knowledge.wanted_at
+        return wanted_at > self._read_requested_at and self._follower.is_following
+
+    def _confirm(self, now: float) -> None:
+        """Makes a reading due at once if one is wanted."""
+        if self._is_wanted and now >= self._confirm_at:
+            self._confirm_at = now + CONFIRM_INTERVAL_SECONDS
+            self._read_requested_at = now
+            self._follower.is_tailing = True
+            self._follower.read_concurrently(now)
 
     def on_timer(self, now: float) -> list[StoreCall]:
         """Returns the calls that are due."""
         self._now = now
         self._check_past(now)
         self._follower.is_tailing = self._versions.has_unrecorded()
+        self._confirm(now)
         calls = self._follower.on_timer(now)
         if now < self._check_at:
             return calls
@@ -196,6 +225,9 @@
         peers = self._peers(now)
         if peers is None or not self._follower.is_following:
             return []
+        if self._knowledge.has_gap:
+            self._knowledge.want_records(now)
+            return []
         self._writing = {
             service: versions
             for service, versions in self._versions.recent(now)
--- a/src/troutswitch/decisions/streams/versions.py
+++ b/src/troutswitch/decisions/streams/versions.py
@@ -3,8 +3,8 @@
 Question: may a service have engines of several versions now? Then a stream that continues needs to
 know the version that began it.
 
-Inputs: the engine list, here and at the peers that report versions; when this daemon last read the
-list or heard a peer. Times are by this process's clock, in seconds.
+Inputs: the engine list, here and at the peers that report versions; what this daemon has read of
+the store, and when (`store_knowledge`). Times are by this process's clock, in seconds.
 
 Rule:
 
@@ -16,35 +16,34 @@
    this daemon knows that the store has a record of it (`version_history`). Until then the peers are
    told of it. To a daemon that has just started, each version that has no record yet is a further
    one.
-3. That a service is not mixed is confirmed while the list was read, or a peer was heard, within
-   `CONFIRMED_SECONDS`. A daemon without either may have missed a version.
+3. That a service has one version is confirmed by the store alone, for a stream that is resumed at
+   a time: by lists that are recent and without a gap, or by records of versions that were requested
+   since (`store_knowledge`). Peers can show that it has several, never that it has one.
 4. Versions from before this process started are read from the store (`version_history`). Until then
    no service is known to have one version only; a service of which no record could be read, for
    `MIXED_SECONDS`.
 
-Why: `CONFIRMED_SECONDS` is shorter than `ACTIVATION_SECONDS`, so a daemon that does not know of a
-version yet either learns of it before the first stream begins there, or is not confirmed. Without
-the delay, a stream could be resumed at a daemon with an older list, at an engine of another
-version. Without the record, nobody would know of the version once all daemons have started anew and
-its engines are gone. While a service has one version, nothing is sent and nothing waits.
+Why: a version that has begun streams was listed for `ACTIVATION_SECONDS`, and is in the store's
+records. So a daemon whose knowledge of the store is younger than that knows of it, whatever its
+peers know; one that stood still, or does not reach the store, is not confirmed. Without the record,
+nobody would know of the version once all daemons have started anew and its engines are gone. While
+a service has one version and the store is healthy, nothing is sent and nothing waits.
 
 Measurements: docs/design/stream-versions.md.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from functools import lru_cache
 
 from troutswitch.common import stable_hash
 from troutswitch.decisions.forwarding.types import EngineRecord
+from troutswitch.decisions.streams.store_knowledge import KnowledgeState, StoreKnowledge
 
 MIXED_SECONDS = 30.0
 """Time for which a version counts after it was last listed: several times a caller's deadline."""
 ACTIVATION_SECONDS = 1.5
 """Time from the first sight of a further version until streams begin at its engines."""
-CONFIRMED_SECONDS = 1.0
-"""Time since the last sign of the fleet for which this daemon's versions count as complete. The
-difference to `ACTIVATION_SECONDS` covers slow answers of the store and lost messages."""
 MIN_ADVANCE_SECONDS = 1.0
 """Least advance of the time at which a version was last listed. The ages that peers report lack the
 time of the message; without this, they would keep a version recent by echoing it."""
@@ -113,14 +112,14 @@
         self.knows_past = True
         self.has_list = False
         self.needs_record = False
-        self.heard_at = float("-inf")
-        """When the list was last read, or a peer was last heard."""
+        self.knowledge = StoreKnowledge()
+        self._records: Mapping[int, frozenset[int]] = {}
+        """Versions by service, as the store's records had them at `knowledge.records_read_at`."""
         self._by_service: dict[int, dict[int, SeenVersion]] = {}
         self._past_unknown_until: dict[int, float] = {}
 
     def on_list(self, read_at: float, records: Iterable[EngineRecord]) -> None:
         """Records the versions of a list of engines that was read at `read_at`."""
-        self.on_heard(read_at)
         self.has_list = True
         known_before = set(self._by_service)
         self._end_former_list(read_at)
@@ -141,10 +140,6 @@
                     seen.is_listed = False
                     seen.last_at = max(seen.last_at, read_at)
 
-    def on_heard(self, now: float) -> None:
-        """Records a sign of the fleet: a reading of the list, or a message of a peer."""
-        self.heard_at = max(self.heard_at, now)
-
     def on_seen(self, service: int, version: int, first_at: float, last_at: float) -> None:
         """Records that a version of a service was listed, here or at a peer."""
         versions = self._by_service.get(service)
@@ -177,6 +172,25 @@
             seen.is_recorded = True
             seen.first_at = min(seen.first_at, first_at)
 
+    def on_records_read(
+        self, now: float, requested_at: float, records: Mapping[int, frozenset[int]]
+    ) -> None:
+        """Records a reading of all records up to their end.
+
+        Versions that were listed in a gap of this daemon's knowledge count as listed until now.
+
+        Args:
+            now: this process's clock, in seconds.
+            requested_at: when the reading was requested.
+            records: the readable records, by service.
+        """
+        self._records = records
+        if self.knowledge.has_gap:
+            for service, versions in records.items():
+                for version in versions:
+                    self.on_seen(service, version, now, now)
+        self.knowledge.on_records(requested_at)
+
     def has_unrecorded(self) -> bool:
         """Returns whether the list has a version that is not known to be recorded."""
         return any(
@@ -228,9 +242,19 @@
             if recent:
                 yield service, recent
 
-    def is_confirmed(self, now: float) -> bool:
-        """Returns whether the versions are complete as far as streams have begun."""
-        return now - self.heard_at <= CONFIRMED_SECONDS
+    def is_confirmed(self, now: float, service: str, resumed_at: float) -> bool:
+        """Returns whether the only known version is the only one that may have begun a stream.
+
+        Args:
+            now: this process's clock, in seconds.
+            service: the service of the stream.
+            resumed_at: when the stream was resumed here.
+        """
+        if self.knowledge.state(now) is KnowledgeState.COMPLETE:
+            return True
+        only = self.only_version(now, service)
+        recorded = self._records.get(service_key(service), frozenset())
+        return self.knowledge.records_read_at >= resumed_at and recorded == {only}
 
     def may_begin(self, now: float, record: EngineRecord) -> bool:
         """Returns whether new streams may begin at an engine, by its version."""
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -201,6 +201,11 @@
         self._gauge(
             "server_list_age_seconds", "Age of the newest list of engines", core.engine_list_age
         )
+        self._gauge(
+            "engine_versions_age_seconds",
+            "Age of the knowledge of all software versions of engines",
+            core.versions_age,
+        )
         self._gauge("peers_known", "Other daemons known", lambda: len(core.peers.peers))
         self._gauge(
             "groups_coordinated",
--- a/tests/decisions/forwarding/test_stream_versions.py
+++ b/tests/decisions/forwarding/test_stream_versions.py
@@ -98,6 +98,7 @@
     def list_engines(self, now: float, v1: int, v2: int) -> None:
         names = [(f"v1-{n}", "v1") for n in range(v1)] + [(f"v2-{n}", "v2") for n in range(v2)]
         self.engines.on_list(now, [replace(engine(name), version=v) for name, v in names])
+        self.engines.versions.knowledge.on_list(now)
 
     def resume(self, now: float) -> SendRequest | FinishRequest | None:
         event = replace(arrival(TOKEN), resume_after="3", resumed_id="first")
--- a/tests/decisions/streams/test_origins.py
+++ b/tests/decisions/streams/test_origins.py
@@ -16,6 +16,7 @@
     CONFIRMATION_SECONDS,
     HOLDERS,
     REPLY_SECONDS,
+    STORE_SECONDS,
     UNKNOWN_ATTEMPT,
     OriginSearches,
 )
@@ -34,6 +35,7 @@
         self.versions = EngineVersions()
         self.list_versions(0.0, *versions)
         self.sent: list[SendToPeers] = []
+        self.logged: list[tuple[str, dict[str, object]]] = []
         self.peers = {peer: ADDRESSES[peer] for peer in peers if peer != name}
         identity = DaemonIdentity(name, "z", ADDRESSES[name], 7)
         self.searches = OriginSearches(
@@ -41,7 +43,7 @@
             self.versions,
             lambda: self.peers,
             self.sent.append,
-            lambda event, **fields: None,
+            lambda event, **fields: self.logged.append((event, fields)),
         )
 
     def list_versions(self, now: float, *versions: str) -> None:
@@ -49,6 +51,7 @@
         self.versions.on_list(
             now, [EngineRecord(v, SERVICE, address, "z", 8, False, version=v) for v in versions]
         )
+        self.versions.knowledge.on_list(now)
 
 
 class Fleet:
@@ -154,24 +157,59 @@
     assert daemon.searches.next_due() == float("inf")
 
 
-def test_unconfirmed_daemon_waits_for_a_sign_of_the_fleet_and_then_refuses() -> None:
-    """Guards against a daemon without contact that continues a stream at the version it knows."""
+def test_unconfirmed_daemon_waits_for_the_store_before_it_asks_peers() -> None:
     daemon = Daemon("d-1", "v1")
     assert daemon.searches.locate(9.0, 5, "first", SERVICE) is None
-    assert not list(daemon.searches.on_timer(9.1))
-    daemon.versions.on_heard(9.2)
-    assert list(daemon.searches.on_timer(9.2)) == [Located(5, origin("v1", UNKNOWN_ATTEMPT))]
-    assert daemon.searches.locate(20.0, 6, "first", SERVICE) is None
-    end = 20.0 + CONFIRMATION_SECONDS
-    assert list(daemon.searches.on_timer(end)) == [Located(6, None)]
+    assert daemon.versions.knowledge.wanted_at == 9.0
+    assert not list(daemon.searches.on_timer(9.05))
+    daemon.versions.knowledge.on_list(9.0)
+    assert list(daemon.searches.on_timer(9.05)) == [Located(5, origin("v1", UNKNOWN_ATTEMPT))]
     assert not daemon.sent
 
 
+def test_answer_to_a_request_before_a_suspension_confirms_nothing() -> None:
+    """Guards against a list that lay in a queue while the process stood still."""
+    daemon = Daemon("d-1", "v1")
+    assert daemon.searches.locate(9.0, 5, "first", SERVICE) is None
+    daemon.versions.on_list(9.01, [])
+    daemon.versions.knowledge.on_list(3.0)
+    assert not list(daemon.searches.on_timer(9.01))
+
+
+def test_unconfirmed_daemon_refuses_if_neither_the_store_nor_a_peer_tells() -> None:
+    """Guards against a daemon without contact that continues a stream at the version it knows."""
+    daemon = Daemon("d-1", "v1")
+    assert daemon.searches.locate(20.0, 6, "first", SERVICE) is None
+    due = 20.0
+    while not (ended := list(daemon.searches.on_timer(due))):
+        assert due < 20.0 + CONFIRMATION_SECONDS
+        due = daemon.searches.next_due()
+    assert ended == [Located(6, None)]
+    assert due == 20.0 + CONFIRMATION_SECONDS
+    ((event, fields), *_) = daemon.logged
+    assert event == "versions not confirmed"
+    assert fields["state"] == "list not read lately"
+    assert fields["known_ms"] == round(1000 * due)
+    asked = [address for sent in daemon.sent for address in sent.addresses]
+    assert sorted(asked) == sorted(daemon.peers.values())
+
+
+def test_unconfirmed_daemon_continues_a_stream_that_a_peer_began() -> None:
+    """Guards against refusals of all resumptions while the store is away for all."""
+    fleet = Fleet("v1")
+    fleet.daemons["d-0"].searches.on_begun(8.0, "first", SERVICE, "v1", 1)
+    searches = fleet.daemons["d-1"].searches
+    assert searches.locate(9.0, 5, "first", SERVICE) is None
+    assert not list(searches.on_timer(9.0 + STORE_SECONDS))
+    fleet.deliver(9.0 + STORE_SECONDS)
+    assert fleet.located == [Located(5, origin("v1"))]
+
+
 def test_unconfirmed_daemon_asks_once_it_learns_of_a_second_version() -> None:
     daemon = Daemon("d-1", "v1")
     assert daemon.searches.locate(9.0, 5, "first", SERVICE) is None
-    daemon.list_versions(9.1, "v1", "v2")
-    assert not list(daemon.searches.on_timer(9.1))
+    daemon.list_versions(9.05, "v1", "v2")
+    assert not list(daemon.searches.on_timer(9.05))
     assert daemon.sent
 
 
@@ -202,6 +240,7 @@
     """Guards against a cut-off daemon that takes itself for the only one."""
     daemon = Daemon("d-1", "v1", peers=())
     assert daemon.searches.locate(9.0, 5, "first", SERVICE) is None
+    assert not list(daemon.searches.on_timer(9.0 + STORE_SECONDS))
     end = 9.0 + CONFIRMATION_SECONDS
     assert list(daemon.searches.on_timer(end)) == [Located(5, None)]
 
--- a/tests/decisions/streams/test_versions.py
+++ b/tests/decisions/streams/test_versions.py
@@ -5,6 +5,7 @@
 from troutswitch.common import Address
 from troutswitch.daemons.messages import ListedVersion, VersionsNotice
 from troutswitch.decisions.forwarding.types import EngineRecord
+from troutswitch.decisions.streams.store_knowledge import CONFIRMED_SECONDS
 from troutswitch.decisions.streams.version_notices import (
     PEERS_NOTIFIED,
     PEERS_REMINDED,
@@ -13,7 +14,6 @@
 )
 from troutswitch.decisions.streams.versions import (
     ACTIVATION_SECONDS,
-    CONFIRMED_SECONDS,
     MAX_VERSIONS_PER_SERVICE,
     MIXED_SECONDS,
     EngineVersions,
@@ -73,13 +73,51 @@
 
 def test_versions_are_confirmed_for_less_time_than_an_activation_takes() -> None:
     versions = listed("v1")
-    assert versions.is_confirmed(CONFIRMED_SECONDS)
-    assert not versions.is_confirmed(CONFIRMED_SECONDS + 0.1)
-    versions.on_heard(5.0)
-    assert versions.is_confirmed(5.0 + CONFIRMED_SECONDS)
+    versions.knowledge.on_list(0.0)
+    assert versions.is_confirmed(CONFIRMED_SECONDS, SERVICE, CONFIRMED_SECONDS)
+    later = CONFIRMED_SECONDS + 0.1
+    assert not versions.is_confirmed(later, SERVICE, later)
+    versions.knowledge.on_list(5.0)
+    assert versions.is_confirmed(5.0 + CONFIRMED_SECONDS, SERVICE, 5.0 + CONFIRMED_SECONDS)
     assert CONFIRMED_SECONDS < ACTIVATION_SECONDS
 
 
+def records(*versions: str) -> dict[int, frozenset[int]]:
+    return {service_key(SERVICE): frozenset(version_key(version) for version in versions)}
+
+
+def test_notice_of_a_peer_confirms_nothing() -> None:
+    """Guards against two daemons out of touch that are each other's proof."""
+    versions = listed("v1")
+    versions.knowledge.on_list(0.0)
+    row = ListedVersion(service_key(SERVICE), version_key("v1"), 0)
+    notices(versions).on_notice(5.0, VersionsNotice("d-2", (row,)))
+    assert not versions.is_confirmed(5.0, SERVICE, 5.0)
+
+
+def test_records_requested_after_a_resumption_confirm_their_only_version() -> None:
+    versions = listed("v1")
+    versions.on_records_read(5.2, 5.1, records("v1"))
+    assert versions.is_confirmed(5.2, SERVICE, 5.1)
+    assert not versions.is_confirmed(5.2, SERVICE, 5.15)
+    assert not versions.is_confirmed(5.2, "other", 5.1)
+    versions.on_records_read(6.2, 6.1, records("v1", "v2"))
+    assert not versions.is_confirmed(6.2, SERVICE, 6.1)
+
+
+def test_version_that_came_and_went_in_a_gap_counts_once_the_records_are_read() -> None:
+    """Guards against a daemon that stood still and finds one version in a fresh list."""
+    versions = listed("v1")
+    versions.knowledge.needs_records = True
+    versions.on_records_read(0.1, 0.0, records("v1"))
+    versions.knowledge.on_list(0.0)
+    versions.on_list(9.0, [record("v1")])
+    versions.knowledge.on_list(9.0)
+    assert not versions.is_confirmed(9.0, SERVICE, 9.0)
+    versions.on_records_read(9.2, 9.1, records("v1", "v2"))
+    assert versions.is_mixed(9.2, SERVICE)
+
+
 def test_number_of_versions_is_bounded() -> None:
     versions = EngineVersions()
     for number in range(3 * MAX_VERSIONS_PER_SERVICE):
--- a/tests/proofs/test_stream_versions.py
+++ b/tests/proofs/test_stream_versions.py
@@ -125,7 +125,7 @@
 def test_without_confirmation_cut_off_daemons_continue_streams_at_another_version(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(versions.EngineVersions, "is_confirmed", lambda self, now: True)
+    monkeypatch.setattr(versions.EngineVersions, "is_confirmed", lambda *_: True)
     assert release_beside_cut_off_daemons(3).mixed_streams > MAX_MIXED_STREAMS
 
 
--- a/tests/simulation/crashing_fleet.py
+++ b/tests/simulation/crashing_fleet.py
@@ -272,10 +272,14 @@
     def send_request(self, caller: Caller) -> None:
         caller.remaining_tries -= 1
         token = self.next_token()
-        daemon = self.random_daemon()
+        daemon = self.daemon_for(caller)
         self.requests_by_token[token] = CallerRequest(token, caller, daemon)
         self.step(daemon, self.arrival(token, caller))
 
+    def daemon_for(self, caller: Caller) -> Daemon:
+        """Returns the daemon that a caller's next try reaches."""
+        return self.random_daemon()
+
     def arrival(self, token: int, caller: Caller) -> RequestArrived:
         """Returns the event of a caller's request that arrives at a daemon."""
         return RequestArrived(
--- a/tests/simulation/fleet.py
+++ b/tests/simulation/fleet.py
@@ -14,6 +14,7 @@
 import cbor2
 import simpy
 
+from tests.simulation.datagram_links import DatagramLinks
 from tests.simulation.job_clients import JOB_RETENTION_SECONDS, JobClients
 from tests.simulation.observed_job import EVENTS_PER_ITEM, ObservedJob, event_text
 from tests.simulation.plain_formats import HOST, PREFIX, SERVICE, PlainFormats
@@ -104,6 +105,8 @@
     is_alive: bool = True
     paused_until: float = 0.0
     is_partitioned_from_store: bool = False
+    is_store_silent: bool = False
+    """Whether its calls of the store are never answered."""
     runs: set[int] = field(default_factory=set)
     stopped_runs: set[int] = field(default_factory=set)
     timer_at: float = float("inf")
@@ -128,6 +131,7 @@
         self.rng = random.Random(seed)
         self.store = KeyedStoreModel(4)
         self.faults = StoreFaults()
+        self.links = DatagramLinks(random.Random(seed))
         self.violations: list[str] = []
         self.jobs: dict[str, ObservedJob] = {}
         self.daemons: dict[str, Daemon] = {}
@@ -202,7 +206,9 @@
         daemon = Daemon(
             name, GatewayCore(identity, self._formats, rng, self._policies), incarnation
         )
-        daemon.is_partitioned_from_store = earlier is not None and earlier.is_partitioned_from_store
+        if earlier is not None:
+            daemon.is_partitioned_from_store = earlier.is_partitioned_from_store
+            daemon.is_store_silent = earlier.is_store_silent
         self.daemons[name] = daemon
         self.step(daemon, ClockCompared(EPOCH_SECONDS))
 
@@ -274,14 +280,24 @@
         """Delivers a message of a daemon to the daemons at the given addresses."""
         for peer in self.daemons.values():
             if peer.core.identity.peer_address in addresses:
-                self.step_later(peer, event, 0.002)
+                self.deliver(daemon, peer, event)
+
+    def deliver(self, sender: Daemon, receiver: Daemon, event: GatewayEvent) -> None:
+        """Delivers a message of one daemon to another, as the link between them does."""
+        for seconds in self.links.delays(sender.name, receiver.name):
+            self.step_later(receiver, event, seconds)
 
     def _request_peer_state(self, daemon: Daemon, instruction: RequestPeerState) -> None:
         for peer in self.daemons.values():
-            if peer.core.identity.peer_address.host == instruction.host and peer.is_alive:
+            is_asked = peer.core.identity.peer_address.host == instruction.host
+            if is_asked and peer.is_alive and self._reaches(daemon, peer):
                 state = peer.core.state_for_peer(self.env.now, instruction.version)
                 self.step_later(daemon, PeerStateReceived(instruction.host, state), 0.005)
 
+    def _reaches(self, daemon: Daemon, peer: Daemon) -> bool:
+        """Whether a peer answers a daemon's call now."""
+        return self.env.now >= peer.paused_until and self.links.connects(daemon.name, peer.name)
+
     def step_later(self, daemon: Daemon, event: GatewayEvent, seconds: float) -> None:
         """Feeds an event to a daemon after a delay."""
         self.call_later(seconds, lambda: self.step(daemon, event))
@@ -294,7 +310,7 @@
         if self.faults.is_down or daemon.is_partitioned_from_store:
             self._answer(daemon, call.call, CallFailed("down", False), 0.5)
             return
-        if self.faults.is_silent:
+        if self.faults.is_silent or daemon.is_store_silent:
             self._time_out(daemon, call, self.env.now)
             return
         is_write = isinstance(call, AppendRecords)
@@ -321,7 +337,7 @@
         self._answer(daemon, call.call, CallFailed("timed out", True), remaining)
 
     def _read_waiting(self, daemon: Daemon, call: ReadRecords, sent_at: float) -> None:
-        if self.faults.is_silent:
+        if self.faults.is_silent or daemon.is_store_silent:
             self._time_out(daemon, call, sent_at)
             return
         outcome = self.store.call(self.env.now, call)
--- a/tests/simulation/versioned_fleet.py
+++ b/tests/simulation/versioned_fleet.py
@@ -29,7 +29,13 @@
 from troutswitch.decisions.gateway_interface import GatewayEvent, GatewayInstruction
 from troutswitch.decisions.peers.catch_up import RequestPeerState
 from troutswitch.decisions.slots.messages import PeerMessageReceived
-from troutswitch.decisions.storage.messages import AppendRecords, CallFailed, StoreAnswered
+from troutswitch.decisions.storage.messages import (
+    AppendRecords,
+    CallFailed,
+    ReadNewest,
+    ReadRecords,
+    StoreAnswered,
+)
 from troutswitch.decisions.streams.version_history import VERSIONS
 from troutswitch.outcomes import AttemptOutcome
 
@@ -73,8 +79,18 @@
         self.tries: Counter[str] = Counter()
         """Tries that began a stream anew ("new") or resumed one ("resumed"), and those of each
         kind that brought an event ("new, served", "resumed, served")."""
+        self.resumption_daemons: tuple[str, ...] = ()
+        """Names of the daemons at which callers resume streams; any if empty. Callers know no
+        suspended machine, so these may be suspended."""
+        self.resumptions: dict[bool, Counter[str]] = {False: Counter(), True: Counter()}
+        """Tries that resumed a stream ("tried") and those that brought an event ("served"), by
+        whether they reached a daemon of `resumption_daemons`."""
+        self._at_named: set[int] = set()
+        """Tokens of the tries that reached such a daemon."""
         self.refuses_version_records = False
         """Whether the store refuses to append records of versions."""
+        self.version_reads = 0
+        """Reads of the records of versions."""
         self.peer_messages: Counter[str] = Counter()
         """Messages sent between daemons, by type."""
         super().__init__(seed, daemons, engines)
@@ -118,6 +134,8 @@
             refused = StoreAnswered(instruction.call, CallFailed("refused", False))
             self.step_later(daemon, refused, STORE_SECONDS)
             return
+        if isinstance(instruction, ReadNewest | ReadRecords):
+            self.version_reads += instruction.partition == VERSIONS
         is_isolated = daemon.name in self.isolated_from_peers
         if not (is_isolated and isinstance(instruction, RequestPeerState)):
             super().execute(daemon, instruction)
@@ -142,6 +160,13 @@
             if request.caller is caller:
                 self.lose_connection(token, request)
 
+    def daemon_for(self, caller: Caller) -> Daemon:
+        """Returns the daemon that a caller's next try reaches."""
+        is_resumption = isinstance(caller, StreamCaller) and bool(caller.versions)
+        if is_resumption and self.resumption_daemons:
+            return self.daemons[self.rng.choice(self.resumption_daemons)]
+        return super().daemon_for(caller)
+
     def arrival(self, token: int, caller: Caller) -> RequestArrived:
         """Returns the arrival of a try, which resumes the stream if the caller has events of it."""
         arrived = super().arrival(token, caller)
@@ -152,6 +177,10 @@
             return arrived
         self.tries["resumed"] += 1
         self._resuming.add(token)
+        is_at_named = self.requests_by_token[token].daemon.name in self.resumption_daemons
+        if is_at_named:
+            self._at_named.add(token)
+        self.resumptions[is_at_named]["tried"] += 1
         caller.is_resumed |= self.can_be_informed(self.requests_by_token[token].daemon)
         position = str(len(caller.versions))
         return replace(arrived, resume_after=position, resumed_id=caller.first_try_id)
@@ -170,6 +199,8 @@
         if not request.delivered:
             is_resumed = request.token in self._resuming
             caller.has_continued |= is_resumed
+            if is_resumed:
+                self.resumptions[request.token in self._at_named]["served"] += 1
             self.tries["resumed, served" if is_resumed else "new, served"] += 1
         caller.first_try_id = caller.first_try_id or f"try-{request.token}"
         caller.versions.append(self.engine_version(send.engine_id))
