No stream begins at a version that is not active, also if no other is left

What callers would see: a service whose engines are all replaced at once begins streams at the further version at once. A daemon whose list is some hundred milliseconds older knows the former version alone, is confirmed, and continues such a stream at an engine of it that still drains.

Cause: permitted_engines ended with "or usable": where no engine may begin streams, all may.

A version that is active without a record still begins streams if no recorded one is left, as the store may refuse the record for long. The log names engines whose version begins no streams yet.

--- a/src/troutswitch/decisions/forwarding/candidates.py
+++ b/src/troutswitch/decisions/forwarding/candidates.py
@@ -7,8 +7,10 @@
 less than `FULL_EXCLUSION_SECONDS` ago are excluded, unless no others remain. After a wait, a
 request may go again to engines that rejected it, and if none remains, also to those that failed.
 A stream that continues goes only to engines of the software version that began it. A new one that
-can be resumed goes to engines of a further version only after a while (`streams.versions`), unless
-no others remain.
+can be resumed goes to engines of a further version once it is active and recorded
+(`streams.versions`). If no version is both, the active ones are enough, as the store may refuse the
+record for long. No stream begins at a version that is not active: daemons with an older list could
+continue it at another one. It waits for the activation instead (`awaits_activation`).
 
 Measurements: docs/POLICY.md.
 """
@@ -18,7 +20,7 @@
 from troutswitch.decisions.forwarding.engine import Engine
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.request import ForwardedRequest
-from troutswitch.decisions.streams.versions import version_key
+from troutswitch.decisions.streams.versions import EngineVersions, version_key
 
 FULL_EXCLUSION_SECONDS = 0.15
 """Time for which an engine that rejected a request as full is not a candidate."""
@@ -43,11 +45,17 @@
     if request.origin is not None:
         return [engine for engine in usable if may_continue(request, engine)]
     if request.begins_stream and engines.versions.is_mixed(now, request.service):
-        versions = engines.versions
-        return [e for e in usable if versions.may_begin(now, e.record)] or usable
+        active = [e for e in usable if engines.versions.is_active(now, e.record)]
+        return [e for e in active if engines.versions.may_begin(now, e.record)] or active
     return usable
 
 
+def awaits_activation(now: float, request: ForwardedRequest, engines: EngineRegistry) -> bool:
+    """Returns whether a new stream has usable engines, but none of an active version yet."""
+    has_usable = bool(engines.usable(now, request.service))
+    return has_usable and not permitted_engines(now, request, engines) and request.begins_stream
+
+
 def may_continue(request: ForwardedRequest, engine: Engine) -> bool:
     """Returns whether the stream of a request may continue at an engine, by its version."""
     return request.origin is None or version_key(engine.record.version) == request.origin
@@ -68,13 +76,15 @@
     excluded = {
         engine.record.engine_id: reason
         for engine in engines.all_of_service(request.service)
-        if (reason := _exclusion_reason(now, request, engine))
+        if (reason := _exclusion_reason(now, request, engine, engines.versions))
     }
     excluded |= engines.unusable_entries
     return dict(itertools.islice(excluded.items(), MAX_LOGGED_ENGINES))
 
 
-def _exclusion_reason(now: float, request: ForwardedRequest, engine: Engine) -> str:
+def _exclusion_reason(
+    now: float, request: ForwardedRequest, engine: Engine, versions: EngineVersions
+) -> str:
     """Returns why an engine is no candidate; an empty string if it is one."""
     if engine.is_draining:
         return "draining"
@@ -82,6 +92,8 @@
         return "not listed"
     if not may_continue(request, engine):
         return "another version"
+    if request.begins_stream and not versions.is_active(now, engine.record):
+        return "version begins no streams yet"
     if now < engine.ejected_until:
         return f"failed {engine.failures} times in a row"
     if engine.record.engine_id in request.tried:
--- a/src/troutswitch/decisions/forwarding/open_requests.py
+++ b/src/troutswitch/decisions/forwarding/open_requests.py
@@ -41,6 +41,7 @@
 LATE_REASON = "all servers would answer late"
 CRASHES_REASON = "servers ended under this request"
 SILENT_REASON = "server fell silent"
+VERSION_INACTIVE_REASON = "no server of a version that begins streams yet"
 VERSION_GONE_REASON = "no server of the version that began the stream"
 ORIGIN_UNKNOWN_REASON = "the version that began the stream is not known"
 """Reasons that are sent to callers; their wording is part of the interface."""
@@ -90,6 +91,13 @@
         request.waits += 1
         return [self._wait_line(now, request, reason, step)] if request.waits == 1 else []
 
+    def wait_for_version(self, now: float, request: ForwardedRequest) -> Instructions:
+        """Makes a new stream wait until a version is active; only the first wait is logged."""
+        self.wait(now, request)
+        request.waits += 1
+        line = self._wait_line(now, request, VERSION_INACTIVE_REASON, Step.ROUTE)
+        return [line] if request.waits == 1 else []
+
     def wait_for_quota(self, now: float, request: ForwardedRequest, seconds: float) -> Instructions:
         """Makes a request wait whose further attempt is above its tenant's quota; or ends it."""
         instructions = self.wait_or_end(now, request, QUOTA_REASON, Step.ADMIT)
--- a/src/troutswitch/decisions/forwarding/placing.py
+++ b/src/troutswitch/decisions/forwarding/placing.py
@@ -10,7 +10,11 @@
 from troutswitch.decisions.forwarding.admission import Admission, Deferral, LateAction
 from troutswitch.decisions.forwarding.arrivals import Refused
 from troutswitch.decisions.forwarding.attempts import EngineAttempts, preempt_if_full
-from troutswitch.decisions.forwarding.candidates import candidate_engines, has_engine_of_origin
+from troutswitch.decisions.forwarding.candidates import (
+    awaits_activation,
+    candidate_engines,
+    has_engine_of_origin,
+)
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.forwarding.log_events import attempt_started_line
 from troutswitch.decisions.forwarding.open_requests import (
@@ -91,10 +95,13 @@
     def _without_engine(self, now: float, request: ForwardedRequest, reason: str) -> Instructions:
         """Makes a request without a candidate wait, or ends it.
 
-        A stream ends at once if the version that began it has no engine any more.
+        A stream ends at once if the version that began it has no engine any more. A new one waits
+        for a version that becomes active, which takes no longer than `ACTIVATION_SECONDS`.
         """
         if not has_engine_of_origin(request, self._engines):
             return self._open.end_unanswered(now, request, VERSION_GONE_REASON, Step.ROUTE)
+        if awaits_activation(now, request, self._engines):
+            return self._open.wait_for_version(now, request)
         return self._open.wait_or_end(now, request, reason, Step.ROUTE)
 
     def _queue_terms(self, request: ForwardedRequest) -> QueueTerms | None:
--- a/src/troutswitch/decisions/streams/versions.py
+++ b/src/troutswitch/decisions/streams/versions.py
@@ -12,10 +12,10 @@
    within `MIXED_SECONDS`. That is longer than any stream lasts, so a stream of a version that has
    gone is still noticed. The age of the newest list makes no difference: while the store is away,
    its engines stay in use.
-2. A further version begins new streams `ACTIVATION_SECONDS` after it was first seen, and not before
-   this daemon knows that the store has a record of it (`version_history`). Until then the peers are
-   told of it. To a daemon that has just started, each version that has no record yet is a further
-   one.
+2. A further version begins new streams `ACTIVATION_SECONDS` after it was first seen, also if no
+   other one is left, and not before this daemon knows that the store has a record of it
+   (`version_history`), unless no recorded one is left. Until then the peers are told of it. To a
+   daemon that has just started, each version that has no record yet is a further one.
 3. That a service has one version is confirmed by the store alone, for a stream that is resumed at
    a time: by lists that are recent and without a gap, or by records of versions that were requested
    since (`store_knowledge`). Peers can show that it has several, never that it has one.
@@ -256,11 +256,17 @@
         recorded = self._records.get(service_key(service), frozenset())
         return self.knowledge.records_read_at >= resumed_at and recorded == {only}
 
+    def is_active(self, now: float, record: EngineRecord) -> bool:
+        """Returns whether an engine's version was first seen long enough ago to begin streams."""
+        seen = self._seen(record)
+        return seen is None or now >= seen.first_at + ACTIVATION_SECONDS
+
     def may_begin(self, now: float, record: EngineRecord) -> bool:
-        """Returns whether new streams may begin at an engine, by its version."""
+        """Returns whether an engine's version is active and recorded."""
+        seen = self._seen(record)
+        is_recorded = seen is None or seen.is_recorded or not self.needs_record
+        return is_recorded and self.is_active(now, record)
+
+    def _seen(self, record: EngineRecord) -> SeenVersion | None:
         versions = self._by_service.get(service_key(record.service), {})
-        seen = versions.get(version_key(record.version))
-        if seen is None:
-            return True
-        is_active = now >= seen.first_at + ACTIVATION_SECONDS
-        return is_active and (seen.is_recorded or not self.needs_record)
+        return versions.get(version_key(record.version))
--- a/tests/decisions/forwarding/test_stream_versions.py
+++ b/tests/decisions/forwarding/test_stream_versions.py
@@ -1,6 +1,7 @@
 """Which engines a stream may continue at, by the software version that began it."""
 
 import random
+from collections.abc import Iterable
 from dataclasses import replace
 
 import pytest
@@ -236,13 +237,31 @@
     assert {sent.engine_version for sent in later if isinstance(sent, SendRequest)} == {"v1", "v2"}
 
 
-def test_new_stream_begins_at_a_further_version_if_no_other_engine_is_left() -> None:
+def test_new_stream_waits_until_the_only_version_that_is_left_is_active() -> None:
+    """Guards against streams that daemons with an older list continue at another version."""
     streams = Streams(v2=0)
     streams.list_engines(10.0, 0, 3)
-    sent = streams.arrive(10.1, arrival(TOKEN))
+    assert not sends(streams.requests.on_arrived(10.1, arrival(TOKEN)))
+    assert TOKEN in streams.requests.requests
+    active_at = 10.0 + ACTIVATION_SECONDS
+    assert not sends(streams.requests.on_timer(active_at - 0.1))
+    (sent,) = sends(streams.requests.on_timer(active_at))
+    assert sent.engine_version == "v2"
+
+
+def test_new_stream_begins_at_an_active_version_without_a_record_if_no_other_is_left() -> None:
+    """Guards against a service that refuses all streams as the store refuses the record."""
+    streams = Streams(v2=0)
+    streams.engines.versions.needs_record = True
+    streams.list_engines(10.0, 0, 3)
+    sent = streams.arrive(10.0 + ACTIVATION_SECONDS, arrival(TOKEN))
     assert isinstance(sent, SendRequest)
 
 
+def sends(instructions: Iterable[object]) -> list[SendRequest]:
+    return [instruction for instruction in instructions if isinstance(instruction, SendRequest)]
+
+
 @pytest.mark.parametrize("resumed", [False, True])
 def test_origin_is_recorded_when_a_new_stream_begins(resumed: bool) -> None:
     streams = Streams(Located(TOKEN, V1))
--- a/tests/proofs/test_daemons_out_of_step.py
+++ b/tests/proofs/test_daemons_out_of_step.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from tests.proofs.test_stream_versions import open_streams, started_fleet
+from tests.proofs.test_stream_versions import STREAMS_PER_SECOND, open_streams, started_fleet
 from tests.simulation.versioned_fleet import VersionedFleet
 
 LEAVE_SHARE = 0.5
@@ -167,6 +167,33 @@
     assert fleet.mixed_streams == 0
 
 
+def replace_at_once(fleet: VersionedFleet) -> None:
+    """Replaces all engines in one moment; the former ones drain for two seconds."""
+    for name in list(fleet.incarnations):
+        fleet.retire_engine(name)
+    for number in range(6):
+        fleet.start_engine(f"next-{number}", "v2")
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_further_version_that_is_left_alone_begins_no_stream_before_its_activation(
+    seed: int,
+) -> None:
+    """Guards against streams at a further version that daemons with an older list do not know."""
+    fleet = started_fleet(seed, "v1")
+    odd = ("daemon-1", "daemon-2")
+    split(fleet, odd)
+    fleet.resumption_daemons = odd
+    replace_at_once(fleet)
+    for _ in range(2 * STREAMS_PER_SECOND):
+        caller = fleet.open_stream()
+        fleet.call_later(fleet.rng.uniform(0.15, 0.4), partial(fleet.leave, caller))
+        fleet.run(0.5 / STREAMS_PER_SECOND)
+    heal(fleet)
+    fleet.run(6.0)
+    assert fleet.mixed_streams == 0
+
+
 def test_streams_of_one_version_continue_while_the_store_is_away_for_all() -> None:
     """Guards against daemons that refuse all resumptions when nobody can read the store."""
     tried = served = 0
