Daemons that can't read the store tell holders where their streams began

What callers would see: while the store is away for all, no daemon confirms its single version, and resumptions of streams of killed daemons would be refused, since the daemon that knows where such a stream began is gone.

Change: a daemon whose readings of the engine list have failed for 0.4 s sends the origins of its streams to their three holders, as it does while a service is mixed: those of the last 10 s once, then each as it begins. Three messages a stream, whatever the size of the fleet; nothing while the store is healthy.

--- a/src/troutswitch/decisions/engine_membership.py
+++ b/src/troutswitch/decisions/engine_membership.py
@@ -57,6 +57,7 @@
         """Returns a read of the list if it is due; a call never answered counts as failed."""
         failures = self.reader.attempts.failures
         calls = self.reader.on_timer(now)
+        self._engines.versions.knowledge.failing_since = self.reader.attempts.failing_since
         if self.reader.attempts.failures > failures:
             self._engines.on_list_failed(now)
         return calls
--- a/src/troutswitch/decisions/streams/origins.py
+++ b/src/troutswitch/decisions/streams/origins.py
@@ -20,6 +20,8 @@
 3. While the service is mixed, each daemon sends the origin of each stream to its `HOLDERS`: the
    daemons that rank highest in the rendezvous order of the stream's key. When a service becomes
    mixed, the origins of the last `PUBLISHED_SECONDS` are sent, because the streams may still run.
+   A daemon whose readings of the store fail does the same for all services: its peers may not
+   confirm a version either, and it may be gone when its streams are resumed.
 4. An origin that is not known here is requested from its holders. If none knows it within
    `REPLY_SECONDS`, all other peers are asked: the daemon that began the stream may know another set
    of peers, or not know yet that the service is mixed.
@@ -125,6 +127,9 @@
         self._searches: dict[int, _Search] = {}
         self._next_number = 0
         self._news_published = 0
+        self._is_out_of_touch = False
+        self._published_to = float("-inf")
+        """Origins of all services were sent up to this time."""
 
     # Streams that began here.
 
@@ -144,9 +149,13 @@
         stream = stream_key(request_id)
         origin = StreamOrigin(service_key(service), version_key(version), attempt)
         self.records.add(now, stream, origin, is_own=True)
-        if self._versions.is_mixed(now, service) or not is_only_service:
+        if self._is_published(now, service) or not is_only_service:
             self._publish([(stream, origin)])
 
+    def _is_published(self, now: float, service: str) -> bool:
+        """Returns whether the holders are told of each stream of a service."""
+        return self._is_out_of_touch or self._versions.is_mixed(now, service)
+
     def _publish(self, origins: list[tuple[int, StreamOrigin]]) -> None:
         """Sends origins to their holders."""
         peers = self._peers()
@@ -321,6 +330,7 @@
         if self._news_published != self._versions.news:
             self._news_published = self._versions.news
             self._publish_recent(now)
+        self._publish_out_of_touch(now)
         for search in list(self._searches.values()):
             located = self._check(now, search)
             if located is not None:
@@ -331,6 +341,17 @@
         recent = self.records.own_since(now - PUBLISHED_SECONDS)
         self._publish([(stream, origin) for stream, origin in recent if origin.service in mixed])
 
+    def _publish_out_of_touch(self, now: float) -> None:
+        """Sends the recent origins once readings of the store fail; later ones are sent at once."""
+        was_out_of_touch = self._is_out_of_touch
+        self._is_out_of_touch = self._versions.knowledge.is_out_of_touch(now)
+        if not self._is_out_of_touch:
+            return
+        if not was_out_of_touch:
+            since = max(self._published_to, now - PUBLISHED_SECONDS)
+            self._publish(list(self.records.own_since(since)))
+        self._published_to = now
+
     def _check(self, now: float, search: _Search) -> Located | None:
         """Continues a search whose service changed, or whose time is over."""
         if search.is_confirming and self._versions.is_mixed(now, search.service):
--- a/src/troutswitch/decisions/streams/store_knowledge.py
+++ b/src/troutswitch/decisions/streams/store_knowledge.py
@@ -41,6 +41,10 @@
 """Longest time between two lists in which no version begins streams and goes unnoticed: the time
 for which a further version is listed before streams begin there."""
 
+OUT_OF_TOUCH_SECONDS = 0.4
+"""Time for which readings of the list must have failed until this daemon tells peers where its
+streams began: a single failure is common."""
+
 
 class KnowledgeState(Enum):
     """State of a daemon's knowledge of the versions; the values are logged."""
@@ -58,12 +62,14 @@
         complete_to: every version that was listed before this is known.
         records_read_at: request of the newest reading of the records of versions.
         needs_records: whether there are records, so that a gap is closed by reading them.
+        failing_since: first failure of a reading of the list since the last success, or infinite.
         wanted_at: the records are to be read by a request that is no earlier.
     """
 
     complete_to: float = float("-inf")
     records_read_at: float = float("-inf")
     needs_records: bool = False
+    failing_since: float = float("inf")
     wanted_at: float = float("-inf")
     _listed_to: float = float("-inf")
 
@@ -91,6 +97,10 @@
         """Asks for a reading of the records that is requested from now on."""
         self.wanted_at = max(self.wanted_at, now)
 
+    def is_out_of_touch(self, now: float) -> bool:
+        """Returns whether the store was not read for a while, as readings failed."""
+        return now >= self.failing_since + OUT_OF_TOUCH_SECONDS
+
     def age_ms(self, now: float) -> int | None:
         """Returns the age of the complete knowledge in milliseconds; None without any."""
         age = now - self.complete_to
--- a/tests/decisions/streams/test_origins.py
+++ b/tests/decisions/streams/test_origins.py
@@ -20,6 +20,7 @@
     UNKNOWN_ATTEMPT,
     OriginSearches,
 )
+from troutswitch.decisions.streams.store_knowledge import OUT_OF_TOUCH_SECONDS
 from troutswitch.decisions.streams.versions import EngineVersions, service_key, version_key
 
 SERVICE = "s"
@@ -205,6 +206,30 @@
     assert fleet.located == [Located(5, origin("v1"))]
 
 
+def test_stream_of_a_killed_daemon_continues_while_the_store_is_away_for_all() -> None:
+    """Guards against streams that end because their version can't be confirmed."""
+    fleet = Fleet("v1")
+    beginner = fleet.daemons["d-0"]
+    beginner.searches.on_begun(8.0, "first", SERVICE, "v1", 1)
+    beginner.versions.knowledge.failing_since = 8.2
+    assert not list(beginner.searches.on_timer(8.2))
+    assert not beginner.sent
+    assert not list(beginner.searches.on_timer(8.2 + OUT_OF_TOUCH_SECONDS))
+    beginner.searches.on_begun(8.7, "second", SERVICE, "v1", 1)
+    assert not list(beginner.searches.on_timer(8.7))
+    fleet.deliver(8.7)
+    assert fleet.message_count <= 2 * HOLDERS
+    del fleet.daemons["d-0"]
+    searches = fleet.daemons["d-1"].searches
+    for token, stream in enumerate(("first", "second")):
+        located = searches.locate(9.0, token, stream, SERVICE)
+        fleet.located += [located] if located is not None else []
+    assert not list(searches.on_timer(9.0 + STORE_SECONDS))
+    fleet.deliver(9.0 + STORE_SECONDS)
+    assert sorted(found.token for found in fleet.located) == [0, 1]
+    assert {found.location for found in fleet.located} == {origin("v1")}
+
+
 def test_unconfirmed_daemon_asks_once_it_learns_of_a_second_version() -> None:
     daemon = Daemon("d-1", "v1")
     assert daemon.searches.locate(9.0, 5, "first", SERVICE) is None
--- a/tests/proofs/test_daemons_out_of_step.py
+++ b/tests/proofs/test_daemons_out_of_step.py
@@ -209,6 +209,20 @@
     assert served >= 0.9 * tried
 
 
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_streams_of_killed_daemons_continue_while_the_store_is_away_for_all(seed: int) -> None:
+    """Guards against streams that end because their version can't be confirmed."""
+    fleet = started_fleet(seed, "v1", daemons=12)
+    fleet.faults.is_silent = True
+    open_streams(fleet, 2.0, 0.0)
+    for name in fleet.rng.sample(list(fleet.daemons), 4):
+        fleet.kill(name, 8.0)
+    fleet.run(6.0)
+    cut = [caller for caller in fleet.streams if caller.is_resumed]
+    assert len(cut) >= 5
+    assert sum(caller.has_continued for caller in cut) >= 0.8 * len(cut)
+
+
 def test_calm_fleet_sends_nothing_about_versions_and_lets_all_streams_continue() -> None:
     fleet = started_fleet(1, "v1")
     reads_before = fleet.version_reads
