A started daemon waits for the activation of versions of which one may be new

What callers would see: a daemon that starts just after a further version was recorded begins streams there at once. Resumed at a daemon whose list is younger than a second and older than the version, such a stream goes on at the former version.

Cause: to a daemon that has just started, all versions in the store's records counted as known for long. A record says that a version is in the store, not since when.

Change: only a version that the record has alone begins streams at once, as versions stay in the record for 30 s. Of several, each begins streams 1.5 s after the start, and new streams wait so long at this daemon.

The unit test failed before with may_begin true 1.4 s after the list.

--- a/src/troutswitch/decisions/streams/version_history.py
+++ b/src/troutswitch/decisions/streams/version_history.py
@@ -162,7 +162,8 @@
     def _mark_recorded(self, now: float, records: dict[int, frozenset[int]]) -> None:
         for service, versions in records.items():
             for version in versions:
-                self._versions.on_recorded(now, service, version)
+                is_only = len(versions) == 1
+                self._versions.on_recorded(now, service, version, is_only=is_only)
 
     def _check_past(self, now: float) -> None:
         """Records that the past is known once the records and a list were read, or after a time."""
--- a/src/troutswitch/decisions/streams/versions.py
+++ b/src/troutswitch/decisions/streams/versions.py
@@ -15,7 +15,7 @@
 2. A further version begins new streams `ACTIVATION_SECONDS` after it was first seen, also if no
    other one is left, and not before this daemon knows that the store has a record of it
    (`version_history`), unless no recorded one is left. Until then the peers are told of it. To a
-   daemon that has just started, each version that has no record yet is a further one.
+   daemon that has just started, each version is a further one, unless the record has it alone.
 3. That a service has one version is confirmed by the store alone, for a stream that is resumed at
    a time: by lists that are recent and without a gap, or by records of versions that were requested
    since (`store_knowledge`). Peers can show that it has several, never that it has one.
@@ -159,12 +159,13 @@
 
     # The records in the store.
 
-    def on_recorded(self, now: float, service: int, version: int) -> None:
-        """Records that the store has a record of a version.
+    def on_recorded(self, now: float, service: int, version: int, *, is_only: bool = False) -> None:
+        """Records that the store has a record of a version; `is_only` if it has no other one.
 
-        A version in the records that a started daemon reads first begins streams at once.
+        The only version in the records that a started daemon reads first begins streams at once.
+        Of several, any may have been listed a moment ago.
         """
-        first_at = now if self.knows_past else float("-inf")
+        first_at = float("-inf") if is_only and not self.knows_past else now
         if version not in self._by_service.get(service, {}):
             self.on_seen(service, version, first_at, now)
         seen = self._by_service.get(service, {}).get(version)
--- a/tests/decisions/streams/test_version_history.py
+++ b/tests/decisions/streams/test_version_history.py
@@ -263,6 +263,19 @@
     assert started.may_begin(10.0 + ACTIVATION_SECONDS, "v2")
 
 
+def test_started_daemon_begins_no_stream_at_once_at_versions_of_which_one_may_be_new() -> None:
+    """Guards against streams at a version that was recorded a moment before the start."""
+    store = KeyedStoreModel()
+    recording_daemon(store, "v1", "v2")
+    started = Daemon(store)
+    started.list_versions(10.0, "v1", "v2")
+    started.run(10.0)
+    started.run(10.1)
+    for version in ("v1", "v2"):
+        assert not started.may_begin(10.0 + ACTIVATION_SECONDS - 0.1, version)
+        assert started.may_begin(10.1 + ACTIVATION_SECONDS, version)
+
+
 def test_version_that_comes_back_is_recorded_again() -> None:
     """Guards against a record that was removed while the version was gone."""
     daemon = recording_daemon(KeyedStoreModel(), "v1", "v2")
--- a/tests/proofs/test_daemons_out_of_step.py
+++ b/tests/proofs/test_daemons_out_of_step.py
@@ -12,6 +12,7 @@
 
 from tests.proofs.test_stream_versions import STREAMS_PER_SECOND, open_streams, started_fleet
 from tests.simulation.versioned_fleet import VersionedFleet
+from troutswitch.decisions.streams.version_history import VERSIONS
 
 LEAVE_SHARE = 0.5
 LISTED_SECONDS = 6.0
@@ -194,6 +195,41 @@
     assert fleet.mixed_streams == 0
 
 
+def run_until(fleet: VersionedFleet, holds: Callable[[], bool]) -> None:
+    while not holds():
+        fleet.run(0.01)
+
+
+def start_beside_release(seed: int) -> VersionedFleet:
+    """All daemons but one start anew as soon as the store has the record of a further version.
+
+    The other one has just read the list, and reaches nobody from then on.
+    """
+    fleet = started_fleet(seed, "v1")
+    odd = ("daemon-1",)
+    engines = fleet.daemons[odd[0]].core.engines
+    run_until(fleet, lambda: fleet.now - engines.listed_at < 0.02)
+    split(fleet, odd)
+    release(fleet, "v2", engines=1)
+    end = fleet.store.log(VERSIONS).end
+    run_until(fleet, lambda: fleet.store.log(VERSIONS).end > end)
+    for name in others(fleet, odd):
+        fleet.kill(name, 0.01)
+    fleet.resumption_daemons = odd
+    for _ in range(40):
+        caller = fleet.open_stream()
+        fleet.call_later(0.09, partial(fleet.leave, caller))
+        fleet.run(0.01)
+    heal(fleet)
+    fleet.run(6.0)
+    return fleet
+
+
+def test_daemons_started_beside_a_release_begin_no_stream_before_others_know_its_version() -> None:
+    """Guards against recorded versions that begin streams at once at a daemon that starts."""
+    assert sum(start_beside_release(seed).mixed_streams for seed in range(1, 13)) == 0
+
+
 def test_streams_of_one_version_continue_while_the_store_is_away_for_all() -> None:
     """Guards against daemons that refuse all resumptions when nobody can read the store."""
     tried = served = 0
