--- a/src/troutswitch/decisions/engine_membership.py
+++ b/src/troutswitch/decisions/engine_membership.py
@@ -57,6 +57,7 @@
         """Returns a read of the list if it is due; a call never answered counts as failed."""
         failures = self.reader.attempts.failures
         calls = self.reader.on_timer(now)
+        self._engines.versions.knowledge.failing_since = self.reader.attempts.failing_since
         if self.reader.attempts.failures > failures:
             self._engines.on_list_failed(now)
         return calls
@@ -72,6 +73,7 @@
                 self._output.log("engine list read failed", outcome=reason)
         if rows is not None:
             self._apply_list(now, now, rows)
+            self._engines.versions.knowledge.on_list(self.reader.requested_at)
 
     # Peers.
 
