Clients take no cut head for a whole one

What would be seen: an answer that stops in its head, on a bounded connection (the store's client, the standalone daemon's clients), was a 200 without a length and with an empty body. A length that was cut inside its digits made a short body whole. Lengths that are malformed or contradict each other made a body end with its connection.

Cause: `http.client` takes the end of a connection for the end of a head, and a cut line for a whole one. The gateway's engine connection refused this; the bounded connection did not.

Change: `runtime/line_reader.py` reads lines whole for both connections, `response_heads.py` checks a head and reads its framing for all clients (the health request did not check either), and `response_body.py`, formerly of the engines alone, reads bodies by it. A caller that needs a marked end asks for it.

Evidence: tests/runtime/test_bounded_connection.py before: "DID NOT RAISE any of (OSError, HTTPException)" for both framings and for the head of an answer without a length when the connection is closed at a byte of the head, "DID NOT RAISE HTTPException" for nine malformed heads and framings. After: all pass, with the tests of the engines, the store and the standalone clients.

--- a/src/troutswitch/decisions/forwarding/types.py
+++ b/src/troutswitch/decisions/forwarding/types.py
@@ -4,10 +4,11 @@
 """
 
 from dataclasses import dataclass
-from enum import Enum, StrEnum
+from enum import Enum
 
 from troutswitch.common import Address
 from troutswitch.decisions.tenants.types import Tenant
+from troutswitch.wire_values import Framing
 
 
 class RouteKind(Enum):
@@ -144,18 +145,6 @@
     pace_percent: int | None = None
 
 
-class Framing(StrEnum):
-    """How the end of an engine's answer is marked (RFC 9112, section 6)."""
-
-    LENGTH = "length"
-    CHUNKED = "chunked"
-    NO_BODY = "no body"
-    CLOSE = "close"
-    """Neither a length nor chunks: the body ends with the connection."""
-    MALFORMED = "malformed"
-    """Lengths or codings that are invalid, unknown or contradict each other."""
-
-
 @dataclass(frozen=True, slots=True)
 class AnswerFacts:
     """How an engine's answer arrived, for logs.
--- a/src/troutswitch/gateway/engines/answer_proof.py
+++ b/src/troutswitch/gateway/engines/answer_proof.py
@@ -16,8 +16,8 @@
 from enum import StrEnum
 from http import HTTPStatus
 
-from troutswitch.decisions.forwarding.types import Framing
 from troutswitch.platform.requests import AnswerHead, EngineHealth
+from troutswitch.wire_values import Framing
 
 REFUSAL_STATUSES = frozenset(
     {
--- a/src/troutswitch/gateway/engines/connection.py
+++ b/src/troutswitch/gateway/engines/connection.py
@@ -17,12 +17,12 @@
 from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
 from troutswitch.runtime.bounded_reads import ReadLimitExceeded, ReadLimits
+from troutswitch.runtime.line_reader import LineReader
 from troutswitch.runtime.readiness import is_readable
 from troutswitch.runtime.silence import bound_silence
 from troutswitch.wire_values import MAX_SECONDS, parse_decimal
 
 CONNECT_TIMEOUT_SECONDS = 0.5
-READ_BYTES = 1 << 16
 MAX_LINE_BYTES = 1 << 16
 """Most bytes of lines outside bodies in one exchange; heads have 16 KiB at most."""
 LINE_BYTES_PER_BODY_BYTE = 8
@@ -71,7 +71,7 @@
         return size
 
 
-class ResponseReader(io.BufferedReader):
+class ResponseReader(LineReader):
     """A reader that stays open after the responses that are read from it.
 
     The lines outside bodies (heads, interim responses, sizes of chunks, trailers) share a budget of
@@ -81,7 +81,7 @@
     raw: _LimitedSource
 
     def __init__(self, source: _LimitedSource) -> None:
-        super().__init__(source, READ_BYTES)
+        super().__init__(source, source.limits.pace)
         self._line_bytes_left = MAX_LINE_BYTES
 
     def begin_exchange(self) -> None:
@@ -94,7 +94,7 @@
         Raises:
             ReadLimitExceeded: there were too many of them.
         """
-        self.raw.limits.pace.spend(count)
+        super().spend_lines(count, size)
         self._line_bytes_left -= size
         if self._line_bytes_left < 0:
             raise ReadLimitExceeded("the lines outside the body are too long")
@@ -104,23 +104,6 @@
         gained = LINE_BYTES_PER_BODY_BYTE * size
         self._line_bytes_left = min(MAX_LINE_BYTES, self._line_bytes_left + gained)
 
-    def readline(self, size: int | None = -1, /) -> bytes:
-        """Returns the next line.
-
-        Raises:
-            http.client.RemoteDisconnected: the stream ended before or inside the line.
-            http.client.HTTPException: a CR inside the line, which the parser of heads takes for the
-                line's end: the rest of a value would be a header (RFC 9112, section 2.2).
-            ReadLimitExceeded: there were too many lines.
-        """
-        line = super().readline(-1 if size is None else size)
-        if not line.endswith(b"\n") and len(line) != size:
-            raise http.client.RemoteDisconnected("the response ended inside its head or a line")
-        if b"\r" in line.removesuffix(b"\n").removesuffix(b"\r"):
-            raise http.client.HTTPException("a line of the response has a CR inside")
-        self.spend_lines(1, len(line))
-        return line
-
     def has_buffered_bytes(self) -> bool:
         """Returns whether bytes were received that were not read yet."""
         self.raw.is_paused = True
--- a/src/troutswitch/gateway/engines/exchange.py
+++ b/src/troutswitch/gateway/engines/exchange.py
@@ -7,7 +7,6 @@
 """
 
 import http.client
-import re
 import socket
 import threading
 from collections.abc import Iterator
@@ -19,11 +18,11 @@
 from troutswitch.gateway.engines.answer_proof import Defect, answer_defect, has_marked_end
 from troutswitch.gateway.engines.connection import EngineConnection, shut_down
 from troutswitch.gateway.engines.connection_pool import ConnectionUse, EngineConnections
-from troutswitch.gateway.engines.response_body import body_pieces
 from troutswitch.gateway.memory.answer_buffer import AnswerBuffer, AnswerTooLong
 from troutswitch.platform.requests import AnswerHead, read_head
 from troutswitch.runtime.bounded_reads import ReadLimitExceeded
-from troutswitch.wire_values import is_header_name, is_header_value
+from troutswitch.runtime.response_body import body_pieces
+from troutswitch.runtime.response_heads import MalformedHead, check_head
 
 SUSPECT_SILENCE_SECONDS = 0.25
 """Minimum silence that makes other connections suspect. It is longer than the kernel's first
@@ -40,8 +39,6 @@
 """Statuses of responses that precede the final one; `http.client` skips 100 itself. 101 would
 answer a request for another protocol, which is never sent."""
 MAX_INTERIM_RESPONSES = 8
-_STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
-"""A status line, which stands inside another line only if the head before it was cut."""
 
 Headers = list[tuple[str, str]]
 
@@ -191,7 +188,7 @@
         surplus_bytes = 0
         for surplus in range(MAX_SURPLUS_RESPONSES + 1):
             response = self._skip_interim(connection, response)
-            _check_headers(response)
+            _check_head(response)
             head = read_head(response, method)
             self._response = response
             if head.request_id == self.request.request_id:
@@ -382,17 +379,8 @@
             connection.close()
 
 
-def _check_headers(response: http.client.HTTPResponse) -> None:
-    """Checks that a response's headers can be forwarded; folded lines, for one, can't.
-
-    Raises:
-        AnswerUnproved: a header is malformed.
-    """
-    values = [response.reason, *(value for _, value in response.getheaders())]
-    if any(_STATUS_LINE.search(value) for value in values):
-        raise AnswerUnproved(Defect.MALFORMED_HEAD, response.status)
-    if response.msg.defects:  # the parser drops the lines after a malformed one
-        raise AnswerUnproved(Defect.MALFORMED_HEAD, response.status)
-    for name, value in response.getheaders():
-        if not (is_header_name(name) and is_header_value(value)):
-            raise AnswerUnproved(Defect.MALFORMED_HEAD, response.status)
+def _check_head(response: http.client.HTTPResponse) -> None:
+    try:
+        check_head(response)
+    except MalformedHead as error:
+        raise AnswerUnproved(Defect.MALFORMED_HEAD, response.status) from error
--- a/src/troutswitch/gateway/engines/health_request.py
+++ b/src/troutswitch/gateway/engines/health_request.py
@@ -8,6 +8,7 @@
 from troutswitch.gateway.engines.connection import EngineConnection
 from troutswitch.platform.engine_ids import instance_id
 from troutswitch.platform.requests import read_health
+from troutswitch.runtime.response_heads import check_head
 
 HEALTH_TIMEOUT_SECONDS = 0.5
 """Timeout of the connection, and of the response from then on. Engines reply immediately."""
@@ -16,7 +17,7 @@
 def request_health(request: RequestHealth) -> HealthAnswered:
     """Sends one request on a connection of its own, and reads the head of the response."""
     try:
-        connection = EngineConnection(request.address)  # it takes no cut head for a whole one
+        connection = EngineConnection(request.address)
     except http.client.InvalidURL:
         return HealthAnswered(request.engine_id, HealthResult.FAILED)
     try:
@@ -24,7 +25,9 @@
         ends_at = steady_seconds() + HEALTH_TIMEOUT_SECONDS
         connection.begin_exchange(HEALTH_TIMEOUT_SECONDS, ends_at)
         connection.request("GET", request.path, headers={"Connection": "close"})
-        health = read_health(connection.getresponse())
+        response = connection.getresponse()
+        check_head(response)
+        health = read_health(response)
     except (OSError, http.client.HTTPException, ValueError):
         return HealthAnswered(request.engine_id, HealthResult.FAILED)
     finally:
--- a/src/troutswitch/platform/requests.py
+++ b/src/troutswitch/platform/requests.py
@@ -6,15 +6,16 @@
 
 import http.client
 from dataclasses import dataclass
-from http import HTTPStatus
 from typing import Any
 
-from troutswitch.decisions.forwarding.types import EngineLoad, Framing, PromptPart, PromptShape
+from troutswitch.decisions.forwarding.types import EngineLoad, PromptPart, PromptShape
 from troutswitch.decisions.tenants.types import NO_KEY, NO_TENANT, key_digest
 from troutswitch.platform import names
 from troutswitch.platform.engine_ids import instance_id
+from troutswitch.runtime.response_heads import read_framing
 from troutswitch.wire_values import (
     MAX_SECONDS,
+    Framing,
     is_event_id,
     is_header_name,
     is_header_value,
@@ -29,8 +30,6 @@
 
 MISDIRECTED = 421
 """Status with which an engine refuses a request that is intended for a different engine."""
-BODILESS_STATUSES = (204, 304)
-"""Statuses of responses that never have a body (RFC 9110, section 6.4.1)."""
 LOAD_FIGURES = (3, 4)
 """Numbers of figures in an engine's load."""
 MAX_LOAD = 1_000_000
@@ -39,8 +38,6 @@
 """Maximum plausible number of tokens of a prompt or of a part of one."""
 MAX_PACE_PERCENT = 10_000
 """Maximum plausible pace. A load with a larger one, or with 0, is used without its pace."""
-HTTP_1_1 = 11
-"""The version of HTTP from which on bodies are chunked, as `http.client` writes it."""
 CONTENT_ENCODING = "Content-Encoding"
 EVENT_STREAM = "text/event-stream"
 DEFAULT_DEADLINE_SECONDS = 30.0
@@ -216,28 +213,6 @@
     return headers
 
 
-def _framing(response: http.client.HTTPResponse, method: str) -> tuple[Framing, int]:
-    """Returns how the end of a response to a request of a method is marked, and its length.
-
-    `http.client` uses the first of several lengths, prefers chunks to a length, and reads a body of
-    an unknown length up to the end of the connection.
-    """
-    lengths = response.msg.get_all("Content-Length", [])
-    codings = response.msg.get_all("Transfer-Encoding", [])
-    if response.status == HTTPStatus.NO_CONTENT and codings:  # allowed with HEAD and 304 alone
-        return Framing.MALFORMED, 0
-    if response.status in BODILESS_STATUSES or method == "HEAD":
-        return Framing.NO_BODY, 0
-    if codings:
-        codes = [coding.strip().lower() for coding in codings]
-        is_chunked = codes == ["chunked"] and response.version >= HTTP_1_1
-        return (Framing.CHUNKED if is_chunked and not lengths else Framing.MALFORMED), 0
-    if not lengths:
-        return Framing.CLOSE, 0
-    length = parse_number(lengths[0].strip()) if len(lengths) == 1 else None
-    return (Framing.MALFORMED, 0) if length is None else (Framing.LENGTH, length)
-
-
 def _single(response: http.client.HTTPResponse, name: str) -> str:
     """Returns the value of a header that a response has exactly once, otherwise nothing."""
     values = response.msg.get_all(name, [])
@@ -246,7 +221,7 @@
 
 def read_head(response: http.client.HTTPResponse, method: str) -> AnswerHead:
     """Decodes the head of an engine's response to a request of a method."""
-    framing, length = _framing(response, method)
+    framing, length = read_framing(response, method)
     content_type = response.getheader("Content-Type", "")
     load_header = response.getheader(names.SERVER_LOAD)
     load = _load(load_header)
@@ -286,7 +261,7 @@
     """Decodes the head of a response at an engine's health path."""
     return EngineHealth(
         response.status,
-        _framing(response, "GET")[0],
+        read_framing(response, "GET")[0],
         response.getheader(CONTENT_ENCODING) is not None,
         _single(response, names.INSTANCE_ID),
         _load(response.getheader(names.SERVER_LOAD)),
--- a/src/troutswitch/runtime/bounded_connection.py
+++ b/src/troutswitch/runtime/bounded_connection.py
@@ -4,32 +4,22 @@
 """
 
 import http.client
-import io
 import socket
+from collections.abc import Iterator
 from typing import Any
 
 from troutswitch.clock import steady_seconds
 from troutswitch.common import Address
 from troutswitch.runtime.bounded_reads import BoundedReads, ReadLimitExceeded, ReadLimits
+from troutswitch.runtime.line_reader import LineReader
+from troutswitch.runtime.response_body import body_pieces, pieces_until_closed
+from troutswitch.runtime.response_heads import check_head, read_framing
+from troutswitch.wire_values import Framing
 
-READ_BYTES = 1 << 16
 MAX_HEAD_BYTES = 1 << 16
 """Largest head of an answer, with the interim answers (1xx) before it."""
 
 
-class _PacedReader(io.BufferedReader):
-    """A buffered reader whose lines count as steps of work: those of heads, chunks and trailers."""
-
-    def __init__(self, connected: socket.socket, limits: ReadLimits) -> None:
-        super().__init__(BoundedReads(connected, limits), READ_BYTES)
-        self._pace = limits.pace
-
-    def readline(self, size: int | None = -1, /) -> bytes:
-        """Reads a line."""
-        self._pace.spend(1)
-        return super().readline(size)
-
-
 class _BoundedSource:
     """Adapter that passes bounded reads to `HTTPResponse`, which expects a socket."""
 
@@ -37,9 +27,9 @@
         self._socket = connected
         self._limits = limits
 
-    def makefile(self, mode: str) -> io.BufferedReader:
+    def makefile(self, mode: str) -> LineReader:
         """Returns a buffered reader."""
-        return _PacedReader(self._socket, self._limits)
+        return LineReader(BoundedReads(self._socket, self._limits), self._limits.pace)
 
 
 class BoundedConnection(http.client.HTTPConnection):
@@ -75,29 +65,52 @@
         """Reads the head of an answer.
 
         Raises:
-            OSError, http.client.HTTPException: there was none within the limits.
+            OSError, http.client.HTTPException: there was none within the limits, or it was cut or
+                malformed.
         """
         limits = self._limits
         limits.bytes_left = MAX_HEAD_BYTES
         response = super().getresponse()
+        check_head(response)
         limits.bytes_left = self._max_body_bytes
         return response
 
-    def read_body(self, response: http.client.HTTPResponse) -> bytes:
-        """Reads a body in parts; a length that the peer announces reserves no memory.
+    def pieces(
+        self, response: http.client.HTTPResponse, *, must_have_marked_end: bool = False
+    ) -> Iterator[bytes]:
+        """Yields a body's bytes as they arrive.
+
+        Args:
+            response: the answer whose head was read; to a request of another method than HEAD.
+            must_have_marked_end: whether a body that ends with the connection is lost, as its end
+                may be a cut. Callers whose content shows where it ends need no mark.
+
+        Raises:
+            OSError, http.client.HTTPException: it was not received within the limits, or is cut.
+        """
+        reader: Any = response.fp
+        framing, length = read_framing(response, "GET")
+        if framing is Framing.CLOSE and not must_have_marked_end:
+            yield from pieces_until_closed(reader)
+        else:
+            yield from body_pieces(reader, framing, length)
+        response.close()  # the connection takes no further request before
+
+    def read_body(
+        self, response: http.client.HTTPResponse, *, must_have_marked_end: bool = False
+    ) -> bytes:
+        """Reads a body in parts, as `pieces` does; an announced length reserves no memory.
 
         Raises:
-            OSError, http.client.HTTPException: it was not received within the limits.
+            OSError, http.client.HTTPException: it was not received within the limits, or is cut.
         """
         parts: list[bytes] = []
         size = 0
-        while part := response.read(READ_BYTES):
+        for part in self.pieces(response, must_have_marked_end=must_have_marked_end):
             parts.append(part)
             size += len(part)
             if size > self._max_body_bytes:
                 raise ReadLimitExceeded("the answer is too long")
-        if response.length:
-            raise http.client.IncompleteRead(b"", response.length)
         return b"".join(parts)
 
     def _make_response(self, sock: Any, **options: Any) -> http.client.HTTPResponse:
--- /dev/null
+++ b/src/troutswitch/runtime/line_reader.py
@@ -0,0 +1,54 @@
+"""Reads the lines of HTTP answers, each of which must be whole.
+
+`http.client` takes the end of a connection for the end of a head, a line that is cut for a whole
+one, and a CR inside a line for the line's end. All clients read answers through a `LineReader`, so
+a head is complete only if its blank line was received (RFC 9112, sections 2.2 and 8).
+"""
+
+import http.client
+import io
+
+from troutswitch.runtime.work_pace import WorkPace
+
+READ_BYTES = 1 << 16
+
+
+class LineReader(io.BufferedReader):
+    """A buffered reader whose lines are whole, and count as steps of work.
+
+    Args:
+        source: the bytes, up to the end of the stream.
+        pace: bounds the work of the connection.
+    """
+
+    def __init__(self, source: io.RawIOBase, pace: WorkPace) -> None:
+        super().__init__(source, READ_BYTES)
+        self._pace = pace
+
+    def spend_lines(self, count: int, size: int) -> None:
+        """Counts lines outside bodies, of `size` bytes together.
+
+        Raises:
+            ReadLimitExceeded: there were too many of them.
+        """
+        self._pace.spend(count)
+
+    def add_body_bytes(self, size: int) -> None:
+        """Counts bytes of a body."""
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Returns the next line, or its first `size` bytes if it is longer.
+
+        Raises:
+            http.client.RemoteDisconnected: the stream ended before or inside the line.
+            http.client.HTTPException: a CR inside the line, which the parser of heads takes for the
+                line's end: the rest of a value would be a header (RFC 9112, section 2.2).
+            ReadLimitExceeded: there were too many lines.
+        """
+        line = super().readline(-1 if size is None else size)
+        if not line.endswith(b"\n") and len(line) != size:
+            raise http.client.RemoteDisconnected("the response ended inside its head or a line")
+        if b"\r" in line.removesuffix(b"\n").removesuffix(b"\r"):
+            raise http.client.HTTPException("a line of the response has a CR inside")
+        self.spend_lines(1, len(line))
+        return line
--- a/src/troutswitch/gateway/engines/response_body.py
+++ b/src/troutswitch/runtime/response_body.py
@@ -8,8 +8,8 @@
 import re
 from collections.abc import Iterator
 
-from troutswitch.decisions.forwarding.types import Framing
-from troutswitch.gateway.engines.connection import READ_BYTES, ResponseReader
+from troutswitch.runtime.line_reader import READ_BYTES, LineReader
+from troutswitch.wire_values import Framing
 
 MAX_CHUNK_LINE_BYTES = 4096
 """Longest line of a chunk's size with its extensions, and of a trailer."""
@@ -18,7 +18,7 @@
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r\n")
 
 
-def body_pieces(reader: ResponseReader, framing: Framing, length: int) -> Iterator[bytes]:
+def body_pieces(reader: LineReader, framing: Framing, length: int) -> Iterator[bytes]:
     """Yields a body's bytes as they arrive.
 
     Args:
@@ -42,7 +42,17 @@
             raise http.client.HTTPException("the end of the body is not marked")
 
 
-def _exactly(reader: ResponseReader, length: int) -> Iterator[bytes]:
+def pieces_until_closed(reader: LineReader) -> Iterator[bytes]:
+    """Yields the bytes of a body whose end is not marked, until the connection ends.
+
+    Raises:
+        OSError: the connection failed or a read timed out.
+    """
+    while data := reader.read1(READ_BYTES):
+        yield data
+
+
+def _exactly(reader: LineReader, length: int) -> Iterator[bytes]:
     left = length
     while left:
         data = reader.read1(min(left, READ_BYTES))
@@ -53,7 +63,7 @@
         yield data
 
 
-def _chunks(reader: ResponseReader) -> Iterator[bytes]:
+def _chunks(reader: LineReader) -> Iterator[bytes]:
     while True:
         if data := _received_chunks(reader):
             yield data
@@ -68,7 +78,7 @@
         continue
 
 
-def _received_chunks(reader: ResponseReader) -> bytes:
+def _received_chunks(reader: LineReader) -> bytes:
     """Returns the data of the chunks that have arrived whole; waits for bytes if there are none.
 
     Many short chunks then cost their reader's caller one piece. The chunk with which a body ends,
@@ -103,7 +113,7 @@
     return int(match[1], 16)
 
 
-def _read_line(reader: ResponseReader) -> bytes:
+def _read_line(reader: LineReader) -> bytes:
     line = reader.readline(MAX_CHUNK_LINE_BYTES)
     if not line.endswith(LINE_END):
         raise http.client.HTTPException("a line of a chunked body is cut or too long")
--- a/src/troutswitch/standalone/engines/client.py
+++ b/src/troutswitch/standalone/engines/client.py
@@ -11,7 +11,7 @@
 from troutswitch.common import Address
 from troutswitch.json_values import MalformedJson, decode_json
 from troutswitch.outcomes import AttemptOutcome
-from troutswitch.runtime.bounded_connection import READ_BYTES, BoundedConnection
+from troutswitch.runtime.bounded_connection import BoundedConnection
 from troutswitch.standalone.decisions.events import EngineLoad
 from troutswitch.standalone.engines.assembler import BrokenStream
 from troutswitch.standalone.engines.protocol import (
@@ -125,7 +125,7 @@
         assert self._response is not None
         rest = b""
         try:
-            while data := self._response.read1(READ_BYTES):
+            for data in self._connection.pieces(self._response):
                 lines = (rest + data).split(b"\n")
                 rest = lines.pop()
                 pieces = [decode_json(line[6:], Piece) for line in lines if line[:6] == DATA_PREFIX]
--- a/src/troutswitch/wire_values.py
+++ b/src/troutswitch/wire_values.py
@@ -6,6 +6,7 @@
 
 import math
 import re
+from enum import StrEnum
 
 MAX_DIGITS = 18
 """Longest number that is read; it fits 64 bits."""
@@ -20,6 +21,18 @@
 _VISIBLE = re.compile(r"[\x21-\x7e]+")
 
 
+class Framing(StrEnum):
+    """How the end of an answer is marked (RFC 9112, section 6)."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    NO_BODY = "no body"
+    CLOSE = "close"
+    """Neither a length nor chunks: the body ends with the connection."""
+    MALFORMED = "malformed"
+    """Lengths or codings that are invalid, unknown or contradict each other."""
+
+
 def parse_number(text: str, maximum: int = 10**MAX_DIGITS - 1) -> int | None:
     """Returns a number written in ASCII digits; None if it is none or exceeds `maximum`."""
     if not _DIGITS.fullmatch(text):
--- a/tests/gateway/engines/test_endless_answers.py
+++ b/tests/gateway/engines/test_endless_answers.py
@@ -26,11 +26,7 @@
 from troutswitch.decisions.jobs.messages import ItemProgressed, ItemRunEnded, RunItem
 from troutswitch.decisions.jobs.records import JobItem
 from troutswitch.gateway.engines import exchange as exchange_module
-from troutswitch.gateway.engines.connection import (
-    MAX_LINE_BYTES,
-    READ_BYTES,
-    EngineConnection,
-)
+from troutswitch.gateway.engines.connection import MAX_LINE_BYTES, EngineConnection
 from troutswitch.gateway.engines.connection_pool import EngineConnections
 from troutswitch.gateway.engines.engine_activity import EngineActivityReporter
 from troutswitch.gateway.engines.event_stream import EventSplitter, EventStreamError
@@ -44,6 +40,7 @@
 from troutswitch.gateway.memory.answer_buffer import MAX_COMPLETE_ANSWER_BYTES
 from troutswitch.outcomes import AttemptOutcome
 from troutswitch.platform import names
+from troutswitch.runtime.line_reader import READ_BYTES
 
 DEADLINE_SECONDS = 0.5
 LONG_SECONDS = 30.0
--- a/tests/gateway/engines/test_exchange.py
+++ b/tests/gateway/engines/test_exchange.py
@@ -6,7 +6,7 @@
 import pytest
 
 from troutswitch.common import Address
-from troutswitch.decisions.forwarding.types import AnswerFacts, Framing
+from troutswitch.decisions.forwarding.types import AnswerFacts
 from troutswitch.gateway.engines.connection_pool import EngineConnections
 from troutswitch.gateway.engines.exchange import (
     AnswerLost,
@@ -15,6 +15,7 @@
     OutgoingRequest,
 )
 from troutswitch.platform import names
+from troutswitch.wire_values import Framing
 
 SIGNED = f"HTTP/1.1 200 OK\r\n{names.RESPONSE_STAMP}: s\r\n{names.REQUEST_ID}: "
 CHUNKED = SIGNED + "{id}\r\nTransfer-Encoding: chunked\r\n{more}\r\n"
--- a/tests/runtime/test_bounded_connection.py
+++ b/tests/runtime/test_bounded_connection.py
@@ -1,4 +1,4 @@
-"""Answers without end on a bounded connection, with real sockets."""
+"""Answers without end, and cut ones, on a bounded connection, with real sockets."""
 
 import http.client
 import socket
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.cut_server import CutServer, Ending
 from tests.endless_bytes import (
     ENDLESS_BODIES,
     ENDLESS_HEADS,
@@ -15,8 +16,9 @@
 )
 from tests.gateway.raw_server import RawServer
 from troutswitch.common import Address
-from troutswitch.runtime.bounded_connection import MAX_HEAD_BYTES, READ_BYTES, BoundedConnection
+from troutswitch.runtime.bounded_connection import MAX_HEAD_BYTES, BoundedConnection
 from troutswitch.runtime.bounded_reads import ReadLimitExceeded
+from troutswitch.runtime.line_reader import READ_BYTES
 
 received = pytest.fixture(count_received_bytes)
 LONG_SECONDS = 30.0
@@ -100,3 +102,86 @@
     with pytest.raises(http.client.IncompleteRead):
         connection.read_body(connection.getresponse())
     connection.close()
+
+
+STATUS = b"HTTP/1.1 200 OK\r\n"
+LENGTH_ANSWER = STATUS + b"Server: a\r\nContent-Length: 20\r\n\r\n" + b"y" * 20
+CHUNKED_ANSWER = STATUS + b"Transfer-Encoding: chunked\r\n\r\n2\r\nyy\r\n0\r\nTrailer: a\r\n\r\n"
+CLOSE_ANSWER = STATUS + b"Connection: close\r\n\r\nyyyy"
+
+
+@pytest.mark.parametrize("ending", [Ending.CLOSE, Ending.RESET])
+@pytest.mark.parametrize("answer", [LENGTH_ANSWER, CHUNKED_ANSWER], ids=["length", "chunks"])
+def test_answer_that_is_cut_at_any_byte_is_lost(answer: bytes, ending: Ending) -> None:
+    """Guards against the end of a connection that is taken for the end of a head."""
+    server = CutServer(answer, ending)
+    for server.length in range(len(answer)):
+        connection = connect(server.address)
+        with pytest.raises((OSError, http.client.HTTPException)):
+            connection.read_body(connection.getresponse())
+        connection.close()
+
+
+@pytest.mark.parametrize("ending", [Ending.CLOSE, Ending.RESET])
+def test_head_of_an_answer_without_a_length_that_is_cut_at_any_byte_is_lost(ending: Ending) -> None:
+    server = CutServer(CLOSE_ANSWER, ending)
+    for server.length in range(CLOSE_ANSWER.index(b"yyyy")):
+        connection = connect(server.address)
+        with pytest.raises((OSError, http.client.HTTPException)):
+            connection.getresponse()
+        connection.close()
+
+
+def test_body_without_a_length_is_lost_where_it_must_be_whole() -> None:
+    server = CutServer(CLOSE_ANSWER)
+    for server.length in range(len(CLOSE_ANSWER) + 1):
+        connection = connect(server.address)
+        with pytest.raises((OSError, http.client.HTTPException)):
+            connection.read_body(connection.getresponse(), must_have_marked_end=True)
+        connection.close()
+
+
+@pytest.mark.parametrize("length", [0, 8, len(STATUS), 40, len(LENGTH_ANSWER) - 1])
+def test_answer_that_stops_ends_by_its_deadline(length: int) -> None:
+    server = CutServer(LENGTH_ANSWER, Ending.SILENCE)
+    server.length = length
+    connection = connect(server.address, SHORT_SECONDS)
+    with pytest.raises((ReadLimitExceeded, TimeoutError)):
+        connection.read_body(connection.getresponse())
+    connection.close()
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        STATUS + b"A: b\rContent-Length: 2\r\n\r\n",
+        STATUS + b"no header\r\nContent-Length: 2\r\n\r\n",
+        STATUS + b"A: HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+        STATUS + b"A: b\r\n c\r\nContent-Length: 2\r\n\r\n",
+        STATUS + b"A B: c\r\nContent-Length: 2\r\n\r\n",
+    ],
+    ids=["carriage return", "no header", "two heads", "folded line", "name"],
+)
+def test_malformed_head_is_none(head: bytes) -> None:
+    connection = connect(RawServer(answered_by(head + b"yy")).address)
+    with pytest.raises(http.client.HTTPException):
+        connection.getresponse()
+    connection.close()
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: 2x",
+        b"Content-Length: -2",
+        b"Content-Length: 2\r\nContent-Length: 1",
+        b"Content-Length: 2\r\nTransfer-Encoding: chunked",
+        b"Transfer-Encoding: gzip",
+    ],
+)
+def test_body_whose_framing_is_malformed_is_lost(framing: bytes) -> None:
+    """Guards against a body that is read to the end of its connection, or by a wrong length."""
+    connection = connect(RawServer(answered_by(STATUS + framing + b"\r\n\r\nyy")).address)
+    with pytest.raises(http.client.HTTPException):
+        connection.read_body(connection.getresponse())
+    connection.close()
