A peer's state is read whole, in a bounded time and size

What would be seen: a peer whose answer comes byte by byte held a thread for the requests of state for as long as it sent, as the time-out began again with each byte; the state of a body that was shorter than its length was used.

Cause: the request used `http.client` directly: `read(n)` raises nothing for a short body, and there was no deadline for the whole answer.

Change: a `BoundedConnection`, with a deadline for the answer and a body whose end must be marked, as daemons always send a length.

Evidence: tests/gateway/daemons/test_peer_state.py before: a state was returned for a body shorter than its length and for one without a marked end; the tests of endless answers and single bytes had not ended after 120 s, those of single bytes alone not after 15 s. After: all 35 of the folder pass. The cuts at each byte found no fault before either: a cut CBOR value is malformed.

--- a/src/troutswitch/gateway/daemons/peer_state.py
+++ b/src/troutswitch/gateway/daemons/peer_state.py
@@ -8,6 +8,7 @@
 from urllib.parse import parse_qs
 
 from troutswitch.clock import steady_seconds
+from troutswitch.common import Address
 from troutswitch.daemons.peer_state import (
     FIRST_VERSION,
     VERSION,
@@ -16,6 +17,7 @@
     encode_state,
 )
 from troutswitch.decisions.peers.catch_up import PeerStateReceived, RequestPeerState
+from troutswitch.runtime.bounded_connection import BoundedConnection
 from troutswitch.runtime.http import Environ, Response, StartResponse, send
 from troutswitch.wire_values import parse_number
 
@@ -29,16 +31,18 @@
 def request_peer_state(port: int, instruction: RequestPeerState) -> PeerStateReceived:
     """Requests the state of one peer.
 
-    Each step (connecting, each read) blocks for at most `instruction.timeout` seconds. The returned
-    state is None if the peer does not answer in time or its answer is malformed.
+    Connecting takes at most `instruction.timeout` seconds, and the answer as long again. The
+    returned state is None if the peer does not answer in time, or its answer is cut or malformed.
     """
-    connection = http.client.HTTPConnection(instruction.host, port, timeout=instruction.timeout)
+    address = Address(instruction.host, port)
+    connection = BoundedConnection(address, instruction.timeout, MAX_STATE_BYTES)
+    url = f"{PEER_STATE_PATH}?version={instruction.version}&encoding={VERSION}"
     try:
-        connection.request(
-            "GET", f"{PEER_STATE_PATH}?version={instruction.version}&encoding={VERSION}"
-        )
+        connection.connect()
+        connection.limit_call(instruction.timeout, instruction.timeout)
+        connection.request("GET", url)
         response = connection.getresponse()
-        data = response.read(MAX_STATE_BYTES)
+        data = connection.read_body(response, must_have_marked_end=True)  # daemons send a length
         state = decode_state(data) if response.status == 200 else None
     except (OSError, http.client.HTTPException, ValueError):
         state = None
