--- a/tests/gateway/daemons/test_peer_state.py
+++ b/tests/gateway/daemons/test_peer_state.py
@@ -77,7 +77,8 @@
 def test_answer_that_is_cut_at_any_byte_yields_no_state(ending: Ending) -> None:
     data = encode_state(STATE, VERSION)
     server = CutServer(HEAD + b"Content-Length: %d\r\n\r\n" % len(data) + data, ending)
-    for server.length in range(len(server.answer)):
+    for length in range(len(server.answer)):
+        server.length = length
         assert request_state(server) is None, f"cut after {server.length} bytes"
     server.length = None
     assert request_state(server) == STATE
--- a/tests/runtime/test_bounded_connection.py
+++ b/tests/runtime/test_bounded_connection.py
@@ -115,7 +115,8 @@
 def test_answer_that_is_cut_at_any_byte_is_lost(answer: bytes, ending: Ending) -> None:
     """Guards against the end of a connection that is taken for the end of a head."""
     server = CutServer(answer, ending)
-    for server.length in range(len(answer)):
+    for length in range(len(answer)):
+        server.length = length
         connection = connect(server.address)
         with pytest.raises((OSError, http.client.HTTPException)):
             connection.read_body(connection.getresponse())
@@ -125,7 +126,8 @@
 @pytest.mark.parametrize("ending", [Ending.CLOSE, Ending.RESET])
 def test_head_of_an_answer_without_a_length_that_is_cut_at_any_byte_is_lost(ending: Ending) -> None:
     server = CutServer(CLOSE_ANSWER, ending)
-    for server.length in range(CLOSE_ANSWER.index(b"yyyy")):
+    for length in range(CLOSE_ANSWER.index(b"yyyy")):
+        server.length = length
         connection = connect(server.address)
         with pytest.raises((OSError, http.client.HTTPException)):
             connection.getresponse()
@@ -134,7 +136,8 @@
 
 def test_body_without_a_length_is_lost_where_it_must_be_whole() -> None:
     server = CutServer(CLOSE_ANSWER)
-    for server.length in range(len(CLOSE_ANSWER) + 1):
+    for length in range(len(CLOSE_ANSWER) + 1):
+        server.length = length
         connection = connect(server.address)
         with pytest.raises((OSError, http.client.HTTPException)):
             connection.read_body(connection.getresponse(), must_have_marked_end=True)
