The store's client makes no statement that the store did not make

What would be seen: a refusal without its body (a proxy's, or one that was cut) became "the next sequence is 0", "the first offset is 0", "the end is 0". A 409 that does not state the higher epoch had an owner fence its shard with low epochs for good, so items of accepted jobs never ran. A page of the engine list whose rows are all unreadable ended the reading, and the engines behind it counted as gone. A read that states an end before its offset, that begins elsewhere, or that has no record though it states a later end was applied as it was, the last one again and again without a pause.

Cause: values that are missing had defaults, and answers were not compared with their calls. The next page began behind the last readable record, and without one there was no next page.

Change: 410 needs `first`, 412 `end`, 409 `why`; otherwise the outcome is unknown. Reads and appends must fit their call. A page states the key of its last row, also of an unreadable one; a page that leads nowhere, or back, is a failed read.

--- a/src/troutswitch/decisions/forwarding/engine_list.py
+++ b/src/troutswitch/decisions/forwarding/engine_list.py
@@ -45,7 +45,8 @@
         """Number of pages of the last whole reading."""
         self.attempts = ReadAttempts(numbers, rng, self._pause)
         self._rng = rng
-        self._after_key = ""
+        self._after_keys = [""]
+        """Keys behind which the pages of the reading begin, up to the next one."""
         self._rows: list[KeyedRecord] = []
         self._pages_read = 0
         self._started_at = float("-inf")
@@ -70,7 +71,11 @@
     def _clear_pages(self) -> None:
         self._rows = []
         self._pages_read = 0
-        self._after_key = ""
+        self._after_keys = [""]
+
+    @property
+    def _after_key(self) -> str:
+        return self._after_keys[-1]
 
     def on_timer(self, now: float) -> list[StoreCall]:
         """Returns the call for the next page, if it is due."""
@@ -92,14 +97,18 @@
         ]
 
     def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> list[KeyedRecord] | None:
-        """Handles a page or a failure; returns the whole list's records after the last page."""
-        if not isinstance(outcome, NewestPage):
+        """Handles a page or a failure; returns the whole list's records after the last page.
+
+        A page that leads to no further one, though it is not the last, is a failure: the engines
+        behind it would count as gone.
+        """
+        if not isinstance(outcome, NewestPage) or not outcome.leads_on(self._after_keys):
             self.attempts.on_failed(now, call)
             return None
         self._rows.extend(outcome.records)
         self._pages_read += 1
-        if outcome.has_more and outcome.records:
-            self._after_key = outcome.records[-1].key
+        if outcome.has_more:
+            self._after_keys.append(outcome.next_key)
             self.attempts.on_succeeded(call, now)
             return None
         rows, self.page_count = self._rows, self._pages_read
--- a/src/troutswitch/decisions/jobs/ownership.py
+++ b/src/troutswitch/decisions/jobs/ownership.py
@@ -273,8 +273,10 @@
                 lease.fenced_at = outcome.end
                 self._replicas.shard(lease.shard).follower.read_to(now, outcome.end)
             case FencedOff():
-                lease.epoch = self._new_epoch((outcome.epoch >> EPOCH_BITS) + 1)
-                lease.retry_at = now
+                highest = max(lease.epoch, outcome.epoch or 0)
+                lease.epoch = self._new_epoch((highest >> EPOCH_BITS) + 1)
+                # Without the epoch, several tries may be needed to get above it.
+                lease.retry_at = now if outcome.epoch is not None else now + RETRY_SECONDS
             case _:
                 lease.retry_at = now + RETRY_SECONDS
 
--- a/src/troutswitch/decisions/storage/follower.py
+++ b/src/troutswitch/decisions/storage/follower.py
@@ -171,7 +171,7 @@
     def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> None:
         """Handles the outcome of a read in flight."""
         match outcome:
-            case NewestPage():
+            case NewestPage() if self._reread.fits(outcome):
                 self._reread_at = self.attempts.on_succeeded(call, now).requested_at
                 self._reread.add_page(outcome)
                 self._finish_reread(now)
--- a/src/troutswitch/decisions/storage/messages.py
+++ b/src/troutswitch/decisions/storage/messages.py
@@ -7,6 +7,7 @@
 `call` identifies a call on this daemon. Times are in seconds.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 
@@ -124,11 +125,31 @@
 
 @dataclass(frozen=True, slots=True)
 class NewestPage:
-    """A page of newest records; `has_more` tells whether another page follows."""
+    """A page of newest records; `has_more` tells whether another page follows.
+
+    `last_key` is the key of the last row, empty if that is the last record. The store may hold
+    records that are unreadable, which are not among `records`.
+    """
 
     records: tuple[KeyedRecord, ...]
     has_more: bool
     end: int
+    last_key: str = ""
+
+    @property
+    def next_key(self) -> str:
+        """The key behind which the next page begins; empty if this page names none."""
+        if self.last_key:
+            return self.last_key
+        return self.records[-1].key if self.records else ""
+
+    def leads_on(self, after_keys: Collection[str]) -> bool:
+        """Returns whether this page is the last one, or names a key that leads to further pages.
+
+        Args:
+            after_keys: the keys behind which this page and those before it begin.
+        """
+        return not self.has_more or (bool(self.next_key) and self.next_key not in after_keys)
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,16 +185,22 @@
 
 @dataclass(frozen=True, slots=True)
 class FencedOff:
-    """Nothing was appended, as the store has seen a higher epoch of the writer."""
+    """Nothing was appended, as the store has seen a higher epoch of the writer.
 
-    epoch: int
+    `epoch` is None if the store did not state which.
+    """
+
+    epoch: int | None
 
 
 @dataclass(frozen=True, slots=True)
 class OutOfSequence:
-    """Nothing was appended, as the writer's next sequence number is `expected`."""
+    """Nothing was appended, as the writer's next sequence number is `expected`.
+
+    `expected` is None if the store did not state it.
+    """
 
-    expected: int
+    expected: int | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,7 +218,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallFailed:
-    """The call failed or was not answered.
+    """The call failed, was not answered, or its answer states no outcome.
 
     `may_have_acted` is False only if the store answered that it did nothing, or was not reached.
     """
--- a/src/troutswitch/decisions/storage/reread.py
+++ b/src/troutswitch/decisions/storage/reread.py
@@ -32,13 +32,13 @@
         floor: the partition is known to reach up to this offset.
 
     Attributes:
-        after_key: the next page begins after this key.
         held_bytes: bytes of the records that are kept until the reread is done.
     """
 
     def __init__(self, view: PartitionView, floor: int) -> None:
-        self.after_key = ""
         self.held_bytes = 0
+        self._after_keys = [""]
+        """Keys behind which the pages begin, up to the next one."""
         self._view = view
         self._floor = floor
         self._has_all_pages = False
@@ -48,6 +48,11 @@
         self._keys: set[str] = set()
         self._records: dict[str, KeyedRecord] = {}
 
+    @property
+    def after_key(self) -> str:
+        """The key behind which the next page begins."""
+        return self._after_keys[-1]
+
     @property
     def tail_offset(self) -> int | None:
         """Where the next read of the tail begins; None while pages are to be read."""
@@ -58,16 +63,20 @@
         """Whether the pages and the tail up to their end were read."""
         return self._has_all_pages and self._tail_offset >= self._end
 
+    def fits(self, page: NewestPage) -> bool:
+        """Returns whether a page is the last one or leads to a further one."""
+        return page.leads_on(self._after_keys)
+
     def add_page(self, page: NewestPage) -> None:
-        """Adds the next page."""
+        """Adds the next page, which fits."""
         if not self.after_key and not self._begin(page):
             return
         self._end = max(self._end, page.end)
         self._keys.update(record.key for record in page.records)
         for record in page.records:
             self._keep(record)
-        if page.has_more and page.records:
-            self.after_key = page.records[-1].key
+        if page.has_more:
+            self._after_keys.append(page.next_key)
             return
         self._has_all_pages = True
         self._tail_offset = self._floor
--- a/src/troutswitch/platform/store.py
+++ b/src/troutswitch/platform/store.py
@@ -3,6 +3,10 @@
 It owns the connections to the store, and translates between the product's types and the platform's
 HTTP interface. It never retries: a failed call is an outcome, and the caller decides whether to
 repeat it.
+
+An outcome has only what the answer states. An answer without the values of its status, or with
+values that can't be those of the call, leaves the outcome unknown. A body may end with its
+connection: JSON shows where it ends, and a read that is cut between two records is a shorter read.
 """
 
 import http.client
@@ -60,13 +64,21 @@
 """Names of the platform's own topics, by the product's names."""
 
 
-_Offset = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+MAX_OFFSET = 2**63 - 1
+READ_HEADER = struct.Struct(">QQ")
+"""The end and the first offset kept, before the records of a read."""
+
+_Offset = Annotated[int, msgspec.Meta(ge=0, le=MAX_OFFSET)]
 
 
 class _NewestRow(msgspec.Struct, rename={"key": "tlsKey"}):
     key: str  # on the wire "tlsKey", for records of any kind
     value: str = ""
-    offset: Annotated[int, msgspec.Meta(ge=-1, le=2**63 - 1)] = -1
+    offset: Annotated[int, msgspec.Meta(ge=-1, le=MAX_OFFSET)] = -1
+
+
+class _RowKey(msgspec.Struct, rename={"key": "tlsKey"}):
+    key: str
 
 
 class _Newest(msgspec.Struct, rename={"rows": "requests"}):
@@ -81,11 +93,11 @@
 
 
 class _Refused(msgspec.Struct):
-    end: _Offset = 0
+    end: _Offset | None = None
     why: str = ""
-    epoch: _Offset = 0
-    sequence: _Offset = 0
-    first: _Offset = 0
+    epoch: _Offset | None = None
+    sequence: _Offset | None = None
+    first: _Offset | None = None
 
 
 class _Joined(msgspec.Struct):
@@ -184,7 +196,10 @@
             return CallFailed(f"malformed answer: {error}", True)
         rows = (_newest_record(row) for row in decoded.rows)
         records = tuple(record for record in rows if record is not None)
-        return NewestPage(records, decoded.more, decoded.end)
+        page = NewestPage(records, decoded.more, decoded.end, _last_key(decoded.rows))
+        if not page.leads_on({call.after_key}):
+            return CallFailed("malformed answer: no key behind which the next page begins", True)
+        return page
 
     def _read(self, call: ReadRecords) -> StoreOutcome:
         query = _partition_query(call.partition) | {
@@ -201,13 +216,10 @@
             is_long_poll=call.wait > 0,
             on_new_connection=call.on_new_connection,
         )
-        if status == 410:
-            return HistoryGone(_refusal(body).first)
-        if status != 200 or len(body) < 16:
-            return _failed(status, body)
-        end, _first = struct.unpack_from(">QQ", body)
-        records = decode_records(body[16:], call.offset)
-        return RecordsRead(records, call.offset + len(records), end)
+        first_kept = _refusal(body).first if status == 410 else None
+        if first_kept is not None and first_kept > call.offset:
+            return HistoryGone(first_kept)
+        return _records_read(call.offset, body) if status == 200 else _failed(status, body)
 
     def _append(self, call: AppendRecords) -> StoreOutcome:
         query = _partition_query(call.partition)
@@ -220,25 +232,19 @@
         status, body = self._exchange(
             "POST", "/log-append", query, encode_records(call.records), timeout=call.timeout
         )
-        match status:
-            case 200:
-                return self._appended(body)
-            case 412:
-                return EndMoved(_refusal(body).end)
-            case 409:
-                refusal = _refusal(body)
-                if refusal.why == "fenced":
-                    return FencedOff(refusal.epoch)
-                return OutOfSequence(refusal.sequence)
-            case _:
-                return _failed(status, body)
+        if status == 200:
+            return self._appended(call, body)
+        return _append_refused(call, status, body) or _failed(status, body)
 
     @staticmethod
-    def _appended(body: bytes) -> StoreOutcome:
+    def _appended(call: AppendRecords, body: bytes) -> StoreOutcome:
         try:
             decoded = decode_json(body, _Appended)
         except MalformedJson as error:
             return CallFailed(f"malformed answer: {error}", True)
+        is_elsewhere = call.expected_end not in (None, decoded.offset)
+        if is_elsewhere or decoded.end < decoded.offset + len(call.records):
+            return CallFailed("malformed answer: not of this append", True)
         return Appended(decoded.offset, decoded.end)
 
     def _join(self, call: JoinGroup) -> StoreOutcome:
@@ -324,11 +330,55 @@
     return KeyedRecord(decoded.key, value, decoded.offset)
 
 
+def _last_key(rows: list[msgspec.Raw]) -> str:
+    """Returns the key of the last row that has a readable one, empty without any.
+
+    The next page begins behind it, so a row that is otherwise unreadable does not end a reading.
+    """
+    for row in reversed(rows):
+        try:
+            return decode_json(row, _RowKey).key
+        except MalformedJson:
+            continue
+    return ""
+
+
+def _records_read(offset: int, body: bytes) -> StoreOutcome:
+    """Decodes a read from `offset` on: the end, the first offset kept, and records.
+
+    The store answers as soon as a record exists, so a read that states a later end has records.
+    """
+    if len(body) < READ_HEADER.size:
+        return CallFailed("malformed answer: a read without its header", True)
+    end, first_kept = READ_HEADER.unpack_from(body)
+    records = decode_records(body[READ_HEADER.size :], offset)
+    next_offset = offset + len(records)
+    is_stuck = end > offset and not records
+    if is_stuck or not first_kept <= offset <= next_offset <= end <= MAX_OFFSET:
+        return CallFailed(f"malformed answer: not a read from {offset}", True)
+    return RecordsRead(records, next_offset, end)
+
+
+def _append_refused(call: AppendRecords, status: int, body: bytes) -> StoreOutcome | None:
+    """Returns what a refusal of an append states; None if it states nothing."""
+    refusal = _refusal(body)
+    match status, refusal.why:
+        case 412, _ if refusal.end not in (None, call.expected_end):
+            return EndMoved(refusal.end)
+        case 409, "fenced":
+            return FencedOff(refusal.epoch)
+        case 409, "seq":
+            return OutOfSequence(refusal.sequence)
+        case _:
+            return None
+
+
 def _partition_query(partition: Partition) -> dict[str, str | int]:
     return {"topic": topic_name(partition.topic), "part": partition.number}
 
 
 def _refusal(body: bytes) -> _Refused:
+    """Decodes the values of a refusal; a malformed one has none."""
     try:
         return decode_json(body, _Refused)
     except MalformedJson:
--- a/tests/decisions/forwarding/test_engine_list.py
+++ b/tests/decisions/forwarding/test_engine_list.py
@@ -125,3 +125,28 @@
     paced = simulate_fleet(300, 3000, 1000.0, paced=True)
     assert min(paced) > float("-inf")
     assert sum(at > 12.0 for at in paced) >= sum(at > 12.0 for at in unpaced)
+
+
+def test_list_goes_on_behind_a_page_of_unreadable_rows() -> None:
+    """Guards against a reading that ends there, by which all engines behind it are gone."""
+    list_reader = reader()
+    call = next_call(list_reader, 0.0)
+    assert list_reader.on_answer(0.1, call.call, NewestPage((), True, 9, "00499")) is None
+    call = next_call(list_reader, 0.1)
+    assert call.after_key == "00499"
+    rows = list_reader.on_answer(0.2, call.call, page_of(600, "00499"))
+    assert rows is not None and len(rows) == 100
+
+
+@pytest.mark.parametrize("key", ["", "a", "b"])
+def test_page_that_leads_nowhere_is_a_failure(key: str) -> None:
+    """Guards against a list that counts as complete, or is read without end."""
+    list_reader = reader()
+    for number, last in enumerate(["a", "b"]):
+        call = next_call(list_reader, 0.1 * number)
+        assert list_reader.on_answer(0.1 * number, call.call, NewestPage((), True, 9, last)) is None
+    call = next_call(list_reader, 0.2)
+    assert list_reader.on_answer(0.2, call.call, NewestPage((), True, 9, key)) is None
+    assert list_reader.attempts.failures == 1
+    assert list_reader.on_timer(0.2) == []
+    assert next_call(list_reader, 2.0).after_key == "b"
--- a/tests/decisions/storage/test_follower.py
+++ b/tests/decisions/storage/test_follower.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from troutswitch.decisions.storage.follower import PartitionFollower
 from troutswitch.decisions.storage.messages import (
     Appended,
@@ -330,3 +332,42 @@
     assert (more.offset, served) == (1, [])
     assert refresher.on_answer(0.3, RecordsRead((record("b", b"1", 1),), 2, 9)) == []
     assert served == [True]
+
+
+def test_partition_is_read_on_behind_a_page_of_unreadable_rows() -> None:
+    """Guards against a reread that ends there, by which all keys behind it are removed."""
+    harness = FollowerHarness()
+    harness.bootstrap(0.0, record("z", b"1", 3), end=4)
+    harness.follower.restart(1.0, 4)
+    harness.next_call(1.0)
+    harness.answer(1.0, NewestPage((), True, 4, "m"))
+    call = harness.next_call(1.1)
+    assert isinstance(call, ReadNewest) and call.after_key == "m"
+    harness.answer(1.1, NewestPage((record("z", b"1", 3),), False, 4))
+    assert harness.follower.is_following
+    assert harness.applied == {"z": b"1"}
+
+
+@pytest.mark.parametrize("key", ["", "a"])
+def test_page_that_leads_nowhere_is_a_failure(key: str) -> None:
+    harness = FollowerHarness()
+    harness.next_call(0.0)
+    harness.answer(0.0, NewestPage((record("a", b"1", 0),), True, 2))
+    harness.next_call(0.1)
+    harness.answer(0.1, NewestPage((), True, 2, key))
+    assert harness.follower.attempts.failures == 1
+    assert not harness.follower.is_following
+    call = harness.next_call(5.0)
+    assert isinstance(call, ReadNewest) and call.after_key == "a"
+
+
+def test_read_whose_answer_states_nothing_is_repeated() -> None:
+    """Guards against a reread from offset 0, and against a read that is taken as done."""
+    harness = FollowerHarness()
+    harness.bootstrap(0.0, record("a", b"1", 3), end=4)
+    offset = harness.follower.next_offset
+    harness.next_call(0.5)
+    harness.answer(0.5, CallFailed("status 410: ", True))
+    assert harness.follower.is_following
+    call = harness.next_call(5.0)
+    assert isinstance(call, ReadRecords) and call.offset == offset
