The tests of decoders know the new reader of pieces and keys

The mock of a stream's response gives its pieces by the connection, as the client reads them; the key of a page's last row is one more decoded value. The request for a peer's state is one function whose errors are caught together.

tests/test_decoders.py and the tests of the store, the standalone clients and daemons pass.

--- a/src/troutswitch/gateway/daemons/peer_state.py
+++ b/src/troutswitch/gateway/daemons/peer_state.py
@@ -5,6 +5,7 @@
 
 import http.client
 from collections.abc import Callable, Iterable
+from contextlib import closing
 from urllib.parse import parse_qs
 
 from troutswitch.clock import steady_seconds
@@ -34,21 +35,23 @@
     Connecting takes at most `instruction.timeout` seconds, and the answer as long again. The
     returned state is None if the peer does not answer in time, or its answer is cut or malformed.
     """
-    address = Address(instruction.host, port)
-    connection = BoundedConnection(address, instruction.timeout, MAX_STATE_BYTES)
-    url = f"{PEER_STATE_PATH}?version={instruction.version}&encoding={VERSION}"
     try:
+        state = _read_state(Address(instruction.host, port), instruction)
+    except (OSError, http.client.HTTPException, ValueError):
+        state = None
+    return PeerStateReceived(instruction.host, state)
+
+
+def _read_state(address: Address, instruction: RequestPeerState) -> PeerState | None:
+    timeout = instruction.timeout
+    url = f"{PEER_STATE_PATH}?version={instruction.version}&encoding={VERSION}"
+    with closing(BoundedConnection(address, timeout, MAX_STATE_BYTES)) as connection:
         connection.connect()
-        connection.limit_call(instruction.timeout, instruction.timeout)
+        connection.limit_call(timeout, timeout)
         connection.request("GET", url)
         response = connection.getresponse()
         data = connection.read_body(response, must_have_marked_end=True)  # daemons send a length
-        state = decode_state(data) if response.status == 200 else None
-    except (OSError, http.client.HTTPException, ValueError):
-        state = None
-    finally:
-        connection.close()
-    return PeerStateReceived(instruction.host, state)
+        return decode_state(data) if response.status == 200 else None
 
 
 def answer_peer(
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -111,8 +111,9 @@
 
 def decode_pieces(data: bytes) -> object:
     stream = EngineStream(ADDRESS, 1.0)
-    lines = [b"data: " + data.replace(b"\n", b" ") + b"\n", b""]
-    stream._response = cast(Any, Mock(read1=lambda size: lines.pop(0)))
+    lines = [b"data: " + data.replace(b"\n", b" ") + b"\n"]
+    stream._response = cast(Any, Mock())
+    stream._connection = cast(Any, Mock(pieces=lambda response: lines))
     return list(stream.pieces())
 
 
@@ -227,6 +228,11 @@
         NEWEST_ROW,
         wrap=lambda row: b'{"requests":[' + row + b'],"more":false,"end":2}',
     ),
+    "platform.store._last_key": Decoder(
+        store_answers(ReadNewest(1, PARTITION)),
+        NEWEST_ROW,
+        wrap=lambda row: b'{"requests":[' + row + b'],"more":true,"end":2}',
+    ),
     "platform.store.StoreClient._appended": Decoder(store_answers(APPEND), {"offset": 1, "end": 2}),
     "platform.store.StoreClient._join": Decoder(
         store_answers(JoinGroup(1, "g", "m", ("t",), 1.0, 0)),
