--- a/tests/gateway/engines/test_cut_answers.py
+++ b/tests/gateway/engines/test_cut_answers.py
@@ -26,7 +26,7 @@
 
 @FRAMINGS
 @pytest.mark.parametrize("is_reset", [False, True])
-@pytest.mark.parametrize("status", [200, 500])
+@pytest.mark.parametrize("status", SOUND_STATUSES)
 def test_answer_that_is_cut_at_any_byte_is_lost(
     player: Player, is_stream: bool, is_reset: bool, status: int
 ) -> None:
--- a/tests/gateway/engines/test_health_request.py
+++ b/tests/gateway/engines/test_health_request.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.cut_server import CutServer, Ending
 from tests.endless_bytes import (
     ENDLESS_BODIES,
     ENDLESS_HEADS,
@@ -159,3 +160,24 @@
         connection.close()
 
     assert ask(RawServer(reply).address).result is HealthResult.FAILED
+
+
+@pytest.mark.parametrize("ending", [Ending.CLOSE, Ending.RESET])
+def test_head_that_is_cut_at_any_byte_has_no_pace(ending: Ending) -> None:
+    rows = f"{names.SERVER_LOAD}: 1,2,8,137\r\n{names.INSTANCE_ID}: engine-7\r\n"
+    server = CutServer(f"HTTP/1.1 200 OK\r\n{rows}\r\n".encode(), ending)
+    for length in range(len(server.answer)):
+        server.length = length
+        assert ask(server.address).result is HealthResult.FAILED, f"cut after {length} bytes"
+    server.length = None
+    assert ask(server.address) == HealthAnswered(ENGINE, HealthResult.PACE, 137)
+
+
+@pytest.mark.parametrize(
+    "line", ["no header", "A B: c", "A: HTTP/1.1 200 OK", " folded", "A: b\rC: d"]
+)
+def test_malformed_head_has_no_pace(line: str) -> None:
+    """Guards against a head of two answers, one of which was cut."""
+    rows = f"{names.INSTANCE_ID}: engine-7\r\n{names.SERVER_LOAD}: 1,2,8,137\r\n"
+    server = CutServer(f"HTTP/1.1 200 OK\r\n{rows}{line}\r\n\r\n".encode())
+    assert ask(server.address).result is HealthResult.FAILED
