--- a/src/troutswitch/decisions/engine_membership.py
+++ b/src/troutswitch/decisions/engine_membership.py
@@ -57,6 +57,7 @@
         """Returns a read of the list if it is due; a call never answered counts as failed."""
         failures = self.reader.attempts.failures
         calls = self.reader.on_timer(now)
+        self._engines.versions.knowledge.failing_since = self.reader.attempts.failing_since
         if self.reader.attempts.failures > failures:
             self._engines.on_list_failed(now)
         return calls
@@ -72,6 +73,7 @@
                 self._output.log("engine list read failed", outcome=reason)
         if rows is not None:
             self._apply_list(now, now, rows)
+            self._engines.versions.knowledge.on_list(self.reader.requested_at)
 
     # Peers.
 
@@ -132,6 +134,9 @@
                 records.append(self._formats.engine(row.key, row.value))
             except ValueError as error:
                 unusable[row.key] = str(error)
+            except Exception as error:
+                error.add_note(f"record {row.key!r} at offset {row.offset} of the engine list")
+                raise
         for key, reason in unusable.items():
             if self._engines.unusable_entries.get(key) != reason:
                 self._output.log("engine record malformed", engine=key, reason=reason)
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -84,6 +84,10 @@
         """Returns the age of the newest list of engines at the last step, in seconds."""
         return self._now - self.engines.listed_at
 
+    def versions_age(self) -> float:
+        """Returns the age of the knowledge of all versions at the last step, in seconds."""
+        return self._now - self.engines.versions.knowledge.complete_to
+
     def state_for_peer(self, now: float, version: int) -> PeerState:
         """Returns this daemon's state for a peer whose configuration has the given version."""
         return self._peer_state.state_for_peer(now, version)
@@ -194,6 +198,7 @@
         self.membership.reader.read_again(now)
         self.slots.claims.read_again(now)
         self.suspects.read_again(now)
+        self.engines.versions.knowledge.want_records(now)
 
     def _on_drain_requested(self, now: float) -> None:
         self.is_draining = True
@@ -206,7 +211,7 @@
     def _on_store(self, now: float, call: int, outcome: StoreOutcome) -> None:
         if self.membership.reader.owns(call):
             self.membership.on_answer(now, call, outcome)
-        elif self.configuration.follower.owns(call):
+        elif self.configuration.owns(call):
             self.configuration.on_answer(now, call, outcome)
         elif self.suspects.owns(call):
             self.suspects.on_store(now, call, outcome)
@@ -226,7 +231,7 @@
         return min(
             self.requests.next_due(),
             self.membership.reader.next_due(),
-            self.configuration.follower.next_due(),
+            self.configuration.next_due(),
             self.jobs.next_due(),
             self.slots.next_due(),
             self.peers.next_due(),
--- a/src/troutswitch/decisions/gateway_parts.py
+++ b/src/troutswitch/decisions/gateway_parts.py
@@ -274,7 +274,6 @@
             self.slots,
             self.quota,
             self.requests,
-            self.engines.versions,
             self.version_notices,
             self.origins,
             self.output,
--- a/src/troutswitch/gateway/metrics.py
+++ b/src/troutswitch/gateway/metrics.py
@@ -85,6 +85,11 @@
         self._dropped_datagrams = self._counter(
             "peer_datagrams_dropped", "Datagrams between daemons that were unreadable or too long"
         )
+        self._unexpected_errors = self._counter(
+            "unexpected_errors",
+            "Errors that no code expected, by the step that raised them",
+            "step",
+        )
         self._unreadable_loads = self._counter(
             "load_headers_unreadable", "Load headers of engines that are not three or four numbers"
         )
@@ -201,6 +206,11 @@
         self._gauge(
             "server_list_age_seconds", "Age of the newest list of engines", core.engine_list_age
         )
+        self._gauge(
+            "engine_versions_age_seconds",
+            "Age of the knowledge of all software versions of engines",
+            core.versions_age,
+        )
         self._gauge("peers_known", "Other daemons known", lambda: len(core.peers.peers))
         self._gauge(
             "groups_coordinated",
@@ -292,6 +302,10 @@
         """Counts a datagram between daemons that was dropped; called on any thread."""
         self._dropped_datagrams.inc()
 
+    def count_unexpected_error(self, step: str) -> None:
+        """Counts an unexpected error; called on any thread. Steps are constants of the code."""
+        self._unexpected_errors.labels(step).inc()
+
     def count_unreadable_load(self) -> None:
         """Counts a load header that could not be read; called on the threads that read answers."""
         self._unreadable_loads.inc()
