Standalone daemon: calls that raise an error are answered, and signals are taken without handlers

An append whose call raised an error that nobody thought of had no event: the log's writer waited for ever, so did the reader of the log, the membership's reading and a batch item. The same for a stop signal that arrived while the handler of another one ran. Each call now ends as if its peer had not answered, and the daemon takes its signals with troutswitch.runtime.signals, as the gateway does (SIGHUP no longer ends it).

--- a/src/troutswitch/cli/gateway.py
+++ b/src/troutswitch/cli/gateway.py
@@ -23,10 +23,10 @@
     from troutswitch.gateway.policies import POLICIES_VARIABLE, read_policies
     from troutswitch.gateway.process import GatewayProcess
     from troutswitch.gateway.settings_file import SettingsFile
-    from troutswitch.gateway.signals import Signals
     from troutswitch.gateway.startup import StopRequested, load_settings, wait_for_ports
     from troutswitch.platform.settings import load_gateway_settings, settings_path
     from troutswitch.runtime.memory import freeze_startup_objects, limit_allocator_arenas
+    from troutswitch.runtime.signals import Signals
 
     signals = Signals()
     try:
--- a/src/troutswitch/gateway/__main__.py
+++ b/src/troutswitch/gateway/__main__.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from troutswitch.gateway.signals import block_signals
+from troutswitch.runtime.signals import block_signals
 from troutswitch.runtime.standard_streams import open_missing_standard_streams
 
 # Before the slow imports below: until it is blocked, a signal ends the process.
--- a/src/troutswitch/gateway/startup.py
+++ b/src/troutswitch/gateway/startup.py
@@ -11,7 +11,7 @@
 
 from troutswitch.clock import steady_seconds
 from troutswitch.gateway.settings import GatewaySettings, GatewaySettingsError
-from troutswitch.gateway.signals import Signals
+from troutswitch.runtime.signals import Signals
 
 SETTINGS_SECONDS = 2.0
 """Longest wait for usable settings: a file is replaced within moments."""
--- a/src/troutswitch/standalone/command.py
+++ b/src/troutswitch/standalone/command.py
@@ -1,9 +1,7 @@
 """Commands `daemon` and `settings`."""
 
 import json
-import signal
 import sys
-import threading
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -12,12 +10,16 @@
 import msgspec
 
 from troutswitch.runtime.memory import freeze_startup_objects, limit_allocator_arenas
+from troutswitch.runtime.signals import Signals
 from troutswitch.standalone.runtime.logging import configure_logging
 from troutswitch.standalone.runtime.server import DaemonServer
 from troutswitch.standalone.runtime.settings import DaemonSettings, SettingsError, load_settings
 
 Command = Callable[..., Any]
 
+FAILURE_POLL_SECONDS = 0.5
+"""Interval between checks whether the daemon has failed."""
+
 
 def settings_flags(command: Command) -> Command:
     """Adds a flag for each key of the settings file."""
@@ -51,6 +53,7 @@
 @settings_flags
 def daemon(settings_path: str | None, **flags: Any) -> None:
     """Run one daemon until SIGTERM, which stops it as planned."""
+    signals = Signals()
     settings = read_settings(settings_path, flags)
     limit_allocator_arenas()
     logger = configure_logging(settings.log_level, settings.name)
@@ -58,13 +61,10 @@
         server = DaemonServer(settings, logger)
     except OSError as error:
         raise click.UsageError(f"{settings_path or 'flags'}: addresses: {error}") from error
-    stop_requested = threading.Event()
-    signal.signal(signal.SIGTERM, lambda number, frame: stop_requested.set())
-    signal.signal(signal.SIGINT, lambda number, frame: stop_requested.set())
     server.start()
     freeze_startup_objects()
-    while not stop_requested.wait(0.5) and server.failure is None:
-        pass
+    while not signals.is_stop_requested and server.failure is None:
+        signals.wait(FAILURE_POLL_SECONDS)
     if server.failure is None:
         server.drain()
         server.wait_drained()
--- a/src/troutswitch/standalone/runtime/effects.py
+++ b/src/troutswitch/standalone/runtime/effects.py
@@ -175,11 +175,13 @@
             return  # stopping
 
     def _run(self, call: Callable[[Any], Event | None], effect: Any) -> None:
+        """Posts the event of a call; the loop waits for it even if the call raises an error."""
+        event: Event | None
         try:
             event = call(effect)
-        except Exception:
+        except Exception as error:
             self._logger.exception("effect failed", effect=type(effect).__name__)
-            raise
+            event = _failed_event(effect, error)
         if event is not None:
             self._post(event)
 
@@ -230,6 +232,31 @@
         )
 
 
+def _failed_event(effect: Any, error: Exception) -> Event | None:
+    """Returns the event of a call that raised an error, as if its peer had not answered."""
+    reason = f"{type(error).__name__}: {error}"
+    match effect:
+        case AppendToLog():
+            return LogAppendFailed(effect.stream, reason)
+        case ReadLog():
+            return LogReadFailed(effect.token, effect.stream, reason)
+        case PollEngine():
+            return EngineLoadRead(effect.engine, None)
+        case ReadMachineList():
+            return MachineListRead(None)
+        case StartBatchAttempt():
+            return BatchAttemptEnded(
+                effect.attempt_id,
+                AttemptOutcome.CUT,
+                reason,
+                False,
+                effect.position,
+                effect.text_so_far,
+            )
+        case _:
+            return None
+
+
 def _batch_order(effect: StartBatchAttempt) -> CompletionRequest:
     return CompletionRequest(
         effect.attempt_id,
--- a/tests/gateway/test_signals.py
+++ b/tests/runtime/test_signals.py
@@ -11,7 +11,7 @@
 PREAMBLE = f"""
 import faulthandler, os, signal, threading
 faulthandler.dump_traceback_later({DEADLOCK_SECONDS}, exit=True)
-from troutswitch.gateway.signals import Signals
+from troutswitch.runtime.signals import Signals
 signals = Signals()
 """
 
