Blocked signals show as handled to other processes

The soak looks in /proc whether a daemon catches or ignores SIGHUP before it sends one, so that it does not kill a starting interpreter. Signals that are only blocked showed as neither: no reload would have been played any more. An empty handler, which never runs, is set after they are blocked.

--- a/src/troutswitch/runtime/signals.py
+++ b/src/troutswitch/runtime/signals.py
@@ -10,9 +10,15 @@
 RELOAD_SIGNALS = frozenset({signal.SIGHUP})
 
 
+def _on_signal(number: int, frame: object) -> None:
+    """Does nothing; it shows other processes that the signal is handled, and never runs."""
+
+
 def block_signals() -> None:
     """Keeps the signals pending until they are taken; call it before any thread is started."""
     signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS | RELOAD_SIGNALS)
+    for number in STOP_SIGNALS | RELOAD_SIGNALS:
+        signal.signal(number, _on_signal)
 
 
 class Signals:
--- a/tests/runtime/test_signals.py
+++ b/tests/runtime/test_signals.py
@@ -68,3 +68,13 @@
 print(signals.is_stop_requested)
 """
     assert output_of(script) == "True\n"
+
+
+def test_signals_show_as_handled_to_other_processes() -> None:
+    """Guards against a reload that is not requested: its sender looks whether SIGHUP would kill."""
+    script = """
+handled = [line for line in open("/proc/self/status") if line.startswith("SigCgt")]
+mask = int(handled[0].split()[1], 16)
+print([bool(mask >> (int(number) - 1) & 1) for number in (signal.SIGHUP, signal.SIGTERM)])
+"""
+    assert output_of(script) == "[True, True]\n"
