The soak loses, delays, doubles, reorders and cuts the datagrams between daemons

The soak's links were TCP alone, so no play on real processes had two daemons that hear each other and nobody else. A relay for each daemon, whose address the daemon advertises to others (clocked_daemon), receives its datagrams, and knows each one's sender by its port (soak/datagram_links.py). The play soak/out_of_step.py, command "out-of-step", lists further versions while some daemons are out of step, with callers that resume their streams at random daemons.

--- a/src/troutswitch/cli/main.py
+++ b/src/troutswitch/cli/main.py
@@ -11,6 +11,7 @@
 from troutswitch.cli.explain import explain
 from troutswitch.cli.gateway import gateway
 from troutswitch.cli.load import load
+from troutswitch.cli.out_of_step import out_of_step
 from troutswitch.cli.quota import quota
 from troutswitch.cli.restarts import restarts
 from troutswitch.cli.simulation import experiment, simulate
@@ -39,6 +40,7 @@
     simulate,
     experiment,
     soak,
+    out_of_step,
     restarts,
 ):
     cli.add_command(command)
--- a/src/troutswitch/soak/fleet.py
+++ b/src/troutswitch/soak/fleet.py
@@ -15,7 +15,8 @@
 from troutswitch.platform.settings import format_settings
 from troutswitch.platform.stand_in_forms import ENGINE_VERSION
 from troutswitch.soak.callers import DaemonEndpoint
-from troutswitch.soak.clocked_daemon import CLOCK_VARIABLE
+from troutswitch.soak.clocked_daemon import CLOCK_VARIABLE, PEER_ADDRESS_VARIABLE
+from troutswitch.soak.datagram_links import DatagramLinks
 from troutswitch.soak.load_kinds import COMPETITION_SLOTS, MEMORY_LIMIT_MB, LoadKind
 from troutswitch.soak.observations import EngineDeparture, Observations
 from troutswitch.soak.operator import SLOTS, Operator
@@ -136,6 +137,8 @@
         has_versions = bool(load & {LoadKind.VERSIONS, LoadKind.LONG_ITEMS})
         self._versions = VERSIONS if has_versions else (ENGINE_VERSION,)
         self._store_limits = SMALL_READS if LoadKind.LONG_ITEMS in load else {}
+        self.datagrams = DatagramLinks(seed) if LoadKind.DATAGRAMS in load else None
+        """The links for datagrams between daemons; None if they are sent directly."""
         self._memory_mb = MEMORY_LIMIT_MB if LoadKind.MEMORY_LIMIT in load else 0
         slots = COMPETITION_SLOTS if LoadKind.COMPETITION in load else SLOTS
         health_path = HEALTH_PATH if self._has_paces else ""
@@ -168,6 +171,8 @@
         self.group.kill_all()
         for link in self.links:
             link.close()
+        if self.datagrams is not None:
+            self.datagrams.close()
         self.ports.release_all()
 
     def endpoints(self) -> list[DaemonEndpoint]:
@@ -304,7 +309,11 @@
             name,
             [sys.executable, "-m", "troutswitch.soak.clocked_daemon"],
             self.folder / f"{name}.log",
-            {SETTINGS_VARIABLE: str(settings), CLOCK_VARIABLE: str(clock)},
+            {
+                SETTINGS_VARIABLE: str(settings),
+                CLOCK_VARIABLE: str(clock),
+                PEER_ADDRESS_VARIABLE: self._relay_address(name, peer_port),
+            },
         )
         caller_address = Address(HOST, caller_port)
         daemon = Daemon(
@@ -318,6 +327,12 @@
         self.daemons.append(daemon)
         self.group.add(child)
 
+    def _relay_address(self, name: str, peer_port: int) -> str:
+        """Returns the address that a daemon advertises to others; empty for its own."""
+        if self.datagrams is None:
+            return ""
+        return str(self.datagrams.add(name, Address(HOST, peer_port)))
+
     # Helpers.
 
     def _make_child(self, name: str, *arguments: str) -> Child:
--- a/src/troutswitch/soak/load_kinds.py
+++ b/src/troutswitch/soak/load_kinds.py
@@ -23,6 +23,7 @@
     CRASHING_PARTS = "crashing-parts"
     SKEWED_CONNECTIONS = "skewed-connections"
     LONG_ITEMS = "long-items"
+    DATAGRAMS = "datagrams"
 
 
 def draw_load(seed: int) -> frozenset[LoadKind]:
--- a/src/troutswitch/soak/restarted_fleet.py
+++ b/src/troutswitch/soak/restarted_fleet.py
@@ -18,6 +18,7 @@
 from troutswitch.platform import names
 from troutswitch.soak.callers import DaemonEndpoint, request_headers
 from troutswitch.soak.fleet import Engine, Fleet, http_call
+from troutswitch.soak.load_kinds import LoadKind
 from troutswitch.soak.observations import Exchange, Observations, Outcome, RequestKind
 from troutswitch.soak.receiving import exchange_on_new_connection
 from troutswitch.standins.content import LONG_ITEM_EVENTS, LONG_ITEM_PREFIX
@@ -164,8 +165,15 @@
 class RestartedFleet(Fleet):
     """A fleet whose engines are replaced by those of further versions."""
 
-    def __init__(self, folder: Path, seed: int, daemons: int = 3, engines: int = 4) -> None:
-        super().__init__(folder, seed, daemons, engines)
+    def __init__(
+        self,
+        folder: Path,
+        seed: int,
+        daemons: int = 3,
+        engines: int = 4,
+        load: frozenset[LoadKind] = frozenset(),
+    ) -> None:
+        super().__init__(folder, seed, daemons, engines, load)
         self.rng = random.Random(seed)
         self.next_engines: list[Engine] = []
         """Engines of the next version, which run and are not listed yet."""
--- a/src/troutswitch/soak/run.py
+++ b/src/troutswitch/soak/run.py
@@ -11,6 +11,7 @@
 from troutswitch.soak.checks import find_violations
 from troutswitch.soak.competing_callers import SteadyCaller, SurgingCallers
 from troutswitch.soak.crashing_parts import CrashingPartCallers
+from troutswitch.soak.datagram_disturber import DatagramDisturber
 from troutswitch.soak.fault_injector import FaultInjector
 from troutswitch.soak.fleet import Fleet
 from troutswitch.soak.jobs import JobClient, LongJobClient
@@ -215,6 +216,9 @@
             self._hard_load.append(SkewedCallers(seed, direct, observations))
         if LoadKind.CRASHING_PARTS in load:
             self._hard_load.append(CrashingPartCallers(seed, direct, observations))
+        if self.fleet.datagrams is not None:
+            names = [daemon.child.name for daemon in self.fleet.daemons]
+            self._hard_load.append(DatagramDisturber(seed, self.fleet.datagrams, names))
         groups += self._hard_load
         if LoadKind.VERSIONS in load:
             groups.append(ResumingCallers(seed, direct, observations))
