--- a/src/troutswitch/soak/load_kinds.py
+++ b/src/troutswitch/soak/load_kinds.py
@@ -24,6 +24,7 @@
     SKEWED_CONNECTIONS = "skewed-connections"
     LONG_ITEMS = "long-items"
     ANOTHER_WRITER = "another-writer"
+    DATAGRAMS = "datagrams"
 
 
 LIGHT_LOAD = frozenset({LoadKind.PACES, LoadKind.ANOTHER_WRITER})
