Entries of many services in the engine list do not take up the calls to the store

What callers would see: requests late or refused, and jobs whose calls wait, on all daemons, from some hundred entries of another writer on whose services (or zones, of a service with many engines) differ.

Cause: each group of engines is claimed with a call of its own, on condition that the topic has no newer record. Of the calls of all groups and daemons one succeeds at a time, and the others are repeated. After each outcome the next claim is computed for all groups, with a search through all claims in flight for each: the time grows with the third power of the groups. A group whose name no key can hold (255 bytes) is claimed again and again in vain.

Before, both new tests failed with "too many values to unpack (expected 1)", as each group was claimed by itself.

Fix: the groups that are due at a check are claimed with one call, 64 at most; the groups in flight are a set; the next claim's time is computed when it is asked for.

--- a/src/troutswitch/decisions/slots/coordinator_claims.py
+++ b/src/troutswitch/decisions/slots/coordinator_claims.py
@@ -18,7 +18,7 @@
 name determines, plus `OTHER_ZONE_SECONDS` if the group is in another zone. The claim is appended on
 condition that the topic has no newer record. A daemon claims nothing while it drains, while it
 cannot read the topic, or while its own claim of the group is in flight. It claims one group at most
-once in `CLAIM_INTERVAL_SECONDS`.
+once in `CLAIM_INTERVAL_SECONDS`. The groups that it claims at the same time are in one call.
 
 A group whose coordinator says that it is unconfirmed is claimed after the same delay, by a daemon
 whose reads of the topic have succeeded for `READS_SETTLED_SECONDS`.
@@ -89,6 +89,11 @@
 it: the longest timeout of a read and the longest pause after a failure, 3 s and 1 s."""
 CALL_TIMEOUT_SECONDS = 4.0
 """Time after which an unanswered claim is abandoned."""
+MAX_CLAIMS_PER_CALL = 64
+"""Maximum number of groups that are claimed with one call, and between two checks. Of several calls
+at the same end one succeeds, so a call for each group would repeat most of them."""
+MAX_GROUP_BYTES = 255
+"""Longest name of a group that is claimed: the store holds no longer key."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +110,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _OwnClaim:
-    """A claim of this daemon that the store has not answered yet."""
+    """A claim of this daemon that the store has not answered yet, as one record of a call."""
 
     group: str
     sent_at: float
@@ -138,11 +143,14 @@
         self._log = log
         self._claims: dict[str, Claim] = {}
         self._health = CoordinatorHealth()
-        self._own_claims: dict[int, _OwnClaim] = {}
+        self._own_claims: dict[int, tuple[_OwnClaim, ...]] = {}
         """Own claims in flight, by the number of the call to the store."""
+        self._claiming: set[str] = set()
+        """The groups of these claims."""
         self._claimed_at: dict[str, float] = {}
         self._check_at = float("-inf")
         self._next_claim = NEVER
+        self._is_next_claim_known = True
         self._reading_since = NEVER
         """Since when reads of the topic have succeeded; infinite while they fail."""
         self._follower = PartitionFollower(
@@ -288,8 +296,9 @@
     def _may_claim(self, group: str) -> bool:
         if self.is_draining or not self._follower.is_following or self._follower.attempts.failures:
             return False
-        is_claiming = any(claim.group == group for claim in self._own_claims.values())
-        return not is_claiming and not self.is_own(group)
+        if group in self._claiming or len(group.encode()) > MAX_GROUP_BYTES:
+            return False
+        return not self.is_own(group)
 
     def _claim_delay(self, group: Group) -> float:
         """Returns the delay before this daemon claims a group; it differs between daemons."""
@@ -298,16 +307,24 @@
         return spread * CLAIM_SPREAD_SECONDS + (0.0 if is_same_zone else OTHER_ZONE_SECONDS)
 
     def _schedule_next_claim(self) -> None:
-        """Computes when the next claim is due; called after each change that may affect it."""
-        due = [self._claim_due(group) for group in self._all_groups()]
-        due += [self._settle_due(group) for group in self._settled]
-        self._next_claim = min(due, default=NEVER)
+        """Has the next claim's time computed again; called after each change that may affect it."""
+        self._is_next_claim_known = False
+
+    def _next_claim_due(self) -> float:
+        """Returns when the next claim is due."""
+        if not self._is_next_claim_known:
+            due = [self._claim_due(group) for group in self._all_groups()]
+            due += [self._settle_due(group) for group in self._settled]
+            self._next_claim = min(due, default=NEVER)
+            self._is_next_claim_known = True
+        return self._next_claim
 
     def _settle_due(self, group: str) -> float:
         """Returns when a group whose predecessors have stopped is claimed again."""
         claim = self._claims.get(group)
-        is_claiming = any(claim.group == group for claim in self._own_claims.values())
-        if claim is None or not claim.predecessors or not self.is_own(group) or is_claiming:
+        if claim is None or not claim.predecessors or not self.is_own(group):
+            return NEVER
+        if group in self._claiming:
             return NEVER
         return self._claimed_at.get(group, float("-inf")) + CLAIM_INTERVAL_SECONDS
 
@@ -315,24 +332,29 @@
         """Claims the groups whose claim is due."""
         self._abandon_unanswered(now)
         self._health.forget_old_statements(now)
-        calls: list[StoreCall] = []
+        claims: list[_OwnClaim] = []
         for group in self._all_groups():
             if group.name not in self._claims:
                 self.on_coordinator_needed(now, group.name)
-            if now >= self._claim_due(group):
+            if now >= self._claim_due(group) and len(claims) < MAX_CLAIMS_PER_CALL:
                 self._log_reason(now, group.name)
-                calls.append(self._claim(now, group.name, self._predecessors_of(group.name)))
+                claims.append(self._own_claim(now, group.name, self._predecessors_of(group.name)))
         for name in sorted(self._settled):
-            if now >= self._settle_due(name):
-                calls.append(self._claim(now, name, ()))
+            if now >= self._settle_due(name) and len(claims) < MAX_CLAIMS_PER_CALL:
+                claims.append(self._own_claim(now, name, ()))
         self._settled = {name for name in self._settled if self.is_own(name)}
         self._schedule_next_claim()
-        return calls
+        return [self._claim(claims)] if claims else []
 
     def _abandon_unanswered(self, now: float) -> None:
-        for call, claim in list(self._own_claims.items()):
-            if now >= claim.sent_at + CALL_TIMEOUT_SECONDS:
-                del self._own_claims[call]
+        for call, claims in list(self._own_claims.items()):
+            if now >= claims[0].sent_at + CALL_TIMEOUT_SECONDS:
+                self._end_call(call)
+
+    def _end_call(self, call: int) -> tuple[_OwnClaim, ...]:
+        claims = self._own_claims.pop(call)
+        self._claiming.difference_update(claim.group for claim in claims)
+        return claims
 
     def _predecessors_of(self, group: str) -> tuple[ClaimHolder, ...]:
         """Returns the holders of earlier claims of an exclusive group that may still act."""
@@ -358,14 +380,20 @@
                 unconfirmed_ms=age,
             )
 
-    def _claim(self, now: float, group: str, predecessors: tuple[ClaimHolder, ...]) -> StoreCall:
+    def _own_claim(
+        self, now: float, group: str, predecessors: tuple[ClaimHolder, ...]
+    ) -> _OwnClaim:
         self._claimed_at[group] = now
-        call = self._numbers.next()
+        self._claiming.add(group)
         incarnation = self._identity.incarnation if group in self._exclusive else 0
-        own = self._own_claims[call] = _OwnClaim(group, now, incarnation, predecessors)
-        record = KeyedRecord(group, self._encode(own))
+        return _OwnClaim(group, now, incarnation, predecessors)
+
+    def _claim(self, claims: list[_OwnClaim]) -> StoreCall:
+        call = self._numbers.next()
+        self._own_claims[call] = tuple(claims)
+        records = tuple(KeyedRecord(claim.group, self._encode(claim)) for claim in claims)
         end = self._follower.next_offset
-        return AppendRecords(call, Partition(CLAIMS_TOPIC), (record,), expected_end=end)
+        return AppendRecords(call, Partition(CLAIMS_TOPIC), records, expected_end=end)
 
     def _encode(self, claim: _OwnClaim) -> bytes:
         address = self._identity.address
@@ -400,7 +428,14 @@
             self._note_reads(now)
             self._schedule_next_claim()
             return
-        own = self._own_claims.pop(call)
+        for position, own in enumerate(self._end_call(call)):
+            self._on_claim_answered(now, own, position, outcome)
+        self._schedule_next_claim()
+
+    def _on_claim_answered(
+        self, now: float, own: _OwnClaim, position: int, outcome: StoreOutcome
+    ) -> None:
+        """Handles the outcome of a claim that is the record at a position of its call."""
         group = own.group
         if isinstance(outcome, Appended):
             self.add_claim(
@@ -408,7 +443,7 @@
                     group,
                     self._identity.name,
                     self._identity.address,
-                    outcome.offset,
+                    outcome.offset + position,
                     own.incarnation,
                     own.predecessors,
                 )
@@ -416,14 +451,13 @@
             return
         if isinstance(outcome, EndMoved):
             self._claimed_at[group] = now - CLAIM_INTERVAL_SECONDS + CONFLICT_RETRY_SECONDS
-        self._schedule_next_claim()
         self._log("claim not taken", group=group, outcome=str(outcome)[:80])
 
     # Timers.
 
     def next_due(self) -> float:
         """Returns when `on_timer` is due next, in seconds of this process's clock."""
-        return min(self._follower.next_due(), max(self._check_at, self._next_claim))
+        return min(self._follower.next_due(), max(self._check_at, self._next_claim_due()))
 
     def on_timer(self, now: float) -> list[StoreCall]:
         """Reads claims, and claims groups that have had no coordinator for long enough."""
--- a/tests/decisions/slots/test_coordinator_claims.py
+++ b/tests/decisions/slots/test_coordinator_claims.py
@@ -1,6 +1,7 @@
 """Each group has one coordinator, which is replaced soon after it falls silent."""
 
 import random
+from dataclasses import replace
 
 import cbor2
 
@@ -9,6 +10,7 @@
 from troutswitch.daemons.messages import ClaimHolder, KnownClaim
 from troutswitch.decisions.slots.coordinator_claims import (
     CLAIM_SPREAD_SECONDS,
+    MAX_CLAIMS_PER_CALL,
     MAX_PREDECESSORS,
     OTHER_ZONE_SECONDS,
     UNKNOWN_PREDECESSOR,
@@ -35,11 +37,13 @@
 class ClaimingDaemon:
     """The claims of one daemon, with the store's answers to its calls."""
 
-    def __init__(self, name: str = "me", engines: int = 2, zone: str = ZONE) -> None:
+    def __init__(
+        self, name: str = "me", engines: int = 2, zone: str = ZONE, services: tuple[str, ...] = ()
+    ) -> None:
         groups = EngineGroups()
-        groups.update(
-            [record(f"s{n}", zone="there" if engines > 16 else ZONE) for n in range(engines)]
-        )
+        records = [record(f"s{n}", zone="there" if engines > 16 else ZONE) for n in range(engines)]
+        records += [replace(record(f"other{n}"), service=s) for n, s in enumerate(services)]
+        groups.update(records)
         self.log_events: list[str] = []
         self.claims = CoordinatorClaims(
             DaemonIdentity(name, zone, address_of(name), 1),
@@ -170,6 +174,29 @@
     assert "claim malformed" in daemon.log_events
 
 
+def test_groups_of_many_services_are_claimed_with_few_calls() -> None:
+    """Guards against entries of another writer whose groups take up all calls to the store."""
+    daemon = ClaimingDaemon(services=tuple(f"odd{n}" for n in range(300)))
+    daemon.appends(0.0)
+    now, end, calls = CLAIM_SPREAD_SECONDS + 0.01, 0, 0
+    while claims := daemon.appends(now):
+        (call,) = claims
+        calls += 1
+        daemon.claims.on_answer(now, call.call, Appended(end, end + len(call.records)))
+        for offset, claimed in enumerate(call.records, start=end):
+            claim = daemon.claims.claim_of(claimed.key)
+            assert claim is not None and (claim.daemon, claim.offset) == ("me", offset)
+        end, now = end + len(call.records), now + 0.1
+    assert (end, calls) == (301, -(-301 // MAX_CLAIMS_PER_CALL))
+
+
+def test_group_whose_name_no_key_can_hold_is_not_claimed() -> None:
+    daemon = ClaimingDaemon(services=("\u65e5" * 128,))
+    daemon.appends(0.0)
+    (call,) = daemon.appends(CLAIM_SPREAD_SECONDS + 0.01)
+    assert [claimed.key for claimed in call.records] == [GROUP]
+
+
 EXCLUSIVE = Group("#exclusive", "", 0)
 
 
