A page that states an end beyond the topic's own does not stop its reading

What callers would see: a daemon that starts beside one such answer of the store is never ready (claims, configuration), and one that reads again follows the topic no further.

Cause: a reread is done when its tail reaches the end that a page stated. The store's later word, that there is no record, changed nothing.

Evidence: the new test fails before (is_following is False). Found by a start beside stores that state an end of 3 and of 9.

Fix: a read of the tail is requested after the pages, and the store's answers are linearizable, so an end that it does not confirm was never reached. With a sound store the end of that read is never lower, and nothing changes.

--- a/src/troutswitch/decisions/storage/reread.py
+++ b/src/troutswitch/decisions/storage/reread.py
@@ -97,6 +97,9 @@
         for record in read.records:
             self._keep(record)
         self._tail_offset = max(self._tail_offset, read.next_offset)
+        if self._tail_offset >= read.end:
+            # This read was requested after the pages, so an end beyond it was never reached.
+            self._end = min(self._end, self._tail_offset)
 
     def _keep(self, record: KeyedRecord) -> None:
         former = self._records.get(record.key)
--- a/tests/decisions/storage/test_follower.py
+++ b/tests/decisions/storage/test_follower.py
@@ -375,6 +375,18 @@
     assert isinstance(call, ReadNewest) and call.after_key == "a"
 
 
+def test_partition_is_followed_after_a_page_that_states_an_end_beyond_its_own() -> None:
+    """Guards against a daemon that is never ready after one wrong answer of the store."""
+    harness = FollowerHarness()
+    harness.next_call(0.0)
+    harness.answer(0.0, NewestPage((record("a", b"1", 3),), False, 9))
+    call = harness.next_call(0.1)
+    assert isinstance(call, ReadRecords) and call.offset == 4
+    harness.answer(0.1, RecordsRead((), 4, 4))
+    assert harness.follower.is_following
+    assert harness.follower.next_offset == 4
+
+
 def test_read_whose_answer_states_nothing_is_repeated() -> None:
     """Guards against a reread from offset 0, and against a read that is taken as done."""
     harness = FollowerHarness()
