--- a/src/troutswitch/decisions/forwarding/engine_list.py
+++ b/src/troutswitch/decisions/forwarding/engine_list.py
@@ -45,10 +45,14 @@
         """Number of pages of the last whole reading."""
         self.attempts = ReadAttempts(numbers, rng, self._pause)
         self._rng = rng
-        self._after_key = ""
+        self._after_keys = [""]
+        """Keys behind which the pages of the reading begin, up to the next one."""
         self._rows: list[KeyedRecord] = []
         self._pages_read = 0
         self._started_at = float("-inf")
+        self.requested_at = float("-inf")
+        """When the first page of the last whole reading, or of the one in progress, was requested.
+        The list has all that the store had then."""
 
     def _pause(self, failures: int) -> float:
         """Returns the pause after a failed call, whatever the number of failures."""
@@ -70,7 +74,11 @@
     def _clear_pages(self) -> None:
         self._rows = []
         self._pages_read = 0
-        self._after_key = ""
+        self._after_keys = [""]
+
+    @property
+    def _after_key(self) -> str:
+        return self._after_keys[-1]
 
     def on_timer(self, now: float) -> list[StoreCall]:
         """Returns the call for the next page, if it is due."""
@@ -92,22 +100,31 @@
         ]
 
     def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> list[KeyedRecord] | None:
-        """Handles a page or a failure; returns the whole list's records after the last page."""
-        if not isinstance(outcome, NewestPage):
+        """Handles a page or a failure; returns the whole list's records after the last page.
+
+        A page that leads to no further one, though it is not the last, is a failure: the engines
+        behind it would count as gone.
+        """
+        if not isinstance(outcome, NewestPage) or not outcome.leads_on(self._after_keys):
             self.attempts.on_failed(now, call)
             return None
         self._rows.extend(outcome.records)
         self._pages_read += 1
-        if outcome.has_more and outcome.records:
-            self._after_key = outcome.records[-1].key
-            self.attempts.on_succeeded(call, now)
+        if outcome.has_more:
+            self._after_keys.append(outcome.next_key)
+            self._on_page_read(call, now)
             return None
+        interval = max(self.interval, self.min_interval)
+        self._on_page_read(call, now + interval * self._rng.uniform(*INTERVAL_JITTER))
         rows, self.page_count = self._rows, self._pages_read
         self._clear_pages()
-        interval = max(self.interval, self.min_interval)
-        self.attempts.on_succeeded(call, now + interval * self._rng.uniform(*INTERVAL_JITTER))
         return rows
 
+    def _on_page_read(self, call: int, due: float) -> None:
+        attempt = self.attempts.on_succeeded(call, due)
+        if self._pages_read == 1:
+            self.requested_at = attempt.requested_at
+
     def _restart_if_old(self, now: float) -> None:
         """Restarts the reading if a page failed and the pages before it are old."""
         is_old = now - self._started_at > MAX_READING_SECONDS
--- a/src/troutswitch/gateway/callers/job_calls.py
+++ b/src/troutswitch/gateway/callers/job_calls.py
@@ -18,6 +18,7 @@
 from troutswitch.decisions.jobs.messages import AnswerJobCall, JobAnswer, JobSubmitted
 from troutswitch.gateway.memory.account import Holding, MemoryAccount
 from troutswitch.gateway.memory.pressure import Kind
+from troutswitch.gateway.unexpected_errors import UnexpectedErrors
 from troutswitch.platform import names
 from troutswitch.platform.jobs import (
     JobFormatError,
@@ -35,6 +36,10 @@
 """Copies of a job's items during its submission: decoded, and as records for the store."""
 
 
+class LoopHasEnded(Exception):
+    """No call is answered any more, as the loop has ended."""
+
+
 class JobCalls:
     """Pending calls of the callers' threads to the loop.
 
@@ -42,6 +47,7 @@
         routes: table that determines which requests submit a job.
         post: posts an event to the loop.
         memory: account in which a job's items are counted until the job is answered.
+        errors: reports unexpected errors.
     """
 
     def __init__(
@@ -49,12 +55,15 @@
         routes: RouteTable,
         post: Callable[[GatewayEvent], None],
         memory: MemoryAccount | None = None,
+        errors: UnexpectedErrors | None = None,
     ) -> None:
+        self._errors = errors or UnexpectedErrors()
         self._routes = routes
         self._post = post
         self._memory = memory or MemoryAccount()
         self._tokens = itertools.count(1)
         self._answers: dict[int, Future[JobAnswer]] = {}
+        self._has_ended = False
         self._lock = threading.Lock()
 
     @property
@@ -98,22 +107,47 @@
             items.release()
 
     def _post_and_wait(self, token: int, event: JobEvent) -> Response:
-        """Posts a call and waits for the loop's answer."""
+        """Posts a call and waits for the loop's answer.
+
+        Raises:
+            LoopHasEnded: the call was not posted, so that it is never executed.
+        """
         future: Future[JobAnswer] = Future()
         with self._lock:
+            if self._has_ended:
+                raise LoopHasEnded
             self._answers[token] = future
-        self._post(event)
         try:
-            return encode_answer(future.result(ANSWER_TIMEOUT_SECONDS))
-        except FutureTimeoutError:
-            return Response(504, b"no decision in time\n", "text/plain")
+            self._post(event)
+            return self._wait(future)
         finally:
             with self._lock:
                 self._answers.pop(token, None)
 
+    def _wait(self, future: Future[JobAnswer]) -> Response:
+        """Returns the loop's answer; without a usable one, the call may have been executed."""
+        try:
+            return encode_answer(future.result(ANSWER_TIMEOUT_SECONDS))
+        except FutureTimeoutError:
+            return Response(504, b"no decision in time\n", "text/plain")
+        except LoopHasEnded:
+            return Response(504, b"the daemon has failed\n", "text/plain")
+        except Exception as error:
+            self._errors.report("answer job call", error)
+            return Response(504, f"{type(error).__name__}: {error}\n".encode(), "text/plain")
+
     def answer(self, instruction: AnswerJobCall) -> None:
         """Passes an answer to the thread that waits for it."""
         with self._lock:
             future = self._answers.get(instruction.token)
         if future is not None:
             future.set_result(instruction.answer)
+
+    def end_loop(self) -> None:
+        """Ends the calls in progress, whose execution is unknown, and accepts no further ones."""
+        with self._lock:
+            self._has_ended = True
+            futures = list(self._answers.values())
+        for future in futures:
+            if not future.done():
+                future.set_exception(LoopHasEnded())
--- a/src/troutswitch/gateway/daemons/peer_state.py
+++ b/src/troutswitch/gateway/daemons/peer_state.py
@@ -5,9 +5,11 @@
 
 import http.client
 from collections.abc import Callable, Iterable
+from contextlib import closing
 from urllib.parse import parse_qs
 
 from troutswitch.clock import steady_seconds
+from troutswitch.common import Address
 from troutswitch.daemons.peer_state import (
     FIRST_VERSION,
     VERSION,
@@ -16,6 +18,7 @@
     encode_state,
 )
 from troutswitch.decisions.peers.catch_up import PeerStateReceived, RequestPeerState
+from troutswitch.runtime.bounded_connection import BoundedConnection
 from troutswitch.runtime.http import Environ, Response, StartResponse, send
 from troutswitch.wire_values import parse_number
 
@@ -29,24 +32,28 @@
 def request_peer_state(port: int, instruction: RequestPeerState) -> PeerStateReceived:
     """Requests the state of one peer.
 
-    Each step (connecting, each read) blocks for at most `instruction.timeout` seconds. The returned
-    state is None if the peer does not answer in time or its answer is malformed.
+    Connecting takes at most `instruction.timeout` seconds, and the answer as long again. The
+    returned state is None if the peer does not answer in time, or its answer is cut or malformed.
     """
-    connection = http.client.HTTPConnection(instruction.host, port, timeout=instruction.timeout)
     try:
-        connection.request(
-            "GET", f"{PEER_STATE_PATH}?version={instruction.version}&encoding={VERSION}"
-        )
-        response = connection.getresponse()
-        data = response.read(MAX_STATE_BYTES)
-        state = decode_state(data) if response.status == 200 else None
+        state = _read_state(Address(instruction.host, port), instruction)
     except (OSError, http.client.HTTPException, ValueError):
         state = None
-    finally:
-        connection.close()
     return PeerStateReceived(instruction.host, state)
 
 
+def _read_state(address: Address, instruction: RequestPeerState) -> PeerState | None:
+    timeout = instruction.timeout
+    url = f"{PEER_STATE_PATH}?version={instruction.version}&encoding={VERSION}"
+    with closing(BoundedConnection(address, timeout, MAX_STATE_BYTES)) as connection:
+        connection.connect()
+        connection.limit_call(timeout, timeout)
+        connection.request("GET", url)
+        response = connection.getresponse()
+        data = connection.read_body(response, must_have_marked_end=True)  # daemons send a length
+        return decode_state(data) if response.status == 200 else None
+
+
 def answer_peer(
     share_state: ShareState, environ: Environ, start_response: StartResponse
 ) -> Iterable[bytes]:
