--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -5,6 +5,7 @@
 do what PROTOCOL.md says, and run as threads of the script.
 """
 
+import base64
 import http.client
 import json
 import os
@@ -17,6 +18,7 @@
 import threading
 import time
 import tomllib
+import zlib
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 
@@ -128,8 +130,6 @@
 
     def newest(self, topic, part=0):
         """All records of a partition, by key (the keys name jobs and items)."""
-        import base64
-
         rows, after = {}, ""
         while True:
             data = self.store_call("GET", f"/log-newest?topic={topic}&part={part}&afterRevision={after}")
@@ -296,11 +296,13 @@
     """A server of PROTOCOL.md: `slots` requests at once, queues the rest, streams events.
 
     The body of a request is JSON: `events`, `gap_ms`. Event n of request ID has the data `ID-n`.
+    A request larger than `memory` tokens (0: no limit) is rejected as if the server were full.
     `arrivals` has (time, id, first event, run or not) of each request.
     """
 
-    def __init__(self, fleet, name, service="svc", slots=12):
+    def __init__(self, fleet, name, service="svc", slots=12, memory=0):
         self.fleet, self.name, self.service, self.slots = fleet, name, service, slots
+        self.memory = memory
         self.address = ("127.0.0.1", free_port())
         self.arrivals, self.finished = [], {}
         self.running = self.waiting = 0
@@ -379,6 +381,10 @@
         if not request_id or expected not in (None, self.name):
             self.note(request_id, after, "421")
             return self.refuse(handler, 421 if request_id else 400, request_id)
+        usage = fields.get("X-Troutswitch-Token-Usage", "0")
+        if 0 < self.memory < sum(int(count) for count in usage.split(",")):
+            self.note(request_id, after, "too large")
+            return self.refuse(handler, 503, request_id)
         self.waiting += 1
         while not self.room.acquire(timeout=0.05):
             if not self.is_connected(handler):
@@ -452,14 +458,16 @@
     } | more
 
 
-def configuration(version, routes, services=("svc",), slots=12):
+def service(name, slots=12, memory=0):
+    engine = {"slots": slots} | ({"kvCacheTokens": memory} if memory else {})
+    return {"name": name, "maxConnections": 210, "engine": engine, "healthPath": "/health"}
+
+
+def configuration(version, routes, services=None):
     return {
         "version": version,
         "routes": routes,
-        "services": [
-            {"name": name, "maxConnections": 210, "engine": {"slots": slots}, "healthPath": "/health"}
-            for name in services
-        ],
+        "services": services or [service("svc")],
         "limits": {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 4194304,
@@ -469,10 +477,16 @@
     }
 
 
-def job_body(items, events, gap_ms):
-    import base64
-
+def job_body(items, events, gap_ms, prompts=None):
+    """A job; `prompts` has the tokens of prompts that differ from the usual 1,200, by item."""
     work = base64.b64encode(json.dumps({"events": events, "gap_ms": gap_ms}).encode()).decode()
+
+    def prompt(item):
+        return (prompts or {}).get(item, 1200)
+
+    def own_part(item):
+        return f"{zlib.crc32(item.encode()):08x}:{prompt(item) - 227}"
+
     return json.dumps(
         {
             "requests": [
@@ -481,11 +495,11 @@
                     "path": f"/batch/{item}",
                     "headers": {
                         "X-Troutswitch-Model": "m",
-                        "X-Troutswitch-Token-Usage": f"1200,{events}",
-                        "X-Troutswitch-Prompt-Prefix": f"9c2e41:227,{abs(hash(item)) % 2**31:x}:973",
+                        "X-Troutswitch-Token-Usage": f"{prompt(item)},{events}",
+                        "X-Troutswitch-Prompt-Prefix": f"9c2e41:227,{own_part(item)}",
                     },
                     "body": work,
-                    "tokens": 1200 + events,
+                    "tokens": prompt(item) + events,
                 }
                 for item in items
             ]
