Review case 6: a job that its client left and ended is accepted later

Cause: a submission without a deadline lives for 30 s, whether or not its client is there (decisions/jobs/intake.py, gateway/callers/job_calls.py), and the end that the client asked for meanwhile is answered 404 and forgotten.

--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -507,14 +507,11 @@
     ).encode()
 
 
-def submit(fleet, daemon, job_id, body, deadline_ms=4000):
-    headers = {
-        "X-Troutswitch-Request-Id": job_id,
-        "Content-Type": "application/json",
-        "X-Troutswitch-Deadline-Ms": str(deadline_ms),
-    }
+def submit(fleet, daemon, job_id, body, wait=4.0):
+    """Sends a job as PROTOCOL.md shows it; its client waits for `wait` seconds."""
+    headers = {"X-Troutswitch-Request-Id": job_id, "Content-Type": "application/json"}
     fleet.log("job", job_id, "sent to", daemon.name)
-    status, text = daemon.call("POST", f"/batch/{job_id}", body, headers, deadline_ms / 1000)
+    status, text = daemon.call("POST", f"/batch/{job_id}", body, headers, wait)
     fleet.log("job", job_id, "answered by", daemon.name, status, text[:60])
     return status
 
