--- a/review/5/case.py
+++ b/review/5/case.py
@@ -19,7 +19,7 @@
 )
 
 LARGE_MEMORY, SMALL_MEMORY = 153_000, 108_000
-PROMPT = 99_000
+MOST_OUT = 98_000
 EVENTS = 211
 COMPLETION_SECONDS = 18.0
 CALM_SECONDS = 5.0
@@ -40,7 +40,7 @@
         fleet.put("keyed.op", "config", configuration(4, [batch_route("svc-b")], services))
     time.sleep(4)
     items = [f"b{n:07x}" for n in range(4)]
-    body = job_body(items, EVENTS, 25, {items[0]: PROMPT})
+    body = job_body(items, EVENTS, 25, {items[0]: MOST_OUT})
     if submit(fleet, daemons[0], "j0b2", body) != 202:
         raise CannotRun("the job was not accepted")
     accepted = time.monotonic()
--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -477,15 +477,12 @@
     }
 
 
-def job_body(items, events, gap_ms, prompts=None):
-    """A job; `prompts` has the tokens of prompts that differ from the usual 1,200, by item."""
+def job_body(items, events, gap_ms, most_out=None):
+    """A job; `most_out` has the most tokens that an item generates, if not its events, by item."""
     work = base64.b64encode(json.dumps({"events": events, "gap_ms": gap_ms}).encode()).decode()
 
-    def prompt(item):
-        return (prompts or {}).get(item, 1200)
-
-    def own_part(item):
-        return f"{zlib.crc32(item.encode()):08x}:{prompt(item) - 227}"
+    def most(item):
+        return (most_out or {}).get(item, events)
 
     return json.dumps(
         {
@@ -495,11 +492,11 @@
                     "path": f"/batch/{item}",
                     "headers": {
                         "X-Troutswitch-Model": "m",
-                        "X-Troutswitch-Token-Usage": f"{prompt(item)},{events}",
-                        "X-Troutswitch-Prompt-Prefix": f"9c2e41:227,{own_part(item)}",
+                        "X-Troutswitch-Token-Usage": f"1200,{most(item)}",
+                        "X-Troutswitch-Prompt-Prefix": f"9c2e41:227,{zlib.crc32(item.encode()):08x}:973",
                     },
                     "body": work,
-                    "tokens": prompt(item) + events,
+                    "tokens": 1200 + most(item),
                 }
                 for item in items
             ]
