--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -229,11 +229,14 @@
 
 
 class StoreProxy:
-    """Stands between one daemon and the store. `mode` is pass, busy (503), silent or reset.
+    """Stands between one daemon and the store. `mode` is pass, busy (503), silent, reset or slow.
 
-    That is how the store "turns some machines away (503, 429, a reset, silence)".
+    That is how the store "turns some machines away (503, 429, a reset, silence)". While it is slow,
+    an answer comes `SLOW_SECONDS` after the call was done.
     """
 
+    SLOW_SECONDS = 0.24  # 60 times the 4 ms of an answer
+
     def __init__(self, fleet):
         self.fleet, self.mode, self.calls = fleet, "pass", 0
         proxy = self
@@ -255,7 +258,7 @@
 
     def serve(self, handler):
         body = handler.rfile.read(int(handler.headers.get("Content-Length") or 0))
-        if self.mode == "pass":
+        if self.mode in ("pass", "slow"):
             connection = http.client.HTTPConnection(*self.fleet.store, timeout=40)
             try:
                 connection.request(handler.command, handler.path, body or None)
@@ -266,6 +269,8 @@
                 return
             finally:
                 connection.close()
+            if self.mode == "slow":
+                time.sleep(self.SLOW_SECONDS)
             if self.mode != "silent":  # an answer on its way when the silence began is lost too
                 self.reply(handler, status, data)
                 return
@@ -477,9 +482,13 @@
     }
 
 
-def job_body(items, events, gap_ms, most_out=None):
-    """A job; `most_out` has the most tokens that an item generates, if not its events, by item."""
-    work = base64.b64encode(json.dumps({"events": events, "gap_ms": gap_ms}).encode()).decode()
+def job_body(items, events, gap_ms, most_out=None, padding=0):
+    """A job; `most_out` has the most tokens that an item generates, if not its events, by item.
+
+    The body of each item has `padding` bytes more than it needs.
+    """
+    text = json.dumps({"events": events, "gap_ms": gap_ms, "padding": "x" * padding})
+    work = base64.b64encode(text.encode()).decode()
 
     def most(item):
         return (most_out or {}).get(item, events)
