--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -324,7 +324,10 @@
                 pass
 
             def do_GET(self):
-                engine.health(self)
+                if self.path == "/health":
+                    engine.health(self)
+                else:
+                    engine.answer(self)
 
             def do_POST(self):
                 engine.serve(self)
@@ -408,6 +411,19 @@
             self.running -= 1
             self.room.release()
 
+    def answer(self, handler):
+        """Answers a GET with its path."""
+        request_id = handler.headers.get("X-Troutswitch-Request-Id", "")
+        self.note(request_id, "", f"run {handler.path}")
+        body = f"content of {handler.path}".encode()
+        handler.send_response_only(200)
+        handler.send_header("X-Troutswitch-Request-Id", request_id)
+        handler.send_header("X-Troutswitch-Response-Stamp", "1.2.3")
+        handler.send_header("X-Troutswitch-Server-Load", self.load())
+        handler.send_header("Content-Length", str(len(body)))
+        handler.end_headers()
+        handler.wfile.write(body)
+
     def note(self, request_id, after, what):
         self.fleet.log(self.name, what, request_id, f"after={after}")
         with self.guard:
