--- a/review/4/case.py
+++ b/review/4/case.py
@@ -19,7 +19,7 @@
     submit,
 )
 
-IDLE, USED = "svc-a", "svc-b"
+IDLE, USED = "leyenda-lm", "notice-lm"
 ITEMS = 8
 TRAFFIC_SECONDS = 5.0
 COMPLETION_SECONDS = 18.0
@@ -30,15 +30,17 @@
     fleet.start_store()
     fleet.put("keyed.op", "config", configuration(1, [batch_route(USED)], [service(USED)]))
     engines = [Engine(fleet, f"i-{USED}-{n}", USED) for n in range(2)]
-    daemons = [fleet.start_daemon(number) for number in (1, 2)]
-    for daemon in daemons:
-        fleet.wait_for(daemon.is_ready, 20, f"{daemon.name} ready")
+    daemons = [fleet.start_daemon(1)]
+    fleet.wait_for(daemons[0].is_ready, 20, "gateway-1 ready")
     time.sleep(3)
     online = batch_route(IDLE, name="online", pathPrefix="/online/", routeType="streaming")
     services = [service(USED), service(IDLE)]
     fleet.put("keyed.op", "config", configuration(2, [batch_route(USED), online], services))
     engines += [Engine(fleet, f"i-{IDLE}-{n}", IDLE) for n in range(2)]
     time.sleep(3)
+    daemons.append(fleet.start_daemon(2))
+    fleet.wait_for(daemons[1].is_ready, 20, "gateway-2 ready")
+    time.sleep(4)
 
     def run_job(job_id, seconds):
         items = [f"{job_id}-{n}" for n in range(ITEMS)]
