--- a/review/6/case.py
+++ b/review/6/case.py
@@ -29,19 +29,20 @@
     fleet.start_store()
     services = [service("svc-a", 17, LARGE_MEMORY), service("svc-b", 12, SMALL_MEMORY)]
     fleet.put("keyed.op", "config", configuration(1, [batch_route("svc-a")], services))
-    engines = [Engine(fleet, f"i-a{n}", "svc-a", 17, LARGE_MEMORY) for n in range(2)]
+    engines = []
+    if TROUBLE:  # the servers of svc-b are there first, so that case 4 has no part in this
+        engines += [Engine(fleet, f"i-b{n}", "svc-b", 12, SMALL_MEMORY) for n in range(2)]
+    else:
+        engines += [Engine(fleet, f"i-a{n}", "svc-a", 17, LARGE_MEMORY) for n in range(2)]
     daemons = [fleet.start_daemon(number) for number in (1, 2, 3)]
     for daemon in daemons:
         fleet.wait_for(daemon.is_ready, 20, f"{daemon.name} ready")
     time.sleep(4)
     if TROUBLE:
-        old, engines = engines, []
-        engines += [Engine(fleet, f"i-b{n}", "svc-b", 12, SMALL_MEMORY) for n in range(2)]
-        time.sleep(2)
-        fleet.log("the operator moves the route to svc-b; the servers of svc-a leave as planned")
+        engines += [Engine(fleet, f"i-a{n}", "svc-a", 17, LARGE_MEMORY) for n in range(2)]
+        time.sleep(4)
+        fleet.log("the operator moves the route to svc-b")
         fleet.put("keyed.op", "config", configuration(4, [batch_route("svc-b")], services))
-        for engine in old:
-            engine.leave()
     time.sleep(6)
     items = [f"b{n:07x}" for n in range(4)]
     body = job_body(items, EVENTS, 25, {items[0]: MOST_OUT})
@@ -63,9 +64,11 @@
             runs[item] += 1
     fleet.log("arrivals at servers, by item:", runs)
     busy = sum(engine.running + engine.waiting for engine in engines)
+    if missing and missing != items[:1]:
+        raise CannotRun("other items than the large one were not done either")
     if missing and not busy and all(runs[item] == 0 for item in missing):
         return f"LOST: {missing} accepted, never offered to a server, not listed, servers empty"
     return ""
 
 
-play(Path(__file__).resolve().parent, case)
+play(Path(__file__).resolve().parent / "record.txt", case)
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,3 +1,4 @@
 #!/bin/sh
-# Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-exec python3 "$(dirname "$0")/case.py"
+# Writes record.txt in this folder. Exit code: 1 if the rule was broken, 0 if it held, 2 if the case
+# could not run.
+exec python3 -B "$(dirname "$0")/case.py"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,5 +4,7 @@
 # stand-ins in review/, which are Python without packages. Nothing is fetched.
 set -e
 cd "$(dirname "$0")/.."
-python3 -m py_compile review/fleet2.py review/store2.py review/[4-8]/case.py
-PYTHONPATH=target/deps python3 -c "import troutswitch.platform.store_service"
+for file in review/fleet2.py review/store2.py review/[4-8]/case.py; do
+    python3 -B -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
+done
+PYTHONPATH=target/deps python3 -B -c "import troutswitch.platform.store_service"
--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -65,11 +65,11 @@
 
 
 class Fleet:
-    """Everything that a case starts. `log` writes to record.txt with the time since the start."""
+    """Everything that a case starts. `log` writes to the file `record` with the time since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, record):
         self.began = time.monotonic()
-        self.record = open(Path(folder) / "record.txt", "w", buffering=1)
+        self.record = open(record, "w", buffering=1)
         self.folder = Path(tempfile.mkdtemp(prefix="review2-"))
         self.processes = {}
         self.engines = []
@@ -364,16 +364,6 @@
     def stop(self):
         self.is_stopped = True
 
-    def leave(self):
-        """Leaves as planned: drains, serves on for 2.5 s, then its entry goes."""
-        self.state = "draining"
-        self.register()
-        time.sleep(2.5)
-        self.is_stopped = True
-        self.server.shutdown()
-        self.server.server_close()
-        self.fleet.put("keyed.servers", self.name, None)
-
     def load(self):
         return f"{self.running},{self.waiting},{self.slots}"
 
@@ -561,9 +551,9 @@
     return status, json.loads(text) if status == 200 else None
 
 
-def play(folder, case):
-    """Runs a case and exits: 0 if the rule held, 1 if it was broken, 2 if it could not run."""
-    fleet = Fleet(folder)
+def play(record, case):
+    """Runs a case, writes `record`, and exits: 0 if the rule held, 1 if it was broken, 2 if it could not run."""
+    fleet = Fleet(record)
     code = 2
     try:
         verdict = case(fleet)
