Compare a submission with the index in the step that appends its manifest

Cause: the id and the limit were compared when a submission came and after a read of the index, but the manifest was appended at the end that the follower had reached by then. The condition on the end held although nothing had compared the records that came meanwhile. Two ways led there: the last chunk was stored, or a refused append of the manifest was retried.

Change: `_append_manifest` is the only place that appends a manifest, and compares id and limit in the step in which it takes the expected end. What does not fit there is read again and refused.

Why it works: the comparison and the expected end are of one state of the replica, and the store refuses the append if anything follows that state.

--- a/src/troutswitch/decisions/jobs/intake.py
+++ b/src/troutswitch/decisions/jobs/intake.py
@@ -9,8 +9,11 @@
     any        -> refused    the job does not fit, or the client's timeout expires
 
 A job exists from the append of its manifest on. The append is conditional on the end of the index,
-so a daemon accepts a job only after it has counted all earlier jobs. This bounds the queued tokens
-over all daemons without a central counter (`token_limits`).
+and in the step in which it is sent, the submission is compared with the index up to that end and
+with the configuration in force (`_append_manifest`, the only place that appends a manifest). So a
+daemon accepts a job only after it has counted all earlier jobs. This bounds the queued tokens over
+all daemons without a central counter (`token_limits`). What was compared earlier only saves calls
+to the store.
 
 A refusal with status 429 or 503 promises that the job never runs. It is given only if every append
 of the manifest was answered; otherwise the status is 504.
@@ -231,6 +234,17 @@
         return self._start_call(now, submission, call)
 
     def _append_manifest(self, now: float, submission: Submission) -> list[StoreCall]:
+        """Appends the manifest, unless the index up to the expected end forbids it.
+
+        The index may have changed since the submission was last compared with it.
+        """
+        existing = self._existing_answer(submission.manifest)
+        if existing is not None:
+            self._finish(now, submission, existing)
+            return []
+        if not self._token_limits.fits(submission.route, submission.manifest):
+            self._read_index(submission)
+            return []
         submission.state = IntakeState.APPENDING
         end = self._replicas.index_follower.next_offset
         record = manifest_record(submission.manifest)
--- /dev/null
+++ b/tests/decisions/jobs/test_late_manifests.py
@@ -0,0 +1,111 @@
+"""Submissions whose content takes long to store, while the index or the configuration changes."""
+
+import pytest
+
+from tests.simulation.accepted_manifests import unfounded_manifests
+from tests.simulation.fleet import Daemon, SimulatedFleet
+from tests.simulation.plain_formats import HOST, PREFIX
+from troutswitch.decisions.jobs.messages import (
+    JobAccepted,
+    JobAnswer,
+    JobEnded,
+    JobEndRequested,
+    JobRefused,
+    JobSubmitted,
+    RunItem,
+)
+from troutswitch.decisions.jobs.records import INDEX, SHARD_TOPIC, JobItem
+from troutswitch.decisions.storage.messages import AppendRecords, CallFailed, StoreCall
+
+SLOW_SECONDS = 1.5
+TOKENS = 100
+
+
+class SlowStoreFleet(SimulatedFleet):
+    """Daemons of which one stores the content of jobs slowly, or its manifests not at once."""
+
+    def __init__(self, max_queued_tokens: int = 0) -> None:
+        self.slow_daemon = ""
+        self.refused_manifests = 0
+        """Number of manifests of the slow daemon that the store refuses from now on."""
+        self.runs: list[str] = []
+        super().__init__(1, daemons=3, max_queued_tokens=max_queued_tokens)
+        self.run(3.0)
+        self.slow_daemon = "daemon-0"
+
+    def store_seconds(self, daemon: Daemon, call: StoreCall) -> float:
+        is_content = isinstance(call, AppendRecords) and call.partition.topic == SHARD_TOPIC
+        if is_content and daemon.name == self.slow_daemon:
+            return SLOW_SECONDS
+        return super().store_seconds(daemon, call)
+
+    def _call_store(self, daemon: Daemon, call: StoreCall) -> None:
+        is_manifest = isinstance(call, AppendRecords) and call.partition == INDEX
+        if is_manifest and daemon.name == self.slow_daemon and self.refused_manifests:
+            self.refused_manifests -= 1
+            self._answer(daemon, call.call, CallFailed("busy", False), SLOW_SECONDS)
+            return
+        super()._call_store(daemon, call)
+
+    def run_item(self, daemon: Daemon, run: RunItem) -> None:
+        self.runs.append(run.item.item_id)
+
+    def submit(
+        self, daemon: str, job_id: str, body: bytes = b"body", tokens: int = TOKENS
+    ) -> list[JobAnswer]:
+        """Submits a job of one item at a daemon; returns the list that the answer is added to."""
+        items = (JobItem(f"{job_id}-0", f"{PREFIX}0", (), body, tokens),)
+        digest = body.hex()
+        event = JobSubmitted(self.next_token(), job_id, HOST, PREFIX, items, digest, 8.0)
+        answers: list[JobAnswer] = []
+        self.ask(self.daemons[daemon], event, answers.append)
+        return answers
+
+    def end(self, daemon: str, job_id: str) -> list[JobAnswer]:
+        event = JobEndRequested(self.next_token(), job_id, 4.0)
+        answers: list[JobAnswer] = []
+        self.ask(self.daemons[daemon], event, answers.append)
+        return answers
+
+
+@pytest.mark.parametrize("refused_manifests", [0, 1])
+def test_an_ended_job_is_not_opened_by_a_submission_of_it_that_was_being_stored(
+    refused_manifests: int,
+) -> None:
+    """Guards against a second manifest, which undoes the end that was acknowledged."""
+    fleet = SlowStoreFleet()
+    fleet.refused_manifests = refused_manifests
+    late = fleet.submit("daemon-0", "job")
+    fleet.run(SLOW_SECONDS + 0.1 if refused_manifests else 0.1)
+    first = fleet.submit("daemon-1", "job")
+    fleet.run(0.3)
+    ended = fleet.end("daemon-2", "job")
+    fleet.run(0.3)
+    assert (first, ended) == ([JobAccepted()], [JobEnded()])
+    fleet.runs.clear()
+    fleet.run(2 * SLOW_SECONDS + 2.0)
+    assert late == [JobAccepted()]
+    assert unfounded_manifests(fleet.store) == []
+    assert fleet.runs == []
+
+
+@pytest.mark.parametrize("refused_manifests", [0, 1])
+def test_a_job_that_no_longer_fits_after_its_content_was_stored_is_refused(
+    refused_manifests: int,
+) -> None:
+    """Guards against more queued tokens than the limit allows while the store is slow."""
+    fleet = SlowStoreFleet(max_queued_tokens=150)
+    fleet.refused_manifests = refused_manifests
+    late = fleet.submit("daemon-0", "late")
+    fleet.run(SLOW_SECONDS + 0.1 if refused_manifests else 0.1)
+    assert_accepted(fleet, "daemon-1", "other")
+    fleet.run(2 * SLOW_SECONDS + 1.0)
+    assert [type(answer) for answer in late] == [JobRefused]
+    assert isinstance(late[0], JobRefused) and late[0].status == 429
+    assert unfounded_manifests(fleet.store, 150) == []
+
+
+def assert_accepted(fleet: SlowStoreFleet, daemon: str, job_id: str) -> None:
+    answers = fleet.submit(daemon, job_id)
+    fleet.run(0.3)
+    assert answers == [JobAccepted()]
--- a/tests/simulation/fleet.py
+++ b/tests/simulation/fleet.py
@@ -309,6 +309,10 @@
 
     # The store.
 
+    def store_seconds(self, daemon: Daemon, call: StoreCall) -> float:
+        """Returns how long a call of the store takes."""
+        return STORE_SECONDS
+
     def _call_store(self, daemon: Daemon, call: StoreCall) -> None:
         self.store_calls[type(call).__name__] += 1
         call = self._rewrite_call(call)
@@ -327,14 +331,15 @@
         if isinstance(call, ReadRecords) and call.wait > 0:
             self._read_waiting(daemon, call, self.env.now)
             return
-        self.call_later(STORE_SECONDS / 2, lambda: self._apply_and_answer(daemon, call))
+        seconds = self.store_seconds(daemon, call)
+        self.call_later(seconds / 2, lambda: self._apply_and_answer(daemon, call, seconds / 2))
 
     def _apply(self, call: StoreCall) -> None:
         self.store.call(self.env.now, call)
 
-    def _apply_and_answer(self, daemon: Daemon, call: StoreCall) -> None:
+    def _apply_and_answer(self, daemon: Daemon, call: StoreCall, seconds: float) -> None:
         outcome = self.store.call(self.env.now, call)
-        self._answer(daemon, call.call, outcome, STORE_SECONDS / 2)
+        self._answer(daemon, call.call, outcome, seconds)
 
     def _time_out(self, daemon: Daemon, call: StoreCall, sent_at: float) -> None:
         wait = call.wait if isinstance(call, ReadRecords) else 0.0
