The index is a function of the newest records: a second manifest does not undo an end

What could be seen: after a second manifest of one job, daemons that read all records took an ended job as open, and those that started later took it as ended.

Cause: a further manifest of a known id replaced the entry, whatever its content, and the end that had been read was forgotten. This serves a job whose id a removed job had, where the removal was not read; then the removal of the end's mark comes too, and was ignored.

Change: marks of ends are kept apart, a removed mark ends nothing any more, and a manifest of the same content leaves the state of its job.

--- a/src/troutswitch/decisions/jobs/index.py
+++ b/src/troutswitch/decisions/jobs/index.py
@@ -2,6 +2,10 @@
 
 It owns the entry of each job: its manifest, whether its client ended it, and the tokens of its
 items that are not listed yet.
+
+An entry follows from the newest record of each key, so daemons that read all records and daemons
+that read only the newest ones agree. In particular a job is ended while the index has the mark of
+its end, whichever of the two came last.
 """
 
 from dataclasses import dataclass, field
@@ -55,8 +59,10 @@
 
     jobs: dict[str, JobEntry] = field(default_factory=dict)
     malformed: int = 0
-    _early_ends: set[str] = field(default_factory=set)
+    _ends: set[str] = field(default_factory=set)
+    """Jobs whose end is marked, also those without a manifest yet."""
     _early_progress: dict[str, int] = field(default_factory=dict)
+    """Remaining tokens of jobs without a manifest yet."""
 
     def apply(self, now: float, record: KeyedRecord, time_of_day: float = 0.0) -> None:
         """Applies a record; counts it as malformed if this version cannot decode it.
@@ -85,27 +91,27 @@
     def _apply_manifest(self, now: float, manifest: Manifest, time_of_day: float) -> None:
         """Adds a job. Its other records may come first.
 
-        A manifest is appended only if the index has none of its job. So another one of the same id
-        is that of a new job, after the former one was removed.
+        A further manifest of the same content is that of the same job: a daemon of an earlier
+        version may append one. Of other content, it is that of a new job, after the former one was
+        removed.
         """
         known = self.jobs.get(manifest.job_id)
-        if known is not None and known.manifest == manifest:
+        if known is not None and _is_same_job(known.manifest, manifest):
+            known.manifest = manifest
             return
         entry = JobEntry(manifest, manifest.tokens, now)
         if time_of_day and manifest.submitted_at:
             age = time_of_day - manifest.submitted_at
             entry.age_at_first_read = min(max(0.0, age), MAX_JOB_AGE_SECONDS)
         self.jobs[manifest.job_id] = entry
-        entry.is_ended = manifest.job_id in self._early_ends
+        entry.is_ended = manifest.job_id in self._ends
         remaining = self._early_progress.pop(manifest.job_id, manifest.tokens)
         entry.remaining_tokens = min(remaining, manifest.tokens)
-        self._early_ends.discard(manifest.job_id)
 
     def _apply_end(self, job_id: str) -> None:
+        self._ends.add(job_id)
         entry = self.jobs.get(job_id)
-        if entry is None:
-            self._early_ends.add(job_id)
-        else:
+        if entry is not None:
             entry.is_ended = True
 
     def _apply_progress(self, job_id: str, remaining_tokens: int) -> None:
@@ -117,9 +123,15 @@
             entry.remaining_tokens = min(entry.remaining_tokens, remaining_tokens)
 
     def _remove(self, kind: str, job_id: str) -> None:
+        entry = self.jobs.get(job_id)
         if kind == MANIFEST:
             self.jobs.pop(job_id, None)
-        self._early_ends.discard(job_id)
+        elif kind == END_MARK and entry is not None:
+            entry.is_ended = False
+        elif kind == PROGRESS and entry is not None:
+            entry.remaining_tokens = entry.manifest.tokens
+        if kind != PROGRESS:
+            self._ends.discard(job_id)
         self._early_progress.pop(job_id, None)
 
     def queued_tokens(self, route: str, tenant: str) -> int:
@@ -135,3 +147,13 @@
     def open_in_shard(self, shard: int) -> list[JobEntry]:
         """Returns the open jobs of a shard, oldest first."""
         return [e for e in self.jobs.values() if e.manifest.shard == shard and e.is_open]
+
+
+def _is_same_job(known: Manifest, manifest: Manifest) -> bool:
+    """Returns whether two manifests of one id describe the same job."""
+    return (known.digest, known.tenant, known.item_count, known.tokens) == (
+        manifest.digest,
+        manifest.tenant,
+        manifest.item_count,
+        manifest.tokens,
+    )
--- a/tests/decisions/jobs/test_index.py
+++ b/tests/decisions/jobs/test_index.py
@@ -4,7 +4,12 @@
 
 from tests.simulation.fleet import SimulatedFleet
 from troutswitch.decisions.jobs.index import JobIndex
-from troutswitch.decisions.jobs.records import Manifest, end_record, manifest_record
+from troutswitch.decisions.jobs.records import (
+    Manifest,
+    end_record,
+    manifest_record,
+    progress_record,
+)
 from troutswitch.decisions.storage.messages import KeyedRecord
 
 
@@ -45,6 +50,33 @@
     assert (entry.manifest, entry.remaining_tokens, entry.first_read_at) == (manifest, 20, 9.0)
 
 
+def test_a_second_manifest_of_a_job_does_not_undo_its_end() -> None:
+    """Guards against daemons that differ in whether a job is open: some read newest records only.
+
+    A daemon of an earlier version may append the second manifest.
+    """
+    first = manifest_record(Manifest("job", "r", "h", 2, 14, "d", 0, submitted_at=1000.0))
+    second = manifest_record(Manifest("job", "r", "h", 2, 14, "d", 0, submitted_at=1001.0))
+    all_records, newest_records = JobIndex(), JobIndex()
+    for record in (first, progress_record("job", 7), end_record("job"), second):
+        all_records.apply(5.0, record)
+    for record in (progress_record("job", 7), end_record("job"), second):
+        newest_records.apply(6.0, record)
+    for index in (all_records, newest_records):
+        entry = index.jobs["job"]
+        assert (entry.is_ended, entry.remaining_tokens) == (True, 7)
+        assert entry.manifest.submitted_at == 1001.0
+
+
+def test_a_removed_end_no_longer_ends_the_job_of_its_id() -> None:
+    index = JobIndex()
+    index.apply(5.0, end_record("job"))
+    index.apply(6.0, manifest_record(Manifest("job", "r", "h", 2, 14, "d", 0)))
+    assert not index.jobs["job"].is_open
+    index.apply(7.0, KeyedRecord("e:job", b""))
+    assert index.jobs["job"].is_open
+
+
 def test_a_job_keeps_its_age_after_a_restart_of_all_daemons() -> None:
     fleet = SimulatedFleet(3)
     fleet.run(3.0)
