Accept a job by the configuration in force when its manifest is appended

What callers could see: a 202 for a job whose route had been removed, whose tenant's key had been revoked, or that exceeds a limit lowered meanwhile; the job then ran, or was dead-lettered.

Cause: route, limit and tenant were looked up when the submission came. While the store is slow, storing the content takes seconds, in which another configuration comes into force.

Change: the step that appends the manifest looks them up again, and refuses as on arrival; with 504 if an earlier append may have taken effect. It also ends a submission whose caller's deadline has passed.

Evidence: three tests (route removed, limit lowered, key revoked), which failed before. The test of the deadline held before too, since the timer ends such submissions.

--- a/src/troutswitch/decisions/jobs/intake.py
+++ b/src/troutswitch/decisions/jobs/intake.py
@@ -22,7 +22,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import assert_never
 
@@ -58,6 +58,7 @@
     StoreCall,
     StoreOutcome,
 )
+from troutswitch.outcomes import NotRun
 
 ANSWER_RESERVE_SECONDS = 0.3
 """Part of a client's timeout that is reserved for sending the answer."""
@@ -124,6 +125,7 @@
     ) -> None:
         self._submissions: dict[int, Submission] = {}
         self._routes = dependencies.routes
+        self._tenant_keys = dependencies.tenant_keys
         self._numbers = dependencies.numbers
         self._log = dependencies.log
         self._limits = limits
@@ -135,20 +137,25 @@
 
     def on_submitted(self, now: float, event: JobSubmitted) -> list[StoreCall]:
         """Starts a submission, or answers it immediately."""
-        if self._routes.configuration is None:
-            refusal = JobRefused(503, "no configuration yet", RETRY_AFTER_SECONDS)
+        route = self._route_of(event)
+        if isinstance(route, JobRefused):
+            return self._answer_immediately(now, event, route)
+        if not self._replicas.index_follower.view.is_read:
+            refusal = JobRefused(503, "the index is not read yet", RETRY_AFTER_SECONDS)
             return self._answer_immediately(now, event, refusal)
+        return self._start(now, event, route)
+
+    def _route_of(self, event: JobSubmitted) -> Route | JobRefused:
+        """Returns the route of a job by the configuration in force, or the refusal of the job."""
+        if self._routes.configuration is None:
+            return JobRefused(503, "no configuration yet", RETRY_AFTER_SECONDS)
         route = self._routes.match(event.host, event.path)
         if route is None and self._routes.may_be_outdated:
             reason = "no such route, and the configuration may be old"
-            refusal = JobRefused(503, reason, OUTDATED_RETRY_SECONDS)
-            return self._answer_immediately(now, event, refusal)
+            return JobRefused(503, reason, OUTDATED_RETRY_SECONDS)
         if route is None or route.kind is not RouteKind.JOBS:
-            return self._answer_immediately(now, event, JobRefused(404, "no such route"))
-        if not self._replicas.index_follower.view.is_read:
-            refusal = JobRefused(503, "the index is not read yet", RETRY_AFTER_SECONDS)
-            return self._answer_immediately(now, event, refusal)
-        return self._start(now, event, route)
+            return JobRefused(404, "no such route")
+        return route
 
     def _start(self, now: float, event: JobSubmitted, route: Route) -> list[StoreCall]:
         manifest = self._manifest(now, event, route)
@@ -234,10 +241,17 @@
         return self._start_call(now, submission, call)
 
     def _append_manifest(self, now: float, submission: Submission) -> list[StoreCall]:
-        """Appends the manifest, unless the index up to the expected end forbids it.
+        """Appends the manifest, unless the configuration or the index forbids it.
 
-        The index may have changed since the submission was last compared with it.
+        Both may have changed since the submission was last compared with them.
         """
+        if now >= submission.expires_at:
+            self._expire(now, submission)
+            return []
+        refusal = self._apply_configuration(submission)
+        if refusal is not None:
+            self._finish(now, submission, refusal)
+            return []
         existing = self._existing_answer(submission.manifest)
         if existing is not None:
             self._finish(now, submission, existing)
@@ -251,6 +265,22 @@
         call = AppendRecords(self._numbers.next(), INDEX, (record,), end)
         return self._start_call(now, submission, call)
 
+    def _apply_configuration(self, submission: Submission) -> JobRefused | None:
+        """Sets a submission's route and tenant by the configuration in force, or refuses it."""
+        event, manifest = submission.event, submission.manifest
+        tenant = self._tenant_keys.identify_for_jobs(event.caller_key)
+        if isinstance(tenant, NotRun):
+            refusal = JobRefused(tenant.status, tenant.reason, tenant.retry_after)
+            return _unless_accepted(submission, refusal)
+        if tenant.name != manifest.tenant and submission.may_be_accepted:
+            return JobRefused(504, "the caller's tenant has changed", RETRY_AFTER_SECONDS)
+        route = self._route_of(event)
+        if isinstance(route, JobRefused):
+            return _unless_accepted(submission, route)
+        submission.route = route
+        submission.manifest = replace(manifest, route=route.name, tenant=tenant.name)
+        return None
+
     @staticmethod
     def _start_call(now: float, submission: Submission, call: AppendRecords) -> list[StoreCall]:
         submission.call = call.call
@@ -372,9 +402,8 @@
             waiting=self._token_limits.queued_tokens(submission.manifest),
             most=submission.route.max_queued_tokens,
         )
-        status = 504 if submission.may_be_accepted else 429
-        refusal = JobRefused(status, "too many tokens wait", LIMIT_RETRY_AFTER_SECONDS)
-        self._finish(now, submission, refusal)
+        refusal = JobRefused(429, "too many tokens wait", LIMIT_RETRY_AFTER_SECONDS)
+        self._finish(now, submission, _unless_accepted(submission, refusal))
 
     def _expire(self, now: float, submission: Submission) -> None:
         is_unanswered = submission.state is IntakeState.APPENDING and submission.call != 0
@@ -401,6 +430,11 @@
         self._answer(submission.event.token, answer)
 
 
+def _unless_accepted(submission: Submission, refusal: JobRefused) -> JobRefused:
+    """Returns a refusal, with 504 if an append of the manifest may have taken effect."""
+    return replace(refusal, status=504) if submission.may_be_accepted else refusal
+
+
 def _split_into_batches(
     records: tuple[KeyedRecord, ...], call_bytes: int
 ) -> list[tuple[KeyedRecord, ...]]:
--- a/tests/decisions/jobs/test_late_manifests.py
+++ b/tests/decisions/jobs/test_late_manifests.py
@@ -1,10 +1,12 @@
 """Submissions whose content takes long to store, while the index or the configuration changes."""
 
+from dataclasses import replace
+
 import pytest
 
 from tests.simulation.accepted_manifests import unfounded_manifests
 from tests.simulation.fleet import Daemon, SimulatedFleet
-from tests.simulation.plain_formats import HOST, PREFIX
+from tests.simulation.plain_formats import HOST, PREFIX, PlainFormats
 from troutswitch.decisions.jobs.messages import (
     JobAccepted,
     JobAnswer,
@@ -16,8 +18,10 @@
 )
 from troutswitch.decisions.jobs.records import INDEX, SHARD_TOPIC, JobItem
 from troutswitch.decisions.storage.messages import AppendRecords, CallFailed, StoreCall
+from troutswitch.decisions.tenants.types import Tenant, key_digest
 
 SLOW_SECONDS = 1.5
+OURS = key_digest("ours")
 TOKENS = 100
 
 
@@ -29,7 +33,8 @@
         self.refused_manifests = 0
         """Number of manifests of the slow daemon that the store refuses from now on."""
         self.runs: list[str] = []
-        super().__init__(1, daemons=3, max_queued_tokens=max_queued_tokens)
+        tenants = (Tenant("ours", frozenset({OURS})),)
+        super().__init__(1, daemons=3, max_queued_tokens=max_queued_tokens, tenants=tenants)
         self.run(3.0)
         self.slow_daemon = "daemon-0"
 
@@ -51,18 +56,38 @@
         self.runs.append(run.item.item_id)
 
     def submit(
-        self, daemon: str, job_id: str, body: bytes = b"body", tokens: int = TOKENS
+        self,
+        daemon: str,
+        job_id: str,
+        body: bytes = b"body",
+        tokens: int = TOKENS,
+        time_left: float = 8.0,
     ) -> list[JobAnswer]:
         """Submits a job of one item at a daemon; returns the list that the answer is added to."""
         items = (JobItem(f"{job_id}-0", f"{PREFIX}0", (), body, tokens),)
         digest = body.hex()
-        event = JobSubmitted(self.next_token(), job_id, HOST, PREFIX, items, digest, 8.0)
+        event = JobSubmitted(
+            self.next_token(), job_id, HOST, PREFIX, items, digest, time_left, OURS
+        )
         answers: list[JobAnswer] = []
         self.ask(self.daemons[daemon], event, answers.append)
         return answers
 
+    def publish_changed(self, change: str) -> None:
+        """Puts a configuration in force without the route, with a lower limit or another key."""
+        first = self._formats.configuration("configuration", b"1")
+        assert first is not None and isinstance(self._formats, PlainFormats)
+        if change == "route removed":
+            changed = replace(first, routes=())
+        elif change == "limit lowered":
+            changed = replace(first, routes=(replace(first.routes[0], max_queued_tokens=50),))
+        else:
+            changed = replace(first, tenants=(Tenant("ours", frozenset({key_digest("new")})),))
+        self._formats.changed[2] = changed
+        self.publish(2)
+
     def end(self, daemon: str, job_id: str) -> list[JobAnswer]:
-        event = JobEndRequested(self.next_token(), job_id, 4.0)
+        event = JobEndRequested(self.next_token(), job_id, 4.0, OURS)
         answers: list[JobAnswer] = []
         self.ask(self.daemons[daemon], event, answers.append)
         return answers
@@ -105,6 +130,32 @@
     assert unfounded_manifests(fleet.store, 150) == []
 
 
+@pytest.mark.parametrize(
+    ("change", "status"),
+    [("route removed", 404), ("limit lowered", 429), ("key revoked", 401)],
+)
+def test_a_job_is_refused_by_the_configuration_that_came_while_it_was_stored(
+    change: str, status: int
+) -> None:
+    """Guards against a 202 for a job that the configuration in force does not allow."""
+    fleet = SlowStoreFleet(max_queued_tokens=150)
+    late = fleet.submit("daemon-0", "late")
+    fleet.run(0.1)
+    fleet.publish_changed(change)
+    fleet.run(2 * SLOW_SECONDS + 1.0)
+    assert isinstance(late[0], JobRefused) and late[0].status == status
+    assert unfounded_manifests(fleet.store) == []
+    assert fleet.runs == []
+
+
+def test_a_job_is_not_accepted_after_its_callers_deadline() -> None:
+    fleet = SlowStoreFleet()
+    late = fleet.submit("daemon-0", "late", time_left=SLOW_SECONDS + 0.25)
+    fleet.run(2 * SLOW_SECONDS)
+    assert isinstance(late[0], JobRefused) and late[0].status == 503
+    assert not any(record.key == "j:late" for record in fleet.store.log(INDEX).records)
+
+
 def assert_accepted(fleet: SlowStoreFleet, daemon: str, job_id: str) -> None:
     answers = fleet.submit(daemon, job_id)
     fleet.run(0.3)
--- a/tests/simulation/plain_formats.py
+++ b/tests/simulation/plain_formats.py
@@ -25,10 +25,13 @@
 
     def __init__(self, configuration: FleetConfiguration) -> None:
         self._configuration = configuration
+        self.changed: dict[int, FleetConfiguration] = {}
+        """Configurations that differ from the first one, by version."""
 
     def configuration(self, key: str, data: bytes) -> FleetConfiguration | None:
         """Returns the fleet's configuration with the version in the record."""
-        return replace(self._configuration, version=int(data))
+        version = int(data)
+        return replace(self.changed.get(version, self._configuration), version=version)
 
     def prompt(self, headers: Mapping[str, str]) -> PromptShape:
         """Returns the prompt of a batch item, with the parts that its headers name."""
