Count waiting items by service where slots are assigned

Cause: a coordinator subtracted its own waiting items for each slot that it assigned in a round, whatever the service. The slots of an idle service that comes first used up the demand, the daemon could start nothing there, and 20 ms later the same began anew.

Change: a daemon counts its waiting items by service, in its own rounds and in its reports. A slot is assigned to a daemon only for items that can start at its service. The rows are a last field of the report, sent only where an item can't start at every listed service; other reports keep their bytes. A daemon of the version before ignores them. Its own reports have none: a slot of one service then uses up no item of another.

--- a/src/troutswitch/daemons/datagram.py
+++ b/src/troutswitch/daemons/datagram.py
@@ -12,6 +12,7 @@
 from troutswitch.cbor_values import MalformedCbor, decode_cbor
 from troutswitch.daemons.messages import (
     BatchSlotGrant,
+    HoldingsReport,
     PacedReport,
     PeerMessage,
     QueuedSlotRequest,
@@ -26,11 +27,15 @@
     QuotaDecision: True,
     SlotReply: False,
     BatchSlotGrant: None,
+    HoldingsReport: (),
     PacedReport: (),
     QueuedSlotRequest: (),
 }
 """Default of the last field of messages that are encoded without it while it has its default. Such
 a field was added later, and the messages that do not use it keep their bytes."""
+REPORT_FIELD = 1
+"""Position of the report in the messages that have one: the first field after the tag. Its last
+field is omitted in the same way."""
 _NOT_OMITTED = object()
 
 
@@ -41,6 +46,9 @@
 def encode(message: PeerMessage) -> bytes:
     """Returns the datagram for a message."""
     fields = msgspec.to_builtins(message)
+    report = getattr(message, "report", None)
+    if isinstance(report, HoldingsReport) and not report.services:
+        fields[REPORT_FIELD] = fields[REPORT_FIELD][:-1]
     if fields[-1] == OMITTED_DEFAULTS.get(type(message), _NOT_OMITTED):
         fields = fields[:-1]
     return cbor2.dumps([VERSION, fields])
--- a/src/troutswitch/daemons/messages.py
+++ b/src/troutswitch/daemons/messages.py
@@ -35,6 +35,10 @@
 OTHER_TENANTS = "\x00others"
 """Name in the row that sums the tenants without a row. Tenants whose names are not printable have
 none, so this is no tenant's name in a row."""
+MAX_SERVICE_ROWS = 32
+"""Maximum number of services named in a report. Their rows take at most 12 bytes each."""
+OTHER_SERVICES = 0
+"""Key in the row for the services without a row; no service has this key."""
 UNBOUNDED_WAIT_MS = -1
 """Maximum wait of a request that accepts any wait."""
 
@@ -63,6 +67,18 @@
     prefill_units: int
 
 
+class ServiceItems(msgspec.Struct, frozen=True, array_like=True):
+    """Batch items of a daemon that could start now at the engines of one service.
+
+    `service` is its key (`streams.versions`). `in_time` and `late` count as `waiting_items` and
+    `late_items` of `HoldingsReport` do. An item that several services can run counts for each.
+    """
+
+    service: int
+    in_time: int
+    late: int
+
+
 class HoldingsReport(msgspec.Struct, frozen=True, array_like=True, tag="holds"):
     """The requests and items of one daemon that concern the receiver as a coordinator.
 
@@ -74,6 +90,9 @@
     `last_grant_seen` is the highest number of the receiver's grants to the sender that the report
     takes into account, as numbered by the receiver's incarnation `coordinator_incarnation`.
     `unusable` has the keys of engines to which the sender currently sends no requests.
+
+    `services` divides the waiting items by service. It is encoded only if it has rows, and a daemon
+    of an earlier version ignores it. Without rows each item can start at every service.
     """
 
     sender: str
@@ -88,6 +107,7 @@
     coordinator_incarnation: int = 0
     last_grant_seen: int = 0
     unusable: tuple[int, ...] = ()
+    services: tuple[ServiceItems, ...] = ()
 
 
 class SlotRequest(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
--- a/src/troutswitch/decisions/forwarding/engines.py
+++ b/src/troutswitch/decisions/forwarding/engines.py
@@ -162,6 +162,10 @@
         """Returns the engines of a service, including those that have begun to leave."""
         return self._by_service.get(service, [])
 
+    def services(self) -> Set[str]:
+        """Returns the services of the known engines."""
+        return self._by_service.keys()
+
     def of_service(self, service: str) -> list[Engine]:
         """Returns the engines of a service that have not begun to leave."""
         return [engine for engine in self.all_of_service(service) if not engine.is_leaving]
--- a/src/troutswitch/decisions/gateway_parts.py
+++ b/src/troutswitch/decisions/gateway_parts.py
@@ -9,7 +9,7 @@
 
 from troutswitch.common import Address
 from troutswitch.daemons.identity import DaemonIdentity
-from troutswitch.daemons.messages import TenantItems
+from troutswitch.daemons.messages import ServiceItems, TenantItems
 from troutswitch.decisions.active_configuration import ActiveConfiguration
 from troutswitch.decisions.crashes.suspects import CrashSuspects
 from troutswitch.decisions.engine_membership import ENGINE_LIST_SHARE, EngineMembership
@@ -60,6 +60,10 @@
     def waiting_by_tenant(self) -> tuple[TenantItems, ...]:
         return self._parts.jobs.owner.waiting_by_tenant
 
+    @property
+    def waiting_by_service(self) -> tuple[ServiceItems, ...]:
+        return self._parts.jobs.owner.waiting_by_service
+
     @property
     def open_items(self) -> int:
         return self._parts.jobs.owner.open_items
--- a/src/troutswitch/decisions/jobs/dispatcher.py
+++ b/src/troutswitch/decisions/jobs/dispatcher.py
@@ -17,7 +17,7 @@
 
 from functools import partial
 
-from troutswitch.daemons.messages import TenantItems
+from troutswitch.daemons.messages import ServiceItems, TenantItems
 from troutswitch.decisions.forwarding.engine import Engine
 from troutswitch.decisions.forwarding.engine_cost import RelativeFactors
 from troutswitch.decisions.jobs.dependencies import JobDependencies
@@ -29,6 +29,7 @@
 from troutswitch.decisions.jobs.order import AvailableCapacity
 from troutswitch.decisions.jobs.speed_order import is_better_served_elsewhere, order_for
 from troutswitch.decisions.jobs.starvation_guard import StarvationGuard
+from troutswitch.decisions.jobs.waiting_services import rows_by_service, rows_without_started
 from troutswitch.decisions.jobs.waiting_tenants import (
     is_in_row,
     rows_by_tenant,
@@ -53,6 +54,8 @@
         """Items that could start now, up to this daemon's limit of runs."""
         self.waiting_by_tenant: tuple[TenantItems, ...] = ()
         """The waiting items by tenant, for coordinators of paced services."""
+        self.waiting_by_service: tuple[ServiceItems, ...] = ()
+        """The waiting items by service; empty if each can start at every listed service."""
         self.starvation_guard = StarvationGuard()
         self._items = parts.items
         self._runs = parts.runs
@@ -65,15 +68,22 @@
         self._slots = dependencies.slots
         self._speed = dependencies.speed
 
+    def clear_waiting(self) -> None:
+        """Counts no item as waiting until the next round."""
+        self.waiting = WaitingItems()
+        self.waiting_by_tenant = ()
+        self.waiting_by_service = ()
+
     # A round of dispatching.
 
     def start_round(self, now: float) -> list[RunItem]:
         """Ranks the items, counts the waiting ones, and starts items where no slots are granted."""
-        candidates = [
-            progress
+        startable = {
+            progress.key: item
             for progress in self._items.startable(now, self._engines.listed_at)
-            if self._retries.prepare_start(now, progress) is not None
-        ]
+            if (item := self._retries.prepare_start(now, progress)) is not None
+        }
+        candidates = [item.progress for item in startable.values()]
         if not candidates and not self._runs.by_number:
             return []
         share = self._slots.share(now)
@@ -83,6 +93,12 @@
         in_time = ordered[: len(ordered) - len(late)]
         available = max(0, MAX_RUNS - len(self._runs.by_number))
         self.waiting = WaitingItems(min(available, len(in_time)), min(available, len(late)))
+        services = [
+            self._engine_choice.services_of(startable[progress.key]) for progress in ordered
+        ]
+        self.waiting_by_service = rows_by_service(
+            services[: len(in_time)], services[len(in_time) :], self._engines.services(), available
+        )
         if self._engines.has_paced_service:
             tenant_of = self._ranking.tenant_of
             tenants = [tenant_of(progress) for progress in ordered]
@@ -192,7 +208,7 @@
             started = self._start_ordered(now, own, engine, grant.count)
             if len(started) < grant.count:
                 started += self._start_ordered(now, others, engine, grant.count - len(started))
-        self._subtract_started(started)
+        self._subtract_started(started, engine.record.service)
         return started
 
     def _start_ordered(
@@ -261,12 +277,11 @@
         self._count_start(now, progress)
         return self._start(now, item, engine)
 
-    def _subtract_started(self, runs: list[RunItem]) -> None:
-        """Subtracts started items from the waiting ones until the next round counts them again."""
+    def _subtract_started(self, runs: list[RunItem], service: str) -> None:
+        """Subtracts items that started at a service from the waiting ones until the next round."""
+        self.waiting_by_service = rows_without_started(self.waiting_by_service, service, len(runs))
         self.waiting_by_tenant = without_started(
             self.waiting_by_tenant, [run.tenant for run in runs]
         )
         started = len(runs)
-        in_time = max(0, self.waiting.in_time - started)
-        late = max(0, self.waiting.late - max(0, started - self.waiting.in_time))
-        self.waiting = WaitingItems(in_time, late)
+        self.waiting = self.waiting.without(started)
--- a/src/troutswitch/decisions/jobs/engine_choice.py
+++ b/src/troutswitch/decisions/jobs/engine_choice.py
@@ -83,6 +83,10 @@
         peers = self._peer_tokens(engine, tokens)
         return has_cache_space(engine, tokens, self._cache_tokens(service), peers)
 
+    def services_of(self, item: StartableItem) -> frozenset[str]:
+        """Returns the services whose engines an item may run at."""
+        return frozenset(backend.service for backend in item.route.backends)
+
     def choose(
         self, now: float, item: StartableItem, may_start_at: Callable[[float, Engine], bool]
     ) -> Engine | None:
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -15,7 +15,7 @@
 which items start, `run_stops` which runs stop, `run_ends` and `item_retries` what follows a run.
 """
 
-from troutswitch.daemons.messages import TenantItems
+from troutswitch.daemons.messages import ServiceItems, TenantItems
 from troutswitch.decisions.jobs.batch_capacity import BATCH_CAPACITY_POLICIES
 from troutswitch.decisions.jobs.dependencies import JobDependencies, JobSettings
 from troutswitch.decisions.jobs.dispatcher import ItemDispatcher
@@ -123,6 +123,11 @@
         """The waiting items by tenant, if a named tenant has some and a service is paced."""
         return self._dispatcher.waiting_by_tenant
 
+    @property
+    def waiting_by_service(self) -> tuple[ServiceItems, ...]:
+        """The waiting items by service; empty if each can start at every listed service."""
+        return self._dispatcher.waiting_by_service
+
     @property
     def open_items(self) -> int:
         """Number of items that this daemon has to finish."""
@@ -162,8 +167,7 @@
         if self._first_round_at > now:
             self._first_round_at = now
             self._dispatcher.starvation_guard.begin(now)
-        self._dispatcher.waiting = WaitingItems()
-        self._dispatcher.waiting_by_tenant = ()
+        self._dispatcher.clear_waiting()
         if self.is_draining or now < self._first_round_at + SETTLE_SECONDS:
             return []
         return self._dispatcher.start_round(now)
--- a/src/troutswitch/decisions/slots/batch_slots.py
+++ b/src/troutswitch/decisions/slots/batch_slots.py
@@ -3,9 +3,10 @@
 The coordinator of the group runs this every `ASSIGN_SECONDS` while items wait at any daemon.
 
 Inputs: free slots by the coordinator's counts (some 10 ms old) and the policy for batch capacity;
-for each daemon, its items that could start now and meet their job's objective, and those that will
-miss it, from its newest report (up to 0.5 s old), less the slots granted since; engines that a
-daemon cannot use.
+for each daemon and service, its items that could start now and meet their job's objective, and
+those that will miss it, from its newest report (up to 0.5 s old), less the slots granted since;
+engines that a daemon cannot use. A daemon of an earlier version does not report by service: each of
+its items counts at every service, and a slot of one service uses up no item of another.
 
 Rule: slots are assigned engine by engine, the fastest engine first, and the least loaded one first
 of engines that are equally fast or whose speed is not known (`forwarding/engine_cost.py`). In
@@ -27,16 +28,16 @@
 """
 
 import random
-from collections import Counter
-from collections.abc import Callable, Iterator, Mapping
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from types import MappingProxyType
 
-from troutswitch.daemons.messages import TenantItems, engine_key
+from troutswitch.daemons.messages import ServiceItems, TenantItems, engine_key
 from troutswitch.decisions.forwarding.engine import Engine
 from troutswitch.decisions.forwarding.engine_cost import IgnoredSpeed, SpeedPolicy
 from troutswitch.decisions.invariants import ensure
 from troutswitch.decisions.jobs.batch_capacity import BatchCapacityPolicy
+from troutswitch.decisions.jobs.waiting_services import items_at
 from troutswitch.decisions.slots.ledger import Holder, SlotLedger
 from troutswitch.decisions.slots.messages import OwnItems, WaitingItems
 from troutswitch.decisions.slots.tenant_turns import TenantShare, TenantTurns
@@ -51,6 +52,7 @@
 """One slot out of this many goes to a daemon that has late items."""
 SELF = ""
 """Identifies this daemon among the daemons that have or want slots."""
+_NOTHING_ASSIGNED: Counter[str] = Counter()
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,14 +77,12 @@
     in_time: dict[str, int] = field(default_factory=dict)
     late: dict[str, int] = field(default_factory=dict)
 
-    def add(self, name: str, waiting: WaitingItems, granted: int) -> None:
-        """Adds a daemon's items, less those that have been granted a slot already."""
-        in_time = waiting.in_time - granted
-        late = waiting.late - max(0, -in_time)
-        if in_time > 0:
-            self.in_time[name] = in_time
-        if late > 0:
-            self.late[name] = late
+    def add(self, name: str, waiting: WaitingItems) -> None:
+        """Adds a daemon's items that have not been granted a slot."""
+        if waiting.in_time > 0:
+            self.in_time[name] = waiting.in_time
+        if waiting.late > 0:
+            self.late[name] = waiting.late
 
     def limit_to(self, total: "_Demand") -> "_Demand":
         """Returns this demand without the items beyond the total demand of their daemon."""
@@ -141,8 +141,8 @@
         self._rng = rng
         self._speed = speed or IgnoredSpeed()
         self._assigned_at = float("-inf")
-        self._own_granted = 0
-        """Slots assigned to this daemon's own items in the current round."""
+        self._assigned_at_service: defaultdict[str, Counter[str]] = defaultdict(Counter)
+        """Slots assigned in the current round, by daemon and service."""
         self._slots_assigned = 0
         """Slots assigned so far; every `LATE_SLOT_INTERVAL`th of them goes to late items."""
 
@@ -167,7 +167,7 @@
     def assign(self, now: float, groups: dict[str, list[Engine]]) -> list[BatchAssignment]:
         """Assigns the free slots of `groups`, which maps group names to usable engines."""
         self._assigned_at = now
-        self._own_granted = 0
+        self._assigned_at_service.clear()
         self._assigned_to.clear()
         if not self._has_waiting_items():
             self._turns.update(())
@@ -195,7 +195,8 @@
                 assignments += self._assign_fairly(engine, free_slots)
                 continue
             counts = self._assign_engine(engine, free_slots)
-            self._own_granted += counts.get(SELF, 0)
+            for name, count in counts.items():
+                self._assigned_at_service[name][engine.record.service] += count
             assignments += [BatchAssignment(name, engine, n) for name, n in counts.items()]
         return assignments
 
@@ -236,22 +237,43 @@
         zone = self._zone if name == SELF else self._ledger.holders[name].zone
         return SAME_ZONE_WEIGHT if zone == engine.record.zone else 1
 
-    def _demand(
-        self, engine: Engine | None, assigned: Mapping[str, int] = MappingProxyType({})
-    ) -> _Demand:
+    def _demand(self, engine: Engine | None, *, counts_round: bool = False) -> _Demand:
         """Returns the items that need a slot at an engine, or at any engine for None.
 
-        `assigned` has the slots that peers were assigned in this round.
+        With `counts_round`, slots that peers were assigned in this round are subtracted. Own items
+        start in the same step, so their slots always are.
         """
+        service = engine.record.service if engine is not None else None
         demand = _Demand()
-        demand.add(SELF, self._own_items.waiting, self._own_granted)
+        demand.add(SELF, self._own_need(service))
         for name, holder in self._ledger.holders.items():
             if engine is None or _can_use(holder, engine):
-                waiting = WaitingItems(holder.waiting_items, holder.late_items)
-                granted = holder.unreported_batch_grants + assigned.get(name, 0)
-                demand.add(name, waiting, granted)
+                demand.add(name, self._need_of(name, holder, service, counts_round=counts_round))
         return demand
 
+    def _own_need(self, service: str | None) -> WaitingItems:
+        """Returns this daemon's items that need a slot at a service, or at any for None."""
+        assigned = self._assigned_at_service[SELF]
+        left = self._own_items.waiting.without(assigned.total())
+        rows = self._own_items.waiting_by_service
+        if service is None or not rows:
+            return left
+        return left.limited_to(_items_at(rows, service).without(assigned[service]))
+
+    def _need_of(
+        self, name: str, holder: Holder, service: str | None, *, counts_round: bool
+    ) -> WaitingItems:
+        """Returns a peer's items that need a slot at a service, or at any for None."""
+        waiting = WaitingItems(holder.waiting_items, holder.late_items)
+        assigned = self._assigned_at_service[name] if counts_round else _NOTHING_ASSIGNED
+        if service is None:
+            return waiting.without(holder.unreported_batch_grants + assigned.total())
+        granted_here = holder.granted_at(service) + assigned[service]
+        if not holder.services:
+            return waiting.without(granted_here)
+        left = waiting.without(holder.unreported_batch_grants + assigned.total())
+        return left.limited_to(_items_at(holder.services, service).without(granted_here))
+
     # Tenants, in paced services.
 
     def _assign_fairly(self, engine: Engine, slots: int) -> list[BatchAssignment]:
@@ -282,8 +304,7 @@
         return name
 
     def _assignment(self, engine: Engine, name: str, tenant: str, count: int) -> BatchAssignment:
-        if name == SELF:
-            self._own_granted += count
+        self._assigned_at_service[name][engine.record.service] += count
         self._assigned_to[name, tenant] += count
         share = self._turns.share(tenant)
         competes = bool(tenant) or share.tenants_waiting > 1
@@ -311,10 +332,7 @@
                     yield tenant
 
     def _demand_by_tenant(self, engine: Engine) -> _TenantDemand:
-        assigned: Counter[str] = Counter()
-        for (name, _), count in self._assigned_to.items():
-            assigned[name] += count
-        demand = _TenantDemand(self._demand(engine, assigned))
+        demand = _TenantDemand(self._demand(engine, counts_round=True))
         for name in dict.fromkeys([*demand.total.in_time, *demand.total.late]):
             for tenant, own in self._tenants_of(name, demand.total):
                 merged = demand.tenants.setdefault(tenant, _Demand())
@@ -331,10 +349,16 @@
         for row in rows:
             demand = _Demand()
             granted = self._granted_to(name, row.tenant) if self._rows_of(name) else 0
-            demand.add(name, WaitingItems(row.in_time, row.late), granted)
+            demand.add(name, WaitingItems(row.in_time, row.late).without(granted))
             yield row.tenant, demand
 
 
+def _items_at(rows: tuple[ServiceItems, ...], service: str) -> WaitingItems:
+    """Returns the items that can start at a service, by rows that are not empty."""
+    row = items_at(rows, service)
+    return WaitingItems(row.in_time, row.late)
+
+
 def _take_one(waiting: dict[str, int], name: str) -> None:
     """Reduces a daemon's number of waiting items by one."""
     waiting[name] -= 1
--- a/src/troutswitch/decisions/slots/ledger.py
+++ b/src/troutswitch/decisions/slots/ledger.py
@@ -21,6 +21,7 @@
     PREFILL_UNIT_TOKENS,
     EngineShare,
     HoldingsReport,
+    ServiceItems,
     TenantItems,
     engine_key,
 )
@@ -51,6 +52,8 @@
     share: EngineShare
     tenant: str | None = None
     """The tenant whose items get the slots; None if the peer chooses."""
+    service: str = ""
+    """The service of the engine; empty if the engine is not known."""
 
 
 @dataclass(slots=True)
@@ -74,6 +77,8 @@
     late_items: int = 0
     tenants: tuple[TenantItems, ...] = ()
     """The waiting items by tenant; empty if they count as one tenant's."""
+    services: tuple[ServiceItems, ...] = ()
+    """The waiting items by service; empty if each can start at every service."""
     open_items: int = 0
     unusable: frozenset[int] = frozenset()
 
@@ -87,6 +92,11 @@
         """Number of slots for batch items granted since the newest report."""
         return sum(grant.share.batch for grant in self.grants if grant.share.batch > 0)
 
+    def granted_at(self, service: str) -> int:
+        """Returns the number of slots for items granted at a service since the newest report."""
+        shares = (grant.share for grant in self.grants if grant.service == service)
+        return sum(share.batch for share in shares if share.batch > 0)
+
     def granted_to(self, tenant: str) -> int:
         """Returns the number of slots granted to a tenant's items since the newest report."""
         shares = (grant.share for grant in self.grants if grant.tenant == tenant)
@@ -103,6 +113,7 @@
         self.late_items = report.late_items
         if tenants is not None:
             self.tenants = tenants
+        self.services = report.services
         self.open_items = report.open_items
         self.unusable = frozenset(report.unusable)
         self.reported = {share.engine_key: share for share in report.shares}
@@ -124,6 +135,7 @@
         self.waiting_items = 0
         self.late_items = 0
         self.tenants = ()
+        self.services = ()
         self.open_items = 0
         self.unusable = frozenset()
 
@@ -166,8 +178,10 @@
     def grant(self, now: float, name: str, share: EngineShare, tenant: str | None = None) -> int:
         """Counts a grant to a holder from now on; returns the grant's number."""
         holder = self.holders[name]
+        engine = self._engines.by_key(share.engine_key)
+        service = engine.record.service if engine is not None else ""
         holder.last_grant += 1
-        holder.grants.append(Grant(holder.last_grant, now, share, tenant))
+        holder.grants.append(Grant(holder.last_grant, now, share, tenant, service))
         self._apply(now, holder)
         return holder.last_grant
 
--- a/src/troutswitch/decisions/slots/messages.py
+++ b/src/troutswitch/decisions/slots/messages.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from troutswitch.common import Address
-from troutswitch.daemons.messages import PeerMessage, TenantItems
+from troutswitch.daemons.messages import PeerMessage, ServiceItems, TenantItems
 from troutswitch.decisions.forwarding.messages import LogLine
 
 
@@ -35,6 +35,15 @@
     in_time: int = 0
     late: int = 0
 
+    def without(self, count: int) -> "WaitingItems":
+        """Returns what is left after some items started, those in time first."""
+        late = self.late - max(0, count - self.in_time)
+        return WaitingItems(max(0, self.in_time - count), max(0, late))
+
+    def limited_to(self, other: "WaitingItems") -> "WaitingItems":
+        """Returns the lower count of each kind."""
+        return WaitingItems(min(self.in_time, other.in_time), min(self.late, other.late))
+
 
 @dataclass(frozen=True, slots=True)
 class StartItems:
@@ -107,6 +116,11 @@
         """The waiting items by tenant, if a named tenant has some and a service is paced."""
         ...
 
+    @property
+    def waiting_by_service(self) -> tuple[ServiceItems, ...]:
+        """The waiting items by service; empty if each can start at every listed service."""
+        ...
+
     @property
     def open_items(self) -> int:
         """Number of unfinished items."""
--- a/src/troutswitch/decisions/slots/reports.py
+++ b/src/troutswitch/decisions/slots/reports.py
@@ -12,8 +12,9 @@
 if it was not sent them before. A pace alone is no reason for a report. A coordinator of an earlier
 version ignores reports with paces, so it is sent none.
 
-A report to a coordinator of a paced service that reads paces also divides the waiting items by
-tenant, if a named tenant has some.
+A report divides the waiting items by service unless each can start at every listed service. One to
+a coordinator of a paced service that reads paces also divides them by tenant, if a named tenant has
+some.
 """
 
 from collections.abc import Callable, Iterator
@@ -27,6 +28,7 @@
     HoldingsReport,
     PacedReport,
     PaceReading,
+    ServiceItems,
     TenantItems,
     engine_key,
     prefill_units,
@@ -58,6 +60,7 @@
     waiting: WaitingItems = field(default_factory=WaitingItems)
     open_items: int = 0
     tenants: tuple[TenantItems, ...] = ()
+    services: tuple[ServiceItems, ...] = ()
 
     @property
     def is_empty(self) -> bool:
@@ -91,6 +94,7 @@
     waiting: WaitingItems
     open_items: int
     tenants: tuple[TenantItems, ...]
+    services: tuple[ServiceItems, ...]
     tenant_readers: frozenset[str]
     """Coordinators that are sent the division by tenant."""
 
@@ -175,6 +179,7 @@
             self._own_items.waiting,
             self._own_items.open_items,
             self._own_items.waiting_by_tenant,
+            self._own_items.waiting_by_service,
             self._tenant_readers(),
         )
         if inputs == self._inputs:
@@ -190,6 +195,7 @@
                 inputs.waiting,
                 inputs.open_items,
                 inputs.tenants if claim.daemon in inputs.tenant_readers else (),
+                inputs.services,
             )
 
     def _tenant_readers(self) -> frozenset[str]:
@@ -248,6 +254,7 @@
             coordinator.incarnation,
             coordinator.last_grant_seen,
             self._unusable(now),
+            holdings.services,
         )
 
     def tenants(self, claim: Claim) -> tuple[TenantItems, ...]:
--- a/tests/daemons/test_datagram.py
+++ b/tests/daemons/test_datagram.py
@@ -1,6 +1,7 @@
 """Datagrams between daemons are decoded to the message that was encoded, or rejected."""
 
 import cbor2
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -18,6 +19,7 @@
     HoldingsReport,
     KnownClaim,
     PeerMessage,
+    ServiceItems,
     SlotReply,
     SlotRequest,
     engine_key,
@@ -110,6 +112,32 @@
     assert len(encode(request)) < ETHERNET_PAYLOAD
 
 
+class EarlierReport(msgspec.Struct, frozen=True, array_like=True, tag="holds"):
+    """`HoldingsReport` as daemons of an earlier version read it."""
+
+    sender: str
+    zone: str
+    address: Address
+    incarnation: int
+    sequence: int
+    shares: tuple[EngineShare, ...] = ()
+    waiting_items: int = 0
+    late_items: int = 0
+    open_items: int = 0
+    coordinator_incarnation: int = 0
+    last_grant_seen: int = 0
+    unusable: tuple[int, ...] = ()
+
+
+def test_a_daemon_of_an_earlier_version_reads_a_report_by_service() -> None:
+    rows = (ServiceItems(7, 3, 1), ServiceItems(0, 0, 0))
+    report = HoldingsReport("d", "z", Address("10.0.0.1", 7), 2, 3, (), 4, 1, 5, services=rows)
+    _, fields = cbor2.loads(encode(report))
+    earlier = msgspec.convert(fields, EarlierReport)
+    assert (earlier.waiting_items, earlier.late_items, earlier.open_items) == (4, 1, 5)
+    assert decode(encode(report)) == report
+
+
 def test_prompt_tokens_below_the_minimum_are_not_reported_and_others_are_rounded_up() -> None:
     assert prefill_units(MIN_REPORTED_PREFILL_TOKENS - 1) == 0
     assert prefill_units(9 * PREFILL_UNIT_TOKENS + 1) == 10
--- a/tests/decisions/slots/harness.py
+++ b/tests/decisions/slots/harness.py
@@ -12,6 +12,7 @@
     HoldingsReport,
     KnownClaim,
     PeerMessage,
+    ServiceItems,
     SlotMessage,
     TenantItems,
     engine_key,
@@ -88,6 +89,10 @@
             return ()
         return rows_by_tenant(self._daemon.waiting_tenants.elements(), (), self._daemon.waiting)
 
+    @property
+    def waiting_by_service(self) -> tuple[ServiceItems, ...]:
+        return self._daemon.waiting_by_service
+
     @property
     def open_items(self) -> int:
         return self._daemon.waiting + self._daemon.late + len(self._daemon.items)
@@ -113,6 +118,7 @@
         self.late = 0
         self.waiting_tenants: Counter[str] = Counter()
         """Items among `waiting` that belong to a tenant."""
+        self.waiting_by_service: tuple[ServiceItems, ...] = ()
         self.started_tenants: list[str] = []
         self.outbox: list[SendToPeers] = []
         self.online: dict[int, str] = {}
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -110,6 +110,19 @@
     unusable=(21, 22, 23),
 )
 
+_SERVICES_REPORT = peer_messages.HoldingsReport(
+    "d-1",
+    "z1",
+    HOST,
+    3,
+    4,
+    waiting_items=3,
+    services=(
+        peer_messages.ServiceItems(service=4294967295, in_time=2, late=0),
+        peer_messages.ServiceItems(peer_messages.OTHER_SERVICES, 1, 64),
+    ),
+)
+
 
 def _peer_message_sample(message: peer_messages.PeerMessage) -> Sample:
     return Sample(
@@ -233,6 +246,10 @@
             ),
         )
     ),
+    "report of holdings by service": _peer_message_sample(_SERVICES_REPORT),
+    "ask for a place, with services": _peer_message_sample(
+        peer_messages.SlotRequest(_SERVICES_REPORT, 31, "s|z|0", 4, -1)
+    ),
     "queue for a place, with tenants": _peer_message_sample(
         peer_messages.QueuedSlotRequest(
             _SHORT_REPORT,
