An item may fill an empty engine's cache, and one that fits no engine is refused

By reading: an item larger than every cache was accepted too, and nothing told its client.

Cause: all items needed space within 0.85 of the cache, also at an empty engine. The rest is a margin for what a daemon does not count, so items that need it could start nowhere.

Change: an item above that share may fill the cache to its end, and the requests of other daemons count for it at their mean sizes, whatever the settings. A job with an item that no service of its route holds is refused with 413 when it is submitted, and again before its manifest is appended. An accepted item that a change of the configuration left without such a service waits, is logged, and counts as waiting nowhere, so that it draws no slots.

--- a/src/troutswitch/decisions/jobs/batch_capacity.py
+++ b/src/troutswitch/decisions/jobs/batch_capacity.py
@@ -22,8 +22,9 @@
 from troutswitch.decisions.forwarding.engine import Engine
 
 MEMORY_SHARE = 0.85
-"""Maximum share of an engine's cache that the counted requests and items may fill together. The
-tokens of other daemons are counted only where the settings name a limit of memory."""
+"""Maximum share of an engine's cache that the counted requests and items may fill together, unless
+an item takes more by itself. The tokens of other daemons are counted for such an item, and where
+the settings name a limit of memory."""
 
 
 class BatchCapacityPolicy(Protocol):
@@ -122,7 +123,16 @@
     if cache_tokens <= 0:
         return True
     held = engine.tokens_in_flight + tokens_of_peers
-    return held + tokens <= cache_tokens * MEMORY_SHARE
+    share = 1.0 if exceeds_share(tokens, cache_tokens) else MEMORY_SHARE
+    return held + tokens <= cache_tokens * share
+
+
+def exceeds_share(tokens: int, cache_tokens: int) -> bool:
+    """Returns whether an item takes more than `MEMORY_SHARE` of a cache by itself.
+
+    It may fill the cache to the end, as it could start nowhere otherwise.
+    """
+    return 0 < cache_tokens * MEMORY_SHARE < tokens
 
 
 def own_share_of(count: int, share: float, rng: random.Random) -> int:
--- a/src/troutswitch/decisions/jobs/dispatcher.py
+++ b/src/troutswitch/decisions/jobs/dispatcher.py
@@ -26,7 +26,7 @@
 from troutswitch.decisions.jobs.item_retries import StartableItem
 from troutswitch.decisions.jobs.items import ItemProgress
 from troutswitch.decisions.jobs.messages import RunItem
-from troutswitch.decisions.jobs.order import AvailableCapacity
+from troutswitch.decisions.jobs.order import AvailableCapacity, ItemKey
 from troutswitch.decisions.jobs.speed_order import is_better_served_elsewhere, order_for
 from troutswitch.decisions.jobs.starvation_guard import StarvationGuard
 from troutswitch.decisions.jobs.waiting_services import rows_by_service, rows_without_started
@@ -67,6 +67,7 @@
         self._engines = dependencies.engines
         self._slots = dependencies.slots
         self._speed = dependencies.speed
+        self._log = dependencies.log
 
     def clear_waiting(self) -> None:
         """Counts no item as waiting until the next round."""
@@ -78,12 +79,9 @@
 
     def start_round(self, now: float) -> list[RunItem]:
         """Ranks the items, counts the waiting ones, and starts items where no slots are granted."""
-        startable = {
-            progress.key: item
-            for progress in self._items.startable(now, self._engines.listed_at)
-            if (item := self._retries.prepare_start(now, progress)) is not None
-        }
-        candidates = [item.progress for item in startable.values()]
+        startable = self._items.startable(now, self._engines.listed_at)
+        services = self._services_of(now, startable)
+        candidates = [progress for progress in startable if services.get(progress.key)]
         if not candidates and not self._runs.by_number:
             return []
         share = self._slots.share(now)
@@ -93,11 +91,11 @@
         in_time = ordered[: len(ordered) - len(late)]
         available = max(0, MAX_RUNS - len(self._runs.by_number))
         self.waiting = WaitingItems(min(available, len(in_time)), min(available, len(late)))
-        services = [
-            self._engine_choice.services_of(startable[progress.key]) for progress in ordered
-        ]
         self.waiting_by_service = rows_by_service(
-            services[: len(in_time)], services[len(in_time) :], self._engines.services(), available
+            [services[progress.key] for progress in in_time],
+            [services[progress.key] for progress in late],
+            self._engines.services(),
+            available,
         )
         if self._engines.has_paced_service:
             tenant_of = self._ranking.tenant_of
@@ -113,6 +111,29 @@
             started += self._start_without_grant(now, late)
         return started
 
+    def _services_of(
+        self, now: float, startable: list[ItemProgress]
+    ) -> dict[ItemKey, frozenset[str]]:
+        """Returns the services that can run each item, for those that may start now."""
+        services: dict[ItemKey, frozenset[str]] = {}
+        for progress in startable:
+            item = self._retries.prepare_start(now, progress)
+            if item is not None:
+                services[progress.key] = self._engine_choice.services_of(item)
+                self._note_size(progress, fits=bool(services[progress.key]))
+        return services
+
+    def _note_size(self, progress: ItemProgress, *, fits: bool) -> None:
+        """Logs when an accepted item no longer fits any service of its route."""
+        if not fits and not progress.fits_no_service:
+            self._log(
+                "item exceeds the cache of its services",
+                job_id=progress.job_id,
+                item_id=progress.item.item_id,
+                tokens=progress.item.tokens,
+            )
+        progress.fits_no_service = not fits
+
     def _rank(self, now: float, share: FleetShare) -> None:
         self._engine_choice.begin_round()
         own_slots = share.free_slots * self._own_share(share)
--- a/src/troutswitch/decisions/jobs/engine_choice.py
+++ b/src/troutswitch/decisions/jobs/engine_choice.py
@@ -25,12 +25,14 @@
 from troutswitch.decisions.forwarding.routes import RouteTable, choose_service
 from troutswitch.decisions.jobs.batch_capacity import (
     BatchCapacityPolicy,
+    exceeds_share,
     has_cache_space,
     own_share_of,
     peer_tokens,
 )
 from troutswitch.decisions.jobs.due_times import completion_target
 from troutswitch.decisions.jobs.item_retries import StartableItem
+from troutswitch.decisions.jobs.item_sizes import ItemSizes
 
 CHOICE_NOISE = 0.1
 """Upper bound of the random addition to an engine's cost; at a cost of 1 no slot is free."""
@@ -54,6 +56,7 @@
         counts_peer_tokens: bool = False,
     ) -> None:
         self._routes = routes
+        self._sizes = ItemSizes(routes)
         self._engines = engines
         self._capacity = capacity
         self._zone = zone
@@ -79,13 +82,11 @@
         service = engine.record.service
         if all(backend.service != service for backend in item.route.backends):
             return False
-        tokens = item.progress.item.tokens
-        peers = self._peer_tokens(engine, tokens)
-        return has_cache_space(engine, tokens, self._cache_tokens(service), peers)
+        return self._has_cache_space(engine, item.progress.item.tokens)
 
     def services_of(self, item: StartableItem) -> frozenset[str]:
-        """Returns the services whose engines an item may run at."""
-        return frozenset(backend.service for backend in item.route.backends)
+        """Returns the services whose engines an item may run at and can hold it."""
+        return self._sizes.services_that_hold(item.route, item.progress.item.tokens)
 
     def choose(
         self, now: float, item: StartableItem, may_start_at: Callable[[float, Engine], bool]
@@ -101,21 +102,24 @@
         target = completion_target(self._routes, item.entry.manifest)
         age_share = item.entry.age(now) / target if target > 0 else 0.0
         tokens = item.progress.item.tokens
-        cache_tokens = self._cache_tokens(service)
         candidates = [
             engine
             for engine in self._engines.usable(now, service)
             if may_start_at(now, engine)
             and accepts_items(now, engine)
-            and has_cache_space(engine, tokens, cache_tokens, self._peer_tokens(engine, tokens))
+            and self._has_cache_space(engine, tokens)
             and self._has_own_slot(now, engine, age_share)
         ]
         return min(candidates, key=lambda engine: self._cost(now, engine), default=None)
 
+    def _has_cache_space(self, engine: Engine, tokens: int) -> bool:
+        cache_tokens = self._sizes.cache_tokens(engine.record.service)
+        counts_peers = self._counts_peer_tokens or exceeds_share(tokens, cache_tokens)
+        peers = self._peer_tokens(engine, tokens) if counts_peers else 0
+        return has_cache_space(engine, tokens, cache_tokens, peers)
+
     def _peer_tokens(self, engine: Engine, tokens: int) -> int:
-        """Returns the tokens that peers are estimated to hold at an engine, 0 if not counted."""
-        if not self._counts_peer_tokens:
-            return 0
+        """Returns the tokens that peers are estimated to hold at an engine."""
         means = self._engines.mean_tokens
         return peer_tokens(engine, means.online or tokens, means.batch or tokens)
 
@@ -125,11 +129,6 @@
             CONNECTION_COST if self._engines.is_connected(now, engine, self._zone) else 0.0
         )
 
-    def _cache_tokens(self, service: str) -> int:
-        configuration = self._routes.configuration
-        settings = configuration.services.get(service) if configuration is not None else None
-        return settings.cache_tokens if settings is not None else 0
-
     def _has_own_slot(self, now: float, engine: Engine, age_share: float) -> bool:
         """Returns whether this daemon's share of an engine's free slots allows one more start."""
         engine_id = engine.record.engine_id
--- a/src/troutswitch/decisions/jobs/intake.py
+++ b/src/troutswitch/decisions/jobs/intake.py
@@ -8,6 +8,8 @@
     READING    -> accepted   the index has the job's manifest, of this or another submission
     any        -> refused    the job does not fit, or the client's timeout expires
 
+A job with an item that no engine of its route can hold is refused at once (`item_sizes`).
+
 A job exists from the append of its manifest on. The append is conditional on the end of the index,
 and in the step in which it is sent, the submission is compared with the index up to that end and
 with the configuration in force (`_append_manifest`, the only place that appends a manifest). So a
@@ -31,6 +33,7 @@
 from troutswitch.decisions.forwarding.types import Route, RouteKind
 from troutswitch.decisions.jobs.dependencies import JobDependencies
 from troutswitch.decisions.jobs.due_times import completion_target
+from troutswitch.decisions.jobs.item_sizes import ItemSizes
 from troutswitch.decisions.jobs.messages import (
     JobAccepted,
     JobAnswer,
@@ -125,6 +128,7 @@
     ) -> None:
         self._submissions: dict[int, Submission] = {}
         self._routes = dependencies.routes
+        self._sizes = ItemSizes(dependencies.routes)
         self._tenant_keys = dependencies.tenant_keys
         self._numbers = dependencies.numbers
         self._log = dependencies.log
@@ -166,6 +170,9 @@
         existing = self._existing_answer(manifest)
         if existing is not None:
             return self._answer_immediately(now, event, existing)
+        too_large = self._refusal_for_size(event)
+        if too_large is not None:
+            return self._answer_immediately(now, event, too_large)
         if not event.has_room:
             return self._refuse_for_memory(now, event)
         batches = _split_into_batches(records, self._limits.call_bytes)
@@ -178,6 +185,14 @@
             return []
         return self._store_next(now, submission)
 
+    def _refusal_for_size(self, event: JobSubmitted) -> JobRefused | None:
+        """Returns the refusal of a job with an item that no service of its route holds."""
+        item = self._sizes.first_too_large(event.host, event.items)
+        if item is None:
+            return None
+        reason = f"item {item.item_id}: no engine of its route holds {item.tokens} tokens"
+        return JobRefused(413, reason)
+
     def _refuse_for_memory(self, now: float, event: JobSubmitted) -> list[StoreCall]:
         """Refuses a job before anything of it is stored."""
         self._log(
@@ -277,6 +292,9 @@
         route = self._route_of(event)
         if isinstance(route, JobRefused):
             return _unless_accepted(submission, route)
+        too_large = self._refusal_for_size(event)
+        if too_large is not None:
+            return _unless_accepted(submission, too_large)
         submission.route = route
         submission.manifest = replace(manifest, route=route.name, tenant=tenant.name)
         return None
--- a/src/troutswitch/decisions/jobs/items.py
+++ b/src/troutswitch/decisions/jobs/items.py
@@ -46,6 +46,7 @@
         output_bytes: size of its output so far, as `records.output_bytes` counts it.
         needs_restart: whether its output is dropped before the next run (`item_versions`).
         is_saving: whether a part of its output is being written to the store.
+        fits_no_service: whether no service of its route could hold it in the last round.
         obsolete_parts: number of records that may hold another output; those after the next part
             are removed with it.
     """
@@ -79,6 +80,7 @@
     needs_restart: bool = False
     is_saving: bool = False
     obsolete_parts: int = 0
+    fits_no_service: bool = False
 
     @property
     def key(self) -> tuple[str, str]:
--- a/tests/decisions/jobs/test_batch_capacity.py
+++ b/tests/decisions/jobs/test_batch_capacity.py
@@ -107,6 +107,18 @@
     assert has_cache_space(loaded, 6_000, 0)  # the size of the cache is unknown
 
 
+def test_an_item_above_the_share_starts_where_the_whole_cache_has_space() -> None:
+    """Guards against an accepted item that waits for ever beside empty engines."""
+    loaded = engine_with()
+    for tokens in (85_001, 95_000, 100_000):
+        assert has_cache_space(loaded, tokens, 100_000)
+    assert not has_cache_space(loaded, 100_001, 100_000)
+    loaded.tokens_in_flight = 5_000
+    assert has_cache_space(loaded, 95_000, 100_000)
+    assert not has_cache_space(loaded, 95_001, 100_000)
+    assert not has_cache_space(loaded, 90_000, 100_000, 5_001)
+
+
 def test_other_daemons_requests_take_cache_space_at_their_mean_sizes() -> None:
     """Guards against items beyond an engine's cache: each daemon knew only its own tokens."""
     loaded = engine_with(online=1)
--- a/tests/decisions/jobs/test_engine_choice.py
+++ b/tests/decisions/jobs/test_engine_choice.py
@@ -92,3 +92,19 @@
         chosen = [choice.choose(1.0, startable("job"), any_engine) for _ in range(30)]
         names = {e.record.engine_id for e in chosen if e is not None}
         assert names == ({"b"} if is_paced else {"a", "b"})
+
+
+def test_the_requests_of_peers_count_for_an_item_that_fills_most_of_a_cache() -> None:
+    """Guards against a rejection as full, which keeps the engine from other items for a while."""
+    choice, registry = engine_choice(110, counts_peer_tokens=False)
+    assert choice.may_run_at(startable("job"), registry.engines["a"])
+    registry.engines["a"].peers_online = 1
+    registry.mean_tokens.add(11, is_batch=False)
+    assert not choice.may_run_at(startable("job"), registry.engines["a"])
+
+
+def test_an_item_runs_at_the_services_of_its_route_that_can_hold_it() -> None:
+    choice, _ = engine_choice(cache_tokens=99)
+    assert choice.services_of(startable("job")) == frozenset()
+    choice, _ = engine_choice(cache_tokens=100)
+    assert choice.services_of(startable("job")) == {"service"}
