Try other engines for a daemon that left a granted slot unused

What could be seen: with one item that fills an engine's cache, small items waited beside another engine with free slots until the large one had ended.

Cause: an item may be unable to start at one engine of its service: for lack of cache, for the engine's software version, beside an item that it is kept apart from. The engine with the fewest requests was granted each round, the slot was left unused, and nothing told the coordinator.

Change: the coordinator notes which grants a daemon used: its own at once, a peer's by the report that includes the grant, so daemons of the version before are understood. An engine whose slot was left unused is passed over for that daemon for 5 s while another has free slots for its items.

The log line "granted slots not used" shows such grants.

test_unstated_refusals: its load is 16 jobs instead of 12.

--- a/src/troutswitch/decisions/jobs/dependencies.py
+++ b/src/troutswitch/decisions/jobs/dependencies.py
@@ -34,6 +34,12 @@
         """Returns the free slots and open items of the whole fleet."""
         ...
 
+    def on_granted_items_started(
+        self, now: float, engine_id: str, granted: int, started: int
+    ) -> None:
+        """Records how many of this daemon's items started in the slots of a grant."""
+        ...
+
     def is_coordinated(self, now: float, engine_id: str) -> bool:
         """Returns whether a coordinator grants the slots of an engine.
 
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -53,6 +53,9 @@
 does not know the runs of other daemons yet, and after a restart of all daemons each would fill the
 same slots."""
 
+UNUSED_LOG_SECONDS = 1.0
+"""Minimum interval between log lines about unused grants."""
+
 OwnerInstruction = StoreCall | RunItem | StopItem
 
 
@@ -70,6 +73,9 @@
         capacity = BATCH_CAPACITY_POLICIES[settings.policies.capacity]()
         items = OpenItems(replicas, ownership, dependencies.log)
         self.is_draining = False
+        self._slots = dependencies.slots
+        self._log = dependencies.log
+        self._unused_logged_at = float("-inf")
         self._ownership = ownership
         self._round_at = float("-inf")
         self._first_round_at = float("inf")
@@ -187,7 +193,23 @@
             return self._run_stops.stop_least_urgent(now, grant.engine_id, -grant.count)
         if self.is_draining:
             return []
-        return self._dispatcher.start_granted(now, grant)
+        started = self._dispatcher.start_granted(now, grant)
+        self._slots.on_granted_items_started(now, grant.engine_id, grant.count, len(started))
+        if not started:
+            self._log_unused(now, grant)
+        return started
+
+    def _log_unused(self, now: float, grant: StartItems) -> None:
+        """Logs a grant in whose slots no item could start, but not each one of a series."""
+        waiting = self.waiting.in_time + self.waiting.late
+        if waiting and now >= self._unused_logged_at + UNUSED_LOG_SECONDS:
+            self._unused_logged_at = now
+            self._log(
+                "granted slots not used",
+                engine=grant.engine_id,
+                count=grant.count,
+                waiting=waiting,
+            )
 
     def yield_slot(self, now: float, engine_id: str) -> StopItem | None:
         """Stops the least urgent item at an engine; returns None if this daemon has none there."""
--- a/src/troutswitch/decisions/slots/batch_slots.py
+++ b/src/troutswitch/decisions/slots/batch_slots.py
@@ -18,6 +18,9 @@
 in a paced service the slots are counted for each tenant, and a daemon is assigned no more of them
 in a round than it has waiting items.
 
+A daemon that left a granted slot of an engine unused gets none there while other engines have free
+slots for it (`unused_grants.py`).
+
 Why: late items come second, because starting them earlier does not restore a missed objective.
 Their reserved slots keep them from starving. Weighting by the number of items lets the jobs of all
 daemons progress at the same rate.
@@ -27,9 +30,10 @@
 late items finish.
 """
 
+import itertools
 import random
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from troutswitch.daemons.messages import ServiceItems, TenantItems, engine_key
@@ -143,6 +147,8 @@
         self._assigned_at = float("-inf")
         self._assigned_at_service: defaultdict[str, Counter[str]] = defaultdict(Counter)
         """Slots assigned in the current round, by daemon and service."""
+        self._free_engines: list[Engine] = []
+        """Engines that had free slots when the current round began."""
         self._slots_assigned = 0
         """Slots assigned so far; every `LATE_SLOT_INTERVAL`th of them goes to late items."""
 
@@ -176,6 +182,11 @@
             self._is_paced(e.record.service) for engines in groups.values() for e in engines[:1]
         ):
             self._turns.update(self._waiting_tenants())
+        self._free_engines = [
+            engine
+            for engine in itertools.chain.from_iterable(groups.values())
+            if self._capacity.free_slots(now, engine, 0.0) > 0
+        ]
         assignments: list[BatchAssignment] = []
         for engines in groups.values():
             assignments += self._assign_group(now, engines)
@@ -190,26 +201,52 @@
             return factor, engine.in_flight(now) / engine.slots
 
         for engine in sorted(engines, key=fastest_first):
-            free_slots = self._capacity.free_slots(now, engine, 0.0)
-            if self._is_paced(engine.record.service):
-                assignments += self._assign_fairly(engine, free_slots)
-                continue
-            counts = self._assign_engine(engine, free_slots)
-            for name, count in counts.items():
-                self._assigned_at_service[name][engine.record.service] += count
-            assignments += [BatchAssignment(name, engine, n) for name, n in counts.items()]
+            assignments += self._assign_engine(now, engine)
         return assignments
 
-    def _assign_engine(self, engine: Engine, slots: int) -> dict[str, int]:
-        """Returns how many of an engine's free slots each daemon gets."""
+    def _assign_engine(self, now: float, engine: Engine) -> list[BatchAssignment]:
+        """Assigns an engine's free slots to daemons."""
+        free_slots = self._capacity.free_slots(now, engine, 0.0)
+        if free_slots <= 0:
+            return []
+        names = [
+            name
+            for name in (SELF, *self._ledger.holders)
+            if not self._is_better_tried_elsewhere(now, name, engine)
+        ]
+        if self._is_paced(engine.record.service):
+            assignments = self._assign_fairly(engine, free_slots, names)
+        else:
+            assignments = self._assign_drawn(engine, free_slots, self._demand(engine, names))
+        for assignment in assignments:
+            at_service = self._assigned_at_service[assignment.daemon]
+            at_service[engine.record.service] += assignment.count
+        return assignments
+
+    def _is_better_tried_elsewhere(self, now: float, name: str, engine: Engine) -> bool:
+        """Returns whether a daemon left a slot of an engine unused, and others have free slots."""
+        unused = self._ledger.unused
+        if not unused.is_unused(now, name, engine.record.engine_id):
+            return False
+        return any(
+            not unused.is_unused(now, name, other.record.engine_id) and self._needs(name, other)
+            for other in self._free_engines
+        )
+
+    def _needs(self, name: str, engine: Engine) -> bool:
+        """Returns whether a daemon has items for an engine, apart from slots of this round."""
+        demand = self._demand(engine, (name,))
+        return bool(demand.in_time or demand.late)
+
+    def _assign_drawn(self, engine: Engine, slots: int, demand: _Demand) -> list[BatchAssignment]:
+        """Assigns slots of an engine to daemons that are drawn at random."""
         counts: dict[str, int] = {}
-        demand = self._demand(engine) if slots > 0 else _Demand()
         for _ in range(slots):
             name = self._draw(demand, engine)
             if name is None:
                 break
             counts[name] = counts.get(name, 0) + 1
-        return counts
+        return [BatchAssignment(name, engine, count) for name, count in counts.items()]
 
     def _draw(self, demand: _Demand, engine: Engine) -> str | None:
         """Draws the daemon that gets the next slot, and reduces its demand by one."""
@@ -237,17 +274,21 @@
         zone = self._zone if name == SELF else self._ledger.holders[name].zone
         return SAME_ZONE_WEIGHT if zone == engine.record.zone else 1
 
-    def _demand(self, engine: Engine | None, *, counts_round: bool = False) -> _Demand:
-        """Returns the items that need a slot at an engine, or at any engine for None.
+    def _demand(
+        self, engine: Engine | None, names: Iterable[str], *, counts_round: bool = False
+    ) -> _Demand:
+        """Returns the items of some daemons that need a slot at an engine, or at any for None.
 
         With `counts_round`, slots that peers were assigned in this round are subtracted. Own items
         start in the same step, so their slots always are.
         """
         service = engine.record.service if engine is not None else None
         demand = _Demand()
-        demand.add(SELF, self._own_need(service))
-        for name, holder in self._ledger.holders.items():
-            if engine is None or _can_use(holder, engine):
+        for name in names:
+            holder = self._ledger.holders.get(name)
+            if holder is None:
+                demand.add(name, self._own_need(service))
+            elif engine is None or _can_use(holder, engine):
                 demand.add(name, self._need_of(name, holder, service, counts_round=counts_round))
         return demand
 
@@ -276,11 +317,11 @@
 
     # Tenants, in paced services.
 
-    def _assign_fairly(self, engine: Engine, slots: int) -> list[BatchAssignment]:
+    def _assign_fairly(
+        self, engine: Engine, slots: int, names: Iterable[str]
+    ) -> list[BatchAssignment]:
         """Assigns an engine's free slots between tenants, then between their daemons."""
-        if slots <= 0:
-            return []
-        demand = self._demand_by_tenant(engine)
+        demand = self._demand_by_tenant(engine, names)
         counts: dict[tuple[str, str], int] = {}
         for _ in range(slots):
             tenant = self._turns.take(demand.can_use)
@@ -304,7 +345,6 @@
         return name
 
     def _assignment(self, engine: Engine, name: str, tenant: str, count: int) -> BatchAssignment:
-        self._assigned_at_service[name][engine.record.service] += count
         self._assigned_to[name, tenant] += count
         share = self._turns.share(tenant)
         competes = bool(tenant) or share.tenants_waiting > 1
@@ -325,14 +365,14 @@
 
     def _waiting_tenants(self) -> Iterator[str]:
         """Yields the tenants with items that wait at any daemon for a slot not yet granted."""
-        total = self._demand(None)
+        total = self._demand(None, (SELF, *self._ledger.holders))
         for name in total.in_time.keys() | total.late.keys():
             for tenant, demand in self._tenants_of(name, total):
                 if demand.in_time or demand.late:
                     yield tenant
 
-    def _demand_by_tenant(self, engine: Engine) -> _TenantDemand:
-        demand = _TenantDemand(self._demand(engine, counts_round=True))
+    def _demand_by_tenant(self, engine: Engine, names: Iterable[str]) -> _TenantDemand:
+        demand = _TenantDemand(self._demand(engine, names, counts_round=True))
         for name in dict.fromkeys([*demand.total.in_time, *demand.total.late]):
             for tenant, own in self._tenants_of(name, demand.total):
                 merged = demand.tenants.setdefault(tenant, _Demand())
--- a/src/troutswitch/decisions/slots/fleet.py
+++ b/src/troutswitch/decisions/slots/fleet.py
@@ -37,6 +37,7 @@
 from troutswitch.decisions.forwarding.run_times import RunTimes
 from troutswitch.decisions.jobs.batch_capacity import BatchCapacityPolicy
 from troutswitch.decisions.slots.batch_coordination import BatchCoordination
+from troutswitch.decisions.slots.batch_slots import SELF
 from troutswitch.decisions.slots.coordinator import SlotCoordinator
 from troutswitch.decisions.slots.coordinator_claims import Claim, CoordinatorClaims
 from troutswitch.decisions.slots.groups import EngineGroups, Group
@@ -267,6 +268,14 @@
         """Returns the free slots and unfinished items of all daemons."""
         return self.batch.share(now)
 
+    def on_granted_items_started(
+        self, now: float, engine_id: str, granted: int, started: int
+    ) -> None:
+        """Records how many of this daemon's items started in the slots of a grant."""
+        group = self.groups.of_engine(engine_id)
+        if group is not None and self.coordinator.coordinates(group.name):
+            self.ledger.unused.record(now, SELF, engine_id, is_used=started >= granted)
+
     def is_coordinated(self, now: float, engine_id: str) -> bool:
         """Returns whether items at an engine may start only with a coordinator's grant."""
         return self.batch.is_coordinated(now, engine_id)
--- a/src/troutswitch/decisions/slots/ledger.py
+++ b/src/troutswitch/decisions/slots/ledger.py
@@ -28,6 +28,7 @@
 from troutswitch.decisions.forwarding.engine import Engine
 from troutswitch.decisions.forwarding.engines import EngineRegistry
 from troutswitch.decisions.invariants import ensure
+from troutswitch.decisions.slots.unused_grants import UnusedGrants
 
 GRANT_EXPIRY_SECONDS = 0.5
 """Time after which a grant that no report has included is no longer counted: more than twice the
@@ -145,6 +146,7 @@
 
     def __init__(self, engines: EngineRegistry, incarnation: int) -> None:
         self.holders: dict[str, Holder] = {}
+        self.unused = UnusedGrants()
         self._incarnation = incarnation
         self._engines = engines
         self._checked_at = float("-inf")
@@ -169,12 +171,33 @@
             holder.tenants = ()
         elif report.sequence <= holder.sequence:
             return False
+        before = holder.reported
         holder.apply_report(now, report, tenants)
         if report.coordinator_incarnation == self._incarnation:
+            self._record_use(now, report, before)
             holder.drop_reported_grants(report.last_grant_seen)
         self._apply(now, holder)
         return True
 
+    def _record_use(
+        self, now: float, report: HoldingsReport, before: dict[int, EngineShare]
+    ) -> None:
+        """Records at which engines a report that includes grants has no more items than before."""
+        holder = self.holders[report.sender]
+        granted = {
+            grant.share.engine_key
+            for grant in holder.grants
+            if grant.number <= report.last_grant_seen and grant.share.batch > 0
+        }
+        for key in granted:
+            engine = self._engines.by_key(key)
+            if engine is None:
+                continue
+            items_before = before[key].batch if key in before else 0
+            items = holder.reported[key].batch if key in holder.reported else 0
+            is_used = items > items_before
+            self.unused.record(now, report.sender, engine.record.engine_id, is_used=is_used)
+
     def grant(self, now: float, name: str, share: EngineShare, tenant: str | None = None) -> int:
         """Counts a grant to a holder from now on; returns the grant's number."""
         holder = self.holders[name]
@@ -246,6 +269,7 @@
         if now < self.next_due():
             return
         self._checked_at = now
+        self.unused.on_timer(now)
         for name, holder in list(self.holders.items()):
             silence = now - holder.last_seen_at
             if silence > SILENT_SECONDS:
--- a/tests/decisions/jobs/test_unstated_refusals.py
+++ b/tests/decisions/jobs/test_unstated_refusals.py
@@ -58,7 +58,7 @@
     fleet.faults.answer_loss_rate = 0.2
     fleet.faults.delays_lost_appends = True
     fleet.run(3.0)
-    for number in range(12):
+    for number in range(16):
         fleet.submit_job(f"job{number}", 4)
         fleet.run(0.7)
         fleet.compact()
