Store the content of each submission apart, so that none replaces an accepted job's

Callers could see: of two submissions of one id with other content, one is accepted, and its results are those of the refused one's items, also across tenants.

Cause: content was stored under the job's id and a chunk's number before anything was decided, so the later one replaced it, whichever was accepted.

Change: chunks are numbered from a number that depends on the content. A record beside the manifest, in the same append, states the digest, and owners read the chunks of that content alone. Daemons of the version before read chunks from number 0: while one is known to run, by heartbeats, or may run, as this process is new and a registered peer was not heard of, the daemon that answers 202 stores an accepted job's content once more under their numbers. Only accepted content is stored there.

Evidence: the test of two contents of one id ran items of the refused one before.

--- a/src/troutswitch/daemons/datagram.py
+++ b/src/troutswitch/daemons/datagram.py
@@ -12,6 +12,7 @@
 from troutswitch.cbor_values import MalformedCbor, decode_cbor
 from troutswitch.daemons.messages import (
     BatchSlotGrant,
+    Heartbeat,
     HoldingsReport,
     PacedReport,
     PeerMessage,
@@ -27,6 +28,7 @@
     QuotaDecision: True,
     SlotReply: False,
     BatchSlotGrant: None,
+    Heartbeat: False,
     HoldingsReport: (),
     PacedReport: (),
     QueuedSlotRequest: (),
--- a/src/troutswitch/daemons/messages.py
+++ b/src/troutswitch/daemons/messages.py
@@ -330,6 +330,8 @@
     """Tells a few randomly chosen daemons that the sender is running.
 
     It states the sender's configuration version and the claims of groups that the sender knows.
+    `reads_numbered_content` is set by daemons that read the content of a job by its digest
+    (`decisions.jobs.records`); it is encoded only if set.
     """
 
     sender: str
@@ -338,6 +340,7 @@
     incarnation: int
     configuration_version: int
     claims: tuple[KnownClaim, ...] = ()
+    reads_numbered_content: bool = False
 
 
 class ReportedCrash(msgspec.Struct, frozen=True, array_like=True):
--- a/src/troutswitch/decisions/gateway_parts.py
+++ b/src/troutswitch/decisions/gateway_parts.py
@@ -200,6 +200,7 @@
             self._emit,
             self.requests.speed,
             formats.prompt,
+            lambda now: self.peers.has_earlier_versions(now),
         )
         settings = JobSettings(
             identity.name,
--- a/src/troutswitch/decisions/jobs/coordinator.py
+++ b/src/troutswitch/decisions/jobs/coordinator.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 from typing import assert_never
 
+from troutswitch.decisions.jobs.content_copies import ContentCopies
 from troutswitch.decisions.jobs.dependencies import JobDependencies, JobInstruction, JobSettings
 from troutswitch.decisions.jobs.intake import JobIntake
 from troutswitch.decisions.jobs.messages import (
@@ -58,8 +59,9 @@
         self._drain_deadline = float("inf")
         self.replicas = JobReplicas(numbers, rng)
         token_limits = TokenLimits(dependencies.routes, self.replicas.index)
+        self.copies = ContentCopies(self.replicas, numbers, log)
         self.intake = JobIntake(
-            dependencies, settings.limits, self.replicas, token_limits, self._answer
+            dependencies, settings.limits, self.replicas, token_limits, self.copies, self._answer
         )
         self.reads = JobReads(self.replicas, numbers, self._answer, log)
         self.ownership = ShardOwnership(
@@ -107,6 +109,8 @@
         """Handles the outcome of a store call."""
         if self.intake.owns(call):
             self._emit_all(self.intake.on_answer(now, call, outcome))
+        elif self.copies.owns(call):
+            self.copies.on_answer(now, call, outcome)
         elif self.reads.owns(call):
             self._emit_all(self.reads.on_answer(now, call, outcome))
         elif self.ownership.owns(call):
@@ -125,6 +129,7 @@
         return min(
             self.replicas.next_due(),
             self.intake.next_due(),
+            self.copies.next_due(),
             self.reads.next_due(),
             self.ownership.next_due(),
             self.owner.next_due(),
@@ -138,6 +143,7 @@
         self._emit_all(self.retention.on_timer(now))
         self._continue_drain(now)
         self._emit_all(self.intake.on_timer(now))
+        self._emit_all(self.copies.on_timer(now))
         self._emit_all(self.reads.on_timer(now))
         # Last: the other parts may have requested reads.
         self._emit_all(self.replicas.on_timer(now))
--- a/src/troutswitch/decisions/jobs/dependencies.py
+++ b/src/troutswitch/decisions/jobs/dependencies.py
@@ -85,6 +85,9 @@
     prompt_of: Callable[[Mapping[str, str]], PromptShape] = unknown_prompt
     """Returns the prompt that an item's headers describe."""
 
+    has_earlier_daemons: Callable[[float], bool] = lambda now: False
+    """Returns whether daemons of an earlier version, which read content elsewhere, may run."""
+
     def log(self, event: str, **fields: object) -> None:
         """Emits a log line."""
         self.emit(LogLine(event, fields))
--- a/src/troutswitch/decisions/jobs/index.py
+++ b/src/troutswitch/decisions/jobs/index.py
@@ -11,11 +11,14 @@
 from dataclasses import dataclass, field
 
 from troutswitch.decisions.jobs.records import (
+    CONTENT,
     END_MARK,
     MANIFEST,
     PROGRESS,
     Manifest,
     RecordError,
+    first_chunk,
+    read_content,
     read_manifest,
     read_progress,
     split_key,
@@ -38,6 +41,8 @@
     remaining_tokens: int
     first_read_at: float
     is_ended: bool = False
+    first_chunk: int = 0
+    """Number of the first chunk of its content (`records`)."""
     age_at_first_read: float = 0.0
 
     def age(self, now: float) -> float:
@@ -63,6 +68,8 @@
     """Jobs whose end is marked, also those without a manifest yet."""
     _early_progress: dict[str, int] = field(default_factory=dict)
     """Remaining tokens of jobs without a manifest yet."""
+    _contents: dict[str, str] = field(default_factory=dict)
+    """Digests of the contents whose chunks are numbered by them, by job."""
 
     def apply(self, now: float, record: KeyedRecord, time_of_day: float = 0.0) -> None:
         """Applies a record; counts it as malformed if this version cannot decode it.
@@ -87,6 +94,9 @@
             self._apply_end(job_id)
         elif kind == PROGRESS:
             self._apply_progress(job_id, read_progress(value))
+        elif kind == CONTENT:
+            self._contents[job_id] = read_content(value)
+            self._number_chunks(job_id)
 
     def _apply_manifest(self, now: float, manifest: Manifest, time_of_day: float) -> None:
         """Adds a job. Its other records may come first.
@@ -98,6 +108,7 @@
         known = self.jobs.get(manifest.job_id)
         if known is not None and _is_same_job(known.manifest, manifest):
             known.manifest = manifest
+            self._number_chunks(manifest.job_id)
             return
         entry = JobEntry(manifest, manifest.tokens, now)
         if time_of_day and manifest.submitted_at:
@@ -107,6 +118,14 @@
         entry.is_ended = manifest.job_id in self._ends
         remaining = self._early_progress.pop(manifest.job_id, manifest.tokens)
         entry.remaining_tokens = min(remaining, manifest.tokens)
+        self._number_chunks(manifest.job_id)
+
+    def _number_chunks(self, job_id: str) -> None:
+        """Sets where the chunks of a job begin."""
+        entry = self.jobs.get(job_id)
+        if entry is not None:
+            digest = entry.manifest.digest
+            entry.first_chunk = first_chunk(digest) if self._contents.get(job_id) == digest else 0
 
     def _apply_end(self, job_id: str) -> None:
         self._ends.add(job_id)
@@ -130,9 +149,13 @@
             entry.is_ended = False
         elif kind == PROGRESS and entry is not None:
             entry.remaining_tokens = entry.manifest.tokens
-        if kind != PROGRESS:
+        if kind in (MANIFEST, CONTENT):
+            self._contents.pop(job_id, None)
+            self._number_chunks(job_id)
+        if kind in (MANIFEST, END_MARK):
             self._ends.discard(job_id)
-        self._early_progress.pop(job_id, None)
+        if kind in (MANIFEST, PROGRESS):
+            self._early_progress.pop(job_id, None)
 
     def queued_tokens(self, route: str, tenant: str) -> int:
         """Returns the tokens of a tenant's items on a route that are accepted but not listed."""
--- a/src/troutswitch/decisions/jobs/intake.py
+++ b/src/troutswitch/decisions/jobs/intake.py
@@ -10,6 +10,9 @@
 
 A job with an item that no engine of its route can hold is refused at once (`item_sizes`).
 
+Content is stored before anything is decided, under numbers that depend on it (`records`). So a
+submission of other content under the same id, whether it is refused or not, replaces none of it.
+
 A job exists from the append of its manifest on. The append is conditional on the end of the index,
 and in the step in which it is sent, the submission is compared with the index up to that end and
 with the configuration in force (`_append_manifest`, the only place that appends a manifest). So a
@@ -31,6 +34,7 @@
 from troutswitch.decisions.forwarding.log_events import configuration_fields
 from troutswitch.decisions.forwarding.routes import OUTDATED_RETRY_SECONDS
 from troutswitch.decisions.forwarding.types import Route, RouteKind
+from troutswitch.decisions.jobs.content_copies import ContentCopies
 from troutswitch.decisions.jobs.dependencies import JobDependencies
 from troutswitch.decisions.jobs.due_times import completion_target
 from troutswitch.decisions.jobs.item_sizes import ItemSizes
@@ -46,6 +50,8 @@
     RecordError,
     StoreLimits,
     chunk_records,
+    content_record,
+    first_chunk,
     manifest_record,
     shard_of,
     shard_partition,
@@ -124,10 +130,13 @@
         limits: StoreLimits,
         replicas: JobReplicas,
         token_limits: TokenLimits,
+        copies: ContentCopies,
         answer: Callable[[int, JobAnswer], None],
     ) -> None:
         self._submissions: dict[int, Submission] = {}
         self._routes = dependencies.routes
+        self._copies = copies
+        self._has_earlier_daemons = dependencies.has_earlier_daemons
         self._sizes = ItemSizes(dependencies.routes)
         self._tenant_keys = dependencies.tenant_keys
         self._numbers = dependencies.numbers
@@ -164,11 +173,12 @@
     def _start(self, now: float, event: JobSubmitted, route: Route) -> list[StoreCall]:
         manifest = self._manifest(now, event, route)
         try:
-            records = chunk_records(event.job_id, event.items, self._limits.record_bytes)
+            records = self._chunk_records(event, first_chunk(event.digest))
         except RecordError as error:
             return self._answer_immediately(now, event, JobRefused(413, str(error)))
         existing = self._existing_answer(manifest)
         if existing is not None:
+            self._copy_accepted_content(now, event, existing)
             return self._answer_immediately(now, event, existing)
         too_large = self._refusal_for_size(event)
         if too_large is not None:
@@ -185,6 +195,9 @@
             return []
         return self._store_next(now, submission)
 
+    def _chunk_records(self, event: JobSubmitted, first: int) -> tuple[KeyedRecord, ...]:
+        return chunk_records(event.job_id, event.items, self._limits.record_bytes, first)
+
     def _refusal_for_size(self, event: JobSubmitted) -> JobRefused | None:
         """Returns the refusal of a job with an item that no service of its route holds."""
         item = self._sizes.first_too_large(event.host, event.items)
@@ -276,8 +289,9 @@
             return []
         submission.state = IntakeState.APPENDING
         end = self._replicas.index_follower.next_offset
-        record = manifest_record(submission.manifest)
-        call = AppendRecords(self._numbers.next(), INDEX, (record,), end)
+        call = AppendRecords(
+            self._numbers.next(), INDEX, _acceptance_records(submission.manifest), end
+        )
         return self._start_call(now, submission, call)
 
     def _apply_configuration(self, submission: Submission) -> JobRefused | None:
@@ -358,8 +372,8 @@
     ) -> None:
         match outcome:
             case Appended():
-                record = manifest_record(submission.manifest)
-                self._replicas.on_appended(now, INDEX, (record,), outcome)
+                records = _acceptance_records(submission.manifest)
+                self._replicas.on_appended(now, INDEX, records, outcome)
                 self._finish(now, submission, JobAccepted())
             case EndMoved():
                 self._read_index(submission)
@@ -429,8 +443,17 @@
         refusal = JobRefused(status, "the store did not answer", RETRY_AFTER_SECONDS)
         self._finish(now, submission, refusal)
 
+    def _copy_accepted_content(self, now: float, event: JobSubmitted, answer: JobAnswer) -> None:
+        """Stores an accepted job's content again if daemons of an earlier version may need it."""
+        if not isinstance(answer, JobAccepted) or not self._has_earlier_daemons(now):
+            return
+        batches = _split_into_batches(self._chunk_records(event, 0), self._limits.call_bytes)
+        shard = shard_of(event.job_id, self._limits.shards)
+        self._copies.start(now, event.job_id, shard, batches)
+
     def _finish(self, now: float, submission: Submission, answer: JobAnswer) -> None:
         del self._submissions[submission.event.token]
+        self._copy_accepted_content(now, submission.event, answer)
         manifest = submission.manifest
         self._log(
             "job submission ended",
@@ -448,6 +471,11 @@
         self._answer(submission.event.token, answer)
 
 
+def _acceptance_records(manifest: Manifest) -> tuple[KeyedRecord, ...]:
+    """Returns the records of the index that make a job accepted."""
+    return content_record(manifest), manifest_record(manifest)
+
+
 def _unless_accepted(submission: Submission, refusal: JobRefused) -> JobRefused:
     """Returns a refusal, with 504 if an append of the manifest may have taken effect."""
     return replace(refusal, status=504) if submission.may_be_accepted else refusal
--- a/src/troutswitch/decisions/jobs/item_contents.py
+++ b/src/troutswitch/decisions/jobs/item_contents.py
@@ -95,12 +95,13 @@
         job = self._jobs.get(progress.job_id)
         if job is not None:
             return job
-        items = self._content(progress).items()
+        entry = self._replicas.index.jobs.get(progress.job_id)
+        first_chunk = entry.first_chunk if entry is not None else 0
+        items = self._content(progress).items(first_chunk)
         by_path: defaultdict[str, list[JobItem]] = defaultdict(list)
         for item in items:
             by_path[item.path].append(item)
         job = _JobPaths(by_path)
-        entry = self._replicas.index.jobs.get(progress.job_id)
         if entry is not None and len(items) == entry.manifest.item_count:
             self._jobs[progress.job_id] = job
             if len(self._jobs) > MAX_CACHED_JOBS:
--- a/src/troutswitch/decisions/jobs/open_items.py
+++ b/src/troutswitch/decisions/jobs/open_items.py
@@ -69,7 +69,7 @@
         """Returns a job's unlisted items, and creates the progress of new ones."""
         manifest = entry.manifest
         content = self._replicas.shard(manifest.shard).fold.content(manifest.job_id)
-        items = content.items()
+        items = content.items(entry.first_chunk)
         if len(items) < manifest.item_count:
             self._refresh_shard(manifest.shard)
         unlisted: list[ItemProgress] = []
--- a/src/troutswitch/decisions/jobs/progress_reports.py
+++ b/src/troutswitch/decisions/jobs/progress_reports.py
@@ -96,9 +96,10 @@
         A report that a job is done is final, so items that this replica has not read yet must not
         count as done.
         """
-        manifest = self._replicas.index.jobs[job_id].manifest
+        entry = self._replicas.index.jobs[job_id]
+        manifest = entry.manifest
         content = self._replicas.shard(shard).fold.content(job_id)
-        items = content.items()
+        items = content.items(entry.first_chunk)
         if len(items) < manifest.item_count:
             return None
         return sum(item.tokens for item in items if item.item_id not in content.listed)
--- a/src/troutswitch/decisions/jobs/reads.py
+++ b/src/troutswitch/decisions/jobs/reads.py
@@ -145,7 +145,7 @@
 
     def _read_body(self, event: BodyRequested, entry: JobEntry) -> None:
         replica = self._replicas.shard(entry.manifest.shard)
-        item = replica.fold.content(event.job_id).item(event.item_id)
+        item = replica.fold.content(event.job_id).item(entry.first_chunk, event.item_id)
         if item is not None:
             self._finish(event.token, ItemBody(item.body))
             return
@@ -155,7 +155,7 @@
         if event.token not in self._pending:
             return
         replica = self._replicas.shard(entry.manifest.shard)
-        item = replica.fold.content(event.job_id).item(event.item_id)
+        item = replica.fold.content(event.job_id).item(entry.first_chunk, event.item_id)
         if item is not None:
             self._finish(event.token, ItemBody(item.body))
         elif succeeded:
--- a/src/troutswitch/decisions/jobs/records.py
+++ b/src/troutswitch/decisions/jobs/records.py
@@ -3,13 +3,17 @@
 The index partition lists all jobs:
 
     j:JOB                manifest, appended at the expected end of the partition
+    d:JOB                digest of the content whose chunks are numbered from `first_chunk`;
+                         appended with the manifest. Without it they are numbered from 0, as daemons
+                         of an earlier version store and read them
     e:JOB                mark that the client ended the job
     p:JOB                tokens of the job's items that are not listed yet; not fenced, the lowest
                          count applies
 
 A shard partition holds the content of its jobs:
 
-    b:JOB:CHUNK          items of the job, in order
+    b:JOB:CHUNK          items of the job, in order. Submissions of one id with other content have
+                         other numbers, so that none replaces what another has stored
     r:JOB:POSITION       one result
     x:JOB:POSITION:PART  continuation of a result's text that does not fit its record
     c:JOB:ITEM:PART      part of an item's incomplete output, with the identity of that output; a
@@ -45,6 +49,7 @@
 MANIFEST = "j"
 END_MARK = "e"
 PROGRESS = "p"
+CONTENT = "d"
 CHUNK = "b"
 RESULT = "r"
 CHECKPOINT = "c"
@@ -54,6 +59,10 @@
 """Separates the version from the start in the identity of an output."""
 START = re.compile("[0-9a-f]{16}")
 """Form of the name of an output's start."""
+MAX_CHUNKS = 10**5
+"""Distance between the numbers of the first chunks of different contents; no job has that many."""
+MAX_CONTENTS = 2**40
+"""Number of different first chunks. Numbers in keys have 18 digits at most."""
 RECORD_OVERHEAD_BYTES = 512
 """Bytes reserved in a record for its key and the arrays around the items."""
 
@@ -212,6 +221,28 @@
     return KeyedRecord(f"{END_MARK}:{job_id}", cbor2.dumps([SCHEMA_VERSION]))
 
 
+def content_record(manifest: Manifest) -> KeyedRecord:
+    """Encodes that the chunks of a job are numbered from `first_chunk`."""
+    value = cbor2.dumps([SCHEMA_VERSION, manifest.digest])
+    return KeyedRecord(f"{CONTENT}:{manifest.job_id}", value)
+
+
+@raises_only(RecordError)
+def read_content(value: bytes) -> str:
+    """Decodes the digest of a job's content.
+
+    Raises:
+        RecordError: the record is malformed or of another version.
+    """
+    (digest,) = _fields(value, tuple[str])
+    return digest
+
+
+def first_chunk(digest: str) -> int:
+    """Returns the number of the first chunk of content with a digest; never 0."""
+    return (1 + stable_hash("content", digest) % MAX_CONTENTS) * MAX_CHUNKS
+
+
 def progress_record(job_id: str, remaining_tokens: int) -> KeyedRecord:
     """Encodes the tokens of a job's items that are not listed yet."""
     return KeyedRecord(f"{PROGRESS}:{job_id}", cbor2.dumps([SCHEMA_VERSION, remaining_tokens]))
@@ -229,9 +260,9 @@
 
 
 def chunk_records(
-    job_id: str, items: tuple[JobItem, ...], record_bytes: int
+    job_id: str, items: tuple[JobItem, ...], record_bytes: int, first: int = 0
 ) -> tuple[KeyedRecord, ...]:
-    """Packs items, in order, into records up to the store's limit.
+    """Packs items, in order, into records up to the store's limit, numbered from `first`.
 
     Raises:
         RecordError: an item is larger than a record.
@@ -251,7 +282,7 @@
         used += size
     return tuple(
         KeyedRecord(f"{CHUNK}:{job_id}:{number:05d}", cbor2.dumps([SCHEMA_VERSION, rows]))
-        for number, rows in enumerate(chunks)
+        for number, rows in enumerate(chunks, first)
     )
 
 
--- a/src/troutswitch/decisions/jobs/retention.py
+++ b/src/troutswitch/decisions/jobs/retention.py
@@ -22,6 +22,7 @@
 from troutswitch.decisions.jobs.records import (
     CHECKPOINT,
     CHUNK,
+    CONTENT,
     CONTINUATION,
     END_MARK,
     FAILURES,
@@ -54,7 +55,7 @@
 """Maximum time since the index was last read to its end."""
 MAX_RECORDS_PER_CALL = 200
 """Maximum number of records that one store call removes."""
-INDEX_KINDS = (MANIFEST, END_MARK, PROGRESS)
+INDEX_KINDS = (MANIFEST, END_MARK, PROGRESS, CONTENT)
 """Kinds of the records that a job may have in the index."""
 
 
--- a/src/troutswitch/decisions/jobs/shard.py
+++ b/src/troutswitch/decisions/jobs/shard.py
@@ -42,6 +42,7 @@
         listed: ids of the items that have a result.
         parts: saved output, by item index and part.
         failures: number of failed runs, by item index.
+        chunks_stored: number of chunks that were read, also of those stored again.
     """
 
     chunks: dict[int, tuple[JobItem, ...]] = field(default_factory=dict)
@@ -51,18 +52,24 @@
     listed: set[str] = field(default_factory=set)
     parts: dict[int, dict[int, OutputPart]] = field(default_factory=dict)
     failures: dict[int, int] = field(default_factory=dict)
+    chunks_stored: int = 0
 
-    def items(self) -> list[JobItem]:
+    def items(self, first_chunk: int) -> list[JobItem]:
         """Returns the items in order, up to the first chunk that is not read yet.
 
+        `first_chunk` is the number of their first chunk (`JobEntry`). Chunks with other numbers are
+        of submissions with other content, which were not accepted.
+
         Their indices in this list are the keys of `parts` and `failures`.
         """
-        numbers = itertools.takewhile(lambda number: number in self.chunks, itertools.count())
+        numbers = itertools.takewhile(
+            lambda number: number in self.chunks, itertools.count(first_chunk)
+        )
         return [item for number in numbers for item in self.chunks[number]]
 
-    def item(self, item_id: str) -> JobItem | None:
+    def item(self, first_chunk: int, item_id: str) -> JobItem | None:
         """Returns the item with an id; None if it is not read yet."""
-        return next((item for item in self.items() if item.item_id == item_id), None)
+        return next((item for item in self.items(first_chunk) if item.item_id == item_id), None)
 
     def saved_output(self, item: int) -> list[OutputPart]:
         """Returns the parts of an item's saved output, in order, up to the first gap.
@@ -156,6 +163,7 @@
         try:
             if kind == CHUNK:
                 content.chunks[number] = read_chunk(record.value)
+                content.chunks_stored += 1
             elif kind == RESULT:
                 content.add_head(number, read_result_head(record.value))
             elif kind == FAILURES:
--- a/src/troutswitch/decisions/peers/heartbeats.py
+++ b/src/troutswitch/decisions/peers/heartbeats.py
@@ -26,6 +26,8 @@
 MAX_CLAIMS_PER_HEARTBEAT = 16
 """Maximum number of claims in one heartbeat, which then fits into one packet. If more are known,
 they are drawn at random."""
+HEARD_SECONDS = 30.0
+"""Time within which a process hears of each running daemon of a fleet of about a hundred."""
 RETENTION_SECONDS = 60.0
 """Time after its last heartbeat at which a daemon is forgotten."""
 MAX_SILENT_CANDIDATES = 3
@@ -38,13 +40,15 @@
     """Another daemon.
 
     `last_seen_at` is when its last heartbeat was received, by this process's clock, or -infinity.
-    `configuration_version` is that of its active configuration, or -1.
+    `configuration_version` is that of its active configuration, or -1. `reads_numbered_content` is
+    as in its last heartbeat.
     """
 
     address: Address
     zone: str
     last_seen_at: float
     configuration_version: int = -1
+    reads_numbered_content: bool = False
 
 
 class Peers:
@@ -79,6 +83,7 @@
         self._claims = claims
         self._rng = rng
         self._last_heartbeat_at = float("-inf")
+        self._started_at = float("inf")
         self._newest_version = -1
 
     def on_registered(self, entry: PeerRegistryEntry) -> None:
@@ -91,7 +96,9 @@
         if heartbeat.sender == self._name:
             return
         version = heartbeat.configuration_version
-        self.peers[heartbeat.sender] = Peer(heartbeat.address, heartbeat.zone, now, version)
+        self.peers[heartbeat.sender] = Peer(
+            heartbeat.address, heartbeat.zone, now, version, heartbeat.reads_numbered_content
+        )
         self._newest_version = max(self._newest_version, version)
 
     def next_due(self) -> float:
@@ -100,6 +107,7 @@
 
     def on_timer(self, now: float) -> list[SendToPeers]:
         """Sends heartbeats to some daemons if they are due."""
+        self._started_at = min(self._started_at, now)
         if now < self.next_due():
             return []
         self._last_heartbeat_at = now
@@ -121,7 +129,25 @@
         if len(claims) > MAX_CLAIMS_PER_HEARTBEAT:
             claims = tuple(self._rng.sample(claims, MAX_CLAIMS_PER_HEARTBEAT))
         return Heartbeat(
-            self._name, self._zone, self._address, self._incarnation, self._version(), claims
+            self._name,
+            self._zone,
+            self._address,
+            self._incarnation,
+            self._version(),
+            claims,
+            reads_numbered_content=True,
+        )
+
+    def has_earlier_versions(self, now: float) -> bool:
+        """Returns whether a daemon may run that does not read numbered content.
+
+        A daemon that was never heard of but is in the registry may be one, until this process has
+        run long enough to hear of it.
+        """
+        is_new = now - self._started_at < HEARD_SECONDS
+        return any(
+            not peer.reads_numbered_content and (is_new or peer.last_seen_at > float("-inf"))
+            for peer in self.peers.values()
         )
 
     def count(self) -> int:
--- a/tests/decisions/jobs/test_late_manifests.py
+++ b/tests/decisions/jobs/test_late_manifests.py
@@ -33,6 +33,8 @@
         self.refused_manifests = 0
         """Number of manifests of the slow daemon that the store refuses from now on."""
         self.runs: list[str] = []
+        self.bodies: set[bytes] = set()
+        """Bodies of the items that ran."""
         tenants = (Tenant("ours", frozenset({OURS})),)
         super().__init__(1, daemons=3, max_queued_tokens=max_queued_tokens, tenants=tenants)
         self.run(3.0)
@@ -54,6 +56,7 @@
 
     def run_item(self, daemon: Daemon, run: RunItem) -> None:
         self.runs.append(run.item.item_id)
+        self.bodies.add(run.item.body)
 
     def submit(
         self,
@@ -156,6 +159,21 @@
     assert not any(record.key == "j:late" for record in fleet.store.log(INDEX).records)
 
 
+def test_an_accepted_job_keeps_its_content_though_another_of_its_id_stores_other_content() -> None:
+    """Guards against items of a refused submission that run, and are listed, for the accepted one.
+
+    The content of the refused one reaches the store between the other's content and manifest.
+    """
+    fleet = SlowStoreFleet()
+    refused = fleet.submit("daemon-0", "job", b"theirs")
+    fleet.run(SLOW_SECONDS / 2 - 0.01)
+    accepted = fleet.submit("daemon-1", "job", b"ours")
+    fleet.run(3.0)
+    assert accepted == [JobAccepted()]
+    assert isinstance(refused[0], JobRefused) and refused[0].status == 409
+    assert fleet.bodies == {b"ours"}
+
+
 def assert_accepted(fleet: SlowStoreFleet, daemon: str, job_id: str) -> None:
     answers = fleet.submit(daemon, job_id)
     fleet.run(0.3)
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -299,6 +299,9 @@
     "sign of life, defaults": _peer_message_sample(
         peer_messages.Heartbeat("d-1", "z1", HOST, 81, -1)
     ),
+    "sign of life, reads numbered content": _peer_message_sample(
+        peer_messages.Heartbeat("d-1", "z1", HOST, 81, -1, reads_numbered_content=True)
+    ),
     "sign of life, claims": _peer_message_sample(
         peer_messages.Heartbeat(
             sender="d-1",
@@ -567,6 +570,13 @@
     yield records.manifest_record(records.read_manifest(job_id, stored.value))
 
 
+def _reencode_content(stored: KeyedRecord) -> Iterator[KeyedRecord]:
+    kind, job_id, _ = records.split_key(stored.key)
+    assert kind == "d"
+    digest = records.read_content(stored.value)
+    yield records.content_record(records.Manifest(job_id, "", "", 0, 0, digest, 0))
+
+
 def _reencode_progress(stored: KeyedRecord) -> Iterator[KeyedRecord]:
     yield records.progress_record(
         records.split_key(stored.key)[1], records.read_progress(stored.value)
@@ -771,6 +781,9 @@
     "mark that a job was ended": _records_sample(
         lambda: [records.end_record("job:1")], _reencode_end
     ),
+    "content of a job that is numbered by its digest": _records_sample(
+        lambda: [records.content_record(_MANIFEST)], _reencode_content
+    ),
     "tokens left of a job": _records_sample(
         lambda: [records.progress_record("job:1", 0), records.progress_record("job:1", LARGE)],
         _reencode_progress,
