Keep content that is stored again while that of a refused submission is removed

What could be seen: a job that was refused, and is submitted again a minute later, is accepted and never runs.

Cause: content without a job was removed 60 s after it was first seen so. Storing the same chunks again did not start that time anew, and the owner does not read the shard by itself, so the removal could come between the content and the manifest of the second submission.

Change: the time counts from the last chunk that was stored, and the removal is conditional on the end of the shard that the owner has read; if it has moved, the shard is read before the next check.

Evidence: the new test accepted a job that did not run before the change.

--- a/src/troutswitch/decisions/jobs/retention.py
+++ b/src/troutswitch/decisions/jobs/retention.py
@@ -2,12 +2,13 @@
 
 Inputs: the time since this daemon first read a job's manifest, and how long the index has not known
 a job of which a shard has content; both in seconds. Nothing is removed unless the index was read to
-its end in the last `MAX_INDEX_AGE_SECONDS`.
+its end in the last `MAX_INDEX_AGE_SECONDS`, and nothing of a shard unless the shard's end is known.
 
 The rule: the index records of a job that is done or ended are removed `RETENTION_MARGIN_SECONDS`
 after its client may last read it; from then on the job is unknown. Its content in the shard is
-removed once the index has not known the job for `MIN_ORPHAN_AGE_SECONDS`. That also removes the
-content of refused submissions and the remainder of an interrupted removal.
+removed once the index has not known the job for `MIN_ORPHAN_AGE_SECONDS` since a chunk of it was
+last stored: a client may submit a refused job again, which stores the same chunks. That also
+removes the content of refused submissions and the remainder of an interrupted removal.
 
 Why: otherwise the store fills up. Removals are not fenced. Repeating one is harmless, since a job
 is removed only long after its client may last read it.
@@ -16,6 +17,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from troutswitch.decisions.jobs.index import JobEntry
 from troutswitch.decisions.jobs.ownership import ShardOwnership
@@ -37,6 +39,7 @@
 from troutswitch.decisions.storage.messages import (
     Appended,
     AppendRecords,
+    EndMoved,
     KeyedRecord,
     Partition,
     StoreCall,
@@ -59,6 +62,14 @@
 """Kinds of the records that a job may have in the index."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Orphan:
+    """Content without a job: since when, and how many chunks of it were stored by then."""
+
+    since: float
+    chunks_stored: int
+
+
 class JobRetention:
     """Removes the records of jobs in the shards that this daemon owns."""
 
@@ -78,7 +89,7 @@
         self._check_at = float("-inf")
         self._call = 0
         self._removing: tuple[Partition, tuple[KeyedRecord, ...]] | None = None
-        self._orphan_since: dict[str, float] = {}
+        self._orphans: dict[str, _Orphan] = {}
 
     def next_due(self) -> float:
         """Returns when `on_timer` has something to do."""
@@ -91,7 +102,7 @@
         self._check_at = now + CHECK_INTERVAL_SECONDS
         self._call = 0
         if now - self._replicas.index_follower.current_at > MAX_INDEX_AGE_SECONDS:
-            self._orphan_since.clear()
+            self._orphans.clear()
             return []
         shards = {lease.shard for lease in self._ownership.owned()}
         return self._remove_expired(now, shards) or self._remove_orphans(now, shards)
@@ -123,20 +134,34 @@
             for job_id in self._replicas.shard(shard).fold.jobs
             if job_id not in known
         }
-        self._orphan_since = {job_id: self._orphan_since.get(job_id, now) for job_id in orphans}
+        self._orphans = {
+            job_id: self._orphan(now, job_id, shard) for job_id, shard in orphans.items()
+        }
         for job_id, shard in orphans.items():
-            if now - self._orphan_since[job_id] > MIN_ORPHAN_AGE_SECONDS:
-                content = self._replicas.shard(shard).fold.content(job_id)
-                return self._remove(shard_partition(shard), content_keys(job_id, content))
+            if now - self._orphans[job_id].since > MIN_ORPHAN_AGE_SECONDS:
+                replica = self._replicas.shard(shard)
+                keys = content_keys(job_id, replica.fold.content(job_id))
+                end = replica.follower.next_offset
+                return self._remove(shard_partition(shard), keys, expected_end=end)
         return []
 
-    def _remove(self, partition: Partition, keys: list[str]) -> list[StoreCall]:
+    def _orphan(self, now: float, job_id: str, shard: int) -> _Orphan:
+        """Returns since when a job has been unknown, without a chunk of it being stored."""
+        stored = self._replicas.shard(shard).fold.content(job_id).chunks_stored
+        known = self._orphans.get(job_id)
+        return (
+            known if known is not None and known.chunks_stored == stored else _Orphan(now, stored)
+        )
+
+    def _remove(
+        self, partition: Partition, keys: list[str], expected_end: int | None = None
+    ) -> list[StoreCall]:
         if not keys:
             return []
         records = tuple(KeyedRecord(key, b"") for key in keys[:MAX_RECORDS_PER_CALL])
         self._call = self._numbers.next()
         self._removing = (partition, records)
-        return [AppendRecords(self._call, partition, records)]
+        return [AppendRecords(self._call, partition, records, expected_end)]
 
     def owns(self, call: int) -> bool:
         """Returns whether a store call is a removal."""
@@ -145,9 +170,14 @@
     def on_answer(self, now: float, outcome: StoreOutcome) -> None:
         """Handles the outcome of a removal; a failed one is repeated at the next check."""
         self._call = 0
-        if not isinstance(outcome, Appended) or self._removing is None:
+        if self._removing is None:
             return
         partition, records = self._removing
+        if isinstance(outcome, EndMoved):
+            # A submission may have stored content meanwhile, which the next check must know.
+            self._replicas.shard(partition.number).refresher.refresh(lambda now, succeeded: None)
+        if not isinstance(outcome, Appended):
+            return
         self._replicas.on_appended(now, partition, records, outcome)
         self._log("job records removed", topic=partition.topic, records=len(records))
         self._check_at = now
--- a/tests/decisions/jobs/test_late_manifests.py
+++ b/tests/decisions/jobs/test_late_manifests.py
@@ -16,7 +16,8 @@
     JobSubmitted,
     RunItem,
 )
-from troutswitch.decisions.jobs.records import INDEX, SHARD_TOPIC, JobItem
+from troutswitch.decisions.jobs.records import INDEX, SHARD_TOPIC, JobItem, shard_of
+from troutswitch.decisions.jobs.retention import MIN_ORPHAN_AGE_SECONDS
 from troutswitch.decisions.storage.messages import AppendRecords, CallFailed, StoreCall
 from troutswitch.decisions.tenants.types import Tenant, key_digest
 
@@ -174,6 +175,27 @@
     assert fleet.bodies == {b"ours"}
 
 
+def test_content_that_is_stored_again_is_not_removed_as_that_of_a_refused_job() -> None:
+    """Guards against an accepted job without content, which never runs."""
+    fleet = SlowStoreFleet(max_queued_tokens=150)
+    refused = fleet.submit("daemon-0", "job")
+    fleet.run(0.1)
+    others = [f"j{n}" for n in range(50) if shard_of(f"j{n}", 4) == shard_of("job", 4)]
+    assert_accepted(fleet, "daemon-1", others[0])
+    fleet.run(2 * SLOW_SECONDS + 1.0)
+    assert isinstance(refused[0], JobRefused) and refused[0].status == 429
+    fleet.end("daemon-1", others[0])
+    fleet.run(1.0)
+    assert_accepted(fleet, "daemon-1", others[1])  # its owner reads the whole shard
+    fleet.end("daemon-1", others[1])
+    fleet.run(MIN_ORPHAN_AGE_SECONDS - 2.0)
+    fleet.refused_manifests = 6
+    again = fleet.submit("daemon-0", "job", time_left=30.0)
+    fleet.run(25.0)
+    assert again == [JobAccepted()]
+    assert "job-0" in fleet.runs
+
+
 def assert_accepted(fleet: SlowStoreFleet, daemon: str, job_id: str) -> None:
     answers = fleet.submit(daemon, job_id)
     fleet.run(0.3)
