Count a progress report in the own index once the store has it

An owner applied its report to its own index when it sent it; a manifest of the same daemon could be appended first.

But the comparison must be with the index that the append is conditional on, so the report counts when it is acknowledged. The test of reports says so now: the job stays open until the store has the report, and is done afterwards; it was checked right after sending before.

--- a/src/troutswitch/decisions/jobs/progress_reports.py
+++ b/src/troutswitch/decisions/jobs/progress_reports.py
@@ -35,10 +35,11 @@
 
 @dataclass(slots=True)
 class _ShardReports:
-    """Jobs of one shard that changed since their last report, and those in the call in flight."""
+    """Jobs of one shard that changed since their last report, and the call in flight."""
 
     changed_jobs: set[str] = field(default_factory=set)
     jobs_in_flight: set[str] = field(default_factory=set)
+    records_in_flight: tuple[KeyedRecord, ...] = ()
     call: int = 0
     sent_at: float = float("-inf")
     latency: float = 0.0
@@ -70,22 +71,22 @@
             return []
         reports.sent_at = now
         reports.changed_jobs &= self._replicas.index.jobs.keys()
-        records = self._records(now, lease.shard, reports)
+        records = self._records(lease.shard, reports)
         if not records:
             return []
         reports.changed_jobs -= reports.jobs_in_flight
         reports.call = self._numbers.next()
-        return [AppendRecords(reports.call, INDEX, tuple(records))]
+        reports.records_in_flight = tuple(records)
+        return [AppendRecords(reports.call, INDEX, reports.records_in_flight)]
 
-    def _records(self, now: float, shard: int, reports: _ShardReports) -> list[KeyedRecord]:
-        """Returns the records of the jobs to report, and applies them to this daemon's index."""
+    def _records(self, shard: int, reports: _ShardReports) -> list[KeyedRecord]:
+        """Returns the records of the jobs to report."""
         records: list[KeyedRecord] = []
         for job_id in sorted(reports.changed_jobs):
             remaining = self._remaining_tokens(shard, job_id)
             if remaining is None or (remaining and not self._token_limits.is_crowded(job_id)):
                 continue
             record = progress_record(job_id, remaining)
-            self._replicas.index.apply(now, record)
             records.append(record)
             reports.jobs_in_flight.add(job_id)
         return records
@@ -109,13 +110,20 @@
         return any(call == reports.call for reports in self._shards.values())
 
     def on_answer(self, now: float, call: int, outcome: StoreOutcome) -> None:
-        """Handles the outcome of a report; a failed one is repeated."""
+        """Handles the outcome of a report; a failed one is repeated.
+
+        Only an acknowledged report counts in this daemon's index, since a manifest that is appended
+        before it must fit without it.
+        """
         reports = next(r for r in self._shards.values() if r.call == call)
         reports.call = 0
         reports.latency = now - reports.sent_at
-        if not isinstance(outcome, Appended):
+        if isinstance(outcome, Appended):
+            self._replicas.on_appended(now, INDEX, reports.records_in_flight, outcome)
+        else:
             reports.changed_jobs |= reports.jobs_in_flight
         reports.jobs_in_flight = set()
+        reports.records_in_flight = ()
 
 
 def _next_report_at(reports: _ShardReports) -> float:
--- a/tests/decisions/jobs/test_progress_reports.py
+++ b/tests/decisions/jobs/test_progress_reports.py
@@ -22,7 +22,7 @@
 from troutswitch.decisions.jobs.replicas import JobReplicas
 from troutswitch.decisions.jobs.token_limits import TokenLimits
 from troutswitch.decisions.jobs.writer import ShardWriter
-from troutswitch.decisions.storage.messages import AppendRecords, StoreCall
+from troutswitch.decisions.storage.messages import Appended, AppendRecords, StoreCall
 from troutswitch.decisions.storage.read_attempts import CallNumbers
 
 JOBS = 3
@@ -141,4 +141,6 @@
             replicas.shard(0).fold.apply(record)
     (report,) = writer.write(4.0, lease, [], is_draining=False)
     assert isinstance(report, AppendRecords)
+    assert replicas.index.jobs["job"].is_open  # until the store has the report
+    writer.on_answer(4.1, report.call, Appended(0, 1))
     assert not replicas.index.jobs["job"].is_open
