--- a/src/troutswitch/decisions/slots/batch_slots.py
+++ b/src/troutswitch/decisions/slots/batch_slots.py
@@ -18,8 +18,8 @@
 in a paced service the slots are counted for each tenant, and a daemon is assigned no more of them
 in a round than it has waiting items.
 
-A daemon that left a granted slot of an engine unused gets none there while other engines have free
-slots for it (`unused_grants.py`).
+A daemon that left a granted slot of an engine unused gets none there for a while, and longer if
+other engines have free slots for it (`unused_grants.py`).
 
 Why: late items come second, because starting them earlier does not restore a missed objective.
 Their reserved slots keep them from starving. Weighting by the number of items lets the jobs of all
@@ -212,7 +212,7 @@
         names = [
             name
             for name in (SELF, *self._ledger.holders)
-            if not self._is_better_tried_elsewhere(now, name, engine)
+            if not self._is_passed_over(now, name, engine)
         ]
         if self._is_paced(engine.record.service):
             assignments = self._assign_fairly(engine, free_slots, names)
@@ -223,9 +223,11 @@
             at_service[engine.record.service] += assignment.count
         return assignments
 
-    def _is_better_tried_elsewhere(self, now: float, name: str, engine: Engine) -> bool:
-        """Returns whether a daemon left a slot of an engine unused, and others have free slots."""
+    def _is_passed_over(self, now: float, name: str, engine: Engine) -> bool:
+        """Returns whether a daemon gets no slot of an engine, as it left one there unused."""
         unused = self._ledger.unused
+        if unused.is_paused(now, name, engine.record.engine_id):
+            return True
         if not unused.is_unused(now, name, engine.record.engine_id):
             return False
         return any(
--- a/src/troutswitch/decisions/slots/ledger.py
+++ b/src/troutswitch/decisions/slots/ledger.py
@@ -171,32 +171,37 @@
             holder.tenants = ()
         elif report.sequence <= holder.sequence:
             return False
-        before = holder.reported
+        if report.coordinator_incarnation == self._incarnation:
+            self._record_use(now, holder, report)
         holder.apply_report(now, report, tenants)
         if report.coordinator_incarnation == self._incarnation:
-            self._record_use(now, report, before)
             holder.drop_reported_grants(report.last_grant_seen)
         self._apply(now, holder)
         return True
 
-    def _record_use(
-        self, now: float, report: HoldingsReport, before: dict[int, EngineShare]
-    ) -> None:
-        """Records at which engines a report that includes grants has no more items than before."""
-        holder = self.holders[report.sender]
+    def _record_use(self, now: float, holder: Holder, report: HoldingsReport) -> None:
+        """Records at which engines a peer used the grants that its new report includes.
+
+        They count as unused only if nothing else can hide a start: no fewer items wait, and none
+        has ended since the report before.
+        """
         granted = {
             grant.share.engine_key
             for grant in holder.grants
             if grant.number <= report.last_grant_seen and grant.share.batch > 0
         }
+        waiting = holder.waiting_items + holder.late_items
+        is_unclear = (
+            report.waiting_items + report.late_items < waiting
+            or report.open_items < holder.open_items
+        )
+        reported = {share.engine_key: share.batch for share in report.shares}
         for key in granted:
             engine = self._engines.by_key(key)
-            if engine is None:
-                continue
-            items_before = before[key].batch if key in before else 0
-            items = holder.reported[key].batch if key in holder.reported else 0
-            is_used = items > items_before
-            self.unused.record(now, report.sender, engine.record.engine_id, is_used=is_used)
+            before = holder.reported.get(key, _empty_share(key)).batch
+            is_used = reported.get(key, 0) > before
+            if engine is not None and (is_used or not is_unclear):
+                self.unused.record(now, report.sender, engine.record.engine_id, is_used=is_used)
 
     def grant(self, now: float, name: str, share: EngineShare, tenant: str | None = None) -> int:
         """Counts a grant to a holder from now on; returns the grant's number."""
--- a/tests/decisions/slots/test_unused_grants.py
+++ b/tests/decisions/slots/test_unused_grants.py
@@ -5,7 +5,11 @@
 from tests.decisions.slots.harness import SlotsDaemon, deliver, record
 from tests.simulation.fleet import SimulatedFleet
 from troutswitch.decisions.slots.messages import StartItems
-from troutswitch.decisions.slots.unused_grants import UNUSED_GRANT_SECONDS, UnusedGrants
+from troutswitch.decisions.slots.unused_grants import (
+    UNUSED_GRANT_SECONDS,
+    UNUSED_PAUSE_SECONDS,
+    UnusedGrants,
+)
 
 SETTLED = 10.0
 TICK = 0.02
@@ -87,9 +91,13 @@
     assert fleet.unfinished_jobs() == []
 
 
-def test_an_unused_grant_counts_until_one_is_used_or_the_time_has_passed() -> None:
+def test_unused_grants_count_until_one_is_used_or_the_time_has_passed() -> None:
     unused = UnusedGrants()
     unused.record(0.0, "d", "s0", is_used=False)
+    assert not unused.is_unused(0.0, "d", "s0")
+    unused.record(0.0, "d", "s0", is_used=False)
+    assert unused.is_paused(UNUSED_PAUSE_SECONDS - 0.01, "d", "s0")
+    assert not unused.is_paused(UNUSED_PAUSE_SECONDS, "d", "s0")
     assert unused.is_unused(UNUSED_GRANT_SECONDS, "d", "s0")
     assert not unused.is_unused(UNUSED_GRANT_SECONDS + 0.1, "d", "s0")
     assert not unused.is_unused(0.0, "d", "s1")
--- a/tests/simulation/fleet.py
+++ b/tests/simulation/fleet.py
@@ -116,6 +116,9 @@
 class SimulatedFleet:
     """Gateway daemons with their store, engines and clients on one virtual clock."""
 
+    has_memory_limit = False
+    """Whether the daemons' settings name a limit of memory."""
+
     def __init__(
         self,
         seed: int,
@@ -128,6 +131,7 @@
         zones: tuple[str, ...] = ("z",),
         policies: Policies | None = None,
         cache_tokens: int = 0,
+        extra_services: tuple[Service, ...] = (),
     ) -> None:
         self.env = simpy.Environment()
         self.rng = random.Random(seed)
@@ -159,7 +163,8 @@
             completion_target=20.0,
             retention=600.0,
         )
-        services = {SERVICE: Service(SERVICE, 100, 8, cache_tokens)}
+        own_service = Service(SERVICE, 100, 8, cache_tokens)
+        services = {service.name: service for service in (own_service, *extra_services)}
         routes = (route, *extra_routes)
         configuration = FleetConfiguration(1, routes, services, RequestLimits(), tenants)
         self.formats = self.make_formats(configuration)
@@ -180,10 +185,14 @@
 
     def register_engine(self, name: str, slots: int, is_draining: bool = False) -> None:
         """Writes an engine's entry to the store."""
-        version = self.engine_version(name)
-        record = KeyedRecord(name, cbor2.dumps([slots, is_draining, version]))
+        fields = [slots, is_draining, self.engine_version(name), self.engine_service(name)]
+        record = KeyedRecord(name, cbor2.dumps(fields))
         self.store.log(Partition("servers")).append((record,))
 
+    def engine_service(self, name: str) -> str:
+        """Returns the service of an engine."""
+        return SERVICE
+
     def engine_version(self, name: str) -> str:
         """Returns the software version of an engine, which all its incarnations share."""
         return self.engine_versions.get(name.partition(".")[0], "v1")
@@ -206,6 +215,7 @@
             min_member_ttl=1.0,
             job_retention=JOB_RETENTION_SECONDS,
             store_limits=StoreLimits(262_144, 2_097_152, 4),
+            has_memory_limit=self.has_memory_limit,
         )
         rng = random.Random(self.rng.getrandbits(64))
         earlier = self.daemons.get(name)
--- a/tests/simulation/plain_formats.py
+++ b/tests/simulation/plain_formats.py
@@ -40,10 +40,10 @@
 
     def engine(self, engine_id: str, data: bytes) -> EngineRecord:
         """Decodes an engine entry."""
-        slots, is_draining, version = cbor2.loads(data)
+        slots, is_draining, version, service = cbor2.loads(data)
         return EngineRecord(
             engine_id,
-            SERVICE,
+            service,
             Address("10.0.0.1", 1),
             "z",
             slots,
