--- a/tests/cut_server.py
+++ b/tests/cut_server.py
@@ -54,13 +54,14 @@
 def _read_request(server: RawServer, connection: socket.socket) -> str:
     """Reads a whole request, as a close with unread bytes resets; returns the request's id."""
     head, _, body = server.read_head(connection).partition(b"\r\n\r\n")
-    missing = _length(head) - len(body)
+    missing = content_length(head) - len(body)
     while missing > 0:
         missing -= len(connection.recv(READ_BYTES))
     return request_id(head)
 
 
-def _length(head: bytes) -> int:
+def content_length(head: bytes) -> int:
+    """Returns the length of the body that a request's head announces, 0 if it announces none."""
     for line in head.split(b"\r\n"):
         name, _, value = line.partition(b":")
         if name.lower() == b"content-length":
--- a/tests/gateway/engines/test_untrusted_answers.py
+++ b/tests/gateway/engines/test_untrusted_answers.py
@@ -88,3 +88,14 @@
     """Guards against an internal error while the answer's head is sent to the caller."""
     with pytest.raises(AnswerLost):
         ENGINE.exchange(HEAD + header + b"\r\nContent-Length: 1\r\n\r\na")
+
+
+@pytest.mark.parametrize(
+    "status", ["000", "0", "00", "20", "099", "0200", "2000", "+200", "2_00", "600", "999"]
+)
+def test_status_that_is_none_is_no_answer(status: str) -> None:
+    """Guards against an answer of a server in trouble whose status the parser takes for another."""
+    sound = HEAD + b"Content-Length: 1\r\n\r\na"
+    assert ENGINE.exchange(sound)[1] == b"a"
+    with pytest.raises(AnswerLost):
+        ENGINE.exchange(sound.replace(b"200", status.encode(), 1))
