A stopping daemon takes no request that must not be repeated and that it might cut

Reported (LOST): in a planned stop, requests that came late in the grace were taken and passed on, and cut at its end, among them requests that may not be repeated. It happens here: a request not to be repeated that comes after SIGTERM and runs for 10 s was passed on and cut after 7.4 s ("answer cut by stop" in the log, no answer at the caller).

Cause: for 3.2 s a stopping daemon took every request, whatever its time limit.

Change: while it stops, a request that must not be repeated is admitted only if its time limit ends before the process does; otherwise it is refused as not run, and another daemon can run it. All new requests are refused from 2.9 s on (3.2 s before), so that none that comes later than 3 s after SIGTERM is passed on. Requests that may be repeated are still taken for 2.9 s; one that runs to the end of the grace is cut, as before.

--- a/src/troutswitch/decisions/forwarding/arrivals.py
+++ b/src/troutswitch/decisions/forwarding/arrivals.py
@@ -47,6 +47,8 @@
 from troutswitch.decisions.tenants.types import NO_TENANT, Tenant
 from troutswitch.outcomes import NotRun, Step
 
+STOPPING_RETRY_SECONDS = 0.05
+"""Retry-After while this daemon stops; short, because another one accepts the next connection."""
 ABOVE_QUOTA_STATUS = 429
 NO_ROUTE_STATUS = 404
 
@@ -95,6 +97,8 @@
     def __init__(self, routes: RouteTable, suspects: Suspects) -> None:
         self.tenant_keys = TenantKeys(routes)
         self.quota: Quota = NoQuota()
+        self.stops_at = float("inf")
+        """When this process ends at the latest, on its clock; infinite until it drains."""
         self._routes = routes
         self._suspects = suspects
         self._awaiting_quota: dict[int, _AwaitingQuota] = {}
@@ -110,6 +114,9 @@
             return Refused(event, NotRun(reason, Step.ROUTE, "", OUTDATED_RETRY_SECONDS))
         if route is None or route.is_for_jobs:
             return Refused(event, NotRun("no such route", Step.ROUTE, "", None, NO_ROUTE_STATUS))
+        if self._may_be_cut(now, event, route):
+            reason = "this daemon stops before the request's time limit"
+            return Refused(event, NotRun(reason, Step.ADMIT, "", STOPPING_RETRY_SECONDS))
         tenant = self.tenant_keys.identify(event.caller_key, route)
         if isinstance(tenant, NotRun):
             return Refused(event, tenant)
@@ -123,6 +130,16 @@
             return None
         return self._apply_quota(now, waiting, decision)
 
+    def _may_be_cut(self, now: float, event: RequestArrived, route: Route) -> bool:
+        """Returns whether a request that must not be repeated may outlast this process.
+
+        Another daemon can run it. Requests that may be repeated are admitted: nearly all of them
+        end in time, and the callers of the others send them again.
+        """
+        if route.is_repeatable:
+            return False
+        return now + min(event.time_left, route.time_limit) > self.stops_at
+
     def _refused_key(self, event: RequestArrived) -> str | None:
         """Returns the key for which a request is refused for crashes, or None."""
         refused = self._suspects.refused
--- a/src/troutswitch/decisions/gateway.py
+++ b/src/troutswitch/decisions/gateway.py
@@ -166,7 +166,7 @@
             case ProcessResumed():
                 self._on_process_resumed(now, event)
             case DrainRequested():
-                self._on_drain_requested(now)
+                self._on_drain_requested(now, event)
             case TimerFired():
                 pass
             case _:
@@ -200,8 +200,9 @@
         self.suspects.read_again(now)
         self.engines.versions.knowledge.want_records(now)
 
-    def _on_drain_requested(self, now: float) -> None:
+    def _on_drain_requested(self, now: float, event: DrainRequested) -> None:
         self.is_draining = True
+        self.requests.arrivals.stops_at = now + event.seconds
         self.jobs.drain(now)
         self.slots.drain()
         self._log("drain started", in_flight=len(self.requests.requests))
--- a/src/troutswitch/decisions/gateway_messages.py
+++ b/src/troutswitch/decisions/gateway_messages.py
@@ -68,7 +68,9 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainRequested:
-    """Event: the process is to drain and stop."""
+    """Event: the process is to drain and stop, after `seconds` at the latest."""
+
+    seconds: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/troutswitch/gateway/process.py
+++ b/src/troutswitch/gateway/process.py
@@ -62,8 +62,10 @@
 """Minimum time between log lines about dropped datagrams; all are counted in the metrics."""
 MAX_CONNECTIONS = 2000
 """Maximum number of open connections to each listener."""
-MIN_DRAIN_SECONDS = 3.2
-"""Minimum time for which a stopping daemon serves callers that still consider it ready."""
+MIN_DRAIN_SECONDS = 2.9
+"""Minimum time for which a stopping daemon serves callers that still consider it ready. A request
+that arrives later than 3 s after the start of a stop must not be cut at its end, however long it
+runs."""
 STOP_RESERVE_SECONDS = 0.6
 """Part of the grace period reserved for the termination of the process."""
 DRAIN_POLL_SECONDS = 0.05
@@ -320,7 +322,7 @@
         """
         started_at = steady_seconds()
         deadline = started_at + self.settings.bounds.grace - STOP_RESERVE_SECONDS
-        self.loop.post(DrainRequested())
+        self.loop.post(DrainRequested(deadline - started_at))
         if self._callers is not None:
             self._callers.drain()
         is_complete = False
--- a/tests/decisions/forwarding/test_arrivals.py
+++ b/tests/decisions/forwarding/test_arrivals.py
@@ -15,7 +15,7 @@
     PlacementRequest,
 )
 from troutswitch.decisions.forwarding.routes import OUTDATED_RETRY_SECONDS
-from troutswitch.decisions.forwarding.types import Route
+from troutswitch.decisions.forwarding.types import Route, RouteKind
 from troutswitch.decisions.tenants.quota import NoQuota, QuotaCompletion, QuotaResult
 from troutswitch.decisions.tenants.types import Tenant, key_digest
 from troutswitch.outcomes import NotRun
@@ -50,6 +50,26 @@
     assert sent.tenant == "ours"
 
 
+def test_request_that_must_not_be_repeated_is_refused_by_a_daemon_that_may_cut_it() -> None:
+    """Guards against requests that a planned stop passes on, and cuts at the end of its grace."""
+    once = route(kind=RouteKind.STREAM, resumable=False, time_limit=30.0)
+    harness = ForwardingHarness(once, route("again", "/b/", resumable=True, time_limit=30.0))
+    harness.requests.arrivals.stops_at = 7.4
+    late = harness.arrive(2.0, arrival(1, time_left=6.0))
+    assert refusal_status(late) == 503
+    assert isinstance(late, FinishRequest) and isinstance(late.outcome, NotRun)
+    assert late.outcome.retry_after
+    assert not harness.requests.requests
+    assert isinstance(harness.arrive(2.0, arrival(2, time_left=5.0)), SendRequest)
+    assert isinstance(harness.arrive(2.0, arrival(3, "/b/x", time_left=9.0)), SendRequest)
+
+
+def test_request_in_time_for_its_routes_limit_is_admitted_by_a_stopping_daemon() -> None:
+    harness = ForwardingHarness(route(resumable=False, time_limit=2.0))
+    harness.requests.arrivals.stops_at = 7.4
+    assert isinstance(harness.arrive(5.0, arrival(1, time_left=60.0)), SendRequest)
+
+
 @pytest.mark.parametrize("key", ["", OTHER, key_digest("first "), key_digest("first, first")])
 def test_missing_or_unknown_key_gets_401_and_is_not_sent(key: str) -> None:
     harness = harness_with_tenants()
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -280,7 +280,7 @@
     """A planned stop while callers keep sending requests until the process has ended.
 
     Guards against a stop that accepts new requests while it waits for a moment without any: the
-    callers never left such a moment after the 3.2 s for which the daemon serves late callers, and
+    callers never left such a moment after the 2.9 s for which the daemon serves late callers, and
     the end of the grace period cut the last requests. Seen in a soak: five streams sent 7.1 to
     7.4 s after SIGTERM were cut at 7.47 s, when the process ended ("daemon stopped", unfinished 5).
     """
@@ -299,6 +299,30 @@
         assert not {name for name, status in caller.answers.items() if status == 503} & ran
 
 
+def test_a_planned_stop_takes_no_request_that_it_might_cut(
+    store: StoreStandin, engines: list[EngineStandin], tmp_path: Path
+) -> None:
+    """Guards against requests not to be repeated that are passed on, and cut as the grace ends."""
+    once = configuration("service")
+    once["routes"][0] |= {"resumable": False, "timeoutMs": 30000}
+    store.put("keyed.op", "config", once)
+    for engine in engines:
+        engine.events, engine.pause = 100, 0.1
+    gateway = Gateway(store, tmp_path)
+    try:
+        wait_for(gateway.is_ready, "readiness")
+        gateway.process.send_signal(signal.SIGTERM)
+        wait_for(lambda: not gateway.is_ready(), "not ready")
+        callers = [PersistentCaller(gateway, f"late-{number}") for number in range(2)]
+        assert gateway.process.wait(WAIT_SECONDS) == 0
+        for caller in callers:
+            caller.thread.join()
+            assert set(caller.answers.values()) == {503}
+        assert not any(engine.requests for engine in engines)
+    finally:
+        gateway.stop()
+
+
 def test_a_hangup_while_the_program_loads_does_not_end_it(tmp_path: Path) -> None:
     """SIGHUP right after a start.
 
