Soak: items near the cache, idle services, and one id with two contents

The load kind `sized-items`: jobs with items of up to all of an engine's cache under a low limit of queued tokens, ids that are sent again with other content at another daemon, and engines of two services without work, whose groups come before and after the used one. Checks: of two contents of one id one runs at most, and none that was answered 409; each manifest fitted, and its job was unknown, by the index before it, read from the store at the end.

--- a/src/troutswitch/platform/stand_in_forms.py
+++ b/src/troutswitch/platform/stand_in_forms.py
@@ -86,8 +86,14 @@
     limits: RouteLimitsSpec,
     tenants: Sequence[TenantSpec] = (),
     health_path: str = "",
+    cache_tokens: int = 0,
+    idle_services: Sequence[str] = (),
 ) -> bytes:
-    """Encodes a configuration; without tenants it requires no API keys."""
+    """Encodes a configuration; without tenants it requires no API keys.
+
+    `idle_services` are further services, of no route. Engines of all services have `slots` slots
+    and a cache of `cache_tokens`, 0 if that is not stated.
+    """
     shared = {
         "timeoutMs": limits.time_limit * 1000,
         "targetLatencyMs": limits.objective * 1000,
@@ -109,15 +115,15 @@
         }
         for route in routes
     ]
-    service_row: dict[str, object] = {
-        "name": service,
-        "maxConnections": 200,
-        "engine": {"slots": slots},
-    }
+    engine = {"slots": slots} | ({"kvCacheTokens": cache_tokens} if cache_tokens else {})
+    services: list[dict[str, object]] = [
+        {"name": name, "maxConnections": 200, "engine": engine}
+        for name in (service, *idle_services)
+    ]
     if health_path:
-        service_row["healthPath"] = health_path
+        services[0]["healthPath"] = health_path
     sizes = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304}
-    record = {"version": version, "routes": rows, "services": [service_row], "limits": sizes}
+    record = {"version": version, "routes": rows, "services": services, "limits": sizes}
     if tenants:
         record["tenants"] = [_tenant_row(tenant) for tenant in tenants]
     return json.dumps(record).encode()
--- a/src/troutswitch/soak/checks.py
+++ b/src/troutswitch/soak/checks.py
@@ -51,6 +51,8 @@
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run and never will."""
+CONFLICT = 409
+"""Status of a submission whose id was used for other content."""
 LOSS_SLACK_SECONDS = 3.0
 """Time after sending within which a request that no daemon has read may be lost. The platform's
 bound is shorter, but the soak's proxies and callers lag on a busy machine: interruptions were seen
@@ -120,6 +122,29 @@
     return found
 
 
+def one_content_of_an_id_runs(observations: Observations) -> list[Violation]:
+    """UNASKED, MIXED: of two contents that are sent under one job's id, one runs at most.
+
+    The other one is answered 409, which says that the id was used for other content.
+    """
+    starts_by_request = _starts_by_request(observations)
+    ran: dict[str, list[ObservedJob]] = defaultdict(list)
+    for job in observations.jobs:
+        if any(item in starts_by_request for item in job.items):
+            ran[job.job_id].append(job)
+    found = [
+        Violation("MIXED", job_id, "items of two contents ran")
+        for job_id, jobs in ran.items()
+        if len(jobs) > 1
+    ]
+    return found + [
+        Violation("UNASKED", job.job_id, "was answered 409, and ran")
+        for jobs in ran.values()
+        for job in jobs
+        if job.statuses[-1:] == [CONFLICT]
+    ]
+
+
 def successes_are_complete(observations: Observations) -> list[Violation]:
     """MIXED, ORDER: a success is the complete, signed answer to its own request.
 
@@ -453,6 +478,7 @@
 CHECKS: tuple[Check, ...] = (
     at_most_once,
     refused_requests_never_run,
+    one_content_of_an_id_runs,
     successes_are_complete,
     successes_were_answered_whole,
     interrupted_streams_are_prefixes,
--- a/src/troutswitch/soak/fleet.py
+++ b/src/troutswitch/soak/fleet.py
@@ -148,7 +148,12 @@
         self._memory_mb = MEMORY_LIMIT_MB if LoadKind.MEMORY_LIMIT in load else 0
         slots = COMPETITION_SLOTS if LoadKind.COMPETITION in load else SLOTS
         health_path = HEALTH_PATH if self._has_paces else ""
-        self.operator = Operator(self.store_address, slots, health_path)
+        self.operator = Operator(
+            self.store_address,
+            slots,
+            health_path,
+            has_sized_items=LoadKind.SIZED_ITEMS in load,
+        )
         self.observations.slots = slots * engines
         self.observations.configurations = self.operator.configurations
         self.observations.is_lightly_loaded = load <= LIGHT_LOAD
@@ -171,6 +176,7 @@
         self.operator.configure()
         for number in range(engines):
             self._add_engine(number)
+        self.operator.list_idle_engines(self.engines[0].address)
         if before_daemons is not None:
             before_daemons()
         for number in range(daemons):
--- a/src/troutswitch/soak/jobs.py
+++ b/src/troutswitch/soak/jobs.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from base64 import b64encode
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from troutswitch.platform import names
@@ -28,6 +29,8 @@
 END_REQUEST_SHARE = 0.02
 """Share of a reader's calls that end a job instead of reading it; a job is read about ten times."""
 MAX_ITEM_BODY_BYTES = 1000
+ITEM_TOKENS = 52
+"""Tokens of an item: those of its prompt and the most that it may generate."""
 LONG_ITEMS_PER_JOB = (1, 3)
 LONG_JOB_INTERVAL_SECONDS = (1.5, 3.0)
 """Range of the pause between two jobs of long items, each of which takes seconds."""
@@ -122,8 +125,12 @@
         items = {f"{job_id}-i{n}": self._rng.randbytes(size) for n, size in enumerate(sizes)}
         return ObservedJob(job_id, items, time.monotonic())
 
+    def _encode(self, job: ObservedJob) -> bytes:
+        """Returns the body of a job's submission."""
+        return encode_submission(job, {})
+
     def _submit(self, job: ObservedJob) -> None:
-        body = encode_submission(job)
+        body = self._encode(job)
         for _ in range(MAX_SUBMIT_ATTEMPTS):
             endpoint = self._rng.choice(self.endpoints)
             answer = call_job(endpoint, "POST", f"/item/{job.job_id}", job.job_id, job.job_id, body)
@@ -172,15 +179,18 @@
         return self._rng.uniform(*LONG_JOB_INTERVAL_SECONDS)
 
 
-def encode_submission(job: ObservedJob) -> bytes:
-    """Returns the body of the request that submits a job."""
+def encode_submission(job: ObservedJob, sizes: Mapping[str, int]) -> bytes:
+    """Returns the body of the request that submits a job.
+
+    `sizes` has the tokens of items that state other than `ITEM_TOKENS`.
+    """
     rows = [
         {
             "id": item,
             "path": item_path(job.job_id, number),
             "headers": {names.MODEL: "m", names.TOKEN_USAGE: "40,12"},
             "body": b64encode(body).decode(),
-            "tokens": 52,
+            "tokens": sizes.get(item, ITEM_TOKENS),
         }
         for number, (item, body) in enumerate(job.items.items())
     ]
--- a/src/troutswitch/soak/load_kinds.py
+++ b/src/troutswitch/soak/load_kinds.py
@@ -25,6 +25,7 @@
     LONG_ITEMS = "long-items"
     ANOTHER_WRITER = "another-writer"
     DATAGRAMS = "datagrams"
+    SIZED_ITEMS = "sized-items"
 
 
 LIGHT_LOAD = frozenset({LoadKind.PACES, LoadKind.ANOTHER_WRITER})
--- a/src/troutswitch/soak/operator.py
+++ b/src/troutswitch/soak/operator.py
@@ -8,7 +8,7 @@
 import time
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from troutswitch.common import Address
 from troutswitch.decisions.storage.messages import (
@@ -29,6 +29,12 @@
 from troutswitch.platform.store import StoreClient
 from troutswitch.soak.callers import HOST
 from troutswitch.soak.observations import ConfigurationWrite, RequestKind
+from troutswitch.soak.sized_jobs import (
+    CACHE_TOKENS,
+    IDLE_ENGINES,
+    IDLE_SERVICES,
+    MAX_QUEUED_TOKENS,
+)
 from troutswitch.soak.tenants import tenant_forms
 
 SERVICE = "service-1"
@@ -76,8 +82,20 @@
 class Operator:
     """Writes configurations, one at a time, and engines' records to the store."""
 
-    def __init__(self, store: Address, slots: int = SLOTS, health_path: str = "") -> None:
+    def __init__(
+        self,
+        store: Address,
+        slots: int = SLOTS,
+        health_path: str = "",
+        *,
+        has_sized_items: bool = False,
+    ) -> None:
         self.slots = slots
+        self._cache_tokens = CACHE_TOKENS if has_sized_items else 0
+        self._idle_services = IDLE_SERVICES if has_sized_items else ()
+        self.limits = (
+            replace(LIMITS, max_queued_tokens=MAX_QUEUED_TOKENS) if has_sized_items else LIMITS
+        )
         self._health_path = health_path
         self._client = StoreClient(store)
         self._lock = threading.Lock()
@@ -119,11 +137,20 @@
             SERVICE,
             self.slots,
             (*ROUTES, probe),
-            LIMITS,
+            self.limits,
             tenant_forms(),
             self._health_path,
+            self._cache_tokens,
+            self._idle_services,
         )
 
+    def list_idle_engines(self, address: Address) -> None:
+        """Lists engines of the idle services, which all have one address."""
+        for service in self._idle_services:
+            for number in range(IDLE_ENGINES):
+                record = engine_record(service, address, self.slots, is_draining=False)
+                self._write(ENGINES, f"{service}-{number}", record)
+
     def list_engine(
         self,
         engine_id: str,
--- a/src/troutswitch/soak/run.py
+++ b/src/troutswitch/soak/run.py
@@ -18,6 +18,7 @@
 from troutswitch.soak.jobs import JobClient, LongJobClient
 from troutswitch.soak.limited_callers import LimitedCallers
 from troutswitch.soak.load_kinds import LoadKind
+from troutswitch.soak.manifest_checks import read_index, unfounded_manifests
 from troutswitch.soak.observations import Observations, read_journal
 from troutswitch.soak.probes import Prober
 from troutswitch.soak.reading_callers import ReadingCallers
@@ -27,6 +28,7 @@
 from troutswitch.soak.resuming_callers import ResumingCallers
 from troutswitch.soak.schedule import FaultSchedule, draw_schedule
 from troutswitch.soak.sent_attempts import read_attempts
+from troutswitch.soak.sized_jobs import SizedJobClient
 from troutswitch.soak.skewed_callers import SkewedCallers
 from troutswitch.soak.slow_callers import SlowCallers
 from troutswitch.soak.stalls import Stalls
@@ -110,6 +112,7 @@
                 writer.stop()
             RecoveryPhase(self.fleet, fault_injector, self.stop_requested.is_set).run()
             self._stop_workers()
+            self._check_manifests()
             fault_injector.run(time.monotonic() + SETTLE_SECONDS, self.stop_requested.is_set)
             violations = self.check_promises()
         finally:
@@ -153,6 +156,17 @@
             )
         return find_violations(snapshot)
 
+    def _check_manifests(self) -> None:
+        """Compares each manifest in the index with the index before it, if all of it is kept."""
+        records = read_index(self.fleet.store_address)
+        if records is None:
+            self.report_progress("the index has no whole history, manifests are not checked")
+            return
+        limit = self.fleet.operator.limits.max_queued_tokens
+        self.fleet.observations.unmet_expectations += [
+            ("QUOTA, UNASKED", what) for what in unfounded_manifests(records, limit)
+        ]
+
     def _attempts(self) -> list[tuple[float, float]]:
         """Returns the attempts in the daemons' logs, which only competing callers need."""
         if LoadKind.COMPETITION not in self._size.load:
@@ -203,6 +217,10 @@
             client = LongJobClient(f"long-job-{seed}", seed, endpoints, observations)
             self._workers.append(client)
             self._threads += client.threads
+        if LoadKind.SIZED_ITEMS in self._size.load:
+            client = SizedJobClient(f"sized-job-{seed}", seed, endpoints, observations)
+            self._workers.append(client)
+            self._threads += client.threads
         for endpoint in self.fleet.direct_endpoints():
             prober = Prober(endpoint, self.fleet.operator, observations)
             self._workers.append(prober)
--- a/tests/decisions/jobs/test_late_manifests.py
+++ b/tests/decisions/jobs/test_late_manifests.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from tests.simulation.accepted_manifests import unfounded_manifests
 from tests.simulation.fleet import Daemon, SimulatedFleet
 from tests.simulation.plain_formats import HOST, PREFIX, PlainFormats
 from troutswitch.decisions.jobs.messages import (
@@ -20,6 +19,7 @@
 from troutswitch.decisions.jobs.retention import MIN_ORPHAN_AGE_SECONDS
 from troutswitch.decisions.storage.messages import AppendRecords, CallFailed, StoreCall
 from troutswitch.decisions.tenants.types import Tenant, key_digest
+from troutswitch.soak.manifest_checks import unfounded_manifests
 
 SLOW_SECONDS = 1.5
 OURS = key_digest("ours")
@@ -114,7 +114,7 @@
     fleet.runs.clear()
     fleet.run(2 * SLOW_SECONDS + 2.0)
     assert late == [JobAccepted()]
-    assert unfounded_manifests(fleet.store) == []
+    assert unfounded_manifests(fleet.store.log(INDEX).records) == []
     assert fleet.runs == []
 
 
@@ -131,7 +131,7 @@
     fleet.run(2 * SLOW_SECONDS + 1.0)
     assert [type(answer) for answer in late] == [JobRefused]
     assert isinstance(late[0], JobRefused) and late[0].status == 429
-    assert unfounded_manifests(fleet.store, 150) == []
+    assert unfounded_manifests(fleet.store.log(INDEX).records, 150) == []
 
 
 @pytest.mark.parametrize(
@@ -148,7 +148,7 @@
     fleet.publish_changed(change)
     fleet.run(2 * SLOW_SECONDS + 1.0)
     assert isinstance(late[0], JobRefused) and late[0].status == status
-    assert unfounded_manifests(fleet.store) == []
+    assert unfounded_manifests(fleet.store.log(INDEX).records) == []
     assert fleet.runs == []
 
 
--- a/tests/simulation/service_fleet.py
+++ b/tests/simulation/service_fleet.py
@@ -13,7 +13,6 @@
 from dataclasses import dataclass
 from functools import partial
 
-from tests.simulation.accepted_manifests import unfounded_manifests
 from tests.simulation.fleet import Daemon, SimulatedFleet
 from tests.simulation.observed_job import ObservedJob
 from tests.simulation.plain_formats import HOST
@@ -27,8 +26,9 @@
     JobSubmitted,
     RunItem,
 )
-from troutswitch.decisions.jobs.records import JobItem
+from troutswitch.decisions.jobs.records import INDEX, JobItem
 from troutswitch.decisions.storage.messages import AppendRecords, CallFailed, StoreCall
+from troutswitch.soak.manifest_checks import unfounded_manifests
 
 START_BOUND_SECONDS = 3.0
 """Longest time without a start while an engine has room: the time of a takeover of a group, whose
@@ -241,7 +241,7 @@
         mixed = [job_id for job_id, digests in ran.items() if len(digests) > 1]
         return [
             *self.violations,
-            *unfounded_manifests(self.store, MAX_QUEUED_TOKENS),
+            *unfounded_manifests(self.store.log(INDEX).records, MAX_QUEUED_TOKENS),
             *(f"a refused job ran: {job_id}" for job_id in sorted(set(refused))),
             *(f"two contents ran: {job_id}" for job_id in mixed),
         ]
--- a/tests/soak/test_load_kinds.py
+++ b/tests/soak/test_load_kinds.py
@@ -4,7 +4,7 @@
 
 from troutswitch.soak.load_kinds import LoadKind, draw_load, format_load, parse_load
 
-SEEDS = range(12_000)
+SEEDS = range(24_000)
 
 
 def test_a_seed_determines_the_load_and_seeds_cover_all_combinations() -> None:
