A large item reserves an engine, so that smaller ones do not pass it for ever

What could be seen: a batch item that needs most of a cache waits for as long as smaller ones keep coming, though they came later.

Cause: an engine that has little space gets the items that fit, and no rule ended that.

Change: an item of more than half of a cache that has waited for 2 s reserves the engine with the fewest tokens, one item of a daemon at a time, for 10 s at most. Its daemon starts nothing else there, and reports the engine to its coordinator, which assigns its slots to no other daemon. The field stands last in the report and is encoded only if set; a daemon of the version before ignores it. Online requests are not held back. Items that take less of a cache never reserve, so nothing changes where all do.

Evidence: beside small jobs that more than fill two engines, an item of 0.9 is done within 40 s in fleets of one and three daemons, with and without a limit of memory; without reservations it is not (test with the mechanism taken out).

The soak's sizes leave space for online requests now (3,600 of 4,000 tokens, before 2,000 of 2,000): callers never leave an engine empty there, and are not held back for an item.

--- a/src/troutswitch/daemons/datagram.py
+++ b/src/troutswitch/daemons/datagram.py
@@ -11,6 +11,7 @@
 
 from troutswitch.cbor_values import MalformedCbor, decode_cbor
 from troutswitch.daemons.messages import (
+    NO_ENGINE,
     BatchSlotGrant,
     Heartbeat,
     HoldingsReport,
@@ -29,15 +30,13 @@
     SlotReply: False,
     BatchSlotGrant: None,
     Heartbeat: False,
-    HoldingsReport: (),
     PacedReport: (),
     QueuedSlotRequest: (),
 }
 """Default of the last field of messages that are encoded without it while it has its default. Such
 a field was added later, and the messages that do not use it keep their bytes."""
 REPORT_FIELD = 1
-"""Position of the report in the messages that have one: the first field after the tag. Its last
-field is omitted in the same way."""
+"""Position of the report in the messages that have one: the first field after the tag."""
 _NOT_OMITTED = object()
 
 
@@ -48,14 +47,23 @@
 def encode(message: PeerMessage) -> bytes:
     """Returns the datagram for a message."""
     fields = msgspec.to_builtins(message)
+    if isinstance(message, HoldingsReport):
+        fields = _report_fields(message, fields)
     report = getattr(message, "report", None)
-    if isinstance(report, HoldingsReport) and not report.services:
-        fields[REPORT_FIELD] = fields[REPORT_FIELD][:-1]
+    if isinstance(report, HoldingsReport):
+        fields[REPORT_FIELD] = _report_fields(report, fields[REPORT_FIELD])
     if fields[-1] == OMITTED_DEFAULTS.get(type(message), _NOT_OMITTED):
         fields = fields[:-1]
     return cbor2.dumps([VERSION, fields])
 
 
+def _report_fields(report: HoldingsReport, fields: list[Any]) -> list[Any]:
+    """Returns the fields of a report without its last ones that have their defaults."""
+    if report.reserved != NO_ENGINE:
+        return fields
+    return fields[:-1] if report.services else fields[:-2]
+
+
 @raises_only(DatagramError)
 def decode(data: bytes) -> PeerMessage:
     """Returns the message in a datagram.
--- a/src/troutswitch/daemons/messages.py
+++ b/src/troutswitch/daemons/messages.py
@@ -92,7 +92,9 @@
     `unusable` has the keys of engines to which the sender currently sends no requests.
 
     `services` divides the waiting items by service. It is encoded only if it has rows, and a daemon
-    of an earlier version ignores it. Without rows each item can start at every service.
+    of an earlier version ignores it. Without rows each item can start at every service. `reserved`
+    has the key of the engine that is to take no further items of other daemons, until a large one
+    of the sender has space there (`jobs.space_reservation`); it is encoded only if there is one.
     """
 
     sender: str
@@ -108,6 +110,7 @@
     last_grant_seen: int = 0
     unusable: tuple[int, ...] = ()
     services: tuple[ServiceItems, ...] = ()
+    reserved: int = NO_ENGINE
 
 
 class SlotRequest(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
--- a/src/troutswitch/decisions/gateway_parts.py
+++ b/src/troutswitch/decisions/gateway_parts.py
@@ -64,6 +64,10 @@
     def waiting_by_service(self) -> tuple[ServiceItems, ...]:
         return self._parts.jobs.owner.waiting_by_service
 
+    @property
+    def reserved_engine(self) -> str:
+        return self._parts.jobs.owner.reservation.engine_id
+
     @property
     def open_items(self) -> int:
         return self._parts.jobs.owner.open_items
--- a/src/troutswitch/decisions/jobs/dispatcher.py
+++ b/src/troutswitch/decisions/jobs/dispatcher.py
@@ -15,6 +15,7 @@
 docs/POLICY.md, "Rounds" (7) and "Rounds with coordinators of slots" (14).
 """
 
+from collections.abc import Iterable
 from functools import partial
 
 from troutswitch.daemons.messages import ServiceItems, TenantItems
@@ -27,6 +28,7 @@
 from troutswitch.decisions.jobs.items import ItemProgress
 from troutswitch.decisions.jobs.messages import RunItem
 from troutswitch.decisions.jobs.order import AvailableCapacity, ItemKey
+from troutswitch.decisions.jobs.space_reservation import SpaceReservation
 from troutswitch.decisions.jobs.speed_order import is_better_served_elsewhere, order_for
 from troutswitch.decisions.jobs.starvation_guard import StarvationGuard
 from troutswitch.decisions.jobs.waiting_services import rows_by_service, rows_without_started
@@ -57,6 +59,7 @@
         self.waiting_by_service: tuple[ServiceItems, ...] = ()
         """The waiting items by service; empty if each can start at every listed service."""
         self.starvation_guard = StarvationGuard()
+        self.reservation = SpaceReservation()
         self._items = parts.items
         self._runs = parts.runs
         self._ranking = parts.ranking
@@ -79,14 +82,21 @@
 
     def start_round(self, now: float) -> list[RunItem]:
         """Ranks the items, counts the waiting ones, and starts items where no slots are granted."""
-        startable = self._items.startable(now, self._engines.listed_at)
-        services = self._services_of(now, startable)
-        candidates = [progress for progress in startable if services.get(progress.key)]
+        startable = {
+            item.progress.key: item
+            for progress in self._items.startable(now, self._engines.listed_at)
+            if (item := self._retries.prepare_start(now, progress)) is not None
+        }
+        services = self._services_of(startable.values())
+        candidates = [item.progress for key, item in startable.items() if services[key]]
+        if not candidates:
+            self.reservation.update(now, (), self._engine_choice.tokens_at)
         if not candidates and not self._runs.by_number:
             return []
         share = self._slots.share(now)
         self._rank(now, share)
         ordered = self._ranking.most_urgent_first(candidates)
+        self._reserve_space(now, [startable[progress.key] for progress in ordered])
         late = [progress for progress in ordered if self._ranking.is_late(progress)]
         in_time = ordered[: len(ordered) - len(late)]
         available = max(0, MAX_RUNS - len(self._runs.by_number))
@@ -111,16 +121,13 @@
             started += self._start_without_grant(now, late)
         return started
 
-    def _services_of(
-        self, now: float, startable: list[ItemProgress]
-    ) -> dict[ItemKey, frozenset[str]]:
+    def _services_of(self, startable: Iterable[StartableItem]) -> dict[ItemKey, frozenset[str]]:
         """Returns the services that can run each item, for those that may start now."""
         services: dict[ItemKey, frozenset[str]] = {}
-        for progress in startable:
-            item = self._retries.prepare_start(now, progress)
-            if item is not None:
-                services[progress.key] = self._engine_choice.services_of(item)
-                self._note_size(progress, fits=bool(services[progress.key]))
+        for item in startable:
+            key = item.progress.key
+            services[key] = self._engine_choice.services_of(item)
+            self._note_size(item.progress, fits=bool(services[key]))
         return services
 
     def _note_size(self, progress: ItemProgress, *, fits: bool) -> None:
@@ -134,6 +141,18 @@
             )
         progress.fits_no_service = not fits
 
+    def _reserve_space(self, now: float, ordered: list[StartableItem]) -> None:
+        """Updates the reservation of an engine for a large item that waits."""
+        large = [self._engine_choice.large_item(now, item) for item in ordered]
+        waiting = [item for item in large if item is not None]
+        before = self.reservation.engine_id
+        self.reservation.update(now, waiting, self._engine_choice.tokens_at)
+        if self.reservation.engine_id not in ("", before):
+            assert self.reservation.item is not None
+            job_id, item_id = self.reservation.item
+            engine_id = self.reservation.engine_id
+            self._log("engine reserved", job_id=job_id, item_id=item_id, engine=engine_id)
+
     def _rank(self, now: float, share: FleetShare) -> None:
         self._engine_choice.begin_round()
         own_slots = share.free_slots * self._own_share(share)
@@ -186,6 +205,8 @@
     def _may_start_beside_others(self, now: float, progress: ItemProgress, engine: Engine) -> bool:
         """Returns whether an engine's version and its other items let an item start there."""
         engine_id = engine.record.engine_id
+        if not self.reservation.allows(progress.key, engine_id):
+            return False
         running = (
             run.progress for run in self._runs.by_number.values() if run.engine_id == engine_id
         )
@@ -194,6 +215,7 @@
         return self._versions.may_start_at(now, progress, engine)
 
     def _start(self, now: float, item: StartableItem, engine: Engine) -> RunItem:
+        self.reservation.on_started(item.progress.key)
         self._refusals.on_started(now, item.progress)
         self._versions.prepare_run(now, item.progress, engine)
         return self._runs.start(now, item.progress, item.entry.manifest, engine)
--- a/src/troutswitch/decisions/jobs/engine_choice.py
+++ b/src/troutswitch/decisions/jobs/engine_choice.py
@@ -33,6 +33,7 @@
 from troutswitch.decisions.jobs.due_times import completion_target
 from troutswitch.decisions.jobs.item_retries import StartableItem
 from troutswitch.decisions.jobs.item_sizes import ItemSizes
+from troutswitch.decisions.jobs.space_reservation import LARGE_SHARE, LargeItem
 
 CHOICE_NOISE = 0.1
 """Upper bound of the random addition to an engine's cost; at a cost of 1 no slot is free."""
@@ -88,6 +89,23 @@
         """Returns the services whose engines an item may run at and can hold it."""
         return self._sizes.services_that_hold(item.route, item.progress.item.tokens)
 
+    def large_item(self, now: float, item: StartableItem) -> LargeItem | None:
+        """Returns an item with the engines that can hold it; None if it takes little of each."""
+        tokens = item.progress.item.tokens
+        services = [
+            service
+            for service in self.services_of(item)
+            if self._sizes.exceeds(service, tokens, LARGE_SHARE)
+        ]
+        if not services:
+            return None
+        engines = [engine for service in services for engine in self._engines.usable(now, service)]
+        return LargeItem(item.progress.key, tuple(engines))
+
+    def tokens_at(self, engine: Engine) -> float:
+        """Returns the tokens of this daemon at an engine, and an estimate of those of others."""
+        return engine.tokens_in_flight + self._peer_tokens(engine, 0)
+
     def choose(
         self, now: float, item: StartableItem, may_start_at: Callable[[float, Engine], bool]
     ) -> Engine | None:
--- a/src/troutswitch/decisions/jobs/item_sizes.py
+++ b/src/troutswitch/decisions/jobs/item_sizes.py
@@ -43,6 +43,10 @@
         cache_tokens = self.cache_tokens(service)
         return cache_tokens <= 0 or tokens <= cache_tokens
 
+    def exceeds(self, service: str, tokens: int, share: float) -> bool:
+        """Returns whether an item takes more than a share of the cache of a service's engines."""
+        return 0 < self.cache_tokens(service) * share < tokens
+
     def first_too_large(self, host: str, items: Iterable[JobItem]) -> JobItem | None:
         """Returns the first item that no service of its route holds; None if there is none."""
         return next((item for item in items if self._is_too_large(host, item)), None)
--- a/src/troutswitch/decisions/jobs/owner.py
+++ b/src/troutswitch/decisions/jobs/owner.py
@@ -41,6 +41,7 @@
 from troutswitch.decisions.jobs.run_stops import RunStops
 from troutswitch.decisions.jobs.run_time_estimate import RunTimeEstimate
 from troutswitch.decisions.jobs.runs import ItemRun, ItemRuns
+from troutswitch.decisions.jobs.space_reservation import SpaceReservation
 from troutswitch.decisions.jobs.token_limits import TokenLimits
 from troutswitch.decisions.jobs.writer import ShardWriter
 from troutswitch.decisions.slots.messages import StartItems, WaitingItems
@@ -134,6 +135,11 @@
         """The waiting items by service; empty if each can start at every listed service."""
         return self._dispatcher.waiting_by_service
 
+    @property
+    def reservation(self) -> SpaceReservation:
+        """The reservation of an engine for a large item."""
+        return self._dispatcher.reservation
+
     @property
     def open_items(self) -> int:
         """Number of items that this daemon has to finish."""
@@ -174,6 +180,8 @@
             self._first_round_at = now
             self._dispatcher.starvation_guard.begin(now)
         self._dispatcher.clear_waiting()
+        if self.is_draining:
+            self._dispatcher.reservation.release()
         if self.is_draining or now < self._first_round_at + SETTLE_SECONDS:
             return []
         return self._dispatcher.start_round(now)
--- a/src/troutswitch/decisions/slots/batch_slots.py
+++ b/src/troutswitch/decisions/slots/batch_slots.py
@@ -21,6 +21,9 @@
 A daemon that left a granted slot of an engine unused gets none there for a while, and longer if
 other engines have free slots for it (`unused_grants.py`).
 
+An engine that a daemon reserves for a large item is assigned to no other daemon
+(`jobs/space_reservation.py`); of several daemons, to the first that reserved it here.
+
 Why: late items come second, because starting them earlier does not restore a missed objective.
 Their reserved slots keep them from starving. Weighting by the number of items lets the jobs of all
 daemons progress at the same rate.
@@ -36,7 +39,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 
-from troutswitch.daemons.messages import ServiceItems, TenantItems, engine_key
+from troutswitch.daemons.messages import NO_ENGINE, ServiceItems, TenantItems, engine_key
 from troutswitch.decisions.forwarding.engine import Engine
 from troutswitch.decisions.forwarding.engine_cost import IgnoredSpeed, SpeedPolicy
 from troutswitch.decisions.invariants import ensure
@@ -149,6 +152,8 @@
         """Slots assigned in the current round, by daemon and service."""
         self._free_engines: list[Engine] = []
         """Engines that had free slots when the current round began."""
+        self._reserved_by: dict[int, str] = {}
+        """The daemon that has reserved an engine, by the engine's key."""
         self._slots_assigned = 0
         """Slots assigned so far; every `LATE_SLOT_INTERVAL`th of them goes to late items."""
 
@@ -182,6 +187,7 @@
             self._is_paced(e.record.service) for engines in groups.values() for e in engines[:1]
         ):
             self._turns.update(self._waiting_tenants())
+        self._update_reservations()
         self._free_engines = [
             engine
             for engine in itertools.chain.from_iterable(groups.values())
@@ -224,7 +230,13 @@
         return assignments
 
     def _is_passed_over(self, now: float, name: str, engine: Engine) -> bool:
-        """Returns whether a daemon gets no slot of an engine, as it left one there unused."""
+        """Returns whether a daemon gets no slot of an engine.
+
+        It left one there unused, or another daemon has reserved the engine.
+        """
+        reserved_by = self._reserved_by.get(engine_key(engine.record.engine_id), name)
+        if reserved_by != name:
+            return True
         unused = self._ledger.unused
         if unused.is_paused(now, name, engine.record.engine_id):
             return True
@@ -235,6 +247,16 @@
             for other in self._free_engines
         )
 
+    def _update_reservations(self) -> None:
+        """Updates which engines are reserved; a daemon keeps one that it has reserved before."""
+        own = self._own_items.reserved_engine
+        wanted = {SELF: engine_key(own)} if own else {}
+        for name, holder in self._ledger.holders.items():
+            if holder.reserved != NO_ENGINE:
+                wanted[name] = holder.reserved
+        kept = {key: name for key, name in self._reserved_by.items() if wanted.get(name) == key}
+        self._reserved_by = {key: name for name, key in reversed(wanted.items())} | kept
+
     def _needs(self, name: str, engine: Engine) -> bool:
         """Returns whether a daemon has items for an engine, apart from slots of this round."""
         demand = self._demand(engine, (name,))
--- a/src/troutswitch/decisions/slots/ledger.py
+++ b/src/troutswitch/decisions/slots/ledger.py
@@ -18,6 +18,7 @@
 
 from troutswitch.common import Address
 from troutswitch.daemons.messages import (
+    NO_ENGINE,
     PREFILL_UNIT_TOKENS,
     EngineShare,
     HoldingsReport,
@@ -80,6 +81,8 @@
     """The waiting items by tenant; empty if they count as one tenant's."""
     services: tuple[ServiceItems, ...] = ()
     """The waiting items by service; empty if each can start at every service."""
+    reserved: int = NO_ENGINE
+    """Key of the engine that is reserved for a large item of the peer."""
     open_items: int = 0
     unusable: frozenset[int] = frozenset()
 
@@ -115,6 +118,7 @@
         if tenants is not None:
             self.tenants = tenants
         self.services = report.services
+        self.reserved = report.reserved
         self.open_items = report.open_items
         self.unusable = frozenset(report.unusable)
         self.reported = {share.engine_key: share for share in report.shares}
@@ -137,6 +141,7 @@
         self.late_items = 0
         self.tenants = ()
         self.services = ()
+        self.reserved = NO_ENGINE
         self.open_items = 0
         self.unusable = frozenset()
 
--- a/src/troutswitch/decisions/slots/messages.py
+++ b/src/troutswitch/decisions/slots/messages.py
@@ -121,6 +121,11 @@
         """The waiting items by service; empty if each can start at every listed service."""
         ...
 
+    @property
+    def reserved_engine(self) -> str:
+        """The engine that is reserved for a large item, empty if there is none."""
+        ...
+
     @property
     def open_items(self) -> int:
         """Number of unfinished items."""
--- a/src/troutswitch/decisions/slots/reports.py
+++ b/src/troutswitch/decisions/slots/reports.py
@@ -24,6 +24,7 @@
 from troutswitch.daemons.identity import DaemonIdentity
 from troutswitch.daemons.messages import (
     MAX_PACES,
+    NO_ENGINE,
     EngineShare,
     HoldingsReport,
     PacedReport,
@@ -61,6 +62,7 @@
     open_items: int = 0
     tenants: tuple[TenantItems, ...] = ()
     services: tuple[ServiceItems, ...] = ()
+    reserved: int = NO_ENGINE
 
     @property
     def is_empty(self) -> bool:
@@ -95,6 +97,7 @@
     open_items: int
     tenants: tuple[TenantItems, ...]
     services: tuple[ServiceItems, ...]
+    reserved_engine: str
     tenant_readers: frozenset[str]
     """Coordinators that are sent the division by tenant."""
 
@@ -180,6 +183,7 @@
             self._own_items.open_items,
             self._own_items.waiting_by_tenant,
             self._own_items.waiting_by_service,
+            self._own_items.reserved_engine,
             self._tenant_readers(),
         )
         if inputs == self._inputs:
@@ -196,6 +200,7 @@
                 inputs.open_items,
                 inputs.tenants if claim.daemon in inputs.tenant_readers else (),
                 inputs.services,
+                engine_key(inputs.reserved_engine) if inputs.reserved_engine else NO_ENGINE,
             )
 
     def _tenant_readers(self) -> frozenset[str]:
@@ -255,6 +260,7 @@
             coordinator.last_grant_seen,
             self._unusable(now),
             holdings.services,
+            holdings.reserved,
         )
 
     def tenants(self, claim: Claim) -> tuple[TenantItems, ...]:
--- a/src/troutswitch/soak/sized_jobs.py
+++ b/src/troutswitch/soak/sized_jobs.py
@@ -10,12 +10,13 @@
 from troutswitch.soak.jobs import JobClient, call_job, encode_submission
 from troutswitch.soak.observations import Observations, ObservedJob
 
-CACHE_TOKENS = 2_000
+CACHE_TOKENS = 4_000
 """Tokens that an engine of the soak holds by its configuration."""
-MAX_QUEUED_TOKENS = 16_000
+MAX_QUEUED_TOKENS = 32_000
 """Limit of the batch route beside sized items: several jobs, so that some are refused."""
-SIZES = (52, 400, 1_200, 1_701, 1_900, CACHE_TOKENS)
-"""Tokens of an item; the larger ones need most of a cache, or all of it."""
+SIZES = (52, 800, 2_400, 3_401, 3_600)
+"""Tokens of an item; the larger ones need most of a cache. They leave space for some online
+requests: callers never leave an engine, and are not held back for an item."""
 IDLE_SERVICES = ("a-idle-service", "z-idle-service")
 """Services without work; the groups of the first one come before those of the used service."""
 IDLE_ENGINES = 2
--- a/tests/decisions/slots/harness.py
+++ b/tests/decisions/slots/harness.py
@@ -93,6 +93,10 @@
     def waiting_by_service(self) -> tuple[ServiceItems, ...]:
         return self._daemon.waiting_by_service
 
+    @property
+    def reserved_engine(self) -> str:
+        return self._daemon.reserved_engine
+
     @property
     def open_items(self) -> int:
         return self._daemon.waiting + self._daemon.late + len(self._daemon.items)
@@ -119,6 +123,7 @@
         self.waiting_tenants: Counter[str] = Counter()
         """Items among `waiting` that belong to a tenant."""
         self.waiting_by_service: tuple[ServiceItems, ...] = ()
+        self.reserved_engine = ""
         self.started_tenants: list[str] = []
         self.outbox: list[SendToPeers] = []
         self.online: dict[int, str] = {}
--- a/tests/forms/samples.py
+++ b/tests/forms/samples.py
@@ -247,6 +247,9 @@
         )
     ),
     "report of holdings by service": _peer_message_sample(_SERVICES_REPORT),
+    "report of holdings with a reservation": _peer_message_sample(
+        peer_messages.HoldingsReport("d-1", "z1", HOST, 3, 4, reserved=4294967295)
+    ),
     "ask for a place, with services": _peer_message_sample(
         peer_messages.SlotRequest(_SERVICES_REPORT, 31, "s|z|0", 4, -1)
     ),
