--- a/src/troutswitch/decisions/slots/batch_slots.py
+++ b/src/troutswitch/decisions/slots/batch_slots.py
@@ -152,6 +152,8 @@
         """Slots assigned in the current round, by daemon and service."""
         self._free_engines: list[Engine] = []
         """Engines that had free slots when the current round began."""
+        self._waiting: list[str] = []
+        """The daemons that have waiting items in the current round."""
         self._reserved_by: dict[int, str] = {}
         """The daemon that has reserved an engine, by the engine's key."""
         self._slots_assigned = 0
@@ -183,6 +185,7 @@
         if not self._has_waiting_items():
             self._turns.update(())
             return []
+        self._update_waiting()
         if any(
             self._is_paced(e.record.service) for engines in groups.values() for e in engines[:1]
         ):
@@ -215,11 +218,7 @@
         free_slots = self._capacity.free_slots(now, engine, 0.0)
         if free_slots <= 0:
             return []
-        names = [
-            name
-            for name in (SELF, *self._ledger.holders)
-            if not self._is_passed_over(now, name, engine)
-        ]
+        names = [name for name in self._waiting if not self._is_passed_over(now, name, engine)]
         if self._is_paced(engine.record.service):
             assignments = self._assign_fairly(engine, free_slots, names)
         else:
@@ -247,6 +246,15 @@
             for other in self._free_engines
         )
 
+    def _update_waiting(self) -> None:
+        own = self._own_items.waiting
+        self._waiting = [SELF] if own.in_time or own.late else []
+        self._waiting += [
+            name
+            for name, holder in self._ledger.holders.items()
+            if holder.waiting_items or holder.late_items
+        ]
+
     def _update_reservations(self) -> None:
         """Updates which engines are reserved; a daemon keeps one that it has reserved before."""
         own = self._own_items.reserved_engine
@@ -389,7 +397,7 @@
 
     def _waiting_tenants(self) -> Iterator[str]:
         """Yields the tenants with items that wait at any daemon for a slot not yet granted."""
-        total = self._demand(None, (SELF, *self._ledger.holders))
+        total = self._demand(None, self._waiting)
         for name in total.in_time.keys() | total.late.keys():
             for tenant, demand in self._tenants_of(name, total):
                 if demand.in_time or demand.late:
