Soak: a job that its client ends while the recovery phase waits for it need not be listed

The trace: its client, which goes on in the recovery phase, ended the job 0.1 s after the wait had begun ("job end stored"), and nothing need be listed then. After three waits of 60 s the other jobs were past their retention of 150 s, and were not found.

--- a/src/troutswitch/soak/recovery_phase.py
+++ b/src/troutswitch/soak/recovery_phase.py
@@ -133,6 +133,8 @@
         for endpoint in self.fleet.direct_endpoints():
 
             def is_listed() -> bool:
+                if job.end_requested_at:  # its client may end it while it is waited for
+                    return True
                 read_results(endpoint, job, 0)  # noqa: B023
                 return items_listed_by(job, endpoint.daemon) >= set(job.items)  # noqa: B023
 
