Return unused slots with the next report, and vary the pauses after them

Change: unused slots come back with the next report, as before, and the pause after unused grants is 0.5 s on average and differs by up to half.

--- a/src/troutswitch/decisions/slots/fleet.py
+++ b/src/troutswitch/decisions/slots/fleet.py
@@ -273,11 +273,8 @@
     ) -> None:
         """Records how many of this daemon's items started in the slots of a grant."""
         group = self.groups.of_engine(engine_id)
-        claim = self.claims.claim_of(group.name) if group is not None else None
         if group is not None and self.coordinator.coordinates(group.name):
             self.ledger.unused.record(now, SELF, engine_id, is_used=started >= granted)
-        elif claim is not None and started < granted:
-            self.reports.on_unused_grant(claim)
 
     def is_coordinated(self, now: float, engine_id: str) -> bool:
         """Returns whether items at an engine may start only with a coordinator's grant."""
--- a/src/troutswitch/decisions/slots/ledger.py
+++ b/src/troutswitch/decisions/slots/ledger.py
@@ -12,6 +12,7 @@
 counts of each engine to the registry.
 """
 
+import random
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -151,7 +152,7 @@
 
     def __init__(self, engines: EngineRegistry, incarnation: int) -> None:
         self.holders: dict[str, Holder] = {}
-        self.unused = UnusedGrants()
+        self.unused = UnusedGrants(random.Random(incarnation))
         self._incarnation = incarnation
         self._engines = engines
         self._checked_at = float("-inf")
